--- /dev/null
+++ b/include/nutmegdeck/log.h
@@ -0,0 +1,61 @@
+/*
+ * Logs as JSON lines on standard error, through log4c.
+ *
+ * Each log item has a fixed name; its fields are passed as a JSON object
+ * built with jansson's pack format.
+ *
+ *     nm_log_init("graz-nord-1", NM_LOG_INFO);
+ *     nm_log(NM_LOG_INFO, NM_LOG_ITEM_STARTED, "{s:s}", "address", text);
+ *     nm_log_finish();
+ */
+#ifndef NUTMEGDECK_LOG_H
+#define NUTMEGDECK_LOG_H
+
+#include <nutmegdeck/base.h>
+
+#define NM_LOG_ITEM_LIST(X)                                                   \
+    X(STARTED, "started")                                                     \
+    X(READY, "ready")                                                         \
+    X(STOPPING, "stopping")                                                   \
+    X(STOPPED, "stopped")                                                     \
+    X(CONFIG_ERROR, "config-error")                                           \
+    X(SETTINGS_INSTALLED, "settings-installed")                               \
+    X(SETTINGS_REFUSED, "settings-refused")                                   \
+    X(STORE_FAILED, "store-failed")                                           \
+    X(STORE_RECOVERED, "store-recovered")                                     \
+    X(OWNER_CANDIDATE, "owner-candidate")                                     \
+    X(OWNER_ACTIVE, "owner-active")                                           \
+    X(OWNER_LOST, "owner-lost")                                               \
+    X(WORKER_LOST, "worker-lost")                                             \
+    X(TASK_STARTED, "task-started")                                           \
+    X(TASK_ENDED, "task-ended")                                               \
+    X(TASK_EVICTED, "task-evicted")                                           \
+    X(JOB_REFUSED, "job-refused")                                             \
+    X(PEER_REFUSED, "peer-refused")                                           \
+    X(LISTEN_FAILED, "listen-failed")
+
+typedef enum {
+#define X(name, label) NM_LOG_ITEM_##name,
+    NM_LOG_ITEM_LIST(X)
+#undef X
+        NM_LOG_ITEM_COUNT,
+} nm_log_item_t;
+
+typedef enum {
+    NM_LOG_ERROR,
+    NM_LOG_WARN,
+    NM_LOG_INFO,
+    NM_LOG_DEBUG,
+} nm_log_level_t;
+
+/* Opens the log.  host names the process in each line. */
+int nm_log_init(const char *host, nm_log_level_t level);
+void nm_log_finish(void);
+
+/*
+ * Writes one line.  fields is a jansson pack format that yields an object,
+ * or NULL; its arguments follow.  Safe from any thread.
+ */
+void nm_log(nm_log_level_t level, nm_log_item_t item, const char *fields, ...);
+
+#endif
--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,129 @@
+# Starts and stops the processes of a trial on loopback.  Sourced by the
+# demo and by the tests with real processes.
+#
+# cluster_start CUSTOMER  starts store, platforms, executors, entry hosts
+# cluster_stop            stops what was started, by process id
+#
+# Needs: BIN (build folder), RUN (a scratch folder), BASE (first port).
+
+case "${CUSTOMER:=kreidefeld}" in
+kreidefeld)
+    DATACENTRES=(graz-nord graz-sued wien-favoriten)
+    REGIONS=(steiermark steiermark wien)
+    SERVICE=kreidefeld/buchung
+    SERVICE_PATH=/buchung
+    ;;
+hagg)
+    DATACENTRES=(sv-sodermalm sv-solna gl-hisingen)
+    REGIONS=(svealand svealand gotaland)
+    SERVICE=hagg/verkstad
+    SERVICE_PATH=/verkstad
+    ;;
+*)
+    echo "unknown customer $CUSTOMER" >&2
+    exit 2
+    ;;
+esac
+
+: "${HOSTS_PER_DC:=2}" "${WORKERS_PER_DC:=8}" "${EXECUTORS_PER_DC:=4}"
+: "${MEAN_MS:=10}" "${DC_COUNT:=3}"
+
+STORE_PORT=$BASE
+PIDS=()
+declare -A HOST_PID HOST_CALLER HOST_OPS HOST_ARGS
+
+platform_port() { echo $((BASE + 10 + $1)); }
+executor_port() { echo $((BASE + 100 + $1 * 60)); }
+
+started() {
+    PIDS+=("$1")
+}
+
+start_host() {
+    local id=$1
+    # shellcheck disable=SC2086
+    "$BIN/nutmegd" ${HOST_ARGS[$id]} 2>>"$RUN/$id.log" &
+    HOST_PID[$id]=$!
+    started $!
+}
+
+peer_flags() {
+    local d h id index=0
+    for ((d = 0; d < DC_COUNT; d++)); do
+        for ((h = 0; h < HOSTS_PER_DC; h++)); do
+            id="${DATACENTRES[$d]}-$h"
+            printf -- '--peer=%s,%s,%s,127.0.0.1:%d ' "$id" \
+                "${DATACENTRES[$d]}" "${REGIONS[$d]}" $((BASE + 80 + index))
+            index=$((index + 1))
+        done
+    done
+}
+
+cluster_start() {
+    local d h id index=0 peers
+    mkdir -p "$RUN"
+    "$BIN/standin_store" "$STORE_PORT" &
+    started $!
+    peers=$(peer_flags)
+    for ((d = 0; d < DC_COUNT; d++)); do
+        "$BIN/standin_executor" "$(executor_port "$d")" "$EXECUTORS_PER_DC" \
+            "$RUN/runs-$d.jsonl" "$MEAN_MS" &
+        started $!
+        "$BIN/standin_platform" "$(platform_port "$d")" \
+            "${DATACENTRES[$d]}" "$WORKERS_PER_DC" "$(executor_port "$d")" \
+            "$EXECUTORS_PER_DC" "$SERVICE" "$RUN/tasks-$d.jsonl" &
+        started $!
+    done
+    sleep 0.3
+    for ((d = 0; d < DC_COUNT; d++)); do
+        for ((h = 0; h < HOSTS_PER_DC; h++)); do
+            id="${DATACENTRES[$d]}-$h"
+            HOST_CALLER[$id]="127.0.0.1:$((BASE + 20 + index))"
+            HOST_OPS[$id]="127.0.0.1:$((BASE + 50 + index))"
+            HOST_ARGS[$id]="--id=$id --datacentre=${DATACENTRES[$d]} \
+--region=${REGIONS[$d]} --address=127.0.0.1 \
+--caller-port=$((BASE + 20 + index)) --ops-port=$((BASE + 50 + index)) \
+--peer-port=$((BASE + 80 + index)) --store=http://127.0.0.1:$STORE_PORT \
+--hosts=http://127.0.0.1:$(platform_port "$d")/hosts $peers"
+            start_host "$id"
+            index=$((index + 1))
+        done
+    done
+}
+
+all_callers() { local IFS=,; echo "${HOST_CALLER[*]}"; }
+all_ops() { local IFS=,; echo "${HOST_OPS[*]}"; }
+
+http_post() {
+    curl -s -o /dev/null -m 5 -X POST "$1"
+}
+
+# Waits until every given host is ready; fails after some 40 s.
+wait_ready() {
+    local host tries
+    for host in "$@"; do
+        for ((tries = 0; tries < 400; tries++)); do
+            if [ "$(curl -s -o /dev/null -m 2 -w '%{http_code}' \
+                "http://$host/-/ready")" = 200 ]; then
+                break
+            fi
+            sleep 0.1
+        done
+        if [ "$tries" -ge 400 ]; then
+            echo "$host is not ready" >&2
+            return 1
+        fi
+    done
+}
+
+cluster_stop() {
+    local pid
+    for pid in "${PIDS[@]}"; do
+        kill -CONT "$pid" 2>/dev/null
+        kill "$pid" 2>/dev/null
+    done
+    for pid in "${PIDS[@]}"; do
+        wait "$pid" 2>/dev/null
+    done
+    PIDS=()
+}
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,59 @@
+/*
+ * Process settings of an entry host, from flags and environment variables.
+ *
+ * Each flag --some-name has a variable NUTMEGD_SOME_NAME; the flag wins.
+ *
+ *     nm_config_t config;
+ *     GPtrArray *problems = NULL;
+ *     int rc = nm_config_read(&config, argc, argv, &problems);
+ *     nm_config_finish(&config);
+ */
+#ifndef NM_CONFIG_H
+#define NM_CONFIG_H
+
+#include <glib.h>
+
+#include <nutmegdeck/base.h>
+
+typedef struct {
+    char id[NM_NAME_MAX];
+    char datacentre[NM_NAME_MAX];
+    char region[NM_NAME_MAX];
+    char address[NM_NAME_MAX * 2]; /* of its peer socket */
+    char ip[NM_NAME_MAX];
+} nm_config_peer_t;
+
+typedef struct {
+    char *id;
+    char *datacentre;
+    char *region;
+    char *address; /* IP number for callers and peers */
+    int caller_port;
+    char *ops_address; /* IP number for operators */
+    int ops_port;
+    int peer_port;
+    char *store; /* memory: or http://IP:PORT */
+    char *hosts; /* http://... or file:... */
+    char **peer_texts;
+    char *peer_key_file;
+    char *log_level;
+    int threads;
+    int claim_interval_ms;
+    int drain_ms;
+    bool show_version;
+    nm_config_peer_t *peers;
+    uint32_t peer_count;
+    char *peer_public_key;
+    char *peer_secret_key;
+} nm_config_t;
+
+/*
+ * Reads and checks everything.  Returns NM_ERR_INVAL and the list of all
+ * problems (of strings; the caller frees it) if something is wrong.
+ * --help prints the usage and ends the process with status 0.
+ */
+int nm_config_read(nm_config_t *config, int argc, char **argv,
+                   GPtrArray **problems);
+void nm_config_finish(nm_config_t *config);
+
+#endif
--- /dev/null
+++ b/src/control_member.c
@@ -0,0 +1,295 @@
+#include "control_state.h"
+
+#include <string.h>
+#include <time.h>
+
+#include <ck_pr.h>
+
+#define HEARTBEAT_MS 200
+#define HEARTBEAT_FAR_MS 1000
+/* A peer that was silent this long counts as gone. */
+#define PEER_TIMEOUT_MS 1200
+#define PEER_FAR_TIMEOUT_MS 5000
+/* Entry hosts campaign in the order of their names, this far apart. */
+#define CAMPAIGN_STEP_MS 400
+/* An owner without a majority gives up after this. */
+#define AUTHORITY_LOST_MS 6000
+#define SYNCS_OUTSTANDING_MAX 256
+#define JOURNAL_INTERVAL_MS 100
+#define JOURNAL_RETRY_MS 500
+
+bool
+nm_control_peer_is_live(const nm_peer_t *peer, nm_ms_t now_ms)
+{
+    nm_ms_t timeout_ms =
+        peer->same_datacentre ? PEER_TIMEOUT_MS : PEER_FAR_TIMEOUT_MS;
+    return peer->heard_ms > 0 && now_ms - peer->heard_ms < timeout_ms;
+}
+
+void
+nm_control_send_heartbeats(nm_control_t *control, bool at_once, nm_ms_t now_ms)
+{
+    bool near_due = at_once || now_ms - control->heartbeat_ms >= HEARTBEAT_MS;
+    bool far_due =
+        at_once || now_ms - control->heartbeat_far_ms >= HEARTBEAT_FAR_MS;
+    if (!near_due && !far_due) {
+        return;
+    }
+    const nm_config_t *config = control->desc.config;
+    nm_shard_info_t info = nm_shard_query(&control->shard, now_ms);
+    char address[NM_NAME_MAX * 2];
+    g_snprintf(address, sizeof(address), "http://%s:%d", config->address,
+               config->caller_port);
+    NmPb__Heartbeat heartbeat = NM_PB__HEARTBEAT__INIT;
+    heartbeat.datacentre = config->datacentre;
+    heartbeat.region = config->region;
+    heartbeat.epoch = info.epoch;
+    heartbeat.owner = info.phase != NM_SHARD_FOLLOWER;
+    heartbeat.active = info.phase == NM_SHARD_ACTIVE && info.authority;
+    heartbeat.leaving = ck_pr_load_32(&control->leaving);
+    heartbeat.ready = control->ready;
+    heartbeat.store_ok = control->store_healthy;
+    heartbeat.settings_revision = control->settings.revision;
+    heartbeat.caller_address = address;
+    heartbeat.free_slots = control->report ? control->report->free_slots : 0;
+    NmPb__PeerMessage message = NM_PB__PEER_MESSAGE__INIT;
+    message.heartbeat = &heartbeat;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        nm_peer_t *peer = &control->peers[i];
+        if (peer->same_datacentre ? near_due : far_due) {
+            nm_control_send(control, peer, &message);
+        }
+    }
+    control->heartbeat_ms = near_due ? now_ms : control->heartbeat_ms;
+    control->heartbeat_far_ms = far_due ? now_ms : control->heartbeat_far_ms;
+}
+
+void
+nm_control_take_heartbeat(nm_control_t *control, nm_peer_t *peer,
+                          uint64_t incarnation,
+                          const NmPb__Heartbeat *heartbeat, nm_ms_t now_ms)
+{
+    bool was_ready = peer->ready;
+    peer->incarnation = incarnation;
+    peer->heard_ms = now_ms;
+    peer->epoch = heartbeat->epoch;
+    peer->owner = heartbeat->owner;
+    peer->active = heartbeat->active;
+    peer->leaving = heartbeat->leaving;
+    peer->ready = heartbeat->ready;
+    peer->settings_revision = heartbeat->settings_revision;
+    peer->free_slots = heartbeat->free_slots;
+    nm_strcopy(peer->caller_address, sizeof(peer->caller_address),
+               heartbeat->caller_address ? heartbeat->caller_address : "");
+    if (was_ready != peer->ready || !peer->same_datacentre) {
+        control->view_dirty = true;
+    }
+    if (!peer->same_datacentre) {
+        return;
+    }
+    nm_shard_saw_epoch(&control->shard, peer->epoch);
+    nm_shard_info_t info = nm_shard_query(&control->shard, now_ms);
+    if (info.phase != NM_SHARD_FOLLOWER && peer->owner &&
+        peer->epoch > info.epoch) {
+        nm_shard_resign(&control->shard);
+        control->follower_since_ms = now_ms;
+    }
+}
+
+/* Position in the order in which the live hosts campaign. */
+static uint32_t
+campaign_rank(const nm_control_t *control, nm_ms_t now_ms)
+{
+    uint32_t rank = 0;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        const nm_peer_t *peer = &control->peers[i];
+        if (peer->same_datacentre && !peer->leaving &&
+            nm_control_peer_is_live(peer, now_ms) &&
+            strcmp(peer->config.id, control->desc.config->id) < 0)
+        {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+static bool
+owner_is_known(const nm_control_t *control, nm_ms_t now_ms)
+{
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        const nm_peer_t *peer = &control->peers[i];
+        if (peer->same_datacentre && peer->owner && !peer->leaving &&
+            nm_control_peer_is_live(peer, now_ms))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+give_up(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_shard_resign(&control->shard);
+    control->follower_since_ms = now_ms;
+    nm_control_send_heartbeats(control, true, now_ms);
+}
+
+void
+nm_control_elect(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_shard_info_t info = nm_shard_query(&control->shard, now_ms);
+    bool leaving = ck_pr_load_32(&control->leaving);
+    nm_settings_feed_follow(control->feed,
+                            !leaving && (info.phase != NM_SHARD_FOLLOWER ||
+                                         !owner_is_known(control, now_ms)));
+    if (info.phase != NM_SHARD_FOLLOWER) {
+        if (info.authority) {
+            control->authority_ms = now_ms;
+        }
+        if (leaving || now_ms - control->authority_ms > AUTHORITY_LOST_MS) {
+            give_up(control, now_ms);
+        }
+        return;
+    }
+    bool prepared =
+        control->settings.revision > 0 && control->list && info.workers > 0;
+    if (leaving || !prepared || owner_is_known(control, now_ms)) {
+        control->follower_since_ms = now_ms;
+        return;
+    }
+    /* At the start, peers are given time to be heard. */
+    nm_ms_t wait_ms = CAMPAIGN_STEP_MS * campaign_rank(control, now_ms);
+    bool heard_all = true;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        heard_all = heard_all && (!control->peers[i].same_datacentre ||
+                                  control->peers[i].heard_ms > 0);
+    }
+    if (!heard_all && now_ms - control->started_ms < PEER_TIMEOUT_MS) {
+        return;
+    }
+    if (now_ms - control->follower_since_ms < wait_ms) {
+        return;
+    }
+    control->authority_ms = now_ms;
+    control->journal_busy = false;
+    nm_shard_campaign(&control->shard, now_ms);
+    nm_control_send_heartbeats(control, true, now_ms);
+}
+
+/* The shard's journal */
+
+static void
+take_load(nm_control_t *control, const nm_shard_store_result_t *result,
+          nm_ms_t now_ms)
+{
+    if (result->rc < 0) {
+        control->journal_retry_ms = now_ms + JOURNAL_RETRY_MS;
+        return;
+    }
+    nm_shard_saw_epoch(&control->shard, result->epoch);
+    nm_shard_info_t info = nm_shard_query(&control->shard, now_ms);
+    if (info.epoch <= result->epoch && info.phase != NM_SHARD_FOLLOWER) {
+        /* The workers lost their memory of epochs that the journal has. */
+        give_up(control, now_ms);
+        return;
+    }
+    nm_shard_journal_reset(&control->shard);
+    for (uint32_t i = 0; i < result->records->len; i++) {
+        gsize bytes = 0;
+        const void *data = g_bytes_get_data(result->records->pdata[i], &bytes);
+        if (nm_shard_journal_replay(&control->shard, data, (uint32_t)bytes) <
+            0) {
+            nm_log(NM_LOG_ERROR, NM_LOG_ITEM_STORE_FAILED, "{s:s}", "reason",
+                   "malformed journal record");
+        }
+    }
+    nm_shard_journal_loaded(&control->shard, now_ms);
+}
+
+static void
+take_append(nm_control_t *control, const nm_shard_store_result_t *result,
+            nm_ms_t now_ms)
+{
+    bool committed = result->rc == NM_OK;
+    nm_shard_journal_done(&control->shard, committed, now_ms);
+    if (committed) {
+        return;
+    }
+    if (result->rc == NM_ERR_CONFLICT || result->rc == NM_ERR_STALE) {
+        /* Another owner writes: this one has been superseded. */
+        give_up(control, now_ms);
+        return;
+    }
+    control->journal_retry_ms = now_ms + JOURNAL_RETRY_MS;
+}
+
+static void
+take_journal_results(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_shard_store_result_t *result;
+    while ((result = nm_shard_store_next(control->journal))) {
+        control->journal_busy = false;
+        control->journal_wants_snapshot = result->wants_snapshot;
+        if (result->is_load) {
+            take_load(control, result, now_ms);
+        }
+        else {
+            take_append(control, result, now_ms);
+        }
+        nm_shard_store_result_free(result);
+    }
+}
+
+static void
+run_journal(nm_control_t *control, nm_shard_phase_t phase, nm_ms_t now_ms)
+{
+    if (control->journal_busy || now_ms < control->journal_retry_ms) {
+        return;
+    }
+    if (phase == NM_SHARD_LOADING) {
+        control->journal_busy = true;
+        nm_shard_store_load(control->journal);
+        return;
+    }
+    if (phase != NM_SHARD_ACTIVE ||
+        now_ms - control->journal_written_ms < JOURNAL_INTERVAL_MS)
+    {
+        return;
+    }
+    uint32_t bytes = 0;
+    uint8_t *record = nm_shard_journal_take(&control->shard, &bytes);
+    if (!record) {
+        return;
+    }
+    uint32_t snapshot_bytes = 0;
+    uint8_t *snapshot = NULL;
+    if (control->journal_wants_snapshot) {
+        snapshot = nm_shard_journal_snapshot(&control->shard, &snapshot_bytes);
+    }
+    control->journal_busy = true;
+    control->journal_written_ms = now_ms;
+    nm_shard_info_t info = nm_shard_query(&control->shard, now_ms);
+    nm_shard_store_append(control->journal, record, bytes, snapshot,
+                          snapshot_bytes, info.epoch);
+}
+
+void
+nm_control_run_shard(nm_control_t *control, nm_ms_t now_ms)
+{
+    take_journal_results(control, now_ms);
+    nm_shard_tick(&control->shard, now_ms, (int64_t)time(NULL));
+    nm_shard_phase_t phase = nm_shard_query(&control->shard, now_ms).phase;
+    run_journal(control, phase, now_ms);
+    const nm_sync_t *sync;
+    while (control->syncs_outstanding < SYNCS_OUTSTANDING_MAX &&
+           (sync = nm_shard_next_sync(&control->shard, now_ms)))
+    {
+        if (nm_worker_port_sync(control->desc.workers, sync) < 0) {
+            nm_shard_sync_failed(&control->shard, sync->worker, sync->sequence,
+                                 now_ms);
+            break;
+        }
+        control->syncs_outstanding++;
+    }
+}
--- /dev/null
+++ b/src/control_settings.c
@@ -0,0 +1,394 @@
+#include "control_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A peer that is ahead is asked again after this. */
+#define ASK_INTERVAL_MS 500
+
+static void
+free_part(void *data)
+{
+    nm_settings_part_t *part = data;
+    free(part->delta_text);
+    g_free(part);
+}
+
+void
+nm_control_free_parts(nm_control_t *control)
+{
+    g_queue_clear_full(&control->parts, free_part);
+}
+
+static uint32_t
+service_index(nm_control_t *control, const char *path)
+{
+    for (uint32_t i = 0; i < control->services->len; i++) {
+        if (strcmp(control->services->pdata[i], path) == 0) {
+            return i;
+        }
+    }
+    g_ptr_array_add(control->services, g_strdup(path));
+    return control->services->len - 1;
+}
+
+static nm_amount_t
+amount_of(const nm_settings_t *settings, const char *path)
+{
+    return (nm_amount_t){
+        .cpu_milli = nm_settings_int(settings, path, NM_KEY_CPU),
+        .memory_mb = nm_settings_int(settings, path, NM_KEY_MEMORY),
+        .accelerators =
+            (int32_t)nm_settings_int(settings, path, NM_KEY_ACCELERATORS),
+    };
+}
+
+static uint64_t
+hash_text(const char *text)
+{
+    uint64_t hash = nm_hash(text, strlen(text));
+    return hash ? hash : 1;
+}
+
+static void
+apply_job(nm_control_t *control, const char *path, nm_kind_t kind)
+{
+    const nm_settings_t *settings = &control->settings;
+    const char *run = nm_settings_text(settings, path, NM_KEY_RUN, NULL);
+    char *identity = g_strdup_printf("%s\n%s", path, run);
+    const char *team = nm_settings_text(settings, path, NM_KEY_TEAM, NULL);
+    nm_shard_job_t job = {
+        .id = hash_text(identity),
+        .class_id = hash_text(path),
+        .team = *team ? hash_text(team) : 0,
+        .tasks = (uint32_t)nm_settings_int(settings, path, NM_KEY_TASKS),
+        .gang = (uint32_t)nm_settings_int(settings, path, NM_KEY_GANG),
+        .declared = amount_of(settings, path),
+        .duration_s =
+            (uint32_t)nm_settings_int(settings, path, NM_KEY_DURATION_S),
+        .finish_within_s =
+            (uint32_t)nm_settings_int(settings, path, NM_KEY_FINISH_WITHIN_S),
+        .priority = (uint8_t)nm_settings_int(settings, path, NM_KEY_PRIORITY),
+        .long_lived = kind == NM_KIND_WATCHER,
+    };
+    nm_strcopy(job.path, sizeof(job.path), path);
+    g_free(identity);
+    if (job.tasks > 0) {
+        nm_shard_set_job(&control->shard, &job);
+    }
+}
+
+static void
+apply_team(nm_control_t *control, const char *path)
+{
+    const nm_settings_t *settings = &control->settings;
+    nm_shard_team_t team = {
+        .id = hash_text(path),
+        .quota =
+            {
+                .cpu_milli = nm_settings_int(settings, path, NM_KEY_QUOTA_CPU),
+                .memory_mb =
+                    nm_settings_int(settings, path, NM_KEY_QUOTA_MEMORY),
+                .accelerators = (int32_t)nm_settings_int(settings, path,
+                                                         NM_KEY_QUOTA_ACCEL),
+            },
+    };
+    nm_shard_set_team(&control->shard, &team);
+}
+
+/* Brings services, jobs and teams in line with the tree. */
+static void
+apply_tree(nm_control_t *control, nm_ms_t now_ms)
+{
+    const nm_settings_t *settings = &control->settings;
+    const char *path;
+    json_t *section;
+    json_object_foreach(settings->sections, path, section)
+    {
+        nm_kind_t kind = nm_settings_kind(settings, path);
+        if (kind == NM_KIND_SERVICE) {
+            service_index(control, path);
+        }
+        else if (kind == NM_KIND_TEAM) {
+            apply_team(control, path);
+        }
+        else if (kind == NM_KIND_CUSTOMER) {
+            nm_shard_set_weight(&control->shard,
+                                (uint32_t)nm_settings_int(
+                                    settings, path, NM_KEY_WEIGHT_LATENCY));
+        }
+        else if ((kind == NM_KIND_BATCH || kind == NM_KIND_WATCHER) &&
+                 strcmp(nm_settings_home(settings, path),
+                        control->desc.config->datacentre) == 0)
+        {
+            apply_job(control, path, kind);
+        }
+    }
+    nm_shard_sweep_jobs(&control->shard, now_ms);
+    nm_control_apply_hosts(control, now_ms);
+    control->view_dirty = true;
+}
+
+static void
+keep_part(nm_control_t *control, int64_t from, int64_t to, const json_t *delta)
+{
+    nm_settings_part_t *part = g_new0(nm_settings_part_t, 1);
+    part->from_revision = from;
+    part->to_revision = to;
+    part->delta_text = json_dumps(delta, JSON_COMPACT);
+    g_queue_push_tail(&control->parts, part);
+    if (control->parts.length > NM_PARTS_KEPT) {
+        free_part(g_queue_pop_head(&control->parts));
+    }
+}
+
+static void
+send_part(nm_control_t *control, nm_peer_t *peer, int64_t from, int64_t to,
+          char *delta_text)
+{
+    NmPb__SettingsPart part = NM_PB__SETTINGS_PART__INIT;
+    part.from_revision = from;
+    part.to_revision = to;
+    part.delta_json = delta_text;
+    NmPb__PeerMessage message = NM_PB__PEER_MESSAGE__INIT;
+    message.settings = &part;
+    nm_control_send(control, peer, &message);
+}
+
+/*
+ * Installs an update.  The revision in force only rises: older and repeated
+ * updates are ignored, and one that does not follow on is left to the
+ * exchange of revisions.
+ */
+static bool
+install(nm_control_t *control, int64_t from, int64_t to, json_t *delta,
+        nm_ms_t now_ms)
+{
+    nm_settings_t *settings = &control->settings;
+    if (to <= settings->revision) {
+        nm_count_reason(NM_REASON_SETTINGS_STALE);
+        return false;
+    }
+    if (from != 0 && from != settings->revision) {
+        nm_count_reason(NM_REASON_SETTINGS_GAP);
+        return false;
+    }
+    int rc = NM_ERR_CORRUPT;
+    if (delta && from == 0) {
+        nm_settings_t whole;
+        nm_settings_init(&whole);
+        rc = nm_settings_apply(&whole, delta, to);
+        if (rc == NM_OK) {
+            nm_settings_finish(settings);
+            *settings = whole;
+        }
+        else {
+            nm_settings_finish(&whole);
+        }
+    }
+    else if (delta) {
+        rc = nm_settings_apply(settings, delta, to);
+    }
+    if (rc < 0) {
+        /* A malformed record has no effect anywhere. */
+        nm_count_reason(NM_REASON_SETTINGS_CORRUPT);
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_SETTINGS_REFUSED, "{s:I}", "revision",
+               (json_int_t)to);
+        if (from == 0) {
+            return false;
+        }
+        settings->revision = to;
+        return false;
+    }
+    control->settings_installed_ms = now_ms;
+    nm_count(NM_COUNTER_SETTINGS_INSTALLED, 1);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_SETTINGS_INSTALLED, "{s:I}", "revision",
+           (json_int_t)to);
+    keep_part(control, from, to, delta);
+    apply_tree(control, now_ms);
+    return true;
+}
+
+void
+nm_control_take_feed(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_settings_update_t *update;
+    while ((update = nm_settings_feed_next(control->feed))) {
+        bool installed = install(control, update->from_revision,
+                                 update->to_revision, update->delta, now_ms);
+        if (installed) {
+            nm_settings_part_t *part = g_queue_peek_tail(&control->parts);
+            for (uint32_t i = 0; i < control->peer_count; i++) {
+                if (control->peers[i].same_datacentre) {
+                    send_part(control, &control->peers[i], part->from_revision,
+                              part->to_revision, part->delta_text);
+                }
+            }
+        }
+        else if (update->from_revision > control->settings.revision) {
+            nm_settings_feed_poke(control->feed);
+        }
+        nm_settings_update_free(update);
+    }
+}
+
+void
+nm_control_take_part(nm_control_t *control, const NmPb__SettingsPart *part,
+                     nm_ms_t now_ms)
+{
+    if (part->to_revision <= control->settings.revision) {
+        return;
+    }
+    json_t *delta =
+        json_loads(part->delta_json ? part->delta_json : "", 0, NULL);
+    if (!delta) {
+        nm_count_reason(NM_REASON_PEER_MALFORMED);
+        return;
+    }
+    install(control, part->from_revision, part->to_revision, delta, now_ms);
+    json_decref(delta);
+}
+
+/* Position of the kept part that follows on a revision, or NULL. */
+static GList *
+find_part(nm_control_t *control, int64_t revision)
+{
+    for (GList *link = control->parts.head; link; link = link->next) {
+        const nm_settings_part_t *part = link->data;
+        if (part->from_revision == revision && revision > 0) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+void
+nm_control_answer_settings(nm_control_t *control, nm_peer_t *peer,
+                           const NmPb__SettingsAsk *ask)
+{
+    if (control->settings.revision <= ask->have_revision) {
+        return;
+    }
+    GList *link = find_part(control, ask->have_revision);
+    for (; link; link = link->next) {
+        nm_settings_part_t *part = link->data;
+        send_part(control, peer, part->from_revision, part->to_revision,
+                  part->delta_text);
+        if (part->to_revision == control->settings.revision) {
+            return;
+        }
+    }
+    nm_settings_t empty;
+    nm_settings_init(&empty);
+    json_t *all = nm_settings_diff(&empty, &control->settings);
+    char *text = json_dumps(all, JSON_COMPACT);
+    send_part(control, peer, 0, control->settings.revision, text);
+    free(text);
+    json_decref(all);
+    nm_settings_finish(&empty);
+}
+
+void
+nm_control_catch_up(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_peer_t *best = NULL;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        nm_peer_t *peer = &control->peers[i];
+        if (!nm_control_peer_is_live(peer, now_ms) ||
+            peer->settings_revision <= control->settings.revision)
+        {
+            continue;
+        }
+        bool nearer = best && peer->same_datacentre && !best->same_datacentre;
+        if (!best || nearer) {
+            best = peer;
+        }
+    }
+    if (!best || now_ms - best->settings_asked_ms < ASK_INTERVAL_MS) {
+        return;
+    }
+    best->settings_asked_ms = now_ms;
+    nm_count_reason(NM_REASON_SETTINGS_GAP);
+    NmPb__SettingsAsk ask = NM_PB__SETTINGS_ASK__INIT;
+    ask.have_revision = control->settings.revision;
+    NmPb__PeerMessage message = NM_PB__PEER_MESSAGE__INIT;
+    message.settings_ask = &ask;
+    nm_control_send(control, best, &message);
+}
+
+/* Hosts */
+
+static const nm_executor_host_t *
+executor_on(const nm_control_t *control, uint64_t worker)
+{
+    for (uint32_t i = 0; i < control->list->executor_count; i++) {
+        if (control->list->executors[i].worker == worker) {
+            return &control->list->executors[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+apply_worker(nm_control_t *control, const nm_worker_host_t *host,
+             nm_ms_t now_ms)
+{
+    nm_shard_worker_t worker = {
+        .id = host->id,
+        .rack = host->rack,
+        .capacity = host->capacity,
+        .service = NM_PLACE_NO_SERVICE,
+        .leaving = host->leaving,
+    };
+    nm_strcopy(worker.address, sizeof(worker.address), host->address);
+    const nm_executor_host_t *executor = executor_on(control, host->id);
+    const nm_settings_t *settings = &control->settings;
+    if (executor && nm_settings_has_section(settings, executor->service)) {
+        worker.service =
+            service_index(control, executor->service) % NM_PLACE_SERVICES_MAX;
+        worker.executor.cpu_milli =
+            nm_settings_int(settings, executor->service, NM_KEY_EXECUTOR_CPU);
+        worker.executor.memory_mb = nm_settings_int(
+            settings, executor->service, NM_KEY_EXECUTOR_MEMORY);
+    }
+    nm_shard_set_worker(&control->shard, &worker, now_ms);
+}
+
+void
+nm_control_apply_hosts(nm_control_t *control, nm_ms_t now_ms)
+{
+    if (!control->list) {
+        return;
+    }
+    const char *datacentre = control->desc.config->datacentre;
+    for (uint32_t i = 0; i < control->list->worker_count; i++) {
+        if (strcmp(control->list->workers[i].datacentre, datacentre) == 0) {
+            apply_worker(control, &control->list->workers[i], now_ms);
+        }
+    }
+    nm_shard_sweep_workers(&control->shard, now_ms);
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, control->executors);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((nm_local_executor_t *)value)->listed = false;
+    }
+    for (uint32_t i = 0; i < control->list->executor_count; i++) {
+        const nm_executor_host_t *host = &control->list->executors[i];
+        if (strcmp(host->datacentre, datacentre) != 0) {
+            continue;
+        }
+        void *key = (void *)(uintptr_t)host->id;
+        nm_local_executor_t *executor =
+            g_hash_table_lookup(control->executors, key);
+        if (!executor) {
+            executor = g_new0(nm_local_executor_t, 1);
+            executor->pressure = 1;
+            g_hash_table_insert(control->executors, key, executor);
+        }
+        executor->host = *host;
+        executor->service = service_index(control, host->service);
+        executor->listed = true;
+    }
+    control->view_dirty = true;
+}
--- /dev/null
+++ b/src/control_state.h
@@ -0,0 +1,151 @@
+/*
+ * State shared by the parts of the control thread.
+ *
+ * Internal.  control.c runs the thread, control_settings.c installs
+ * revisions, control_member.c exchanges heartbeats and elects the owner,
+ * control_grant.c asks for and gives grants, control_view.c builds the
+ * traffic thread's snapshot, control_status.c writes the operators' pages.
+ */
+#ifndef NM_CONTROL_STATE_H
+#define NM_CONTROL_STATE_H
+
+#include <pthread.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/grant.h>
+#include <nutmegdeck/log.h>
+#include <nutmegdeck/settings.h>
+#include <nutmegdeck/shard.h>
+
+#include "control.h"
+#include "peer.pb-c.h"
+
+#define NM_PARTS_KEPT 32
+
+/* Another entry host, as its heartbeats describe it. */
+typedef struct {
+    nm_config_peer_t config;
+    bool same_datacentre;
+    bool same_region;
+    uint64_t incarnation;
+    nm_ms_t heard_ms; /* 0: never */
+    int64_t epoch;
+    bool owner;
+    bool active;
+    bool leaving;
+    bool ready;
+    int64_t settings_revision;
+    char caller_address[NM_NAME_MAX * 2];
+    uint32_t free_slots;
+    nm_ms_t settings_asked_ms;
+} nm_peer_t;
+
+/* An executor of this data centre, with what is granted here. */
+typedef struct {
+    nm_executor_host_t host;
+    uint32_t service; /* index in the view */
+    uint16_t slots;   /* granted */
+    float pressure;
+    bool listed;
+} nm_local_executor_t;
+
+/* A settings update that is kept for peers that are behind. */
+typedef struct {
+    int64_t from_revision;
+    int64_t to_revision;
+    char *delta_text;
+} nm_settings_part_t;
+
+struct nm_control {
+    nm_control_desc_t desc;
+    pthread_t thread;
+    uint32_t ending;
+    uint32_t leaving;
+    nm_rng_t rng;
+    /* Settings */
+    nm_settings_t settings;
+    nm_settings_feed_t *feed;
+    GQueue parts; /* of nm_settings_part_t, oldest first */
+    nm_ms_t settings_installed_ms;
+    GPtrArray *services; /* section paths, by index; positions stay */
+    /* Hosts and peers */
+    nm_host_list_t *list;
+    nm_peer_t *peers;
+    uint32_t peer_count;
+    nm_ms_t heartbeat_ms;
+    nm_ms_t heartbeat_far_ms;
+    nm_ms_t started_ms;
+    nm_ms_t follower_since_ms;
+    nm_ms_t authority_ms; /* last time with authority */
+    /* Shard */
+    nm_shard_t shard;
+    nm_shard_store_t *journal;
+    bool journal_busy;
+    bool journal_wants_snapshot;
+    nm_ms_t journal_written_ms;
+    nm_ms_t journal_retry_ms;
+    uint32_t syncs_outstanding;
+    /* Grants given, while owner */
+    nm_grant_t grants;
+    bool grants_active;
+    int64_t grants_epoch;
+    /* Grants held */
+    GHashTable *executors; /* id to nm_local_executor_t */
+    uint64_t grant_number;
+    int64_t grant_epoch;
+    nm_ms_t grant_expires_ms;
+    nm_ms_t grant_asked_ms;
+    nm_traffic_report_t *report;
+    /* View and status */
+    bool view_dirty;
+    bool ready;
+    nm_ms_t status_ms;
+    bool store_healthy;
+};
+
+/* control.c */
+void nm_control_send(nm_control_t *control, nm_peer_t *peer,
+                     NmPb__PeerMessage *message);
+nm_peer_t *nm_control_find_peer(nm_control_t *control, const char *id);
+
+/* control_settings.c */
+void nm_control_take_feed(nm_control_t *control, nm_ms_t now_ms);
+void nm_control_take_part(nm_control_t *control,
+                          const NmPb__SettingsPart *part, nm_ms_t now_ms);
+void nm_control_answer_settings(nm_control_t *control, nm_peer_t *peer,
+                                const NmPb__SettingsAsk *ask);
+/* Asks a peer that is ahead, or the store. */
+void nm_control_catch_up(nm_control_t *control, nm_ms_t now_ms);
+void nm_control_apply_hosts(nm_control_t *control, nm_ms_t now_ms);
+void nm_control_free_parts(nm_control_t *control);
+
+/* control_member.c */
+void nm_control_send_heartbeats(nm_control_t *control, bool at_once,
+                                nm_ms_t now_ms);
+void nm_control_take_heartbeat(nm_control_t *control, nm_peer_t *peer,
+                               uint64_t incarnation,
+                               const NmPb__Heartbeat *heartbeat,
+                               nm_ms_t now_ms);
+bool nm_control_peer_is_live(const nm_peer_t *peer, nm_ms_t now_ms);
+void nm_control_elect(nm_control_t *control, nm_ms_t now_ms);
+void nm_control_run_shard(nm_control_t *control, nm_ms_t now_ms);
+
+/* control_grant.c */
+void nm_control_ask_grants(nm_control_t *control, nm_ms_t now_ms);
+void nm_control_give_grants(nm_control_t *control, nm_peer_t *peer,
+                            uint64_t holder, const NmPb__GrantAsk *ask,
+                            nm_ms_t now_ms);
+void nm_control_take_grants(nm_control_t *control,
+                            const NmPb__GrantAnswer *answer, nm_ms_t now_ms);
+/* Starts or ends giving grants as ownership comes and goes. */
+void nm_control_update_grants(nm_control_t *control, nm_ms_t now_ms);
+
+/* control_view.c */
+void nm_control_publish_view(nm_control_t *control, nm_ms_t now_ms);
+nm_ms_t nm_control_request_max_ms(const nm_control_t *control);
+
+/* control_status.c */
+void nm_control_write_status(nm_control_t *control, nm_ms_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/control_view.c
@@ -0,0 +1,189 @@
+#include "control_state.h"
+
+#include <string.h>
+
+#include <ck_pr.h>
+
+/* Concurrent requests forwarded to one entry host elsewhere. */
+#define FORWARDS_PER_PEER 32
+/* Entry hosts of a data centre that share a region link, at the least. */
+#define KBIT_TO_BYTES 125
+
+static void
+fill_service(const nm_control_t *control, uint32_t index,
+             nm_view_service_t *service)
+{
+    const nm_settings_t *settings = &control->settings;
+    const char *path = control->services->pdata[index];
+    nm_strcopy(service->name, sizeof(service->name), path);
+    if (!nm_settings_has_section(settings, path) ||
+        nm_settings_kind(settings, path) != NM_KIND_SERVICE)
+    {
+        /* Deleted: no request matches an empty name. */
+        nm_strcopy(service->prefix, sizeof(service->prefix), "\n");
+        service->limits.timeout_ms =
+            nm_settings_int(settings, path, NM_KEY_TIMEOUT_MS);
+        return;
+    }
+    nm_strcopy(service->prefix, sizeof(service->prefix),
+               nm_settings_text(settings, path, NM_KEY_PATH, NULL));
+    service->claim_strict =
+        nm_settings_bool(settings, path, NM_KEY_CLAIM_STRICT);
+    service->limits = (nm_route_service_t){
+        .timeout_ms = nm_settings_int(settings, path, NM_KEY_TIMEOUT_MS),
+        .attempt_timeout_ms =
+            nm_settings_int(settings, path, NM_KEY_ATTEMPT_TIMEOUT_MS),
+        .queue_limit =
+            (uint32_t)nm_settings_int(settings, path, NM_KEY_QUEUE_LIMIT),
+        .retry_budget_pct =
+            (uint32_t)nm_settings_int(settings, path, NM_KEY_RETRY_BUDGET),
+        .hedge_budget_pct =
+            (uint32_t)nm_settings_int(settings, path, NM_KEY_HEDGE_BUDGET),
+    };
+}
+
+static uint32_t
+fill_executors(const nm_control_t *control, nm_view_target_t *targets)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, control->executors);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_local_executor_t *executor = value;
+        nm_view_target_t *target = &targets[count++];
+        nm_strcopy(target->address, sizeof(target->address),
+                   executor->host.address);
+        target->target = (nm_route_target_t){
+            .id = executor->host.id,
+            .type = NM_TARGET_EXECUTOR,
+            .service = executor->service,
+            .granted_slots = executor->slots,
+            .grant_expires_ms = control->grant_expires_ms,
+            .leaving = executor->host.leaving || !executor->listed,
+            .pressure = executor->pressure,
+        };
+    }
+    return count;
+}
+
+static uint32_t
+fill_peers(const nm_control_t *control, nm_view_target_t *targets,
+           nm_ms_t now_ms)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        const nm_peer_t *peer = &control->peers[i];
+        if (peer->same_datacentre || !peer->caller_address[0]) {
+            continue;
+        }
+        bool usable = nm_control_peer_is_live(peer, now_ms) && peer->ready &&
+                      !peer->leaving && peer->free_slots > 0;
+        nm_view_target_t *target = &targets[count++];
+        nm_strcopy(target->address, sizeof(target->address),
+                   peer->caller_address);
+        target->target = (nm_route_target_t){
+            .id = nm_host_id(peer->config.id),
+            .type = peer->same_region ? NM_TARGET_PEER_SAME_REGION
+                                      : NM_TARGET_PEER_OTHER_REGION,
+            .granted_slots = MIN(peer->free_slots, FORWARDS_PER_PEER),
+            .grant_expires_ms = NM_MS_NEVER / 2,
+            .leaving = !usable,
+        };
+    }
+    return count;
+}
+
+/* This host's part of what requests may use of the region's links. */
+static uint64_t
+link_rate(const nm_control_t *control, nm_ms_t now_ms)
+{
+    const nm_settings_t *settings = &control->settings;
+    int64_t kbit = 0;
+    const char *path;
+    json_t *section;
+    json_object_foreach(settings->sections, path, section)
+    {
+        if (nm_settings_kind(settings, path) != NM_KIND_LINK) {
+            continue;
+        }
+        const char *region = control->desc.config->region;
+        const char *from =
+            nm_settings_text(settings, path, NM_KEY_LINK_FROM, NULL);
+        const char *to =
+            nm_settings_text(settings, path, NM_KEY_LINK_TO, NULL);
+        if (strcmp(from, region) == 0 || strcmp(to, region) == 0) {
+            kbit += nm_settings_int(settings, path, NM_KEY_LINK_RATE) *
+                    nm_settings_int(settings, path, NM_KEY_LINK_SHARE) / 100;
+        }
+    }
+    /* Silent hosts keep their part, so that the sum stays in the budget. */
+    uint32_t hosts = 1;
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        hosts += control->peers[i].same_region;
+    }
+    (void)now_ms;
+    return (uint64_t)(kbit * KBIT_TO_BYTES) / hosts;
+}
+
+nm_ms_t
+nm_control_request_max_ms(const nm_control_t *control)
+{
+    nm_ms_t longest_ms = 0;
+    for (uint32_t i = 0; i < control->services->len; i++) {
+        const char *path = control->services->pdata[i];
+        nm_ms_t timeout_ms =
+            nm_settings_int(&control->settings, path, NM_KEY_TIMEOUT_MS);
+        if (timeout_ms > longest_ms) {
+            longest_ms = timeout_ms;
+        }
+    }
+    return longest_ms + NM_ROUTE_DETACH_MARGIN_MS;
+}
+
+/* Ready: settings in force, and slots granted where there are executors. */
+static bool
+is_ready(const nm_control_t *control, nm_ms_t now_ms)
+{
+    if (control->settings.revision == 0 || !control->list ||
+        ck_pr_load_32((uint32_t *)&control->leaving))
+    {
+        return false;
+    }
+    bool granted = now_ms < control->grant_expires_ms;
+    return g_hash_table_size(control->executors) == 0 || granted ||
+           control->ready;
+}
+
+void
+nm_control_publish_view(nm_control_t *control, nm_ms_t now_ms)
+{
+    bool ready = is_ready(control, now_ms);
+    if (ready != control->ready) {
+        control->ready = ready;
+        nm_ops_set_ready(control->desc.ops, ready);
+        nm_log(NM_LOG_INFO, ready ? NM_LOG_ITEM_READY : NM_LOG_ITEM_STOPPING,
+               NULL);
+        control->view_dirty = true;
+    }
+    if (!control->view_dirty) {
+        return;
+    }
+    control->view_dirty = false;
+    nm_view_t *view = g_new0(nm_view_t, 1);
+    view->ready = control->settings.revision > 0;
+    view->grant_number = control->grant_number;
+    view->link_bytes_per_s = link_rate(control, now_ms);
+    view->service_count = control->services->len;
+    view->services = g_new0(nm_view_service_t, view->service_count + 1);
+    for (uint32_t i = 0; i < view->service_count; i++) {
+        fill_service(control, i, &view->services[i]);
+    }
+    uint32_t most =
+        g_hash_table_size(control->executors) + control->peer_count;
+    view->targets = g_new0(nm_view_target_t, most + 1);
+    view->target_count = fill_executors(control, view->targets);
+    view->target_count +=
+        fill_peers(control, view->targets + view->target_count, now_ms);
+    nm_traffic_publish(control->desc.traffic, view);
+}
--- /dev/null
+++ b/src/exchange.h
@@ -0,0 +1,69 @@
+/*
+ * One caller request and its answer, on its way through the threads.
+ *
+ * A front thread creates it, the traffic thread routes it, and the front
+ * thread sends the answer and frees it.  Only one thread uses it at a time.
+ */
+#ifndef NM_EXCHANGE_H
+#define NM_EXCHANGE_H
+
+#include <glib.h>
+
+#include <nutmegdeck/route.h>
+
+struct MHD_Connection;
+
+#define NM_BODY_MAX_BYTES (1024 * 1024)
+#define NM_ANSWER_MAX_BYTES (8 * 1024 * 1024)
+#define NM_KEY_MAX_BYTES 128
+
+/* Headers between entry hosts, and from executors. */
+#define NM_HEADER_VERDICT "Nutmegdeck-Verdict"
+#define NM_HEADER_REASON "Nutmegdeck-Reason"
+#define NM_HEADER_FORWARDED "Nutmegdeck-Forwarded"
+#define NM_HEADER_TIMEOUT "Nutmegdeck-Timeout-Ms"
+
+/* A whole answer. */
+typedef struct {
+    int status;
+    GPtrArray *headers; /* of "Name: value" */
+    GByteArray *body;
+    nm_verdict_t verdict;
+} nm_answer_t;
+
+typedef struct nm_exchange {
+    struct MHD_Connection *connection;
+    int socket;
+    char *method;
+    char *target;       /* path and query */
+    GPtrArray *headers; /* of "Name: value" */
+    GByteArray *body;
+    char *idempotency_key; /* NULL: none */
+    nm_ms_t timeout_ms;    /* 0: the service's */
+    bool forwarded;
+    bool too_large;
+    bool complete; /* the answer below is set */
+    nm_answer_t answer;
+    nm_reason_t reason; /* NONE: answer is an executor's */
+    nm_ms_t retry_after_ms;
+    /* Used by the traffic thread only. */
+    nm_ms_t arrived_ms;
+    uint32_t service;
+    nm_request_t request;
+    void *claim;
+} nm_exchange_t;
+
+nm_exchange_t *nm_exchange_new(void);
+void nm_exchange_free(nm_exchange_t *exchange);
+void nm_answer_init(nm_answer_t *answer);
+void nm_answer_finish(nm_answer_t *answer);
+/* Moves the contents; source is empty afterwards. */
+void nm_answer_move(nm_answer_t *target, nm_answer_t *source);
+/* True for methods that may be repeated without a further effect. */
+bool nm_method_is_idempotent(const char *method);
+/* True for headers that concern one connection only. */
+bool nm_header_is_hop_by_hop(const char *name);
+/* Value of a header in a list of "Name: value", or NULL. */
+const char *nm_header_find(const GPtrArray *headers, const char *name);
+
+#endif
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,311 @@
+#include "front.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <microhttpd.h>
+
+#define DEFAULT_THREADS 2
+#define CONNECTION_LIMIT 8192
+#define CONNECTION_MEMORY_BYTES (48 * 1024)
+#define IDLE_TIMEOUT_S 75
+#define TIMEOUT_MAX_MS 600000
+
+struct nm_front {
+    struct MHD_Daemon *daemon;
+    nm_traffic_t *traffic;
+    const char *const *peer_ips;
+    bool quiesced;
+};
+
+static enum MHD_Result
+copy_header(void *user, enum MHD_ValueKind kind, const char *name,
+            const char *value)
+{
+    (void)kind;
+    nm_exchange_t *exchange = user;
+    bool own = g_ascii_strncasecmp(name, "Nutmegdeck-", 11) == 0;
+    bool key = g_ascii_strcasecmp(name, "Idempotency-Key") == 0;
+    if (key) {
+        g_free(exchange->idempotency_key);
+        exchange->idempotency_key = g_strdup(value ? value : "");
+    }
+    if (!own && !key && !nm_header_is_hop_by_hop(name)) {
+        g_ptr_array_add(exchange->headers,
+                        g_strdup_printf("%s: %s", name, value ? value : ""));
+    }
+    return MHD_YES;
+}
+
+/* Collects the query as it was sent, since MHD splits it into parts. */
+static void *
+log_uri(void *user, const char *uri, struct MHD_Connection *connection)
+{
+    (void)user;
+    (void)connection;
+    nm_exchange_t *exchange = nm_exchange_new();
+    exchange->target = g_strdup(uri);
+    return exchange;
+}
+
+static bool
+is_peer(const nm_front_t *front, struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (!info || info->client_addr->sa_family != AF_INET) {
+        return false;
+    }
+    char text[INET_ADDRSTRLEN];
+    const struct sockaddr_in *from =
+        (const struct sockaddr_in *)info->client_addr;
+    inet_ntop(AF_INET, &from->sin_addr, text, sizeof(text));
+    for (const char *const *ip = front->peer_ips; ip && *ip; ip++) {
+        if (strcmp(*ip, text) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+read_head(nm_front_t *front, nm_exchange_t *exchange,
+          struct MHD_Connection *connection, const char *method)
+{
+    exchange->connection = connection;
+    exchange->method = g_strdup(method);
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, copy_header,
+                              exchange);
+    const char *timeout = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, NM_HEADER_TIMEOUT);
+    if (timeout) {
+        long value = strtol(timeout, NULL, 10);
+        if (value > 0 && value < TIMEOUT_MAX_MS) {
+            exchange->timeout_ms = value;
+        }
+    }
+    exchange->forwarded =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+                                    NM_HEADER_FORWARDED) &&
+        is_peer(front, connection);
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    exchange->socket = info ? info->connect_fd : -1;
+}
+
+static struct MHD_Response *
+problem_response(const nm_exchange_t *exchange)
+{
+    nm_reason_t reason = exchange->reason;
+    json_t *problem =
+        json_pack("{s:s,s:s,s:i,s:s,s:s}", "type", "about:blank", "title",
+                  nm_reason_text(reason), "status", nm_reason_status(reason),
+                  "reason", nm_reason_name(reason), "verdict",
+                  nm_verdict_name(exchange->answer.verdict));
+    char *text = json_dumps(problem, JSON_COMPACT);
+    json_decref(problem);
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(response, "Content-Type",
+                            "application/problem+json");
+    MHD_add_response_header(response, NM_HEADER_REASON,
+                            nm_reason_name(reason));
+    if (exchange->retry_after_ms > 0 &&
+        exchange->answer.verdict == NM_VERDICT_NOT_RUN)
+    {
+        char seconds[24];
+        snprintf(seconds, sizeof(seconds), "%lld",
+                 (long long)(exchange->retry_after_ms + 999) / 1000);
+        MHD_add_response_header(response, "Retry-After", seconds);
+    }
+    return response;
+}
+
+static struct MHD_Response *
+executor_response(const nm_exchange_t *exchange)
+{
+    const nm_answer_t *answer = &exchange->answer;
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        answer->body->len, answer->body->data, MHD_RESPMEM_MUST_COPY);
+    for (uint32_t i = 0; i < answer->headers->len; i++) {
+        char *line = g_strdup(answer->headers->pdata[i]);
+        char *colon = strchr(line, ':');
+        if (colon) {
+            *colon = '\0';
+            char *value = g_strstrip(colon + 1);
+            bool own = g_ascii_strncasecmp(line, "Nutmegdeck-", 11) == 0;
+            bool date = g_ascii_strcasecmp(line, "Date") == 0;
+            if (!own && !date && !nm_header_is_hop_by_hop(line)) {
+                MHD_add_response_header(response, line, value);
+            }
+        }
+        g_free(line);
+    }
+    return response;
+}
+
+static enum MHD_Result
+send_answer(nm_exchange_t *exchange)
+{
+    bool refused = exchange->reason != NM_REASON_NONE;
+    int status =
+        refused ? nm_reason_status(exchange->reason) : exchange->answer.status;
+    struct MHD_Response *response =
+        refused ? problem_response(exchange) : executor_response(exchange);
+    MHD_add_response_header(response, NM_HEADER_VERDICT,
+                            nm_verdict_name(exchange->answer.verdict));
+    enum MHD_Result result = MHD_queue_response(
+        exchange->connection, (unsigned int)status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+/* Answers without routing. */
+static enum MHD_Result
+refuse_at_once(nm_exchange_t *exchange, nm_reason_t reason)
+{
+    nm_count_reason(reason);
+    exchange->complete = true;
+    exchange->reason = reason;
+    exchange->answer.verdict = NM_VERDICT_NOT_RUN;
+    return send_answer(exchange);
+}
+
+static bool
+key_is_valid(const char *key)
+{
+    size_t length = strlen(key);
+    if (length == 0 || length > NM_KEY_MAX_BYTES) {
+        return false;
+    }
+    for (size_t i = 0; i < length; i++) {
+        if (key[i] < 0x21 || key[i] > 0x7e) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static enum MHD_Result
+on_request(void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_size, void **context)
+{
+    (void)url;
+    (void)version;
+    nm_front_t *front = user;
+    nm_exchange_t *exchange = *context;
+    if (!exchange->method) {
+        read_head(front, exchange, connection, method);
+        return MHD_YES;
+    }
+    if (exchange->complete) {
+        return send_answer(exchange);
+    }
+    if (*data_size > 0) {
+        if (exchange->body->len + *data_size > NM_BODY_MAX_BYTES) {
+            exchange->too_large = true;
+        }
+        else {
+            g_byte_array_append(exchange->body, (const guint8 *)data,
+                                (guint)*data_size);
+        }
+        *data_size = 0;
+        return MHD_YES;
+    }
+    if (exchange->too_large) {
+        return refuse_at_once(exchange, NM_REASON_TOO_LARGE);
+    }
+    if (exchange->target[0] != '/') {
+        return refuse_at_once(exchange, NM_REASON_BAD_REQUEST);
+    }
+    if (exchange->idempotency_key && !key_is_valid(exchange->idempotency_key))
+    {
+        return refuse_at_once(exchange, NM_REASON_KEY_INVALID);
+    }
+    /* The connection must be suspended before its answer can arrive. */
+    MHD_suspend_connection(connection);
+    if (!nm_traffic_submit(front->traffic, exchange)) {
+        nm_count_reason(NM_REASON_QUEUE_FULL);
+        exchange->reason = NM_REASON_QUEUE_FULL;
+        exchange->answer.verdict = NM_VERDICT_NOT_RUN;
+        exchange->complete = true;
+        MHD_resume_connection(connection);
+    }
+    return MHD_YES;
+}
+
+static void
+on_completed(void *user, struct MHD_Connection *connection, void **context,
+             enum MHD_RequestTerminationCode code)
+{
+    (void)user;
+    (void)connection;
+    (void)code;
+    nm_exchange_free(*context);
+    *context = NULL;
+}
+
+void
+nm_front_done(nm_exchange_t *exchange)
+{
+    MHD_resume_connection(exchange->connection);
+}
+
+nm_front_t *
+nm_front_new(const nm_front_desc_t *desc)
+{
+    assert(desc && desc->address && desc->traffic);
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons(desc->port),
+    };
+    if (inet_pton(AF_INET, desc->address, &address.sin_addr) != 1) {
+        return NULL;
+    }
+    nm_front_t *front = g_new0(nm_front_t, 1);
+    front->traffic = desc->traffic;
+    front->peer_ips = desc->peer_ips;
+    uint32_t threads = desc->threads ? desc->threads : DEFAULT_THREADS;
+    front->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, desc->port,
+        NULL, NULL, on_request, front, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&address, MHD_OPTION_THREAD_POOL_SIZE,
+        (unsigned int)threads, MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)CONNECTION_LIMIT, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, NULL, MHD_OPTION_URI_LOG_CALLBACK, log_uri, NULL,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+    if (!front->daemon) {
+        g_free(front);
+        return NULL;
+    }
+    return front;
+}
+
+void
+nm_front_quiesce(nm_front_t *front)
+{
+    assert(front);
+    if (!front->quiesced) {
+        MHD_socket listener = MHD_quiesce_daemon(front->daemon);
+        if (listener != MHD_INVALID_SOCKET) {
+            close(listener);
+        }
+        front->quiesced = true;
+    }
+}
+
+void
+nm_front_free(nm_front_t *front)
+{
+    assert(front);
+    MHD_stop_daemon(front->daemon);
+    g_free(front);
+}
--- /dev/null
+++ b/src/grant.c
@@ -0,0 +1,302 @@
+#include <nutmegdeck/grant.h>
+
+#include <assert.h>
+
+#include <glib.h>
+
+typedef struct {
+    uint16_t outstanding; /* slots the holder may use, in the worst case */
+    uint16_t granted;     /* slots in the newest answer */
+} share_t;
+
+typedef struct {
+    uint64_t id;
+    uint64_t answer; /* number of the newest answer */
+    uint32_t demand;
+    bool leaving;
+    nm_ms_t expires_ms;  /* of the grants */
+    nm_ms_t released_ms; /* when requests sent under them have ended */
+    GArray *shares;      /* of share_t, by executor position */
+} holder_t;
+
+typedef struct {
+    uint64_t id;
+    uint16_t slots;
+} executor_t;
+
+struct nm_grant_state {
+    nm_ms_t request_max_ms;
+    nm_ms_t settled_ms;
+    uint64_t answers;
+    GArray *executors;     /* of executor_t */
+    GHashTable *positions; /* executor id to position plus one */
+    GPtrArray *holders;    /* of holder_t */
+};
+
+typedef struct nm_grant_state state_t;
+
+static void
+free_holder(void *data)
+{
+    holder_t *holder = data;
+    g_array_free(holder->shares, TRUE);
+    g_free(holder);
+}
+
+void
+nm_grant_init(nm_grant_t *grant, const nm_grant_desc_t *desc, nm_ms_t now_ms)
+{
+    assert(grant && desc && desc->request_max_ms > 0);
+    state_t *state = g_new0(state_t, 1);
+    state->request_max_ms = desc->request_max_ms;
+    state->answers = (uint64_t)desc->epoch << 32;
+    state->settled_ms = now_ms + desc->settle_ms;
+    state->executors = g_array_new(FALSE, TRUE, sizeof(executor_t));
+    state->positions = g_hash_table_new(g_direct_hash, g_direct_equal);
+    state->holders = g_ptr_array_new_with_free_func(free_holder);
+    grant->state = state;
+}
+
+void
+nm_grant_finish(nm_grant_t *grant)
+{
+    assert(grant && grant->state);
+    g_array_free(grant->state->executors, TRUE);
+    g_hash_table_unref(grant->state->positions);
+    g_ptr_array_free(grant->state->holders, TRUE);
+    g_free(grant->state);
+    grant->state = NULL;
+}
+
+static int32_t
+find_executor(const state_t *state, uint64_t id)
+{
+    void *found = g_hash_table_lookup(state->positions, (void *)(uintptr_t)id);
+    return GPOINTER_TO_INT(found) - 1;
+}
+
+void
+nm_grant_set_executor(nm_grant_t *grant, uint64_t id, uint16_t slots)
+{
+    assert(grant && id != 0);
+    state_t *state = grant->state;
+    int32_t position = find_executor(state, id);
+    if (position < 0) {
+        executor_t executor = {.id = id};
+        g_array_append_val(state->executors, executor);
+        position = (int32_t)state->executors->len - 1;
+        g_hash_table_insert(state->positions, (void *)(uintptr_t)id,
+                            GINT_TO_POINTER(position + 1));
+    }
+    g_array_index(state->executors, executor_t, position).slots = slots;
+}
+
+static holder_t *
+find_holder(const state_t *state, uint64_t id)
+{
+    for (uint32_t i = 0; i < state->holders->len; i++) {
+        holder_t *holder = state->holders->pdata[i];
+        if (holder->id == id) {
+            return holder;
+        }
+    }
+    return NULL;
+}
+
+static share_t *
+share_at(holder_t *holder, uint32_t position)
+{
+    if (position >= holder->shares->len) {
+        g_array_set_size(holder->shares, position + 1);
+    }
+    return &g_array_index(holder->shares, share_t, position);
+}
+
+static bool
+may_use_slots(const holder_t *holder, nm_ms_t now_ms)
+{
+    return now_ms < holder->released_ms;
+}
+
+static uint16_t
+outstanding_at(const state_t *state, uint32_t position, nm_ms_t now_ms)
+{
+    uint32_t sum = 0;
+    for (uint32_t i = 0; i < state->holders->len; i++) {
+        holder_t *holder = state->holders->pdata[i];
+        if (may_use_slots(holder, now_ms) && position < holder->shares->len) {
+            sum += share_at(holder, position)->outstanding;
+        }
+    }
+    return (uint16_t)sum;
+}
+
+/* Takes in what the holder still uses of the grants it applied. */
+static void
+take_reports(state_t *state, holder_t *holder, const nm_grant_ask_t *ask)
+{
+    /* A report older than the newest answer cannot lower anything. */
+    bool current = ask->applied == holder->answer;
+    for (uint32_t i = 0; i < holder->shares->len; i++) {
+        share_t *share = share_at(holder, i);
+        if (current) {
+            share->outstanding = share->granted;
+        }
+    }
+    for (uint32_t i = 0; i < ask->report_count; i++) {
+        int32_t position = find_executor(state, ask->reports[i].executor);
+        if (position < 0) {
+            /* Known to the last owner only; counted, never granted. */
+            nm_grant_t grant = {state};
+            nm_grant_set_executor(&grant, ask->reports[i].executor, 0);
+            position = find_executor(state, ask->reports[i].executor);
+        }
+        share_t *share = share_at(holder, (uint32_t)position);
+        if (ask->reports[i].held > share->outstanding) {
+            share->outstanding = ask->reports[i].held;
+        }
+    }
+}
+
+/* Sum of demand and number of the holders that take part in the division. */
+static uint32_t
+count_competitors(const state_t *state, nm_ms_t now_ms, uint32_t *demand)
+{
+    uint32_t count = 0;
+    *demand = 0;
+    for (uint32_t i = 0; i < state->holders->len; i++) {
+        const holder_t *holder = state->holders->pdata[i];
+        if (now_ms < holder->expires_ms && !holder->leaving) {
+            count++;
+            *demand += holder->demand + 1;
+        }
+    }
+    return count;
+}
+
+/* Position of a holder in the fixed order of competitors. */
+static uint32_t
+rank_of(const state_t *state, const holder_t *wanted, nm_ms_t now_ms)
+{
+    uint32_t rank = 0;
+    for (uint32_t i = 0; i < state->holders->len; i++) {
+        const holder_t *holder = state->holders->pdata[i];
+        if (now_ms < holder->expires_ms && !holder->leaving &&
+            holder->id < wanted->id) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
+/*
+ * Fair share of one executor: one slot for each competitor, the others in
+ * proportion to demand.  Rounding differs by executor, so that over all
+ * executors no holder loses by it.
+ */
+static uint16_t
+fair_share(uint16_t slots, uint32_t count, uint32_t rank, uint32_t demand,
+           uint32_t total_demand, uint32_t position)
+{
+    if (count == 0 || slots == 0) {
+        return 0;
+    }
+    if (slots < count) {
+        return (rank + position) % count < slots;
+    }
+    uint32_t spare = slots - count;
+    uint64_t scaled = (uint64_t)spare * (demand + 1);
+    uint32_t share = (uint32_t)(scaled / total_demand);
+    uint64_t rest = scaled % total_demand;
+    /* A golden-ratio sequence spreads the remainders over executors. */
+    uint32_t threshold = (position * 2654435769u) >> 16;
+    threshold = (threshold + rank * 0x10000u / count) & 0xffff;
+    if (rest * 0x10000 / total_demand > threshold) {
+        share++;
+    }
+    return (uint16_t)(1 + share);
+}
+
+uint64_t
+nm_grant_ask(nm_grant_t *grant, const nm_grant_ask_t *ask, nm_ms_t now_ms)
+{
+    assert(grant && ask && ask->holder != 0);
+    state_t *state = grant->state;
+    holder_t *holder = find_holder(state, ask->holder);
+    if (!holder) {
+        holder = g_new0(holder_t, 1);
+        holder->id = ask->holder;
+        holder->shares = g_array_new(FALSE, TRUE, sizeof(share_t));
+        g_ptr_array_add(state->holders, holder);
+    }
+    holder->demand = ask->demand;
+    holder->leaving = ask->leaving;
+    take_reports(state, holder, ask);
+    holder->expires_ms = now_ms + NM_GRANT_TERM_MS + NM_GRANT_MARGIN_MS;
+    holder->released_ms = holder->expires_ms + state->request_max_ms;
+    holder->answer = ++state->answers;
+
+    uint32_t demand = 0;
+    uint32_t count = count_competitors(state, now_ms, &demand);
+    uint32_t rank = rank_of(state, holder, now_ms);
+    for (uint32_t i = 0; i < state->executors->len; i++) {
+        const executor_t *executor =
+            &g_array_index(state->executors, executor_t, i);
+        share_t *share = share_at(holder, i);
+        uint16_t fair = holder->leaving
+                            ? 0
+                            : fair_share(executor->slots, count, rank,
+                                         holder->demand, demand, i);
+        uint16_t total = outstanding_at(state, i, now_ms);
+        uint16_t free_slots =
+            executor->slots > total ? executor->slots - total : 0;
+        if (now_ms < state->settled_ms) {
+            free_slots = 0;
+        }
+        uint16_t most = (uint16_t)(share->outstanding + free_slots);
+        share->granted = fair < most ? fair : most;
+        if (share->granted > share->outstanding) {
+            share->outstanding = share->granted;
+        }
+    }
+    return holder->answer;
+}
+
+uint16_t
+nm_grant_query(const nm_grant_t *grant, uint64_t holder_id, uint64_t executor)
+{
+    assert(grant);
+    holder_t *holder = find_holder(grant->state, holder_id);
+    int32_t position = find_executor(grant->state, executor);
+    if (!holder || position < 0) {
+        return 0;
+    }
+    return share_at(holder, (uint32_t)position)->granted;
+}
+
+uint16_t
+nm_grant_query_outstanding(const nm_grant_t *grant, uint64_t executor,
+                           nm_ms_t now_ms)
+{
+    assert(grant);
+    int32_t position = find_executor(grant->state, executor);
+    if (position < 0) {
+        return 0;
+    }
+    return outstanding_at(grant->state, (uint32_t)position, now_ms);
+}
+
+void
+nm_grant_tick(nm_grant_t *grant, nm_ms_t now_ms)
+{
+    assert(grant);
+    GPtrArray *holders = grant->state->holders;
+    for (uint32_t i = 0; i < holders->len;) {
+        if (may_use_slots(holders->pdata[i], now_ms)) {
+            i++;
+        }
+        else {
+            g_ptr_array_remove_index_fast(holders, i);
+        }
+    }
+}
--- /dev/null
+++ b/src/journal.c
@@ -0,0 +1,304 @@
+#include <nutmegdeck/journal.h>
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#define READ_BACK_TRIES 3
+
+typedef struct {
+    int64_t sequence;
+    int64_t snapshot;
+    int64_t epoch;
+    char token[32];
+} head_t;
+
+void
+nm_journal_init(nm_journal_t *journal, nm_store_t *store, const char *prefix,
+                uint64_t seed)
+{
+    assert(journal && store && prefix);
+    *journal = (nm_journal_t){.store = store};
+    nm_strcopy(journal->prefix, sizeof(journal->prefix), prefix);
+    nm_rng_init(&journal->rng, seed);
+}
+
+static void
+make_key(const nm_journal_t *journal, const char *part, char *key)
+{
+    snprintf(key, NM_STORE_KEY_MAX, "%s/%s", journal->prefix, part);
+}
+
+static void
+make_log_key(const nm_journal_t *journal, int64_t sequence, char *key)
+{
+    snprintf(key, NM_STORE_KEY_MAX, "%s/log/%012lld", journal->prefix,
+             (long long)sequence);
+}
+
+static void
+make_chunk_key(const nm_journal_t *journal, int64_t sequence, uint32_t chunk,
+               char *key)
+{
+    snprintf(key, NM_STORE_KEY_MAX, "%s/snap/%012lld/%04u", journal->prefix,
+             (long long)sequence, chunk);
+}
+
+static bool
+parse_head(const nm_store_kv_t *kv, head_t *head)
+{
+    json_t *json = json_loadb((char *)kv->value, kv->value_bytes, 0, NULL);
+    json_int_t sequence = 0;
+    json_int_t snapshot = 0;
+    json_int_t epoch = 0;
+    const char *token = NULL;
+    int rc = json_unpack(json, "{s:I,s:I,s:I,s:s}", "seq", &sequence, "snap",
+                         &snapshot, "epoch", &epoch, "token", &token);
+    bool valid = rc == 0 && sequence >= snapshot && snapshot >= 0;
+    if (valid) {
+        head->sequence = sequence;
+        head->snapshot = snapshot;
+        head->epoch = epoch;
+        nm_strcopy(head->token, sizeof(head->token), token);
+    }
+    json_decref(json);
+    return valid;
+}
+
+static int
+read_head(nm_journal_t *journal, head_t *head, int64_t *head_revision)
+{
+    char key[NM_STORE_KEY_MAX];
+    make_key(journal, "head", key);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_range(&txn, key, false);
+    nm_store_result_t result;
+    int rc = nm_store_commit(journal->store, &txn, &result);
+    nm_store_txn_finish(&txn);
+    *head = (head_t){0};
+    *head_revision = 0;
+    if (rc == NM_OK && result.kv_count > 0) {
+        *head_revision = result.kvs[0].mod_revision;
+        rc = parse_head(&result.kvs[0], head) ? NM_OK : NM_ERR_CORRUPT;
+    }
+    nm_store_result_finish(&result);
+    return rc;
+}
+
+static int
+deliver_snapshot(nm_journal_t *journal, const nm_store_result_t *result,
+                 int64_t snapshot, nm_journal_record_fn on_record, void *user)
+{
+    if (snapshot == 0) {
+        return NM_OK;
+    }
+    GString *bytes = g_string_new(NULL);
+    uint32_t chunk = 0;
+    for (;; chunk++) {
+        char key[NM_STORE_KEY_MAX];
+        make_chunk_key(journal, snapshot, chunk, key);
+        const nm_store_kv_t *kv = nm_store_result_find(result, key);
+        if (!kv) {
+            break;
+        }
+        g_string_append_len(bytes, (char *)kv->value, kv->value_bytes);
+    }
+    int rc = NM_ERR_CORRUPT;
+    if (chunk > 0) {
+        rc = on_record(user, snapshot, true, bytes->str, (uint32_t)bytes->len);
+    }
+    g_string_free(bytes, TRUE);
+    return rc;
+}
+
+int
+nm_journal_load(nm_journal_t *journal, nm_journal_record_fn on_record,
+                void *user)
+{
+    assert(journal && on_record);
+    char prefix[NM_STORE_KEY_MAX];
+    char key[NM_STORE_KEY_MAX];
+    make_key(journal, "", prefix);
+    make_key(journal, "head", key);
+    /* One transaction, so that head, log and snapshot are consistent. */
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_range(&txn, prefix, true);
+    nm_store_result_t result;
+    int rc = nm_store_commit(journal->store, &txn, &result);
+    nm_store_txn_finish(&txn);
+    head_t head = {0};
+    int64_t head_revision = 0;
+    if (rc == NM_OK) {
+        const nm_store_kv_t *kv = nm_store_result_find(&result, key);
+        if (kv) {
+            head_revision = kv->mod_revision;
+            rc = parse_head(kv, &head) ? NM_OK : NM_ERR_CORRUPT;
+        }
+    }
+    if (rc == NM_OK) {
+        rc =
+            deliver_snapshot(journal, &result, head.snapshot, on_record, user);
+    }
+    for (int64_t i = head.snapshot + 1; rc >= 0 && i <= head.sequence; i++) {
+        make_log_key(journal, i, key);
+        const nm_store_kv_t *kv = nm_store_result_find(&result, key);
+        rc = kv ? on_record(user, i, false, kv->value, kv->value_bytes)
+                : NM_ERR_CORRUPT;
+    }
+    if (rc >= 0) {
+        journal->sequence = head.sequence;
+        journal->snapshot = head.snapshot;
+        journal->epoch = head.epoch;
+        journal->head_revision = head_revision;
+        journal->store_revision = result.revision;
+        rc = NM_OK;
+    }
+    nm_store_result_finish(&result);
+    return rc;
+}
+
+/* Finds out whether an append whose answer was lost took effect. */
+static int
+resolve_append(nm_journal_t *journal, const char *token)
+{
+    for (int i = 0; i < READ_BACK_TRIES; i++) {
+        head_t head;
+        int64_t head_revision;
+        if (read_head(journal, &head, &head_revision) < 0) {
+            continue;
+        }
+        if (strcmp(head.token, token) == 0) {
+            journal->head_revision = head_revision;
+            return NM_OK;
+        }
+        if (head_revision != journal->head_revision) {
+            return NM_ERR_CONFLICT;
+        }
+        /* The head is unchanged, but the write may still be on its way. */
+    }
+    return NM_ERR_LOST;
+}
+
+static void
+add_snapshot(nm_journal_t *journal, nm_store_txn_t *txn, int64_t sequence,
+             const uint8_t *snapshot, uint32_t bytes)
+{
+    char key[NM_STORE_KEY_MAX];
+    /* One by one: etcd refuses a range that overlaps the new record's key. */
+    int64_t oldest = journal->snapshot > 0 ? journal->snapshot : 1;
+    for (int64_t i = oldest; i <= journal->sequence; i++) {
+        make_log_key(journal, i, key);
+        nm_store_txn_delete(txn, key, false);
+    }
+    if (journal->snapshot > 0) {
+        snprintf(key, sizeof(key), "%s/snap/%012lld/", journal->prefix,
+                 (long long)journal->snapshot);
+        nm_store_txn_delete(txn, key, true);
+    }
+    uint32_t chunk = 0;
+    uint32_t at = 0;
+    do {
+        uint32_t size = bytes - at;
+        if (size > NM_JOURNAL_CHUNK_BYTES) {
+            size = NM_JOURNAL_CHUNK_BYTES;
+        }
+        make_chunk_key(journal, sequence, chunk, key);
+        nm_store_txn_put(txn, key, snapshot + at, size, 0);
+        at += size;
+        chunk++;
+    } while (at < bytes);
+}
+
+int
+nm_journal_append_snapshot(nm_journal_t *journal, const void *data,
+                           uint32_t bytes, const void *snapshot,
+                           uint32_t snapshot_bytes, int64_t epoch)
+{
+    assert(journal && data);
+    if (epoch < journal->epoch) {
+        return NM_ERR_STALE;
+    }
+    if (bytes > NM_STORE_VALUE_MAX_BYTES ||
+        snapshot_bytes > NM_JOURNAL_SNAPSHOT_MAX_BYTES)
+    {
+        return NM_ERR_TOO_LARGE;
+    }
+    int64_t sequence = journal->sequence + 1;
+    char token[32];
+    snprintf(token, sizeof(token), "%016llx",
+             (unsigned long long)nm_rng_next(&journal->rng));
+    char key[NM_STORE_KEY_MAX];
+    make_key(journal, "head", key);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, key, journal->head_revision);
+    json_t *head =
+        json_pack("{s:I,s:I,s:I,s:s}", "seq", (json_int_t)sequence, "snap",
+                  (json_int_t)(snapshot ? sequence : journal->snapshot),
+                  "epoch", (json_int_t)epoch, "token", token);
+    char *text = json_dumps(head, JSON_COMPACT);
+    nm_store_txn_put(&txn, key, text, (uint32_t)strlen(text), 0);
+    free(text);
+    json_decref(head);
+    if (snapshot) {
+        add_snapshot(journal, &txn, sequence, snapshot, snapshot_bytes);
+    }
+    /* Watchers read the record, also when a snapshot includes it. */
+    make_log_key(journal, sequence, key);
+    nm_store_txn_put(&txn, key, data, bytes, 0);
+    nm_store_result_t result;
+    int rc = nm_store_commit(journal->store, &txn, &result);
+    if (rc == NM_OK && !result.succeeded) {
+        rc = NM_ERR_CONFLICT;
+    }
+    if (rc == NM_OK) {
+        journal->head_revision = result.revision;
+        journal->store_revision = result.revision;
+    }
+    nm_store_result_finish(&result);
+    nm_store_txn_finish(&txn);
+    if (rc == NM_ERR_LOST) {
+        rc = resolve_append(journal, token);
+    }
+    if (rc == NM_OK) {
+        journal->sequence = sequence;
+        journal->epoch = epoch;
+        if (snapshot) {
+            journal->snapshot = sequence;
+        }
+    }
+    return rc;
+}
+
+int
+nm_journal_append(nm_journal_t *journal, const void *data, uint32_t bytes,
+                  int64_t epoch)
+{
+    return nm_journal_append_snapshot(journal, data, bytes, NULL, 0, epoch);
+}
+
+bool
+nm_journal_wants_snapshot(const nm_journal_t *journal)
+{
+    assert(journal);
+    return journal->sequence - journal->snapshot >= NM_JOURNAL_LOG_MAX;
+}
+
+int64_t
+nm_journal_key_sequence(const nm_journal_t *journal, const char *key)
+{
+    assert(journal && key);
+    char prefix[NM_STORE_KEY_MAX];
+    make_key(journal, "log/", prefix);
+    size_t length = strlen(prefix);
+    if (strncmp(key, prefix, length) != 0) {
+        return -1;
+    }
+    return strtoll(key + length, NULL, 10);
+}
--- /dev/null
+++ b/src/ops.h
@@ -0,0 +1,29 @@
+/*
+ * HTTP listener for operators: health, counters and status.
+ *
+ *     nm_ops_t *ops = nm_ops_new("10.0.0.1", 9090);
+ *     nm_ops_set_ready(ops, true);
+ *     nm_ops_set_text(ops, NM_OPS_STATUS, json_text);
+ *     nm_ops_free(ops);
+ */
+#ifndef NM_OPS_H
+#define NM_OPS_H
+
+#include <nutmegdeck/base.h>
+
+typedef enum {
+    NM_OPS_STATUS, /* /-/status */
+    NM_OPS_JOBS,   /* /-/jobs */
+    NM_OPS_TEXTS,
+} nm_ops_text_t;
+
+typedef struct nm_ops nm_ops_t;
+
+/* Returns NULL if the address cannot be bound. */
+nm_ops_t *nm_ops_new(const char *address, uint16_t port);
+void nm_ops_free(nm_ops_t *ops);
+void nm_ops_set_ready(nm_ops_t *ops, bool ready);
+/* Takes over text, which was allocated with malloc. */
+void nm_ops_set_text(nm_ops_t *ops, nm_ops_text_t which, char *text);
+
+#endif
--- /dev/null
+++ b/src/place_model.c
@@ -0,0 +1,177 @@
+#include "place_model.h"
+
+#include <assert.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Without reports a task may use this many times what is declared. */
+#define UNKNOWN_SIZE_FACTOR 4
+#define CPU_QUANTILE 0.95
+#define MEMORY_MARGIN 0.25
+#define CPU_MARGIN 0.10
+#define PRIOR_MEAN 0.4f
+#define PRIOR_VARIANCE 0.25f
+/* Variance of one measurement, and what each report adds to a coefficient's
+ * variance so that the model follows changes. */
+#define NOISE_VARIANCE 0.0025f
+#define DRIFT_VARIANCE 0.00002f
+#define VARIANCE_LEAST 0.0004f
+
+int
+nm_model_band(float load)
+{
+    if (load < 0.4f) {
+        return 0;
+    }
+    return load < 0.7f ? 1 : 2;
+}
+
+void
+nm_class_finish(nm_class_t *class_)
+{
+    for (int i = 0; i < NM_PLACE_SERVICES_MAX; i++) {
+        g_free(class_->coefficients[i]);
+    }
+}
+
+static int
+compare_int64(const void *a, const void *b)
+{
+    int64_t x = *(const int64_t *)a;
+    int64_t y = *(const int64_t *)b;
+    return (x > y) - (x < y);
+}
+
+static int64_t
+quantile(const int64_t *samples, uint32_t count, double part)
+{
+    int64_t sorted[NM_USE_SAMPLES];
+    memcpy(sorted, samples, count * sizeof(sorted[0]));
+    qsort(sorted, count, sizeof(sorted[0]), compare_int64);
+    return sorted[(uint32_t)(part * (count - 1) + 0.5)];
+}
+
+void
+nm_class_observe_use(nm_class_t *class_, const nm_amount_t *use)
+{
+    uint32_t slot = class_->use_count % NM_USE_SAMPLES;
+    class_->cpu_samples[slot] = use->cpu_milli;
+    class_->memory_samples[slot] = use->memory_mb;
+    class_->use_count++;
+    uint32_t count = class_->use_count < NM_USE_SAMPLES ? class_->use_count
+                                                        : NM_USE_SAMPLES;
+    class_->cpu_estimate = quantile(class_->cpu_samples, count, CPU_QUANTILE);
+    class_->memory_estimate = quantile(class_->memory_samples, count, 1.0);
+}
+
+static int64_t
+clamp_amount(int64_t value, int64_t limit)
+{
+    return value < limit ? value : limit;
+}
+
+nm_amount_t
+nm_class_reservation(const nm_class_t *class_, const nm_amount_t *declared,
+                     const nm_amount_t *limit)
+{
+    nm_amount_t amount = *declared;
+    if (class_->is_told) {
+        amount.cpu_milli = class_->told.cpu_milli;
+        amount.memory_mb = class_->told.memory_mb;
+    }
+    else if (class_->use_count == 0) {
+        amount.cpu_milli *= UNKNOWN_SIZE_FACTOR;
+        amount.memory_mb *= UNKNOWN_SIZE_FACTOR;
+    }
+    else {
+        /* The margin is wide while the samples are few. */
+        double doubt = 0.5 / class_->use_count;
+        amount.cpu_milli =
+            (int64_t)((double)class_->cpu_estimate * (1 + CPU_MARGIN + doubt));
+        amount.memory_mb = (int64_t)((double)class_->memory_estimate *
+                                     (1 + MEMORY_MARGIN + doubt));
+    }
+    amount.cpu_milli = clamp_amount(amount.cpu_milli, limit->cpu_milli);
+    amount.memory_mb = clamp_amount(amount.memory_mb, limit->memory_mb);
+    if (amount.cpu_milli < 1) {
+        amount.cpu_milli = 1;
+    }
+    if (amount.memory_mb < 1) {
+        amount.memory_mb = 1;
+    }
+    return amount;
+}
+
+static nm_coefficient_t *
+coefficients_of(nm_class_t *class_, uint32_t service)
+{
+    assert(service < NM_PLACE_SERVICES_MAX);
+    if (!class_->coefficients[service]) {
+        nm_coefficient_t *created = g_new0(nm_coefficient_t, NM_LOAD_BANDS);
+        for (int i = 0; i < NM_LOAD_BANDS; i++) {
+            created[i].mean = PRIOR_MEAN;
+            created[i].variance = PRIOR_VARIANCE;
+        }
+        class_->coefficients[service] = created;
+    }
+    return class_->coefficients[service];
+}
+
+const nm_coefficient_t *
+nm_class_coefficient(nm_class_t *class_, uint32_t service, int band)
+{
+    return &coefficients_of(class_, service)[band];
+}
+
+/* Lets a band without data start from what a neighbour has learned. */
+static void
+share_with_neighbours(nm_coefficient_t *bands, int band)
+{
+    for (int i = 0; i < NM_LOAD_BANDS; i++) {
+        if (i == band || bands[i].samples > 0) {
+            continue;
+        }
+        bands[i].mean = bands[band].mean;
+        float spread = 0.3f * bands[band].mean + 0.05f;
+        bands[i].variance = bands[band].variance + spread * spread;
+        if (bands[i].variance > PRIOR_VARIANCE) {
+            bands[i].variance = PRIOR_VARIANCE;
+        }
+    }
+}
+
+void
+nm_model_observe(const nm_class_share_t *shares, uint32_t count,
+                 uint32_t service, const nm_place_sample_t *sample)
+{
+    int band = nm_model_band(sample->load);
+    float predicted = 0;
+    float total_variance = NOISE_VARIANCE;
+    for (uint32_t i = 0; i < count; i++) {
+        nm_coefficient_t *coefficient =
+            &coefficients_of(shares[i].class_, service)[band];
+        coefficient->variance += DRIFT_VARIANCE;
+        predicted += coefficient->mean * shares[i].share;
+        total_variance +=
+            coefficient->variance * shares[i].share * shares[i].share;
+    }
+    float error = sample->slowdown - 1.0f - predicted;
+    for (uint32_t i = 0; i < count; i++) {
+        nm_coefficient_t *bands = coefficients_of(shares[i].class_, service);
+        nm_coefficient_t *coefficient = &bands[band];
+        float gain = coefficient->variance * shares[i].share / total_variance;
+        coefficient->mean += gain * error;
+        if (coefficient->mean < 0) {
+            coefficient->mean = 0;
+        }
+        coefficient->variance *= 1.0f - gain * shares[i].share;
+        if (coefficient->variance < VARIANCE_LEAST) {
+            coefficient->variance = VARIANCE_LEAST;
+        }
+        coefficient->samples++;
+        share_with_neighbours(bands, band);
+    }
+}
--- /dev/null
+++ b/src/place_model.h
@@ -0,0 +1,58 @@
+/*
+ * Learned models of placement: task sizes and pairwise interference.
+ *
+ * Internal to the place module.  A class is a set of tasks that behave
+ * alike.  Sizes are quantiles of reported use, with a margin that shrinks
+ * as reports arrive.  The slowdown of a service is modelled as
+ *
+ *     1 + sum over classes of coefficient * processor share
+ *
+ * with one coefficient for each service, class and load band, estimated by
+ * a Kalman filter whose covariance is kept diagonal.
+ */
+#ifndef NM_PLACE_MODEL_H
+#define NM_PLACE_MODEL_H
+
+#include <nutmegdeck/place.h>
+
+#define NM_LOAD_BANDS 3
+#define NM_USE_SAMPLES 32
+
+typedef struct {
+    float mean;
+    float variance;
+    uint32_t samples;
+} nm_coefficient_t;
+
+typedef struct {
+    uint64_t id;
+    int64_t cpu_samples[NM_USE_SAMPLES];
+    int64_t memory_samples[NM_USE_SAMPLES];
+    uint32_t use_count;
+    int64_t cpu_estimate; /* cached quantiles of the samples */
+    int64_t memory_estimate;
+    nm_amount_t told; /* true size, for the policy TOLD */
+    bool is_told;
+    nm_coefficient_t *coefficients[NM_PLACE_SERVICES_MAX];
+} nm_class_t;
+
+/* One class's share of a worker's processors. */
+typedef struct {
+    nm_class_t *class_;
+    float share;
+} nm_class_share_t;
+
+int nm_model_band(float load);
+void nm_class_finish(nm_class_t *class_);
+void nm_class_observe_use(nm_class_t *class_, const nm_amount_t *use);
+/* Amount to reserve for a task, never beyond limit. */
+nm_amount_t nm_class_reservation(const nm_class_t *class_,
+                                 const nm_amount_t *declared,
+                                 const nm_amount_t *limit);
+const nm_coefficient_t *nm_class_coefficient(nm_class_t *class_,
+                                             uint32_t service, int band);
+/* Updates the coefficients of the classes that ran at the measurement. */
+void nm_model_observe(const nm_class_share_t *shares, uint32_t count,
+                      uint32_t service, const nm_place_sample_t *sample);
+
+#endif
--- /dev/null
+++ b/src/place_worker.c
@@ -0,0 +1,213 @@
+#include "place_worker.h"
+
+#include <assert.h>
+#include <math.h>
+
+#include <glib.h>
+
+/* Reservations are brought up to date at most this often. */
+#define REFRESH_MS 1000
+
+void
+nm_worker_finish(nm_worker_t *worker)
+{
+    g_free(worker->holds);
+}
+
+nm_amount_t
+nm_worker_room(const nm_worker_t *worker)
+{
+    const nm_place_worker_t *desc = &worker->desc;
+    return (nm_amount_t){
+        .cpu_milli = desc->capacity.cpu_milli - desc->executor.cpu_milli,
+        .memory_mb = desc->capacity.memory_mb - desc->executor.memory_mb,
+        .accelerators =
+            desc->capacity.accelerators - desc->executor.accelerators,
+    };
+}
+
+bool
+nm_worker_fits(const nm_worker_t *worker, const nm_amount_t *amount)
+{
+    nm_amount_t room = nm_worker_room(worker);
+    return worker->used.cpu_milli + amount->cpu_milli <= room.cpu_milli &&
+           worker->used.memory_mb + amount->memory_mb <= room.memory_mb &&
+           worker->used.accelerators + amount->accelerators <=
+               room.accelerators;
+}
+
+nm_hold_t *
+nm_worker_find_hold(nm_worker_t *worker, uint64_t task)
+{
+    for (uint32_t i = 0; i < worker->hold_count; i++) {
+        if (worker->holds[i].task == task) {
+            return &worker->holds[i];
+        }
+    }
+    return NULL;
+}
+
+static float
+share_of(const nm_worker_t *worker, const nm_hold_t *hold)
+{
+    if (worker->desc.capacity.cpu_milli <= 0) {
+        return 0;
+    }
+    return (float)hold->reserved.cpu_milli /
+           (float)worker->desc.capacity.cpu_milli * hold->throttle_pct / 100;
+}
+
+static void
+record_change(nm_worker_t *worker, nm_class_t *class_, float delta,
+              nm_ms_t now_ms)
+{
+    uint32_t slot = worker->history_count++ % NM_HISTORY_MAX;
+    worker->history[slot] = (nm_change_t){now_ms, class_, delta};
+}
+
+static void
+add_amount(nm_amount_t *sum, const nm_amount_t *amount, int sign)
+{
+    sum->cpu_milli += sign * amount->cpu_milli;
+    sum->memory_mb += sign * amount->memory_mb;
+    sum->accelerators += sign * amount->accelerators;
+}
+
+nm_hold_t *
+nm_worker_add_hold(nm_worker_t *worker, const nm_hold_t *hold, nm_ms_t now_ms)
+{
+    assert(!nm_worker_find_hold(worker, hold->task));
+    if (worker->hold_count == worker->hold_capacity) {
+        worker->hold_capacity =
+            worker->hold_capacity ? worker->hold_capacity * 2 : 8;
+        worker->holds =
+            g_renew(nm_hold_t, worker->holds, worker->hold_capacity);
+    }
+    nm_hold_t *added = &worker->holds[worker->hold_count++];
+    *added = *hold;
+    add_amount(&worker->used, &added->reserved, 1);
+    record_change(worker, added->class_, share_of(worker, added), now_ms);
+    return added;
+}
+
+void
+nm_worker_remove_hold(nm_worker_t *worker, nm_hold_t *hold, nm_ms_t now_ms)
+{
+    add_amount(&worker->used, &hold->reserved, -1);
+    record_change(worker, hold->class_, -share_of(worker, hold), now_ms);
+    *hold = worker->holds[--worker->hold_count];
+}
+
+void
+nm_worker_set_throttle(nm_worker_t *worker, nm_hold_t *hold,
+                       uint8_t throttle_pct, nm_ms_t now_ms)
+{
+    float before = share_of(worker, hold);
+    hold->throttle_pct = throttle_pct;
+    record_change(worker, hold->class_, share_of(worker, hold) - before,
+                  now_ms);
+}
+
+void
+nm_worker_refresh(nm_worker_t *worker, nm_ms_t now_ms)
+{
+    if (now_ms - worker->refreshed_ms < REFRESH_MS) {
+        return;
+    }
+    worker->refreshed_ms = now_ms;
+    nm_amount_t room = nm_worker_room(worker);
+    for (uint32_t i = 0; i < worker->hold_count; i++) {
+        nm_hold_t *hold = &worker->holds[i];
+        nm_amount_t amount =
+            nm_class_reservation(hold->class_, &hold->declared, &room);
+        if (amount.cpu_milli == hold->reserved.cpu_milli &&
+            amount.memory_mb == hold->reserved.memory_mb)
+        {
+            continue;
+        }
+        float before = share_of(worker, hold);
+        add_amount(&worker->used, &hold->reserved, -1);
+        hold->reserved = amount;
+        add_amount(&worker->used, &hold->reserved, 1);
+        float delta = share_of(worker, hold) - before;
+        if (fabsf(delta) > 0.005f) {
+            record_change(worker, hold->class_, delta, now_ms);
+        }
+    }
+}
+
+static int
+add_to_mix(nm_class_share_t *mix, int count, nm_class_t *class_, float share)
+{
+    for (int i = 0; i < count; i++) {
+        if (mix[i].class_ == class_) {
+            mix[i].share += share;
+            return count;
+        }
+    }
+    if (count < NM_MIX_MAX) {
+        mix[count++] = (nm_class_share_t){class_, share};
+    }
+    return count;
+}
+
+int
+nm_worker_mix_at(const nm_worker_t *worker, nm_ms_t at_ms,
+                 nm_class_share_t *mix)
+{
+    int count = 0;
+    for (uint32_t i = 0; i < worker->hold_count; i++) {
+        count = add_to_mix(mix, count, worker->holds[i].class_,
+                           share_of(worker, &worker->holds[i]));
+    }
+    uint32_t known = worker->history_count < NM_HISTORY_MAX
+                         ? worker->history_count
+                         : NM_HISTORY_MAX;
+    uint32_t undone = 0;
+    for (; undone < known; undone++) {
+        uint32_t slot = (worker->history_count - 1 - undone) % NM_HISTORY_MAX;
+        const nm_change_t *change = &worker->history[slot];
+        if (change->at_ms <= at_ms) {
+            break;
+        }
+        count = add_to_mix(mix, count, change->class_, -change->delta);
+    }
+    if (undone == NM_HISTORY_MAX) {
+        return -1;
+    }
+    int kept = 0;
+    for (int i = 0; i < count; i++) {
+        if (mix[i].share > 0.001f) {
+            mix[kept++] = mix[i];
+        }
+    }
+    return kept;
+}
+
+nm_estimate_t
+nm_worker_predict(nm_worker_t *worker, float load, nm_class_t *added,
+                  float added_share)
+{
+    if (worker->desc.service == NM_PLACE_NO_SERVICE) {
+        return (nm_estimate_t){.mean = 1};
+    }
+    nm_class_share_t mix[NM_MIX_MAX];
+    int count = 0;
+    for (uint32_t i = 0; i < worker->hold_count; i++) {
+        count = add_to_mix(mix, count, worker->holds[i].class_,
+                           share_of(worker, &worker->holds[i]));
+    }
+    if (added) {
+        count = add_to_mix(mix, count, added, added_share);
+    }
+    float mean = 1;
+    float variance = 0;
+    int band = nm_model_band(load);
+    for (int i = 0; i < count; i++) {
+        const nm_coefficient_t *coefficient =
+            nm_class_coefficient(mix[i].class_, worker->desc.service, band);
+        mean += coefficient->mean * mix[i].share;
+        variance += coefficient->variance * mix[i].share * mix[i].share;
+    }
+    return (nm_estimate_t){.mean = mean, .deviation = sqrtf(variance)};
+}
--- /dev/null
+++ b/src/route_target.h
@@ -0,0 +1,58 @@
+/*
+ * Route targets: statistics, outlier ejection and choice.
+ *
+ * Internal to the route module.  A target is an executor with granted
+ * slots, or an entry host of another data centre.
+ */
+#ifndef NM_ROUTE_TARGET_H
+#define NM_ROUTE_TARGET_H
+
+#include <glib.h>
+
+#include <nutmegdeck/route.h>
+
+typedef struct {
+    nm_route_target_t desc;
+    uint32_t in_flight;
+    float latency_ms;   /* smoothed */
+    uint32_t failures;  /* in a row */
+    uint32_t ejections; /* in a row, for the backoff */
+    nm_ms_t ejected_until_ms;
+    bool probing; /* one attempt after an ejection is under way */
+    bool named;   /* by an update since the last sweep */
+} nm_target_t;
+
+/* Targets of one service, or the peers. */
+typedef struct {
+    uint32_t *members; /* indexes of targets */
+    uint32_t count;
+    uint32_t capacity;
+    uint32_t cursor;
+} nm_target_group_t;
+
+typedef struct {
+    nm_target_t *targets;
+    uint32_t count;
+    uint32_t capacity;
+    GHashTable *index; /* target id to position plus one */
+} nm_target_table_t;
+
+void nm_target_table_finish(nm_target_table_t *table);
+void nm_target_group_finish(nm_target_group_t *group);
+/* Returns a target's index, or -1. */
+int32_t nm_target_find(const nm_target_table_t *table, uint64_t id);
+int32_t nm_target_add(nm_target_table_t *table, const nm_route_target_t *desc);
+void nm_target_group_add(nm_target_group_t *group, uint32_t index);
+
+/* True if the target may take one more attempt now. */
+bool nm_target_is_available(const nm_target_t *target, nm_ms_t now_ms);
+/* Chooses an available target, if possible other than avoid; or -1. */
+int32_t nm_target_choose(const nm_target_table_t *table,
+                         nm_target_group_t *group, nm_route_policy_t policy,
+                         nm_rng_t *rng, int32_t avoid, nm_ms_t now_ms);
+void nm_target_succeeded(nm_target_t *target, nm_ms_t latency_ms);
+/* Records a failure; at_once ejects without waiting for more of them. */
+void nm_target_failed(nm_target_table_t *table, const nm_target_group_t *group,
+                      nm_target_t *target, bool at_once, nm_ms_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/settings_feed.h
@@ -0,0 +1,41 @@
+/*
+ * Feed of settings revisions from the store.
+ *
+ * A thread loads the settings journal and, while it is told to follow,
+ * watches for new records.  Each revision is delivered once and in order.
+ *
+ *     nm_settings_feed_t *feed = nm_settings_feed_new(store, wake, user);
+ *     nm_settings_feed_follow(feed, true);
+ *     while ((update = nm_settings_feed_next(feed))) { ... }
+ *     nm_settings_feed_free(feed);
+ */
+#ifndef NM_SETTINGS_FEED_H
+#define NM_SETTINGS_FEED_H
+
+#include <jansson.h>
+
+#include <nutmegdeck/journal.h>
+
+#define NM_SETTINGS_PREFIX "nutmegdeck/settings"
+
+typedef struct {
+    int64_t from_revision; /* 0: delta sets the whole tree */
+    int64_t to_revision;
+    json_t *delta; /* NULL: the record was malformed and has no effect */
+} nm_settings_update_t;
+
+typedef struct nm_settings_feed nm_settings_feed_t;
+
+nm_settings_feed_t *nm_settings_feed_new(nm_store_t *store, uint64_t seed,
+                                         void (*wake)(void *user), void *user);
+void nm_settings_feed_free(nm_settings_feed_t *feed);
+/* Tells the feed to watch; without, it loads once and rests. */
+void nm_settings_feed_follow(nm_settings_feed_t *feed, bool follow);
+/* Asks for one more load, such as when a peer is ahead. */
+void nm_settings_feed_poke(nm_settings_feed_t *feed);
+nm_settings_update_t *nm_settings_feed_next(nm_settings_feed_t *feed);
+void nm_settings_update_free(nm_settings_update_t *update);
+/* True if the last call to the store succeeded. */
+bool nm_settings_feed_is_healthy(nm_settings_feed_t *feed);
+
+#endif
--- /dev/null
+++ b/src/shard.c
@@ -0,0 +1,747 @@
+#include "shard_state.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+#define DEFAULT_SYNC_INTERVAL_MS 500
+/* Workers that left the list still count for the majority this long. */
+#define REMOVED_COUNTS_MS (NM_SHARD_AUTHORITY_MS + NM_SHARD_LEASE_MS)
+
+static const char *const phase_names[] = {"follower", "fencing", "loading",
+                                          "active"};
+
+const char *
+nm_shard_phase_name(nm_shard_phase_t phase)
+{
+    return phase_names[phase];
+}
+
+static void
+free_worker(void *data)
+{
+    nm_pw_t *worker = data;
+    GArray *arrays[] = {
+        worker->starts,         worker->stops,       worker->throttles,
+        worker->acks,           worker->sent_starts, worker->sent_stops,
+        worker->sent_throttles, worker->sent_acks,   worker->tasks};
+    for (size_t i = 0; i < NM_COUNT_OF(arrays); i++) {
+        g_array_free(arrays[i], TRUE);
+    }
+    g_free(worker);
+}
+
+static void
+free_job(void *data)
+{
+    nm_job_t *job = data;
+    g_free(job->tasks);
+    g_queue_clear(&job->waiting);
+    g_free(job);
+}
+
+void
+nm_shard_init(nm_shard_t *shard, const nm_shard_desc_t *desc)
+{
+    assert(shard && desc && desc->owner_id != 0);
+    nm_shard_state_t *state = g_new0(nm_shard_state_t, 1);
+    state->owner_id = desc->owner_id;
+    state->sync_interval_ms = desc->sync_interval_ms
+                                  ? desc->sync_interval_ms
+                                  : DEFAULT_SYNC_INTERVAL_MS;
+    state->workers = g_ptr_array_new_with_free_func(free_worker);
+    state->worker_ids = g_hash_table_new(g_direct_hash, g_direct_equal);
+    state->jobs = g_ptr_array_new_with_free_func(free_job);
+    state->job_ids = g_hash_table_new(g_direct_hash, g_direct_equal);
+    state->teams =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    state->orphans = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+                                           nm_orphan_free);
+    nm_place_init(&state->place, &(nm_place_desc_t){
+                                     .seed = desc->seed,
+                                     .policy = desc->policy,
+                                 });
+    shard->state = state;
+}
+
+void
+nm_shard_finish(nm_shard_t *shard)
+{
+    assert(shard && shard->state);
+    nm_shard_state_t *state = shard->state;
+    g_ptr_array_free(state->workers, TRUE);
+    g_hash_table_unref(state->worker_ids);
+    g_ptr_array_free(state->jobs, TRUE);
+    g_hash_table_unref(state->job_ids);
+    g_hash_table_unref(state->teams);
+    g_hash_table_unref(state->orphans);
+    nm_place_finish(&state->place);
+    g_free(state);
+    shard->state = NULL;
+}
+
+/* Lookup */
+
+nm_job_t *
+nm_shard_find_job(const nm_shard_state_t *state, uint64_t id,
+                  uint32_t *position)
+{
+    void *found = g_hash_table_lookup(state->job_ids, (void *)(uintptr_t)id);
+    if (!found) {
+        return NULL;
+    }
+    uint32_t at = GPOINTER_TO_UINT(found) - 1;
+    if (position) {
+        *position = at;
+    }
+    return state->jobs->pdata[at];
+}
+
+nm_pw_t *
+nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
+                     int32_t *index)
+{
+    void *found =
+        g_hash_table_lookup(state->worker_ids, (void *)(uintptr_t)id);
+    if (!found) {
+        return NULL;
+    }
+    int32_t at = GPOINTER_TO_INT(found) - 1;
+    if (index) {
+        *index = at;
+    }
+    return state->workers->pdata[at];
+}
+
+/* Workers */
+
+static nm_pw_t *
+add_worker(nm_shard_state_t *state, uint64_t id)
+{
+    nm_pw_t *worker = g_new0(nm_pw_t, 1);
+    worker->starts = g_array_new(FALSE, TRUE, sizeof(nm_start_t));
+    worker->stops = g_array_new(FALSE, TRUE, sizeof(nm_stop_t));
+    worker->throttles = g_array_new(FALSE, TRUE, sizeof(nm_throttle_t));
+    worker->acks = g_array_new(FALSE, TRUE, sizeof(nm_attempt_name_t));
+    worker->sent_starts = g_array_new(FALSE, TRUE, sizeof(nm_start_t));
+    worker->sent_stops = g_array_new(FALSE, TRUE, sizeof(nm_stop_t));
+    worker->sent_throttles = g_array_new(FALSE, TRUE, sizeof(nm_throttle_t));
+    worker->sent_acks = g_array_new(FALSE, TRUE, sizeof(nm_attempt_name_t));
+    worker->tasks = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    g_ptr_array_add(state->workers, worker);
+    g_hash_table_insert(state->worker_ids, (void *)(uintptr_t)id,
+                        GINT_TO_POINTER((int)state->workers->len));
+    return worker;
+}
+
+void
+nm_shard_set_worker(nm_shard_t *shard, const nm_shard_worker_t *desc,
+                    nm_ms_t now_ms)
+{
+    assert(shard && desc && desc->id != 0);
+    nm_shard_state_t *state = shard->state;
+    nm_pw_t *worker = nm_shard_find_worker(state, desc->id, NULL);
+    if (!worker) {
+        worker = add_worker(state, desc->id);
+        worker->due_ms = now_ms;
+    }
+    bool was_leaving = worker->desc.leaving;
+    worker->desc = *desc;
+    worker->named = true;
+    worker->removed = false;
+    worker->place = nm_place_set_worker(&state->place,
+                                        &(nm_place_worker_t){
+                                            .id = desc->id,
+                                            .rack = desc->rack,
+                                            .capacity = desc->capacity,
+                                            .service = desc->service,
+                                            .executor = desc->executor,
+                                            /* Opened by its first report. */
+                                            .closed = true,
+                                        });
+    state->changed = true;
+    if (!desc->leaving || was_leaving) {
+        return;
+    }
+    for (uint32_t i = 0; i < worker->tasks->len; i++) {
+        uint64_t key = g_array_index(worker->tasks, uint64_t, i);
+        nm_shard_stop_task(state, (uint32_t)(key >> 32), (uint32_t)key, true,
+                           NM_REASON_EVICT_LEAVING);
+    }
+}
+
+void
+nm_shard_sweep_workers(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        nm_pw_t *worker = state->workers->pdata[i];
+        if (!worker->named && !worker->removed) {
+            worker->removed = true;
+            worker->removed_ms = now_ms;
+            nm_place_close_worker(&state->place, worker->place, true);
+        }
+        worker->named = false;
+    }
+}
+
+/* Jobs and teams */
+
+void
+nm_shard_set_team(nm_shard_t *shard, const nm_shard_team_t *desc)
+{
+    assert(shard && desc);
+    void *key = (void *)(uintptr_t)desc->id;
+    nm_team_t *team = g_hash_table_lookup(shard->state->teams, key);
+    if (!team) {
+        team = g_new0(nm_team_t, 1);
+        g_hash_table_insert(shard->state->teams, key, team);
+    }
+    team->desc = *desc;
+    shard->state->changed = true;
+}
+
+void
+nm_shard_set_weight(nm_shard_t *shard, uint32_t weight_latency_pct)
+{
+    assert(shard);
+    nm_place_set_weight(&shard->state->place, weight_latency_pct);
+}
+
+static void
+resize_tasks(nm_shard_state_t *state, nm_job_t *job, uint32_t before,
+             uint32_t count)
+{
+    job->tasks = g_renew(nm_task_t, job->tasks, count);
+    for (uint32_t i = before; i < count; i++) {
+        job->tasks[i] = (nm_task_t){.worker = -1};
+        job->counts[NM_TASK_WAITING]++;
+        nm_shard_queue_task(state, job, i);
+    }
+}
+
+void
+nm_shard_set_job(nm_shard_t *shard, const nm_shard_job_t *desc)
+{
+    assert(shard && desc && desc->id != 0 && desc->tasks > 0);
+    nm_shard_state_t *state = shard->state;
+    nm_job_t *job = nm_shard_find_job(state, desc->id, NULL);
+    uint32_t before = 0;
+    if (!job) {
+        job = g_new0(nm_job_t, 1);
+        g_queue_init(&job->waiting);
+        g_ptr_array_add(state->jobs, job);
+        g_hash_table_insert(state->job_ids, (void *)(uintptr_t)desc->id,
+                            GUINT_TO_POINTER(state->jobs->len));
+    }
+    else {
+        before = job->desc.tasks;
+    }
+    uint32_t tasks = desc->tasks > before ? desc->tasks : before;
+    job->desc = *desc;
+    job->desc.tasks = tasks;
+    job->named = true;
+    if (job->removed) {
+        /* A deleted job is forgotten: declared again, it runs anew. */
+        job->removed = false;
+        job->accepted_unix_s = 0;
+        job->accepted_recorded = false;
+        for (uint32_t i = 0; i < before; i++) {
+            nm_task_t *task = &job->tasks[i];
+            task->checkpoint = 0;
+            if (task->state == NM_TASK_DONE) {
+                nm_shard_set_task_state(job, i, NM_TASK_WAITING);
+            }
+            if (task->state == NM_TASK_WAITING) {
+                nm_shard_queue_task(state, job, i);
+            }
+        }
+    }
+    resize_tasks(state, job, before, tasks);
+    nm_shard_apply_orphans(state, job);
+    state->changed = true;
+    state->has_jobs = true;
+}
+
+static void
+cancel_job(nm_shard_state_t *state, uint32_t position)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    job->removed = true;
+    job->dirty = true;
+    g_queue_clear(&job->waiting);
+    for (uint32_t i = 0; i < job->desc.tasks; i++) {
+        nm_task_t *task = &job->tasks[i];
+        task->queued = false;
+        if (task->state == NM_TASK_RUNNING) {
+            nm_shard_stop_task(state, position, i, false,
+                               NM_REASON_EVICT_CANCELLED);
+        }
+    }
+}
+
+void
+nm_shard_sweep_jobs(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    (void)now_ms;
+    nm_shard_state_t *state = shard->state;
+    state->has_jobs = true;
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        nm_job_t *job = state->jobs->pdata[i];
+        if (!job->named && !job->removed) {
+            cancel_job(state, i);
+        }
+        job->named = false;
+    }
+}
+
+/* Tasks */
+
+nm_place_need_t
+nm_shard_need(const nm_job_t *job)
+{
+    return (nm_place_need_t){
+        .class_id = job->desc.class_id,
+        .job = job->desc.id,
+        .declared = job->desc.declared,
+        .priority = job->desc.priority,
+        .urgent = job->desc.priority >= 9,
+    };
+}
+
+void
+nm_shard_mark_dirty(nm_job_t *job, uint32_t index)
+{
+    job->tasks[index].dirty = true;
+    job->dirty = true;
+}
+
+void
+nm_shard_set_task_state(nm_job_t *job, uint32_t index, nm_task_state_t next)
+{
+    nm_task_t *task = &job->tasks[index];
+    job->counts[task->state]--;
+    task->state = next;
+    job->counts[next]++;
+}
+
+void
+nm_shard_queue_task(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
+{
+    nm_task_t *task = &job->tasks[index];
+    if (!task->queued && !job->removed) {
+        task->queued = true;
+        g_queue_push_tail(&job->waiting, GUINT_TO_POINTER(index));
+    }
+    state->changed = true;
+}
+
+static void
+charge_team(nm_shard_state_t *state, const nm_job_t *job, int sign)
+{
+    nm_team_t *team =
+        g_hash_table_lookup(state->teams, (void *)(uintptr_t)job->desc.team);
+    if (team) {
+        team->used.cpu_milli += sign * job->desc.declared.cpu_milli;
+        team->used.memory_mb += sign * job->desc.declared.memory_mb;
+        team->used.accelerators += sign * job->desc.declared.accelerators;
+    }
+}
+
+void
+nm_shard_assign(nm_shard_state_t *state, uint32_t position, uint32_t index,
+                int32_t worker_index, int64_t attempt, nm_ms_t now_ms)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_pw_t *worker = state->workers->pdata[worker_index];
+    nm_task_t *task = &job->tasks[index];
+    uint64_t key = nm_task_key(position, index);
+    nm_place_need_t need = nm_shard_need(job);
+    task->worker = worker_index;
+    task->attempt = attempt;
+    task->start_sequence = 0;
+    nm_shard_set_task_state(job, index, NM_TASK_RUNNING);
+    nm_place_hold(&state->place, worker->place, key, &need, now_ms);
+    g_array_append_val(worker->tasks, key);
+    charge_team(state, job, 1);
+}
+
+void
+nm_shard_unassign(nm_shard_state_t *state, uint32_t position, uint32_t index,
+                  nm_ms_t now_ms)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_task_t *task = &job->tasks[index];
+    if (task->worker < 0) {
+        return;
+    }
+    nm_pw_t *worker = state->workers->pdata[task->worker];
+    uint64_t key = nm_task_key(position, index);
+    nm_place_release(&state->place, worker->place, key, now_ms);
+    for (uint32_t i = 0; i < worker->tasks->len; i++) {
+        if (g_array_index(worker->tasks, uint64_t, i) == key) {
+            g_array_remove_index_fast(worker->tasks, i);
+            break;
+        }
+    }
+    task->worker = -1;
+    charge_team(state, job, -1);
+    state->changed = true;
+}
+
+void
+nm_shard_stop_task(nm_shard_state_t *state, uint32_t position, uint32_t index,
+                   bool checkpoint, nm_reason_t reason)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_task_t *task = &job->tasks[index];
+    if (task->state != NM_TASK_RUNNING) {
+        return;
+    }
+    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_stop_t stop = {
+        .name = {job->desc.id, index, task->attempt},
+        .checkpoint = checkpoint,
+    };
+    g_array_append_val(worker->stops, stop);
+    worker->urgent = true;
+    nm_shard_set_task_state(job, index, NM_TASK_ENDING);
+    nm_count_reason(reason);
+    nm_count(NM_COUNTER_EVICTIONS, 1);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_TASK_EVICTED, "{s:s,s:i,s:s}", "job",
+           job->desc.path, "index", (int)index, "reason",
+           nm_reason_name(reason));
+}
+
+/* Ownership */
+
+static void
+become_follower(nm_shard_state_t *state)
+{
+    if (state->phase != NM_SHARD_FOLLOWER) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_LOST, "{s:I}", "epoch",
+               (json_int_t)state->epoch);
+    }
+    state->phase = NM_SHARD_FOLLOWER;
+}
+
+/* Forgets every assignment; the workers' reports bring them back. */
+static void
+forget_assignments(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    for (uint32_t j = 0; j < state->jobs->len; j++) {
+        nm_job_t *job = state->jobs->pdata[j];
+        g_queue_clear(&job->waiting);
+        job->accepted_recorded = false;
+        job->accepted_unix_s = 0;
+        for (uint32_t i = 0; i < job->desc.tasks; i++) {
+            nm_task_t *task = &job->tasks[i];
+            nm_shard_unassign(state, j, i, now_ms);
+            task->queued = false;
+            task->in_record = false;
+            task->dirty = false;
+            task->attempt = 0;
+            task->ended_attempt = 0;
+            nm_shard_set_task_state(job, i, NM_TASK_HELD);
+        }
+        job->in_record = false;
+        job->dirty = false;
+    }
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        nm_pw_t *worker = state->workers->pdata[i];
+        g_array_set_size(worker->starts, 0);
+        g_array_set_size(worker->stops, 0);
+        g_array_set_size(worker->throttles, 0);
+        g_array_set_size(worker->acks, 0);
+        worker->outstanding = false;
+        worker->acked_epoch = 0;
+        worker->reported_ms = 0;
+        worker->clock_ms = 0;
+        worker->lapsed = false;
+        worker->due_ms = now_ms;
+        nm_place_close_worker(&state->place, worker->place, true);
+    }
+    state->record_taken = false;
+    g_hash_table_remove_all(state->orphans);
+}
+
+void
+nm_shard_campaign(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    forget_assignments(state, now_ms);
+    state->epoch = ++state->seen_epoch;
+    state->previous_epoch = 0;
+    state->phase = NM_SHARD_FENCING;
+    state->settled = false;
+    state->attempt_count = 0;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
+           (json_int_t)state->epoch);
+}
+
+void
+nm_shard_resign(nm_shard_t *shard)
+{
+    assert(shard);
+    become_follower(shard->state);
+}
+
+void
+nm_shard_saw_epoch(nm_shard_t *shard, int64_t epoch)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (epoch > state->seen_epoch) {
+        state->seen_epoch = epoch;
+    }
+}
+
+static bool
+counts_for_majority(const nm_pw_t *worker, nm_ms_t now_ms)
+{
+    return !worker->removed || now_ms - worker->removed_ms < REMOVED_COUNTS_MS;
+}
+
+bool
+nm_shard_has_authority(const nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    const nm_shard_state_t *state = shard->state;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return false;
+    }
+    uint32_t members = 0;
+    uint32_t acked = 0;
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        if (!counts_for_majority(worker, now_ms)) {
+            continue;
+        }
+        members++;
+        acked += worker->acked_epoch == state->epoch &&
+                 now_ms < worker->acked_sent_ms + NM_SHARD_AUTHORITY_MS;
+    }
+    return members > 0 && acked > members / 2;
+}
+
+static bool
+all_workers_reached(const nm_shard_state_t *state)
+{
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        if (!worker->removed && worker->acked_epoch != state->epoch) {
+            return false;
+        }
+    }
+    return state->workers->len > 0;
+}
+
+static void
+end_job_holds(nm_shard_state_t *state, nm_job_t *job)
+{
+    for (uint32_t i = 0; i < job->desc.tasks; i++) {
+        if (job->tasks[i].state == NM_TASK_HELD) {
+            nm_shard_set_task_state(job, i, NM_TASK_WAITING);
+            nm_shard_queue_task(state, job, i);
+        }
+    }
+}
+
+void
+nm_shard_end_holds(nm_shard_state_t *state)
+{
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        end_job_holds(state, state->jobs->pdata[i]);
+    }
+}
+
+void
+nm_shard_journal_loaded(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase != NM_SHARD_LOADING) {
+        return;
+    }
+    state->phase = NM_SHARD_ACTIVE;
+    state->changed = true;
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        nm_job_t *job = state->jobs->pdata[i];
+        nm_shard_apply_orphans(state, job);
+        if (job->accepted_unix_s == 0) {
+            /* No owner can have started a job that no journal accepted. */
+            end_job_holds(state, job);
+        }
+    }
+    nm_count(NM_COUNTER_TAKEOVERS, 1);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I}", "epoch",
+           (json_int_t)state->epoch);
+    (void)now_ms;
+}
+
+/* Gives up the leases of workers that have been silent long enough. */
+static void
+lapse_workers(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    for (uint32_t w = 0; w < state->workers->len; w++) {
+        nm_pw_t *worker = state->workers->pdata[w];
+        if (worker->lapsed || worker->reported_ms == 0 ||
+            now_ms <
+                worker->reported_ms + NM_SHARD_LEASE_MS + NM_SHARD_MARGIN_MS)
+        {
+            continue;
+        }
+        worker->lapsed = true;
+        nm_place_close_worker(&state->place, worker->place, true);
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_LOST, "{s:s,s:i}", "address",
+               worker->desc.address, "tasks", (int)worker->tasks->len);
+        g_array_set_size(worker->starts, 0);
+        g_array_set_size(worker->stops, 0);
+        g_array_set_size(worker->throttles, 0);
+        while (worker->tasks->len > 0) {
+            uint64_t key = g_array_index(worker->tasks, uint64_t, 0);
+            nm_job_t *job = state->jobs->pdata[key >> 32];
+            uint32_t index = (uint32_t)key;
+            nm_shard_unassign(state, (uint32_t)(key >> 32), index, now_ms);
+            nm_shard_set_task_state(job, index, NM_TASK_WAITING);
+            nm_shard_queue_task(state, job, index);
+            nm_count_reason(NM_REASON_LEASE_LAPSED);
+        }
+    }
+}
+
+static void
+apply_reactions(nm_shard_state_t *state)
+{
+    nm_reaction_t reaction;
+    while (nm_place_next_reaction(&state->place, &reaction)) {
+        uint32_t position = (uint32_t)(reaction.task >> 32);
+        uint32_t index = (uint32_t)reaction.task;
+        nm_job_t *job = state->jobs->pdata[position];
+        nm_task_t *task = &job->tasks[index];
+        if (task->state != NM_TASK_RUNNING) {
+            continue;
+        }
+        if (reaction.type == NM_REACTION_EVICT) {
+            nm_shard_stop_task(state, position, index, true, reaction.reason);
+            continue;
+        }
+        nm_pw_t *worker = state->workers->pdata[task->worker];
+        nm_throttle_t throttle = {
+            .name = {job->desc.id, index, task->attempt},
+            .percent = reaction.throttle_pct,
+        };
+        g_array_append_val(worker->throttles, throttle);
+        worker->urgent = true;
+        nm_count(NM_COUNTER_THROTTLES, 1);
+    }
+}
+
+void
+nm_shard_tick(nm_shard_t *shard, nm_ms_t now_ms, int64_t unix_s)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    state->unix_s = unix_s;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return;
+    }
+    bool authority = nm_shard_has_authority(shard, now_ms);
+    if (state->phase == NM_SHARD_FENCING && authority) {
+        state->phase = NM_SHARD_LOADING;
+        state->settled_ms = now_ms + NM_SHARD_AUTHORITY_MS +
+                            NM_SHARD_LEASE_MS + NM_SHARD_MARGIN_MS;
+    }
+    if (state->phase != NM_SHARD_ACTIVE) {
+        return;
+    }
+    if (!state->settled &&
+        (all_workers_reached(state) || now_ms >= state->settled_ms))
+    {
+        state->settled = true;
+        nm_shard_end_holds(state);
+    }
+    lapse_workers(state, now_ms);
+    apply_reactions(state);
+    if (authority) {
+        nm_shard_schedule(state, now_ms);
+    }
+}
+
+/* Queries */
+
+nm_shard_info_t
+nm_shard_query(const nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    const nm_shard_state_t *state = shard->state;
+    nm_shard_info_t info = {
+        .phase = state->phase,
+        .epoch = state->phase == NM_SHARD_FOLLOWER ? state->seen_epoch
+                                                   : state->epoch,
+        .authority = nm_shard_has_authority(shard, now_ms),
+        .first_owner =
+            state->previous_epoch == 0 && all_workers_reached(state),
+    };
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        info.workers += !worker->removed;
+        info.workers_reached +=
+            !worker->removed && worker->reported_ms > 0 && !worker->lapsed;
+    }
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        const nm_job_t *job = state->jobs->pdata[i];
+        info.jobs += !job->removed;
+        for (int s = 0; s < NM_TASK_STATE_COUNT; s++) {
+            info.counts[s] += job->counts[s];
+        }
+    }
+    return info;
+}
+
+bool
+nm_shard_query_job(const nm_shard_t *shard, uint32_t position,
+                   nm_shard_job_info_t *info)
+{
+    assert(shard && info);
+    if (position >= shard->state->jobs->len) {
+        return false;
+    }
+    const nm_job_t *job = shard->state->jobs->pdata[position];
+    *info = (nm_shard_job_info_t){
+        .failures = job->failures,
+        .reason = job->reason,
+        .long_lived = job->desc.long_lived,
+    };
+    nm_strcopy(info->path, sizeof(info->path), job->desc.path);
+    memcpy(info->counts, job->counts, sizeof(info->counts));
+    return true;
+}
+
+float
+nm_shard_query_pressure(const nm_shard_t *shard, uint64_t worker_id)
+{
+    assert(shard);
+    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    if (!worker) {
+        return 1;
+    }
+    return nm_place_query_worker(&shard->state->place, worker->place).pressure;
+}
+
+nm_place_info_t
+nm_shard_query_worker(const nm_shard_t *shard, uint64_t worker_id)
+{
+    assert(shard);
+    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    if (!worker) {
+        return (nm_place_info_t){.pressure = 1};
+    }
+    return nm_place_query_worker(&shard->state->place, worker->place);
+}
--- /dev/null
+++ b/src/shard_journal.c
@@ -0,0 +1,336 @@
+#include "shard_state.h"
+
+#include <assert.h>
+
+#include "peer.pb-c.h"
+
+/* Task states as the journal holds them. */
+enum {
+    RECORDED_WAITING = 1,
+    RECORDED_DONE = 2,
+};
+
+typedef struct {
+    GPtrArray *jobs;  /* of NmPb__JobState */
+    GPtrArray *tasks; /* of NmPb__TaskState */
+} record_t;
+
+void
+nm_orphan_free(void *data)
+{
+    nm_orphan_t *orphan = data;
+    g_array_free(orphan->tasks, TRUE);
+    g_free(orphan);
+}
+
+/* Building */
+
+static void
+record_init(record_t *record)
+{
+    record->jobs = g_ptr_array_new_with_free_func(g_free);
+    record->tasks = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void
+record_add_job(record_t *record, uint64_t id, int64_t accepted_unix_s,
+               bool removed)
+{
+    NmPb__JobState *item = g_new(NmPb__JobState, 1);
+    nm_pb__job_state__init(item);
+    item->job = id;
+    item->accepted_unix_s = accepted_unix_s;
+    item->removed = removed;
+    g_ptr_array_add(record->jobs, item);
+}
+
+static void
+record_add_task(record_t *record, uint64_t job, const nm_recorded_task_t *task)
+{
+    NmPb__TaskState *item = g_new(NmPb__TaskState, 1);
+    nm_pb__task_state__init(item);
+    item->job = job;
+    item->index = task->index;
+    item->state = task->done ? RECORDED_DONE : RECORDED_WAITING;
+    item->attempt = task->ended_attempt;
+    item->checkpoint = task->checkpoint;
+    item->failures = task->failures;
+    g_ptr_array_add(record->tasks, item);
+}
+
+static uint8_t *
+record_pack(record_t *record, uint32_t *bytes)
+{
+    NmPb__ShardRecord message = NM_PB__SHARD_RECORD__INIT;
+    message.n_jobs = record->jobs->len;
+    message.jobs = (NmPb__JobState **)record->jobs->pdata;
+    message.n_tasks = record->tasks->len;
+    message.tasks = (NmPb__TaskState **)record->tasks->pdata;
+    *bytes = (uint32_t)nm_pb__shard_record__get_packed_size(&message);
+    uint8_t *data = g_malloc(*bytes + 1);
+    nm_pb__shard_record__pack(&message, data);
+    g_ptr_array_free(record->jobs, TRUE);
+    g_ptr_array_free(record->tasks, TRUE);
+    return data;
+}
+
+static nm_recorded_task_t
+recorded_task(const nm_job_t *job, uint32_t index)
+{
+    const nm_task_t *task = &job->tasks[index];
+    bool done =
+        task->state == NM_TASK_DONE ||
+        (task->state == NM_TASK_RECORDING && task->outcome == NM_REPORT_DONE);
+    return (nm_recorded_task_t){
+        .index = index,
+        .done = done && !job->desc.long_lived,
+        .ended_attempt = task->ended_attempt,
+        .checkpoint = task->checkpoint,
+        .failures = task->failures,
+    };
+}
+
+uint8_t *
+nm_shard_journal_take(nm_shard_t *shard, uint32_t *bytes)
+{
+    assert(shard && bytes);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase != NM_SHARD_ACTIVE || state->record_taken) {
+        return NULL;
+    }
+    record_t record;
+    record_init(&record);
+    for (uint32_t j = 0; j < state->jobs->len; j++) {
+        nm_job_t *job = state->jobs->pdata[j];
+        if (!job->dirty) {
+            continue;
+        }
+        job->dirty = false;
+        job->in_record = true;
+        record_add_job(&record, job->desc.id, job->accepted_unix_s,
+                       job->removed);
+        for (uint32_t i = 0; i < job->desc.tasks; i++) {
+            nm_task_t *task = &job->tasks[i];
+            if (!task->dirty) {
+                continue;
+            }
+            task->dirty = false;
+            task->in_record = true;
+            nm_recorded_task_t recorded = recorded_task(job, i);
+            record_add_task(&record, job->desc.id, &recorded);
+        }
+    }
+    nm_count(NM_COUNTER_JOURNAL_RECORDS, record.jobs->len + record.tasks->len);
+    bool empty = record.jobs->len == 0;
+    uint8_t *data = record_pack(&record, bytes);
+    if (empty) {
+        g_free(data);
+        return NULL;
+    }
+    state->record_taken = true;
+    nm_count(NM_COUNTER_JOURNAL_WRITES, 1);
+    return data;
+}
+
+uint8_t *
+nm_shard_journal_snapshot(nm_shard_t *shard, uint32_t *bytes)
+{
+    assert(shard && bytes);
+    nm_shard_state_t *state = shard->state;
+    record_t record;
+    record_init(&record);
+    for (uint32_t j = 0; j < state->jobs->len; j++) {
+        nm_job_t *job = state->jobs->pdata[j];
+        if (job->removed || job->accepted_unix_s == 0) {
+            continue;
+        }
+        record_add_job(&record, job->desc.id, job->accepted_unix_s, false);
+        for (uint32_t i = 0; i < job->desc.tasks; i++) {
+            nm_recorded_task_t recorded = recorded_task(job, i);
+            if (recorded.done || recorded.ended_attempt > 0) {
+                record_add_task(&record, job->desc.id, &recorded);
+            }
+        }
+    }
+    GHashTableIter iter;
+    void *key;
+    void *value;
+    g_hash_table_iter_init(&iter, state->orphans);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        nm_orphan_t *orphan = value;
+        uint64_t id = (uint64_t)(uintptr_t)key;
+        record_add_job(&record, id, orphan->accepted_unix_s, false);
+        for (uint32_t i = 0; i < orphan->tasks->len; i++) {
+            record_add_task(
+                &record, id,
+                &g_array_index(orphan->tasks, nm_recorded_task_t, i));
+        }
+    }
+    return record_pack(&record, bytes);
+}
+
+/* Replay */
+
+static void
+apply_recorded(nm_shard_state_t *state, uint32_t position,
+               const nm_recorded_task_t *recorded)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    if (recorded->index >= job->desc.tasks) {
+        return;
+    }
+    nm_task_t *task = &job->tasks[recorded->index];
+    task->ended_attempt = recorded->ended_attempt;
+    task->checkpoint = recorded->checkpoint;
+    task->failures = recorded->failures;
+    if (!recorded->done) {
+        return;
+    }
+    /* A task that ended cannot be the one an adopted attempt runs. */
+    if (task->worker >= 0) {
+        nm_shard_unassign(state, position, recorded->index, 0);
+    }
+    if (task->queued) {
+        g_queue_remove(&job->waiting, GUINT_TO_POINTER(recorded->index));
+        task->queued = false;
+    }
+    nm_shard_set_task_state(job, recorded->index, NM_TASK_DONE);
+}
+
+void
+nm_shard_apply_orphans(nm_shard_state_t *state, nm_job_t *job)
+{
+    void *key = (void *)(uintptr_t)job->desc.id;
+    nm_orphan_t *orphan = g_hash_table_lookup(state->orphans, key);
+    if (!orphan) {
+        return;
+    }
+    uint32_t position = 0;
+    nm_shard_find_job(state, job->desc.id, &position);
+    job->accepted_unix_s = orphan->accepted_unix_s;
+    job->accepted_recorded = true;
+    for (uint32_t i = 0; i < orphan->tasks->len; i++) {
+        apply_recorded(state, position,
+                       &g_array_index(orphan->tasks, nm_recorded_task_t, i));
+    }
+    g_hash_table_remove(state->orphans, key);
+}
+
+static nm_orphan_t *
+orphan_of(nm_shard_state_t *state, uint64_t job)
+{
+    void *key = (void *)(uintptr_t)job;
+    nm_orphan_t *orphan = g_hash_table_lookup(state->orphans, key);
+    if (!orphan) {
+        orphan = g_new0(nm_orphan_t, 1);
+        orphan->tasks = g_array_new(FALSE, TRUE, sizeof(nm_recorded_task_t));
+        g_hash_table_insert(state->orphans, key, orphan);
+    }
+    return orphan;
+}
+
+static void
+replay_job(nm_shard_state_t *state, const NmPb__JobState *item)
+{
+    if (item->removed) {
+        g_hash_table_remove(state->orphans, (void *)(uintptr_t)item->job);
+        return;
+    }
+    orphan_of(state, item->job)->accepted_unix_s = item->accepted_unix_s;
+}
+
+static void
+replay_task(nm_shard_state_t *state, const NmPb__TaskState *item)
+{
+    nm_orphan_t *orphan = orphan_of(state, item->job);
+    nm_recorded_task_t recorded = {
+        .index = item->index,
+        .done = item->state == RECORDED_DONE,
+        .ended_attempt = item->attempt,
+        .checkpoint = item->checkpoint,
+        .failures = item->failures,
+    };
+    /* Later records replace earlier ones when they are applied in order. */
+    g_array_append_val(orphan->tasks, recorded);
+}
+
+void
+nm_shard_journal_reset(nm_shard_t *shard)
+{
+    assert(shard);
+    g_hash_table_remove_all(shard->state->orphans);
+}
+
+int
+nm_shard_journal_replay(nm_shard_t *shard, const void *data, uint32_t bytes)
+{
+    assert(shard);
+    NmPb__ShardRecord *message =
+        nm_pb__shard_record__unpack(NULL, bytes, data);
+    if (!message) {
+        return NM_ERR_CORRUPT;
+    }
+    for (size_t i = 0; i < message->n_jobs; i++) {
+        replay_job(shard->state, message->jobs[i]);
+    }
+    for (size_t i = 0; i < message->n_tasks; i++) {
+        replay_task(shard->state, message->tasks[i]);
+    }
+    nm_pb__shard_record__free_unpacked(message, NULL);
+    return NM_OK;
+}
+
+/* Commits */
+
+static void
+settle_outcome(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
+{
+    nm_task_t *task = &job->tasks[index];
+    nm_pw_t *worker = state->workers->pdata[task->ended_on];
+    nm_attempt_name_t name = {job->desc.id, index, task->ended_attempt};
+    g_array_append_val(worker->acks, name);
+    worker->urgent = true;
+    nm_count(NM_COUNTER_FINISHES, 1);
+    if (task->outcome == NM_REPORT_DONE && !job->desc.long_lived) {
+        nm_shard_set_task_state(job, index, NM_TASK_DONE);
+        return;
+    }
+    nm_shard_set_task_state(job, index, NM_TASK_WAITING);
+    nm_shard_queue_task(state, job, index);
+}
+
+void
+nm_shard_journal_done(nm_shard_t *shard, bool committed, nm_ms_t now_ms)
+{
+    assert(shard);
+    (void)now_ms;
+    nm_shard_state_t *state = shard->state;
+    state->record_taken = false;
+    for (uint32_t j = 0; j < state->jobs->len; j++) {
+        nm_job_t *job = state->jobs->pdata[j];
+        if (!job->in_record) {
+            continue;
+        }
+        job->in_record = false;
+        if (!committed) {
+            job->dirty = true;
+        }
+        else if (job->accepted_unix_s > 0) {
+            job->accepted_recorded = true;
+            state->changed = true;
+        }
+        for (uint32_t i = 0; i < job->desc.tasks; i++) {
+            nm_task_t *task = &job->tasks[i];
+            if (!task->in_record) {
+                continue;
+            }
+            task->in_record = false;
+            if (!committed) {
+                task->dirty = true;
+            }
+            else if (task->state == NM_TASK_RECORDING && !task->dirty) {
+                settle_outcome(state, job, i);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/shard_schedule.c
@@ -0,0 +1,258 @@
+#include "shard_state.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* The queue is looked at after a change, but not more often than this. */
+#define ROUND_GAP_MS 20
+/* It is also looked at without a change, for retries and deadlines. */
+#define ROUND_IDLE_MS 500
+#define STARTS_PER_ROUND 512
+/* Jobs without a fitting worker after which a round ends. */
+#define MISFITS_PER_ROUND 64
+#define NO_DEADLINE_S INT64_MAX
+/* Attempt numbers: the epoch, then a count within the epoch. */
+#define ATTEMPT_COUNT_BITS 24
+
+typedef struct {
+    uint32_t position;
+    bool urgent;
+    bool at_risk;
+    uint8_t priority;
+    int64_t slack_s;
+} candidate_t;
+
+static int
+compare_candidates(const void *a, const void *b)
+{
+    const candidate_t *x = a;
+    const candidate_t *y = b;
+    if (x->urgent != y->urgent) {
+        return x->urgent ? -1 : 1;
+    }
+    if (x->at_risk != y->at_risk) {
+        return x->at_risk ? -1 : 1;
+    }
+    if (x->at_risk && x->slack_s != y->slack_s) {
+        return x->slack_s < y->slack_s ? -1 : 1;
+    }
+    if (x->priority != y->priority) {
+        return x->priority > y->priority ? -1 : 1;
+    }
+    if (x->slack_s != y->slack_s) {
+        return x->slack_s < y->slack_s ? -1 : 1;
+    }
+    return x->position < y->position ? -1 : 1;
+}
+
+/* Time left before the job must have a worker for each of its tasks. */
+static int64_t
+slack_of(const nm_shard_state_t *state, const nm_job_t *job)
+{
+    if (job->desc.finish_within_s == 0) {
+        return NO_DEADLINE_S;
+    }
+    int64_t left_s =
+        job->accepted_unix_s + job->desc.finish_within_s - state->unix_s;
+    return left_s - job->desc.duration_s;
+}
+
+static bool
+may_start(const nm_job_t *job, nm_ms_t now_ms)
+{
+    if (job->removed || job->waiting.length == 0 ||
+        now_ms < job->quarantined_until_ms)
+    {
+        return false;
+    }
+    /* After a quarantine one task at a time shows whether it is over. */
+    return job->quarantines == 0 || job->counts[NM_TASK_RUNNING] == 0;
+}
+
+/* Jobs must be in the journal before their first task starts. */
+static bool
+accept_job(nm_shard_state_t *state, nm_job_t *job)
+{
+    if (job->accepted_unix_s == 0) {
+        job->accepted_unix_s = state->unix_s;
+        job->dirty = true;
+    }
+    return job->accepted_recorded;
+}
+
+static GArray *
+collect_candidates(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        nm_job_t *job = state->jobs->pdata[i];
+        if (job->waiting.length == 0 || !accept_job(state, job) ||
+            !may_start(job, now_ms))
+        {
+            continue;
+        }
+        candidate_t candidate = {
+            .position = i,
+            .urgent = job->desc.priority >= 9,
+            .priority = job->desc.priority,
+            .slack_s = slack_of(state, job),
+        };
+        candidate.at_risk = candidate.slack_s != NO_DEADLINE_S &&
+                            candidate.slack_s < job->desc.duration_s;
+        g_array_append_val(candidates, candidate);
+    }
+    g_array_sort(candidates, compare_candidates);
+    return candidates;
+}
+
+static bool
+part_within(int64_t used, int64_t added, int64_t quota)
+{
+    return quota == 0 || used + added <= quota;
+}
+
+static bool
+quota_allows(const nm_shard_state_t *state, const nm_job_t *job,
+             uint32_t tasks)
+{
+    const nm_team_t *team =
+        g_hash_table_lookup(state->teams, (void *)(uintptr_t)job->desc.team);
+    if (!team) {
+        return true;
+    }
+    const nm_amount_t *quota = &team->desc.quota;
+    const nm_amount_t *need = &job->desc.declared;
+    return part_within(team->used.cpu_milli, need->cpu_milli * tasks,
+                       quota->cpu_milli) &&
+           part_within(team->used.memory_mb, need->memory_mb * tasks,
+                       quota->memory_mb) &&
+           part_within(team->used.accelerators,
+                       (int64_t)need->accelerators * tasks,
+                       quota->accelerators);
+}
+
+static void
+push_start(nm_shard_state_t *state, const nm_job_t *job, uint32_t index)
+{
+    const nm_task_t *task = &job->tasks[index];
+    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_start_t start = {
+        .name = {job->desc.id, index, task->attempt},
+        .checkpoint = task->checkpoint,
+        .amount = job->desc.declared,
+        .duration_s = job->desc.duration_s,
+    };
+    nm_strcopy(start.path, sizeof(start.path), job->desc.path);
+    g_array_append_val(worker->starts, start);
+    worker->urgent = true;
+    if (worker->quarantines > 0) {
+        nm_place_close_worker(&state->place, worker->place, true);
+    }
+    nm_count(NM_COUNTER_STARTS, 1);
+}
+
+/* Starts the next gang of a job: all of its tasks, or none. */
+static bool
+start_gang(nm_shard_state_t *state, uint32_t position, nm_ms_t now_ms)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    uint32_t gang = job->desc.gang > 0 ? job->desc.gang : 1;
+    if (gang > job->waiting.length) {
+        gang = job->waiting.length;
+    }
+    if (!quota_allows(state, job, gang)) {
+        job->reason = NM_REASON_WAIT_QUOTA;
+        return false;
+    }
+    nm_place_need_t need = nm_shard_need(job);
+    uint32_t placed = 0;
+    for (; placed < gang; placed++) {
+        nm_reason_t reason;
+        int32_t place = nm_place_choose(&state->place, &need, now_ms, &reason);
+        if (place < 0) {
+            job->reason = reason;
+            break;
+        }
+        uint32_t index = GPOINTER_TO_UINT(g_queue_pop_head(&job->waiting));
+        job->tasks[index].queued = false;
+        int64_t attempt =
+            (state->epoch << ATTEMPT_COUNT_BITS) | ++state->attempt_count;
+        /* Workers have the same index here and in the place module. */
+        assert((uint32_t)place < state->workers->len);
+        nm_shard_assign(state, position, index, place, attempt, now_ms);
+        /* Remembered at the tail until the whole gang has room. */
+        g_queue_push_tail(&job->waiting, GUINT_TO_POINTER(index));
+    }
+    bool complete = placed == gang;
+    for (uint32_t i = 0; i < placed; i++) {
+        uint32_t index = GPOINTER_TO_UINT(g_queue_pop_tail(&job->waiting));
+        if (complete) {
+            push_start(state, job, index);
+            continue;
+        }
+        nm_shard_unassign(state, position, index, now_ms);
+        nm_shard_set_task_state(job, index, NM_TASK_WAITING);
+        job->tasks[index].queued = true;
+        g_queue_push_head(&job->waiting, GUINT_TO_POINTER(index));
+    }
+    if (complete) {
+        job->reason = NM_REASON_NONE;
+    }
+    return complete;
+}
+
+static void
+name_misfit(nm_shard_state_t *state, nm_job_t *job, nm_ms_t now_ms)
+{
+    nm_count_reason(job->reason);
+    if (job->reason == NM_REASON_NEVER_FITS) {
+        /* Looked at again later: a larger worker may have joined. */
+        job->quarantined_until_ms = now_ms + NM_SHARD_LEASE_MS;
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
+               job->desc.path, "reason", nm_reason_name(job->reason));
+    }
+    if (job->desc.priority >= 9 && job->reason == NM_REASON_WAIT_NO_FIT &&
+        job->counts[NM_TASK_ENDING] == 0)
+    {
+        nm_place_need_t need = nm_shard_need(job);
+        nm_place_make_room(&state->place, &need, now_ms);
+    }
+}
+
+void
+nm_shard_schedule(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    nm_ms_t gap_ms = state->changed ? ROUND_GAP_MS : ROUND_IDLE_MS;
+    if (now_ms - state->scheduled_ms < gap_ms) {
+        return;
+    }
+    state->scheduled_ms = now_ms;
+    state->changed = false;
+    GArray *candidates = collect_candidates(state, now_ms);
+    uint32_t starts = 0;
+    uint32_t misfits = 0;
+    for (uint32_t i = 0; i < candidates->len && starts < STARTS_PER_ROUND &&
+                         misfits < MISFITS_PER_ROUND;
+         i++)
+    {
+        const candidate_t *candidate =
+            &g_array_index(candidates, candidate_t, i);
+        nm_job_t *job = state->jobs->pdata[candidate->position];
+        while (may_start(job, now_ms) && starts < STARTS_PER_ROUND) {
+            if (!start_gang(state, candidate->position, now_ms)) {
+                name_misfit(state, job, now_ms);
+                misfits++;
+                break;
+            }
+            starts += job->desc.gang > 0 ? job->desc.gang : 1;
+        }
+    }
+    if (starts >= STARTS_PER_ROUND) {
+        state->changed = true;
+    }
+    g_array_free(candidates, TRUE);
+}
--- /dev/null
+++ b/src/shard_state.h
@@ -0,0 +1,171 @@
+/*
+ * State shared by the parts of the shard module.
+ *
+ * Internal.  shard.c holds settings and ownership, shard_sync.c the
+ * exchange with workers, shard_schedule.c the queue, shard_journal.c the
+ * records.
+ */
+#ifndef NM_SHARD_STATE_H
+#define NM_SHARD_STATE_H
+
+#include <glib.h>
+
+#include <nutmegdeck/shard.h>
+
+#define NM_BLAMED_MAX 8
+
+typedef struct {
+    nm_task_state_t state;
+    int32_t worker; /* index, or -1 */
+    int64_t attempt;
+    uint64_t checkpoint;
+    uint32_t failures;
+    nm_report_state_t outcome; /* while RECORDING */
+    int32_t ended_on;          /* worker that waits for the acknowledgement */
+    int64_t ended_attempt;     /* newest attempt whose outcome was taken */
+    uint64_t start_sequence;   /* sync that carried the start; 0: none yet */
+    bool queued;
+    bool dirty;     /* differs from the last record taken */
+    bool in_record; /* part of the record being written */
+} nm_task_t;
+
+typedef struct {
+    nm_shard_job_t desc;
+    nm_task_t *tasks;
+    GQueue waiting; /* of task indexes */
+    uint32_t counts[NM_TASK_STATE_COUNT];
+    int64_t accepted_unix_s; /* 0: not yet accepted */
+    bool accepted_recorded;  /* in the journal, so tasks may start */
+    bool dirty;
+    bool in_record;
+    bool removed;
+    bool named;
+    nm_reason_t reason;
+    int32_t blamed[NM_BLAMED_MAX]; /* workers where it failed in a row */
+    uint32_t blamed_count;
+    uint32_t failures;
+    uint32_t successes;
+    uint32_t quarantines;
+    nm_ms_t quarantined_until_ms;
+} nm_job_t;
+
+typedef struct {
+    nm_shard_worker_t desc;
+    int32_t place;
+    bool named;
+    bool removed;
+    nm_ms_t removed_ms;
+    /* Synchronisation */
+    bool outstanding;
+    uint64_t sequence;
+    nm_ms_t sent_ms;
+    nm_ms_t due_ms;
+    bool urgent; /* commands wait */
+    int64_t acked_epoch;
+    nm_ms_t acked_sent_ms; /* send time of the newest sync acknowledged */
+    nm_ms_t clock_ms;      /* the worker's, in its last report */
+    nm_ms_t reported_ms;   /* when that report came; 0: never */
+    bool lapsed;           /* its leases were given up */
+    nm_sync_t sync;
+    GArray *starts;
+    GArray *stops;
+    GArray *throttles;
+    GArray *acks;
+    GArray *sent_starts; /* contents of the outstanding sync */
+    GArray *sent_stops;
+    GArray *sent_throttles;
+    GArray *sent_acks;
+    GArray *tasks; /* of uint64_t, task keys placed here */
+    /* Health */
+    uint32_t failures; /* in a row */
+    uint64_t failed_jobs[NM_BLAMED_MAX];
+    uint32_t failed_job_count;
+    uint32_t quarantines;
+    nm_ms_t quarantined_until_ms;
+} nm_shard_peer_worker_t;
+
+typedef struct {
+    nm_shard_team_t desc;
+    nm_amount_t used;
+} nm_team_t;
+
+/* A task's state as the journal holds it. */
+typedef struct {
+    uint32_t index;
+    bool done;
+    int64_t ended_attempt;
+    uint64_t checkpoint;
+    uint32_t failures;
+} nm_recorded_task_t;
+
+/* Journal state of a job that no settings declare, or not yet. */
+typedef struct {
+    int64_t accepted_unix_s;
+    GArray *tasks; /* of nm_recorded_task_t */
+} nm_orphan_t;
+
+void nm_orphan_free(void *data);
+
+struct nm_shard_state {
+    uint64_t owner_id;
+    nm_ms_t sync_interval_ms;
+    nm_shard_phase_t phase;
+    int64_t epoch;          /* own, while not a follower */
+    int64_t seen_epoch;     /* highest anywhere */
+    int64_t previous_epoch; /* highest that a worker followed before */
+    uint64_t sequence;
+    uint32_t attempt_count;
+    nm_ms_t settled_ms; /* when leases of earlier owners have ended */
+    bool settled;
+    bool has_jobs; /* settings were given, so unknown jobs are cancelled */
+    GPtrArray *workers;     /* of nm_shard_peer_worker_t */
+    GHashTable *worker_ids; /* id to index plus one */
+    GPtrArray *jobs;        /* of nm_job_t; positions stay valid */
+    GHashTable *job_ids;    /* id to position plus one */
+    GHashTable *teams;      /* id to nm_team_t */
+    nm_place_t place;
+    bool record_taken;
+    bool changed; /* scheduling may find something to do */
+    nm_ms_t scheduled_ms;
+    int64_t unix_s;
+    uint32_t cursor;     /* next worker to look at for a sync */
+    GHashTable *orphans; /* job id to nm_orphan_t */
+};
+
+typedef struct nm_shard_state nm_shard_state_t;
+typedef nm_shard_peer_worker_t nm_pw_t;
+
+/* Task keys: job position in the high half, task index in the low half. */
+static inline uint64_t
+nm_task_key(uint32_t job, uint32_t index)
+{
+    return ((uint64_t)job << 32) | index;
+}
+
+nm_job_t *nm_shard_find_job(const nm_shard_state_t *state, uint64_t id,
+                            uint32_t *position);
+nm_pw_t *nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
+                              int32_t *index);
+nm_place_need_t nm_shard_need(const nm_job_t *job);
+void nm_shard_set_task_state(nm_job_t *job, uint32_t index,
+                             nm_task_state_t next);
+/* Makes a task wait in its job's queue. */
+void nm_shard_queue_task(nm_shard_state_t *state, nm_job_t *job,
+                         uint32_t index);
+/* Binds a running attempt to a worker and reserves its room. */
+void nm_shard_assign(nm_shard_state_t *state, uint32_t job_position,
+                     uint32_t index, int32_t worker, int64_t attempt,
+                     nm_ms_t now_ms);
+/* Frees the room of a task's attempt. */
+void nm_shard_unassign(nm_shard_state_t *state, uint32_t job_position,
+                       uint32_t index, nm_ms_t now_ms);
+/* Queues a stop command for a task's attempt. */
+void nm_shard_stop_task(nm_shard_state_t *state, uint32_t job_position,
+                        uint32_t index, bool checkpoint, nm_reason_t reason);
+void nm_shard_mark_dirty(nm_job_t *job, uint32_t index);
+/* Puts tasks whose earlier attempt cannot run any more into the queue. */
+void nm_shard_end_holds(nm_shard_state_t *state);
+void nm_shard_schedule(nm_shard_state_t *state, nm_ms_t now_ms);
+void nm_shard_apply_orphans(nm_shard_state_t *state, nm_job_t *job);
+
+#endif
--- /dev/null
+++ b/src/shard_store.c
@@ -0,0 +1,172 @@
+#include "shard_store.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <stdio.h>
+
+typedef enum {
+    JOB_LOAD,
+    JOB_APPEND,
+    JOB_STOP,
+} job_type_t;
+
+typedef struct {
+    job_type_t type;
+    uint8_t *record;
+    uint32_t bytes;
+    uint8_t *snapshot;
+    uint32_t snapshot_bytes;
+    int64_t epoch;
+} job_t;
+
+struct nm_shard_store {
+    nm_journal_t journal;
+    pthread_t thread;
+    GAsyncQueue *jobs;
+    GAsyncQueue *results;
+    void (*wake)(void *user);
+    void *user;
+};
+
+static int
+collect_record(void *user, int64_t sequence, bool is_snapshot,
+               const void *data, uint32_t bytes)
+{
+    (void)sequence;
+    (void)is_snapshot;
+    nm_shard_store_result_t *result = user;
+    g_ptr_array_add(result->records, g_bytes_new(data, bytes));
+    return NM_OK;
+}
+
+static void
+unref_bytes(void *data)
+{
+    g_bytes_unref(data);
+}
+
+static void
+run_job(nm_shard_store_t *store, job_t *job)
+{
+    nm_shard_store_result_t *result = g_new0(nm_shard_store_result_t, 1);
+    result->is_load = job->type == JOB_LOAD;
+    result->records = g_ptr_array_new_with_free_func(unref_bytes);
+    if (result->is_load) {
+        result->rc = nm_journal_load(&store->journal, collect_record, result);
+    }
+    else {
+        result->rc = nm_journal_append_snapshot(
+            &store->journal, job->record, job->bytes, job->snapshot,
+            job->snapshot_bytes, job->epoch);
+    }
+    result->epoch = store->journal.epoch;
+    result->wants_snapshot = nm_journal_wants_snapshot(&store->journal);
+    g_async_queue_push(store->results, result);
+    store->wake(store->user);
+}
+
+static void
+free_job(job_t *job)
+{
+    g_free(job->record);
+    g_free(job->snapshot);
+    g_free(job);
+}
+
+static void *
+run_store(void *user)
+{
+    nm_shard_store_t *store = user;
+    for (;;) {
+        job_t *job = g_async_queue_pop(store->jobs);
+        bool stop = job->type == JOB_STOP;
+        if (!stop) {
+            run_job(store, job);
+        }
+        free_job(job);
+        if (stop) {
+            return NULL;
+        }
+    }
+}
+
+static void
+push_job(nm_shard_store_t *store, const job_t *job)
+{
+    g_async_queue_push(store->jobs, g_memdup2(job, sizeof(*job)));
+}
+
+nm_shard_store_t *
+nm_shard_store_new(nm_store_t *kv, const char *datacentre, uint64_t seed,
+                   void (*wake)(void *user), void *user)
+{
+    assert(kv && datacentre && wake);
+    nm_shard_store_t *store = g_new0(nm_shard_store_t, 1);
+    char prefix[NM_NAME_MAX * 2];
+    snprintf(prefix, sizeof(prefix), "nutmegdeck/shards/%s", datacentre);
+    nm_journal_init(&store->journal, kv, prefix, seed);
+    store->jobs = g_async_queue_new();
+    store->results = g_async_queue_new();
+    store->wake = wake;
+    store->user = user;
+    pthread_create(&store->thread, NULL, run_store, store);
+    return store;
+}
+
+void
+nm_shard_store_result_free(nm_shard_store_result_t *result)
+{
+    if (result) {
+        g_ptr_array_free(result->records, TRUE);
+        g_free(result);
+    }
+}
+
+void
+nm_shard_store_free(nm_shard_store_t *store)
+{
+    assert(store);
+    push_job(store, &(job_t){.type = JOB_STOP});
+    pthread_join(store->thread, NULL);
+    nm_shard_store_result_t *result;
+    while ((result = g_async_queue_try_pop(store->results))) {
+        nm_shard_store_result_free(result);
+    }
+    job_t *job;
+    while ((job = g_async_queue_try_pop(store->jobs))) {
+        free_job(job);
+    }
+    g_async_queue_unref(store->jobs);
+    g_async_queue_unref(store->results);
+    g_free(store);
+}
+
+void
+nm_shard_store_load(nm_shard_store_t *store)
+{
+    assert(store);
+    push_job(store, &(job_t){.type = JOB_LOAD});
+}
+
+void
+nm_shard_store_append(nm_shard_store_t *store, uint8_t *record, uint32_t bytes,
+                      uint8_t *snapshot, uint32_t snapshot_bytes,
+                      int64_t epoch)
+{
+    assert(store && record);
+    push_job(store, &(job_t){
+                        .type = JOB_APPEND,
+                        .record = record,
+                        .bytes = bytes,
+                        .snapshot = snapshot,
+                        .snapshot_bytes = snapshot_bytes,
+                        .epoch = epoch,
+                    });
+}
+
+nm_shard_store_result_t *
+nm_shard_store_next(nm_shard_store_t *store)
+{
+    assert(store);
+    return g_async_queue_try_pop(store->results);
+}
--- /dev/null
+++ b/src/shard_store.h
@@ -0,0 +1,40 @@
+/*
+ * Thread that loads and appends a shard's journal.
+ *
+ *     nm_shard_store_t *store = nm_shard_store_new(&desc);
+ *     nm_shard_store_load(store);
+ *     nm_shard_store_append(store, record, bytes, snapshot, size, epoch);
+ *     while ((result = nm_shard_store_next(store))) { ... }
+ *     nm_shard_store_free(store);
+ */
+#ifndef NM_SHARD_STORE_H
+#define NM_SHARD_STORE_H
+
+#include <glib.h>
+
+#include <nutmegdeck/journal.h>
+
+typedef struct {
+    bool is_load;
+    int rc;
+    int64_t epoch;       /* of the last writer */
+    bool wants_snapshot; /* the next append should carry one */
+    GPtrArray *records;  /* of GBytes, oldest first; loads only */
+} nm_shard_store_result_t;
+
+typedef struct nm_shard_store nm_shard_store_t;
+
+nm_shard_store_t *nm_shard_store_new(nm_store_t *store, const char *datacentre,
+                                     uint64_t seed, void (*wake)(void *user),
+                                     void *user);
+/* Ends after the job under way. */
+void nm_shard_store_free(nm_shard_store_t *store);
+void nm_shard_store_load(nm_shard_store_t *store);
+/* Takes over record and snapshot (may be NULL), freed with g_free. */
+void nm_shard_store_append(nm_shard_store_t *store, uint8_t *record,
+                           uint32_t bytes, uint8_t *snapshot,
+                           uint32_t snapshot_bytes, int64_t epoch);
+nm_shard_store_result_t *nm_shard_store_next(nm_shard_store_t *store);
+void nm_shard_store_result_free(nm_shard_store_result_t *result);
+
+#endif
--- /dev/null
+++ b/src/shard_sync.c
@@ -0,0 +1,445 @@
+#include "shard_state.h"
+
+#include <assert.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* Least time between two syncs with one worker. */
+#define SYNC_GAP_MS 20
+/* Workers whose tasks of several jobs fail in a row are quarantined. */
+#define WORKER_FAILURES_MAX 3
+#define JOB_WORKERS_MAX 3
+#define JOB_FAILURES_MAX 4
+#define QUARANTINE_FIRST_MS 30000
+#define QUARANTINE_MAX_MS 480000
+
+/* Building */
+
+static void
+move_commands(GArray *from, GArray *to)
+{
+    g_array_set_size(to, 0);
+    if (from->len > 0) {
+        g_array_append_vals(to, from->data, from->len);
+    }
+    g_array_set_size(from, 0);
+}
+
+/* Notes which sync carries the starts, so that a reply can be judged. */
+static void
+mark_starts_sent(nm_shard_state_t *state, nm_pw_t *worker)
+{
+    for (uint32_t i = 0; i < worker->sent_starts->len; i++) {
+        const nm_start_t *start =
+            &g_array_index(worker->sent_starts, nm_start_t, i);
+        nm_job_t *job = nm_shard_find_job(state, start->name.job, NULL);
+        nm_task_t *task = job ? &job->tasks[start->name.index] : NULL;
+        if (task && task->attempt == start->name.attempt) {
+            task->start_sequence = worker->sequence;
+        }
+    }
+}
+
+static const nm_sync_t *
+build_sync(nm_shard_state_t *state, nm_pw_t *worker, bool authority,
+           nm_ms_t now_ms)
+{
+    worker->outstanding = true;
+    worker->urgent = false;
+    worker->sequence = ++state->sequence;
+    worker->sent_ms = now_ms;
+    worker->due_ms = now_ms + state->sync_interval_ms;
+    bool commands = authority && state->phase == NM_SHARD_ACTIVE &&
+                    worker->acked_epoch == state->epoch;
+    g_array_set_size(worker->sent_starts, 0);
+    g_array_set_size(worker->sent_stops, 0);
+    g_array_set_size(worker->sent_throttles, 0);
+    g_array_set_size(worker->sent_acks, 0);
+    if (commands) {
+        move_commands(worker->starts, worker->sent_starts);
+        move_commands(worker->stops, worker->sent_stops);
+        move_commands(worker->throttles, worker->sent_throttles);
+        move_commands(worker->acks, worker->sent_acks);
+        mark_starts_sent(state, worker);
+    }
+    bool renews = authority && worker->acked_epoch == state->epoch;
+    worker->sync = (nm_sync_t){
+        .worker = worker->desc.id,
+        .address = worker->desc.address,
+        .owner = state->owner_id,
+        .epoch = state->epoch,
+        .sequence = worker->sequence,
+        .echo_ms = worker->clock_ms,
+        .lease_ms = renews ? NM_SHARD_LEASE_MS : 0,
+        .starts = (nm_start_t *)worker->sent_starts->data,
+        .start_count = worker->sent_starts->len,
+        .stops = (nm_stop_t *)worker->sent_stops->data,
+        .stop_count = worker->sent_stops->len,
+        .throttles = (nm_throttle_t *)worker->sent_throttles->data,
+        .throttle_count = worker->sent_throttles->len,
+        .acks = (nm_attempt_name_t *)worker->sent_acks->data,
+        .ack_count = worker->sent_acks->len,
+    };
+    return &worker->sync;
+}
+
+const nm_sync_t *
+nm_shard_next_sync(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return NULL;
+    }
+    uint32_t count = state->workers->len;
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t at = (state->cursor + i) % count;
+        nm_pw_t *worker = state->workers->pdata[at];
+        bool due = now_ms >= worker->due_ms ||
+                   (worker->urgent && now_ms >= worker->sent_ms + SYNC_GAP_MS);
+        if (worker->outstanding || worker->removed || !due) {
+            continue;
+        }
+        state->cursor = (at + 1) % count;
+        bool authority = nm_shard_has_authority(shard, now_ms);
+        return build_sync(state, worker, authority, now_ms);
+    }
+    return NULL;
+}
+
+/* Health: blames a failure on the worker or on the job */
+
+static nm_ms_t
+quarantine_time(uint32_t earlier)
+{
+    nm_ms_t time_ms = (nm_ms_t)QUARANTINE_FIRST_MS
+                      << (earlier < 4 ? earlier : 4);
+    return time_ms < QUARANTINE_MAX_MS ? time_ms : QUARANTINE_MAX_MS;
+}
+
+static void
+forgive_job(nm_job_t *job, int32_t worker)
+{
+    for (uint32_t i = 0; i < job->blamed_count; i++) {
+        if (job->blamed[i] == worker) {
+            job->blamed[i] = job->blamed[--job->blamed_count];
+            return;
+        }
+    }
+}
+
+static void
+quarantine_worker(nm_shard_state_t *state, int32_t index, nm_ms_t now_ms)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    worker->quarantined_until_ms =
+        now_ms + quarantine_time(worker->quarantines++);
+    worker->failures = 0;
+    worker->failed_job_count = 0;
+    nm_place_close_worker(&state->place, worker->place, true);
+    nm_count_reason(NM_REASON_WORKER_FAILING);
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        forgive_job(state->jobs->pdata[i], index);
+    }
+}
+
+static void
+record_failure(nm_shard_state_t *state, nm_job_t *job, int32_t index,
+               nm_ms_t now_ms)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    worker->failures++;
+    bool known = false;
+    for (uint32_t i = 0; i < worker->failed_job_count; i++) {
+        known = known || worker->failed_jobs[i] == job->desc.id;
+    }
+    if (!known && worker->failed_job_count < NM_BLAMED_MAX) {
+        worker->failed_jobs[worker->failed_job_count++] = job->desc.id;
+    }
+    forgive_job(job, index);
+    if (job->blamed_count < NM_BLAMED_MAX) {
+        job->blamed[job->blamed_count++] = index;
+    }
+    job->failures++;
+    /* Several jobs, or one that works elsewhere, speak against a worker. */
+    bool others_fail_too = worker->failed_job_count >= 2;
+    bool works_elsewhere = job->successes > 0 && job->blamed_count < 2;
+    bool probe_failed = worker->quarantines > 0 && worker->failures > 0;
+    if ((worker->failures >= WORKER_FAILURES_MAX &&
+         (others_fail_too || works_elsewhere)) ||
+        probe_failed)
+    {
+        quarantine_worker(state, index, now_ms);
+        return;
+    }
+    if (job->blamed_count >= JOB_WORKERS_MAX ||
+        (state->workers->len < JOB_WORKERS_MAX &&
+         job->failures >= JOB_FAILURES_MAX && job->successes == 0))
+    {
+        job->quarantined_until_ms =
+            now_ms + quarantine_time(job->quarantines++);
+        job->reason = NM_REASON_JOB_FAILING;
+        nm_count_reason(NM_REASON_JOB_FAILING);
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
+               job->desc.path, "reason", nm_reason_name(job->reason));
+    }
+}
+
+static void
+record_success(nm_shard_state_t *state, nm_job_t *job, int32_t index)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    worker->failures = 0;
+    worker->failed_job_count = 0;
+    worker->quarantines = 0;
+    job->blamed_count = 0;
+    job->successes++;
+    job->quarantines = 0;
+}
+
+/* Replies */
+
+static void
+queue_ack(nm_pw_t *worker, const nm_attempt_name_t *name)
+{
+    g_array_append_val(worker->acks, *name);
+    worker->urgent = true;
+}
+
+static void
+queue_stop(nm_pw_t *worker, const nm_attempt_name_t *name, nm_reason_t reason)
+{
+    nm_stop_t stop = {.name = *name};
+    g_array_append_val(worker->stops, stop);
+    worker->urgent = true;
+    nm_count_reason(reason);
+}
+
+static void
+take_running(nm_shard_state_t *state, int32_t index, uint32_t position,
+             const nm_task_report_t *report, nm_ms_t now_ms)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_task_t *task = &job->tasks[report->name.index];
+    bool has_attempt = task->state == NM_TASK_RUNNING ||
+                       task->state == NM_TASK_ENDING ||
+                       task->state == NM_TASK_RECORDING;
+    if (has_attempt && task->attempt == report->name.attempt) {
+        if (report->use.cpu_milli > 0) {
+            nm_place_observe_use(&state->place, job->desc.class_id,
+                                 &report->use);
+        }
+        return;
+    }
+    if (task->state == NM_TASK_DONE || has_attempt || job->removed) {
+        queue_stop(worker, &report->name,
+                   job->removed ? NM_REASON_EVICT_CANCELLED
+                                : NM_REASON_EVICT_DUPLICATE);
+        return;
+    }
+    /* Started by an earlier owner: the attempt is taken over. */
+    if (task->queued) {
+        g_queue_remove(&job->waiting, GUINT_TO_POINTER(report->name.index));
+        task->queued = false;
+    }
+    nm_shard_assign(state, position, report->name.index, index,
+                    report->name.attempt, now_ms);
+    task->start_sequence = worker->sequence;
+}
+
+static void
+take_outcome(nm_shard_state_t *state, int32_t index, uint32_t position,
+             const nm_task_report_t *report, nm_ms_t now_ms)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    nm_job_t *job = state->jobs->pdata[position];
+    uint32_t at = report->name.index;
+    nm_task_t *task = &job->tasks[at];
+    if (task->state == NM_TASK_RECORDING &&
+        task->attempt == report->name.attempt) {
+        return;
+    }
+    bool current = task->attempt == report->name.attempt;
+    bool unassigned =
+        task->state == NM_TASK_WAITING || task->state == NM_TASK_HELD;
+    bool recorded = task->state == NM_TASK_DONE ||
+                    report->name.attempt <= task->ended_attempt;
+    if (recorded ||
+        (!unassigned && !current && report->state != NM_REPORT_DONE)) {
+        queue_ack(worker, &report->name);
+        return;
+    }
+    if (!unassigned && !current) {
+        /* An older attempt finished after all: the newer one is stopped. */
+        if (task->state == NM_TASK_RUNNING) {
+            nm_shard_stop_task(state, position, at, false,
+                               NM_REASON_EVICT_DUPLICATE);
+        }
+        nm_shard_unassign(state, position, at, now_ms);
+    }
+    if (task->queued) {
+        g_queue_remove(&job->waiting, GUINT_TO_POINTER(at));
+        task->queued = false;
+    }
+    if (report->state == NM_REPORT_FAILED) {
+        task->failures++;
+        record_failure(state, job, index, now_ms);
+    }
+    else if (report->state == NM_REPORT_DONE) {
+        record_success(state, job, index);
+    }
+    nm_shard_unassign(state, position, at, now_ms);
+    task->attempt = report->name.attempt;
+    task->outcome = report->state;
+    if (report->state == NM_REPORT_CHECKPOINTED) {
+        task->checkpoint = report->checkpoint;
+    }
+    nm_shard_set_task_state(job, at, NM_TASK_RECORDING);
+    /* The worker is acknowledged once the journal holds the outcome. */
+    task->ended_on = index;
+    task->ended_attempt = report->name.attempt;
+    nm_shard_mark_dirty(job, at);
+    nm_log(NM_LOG_DEBUG, NM_LOG_ITEM_TASK_ENDED, "{s:s,s:i,s:i}", "job",
+           job->desc.path, "index", (int)at, "state", (int)report->state);
+}
+
+/* Ends attempts that the worker should hold but does not report. */
+static void
+find_missing(nm_shard_state_t *state, nm_pw_t *worker,
+             const nm_sync_reply_t *reply, uint64_t sequence, nm_ms_t now_ms)
+{
+    for (uint32_t i = worker->tasks->len; i-- > 0;) {
+        uint64_t key = g_array_index(worker->tasks, uint64_t, i);
+        uint32_t position = (uint32_t)(key >> 32);
+        uint32_t index = (uint32_t)key;
+        nm_job_t *job = state->jobs->pdata[position];
+        nm_task_t *task = &job->tasks[index];
+        if (task->start_sequence == 0 || task->start_sequence > sequence) {
+            continue;
+        }
+        bool found = false;
+        for (uint32_t j = 0; j < reply->task_count && !found; j++) {
+            const nm_attempt_name_t *name = &reply->tasks[j].name;
+            found = name->job == job->desc.id && name->index == index &&
+                    name->attempt == task->attempt;
+        }
+        if (found) {
+            continue;
+        }
+        nm_count_reason(task->start_sequence == sequence
+                            ? NM_REASON_START_REFUSED
+                            : NM_REASON_LEASE_LAPSED);
+        nm_shard_unassign(state, position, index, now_ms);
+        nm_shard_set_task_state(job, index, NM_TASK_WAITING);
+        nm_shard_queue_task(state, job, index);
+    }
+}
+
+static void
+take_reports(nm_shard_state_t *state, int32_t index,
+             const nm_sync_reply_t *reply, nm_ms_t now_ms)
+{
+    nm_pw_t *worker = state->workers->pdata[index];
+    for (uint32_t i = 0; i < reply->task_count; i++) {
+        const nm_task_report_t *report = &reply->tasks[i];
+        uint32_t position;
+        nm_job_t *job = nm_shard_find_job(state, report->name.job, &position);
+        bool running = report->state == NM_REPORT_RUNNING;
+        if (!job || report->name.index >= job->desc.tasks) {
+            /* Without settings an unknown job may merely be unknown yet. */
+            if (state->has_jobs && state->phase == NM_SHARD_ACTIVE) {
+                if (running) {
+                    queue_stop(worker, &report->name,
+                               NM_REASON_EVICT_CANCELLED);
+                }
+                else {
+                    queue_ack(worker, &report->name);
+                }
+            }
+        }
+        else if (running) {
+            take_running(state, index, position, report, now_ms);
+        }
+        else if (state->phase == NM_SHARD_ACTIVE) {
+            /* Before, the journal may hold this outcome already. */
+            take_outcome(state, index, position, report, now_ms);
+        }
+    }
+    for (uint32_t i = 0; i < reply->service_count; i++) {
+        const nm_service_report_t *service = &reply->services[i];
+        nm_place_sample_t sample = {
+            .measured_ms = now_ms - service->age_ms,
+            .load = service->load,
+            .slowdown = service->slowdown,
+        };
+        nm_place_observe_service(&state->place, worker->place, &sample,
+                                 now_ms);
+    }
+}
+
+void
+nm_shard_sync_reply(nm_shard_t *shard, uint64_t worker_id, uint64_t sequence,
+                    const nm_sync_reply_t *reply, nm_ms_t now_ms)
+{
+    assert(shard && reply);
+    nm_shard_state_t *state = shard->state;
+    int32_t index;
+    nm_pw_t *worker = nm_shard_find_worker(state, worker_id, &index);
+    if (!worker || !worker->outstanding || worker->sequence != sequence) {
+        return;
+    }
+    worker->outstanding = false;
+    nm_count(NM_COUNTER_SYNCS, 1);
+    nm_shard_saw_epoch(shard, reply->epoch);
+    if (!reply->accepted) {
+        if (reply->epoch > state->epoch ||
+            (reply->epoch == state->epoch && worker->acked_epoch == 0))
+        {
+            nm_shard_resign(shard);
+        }
+        return;
+    }
+    worker->acked_epoch = state->epoch;
+    if (reply->previous_epoch > state->previous_epoch) {
+        state->previous_epoch = reply->previous_epoch;
+    }
+    worker->acked_sent_ms = worker->sent_ms;
+    worker->clock_ms = reply->clock_ms;
+    worker->reported_ms = now_ms;
+    worker->lapsed = false;
+    bool quarantined = now_ms < worker->quarantined_until_ms;
+    /* After a quarantine one task at a time shows whether it is over. */
+    bool probing = worker->quarantines > 0 && worker->tasks->len > 0;
+    nm_place_close_worker(&state->place, worker->place,
+                          worker->desc.leaving || quarantined || probing);
+    take_reports(state, index, reply, now_ms);
+    find_missing(state, worker, reply, sequence, now_ms);
+}
+
+void
+nm_shard_sync_failed(nm_shard_t *shard, uint64_t worker_id, uint64_t sequence,
+                     nm_ms_t now_ms)
+{
+    assert(shard);
+    (void)now_ms;
+    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    if (!worker || !worker->outstanding || worker->sequence != sequence) {
+        return;
+    }
+    worker->outstanding = false;
+    nm_count(NM_COUNTER_SYNC_ERRORS, 1);
+    nm_place_close_worker(&shard->state->place, worker->place, true);
+    /*
+     * Commands other than starts are idempotent and sent again.  Whether a
+     * start arrived is seen in the next report.
+     */
+    g_array_append_vals(worker->stops, worker->sent_stops->data,
+                        worker->sent_stops->len);
+    g_array_append_vals(worker->acks, worker->sent_acks->data,
+                        worker->sent_acks->len);
+    g_array_append_vals(worker->throttles, worker->sent_throttles->data,
+                        worker->sent_throttles->len);
+}
--- /dev/null
+++ b/src/traffic.c
@@ -0,0 +1,521 @@
+#include "traffic.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include <ck_pr.h>
+#include <ck_ring.h>
+
+#include "mailbox.h"
+
+#define RING_SIZE 16384
+#define BUSY_WAIT_MS 2
+#define IDLE_WAIT_MS 20
+#define REPORT_INTERVAL_MS 100
+/* A caller that waited longer is checked for having left. */
+#define CHECK_CALLER_AFTER_MS 20
+
+struct nm_traffic {
+    nm_traffic_desc_t desc;
+    pthread_t thread;
+    ck_ring_t ring;
+    ck_ring_buffer_t *ring_slots;
+    nm_mailbox_t views;
+    nm_mailbox_t reports;
+    uint32_t active;
+    uint32_t stopping;
+    uint32_t ending;
+    nm_view_t *view;
+    nm_route_t route;
+    GHashTable *addresses; /* target id to nm_view_target_t in the view */
+    nm_ms_t reported_ms;
+};
+
+static void
+hand_back(nm_traffic_t *traffic, nm_exchange_t *exchange)
+{
+    exchange->complete = true;
+    traffic->desc.on_done(exchange);
+    ck_pr_dec_32(&traffic->active);
+}
+
+static void
+hand_back_refused(nm_traffic_t *traffic, nm_exchange_t *exchange,
+                  nm_reason_t reason, nm_verdict_t verdict)
+{
+    exchange->reason = reason;
+    exchange->answer.verdict = verdict;
+    hand_back(traffic, exchange);
+}
+
+/* Copies what a recorded outcome needs. */
+static void
+copy_for_record(nm_answer_t *target, const nm_answer_t *source)
+{
+    nm_answer_init(target);
+    target->status = source->status;
+    g_byte_array_append(target->body, source->body->data, source->body->len);
+    for (uint32_t i = 0; i < source->headers->len; i++) {
+        g_ptr_array_add(target->headers, g_strdup(source->headers->pdata[i]));
+    }
+}
+
+/* Records or gives back the exchange's claim. */
+static void
+settle_claim(nm_traffic_t *traffic, nm_exchange_t *exchange,
+             nm_verdict_t verdict)
+{
+    nm_claim_t *claim = exchange->claim;
+    exchange->claim = NULL;
+    if (!claim) {
+        return;
+    }
+    if (!claim->held || verdict == NM_VERDICT_UNKNOWN) {
+        /* In doubt the claim stays, so that no repeat can run. */
+        nm_claim_free(claim);
+    }
+    else if (verdict == NM_VERDICT_NOT_RUN) {
+        nm_claims_release(traffic->desc.claims, claim);
+    }
+    else {
+        if (exchange->reason == NM_REASON_NONE) {
+            copy_for_record(&claim->answer, &exchange->answer);
+        }
+        else {
+            nm_answer_init(&claim->answer);
+            claim->answer.status = nm_reason_status(exchange->reason);
+        }
+        nm_claims_record(traffic->desc.claims, claim);
+    }
+}
+
+/* True if the caller closed its connection. */
+static bool
+caller_is_gone(const nm_exchange_t *exchange)
+{
+    char byte;
+    return exchange->socket >= 0 &&
+           recv(exchange->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+send_request(nm_traffic_t *traffic, const nm_route_action_t *action,
+             nm_ms_t now_ms)
+{
+    nm_exchange_t *exchange = action->user;
+    const nm_view_target_t *target = g_hash_table_lookup(
+        traffic->addresses, (void *)(uintptr_t)action->target_id);
+    bool waited = now_ms - exchange->arrived_ms > CHECK_CALLER_AFTER_MS;
+    if (waited && caller_is_gone(exchange)) {
+        nm_route_cancel(&traffic->route, action->request, now_ms);
+        nm_route_attempt_done(&traffic->route, action->attempt,
+                              NM_OUTCOME_UNSENT, now_ms);
+        return;
+    }
+    nm_ms_t send_ms = nm_clock_now(traffic->desc.clock);
+    if (!target ||
+        !nm_route_may_send(&traffic->route, action->attempt, send_ms)) {
+        nm_route_attempt_done(&traffic->route, action->attempt,
+                              NM_OUTCOME_UNSENT, now_ms);
+        return;
+    }
+    nm_upstream_call_t call = {
+        .attempt = action->attempt,
+        .address = target->address,
+        .to_peer = action->target_type != NM_TARGET_EXECUTOR,
+        .fresh_connection = action->fresh_connection,
+        .timeout_ms = action->timeout_ms,
+        .exchange = exchange,
+    };
+    if (nm_upstream_send(traffic->desc.upstream, &call) < 0) {
+        nm_route_attempt_done(&traffic->route, action->attempt,
+                              NM_OUTCOME_UNSENT, now_ms);
+    }
+}
+
+/* Carries out actions.  done is the attempt that just ended, or NULL. */
+static void
+run_actions(nm_traffic_t *traffic, nm_upstream_done_t *done, nm_ms_t now_ms)
+{
+    nm_route_action_t action;
+    while (nm_route_next_action(&traffic->route, &action)) {
+        nm_exchange_t *exchange = action.user;
+        switch (action.type) {
+        case NM_ROUTE_SEND:
+            send_request(traffic, &action, now_ms);
+            break;
+        case NM_ROUTE_ANSWER:
+            assert(done && done->attempt == action.attempt);
+            nm_answer_move(&exchange->answer, &done->answer);
+            settle_claim(traffic, exchange, exchange->answer.verdict);
+            hand_back(traffic, exchange);
+            break;
+        case NM_ROUTE_REFUSE:
+            exchange->retry_after_ms = action.retry_after_ms;
+            exchange->reason = action.reason;
+            settle_claim(traffic, exchange, action.verdict);
+            hand_back_refused(traffic, exchange, action.reason,
+                              action.verdict);
+            break;
+        case NM_ROUTE_CLOSE:
+            nm_upstream_close(traffic->desc.upstream, action.attempt);
+            break;
+        }
+    }
+}
+
+/* Service whose prefix matches the most of a path, or -1. */
+static int32_t
+find_service(const nm_view_t *view, const char *target)
+{
+    int32_t best = -1;
+    size_t best_length = 0;
+    for (uint32_t i = 0; view && i < view->service_count; i++) {
+        const char *prefix = view->services[i].prefix;
+        size_t length = strlen(prefix);
+        if (length < best_length || strncmp(target, prefix, length) != 0) {
+            continue;
+        }
+        char next = target[length];
+        bool whole = length > 0 && prefix[length - 1] == '/';
+        if (whole || next == '\0' || next == '/' || next == '?') {
+            best = (int32_t)i;
+            best_length = length;
+        }
+    }
+    return best;
+}
+
+static void
+route_exchange(nm_traffic_t *traffic, nm_exchange_t *exchange, nm_ms_t now_ms)
+{
+    nm_route_arrival_t arrival = {
+        .service = exchange->service,
+        .idempotent = nm_method_is_idempotent(exchange->method),
+        .forwarded = exchange->forwarded,
+        .deadline_ms = exchange->timeout_ms > 0
+                           ? exchange->arrived_ms + exchange->timeout_ms
+                           : 0,
+        .bytes =
+            (uint32_t)(exchange->body->len + strlen(exchange->target) + 512),
+        .user = exchange,
+    };
+    int rc =
+        nm_route_submit(&traffic->route, &arrival, now_ms, &exchange->request);
+    if (rc < 0) {
+        settle_claim(traffic, exchange, NM_VERDICT_NOT_RUN);
+        hand_back_refused(traffic, exchange, NM_REASON_QUEUE_FULL,
+                          NM_VERDICT_NOT_RUN);
+    }
+    run_actions(traffic, NULL, now_ms);
+}
+
+static uint64_t
+fingerprint_of(const nm_exchange_t *exchange)
+{
+    uint64_t parts[3] = {
+        nm_hash(exchange->method, strlen(exchange->method)),
+        nm_hash(exchange->target, strlen(exchange->target)),
+        nm_hash(exchange->body->data, exchange->body->len),
+    };
+    return nm_hash(parts, sizeof(parts));
+}
+
+static void
+claim_exchange(nm_traffic_t *traffic, nm_exchange_t *exchange, nm_ms_t now_ms)
+{
+    const nm_view_service_t *service =
+        &traffic->view->services[exchange->service];
+    uint64_t parts[2] = {
+        nm_hash(service->name, strlen(service->name)),
+        nm_hash(exchange->idempotency_key, strlen(exchange->idempotency_key)),
+    };
+    nm_ms_t limit_ms = service->limits.timeout_ms;
+    if (exchange->timeout_ms > 0 && exchange->timeout_ms < limit_ms) {
+        limit_ms = exchange->timeout_ms;
+    }
+    nm_claim_t *claim = nm_claim_new();
+    claim->key = nm_hash(parts, sizeof(parts));
+    claim->fingerprint = fingerprint_of(exchange);
+    /* Leaves half of the time for the request itself. */
+    claim->deadline_ms = now_ms + limit_ms / 2;
+    claim->user = exchange;
+    nm_claims_make(traffic->desc.claims, claim);
+}
+
+static void
+refuse_claim(nm_traffic_t *traffic, nm_exchange_t *exchange, nm_claim_t *claim,
+             nm_reason_t reason, nm_verdict_t verdict)
+{
+    nm_count_reason(reason);
+    nm_claim_free(claim);
+    hand_back_refused(traffic, exchange, reason, verdict);
+}
+
+static void
+take_claim(nm_traffic_t *traffic, nm_claim_t *claim, nm_ms_t now_ms)
+{
+    nm_exchange_t *exchange = claim->user;
+    bool strict = traffic->view->services[exchange->service].claim_strict;
+    switch (claim->result) {
+    case NM_CLAIM_FAILED:
+        if (strict) {
+            refuse_claim(traffic, exchange, claim, NM_REASON_CLAIM_STORE,
+                         NM_VERDICT_NOT_RUN);
+            break;
+        }
+        nm_claim_free(claim);
+        route_exchange(traffic, exchange, now_ms);
+        break;
+    case NM_CLAIM_MADE:
+        exchange->claim = claim;
+        route_exchange(traffic, exchange, now_ms);
+        break;
+    case NM_CLAIM_RECORDED:
+        nm_answer_move(&exchange->answer, &claim->answer);
+        nm_claim_free(claim);
+        nm_count(NM_COUNTER_REPLAYS, 1);
+        hand_back(traffic, exchange);
+        break;
+    case NM_CLAIM_MISMATCH:
+        refuse_claim(traffic, exchange, claim, NM_REASON_KEY_REUSED,
+                     NM_VERDICT_NOT_RUN);
+        break;
+    case NM_CLAIM_RUNNING:
+        refuse_claim(traffic, exchange, claim, NM_REASON_KEY_RUNNING,
+                     NM_VERDICT_UNKNOWN);
+        break;
+    }
+}
+
+static void
+accept_exchange(nm_traffic_t *traffic, nm_exchange_t *exchange, nm_ms_t now_ms)
+{
+    exchange->arrived_ms = now_ms;
+    nm_reason_t reason = NM_REASON_NONE;
+    int32_t service = find_service(traffic->view, exchange->target);
+    if (exchange->too_large) {
+        reason = NM_REASON_TOO_LARGE;
+    }
+    else if (ck_pr_load_32(&traffic->stopping)) {
+        reason = NM_REASON_STOPPING;
+    }
+    else if (!traffic->view || !traffic->view->ready) {
+        reason = NM_REASON_NOT_READY;
+    }
+    else if (service < 0) {
+        reason = NM_REASON_NO_SERVICE;
+    }
+    if (reason != NM_REASON_NONE) {
+        nm_count_reason(reason);
+        hand_back_refused(traffic, exchange, reason, NM_VERDICT_NOT_RUN);
+        return;
+    }
+    exchange->service = (uint32_t)service;
+    bool claims = exchange->idempotency_key && !exchange->forwarded &&
+                  !nm_method_is_idempotent(exchange->method);
+    if (claims) {
+        claim_exchange(traffic, exchange, now_ms);
+    }
+    else {
+        route_exchange(traffic, exchange, now_ms);
+    }
+}
+
+static void
+install_view(nm_traffic_t *traffic, nm_view_t *view, nm_ms_t now_ms)
+{
+    g_hash_table_remove_all(traffic->addresses);
+    for (uint32_t i = 0; i < view->service_count; i++) {
+        nm_route_update_service(&traffic->route, i, &view->services[i].limits);
+    }
+    for (uint32_t i = 0; i < view->target_count; i++) {
+        nm_view_target_t *target = &view->targets[i];
+        g_hash_table_insert(traffic->addresses,
+                            (void *)(uintptr_t)target->target.id, target);
+        nm_route_update_target(&traffic->route, &target->target, now_ms);
+    }
+    nm_route_sweep_targets(&traffic->route);
+    nm_route_set_link_rate(&traffic->route, view->link_bytes_per_s);
+    nm_view_free(traffic->view);
+    traffic->view = view;
+    run_actions(traffic, NULL, now_ms);
+}
+
+static void
+publish_report(nm_traffic_t *traffic)
+{
+    const nm_view_t *view = traffic->view;
+    if (!view) {
+        return;
+    }
+    nm_traffic_report_t *report = g_new0(nm_traffic_report_t, 1);
+    report->grant_number = view->grant_number;
+    report->active = ck_pr_load_32(&traffic->active);
+    report->uses = g_new0(nm_view_use_t, view->target_count);
+    for (uint32_t i = 0; i < view->target_count; i++) {
+        const nm_route_target_t *target = &view->targets[i].target;
+        if (target->type != NM_TARGET_EXECUTOR) {
+            continue;
+        }
+        uint32_t in_flight =
+            nm_route_query_in_flight(&traffic->route, target->id);
+        uint32_t held = target->granted_slots;
+        if (in_flight > held) {
+            held = in_flight;
+        }
+        if (target->granted_slots > in_flight) {
+            report->free_slots += target->granted_slots - in_flight;
+        }
+        report->uses[report->use_count++] =
+            (nm_view_use_t){target->id, (uint16_t)held};
+    }
+    report->services = g_new0(nm_route_info_t, view->service_count);
+    report->service_count = view->service_count;
+    for (uint32_t i = 0; i < view->service_count; i++) {
+        report->services[i] = nm_route_query_service(&traffic->route, i);
+        report->demand += report->services[i].demand;
+    }
+    nm_traffic_report_free(nm_mailbox_put(&traffic->reports, report));
+}
+
+static void
+run_round(nm_traffic_t *traffic)
+{
+    nm_ms_t now_ms = nm_clock_now(traffic->desc.clock);
+    nm_view_t *view = nm_mailbox_take(&traffic->views);
+    if (view) {
+        install_view(traffic, view, now_ms);
+        publish_report(traffic);
+    }
+    if (ck_pr_load_32(&traffic->stopping)) {
+        nm_route_stop(&traffic->route);
+    }
+    void *item;
+    while (ck_ring_dequeue_mpsc(&traffic->ring, traffic->ring_slots, &item)) {
+        accept_exchange(traffic, item, now_ms);
+    }
+    nm_claim_t *claim;
+    while (traffic->desc.claims &&
+           (claim = nm_claims_next(traffic->desc.claims))) {
+        take_claim(traffic, claim, now_ms);
+    }
+    nm_upstream_done_t done;
+    while (nm_upstream_next(traffic->desc.upstream, &done)) {
+        nm_route_attempt_done(&traffic->route, done.attempt, done.outcome,
+                              now_ms);
+        run_actions(traffic, &done, now_ms);
+        nm_answer_finish(&done.answer);
+    }
+    nm_route_tick(&traffic->route, now_ms);
+    run_actions(traffic, NULL, now_ms);
+    if (now_ms - traffic->reported_ms >= REPORT_INTERVAL_MS) {
+        traffic->reported_ms = now_ms;
+        publish_report(traffic);
+    }
+}
+
+static void *
+run_traffic(void *user)
+{
+    nm_traffic_t *traffic = user;
+    while (!ck_pr_load_32(&traffic->ending)) {
+        run_round(traffic);
+        bool busy = ck_pr_load_32(&traffic->active) > 0;
+        nm_upstream_wait(traffic->desc.upstream,
+                         busy ? BUSY_WAIT_MS : IDLE_WAIT_MS);
+    }
+    return NULL;
+}
+
+nm_traffic_t *
+nm_traffic_new(const nm_traffic_desc_t *desc)
+{
+    assert(desc && desc->clock && desc->upstream && desc->on_done);
+    nm_traffic_t *traffic = g_new0(nm_traffic_t, 1);
+    traffic->desc = *desc;
+    ck_ring_init(&traffic->ring, RING_SIZE);
+    traffic->ring_slots = g_new0(ck_ring_buffer_t, RING_SIZE);
+    traffic->addresses = g_hash_table_new(g_direct_hash, g_direct_equal);
+    nm_route_init(&traffic->route, &(nm_route_desc_t){
+                                       .seed = desc->seed,
+                                       .policy = desc->policy,
+                                   });
+    pthread_create(&traffic->thread, NULL, run_traffic, traffic);
+    return traffic;
+}
+
+void
+nm_traffic_set_claims(nm_traffic_t *traffic, nm_claims_t *claims)
+{
+    assert(traffic);
+    traffic->desc.claims = claims;
+}
+
+void
+nm_traffic_free(nm_traffic_t *traffic)
+{
+    assert(traffic);
+    ck_pr_store_32(&traffic->ending, 1);
+    nm_traffic_wake(traffic);
+    pthread_join(traffic->thread, NULL);
+    nm_view_free(nm_mailbox_take(&traffic->views));
+    nm_traffic_report_free(nm_mailbox_take(&traffic->reports));
+    nm_view_free(traffic->view);
+    nm_route_finish(&traffic->route);
+    g_hash_table_unref(traffic->addresses);
+    g_free(traffic->ring_slots);
+    g_free(traffic);
+}
+
+void
+nm_traffic_publish(nm_traffic_t *traffic, nm_view_t *view)
+{
+    assert(traffic && view);
+    nm_view_free(nm_mailbox_put(&traffic->views, view));
+    nm_traffic_wake(traffic);
+}
+
+nm_traffic_report_t *
+nm_traffic_take_report(nm_traffic_t *traffic)
+{
+    assert(traffic);
+    return nm_mailbox_take(&traffic->reports);
+}
+
+bool
+nm_traffic_submit(nm_traffic_t *traffic, nm_exchange_t *exchange)
+{
+    assert(traffic && exchange);
+    ck_pr_inc_32(&traffic->active);
+    if (!ck_ring_enqueue_mpsc(&traffic->ring, traffic->ring_slots, exchange)) {
+        ck_pr_dec_32(&traffic->active);
+        return false;
+    }
+    nm_traffic_wake(traffic);
+    return true;
+}
+
+void
+nm_traffic_stop(nm_traffic_t *traffic)
+{
+    assert(traffic);
+    ck_pr_store_32(&traffic->stopping, 1);
+    nm_traffic_wake(traffic);
+}
+
+uint32_t
+nm_traffic_query_active(nm_traffic_t *traffic)
+{
+    assert(traffic);
+    return ck_pr_load_32(&traffic->active);
+}
+
+void
+nm_traffic_wake(void *user)
+{
+    nm_traffic_t *traffic = user;
+    nm_upstream_wake(traffic->desc.upstream);
+}
--- /dev/null
+++ b/src/upstream.h
@@ -0,0 +1,88 @@
+/*
+ * Adapter to executors and to other entry hosts, by HTTP/1.1.
+ *
+ *     nm_upstream_t *upstream = nm_upstream_http_new(&desc);
+ *     nm_upstream_send(upstream, &call);
+ *     nm_upstream_wait(upstream, 5);
+ *     while (nm_upstream_next(upstream, &done)) { ... }
+ *     nm_upstream_free(upstream);
+ */
+#ifndef NM_UPSTREAM_H
+#define NM_UPSTREAM_H
+
+#include "exchange.h"
+
+typedef struct {
+    nm_attempt_t attempt;
+    const char *address;   /* such as http://10.0.0.7:8080 */
+    bool to_peer;          /* an entry host: marked as forwarded */
+    bool fresh_connection; /* never repeat on a reused connection */
+    nm_ms_t timeout_ms;
+    const nm_exchange_t *exchange; /* copied before send returns */
+} nm_upstream_call_t;
+
+typedef struct {
+    nm_attempt_t attempt;
+    nm_outcome_t outcome;
+    nm_answer_t answer; /* set if ANSWERED or UNAVAILABLE; finish it */
+} nm_upstream_done_t;
+
+typedef struct nm_upstream nm_upstream_t;
+
+typedef struct {
+    int (*send)(nm_upstream_t *upstream, const nm_upstream_call_t *call);
+    void (*close)(nm_upstream_t *upstream, nm_attempt_t attempt);
+    void (*wait)(nm_upstream_t *upstream, nm_ms_t wait_ms);
+    void (*wake)(nm_upstream_t *upstream); /* from any thread */
+    bool (*next)(nm_upstream_t *upstream, nm_upstream_done_t *done);
+    void (*free)(nm_upstream_t *upstream);
+} nm_upstream_vtable_t;
+
+struct nm_upstream {
+    const nm_upstream_vtable_t *vtable;
+};
+
+typedef struct {
+    uint32_t connections_per_host; /* open at once; 0: 16 */
+} nm_upstream_http_desc_t;
+
+nm_upstream_t *nm_upstream_http_new(const nm_upstream_http_desc_t *desc);
+
+static inline int
+nm_upstream_send(nm_upstream_t *upstream, const nm_upstream_call_t *call)
+{
+    return upstream->vtable->send(upstream, call);
+}
+
+/* Closes an attempt's connection; no outcome follows. */
+static inline void
+nm_upstream_close(nm_upstream_t *upstream, nm_attempt_t attempt)
+{
+    upstream->vtable->close(upstream, attempt);
+}
+
+static inline void
+nm_upstream_wait(nm_upstream_t *upstream, nm_ms_t wait_ms)
+{
+    upstream->vtable->wait(upstream, wait_ms);
+}
+
+static inline void
+nm_upstream_wake(nm_upstream_t *upstream)
+{
+    upstream->vtable->wake(upstream);
+}
+
+static inline bool
+nm_upstream_next(nm_upstream_t *upstream, nm_upstream_done_t *done)
+{
+    return upstream->vtable->next(upstream, done);
+}
+
+static inline void
+nm_upstream_free(nm_upstream_t *upstream)
+{
+    upstream->vtable->free(upstream);
+}
+
+#endif
--- /dev/null
+++ b/src/upstream_http.c
@@ -0,0 +1,312 @@
+#include "upstream.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#define DEFAULT_CONNECTIONS_PER_HOST 16
+#define CONNECT_TIMEOUT_MS 1000
+#define CONNECTION_CACHE 512
+/* Kept-alive connections that were idle longer than this are not reused. */
+#define IDLE_MAX_S 20L
+
+typedef struct {
+    nm_upstream_t base;
+    CURLM *multi;
+    GHashTable *transfers; /* attempt to transfer_t */
+} http_t;
+
+typedef struct {
+    nm_attempt_t attempt;
+    CURL *easy;
+    struct curl_slist *headers;
+    GByteArray *body;
+    nm_answer_t answer;
+    bool to_peer;
+    bool is_head;
+    bool too_large;
+    bool chunked;
+} transfer_t;
+
+static void
+free_transfer(http_t *http, transfer_t *transfer)
+{
+    curl_multi_remove_handle(http->multi, transfer->easy);
+    curl_easy_cleanup(transfer->easy);
+    curl_slist_free_all(transfer->headers);
+    g_byte_array_unref(transfer->body);
+    nm_answer_finish(&transfer->answer);
+    g_free(transfer);
+}
+
+static size_t
+read_body(char *data, size_t size, size_t count, void *user)
+{
+    transfer_t *transfer = user;
+    size_t bytes = size * count;
+    if (transfer->answer.body->len + bytes > NM_ANSWER_MAX_BYTES) {
+        transfer->too_large = true;
+        return 0;
+    }
+    g_byte_array_append(transfer->answer.body, (guint8 *)data, (guint)bytes);
+    return bytes;
+}
+
+static size_t
+read_header(char *data, size_t size, size_t count, void *user)
+{
+    transfer_t *transfer = user;
+    size_t bytes = size * count;
+    char *line = g_strndup(data, bytes);
+    g_strchomp(line);
+    if (g_str_has_prefix(line, "HTTP/")) {
+        /* A new status line, after an interim answer. */
+        g_ptr_array_set_size(transfer->answer.headers, 0);
+        transfer->chunked = false;
+    }
+    else if (g_ascii_strncasecmp(line, "Transfer-Encoding:", 18) == 0) {
+        transfer->chunked = strstr(line, "chunked") != NULL;
+    }
+    else if (strchr(line, ':')) {
+        g_ptr_array_add(transfer->answer.headers, line);
+        return bytes;
+    }
+    g_free(line);
+    return bytes;
+}
+
+static void
+set_headers(transfer_t *transfer, const nm_upstream_call_t *call)
+{
+    const GPtrArray *from = call->exchange->headers;
+    struct curl_slist *headers = NULL;
+    for (uint32_t i = 0; i < from->len; i++) {
+        headers = curl_slist_append(headers, from->pdata[i]);
+    }
+    headers = curl_slist_append(headers, "Expect:");
+    char line[96];
+    snprintf(line, sizeof(line), NM_HEADER_TIMEOUT ": %lld",
+             (long long)call->timeout_ms);
+    headers = curl_slist_append(headers, line);
+    if (call->to_peer) {
+        headers = curl_slist_append(headers, NM_HEADER_FORWARDED ": 1");
+    }
+    const char *key = call->exchange->idempotency_key;
+    if (key) {
+        char text[NM_KEY_MAX_BYTES + 32];
+        snprintf(text, sizeof(text), "Idempotency-Key: %s", key);
+        headers = curl_slist_append(headers, text);
+    }
+    transfer->headers = headers;
+    curl_easy_setopt(transfer->easy, CURLOPT_HTTPHEADER, headers);
+}
+
+static void
+set_body(transfer_t *transfer, const nm_exchange_t *exchange)
+{
+    CURL *easy = transfer->easy;
+    const char *method = exchange->method;
+    transfer->body = g_byte_array_ref(exchange->body);
+    transfer->is_head = strcmp(method, "HEAD") == 0;
+    if (transfer->is_head) {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (exchange->body->len > 0 || strcmp(method, "POST") == 0) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)exchange->body->len);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                         exchange->body->len ? (char *)exchange->body->data
+                                             : "");
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+}
+
+static int
+http_send(nm_upstream_t *upstream, const nm_upstream_call_t *call)
+{
+    http_t *http = (http_t *)upstream;
+    CURL *easy = curl_easy_init();
+    if (!easy) {
+        return NM_ERR_NO_MEMORY;
+    }
+    transfer_t *transfer = g_new0(transfer_t, 1);
+    transfer->attempt = call->attempt;
+    transfer->easy = easy;
+    transfer->to_peer = call->to_peer;
+    nm_answer_init(&transfer->answer);
+    char *url = g_strdup_printf("%s%s", call->address, call->exchange->target);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    g_free(url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, read_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, read_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     (long)CONNECT_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, IDLE_MAX_S);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    if (call->fresh_connection) {
+        /* libcurl repeats a request on a reused connection that closes. */
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    set_body(transfer, call->exchange);
+    set_headers(transfer, call);
+    g_hash_table_insert(http->transfers, (void *)(uintptr_t)call->attempt,
+                        transfer);
+    curl_multi_add_handle(http->multi, easy);
+    return NM_OK;
+}
+
+static void
+http_close(nm_upstream_t *upstream, nm_attempt_t attempt)
+{
+    http_t *http = (http_t *)upstream;
+    void *key = (void *)(uintptr_t)attempt;
+    transfer_t *transfer = g_hash_table_lookup(http->transfers, key);
+    if (transfer) {
+        g_hash_table_remove(http->transfers, key);
+        free_transfer(http, transfer);
+    }
+}
+
+static void
+http_wait(nm_upstream_t *upstream, nm_ms_t wait_ms)
+{
+    http_t *http = (http_t *)upstream;
+    int running = 0;
+    curl_multi_perform(http->multi, &running);
+    curl_multi_poll(http->multi, NULL, 0, (int)wait_ms, NULL);
+    curl_multi_perform(http->multi, &running);
+}
+
+static void
+http_wake(nm_upstream_t *upstream)
+{
+    curl_multi_wakeup(((http_t *)upstream)->multi);
+}
+
+/* True if the end of the answer was marked, so that it is known whole. */
+static bool
+is_delimited(const transfer_t *transfer, long status)
+{
+    curl_off_t length = -1;
+    curl_easy_getinfo(transfer->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                      &length);
+    return length >= 0 || transfer->chunked || transfer->is_head ||
+           status == 204 || status == 304;
+}
+
+static nm_outcome_t
+classify_error(const transfer_t *transfer, CURLcode code)
+{
+    curl_off_t connected_us = 0;
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_CONNECT_TIME_T, &connected_us);
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    if (transfer->too_large) {
+        return NM_OUTCOME_TOO_LARGE;
+    }
+    if (code == CURLE_COULDNT_CONNECT ||
+        (code == CURLE_OPERATION_TIMEDOUT && connected_us == 0))
+    {
+        return NM_OUTCOME_REFUSED;
+    }
+    return status > 0 ? NM_OUTCOME_CUT : NM_OUTCOME_RESET;
+}
+
+static nm_outcome_t
+classify_answer(transfer_t *transfer)
+{
+    long status = 0;
+    curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+    transfer->answer.status = (int)status;
+    if (!is_delimited(transfer, status)) {
+        return NM_OUTCOME_CUT;
+    }
+    const char *verdict =
+        nm_header_find(transfer->answer.headers, NM_HEADER_VERDICT);
+    bool not_run = verdict && strcmp(verdict, "not-run") == 0;
+    bool unknown = verdict && strcmp(verdict, "unknown") == 0;
+    transfer->answer.verdict = unknown ? NM_VERDICT_UNKNOWN : NM_VERDICT_RAN;
+    if (not_run && status >= 500) {
+        return NM_OUTCOME_NOT_RUN;
+    }
+    if (status == 503 && !transfer->to_peer) {
+        transfer->answer.verdict = NM_VERDICT_UNKNOWN;
+        return NM_OUTCOME_UNAVAILABLE;
+    }
+    return NM_OUTCOME_ANSWERED;
+}
+
+static bool
+http_next(nm_upstream_t *upstream, nm_upstream_done_t *done)
+{
+    http_t *http = (http_t *)upstream;
+    int left;
+    CURLMsg *message;
+    while ((message = curl_multi_info_read(http->multi, &left))) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        transfer_t *transfer = NULL;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        CURLcode code = message->data.result;
+        *done = (nm_upstream_done_t){.attempt = transfer->attempt};
+        done->outcome = code == CURLE_OK ? classify_answer(transfer)
+                                         : classify_error(transfer, code);
+        nm_answer_move(&done->answer, &transfer->answer);
+        http_close(upstream, transfer->attempt);
+        return true;
+    }
+    return false;
+}
+
+static void
+http_free(nm_upstream_t *upstream)
+{
+    http_t *http = (http_t *)upstream;
+    GList *all = g_hash_table_get_values(http->transfers);
+    for (GList *link = all; link; link = link->next) {
+        free_transfer(http, link->data);
+    }
+    g_list_free(all);
+    g_hash_table_unref(http->transfers);
+    curl_multi_cleanup(http->multi);
+    g_free(http);
+}
+
+static const nm_upstream_vtable_t http_vtable = {
+    .send = http_send,
+    .close = http_close,
+    .wait = http_wait,
+    .wake = http_wake,
+    .next = http_next,
+    .free = http_free,
+};
+
+nm_upstream_t *
+nm_upstream_http_new(const nm_upstream_http_desc_t *desc)
+{
+    assert(desc);
+    http_t *http = g_new0(http_t, 1);
+    http->base.vtable = &http_vtable;
+    http->multi = curl_multi_init();
+    long per_host = desc->connections_per_host
+                        ? (long)desc->connections_per_host
+                        : DEFAULT_CONNECTIONS_PER_HOST;
+    curl_multi_setopt(http->multi, CURLMOPT_MAX_HOST_CONNECTIONS, per_host);
+    curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS,
+                      (long)CONNECTION_CACHE);
+    http->transfers = g_hash_table_new(g_direct_hash, g_direct_equal);
+    return &http->base;
+}
