--- /dev/null
+++ b/src/worker_port.h
@@ -0,0 +1,70 @@
+/*
+ * Adapter to the platform's workers, by JSON over HTTP.
+ *
+ *     nm_worker_port_t *port = nm_worker_port_http_new(1500);
+ *     nm_worker_port_sync(port, sync);
+ *     nm_worker_port_wait(port, 10, extra_fd);
+ *     while (nm_worker_port_next(port, &event)) { ... }
+ *     nm_worker_port_free(port);
+ */
+#ifndef NM_WORKER_PORT_H
+#define NM_WORKER_PORT_H
+
+#include <nutmegdeck/shard.h>
+
+typedef struct {
+    uint64_t worker;
+    uint64_t sequence;
+    bool answered;         /* else the sync failed */
+    nm_sync_reply_t reply; /* valid until the next call of next */
+} nm_worker_event_t;
+
+typedef struct nm_worker_port nm_worker_port_t;
+
+typedef struct {
+    int (*sync)(nm_worker_port_t *port, const nm_sync_t *sync);
+    void (*wait)(nm_worker_port_t *port, nm_ms_t wait_ms, int extra_fd);
+    void (*wake)(nm_worker_port_t *port); /* from any thread */
+    bool (*next)(nm_worker_port_t *port, nm_worker_event_t *event);
+    void (*free)(nm_worker_port_t *port);
+} nm_worker_port_vtable_t;
+
+struct nm_worker_port {
+    const nm_worker_port_vtable_t *vtable;
+};
+
+nm_worker_port_t *nm_worker_port_http_new(nm_ms_t timeout_ms);
+
+/* Starts a synchronisation; its end is reported by next. */
+static inline int
+nm_worker_port_sync(nm_worker_port_t *port, const nm_sync_t *sync)
+{
+    return port->vtable->sync(port, sync);
+}
+
+/* Waits for events, for extra_fd (-1: none) to be readable, or a wake. */
+static inline void
+nm_worker_port_wait(nm_worker_port_t *port, nm_ms_t wait_ms, int extra_fd)
+{
+    port->vtable->wait(port, wait_ms, extra_fd);
+}
+
+static inline void
+nm_worker_port_wake(nm_worker_port_t *port)
+{
+    port->vtable->wake(port);
+}
+
+static inline bool
+nm_worker_port_next(nm_worker_port_t *port, nm_worker_event_t *event)
+{
+    return port->vtable->next(port, event);
+}
+
+static inline void
+nm_worker_port_free(nm_worker_port_t *port)
+{
+    port->vtable->free(port);
+}
+
+#endif
--- /dev/null
+++ b/src/worker_port_http.c
@@ -0,0 +1,172 @@
+#include "worker_port.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "worker_json.h"
+
+#define REPLY_MAX_BYTES (4 * 1024 * 1024)
+#define CONNECTION_CACHE 4096L
+
+typedef struct {
+    nm_worker_port_t base;
+    CURLM *multi;
+    nm_ms_t timeout_ms;
+    nm_worker_reply_t current;
+    struct curl_slist *headers;
+} http_t;
+
+typedef struct {
+    uint64_t worker;
+    uint64_t sequence;
+    char *request;
+    GString *body;
+} call_t;
+
+static size_t
+read_body(char *data, size_t size, size_t count, void *user)
+{
+    call_t *call = user;
+    size_t bytes = size * count;
+    if (call->body->len + bytes > REPLY_MAX_BYTES) {
+        return 0;
+    }
+    g_string_append_len(call->body, data, (gssize)bytes);
+    return bytes;
+}
+
+static int
+http_sync(nm_worker_port_t *port, const nm_sync_t *sync)
+{
+    http_t *http = (http_t *)port;
+    CURL *easy = curl_easy_init();
+    if (!easy) {
+        return NM_ERR_NO_MEMORY;
+    }
+    call_t *call = g_new0(call_t, 1);
+    call->worker = sync->worker;
+    call->sequence = sync->sequence;
+    call->body = g_string_new(NULL);
+    json_t *json = nm_worker_sync_encode(sync);
+    call->request = json_dumps(json, JSON_COMPACT);
+    json_decref(json);
+    char url[320];
+    snprintf(url, sizeof(url), "%s/v1/sync", sync->address);
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call->request);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, http->headers);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, read_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)http->timeout_ms);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_multi_add_handle(http->multi, easy);
+    return NM_OK;
+}
+
+static void
+http_wait(nm_worker_port_t *port, nm_ms_t wait_ms, int extra_fd)
+{
+    http_t *http = (http_t *)port;
+    struct curl_waitfd extra = {.fd = extra_fd, .events = CURL_WAIT_POLLIN};
+    int running = 0;
+    curl_multi_perform(http->multi, &running);
+    curl_multi_poll(http->multi, &extra, extra_fd >= 0 ? 1 : 0, (int)wait_ms,
+                    NULL);
+    curl_multi_perform(http->multi, &running);
+}
+
+static void
+http_wake(nm_worker_port_t *port)
+{
+    curl_multi_wakeup(((http_t *)port)->multi);
+}
+
+static bool
+decode_answer(http_t *http, CURL *easy, const call_t *call)
+{
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    if (status != 200) {
+        return false;
+    }
+    json_t *json = json_loadb(call->body->str, call->body->len, 0, NULL);
+    int rc = nm_worker_reply_decode(json, &http->current);
+    json_decref(json);
+    return rc == NM_OK;
+}
+
+static bool
+http_next(nm_worker_port_t *port, nm_worker_event_t *event)
+{
+    http_t *http = (http_t *)port;
+    nm_worker_reply_finish(&http->current);
+    int left;
+    CURLMsg *message = curl_multi_info_read(http->multi, &left);
+    if (!message) {
+        return false;
+    }
+    CURL *easy = message->easy_handle;
+    call_t *call = NULL;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
+    *event = (nm_worker_event_t){
+        .worker = call->worker,
+        .sequence = call->sequence,
+        .answered = message->data.result == CURLE_OK &&
+                    decode_answer(http, easy, call),
+    };
+    event->reply = http->current.reply;
+    curl_multi_remove_handle(http->multi, easy);
+    curl_easy_cleanup(easy);
+    free(call->request);
+    g_string_free(call->body, TRUE);
+    g_free(call);
+    return true;
+}
+
+static void
+http_free(nm_worker_port_t *port)
+{
+    http_t *http = (http_t *)port;
+    nm_worker_event_t event;
+    int running = 1;
+    while (running > 0) {
+        curl_multi_perform(http->multi, &running);
+        while (http_next(port, &event)) {
+        }
+        curl_multi_poll(http->multi, NULL, 0, running > 0 ? 50 : 0, NULL);
+    }
+    while (http_next(port, &event)) {
+    }
+    nm_worker_reply_finish(&http->current);
+    curl_multi_cleanup(http->multi);
+    curl_slist_free_all(http->headers);
+    g_free(http);
+}
+
+static const nm_worker_port_vtable_t http_vtable = {
+    .sync = http_sync,
+    .wait = http_wait,
+    .wake = http_wake,
+    .next = http_next,
+    .free = http_free,
+};
+
+nm_worker_port_t *
+nm_worker_port_http_new(nm_ms_t timeout_ms)
+{
+    http_t *http = g_new0(http_t, 1);
+    http->base.vtable = &http_vtable;
+    http->multi = curl_multi_init();
+    http->timeout_ms = timeout_ms;
+    curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
+    http->headers = curl_slist_append(NULL, "Content-Type: application/json");
+    http->headers = curl_slist_append(http->headers, "Expect:");
+    return &http->base;
+}
--- /dev/null
+++ b/tests/fakes/check_history.c
@@ -0,0 +1,34 @@
+/* Checks recorded histories: check_history FILE...; status 1 if broken. */
+
+#include <stdio.h>
+
+#include "lib_history.h"
+
+int
+main(int argc, char **argv)
+{
+    history_t history;
+    history_init(&history);
+    for (int i = 1; i < argc; i++) {
+        if (!history_add_file(&history, argv[i])) {
+            fprintf(stderr, "check_history: cannot read %s\n", argv[i]);
+            return 2;
+        }
+    }
+    uint32_t broken = history_check(&history);
+    printf("history: %u calls, %u runs, %u task starts, %u done, "
+           "%u evictions\n",
+           history.calls, history.runs, history.tasks_started,
+           history.tasks_done, history.evictions);
+    for (int i = 0; i < HISTORY_PROMISES; i++) {
+        printf("%-6s %s", history.broken[i] ? "BROKEN" : "kept",
+               history_promise_text((history_promise_t)i));
+        if (history.broken[i]) {
+            printf(" (%u times, such as %s)", history.broken[i],
+                   history.example[i]);
+        }
+        printf("\n");
+    }
+    history_finish(&history);
+    return broken > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/tests/fakes/lib_http.c
@@ -0,0 +1,80 @@
+#include "lib_http.h"
+
+#include <pthread.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <string.h>
+#include <time.h>
+
+static pthread_mutex_t log_mutex = PTHREAD_MUTEX_INITIALIZER;
+
+enum MHD_Result
+fake_reply(struct MHD_Connection *connection, unsigned status,
+           const char *type, const char *text)
+{
+    struct MHD_Response *response = MHD_create_response_from_buffer(
+        strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(response, "Content-Type", type);
+    enum MHD_Result result = MHD_queue_response(connection, status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+const char *
+fake_argument(struct MHD_Connection *connection, const char *name,
+              const char *fallback)
+{
+    const char *value =
+        MHD_lookup_connection_value(connection, MHD_GET_ARGUMENT_KIND, name);
+    return value ? value : fallback;
+}
+
+static sigset_t
+end_signals(void)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+void
+fake_block_signals(void)
+{
+    sigset_t signals = end_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+void
+fake_wait_for_signal(void)
+{
+    sigset_t signals = end_signals();
+    int number;
+    sigwait(&signals, &number);
+}
+
+void
+fake_log_line(FILE *log, const char *format, ...)
+{
+    if (!log) {
+        return;
+    }
+    va_list arguments;
+    va_start(arguments, format);
+    pthread_mutex_lock(&log_mutex);
+    vfprintf(log, format, arguments);
+    fputc('\n', log);
+    fflush(log);
+    pthread_mutex_unlock(&log_mutex);
+    va_end(arguments);
+}
+
+int64_t
+fake_now_ms(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
