Keep a takeover from repeating itself and from freezing grants

Ruled out: lost heartbeats (both sides logged them), expired grants.

Change: reconnect within 400 ms, 2.5 s of grace after a start, 2 s after a refusal by a worker; settling ends when the last worker has answered; no grant is lowered while settling; ready only with slots; entry hosts of the own data centre take forwarded requests too.

--- a/include/nutmegdeck/grant.h
+++ b/include/nutmegdeck/grant.h
@@ -68,6 +68,8 @@
 /* Slots of an executor that may be in use by anyone. */
 uint16_t nm_grant_query_outstanding(const nm_grant_t *grant, uint64_t executor,
                                     nm_ms_t now_ms);
+/* Ends the settling time: every grant that exists has been reported. */
+void nm_grant_end_settling(nm_grant_t *grant, nm_ms_t now_ms);
 /* Forgets holders whose grants and requests have all ended. */
 void nm_grant_tick(nm_grant_t *grant, nm_ms_t now_ms);
 
--- a/src/control_grant.c
+++ b/src/control_grant.c
@@ -48,12 +48,15 @@
                       &(nm_grant_desc_t){
                           .epoch = info.epoch,
                           .request_max_ms = request_max_ms,
-                          .settle_ms = info.first_owner ? 0 : settle_ms,
+                          .settle_ms = settle_ms,
                       },
                       now_ms);
         control->grants_active = true;
         control->grants_epoch = info.epoch;
     }
+    if (control->grants_active && info.first_owner) {
+        nm_grant_end_settling(&control->grants, now_ms);
+    }
     if (control->grants_active) {
         nm_grant_tick(&control->grants, now_ms);
     }
--- a/src/control_member.c
+++ b/src/control_member.c
@@ -10,6 +10,10 @@
 /* A peer that was silent this long counts as gone. */
 #define PEER_TIMEOUT_MS 1200
 #define PEER_FAR_TIMEOUT_MS 5000
+/* Peers are given this long to be heard after a start. */
+#define START_GRACE_MS 2500
+/* So long is an owner waited for whose epoch a worker knew. */
+#define REFUSED_WAIT_MS 2000
 /* Entry hosts campaign in the order of their names, this far apart. */
 #define CAMPAIGN_STEP_MS 400
 /* An owner without a majority gives up after this. */
@@ -143,6 +147,14 @@
     nm_settings_feed_follow(control->feed,
                             !leaving && (info.phase != NM_SHARD_FOLLOWER ||
                                          !owner_is_known(control, now_ms)));
+    if (info.phase == NM_SHARD_FOLLOWER &&
+        control->last_phase != NM_SHARD_FOLLOWER)
+    {
+        /* Superseded: the other owner is given time to be heard. */
+        control->campaign_after_ms = now_ms + REFUSED_WAIT_MS;
+        control->follower_since_ms = now_ms;
+    }
+    control->last_phase = info.phase;
     if (info.phase != NM_SHARD_FOLLOWER) {
         if (info.authority) {
             control->authority_ms = now_ms;
@@ -158,17 +170,18 @@
         control->follower_since_ms = now_ms;
         return;
     }
-    /* At the start, peers are given time to be heard. */
     nm_ms_t wait_ms = CAMPAIGN_STEP_MS * campaign_rank(control, now_ms);
     bool heard_all = true;
     for (uint32_t i = 0; i < control->peer_count; i++) {
         heard_all = heard_all && (!control->peers[i].same_datacentre ||
                                   control->peers[i].heard_ms > 0);
     }
-    if (!heard_all && now_ms - control->started_ms < PEER_TIMEOUT_MS) {
+    if (!heard_all && now_ms - control->started_ms < START_GRACE_MS) {
         return;
     }
-    if (now_ms - control->follower_since_ms < wait_ms) {
+    if (now_ms < control->campaign_after_ms ||
+        now_ms - control->follower_since_ms < wait_ms)
+    {
         return;
     }
     control->authority_ms = now_ms;
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -77,6 +77,8 @@
     nm_ms_t heartbeat_far_ms;
     nm_ms_t started_ms;
     nm_ms_t follower_since_ms;
+    nm_ms_t campaign_after_ms; /* an owner may exist that was not heard yet */
+    nm_shard_phase_t last_phase;
     nm_ms_t authority_ms; /* last time with authority */
     /* Shard */
     nm_shard_t shard;
--- a/src/control_view.c
+++ b/src/control_view.c
@@ -74,7 +74,7 @@
     uint32_t count = 0;
     for (uint32_t i = 0; i < control->peer_count; i++) {
         const nm_peer_t *peer = &control->peers[i];
-        if (peer->same_datacentre || !peer->caller_address[0]) {
+        if (!peer->caller_address[0]) {
             continue;
         }
         bool usable = nm_control_peer_is_live(peer, now_ms) && peer->ready &&
@@ -141,6 +141,21 @@
     return longest_ms + NM_ROUTE_DETACH_MARGIN_MS;
 }
 
+static bool
+has_slots(const nm_control_t *control, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    void *value;
+    g_hash_table_iter_init(&iter, control->executors);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_local_executor_t *executor = value;
+        if (executor->slots > 0 && now_ms < control->grant_expires_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Ready: settings in force, and slots granted where there are executors. */
 static bool
 is_ready(const nm_control_t *control, nm_ms_t now_ms)
@@ -150,9 +165,8 @@
     {
         return false;
     }
-    bool granted = now_ms < control->grant_expires_ms;
-    return g_hash_table_size(control->executors) == 0 || granted ||
-           control->ready;
+    return g_hash_table_size(control->executors) == 0 || control->ready ||
+           has_slots(control, now_ms);
 }
 
 void
--- a/src/front.c
+++ b/src/front.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include <ck_pr.h>
 #include <jansson.h>
 #include <microhttpd.h>
 
@@ -20,7 +21,7 @@
     struct MHD_Daemon *daemon;
     nm_traffic_t *traffic;
     const char *const *peer_ips;
-    bool quiesced;
+    uint32_t quiesced;
 };
 
 static enum MHD_Result
@@ -150,7 +151,7 @@
 }
 
 static enum MHD_Result
-send_answer(nm_exchange_t *exchange)
+send_answer(const nm_front_t *front, nm_exchange_t *exchange)
 {
     bool refused = exchange->reason != NM_REASON_NONE;
     int status =
@@ -159,6 +160,10 @@
         refused ? problem_response(exchange) : executor_response(exchange);
     MHD_add_response_header(response, NM_HEADER_VERDICT,
                             nm_verdict_name(exchange->answer.verdict));
+    if (ck_pr_load_32(&front->quiesced)) {
+        /* The caller's next request goes to another entry host. */
+        MHD_add_response_header(response, "Connection", "close");
+    }
     enum MHD_Result result = MHD_queue_response(
         exchange->connection, (unsigned int)status, response);
     MHD_destroy_response(response);
@@ -167,13 +172,14 @@
 
 /* Answers without routing. */
 static enum MHD_Result
-refuse_at_once(nm_exchange_t *exchange, nm_reason_t reason)
+refuse_at_once(const nm_front_t *front, nm_exchange_t *exchange,
+               nm_reason_t reason)
 {
     nm_count_reason(reason);
     exchange->complete = true;
     exchange->reason = reason;
     exchange->answer.verdict = NM_VERDICT_NOT_RUN;
-    return send_answer(exchange);
+    return send_answer(front, exchange);
 }
 
 static bool
@@ -205,7 +211,7 @@
         return MHD_YES;
     }
     if (exchange->complete) {
-        return send_answer(exchange);
+        return send_answer(front, exchange);
     }
     if (*data_size > 0) {
         if (exchange->body->len + *data_size > NM_BODY_MAX_BYTES) {
@@ -219,14 +225,14 @@
         return MHD_YES;
     }
     if (exchange->too_large) {
-        return refuse_at_once(exchange, NM_REASON_TOO_LARGE);
+        return refuse_at_once(front, exchange, NM_REASON_TOO_LARGE);
     }
     if (exchange->target[0] != '/') {
-        return refuse_at_once(exchange, NM_REASON_BAD_REQUEST);
+        return refuse_at_once(front, exchange, NM_REASON_BAD_REQUEST);
     }
     if (exchange->idempotency_key && !key_is_valid(exchange->idempotency_key))
     {
-        return refuse_at_once(exchange, NM_REASON_KEY_INVALID);
+        return refuse_at_once(front, exchange, NM_REASON_KEY_INVALID);
     }
     /* The connection must be suspended before its answer can arrive. */
     MHD_suspend_connection(connection);
@@ -293,12 +299,11 @@
 nm_front_quiesce(nm_front_t *front)
 {
     assert(front);
-    if (!front->quiesced) {
+    if (!ck_pr_fas_32(&front->quiesced, 1)) {
         MHD_socket listener = MHD_quiesce_daemon(front->daemon);
         if (listener != MHD_INVALID_SOCKET) {
             close(listener);
         }
-        front->quiesced = true;
     }
 }
 
--- a/src/grant.c
+++ b/src/grant.c
@@ -250,11 +250,12 @@
         uint16_t total = outstanding_at(state, i, now_ms);
         uint16_t free_slots =
             executor->slots > total ? executor->slots - total : 0;
-        if (now_ms < state->settled_ms) {
-            free_slots = 0;
-        }
         uint16_t most = (uint16_t)(share->outstanding + free_slots);
         share->granted = fair < most ? fair : most;
+        if (now_ms < state->settled_ms) {
+            /* Nobody could use what is taken away now, so all is renewed. */
+            share->granted = holder->leaving ? 0 : share->outstanding;
+        }
         if (share->granted > share->outstanding) {
             share->outstanding = share->granted;
         }
@@ -286,6 +287,15 @@
     return outstanding_at(grant->state, (uint32_t)position, now_ms);
 }
 
+void
+nm_grant_end_settling(nm_grant_t *grant, nm_ms_t now_ms)
+{
+    assert(grant);
+    if (now_ms < grant->state->settled_ms) {
+        grant->state->settled_ms = now_ms;
+    }
+}
+
 void
 nm_grant_tick(nm_grant_t *grant, nm_ms_t now_ms)
 {
--- a/src/peer_port_zmq.c
+++ b/src/peer_port_zmq.c
@@ -11,7 +11,7 @@
 #define QUEUE_MESSAGES 256
 #define MESSAGE_MAX_BYTES (16 * 1024 * 1024)
 #define RECONNECT_MS 100
-#define RECONNECT_MAX_MS 2000
+#define RECONNECT_MAX_MS 400
 
 typedef struct {
     nm_peer_port_t base;
--- a/tests/fakes/lib_worker.h
+++ b/tests/fakes/lib_worker.h
@@ -19,6 +19,7 @@
     FAKE_EVENT_CHECKPOINTED,
     FAKE_EVENT_STOPPED,
     FAKE_EVENT_LAPSED,
+    FAKE_EVENT_ACKED, /* the outcome was acknowledged */
 } fake_event_t;
 
 const char *fake_event_name(fake_event_t event);
--- a/tests/fakes/standin_platform.c
+++ b/tests/fakes/standin_platform.c
@@ -150,6 +150,11 @@
     int executor = atoi(fake_argument(connection, "executor", "-1"));
     pthread_mutex_lock(&self.mutex);
     if (worker >= 0 && (uint32_t)worker < self.worker_count) {
+        fake_log_line(self.log,
+                      "{\"kind\":\"task\",\"t\":%lld,\"worker\":\"%s-%d\","
+                      "\"task\":\"\",\"event\":\"%s\"}",
+                      (long long)fake_now_ms(), self.datacentre, worker,
+                      strcmp(mode, "dead") == 0 ? "cut-off" : "in-reach");
         self.dead[worker] = strcmp(mode, "dead") == 0;
         self.workers[worker].fails_all = strcmp(mode, "fails") == 0;
     }
