--- a/include/nutmegdeck/place.h
+++ b/include/nutmegdeck/place.h
@@ -20,6 +20,12 @@
 
 #define NM_PLACE_NO_SERVICE UINT32_MAX
 #define NM_PLACE_SERVICES_MAX 64
+/* Interference is learned by load band; the bands end at these loads. */
+#define NM_PLACE_LOAD_BANDS 3
+#define NM_PLACE_BAND_ENDS                                                    \
+    {                                                                         \
+        0.4f, 0.7f, 1.0f                                                      \
+    }
 
 typedef enum {
     NM_PLACE_POLICY_LEARNED,
@@ -58,6 +64,7 @@
     nm_amount_t declared;
     uint8_t priority;
     bool urgent;
+    bool at_risk; /* its deadline is near: more slowdown is accepted */
 } nm_place_need_t;
 
 typedef enum {
@@ -129,9 +136,10 @@
 /* Reports a measurement of the service on a worker. */
 void nm_place_observe_service(nm_place_t *place, int32_t worker,
                               const nm_place_sample_t *sample, nm_ms_t now_ms);
-/* Gives the true size and interference to the policy TOLD. */
+/* Gives true size and interference by load band to the policy TOLD. */
 void nm_place_tell(nm_place_t *place, uint64_t class_id,
-                   const nm_amount_t *size, uint32_t service, float slowdown);
+                   const nm_amount_t *size, uint32_t service,
+                   const float slowdowns[NM_PLACE_LOAD_BANDS]);
 bool nm_place_next_reaction(nm_place_t *place, nm_reaction_t *reaction);
 
 nm_place_info_t nm_place_query_worker(const nm_place_t *place, int32_t worker);
--- a/src/place.c
+++ b/src/place.c
@@ -25,6 +25,15 @@
 #define HIGH_SAMPLES_TO_THROTTLE 2
 #define CALM_TO_RELEASE_MS 60000
 #define PEAK_DECAY 0.98f
+/* Part of the workers on which tasks may explore at the same time. */
+#define EXPLORE_SHARE 0.04f
+/* Measurements after which a class counts as known in a load band. */
+#define EXPLORE_SAMPLES 6
+/* Predicted slowdown up to which a worker may be used to explore. */
+#define EXPLORE_SLOWDOWN 1.5f
+#define COST_EXPLORE 10.0f
+/* Work with a near deadline may slow a service by this much more. */
+#define AT_RISK_FACTOR 2.5f
 #define THROTTLE_FIRST_PCT 50
 #define THROTTLE_SECOND_PCT 25
 /* The baseline policy REACTIVE evicts over this slowdown. */
@@ -41,6 +50,7 @@
     GHashTable *classes;      /* id to nm_class_t */
     GHashTable *rack_tasks;   /* job and rack to number of holds */
     GQueue reactions;         /* of nm_reaction_t */
+    uint32_t exploring;       /* workers with tasks that explore */
     nm_amount_t largest;      /* room of the largest worker, by part */
 };
 
@@ -227,6 +237,24 @@
     }
 }
 
+/*
+ * True if a task may be placed to learn how its class interferes: one task
+ * of a class, on a worker without others of the kind, on few workers.
+ */
+static bool
+may_explore(const state_t *state, nm_worker_t *worker, nm_class_t *class_,
+            float mean)
+{
+    const nm_coefficient_t *coefficient =
+        nm_class_coefficient(class_, worker->desc.service,
+                             nm_model_band(planning_load(state, worker)));
+    uint32_t most = (uint32_t)(EXPLORE_SHARE * (float)state->worker_count);
+    return state->policy == NM_PLACE_POLICY_LEARNED &&
+           coefficient->samples < EXPLORE_SAMPLES && worker->exploring == 0 &&
+           class_->exploring == 0 && state->exploring < (most ? most : 1) &&
+           mean < EXPLORE_SLOWDOWN;
+}
+
 /* Cost of a task on a worker; negative if the worker must not take it. */
 static float
 candidate_cost(state_t *state, nm_worker_t *worker, nm_class_t *class_,
@@ -262,11 +290,20 @@
     nm_estimate_t estimate =
         nm_worker_predict(worker, planning_load(state, worker), class_, share);
     float slowdown = estimate.mean + caution(state) * estimate.deviation;
-    if (shared && !need->urgent && slowdown > allowed_slowdown(state)) {
-        return -1;
+    float allowed = allowed_slowdown(state);
+    if (need->at_risk) {
+        slowdown = estimate.mean;
+        allowed = 1 + (allowed - 1) * AT_RISK_FACTOR;
+    }
+    float explore = 0;
+    if (shared && !need->urgent && slowdown > allowed) {
+        if (!may_explore(state, worker, class_, estimate.mean)) {
+            return -1;
+        }
+        explore = COST_EXPLORE;
     }
     uint32_t same_rack = tasks_in_rack(state, need->job, worker->desc.rack);
-    return COST_SLOWDOWN * state->weight_latency * (slowdown - 1) +
+    return explore + COST_SLOWDOWN * state->weight_latency * (slowdown - 1) +
            COST_FIT * fit +
            COST_RACK * (float)same_rack / (float)(same_rack + 8);
 }
@@ -327,6 +364,48 @@
     return state->worker_count > 0;
 }
 
+static bool
+explores(const state_t *state, nm_worker_t *worker, const nm_hold_t *hold)
+{
+    if (worker->desc.service == NM_PLACE_NO_SERVICE) {
+        return false;
+    }
+    float share = (float)hold->reserved.cpu_milli /
+                  (float)(worker->desc.capacity.cpu_milli + 1);
+    nm_estimate_t estimate = nm_worker_predict(
+        worker, planning_load(state, worker), hold->class_, share);
+    return estimate.mean + caution(state) * estimate.deviation >
+           allowed_slowdown(state);
+}
+
+static void
+count_exploring(state_t *state, nm_worker_t *worker, nm_class_t *class_,
+                int change)
+{
+    bool before = worker->exploring > 0;
+    worker->exploring += (uint32_t)change;
+    class_->exploring += (uint32_t)change;
+    state->exploring += (uint32_t)((worker->exploring > 0) - before);
+}
+
+/* What was explored is known by now, or safe. */
+static void
+end_exploring(state_t *state, nm_worker_t *worker)
+{
+    int band = nm_model_band(planning_load(state, worker));
+    for (uint32_t i = 0; i < worker->hold_count && worker->exploring > 0; i++)
+    {
+        nm_hold_t *hold = &worker->holds[i];
+        if (hold->explores &&
+            nm_class_coefficient(hold->class_, worker->desc.service, band)
+                    ->samples >= EXPLORE_SAMPLES)
+        {
+            hold->explores = false;
+            count_exploring(state, worker, hold->class_, -1);
+        }
+    }
+}
+
 void
 nm_place_hold(nm_place_t *place, int32_t index, uint64_t task,
               const nm_place_need_t *need, nm_ms_t now_ms)
@@ -351,7 +430,11 @@
         .since_ms = now_ms,
     };
     hold.reserved.accelerators = need->declared.accelerators;
+    if (state->policy == NM_PLACE_POLICY_LEARNED) {
+        hold.explores = explores(state, worker, &hold);
+    }
     nm_worker_add_hold(worker, &hold, now_ms);
+    count_exploring(state, worker, class_, hold.explores ? 1 : 0);
     count_in_rack(state, need->job, worker->desc.rack, 1);
 }
 
@@ -365,6 +448,8 @@
     nm_hold_t *hold = nm_worker_find_hold(worker, task);
     if (hold) {
         count_in_rack(place->state, hold->job, worker->desc.rack, -1);
+        count_exploring(place->state, worker, hold->class_,
+                        hold->explores ? -1 : 0);
         nm_worker_remove_hold(worker, hold, now_ms);
     }
 }
@@ -581,6 +666,7 @@
     int count = nm_worker_mix_at(worker, sample->measured_ms, mix);
     if (count > 0) {
         nm_model_observe(mix, (uint32_t)count, worker->desc.service, sample);
+        end_exploring(state, worker);
     }
     float bound = allowed_slowdown(state);
     float react = 1 + (bound - 1) * REACT_FACTOR + REACT_OFFSET;
@@ -615,16 +701,16 @@
 
 void
 nm_place_tell(nm_place_t *place, uint64_t class_id, const nm_amount_t *size,
-              uint32_t service, float slowdown)
+              uint32_t service, const float slowdowns[NM_PLACE_LOAD_BANDS])
 {
     assert(place && size && service < NM_PLACE_SERVICES_MAX);
     nm_class_t *class_ = class_of(place->state, class_id);
     class_->told = *size;
     class_->is_told = true;
-    for (int i = 0; i < NM_LOAD_BANDS; i++) {
+    for (int i = 0; i < NM_PLACE_LOAD_BANDS; i++) {
         nm_class_coefficient(class_, service, i);
         class_->coefficients[service][i] =
-            (nm_coefficient_t){.mean = slowdown};
+            (nm_coefficient_t){.mean = slowdowns[i]};
     }
 }
 
--- a/src/place_model.c
+++ b/src/place_model.c
@@ -10,8 +10,8 @@
 /* Without reports a task may use this many times what is declared. */
 #define UNKNOWN_SIZE_FACTOR 4
 #define CPU_QUANTILE 0.95
-#define MEMORY_MARGIN 0.25
-#define CPU_MARGIN 0.10
+#define MEMORY_MARGIN 0.15
+#define CPU_MARGIN 0.03
 #define PRIOR_MEAN 0.4f
 #define PRIOR_VARIANCE 0.25f
 /* Variance of one measurement, and what each report adds to a coefficient's
@@ -23,10 +23,12 @@
 int
 nm_model_band(float load)
 {
-    if (load < 0.4f) {
-        return 0;
+    static const float ends[NM_PLACE_LOAD_BANDS] = NM_PLACE_BAND_ENDS;
+    int band = 0;
+    while (band + 1 < NM_PLACE_LOAD_BANDS && load >= ends[band]) {
+        band++;
     }
-    return load < 0.7f ? 1 : 2;
+    return band;
 }
 
 void
@@ -61,6 +63,17 @@
     class_->cpu_samples[slot] = use->cpu_milli;
     class_->memory_samples[slot] = use->memory_mb;
     class_->use_count++;
+    class_->use_changed = true;
+}
+
+/* Sorting is left until somebody asks, since reports come much faster. */
+static void
+update_quantiles(nm_class_t *class_)
+{
+    if (!class_->use_changed) {
+        return;
+    }
+    class_->use_changed = false;
     uint32_t count = class_->use_count < NM_USE_SAMPLES ? class_->use_count
                                                         : NM_USE_SAMPLES;
     class_->cpu_estimate = quantile(class_->cpu_samples, count, CPU_QUANTILE);
@@ -74,9 +87,10 @@
 }
 
 nm_amount_t
-nm_class_reservation(const nm_class_t *class_, const nm_amount_t *declared,
+nm_class_reservation(nm_class_t *class_, const nm_amount_t *declared,
                      const nm_amount_t *limit)
 {
+    update_quantiles(class_);
     nm_amount_t amount = *declared;
     if (class_->is_told) {
         amount.cpu_milli = class_->told.cpu_milli;
@@ -110,8 +124,9 @@
 {
     assert(service < NM_PLACE_SERVICES_MAX);
     if (!class_->coefficients[service]) {
-        nm_coefficient_t *created = g_new0(nm_coefficient_t, NM_LOAD_BANDS);
-        for (int i = 0; i < NM_LOAD_BANDS; i++) {
+        nm_coefficient_t *created =
+            g_new0(nm_coefficient_t, NM_PLACE_LOAD_BANDS);
+        for (int i = 0; i < NM_PLACE_LOAD_BANDS; i++) {
             created[i].mean = PRIOR_MEAN;
             created[i].variance = PRIOR_VARIANCE;
         }
@@ -130,7 +145,7 @@
 static void
 share_with_neighbours(nm_coefficient_t *bands, int band)
 {
-    for (int i = 0; i < NM_LOAD_BANDS; i++) {
+    for (int i = 0; i < NM_PLACE_LOAD_BANDS; i++) {
         if (i == band || bands[i].samples > 0) {
             continue;
         }
--- a/src/place_model.h
+++ b/src/place_model.h
@@ -15,7 +15,6 @@
 
 #include <nutmegdeck/place.h>
 
-#define NM_LOAD_BANDS 3
 #define NM_USE_SAMPLES 32
 
 typedef struct {
@@ -33,6 +32,8 @@
     int64_t memory_estimate;
     nm_amount_t told; /* true size, for the policy TOLD */
     bool is_told;
+    bool use_changed;   /* the estimates are out of date */
+    uint32_t exploring; /* holds that were placed to learn */
     nm_coefficient_t *coefficients[NM_PLACE_SERVICES_MAX];
 } nm_class_t;
 
@@ -46,7 +47,7 @@
 void nm_class_finish(nm_class_t *class_);
 void nm_class_observe_use(nm_class_t *class_, const nm_amount_t *use);
 /* Amount to reserve for a task, never beyond limit. */
-nm_amount_t nm_class_reservation(const nm_class_t *class_,
+nm_amount_t nm_class_reservation(nm_class_t *class_,
                                  const nm_amount_t *declared,
                                  const nm_amount_t *limit);
 const nm_coefficient_t *nm_class_coefficient(nm_class_t *class_,
--- a/src/place_worker.c
+++ b/src/place_worker.c
@@ -108,6 +108,13 @@
                   now_ms);
 }
 
+static int64_t
+limit_growth(int64_t before, int64_t wanted, int64_t room)
+{
+    int64_t most = before + (room > 0 ? room : 0);
+    return wanted < most ? wanted : most;
+}
+
 void
 nm_worker_refresh(nm_worker_t *worker, nm_ms_t now_ms)
 {
@@ -120,6 +127,13 @@
         nm_hold_t *hold = &worker->holds[i];
         nm_amount_t amount =
             nm_class_reservation(hold->class_, &hold->declared, &room);
+        /* Margins grow only into room that nobody has reserved. */
+        amount.cpu_milli =
+            limit_growth(hold->reserved.cpu_milli, amount.cpu_milli,
+                         room.cpu_milli - worker->used.cpu_milli);
+        amount.memory_mb =
+            limit_growth(hold->reserved.memory_mb, amount.memory_mb,
+                         room.memory_mb - worker->used.memory_mb);
         if (amount.cpu_milli == hold->reserved.cpu_milli &&
             amount.memory_mb == hold->reserved.memory_mb)
         {
--- a/src/place_worker.h
+++ b/src/place_worker.h
@@ -22,6 +22,7 @@
     uint8_t priority;
     uint8_t throttle_pct; /* 100: not throttled */
     bool evicting;
+    bool explores; /* placed to learn, beyond what is known to be safe */
     nm_ms_t since_ms;
 } nm_hold_t;
 
@@ -46,6 +47,7 @@
     nm_ms_t calm_since_ms;
     nm_ms_t refreshed_ms;
     bool throttled;
+    uint32_t exploring; /* holds that explore */
 } nm_worker_t;
 
 void nm_worker_finish(nm_worker_t *worker);
--- a/src/shard_schedule.c
+++ b/src/shard_schedule.c
@@ -49,9 +49,8 @@
     return x->position < y->position ? -1 : 1;
 }
 
-/* Time left before the job must have a worker for each of its tasks. */
-static int64_t
-slack_of(const nm_shard_state_t *state, const nm_job_t *job)
+int64_t
+nm_shard_slack_s(const nm_shard_state_t *state, const nm_job_t *job)
 {
     if (job->desc.finish_within_s == 0) {
         return NO_DEADLINE_S;
@@ -99,7 +98,7 @@
             .position = i,
             .urgent = job->desc.priority >= 9,
             .priority = job->desc.priority,
-            .slack_s = slack_of(state, job),
+            .slack_s = nm_shard_slack_s(state, job),
         };
         candidate.at_risk = candidate.slack_s != NO_DEADLINE_S &&
                             candidate.slack_s < job->desc.duration_s;
@@ -169,6 +168,7 @@
         return false;
     }
     nm_place_need_t need = nm_shard_need(job);
+    need.at_risk = nm_shard_slack_s(state, job) < job->desc.duration_s;
     uint32_t placed = 0;
     for (; placed < gang; placed++) {
         nm_reason_t reason;
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -167,6 +167,8 @@
 nm_pw_t *nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
                               int32_t *index);
 nm_place_need_t nm_shard_need(const nm_job_t *job);
+/* Time left before a job must have a worker for each of its tasks. */
+int64_t nm_shard_slack_s(const nm_shard_state_t *state, const nm_job_t *job);
 void nm_shard_set_task_state(nm_job_t *job, uint32_t index,
                              nm_task_state_t next);
 /* Makes a task wait in its job's queue. */
