--- /dev/null
+++ b/bench/bench_scale.c
@@ -0,0 +1,264 @@
+/*
+ * Cost of decisions and state against their number: bench_scale SEED.
+ * Prints processor time, and bounds the growth as ratios in one run.
+ */
+
+#include <malloc.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/grant.h>
+#include <nutmegdeck/place.h>
+#include <nutmegdeck/settings.h>
+#include <nutmegdeck/shard.h>
+
+#include "lib_report.h"
+#include "lib_worker.h"
+
+#define DECISIONS 20000
+#define CLASSES 200
+
+static double
+cpu_us(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+static double
+heap_bytes(void)
+{
+    struct mallinfo2 info = mallinfo2();
+    return (double)(info.uordblks + info.hblkhd);
+}
+
+/* Processor time of one placement, with the workers half full. */
+static double
+place_cost(uint32_t workers, uint64_t seed)
+{
+    nm_place_t place;
+    nm_rng_t rng;
+    nm_rng_init(&rng, seed);
+    nm_place_init(&place,
+                  &(nm_place_desc_t){.seed = seed, .weight_latency_pct = 50});
+    double before = heap_bytes();
+    for (uint32_t i = 0; i < workers; i++) {
+        nm_place_set_worker(&place, &(nm_place_worker_t){
+                                        .id = i + 1,
+                                        .rack = i / 8,
+                                        .capacity = {64000, 250000, 2},
+                                        .service = i % 4,
+                                        .executor = {16000, 32000, 0},
+                                    });
+    }
+    double per_worker = (heap_bytes() - before) / workers;
+    uint64_t task = 1;
+    uint32_t held = MIN(workers * 8, DECISIONS * 4u);
+    for (uint32_t c = 1; c <= CLASSES; c++) {
+        nm_place_observe_use(&place, c, &(nm_amount_t){1500, 1500, 0});
+        for (int i = 0; i < NM_PLACE_LOAD_BANDS; i++) {
+            nm_place_query_interference(&place, c, 0, 0.3f);
+        }
+    }
+    for (uint32_t i = 0; i < held; i++) {
+        nm_place_need_t need = {
+            .class_id = 1 + nm_rng_below(&rng, CLASSES),
+            .job = task,
+            .declared = {1000, 1000, 0},
+        };
+        nm_place_hold(&place, (int32_t)nm_rng_below(&rng, workers), task++,
+                      &need, 1000);
+    }
+    double start = cpu_us();
+    uint32_t placed = 0;
+    for (uint32_t i = 0; i < DECISIONS; i++) {
+        nm_place_need_t need = {
+            .class_id = 1 + nm_rng_below(&rng, CLASSES),
+            .job = task,
+            .declared = {1000, 1000, 0},
+            .at_risk = true,
+        };
+        nm_reason_t reason;
+        int32_t worker = nm_place_choose(&place, &need, 2000, &reason);
+        if (worker >= 0) {
+            nm_place_hold(&place, worker, task, &need, 2000);
+            nm_place_release(&place, worker, task, 2000);
+            placed++;
+        }
+    }
+    double cost = (cpu_us() - start) / DECISIONS;
+    printf("# place: %u workers, %.2f us a decision, %u of %u placed, "
+           "%.0f bytes a worker\n",
+           workers, cost, placed, (uint32_t)DECISIONS, per_worker);
+    nm_place_finish(&place);
+    return cost;
+}
+
+/* Processor time of a shard that holds and syncs its tasks, per second. */
+static double
+shard_cost(uint32_t workers, uint32_t tasks_each, double *bytes_each)
+{
+    double before = heap_bytes();
+    nm_shard_t shard;
+    nm_shard_init(&shard, &(nm_shard_desc_t){.owner_id = 1, .seed = 1});
+    fake_worker_t *fakes = g_new0(fake_worker_t, workers);
+    double fakes_bytes = heap_bytes();
+    nm_ms_t now_ms = 10000;
+    for (uint32_t i = 0; i < workers; i++) {
+        fake_worker_init(&fakes[i], i + 1, NULL, NULL);
+        fakes[i].ticked_ms = now_ms;
+        nm_shard_set_worker(&shard,
+                            &(nm_shard_worker_t){
+                                .id = i + 1,
+                                .rack = i / 8,
+                                .capacity = {64000, 250000, 0},
+                                .service = NM_PLACE_NO_SERVICE,
+                            },
+                            now_ms);
+    }
+    fakes_bytes = heap_bytes() - fakes_bytes;
+    nm_shard_job_t job = {
+        .id = 7,
+        .class_id = 7,
+        .tasks = workers * tasks_each,
+        .gang = 1,
+        .declared = {500, 500, 0},
+        .duration_s = 100000,
+    };
+    nm_shard_set_job(&shard, &job);
+    nm_shard_campaign(&shard, now_ms);
+    double start = 0;
+    double fake_cost = 0;
+    double syncs = 0;
+    const double rounds = 1000;
+    for (uint32_t round = 0; round < 3000; round++) {
+        now_ms += 10;
+        if (round == 2000) {
+            start = cpu_us();
+            fake_cost = 0;
+            syncs = 0;
+        }
+        nm_shard_tick(&shard, now_ms, 1000000);
+        if (nm_shard_query(&shard, now_ms).phase == NM_SHARD_LOADING) {
+            nm_shard_journal_loaded(&shard, now_ms);
+        }
+        uint32_t bytes;
+        uint8_t *record = nm_shard_journal_take(&shard, &bytes);
+        if (record) {
+            nm_shard_journal_done(&shard, true, now_ms);
+            g_free(record);
+        }
+        const nm_sync_t *sync;
+        while ((sync = nm_shard_next_sync(&shard, now_ms))) {
+            nm_sync_reply_t reply;
+            double fake_start = cpu_us();
+            fake_worker_sync(&fakes[sync->worker - 1], sync, now_ms, &reply);
+            fake_cost += cpu_us() - fake_start;
+            nm_shard_sync_reply(&shard, sync->worker, sync->sequence, &reply,
+                                now_ms);
+            syncs++;
+        }
+    }
+    double seconds = rounds / 100;
+    double cost = (cpu_us() - start - fake_cost) / seconds;
+    nm_shard_info_t info = nm_shard_query(&shard, now_ms);
+    uint32_t running = info.counts[NM_TASK_RUNNING];
+    *bytes_each = (heap_bytes() - before) / running;
+    printf("# shard: %u workers, %u tasks running, %.0f syncs/s, %.0f us of "
+           "processor a second, %.0f bytes a task with its worker\n",
+           workers, running, syncs / seconds, cost, *bytes_each);
+    for (uint32_t i = 0; i < workers; i++) {
+        fake_worker_finish(&fakes[i]);
+    }
+    g_free(fakes);
+    nm_shard_finish(&shard);
+    return cost;
+}
+
+static double
+grant_cost(uint32_t executors)
+{
+    nm_grant_t grant;
+    nm_grant_init(
+        &grant, &(nm_grant_desc_t){.epoch = 1, .request_max_ms = 3000}, 1000);
+    nm_grant_report_t *reports = g_new0(nm_grant_report_t, executors);
+    for (uint32_t i = 0; i < executors; i++) {
+        nm_grant_set_executor(&grant, i + 1, 8);
+        reports[i].executor = i + 1;
+        reports[i].held = 2;
+    }
+    double start = cpu_us();
+    for (uint32_t i = 0; i < 300; i++) {
+        nm_grant_ask(&grant,
+                     &(nm_grant_ask_t){.holder = 1 + i % 3,
+                                       .demand = 100,
+                                       .reports = reports,
+                                       .report_count = executors},
+                     1000 + (nm_ms_t)i * 100);
+    }
+    double cost = (cpu_us() - start) / 300;
+    printf("# grant: %u executors, %.1f us an ask\n", executors, cost);
+    g_free(reports);
+    nm_grant_finish(&grant);
+    return cost;
+}
+
+static void
+ignore(void *user, const char *section, const char *key, const char *why)
+{
+    (void)user;
+    (void)section;
+    (void)key;
+    (void)why;
+}
+
+static double
+settings_cost(uint32_t sections)
+{
+    GString *text = g_string_new("[a]\nkind = customer\n");
+    for (uint32_t i = 0; i < sections; i++) {
+        g_string_append_printf(text, "[a/b%u]\nkind = batch\ntasks = 3\n", i);
+    }
+    nm_settings_t settings;
+    nm_settings_init(&settings);
+    nm_settings_parse(&settings, text->str, text->len, ignore, NULL);
+    json_t *delta = json_pack("{s:{s:{s:s}},s:[]}", "set", "a/b1", "kind",
+                              "batch", "unset");
+    double start = cpu_us();
+    for (int i = 0; i < 20; i++) {
+        nm_settings_apply(&settings, delta, i + 1);
+    }
+    double cost = (cpu_us() - start) / 20;
+    printf("# settings: %u sections, %zu bytes, %.0f us to install a "
+           "change\n",
+           sections, text->len, cost);
+    json_decref(delta);
+    nm_settings_finish(&settings);
+    g_string_free(text, TRUE);
+    return cost;
+}
+
+int
+main(int argc, char **argv)
+{
+    uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
+    bool pass = true;
+    double small = place_cost(1000, seed);
+    place_cost(50, seed);
+    double large = place_cost(27000, seed);
+    /* 27 times the workers: the cost must grow far slower. */
+    pass &= report_at_most("scale-place-27000-to-1000", large / small, 5);
+    double bytes;
+    double few = shard_cost(270, 20, &bytes);
+    double many = shard_cost(1080, 20, &bytes);
+    /* Four times the workers: at most in proportion, with some room. */
+    pass &= report_at_most("scale-shard-1080-to-270", many / few, 6);
+    pass &= report_at_most("scale-grant-4000-to-500",
+                           grant_cost(4000) / grant_cost(500), 12);
+    pass &= report_at_most("scale-settings-10000-to-1000",
+                           settings_cost(10000) / settings_cost(1000), 14);
+    return pass ? 0 : 1;
+}
--- a/src/place.c
+++ b/src/place.c
@@ -33,7 +33,7 @@
 #define EXPLORE_SLOWDOWN 1.5f
 #define COST_EXPLORE 10.0f
 /* Work with a near deadline may slow a service by this much more. */
-#define AT_RISK_FACTOR 2.5f
+#define AT_RISK_FACTOR 4.0f
 #define THROTTLE_FIRST_PCT 50
 #define THROTTLE_SECOND_PCT 25
 /* The baseline policy REACTIVE evicts over this slowdown. */
--- a/src/shard.c
+++ b/src/shard.c
@@ -1,6 +1,7 @@
 #include "shard_state.h"
 
 #include <assert.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -8,6 +9,8 @@
 #include <nutmegdeck/log.h>
 
 #define DEFAULT_SYNC_INTERVAL_MS 500
+/* A majority is counted at most this often. */
+#define AUTHORITY_CHECK_MS 20
 /* Workers that left the list still count for the majority this long. */
 #define REMOVED_COUNTS_MS (NM_SHARD_AUTHORITY_MS + NM_SHARD_LEASE_MS)
 
@@ -148,6 +151,7 @@
     nm_pw_t *worker = nm_shard_find_worker(state, desc->id, NULL);
     if (!worker) {
         worker = add_worker(state, desc->id);
+        state->authority_checked_ms = 0;
         worker->due_ms = now_ms;
     }
     bool was_leaving = worker->desc.leaving;
@@ -534,6 +538,8 @@
     nm_shard_state_t *state = shard->state;
     forget_assignments(state, now_ms);
     state->epoch = ++state->seen_epoch;
+    state->authority_checked_ms = 0;
+    state->authority_until_ms = 0;
     state->previous_epoch = 0;
     state->phase = NM_SHARD_FENCING;
     state->settled = false;
@@ -565,26 +571,58 @@
     return !worker->removed || now_ms - worker->removed_ms < REMOVED_COUNTS_MS;
 }
 
-bool
-nm_shard_has_authority(const nm_shard_t *shard, nm_ms_t now_ms)
+static int
+compare_times(const void *a, const void *b)
 {
-    assert(shard);
-    const nm_shard_state_t *state = shard->state;
-    if (state->phase == NM_SHARD_FOLLOWER) {
-        return false;
-    }
+    nm_ms_t x = *(const nm_ms_t *)a;
+    nm_ms_t y = *(const nm_ms_t *)b;
+    return (x < y) - (x > y);
+}
+
+/*
+ * Until when a majority's acknowledgements last.  Acknowledgements that
+ * came after the computation only make it longer, so an older result errs
+ * on the safe side.
+ */
+static void
+update_authority(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    state->authority_checked_ms = now_ms;
+    state->authority_until_ms = 0;
+    nm_ms_t *acked = g_new(nm_ms_t, state->workers->len + 1);
     uint32_t members = 0;
-    uint32_t acked = 0;
+    uint32_t count = 0;
     for (uint32_t i = 0; i < state->workers->len; i++) {
         const nm_pw_t *worker = state->workers->pdata[i];
         if (!counts_for_majority(worker, now_ms)) {
             continue;
         }
         members++;
-        acked += worker->acked_epoch == state->epoch &&
-                 now_ms < worker->acked_sent_ms + NM_SHARD_AUTHORITY_MS;
+        if (worker->acked_epoch == state->epoch) {
+            acked[count++] = worker->acked_sent_ms;
+        }
+    }
+    uint32_t majority = members / 2 + 1;
+    if (members > 0 && count >= majority) {
+        qsort(acked, count, sizeof(acked[0]), compare_times);
+        state->authority_until_ms =
+            acked[majority - 1] + NM_SHARD_AUTHORITY_MS;
+    }
+    g_free(acked);
+}
+
+bool
+nm_shard_has_authority(const nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return false;
+    }
+    if (now_ms >= state->authority_checked_ms + AUTHORITY_CHECK_MS) {
+        update_authority(state, now_ms);
     }
-    return members > 0 && acked > members / 2;
+    return now_ms < state->authority_until_ms;
 }
 
 static bool
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -121,6 +121,8 @@
     int64_t epoch;          /* own, while not a follower */
     int64_t seen_epoch;     /* highest anywhere */
     int64_t previous_epoch; /* highest that a worker followed before */
+    nm_ms_t authority_checked_ms;
+    nm_ms_t authority_until_ms; /* as computed then */
     uint64_t sequence;
     uint32_t attempt_count;
     nm_ms_t active_ms;  /* when the journal was loaded */
