--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -190,14 +190,17 @@
         reports[i].executor = i + 1;
         reports[i].held = 2;
     }
+    uint64_t numbers[3] = {0};
     double start = cpu_us();
     for (uint32_t i = 0; i < 300; i++) {
+        uint64_t *seen = &numbers[i % 3];
         nm_grant_ask(&grant,
                      &(nm_grant_ask_t){.holder = 1 + i % 3,
+                                       .seen = *seen,
                                        .demand = 100,
                                        .reports = reports,
                                        .report_count = executors},
-                     1000 + (nm_ms_t)i * 100);
+                     1000 + (nm_ms_t)i * 100, seen);
     }
     double cost = (cpu_us() - start) / 300;
     printf("# grant: %u executors, %.1f us an ask\n", executors, cost);
--- a/include/nutmegdeck/grant.h
+++ b/include/nutmegdeck/grant.h
@@ -7,10 +7,14 @@
  * takes a slot back only after the holder confirmed it, or after the grant
  * expired and any request sent under it has ended.
  *
+ * An ask counts only if it names the newest answer sent to its holder, so
+ * asks that are late or repeated are told apart.  Any other ask is answered
+ * with a probe, which the holder's next ask names.
+ *
  *     nm_grant_t grant;
  *     nm_grant_init(&grant, &(nm_grant_desc_t){.settle_ms = 3000}, now_ms);
  *     nm_grant_set_executor(&grant, id, 8);
- *     nm_grant_ask(&grant, &ask, now_ms);
+ *     bool renewed = nm_grant_ask(&grant, &ask, now_ms, &number);
  *     uint16_t slots = nm_grant_query(&grant, ask.holder, executor_id);
  */
 #ifndef NUTMEGDECK_GRANT_H
@@ -41,9 +45,9 @@
 
 /* A holder's periodic request. */
 typedef struct {
-    uint64_t holder;  /* identity of the process, new at each start */
-    uint64_t applied; /* number of the last answer it applied; 0: none */
-    uint32_t demand;  /* slots it could use in total */
+    uint64_t holder; /* identity of the process, new at each start */
+    uint64_t seen;   /* number of the newest answer or probe; 0: none */
+    uint32_t demand; /* slots it could use in total */
     bool leaving;
     const nm_grant_report_t *reports;
     uint32_t report_count;
@@ -59,9 +63,12 @@
 /* Declares an executor, or changes its slots; 0 stops new grants for it. */
 void nm_grant_set_executor(nm_grant_t *grant, uint64_t executor,
                            uint16_t slots);
-/* Takes in a holder's report and renews its grants. Returns their number. */
-uint64_t nm_grant_ask(nm_grant_t *grant, const nm_grant_ask_t *ask,
-                      nm_ms_t now_ms);
+/*
+ * Takes in a holder's report and renews its grants.  Returns false if the
+ * answer is a probe, which leaves the holder's grants as they are.
+ */
+bool nm_grant_ask(nm_grant_t *grant, const nm_grant_ask_t *ask, nm_ms_t now_ms,
+                  uint64_t *number);
 /* Slots that the last answer to a holder grants for an executor. */
 uint16_t nm_grant_query(const nm_grant_t *grant, uint64_t holder,
                         uint64_t executor);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -699,12 +699,12 @@
 static const ProtobufCFieldDescriptor nm_pb__grant_ask__field_descriptors[6] =
 {
   {
-    "applied",
+    "seen",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(NmPb__GrantAsk, applied),
+    offsetof(NmPb__GrantAsk, seen),
     NULL,
     NULL,
     0,             /* flags */
@@ -772,11 +772,11 @@
   },
 };
 static const unsigned nm_pb__grant_ask__field_indices_by_name[] = {
-  0,   /* field[0] = applied */
   2,   /* field[2] = demand */
   4,   /* field[4] = executors */
   5,   /* field[5] = held */
   3,   /* field[3] = leaving */
+  0,   /* field[0] = seen */
   1,   /* field[1] = sent_ms */
 };
 static const ProtobufCIntRange nm_pb__grant_ask__number_ranges[1 + 1] =
@@ -799,7 +799,7 @@
   (ProtobufCMessageInit) nm_pb__grant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__grant_answer__field_descriptors[6] =
+static const ProtobufCFieldDescriptor nm_pb__grant_answer__field_descriptors[7] =
 {
   {
     "number",
@@ -873,19 +873,32 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probe",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__GrantAnswer, probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__grant_answer__field_indices_by_name[] = {
   2,   /* field[2] = epoch */
   3,   /* field[3] = executors */
   0,   /* field[0] = number */
   5,   /* field[5] = pressure */
+  6,   /* field[6] = probe */
   1,   /* field[1] = sent_ms */
   4,   /* field[4] = slots */
 };
 static const ProtobufCIntRange nm_pb__grant_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor nm_pb__grant_answer__descriptor =
 {
@@ -895,7 +908,7 @@
   "NmPb__GrantAnswer",
   "nm_pb",
   sizeof(NmPb__GrantAnswer),
-  6,
+  7,
   nm_pb__grant_answer__field_descriptors,
   nm_pb__grant_answer__field_indices_by_name,
   1,  nm_pb__grant_answer__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -91,7 +91,10 @@
 struct  NmPb__GrantAsk
 {
   ProtobufCMessage base;
-  uint64_t applied;
+  /*
+   * number of the newest answer or probe
+   */
+  uint64_t seen;
   /*
    * on the holder's clock, returned unchanged
    */
@@ -120,10 +123,14 @@
   uint32_t *slots;
   size_t n_pressure;
   float *pressure;
+  /*
+   * grants stay as they are
+   */
+  protobuf_c_boolean probe;
 };
 #define NM_PB__GRANT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__grant_answer__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 struct  NmPb__SettingsAsk
--- a/src/control_grant.c
+++ b/src/control_grant.c
@@ -121,7 +121,12 @@
 grant_to_self(nm_control_t *control, const nm_grant_ask_t *ask, nm_ms_t now_ms)
 {
     set_executors(control);
-    uint64_t number = nm_grant_ask(&control->grants, ask, now_ms);
+    uint64_t number;
+    bool renewed = nm_grant_ask(&control->grants, ask, now_ms, &number);
+    control->grant_seen = number;
+    if (!renewed) {
+        return;
+    }
     clear_grants(control);
     GHashTableIter iter;
     void *value;
@@ -157,7 +162,7 @@
          nm_ms_t now_ms)
 {
     NmPb__GrantAsk body = NM_PB__GRANT_ASK__INIT;
-    body.applied = ask->applied;
+    body.seen = ask->seen;
     body.sent_ms = now_ms;
     body.demand = ask->demand;
     body.leaving = ask->leaving;
@@ -176,6 +181,17 @@
     g_free(body.held);
 }
 
+/*
+ * The newest answer, if the traffic thread uses its slots by now: reports
+ * from before that would not show all that may be used.
+ */
+static uint64_t
+newest_seen(const nm_control_t *control)
+{
+    uint64_t used = control->report ? control->report->grant_number : 0;
+    return used == control->grant_number ? control->grant_seen : used;
+}
+
 void
 nm_control_ask_grants(nm_control_t *control, nm_ms_t now_ms)
 {
@@ -187,7 +203,7 @@
     nm_grant_report_t *reports = collect_reports(control, &count);
     nm_grant_ask_t ask = {
         .holder = control->desc.incarnation,
-        .applied = control->report ? control->report->grant_number : 0,
+        .seen = newest_seen(control),
         .demand = control->report ? control->report->demand : 0,
         .leaving = ck_pr_load_32(&control->leaving),
         .reports = reports,
@@ -223,14 +239,15 @@
     }
     nm_grant_ask_t taken = {
         .holder = holder,
-        .applied = ask->applied,
+        .seen = ask->seen,
         .demand = ask->demand,
         .leaving = ask->leaving,
         .reports = reports,
         .report_count = (uint32_t)ask->n_executors,
     };
     NmPb__GrantAnswer answer = NM_PB__GRANT_ANSWER__INIT;
-    answer.number = nm_grant_ask(&control->grants, &taken, now_ms);
+    answer.probe =
+        !nm_grant_ask(&control->grants, &taken, now_ms, &answer.number);
     answer.sent_ms = ask->sent_ms;
     answer.epoch = control->grants_epoch;
     uint32_t most = g_hash_table_size(control->executors);
@@ -244,7 +261,7 @@
         const nm_local_executor_t *executor = value;
         uint16_t slots =
             nm_grant_query(&control->grants, holder, executor->host.id);
-        if (slots > 0) {
+        if (slots > 0 && !answer.probe) {
             answer.executors[answer.n_executors++] = executor->host.id;
             answer.slots[answer.n_slots++] = slots;
             answer.pressure[answer.n_pressure++] = nm_shard_query_pressure(
@@ -265,13 +282,17 @@
                        nm_ms_t now_ms)
 {
     /* Late and repeated answers must not bring older grants back. */
-    if (answer->number <= control->grant_number ||
+    if (answer->number <= control->grant_seen ||
         answer->epoch < control->grant_epoch || answer->sent_ms > now_ms ||
         answer->n_executors != answer->n_slots ||
         answer->n_executors != answer->n_pressure)
     {
         return;
     }
+    control->grant_seen = answer->number;
+    if (answer->probe) {
+        return;
+    }
     clear_grants(control);
     for (size_t i = 0; i < answer->n_executors; i++) {
         take_grant(control, answer->executors[i], (uint16_t)answer->slots[i],
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -94,7 +94,8 @@
     int64_t grants_epoch;
     /* Grants held */
     GHashTable *executors; /* id to nm_local_executor_t */
-    uint64_t grant_number;
+    uint64_t grant_number; /* of the answer whose slots are published */
+    uint64_t grant_seen;   /* of the newest answer or probe */
     int64_t grant_epoch;
     nm_ms_t grant_expires_ms;
     nm_ms_t grant_asked_ms;
--- a/src/grant.c
+++ b/src/grant.c
@@ -131,17 +131,16 @@
     return (uint16_t)sum;
 }
 
-/* Takes in what the holder still uses of the grants it applied. */
+/*
+ * Takes in what the holder may use: the greater of its valid grants and of
+ * what is in use.  The holder knows the newest answer, so nothing else is
+ * outstanding.
+ */
 static void
 take_reports(state_t *state, holder_t *holder, const nm_grant_ask_t *ask)
 {
-    /* A report older than the newest answer cannot lower anything. */
-    bool current = ask->applied == holder->answer;
     for (uint32_t i = 0; i < holder->shares->len; i++) {
-        share_t *share = share_at(holder, i);
-        if (current) {
-            share->outstanding = share->granted;
-        }
+        share_at(holder, i)->outstanding = 0;
     }
     for (uint32_t i = 0; i < ask->report_count; i++) {
         int32_t position = find_executor(state, ask->reports[i].executor);
@@ -151,10 +150,8 @@
             nm_grant_set_executor(&grant, ask->reports[i].executor, 0);
             position = find_executor(state, ask->reports[i].executor);
         }
-        share_t *share = share_at(holder, (uint32_t)position);
-        if (ask->reports[i].held > share->outstanding) {
-            share->outstanding = ask->reports[i].held;
-        }
+        share_at(holder, (uint32_t)position)->outstanding =
+            ask->reports[i].held;
     }
 }
 
@@ -217,50 +214,73 @@
     return (uint16_t)(1 + share);
 }
 
-uint64_t
-nm_grant_ask(nm_grant_t *grant, const nm_grant_ask_t *ask, nm_ms_t now_ms)
+static holder_t *
+add_holder(state_t *state, uint64_t id)
+{
+    holder_t *holder = g_new0(holder_t, 1);
+    holder->id = id;
+    holder->shares = g_array_new(FALSE, TRUE, sizeof(share_t));
+    g_ptr_array_add(state->holders, holder);
+    return holder;
+}
+
+/* Grants for one executor: the fair share, as far as others leave room. */
+static void
+divide(state_t *state, holder_t *holder, uint32_t position, uint16_t fair,
+       nm_ms_t now_ms)
+{
+    uint16_t slots =
+        g_array_index(state->executors, executor_t, position).slots;
+    share_t *share = share_at(holder, position);
+    uint16_t total = outstanding_at(state, position, now_ms);
+    uint16_t others = total - share->outstanding;
+    uint16_t most = slots > others ? slots - others : 0;
+    share->granted = fair < most ? fair : most;
+    if (now_ms < state->settled_ms) {
+        /* Grants by an earlier owner may be unknown: all is renewed. */
+        share->granted = holder->leaving ? 0 : share->outstanding;
+    }
+    if (share->granted > share->outstanding) {
+        share->outstanding = share->granted;
+    }
+}
+
+bool
+nm_grant_ask(nm_grant_t *grant, const nm_grant_ask_t *ask, nm_ms_t now_ms,
+             uint64_t *number)
 {
-    assert(grant && ask && ask->holder != 0);
+    assert(grant && ask && ask->holder != 0 && number);
     state_t *state = grant->state;
     holder_t *holder = find_holder(state, ask->holder);
     if (!holder) {
-        holder = g_new0(holder_t, 1);
-        holder->id = ask->holder;
-        holder->shares = g_array_new(FALSE, TRUE, sizeof(share_t));
-        g_ptr_array_add(state->holders, holder);
+        holder = add_holder(state, ask->holder);
+        /* Kept until its next ask, although nothing is granted yet. */
+        holder->released_ms = now_ms + NM_GRANT_TERM_MS;
+    }
+    bool current = ask->seen == holder->answer && ask->seen != 0;
+    holder->answer = ++state->answers;
+    *number = holder->answer;
+    if (!current) {
+        return false;
     }
     holder->demand = ask->demand;
     holder->leaving = ask->leaving;
-    take_reports(state, holder, ask);
     holder->expires_ms = now_ms + NM_GRANT_TERM_MS + NM_GRANT_MARGIN_MS;
     holder->released_ms = holder->expires_ms + state->request_max_ms;
-    holder->answer = ++state->answers;
-
+    take_reports(state, holder, ask);
     uint32_t demand = 0;
     uint32_t count = count_competitors(state, now_ms, &demand);
     uint32_t rank = rank_of(state, holder, now_ms);
     for (uint32_t i = 0; i < state->executors->len; i++) {
         const executor_t *executor =
             &g_array_index(state->executors, executor_t, i);
-        share_t *share = share_at(holder, i);
         uint16_t fair = holder->leaving
                             ? 0
                             : fair_share(executor->slots, count, rank,
                                          holder->demand, demand, i);
-        uint16_t total = outstanding_at(state, i, now_ms);
-        uint16_t free_slots =
-            executor->slots > total ? executor->slots - total : 0;
-        uint16_t most = (uint16_t)(share->outstanding + free_slots);
-        share->granted = fair < most ? fair : most;
-        if (now_ms < state->settled_ms) {
-            /* Nobody could use what is taken away now, so all is renewed. */
-            share->granted = holder->leaving ? 0 : share->outstanding;
-        }
-        if (share->granted > share->outstanding) {
-            share->outstanding = share->granted;
-        }
+        divide(state, holder, i, fair, now_ms);
     }
-    return holder->answer;
+    return true;
 }
 
 uint16_t
--- /dev/null
+++ b/tests/test_grant.c
@@ -0,0 +1,392 @@
+/*
+ * Slot grants: no executor is overcommitted while holders die, restart and
+ * pause, owners change and messages are lost, late or repeated.
+ */
+
+#include <string.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/grant.h>
+
+#define EXECUTORS 6
+#define SLOTS 8
+#define HOLDERS 3
+#define REQUEST_MAX_MS 3000
+#define STEP_MS 20
+#define SETTLE_MS                                                             \
+    (2000 + NM_GRANT_TERM_MS + NM_GRANT_MARGIN_MS + REQUEST_MAX_MS)
+
+typedef struct {
+    uint64_t id;
+    uint64_t number; /* of the answer in use */
+    int64_t epoch;
+    nm_ms_t expires_ms;
+    uint16_t granted[EXECUTORS];
+    nm_ms_t paused_until_ms;
+    nm_ms_t asked_ms;
+    uint32_t demand;
+} holder_t;
+
+typedef struct {
+    uint32_t executor;
+    uint64_t holder;
+    nm_ms_t ends_ms;
+} request_t;
+
+/* An ask or an answer under way. */
+typedef struct {
+    bool is_ask;
+    bool probe;
+    nm_ms_t at_ms;
+    uint32_t holder;
+    uint64_t id;
+    nm_ms_t sent_ms;
+    uint64_t number;
+    int64_t epoch;
+    uint16_t slots[EXECUTORS];
+    uint32_t demand;
+} letter_t;
+
+typedef struct {
+    nm_rng_t rng;
+    nm_ms_t now_ms;
+    nm_grant_t grant;
+    int64_t epoch;
+    nm_ms_t owner_from_ms; /* no owner answers before */
+    holder_t holders[HOLDERS];
+    uint64_t next_id;
+    GArray *requests;
+    GArray *letters;
+    uint32_t overcommitted;
+    uint32_t served;
+    uint32_t most;
+} sim_t;
+
+static void
+new_holder(sim_t *sim, uint32_t i)
+{
+    sim->holders[i] = (holder_t){
+        .id = sim->next_id++,
+        .demand = nm_rng_below(&sim->rng, 60),
+    };
+}
+
+static void
+new_owner(sim_t *sim, nm_ms_t settle_ms)
+{
+    sim->epoch++;
+    nm_grant_init(&sim->grant,
+                  &(nm_grant_desc_t){
+                      .epoch = sim->epoch,
+                      .request_max_ms = REQUEST_MAX_MS,
+                      .settle_ms = settle_ms,
+                  },
+                  sim->now_ms);
+    for (uint32_t e = 0; e < EXECUTORS; e++) {
+        nm_grant_set_executor(&sim->grant, e + 1, SLOTS);
+    }
+}
+
+static uint16_t
+in_use(const sim_t *sim, uint64_t holder, uint32_t executor)
+{
+    uint16_t count = 0;
+    for (uint32_t i = 0; i < sim->requests->len; i++) {
+        const request_t *request = &g_array_index(sim->requests, request_t, i);
+        count += request->executor == executor &&
+                 (holder == 0 || request->holder == holder);
+    }
+    return count;
+}
+
+static nm_ms_t
+delay(sim_t *sim)
+{
+    return nm_rng_below(&sim->rng, 12) == 0
+               ? 500 + nm_rng_below(&sim->rng, 9000)
+               : 1 + nm_rng_below(&sim->rng, 30);
+}
+
+static void
+send_ask(sim_t *sim, uint32_t i)
+{
+    holder_t *holder = &sim->holders[i];
+    holder->asked_ms = sim->now_ms;
+    letter_t letter = {
+        .is_ask = true,
+        .at_ms = sim->now_ms + delay(sim),
+        .holder = i,
+        .id = holder->id,
+        .sent_ms = sim->now_ms,
+        .number = holder->number,
+        .demand = holder->demand,
+    };
+    bool expired = sim->now_ms >= holder->expires_ms;
+    for (uint32_t e = 0; e < EXECUTORS; e++) {
+        uint16_t used = in_use(sim, holder->id, e);
+        letter.slots[e] = expired ? used : MAX(used, holder->granted[e]);
+    }
+    uint32_t draw = nm_rng_below(&sim->rng, 20);
+    for (uint32_t copies = draw == 0   ? 0
+                           : draw == 1 ? 2
+                                       : 1;
+         copies > 0; copies--) {
+        g_array_append_val(sim->letters, letter);
+        letter.at_ms += nm_rng_below(&sim->rng, 3000);
+    }
+}
+
+static void
+answer_ask(sim_t *sim, const letter_t *ask)
+{
+    if (sim->now_ms < sim->owner_from_ms) {
+        return;
+    }
+    nm_grant_report_t reports[EXECUTORS];
+    uint32_t count = 0;
+    for (uint32_t e = 0; e < EXECUTORS; e++) {
+        if (ask->slots[e] > 0) {
+            reports[count++] = (nm_grant_report_t){e + 1, ask->slots[e]};
+        }
+    }
+    letter_t answer = *ask;
+    answer.is_ask = false;
+    answer.at_ms = sim->now_ms + delay(sim);
+    answer.epoch = sim->epoch;
+    answer.probe = !nm_grant_ask(&sim->grant,
+                                 &(nm_grant_ask_t){
+                                     .holder = ask->id,
+                                     .seen = ask->number,
+                                     .demand = ask->demand,
+                                     .reports = reports,
+                                     .report_count = count,
+                                 },
+                                 sim->now_ms, &answer.number);
+    for (uint32_t e = 0; e < EXECUTORS; e++) {
+        answer.slots[e] = nm_grant_query(&sim->grant, ask->id, e + 1);
+    }
+    g_array_append_val(sim->letters, answer);
+}
+
+static void
+apply_answer(sim_t *sim, const letter_t *answer)
+{
+    holder_t *holder = &sim->holders[answer->holder];
+    if (holder->id != answer->id || answer->number <= holder->number ||
+        answer->epoch < holder->epoch)
+    {
+        return;
+    }
+    holder->number = answer->number;
+    holder->epoch = answer->epoch;
+    if (answer->probe) {
+        return;
+    }
+    holder->expires_ms = answer->sent_ms + NM_GRANT_TERM_MS;
+    memcpy(holder->granted, answer->slots, sizeof(holder->granted));
+}
+
+static void
+deliver(sim_t *sim)
+{
+    for (uint32_t i = 0; i < sim->letters->len;) {
+        letter_t letter = g_array_index(sim->letters, letter_t, i);
+        bool waits =
+            letter.at_ms > sim->now_ms ||
+            (!letter.is_ask &&
+             sim->now_ms < sim->holders[letter.holder].paused_until_ms);
+        if (waits) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(sim->letters, i);
+        if (letter.is_ask) {
+            answer_ask(sim, &letter);
+        }
+        else {
+            apply_answer(sim, &letter);
+        }
+    }
+}
+
+static void
+use_slots(sim_t *sim, uint32_t i)
+{
+    holder_t *holder = &sim->holders[i];
+    for (uint32_t e = 0; e < EXECUTORS; e++) {
+        uint16_t used = in_use(sim, holder->id, e);
+        if (sim->now_ms < holder->expires_ms && used < holder->granted[e] &&
+            nm_rng_below(&sim->rng, 3) == 0)
+        {
+            request_t request = {
+                .executor = e,
+                .holder = holder->id,
+                .ends_ms =
+                    sim->now_ms + nm_rng_below(&sim->rng, REQUEST_MAX_MS),
+            };
+            g_array_append_val(sim->requests, request);
+            sim->served++;
+        }
+    }
+}
+
+static void
+end_requests(sim_t *sim)
+{
+    for (uint32_t i = 0; i < sim->requests->len;) {
+        if (g_array_index(sim->requests, request_t, i).ends_ms <= sim->now_ms)
+        {
+            g_array_remove_index_fast(sim->requests, i);
+        }
+        else {
+            i++;
+        }
+    }
+}
+
+static void
+cause_fault(sim_t *sim)
+{
+    uint32_t i = nm_rng_below(&sim->rng, HOLDERS);
+    switch (nm_rng_below(&sim->rng, 4)) {
+    case 0:
+        /* Dies and restarts; its requests run on. */
+        new_holder(sim, i);
+        break;
+    case 1:
+        sim->holders[i].paused_until_ms =
+            sim->now_ms + nm_rng_below(&sim->rng, 9000);
+        break;
+    case 2:
+        nm_grant_finish(&sim->grant);
+        new_owner(sim, SETTLE_MS);
+        sim->owner_from_ms = sim->now_ms + 1500;
+        break;
+    default:
+        sim->holders[i].demand = nm_rng_below(&sim->rng, 60);
+        break;
+    }
+}
+
+static void
+run(sim_t *sim, uint64_t seed, bool faults)
+{
+    *sim = (sim_t){.now_ms = 1000, .next_id = 100};
+    nm_rng_init(&sim->rng, seed);
+    sim->requests = g_array_new(FALSE, FALSE, sizeof(request_t));
+    sim->letters = g_array_new(FALSE, FALSE, sizeof(letter_t));
+    new_owner(sim, 0);
+    for (uint32_t i = 0; i < HOLDERS; i++) {
+        new_holder(sim, i);
+    }
+    nm_ms_t next_fault_ms = 5000;
+    while (sim->now_ms < 60000) {
+        sim->now_ms += STEP_MS;
+        if (faults && sim->now_ms >= next_fault_ms) {
+            cause_fault(sim);
+            next_fault_ms = sim->now_ms + nm_rng_below(&sim->rng, 6000);
+        }
+        end_requests(sim);
+        deliver(sim);
+        nm_grant_tick(&sim->grant, sim->now_ms);
+        for (uint32_t i = 0; i < HOLDERS; i++) {
+            if (sim->now_ms < sim->holders[i].paused_until_ms) {
+                continue;
+            }
+            if (sim->now_ms - sim->holders[i].asked_ms >= 300) {
+                send_ask(sim, i);
+            }
+            use_slots(sim, i);
+        }
+        for (uint32_t e = 0; e < EXECUTORS; e++) {
+            uint16_t used = in_use(sim, 0, e);
+            sim->overcommitted += used > SLOTS;
+            sim->most = MAX(sim->most, used);
+        }
+    }
+    g_array_free(sim->requests, TRUE);
+    g_array_free(sim->letters, TRUE);
+    nm_grant_finish(&sim->grant);
+}
+
+static void
+test_random(void)
+{
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        sim_t sim;
+        run(&sim, seed, true);
+        if (sim.overcommitted > 0) {
+            g_test_message("seed %d: %u steps over the limit", (int)seed,
+                           sim.overcommitted);
+            g_test_fail();
+        }
+        g_assert_cmpuint(sim.served, >, 100);
+    }
+}
+
+/* Without faults all slots are handed out. */
+static void
+test_all_granted(void)
+{
+    sim_t sim;
+    run(&sim, 1, false);
+    g_assert_cmpuint(sim.overcommitted, ==, 0);
+    g_assert_cmpuint(sim.most, ==, SLOTS);
+}
+
+static void
+ask_plainly(nm_grant_t *grant, uint64_t holder, uint64_t *number,
+            uint16_t *held, uint32_t demand, bool leaving, nm_ms_t now_ms)
+{
+    nm_grant_report_t report = {1, *held};
+    if (nm_grant_ask(grant,
+                     &(nm_grant_ask_t){
+                         .holder = holder,
+                         .seen = *number,
+                         .demand = demand,
+                         .leaving = leaving,
+                         .reports = &report,
+                         .report_count = 1,
+                     },
+                     now_ms, number))
+    {
+        *held = nm_grant_query(grant, holder, 1);
+    }
+}
+
+/* Shares follow demand, and a leaving holder's slots come free. */
+static void
+test_follows_demand(void)
+{
+    nm_grant_t grant;
+    nm_grant_init(&grant, &(nm_grant_desc_t){.epoch = 1, .request_max_ms = 1},
+                  0);
+    nm_grant_set_executor(&grant, 1, SLOTS);
+    uint64_t numbers[2] = {0};
+    uint16_t held[2] = {0};
+    nm_ms_t now_ms = 1000;
+    for (int i = 0; i < 6; i++, now_ms += 300) {
+        ask_plainly(&grant, 7, &numbers[0], &held[0], 40, false, now_ms);
+        ask_plainly(&grant, 8, &numbers[1], &held[1], 0, false, now_ms);
+    }
+    g_assert_cmpuint(held[0], >=, 6);
+    g_assert_cmpuint(held[1], >=, 1);
+    for (int i = 0; i < 6; i++, now_ms += 300) {
+        ask_plainly(&grant, 7, &numbers[0], &held[0], 0, true, now_ms);
+        ask_plainly(&grant, 8, &numbers[1], &held[1], 10, false, now_ms);
+    }
+    g_assert_cmpuint(held[0], ==, 0);
+    g_assert_cmpuint(held[1], ==, SLOTS);
+    nm_grant_finish(&grant);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/grant/random-faults", test_random);
+    g_test_add_func("/grant/all-granted", test_all_granted);
+    g_test_add_func("/grant/follows-demand", test_follows_demand);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,381 @@
+/* Routing decisions, on a manual clock. */
+
+#include <glib.h>
+
+#include <nutmegdeck/route.h>
+
+#define START_MS 1000
+#define TIMEOUT_MS 500
+
+typedef struct {
+    nm_route_t route;
+    nm_ms_t now_ms;
+    uint32_t sent;
+    nm_attempt_t last_attempt;
+    uint64_t last_target;
+    bool last_fresh;
+    uint32_t ended;
+    nm_reason_t reason;
+    nm_verdict_t verdict;
+    bool answered;
+    uint32_t closed;
+} fixture_t;
+
+static void
+drain(fixture_t *fixture)
+{
+    nm_route_action_t action;
+    while (nm_route_next_action(&fixture->route, &action)) {
+        switch (action.type) {
+        case NM_ROUTE_SEND:
+            fixture->sent++;
+            fixture->last_attempt = action.attempt;
+            fixture->last_target = action.target_id;
+            fixture->last_fresh = action.fresh_connection;
+            break;
+        case NM_ROUTE_ANSWER:
+            fixture->ended++;
+            fixture->answered = true;
+            break;
+        case NM_ROUTE_REFUSE:
+            fixture->ended++;
+            fixture->reason = action.reason;
+            fixture->verdict = action.verdict;
+            break;
+        case NM_ROUTE_CLOSE:
+            fixture->closed++;
+            break;
+        }
+    }
+}
+
+static void
+tick(fixture_t *fixture, nm_ms_t duration_ms)
+{
+    for (nm_ms_t i = 0; i < duration_ms; i += 5) {
+        fixture->now_ms += 5;
+        nm_route_tick(&fixture->route, fixture->now_ms);
+        drain(fixture);
+    }
+}
+
+static void
+add_target(fixture_t *fixture, uint64_t id, nm_target_type_t type,
+           uint32_t slots, nm_ms_t expires_ms)
+{
+    nm_route_target_t target = {
+        .id = id,
+        .type = type,
+        .granted_slots = slots,
+        .grant_expires_ms = expires_ms,
+    };
+    nm_route_update_target(&fixture->route, &target, fixture->now_ms);
+    drain(fixture);
+}
+
+static void
+init(fixture_t *fixture, uint32_t executors, uint32_t slots, uint32_t retries)
+{
+    *fixture = (fixture_t){.now_ms = START_MS};
+    nm_route_init(&fixture->route, &(nm_route_desc_t){.seed = 1});
+    nm_route_update_service(&fixture->route, 0,
+                            &(nm_route_service_t){
+                                .timeout_ms = TIMEOUT_MS,
+                                .queue_limit = 4,
+                                .retry_budget_pct = retries,
+                            });
+    nm_route_set_link_rate(&fixture->route, 1000);
+    for (uint32_t i = 0; i < executors; i++) {
+        add_target(fixture, i + 1, NM_TARGET_EXECUTOR, slots, NM_MS_NEVER / 2);
+    }
+}
+
+static nm_request_t
+submit(fixture_t *fixture, bool idempotent, bool forwarded)
+{
+    nm_request_t request;
+    nm_route_arrival_t arrival = {
+        .idempotent = idempotent,
+        .forwarded = forwarded,
+        .bytes = 800,
+    };
+    g_assert_cmpint(
+        nm_route_submit(&fixture->route, &arrival, fixture->now_ms, &request),
+        ==, NM_OK);
+    drain(fixture);
+    return request;
+}
+
+static void
+end_attempt(fixture_t *fixture, nm_outcome_t outcome)
+{
+    nm_route_attempt_done(&fixture->route, fixture->last_attempt, outcome,
+                          fixture->now_ms);
+    drain(fixture);
+}
+
+/* Every attempt ends in the same way; 100% retry budget. */
+typedef struct {
+    const char *name;
+    bool idempotent;
+    nm_outcome_t outcome;
+    uint32_t attempts; /* expected */
+    bool answered;
+    nm_verdict_t verdict;
+    nm_reason_t reason;
+} outcome_case_t;
+
+static const outcome_case_t outcome_cases[] = {
+    {"order-answered", false, NM_OUTCOME_ANSWERED, 1, true, 0, 0},
+    {"order-reset", false, NM_OUTCOME_RESET, 1, false, NM_VERDICT_UNKNOWN,
+     NM_REASON_UPSTREAM_RESET},
+    {"order-cut", false, NM_OUTCOME_CUT, 1, false, NM_VERDICT_RAN,
+     NM_REASON_UPSTREAM_CUT},
+    {"order-unavailable", false, NM_OUTCOME_UNAVAILABLE, 1, true, 0, 0},
+    {"order-refused", false, NM_OUTCOME_REFUSED, 4, false, NM_VERDICT_NOT_RUN,
+     NM_REASON_NO_EXECUTOR},
+    {"order-not-run", false, NM_OUTCOME_NOT_RUN, 4, false, NM_VERDICT_NOT_RUN,
+     NM_REASON_NO_EXECUTOR},
+    {"check-reset", true, NM_OUTCOME_RESET, 4, false, NM_VERDICT_UNKNOWN,
+     NM_REASON_UPSTREAM_RESET},
+    {"check-cut", true, NM_OUTCOME_CUT, 4, false, NM_VERDICT_RAN,
+     NM_REASON_UPSTREAM_CUT},
+    {"check-too-large", true, NM_OUTCOME_TOO_LARGE, 4, false, NM_VERDICT_RAN,
+     NM_REASON_UPSTREAM_LARGE},
+};
+
+static void
+test_outcome(const void *data)
+{
+    const outcome_case_t *test = data;
+    fixture_t fixture;
+    init(&fixture, 8, 8, 100);
+    /* The budget fills with the requests before. */
+    for (int i = 0; i < 10; i++) {
+        submit(&fixture, true, false);
+        end_attempt(&fixture, NM_OUTCOME_ANSWERED);
+    }
+    fixture.ended = 0;
+    fixture.sent = 0;
+    fixture.answered = false;
+    submit(&fixture, test->idempotent, false);
+    g_assert_cmpint(fixture.last_fresh, ==, !test->idempotent);
+    for (int i = 0; i < 60 && fixture.ended == 0; i++) {
+        uint32_t before = fixture.sent;
+        end_attempt(&fixture, test->outcome);
+        while (fixture.ended == 0 && fixture.sent == before) {
+            tick(&fixture, 5);
+        }
+    }
+    g_assert_cmpuint(fixture.ended, ==, 1);
+    g_assert_cmpuint(fixture.sent, ==, test->attempts);
+    g_assert_cmpint(fixture.answered, ==, test->answered);
+    if (!test->answered) {
+        g_assert_cmpint(fixture.verdict, ==, test->verdict);
+        g_assert_cmpint(fixture.reason, ==, test->reason);
+    }
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_no_budget(void)
+{
+    fixture_t fixture;
+    init(&fixture, 4, 8, 0);
+    submit(&fixture, true, false);
+    end_attempt(&fixture, NM_OUTCOME_RESET);
+    g_assert_cmpuint(fixture.ended, ==, 1);
+    g_assert_cmpuint(fixture.sent, ==, 1);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_queue_and_limits(void)
+{
+    fixture_t fixture;
+    init(&fixture, 1, 2, 0);
+    for (int i = 0; i < 6; i++) {
+        submit(&fixture, true, false);
+    }
+    g_assert_cmpuint(fixture.sent, ==, 2);
+    g_assert_cmpuint(nm_route_query_in_flight(&fixture.route, 1), ==, 2);
+    g_assert_cmpuint(fixture.ended, ==, 0);
+    submit(&fixture, true, false);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_QUEUE_FULL);
+    g_assert_cmpint(fixture.verdict, ==, NM_VERDICT_NOT_RUN);
+    end_attempt(&fixture, NM_OUTCOME_ANSWERED);
+    g_assert_cmpuint(fixture.sent, ==, 3);
+    /* What waits past its deadline is never sent. */
+    tick(&fixture, TIMEOUT_MS);
+    g_assert_cmpuint(fixture.sent, ==, 3);
+    g_assert_cmpuint(fixture.ended, ==, 7 + 1 - 1);
+    nm_route_finish(&fixture.route);
+}
+
+/* A slot stays taken until the executor has given the request up. */
+static void
+test_timeout_keeps_slot(void)
+{
+    fixture_t fixture;
+    init(&fixture, 1, 1, 0);
+    submit(&fixture, false, false);
+    tick(&fixture, TIMEOUT_MS);
+    g_assert_cmpuint(fixture.ended, ==, 1);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_UPSTREAM_TIMEOUT);
+    g_assert_cmpint(fixture.verdict, ==, NM_VERDICT_UNKNOWN);
+    g_assert_cmpuint(nm_route_query_in_flight(&fixture.route, 1), ==, 1);
+    tick(&fixture, NM_ROUTE_DETACH_MARGIN_MS);
+    g_assert_cmpuint(nm_route_query_in_flight(&fixture.route, 1), ==, 0);
+    g_assert_cmpuint(fixture.closed, ==, 1);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_late_answer(void)
+{
+    fixture_t fixture;
+    init(&fixture, 1, 1, 0);
+    submit(&fixture, false, false);
+    tick(&fixture, TIMEOUT_MS);
+    nm_attempt_t late = fixture.last_attempt;
+    submit(&fixture, true, false);
+    fixture.ended = 0;
+    nm_route_attempt_done(&fixture.route, late, NM_OUTCOME_ANSWERED,
+                          fixture.now_ms);
+    drain(&fixture);
+    /* It freed the slot, but answered nobody. */
+    g_assert_false(fixture.answered);
+    g_assert_cmpuint(fixture.ended, ==, 0);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_expired_grant(void)
+{
+    fixture_t fixture;
+    init(&fixture, 0, 0, 0);
+    nm_ms_t expires_ms = START_MS + 1000;
+    add_target(&fixture, 1, NM_TARGET_EXECUTOR, 8, expires_ms);
+    submit(&fixture, true, false);
+    g_assert_cmpuint(fixture.sent, ==, 1);
+    /* As after a pause: the check directly before the send refuses. */
+    g_assert_true(nm_route_may_send(&fixture.route, fixture.last_attempt,
+                                    START_MS + 100));
+    g_assert_false(
+        nm_route_may_send(&fixture.route, fixture.last_attempt, expires_ms));
+    fixture.now_ms = expires_ms;
+    submit(&fixture, true, false);
+    g_assert_cmpuint(fixture.sent, ==, 1);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_NO_GRANT);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_leaving(void)
+{
+    fixture_t fixture;
+    init(&fixture, 2, 8, 100);
+    nm_route_target_t leaving = {
+        .id = 1,
+        .granted_slots = 8,
+        .grant_expires_ms = NM_MS_NEVER / 2,
+        .leaving = true,
+    };
+    nm_route_update_target(&fixture.route, &leaving, fixture.now_ms);
+    for (int i = 0; i < 8; i++) {
+        submit(&fixture, true, false);
+        g_assert_cmpuint(fixture.last_target, ==, 2);
+    }
+    nm_route_finish(&fixture.route);
+}
+
+/* A refused connection takes an executor out at once, and a probe back. */
+static void
+test_refused_executor(void)
+{
+    fixture_t fixture;
+    init(&fixture, 2, 8, 100);
+    for (int i = 0; i < 10; i++) {
+        submit(&fixture, true, false);
+        end_attempt(&fixture, NM_OUTCOME_ANSWERED);
+    }
+    uint64_t refused;
+    submit(&fixture, true, false);
+    refused = fixture.last_target;
+    end_attempt(&fixture, NM_OUTCOME_REFUSED);
+    tick(&fixture, 50);
+    for (int i = 0; i < 5; i++) {
+        submit(&fixture, true, false);
+        g_assert_cmpuint(fixture.last_target, !=, refused);
+    }
+    tick(&fixture, 1200);
+    uint32_t probes = 0;
+    for (int i = 0; i < 6; i++) {
+        submit(&fixture, true, false);
+        probes += fixture.last_target == refused;
+    }
+    g_assert_cmpuint(probes, <=, 1);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_forward(void)
+{
+    fixture_t fixture;
+    init(&fixture, 0, 0, 100);
+    add_target(&fixture, 50, NM_TARGET_PEER_OTHER_REGION, 8, NM_MS_NEVER / 2);
+    tick(&fixture, 1000);
+    /* 250 bytes of burst do not pay for 800. */
+    submit(&fixture, true, false);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_LINK_BUDGET);
+    nm_route_set_link_rate(&fixture.route, 100000);
+    tick(&fixture, 100);
+    submit(&fixture, true, false);
+    g_assert_cmpuint(fixture.last_target, ==, 50);
+    add_target(&fixture, 51, NM_TARGET_PEER_SAME_REGION, 8, NM_MS_NEVER / 2);
+    submit(&fixture, false, false);
+    g_assert_cmpuint(fixture.last_target, ==, 51);
+    /* Forwarded once, not again. */
+    fixture.ended = 0;
+    submit(&fixture, true, true);
+    g_assert_cmpuint(fixture.ended, ==, 1);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_HOP_LIMIT);
+    nm_route_finish(&fixture.route);
+}
+
+static void
+test_stop(void)
+{
+    fixture_t fixture;
+    init(&fixture, 1, 8, 0);
+    submit(&fixture, true, false);
+    nm_route_stop(&fixture.route);
+    submit(&fixture, true, false);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_STOPPING);
+    g_assert_cmpuint(nm_route_query_active(&fixture.route), ==, 1);
+    end_attempt(&fixture, NM_OUTCOME_ANSWERED);
+    g_assert_true(fixture.answered);
+    nm_route_finish(&fixture.route);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(outcome_cases); i++) {
+        char *path =
+            g_strdup_printf("/route/outcome/%s", outcome_cases[i].name);
+        g_test_add_data_func(path, &outcome_cases[i], test_outcome);
+        g_free(path);
+    }
+    g_test_add_func("/route/no-retry-budget", test_no_budget);
+    g_test_add_func("/route/queue-and-limits", test_queue_and_limits);
+    g_test_add_func("/route/timeout-keeps-slot", test_timeout_keeps_slot);
+    g_test_add_func("/route/late-answer", test_late_answer);
+    g_test_add_func("/route/expired-grant", test_expired_grant);
+    g_test_add_func("/route/leaving", test_leaving);
+    g_test_add_func("/route/refused-executor", test_refused_executor);
+    g_test_add_func("/route/forward", test_forward);
+    g_test_add_func("/route/stop", test_stop);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,361 @@
+/* Settings tree and journal: bad input, inheritance, races, lost answers. */
+
+#include <string.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/journal.h>
+#include <nutmegdeck/settings.h>
+
+typedef struct {
+    const char *name;
+    const char *text;
+    const char *section; /* of the first problem; NULL: none */
+    const char *key;
+    const char *why; /* part of it */
+} declaration_case_t;
+
+static const declaration_case_t declaration_cases[] = {
+    {"good", "[a]\nkind=customer\n[a/s]\nkind=service\npath=/s\n", NULL, NULL,
+     NULL},
+    {"not-a-key-file", "kind=x\n", "", "", ""},
+    {"unknown-key", "[a]\ncolour=red\n", "a", "colour", "unknown key"},
+    {"not-a-number", "[a]\ntasks=many\n", "a", "tasks", "whole number"},
+    {"out-of-range", "[a]\npriority=10\n", "a", "priority", "outside 0 to 9"},
+    {"unknown-kind", "[a]\nkind=cron\n", "a", "kind", "not a kind"},
+    {"bad-bool", "[a]\nclaim_strict=yes\n", "a", "claim_strict", "neither"},
+    {"bad-path", "[/a]\nkind=customer\n", "/a", "", "section path"},
+    {"missing-team", "[a]\nteam=b\n", "a", "team", "no section [b]"},
+    {"not-a-team", "[b]\nkind=customer\n[a]\nteam=b\n", "a", "team",
+     "not a team"},
+    {"service-without-path", "[a]\nkind=service\n", "a", "path", "needs"},
+    {"two-services",
+     "[a]\nkind=service\npath=/x\n[b]\nkind=service\npath=/x\n", "b", "path",
+     "another service"},
+    {"no-such-home", "[a]\nkind=batch\nhome=nowhere\n", "a", "home",
+     "no such data centre"},
+    {"gang", "[a]\nkind=batch\ntasks=5\ngang=2\n", "a", "gang", "multiple"},
+};
+
+typedef struct {
+    char section[128];
+    char key[64];
+    char why[256];
+    int count;
+} problem_t;
+
+static void
+note_problem(void *user, const char *section, const char *key, const char *why)
+{
+    problem_t *problem = user;
+    if (problem->count++ == 0) {
+        g_strlcpy(problem->section, section, sizeof(problem->section));
+        g_strlcpy(problem->key, key, sizeof(problem->key));
+        g_strlcpy(problem->why, why, sizeof(problem->why));
+    }
+}
+
+static void
+load(nm_settings_t *settings, const char *text, problem_t *problem)
+{
+    *problem = (problem_t){0};
+    nm_settings_init(settings);
+    nm_settings_parse(settings, text, strlen(text), note_problem, problem);
+    nm_settings_check(settings, note_problem, problem);
+}
+
+static void
+test_declaration(const void *data)
+{
+    const declaration_case_t *test = data;
+    nm_settings_t settings;
+    problem_t problem;
+    load(&settings, test->text, &problem);
+    g_assert_cmpint(problem.count > 0, ==, test->section != NULL);
+    if (test->section) {
+        g_assert_cmpstr(problem.section, ==, test->section);
+        g_assert_cmpstr(problem.key, ==, test->key);
+        g_assert_nonnull(strstr(problem.why, test->why));
+    }
+    nm_settings_finish(&settings);
+}
+
+static void
+test_inheritance(void)
+{
+    nm_settings_t settings;
+    problem_t problem;
+    load(&settings,
+         "[a]\nkind=customer\ntimeout_ms=900\n[a/b]\ncpu_milli=7\n"
+         "[a/b/c]\nkind=batch\ntimeout_ms=100\n",
+         &problem);
+    char origin[NM_NAME_MAX * 4];
+    g_assert_cmpint(nm_settings_int(&settings, "a/b/c", NM_KEY_TIMEOUT_MS), ==,
+                    100);
+    g_assert_cmpint(nm_settings_int(&settings, "a/b", NM_KEY_TIMEOUT_MS), ==,
+                    900);
+    g_assert_cmpstr(nm_settings_text(&settings, "a/b/c", NM_KEY_CPU, origin),
+                    ==, "7");
+    g_assert_cmpstr(origin, ==, "a/b");
+    nm_settings_text(&settings, "a/b/c", NM_KEY_MEMORY, origin);
+    g_assert_cmpstr(origin, ==, "");
+    /* The kind is never inherited. */
+    g_assert_cmpint(nm_settings_kind(&settings, "a/b"), ==, NM_KIND_FOLDER);
+    nm_settings_finish(&settings);
+}
+
+static void
+test_bad_delta_changes_nothing(void)
+{
+    static const char *const deltas[] = {
+        "{}",
+        "[]",
+        "{\"set\":{},\"unset\":{}}",
+        "{\"set\":{\"a\":3},\"unset\":[]}",
+        "{\"set\":{\"a\":{\"kind\":5}},\"unset\":[]}",
+        "{\"set\":{\"a\":{\"tasks\":\"x\"}},\"unset\":[]}",
+        "{\"set\":{\"a\":{\"team\":\"gone\"}},\"unset\":[]}",
+    };
+    nm_settings_t settings;
+    problem_t problem;
+    load(&settings, "[a]\nkind=customer\n", &problem);
+    settings.revision = 4;
+    json_t *before = json_deep_copy(settings.sections);
+    for (size_t i = 0; i < G_N_ELEMENTS(deltas); i++) {
+        json_t *delta = json_loads(deltas[i], 0, NULL);
+        g_assert_cmpint(nm_settings_apply(&settings, delta, 5), ==,
+                        NM_ERR_CORRUPT);
+        g_assert_true(json_equal(settings.sections, before));
+        g_assert_cmpint(settings.revision, ==, 4);
+        json_decref(delta);
+    }
+    json_decref(before);
+    nm_settings_finish(&settings);
+}
+
+static void
+test_moving_a_run_is_refused(void)
+{
+    const char *centres = "[r]\nkind=region\n[r/x]\nkind=datacentre\n[r/y]\n"
+                          "kind=datacentre\n";
+    char *from_text =
+        g_strconcat(centres, "[j]\nkind=batch\nhome=x\nrun=1\n", NULL);
+    char *to_text =
+        g_strconcat(centres, "[j]\nkind=batch\nhome=y\nrun=1\n", NULL);
+    char *new_text =
+        g_strconcat(centres, "[j]\nkind=batch\nhome=y\nrun=2\n", NULL);
+    nm_settings_t from;
+    nm_settings_t to;
+    nm_settings_t fresh;
+    problem_t problem;
+    load(&from, from_text, &problem);
+    load(&fresh, new_text, &problem);
+    load(&to, to_text, &problem);
+    g_assert_cmpint(
+        nm_settings_check_change(&from, &to, note_problem, &problem), ==, 1);
+    g_assert_cmpstr(problem.key, ==, "home");
+    g_assert_cmpint(
+        nm_settings_check_change(&from, &fresh, note_problem, &problem), ==,
+        0);
+    nm_settings_finish(&from);
+    nm_settings_finish(&to);
+    nm_settings_finish(&fresh);
+    g_free(from_text);
+    g_free(to_text);
+    g_free(new_text);
+}
+
+/* Journal */
+
+typedef enum {
+    FAULT_NONE,
+    FAULT_DOWN,
+    FAULT_LOST_APPLIED, /* the answer is lost, the change took effect */
+    FAULT_LOST_DROPPED, /* the answer is lost, and so was the change */
+} fault_t;
+
+typedef struct {
+    nm_store_t base;
+    nm_store_t *inner;
+    fault_t next;
+} faulty_t;
+
+static int
+faulty_commit(nm_store_t *base, const nm_store_txn_t *txn,
+              nm_store_result_t *result)
+{
+    faulty_t *store = (faulty_t *)base;
+    fault_t fault = store->next;
+    store->next = FAULT_NONE;
+    if (fault == FAULT_DOWN) {
+        return NM_ERR_UNAVAILABLE;
+    }
+    if (fault == FAULT_LOST_DROPPED) {
+        return NM_ERR_LOST;
+    }
+    int rc = nm_store_commit(store->inner, txn, result);
+    if (fault == FAULT_LOST_APPLIED) {
+        nm_store_result_finish(result);
+        return NM_ERR_LOST;
+    }
+    return rc;
+}
+
+static const nm_store_vtable_t faulty_vtable = {.commit = faulty_commit};
+
+static int
+collect(void *user, int64_t sequence, bool is_snapshot, const void *data,
+        uint32_t bytes)
+{
+    GString *text = user;
+    if (is_snapshot) {
+        g_string_truncate(text, 0);
+    }
+    g_string_append_printf(text, "%s%lld:%.*s ", is_snapshot ? "S" : "",
+                           (long long)sequence, (int)bytes,
+                           (const char *)data);
+    return NM_OK;
+}
+
+typedef struct {
+    const char *name;
+    fault_t fault;
+    int result;
+    const char *contents; /* after a second append by the same writer */
+} append_case_t;
+
+static const append_case_t append_cases[] = {
+    {"plain", FAULT_NONE, NM_OK, "1:one 2:two "},
+    {"down", FAULT_DOWN, NM_ERR_UNAVAILABLE, "1:two "},
+    {"lost-but-applied", FAULT_LOST_APPLIED, NM_OK, "1:one 2:two "},
+    {"lost-and-dropped", FAULT_LOST_DROPPED, NM_ERR_LOST, "1:two "},
+};
+
+static void
+test_append(const void *data)
+{
+    const append_case_t *test = data;
+    nm_store_memory_t memory;
+    faulty_t store = {
+        .base.vtable = &faulty_vtable,
+        .inner = nm_store_memory_init(&memory),
+    };
+    nm_journal_t journal;
+    nm_journal_init(&journal, &store.base, "j", 1);
+    store.next = test->fault;
+    g_assert_cmpint(nm_journal_append(&journal, "one", 3, 1), ==,
+                    test->result);
+    g_assert_cmpint(nm_journal_append(&journal, "two", 3, 1), ==, NM_OK);
+    GString *text = g_string_new(NULL);
+    g_assert_cmpint(nm_journal_load(&journal, collect, text), ==, NM_OK);
+    g_assert_cmpstr(text->str, ==, test->contents);
+    g_string_free(text, TRUE);
+    nm_store_memory_finish(&memory);
+}
+
+static void
+test_writers_race(void)
+{
+    nm_store_memory_t memory;
+    nm_store_t *store = nm_store_memory_init(&memory);
+    nm_journal_t a;
+    nm_journal_t b;
+    nm_journal_init(&a, store, "j", 1);
+    nm_journal_init(&b, store, "j", 2);
+    GString *text = g_string_new(NULL);
+    g_assert_cmpint(nm_journal_append(&a, "a", 1, 1), ==, NM_OK);
+    g_assert_cmpint(nm_journal_append(&b, "b", 1, 1), ==, NM_ERR_CONFLICT);
+    /* A new writer fences the old one by loading. */
+    g_assert_cmpint(nm_journal_load_as_writer(&b, 2, collect, text), ==,
+                    NM_OK);
+    g_assert_cmpint(nm_journal_append(&a, "late", 4, 1), ==, NM_ERR_CONFLICT);
+    g_assert_cmpint(nm_journal_load_as_writer(&a, 2, collect, text), ==,
+                    NM_ERR_STALE);
+    g_assert_cmpint(nm_journal_append(&b, "b", 1, 2), ==, NM_OK);
+    g_string_free(text, TRUE);
+    nm_store_memory_finish(&memory);
+}
+
+static void
+test_snapshot(void)
+{
+    nm_store_memory_t memory;
+    nm_store_t *store = nm_store_memory_init(&memory);
+    nm_journal_t journal;
+    nm_journal_init(&journal, store, "j", 1);
+    for (int i = 0; i < NM_JOURNAL_LOG_MAX; i++) {
+        g_assert_false(nm_journal_wants_snapshot(&journal));
+        nm_journal_append(&journal, "x", 1, 1);
+    }
+    g_assert_true(nm_journal_wants_snapshot(&journal));
+    /* Larger than one value: it is cut into chunks. */
+    uint32_t bytes = NM_STORE_VALUE_MAX_BYTES * 2;
+    char *large = g_malloc(bytes);
+    memset(large, 'y', bytes);
+    g_assert_cmpint(
+        nm_journal_append_snapshot(&journal, "x", 1, large, bytes, 1), ==,
+        NM_OK);
+    nm_journal_append(&journal, "z", 1, 1);
+    GString *text = g_string_new(NULL);
+    g_assert_cmpint(nm_journal_load(&journal, collect, text), ==, NM_OK);
+    g_assert_cmpuint(text->len, >, bytes);
+    g_assert_true(g_str_has_prefix(text->str, "S65:yyy"));
+    g_assert_true(g_str_has_suffix(text->str, "66:z "));
+    g_string_free(text, TRUE);
+    g_free(large);
+    nm_store_memory_finish(&memory);
+}
+
+static bool
+count_event(void *user, const nm_store_kv_t *kv)
+{
+    (void)kv;
+    (*(int *)user)++;
+    return true;
+}
+
+static void
+test_compacted_watch(void)
+{
+    nm_store_memory_t memory;
+    nm_store_t *store = nm_store_memory_init(&memory);
+    nm_journal_t journal;
+    nm_journal_init(&journal, store, "j", 1);
+    nm_journal_append(&journal, "1", 1, 0);
+    nm_journal_append(&journal, "2", 1, 0);
+    int events = 0;
+    g_assert_cmpint(
+        nm_store_watch(store, "j/log/", 1, 0, count_event, &events), ==,
+        NM_OK);
+    g_assert_cmpint(events, ==, 2);
+    nm_store_memory_compact(&memory, 1);
+    g_assert_cmpint(
+        nm_store_watch(store, "j/log/", 1, 0, count_event, &events), ==,
+        NM_ERR_COMPACTED);
+    nm_store_memory_finish(&memory);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(declaration_cases); i++) {
+        char *path = g_strdup_printf("/settings/declaration/%s",
+                                     declaration_cases[i].name);
+        g_test_add_data_func(path, &declaration_cases[i], test_declaration);
+        g_free(path);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(append_cases); i++) {
+        char *path =
+            g_strdup_printf("/journal/append/%s", append_cases[i].name);
+        g_test_add_data_func(path, &append_cases[i], test_append);
+        g_free(path);
+    }
+    g_test_add_func("/settings/inheritance", test_inheritance);
+    g_test_add_func("/settings/bad-delta", test_bad_delta_changes_nothing);
+    g_test_add_func("/settings/moving-a-run", test_moving_a_run_is_refused);
+    g_test_add_func("/journal/writers-race", test_writers_race);
+    g_test_add_func("/journal/snapshot", test_snapshot);
+    g_test_add_func("/journal/compacted-watch", test_compacted_watch);
+    return g_test_run();
+}
