--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,192 @@
+/* The HTTP adapter against a raw server that misbehaves. */
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+#include <glib.h>
+
+#include "../src/upstream.h"
+
+/* What the server does with each request after the first of a connection;
+ * the first is answered and kept alive. */
+typedef struct {
+    const char *name;
+    const char *answer; /* to each request; NULL: close after reading it */
+    const char *method;
+    nm_outcome_t outcome; /* of the second request */
+    uint32_t seen;        /* requests of the second call that arrived */
+} server_case_t;
+
+#define OK_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+static const server_case_t cases[] = {
+    /* libcurl would send it again on a new connection, if it reused one. */
+    {"post-closed-after-read", NULL, "POST", NM_OUTCOME_RESET, 1},
+    {"whole", OK_ANSWER, "GET", NM_OUTCOME_ANSWERED, 1},
+    {"cut-body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "GET",
+     NM_OUTCOME_CUT, 1},
+    {"cut-chunks",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "GET",
+     NM_OUTCOME_CUT, 1},
+    {"end-not-marked", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "GET",
+     NM_OUTCOME_CUT, 1},
+    {"unavailable", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "GET",
+     NM_OUTCOME_UNAVAILABLE, 1},
+    {"not-run",
+     "HTTP/1.1 503 Busy\r\nNutmegdeck-Verdict: not-run\r\n"
+     "Content-Length: 0\r\n\r\n",
+     "POST", NM_OUTCOME_NOT_RUN, 1},
+    {"not-http", "hello\r\n\r\n", "GET", NM_OUTCOME_RESET, 1},
+};
+
+typedef struct {
+    const server_case_t *test;
+    int listener;
+    uint16_t port;
+    uint32_t second; /* the second call is under way */
+    uint32_t seen;
+} server_t;
+
+typedef struct {
+    server_t *server;
+    int socket;
+} connection_t;
+
+static void *
+serve_connection(void *user)
+{
+    connection_t *connection = user;
+    server_t *server = connection->server;
+    char buffer[4096];
+    while (recv(connection->socket, buffer, sizeof(buffer), 0) > 0) {
+        const char *answer = OK_ANSWER;
+        bool judged = ck_pr_load_32(&server->second);
+        if (judged) {
+            ck_pr_inc_32(&server->seen);
+            answer = server->test->answer;
+        }
+        if (answer) {
+            send(connection->socket, answer, strlen(answer), MSG_NOSIGNAL);
+        }
+        if (judged && (!answer || strcmp(answer, OK_ANSWER) != 0)) {
+            break;
+        }
+    }
+    close(connection->socket);
+    g_free(connection);
+    return NULL;
+}
+
+static void *
+serve(void *user)
+{
+    server_t *server = user;
+    for (;;) {
+        int socket = accept(server->listener, NULL, NULL);
+        if (socket < 0) {
+            return NULL;
+        }
+        connection_t *connection = g_new0(connection_t, 1);
+        connection->server = server;
+        connection->socket = socket;
+        pthread_t thread;
+        pthread_create(&thread, NULL, serve_connection, connection);
+        pthread_detach(thread);
+    }
+}
+
+static void
+listen_on_loopback(server_t *server)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    bind(server->listener, (struct sockaddr *)&address, size);
+    listen(server->listener, 8);
+    getsockname(server->listener, (struct sockaddr *)&address, &size);
+    server->port = ntohs(address.sin_port);
+}
+
+static nm_outcome_t
+call(nm_upstream_t *upstream, const server_t *server, const char *method,
+     nm_attempt_t attempt)
+{
+    nm_exchange_t *exchange = nm_exchange_new();
+    exchange->method = g_strdup(method);
+    exchange->target = g_strdup("/x");
+    char address[64];
+    g_snprintf(address, sizeof(address), "http://127.0.0.1:%u", server->port);
+    nm_upstream_send(upstream,
+                     &(nm_upstream_call_t){
+                         .attempt = attempt,
+                         .address = address,
+                         .fresh_connection = !nm_method_is_idempotent(method),
+                         .timeout_ms = 2000,
+                         .exchange = exchange,
+                     });
+    nm_upstream_done_t done;
+    while (!nm_upstream_next(upstream, &done)) {
+        nm_upstream_wait(upstream, 20);
+    }
+    g_assert_cmpuint(done.attempt, ==, attempt);
+    nm_outcome_t outcome = done.outcome;
+    nm_answer_finish(&done.answer);
+    nm_exchange_free(exchange);
+    return outcome;
+}
+
+static void
+test_case(const void *data)
+{
+    server_t server = {.test = data};
+    listen_on_loopback(&server);
+    pthread_t thread;
+    pthread_create(&thread, NULL, serve, &server);
+    nm_upstream_t *upstream =
+        nm_upstream_http_new(&(nm_upstream_http_desc_t){0});
+    g_assert_cmpint(call(upstream, &server, "GET", 1), ==,
+                    NM_OUTCOME_ANSWERED);
+    ck_pr_store_32(&server.second, 1);
+    g_assert_cmpint(call(upstream, &server, server.test->method, 2), ==,
+                    server.test->outcome);
+    g_assert_cmpuint(ck_pr_load_32(&server.seen), ==, server.test->seen);
+    nm_upstream_free(upstream);
+    shutdown(server.listener, SHUT_RDWR);
+    close(server.listener);
+    pthread_join(thread, NULL);
+    /* Connection threads end when their peers have closed. */
+    g_usleep(20000);
+}
+
+static void
+test_refused(void)
+{
+    server_t server = {0};
+    listen_on_loopback(&server);
+    close(server.listener);
+    nm_upstream_t *upstream =
+        nm_upstream_http_new(&(nm_upstream_http_desc_t){0});
+    g_assert_cmpint(call(upstream, &server, "POST", 1), ==,
+                    NM_OUTCOME_REFUSED);
+    nm_upstream_free(upstream);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *path = g_strdup_printf("/upstream/%s", cases[i].name);
+        g_test_add_data_func(path, &cases[i], test_case);
+        g_free(path);
+    }
+    g_test_add_func("/upstream/refused", test_refused);
+    return g_test_run();
+}
