Split the large files, sync large shards less often, serve by forwarding

Cause: with all entry hosts of a data centre replaced at once it was not ready for 10.7 s, because grants settle, although other data centres had slots; an entry host is ready now when it can forward. Misspelt NUTMEGD_ variables are refused.

--- a/src/config.c
+++ b/src/config.c
@@ -193,6 +193,39 @@
     }
 }
 
+/* A misspelt variable would otherwise be ignored silently. */
+static void
+check_variables(GPtrArray *problems)
+{
+    static const char *const known[] = {
+        "NUTMEGD_ID",
+        "NUTMEGD_DATACENTRE",
+        "NUTMEGD_REGION",
+        "NUTMEGD_ADDRESS",
+        "NUTMEGD_CALLER_PORT",
+        "NUTMEGD_OPS_ADDRESS",
+        "NUTMEGD_OPS_PORT",
+        "NUTMEGD_PEER_PORT",
+        "NUTMEGD_PEER",
+        "NUTMEGD_PEER_KEY_FILE",
+        "NUTMEGD_STORE",
+        "NUTMEGD_HOSTS",
+        "NUTMEGD_THREADS",
+        "NUTMEGD_CLAIM_INTERVAL_MS",
+        "NUTMEGD_DRAIN_MS",
+        "NUTMEGD_LOG_LEVEL",
+        NULL,
+    };
+    char **names = g_listenv();
+    for (char **name = names; name && *name; name++) {
+        if (g_str_has_prefix(*name, "NUTMEGD_") &&
+            !g_strv_contains(known, *name)) {
+            add_problem(problems, "unknown environment variable %s", *name);
+        }
+    }
+    g_strfreev(names);
+}
+
 static void
 read_environment(nm_config_t *config, GPtrArray *problems)
 {
@@ -285,8 +318,12 @@
     g_option_context_add_main_entries(context, entries, NULL);
     GError *error = NULL;
     if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        /* GLib stops at the first wrong flag, so the rest is not judged. */
         add_problem(*problems, "%s", error->message);
         g_error_free(error);
+        g_option_context_free(context);
+        check_variables(*problems);
+        return NM_ERR_INVAL;
     }
     g_option_context_free(context);
     for (int i = 1; i < argc; i++) {
@@ -296,6 +333,7 @@
     if (version && (*problems)->len == 0) {
         return NM_OK;
     }
+    check_variables(*problems);
     read_environment(config, *problems);
     check_config(config, *problems);
     return (*problems)->len > 0 ? NM_ERR_INVAL : NM_OK;
--- a/src/control_view.c
+++ b/src/control_view.c
@@ -156,7 +156,22 @@
     return false;
 }
 
-/* Ready: settings in force, and slots granted where there are executors. */
+/* Without slots of its own an entry host serves through others. */
+static bool
+can_forward(const nm_control_t *control, nm_ms_t now_ms)
+{
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        const nm_peer_t *peer = &control->peers[i];
+        if (nm_control_peer_is_live(peer, now_ms) && peer->ready &&
+            !peer->leaving && peer->free_slots > 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Ready: settings in force, and slots here or at another entry host. */
 static bool
 is_ready(const nm_control_t *control, nm_ms_t now_ms)
 {
@@ -166,7 +181,7 @@
         return false;
     }
     return g_hash_table_size(control->executors) == 0 || control->ready ||
-           has_slots(control, now_ms);
+           has_slots(control, now_ms) || can_forward(control, now_ms);
 }
 
 void
--- a/src/route.c
+++ b/src/route.c
@@ -1,235 +1,20 @@
-#include <nutmegdeck/route.h>
+#include "route_state.h"
 
 #include <assert.h>
 #include <math.h>
 
-#include <glib.h>
-
-#include "budget.h"
-#include "histogram.h"
-#include "route_target.h"
-
 #define DEFAULT_REQUESTS_MAX 16384
 #define SERVICES_MAX 256
-#define NO_INDEX UINT32_MAX
-#define LIVE_MAX 2 /* attempts of one request at the same time */
 #define BUDGET_BURST 10.0
-#define BACKOFF_FIRST_MS 4
-#define RATE_WINDOW_MS 100
-#define RATE_GAIN 0.2
-#define HEDGE_LEAST_MS 5.0
-/* Hedges need this share of the granted slots to be free. */
-#define HEDGE_FREE_SHARE 0.25
 /* Refused work is offered again after at least this time. */
 #define RETRY_AFTER_LEAST_MS 200
 /* A link budget holds at most this much unused time. */
 #define LINK_BURST_S 0.25
 
-typedef enum {
-    REQUEST_FREE,
-    REQUEST_QUEUED,
-    REQUEST_RUNNING,
-    REQUEST_BACKOFF,
-} request_state_t;
-
-typedef struct {
-    uint32_t generation;
-    request_state_t state;
-    nm_route_arrival_t arrival;
-    nm_ms_t arrived_ms;
-    nm_ms_t retry_at_ms;
-    uint32_t attempt_count;
-    nm_attempt_t live[LIVE_MAX];
-    int32_t last_target;
-    bool hedged;
-    nm_verdict_t verdict; /* worst case of the attempts so far */
-    uint32_t next;        /* in the service's queue, or the free list */
-    uint32_t active_position;
-} request_t;
-
-typedef struct {
-    uint32_t generation;
-    nm_request_t request; /* 0: the request ended first */
-    uint32_t service;
-    int32_t target;
-    nm_ms_t sent_ms;
-    nm_ms_t limit_ms; /* when the executor has given up the request */
-    bool timed_out;
-    bool in_use;
-    uint32_t next_free;
-    uint32_t active_position;
-} attempt_t;
-
-typedef struct {
-    nm_route_service_t limits;
-    nm_target_group_t group;
-    uint32_t queue_head;
-    uint32_t queue_tail;
-    uint32_t queued;
-    uint32_t in_flight;
-    nm_budget_t retries;
-    nm_budget_t hedges;
-    nm_histogram_t latency;
-    double latency_p50_ms;
-    double latency_p95_ms;
-    double done_per_ms; /* smoothed completions */
-    uint32_t done_in_window;
-    uint32_t refused_in_window;
-    double demand;
-} service_t;
-
-/* Indexes of the slots of a pool that are in use, in any order. */
-typedef struct {
-    uint32_t *items;
-    uint32_t count;
-} active_t;
-
-struct nm_route_state {
-    nm_route_policy_t policy;
-    nm_rng_t rng;
-    bool stopping;
-    request_t *requests;
-    uint32_t request_count;
-    uint32_t free_request;
-    active_t active_requests;
-    attempt_t *attempts;
-    uint32_t attempt_count;
-    uint32_t free_attempt;
-    active_t active_attempts;
-    service_t *services;
-    uint32_t service_count;
-    nm_target_table_t table;
-    nm_target_group_t peers_same;
-    nm_target_group_t peers_other;
-    nm_budget_t link_bytes;
-    double link_bytes_per_ms;
-    nm_ms_t window_start_ms;
-    nm_ms_t last_tick_ms;
-    GQueue actions; /* of nm_route_action_t */
-};
-
-typedef struct nm_route_state state_t;
-
-/* Pools and handles */
-
-static uint64_t
-make_handle(uint32_t index, uint32_t generation)
-{
-    return ((uint64_t)generation << 32) | (index + 1);
-}
-
-static uint32_t
-handle_index(uint64_t handle)
-{
-    return (uint32_t)handle - 1;
-}
-
-static request_t *
-find_request(state_t *state, nm_request_t handle)
-{
-    uint32_t index = handle_index(handle);
-    if (handle == 0 || index >= state->request_count) {
-        return NULL;
-    }
-    request_t *request = &state->requests[index];
-    bool current = request->generation == (uint32_t)(handle >> 32);
-    return current && request->state != REQUEST_FREE ? request : NULL;
-}
-
-static attempt_t *
-find_attempt(const state_t *state, nm_attempt_t handle)
-{
-    uint32_t index = handle_index(handle);
-    if (handle == 0 || index >= state->attempt_count) {
-        return NULL;
-    }
-    attempt_t *attempt = &state->attempts[index];
-    bool current = attempt->generation == (uint32_t)(handle >> 32);
-    return current && attempt->in_use ? attempt : NULL;
-}
-
-static nm_request_t
-request_handle(const state_t *state, const request_t *request)
-{
-    return make_handle((uint32_t)(request - state->requests),
-                       request->generation);
-}
-
-static nm_attempt_t
-attempt_handle(const state_t *state, const attempt_t *attempt)
-{
-    return make_handle((uint32_t)(attempt - state->attempts),
-                       attempt->generation);
-}
-
-static request_t *
-take_request(state_t *state)
-{
-    uint32_t index = state->free_request;
-    if (index == NO_INDEX) {
-        return NULL;
-    }
-    request_t *request = &state->requests[index];
-    state->free_request = request->next;
-    uint32_t generation = request->generation + 1;
-    *request = (request_t){
-        .generation = generation,
-        .last_target = -1,
-        .verdict = NM_VERDICT_NOT_RUN,
-        .next = NO_INDEX,
-        .active_position = state->active_requests.count,
-    };
-    state->active_requests.items[state->active_requests.count++] = index;
-    return request;
-}
-
-static void
-free_request(state_t *state, request_t *request)
-{
-    active_t *active = &state->active_requests;
-    uint32_t last = active->items[--active->count];
-    active->items[request->active_position] = last;
-    state->requests[last].active_position = request->active_position;
-    request->state = REQUEST_FREE;
-    request->next = state->free_request;
-    state->free_request = (uint32_t)(request - state->requests);
-}
-
-static attempt_t *
-take_attempt(state_t *state)
-{
-    uint32_t index = state->free_attempt;
-    if (index == NO_INDEX) {
-        return NULL;
-    }
-    attempt_t *attempt = &state->attempts[index];
-    state->free_attempt = attempt->next_free;
-    uint32_t generation = attempt->generation + 1;
-    *attempt = (attempt_t){
-        .generation = generation,
-        .in_use = true,
-        .active_position = state->active_attempts.count,
-    };
-    state->active_attempts.items[state->active_attempts.count++] = index;
-    return attempt;
-}
-
-static void
-free_attempt(state_t *state, attempt_t *attempt)
-{
-    active_t *active = &state->active_attempts;
-    uint32_t last = active->items[--active->count];
-    active->items[attempt->active_position] = last;
-    state->attempts[last].active_position = attempt->active_position;
-    attempt->in_use = false;
-    attempt->next_free = state->free_attempt;
-    state->free_attempt = (uint32_t)(attempt - state->attempts);
-}
-
 /* Actions */
 
-static nm_route_action_t *
-push_action(state_t *state, nm_route_action_type_t type)
+nm_route_action_t *
+nm_route_push_action(state_t *state, nm_route_action_type_t type)
 {
     nm_route_action_t *action = g_new0(nm_route_action_t, 1);
     action->type = type;
@@ -238,13 +23,12 @@
 }
 
 static nm_ms_t
-retry_after(const state_t *state, const service_t *service)
+retry_after(const service_t *service)
 {
     nm_ms_t wait_ms = RETRY_AFTER_LEAST_MS;
     if (service && service->done_per_ms > 0) {
         wait_ms += (nm_ms_t)(service->queued / service->done_per_ms);
     }
-    (void)state;
     return wait_ms;
 }
 
@@ -253,7 +37,7 @@
 detach_attempts(state_t *state, request_t *request)
 {
     for (int i = 0; i < LIVE_MAX; i++) {
-        attempt_t *attempt = find_attempt(state, request->live[i]);
+        attempt_t *attempt = nm_route_find_attempt(state, request->live[i]);
         if (attempt) {
             attempt->request = 0;
         }
@@ -263,23 +47,23 @@
 
 static void unlink_queued(state_t *state, request_t *request);
 
-static void
-refuse(state_t *state, request_t *request, nm_reason_t reason)
+void
+nm_route_refuse(state_t *state, request_t *request, nm_reason_t reason)
 {
     service_t *service = &state->services[request->arrival.service];
     if (request->state == REQUEST_QUEUED) {
         unlink_queued(state, request);
     }
-    nm_route_action_t *action = push_action(state, NM_ROUTE_REFUSE);
-    action->request = request_handle(state, request);
+    nm_route_action_t *action = nm_route_push_action(state, NM_ROUTE_REFUSE);
+    action->request = nm_route_request_handle(state, request);
     action->user = request->arrival.user;
     action->reason = reason;
     action->verdict = request->verdict;
-    action->retry_after_ms = retry_after(state, service);
+    action->retry_after_ms = retry_after(service);
     nm_count_reason(reason);
     service->refused_in_window++;
     detach_attempts(state, request);
-    free_request(state, request);
+    nm_route_free_request(state, request);
 }
 
 static void
@@ -290,14 +74,14 @@
             request->live[i] = 0;
         }
     }
-    nm_route_action_t *action = push_action(state, NM_ROUTE_ANSWER);
-    action->request = request_handle(state, request);
+    nm_route_action_t *action = nm_route_push_action(state, NM_ROUTE_ANSWER);
+    action->request = nm_route_request_handle(state, request);
     action->attempt = handle;
     action->user = request->arrival.user;
     action->verdict = NM_VERDICT_RAN;
     nm_count(NM_COUNTER_ANSWERS, 1);
     detach_attempts(state, request);
-    free_request(state, request);
+    nm_route_free_request(state, request);
 }
 
 /* Queues */
@@ -349,14 +133,14 @@
 send_attempt(state_t *state, request_t *request, int32_t target_index,
              nm_ms_t now_ms)
 {
-    attempt_t *attempt = take_attempt(state);
+    attempt_t *attempt = nm_route_take_attempt(state);
     if (!attempt) {
         return false;
     }
     service_t *service = &state->services[request->arrival.service];
     nm_target_t *target = &state->table.targets[target_index];
     nm_ms_t left_ms = request->arrival.deadline_ms - now_ms;
-    attempt->request = request_handle(state, request);
+    attempt->request = nm_route_request_handle(state, request);
     attempt->service = request->arrival.service;
     attempt->target = target_index;
     attempt->sent_ms = now_ms;
@@ -369,7 +153,7 @@
     service->in_flight += target->desc.type == NM_TARGET_EXECUTOR;
     for (int i = 0; i < LIVE_MAX; i++) {
         if (request->live[i] == 0) {
-            request->live[i] = attempt_handle(state, attempt);
+            request->live[i] = nm_route_attempt_handle(state, attempt);
             break;
         }
     }
@@ -377,9 +161,9 @@
     request->last_target = target_index;
     request->state = REQUEST_RUNNING;
 
-    nm_route_action_t *action = push_action(state, NM_ROUTE_SEND);
+    nm_route_action_t *action = nm_route_push_action(state, NM_ROUTE_SEND);
     action->request = attempt->request;
-    action->attempt = attempt_handle(state, attempt);
+    action->attempt = nm_route_attempt_handle(state, attempt);
     action->user = request->arrival.user;
     action->target_id = target->desc.id;
     action->target_type = target->desc.type;
@@ -389,8 +173,8 @@
     return true;
 }
 
-static bool
-send_to_executor(state_t *state, request_t *request, nm_ms_t now_ms)
+bool
+nm_route_send_to_executor(state_t *state, request_t *request, nm_ms_t now_ms)
 {
     service_t *service = &state->services[request->arrival.service];
     int32_t target =
@@ -400,8 +184,9 @@
 }
 
 /* Hands a request to another data centre, the own region first. */
-static bool
-forward(state_t *state, request_t *request, nm_reason_t *why, nm_ms_t now_ms)
+bool
+nm_route_forward(state_t *state, request_t *request, nm_reason_t *why,
+                 nm_ms_t now_ms)
 {
     if (request->arrival.forwarded) {
         *why = NM_REASON_HOP_LIMIT;
@@ -427,8 +212,9 @@
     return send_attempt(state, request, target, now_ms);
 }
 
-static uint32_t
-granted_slots(const state_t *state, const service_t *service, nm_ms_t now_ms)
+uint32_t
+nm_route_granted_slots(const state_t *state, const service_t *service,
+                       nm_ms_t now_ms)
 {
     uint32_t granted = 0;
     for (uint32_t i = 0; i < service->group.count; i++) {
@@ -453,30 +239,30 @@
     return (service->queued + 1) / service->done_per_ms;
 }
 
-static bool
-can_be_in_time(const service_t *service, const request_t *request,
-               double wait_ms, nm_ms_t now_ms)
+bool
+nm_route_can_be_in_time(const service_t *service, const request_t *request,
+                        double wait_ms, nm_ms_t now_ms)
 {
     double left_ms = (double)(request->arrival.deadline_ms - now_ms);
     return wait_ms + service->latency_p50_ms < left_ms;
 }
 
 /* Sends queued requests while slots are free. */
-static void
-drain_queue(state_t *state, service_t *service, nm_ms_t now_ms)
+void
+nm_route_drain_queue(state_t *state, service_t *service, nm_ms_t now_ms)
 {
     while (service->queued > 0) {
         request_t *request = &state->requests[service->queue_head];
         if (now_ms >= request->arrival.deadline_ms) {
-            refuse(state, request, NM_REASON_EXPIRED);
+            nm_route_refuse(state, request, NM_REASON_EXPIRED);
             continue;
         }
-        if (!can_be_in_time(service, request, 0, now_ms)) {
-            refuse(state, request, NM_REASON_TOO_LATE);
+        if (!nm_route_can_be_in_time(service, request, 0, now_ms)) {
+            nm_route_refuse(state, request, NM_REASON_TOO_LATE);
             continue;
         }
         unlink_queued(state, request);
-        if (!send_to_executor(state, request, now_ms)) {
+        if (!nm_route_send_to_executor(state, request, now_ms)) {
             /* Back to the front: its place in the order is kept. */
             request->next =
                 service->queued > 0 ? service->queue_head : NO_INDEX;
@@ -492,32 +278,34 @@
 }
 
 /* Places a request that has no attempt under way. */
-static void
-place(state_t *state, request_t *request, nm_ms_t now_ms)
+void
+nm_route_place(state_t *state, request_t *request, nm_ms_t now_ms)
 {
     service_t *service = &state->services[request->arrival.service];
-    if (service->queued == 0 && send_to_executor(state, request, now_ms)) {
+    if (service->queued == 0 &&
+        nm_route_send_to_executor(state, request, now_ms)) {
         return;
     }
     nm_reason_t why = NM_REASON_NONE;
     if (service->group.count == 0) {
         why = NM_REASON_NO_EXECUTOR;
     }
-    else if (granted_slots(state, service, now_ms) == 0) {
+    else if (nm_route_granted_slots(state, service, now_ms) == 0) {
         why = NM_REASON_NO_GRANT;
     }
     else if (service->queued >= service->limits.queue_limit) {
         why = NM_REASON_QUEUE_FULL;
     }
-    else if (!can_be_in_time(service, request, expected_wait_ms(service),
-                             now_ms)) {
+    else if (!nm_route_can_be_in_time(service, request,
+                                      expected_wait_ms(service), now_ms))
+    {
         why = NM_REASON_TOO_LATE;
     }
     if (why == NM_REASON_NONE) {
         enqueue(state, request);
     }
-    else if (!forward(state, request, &why, now_ms)) {
-        refuse(state, request, why);
+    else if (!nm_route_forward(state, request, &why, now_ms)) {
+        nm_route_refuse(state, request, why);
     }
 }
 
@@ -571,15 +359,15 @@
 }
 
 /* Plans one more attempt; returns false if none is allowed. */
-static bool
-plan_retry(state_t *state, request_t *request, nm_reason_t reason,
-           nm_ms_t now_ms)
+bool
+nm_route_plan_retry(state_t *state, request_t *request, nm_reason_t reason,
+                    nm_ms_t now_ms)
 {
     service_t *service = &state->services[request->arrival.service];
     bool may_repeat =
         request->verdict == NM_VERDICT_NOT_RUN || request->arrival.idempotent;
     if (!may_repeat || request->attempt_count >= NM_ROUTE_ATTEMPTS_MAX ||
-        !can_be_in_time(service, request, 0, now_ms))
+        !nm_route_can_be_in_time(service, request, 0, now_ms))
     {
         return false;
     }
@@ -599,8 +387,8 @@
     return true;
 }
 
-static void
-release_target(state_t *state, attempt_t *attempt)
+void
+nm_route_release_target(state_t *state, attempt_t *attempt)
 {
     nm_target_t *target = &state->table.targets[attempt->target];
     assert(target->in_flight > 0);
@@ -610,8 +398,8 @@
     }
 }
 
-static nm_target_group_t *
-group_of(state_t *state, const attempt_t *attempt)
+nm_target_group_t *
+nm_route_group_of(state_t *state, const attempt_t *attempt)
 {
     switch (state->table.targets[attempt->target].desc.type) {
     case NM_TARGET_PEER_SAME_REGION:
@@ -640,8 +428,8 @@
         bool at_once = outcome == NM_OUTCOME_REFUSED ||
                        (outcome == NM_OUTCOME_NOT_RUN &&
                         target->desc.type == NM_TARGET_EXECUTOR);
-        nm_target_failed(&state->table, group_of(state, attempt), target,
-                         at_once, now_ms);
+        nm_target_failed(&state->table, nm_route_group_of(state, attempt),
+                         target, at_once, now_ms);
         return;
     }
     nm_ms_t latency_ms = now_ms - attempt->sent_ms;
@@ -662,8 +450,8 @@
     }
 }
 
-static bool
-has_live(const request_t *request)
+bool
+nm_route_has_live(const request_t *request)
 {
     return request->live[0] != 0 || request->live[1] != 0;
 }
@@ -676,8 +464,8 @@
     if (verdict != NM_VERDICT_NOT_RUN && request->verdict != NM_VERDICT_RAN) {
         request->verdict = verdict;
     }
-    if (has_live(request) ||
-        plan_retry(state, request, retry_reason(outcome), now_ms))
+    if (nm_route_has_live(request) ||
+        nm_route_plan_retry(state, request, retry_reason(outcome), now_ms))
     {
         return;
     }
@@ -687,7 +475,7 @@
     }
     nm_reason_t reason = final_reason(outcome);
     if (request->verdict == NM_VERDICT_NOT_RUN &&
-        forward(state, request, &reason, now_ms))
+        nm_route_forward(state, request, &reason, now_ms))
     {
         return;
     }
@@ -696,7 +484,7 @@
     {
         reason = NM_REASON_UPSTREAM_RESET;
     }
-    refuse(state, request, reason);
+    nm_route_refuse(state, request, reason);
 }
 
 void
@@ -705,16 +493,16 @@
 {
     assert(route && route->state);
     state_t *state = route->state;
-    attempt_t *attempt = find_attempt(state, handle);
+    attempt_t *attempt = nm_route_find_attempt(state, handle);
     if (!attempt) {
         return;
     }
-    release_target(state, attempt);
+    nm_route_release_target(state, attempt);
     record_outcome(state, attempt, outcome, now_ms);
-    request_t *request = find_request(state, attempt->request);
+    request_t *request = nm_route_find_request(state, attempt->request);
     bool late = attempt->timed_out;
     uint32_t service = attempt->service;
-    free_attempt(state, attempt);
+    nm_route_free_attempt(state, attempt);
     if (request) {
         forget_live(request, handle);
         if (outcome == NM_OUTCOME_ANSWERED) {
@@ -727,7 +515,7 @@
             settle_failure(state, request, handle, outcome, now_ms);
         }
     }
-    drain_queue(state, &state->services[service], now_ms);
+    nm_route_drain_queue(state, &state->services[service], now_ms);
 }
 
 /* Interface */
@@ -822,7 +610,7 @@
     target->desc = *desc;
     target->named = true;
     if (desc->type == NM_TARGET_EXECUTOR) {
-        drain_queue(state, &state->services[desc->service], now_ms);
+        nm_route_drain_queue(state, &state->services[desc->service], now_ms);
     }
 }
 
@@ -864,7 +652,7 @@
     state_t *state = route->state;
     assert(arrival->service < state->service_count);
     *handle = 0;
-    request_t *request = take_request(state);
+    request_t *request = nm_route_take_request(state);
     if (!request) {
         nm_count_reason(NM_REASON_QUEUE_FULL);
         return NM_ERR_FULL;
@@ -877,15 +665,15 @@
     if (arrival->deadline_ms == 0 || arrival->deadline_ms > longest_ms) {
         request->arrival.deadline_ms = longest_ms;
     }
-    *handle = request_handle(state, request);
+    *handle = nm_route_request_handle(state, request);
     nm_count(NM_COUNTER_REQUESTS, 1);
     if (state->stopping) {
-        refuse(state, request, NM_REASON_STOPPING);
+        nm_route_refuse(state, request, NM_REASON_STOPPING);
         return NM_OK;
     }
     nm_budget_add(&service->retries, service->limits.retry_budget_pct / 100.0);
     nm_budget_add(&service->hedges, service->limits.hedge_budget_pct / 100.0);
-    place(state, request, now_ms);
+    nm_route_place(state, request, now_ms);
     return NM_OK;
 }
 
@@ -894,175 +682,9 @@
 {
     assert(route);
     (void)now_ms;
-    request_t *request = find_request(route->state, handle);
+    request_t *request = nm_route_find_request(route->state, handle);
     if (request) {
-        refuse(route->state, request, NM_REASON_CALLER_GONE);
-    }
-}
-
-/* Time */
-
-static void
-expire_request(state_t *state, request_t *request)
-{
-    bool in_doubt = has_live(request);
-    if (in_doubt && request->verdict == NM_VERDICT_NOT_RUN) {
-        request->verdict = NM_VERDICT_UNKNOWN;
-    }
-    refuse(state, request,
-           request->verdict == NM_VERDICT_NOT_RUN
-               ? NM_REASON_EXPIRED
-               : NM_REASON_UPSTREAM_TIMEOUT);
-}
-
-static void
-retry_now(state_t *state, request_t *request, nm_ms_t now_ms)
-{
-    if (send_to_executor(state, request, now_ms)) {
-        return;
-    }
-    nm_reason_t why = NM_REASON_NO_EXECUTOR;
-    if (request->verdict == NM_VERDICT_NOT_RUN) {
-        place(state, request, now_ms);
-    }
-    else if (!forward(state, request, &why, now_ms)) {
-        /* Stays in backoff until a slot is free or the deadline passes. */
-        request->retry_at_ms = now_ms + BACKOFF_FIRST_MS;
-    }
-}
-
-static void
-hedge_if_slow(state_t *state, request_t *request, nm_ms_t now_ms)
-{
-    service_t *service = &state->services[request->arrival.service];
-    attempt_t *attempt = find_attempt(state, request->live[0]);
-    double after_ms = fmax(service->latency_p95_ms, HEDGE_LEAST_MS);
-    if (!attempt || request->hedged || request->live[1] ||
-        service->limits.hedge_budget_pct == 0 ||
-        service->latency_p95_ms <= 0 ||
-        (double)(now_ms - attempt->sent_ms) < after_ms ||
-        !can_be_in_time(service, request, 0, now_ms))
-    {
-        return;
-    }
-    double granted = granted_slots(state, service, now_ms);
-    if (service->queued > 0 ||
-        service->in_flight > granted * (1 - HEDGE_FREE_SHARE))
-    {
-        return;
-    }
-    request->hedged = true;
-    if (!nm_budget_take(&service->hedges, 1.0)) {
-        nm_count_reason(NM_REASON_HEDGE_NO_BUDGET);
-        return;
-    }
-    if (send_to_executor(state, request, now_ms)) {
-        nm_count_reason(NM_REASON_HEDGE);
-    }
-}
-
-/* Gives up waiting for a slow attempt, which keeps its slot. */
-static void
-expire_attempt(state_t *state, request_t *request, nm_ms_t now_ms)
-{
-    service_t *service = &state->services[request->arrival.service];
-    attempt_t *attempt = find_attempt(state, request->live[0]);
-    nm_ms_t limit_ms = service->limits.attempt_timeout_ms;
-    if (!attempt || limit_ms == 0 || attempt->timed_out || request->live[1] ||
-        now_ms - attempt->sent_ms < limit_ms)
-    {
-        return;
-    }
-    attempt->timed_out = true;
-    if (request->verdict == NM_VERDICT_NOT_RUN) {
-        request->verdict = NM_VERDICT_UNKNOWN;
-    }
-    nm_target_failed(&state->table, group_of(state, attempt),
-                     &state->table.targets[attempt->target], false, now_ms);
-    plan_retry(state, request, NM_REASON_RETRY_TIMEOUT, now_ms);
-}
-
-static void
-tick_request(state_t *state, request_t *request, nm_ms_t now_ms)
-{
-    if (now_ms >= request->arrival.deadline_ms) {
-        expire_request(state, request);
-    }
-    else if (request->state == REQUEST_BACKOFF) {
-        if (now_ms >= request->retry_at_ms) {
-            retry_now(state, request, now_ms);
-        }
-    }
-    else if (request->state == REQUEST_RUNNING && request->arrival.idempotent)
-    {
-        expire_attempt(state, request, now_ms);
-        if (request->state == REQUEST_RUNNING) {
-            hedge_if_slow(state, request, now_ms);
-        }
-    }
-}
-
-static void
-tick_attempts(state_t *state, nm_ms_t now_ms)
-{
-    active_t *active = &state->active_attempts;
-    for (uint32_t i = active->count; i-- > 0;) {
-        attempt_t *attempt = &state->attempts[active->items[i]];
-        if (now_ms < attempt->limit_ms) {
-            continue;
-        }
-        nm_route_action_t *action = push_action(state, NM_ROUTE_CLOSE);
-        action->attempt = attempt_handle(state, attempt);
-        release_target(state, attempt);
-        nm_target_failed(&state->table, group_of(state, attempt),
-                         &state->table.targets[attempt->target], false,
-                         now_ms);
-        free_attempt(state, attempt);
-    }
-}
-
-static void
-update_rates(state_t *state, nm_ms_t now_ms)
-{
-    double elapsed_ms = (double)(now_ms - state->window_start_ms);
-    state->window_start_ms = now_ms;
-    for (uint32_t i = 0; i < state->service_count; i++) {
-        service_t *service = &state->services[i];
-        double rate = service->done_in_window / elapsed_ms;
-        service->done_per_ms += (rate - service->done_per_ms) * RATE_GAIN;
-        double wanted =
-            service->in_flight + service->queued + service->refused_in_window;
-        double gain = wanted > service->demand ? 0.5 : 0.05;
-        service->demand += (wanted - service->demand) * gain;
-        service->done_in_window = 0;
-        service->refused_in_window = 0;
-        service->latency_p50_ms =
-            nm_histogram_quantile(&service->latency, 0.5);
-        service->latency_p95_ms =
-            nm_histogram_quantile(&service->latency, 0.95);
-    }
-}
-
-void
-nm_route_tick(nm_route_t *route, nm_ms_t now_ms)
-{
-    assert(route);
-    state_t *state = route->state;
-    nm_budget_add(&state->link_bytes,
-                  state->link_bytes_per_ms *
-                      (double)(now_ms - state->last_tick_ms));
-    state->last_tick_ms = now_ms;
-    /* Backwards, because ending a request moves the last one here. */
-    for (uint32_t i = state->active_requests.count; i-- > 0;) {
-        uint32_t index = state->active_requests.items[i];
-        tick_request(state, &state->requests[index], now_ms);
-    }
-    tick_attempts(state, now_ms);
-    if (now_ms - state->window_start_ms >= RATE_WINDOW_MS) {
-        update_rates(state, now_ms);
-    }
-    for (uint32_t i = 0; i < state->service_count; i++) {
-        drain_queue(state, &state->services[i], now_ms);
+        nm_route_refuse(route->state, request, NM_REASON_CALLER_GONE);
     }
 }
 
@@ -1083,7 +705,7 @@
 nm_route_may_send(const nm_route_t *route, nm_attempt_t handle, nm_ms_t now_ms)
 {
     assert(route);
-    const attempt_t *attempt = find_attempt(route->state, handle);
+    const attempt_t *attempt = nm_route_find_attempt(route->state, handle);
     if (!attempt) {
         return false;
     }
@@ -1100,8 +722,8 @@
         .queued = service->queued,
         .in_flight = service->in_flight,
         .demand = (uint32_t)ceil(service->demand),
-        .granted =
-            granted_slots(route->state, service, route->state->last_tick_ms),
+        .granted = nm_route_granted_slots(route->state, service,
+                                          route->state->last_tick_ms),
         .latency_p50_ms = service->latency_p50_ms,
         .latency_p95_ms = service->latency_p95_ms,
         .latency_p99_ms = nm_histogram_quantile(&service->latency, 0.99),
--- /dev/null
+++ b/src/route_state.h
@@ -0,0 +1,141 @@
+/*
+ * State shared by the parts of the route module.
+ *
+ * Internal.  route.c chooses, sends and ends attempts, route_pool.c holds
+ * requests and attempts under handles, route_time.c runs timeouts, backoffs
+ * and hedges.
+ */
+#ifndef NM_ROUTE_STATE_H
+#define NM_ROUTE_STATE_H
+
+#include <glib.h>
+
+#include <nutmegdeck/route.h>
+
+#include "budget.h"
+#include "histogram.h"
+#include "route_target.h"
+
+#define NO_INDEX UINT32_MAX
+#define LIVE_MAX 2 /* attempts of one request at the same time */
+#define BACKOFF_FIRST_MS 4
+
+typedef enum {
+    REQUEST_FREE,
+    REQUEST_QUEUED,
+    REQUEST_RUNNING,
+    REQUEST_BACKOFF,
+} request_state_t;
+
+typedef struct {
+    uint32_t generation;
+    request_state_t state;
+    nm_route_arrival_t arrival;
+    nm_ms_t arrived_ms;
+    nm_ms_t retry_at_ms;
+    uint32_t attempt_count;
+    nm_attempt_t live[LIVE_MAX];
+    int32_t last_target;
+    bool hedged;
+    nm_verdict_t verdict; /* worst case of the attempts so far */
+    uint32_t next;        /* in the service's queue, or the free list */
+    uint32_t active_position;
+} request_t;
+
+typedef struct {
+    uint32_t generation;
+    nm_request_t request; /* 0: the request ended first */
+    uint32_t service;
+    int32_t target;
+    nm_ms_t sent_ms;
+    nm_ms_t limit_ms; /* when the executor has given up the request */
+    bool timed_out;
+    bool in_use;
+    uint32_t next_free;
+    uint32_t active_position;
+} attempt_t;
+
+typedef struct {
+    nm_route_service_t limits;
+    nm_target_group_t group;
+    uint32_t queue_head;
+    uint32_t queue_tail;
+    uint32_t queued;
+    uint32_t in_flight;
+    nm_budget_t retries;
+    nm_budget_t hedges;
+    nm_histogram_t latency;
+    double latency_p50_ms;
+    double latency_p95_ms;
+    double done_per_ms; /* smoothed completions */
+    uint32_t done_in_window;
+    uint32_t refused_in_window;
+    double demand;
+} service_t;
+
+/* Indexes of the slots of a pool that are in use, in any order. */
+typedef struct {
+    uint32_t *items;
+    uint32_t count;
+} active_t;
+
+struct nm_route_state {
+    nm_route_policy_t policy;
+    nm_rng_t rng;
+    bool stopping;
+    request_t *requests;
+    uint32_t request_count;
+    uint32_t free_request;
+    active_t active_requests;
+    attempt_t *attempts;
+    uint32_t attempt_count;
+    uint32_t free_attempt;
+    active_t active_attempts;
+    service_t *services;
+    uint32_t service_count;
+    nm_target_table_t table;
+    nm_target_group_t peers_same;
+    nm_target_group_t peers_other;
+    nm_budget_t link_bytes;
+    double link_bytes_per_ms;
+    nm_ms_t window_start_ms;
+    nm_ms_t last_tick_ms;
+    GQueue actions; /* of nm_route_action_t */
+};
+
+typedef struct nm_route_state state_t;
+
+/* Pools */
+request_t *nm_route_find_request(state_t *state, nm_request_t handle);
+attempt_t *nm_route_find_attempt(const state_t *state, nm_attempt_t handle);
+nm_request_t nm_route_request_handle(const state_t *state,
+                                     const request_t *request);
+nm_attempt_t nm_route_attempt_handle(const state_t *state,
+                                     const attempt_t *attempt);
+request_t *nm_route_take_request(state_t *state);
+void nm_route_free_request(state_t *state, request_t *request);
+attempt_t *nm_route_take_attempt(state_t *state);
+void nm_route_free_attempt(state_t *state, attempt_t *attempt);
+
+/* Steps that the parts share */
+nm_route_action_t *nm_route_push_action(state_t *state,
+                                        nm_route_action_type_t type);
+void nm_route_refuse(state_t *state, request_t *request, nm_reason_t reason);
+bool nm_route_send_to_executor(state_t *state, request_t *request,
+                               nm_ms_t now_ms);
+bool nm_route_forward(state_t *state, request_t *request, nm_reason_t *why,
+                      nm_ms_t now_ms);
+uint32_t nm_route_granted_slots(const state_t *state, const service_t *service,
+                                nm_ms_t now_ms);
+bool nm_route_can_be_in_time(const service_t *service,
+                             const request_t *request, double wait_ms,
+                             nm_ms_t now_ms);
+void nm_route_drain_queue(state_t *state, service_t *service, nm_ms_t now_ms);
+void nm_route_place(state_t *state, request_t *request, nm_ms_t now_ms);
+bool nm_route_plan_retry(state_t *state, request_t *request,
+                         nm_reason_t reason, nm_ms_t now_ms);
+void nm_route_release_target(state_t *state, attempt_t *attempt);
+nm_target_group_t *nm_route_group_of(state_t *state, const attempt_t *attempt);
+bool nm_route_has_live(const request_t *request);
+
+#endif
--- /dev/null
+++ b/src/shard_owner.c
@@ -0,0 +1,334 @@
+#include "shard_state.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* A majority is counted at most this often. */
+#define AUTHORITY_CHECK_MS 20
+/* Workers that left the list still count for the majority this long. */
+#define REMOVED_COUNTS_MS (NM_SHARD_AUTHORITY_MS + NM_SHARD_LEASE_MS)
+
+static const char *const phase_names[] = {"follower", "fencing", "loading",
+                                          "active"};
+
+const char *
+nm_shard_phase_name(nm_shard_phase_t phase)
+{
+    return phase_names[phase];
+}
+
+static void
+become_follower(nm_shard_state_t *state)
+{
+    if (state->phase != NM_SHARD_FOLLOWER) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_LOST, "{s:I}", "epoch",
+               (json_int_t)state->epoch);
+    }
+    state->phase = NM_SHARD_FOLLOWER;
+}
+
+/* Forgets every assignment; the workers' reports bring them back. */
+static void
+forget_assignments(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    for (uint32_t j = 0; j < state->jobs->len; j++) {
+        nm_job_t *job = state->jobs->pdata[j];
+        g_queue_clear(&job->waiting);
+        job->accepted_recorded = false;
+        job->accepted_unix_s = 0;
+        for (uint32_t i = 0; i < job->desc.tasks; i++) {
+            nm_task_t *task = &job->tasks[i];
+            nm_shard_unassign(state, j, i, now_ms);
+            task->queued = false;
+            task->in_record = false;
+            task->dirty = false;
+            task->attempt = 0;
+            task->ended_attempt = 0;
+            nm_shard_set_task_state(job, i, NM_TASK_HELD);
+        }
+        job->in_record = false;
+        job->dirty = false;
+    }
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        nm_pw_t *worker = state->workers->pdata[i];
+        g_array_set_size(worker->starts, 0);
+        g_array_set_size(worker->stops, 0);
+        g_array_set_size(worker->throttles, 0);
+        g_array_set_size(worker->acks, 0);
+        nm_shard_release_foreign(state, worker, NULL, now_ms);
+        worker->outstanding = false;
+        worker->acked_epoch = 0;
+        worker->reported_ms = 0;
+        worker->clock_ms = 0;
+        worker->lapsed = false;
+        worker->due_ms = now_ms;
+        nm_place_close_worker(&state->place, worker->place, true);
+    }
+    state->record_taken = false;
+    g_hash_table_remove_all(state->orphans);
+}
+
+void
+nm_shard_campaign(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    forget_assignments(state, now_ms);
+    state->epoch = ++state->seen_epoch;
+    state->authority_checked_ms = 0;
+    state->authority_until_ms = 0;
+    state->previous_epoch = 0;
+    state->phase = NM_SHARD_FENCING;
+    state->settled = false;
+    state->attempt_count = 0;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
+           (json_int_t)state->epoch);
+}
+
+void
+nm_shard_resign(nm_shard_t *shard)
+{
+    assert(shard);
+    become_follower(shard->state);
+}
+
+void
+nm_shard_saw_epoch(nm_shard_t *shard, int64_t epoch)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (epoch > state->seen_epoch) {
+        state->seen_epoch = epoch;
+    }
+}
+
+static bool
+counts_for_majority(const nm_pw_t *worker, nm_ms_t now_ms)
+{
+    return !worker->removed || now_ms - worker->removed_ms < REMOVED_COUNTS_MS;
+}
+
+static int
+compare_times(const void *a, const void *b)
+{
+    nm_ms_t x = *(const nm_ms_t *)a;
+    nm_ms_t y = *(const nm_ms_t *)b;
+    return (x < y) - (x > y);
+}
+
+/*
+ * Until when a majority's acknowledgements last.  Acknowledgements that
+ * came after the computation only make it longer, so an older result errs
+ * on the safe side.
+ */
+static void
+update_authority(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    state->authority_checked_ms = now_ms;
+    state->authority_until_ms = 0;
+    nm_ms_t *acked = g_new(nm_ms_t, state->workers->len + 1);
+    uint32_t members = 0;
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        if (!counts_for_majority(worker, now_ms)) {
+            continue;
+        }
+        members++;
+        if (worker->acked_epoch == state->epoch) {
+            acked[count++] = worker->acked_sent_ms;
+        }
+    }
+    uint32_t majority = members / 2 + 1;
+    if (members > 0 && count >= majority) {
+        qsort(acked, count, sizeof(acked[0]), compare_times);
+        state->authority_until_ms =
+            acked[majority - 1] + NM_SHARD_AUTHORITY_MS;
+    }
+    g_free(acked);
+}
+
+bool
+nm_shard_has_authority(const nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return false;
+    }
+    if (now_ms >= state->authority_checked_ms + AUTHORITY_CHECK_MS) {
+        update_authority(state, now_ms);
+    }
+    return now_ms < state->authority_until_ms;
+}
+
+bool
+nm_shard_all_reached(const nm_shard_state_t *state)
+{
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        if (!worker->removed && worker->acked_epoch != state->epoch) {
+            return false;
+        }
+    }
+    return state->workers->len > 0;
+}
+
+static void
+end_job_holds(nm_shard_state_t *state, nm_job_t *job)
+{
+    for (uint32_t i = 0; i < job->desc.tasks; i++) {
+        if (job->tasks[i].state == NM_TASK_HELD) {
+            nm_shard_set_task_state(job, i, NM_TASK_WAITING);
+            nm_shard_queue_task(state, job, i);
+        }
+    }
+}
+
+/* Outcomes reported before the journal was loaded were not judged. */
+static bool
+all_workers_judged(const nm_shard_state_t *state)
+{
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_pw_t *worker = state->workers->pdata[i];
+        if (!worker->removed && (worker->acked_epoch != state->epoch ||
+                                 worker->acked_sent_ms < state->active_ms))
+        {
+            return false;
+        }
+    }
+    return state->workers->len > 0;
+}
+
+void
+nm_shard_end_holds(nm_shard_state_t *state)
+{
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        end_job_holds(state, state->jobs->pdata[i]);
+    }
+}
+
+void
+nm_shard_journal_loaded(nm_shard_t *shard, nm_ms_t now_ms)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    if (state->phase != NM_SHARD_LOADING) {
+        return;
+    }
+    state->phase = NM_SHARD_ACTIVE;
+    state->changed = true;
+    state->active_ms = now_ms;
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        ((nm_pw_t *)state->workers->pdata[i])->due_ms = now_ms;
+    }
+    for (uint32_t i = 0; i < state->jobs->len; i++) {
+        nm_job_t *job = state->jobs->pdata[i];
+        nm_shard_apply_orphans(state, job);
+        if (job->accepted_unix_s == 0) {
+            /* No owner can have started a job that no journal accepted. */
+            end_job_holds(state, job);
+        }
+    }
+    nm_count(NM_COUNTER_TAKEOVERS, 1);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I}", "epoch",
+           (json_int_t)state->epoch);
+}
+
+/* Gives up the leases of workers that have been silent long enough. */
+static void
+lapse_workers(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    for (uint32_t w = 0; w < state->workers->len; w++) {
+        nm_pw_t *worker = state->workers->pdata[w];
+        if (worker->lapsed || worker->reported_ms == 0 ||
+            now_ms <
+                worker->reported_ms + NM_SHARD_LEASE_MS + NM_SHARD_MARGIN_MS)
+        {
+            continue;
+        }
+        worker->lapsed = true;
+        nm_place_close_worker(&state->place, worker->place, true);
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_LOST, "{s:s,s:i}", "address",
+               worker->desc.address, "tasks", (int)worker->tasks->len);
+        g_array_set_size(worker->starts, 0);
+        g_array_set_size(worker->stops, 0);
+        g_array_set_size(worker->throttles, 0);
+        nm_shard_release_foreign(state, worker, NULL, now_ms);
+        while (worker->tasks->len > 0) {
+            uint64_t key = g_array_index(worker->tasks, uint64_t, 0);
+            nm_job_t *job = state->jobs->pdata[key >> 32];
+            uint32_t index = (uint32_t)key;
+            nm_shard_unassign(state, (uint32_t)(key >> 32), index, now_ms);
+            nm_shard_requeue_task(state, job, index);
+            nm_count_reason(NM_REASON_LEASE_LAPSED);
+        }
+    }
+}
+
+static void
+apply_reactions(nm_shard_state_t *state)
+{
+    nm_reaction_t reaction;
+    while (nm_place_next_reaction(&state->place, &reaction)) {
+        if (reaction.task & NM_FOREIGN_KEY) {
+            /* It is told to stop already. */
+            continue;
+        }
+        uint32_t position = (uint32_t)(reaction.task >> 32);
+        uint32_t index = (uint32_t)reaction.task;
+        nm_job_t *job = state->jobs->pdata[position];
+        nm_task_t *task = &job->tasks[index];
+        if (task->state != NM_TASK_RUNNING) {
+            continue;
+        }
+        if (reaction.type == NM_REACTION_EVICT) {
+            nm_shard_stop_task(state, position, index, true, reaction.reason);
+            continue;
+        }
+        nm_pw_t *worker = state->workers->pdata[task->worker];
+        nm_throttle_t throttle = {
+            .name = {job->desc.id, index, task->attempt},
+            .percent = reaction.throttle_pct,
+        };
+        g_array_append_val(worker->throttles, throttle);
+        worker->urgent = true;
+        nm_count(NM_COUNTER_THROTTLES, 1);
+    }
+}
+
+void
+nm_shard_tick(nm_shard_t *shard, nm_ms_t now_ms, int64_t unix_s)
+{
+    assert(shard);
+    nm_shard_state_t *state = shard->state;
+    state->now_ms = now_ms;
+    state->unix_s = unix_s;
+    if (state->phase == NM_SHARD_FOLLOWER) {
+        return;
+    }
+    bool authority = nm_shard_has_authority(shard, now_ms);
+    if (state->phase == NM_SHARD_FENCING && authority) {
+        state->phase = NM_SHARD_LOADING;
+        state->settled_ms = now_ms + NM_SHARD_AUTHORITY_MS +
+                            NM_SHARD_LEASE_MS + NM_SHARD_MARGIN_MS;
+    }
+    if (state->phase != NM_SHARD_ACTIVE) {
+        return;
+    }
+    if (!state->settled &&
+        (all_workers_judged(state) || now_ms >= state->settled_ms))
+    {
+        state->settled = true;
+        nm_shard_end_holds(state);
+    }
+    lapse_workers(state, now_ms);
+    apply_reactions(state);
+    if (authority) {
+        nm_shard_schedule(state, now_ms);
+    }
+}
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -1,7 +1,8 @@
 /*
  * State shared by the parts of the shard module.
  *
- * Internal.  shard.c holds settings and ownership, shard_sync.c the
+ * Internal.  shard.c holds settings and tasks, shard_owner.c ownership,
+ * shard_sync.c the
  * exchange with workers, shard_schedule.c the queue, shard_journal.c the
  * records.
  */
@@ -202,6 +203,8 @@
 void nm_shard_mark_dirty(nm_job_t *job, uint32_t index);
 /* Puts tasks whose earlier attempt cannot run any more into the queue. */
 void nm_shard_end_holds(nm_shard_state_t *state);
+/* True if every listed worker acknowledged the own epoch. */
+bool nm_shard_all_reached(const nm_shard_state_t *state);
 void nm_shard_schedule(nm_shard_state_t *state, nm_ms_t now_ms);
 void nm_shard_apply_orphans(nm_shard_state_t *state, nm_job_t *job);
 
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -6,6 +6,8 @@
 
 #include <nutmegdeck/log.h>
 
+/* Large shards sync less often: one more millisecond for each worker. */
+#define SYNC_INTERVAL_MAX_MS 1000
 /* Least time between two syncs with one worker. */
 #define SYNC_GAP_MS 20
 /* Workers whose tasks of several jobs fail in a row are quarantined. */
@@ -45,6 +47,17 @@
     }
 }
 
+static nm_ms_t
+sync_interval(const nm_shard_state_t *state)
+{
+    nm_ms_t scaled_ms = state->workers->len;
+    if (scaled_ms > SYNC_INTERVAL_MAX_MS) {
+        scaled_ms = SYNC_INTERVAL_MAX_MS;
+    }
+    return scaled_ms > state->sync_interval_ms ? scaled_ms
+                                               : state->sync_interval_ms;
+}
+
 static const nm_sync_t *
 build_sync(nm_shard_state_t *state, nm_pw_t *worker, bool authority,
            nm_ms_t now_ms)
@@ -53,7 +66,7 @@
     worker->urgent = false;
     worker->sequence = ++state->sequence;
     worker->sent_ms = now_ms;
-    worker->due_ms = now_ms + state->sync_interval_ms;
+    worker->due_ms = now_ms + sync_interval(state);
     bool commands = authority && state->phase == NM_SHARD_ACTIVE &&
                     worker->acked_epoch == state->epoch;
     g_array_set_size(worker->sent_starts, 0);
--- a/tests/fakes/lib_worker.c
+++ b/tests/fakes/lib_worker.c
@@ -3,6 +3,8 @@
 /* A checkpoint's low bits are unique, the others the work done. */
 #define CHECKPOINT_BITS 24
 #define FAIL_AFTER_MS 50
+/* How often a task's use is part of a report. */
+#define USE_INTERVAL_MS 10000
 
 static const char *const event_names[] = {
     "start", "done", "failed", "checkpointed", "stopped", "lapsed", "acked"};
@@ -179,12 +181,14 @@
     worker->reports =
         g_renew(nm_task_report_t, worker->reports, worker->tasks->len + 1);
     for (uint32_t i = 0; i < worker->tasks->len; i++) {
-        const fake_task_t *task = task_at(worker, i);
+        fake_task_t *task = task_at(worker, i);
+        bool use = now_ms >= task->use_due_ms;
+        task->use_due_ms = use ? now_ms + USE_INTERVAL_MS : task->use_due_ms;
         worker->reports[i] = (nm_task_report_t){
             .name = task->name,
             .state = task->state,
             .checkpoint = task->checkpoint,
-            .use = task->amount,
+            .use = use ? task->amount : (nm_amount_t){0},
         };
     }
     *reply = (nm_sync_reply_t){
--- a/tests/fakes/lib_worker.h
+++ b/tests/fakes/lib_worker.h
@@ -36,10 +36,10 @@
     nm_report_state_t state;
     uint64_t checkpoint; /* started from, or written */
     nm_amount_t amount;
-    nm_ms_t run_ms;  /* work in the task */
-    nm_ms_t done_ms; /* work done so far */
-    uint8_t percent; /* processor share left by throttling */
-    uint32_t tag;    /* for the caller */
+    nm_ms_t run_ms;     /* work in the task */
+    nm_ms_t done_ms;    /* work done so far */
+    uint8_t percent;    /* processor share left by throttling */
+    nm_ms_t use_due_ms; /* when its use is reported next */
 } fake_task_t;
 
 struct fake_worker {
