--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Thin wrapper: each target does its own set-up on a fresh machine.
 
 PACKAGES = build-essential cmake pkg-config clang clang-format clang-tidy \
+	libclang-rt-14-dev \
 	curl libck-dev libzmq3-dev libprotobuf-c-dev libmicrohttpd-dev \
 	libcurl4-openssl-dev libglib2.0-dev liblog4c-dev libjansson-dev \
 	libxxhash-dev
@@ -47,7 +48,7 @@
 fuzz: deps
 	@cmake -S . -B build-fuzz -DNUTMEG_FUZZ=ON -DCMAKE_C_COMPILER=clang \
 	    >/dev/null
-	@$(MAKE) -s -C build-fuzz -j$(JOBS) >/dev/null
+	@$(MAKE) -s -C build-fuzz -j$(JOBS) fuzz_input >/dev/null
 	@tests/fuzz.sh build-fuzz
 
 lint: build
--- /dev/null
+++ b/tests/fuzz.sh
@@ -0,0 +1,9 @@
+#!/bin/bash
+# Runs the fuzz targets from the corpus with a fixed seed and number of
+# runs: tests/fuzz.sh BUILD [RUNS].
+cd "$(dirname "$0")/.." || exit 2
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+"$1/fuzz_input" -seed=1 -runs="${2:-60000}" -max_len=4096 -timeout=10 \
+    -print_final_stats=0 -verbosity=0 "$work" tests/corpus || exit 1
+echo "fuzz: ${2:-60000} runs without a fault"
--- /dev/null
+++ b/tests/fuzz_input.c
@@ -0,0 +1,115 @@
+/* Fuzz target for everything that reads input from outside. */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <nutmegdeck/settings.h>
+
+#include "../src/hosts.h"
+#include "../src/worker_json.h"
+#include "peer.pb-c.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void
+ignore(void *user, const char *section, const char *key, const char *why)
+{
+    (void)user;
+    (void)section;
+    (void)key;
+    (void)why;
+}
+
+static void
+fuzz_declarations(const char *text, size_t size)
+{
+    nm_settings_t settings;
+    nm_settings_init(&settings);
+    if (nm_settings_parse(&settings, text, size, ignore, NULL) == NM_OK &&
+        nm_settings_check(&settings, ignore, NULL) == 0)
+    {
+        nm_settings_t empty;
+        nm_settings_init(&empty);
+        json_t *delta = nm_settings_diff(&empty, &settings);
+        /* What the checks accept must also install. */
+        if (nm_settings_apply(&empty, delta, 1) != NM_OK) {
+            __builtin_trap();
+        }
+        json_decref(delta);
+        nm_settings_finish(&empty);
+    }
+    nm_settings_finish(&settings);
+}
+
+static void
+fuzz_store_value(const char *text, size_t size)
+{
+    json_t *delta = json_loadb(text, size, 0, NULL);
+    nm_settings_t settings;
+    nm_settings_init(&settings);
+    if (nm_settings_apply(&settings, delta, 1) == NM_OK) {
+        const char *path;
+        json_t *section;
+        json_object_foreach(settings.sections, path, section)
+        {
+            nm_settings_kind(&settings, path);
+            nm_settings_home(&settings, path);
+            nm_settings_int(&settings, path, NM_KEY_TIMEOUT_MS);
+        }
+    }
+    nm_settings_finish(&settings);
+    json_decref(delta);
+}
+
+static void
+fuzz_peer_message(const uint8_t *data, size_t size)
+{
+    NmPb__PeerMessage *message = nm_pb__peer_message__unpack(NULL, size, data);
+    if (message) {
+        nm_pb__peer_message__free_unpacked(message, NULL);
+    }
+    NmPb__ShardRecord *record = nm_pb__shard_record__unpack(NULL, size, data);
+    if (record) {
+        nm_pb__shard_record__free_unpacked(record, NULL);
+    }
+}
+
+static void
+fuzz_worker(const char *text, size_t size)
+{
+    json_t *json = json_loadb(text, size, 0, NULL);
+    nm_worker_reply_t reply;
+    nm_worker_reply_decode(json, &reply);
+    nm_worker_reply_finish(&reply);
+    nm_worker_sync_t sync;
+    nm_worker_sync_decode(json, &sync);
+    nm_worker_sync_finish(&sync);
+    json_decref(json);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    if (size < 1) {
+        return 0;
+    }
+    const char *text = (const char *)data + 1;
+    size_t length = size - 1;
+    switch (data[0] % 5) {
+    case 0:
+        fuzz_declarations(text, length);
+        break;
+    case 1:
+        fuzz_store_value(text, length);
+        break;
+    case 2:
+        fuzz_peer_message(data + 1, length);
+        break;
+    case 3:
+        fuzz_worker(text, length);
+        break;
+    default:
+        nm_host_list_free(nm_host_list_parse(text, length));
+    }
+    return 0;
+}
