--- a/daemons/nutmegctl.c
+++ b/daemons/nutmegctl.c
@@ -13,7 +13,8 @@
 #include <nutmegdeck/journal.h>
 #include <nutmegdeck/settings.h>
 
-#define SETTINGS_PREFIX "nutmegdeck/settings"
+#include "../src/settings_feed.h"
+
 #define WAIT_STEP_MS 200
 #define STATUS_TIMEOUT_MS 2000L
 /* 40 characters and the terminator. */
@@ -83,7 +84,7 @@
     }
     nm_store_t *store = nm_store_etcd_init(
         &session->store, &(nm_store_etcd_desc_t){.url = options->store});
-    nm_journal_init(&session->journal, store, SETTINGS_PREFIX, seed);
+    nm_journal_init(&session->journal, store, NM_SETTINGS_PREFIX, seed);
     nm_settings_init(&session->settings);
     int rc = nm_journal_load(&session->journal, take_record, session);
     if (rc < 0) {
--- a/include/nutmegdeck/settings.h
+++ b/include/nutmegdeck/settings.h
@@ -179,7 +179,7 @@
 bool nm_settings_bool(const nm_settings_t *settings, const char *path,
                       nm_key_t key);
 nm_kind_t nm_settings_kind(const nm_settings_t *settings, const char *path);
-/* True if the nearest region above path or below contains the name. */
+/* True if the tree has a section with this path. */
 bool nm_settings_has_section(const nm_settings_t *settings, const char *path);
 /* Data centre that runs a job's tasks; "" if no data centre is declared. */
 const char *nm_settings_home(const nm_settings_t *settings, const char *path);
--- a/src/shard.c
+++ b/src/shard.c
@@ -13,7 +13,7 @@
 static void
 free_worker(void *data)
 {
-    nm_pw_t *worker = data;
+    nm_member_t *worker = data;
     GArray *arrays[] = {worker->starts,         worker->stops,
                         worker->throttles,      worker->acks,
                         worker->sent_starts,    worker->sent_stops,
@@ -91,7 +91,7 @@
     return state->jobs->pdata[at];
 }
 
-nm_pw_t *
+nm_member_t *
 nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
                      int32_t *index)
 {
@@ -109,10 +109,10 @@
 
 /* Workers */
 
-static nm_pw_t *
+static nm_member_t *
 add_worker(nm_shard_state_t *state, uint64_t id)
 {
-    nm_pw_t *worker = g_new0(nm_pw_t, 1);
+    nm_member_t *worker = g_new0(nm_member_t, 1);
     worker->starts = g_array_new(FALSE, TRUE, sizeof(nm_start_t));
     worker->stops = g_array_new(FALSE, TRUE, sizeof(nm_stop_t));
     worker->throttles = g_array_new(FALSE, TRUE, sizeof(nm_throttle_t));
@@ -135,7 +135,7 @@
 {
     assert(shard && desc && desc->id != 0);
     nm_shard_state_t *state = shard->state;
-    nm_pw_t *worker = nm_shard_find_worker(state, desc->id, NULL);
+    nm_member_t *worker = nm_shard_find_worker(state, desc->id, NULL);
     if (!worker) {
         worker = add_worker(state, desc->id);
         state->authority_checked_ms = 0;
@@ -172,7 +172,7 @@
     assert(shard);
     nm_shard_state_t *state = shard->state;
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        nm_pw_t *worker = state->workers->pdata[i];
+        nm_member_t *worker = state->workers->pdata[i];
         if (!worker->named && !worker->removed) {
             worker->removed = true;
             worker->removed_ms = now_ms;
@@ -370,7 +370,7 @@
                 int32_t worker_index, int64_t attempt, nm_ms_t now_ms)
 {
     nm_job_t *job = state->jobs->pdata[position];
-    nm_pw_t *worker = state->workers->pdata[worker_index];
+    nm_member_t *worker = state->workers->pdata[worker_index];
     nm_task_t *task = &job->tasks[index];
     uint64_t key = nm_task_key(position, index);
     nm_place_need_t need = nm_shard_need(job);
@@ -394,7 +394,7 @@
     if (task->worker < 0) {
         return;
     }
-    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_member_t *worker = state->workers->pdata[task->worker];
     uint64_t key = nm_task_key(position, index);
     nm_place_release(&state->place, worker->place, key, now_ms);
     for (uint32_t i = 0; i < worker->tasks->len; i++) {
@@ -410,7 +410,7 @@
 
 /* Takes back a start that no sync has carried yet. */
 static bool
-drop_unsent_start(nm_pw_t *worker, const nm_attempt_name_t *name)
+drop_unsent_start(nm_member_t *worker, const nm_attempt_name_t *name)
 {
     for (uint32_t i = 0; i < worker->starts->len; i++) {
         const nm_start_t *start =
@@ -424,7 +424,7 @@
 }
 
 void
-nm_shard_queue_stop(nm_pw_t *worker, const nm_attempt_name_t *name,
+nm_shard_queue_stop(nm_member_t *worker, const nm_attempt_name_t *name,
                     bool checkpoint)
 {
     for (uint32_t i = 0; i < worker->stops->len; i++) {
@@ -447,7 +447,7 @@
     if (task->state != NM_TASK_RUNNING) {
         return;
     }
-    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_member_t *worker = state->workers->pdata[task->worker];
     nm_attempt_name_t name = {job->desc.id, index, task->attempt};
     if (drop_unsent_start(worker, &name)) {
         nm_shard_unassign(state, position, index, state->now_ms);
@@ -481,7 +481,7 @@
             state->previous_epoch == 0 && nm_shard_all_reached(state),
     };
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        const nm_pw_t *worker = state->workers->pdata[i];
+        const nm_member_t *worker = state->workers->pdata[i];
         info.workers += !worker->removed;
         info.workers_reached +=
             !worker->removed && worker->reported_ms > 0 && !worker->lapsed;
@@ -519,7 +519,7 @@
 nm_shard_query_pressure(const nm_shard_t *shard, uint64_t worker_id)
 {
     assert(shard);
-    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    nm_member_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
     if (!worker) {
         return 1;
     }
@@ -530,7 +530,7 @@
 nm_shard_query_worker(const nm_shard_t *shard, uint64_t worker_id)
 {
     assert(shard);
-    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    nm_member_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
     if (!worker) {
         return (nm_place_info_t){.pressure = 1};
     }
--- a/src/shard_journal.c
+++ b/src/shard_journal.c
@@ -286,7 +286,7 @@
 settle_outcome(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
 {
     nm_task_t *task = &job->tasks[index];
-    nm_pw_t *worker = state->workers->pdata[task->ended_on];
+    nm_member_t *worker = state->workers->pdata[task->ended_on];
     nm_attempt_name_t name = {job->desc.id, index, task->attempt};
     g_array_append_val(worker->acks, name);
     worker->urgent = true;
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -54,7 +54,7 @@
         job->dirty = false;
     }
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        nm_pw_t *worker = state->workers->pdata[i];
+        nm_member_t *worker = state->workers->pdata[i];
         g_array_set_size(worker->starts, 0);
         g_array_set_size(worker->stops, 0);
         g_array_set_size(worker->throttles, 0);
@@ -107,7 +107,7 @@
 }
 
 static bool
-counts_for_majority(const nm_pw_t *worker, nm_ms_t now_ms)
+counts_for_majority(const nm_member_t *worker, nm_ms_t now_ms)
 {
     return !worker->removed || now_ms - worker->removed_ms < REMOVED_COUNTS_MS;
 }
@@ -134,7 +134,7 @@
     uint32_t members = 0;
     uint32_t count = 0;
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        const nm_pw_t *worker = state->workers->pdata[i];
+        const nm_member_t *worker = state->workers->pdata[i];
         if (!counts_for_majority(worker, now_ms)) {
             continue;
         }
@@ -170,7 +170,7 @@
 nm_shard_all_reached(const nm_shard_state_t *state)
 {
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        const nm_pw_t *worker = state->workers->pdata[i];
+        const nm_member_t *worker = state->workers->pdata[i];
         if (!worker->removed && worker->acked_epoch != state->epoch) {
             return false;
         }
@@ -194,7 +194,7 @@
 all_workers_judged(const nm_shard_state_t *state)
 {
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        const nm_pw_t *worker = state->workers->pdata[i];
+        const nm_member_t *worker = state->workers->pdata[i];
         if (!worker->removed && (worker->acked_epoch != state->epoch ||
                                  worker->acked_sent_ms < state->active_ms))
         {
@@ -224,7 +224,7 @@
     state->changed = true;
     state->active_ms = now_ms;
     for (uint32_t i = 0; i < state->workers->len; i++) {
-        ((nm_pw_t *)state->workers->pdata[i])->due_ms = now_ms;
+        ((nm_member_t *)state->workers->pdata[i])->due_ms = now_ms;
     }
     for (uint32_t i = 0; i < state->jobs->len; i++) {
         nm_job_t *job = state->jobs->pdata[i];
@@ -244,7 +244,7 @@
 lapse_workers(nm_shard_state_t *state, nm_ms_t now_ms)
 {
     for (uint32_t w = 0; w < state->workers->len; w++) {
-        nm_pw_t *worker = state->workers->pdata[w];
+        nm_member_t *worker = state->workers->pdata[w];
         if (worker->lapsed || worker->reported_ms == 0 ||
             now_ms <
                 worker->reported_ms + NM_SHARD_LEASE_MS + NM_SHARD_MARGIN_MS)
@@ -290,7 +290,7 @@
             nm_shard_stop_task(state, position, index, true, reaction.reason);
             continue;
         }
-        nm_pw_t *worker = state->workers->pdata[task->worker];
+        nm_member_t *worker = state->workers->pdata[task->worker];
         nm_throttle_t throttle = {
             .name = {job->desc.id, index, task->attempt},
             .percent = reaction.throttle_pct,
--- a/src/shard_schedule.c
+++ b/src/shard_schedule.c
@@ -138,7 +138,7 @@
 push_start(nm_shard_state_t *state, const nm_job_t *job, uint32_t index)
 {
     const nm_task_t *task = &job->tasks[index];
-    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_member_t *worker = state->workers->pdata[task->worker];
     nm_start_t start = {
         .name = {job->desc.id, index, task->attempt},
         .checkpoint = task->checkpoint,
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -57,6 +57,7 @@
     nm_ms_t quarantined_until_ms;
 } nm_job_t;
 
+/* A worker of the shard: what it is, holds, was told and has reported. */
 typedef struct {
     nm_shard_worker_t desc;
     int32_t place;
@@ -91,7 +92,7 @@
     uint32_t failed_job_count;
     uint32_t quarantines;
     nm_ms_t quarantined_until_ms;
-} nm_shard_peer_worker_t;
+} nm_member_t;
 
 typedef struct {
     nm_shard_team_t desc;
@@ -130,7 +131,7 @@
     nm_ms_t settled_ms; /* when leases of earlier owners have ended */
     bool settled;
     bool has_jobs; /* settings were given, so unknown jobs are cancelled */
-    GPtrArray *workers;     /* of nm_shard_peer_worker_t */
+    GPtrArray *workers;     /* of nm_member_t */
     GHashTable *worker_ids; /* id to index plus one */
     GPtrArray *jobs;        /* of nm_job_t; positions stay valid */
     GHashTable *job_ids;    /* id to position plus one */
@@ -146,7 +147,6 @@
 };
 
 typedef struct nm_shard_state nm_shard_state_t;
-typedef nm_shard_peer_worker_t nm_pw_t;
 
 /* Task keys: job position in the high half, task index in the low half. */
 static inline uint64_t
@@ -159,16 +159,16 @@
 #define NM_FOREIGN_KEY (1ull << 63)
 
 /* Reserves room for an attempt that runs although it is not current. */
-void nm_shard_hold_foreign(nm_shard_state_t *state, nm_pw_t *worker,
+void nm_shard_hold_foreign(nm_shard_state_t *state, nm_member_t *worker,
                            const nm_attempt_name_t *name,
                            const nm_place_need_t *need, nm_ms_t now_ms);
 /* Frees the room of such attempts that a report (NULL: any) lacks. */
-void nm_shard_release_foreign(nm_shard_state_t *state, nm_pw_t *worker,
+void nm_shard_release_foreign(nm_shard_state_t *state, nm_member_t *worker,
                               const nm_sync_reply_t *reply, nm_ms_t now_ms);
 nm_job_t *nm_shard_find_job(const nm_shard_state_t *state, uint64_t id,
                             uint32_t *position);
-nm_pw_t *nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
-                              int32_t *index);
+nm_member_t *nm_shard_find_worker(const nm_shard_state_t *state, uint64_t id,
+                                  int32_t *index);
 nm_place_need_t nm_shard_need(const nm_job_t *job);
 /* Time left before a job must have a worker for each of its tasks. */
 int64_t nm_shard_slack_s(const nm_shard_state_t *state, const nm_job_t *job);
@@ -195,7 +195,7 @@
 }
 
 /* Adds a stop command, unless there is one for the attempt. */
-void nm_shard_queue_stop(nm_pw_t *worker, const nm_attempt_name_t *name,
+void nm_shard_queue_stop(nm_member_t *worker, const nm_attempt_name_t *name,
                          bool checkpoint);
 /* Ends a task's attempt, or takes its start back if it was not sent. */
 void nm_shard_stop_task(nm_shard_state_t *state, uint32_t job_position,
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -34,7 +34,7 @@
 
 /* Notes which sync carries the starts, so that a reply can be judged. */
 static void
-mark_starts_sent(nm_shard_state_t *state, nm_pw_t *worker)
+mark_starts_sent(nm_shard_state_t *state, nm_member_t *worker)
 {
     for (uint32_t i = 0; i < worker->sent_starts->len; i++) {
         const nm_start_t *start =
@@ -59,7 +59,7 @@
 }
 
 static const nm_sync_t *
-build_sync(nm_shard_state_t *state, nm_pw_t *worker, bool authority,
+build_sync(nm_shard_state_t *state, nm_member_t *worker, bool authority,
            nm_ms_t now_ms)
 {
     worker->outstanding = true;
@@ -112,7 +112,7 @@
     uint32_t count = state->workers->len;
     for (uint32_t i = 0; i < count; i++) {
         uint32_t at = (state->cursor + i) % count;
-        nm_pw_t *worker = state->workers->pdata[at];
+        nm_member_t *worker = state->workers->pdata[at];
         bool due = now_ms >= worker->due_ms ||
                    (worker->urgent && now_ms >= worker->sent_ms + SYNC_GAP_MS);
         if (worker->outstanding || worker->removed || !due) {
@@ -149,7 +149,7 @@
 static void
 quarantine_worker(nm_shard_state_t *state, int32_t index, nm_ms_t now_ms)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     worker->quarantined_until_ms =
         now_ms + quarantine_time(worker->quarantines++);
     worker->failures = 0;
@@ -163,7 +163,7 @@
 
 /* Lets a worker rest until more is known about who is to blame. */
 static void
-rest_worker(nm_shard_state_t *state, nm_pw_t *worker, nm_ms_t now_ms)
+rest_worker(nm_shard_state_t *state, nm_member_t *worker, nm_ms_t now_ms)
 {
     uint32_t doublings = worker->failures < 8 ? worker->failures : 8;
     nm_ms_t until_ms = now_ms + ((nm_ms_t)REST_FIRST_MS << doublings);
@@ -178,7 +178,7 @@
 forgive_workers(nm_shard_state_t *state, nm_job_t *job)
 {
     for (uint32_t i = 0; i < job->blamed_count; i++) {
-        nm_pw_t *worker = state->workers->pdata[job->blamed[i]];
+        nm_member_t *worker = state->workers->pdata[job->blamed[i]];
         worker->failures = 0;
         worker->failed_job_count = 0;
         worker->quarantined_until_ms = 0;
@@ -189,7 +189,7 @@
 record_failure(nm_shard_state_t *state, nm_job_t *job, int32_t index,
                nm_ms_t now_ms)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     worker->failures++;
     bool known = false;
     for (uint32_t i = 0; i < worker->failed_job_count; i++) {
@@ -234,7 +234,7 @@
 static void
 record_success(nm_shard_state_t *state, nm_job_t *job, int32_t index)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     worker->failures = 0;
     worker->failed_job_count = 0;
     worker->quarantines = 0;
@@ -253,7 +253,7 @@
 }
 
 void
-nm_shard_hold_foreign(nm_shard_state_t *state, nm_pw_t *worker,
+nm_shard_hold_foreign(nm_shard_state_t *state, nm_member_t *worker,
                       const nm_attempt_name_t *name,
                       const nm_place_need_t *need, nm_ms_t now_ms)
 {
@@ -270,7 +270,7 @@
 }
 
 void
-nm_shard_release_foreign(nm_shard_state_t *state, nm_pw_t *worker,
+nm_shard_release_foreign(nm_shard_state_t *state, nm_member_t *worker,
                          const nm_sync_reply_t *reply, nm_ms_t now_ms)
 {
     for (uint32_t i = worker->foreign->len; i-- > 0;) {
@@ -292,14 +292,15 @@
 /* Replies */
 
 static void
-queue_ack(nm_pw_t *worker, const nm_attempt_name_t *name)
+queue_ack(nm_member_t *worker, const nm_attempt_name_t *name)
 {
     g_array_append_val(worker->acks, *name);
     worker->urgent = true;
 }
 
 static void
-queue_stop(nm_pw_t *worker, const nm_attempt_name_t *name, nm_reason_t reason)
+queue_stop(nm_member_t *worker, const nm_attempt_name_t *name,
+           nm_reason_t reason)
 {
     nm_shard_queue_stop(worker, name, false);
     nm_count_reason(reason);
@@ -309,7 +310,7 @@
 take_running(nm_shard_state_t *state, int32_t index, uint32_t position,
              const nm_task_report_t *report, nm_ms_t now_ms)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     nm_job_t *job = state->jobs->pdata[position];
     nm_task_t *task = &job->tasks[report->name.index];
     bool has_attempt = task->state == NM_TASK_RUNNING ||
@@ -357,7 +358,7 @@
     if (task->worker < 0) {
         return;
     }
-    nm_pw_t *worker = state->workers->pdata[task->worker];
+    nm_member_t *worker = state->workers->pdata[task->worker];
     nm_attempt_name_t name = {job->desc.id, index, task->attempt};
     nm_place_need_t need = nm_shard_need(job);
     nm_shard_stop_task(state, position, index, false,
@@ -372,7 +373,7 @@
 take_outcome(nm_shard_state_t *state, int32_t index, uint32_t position,
              const nm_task_report_t *report, nm_ms_t now_ms)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     nm_job_t *job = state->jobs->pdata[position];
     uint32_t at = report->name.index;
     nm_task_t *task = &job->tasks[at];
@@ -445,7 +446,7 @@
 
 /* Ends attempts that the worker should hold but does not report. */
 static void
-find_missing(nm_shard_state_t *state, nm_pw_t *worker,
+find_missing(nm_shard_state_t *state, nm_member_t *worker,
              const nm_sync_reply_t *reply, uint64_t sequence, nm_ms_t now_ms)
 {
     for (uint32_t i = worker->tasks->len; i-- > 0;) {
@@ -478,7 +479,7 @@
 take_reports(nm_shard_state_t *state, int32_t index,
              const nm_sync_reply_t *reply, nm_ms_t now_ms)
 {
-    nm_pw_t *worker = state->workers->pdata[index];
+    nm_member_t *worker = state->workers->pdata[index];
     for (uint32_t i = 0; i < reply->task_count; i++) {
         const nm_task_report_t *report = &reply->tasks[i];
         uint32_t position;
@@ -530,7 +531,7 @@
     assert(shard && reply);
     nm_shard_state_t *state = shard->state;
     int32_t index;
-    nm_pw_t *worker = nm_shard_find_worker(state, worker_id, &index);
+    nm_member_t *worker = nm_shard_find_worker(state, worker_id, &index);
     if (!worker || !worker->outstanding || worker->sequence != sequence) {
         return;
     }
@@ -570,7 +571,7 @@
 {
     assert(shard);
     (void)now_ms;
-    nm_pw_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
+    nm_member_t *worker = nm_shard_find_worker(shard->state, worker_id, NULL);
     if (!worker || !worker->outstanding || worker->sequence != sequence) {
         return;
     }
