Charge forwarded answers to the region link

Every byte on the link is paid, and an answer is larger than its request; the budget counted requests only.

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -92,7 +92,8 @@
     X(ANSWERS, "answers", "caller requests answered by an executor")          \
     X(ATTEMPTS, "attempts", "attempts sent to executors")                     \
     X(FORWARDS, "forwards", "requests forwarded to another data centre")      \
-    X(LINK_BYTES, "link_bytes", "request bytes sent over a region link")      \
+    X(LINK_BYTES, "link_bytes",                                               \
+      "bytes of forwarded requests on region links")                          \
     X(CLAIMS, "claims", "idempotency claims made")                            \
     X(CLAIM_COMMITS, "claim_commits", "store writes that carried claims")     \
     X(REPLAYS, "replays", "repeats answered from a recorded outcome")         \
--- a/include/nutmegdeck/route.h
+++ b/include/nutmegdeck/route.h
@@ -147,6 +147,12 @@
  */
 int nm_route_submit(nm_route_t *route, const nm_route_arrival_t *arrival,
                     nm_ms_t now_ms, nm_request_t *request);
+/*
+ * Charges an attempt's answer to the region link, if it came over one; call
+ * it before the attempt's end is reported.
+ */
+void nm_route_charge_answer(nm_route_t *route, nm_attempt_t attempt,
+                            uint32_t bytes);
 /*
  * Reports that an attempt ended and its connection is idle or closed.
  * After ANSWERED for a request that already ended, nothing follows.
--- a/src/budget.h
+++ b/src/budget.h
@@ -31,6 +31,13 @@
     }
 }
 
+/* Takes tokens that were spent already; the rest may become negative. */
+static inline void
+nm_budget_charge(nm_budget_t *budget, double tokens)
+{
+    budget->tokens -= tokens;
+}
+
 static inline bool
 nm_budget_take(nm_budget_t *budget, double tokens)
 {
--- a/src/route.c
+++ b/src/route.c
@@ -487,6 +487,21 @@
     nm_route_refuse(state, request, reason);
 }
 
+void
+nm_route_charge_answer(nm_route_t *route, nm_attempt_t handle, uint32_t bytes)
+{
+    assert(route && route->state);
+    state_t *state = route->state;
+    const attempt_t *attempt = nm_route_find_attempt(state, handle);
+    if (!attempt || state->table.targets[attempt->target].desc.type !=
+                        NM_TARGET_PEER_OTHER_REGION)
+    {
+        return;
+    }
+    nm_budget_charge(&state->link_bytes, bytes);
+    nm_count(NM_COUNTER_LINK_BYTES, bytes);
+}
+
 void
 nm_route_attempt_done(nm_route_t *route, nm_attempt_t handle,
                       nm_outcome_t outcome, nm_ms_t now_ms)
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -11,6 +11,8 @@
 #include "mailbox.h"
 
 #define RING_SIZE 16384
+/* What the head of a request or answer takes on a link, about. */
+#define HEAD_BYTES 512
 #define BUSY_WAIT_MS 2
 #define IDLE_WAIT_MS 20
 #define REPORT_INTERVAL_MS 100
@@ -198,8 +200,8 @@
         .deadline_ms = exchange->timeout_ms > 0
                            ? exchange->arrived_ms + exchange->timeout_ms
                            : 0,
-        .bytes =
-            (uint32_t)(exchange->body->len + strlen(exchange->target) + 512),
+        .bytes = (uint32_t)(exchange->body->len + strlen(exchange->target) +
+                            HEAD_BYTES),
         .user = exchange,
     };
     int rc =
@@ -405,6 +407,10 @@
     }
     nm_upstream_done_t done;
     while (nm_upstream_next(traffic->desc.upstream, &done)) {
+        if (done.answer.body) {
+            nm_route_charge_answer(&traffic->route, done.attempt,
+                                   done.answer.body->len + HEAD_BYTES);
+        }
         nm_route_attempt_done(&traffic->route, done.attempt, done.outcome,
                               now_ms);
         run_actions(traffic, &done, now_ms);
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -343,6 +343,28 @@
     nm_route_finish(&fixture.route);
 }
 
+/* A large answer overdraws the link; nothing is forwarded until then. */
+static void
+test_link_answers(void)
+{
+    fixture_t fixture;
+    init(&fixture, 0, 0, 100);
+    add_target(&fixture, 50, NM_TARGET_PEER_OTHER_REGION, 8, NM_MS_NEVER / 2);
+    nm_route_set_link_rate(&fixture.route, 10000);
+    tick(&fixture, 500);
+    submit(&fixture, true, false);
+    g_assert_cmpuint(fixture.sent, ==, 1);
+    nm_route_charge_answer(&fixture.route, fixture.last_attempt, 20000);
+    end_attempt(&fixture, NM_OUTCOME_ANSWERED);
+    tick(&fixture, 1000);
+    submit(&fixture, true, false);
+    g_assert_cmpint(fixture.reason, ==, NM_REASON_LINK_BUDGET);
+    tick(&fixture, 1500);
+    submit(&fixture, true, false);
+    g_assert_cmpuint(fixture.sent, ==, 2);
+    nm_route_finish(&fixture.route);
+}
+
 static void
 test_stop(void)
 {
@@ -376,6 +398,7 @@
     g_test_add_func("/route/leaving", test_leaving);
     g_test_add_func("/route/refused-executor", test_refused_executor);
     g_test_add_func("/route/forward", test_forward);
+    g_test_add_func("/route/link-answers", test_link_answers);
     g_test_add_func("/route/stop", test_stop);
     return g_test_run();
 }
