Hold a task whose old outcome comes before a takeover heard all workers

Cause: in a takeover, a task whose old, unacknowledged outcome was reported went straight back into the queue, although the takeover had not heard all workers; a newer attempt could be running on one of them, so the task could run in two places.

Change: until a takeover is settled such a task is held, as all others are; a newer attempt that is then reported is taken over, and a newer outcome waits until the older one is written instead of being acknowledged.

--- a/src/shard.c
+++ b/src/shard.c
@@ -334,6 +334,17 @@
     state->changed = true;
 }
 
+void
+nm_shard_release_task(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
+{
+    if (!state->settled) {
+        nm_shard_set_task_state(job, index, NM_TASK_HELD);
+        return;
+    }
+    nm_shard_set_task_state(job, index, NM_TASK_WAITING);
+    nm_shard_queue_task(state, job, index);
+}
+
 void
 nm_shard_requeue_task(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
 {
@@ -349,8 +360,7 @@
         nm_shard_mark_dirty(job, index);
         return;
     }
-    nm_shard_set_task_state(job, index, NM_TASK_WAITING);
-    nm_shard_queue_task(state, job, index);
+    nm_shard_release_task(state, job, index);
 }
 
 static void
@@ -451,8 +461,7 @@
     nm_attempt_name_t name = {job->desc.id, index, task->attempt};
     if (drop_unsent_start(worker, &name)) {
         nm_shard_unassign(state, position, index, state->now_ms);
-        nm_shard_set_task_state(job, index, NM_TASK_WAITING);
-        nm_shard_queue_task(state, job, index);
+        nm_shard_release_task(state, job, index);
         return;
     }
     task->stop_checkpoint = checkpoint;
--- a/src/shard_journal.c
+++ b/src/shard_journal.c
@@ -295,8 +295,7 @@
         nm_shard_set_task_state(job, index, NM_TASK_DONE);
         return;
     }
-    nm_shard_set_task_state(job, index, NM_TASK_WAITING);
-    nm_shard_queue_task(state, job, index);
+    nm_shard_release_task(state, job, index);
 }
 
 void
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -177,6 +177,12 @@
 /* Makes a task wait in its job's queue. */
 void nm_shard_queue_task(nm_shard_state_t *state, nm_job_t *job,
                          uint32_t index);
+/*
+ * Makes a task without a current attempt wait.  While a takeover has not
+ * heard all workers, a newer attempt may run there, so it is held.
+ */
+void nm_shard_release_task(nm_shard_state_t *state, nm_job_t *job,
+                           uint32_t index);
 /* Makes a task wait whose attempt is known not to run any more. */
 void nm_shard_requeue_task(nm_shard_state_t *state, nm_job_t *job,
                            uint32_t index);
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -313,6 +313,12 @@
     nm_member_t *worker = state->workers->pdata[index];
     nm_job_t *job = state->jobs->pdata[position];
     nm_task_t *task = &job->tasks[report->name.index];
+    if (task->state == NM_TASK_RECORDING && task->outcome != NM_REPORT_DONE &&
+        report->name.attempt > task->attempt)
+    {
+        /* The outcome being written is of an older attempt than this. */
+        nm_shard_set_task_state(job, report->name.index, NM_TASK_HELD);
+    }
     bool has_attempt = task->state == NM_TASK_RUNNING ||
                        task->state == NM_TASK_ENDING ||
                        task->state == NM_TASK_RECORDING;
@@ -381,6 +387,11 @@
         task->attempt == report->name.attempt) {
         return;
     }
+    if (task->state == NM_TASK_RECORDING &&
+        report->name.attempt > task->attempt) {
+        /* Looked at again once the older outcome is written. */
+        return;
+    }
     bool current = task->attempt == report->name.attempt;
     bool unassigned =
         task->state == NM_TASK_WAITING || task->state == NM_TASK_HELD;
@@ -394,7 +405,8 @@
         /* The current attempt's start was not sent: it is taken back. */
         nm_shard_stop_task(state, position, at, false,
                            NM_REASON_EVICT_DUPLICATE);
-        unassigned = task->state == NM_TASK_WAITING;
+        unassigned =
+            task->state == NM_TASK_WAITING || task->state == NM_TASK_HELD;
     }
     if (!recorded && !unassigned && !current && !task->confirmed &&
         task->state == NM_TASK_RUNNING)
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -118,6 +118,98 @@
     }
 }
 
+#define TAKEOVER_WORKERS 3
+
+typedef struct {
+    nm_shard_t shard;
+    nm_ms_t now_ms;
+    const nm_task_report_t *reports[TAKEOVER_WORKERS]; /* NULL: silent */
+    bool silent[TAKEOVER_WORKERS];
+    uint32_t starts;
+} takeover_t;
+
+static void
+run_takeover(takeover_t *takeover, nm_ms_t duration_ms)
+{
+    nm_shard_t *shard = &takeover->shard;
+    for (nm_ms_t i = 0; i < duration_ms; i += 10) {
+        takeover->now_ms += 10;
+        nm_shard_tick(shard, takeover->now_ms, 1000000);
+        if (nm_shard_query(shard, takeover->now_ms).phase == NM_SHARD_LOADING)
+        {
+            nm_shard_journal_loaded(shard, takeover->now_ms);
+        }
+        uint32_t bytes;
+        uint8_t *record = nm_shard_journal_take(shard, &bytes);
+        if (record) {
+            nm_shard_journal_done(shard, true, takeover->now_ms);
+            g_free(record);
+        }
+        const nm_sync_t *sync;
+        while ((sync = nm_shard_next_sync(shard, takeover->now_ms))) {
+            uint64_t worker = sync->worker;
+            uint32_t at = (uint32_t)worker - 1;
+            takeover->starts += sync->start_count;
+            if (takeover->silent[at]) {
+                nm_shard_sync_failed(shard, worker, sync->sequence,
+                                     takeover->now_ms);
+                continue;
+            }
+            nm_sync_reply_t reply = {
+                .accepted = true,
+                .epoch = sync->epoch,
+                .clock_ms = takeover->now_ms,
+                .tasks = takeover->reports[at],
+                .task_count = takeover->reports[at] != NULL,
+            };
+            nm_shard_sync_reply(shard, worker, sync->sequence, &reply,
+                                takeover->now_ms);
+        }
+    }
+}
+
+/*
+ * A worker reports an old checkpoint while the one that runs a newer
+ * attempt has not answered the new owner yet.
+ */
+static void
+test_old_outcome_during_takeover(void)
+{
+    static const nm_task_report_t old = {
+        .name = {10, 0, 1 << 24 | 1},
+        .state = NM_REPORT_CHECKPOINTED,
+        .checkpoint = 77,
+    };
+    static const nm_task_report_t newer = {.name = {10, 0, 2 << 24 | 1}};
+    takeover_t takeover = {
+        .now_ms = 1000,
+        .reports = {&old, NULL, &newer},
+        .silent = {false, false, true},
+    };
+    nm_shard_init(&takeover.shard,
+                  &(nm_shard_desc_t){.owner_id = 1, .seed = 1});
+    for (uint64_t i = 1; i <= TAKEOVER_WORKERS; i++) {
+        nm_shard_worker_t worker = {
+            .id = i,
+            .capacity = {16000, 64000, 0},
+            .service = NM_PLACE_NO_SERVICE,
+        };
+        nm_shard_set_worker(&takeover.shard, &worker, takeover.now_ms);
+    }
+    nm_shard_job_t job = make_job(10, "a/render", 1, 60);
+    nm_shard_set_job(&takeover.shard, &job);
+    nm_shard_saw_epoch(&takeover.shard, 2);
+    nm_shard_campaign(&takeover.shard, takeover.now_ms);
+    run_takeover(&takeover, 3000);
+    g_assert_cmpuint(takeover.starts, ==, 0);
+    takeover.silent[2] = false;
+    run_takeover(&takeover, 20000);
+    g_assert_cmpuint(takeover.starts, ==, 0);
+    nm_shard_info_t info = nm_shard_query(&takeover.shard, takeover.now_ms);
+    g_assert_cmpuint(info.counts[NM_TASK_RUNNING], ==, 1);
+    nm_shard_finish(&takeover.shard);
+}
+
 static void
 test_failing_worker(void)
 {
@@ -215,6 +307,8 @@
         g_test_add_data_func(path, GUINT_TO_POINTER(1 + i * 40),
                              test_random_faults);
     }
+    g_test_add_func("/shard/old-outcome-during-takeover",
+                    test_old_outcome_during_takeover);
     g_test_add_func("/shard/failing-worker", test_failing_worker);
     g_test_add_func("/shard/job-that-never-fits", test_failing_job);
     g_test_add_func("/shard/cancel-while-starting",
