--- a/include/nutmegdeck/place.h
+++ b/include/nutmegdeck/place.h
@@ -140,6 +140,8 @@
 void nm_place_tell(nm_place_t *place, uint64_t class_id,
                    const nm_amount_t *size, uint32_t service,
                    const float slowdowns[NM_PLACE_LOAD_BANDS]);
+/* Proposes an eviction if the tasks of a worker outgrew its memory. */
+void nm_place_check_memory(nm_place_t *place, int32_t worker, nm_ms_t now_ms);
 bool nm_place_next_reaction(nm_place_t *place, nm_reaction_t *reaction);
 
 nm_place_info_t nm_place_query_worker(const nm_place_t *place, int32_t worker);
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -35,7 +35,6 @@
     X(HOP_LIMIT, "hop-limit", 503, "a forwarded request found no slot")       \
     /* Outcomes whose verdict may be ran or unknown. */                       \
     X(KEY_RUNNING, "key-running", 409, "the first request still runs")        \
-    X(KEY_UNKNOWN, "key-unknown", 409, "the first outcome is not known")      \
     X(KEY_REUSED, "key-reused", 422, "the key was used for another request")  \
     X(UPSTREAM_TIMEOUT, "upstream-timeout", 504, "no answer before timeout")  \
     X(UPSTREAM_RESET, "upstream-reset", 502, "the connection broke")          \
--- a/include/nutmegdeck/store.h
+++ b/include/nutmegdeck/store.h
@@ -146,7 +146,7 @@
 void nm_store_memory_finish(nm_store_memory_t *memory);
 /* Forgets the events up to a revision, as the platform does in time. */
 void nm_store_memory_compact(nm_store_memory_t *memory, int64_t revision);
-/* Removes keys of leases that expired before now. */
+/* Removes keys of leases that end by a time; commits do it for now. */
 void nm_store_memory_expire(nm_store_memory_t *memory, nm_ms_t now_ms);
 
 /* etcd v3 JSON gateway client. */
--- a/src/place.c
+++ b/src/place.c
@@ -542,6 +542,53 @@
     return false;
 }
 
+/* What a hold's task uses as far as reports show, without a margin. */
+static int64_t
+memory_seen(const nm_hold_t *hold)
+{
+    return hold->class_->use_count > 0 ? hold->class_->memory_estimate
+                                       : hold->reserved.memory_mb;
+}
+
+/* Least priority first, then the one that lost least by starting last. */
+static bool
+loses_less(const nm_hold_t *hold, const nm_hold_t *other)
+{
+    if (hold->priority != other->priority) {
+        return hold->priority < other->priority;
+    }
+    return hold->since_ms > other->since_ms;
+}
+
+void
+nm_place_check_memory(nm_place_t *place, int32_t index, nm_ms_t now_ms)
+{
+    assert(place && index >= 0 &&
+           (uint32_t)index < place->state->worker_count);
+    state_t *state = place->state;
+    nm_worker_t *worker = &state->workers[index];
+    if (state->policy != NM_PLACE_POLICY_LEARNED) {
+        return;
+    }
+    nm_worker_refresh(worker, now_ms);
+    int64_t seen_mb = 0;
+    nm_hold_t *chosen = NULL;
+    for (uint32_t i = 0; i < worker->hold_count; i++) {
+        nm_hold_t *hold = &worker->holds[i];
+        if (hold->evicting) {
+            /* Its room comes free soon. */
+            continue;
+        }
+        seen_mb += memory_seen(hold);
+        if (!chosen || loses_less(hold, chosen)) {
+            chosen = hold;
+        }
+    }
+    if (chosen && seen_mb > nm_worker_room(worker).memory_mb) {
+        evict(state, index, chosen, NM_REASON_EVICT_MEMORY, now_ms);
+    }
+}
+
 /* The hold that contributes most to the slowdown and is not evicting. */
 static nm_hold_t *
 worst_hold(nm_worker_t *worker, float load, uint8_t above_throttle_pct)
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -575,6 +575,7 @@
     take_reports(state, index, reply, now_ms);
     find_missing(state, worker, reply, sequence, now_ms);
     nm_shard_release_foreign(state, worker, reply, now_ms);
+    nm_place_check_memory(&state->place, worker->place, now_ms);
 }
 
 void
--- a/src/store_memory.c
+++ b/src/store_memory.c
@@ -169,6 +169,8 @@
     return false;
 }
 
+static void expire_leases(nm_store_memory_t *memory, nm_ms_t now_ms);
+
 static int
 memory_commit(nm_store_t *store, const nm_store_txn_t *txn,
               nm_store_result_t *result)
@@ -176,6 +178,7 @@
     nm_store_memory_t *memory = memory_of(store);
     private_t *priv = private_of(memory);
     pthread_mutex_lock(&memory->mutex);
+    expire_leases(memory, nm_clock_now(&priv->clock));
     result->succeeded = compares_hold(priv, txn);
     const nm_store_op_t *ops =
         result->succeeded ? txn->then_ops : txn->else_ops;
@@ -265,6 +268,31 @@
     pthread_cond_broadcast(&memory->changed);
 }
 
+/* Removes the keys of leases that are over; the mutex is held. */
+static void
+expire_leases(nm_store_memory_t *memory, nm_ms_t now_ms)
+{
+    private_t *priv = private_of(memory);
+    for (uint32_t i = 0; i < priv->leases->len;) {
+        lease_t lease = g_array_index(priv->leases, lease_t, i);
+        if (lease.expires_ms > now_ms) {
+            i++;
+            continue;
+        }
+        drop_lease(memory, lease.id);
+        g_array_remove_index_fast(priv->leases, i);
+    }
+}
+
+void
+nm_store_memory_expire(nm_store_memory_t *memory, nm_ms_t now_ms)
+{
+    assert(memory);
+    pthread_mutex_lock(&memory->mutex);
+    expire_leases(memory, now_ms);
+    pthread_mutex_unlock(&memory->mutex);
+}
+
 static int
 memory_lease_revoke(nm_store_t *store, int64_t lease_id)
 {
@@ -284,24 +312,6 @@
     return rc;
 }
 
-void
-nm_store_memory_expire(nm_store_memory_t *memory, nm_ms_t now_ms)
-{
-    assert(memory);
-    private_t *priv = private_of(memory);
-    pthread_mutex_lock(&memory->mutex);
-    for (uint32_t i = 0; i < priv->leases->len;) {
-        lease_t lease = g_array_index(priv->leases, lease_t, i);
-        if (lease.expires_ms > now_ms) {
-            i++;
-            continue;
-        }
-        drop_lease(memory, lease.id);
-        g_array_remove_index_fast(priv->leases, i);
-    }
-    pthread_mutex_unlock(&memory->mutex);
-}
-
 /* Copies the first event at or after a revision below a prefix. */
 static event_t *
 next_event(private_t *priv, const char *prefix, int64_t from_revision,
--- a/tests/fakes/lib_http.c
+++ b/tests/fakes/lib_http.c
@@ -20,6 +20,34 @@
     return result;
 }
 
+bool
+fake_collect_body(void **context, const char *data, size_t *data_size)
+{
+    if (!*context) {
+        *context = g_string_new(NULL);
+        return false;
+    }
+    if (*data_size > 0) {
+        g_string_append_len(*context, data, (gssize)*data_size);
+        *data_size = 0;
+        return false;
+    }
+    return true;
+}
+
+void
+fake_free_body(void *user, struct MHD_Connection *connection, void **context,
+               enum MHD_RequestTerminationCode code)
+{
+    (void)user;
+    (void)connection;
+    (void)code;
+    if (*context) {
+        g_string_free(*context, TRUE);
+    }
+    *context = NULL;
+}
+
 const char *
 fake_argument(struct MHD_Connection *connection, const char *name,
               const char *fallback)
--- a/tests/fakes/lib_http.h
+++ b/tests/fakes/lib_http.h
@@ -11,6 +11,14 @@
 
 enum MHD_Result fake_reply(struct MHD_Connection *connection, unsigned status,
                            const char *type, const char *text);
+/*
+ * Collects a request's body in *context (a GString).  Returns true once it
+ * is complete; until then the handler returns MHD_YES.
+ */
+bool fake_collect_body(void **context, const char *data, size_t *data_size);
+/* For MHD_OPTION_NOTIFY_COMPLETED: frees what fake_collect_body made. */
+void fake_free_body(void *user, struct MHD_Connection *connection,
+                    void **context, enum MHD_RequestTerminationCode code);
 /* Value of a query argument, or fallback. */
 const char *fake_argument(struct MHD_Connection *connection, const char *name,
                           const char *fallback);
--- a/tests/fakes/standin_platform.c
+++ b/tests/fakes/standin_platform.c
@@ -161,6 +161,13 @@
         self.workers[worker].fails_all = strcmp(mode, "fails") == 0;
     }
     if (executor >= 0 && (uint32_t)executor < self.executor_count) {
+        if (strcmp(mode, "leaving") == 0) {
+            fake_log_line(self.log,
+                          "{\"kind\":\"mark\",\"event\":\"leaving\","
+                          "\"t\":%lld,\"executor\":%d}",
+                          (long long)fake_now_ms(),
+                          self.executor_port + executor);
+        }
         self.executor_states[executor] =
             strcmp(mode, "leaving") == 0 ? EXECUTOR_LEAVING
             : strcmp(mode, "gone") == 0  ? EXECUTOR_GONE
@@ -178,16 +185,10 @@
     (void)user;
     (void)method;
     (void)version;
-    GString *body = *context;
-    if (!body) {
-        *context = g_string_new(NULL);
-        return MHD_YES;
-    }
-    if (*data_size > 0) {
-        g_string_append_len(body, data, (gssize)*data_size);
-        *data_size = 0;
+    if (!fake_collect_body(context, data, data_size)) {
         return MHD_YES;
     }
+    const GString *body = *context;
     uint32_t index = 0;
     if (strcmp(url, "/hosts") == 0) {
         char *text = hosts_text();
@@ -206,19 +207,6 @@
     return fake_reply(connection, 404, "text/plain", "not found\n");
 }
 
-static void
-on_completed(void *user, struct MHD_Connection *connection, void **context,
-             enum MHD_RequestTerminationCode code)
-{
-    (void)user;
-    (void)connection;
-    (void)code;
-    if (*context) {
-        g_string_free(*context, TRUE);
-    }
-    *context = NULL;
-}
-
 static void *
 run_workers(void *user)
 {
@@ -266,7 +254,7 @@
     }
     struct MHD_Daemon *daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD, self.port, NULL, NULL, on_request, NULL,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+        MHD_OPTION_NOTIFY_COMPLETED, fake_free_body, NULL,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
     if (!daemon) {
         fprintf(stderr, "standin_platform: cannot bind port %u\n", self.port);
--- a/tests/fakes/standin_store.c
+++ b/tests/fakes/standin_store.c
@@ -340,35 +340,16 @@
 {
     (void)user;
     (void)version;
-    GString *body = *context;
-    if (!body) {
-        *context = g_string_new(NULL);
-        return MHD_YES;
-    }
-    if (*data_size > 0) {
-        g_string_append_len(body, data, (gssize)*data_size);
-        *data_size = 0;
+    if (!fake_collect_body(context, data, data_size)) {
         return MHD_YES;
     }
+    const GString *body = *context;
     if (strcmp(url, "/admin") == 0) {
         return administer(connection, method);
     }
     return answer_call(connection, url, body);
 }
 
-static void
-on_completed(void *user, struct MHD_Connection *connection, void **context,
-             enum MHD_RequestTerminationCode code)
-{
-    (void)user;
-    (void)connection;
-    (void)code;
-    if (*context) {
-        g_string_free(*context, TRUE);
-    }
-    *context = NULL;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -380,7 +361,7 @@
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION |
             MHD_USE_POLL,
         port, NULL, NULL, on_request, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-        on_completed, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+        fake_free_body, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)65536, MHD_OPTION_END);
     if (!daemon) {
         fprintf(stderr, "standin_store: cannot bind port %u\n", port);
--- a/tests/process_faults.sh
+++ b/tests/process_faults.sh
@@ -19,10 +19,6 @@
     exit 1
 wait_ready "${HOST_OPS[@]}" || exit 1
 
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
-# Marks carry the monotonic clock that the stand-ins use.
-uptime_ms() { awk '{printf "%d", $1 * 1000}' /proc/uptime; }
-
 killed="${DATACENTRES[0]}-0"
 paused="${DATACENTRES[1]}-0"
 stopped="${DATACENTRES[2]}-0"
@@ -48,10 +44,7 @@
 sleep 4
 kill -CONT "${HOST_PID[$paused]}"
 http_post "$store?mode=down"
-leaving=$(($(executor_port 1) + 1))
 http_post "http://127.0.0.1:$(platform_port 1)/admin?executor=1&mode=leaving"
-echo "{\"kind\":\"mark\",\"event\":\"leaving\",\"t\":$(uptime_ms),\
-\"executor\":$leaving}" >>"$RUN/marks.jsonl"
 sleep 4
 http_post "$store?mode=lose"
 sleep 4
@@ -66,6 +59,7 @@
 http_post "http://127.0.0.1:$(platform_port 0)/admin?worker=5&mode=ok"
 sleep 3
 "$BIN/nutmegctl" status
+grep -q '"event":"leaving"' "$RUN"/tasks-*.jsonl || exit 1
 "$BIN/check_history" "$RUN"/*.jsonl
 status=$?
 [ -n "${KEEP:-}" ] && cp -r "$RUN" "$KEEP"
--- a/tests/process_settings.sh
+++ b/tests/process_settings.sh
@@ -35,6 +35,18 @@
         head -1 | cut -d: -f2
 }
 
+# Samples the revision in force on the hosts that are not replaced.
+sample_revisions() {
+    while sleep 0.1; do
+        for host in "${HOST_OPS[${DATACENTRES[0]}-0]}" \
+            "${HOST_OPS[${DATACENTRES[1]}-0]}"; do
+            echo "$host $(revision_of "$host")"
+        done
+    done
+}
+sample_revisions >"$RUN/revisions" 2>/dev/null &
+started $!
+
 # Bad declarations are refused as a whole, with file, section and key.
 printf '[%s/x]\nkind = batch\ntasks = many\n' "$CUSTOMER" >"$RUN/bad.ini"
 "$ctl" apply "$ini" "$RUN/bad.ini" 2>"$RUN/err" && fail "bad input accepted"
@@ -114,6 +126,8 @@
 for host in "${HOST_OPS[@]}"; do
     [ "$(revision_of "$host")" = 7 ] || fail "$host is behind"
 done
+awk 'NF == 2 { if ($2 < last[$1]) bad = 1; last[$1] = $2 + 0; n++ }
+    END { exit bad || n < 20 }' "$RUN/revisions" || fail "a revision went back"
 "$ctl" explain "$SERVICE" | grep -q "timeout_ms *1800" || fail "explain"
 kill -TERM "${HOST_PID[$first]}"
 wait "${HOST_PID[$first]}" || fail "graceful shutdown"
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -306,6 +306,36 @@
     nm_store_memory_finish(&memory);
 }
 
+/* Keys of a lease go when it ends, also without anybody asking for it. */
+static void
+test_lease_ends(void)
+{
+    nm_store_memory_t memory;
+    nm_store_t *store = nm_store_memory_init(&memory);
+    int64_t lease_id;
+    g_assert_cmpint(nm_store_lease_grant(store, 100, &lease_id), ==, NM_OK);
+    nm_store_txn_t put;
+    nm_store_txn_init(&put);
+    nm_store_txn_expect(&put, "claim", 0);
+    nm_store_txn_put(&put, "claim", "x", 1, lease_id);
+    nm_clock_t clock;
+    nm_clock_init_monotonic(&clock);
+    static const struct {
+        nm_ms_t after_ms;
+        bool free; /* the key can be claimed */
+    } steps[] = {{0, true}, {0, false}, {99000, false}, {101000, true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        nm_store_memory_expire(&memory,
+                               nm_clock_now(&clock) + steps[i].after_ms);
+        nm_store_result_t result;
+        nm_store_commit(store, &put, &result);
+        g_assert_cmpint(result.succeeded, ==, steps[i].free);
+        nm_store_result_finish(&result);
+    }
+    nm_store_txn_finish(&put);
+    nm_store_memory_finish(&memory);
+}
+
 static bool
 count_event(void *user, const nm_store_kv_t *kv)
 {
@@ -356,6 +386,7 @@
     g_test_add_func("/settings/moving-a-run", test_moving_a_run_is_refused);
     g_test_add_func("/journal/writers-race", test_writers_race);
     g_test_add_func("/journal/snapshot", test_snapshot);
+    g_test_add_func("/store/lease-ends", test_lease_ends);
     g_test_add_func("/journal/compacted-watch", test_compacted_watch);
     return g_test_run();
 }
