Keep outcomes that a candidate is told until its takeover has settled

Cause: taking the judging of reports out again did not turn the test red, because the world counted only what acting owners were told.

--- a/src/shard.c
+++ b/src/shard.c
@@ -345,15 +345,31 @@
     nm_shard_queue_task(state, job, index);
 }
 
+void
+nm_shard_offer_outcome(nm_task_t *task, const nm_task_report_t *report,
+                       int32_t worker)
+{
+    bool counts = report->state == NM_REPORT_CHECKPOINTED ||
+                  report->state == NM_REPORT_DONE;
+    if (counts && report->name.attempt > task->offered_attempt) {
+        task->offered_attempt = report->name.attempt;
+        task->offered_checkpoint = report->checkpoint;
+        task->offered_state = report->state;
+        task->offered_on = worker;
+    }
+}
+
 void
 nm_shard_requeue_task(nm_shard_state_t *state, nm_job_t *job, uint32_t index)
 {
     nm_task_t *task = &job->tasks[index];
-    if (task->offered_attempt > 0) {
+    if (task->offered_attempt > task->ended_attempt) {
         task->attempt = task->offered_attempt;
         task->ended_attempt = MAX(task->ended_attempt, task->offered_attempt);
-        task->checkpoint = task->offered_checkpoint;
-        task->outcome = NM_REPORT_CHECKPOINTED;
+        task->outcome = task->offered_state;
+        if (task->offered_state == NM_REPORT_CHECKPOINTED) {
+            task->checkpoint = task->offered_checkpoint;
+        }
         task->ended_on = task->offered_on;
         task->offered_attempt = 0;
         nm_shard_set_task_state(job, index, NM_TASK_RECORDING);
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -47,6 +47,7 @@
             task->in_record = false;
             task->dirty = false;
             task->attempt = 0;
+            task->offered_attempt = 0;
             task->ended_attempt = 0;
             nm_shard_set_task_state(job, i, NM_TASK_HELD);
         }
@@ -184,7 +185,12 @@
     for (uint32_t i = 0; i < job->desc.tasks; i++) {
         if (job->tasks[i].state == NM_TASK_HELD) {
             nm_shard_set_task_state(job, i, NM_TASK_WAITING);
-            nm_shard_queue_task(state, job, i);
+            if (job->tasks[i].offered_attempt > 0) {
+                nm_shard_requeue_task(state, job, i);
+            }
+            else {
+                nm_shard_queue_task(state, job, i);
+            }
         }
     }
 }
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -26,10 +26,11 @@
     int64_t ended_attempt;     /* newest attempt whose outcome was taken */
     uint64_t start_sequence;   /* sync that carried the start; 0: none yet */
     bool queued;
-    /* Checkpoint of an older attempt, seen while the current one was not
-     * confirmed; used if that one turns out not to have started. */
+    /* Outcome that was reported while it could not be judged: of an older
+     * attempt while the current one was not confirmed, or to a candidate. */
     int64_t offered_attempt; /* 0: none */
     uint64_t offered_checkpoint;
+    nm_report_state_t offered_state;
     int32_t offered_on;
     bool confirmed;       /* the worker reported the current attempt */
     bool stop_checkpoint; /* while ENDING: it was told to checkpoint */
@@ -186,6 +187,9 @@
 /* Makes a task wait whose attempt is known not to run any more. */
 void nm_shard_requeue_task(nm_shard_state_t *state, nm_job_t *job,
                            uint32_t index);
+/* Keeps an outcome until the task is known to have no newer attempt. */
+void nm_shard_offer_outcome(nm_task_t *task, const nm_task_report_t *report,
+                            int32_t worker);
 /* Binds a running attempt to a worker and reserves its room. */
 void nm_shard_assign(nm_shard_state_t *state, uint32_t job_position,
                      uint32_t index, int32_t worker, int64_t attempt,
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -412,13 +412,7 @@
         task->state == NM_TASK_RUNNING)
     {
         /* The current attempt may not have started; then this one counts. */
-        if (report->state == NM_REPORT_CHECKPOINTED &&
-            report->name.attempt > task->offered_attempt)
-        {
-            task->offered_attempt = report->name.attempt;
-            task->offered_checkpoint = report->checkpoint;
-            task->offered_on = index;
-        }
+        nm_shard_offer_outcome(task, report, index);
         return;
     }
     if (recorded ||
@@ -520,9 +514,13 @@
             take_running(state, index, position, report, now_ms);
         }
         else if (state->phase == NM_SHARD_ACTIVE) {
-            /* Before, the journal may hold this outcome already. */
             take_outcome(state, index, position, report, now_ms);
         }
+        else if (job->tasks[report->name.index].state == NM_TASK_HELD) {
+            /* The journal, which may hold it already, is not loaded yet. */
+            nm_shard_offer_outcome(&job->tasks[report->name.index], report,
+                                   index);
+        }
     }
     for (uint32_t i = 0; i < reply->service_count; i++) {
         const nm_service_report_t *service = &reply->services[i];
--- a/tests/fakes/lib_world.c
+++ b/tests/fakes/lib_world.c
@@ -301,7 +301,7 @@
     nm_worker_sync_finish(&sync);
 }
 
-/* Notes which checkpoints an acting owner has been told of. */
+/* Notes which checkpoints an owner or candidate has been told of. */
 static void
 note_reports(world_t *world, const owner_t *owner,
              const nm_sync_reply_t *reply)
@@ -310,7 +310,7 @@
     for (uint32_t i = 0; i < reply->task_count; i++) {
         const nm_task_report_t *report = &reply->tasks[i];
         trace_t *trace = trace_of(world, &report->name);
-        if (info.phase == NM_SHARD_ACTIVE &&
+        if (info.phase != NM_SHARD_FOLLOWER &&
             report->state == NM_REPORT_CHECKPOINTED &&
             report->checkpoint == trace->last_checkpoint)
         {
