--- /dev/null
+++ b/daemons/nutmegentry.c
@@ -0,0 +1,179 @@
+/*
+ * nutmegentry: an entry host for jobs on the users' platform.
+ *
+ * Its settings are a JSON document, whose path --settings or
+ * NUTMEGDECK_CONFIG gives.
+ */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+#include "../platform/codec.h"
+#include "../platform/front_http.h"
+#include "../platform/kv_http.h"
+#include "../platform/orders_http.h"
+#include "../src/entry.h"
+#include "../src/entry_settings.h"
+
+#define FDS_MAX 8
+
+static volatile sig_atomic_t stop_requested;
+static volatile sig_atomic_t reload_requested;
+
+static void
+on_signal(int number)
+{
+    if (number == SIGHUP) {
+        reload_requested = 1;
+    }
+    else {
+        stop_requested = 1;
+    }
+}
+
+static void
+install_signals(void)
+{
+    struct sigaction action = {.sa_handler = on_signal};
+    sigaction(SIGTERM, &action, NULL);
+    sigaction(SIGINT, &action, NULL);
+    sigaction(SIGHUP, &action, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
+/* What may change while it runs comes by the store, not by this file. */
+static void
+reload(const char *path)
+{
+    nm_entry_settings_t settings;
+    char *fault = NULL;
+    int rc = nm_entry_settings_load(&settings, path, &fault);
+    if (rc == NM_OK) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_RELOADED, "{s:s}", "path", path);
+    }
+    else {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_CONFIG_ERROR, "{s:s}", "reason",
+               fault);
+    }
+    g_free(fault);
+}
+
+static void
+run_loop(nm_entry_t *entry, nm_http_t *http, nm_call_front_t *front,
+         nm_peer_ask_t *peers, const char *path)
+{
+    while (!nm_entry_is_stopped(entry)) {
+        if (stop_requested) {
+            nm_entry_stop(entry);
+        }
+        if (reload_requested) {
+            reload_requested = 0;
+            reload(path);
+        }
+        nm_ms_t wait = nm_entry_run(entry);
+        int fds[FDS_MAX];
+        fds[0] = front->vtable->fd(front);
+        uint32_t count = 1 + nm_peer_ask_fds(peers, fds + 1, FDS_MAX - 1);
+        nm_http_poll(http, fds, count, wait);
+    }
+}
+
+static int
+serve(const nm_entry_settings_t *settings, const char *path)
+{
+    nm_clock_t clock;
+    nm_clock_init_monotonic(&clock);
+    nm_http_t *http = nm_http_new();
+    nm_kv_http_t store;
+    nm_orders_http_t orders;
+    nm_kv_t *kv = nm_kv_http_init(&store, http, settings->store_address);
+    nm_order_port_t *port = nm_orders_http_init(&orders, http);
+    nm_call_front_t *front = nm_front_http_new(settings->front_address,
+                                               settings->ready_address);
+    nm_peer_ask_t *peers = nm_peer_ask_new(settings->peer_address);
+    if (!front || !peers) {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:s,s:s}",
+               "front", settings->front_address, "ready",
+               settings->ready_address, "peer", settings->peer_address);
+        return 1;
+    }
+    nm_entry_t *entry = nm_entry_new(&(nm_entry_desc_t){
+        .name = settings->name,
+        .zone = settings->zone,
+        .region = settings->region,
+        .peer_address = settings->peer_address,
+        .cpu_share = settings->cpu_share,
+        .stop_max_ms = settings->stop_max_ms,
+        .gang_wait_ms = settings->gang_wait_ms,
+        .grace_ms = settings->grace_ms,
+        .spread_factor = settings->spread_factor,
+        .clock = &clock,
+        .kv = kv,
+        .orders = port,
+        .front = front,
+        .peers = peers,
+        .codec = &nm_platform_codec,
+    });
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_STARTED, "{s:s,s:s,s:s}", "version",
+           NM_VERSION, "zone", settings->zone, "front",
+           settings->front_address);
+    run_loop(entry, http, front, peers, path);
+    nm_entry_free(entry);
+    nm_front_http_free(front);
+    nm_http_free(http);
+    nm_orders_http_finish(&orders);
+    nm_peer_ask_free(peers);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_STOPPED, NULL);
+    return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+    char *path = NULL;
+    gboolean version = FALSE;
+    GOptionEntry options[] = {
+        {"settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+         "Settings file; else NUTMEGDECK_CONFIG", "PATH"},
+        {"version", 'V', 0, G_OPTION_ARG_NONE, &version, "Print the version",
+         NULL},
+        {NULL, 0, 0, 0, NULL, NULL, NULL},
+    };
+    GError *error = NULL;
+    GOptionContext *context = g_option_context_new("- entry host for jobs");
+    g_option_context_add_main_entries(context, options, NULL);
+    if (!g_option_context_parse(context, &argc, &argv, &error)) {
+        fprintf(stderr, "nutmegentry: %s\n", error->message);
+        return 2;
+    }
+    g_option_context_free(context);
+    if (version) {
+        printf("nutmegentry %s\n", NM_VERSION);
+        return 0;
+    }
+    if (!path) {
+        path = g_strdup(g_getenv("NUTMEGDECK_CONFIG"));
+    }
+    if (!path) {
+        fprintf(stderr, "nutmegentry: no settings; see --help\n");
+        return 2;
+    }
+    nm_entry_settings_t settings;
+    char *fault = NULL;
+    if (nm_entry_settings_load(&settings, path, &fault) < 0) {
+        fprintf(stderr, "nutmegentry: %s: %s\n", path, fault);
+        return 2;
+    }
+    install_signals();
+    nm_log_init_stdout(settings.name, NM_LOG_INFO);
+    int status = serve(&settings, path);
+    nm_log_finish();
+    g_free(path);
+    return status;
+}
--- /dev/null
+++ b/include/nutmegdeck/job.h
@@ -0,0 +1,87 @@
+/*
+ * Jobs: what a submission asks for.
+ *
+ * A job is a list of steps, each with a number of equal tasks.  A step
+ * starts when all steps that it names in `after` are done.  A job may be
+ * scheduled to run repeatedly; each run is an occurrence.
+ *
+ *     nm_job_spec_t spec;
+ *     nm_job_spec_init(&spec, "5c0e7a21d94b36f8", "orders", "booking");
+ *     nm_step_t *step = nm_job_spec_add_step(&spec);
+ *     step->task_count = 4;
+ *     const char *fault = nm_job_spec_check(&spec);
+ *     char *record = nm_job_record_encode(&spec);
+ *     nm_job_spec_finish(&spec);
+ */
+#ifndef NUTMEGDECK_JOB_H
+#define NUTMEGDECK_JOB_H
+
+#include <glib.h>
+
+#include <nutmegdeck/base.h>
+
+#define NM_JOB_ID_MAX 32
+#define NM_JOB_STEPS_MAX 64
+#define NM_JOB_TASKS_MAX 20000
+/* Version of the stored record; a newer one is refused. */
+#define NM_JOB_RECORD_VERSION 1
+
+/* A step's declaration. Zero means that the step does not ask for it. */
+typedef struct {
+    uint32_t task_count;
+    int64_t cpu_milli;
+    int64_t memory_mb;
+    int32_t accelerators;
+    nm_ms_t estimate_ms; /* rough duration of one task */
+    uint32_t *after;     /* numbers of earlier steps */
+    uint32_t after_count;
+    bool saves_progress; /* its tasks can resume from a checkpoint */
+    bool is_gang;        /* its tasks work only all together */
+    bool same_rack;
+    bool copies_allowed;
+    bool lasts;     /* runs until the job is cancelled */
+    bool is_filler; /* uses only capacity that other tasks leave */
+    char label[NM_NAME_MAX];
+    char data_rack[NM_NAME_MAX];
+    char image[NM_NAME_MAX];
+    uint32_t per_worker_max;  /* tasks of the step on one worker; 0: any */
+    nm_ms_t target_ms;        /* bound of its tail latency; 0: none */
+    uint32_t unavailable_max; /* tasks away by our doing; see has_budget */
+    bool has_budget;          /* unavailable_max applies */
+} nm_step_t;
+
+typedef struct {
+    char id[NM_JOB_ID_MAX];
+    char queue[NM_NAME_MAX];
+    char service[NM_NAME_MAX]; /* whose workers run it */
+    char *payload;             /* handed to each task unchanged */
+    nm_step_t *steps;
+    uint32_t step_count;
+    uint32_t occurrences; /* 0: runs once, at once */
+    int64_t first_unix_ms;
+    nm_ms_t interval_ms;
+    int64_t accepted_unix_ms;
+} nm_job_spec_t;
+
+void nm_job_spec_init(nm_job_spec_t *spec, const char *id, const char *queue,
+                      const char *service);
+void nm_job_spec_finish(nm_job_spec_t *spec);
+/* Moves the contents; source is empty afterwards. */
+void nm_job_spec_move(nm_job_spec_t *target, nm_job_spec_t *source);
+/* Returns a zeroed step; pointers to earlier steps become invalid. */
+nm_step_t *nm_job_spec_add_step(nm_job_spec_t *spec);
+void nm_step_add_after(nm_step_t *step, uint32_t earlier);
+/* Returns what is wrong with a specification, or NULL. */
+const char *nm_job_spec_check(const nm_job_spec_t *spec);
+/* Longest chain of estimated durations. */
+nm_ms_t nm_job_spec_chain_ms(const nm_job_spec_t *spec);
+/* Work of one occurrence, from estimates, in core-milliseconds. */
+int64_t nm_job_spec_work(const nm_job_spec_t *spec);
+
+/* JSON text of a specification, to be freed with free(). */
+char *nm_job_record_encode(const nm_job_spec_t *spec);
+/* Returns NM_ERR_CORRUPT for anything but a valid record. */
+int nm_job_record_decode(nm_job_spec_t *spec, const char *id,
+                         const void *data, uint32_t bytes);
+
+#endif
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -1,5 +1,5 @@
 /*
- * Logs as JSON lines on standard error, through log4c.
+ * Logs as JSON lines, through log4c.
  *
  * Each log item has a fixed name; its fields are passed as a JSON object
  * built with jansson's pack format.
@@ -32,7 +32,14 @@
     X(TASK_EVICTED, "task-evicted")                                           \
     X(JOB_REFUSED, "job-refused")                                             \
     X(PEER_REFUSED, "peer-refused")                                           \
-    X(LISTEN_FAILED, "listen-failed")
+    X(LISTEN_FAILED, "listen-failed")                                         \
+    X(RELOADED, "reloaded")                                                   \
+    X(WORKER_REFUSED, "worker-refused")                                       \
+    X(REQUEST_REFUSED, "request-refused")                                     \
+    X(JOB_ACCEPTED, "job-accepted")                                           \
+    X(JOB_CANCELLED, "job-cancelled")                                         \
+    X(JOB_ENDED, "job-ended")                                                 \
+    X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
 #define X(name, label) NM_LOG_ITEM_##name,
@@ -41,6 +48,9 @@
         NM_LOG_ITEM_COUNT,
 } nm_log_item_t;
 
+/* Ceiling of lines a second; a burst of one second may follow a pause. */
+#define NM_LOG_LINES_PER_S 200
+
 typedef enum {
     NM_LOG_ERROR,
     NM_LOG_WARN,
@@ -50,6 +60,12 @@
 
 /* Opens the log.  host names the process in each line. */
 int nm_log_init(const char *host, nm_log_level_t level);
+/*
+ * Opens the log on standard output, which is never waited for: lines over
+ * the ceiling of NM_LOG_LINES_PER_S, or that standard output does not take,
+ * are dropped and counted in a later line.
+ */
+int nm_log_init_stdout(const char *host, nm_log_level_t level);
 void nm_log_finish(void);
 
 /*
--- /dev/null
+++ b/include/nutmegdeck/sched.h
@@ -0,0 +1,233 @@
+/*
+ * Job scheduler: which task starts where, and what becomes of it.
+ *
+ * A decision module without I/O.  The owner of the workers feeds it jobs,
+ * workers, reports and the time, and carries out the actions it returns.
+ * It keeps the promises that hold at every moment: no worker over its
+ * capacity, no task in two places, no start after an outcome was recorded.
+ * A worker's memory ends with its incarnation; what must outlive the owner
+ * is handed out as progress records.
+ *
+ *     nm_sched_t *sched = nm_sched_new(&(nm_sched_desc_t){.epoch = 3});
+ *     nm_sched_set_worker(sched, &worker, now_ms);
+ *     nm_sched_add_job(sched, &spec, false, now_ms);
+ *     nm_sched_run(sched, now_ms, unix_ms);
+ *     nm_sched_action_t action;
+ *     while (nm_sched_next_action(sched, &action)) { ... }
+ *     nm_sched_free(sched);
+ */
+#ifndef NUTMEGDECK_SCHED_H
+#define NUTMEGDECK_SCHED_H
+
+#include <nutmegdeck/job.h>
+#include <nutmegdeck/reason.h>
+
+#define NM_TASK_NAME_MAX 64
+#define NM_CHECKPOINT_MAX 128
+
+typedef struct nm_sched nm_sched_t;
+
+typedef struct {
+    int64_t epoch;       /* fencing token of this owner */
+    nm_ms_t lease_ms;    /* of what runs on a worker; 0: 7000 */
+    nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 10000 */
+    nm_ms_t stop_max_ms; /* longest duration of a stop; 0: 400 */
+    nm_ms_t gang_wait_ms;
+    uint32_t spread_factor; /* slowdown away from the data; 0: 3 */
+    uint64_t seed;
+    nm_ms_t retain_ms; /* how long ended jobs are known; 0: 150000 */
+} nm_sched_desc_t;
+
+/* A queue's promises, from the configuration in force. */
+typedef struct {
+    char name[NM_NAME_MAX];
+    char service[NM_NAME_MAX];
+    uint32_t priority; /* 0 comes first */
+    uint32_t attempts_max;
+    double slack_factor;
+    nm_ms_t objective_ms;
+    bool advised; /* its policy allows only some workers */
+} nm_queue_t;
+
+typedef enum {
+    NM_WORKER_READY,
+    NM_WORKER_DRAINING,
+} nm_worker_state_t;
+
+/* What a worker says of itself. */
+typedef struct {
+    char id[NM_NAME_MAX];
+    char service[NM_NAME_MAX];
+    char address[NM_NAME_MAX];
+    char zone[NM_NAME_MAX];
+    char rack[NM_NAME_MAX];
+    char labels[4][NM_NAME_MAX];
+    uint32_t label_count;
+    int64_t incarnation; /* start of this life */
+    int64_t cpu_milli;
+    int64_t memory_mb;
+    int32_t accelerators;
+    int64_t clock_ms; /* its steady clock when it wrote this */
+    nm_worker_state_t state;
+    nm_ms_t remaining_ms; /* while draining: least time left */
+    bool guards_capacity;
+} nm_sched_worker_t;
+
+typedef enum {
+    NM_ACTION_START,
+    NM_ACTION_STOP,
+    NM_ACTION_HOLD,
+    NM_ACTION_PACE,
+} nm_sched_action_type_t;
+
+typedef struct {
+    nm_sched_action_type_t type;
+    char worker[NM_NAME_MAX];
+    char address[NM_NAME_MAX];
+    int64_t incarnation;
+    char task[NM_TASK_NAME_MAX];
+    int64_t run;
+    int64_t expiry_ms; /* on the worker's clock */
+    int64_t acked;     /* HOLD: ends up to here may be forgotten */
+    nm_ms_t wait_ms;   /* HOLD: how long to wait for an end */
+    const char *payload;    /* START; valid until the next call */
+    const char *checkpoint; /* START; "" if there is none */
+    uint32_t percent;       /* PACE */
+} nm_sched_action_t;
+
+typedef enum {
+    NM_ORDER_DONE,
+    NM_ORDER_NOT_RUN,    /* certain to have done nothing */
+    NM_ORDER_UNKNOWN,    /* no answer: may be carried out later */
+    NM_ORDER_FENCED,     /* a newer owner was there */
+    NM_ORDER_SUPERSEDED, /* this run or a later one ended there */
+    NM_ORDER_NO_ROOM,
+    NM_ORDER_LATE,
+    NM_ORDER_WRONG_LIFE, /* another incarnation answered */
+    NM_ORDER_INVALID,
+} nm_order_result_t;
+
+typedef enum {
+    NM_END_DONE,
+    NM_END_FAILED,
+    NM_END_STOPPED,
+    NM_END_LAPSED,
+    NM_END_BROKEN,
+    NM_END_ALONE,
+} nm_end_t;
+
+typedef struct {
+    char task[NM_TASK_NAME_MAX];
+    int64_t run;
+    char checkpoint[NM_CHECKPOINT_MAX];
+    uint32_t percent; /* share of its speed it may work at */
+    int64_t figure;   /* lasting: tail in ms; else cpu in use */
+} nm_worker_run_t;
+
+typedef struct {
+    int64_t number;
+    char task[NM_TASK_NAME_MAX];
+    int64_t run;
+    nm_end_t end;
+    char checkpoint[NM_CHECKPOINT_MAX];
+} nm_worker_end_t;
+
+/* A worker's answer to a hold. */
+typedef struct {
+    nm_order_result_t result;
+    int64_t incarnation;
+    int64_t clock_ms;
+    nm_ms_t sent_ms; /* when the hold was sent, on our clock */
+    bool complete;   /* the list of ends was not cut off */
+    const nm_worker_run_t *running;
+    uint32_t running_count;
+    const nm_worker_end_t *ends;
+    uint32_t end_count;
+} nm_worker_report_t;
+
+typedef enum {
+    NM_JOB_UNKNOWN,
+    NM_JOB_QUEUED,
+    NM_JOB_RUNNING,
+    NM_JOB_COMPLETED,
+    NM_JOB_FAILED,
+    NM_JOB_CANCELLED,
+} nm_job_state_t;
+
+const char *nm_job_state_name(nm_job_state_t state);
+
+/* A progress record that the owner has to store. */
+typedef struct {
+    char job[NM_JOB_ID_MAX];
+    uint64_t change; /* to be confirmed by nm_sched_saved */
+    char *record;    /* to be freed with g_free; NULL: forget the job */
+} nm_sched_save_t;
+
+typedef struct {
+    uint32_t jobs_active;
+    uint32_t tasks_waiting;
+    uint32_t tasks_running;
+    uint32_t workers_usable;
+    uint32_t workers_unresolved; /* may run tasks that we do not know of */
+    int64_t cpu_free_milli;
+    int64_t cpu_total_milli;
+    int64_t backlog_work; /* core-ms that wait */
+} nm_sched_info_t;
+
+nm_sched_t *nm_sched_new(const nm_sched_desc_t *desc, nm_ms_t now_ms);
+void nm_sched_free(nm_sched_t *sched);
+
+void nm_sched_set_queue(nm_sched_t *sched, const nm_queue_t *queue);
+/*
+ * Adds a job and takes over its specification.  recovered: an earlier owner
+ * may have started tasks of it.  Returns NM_ERR_CONFLICT if it is known.
+ */
+int nm_sched_add_job(nm_sched_t *sched, nm_job_spec_t *spec, bool recovered,
+                     nm_ms_t now_ms);
+/* Applies a stored progress record to a recovered job. */
+int nm_sched_restore(nm_sched_t *sched, const char *job, const void *record,
+                     uint32_t bytes);
+/* Cancels a job; a job that has ended stays as it is. */
+void nm_sched_cancel_job(nm_sched_t *sched, const char *job, nm_ms_t now_ms);
+
+/* Announces or changes a worker. */
+void nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
+                         nm_ms_t now_ms);
+/* The worker is no longer announced; what it runs may run on. */
+void nm_sched_remove_worker(nm_sched_t *sched, const char *id);
+/* A worker is used only once a new owner would look for it. */
+void nm_sched_admit_worker(nm_sched_t *sched, const char *id);
+/* Returns the next worker that was forgotten, to be freed, or NULL. */
+char *nm_sched_next_gone(nm_sched_t *sched);
+/* A worker that an earlier owner used; it may run tasks unseen. */
+void nm_sched_expect_worker(nm_sched_t *sched, const char *id,
+                            nm_ms_t now_ms);
+
+void nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
+                       nm_order_result_t result, nm_ms_t now_ms);
+void nm_sched_on_stop(nm_sched_t *sched, const nm_sched_action_t *action,
+                      nm_order_result_t result, nm_ms_t now_ms);
+void nm_sched_on_report(nm_sched_t *sched, const char *worker,
+                        const nm_worker_report_t *report, nm_ms_t now_ms);
+void nm_sched_on_pace(nm_sched_t *sched, const nm_sched_action_t *action,
+                      nm_order_result_t result, nm_ms_t now_ms);
+
+/* Decides; returns the time until the next call is due. */
+nm_ms_t nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms);
+bool nm_sched_next_action(nm_sched_t *sched, nm_sched_action_t *action);
+/* Returns the next record to store; see nm_sched_saved. */
+bool nm_sched_next_save(nm_sched_t *sched, nm_sched_save_t *save);
+/* Confirms that a record is stored, or gives it back (stored: false). */
+void nm_sched_saved(nm_sched_t *sched, const nm_sched_save_t *save,
+                    bool stored);
+/* True if a record waits whose loss a caller would notice. */
+bool nm_sched_save_is_urgent(const nm_sched_t *sched);
+
+nm_job_state_t nm_sched_query_job(const nm_sched_t *sched, const char *job);
+/* Accepted jobs of a queue of which no task has started. */
+uint32_t nm_sched_query_pending(const nm_sched_t *sched, const char *queue);
+nm_sched_info_t nm_sched_query_info(const nm_sched_t *sched);
+/* True once a worker showed that a newer owner exists. */
+bool nm_sched_query_fenced(const nm_sched_t *sched);
+
+#endif
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,155 @@
+#include "entry_state.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* After a stop signal the balancer takes two checks to look elsewhere. */
+#define DRAIN_MS 2500
+/* A stopping host ends once no call was open for so long. */
+#define QUIET_MS 300
+/* Left of the grace time for the process's own end. */
+#define GRACE_MARGIN_MS 600
+/* A configuration is in force within this time of a silent connection. */
+#define CONFIG_WAIT_MS 4000
+
+static nm_ms_t
+now(const nm_entry_t *entry)
+{
+    return nm_clock_now(entry->desc.clock);
+}
+
+static void
+on_config(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (strcmp(item->key, entry->desc.codec->config_key) != 0 || !item->value) {
+        return;
+    }
+    nm_deployment_t *deployment = entry->desc.codec->decode_deployment(
+        item->value, item->value_bytes);
+    if (!deployment) {
+        nm_count_reason(NM_REASON_SETTINGS_CORRUPT);
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_SETTINGS_REFUSED, "{s:s}", "reason",
+               "it cannot be read");
+        return;
+    }
+    if (entry->deployment &&
+        deployment->version <= entry->deployment->version) {
+        nm_count_reason(NM_REASON_SETTINGS_STALE);
+        nm_deployment_free(deployment);
+        return;
+    }
+    nm_deployment_free(entry->deployment);
+    entry->deployment = deployment;
+    nm_count(NM_COUNTER_SETTINGS_INSTALLED, 1);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_SETTINGS_INSTALLED, "{s:I,s:i}", "version",
+           (json_int_t)deployment->version, "queues",
+           (int)deployment->path_count);
+    nm_owner_apply_deployment(entry);
+}
+
+static void
+on_control(void *user, const nm_store_kv_t *item)
+{
+    nm_owner_take_control(user, item);
+}
+
+nm_entry_t *
+nm_entry_new(const nm_entry_desc_t *desc)
+{
+    assert(desc && desc->kv && desc->orders && desc->front && desc->codec);
+    nm_entry_t *entry = g_new0(nm_entry_t, 1);
+    entry->desc = *desc;
+    nm_rng_init(&entry->rng,
+                (uint64_t)nm_entry_unix_ms() ^
+                    nm_hash(desc->name, strlen(desc->name)));
+    nm_calls_init(entry);
+    nm_owner_init(entry);
+    nm_feed_open(&entry->config_feed,
+                 &(nm_feed_desc_t){.kv = desc->kv,
+                                   .prefix = desc->codec->config_prefix,
+                                   .on_item = on_config,
+                                   .user = entry,
+                                   .wait_ms = CONFIG_WAIT_MS});
+    nm_feed_open(&entry->control_feed,
+                 &(nm_feed_desc_t){.kv = desc->kv,
+                                   .prefix = NM_KEY_CONTROL,
+                                   .on_item = on_control,
+                                   .user = entry});
+    return entry;
+}
+
+void
+nm_entry_free(nm_entry_t *entry)
+{
+    assert(entry);
+    nm_owner_finish(entry);
+    nm_calls_finish(entry);
+    nm_feed_close(&entry->config_feed);
+    nm_feed_close(&entry->control_feed);
+    nm_deployment_free(entry->deployment);
+    g_free(entry);
+}
+
+static void
+set_ready(nm_entry_t *entry)
+{
+    bool ready = entry->deployment && !entry->stopping;
+    if (ready != entry->ready) {
+        entry->ready = ready;
+        entry->desc.front->vtable->set_ready(entry->desc.front, ready);
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_READY, "{s:b}", "ready", ready);
+    }
+}
+
+static void
+check_stopped(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->calls.length > 0) {
+        entry->quiet_ms = now_ms;
+    }
+    nm_ms_t since = now_ms - entry->stop_ms;
+    bool quiet = since >= DRAIN_MS && now_ms - entry->quiet_ms >= QUIET_MS;
+    entry->stopped =
+        quiet || since >= entry->desc.grace_ms - GRACE_MARGIN_MS;
+}
+
+nm_ms_t
+nm_entry_run(nm_entry_t *entry)
+{
+    assert(entry);
+    nm_ms_t now_ms = now(entry);
+    nm_feed_tick(&entry->config_feed, now_ms);
+    nm_feed_tick(&entry->control_feed, now_ms);
+    nm_ms_t wait = nm_calls_run(entry, now_ms);
+    nm_ms_t owner_wait = nm_owner_run(entry, now_ms);
+    set_ready(entry);
+    if (entry->stopping) {
+        check_stopped(entry, now_ms);
+    }
+    return MIN(MIN(wait, owner_wait), 200);
+}
+
+void
+nm_entry_stop(nm_entry_t *entry)
+{
+    assert(entry);
+    if (entry->stopping) {
+        return;
+    }
+    entry->stopping = true;
+    entry->stop_ms = now(entry);
+    entry->quiet_ms = entry->stop_ms;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_STOPPING, NULL);
+}
+
+bool
+nm_entry_is_stopped(const nm_entry_t *entry)
+{
+    assert(entry);
+    return entry->stopped;
+}
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,52 @@
+/*
+ * Entry host for jobs: accepts callers' jobs, stores them, and, while it
+ * owns the workers, schedules their tasks.
+ *
+ * One control thread drives it; the ports do the I/O.  Any number of entry
+ * hosts run at once; one of them is the owner, by a lease in the store.
+ *
+ *     nm_entry_t *entry = nm_entry_new(&desc);
+ *     while (!nm_entry_is_stopped(entry)) {
+ *         nm_ms_t wait_ms = nm_entry_run(entry);
+ *         ... wait for the ports' descriptors ...
+ *     }
+ *     nm_entry_free(entry);
+ */
+#ifndef NM_ENTRY_H
+#define NM_ENTRY_H
+
+#include "call.h"
+#include "deployment.h"
+#include "kv.h"
+#include "order_port.h"
+#include "peer_ask.h"
+
+typedef struct nm_entry nm_entry_t;
+
+typedef struct {
+    const char *name;
+    const char *zone;
+    const char *region;
+    const char *peer_address; /* tcp://IP:PORT for other entry hosts */
+    double cpu_share;         /* of a core; more is chosen as owner first */
+    nm_ms_t stop_max_ms;      /* longest duration of a task's stop */
+    nm_ms_t gang_wait_ms;
+    nm_ms_t grace_ms;         /* from the stop signal to the kill */
+    uint32_t spread_factor;
+    const nm_clock_t *clock;
+    nm_kv_t *kv;
+    nm_order_port_t *orders;
+    nm_call_front_t *front;
+    nm_peer_ask_t *peers;
+    const nm_codec_t *codec;
+} nm_entry_desc_t;
+
+nm_entry_t *nm_entry_new(const nm_entry_desc_t *desc);
+void nm_entry_free(nm_entry_t *entry);
+/* Does what is due; returns the time until the next call is needed. */
+nm_ms_t nm_entry_run(nm_entry_t *entry);
+/* Begins a graceful shutdown. */
+void nm_entry_stop(nm_entry_t *entry);
+bool nm_entry_is_stopped(const nm_entry_t *entry);
+
+#endif
--- /dev/null
+++ b/src/entry_owner.c
@@ -0,0 +1,728 @@
+/*
+ * Ownership of the workers: election, takeover, and the store of progress.
+ *
+ * The owner holds a key by a lease and an epoch that only rises.  Each of
+ * its writes compares the key's revision, and each order carries the epoch,
+ * so a former owner changes nothing, however late it notices.  A new owner
+ * reads the stored jobs, then asks every worker what it runs.
+ */
+#include "entry_state.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* Progress that no caller waits for is stored this often at most... */
+#define COMMIT_MS 250
+/* ...and ends of jobs this often. */
+#define COMMIT_URGENT_MS 30
+/* Records in one transaction, with room for its compare. */
+#define COMMIT_RECORDS_MAX 28
+/* Candidates wait up to this long, the ones with less processor longer. */
+#define ELECTION_SPREAD_MS 120
+#define ELECTION_RETRY_MS 250
+/* Changes of workers and jobs that come together share a watch call. */
+#define JOBS_PAUSE_MS 15
+#define WORKERS_PAUSE_MS 100
+
+typedef struct {
+    nm_entry_t *entry;
+    int64_t term;
+} term_call_t;
+
+typedef struct {
+    nm_entry_t *entry;
+    int64_t term;
+    nm_sched_save_t saves[COMMIT_RECORDS_MAX];
+    uint32_t count;
+    bool roster;
+    GHashTable *roster_ids;
+} commit_call_t;
+
+int64_t
+nm_entry_unix_ms(void)
+{
+    struct timeval tv;
+    gettimeofday(&tv, NULL);
+    return (int64_t)tv.tv_sec * 1000 + tv.tv_usec / 1000;
+}
+
+static nm_ms_t
+now(const nm_entry_t *entry)
+{
+    return nm_clock_now(entry->desc.clock);
+}
+
+static term_call_t *
+term_call(nm_entry_t *entry)
+{
+    term_call_t *call = g_new(term_call_t, 1);
+    *call = (term_call_t){entry, entry->term};
+    return call;
+}
+
+void
+nm_owner_init(nm_entry_t *entry)
+{
+    entry->roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                          NULL);
+    entry->roster_wanted =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    entry->progress = g_ptr_array_new();
+}
+
+static void
+clear_progress(nm_entry_t *entry)
+{
+    for (guint i = 0; i < entry->progress->len; i++) {
+        nm_store_kv_t *item = entry->progress->pdata[i];
+        g_free(item->key);
+        g_free(item->value);
+        g_free(item);
+    }
+    g_ptr_array_set_size(entry->progress, 0);
+}
+
+void
+nm_owner_finish(nm_entry_t *entry)
+{
+    nm_owner_step_down(entry, "stopped");
+    g_hash_table_destroy(entry->roster);
+    g_hash_table_destroy(entry->roster_wanted);
+    g_ptr_array_free(entry->progress, TRUE);
+}
+
+void
+nm_owner_step_down(nm_entry_t *entry, const char *cause)
+{
+    if (entry->role == NM_ROLE_OWNER || entry->role == NM_ROLE_LOADING) {
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_OWNER_LOST, "{s:I,s:s}", "epoch",
+               (json_int_t)entry->term, "cause", cause);
+    }
+    entry->role = NM_ROLE_MEMBER;
+    entry->term = 0;
+    entry->lease = 0;
+    entry->renewing = false;
+    entry->committing = false;
+    nm_feed_close(&entry->workers_feed);
+    nm_feed_close(&entry->jobs_feed);
+    nm_feed_close(&entry->progress_feed);
+    nm_feed_close(&entry->roster_feed);
+    clear_progress(entry);
+    g_hash_table_remove_all(entry->roster);
+    g_hash_table_remove_all(entry->roster_wanted);
+    if (entry->sched) {
+        nm_sched_free(entry->sched);
+        entry->sched = NULL;
+    }
+}
+
+/* --- what the store says of the owner --- */
+
+static void
+take_owner(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    nm_owner_t *owner = &entry->owner;
+    if (!item->value) {
+        owner->present = false;
+        entry->vacant_ms = now(entry);
+        if (entry->term > 0) {
+            nm_owner_step_down(entry, "its key is gone");
+        }
+        return;
+    }
+    json_t *record = json_loadb((const char *)item->value, item->value_bytes,
+                                0, NULL);
+    const char *name = json_string_value(json_object_get(record, "name"));
+    const char *address =
+        json_string_value(json_object_get(record, "address"));
+    const char *token = json_string_value(json_object_get(record, "token"));
+    if (name && address && token) {
+        *owner = (nm_owner_t){.present = true,
+                              .revision = item->mod_revision};
+        nm_strcopy(owner->name, sizeof(owner->name), name);
+        nm_strcopy(owner->address, sizeof(owner->address), address);
+        nm_strcopy(owner->token, sizeof(owner->token), token);
+        owner->epoch = json_integer_value(json_object_get(record, "epoch"));
+        entry->vacant_ms = 0;
+        if (entry->term > 0 && strcmp(token, entry->token) != 0) {
+            nm_owner_step_down(entry, "another host is the owner");
+        }
+    }
+    json_decref(record);
+}
+
+void
+nm_owner_take_control(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    if (strcmp(item->key, NM_KEY_OWNER) == 0) {
+        take_owner(entry, item);
+    }
+    else if (strcmp(item->key, NM_KEY_EPOCH) == 0 && item->value) {
+        int64_t epoch = strtoll((const char *)item->value, NULL, 10);
+        if (epoch > entry->epoch) {
+            entry->epoch = epoch;
+            entry->epoch_revision = item->mod_revision;
+        }
+    }
+}
+
+/* --- workers and jobs --- */
+
+static void
+want_roster(nm_entry_t *entry, const char *id)
+{
+    if (g_hash_table_add(entry->roster_wanted, g_strdup(id))) {
+        entry->roster_dirty = true;
+    }
+}
+
+static void
+on_worker(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    const char *id = item->key + strlen(entry->desc.codec->workers_prefix);
+    if (!item->value) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker", id);
+        nm_sched_remove_worker(entry->sched, id);
+        return;
+    }
+    nm_sched_worker_t worker;
+    int rc = entry->desc.codec->decode_worker(&worker, id, item->value,
+                                              item->value_bytes);
+    if (rc < 0) {
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_REFUSED, "{s:s,s:s}", "worker",
+               id, "reason", nm_error_text(rc));
+        nm_sched_remove_worker(entry->sched, id);
+        return;
+    }
+    const nm_deployment_t *deployment = entry->deployment;
+    for (uint32_t i = 0; deployment && i < deployment->guarded_count; i++) {
+        worker.guards_capacity =
+            worker.guards_capacity ||
+            strcmp(deployment->guarded_services[i], worker.service) == 0;
+    }
+    want_roster(entry, id);
+    nm_sched_set_worker(entry->sched, &worker, now(entry));
+    if (g_hash_table_contains(entry->roster, id)) {
+        nm_sched_admit_worker(entry->sched, id);
+    }
+    entry->sched_due_ms = 0;
+}
+
+static void
+take_cancel(nm_entry_t *entry, const char *name)
+{
+    char id[NM_JOB_ID_MAX];
+    size_t length = strlen(name) - strlen(NM_SUFFIX_CANCEL);
+    if (length < sizeof(id)) {
+        memcpy(id, name, length);
+        id[length] = '\0';
+        nm_sched_cancel_job(entry->sched, id, now(entry));
+    }
+}
+
+static void
+on_job(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    const char *name = item->key + strlen(NM_KEY_JOBS);
+    if (!item->value) {
+        return;
+    }
+    entry->sched_due_ms = 0;
+    if (g_str_has_suffix(name, NM_SUFFIX_CANCEL)) {
+        take_cancel(entry, name);
+        return;
+    }
+    nm_job_spec_t spec;
+    int rc = nm_job_record_decode(&spec, name, item->value, item->value_bytes);
+    if (rc == NM_OK) {
+        bool recovered = !entry->jobs_feed.listed && entry->term > 1;
+        rc = nm_sched_add_job(entry->sched, &spec, recovered, now(entry));
+    }
+    if (rc < 0 && rc != NM_ERR_CONFLICT) {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", name,
+               "reason", nm_error_text(rc));
+    }
+    nm_job_spec_finish(&spec);
+}
+
+static void
+on_progress(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (item->value) {
+        nm_store_kv_t *copy = g_new0(nm_store_kv_t, 1);
+        copy->key = g_strdup(item->key + strlen(NM_KEY_PROGRESS));
+        copy->value = g_memdup2(item->value, item->value_bytes + 1);
+        copy->value_bytes = item->value_bytes;
+        g_ptr_array_add(entry->progress, copy);
+    }
+}
+
+/* Jobs and their progress are known: from now on it decides. */
+static void
+on_jobs_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    if (entry->role != NM_ROLE_LOADING) {
+        return;
+    }
+    for (guint i = 0; i < entry->progress->len; i++) {
+        const nm_store_kv_t *item = entry->progress->pdata[i];
+        int rc = nm_sched_restore(entry->sched, item->key, item->value,
+                                  item->value_bytes);
+        if (rc < 0 && rc != NM_ERR_NOT_FOUND) {
+            nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
+                   item->key, "reason", "its progress cannot be read");
+        }
+    }
+    clear_progress(entry);
+    entry->role = NM_ROLE_OWNER;
+    entry->sched_due_ms = 0;
+    nm_count(NM_COUNTER_TAKEOVERS, 1);
+    nm_sched_info_t info = nm_sched_query_info(entry->sched);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I,s:i,s:i}", "epoch",
+           (json_int_t)entry->term, "jobs", info.jobs_active,
+           "workers_unresolved", info.workers_unresolved);
+}
+
+static void
+on_progress_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    /* Later progress is our own. */
+    nm_feed_close(&entry->progress_feed);
+    nm_feed_open(&entry->jobs_feed,
+                 &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .prefix = NM_KEY_JOBS,
+                                   .on_item = on_job,
+                                   .on_listed = on_jobs_listed,
+                                   .user = entry,
+                                   .pause_ms = JOBS_PAUSE_MS});
+}
+
+static void
+on_roster(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    entry->roster_revision = item->mod_revision;
+    if (!item->value) {
+        return;
+    }
+    json_t *ids = json_loadb((const char *)item->value, item->value_bytes, 0,
+                             NULL);
+    size_t i;
+    json_t *id;
+    json_array_foreach(ids, i, id)
+    {
+        const char *text = json_string_value(id);
+        if (text) {
+            g_hash_table_add(entry->roster, g_strdup(text));
+            g_hash_table_add(entry->roster_wanted, g_strdup(text));
+            nm_sched_expect_worker(entry->sched, text, now(entry));
+        }
+    }
+    json_decref(ids);
+}
+
+static void
+on_roster_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    nm_feed_close(&entry->roster_feed);
+    nm_feed_open(&entry->workers_feed,
+                 &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .prefix = entry->desc.codec->workers_prefix,
+                                   .on_item = on_worker,
+                                   .user = entry,
+                                   .pause_ms = WORKERS_PAUSE_MS});
+    nm_feed_open(&entry->progress_feed,
+                 &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .prefix = NM_KEY_PROGRESS,
+                                   .on_item = on_progress,
+                                   .on_listed = on_progress_listed,
+                                   .user = entry});
+}
+
+/* --- election --- */
+
+static void
+begin_term(nm_entry_t *entry, int64_t epoch, int64_t revision)
+{
+    entry->term = epoch;
+    entry->owner_revision = revision;
+    entry->role = NM_ROLE_LOADING;
+    entry->renew_due_ms = now(entry) + NM_OWNER_RENEW_MS;
+    entry->sched = nm_sched_new(
+        &(nm_sched_desc_t){.epoch = epoch,
+                           .lease_max_ms = epoch > 1 ? 0 : 1,
+                           .stop_max_ms = entry->desc.stop_max_ms,
+                           .gang_wait_ms = entry->desc.gang_wait_ms,
+                           .spread_factor = entry->desc.spread_factor,
+                           .seed = nm_rng_next(&entry->rng)},
+        now(entry));
+    nm_sched_run(entry->sched, now(entry), nm_entry_unix_ms());
+    nm_owner_apply_deployment(entry);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
+           (json_int_t)epoch);
+    nm_feed_open(&entry->roster_feed,
+                 &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .prefix = NM_KEY_ROSTER,
+                                   .on_item = on_roster,
+                                   .on_listed = on_roster_listed,
+                                   .user = entry});
+}
+
+static void
+on_elected(void *user, const nm_kv_result_t *result)
+{
+    term_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    g_free(call);
+    if (entry->role != NM_ROLE_CANDIDATE) {
+        return;
+    }
+    entry->role = NM_ROLE_MEMBER;
+    entry->vacant_ms = now(entry) + ELECTION_RETRY_MS;
+    if (result->rc == NM_OK) {
+        entry->epoch++;
+        entry->epoch_revision = result->revision;
+        begin_term(entry, entry->epoch, result->revision);
+        return;
+    }
+    if (result->rc != NM_ERR_CONFLICT) {
+        return;
+    }
+    for (uint32_t i = 0; i < result->item_count; i++) {
+        nm_owner_take_control(entry, &result->items[i]);
+    }
+}
+
+static void
+stand_for_election(nm_entry_t *entry)
+{
+    char epoch[24];
+    snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->epoch + 1);
+    snprintf(entry->token, sizeof(entry->token), "%016llx",
+             (unsigned long long)nm_rng_next(&entry->rng));
+    json_t *record = json_pack(
+        "{s:s,s:s,s:s,s:I}", "name", entry->desc.name, "address",
+        entry->desc.peer_address, "token", entry->token, "epoch",
+        (json_int_t)entry->epoch + 1);
+    char *text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, NM_KEY_OWNER,
+                        entry->owner.present ? entry->owner.revision : 0);
+    nm_store_txn_expect(&txn, NM_KEY_EPOCH, entry->epoch_revision);
+    nm_store_txn_put(&txn, NM_KEY_OWNER, text, (uint32_t)strlen(text),
+                     entry->lease);
+    nm_store_txn_put(&txn, NM_KEY_EPOCH, epoch, (uint32_t)strlen(epoch), 0);
+    nm_kv_commit(entry->desc.kv, &txn, on_elected, term_call(entry));
+    nm_store_txn_finish(&txn);
+    free(text);
+}
+
+static void
+on_lease(void *user, const nm_kv_result_t *result)
+{
+    term_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    g_free(call);
+    if (entry->role != NM_ROLE_CANDIDATE) {
+        return;
+    }
+    if (result->rc != NM_OK || result->lease == 0) {
+        entry->role = NM_ROLE_MEMBER;
+        entry->vacant_ms = now(entry) + ELECTION_RETRY_MS;
+        return;
+    }
+    entry->lease = result->lease;
+    stand_for_election(entry);
+}
+
+/* A restarted process need not wait for the lease of its last life. */
+static bool
+owner_is_my_last_life(const nm_entry_t *entry)
+{
+    return entry->owner.present && entry->term == 0 &&
+           strcmp(entry->owner.name, entry->desc.name) == 0 &&
+           strcmp(entry->owner.token, entry->token) != 0;
+}
+
+static void
+consider_election(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->role != NM_ROLE_MEMBER || entry->stopping ||
+        !entry->control_feed.listed || !entry->deployment)
+    {
+        return;
+    }
+    if (!owner_is_my_last_life(entry)) {
+        if (entry->owner.present) {
+            return;
+        }
+        double share = MIN(entry->desc.cpu_share, 1.0);
+        nm_ms_t wait = (nm_ms_t)(ELECTION_SPREAD_MS * (1 - share)) +
+                       nm_rng_below(&entry->rng, 20);
+        if (now_ms < entry->vacant_ms + wait) {
+            return;
+        }
+    }
+    entry->role = NM_ROLE_CANDIDATE;
+    entry->lease_until_ms = now_ms + NM_OWNER_LEASE_MS;
+    nm_kv_lease_grant(entry->desc.kv, NM_OWNER_LEASE_MS, on_lease,
+                      term_call(entry));
+}
+
+static void
+on_renewed(void *user, const nm_kv_result_t *result)
+{
+    term_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    bool current = entry->term == call->term && entry->term > 0;
+    g_free(call);
+    if (!current) {
+        return;
+    }
+    entry->renewing = false;
+    if (result->rc == NM_OK) {
+        entry->lease_until_ms = now(entry) + NM_OWNER_LEASE_MS;
+    }
+    else if (result->rc == NM_ERR_NOT_FOUND) {
+        nm_owner_step_down(entry, "its lease has ended");
+    }
+}
+
+static void
+renew_lease(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (!entry->renewing && now_ms >= entry->renew_due_ms) {
+        entry->renewing = true;
+        entry->renew_due_ms = now_ms + NM_OWNER_RENEW_MS;
+        nm_kv_lease_renew(entry->desc.kv, entry->lease, on_renewed,
+                          term_call(entry));
+    }
+}
+
+/* --- storing progress --- */
+
+static void
+take_roster(nm_entry_t *entry, commit_call_t *call)
+{
+    GHashTable *previous = entry->roster;
+    entry->roster = call->roster_ids;
+    call->roster_ids = previous;
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, entry->roster);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        nm_sched_admit_worker(entry->sched, id);
+    }
+}
+
+static void
+on_committed(void *user, const nm_kv_result_t *result)
+{
+    commit_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    bool current = entry->term == call->term && entry->sched;
+    bool stored = result->rc == NM_OK;
+    for (uint32_t i = 0; i < call->count; i++) {
+        if (current) {
+            nm_sched_saved(entry->sched, &call->saves[i], stored);
+            if (stored) {
+                nm_job_state_t state =
+                    nm_sched_query_job(entry->sched, call->saves[i].job);
+                if (state >= NM_JOB_COMPLETED) {
+                    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_ENDED, "{s:s,s:s}",
+                           "job", call->saves[i].job, "state",
+                           nm_job_state_name(state));
+                }
+            }
+        }
+        g_free(call->saves[i].record);
+    }
+    if (current) {
+        entry->committing = false;
+        entry->sched_due_ms = 0;
+        if (call->roster && stored) {
+            entry->roster_revision = result->revision;
+            take_roster(entry, call);
+        }
+        else if (call->roster) {
+            entry->roster_dirty = true;
+        }
+        if (result->rc == NM_ERR_CONFLICT) {
+            nm_owner_step_down(entry, "a newer owner writes");
+        }
+        else if (!stored) {
+            nm_count_reason(NM_REASON_STORE_UNAVAILABLE);
+            entry->commit_due_ms = now(entry) + COMMIT_MS;
+        }
+    }
+    if (call->roster_ids) {
+        g_hash_table_destroy(call->roster_ids);
+    }
+    g_free(call);
+}
+
+static void
+put_roster(nm_entry_t *entry, nm_store_txn_t *txn, commit_call_t *call)
+{
+    json_t *ids = json_array();
+    call->roster = true;
+    call->roster_ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             NULL);
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, entry->roster_wanted);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        json_array_append_new(ids, json_string(id));
+        g_hash_table_add(call->roster_ids, g_strdup(id));
+    }
+    char *text = json_dumps(ids, JSON_COMPACT);
+    nm_store_txn_put(txn, NM_KEY_ROSTER, text, (uint32_t)strlen(text), 0);
+    free(text);
+    json_decref(ids);
+    entry->roster_dirty = false;
+}
+
+static void
+commit(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->committing || now_ms < entry->commit_due_ms) {
+        return;
+    }
+    commit_call_t *call = g_new0(commit_call_t, 1);
+    call->entry = entry;
+    call->term = entry->term;
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
+    while (call->count < COMMIT_RECORDS_MAX &&
+           nm_sched_next_save(entry->sched, &call->saves[call->count]))
+    {
+        nm_sched_save_t *save = &call->saves[call->count++];
+        char key[NM_NAME_MAX * 2];
+        snprintf(key, sizeof(key), "%s%s", NM_KEY_PROGRESS, save->job);
+        nm_store_txn_put(&txn, key, save->record,
+                         (uint32_t)strlen(save->record), 0);
+    }
+    if (entry->roster_dirty) {
+        put_roster(entry, &txn, call);
+    }
+    if (call->count == 0 && !call->roster) {
+        nm_store_txn_finish(&txn);
+        g_free(call);
+        return;
+    }
+    entry->committing = true;
+    nm_count(NM_COUNTER_JOURNAL_WRITES, 1);
+    nm_count(NM_COUNTER_JOURNAL_RECORDS, call->count);
+    nm_kv_commit(entry->desc.kv, &txn, on_committed, call);
+    nm_store_txn_finish(&txn);
+    entry->commit_due_ms = now_ms + COMMIT_MS;
+}
+
+/* --- orders --- */
+
+static void
+on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
+         const nm_worker_report_t *report)
+{
+    term_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    bool current = entry->term == call->term && entry->sched;
+    g_free(call);
+    if (!current) {
+        return;
+    }
+    nm_ms_t now_ms = now(entry);
+    switch (action->type) {
+    case NM_ACTION_START:
+        nm_sched_on_start(entry->sched, action, result, now_ms);
+        break;
+    case NM_ACTION_STOP:
+        nm_sched_on_stop(entry->sched, action, result, now_ms);
+        break;
+    case NM_ACTION_PACE:
+        nm_sched_on_pace(entry->sched, action, result, now_ms);
+        break;
+    default:
+        nm_sched_on_report(entry->sched, action->worker, report, now_ms);
+        break;
+    }
+    entry->sched_due_ms = 0;
+}
+
+void
+nm_owner_apply_deployment(nm_entry_t *entry)
+{
+    if (!entry->sched || !entry->deployment) {
+        return;
+    }
+    for (uint32_t i = 0; i < entry->deployment->path_count; i++) {
+        nm_sched_set_queue(entry->sched, &entry->deployment->paths[i].queue);
+    }
+}
+
+static void
+run_sched(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (now_ms < entry->sched_due_ms) {
+        return;
+    }
+    nm_ms_t wait = nm_sched_run(entry->sched, now_ms, nm_entry_unix_ms());
+    entry->sched_due_ms = now_ms + MAX(wait, 5);
+    nm_sched_action_t action;
+    while (nm_sched_next_action(entry->sched, &action)) {
+        nm_order_port_send(entry->desc.orders, &action, entry->term, on_order,
+                           term_call(entry));
+    }
+    char *gone;
+    while ((gone = nm_sched_next_gone(entry->sched))) {
+        entry->roster_dirty =
+            g_hash_table_remove(entry->roster_wanted, gone) ||
+            entry->roster_dirty;
+        g_free(gone);
+    }
+    if (nm_sched_save_is_urgent(entry->sched)) {
+        entry->commit_due_ms =
+            MIN(entry->commit_due_ms, now_ms + COMMIT_URGENT_MS);
+    }
+    if (nm_sched_query_fenced(entry->sched)) {
+        nm_owner_step_down(entry, "a worker has seen a newer epoch");
+    }
+}
+
+nm_ms_t
+nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    consider_election(entry, now_ms);
+    if (entry->term == 0) {
+        return 20;
+    }
+    renew_lease(entry, now_ms);
+    nm_feed_tick(&entry->roster_feed, now_ms);
+    nm_feed_tick(&entry->workers_feed, now_ms);
+    nm_feed_tick(&entry->progress_feed, now_ms);
+    nm_feed_tick(&entry->jobs_feed, now_ms);
+    if (entry->role == NM_ROLE_OWNER) {
+        run_sched(entry, now_ms);
+    }
+    if (entry->role == NM_ROLE_OWNER) {
+        commit(entry, now_ms);
+    }
+    nm_ms_t due = MIN(entry->sched_due_ms, entry->renew_due_ms);
+    return MAX(due - now_ms, 1);
+}
--- /dev/null
+++ b/src/entry_settings.h
@@ -0,0 +1,34 @@
+/*
+ * Settings of an entry host for jobs, a JSON document.
+ *
+ *     nm_entry_settings_t settings;
+ *     char *fault = NULL;
+ *     int rc = nm_entry_settings_load(&settings, path, &fault);
+ */
+#ifndef NM_ENTRY_SETTINGS_H
+#define NM_ENTRY_SETTINGS_H
+
+#include <nutmegdeck/base.h>
+
+typedef struct {
+    char name[NM_NAME_MAX];
+    char zone[NM_NAME_MAX];
+    char region[NM_NAME_MAX];
+    char front_address[NM_NAME_MAX]; /* IP:PORT for callers */
+    char ready_address[NM_NAME_MAX]; /* IP:PORT of the readiness check */
+    char peer_address[NM_NAME_MAX];  /* tcp://IP:PORT for entry hosts */
+    char store_address[NM_NAME_MAX]; /* IP:PORT */
+    double cpu_share;                /* of a core */
+    nm_ms_t grace_ms;
+    nm_ms_t stop_max_ms;
+    nm_ms_t gang_wait_ms;
+    uint32_t spread_factor;
+} nm_entry_settings_t;
+
+/* On failure, *fault names each thing that is wrong; free with g_free. */
+int nm_entry_settings_load(nm_entry_settings_t *settings, const char *path,
+                           char **fault);
+int nm_entry_settings_parse(nm_entry_settings_t *settings, const char *text,
+                            char **fault);
+
+#endif
--- /dev/null
+++ b/src/entry_state.h
@@ -0,0 +1,100 @@
+/*
+ * State shared by the parts of an entry host.  Calls go one way:
+ * entry.c -> entry_call.c -> entry_owner.c.
+ */
+#ifndef NM_ENTRY_STATE_H
+#define NM_ENTRY_STATE_H
+
+#include "entry.h"
+#include "feed.h"
+
+/* Keys of the product in the platform's store. */
+#define NM_KEY_CONTROL "nutmegdeck/control/"
+#define NM_KEY_OWNER NM_KEY_CONTROL "owner"
+#define NM_KEY_EPOCH NM_KEY_CONTROL "epoch"
+#define NM_KEY_ROSTER "nutmegdeck/roster"
+#define NM_KEY_JOBS "nutmegdeck/jobs/"
+#define NM_KEY_PROGRESS "nutmegdeck/progress/"
+#define NM_SUFFIX_CANCEL ".cancel"
+
+/* The owner's lease; the platform's least is 1000 ms. */
+#define NM_OWNER_LEASE_MS 1500
+#define NM_OWNER_RENEW_MS 400
+
+/* What the store says of the owner. */
+typedef struct {
+    bool present;
+    char name[NM_NAME_MAX];
+    char address[NM_NAME_MAX * 2];
+    char token[NM_NAME_MAX]; /* of its election; unique */
+    int64_t epoch;
+    int64_t revision; /* of the key */
+} nm_owner_t;
+
+typedef enum {
+    NM_ROLE_MEMBER,
+    NM_ROLE_CANDIDATE, /* an election call is in flight */
+    NM_ROLE_LOADING,   /* owner, reads what was stored */
+    NM_ROLE_OWNER,
+} nm_role_t;
+
+struct nm_entry {
+    nm_entry_desc_t desc;
+    nm_deployment_t *deployment;
+    bool stopping;
+    bool stopped;
+    nm_ms_t stop_ms;
+    nm_ms_t quiet_ms; /* last time a call was open while stopping */
+    bool ready;
+    nm_rng_t rng;
+    /* Control keys, and the configuration. */
+    nm_feed_t config_feed;
+    nm_feed_t control_feed;
+    nm_owner_t owner;
+    int64_t epoch; /* newest in the store */
+    int64_t epoch_revision;
+    nm_ms_t vacant_ms; /* since when no owner is known; 0: there is one */
+    nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
+    /* Ownership. */
+    nm_role_t role;
+    char token[NM_NAME_MAX];
+    int64_t lease;
+    nm_ms_t lease_until_ms;
+    nm_ms_t renew_due_ms;
+    bool renewing;
+    int64_t term; /* epoch of our ownership; 0: none */
+    int64_t owner_revision;
+    nm_sched_t *sched;
+    nm_feed_t workers_feed;
+    nm_feed_t jobs_feed;
+    nm_feed_t progress_feed;
+    nm_feed_t roster_feed;
+    int64_t roster_revision;
+    GHashTable *roster;      /* worker ids that are stored */
+    GHashTable *roster_wanted;
+    bool roster_dirty;
+    GPtrArray *progress; /* loaded records, until the jobs are listed */
+    bool committing;
+    nm_ms_t commit_due_ms;
+    nm_ms_t sched_due_ms;
+    /* Calls. */
+    GQueue calls;     /* of nm_op_t, open */
+    GHashTable *asks; /* question number -> nm_op_t */
+};
+
+/* entry_owner.c */
+void nm_owner_init(nm_entry_t *entry);
+void nm_owner_finish(nm_entry_t *entry);
+nm_ms_t nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms);
+void nm_owner_step_down(nm_entry_t *entry, const char *cause);
+void nm_owner_apply_deployment(nm_entry_t *entry);
+void nm_owner_take_control(nm_entry_t *entry, const nm_store_kv_t *item);
+
+/* entry_call.c */
+void nm_calls_init(nm_entry_t *entry);
+void nm_calls_finish(nm_entry_t *entry);
+nm_ms_t nm_calls_run(nm_entry_t *entry, nm_ms_t now_ms);
+
+int64_t nm_entry_unix_ms(void);
+
+#endif
--- /dev/null
+++ b/src/feed.c
@@ -0,0 +1,212 @@
+#include "feed.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define DEFAULT_WAIT_MS 5000
+/* Pause after a failed call, doubled up to RETRY_MAX_MS. */
+#define RETRY_MS 100
+#define RETRY_MAX_MS 800
+
+typedef struct {
+    nm_feed_t *feed;
+    uint64_t generation;
+} call_t;
+
+static nm_ms_t
+now(void)
+{
+    nm_clock_t clock;
+    nm_clock_init_monotonic(&clock);
+    return nm_clock_now(&clock);
+}
+
+static void
+restart_listing(nm_feed_t *feed)
+{
+    feed->listing = true;
+    feed->after[0] = '\0';
+    g_hash_table_remove_all(feed->listed_keys);
+}
+
+void
+nm_feed_open(nm_feed_t *feed, const nm_feed_desc_t *desc)
+{
+    assert(feed && desc && desc->kv && desc->prefix && desc->on_item);
+    nm_feed_close(feed);
+    feed->desc = *desc;
+    nm_strcopy(feed->prefix, sizeof(feed->prefix), desc->prefix);
+    feed->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                        g_free);
+    feed->listed_keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    feed->open = true;
+    feed->listed = false;
+    feed->pending = false;
+    feed->revision = 0;
+    feed->due_ms = 0;
+    feed->failures = 0;
+    restart_listing(feed);
+}
+
+void
+nm_feed_close(nm_feed_t *feed)
+{
+    assert(feed);
+    feed->generation++;
+    if (feed->open) {
+        g_hash_table_destroy(feed->known);
+        g_hash_table_destroy(feed->listed_keys);
+        feed->open = false;
+    }
+}
+
+static void
+deliver(nm_feed_t *feed, const nm_store_kv_t *item)
+{
+    const int64_t *seen = g_hash_table_lookup(feed->known, item->key);
+    if (seen && *seen >= item->mod_revision) {
+        return;
+    }
+    if (!seen && !item->value) {
+        return;
+    }
+    g_hash_table_insert(feed->known, g_strdup(item->key),
+                        g_memdup2(&item->mod_revision,
+                                  sizeof(item->mod_revision)));
+    if (!item->value) {
+        g_hash_table_remove(feed->known, item->key);
+    }
+    feed->desc.on_item(feed->desc.user, item);
+}
+
+/* Keys that a complete listing does not show were deleted before it. */
+static void
+deliver_vanished(nm_feed_t *feed)
+{
+    GPtrArray *vanished = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer revision;
+    g_hash_table_iter_init(&iter, feed->known);
+    while (g_hash_table_iter_next(&iter, &key, &revision)) {
+        if (!g_hash_table_contains(feed->listed_keys, key) &&
+            *(int64_t *)revision <= feed->page_revision)
+        {
+            g_ptr_array_add(vanished, g_strdup(key));
+        }
+    }
+    for (guint i = 0; i < vanished->len; i++) {
+        nm_store_kv_t item = {.key = vanished->pdata[i],
+                              .mod_revision = feed->page_revision + 1};
+        deliver(feed, &item);
+        if (!feed->open) {
+            break;
+        }
+    }
+    g_ptr_array_free(vanished, TRUE);
+}
+
+static void
+take_page(nm_feed_t *feed, const nm_kv_result_t *result)
+{
+    uint64_t generation = feed->generation;
+    if (feed->after[0] == '\0') {
+        feed->page_revision = result->revision;
+    }
+    for (uint32_t i = 0; i < result->item_count; i++) {
+        g_hash_table_add(feed->listed_keys, g_strdup(result->items[i].key));
+        nm_strcopy(feed->after, sizeof(feed->after), result->items[i].key);
+        deliver(feed, &result->items[i]);
+        if (feed->generation != generation) {
+            return;
+        }
+    }
+    if (result->more && result->item_count > 0) {
+        return;
+    }
+    feed->listing = false;
+    feed->revision = feed->page_revision;
+    deliver_vanished(feed);
+    if (feed->generation != generation) {
+        return;
+    }
+    g_hash_table_remove_all(feed->listed_keys);
+    feed->listed = true;
+    if (feed->desc.on_listed) {
+        feed->desc.on_listed(feed->desc.user);
+    }
+}
+
+static void
+take_events(nm_feed_t *feed, const nm_kv_result_t *result)
+{
+    uint64_t generation = feed->generation;
+    for (uint32_t i = 0; i < result->item_count; i++) {
+        deliver(feed, &result->items[i]);
+        if (feed->generation != generation) {
+            return;
+        }
+    }
+    if (result->revision > feed->revision) {
+        feed->revision = result->revision;
+    }
+    if (result->item_count > 0) {
+        feed->due_ms = now() + feed->desc.pause_ms;
+    }
+}
+
+static void
+on_result(void *user, const nm_kv_result_t *result)
+{
+    call_t *call = user;
+    nm_feed_t *feed = call->feed;
+    bool current = feed->open && call->generation == feed->generation;
+    g_free(call);
+    if (!current) {
+        return;
+    }
+    feed->pending = false;
+    feed->due_ms = 0;
+    if (result->rc == NM_OK) {
+        feed->failures = 0;
+        feed->answered_ms = now();
+        if (feed->listing) {
+            take_page(feed, result);
+        }
+        else {
+            take_events(feed, result);
+        }
+        return;
+    }
+    if (result->rc == NM_ERR_COMPACTED) {
+        feed->answered_ms = now();
+        restart_listing(feed);
+        return;
+    }
+    nm_ms_t pause = (nm_ms_t)RETRY_MS << MIN(feed->failures, 3);
+    feed->failures++;
+    feed->due_ms = now() + MIN(pause, RETRY_MAX_MS);
+    if (feed->listing) {
+        restart_listing(feed);
+    }
+}
+
+void
+nm_feed_tick(nm_feed_t *feed, nm_ms_t now_ms)
+{
+    assert(feed);
+    if (!feed->open || feed->pending || now_ms < feed->due_ms) {
+        return;
+    }
+    feed->pending = true;
+    call_t *call = g_new(call_t, 1);
+    *call = (call_t){feed, feed->generation};
+    if (feed->listing) {
+        nm_kv_range(feed->desc.kv, feed->prefix, feed->after, on_result, call);
+        return;
+    }
+    nm_ms_t wait = feed->desc.wait_ms ? feed->desc.wait_ms : DEFAULT_WAIT_MS;
+    nm_kv_watch(feed->desc.kv, feed->prefix, feed->revision, wait, on_result,
+                call);
+}
--- /dev/null
+++ b/src/job.c
@@ -0,0 +1,284 @@
+#include <nutmegdeck/job.h>
+
+#include <assert.h>
+#include <string.h>
+
+#include <jansson.h>
+
+void
+nm_job_spec_init(nm_job_spec_t *spec, const char *id, const char *queue,
+                 const char *service)
+{
+    assert(spec && id && queue && service);
+    *spec = (nm_job_spec_t){.payload = g_strdup("")};
+    nm_strcopy(spec->id, sizeof(spec->id), id);
+    nm_strcopy(spec->queue, sizeof(spec->queue), queue);
+    nm_strcopy(spec->service, sizeof(spec->service), service);
+}
+
+void
+nm_job_spec_finish(nm_job_spec_t *spec)
+{
+    assert(spec);
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        g_free(spec->steps[i].after);
+    }
+    g_free(spec->steps);
+    g_free(spec->payload);
+    *spec = (nm_job_spec_t){0};
+}
+
+void
+nm_job_spec_move(nm_job_spec_t *target, nm_job_spec_t *source)
+{
+    assert(target && source);
+    *target = *source;
+    *source = (nm_job_spec_t){0};
+}
+
+nm_step_t *
+nm_job_spec_add_step(nm_job_spec_t *spec)
+{
+    assert(spec);
+    spec->steps = g_renew(nm_step_t, spec->steps, spec->step_count + 1);
+    nm_step_t *step = &spec->steps[spec->step_count++];
+    *step = (nm_step_t){0};
+    return step;
+}
+
+void
+nm_step_add_after(nm_step_t *step, uint32_t earlier)
+{
+    assert(step);
+    step->after = g_renew(uint32_t, step->after, step->after_count + 1);
+    step->after[step->after_count++] = earlier;
+}
+
+const char *
+nm_job_spec_check(const nm_job_spec_t *spec)
+{
+    assert(spec);
+    if (spec->step_count == 0 || spec->step_count > NM_JOB_STEPS_MAX) {
+        return "a job needs 1 to 64 steps";
+    }
+    uint64_t tasks = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const nm_step_t *step = &spec->steps[i];
+        if (step->task_count == 0) {
+            return "a step needs at least one task";
+        }
+        if (step->cpu_milli < 0 || step->memory_mb < 0 ||
+            step->accelerators < 0 || step->estimate_ms < 0)
+        {
+            return "a step's amounts must not be negative";
+        }
+        for (uint32_t j = 0; j < step->after_count; j++) {
+            if (step->after[j] >= i) {
+                return "a step may only follow earlier steps";
+            }
+        }
+        tasks += step->task_count;
+    }
+    if (tasks > NM_JOB_TASKS_MAX) {
+        return "a job has too many tasks";
+    }
+    if (spec->occurrences > 1 && spec->interval_ms <= 0) {
+        return "a repeated job needs a positive interval";
+    }
+    return NULL;
+}
+
+nm_ms_t
+nm_job_spec_chain_ms(const nm_job_spec_t *spec)
+{
+    assert(spec);
+    nm_ms_t ends[NM_JOB_STEPS_MAX] = {0};
+    nm_ms_t longest = 0;
+    for (uint32_t i = 0; i < spec->step_count && i < NM_JOB_STEPS_MAX; i++) {
+        const nm_step_t *step = &spec->steps[i];
+        nm_ms_t begin = 0;
+        for (uint32_t j = 0; j < step->after_count; j++) {
+            begin = MAX(begin, ends[step->after[j]]);
+        }
+        ends[i] = begin + step->estimate_ms;
+        longest = MAX(longest, ends[i]);
+    }
+    return longest;
+}
+
+int64_t
+nm_job_spec_work(const nm_job_spec_t *spec)
+{
+    assert(spec);
+    int64_t work = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const nm_step_t *step = &spec->steps[i];
+        work += step->cpu_milli * step->estimate_ms / 1000 * step->task_count;
+    }
+    return work;
+}
+
+static void
+put_flag(json_t *object, const char *name, bool value)
+{
+    if (value) {
+        json_object_set_new(object, name, json_true());
+    }
+}
+
+static void
+put_number(json_t *object, const char *name, int64_t value)
+{
+    if (value != 0) {
+        json_object_set_new(object, name, json_integer(value));
+    }
+}
+
+static void
+put_text(json_t *object, const char *name, const char *value)
+{
+    if (value[0] != '\0') {
+        json_object_set_new(object, name, json_string(value));
+    }
+}
+
+static json_t *
+encode_step(const nm_step_t *step)
+{
+    json_t *object = json_object();
+    put_number(object, "tasks", step->task_count);
+    put_number(object, "cpu_milli", step->cpu_milli);
+    put_number(object, "memory_mb", step->memory_mb);
+    put_number(object, "accelerators", step->accelerators);
+    put_number(object, "estimate_ms", step->estimate_ms);
+    put_number(object, "per_worker_max", step->per_worker_max);
+    put_number(object, "target_ms", step->target_ms);
+    put_number(object, "unavailable_max", step->unavailable_max);
+    put_flag(object, "has_budget", step->has_budget);
+    put_flag(object, "saves_progress", step->saves_progress);
+    put_flag(object, "gang", step->is_gang);
+    put_flag(object, "same_rack", step->same_rack);
+    put_flag(object, "copies_allowed", step->copies_allowed);
+    put_flag(object, "lasts", step->lasts);
+    put_flag(object, "filler", step->is_filler);
+    put_text(object, "label", step->label);
+    put_text(object, "data_rack", step->data_rack);
+    put_text(object, "image", step->image);
+    if (step->after_count > 0) {
+        json_t *after = json_array();
+        for (uint32_t i = 0; i < step->after_count; i++) {
+            json_array_append_new(after, json_integer(step->after[i]));
+        }
+        json_object_set_new(object, "after", after);
+    }
+    return object;
+}
+
+char *
+nm_job_record_encode(const nm_job_spec_t *spec)
+{
+    assert(spec);
+    json_t *steps = json_array();
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        json_array_append_new(steps, encode_step(&spec->steps[i]));
+    }
+    json_t *record = json_object();
+    json_object_set_new(record, "version",
+                        json_integer(NM_JOB_RECORD_VERSION));
+    put_text(record, "queue", spec->queue);
+    put_text(record, "service", spec->service);
+    put_text(record, "payload", spec->payload);
+    put_number(record, "accepted_unix_ms", spec->accepted_unix_ms);
+    put_number(record, "occurrences", spec->occurrences);
+    put_number(record, "first_unix_ms", spec->first_unix_ms);
+    put_number(record, "interval_ms", spec->interval_ms);
+    json_object_set_new(record, "steps", steps);
+    char *text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    return text;
+}
+
+static void
+get_text(const json_t *object, const char *name, char *target, size_t size)
+{
+    const char *text = json_string_value(json_object_get(object, name));
+    if (text) {
+        nm_strcopy(target, size, text);
+    }
+}
+
+static int64_t
+get_number(const json_t *object, const char *name)
+{
+    return json_integer_value(json_object_get(object, name));
+}
+
+static bool
+get_flag(const json_t *object, const char *name)
+{
+    return json_is_true(json_object_get(object, name));
+}
+
+static void
+decode_step(nm_step_t *step, const json_t *object)
+{
+    step->task_count = (uint32_t)get_number(object, "tasks");
+    step->cpu_milli = get_number(object, "cpu_milli");
+    step->memory_mb = get_number(object, "memory_mb");
+    step->accelerators = (int32_t)get_number(object, "accelerators");
+    step->estimate_ms = get_number(object, "estimate_ms");
+    step->per_worker_max = (uint32_t)get_number(object, "per_worker_max");
+    step->target_ms = get_number(object, "target_ms");
+    step->unavailable_max = (uint32_t)get_number(object, "unavailable_max");
+    step->has_budget = get_flag(object, "has_budget");
+    step->saves_progress = get_flag(object, "saves_progress");
+    step->is_gang = get_flag(object, "gang");
+    step->same_rack = get_flag(object, "same_rack");
+    step->copies_allowed = get_flag(object, "copies_allowed");
+    step->lasts = get_flag(object, "lasts");
+    step->is_filler = get_flag(object, "filler");
+    get_text(object, "label", step->label, sizeof(step->label));
+    get_text(object, "data_rack", step->data_rack, sizeof(step->data_rack));
+    get_text(object, "image", step->image, sizeof(step->image));
+    size_t i;
+    json_t *earlier;
+    json_array_foreach(json_object_get(object, "after"), i, earlier)
+    {
+        nm_step_add_after(step, (uint32_t)json_integer_value(earlier));
+    }
+}
+
+int
+nm_job_record_decode(nm_job_spec_t *spec, const char *id, const void *data,
+                     uint32_t bytes)
+{
+    assert(spec && id && data);
+    json_t *record = json_loadb(data, bytes, 0, NULL);
+    if (!json_is_object(record) ||
+        get_number(record, "version") != NM_JOB_RECORD_VERSION)
+    {
+        json_decref(record);
+        nm_job_spec_init(spec, id, "", "");
+        return NM_ERR_CORRUPT;
+    }
+    nm_job_spec_init(spec, id, "", "");
+    get_text(record, "queue", spec->queue, sizeof(spec->queue));
+    get_text(record, "service", spec->service, sizeof(spec->service));
+    const char *payload = json_string_value(json_object_get(record, "payload"));
+    if (payload) {
+        g_free(spec->payload);
+        spec->payload = g_strdup(payload);
+    }
+    spec->accepted_unix_ms = get_number(record, "accepted_unix_ms");
+    spec->occurrences = (uint32_t)get_number(record, "occurrences");
+    spec->first_unix_ms = get_number(record, "first_unix_ms");
+    spec->interval_ms = get_number(record, "interval_ms");
+    size_t i;
+    json_t *step;
+    json_array_foreach(json_object_get(record, "steps"), i, step)
+    {
+        decode_step(nm_job_spec_add_step(spec), step);
+    }
+    json_decref(record);
+    return nm_job_spec_check(spec) ? NM_ERR_CORRUPT : NM_OK;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,15 +1,21 @@
 #include <nutmegdeck/log.h>
 
 #include <assert.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/time.h>
+#include <unistd.h>
 
 #include <jansson.h>
 #include <log4c.h>
 
+/* Longest line on standard output; a pipe takes it in one piece. */
+#define LINE_MAX_BYTES 4096
+
 static const char *const item_names[NM_LOG_ITEM_COUNT] = {
 #define X(name, label) label,
     NM_LOG_ITEM_LIST(X)
@@ -26,7 +32,12 @@
 static struct {
     log4c_category_t *category;
     char host[NM_NAME_MAX];
-} state;
+    bool bounded; /* standard output, with a ceiling */
+    pthread_mutex_t mutex;
+    nm_ms_t window_ms; /* start of the second that lines counts */
+    uint32_t lines;
+    uint64_t dropped;
+} state = {.mutex = PTHREAD_MUTEX_INITIALIZER};
 
 /* The message already is a JSON object; the layout adds the line end. */
 static const char *
@@ -50,13 +61,40 @@
     return fprintf(stderr, "%s\n", event->evt_rendered_msg);
 }
 
+/* A line that does not fit into the pipe at once is dropped whole. */
+static int
+stdout_append(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    (void)appender;
+    char line[LINE_MAX_BYTES];
+    int length = snprintf(line, sizeof(line), "%s\n", event->evt_rendered_msg);
+    if (length >= (int)sizeof(line)) {
+        return 0;
+    }
+    struct pollfd output = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    if (poll(&output, 1, 0) != 1 || !(output.revents & POLLOUT) ||
+        write(STDOUT_FILENO, line, (size_t)length) < 0)
+    {
+        pthread_mutex_lock(&state.mutex);
+        state.dropped++;
+        pthread_mutex_unlock(&state.mutex);
+    }
+    return length;
+}
+
+static const log4c_appender_type_t stdout_appender = {
+    .name = "json_stdout",
+    .append = stdout_append,
+};
+
 static const log4c_appender_type_t stderr_appender = {
     .name = "json_stderr",
     .append = stderr_append,
 };
 
-int
-nm_log_init(const char *host, nm_log_level_t level)
+static int
+open_log(const char *host, nm_log_level_t level,
+         const log4c_appender_type_t *appender_type)
 {
     assert(host);
     /* The daemons take their settings from flags only, not log4crc files. */
@@ -64,11 +102,11 @@
         return NM_ERR_IO;
     }
     log4c_layout_type_set(&json_lines_layout);
-    log4c_appender_type_set(&stderr_appender);
+    log4c_appender_type_set(appender_type);
     log4c_layout_t *layout = log4c_layout_get("nutmegdeck");
     log4c_layout_set_type(layout, &json_lines_layout);
     log4c_appender_t *appender = log4c_appender_get("nutmegdeck");
-    log4c_appender_set_type(appender, &stderr_appender);
+    log4c_appender_set_type(appender, appender_type);
     log4c_appender_set_layout(appender, layout);
     nm_strcopy(state.host, sizeof(state.host), host);
     state.category = log4c_category_get("nutmegdeck");
@@ -78,6 +116,41 @@
     return NM_OK;
 }
 
+int
+nm_log_init(const char *host, nm_log_level_t level)
+{
+    return open_log(host, level, &stderr_appender);
+}
+
+int
+nm_log_init_stdout(const char *host, nm_log_level_t level)
+{
+    state.bounded = true;
+    return open_log(host, level, &stdout_appender);
+}
+
+/* Counts a line; returns false if it is over the ceiling. */
+static bool
+take_line(uint64_t *dropped)
+{
+    nm_clock_t clock;
+    nm_clock_init_monotonic(&clock);
+    nm_ms_t now_ms = nm_clock_now(&clock);
+    pthread_mutex_lock(&state.mutex);
+    *dropped = 0;
+    if (now_ms - state.window_ms >= 1000) {
+        state.window_ms = now_ms;
+        state.lines = 0;
+        *dropped = state.dropped;
+        state.dropped = 0;
+    }
+    bool taken = state.lines < NM_LOG_LINES_PER_S;
+    state.lines += taken;
+    state.dropped += !taken;
+    pthread_mutex_unlock(&state.mutex);
+    return taken;
+}
+
 void
 nm_log_finish(void)
 {
@@ -96,6 +169,14 @@
     {
         return;
     }
+    uint64_t dropped = 0;
+    if (state.bounded && !take_line(&dropped)) {
+        return;
+    }
+    if (dropped > 0) {
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_LINES_DROPPED, "{s:I}", "lines",
+               (json_int_t)dropped);
+    }
     struct timeval tv;
     gettimeofday(&tv, NULL);
     json_t *line =
--- /dev/null
+++ b/src/order_port.h
@@ -0,0 +1,34 @@
+/*
+ * Port to the workers: carries the scheduler's actions out.
+ *
+ *     nm_order_port_send(port, &action, epoch, on_order, user);
+ */
+#ifndef NM_ORDER_PORT_H
+#define NM_ORDER_PORT_H
+
+#include <nutmegdeck/sched.h>
+
+/* report is set for a hold only; both are valid during the call. */
+typedef void (*nm_order_done_fn)(void *user, const nm_sched_action_t *action,
+                                 nm_order_result_t result,
+                                 const nm_worker_report_t *report);
+
+typedef struct nm_order_port nm_order_port_t;
+
+typedef struct {
+    void (*send)(nm_order_port_t *port, const nm_sched_action_t *action,
+                 int64_t epoch, nm_order_done_fn done, void *user);
+} nm_order_port_vtable_t;
+
+struct nm_order_port {
+    const nm_order_port_vtable_t *vtable;
+};
+
+static inline void
+nm_order_port_send(nm_order_port_t *port, const nm_sched_action_t *action,
+                   int64_t epoch, nm_order_done_fn done, void *user)
+{
+    port->vtable->send(port, action, epoch, done, user);
+}
+
+#endif
--- /dev/null
+++ b/src/peer_ask.c
@@ -0,0 +1,208 @@
+#include "peer_ask.h"
+
+#include <assert.h>
+#include <string.h>
+
+#include <glib.h>
+#include <zmq.h>
+
+#define QUEUE_MESSAGES 512
+#define RECONNECT_MS 100
+#define RECONNECT_MAX_MS 400
+/* Sockets to peers that are kept; the least recently used one goes. */
+#define LINKS_MAX 6
+
+typedef struct {
+    char address[128];
+    void *socket;
+    uint64_t used;
+} link_t;
+
+struct nm_peer_ask {
+    void *context;
+    void *inbound;
+    link_t links[LINKS_MAX];
+    uint64_t uses;
+    uint64_t number;
+};
+
+static void
+set_int(void *socket, int option, int value)
+{
+    zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+nm_peer_ask_t *
+nm_peer_ask_new(const char *address)
+{
+    assert(address);
+    nm_peer_ask_t *peers = g_new0(nm_peer_ask_t, 1);
+    peers->context = zmq_ctx_new();
+    peers->inbound = zmq_socket(peers->context, ZMQ_ROUTER);
+    set_int(peers->inbound, ZMQ_LINGER, 200);
+    set_int(peers->inbound, ZMQ_SNDHWM, QUEUE_MESSAGES);
+    if (zmq_bind(peers->inbound, address) < 0) {
+        nm_peer_ask_free(peers);
+        return NULL;
+    }
+    /* Numbers of a restarted host must not meet those of its last life. */
+    peers->number = (uint64_t)g_random_int() << 32;
+    return peers;
+}
+
+void
+nm_peer_ask_free(nm_peer_ask_t *peers)
+{
+    assert(peers);
+    for (int i = 0; i < LINKS_MAX; i++) {
+        if (peers->links[i].socket) {
+            zmq_close(peers->links[i].socket);
+        }
+    }
+    zmq_close(peers->inbound);
+    zmq_ctx_term(peers->context);
+    g_free(peers);
+}
+
+static void *
+find_link(nm_peer_ask_t *peers, const char *address)
+{
+    link_t *oldest = &peers->links[0];
+    for (int i = 0; i < LINKS_MAX; i++) {
+        link_t *link = &peers->links[i];
+        if (link->socket && strcmp(link->address, address) == 0) {
+            link->used = ++peers->uses;
+            return link->socket;
+        }
+        if (link->used < oldest->used) {
+            oldest = link;
+        }
+    }
+    if (oldest->socket) {
+        zmq_close(oldest->socket);
+    }
+    oldest->socket = zmq_socket(peers->context, ZMQ_DEALER);
+    set_int(oldest->socket, ZMQ_LINGER, 0);
+    set_int(oldest->socket, ZMQ_SNDHWM, QUEUE_MESSAGES);
+    set_int(oldest->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+    set_int(oldest->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+    set_int(oldest->socket, ZMQ_HEARTBEAT_IVL, 1000);
+    set_int(oldest->socket, ZMQ_HEARTBEAT_TIMEOUT, 2000);
+    zmq_connect(oldest->socket, address);
+    nm_strcopy(oldest->address, sizeof(oldest->address), address);
+    oldest->used = ++peers->uses;
+    return oldest->socket;
+}
+
+int
+nm_peer_ask_send(nm_peer_ask_t *peers, const char *address,
+                 NmPb__EntryAsk *ask)
+{
+    assert(peers && address && ask);
+    ask->number = ++peers->number;
+    size_t bytes = nm_pb__entry_ask__get_packed_size(ask);
+    uint8_t *data = g_malloc(bytes);
+    nm_pb__entry_ask__pack(ask, data);
+    int sent = zmq_send(find_link(peers, address), data, bytes, ZMQ_DONTWAIT);
+    g_free(data);
+    return sent < 0 ? NM_ERR_FULL : NM_OK;
+}
+
+void
+nm_peer_ask_answer(nm_peer_ask_t *peers, const uint8_t *from,
+                   uint32_t from_bytes, const NmPb__EntryAnswer *answer)
+{
+    assert(peers && from && answer);
+    size_t bytes = nm_pb__entry_answer__get_packed_size(answer);
+    uint8_t *data = g_malloc(bytes + 1);
+    nm_pb__entry_answer__pack(answer, data);
+    if (zmq_send(peers->inbound, from, from_bytes,
+                 ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0)
+    {
+        zmq_send(peers->inbound, data, bytes, ZMQ_DONTWAIT);
+    }
+    g_free(data);
+}
+
+static bool
+receive(void *socket, zmq_msg_t *part)
+{
+    zmq_msg_init(part);
+    if (zmq_msg_recv(part, socket, ZMQ_DONTWAIT) < 0) {
+        zmq_msg_close(part);
+        return false;
+    }
+    return true;
+}
+
+static bool
+next_ask(nm_peer_ask_t *peers, nm_peer_message_t *message)
+{
+    zmq_msg_t from;
+    zmq_msg_t body;
+    if (!receive(peers->inbound, &from)) {
+        return false;
+    }
+    if (!receive(peers->inbound, &body)) {
+        zmq_msg_close(&from);
+        return false;
+    }
+    message->from_bytes =
+        (uint32_t)MIN(zmq_msg_size(&from), sizeof(message->from));
+    memcpy(message->from, zmq_msg_data(&from), message->from_bytes);
+    message->ask = nm_pb__entry_ask__unpack(NULL, zmq_msg_size(&body),
+                                            zmq_msg_data(&body));
+    zmq_msg_close(&from);
+    zmq_msg_close(&body);
+    return true;
+}
+
+bool
+nm_peer_ask_next(nm_peer_ask_t *peers, nm_peer_message_t *message)
+{
+    assert(peers && message);
+    *message = (nm_peer_message_t){0};
+    if (next_ask(peers, message)) {
+        return true;
+    }
+    for (int i = 0; i < LINKS_MAX; i++) {
+        zmq_msg_t body;
+        if (!peers->links[i].socket ||
+            !receive(peers->links[i].socket, &body)) {
+            continue;
+        }
+        message->answer = nm_pb__entry_answer__unpack(
+            NULL, zmq_msg_size(&body), zmq_msg_data(&body));
+        zmq_msg_close(&body);
+        return true;
+    }
+    return false;
+}
+
+void
+nm_peer_message_finish(nm_peer_message_t *message)
+{
+    assert(message);
+    if (message->ask) {
+        nm_pb__entry_ask__free_unpacked(message->ask, NULL);
+    }
+    if (message->answer) {
+        nm_pb__entry_answer__free_unpacked(message->answer, NULL);
+    }
+}
+
+uint32_t
+nm_peer_ask_fds(nm_peer_ask_t *peers, int *fds, uint32_t fds_max)
+{
+    assert(peers && fds);
+    uint32_t count = 0;
+    size_t size = sizeof(int);
+    for (int i = -1; i < LINKS_MAX && count < fds_max; i++) {
+        void *socket = i < 0 ? peers->inbound : peers->links[i].socket;
+        if (socket && zmq_getsockopt(socket, ZMQ_FD, &fds[count], &size) == 0)
+        {
+            count++;
+        }
+    }
+    return count;
+}
--- /dev/null
+++ b/src/sched.c
@@ -0,0 +1,570 @@
+#include "sched_state.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#define DEFAULT_LEASE_MS 7000
+#define DEFAULT_LEASE_MAX_MS 10000
+#define DEFAULT_STOP_MAX_MS 400
+#define DEFAULT_SPREAD_FACTOR 3
+#define DEFAULT_RETAIN_MS 150000
+/* Time between decisions when nothing happens. */
+#define IDLE_MS 100
+/* Most jobs whose occurrences are kept; further ones are refused. */
+#define OCCURRENCES_MAX 10000
+#define PROGRESS_VERSION 1
+/* Share of a new job in its queue's mean work. */
+#define MEAN_WORK_GAIN 0.1
+
+static const char *const state_names[] = {
+    "unknown", "queued", "running", "completed", "failed", "cancelled",
+};
+
+const char *
+nm_job_state_name(nm_job_state_t state)
+{
+    assert(state < NM_COUNT_OF(state_names));
+    return state_names[state];
+}
+
+static void
+free_job(gpointer data)
+{
+    nm_sched_job_t *job = data;
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            g_free(job->works[w].steps[s]);
+        }
+        g_free(job->works[w].steps);
+        g_free(job->works[w].open);
+        g_free(job->works[w].waiting);
+    }
+    g_free(job->works);
+    nm_job_spec_finish(&job->spec);
+    g_free(job);
+}
+
+static void
+free_node(gpointer data)
+{
+    nm_sched_node_t *node = data;
+    g_ptr_array_free(node->tasks, TRUE);
+    g_queue_clear_full(&node->marks, g_free);
+    g_free(node);
+}
+
+nm_sched_t *
+nm_sched_new(const nm_sched_desc_t *desc, nm_ms_t now_ms)
+{
+    assert(desc && desc->epoch > 0);
+    nm_sched_t *sched = g_new0(nm_sched_t, 1);
+    sched->desc = *desc;
+    nm_sched_desc_t *d = &sched->desc;
+    d->lease_ms = d->lease_ms ? d->lease_ms : DEFAULT_LEASE_MS;
+    d->lease_max_ms = d->lease_max_ms ? d->lease_max_ms : DEFAULT_LEASE_MAX_MS;
+    d->stop_max_ms = d->stop_max_ms ? d->stop_max_ms : DEFAULT_STOP_MAX_MS;
+    d->spread_factor =
+        d->spread_factor ? d->spread_factor : DEFAULT_SPREAD_FACTOR;
+    d->retain_ms = d->retain_ms ? d->retain_ms : DEFAULT_RETAIN_MS;
+    sched->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                        free_job);
+    sched->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                          g_free);
+    sched->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         free_node);
+    sched->active = g_ptr_array_new();
+    sched->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
+    g_queue_init(&sched->dirty);
+    g_queue_init(&sched->gone);
+    sched->began_ms = now_ms;
+    nm_rng_init(&sched->rng, desc->seed);
+    return sched;
+}
+
+void
+nm_sched_free(nm_sched_t *sched)
+{
+    assert(sched);
+    g_ptr_array_free(sched->active, TRUE);
+    g_array_free(sched->actions, TRUE);
+    g_queue_clear(&sched->dirty);
+    g_queue_clear_full(&sched->gone, g_free);
+    g_hash_table_destroy(sched->nodes);
+    g_hash_table_destroy(sched->jobs);
+    g_hash_table_destroy(sched->queues);
+    g_free(sched);
+}
+
+static void
+set_objective(nm_sched_job_t *job)
+{
+    double factor = job->queue ? job->queue->desc.slack_factor : 1.0;
+    nm_ms_t fixed = job->queue ? job->queue->desc.objective_ms : 0;
+    job->objective_ms =
+        (nm_ms_t)(factor * (double)nm_job_spec_chain_ms(&job->spec)) + fixed;
+}
+
+void
+nm_sched_set_queue(nm_sched_t *sched, const nm_queue_t *queue)
+{
+    assert(sched && queue);
+    nm_sched_queue_t *known =
+        g_hash_table_lookup(sched->queues, queue->name);
+    if (known) {
+        known->desc = *queue;
+        return;
+    }
+    known = g_new0(nm_sched_queue_t, 1);
+    known->desc = *queue;
+    g_hash_table_insert(sched->queues, known->desc.name, known);
+    for (guint i = 0; i < sched->active->len; i++) {
+        nm_sched_job_t *job = sched->active->pdata[i];
+        if (!job->queue && strcmp(job->spec.queue, known->desc.name) == 0) {
+            job->queue = known;
+            set_objective(job);
+        }
+    }
+}
+
+static void
+init_work(nm_work_t *work, nm_sched_job_t *job, uint32_t number,
+          bool recovered)
+{
+    const nm_job_spec_t *spec = &job->spec;
+    work->job = job;
+    work->number = number;
+    work->due_unix_ms = spec->first_unix_ms + number * spec->interval_ms;
+    work->steps = g_new0(nm_task_t *, spec->step_count);
+    work->open = g_new0(uint32_t, spec->step_count);
+    work->waiting = g_new0(uint32_t, spec->step_count);
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        uint32_t count = spec->steps[s].task_count;
+        work->steps[s] = g_new0(nm_task_t, count);
+        work->open[s] = count;
+        work->waiting[s] = recovered ? 0 : count;
+        for (uint32_t i = 0; i < count; i++) {
+            nm_task_t *task = &work->steps[s][i];
+            task->work = work;
+            task->step = (uint16_t)s;
+            task->index = i;
+            task->state = recovered ? NM_TASK_UNSEEN : NM_TASK_WAITING;
+            task->percent = 100;
+        }
+    }
+}
+
+int
+nm_sched_add_job(nm_sched_t *sched, nm_job_spec_t *spec, bool recovered,
+                 nm_ms_t now_ms)
+{
+    assert(sched && spec);
+    if (g_hash_table_contains(sched->jobs, spec->id)) {
+        return NM_ERR_CONFLICT;
+    }
+    if (spec->occurrences > OCCURRENCES_MAX) {
+        return NM_ERR_TOO_LARGE;
+    }
+    nm_sched_job_t *job = g_new0(nm_sched_job_t, 1);
+    nm_job_spec_move(&job->spec, spec);
+    job->state = NM_JOB_QUEUED;
+    job->shown = NM_JOB_QUEUED;
+    job->arrived_ms = now_ms;
+    if (recovered && sched->unix_ms > job->spec.accepted_unix_ms) {
+        job->arrived_ms = now_ms - (sched->unix_ms - job->spec.accepted_unix_ms);
+    }
+    job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
+    job->work_count = MAX(job->spec.occurrences, 1);
+    job->works = g_new0(nm_work_t, job->work_count);
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        init_work(&job->works[w], job, w, recovered);
+    }
+    for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        job->lasts = job->lasts || job->spec.steps[s].lasts;
+    }
+    job->work_total = nm_job_spec_work(&job->spec) * job->work_count;
+    job->work_left = job->work_total;
+    if (job->queue && !job->lasts) {
+        double work = (double)job->work_total;
+        double *mean = &job->queue->mean_work;
+        *mean = *mean > 0 ? *mean + MEAN_WORK_GAIN * (work - *mean) : work;
+    }
+    set_objective(job);
+    g_hash_table_insert(sched->jobs, job->spec.id, job);
+    g_ptr_array_add(sched->active, job);
+    sched->stale = true;
+    return NM_OK;
+}
+
+void
+nm_sched_cancel_job(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
+{
+    assert(sched && id);
+    nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    if (job && job->state < NM_JOB_COMPLETED) {
+        job->cancelled = true;
+        job->shown = NM_JOB_CANCELLED;
+        nm_job_check_end(sched, job, now_ms);
+        sched->stale = true;
+    }
+}
+
+/* One character a task: '.' open, 'D' done. */
+static json_t *
+encode_works(const nm_sched_job_t *job)
+{
+    json_t *works = json_array();
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        json_t *steps = json_array();
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            uint32_t count = job->spec.steps[s].task_count;
+            char *marks = g_malloc(count + 1);
+            for (uint32_t i = 0; i < count; i++) {
+                nm_task_state_t state = job->works[w].steps[s][i].state;
+                marks[i] = state == NM_TASK_DONE ? 'D' : '.';
+            }
+            marks[count] = '\0';
+            json_array_append_new(steps, json_string(marks));
+            g_free(marks);
+        }
+        json_array_append_new(works, steps);
+    }
+    return works;
+}
+
+static json_t *
+encode_failures(const nm_sched_job_t *job)
+{
+    json_t *failures = json_array();
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                const nm_task_t *task = &job->works[w].steps[s][i];
+                if (task->failures > 0) {
+                    json_array_append_new(
+                        failures,
+                        json_pack("[i,i,i,i,I]", w, s, i, task->failures,
+                                  (json_int_t)task->failed_run));
+                }
+            }
+        }
+    }
+    return failures;
+}
+
+static char *
+encode_progress(const nm_sched_job_t *job)
+{
+    json_t *record = json_object();
+    json_object_set_new(record, "version", json_integer(PROGRESS_VERSION));
+    json_object_set_new(record, "state",
+                        json_string(nm_job_state_name(job->state)));
+    if (job->state < NM_JOB_COMPLETED) {
+        json_object_set_new(record, "done", encode_works(job));
+        json_object_set_new(record, "failures", encode_failures(job));
+    }
+    char *text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    char *copy = g_strdup(text);
+    free(text);
+    return copy;
+}
+
+static void
+restore_done(nm_sched_job_t *job, uint32_t w, uint32_t s, const char *marks)
+{
+    nm_work_t *work = &job->works[w];
+    const nm_step_t *step = &job->spec.steps[s];
+    for (uint32_t i = 0; marks[i] != '\0' && i < step->task_count; i++) {
+        nm_task_t *task = &work->steps[s][i];
+        if (marks[i] == 'D' && task->state != NM_TASK_DONE) {
+            work->waiting[s] -= task->state == NM_TASK_WAITING;
+            task->state = NM_TASK_DONE;
+            work->open[s]--;
+            job->work_left -= step->cpu_milli * step->estimate_ms / 1000;
+        }
+    }
+}
+
+static void
+restore_failure(nm_sched_job_t *job, const json_t *row)
+{
+    json_int_t value[5];
+    for (size_t i = 0; i < NM_COUNT_OF(value); i++) {
+        value[i] = json_integer_value(json_array_get(row, i));
+    }
+    if (value[0] < 0 || value[0] >= job->work_count || value[1] < 0 ||
+        value[1] >= job->spec.step_count || value[2] < 0 ||
+        value[2] >= job->spec.steps[value[1]].task_count)
+    {
+        return;
+    }
+    nm_task_t *task = &job->works[value[0]].steps[value[1]][value[2]];
+    task->failures = (uint32_t)value[3];
+    task->failed_run = value[4];
+}
+
+int
+nm_sched_restore(nm_sched_t *sched, const char *id, const void *data,
+                 uint32_t bytes)
+{
+    assert(sched && id && data);
+    nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    json_t *record = json_loadb(data, bytes, 0, NULL);
+    const char *state =
+        json_string_value(json_object_get(record, "state"));
+    if (!job || !state ||
+        json_integer_value(json_object_get(record, "version")) !=
+            PROGRESS_VERSION)
+    {
+        json_decref(record);
+        return job ? NM_ERR_CORRUPT : NM_ERR_NOT_FOUND;
+    }
+    for (nm_job_state_t s = NM_JOB_COMPLETED; s <= NM_JOB_CANCELLED; s++) {
+        if (strcmp(state, nm_job_state_name(s)) == 0) {
+            job->state = s;
+            job->shown = s;
+            job->ended_ms = sched->began_ms;
+        }
+    }
+    size_t w;
+    json_t *steps;
+    json_array_foreach(json_object_get(record, "done"), w, steps)
+    {
+        size_t s;
+        json_t *marks;
+        json_array_foreach(steps, s, marks)
+        {
+            const char *text = json_string_value(marks);
+            if (text && w < job->work_count && s < job->spec.step_count) {
+                restore_done(job, (uint32_t)w, (uint32_t)s, text);
+            }
+        }
+    }
+    size_t i;
+    json_t *row;
+    json_array_foreach(json_object_get(record, "failures"), i, row)
+    {
+        restore_failure(job, row);
+    }
+    json_decref(record);
+    return NM_OK;
+}
+
+static void
+settle_job(nm_sched_t *sched, nm_sched_job_t *job)
+{
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                nm_task_t *task = &job->works[w].steps[s][i];
+                if (task->state == NM_TASK_UNSEEN) {
+                    nm_task_requeue(sched, task);
+                }
+            }
+        }
+    }
+}
+
+/* Once no worker can hide a run, what was not seen is not running. */
+static void
+settle_unseen(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    if (nm_sched_has_unresolved(sched, now_ms)) {
+        return;
+    }
+    for (guint i = 0; i < sched->active->len; i++) {
+        settle_job(sched, sched->active->pdata[i]);
+    }
+}
+
+static bool
+job_has_tasks(const nm_sched_job_t *job)
+{
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                if (job->works[w].steps[s][i].node) {
+                    return true;
+                }
+            }
+        }
+    }
+    return false;
+}
+
+static void
+drop_ended(nm_sched_t *sched)
+{
+    for (guint i = sched->active->len; i > 0; i--) {
+        nm_sched_job_t *job = sched->active->pdata[i - 1];
+        if (job->state >= NM_JOB_COMPLETED && !job_has_tasks(job)) {
+            g_ptr_array_remove_index_fast(sched->active, i - 1);
+        }
+    }
+}
+
+nm_ms_t
+nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms)
+{
+    assert(sched);
+    sched->unix_ms = unix_ms;
+    if (sched->fenced) {
+        return IDLE_MS;
+    }
+    settle_unseen(sched, now_ms);
+    nm_sched_check_fillers(sched, now_ms);
+    if (sched->stale) {
+        sched->stale = false;
+        drop_ended(sched);
+        nm_sched_place(sched, now_ms);
+    }
+    nm_sched_workers_run(sched, now_ms);
+    return sched->stale ? 0 : IDLE_MS;
+}
+
+bool
+nm_sched_next_action(nm_sched_t *sched, nm_sched_action_t *action)
+{
+    assert(sched && action);
+    if (sched->action_next >= sched->actions->len) {
+        g_array_set_size(sched->actions, 0);
+        sched->action_next = 0;
+        return false;
+    }
+    *action = g_array_index(sched->actions, nm_sched_action_t,
+                            sched->action_next++);
+    return true;
+}
+
+bool
+nm_sched_next_save(nm_sched_t *sched, nm_sched_save_t *save)
+{
+    assert(sched && save);
+    nm_sched_job_t *job = g_queue_pop_head(&sched->dirty);
+    if (!job) {
+        return false;
+    }
+    job->saving = true;
+    job->urgent = false;
+    nm_strcopy(save->job, sizeof(save->job), job->spec.id);
+    save->change = job->change;
+    save->record = encode_progress(job);
+    return true;
+}
+
+/* Everything up to the oldest change that is not stored is stored. */
+static void
+advance_saved(nm_sched_t *sched)
+{
+    uint64_t least = sched->change + 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_sched_job_t *job = value;
+        if (job->change > job->saved && job->first_change < least) {
+            least = job->first_change;
+        }
+    }
+    sched->saved = least - 1;
+}
+
+void
+nm_sched_saved(nm_sched_t *sched, const nm_sched_save_t *save, bool stored)
+{
+    assert(sched && save);
+    nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, save->job);
+    if (!job) {
+        return;
+    }
+    job->saving = false;
+    if (stored) {
+        job->saved = save->change;
+        job->first_change = save->change + 1;
+        if (job->state >= NM_JOB_COMPLETED && job->change == job->saved) {
+            job->shown = job->state;
+        }
+    }
+    else {
+        job->urgent = true;
+    }
+    if (job->change > job->saved) {
+        g_queue_push_tail(&sched->dirty, job);
+    }
+    advance_saved(sched);
+}
+
+bool
+nm_sched_save_is_urgent(const nm_sched_t *sched)
+{
+    assert(sched);
+    for (const GList *l = sched->dirty.head; l; l = l->next) {
+        if (((const nm_sched_job_t *)l->data)->urgent) {
+            return true;
+        }
+    }
+    return false;
+}
+
+nm_job_state_t
+nm_sched_query_job(const nm_sched_t *sched, const char *id)
+{
+    assert(sched && id);
+    const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    return job ? job->shown : NM_JOB_UNKNOWN;
+}
+
+uint32_t
+nm_sched_query_pending(const nm_sched_t *sched, const char *queue)
+{
+    assert(sched && queue);
+    uint32_t pending = 0;
+    for (guint i = 0; i < sched->active->len; i++) {
+        const nm_sched_job_t *job = sched->active->pdata[i];
+        pending += !job->started && job->state == NM_JOB_QUEUED &&
+                   strcmp(job->spec.queue, queue) == 0;
+    }
+    return pending;
+}
+
+nm_sched_info_t
+nm_sched_query_info(const nm_sched_t *sched)
+{
+    assert(sched);
+    nm_sched_info_t info = {.jobs_active = sched->active->len};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_sched_node_t *node = value;
+        info.tasks_running += node->tasks->len;
+        if (node->announced && node->fenced && node->reachable) {
+            info.workers_usable++;
+            info.cpu_total_milli += node->desc.cpu_milli;
+            info.cpu_free_milli += node->desc.cpu_milli - node->cpu_used;
+        }
+        info.workers_unresolved += !node->fenced;
+    }
+    for (guint i = 0; i < sched->active->len; i++) {
+        const nm_sched_job_t *job = sched->active->pdata[i];
+        if (!job->lasts) {
+            info.backlog_work += job->work_left;
+        }
+        for (uint32_t w = 0; w < job->work_count; w++) {
+            for (uint32_t s = 0; s < job->spec.step_count; s++) {
+                info.tasks_waiting += job->works[w].waiting[s];
+            }
+        }
+    }
+    return info;
+}
+
+bool
+nm_sched_query_fenced(const nm_sched_t *sched)
+{
+    assert(sched);
+    return sched->fenced;
+}
--- /dev/null
+++ b/src/sched_place.c
@@ -0,0 +1,380 @@
+/*
+ * Which waiting task starts next, and where.
+ *
+ * Answers this load: bursts of wide jobs beyond the workers' capacity,
+ * beside lasting tasks that must always run.  Lasting tasks come first and
+ * displace others.  Among the rest the order is credit for each unit of
+ * remaining work, so that started jobs finish and a crowd of large jobs
+ * does not delay the small ones; a job whose objective can no longer be met
+ * goes behind those whose can.
+ */
+#include "sched_state.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Credit of a job that is late, against one that is in time. */
+#define LATE_CREDIT 0.15
+/* A job later than this multiple of its objective earns nothing more. */
+#define LATE_LIMIT 3.0
+#define EXPIRED_CREDIT 0.01
+/* Credit that a job has by its number alone; the rest goes by its work. */
+#define FIXED_CREDIT 0.3
+/* Each step of priority lowers the credit by this share. */
+#define PRIORITY_DISCOUNT 0.25
+
+typedef struct {
+    nm_work_t *work;
+    uint32_t step;
+    double rank; /* higher starts first */
+} candidate_t;
+
+typedef struct {
+    int64_t cpu_milli;
+    int64_t memory_mb;
+} need_t;
+
+bool
+nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    return node->known && node->admitted && node->announced && node->fenced && node->reachable &&
+           node->clock_known && node->desc.state == NM_WORKER_READY &&
+           now_ms >= node->avoid_until_ms;
+}
+
+static double
+job_rank(const nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    if (job->lasts) {
+        return INFINITY;
+    }
+    double work = (double)MAX(job->work_total, 1);
+    double left = (double)MAX(job->work_left, 1);
+    double credit = work;
+    if (job->queue) {
+        credit = FIXED_CREDIT * job->queue->mean_work +
+                 (1 - FIXED_CREDIT) * work;
+        credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
+    }
+    nm_ms_t age = now_ms - job->arrived_ms;
+    nm_ms_t chain = nm_job_spec_chain_ms(&job->spec);
+    double share = left / work;
+    double finish = (double)age + (double)chain * share;
+    double objective = (double)MAX(job->objective_ms, 1);
+    if (finish > objective * LATE_LIMIT) {
+        credit *= EXPIRED_CREDIT;
+    }
+    else if (finish > objective) {
+        credit *= LATE_CREDIT;
+    }
+    return credit / left;
+}
+
+static int
+compare_candidates(gconstpointer a, gconstpointer b)
+{
+    double left = ((const candidate_t *)a)->rank;
+    double right = ((const candidate_t *)b)->rank;
+    return left < right ? 1 : left > right ? -1 : 0;
+}
+
+static void
+collect(nm_sched_t *sched, nm_sched_job_t *job, GArray *candidates,
+        nm_ms_t now_ms)
+{
+    double rank = -1;
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        nm_work_t *work = &job->works[w];
+        if (job->state >= NM_JOB_COMPLETED || work->finished || work->due_unix_ms > sched->unix_ms) {
+            continue;
+        }
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            if (work->waiting[s] == 0 || !nm_work_step_is_open(work, s)) {
+                continue;
+            }
+            if (rank < 0) {
+                rank = job_rank(job, now_ms);
+            }
+            candidate_t candidate = {work, s, rank};
+            g_array_append_val(candidates, candidate);
+        }
+    }
+}
+
+static uint32_t
+count_step(const nm_sched_node_t *node, const nm_work_t *work, uint32_t step)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        count += task->work == work && task->step == step;
+    }
+    return count;
+}
+
+static bool
+has_label(const nm_sched_node_t *node, const char *label)
+{
+    for (uint32_t i = 0; i < node->desc.label_count; i++) {
+        if (strcmp(node->desc.labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+fits(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    bool cpu = step->is_filler || node->cpu_used + step->cpu_milli <=
+                                      node->desc.cpu_milli;
+    return cpu &&
+           node->memory_used + step->memory_mb <= node->desc.memory_mb &&
+           node->accelerators_used + step->accelerators <=
+               node->desc.accelerators;
+}
+
+/* Higher is better; only compared among workers that fit. */
+static double
+node_score(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    double free_share = (double)(node->desc.cpu_milli - node->cpu_used) /
+                        (double)MAX(node->desc.cpu_milli, 1);
+    double score = free_share;
+    if (step->is_filler) {
+        double unused = (double)(node->desc.cpu_milli - node->cpu_used -
+                                 node->filler_cpu) /
+                        (double)MAX(node->desc.cpu_milli, 1);
+        score = unused - (node->targets > 0 ? 10 : 0);
+    }
+    else if (step->target_ms > 0) {
+        /* Lasting tasks gather, which leaves workers free for fillers. */
+        score = (node->targets > 0 ? 2 : 0) - free_share -
+                (node->fillers > 0 ? 4 : 0);
+    }
+    if (step->data_rack[0] != '\0' &&
+        strcmp(step->data_rack, node->desc.rack) == 0)
+    {
+        score += 20;
+    }
+    return score - 0.5 * node->failures_in_row;
+}
+
+static nm_sched_node_t *
+choose_node(nm_sched_t *sched, const candidate_t *candidate, nm_task_t *task,
+            nm_ms_t now_ms)
+{
+    const nm_work_t *work = candidate->work;
+    const nm_step_t *step = &work->job->spec.steps[candidate->step];
+    const char *service = work->job->queue ? work->job->queue->desc.service
+                                           : work->job->spec.service;
+    nm_sched_node_t *best = NULL;
+    double best_score = -INFINITY;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        nm_sched_node_t *node = value;
+        if (!nm_node_is_usable(node, now_ms) || !fits(node, step) ||
+            strcmp(node->desc.service, service) != 0 ||
+            (step->label[0] != '\0' && !has_label(node, step->label)))
+        {
+            continue;
+        }
+        if (step->is_filler && (node->targets > 0 ||
+                                now_ms < node->harmed_until_ms))
+        {
+            continue;
+        }
+        if (step->per_worker_max > 0 &&
+            count_step(node, work, candidate->step) >= step->per_worker_max)
+        {
+            continue;
+        }
+        double score = node_score(node, step);
+        score -= task->avoid == node ? 5 : 0;
+        if (score > best_score) {
+            best = node;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+/* Stops the cheapest tasks of a worker that make room for a lasting one. */
+static bool
+displace(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->work->job->spec.steps[candidate->step];
+    const char *service = candidate->work->job->queue
+                              ? candidate->work->job->queue->desc.service
+                              : candidate->work->job->spec.service;
+    nm_sched_node_t *best = NULL;
+    int64_t best_cost = INT64_MAX;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        nm_sched_node_t *node = value;
+        if (!nm_node_is_usable(node, now_ms) ||
+            strcmp(node->desc.service, service) != 0 ||
+            (step->label[0] != '\0' && !has_label(node, step->label)) ||
+            (step->per_worker_max > 0 &&
+             count_step(node, candidate->work, candidate->step) >=
+                 step->per_worker_max))
+        {
+            continue;
+        }
+        int64_t cpu = node->desc.cpu_milli - node->cpu_used;
+        int64_t memory = node->desc.memory_mb - node->memory_used;
+        int64_t cost = 0;
+        for (guint i = 0; i < node->tasks->len; i++) {
+            const nm_task_t *task = node->tasks->pdata[i];
+            const nm_step_t *other = nm_task_step(task);
+            if (other->lasts || task->state == NM_TASK_STARTING) {
+                continue;
+            }
+            cpu += other->is_filler ? 0 : other->cpu_milli;
+            memory += other->memory_mb;
+            bool saved = other->saves_progress;
+            cost += task->state == NM_TASK_STOPPING ? 0
+                    : saved                         ? other->cpu_milli
+                                                    : other->cpu_milli * 4;
+        }
+        if (cpu >= step->cpu_milli && memory >= step->memory_mb &&
+            cost < best_cost)
+        {
+            best = node;
+            best_cost = cost;
+        }
+    }
+    if (!best) {
+        return false;
+    }
+    int64_t cpu = best->desc.cpu_milli - best->cpu_used;
+    int64_t memory = best->desc.memory_mb - best->memory_used;
+    for (int pass = 0; pass < 3; pass++) {
+        for (guint i = 0; i < best->tasks->len; i++) {
+            nm_task_t *task = best->tasks->pdata[i];
+            const nm_step_t *other = nm_task_step(task);
+            if (cpu >= step->cpu_milli && memory >= step->memory_mb) {
+                return true;
+            }
+            bool stopping = task->state == NM_TASK_STOPPING;
+            bool first = pass == 0 && stopping;
+            bool second = pass == 1 && !stopping && other->saves_progress;
+            bool third = pass == 2 && !stopping && !other->saves_progress;
+            if (other->lasts || task->state == NM_TASK_STARTING ||
+                !(first || second || third))
+            {
+                continue;
+            }
+            cpu += other->is_filler ? 0 : other->cpu_milli;
+            memory += other->memory_mb;
+            if (!stopping) {
+                nm_count_reason(NM_REASON_EVICT_URGENT);
+                nm_sched_stop_task(sched, task, now_ms);
+            }
+        }
+    }
+    return true;
+}
+
+static bool
+needs_less(const nm_step_t *step, const need_t *refused)
+{
+    return step->cpu_milli < refused->cpu_milli ||
+           step->memory_mb < refused->memory_mb;
+}
+
+static void
+place_gang(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+{
+    nm_work_t *work = candidate->work;
+    const nm_step_t *step = &work->job->spec.steps[candidate->step];
+    if (work->waiting[candidate->step] < step->task_count) {
+        return; /* members of an earlier run have not all ended */
+    }
+    GPtrArray *chosen = g_ptr_array_new();
+    int64_t run = 0;
+    for (uint32_t i = 0; i < step->task_count; i++) {
+        nm_task_t *task = &work->steps[candidate->step][i];
+        nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+        if (!node) {
+            break;
+        }
+        nm_task_attach(task, node);
+        g_ptr_array_add(chosen, node);
+        run = MAX(run, task->run + 1);
+    }
+    for (guint i = 0; i < chosen->len; i++) {
+        nm_task_detach(&work->steps[candidate->step][i]);
+    }
+    /* All members resume from the same checkpoint. */
+    const char *checkpoint = work->steps[candidate->step][0].checkpoint;
+    for (uint32_t i = 0; i < step->task_count && chosen->len ==
+                                                     step->task_count;
+         i++)
+    {
+        nm_task_t *task = &work->steps[candidate->step][i];
+        if (i > 0) {
+            nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
+                       checkpoint);
+        }
+        nm_sched_start_task(sched, task, chosen->pdata[i], run, now_ms);
+    }
+    g_ptr_array_free(chosen, TRUE);
+}
+
+static void
+place_step(nm_sched_t *sched, const candidate_t *candidate, need_t *refused,
+           nm_ms_t now_ms)
+{
+    nm_work_t *work = candidate->work;
+    const nm_step_t *step = &work->job->spec.steps[candidate->step];
+    bool plain = step->label[0] == '\0' && step->per_worker_max == 0 &&
+                 !step->is_filler;
+    if (plain && !step->lasts && !needs_less(step, refused)) {
+        return;
+    }
+    if (step->is_gang) {
+        place_gang(sched, candidate, now_ms);
+        return;
+    }
+    for (uint32_t i = 0; i < step->task_count; i++) {
+        nm_task_t *task = &work->steps[candidate->step][i];
+        if (task->state != NM_TASK_WAITING) {
+            continue;
+        }
+        nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+        if (node) {
+            nm_sched_start_task(sched, task, node, 0, now_ms);
+            continue;
+        }
+        if (step->lasts && displace(sched, candidate, now_ms)) {
+            continue;
+        }
+        if (plain) {
+            refused->cpu_milli = MIN(refused->cpu_milli, step->cpu_milli);
+            refused->memory_mb = MIN(refused->memory_mb, step->memory_mb);
+        }
+        return;
+    }
+}
+
+void
+nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+    for (guint i = 0; i < sched->active->len; i++) {
+        collect(sched, sched->active->pdata[i], candidates, now_ms);
+    }
+    g_array_sort(candidates, compare_candidates);
+    need_t refused = {INT64_MAX, INT64_MAX};
+    for (guint i = 0; i < candidates->len; i++) {
+        place_step(sched, &g_array_index(candidates, candidate_t, i),
+                   &refused, now_ms);
+    }
+    g_array_free(candidates, TRUE);
+}
--- /dev/null
+++ b/src/sched_state.h
@@ -0,0 +1,200 @@
+/*
+ * State shared by the parts of the scheduler.  Calls go one way:
+ * sched.c -> sched_worker.c, sched_place.c, sched_filler.c -> sched_task.c.
+ */
+#ifndef NM_SCHED_STATE_H
+#define NM_SCHED_STATE_H
+
+#include <nutmegdeck/sched.h>
+
+/* Clocks of workers may be this much slow (platform's statement: 2%). */
+#define NM_SCHED_CLOCK_SLOW 1.021
+/* Added to every time after which a worker's lease is taken as lapsed. */
+#define NM_SCHED_LAPSE_MARGIN_MS 250
+/*
+ * Validity of a start: orders without an answer are carried out 2 s later
+ * or more, and are then refused as late.
+ */
+#define NM_SCHED_START_VALID_MS 1700
+/* A hold waits this long for an end (the platform's maximum). */
+#define NM_SCHED_HOLD_WAIT_MS 2000
+/* Ends that come close together are fetched by one hold. */
+#define NM_SCHED_HOLD_PAUSE_MS 60
+/* Pause before a hold or an order without an answer is repeated. */
+#define NM_SCHED_RETRY_MS 300
+/* A start that got no answer this often is withdrawn by a stop. */
+#define NM_SCHED_START_TRIES_MAX 3
+
+typedef struct nm_work nm_work_t;
+typedef struct nm_sched_job nm_sched_job_t;
+typedef struct nm_sched_node nm_sched_node_t;
+
+/* A queue and what its jobs taught. */
+typedef struct {
+    nm_queue_t desc;
+    double mean_work; /* of a job, core-ms by estimates; 0: none seen */
+} nm_sched_queue_t;
+
+typedef enum {
+    NM_TASK_WAITING,
+    NM_TASK_UNSEEN,   /* an earlier owner may have started it */
+    NM_TASK_STARTING, /* start sent, no answer yet */
+    NM_TASK_RUNNING,
+    NM_TASK_STOPPING, /* waits for its end to be listed */
+    NM_TASK_DONE,
+    NM_TASK_FAILED, /* out of attempts */
+} nm_task_state_t;
+
+typedef struct {
+    nm_work_t *work;
+    uint16_t step;
+    uint32_t index;
+    nm_task_state_t state;
+    uint32_t failures;
+    int64_t failed_run;     /* newest run counted in failures */
+    nm_sched_node_t *node;  /* where it is starting, running or stopping */
+    int64_t run;
+    nm_ms_t sent_ms;      /* last order for it */
+    nm_ms_t started_ms;   /* confirmed */
+    nm_ms_t progress_ms;  /* last sign of progress */
+    nm_ms_t order_due_ms; /* next repetition of an unanswered order */
+    uint32_t tries;
+    bool order_pending; /* a call is in flight */
+    bool withdrawn;     /* STOPPING before its start was confirmed */
+    uint32_t percent;   /* confirmed pace */
+    uint32_t wanted_percent;
+    int64_t figure;
+    nm_ms_t over_since_ms; /* tail over its target since; 0: not */
+    nm_sched_node_t *avoid; /* where its last run failed */
+    char checkpoint[NM_CHECKPOINT_MAX];
+} nm_task_t;
+
+/* One occurrence of a job. */
+struct nm_work {
+    nm_sched_job_t *job;
+    uint32_t number;
+    int64_t due_unix_ms;
+    nm_task_t **steps; /* by step, then index */
+    uint32_t *open;    /* by step: tasks that are not done */
+    uint32_t *waiting; /* by step */
+    bool finished;
+};
+
+struct nm_sched_job {
+    nm_job_spec_t spec;
+    nm_job_state_t state;
+    nm_job_state_t shown; /* the newest stored end, or live state */
+    nm_work_t *works;
+    uint32_t work_count;
+    nm_ms_t arrived_ms;
+    nm_ms_t ended_ms;
+    bool cancelled;
+    bool started; /* any task was ever started */
+    bool lasts;
+    uint64_t change; /* newest change to store */
+    uint64_t first_change; /* oldest change that is not stored */
+    uint64_t saved;  /* newest change stored */
+    bool saving;
+    bool urgent;
+    int64_t work_left; /* core-ms by estimates */
+    int64_t work_total;
+    nm_ms_t objective_ms; /* after arrival */
+    nm_sched_queue_t *queue;
+};
+
+/* An end that may be acknowledged once a job's change is stored. */
+typedef struct {
+    int64_t number;
+    uint64_t change; /* of the scheduler; 0: nothing to store */
+} nm_end_mark_t;
+
+/* One life of a worker. */
+struct nm_sched_node {
+    nm_sched_worker_t desc;
+    bool announced;
+    bool admitted;  /* stored, so that a new owner looks for it */
+    bool known;     /* described; otherwise only expected */
+    bool fenced;    /* answered to our epoch in this incarnation */
+    bool reachable; /* its last hold was answered */
+    bool hold_pending;
+    nm_ms_t hold_due_ms;
+    nm_ms_t hold_sent_ms;
+    nm_ms_t answered_ms;
+    int64_t clock_ms; /* at clock_at_ms or later */
+    nm_ms_t clock_at_ms;
+    bool clock_known;
+    int64_t expiry_ms;  /* newest lease sent, on its clock */
+    nm_ms_t lapse_ms;   /* when that has lapsed for certain, our clock */
+    int64_t ends_seen;  /* newest end processed */
+    int64_t ends_acked; /* newest end that may be forgotten */
+    int64_t ends_acked_sent; /* newest one that a hold carried */
+    GQueue marks;       /* of nm_end_mark_t */
+    GPtrArray *tasks;   /* starting, running or stopping here */
+    int64_t cpu_used;
+    int64_t memory_used;
+    int32_t accelerators_used;
+    uint32_t fillers;
+    uint32_t targets; /* lasting tasks with a latency target */
+    int64_t filler_cpu;
+    uint32_t failures_in_row;
+    nm_ms_t avoid_until_ms;
+    nm_ms_t harmed_until_ms; /* no fillers until then */
+};
+
+struct nm_sched {
+    nm_sched_desc_t desc;
+    GHashTable *jobs;   /* id -> nm_sched_job_t */
+    GHashTable *queues; /* name -> nm_sched_queue_t */
+    GHashTable *nodes;  /* id -> nm_sched_node_t */
+    GPtrArray *active;  /* jobs that have not ended */
+    GArray *actions;
+    guint action_next;
+    GQueue gone;  /* ids of workers that were forgotten */
+    GQueue dirty; /* jobs with changes to store */
+    uint64_t change;
+    uint64_t saved;
+    int64_t run_counter;
+    nm_ms_t began_ms;
+    bool fenced;
+    bool stale; /* something changed since the last placement */
+    int64_t unix_ms;
+    nm_rng_t rng;
+};
+
+/* sched_task.c */
+nm_task_t *nm_sched_find_task(nm_sched_t *sched, const char *name);
+void nm_sched_task_name(const nm_task_t *task, char *name, size_t size);
+const nm_step_t *nm_task_step(const nm_task_t *task);
+/* Puts a task on a node, or takes it off; keeps the node's sums. */
+void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
+void nm_task_detach(nm_task_t *task);
+/* The task has no run any more and waits to be started. */
+void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
+/* Applies the end of the task's current run. */
+void nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end,
+                 int64_t run, nm_ms_t now_ms);
+void nm_sched_mark(nm_sched_t *sched, nm_sched_job_t *job, bool urgent);
+bool nm_work_step_is_open(const nm_work_t *work, uint32_t step);
+nm_sched_action_t *nm_sched_act(nm_sched_t *sched, nm_sched_node_t *node,
+                                nm_sched_action_type_t type);
+void nm_sched_start_task(nm_sched_t *sched, nm_task_t *task,
+                         nm_sched_node_t *node, int64_t run, nm_ms_t now_ms);
+void nm_sched_stop_task(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+int64_t nm_node_clock(const nm_sched_node_t *node, nm_ms_t now_ms);
+void nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
+
+/* sched_worker.c */
+void nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms);
+/* True while a worker may run tasks that this owner has not seen. */
+bool nm_sched_has_unresolved(const nm_sched_t *sched, nm_ms_t now_ms);
+void nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node,
+                        nm_ms_t now_ms);
+
+/* sched_place.c */
+void nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms);
+bool nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms);
+
+/* sched_filler.c */
+void nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/sched_task.c
@@ -0,0 +1,367 @@
+/*
+ * Life of a task: where it is, what its end means, when its job has ended.
+ */
+#include "sched_state.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Runs of one owner are numbered from its epoch on, so they always rise. */
+#define RUNS_PER_EPOCH 1000000
+
+const nm_step_t *
+nm_task_step(const nm_task_t *task)
+{
+    return &task->work->job->spec.steps[task->step];
+}
+
+void
+nm_sched_task_name(const nm_task_t *task, char *name, size_t size)
+{
+    snprintf(name, size, "%s.%u.%u.%u", task->work->job->spec.id,
+             task->work->number, (unsigned int)task->step, task->index);
+}
+
+nm_task_t *
+nm_sched_find_task(nm_sched_t *sched, const char *name)
+{
+    char id[NM_JOB_ID_MAX];
+    const char *dot = strchr(name, '.');
+    if (!dot || (size_t)(dot - name) >= sizeof(id)) {
+        return NULL;
+    }
+    memcpy(id, name, (size_t)(dot - name));
+    id[dot - name] = '\0';
+    const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    char *end;
+    unsigned long work = strtoul(dot + 1, &end, 10);
+    if (!job || *end != '.' || work >= job->work_count) {
+        return NULL;
+    }
+    unsigned long step = strtoul(end + 1, &end, 10);
+    if (*end != '.' || step >= job->spec.step_count) {
+        return NULL;
+    }
+    unsigned long index = strtoul(end + 1, &end, 10);
+    if (*end != '\0' || index >= job->spec.steps[step].task_count) {
+        return NULL;
+    }
+    return &job->works[work].steps[step][index];
+}
+
+void
+nm_task_attach(nm_task_t *task, nm_sched_node_t *node)
+{
+    assert(!task->node);
+    const nm_step_t *step = nm_task_step(task);
+    task->node = node;
+    g_ptr_array_add(node->tasks, task);
+    node->memory_used += step->memory_mb;
+    node->accelerators_used += step->accelerators;
+    if (step->is_filler) {
+        node->fillers++;
+        node->filler_cpu += step->cpu_milli;
+    }
+    else {
+        node->cpu_used += step->cpu_milli;
+    }
+    if (step->target_ms > 0) {
+        node->targets++;
+    }
+}
+
+void
+nm_task_detach(nm_task_t *task)
+{
+    nm_sched_node_t *node = task->node;
+    if (!node) {
+        return;
+    }
+    const nm_step_t *step = nm_task_step(task);
+    g_ptr_array_remove_fast(node->tasks, task);
+    node->memory_used -= step->memory_mb;
+    node->accelerators_used -= step->accelerators;
+    if (step->is_filler) {
+        node->fillers--;
+        node->filler_cpu -= step->cpu_milli;
+    }
+    else {
+        node->cpu_used -= step->cpu_milli;
+    }
+    if (step->target_ms > 0) {
+        node->targets--;
+    }
+    task->node = NULL;
+}
+
+void
+nm_sched_mark(nm_sched_t *sched, nm_sched_job_t *job, bool urgent)
+{
+    bool queued = job->change > job->saved && !job->saving;
+    job->change = ++sched->change;
+    if (!queued && !job->saving) {
+        job->first_change = job->change;
+    }
+    job->urgent = job->urgent || urgent;
+    if (!queued && !job->saving) {
+        g_queue_push_tail(&sched->dirty, job);
+    }
+}
+
+bool
+nm_work_step_is_open(const nm_work_t *work, uint32_t step)
+{
+    const nm_step_t *desc = &work->job->spec.steps[step];
+    for (uint32_t i = 0; i < desc->after_count; i++) {
+        if (work->open[desc->after[i]] > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+nm_task_requeue(nm_sched_t *sched, nm_task_t *task)
+{
+    assert(task->state != NM_TASK_DONE);
+    nm_task_detach(task);
+    if (task->state != NM_TASK_WAITING) {
+        task->work->waiting[task->step]++;
+    }
+    task->state = NM_TASK_WAITING;
+    task->order_pending = false;
+    task->withdrawn = false;
+    task->tries = 0;
+    task->percent = 100;
+    task->wanted_percent = 100;
+    task->over_since_ms = 0;
+    task->figure = 0;
+    sched->stale = true;
+}
+
+static void
+task_done(nm_sched_t *sched, nm_task_t *task)
+{
+    if (task->state == NM_TASK_DONE) {
+        return;
+    }
+    const nm_step_t *step = nm_task_step(task);
+    nm_sched_job_t *job = task->work->job;
+    nm_task_detach(task);
+    if (task->state == NM_TASK_WAITING) {
+        task->work->waiting[task->step]--;
+    }
+    task->state = NM_TASK_DONE;
+    task->work->open[task->step]--;
+    job->work_left -= step->cpu_milli * step->estimate_ms / 1000;
+    sched->stale = true;
+    nm_sched_mark(sched, job, false);
+}
+
+static bool
+work_is_finished(const nm_work_t *work)
+{
+    for (uint32_t i = 0; i < work->job->spec.step_count; i++) {
+        if (work->open[i] > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+stop_all(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                nm_sched_stop_task(sched, &job->works[w].steps[s][i], now_ms);
+            }
+        }
+    }
+}
+
+static void
+end_job(nm_sched_t *sched, nm_sched_job_t *job, nm_job_state_t state,
+        nm_ms_t now_ms)
+{
+    if (job->state >= NM_JOB_COMPLETED) {
+        return;
+    }
+    job->state = state;
+    job->ended_ms = now_ms;
+    nm_sched_mark(sched, job, true);
+    if (state != NM_JOB_COMPLETED) {
+        stop_all(sched, job, now_ms);
+    }
+}
+
+void
+nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    if (job->state >= NM_JOB_COMPLETED) {
+        return;
+    }
+    if (job->cancelled) {
+        end_job(sched, job, NM_JOB_CANCELLED, now_ms);
+        return;
+    }
+    bool finished = true;
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        nm_work_t *work = &job->works[w];
+        if (!work->finished) {
+            work->finished = work_is_finished(work);
+        }
+        finished = finished && work->finished;
+    }
+    if (finished) {
+        end_job(sched, job, NM_JOB_COMPLETED, now_ms);
+    }
+}
+
+/* A run that failed counts once, also when its end is listed again. */
+static void
+count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run, nm_ms_t now_ms)
+{
+    nm_sched_job_t *job = task->work->job;
+    if (run <= task->failed_run) {
+        return;
+    }
+    task->failed_run = run;
+    if (nm_task_step(task)->lasts) {
+        return;
+    }
+    task->failures++;
+    nm_sched_mark(sched, job, false);
+    uint32_t attempts = job->queue ? job->queue->desc.attempts_max : 0;
+    if (attempts > 0 && task->failures >= attempts) {
+        end_job(sched, job, NM_JOB_FAILED, now_ms);
+    }
+}
+
+static void
+gang_done(nm_sched_t *sched, nm_task_t *task, int64_t run)
+{
+    nm_work_t *work = task->work;
+    for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
+        nm_task_t *member = &work->steps[task->step][i];
+        if (member->run == run || member->state == NM_TASK_UNSEEN) {
+            task_done(sched, member);
+        }
+    }
+}
+
+void
+nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end, int64_t run,
+            nm_ms_t now_ms)
+{
+    bool unseen = task->state == NM_TASK_UNSEEN;
+    if (end == NM_END_DONE) {
+        if (nm_task_step(task)->is_gang) {
+            gang_done(sched, task, run);
+        }
+        task_done(sched, task);
+        nm_job_check_end(sched, task->work->job, now_ms);
+        return;
+    }
+    if (!unseen) {
+        nm_task_requeue(sched, task);
+    }
+    if (end == NM_END_FAILED) {
+        count_failure(sched, task, run, now_ms);
+    }
+}
+
+int64_t
+nm_node_clock(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    return node->clock_ms + (now_ms - node->clock_at_ms);
+}
+
+nm_sched_action_t *
+nm_sched_act(nm_sched_t *sched, nm_sched_node_t *node,
+             nm_sched_action_type_t type)
+{
+    nm_sched_action_t action = {.type = type,
+                                .incarnation = node->desc.incarnation,
+                                .payload = "",
+                                .checkpoint = ""};
+    nm_strcopy(action.worker, sizeof(action.worker), node->desc.id);
+    nm_strcopy(action.address, sizeof(action.address), node->desc.address);
+    g_array_append_val(sched->actions, action);
+    return &g_array_index(sched->actions, nm_sched_action_t,
+                          sched->actions->len - 1);
+}
+
+/* A lease, once sent, is in force until it has lapsed for certain. */
+static void
+extend_lease(nm_sched_node_t *node, int64_t expiry_ms, nm_ms_t now_ms)
+{
+    int64_t left = expiry_ms - nm_node_clock(node, now_ms);
+    nm_ms_t lapse =
+        now_ms + (nm_ms_t)((double)left * NM_SCHED_CLOCK_SLOW) +
+        NM_SCHED_LAPSE_MARGIN_MS;
+    node->expiry_ms = MAX(node->expiry_ms, expiry_ms);
+    node->lapse_ms = MAX(node->lapse_ms, lapse);
+}
+
+static void
+send_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    nm_sched_node_t *node = task->node;
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_START);
+    nm_sched_task_name(task, action->task, sizeof(action->task));
+    action->run = task->run;
+    action->payload = task->work->job->spec.payload;
+    action->checkpoint = task->checkpoint;
+    action->expiry_ms = nm_node_clock(node, now_ms) + NM_SCHED_START_VALID_MS;
+    extend_lease(node, action->expiry_ms, now_ms);
+    task->sent_ms = now_ms;
+    task->order_pending = true;
+    task->tries++;
+}
+
+void
+nm_sched_start_task(nm_sched_t *sched, nm_task_t *task, nm_sched_node_t *node,
+                    int64_t run, nm_ms_t now_ms)
+{
+    if (task->state == NM_TASK_WAITING) {
+        int64_t least = (sched->desc.epoch - 1) * RUNS_PER_EPOCH + 1;
+        task->run = MAX(MAX(task->run + 1, run), least);
+        task->work->waiting[task->step]--;
+        task->state = NM_TASK_STARTING;
+        task->tries = 0;
+        task->percent = 100;
+        task->wanted_percent = 100;
+        nm_task_attach(task, node);
+        nm_sched_job_t *job = task->work->job;
+        job->started = true;
+        if (job->state == NM_JOB_QUEUED) {
+            job->state = NM_JOB_RUNNING;
+            job->shown = NM_JOB_RUNNING;
+        }
+    }
+    send_start(sched, task, now_ms);
+}
+
+void
+nm_sched_stop_task(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->state == NM_TASK_STARTING) {
+        task->withdrawn = true;
+    }
+    else if (task->state != NM_TASK_RUNNING && task->state != NM_TASK_STOPPING)
+    {
+        return;
+    }
+    task->state = NM_TASK_STOPPING;
+    nm_sched_action_t *action =
+        nm_sched_act(sched, task->node, NM_ACTION_STOP);
+    nm_sched_task_name(task, action->task, sizeof(action->task));
+    action->run = task->run;
+    task->sent_ms = now_ms;
+    task->order_pending = true;
+    task->tries++;
+}
--- /dev/null
+++ b/src/sched_worker.c
@@ -0,0 +1,567 @@
+/*
+ * Workers: fencing, leases, reports and orders without an answer.
+ *
+ * Answers this load: workers that crash, restart under the same id, are cut
+ * off, leave orders unanswered and carry them out late, or drain.  A worker
+ * holds a task until an end is listed, its life has ended, or its lease has
+ * lapsed for certain; until then the task starts nowhere else.
+ */
+#include "sched_state.h"
+
+#include <assert.h>
+#include <string.h>
+
+/* A worker that failed this many starts in a row is avoided... */
+#define FAILURES_AVOID 2
+/* ...for so long, doubled with each further failure up to 8 times. */
+#define AVOID_MS 1500
+/* Least time left at which a draining worker's saved work is moved. */
+#define DRAIN_MOVE_MS 600
+
+static nm_sched_node_t *
+find_node(nm_sched_t *sched, const char *id)
+{
+    return g_hash_table_lookup(sched->nodes, id);
+}
+
+static nm_sched_node_t *
+add_node(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
+{
+    nm_sched_node_t *node = g_new0(nm_sched_node_t, 1);
+    nm_strcopy(node->desc.id, sizeof(node->desc.id), id);
+    node->tasks = g_ptr_array_new();
+    g_queue_init(&node->marks);
+    /* An earlier owner's lease may be as new as this owner itself. */
+    node->lapse_ms =
+        sched->began_ms +
+        (nm_ms_t)((double)sched->desc.lease_max_ms * NM_SCHED_CLOCK_SLOW) +
+        NM_SCHED_LAPSE_MARGIN_MS;
+    node->hold_due_ms = now_ms;
+    node->reachable = true;
+    g_hash_table_insert(sched->nodes, node->desc.id, node);
+    return node;
+}
+
+/* Tasks on a life that has ended, or whose lease lapsed, have no run. */
+void
+nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    (void)now_ms;
+    while (node->tasks->len > 0) {
+        nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
+        nm_count_reason(NM_REASON_LEASE_LAPSED);
+        nm_task_requeue(sched, task);
+    }
+}
+
+/*
+ * A new life knows nothing of the old one.  A start that got no answer may
+ * still be carried out by it, so it is withdrawn there first.
+ */
+static void
+begin_life(nm_sched_t *sched, nm_sched_node_t *node, int64_t incarnation,
+           nm_ms_t now_ms)
+{
+    GPtrArray *unanswered = g_ptr_array_new();
+    for (guint i = 0; i < node->tasks->len; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        if (task->state == NM_TASK_STARTING || task->withdrawn) {
+            g_ptr_array_add(unanswered, task);
+        }
+    }
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (!g_ptr_array_find(unanswered, task, NULL)) {
+            nm_task_requeue(sched, task);
+        }
+    }
+    node->desc.incarnation = incarnation;
+    node->fenced = false;
+    node->clock_known = false;
+    node->expiry_ms = 0;
+    node->lapse_ms = now_ms;
+    node->ends_seen = 0;
+    node->ends_acked = 0;
+    node->ends_acked_sent = 0;
+    node->hold_due_ms = now_ms;
+    node->failures_in_row = 0;
+    node->avoid_until_ms = 0;
+    g_queue_clear_full(&node->marks, g_free);
+    for (guint i = 0; i < unanswered->len; i++) {
+        nm_sched_stop_task(sched, unanswered->pdata[i], now_ms);
+    }
+    g_ptr_array_free(unanswered, TRUE);
+    sched->stale = true;
+}
+
+void
+nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
+                    nm_ms_t now_ms)
+{
+    assert(sched && desc);
+    nm_sched_node_t *node = find_node(sched, desc->id);
+    if (!node) {
+        node = add_node(sched, desc->id, now_ms);
+    }
+    if (node->known && desc->incarnation < node->desc.incarnation) {
+        return; /* a late report of an earlier life */
+    }
+    if (node->known && desc->incarnation > node->desc.incarnation) {
+        begin_life(sched, node, desc->incarnation, now_ms);
+    }
+    node->desc = *desc;
+    if (!node->known) {
+        node->known = true;
+        node->hold_due_ms = now_ms;
+    }
+    node->announced = true;
+    sched->stale = true;
+}
+
+void
+nm_sched_remove_worker(nm_sched_t *sched, const char *id)
+{
+    assert(sched && id);
+    nm_sched_node_t *node = find_node(sched, id);
+    if (node) {
+        node->announced = false;
+    }
+}
+
+void
+nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
+{
+    assert(sched && id);
+    if (!find_node(sched, id)) {
+        add_node(sched, id, now_ms);
+    }
+    nm_sched_admit_worker(sched, id);
+}
+
+void
+nm_sched_admit_worker(nm_sched_t *sched, const char *id)
+{
+    assert(sched && id);
+    nm_sched_node_t *node = find_node(sched, id);
+    if (node && !node->admitted) {
+        node->admitted = true;
+        sched->stale = true;
+    }
+}
+
+char *
+nm_sched_next_gone(nm_sched_t *sched)
+{
+    assert(sched);
+    return g_queue_pop_head(&sched->gone);
+}
+
+bool
+nm_sched_has_unresolved(const nm_sched_t *sched, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_sched_node_t *node = value;
+        if (!node->fenced && now_ms < node->lapse_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_failure(nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    node->failures_in_row++;
+    if (node->failures_in_row >= FAILURES_AVOID) {
+        uint32_t doublings = MIN(node->failures_in_row - FAILURES_AVOID, 3u);
+        node->avoid_until_ms = now_ms + ((nm_ms_t)AVOID_MS << doublings);
+        nm_count_reason(NM_REASON_WORKER_FAILING);
+    }
+}
+
+static void
+withdraw_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    nm_count_reason(NM_REASON_START_REFUSED);
+    nm_sched_stop_task(sched, task, now_ms);
+}
+
+void
+nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
+                  nm_order_result_t result, nm_ms_t now_ms)
+{
+    assert(sched && action);
+    nm_task_t *task = nm_sched_find_task(sched, action->task);
+    nm_sched_node_t *node = find_node(sched, action->worker);
+    if (result == NM_ORDER_FENCED) {
+        sched->fenced = true;
+    }
+    if (!task || !node || task->node != node || task->run != action->run ||
+        task->state != NM_TASK_STARTING ||
+        node->desc.incarnation != action->incarnation)
+    {
+        return;
+    }
+    task->order_pending = false;
+    switch (result) {
+    case NM_ORDER_DONE:
+        task->state = NM_TASK_RUNNING;
+        task->tries = 0;
+        task->sent_ms = now_ms;
+        task->started_ms = now_ms;
+        task->progress_ms = now_ms;
+        nm_count(NM_COUNTER_STARTS, 1);
+        break;
+    case NM_ORDER_NOT_RUN:
+    case NM_ORDER_NO_ROOM:
+    case NM_ORDER_LATE:
+        /* An earlier copy without an answer may still arrive. */
+        if (task->tries > 1) {
+            withdraw_start(sched, task, now_ms);
+            break;
+        }
+        if (result == NM_ORDER_NOT_RUN) {
+            note_failure(node, now_ms);
+        }
+        task->avoid = node;
+        nm_task_requeue(sched, task);
+        node->hold_due_ms = now_ms;
+        break;
+    case NM_ORDER_SUPERSEDED:
+    case NM_ORDER_INVALID:
+        withdraw_start(sched, task, now_ms);
+        break;
+    default:
+        task->order_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        break;
+    }
+}
+
+void
+nm_sched_on_stop(nm_sched_t *sched, const nm_sched_action_t *action,
+                 nm_order_result_t result, nm_ms_t now_ms)
+{
+    assert(sched && action);
+    nm_task_t *task = nm_sched_find_task(sched, action->task);
+    nm_sched_node_t *node = find_node(sched, action->worker);
+    if (result == NM_ORDER_FENCED) {
+        sched->fenced = true;
+    }
+    if (!task || !node || task->node != node || task->run != action->run ||
+        task->state != NM_TASK_STOPPING ||
+        node->desc.incarnation != action->incarnation)
+    {
+        return;
+    }
+    task->order_pending = false;
+    if (result == NM_ORDER_DONE || result == NM_ORDER_SUPERSEDED) {
+        task->tries = 0;
+        task->sent_ms = now_ms;
+        if (!node->hold_pending) {
+            node->hold_due_ms = MIN(node->hold_due_ms, now_ms);
+        }
+        return;
+    }
+    task->order_due_ms = now_ms + NM_SCHED_RETRY_MS;
+}
+
+void
+nm_sched_on_pace(nm_sched_t *sched, const nm_sched_action_t *action,
+                 nm_order_result_t result, nm_ms_t now_ms)
+{
+    assert(sched && action);
+    (void)now_ms;
+    nm_task_t *task = nm_sched_find_task(sched, action->task);
+    if (result == NM_ORDER_FENCED) {
+        sched->fenced = true;
+    }
+    if (task && task->node && task->run == action->run) {
+        task->order_pending = false;
+        if (result == NM_ORDER_DONE) {
+            task->percent = action->percent;
+        }
+    }
+}
+
+static void
+stop_stray(nm_sched_t *sched, nm_sched_node_t *node,
+           const nm_worker_run_t *row)
+{
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_STOP);
+    nm_strcopy(action->task, sizeof(action->task), row->task);
+    action->run = row->run;
+}
+
+static void
+take_run(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_run_t *row,
+         nm_ms_t now_ms)
+{
+    nm_task_t *task = nm_sched_find_task(sched, row->task);
+    if (task && task->state == NM_TASK_UNSEEN) {
+        task->run = row->run;
+        task->state = NM_TASK_RUNNING;
+        task->sent_ms = now_ms;
+        task->started_ms = now_ms;
+        task->progress_ms = now_ms;
+        nm_task_attach(task, node);
+        task->work->job->started = true;
+        if (task->work->job->state == NM_JOB_QUEUED) {
+            task->work->job->state = NM_JOB_RUNNING;
+            task->work->job->shown = NM_JOB_RUNNING;
+        }
+    }
+    if (!task || task->node != node || task->run != row->run) {
+        stop_stray(sched, node, row);
+        return;
+    }
+    if (task->work->job->state >= NM_JOB_COMPLETED &&
+        task->state == NM_TASK_RUNNING)
+    {
+        nm_sched_stop_task(sched, task, now_ms);
+    }
+    if (task->state == NM_TASK_STARTING) {
+        task->state = NM_TASK_RUNNING;
+        task->started_ms = now_ms;
+        task->progress_ms = now_ms;
+        task->sent_ms = now_ms;
+        task->tries = 0;
+    }
+    task->withdrawn = false;
+    if (strcmp(task->checkpoint, row->checkpoint) != 0) {
+        nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
+                   row->checkpoint);
+        task->progress_ms = now_ms;
+    }
+    task->percent = row->percent;
+    task->figure = row->figure;
+}
+
+static void
+take_end(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_end_t *row,
+         nm_ms_t now_ms)
+{
+    if (row->number <= node->ends_seen) {
+        return;
+    }
+    node->ends_seen = row->number;
+    nm_task_t *task = nm_sched_find_task(sched, row->task);
+    uint64_t before = sched->change;
+    bool current =
+        task && task->node == node && task->run == row->run;
+    if (current || (task && task->state == NM_TASK_UNSEEN)) {
+        if (row->checkpoint[0] != '\0') {
+            nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
+                       row->checkpoint);
+        }
+        if (row->end == NM_END_FAILED) {
+            task->avoid = node;
+            note_failure(node, now_ms);
+        }
+        if (row->end == NM_END_DONE) {
+            node->failures_in_row = 0;
+            node->avoid_until_ms = 0;
+        }
+        nm_task_end(sched, task, row->end, row->run, now_ms);
+        nm_count(NM_COUNTER_FINISHES, 1);
+    }
+    nm_end_mark_t *mark = g_new(nm_end_mark_t, 1);
+    *mark = (nm_end_mark_t){
+        .number = row->number,
+        .change = sched->change != before ? sched->change : 0,
+    };
+    g_queue_push_tail(&node->marks, mark);
+}
+
+/* What was settled before the hold was sent and is not listed is gone. */
+static void
+drop_absent(nm_sched_t *sched, nm_sched_node_t *node,
+            const nm_worker_report_t *report, nm_ms_t now_ms)
+{
+    (void)now_ms;
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (task->order_pending || task->tries > 0 ||
+            task->state == NM_TASK_STARTING || task->sent_ms > report->sent_ms)
+        {
+            continue;
+        }
+        char name[NM_TASK_NAME_MAX];
+        nm_sched_task_name(task, name, sizeof(name));
+        bool listed = false;
+        for (uint32_t r = 0; r < report->running_count && !listed; r++) {
+            listed = strcmp(report->running[r].task, name) == 0 &&
+                     report->running[r].run == task->run;
+        }
+        if (!listed) {
+            nm_task_requeue(sched, task);
+        }
+    }
+}
+
+void
+nm_sched_on_report(nm_sched_t *sched, const char *worker,
+                   const nm_worker_report_t *report, nm_ms_t now_ms)
+{
+    assert(sched && worker && report);
+    nm_sched_node_t *node = find_node(sched, worker);
+    if (!node) {
+        return;
+    }
+    node->hold_pending = false;
+    if (report->result == NM_ORDER_FENCED) {
+        sched->fenced = true;
+        return;
+    }
+    if (report->result != NM_ORDER_DONE) {
+        node->reachable = false;
+        node->ends_acked_sent = 0;
+        node->hold_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        return;
+    }
+    if (report->incarnation < node->desc.incarnation) {
+        node->hold_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        return;
+    }
+    if (report->incarnation > node->desc.incarnation) {
+        begin_life(sched, node, report->incarnation, now_ms);
+    }
+    bool refreshed = !node->reachable || !node->fenced;
+    node->reachable = true;
+    node->fenced = true;
+    node->answered_ms = now_ms;
+    node->clock_ms = report->clock_ms;
+    node->clock_at_ms = now_ms;
+    node->clock_known = true;
+    for (uint32_t i = 0; i < report->end_count; i++) {
+        take_end(sched, node, &report->ends[i], now_ms);
+    }
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        take_run(sched, node, &report->running[i], now_ms);
+    }
+    if (report->complete) {
+        drop_absent(sched, node, report, now_ms);
+    }
+    nm_count(NM_COUNTER_SYNCS, 1);
+    node->hold_due_ms =
+        refreshed ? now_ms : now_ms + NM_SCHED_HOLD_PAUSE_MS;
+    sched->stale = true;
+}
+
+static void
+pop_marks(const nm_sched_t *sched, nm_sched_node_t *node)
+{
+    nm_end_mark_t *mark;
+    while ((mark = g_queue_peek_head(&node->marks)) &&
+           mark->change <= sched->saved)
+    {
+        node->ends_acked = mark->number;
+        g_free(g_queue_pop_head(&node->marks));
+    }
+}
+
+static void
+send_hold(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_HOLD);
+    action->acked = node->ends_acked;
+    node->ends_acked_sent = node->ends_acked;
+    bool quick = !node->fenced || !node->reachable || node->tasks->len == 0;
+    action->wait_ms = quick ? 0 : NM_SCHED_HOLD_WAIT_MS;
+    if (node->clock_known) {
+        action->expiry_ms =
+            nm_node_clock(node, now_ms) + sched->desc.lease_ms;
+        node->expiry_ms = MAX(node->expiry_ms, action->expiry_ms);
+        nm_ms_t lapse = now_ms +
+                        (nm_ms_t)((double)sched->desc.lease_ms *
+                                  NM_SCHED_CLOCK_SLOW) +
+                        NM_SCHED_LAPSE_MARGIN_MS;
+        node->lapse_ms = MAX(node->lapse_ms, lapse);
+    }
+    node->hold_pending = true;
+    node->hold_sent_ms = now_ms;
+}
+
+static void
+repeat_orders(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (task->order_pending || task->tries == 0 ||
+            now_ms < task->order_due_ms)
+        {
+            continue;
+        }
+        if (task->state == NM_TASK_STOPPING) {
+            nm_sched_stop_task(sched, task, now_ms);
+        }
+        else if (task->state == NM_TASK_STARTING && node->reachable) {
+            if (task->tries >= NM_SCHED_START_TRIES_MAX) {
+                withdraw_start(sched, task, now_ms);
+            }
+            else {
+                nm_sched_start_task(sched, task, node, task->run, now_ms);
+            }
+        }
+    }
+}
+
+/* Moves what would die with a worker that is leaving. */
+static void
+move_from_draining(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        const nm_step_t *step = nm_task_step(task);
+        bool saved = step->saves_progress &&
+                     node->desc.remaining_ms < DRAIN_MOVE_MS;
+        if (task->state == NM_TASK_RUNNING && (step->lasts || saved)) {
+            nm_count_reason(NM_REASON_EVICT_LEAVING);
+            nm_sched_stop_task(sched, task, now_ms);
+        }
+    }
+}
+
+static void
+run_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    pop_marks(sched, node);
+    if (!node->known) {
+        return;
+    }
+    if (now_ms >= node->lapse_ms && !node->reachable && node->tasks->len > 0) {
+        nm_node_lose_tasks(sched, node, now_ms);
+    }
+    if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
+        move_from_draining(sched, node, now_ms);
+    }
+    repeat_orders(sched, node, now_ms);
+    bool acks = node->ends_acked > node->ends_acked_sent;
+    bool wanted = !node->fenced || node->tasks->len > 0 || acks ||
+                  !node->reachable;
+    bool alive = node->announced || node->tasks->len > 0;
+    if (wanted && alive && !node->hold_pending && now_ms >= node->hold_due_ms)
+    {
+        send_hold(sched, node, now_ms);
+    }
+}
+
+void
+nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->nodes);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        nm_sched_node_t *node = value;
+        run_node(sched, node, now_ms);
+        bool gone = !node->announced && node->tasks->len == 0 &&
+                    !node->hold_pending && now_ms >= node->lapse_ms;
+        if (gone) {
+            g_queue_push_tail(&sched->gone, g_strdup(node->desc.id));
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
