Learn what fillers do to serving tasks, and place them by it

Cause: every court-render and bend-plan task is a filler, and lasting tasks soon stood on all workers, so a rule that keeps the two apart left fillers nowhere to run (4 in 5 of court-render unserved). Change: a diagonal Kalman filter for each pair of images; a filler goes where it adds the least risk, and is paused where its risk is too large; serving tasks gather by image; tasks that hold processor fill up workers. Conclusion: the pairs are learned; a prior that is too high starves fillers on workers with many serving tasks, and an offset hides blame.

--- a/src/sched.c
+++ b/src/sched.c
@@ -80,6 +80,7 @@
     g_queue_init(&sched->dirty);
     g_queue_init(&sched->gone);
     sched->began_ms = now_ms;
+    nm_interference_init(&sched->interference);
     nm_rng_init(&sched->rng, desc->seed);
     return sched;
 }
@@ -92,6 +93,7 @@
     g_array_free(sched->actions, TRUE);
     g_queue_clear(&sched->dirty);
     g_queue_clear_full(&sched->gone, g_free);
+    nm_interference_finish(&sched->interference);
     g_hash_table_destroy(sched->nodes);
     g_hash_table_destroy(sched->jobs);
     g_hash_table_destroy(sched->queues);
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -1,52 +1,209 @@
 /*
  * Fillers beside lasting tasks that have a latency target.
  *
- * Answers this load: serving tasks and fillers that meet on one worker,
- * where the tail rises within seconds.  Placement keeps them apart; where
- * they meet all the same, fillers are paced down before the target is
- * missed for long, and up again in steps once the tail is low.
+ * Answers this load: workers on which every place beside a serving task is
+ * wanted by fillers, whose effect on its tail differs by image and is seen
+ * late.  A filler goes where it adds the least risk of missed targets, and
+ * nowhere if that costs more than it earns.  Running fillers are paused
+ * when their part in the risk grows too large, and go on when it is small.
  */
 #include "sched_state.h"
 
-/* Tail, as a share of the target, at which fillers are paused. */
-#define TAIL_HIGH 0.8
-/* Below this share they may work again. */
-#define TAIL_LOW 0.5
-/* Time without a high tail before fillers work again. */
-#define CALM_MS 2500
+#include <math.h>
+#include <string.h>
 
-static bool
-tail_is_over(const nm_sched_node_t *node, double share)
+/* A serving task over its target costs as much as this many fillers earn. */
+#define HARM_COST 2.6
+/* A filler starts if the harm it adds costs less than this share of it. */
+#define START_COST_MAX 0.5
+/* A running filler is paused above this share... */
+#define PAUSE_COST 0.9
+/* ...and goes on below this one. */
+#define RESUME_COST 0.35
+/* Figures tell of the last half second; fillers must not have changed. */
+#define SETTLE_MS 700
+/* Figures of one worker that come closer say the same. */
+#define OBSERVE_MS 450
+/* Part of the newest error that a task's own offset takes over. */
+#define OFFSET_GAIN 0.5
+#define OFFSET_MAX 1.0
+/* A paused or resumed filler stays so for this long at least. */
+#define PACE_HOLD_MS 800
+/* Part of its processor that a serving task uses at its usual peak. */
+#define SERVING_LOAD 0.6
+/* Tail of a serving task from which on it counts as started up. */
+#define STARTUP_MS 2000
+
+#define LOADS_MAX 32
+
+typedef struct {
+    nm_filler_load_t loads[LOADS_MAX];
+    uint32_t count;
+} loads_t;
+
+static void
+add_load(loads_t *loads, const char *image, double share)
+{
+    for (uint32_t i = 0; i < loads->count; i++) {
+        if (strcmp(loads->loads[i].image, image) == 0) {
+            loads->loads[i].share += share;
+            return;
+        }
+    }
+    if (loads->count < LOADS_MAX) {
+        loads->loads[loads->count++] = (nm_filler_load_t){image, share};
+    }
+}
+
+static double
+filler_share(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    return (double)step->cpu_milli / (double)MAX(node->desc.cpu_milli, 1);
+}
+
+static void
+collect_loads(const nm_sched_node_t *node, loads_t *loads,
+              const nm_task_t *without)
 {
+    loads->count = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
-        if (step->target_ms > 0 && task->state == NM_TASK_RUNNING &&
-            (double)task->figure > share * (double)step->target_ms)
+        if (step->is_filler && task != without) {
+            add_load(loads, step->image,
+                     filler_share(node, step) * task->wanted_percent / 100.0);
+        }
+    }
+}
+
+/* Expected number of serving tasks over their target. */
+static double
+expected_harm(nm_sched_t *sched, const nm_sched_node_t *node,
+              const loads_t *loads)
+{
+    double harm = 0;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        const nm_step_t *step = nm_task_step(task);
+        if (step->target_ms > 0) {
+            double tail =
+                nm_interference_predict(&sched->interference, step->image,
+                                        loads->loads, loads->count);
+            harm += nm_interference_risk(tail + task->tail_offset);
+        }
+    }
+    return harm;
+}
+
+double
+nm_sched_filler_cost(nm_sched_t *sched, const nm_sched_node_t *node,
+                     const nm_step_t *step)
+{
+    if (node->targets == 0) {
+        return 0;
+    }
+    loads_t loads;
+    collect_loads(node, &loads, NULL);
+    double before = expected_harm(sched, node, &loads);
+    add_load(&loads, step->image, filler_share(node, step));
+    return HARM_COST * (expected_harm(sched, node, &loads) - before);
+}
+
+bool
+nm_sched_filler_may_start(const nm_sched_node_t *node, const nm_step_t *step,
+                          double cost)
+{
+    double unused = (double)node->desc.cpu_milli -
+                    (double)(node->cpu_used - node->serving_cpu) -
+                    SERVING_LOAD * (double)node->serving_cpu -
+                    (double)node->filler_cpu;
+    return cost < START_COST_MAX && unused >= (double)step->cpu_milli;
+}
+
+void
+nm_sched_observe_tails(nm_sched_t *sched, nm_sched_node_t *node,
+                       nm_ms_t now_ms)
+{
+    if (node->targets == 0 || now_ms - node->fillers_changed_ms < SETTLE_MS ||
+        now_ms - node->observed_ms < OBSERVE_MS)
+    {
+        return;
+    }
+    node->observed_ms = now_ms;
+    loads_t loads;
+    collect_loads(node, &loads, NULL);
+    for (guint i = 0; i < node->tasks->len; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        const nm_step_t *step = nm_task_step(task);
+        if (step->target_ms <= 0 || task->state != NM_TASK_RUNNING ||
+            task->figure <= 0 || now_ms - task->started_ms < STARTUP_MS)
         {
-            return true;
+            continue;
         }
+        double tail = log((double)task->figure / (double)step->target_ms);
+        /* Far over its target, the figure says little about how far. */
+        tail = MIN(tail, 1.5);
+        double error =
+            nm_interference_observe(&sched->interference, step->image,
+                                    loads.loads, loads.count, tail);
+        task->tail_offset += OFFSET_GAIN * (error - task->tail_offset);
+        task->tail_offset =
+            CLAMP(task->tail_offset, -OFFSET_MAX, OFFSET_MAX);
     }
-    return false;
 }
 
 static void
-pace(nm_sched_t *sched, nm_sched_node_t *node, uint32_t percent)
+pace(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+     uint32_t percent, nm_ms_t now_ms)
 {
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_PACE);
+    nm_sched_task_name(task, action->task, sizeof(action->task));
+    action->run = task->run;
+    action->percent = percent;
+    task->wanted_percent = percent;
+    task->order_pending = true;
+    task->paced_ms = now_ms;
+    node->fillers_changed_ms = now_ms;
+    nm_count(NM_COUNTER_THROTTLES, 1);
+}
+
+/* Changes the pace of one filler at a time, the most costly one first. */
+static void
+check_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    loads_t loads;
+    collect_loads(node, &loads, NULL);
+    double all = expected_harm(sched, node, &loads);
+    nm_task_t *worst = NULL;
+    nm_task_t *paused = NULL;
+    double worst_cost = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (!nm_task_step(task)->is_filler || task->percent == percent ||
-            task->state != NM_TASK_RUNNING || task->order_pending)
+        const nm_step_t *step = nm_task_step(task);
+        if (!step->is_filler || task->state != NM_TASK_RUNNING ||
+            task->order_pending || now_ms - task->paced_ms < PACE_HOLD_MS)
         {
             continue;
         }
-        nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_PACE);
-        nm_sched_task_name(task, action->task, sizeof(action->task));
-        action->run = task->run;
-        action->percent = percent;
-        task->wanted_percent = percent;
-        task->order_pending = true;
-        nm_count(NM_COUNTER_THROTTLES, 1);
+        if (task->wanted_percent == 0) {
+            paused = task;
+            continue;
+        }
+        collect_loads(node, &loads, task);
+        double cost = HARM_COST * (all - expected_harm(sched, node, &loads));
+        if (cost > worst_cost) {
+            worst = task;
+            worst_cost = cost;
+        }
+    }
+    if (worst && worst_cost > PAUSE_COST) {
+        pace(sched, node, worst, 0, now_ms);
+    }
+    else if (paused && nm_sched_filler_cost(sched, node,
+                                            nm_task_step(paused)) <
+                           RESUME_COST)
+    {
+        pace(sched, node, paused, 100, now_ms);
     }
 }
 
@@ -58,17 +215,11 @@
     g_hash_table_iter_init(&iter, sched->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         nm_sched_node_t *node = value;
-        if (node->fillers == 0 || node->targets == 0) {
-            continue;
-        }
-        if (tail_is_over(node, TAIL_HIGH)) {
-            node->harmed_until_ms = now_ms + CALM_MS;
-            pace(sched, node, 0);
-        }
-        else if (now_ms >= node->harmed_until_ms &&
-                 !tail_is_over(node, TAIL_LOW))
+        if (node->fillers > 0 && node->reachable &&
+            (node->targets > 0 || node->had_targets))
         {
-            pace(sched, node, 100);
+            node->had_targets = node->targets > 0 || node->fillers > 0;
+            check_node(sched, node, now_ms);
         }
     }
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -134,23 +134,33 @@
                node->desc.accelerators;
 }
 
-/* Higher is better; only compared among workers that fit. */
+/* True if all lasting tasks on a worker have this image. */
+static bool
+serves_only(const nm_sched_node_t *node, const char *image)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_step_t *step = nm_task_step(node->tasks->pdata[i]);
+        if (step->target_ms > 0 && strcmp(step->image, image) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Higher is better; only compared among workers that fit.  Tasks that hold
+ * processor go where least is left, so that room stays for large ones;
+ * serving tasks gather by image, so that each worker suits some fillers.
+ */
 static double
 node_score(const nm_sched_node_t *node, const nm_step_t *step)
 {
     double free_share = (double)(node->desc.cpu_milli - node->cpu_used) /
                         (double)MAX(node->desc.cpu_milli, 1);
-    double score = free_share;
-    if (step->is_filler) {
-        double unused = (double)(node->desc.cpu_milli - node->cpu_used -
-                                 node->filler_cpu) /
-                        (double)MAX(node->desc.cpu_milli, 1);
-        score = unused - (node->targets > 0 ? 10 : 0);
-    }
-    else if (step->target_ms > 0) {
-        /* Lasting tasks gather, which leaves workers free for fillers. */
-        score = (node->targets > 0 ? 2 : 0) - free_share -
-                (node->fillers > 0 ? 4 : 0);
+    double score = -free_share;
+    if (step->target_ms > 0) {
+        bool alike = serves_only(node, step->image);
+        score += node->targets == 0 ? 1 : alike ? 2 : 0;
     }
     if (step->data_rack[0] != '\0' &&
         strcmp(step->data_rack, node->desc.rack) == 0)
@@ -160,14 +170,33 @@
     return score - 0.5 * node->failures_in_row;
 }
 
+static bool
+may_run(const nm_sched_node_t *node, const candidate_t *candidate,
+        const char *service, nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->work->job->spec.steps[candidate->step];
+    return nm_node_is_usable(node, now_ms) &&
+           strcmp(node->desc.service, service) == 0 &&
+           (step->label[0] == '\0' || has_label(node, step->label)) &&
+           (step->per_worker_max == 0 ||
+            count_step(node, candidate->work, candidate->step) <
+                step->per_worker_max);
+}
+
+static const char *
+service_of(const nm_sched_job_t *job)
+{
+    return job->queue ? job->queue->desc.service : job->spec.service;
+}
+
 static nm_sched_node_t *
 choose_node(nm_sched_t *sched, const candidate_t *candidate, nm_task_t *task,
             nm_ms_t now_ms)
 {
-    const nm_work_t *work = candidate->work;
-    const nm_step_t *step = &work->job->spec.steps[candidate->step];
-    const char *service = work->job->queue ? work->job->queue->desc.service
-                                           : work->job->spec.service;
+    const nm_sched_job_t *job = candidate->work->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    const char *service = service_of(job);
     nm_sched_node_t *best = NULL;
     double best_score = -INFINITY;
     GHashTableIter iter;
@@ -175,23 +204,17 @@
     g_hash_table_iter_init(&iter, sched->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         nm_sched_node_t *node = value;
-        if (!nm_node_is_usable(node, now_ms) || !fits(node, step) ||
-            strcmp(node->desc.service, service) != 0 ||
-            (step->label[0] != '\0' && !has_label(node, step->label)))
-        {
-            continue;
-        }
-        if (step->is_filler && (node->targets > 0 ||
-                                now_ms < node->harmed_until_ms))
-        {
-            continue;
-        }
-        if (step->per_worker_max > 0 &&
-            count_step(node, work, candidate->step) >= step->per_worker_max)
-        {
+        if (!fits(node, step) || !may_run(node, candidate, service, now_ms)) {
             continue;
         }
         double score = node_score(node, step);
+        if (step->is_filler) {
+            double cost = nm_sched_filler_cost(sched, node, step);
+            if (!nm_sched_filler_may_start(node, step, cost)) {
+                continue;
+            }
+            score = -cost;
+        }
         score -= task->avoid == node ? 5 : 0;
         if (score > best_score) {
             best = node;
@@ -207,9 +230,7 @@
 {
     const nm_step_t *step =
         &candidate->work->job->spec.steps[candidate->step];
-    const char *service = candidate->work->job->queue
-                              ? candidate->work->job->queue->desc.service
-                              : candidate->work->job->spec.service;
+    const char *service = service_of(candidate->work->job);
     nm_sched_node_t *best = NULL;
     int64_t best_cost = INT64_MAX;
     GHashTableIter iter;
@@ -217,13 +238,7 @@
     g_hash_table_iter_init(&iter, sched->nodes);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         nm_sched_node_t *node = value;
-        if (!nm_node_is_usable(node, now_ms) ||
-            strcmp(node->desc.service, service) != 0 ||
-            (step->label[0] != '\0' && !has_label(node, step->label)) ||
-            (step->per_worker_max > 0 &&
-             count_step(node, candidate->work, candidate->step) >=
-                 step->per_worker_max))
-        {
+        if (!may_run(node, candidate, service, now_ms)) {
             continue;
         }
         int64_t cpu = node->desc.cpu_milli - node->cpu_used;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -1,12 +1,14 @@
 /*
  * State shared by the parts of the scheduler.  Calls go one way:
- * sched.c -> sched_worker.c, sched_place.c, sched_filler.c -> sched_task.c.
+ * sched.c -> sched_place.c, sched_worker.c -> sched_filler.c -> sched_task.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
 
 #include <nutmegdeck/sched.h>
 
+#include "interference.h"
+
 /* Clocks of workers may be this much slow (platform's statement: 2%). */
 #define NM_SCHED_CLOCK_SLOW 1.021
 /* Added to every time after which a worker's lease is taken as lapsed. */
@@ -64,7 +66,8 @@
     uint32_t percent;   /* confirmed pace */
     uint32_t wanted_percent;
     int64_t figure;
-    nm_ms_t over_since_ms; /* tail over its target since; 0: not */
+    double tail_offset; /* of its tail's logarithm against the model */
+    nm_ms_t paced_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_task_t;
@@ -138,7 +141,10 @@
     int64_t filler_cpu;
     uint32_t failures_in_row;
     nm_ms_t avoid_until_ms;
-    nm_ms_t harmed_until_ms; /* no fillers until then */
+    int64_t serving_cpu; /* of tasks with a latency target */
+    nm_ms_t fillers_changed_ms;
+    nm_ms_t observed_ms;
+    bool had_targets;
 };
 
 struct nm_sched {
@@ -158,6 +164,7 @@
     bool fenced;
     bool stale; /* something changed since the last placement */
     int64_t unix_ms;
+    nm_interference_t interference;
     nm_rng_t rng;
 };
 
@@ -196,5 +203,13 @@
 
 /* sched_filler.c */
 void nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms);
+/* Learns from the figures of a worker's newest report. */
+void nm_sched_observe_tails(nm_sched_t *sched, nm_sched_node_t *node,
+                            nm_ms_t now_ms);
+/* Cost of one more filler on a worker, against what it earns there. */
+double nm_sched_filler_cost(nm_sched_t *sched, const nm_sched_node_t *node,
+                            const nm_step_t *step);
+bool nm_sched_filler_may_start(const nm_sched_node_t *node,
+                               const nm_step_t *step, double cost);
 
 #endif
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -69,6 +69,7 @@
     }
     if (step->target_ms > 0) {
         node->targets++;
+        node->serving_cpu += step->cpu_milli;
     }
 }
 
@@ -92,6 +93,7 @@
     }
     if (step->target_ms > 0) {
         node->targets--;
+        node->serving_cpu -= step->cpu_milli;
     }
     task->node = NULL;
 }
@@ -136,7 +138,8 @@
     task->tries = 0;
     task->percent = 100;
     task->wanted_percent = 100;
-    task->over_since_ms = 0;
+    task->tail_offset = 0;
+    task->paced_ms = 0;
     task->figure = 0;
     sched->stale = true;
 }
@@ -258,6 +261,9 @@
             nm_ms_t now_ms)
 {
     bool unseen = task->state == NM_TASK_UNSEEN;
+    if (task->node && nm_task_step(task)->is_filler) {
+        task->node->fillers_changed_ms = now_ms;
+    }
     if (end == NM_END_DONE) {
         if (nm_task_step(task)->is_gang) {
             gang_done(sched, task, run);
@@ -336,6 +342,9 @@
         task->percent = 100;
         task->wanted_percent = 100;
         nm_task_attach(task, node);
+        if (nm_task_step(task)->is_filler) {
+            node->fillers_changed_ms = now_ms;
+        }
         nm_sched_job_t *job = task->work->job;
         job->started = true;
         if (job->state == NM_JOB_QUEUED) {
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -444,6 +444,7 @@
     if (report->complete) {
         drop_absent(sched, node, report, now_ms);
     }
+    nm_sched_observe_tails(sched, node, now_ms);
     nm_count(NM_COUNTER_SYNCS, 1);
     node->hold_due_ms =
         refreshed ? now_ms : now_ms + NM_SCHED_HOLD_PAUSE_MS;
