Try unknown fillers at once, pause them after 0.9 s over the target

Change: a low prior; a worker whose tail is over its target pauses its fillers one by one, the most costly first; looks every 0.5 s where both kinds meet; one round of placement in 20 ms.

--- a/src/interference.c
+++ b/src/interference.c
@@ -8,8 +8,8 @@
 /* Before any figure: tail of an undisturbed task, and its spread. */
 #define BASE_MEAN (-0.7)
 #define BASE_VARIANCE 0.1
-/* Before any figure: effect of one unit of an unknown filler. */
-#define EFFECT_MEAN 0.2
+/* Before any figure: low, so that an unknown filler is tried at once. */
+#define EFFECT_MEAN 0.05
 #define EFFECT_VARIANCE 0.2
 /* Variance of a figure that the model cannot explain: load and rounding. */
 #define FIGURE_VARIANCE 0.25
--- a/src/sched.c
+++ b/src/sched.c
@@ -13,6 +13,10 @@
 #define DEFAULT_RETAIN_MS 150000
 /* Time between decisions when nothing happens. */
 #define IDLE_MS 100
+/* Changes that come together share one round of placement. */
+#define PLACE_MS 20
+/* Time between two looks at the tails of all workers. */
+#define FILLER_CHECK_MS 100
 /* Most jobs whose occurrences are kept; further ones are refused. */
 #define OCCURRENCES_MAX 10000
 #define PROGRESS_VERSION 1
@@ -417,14 +421,18 @@
         return IDLE_MS;
     }
     settle_unseen(sched, now_ms);
-    nm_sched_check_fillers(sched, now_ms);
-    if (sched->stale) {
+    if (now_ms - sched->checked_ms >= FILLER_CHECK_MS) {
+        sched->checked_ms = now_ms;
+        nm_sched_check_fillers(sched, now_ms);
+    }
+    if (sched->stale && now_ms - sched->placed_ms >= PLACE_MS) {
         sched->stale = false;
+        sched->placed_ms = now_ms;
         drop_ended(sched);
         nm_sched_place(sched, now_ms);
     }
     nm_sched_workers_run(sched, now_ms);
-    return sched->stale ? 0 : IDLE_MS;
+    return sched->stale ? PLACE_MS : IDLE_MS;
 }
 
 bool
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -31,6 +31,10 @@
 #define PACE_HOLD_MS 800
 /* Part of its processor that a serving task uses at its usual peak. */
 #define SERVING_LOAD 0.6
+/* A tail over its target for this long pauses the fillers beside it. */
+#define OVER_MS 900
+/* Share of the target below which a worker's tails are calm. */
+#define CALM_SHARE 0.8
 /* Tail of a serving task from which on it counts as started up. */
 #define STARTUP_MS 2000
 
@@ -117,13 +121,49 @@
                     (double)(node->cpu_used - node->serving_cpu) -
                     SERVING_LOAD * (double)node->serving_cpu -
                     (double)node->filler_cpu;
-    return cost < START_COST_MAX && unused >= (double)step->cpu_milli;
+    return cost < START_COST_MAX && (node->targets == 0 || node->calm) &&
+           unused >= (double)step->cpu_milli;
+}
+
+static void
+note_over(nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    node->calm = true;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        nm_ms_t target = nm_task_step(task)->target_ms;
+        if (target <= 0) {
+            continue;
+        }
+        if (task->figure <= target) {
+            task->over_since_ms = 0;
+        }
+        else if (task->over_since_ms == 0) {
+            task->over_since_ms = now_ms;
+        }
+        node->calm = node->calm &&
+                     (double)task->figure < CALM_SHARE * (double)target;
+    }
+}
+
+static bool
+is_over(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        if (task->over_since_ms > 0 && now_ms - task->over_since_ms >= OVER_MS)
+        {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
 nm_sched_observe_tails(nm_sched_t *sched, nm_sched_node_t *node,
                        nm_ms_t now_ms)
 {
+    note_over(node, now_ms);
     if (node->targets == 0 || now_ms - node->fillers_changed_ms < SETTLE_MS ||
         now_ms - node->observed_ms < OBSERVE_MS)
     {
@@ -191,15 +231,16 @@
         }
         collect_loads(node, &loads, task);
         double cost = HARM_COST * (all - expected_harm(sched, node, &loads));
-        if (cost > worst_cost) {
+        if (!worst || cost > worst_cost) {
             worst = task;
             worst_cost = cost;
         }
     }
-    if (worst && worst_cost > PAUSE_COST) {
+    bool over = is_over(node, now_ms);
+    if (worst && (over || worst_cost > PAUSE_COST)) {
         pace(sched, node, worst, 0, now_ms);
     }
-    else if (paused && nm_sched_filler_cost(sched, node,
+    else if (paused && !over && node->calm && nm_sched_filler_cost(sched, node,
                                             nm_task_step(paused)) <
                            RESUME_COST)
     {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -29,9 +29,14 @@
     double rank; /* higher starts first */
 } candidate_t;
 
+#define REFUSED_IMAGES_MAX 32
+
+/* What found no worker in this round; the like need not be tried again. */
 typedef struct {
     int64_t cpu_milli;
     int64_t memory_mb;
+    const char *images[REFUSED_IMAGES_MAX]; /* of fillers */
+    uint32_t image_count;
 } need_t;
 
 bool
@@ -303,6 +308,17 @@
            step->memory_mb < refused->memory_mb;
 }
 
+static bool
+filler_is_refused(const nm_step_t *step, const need_t *refused)
+{
+    for (uint32_t i = 0; i < refused->image_count; i++) {
+        if (strcmp(refused->images[i], step->image) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 place_gang(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
 {
@@ -353,6 +369,9 @@
     if (plain && !step->lasts && !needs_less(step, refused)) {
         return;
     }
+    if (step->is_filler && filler_is_refused(step, refused)) {
+        return;
+    }
     if (step->is_gang) {
         place_gang(sched, candidate, now_ms);
         return;
@@ -370,6 +389,9 @@
         if (step->lasts && displace(sched, candidate, now_ms)) {
             continue;
         }
+        if (step->is_filler && refused->image_count < REFUSED_IMAGES_MAX) {
+            refused->images[refused->image_count++] = step->image;
+        }
         if (plain) {
             refused->cpu_milli = MIN(refused->cpu_milli, step->cpu_milli);
             refused->memory_mb = MIN(refused->memory_mb, step->memory_mb);
@@ -386,7 +408,7 @@
         collect(sched, sched->active->pdata[i], candidates, now_ms);
     }
     g_array_sort(candidates, compare_candidates);
-    need_t refused = {INT64_MAX, INT64_MAX};
+    need_t refused = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
     for (guint i = 0; i < candidates->len; i++) {
         place_step(sched, &g_array_index(candidates, candidate_t, i),
                    &refused, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -20,6 +20,8 @@
 #define NM_SCHED_START_VALID_MS 1700
 /* A hold waits this long for an end (the platform's maximum). */
 #define NM_SCHED_HOLD_WAIT_MS 2000
+/* ...or this long where serving tasks stand beside fillers. */
+#define NM_SCHED_HOLD_SHARED_MS 500
 /* Ends that come close together are fetched by one hold. */
 #define NM_SCHED_HOLD_PAUSE_MS 60
 /* Pause before a hold or an order without an answer is repeated. */
@@ -66,6 +68,7 @@
     uint32_t percent;   /* confirmed pace */
     uint32_t wanted_percent;
     int64_t figure;
+    nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
     double tail_offset; /* of its tail's logarithm against the model */
     nm_ms_t paced_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
@@ -145,6 +148,7 @@
     nm_ms_t fillers_changed_ms;
     nm_ms_t observed_ms;
     bool had_targets;
+    bool calm; /* no serving task is near its target */
 };
 
 struct nm_sched {
@@ -163,6 +167,8 @@
     nm_ms_t began_ms;
     bool fenced;
     bool stale; /* something changed since the last placement */
+    nm_ms_t placed_ms;
+    nm_ms_t checked_ms;
     int64_t unix_ms;
     nm_interference_t interference;
     nm_rng_t rng;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -138,6 +138,7 @@
     task->tries = 0;
     task->percent = 100;
     task->wanted_percent = 100;
+    task->over_since_ms = 0;
     task->tail_offset = 0;
     task->paced_ms = 0;
     task->figure = 0;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -470,7 +470,10 @@
     action->acked = node->ends_acked;
     node->ends_acked_sent = node->ends_acked;
     bool quick = !node->fenced || !node->reachable || node->tasks->len == 0;
-    action->wait_ms = quick ? 0 : NM_SCHED_HOLD_WAIT_MS;
+    bool shared = node->fillers > 0 && node->targets > 0;
+    action->wait_ms = quick    ? 0
+                      : shared ? NM_SCHED_HOLD_SHARED_MS
+                               : NM_SCHED_HOLD_WAIT_MS;
     if (node->clock_known) {
         action->expiry_ms =
             nm_node_clock(node, now_ms) + sched->desc.lease_ms;
