Evict harmful fillers that save progress, choose owners near the store

Cause: 130 of 180 fillers stood paused and held their places; the owner was at times in the region away from the store and two thirds of workers. Change: a harmful filler that saves progress is stopped and resumes elsewhere; a candidate far from the store waits longer.

--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -26,6 +26,8 @@
 #define COMMIT_RECORDS_MAX 28
 /* Candidates wait up to this long, the ones with less processor longer. */
 #define ELECTION_SPREAD_MS 120
+/* ...and those far from the store longer, as a multiple of its answers. */
+#define ELECTION_DISTANCE 3
 #define ELECTION_RETRY_MS 250
 /* Changes of workers and jobs that come together share a watch call. */
 #define JOBS_PAUSE_MS 15
@@ -473,6 +475,7 @@
         }
         double share = MIN(entry->desc.cpu_share, 1.0);
         nm_ms_t wait = (nm_ms_t)(ELECTION_SPREAD_MS * (1 - share)) +
+                       ELECTION_DISTANCE * entry->control_feed.answer_ms +
                        nm_rng_below(&entry->rng, 20);
         if (now_ms < entry->vacant_ms + wait) {
             return;
--- a/src/feed.c
+++ b/src/feed.c
@@ -172,6 +172,10 @@
         feed->failures = 0;
         feed->answered_ms = now();
         if (feed->listing) {
+            nm_ms_t took = feed->answered_ms - feed->sent_ms;
+            if (feed->answer_ms == 0 || took < feed->answer_ms) {
+                feed->answer_ms = took;
+            }
             take_page(feed, result);
         }
         else {
@@ -200,6 +204,7 @@
         return;
     }
     feed->pending = true;
+    feed->sent_ms = now_ms;
     call_t *call = g_new(call_t, 1);
     *call = (call_t){feed, feed->generation};
     if (feed->listing) {
--- a/src/feed.h
+++ b/src/feed.h
@@ -44,6 +44,8 @@
     GHashTable *listed_keys; /* of the listing under way */
     nm_ms_t due_ms;
     nm_ms_t answered_ms; /* last call that the store answered */
+    nm_ms_t sent_ms;
+    nm_ms_t answer_ms; /* fastest answer to a listing */
     int failures;        /* in a row */
 } nm_feed_t;
 
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -29,6 +29,8 @@
 #define OFFSET_MAX 1.0
 /* A paused or resumed filler stays so for this long at least. */
 #define PACE_HOLD_MS 800
+/* A filler that stands still for so long starts anew on another worker. */
+#define PAUSED_MAX_MS 1500
 /* Part of its processor that a serving task uses at its usual peak. */
 #define SERVING_LOAD 0.6
 /* A tail over its target for this long pauses the fillers beside it. */
@@ -192,6 +194,17 @@
     }
 }
 
+/* Ends a filler's run here; one that saves its progress resumes elsewhere. */
+static void
+evict(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+      nm_ms_t now_ms)
+{
+    task->avoid = node;
+    node->fillers_changed_ms = now_ms;
+    nm_count_reason(NM_REASON_EVICT_LATENCY);
+    nm_sched_stop_task(sched, task, now_ms);
+}
+
 static void
 pace(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
      uint32_t percent, nm_ms_t now_ms)
@@ -238,7 +251,12 @@
     }
     bool over = is_over(node, now_ms);
     if (worst && (over || worst_cost > PAUSE_COST)) {
-        pace(sched, node, worst, 0, now_ms);
+        if (nm_task_step(worst)->saves_progress) {
+            evict(sched, node, worst, now_ms);
+        }
+        else {
+            pace(sched, node, worst, 0, now_ms);
+        }
     }
     else if (paused && !over && node->calm && nm_sched_filler_cost(sched, node,
                                             nm_task_step(paused)) <
@@ -246,6 +264,9 @@
     {
         pace(sched, node, paused, 100, now_ms);
     }
+    else if (paused && now_ms - paused->paced_ms > PAUSED_MAX_MS) {
+        evict(sched, node, paused, now_ms);
+    }
 }
 
 void
