Let silent workers lapse, count each failed run once, elect no rival

Ruled out: lapse time itself (7.4 s, as computed). Change: holds to a worker that does not answer carry no lease; failures are told apart by run and stored so; the election compares the revision it decided on; the longest earlier lease is our own, 7 s. Tests: silent-worker-lapses and failure-counts-after-takeover failed on the code before.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -30,7 +30,7 @@
 typedef struct {
     int64_t epoch;       /* fencing token of this owner */
     nm_ms_t lease_ms;    /* of what runs on a worker; 0: 7000 */
-    nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 10000 */
+    nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 7000 */
     nm_ms_t stop_max_ms; /* longest duration of a stop; 0: 400 */
     nm_ms_t gang_wait_ms;
     uint32_t spread_factor; /* slowdown away from the data; 0: 3 */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -423,8 +423,8 @@
     json_decref(record);
     nm_store_txn_t txn;
     nm_store_txn_init(&txn);
-    nm_store_txn_expect(&txn, NM_KEY_OWNER,
-                        entry->owner.present ? entry->owner.revision : 0);
+    /* An owner that was elected meanwhile must not be replaced. */
+    nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->rival_revision);
     nm_store_txn_expect(&txn, NM_KEY_EPOCH, entry->epoch_revision);
     nm_store_txn_put(&txn, NM_KEY_OWNER, text, (uint32_t)strlen(text),
                      entry->lease);
@@ -482,6 +482,7 @@
         }
     }
     entry->role = NM_ROLE_CANDIDATE;
+    entry->rival_revision = entry->owner.present ? entry->owner.revision : 0;
     entry->lease_until_ms = now_ms + NM_OWNER_LEASE_MS;
     nm_kv_lease_grant(entry->desc.kv, NM_OWNER_LEASE_MS, on_lease,
                       term_call(entry));
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -64,6 +64,7 @@
     bool renewing;
     int64_t term; /* epoch of our ownership; 0: none */
     int64_t owner_revision;
+    int64_t rival_revision; /* of the key that the election replaces */
     nm_sched_t *sched;
     nm_feed_t workers_feed;
     nm_feed_t jobs_feed;
--- a/src/sched.c
+++ b/src/sched.c
@@ -7,7 +7,8 @@
 #include <jansson.h>
 
 #define DEFAULT_LEASE_MS 7000
-#define DEFAULT_LEASE_MAX_MS 10000
+/* All owners so far used the same lease. */
+#define DEFAULT_LEASE_MAX_MS DEFAULT_LEASE_MS
 #define DEFAULT_STOP_MAX_MS 400
 #define DEFAULT_SPREAD_FACTOR 3
 #define DEFAULT_RETAIN_MS 150000
@@ -156,7 +157,7 @@
             task->work = work;
             task->step = (uint16_t)s;
             task->index = i;
-            task->state = recovered ? NM_TASK_UNSEEN : NM_TASK_WAITING;
+            task->state = recovered ? NM_RUN_UNSEEN : NM_RUN_WAITING;
             task->percent = 100;
         }
     }
@@ -228,8 +229,8 @@
             uint32_t count = job->spec.steps[s].task_count;
             char *marks = g_malloc(count + 1);
             for (uint32_t i = 0; i < count; i++) {
-                nm_task_state_t state = job->works[w].steps[s][i].state;
-                marks[i] = state == NM_TASK_DONE ? 'D' : '.';
+                nm_run_state_t state = job->works[w].steps[s][i].state;
+                marks[i] = state == NM_RUN_DONE ? 'D' : '.';
             }
             marks[count] = '\0';
             json_array_append_new(steps, json_string(marks));
@@ -240,6 +241,18 @@
     return works;
 }
 
+/* Its place, then the runs that failed. */
+static json_t *
+encode_failed(const nm_task_t *task, uint32_t w, uint32_t s, uint32_t i)
+{
+    json_t *row = json_pack("[i,i,i]", w, s, i);
+    uint32_t count = MIN(task->failures, NM_SCHED_FAILED_RUNS);
+    for (uint32_t f = 0; f < count; f++) {
+        json_array_append_new(row, json_integer(task->failed_runs[f]));
+    }
+    return row;
+}
+
 static json_t *
 encode_failures(const nm_sched_job_t *job)
 {
@@ -249,10 +262,8 @@
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 const nm_task_t *task = &job->works[w].steps[s][i];
                 if (task->failures > 0) {
-                    json_array_append_new(
-                        failures,
-                        json_pack("[i,i,i,i,I]", w, s, i, task->failures,
-                                  (json_int_t)task->failed_run));
+                    json_array_append_new(failures,
+                                          encode_failed(task, w, s, i));
                 }
             }
         }
@@ -285,9 +296,9 @@
     const nm_step_t *step = &job->spec.steps[s];
     for (uint32_t i = 0; marks[i] != '\0' && i < step->task_count; i++) {
         nm_task_t *task = &work->steps[s][i];
-        if (marks[i] == 'D' && task->state != NM_TASK_DONE) {
-            work->waiting[s] -= task->state == NM_TASK_WAITING;
-            task->state = NM_TASK_DONE;
+        if (marks[i] == 'D' && task->state != NM_RUN_DONE) {
+            work->waiting[s] -= task->state == NM_RUN_WAITING;
+            task->state = NM_RUN_DONE;
             work->open[s]--;
             job->work_left -= step->cpu_milli * step->estimate_ms / 1000;
         }
@@ -297,7 +308,7 @@
 static void
 restore_failure(nm_sched_job_t *job, const json_t *row)
 {
-    json_int_t value[5];
+    json_int_t value[3];
     for (size_t i = 0; i < NM_COUNT_OF(value); i++) {
         value[i] = json_integer_value(json_array_get(row, i));
     }
@@ -308,8 +319,12 @@
         return;
     }
     nm_task_t *task = &job->works[value[0]].steps[value[1]][value[2]];
-    task->failures = (uint32_t)value[3];
-    task->failed_run = value[4];
+    size_t runs = json_array_size(row) - NM_COUNT_OF(value);
+    task->failures = (uint32_t)MIN(runs, NM_SCHED_FAILED_RUNS);
+    for (uint32_t f = 0; f < task->failures; f++) {
+        task->failed_runs[f] = json_integer_value(
+            json_array_get(row, NM_COUNT_OF(value) + f));
+    }
 }
 
 int
@@ -366,7 +381,7 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 nm_task_t *task = &job->works[w].steps[s][i];
-                if (task->state == NM_TASK_UNSEEN) {
+                if (task->state == NM_RUN_UNSEEN) {
                     nm_task_requeue(sched, task);
                 }
             }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -177,7 +177,7 @@
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
-        if (step->target_ms <= 0 || task->state != NM_TASK_RUNNING ||
+        if (step->target_ms <= 0 || task->state != NM_RUN_RUNNING ||
             task->figure <= 0 || now_ms - task->started_ms < STARTUP_MS)
         {
             continue;
@@ -233,7 +233,7 @@
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
-        if (!step->is_filler || task->state != NM_TASK_RUNNING ||
+        if (!step->is_filler || task->state != NM_RUN_RUNNING ||
             task->order_pending || now_ms - task->paced_ms < PACE_HOLD_MS)
         {
             continue;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -252,13 +252,13 @@
         for (guint i = 0; i < node->tasks->len; i++) {
             const nm_task_t *task = node->tasks->pdata[i];
             const nm_step_t *other = nm_task_step(task);
-            if (other->lasts || task->state == NM_TASK_STARTING) {
+            if (other->lasts || task->state == NM_RUN_STARTING) {
                 continue;
             }
             cpu += other->is_filler ? 0 : other->cpu_milli;
             memory += other->memory_mb;
             bool saved = other->saves_progress;
-            cost += task->state == NM_TASK_STOPPING ? 0
+            cost += task->state == NM_RUN_STOPPING ? 0
                     : saved                         ? other->cpu_milli
                                                     : other->cpu_milli * 4;
         }
@@ -281,11 +281,11 @@
             if (cpu >= step->cpu_milli && memory >= step->memory_mb) {
                 return true;
             }
-            bool stopping = task->state == NM_TASK_STOPPING;
+            bool stopping = task->state == NM_RUN_STOPPING;
             bool first = pass == 0 && stopping;
             bool second = pass == 1 && !stopping && other->saves_progress;
             bool third = pass == 2 && !stopping && !other->saves_progress;
-            if (other->lasts || task->state == NM_TASK_STARTING ||
+            if (other->lasts || task->state == NM_RUN_STARTING ||
                 !(first || second || third))
             {
                 continue;
@@ -378,7 +378,7 @@
     }
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &work->steps[candidate->step][i];
-        if (task->state != NM_TASK_WAITING) {
+        if (task->state != NM_RUN_WAITING) {
             continue;
         }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -29,6 +29,9 @@
 /* A start that got no answer this often is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 
+/* Failed runs of a task that are told apart; attempts are fewer. */
+#define NM_SCHED_FAILED_RUNS 8
+
 typedef struct nm_work nm_work_t;
 typedef struct nm_sched_job nm_sched_job_t;
 typedef struct nm_sched_node nm_sched_node_t;
@@ -40,22 +43,22 @@
 } nm_sched_queue_t;
 
 typedef enum {
-    NM_TASK_WAITING,
-    NM_TASK_UNSEEN,   /* an earlier owner may have started it */
-    NM_TASK_STARTING, /* start sent, no answer yet */
-    NM_TASK_RUNNING,
-    NM_TASK_STOPPING, /* waits for its end to be listed */
-    NM_TASK_DONE,
-    NM_TASK_FAILED, /* out of attempts */
-} nm_task_state_t;
+    NM_RUN_WAITING,
+    NM_RUN_UNSEEN,   /* an earlier owner may have started it */
+    NM_RUN_STARTING, /* start sent, no answer yet */
+    NM_RUN_RUNNING,
+    NM_RUN_STOPPING, /* waits for its end to be listed */
+    NM_RUN_DONE,
+    NM_RUN_FAILED, /* out of attempts */
+} nm_run_state_t;
 
 typedef struct {
     nm_work_t *work;
     uint16_t step;
     uint32_t index;
-    nm_task_state_t state;
+    nm_run_state_t state;
     uint32_t failures;
-    int64_t failed_run;     /* newest run counted in failures */
+    int64_t failed_runs[NM_SCHED_FAILED_RUNS]; /* those that are counted */
     nm_sched_node_t *node;  /* where it is starting, running or stopping */
     int64_t run;
     nm_ms_t sent_ms;      /* last order for it */
@@ -183,6 +186,9 @@
 void nm_task_detach(nm_task_t *task);
 /* The task has no run any more and waits to be started. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
+/* Counts a run that failed, once, wherever the task is now. */
+void nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
+                           nm_ms_t now_ms);
 /* Applies the end of the task's current run. */
 void nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end,
                  int64_t run, nm_ms_t now_ms);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -127,12 +127,12 @@
 void
 nm_task_requeue(nm_sched_t *sched, nm_task_t *task)
 {
-    assert(task->state != NM_TASK_DONE);
+    assert(task->state != NM_RUN_DONE);
     nm_task_detach(task);
-    if (task->state != NM_TASK_WAITING) {
+    if (task->state != NM_RUN_WAITING) {
         task->work->waiting[task->step]++;
     }
-    task->state = NM_TASK_WAITING;
+    task->state = NM_RUN_WAITING;
     task->order_pending = false;
     task->withdrawn = false;
     task->tries = 0;
@@ -148,16 +148,16 @@
 static void
 task_done(nm_sched_t *sched, nm_task_t *task)
 {
-    if (task->state == NM_TASK_DONE) {
+    if (task->state == NM_RUN_DONE) {
         return;
     }
     const nm_step_t *step = nm_task_step(task);
     nm_sched_job_t *job = task->work->job;
     nm_task_detach(task);
-    if (task->state == NM_TASK_WAITING) {
+    if (task->state == NM_RUN_WAITING) {
         task->work->waiting[task->step]--;
     }
-    task->state = NM_TASK_DONE;
+    task->state = NM_RUN_DONE;
     task->work->open[task->step]--;
     job->work_left -= step->cpu_milli * step->estimate_ms / 1000;
     sched->stale = true;
@@ -225,18 +225,28 @@
     }
 }
 
-/* A run that failed counts once, also when its end is listed again. */
-static void
-count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run, nm_ms_t now_ms)
+static bool
+failure_is_counted(const nm_task_t *task, int64_t run)
 {
-    nm_sched_job_t *job = task->work->job;
-    if (run <= task->failed_run) {
-        return;
+    for (uint32_t i = 0; i < NM_SCHED_FAILED_RUNS; i++) {
+        if (task->failed_runs[i] == run) {
+            return true;
+        }
     }
-    task->failed_run = run;
-    if (nm_task_step(task)->lasts) {
+    return false;
+}
+
+void
+nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
+                      nm_ms_t now_ms)
+{
+    nm_sched_job_t *job = task->work->job;
+    if (task->state == NM_RUN_DONE || nm_task_step(task)->lasts ||
+        failure_is_counted(task, run))
+    {
         return;
     }
+    task->failed_runs[task->failures % NM_SCHED_FAILED_RUNS] = run;
     task->failures++;
     nm_sched_mark(sched, job, false);
     uint32_t attempts = job->queue ? job->queue->desc.attempts_max : 0;
@@ -251,7 +261,7 @@
     nm_work_t *work = task->work;
     for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
         nm_task_t *member = &work->steps[task->step][i];
-        if (member->run == run || member->state == NM_TASK_UNSEEN) {
+        if (member->run == run || member->state == NM_RUN_UNSEEN) {
             task_done(sched, member);
         }
     }
@@ -261,7 +271,7 @@
 nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end, int64_t run,
             nm_ms_t now_ms)
 {
-    bool unseen = task->state == NM_TASK_UNSEEN;
+    bool unseen = task->state == NM_RUN_UNSEEN;
     if (task->node && nm_task_step(task)->is_filler) {
         task->node->fillers_changed_ms = now_ms;
     }
@@ -276,9 +286,6 @@
     if (!unseen) {
         nm_task_requeue(sched, task);
     }
-    if (end == NM_END_FAILED) {
-        count_failure(sched, task, run, now_ms);
-    }
 }
 
 int64_t
@@ -334,11 +341,11 @@
 nm_sched_start_task(nm_sched_t *sched, nm_task_t *task, nm_sched_node_t *node,
                     int64_t run, nm_ms_t now_ms)
 {
-    if (task->state == NM_TASK_WAITING) {
+    if (task->state == NM_RUN_WAITING) {
         int64_t least = (sched->desc.epoch - 1) * RUNS_PER_EPOCH + 1;
         task->run = MAX(MAX(task->run + 1, run), least);
         task->work->waiting[task->step]--;
-        task->state = NM_TASK_STARTING;
+        task->state = NM_RUN_STARTING;
         task->tries = 0;
         task->percent = 100;
         task->wanted_percent = 100;
@@ -359,14 +366,14 @@
 void
 nm_sched_stop_task(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
 {
-    if (task->state == NM_TASK_STARTING) {
+    if (task->state == NM_RUN_STARTING) {
         task->withdrawn = true;
     }
-    else if (task->state != NM_TASK_RUNNING && task->state != NM_TASK_STOPPING)
+    else if (task->state != NM_RUN_RUNNING && task->state != NM_RUN_STOPPING)
     {
         return;
     }
-    task->state = NM_TASK_STOPPING;
+    task->state = NM_RUN_STOPPING;
     nm_sched_action_t *action =
         nm_sched_act(sched, task->node, NM_ACTION_STOP);
     nm_sched_task_name(task, action->task, sizeof(action->task));
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -65,7 +65,7 @@
     GPtrArray *unanswered = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (task->state == NM_TASK_STARTING || task->withdrawn) {
+        if (task->state == NM_RUN_STARTING || task->withdrawn) {
             g_ptr_array_add(unanswered, task);
         }
     }
@@ -200,7 +200,7 @@
         sched->fenced = true;
     }
     if (!task || !node || task->node != node || task->run != action->run ||
-        task->state != NM_TASK_STARTING ||
+        task->state != NM_RUN_STARTING ||
         node->desc.incarnation != action->incarnation)
     {
         return;
@@ -208,7 +208,7 @@
     task->order_pending = false;
     switch (result) {
     case NM_ORDER_DONE:
-        task->state = NM_TASK_RUNNING;
+        task->state = NM_RUN_RUNNING;
         task->tries = 0;
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
@@ -251,7 +251,7 @@
         sched->fenced = true;
     }
     if (!task || !node || task->node != node || task->run != action->run ||
-        task->state != NM_TASK_STOPPING ||
+        task->state != NM_RUN_STOPPING ||
         node->desc.incarnation != action->incarnation)
     {
         return;
@@ -300,9 +300,9 @@
          nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
-    if (task && task->state == NM_TASK_UNSEEN) {
+    if (task && task->state == NM_RUN_UNSEEN) {
         task->run = row->run;
-        task->state = NM_TASK_RUNNING;
+        task->state = NM_RUN_RUNNING;
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
         task->progress_ms = now_ms;
@@ -318,12 +318,12 @@
         return;
     }
     if (task->work->job->state >= NM_JOB_COMPLETED &&
-        task->state == NM_TASK_RUNNING)
+        task->state == NM_RUN_RUNNING)
     {
         nm_sched_stop_task(sched, task, now_ms);
     }
-    if (task->state == NM_TASK_STARTING) {
-        task->state = NM_TASK_RUNNING;
+    if (task->state == NM_RUN_STARTING) {
+        task->state = NM_RUN_RUNNING;
         task->started_ms = now_ms;
         task->progress_ms = now_ms;
         task->sent_ms = now_ms;
@@ -351,7 +351,7 @@
     uint64_t before = sched->change;
     bool current =
         task && task->node == node && task->run == row->run;
-    if (current || (task && task->state == NM_TASK_UNSEEN)) {
+    if (current || (task && task->state == NM_RUN_UNSEEN)) {
         if (row->checkpoint[0] != '\0') {
             nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
                        row->checkpoint);
@@ -367,6 +367,9 @@
         nm_task_end(sched, task, row->end, row->run, now_ms);
         nm_count(NM_COUNTER_FINISHES, 1);
     }
+    if (task && row->end == NM_END_FAILED) {
+        nm_task_count_failure(sched, task, row->run, now_ms);
+    }
     nm_end_mark_t *mark = g_new(nm_end_mark_t, 1);
     *mark = (nm_end_mark_t){
         .number = row->number,
@@ -384,7 +387,7 @@
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
         if (task->order_pending || task->tries > 0 ||
-            task->state == NM_TASK_STARTING || task->sent_ms > report->sent_ms)
+            task->state == NM_RUN_STARTING || task->sent_ms > report->sent_ms)
         {
             continue;
         }
@@ -474,7 +477,8 @@
     action->wait_ms = quick    ? 0
                       : shared ? NM_SCHED_HOLD_SHARED_MS
                                : NM_SCHED_HOLD_WAIT_MS;
-    if (node->clock_known) {
+    /* What may never answer gets no longer lease by being asked again. */
+    if (node->clock_known && node->reachable) {
         action->expiry_ms =
             nm_node_clock(node, now_ms) + sched->desc.lease_ms;
         node->expiry_ms = MAX(node->expiry_ms, action->expiry_ms);
@@ -498,10 +502,10 @@
         {
             continue;
         }
-        if (task->state == NM_TASK_STOPPING) {
+        if (task->state == NM_RUN_STOPPING) {
             nm_sched_stop_task(sched, task, now_ms);
         }
-        else if (task->state == NM_TASK_STARTING && node->reachable) {
+        else if (task->state == NM_RUN_STARTING && node->reachable) {
             if (task->tries >= NM_SCHED_START_TRIES_MAX) {
                 withdraw_start(sched, task, now_ms);
             }
@@ -521,7 +525,7 @@
         const nm_step_t *step = nm_task_step(task);
         bool saved = step->saves_progress &&
                      node->desc.remaining_ms < DRAIN_MOVE_MS;
-        if (task->state == NM_TASK_RUNNING && (step->lasts || saved)) {
+        if (task->state == NM_RUN_RUNNING && (step->lasts || saved)) {
             nm_count_reason(NM_REASON_EVICT_LEAVING);
             nm_sched_stop_task(sched, task, now_ms);
         }
--- /dev/null
+++ b/tests/test_sched.c
@@ -0,0 +1,410 @@
+/* Jobs, workers and orders against the scheduler, with a manual clock. */
+#include <string.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/sched.h>
+
+#define CPU_MILLI 16000
+#define MEMORY_MB 64000
+
+typedef struct {
+    nm_sched_t *sched;
+    nm_ms_t now_ms;
+    GArray *actions; /* of the newest step */
+} world_t;
+
+static void
+collect(world_t *world)
+{
+    g_array_set_size(world->actions, 0);
+    nm_sched_action_t action;
+    while (nm_sched_next_action(world->sched, &action)) {
+        g_array_append_val(world->actions, action);
+    }
+}
+
+static void
+step(world_t *world, nm_ms_t elapsed_ms)
+{
+    world->now_ms += elapsed_ms;
+    nm_sched_run(world->sched, world->now_ms, 1000000 + world->now_ms);
+    collect(world);
+}
+
+static void
+world_init(world_t *world, int64_t epoch)
+{
+    *world = (world_t){.now_ms = 1000};
+    world->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
+    world->sched = nm_sched_new(
+        &(nm_sched_desc_t){.epoch = epoch, .lease_max_ms = epoch > 1 ? 0 : 1},
+        world->now_ms);
+    nm_queue_t queue = {.name = "batch",
+                        .service = "press",
+                        .attempts_max = 2,
+                        .slack_factor = 2,
+                        .objective_ms = 600};
+    nm_sched_set_queue(world->sched, &queue);
+}
+
+static void
+world_finish(world_t *world)
+{
+    g_array_free(world->actions, TRUE);
+    nm_sched_free(world->sched);
+}
+
+static void
+announce(world_t *world, const char *id, int64_t incarnation)
+{
+    nm_sched_worker_t worker = {.incarnation = incarnation,
+                                .cpu_milli = CPU_MILLI,
+                                .memory_mb = MEMORY_MB};
+    nm_strcopy(worker.id, sizeof(worker.id), id);
+    nm_strcopy(worker.service, sizeof(worker.service), "press");
+    nm_strcopy(worker.address, sizeof(worker.address), "10.0.0.1:80");
+    nm_sched_set_worker(world->sched, &worker, world->now_ms);
+    nm_sched_admit_worker(world->sched, id);
+}
+
+/* A worker's answer to a hold. */
+static void
+report(world_t *world, const char *id, int64_t incarnation,
+       const nm_worker_run_t *running, uint32_t running_count,
+       const nm_worker_end_t *ends, uint32_t end_count)
+{
+    nm_worker_report_t answer = {
+        .result = NM_ORDER_DONE,
+        .incarnation = incarnation,
+        .clock_ms = world->now_ms,
+        .sent_ms = world->now_ms,
+        .complete = true,
+        .running = running,
+        .running_count = running_count,
+        .ends = ends,
+        .end_count = end_count,
+    };
+    nm_sched_on_report(world->sched, id, &answer, world->now_ms);
+}
+
+static void
+lose_hold(world_t *world, const char *id)
+{
+    nm_worker_report_t answer = {.result = NM_ORDER_UNKNOWN,
+                                 .sent_ms = world->now_ms};
+    nm_sched_on_report(world->sched, id, &answer, world->now_ms);
+}
+
+static const nm_sched_action_t *
+find(const world_t *world, nm_sched_action_type_t type, const char *worker)
+{
+    for (guint i = 0; i < world->actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(world->actions, nm_sched_action_t, i);
+        if (action->type == type &&
+            (!worker || strcmp(action->worker, worker) == 0))
+        {
+            return action;
+        }
+    }
+    return NULL;
+}
+
+static void
+add_job(world_t *world, const char *id, bool lasts, uint32_t tasks,
+        int64_t cpu_milli, bool recovered)
+{
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, id, "batch", "press");
+    nm_step_t *step_desc = nm_job_spec_add_step(&spec);
+    step_desc->task_count = tasks;
+    step_desc->cpu_milli = cpu_milli;
+    step_desc->memory_mb = 100;
+    step_desc->estimate_ms = 1000;
+    step_desc->lasts = lasts;
+    g_assert_cmpint(
+        nm_sched_add_job(world->sched, &spec, recovered, world->now_ms), ==,
+        NM_OK);
+    nm_job_spec_finish(&spec);
+}
+
+static nm_worker_run_t
+run_of(const char *task, int64_t run)
+{
+    nm_worker_run_t row = {.run = run, .percent = 100};
+    nm_strcopy(row.task, sizeof(row.task), task);
+    return row;
+}
+
+static nm_worker_end_t
+end_of(int64_t number, const char *task, int64_t run, nm_end_t end)
+{
+    nm_worker_end_t row = {.number = number, .run = run, .end = end};
+    nm_strcopy(row.task, sizeof(row.task), task);
+    return row;
+}
+
+#define JOB "5c0e7a21d94b36f8"
+#define TASK JOB ".0.0.0"
+
+/* Confirms all starts, and returns the last one. */
+static nm_sched_action_t
+confirm_starts(world_t *world)
+{
+    nm_sched_action_t last = {.type = NM_ACTION_HOLD};
+    for (guint i = 0; i < world->actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(world->actions, nm_sched_action_t, i);
+        if (action->type == NM_ACTION_START) {
+            nm_sched_on_start(world->sched, action, NM_ORDER_DONE,
+                              world->now_ms);
+            last = *action;
+        }
+    }
+    return last;
+}
+
+static void
+save_all(world_t *world)
+{
+    nm_sched_save_t save;
+    while (nm_sched_next_save(world->sched, &save)) {
+        nm_sched_saved(world->sched, &save, true);
+        g_free(save.record);
+    }
+}
+
+static void
+test_job_runs_to_its_end(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 7);
+    step(&world, 10);
+    g_assert_nonnull(find(&world, NM_ACTION_HOLD, "a"));
+    report(&world, "a", 7, NULL, 0, NULL, 0);
+    add_job(&world, JOB, false, 2, 1000, false);
+    step(&world, 30);
+    nm_sched_action_t start = confirm_starts(&world);
+    g_assert_cmpint(start.run, ==, 1);
+    g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==, NM_JOB_RUNNING);
+    world.now_ms += 1000;
+    nm_worker_end_t ends[] = {
+        end_of(1, JOB ".0.0.0", 1, NM_END_DONE),
+        end_of(2, JOB ".0.0.1", 1, NM_END_DONE),
+    };
+    report(&world, "a", 7, NULL, 0, ends, 2);
+    /* Neither shown nor acknowledged before it is stored. */
+    g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==, NM_JOB_RUNNING);
+    step(&world, 100);
+    g_assert_null(find(&world, NM_ACTION_HOLD, "a"));
+    save_all(&world);
+    g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==,
+                    NM_JOB_COMPLETED);
+    step(&world, 100);
+    const nm_sched_action_t *hold = find(&world, NM_ACTION_HOLD, "a");
+    g_assert_nonnull(hold);
+    g_assert_cmpint(hold->acked, ==, 2);
+    world_finish(&world);
+}
+
+/* Holds that are repeated in vain must not extend the lease for ever. */
+static void
+test_silent_worker_lapses(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 7);
+    step(&world, 10);
+    report(&world, "a", 7, NULL, 0, NULL, 0);
+    add_job(&world, JOB, true, 1, 1000, false);
+    step(&world, 30);
+    confirm_starts(&world);
+    g_assert_nonnull(find(&world, NM_ACTION_HOLD, "a"));
+    lose_hold(&world, "a");
+    announce(&world, "b", 1);
+    step(&world, 10);
+    report(&world, "b", 1, NULL, 0, NULL, 0);
+    nm_ms_t begin_ms = world.now_ms;
+    bool moved = false;
+    while (!moved && world.now_ms - begin_ms < 12000) {
+        step(&world, 100);
+        if (find(&world, NM_ACTION_HOLD, "a")) {
+            lose_hold(&world, "a");
+        }
+        moved = find(&world, NM_ACTION_START, "b") != NULL;
+    }
+    g_assert_true(moved);
+    /* Not before the lease of 7 s has lapsed on a clock that is 2% slow. */
+    g_assert_cmpint(world.now_ms - begin_ms, >=, 7000);
+    world_finish(&world);
+}
+
+/* A failed run that was not acknowledged counts, wherever the task is now. */
+static void
+test_failure_counts_after_takeover(void)
+{
+    world_t world;
+    world_init(&world, 2);
+    announce(&world, "a", 1);
+    announce(&world, "b", 1);
+    add_job(&world, JOB, false, 1, 1000, true);
+    step(&world, 10);
+    nm_worker_run_t running = run_of(TASK, 2);
+    report(&world, "b", 1, &running, 1, NULL, 0);
+    nm_worker_end_t failed = end_of(1, TASK, 1, NM_END_FAILED);
+    report(&world, "a", 1, NULL, 0, &failed, 1);
+    step(&world, 100);
+    g_assert_cmpint(nm_sched_query_info(world.sched).jobs_active, ==, 1);
+    nm_worker_end_t again = end_of(1, TASK, 2, NM_END_FAILED);
+    report(&world, "b", 1, NULL, 0, &again, 1);
+    step(&world, 100);
+    step(&world, 100);
+    g_assert_null(find(&world, NM_ACTION_START, NULL));
+    save_all(&world);
+    g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==, NM_JOB_FAILED);
+    world_finish(&world);
+}
+
+/* The same end, listed again after a takeover, counts once. */
+static void
+test_failure_counts_once(void)
+{
+    world_t first;
+    world_init(&first, 1);
+    announce(&first, "a", 1);
+    step(&first, 10);
+    report(&first, "a", 1, NULL, 0, NULL, 0);
+    add_job(&first, JOB, false, 1, 1000, false);
+    step(&first, 30);
+    confirm_starts(&first);
+    nm_worker_end_t failed = end_of(1, TASK, 1, NM_END_FAILED);
+    report(&first, "a", 1, NULL, 0, &failed, 1);
+    nm_sched_save_t save;
+    g_assert_true(nm_sched_next_save(first.sched, &save));
+
+    world_t second;
+    world_init(&second, 2);
+    announce(&second, "a", 1);
+    add_job(&second, JOB, false, 1, 1000, true);
+    g_assert_cmpint(nm_sched_restore(second.sched, JOB, save.record,
+                                     (uint32_t)strlen(save.record)),
+                    ==, NM_OK);
+    step(&second, 10);
+    report(&second, "a", 1, NULL, 0, &failed, 1);
+    step(&second, 100);
+    g_assert_nonnull(find(&second, NM_ACTION_START, "a"));
+    g_free(save.record);
+    world_finish(&first);
+    world_finish(&second);
+}
+
+/* A recovered task waits for every worker that may run it unseen. */
+static void
+test_recovered_task_waits_for_all_workers(void)
+{
+    world_t world;
+    world_init(&world, 2);
+    nm_sched_expect_worker(world.sched, "b", world.now_ms);
+    announce(&world, "a", 1);
+    add_job(&world, JOB, false, 1, 1000, true);
+    step(&world, 10);
+    report(&world, "a", 1, NULL, 0, NULL, 0);
+    nm_ms_t begin_ms = world.now_ms;
+    while (!find(&world, NM_ACTION_START, "a")) {
+        step(&world, 100);
+        if (find(&world, NM_ACTION_HOLD, "a")) {
+            report(&world, "a", 1, NULL, 0, NULL, 0);
+        }
+        g_assert_cmpint(world.now_ms - begin_ms, <, 12000);
+    }
+    g_assert_cmpint(world.now_ms - begin_ms, >=, 7000);
+    world_finish(&world);
+}
+
+/* A start without an answer is withdrawn from the worker's next life. */
+static void
+test_unanswered_start_on_a_new_life(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 1);
+    step(&world, 10);
+    report(&world, "a", 1, NULL, 0, NULL, 0);
+    add_job(&world, JOB, false, 1, 1000, false);
+    step(&world, 30);
+    const nm_sched_action_t *start = find(&world, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    nm_sched_on_start(world.sched, start, NM_ORDER_UNKNOWN, world.now_ms);
+    announce(&world, "a", 2);
+    announce(&world, "b", 1);
+    step(&world, 10);
+    const nm_sched_action_t *stop = find(&world, NM_ACTION_STOP, "a");
+    g_assert_nonnull(stop);
+    g_assert_cmpint(stop->incarnation, ==, 2);
+    nm_sched_action_t stopped = *stop;
+    report(&world, "b", 1, NULL, 0, NULL, 0);
+    step(&world, 100);
+    g_assert_null(find(&world, NM_ACTION_START, NULL));
+    nm_sched_on_stop(world.sched, &stopped, NM_ORDER_DONE, world.now_ms);
+    world.now_ms += 10;
+    report(&world, "a", 2, NULL, 0, NULL, 0);
+    step(&world, 100);
+    g_assert_nonnull(find(&world, NM_ACTION_START, NULL));
+    world_finish(&world);
+}
+
+/* What is being stopped counts against the capacity until its end. */
+static void
+test_capacity_counts_what_is_stopped(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 1);
+    step(&world, 10);
+    report(&world, "a", 1, NULL, 0, NULL, 0);
+    add_job(&world, JOB, false, 1, CPU_MILLI, false);
+    step(&world, 30);
+    confirm_starts(&world);
+    add_job(&world, "1111111111111111", false, 1, CPU_MILLI, false);
+    nm_sched_cancel_job(world.sched, JOB, world.now_ms);
+    step(&world, 30);
+    const nm_sched_action_t *stop = find(&world, NM_ACTION_STOP, "a");
+    g_assert_nonnull(stop);
+    nm_sched_action_t stopped = *stop;
+    nm_sched_on_stop(world.sched, &stopped, NM_ORDER_DONE, world.now_ms);
+    step(&world, 100);
+    g_assert_null(find(&world, NM_ACTION_START, "a"));
+    nm_worker_end_t end = end_of(1, TASK, 1, NM_END_STOPPED);
+    report(&world, "a", 1, NULL, 0, &end, 1);
+    step(&world, 100);
+    g_assert_nonnull(find(&world, NM_ACTION_START, "a"));
+    world_finish(&world);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    static const struct {
+        const char *name;
+        void (*run)(void);
+    } cases[] = {
+        {"/sched/job-runs-to-its-end", test_job_runs_to_its_end},
+        {"/sched/silent-worker-lapses", test_silent_worker_lapses},
+        {"/sched/failure-counts-after-takeover",
+         test_failure_counts_after_takeover},
+        {"/sched/failure-counts-once", test_failure_counts_once},
+        {"/sched/recovered-task-waits",
+         test_recovered_task_waits_for_all_workers},
+        {"/sched/unanswered-start-on-a-new-life",
+         test_unanswered_start_on_a_new_life},
+        {"/sched/capacity-counts-what-is-stopped",
+         test_capacity_counts_what_is_stopped},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_add_func(cases[i].name, cases[i].run);
+    }
+    return g_test_run();
+}
