Say 504, not 503, while a job may still be stored; test entry hosts

Candidates also did not wait at the first election. Change: an open change ends in 504; the first vacancy has a beginning. feeds take the host's clock, so that tests drive them. Tests: an in-process store and front; refusal-is-certain and election-replaces-no-rival failed on the code before.

--- a/src/entry.c
+++ b/src/entry.c
@@ -71,12 +71,14 @@
     nm_owner_init(entry);
     nm_feed_open(&entry->config_feed,
                  &(nm_feed_desc_t){.kv = desc->kv,
+                                   .clock = desc->clock,
                                    .prefix = desc->codec->config_prefix,
                                    .on_item = on_config,
                                    .user = entry,
                                    .wait_ms = CONFIG_WAIT_MS});
     nm_feed_open(&entry->control_feed,
                  &(nm_feed_desc_t){.kv = desc->kv,
+                                   .clock = desc->clock,
                                    .prefix = NM_KEY_CONTROL,
                                    .on_item = on_control,
                                    .user = entry});
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -604,7 +604,10 @@
 tick_op(nm_op_t *op, nm_ms_t now_ms)
 {
     if (now_ms >= op->deadline_ms) {
-        fail_op(op, op->uncertain ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
+        bool changes = op->type == OP_SUBMIT || op->type == OP_CANCEL;
+        bool in_flight = changes && (op->pending || op->asked);
+        bool open = op->uncertain || in_flight;
+        fail_op(op, open ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
         return;
     }
     if (op->asked && now_ms >= op->ask_until_ms) {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -304,6 +304,7 @@
     nm_feed_close(&entry->progress_feed);
     nm_feed_open(&entry->jobs_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .clock = entry->desc.clock,
                                    .prefix = NM_KEY_JOBS,
                                    .on_item = on_job,
                                    .on_listed = on_jobs_listed,
@@ -342,12 +343,14 @@
     nm_feed_close(&entry->roster_feed);
     nm_feed_open(&entry->workers_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .clock = entry->desc.clock,
                                    .prefix = entry->desc.codec->workers_prefix,
                                    .on_item = on_worker,
                                    .user = entry,
                                    .pause_ms = WORKERS_PAUSE_MS});
     nm_feed_open(&entry->progress_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .clock = entry->desc.clock,
                                    .prefix = NM_KEY_PROGRESS,
                                    .on_item = on_progress,
                                    .on_listed = on_progress_listed,
@@ -377,6 +380,7 @@
            (json_int_t)epoch);
     nm_feed_open(&entry->roster_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .clock = entry->desc.clock,
                                    .prefix = NM_KEY_ROSTER,
                                    .on_item = on_roster,
                                    .on_listed = on_roster_listed,
@@ -473,6 +477,9 @@
         if (entry->owner.present) {
             return;
         }
+        if (entry->vacant_ms == 0) {
+            entry->vacant_ms = now_ms;
+        }
         double share = MIN(entry->desc.cpu_share, 1.0);
         nm_ms_t wait = (nm_ms_t)(ELECTION_SPREAD_MS * (1 - share)) +
                        ELECTION_DISTANCE * entry->control_feed.answer_ms +
--- a/src/feed.c
+++ b/src/feed.c
@@ -14,11 +14,9 @@
 } call_t;
 
 static nm_ms_t
-now(void)
+now(const nm_feed_t *feed)
 {
-    nm_clock_t clock;
-    nm_clock_init_monotonic(&clock);
-    return nm_clock_now(&clock);
+    return nm_clock_now(feed->desc.clock);
 }
 
 static void
@@ -32,7 +30,8 @@
 void
 nm_feed_open(nm_feed_t *feed, const nm_feed_desc_t *desc)
 {
-    assert(feed && desc && desc->kv && desc->prefix && desc->on_item);
+    assert(feed && desc && desc->kv && desc->clock && desc->prefix);
+    assert(desc->on_item);
     nm_feed_close(feed);
     feed->desc = *desc;
     nm_strcopy(feed->prefix, sizeof(feed->prefix), desc->prefix);
@@ -152,7 +151,7 @@
         feed->revision = result->revision;
     }
     if (result->item_count > 0) {
-        feed->due_ms = now() + feed->desc.pause_ms;
+        feed->due_ms = now(feed) + feed->desc.pause_ms;
     }
 }
 
@@ -170,7 +169,7 @@
     feed->due_ms = 0;
     if (result->rc == NM_OK) {
         feed->failures = 0;
-        feed->answered_ms = now();
+        feed->answered_ms = now(feed);
         if (feed->listing) {
             nm_ms_t took = feed->answered_ms - feed->sent_ms;
             if (feed->answer_ms == 0 || took < feed->answer_ms) {
@@ -184,13 +183,13 @@
         return;
     }
     if (result->rc == NM_ERR_COMPACTED) {
-        feed->answered_ms = now();
+        feed->answered_ms = now(feed);
         restart_listing(feed);
         return;
     }
     nm_ms_t pause = (nm_ms_t)RETRY_MS << MIN(feed->failures, 3);
     feed->failures++;
-    feed->due_ms = now() + MIN(pause, RETRY_MAX_MS);
+    feed->due_ms = now(feed) + MIN(pause, RETRY_MAX_MS);
     if (feed->listing) {
         restart_listing(feed);
     }
--- a/src/feed.h
+++ b/src/feed.h
@@ -5,7 +5,8 @@
  * as deleted, also when they vanished while the watch was down or its
  * history was dropped.  A key never goes back to an older revision.
  *
- *     nm_feed_open(&feed, &(nm_feed_desc_t){.kv = kv, .prefix = "jobs/",
+ *     nm_feed_open(&feed, &(nm_feed_desc_t){.kv = kv, .clock = &clock,
+ *                                           .prefix = "jobs/",
  *                                           .on_item = on_item});
  *     nm_feed_tick(&feed, now_ms);
  *     nm_feed_close(&feed);
@@ -19,6 +20,7 @@
 
 typedef struct {
     nm_kv_t *kv;
+    const nm_clock_t *clock;
     const char *prefix;
     /* item->value is NULL for a deleted key. */
     void (*on_item)(void *user, const nm_store_kv_t *item);
--- /dev/null
+++ b/tests/fakes/lib_kv.c
@@ -0,0 +1,345 @@
+#include "lib_kv.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+typedef enum {
+    CALL_GET,
+    CALL_RANGE,
+    CALL_WATCH,
+    CALL_COMMIT,
+    CALL_GRANT,
+    CALL_RENEW,
+    CALL_END,
+} call_type_t;
+
+typedef struct {
+    call_type_t type;
+    char *key; /* or prefix */
+    int64_t revision;
+    int64_t lease;
+    nm_store_txn_t txn;
+    nm_kv_done_fn done;
+    void *user;
+} call_t;
+
+struct fake_kv {
+    nm_kv_t base;
+    fake_kv_mode_t mode;
+    int64_t revision;
+    int64_t compacted;
+    int64_t next_lease;
+    GHashTable *leases;
+    GTree *items;     /* key -> nm_store_kv_t */
+    GPtrArray *events; /* of nm_store_kv_t */
+    GQueue calls;
+};
+
+static void
+free_item(gpointer data)
+{
+    nm_store_kv_t *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+static int
+compare_keys(gconstpointer a, gconstpointer b, gpointer user)
+{
+    (void)user;
+    return strcmp(a, b);
+}
+
+static nm_store_kv_t *
+new_item(const char *key, const void *value, uint32_t bytes, int64_t revision)
+{
+    nm_store_kv_t *item = g_new0(nm_store_kv_t, 1);
+    item->key = g_strdup(key);
+    item->mod_revision = revision;
+    if (value) {
+        item->value = g_malloc(bytes + 1);
+        memcpy(item->value, value, bytes);
+        item->value[bytes] = '\0';
+        item->value_bytes = bytes;
+    }
+    return item;
+}
+
+static void
+change(fake_kv_t *kv, const char *key, const void *value, uint32_t bytes)
+{
+    g_ptr_array_add(kv->events, new_item(key, value, bytes, kv->revision));
+    if (value) {
+        nm_store_kv_t *item = new_item(key, value, bytes, kv->revision);
+        g_tree_replace(kv->items, item->key, item);
+    }
+    else {
+        g_tree_remove(kv->items, key);
+    }
+}
+
+static call_t *
+add_call(nm_kv_t *base, call_type_t type, const char *key, nm_kv_done_fn done,
+         void *user)
+{
+    fake_kv_t *kv = (fake_kv_t *)base;
+    call_t *call = g_new0(call_t, 1);
+    call->type = type;
+    call->key = g_strdup(key);
+    call->done = done;
+    call->user = user;
+    nm_store_txn_init(&call->txn);
+    g_queue_push_tail(&kv->calls, call);
+    return call;
+}
+
+static void
+kv_get(nm_kv_t *kv, const char *key, nm_kv_done_fn done, void *user)
+{
+    add_call(kv, CALL_GET, key, done, user);
+}
+
+static void
+kv_range(nm_kv_t *kv, const char *prefix, const char *after,
+         nm_kv_done_fn done, void *user)
+{
+    (void)after;
+    add_call(kv, CALL_RANGE, prefix, done, user);
+}
+
+static void
+kv_watch(nm_kv_t *kv, const char *prefix, int64_t after_revision,
+         nm_ms_t wait_ms, nm_kv_done_fn done, void *user)
+{
+    (void)wait_ms;
+    add_call(kv, CALL_WATCH, prefix, done, user)->revision = after_revision;
+}
+
+static void
+kv_commit(nm_kv_t *kv, const nm_store_txn_t *txn, nm_kv_done_fn done,
+          void *user)
+{
+    call_t *call = add_call(kv, CALL_COMMIT, "", done, user);
+    for (uint32_t i = 0; i < txn->compare_count; i++) {
+        nm_store_txn_expect(&call->txn, txn->compares[i].key,
+                            txn->compares[i].mod_revision);
+    }
+    for (uint32_t i = 0; i < txn->then_count; i++) {
+        const nm_store_op_t *op = &txn->then_ops[i];
+        if (op->type == NM_STORE_OP_PUT) {
+            nm_store_txn_put(&call->txn, op->key, op->value, op->value_bytes,
+                             op->lease_id);
+        }
+        else {
+            nm_store_txn_delete(&call->txn, op->key, false);
+        }
+    }
+}
+
+static void
+kv_lease_grant(nm_kv_t *kv, nm_ms_t ttl_ms, nm_kv_done_fn done, void *user)
+{
+    (void)ttl_ms;
+    add_call(kv, CALL_GRANT, "", done, user);
+}
+
+static void
+kv_lease_renew(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
+{
+    add_call(kv, CALL_RENEW, "", done, user)->lease = lease;
+}
+
+static void
+kv_lease_end(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
+{
+    add_call(kv, CALL_END, "", done, user)->lease = lease;
+}
+
+static const nm_kv_vtable_t vtable = {
+    .get = kv_get,
+    .range = kv_range,
+    .watch = kv_watch,
+    .commit = kv_commit,
+    .lease_grant = kv_lease_grant,
+    .lease_renew = kv_lease_renew,
+    .lease_end = kv_lease_end,
+};
+
+fake_kv_t *
+fake_kv_new(void)
+{
+    fake_kv_t *kv = g_new0(fake_kv_t, 1);
+    kv->base.vtable = &vtable;
+    kv->revision = 1;
+    kv->leases = g_hash_table_new(g_int64_hash, g_int64_equal);
+    kv->items = g_tree_new_full(compare_keys, NULL, NULL, free_item);
+    kv->events = g_ptr_array_new_with_free_func(free_item);
+    g_queue_init(&kv->calls);
+    return kv;
+}
+
+static void
+free_call(call_t *call)
+{
+    nm_store_txn_finish(&call->txn);
+    g_free(call->key);
+    g_free(call);
+}
+
+void
+fake_kv_free(fake_kv_t *kv)
+{
+    g_queue_clear_full(&kv->calls, (GDestroyNotify)free_call);
+    g_hash_table_destroy(kv->leases);
+    g_tree_destroy(kv->items);
+    g_ptr_array_free(kv->events, TRUE);
+    g_free(kv);
+}
+
+nm_kv_t *
+fake_kv_port(fake_kv_t *kv)
+{
+    return &kv->base;
+}
+
+void
+fake_kv_set_mode(fake_kv_t *kv, fake_kv_mode_t mode)
+{
+    kv->mode = mode;
+}
+
+void
+fake_kv_put(fake_kv_t *kv, const char *key, const char *value)
+{
+    kv->revision++;
+    change(kv, key, value, value ? (uint32_t)strlen(value) : 0);
+}
+
+const char *
+fake_kv_value(const fake_kv_t *kv, const char *key)
+{
+    const nm_store_kv_t *item = g_tree_lookup(kv->items, key);
+    return item ? (const char *)item->value : NULL;
+}
+
+void
+fake_kv_compact(fake_kv_t *kv)
+{
+    kv->compacted = kv->revision;
+}
+
+typedef struct {
+    const char *prefix;
+    GArray *items;
+} listing_t;
+
+static gboolean
+list_item(gpointer key, gpointer value, gpointer user)
+{
+    listing_t *listing = user;
+    if (g_str_has_prefix(key, listing->prefix)) {
+        g_array_append_vals(listing->items, value, 1);
+    }
+    return FALSE;
+}
+
+static int64_t
+key_revision(const fake_kv_t *kv, const char *key)
+{
+    const nm_store_kv_t *item = g_tree_lookup(kv->items, key);
+    return item ? item->mod_revision : 0;
+}
+
+static int
+apply(fake_kv_t *kv, const nm_store_txn_t *txn)
+{
+    for (uint32_t i = 0; i < txn->compare_count; i++) {
+        if (key_revision(kv, txn->compares[i].key) !=
+            txn->compares[i].mod_revision)
+        {
+            return NM_ERR_CONFLICT;
+        }
+    }
+    kv->revision++;
+    for (uint32_t i = 0; i < txn->then_count; i++) {
+        const nm_store_op_t *op = &txn->then_ops[i];
+        bool put = op->type == NM_STORE_OP_PUT;
+        change(kv, op->key, put ? op->value : NULL, op->value_bytes);
+    }
+    return NM_OK;
+}
+
+/* Returns false if the call has to wait. */
+static bool
+answer(fake_kv_t *kv, call_t *call)
+{
+    nm_kv_result_t result = {.revision = kv->revision};
+    GArray *items = g_array_new(FALSE, FALSE, sizeof(nm_store_kv_t));
+    listing_t listing = {call->key, items};
+    bool waits = false;
+    if (kv->mode == FAKE_KV_BUSY) {
+        result.rc = NM_ERR_UNAVAILABLE;
+    }
+    else if (call->type == CALL_GET) {
+        const nm_store_kv_t *item = g_tree_lookup(kv->items, call->key);
+        result.rc = item ? NM_OK : NM_ERR_NOT_FOUND;
+        if (item) {
+            g_array_append_vals(items, item, 1);
+        }
+    }
+    else if (call->type == CALL_RANGE) {
+        g_tree_foreach(kv->items, list_item, &listing);
+    }
+    else if (call->type == CALL_WATCH && call->revision < kv->compacted) {
+        result.rc = NM_ERR_COMPACTED;
+    }
+    else if (call->type == CALL_WATCH) {
+        for (guint i = 0; i < kv->events->len; i++) {
+            const nm_store_kv_t *event = kv->events->pdata[i];
+            if (event->mod_revision > call->revision &&
+                g_str_has_prefix(event->key, call->key))
+            {
+                g_array_append_vals(items, event, 1);
+            }
+        }
+        waits = items->len == 0;
+    }
+    else if (call->type == CALL_COMMIT) {
+        result.rc = apply(kv, &call->txn);
+        result.revision = kv->revision;
+        if (kv->mode == FAKE_KV_LOSES) {
+            result.rc = NM_ERR_LOST;
+        }
+    }
+    else if (call->type == CALL_GRANT) {
+        result.lease = ++kv->next_lease;
+    }
+    result.items = (const nm_store_kv_t *)items->data;
+    result.item_count = items->len;
+    if (!waits) {
+        call->done(call->user, &result);
+    }
+    g_array_free(items, TRUE);
+    return !waits;
+}
+
+void
+fake_kv_run(fake_kv_t *kv)
+{
+    if (kv->mode == FAKE_KV_SILENT) {
+        return;
+    }
+    GQueue calls = kv->calls;
+    g_queue_init(&kv->calls);
+    call_t *call;
+    while ((call = g_queue_pop_head(&calls))) {
+        if (answer(kv, call)) {
+            free_call(call);
+        }
+        else {
+            g_queue_push_tail(&kv->calls, call);
+        }
+    }
+}
--- /dev/null
+++ b/tests/fakes/lib_kv.h
@@ -0,0 +1,34 @@
+/*
+ * In-process key-value store for entry hosts, on a manual clock.
+ *
+ * Answers are given by fake_kv_run, so that a test decides what happens
+ * while a call is in flight.
+ */
+#ifndef FAKE_KV_H
+#define FAKE_KV_H
+
+#include "../../src/kv.h"
+
+typedef enum {
+    FAKE_KV_SERVES,
+    FAKE_KV_BUSY,   /* refuses, nothing is done */
+    FAKE_KV_SILENT, /* holds calls until the mode changes */
+    FAKE_KV_LOSES,  /* carries changes out, and answers that it is unknown */
+} fake_kv_mode_t;
+
+typedef struct fake_kv fake_kv_t;
+
+fake_kv_t *fake_kv_new(void);
+void fake_kv_free(fake_kv_t *kv);
+nm_kv_t *fake_kv_port(fake_kv_t *kv);
+void fake_kv_set_mode(fake_kv_t *kv, fake_kv_mode_t mode);
+/* Writes as the operator or a worker would. value NULL: deletes. */
+void fake_kv_put(fake_kv_t *kv, const char *key, const char *value);
+/* Value of a key, or NULL. */
+const char *fake_kv_value(const fake_kv_t *kv, const char *key);
+/* Answers the calls that can be answered now. */
+void fake_kv_run(fake_kv_t *kv);
+/* Drops the history, so that watches have to list again. */
+void fake_kv_compact(fake_kv_t *kv);
+
+#endif
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,349 @@
+/* Entry hosts against an in-process store, on a manual clock. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "../platform/codec.h"
+#include "../src/entry.h"
+#include "lib_kv.h"
+
+#define CONFIG_KEY "op/config"
+#define JOB "5c0e7a21d94b36f8"
+#define JOB_KEY "nutmegdeck/jobs/" JOB
+#define OWNER_KEY "nutmegdeck/control/owner"
+#define CONFIG(version, prefix)                                               \
+    "{\"version\":" version ",\"routes\":[{\"name\":\"q\",\"host\":\"h\","    \
+    "\"pathPrefix\":\"" prefix "\",\"service\":\"s\",\"maxAttempts\":2,"      \
+    "\"slackFactor\":2,\"targetLatencyMs\":600,\"timeoutMs\":3000}],"         \
+    "\"services\":[{\"name\":\"s\"}],\"limits\":{}}"
+#define BODY "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
+
+typedef struct {
+    nm_call_front_t base;
+    GQueue waiting;
+    GPtrArray *answered;
+    bool ready;
+} fake_front_t;
+
+typedef struct {
+    nm_order_port_t base;
+    uint32_t sent;
+} fake_orders_t;
+
+typedef struct {
+    nm_clock_t clock;
+    fake_kv_t *kv;
+    fake_front_t front;
+    fake_orders_t orders;
+    nm_peer_ask_t *peers;
+    nm_entry_t *entry;
+    char address[64];
+} host_t;
+
+static nm_call_t *
+front_next(nm_call_front_t *base)
+{
+    return g_queue_pop_head(&((fake_front_t *)base)->waiting);
+}
+
+static void
+front_reply(nm_call_front_t *base, nm_call_t *call)
+{
+    g_ptr_array_add(((fake_front_t *)base)->answered, call);
+}
+
+static int
+front_fd(const nm_call_front_t *base)
+{
+    (void)base;
+    return -1;
+}
+
+static void
+front_set_ready(nm_call_front_t *base, bool ready)
+{
+    ((fake_front_t *)base)->ready = ready;
+}
+
+static void
+front_stop(nm_call_front_t *base)
+{
+    (void)base;
+}
+
+static const nm_call_front_vtable_t front_vtable = {
+    front_next, front_reply, front_fd, front_set_ready, front_stop};
+
+static void
+orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
+            int64_t epoch, nm_order_done_fn done, void *user)
+{
+    (void)action;
+    (void)epoch;
+    (void)done;
+    ((fake_orders_t *)port)->sent++;
+    g_free(user);
+}
+
+static const nm_order_port_vtable_t orders_vtable = {orders_send};
+
+static void
+free_call(gpointer data)
+{
+    nm_call_t *call = data;
+    g_free(call->host);
+    g_free(call->target);
+    g_free(call->answer);
+    g_byte_array_free(call->body, TRUE);
+    g_free(call);
+}
+
+static void
+host_init(host_t *host, const char *name, fake_kv_t *kv)
+{
+    *host = (host_t){.kv = kv,
+                     .front = {.base = {&front_vtable}},
+                     .orders = {.base = {&orders_vtable}}};
+    nm_clock_init_manual(&host->clock, 1000);
+    g_queue_init(&host->front.waiting);
+    host->front.answered = g_ptr_array_new_with_free_func(free_call);
+    g_snprintf(host->address, sizeof(host->address), "inproc://%s", name);
+    host->peers = nm_peer_ask_new(host->address);
+    host->entry = nm_entry_new(&(nm_entry_desc_t){
+        .name = name,
+        .zone = "z",
+        .region = "r",
+        .peer_address = host->address,
+        .cpu_share = 0.1,
+        .grace_ms = 6000,
+        .clock = &host->clock,
+        .kv = fake_kv_port(kv),
+        .orders = &host->orders.base,
+        .front = &host->front.base,
+        .peers = host->peers,
+        .codec = &nm_platform_codec,
+    });
+}
+
+static void
+host_finish(host_t *host)
+{
+    nm_entry_free(host->entry);
+    nm_peer_ask_free(host->peers);
+    g_ptr_array_free(host->front.answered, TRUE);
+}
+
+static void
+run(host_t *host, nm_ms_t duration_ms)
+{
+    for (nm_ms_t t = 0; t < duration_ms; t += 10) {
+        host->clock.manual_ms += 10;
+        nm_entry_run(host->entry);
+        fake_kv_run(host->kv);
+    }
+}
+
+static void
+call(host_t *host, nm_method_t method, const char *target, const char *body)
+{
+    nm_call_t *request = g_new0(nm_call_t, 1);
+    request->method = method;
+    request->host = g_strdup("h");
+    request->target = g_strdup(target);
+    request->body = g_byte_array_new();
+    request->deadline_ms = 3000;
+    g_byte_array_append(request->body, (const guint8 *)body,
+                        (guint)strlen(body));
+    g_queue_push_tail(&host->front.waiting, request);
+}
+
+/* Status of the newest answer; 0 if there is none. */
+static int
+last_status(const host_t *host)
+{
+    guint count = host->front.answered->len;
+    return count == 0
+               ? 0
+               : ((nm_call_t *)host->front.answered->pdata[count - 1])->status;
+}
+
+static const char *
+last_answer(const host_t *host)
+{
+    guint count = host->front.answered->len;
+    return ((nm_call_t *)host->front.answered->pdata[count - 1])->answer;
+}
+
+static void
+test_submit_and_query(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 1000);
+    g_assert_true(host.front.ready);
+    g_assert_nonnull(fake_kv_value(kv, OWNER_KEY));
+    static const struct {
+        nm_method_t method;
+        const char *target;
+        const char *body;
+        int status;
+        const char *answer;
+    } cases[] = {
+        {NM_METHOD_POST, "/a/" JOB, BODY, 200, "{\"state\":\"queued\"}"},
+        {NM_METHOD_POST, "/a/" JOB, BODY, 200, "{\"state\":\"queued\"}"},
+        {NM_METHOD_GET, "/a/" JOB, "", 200, "{\"state\":\"queued\"}"},
+        {NM_METHOD_GET, "/a/", "", 200, "{\"pending\":1}"},
+        {NM_METHOD_DELETE, "/a/" JOB, "", 200, "{\"state\":\"cancelled\"}"},
+        {NM_METHOD_GET, "/a/" JOB, "", 200, "{\"state\":\"cancelled\"}"},
+        {NM_METHOD_GET, "/a/0000000000000000", "", 410, NULL},
+        {NM_METHOD_DELETE, "/a/0000000000000000", "", 410, NULL},
+        {NM_METHOD_POST, "/b/" JOB, BODY, 404, NULL},
+        {NM_METHOD_POST, "/a/0123", BODY, 400, NULL},
+        {NM_METHOD_POST, "/a/0000000000000001", "{", 400, NULL},
+        {NM_METHOD_POST, "/a/0000000000000001", "{\"steps\":[]}", 400, NULL},
+        {NM_METHOD_POST, "/a/0000000000000001",
+         "{\"steps\":[{\"count\":1,\"after\":[3]}]}", 400, NULL},
+        {NM_METHOD_OTHER, "/a/" JOB, "", 405, NULL},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("case %zu", i);
+        call(&host, cases[i].method, cases[i].target, cases[i].body);
+        run(&host, 200);
+        g_assert_cmpint(last_status(&host), ==, cases[i].status);
+        if (cases[i].answer) {
+            g_assert_cmpstr(last_answer(&host), ==, cases[i].answer);
+        }
+    }
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+/* A refusal says that the job never runs, so it must not be in doubt. */
+static void
+test_refusal_is_certain(void)
+{
+    static const struct {
+        const char *name;
+        fake_kv_mode_t mode;
+        int status;
+        nm_ms_t within_ms;
+    } cases[] = {
+        {"refused at once", FAKE_KV_BUSY, 503, 900},
+        {"in flight at the deadline", FAKE_KV_SILENT, 504, 3000},
+        {"answers lost", FAKE_KV_LOSES, 504, 3000},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = fake_kv_new();
+        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        host_t host;
+        host_init(&host, "a", kv);
+        run(&host, 1000);
+        fake_kv_set_mode(kv, cases[i].mode);
+        call(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+        run(&host, cases[i].within_ms);
+        g_assert_cmpint(last_status(&host), ==, cases[i].status);
+        fake_kv_set_mode(kv, FAKE_KV_SERVES);
+        run(&host, 100);
+        bool refused = cases[i].status == 503;
+        g_assert_true(!refused || !fake_kv_value(kv, JOB_KEY));
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
+/* The store never shows an older version, and neither does the host. */
+static void
+test_configuration_never_goes_back(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 500);
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("9", "/b/"));
+    run(&host, 200);
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("5", "/a/"));
+    fake_kv_compact(kv);
+    run(&host, 200);
+    fake_kv_put(kv, CONFIG_KEY, "{not a configuration");
+    run(&host, 200);
+    call(&host, NM_METHOD_GET, "/b/", "");
+    run(&host, 200);
+    g_assert_cmpint(last_status(&host), ==, 200);
+    call(&host, NM_METHOD_GET, "/a/", "");
+    run(&host, 200);
+    g_assert_cmpint(last_status(&host), ==, 404);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+/* Whenever a rival is elected, it stays the owner. */
+static void
+test_election_replaces_no_rival(void)
+{
+    static const char rival[] = "{\"name\":\"b\",\"address\":\"inproc://b\","
+                                "\"token\":\"t\",\"epoch\":1}";
+    uint32_t met = 0;
+    for (int at = 0; at < 40; at++) {
+        fake_kv_t *kv = fake_kv_new();
+        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        host_t host;
+        host_init(&host, "a", kv);
+        for (int i = 0; i < at; i++) {
+            host.clock.manual_ms += 10;
+            nm_entry_run(host.entry);
+            fake_kv_run(kv);
+        }
+        bool vacant = !fake_kv_value(kv, OWNER_KEY);
+        if (vacant) {
+            fake_kv_put(kv, OWNER_KEY, rival);
+            met++;
+        }
+        run(&host, 1000);
+        g_assert_true(!vacant || strcmp(fake_kv_value(kv, OWNER_KEY),
+                                        rival) == 0);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+    g_assert_cmpuint(met, >, 5);
+}
+
+/* A new process of the owner takes over without waiting for its lease. */
+static void
+test_restarted_owner_takes_over(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 1000);
+    call(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run(&host, 200);
+    host_finish(&host);
+    host_init(&host, "a", kv);
+    run(&host, 300);
+    g_assert_cmpstr(fake_kv_value(kv, "nutmegdeck/control/epoch"), ==, "2");
+    call(&host, NM_METHOD_GET, "/a/" JOB, "");
+    run(&host, 200);
+    g_assert_cmpstr(last_answer(&host), ==, "{\"state\":\"queued\"}");
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/entry/submit-and-query", test_submit_and_query);
+    g_test_add_func("/entry/refusal-is-certain", test_refusal_is_certain);
+    g_test_add_func("/entry/configuration-never-goes-back",
+                    test_configuration_never_goes_back);
+    g_test_add_func("/entry/election-replaces-no-rival",
+                    test_election_replaces_no_rival);
+    g_test_add_func("/entry/restarted-owner-takes-over",
+                    test_restarted_owner_takes_over);
+    return g_test_run();
+}
