--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -33,6 +33,8 @@
 #define PAUSED_MAX_MS 1500
 /* Part of its processor that a serving task uses at its usual peak. */
 #define SERVING_LOAD 0.6
+/* Figures are rough: from this share of the target on a tail may be over. */
+#define OVER_SHARE 0.88
 /* A tail over its target for this long pauses the fillers beside it. */
 #define OVER_MS 900
 /* Share of the target below which a worker's tails are calm. */
@@ -137,7 +139,7 @@
         if (target <= 0) {
             continue;
         }
-        if (task->figure <= target) {
+        if ((double)task->figure <= OVER_SHARE * (double)target) {
             task->over_since_ms = 0;
         }
         else if (task->over_since_ms == 0) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -23,7 +23,7 @@
 /* ...or this long where serving tasks stand beside fillers. */
 #define NM_SCHED_HOLD_SHARED_MS 500
 /* Ends that come close together are fetched by one hold. */
-#define NM_SCHED_HOLD_PAUSE_MS 60
+#define NM_SCHED_HOLD_PAUSE_MS 130
 /* Pause before a hold or an order without an answer is repeated. */
 #define NM_SCHED_RETRY_MS 300
 /* A start that got no answer this often is withdrawn by a stop. */
