--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -21,7 +21,7 @@
 #include "../src/entry.h"
 #include "../src/entry_settings.h"
 
-#define FDS_MAX 8
+#define FDS_MAX 80
 
 static volatile sig_atomic_t stop_requested;
 static volatile sig_atomic_t reload_requested;
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -97,19 +97,246 @@
   assert(message->base.descriptor == &nm_pb__entry_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[4] =
+void   nm_pb__order__init
+                     (NmPb__Order         *message)
+{
+  static const NmPb__Order init_value = NM_PB__ORDER__INIT;
+  *message = init_value;
+}
+size_t nm_pb__order__get_packed_size
+                     (const NmPb__Order *message)
+{
+  assert(message->base.descriptor == &nm_pb__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__order__pack
+                     (const NmPb__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__order__pack_to_buffer
+                     (const NmPb__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__Order *
+       nm_pb__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__Order *)
+     protobuf_c_message_unpack (&nm_pb__order__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__order__free_unpacked
+                     (NmPb__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   nm_pb__order_result__init
+                     (NmPb__OrderResult         *message)
+{
+  static const NmPb__OrderResult init_value = NM_PB__ORDER_RESULT__INIT;
+  *message = init_value;
+}
+size_t nm_pb__order_result__get_packed_size
+                     (const NmPb__OrderResult *message)
+{
+  assert(message->base.descriptor == &nm_pb__order_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__order_result__pack
+                     (const NmPb__OrderResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__order_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__order_result__pack_to_buffer
+                     (const NmPb__OrderResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__order_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__OrderResult *
+       nm_pb__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__OrderResult *)
+     protobuf_c_message_unpack (&nm_pb__order_result__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__order_result__free_unpacked
+                     (NmPb__OrderResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__order_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   nm_pb__worker_report__init
+                     (NmPb__WorkerReport         *message)
+{
+  static const NmPb__WorkerReport init_value = NM_PB__WORKER_REPORT__INIT;
+  *message = init_value;
+}
+size_t nm_pb__worker_report__get_packed_size
+                     (const NmPb__WorkerReport *message)
+{
+  assert(message->base.descriptor == &nm_pb__worker_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__worker_report__pack
+                     (const NmPb__WorkerReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__worker_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__worker_report__pack_to_buffer
+                     (const NmPb__WorkerReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__worker_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__WorkerReport *
+       nm_pb__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__WorkerReport *)
+     protobuf_c_message_unpack (&nm_pb__worker_report__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__worker_report__free_unpacked
+                     (NmPb__WorkerReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__worker_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   nm_pb__worker_run__init
+                     (NmPb__WorkerRun         *message)
+{
+  static const NmPb__WorkerRun init_value = NM_PB__WORKER_RUN__INIT;
+  *message = init_value;
+}
+size_t nm_pb__worker_run__get_packed_size
+                     (const NmPb__WorkerRun *message)
+{
+  assert(message->base.descriptor == &nm_pb__worker_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__worker_run__pack
+                     (const NmPb__WorkerRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__worker_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__worker_run__pack_to_buffer
+                     (const NmPb__WorkerRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__worker_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__WorkerRun *
+       nm_pb__worker_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__WorkerRun *)
+     protobuf_c_message_unpack (&nm_pb__worker_run__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__worker_run__free_unpacked
+                     (NmPb__WorkerRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__worker_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   nm_pb__worker_end__init
+                     (NmPb__WorkerEnd         *message)
+{
+  static const NmPb__WorkerEnd init_value = NM_PB__WORKER_END__INIT;
+  *message = init_value;
+}
+size_t nm_pb__worker_end__get_packed_size
+                     (const NmPb__WorkerEnd *message)
+{
+  assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__worker_end__pack
+                     (const NmPb__WorkerEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__worker_end__pack_to_buffer
+                     (const NmPb__WorkerEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__WorkerEnd *
+       nm_pb__worker_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__WorkerEnd *)
+     protobuf_c_message_unpack (&nm_pb__worker_end__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__worker_end__free_unpacked
+                     (NmPb__WorkerEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[5] =
 {
   { "STATE", "NM_PB__ENTRY_ASK__TYPE__STATE", 0 },
   { "PENDING", "NM_PB__ENTRY_ASK__TYPE__PENDING", 1 },
   { "SUBMIT", "NM_PB__ENTRY_ASK__TYPE__SUBMIT", 2 },
   { "CANCEL", "NM_PB__ENTRY_ASK__TYPE__CANCEL", 3 },
+  { "ORDERS", "NM_PB__ENTRY_ASK__TYPE__ORDERS", 4 },
 };
 static const ProtobufCIntRange nm_pb__entry_ask__type__value_ranges[] = {
-{0, 0},{0, 4}
+{0, 0},{0, 5}
 };
-static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[4] =
+static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[5] =
 {
   { "CANCEL", 3 },
+  { "ORDERS", 4 },
   { "PENDING", 1 },
   { "STATE", 0 },
   { "SUBMIT", 2 },
@@ -121,15 +348,15 @@
   "Type",
   "NmPb__EntryAsk__Type",
   "nm_pb",
-  4,
+  5,
   nm_pb__entry_ask__type__enum_values_by_number,
-  4,
+  5,
   nm_pb__entry_ask__type__enum_values_by_name,
   1,
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[7] =
 {
   {
     "number",
@@ -192,22 +419,35 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deadline_ms",
+    "epoch",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(NmPb__EntryAsk, deadline_ms),
+    offsetof(NmPb__EntryAsk, epoch),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "orders",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__EntryAsk, n_orders),
+    offsetof(NmPb__EntryAsk, orders),
+    &nm_pb__order__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
-  5,   /* field[5] = deadline_ms */
+  5,   /* field[5] = epoch */
   2,   /* field[2] = job */
   0,   /* field[0] = number */
+  6,   /* field[6] = orders */
   3,   /* field[3] = queue */
   4,   /* field[4] = record */
   1,   /* field[1] = type */
@@ -215,7 +455,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -225,14 +465,14 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  6,
+  7,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[6] =
 {
   {
     "number",
@@ -294,18 +534,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "results",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__EntryAnswer, n_results),
+    offsetof(NmPb__EntryAnswer, results),
+    &nm_pb__order_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_answer__field_indices_by_name[] = {
   4,   /* field[4] = is_owner */
   0,   /* field[0] = number */
   3,   /* field[3] = pending */
   1,   /* field[1] = rc */
+  5,   /* field[5] = results */
   2,   /* field[2] = state */
 };
 static const ProtobufCIntRange nm_pb__entry_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor =
 {
@@ -315,10 +568,538 @@
   "NmPb__EntryAnswer",
   "nm_pb",
   sizeof(NmPb__EntryAnswer),
-  5,
+  6,
   nm_pb__entry_answer__field_descriptors,
   nm_pb__entry_answer__field_indices_by_name,
   1,  nm_pb__entry_answer__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[13] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "type",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, worker),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "expiry_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, expiry_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, acked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "payload",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, payload),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__order__field_indices_by_name[] = {
+  8,   /* field[8] = acked */
+  3,   /* field[3] = address */
+  11,   /* field[11] = checkpoint */
+  7,   /* field[7] = expiry_ms */
+  4,   /* field[4] = incarnation */
+  0,   /* field[0] = number */
+  10,   /* field[10] = payload */
+  12,   /* field[12] = percent */
+  6,   /* field[6] = run */
+  5,   /* field[5] = task */
+  1,   /* field[1] = type */
+  9,   /* field[9] = wait_ms */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 13 }
+};
+const ProtobufCMessageDescriptor nm_pb__order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.Order",
+  "Order",
+  "NmPb__Order",
+  "nm_pb",
+  sizeof(NmPb__Order),
+  13,
+  nm_pb__order__field_descriptors,
+  nm_pb__order__field_indices_by_name,
+  1,  nm_pb__order__number_ranges,
+  (ProtobufCMessageInit) nm_pb__order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor nm_pb__order_result__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__OrderResult, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__OrderResult, result),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__OrderResult, report),
+    &nm_pb__worker_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__order_result__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  2,   /* field[2] = report */
+  1,   /* field[1] = result */
+};
+static const ProtobufCIntRange nm_pb__order_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor nm_pb__order_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.OrderResult",
+  "OrderResult",
+  "NmPb__OrderResult",
+  "nm_pb",
+  sizeof(NmPb__OrderResult),
+  3,
+  nm_pb__order_result__field_descriptors,
+  nm_pb__order_result__field_indices_by_name,
+  1,  nm_pb__order_result__number_ranges,
+  (ProtobufCMessageInit) nm_pb__order_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor nm_pb__worker_report__field_descriptors[5] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "clock_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "complete",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__WorkerReport, n_running),
+    offsetof(NmPb__WorkerReport, running),
+    &nm_pb__worker_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__WorkerReport, n_ends),
+    offsetof(NmPb__WorkerReport, ends),
+    &nm_pb__worker_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__worker_report__field_indices_by_name[] = {
+  1,   /* field[1] = clock_ms */
+  2,   /* field[2] = complete */
+  4,   /* field[4] = ends */
+  0,   /* field[0] = incarnation */
+  3,   /* field[3] = running */
+};
+static const ProtobufCIntRange nm_pb__worker_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor nm_pb__worker_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.WorkerReport",
+  "WorkerReport",
+  "NmPb__WorkerReport",
+  "nm_pb",
+  sizeof(NmPb__WorkerReport),
+  5,
+  nm_pb__worker_report__field_descriptors,
+  nm_pb__worker_report__field_indices_by_name,
+  1,  nm_pb__worker_report__number_ranges,
+  (ProtobufCMessageInit) nm_pb__worker_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor nm_pb__worker_run__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "percent",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "figure",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, figure),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__worker_run__field_indices_by_name[] = {
+  2,   /* field[2] = checkpoint */
+  4,   /* field[4] = figure */
+  3,   /* field[3] = percent */
+  1,   /* field[1] = run */
+  0,   /* field[0] = task */
+};
+static const ProtobufCIntRange nm_pb__worker_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor nm_pb__worker_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.WorkerRun",
+  "WorkerRun",
+  "NmPb__WorkerRun",
+  "nm_pb",
+  sizeof(NmPb__WorkerRun),
+  5,
+  nm_pb__worker_run__field_descriptors,
+  nm_pb__worker_run__field_indices_by_name,
+  1,  nm_pb__worker_run__number_ranges,
+  (ProtobufCMessageInit) nm_pb__worker_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor nm_pb__worker_end__field_descriptors[5] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerEnd, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "task",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerEnd, task),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerEnd, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerEnd, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "checkpoint",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerEnd, checkpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__worker_end__field_indices_by_name[] = {
+  4,   /* field[4] = checkpoint */
+  3,   /* field[3] = end */
+  0,   /* field[0] = number */
+  2,   /* field[2] = run */
+  1,   /* field[1] = task */
+};
+static const ProtobufCIntRange nm_pb__worker_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor nm_pb__worker_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.WorkerEnd",
+  "WorkerEnd",
+  "NmPb__WorkerEnd",
+  "nm_pb",
+  sizeof(NmPb__WorkerEnd),
+  5,
+  nm_pb__worker_end__field_descriptors,
+  nm_pb__worker_end__field_indices_by_name,
+  1,  nm_pb__worker_end__number_ranges,
+  (ProtobufCMessageInit) nm_pb__worker_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -17,6 +17,11 @@
 
 typedef struct NmPb__EntryAsk NmPb__EntryAsk;
 typedef struct NmPb__EntryAnswer NmPb__EntryAnswer;
+typedef struct NmPb__Order NmPb__Order;
+typedef struct NmPb__OrderResult NmPb__OrderResult;
+typedef struct NmPb__WorkerReport NmPb__WorkerReport;
+typedef struct NmPb__WorkerRun NmPb__WorkerRun;
+typedef struct NmPb__WorkerEnd NmPb__WorkerEnd;
 
 
 /* --- enums --- */
@@ -37,7 +42,11 @@
   /*
    * cancel a job
    */
-  NM_PB__ENTRY_ASK__TYPE__CANCEL = 3
+  NM_PB__ENTRY_ASK__TYPE__CANCEL = 3,
+  /*
+   * carry orders to workers
+   */
+  NM_PB__ENTRY_ASK__TYPE__ORDERS = 4
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NM_PB__ENTRY_ASK__TYPE)
 } NmPb__EntryAsk__Type;
 
@@ -58,11 +67,16 @@
    * SUBMIT: the job's record
    */
   ProtobufCBinaryData record;
-  uint32_t deadline_ms;
+  /*
+   * ORDERS
+   */
+  int64_t epoch;
+  size_t n_orders;
+  NmPb__Order **orders;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL }
 
 
 struct  NmPb__EntryAnswer
@@ -82,10 +96,102 @@
    */
   uint32_t pending;
   protobuf_c_boolean is_owner;
+  /*
+   * of orders, as they are answered
+   */
+  size_t n_results;
+  NmPb__OrderResult **results;
 };
 #define NM_PB__ENTRY_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_answer__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * An order to a worker that another host carries.
+ */
+struct  NmPb__Order
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint32_t type;
+  char *worker;
+  char *address;
+  int64_t incarnation;
+  char *task;
+  int64_t run;
+  /*
+   * on the worker's clock
+   */
+  int64_t expiry_ms;
+  int64_t acked;
+  int64_t wait_ms;
+  char *payload;
+  char *checkpoint;
+  uint32_t percent;
+};
+#define NM_PB__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  NmPb__OrderResult
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint32_t result;
+  /*
+   * of a hold
+   */
+  NmPb__WorkerReport *report;
+};
+#define NM_PB__ORDER_RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order_result__descriptor) \
+    , 0, 0, NULL }
+
+
+struct  NmPb__WorkerReport
+{
+  ProtobufCMessage base;
+  int64_t incarnation;
+  int64_t clock_ms;
+  protobuf_c_boolean complete;
+  size_t n_running;
+  NmPb__WorkerRun **running;
+  size_t n_ends;
+  NmPb__WorkerEnd **ends;
+};
+#define NM_PB__WORKER_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_report__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  NmPb__WorkerRun
+{
+  ProtobufCMessage base;
+  char *task;
+  int64_t run;
+  char *checkpoint;
+  uint32_t percent;
+  int64_t figure;
+};
+#define NM_PB__WORKER_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_run__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  NmPb__WorkerEnd
+{
+  ProtobufCMessage base;
+  int64_t number;
+  char *task;
+  int64_t run;
+  uint32_t end;
+  char *checkpoint;
+};
+#define NM_PB__WORKER_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_end__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /* NmPb__EntryAsk methods */
@@ -126,6 +232,101 @@
 void   nm_pb__entry_answer__free_unpacked
                      (NmPb__EntryAnswer *message,
                       ProtobufCAllocator *allocator);
+/* NmPb__Order methods */
+void   nm_pb__order__init
+                     (NmPb__Order         *message);
+size_t nm_pb__order__get_packed_size
+                     (const NmPb__Order   *message);
+size_t nm_pb__order__pack
+                     (const NmPb__Order   *message,
+                      uint8_t             *out);
+size_t nm_pb__order__pack_to_buffer
+                     (const NmPb__Order   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__Order *
+       nm_pb__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__order__free_unpacked
+                     (NmPb__Order *message,
+                      ProtobufCAllocator *allocator);
+/* NmPb__OrderResult methods */
+void   nm_pb__order_result__init
+                     (NmPb__OrderResult         *message);
+size_t nm_pb__order_result__get_packed_size
+                     (const NmPb__OrderResult   *message);
+size_t nm_pb__order_result__pack
+                     (const NmPb__OrderResult   *message,
+                      uint8_t             *out);
+size_t nm_pb__order_result__pack_to_buffer
+                     (const NmPb__OrderResult   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__OrderResult *
+       nm_pb__order_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__order_result__free_unpacked
+                     (NmPb__OrderResult *message,
+                      ProtobufCAllocator *allocator);
+/* NmPb__WorkerReport methods */
+void   nm_pb__worker_report__init
+                     (NmPb__WorkerReport         *message);
+size_t nm_pb__worker_report__get_packed_size
+                     (const NmPb__WorkerReport   *message);
+size_t nm_pb__worker_report__pack
+                     (const NmPb__WorkerReport   *message,
+                      uint8_t             *out);
+size_t nm_pb__worker_report__pack_to_buffer
+                     (const NmPb__WorkerReport   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__WorkerReport *
+       nm_pb__worker_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__worker_report__free_unpacked
+                     (NmPb__WorkerReport *message,
+                      ProtobufCAllocator *allocator);
+/* NmPb__WorkerRun methods */
+void   nm_pb__worker_run__init
+                     (NmPb__WorkerRun         *message);
+size_t nm_pb__worker_run__get_packed_size
+                     (const NmPb__WorkerRun   *message);
+size_t nm_pb__worker_run__pack
+                     (const NmPb__WorkerRun   *message,
+                      uint8_t             *out);
+size_t nm_pb__worker_run__pack_to_buffer
+                     (const NmPb__WorkerRun   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__WorkerRun *
+       nm_pb__worker_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__worker_run__free_unpacked
+                     (NmPb__WorkerRun *message,
+                      ProtobufCAllocator *allocator);
+/* NmPb__WorkerEnd methods */
+void   nm_pb__worker_end__init
+                     (NmPb__WorkerEnd         *message);
+size_t nm_pb__worker_end__get_packed_size
+                     (const NmPb__WorkerEnd   *message);
+size_t nm_pb__worker_end__pack
+                     (const NmPb__WorkerEnd   *message,
+                      uint8_t             *out);
+size_t nm_pb__worker_end__pack_to_buffer
+                     (const NmPb__WorkerEnd   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__WorkerEnd *
+       nm_pb__worker_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__worker_end__free_unpacked
+                     (NmPb__WorkerEnd *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*NmPb__EntryAsk_Closure)
@@ -134,6 +335,21 @@
 typedef void (*NmPb__EntryAnswer_Closure)
                  (const NmPb__EntryAnswer *message,
                   void *closure_data);
+typedef void (*NmPb__Order_Closure)
+                 (const NmPb__Order *message,
+                  void *closure_data);
+typedef void (*NmPb__OrderResult_Closure)
+                 (const NmPb__OrderResult *message,
+                  void *closure_data);
+typedef void (*NmPb__WorkerReport_Closure)
+                 (const NmPb__WorkerReport *message,
+                  void *closure_data);
+typedef void (*NmPb__WorkerRun_Closure)
+                 (const NmPb__WorkerRun *message,
+                  void *closure_data);
+typedef void (*NmPb__WorkerEnd_Closure)
+                 (const NmPb__WorkerEnd *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -143,6 +359,11 @@
 extern const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor;
 extern const ProtobufCEnumDescriptor    nm_pb__entry_ask__type__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__order__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__order_result__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__worker_report__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__worker_run__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__worker_end__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -1,6 +1,7 @@
 #include "entry_state.h"
 
 #include <assert.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -16,6 +17,10 @@
 /* A configuration is in force within this time of a silent connection. */
 #define CONFIG_WAIT_MS 4000
 
+/* Workers up to which the owner makes all calls itself. */
+#define DIRECT_MAX 100
+#define REGISTER_RETRY_MS 500
+
 static nm_ms_t
 now(const nm_entry_t *entry)
 {
@@ -58,6 +63,54 @@
     nm_owner_take_control(user, item);
 }
 
+/* --- its own record, by which the owner finds it as a carrier --- */
+
+static void
+on_registered(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = user;
+    entry->registering = false;
+    entry->registered = result->rc == NM_OK;
+    entry->register_due_ms = now(entry) + REGISTER_RETRY_MS;
+}
+
+static void
+register_host(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->registered || entry->registering || entry->stopping ||
+        now_ms < entry->register_due_ms)
+    {
+        return;
+    }
+    char key[NM_NAME_MAX * 2];
+    g_snprintf(key, sizeof(key), "%s%s", NM_KEY_HOSTS, entry->desc.name);
+    json_t *record =
+        json_pack("{s:s,s:s,s:f}", "address", entry->desc.peer_address, "zone",
+                  entry->desc.zone, "cpu_share", entry->desc.cpu_share);
+    char *text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_put(&txn, key, text, (uint32_t)strlen(text), 0);
+    entry->registering = true;
+    nm_kv_commit(entry->desc.kv, &txn, on_registered, entry);
+    nm_store_txn_finish(&txn);
+    free(text);
+}
+
+/* A host that leaves is no carrier any more. */
+static void
+unregister_host(nm_entry_t *entry)
+{
+    char key[NM_NAME_MAX * 2];
+    g_snprintf(key, sizeof(key), "%s%s", NM_KEY_HOSTS, entry->desc.name);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_delete(&txn, key, false);
+    nm_kv_commit(entry->desc.kv, &txn, on_registered, entry);
+    nm_store_txn_finish(&txn);
+}
+
 nm_entry_t *
 nm_entry_new(const nm_entry_desc_t *desc)
 {
@@ -67,6 +120,13 @@
     nm_rng_init(&entry->rng,
                 (uint64_t)nm_entry_unix_ms() ^
                     nm_hash(desc->name, strlen(desc->name)));
+    entry->orders = nm_order_relay_init(
+        &entry->relay, &(nm_order_relay_desc_t){.direct = desc->orders,
+                                                .peers = desc->peers,
+                                                .clock = desc->clock,
+                                                .name = desc->name,
+                                                .direct_max = DIRECT_MAX});
+    nm_order_carry_init(&entry->carry, desc->orders, desc->peers);
     nm_calls_init(entry);
     nm_owner_init(entry);
     nm_feed_open(&entry->config_feed,
@@ -91,6 +151,8 @@
     assert(entry);
     nm_owner_finish(entry);
     nm_calls_finish(entry);
+    nm_order_relay_finish(&entry->relay);
+    nm_order_carry_finish(&entry->carry);
     nm_feed_close(&entry->config_feed);
     nm_feed_close(&entry->control_feed);
     nm_deployment_free(entry->deployment);
@@ -129,6 +191,9 @@
     nm_feed_tick(&entry->control_feed, now_ms);
     nm_ms_t wait = nm_calls_run(entry, now_ms);
     nm_ms_t owner_wait = nm_owner_run(entry, now_ms);
+    register_host(entry, now_ms);
+    nm_order_relay_flush(&entry->relay, now_ms);
+    nm_order_carry_flush(&entry->carry);
     set_ready(entry);
     if (entry->stopping) {
         check_stopped(entry, now_ms);
@@ -147,6 +212,7 @@
     entry->stop_ms = now(entry);
     entry->quiet_ms = entry->stop_ms;
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_STOPPING, NULL);
+    unregister_host(entry);
 }
 
 bool
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -577,6 +577,10 @@
         [NM_PB__ENTRY_ASK__TYPE__CANCEL] = OP_CANCEL,
     };
     const NmPb__EntryAsk *ask = message->ask;
+    if (ask && ask->type == NM_PB__ENTRY_ASK__TYPE__ORDERS) {
+        nm_order_carry_take(&entry->carry, message);
+        return;
+    }
     if (!ask || (size_t)ask->type >= NM_COUNT_OF(types)) {
         nm_count_reason(NM_REASON_PEER_MALFORMED);
         return;
@@ -632,7 +636,10 @@
     }
     nm_peer_message_t message;
     while (nm_peer_ask_next(entry->desc.peers, &message)) {
-        if (message.answer) {
+        if (message.answer && message.answer->n_results > 0) {
+            nm_order_relay_take(&entry->relay, message.answer);
+        }
+        else if (message.answer) {
             take_answer(entry, message.answer);
         }
         else {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -116,6 +116,8 @@
     nm_feed_close(&entry->jobs_feed);
     nm_feed_close(&entry->progress_feed);
     nm_feed_close(&entry->roster_feed);
+    nm_feed_close(&entry->hosts_feed);
+    nm_order_relay_clear(&entry->relay);
     clear_progress(entry);
     g_hash_table_remove_all(entry->roster);
     g_hash_table_remove_all(entry->roster_wanted);
@@ -211,6 +213,7 @@
             strcmp(deployment->guarded_services[i], worker.service) == 0;
     }
     want_roster(entry, id);
+    nm_order_relay_set_worker(&entry->relay, id, worker.zone);
     nm_sched_set_worker(entry->sched, &worker, now(entry));
     if (g_hash_table_contains(entry->roster, id)) {
         nm_sched_admit_worker(entry->sched, id);
@@ -312,6 +315,33 @@
                                    .pause_ms = JOBS_PAUSE_MS});
 }
 
+static void
+on_host(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    const char *name = item->key + strlen(NM_KEY_HOSTS);
+    json_t *record = item->value
+                         ? json_loadb((const char *)item->value,
+                                      item->value_bytes, 0, NULL)
+                         : NULL;
+    const char *address =
+        json_string_value(json_object_get(record, "address"));
+    const char *zone = json_string_value(json_object_get(record, "zone"));
+    if (address && zone) {
+        nm_relay_host_t host = {
+            .cpu_share =
+                json_number_value(json_object_get(record, "cpu_share"))};
+        nm_strcopy(host.name, sizeof(host.name), name);
+        nm_strcopy(host.address, sizeof(host.address), address);
+        nm_strcopy(host.zone, sizeof(host.zone), zone);
+        nm_order_relay_set_host(&entry->relay, &host);
+    }
+    else {
+        nm_order_relay_remove_host(&entry->relay, name);
+    }
+    json_decref(record);
+}
+
 static void
 on_roster(void *user, const nm_store_kv_t *item)
 {
@@ -378,6 +408,12 @@
     nm_owner_apply_deployment(entry);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
            (json_int_t)epoch);
+    nm_feed_open(&entry->hosts_feed,
+                 &(nm_feed_desc_t){.kv = entry->desc.kv,
+                                   .clock = entry->desc.clock,
+                                   .prefix = NM_KEY_HOSTS,
+                                   .on_item = on_host,
+                                   .user = entry});
     nm_feed_open(&entry->roster_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
                                    .clock = entry->desc.clock,
@@ -697,7 +733,7 @@
     entry->sched_due_ms = now_ms + MAX(wait, 5);
     nm_sched_action_t action;
     while (nm_sched_next_action(entry->sched, &action)) {
-        nm_order_port_send(entry->desc.orders, &action, entry->term, on_order,
+        nm_order_port_send(entry->orders, &action, entry->term, on_order,
                            term_call(entry));
     }
     char *gone;
@@ -724,6 +760,7 @@
         return 20;
     }
     renew_lease(entry, now_ms);
+    nm_feed_tick(&entry->hosts_feed, now_ms);
     nm_feed_tick(&entry->roster_feed, now_ms);
     nm_feed_tick(&entry->workers_feed, now_ms);
     nm_feed_tick(&entry->progress_feed, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -7,12 +7,15 @@
 
 #include "entry.h"
 #include "feed.h"
+#include "order_carry.h"
+#include "order_relay.h"
 
 /* Keys of the product in the platform's store. */
 #define NM_KEY_CONTROL "nutmegdeck/control/"
 #define NM_KEY_OWNER NM_KEY_CONTROL "owner"
 #define NM_KEY_EPOCH NM_KEY_CONTROL "epoch"
 #define NM_KEY_ROSTER "nutmegdeck/roster"
+#define NM_KEY_HOSTS "nutmegdeck/hosts/"
 #define NM_KEY_JOBS "nutmegdeck/jobs/"
 #define NM_KEY_PROGRESS "nutmegdeck/progress/"
 #define NM_SUFFIX_CANCEL ".cancel"
@@ -55,6 +58,13 @@
     int64_t epoch_revision;
     nm_ms_t vacant_ms; /* since when no owner is known; 0: there is one */
     nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
+    /* Orders through other hosts, and for them. */
+    nm_order_relay_t relay;
+    nm_order_port_t *orders;
+    nm_order_carry_t carry;
+    bool registered;
+    bool registering;
+    nm_ms_t register_due_ms;
     /* Ownership. */
     nm_role_t role;
     char token[NM_NAME_MAX];
@@ -70,6 +80,7 @@
     nm_feed_t jobs_feed;
     nm_feed_t progress_feed;
     nm_feed_t roster_feed;
+    nm_feed_t hosts_feed;
     int64_t roster_revision;
     GHashTable *roster;      /* worker ids that are stored */
     GHashTable *roster_wanted;
--- /dev/null
+++ b/src/order_carry.c
@@ -0,0 +1,183 @@
+#include "order_carry.h"
+
+#include <assert.h>
+#include <string.h>
+
+/* Answers that wait for one owner. */
+typedef struct {
+    GBytes *route;
+    GPtrArray *results; /* of NmPb__OrderResult */
+} owner_t;
+
+typedef struct {
+    nm_order_carry_t *carry;
+    GBytes *route;
+    uint64_t number;
+} order_t;
+
+static void
+free_result(gpointer data)
+{
+    NmPb__OrderResult *result = data;
+    if (result->report) {
+        NmPb__WorkerReport *report = result->report;
+        for (size_t i = 0; i < report->n_running; i++) {
+            g_free(report->running[i]->task);
+            g_free(report->running[i]->checkpoint);
+            g_free(report->running[i]);
+        }
+        for (size_t i = 0; i < report->n_ends; i++) {
+            g_free(report->ends[i]->task);
+            g_free(report->ends[i]->checkpoint);
+            g_free(report->ends[i]);
+        }
+        g_free(report->running);
+        g_free(report->ends);
+        g_free(report);
+    }
+    g_free(result);
+}
+
+static void
+free_owner(gpointer data)
+{
+    owner_t *owner = data;
+    g_ptr_array_free(owner->results, TRUE);
+    g_bytes_unref(owner->route);
+    g_free(owner);
+}
+
+void
+nm_order_carry_init(nm_order_carry_t *carry, nm_order_port_t *direct,
+                    nm_peer_ask_t *peers)
+{
+    assert(carry && direct && peers);
+    *carry = (nm_order_carry_t){.direct = direct, .peers = peers};
+    carry->owners = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL,
+                                          free_owner);
+}
+
+void
+nm_order_carry_finish(nm_order_carry_t *carry)
+{
+    assert(carry);
+    g_hash_table_destroy(carry->owners);
+}
+
+static owner_t *
+find_owner(nm_order_carry_t *carry, GBytes *route)
+{
+    owner_t *owner = g_hash_table_lookup(carry->owners, route);
+    if (!owner) {
+        owner = g_new0(owner_t, 1);
+        owner->route = g_bytes_ref(route);
+        owner->results = g_ptr_array_new_with_free_func(free_result);
+        g_hash_table_insert(carry->owners, owner->route, owner);
+    }
+    return owner;
+}
+
+static NmPb__WorkerReport *
+encode_report(const nm_worker_report_t *report)
+{
+    NmPb__WorkerReport *message = g_new(NmPb__WorkerReport, 1);
+    nm_pb__worker_report__init(message);
+    message->incarnation = report->incarnation;
+    message->clock_ms = report->clock_ms;
+    message->complete = report->complete;
+    message->n_running = report->running_count;
+    message->running = g_new0(NmPb__WorkerRun *, report->running_count + 1);
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        NmPb__WorkerRun *row = g_new(NmPb__WorkerRun, 1);
+        nm_pb__worker_run__init(row);
+        row->task = g_strdup(report->running[i].task);
+        row->run = report->running[i].run;
+        row->checkpoint = g_strdup(report->running[i].checkpoint);
+        row->percent = report->running[i].percent;
+        row->figure = report->running[i].figure;
+        message->running[i] = row;
+    }
+    message->n_ends = report->end_count;
+    message->ends = g_new0(NmPb__WorkerEnd *, report->end_count + 1);
+    for (uint32_t i = 0; i < report->end_count; i++) {
+        NmPb__WorkerEnd *row = g_new(NmPb__WorkerEnd, 1);
+        nm_pb__worker_end__init(row);
+        row->number = report->ends[i].number;
+        row->task = g_strdup(report->ends[i].task);
+        row->run = report->ends[i].run;
+        row->end = report->ends[i].end;
+        row->checkpoint = g_strdup(report->ends[i].checkpoint);
+        message->ends[i] = row;
+    }
+    return message;
+}
+
+static void
+on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
+         const nm_worker_report_t *report)
+{
+    (void)action;
+    order_t *order = user;
+    owner_t *owner = find_owner(order->carry, order->route);
+    NmPb__OrderResult *message = g_new(NmPb__OrderResult, 1);
+    nm_pb__order_result__init(message);
+    message->number = order->number;
+    message->result = result;
+    message->report =
+        report && result == NM_ORDER_DONE ? encode_report(report) : NULL;
+    g_ptr_array_add(owner->results, message);
+    g_bytes_unref(order->route);
+    g_free(order);
+}
+
+void
+nm_order_carry_take(nm_order_carry_t *carry, const nm_peer_message_t *message)
+{
+    assert(carry && message && message->ask);
+    const NmPb__EntryAsk *ask = message->ask;
+    GBytes *route = g_bytes_new(message->from, message->from_bytes);
+    for (size_t i = 0; i < ask->n_orders; i++) {
+        const NmPb__Order *row = ask->orders[i];
+        nm_sched_action_t action = {
+            .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_PACE),
+            .incarnation = row->incarnation,
+            .run = row->run,
+            .expiry_ms = row->expiry_ms,
+            .acked = row->acked,
+            .wait_ms = row->wait_ms,
+            .payload = row->payload,
+            .checkpoint = row->checkpoint,
+            .percent = row->percent,
+        };
+        nm_strcopy(action.worker, sizeof(action.worker), row->worker);
+        nm_strcopy(action.address, sizeof(action.address), row->address);
+        nm_strcopy(action.task, sizeof(action.task), row->task);
+        order_t *order = g_new(order_t, 1);
+        *order = (order_t){carry, g_bytes_ref(route), row->number};
+        nm_order_port_send(carry->direct, &action, ask->epoch, on_order,
+                           order);
+    }
+    g_bytes_unref(route);
+}
+
+void
+nm_order_carry_flush(nm_order_carry_t *carry)
+{
+    assert(carry);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, carry->owners);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        owner_t *owner = value;
+        gsize bytes;
+        const uint8_t *route = g_bytes_get_data(owner->route, &bytes);
+        if (owner->results->len == 0) {
+            continue;
+        }
+        NmPb__EntryAnswer answer = NM_PB__ENTRY_ANSWER__INIT;
+        answer.n_results = owner->results->len;
+        answer.results = (NmPb__OrderResult **)owner->results->pdata;
+        nm_peer_ask_answer(carry->peers, route, (uint32_t)bytes, &answer);
+        g_hash_table_iter_remove(&iter);
+    }
+}
--- /dev/null
+++ b/src/order_carry.h
@@ -0,0 +1,32 @@
+/*
+ * Carrier: makes calls to workers for the owner, and batches the answers.
+ *
+ *     nm_order_carry_t carry;
+ *     nm_order_carry_init(&carry, direct, peers);
+ *     nm_order_carry_take(&carry, &message);
+ *     nm_order_carry_flush(&carry);           (at the end of each round)
+ *     nm_order_carry_finish(&carry);
+ */
+#ifndef NM_ORDER_CARRY_H
+#define NM_ORDER_CARRY_H
+
+#include <glib.h>
+
+#include "order_port.h"
+#include "peer_ask.h"
+
+typedef struct {
+    nm_order_port_t *direct;
+    nm_peer_ask_t *peers;
+    GHashTable *owners; /* route -> answers that wait for the next flush */
+} nm_order_carry_t;
+
+void nm_order_carry_init(nm_order_carry_t *carry, nm_order_port_t *direct,
+                         nm_peer_ask_t *peers);
+void nm_order_carry_finish(nm_order_carry_t *carry);
+/* Sends the orders of a message to their workers. */
+void nm_order_carry_take(nm_order_carry_t *carry,
+                         const nm_peer_message_t *message);
+void nm_order_carry_flush(nm_order_carry_t *carry);
+
+#endif
--- /dev/null
+++ b/src/order_relay.c
@@ -0,0 +1,382 @@
+#include "order_relay.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+/* An order's own time-out at the carrier, and the way there and back. */
+#define ORDER_TIMEOUT_MS 1300
+/* Added to the time that a hold may wait. */
+#define HOLD_MARGIN_MS 1400
+/* A carrier without any answer for this long is left out... */
+#define SILENT_MS 1300
+/* ...for so long, doubled with each further silence. */
+#define DOWN_MS 2000
+#define DOWN_MAX_MS 16000
+/* Time between two looks for orders without an answer. */
+#define CHECK_MS 100
+#define ORDERS_MAX 256
+
+typedef struct {
+    nm_relay_host_t desc;
+    GPtrArray *queued; /* of NmPb__Order */
+    uint32_t open;
+    nm_ms_t asked_ms;    /* oldest order since its last answer; 0: none */
+    nm_ms_t down_until_ms;
+    nm_ms_t down_ms;
+} carrier_t;
+
+typedef struct {
+    uint64_t number;
+    nm_sched_action_t action;
+    nm_order_done_fn done;
+    void *user;
+    nm_ms_t sent_ms;
+    nm_ms_t until_ms;
+    char carrier[NM_NAME_MAX];
+} order_t;
+
+static void
+free_order_message(gpointer data)
+{
+    NmPb__Order *order = data;
+    g_free(order->worker);
+    g_free(order->address);
+    g_free(order->task);
+    g_free(order->payload);
+    g_free(order->checkpoint);
+    g_free(order);
+}
+
+static void
+free_carrier(gpointer data)
+{
+    carrier_t *carrier = data;
+    g_ptr_array_free(carrier->queued, TRUE);
+    g_free(carrier);
+}
+
+/* The owner of `user` is told nothing when an order is forgotten. */
+static void
+free_order(gpointer data)
+{
+    order_t *order = data;
+    g_free(order->user);
+    g_free(order);
+}
+
+static double
+weight(const carrier_t *carrier, const char *worker)
+{
+    char text[NM_NAME_MAX * 2 + 2];
+    g_snprintf(text, sizeof(text), "%s/%s", carrier->desc.name, worker);
+    uint64_t hash = nm_hash(text, strlen(text));
+    double unit = ((double)(hash >> 11) + 1) * 0x1.0p-53;
+    /* Weighted rendezvous: each carrier wins in proportion to its share. */
+    return -MAX(carrier->desc.cpu_share, 0.01) / log(unit);
+}
+
+static carrier_t *
+choose_carrier(nm_order_relay_t *relay, const char *worker, nm_ms_t now_ms)
+{
+    const char *zone = g_hash_table_lookup(relay->zones, worker);
+    if (!zone || g_hash_table_size(relay->zones) <= relay->desc.direct_max) {
+        return NULL;
+    }
+    carrier_t *best = NULL;
+    double best_weight = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        carrier_t *carrier = value;
+        if (now_ms < carrier->down_until_ms ||
+            strcmp(carrier->desc.zone, zone) != 0 ||
+            strcmp(carrier->desc.name, relay->desc.name) == 0)
+        {
+            continue;
+        }
+        double w = weight(carrier, worker);
+        if (w > best_weight) {
+            best = carrier;
+            best_weight = w;
+        }
+    }
+    return best;
+}
+
+static NmPb__Order *
+encode_order(const nm_sched_action_t *action, uint64_t number)
+{
+    NmPb__Order *order = g_new(NmPb__Order, 1);
+    nm_pb__order__init(order);
+    order->number = number;
+    order->type = action->type;
+    order->worker = g_strdup(action->worker);
+    order->address = g_strdup(action->address);
+    order->incarnation = action->incarnation;
+    order->task = g_strdup(action->task);
+    order->run = action->run;
+    order->expiry_ms = action->expiry_ms;
+    order->acked = action->acked;
+    order->wait_ms = action->wait_ms;
+    order->payload = g_strdup(action->payload);
+    order->checkpoint = g_strdup(action->checkpoint);
+    order->percent = action->percent;
+    return order;
+}
+
+static void
+flush_carrier(nm_order_relay_t *relay, carrier_t *carrier, int64_t epoch)
+{
+    NmPb__EntryAsk ask = NM_PB__ENTRY_ASK__INIT;
+    ask.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
+    ask.epoch = epoch;
+    ask.n_orders = carrier->queued->len;
+    ask.orders = (NmPb__Order **)carrier->queued->pdata;
+    /* What cannot be sent ends by its time-out. */
+    if (nm_peer_ask_send(relay->desc.peers, carrier->desc.address, &ask) < 0) {
+        nm_count_reason(NM_REASON_RETRY_REFUSED);
+    }
+    g_ptr_array_set_size(carrier->queued, 0);
+}
+
+static void
+relay_send(nm_order_port_t *port, const nm_sched_action_t *action,
+           int64_t epoch, nm_order_done_fn done, void *user)
+{
+    nm_order_relay_t *relay = (nm_order_relay_t *)port;
+    nm_ms_t now_ms = nm_clock_now(relay->desc.clock);
+    carrier_t *carrier = choose_carrier(relay, action->worker, now_ms);
+    if (!carrier) {
+        nm_order_port_send(relay->desc.direct, action, epoch, done, user);
+        return;
+    }
+    order_t *order = g_new0(order_t, 1);
+    order->number = ++relay->number;
+    order->action = *action;
+    order->action.payload = "";
+    order->action.checkpoint = "";
+    order->done = done;
+    order->user = user;
+    order->sent_ms = now_ms;
+    order->until_ms = now_ms + (action->type == NM_ACTION_HOLD
+                                    ? action->wait_ms + HOLD_MARGIN_MS
+                                    : ORDER_TIMEOUT_MS);
+    nm_strcopy(order->carrier, sizeof(order->carrier), carrier->desc.name);
+    g_hash_table_insert(relay->open, &order->number, order);
+    if (carrier->asked_ms == 0 && action->wait_ms == 0) {
+        carrier->asked_ms = now_ms;
+    }
+    g_ptr_array_add(carrier->queued, encode_order(action, order->number));
+    if (carrier->queued->len >= ORDERS_MAX) {
+        flush_carrier(relay, carrier, epoch);
+    }
+    relay->epoch = epoch;
+}
+
+static const nm_order_port_vtable_t relay_vtable = {relay_send};
+
+nm_order_port_t *
+nm_order_relay_init(nm_order_relay_t *relay, const nm_order_relay_desc_t *desc)
+{
+    assert(relay && desc && desc->direct && desc->peers && desc->clock);
+    *relay = (nm_order_relay_t){.base = {&relay_vtable}, .desc = *desc};
+    relay->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+                                         free_carrier);
+    relay->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                        free_order);
+    relay->zones =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    /* Answers to the orders of an earlier life must not meet ours. */
+    relay->number = (uint64_t)g_random_int() << 32;
+    return &relay->base;
+}
+
+void
+nm_order_relay_finish(nm_order_relay_t *relay)
+{
+    assert(relay);
+    g_hash_table_destroy(relay->open);
+    g_hash_table_destroy(relay->hosts);
+    g_hash_table_destroy(relay->zones);
+}
+
+void
+nm_order_relay_clear(nm_order_relay_t *relay)
+{
+    assert(relay);
+    g_hash_table_remove_all(relay->open);
+    g_hash_table_remove_all(relay->hosts);
+    g_hash_table_remove_all(relay->zones);
+}
+
+void
+nm_order_relay_set_host(nm_order_relay_t *relay, const nm_relay_host_t *host)
+{
+    assert(relay && host);
+    carrier_t *carrier = g_hash_table_lookup(relay->hosts, host->name);
+    if (!carrier) {
+        carrier = g_new0(carrier_t, 1);
+        carrier->queued = g_ptr_array_new_with_free_func(free_order_message);
+        carrier->desc = *host;
+        g_hash_table_insert(relay->hosts, carrier->desc.name, carrier);
+    }
+    carrier->desc = *host;
+    carrier->down_until_ms = 0;
+    carrier->down_ms = 0;
+}
+
+void
+nm_order_relay_remove_host(nm_order_relay_t *relay, const char *name)
+{
+    assert(relay && name);
+    g_hash_table_remove(relay->hosts, name);
+}
+
+void
+nm_order_relay_set_worker(nm_order_relay_t *relay, const char *worker,
+                          const char *zone)
+{
+    assert(relay && worker && zone);
+    g_hash_table_replace(relay->zones, g_strdup(worker), g_strdup(zone));
+}
+
+static void
+end_order(nm_order_relay_t *relay, order_t *order, nm_order_result_t result,
+          nm_worker_report_t *report)
+{
+    g_hash_table_steal(relay->open, &order->number);
+    nm_worker_report_t empty = {.result = result, .sent_ms = order->sent_ms};
+    bool hold = order->action.type == NM_ACTION_HOLD;
+    order->done(order->user, &order->action, result,
+                hold ? (report ? report : &empty) : NULL);
+    g_free(order);
+}
+
+static void
+give_up(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    GPtrArray *late = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->open);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        if (now_ms >= ((order_t *)value)->until_ms) {
+            g_ptr_array_add(late, value);
+        }
+    }
+    for (guint i = 0; i < late->len; i++) {
+        end_order(relay, late->pdata[i], NM_ORDER_UNKNOWN, NULL);
+    }
+    g_ptr_array_free(late, TRUE);
+}
+
+static void
+check_carriers(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        carrier_t *carrier = value;
+        if (carrier->asked_ms > 0 && now_ms - carrier->asked_ms > SILENT_MS) {
+            nm_ms_t twice = MIN(carrier->down_ms * 2, DOWN_MAX_MS);
+            carrier->down_ms = twice > 0 ? twice : DOWN_MS;
+            carrier->down_until_ms = now_ms + carrier->down_ms;
+            carrier->asked_ms = 0;
+            nm_count_reason(NM_REASON_RETRY_TIMEOUT);
+        }
+    }
+}
+
+void
+nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    assert(relay);
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        carrier_t *carrier = value;
+        if (carrier->queued->len > 0) {
+            flush_carrier(relay, carrier, relay->epoch);
+        }
+    }
+    if (now_ms - relay->checked_ms >= CHECK_MS) {
+        relay->checked_ms = now_ms;
+        check_carriers(relay, now_ms);
+        give_up(relay, now_ms);
+    }
+}
+
+void
+nm_order_result_decode(const NmPb__OrderResult *result,
+                       nm_worker_report_t *report, GArray *running,
+                       GArray *ends)
+{
+    assert(result && result->report && report && running && ends);
+    const NmPb__WorkerReport *message = result->report;
+    g_array_set_size(running, 0);
+    g_array_set_size(ends, 0);
+    for (size_t i = 0; i < message->n_running; i++) {
+        const NmPb__WorkerRun *row = message->running[i];
+        nm_worker_run_t run = {.run = row->run,
+                               .percent = row->percent,
+                               .figure = row->figure};
+        nm_strcopy(run.task, sizeof(run.task), row->task);
+        nm_strcopy(run.checkpoint, sizeof(run.checkpoint), row->checkpoint);
+        g_array_append_val(running, run);
+    }
+    for (size_t i = 0; i < message->n_ends; i++) {
+        const NmPb__WorkerEnd *row = message->ends[i];
+        nm_worker_end_t end = {.number = row->number,
+                               .run = row->run,
+                               .end = (nm_end_t)MIN(row->end, NM_END_ALONE)};
+        nm_strcopy(end.task, sizeof(end.task), row->task);
+        nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
+        g_array_append_val(ends, end);
+    }
+    *report = (nm_worker_report_t){
+        .result = (nm_order_result_t)result->result,
+        .incarnation = message->incarnation,
+        .clock_ms = message->clock_ms,
+        .complete = message->complete,
+        .running = (const nm_worker_run_t *)running->data,
+        .running_count = running->len,
+        .ends = (const nm_worker_end_t *)ends->data,
+        .end_count = ends->len,
+    };
+}
+
+void
+nm_order_relay_take(nm_order_relay_t *relay, const NmPb__EntryAnswer *answer)
+{
+    assert(relay && answer);
+    GArray *running = g_array_new(FALSE, FALSE, sizeof(nm_worker_run_t));
+    GArray *ends = g_array_new(FALSE, FALSE, sizeof(nm_worker_end_t));
+    for (size_t i = 0; i < answer->n_results; i++) {
+        const NmPb__OrderResult *result = answer->results[i];
+        uint64_t number = result->number;
+        order_t *order = g_hash_table_lookup(relay->open, &number);
+        if (!order) {
+            continue;
+        }
+        carrier_t *carrier = g_hash_table_lookup(relay->hosts, order->carrier);
+        if (carrier) {
+            carrier->asked_ms = 0;
+            carrier->down_ms = 0;
+        }
+        if (result->report) {
+            nm_worker_report_t report;
+            nm_order_result_decode(result, &report, running, ends);
+            report.sent_ms = order->sent_ms;
+            end_order(relay, order, report.result, &report);
+        }
+        else {
+            end_order(relay, order, (nm_order_result_t)result->result, NULL);
+        }
+    }
+    g_array_free(running, TRUE);
+    g_array_free(ends, TRUE);
+}
--- /dev/null
+++ b/src/order_relay.h
@@ -0,0 +1,75 @@
+/*
+ * Orders through other entry hosts.
+ *
+ * Answers this load: hundreds of workers and a thousand starts a second,
+ * whose calls one small host cannot make.  The owner decides; hosts of the
+ * workers' data centres carry its orders and bring the answers back in
+ * batches.  Which host carries for a worker is drawn by its identity among
+ * the hosts that answer, in proportion to their processors, so that
+ * connections to workers are kept.  A carrier knows nothing: an order holds
+ * its epoch and its expiry, and one that is lost is like one without an
+ * answer.
+ *
+ *     nm_order_relay_t relay;
+ *     nm_order_port_t *port = nm_order_relay_init(&relay, &desc);
+ *     nm_order_relay_set_host(&relay, &host);
+ *     nm_order_relay_flush(&relay, now_ms);   (at the end of each round)
+ *     nm_order_relay_finish(&relay);
+ */
+#ifndef NM_ORDER_RELAY_H
+#define NM_ORDER_RELAY_H
+
+#include <glib.h>
+
+#include "order_port.h"
+#include "peer_ask.h"
+
+typedef struct {
+    nm_order_port_t *direct; /* own calls to workers */
+    nm_peer_ask_t *peers;
+    const nm_clock_t *clock;
+    const char *name;       /* of this host */
+    uint32_t direct_max;    /* workers up to which it needs no carriers */
+} nm_order_relay_desc_t;
+
+/* An entry host that carries. */
+typedef struct {
+    char name[NM_NAME_MAX];
+    char address[NM_NAME_MAX * 2];
+    char zone[NM_NAME_MAX];
+    double cpu_share;
+} nm_relay_host_t;
+
+typedef struct {
+    nm_order_port_t base;
+    nm_order_relay_desc_t desc;
+    GHashTable *hosts; /* name -> carrier */
+    GHashTable *open;  /* number -> order under way */
+    GHashTable *zones; /* worker -> its zone */
+    uint64_t number;
+    int64_t epoch; /* of the newest order */
+    nm_ms_t checked_ms;
+} nm_order_relay_t;
+
+nm_order_port_t *nm_order_relay_init(nm_order_relay_t *relay,
+                                     const nm_order_relay_desc_t *desc);
+void nm_order_relay_finish(nm_order_relay_t *relay);
+void nm_order_relay_set_host(nm_order_relay_t *relay,
+                             const nm_relay_host_t *host);
+void nm_order_relay_remove_host(nm_order_relay_t *relay, const char *name);
+/* The data centre of a worker; its carriers are there. */
+void nm_order_relay_set_worker(nm_order_relay_t *relay, const char *worker,
+                               const char *zone);
+/* Sends what is queued for carriers, and gives up what they do not answer. */
+void nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms);
+void nm_order_relay_take(nm_order_relay_t *relay,
+                         const NmPb__EntryAnswer *answer);
+/* Orders under way are forgotten without calling back. */
+void nm_order_relay_clear(nm_order_relay_t *relay);
+
+/* Fills a report from a message; rows point into the message. */
+void nm_order_result_decode(const NmPb__OrderResult *result,
+                            nm_worker_report_t *report, GArray *running,
+                            GArray *ends);
+
+#endif
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -10,7 +10,7 @@
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 400
 /* Sockets to peers that are kept; the least recently used one goes. */
-#define LINKS_MAX 6
+#define LINKS_MAX 64
 
 typedef struct {
     char address[128];
