--- /dev/null
+++ b/bench/lib_fleet.c
@@ -0,0 +1,540 @@
+#include "lib_fleet.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define TICK_MS 10
+#define SERVING_IMAGES 5
+#define FILLER_IMAGES 9
+#define TARGET_MS 18
+#define BASE_TAIL_MS 8.0
+/* Log-effect of a tenth of a worker by a filler that disturbs. */
+#define HEAVY_EFFECT 0.7
+#define START_MS 5
+#define FIGURE_PERIOD_MS 500
+#define RESTORE_MS 600
+#define SAVE_MS 1000
+
+typedef struct {
+    char task[NM_TASK_NAME_MAX];
+    int64_t run;
+    nm_ms_t ends_ms;   /* NM_MS_NEVER: lasts */
+    nm_ms_t began_ms;
+    nm_ms_t work_ms;   /* left at began_ms */
+    bool fails;
+    bool stopping;
+    int serving;       /* image, or -1 */
+    int filler;        /* image, or -1 */
+    int64_t cpu_milli;
+    bool holds_cpu;
+    uint32_t percent;
+    int64_t figure;
+    nm_ms_t over_since_ms;
+} run_t;
+
+typedef struct {
+    char id[NM_NAME_MAX];
+    GArray *runs; /* of run_t */
+    GArray *ends; /* of nm_worker_end_t, not acknowledged */
+    int64_t last_end;
+    bool hold_open;
+    nm_ms_t hold_until_ms;
+    nm_ms_t hold_sent_ms;
+    bool failing;
+    bool dark;
+    nm_ms_t dark_since_ms;
+} worker_t;
+
+typedef struct {
+    char id[NM_JOB_ID_MAX];
+    nm_ms_t arrived_ms;
+    nm_ms_t objective_ms;
+    bool check;
+    bool poison;
+    bool ended;
+} job_t;
+
+typedef struct {
+    fleet_desc_t desc;
+    fleet_info_t info;
+    nm_sched_t *sched;
+    nm_ms_t now_ms;
+    nm_rng_t rng;
+    worker_t *workers;
+    GHashTable *by_id;
+    GHashTable *jobs;
+    GHashTable *durations; /* task -> left work, of what saves */
+    double effects[SERVING_IMAGES][FILLER_IMAGES];
+    uint64_t job_number;
+    double owed[3];
+} fleet_t;
+
+static double
+unit(fleet_t *fleet)
+{
+    return nm_rng_unit(&fleet->rng);
+}
+
+static void
+add_job(fleet_t *fleet, int kind)
+{
+    static const char *const queues[] = {"checks", "fillers", "services"};
+    char id[NM_JOB_ID_MAX];
+    snprintf(id, sizeof(id), "%016llx",
+             (unsigned long long)++fleet->job_number);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, id, queues[kind], "press");
+    uint32_t steps = kind == 1 ? 2 : 1;
+    nm_ms_t estimate = kind == 0 ? 800 : kind == 1 ? 2200 : 0;
+    int image = (int)nm_rng_below(&fleet->rng, kind == 1 ? FILLER_IMAGES
+                                                         : SERVING_IMAGES);
+    for (uint32_t s = 0; s < steps; s++) {
+        nm_step_t *step = nm_job_spec_add_step(&spec);
+        step->task_count = kind == 1 ? 8 : 6;
+        step->cpu_milli = (int64_t)((double)fleet->desc.cpu_milli *
+                                    (kind == 2 ? 0.2 : 0.08));
+        step->memory_mb = 1000;
+        step->estimate_ms = estimate;
+        step->lasts = kind == 2;
+        step->is_filler = kind == 1;
+        step->saves_progress = kind == 1;
+        step->target_ms = kind == 2 ? TARGET_MS : 0;
+        snprintf(step->image, sizeof(step->image), "%d", image);
+        if (s > 0) {
+            nm_step_add_after(step, s - 1);
+        }
+    }
+    job_t *job = g_new0(job_t, 1);
+    nm_strcopy(job->id, sizeof(job->id), id);
+    job->arrived_ms = fleet->now_ms;
+    job->check = kind == 0;
+    job->poison = kind == 1 && unit(fleet) < fleet->desc.poison;
+    job->objective_ms = kind == 0 ? 1800 : 2 * 2 * estimate + 1000;
+    g_hash_table_insert(fleet->jobs, job->id, job);
+    if (!job->poison) {
+        fleet->info.checks += kind == 0;
+        fleet->info.fillers += kind == 1;
+    }
+    nm_sched_add_job(fleet->sched, &spec, false, fleet->now_ms);
+    nm_job_spec_finish(&spec);
+}
+
+static void
+arrive(fleet_t *fleet)
+{
+    const fleet_desc_t *desc = &fleet->desc;
+    nm_ms_t t = fleet->now_ms;
+    double burst = t >= 5000 && t < 11000 && desc->burst > 0 ? desc->burst : 1;
+    double rates[] = {desc->checks_per_s, desc->fillers_per_s * burst,
+                      desc->services_per_s};
+    for (int kind = 0; kind < 3; kind++) {
+        fleet->owed[kind] += rates[kind] * TICK_MS / 1000 * unit(fleet) * 2;
+        while (fleet->owed[kind] >= 1) {
+            fleet->owed[kind] -= 1;
+            add_job(fleet, kind);
+        }
+    }
+}
+
+static run_t *
+find_run(worker_t *worker, const char *task, int64_t number)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        run_t *run = &g_array_index(worker->runs, run_t, i);
+        if (run->run == number && strcmp(run->task, task) == 0) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static const job_t *
+job_of(fleet_t *fleet, const char *task)
+{
+    char id[NM_JOB_ID_MAX] = {0};
+    memcpy(id, task, MIN(strcspn(task, "."), sizeof(id) - 1));
+    return g_hash_table_lookup(fleet->jobs, id);
+}
+
+static void
+check_doubled(fleet_t *fleet, const char *task)
+{
+    for (uint32_t w = 0; w < fleet->desc.workers; w++) {
+        GArray *runs = fleet->workers[w].runs;
+        for (guint i = 0; i < runs->len; i++) {
+            const run_t *run = &g_array_index(runs, run_t, i);
+            fleet->info.doubled += strcmp(run->task, task) == 0;
+        }
+    }
+}
+
+static void
+start(fleet_t *fleet, worker_t *worker, const nm_sched_action_t *action)
+{
+    const job_t *job = job_of(fleet, action->task);
+    unsigned int occurrence;
+    unsigned int step;
+    unsigned int index;
+    if (sscanf(action->task + 16, ".%u.%u.%u", &occurrence, &step, &index) !=
+        3)
+    {
+        return;
+    }
+    check_doubled(fleet, action->task);
+    nm_step_t desc;
+    if (!nm_sched_query_step(fleet->sched, job->id, step, &desc)) {
+        return;
+    }
+    run_t run = {.run = action->run,
+                 .began_ms = fleet->now_ms,
+                 .ends_ms = NM_MS_NEVER,
+                 .serving = desc.target_ms > 0 ? desc.image[0] - '0' : -1,
+                 .filler = desc.is_filler ? desc.image[0] - '0' : -1,
+                 .cpu_milli = desc.cpu_milli,
+                 .holds_cpu = !desc.is_filler,
+                 .percent = 100};
+    nm_strcopy(run.task, sizeof(run.task), action->task);
+    if (!desc.lasts) {
+        const int64_t *left =
+            g_hash_table_lookup(fleet->durations, action->task);
+        run.work_ms = left && action->checkpoint[0]
+                          ? (nm_ms_t)*left + RESTORE_MS
+                          : (nm_ms_t)((double)desc.estimate_ms *
+                                      (0.6 + 0.8 * unit(fleet)));
+        run.fails = worker->failing || job->poison;
+        run.ends_ms = fleet->now_ms + (run.fails ? 300 : run.work_ms);
+    }
+    g_array_append_val(worker->runs, run);
+    fleet->info.starts++;
+    int64_t used = 0;
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const run_t *other = &g_array_index(worker->runs, run_t, i);
+        used += other->holds_cpu ? other->cpu_milli : 0;
+    }
+    fleet->info.overfull += used > fleet->desc.cpu_milli;
+}
+
+static void
+end_run(fleet_t *fleet, worker_t *worker, guint index, nm_end_t how)
+{
+    run_t *run = &g_array_index(worker->runs, run_t, index);
+    nm_worker_end_t end = {.number = ++worker->last_end,
+                           .run = run->run,
+                           .end = how};
+    nm_strcopy(end.task, sizeof(end.task), run->task);
+    nm_ms_t worked = fleet->now_ms - run->began_ms;
+    if (how == NM_END_STOPPED && run->filler >= 0 && worked >= SAVE_MS) {
+        int64_t left = MAX(run->work_ms - worked, 50);
+        g_hash_table_insert(fleet->durations, g_strdup(run->task),
+                            g_memdup2(&left, sizeof(left)));
+        snprintf(end.checkpoint, sizeof(end.checkpoint), "%lld",
+                 (long long)left);
+    }
+    g_array_append_val(worker->ends, end);
+    g_array_remove_index(worker->runs, index);
+}
+
+static double
+log_tail(const fleet_t *fleet, const worker_t *worker, const run_t *run)
+{
+    double sum = log(BASE_TAIL_MS / TARGET_MS);
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const run_t *other = &g_array_index(worker->runs, run_t, i);
+        if (other->filler >= 0) {
+            double share = (double)other->cpu_milli * other->percent / 100 /
+                           (double)fleet->desc.cpu_milli;
+            sum += fleet->effects[run->serving][other->filler] * share / 0.1;
+        }
+    }
+    return sum;
+}
+
+static void
+measure(fleet_t *fleet, worker_t *worker)
+{
+    bool figures = fleet->now_ms % FIGURE_PERIOD_MS == 0;
+    for (guint i = 0; i < worker->runs->len; i++) {
+        run_t *run = &g_array_index(worker->runs, run_t, i);
+        if (run->serving < 0) {
+            continue;
+        }
+        double tail = log_tail(fleet, worker, run);
+        fleet->info.serving_s += TICK_MS / 1000.0;
+        if (tail > 0) {
+            fleet->info.harmed_s += TICK_MS / 1000.0;
+            run->over_since_ms =
+                run->over_since_ms ? run->over_since_ms : fleet->now_ms;
+            fleet->info.longest_over_ms =
+                MAX(fleet->info.longest_over_ms,
+                    fleet->now_ms - run->over_since_ms);
+        }
+        else {
+            run->over_since_ms = 0;
+        }
+        if (figures) {
+            double rough = exp(tail + 0.3 * (unit(fleet) - 0.5));
+            run->figure = (int64_t)(rough * TARGET_MS);
+        }
+    }
+}
+
+static void
+answer_hold(fleet_t *fleet, worker_t *worker)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(nm_worker_run_t));
+    for (guint i = 0; i < worker->runs->len; i++) {
+        const run_t *run = &g_array_index(worker->runs, run_t, i);
+        nm_worker_run_t row = {.run = run->run,
+                               .percent = run->percent,
+                               .figure = run->figure};
+        nm_strcopy(row.task, sizeof(row.task), run->task);
+        g_array_append_val(rows, row);
+    }
+    nm_worker_report_t report = {
+        .result = NM_ORDER_DONE,
+        .incarnation = 1,
+        .clock_ms = fleet->now_ms,
+        .sent_ms = worker->hold_sent_ms,
+        .complete = true,
+        .running = (const nm_worker_run_t *)rows->data,
+        .running_count = rows->len,
+        .ends = (const nm_worker_end_t *)worker->ends->data,
+        .end_count = worker->ends->len,
+    };
+    worker->hold_open = false;
+    nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
+    g_array_free(rows, TRUE);
+}
+
+static void
+run_worker(fleet_t *fleet, worker_t *worker)
+{
+    for (guint i = worker->runs->len; i > 0; i--) {
+        run_t *run = &g_array_index(worker->runs, run_t, i - 1);
+        if (run->stopping) {
+            end_run(fleet, worker, i - 1, NM_END_STOPPED);
+        }
+        else if (fleet->now_ms >= run->ends_ms) {
+            end_run(fleet, worker, i - 1,
+                    run->fails ? NM_END_FAILED : NM_END_DONE);
+        }
+        else if (run->percent == 0 && run->ends_ms != NM_MS_NEVER) {
+            run->ends_ms += TICK_MS;
+        }
+    }
+    measure(fleet, worker);
+    if (worker->hold_open &&
+        (worker->ends->len > 0 || fleet->now_ms >= worker->hold_until_ms))
+    {
+        answer_hold(fleet, worker);
+    }
+}
+
+/* A dark worker answers nothing, and its work is lost. */
+static void
+run_dark(fleet_t *fleet, worker_t *worker)
+{
+    if (worker->dark_since_ms == 0) {
+        worker->dark_since_ms = fleet->now_ms;
+        g_array_set_size(worker->runs, 0);
+        nm_sched_remove_worker(fleet->sched, worker->id);
+    }
+    if (worker->hold_open && fleet->now_ms >= worker->hold_until_ms) {
+        nm_worker_report_t report = {.result = NM_ORDER_UNKNOWN,
+                                     .sent_ms = worker->hold_sent_ms};
+        worker->hold_open = false;
+        nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
+    }
+}
+
+static void
+carry_out(fleet_t *fleet, const nm_sched_action_t *action)
+{
+    worker_t *worker = g_hash_table_lookup(fleet->by_id, action->worker);
+    bool dark = worker->dark && worker->dark_since_ms > 0;
+    nm_order_result_t result = dark ? NM_ORDER_UNKNOWN : NM_ORDER_DONE;
+    run_t *run = dark ? NULL : find_run(worker, action->task, action->run);
+    switch (action->type) {
+    case NM_ACTION_START:
+        if (!dark && !run) {
+            start(fleet, worker, action);
+        }
+        nm_sched_on_start(fleet->sched, action, result, fleet->now_ms);
+        break;
+    case NM_ACTION_STOP:
+        fleet->info.stops++;
+        if (run) {
+            run->stopping = true;
+        }
+        nm_sched_on_stop(fleet->sched, action, result, fleet->now_ms);
+        break;
+    case NM_ACTION_PACE:
+        if (run) {
+            run->percent = action->percent;
+        }
+        nm_sched_on_pace(fleet->sched, action, result, fleet->now_ms);
+        break;
+    default:
+        fleet->info.looks++;
+        while (worker->ends->len > 0 &&
+               g_array_index(worker->ends, nm_worker_end_t, 0).number <=
+                   action->acked)
+        {
+            g_array_remove_index(worker->ends, 0);
+        }
+        worker->hold_open = true;
+        worker->hold_sent_ms = fleet->now_ms;
+        worker->hold_until_ms = fleet->now_ms + START_MS + action->wait_ms;
+        break;
+    }
+}
+
+static double
+processor_s(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static void
+decide(fleet_t *fleet)
+{
+    double begin = processor_s();
+    nm_sched_run(fleet->sched, fleet->now_ms, 1000000 + fleet->now_ms);
+    nm_sched_save_t save;
+    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    while (nm_sched_next_save(fleet->sched, &save)) {
+        nm_sched_saved(fleet->sched, &save, true);
+        g_ptr_array_add(ids, g_strdup(save.job));
+        g_free(save.record);
+    }
+    fleet->info.processor_s += processor_s() - begin;
+    for (guint i = 0; i < ids->len; i++) {
+        job_t *job = g_hash_table_lookup(fleet->jobs, ids->pdata[i]);
+        if (!job->ended && !job->poison &&
+            nm_sched_query_job(fleet->sched, job->id) == NM_JOB_COMPLETED)
+        {
+            job->ended = true;
+            bool in_time =
+                fleet->now_ms - job->arrived_ms <= job->objective_ms;
+            fleet->info.checks_in_time += job->check && in_time;
+            fleet->info.fillers_in_time += !job->check && in_time;
+        }
+    }
+    g_ptr_array_free(ids, TRUE);
+    GArray *actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
+    nm_sched_action_t action;
+    while (nm_sched_next_action(fleet->sched, &action)) {
+        g_array_append_val(actions, action);
+    }
+    for (guint i = 0; i < actions->len; i++) {
+        carry_out(fleet, &g_array_index(actions, nm_sched_action_t, i));
+    }
+    g_array_free(actions, TRUE);
+}
+
+static void
+init_workers(fleet_t *fleet)
+{
+    const fleet_desc_t *desc = &fleet->desc;
+    fleet->workers = g_new0(worker_t, desc->workers);
+    for (uint32_t w = 0; w < desc->workers; w++) {
+        worker_t *worker = &fleet->workers[w];
+        snprintf(worker->id, sizeof(worker->id), "w%u", w);
+        worker->runs = g_array_new(FALSE, TRUE, sizeof(run_t));
+        worker->ends = g_array_new(FALSE, TRUE, sizeof(nm_worker_end_t));
+        worker->failing = w < desc->failing;
+        worker->dark = w >= desc->failing && w < desc->failing + desc->dark;
+        g_hash_table_insert(fleet->by_id, worker->id, worker);
+        nm_sched_worker_t announced = {.incarnation = 1,
+                                       .cpu_milli = desc->cpu_milli,
+                                       .memory_mb = 1000000};
+        nm_strcopy(announced.id, sizeof(announced.id), worker->id);
+        nm_strcopy(announced.service, sizeof(announced.service), "press");
+        nm_strcopy(announced.address, sizeof(announced.address), "10.0.0.1:1");
+        nm_sched_set_worker(fleet->sched, &announced, 0);
+        nm_sched_admit_worker(fleet->sched, worker->id);
+    }
+}
+
+static void
+init_queues(fleet_t *fleet)
+{
+    static const nm_queue_t queues[] = {
+        {"checks", "press", 0, 4, 1.5, 600, false},
+        {"fillers", "press", 2, 3, 2.0, 1000, false},
+        {"services", "press", 0, 4, 2.0, 3000, false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(queues); i++) {
+        nm_sched_set_queue(fleet->sched, &queues[i]);
+    }
+    for (int s = 0; s < SERVING_IMAGES; s++) {
+        for (int f = 0; f < FILLER_IMAGES; f++) {
+            fleet->effects[s][f] =
+                unit(fleet) < fleet->desc.heavy ? HEAVY_EFFECT : 0;
+        }
+    }
+}
+
+static void
+finish(fleet_t *fleet)
+{
+    for (uint32_t w = 0; w < fleet->desc.workers; w++) {
+        g_array_free(fleet->workers[w].runs, TRUE);
+        g_array_free(fleet->workers[w].ends, TRUE);
+    }
+    g_free(fleet->workers);
+    g_hash_table_destroy(fleet->by_id);
+    g_hash_table_destroy(fleet->jobs);
+    g_hash_table_destroy(fleet->durations);
+    nm_sched_free(fleet->sched);
+}
+
+fleet_info_t
+fleet_run(const fleet_desc_t *desc)
+{
+    fleet_t fleet = {.desc = *desc};
+    fleet.desc.workers = desc->workers ? desc->workers : 48;
+    fleet.desc.cpu_milli = desc->cpu_milli ? desc->cpu_milli : 64000;
+    nm_ms_t duration = desc->duration_ms ? desc->duration_ms : 30000;
+    nm_rng_init(&fleet.rng, desc->seed);
+    fleet.by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    fleet.durations =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    fleet.sched = nm_sched_new(
+        &(nm_sched_desc_t){.epoch = 1, .lease_max_ms = 1, .seed = desc->seed},
+        0);
+    init_queues(&fleet);
+    init_workers(&fleet);
+    for (fleet.now_ms = TICK_MS; fleet.now_ms < duration;
+         fleet.now_ms += TICK_MS)
+    {
+        if (fleet.now_ms == 500) {
+            for (uint32_t i = 0; i < desc->services; i++) {
+                add_job(&fleet, 2);
+            }
+        }
+        if (fleet.now_ms > 1500) {
+            arrive(&fleet);
+        }
+        for (uint32_t w = 0; w < fleet.desc.workers; w++) {
+            worker_t *worker = &fleet.workers[w];
+            if (worker->dark && fleet.now_ms >= 8000) {
+                run_dark(&fleet, worker);
+            }
+            else {
+                run_worker(&fleet, worker);
+            }
+        }
+        decide(&fleet);
+        fleet.info.waiting_s +=
+            nm_sched_query_info(fleet.sched).lasting_waiting * TICK_MS /
+            1000.0;
+    }
+    finish(&fleet);
+    return fleet.info;
+}
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -167,6 +167,7 @@
     uint32_t jobs_active;
     uint32_t tasks_waiting;
     uint32_t tasks_running;
+    uint32_t lasting_waiting; /* lasting tasks that are not at work */
     uint32_t workers_usable;
     uint32_t workers_unresolved; /* may run tasks that we do not know of */
     int64_t cpu_free_milli;
@@ -224,6 +225,9 @@
 bool nm_sched_save_is_urgent(const nm_sched_t *sched);
 
 nm_job_state_t nm_sched_query_job(const nm_sched_t *sched, const char *job);
+/* Copies a step's declaration; returns false if there is none. */
+bool nm_sched_query_step(const nm_sched_t *sched, const char *job,
+                         uint32_t step, nm_step_t *desc);
 /* Accepted jobs of a queue of which no task has started. */
 uint32_t nm_sched_query_pending(const nm_sched_t *sched, const char *queue);
 nm_sched_info_t nm_sched_query_info(const nm_sched_t *sched);
--- a/src/interference.c
+++ b/src/interference.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <math.h>
+#include <string.h>
 
 /* Shares are near 0.1 of a worker; this brings coefficients near 1. */
 #define SHARE_UNIT 0.1
@@ -19,107 +20,123 @@
 #define RISK_DEVIATION 0.35
 /* A tail within this of its target is taken as over it. */
 #define RISK_MARGIN 0.1
-
-typedef struct {
-    double mean;
-    double variance;
-} coefficient_t;
-
-typedef struct {
-    coefficient_t base;
-    GHashTable *effects; /* filler image -> coefficient_t */
-} serving_t;
+/* Slope of the logistic curve that is closest to a normal distribution. */
+#define LOGISTIC_SLOPE 1.702
+#define FIRST_IMAGES 16
 
 static void
-free_serving(gpointer data)
+grow(nm_interference_t *model, uint32_t image_max)
 {
-    serving_t *serving = data;
-    g_hash_table_destroy(serving->effects);
-    g_free(serving);
+    nm_effect_t *bases = g_new(nm_effect_t, image_max);
+    nm_effect_t *effects = g_new(nm_effect_t, (size_t)image_max * image_max);
+    for (uint32_t s = 0; s < image_max; s++) {
+        bool known = s < model->image_max;
+        bases[s] = known ? model->bases[s]
+                         : (nm_effect_t){BASE_MEAN, BASE_VARIANCE};
+        for (uint32_t f = 0; f < image_max; f++) {
+            effects[s * image_max + f] =
+                known && f < model->image_max
+                    ? model->effects[s * model->image_max + f]
+                    : (nm_effect_t){EFFECT_MEAN, EFFECT_VARIANCE};
+        }
+    }
+    g_free(model->bases);
+    g_free(model->effects);
+    model->bases = bases;
+    model->effects = effects;
+    model->image_max = image_max;
 }
 
 void
 nm_interference_init(nm_interference_t *model)
 {
     assert(model);
-    model->serving = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                           free_serving);
+    *model = (nm_interference_t){0};
+    model->images =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    grow(model, FIRST_IMAGES);
 }
 
 void
 nm_interference_finish(nm_interference_t *model)
 {
     assert(model);
-    g_hash_table_destroy(model->serving);
+    g_hash_table_destroy(model->images);
+    g_free(model->bases);
+    g_free(model->effects);
 }
 
-static serving_t *
-find_serving(nm_interference_t *model, const char *image)
+uint32_t
+nm_interference_image(nm_interference_t *model, const char *name)
 {
-    serving_t *serving = g_hash_table_lookup(model->serving, image);
-    if (!serving) {
-        serving = g_new0(serving_t, 1);
-        serving->base = (coefficient_t){BASE_MEAN, BASE_VARIANCE};
-        serving->effects = g_hash_table_new_full(g_str_hash, g_str_equal,
-                                                 g_free, g_free);
-        g_hash_table_insert(model->serving, g_strdup(image), serving);
+    assert(model && name);
+    uint32_t number =
+        GPOINTER_TO_UINT(g_hash_table_lookup(model->images, name));
+    if (number == 0) {
+        number = ++model->image_count;
+        g_hash_table_insert(model->images, g_strdup(name),
+                            GUINT_TO_POINTER(number));
+        if (number >= model->image_max) {
+            grow(model, model->image_max * 2);
+        }
     }
-    return serving;
+    return number;
 }
 
-static coefficient_t *
-find_effect(serving_t *serving, const char *image)
+static nm_effect_t *
+effect_of(const nm_interference_t *model, uint32_t serving, uint32_t filler)
 {
-    coefficient_t *effect = g_hash_table_lookup(serving->effects, image);
-    if (!effect) {
-        effect = g_new(coefficient_t, 1);
-        *effect = (coefficient_t){EFFECT_MEAN, EFFECT_VARIANCE};
-        g_hash_table_insert(serving->effects, g_strdup(image), effect);
-    }
-    return effect;
+    assert(serving < model->image_max && filler < model->image_max);
+    return &model->effects[serving * model->image_max + filler];
+}
+
+double
+nm_interference_effect(const nm_interference_t *model, uint32_t serving,
+                       const nm_filler_load_t *load)
+{
+    double mean = effect_of(model, serving, load->image)->mean;
+    return MAX(mean, 0) * load->share / SHARE_UNIT;
 }
 
 double
-nm_interference_predict(nm_interference_t *model, const char *image,
+nm_interference_predict(const nm_interference_t *model, uint32_t serving,
                         const nm_filler_load_t *loads, uint32_t count)
 {
-    assert(model && image);
-    serving_t *serving = find_serving(model, image);
-    double sum = serving->base.mean;
+    assert(model && serving < model->image_max);
+    double sum = model->bases[serving].mean;
     for (uint32_t i = 0; i < count; i++) {
-        double effect = find_effect(serving, loads[i].image)->mean;
-        sum += MAX(effect, 0) * loads[i].share / SHARE_UNIT;
+        sum += nm_interference_effect(model, serving, &loads[i]);
     }
     return sum;
 }
 
 static void
-correct(coefficient_t *coefficient, double input, double error, double total)
+correct(nm_effect_t *effect, double input, double error, double total)
 {
-    double gain = coefficient->variance * input / total;
-    coefficient->mean += gain * error;
-    coefficient->variance *= 1 - gain * input;
-    coefficient->variance += DRIFT_VARIANCE;
+    double gain = effect->variance * input / total;
+    effect->mean += gain * error;
+    effect->variance *= 1 - gain * input;
+    effect->variance += DRIFT_VARIANCE;
 }
 
 double
-nm_interference_observe(nm_interference_t *model, const char *image,
+nm_interference_observe(nm_interference_t *model, uint32_t serving,
                         const nm_filler_load_t *loads, uint32_t count,
                         double log_tail)
 {
-    assert(model && image);
-    serving_t *serving = find_serving(model, image);
-    double error = log_tail - serving->base.mean;
-    double total = FIGURE_VARIANCE + serving->base.variance;
+    assert(model && serving < model->image_max);
+    nm_effect_t *base = &model->bases[serving];
+    double error = log_tail - base->mean;
+    double total = FIGURE_VARIANCE + base->variance;
     for (uint32_t i = 0; i < count; i++) {
-        const coefficient_t *effect = find_effect(serving, loads[i].image);
+        const nm_effect_t *effect = effect_of(model, serving, loads[i].image);
         double input = loads[i].share / SHARE_UNIT;
         error -= effect->mean * input;
         total += effect->variance * input * input;
     }
-    correct(&serving->base, 1, error, total);
+    correct(base, 1, error, total);
     for (uint32_t i = 0; i < count; i++) {
-        correct(find_effect(serving, loads[i].image),
+        correct(effect_of(model, serving, loads[i].image),
                 loads[i].share / SHARE_UNIT, error, total);
     }
     return error;
@@ -128,5 +145,6 @@
 double
 nm_interference_risk(double log_tail)
 {
-    return 0.5 * erfc(-(log_tail + RISK_MARGIN) / RISK_DEVIATION / sqrt(2));
+    double z = (log_tail + RISK_MARGIN) / RISK_DEVIATION;
+    return 1 / (1 + exp(-LOGISTIC_SLOPE * z));
 }
--- a/src/interference.h
+++ b/src/interference.h
@@ -9,8 +9,9 @@
  *
  *     nm_interference_t model;
  *     nm_interference_init(&model);
- *     nm_interference_observe(&model, "api", loads, 2, log(tail / target));
- *     double log_tail = nm_interference_predict(&model, "api", loads, 2);
+ *     uint32_t api = nm_interference_image(&model, "api");
+ *     nm_interference_observe(&model, api, loads, 2, log(tail / target));
+ *     double log_tail = nm_interference_predict(&model, api, loads, 2);
  *     nm_interference_finish(&model);
  */
 #ifndef NM_INTERFERENCE_H
@@ -22,21 +23,36 @@
 
 /* Processor of one filler image on a worker, as a share of its capacity. */
 typedef struct {
-    const char *image;
+    uint32_t image;
     double share;
 } nm_filler_load_t;
 
 typedef struct {
-    GHashTable *serving; /* image -> coefficients */
+    double mean;
+    double variance;
+} nm_effect_t;
+
+typedef struct {
+    GHashTable *images;   /* name -> number, from 1 */
+    uint32_t image_count;
+    uint32_t image_max;   /* side of the table of effects */
+    nm_effect_t *bases;   /* by serving image */
+    nm_effect_t *effects; /* by serving image, then filler image */
 } nm_interference_t;
 
 void nm_interference_init(nm_interference_t *model);
 void nm_interference_finish(nm_interference_t *model);
+/* Number of an image, which stays valid. */
+uint32_t nm_interference_image(nm_interference_t *model, const char *name);
 /* Natural logarithm of the tail against its target. */
-double nm_interference_predict(nm_interference_t *model, const char *serving,
-                               const nm_filler_load_t *loads, uint32_t count);
+double nm_interference_predict(const nm_interference_t *model,
+                               uint32_t serving, const nm_filler_load_t *loads,
+                               uint32_t count);
+/* What one filler adds to that. */
+double nm_interference_effect(const nm_interference_t *model, uint32_t serving,
+                              const nm_filler_load_t *load);
 /* Corrects the model by a figure; returns the error of the prediction. */
-double nm_interference_observe(nm_interference_t *model, const char *serving,
+double nm_interference_observe(nm_interference_t *model, uint32_t serving,
                                const nm_filler_load_t *loads, uint32_t count,
                                double log_tail);
 /* Probability that a tail with this expected logarithm misses its target. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -48,6 +48,7 @@
         g_free(job->works[w].waiting);
     }
     g_free(job->works);
+    g_free(job->images);
     nm_job_spec_finish(&job->spec);
     g_free(job);
 }
@@ -80,6 +81,7 @@
                                           g_free);
     sched->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                          free_node);
+    sched->node_list = g_ptr_array_new();
     sched->active = g_ptr_array_new();
     sched->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
     g_queue_init(&sched->dirty);
@@ -95,6 +97,7 @@
 {
     assert(sched);
     g_ptr_array_free(sched->active, TRUE);
+    g_ptr_array_free(sched->node_list, TRUE);
     g_array_free(sched->actions, TRUE);
     g_queue_clear(&sched->dirty);
     g_queue_clear_full(&sched->gone, g_free);
@@ -188,7 +191,10 @@
     for (uint32_t w = 0; w < job->work_count; w++) {
         init_work(&job->works[w], job, w, recovered);
     }
+    job->images = g_new0(uint32_t, job->spec.step_count);
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        job->images[s] = nm_interference_image(&sched->interference,
+                                               job->spec.steps[s].image);
         job->lasts = job->lasts || job->spec.steps[s].lasts;
     }
     job->work_total = nm_job_spec_work(&job->spec) * job->work_count;
@@ -427,6 +433,24 @@
     }
 }
 
+/* Everything up to the oldest change that is not stored is stored. */
+static void
+advance_saved(nm_sched_t *sched)
+{
+    uint64_t least = sched->change + 1;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_sched_job_t *job = value;
+        if (job->change > job->saved && job->first_change < least) {
+            least = job->first_change;
+        }
+    }
+    sched->saved = least - 1;
+    sched->saves_changed = false;
+}
+
 nm_ms_t
 nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms)
 {
@@ -435,6 +459,9 @@
     if (sched->fenced) {
         return IDLE_MS;
     }
+    if (sched->saves_changed) {
+        advance_saved(sched);
+    }
     settle_unseen(sched, now_ms);
     if (now_ms - sched->checked_ms >= FILLER_CHECK_MS) {
         sched->checked_ms = now_ms;
@@ -480,23 +507,6 @@
     return true;
 }
 
-/* Everything up to the oldest change that is not stored is stored. */
-static void
-advance_saved(nm_sched_t *sched)
-{
-    uint64_t least = sched->change + 1;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->jobs);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const nm_sched_job_t *job = value;
-        if (job->change > job->saved && job->first_change < least) {
-            least = job->first_change;
-        }
-    }
-    sched->saved = least - 1;
-}
-
 void
 nm_sched_saved(nm_sched_t *sched, const nm_sched_save_t *save, bool stored)
 {
@@ -519,7 +529,7 @@
     if (job->change > job->saved) {
         g_queue_push_tail(&sched->dirty, job);
     }
-    advance_saved(sched);
+    sched->saves_changed = true;
 }
 
 bool
@@ -542,6 +552,19 @@
     return job ? job->shown : NM_JOB_UNKNOWN;
 }
 
+bool
+nm_sched_query_step(const nm_sched_t *sched, const char *id, uint32_t step,
+                    nm_step_t *desc)
+{
+    assert(sched && id && desc);
+    const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    if (!job || step >= job->spec.step_count) {
+        return false;
+    }
+    *desc = job->spec.steps[step];
+    return true;
+}
+
 uint32_t
 nm_sched_query_pending(const nm_sched_t *sched, const char *queue)
 {
@@ -580,7 +603,9 @@
         }
         for (uint32_t w = 0; w < job->work_count; w++) {
             for (uint32_t s = 0; s < job->spec.step_count; s++) {
-                info.tasks_waiting += job->works[w].waiting[s];
+                uint32_t waiting = job->works[w].waiting[s];
+                info.tasks_waiting += waiting;
+                info.lasting_waiting += job->spec.steps[s].lasts ? waiting : 0;
             }
         }
     }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -27,6 +27,7 @@
 /* Part of the newest error that a task's own offset takes over. */
 #define OFFSET_GAIN 0.5
 #define OFFSET_MAX 1.0
+#define LOG_TAIL_MAX 1.5
 /* A paused or resumed filler stays so for this long at least. */
 #define PACE_HOLD_MS 800
 /* A filler that stands still for so long starts anew on another worker. */
@@ -42,24 +43,17 @@
 /* Tail of a serving task from which on it counts as started up. */
 #define STARTUP_MS 2000
 
-#define LOADS_MAX 32
-
-typedef struct {
-    nm_filler_load_t loads[LOADS_MAX];
-    uint32_t count;
-} loads_t;
-
 static void
-add_load(loads_t *loads, const char *image, double share)
+add_load(nm_sched_node_t *node, uint32_t image, double share)
 {
-    for (uint32_t i = 0; i < loads->count; i++) {
-        if (strcmp(loads->loads[i].image, image) == 0) {
-            loads->loads[i].share += share;
+    for (uint32_t i = 0; i < node->load_count; i++) {
+        if (node->loads[i].image == image) {
+            node->loads[i].share += share;
             return;
         }
     }
-    if (loads->count < LOADS_MAX) {
-        loads->loads[loads->count++] = (nm_filler_load_t){image, share};
+    if (node->load_count < NM_SCHED_LOADS_MAX) {
+        node->loads[node->load_count++] = (nm_filler_load_t){image, share};
     }
 }
 
@@ -69,52 +63,64 @@
     return (double)step->cpu_milli / (double)MAX(node->desc.cpu_milli, 1);
 }
 
+/* Works out what a worker's fillers do to its serving tasks. */
 static void
-collect_loads(const nm_sched_node_t *node, loads_t *loads,
-              const nm_task_t *without)
+update_loads(nm_sched_t *sched, nm_sched_node_t *node)
 {
-    loads->count = 0;
+    if (node->loads_known) {
+        return;
+    }
+    node->load_count = 0;
+    node->harm = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
-        if (step->is_filler && task != without) {
-            add_load(loads, step->image,
+        if (step->is_filler) {
+            add_load(node, nm_task_image(task),
                      filler_share(node, step) * task->wanted_percent / 100.0);
         }
     }
+    for (guint i = 0; i < node->tasks->len; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        if (nm_task_step(task)->target_ms > 0) {
+            task->log_tail =
+                task->tail_offset +
+                nm_interference_predict(&sched->interference,
+                                        nm_task_image(task), node->loads,
+                                        node->load_count);
+            node->harm += nm_interference_risk(task->log_tail);
+        }
+    }
+    node->loads_known = true;
 }
 
-/* Expected number of serving tasks over their target. */
+/* Expected number over target if a load were added (or, below 0, gone). */
 static double
-expected_harm(nm_sched_t *sched, const nm_sched_node_t *node,
-              const loads_t *loads)
+harm_with(nm_sched_t *sched, const nm_sched_node_t *node,
+          const nm_filler_load_t *load)
 {
     double harm = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        const nm_step_t *step = nm_task_step(task);
-        if (step->target_ms > 0) {
-            double tail =
-                nm_interference_predict(&sched->interference, step->image,
-                                        loads->loads, loads->count);
-            harm += nm_interference_risk(tail + task->tail_offset);
+        if (nm_task_step(task)->target_ms > 0) {
+            double effect = nm_interference_effect(
+                &sched->interference, nm_task_image(task), load);
+            harm += nm_interference_risk(task->log_tail + effect);
         }
     }
     return harm;
 }
 
 double
-nm_sched_filler_cost(nm_sched_t *sched, const nm_sched_node_t *node,
-                     const nm_step_t *step)
+nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
+                     const nm_step_t *step, uint32_t image)
 {
     if (node->targets == 0) {
         return 0;
     }
-    loads_t loads;
-    collect_loads(node, &loads, NULL);
-    double before = expected_harm(sched, node, &loads);
-    add_load(&loads, step->image, filler_share(node, step));
-    return HARM_COST * (expected_harm(sched, node, &loads) - before);
+    update_loads(sched, node);
+    nm_filler_load_t load = {image, filler_share(node, step)};
+    return HARM_COST * (harm_with(sched, node, &load) - node->harm);
 }
 
 bool
@@ -174,8 +180,7 @@
         return;
     }
     node->observed_ms = now_ms;
-    loads_t loads;
-    collect_loads(node, &loads, NULL);
+    update_loads(sched, node);
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
@@ -186,14 +191,15 @@
         }
         double tail = log((double)task->figure / (double)step->target_ms);
         /* Far over its target, the figure says little about how far. */
-        tail = MIN(tail, 1.5);
-        double error =
-            nm_interference_observe(&sched->interference, step->image,
-                                    loads.loads, loads.count, tail);
+        tail = MIN(tail, LOG_TAIL_MAX);
+        double error = nm_interference_observe(
+            &sched->interference, nm_task_image(task), node->loads,
+            node->load_count, tail);
         task->tail_offset += OFFSET_GAIN * (error - task->tail_offset);
         task->tail_offset =
             CLAMP(task->tail_offset, -OFFSET_MAX, OFFSET_MAX);
     }
+    node->loads_known = false;
 }
 
 /* Ends a filler's run here; one that saves its progress resumes elsewhere. */
@@ -218,6 +224,7 @@
     task->wanted_percent = percent;
     task->order_pending = true;
     task->paced_ms = now_ms;
+    node->loads_known = false;
     node->fillers_changed_ms = now_ms;
     nm_count(NM_COUNTER_THROTTLES, 1);
 }
@@ -226,9 +233,7 @@
 static void
 check_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    loads_t loads;
-    collect_loads(node, &loads, NULL);
-    double all = expected_harm(sched, node, &loads);
+    update_loads(sched, node);
     nm_task_t *worst = NULL;
     nm_task_t *paused = NULL;
     double worst_cost = 0;
@@ -244,8 +249,9 @@
             paused = task;
             continue;
         }
-        collect_loads(node, &loads, task);
-        double cost = HARM_COST * (all - expected_harm(sched, node, &loads));
+        nm_filler_load_t gone = {nm_task_image(task),
+                                 -filler_share(node, step)};
+        double cost = HARM_COST * (node->harm - harm_with(sched, node, &gone));
         if (!worst || cost > worst_cost) {
             worst = task;
             worst_cost = cost;
@@ -261,7 +267,8 @@
         }
     }
     else if (paused && !over && node->calm && nm_sched_filler_cost(sched, node,
-                                            nm_task_step(paused)) <
+                                            nm_task_step(paused),
+                                            nm_task_image(paused)) <
                            RESUME_COST)
     {
         pace(sched, node, paused, 100, now_ms);
@@ -274,15 +281,12 @@
 void
 nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nm_sched_node_t *node = value;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
         if (node->fillers > 0 && node->reachable &&
             (node->targets > 0 || node->had_targets))
         {
-            node->had_targets = node->targets > 0 || node->fillers > 0;
+            node->had_targets = true;
             check_node(sched, node, now_ms);
         }
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -23,6 +23,11 @@
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
+/* Malus of the worker on which the task failed last. */
+#define AVOIDED 5
+/* Workers with room among which the best is taken. */
+#define SAMPLE_FITTING 80
+
 typedef struct {
     nm_work_t *work;
     uint32_t step;
@@ -195,32 +200,55 @@
     return job->queue ? job->queue->desc.service : job->spec.service;
 }
 
+/* Returns false if the worker cannot take the task. */
+static bool
+score_node(nm_sched_t *sched, const candidate_t *candidate,
+           const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
+           double *score)
+{
+    const nm_sched_job_t *job = candidate->work->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (!fits(node, step) ||
+        !may_run(node, candidate, service_of(job), now_ms))
+    {
+        return false;
+    }
+    if (step->is_filler) {
+        double cost = nm_sched_filler_cost(sched, node, step,
+                                           job->images[candidate->step]);
+        if (!nm_sched_filler_may_start(node, step, cost)) {
+            return false;
+        }
+        *score = -cost;
+    }
+    else {
+        *score = node_score(node, step);
+    }
+    *score -= task->avoid == node ? AVOIDED : 0;
+    return true;
+}
+
+/* Looks at all workers of a small fleet, at a sample of a large one. */
 static nm_sched_node_t *
 choose_node(nm_sched_t *sched, const candidate_t *candidate, nm_task_t *task,
             nm_ms_t now_ms)
 {
-    const nm_sched_job_t *job = candidate->work->job;
-    const nm_step_t *step = &job->spec.steps[candidate->step];
-    const char *service = service_of(job);
+    guint count = sched->node_list->len;
+    if (count == 0) {
+        return NULL;
+    }
+    guint begin = nm_rng_below(&sched->rng, count);
     nm_sched_node_t *best = NULL;
     double best_score = -INFINITY;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nm_sched_node_t *node = value;
-        if (!fits(node, step) || !may_run(node, candidate, service, now_ms)) {
+    guint fitting = 0;
+    for (guint i = 0; i < count && fitting < SAMPLE_FITTING; i++) {
+        nm_sched_node_t *node =
+            sched->node_list->pdata[(begin + i) % count];
+        double score;
+        if (!score_node(sched, candidate, task, node, now_ms, &score)) {
             continue;
         }
-        double score = node_score(node, step);
-        if (step->is_filler) {
-            double cost = nm_sched_filler_cost(sched, node, step);
-            if (!nm_sched_filler_may_start(node, step, cost)) {
-                continue;
-            }
-            score = -cost;
-        }
-        score -= task->avoid == node ? 5 : 0;
+        fitting++;
         if (score > best_score) {
             best = node;
             best_score = score;
@@ -238,11 +266,8 @@
     const char *service = service_of(candidate->work->job);
     nm_sched_node_t *best = NULL;
     int64_t best_cost = INT64_MAX;
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nm_sched_node_t *node = value;
+    for (guint n = 0; n < sched->node_list->len; n++) {
+        nm_sched_node_t *node = sched->node_list->pdata[n];
         if (!may_run(node, candidate, service, now_ms)) {
             continue;
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -29,6 +29,8 @@
 /* A start that got no answer this often is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 
+/* Filler images told apart on one worker. */
+#define NM_SCHED_LOADS_MAX 16
 /* Failed runs of a task that are told apart; attempts are fewer. */
 #define NM_SCHED_FAILED_RUNS 8
 
@@ -72,6 +74,7 @@
     uint32_t wanted_percent;
     int64_t figure;
     nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
+    double log_tail;    /* predicted, with its own offset */
     double tail_offset; /* of its tail's logarithm against the model */
     nm_ms_t paced_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
@@ -105,6 +108,7 @@
     uint64_t saved;  /* newest change stored */
     bool saving;
     bool urgent;
+    uint32_t *images; /* by step: number in the interference model */
     int64_t work_left; /* core-ms by estimates */
     int64_t work_total;
     nm_ms_t objective_ms; /* after arrival */
@@ -151,6 +155,11 @@
     nm_ms_t fillers_changed_ms;
     nm_ms_t observed_ms;
     bool had_targets;
+    nm_filler_load_t loads[NM_SCHED_LOADS_MAX]; /* by filler image */
+    uint32_t load_count;
+    bool loads_known;  /* loads, harm and the tasks' log_tail are current */
+    double harm;       /* expected number of serving tasks over target */
+    nm_ms_t repeat_due_ms;
     bool calm; /* no serving task is near its target */
 };
 
@@ -159,6 +168,7 @@
     GHashTable *jobs;   /* id -> nm_sched_job_t */
     GHashTable *queues; /* name -> nm_sched_queue_t */
     GHashTable *nodes;  /* id -> nm_sched_node_t */
+    GPtrArray *node_list; /* the same, to be drawn from */
     GPtrArray *active;  /* jobs that have not ended */
     GArray *actions;
     guint action_next;
@@ -166,7 +176,7 @@
     GQueue dirty; /* jobs with changes to store */
     uint64_t change;
     uint64_t saved;
-    int64_t run_counter;
+    bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
     bool stale; /* something changed since the last placement */
@@ -181,6 +191,7 @@
 nm_task_t *nm_sched_find_task(nm_sched_t *sched, const char *name);
 void nm_sched_task_name(const nm_task_t *task, char *name, size_t size);
 const nm_step_t *nm_task_step(const nm_task_t *task);
+uint32_t nm_task_image(const nm_task_t *task);
 /* Puts a task on a node, or takes it off; keeps the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
@@ -219,8 +230,8 @@
 void nm_sched_observe_tails(nm_sched_t *sched, nm_sched_node_t *node,
                             nm_ms_t now_ms);
 /* Cost of one more filler on a worker, against what it earns there. */
-double nm_sched_filler_cost(nm_sched_t *sched, const nm_sched_node_t *node,
-                            const nm_step_t *step);
+double nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
+                            const nm_step_t *step, uint32_t image);
 bool nm_sched_filler_may_start(const nm_sched_node_t *node,
                                const nm_step_t *step, double cost);
 
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -17,6 +17,12 @@
     return &task->work->job->spec.steps[task->step];
 }
 
+uint32_t
+nm_task_image(const nm_task_t *task)
+{
+    return task->work->job->images[task->step];
+}
+
 void
 nm_sched_task_name(const nm_task_t *task, char *name, size_t size)
 {
@@ -58,6 +64,7 @@
     const nm_step_t *step = nm_task_step(task);
     task->node = node;
     g_ptr_array_add(node->tasks, task);
+    node->loads_known = false;
     node->memory_used += step->memory_mb;
     node->accelerators_used += step->accelerators;
     if (step->is_filler) {
@@ -82,6 +89,7 @@
     }
     const nm_step_t *step = nm_task_step(task);
     g_ptr_array_remove_fast(node->tasks, task);
+    node->loads_known = false;
     node->memory_used -= step->memory_mb;
     node->accelerators_used -= step->accelerators;
     if (step->is_filler) {
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -39,6 +39,7 @@
     node->hold_due_ms = now_ms;
     node->reachable = true;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
+    g_ptr_array_add(sched->node_list, node);
     return node;
 }
 
@@ -159,11 +160,8 @@
 bool
 nm_sched_has_unresolved(const nm_sched_t *sched, nm_ms_t now_ms)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const nm_sched_node_t *node = value;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
         if (!node->fenced && now_ms < node->lapse_ms) {
             return true;
         }
@@ -545,7 +543,10 @@
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
         move_from_draining(sched, node, now_ms);
     }
-    repeat_orders(sched, node, now_ms);
+    if (now_ms >= node->repeat_due_ms) {
+        node->repeat_due_ms = now_ms + NM_SCHED_RETRY_MS / 3;
+        repeat_orders(sched, node, now_ms);
+    }
     bool acks = node->ends_acked > node->ends_acked_sent;
     bool wanted = !node->fenced || node->tasks->len > 0 || acks ||
                   !node->reachable;
@@ -559,17 +560,15 @@
 void
 nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, sched->nodes);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        nm_sched_node_t *node = value;
+    for (guint i = sched->node_list->len; i > 0; i--) {
+        nm_sched_node_t *node = sched->node_list->pdata[i - 1];
         run_node(sched, node, now_ms);
         bool gone = !node->announced && node->tasks->len == 0 &&
                     !node->hold_pending && now_ms >= node->lapse_ms;
         if (gone) {
             g_queue_push_tail(&sched->gone, g_strdup(node->desc.id));
-            g_hash_table_iter_remove(&iter);
+            g_ptr_array_remove_index_fast(sched->node_list, i - 1);
+            g_hash_table_remove(sched->nodes, node->desc.id);
         }
     }
 }
