Start short work in time before lasting work, and displace none of it

Cause: lasting tasks held 0.95 of the workers' processor by declaration and stopped short jobs for more; these were then late, ranked last and did not end within 10 s. A core and second of short work earns four times as much. Change: lasting tasks rank behind what is in time and only displace fillers, for memory.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -2,8 +2,7 @@
  * Which waiting task starts next, and where.
  *
  * Answers this load: bursts of wide jobs beyond the workers' capacity,
- * beside lasting tasks that must always run.  Lasting tasks come first and
- * displace others.  Among the rest the order is credit for each unit of
+ * beside lasting tasks that take all room they get.  The order is credit for each unit of
  * remaining work, so that started jobs finish and a crowd of large jobs
  * does not delay the small ones; a job whose objective can no longer be met
  * goes behind those whose can.
@@ -20,6 +19,11 @@
 #define EXPIRED_CREDIT 0.01
 /* Credit that a job has by its number alone; the rest goes by its work. */
 #define FIXED_CREDIT 0.3
+/*
+ * Lasting tasks earn a quarter of what short ones do by core and second, and
+ * hold their room for long: what is in time goes first, the rest behind.
+ */
+#define LASTING_RANK 0.5
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -56,7 +60,7 @@
 job_rank(const nm_sched_job_t *job, nm_ms_t now_ms)
 {
     if (job->lasts) {
-        return INFINITY;
+        return LASTING_RANK;
     }
     double work = (double)MAX(job->work_total, 1);
     double left = (double)MAX(job->work_left, 1);
@@ -257,73 +261,42 @@
     return best;
 }
 
-/* Stops the cheapest tasks of a worker that make room for a lasting one. */
+/* Stops fillers of a worker whose memory a lasting task needs. */
 static bool
 displace(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
 {
-    const nm_step_t *step =
-        &candidate->work->job->spec.steps[candidate->step];
-    const char *service = service_of(candidate->work->job);
-    nm_sched_node_t *best = NULL;
-    int64_t best_cost = INT64_MAX;
+    const nm_sched_job_t *job = candidate->work->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
     for (guint n = 0; n < sched->node_list->len; n++) {
         nm_sched_node_t *node = sched->node_list->pdata[n];
-        if (!may_run(node, candidate, service, now_ms)) {
-            continue;
-        }
         int64_t cpu = node->desc.cpu_milli - node->cpu_used;
         int64_t memory = node->desc.memory_mb - node->memory_used;
-        int64_t cost = 0;
-        for (guint i = 0; i < node->tasks->len; i++) {
-            const nm_task_t *task = node->tasks->pdata[i];
-            const nm_step_t *other = nm_task_step(task);
-            if (other->lasts || task->state == NM_RUN_STARTING) {
-                continue;
-            }
-            cpu += other->is_filler ? 0 : other->cpu_milli;
-            memory += other->memory_mb;
-            bool saved = other->saves_progress;
-            cost += task->state == NM_RUN_STOPPING ? 0
-                    : saved                         ? other->cpu_milli
-                                                    : other->cpu_milli * 4;
-        }
-        if (cpu >= step->cpu_milli && memory >= step->memory_mb &&
-            cost < best_cost)
+        if (node->fillers == 0 || cpu < step->cpu_milli ||
+            !may_run(node, candidate, service_of(job), now_ms))
         {
-            best = node;
-            best_cost = cost;
+            continue;
         }
-    }
-    if (!best) {
-        return false;
-    }
-    int64_t cpu = best->desc.cpu_milli - best->cpu_used;
-    int64_t memory = best->desc.memory_mb - best->memory_used;
-    for (int pass = 0; pass < 3; pass++) {
-        for (guint i = 0; i < best->tasks->len; i++) {
-            nm_task_t *task = best->tasks->pdata[i];
-            const nm_step_t *other = nm_task_step(task);
-            if (cpu >= step->cpu_milli && memory >= step->memory_mb) {
+        for (guint i = 0; i < node->tasks->len; i++) {
+            nm_task_t *task = node->tasks->pdata[i];
+            if (memory >= step->memory_mb) {
                 return true;
             }
-            bool stopping = task->state == NM_RUN_STOPPING;
-            bool first = pass == 0 && stopping;
-            bool second = pass == 1 && !stopping && other->saves_progress;
-            bool third = pass == 2 && !stopping && !other->saves_progress;
-            if (other->lasts || task->state == NM_RUN_STARTING ||
-                !(first || second || third))
+            if (nm_task_step(task)->is_filler &&
+                (task->state == NM_RUN_RUNNING ||
+                 task->state == NM_RUN_STOPPING))
             {
-                continue;
-            }
-            cpu += other->is_filler ? 0 : other->cpu_milli;
-            memory += other->memory_mb;
-            if (!stopping) {
-                nm_count_reason(NM_REASON_EVICT_URGENT);
-                nm_sched_stop_task(sched, task, now_ms);
+                memory += nm_task_step(task)->memory_mb;
+                if (task->state == NM_RUN_RUNNING) {
+                    nm_count_reason(NM_REASON_EVICT_URGENT);
+                    nm_sched_stop_task(sched, task, now_ms);
+                }
             }
         }
+        if (memory >= step->memory_mb) {
+            return true;
+        }
     }
-    return true;
+    return false;
 }
 
 static bool
