--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -39,6 +39,7 @@
     X(JOB_ACCEPTED, "job-accepted")                                           \
     X(JOB_CANCELLED, "job-cancelled")                                         \
     X(JOB_ENDED, "job-ended")                                                 \
+    X(LEARNED_REFUSED, "learned-refused")                                     \
     X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -221,6 +221,13 @@
 /* Confirms that a record is stored, or gives it back (stored: false). */
 void nm_sched_saved(nm_sched_t *sched, const nm_sched_save_t *save,
                     bool stored);
+/*
+ * What was learned of interference, as JSON text, to be freed with free();
+ * an owner stores it for the next one, which restores it before it starts.
+ */
+char *nm_sched_encode_learned(const nm_sched_t *sched);
+int nm_sched_restore_learned(nm_sched_t *sched, const void *record,
+                             uint32_t bytes);
 /* True if a record waits whose loss a caller would notice. */
 bool nm_sched_save_is_urgent(const nm_sched_t *sched);
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -22,6 +22,8 @@
 #define COMMIT_MS 250
 /* ...and ends of jobs this often. */
 #define COMMIT_URGENT_MS 30
+/* What was learned goes with a transaction this often. */
+#define LEARNED_MS 2000
 /* Records in one transaction, with room for its compare. */
 #define COMMIT_RECORDS_MAX 28
 /* Candidates wait up to this long, the ones with less processor longer. */
@@ -115,7 +117,7 @@
     nm_feed_close(&entry->workers_feed);
     nm_feed_close(&entry->jobs_feed);
     nm_feed_close(&entry->progress_feed);
-    nm_feed_close(&entry->roster_feed);
+    nm_feed_close(&entry->owned_feed);
     nm_feed_close(&entry->hosts_feed);
     nm_order_relay_clear(&entry->relay);
     clear_progress(entry);
@@ -343,13 +345,8 @@
 }
 
 static void
-on_roster(void *user, const nm_store_kv_t *item)
+take_roster_record(nm_entry_t *entry, const nm_store_kv_t *item)
 {
-    nm_entry_t *entry = user;
-    entry->roster_revision = item->mod_revision;
-    if (!item->value) {
-        return;
-    }
     json_t *ids = json_loadb((const char *)item->value, item->value_bytes, 0,
                              NULL);
     size_t i;
@@ -366,11 +363,29 @@
     json_decref(ids);
 }
 
+/* What the last owner left beside jobs and their progress. */
+static void
+on_owned(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (item->value && strcmp(item->key, NM_KEY_ROSTER) == 0) {
+        take_roster_record(entry, item);
+    }
+    else if (item->value && strcmp(item->key, NM_KEY_LEARNED) == 0) {
+        int rc = nm_sched_restore_learned(entry->sched, item->value,
+                                          item->value_bytes);
+        if (rc < 0) {
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}",
+                   "reason", nm_error_text(rc));
+        }
+    }
+}
+
 static void
-on_roster_listed(void *user)
+on_owned_listed(void *user)
 {
     nm_entry_t *entry = user;
-    nm_feed_close(&entry->roster_feed);
+    nm_feed_close(&entry->owned_feed);
     nm_feed_open(&entry->workers_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
                                    .clock = entry->desc.clock,
@@ -414,12 +429,12 @@
                                    .prefix = NM_KEY_HOSTS,
                                    .on_item = on_host,
                                    .user = entry});
-    nm_feed_open(&entry->roster_feed,
+    nm_feed_open(&entry->owned_feed,
                  &(nm_feed_desc_t){.kv = entry->desc.kv,
                                    .clock = entry->desc.clock,
-                                   .prefix = NM_KEY_ROSTER,
-                                   .on_item = on_roster,
-                                   .on_listed = on_roster_listed,
+                                   .prefix = NM_KEY_OWNED,
+                                   .on_item = on_owned,
+                                   .on_listed = on_owned_listed,
                                    .user = entry});
 }
 
@@ -603,7 +618,6 @@
         entry->committing = false;
         entry->sched_due_ms = 0;
         if (call->roster && stored) {
-            entry->roster_revision = result->revision;
             take_roster(entry, call);
         }
         else if (call->roster) {
@@ -668,6 +682,15 @@
     if (entry->roster_dirty) {
         put_roster(entry, &txn, call);
     }
+    bool learned = now_ms >= entry->learned_due_ms &&
+                   (call->count > 0 || call->roster);
+    if (learned) {
+        entry->learned_due_ms = now_ms + LEARNED_MS;
+        char *text = nm_sched_encode_learned(entry->sched);
+        nm_store_txn_put(&txn, NM_KEY_LEARNED, text, (uint32_t)strlen(text),
+                         0);
+        free(text);
+    }
     if (call->count == 0 && !call->roster) {
         nm_store_txn_finish(&txn);
         g_free(call);
@@ -761,7 +784,7 @@
     }
     renew_lease(entry, now_ms);
     nm_feed_tick(&entry->hosts_feed, now_ms);
-    nm_feed_tick(&entry->roster_feed, now_ms);
+    nm_feed_tick(&entry->owned_feed, now_ms);
     nm_feed_tick(&entry->workers_feed, now_ms);
     nm_feed_tick(&entry->progress_feed, now_ms);
     nm_feed_tick(&entry->jobs_feed, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -14,7 +14,9 @@
 #define NM_KEY_CONTROL "nutmegdeck/control/"
 #define NM_KEY_OWNER NM_KEY_CONTROL "owner"
 #define NM_KEY_EPOCH NM_KEY_CONTROL "epoch"
-#define NM_KEY_ROSTER "nutmegdeck/roster"
+#define NM_KEY_OWNED "nutmegdeck/owned/"
+#define NM_KEY_ROSTER NM_KEY_OWNED "roster"
+#define NM_KEY_LEARNED NM_KEY_OWNED "learned"
 #define NM_KEY_HOSTS "nutmegdeck/hosts/"
 #define NM_KEY_JOBS "nutmegdeck/jobs/"
 #define NM_KEY_PROGRESS "nutmegdeck/progress/"
@@ -79,15 +81,15 @@
     nm_feed_t workers_feed;
     nm_feed_t jobs_feed;
     nm_feed_t progress_feed;
-    nm_feed_t roster_feed;
+    nm_feed_t owned_feed; /* roster and learned */
     nm_feed_t hosts_feed;
-    int64_t roster_revision;
     GHashTable *roster;      /* worker ids that are stored */
     GHashTable *roster_wanted;
     bool roster_dirty;
     GPtrArray *progress; /* loaded records, until the jobs are listed */
     bool committing;
     nm_ms_t commit_due_ms;
+    nm_ms_t learned_due_ms;
     nm_ms_t sched_due_ms;
     /* Calls. */
     GQueue calls;     /* of nm_op_t, open */
--- a/src/interference.c
+++ b/src/interference.c
@@ -2,6 +2,8 @@
 
 #include <assert.h>
 #include <math.h>
+
+#include <jansson.h>
 #include <string.h>
 
 /* Shares are near 0.1 of a worker; this brings coefficients near 1. */
@@ -23,6 +25,9 @@
 /* Slope of the logistic curve that is closest to a normal distribution. */
 #define LOGISTIC_SLOPE 1.702
 #define FIRST_IMAGES 16
+/* A pair whose variance is above this has taught nothing yet. */
+#define LEARNED_VARIANCE 0.19
+#define RECORD_VERSION 1
 
 static void
 grow(nm_interference_t *model, uint32_t image_max)
@@ -148,3 +153,87 @@
     double z = (log_tail + RISK_MARGIN) / RISK_DEVIATION;
     return 1 / (1 + exp(-LOGISTIC_SLOPE * z));
 }
+
+static const char **
+image_names(const nm_interference_t *model)
+{
+    const char **names = g_new0(const char *, model->image_max);
+    GHashTableIter iter;
+    gpointer name;
+    gpointer number;
+    g_hash_table_iter_init(&iter, model->images);
+    while (g_hash_table_iter_next(&iter, &name, &number)) {
+        names[GPOINTER_TO_UINT(number)] = name;
+    }
+    return names;
+}
+
+char *
+nm_interference_encode(const nm_interference_t *model)
+{
+    assert(model);
+    const char **names = image_names(model);
+    json_t *bases = json_array();
+    json_t *effects = json_array();
+    for (uint32_t s = 1; s <= model->image_count; s++) {
+        const nm_effect_t *base = &model->bases[s];
+        json_array_append_new(bases, json_pack("[s,f,f]", names[s], base->mean,
+                                               base->variance));
+        for (uint32_t f = 1; f <= model->image_count; f++) {
+            const nm_effect_t *effect = effect_of(model, s, f);
+            if (effect->variance < LEARNED_VARIANCE) {
+                json_array_append_new(effects,
+                                      json_pack("[s,s,f,f]", names[s],
+                                                names[f], effect->mean,
+                                                effect->variance));
+            }
+        }
+    }
+    json_t *record = json_pack("{s:i,s:o,s:o}", "version", RECORD_VERSION,
+                               "bases", bases, "effects", effects);
+    char *text = json_dumps(record,
+                            JSON_COMPACT | JSON_REAL_PRECISION(4));
+    json_decref(record);
+    g_free(names);
+    return text;
+}
+
+int
+nm_interference_decode(nm_interference_t *model, const void *data,
+                       uint32_t bytes)
+{
+    assert(model && data);
+    json_t *record = json_loadb(data, bytes, 0, NULL);
+    if (json_integer_value(json_object_get(record, "version")) !=
+        RECORD_VERSION)
+    {
+        json_decref(record);
+        return NM_ERR_CORRUPT;
+    }
+    size_t i;
+    json_t *row;
+    const char *serving;
+    const char *filler;
+    nm_effect_t effect;
+    json_array_foreach(json_object_get(record, "bases"), i, row)
+    {
+        if (json_unpack(row, "[s,F,F]", &serving, &effect.mean,
+                        &effect.variance) == 0)
+        {
+            uint32_t s = nm_interference_image(model, serving);
+            model->bases[s] = effect;
+        }
+    }
+    json_array_foreach(json_object_get(record, "effects"), i, row)
+    {
+        if (json_unpack(row, "[s,s,F,F]", &serving, &filler, &effect.mean,
+                        &effect.variance) == 0)
+        {
+            uint32_t s = nm_interference_image(model, serving);
+            uint32_t f = nm_interference_image(model, filler);
+            *effect_of(model, s, f) = effect;
+        }
+    }
+    json_decref(record);
+    return NM_OK;
+}
--- a/src/interference.h
+++ b/src/interference.h
@@ -58,4 +58,10 @@
 /* Probability that a tail with this expected logarithm misses its target. */
 double nm_interference_risk(double log_tail);
 
+/* JSON text of what was learned, to be freed with free(). */
+char *nm_interference_encode(const nm_interference_t *model);
+/* Takes over what was learned earlier; ignores what cannot be read. */
+int nm_interference_decode(nm_interference_t *model, const void *data,
+                           uint32_t bytes);
+
 #endif
--- a/src/sched.c
+++ b/src/sched.c
@@ -532,6 +532,21 @@
     sched->saves_changed = true;
 }
 
+char *
+nm_sched_encode_learned(const nm_sched_t *sched)
+{
+    assert(sched);
+    return nm_interference_encode(&sched->interference);
+}
+
+int
+nm_sched_restore_learned(nm_sched_t *sched, const void *record,
+                         uint32_t bytes)
+{
+    assert(sched && record);
+    return nm_interference_decode(&sched->interference, record, bytes);
+}
+
 bool
 nm_sched_save_is_urgent(const nm_sched_t *sched)
 {
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -33,7 +33,7 @@
 /* A filler that stands still for so long starts anew on another worker. */
 #define PAUSED_MAX_MS 1500
 /* Part of its processor that a serving task uses at its usual peak. */
-#define SERVING_LOAD 0.6
+#define SERVING_LOAD 0.5
 /* Figures are rough: from this share of the target on a tail may be over. */
 #define OVER_SHARE 0.88
 /* A tail over its target for this long pauses the fillers beside it. */
