--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -20,13 +20,13 @@
 typedef struct {
     char task[NM_TASK_NAME_MAX];
     int64_t run;
-    nm_ms_t ends_ms;   /* NM_MS_NEVER: lasts */
+    nm_ms_t ends_ms; /* NM_MS_NEVER: lasts */
     nm_ms_t began_ms;
-    nm_ms_t work_ms;   /* left at began_ms */
+    nm_ms_t work_ms; /* left at began_ms */
     bool fails;
     bool stopping;
-    int serving;       /* image, or -1 */
-    int filler;        /* image, or -1 */
+    int serving; /* image, or -1 */
+    int filler;  /* image, or -1 */
     int64_t cpu_milli;
     bool holds_cpu;
     uint32_t percent;
@@ -88,8 +88,8 @@
     nm_job_spec_init(&spec, id, queues[kind], "press");
     uint32_t steps = kind == 1 ? 2 : 1;
     nm_ms_t estimate = kind == 0 ? 800 : kind == 1 ? 2200 : 0;
-    int image = (int)nm_rng_below(&fleet->rng, kind == 1 ? FILLER_IMAGES
-                                                         : SERVING_IMAGES);
+    int image = (int)nm_rng_below(&fleet->rng,
+                                  kind == 1 ? FILLER_IMAGES : SERVING_IMAGES);
     for (uint32_t s = 0; s < steps; s++) {
         nm_step_t *step = nm_job_spec_add_step(&spec);
         step->task_count = kind == 1 ? 8 : 6;
@@ -178,8 +178,7 @@
     unsigned int step;
     unsigned int index;
     if (sscanf(action->task + 16, ".%u.%u.%u", &occurrence, &step, &index) !=
-        3)
-    {
+        3) {
         return;
     }
     check_doubled(fleet, action->task);
@@ -220,9 +219,8 @@
 end_run(fleet_t *fleet, worker_t *worker, guint index, nm_end_t how)
 {
     run_t *run = &g_array_index(worker->runs, run_t, index);
-    nm_worker_end_t end = {.number = ++worker->last_end,
-                           .run = run->run,
-                           .end = how};
+    nm_worker_end_t end = {
+        .number = ++worker->last_end, .run = run->run, .end = how};
     nm_strcopy(end.task, sizeof(end.task), run->task);
     nm_ms_t worked = fleet->now_ms - run->began_ms;
     if (how == NM_END_STOPPED && run->filler >= 0 && worked >= SAVE_MS) {
@@ -286,9 +284,8 @@
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(nm_worker_run_t));
     for (guint i = 0; i < worker->runs->len; i++) {
         const run_t *run = &g_array_index(worker->runs, run_t, i);
-        nm_worker_run_t row = {.run = run->run,
-                               .percent = run->percent,
-                               .figure = run->figure};
+        nm_worker_run_t row = {
+            .run = run->run, .percent = run->percent, .figure = run->figure};
         nm_strcopy(row.task, sizeof(row.task), run->task);
         g_array_append_val(rows, row);
     }
@@ -511,8 +508,7 @@
     init_queues(&fleet);
     init_workers(&fleet);
     for (fleet.now_ms = TICK_MS; fleet.now_ms < duration;
-         fleet.now_ms += TICK_MS)
-    {
+         fleet.now_ms += TICK_MS) {
         if (fleet.now_ms == 500) {
             for (uint32_t i = 0; i < desc->services; i++) {
                 add_job(&fleet, 2);
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -15,18 +15,18 @@
 
 typedef struct {
     uint64_t seed;
-    uint32_t workers;       /* 0: 48 */
-    int64_t cpu_milli;      /* of a worker; 0: 64000 */
-    double checks_per_s;    /* short jobs of 6 tasks */
-    double fillers_per_s;   /* jobs of two steps of 8 fillers */
-    double services_per_s;  /* jobs of 6 lasting tasks */
-    uint32_t services;      /* lasting jobs at the start */
-    double burst;           /* factor of fillers_per_s from 5 s to 11 s */
-    double heavy;           /* share of pairs of images that disturb */
-    double poison;          /* share of fillers' jobs that always fail */
-    uint32_t failing;       /* workers that fail what they start */
-    uint32_t dark;          /* workers that do not answer from 8 s on */
-    nm_ms_t duration_ms;    /* 0: 30000 */
+    uint32_t workers;      /* 0: 48 */
+    int64_t cpu_milli;     /* of a worker; 0: 64000 */
+    double checks_per_s;   /* short jobs of 6 tasks */
+    double fillers_per_s;  /* jobs of two steps of 8 fillers */
+    double services_per_s; /* jobs of 6 lasting tasks */
+    uint32_t services;     /* lasting jobs at the start */
+    double burst;          /* factor of fillers_per_s from 5 s to 11 s */
+    double heavy;          /* share of pairs of images that disturb */
+    double poison;         /* share of fillers' jobs that always fail */
+    uint32_t failing;      /* workers that fail what they start */
+    uint32_t dark;         /* workers that do not answer from 8 s on */
+    nm_ms_t duration_ms;   /* 0: 30000 */
 } fleet_desc_t;
 
 typedef struct {
@@ -34,15 +34,15 @@
     uint32_t checks_in_time;
     uint32_t fillers;
     uint32_t fillers_in_time;
-    double serving_s; /* seconds of serving tasks at work */
-    double harmed_s;  /* of these, with the tail over its target */
-    double waiting_s; /* of lasting tasks that are not at work */
+    double serving_s;        /* seconds of serving tasks at work */
+    double harmed_s;         /* of these, with the tail over its target */
+    double waiting_s;        /* of lasting tasks that are not at work */
     nm_ms_t longest_over_ms; /* longest time of one task over its target */
     uint32_t starts;
     uint32_t stops;
     uint32_t looks;
-    uint32_t overfull; /* workers seen over their capacity */
-    uint32_t doubled;  /* tasks seen twice at a time */
+    uint32_t overfull;  /* workers seen over their capacity */
+    uint32_t doubled;   /* tasks seen twice at a time */
     double processor_s; /* used by the scheduler */
 } fleet_info_t;
 
--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -94,8 +94,8 @@
     nm_orders_http_t orders;
     nm_kv_t *kv = nm_kv_http_init(&store, http, settings->store_address);
     nm_order_port_t *port = nm_orders_http_init(&orders, http);
-    nm_call_front_t *front = nm_front_http_new(settings->front_address,
-                                               settings->ready_address);
+    nm_call_front_t *front =
+        nm_front_http_new(settings->front_address, settings->ready_address);
     nm_peer_ask_t *peers = nm_peer_ask_new(settings->peer_address);
     if (!front || !peers) {
         nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:s,s:s}",
--- a/include/nutmegdeck/job.h
+++ b/include/nutmegdeck/job.h
@@ -81,7 +81,7 @@
 /* JSON text of a specification, to be freed with free(). */
 char *nm_job_record_encode(const nm_job_spec_t *spec);
 /* Returns NM_ERR_CORRUPT for anything but a valid record. */
-int nm_job_record_decode(nm_job_spec_t *spec, const char *id,
-                         const void *data, uint32_t bytes);
+int nm_job_record_decode(nm_job_spec_t *spec, const char *id, const void *data,
+                         uint32_t bytes);
 
 #endif
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -28,10 +28,10 @@
 typedef struct nm_sched nm_sched_t;
 
 typedef struct {
-    int64_t epoch;       /* fencing token of this owner */
-    nm_ms_t lease_ms;    /* of what runs on a worker; 0: 7000 */
+    int64_t epoch;        /* fencing token of this owner */
+    nm_ms_t lease_ms;     /* of what runs on a worker; 0: 7000 */
     nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 7000 */
-    nm_ms_t stop_max_ms; /* longest duration of a stop; 0: 400 */
+    nm_ms_t stop_max_ms;  /* longest duration of a stop; 0: 400 */
     nm_ms_t gang_wait_ms;
     uint32_t spread_factor; /* slowdown away from the data; 0: 3 */
     uint64_t seed;
@@ -87,9 +87,9 @@
     int64_t incarnation;
     char task[NM_TASK_NAME_MAX];
     int64_t run;
-    int64_t expiry_ms; /* on the worker's clock */
-    int64_t acked;     /* HOLD: ends up to here may be forgotten */
-    nm_ms_t wait_ms;   /* HOLD: how long to wait for an end */
+    int64_t expiry_ms;      /* on the worker's clock */
+    int64_t acked;          /* HOLD: ends up to here may be forgotten */
+    nm_ms_t wait_ms;        /* HOLD: how long to wait for an end */
     const char *payload;    /* START; valid until the next call */
     const char *checkpoint; /* START; "" if there is none */
     uint32_t percent;       /* PACE */
@@ -201,8 +201,7 @@
 /* Returns the next worker that was forgotten, to be freed, or NULL. */
 char *nm_sched_next_gone(nm_sched_t *sched);
 /* A worker that an earlier owner used; it may run tasks unseen. */
-void nm_sched_expect_worker(nm_sched_t *sched, const char *id,
-                            nm_ms_t now_ms);
+void nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms);
 
 void nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
                        nm_order_result_t result, nm_ms_t now_ms);
--- a/src/call.h
+++ b/src/call.h
@@ -25,10 +25,10 @@
     nm_ms_t deadline_ms; /* how long the caller waits; 0: not said */
     /* The answer. */
     int status;
-    char *answer;          /* JSON text */
+    char *answer;           /* JSON text */
     uint32_t retry_after_s; /* 0: none */
-    bool close;            /* ask the caller to use another connection */
-    void *connection;      /* of the front */
+    bool close;             /* ask the caller to use another connection */
+    void *connection;       /* of the front */
 } nm_call_t;
 
 typedef struct nm_call_front nm_call_front_t;
--- a/src/entry.c
+++ b/src/entry.c
@@ -31,19 +31,20 @@
 on_config(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
-    if (strcmp(item->key, entry->desc.codec->config_key) != 0 || !item->value) {
+    if (strcmp(item->key, entry->desc.codec->config_key) != 0 || !item->value)
+    {
         return;
     }
-    nm_deployment_t *deployment = entry->desc.codec->decode_deployment(
-        item->value, item->value_bytes);
+    nm_deployment_t *deployment =
+        entry->desc.codec->decode_deployment(item->value, item->value_bytes);
     if (!deployment) {
         nm_count_reason(NM_REASON_SETTINGS_CORRUPT);
         nm_log(NM_LOG_ERROR, NM_LOG_ITEM_SETTINGS_REFUSED, "{s:s}", "reason",
                "it cannot be read");
         return;
     }
-    if (entry->deployment &&
-        deployment->version <= entry->deployment->version) {
+    if (entry->deployment && deployment->version <= entry->deployment->version)
+    {
         nm_count_reason(NM_REASON_SETTINGS_STALE);
         nm_deployment_free(deployment);
         return;
@@ -117,9 +118,8 @@
     assert(desc && desc->kv && desc->orders && desc->front && desc->codec);
     nm_entry_t *entry = g_new0(nm_entry_t, 1);
     entry->desc = *desc;
-    nm_rng_init(&entry->rng,
-                (uint64_t)nm_entry_unix_ms() ^
-                    nm_hash(desc->name, strlen(desc->name)));
+    nm_rng_init(&entry->rng, (uint64_t)nm_entry_unix_ms() ^
+                                 nm_hash(desc->name, strlen(desc->name)));
     entry->orders = nm_order_relay_init(
         &entry->relay, &(nm_order_relay_desc_t){.direct = desc->orders,
                                                 .peers = desc->peers,
@@ -178,8 +178,7 @@
     }
     nm_ms_t since = now_ms - entry->stop_ms;
     bool quiet = since >= DRAIN_MS && now_ms - entry->quiet_ms >= QUIET_MS;
-    entry->stopped =
-        quiet || since >= entry->desc.grace_ms - GRACE_MARGIN_MS;
+    entry->stopped = quiet || since >= entry->desc.grace_ms - GRACE_MARGIN_MS;
 }
 
 nm_ms_t
--- a/src/entry.h
+++ b/src/entry.h
@@ -31,7 +31,7 @@
     double cpu_share;         /* of a core; more is chosen as owner first */
     nm_ms_t stop_max_ms;      /* longest duration of a task's stop */
     nm_ms_t gang_wait_ms;
-    nm_ms_t grace_ms;         /* from the stop signal to the kill */
+    nm_ms_t grace_ms; /* from the stop signal to the kill */
     uint32_t spread_factor;
     const nm_clock_t *clock;
     nm_kv_t *kv;
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -50,7 +50,7 @@
     char *record;
     nm_ms_t began_ms;
     nm_ms_t deadline_ms;
-    nm_ms_t retry_ms;   /* next try; NM_MS_NEVER: none */
+    nm_ms_t retry_ms; /* next try; NM_MS_NEVER: none */
     nm_ms_t ask_until_ms;
     uint64_t asked; /* number of our question; 0: none */
     bool asked_once;
@@ -72,14 +72,13 @@
 nm_calls_init(nm_entry_t *entry)
 {
     g_queue_init(&entry->calls);
-    entry->asks = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-                                        NULL);
+    entry->asks =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 }
 
 static void
 free_op(nm_op_t *op)
 {
-    g_queue_unlink(&op->entry->calls, &op->link);
     g_free(op->record);
     g_free(op);
 }
@@ -87,8 +86,9 @@
 void
 nm_calls_finish(nm_entry_t *entry)
 {
-    while (entry->calls.head) {
-        free_op(entry->calls.head->data);
+    GList *link;
+    while ((link = g_queue_pop_head_link(&entry->calls))) {
+        free_op(link->data);
     }
     g_hash_table_destroy(entry->asks);
 }
@@ -127,6 +127,7 @@
         if (op->asked) {
             g_hash_table_remove(op->entry->asks, &op->asked);
         }
+        g_queue_unlink(&op->entry->calls, &op->link);
         free_op(op);
     }
 }
@@ -361,8 +362,8 @@
 static nm_job_state_t
 stored_state(const nm_store_kv_t *item)
 {
-    json_t *record = json_loadb((const char *)item->value, item->value_bytes,
-                                0, NULL);
+    json_t *record =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
     const char *state = json_string_value(json_object_get(record, "state"));
     nm_job_state_t found = NM_JOB_RUNNING;
     for (nm_job_state_t s = NM_JOB_QUEUED; state && s <= NM_JOB_CANCELLED; s++)
@@ -383,8 +384,7 @@
         return;
     }
     if (result->rc == NM_OK && result->item_count > 0 &&
-        result->items[0].value)
-    {
+        result->items[0].value) {
         succeed(op, stored_state(&result->items[0]), 0);
     }
     else if (result->rc == NM_ERR_NOT_FOUND) {
@@ -538,8 +538,8 @@
         refuse(entry, call, NM_REASON_NO_SERVICE, 404, 0);
         return;
     }
-    nm_ms_t wait = call->deadline_ms > 0 ? call->deadline_ms
-                                         : DEFAULT_DEADLINE_MS;
+    nm_ms_t wait =
+        call->deadline_ms > 0 ? call->deadline_ms : DEFAULT_DEADLINE_MS;
     nm_ms_t budget = MAX(wait - DEADLINE_GUARD_MS, wait / 2);
     const char *id = call->target + strlen(path->prefix);
     if (call->method == NM_METHOD_GET && id[0] == '\0') {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -74,8 +74,8 @@
 void
 nm_owner_init(nm_entry_t *entry)
 {
-    entry->roster = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                          NULL);
+    entry->roster =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     entry->roster_wanted =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     entry->progress = g_ptr_array_new();
@@ -143,15 +143,14 @@
         }
         return;
     }
-    json_t *record = json_loadb((const char *)item->value, item->value_bytes,
-                                0, NULL);
+    json_t *record =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
     const char *name = json_string_value(json_object_get(record, "name"));
     const char *address =
         json_string_value(json_object_get(record, "address"));
     const char *token = json_string_value(json_object_get(record, "token"));
     if (name && address && token) {
-        *owner = (nm_owner_t){.present = true,
-                              .revision = item->mod_revision};
+        *owner = (nm_owner_t){.present = true, .revision = item->mod_revision};
         nm_strcopy(owner->name, sizeof(owner->name), name);
         nm_strcopy(owner->address, sizeof(owner->address), address);
         nm_strcopy(owner->token, sizeof(owner->token), token);
@@ -322,17 +321,15 @@
 {
     nm_entry_t *entry = user;
     const char *name = item->key + strlen(NM_KEY_HOSTS);
-    json_t *record = item->value
-                         ? json_loadb((const char *)item->value,
-                                      item->value_bytes, 0, NULL)
-                         : NULL;
+    json_t *record = item->value ? json_loadb((const char *)item->value,
+                                              item->value_bytes, 0, NULL)
+                                 : NULL;
     const char *address =
         json_string_value(json_object_get(record, "address"));
     const char *zone = json_string_value(json_object_get(record, "zone"));
     if (address && zone) {
-        nm_relay_host_t host = {
-            .cpu_share =
-                json_number_value(json_object_get(record, "cpu_share"))};
+        nm_relay_host_t host = {.cpu_share = json_number_value(
+                                    json_object_get(record, "cpu_share"))};
         nm_strcopy(host.name, sizeof(host.name), name);
         nm_strcopy(host.address, sizeof(host.address), address);
         nm_strcopy(host.zone, sizeof(host.zone), zone);
@@ -347,8 +344,8 @@
 static void
 take_roster_record(nm_entry_t *entry, const nm_store_kv_t *item)
 {
-    json_t *ids = json_loadb((const char *)item->value, item->value_bytes, 0,
-                             NULL);
+    json_t *ids =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
     size_t i;
     json_t *id;
     json_array_foreach(ids, i, id)
@@ -375,8 +372,8 @@
         int rc = nm_sched_restore_learned(entry->sched, item->value,
                                           item->value_bytes);
         if (rc < 0) {
-            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}",
-                   "reason", nm_error_text(rc));
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}", "reason",
+                   nm_error_text(rc));
         }
     }
 }
@@ -470,10 +467,10 @@
     snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->epoch + 1);
     snprintf(entry->token, sizeof(entry->token), "%016llx",
              (unsigned long long)nm_rng_next(&entry->rng));
-    json_t *record = json_pack(
-        "{s:s,s:s,s:s,s:I}", "name", entry->desc.name, "address",
-        entry->desc.peer_address, "token", entry->token, "epoch",
-        (json_int_t)entry->epoch + 1);
+    json_t *record =
+        json_pack("{s:s,s:s,s:s,s:I}", "name", entry->desc.name, "address",
+                  entry->desc.peer_address, "token", entry->token, "epoch",
+                  (json_int_t)entry->epoch + 1);
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
     nm_store_txn_t txn;
@@ -642,8 +639,8 @@
 {
     json_t *ids = json_array();
     call->roster = true;
-    call->roster_ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                             NULL);
+    call->roster_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     GHashTableIter iter;
     gpointer id;
     g_hash_table_iter_init(&iter, entry->roster_wanted);
@@ -682,8 +679,8 @@
     if (entry->roster_dirty) {
         put_roster(entry, &txn, call);
     }
-    bool learned = now_ms >= entry->learned_due_ms &&
-                   (call->count > 0 || call->roster);
+    bool learned =
+        now_ms >= entry->learned_due_ms && (call->count > 0 || call->roster);
     if (learned) {
         entry->learned_due_ms = now_ms + LEARNED_MS;
         char *text = nm_sched_encode_learned(entry->sched);
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -31,8 +31,8 @@
 }
 
 static double
-get_number(const json_t *document, const char *name, double least,
-           double most, GString *faults)
+get_number(const json_t *document, const char *name, double least, double most,
+           GString *faults)
 {
     const json_t *value = json_object_get(document, name);
     double number = json_number_value(value);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -58,7 +58,7 @@
     nm_owner_t owner;
     int64_t epoch; /* newest in the store */
     int64_t epoch_revision;
-    nm_ms_t vacant_ms; /* since when no owner is known; 0: there is one */
+    nm_ms_t vacant_ms;     /* since when no owner is known; 0: there is one */
     nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
     /* Orders through other hosts, and for them. */
     nm_order_relay_t relay;
@@ -83,7 +83,7 @@
     nm_feed_t progress_feed;
     nm_feed_t owned_feed; /* roster and learned */
     nm_feed_t hosts_feed;
-    GHashTable *roster;      /* worker ids that are stored */
+    GHashTable *roster; /* worker ids that are stored */
     GHashTable *roster_wanted;
     bool roster_dirty;
     GPtrArray *progress; /* loaded records, until the jobs are listed */
--- a/src/feed.c
+++ b/src/feed.c
@@ -35,8 +35,8 @@
     nm_feed_close(feed);
     feed->desc = *desc;
     nm_strcopy(feed->prefix, sizeof(feed->prefix), desc->prefix);
-    feed->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                        g_free);
+    feed->known =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     feed->listed_keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     feed->open = true;
@@ -70,9 +70,9 @@
     if (!seen && !item->value) {
         return;
     }
-    g_hash_table_insert(feed->known, g_strdup(item->key),
-                        g_memdup2(&item->mod_revision,
-                                  sizeof(item->mod_revision)));
+    g_hash_table_insert(
+        feed->known, g_strdup(item->key),
+        g_memdup2(&item->mod_revision, sizeof(item->mod_revision)));
     if (!item->value) {
         g_hash_table_remove(feed->known, item->key);
     }
--- a/src/interference.c
+++ b/src/interference.c
@@ -36,8 +36,8 @@
     nm_effect_t *effects = g_new(nm_effect_t, (size_t)image_max * image_max);
     for (uint32_t s = 0; s < image_max; s++) {
         bool known = s < model->image_max;
-        bases[s] = known ? model->bases[s]
-                         : (nm_effect_t){BASE_MEAN, BASE_VARIANCE};
+        bases[s] =
+            known ? model->bases[s] : (nm_effect_t){BASE_MEAN, BASE_VARIANCE};
         for (uint32_t f = 0; f < image_max; f++) {
             effects[s * image_max + f] =
                 known && f < model->image_max
@@ -177,22 +177,20 @@
     json_t *effects = json_array();
     for (uint32_t s = 1; s <= model->image_count; s++) {
         const nm_effect_t *base = &model->bases[s];
-        json_array_append_new(bases, json_pack("[s,f,f]", names[s], base->mean,
-                                               base->variance));
+        json_array_append_new(
+            bases, json_pack("[s,f,f]", names[s], base->mean, base->variance));
         for (uint32_t f = 1; f <= model->image_count; f++) {
             const nm_effect_t *effect = effect_of(model, s, f);
             if (effect->variance < LEARNED_VARIANCE) {
-                json_array_append_new(effects,
-                                      json_pack("[s,s,f,f]", names[s],
-                                                names[f], effect->mean,
-                                                effect->variance));
+                json_array_append_new(
+                    effects, json_pack("[s,s,f,f]", names[s], names[f],
+                                       effect->mean, effect->variance));
             }
         }
     }
     json_t *record = json_pack("{s:i,s:o,s:o}", "version", RECORD_VERSION,
                                "bases", bases, "effects", effects);
-    char *text = json_dumps(record,
-                            JSON_COMPACT | JSON_REAL_PRECISION(4));
+    char *text = json_dumps(record, JSON_COMPACT | JSON_REAL_PRECISION(4));
     json_decref(record);
     g_free(names);
     return text;
@@ -205,8 +203,7 @@
     assert(model && data);
     json_t *record = json_loadb(data, bytes, 0, NULL);
     if (json_integer_value(json_object_get(record, "version")) !=
-        RECORD_VERSION)
-    {
+        RECORD_VERSION) {
         json_decref(record);
         return NM_ERR_CORRUPT;
     }
@@ -218,8 +215,7 @@
     json_array_foreach(json_object_get(record, "bases"), i, row)
     {
         if (json_unpack(row, "[s,F,F]", &serving, &effect.mean,
-                        &effect.variance) == 0)
-        {
+                        &effect.variance) == 0) {
             uint32_t s = nm_interference_image(model, serving);
             model->bases[s] = effect;
         }
--- a/src/interference.h
+++ b/src/interference.h
@@ -33,7 +33,7 @@
 } nm_effect_t;
 
 typedef struct {
-    GHashTable *images;   /* name -> number, from 1 */
+    GHashTable *images; /* name -> number, from 1 */
     uint32_t image_count;
     uint32_t image_max;   /* side of the table of effects */
     nm_effect_t *bases;   /* by serving image */
--- a/src/job.c
+++ b/src/job.c
@@ -264,7 +264,8 @@
     nm_job_spec_init(spec, id, "", "");
     get_text(record, "queue", spec->queue, sizeof(spec->queue));
     get_text(record, "service", spec->service, sizeof(spec->service));
-    const char *payload = json_string_value(json_object_get(record, "payload"));
+    const char *payload =
+        json_string_value(json_object_get(record, "payload"));
     if (payload) {
         g_free(spec->payload);
         spec->payload = g_strdup(payload);
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -53,8 +53,8 @@
 {
     assert(carry && direct && peers);
     *carry = (nm_order_carry_t){.direct = direct, .peers = peers};
-    carry->owners = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL,
-                                          free_owner);
+    carry->owners =
+        g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, free_owner);
 }
 
 void
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -21,7 +21,7 @@
     nm_relay_host_t desc;
     GPtrArray *queued; /* of NmPb__Order */
     uint32_t open;
-    nm_ms_t asked_ms;    /* oldest order since its last answer; 0: none */
+    nm_ms_t asked_ms; /* oldest order since its last answer; 0: none */
     nm_ms_t down_until_ms;
     nm_ms_t down_ms;
 } carrier_t;
@@ -182,10 +182,10 @@
 {
     assert(relay && desc && desc->direct && desc->peers && desc->clock);
     *relay = (nm_order_relay_t){.base = {&relay_vtable}, .desc = *desc};
-    relay->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                         free_carrier);
-    relay->open = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-                                        free_order);
+    relay->hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_carrier);
+    relay->open =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_order);
     relay->zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     /* Answers to the orders of an earlier life must not meet ours. */
@@ -321,9 +321,8 @@
     g_array_set_size(ends, 0);
     for (size_t i = 0; i < message->n_running; i++) {
         const NmPb__WorkerRun *row = message->running[i];
-        nm_worker_run_t run = {.run = row->run,
-                               .percent = row->percent,
-                               .figure = row->figure};
+        nm_worker_run_t run = {
+            .run = row->run, .percent = row->percent, .figure = row->figure};
         nm_strcopy(run.task, sizeof(run.task), row->task);
         nm_strcopy(run.checkpoint, sizeof(run.checkpoint), row->checkpoint);
         g_array_append_val(running, run);
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -28,8 +28,8 @@
     nm_order_port_t *direct; /* own calls to workers */
     nm_peer_ask_t *peers;
     const nm_clock_t *clock;
-    const char *name;       /* of this host */
-    uint32_t direct_max;    /* workers up to which it needs no carriers */
+    const char *name;    /* of this host */
+    uint32_t direct_max; /* workers up to which it needs no carriers */
 } nm_order_relay_desc_t;
 
 /* An entry host that carries. */
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -167,8 +167,8 @@
     }
     for (int i = 0; i < LINKS_MAX; i++) {
         zmq_msg_t body;
-        if (!peers->links[i].socket ||
-            !receive(peers->links[i].socket, &body)) {
+        if (!peers->links[i].socket || !receive(peers->links[i].socket, &body))
+        {
             continue;
         }
         message->answer = nm_pb__entry_answer__unpack(
--- a/src/sched.c
+++ b/src/sched.c
@@ -75,12 +75,12 @@
     d->spread_factor =
         d->spread_factor ? d->spread_factor : DEFAULT_SPREAD_FACTOR;
     d->retain_ms = d->retain_ms ? d->retain_ms : DEFAULT_RETAIN_MS;
-    sched->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                        free_job);
-    sched->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                          g_free);
-    sched->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                         free_node);
+    sched->jobs =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
+    sched->queues =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    sched->nodes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
     sched->node_list = g_ptr_array_new();
     sched->active = g_ptr_array_new();
     sched->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
@@ -121,8 +121,7 @@
 nm_sched_set_queue(nm_sched_t *sched, const nm_queue_t *queue)
 {
     assert(sched && queue);
-    nm_sched_queue_t *known =
-        g_hash_table_lookup(sched->queues, queue->name);
+    nm_sched_queue_t *known = g_hash_table_lookup(sched->queues, queue->name);
     if (known) {
         known->desc = *queue;
         return;
@@ -183,7 +182,8 @@
     job->shown = NM_JOB_QUEUED;
     job->arrived_ms = now_ms;
     if (recovered && sched->unix_ms > job->spec.accepted_unix_ms) {
-        job->arrived_ms = now_ms - (sched->unix_ms - job->spec.accepted_unix_ms);
+        job->arrived_ms =
+            now_ms - (sched->unix_ms - job->spec.accepted_unix_ms);
     }
     job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
     job->work_count = MAX(job->spec.occurrences, 1);
@@ -328,8 +328,8 @@
     size_t runs = json_array_size(row) - NM_COUNT_OF(value);
     task->failures = (uint32_t)MIN(runs, NM_SCHED_FAILED_RUNS);
     for (uint32_t f = 0; f < task->failures; f++) {
-        task->failed_runs[f] = json_integer_value(
-            json_array_get(row, NM_COUNT_OF(value) + f));
+        task->failed_runs[f] =
+            json_integer_value(json_array_get(row, NM_COUNT_OF(value) + f));
     }
 }
 
@@ -340,8 +340,7 @@
     assert(sched && id && data);
     nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
     json_t *record = json_loadb(data, bytes, 0, NULL);
-    const char *state =
-        json_string_value(json_object_get(record, "state"));
+    const char *state = json_string_value(json_object_get(record, "state"));
     if (!job || !state ||
         json_integer_value(json_object_get(record, "version")) !=
             PROGRESS_VERSION)
@@ -486,8 +485,8 @@
         sched->action_next = 0;
         return false;
     }
-    *action = g_array_index(sched->actions, nm_sched_action_t,
-                            sched->action_next++);
+    *action =
+        g_array_index(sched->actions, nm_sched_action_t, sched->action_next++);
     return true;
 }
 
@@ -540,8 +539,7 @@
 }
 
 int
-nm_sched_restore_learned(nm_sched_t *sched, const void *record,
-                         uint32_t bytes)
+nm_sched_restore_learned(nm_sched_t *sched, const void *record, uint32_t bytes)
 {
     assert(sched && record);
     return nm_interference_decode(&sched->interference, record, bytes);
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -83,11 +83,10 @@
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         if (nm_task_step(task)->target_ms > 0) {
-            task->log_tail =
-                task->tail_offset +
-                nm_interference_predict(&sched->interference,
-                                        nm_task_image(task), node->loads,
-                                        node->load_count);
+            task->log_tail = task->tail_offset +
+                             nm_interference_predict(
+                                 &sched->interference, nm_task_image(task),
+                                 node->loads, node->load_count);
             node->harm += nm_interference_risk(task->log_tail);
         }
     }
@@ -103,8 +102,8 @@
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         if (nm_task_step(task)->target_ms > 0) {
-            double effect = nm_interference_effect(
-                &sched->interference, nm_task_image(task), load);
+            double effect = nm_interference_effect(&sched->interference,
+                                                   nm_task_image(task), load);
             harm += nm_interference_risk(task->log_tail + effect);
         }
     }
@@ -151,8 +150,8 @@
         else if (task->over_since_ms == 0) {
             task->over_since_ms = now_ms;
         }
-        node->calm = node->calm &&
-                     (double)task->figure < CALM_SHARE * (double)target;
+        node->calm =
+            node->calm && (double)task->figure < CALM_SHARE * (double)target;
     }
 }
 
@@ -192,12 +191,11 @@
         double tail = log((double)task->figure / (double)step->target_ms);
         /* Far over its target, the figure says little about how far. */
         tail = MIN(tail, LOG_TAIL_MAX);
-        double error = nm_interference_observe(
-            &sched->interference, nm_task_image(task), node->loads,
-            node->load_count, tail);
+        double error =
+            nm_interference_observe(&sched->interference, nm_task_image(task),
+                                    node->loads, node->load_count, tail);
         task->tail_offset += OFFSET_GAIN * (error - task->tail_offset);
-        task->tail_offset =
-            CLAMP(task->tail_offset, -OFFSET_MAX, OFFSET_MAX);
+        task->tail_offset = CLAMP(task->tail_offset, -OFFSET_MAX, OFFSET_MAX);
     }
     node->loads_known = false;
 }
@@ -266,10 +264,9 @@
             pace(sched, node, worst, 0, now_ms);
         }
     }
-    else if (paused && !over && node->calm && nm_sched_filler_cost(sched, node,
-                                            nm_task_step(paused),
-                                            nm_task_image(paused)) <
-                           RESUME_COST)
+    else if (paused && !over && node->calm &&
+             nm_sched_filler_cost(sched, node, nm_task_step(paused),
+                                  nm_task_image(paused)) < RESUME_COST)
     {
         pace(sched, node, paused, 100, now_ms);
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -2,10 +2,10 @@
  * Which waiting task starts next, and where.
  *
  * Answers this load: bursts of wide jobs beyond the workers' capacity,
- * beside lasting tasks that take all room they get.  The order is credit for each unit of
- * remaining work, so that started jobs finish and a crowd of large jobs
- * does not delay the small ones; a job whose objective can no longer be met
- * goes behind those whose can.
+ * beside lasting tasks that take all room they get.  The order is credit for
+ * each unit of remaining work, so that started jobs finish and a crowd of
+ * large jobs does not delay the small ones; a job whose objective can no
+ * longer be met goes behind those whose can.
  */
 #include "sched_state.h"
 
@@ -51,8 +51,9 @@
 bool
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    return node->known && node->admitted && node->announced && node->fenced && node->reachable &&
-           node->clock_known && node->desc.state == NM_WORKER_READY &&
+    return node->known && node->admitted && node->announced && node->fenced &&
+           node->reachable && node->clock_known &&
+           node->desc.state == NM_WORKER_READY &&
            now_ms >= node->avoid_until_ms;
 }
 
@@ -66,8 +67,8 @@
     double left = (double)MAX(job->work_left, 1);
     double credit = work;
     if (job->queue) {
-        credit = FIXED_CREDIT * job->queue->mean_work +
-                 (1 - FIXED_CREDIT) * work;
+        credit =
+            FIXED_CREDIT * job->queue->mean_work + (1 - FIXED_CREDIT) * work;
         credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
     }
     nm_ms_t age = now_ms - job->arrived_ms;
@@ -99,7 +100,9 @@
     double rank = -1;
     for (uint32_t w = 0; w < job->work_count; w++) {
         nm_work_t *work = &job->works[w];
-        if (job->state >= NM_JOB_COMPLETED || work->finished || work->due_unix_ms > sched->unix_ms) {
+        if (job->state >= NM_JOB_COMPLETED || work->finished ||
+            work->due_unix_ms > sched->unix_ms)
+        {
             continue;
         }
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
@@ -140,8 +143,8 @@
 static bool
 fits(const nm_sched_node_t *node, const nm_step_t *step)
 {
-    bool cpu = step->is_filler || node->cpu_used + step->cpu_milli <=
-                                      node->desc.cpu_milli;
+    bool cpu = step->is_filler ||
+               node->cpu_used + step->cpu_milli <= node->desc.cpu_milli;
     return cpu &&
            node->memory_used + step->memory_mb <= node->desc.memory_mb &&
            node->accelerators_used + step->accelerators <=
@@ -188,8 +191,7 @@
 may_run(const nm_sched_node_t *node, const candidate_t *candidate,
         const char *service, nm_ms_t now_ms)
 {
-    const nm_step_t *step =
-        &candidate->work->job->spec.steps[candidate->step];
+    const nm_step_t *step = &candidate->work->job->spec.steps[candidate->step];
     return nm_node_is_usable(node, now_ms) &&
            strcmp(node->desc.service, service) == 0 &&
            (step->label[0] == '\0' || has_label(node, step->label)) &&
@@ -213,8 +215,7 @@
     const nm_sched_job_t *job = candidate->work->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
     if (!fits(node, step) ||
-        !may_run(node, candidate, service_of(job), now_ms))
-    {
+        !may_run(node, candidate, service_of(job), now_ms)) {
         return false;
     }
     if (step->is_filler) {
@@ -246,8 +247,7 @@
     double best_score = -INFINITY;
     guint fitting = 0;
     for (guint i = 0; i < count && fitting < SAMPLE_FITTING; i++) {
-        nm_sched_node_t *node =
-            sched->node_list->pdata[(begin + i) % count];
+        nm_sched_node_t *node = sched->node_list->pdata[(begin + i) % count];
         double score;
         if (!score_node(sched, candidate, task, node, now_ms, &score)) {
             continue;
@@ -342,14 +342,12 @@
     }
     /* All members resume from the same checkpoint. */
     const char *checkpoint = work->steps[candidate->step][0].checkpoint;
-    for (uint32_t i = 0; i < step->task_count && chosen->len ==
-                                                     step->task_count;
-         i++)
+    for (uint32_t i = 0;
+         i < step->task_count && chosen->len == step->task_count; i++)
     {
         nm_task_t *task = &work->steps[candidate->step][i];
         if (i > 0) {
-            nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
-                       checkpoint);
+            nm_strcopy(task->checkpoint, sizeof(task->checkpoint), checkpoint);
         }
         nm_sched_start_task(sched, task, chosen->pdata[i], run, now_ms);
     }
@@ -408,8 +406,8 @@
     g_array_sort(candidates, compare_candidates);
     need_t refused = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
     for (guint i = 0; i < candidates->len; i++) {
-        place_step(sched, &g_array_index(candidates, candidate_t, i),
-                   &refused, now_ms);
+        place_step(sched, &g_array_index(candidates, candidate_t, i), &refused,
+                   now_ms);
     }
     g_array_free(candidates, TRUE);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -61,7 +61,7 @@
     nm_run_state_t state;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS]; /* those that are counted */
-    nm_sched_node_t *node;  /* where it is starting, running or stopping */
+    nm_sched_node_t *node; /* where it is starting, running or stopping */
     int64_t run;
     nm_ms_t sent_ms;      /* last order for it */
     nm_ms_t started_ms;   /* confirmed */
@@ -74,8 +74,8 @@
     uint32_t wanted_percent;
     int64_t figure;
     nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
-    double log_tail;    /* predicted, with its own offset */
-    double tail_offset; /* of its tail's logarithm against the model */
+    double log_tail;       /* predicted, with its own offset */
+    double tail_offset;    /* of its tail's logarithm against the model */
     nm_ms_t paced_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
     char checkpoint[NM_CHECKPOINT_MAX];
@@ -103,12 +103,12 @@
     bool cancelled;
     bool started; /* any task was ever started */
     bool lasts;
-    uint64_t change; /* newest change to store */
+    uint64_t change;       /* newest change to store */
     uint64_t first_change; /* oldest change that is not stored */
-    uint64_t saved;  /* newest change stored */
+    uint64_t saved;        /* newest change stored */
     bool saving;
     bool urgent;
-    uint32_t *images; /* by step: number in the interference model */
+    uint32_t *images;  /* by step: number in the interference model */
     int64_t work_left; /* core-ms by estimates */
     int64_t work_total;
     nm_ms_t objective_ms; /* after arrival */
@@ -136,13 +136,13 @@
     int64_t clock_ms; /* at clock_at_ms or later */
     nm_ms_t clock_at_ms;
     bool clock_known;
-    int64_t expiry_ms;  /* newest lease sent, on its clock */
-    nm_ms_t lapse_ms;   /* when that has lapsed for certain, our clock */
-    int64_t ends_seen;  /* newest end processed */
-    int64_t ends_acked; /* newest end that may be forgotten */
+    int64_t expiry_ms;       /* newest lease sent, on its clock */
+    nm_ms_t lapse_ms;        /* when that has lapsed for certain, our clock */
+    int64_t ends_seen;       /* newest end processed */
+    int64_t ends_acked;      /* newest end that may be forgotten */
     int64_t ends_acked_sent; /* newest one that a hold carried */
-    GQueue marks;       /* of nm_end_mark_t */
-    GPtrArray *tasks;   /* starting, running or stopping here */
+    GQueue marks;            /* of nm_end_mark_t */
+    GPtrArray *tasks;        /* starting, running or stopping here */
     int64_t cpu_used;
     int64_t memory_used;
     int32_t accelerators_used;
@@ -157,19 +157,19 @@
     bool had_targets;
     nm_filler_load_t loads[NM_SCHED_LOADS_MAX]; /* by filler image */
     uint32_t load_count;
-    bool loads_known;  /* loads, harm and the tasks' log_tail are current */
-    double harm;       /* expected number of serving tasks over target */
+    bool loads_known; /* loads, harm and the tasks' log_tail are current */
+    double harm;      /* expected number of serving tasks over target */
     nm_ms_t repeat_due_ms;
     bool calm; /* no serving task is near its target */
 };
 
 struct nm_sched {
     nm_sched_desc_t desc;
-    GHashTable *jobs;   /* id -> nm_sched_job_t */
-    GHashTable *queues; /* name -> nm_sched_queue_t */
-    GHashTable *nodes;  /* id -> nm_sched_node_t */
+    GHashTable *jobs;     /* id -> nm_sched_job_t */
+    GHashTable *queues;   /* name -> nm_sched_queue_t */
+    GHashTable *nodes;    /* id -> nm_sched_node_t */
     GPtrArray *node_list; /* the same, to be drawn from */
-    GPtrArray *active;  /* jobs that have not ended */
+    GPtrArray *active;    /* jobs that have not ended */
     GArray *actions;
     guint action_next;
     GQueue gone;  /* ids of workers that were forgotten */
@@ -201,8 +201,8 @@
 void nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
                            nm_ms_t now_ms);
 /* Applies the end of the task's current run. */
-void nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end,
-                 int64_t run, nm_ms_t now_ms);
+void nm_task_end(nm_sched_t *sched, nm_task_t *task, nm_end_t end, int64_t run,
+                 nm_ms_t now_ms);
 void nm_sched_mark(nm_sched_t *sched, nm_sched_job_t *job, bool urgent);
 bool nm_work_step_is_open(const nm_work_t *work, uint32_t step);
 nm_sched_action_t *nm_sched_act(nm_sched_t *sched, nm_sched_node_t *node,
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -322,9 +322,8 @@
 extend_lease(nm_sched_node_t *node, int64_t expiry_ms, nm_ms_t now_ms)
 {
     int64_t left = expiry_ms - nm_node_clock(node, now_ms);
-    nm_ms_t lapse =
-        now_ms + (nm_ms_t)((double)left * NM_SCHED_CLOCK_SLOW) +
-        NM_SCHED_LAPSE_MARGIN_MS;
+    nm_ms_t lapse = now_ms + (nm_ms_t)((double)left * NM_SCHED_CLOCK_SLOW) +
+                    NM_SCHED_LAPSE_MARGIN_MS;
     node->expiry_ms = MAX(node->expiry_ms, expiry_ms);
     node->lapse_ms = MAX(node->lapse_ms, lapse);
 }
@@ -377,8 +376,7 @@
     if (task->state == NM_RUN_STARTING) {
         task->withdrawn = true;
     }
-    else if (task->state != NM_RUN_RUNNING && task->state != NM_RUN_STOPPING)
-    {
+    else if (task->state != NM_RUN_RUNNING && task->state != NM_RUN_STOPPING) {
         return;
     }
     task->state = NM_RUN_STOPPING;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -347,8 +347,7 @@
     node->ends_seen = row->number;
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     uint64_t before = sched->change;
-    bool current =
-        task && task->node == node && task->run == row->run;
+    bool current = task && task->node == node && task->run == row->run;
     if (current || (task && task->state == NM_RUN_UNSEEN)) {
         if (row->checkpoint[0] != '\0') {
             nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
@@ -447,8 +446,7 @@
     }
     nm_sched_observe_tails(sched, node, now_ms);
     nm_count(NM_COUNTER_SYNCS, 1);
-    node->hold_due_ms =
-        refreshed ? now_ms : now_ms + NM_SCHED_HOLD_PAUSE_MS;
+    node->hold_due_ms = refreshed ? now_ms : now_ms + NM_SCHED_HOLD_PAUSE_MS;
     sched->stale = true;
 }
 
@@ -477,13 +475,12 @@
                                : NM_SCHED_HOLD_WAIT_MS;
     /* What may never answer gets no longer lease by being asked again. */
     if (node->clock_known && node->reachable) {
-        action->expiry_ms =
-            nm_node_clock(node, now_ms) + sched->desc.lease_ms;
+        action->expiry_ms = nm_node_clock(node, now_ms) + sched->desc.lease_ms;
         node->expiry_ms = MAX(node->expiry_ms, action->expiry_ms);
-        nm_ms_t lapse = now_ms +
-                        (nm_ms_t)((double)sched->desc.lease_ms *
-                                  NM_SCHED_CLOCK_SLOW) +
-                        NM_SCHED_LAPSE_MARGIN_MS;
+        nm_ms_t lapse =
+            now_ms +
+            (nm_ms_t)((double)sched->desc.lease_ms * NM_SCHED_CLOCK_SLOW) +
+            NM_SCHED_LAPSE_MARGIN_MS;
         node->lapse_ms = MAX(node->lapse_ms, lapse);
     }
     node->hold_pending = true;
@@ -496,8 +493,7 @@
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
         if (task->order_pending || task->tries == 0 ||
-            now_ms < task->order_due_ms)
-        {
+            now_ms < task->order_due_ms) {
             continue;
         }
         if (task->state == NM_RUN_STOPPING) {
@@ -521,8 +517,8 @@
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
         const nm_step_t *step = nm_task_step(task);
-        bool saved = step->saves_progress &&
-                     node->desc.remaining_ms < DRAIN_MOVE_MS;
+        bool saved =
+            step->saves_progress && node->desc.remaining_ms < DRAIN_MOVE_MS;
         if (task->state == NM_RUN_RUNNING && (step->lasts || saved)) {
             nm_count_reason(NM_REASON_EVICT_LEAVING);
             nm_sched_stop_task(sched, task, now_ms);
@@ -548,8 +544,8 @@
         repeat_orders(sched, node, now_ms);
     }
     bool acks = node->ends_acked > node->ends_acked_sent;
-    bool wanted = !node->fenced || node->tasks->len > 0 || acks ||
-                  !node->reachable;
+    bool wanted =
+        !node->fenced || node->tasks->len > 0 || acks || !node->reachable;
     bool alive = node->announced || node->tasks->len > 0;
     if (wanted && alive && !node->hold_pending && now_ms >= node->hold_due_ms)
     {
--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -31,7 +31,7 @@
     int64_t compacted;
     int64_t next_lease;
     GHashTable *leases;
-    GTree *items;     /* key -> nm_store_kv_t */
+    GTree *items;      /* key -> nm_store_kv_t */
     GPtrArray *events; /* of nm_store_kv_t */
     GQueue calls;
 };
@@ -257,8 +257,7 @@
 {
     for (uint32_t i = 0; i < txn->compare_count; i++) {
         if (key_revision(kv, txn->compares[i].key) !=
-            txn->compares[i].mod_revision)
-        {
+            txn->compares[i].mod_revision) {
             return NM_ERR_CONFLICT;
         }
     }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -303,8 +303,8 @@
             met++;
         }
         run(&host, 1000);
-        g_assert_true(!vacant || strcmp(fake_kv_value(kv, OWNER_KEY),
-                                        rival) == 0);
+        g_assert_true(!vacant ||
+                      strcmp(fake_kv_value(kv, OWNER_KEY), rival) == 0);
         host_finish(&host);
         fake_kv_free(kv);
     }
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -83,9 +83,9 @@
     nm_interference_init(&second);
     /* Numbers of images differ between owners; names do not. */
     nm_interference_image(&second, "another");
-    g_assert_cmpint(nm_interference_decode(&second, text,
-                                           (uint32_t)strlen(text)),
-                    ==, NM_OK);
+    g_assert_cmpint(
+        nm_interference_decode(&second, text, (uint32_t)strlen(text)), ==,
+        NM_OK);
     g_assert_cmpfloat(fabs(risk(&first) - risk(&second)), <, 0.01);
     static const char *const broken[] = {"", "{", "[]", "{\"version\":2}",
                                          "{\"version\":1,\"bases\":[[1]]}"};
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -103,8 +103,7 @@
         const nm_sched_action_t *action =
             &g_array_index(world->actions, nm_sched_action_t, i);
         if (action->type == type &&
-            (!worker || strcmp(action->worker, worker) == 0))
-        {
+            (!worker || strcmp(action->worker, worker) == 0)) {
             return action;
         }
     }
