Hand ownership over at a planned stop

Change: on the stop signal the owner stores its progress, ends the lease and steps down; it goes on serving callers. Test: stopping-owner-hands-over failed on the code before.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -215,6 +215,7 @@
 /* Decides; returns the time until the next call is due. */
 nm_ms_t nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms);
 bool nm_sched_next_action(nm_sched_t *sched, nm_sched_action_t *action);
+bool nm_sched_has_saves(const nm_sched_t *sched);
 /* Returns the next record to store; see nm_sched_saved. */
 bool nm_sched_next_save(nm_sched_t *sched, nm_sched_save_t *save);
 /* Confirms that a record is stored, or gives it back (stored: false). */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -22,6 +22,8 @@
 #define COMMIT_MS 250
 /* ...and ends of jobs this often. */
 #define COMMIT_URGENT_MS 30
+/* A stopping owner waits this long for its last progress to be stored. */
+#define HAND_OVER_MS 400
 /* What was learned goes with a transaction this often. */
 #define LEARNED_MS 2000
 /* Records in one transaction, with room for its compare. */
@@ -772,6 +774,30 @@
     }
 }
 
+static void
+on_lease_ended(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = user;
+    if (result->rc != NM_OK) {
+        /* It ends by itself. */
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_STORE_FAILED, "{s:s,s:s,s:s}", "host",
+               entry->desc.name, "call", "lease end", "reason",
+               nm_error_text(result->rc));
+    }
+}
+
+/* Once its progress is stored, a stopping owner makes room for the next. */
+static void
+hand_over(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    bool stored = entry->role != NM_ROLE_OWNER ||
+                  (!entry->committing && !nm_sched_has_saves(entry->sched));
+    if (stored || now_ms - entry->stop_ms > HAND_OVER_MS) {
+        nm_kv_lease_end(entry->desc.kv, entry->lease, on_lease_ended, entry);
+        nm_owner_step_down(entry, "handed over");
+    }
+}
+
 nm_ms_t
 nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -791,6 +817,10 @@
     if (entry->role == NM_ROLE_OWNER) {
         commit(entry, now_ms);
     }
+    if (entry->stopping && entry->term > 0) {
+        entry->commit_due_ms = now_ms;
+        hand_over(entry, now_ms);
+    }
     nm_ms_t due = MIN(entry->sched_due_ms, entry->renew_due_ms);
     return MAX(due - now_ms, 1);
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -490,6 +490,13 @@
     return true;
 }
 
+bool
+nm_sched_has_saves(const nm_sched_t *sched)
+{
+    assert(sched);
+    return sched->dirty.length > 0;
+}
+
 bool
 nm_sched_next_save(nm_sched_t *sched, nm_sched_save_t *save)
 {
--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -30,7 +30,7 @@
     int64_t revision;
     int64_t compacted;
     int64_t next_lease;
-    GHashTable *leases;
+    GHashTable *leased; /* key -> lease */
     GTree *items;      /* key -> nm_store_kv_t */
     GPtrArray *events; /* of nm_store_kv_t */
     GQueue calls;
@@ -173,7 +173,8 @@
     fake_kv_t *kv = g_new0(fake_kv_t, 1);
     kv->base.vtable = &vtable;
     kv->revision = 1;
-    kv->leases = g_hash_table_new(g_int64_hash, g_int64_equal);
+    kv->leased =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     kv->items = g_tree_new_full(compare_keys, NULL, NULL, free_item);
     kv->events = g_ptr_array_new_with_free_func(free_item);
     g_queue_init(&kv->calls);
@@ -192,7 +193,7 @@
 fake_kv_free(fake_kv_t *kv)
 {
     g_queue_clear_full(&kv->calls, (GDestroyNotify)free_call);
-    g_hash_table_destroy(kv->leases);
+    g_hash_table_destroy(kv->leased);
     g_tree_destroy(kv->items);
     g_ptr_array_free(kv->events, TRUE);
     g_free(kv);
@@ -266,10 +267,32 @@
         const nm_store_op_t *op = &txn->then_ops[i];
         bool put = op->type == NM_STORE_OP_PUT;
         change(kv, op->key, put ? op->value : NULL, op->value_bytes);
+        g_hash_table_remove(kv->leased, op->key);
+        if (put && op->lease_id != 0) {
+            g_hash_table_insert(
+                kv->leased, g_strdup(op->key),
+                g_memdup2(&op->lease_id, sizeof(op->lease_id)));
+        }
     }
     return NM_OK;
 }
 
+static void
+end_lease(fake_kv_t *kv, int64_t lease)
+{
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, kv->leased);
+    kv->revision++;
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (*(int64_t *)value == lease) {
+            change(kv, key, NULL, 0);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
 /* Returns false if the call has to wait. */
 static bool
 answer(fake_kv_t *kv, call_t *call)
@@ -312,6 +335,9 @@
             result.rc = NM_ERR_LOST;
         }
     }
+    else if (call->type == CALL_END) {
+        end_lease(kv, call->lease);
+    }
     else if (call->type == CALL_GRANT) {
         result.lease = ++kv->next_lease;
     }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -333,6 +333,29 @@
     fake_kv_free(kv);
 }
 
+/* A planned stop leaves no gap: another host owns the workers at once. */
+static void
+test_stopping_owner_hands_over(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    host_t first;
+    host_t second;
+    host_init(&first, "a", kv);
+    run(&first, 1000);
+    host_init(&second, "b", kv);
+    run(&second, 500);
+    nm_entry_stop(first.entry);
+    for (int i = 0; i < 60; i++) {
+        run(&first, 10);
+        run(&second, 10);
+    }
+    g_assert_nonnull(strstr(fake_kv_value(kv, OWNER_KEY), "\"name\":\"b\""));
+    host_finish(&first);
+    host_finish(&second);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -345,5 +368,7 @@
                     test_election_replaces_no_rival);
     g_test_add_func("/entry/restarted-owner-takes-over",
                     test_restarted_owner_takes_over);
+    g_test_add_func("/entry/stopping-owner-hands-over",
+                    test_stopping_owner_hands_over);
     return g_test_run();
 }
