Repeat lost orders at once, try silent carriers out with one order

Change: time-outs near the calls' real times, the first repetition after 20 ms, shorter holds while many are lost, carriers on trial.

--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 /* An order's own time-out at the carrier, and the way there and back. */
-#define ORDER_TIMEOUT_MS 1300
+#define ORDER_TIMEOUT_MS 900
 /* Added to the time that a hold may wait. */
-#define HOLD_MARGIN_MS 1400
+#define HOLD_MARGIN_MS 1000
 /* A carrier without any answer for this long is left out... */
-#define SILENT_MS 1300
+#define SILENT_MS 800
 /* ...for so long, doubled with each further silence. */
 #define DOWN_MS 2000
 #define DOWN_MAX_MS 16000
@@ -77,7 +77,8 @@
 }
 
 static carrier_t *
-choose_carrier(nm_order_relay_t *relay, const char *worker, nm_ms_t now_ms)
+choose_carrier(nm_order_relay_t *relay, const char *worker, nm_ms_t wait_ms,
+               nm_ms_t now_ms)
 {
     const char *zone = g_hash_table_lookup(relay->zones, worker);
     if (!zone || g_hash_table_size(relay->zones) <= relay->desc.direct_max) {
@@ -90,7 +91,10 @@
     g_hash_table_iter_init(&iter, relay->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
+        /* After a silence one order at a time tries it out. */
+        bool on_trial = carrier->down_ms > 0;
         if (now_ms < carrier->down_until_ms ||
+            (on_trial && (carrier->asked_ms > 0 || wait_ms > 0)) ||
             strcmp(carrier->desc.zone, zone) != 0 ||
             strcmp(carrier->desc.name, relay->desc.name) == 0)
         {
@@ -147,7 +151,8 @@
 {
     nm_order_relay_t *relay = (nm_order_relay_t *)port;
     nm_ms_t now_ms = nm_clock_now(relay->desc.clock);
-    carrier_t *carrier = choose_carrier(relay, action->worker, now_ms);
+    carrier_t *carrier = choose_carrier(relay, action->worker,
+                                        action->wait_ms, now_ms);
     if (!carrier) {
         nm_order_port_send(relay->desc.direct, action, epoch, done, user);
         return;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -22,10 +22,23 @@
 #define NM_SCHED_HOLD_WAIT_MS 2000
 /* ...or this long where serving tasks stand beside fillers. */
 #define NM_SCHED_HOLD_SHARED_MS 500
+/*
+ * ...or this long while many holds get no answer: an end is then seen late
+ * by the time that a lost hold takes to be given up.
+ */
+#define NM_SCHED_HOLD_LOSSY_MS 150
+/* Share of holds without an answer from which on that is so. */
+#define NM_SCHED_LOSSY 0.015
+/* Part of one hold in that share. */
+#define NM_SCHED_LOSS_GAIN 0.01
 /* Ends that come close together are fetched by one hold. */
 #define NM_SCHED_HOLD_PAUSE_MS 130
-/* Pause before a hold or an order without an answer is repeated. */
+/* Pause before a hold or an order without an answer is repeated... */
 #define NM_SCHED_RETRY_MS 300
+/* ...the first time: one order in many is lost, a worker seldom. */
+#define NM_SCHED_FIRST_RETRY_MS 20
+/* Holds without an answer after which a worker gets no new tasks. */
+#define NM_SCHED_HOLD_FAILURES 2
 /* A start that got no answer this often is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 
@@ -128,7 +141,8 @@
     bool admitted;  /* stored, so that a new owner looks for it */
     bool known;     /* described; otherwise only expected */
     bool fenced;    /* answered to our epoch in this incarnation */
-    bool reachable; /* its last hold was answered */
+    bool reachable; /* one of its last holds was answered */
+    uint32_t hold_failures; /* in a row */
     bool hold_pending;
     nm_ms_t hold_due_ms;
     nm_ms_t hold_sent_ms;
@@ -179,6 +193,7 @@
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
+    double hold_loss; /* share of holds without an answer */
     bool stale; /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -233,7 +233,10 @@
         withdraw_start(sched, task, now_ms);
         break;
     default:
-        task->order_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        task->order_due_ms =
+            now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
+                                       : NM_SCHED_RETRY_MS);
+        node->repeat_due_ms = now_ms;
         break;
     }
 }
@@ -263,7 +266,10 @@
         }
         return;
     }
-    task->order_due_ms = now_ms + NM_SCHED_RETRY_MS;
+    task->order_due_ms =
+        now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
+                                   : NM_SCHED_RETRY_MS);
+    node->repeat_due_ms = now_ms;
 }
 
 void
@@ -415,10 +421,19 @@
         sched->fenced = true;
         return;
     }
+    /* Repeated ones tell of the worker, not of calls in general. */
+    if (node->hold_failures == 0) {
+        double lost = report->result == NM_ORDER_UNKNOWN;
+        sched->hold_loss += NM_SCHED_LOSS_GAIN * (lost - sched->hold_loss);
+    }
     if (report->result != NM_ORDER_DONE) {
-        node->reachable = false;
+        node->hold_failures++;
+        node->reachable = node->reachable && node->fenced &&
+                          node->hold_failures < NM_SCHED_HOLD_FAILURES;
         node->ends_acked_sent = 0;
-        node->hold_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        node->hold_due_ms =
+            now_ms + (node->hold_failures == 1 ? NM_SCHED_FIRST_RETRY_MS
+                                               : NM_SCHED_RETRY_MS);
         return;
     }
     if (report->incarnation < node->desc.incarnation) {
@@ -430,6 +445,7 @@
     }
     bool refreshed = !node->reachable || !node->fenced;
     node->reachable = true;
+    node->hold_failures = 0;
     node->fenced = true;
     node->answered_ms = now_ms;
     node->clock_ms = report->clock_ms;
@@ -468,13 +484,16 @@
     nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_HOLD);
     action->acked = node->ends_acked;
     node->ends_acked_sent = node->ends_acked;
-    bool quick = !node->fenced || !node->reachable || node->tasks->len == 0;
+    bool quick = !node->fenced || node->hold_failures > 0 ||
+                 node->tasks->len == 0;
     bool shared = node->fillers > 0 && node->targets > 0;
+    bool lossy = sched->hold_loss > NM_SCHED_LOSSY;
     action->wait_ms = quick    ? 0
+                      : lossy  ? NM_SCHED_HOLD_LOSSY_MS
                       : shared ? NM_SCHED_HOLD_SHARED_MS
                                : NM_SCHED_HOLD_WAIT_MS;
     /* What may never answer gets no longer lease by being asked again. */
-    if (node->clock_known && node->reachable) {
+    if (node->clock_known && node->hold_failures == 0) {
         action->expiry_ms = nm_node_clock(node, now_ms) + sched->desc.lease_ms;
         node->expiry_ms = MAX(node->expiry_ms, action->expiry_ms);
         nm_ms_t lapse =
