Batch orders and answers for 8 ms; skip the search for unseen tasks

Each round looked through all tasks of all jobs for recovered ones, and each answer was a message of its own. Change: the search runs only after a takeover; batches.

--- a/src/entry.c
+++ b/src/entry.c
@@ -191,8 +191,8 @@
     nm_ms_t wait = nm_calls_run(entry, now_ms);
     nm_ms_t owner_wait = nm_owner_run(entry, now_ms);
     register_host(entry, now_ms);
-    nm_order_relay_flush(&entry->relay, now_ms);
-    nm_order_carry_flush(&entry->carry);
+    wait = MIN(wait, nm_order_relay_flush(&entry->relay, now_ms));
+    wait = MIN(wait, nm_order_carry_flush(&entry->carry, now_ms));
     set_ready(entry);
     if (entry->stopping) {
         check_stopped(entry, now_ms);
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -3,6 +3,10 @@
 #include <assert.h>
 #include <string.h>
 
+#include "order_relay.h"
+
+#define IDLE_MS 1000
+
 /* Answers that wait for one owner. */
 typedef struct {
     GBytes *route;
@@ -126,6 +130,7 @@
     message->report =
         report && result == NM_ORDER_DONE ? encode_report(report) : NULL;
     g_ptr_array_add(owner->results, message);
+    order->carry->queued++;
     g_bytes_unref(order->route);
     g_free(order);
 }
@@ -160,10 +165,16 @@
     g_bytes_unref(route);
 }
 
-void
-nm_order_carry_flush(nm_order_carry_t *carry)
+nm_ms_t
+nm_order_carry_flush(nm_order_carry_t *carry, nm_ms_t now_ms)
 {
     assert(carry);
+    nm_ms_t due = carry->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
+    if (carry->queued == 0 || due > 0) {
+        return carry->queued > 0 ? due : IDLE_MS;
+    }
+    carry->flushed_ms = now_ms;
+    carry->queued = 0;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, carry->owners);
@@ -180,4 +191,5 @@
         nm_peer_ask_answer(carry->peers, route, (uint32_t)bytes, &answer);
         g_hash_table_iter_remove(&iter);
     }
+    return IDLE_MS;
 }
--- a/src/order_carry.h
+++ b/src/order_carry.h
@@ -4,7 +4,7 @@
  *     nm_order_carry_t carry;
  *     nm_order_carry_init(&carry, direct, peers);
  *     nm_order_carry_take(&carry, &message);
- *     nm_order_carry_flush(&carry);           (at the end of each round)
+ *     nm_order_carry_flush(&carry, now_ms);   (at the end of each round)
  *     nm_order_carry_finish(&carry);
  */
 #ifndef NM_ORDER_CARRY_H
@@ -18,6 +18,8 @@
 typedef struct {
     nm_order_port_t *direct;
     nm_peer_ask_t *peers;
+    nm_ms_t flushed_ms;
+    uint32_t queued;
     GHashTable *owners; /* route -> answers that wait for the next flush */
 } nm_order_carry_t;
 
@@ -27,6 +29,7 @@
 /* Sends the orders of a message to their workers. */
 void nm_order_carry_take(nm_order_carry_t *carry,
                          const nm_peer_message_t *message);
-void nm_order_carry_flush(nm_order_carry_t *carry);
+/* Sends what is queued; returns the time until it is to be called again. */
+nm_ms_t nm_order_carry_flush(nm_order_carry_t *carry, nm_ms_t now_ms);
 
 #endif
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -174,6 +174,7 @@
         carrier->asked_ms = now_ms;
     }
     g_ptr_array_add(carrier->queued, encode_order(action, order->number));
+    relay->queued++;
     if (carrier->queued->len >= ORDERS_MAX) {
         flush_carrier(relay, carrier, epoch);
     }
@@ -295,10 +296,9 @@
     }
 }
 
-void
-nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms)
+static void
+flush_all(nm_order_relay_t *relay)
 {
-    assert(relay);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
@@ -308,11 +308,24 @@
             flush_carrier(relay, carrier, relay->epoch);
         }
     }
+    relay->queued = 0;
+}
+
+nm_ms_t
+nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    assert(relay);
+    nm_ms_t due = relay->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
+    if (relay->queued > 0 && due <= 0) {
+        relay->flushed_ms = now_ms;
+        flush_all(relay);
+    }
     if (now_ms - relay->checked_ms >= CHECK_MS) {
         relay->checked_ms = now_ms;
         check_carriers(relay, now_ms);
         give_up(relay, now_ms);
     }
+    return relay->queued > 0 ? MAX(due, 1) : CHECK_MS;
 }
 
 void
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -24,6 +24,9 @@
 #include "order_port.h"
 #include "peer_ask.h"
 
+/* Orders, and answers, that come within this time share a message. */
+#define NM_RELAY_BATCH_MS 8
+
 typedef struct {
     nm_order_port_t *direct; /* own calls to workers */
     nm_peer_ask_t *peers;
@@ -49,6 +52,8 @@
     uint64_t number;
     int64_t epoch; /* of the newest order */
     nm_ms_t checked_ms;
+    nm_ms_t flushed_ms;
+    uint32_t queued;
 } nm_order_relay_t;
 
 nm_order_port_t *nm_order_relay_init(nm_order_relay_t *relay,
@@ -60,8 +65,11 @@
 /* The data centre of a worker; its carriers are there. */
 void nm_order_relay_set_worker(nm_order_relay_t *relay, const char *worker,
                                const char *zone);
-/* Sends what is queued for carriers, and gives up what they do not answer. */
-void nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms);
+/*
+ * Sends what is queued for carriers, and gives up what they do not answer.
+ * Returns the time until it is to be called again.
+ */
+nm_ms_t nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms);
 void nm_order_relay_take(nm_order_relay_t *relay,
                          const NmPb__EntryAnswer *answer);
 /* Orders under way are forgotten without calling back. */
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -22,6 +22,7 @@
     void *context;
     void *inbound;
     link_t links[LINKS_MAX];
+    int next; /* link that is read next */
     uint64_t uses;
     uint64_t number;
 };
--- a/src/sched.c
+++ b/src/sched.c
@@ -185,6 +185,7 @@
         job->arrived_ms =
             now_ms - (sched->unix_ms - job->spec.accepted_unix_ms);
     }
+    sched->has_unseen = sched->has_unseen || recovered;
     job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
     job->work_count = MAX(job->spec.occurrences, 1);
     job->works = g_new0(nm_work_t, job->work_count);
@@ -398,9 +399,10 @@
 static void
 settle_unseen(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    if (nm_sched_has_unresolved(sched, now_ms)) {
+    if (!sched->has_unseen || nm_sched_has_unresolved(sched, now_ms)) {
         return;
     }
+    sched->has_unseen = false;
     for (guint i = 0; i < sched->active->len; i++) {
         settle_job(sched, sched->active->pdata[i]);
     }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -193,6 +193,7 @@
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
+    bool has_unseen; /* recovered tasks wait for workers to answer */
     double hold_loss; /* share of holds without an answer */
     bool stale; /* something changed since the last placement */
     nm_ms_t placed_ms;
