Explain failures: job and task lines, histograms, metrics, nutmegctl trace

Cause: logs told a job's acceptance but not why it ended as it did, and neither the loss of the store nor latencies could be seen. Change: one line for a task's failed end and for a job's end with its objective, first start and failures; store lost and regained; histograms of calls, orders, commits and jobs on the metrics address; nutmegctl trace ID gathers the lines of a job from hosts' logs.

--- a/daemons/nutmegctl.c
+++ b/daemons/nutmegctl.c
@@ -540,6 +540,129 @@
     return EXIT_DONE;
 }
 
+typedef struct {
+    int64_t time_ms;
+    json_t *line;
+} trace_line_t;
+
+static int
+compare_trace_lines(gconstpointer a, gconstpointer b)
+{
+    int64_t left = ((const trace_line_t *)a)->time_ms;
+    int64_t right = ((const trace_line_t *)b)->time_ms;
+    return left < right ? -1 : left > right;
+}
+
+/* Lines of a job, and changes of owner and store that explain them. */
+static bool
+is_traced(const json_t *line, const char *id)
+{
+    static const char *const about[] = {"job", "task", "request"};
+    static const char *const beliefs[] = {
+        "owner-active", "owner-lost",      "store-failed",
+        "stopping",     "store-recovered", "lines-dropped"};
+    for (size_t i = 0; i < NM_COUNT_OF(about); i++) {
+        const char *value =
+            json_string_value(json_object_get(line, about[i]));
+        if (value && strstr(value, id)) {
+            return true;
+        }
+    }
+    const char *item = json_string_value(json_object_get(line, "item"));
+    for (size_t i = 0; item && i < NM_COUNT_OF(beliefs); i++) {
+        if (strcmp(beliefs[i], item) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+read_trace(FILE *file, const char *id, GArray *lines)
+{
+    char *text = NULL;
+    size_t size = 0;
+    while (getline(&text, &size, file) >= 0) {
+        /* Collectors may put their own time and host before the object. */
+        const char *object = strchr(text, '{');
+        json_t *line = object ? json_loads(object, 0, NULL) : NULL;
+        if (json_is_object(line) && is_traced(line, id)) {
+            trace_line_t entry = {
+                json_integer_value(json_object_get(line, "time_ms")), line};
+            g_array_append_val(lines, entry);
+        }
+        else {
+            json_decref(line);
+        }
+    }
+    free(text);
+}
+
+static void
+print_trace(const options_t *options, const trace_line_t *entry,
+            int64_t begin_ms)
+{
+    if (options->json) {
+        char *text = json_dumps(entry->line, JSON_COMPACT);
+        puts(text);
+        free(text);
+        return;
+    }
+    printf("%+9.3f s  %-22s %-18s", (double)(entry->time_ms - begin_ms) / 1000,
+           json_string_value(json_object_get(entry->line, "host")),
+           json_string_value(json_object_get(entry->line, "item")));
+    const char *name;
+    json_t *value;
+    json_object_foreach(entry->line, name, value)
+    {
+        static const char *const heads[] = {"time_ms", "level", "host",
+                                            "item"};
+        bool head = false;
+        for (size_t i = 0; i < NM_COUNT_OF(heads); i++) {
+            head = head || strcmp(heads[i], name) == 0;
+        }
+        if (!head) {
+            char *text = json_dumps(value, JSON_ENCODE_ANY);
+            printf(" %s=%s", name, text);
+            free(text);
+        }
+    }
+    printf("\n");
+}
+
+static int
+command_trace(const options_t *options, char **arguments)
+{
+    if (!arguments[0]) {
+        fprintf(stderr, "nutmegctl: trace needs a job's ID\n");
+        return EXIT_USAGE;
+    }
+    GArray *lines = g_array_new(FALSE, FALSE, sizeof(trace_line_t));
+    int status = EXIT_DONE;
+    if (!arguments[1]) {
+        read_trace(stdin, arguments[0], lines);
+    }
+    for (char **path = arguments + 1; arguments[1] && *path; path++) {
+        FILE *file = fopen(*path, "r");
+        if (!file) {
+            fprintf(stderr, "nutmegctl: %s: %s\n", *path, g_strerror(errno));
+            status = EXIT_USAGE;
+            continue;
+        }
+        read_trace(file, arguments[0], lines);
+        fclose(file);
+    }
+    g_array_sort(lines, compare_trace_lines);
+    for (guint i = 0; i < lines->len; i++) {
+        trace_line_t *entry = &g_array_index(lines, trace_line_t, i);
+        print_trace(options, entry,
+                    g_array_index(lines, trace_line_t, 0).time_ms);
+        json_decref(entry->line);
+    }
+    g_array_free(lines, TRUE);
+    return status;
+}
+
 static int
 run_command(const options_t *options, const char *command, char **arguments)
 {
@@ -564,6 +687,9 @@
     if (strcmp(command, "counters") == 0) {
         return command_fetch(options, "/-/counters");
     }
+    if (strcmp(command, "trace") == 0) {
+        return command_trace(options, arguments);
+    }
     if (strcmp(command, "keys") == 0) {
         return command_keys();
     }
@@ -611,6 +737,8 @@
                  "  status           one line for each entry host\n"
                  "  jobs             jobs and their tasks\n"
                  "  counters         counters of the entry hosts\n"
+                 "  trace ID [LOG...] what became of a job, from entry hosts'\n"
+                 "                   log lines (standard input without LOG)\n"
                  "  keys             table of all keys\n"
                  "  peer-keys        new key pair for --peer-key-file\n\n"
                  "Exit status: 0 done, 1 refused or not in force everywhere,\n"
--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -20,6 +20,7 @@
 #include "../platform/orders_http.h"
 #include "../src/entry.h"
 #include "../src/entry_settings.h"
+#include "../src/ops.h"
 
 #define FDS_MAX 80
 
@@ -97,10 +98,12 @@
     nm_call_front_t *front =
         nm_front_http_new(settings->front_address, settings->ready_address);
     nm_peer_ask_t *peers = nm_peer_ask_new(settings->peer_address);
-    if (!front || !peers) {
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:s,s:s}",
+    nm_ops_t *ops = nm_ops_new_at(settings->metrics_address);
+    if (!front || !peers || !ops) {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:s,s:s,s:s}",
                "front", settings->front_address, "ready",
-               settings->ready_address, "peer", settings->peer_address);
+               settings->ready_address, "peer", settings->peer_address,
+               "metrics", settings->metrics_address);
         return 1;
     }
     nm_entry_t *entry = nm_entry_new(&(nm_entry_desc_t){
@@ -126,6 +129,7 @@
     run_loop(entry, http, front, peers, path);
     nm_entry_free(entry);
     nm_front_http_free(front);
+    nm_ops_free(ops);
     nm_http_free(http);
     nm_orders_http_finish(&orders);
     nm_peer_ask_free(peers);
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -38,6 +38,7 @@
     X(REQUEST_REFUSED, "request-refused")                                     \
     X(JOB_ACCEPTED, "job-accepted")                                           \
     X(JOB_CANCELLED, "job-cancelled")                                         \
+    X(TASK_FAILED, "task-failed")                                             \
     X(JOB_ENDED, "job-ended")                                                 \
     X(LEARNED_REFUSED, "learned-refused")                                     \
     X(LINES_DROPPED, "lines-dropped")
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -175,6 +175,17 @@
     int64_t backlog_work; /* core-ms that wait */
 } nm_sched_info_t;
 
+/* What became of a job, for its last log line. */
+typedef struct {
+    nm_job_state_t state;
+    bool lasts;
+    bool recovered;         /* accepted under an earlier owner */
+    nm_ms_t took_ms;        /* acceptance to end; 0 while it runs */
+    nm_ms_t objective_ms;   /* after its acceptance */
+    nm_ms_t first_start_ms; /* after its acceptance; -1: never started */
+    uint32_t failures;      /* runs that failed, of all its tasks */
+} nm_sched_job_info_t;
+
 nm_sched_t *nm_sched_new(const nm_sched_desc_t *desc, nm_ms_t now_ms);
 void nm_sched_free(nm_sched_t *sched);
 
@@ -232,6 +243,9 @@
 bool nm_sched_save_is_urgent(const nm_sched_t *sched);
 
 nm_job_state_t nm_sched_query_job(const nm_sched_t *sched, const char *job);
+/* Returns false for an unknown job. */
+bool nm_sched_query_job_info(const nm_sched_t *sched, const char *job,
+                             nm_sched_job_info_t *info);
 /* Copies a step's declaration; returns false if there is none. */
 bool nm_sched_query_step(const nm_sched_t *sched, const char *job,
                          uint32_t step, nm_step_t *desc);
--- a/src/call.h
+++ b/src/call.h
@@ -23,6 +23,7 @@
     GByteArray *body;
     bool too_large;
     nm_ms_t deadline_ms; /* how long the caller waits; 0: not said */
+    nm_ms_t received_ms; /* by the control thread */
     /* The answer. */
     int status;
     char *answer;           /* JSON text */
--- a/src/entry.c
+++ b/src/entry.c
@@ -20,6 +20,8 @@
 /* Workers up to which the owner makes all calls itself. */
 #define DIRECT_MAX 100
 #define REGISTER_RETRY_MS 500
+/* Calls in a row without an answer after which the store counts as lost. */
+#define STORE_LOST_FAILURES 2
 
 static nm_ms_t
 now(const nm_entry_t *entry)
@@ -170,6 +172,20 @@
     }
 }
 
+static void
+check_store(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    const nm_feed_t *feed = &entry->control_feed;
+    bool lost = feed->failures >= STORE_LOST_FAILURES;
+    if (lost != entry->store_lost) {
+        entry->store_lost = lost;
+        nm_log(lost ? NM_LOG_WARN : NM_LOG_INFO,
+               lost ? NM_LOG_ITEM_STORE_FAILED : NM_LOG_ITEM_STORE_RECOVERED,
+               "{s:I}", "last_answer_ms",
+               (json_int_t)(now_ms - feed->answered_ms));
+    }
+}
+
 static void
 check_stopped(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -193,6 +209,7 @@
     register_host(entry, now_ms);
     wait = MIN(wait, nm_order_relay_flush(&entry->relay, now_ms));
     wait = MIN(wait, nm_order_carry_flush(&entry->carry, now_ms));
+    check_store(entry, now_ms);
     set_ready(entry);
     if (entry->stopping) {
         check_stopped(entry, now_ms);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -17,6 +17,7 @@
 
 #include <jansson.h>
 
+#include <nutmegdeck/latency.h>
 #include <nutmegdeck/log.h>
 
 /* What a caller waits for if it does not say. */
@@ -98,6 +99,7 @@
 reply(nm_entry_t *entry, nm_call_t *call, int status, char *text,
       uint32_t retry_after_s)
 {
+    nm_latency_add(NM_LATENCY_CALL, now(entry) - call->received_ms);
     call->status = status;
     call->answer = text;
     call->retry_after_s = retry_after_s;
@@ -528,6 +530,7 @@
 take_call(nm_entry_t *entry, nm_call_t *call)
 {
     nm_count(NM_COUNTER_REQUESTS, 1);
+    call->received_ms = now(entry);
     if (!entry->deployment) {
         refuse(entry, call, NM_REASON_NOT_READY, 503, RETRY_AFTER_S);
         return;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -16,6 +16,7 @@
 
 #include <jansson.h>
 
+#include <nutmegdeck/latency.h>
 #include <nutmegdeck/log.h>
 
 /* Progress that no caller waits for is stored this often at most... */
@@ -47,6 +48,7 @@
     int64_t term;
     nm_sched_save_t saves[COMMIT_RECORDS_MAX];
     uint32_t count;
+    nm_ms_t sent_ms;
     bool roster;
     GHashTable *roster_ids;
 } commit_call_t;
@@ -577,6 +579,28 @@
 
 /* --- storing progress --- */
 
+/* One line tells how a job went, once its end is stored. */
+static void
+log_end(nm_entry_t *entry, const char *job)
+{
+    nm_sched_job_info_t info;
+    if (nm_sched_query_job(entry->sched, job) < NM_JOB_COMPLETED ||
+        !nm_sched_query_job_info(entry->sched, job, &info))
+    {
+        return;
+    }
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_ENDED,
+           "{s:s,s:s,s:I,s:I,s:I,s:i,s:b,s:I}", "job", job, "state",
+           nm_job_state_name(info.state), "took_ms", (json_int_t)info.took_ms,
+           "objective_ms", (json_int_t)info.objective_ms, "first_start_ms",
+           (json_int_t)info.first_start_ms, "failures", (int)info.failures,
+           "recovered", info.recovered, "epoch", (json_int_t)entry->term);
+    if (!info.lasts) {
+        nm_latency_add(NM_LATENCY_JOB, info.took_ms);
+        nm_latency_add(NM_LATENCY_FIRST_START, info.first_start_ms);
+    }
+}
+
 static void
 take_roster(nm_entry_t *entry, commit_call_t *call)
 {
@@ -598,17 +622,12 @@
     nm_entry_t *entry = call->entry;
     bool current = entry->term == call->term && entry->sched;
     bool stored = result->rc == NM_OK;
+    nm_latency_add(NM_LATENCY_COMMIT, now(entry) - call->sent_ms);
     for (uint32_t i = 0; i < call->count; i++) {
         if (current) {
             nm_sched_saved(entry->sched, &call->saves[i], stored);
             if (stored) {
-                nm_job_state_t state =
-                    nm_sched_query_job(entry->sched, call->saves[i].job);
-                if (state >= NM_JOB_COMPLETED) {
-                    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_ENDED, "{s:s,s:s}",
-                           "job", call->saves[i].job, "state",
-                           nm_job_state_name(state));
-                }
+                log_end(entry, call->saves[i].job);
             }
         }
         g_free(call->saves[i].record);
@@ -696,6 +715,7 @@
         return;
     }
     entry->committing = true;
+    call->sent_ms = now_ms;
     nm_count(NM_COUNTER_JOURNAL_WRITES, 1);
     nm_count(NM_COUNTER_JOURNAL_RECORDS, call->count);
     nm_kv_commit(entry->desc.kv, &txn, on_committed, call);
@@ -705,6 +725,24 @@
 
 /* --- orders --- */
 
+static void
+log_failures(const char *worker, const nm_worker_report_t *report)
+{
+    static const char *const names[] = {
+        [NM_END_DONE] = "done",       [NM_END_FAILED] = "failed",
+        [NM_END_STOPPED] = "stopped", [NM_END_LAPSED] = "lapsed",
+        [NM_END_BROKEN] = "broken",   [NM_END_ALONE] = "alone",
+    };
+    for (uint32_t i = 0; i < report->end_count; i++) {
+        const nm_worker_end_t *end = &report->ends[i];
+        if (end->end != NM_END_DONE && end->end != NM_END_STOPPED) {
+            nm_log(NM_LOG_INFO, NM_LOG_ITEM_TASK_FAILED, "{s:s,s:I,s:s,s:s}",
+                   "task", end->task, "run", (json_int_t)end->run, "worker",
+                   worker, "end", names[end->end]);
+        }
+    }
+}
+
 static void
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
          const nm_worker_report_t *report)
@@ -728,6 +766,7 @@
         nm_sched_on_pace(entry->sched, action, result, now_ms);
         break;
     default:
+        log_failures(action->worker, report);
         nm_sched_on_report(entry->sched, action->worker, report, now_ms);
         break;
     }
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -21,6 +21,7 @@
     {"ready_address", offsetof(nm_entry_settings_t, ready_address), true},
     {"peer_address", offsetof(nm_entry_settings_t, peer_address), true},
     {"store_address", offsetof(nm_entry_settings_t, store_address), true},
+    {"metrics_address", offsetof(nm_entry_settings_t, metrics_address), true},
 };
 
 static void
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -18,6 +18,7 @@
     char ready_address[NM_NAME_MAX]; /* IP:PORT of the readiness check */
     char peer_address[NM_NAME_MAX];  /* tcp://IP:PORT for entry hosts */
     char store_address[NM_NAME_MAX]; /* IP:PORT */
+    char metrics_address[NM_NAME_MAX]; /* IP:PORT for operators */
     double cpu_share;                /* of a core */
     nm_ms_t grace_ms;
     nm_ms_t stop_max_ms;
--- a/src/ops.c
+++ b/src/ops.c
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <microhttpd.h>
 
-#include <nutmegdeck/reason.h>
+#include <nutmegdeck/latency.h>
 
 struct nm_ops {
     struct MHD_Daemon *daemon;
@@ -42,6 +42,7 @@
 {
     GString *text = g_string_new(NULL);
     nm_counters_write(append_line, text);
+    nm_latency_write(append_line, text);
     enum MHD_Result result = reply(
         connection, 200, "text/plain; version=0.0.4", text->str, text->len);
     g_string_free(text, TRUE);
@@ -120,6 +121,20 @@
     return ops;
 }
 
+nm_ops_t *
+nm_ops_new_at(const char *address_and_port)
+{
+    assert(address_and_port);
+    char address[64];
+    const char *colon = strrchr(address_and_port, ':');
+    if (!colon || (size_t)(colon - address_and_port) >= sizeof(address)) {
+        return NULL;
+    }
+    memcpy(address, address_and_port, (size_t)(colon - address_and_port));
+    address[colon - address_and_port] = '\0';
+    return nm_ops_new(address, (uint16_t)strtoul(colon + 1, NULL, 10));
+}
+
 void
 nm_ops_free(nm_ops_t *ops)
 {
--- a/src/ops.h
+++ b/src/ops.h
@@ -21,6 +21,8 @@
 
 /* Returns NULL if the address cannot be bound. */
 nm_ops_t *nm_ops_new(const char *address, uint16_t port);
+/* The same for IP:PORT. */
+nm_ops_t *nm_ops_new_at(const char *address_and_port);
 void nm_ops_free(nm_ops_t *ops);
 void nm_ops_set_ready(nm_ops_t *ops, bool ready);
 /* Takes over text, which was allocated with malloc. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -180,6 +180,7 @@
     nm_job_spec_move(&job->spec, spec);
     job->state = NM_JOB_QUEUED;
     job->shown = NM_JOB_QUEUED;
+    job->recovered = recovered;
     job->arrived_ms = now_ms;
     if (recovered && sched->unix_ms > job->spec.accepted_unix_ms) {
         job->arrived_ms =
@@ -574,6 +575,35 @@
     return job ? job->shown : NM_JOB_UNKNOWN;
 }
 
+bool
+nm_sched_query_job_info(const nm_sched_t *sched, const char *id,
+                        nm_sched_job_info_t *info)
+{
+    assert(sched && id && info);
+    const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    if (!job) {
+        return false;
+    }
+    *info = (nm_sched_job_info_t){
+        .state = job->state,
+        .lasts = job->lasts,
+        .recovered = job->recovered,
+        .took_ms = job->ended_ms > 0 ? job->ended_ms - job->arrived_ms : 0,
+        .objective_ms = job->objective_ms,
+        .first_start_ms = job->first_start_ms > 0
+                              ? job->first_start_ms - job->arrived_ms
+                              : -1,
+    };
+    for (uint32_t w = 0; w < job->work_count; w++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                info->failures += job->works[w].steps[s][i].failures;
+            }
+        }
+    }
+    return true;
+}
+
 bool
 nm_sched_query_step(const nm_sched_t *sched, const char *id, uint32_t step,
                     nm_step_t *desc)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -113,6 +113,8 @@
     uint32_t work_count;
     nm_ms_t arrived_ms;
     nm_ms_t ended_ms;
+    nm_ms_t first_start_ms; /* 0: none seen by this owner */
+    bool recovered;
     bool cancelled;
     bool started; /* any task was ever started */
     bool lasts;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -362,6 +362,9 @@
         }
         nm_sched_job_t *job = task->work->job;
         job->started = true;
+        if (job->first_start_ms == 0) {
+            job->first_start_ms = now_ms;
+        }
         if (job->state == NM_JOB_QUEUED) {
             job->state = NM_JOB_RUNNING;
             job->shown = NM_JOB_RUNNING;
