Move work from workers that let it stand; bounds for load patterns

Change: without an end or a newer checkpoint on the worker for 3.5 s, and 2.5 estimates more for work that shows no progress, its tasks resume elsewhere and it gets none for 4 s. Test: stalled-work-moves failed on the code before.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -1,8 +1,9 @@
 /*
- * Job scheduling under load patterns: bench_jobs [SEED] [PATTERN].
+ * Job scheduling under load patterns: bench_jobs [SEED] [PATTERN|decisions].
  *
- * Each line gives what callers and serving tasks got; the last ones give
- * the cost of a decision at growing numbers of workers.
+ * Each pattern gives what callers and serving tasks got, against bounds from
+ * the targets; without a second argument also the cost of a decision at
+ * growing numbers of workers.  Deterministic for a seed but for that cost.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 #include <glib.h>
 
 #include "lib_fleet.h"
+#include "lib_report.h"
 
 static const struct {
     const char *name;
@@ -49,51 +51,84 @@
       .dark = 6}},
 };
 
+/* Serving tasks may be over their target for this long (harmMs). */
+#define OVER_MS_MAX 4000
+/* Aim: one serving second in twenty over its target at most. */
+#define HARMED_MAX 0.05
+/* Aim: three short jobs in four in time while lasting work fills the fleet. */
+#define CHECKS_MIN 0.75
+
+static bool
+judge(const char *name, const fleet_info_t *info)
+{
+    char label[64];
+    g_snprintf(label, sizeof(label), "jobs-%s-overfull", name);
+    bool pass = report_at_most(label, info->overfull, 0);
+    g_snprintf(label, sizeof(label), "jobs-%s-doubled", name);
+    pass &= report_at_most(label, info->doubled, 0);
+    g_snprintf(label, sizeof(label), "jobs-%s-over-ms", name);
+    pass &= report_at_most(label, (double)info->longest_over_ms, OVER_MS_MAX);
+    g_snprintf(label, sizeof(label), "jobs-%s-harmed", name);
+    pass &= report_at_most(label, info->harmed_s / MAX(info->serving_s, 1),
+                           HARMED_MAX);
+    g_snprintf(label, sizeof(label), "jobs-%s-checks", name);
+    double checks = (double)info->checks_in_time / MAX(info->checks, 1);
+    return report_at_least(label, checks, CHECKS_MIN) && pass;
+}
+
 static void
-report(const char *name, const fleet_info_t *info)
+describe(const char *name, const fleet_info_t *info)
 {
     printf("jobs %-16s checks %3u%% fillers %3u%% harmed %5.1f%% waiting "
-           "%5.0f s over %5lld ms starts %u stops %u looks %u overfull %u "
-           "doubled %u, %.0f us a start\n",
+           "%5.0f s over %5lld ms starts %u stops %u looks %u\n",
            name, 100 * info->checks_in_time / MAX(info->checks, 1),
            100 * info->fillers_in_time / MAX(info->fillers, 1),
            100 * info->harmed_s / MAX(info->serving_s, 1), info->waiting_s,
            (long long)info->longest_over_ms, info->starts, info->stops,
-           info->looks, info->overfull, info->doubled,
-           info->processor_s * 1e6 / MAX(info->starts, 1));
+           info->looks);
+}
+
+/* Decisions for one start, in microseconds. */
+static double
+decision_us(uint64_t seed, uint32_t workers)
+{
+    double scale = workers / 48.0;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .workers = workers,
+        .checks_per_s = 5 * scale,
+        .fillers_per_s = 5 * scale,
+        .services = (uint32_t)(36 * scale),
+        .heavy = 0.5,
+        .duration_ms = 10000,
+    });
+    double us = info.processor_s * 1e6 / MAX(info.starts, 1);
+    printf("jobs decisions for a start at %u workers: %.0f us\n", workers, us);
+    return us;
 }
 
 int
 main(int argc, char **argv)
 {
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
-    const char *only = argc > 2 ? argv[2] : NULL;
+    const char *only = argc > 2 ? argv[2] : "";
+    bool decisions = strcmp(only, "decisions") == 0;
+    bool pass = true;
     for (size_t i = 0; i < NM_COUNT_OF(patterns); i++) {
-        if (!only || strcmp(only, patterns[i].name) == 0) {
-            fleet_desc_t desc = patterns[i].desc;
-            desc.seed = seed;
-            fleet_info_t info = fleet_run(&desc);
-            report(patterns[i].name, &info);
-        }
-    }
-    static const uint32_t sizes[] = {50, 500, 2000};
-    for (size_t i = 0; i < NM_COUNT_OF(sizes); i++) {
-        char name[32];
-        snprintf(name, sizeof(name), "workers-%u", sizes[i]);
-        if (only && strcmp(only, name) != 0) {
+        if (only[0] && !decisions && strcmp(only, patterns[i].name) != 0) {
             continue;
         }
-        double scale = sizes[i] / 48.0;
-        fleet_info_t info = fleet_run(&(fleet_desc_t){
-            .seed = seed,
-            .workers = sizes[i],
-            .checks_per_s = 5 * scale,
-            .fillers_per_s = 5 * scale,
-            .services = (uint32_t)(36 * scale),
-            .heavy = 0.5,
-            .duration_ms = 10000,
-        });
-        report(name, &info);
+        fleet_desc_t desc = patterns[i].desc;
+        desc.seed = seed;
+        fleet_info_t info = fleet_run(&desc);
+        describe(patterns[i].name, &info);
+        pass &= judge(patterns[i].name, &info);
+    }
+    if (!only[0]) {
+        double small = decision_us(seed, 50);
+        double large = decision_us(seed, 2000);
+        /* Forty times the workers must cost less than forty times as much. */
+        pass &= report_at_most("jobs-decision-growth", large / small, 40);
     }
-    return 0;
+    return pass ? 0 : 1;
 }
--- a/daemons/nutmegctl.c
+++ b/daemons/nutmegctl.c
@@ -558,12 +558,11 @@
 is_traced(const json_t *line, const char *id)
 {
     static const char *const about[] = {"job", "task", "request"};
-    static const char *const beliefs[] = {
-        "owner-active", "owner-lost",      "store-failed",
-        "stopping",     "store-recovered", "lines-dropped"};
+    static const char *const beliefs[] = {"owner-active",    "owner-lost",
+                                          "store-failed",    "stopping",
+                                          "store-recovered", "lines-dropped"};
     for (size_t i = 0; i < NM_COUNT_OF(about); i++) {
-        const char *value =
-            json_string_value(json_object_get(line, about[i]));
+        const char *value = json_string_value(json_object_get(line, about[i]));
         if (value && strstr(value, id)) {
             return true;
         }
@@ -729,20 +728,21 @@
     };
     GOptionContext *context = g_option_context_new("COMMAND [ARGUMENT...]");
     g_option_context_set_summary(
-        context, "Commands:\n"
-                 "  plan FILE...     show what apply would change\n"
-                 "  apply FILE...    check and apply declarations\n"
-                 "  get [PREFIX]     print the sections in the store\n"
-                 "  explain PATH     print values and where they come from\n"
-                 "  status           one line for each entry host\n"
-                 "  jobs             jobs and their tasks\n"
-                 "  counters         counters of the entry hosts\n"
-                 "  trace ID [LOG...] what became of a job, from entry hosts'\n"
-                 "                   log lines (standard input without LOG)\n"
-                 "  keys             table of all keys\n"
-                 "  peer-keys        new key pair for --peer-key-file\n\n"
-                 "Exit status: 0 done, 1 refused or not in force everywhere,\n"
-                 "2 wrong usage, 3 the store or a host cannot be reached.");
+        context,
+        "Commands:\n"
+        "  plan FILE...     show what apply would change\n"
+        "  apply FILE...    check and apply declarations\n"
+        "  get [PREFIX]     print the sections in the store\n"
+        "  explain PATH     print values and where they come from\n"
+        "  status           one line for each entry host\n"
+        "  jobs             jobs and their tasks\n"
+        "  counters         counters of the entry hosts\n"
+        "  trace ID [LOG...] what became of a job, from entry hosts'\n"
+        "                   log lines (standard input without LOG)\n"
+        "  keys             table of all keys\n"
+        "  peer-keys        new key pair for --peer-key-file\n\n"
+        "Exit status: 0 done, 1 refused or not in force everywhere,\n"
+        "2 wrong usage, 3 the store or a host cannot be reached.");
     g_option_context_add_main_entries(context, entries, NULL);
     GError *error = NULL;
     int status = EXIT_USAGE;
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -14,12 +14,12 @@
     char name[NM_NAME_MAX];
     char zone[NM_NAME_MAX];
     char region[NM_NAME_MAX];
-    char front_address[NM_NAME_MAX]; /* IP:PORT for callers */
-    char ready_address[NM_NAME_MAX]; /* IP:PORT of the readiness check */
-    char peer_address[NM_NAME_MAX];  /* tcp://IP:PORT for entry hosts */
-    char store_address[NM_NAME_MAX]; /* IP:PORT */
+    char front_address[NM_NAME_MAX];   /* IP:PORT for callers */
+    char ready_address[NM_NAME_MAX];   /* IP:PORT of the readiness check */
+    char peer_address[NM_NAME_MAX];    /* tcp://IP:PORT for entry hosts */
+    char store_address[NM_NAME_MAX];   /* IP:PORT */
     char metrics_address[NM_NAME_MAX]; /* IP:PORT for operators */
-    double cpu_share;                /* of a core */
+    double cpu_share;                  /* of a core */
     nm_ms_t grace_ms;
     nm_ms_t stop_max_ms;
     nm_ms_t gang_wait_ms;
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -59,7 +59,7 @@
     int64_t epoch; /* newest in the store */
     int64_t epoch_revision;
     nm_ms_t vacant_ms;     /* since when no owner is known; 0: there is one */
-    bool store_lost; /* its control feed gets no answers */
+    bool store_lost;       /* its control feed gets no answers */
     nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
     /* Orders through other hosts, and for them. */
     nm_order_relay_t relay;
--- a/src/latency.c
+++ b/src/latency.c
@@ -31,8 +31,8 @@
         bucket++;
     }
     ck_pr_inc_64(&state.buckets[latency][bucket]);
-    ck_pr_add_64(&state.sums_ms[latency], (uint64_t)(value_ms > 0 ? value_ms
-                                                                  : 0));
+    ck_pr_add_64(&state.sums_ms[latency],
+                 (uint64_t)(value_ms > 0 ? value_ms : 0));
 }
 
 static void
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -151,8 +151,8 @@
 {
     nm_order_relay_t *relay = (nm_order_relay_t *)port;
     nm_ms_t now_ms = nm_clock_now(relay->desc.clock);
-    carrier_t *carrier = choose_carrier(relay, action->worker,
-                                        action->wait_ms, now_ms);
+    carrier_t *carrier =
+        choose_carrier(relay, action->worker, action->wait_ms, now_ms);
     if (!carrier) {
         nm_order_port_send(relay->desc.direct, action, epoch, done, user);
         return;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -140,10 +140,10 @@
 struct nm_sched_node {
     nm_sched_worker_t desc;
     bool announced;
-    bool admitted;  /* stored, so that a new owner looks for it */
-    bool known;     /* described; otherwise only expected */
-    bool fenced;    /* answered to our epoch in this incarnation */
-    bool reachable; /* one of its last holds was answered */
+    bool admitted;          /* stored, so that a new owner looks for it */
+    bool known;             /* described; otherwise only expected */
+    bool fenced;            /* answered to our epoch in this incarnation */
+    bool reachable;         /* one of its last holds was answered */
     uint32_t hold_failures; /* in a row */
     bool hold_pending;
     nm_ms_t hold_due_ms;
@@ -166,6 +166,8 @@
     uint32_t targets; /* lasting tasks with a latency target */
     int64_t filler_cpu;
     uint32_t failures_in_row;
+    nm_ms_t progress_ms; /* last end or newer checkpoint of any task */
+    nm_ms_t stall_check_ms;
     nm_ms_t avoid_until_ms;
     int64_t serving_cpu; /* of tasks with a latency target */
     nm_ms_t fillers_changed_ms;
@@ -195,9 +197,9 @@
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
-    bool has_unseen; /* recovered tasks wait for workers to answer */
+    bool has_unseen;  /* recovered tasks wait for workers to answer */
     double hold_loss; /* share of holds without an answer */
-    bool stale; /* something changed since the last placement */
+    bool stale;       /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
     int64_t unix_ms;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -15,6 +15,13 @@
 #define FAILURES_AVOID 2
 /* ...for so long, doubled with each further failure up to 8 times. */
 #define AVOID_MS 1500
+/* A worker on which nothing moves for this long stands still... */
+#define STALL_MS 3500
+/* ...plus this multiple of the estimate, for work that shows no progress. */
+#define STALL_ESTIMATES 2.5
+/* It gets no new tasks for this long. */
+#define STALL_AVOID_MS 4000
+#define STALL_CHECK_MS 250
 /* Least time left at which a draining worker's saved work is moved. */
 #define DRAIN_MOVE_MS 600
 
@@ -234,8 +241,8 @@
         break;
     default:
         task->order_due_ms =
-            now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
-                                       : NM_SCHED_RETRY_MS);
+            now_ms +
+            (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS : NM_SCHED_RETRY_MS);
         node->repeat_due_ms = now_ms;
         break;
     }
@@ -266,9 +273,8 @@
         }
         return;
     }
-    task->order_due_ms =
-        now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
-                                   : NM_SCHED_RETRY_MS);
+    task->order_due_ms = now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
+                                                    : NM_SCHED_RETRY_MS);
     node->repeat_due_ms = now_ms;
 }
 
@@ -338,6 +344,7 @@
         nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
                    row->checkpoint);
         task->progress_ms = now_ms;
+        node->progress_ms = now_ms;
     }
     task->percent = row->percent;
     task->figure = row->figure;
@@ -363,6 +370,7 @@
             task->avoid = node;
             note_failure(node, now_ms);
         }
+        node->progress_ms = now_ms;
         if (row->end == NM_END_DONE) {
             node->failures_in_row = 0;
             node->avoid_until_ms = 0;
@@ -484,8 +492,8 @@
     nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_HOLD);
     action->acked = node->ends_acked;
     node->ends_acked_sent = node->ends_acked;
-    bool quick = !node->fenced || node->hold_failures > 0 ||
-                 node->tasks->len == 0;
+    bool quick =
+        !node->fenced || node->hold_failures > 0 || node->tasks->len == 0;
     bool shared = node->fillers > 0 && node->targets > 0;
     bool lossy = sched->hold_loss > NM_SCHED_LOSSY;
     action->wait_ms = quick    ? 0
@@ -545,6 +553,48 @@
     }
 }
 
+static bool
+is_stalled(const nm_sched_node_t *node, const nm_task_t *task, nm_ms_t now_ms)
+{
+    const nm_step_t *step = nm_task_step(task);
+    if (task->state != NM_RUN_RUNNING || step->lasts ||
+        task->wanted_percent == 0) {
+        return false;
+    }
+    nm_ms_t limit = STALL_MS;
+    if (!step->saves_progress) {
+        limit += (nm_ms_t)(STALL_ESTIMATES * (double)step->estimate_ms);
+    }
+    nm_ms_t since = MAX(task->progress_ms, node->progress_ms);
+    return now_ms - since > limit;
+}
+
+/*
+ * Answers workers that take work and let it stand, or are many times too
+ * slow: what they hold starts elsewhere, from its checkpoint.
+ */
+static void
+check_stall(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    bool stalled = false;
+    for (guint i = 0; i < node->tasks->len && !stalled; i++) {
+        stalled = is_stalled(node, node->tasks->pdata[i], now_ms);
+    }
+    if (!stalled) {
+        return;
+    }
+    node->avoid_until_ms = now_ms + STALL_AVOID_MS;
+    node->progress_ms = now_ms;
+    nm_count_reason(NM_REASON_WORKER_FAILING);
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (task->state == NM_RUN_RUNNING && !nm_task_step(task)->lasts) {
+            task->avoid = node;
+            nm_sched_stop_task(sched, task, now_ms);
+        }
+    }
+}
+
 static void
 run_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -558,6 +608,10 @@
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
         move_from_draining(sched, node, now_ms);
     }
+    if (node->reachable && now_ms >= node->stall_check_ms) {
+        node->stall_check_ms = now_ms + STALL_CHECK_MS;
+        check_stall(sched, node, now_ms);
+    }
     if (now_ms >= node->repeat_due_ms) {
         node->repeat_due_ms = now_ms + NM_SCHED_RETRY_MS / 3;
         repeat_orders(sched, node, now_ms);
--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -31,8 +31,8 @@
     int64_t compacted;
     int64_t next_lease;
     GHashTable *leased; /* key -> lease */
-    GTree *items;      /* key -> nm_store_kv_t */
-    GPtrArray *events; /* of nm_store_kv_t */
+    GTree *items;       /* key -> nm_store_kv_t */
+    GPtrArray *events;  /* of nm_store_kv_t */
     GQueue calls;
 };
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -382,6 +382,42 @@
     world_finish(&world);
 }
 
+/* A worker that answers but lets its work stand must not keep it. */
+static void
+test_stalled_work_moves(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 1);
+    step(&world, 10);
+    report(&world, "a", 1, NULL, 0, NULL, 0);
+    add_job(&world, JOB, false, 1, 1000, false);
+    step(&world, 30);
+    confirm_starts(&world);
+    nm_worker_run_t running = run_of(TASK, 1);
+    report(&world, "a", 1, &running, 1, NULL, 0);
+    announce(&world, "b", 1);
+    step(&world, 10);
+    report(&world, "b", 1, NULL, 0, NULL, 0);
+    nm_ms_t begin_ms = world.now_ms;
+    while (!find(&world, NM_ACTION_STOP, "a")) {
+        step(&world, 100);
+        if (find(&world, NM_ACTION_HOLD, "a")) {
+            report(&world, "a", 1, &running, 1, NULL, 0);
+        }
+        g_assert_cmpint(world.now_ms - begin_ms, <, 10000);
+    }
+    /* Longer than any honest run: estimates are off by up to 1.9. */
+    g_assert_cmpint(world.now_ms - begin_ms, >, 1900);
+    nm_sched_action_t stop = *find(&world, NM_ACTION_STOP, "a");
+    nm_sched_on_stop(world.sched, &stop, NM_ORDER_DONE, world.now_ms);
+    nm_worker_end_t end = end_of(1, TASK, 1, NM_END_STOPPED);
+    report(&world, "a", 1, NULL, 0, &end, 1);
+    step(&world, 100);
+    g_assert_nonnull(find(&world, NM_ACTION_START, "b"));
+    world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -401,6 +437,7 @@
          test_unanswered_start_on_a_new_life},
         {"/sched/capacity-counts-what-is-stopped",
          test_capacity_counts_what_is_stopped},
+        {"/sched/stalled-work-moves", test_stalled_work_moves},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
