--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 JOBS = $(shell nproc)
 SEED ?= 1
-C_FILES = $(shell find include src daemons tests bench -name '*.[ch]')
+C_FILES = $(shell find include src platform daemons tests bench -name '*.[ch]')
 
 .PHONY: all deps build check demo bench bench-decisions lint format \
 	format-check sanitize fuzz clean
@@ -48,11 +48,11 @@
 fuzz: deps
 	@cmake -S . -B build-fuzz -DNUTMEG_FUZZ=ON -DCMAKE_C_COMPILER=clang \
 	    >/dev/null
-	@$(MAKE) -s -C build-fuzz -j$(JOBS) fuzz_input >/dev/null
+	@$(MAKE) -s -C build-fuzz -j$(JOBS) fuzz_input fuzz_platform >/dev/null
 	@tests/fuzz.sh build-fuzz
 
 lint: build
-	@find src daemons -name '*.c' | \
+	@find src platform daemons -name '*.c' | \
 	    xargs -P $(JOBS) -n 4 clang-tidy -p build --quiet 2>/dev/null
 
 format:
--- /dev/null
+++ b/tests/fuzz_platform.c
@@ -0,0 +1,89 @@
+/* Fuzz target for what comes from the users' platform and its store. */
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../platform/codec.h"
+#include "../src/interference.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+#define JOB "5c0e7a21d94b36f8"
+
+static void
+fuzz_configuration(const uint8_t *data, uint32_t bytes)
+{
+    nm_deployment_t *deployment =
+        nm_platform_codec.decode_deployment(data, bytes);
+    if (deployment) {
+        nm_deployment_find(deployment, "host.example", "/orders/1");
+    }
+    nm_deployment_free(deployment);
+}
+
+/* A submission that is accepted must survive being stored. */
+static void
+fuzz_submission(const uint8_t *data, uint32_t bytes)
+{
+    nm_job_spec_t spec;
+    const char *fault = NULL;
+    nm_job_spec_init(&spec, JOB, "queue", "service");
+    if (nm_platform_codec.decode_job(&spec, data, bytes, &fault) == NM_OK) {
+        char *record = nm_job_record_encode(&spec);
+        nm_job_spec_t copy;
+        if (nm_job_record_decode(&copy, JOB, record,
+                                 (uint32_t)strlen(record)) != NM_OK)
+        {
+            __builtin_trap();
+        }
+        nm_job_spec_finish(&copy);
+        free(record);
+    }
+    nm_job_spec_finish(&spec);
+}
+
+static void
+fuzz_progress(const uint8_t *data, uint32_t bytes)
+{
+    nm_sched_t *sched = nm_sched_new(&(nm_sched_desc_t){.epoch = 2}, 0);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, JOB, "queue", "service");
+    nm_job_spec_add_step(&spec)->task_count = 3;
+    nm_sched_add_job(sched, &spec, true, 0);
+    nm_sched_restore(sched, JOB, data, bytes);
+    nm_sched_restore_learned(sched, data, bytes);
+    nm_sched_run(sched, 10, 1000);
+    nm_sched_free(sched);
+    nm_job_spec_finish(&spec);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+    if (size < 1) {
+        return 0;
+    }
+    uint32_t bytes = (uint32_t)(size - 1);
+    nm_sched_worker_t worker;
+    nm_job_spec_t spec;
+    switch (data[0] % 5) {
+    case 0:
+        fuzz_configuration(data + 1, bytes);
+        break;
+    case 1:
+        nm_platform_codec.decode_worker(&worker, "i-1", data + 1, bytes);
+        break;
+    case 2:
+        fuzz_submission(data + 1, bytes);
+        break;
+    case 3:
+        nm_job_record_decode(&spec, JOB, data + 1, bytes);
+        nm_job_spec_finish(&spec);
+        break;
+    default:
+        fuzz_progress(data + 1, bytes);
+    }
+    return 0;
+}
