Judge the store's health by every call, tell failed ends once

Cause: a lost store was logged 12 s late, since only waiting watches were counted; a failed end was logged again each time it was listed. Change: all store calls count; ends are told when first seen.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -243,6 +243,8 @@
 bool nm_sched_save_is_urgent(const nm_sched_t *sched);
 
 nm_job_state_t nm_sched_query_job(const nm_sched_t *sched, const char *job);
+/* Number of the newest end of a worker that was processed. */
+int64_t nm_sched_query_end(const nm_sched_t *sched, const char *worker);
 /* Returns false for an unknown job. */
 bool nm_sched_query_job_info(const nm_sched_t *sched, const char *job,
                              nm_sched_job_info_t *info);
--- a/src/entry.c
+++ b/src/entry.c
@@ -21,7 +21,7 @@
 #define DIRECT_MAX 100
 #define REGISTER_RETRY_MS 500
 /* Calls in a row without an answer after which the store counts as lost. */
-#define STORE_LOST_FAILURES 2
+#define STORE_LOST_FAILURES 3
 
 static nm_ms_t
 now(const nm_entry_t *entry)
@@ -29,6 +29,31 @@
     return nm_clock_now(entry->desc.clock);
 }
 
+void
+nm_entry_note_store(nm_entry_t *entry, int rc)
+{
+    nm_ms_t now_ms = now(entry);
+    bool silent = rc == NM_ERR_UNAVAILABLE || rc == NM_ERR_LOST;
+    nm_ms_t silent_ms = now_ms - entry->store_answered_ms;
+    entry->store_failures = silent ? entry->store_failures + 1 : 0;
+    if (!silent) {
+        entry->store_answered_ms = now_ms;
+    }
+    bool lost = entry->store_failures >= STORE_LOST_FAILURES;
+    if (lost != entry->store_lost) {
+        entry->store_lost = lost;
+        nm_log(lost ? NM_LOG_WARN : NM_LOG_INFO,
+               lost ? NM_LOG_ITEM_STORE_FAILED : NM_LOG_ITEM_STORE_RECOVERED,
+               "{s:I}", "silent_ms", (json_int_t)silent_ms);
+    }
+}
+
+static void
+on_feed_result(void *user, int rc)
+{
+    nm_entry_note_store(user, rc);
+}
+
 static void
 on_config(void *user, const nm_store_kv_t *item)
 {
@@ -72,6 +97,7 @@
 on_registered(void *user, const nm_kv_result_t *result)
 {
     nm_entry_t *entry = user;
+    nm_entry_note_store(entry, result->rc);
     entry->registering = false;
     entry->registered = result->rc == NM_OK;
     entry->register_due_ms = now(entry) + REGISTER_RETRY_MS;
@@ -136,6 +162,7 @@
                                    .clock = desc->clock,
                                    .prefix = desc->codec->config_prefix,
                                    .on_item = on_config,
+                                   .on_result = on_feed_result,
                                    .user = entry,
                                    .wait_ms = CONFIG_WAIT_MS});
     nm_feed_open(&entry->control_feed,
@@ -143,6 +170,7 @@
                                    .clock = desc->clock,
                                    .prefix = NM_KEY_CONTROL,
                                    .on_item = on_control,
+                                   .on_result = on_feed_result,
                                    .user = entry});
     return entry;
 }
@@ -172,20 +200,6 @@
     }
 }
 
-static void
-check_store(nm_entry_t *entry, nm_ms_t now_ms)
-{
-    const nm_feed_t *feed = &entry->control_feed;
-    bool lost = feed->failures >= STORE_LOST_FAILURES;
-    if (lost != entry->store_lost) {
-        entry->store_lost = lost;
-        nm_log(lost ? NM_LOG_WARN : NM_LOG_INFO,
-               lost ? NM_LOG_ITEM_STORE_FAILED : NM_LOG_ITEM_STORE_RECOVERED,
-               "{s:I}", "last_answer_ms",
-               (json_int_t)(now_ms - feed->answered_ms));
-    }
-}
-
 static void
 check_stopped(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -209,7 +223,6 @@
     register_host(entry, now_ms);
     wait = MIN(wait, nm_order_relay_flush(&entry->relay, now_ms));
     wait = MIN(wait, nm_order_carry_flush(&entry->carry, now_ms));
-    check_store(entry, now_ms);
     set_ready(entry);
     if (entry->stopping) {
         check_stopped(entry, now_ms);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -298,6 +298,7 @@
 on_stored(void *user, const nm_kv_result_t *result)
 {
     nm_op_t *op = user;
+    nm_entry_note_store(op->entry, result->rc);
     if (call_is_over(op)) {
         return;
     }
@@ -327,6 +328,7 @@
 on_job_found(void *user, const nm_kv_result_t *result)
 {
     nm_op_t *op = user;
+    nm_entry_note_store(op->entry, result->rc);
     if (call_is_over(op)) {
         return;
     }
@@ -382,6 +384,7 @@
 on_progress_found(void *user, const nm_kv_result_t *result)
 {
     nm_op_t *op = user;
+    nm_entry_note_store(op->entry, result->rc);
     if (call_is_over(op)) {
         return;
     }
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -558,6 +558,7 @@
         return;
     }
     entry->renewing = false;
+    nm_entry_note_store(entry, result->rc);
     if (result->rc == NM_OK) {
         entry->lease_until_ms = now(entry) + NM_OWNER_LEASE_MS;
     }
@@ -622,6 +623,7 @@
     nm_entry_t *entry = call->entry;
     bool current = entry->term == call->term && entry->sched;
     bool stored = result->rc == NM_OK;
+    nm_entry_note_store(entry, result->rc);
     nm_latency_add(NM_LATENCY_COMMIT, now(entry) - call->sent_ms);
     for (uint32_t i = 0; i < call->count; i++) {
         if (current) {
@@ -725,9 +727,12 @@
 
 /* --- orders --- */
 
+/* Ends are listed until they are acknowledged, and told once. */
 static void
-log_failures(const char *worker, const nm_worker_report_t *report)
+log_failures(const nm_entry_t *entry, const char *worker,
+             const nm_worker_report_t *report)
 {
+    int64_t seen = nm_sched_query_end(entry->sched, worker);
     static const char *const names[] = {
         [NM_END_DONE] = "done",       [NM_END_FAILED] = "failed",
         [NM_END_STOPPED] = "stopped", [NM_END_LAPSED] = "lapsed",
@@ -735,7 +740,9 @@
     };
     for (uint32_t i = 0; i < report->end_count; i++) {
         const nm_worker_end_t *end = &report->ends[i];
-        if (end->end != NM_END_DONE && end->end != NM_END_STOPPED) {
+        if (end->number > seen && end->end != NM_END_DONE &&
+            end->end != NM_END_STOPPED)
+        {
             nm_log(NM_LOG_INFO, NM_LOG_ITEM_TASK_FAILED, "{s:s,s:I,s:s,s:s}",
                    "task", end->task, "run", (json_int_t)end->run, "worker",
                    worker, "end", names[end->end]);
@@ -766,7 +773,7 @@
         nm_sched_on_pace(entry->sched, action, result, now_ms);
         break;
     default:
-        log_failures(action->worker, report);
+        log_failures(entry, action->worker, report);
         nm_sched_on_report(entry->sched, action->worker, report, now_ms);
         break;
     }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -58,8 +58,10 @@
     nm_owner_t owner;
     int64_t epoch; /* newest in the store */
     int64_t epoch_revision;
-    nm_ms_t vacant_ms;     /* since when no owner is known; 0: there is one */
-    bool store_lost;       /* its control feed gets no answers */
+    nm_ms_t vacant_ms; /* since when no owner is known; 0: there is one */
+    bool store_lost;   /* belief: it does not answer us */
+    uint32_t store_failures; /* calls in a row without an answer */
+    nm_ms_t store_answered_ms;
     nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
     /* Orders through other hosts, and for them. */
     nm_order_relay_t relay;
@@ -111,5 +113,7 @@
 nm_ms_t nm_calls_run(nm_entry_t *entry, nm_ms_t now_ms);
 
 int64_t nm_entry_unix_ms(void);
+/* Takes the result of any store call as evidence of the store's health. */
+void nm_entry_note_store(nm_entry_t *entry, int rc);
 
 #endif
--- a/src/feed.c
+++ b/src/feed.c
@@ -167,6 +167,9 @@
     }
     feed->pending = false;
     feed->due_ms = 0;
+    if (feed->desc.on_result) {
+        feed->desc.on_result(feed->desc.user, result->rc);
+    }
     if (result->rc == NM_OK) {
         feed->failures = 0;
         feed->answered_ms = now(feed);
--- a/src/feed.h
+++ b/src/feed.h
@@ -24,6 +24,8 @@
     const char *prefix;
     /* item->value is NULL for a deleted key. */
     void (*on_item)(void *user, const nm_store_kv_t *item);
+    /* Any call ended so; may be NULL. */
+    void (*on_result)(void *user, int rc);
     /* A listing is complete. */
     void (*on_listed)(void *user);
     void *user;
--- a/src/sched.c
+++ b/src/sched.c
@@ -575,6 +575,14 @@
     return job ? job->shown : NM_JOB_UNKNOWN;
 }
 
+int64_t
+nm_sched_query_end(const nm_sched_t *sched, const char *worker)
+{
+    assert(sched && worker);
+    const nm_sched_node_t *node = g_hash_table_lookup(sched->nodes, worker);
+    return node ? node->ends_seen : 0;
+}
+
 bool
 nm_sched_query_job_info(const nm_sched_t *sched, const char *id,
                         nm_sched_job_info_t *info)
