Start a new job only once ownership after its writing is shown

Change: the owner's key is read once for each batch of new jobs and cancels; at most 400 starts are without an answer at a time.

--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -23,6 +23,7 @@
 #define COMMIT_MS 250
 /* ...and ends of jobs this often. */
 #define COMMIT_URGENT_MS 30
+#define VERIFY_RETRY_MS 100
 /* A stopping owner waits this long for its last progress to be stored. */
 #define HAND_OVER_MS 400
 /* What was learned goes with a transaction this often. */
@@ -75,6 +76,25 @@
     return call;
 }
 
+static void
+free_item(gpointer data)
+{
+    nm_store_kv_t *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+static nm_store_kv_t *
+copy_item(const nm_store_kv_t *item)
+{
+    nm_store_kv_t *copy = g_new0(nm_store_kv_t, 1);
+    copy->key = g_strdup(item->key);
+    copy->value = g_memdup2(item->value, item->value_bytes + 1);
+    copy->value_bytes = item->value_bytes;
+    return copy;
+}
+
 void
 nm_owner_init(nm_entry_t *entry)
 {
@@ -82,18 +102,13 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     entry->roster_wanted =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    entry->progress = g_ptr_array_new();
+    entry->progress = g_ptr_array_new_with_free_func(free_item);
+    g_queue_init(&entry->unverified);
 }
 
 static void
 clear_progress(nm_entry_t *entry)
 {
-    for (guint i = 0; i < entry->progress->len; i++) {
-        nm_store_kv_t *item = entry->progress->pdata[i];
-        g_free(item->key);
-        g_free(item->value);
-        g_free(item);
-    }
     g_ptr_array_set_size(entry->progress, 0);
 }
 
@@ -125,6 +140,8 @@
     nm_feed_close(&entry->hosts_feed);
     nm_order_relay_clear(&entry->relay);
     clear_progress(entry);
+    g_queue_clear_full(&entry->unverified, free_item);
+    entry->verifying = 0;
     g_hash_table_remove_all(entry->roster);
     g_hash_table_remove_all(entry->roster_wanted);
     if (entry->sched) {
@@ -239,14 +256,9 @@
 }
 
 static void
-on_job(void *user, const nm_store_kv_t *item)
+take_job(nm_entry_t *entry, const nm_store_kv_t *item, bool recovered)
 {
-    nm_entry_t *entry = user;
     const char *name = item->key + strlen(NM_KEY_JOBS);
-    if (!item->value) {
-        return;
-    }
-    entry->sched_due_ms = 0;
     if (g_str_has_suffix(name, NM_SUFFIX_CANCEL)) {
         take_cancel(entry, name);
         return;
@@ -254,7 +266,6 @@
     nm_job_spec_t spec;
     int rc = nm_job_record_decode(&spec, name, item->value, item->value_bytes);
     if (rc == NM_OK) {
-        bool recovered = !entry->jobs_feed.listed && entry->term > 1;
         rc = nm_sched_add_job(entry->sched, &spec, recovered, now(entry));
     }
     if (rc < 0 && rc != NM_ERR_CONFLICT) {
@@ -264,16 +275,78 @@
     nm_job_spec_finish(&spec);
 }
 
+static void
+on_job(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (!item->value) {
+        return;
+    }
+    entry->sched_due_ms = 0;
+    if (entry->jobs_feed.listed) {
+        g_queue_push_tail(&entry->unverified, copy_item(item));
+    }
+    else {
+        take_job(entry, item, entry->term > 1);
+    }
+}
+
+static void
+on_verified(void *user, const nm_kv_result_t *result)
+{
+    term_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    bool current = entry->term == call->term && entry->sched;
+    g_free(call);
+    if (!current) {
+        return;
+    }
+    guint covered = entry->verifying;
+    entry->verifying = 0;
+    nm_entry_note_store(entry, result->rc);
+    if (result->rc == NM_ERR_NOT_FOUND) {
+        nm_owner_step_down(entry, "its key is gone");
+        return;
+    }
+    if (result->rc != NM_OK || result->item_count == 0) {
+        entry->verify_due_ms = now(entry) + VERIFY_RETRY_MS;
+        return;
+    }
+    if (result->items[0].mod_revision != entry->owner_revision) {
+        nm_owner_step_down(entry, "another host is the owner");
+        return;
+    }
+    for (guint i = 0; i < covered; i++) {
+        nm_store_kv_t *item = g_queue_pop_head(&entry->unverified);
+        take_job(entry, item, false);
+        free_item(item);
+    }
+    entry->sched_due_ms = 0;
+}
+
+/*
+ * A new job may start at once only on its owner's orders.  Whoever still
+ * owns the workers after it was written is the one that a later owner will
+ * look for: that one lists the job, and asks the workers first.
+ */
+static void
+verify_jobs(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->verifying > 0 || entry->unverified.length == 0 ||
+        now_ms < entry->verify_due_ms)
+    {
+        return;
+    }
+    entry->verifying = entry->unverified.length;
+    nm_kv_get(entry->desc.kv, NM_KEY_OWNER, on_verified, term_call(entry));
+}
+
 static void
 on_progress(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
     if (item->value) {
-        nm_store_kv_t *copy = g_new0(nm_store_kv_t, 1);
-        copy->key = g_strdup(item->key + strlen(NM_KEY_PROGRESS));
-        copy->value = g_memdup2(item->value, item->value_bytes + 1);
-        copy->value_bytes = item->value_bytes;
-        g_ptr_array_add(entry->progress, copy);
+        g_ptr_array_add(entry->progress, copy_item(item));
     }
 }
 
@@ -287,11 +360,12 @@
     }
     for (guint i = 0; i < entry->progress->len; i++) {
         const nm_store_kv_t *item = entry->progress->pdata[i];
-        int rc = nm_sched_restore(entry->sched, item->key, item->value,
+        const char *job = item->key + strlen(NM_KEY_PROGRESS);
+        int rc = nm_sched_restore(entry->sched, job, item->value,
                                   item->value_bytes);
         if (rc < 0 && rc != NM_ERR_NOT_FOUND) {
             nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
-                   item->key, "reason", "its progress cannot be read");
+                   job, "reason", "its progress cannot be read");
         }
     }
     clear_progress(entry);
@@ -560,7 +634,7 @@
     entry->renewing = false;
     nm_entry_note_store(entry, result->rc);
     if (result->rc == NM_OK) {
-        entry->lease_until_ms = now(entry) + NM_OWNER_LEASE_MS;
+        entry->lease_until_ms = entry->renew_sent_ms + NM_OWNER_LEASE_MS;
     }
     else if (result->rc == NM_ERR_NOT_FOUND) {
         nm_owner_step_down(entry, "its lease has ended");
@@ -572,6 +646,7 @@
 {
     if (!entry->renewing && now_ms >= entry->renew_due_ms) {
         entry->renewing = true;
+        entry->renew_sent_ms = now_ms;
         entry->renew_due_ms = now_ms + NM_OWNER_RENEW_MS;
         nm_kv_lease_renew(entry->desc.kv, entry->lease, on_renewed,
                           term_call(entry));
@@ -857,6 +932,7 @@
     nm_feed_tick(&entry->workers_feed, now_ms);
     nm_feed_tick(&entry->progress_feed, now_ms);
     nm_feed_tick(&entry->jobs_feed, now_ms);
+    verify_jobs(entry, now_ms);
     if (entry->role == NM_ROLE_OWNER) {
         run_sched(entry, now_ms);
     }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -76,7 +76,12 @@
     int64_t lease;
     nm_ms_t lease_until_ms;
     nm_ms_t renew_due_ms;
+    nm_ms_t renew_sent_ms;
     bool renewing;
+    /* New jobs and cancels, until ownership after their writing is shown. */
+    GQueue unverified; /* of nm_store_kv_t */
+    guint verifying;   /* how many of them the read under way covers */
+    nm_ms_t verify_due_ms;
     int64_t term; /* epoch of our ownership; 0: none */
     int64_t owner_revision;
     int64_t rival_revision; /* of the key that the election replaces */
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -377,6 +377,10 @@
         if (task->state != NM_RUN_WAITING) {
             continue;
         }
+        if (sched->starting >= NM_SCHED_STARTING_MAX) {
+            sched->stale = true;
+            return;
+        }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
         if (node) {
             nm_sched_start_task(sched, task, node, 0, now_ms);
@@ -405,7 +409,9 @@
     }
     g_array_sort(candidates, compare_candidates);
     need_t refused = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
-    for (guint i = 0; i < candidates->len; i++) {
+    for (guint i = 0;
+         i < candidates->len && sched->starting < NM_SCHED_STARTING_MAX; i++)
+    {
         place_step(sched, &g_array_index(candidates, candidate_t, i), &refused,
                    now_ms);
     }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -39,6 +39,11 @@
 #define NM_SCHED_FIRST_RETRY_MS 20
 /* Holds without an answer after which a worker gets no new tasks. */
 #define NM_SCHED_HOLD_FAILURES 2
+/*
+ * Starts without an answer beyond which none is sent: an owner that cannot
+ * keep up must not fall further behind what workers say of themselves.
+ */
+#define NM_SCHED_STARTING_MAX 400
 /* A start that got no answer this often is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 
@@ -197,9 +202,10 @@
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
-    bool has_unseen;  /* recovered tasks wait for workers to answer */
-    double hold_loss; /* share of holds without an answer */
-    bool stale;       /* something changed since the last placement */
+    uint32_t starting; /* starts without an answer */
+    bool has_unseen;   /* recovered tasks wait for workers to answer */
+    double hold_loss;  /* share of holds without an answer */
+    bool stale;        /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
     int64_t unix_ms;
@@ -215,6 +221,8 @@
 /* Puts a task on a node, or takes it off; keeps the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
+void nm_task_set_state(nm_sched_t *sched, nm_task_t *task,
+                       nm_run_state_t state);
 /* The task has no run any more and waits to be started. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
 /* Counts a run that failed, once, wherever the task is now. */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -132,6 +132,14 @@
     return true;
 }
 
+void
+nm_task_set_state(nm_sched_t *sched, nm_task_t *task, nm_run_state_t state)
+{
+    sched->starting -= task->state == NM_RUN_STARTING;
+    sched->starting += state == NM_RUN_STARTING;
+    task->state = state;
+}
+
 void
 nm_task_requeue(nm_sched_t *sched, nm_task_t *task)
 {
@@ -140,7 +148,7 @@
     if (task->state != NM_RUN_WAITING) {
         task->work->waiting[task->step]++;
     }
-    task->state = NM_RUN_WAITING;
+    nm_task_set_state(sched, task, NM_RUN_WAITING);
     task->order_pending = false;
     task->withdrawn = false;
     task->tries = 0;
@@ -165,7 +173,7 @@
     if (task->state == NM_RUN_WAITING) {
         task->work->waiting[task->step]--;
     }
-    task->state = NM_RUN_DONE;
+    nm_task_set_state(sched, task, NM_RUN_DONE);
     task->work->open[task->step]--;
     job->work_left -= step->cpu_milli * step->estimate_ms / 1000;
     sched->stale = true;
@@ -352,7 +360,7 @@
         int64_t least = (sched->desc.epoch - 1) * RUNS_PER_EPOCH + 1;
         task->run = MAX(MAX(task->run + 1, run), least);
         task->work->waiting[task->step]--;
-        task->state = NM_RUN_STARTING;
+        nm_task_set_state(sched, task, NM_RUN_STARTING);
         task->tries = 0;
         task->percent = 100;
         task->wanted_percent = 100;
@@ -382,7 +390,7 @@
     else if (task->state != NM_RUN_RUNNING && task->state != NM_RUN_STOPPING) {
         return;
     }
-    task->state = NM_RUN_STOPPING;
+    nm_task_set_state(sched, task, NM_RUN_STOPPING);
     nm_sched_action_t *action =
         nm_sched_act(sched, task->node, NM_ACTION_STOP);
     nm_sched_task_name(task, action->task, sizeof(action->task));
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -213,7 +213,7 @@
     task->order_pending = false;
     switch (result) {
     case NM_ORDER_DONE:
-        task->state = NM_RUN_RUNNING;
+        nm_task_set_state(sched, task, NM_RUN_RUNNING);
         task->tries = 0;
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
@@ -312,7 +312,7 @@
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     if (task && task->state == NM_RUN_UNSEEN) {
         task->run = row->run;
-        task->state = NM_RUN_RUNNING;
+        nm_task_set_state(sched, task, NM_RUN_RUNNING);
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
         task->progress_ms = now_ms;
@@ -333,7 +333,7 @@
         nm_sched_stop_task(sched, task, now_ms);
     }
     if (task->state == NM_RUN_STARTING) {
-        task->state = NM_RUN_RUNNING;
+        nm_task_set_state(sched, task, NM_RUN_RUNNING);
         task->started_ms = now_ms;
         task->progress_ms = now_ms;
         task->sent_ms = now_ms;
--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -27,6 +27,7 @@
 struct fake_kv {
     nm_kv_t base;
     fake_kv_mode_t mode;
+    const char *muted;
     int64_t revision;
     int64_t compacted;
     int64_t next_lease;
@@ -225,6 +226,12 @@
     return item ? (const char *)item->value : NULL;
 }
 
+void
+fake_kv_mute(fake_kv_t *kv, const char *prefix)
+{
+    kv->muted = prefix;
+}
+
 void
 fake_kv_compact(fake_kv_t *kv)
 {
@@ -326,7 +333,8 @@
                 g_array_append_vals(items, event, 1);
             }
         }
-        waits = items->len == 0;
+        bool muted = kv->muted && strcmp(kv->muted, call->key) == 0;
+        waits = items->len == 0 || muted;
     }
     else if (call->type == CALL_COMMIT) {
         result.rc = apply(kv, &call->txn);
--- a/tests/fakes/lib_kv.h
+++ b/tests/fakes/lib_kv.h
@@ -28,6 +28,8 @@
 const char *fake_kv_value(const fake_kv_t *kv, const char *key);
 /* Answers the calls that can be answered now. */
 void fake_kv_run(fake_kv_t *kv);
+/* Watches of this prefix hear nothing; NULL: none. */
+void fake_kv_mute(fake_kv_t *kv, const char *prefix);
 /* Drops the history, so that watches have to list again. */
 void fake_kv_compact(fake_kv_t *kv);
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -25,9 +25,10 @@
     bool ready;
 } fake_front_t;
 
+/* Workers that carry out everything at once and run nothing for long. */
 typedef struct {
     nm_order_port_t base;
-    uint32_t sent;
+    uint32_t starts;
 } fake_orders_t;
 
 typedef struct {
@@ -78,11 +79,14 @@
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
             int64_t epoch, nm_order_done_fn done, void *user)
 {
-    (void)action;
     (void)epoch;
-    (void)done;
-    ((fake_orders_t *)port)->sent++;
-    g_free(user);
+    nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                 .incarnation = 1,
+                                 .clock_ms = 1000,
+                                 .complete = false};
+    ((fake_orders_t *)port)->starts += action->type == NM_ACTION_START;
+    done(user, action, NM_ORDER_DONE,
+         action->type == NM_ACTION_HOLD ? &report : NULL);
 }
 
 static const nm_order_port_vtable_t orders_vtable = {orders_send};
@@ -356,6 +360,45 @@
     fake_kv_free(kv);
 }
 
+/*
+ * A host that does not know yet that it lost ownership must start nothing
+ * of a job that was written since: the new owner may have started it.
+ */
+static void
+test_former_owner_starts_no_new_job(void)
+{
+    static const struct {
+        bool replaced;
+        uint32_t starts;
+    } cases[] = {{false, 2}, {true, 0}};
+    static const char rival[] = "{\"name\":\"b\",\"address\":\"inproc://b\","
+                                "\"token\":\"t\",\"epoch\":9}";
+    static const char worker[] =
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"memMb\":1000},"
+        "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}";
+    static const char job[] =
+        "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","
+        "\"steps\":[{\"tasks\":2,\"cpu_milli\":500}]}";
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        fake_kv_t *kv = fake_kv_new();
+        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_put(kv, "servers/w1", worker);
+        host_t host;
+        host_init(&host, "a", kv);
+        run(&host, 1500);
+        if (cases[i].replaced) {
+            fake_kv_mute(kv, "nutmegdeck/control/");
+            fake_kv_put(kv, OWNER_KEY, rival);
+        }
+        fake_kv_put(kv, JOB_KEY, job);
+        run(&host, 500);
+        g_assert_cmpuint(host.orders.starts, ==, cases[i].starts);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -370,5 +413,7 @@
                     test_restarted_owner_takes_over);
     g_test_add_func("/entry/stopping-owner-hands-over",
                     test_stopping_owner_hands_over);
+    g_test_add_func("/entry/former-owner-starts-no-new-job",
+                    test_former_owner_starts_no_new_job);
     return g_test_run();
 }
