--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -461,9 +461,9 @@
 init_queues(fleet_t *fleet)
 {
     static const nm_queue_t queues[] = {
-        {"checks", "press", 0, 4, 1.5, 600, false},
-        {"fillers", "press", 2, 3, 2.0, 1000, false},
-        {"services", "press", 0, 4, 2.0, 3000, false},
+        {"checks", "press", 0, 4, 1.5, 600},
+        {"fillers", "press", 2, 3, 2.0, 1000},
+        {"services", "press", 0, 4, 2.0, 3000},
     };
     for (size_t i = 0; i < NM_COUNT_OF(queues); i++) {
         nm_sched_set_queue(fleet->sched, &queues[i]);
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -31,9 +31,6 @@
     int64_t epoch;        /* fencing token of this owner */
     nm_ms_t lease_ms;     /* of what runs on a worker; 0: 7000 */
     nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 7000 */
-    nm_ms_t stop_max_ms;  /* longest duration of a stop; 0: 400 */
-    nm_ms_t gang_wait_ms;
-    uint32_t spread_factor; /* slowdown away from the data; 0: 3 */
     uint64_t seed;
     nm_ms_t retain_ms; /* how long ended jobs are known; 0: 150000 */
 } nm_sched_desc_t;
@@ -46,7 +43,6 @@
     uint32_t attempts_max;
     double slack_factor;
     nm_ms_t objective_ms;
-    bool advised; /* its policy allows only some workers */
 } nm_queue_t;
 
 typedef enum {
@@ -70,7 +66,6 @@
     int64_t clock_ms; /* its steady clock when it wrote this */
     nm_worker_state_t state;
     nm_ms_t remaining_ms; /* while draining: least time left */
-    bool guards_capacity;
 } nm_sched_worker_t;
 
 typedef enum {
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -23,8 +23,6 @@
     int64_t version;
     nm_path_t *paths;
     uint32_t path_count;
-    char guarded_services[16][NM_NAME_MAX]; /* guard their capacity */
-    uint32_t guarded_count;
     uint32_t body_max_bytes;
 } nm_deployment_t;
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -29,10 +29,7 @@
     const char *region;
     const char *peer_address; /* tcp://IP:PORT for other entry hosts */
     double cpu_share;         /* of a core; more is chosen as owner first */
-    nm_ms_t stop_max_ms;      /* longest duration of a task's stop */
-    nm_ms_t gang_wait_ms;
-    nm_ms_t grace_ms; /* from the stop signal to the kill */
-    uint32_t spread_factor;
+    nm_ms_t grace_ms;         /* from the stop signal to the kill */
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -241,7 +241,6 @@
     if (op->finished) {
         return;
     }
-    entry->owner_seen_ms = now(entry);
     bool stored = answer->rc == NM_OK &&
                   (op->type == OP_SUBMIT || op->type == OP_CANCEL);
     bool known = answer->rc == NM_OK && answer->is_owner &&
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -228,12 +228,6 @@
         nm_sched_remove_worker(entry->sched, id);
         return;
     }
-    const nm_deployment_t *deployment = entry->deployment;
-    for (uint32_t i = 0; deployment && i < deployment->guarded_count; i++) {
-        worker.guards_capacity =
-            worker.guards_capacity ||
-            strcmp(deployment->guarded_services[i], worker.service) == 0;
-    }
     want_roster(entry, id);
     nm_order_relay_set_worker(&entry->relay, id, worker.zone);
     nm_sched_set_worker(entry->sched, &worker, now(entry));
@@ -486,14 +480,11 @@
     entry->owner_revision = revision;
     entry->role = NM_ROLE_LOADING;
     entry->renew_due_ms = now(entry) + NM_OWNER_RENEW_MS;
-    entry->sched = nm_sched_new(
-        &(nm_sched_desc_t){.epoch = epoch,
-                           .lease_max_ms = epoch > 1 ? 0 : 1,
-                           .stop_max_ms = entry->desc.stop_max_ms,
-                           .gang_wait_ms = entry->desc.gang_wait_ms,
-                           .spread_factor = entry->desc.spread_factor,
-                           .seed = nm_rng_next(&entry->rng)},
-        now(entry));
+    entry->sched =
+        nm_sched_new(&(nm_sched_desc_t){.epoch = epoch,
+                                        .lease_max_ms = epoch > 1 ? 0 : 1,
+                                        .seed = nm_rng_next(&entry->rng)},
+                     now(entry));
     nm_sched_run(entry->sched, now(entry), nm_entry_unix_ms());
     nm_owner_apply_deployment(entry);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
@@ -616,7 +607,6 @@
     }
     entry->role = NM_ROLE_CANDIDATE;
     entry->rival_revision = entry->owner.present ? entry->owner.revision : 0;
-    entry->lease_until_ms = now_ms + NM_OWNER_LEASE_MS;
     nm_kv_lease_grant(entry->desc.kv, NM_OWNER_LEASE_MS, on_lease,
                       term_call(entry));
 }
@@ -633,10 +623,7 @@
     }
     entry->renewing = false;
     nm_entry_note_store(entry, result->rc);
-    if (result->rc == NM_OK) {
-        entry->lease_until_ms = entry->renew_sent_ms + NM_OWNER_LEASE_MS;
-    }
-    else if (result->rc == NM_ERR_NOT_FOUND) {
+    if (result->rc == NM_ERR_NOT_FOUND) {
         nm_owner_step_down(entry, "its lease has ended");
     }
 }
@@ -646,7 +633,6 @@
 {
     if (!entry->renewing && now_ms >= entry->renew_due_ms) {
         entry->renewing = true;
-        entry->renew_sent_ms = now_ms;
         entry->renew_due_ms = now_ms + NM_OWNER_RENEW_MS;
         nm_kv_lease_renew(entry->desc.kv, entry->lease, on_renewed,
                           term_call(entry));
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -86,12 +86,6 @@
     settings->cpu_share = get_number(document, "cpu_share", 0, 1024, faults);
     settings->grace_ms =
         (nm_ms_t)(get_number(document, "grace_s", 0, 3600, faults) * 1000);
-    settings->stop_max_ms =
-        (nm_ms_t)get_number(document, "stop_max_ms", 0, 600000, faults);
-    settings->gang_wait_ms =
-        (nm_ms_t)get_number(document, "gang_wait_ms", 0, 600000, faults);
-    settings->spread_factor =
-        (uint32_t)get_number(document, "spread_factor", 0, 1000, faults);
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -21,9 +21,6 @@
     char metrics_address[NM_NAME_MAX]; /* IP:PORT for operators */
     double cpu_share;                  /* of a core */
     nm_ms_t grace_ms;
-    nm_ms_t stop_max_ms;
-    nm_ms_t gang_wait_ms;
-    uint32_t spread_factor;
 } nm_entry_settings_t;
 
 /* On failure, *fault names each thing that is wrong; free with g_free. */
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -62,7 +62,6 @@
     bool store_lost;   /* belief: it does not answer us */
     uint32_t store_failures; /* calls in a row without an answer */
     nm_ms_t store_answered_ms;
-    nm_ms_t owner_seen_ms; /* last answer of the owner to a question */
     /* Orders through other hosts, and for them. */
     nm_order_relay_t relay;
     nm_order_port_t *orders;
@@ -74,9 +73,7 @@
     nm_role_t role;
     char token[NM_NAME_MAX];
     int64_t lease;
-    nm_ms_t lease_until_ms;
     nm_ms_t renew_due_ms;
-    nm_ms_t renew_sent_ms;
     bool renewing;
     /* New jobs and cancels, until ownership after their writing is shown. */
     GQueue unverified; /* of nm_store_kv_t */
--- a/src/sched.c
+++ b/src/sched.c
@@ -9,8 +9,6 @@
 #define DEFAULT_LEASE_MS 7000
 /* All owners so far used the same lease. */
 #define DEFAULT_LEASE_MAX_MS DEFAULT_LEASE_MS
-#define DEFAULT_STOP_MAX_MS 400
-#define DEFAULT_SPREAD_FACTOR 3
 #define DEFAULT_RETAIN_MS 150000
 /* Time between decisions when nothing happens. */
 #define IDLE_MS 100
@@ -71,9 +69,6 @@
     nm_sched_desc_t *d = &sched->desc;
     d->lease_ms = d->lease_ms ? d->lease_ms : DEFAULT_LEASE_MS;
     d->lease_max_ms = d->lease_max_ms ? d->lease_max_ms : DEFAULT_LEASE_MAX_MS;
-    d->stop_max_ms = d->stop_max_ms ? d->stop_max_ms : DEFAULT_STOP_MAX_MS;
-    d->spread_factor =
-        d->spread_factor ? d->spread_factor : DEFAULT_SPREAD_FACTOR;
     d->retain_ms = d->retain_ms ? d->retain_ms : DEFAULT_RETAIN_MS;
     sched->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -280,10 +280,8 @@
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->fillers > 0 && node->reachable &&
-            (node->targets > 0 || node->had_targets))
-        {
-            node->had_targets = true;
+        /* Without serving tasks what was paused goes on. */
+        if (node->fillers > 0 && node->reachable) {
             check_node(sched, node, now_ms);
         }
     }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -152,12 +152,9 @@
     uint32_t hold_failures; /* in a row */
     bool hold_pending;
     nm_ms_t hold_due_ms;
-    nm_ms_t hold_sent_ms;
-    nm_ms_t answered_ms;
     int64_t clock_ms; /* at clock_at_ms or later */
     nm_ms_t clock_at_ms;
     bool clock_known;
-    int64_t expiry_ms;       /* newest lease sent, on its clock */
     nm_ms_t lapse_ms;        /* when that has lapsed for certain, our clock */
     int64_t ends_seen;       /* newest end processed */
     int64_t ends_acked;      /* newest end that may be forgotten */
@@ -177,7 +174,6 @@
     int64_t serving_cpu; /* of tasks with a latency target */
     nm_ms_t fillers_changed_ms;
     nm_ms_t observed_ms;
-    bool had_targets;
     nm_filler_load_t loads[NM_SCHED_LOADS_MAX]; /* by filler image */
     uint32_t load_count;
     bool loads_known; /* loads, harm and the tasks' log_tail are current */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -332,7 +332,6 @@
     int64_t left = expiry_ms - nm_node_clock(node, now_ms);
     nm_ms_t lapse = now_ms + (nm_ms_t)((double)left * NM_SCHED_CLOCK_SLOW) +
                     NM_SCHED_LAPSE_MARGIN_MS;
-    node->expiry_ms = MAX(node->expiry_ms, expiry_ms);
     node->lapse_ms = MAX(node->lapse_ms, lapse);
 }
 
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -86,7 +86,6 @@
     node->desc.incarnation = incarnation;
     node->fenced = false;
     node->clock_known = false;
-    node->expiry_ms = 0;
     node->lapse_ms = now_ms;
     node->ends_seen = 0;
     node->ends_acked = 0;
@@ -455,7 +454,6 @@
     node->reachable = true;
     node->hold_failures = 0;
     node->fenced = true;
-    node->answered_ms = now_ms;
     node->clock_ms = report->clock_ms;
     node->clock_at_ms = now_ms;
     node->clock_known = true;
@@ -503,7 +501,6 @@
     /* What may never answer gets no longer lease by being asked again. */
     if (node->clock_known && node->hold_failures == 0) {
         action->expiry_ms = nm_node_clock(node, now_ms) + sched->desc.lease_ms;
-        node->expiry_ms = MAX(node->expiry_ms, action->expiry_ms);
         nm_ms_t lapse =
             now_ms +
             (nm_ms_t)((double)sched->desc.lease_ms * NM_SCHED_CLOCK_SLOW) +
@@ -511,7 +508,6 @@
         node->lapse_ms = MAX(node->lapse_ms, lapse);
     }
     node->hold_pending = true;
-    node->hold_sent_ms = now_ms;
 }
 
 static void
