Withdraw late starts; an own pause is nobody's silence

Change: a late start is withdrawn by a stop before the task starts again; time in which this host stood still is added to what it waits for. Tests: late-start-is-withdrawn and /relay/silence failed before.

--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -13,6 +13,8 @@
 /* ...for so long, doubled with each further silence. */
 #define DOWN_MS 2000
 #define DOWN_MAX_MS 16000
+/* A longer pause between two rounds of this host is its own doing. */
+#define LAG_MS 250
 /* Time between two looks for orders without an answer. */
 #define CHECK_MS 100
 #define ORDERS_MAX 256
@@ -278,6 +280,23 @@
     g_ptr_array_free(late, TRUE);
 }
 
+/* While this host itself stood still, nobody's silence counts. */
+static void
+forgive(nm_order_relay_t *relay, nm_ms_t lag_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->open);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((order_t *)value)->until_ms += lag_ms;
+    }
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        carrier_t *carrier = value;
+        carrier->asked_ms += carrier->asked_ms > 0 ? lag_ms : 0;
+    }
+}
+
 static void
 check_carriers(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
@@ -315,6 +334,11 @@
 nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
     assert(relay);
+    nm_ms_t lag = now_ms - relay->called_ms;
+    relay->called_ms = now_ms;
+    if (lag > LAG_MS) {
+        forgive(relay, lag);
+    }
     nm_ms_t due = relay->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
     if (relay->queued > 0 && due <= 0) {
         relay->flushed_ms = now_ms;
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -52,6 +52,7 @@
     uint64_t number;
     int64_t epoch; /* of the newest order */
     nm_ms_t checked_ms;
+    nm_ms_t called_ms; /* last flush */
     nm_ms_t flushed_ms;
     uint32_t queued;
 } nm_order_relay_t;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -221,7 +221,6 @@
         break;
     case NM_ORDER_NOT_RUN:
     case NM_ORDER_NO_ROOM:
-    case NM_ORDER_LATE:
         /* An earlier copy without an answer may still arrive. */
         if (task->tries > 1) {
             withdraw_start(sched, task, now_ms);
@@ -234,6 +233,8 @@
         nm_task_requeue(sched, task);
         node->hold_due_ms = now_ms;
         break;
+    case NM_ORDER_LATE:
+        /* The HTTP client may have sent it twice; the first copy may run. */
     case NM_ORDER_SUPERSEDED:
     case NM_ORDER_INVALID:
         withdraw_start(sched, task, now_ms);
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,103 @@
+/* Orders through carriers: silence, and whose it is. */
+#include <glib.h>
+
+#include "../src/order_relay.h"
+
+typedef struct {
+    nm_order_port_t base;
+    uint32_t sent;
+} direct_t;
+
+typedef struct {
+    uint32_t ended;
+    nm_order_result_t result;
+} outcome_t;
+
+static void
+direct_send(nm_order_port_t *port, const nm_sched_action_t *action,
+            int64_t epoch, nm_order_done_fn done, void *user)
+{
+    (void)action;
+    (void)epoch;
+    (void)done;
+    (void)user;
+    ((direct_t *)port)->sent++;
+}
+
+static const nm_order_port_vtable_t direct_vtable = {direct_send};
+
+static outcome_t outcome;
+
+static void
+on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
+         const nm_worker_report_t *report)
+{
+    (void)action;
+    (void)report;
+    g_free(user);
+    outcome.ended++;
+    outcome.result = result;
+}
+
+/* Each case: the time between rounds, and whether the order is given up. */
+static const struct {
+    const char *name;
+    nm_ms_t round_ms;
+    uint32_t rounds;
+    uint32_t ended;
+} cases[] = {
+    {"silent carrier", 50, 40, 1},
+    {"short wait", 50, 10, 0},
+    {"this host stood still", 3000, 1, 0},
+    {"stood still again and again", 2000, 5, 0},
+};
+
+static void
+test_silence(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        outcome = (outcome_t){0};
+        nm_clock_t clock;
+        nm_clock_init_manual(&clock, 1000);
+        direct_t direct = {.base = {&direct_vtable}};
+        nm_peer_ask_t *peers = nm_peer_ask_new("inproc://owner");
+        nm_order_relay_t relay;
+        nm_order_port_t *port = nm_order_relay_init(
+            &relay, &(nm_order_relay_desc_t){.direct = &direct.base,
+                                             .peers = peers,
+                                             .clock = &clock,
+                                             .name = "owner"});
+        nm_relay_host_t host = {.name = "carrier",
+                                .address = "inproc://carrier",
+                                .zone = "z",
+                                .cpu_share = 0.5};
+        nm_order_relay_set_host(&relay, &host);
+        nm_order_relay_set_worker(&relay, "w", "z");
+        nm_order_relay_flush(&relay, clock.manual_ms);
+        nm_sched_action_t action = {.type = NM_ACTION_START,
+                                    .worker = "w",
+                                    .payload = "",
+                                    .checkpoint = ""};
+        nm_order_port_send(port, &action, 1, on_order, g_malloc(1));
+        for (uint32_t r = 0; r < cases[i].rounds; r++) {
+            clock.manual_ms += cases[i].round_ms;
+            nm_order_relay_flush(&relay, clock.manual_ms);
+        }
+        g_assert_cmpuint(outcome.ended, ==, cases[i].ended);
+        g_assert_cmpuint(direct.sent, ==, 0);
+        if (outcome.ended) {
+            g_assert_cmpint(outcome.result, ==, NM_ORDER_UNKNOWN);
+        }
+        nm_order_relay_finish(&relay);
+        nm_peer_ask_free(peers);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/relay/silence", test_silence);
+    return g_test_run();
+}
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -418,6 +418,26 @@
     world_finish(&world);
 }
 
+/* "Late" speaks of one copy of a start; another one may have run. */
+static void
+test_late_start_is_withdrawn(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    announce(&world, "a", 1);
+    step(&world, 10);
+    report(&world, "a", 1, NULL, 0, NULL, 0);
+    add_job(&world, JOB, false, 1, 1000, false);
+    step(&world, 30);
+    nm_sched_action_t start = *find(&world, NM_ACTION_START, "a");
+    announce(&world, "b", 1);
+    nm_sched_on_start(world.sched, &start, NM_ORDER_LATE, world.now_ms);
+    step(&world, 30);
+    g_assert_nonnull(find(&world, NM_ACTION_STOP, "a"));
+    g_assert_null(find(&world, NM_ACTION_START, NULL));
+    world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -438,6 +458,7 @@
         {"/sched/capacity-counts-what-is-stopped",
          test_capacity_counts_what_is_stopped},
         {"/sched/stalled-work-moves", test_stalled_work_moves},
+        {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
