Mark jobs as cancelled that are not there yet

Change: a cancel is marked also for an unknown job, and a create compares the mark's absence. Test: cancelled-job-is-not-created-late failed before.

--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -57,6 +57,7 @@
     bool asked_once;
     bool pending;   /* a store call is in flight */
     bool uncertain; /* it may be stored */
+    bool absent;    /* CANCEL: no such job, but one may still be written */
     bool finished;
     GList link;
 } nm_op_t;
@@ -301,7 +302,12 @@
     if (call_is_over(op)) {
         return;
     }
-    if (result->rc == NM_OK || result->rc == NM_ERR_CONFLICT) {
+    bool done = result->rc == NM_OK || result->rc == NM_ERR_CONFLICT;
+    if (done && op->absent) {
+        fail_op(op, NM_ERR_NOT_FOUND);
+        return;
+    }
+    if (done) {
         succeed(op, op->type == OP_CANCEL ? NM_JOB_CANCELLED : NM_JOB_QUEUED,
                 0);
         return;
@@ -313,10 +319,13 @@
 store_job(nm_op_t *op)
 {
     char key[NM_NAME_MAX * 2];
+    char cancel[NM_NAME_MAX * 2];
     job_key(op, "", key, sizeof(key));
+    job_key(op, NM_SUFFIX_CANCEL, cancel, sizeof(cancel));
     nm_store_txn_t txn;
     nm_store_txn_init(&txn);
     nm_store_txn_expect(&txn, key, 0);
+    nm_store_txn_expect(&txn, cancel, 0);
     nm_store_txn_put(&txn, key, op->record, (uint32_t)strlen(op->record), 0);
     op->pending = true;
     nm_kv_commit(op->entry->desc.kv, &txn, on_stored, op);
@@ -331,14 +340,17 @@
     if (call_is_over(op)) {
         return;
     }
-    if (result->rc == NM_ERR_NOT_FOUND) {
+    bool absent = result->rc == NM_ERR_NOT_FOUND;
+    if (absent && op->type == OP_STATE) {
         fail_op(op, NM_ERR_NOT_FOUND);
         return;
     }
-    if (result->rc != NM_OK) {
+    if (result->rc != NM_OK && !absent) {
         retry_store(op, result->rc);
         return;
     }
+    /* A create without an answer may be carried out after the cancel. */
+    op->absent = absent;
     if (op->type == OP_STATE) {
         succeed(op, NM_JOB_QUEUED, 0);
         return;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -423,6 +423,29 @@
     fake_kv_free(kv);
 }
 
+/* A create that is carried out after the job's cancel creates nothing. */
+static void
+test_cancelled_job_is_not_created_late(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 1000);
+    fake_kv_set_mode(kv, FAKE_KV_DELAYS);
+    call(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run(&host, 3000);
+    g_assert_cmpint(last_status(&host), ==, 504);
+    fake_kv_set_mode(kv, FAKE_KV_SERVES);
+    call(&host, NM_METHOD_DELETE, "/a/" JOB, "");
+    run(&host, 500);
+    g_assert_cmpint(last_status(&host), ==, 410);
+    fake_kv_apply_delayed(kv);
+    g_assert_null(fake_kv_value(kv, JOB_KEY));
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -441,5 +464,7 @@
                     test_former_owner_starts_no_new_job);
     g_test_add_func("/entry/late-commit-undoes-nothing",
                     test_late_commit_undoes_nothing);
+    g_test_add_func("/entry/cancelled-job-is-not-created-late",
+                    test_cancelled_job_is_not_created_late);
     return g_test_run();
 }
