--- a/include/nutmegdeck/grant.h
+++ b/include/nutmegdeck/grant.h
@@ -24,7 +24,7 @@
 
 /* How long a holder may use a grant, from when it asked for it. */
 #define NM_GRANT_TERM_MS 4000
-/* The owner's allowance for clocks that run at different speeds. */
+/* Margin of the owner for clock drift: 500 ms of a 4 s term. */
 #define NM_GRANT_MARGIN_MS 500
 
 typedef struct {
--- a/include/nutmegdeck/shard.h
+++ b/include/nutmegdeck/shard.h
@@ -27,7 +27,7 @@
 #define NM_SHARD_AUTHORITY_MS 2000
 /* A worker ends its tasks this long after its last renewed report. */
 #define NM_SHARD_LEASE_MS 8000
-/* Allowance for clocks that run at different speeds. */
+/* Margin for clock drift between hosts: 500 ms of an 8 s lease. */
 #define NM_SHARD_MARGIN_MS 500
 /* A synchronisation without an answer fails after this. */
 #define NM_SHARD_SYNC_TIMEOUT_MS 1500
