--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -35,6 +35,10 @@
     X(LISTEN_FAILED, "listen-failed")                                         \
     X(RELOADED, "reloaded")                                                   \
     X(WORKER_REFUSED, "worker-refused")                                       \
+    X(REPORT_MALFORMED, "report-malformed")                                   \
+    X(ROSTER_REFUSED, "roster-refused")                                       \
+    X(HOST_REFUSED, "host-refused")                                           \
+    X(ELECTION_FAILED, "election-failed")                                     \
     X(REQUEST_REFUSED, "request-refused")                                     \
     X(JOB_ACCEPTED, "job-accepted")                                           \
     X(JOB_CANCELLED, "job-cancelled")                                         \
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,323 @@
+/* Calls of the platform's adapters against a scripted server on loopback. */
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+#include <glib.h>
+
+#include "../platform/kv_http.h"
+#include "../platform/orders_http.h"
+
+#define KEPT_ANSWER                                                           \
+    "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"clockMs\":500}"
+#define ROUNDS_MAX 300
+#define ROUND_MS 10
+
+/* One connection: each request gets the next answer; NULL: close on it. */
+typedef struct {
+    int listener;
+    uint16_t port;
+    const char *const *answers;
+    bool close_listener; /* before the connection that ends the script */
+} server_t;
+
+static void *
+serve(void *user)
+{
+    server_t *server = user;
+    int connection = accept(server->listener, NULL, NULL);
+    char buffer[8192];
+    for (const char *const *answer = server->answers; connection >= 0;
+         answer++) {
+        if (recv(connection, buffer, sizeof(buffer), 0) <= 0) {
+            break;
+        }
+        if (!*answer) {
+            if (server->close_listener) {
+                close(server->listener);
+            }
+            break;
+        }
+        send(connection, *answer, strlen(*answer), MSG_NOSIGNAL);
+    }
+    close(connection);
+    return NULL;
+}
+
+static void
+server_start(server_t *server, pthread_t *thread)
+{
+    struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+    };
+    socklen_t size = sizeof(address);
+    server->listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(server->listener, (struct sockaddr *)&address, size),
+                    ==, 0);
+    listen(server->listener, 8);
+    getsockname(server->listener, (struct sockaddr *)&address, &size);
+    server->port = ntohs(address.sin_port);
+    pthread_create(thread, NULL, serve, server);
+}
+
+typedef struct {
+    uint32_t ended;
+    nm_order_result_t result;
+    bool complete;
+    uint32_t running;
+    uint32_t ends;
+} outcome_t;
+
+static void
+on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
+         const nm_worker_report_t *report)
+{
+    (void)action;
+    outcome_t *outcome = user;
+    outcome->ended++;
+    outcome->result = result;
+    if (report) {
+        outcome->complete = report->complete;
+        outcome->running = report->running_count;
+        outcome->ends = report->end_count;
+    }
+}
+
+static void
+wait_for(nm_http_t *http, const uint32_t *ended, uint32_t count)
+{
+    for (int i = 0; i < ROUNDS_MAX && *ended < count; i++) {
+        nm_http_poll(http, NULL, 0, ROUND_MS);
+    }
+    g_assert_cmpuint(*ended, ==, count);
+}
+
+static void
+send_order(nm_order_port_t *port, const server_t *server,
+           nm_sched_action_type_t type, outcome_t *outcome)
+{
+    nm_sched_action_t action = {.type = type,
+                                .worker = "w",
+                                .task = "5c0e7a21d94b36f8.0.0.0",
+                                .run = 1,
+                                .payload = "",
+                                .checkpoint = ""};
+    g_snprintf(action.address, sizeof(action.address), "127.0.0.1:%u",
+               server->port);
+    nm_order_port_send(port, &action, 1, on_order, outcome);
+}
+
+/*
+ * libcurl sends a request again when a kept connection closes on it.  If
+ * the second connection is refused, the first copy may still have run.
+ */
+static void
+test_repeated_by_the_client(void)
+{
+    static const char *const answers[] = {KEPT_ANSWER, NULL};
+    server_t server = {.answers = answers, .close_listener = true};
+    pthread_t thread;
+    server_start(&server, &thread);
+    nm_http_t *http = nm_http_new();
+    nm_orders_http_t orders;
+    nm_order_port_t *port = nm_orders_http_init(&orders, http);
+    outcome_t outcome = {0};
+    send_order(port, &server, NM_ACTION_START, &outcome);
+    wait_for(http, &outcome.ended, 1);
+    g_assert_cmpint(outcome.result, ==, NM_ORDER_DONE);
+    send_order(port, &server, NM_ACTION_START, &outcome);
+    wait_for(http, &outcome.ended, 2);
+    g_assert_cmpint(outcome.result, ==, NM_ORDER_UNKNOWN);
+    pthread_join(thread, NULL);
+    nm_http_free(http);
+    nm_orders_http_finish(&orders);
+}
+
+/* A worker's lists, and what of them can be read. */
+static const struct {
+    const char *name;
+    const char *body;
+    nm_order_result_t result;
+    bool complete;
+    uint32_t running;
+    uint32_t ends;
+} report_cases[] = {
+    {"whole",
+     "{\"born\":1,\"clockMs\":5,\"running\":[[\"a.0.0.0\",1,\"\",100,3]],"
+     "\"finished\":[[1,\"b.0.0.0\",1,\"done\",\"\"]]}",
+     NM_ORDER_DONE, true, 1, 1},
+    {"run-without-name",
+     "{\"born\":1,\"clockMs\":5,\"running\":[[7,1,\"\",100],"
+     "[\"a.0.0.0\",1,\"\",100]],\"finished\":[]}",
+     NM_ORDER_DONE, false, 1, 0},
+    {"run-not-a-row",
+     "{\"born\":1,\"clockMs\":5,\"running\":[\"a.0.0.0\"],\"finished\":[]}",
+     NM_ORDER_DONE, false, 0, 0},
+    {"end-of-unknown-kind",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],"
+     "\"finished\":[[1,\"b.0.0.0\",1,\"vanished\",\"\"]]}",
+     NM_ORDER_DONE, false, 0, 1},
+    {"end-without-task",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],"
+     "\"finished\":[[1,7,1,\"done\",\"\"],[2,\"b.0.0.0\",1,\"done\",\"\"]]}",
+     NM_ORDER_DONE, false, 0, 0},
+    {"no-lists", "{\"born\":1,\"clockMs\":5}", NM_ORDER_UNKNOWN, true, 0, 0},
+    {"not-json", "hello", NM_ORDER_UNKNOWN, true, 0, 0},
+};
+
+static void
+test_reports(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(report_cases); i++) {
+        g_test_message("%s", report_cases[i].name);
+        char *answer = g_strdup_printf(
+            "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+            strlen(report_cases[i].body), report_cases[i].body);
+        const char *const answers[] = {answer, NULL};
+        server_t server = {.answers = answers};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_orders_http_t orders;
+        nm_order_port_t *port = nm_orders_http_init(&orders, http);
+        outcome_t outcome = {0};
+        send_order(port, &server, NM_ACTION_HOLD, &outcome);
+        wait_for(http, &outcome.ended, 1);
+        g_assert_cmpint(outcome.result, ==, report_cases[i].result);
+        g_assert_cmpint(outcome.complete, ==, report_cases[i].complete);
+        g_assert_cmpuint(outcome.running, ==, report_cases[i].running);
+        g_assert_cmpuint(outcome.ends, ==, report_cases[i].ends);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+        nm_orders_http_finish(&orders);
+        g_free(answer);
+    }
+}
+
+/* Statuses of orders to a worker. */
+static const struct {
+    const char *answer;
+    nm_order_result_t result;
+} status_cases[] = {
+    {KEPT_ANSWER, NM_ORDER_DONE},
+    {"HTTP/1.1 409 x\r\nContent-Length: 18\r\n\r\n{\"reason\":\"fence\"}",
+     NM_ORDER_FENCED},
+    {"HTTP/1.1 409 x\r\nContent-Length: 16\r\n\r\n{\"reason\":\"old\"}",
+     NM_ORDER_SUPERSEDED},
+    {"HTTP/1.1 409 x\r\nContent-Length: 17\r\n\r\n{\"reason\":\"late\"}",
+     NM_ORDER_LATE},
+    {"HTTP/1.1 409 x\r\nContent-Length: 17\r\n\r\n{\"reason\":\"room\"}",
+     NM_ORDER_NO_ROOM},
+    {"HTTP/1.1 409 x\r\nContent-Length: 2\r\n\r\n{}", NM_ORDER_UNKNOWN},
+    {"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_WRONG_LIFE},
+    {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_NOT_RUN},
+    {"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_INVALID},
+    {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_UNKNOWN},
+};
+
+static void
+test_statuses(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(status_cases); i++) {
+        g_test_message("case %zu", i);
+        const char *const answers[] = {status_cases[i].answer, NULL};
+        server_t server = {.answers = answers};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_orders_http_t orders;
+        nm_order_port_t *port = nm_orders_http_init(&orders, http);
+        outcome_t outcome = {0};
+        send_order(port, &server, NM_ACTION_START, &outcome);
+        wait_for(http, &outcome.ended, 1);
+        g_assert_cmpint(outcome.result, ==, status_cases[i].result);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+        nm_orders_http_finish(&orders);
+    }
+}
+
+typedef struct {
+    uint32_t ended;
+    int rc;
+    uint32_t items;
+    int64_t revision;
+} kv_outcome_t;
+
+static void
+on_kv(void *user, const nm_kv_result_t *result)
+{
+    kv_outcome_t *outcome = user;
+    outcome->ended++;
+    outcome->rc = result->rc;
+    outcome->items = result->item_count;
+    outcome->revision = result->revision;
+}
+
+/* Answers of the store to a commit. */
+static const struct {
+    const char *answer; /* NULL: the connection closes */
+    int rc;
+    uint32_t items;
+} kv_cases[] = {
+    {"HTTP/1.1 200 x\r\nContent-Length: 16\r\n\r\n{\"revision\":412}", NM_OK,
+     0},
+    {"HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\nno", NM_ERR_LOST, 0},
+    {"HTTP/1.1 412 x\r\nContent-Length: 39\r\n\r\n"
+     "{\"items\":[{\"key\":\"a\",\"revision\":3},{}]}",
+     NM_ERR_CONFLICT, 1},
+    {"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n", NM_ERR_NOT_FOUND, 0},
+    {"HTTP/1.1 429 x\r\nContent-Length: 0\r\n\r\n", NM_ERR_UNAVAILABLE, 0},
+    {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", NM_ERR_UNAVAILABLE, 0},
+    {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", NM_ERR_LOST, 0},
+    {NULL, NM_ERR_LOST, 0},
+};
+
+static void
+test_store(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(kv_cases); i++) {
+        g_test_message("case %zu", i);
+        const char *const answers[] = {kv_cases[i].answer, NULL};
+        server_t server = {.answers = answers};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_kv_http_t store;
+        char address[NM_NAME_MAX];
+        g_snprintf(address, sizeof(address), "127.0.0.1:%u", server.port);
+        nm_kv_t *kv = nm_kv_http_init(&store, http, address);
+        nm_store_txn_t txn;
+        nm_store_txn_init(&txn);
+        nm_store_txn_put(&txn, "a", "1", 1, 0);
+        kv_outcome_t outcome = {0};
+        nm_kv_commit(kv, &txn, on_kv, &outcome);
+        nm_store_txn_finish(&txn);
+        wait_for(http, &outcome.ended, 1);
+        g_assert_cmpint(outcome.rc, ==, kv_cases[i].rc);
+        g_assert_cmpuint(outcome.items, ==, kv_cases[i].items);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/repeated-by-the-client",
+                    test_repeated_by_the_client);
+    g_test_add_func("/platform/reports", test_reports);
+    g_test_add_func("/platform/statuses", test_statuses);
+    g_test_add_func("/platform/store", test_store);
+    return g_test_run();
+}
