Wait out an unreadable roster, start nothing of unreadable progress

Cause: (reading the change) a roster that could not be read counted as empty, so a new owner did not wait for workers that may run tasks; jobs whose progress could not be read ran again from the start. Failed elections and refused records of hosts were not logged. Change: both are held back and logged. Tests: unreadable-roster-is-waited-out and unreadable-progress-starts-nothing failed before.

--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -411,6 +411,10 @@
     }
     else {
         nm_order_relay_remove_host(&entry->relay, name);
+        if (item->value) {
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_HOST_REFUSED, "{s:s}", "name",
+                   name);
+        }
     }
     json_decref(record);
 }
@@ -420,6 +424,11 @@
 {
     json_t *ids =
         json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
+    if (!json_is_array(ids)) {
+        /* Stands for all that it may have named, until their leases lapse. */
+        nm_sched_expect_worker(entry->sched, "unreadable roster", now(entry));
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
+    }
     size_t i;
     json_t *id;
     json_array_foreach(ids, i, id)
@@ -518,6 +527,7 @@
     if (entry->role != NM_ROLE_CANDIDATE) {
         return;
     }
+    nm_entry_note_store(entry, result->rc);
     entry->role = NM_ROLE_MEMBER;
     entry->vacant_ms = now(entry) + ELECTION_RETRY_MS;
     if (result->rc == NM_OK) {
@@ -526,6 +536,8 @@
         begin_term(entry, entry->epoch, result->revision);
         return;
     }
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_ELECTION_FAILED, "{s:I,s:s}", "epoch",
+           (json_int_t)entry->epoch + 1, "reason", nm_error_text(result->rc));
     if (result->rc != NM_ERR_CONFLICT) {
         return;
     }
@@ -569,7 +581,11 @@
     if (entry->role != NM_ROLE_CANDIDATE) {
         return;
     }
+    nm_entry_note_store(entry, result->rc);
     if (result->rc != NM_OK || result->lease == 0) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_ELECTION_FAILED, "{s:I,s:s}", "epoch",
+               (json_int_t)entry->epoch + 1, "reason",
+               nm_error_text(result->rc));
         entry->role = NM_ROLE_MEMBER;
         entry->vacant_ms = now(entry) + ELECTION_RETRY_MS;
         return;
--- a/src/sched.c
+++ b/src/sched.c
@@ -343,7 +343,11 @@
             PROGRESS_VERSION)
     {
         json_decref(record);
-        return job ? NM_ERR_CORRUPT : NM_ERR_NOT_FOUND;
+        if (!job) {
+            return NM_ERR_NOT_FOUND;
+        }
+        job->unreadable = true;
+        return NM_ERR_CORRUPT;
     }
     for (nm_job_state_t s = NM_JOB_COMPLETED; s <= NM_JOB_CANCELLED; s++) {
         if (strcmp(state, nm_job_state_name(s)) == 0) {
@@ -400,7 +404,10 @@
     }
     sched->has_unseen = false;
     for (guint i = 0; i < sched->active->len; i++) {
-        settle_job(sched, sched->active->pdata[i]);
+        nm_sched_job_t *job = sched->active->pdata[i];
+        if (!job->unreadable) {
+            settle_job(sched, job);
+        }
     }
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -120,6 +120,7 @@
     nm_ms_t ended_ms;
     nm_ms_t first_start_ms; /* 0: none seen by this owner */
     bool recovered;
+    bool unreadable; /* its progress; nothing of it may start */
     bool cancelled;
     bool started; /* any task was ever started */
     bool lasts;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -21,6 +21,9 @@
     "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","          \
     "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"memMb\":1000},"        \
     "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}"
+#define RECORD                                                                \
+    "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","      \
+    "\"steps\":[{\"tasks\":2,\"cpu_milli\":500}]}"
 #define BODY "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
 typedef struct {
@@ -378,9 +381,6 @@
     } cases[] = {{false, 2}, {true, 0}};
     static const char rival[] = "{\"name\":\"b\",\"address\":\"inproc://b\","
                                 "\"token\":\"t\",\"epoch\":9}";
-    static const char job[] =
-        "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","
-        "\"steps\":[{\"tasks\":2,\"cpu_milli\":500}]}";
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         fake_kv_t *kv = fake_kv_new();
         fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
@@ -392,7 +392,7 @@
             fake_kv_mute(kv, "nutmegdeck/control/");
             fake_kv_put(kv, OWNER_KEY, rival);
         }
-        fake_kv_put(kv, JOB_KEY, job);
+        fake_kv_put(kv, JOB_KEY, RECORD);
         run(&host, 500);
         g_assert_cmpuint(host.orders.starts, ==, cases[i].starts);
         host_finish(&host);
@@ -446,6 +446,32 @@
     fake_kv_free(kv);
 }
 
+/* Without a roster that can be read, any worker may run a recovered task. */
+static void
+test_unreadable_roster_is_waited_out(void)
+{
+    static const struct {
+        const char *roster;
+        uint32_t starts_at_once;
+    } cases[] = {{"[\"w1\"]", 2}, {"{broken", 0}, {"{\"w1\":1}", 0}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        fake_kv_t *kv = fake_kv_new();
+        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_put(kv, "nutmegdeck/control/epoch", "1");
+        fake_kv_put(kv, ROSTER_KEY, cases[i].roster);
+        fake_kv_put(kv, "servers/w1", WORKER);
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        host_t host;
+        host_init(&host, "a", kv);
+        run(&host, 3000);
+        g_assert_cmpuint(host.orders.starts, ==, cases[i].starts_at_once);
+        run(&host, 6000);
+        g_assert_cmpuint(host.orders.starts, ==, 2);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -466,5 +492,7 @@
                     test_late_commit_undoes_nothing);
     g_test_add_func("/entry/cancelled-job-is-not-created-late",
                     test_cancelled_job_is_not_created_late);
+    g_test_add_func("/entry/unreadable-roster-is-waited-out",
+                    test_unreadable_roster_is_waited_out);
     return g_test_run();
 }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -299,6 +299,34 @@
     world_finish(&second);
 }
 
+/* What cannot be read may say that a task is done: it must not run again. */
+static void
+test_unreadable_progress_starts_nothing(void)
+{
+    static const struct {
+        const char *record;
+        bool starts;
+    } cases[] = {
+        {"{\"version\":1,\"state\":\"running\"}", true},
+        {"{\"version\":2,\"state\":\"running\"}", false},
+        {"{broken", false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        world_t world;
+        world_init(&world, 2);
+        announce(&world, "a", 1);
+        add_job(&world, JOB, false, 1, 1000, true);
+        nm_sched_restore(world.sched, JOB, cases[i].record,
+                         (uint32_t)strlen(cases[i].record));
+        step(&world, 10);
+        report(&world, "a", 1, NULL, 0, NULL, 0);
+        step(&world, 10000);
+        bool started = find(&world, NM_ACTION_START, "a") != NULL;
+        g_assert_cmpint(started, ==, cases[i].starts);
+        world_finish(&world);
+    }
+}
+
 /* A recovered task waits for every worker that may run it unseen. */
 static void
 test_recovered_task_waits_for_all_workers(void)
@@ -504,6 +532,8 @@
          test_unanswered_start_on_a_new_life},
         {"/sched/capacity-counts-what-is-stopped",
          test_capacity_counts_what_is_stopped},
+        {"/sched/unreadable-progress-starts-nothing",
+         test_unreadable_progress_starts_nothing},
         {"/sched/stalled-work-moves", test_stalled_work_moves},
         {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
         {"/sched/rough-tail-evicts-fillers", test_rough_tail_evicts_fillers},
