Move the limit of orders under way out of platform/

Cause: (reading the change) how many orders go to a worker at once, and that the others wait, is a decision; platform/ holds names and calls. Change: src/order_lanes.c wraps any order port; the platform's is without state of its own. Test: /lanes/limit; behaviour unchanged.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -20,6 +20,7 @@
 #include "../platform/orders_http.h"
 #include "../src/entry.h"
 #include "../src/entry_settings.h"
+#include "../src/order_lanes.h"
 #include "../src/ops.h"
 
 #define FDS_MAX 80
@@ -94,7 +95,9 @@
     nm_kv_http_t store;
     nm_orders_http_t orders;
     nm_kv_t *kv = nm_kv_http_init(&store, http, settings->store_address);
-    nm_order_port_t *port = nm_orders_http_init(&orders, http);
+    nm_order_lanes_t lanes;
+    nm_order_port_t *port =
+        nm_order_lanes_init(&lanes, nm_orders_http_init(&orders, http));
     nm_call_front_t *front =
         nm_front_http_new(settings->front_address, settings->ready_address);
     nm_peer_ask_t *peers = nm_peer_ask_new(settings->peer_address);
@@ -128,7 +131,7 @@
     nm_front_http_free(front);
     nm_ops_free(ops);
     nm_http_free(http);
-    nm_orders_http_finish(&orders);
+    nm_order_lanes_finish(&lanes);
     nm_peer_ask_free(peers);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_STOPPED, NULL);
     return 0;
--- /dev/null
+++ b/tests/test_lanes.c
@@ -0,0 +1,100 @@
+/* Orders under way to one worker are limited; none is lost or changed. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "../src/order_lanes.h"
+
+typedef struct {
+    nm_order_port_t base;
+    GArray *users; /* of orders under way */
+    GPtrArray *payloads;
+    nm_order_done_fn done;
+} inner_t;
+
+static void
+inner_send(nm_order_port_t *port, const nm_sched_action_t *action,
+           int64_t epoch, nm_order_done_fn done, void *user)
+{
+    inner_t *inner = (inner_t *)port;
+    g_assert_cmpint(epoch, ==, 7);
+    inner->done = done;
+    g_array_append_val(inner->users, user);
+    g_ptr_array_add(inner->payloads, g_strdup(action->payload));
+}
+
+static const nm_order_port_vtable_t inner_vtable = {inner_send};
+
+static void
+on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
+         const nm_worker_report_t *report)
+{
+    (void)action;
+    (void)report;
+    g_assert_cmpint(result, ==, NM_ORDER_DONE);
+    (*(uint32_t *)user)++;
+}
+
+static const struct {
+    const char *name;
+    nm_sched_action_type_t type;
+    const char *workers[4];
+    uint32_t under_way; /* before any has ended */
+} cases[] = {
+    {"one worker", NM_ACTION_START, {"a", "a", "a", "a"}, 2},
+    {"two workers", NM_ACTION_START, {"a", "b", "a", "b"}, 4},
+    {"two and a third", NM_ACTION_STOP, {"a", "a", "a", "b"}, 3},
+    {"reports", NM_ACTION_HOLD, {"a", "a", "a", "a"}, 4},
+};
+
+static void
+test_limit(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        inner_t inner = {.base = {&inner_vtable},
+                         .users = g_array_new(FALSE, FALSE, sizeof(void *)),
+                         .payloads = g_ptr_array_new_with_free_func(g_free)};
+        nm_order_lanes_t lanes;
+        nm_order_port_t *port = nm_order_lanes_init(&lanes, &inner.base);
+        uint32_t ended = 0;
+        for (uint32_t w = 0; w < NM_COUNT_OF(cases[i].workers); w++) {
+            char payload[8];
+            g_snprintf(payload, sizeof(payload), "%u", w);
+            nm_sched_action_t action = {
+                .type = cases[i].type, .payload = payload, .checkpoint = ""};
+            nm_strcopy(action.worker, sizeof(action.worker),
+                       cases[i].workers[w]);
+            nm_order_port_send(port, &action, 7, on_order, &ended);
+        }
+        g_assert_cmpuint(inner.users->len, ==, cases[i].under_way);
+        for (uint32_t sent = 0; sent < inner.users->len; sent++) {
+            nm_sched_action_t action = {.type = cases[i].type};
+            inner.done(g_array_index(inner.users, void *, sent), &action,
+                       NM_ORDER_DONE, NULL);
+        }
+        g_assert_cmpuint(ended, ==, 4);
+        g_assert_cmpuint(inner.payloads->len, ==, 4);
+        for (uint32_t p = 0; p < 4; p++) {
+            char payload[8];
+            g_snprintf(payload, sizeof(payload), "%u", p);
+            bool found = false;
+            for (uint32_t q = 0; q < 4; q++) {
+                found =
+                    found || strcmp(inner.payloads->pdata[q], payload) == 0;
+            }
+            g_assert_true(found);
+        }
+        nm_order_lanes_finish(&lanes);
+        g_array_free(inner.users, TRUE);
+        g_ptr_array_free(inner.payloads, TRUE);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/lanes/limit", test_limit);
+    return g_test_run();
+}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -136,7 +136,6 @@
     g_assert_cmpint(outcome.result, ==, NM_ORDER_UNKNOWN);
     pthread_join(thread, NULL);
     nm_http_free(http);
-    nm_orders_http_finish(&orders);
 }
 
 /* A worker's lists, and what of them can be read. */
@@ -196,7 +195,6 @@
         nm_http_free(http);
         pthread_join(thread, NULL);
         close(server.listener);
-        nm_orders_http_finish(&orders);
         g_free(answer);
     }
 }
@@ -241,7 +239,6 @@
         nm_http_free(http);
         pthread_join(thread, NULL);
         close(server.listener);
-        nm_orders_http_finish(&orders);
     }
 }
 
