Split entry_owner.c by job: term, election, takeover, commit, orders

On the way: a failed read of the commit key was repeated in each round of an outage; recovered jobs without a start counted as 0 ms.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -102,15 +102,24 @@
     NM_ORDER_INVALID,
 } nm_order_result_t;
 
+/* How a run ended, with its name in logs. */
+#define NM_END_LIST(X)                                                        \
+    X(DONE, "done")                                                           \
+    X(FAILED, "failed")   /* by its own fault or its worker's */              \
+    X(STOPPED, "stopped") /* on our order */                                  \
+    X(LAPSED, "lapsed")   /* its lease was not renewed */                     \
+    X(BROKEN, "broken")   /* another member of its gang ended */              \
+    X(ALONE, "alone")     /* the other members did not come */
+
 typedef enum {
-    NM_END_DONE,
-    NM_END_FAILED,
-    NM_END_STOPPED,
-    NM_END_LAPSED,
-    NM_END_BROKEN,
-    NM_END_ALONE,
+#define X(name, label) NM_END_##name,
+    NM_END_LIST(X)
+#undef X
+        NM_END_COUNT,
 } nm_end_t;
 
+const char *nm_end_name(nm_end_t end);
+
 typedef struct {
     char task[NM_TASK_NAME_MAX];
     int64_t run;
--- a/src/entry.c
+++ b/src/entry.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/time.h>
 
 #include <jansson.h>
 
@@ -23,16 +24,18 @@
 /* Calls in a row without an answer after which the store counts as lost. */
 #define STORE_LOST_FAILURES 3
 
-static nm_ms_t
-now(const nm_entry_t *entry)
+int64_t
+nm_entry_unix_ms(void)
 {
-    return nm_clock_now(entry->desc.clock);
+    struct timeval tv;
+    gettimeofday(&tv, NULL);
+    return (int64_t)tv.tv_sec * 1000 + tv.tv_usec / 1000;
 }
 
 void
 nm_entry_note_store(nm_entry_t *entry, int rc)
 {
-    nm_ms_t now_ms = now(entry);
+    nm_ms_t now_ms = nm_entry_now(entry);
     bool silent = rc == NM_ERR_UNAVAILABLE || rc == NM_ERR_LOST;
     nm_ms_t silent_ms = now_ms - entry->store_answered_ms;
     entry->store_failures = silent ? entry->store_failures + 1 : 0;
@@ -100,7 +103,7 @@
     nm_entry_note_store(entry, result->rc);
     entry->registering = false;
     entry->registered = result->rc == NM_OK;
-    entry->register_due_ms = now(entry) + REGISTER_RETRY_MS;
+    entry->register_due_ms = nm_entry_now(entry) + REGISTER_RETRY_MS;
 }
 
 static void
@@ -156,22 +159,16 @@
                                                 .direct_max = DIRECT_MAX});
     nm_order_carry_init(&entry->carry, desc->orders, desc->peers);
     nm_calls_init(entry);
-    nm_owner_init(entry);
-    nm_feed_open(&entry->config_feed,
-                 &(nm_feed_desc_t){.kv = desc->kv,
-                                   .clock = desc->clock,
-                                   .prefix = desc->codec->config_prefix,
-                                   .on_item = on_config,
-                                   .on_result = on_feed_result,
-                                   .user = entry,
-                                   .wait_ms = CONFIG_WAIT_MS});
-    nm_feed_open(&entry->control_feed,
-                 &(nm_feed_desc_t){.kv = desc->kv,
-                                   .clock = desc->clock,
-                                   .prefix = NM_KEY_CONTROL,
-                                   .on_item = on_control,
-                                   .on_result = on_feed_result,
-                                   .user = entry});
+    nm_term_init(entry);
+    nm_entry_watch(entry, &entry->config_feed,
+                   (nm_feed_desc_t){.prefix = desc->codec->config_prefix,
+                                    .on_item = on_config,
+                                    .on_result = on_feed_result,
+                                    .wait_ms = CONFIG_WAIT_MS});
+    nm_entry_watch(entry, &entry->control_feed,
+                   (nm_feed_desc_t){.prefix = NM_KEY_CONTROL,
+                                    .on_item = on_control,
+                                    .on_result = on_feed_result});
     return entry;
 }
 
@@ -179,7 +176,7 @@
 nm_entry_free(nm_entry_t *entry)
 {
     assert(entry);
-    nm_owner_finish(entry);
+    nm_term_finish(entry);
     nm_calls_finish(entry);
     nm_order_relay_finish(&entry->relay);
     nm_order_carry_finish(&entry->carry);
@@ -215,7 +212,7 @@
 nm_entry_run(nm_entry_t *entry)
 {
     assert(entry);
-    nm_ms_t now_ms = now(entry);
+    nm_ms_t now_ms = nm_entry_now(entry);
     nm_feed_tick(&entry->config_feed, now_ms);
     nm_feed_tick(&entry->control_feed, now_ms);
     nm_ms_t wait = nm_calls_run(entry, now_ms);
@@ -238,7 +235,7 @@
         return;
     }
     entry->stopping = true;
-    entry->stop_ms = now(entry);
+    entry->stop_ms = nm_entry_now(entry);
     entry->quiet_ms = entry->stop_ms;
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_STOPPING, NULL);
     unregister_host(entry);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -9,7 +9,6 @@
  */
 #include "entry_state.h"
 
-#include <assert.h>
 #include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -64,12 +63,6 @@
 
 static void run_op(nm_op_t *op);
 
-static nm_ms_t
-now(const nm_entry_t *entry)
-{
-    return nm_clock_now(entry->desc.clock);
-}
-
 void
 nm_calls_init(nm_entry_t *entry)
 {
@@ -100,7 +93,7 @@
 reply(nm_entry_t *entry, nm_call_t *call, int status, char *text,
       uint32_t retry_after_s)
 {
-    nm_latency_add(NM_LATENCY_CALL, now(entry) - call->received_ms);
+    nm_latency_add(NM_LATENCY_CALL, nm_entry_now(entry) - call->received_ms);
     call->status = status;
     call->answer = text;
     call->retry_after_s = retry_after_s;
@@ -185,7 +178,8 @@
                    op->type == OP_SUBMIT ? NM_LOG_ITEM_JOB_ACCEPTED
                                          : NM_LOG_ITEM_JOB_CANCELLED,
                    "{s:s,s:s,s:I}", "job", op->job, "queue", op->queue,
-                   "took_ms", (json_int_t)(now(entry) - op->began_ms));
+                   "took_ms",
+                   (json_int_t)(nm_entry_now(entry) - op->began_ms));
         }
         reply(entry, op->call, 200, text, 0);
     }
@@ -223,7 +217,7 @@
         return false;
     }
     op->asked = ask.number;
-    op->ask_until_ms = now(entry) + ASK_TIMEOUT_MS;
+    op->ask_until_ms = nm_entry_now(entry) + ASK_TIMEOUT_MS;
     g_hash_table_insert(entry->asks, g_memdup2(&op->asked, sizeof(op->asked)),
                         op);
     return true;
@@ -287,11 +281,11 @@
         op->retry_ms = NM_MS_NEVER;
         return;
     }
-    if (!op->uncertain && now(entry) - op->began_ms > REFUSE_MS) {
+    if (!op->uncertain && nm_entry_now(entry) - op->began_ms > REFUSE_MS) {
         fail_op(op, NM_ERR_UNAVAILABLE);
         return;
     }
-    op->retry_ms = now(entry) + STORE_RETRY_MS;
+    op->retry_ms = nm_entry_now(entry) + STORE_RETRY_MS;
 }
 
 static void
@@ -478,7 +472,7 @@
     op->type = type;
     nm_strcopy(op->job, sizeof(op->job), job);
     nm_strcopy(op->queue, sizeof(op->queue), queue);
-    op->began_ms = now(entry);
+    op->began_ms = nm_entry_now(entry);
     op->deadline_ms = op->began_ms + budget_ms;
     op->retry_ms = NM_MS_NEVER;
     op->link.data = op;
@@ -544,7 +538,7 @@
 take_call(nm_entry_t *entry, nm_call_t *call)
 {
     nm_count(NM_COUNTER_REQUESTS, 1);
-    call->received_ms = now(entry);
+    call->received_ms = nm_entry_now(entry);
     if (!entry->deployment) {
         refuse(entry, call, NM_REASON_NOT_READY, 503, RETRY_AFTER_S);
         return;
--- /dev/null
+++ b/src/entry_commit.c
@@ -0,0 +1,235 @@
+/*
+ * Progress of jobs on its way into the store.
+ *
+ * Ends that callers wait for go at once, the rest together.  Each commit
+ * compares the owner's key and one that every commit changes, so that one
+ * which is carried out late, or by a former owner, undoes nothing.
+ */
+#include "entry_state.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/latency.h>
+#include <nutmegdeck/log.h>
+
+/* Progress that no caller waits for is stored this often at most. */
+#define COMMIT_MS 250
+/* What was learned goes with a transaction this often. */
+#define LEARNED_MS 2000
+/* Records in one transaction, beside two compares and three other keys. */
+#define COMMIT_RECORDS_MAX 26
+
+typedef struct {
+    nm_entry_t *entry;
+    int64_t term;
+    nm_sched_save_t saves[COMMIT_RECORDS_MAX];
+    uint32_t count;
+    nm_ms_t sent_ms;
+    bool roster;
+    GHashTable *roster_ids;
+} commit_call_t;
+
+/* One line tells how a job went, once its end is stored. */
+static void
+log_end(nm_entry_t *entry, const char *job)
+{
+    nm_sched_job_info_t info;
+    if (nm_sched_query_job(entry->sched, job) < NM_JOB_COMPLETED ||
+        !nm_sched_query_job_info(entry->sched, job, &info))
+    {
+        return;
+    }
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_ENDED,
+           "{s:s,s:s,s:I,s:I,s:I,s:i,s:b,s:I}", "job", job, "state",
+           nm_job_state_name(info.state), "took_ms", (json_int_t)info.took_ms,
+           "objective_ms", (json_int_t)info.objective_ms, "first_start_ms",
+           (json_int_t)info.first_start_ms, "failures", (int)info.failures,
+           "recovered", info.recovered, "epoch", (json_int_t)entry->term);
+    if (!info.lasts) {
+        nm_latency_add(NM_LATENCY_JOB, info.took_ms);
+        if (info.first_start_ms >= 0) {
+            nm_latency_add(NM_LATENCY_FIRST_START, info.first_start_ms);
+        }
+    }
+}
+
+static void
+take_roster(nm_entry_t *entry, commit_call_t *call)
+{
+    GHashTable *previous = entry->roster;
+    entry->roster = call->roster_ids;
+    call->roster_ids = previous;
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, entry->roster);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        nm_sched_admit_worker(entry->sched, id);
+    }
+}
+
+/* The current state of the keys that a commit compared. */
+static void
+take_commit_conflict(nm_entry_t *entry, const nm_kv_result_t *result)
+{
+    bool owner = false;
+    entry->commit_revision = 0;
+    for (uint32_t i = 0; i < result->item_count; i++) {
+        const nm_store_kv_t *item = &result->items[i];
+        if (strcmp(item->key, NM_KEY_OWNER) == 0) {
+            owner = item->mod_revision == entry->owner_revision;
+        }
+        else if (strcmp(item->key, NM_KEY_COMMIT) == 0) {
+            entry->commit_revision = item->mod_revision;
+        }
+    }
+    if (!owner) {
+        nm_term_step_down(entry, "a newer owner writes");
+    }
+}
+
+static void
+on_commit_read(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = nm_term_take(user);
+    if (!entry) {
+        return;
+    }
+    entry->committing = false;
+    nm_entry_note_store(entry, result->rc);
+    if (result->rc == NM_OK && result->item_count > 0) {
+        entry->commit_revision = result->items[0].mod_revision;
+        entry->commit_unknown = false;
+    }
+    else if (result->rc == NM_ERR_NOT_FOUND) {
+        entry->commit_revision = 0;
+        entry->commit_unknown = false;
+    }
+    else {
+        entry->commit_due_ms = nm_entry_now(entry) + COMMIT_MS;
+    }
+}
+
+static void
+on_committed(void *user, const nm_kv_result_t *result)
+{
+    commit_call_t *call = user;
+    nm_entry_t *entry = call->entry;
+    bool current = entry->term == call->term && entry->sched;
+    bool stored = result->rc == NM_OK;
+    nm_entry_note_store(entry, result->rc);
+    nm_latency_add(NM_LATENCY_COMMIT, nm_entry_now(entry) - call->sent_ms);
+    for (uint32_t i = 0; i < call->count; i++) {
+        if (current) {
+            nm_sched_saved(entry->sched, &call->saves[i], stored);
+            if (stored) {
+                log_end(entry, call->saves[i].job);
+            }
+        }
+        g_free(call->saves[i].record);
+    }
+    if (current) {
+        entry->committing = false;
+        entry->sched_due_ms = 0;
+        if (call->roster && stored) {
+            take_roster(entry, call);
+        }
+        else if (call->roster) {
+            entry->roster_dirty = true;
+        }
+        if (stored) {
+            entry->commit_revision = result->revision;
+        }
+        else if (result->rc == NM_ERR_CONFLICT) {
+            take_commit_conflict(entry, result);
+        }
+        else {
+            entry->commit_unknown = result->rc != NM_ERR_UNAVAILABLE;
+            nm_count_reason(NM_REASON_STORE_UNAVAILABLE);
+            entry->commit_due_ms = nm_entry_now(entry) + COMMIT_MS;
+        }
+    }
+    if (call->roster_ids) {
+        g_hash_table_destroy(call->roster_ids);
+    }
+    g_free(call);
+}
+
+static void
+put_roster(nm_entry_t *entry, nm_store_txn_t *txn, commit_call_t *call)
+{
+    json_t *ids = json_array();
+    call->roster = true;
+    call->roster_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, entry->roster_wanted);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        json_array_append_new(ids, json_string(id));
+        g_hash_table_add(call->roster_ids, g_strdup(id));
+    }
+    char *text = json_dumps(ids, JSON_COMPACT);
+    nm_store_txn_put(txn, NM_KEY_ROSTER, text, (uint32_t)strlen(text), 0);
+    free(text);
+    json_decref(ids);
+    entry->roster_dirty = false;
+}
+
+void
+nm_commit_run(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->committing || now_ms < entry->commit_due_ms) {
+        return;
+    }
+    if (entry->commit_unknown) {
+        entry->committing = true;
+        nm_kv_get(entry->desc.kv, NM_KEY_COMMIT, on_commit_read,
+                  nm_term_call(entry));
+        return;
+    }
+    commit_call_t *call = g_new0(commit_call_t, 1);
+    call->entry = entry;
+    call->term = entry->term;
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
+    nm_store_txn_expect(&txn, NM_KEY_COMMIT, entry->commit_revision);
+    nm_store_txn_put(&txn, NM_KEY_COMMIT, "1", 1, 0);
+    while (call->count < COMMIT_RECORDS_MAX &&
+           nm_sched_next_save(entry->sched, &call->saves[call->count]))
+    {
+        nm_sched_save_t *save = &call->saves[call->count++];
+        char key[NM_NAME_MAX * 2];
+        snprintf(key, sizeof(key), "%s%s", NM_KEY_PROGRESS, save->job);
+        nm_store_txn_put(&txn, key, save->record,
+                         (uint32_t)strlen(save->record), 0);
+    }
+    if (entry->roster_dirty) {
+        put_roster(entry, &txn, call);
+    }
+    bool learned =
+        now_ms >= entry->learned_due_ms && (call->count > 0 || call->roster);
+    if (learned) {
+        entry->learned_due_ms = now_ms + LEARNED_MS;
+        char *text = nm_sched_encode_learned(entry->sched);
+        nm_store_txn_put(&txn, NM_KEY_LEARNED, text, (uint32_t)strlen(text),
+                         0);
+        free(text);
+    }
+    if (call->count == 0 && !call->roster) {
+        nm_store_txn_finish(&txn);
+        g_free(call);
+        return;
+    }
+    entry->committing = true;
+    call->sent_ms = now_ms;
+    nm_count(NM_COUNTER_JOURNAL_WRITES, 1);
+    nm_count(NM_COUNTER_JOURNAL_RECORDS, call->count);
+    nm_kv_commit(entry->desc.kv, &txn, on_committed, call);
+    nm_store_txn_finish(&txn);
+    entry->commit_due_ms = now_ms + COMMIT_MS;
+}
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -1,6 +1,7 @@
 /*
  * State shared by the parts of an entry host.  Calls go one way:
- * entry.c -> entry_call.c -> entry_owner.c.
+ * entry.c -> entry_call.c, entry_owner.c -> entry_election.c ->
+ * entry_takeover.c, entry_commit.c -> entry_term.c.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
@@ -24,10 +25,6 @@
 #define NM_KEY_PROGRESS "nutmegdeck/progress/"
 #define NM_SUFFIX_CANCEL ".cancel"
 
-/* The owner's lease; the platform's least is 1000 ms. */
-#define NM_OWNER_LEASE_MS 1500
-#define NM_OWNER_RENEW_MS 400
-
 /* What the store says of the owner. */
 typedef struct {
     bool present;
@@ -105,13 +102,46 @@
     GHashTable *asks; /* question number -> nm_op_t */
 };
 
-/* entry_owner.c */
-void nm_owner_init(nm_entry_t *entry);
-void nm_owner_finish(nm_entry_t *entry);
-nm_ms_t nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms);
-void nm_owner_step_down(nm_entry_t *entry, const char *cause);
+/* A call of the current term; nm_term_take ends it. */
+typedef struct {
+    nm_entry_t *entry;
+    int64_t term; /* 0: not an owner's */
+} nm_term_call_t;
+
+static inline nm_ms_t
+nm_entry_now(const nm_entry_t *entry)
+{
+    return nm_clock_now(entry->desc.clock);
+}
+
+/* entry_term.c */
+void nm_term_init(nm_entry_t *entry);
+void nm_term_finish(nm_entry_t *entry);
+nm_term_call_t *nm_term_call(nm_entry_t *entry);
+/* Ends a call; returns NULL if its term is over. */
+nm_entry_t *nm_term_take(void *user);
+void nm_term_step_down(nm_entry_t *entry, const char *cause);
+/* For items that were copied from a feed. */
+void nm_term_free_item(gpointer data);
+/* Opens a feed with the host's store and clock; its user is the entry. */
+void nm_entry_watch(nm_entry_t *entry, nm_feed_t *feed, nm_feed_desc_t desc);
+
+/* entry_commit.c */
+void nm_commit_run(nm_entry_t *entry, nm_ms_t now_ms);
+
+/* entry_takeover.c */
+void nm_takeover_begin(nm_entry_t *entry, int64_t epoch, int64_t revision);
+void nm_takeover_verify(nm_entry_t *entry, nm_ms_t now_ms);
 void nm_owner_apply_deployment(nm_entry_t *entry);
+
+/* entry_election.c */
 void nm_owner_take_control(nm_entry_t *entry, const nm_store_kv_t *item);
+void nm_election_run(nm_entry_t *entry, nm_ms_t now_ms);
+void nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms);
+void nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
+
+/* entry_owner.c */
+nm_ms_t nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms);
 
 /* entry_call.c */
 void nm_calls_init(nm_entry_t *entry);
--- /dev/null
+++ b/src/entry_takeover.c
@@ -0,0 +1,339 @@
+/*
+ * Takeover: what a new owner reads before it decides, and what it hears
+ * afterwards of workers and jobs.
+ *
+ * The roster names workers that may run tasks unseen; progress is read before
+ * the jobs, after which the term's own is the newest.  A job that is written
+ * later starts only once ownership was read again after it.
+ */
+#include "entry_state.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* Pause after a read of ownership that got no answer. */
+#define VERIFY_RETRY_MS 100
+/* Changes of workers and jobs that come together share a watch call. */
+#define JOBS_PAUSE_MS 15
+#define WORKERS_PAUSE_MS 100
+
+static nm_store_kv_t *
+copy_item(const nm_store_kv_t *item)
+{
+    nm_store_kv_t *copy = g_new0(nm_store_kv_t, 1);
+    copy->key = g_strdup(item->key);
+    copy->value = g_memdup2(item->value, item->value_bytes + 1);
+    copy->value_bytes = item->value_bytes;
+    return copy;
+}
+
+static void
+want_roster(nm_entry_t *entry, const char *id)
+{
+    if (g_hash_table_add(entry->roster_wanted, g_strdup(id))) {
+        entry->roster_dirty = true;
+    }
+}
+
+static void
+on_worker(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    const char *id = item->key + strlen(entry->desc.codec->workers_prefix);
+    if (!item->value) {
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker", id);
+        nm_sched_remove_worker(entry->sched, id);
+        return;
+    }
+    nm_sched_worker_t worker;
+    int rc = entry->desc.codec->decode_worker(&worker, id, item->value,
+                                              item->value_bytes);
+    if (rc < 0) {
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_REFUSED, "{s:s,s:s}", "worker",
+               id, "reason", nm_error_text(rc));
+        nm_sched_remove_worker(entry->sched, id);
+        return;
+    }
+    want_roster(entry, id);
+    nm_order_relay_set_worker(&entry->relay, id, worker.zone);
+    nm_sched_set_worker(entry->sched, &worker, nm_entry_now(entry));
+    if (g_hash_table_contains(entry->roster, id)) {
+        nm_sched_admit_worker(entry->sched, id);
+    }
+    entry->sched_due_ms = 0;
+}
+
+static void
+take_cancel(nm_entry_t *entry, const char *name)
+{
+    char id[NM_JOB_ID_MAX];
+    size_t length = strlen(name) - strlen(NM_SUFFIX_CANCEL);
+    if (length < sizeof(id)) {
+        memcpy(id, name, length);
+        id[length] = '\0';
+        nm_sched_cancel_job(entry->sched, id, nm_entry_now(entry));
+    }
+}
+
+static void
+take_job(nm_entry_t *entry, const nm_store_kv_t *item, bool recovered)
+{
+    const char *name = item->key + strlen(NM_KEY_JOBS);
+    if (g_str_has_suffix(name, NM_SUFFIX_CANCEL)) {
+        take_cancel(entry, name);
+        return;
+    }
+    nm_job_spec_t spec;
+    int rc = nm_job_record_decode(&spec, name, item->value, item->value_bytes);
+    if (rc == NM_OK) {
+        rc = nm_sched_add_job(entry->sched, &spec, recovered,
+                              nm_entry_now(entry));
+    }
+    if (rc < 0 && rc != NM_ERR_CONFLICT) {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", name,
+               "reason", nm_error_text(rc));
+    }
+    nm_job_spec_finish(&spec);
+}
+
+static void
+on_job(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (!item->value) {
+        return;
+    }
+    entry->sched_due_ms = 0;
+    if (entry->jobs_feed.listed) {
+        g_queue_push_tail(&entry->unverified, copy_item(item));
+    }
+    else {
+        take_job(entry, item, entry->term > 1);
+    }
+}
+
+static void
+on_verified(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = nm_term_take(user);
+    if (!entry) {
+        return;
+    }
+    guint covered = entry->verifying;
+    entry->verifying = 0;
+    nm_entry_note_store(entry, result->rc);
+    if (result->rc == NM_ERR_NOT_FOUND) {
+        nm_term_step_down(entry, "its key is gone");
+        return;
+    }
+    if (result->rc != NM_OK || result->item_count == 0) {
+        entry->verify_due_ms = nm_entry_now(entry) + VERIFY_RETRY_MS;
+        return;
+    }
+    if (result->items[0].mod_revision != entry->owner_revision) {
+        nm_term_step_down(entry, "another host is the owner");
+        return;
+    }
+    for (guint i = 0; i < covered; i++) {
+        nm_store_kv_t *item = g_queue_pop_head(&entry->unverified);
+        take_job(entry, item, false);
+        nm_term_free_item(item);
+    }
+    entry->sched_due_ms = 0;
+}
+
+/*
+ * A new job may start at once only on its owner's orders.  Whoever still
+ * owns the workers after it was written is the one that a later owner will
+ * look for: that one lists the job, and asks the workers first.
+ */
+void
+nm_takeover_verify(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->verifying > 0 || entry->unverified.length == 0 ||
+        now_ms < entry->verify_due_ms)
+    {
+        return;
+    }
+    entry->verifying = entry->unverified.length;
+    nm_kv_get(entry->desc.kv, NM_KEY_OWNER, on_verified, nm_term_call(entry));
+}
+
+static void
+on_progress(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (item->value) {
+        g_ptr_array_add(entry->progress, copy_item(item));
+    }
+}
+
+/* Jobs and their progress are known: from now on it decides. */
+static void
+on_jobs_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    if (entry->role != NM_ROLE_LOADING) {
+        return;
+    }
+    for (guint i = 0; i < entry->progress->len; i++) {
+        const nm_store_kv_t *item = entry->progress->pdata[i];
+        const char *job = item->key + strlen(NM_KEY_PROGRESS);
+        int rc = nm_sched_restore(entry->sched, job, item->value,
+                                  item->value_bytes);
+        if (rc < 0 && rc != NM_ERR_NOT_FOUND) {
+            nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
+                   job, "reason", "its progress cannot be read");
+        }
+    }
+    g_ptr_array_set_size(entry->progress, 0);
+    entry->role = NM_ROLE_OWNER;
+    entry->sched_due_ms = 0;
+    nm_count(NM_COUNTER_TAKEOVERS, 1);
+    nm_sched_info_t info = nm_sched_query_info(entry->sched);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I,s:i,s:i}", "epoch",
+           (json_int_t)entry->term, "jobs", info.jobs_active,
+           "workers_unresolved", info.workers_unresolved);
+}
+
+static void
+on_progress_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    /* Later progress is our own. */
+    nm_feed_close(&entry->progress_feed);
+    nm_entry_watch(entry, &entry->jobs_feed,
+                   (nm_feed_desc_t){.prefix = NM_KEY_JOBS,
+                                    .on_item = on_job,
+                                    .on_listed = on_jobs_listed,
+                                    .pause_ms = JOBS_PAUSE_MS});
+}
+
+static void
+on_host(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    const char *name = item->key + strlen(NM_KEY_HOSTS);
+    json_t *record = item->value ? json_loadb((const char *)item->value,
+                                              item->value_bytes, 0, NULL)
+                                 : NULL;
+    const char *address =
+        json_string_value(json_object_get(record, "address"));
+    const char *zone = json_string_value(json_object_get(record, "zone"));
+    if (address && zone) {
+        nm_relay_host_t host = {.cpu_share = json_number_value(
+                                    json_object_get(record, "cpu_share"))};
+        nm_strcopy(host.name, sizeof(host.name), name);
+        nm_strcopy(host.address, sizeof(host.address), address);
+        nm_strcopy(host.zone, sizeof(host.zone), zone);
+        nm_order_relay_set_host(&entry->relay, &host);
+    }
+    else {
+        nm_order_relay_remove_host(&entry->relay, name);
+        if (item->value) {
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_HOST_REFUSED, "{s:s}", "name",
+                   name);
+        }
+    }
+    json_decref(record);
+}
+
+static void
+take_roster_record(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    json_t *ids =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
+    if (!json_is_array(ids)) {
+        /* Stands for all that it may have named, until their leases lapse. */
+        nm_sched_expect_worker(entry->sched, "unreadable roster",
+                               nm_entry_now(entry));
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
+    }
+    size_t i;
+    json_t *id;
+    json_array_foreach(ids, i, id)
+    {
+        const char *text = json_string_value(id);
+        if (text) {
+            g_hash_table_add(entry->roster, g_strdup(text));
+            g_hash_table_add(entry->roster_wanted, g_strdup(text));
+            nm_sched_expect_worker(entry->sched, text, nm_entry_now(entry));
+        }
+    }
+    json_decref(ids);
+}
+
+/* What the last owner left beside jobs and their progress. */
+static void
+on_owned(void *user, const nm_store_kv_t *item)
+{
+    nm_entry_t *entry = user;
+    if (item->value && strcmp(item->key, NM_KEY_COMMIT) == 0) {
+        entry->commit_revision = item->mod_revision;
+    }
+    else if (item->value && strcmp(item->key, NM_KEY_ROSTER) == 0) {
+        take_roster_record(entry, item);
+    }
+    else if (item->value && strcmp(item->key, NM_KEY_LEARNED) == 0) {
+        int rc = nm_sched_restore_learned(entry->sched, item->value,
+                                          item->value_bytes);
+        if (rc < 0) {
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}", "reason",
+                   nm_error_text(rc));
+        }
+    }
+}
+
+static void
+on_owned_listed(void *user)
+{
+    nm_entry_t *entry = user;
+    nm_feed_close(&entry->owned_feed);
+    nm_entry_watch(
+        entry, &entry->workers_feed,
+        (nm_feed_desc_t){.prefix = entry->desc.codec->workers_prefix,
+                         .on_item = on_worker,
+                         .pause_ms = WORKERS_PAUSE_MS});
+    nm_entry_watch(entry, &entry->progress_feed,
+                   (nm_feed_desc_t){.prefix = NM_KEY_PROGRESS,
+                                    .on_item = on_progress,
+                                    .on_listed = on_progress_listed});
+}
+
+void
+nm_owner_apply_deployment(nm_entry_t *entry)
+{
+    if (!entry->sched || !entry->deployment) {
+        return;
+    }
+    for (uint32_t i = 0; i < entry->deployment->path_count; i++) {
+        nm_sched_set_queue(entry->sched, &entry->deployment->paths[i].queue);
+    }
+}
+
+void
+nm_takeover_begin(nm_entry_t *entry, int64_t epoch, int64_t revision)
+{
+    entry->term = epoch;
+    entry->owner_revision = revision;
+    entry->role = NM_ROLE_LOADING;
+    entry->sched =
+        nm_sched_new(&(nm_sched_desc_t){.epoch = epoch,
+                                        .lease_max_ms = epoch > 1 ? 0 : 1,
+                                        .seed = nm_rng_next(&entry->rng)},
+                     nm_entry_now(entry));
+    nm_sched_run(entry->sched, nm_entry_now(entry), nm_entry_unix_ms());
+    nm_owner_apply_deployment(entry);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
+           (json_int_t)epoch);
+    nm_entry_watch(
+        entry, &entry->hosts_feed,
+        (nm_feed_desc_t){.prefix = NM_KEY_HOSTS, .on_item = on_host});
+    nm_entry_watch(entry, &entry->owned_feed,
+                   (nm_feed_desc_t){.prefix = NM_KEY_OWNED,
+                                    .on_item = on_owned,
+                                    .on_listed = on_owned_listed});
+}
--- /dev/null
+++ b/src/entry_term.c
@@ -0,0 +1,96 @@
+/*
+ * A host's term as owner: its state, and calls that belong to it.
+ *
+ * A call that is answered after its term has ended is dropped.
+ */
+#include "entry_state.h"
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+nm_term_call_t *
+nm_term_call(nm_entry_t *entry)
+{
+    nm_term_call_t *call = g_new(nm_term_call_t, 1);
+    *call = (nm_term_call_t){entry, entry->term};
+    return call;
+}
+
+nm_entry_t *
+nm_term_take(void *user)
+{
+    nm_term_call_t *call = user;
+    nm_entry_t *entry = call->term == call->entry->term ? call->entry : NULL;
+    g_free(call);
+    return entry;
+}
+
+void
+nm_entry_watch(nm_entry_t *entry, nm_feed_t *feed, nm_feed_desc_t desc)
+{
+    desc.kv = entry->desc.kv;
+    desc.clock = entry->desc.clock;
+    desc.user = entry;
+    nm_feed_open(feed, &desc);
+}
+
+void
+nm_term_free_item(gpointer data)
+{
+    nm_store_kv_t *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+void
+nm_term_init(nm_entry_t *entry)
+{
+    entry->roster =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    entry->roster_wanted =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    entry->progress = g_ptr_array_new_with_free_func(nm_term_free_item);
+    g_queue_init(&entry->unverified);
+}
+
+void
+nm_term_finish(nm_entry_t *entry)
+{
+    nm_term_step_down(entry, "stopped");
+    g_hash_table_destroy(entry->roster);
+    g_hash_table_destroy(entry->roster_wanted);
+    g_ptr_array_free(entry->progress, TRUE);
+}
+
+void
+nm_term_step_down(nm_entry_t *entry, const char *cause)
+{
+    if (entry->role == NM_ROLE_OWNER || entry->role == NM_ROLE_LOADING) {
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_OWNER_LOST, "{s:I,s:s}", "epoch",
+               (json_int_t)entry->term, "cause", cause);
+    }
+    entry->role = NM_ROLE_MEMBER;
+    entry->term = 0;
+    entry->lease = 0;
+    entry->renewing = false;
+    entry->committing = false;
+    nm_feed_close(&entry->workers_feed);
+    nm_feed_close(&entry->jobs_feed);
+    nm_feed_close(&entry->progress_feed);
+    nm_feed_close(&entry->owned_feed);
+    nm_feed_close(&entry->hosts_feed);
+    nm_order_relay_clear(&entry->relay);
+    g_ptr_array_set_size(entry->progress, 0);
+    g_queue_clear_full(&entry->unverified, nm_term_free_item);
+    entry->verifying = 0;
+    entry->commit_revision = 0;
+    entry->commit_unknown = false;
+    g_hash_table_remove_all(entry->roster);
+    g_hash_table_remove_all(entry->roster_wanted);
+    if (entry->sched) {
+        nm_sched_free(entry->sched);
+        entry->sched = NULL;
+    }
+}
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -373,7 +373,8 @@
         const NmPb__WorkerEnd *row = message->ends[i];
         nm_worker_end_t end = {.number = row->number,
                                .run = row->run,
-                               .end = (nm_end_t)MIN(row->end, NM_END_ALONE)};
+                               .end =
+                                   (nm_end_t)MIN(row->end, NM_END_COUNT - 1)};
         nm_strcopy(end.task, sizeof(end.task), row->task);
         nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
         g_array_append_val(ends, end);
--- a/src/sched.c
+++ b/src/sched.c
@@ -26,6 +26,19 @@
     "unknown", "queued", "running", "completed", "failed", "cancelled",
 };
 
+static const char *const end_names[NM_END_COUNT] = {
+#define X(name, label) label,
+    NM_END_LIST(X)
+#undef X
+};
+
+const char *
+nm_end_name(nm_end_t end)
+{
+    assert(end < NM_END_COUNT);
+    return end_names[end];
+}
+
 const char *
 nm_job_state_name(nm_job_state_t state)
 {
