--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -55,7 +55,8 @@
 #define OVER_MS_MAX 4000
 /* Aim: one serving second in twenty over its target at most. */
 #define HARMED_MAX 0.05
-/* Aim: three short jobs in four in time while lasting work fills the fleet. */
+/* Aim: three short jobs in four in time while long-running work fills the
+ * fleet. */
 #define CHECKS_MIN 0.75
 
 static bool
@@ -80,12 +81,12 @@
 describe(const char *name, const fleet_info_t *info)
 {
     printf("jobs %-16s checks %3u%% fillers %3u%% harmed %5.1f%% waiting "
-           "%5.0f s over %5lld ms starts %u stops %u looks %u\n",
+           "%5.0f s over %5lld ms starts %u stops %u polls %u\n",
            name, 100 * info->checks_in_time / MAX(info->checks, 1),
            100 * info->fillers_in_time / MAX(info->fillers, 1),
            100 * info->harmed_s / MAX(info->serving_s, 1), info->waiting_s,
            (long long)info->longest_over_ms, info->starts, info->stops,
-           info->looks);
+           info->polls);
 }
 
 /* Decisions for one start, in microseconds. */
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -20,7 +20,7 @@
 typedef struct {
     char task[NM_TASK_NAME_MAX];
     int64_t run;
-    nm_ms_t ends_ms; /* NM_MS_NEVER: lasts */
+    nm_ms_t ends_ms; /* NM_MS_NEVER: long_running */
     nm_ms_t began_ms;
     nm_ms_t work_ms; /* left at began_ms */
     bool fails;
@@ -39,9 +39,9 @@
     GArray *runs; /* of run_t */
     GArray *ends; /* of nm_worker_end_t, not acknowledged */
     int64_t last_end;
-    bool hold_open;
-    nm_ms_t hold_until_ms;
-    nm_ms_t hold_sent_ms;
+    bool poll_open;
+    nm_ms_t poll_until_ms;
+    nm_ms_t poll_sent_ms;
     bool failing;
     bool dark;
     nm_ms_t dark_since_ms;
@@ -97,7 +97,7 @@
                                     (kind == 2 ? 0.2 : 0.08));
         step->memory_mb = 1000;
         step->estimate_ms = estimate;
-        step->lasts = kind == 2;
+        step->long_running = kind == 2;
         step->is_filler = kind == 1;
         step->saves_progress = kind == 1;
         step->target_ms = kind == 2 ? TARGET_MS : 0;
@@ -195,7 +195,7 @@
                  .holds_cpu = !desc.is_filler,
                  .percent = 100};
     nm_strcopy(run.task, sizeof(run.task), action->task);
-    if (!desc.lasts) {
+    if (!desc.long_running) {
         const int64_t *left =
             g_hash_table_lookup(fleet->durations, action->task);
         run.work_ms = left && action->checkpoint[0]
@@ -279,7 +279,7 @@
 }
 
 static void
-answer_hold(fleet_t *fleet, worker_t *worker)
+answer_poll(fleet_t *fleet, worker_t *worker)
 {
     GArray *rows = g_array_new(FALSE, TRUE, sizeof(nm_worker_run_t));
     for (guint i = 0; i < worker->runs->len; i++) {
@@ -293,14 +293,14 @@
         .result = NM_ORDER_DONE,
         .incarnation = 1,
         .clock_ms = fleet->now_ms,
-        .sent_ms = worker->hold_sent_ms,
+        .sent_ms = worker->poll_sent_ms,
         .complete = true,
         .running = (const nm_worker_run_t *)rows->data,
         .running_count = rows->len,
         .ends = (const nm_worker_end_t *)worker->ends->data,
         .end_count = worker->ends->len,
     };
-    worker->hold_open = false;
+    worker->poll_open = false;
     nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
     g_array_free(rows, TRUE);
 }
@@ -322,10 +322,10 @@
         }
     }
     measure(fleet, worker);
-    if (worker->hold_open &&
-        (worker->ends->len > 0 || fleet->now_ms >= worker->hold_until_ms))
+    if (worker->poll_open &&
+        (worker->ends->len > 0 || fleet->now_ms >= worker->poll_until_ms))
     {
-        answer_hold(fleet, worker);
+        answer_poll(fleet, worker);
     }
 }
 
@@ -338,10 +338,10 @@
         g_array_set_size(worker->runs, 0);
         nm_sched_remove_worker(fleet->sched, worker->id);
     }
-    if (worker->hold_open && fleet->now_ms >= worker->hold_until_ms) {
+    if (worker->poll_open && fleet->now_ms >= worker->poll_until_ms) {
         nm_worker_report_t report = {.result = NM_ORDER_UNKNOWN,
-                                     .sent_ms = worker->hold_sent_ms};
-        worker->hold_open = false;
+                                     .sent_ms = worker->poll_sent_ms};
+        worker->poll_open = false;
         nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
     }
 }
@@ -367,23 +367,23 @@
         }
         nm_sched_on_stop(fleet->sched, action, result, fleet->now_ms);
         break;
-    case NM_ACTION_PACE:
+    case NM_ACTION_THROTTLE:
         if (run) {
             run->percent = action->percent;
         }
-        nm_sched_on_pace(fleet->sched, action, result, fleet->now_ms);
+        nm_sched_on_throttle(fleet->sched, action, result, fleet->now_ms);
         break;
     default:
-        fleet->info.looks++;
+        fleet->info.polls++;
         while (worker->ends->len > 0 &&
                g_array_index(worker->ends, nm_worker_end_t, 0).number <=
                    action->acked)
         {
             g_array_remove_index(worker->ends, 0);
         }
-        worker->hold_open = true;
-        worker->hold_sent_ms = fleet->now_ms;
-        worker->hold_until_ms = fleet->now_ms + START_MS + action->wait_ms;
+        worker->poll_open = true;
+        worker->poll_sent_ms = fleet->now_ms;
+        worker->poll_until_ms = fleet->now_ms + START_MS + action->wait_ms;
         break;
     }
 }
@@ -528,7 +528,7 @@
         }
         decide(&fleet);
         fleet.info.waiting_s +=
-            nm_sched_query_info(fleet.sched).lasting_waiting * TICK_MS /
+            nm_sched_query_info(fleet.sched).long_running_waiting * TICK_MS /
             1000.0;
     }
     finish(&fleet);
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -1,5 +1,5 @@
 /*
- * A model of workers for the job scheduler: durations, capacity, holds and
+ * A model of workers for the job scheduler: durations, capacity, polls and
  * tails, on a manual clock and from a seed.  It drives the real scheduler.
  *
  * A serving task's tail is its image's own, times the effect of each filler
@@ -19,8 +19,8 @@
     int64_t cpu_milli;     /* of a worker; 0: 64000 */
     double checks_per_s;   /* short jobs of 6 tasks */
     double fillers_per_s;  /* jobs of two steps of 8 fillers */
-    double services_per_s; /* jobs of 6 lasting tasks */
-    uint32_t services;     /* lasting jobs at the start */
+    double services_per_s; /* jobs of 6 long-running tasks */
+    uint32_t services;     /* long-running jobs at the start */
     double burst;          /* factor of fillers_per_s from 5 s to 11 s */
     double heavy;          /* share of pairs of images that disturb */
     double poison;         /* share of fillers' jobs that always fail */
@@ -36,11 +36,11 @@
     uint32_t fillers_in_time;
     double serving_s;        /* seconds of serving tasks at work */
     double harmed_s;         /* of these, with the tail over its target */
-    double waiting_s;        /* of lasting tasks that are not at work */
+    double waiting_s;        /* of long-running tasks that are not at work */
     nm_ms_t longest_over_ms; /* longest time of one task over its target */
     uint32_t starts;
     uint32_t stops;
-    uint32_t looks;
+    uint32_t polls;
     uint32_t overfull;  /* workers seen over their capacity */
     uint32_t doubled;   /* tasks seen twice at a time */
     double processor_s; /* used by the scheduler */
--- a/include/nutmegdeck/job.h
+++ b/include/nutmegdeck/job.h
@@ -39,8 +39,8 @@
     bool is_gang;        /* its tasks work only all together */
     bool same_rack;
     bool copies_allowed;
-    bool lasts;     /* runs until the job is cancelled */
-    bool is_filler; /* uses only capacity that other tasks leave */
+    bool long_running; /* runs until the job is cancelled */
+    bool is_filler;    /* uses only capacity that other tasks leave */
     char label[NM_NAME_MAX];
     char data_rack[NM_NAME_MAX];
     char image[NM_NAME_MAX];
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -59,7 +59,7 @@
     char rack[NM_NAME_MAX];
     char labels[4][NM_NAME_MAX];
     uint32_t label_count;
-    int64_t incarnation; /* start of this life */
+    int64_t incarnation; /* start of this incarnation */
     int64_t cpu_milli;
     int64_t memory_mb;
     int32_t accelerators;
@@ -71,8 +71,8 @@
 typedef enum {
     NM_ACTION_START,
     NM_ACTION_STOP,
-    NM_ACTION_HOLD,
-    NM_ACTION_PACE,
+    NM_ACTION_POLL,
+    NM_ACTION_THROTTLE,
 } nm_sched_action_type_t;
 
 typedef struct {
@@ -83,11 +83,11 @@
     char task[NM_TASK_NAME_MAX];
     int64_t run;
     int64_t expiry_ms;      /* on the worker's clock */
-    int64_t acked;          /* HOLD: ends up to here may be forgotten */
-    nm_ms_t wait_ms;        /* HOLD: how long to wait for an end */
+    int64_t acked;          /* POLL: ends up to here may be forgotten */
+    nm_ms_t wait_ms;        /* POLL: how long to wait for an end */
     const char *payload;    /* START; valid until the next call */
     const char *checkpoint; /* START; "" if there is none */
-    uint32_t percent;       /* PACE */
+    uint32_t percent;       /* THROTTLE */
 } nm_sched_action_t;
 
 typedef enum {
@@ -98,7 +98,7 @@
     NM_ORDER_SUPERSEDED, /* this run or a later one ended there */
     NM_ORDER_NO_ROOM,
     NM_ORDER_LATE,
-    NM_ORDER_WRONG_LIFE, /* another incarnation answered */
+    NM_ORDER_WRONG_INCARNATION, /* another incarnation answered */
     NM_ORDER_INVALID,
 } nm_order_result_t;
 
@@ -125,7 +125,7 @@
     int64_t run;
     char checkpoint[NM_CHECKPOINT_MAX];
     uint32_t percent; /* share of its speed it may work at */
-    int64_t figure;   /* lasting: tail in ms; else cpu in use */
+    int64_t figure;   /* long-running: tail in ms; else cpu in use */
 } nm_worker_run_t;
 
 typedef struct {
@@ -136,12 +136,12 @@
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_worker_end_t;
 
-/* A worker's answer to a hold. */
+/* A worker's answer to a poll. */
 typedef struct {
     nm_order_result_t result;
     int64_t incarnation;
     int64_t clock_ms;
-    nm_ms_t sent_ms; /* when the hold was sent, on our clock */
+    nm_ms_t sent_ms; /* when the poll was sent, on our clock */
     bool complete;   /* the list of ends was not cut off */
     const nm_worker_run_t *running;
     uint32_t running_count;
@@ -171,7 +171,8 @@
     uint32_t jobs_active;
     uint32_t tasks_waiting;
     uint32_t tasks_running;
-    uint32_t lasting_waiting; /* lasting tasks that are not at work */
+    uint32_t
+        long_running_waiting; /* long-running tasks that are not at work */
     uint32_t workers_usable;
     uint32_t workers_unresolved; /* may run tasks that we do not know of */
     int64_t cpu_free_milli;
@@ -182,7 +183,7 @@
 /* What became of a job, for its last log line. */
 typedef struct {
     nm_job_state_t state;
-    bool lasts;
+    bool long_running;
     bool recovered;         /* accepted under an earlier owner */
     nm_ms_t took_ms;        /* acceptance to end; 0 while it runs */
     nm_ms_t objective_ms;   /* after its acceptance */
@@ -224,8 +225,8 @@
                       nm_order_result_t result, nm_ms_t now_ms);
 void nm_sched_on_report(nm_sched_t *sched, const char *worker,
                         const nm_worker_report_t *report, nm_ms_t now_ms);
-void nm_sched_on_pace(nm_sched_t *sched, const nm_sched_action_t *action,
-                      nm_order_result_t result, nm_ms_t now_ms);
+void nm_sched_on_throttle(nm_sched_t *sched, const nm_sched_action_t *action,
+                          nm_order_result_t result, nm_ms_t now_ms);
 
 /* Decides; returns the time until the next call is due. */
 nm_ms_t nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms);
--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -49,7 +49,7 @@
            "objective_ms", (json_int_t)info.objective_ms, "first_start_ms",
            (json_int_t)info.first_start_ms, "failures", (int)info.failures,
            "recovered", info.recovered, "epoch", (json_int_t)entry->term);
-    if (!info.lasts) {
+    if (!info.long_running) {
         nm_latency_add(NM_LATENCY_JOB, info.took_ms);
         if (info.first_start_ms >= 0) {
             nm_latency_add(NM_LATENCY_FIRST_START, info.first_start_ms);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -15,7 +15,7 @@
 #define COMMIT_URGENT_MS 30
 /* Shortest time between two rounds of decisions. */
 #define ROUND_MS 5
-/* Time between two looks at whether an owner is missing. */
+/* Time between two checks of whether an owner is missing. */
 #define VACANCY_CHECK_MS 20
 
 /* Ends are listed until they are acknowledged, and told once. */
@@ -52,8 +52,8 @@
     case NM_ACTION_STOP:
         nm_sched_on_stop(entry->sched, action, result, now_ms);
         break;
-    case NM_ACTION_PACE:
-        nm_sched_on_pace(entry->sched, action, result, now_ms);
+    case NM_ACTION_THROTTLE:
+        nm_sched_on_throttle(entry->sched, action, result, now_ms);
         break;
     default:
         log_failures(entry, action->worker, report);
--- a/src/job.c
+++ b/src/job.c
@@ -159,7 +159,7 @@
     put_flag(object, "gang", step->is_gang);
     put_flag(object, "same_rack", step->same_rack);
     put_flag(object, "copies_allowed", step->copies_allowed);
-    put_flag(object, "lasts", step->lasts);
+    put_flag(object, "long_running", step->long_running);
     put_flag(object, "filler", step->is_filler);
     put_text(object, "label", step->label);
     put_text(object, "data_rack", step->data_rack);
@@ -235,7 +235,7 @@
     step->is_gang = get_flag(object, "gang");
     step->same_rack = get_flag(object, "same_rack");
     step->copies_allowed = get_flag(object, "copies_allowed");
-    step->lasts = get_flag(object, "lasts");
+    step->long_running = get_flag(object, "long_running");
     step->is_filler = get_flag(object, "filler");
     get_text(object, "label", step->label, sizeof(step->label));
     get_text(object, "data_rack", step->data_rack, sizeof(step->data_rack));
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -144,7 +144,7 @@
     for (size_t i = 0; i < ask->n_orders; i++) {
         const NmPb__Order *row = ask->orders[i];
         nm_sched_action_t action = {
-            .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_PACE),
+            .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_THROTTLE),
             .incarnation = row->incarnation,
             .run = row->run,
             .expiry_ms = row->expiry_ms,
--- a/src/order_lanes.c
+++ b/src/order_lanes.c
@@ -80,7 +80,7 @@
            int64_t epoch, nm_order_done_fn done, void *user)
 {
     nm_order_lanes_t *lanes = (nm_order_lanes_t *)port;
-    if (action->type == NM_ACTION_HOLD) {
+    if (action->type == NM_ACTION_POLL) {
         nm_order_port_send(lanes->inner, action, epoch, done, user);
         return;
     }
--- a/src/order_port.h
+++ b/src/order_port.h
@@ -8,7 +8,7 @@
 
 #include <nutmegdeck/sched.h>
 
-/* report is set for a hold only; both are valid during the call. */
+/* report is set for a poll only; both are valid during the call. */
 typedef void (*nm_order_done_fn)(void *user, const nm_sched_action_t *action,
                                  nm_order_result_t result,
                                  const nm_worker_report_t *report);
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -6,8 +6,8 @@
 
 /* An order's own time-out at the carrier, and the way there and back. */
 #define ORDER_TIMEOUT_MS 900
-/* Added to the time that a hold may wait. */
-#define HOLD_MARGIN_MS 1000
+/* Added to the time that a poll may wait. */
+#define POLL_MARGIN_MS 1000
 /* A carrier without any answer for this long is left out... */
 #define SILENT_MS 800
 /* ...for so long, doubled with each further silence. */
@@ -15,7 +15,7 @@
 #define DOWN_MAX_MS 16000
 /* A longer pause between two rounds of this host is its own doing. */
 #define LAG_MS 250
-/* Time between two looks for orders without an answer. */
+/* Time between two checks for orders without an answer. */
 #define CHECK_MS 100
 #define ORDERS_MAX 256
 
@@ -167,8 +167,8 @@
     order->done = done;
     order->user = user;
     order->sent_ms = now_ms;
-    order->until_ms = now_ms + (action->type == NM_ACTION_HOLD
-                                    ? action->wait_ms + HOLD_MARGIN_MS
+    order->until_ms = now_ms + (action->type == NM_ACTION_POLL
+                                    ? action->wait_ms + POLL_MARGIN_MS
                                     : ORDER_TIMEOUT_MS);
     nm_strcopy(order->carrier, sizeof(order->carrier), carrier->desc.name);
     g_hash_table_insert(relay->open, &order->number, order);
@@ -196,7 +196,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_order);
     relay->zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    /* Answers to the orders of an earlier life must not meet ours. */
+    /* Answers to the orders of an earlier incarnation must not meet ours. */
     relay->number = (uint64_t)g_random_int() << 32;
     return &relay->base;
 }
@@ -256,9 +256,9 @@
 {
     g_hash_table_steal(relay->open, &order->number);
     nm_worker_report_t empty = {.result = result, .sent_ms = order->sent_ms};
-    bool hold = order->action.type == NM_ACTION_HOLD;
+    bool poll = order->action.type == NM_ACTION_POLL;
     order->done(order->user, &order->action, result,
-                hold ? (report ? report : &empty) : NULL);
+                poll ? (report ? report : &empty) : NULL);
     g_free(order);
 }
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -14,7 +14,7 @@
 #define IDLE_MS 100
 /* Changes that come together share one round of placement. */
 #define PLACE_MS 20
-/* Time between two looks at the tails of all workers. */
+/* Time between two checks of the tails of all workers. */
 #define FILLER_CHECK_MS 100
 /* Most jobs whose occurrences are kept; further ones are refused. */
 #define OCCURRENCES_MAX 10000
@@ -205,11 +205,12 @@
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
         job->images[s] = nm_interference_image(&sched->interference,
                                                job->spec.steps[s].image);
-        job->lasts = job->lasts || job->spec.steps[s].lasts;
+        job->long_running =
+            job->long_running || job->spec.steps[s].long_running;
     }
     job->work_total = nm_job_spec_work(&job->spec) * job->work_count;
     job->work_left = job->work_total;
-    if (job->queue && !job->lasts) {
+    if (job->queue && !job->long_running) {
         double work = (double)job->work_total;
         double *mean = &job->queue->mean_work;
         *mean = *mean > 0 ? *mean + MEAN_WORK_GAIN * (work - *mean) : work;
@@ -609,7 +610,7 @@
     }
     *info = (nm_sched_job_info_t){
         .state = job->state,
-        .lasts = job->lasts,
+        .long_running = job->long_running,
         .recovered = job->recovered,
         .took_ms = job->ended_ms > 0 ? job->ended_ms - job->arrived_ms : 0,
         .objective_ms = job->objective_ms,
@@ -673,14 +674,15 @@
     }
     for (guint i = 0; i < sched->active->len; i++) {
         const nm_sched_job_t *job = sched->active->pdata[i];
-        if (!job->lasts) {
+        if (!job->long_running) {
             info.backlog_work += job->work_left;
         }
         for (uint32_t w = 0; w < job->work_count; w++) {
             for (uint32_t s = 0; s < job->spec.step_count; s++) {
                 uint32_t waiting = job->works[w].waiting[s];
                 info.tasks_waiting += waiting;
-                info.lasting_waiting += job->spec.steps[s].lasts ? waiting : 0;
+                info.long_running_waiting +=
+                    job->spec.steps[s].long_running ? waiting : 0;
             }
         }
     }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -1,5 +1,5 @@
 /*
- * Fillers beside lasting tasks that have a latency target.
+ * Fillers beside long-running tasks that have a latency target.
  *
  * Answers this load: workers on which every place beside a serving task is
  * wanted by fillers, whose effect on its tail differs by image and is seen
@@ -29,7 +29,7 @@
 #define OFFSET_MAX 1.0
 #define LOG_TAIL_MAX 1.5
 /* A paused or resumed filler stays so for this long at least. */
-#define PACE_HOLD_MS 800
+#define THROTTLE_KEEP_MS 800
 /* A filler that stands still for so long starts anew on another worker. */
 #define PAUSED_MAX_MS 1500
 /* Part of its processor that a serving task uses at its usual peak. */
@@ -215,22 +215,22 @@
 }
 
 static void
-pace(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
-     uint32_t percent, nm_ms_t now_ms)
+throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+         uint32_t percent, nm_ms_t now_ms)
 {
-    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_PACE);
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_THROTTLE);
     nm_sched_task_name(task, action->task, sizeof(action->task));
     action->run = task->run;
     action->percent = percent;
     task->wanted_percent = percent;
     task->order_pending = true;
-    task->paced_ms = now_ms;
+    task->throttled_ms = now_ms;
     node->loads_known = false;
     node->fillers_changed_ms = now_ms;
     nm_count(NM_COUNTER_THROTTLES, 1);
 }
 
-/* Changes the pace of one filler at a time, the most costly one first. */
+/* Throttles one filler at a time, the most costly one first. */
 static void
 check_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -242,7 +242,8 @@
         nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
         if (!step->is_filler || task->state != NM_RUN_RUNNING ||
-            task->order_pending || now_ms - task->paced_ms < PACE_HOLD_MS)
+            task->order_pending ||
+            now_ms - task->throttled_ms < THROTTLE_KEEP_MS)
         {
             continue;
         }
@@ -264,16 +265,16 @@
             evict(sched, node, worst, now_ms);
         }
         else {
-            pace(sched, node, worst, 0, now_ms);
+            throttle(sched, node, worst, 0, now_ms);
         }
     }
     else if (paused && !over && node->calm &&
              nm_sched_filler_cost(sched, node, nm_task_step(paused),
                                   nm_task_image(paused)) < RESUME_COST)
     {
-        pace(sched, node, paused, 100, now_ms);
+        throttle(sched, node, paused, 100, now_ms);
     }
-    else if (paused && now_ms - paused->paced_ms > PAUSED_MAX_MS) {
+    else if (paused && now_ms - paused->throttled_ms > PAUSED_MAX_MS) {
         evict(sched, node, paused, now_ms);
     }
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -2,8 +2,8 @@
  * Which waiting task starts next, and where.
  *
  * Answers this load: bursts of wide jobs beyond the workers' capacity,
- * beside lasting tasks that take all room they get.  The order is credit for
- * each unit of remaining work, so that started jobs finish and a crowd of
+ * beside long-running tasks that take all room they get.  The order is credit
+ * for each unit of remaining work, so that started jobs finish and a crowd of
  * large jobs does not delay the small ones; a job whose objective can no
  * longer be met goes behind those whose can.
  */
@@ -20,10 +20,10 @@
 /* Credit that a job has by its number alone; the rest goes by its work. */
 #define FIXED_CREDIT 0.3
 /*
- * Lasting tasks earn a quarter of what short ones do by core and second, and
- * hold their room for long: what is in time goes first, the rest behind.
+ * Long-running tasks earn a quarter of what short ones do by core and second,
+ * and hold their room for long: what is in time goes first, the rest behind.
  */
-#define LASTING_RANK 0.5
+#define LONG_RUNNING_RANK 0.5
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -60,8 +60,8 @@
 static double
 job_rank(const nm_sched_job_t *job, nm_ms_t now_ms)
 {
-    if (job->lasts) {
-        return LASTING_RANK;
+    if (job->long_running) {
+        return LONG_RUNNING_RANK;
     }
     double work = (double)MAX(job->work_total, 1);
     double left = (double)MAX(job->work_left, 1);
@@ -151,7 +151,7 @@
                node->desc.accelerators;
 }
 
-/* True if all lasting tasks on a worker have this image. */
+/* True if all long-running tasks on a worker have this image. */
 static bool
 serves_only(const nm_sched_node_t *node, const char *image)
 {
@@ -233,7 +233,7 @@
     return true;
 }
 
-/* Looks at all workers of a small fleet, at a sample of a large one. */
+/* Considers all workers of a small fleet, at a sample of a large one. */
 static nm_sched_node_t *
 choose_node(nm_sched_t *sched, const candidate_t *candidate, nm_task_t *task,
             nm_ms_t now_ms)
@@ -261,7 +261,7 @@
     return best;
 }
 
-/* Stops fillers of a worker whose memory a lasting task needs. */
+/* Stops fillers of a worker whose memory a long-running task needs. */
 static bool
 displace(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
 {
@@ -362,7 +362,7 @@
     const nm_step_t *step = &work->job->spec.steps[candidate->step];
     bool plain = step->label[0] == '\0' && step->per_worker_max == 0 &&
                  !step->is_filler;
-    if (plain && !step->lasts && !needs_less(step, refused)) {
+    if (plain && !step->long_running && !needs_less(step, refused)) {
         return;
     }
     if (step->is_filler && filler_is_refused(step, refused)) {
@@ -386,7 +386,7 @@
             nm_sched_start_task(sched, task, node, 0, now_ms);
             continue;
         }
-        if (step->lasts && displace(sched, candidate, now_ms)) {
+        if (step->long_running && displace(sched, candidate, now_ms)) {
             continue;
         }
         if (step->is_filler && refused->image_count < REFUSED_IMAGES_MAX) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -18,27 +18,27 @@
  * or more, and are then refused as late.
  */
 #define NM_SCHED_START_VALID_MS 1700
-/* A hold waits this long for an end (the platform's maximum). */
-#define NM_SCHED_HOLD_WAIT_MS 2000
+/* A poll waits this long for an end (the platform's maximum). */
+#define NM_SCHED_POLL_WAIT_MS 2000
 /* ...or this long where serving tasks stand beside fillers. */
-#define NM_SCHED_HOLD_SHARED_MS 500
+#define NM_SCHED_POLL_SHARED_MS 500
 /*
- * ...or this long while many holds get no answer: an end is then seen late
- * by the time that a lost hold takes to be given up.
+ * ...or this long while many polls get no answer: an end is then seen late
+ * by the time that a lost poll takes to be given up.
  */
-#define NM_SCHED_HOLD_LOSSY_MS 150
-/* Share of holds without an answer from which on that is so. */
+#define NM_SCHED_POLL_LOSSY_MS 150
+/* Share of polls without an answer from which on that is so. */
 #define NM_SCHED_LOSSY 0.015
-/* Part of one hold in that share. */
+/* Part of one poll in that share. */
 #define NM_SCHED_LOSS_GAIN 0.01
-/* Ends that come close together are fetched by one hold. */
-#define NM_SCHED_HOLD_PAUSE_MS 130
-/* Pause before a hold or an order without an answer is repeated... */
+/* Ends that come close together are fetched by one poll. */
+#define NM_SCHED_POLL_PAUSE_MS 130
+/* Pause before a poll or an order without an answer is repeated... */
 #define NM_SCHED_RETRY_MS 300
 /* ...the first time: one order in many is lost, a worker seldom. */
 #define NM_SCHED_FIRST_RETRY_MS 20
-/* Holds without an answer after which a worker gets no new tasks. */
-#define NM_SCHED_HOLD_FAILURES 2
+/* Polls without an answer after which a worker gets no new tasks. */
+#define NM_SCHED_POLL_FAILURES 2
 /*
  * Starts without an answer beyond which none is sent: an owner that cannot
  * keep up must not fall further behind what workers say of themselves.
@@ -88,13 +88,13 @@
     uint32_t tries;
     bool order_pending; /* a call is in flight */
     bool withdrawn;     /* STOPPING before its start was confirmed */
-    uint32_t percent;   /* confirmed pace */
+    uint32_t percent;   /* confirmed share of its speed */
     uint32_t wanted_percent;
     int64_t figure;
     nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
     double log_tail;       /* predicted, with its own offset */
     double tail_offset;    /* of its tail's logarithm against the model */
-    nm_ms_t paced_ms;
+    nm_ms_t throttled_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_task_t;
@@ -123,7 +123,7 @@
     bool unreadable; /* its progress; nothing of it may start */
     bool cancelled;
     bool started; /* any task was ever started */
-    bool lasts;
+    bool long_running;
     uint64_t change;       /* newest change to store */
     uint64_t first_change; /* oldest change that is not stored */
     uint64_t saved;        /* newest change stored */
@@ -142,31 +142,31 @@
     uint64_t change; /* of the scheduler; 0: nothing to store */
 } nm_end_mark_t;
 
-/* One life of a worker. */
+/* One incarnation of a worker. */
 struct nm_sched_node {
     nm_sched_worker_t desc;
     bool announced;
     bool admitted;          /* stored, so that a new owner looks for it */
     bool known;             /* described; otherwise only expected */
     bool fenced;            /* answered to our epoch in this incarnation */
-    bool reachable;         /* one of its last holds was answered */
-    uint32_t hold_failures; /* in a row */
-    bool hold_pending;
-    nm_ms_t hold_due_ms;
+    bool reachable;         /* one of its last polls was answered */
+    uint32_t poll_failures; /* in a row */
+    bool poll_pending;
+    nm_ms_t poll_due_ms;
     int64_t clock_ms; /* at clock_at_ms or later */
     nm_ms_t clock_at_ms;
     bool clock_known;
     nm_ms_t lapse_ms;        /* when that has lapsed for certain, our clock */
     int64_t ends_seen;       /* newest end processed */
     int64_t ends_acked;      /* newest end that may be forgotten */
-    int64_t ends_acked_sent; /* newest one that a hold carried */
+    int64_t ends_acked_sent; /* newest one that a poll carried */
     GQueue marks;            /* of nm_end_mark_t */
     GPtrArray *tasks;        /* starting, running or stopping here */
     int64_t cpu_used;
     int64_t memory_used;
     int32_t accelerators_used;
     uint32_t fillers;
-    uint32_t targets; /* lasting tasks with a latency target */
+    uint32_t targets; /* long-running tasks with a latency target */
     int64_t filler_cpu;
     uint32_t failures_in_row;
     nm_ms_t progress_ms; /* last end or newer checkpoint of any task */
@@ -201,7 +201,7 @@
     bool fenced;
     uint32_t starting; /* starts without an answer */
     bool has_unseen;   /* recovered tasks wait for workers to answer */
-    double hold_loss;  /* share of holds without an answer */
+    double poll_loss;  /* share of polls without an answer */
     bool stale;        /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -156,7 +156,7 @@
     task->wanted_percent = 100;
     task->over_since_ms = 0;
     task->tail_offset = 0;
-    task->paced_ms = 0;
+    task->throttled_ms = 0;
     task->figure = 0;
     sched->stale = true;
 }
@@ -257,7 +257,7 @@
                       nm_ms_t now_ms)
 {
     nm_sched_job_t *job = task->work->job;
-    if (task->state == NM_RUN_DONE || nm_task_step(task)->lasts ||
+    if (task->state == NM_RUN_DONE || nm_task_step(task)->long_running ||
         failure_is_counted(task, run))
     {
         return;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -3,8 +3,8 @@
  *
  * Answers this load: workers that crash, restart under the same id, are cut
  * off, leave orders unanswered and carry them out late, or drain.  A worker
- * holds a task until an end is listed, its life has ended, or its lease has
- * lapsed for certain; until then the task starts nowhere else.
+ * holds a task until an end is listed, its incarnation has ended, or its lease
+ * has lapsed for certain; until then the task starts nowhere else.
  */
 #include "sched_state.h"
 
@@ -43,14 +43,15 @@
         sched->began_ms +
         (nm_ms_t)((double)sched->desc.lease_max_ms * NM_SCHED_CLOCK_SLOW) +
         NM_SCHED_LAPSE_MARGIN_MS;
-    node->hold_due_ms = now_ms;
+    node->poll_due_ms = now_ms;
     node->reachable = true;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
     g_ptr_array_add(sched->node_list, node);
     return node;
 }
 
-/* Tasks on a life that has ended, or whose lease lapsed, have no run. */
+/* Tasks on an incarnation that has ended, or whose lease lapsed, have no run.
+ */
 void
 nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -63,12 +64,12 @@
 }
 
 /*
- * A new life knows nothing of the old one.  A start that got no answer may
- * still be carried out by it, so it is withdrawn there first.
+ * A new incarnation knows nothing of the old one.  A start that got no answer
+ * may still be carried out by it, so it is withdrawn there first.
  */
 static void
-begin_life(nm_sched_t *sched, nm_sched_node_t *node, int64_t incarnation,
-           nm_ms_t now_ms)
+begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
+                  int64_t incarnation, nm_ms_t now_ms)
 {
     GPtrArray *unanswered = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
@@ -90,7 +91,7 @@
     node->ends_seen = 0;
     node->ends_acked = 0;
     node->ends_acked_sent = 0;
-    node->hold_due_ms = now_ms;
+    node->poll_due_ms = now_ms;
     node->failures_in_row = 0;
     node->avoid_until_ms = 0;
     g_queue_clear_full(&node->marks, g_free);
@@ -111,15 +112,15 @@
         node = add_node(sched, desc->id, now_ms);
     }
     if (node->known && desc->incarnation < node->desc.incarnation) {
-        return; /* a late report of an earlier life */
+        return; /* a late report of an earlier incarnation */
     }
     if (node->known && desc->incarnation > node->desc.incarnation) {
-        begin_life(sched, node, desc->incarnation, now_ms);
+        begin_incarnation(sched, node, desc->incarnation, now_ms);
     }
     node->desc = *desc;
     if (!node->known) {
         node->known = true;
-        node->hold_due_ms = now_ms;
+        node->poll_due_ms = now_ms;
     }
     node->announced = true;
     sched->stale = true;
@@ -231,7 +232,7 @@
         }
         task->avoid = node;
         nm_task_requeue(sched, task);
-        node->hold_due_ms = now_ms;
+        node->poll_due_ms = now_ms;
         break;
     case NM_ORDER_LATE:
         /* The HTTP client may have sent it twice; the first copy may run. */
@@ -268,8 +269,8 @@
     if (result == NM_ORDER_DONE || result == NM_ORDER_SUPERSEDED) {
         task->tries = 0;
         task->sent_ms = now_ms;
-        if (!node->hold_pending) {
-            node->hold_due_ms = MIN(node->hold_due_ms, now_ms);
+        if (!node->poll_pending) {
+            node->poll_due_ms = MIN(node->poll_due_ms, now_ms);
         }
         return;
     }
@@ -279,8 +280,8 @@
 }
 
 void
-nm_sched_on_pace(nm_sched_t *sched, const nm_sched_action_t *action,
-                 nm_order_result_t result, nm_ms_t now_ms)
+nm_sched_on_throttle(nm_sched_t *sched, const nm_sched_action_t *action,
+                     nm_order_result_t result, nm_ms_t now_ms)
 {
     assert(sched && action);
     (void)now_ms;
@@ -389,7 +390,7 @@
     g_queue_push_tail(&node->marks, mark);
 }
 
-/* What was settled before the hold was sent and is not listed is gone. */
+/* What was settled before the poll was sent and is not listed is gone. */
 static void
 drop_absent(nm_sched_t *sched, nm_sched_node_t *node,
             const nm_worker_report_t *report, nm_ms_t now_ms)
@@ -424,36 +425,36 @@
     if (!node) {
         return;
     }
-    node->hold_pending = false;
+    node->poll_pending = false;
     if (report->result == NM_ORDER_FENCED) {
         sched->fenced = true;
         return;
     }
     /* Repeated ones tell of the worker, not of calls in general. */
-    if (node->hold_failures == 0) {
+    if (node->poll_failures == 0) {
         double lost = report->result == NM_ORDER_UNKNOWN;
-        sched->hold_loss += NM_SCHED_LOSS_GAIN * (lost - sched->hold_loss);
+        sched->poll_loss += NM_SCHED_LOSS_GAIN * (lost - sched->poll_loss);
     }
     if (report->result != NM_ORDER_DONE) {
-        node->hold_failures++;
+        node->poll_failures++;
         node->reachable = node->reachable && node->fenced &&
-                          node->hold_failures < NM_SCHED_HOLD_FAILURES;
+                          node->poll_failures < NM_SCHED_POLL_FAILURES;
         node->ends_acked_sent = 0;
-        node->hold_due_ms =
-            now_ms + (node->hold_failures == 1 ? NM_SCHED_FIRST_RETRY_MS
+        node->poll_due_ms =
+            now_ms + (node->poll_failures == 1 ? NM_SCHED_FIRST_RETRY_MS
                                                : NM_SCHED_RETRY_MS);
         return;
     }
     if (report->incarnation < node->desc.incarnation) {
-        node->hold_due_ms = now_ms + NM_SCHED_RETRY_MS;
+        node->poll_due_ms = now_ms + NM_SCHED_RETRY_MS;
         return;
     }
     if (report->incarnation > node->desc.incarnation) {
-        begin_life(sched, node, report->incarnation, now_ms);
+        begin_incarnation(sched, node, report->incarnation, now_ms);
     }
     bool refreshed = !node->reachable || !node->fenced;
     node->reachable = true;
-    node->hold_failures = 0;
+    node->poll_failures = 0;
     node->fenced = true;
     node->clock_ms = report->clock_ms;
     node->clock_at_ms = now_ms;
@@ -469,7 +470,7 @@
     }
     nm_sched_observe_tails(sched, node, now_ms);
     nm_count(NM_COUNTER_SYNCS, 1);
-    node->hold_due_ms = refreshed ? now_ms : now_ms + NM_SCHED_HOLD_PAUSE_MS;
+    node->poll_due_ms = refreshed ? now_ms : now_ms + NM_SCHED_POLL_PAUSE_MS;
     sched->stale = true;
 }
 
@@ -486,21 +487,21 @@
 }
 
 static void
-send_hold(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+send_poll(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_HOLD);
+    nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_POLL);
     action->acked = node->ends_acked;
     node->ends_acked_sent = node->ends_acked;
     bool quick =
-        !node->fenced || node->hold_failures > 0 || node->tasks->len == 0;
+        !node->fenced || node->poll_failures > 0 || node->tasks->len == 0;
     bool shared = node->fillers > 0 && node->targets > 0;
-    bool lossy = sched->hold_loss > NM_SCHED_LOSSY;
+    bool lossy = sched->poll_loss > NM_SCHED_LOSSY;
     action->wait_ms = quick    ? 0
-                      : lossy  ? NM_SCHED_HOLD_LOSSY_MS
-                      : shared ? NM_SCHED_HOLD_SHARED_MS
-                               : NM_SCHED_HOLD_WAIT_MS;
+                      : lossy  ? NM_SCHED_POLL_LOSSY_MS
+                      : shared ? NM_SCHED_POLL_SHARED_MS
+                               : NM_SCHED_POLL_WAIT_MS;
     /* What may never answer gets no longer lease by being asked again. */
-    if (node->clock_known && node->hold_failures == 0) {
+    if (node->clock_known && node->poll_failures == 0) {
         action->expiry_ms = nm_node_clock(node, now_ms) + sched->desc.lease_ms;
         nm_ms_t lapse =
             now_ms +
@@ -508,7 +509,7 @@
             NM_SCHED_LAPSE_MARGIN_MS;
         node->lapse_ms = MAX(node->lapse_ms, lapse);
     }
-    node->hold_pending = true;
+    node->poll_pending = true;
 }
 
 static void
@@ -543,7 +544,7 @@
         const nm_step_t *step = nm_task_step(task);
         bool saved =
             step->saves_progress && node->desc.remaining_ms < DRAIN_MOVE_MS;
-        if (task->state == NM_RUN_RUNNING && (step->lasts || saved)) {
+        if (task->state == NM_RUN_RUNNING && (step->long_running || saved)) {
             nm_count_reason(NM_REASON_EVICT_LEAVING);
             nm_sched_stop_task(sched, task, now_ms);
         }
@@ -554,8 +555,9 @@
 is_stalled(const nm_sched_node_t *node, const nm_task_t *task, nm_ms_t now_ms)
 {
     const nm_step_t *step = nm_task_step(task);
-    if (task->state != NM_RUN_RUNNING || step->lasts ||
-        task->wanted_percent == 0) {
+    if (task->state != NM_RUN_RUNNING || step->long_running ||
+        task->wanted_percent == 0)
+    {
         return false;
     }
     nm_ms_t limit = STALL_MS;
@@ -585,7 +587,8 @@
     nm_count_reason(NM_REASON_WORKER_FAILING);
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
-        if (task->state == NM_RUN_RUNNING && !nm_task_step(task)->lasts) {
+        if (task->state == NM_RUN_RUNNING && !nm_task_step(task)->long_running)
+        {
             task->avoid = node;
             nm_sched_stop_task(sched, task, now_ms);
         }
@@ -617,9 +620,9 @@
     bool wanted =
         !node->fenced || node->tasks->len > 0 || acks || !node->reachable;
     bool alive = node->announced || node->tasks->len > 0;
-    if (wanted && alive && !node->hold_pending && now_ms >= node->hold_due_ms)
+    if (wanted && alive && !node->poll_pending && now_ms >= node->poll_due_ms)
     {
-        send_hold(sched, node, now_ms);
+        send_poll(sched, node, now_ms);
     }
 }
 
@@ -630,7 +633,7 @@
         nm_sched_node_t *node = sched->node_list->pdata[i - 1];
         run_node(sched, node, now_ms);
         bool gone = !node->announced && node->tasks->len == 0 &&
-                    !node->hold_pending && now_ms >= node->lapse_ms;
+                    !node->poll_pending && now_ms >= node->lapse_ms;
         if (gone) {
             g_queue_push_tail(&sched->gone, g_strdup(node->desc.id));
             g_ptr_array_remove_index_fast(sched->node_list, i - 1);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -94,7 +94,7 @@
                                  .complete = false};
     ((fake_orders_t *)port)->starts += action->type == NM_ACTION_START;
     done(user, action, NM_ORDER_DONE,
-         action->type == NM_ACTION_HOLD ? &report : NULL);
+         action->type == NM_ACTION_POLL ? &report : NULL);
 }
 
 static const nm_order_port_vtable_t orders_vtable = {orders_send};
--- a/tests/test_lanes.c
+++ b/tests/test_lanes.c
@@ -44,7 +44,7 @@
     {"one worker", NM_ACTION_START, {"a", "a", "a", "a"}, 2},
     {"two workers", NM_ACTION_START, {"a", "b", "a", "b"}, 4},
     {"two and a third", NM_ACTION_STOP, {"a", "a", "a", "b"}, 3},
-    {"reports", NM_ACTION_HOLD, {"a", "a", "a", "a"}, 4},
+    {"reports", NM_ACTION_POLL, {"a", "a", "a", "a"}, 4},
 };
 
 static void
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -186,7 +186,7 @@
         nm_orders_http_t orders;
         nm_order_port_t *port = nm_orders_http_init(&orders, http);
         outcome_t outcome = {0};
-        send_order(port, &server, NM_ACTION_HOLD, &outcome);
+        send_order(port, &server, NM_ACTION_POLL, &outcome);
         wait_for(http, &outcome.ended, 1);
         g_assert_cmpint(outcome.result, ==, report_cases[i].result);
         g_assert_cmpint(outcome.complete, ==, report_cases[i].complete);
@@ -214,7 +214,8 @@
     {"HTTP/1.1 409 x\r\nContent-Length: 17\r\n\r\n{\"reason\":\"room\"}",
      NM_ORDER_NO_ROOM},
     {"HTTP/1.1 409 x\r\nContent-Length: 2\r\n\r\n{}", NM_ORDER_UNKNOWN},
-    {"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_WRONG_LIFE},
+    {"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n",
+     NM_ORDER_WRONG_INCARNATION},
     {"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_NOT_RUN},
     {"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_INVALID},
     {"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", NM_ORDER_UNKNOWN},
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -68,7 +68,7 @@
     nm_sched_admit_worker(world->sched, id);
 }
 
-/* A worker's answer to a hold. */
+/* A worker's answer to a poll. */
 static void
 report(world_t *world, const char *id, int64_t incarnation,
        const nm_worker_run_t *running, uint32_t running_count,
@@ -89,7 +89,7 @@
 }
 
 static void
-lose_hold(world_t *world, const char *id)
+lose_poll(world_t *world, const char *id)
 {
     nm_worker_report_t answer = {.result = NM_ORDER_UNKNOWN,
                                  .sent_ms = world->now_ms};
@@ -111,7 +111,7 @@
 }
 
 static void
-add_job(world_t *world, const char *id, bool lasts, uint32_t tasks,
+add_job(world_t *world, const char *id, bool long_running, uint32_t tasks,
         int64_t cpu_milli, bool recovered)
 {
     nm_job_spec_t spec;
@@ -121,7 +121,7 @@
     step_desc->cpu_milli = cpu_milli;
     step_desc->memory_mb = 100;
     step_desc->estimate_ms = 1000;
-    step_desc->lasts = lasts;
+    step_desc->long_running = long_running;
     g_assert_cmpint(
         nm_sched_add_job(world->sched, &spec, recovered, world->now_ms), ==,
         NM_OK);
@@ -151,7 +151,7 @@
 static nm_sched_action_t
 confirm_starts(world_t *world)
 {
-    nm_sched_action_t last = {.type = NM_ACTION_HOLD};
+    nm_sched_action_t last = {.type = NM_ACTION_POLL};
     for (guint i = 0; i < world->actions->len; i++) {
         const nm_sched_action_t *action =
             &g_array_index(world->actions, nm_sched_action_t, i);
@@ -181,7 +181,7 @@
     world_init(&world, 1);
     announce(&world, "a", 7);
     step(&world, 10);
-    g_assert_nonnull(find(&world, NM_ACTION_HOLD, "a"));
+    g_assert_nonnull(find(&world, NM_ACTION_POLL, "a"));
     report(&world, "a", 7, NULL, 0, NULL, 0);
     add_job(&world, JOB, false, 2, 1000, false);
     step(&world, 30);
@@ -197,12 +197,12 @@
     /* Neither shown nor acknowledged before it is stored. */
     g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==, NM_JOB_RUNNING);
     step(&world, 100);
-    g_assert_null(find(&world, NM_ACTION_HOLD, "a"));
+    g_assert_null(find(&world, NM_ACTION_POLL, "a"));
     save_all(&world);
     g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==,
                     NM_JOB_COMPLETED);
     step(&world, 100);
-    const nm_sched_action_t *hold = find(&world, NM_ACTION_HOLD, "a");
+    const nm_sched_action_t *hold = find(&world, NM_ACTION_POLL, "a");
     g_assert_nonnull(hold);
     g_assert_cmpint(hold->acked, ==, 2);
     world_finish(&world);
@@ -220,8 +220,8 @@
     add_job(&world, JOB, true, 1, 1000, false);
     step(&world, 30);
     confirm_starts(&world);
-    g_assert_nonnull(find(&world, NM_ACTION_HOLD, "a"));
-    lose_hold(&world, "a");
+    g_assert_nonnull(find(&world, NM_ACTION_POLL, "a"));
+    lose_poll(&world, "a");
     announce(&world, "b", 1);
     step(&world, 10);
     report(&world, "b", 1, NULL, 0, NULL, 0);
@@ -229,8 +229,8 @@
     bool moved = false;
     while (!moved && world.now_ms - begin_ms < 12000) {
         step(&world, 100);
-        if (find(&world, NM_ACTION_HOLD, "a")) {
-            lose_hold(&world, "a");
+        if (find(&world, NM_ACTION_POLL, "a")) {
+            lose_poll(&world, "a");
         }
         moved = find(&world, NM_ACTION_START, "b") != NULL;
     }
@@ -341,7 +341,7 @@
     nm_ms_t begin_ms = world.now_ms;
     while (!find(&world, NM_ACTION_START, "a")) {
         step(&world, 100);
-        if (find(&world, NM_ACTION_HOLD, "a")) {
+        if (find(&world, NM_ACTION_POLL, "a")) {
             report(&world, "a", 1, NULL, 0, NULL, 0);
         }
         g_assert_cmpint(world.now_ms - begin_ms, <, 12000);
@@ -350,7 +350,8 @@
     world_finish(&world);
 }
 
-/* A start without an answer is withdrawn from the worker's next life. */
+/* A start without an answer is withdrawn from the worker's next incarnation.
+ */
 static void
 test_unanswered_start_on_a_new_life(void)
 {
@@ -430,7 +431,7 @@
     nm_ms_t begin_ms = world.now_ms;
     while (!find(&world, NM_ACTION_STOP, "a")) {
         step(&world, 100);
-        if (find(&world, NM_ACTION_HOLD, "a")) {
+        if (find(&world, NM_ACTION_POLL, "a")) {
             report(&world, "a", 1, &running, 1, NULL, 0);
         }
         g_assert_cmpint(world.now_ms - begin_ms, <, 10000);
@@ -476,7 +477,7 @@
     desc->cpu_milli = 1000;
     desc->memory_mb = 100;
     desc->estimate_ms = serving ? 0 : 9000;
-    desc->lasts = serving;
+    desc->long_running = serving;
     desc->target_ms = serving ? 18 : 0;
     desc->is_filler = !serving;
     desc->saves_progress = !serving;
