--- a/include/nutmegdeck/base.h
+++ b/include/nutmegdeck/base.h
@@ -77,6 +77,9 @@
     return clock->vtable->now(clock);
 }
 
+/* The monotonic clock, where no clock can be handed in. */
+nm_ms_t nm_now_monotonic(void);
+
 /* Deterministic xorshift generator, seeded by the caller. */
 typedef struct {
     uint64_t state;
--- a/src/base.c
+++ b/src/base.c
@@ -33,15 +33,21 @@
     }
 }
 
-static nm_ms_t
-monotonic_now(const nm_clock_t *clock)
+nm_ms_t
+nm_now_monotonic(void)
 {
-    (void)clock;
     struct timespec ts;
     clock_gettime(CLOCK_MONOTONIC, &ts);
     return (nm_ms_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+static nm_ms_t
+monotonic_now(const nm_clock_t *clock)
+{
+    (void)clock;
+    return nm_now_monotonic();
+}
+
 static nm_ms_t
 manual_now(const nm_clock_t *clock)
 {
--- a/src/hosts.c
+++ b/src/hosts.c
@@ -9,6 +9,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "json_get.h"
+
 #include "mailbox.h"
 
 #define FETCH_TIMEOUT_MS 2000L
@@ -30,13 +32,6 @@
     return id ? id : 1;
 }
 
-static bool
-copy_text(const json_t *object, const char *key, char *target, size_t size)
-{
-    const char *text = json_string_value(json_object_get(object, key));
-    return text && *text && nm_strcopy(target, size, text);
-}
-
 static bool
 parse_state(const json_t *object, bool *leaving)
 {
@@ -57,11 +52,11 @@
             json_object_get(object, "accelerators")),
     };
     bool valid =
-        copy_text(object, "name", worker->name, sizeof(worker->name)) &&
-        copy_text(object, "address", worker->address,
-                  sizeof(worker->address)) &&
-        copy_text(object, "datacentre", worker->datacentre,
-                  sizeof(worker->datacentre)) &&
+        nm_json_text(object, "name", worker->name, sizeof(worker->name)) &&
+        nm_json_text(object, "address", worker->address,
+                     sizeof(worker->address)) &&
+        nm_json_text(object, "datacentre", worker->datacentre,
+                     sizeof(worker->datacentre)) &&
         parse_state(object, &worker->leaving) &&
         worker->capacity.cpu_milli > 0 && worker->capacity.memory_mb > 0 &&
         worker->capacity.accelerators >= 0;
@@ -72,12 +67,12 @@
 static bool
 parse_executor(const json_t *object, nm_executor_host_t *executor)
 {
-    bool valid = copy_text(object, "address", executor->address,
-                           sizeof(executor->address)) &&
-                 copy_text(object, "datacentre", executor->datacentre,
-                           sizeof(executor->datacentre)) &&
-                 copy_text(object, "service", executor->service,
-                           sizeof(executor->service)) &&
+    bool valid = nm_json_text(object, "address", executor->address,
+                              sizeof(executor->address)) &&
+                 nm_json_text(object, "datacentre", executor->datacentre,
+                              sizeof(executor->datacentre)) &&
+                 nm_json_text(object, "service", executor->service,
+                              sizeof(executor->service)) &&
                  parse_state(object, &executor->leaving);
     const char *worker = json_string_value(json_object_get(object, "worker"));
     executor->worker = worker ? nm_host_id(worker) : 0;
--- a/src/job.c
+++ b/src/job.c
@@ -5,6 +5,8 @@
 
 #include <jansson.h>
 
+#include "json_get.h"
+
 void
 nm_job_spec_init(nm_job_spec_t *spec, const char *id, const char *queue,
                  const char *service)
@@ -198,48 +200,29 @@
     return text;
 }
 
-static void
-get_text(const json_t *object, const char *name, char *target, size_t size)
-{
-    const char *text = json_string_value(json_object_get(object, name));
-    if (text) {
-        nm_strcopy(target, size, text);
-    }
-}
-
-static int64_t
-get_number(const json_t *object, const char *name)
-{
-    return json_integer_value(json_object_get(object, name));
-}
-
-static bool
-get_flag(const json_t *object, const char *name)
-{
-    return json_is_true(json_object_get(object, name));
-}
-
 static void
 decode_step(nm_step_t *step, const json_t *object)
 {
-    step->task_count = (uint32_t)get_number(object, "tasks");
-    step->cpu_milli = get_number(object, "cpu_milli");
-    step->memory_mb = get_number(object, "memory_mb");
-    step->accelerators = (int32_t)get_number(object, "accelerators");
-    step->estimate_ms = get_number(object, "estimate_ms");
-    step->per_worker_max = (uint32_t)get_number(object, "per_worker_max");
-    step->target_ms = get_number(object, "target_ms");
-    step->unavailable_max = (uint32_t)get_number(object, "unavailable_max");
-    step->has_budget = get_flag(object, "has_budget");
-    step->saves_progress = get_flag(object, "saves_progress");
-    step->is_gang = get_flag(object, "gang");
-    step->same_rack = get_flag(object, "same_rack");
-    step->copies_allowed = get_flag(object, "copies_allowed");
-    step->long_running = get_flag(object, "long_running");
-    step->is_filler = get_flag(object, "filler");
-    get_text(object, "label", step->label, sizeof(step->label));
-    get_text(object, "data_rack", step->data_rack, sizeof(step->data_rack));
-    get_text(object, "image", step->image, sizeof(step->image));
+    step->task_count = (uint32_t)nm_json_number(object, "tasks");
+    step->cpu_milli = nm_json_number(object, "cpu_milli");
+    step->memory_mb = nm_json_number(object, "memory_mb");
+    step->accelerators = (int32_t)nm_json_number(object, "accelerators");
+    step->estimate_ms = nm_json_number(object, "estimate_ms");
+    step->per_worker_max = (uint32_t)nm_json_number(object, "per_worker_max");
+    step->target_ms = nm_json_number(object, "target_ms");
+    step->unavailable_max =
+        (uint32_t)nm_json_number(object, "unavailable_max");
+    step->has_budget = nm_json_flag(object, "has_budget");
+    step->saves_progress = nm_json_flag(object, "saves_progress");
+    step->is_gang = nm_json_flag(object, "gang");
+    step->same_rack = nm_json_flag(object, "same_rack");
+    step->copies_allowed = nm_json_flag(object, "copies_allowed");
+    step->long_running = nm_json_flag(object, "long_running");
+    step->is_filler = nm_json_flag(object, "filler");
+    nm_json_text(object, "label", step->label, sizeof(step->label));
+    nm_json_text(object, "data_rack", step->data_rack,
+                 sizeof(step->data_rack));
+    nm_json_text(object, "image", step->image, sizeof(step->image));
     size_t i;
     json_t *earlier;
     json_array_foreach(json_object_get(object, "after"), i, earlier)
@@ -255,25 +238,25 @@
     assert(spec && id && data);
     json_t *record = json_loadb(data, bytes, 0, NULL);
     if (!json_is_object(record) ||
-        get_number(record, "version") != NM_JOB_RECORD_VERSION)
+        nm_json_number(record, "version") != NM_JOB_RECORD_VERSION)
     {
         json_decref(record);
         nm_job_spec_init(spec, id, "", "");
         return NM_ERR_CORRUPT;
     }
     nm_job_spec_init(spec, id, "", "");
-    get_text(record, "queue", spec->queue, sizeof(spec->queue));
-    get_text(record, "service", spec->service, sizeof(spec->service));
+    nm_json_text(record, "queue", spec->queue, sizeof(spec->queue));
+    nm_json_text(record, "service", spec->service, sizeof(spec->service));
     const char *payload =
         json_string_value(json_object_get(record, "payload"));
     if (payload) {
         g_free(spec->payload);
         spec->payload = g_strdup(payload);
     }
-    spec->accepted_unix_ms = get_number(record, "accepted_unix_ms");
-    spec->occurrences = (uint32_t)get_number(record, "occurrences");
-    spec->first_unix_ms = get_number(record, "first_unix_ms");
-    spec->interval_ms = get_number(record, "interval_ms");
+    spec->accepted_unix_ms = nm_json_number(record, "accepted_unix_ms");
+    spec->occurrences = (uint32_t)nm_json_number(record, "occurrences");
+    spec->first_unix_ms = nm_json_number(record, "first_unix_ms");
+    spec->interval_ms = nm_json_number(record, "interval_ms");
     size_t i;
     json_t *step;
     json_array_foreach(json_object_get(record, "steps"), i, step)
--- a/src/log.c
+++ b/src/log.c
@@ -133,9 +133,7 @@
 static bool
 take_line(uint64_t *dropped)
 {
-    nm_clock_t clock;
-    nm_clock_init_monotonic(&clock);
-    nm_ms_t now_ms = nm_clock_now(&clock);
+    nm_ms_t now_ms = nm_now_monotonic();
     pthread_mutex_lock(&state.mutex);
     *dropped = 0;
     if (now_ms - state.window_ms >= 1000) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -242,8 +242,6 @@
 void nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms);
 /* True while a worker may run tasks that this owner has not seen. */
 bool nm_sched_has_unresolved(const nm_sched_t *sched, nm_ms_t now_ms);
-void nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node,
-                        nm_ms_t now_ms);
 
 /* sched_place.c */
 void nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms);
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -52,10 +52,9 @@
 
 /* Tasks on an incarnation that has ended, or whose lease lapsed, have no run.
  */
-void
-nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+static void
+lose_tasks(nm_sched_t *sched, nm_sched_node_t *node)
 {
-    (void)now_ms;
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
@@ -194,23 +193,46 @@
     nm_sched_stop_task(sched, task, now_ms);
 }
 
+/*
+ * The task that an answered order was for, if the answer still concerns it:
+ * the same run on the same incarnation, in the state the order left it in.
+ */
+static nm_task_t *
+find_ordered(nm_sched_t *sched, const nm_sched_action_t *action,
+             nm_order_result_t result, nm_run_state_t state)
+{
+    nm_task_t *task = nm_sched_find_task(sched, action->task);
+    sched->fenced = sched->fenced || result == NM_ORDER_FENCED;
+    if (!task || !task->node || task->run != action->run ||
+        task->state != state ||
+        strcmp(task->node->desc.id, action->worker) != 0 ||
+        task->node->desc.incarnation != action->incarnation)
+    {
+        return NULL;
+    }
+    task->order_pending = false;
+    return task;
+}
+
+/* When an order without an answer is sent again. */
+static void
+repeat_order(nm_task_t *task, nm_ms_t now_ms)
+{
+    task->order_due_ms = now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
+                                                    : NM_SCHED_RETRY_MS);
+    task->node->repeat_due_ms = now_ms;
+}
+
 void
 nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
                   nm_order_result_t result, nm_ms_t now_ms)
 {
     assert(sched && action);
-    nm_task_t *task = nm_sched_find_task(sched, action->task);
-    nm_sched_node_t *node = find_node(sched, action->worker);
-    if (result == NM_ORDER_FENCED) {
-        sched->fenced = true;
-    }
-    if (!task || !node || task->node != node || task->run != action->run ||
-        task->state != NM_RUN_STARTING ||
-        node->desc.incarnation != action->incarnation)
-    {
+    nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STARTING);
+    if (!task) {
         return;
     }
-    task->order_pending = false;
+    nm_sched_node_t *node = task->node;
     switch (result) {
     case NM_ORDER_DONE:
         nm_task_set_state(sched, task, NM_RUN_RUNNING);
@@ -241,10 +263,7 @@
         withdraw_start(sched, task, now_ms);
         break;
     default:
-        task->order_due_ms =
-            now_ms +
-            (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS : NM_SCHED_RETRY_MS);
-        node->repeat_due_ms = now_ms;
+        repeat_order(task, now_ms);
         break;
     }
 }
@@ -254,18 +273,11 @@
                  nm_order_result_t result, nm_ms_t now_ms)
 {
     assert(sched && action);
-    nm_task_t *task = nm_sched_find_task(sched, action->task);
-    nm_sched_node_t *node = find_node(sched, action->worker);
-    if (result == NM_ORDER_FENCED) {
-        sched->fenced = true;
-    }
-    if (!task || !node || task->node != node || task->run != action->run ||
-        task->state != NM_RUN_STOPPING ||
-        node->desc.incarnation != action->incarnation)
-    {
+    nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STOPPING);
+    if (!task) {
         return;
     }
-    task->order_pending = false;
+    nm_sched_node_t *node = task->node;
     if (result == NM_ORDER_DONE || result == NM_ORDER_SUPERSEDED) {
         task->tries = 0;
         task->sent_ms = now_ms;
@@ -274,9 +286,7 @@
         }
         return;
     }
-    task->order_due_ms = now_ms + (task->tries == 1 ? NM_SCHED_FIRST_RETRY_MS
-                                                    : NM_SCHED_RETRY_MS);
-    node->repeat_due_ms = now_ms;
+    repeat_order(task, now_ms);
 }
 
 void
@@ -393,9 +403,8 @@
 /* What was settled before the poll was sent and is not listed is gone. */
 static void
 drop_absent(nm_sched_t *sched, nm_sched_node_t *node,
-            const nm_worker_report_t *report, nm_ms_t now_ms)
+            const nm_worker_report_t *report)
 {
-    (void)now_ms;
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
         if (task->order_pending || task->tries > 0 ||
@@ -466,7 +475,7 @@
         take_run(sched, node, &report->running[i], now_ms);
     }
     if (report->complete) {
-        drop_absent(sched, node, report, now_ms);
+        drop_absent(sched, node, report);
     }
     nm_sched_observe_tails(sched, node, now_ms);
     nm_count(NM_COUNTER_SYNCS, 1);
@@ -603,7 +612,7 @@
         return;
     }
     if (now_ms >= node->lapse_ms && !node->reachable && node->tasks->len > 0) {
-        nm_node_lose_tasks(sched, node, now_ms);
+        lose_tasks(sched, node);
     }
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
         move_from_draining(sched, node, now_ms);
