--- a/src/place.c
+++ b/src/place.c
@@ -1,15 +1,10 @@
-#include <nutmegdeck/place.h>
+#include "place_state.h"
 
 #include <assert.h>
 #include <math.h>
 
-#include <glib.h>
-
-#include "place_worker.h"
-
-/* Workers compared for one decision, and probed before giving up. */
+/* Workers compared for one decision. */
 #define COMPARE_COUNT 24
-#define PROBE_COUNT 160
 /* Weights of a candidate's cost. */
 #define COST_SLOWDOWN 2.0f
 #define COST_FIT 0.3f
@@ -19,12 +14,6 @@
 /* Deviations added to a prediction: LEAST + w * SPAN. */
 #define CAUTION_LEAST 0.2f
 #define CAUTION_SPAN 1.3f
-/* Reactions begin at this multiple of the allowed slowdown, plus a part. */
-#define REACT_FACTOR 1.5f
-#define REACT_OFFSET 0.05f
-#define HIGH_SAMPLES_TO_THROTTLE 2
-#define CALM_TO_RELEASE_MS 60000
-#define PEAK_DECAY 0.98f
 /* Part of the workers on which tasks may explore at the same time. */
 #define EXPLORE_SHARE 0.04f
 /* Measurements after which a class counts as known in a load band. */
@@ -34,27 +23,6 @@
 #define COST_EXPLORE 10.0f
 /* Work with a near deadline may slow a service by this much more. */
 #define AT_RISK_FACTOR 4.0f
-#define THROTTLE_FIRST_PCT 50
-#define THROTTLE_SECOND_PCT 25
-/* The baseline policy REACTIVE evicts over this slowdown. */
-#define REACTIVE_THRESHOLD 1.10f
-
-struct nm_place_state {
-    nm_place_policy_t policy;
-    float weight_latency; /* 0 to 1 */
-    nm_rng_t rng;
-    nm_worker_t *workers;
-    uint32_t worker_count;
-    uint32_t worker_capacity;
-    GHashTable *worker_index; /* id to index plus one */
-    GHashTable *classes;      /* id to nm_class_t */
-    GHashTable *rack_tasks;   /* job and rack to number of holds */
-    GQueue reactions;         /* of nm_reaction_t */
-    uint32_t exploring;       /* workers with tasks that explore */
-    nm_amount_t largest;      /* room of the largest worker, by part */
-};
-
-typedef struct nm_place_state state_t;
 
 static void
 free_class(void *data)
@@ -67,7 +35,7 @@
 nm_place_init(nm_place_t *place, const nm_place_desc_t *desc)
 {
     assert(place && desc && desc->weight_latency_pct <= 100);
-    state_t *state = g_new0(state_t, 1);
+    nm_place_state_t *state = g_new0(nm_place_state_t, 1);
     state->policy = desc->policy;
     uint32_t weight = desc->weight_latency_pct;
     state->weight_latency = (weight ? (float)weight : 50.0f) / 100;
@@ -84,7 +52,7 @@
 nm_place_finish(nm_place_t *place)
 {
     assert(place && place->state);
-    state_t *state = place->state;
+    nm_place_state_t *state = place->state;
     for (uint32_t i = 0; i < state->worker_count; i++) {
         nm_worker_finish(&state->workers[i]);
     }
@@ -104,8 +72,8 @@
     place->state->weight_latency = (float)weight_latency_pct / 100;
 }
 
-static nm_class_t *
-class_of(state_t *state, uint64_t id)
+nm_class_t *
+nm_place_class_of(nm_place_state_t *state, uint64_t id)
 {
     void *key = (void *)(uintptr_t)id;
     nm_class_t *class_ = g_hash_table_lookup(state->classes, key);
@@ -125,14 +93,14 @@
 }
 
 static uint32_t
-tasks_in_rack(const state_t *state, uint64_t job, uint32_t rack)
+tasks_in_rack(const nm_place_state_t *state, uint64_t job, uint32_t rack)
 {
     return GPOINTER_TO_UINT(
         g_hash_table_lookup(state->rack_tasks, rack_key(job, rack)));
 }
 
 static void
-count_in_rack(state_t *state, uint64_t job, uint32_t rack, int change)
+count_in_rack(nm_place_state_t *state, uint64_t job, uint32_t rack, int change)
 {
     void *key = rack_key(job, rack);
     int count =
@@ -155,7 +123,7 @@
 }
 
 static void
-widen_largest(state_t *state, const nm_worker_t *worker)
+widen_largest(nm_place_state_t *state, const nm_worker_t *worker)
 {
     nm_amount_t room = nm_worker_room(worker);
     if (room.cpu_milli > state->largest.cpu_milli) {
@@ -175,7 +143,7 @@
     assert(place && desc && desc->id != 0);
     assert(desc->service == NM_PLACE_NO_SERVICE ||
            desc->service < NM_PLACE_SERVICES_MAX);
-    state_t *state = place->state;
+    nm_place_state_t *state = place->state;
     int32_t index = nm_place_find_worker(place, desc->id);
     if (index < 0) {
         if (state->worker_count == state->worker_capacity) {
@@ -203,15 +171,14 @@
 }
 
 static float
-allowed_slowdown(const state_t *state)
+allowed_slowdown(const nm_place_state_t *state)
 {
     float weight = state->weight_latency;
     return 1 + BOUND_SCALE / (weight * weight + BOUND_SCALE);
 }
 
-/* Slowdown allowed on a worker with what runs there now. */
-static float
-allowed_on(const state_t *state, const nm_worker_t *worker)
+float
+nm_place_allowed_on(const nm_place_state_t *state, const nm_worker_t *worker)
 {
     float allowed = allowed_slowdown(state);
     for (uint32_t i = 0; i < worker->hold_count; i++) {
@@ -223,23 +190,22 @@
 }
 
 static float
-caution(const state_t *state)
+caution(const nm_place_state_t *state)
 {
     return CAUTION_LEAST + CAUTION_SPAN * state->weight_latency;
 }
 
-/* Load to plan for: between the newest and the recent peak. */
-static float
-planning_load(const state_t *state, const nm_worker_t *worker)
+float
+nm_place_planning_load(const nm_place_state_t *state,
+                       const nm_worker_t *worker)
 {
     return worker->load +
            state->weight_latency * (worker->load_peak - worker->load);
 }
 
-/* Amount that a policy believes a task to need. */
-static nm_amount_t
-believed_amount(const state_t *state, nm_class_t *class_,
-                const nm_place_need_t *need, const nm_amount_t *limit)
+nm_amount_t
+nm_place_believed_amount(const nm_place_state_t *state, nm_class_t *class_,
+                         const nm_place_need_t *need, const nm_amount_t *limit)
 {
     switch (state->policy) {
     case NM_PLACE_POLICY_LEARNED:
@@ -255,12 +221,12 @@
  * of a class, on a worker without others of the kind, on few workers.
  */
 static bool
-may_explore(const state_t *state, nm_worker_t *worker, nm_class_t *class_,
-            float mean)
+may_explore(const nm_place_state_t *state, nm_worker_t *worker,
+            nm_class_t *class_, float mean)
 {
-    const nm_coefficient_t *coefficient =
-        nm_class_coefficient(class_, worker->desc.service,
-                             nm_model_band(planning_load(state, worker)));
+    const nm_coefficient_t *coefficient = nm_class_coefficient(
+        class_, worker->desc.service,
+        nm_model_band(nm_place_planning_load(state, worker)));
     uint32_t most = (uint32_t)(EXPLORE_SHARE * (float)state->worker_count);
     return state->policy == NM_PLACE_POLICY_LEARNED &&
            coefficient->samples < EXPLORE_SAMPLES && worker->exploring == 0 &&
@@ -270,14 +236,14 @@
 
 /* Cost of a task on a worker; negative if the worker must not take it. */
 static float
-candidate_cost(state_t *state, nm_worker_t *worker, nm_class_t *class_,
-               const nm_place_need_t *need, nm_ms_t now_ms)
+candidate_cost(nm_place_state_t *state, nm_worker_t *worker,
+               nm_class_t *class_, const nm_place_need_t *need, nm_ms_t now_ms)
 {
     if (worker->desc.closed) {
         return -1;
     }
     nm_amount_t room = nm_worker_room(worker);
-    nm_amount_t amount = believed_amount(state, class_, need, &room);
+    nm_amount_t amount = nm_place_believed_amount(state, class_, need, &room);
     if (state->policy == NM_PLACE_POLICY_LEARNED) {
         nm_worker_refresh(worker, now_ms);
     }
@@ -300,8 +266,8 @@
     }
     float share =
         (float)amount.cpu_milli / (float)(worker->desc.capacity.cpu_milli + 1);
-    nm_estimate_t estimate =
-        nm_worker_predict(worker, planning_load(state, worker), class_, share);
+    nm_estimate_t estimate = nm_worker_predict(
+        worker, nm_place_planning_load(state, worker), class_, share);
     float slowdown = estimate.mean + caution(state) * estimate.deviation;
     float allowed = allowed_slowdown(state);
     if (need->at_risk) {
@@ -326,21 +292,22 @@
                 nm_reason_t *reason)
 {
     assert(place && need && reason);
-    state_t *state = place->state;
+    nm_place_state_t *state = place->state;
     *reason = NM_REASON_NONE;
     if (!nm_place_can_ever_fit(place, need)) {
         *reason = NM_REASON_NEVER_FITS;
         return -1;
     }
-    nm_class_t *class_ = class_of(state, need->class_id);
+    nm_class_t *class_ = nm_place_class_of(state, need->class_id);
     uint32_t count = state->worker_count;
     uint32_t start = nm_rng_below(&state->rng, count);
     /* An odd stride visits the workers in a scattered order. */
     uint32_t stride = 1;
-    if (count > PROBE_COUNT) {
+    if (count > NM_PLACE_PROBE_COUNT) {
         stride = nm_rng_below(&state->rng, count / 2) * 2 + 1;
     }
-    uint32_t probes = count < PROBE_COUNT ? count : PROBE_COUNT;
+    uint32_t probes =
+        count < NM_PLACE_PROBE_COUNT ? count : NM_PLACE_PROBE_COUNT;
     int32_t best = -1;
     float best_cost = 0;
     uint32_t compared = 0;
@@ -367,7 +334,7 @@
 nm_place_can_ever_fit(const nm_place_t *place, const nm_place_need_t *need)
 {
     assert(place && need);
-    const state_t *state = place->state;
+    const nm_place_state_t *state = place->state;
     if (need->declared.cpu_milli > state->largest.cpu_milli ||
         need->declared.memory_mb > state->largest.memory_mb ||
         need->declared.accelerators > state->largest.accelerators)
@@ -378,7 +345,8 @@
 }
 
 static bool
-explores(const state_t *state, nm_worker_t *worker, const nm_hold_t *hold)
+explores(const nm_place_state_t *state, nm_worker_t *worker,
+         const nm_hold_t *hold)
 {
     if (worker->desc.service == NM_PLACE_NO_SERVICE) {
         return false;
@@ -386,14 +354,14 @@
     float share = (float)hold->reserved.cpu_milli /
                   (float)(worker->desc.capacity.cpu_milli + 1);
     nm_estimate_t estimate = nm_worker_predict(
-        worker, planning_load(state, worker), hold->class_, share);
+        worker, nm_place_planning_load(state, worker), hold->class_, share);
     return estimate.mean + caution(state) * estimate.deviation >
            allowed_slowdown(state);
 }
 
 static void
-count_exploring(state_t *state, nm_worker_t *worker, nm_class_t *class_,
-                int change)
+count_exploring(nm_place_state_t *state, nm_worker_t *worker,
+                nm_class_t *class_, int change)
 {
     bool before = worker->exploring > 0;
     worker->exploring += (uint32_t)change;
@@ -401,11 +369,10 @@
     state->exploring += (uint32_t)((worker->exploring > 0) - before);
 }
 
-/* What was explored is known by now, or safe. */
-static void
-end_exploring(state_t *state, nm_worker_t *worker)
+void
+nm_place_end_exploring(nm_place_state_t *state, nm_worker_t *worker)
 {
-    int band = nm_model_band(planning_load(state, worker));
+    int band = nm_model_band(nm_place_planning_load(state, worker));
     for (uint32_t i = 0; i < worker->hold_count && worker->exploring > 0; i++)
     {
         nm_hold_t *hold = &worker->holds[i];
@@ -425,19 +392,19 @@
 {
     assert(place && index >= 0 &&
            (uint32_t)index < place->state->worker_count);
-    state_t *state = place->state;
+    nm_place_state_t *state = place->state;
     nm_worker_t *worker = &state->workers[index];
     if (nm_worker_find_hold(worker, task)) {
         return;
     }
-    nm_class_t *class_ = class_of(state, need->class_id);
+    nm_class_t *class_ = nm_place_class_of(state, need->class_id);
     nm_amount_t room = nm_worker_room(worker);
     nm_hold_t hold = {
         .task = task,
         .job = need->job,
         .class_ = class_,
         .declared = need->declared,
-        .reserved = believed_amount(state, class_, need, &room),
+        .reserved = nm_place_believed_amount(state, class_, need, &room),
         .priority = need->priority,
         .at_risk = need->at_risk,
         .throttle_pct = 100,
@@ -468,296 +435,12 @@
     }
 }
 
-/* Reactions */
-
-static void
-push_reaction(state_t *state, nm_reaction_type_t type, int32_t worker,
-              const nm_hold_t *hold, nm_reason_t reason, uint8_t throttle_pct)
-{
-    nm_reaction_t *reaction = g_new0(nm_reaction_t, 1);
-    *reaction = (nm_reaction_t){
-        .type = type,
-        .worker = worker,
-        .task = hold->task,
-        .reason = reason,
-        .throttle_pct = throttle_pct,
-    };
-    g_queue_push_tail(&state->reactions, reaction);
-}
-
-static void
-evict(state_t *state, int32_t index, nm_hold_t *hold, nm_reason_t reason,
-      nm_ms_t now_ms)
-{
-    hold->evicting = true;
-    state->workers[index].acted_ms = now_ms;
-    push_reaction(state, NM_REACTION_EVICT, index, hold, reason, 0);
-}
-
-bool
-nm_place_make_room(nm_place_t *place, const nm_place_need_t *need,
-                   nm_ms_t now_ms)
-{
-    assert(place && need);
-    state_t *state = place->state;
-    nm_class_t *class_ = class_of(state, need->class_id);
-    uint32_t count = state->worker_count;
-    for (uint32_t i = 0; i < count && i < PROBE_COUNT; i++) {
-        uint32_t index = nm_rng_below(&state->rng, count);
-        nm_worker_t *worker = &state->workers[index];
-        nm_amount_t room = nm_worker_room(worker);
-        nm_amount_t amount = believed_amount(state, class_, need, &room);
-        nm_amount_t freed = {0};
-        uint32_t wanted = 0;
-        if (worker->desc.closed) {
-            continue;
-        }
-        bool enough = false;
-        for (; wanted < worker->hold_count && !enough; wanted++) {
-            const nm_hold_t *hold = &worker->holds[wanted];
-            if (hold->priority >= need->priority) {
-                continue;
-            }
-            freed.cpu_milli += hold->reserved.cpu_milli;
-            freed.memory_mb += hold->reserved.memory_mb;
-            freed.accelerators += hold->reserved.accelerators;
-            nm_amount_t rest = {
-                .cpu_milli = amount.cpu_milli - freed.cpu_milli,
-                .memory_mb = amount.memory_mb - freed.memory_mb,
-                .accelerators = amount.accelerators - freed.accelerators,
-            };
-            enough = nm_worker_fits(worker, &rest);
-        }
-        for (uint32_t j = 0; enough && j < wanted; j++) {
-            nm_hold_t *hold = &worker->holds[j];
-            if (hold->priority < need->priority && !hold->evicting) {
-                evict(state, (int32_t)index, hold, NM_REASON_EVICT_URGENT,
-                      now_ms);
-            }
-        }
-        if (enough) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* What a hold's task uses as far as reports show, without a margin. */
-static int64_t
-memory_seen(const nm_hold_t *hold)
-{
-    return hold->class_->use_count > 0 ? hold->class_->memory_estimate
-                                       : hold->reserved.memory_mb;
-}
-
-/* Least priority first, then the one that lost least by starting last. */
-static bool
-loses_less(const nm_hold_t *hold, const nm_hold_t *other)
-{
-    if (hold->priority != other->priority) {
-        return hold->priority < other->priority;
-    }
-    return hold->since_ms > other->since_ms;
-}
-
-void
-nm_place_check_memory(nm_place_t *place, int32_t index, nm_ms_t now_ms)
-{
-    assert(place && index >= 0 &&
-           (uint32_t)index < place->state->worker_count);
-    state_t *state = place->state;
-    nm_worker_t *worker = &state->workers[index];
-    if (state->policy != NM_PLACE_POLICY_LEARNED) {
-        return;
-    }
-    nm_worker_refresh(worker, now_ms);
-    int64_t seen_mb = 0;
-    nm_hold_t *chosen = NULL;
-    for (uint32_t i = 0; i < worker->hold_count; i++) {
-        nm_hold_t *hold = &worker->holds[i];
-        if (hold->evicting) {
-            /* Its room comes free soon. */
-            continue;
-        }
-        seen_mb += memory_seen(hold);
-        if (!chosen || loses_less(hold, chosen)) {
-            chosen = hold;
-        }
-    }
-    if (chosen && seen_mb > nm_worker_room(worker).memory_mb) {
-        evict(state, index, chosen, NM_REASON_EVICT_MEMORY, now_ms);
-    }
-}
-
-/* The hold that contributes most to the slowdown and is not evicting. */
-static nm_hold_t *
-worst_hold(nm_worker_t *worker, float load, uint8_t above_throttle_pct)
-{
-    int band = nm_model_band(load);
-    nm_hold_t *worst = NULL;
-    float worst_part = 0;
-    for (uint32_t i = 0; i < worker->hold_count; i++) {
-        nm_hold_t *hold = &worker->holds[i];
-        if (hold->evicting || hold->throttle_pct <= above_throttle_pct) {
-            continue;
-        }
-        const nm_coefficient_t *coefficient =
-            nm_class_coefficient(hold->class_, worker->desc.service, band);
-        float part = coefficient->mean * (float)hold->reserved.cpu_milli *
-                     hold->throttle_pct;
-        if (!worst || part > worst_part) {
-            worst = hold;
-            worst_part = part;
-        }
-    }
-    return worst;
-}
-
-static void
-throttle_hold(state_t *state, int32_t index, nm_hold_t *hold, uint8_t percent,
-              nm_ms_t now_ms)
-{
-    nm_worker_t *worker = &state->workers[index];
-    nm_worker_set_throttle(worker, hold, percent, now_ms);
-    worker->throttled = true;
-    worker->acted_ms = now_ms;
-    push_reaction(state, NM_REACTION_THROTTLE, index, hold,
-                  NM_REASON_EVICT_LATENCY, percent);
-}
-
-/*
- * Throttles until the predicted slowdown is allowed again, first all tasks
- * by half, then to a quarter; only then evicts, one task at a time.
- */
-static void
-relieve(state_t *state, int32_t index, float load, nm_ms_t now_ms)
-{
-    nm_worker_t *worker = &state->workers[index];
-    float bound = allowed_on(state, worker);
-    static const uint8_t steps[] = {THROTTLE_FIRST_PCT, THROTTLE_SECOND_PCT};
-    bool acted = false;
-    for (size_t i = 0; i < NM_COUNT_OF(steps); i++) {
-        nm_hold_t *hold;
-        while ((!acted ||
-                nm_worker_predict(worker, load, NULL, 0).mean > bound) &&
-               (hold = worst_hold(worker, load, steps[i])))
-        {
-            throttle_hold(state, index, hold, steps[i], now_ms);
-            acted = true;
-        }
-    }
-    nm_hold_t *worst = acted ? NULL : worst_hold(worker, load, 0);
-    if (worst) {
-        evict(state, index, worst, NM_REASON_EVICT_LATENCY, now_ms);
-    }
-}
-
-static void
-release_throttles(state_t *state, int32_t index, nm_ms_t now_ms)
-{
-    nm_worker_t *worker = &state->workers[index];
-    bool left = false;
-    for (uint32_t i = 0; i < worker->hold_count; i++) {
-        nm_hold_t *hold = &worker->holds[i];
-        if (hold->throttle_pct == 100) {
-            continue;
-        }
-        uint8_t before = hold->throttle_pct;
-        nm_worker_set_throttle(worker, hold, 100, now_ms);
-        nm_estimate_t estimate =
-            nm_worker_predict(worker, planning_load(state, worker), NULL, 0);
-        if (estimate.mean > allowed_on(state, worker)) {
-            nm_worker_set_throttle(worker, hold, before, now_ms);
-            left = true;
-            continue;
-        }
-        push_reaction(state, NM_REACTION_RELEASE, index, hold, NM_REASON_NONE,
-                      100);
-    }
-    worker->throttled = left;
-    worker->calm_since_ms = now_ms;
-}
-
-static void
-react_by_threshold(state_t *state, int32_t index, float slowdown,
-                   nm_ms_t now_ms)
-{
-    nm_worker_t *worker = &state->workers[index];
-    if (slowdown <= REACTIVE_THRESHOLD) {
-        return;
-    }
-    nm_hold_t *largest = NULL;
-    for (uint32_t i = 0; i < worker->hold_count; i++) {
-        nm_hold_t *hold = &worker->holds[i];
-        if (!hold->evicting && (!largest || hold->reserved.cpu_milli >
-                                                largest->reserved.cpu_milli))
-        {
-            largest = hold;
-        }
-    }
-    if (largest) {
-        evict(state, index, largest, NM_REASON_EVICT_LATENCY, now_ms);
-    }
-}
-
-void
-nm_place_observe_service(nm_place_t *place, int32_t index,
-                         const nm_place_sample_t *sample, nm_ms_t now_ms)
-{
-    assert(place && sample && index >= 0 &&
-           (uint32_t)index < place->state->worker_count);
-    state_t *state = place->state;
-    nm_worker_t *worker = &state->workers[index];
-    if (worker->desc.service == NM_PLACE_NO_SERVICE) {
-        return;
-    }
-    worker->load = sample->load;
-    worker->load_peak *= PEAK_DECAY;
-    if (sample->load > worker->load_peak) {
-        worker->load_peak = sample->load;
-    }
-    if (state->policy == NM_PLACE_POLICY_REACTIVE) {
-        react_by_threshold(state, index, sample->slowdown, now_ms);
-        return;
-    }
-    if (state->policy != NM_PLACE_POLICY_LEARNED) {
-        return;
-    }
-    nm_class_share_t mix[NM_MIX_MAX];
-    int count = nm_worker_mix_at(worker, sample->measured_ms, mix);
-    if (count > 0) {
-        nm_model_observe(mix, (uint32_t)count, worker->desc.service, sample);
-        end_exploring(state, worker);
-    }
-    float bound = allowed_on(state, worker);
-    float react = 1 + (bound - 1) * REACT_FACTOR + REACT_OFFSET;
-    /* A sample from before the last action says nothing about its effect. */
-    if (sample->measured_ms <= worker->acted_ms) {
-        return;
-    }
-    float predicted = nm_worker_predict(worker, sample->load, NULL, 0).mean;
-    bool high = sample->slowdown > react || predicted > react;
-    worker->high_samples = high ? worker->high_samples + 1 : 0;
-    if (high) {
-        worker->calm_since_ms = now_ms;
-    }
-    if (worker->high_samples >= HIGH_SAMPLES_TO_THROTTLE) {
-        worker->high_samples = 0;
-        relieve(state, index, sample->load, now_ms);
-    }
-    else if (worker->throttled &&
-             now_ms - worker->calm_since_ms >= CALM_TO_RELEASE_MS)
-    {
-        release_throttles(state, index, now_ms);
-    }
-}
-
 void
 nm_place_observe_use(nm_place_t *place, uint64_t class_id,
                      const nm_amount_t *use)
 {
     assert(place && use);
-    nm_class_observe_use(class_of(place->state, class_id), use);
+    nm_class_observe_use(nm_place_class_of(place->state, class_id), use);
 }
 
 void
@@ -765,7 +448,7 @@
               uint32_t service, const float slowdowns[NM_PLACE_LOAD_BANDS])
 {
     assert(place && size && service < NM_PLACE_SERVICES_MAX);
-    nm_class_t *class_ = class_of(place->state, class_id);
+    nm_class_t *class_ = nm_place_class_of(place->state, class_id);
     class_->told = *size;
     class_->is_told = true;
     for (int i = 0; i < NM_PLACE_LOAD_BANDS; i++) {
@@ -775,19 +458,6 @@
     }
 }
 
-bool
-nm_place_next_reaction(nm_place_t *place, nm_reaction_t *reaction)
-{
-    assert(place && reaction);
-    nm_reaction_t *next = g_queue_pop_head(&place->state->reactions);
-    if (!next) {
-        return false;
-    }
-    *reaction = *next;
-    g_free(next);
-    return true;
-}
-
 nm_place_info_t
 nm_place_query_worker(const nm_place_t *place, int32_t index)
 {
@@ -807,8 +477,9 @@
                            const nm_place_need_t *need)
 {
     assert(place && need);
-    nm_class_t *class_ = class_of(place->state, need->class_id);
-    return believed_amount(place->state, class_, need, &place->state->largest);
+    nm_class_t *class_ = nm_place_class_of(place->state, need->class_id);
+    return nm_place_believed_amount(place->state, class_, need,
+                                    &place->state->largest);
 }
 
 nm_estimate_t
@@ -816,8 +487,9 @@
                             uint32_t service, float load)
 {
     assert(place);
-    const nm_coefficient_t *coefficient = nm_class_coefficient(
-        class_of(place->state, class_id), service, nm_model_band(load));
+    const nm_coefficient_t *coefficient =
+        nm_class_coefficient(nm_place_class_of(place->state, class_id),
+                             service, nm_model_band(load));
     return (nm_estimate_t){
         .mean = coefficient->mean,
         .deviation = sqrtf(coefficient->variance),
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -110,6 +110,15 @@
     g_free(call);
 }
 
+/* A store with a configuration of one queue. */
+static fake_kv_t *
+configured_store(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    return kv;
+}
+
 static void
 host_init(host_t *host, const char *name, fake_kv_t *kv)
 {
@@ -189,8 +198,7 @@
 static void
 test_submit_and_query(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t host;
     host_init(&host, "a", kv);
     run(&host, 1000);
@@ -248,8 +256,7 @@
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_message("%s", cases[i].name);
-        fake_kv_t *kv = fake_kv_new();
-        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_t *kv = configured_store();
         host_t host;
         host_init(&host, "a", kv);
         run(&host, 1000);
@@ -270,8 +277,7 @@
 static void
 test_configuration_never_goes_back(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t host;
     host_init(&host, "a", kv);
     run(&host, 500);
@@ -300,8 +306,7 @@
                                 "\"token\":\"t\",\"epoch\":1}";
     uint32_t met = 0;
     for (int at = 0; at < 40; at++) {
-        fake_kv_t *kv = fake_kv_new();
-        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_t *kv = configured_store();
         host_t host;
         host_init(&host, "a", kv);
         for (int i = 0; i < at; i++) {
@@ -327,8 +332,7 @@
 static void
 test_restarted_owner_takes_over(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t host;
     host_init(&host, "a", kv);
     run(&host, 1000);
@@ -349,8 +353,7 @@
 static void
 test_stopping_owner_hands_over(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t first;
     host_t second;
     host_init(&first, "a", kv);
@@ -382,8 +385,7 @@
     static const char rival[] = "{\"name\":\"b\",\"address\":\"inproc://b\","
                                 "\"token\":\"t\",\"epoch\":9}";
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
-        fake_kv_t *kv = fake_kv_new();
-        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_t *kv = configured_store();
         fake_kv_put(kv, "servers/w1", WORKER);
         host_t host;
         host_init(&host, "a", kv);
@@ -404,8 +406,7 @@
 static void
 test_late_commit_undoes_nothing(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t host;
     host_init(&host, "a", kv);
     run(&host, 1000);
@@ -427,8 +428,7 @@
 static void
 test_cancelled_job_is_not_created_late(void)
 {
-    fake_kv_t *kv = fake_kv_new();
-    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    fake_kv_t *kv = configured_store();
     host_t host;
     host_init(&host, "a", kv);
     run(&host, 1000);
@@ -455,8 +455,7 @@
         uint32_t starts_at_once;
     } cases[] = {{"[\"w1\"]", 2}, {"{broken", 0}, {"{\"w1\":1}", 0}};
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
-        fake_kv_t *kv = fake_kv_new();
-        fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+        fake_kv_t *kv = configured_store();
         fake_kv_put(kv, "nutmegdeck/control/epoch", "1");
         fake_kv_put(kv, ROSTER_KEY, cases[i].roster);
         fake_kv_put(kv, "servers/w1", WORKER);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -96,6 +96,15 @@
     nm_sched_on_report(world->sched, id, &answer, world->now_ms);
 }
 
+/* Announces a worker that runs nothing, and answers the first poll. */
+static void
+join_worker(world_t *world, const char *id)
+{
+    announce(world, id, 1);
+    step(world, 10);
+    report(world, id, 1, NULL, 0, NULL, 0);
+}
+
 static const nm_sched_action_t *
 find(const world_t *world, nm_sched_action_type_t type, const char *worker)
 {
@@ -222,9 +231,7 @@
     confirm_starts(&world);
     g_assert_nonnull(find(&world, NM_ACTION_POLL, "a"));
     lose_poll(&world, "a");
-    announce(&world, "b", 1);
-    step(&world, 10);
-    report(&world, "b", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "b");
     nm_ms_t begin_ms = world.now_ms;
     bool moved = false;
     while (!moved && world.now_ms - begin_ms < 12000) {
@@ -272,9 +279,7 @@
 {
     world_t first;
     world_init(&first, 1);
-    announce(&first, "a", 1);
-    step(&first, 10);
-    report(&first, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&first, "a");
     add_job(&first, JOB, false, 1, 1000, false);
     step(&first, 30);
     confirm_starts(&first);
@@ -357,9 +362,7 @@
 {
     world_t world;
     world_init(&world, 1);
-    announce(&world, "a", 1);
-    step(&world, 10);
-    report(&world, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "a");
     add_job(&world, JOB, false, 1, 1000, false);
     step(&world, 30);
     const nm_sched_action_t *start = find(&world, NM_ACTION_START, "a");
@@ -389,9 +392,7 @@
 {
     world_t world;
     world_init(&world, 1);
-    announce(&world, "a", 1);
-    step(&world, 10);
-    report(&world, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "a");
     add_job(&world, JOB, false, 1, CPU_MILLI, false);
     step(&world, 30);
     confirm_starts(&world);
@@ -417,17 +418,13 @@
 {
     world_t world;
     world_init(&world, 1);
-    announce(&world, "a", 1);
-    step(&world, 10);
-    report(&world, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "a");
     add_job(&world, JOB, false, 1, 1000, false);
     step(&world, 30);
     confirm_starts(&world);
     nm_worker_run_t running = run_of(TASK, 1);
     report(&world, "a", 1, &running, 1, NULL, 0);
-    announce(&world, "b", 1);
-    step(&world, 10);
-    report(&world, "b", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "b");
     nm_ms_t begin_ms = world.now_ms;
     while (!find(&world, NM_ACTION_STOP, "a")) {
         step(&world, 100);
@@ -453,9 +450,7 @@
 {
     world_t world;
     world_init(&world, 1);
-    announce(&world, "a", 1);
-    step(&world, 10);
-    report(&world, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "a");
     add_job(&world, JOB, false, 1, 1000, false);
     step(&world, 30);
     nm_sched_action_t start = *find(&world, NM_ACTION_START, "a");
@@ -493,9 +488,7 @@
     static const int64_t figures[] = {20, 15, 21, 15, 19, 14};
     world_t world;
     world_init(&world, 1);
-    announce(&world, "a", 1);
-    step(&world, 10);
-    report(&world, "a", 1, NULL, 0, NULL, 0);
+    join_worker(&world, "a");
     add_colocated(&world, JOB, true);
     add_colocated(&world, "1111111111111111", false);
     step(&world, 30);
