Remove what nothing reads, tell peers' and wake-up failures, test settings

Unused: region, the route's time-out, sums of the fleet, a front's stop_accepting. One parser of addresses, which checks ports; weights say where they come from. Bad settings have a table of cases.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -112,7 +112,6 @@
     nm_entry_t *entry = nm_entry_new(&(nm_entry_desc_t){
         .name = settings->name,
         .zone = settings->zone,
-        .region = settings->region,
         .peer_address = settings->peer_address,
         .cpu_share = settings->cpu_share,
         .grace_ms = settings->grace_ms,
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -35,6 +35,8 @@
     X(LISTEN_FAILED, "listen-failed")                                         \
     X(RELOADED, "reloaded")                                                   \
     X(WORKER_REFUSED, "worker-refused")                                       \
+    X(WAKE_FAILED, "wake-failed")                                             \
+    X(PEER_SEND_FAILED, "peer-send-failed")                                   \
     X(REPORT_MALFORMED, "report-malformed")                                   \
     X(ROSTER_REFUSED, "roster-refused")                                       \
     X(HOST_REFUSED, "host-refused")                                           \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -63,7 +63,6 @@
     int64_t cpu_milli;
     int64_t memory_mb;
     int32_t accelerators;
-    int64_t clock_ms; /* its steady clock when it wrote this */
     nm_worker_state_t state;
     nm_ms_t remaining_ms; /* while draining: least time left */
 } nm_sched_worker_t;
@@ -175,9 +174,6 @@
         long_running_waiting; /* long-running tasks that are not at work */
     uint32_t workers_usable;
     uint32_t workers_unresolved; /* may run tasks that we do not know of */
-    int64_t cpu_free_milli;
-    int64_t cpu_total_milli;
-    int64_t backlog_work; /* core-ms that wait */
 } nm_sched_info_t;
 
 /* What became of a job, for its last log line. */
--- a/src/call.h
+++ b/src/call.h
@@ -41,7 +41,6 @@
     void (*reply)(nm_call_front_t *front, nm_call_t *call);
     int (*fd)(const nm_call_front_t *front); /* readable when calls wait */
     void (*set_ready)(nm_call_front_t *front, bool ready);
-    void (*stop_accepting)(nm_call_front_t *front);
 } nm_call_front_vtable_t;
 
 struct nm_call_front {
--- a/src/deployment.h
+++ b/src/deployment.h
@@ -15,7 +15,6 @@
 typedef struct {
     char host[NM_NAME_MAX * 2];
     char prefix[NM_NAME_MAX * 2];
-    nm_ms_t timeout_ms;
     nm_queue_t queue;
 } nm_path_t;
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -26,7 +26,6 @@
 typedef struct {
     const char *name;
     const char *zone;
-    const char *region;
     const char *peer_address; /* tcp://IP:PORT for other entry hosts */
     double cpu_share;         /* of a core; more is chosen as owner first */
     nm_ms_t grace_ms;         /* from the stop signal to the kill */
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -7,6 +7,10 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "address.h"
+
+#define PEER_SCHEME "tcp://"
+
 typedef struct {
     const char *name;
     size_t offset;
@@ -16,7 +20,6 @@
 static const text_field_t text_fields[] = {
     {"name", offsetof(nm_entry_settings_t, name), false},
     {"zone", offsetof(nm_entry_settings_t, zone), false},
-    {"region", offsetof(nm_entry_settings_t, region), false},
     {"front_address", offsetof(nm_entry_settings_t, front_address), true},
     {"ready_address", offsetof(nm_entry_settings_t, ready_address), true},
     {"peer_address", offsetof(nm_entry_settings_t, peer_address), true},
@@ -46,6 +49,16 @@
     return number;
 }
 
+/* IP:PORT, or for ZeroMQ tcp://IP:PORT. */
+static bool
+is_address(const char *text)
+{
+    struct sockaddr_in address;
+    bool has_scheme = g_str_has_prefix(text, PEER_SCHEME);
+    return nm_address_parse(text + (has_scheme ? strlen(PEER_SCHEME) : 0),
+                            &address);
+}
+
 static void
 get_texts(nm_entry_settings_t *settings, const json_t *document,
           GString *faults)
@@ -61,7 +74,7 @@
         else if (!nm_strcopy(target, NM_NAME_MAX, text)) {
             add_fault(faults, field->name, "is too long");
         }
-        else if (field->is_address && !strchr(text, ':')) {
+        else if (field->is_address && !is_address(text)) {
             add_fault(faults, field->name, "must be IP:PORT");
         }
     }
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -13,7 +13,6 @@
 typedef struct {
     char name[NM_NAME_MAX];
     char zone[NM_NAME_MAX];
-    char region[NM_NAME_MAX];
     char front_address[NM_NAME_MAX];   /* IP:PORT for callers */
     char ready_address[NM_NAME_MAX];   /* IP:PORT of the readiness check */
     char peer_address[NM_NAME_MAX];    /* tcp://IP:PORT for entry hosts */
--- a/src/ops.c
+++ b/src/ops.c
@@ -1,8 +1,8 @@
 #include "ops.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,6 +11,8 @@
 
 #include <nutmegdeck/latency.h>
 
+#include "address.h"
+
 struct nm_ops {
     struct MHD_Daemon *daemon;
     pthread_mutex_t mutex;
@@ -100,19 +102,26 @@
 nm_ops_new(const char *address, uint16_t port)
 {
     assert(address);
-    struct sockaddr_in socket_address = {
-        .sin_family = AF_INET,
-        .sin_port = htons(port),
-    };
-    if (inet_pton(AF_INET, address, &socket_address.sin_addr) != 1) {
+    char text[64];
+    snprintf(text, sizeof(text), "%s:%u", address, (unsigned int)port);
+    return nm_ops_new_at(text);
+}
+
+nm_ops_t *
+nm_ops_new_at(const char *address_and_port)
+{
+    assert(address_and_port);
+    struct sockaddr_in socket_address;
+    if (!nm_address_parse(address_and_port, &socket_address)) {
         return NULL;
     }
     nm_ops_t *ops = g_new0(nm_ops_t, 1);
     pthread_mutex_init(&ops->mutex, NULL);
     ops->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD, port, NULL, NULL, on_request, ops,
-        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&socket_address,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        MHD_USE_EPOLL_INTERNAL_THREAD, ntohs(socket_address.sin_port), NULL,
+        NULL, on_request, ops, MHD_OPTION_SOCK_ADDR,
+        (struct sockaddr *)&socket_address, MHD_OPTION_LISTENING_ADDRESS_REUSE,
+        1u, MHD_OPTION_END);
     if (!ops->daemon) {
         pthread_mutex_destroy(&ops->mutex);
         g_free(ops);
@@ -121,20 +130,6 @@
     return ops;
 }
 
-nm_ops_t *
-nm_ops_new_at(const char *address_and_port)
-{
-    assert(address_and_port);
-    char address[64];
-    const char *colon = strrchr(address_and_port, ':');
-    if (!colon || (size_t)(colon - address_and_port) >= sizeof(address)) {
-        return NULL;
-    }
-    memcpy(address, address_and_port, (size_t)(colon - address_and_port));
-    address[colon - address_and_port] = '\0';
-    return nm_ops_new(address, (uint16_t)strtoul(colon + 1, NULL, 10));
-}
-
 void
 nm_ops_free(nm_ops_t *ops)
 {
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -142,7 +142,7 @@
     ask.orders = (NmPb__Order **)carrier->queued->pdata;
     /* What cannot be sent ends by its time-out. */
     if (nm_peer_ask_send(relay->desc.peers, carrier->desc.address, &ask) < 0) {
-        nm_count_reason(NM_REASON_RETRY_REFUSED);
+        nm_count_reason(NM_REASON_PEER_LOST);
     }
     g_ptr_array_set_size(carrier->queued, 0);
 }
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -6,6 +6,9 @@
 #include <glib.h>
 #include <zmq.h>
 
+#include <nutmegdeck/log.h>
+#include <nutmegdeck/reason.h>
+
 #define QUEUE_MESSAGES 512
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 400
@@ -89,7 +92,10 @@
     set_int(oldest->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
     set_int(oldest->socket, ZMQ_HEARTBEAT_IVL, 1000);
     set_int(oldest->socket, ZMQ_HEARTBEAT_TIMEOUT, 2000);
-    zmq_connect(oldest->socket, address);
+    if (zmq_connect(oldest->socket, address) < 0) {
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_PEER_SEND_FAILED, "{s:s,s:s}",
+               "address", address, "reason", zmq_strerror(zmq_errno()));
+    }
     nm_strcopy(oldest->address, sizeof(oldest->address), address);
     oldest->used = ++peers->uses;
     return oldest->socket;
@@ -117,10 +123,12 @@
     size_t bytes = nm_pb__entry_answer__get_packed_size(answer);
     uint8_t *data = g_malloc(bytes + 1);
     nm_pb__entry_answer__pack(answer, data);
-    if (zmq_send(peers->inbound, from, from_bytes,
-                 ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0)
-    {
-        zmq_send(peers->inbound, data, bytes, ZMQ_DONTWAIT);
+    bool sent = zmq_send(peers->inbound, from, from_bytes,
+                         ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
+                zmq_send(peers->inbound, data, bytes, ZMQ_DONTWAIT) >= 0;
+    if (!sent) {
+        /* The asker's deadline covers an answer that is lost. */
+        nm_count_reason(NM_REASON_PEER_LOST);
     }
     g_free(data);
 }
--- a/src/peer_ask.h
+++ b/src/peer_ask.h
@@ -18,8 +18,6 @@
 
 #include <nutmegdeck/base.h>
 
-#define NM_PEER_ASK_FDS 16
-
 typedef struct nm_peer_ask nm_peer_ask_t;
 
 /* A received question (ask) or answer; one of the two is set. */
--- a/src/sched.c
+++ b/src/sched.c
@@ -16,7 +16,7 @@
 #define PLACE_MS 20
 /* Time between two checks of the tails of all workers. */
 #define FILLER_CHECK_MS 100
-/* Most jobs whose occurrences are kept; further ones are refused. */
+/* Most occurrences of one job; each takes memory from the beginning. */
 #define OCCURRENCES_MAX 10000
 #define PROGRESS_VERSION 1
 /* Share of a new job in its queue's mean work. */
@@ -667,16 +667,11 @@
         info.tasks_running += node->tasks->len;
         if (node->announced && node->fenced && node->reachable) {
             info.workers_usable++;
-            info.cpu_total_milli += node->desc.cpu_milli;
-            info.cpu_free_milli += node->desc.cpu_milli - node->cpu_used;
         }
         info.workers_unresolved += !node->fenced;
     }
     for (guint i = 0; i < sched->active->len; i++) {
         const nm_sched_job_t *job = sched->active->pdata[i];
-        if (!job->long_running) {
-            info.backlog_work += job->work_left;
-        }
         for (uint32_t w = 0; w < job->work_count; w++) {
             for (uint32_t s = 0; s < job->spec.step_count; s++) {
                 uint32_t waiting = job->works[w].waiting[s];
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -12,7 +12,11 @@
 #include <math.h>
 #include <string.h>
 
-/* A serving task over its target costs as much as this many fillers earn. */
+/*
+ * A serving task over its target costs as much as this many fillers earn:
+ * four times its part of a job's credit, from the users' sheets (2.7 for
+ * Kreidefeld, 2.6 for Hagg).
+ */
 #define HARM_COST 2.6
 /* A filler starts if the harm it adds costs less than this share of it. */
 #define START_COST_MAX 0.5
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -12,12 +12,13 @@
 #include <math.h>
 #include <string.h>
 
-/* Credit of a job that is late, against one that is in time. */
+/* Credit of a job that is late, against one in time (the users' sheets). */
 #define LATE_CREDIT 0.15
-/* A job later than this multiple of its objective earns nothing more. */
+/* A job later than this multiple of its objective earns nothing (rules). */
 #define LATE_LIMIT 3.0
+/* Above nothing, so that it still runs when there is room. */
 #define EXPIRED_CREDIT 0.01
-/* Credit that a job has by its number alone; the rest goes by its work. */
+/* Credit that a job has by its number alone, the rest by work (rules). */
 #define FIXED_CREDIT 0.3
 /*
  * Long-running tasks earn a quarter of what short ones do by core and second,
@@ -27,7 +28,7 @@
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
-/* Malus of the worker on which the task failed last. */
+/* Penalty of the worker on which the task failed last. */
 #define AVOIDED 5
 /* Workers with room among which the best is taken. */
 #define SAMPLE_FITTING 80
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -74,14 +74,8 @@
     ((fake_front_t *)base)->ready = ready;
 }
 
-static void
-front_stop(nm_call_front_t *base)
-{
-    (void)base;
-}
-
-static const nm_call_front_vtable_t front_vtable = {
-    front_next, front_reply, front_fd, front_set_ready, front_stop};
+static const nm_call_front_vtable_t front_vtable = {front_next, front_reply,
+                                                    front_fd, front_set_ready};
 
 static void
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
@@ -133,7 +127,6 @@
     host->entry = nm_entry_new(&(nm_entry_desc_t){
         .name = name,
         .zone = "z",
-        .region = "r",
         .peer_address = host->address,
         .cpu_share = 0.1,
         .grace_ms = 6000,
--- /dev/null
+++ b/tests/test_entry_settings.c
@@ -0,0 +1,81 @@
+/* Settings of an entry host for jobs: all faults are told at once. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "../src/entry_settings.h"
+
+#define VALID                                                                 \
+    "{\"name\":\"a\",\"zone\":\"z\",\"front_address\":\"10.0.0.1:80\","       \
+    "\"ready_address\":\"10.0.0.1:81\",\"store_address\":\"10.0.0.2:90\","    \
+    "\"peer_address\":\"tcp://10.0.0.1:82\","                                 \
+    "\"metrics_address\":\"10.0.0.1:83\",\"cpu_share\":0.1,\"grace_s\":6}"
+
+/* What replaces a part of the valid document, and words of the fault. */
+static const struct {
+    const char *part;
+    const char *other;
+    const char *faults[2];
+} cases[] = {
+    {"", "", {NULL, NULL}},
+    {"\"zone\":\"z\",", "", {"zone is missing", NULL}},
+    {"\"zone\":\"z\"", "\"zone\":7", {"zone is missing", NULL}},
+    {"10.0.0.2:90", "10.0.0.2", {"store_address must be IP:PORT", NULL}},
+    {"10.0.0.2:90", "10.0.0.2:", {"store_address must be IP:PORT", NULL}},
+    {"10.0.0.2:90", "10.0.0.2:70000", {"store_address must be", NULL}},
+    {"10.0.0.2:90", "store:90", {"store_address must be IP:PORT", NULL}},
+    {"tcp://10.0.0.1:82", "udp://10.0.0.1:82", {"peer_address must", NULL}},
+    {"\"grace_s\":6", "\"grace_s\":-1", {"grace_s is out of range", NULL}},
+    {"0.1,\"grace_s\":6",
+     "\"x\"",
+     {"cpu_share must be a number", "grace_s must be a number"}},
+    {"{\"name\"", "\"name\"", {"line 1", NULL}},
+};
+
+static char *
+replace(const char *text, const char *part, const char *other)
+{
+    char **pieces = g_strsplit(text, part, 2);
+    char *result = part[0] ? g_strjoinv(other, pieces) : g_strdup(text);
+    g_strfreev(pieces);
+    return result;
+}
+
+static void
+test_faults(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("case %zu", i);
+        char *text = replace(VALID, cases[i].part, cases[i].other);
+        nm_entry_settings_t settings;
+        char *fault = NULL;
+        int rc = nm_entry_settings_parse(&settings, text, &fault);
+        g_assert_cmpint(rc, ==, cases[i].faults[0] ? NM_ERR_INVAL : NM_OK);
+        for (int f = 0; f < 2 && cases[i].faults[f]; f++) {
+            g_assert_nonnull(strstr(fault, cases[i].faults[f]));
+        }
+        g_free(fault);
+        g_free(text);
+    }
+}
+
+static void
+test_missing_file(void)
+{
+    nm_entry_settings_t settings;
+    char *fault = NULL;
+    g_assert_cmpint(
+        nm_entry_settings_load(&settings, "/nonexistent/settings", &fault), ==,
+        NM_ERR_IO);
+    g_assert_nonnull(fault);
+    g_free(fault);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/entry-settings/faults", test_faults);
+    g_test_add_func("/entry-settings/missing-file", test_missing_file);
+    return g_test_run();
+}
