--- a/tests/test_entry_settings.c
+++ b/tests/test_entry_settings.c
@@ -35,8 +35,11 @@
 static char *
 replace(const char *text, const char *part, const char *other)
 {
+    if (part[0] == '\0') {
+        return g_strdup(text);
+    }
     char **pieces = g_strsplit(text, part, 2);
-    char *result = part[0] ? g_strjoinv(other, pieces) : g_strdup(text);
+    char *result = g_strjoinv(other, pieces);
     g_strfreev(pieces);
     return result;
 }
