Keep a worker for a long-running task that waited 3 s

Cause: after a drain, stopped long-running tasks of 13 cores waited over 9 s behind short work that refilled each gap too small for them; the rule counts momentary gaps as capacity, however full the service is. Change: a step that found no worker for 3 s goes first, and up to 5% of the workers are closed to short work until it fits. Test: /sched/long-running-gets-room failed before.

--- a/src/sched.c
+++ b/src/sched.c
@@ -57,6 +57,7 @@
         g_free(job->works[w].steps);
         g_free(job->works[w].open);
         g_free(job->works[w].waiting);
+        g_free(job->works[w].refused_ms);
     }
     g_free(job->works);
     g_free(job->images);
@@ -157,6 +158,7 @@
     work->steps = g_new0(nm_task_t *, spec->step_count);
     work->open = g_new0(uint32_t, spec->step_count);
     work->waiting = g_new0(uint32_t, spec->step_count);
+    work->refused_ms = g_new0(nm_ms_t, spec->step_count);
     for (uint32_t s = 0; s < spec->step_count; s++) {
         uint32_t count = spec->steps[s].task_count;
         work->steps[s] = g_new0(nm_task_t, count);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -25,6 +25,16 @@
  * and hold their room for long: what is in time goes first, the rest behind.
  */
 #define LONG_RUNNING_RANK 0.5
+/*
+ * A long-running task that found no worker for so long goes before all else,
+ * and a worker is kept for it: short tasks refill each gap that is too small
+ * for it.  The rules allow 9 s after its last run, however full the service
+ * is; a worker's short tasks take up to 3 s to end.
+ */
+#define LONG_RUNNING_WAIT_MS 3000
+#define OVERDUE_RANK 1e6
+/* Share of the workers kept at a time, so that short work goes on. */
+#define RESERVED_SHARE 0.05
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -41,13 +51,15 @@
 
 #define REFUSED_IMAGES_MAX 32
 
-/* What found no worker in this round; the like need not be tried again. */
+/* One placement of all that waits. */
 typedef struct {
+    /* What found no worker; the like need not be tried again. */
     int64_t cpu_milli;
     int64_t memory_mb;
     const char *images[REFUSED_IMAGES_MAX]; /* of fillers */
     uint32_t image_count;
-} need_t;
+    uint32_t reserved; /* workers kept for overdue tasks */
+} round_t;
 
 bool
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
@@ -94,6 +106,20 @@
     return left < right ? 1 : left > right ? -1 : 0;
 }
 
+static const char *
+service_of(const nm_sched_job_t *job)
+{
+    return job->queue ? job->queue->desc.service : job->spec.service;
+}
+
+static bool
+is_overdue(const nm_work_t *work, uint32_t step, nm_ms_t now_ms)
+{
+    return work->job->spec.steps[step].long_running &&
+           work->refused_ms[step] > 0 &&
+           now_ms - work->refused_ms[step] >= LONG_RUNNING_WAIT_MS;
+}
+
 static void
 collect(nm_sched_t *sched, nm_sched_job_t *job, GArray *candidates,
         nm_ms_t now_ms)
@@ -113,7 +139,8 @@
             if (rank < 0) {
                 rank = job_rank(job, now_ms);
             }
-            candidate_t candidate = {work, s, rank};
+            bool overdue = is_overdue(work, s, now_ms);
+            candidate_t candidate = {work, s, overdue ? OVERDUE_RANK : rank};
             g_array_append_val(candidates, candidate);
         }
     }
@@ -201,12 +228,6 @@
                 step->per_worker_max);
 }
 
-static const char *
-service_of(const nm_sched_job_t *job)
-{
-    return job->queue ? job->queue->desc.service : job->spec.service;
-}
-
 /* Returns false if the worker cannot take the task. */
 static bool
 score_node(nm_sched_t *sched, const candidate_t *candidate,
@@ -215,8 +236,11 @@
 {
     const nm_sched_job_t *job = candidate->work->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
-    if (!fits(node, step) ||
-        !may_run(node, candidate, service_of(job), now_ms)) {
+    bool reserved = node->reserved_round == sched->placement &&
+                    !step->long_running && !step->is_filler;
+    if (reserved || !fits(node, step) ||
+        !may_run(node, candidate, service_of(job), now_ms))
+    {
         return false;
     }
     if (step->is_filler) {
@@ -262,6 +286,71 @@
     return best;
 }
 
+/* True if a step fits once all short tasks of the worker have ended. */
+static bool
+fits_in_time(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    int64_t cpu = node->desc.cpu_milli - step->cpu_milli;
+    int64_t memory = node->desc.memory_mb - step->memory_mb;
+    int32_t accelerators = node->desc.accelerators - step->accelerators;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        const nm_step_t *other = nm_task_step(task);
+        if (other->long_running && task->state != NM_RUN_STOPPING) {
+            cpu -= other->cpu_milli;
+            memory -= other->memory_mb;
+            accelerators -= other->accelerators;
+        }
+    }
+    return cpu >= 0 && memory >= 0 && accelerators >= 0;
+}
+
+/* Keeps short tasks off the worker with most room; false: there is none. */
+static bool
+reserve(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->work->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    nm_sched_node_t *best = NULL;
+    int64_t best_free = INT64_MIN;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        int64_t free = node->desc.cpu_milli - node->cpu_used;
+        if (free > best_free && node->reserved_round != sched->placement &&
+            may_run(node, candidate, service_of(job), now_ms) &&
+            fits_in_time(node, step))
+        {
+            best = node;
+            best_free = free;
+        }
+    }
+    if (best) {
+        best->reserved_round = sched->placement;
+    }
+    return best != NULL;
+}
+
+static void
+refuse_long_running(nm_sched_t *sched, round_t *round,
+                    const candidate_t *candidate, nm_ms_t now_ms)
+{
+    nm_work_t *work = candidate->work;
+    if (work->refused_ms[candidate->step] == 0) {
+        work->refused_ms[candidate->step] = now_ms;
+    }
+    if (!is_overdue(work, candidate->step, now_ms)) {
+        return;
+    }
+    uint32_t waiting = work->waiting[candidate->step];
+    double reserved_max = ceil(RESERVED_SHARE * sched->node_list->len);
+    while (waiting > 0 && round->reserved < reserved_max &&
+           reserve(sched, candidate, now_ms))
+    {
+        round->reserved++;
+        waiting--;
+    }
+}
+
 /* Stops fillers of a worker whose memory a long-running task needs. */
 static bool
 displace(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
@@ -301,17 +390,17 @@
 }
 
 static bool
-needs_less(const nm_step_t *step, const need_t *refused)
+needs_less(const nm_step_t *step, const round_t *round)
 {
-    return step->cpu_milli < refused->cpu_milli ||
-           step->memory_mb < refused->memory_mb;
+    return step->cpu_milli < round->cpu_milli ||
+           step->memory_mb < round->memory_mb;
 }
 
 static bool
-filler_is_refused(const nm_step_t *step, const need_t *refused)
+filler_is_refused(const nm_step_t *step, const round_t *round)
 {
-    for (uint32_t i = 0; i < refused->image_count; i++) {
-        if (strcmp(refused->images[i], step->image) == 0) {
+    for (uint32_t i = 0; i < round->image_count; i++) {
+        if (strcmp(round->images[i], step->image) == 0) {
             return true;
         }
     }
@@ -356,17 +445,17 @@
 }
 
 static void
-place_step(nm_sched_t *sched, const candidate_t *candidate, need_t *refused,
+place_step(nm_sched_t *sched, const candidate_t *candidate, round_t *round,
            nm_ms_t now_ms)
 {
     nm_work_t *work = candidate->work;
     const nm_step_t *step = &work->job->spec.steps[candidate->step];
     bool plain = step->label[0] == '\0' && step->per_worker_max == 0 &&
                  !step->is_filler;
-    if (plain && !step->long_running && !needs_less(step, refused)) {
+    if (plain && !step->long_running && !needs_less(step, round)) {
         return;
     }
-    if (step->is_filler && filler_is_refused(step, refused)) {
+    if (step->is_filler && filler_is_refused(step, round)) {
         return;
     }
     if (step->is_gang) {
@@ -390,30 +479,36 @@
         if (step->long_running && displace(sched, candidate, now_ms)) {
             continue;
         }
-        if (step->is_filler && refused->image_count < REFUSED_IMAGES_MAX) {
-            refused->images[refused->image_count++] = step->image;
+        if (step->long_running) {
+            refuse_long_running(sched, round, candidate, now_ms);
+            return;
+        }
+        if (step->is_filler && round->image_count < REFUSED_IMAGES_MAX) {
+            round->images[round->image_count++] = step->image;
         }
         if (plain) {
-            refused->cpu_milli = MIN(refused->cpu_milli, step->cpu_milli);
-            refused->memory_mb = MIN(refused->memory_mb, step->memory_mb);
+            round->cpu_milli = MIN(round->cpu_milli, step->cpu_milli);
+            round->memory_mb = MIN(round->memory_mb, step->memory_mb);
         }
         return;
     }
+    work->refused_ms[candidate->step] = 0;
 }
 
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
+    round_t round = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
     for (guint i = 0; i < sched->active->len; i++) {
         collect(sched, sched->active->pdata[i], candidates, now_ms);
     }
     g_array_sort(candidates, compare_candidates);
-    need_t refused = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
+    sched->placement++;
     for (guint i = 0;
          i < candidates->len && sched->starting < NM_SCHED_STARTING_MAX; i++)
     {
-        place_step(sched, &g_array_index(candidates, candidate_t, i), &refused,
+        place_step(sched, &g_array_index(candidates, candidate_t, i), &round,
                    now_ms);
     }
     g_array_free(candidates, TRUE);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -104,9 +104,10 @@
     nm_sched_job_t *job;
     uint32_t number;
     int64_t due_unix_ms;
-    nm_task_t **steps; /* by step, then index */
-    uint32_t *open;    /* by step: tasks that are not done */
-    uint32_t *waiting; /* by step */
+    nm_task_t **steps;   /* by step, then index */
+    uint32_t *open;      /* by step: tasks that are not done */
+    uint32_t *waiting;   /* by step */
+    nm_ms_t *refused_ms; /* by step: found no worker since; 0: all did */
     bool finished;
 };
 
@@ -168,6 +169,7 @@
     uint32_t fillers;
     uint32_t targets; /* long-running tasks with a latency target */
     int64_t filler_cpu;
+    uint64_t reserved_round; /* placement that last kept it for one task */
     uint32_t failures_in_row;
     nm_ms_t progress_ms; /* last end or newer checkpoint of any task */
     nm_ms_t stall_check_ms;
@@ -196,6 +198,7 @@
     GQueue dirty; /* jobs with changes to store */
     uint64_t change;
     uint64_t saved;
+    uint64_t placement; /* number of the current one */
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
     bool fenced;
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -444,6 +444,55 @@
     world_finish(&world);
 }
 
+/*
+ * Load: short tasks without end that refill each gap; each ends half a second
+ * after the one before.  A long-running task that needs most of the worker
+ * must start within the 9 s that the rules allow, of which 2 are kept for a
+ * change of the owner.
+ */
+static void
+test_long_running_gets_room(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    join_worker(&world, "a");
+    nm_worker_run_t running[2]; /* oldest first */
+    uint32_t count = 0;
+    bool started = false;
+    int64_t ended = 0;
+    for (uint32_t round = 0; round < 16 && !started; round++) {
+        char id[NM_JOB_ID_MAX];
+        g_snprintf(id, sizeof(id), "%016x", round + 1);
+        add_job(&world, id, false, 1, CPU_MILLI / 2, false);
+        if (round == 2) {
+            add_job(&world, JOB, true, 1, CPU_MILLI * 3 / 4, false);
+        }
+        step(&world, 500);
+        for (guint i = 0; i < world.actions->len; i++) {
+            const nm_sched_action_t *action =
+                &g_array_index(world.actions, nm_sched_action_t, i);
+            if (action->type != NM_ACTION_START) {
+                continue;
+            }
+            started = started || strcmp(action->task, TASK) == 0;
+            g_assert_cmpuint(count, <, NM_COUNT_OF(running));
+            running[count++] = run_of(action->task, action->run);
+        }
+        confirm_starts(&world);
+        if (round < 2 || count == 0) {
+            continue;
+        }
+        nm_worker_end_t end =
+            end_of(++ended, running[0].task, running[0].run, NM_END_DONE);
+        running[0] = running[1];
+        count--;
+        report(&world, "a", 1, running, count, &end, 1);
+        save_all(&world);
+    }
+    g_assert_true(started);
+    world_finish(&world);
+}
+
 /* "Late" speaks of one copy of a start; another one may have run. */
 static void
 test_late_start_is_withdrawn(void)
@@ -529,6 +578,7 @@
         {"/sched/unreadable-progress-starts-nothing",
          test_unreadable_progress_starts_nothing},
         {"/sched/stalled-work-moves", test_stalled_work_moves},
+        {"/sched/long-running-gets-room", test_long_running_gets_room},
         {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
         {"/sched/rough-tail-evicts-fillers", test_rough_tail_evicts_fillers},
     };
