Refuse with certainty while the store is down

Change: a host that was asked ends first and at the first certain failure; who believes the store lost sends no write of its own; changes get 0.8 s; after a failure the next watch is a probe of 50 ms. Test: /entry/outage-is-refused-with-certainty, failed before.

--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -6,6 +6,10 @@
  * is told neither success nor refusal.  A host that the store turns away
  * asks another one to store the job; where none can, the caller is refused
  * at once and told when to come back.
+ *
+ * Answers this load: an outage of the store under full traffic.  Who has seen
+ * it fail several times sends no write that might still be carried out, so
+ * that the refusal is certain and the caller may try another host.
  */
 #include "entry_state.h"
 
@@ -23,8 +27,15 @@
 #define DEFAULT_DEADLINE_MS 3000
 /* Left of the caller's time for the answer's way back. */
 #define DEADLINE_GUARD_MS 400
-/* A question to another host, or a round trip between regions. */
+/* A question to another host: a round trip between regions. */
 #define ASK_TIMEOUT_MS 350
+/*
+ * ...or a change, which that host has to store: one without an answer leaves
+ * the caller in doubt, and a busy owner's rounds take up to 190 ms.
+ */
+#define ASK_CHANGE_TIMEOUT_MS 800
+/* The host that was asked ends this long before, so that its answer counts. */
+#define ASK_MARGIN_MS 150
 #define STORE_RETRY_MS 120
 /* A job that is certainly not stored is refused within this time. */
 #define REFUSE_MS 500
@@ -141,6 +152,12 @@
                        &answer);
 }
 
+static bool
+op_changes(const nm_op_t *op)
+{
+    return op->type == OP_SUBMIT || op->type == OP_CANCEL;
+}
+
 /* The product's status for an error, and whether to come back. */
 static void
 fail_op(nm_op_t *op, int rc)
@@ -217,7 +234,9 @@
         return false;
     }
     op->asked = ask.number;
-    op->ask_until_ms = nm_entry_now(entry) + ASK_TIMEOUT_MS;
+    op->ask_until_ms =
+        nm_entry_now(entry) +
+        (op_changes(op) ? ASK_CHANGE_TIMEOUT_MS : ASK_TIMEOUT_MS);
     g_hash_table_insert(entry->asks, g_memdup2(&op->asked, sizeof(op->asked)),
                         op);
     return true;
@@ -236,8 +255,7 @@
     if (op->finished) {
         return;
     }
-    bool stored = answer->rc == NM_OK &&
-                  (op->type == OP_SUBMIT || op->type == OP_CANCEL);
+    bool stored = answer->rc == NM_OK && op_changes(op);
     bool known = answer->rc == NM_OK && answer->is_owner &&
                  (op->type == OP_PENDING || answer->state != NM_JOB_UNKNOWN);
     if (stored || known) {
@@ -246,6 +264,10 @@
         return;
     }
     op->uncertain = op->uncertain || answer->rc == NM_ERR_LOST;
+    if (op_changes(op) && entry->store_lost && !op->uncertain) {
+        fail_op(op, NM_ERR_UNAVAILABLE);
+        return;
+    }
     run_op(op);
 }
 
@@ -273,15 +295,17 @@
 retry_store(nm_op_t *op, int rc)
 {
     nm_entry_t *entry = op->entry;
-    bool changes = op->type == OP_SUBMIT || op->type == OP_CANCEL;
     nm_count_reason(rc == NM_ERR_LOST ? NM_REASON_STORE_LOST
                                       : NM_REASON_STORE_UNAVAILABLE);
-    op->uncertain = op->uncertain || (changes && rc == NM_ERR_LOST);
+    op->uncertain = op->uncertain || (op_changes(op) && rc == NM_ERR_LOST);
     if (ask_owner(op)) {
         op->retry_ms = NM_MS_NEVER;
         return;
     }
-    if (!op->uncertain && nm_entry_now(entry) - op->began_ms > REFUSE_MS) {
+    bool at_once = op->from_bytes > 0 || entry->store_lost;
+    if (!op->uncertain &&
+        (at_once || nm_entry_now(entry) - op->began_ms > REFUSE_MS))
+    {
         fail_op(op, NM_ERR_UNAVAILABLE);
         return;
     }
@@ -445,7 +469,12 @@
     }
     switch (op->type) {
     case OP_SUBMIT:
-        store_job(op);
+        if (!op->entry->store_lost || op->uncertain) {
+            store_job(op);
+        }
+        else if (!ask_owner(op)) {
+            fail_op(op, NM_ERR_UNAVAILABLE);
+        }
         return;
     case OP_CANCEL:
         find_job(op);
@@ -597,7 +626,11 @@
         return;
     }
     op_type_t type = types[ask->type];
-    nm_op_t *op = new_op(entry, type, ask->job, ask->queue, ASK_TIMEOUT_MS);
+    nm_ms_t budget =
+        (type == OP_SUBMIT || type == OP_CANCEL ? ASK_CHANGE_TIMEOUT_MS
+                                                : ASK_TIMEOUT_MS) -
+        ASK_MARGIN_MS;
+    nm_op_t *op = new_op(entry, type, ask->job, ask->queue, budget);
     memcpy(op->from, message->from, message->from_bytes);
     op->from_bytes = message->from_bytes;
     op->number = ask->number;
@@ -619,8 +652,7 @@
 tick_op(nm_op_t *op, nm_ms_t now_ms)
 {
     if (now_ms >= op->deadline_ms) {
-        bool changes = op->type == OP_SUBMIT || op->type == OP_CANCEL;
-        bool in_flight = changes && (op->pending || op->asked);
+        bool in_flight = op_changes(op) && (op->pending || op->asked);
         bool open = op->uncertain || in_flight;
         fail_op(op, open ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
         return;
@@ -628,8 +660,7 @@
     if (op->asked && now_ms >= op->ask_until_ms) {
         g_hash_table_remove(op->entry->asks, &op->asked);
         op->asked = 0;
-        bool changes = op->type == OP_SUBMIT || op->type == OP_CANCEL;
-        op->uncertain = op->uncertain || changes;
+        op->uncertain = op->uncertain || op_changes(op);
         run_op(op);
         return;
     }
--- a/src/feed.c
+++ b/src/feed.c
@@ -7,6 +7,8 @@
 /* Pause after a failed call, doubled up to RETRY_MAX_MS. */
 #define RETRY_MS 100
 #define RETRY_MAX_MS 800
+/* After a failure the next watch is short, so that contact shows soon. */
+#define PROBE_MS 50
 
 typedef struct {
     nm_feed_t *feed;
@@ -214,6 +216,7 @@
         return;
     }
     nm_ms_t wait = feed->desc.wait_ms ? feed->desc.wait_ms : DEFAULT_WAIT_MS;
+    wait = feed->failures > 0 ? PROBE_MS : wait;
     nm_kv_watch(feed->desc.kv, feed->prefix, feed->revision, wait, on_result,
                 call);
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -1,5 +1,6 @@
 /* Entry hosts against an in-process store, on a manual clock. */
 #include <string.h>
+#include <unistd.h>
 
 #include <glib.h>
 
@@ -114,7 +115,8 @@
 }
 
 static void
-host_init(host_t *host, const char *name, fake_kv_t *kv)
+host_init_at(host_t *host, const char *name, const char *address,
+             fake_kv_t *kv)
 {
     *host = (host_t){.kv = kv,
                      .front = {.base = {&front_vtable}},
@@ -122,7 +124,7 @@
     nm_clock_init_manual(&host->clock, 1000);
     g_queue_init(&host->front.waiting);
     host->front.answered = g_ptr_array_new_with_free_func(free_call);
-    g_snprintf(host->address, sizeof(host->address), "inproc://%s", name);
+    nm_strcopy(host->address, sizeof(host->address), address);
     host->peers = nm_peer_ask_new(host->address);
     host->entry = nm_entry_new(&(nm_entry_desc_t){
         .name = name,
@@ -139,6 +141,14 @@
     });
 }
 
+static void
+host_init(host_t *host, const char *name, fake_kv_t *kv)
+{
+    char address[64];
+    g_snprintf(address, sizeof(address), "inproc://%s", name);
+    host_init_at(host, name, address, kv);
+}
+
 static void
 host_finish(host_t *host)
 {
@@ -266,6 +276,53 @@
     }
 }
 
+/*
+ * Load: the store refuses all calls under full traffic.  A host that asks the
+ * owner must be able to refuse with certainty, and once the outage is known,
+ * at once: the caller may then try another host.  The hosts' clock stands
+ * still while messages are on their way, so that the machine's load does not
+ * matter.
+ */
+static void
+test_outage_is_refused_with_certainty(void)
+{
+    fake_kv_t *kv = configured_store();
+    host_t hosts[2];
+    for (uint32_t i = 0; i < NM_COUNT_OF(hosts); i++) {
+        char address[64];
+        g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-test-%d-%u",
+                   (int)getpid(), i);
+        host_init_at(&hosts[i], i == 0 ? "a" : "b", address, kv);
+        run(&hosts[i], 1000);
+    }
+    fake_kv_set_mode(kv, FAKE_KV_BUSY);
+    for (uint32_t round = 0; round < 3; round++) {
+        guint answered = hosts[1].front.answered->len;
+        call(&hosts[1], NM_METHOD_POST, "/a/" JOB, BODY);
+        for (uint32_t i = 0;
+             i < 5000 && hosts[1].front.answered->len == answered; i++) {
+            nm_entry_run(hosts[1].entry);
+            nm_entry_run(hosts[0].entry);
+            fake_kv_run(kv);
+            g_usleep(1000);
+        }
+        g_assert_cmpuint(hosts[1].front.answered->len, ==, answered + 1);
+        g_assert_cmpint(last_status(&hosts[1]), ==, 503);
+        for (uint32_t i = 0; i < NM_COUNT_OF(hosts); i++) {
+            run(&hosts[i], 500);
+        }
+    }
+    fake_kv_set_mode(kv, FAKE_KV_SERVES);
+    run(&hosts[0], 1000);
+    run(&hosts[1], 1000);
+    g_assert_null(fake_kv_value(kv, JOB_KEY));
+    for (uint32_t i = 0; i < NM_COUNT_OF(hosts); i++) {
+        host_finish(&hosts[i]);
+        unlink(hosts[i].address + strlen("ipc://"));
+    }
+    fake_kv_free(kv);
+}
+
 /* The store never shows an older version, and neither does the host. */
 static void
 test_configuration_never_goes_back(void)
@@ -491,6 +548,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/entry/submit-and-query", test_submit_and_query);
     g_test_add_func("/entry/refusal-is-certain", test_refusal_is_certain);
+    g_test_add_func("/entry/outage-is-refused-with-certainty",
+                    test_outage_is_refused_with_certainty);
     g_test_add_func("/entry/configuration-never-goes-back",
                     test_configuration_never_goes_back);
     g_test_add_func("/entry/election-replaces-no-rival",
