Make the owner's rounds cheaper: filler checks, carriers, lists

Change: room is checked before risk; services are interned; a listed run is marked instead of searched; chains are worked out once; a worker's carrier is drawn once and among the larger hosts; batches of 12 ms; links are asked once a round; no fast bins.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -4,6 +4,7 @@
  * Its settings are a JSON document, whose path --settings or
  * NUTMEGDECK_CONFIG gives.
  */
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -174,6 +175,8 @@
         return 2;
     }
     install_signals();
+    /* Freeing large answers would merge all small free blocks each time. */
+    mallopt(M_MXFAST, 0);
     nm_log_init_stdout(settings.name, NM_LOG_INFO);
     int status = serve(&settings, path);
     nm_log_finish();
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -17,6 +17,12 @@
 #define DOWN_MAX_MS 16000
 /* A longer pause between two rounds of this host is its own doing. */
 #define LAG_MS 250
+/*
+ * Hosts with less than this part of the largest processor of their data
+ * centre carry nothing while a larger one answers: few carriers share the
+ * orders, so that more of them fit into one message of the owner.
+ */
+#define CARRIER_SHARE_MIN 0.5
 /* Time between two checks for orders without an answer. */
 #define CHECK_MS 100
 #define ORDERS_MAX 256
@@ -40,6 +46,14 @@
     char carrier[NM_NAME_MAX];
 } order_t;
 
+/* How a worker is reached. */
+typedef struct {
+    char zone[NM_NAME_MAX];
+    /* Drawn while no carrier was in trouble, from this set of hosts. */
+    carrier_t *carrier;
+    uint64_t generation;
+} route_t;
+
 static void
 free_order_message(gpointer data)
 {
@@ -80,27 +94,40 @@
     return -MAX(carrier->desc.cpu_share, 0.01) / log(unit);
 }
 
+/* After a silence one order at a time tries a carrier out. */
+static bool
+may_carry(const nm_order_relay_t *relay, const carrier_t *carrier,
+          const route_t *route, nm_ms_t wait_ms, nm_ms_t now_ms)
+{
+    bool on_trial = carrier->down_ms > 0;
+    return now_ms >= carrier->down_until_ms &&
+           !(on_trial && (carrier->asked_ms > 0 || wait_ms > 0)) &&
+           strcmp(carrier->desc.zone, route->zone) == 0 &&
+           strcmp(carrier->desc.name, relay->desc.name) != 0;
+}
+
 static carrier_t *
-choose_carrier(nm_order_relay_t *relay, const char *worker, nm_ms_t wait_ms,
-               nm_ms_t now_ms)
+draw_carrier(nm_order_relay_t *relay, const route_t *route, const char *worker,
+             nm_ms_t wait_ms, nm_ms_t now_ms)
 {
-    const char *zone = g_hash_table_lookup(relay->zones, worker);
-    if (!zone || g_hash_table_size(relay->zones) <= relay->desc.direct_max) {
-        return NULL;
+    GHashTableIter iter;
+    gpointer value;
+    double largest = 0;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const carrier_t *carrier = value;
+        if (carrier->down_ms == 0 &&
+            may_carry(relay, carrier, route, wait_ms, now_ms)) {
+            largest = MAX(largest, carrier->desc.cpu_share);
+        }
     }
     carrier_t *best = NULL;
     double best_weight = 0;
-    GHashTableIter iter;
-    gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
-        /* After a silence one order at a time tries it out. */
-        bool on_trial = carrier->down_ms > 0;
-        if (now_ms < carrier->down_until_ms ||
-            (on_trial && (carrier->asked_ms > 0 || wait_ms > 0)) ||
-            strcmp(carrier->desc.zone, zone) != 0 ||
-            strcmp(carrier->desc.name, relay->desc.name) == 0)
+        if (carrier->desc.cpu_share < largest * CARRIER_SHARE_MIN ||
+            !may_carry(relay, carrier, route, wait_ms, now_ms))
         {
             continue;
         }
@@ -113,6 +140,24 @@
     return best;
 }
 
+static carrier_t *
+choose_carrier(nm_order_relay_t *relay, const char *worker, nm_ms_t wait_ms,
+               nm_ms_t now_ms)
+{
+    route_t *route = g_hash_table_lookup(relay->routes, worker);
+    if (!route || g_hash_table_size(relay->routes) <= relay->desc.direct_max) {
+        return NULL;
+    }
+    if (relay->troubled > 0) {
+        return draw_carrier(relay, route, worker, wait_ms, now_ms);
+    }
+    if (route->generation != relay->generation) {
+        route->carrier = draw_carrier(relay, route, worker, wait_ms, now_ms);
+        route->generation = relay->generation;
+    }
+    return route->carrier;
+}
+
 static NmPb__Order *
 encode_order(const nm_sched_action_t *action, uint64_t number)
 {
@@ -205,8 +250,9 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_carrier);
     relay->open =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_order);
-    relay->zones =
+    relay->routes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    relay->generation = 1;
     /* Answers to the orders of an earlier incarnation must not meet ours. */
     relay->number = (uint64_t)g_random_int() << 32;
     return &relay->base;
@@ -218,7 +264,7 @@
     assert(relay);
     g_hash_table_destroy(relay->open);
     g_hash_table_destroy(relay->hosts);
-    g_hash_table_destroy(relay->zones);
+    g_hash_table_destroy(relay->routes);
 }
 
 void
@@ -227,7 +273,8 @@
     assert(relay);
     g_hash_table_remove_all(relay->open);
     g_hash_table_remove_all(relay->hosts);
-    g_hash_table_remove_all(relay->zones);
+    g_hash_table_remove_all(relay->routes);
+    relay->generation++;
 }
 
 void
@@ -244,6 +291,7 @@
     carrier->desc = *host;
     carrier->down_until_ms = 0;
     carrier->down_ms = 0;
+    relay->generation++;
 }
 
 void
@@ -251,6 +299,7 @@
 {
     assert(relay && name);
     g_hash_table_remove(relay->hosts, name);
+    relay->generation++;
 }
 
 void
@@ -258,7 +307,15 @@
                           const char *zone)
 {
     assert(relay && worker && zone);
-    g_hash_table_replace(relay->zones, g_strdup(worker), g_strdup(zone));
+    route_t *route = g_hash_table_lookup(relay->routes, worker);
+    if (!route) {
+        route = g_new0(route_t, 1);
+        g_hash_table_insert(relay->routes, g_strdup(worker), route);
+    }
+    if (strcmp(route->zone, zone) != 0) {
+        nm_strcopy(route->zone, sizeof(route->zone), zone);
+        route->generation = 0;
+    }
 }
 
 static void
@@ -314,6 +371,7 @@
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
+    relay->troubled = 0;
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
         if (carrier->asked_ms > 0 && now_ms - carrier->asked_ms > SILENT_MS) {
@@ -323,6 +381,7 @@
             carrier->asked_ms = 0;
             nm_count_reason(NM_REASON_RETRY_TIMEOUT);
         }
+        relay->troubled += carrier->down_ms > 0;
     }
 }
 
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -5,7 +5,7 @@
  * whose calls one small host cannot make.  The owner decides; hosts of the
  * workers' data centres carry its orders and bring the answers back in
  * batches.  Which host carries for a worker is drawn by its identity among
- * the hosts that answer, in proportion to their processors, so that
+ * the larger hosts that answer, in proportion to their processors, so that
  * connections to workers are kept.  A carrier knows nothing: an order holds
  * its epoch and its expiry, and one that is lost is like one without an
  * answer.
@@ -24,8 +24,11 @@
 #include "order_port.h"
 #include "peer_ask.h"
 
-/* Orders, and answers, that come within this time share a message. */
-#define NM_RELAY_BATCH_MS 8
+/*
+ * Orders, and answers, that come within this time share a message; a message
+ * costs the owner as much as ten orders.
+ */
+#define NM_RELAY_BATCH_MS 12
 
 typedef struct {
     nm_order_port_t *direct; /* own calls to workers */
@@ -46,9 +49,11 @@
 typedef struct {
     nm_order_port_t base;
     nm_order_relay_desc_t desc;
-    GHashTable *hosts; /* name -> carrier */
-    GHashTable *open;  /* number -> order under way */
-    GHashTable *zones; /* worker -> its zone */
+    GHashTable *hosts;   /* name -> carrier */
+    GHashTable *open;    /* number -> order under way */
+    GHashTable *routes;  /* worker -> its zone and carrier */
+    uint64_t generation; /* of the set of hosts */
+    uint32_t troubled;   /* carriers that are down or on trial */
     uint64_t number;
     int64_t epoch; /* of the newest order */
     nm_ms_t checked_ms;
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -174,10 +174,12 @@
     if (next_ask(peers, message)) {
         return true;
     }
-    for (int i = 0; i < LINKS_MAX; i++) {
+    /* Goes on where the last one came from; empty links are asked once. */
+    for (int tried = 0; tried < LINKS_MAX; tried++) {
+        void *socket = peers->links[peers->next].socket;
         zmq_msg_t body;
-        if (!peers->links[i].socket || !receive(peers->links[i].socket, &body))
-        {
+        if (!socket || !receive(socket, &body)) {
+            peers->next = (peers->next + 1) % LINKS_MAX;
             continue;
         }
         message->answer = nm_pb__entry_answer__unpack(
--- a/src/sched.c
+++ b/src/sched.c
@@ -122,8 +122,7 @@
 {
     double factor = job->queue ? job->queue->desc.slack_factor : 1.0;
     nm_ms_t fixed = job->queue ? job->queue->desc.objective_ms : 0;
-    job->objective_ms =
-        (nm_ms_t)(factor * (double)nm_job_spec_chain_ms(&job->spec)) + fixed;
+    job->objective_ms = (nm_ms_t)(factor * (double)job->chain_ms) + fixed;
 }
 
 void
@@ -133,10 +132,12 @@
     nm_sched_queue_t *known = g_hash_table_lookup(sched->queues, queue->name);
     if (known) {
         known->desc = *queue;
+        known->service = g_intern_string(queue->service);
         return;
     }
     known = g_new0(nm_sched_queue_t, 1);
     known->desc = *queue;
+    known->service = g_intern_string(queue->service);
     g_hash_table_insert(sched->queues, known->desc.name, known);
     for (guint i = 0; i < sched->active->len; i++) {
         nm_sched_job_t *job = sched->active->pdata[i];
@@ -198,6 +199,8 @@
     }
     sched->has_unseen = sched->has_unseen || recovered;
     job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
+    job->service = g_intern_string(job->spec.service);
+    job->chain_ms = nm_job_spec_chain_ms(&job->spec);
     job->work_count = MAX(job->spec.occurrences, 1);
     job->works = g_new0(nm_work_t, job->work_count);
     for (uint32_t w = 0; w < job->work_count; w++) {
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -129,14 +129,19 @@
 }
 
 bool
-nm_sched_filler_may_start(const nm_sched_node_t *node, const nm_step_t *step,
-                          double cost)
+nm_sched_filler_is_worth(double cost)
+{
+    return cost < START_COST_MAX;
+}
+
+bool
+nm_sched_filler_has_room(const nm_sched_node_t *node, const nm_step_t *step)
 {
     double unused = (double)node->desc.cpu_milli -
                     (double)(node->cpu_used - node->serving_cpu) -
                     SERVING_LOAD * (double)node->serving_cpu -
                     (double)node->filler_cpu;
-    return cost < START_COST_MAX && (node->targets == 0 || node->calm) &&
+    return (node->targets == 0 || node->calm) &&
            unused >= (double)step->cpu_milli;
 }
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -35,6 +35,11 @@
 #define OVERDUE_RANK 1e6
 /* Share of the workers kept at a time, so that short work goes on. */
 #define RESERVED_SHARE 0.05
+/*
+ * ...and none is kept where long-running tasks already hold this share of the
+ * processors: what is left serves the short work that earns most.
+ */
+#define LONG_RUNNING_SHARE_MAX 0.95
 /* Each step of priority lowers the credit by this share. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -59,6 +64,7 @@
     const char *images[REFUSED_IMAGES_MAX]; /* of fillers */
     uint32_t image_count;
     uint32_t reserved; /* workers kept for overdue tasks */
+    bool may_reserve;
 } round_t;
 
 bool
@@ -85,9 +91,8 @@
         credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
     }
     nm_ms_t age = now_ms - job->arrived_ms;
-    nm_ms_t chain = nm_job_spec_chain_ms(&job->spec);
     double share = left / work;
-    double finish = (double)age + (double)chain * share;
+    double finish = (double)age + (double)job->chain_ms * share;
     double objective = (double)MAX(job->objective_ms, 1);
     if (finish > objective * LATE_LIMIT) {
         credit *= EXPIRED_CREDIT;
@@ -109,20 +114,37 @@
 static const char *
 service_of(const nm_sched_job_t *job)
 {
-    return job->queue ? job->queue->desc.service : job->spec.service;
+    return job->queue ? job->queue->service : job->service;
+}
+
+/* True while long-running tasks leave enough of the usable workers. */
+static bool
+leaves_room(const nm_sched_t *sched, nm_ms_t now_ms)
+{
+    int64_t capacity = 0;
+    int64_t held = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (nm_node_is_usable(node, now_ms)) {
+            capacity += node->desc.cpu_milli;
+            held += node->long_running_cpu;
+        }
+    }
+    return (double)held < LONG_RUNNING_SHARE_MAX * (double)capacity;
 }
 
 static bool
-is_overdue(const nm_work_t *work, uint32_t step, nm_ms_t now_ms)
+is_overdue(const round_t *round, const nm_work_t *work, uint32_t step,
+           nm_ms_t now_ms)
 {
-    return work->job->spec.steps[step].long_running &&
+    return round->may_reserve && work->job->spec.steps[step].long_running &&
            work->refused_ms[step] > 0 &&
            now_ms - work->refused_ms[step] >= LONG_RUNNING_WAIT_MS;
 }
 
 static void
-collect(nm_sched_t *sched, nm_sched_job_t *job, GArray *candidates,
-        nm_ms_t now_ms)
+collect(nm_sched_t *sched, const round_t *round, nm_sched_job_t *job,
+        GArray *candidates, nm_ms_t now_ms)
 {
     double rank = -1;
     for (uint32_t w = 0; w < job->work_count; w++) {
@@ -139,7 +161,7 @@
             if (rank < 0) {
                 rank = job_rank(job, now_ms);
             }
-            bool overdue = is_overdue(work, s, now_ms);
+            bool overdue = is_overdue(round, work, s, now_ms);
             candidate_t candidate = {work, s, overdue ? OVERDUE_RANK : rank};
             g_array_append_val(candidates, candidate);
         }
@@ -220,8 +242,7 @@
         const char *service, nm_ms_t now_ms)
 {
     const nm_step_t *step = &candidate->work->job->spec.steps[candidate->step];
-    return nm_node_is_usable(node, now_ms) &&
-           strcmp(node->desc.service, service) == 0 &&
+    return nm_node_is_usable(node, now_ms) && node->service == service &&
            (step->label[0] == '\0' || has_label(node, step->label)) &&
            (step->per_worker_max == 0 ||
             count_step(node, candidate->work, candidate->step) <
@@ -244,9 +265,12 @@
         return false;
     }
     if (step->is_filler) {
+        if (!nm_sched_filler_has_room(node, step)) {
+            return false;
+        }
         double cost = nm_sched_filler_cost(sched, node, step,
                                            job->images[candidate->step]);
-        if (!nm_sched_filler_may_start(node, step, cost)) {
+        if (!nm_sched_filler_is_worth(cost)) {
             return false;
         }
         *score = -cost;
@@ -338,7 +362,7 @@
     if (work->refused_ms[candidate->step] == 0) {
         work->refused_ms[candidate->step] = now_ms;
     }
-    if (!is_overdue(work, candidate->step, now_ms)) {
+    if (!is_overdue(round, work, candidate->step, now_ms)) {
         return;
     }
     uint32_t waiting = work->waiting[candidate->step];
@@ -498,10 +522,12 @@
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    round_t round = {.cpu_milli = INT64_MAX, .memory_mb = INT64_MAX};
+    round_t round = {.cpu_milli = INT64_MAX,
+                     .memory_mb = INT64_MAX,
+                     .may_reserve = leaves_room(sched, now_ms)};
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
     for (guint i = 0; i < sched->active->len; i++) {
-        collect(sched, sched->active->pdata[i], candidates, now_ms);
+        collect(sched, &round, sched->active->pdata[i], candidates, now_ms);
     }
     g_array_sort(candidates, compare_candidates);
     sched->placement++;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -45,7 +45,7 @@
 /* Polls without an answer after which a worker gets no new tasks... */
 #define NM_SCHED_POLL_FAILURES 2
 /* ...while half of all calls get none: 1 of 16 sound workers is left out. */
-#define NM_SCHED_POLL_FAILURES_LOSSY 4
+#define NM_SCHED_POLL_FAILURES_LOSSY 3
 /*
  * Starts without an answer beyond which none is sent: an owner that cannot
  * keep up must not fall further behind what workers say of themselves.
@@ -54,7 +54,7 @@
 /* A start that got no answer this often is withdrawn by a stop... */
 #define NM_SCHED_START_TRIES_MAX 3
 /* ...or this often while calls get lost: as long with shorter time-outs. */
-#define NM_SCHED_START_TRIES_LOSSY 6
+#define NM_SCHED_START_TRIES_LOSSY 4
 
 /* Filler images told apart on one worker. */
 #define NM_SCHED_LOADS_MAX 16
@@ -68,7 +68,8 @@
 /* A queue and what its jobs taught. */
 typedef struct {
     nm_queue_t desc;
-    double mean_work; /* of a job, core-ms by estimates; 0: none seen */
+    const char *service; /* interned */
+    double mean_work;    /* of a job, core-ms by estimates; 0: none seen */
 } nm_sched_queue_t;
 
 typedef enum {
@@ -105,6 +106,7 @@
     double tail_offset;    /* of its tail's logarithm against the model */
     nm_ms_t throttled_ms;
     nm_sched_node_t *avoid; /* where its last run failed */
+    uint64_t listed_in;     /* newest report of its node that listed its run */
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_task_t;
 
@@ -145,7 +147,9 @@
     int64_t work_left; /* core-ms by estimates */
     int64_t work_total;
     nm_ms_t objective_ms; /* after arrival */
+    nm_ms_t chain_ms;     /* longest chain of estimates */
     nm_sched_queue_t *queue;
+    const char *service; /* interned; used while the queue is unknown */
 };
 
 /* An end that may be acknowledged once a job's change is stored. */
@@ -157,6 +161,8 @@
 /* One incarnation of a worker. */
 struct nm_sched_node {
     nm_sched_worker_t desc;
+    const char *service; /* interned */
+    uint64_t reports;    /* number of the newest one */
     bool announced;
     bool admitted;          /* stored, so that a new owner looks for it */
     bool known;             /* described; otherwise only expected */
@@ -176,6 +182,7 @@
     GQueue marks;            /* of nm_end_mark_t */
     GPtrArray *tasks;        /* starting, running or stopping here */
     int64_t cpu_used;
+    int64_t long_running_cpu; /* part of it */
     int64_t memory_used;
     int32_t accelerators_used;
     uint32_t fillers;
@@ -280,7 +287,9 @@
 /* Cost of one more filler on a worker, against what it earns there. */
 double nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
                             const nm_step_t *step, uint32_t image);
-bool nm_sched_filler_may_start(const nm_sched_node_t *node,
-                               const nm_step_t *step, double cost);
+/* True if serving tasks are calm and processor is unused for a filler. */
+bool nm_sched_filler_has_room(const nm_sched_node_t *node,
+                              const nm_step_t *step);
+bool nm_sched_filler_is_worth(double cost);
 
 #endif
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -63,6 +63,7 @@
     assert(!task->node);
     const nm_step_t *step = nm_task_step(task);
     task->node = node;
+    task->listed_in = 0;
     g_ptr_array_add(node->tasks, task);
     node->loads_known = false;
     node->memory_used += step->memory_mb;
@@ -74,6 +75,9 @@
     else {
         node->cpu_used += step->cpu_milli;
     }
+    if (step->long_running && !step->is_filler) {
+        node->long_running_cpu += step->cpu_milli;
+    }
     if (step->target_ms > 0) {
         node->targets++;
         node->serving_cpu += step->cpu_milli;
@@ -99,6 +103,9 @@
     else {
         node->cpu_used -= step->cpu_milli;
     }
+    if (step->long_running && !step->is_filler) {
+        node->long_running_cpu -= step->cpu_milli;
+    }
     if (step->target_ms > 0) {
         node->targets--;
         node->serving_cpu -= step->cpu_milli;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -117,6 +117,7 @@
         begin_incarnation(sched, node, desc->incarnation, now_ms);
     }
     node->desc = *desc;
+    node->service = g_intern_string(desc->service);
     if (!node->known) {
         node->known = true;
         node->poll_due_ms = now_ms;
@@ -378,6 +379,7 @@
     }
     task->percent = row->percent;
     task->figure = row->figure;
+    task->listed_in = node->reports;
 }
 
 static void
@@ -431,14 +433,7 @@
         {
             continue;
         }
-        char name[NM_TASK_NAME_MAX];
-        nm_sched_task_name(task, name, sizeof(name));
-        bool listed = false;
-        for (uint32_t r = 0; r < report->running_count && !listed; r++) {
-            listed = strcmp(report->running[r].task, name) == 0 &&
-                     report->running[r].run == task->run;
-        }
-        if (!listed) {
+        if (task->listed_in != node->reports) {
             nm_task_requeue(sched, task);
         }
     }
@@ -481,6 +476,7 @@
     node->reachable = true;
     node->poll_failures = 0;
     node->fenced = true;
+    node->reports++;
     node->clock_ms = report->clock_ms;
     node->clock_at_ms = now_ms;
     node->clock_known = true;
