Fault soak: real entry hosts against a stand-in of the users' platform

The store and the executors in one process, a loopback proxy, processes that are killed, paused, stopped; promises are checked from what callers and executors see.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SUDO = $(shell [ "$$(id -u)" = 0 ] || echo sudo)
 JOBS = $(shell nproc)
 SEED ?= 1
-C_FILES = $(shell find include src platform daemons tests bench -name '*.[ch]')
+C_FILES = $(shell find include src platform daemons tests bench soak -name '*.[ch]')
 
 .PHONY: all deps build check demo bench bench-decisions lint format \
 	format-check sanitize fuzz clean
--- /dev/null
+++ b/soak/lib_platform.c
@@ -0,0 +1,791 @@
+#include "lib_platform.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "../tests/fakes/lib_http.h"
+
+#define TICK_US 5000
+#define HEARTBEAT_MS 1500
+#define RANGE_ITEMS_MAX 500
+#define LATE_MS 2000
+#define CONNECTIONS_MAX 4000
+
+typedef struct {
+    char *key;
+    char *value; /* as base64 text; NULL: deleted */
+    int64_t revision;
+    int64_t lease;
+} item_t;
+
+/* A request that waits, or an order that is carried out late. */
+typedef struct {
+    struct MHD_Connection *connection; /* NULL: nobody waits */
+    char *path;
+    GString *body;
+    char instance[NM_NAME_MAX];
+    char *prefix;
+    int64_t after;
+    nm_ms_t until_ms;
+    bool silent; /* is never answered */
+    json_t *answer;
+    int status;
+} request_t;
+
+struct platform {
+    platform_desc_t desc;
+    pthread_mutex_t mutex;
+    pthread_t thread;
+    bool stopping;
+    struct MHD_Daemon *daemon;
+    executor_fleet_t *fleet;
+    nm_rng_t rng;
+    nm_ms_t began_ms;
+    GTree *items;      /* key -> item_t */
+    GPtrArray *events; /* of item_t */
+    int64_t revision;
+    int64_t compacted;
+    int64_t next_lease;
+    GHashTable *leases;   /* id -> end, ms */
+    GHashTable *lease_ms; /* id -> duration */
+    GPtrArray *waiting;   /* of request_t */
+    GPtrArray *late;      /* of request_t */
+    store_mode_t mode;
+    double late_share;
+    nm_ms_t announced_ms;
+};
+
+static void
+free_item(gpointer data)
+{
+    item_t *item = data;
+    g_free(item->key);
+    g_free(item->value);
+    g_free(item);
+}
+
+static item_t *
+new_item(const char *key, const char *value, int64_t revision, int64_t lease)
+{
+    item_t *item = g_new0(item_t, 1);
+    item->key = g_strdup(key);
+    item->value = g_strdup(value);
+    item->revision = revision;
+    item->lease = lease;
+    return item;
+}
+
+static int
+compare_keys(gconstpointer a, gconstpointer b, gpointer user)
+{
+    (void)user;
+    return strcmp(a, b);
+}
+
+nm_ms_t
+platform_now(const platform_t *platform)
+{
+    return fake_now_ms() - platform->began_ms + 1000;
+}
+
+static void
+change(platform_t *platform, const char *key, const char *value, int64_t lease)
+{
+    item_t *item = new_item(key, value, platform->revision, lease);
+    g_ptr_array_add(platform->events,
+                    new_item(key, value, platform->revision, lease));
+    if (value) {
+        g_tree_replace(platform->items, item->key, item);
+        return;
+    }
+    g_tree_remove(platform->items, key);
+    free_item(item);
+}
+
+void
+platform_put(platform_t *platform, const char *key, const char *value)
+{
+    char *text =
+        value ? g_base64_encode((const guchar *)value, strlen(value)) : NULL;
+    platform->revision++;
+    change(platform, key, text, 0);
+    g_free(text);
+}
+
+void
+platform_set_store(platform_t *platform, store_mode_t mode)
+{
+    platform->mode = mode;
+}
+
+void
+platform_set_late(platform_t *platform, double share)
+{
+    platform->late_share = share;
+}
+
+void
+platform_compact(platform_t *platform)
+{
+    platform->compacted = platform->revision;
+    g_ptr_array_set_size(platform->events, 0);
+}
+
+executor_fleet_t *
+platform_fleet(platform_t *platform)
+{
+    return platform->fleet;
+}
+
+void
+platform_lock(platform_t *platform)
+{
+    pthread_mutex_lock(&platform->mutex);
+}
+
+void
+platform_unlock(platform_t *platform)
+{
+    pthread_mutex_unlock(&platform->mutex);
+}
+
+/* --- the store --- */
+
+static json_t *
+encode_item(const item_t *item)
+{
+    if (!item->value) {
+        return json_pack("{s:s,s:I,s:b}", "key", item->key, "revision",
+                         (json_int_t)item->revision, "deleted", 1);
+    }
+    return json_pack("{s:s,s:s,s:I,s:I}", "key", item->key, "value",
+                     item->value, "revision", (json_int_t)item->revision,
+                     "lease", (json_int_t)item->lease);
+}
+
+typedef struct {
+    const char *prefix;
+    const char *after;
+    json_t *items;
+    bool more;
+} listing_t;
+
+static gboolean
+list_item(gpointer key, gpointer value, gpointer user)
+{
+    listing_t *listing = user;
+    if (!g_str_has_prefix(key, listing->prefix) ||
+        strcmp(key, listing->after) <= 0)
+    {
+        return FALSE;
+    }
+    if (json_array_size(listing->items) >= RANGE_ITEMS_MAX) {
+        listing->more = true;
+        return TRUE;
+    }
+    json_array_append_new(listing->items, encode_item(value));
+    return FALSE;
+}
+
+static int
+serve_range(platform_t *platform, const char *prefix, const char *after,
+            json_t **answer)
+{
+    listing_t listing = {prefix, after, json_array(), false};
+    g_tree_foreach(platform->items, list_item, &listing);
+    *answer = json_pack("{s:o,s:b,s:I}", "items", listing.items, "morePages",
+                        listing.more, "asOf", (json_int_t)platform->revision);
+    return 200;
+}
+
+static int
+serve_txn(platform_t *platform, const json_t *body, json_t **answer)
+{
+    const json_t *expected = json_object_get(body, "expected");
+    size_t i;
+    json_t *row;
+    bool holds = true;
+    json_array_foreach(expected, i, row)
+    {
+        const item_t *item = g_tree_lookup(
+            platform->items, json_string_value(json_object_get(row, "key")));
+        holds =
+            holds && (item ? item->revision : 0) ==
+                         json_integer_value(json_object_get(row, "revision"));
+    }
+    if (!holds) {
+        json_t *items = json_array();
+        json_array_foreach(expected, i, row)
+        {
+            const item_t *item =
+                g_tree_lookup(platform->items,
+                              json_string_value(json_object_get(row, "key")));
+            if (item) {
+                json_array_append_new(items, encode_item(item));
+            }
+        }
+        *answer = json_pack("{s:o}", "items", items);
+        return 412;
+    }
+    json_array_foreach(json_object_get(body, "puts"), i, row)
+    {
+        int64_t lease = json_integer_value(json_object_get(row, "lease"));
+        if (lease && !g_hash_table_contains(platform->leases, &lease)) {
+            return 404;
+        }
+    }
+    platform->revision++;
+    json_array_foreach(json_object_get(body, "puts"), i, row)
+    {
+        const char *key = json_string_value(json_object_get(row, "key"));
+        if (platform->desc.forgets && strstr(key, "/jobs/") &&
+            nm_rng_unit(&platform->rng) < 0.2)
+        {
+            continue;
+        }
+        change(platform, key, json_string_value(json_object_get(row, "value")),
+               json_integer_value(json_object_get(row, "lease")));
+    }
+    json_array_foreach(json_object_get(body, "remove"), i, row)
+    {
+        change(platform, json_string_value(row), NULL, 0);
+    }
+    *answer = json_pack("{s:I}", "revision", (json_int_t)platform->revision);
+    return 200;
+}
+
+static gboolean
+collect_leased(gpointer key, gpointer value, gpointer user)
+{
+    void **context = user;
+    if (((const item_t *)value)->lease == *(int64_t *)context[0]) {
+        g_ptr_array_add(context[1], g_strdup(key));
+    }
+    return FALSE;
+}
+
+static void
+end_lease(platform_t *platform, int64_t lease)
+{
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
+    void *context[] = {&lease, keys};
+    g_tree_foreach(platform->items, collect_leased, context);
+    platform->revision++;
+    for (guint i = 0; i < keys->len; i++) {
+        change(platform, keys->pdata[i], NULL, 0);
+    }
+    g_ptr_array_free(keys, TRUE);
+    g_hash_table_remove(platform->leases, &lease);
+    g_hash_table_remove(platform->lease_ms, &lease);
+}
+
+static void
+renew_lease(platform_t *platform, int64_t lease, int64_t ttl_ms)
+{
+    int64_t end = platform_now(platform) + ttl_ms;
+    g_hash_table_insert(platform->leases, g_memdup2(&lease, sizeof(lease)),
+                        g_memdup2(&end, sizeof(end)));
+    g_hash_table_insert(platform->lease_ms, g_memdup2(&lease, sizeof(lease)),
+                        g_memdup2(&ttl_ms, sizeof(ttl_ms)));
+}
+
+static int
+serve_lease(platform_t *platform, const char *path, const json_t *body,
+            json_t **answer)
+{
+    if (strcmp(path, "/kv-lease") == 0) {
+        int64_t ttl_ms = json_integer_value(json_object_get(body, "ttlMs"));
+        renew_lease(platform, ++platform->next_lease, ttl_ms);
+        *answer =
+            json_pack("{s:I,s:I}", "lease", (json_int_t)platform->next_lease,
+                      "ttlMs", (json_int_t)ttl_ms);
+        return 200;
+    }
+    int64_t lease = strtoll(strrchr(path, '/') + 1, NULL, 10);
+    const int64_t *ttl_ms = g_hash_table_lookup(platform->lease_ms, &lease);
+    if (!ttl_ms) {
+        return 404;
+    }
+    if (g_str_has_prefix(path, "/kv-keep/")) {
+        renew_lease(platform, lease, *ttl_ms);
+    }
+    else {
+        end_lease(platform, lease);
+    }
+    return 200;
+}
+
+/* Returns 0 if the watch has to wait on. */
+static int
+serve_watch(platform_t *platform, const request_t *request, nm_ms_t now_ms,
+            json_t **answer)
+{
+    if (request->after < platform->compacted) {
+        return 410;
+    }
+    json_t *events = json_array();
+    for (guint i = 0; i < platform->events->len; i++) {
+        const item_t *item = platform->events->pdata[i];
+        if (item->revision > request->after &&
+            g_str_has_prefix(item->key, request->prefix))
+        {
+            json_array_append_new(events, encode_item(item));
+        }
+    }
+    if (json_array_size(events) == 0 && now_ms < request->until_ms) {
+        json_decref(events);
+        return 0;
+    }
+    *answer = json_pack("{s:o,s:I}", "events", events, "asOf",
+                        (json_int_t)platform->revision);
+    return 200;
+}
+
+/* --- executors --- */
+
+static json_t *
+encode_lists(const executor_t *executor, nm_ms_t now_ms)
+{
+    json_t *running = json_array();
+    for (guint i = 0; i < executor->runs->len; i++) {
+        const executor_run_t *run =
+            &g_array_index(executor->runs, executor_run_t, i);
+        json_array_append_new(running,
+                              json_pack("[s,I,s,i,i]", run->task,
+                                        (json_int_t)run->run, "", 100, 0));
+    }
+    json_t *finished = json_array();
+    for (guint i = 0; i < executor->ends->len; i++) {
+        const executor_end_t *end =
+            &g_array_index(executor->ends, executor_end_t, i);
+        char saved[32] = "";
+        if (end->saved_ms > 0) {
+            snprintf(saved, sizeof(saved), "%lld", (long long)end->saved_ms);
+        }
+        json_array_append_new(finished,
+                              json_pack("[I,s,I,s,s]", (json_int_t)end->number,
+                                        end->task, (json_int_t)end->run,
+                                        end->how, saved));
+    }
+    return json_pack("{s:I,s:I,s:o,s:o}", "clockMs",
+                     (json_int_t)executor_clock(executor, now_ms), "born",
+                     (json_int_t)executor->born_unix_ms, "running", running,
+                     "finished", finished);
+}
+
+/* Carries an order out; returns 0 if a hold has to wait on. */
+static int
+serve_order(platform_t *platform, const request_t *request, nm_ms_t now_ms,
+            bool first, json_t **answer)
+{
+    executor_t *executor = executor_find(platform->fleet, request->instance);
+    if (!executor) {
+        return EXECUTOR_STATUS_OTHER_LIFE;
+    }
+    json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
+    const char *task = json_string_value(json_object_get(body, "task"));
+    const char *checkpoint =
+        json_string_value(json_object_get(body, "checkpoint"));
+    executor_order_t order = {
+        .task = task ? task : "",
+        .run = json_integer_value(json_object_get(body, "runId")),
+        .epoch = json_integer_value(json_object_get(body, "fencingToken")),
+        .expiry_ms = json_integer_value(json_object_get(body, "expiryMs")),
+        .checkpoint = checkpoint ? checkpoint : "",
+    };
+    int64_t acked = json_integer_value(json_object_get(body, "ackCursor"));
+    const char *reason = NULL;
+    int status = 200;
+    if (strcmp(request->path, "/run-start") == 0) {
+        status =
+            executor_start(platform->fleet, executor, &order, now_ms, &reason);
+    }
+    else if (strcmp(request->path, "/run-stop") == 0) {
+        status =
+            executor_stop(platform->fleet, executor, &order, now_ms, &reason);
+    }
+    else if (strcmp(request->path, "/hold") == 0) {
+        if (first) {
+            status = executor_hold(platform->fleet, executor, &order, acked,
+                                   now_ms, &reason);
+        }
+        if (status == 200 && executor->ends->len == 0 &&
+            now_ms < request->until_ms) {
+            status = 0;
+        }
+        else if (status == 200) {
+            *answer = encode_lists(executor, now_ms);
+        }
+    }
+    if (status == EXECUTOR_STATUS_CONFLICT) {
+        *answer = json_pack("{s:I,s:s}", "clockMs",
+                            (json_int_t)executor_clock(executor, now_ms),
+                            "reason", reason);
+    }
+    json_decref(body);
+    return status;
+}
+
+static void
+announce(platform_t *platform, nm_ms_t now_ms)
+{
+    if (now_ms - platform->announced_ms < HEARTBEAT_MS ||
+        platform->mode != STORE_SERVES)
+    {
+        return;
+    }
+    platform->announced_ms = now_ms;
+    for (uint32_t i = 0; i < platform->desc.fleet.executors; i++) {
+        executor_t *executor = executor_at(platform->fleet, i);
+        char key[NM_NAME_MAX * 2];
+        snprintf(key, sizeof(key), "servers/%s", executor->id);
+        if (executor->dark) {
+            if (g_tree_lookup(platform->items, key)) {
+                platform_put(platform, key, NULL);
+            }
+            continue;
+        }
+        char value[512];
+        snprintf(value, sizeof(value),
+                 "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
+                 "\"zone\":\"z%u\",\"state\":\"ready\",\"capacity\":{"
+                 "\"cpu\":%lld,\"memMb\":1000000},\"labels\":[\"a\",\"r%u\"],"
+                 "\"sequence\":%llu,\"born\":%lld}",
+                 platform->desc.executor_port, i % 3,
+                 (long long)platform->desc.fleet.cpu_milli, i / 8,
+                 (unsigned long long)++executor->sequence,
+                 (long long)executor->born_unix_ms);
+        platform_put(platform, key, value);
+    }
+}
+
+/* --- HTTP --- */
+
+static void
+free_request(gpointer data)
+{
+    request_t *request = data;
+    g_free(request->path);
+    g_free(request->prefix);
+    if (request->body) {
+        g_string_free(request->body, TRUE);
+    }
+    json_decref(request->answer);
+    g_free(request);
+}
+
+static bool
+is_store_path(const char *path)
+{
+    return g_str_has_prefix(path, "/kv-");
+}
+
+static int
+serve_store(platform_t *platform, request_t *request, const char *method,
+            nm_ms_t now_ms, json_t **answer)
+{
+    (void)method;
+    json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
+    int status = 404;
+    if (strcmp(request->path, "/kv-key") == 0) {
+        const item_t *item = g_tree_lookup(platform->items, request->prefix);
+        status = item ? 200 : 404;
+        *answer = item ? encode_item(item) : NULL;
+        if (item) {
+            json_object_set_new(*answer, "asOf",
+                                json_integer(platform->revision));
+        }
+    }
+    else if (strcmp(request->path, "/kv-txn") == 0) {
+        status = serve_txn(platform, body, answer);
+    }
+    else if (strcmp(request->path, "/kv-watch") == 0) {
+        status = serve_watch(platform, request, now_ms, answer);
+    }
+    else if (g_str_has_prefix(request->path, "/kv-")) {
+        status = serve_lease(platform, request->path, body, answer);
+    }
+    json_decref(body);
+    return status;
+}
+
+/* Returns 0 if the request waits on. */
+static int
+serve(platform_t *platform, request_t *request, const char *method,
+      nm_ms_t now_ms, bool first)
+{
+    executor_t *executor = executor_find(platform->fleet, request->instance);
+    bool store = is_store_path(request->path);
+    if (request->silent || (!store && executor && executor->dark)) {
+        request->silent = true;
+        return 0;
+    }
+    if (!store) {
+        return serve_order(platform, request, now_ms, first, &request->answer);
+    }
+    if (platform->mode == STORE_REFUSES) {
+        return 503;
+    }
+    if (platform->mode == STORE_SILENT) {
+        request->silent = first;
+        return 0;
+    }
+    int status =
+        serve_store(platform, request, method, now_ms, &request->answer);
+    if (platform->mode == STORE_LOSES && strcmp(request->path, "/kv-txn") == 0)
+    {
+        request->silent = true;
+        return 0;
+    }
+    return status;
+}
+
+static enum MHD_Result
+send_answer(struct MHD_Connection *connection, request_t *request)
+{
+    char *text = request->answer ? json_dumps(request->answer, JSON_COMPACT)
+                                 : strdup("{}");
+    enum MHD_Result result = fake_reply(connection, (unsigned)request->status,
+                                        "application/json", text);
+    free(text);
+    return result;
+}
+
+static request_t *
+new_request(struct MHD_Connection *connection, const char *path, GString *body,
+            nm_ms_t now_ms)
+{
+    request_t *request = g_new0(request_t, 1);
+    request->connection = connection;
+    request->path = g_strdup(path);
+    request->body = g_string_new_len(body->str, (gssize)body->len);
+    bool get = strcmp(path, "/kv-key") == 0;
+    request->prefix =
+        g_strdup(fake_argument(connection, get ? "key" : "pathPrefix", ""));
+    request->after =
+        strtoll(fake_argument(connection, "after", "0"), NULL, 10);
+    nm_ms_t wait_ms =
+        strtoll(fake_argument(connection, "waitMs", "0"), NULL, 10);
+    const char *instance = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, "Expected-Instance");
+    nm_strcopy(request->instance, sizeof(request->instance),
+               instance ? instance : "");
+    if (strcmp(path, "/hold") == 0) {
+        json_t *hold = json_loadb(body->str, body->len, 0, NULL);
+        wait_ms = json_integer_value(json_object_get(hold, "waitMs"));
+        json_decref(hold);
+    }
+    request->until_ms = now_ms + wait_ms;
+    return request;
+}
+
+static enum MHD_Result
+handle(void *user, struct MHD_Connection *connection, const char *url,
+       const char *method, const char *version, const char *data,
+       size_t *data_size, void **context)
+{
+    (void)version;
+    platform_t *platform = user;
+    request_t *request = *context;
+    if (!request) {
+        request = g_new0(request_t, 1);
+        request->body = g_string_new(NULL);
+        *context = request;
+        return MHD_YES;
+    }
+    if (*data_size > 0) {
+        g_string_append_len(request->body, data, (gssize)*data_size);
+        *data_size = 0;
+        return MHD_YES;
+    }
+    if (request->status > 0) { /* resumed */
+        return send_answer(connection, request);
+    }
+    pthread_mutex_lock(&platform->mutex);
+    nm_ms_t now_ms = platform_now(platform);
+    request_t *parsed = new_request(connection, url, request->body, now_ms);
+    free_request(request);
+    *context = request = parsed;
+    enum MHD_Result result = MHD_YES;
+    if (strcmp(url, "/kv-range") == 0 && platform->mode == STORE_SERVES) {
+        request->status = serve_range(platform, request->prefix,
+                                      fake_argument(connection, "after", ""),
+                                      &request->answer);
+    }
+    else if (!is_store_path(url) && strcmp(url, "/hold") != 0 &&
+             nm_rng_unit(&platform->rng) < platform->late_share)
+    {
+        request_t *late = new_request(connection, url, request->body, now_ms);
+        late->connection = NULL;
+        late->until_ms = now_ms + LATE_MS;
+        g_ptr_array_add(platform->late, late);
+        request->silent = true;
+    }
+    else {
+        request->status = serve(platform, request, method, now_ms, true);
+    }
+    if (request->status > 0) {
+        result = send_answer(connection, request);
+    }
+    else {
+        g_ptr_array_add(platform->waiting, request);
+        MHD_suspend_connection(connection);
+    }
+    pthread_mutex_unlock(&platform->mutex);
+    return result;
+}
+
+/* Called by libmicrohttpd when a request is over, answered or not. */
+static void
+complete(void *user, struct MHD_Connection *connection, void **context,
+         enum MHD_RequestTerminationCode code)
+{
+    (void)connection;
+    (void)code;
+    platform_t *platform = user;
+    if (*context) {
+        pthread_mutex_lock(&platform->mutex);
+        g_ptr_array_remove_fast(platform->waiting, *context);
+        pthread_mutex_unlock(&platform->mutex);
+        free_request(*context);
+    }
+    *context = NULL;
+}
+
+/* Silent requests are resumed after this, which ends their connections. */
+#define SILENT_MS 4000
+
+static void
+serve_waiting(platform_t *platform, nm_ms_t now_ms)
+{
+    for (guint i = platform->waiting->len; i > 0; i--) {
+        request_t *request = platform->waiting->pdata[i - 1];
+        if (request->silent && now_ms < request->until_ms + SILENT_MS) {
+            continue;
+        }
+        request->status = request->silent
+                              ? 503
+                              : serve(platform, request, "", now_ms, false);
+        if (request->status > 0) {
+            g_ptr_array_remove_index_fast(platform->waiting, i - 1);
+            MHD_resume_connection(request->connection);
+        }
+    }
+    for (guint i = platform->late->len; i > 0; i--) {
+        request_t *late = platform->late->pdata[i - 1];
+        if (now_ms >= late->until_ms) {
+            executor_t *executor =
+                executor_find(platform->fleet, late->instance);
+            if (executor && !executor->dark) {
+                json_t *answer = NULL;
+                serve_order(platform, late, now_ms, true, &answer);
+                json_decref(answer);
+            }
+            free_request(late);
+            g_ptr_array_remove_index_fast(platform->late, i - 1);
+        }
+    }
+}
+
+static void
+expire_leases(platform_t *platform, nm_ms_t now_ms)
+{
+    GArray *ended = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    GHashTableIter iter;
+    gpointer lease;
+    gpointer end;
+    g_hash_table_iter_init(&iter, platform->leases);
+    while (g_hash_table_iter_next(&iter, &lease, &end)) {
+        if (now_ms >= *(int64_t *)end) {
+            g_array_append_val(ended, *(int64_t *)lease);
+        }
+    }
+    for (guint i = 0; i < ended->len; i++) {
+        end_lease(platform, g_array_index(ended, int64_t, i));
+    }
+    g_array_free(ended, TRUE);
+}
+
+static void *
+run(void *user)
+{
+    platform_t *platform = user;
+    for (;;) {
+        pthread_mutex_lock(&platform->mutex);
+        bool stopping = platform->stopping;
+        nm_ms_t now_ms = platform_now(platform);
+        announce(platform, now_ms);
+        executor_fleet_tick(platform->fleet, now_ms);
+        expire_leases(platform, now_ms);
+        serve_waiting(platform, now_ms);
+        pthread_mutex_unlock(&platform->mutex);
+        if (stopping) {
+            return NULL;
+        }
+        usleep(TICK_US);
+    }
+}
+
+platform_t *
+platform_new(const platform_desc_t *desc)
+{
+    platform_t *platform = g_new0(platform_t, 1);
+    platform->desc = *desc;
+    platform->began_ms = fake_now_ms();
+    platform->announced_ms = -HEARTBEAT_MS;
+    platform->revision = 1;
+    platform->fleet = executor_fleet_new(&desc->fleet);
+    nm_rng_init(&platform->rng, desc->fleet.seed + 1);
+    platform->items = g_tree_new_full(compare_keys, NULL, NULL, free_item);
+    platform->events = g_ptr_array_new_with_free_func(free_item);
+    platform->leases =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    platform->lease_ms =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    platform->waiting = g_ptr_array_new();
+    platform->late = g_ptr_array_new();
+    pthread_mutex_init(&platform->mutex, NULL);
+    platform->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, desc->port,
+        NULL, NULL, handle, platform, MHD_OPTION_NOTIFY_COMPLETED, complete,
+        platform, MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
+        MHD_OPTION_END);
+    if (!platform->daemon) {
+        fprintf(stderr, "soak: cannot listen on port %u\n", desc->port);
+        exit(2);
+    }
+    pthread_create(&platform->thread, NULL, run, platform);
+    return platform;
+}
+
+void
+platform_free(platform_t *platform)
+{
+    platform_lock(platform);
+    platform->stopping = true;
+    platform_unlock(platform);
+    pthread_join(platform->thread, NULL);
+    for (guint i = platform->waiting->len; i > 0; i--) {
+        request_t *request = platform->waiting->pdata[i - 1];
+        request->status = 503;
+        MHD_resume_connection(request->connection);
+    }
+    g_ptr_array_set_size(platform->waiting, 0);
+    MHD_stop_daemon(platform->daemon);
+    executor_fleet_free(platform->fleet);
+    g_tree_destroy(platform->items);
+    g_ptr_array_free(platform->events, TRUE);
+    g_hash_table_destroy(platform->leases);
+    g_hash_table_destroy(platform->lease_ms);
+    g_ptr_array_free(platform->waiting, TRUE);
+    g_ptr_array_set_free_func(platform->late, free_request);
+    g_ptr_array_free(platform->late, TRUE);
+    pthread_mutex_destroy(&platform->mutex);
+    g_free(platform);
+}
