--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -35,9 +35,22 @@
     GHashTable *jobs;  /* id -> job_t */
     GHashTable *tasks; /* name -> task_t */
     nm_rng_t rng;
+    FILE *events;
     executor_fleet_info_t info;
 };
 
+static void
+tell(const executor_fleet_t *fleet, nm_ms_t now_ms, const char *kind,
+     const executor_t *executor, const char *task, int64_t run)
+{
+    if (fleet->events) {
+        fprintf(fleet->events, "%lld %s %s epoch %lld %s run %lld\n",
+                (long long)now_ms, kind, executor->id,
+                (long long)executor->epoch, task, (long long)run);
+        fflush(fleet->events);
+    }
+}
+
 static void
 begin_life(executor_fleet_t *fleet, executor_t *executor, nm_ms_t now_ms)
 {
@@ -65,6 +78,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->executors = g_new0(executor_t, desc->executors);
     nm_rng_init(&fleet->rng, desc->seed);
+    fleet->events = desc->events ? fopen(desc->events, "w") : NULL;
     for (uint32_t i = 0; i < desc->executors; i++) {
         executor_t *executor = &fleet->executors[i];
         snprintf(executor->id, sizeof(executor->id), "x%u", i);
@@ -86,6 +100,9 @@
         g_array_free(fleet->executors[i].ends, TRUE);
         g_hash_table_destroy(fleet->executors[i].settled);
     }
+    if (fleet->events) {
+        fclose(fleet->events);
+    }
     g_free(fleet->executors);
     g_hash_table_destroy(fleet->by_id);
     g_hash_table_destroy(fleet->jobs);
@@ -185,6 +202,7 @@
         task->done = true;
     }
     settle(executor, run->task, run->run);
+    tell(fleet, now_ms, how, executor, run->task, run->run);
     g_array_append_val(executor->ends, end);
     g_array_remove_index(executor->runs, index);
     fleet->info.ends++;
@@ -217,6 +235,7 @@
 void
 executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms)
 {
+    tell(fleet, now_ms, "crash", &fleet->executors[index], "-", 0);
     begin_life(fleet, &fleet->executors[index], now_ms);
 }
 
@@ -336,6 +355,7 @@
     }
     extend_lease(executor, order->expiry_ms, now_ms);
     g_array_append_val(executor->runs, run);
+    tell(fleet, now_ms, "start", executor, order->task, order->run);
     check_capacity(fleet, executor, now_ms);
     fleet->info.starts++;
     return EXECUTOR_STATUS_DONE;
@@ -346,11 +366,11 @@
               const executor_order_t *order, nm_ms_t now_ms,
               const char **reason)
 {
-    (void)fleet;
     if (is_fenced(executor, order->epoch)) {
         *reason = "fence";
         return EXECUTOR_STATUS_CONFLICT;
     }
+    tell(fleet, now_ms, "stop", executor, order->task, order->run);
     executor_run_t *run = find_run(executor, order->task);
     if (run && run->run <= order->run && run->stop_at_ms == 0) {
         run->stop_at_ms = now_ms + STOP_MS;
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -28,7 +28,8 @@
     uint32_t executors;
     int64_t cpu_milli; /* of each */
     uint64_t seed;
-    nm_ms_t cancel_ms; /* a task may start so long after a cancel's ack */
+    nm_ms_t cancel_ms;  /* a task may start so long after a cancel's ack */
+    const char *events; /* file that tells each start and end; or NULL */
 } executor_fleet_desc_t;
 
 typedef struct {
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -32,6 +32,7 @@
     char instance[NM_NAME_MAX];
     char *prefix;
     int64_t after;
+    int64_t life; /* born_unix_ms of the executor it came to */
     nm_ms_t until_ms;
     bool silent; /* is never answered */
     json_t *answer;
@@ -388,6 +389,9 @@
     if (!executor) {
         return EXECUTOR_STATUS_OTHER_LIFE;
     }
+    if (!first && request->life != executor->born_unix_ms) {
+        return 503; /* it crashed; the platform would break the connection */
+    }
     json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
     const char *task = json_string_value(json_object_get(body, "task"));
     const char *checkpoint =
@@ -558,8 +562,8 @@
 }
 
 static request_t *
-new_request(struct MHD_Connection *connection, const char *path, GString *body,
-            nm_ms_t now_ms)
+new_request(platform_t *platform, struct MHD_Connection *connection,
+            const char *path, GString *body, nm_ms_t now_ms)
 {
     request_t *request = g_new0(request_t, 1);
     request->connection = connection;
@@ -582,6 +586,9 @@
         json_decref(hold);
     }
     request->until_ms = now_ms + wait_ms;
+    const executor_t *executor =
+        executor_find(platform->fleet, request->instance);
+    request->life = executor ? executor->born_unix_ms : 0;
     return request;
 }
 
@@ -609,7 +616,8 @@
     }
     pthread_mutex_lock(&platform->mutex);
     nm_ms_t now_ms = platform_now(platform);
-    request_t *parsed = new_request(connection, url, request->body, now_ms);
+    request_t *parsed =
+        new_request(platform, connection, url, request->body, now_ms);
     free_request(request);
     *context = request = parsed;
     enum MHD_Result result = MHD_YES;
@@ -621,7 +629,8 @@
     else if (!is_store_path(url) && strcmp(url, "/hold") != 0 &&
              nm_rng_unit(&platform->rng) < platform->late_share)
     {
-        request_t *late = new_request(connection, url, request->body, now_ms);
+        request_t *late =
+            new_request(platform, connection, url, request->body, now_ms);
         late->connection = NULL;
         late->until_ms = now_ms + LATE_MS;
         g_ptr_array_add(platform->late, late);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -631,15 +631,18 @@
     curl_global_init(CURL_GLOBAL_ALL);
     self.multi = curl_multi_init();
     uint16_t port = (uint16_t)options.base_port;
+    char *events = g_strdup_printf("%s/events", options.folder);
     self.platform = platform_new(&(platform_desc_t){
         .port = port,
         .executor_port = (uint16_t)(port + 399),
         .fleet = {.executors = (uint32_t)options.executors,
                   .cpu_milli = CPU_MILLI,
                   .seed = (uint64_t)options.seed,
-                  .cancel_ms = CANCEL_MS},
+                  .cancel_ms = CANCEL_MS,
+                  .events = events},
         .forgets = options.forgets,
     });
+    g_free(events);
     self.proxy = proxy_new(port);
     self.executor_path = proxy_add(self.proxy, (uint16_t)(port + 399));
     platform_lock(self.platform);
--- a/src/sched.c
+++ b/src/sched.c
@@ -71,6 +71,7 @@
     nm_sched_node_t *node = data;
     g_ptr_array_free(node->tasks, TRUE);
     g_queue_clear_full(&node->marks, g_free);
+    nm_copies_free(node);
     g_free(node);
 }
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -26,10 +26,10 @@
  */
 #define LONG_RUNNING_RANK 0.5
 /*
- * A long-running task that found no worker for so long goes before all else,
- * and a worker is kept for it: short tasks refill each gap that is too small
- * for it.  The rules allow 9 s after its last run, however full the service
- * is; a worker's short tasks take up to 3 s to end.
+ * A long-running task that was at work and found no worker for so long goes
+ * before all else, and a worker is kept for it: short tasks refill each gap
+ * that is too small for it.  The rules allow 9 s after its last run, however
+ * full the service is; a worker's short tasks take up to 3 s to end.
  */
 #define LONG_RUNNING_WAIT_MS 3000
 #define OVERDUE_RANK 1e6
@@ -354,12 +354,32 @@
     return best != NULL;
 }
 
+/*
+ * True if a task that was at work waits.  What has never run waits its turn:
+ * it would take the room of short work that is still in time.
+ */
+static bool
+waits_again(const nm_work_t *work, uint32_t step)
+{
+    uint32_t count = work->job->spec.steps[step].task_count;
+    for (uint32_t i = 0; i < count; i++) {
+        const nm_task_t *task = &work->steps[step][i];
+        if (task->state == NM_RUN_WAITING &&
+            (task->run > 0 || work->job->recovered)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 refuse_long_running(nm_sched_t *sched, round_t *round,
                     const candidate_t *candidate, nm_ms_t now_ms)
 {
     nm_work_t *work = candidate->work;
-    if (work->refused_ms[candidate->step] == 0) {
+    if (work->refused_ms[candidate->step] == 0 &&
+        waits_again(work, candidate->step))
+    {
         work->refused_ms[candidate->step] = now_ms;
     }
     if (!is_overdue(round, work, candidate->step, now_ms)) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -1,6 +1,7 @@
 /*
  * State shared by the parts of the scheduler.  Calls go one way:
- * sched.c -> sched_place.c, sched_worker.c -> sched_filler.c -> sched_task.c.
+ * sched.c -> sched_place.c, sched_worker.c -> sched_filler.c,
+ * sched_copies.c -> sched_task.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
@@ -201,7 +202,8 @@
     bool loads_known; /* loads, harm and the tasks' log_tail are current */
     double harm;      /* expected number of serving tasks over target */
     nm_ms_t repeat_due_ms;
-    bool calm; /* no serving task is near its target */
+    GArray *copies; /* of starts whose answer was lost; NULL: none yet */
+    bool calm;      /* no serving task is near its target */
 };
 
 struct nm_sched {
@@ -270,6 +272,18 @@
 int64_t nm_node_clock(const nm_sched_node_t *node, nm_ms_t now_ms);
 void nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
 
+/* sched_copies.c */
+/* A start got no answer; its copy may be carried out later. */
+void nm_copies_note(nm_sched_node_t *node, const nm_sched_action_t *action,
+                    nm_ms_t now_ms);
+/* A new incarnation has to be told to refuse them. */
+void nm_copies_withdraw(nm_sched_node_t *node, nm_ms_t now_ms);
+void nm_copies_take_stop(nm_sched_node_t *node,
+                         const nm_sched_action_t *action,
+                         nm_order_result_t result, nm_ms_t now_ms);
+void nm_copies_run(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms);
+void nm_copies_free(nm_sched_node_t *node);
+
 /* sched_worker.c */
 void nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms);
 /* True while a worker may run tasks that this owner has not seen. */
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -93,6 +93,7 @@
     node->poll_due_ms = now_ms;
     node->failures_in_row = 0;
     node->avoid_until_ms = 0;
+    nm_copies_withdraw(node, now_ms);
     g_queue_clear_full(&node->marks, g_free);
     for (guint i = 0; i < unanswered->len; i++) {
         nm_sched_stop_task(sched, unanswered->pdata[i], now_ms);
@@ -248,6 +249,10 @@
                   nm_order_result_t result, nm_ms_t now_ms)
 {
     assert(sched && action);
+    nm_sched_node_t *addressed = find_node(sched, action->worker);
+    if (addressed && result == NM_ORDER_UNKNOWN) {
+        nm_copies_note(addressed, action, now_ms);
+    }
     nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STARTING);
     if (!task) {
         return;
@@ -293,6 +298,10 @@
                  nm_order_result_t result, nm_ms_t now_ms)
 {
     assert(sched && action);
+    nm_sched_node_t *addressed = find_node(sched, action->worker);
+    if (addressed) {
+        nm_copies_take_stop(addressed, action, result, now_ms);
+    }
     nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STOPPING);
     if (!task) {
         return;
@@ -429,7 +438,7 @@
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
         if (task->order_pending || task->tries > 0 ||
-            task->state == NM_RUN_STARTING || task->sent_ms > report->sent_ms)
+            task->state == NM_RUN_STARTING || task->sent_ms >= report->sent_ms)
         {
             continue;
         }
@@ -640,6 +649,9 @@
         node->stall_check_ms = now_ms + STALL_CHECK_MS;
         check_stall(sched, node, now_ms);
     }
+    if (node->fenced) {
+        nm_copies_run(sched, node, now_ms);
+    }
     if (now_ms >= node->repeat_due_ms) {
         repeat_orders(sched, node, now_ms);
     }
