Ask a new incarnation what it runs before its tasks start elsewhere

Change: confirmed runs stay until the first report of the new incarnation; what was being stopped is stopped there; where it stays silent, the longest lease is waited for (10 s). Test: /sched/start-reached-a-new-life, failed before.

--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -12,6 +12,8 @@
 
 /* Clocks of workers may be this much slow (platform's statement: 2%). */
 #define NM_SCHED_CLOCK_SLOW 1.021
+/* Workers shorten any lease to this (platform's statement: maxHoldMs). */
+#define NM_SCHED_LEASE_LIMIT_MS 10000
 /* Added to every time after which a worker's lease is taken as lapsed. */
 #define NM_SCHED_LAPSE_MARGIN_MS 250
 /*
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -63,30 +63,36 @@
 }
 
 /*
- * A new incarnation knows nothing of the old one.  A start that got no answer
- * may still be carried out by it, so it is withdrawn there first.
+ * A new incarnation knows nothing of the old one, but it has the same id: an
+ * order that was sent before the change was noticed may have reached either.
+ * What is confirmed stays until the first report of the new incarnation; what
+ * is not, or is being stopped, is stopped there.
  */
 static void
 begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                   int64_t incarnation, nm_ms_t now_ms)
 {
-    GPtrArray *unanswered = g_ptr_array_new();
+    GPtrArray *open = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (task->state == NM_RUN_STARTING || task->withdrawn) {
-            g_ptr_array_add(unanswered, task);
+        if (task->state == NM_RUN_RUNNING) {
+            task->order_pending = false;
+            task->tries = 0;
         }
-    }
-    for (guint i = node->tasks->len; i > 0; i--) {
-        nm_task_t *task = node->tasks->pdata[i - 1];
-        if (!g_ptr_array_find(unanswered, task, NULL)) {
-            nm_task_requeue(sched, task);
+        else {
+            g_ptr_array_add(open, task);
         }
     }
     node->desc.incarnation = incarnation;
     node->fenced = false;
     node->clock_known = false;
+    /* An expiry of the old clock gives the longest lease on the new one. */
     node->lapse_ms = now_ms;
+    if (node->tasks->len > 0) {
+        node->lapse_ms +=
+            (nm_ms_t)(NM_SCHED_LEASE_LIMIT_MS * NM_SCHED_CLOCK_SLOW) +
+            NM_SCHED_LAPSE_MARGIN_MS;
+    }
     node->ends_seen = 0;
     node->ends_acked = 0;
     node->ends_acked_sent = 0;
@@ -95,10 +101,10 @@
     node->avoid_until_ms = 0;
     nm_copies_withdraw(node, now_ms);
     g_queue_clear_full(&node->marks, g_free);
-    for (guint i = 0; i < unanswered->len; i++) {
-        nm_sched_stop_task(sched, unanswered->pdata[i], now_ms);
+    for (guint i = 0; i < open->len; i++) {
+        nm_sched_stop_task(sched, open->pdata[i], now_ms);
     }
-    g_ptr_array_free(unanswered, TRUE);
+    g_ptr_array_free(open, TRUE);
     sched->stale = true;
 }
 
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -428,6 +428,42 @@
     world_finish(&world);
 }
 
+/*
+ * Load: a worker crashes and is back at once under its id; a start reaches
+ * the new incarnation before its announcement does.  Only the first report of
+ * the new incarnation tells whether the run is there.
+ */
+static void
+test_start_reached_a_new_life(void)
+{
+    static const struct {
+        const char *name;
+        bool listed;
+    } cases[] = {{"it runs there", true}, {"it died with the old", false}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        world_t world;
+        world_init(&world, 1);
+        join_worker(&world, "a");
+        add_job(&world, JOB, false, 1, 1000, false);
+        step(&world, 30);
+        nm_sched_action_t started = confirm_starts(&world);
+        g_assert_cmpint(started.type, ==, NM_ACTION_START);
+        join_worker(&world, "b");
+        step(&world, 100);
+        announce(&world, "a", 2);
+        step(&world, 100);
+        g_assert_null(find(&world, NM_ACTION_START, NULL));
+        nm_worker_run_t run = run_of(TASK, started.run);
+        report(&world, "a", 2, &run, cases[i].listed ? 1 : 0, NULL, 0);
+        step(&world, 100);
+        g_assert_true((find(&world, NM_ACTION_START, NULL) == NULL) ==
+                      cases[i].listed);
+        g_assert_null(find(&world, NM_ACTION_STOP, NULL));
+        world_finish(&world);
+    }
+}
+
 /*
  * Load: a poll overtakes a start on another connection, all within one
  * millisecond.  Its answer does not list the run, which is there all the same.
@@ -680,6 +716,7 @@
          test_unanswered_start_on_a_new_life},
         {"/sched/lost-copy-is-refused-by-a-new-life",
          test_lost_copy_is_refused_by_a_new_life},
+        {"/sched/start-reached-a-new-life", test_start_reached_a_new_life},
         {"/sched/poll-of-the-same-millisecond",
          test_poll_of_the_same_millisecond},
         {"/sched/capacity-counts-what-is-stopped",
