Try fillers of unknown effect on few workers at a time

Change: at most 8 starts, or 2% of the workers, of an image beside serving tasks whose pair is unknown, until figures can be there.

--- a/src/interference.c
+++ b/src/interference.c
@@ -27,6 +27,8 @@
 #define FIRST_IMAGES 16
 /* A pair whose variance is above this has taught nothing yet. */
 #define LEARNED_VARIANCE 0.19
+/* ...and below this one, after some two figures, enough to start many. */
+#define KNOWN_VARIANCE 0.14
 #define RECORD_VERSION 1
 
 static void
@@ -103,6 +105,14 @@
     return MAX(mean, 0) * load->share / SHARE_UNIT;
 }
 
+bool
+nm_interference_is_unknown(const nm_interference_t *model, uint32_t serving,
+                           uint32_t filler)
+{
+    assert(model);
+    return effect_of(model, serving, filler)->variance > KNOWN_VARIANCE;
+}
+
 double
 nm_interference_predict(const nm_interference_t *model, uint32_t serving,
                         const nm_filler_load_t *loads, uint32_t count)
--- a/src/interference.h
+++ b/src/interference.h
@@ -51,6 +51,9 @@
 /* What one filler adds to that. */
 double nm_interference_effect(const nm_interference_t *model, uint32_t serving,
                               const nm_filler_load_t *load);
+/* True while too few figures told of that pair of images. */
+bool nm_interference_is_unknown(const nm_interference_t *model,
+                                uint32_t serving, uint32_t filler);
 /* Corrects the model by a figure; returns the error of the prediction. */
 double nm_interference_observe(nm_interference_t *model, uint32_t serving,
                                const nm_filler_load_t *loads, uint32_t count,
--- a/src/sched.c
+++ b/src/sched.c
@@ -94,6 +94,7 @@
     sched->node_list = g_ptr_array_new();
     sched->active = g_ptr_array_new();
     sched->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
+    sched->trials = g_array_new(FALSE, TRUE, sizeof(nm_trial_t));
     g_queue_init(&sched->urgent);
     g_queue_init(&sched->dirty);
     g_queue_init(&sched->gone);
@@ -110,6 +111,7 @@
     g_ptr_array_free(sched->active, TRUE);
     g_ptr_array_free(sched->node_list, TRUE);
     g_array_free(sched->actions, TRUE);
+    g_array_free(sched->trials, TRUE);
     g_queue_clear_full(&sched->gone, g_free);
     nm_interference_finish(&sched->interference);
     g_hash_table_destroy(sched->nodes);
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -28,6 +28,13 @@
 #define SETTLE_MS 700
 /* Figures of one worker that come closer say the same. */
 #define OBSERVE_MS 450
+/*
+ * Starts of an image of unknown effect until its first figures, as a share
+ * of the workers, and at least: a burst of it would otherwise disturb all
+ * workers at once.
+ */
+#define TRIALS_SHARE 0.02
+#define TRIALS_MIN 8
 /* Part of the newest error that a task's own offset takes over. */
 #define OFFSET_GAIN 0.5
 #define OFFSET_MAX 1.0
@@ -128,6 +135,52 @@
     return HARM_COST * (harm_with(sched, node, &load) - node->harm);
 }
 
+static bool
+is_trial(const nm_sched_t *sched, const nm_sched_node_t *node, uint32_t image)
+{
+    for (guint i = 0; node->targets > 0 && i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        if (nm_task_step(task)->target_ms > 0 &&
+            nm_interference_is_unknown(&sched->interference,
+                                       nm_task_image(task), image))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+nm_sched_filler_is_tried(const nm_sched_t *sched, const nm_sched_node_t *node,
+                         uint32_t image, nm_ms_t now_ms)
+{
+    if (image >= sched->trials->len) {
+        return false;
+    }
+    const nm_trial_t *trial = &g_array_index(sched->trials, nm_trial_t, image);
+    double most = MAX(TRIALS_MIN, TRIALS_SHARE * sched->node_list->len);
+    return trial->count >= most &&
+           now_ms - trial->since_ms < SETTLE_MS + OBSERVE_MS &&
+           is_trial(sched, node, image);
+}
+
+void
+nm_sched_filler_note_start(nm_sched_t *sched, const nm_sched_node_t *node,
+                           uint32_t image, nm_ms_t now_ms)
+{
+    if (!is_trial(sched, node, image)) {
+        return;
+    }
+    if (image >= sched->trials->len) {
+        g_array_set_size(sched->trials, image + 1);
+    }
+    nm_trial_t *trial = &g_array_index(sched->trials, nm_trial_t, image);
+    if (now_ms - trial->since_ms >= SETTLE_MS + OBSERVE_MS) {
+        *trial = (nm_trial_t){.since_ms = now_ms};
+    }
+    trial->count++;
+}
+
 bool
 nm_sched_filler_is_worth(double cost)
 {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -268,6 +268,11 @@
         if (!nm_sched_filler_has_room(node, step)) {
             return false;
         }
+        if (nm_sched_filler_is_tried(sched, node, job->images[candidate->step],
+                                     now_ms))
+        {
+            return false;
+        }
         double cost = nm_sched_filler_cost(sched, node, step,
                                            job->images[candidate->step]);
         if (!nm_sched_filler_is_worth(cost)) {
@@ -517,6 +522,10 @@
         }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
         if (node) {
+            if (step->is_filler) {
+                nm_sched_filler_note_start(
+                    sched, node, work->job->images[candidate->step], now_ms);
+            }
             nm_sched_start_task(sched, task, node, 0, now_ms);
             continue;
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -75,6 +75,12 @@
     double mean_work;    /* of a job, core-ms by estimates; 0: none seen */
 } nm_sched_queue_t;
 
+/* Workers that try an image out beside serving tasks. */
+typedef struct {
+    nm_ms_t since_ms;
+    uint32_t count;
+} nm_trial_t;
+
 typedef enum {
     NM_RUN_WAITING,
     NM_RUN_UNSEEN,   /* an earlier owner may have started it */
@@ -234,6 +240,7 @@
     nm_ms_t checked_ms;
     int64_t unix_ms;
     nm_interference_t interference;
+    GArray *trials; /* of nm_trial_t, by filler image */
     nm_rng_t rng;
 };
 
@@ -307,5 +314,15 @@
 bool nm_sched_filler_has_room(const nm_sched_node_t *node,
                               const nm_step_t *step);
 bool nm_sched_filler_is_worth(double cost);
+/*
+ * True if it is not known what an image does to the serving tasks of a
+ * worker, and enough workers already try it.
+ */
+bool nm_sched_filler_is_tried(const nm_sched_t *sched,
+                              const nm_sched_node_t *node, uint32_t image,
+                              nm_ms_t now_ms);
+/* Counts a start that tries an image out. */
+void nm_sched_filler_note_start(nm_sched_t *sched, const nm_sched_node_t *node,
+                                uint32_t image, nm_ms_t now_ms);
 
 #endif
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -464,6 +464,70 @@
     }
 }
 
+/*
+ * Load: a burst of fillers whose image nobody has seen, beside serving tasks
+ * on all workers.  Until the first figures few workers may try it, so that an
+ * image that disturbs does not put all serving tasks over their targets.
+ */
+static void
+test_unknown_image_is_tried_on_few(void)
+{
+    enum { WORKERS = 24, TRIED_MAX = WORKERS / 2 };
+    world_t world;
+    world_init(&world, 1);
+    char ids[WORKERS][8];
+    for (uint32_t w = 0; w < WORKERS; w++) {
+        g_snprintf(ids[w], sizeof(ids[w]), "w%u", w);
+        join_worker(&world, ids[w]);
+    }
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, JOB, "batch", "press");
+    nm_step_t *serving = nm_job_spec_add_step(&spec);
+    *serving = (nm_step_t){.task_count = WORKERS,
+                           .cpu_milli = 2000,
+                           .memory_mb = 100,
+                           .long_running = true,
+                           .per_worker_max = 1,
+                           .target_ms = 20,
+                           .image = "web"};
+    nm_sched_add_job(world.sched, &spec, false, world.now_ms);
+    nm_job_spec_finish(&spec);
+    step(&world, 30);
+    confirm_starts(&world);
+    for (uint32_t i = 0; i < world.actions->len; i++) {
+        nm_sched_action_t action =
+            g_array_index(world.actions, nm_sched_action_t, i);
+        if (action.type == NM_ACTION_START) {
+            nm_worker_run_t run = run_of(action.task, action.run);
+            run.figure = 8;
+            world.now_ms += 1;
+            report(&world, action.worker, 1, &run, 1, NULL, 0);
+        }
+    }
+    nm_job_spec_init(&spec, "1111111111111111", "batch", "press");
+    nm_step_t *filler = nm_job_spec_add_step(&spec);
+    *filler = (nm_step_t){.task_count = 3 * WORKERS,
+                          .cpu_milli = 500,
+                          .memory_mb = 100,
+                          .estimate_ms = 2000,
+                          .is_filler = true,
+                          .image = "new"};
+    nm_sched_add_job(world.sched, &spec, false, world.now_ms);
+    nm_job_spec_finish(&spec);
+    uint32_t tried = 0;
+    for (uint32_t round = 0; round < 5; round++) {
+        step(&world, 100);
+        for (uint32_t i = 0; i < world.actions->len; i++) {
+            tried += g_array_index(world.actions, nm_sched_action_t, i).type ==
+                     NM_ACTION_START;
+        }
+        confirm_starts(&world);
+    }
+    g_assert_cmpuint(tried, >, 0);
+    g_assert_cmpuint(tried, <=, TRIED_MAX);
+    world_finish(&world);
+}
+
 /*
  * Load: a poll overtakes a start on another connection, all within one
  * millisecond.  Its answer does not list the run, which is there all the same.
@@ -717,6 +781,8 @@
         {"/sched/lost-copy-is-refused-by-a-new-life",
          test_lost_copy_is_refused_by_a_new_life},
         {"/sched/start-reached-a-new-life", test_start_reached_a_new_life},
+        {"/sched/unknown-image-is-tried-on-few",
+         test_unknown_image_is_tried_on_few},
         {"/sched/poll-of-the-same-millisecond",
          test_poll_of_the_same_millisecond},
         {"/sched/capacity-counts-what-is-stopped",
