--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEED ?= 1
 C_FILES = $(shell find include src platform daemons tests bench soak -name '*.[ch]')
 
-.PHONY: all deps build check demo bench bench-decisions lint format \
+.PHONY: all deps build check demo bench bench-decisions soak lint format \
 	format-check sanitize fuzz clean
 
 all: build
@@ -39,6 +39,12 @@
 bench-decisions: build
 	@bench/run.sh build $(SEED) decisions
 
+# Faults against the real entry hosts: make soak FIRST=1 LAST=50
+FIRST ?= 1
+LAST ?= 10
+soak: build
+	@scripts/soak.sh build $(FIRST) $(LAST)
+
 sanitize: deps
 	@cmake -S . -B build-sanitize -DNUTMEG_SANITIZE=ON \
 	    -DNUTMEG_WERROR=ON >/dev/null
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -47,6 +47,13 @@
     X(TASK_FAILED, "task-failed")                                             \
     X(JOB_ENDED, "job-ended")                                                 \
     X(LEARNED_REFUSED, "learned-refused")                                     \
+    X(WORKER_SILENT, "worker-silent")                                         \
+    X(WORKER_BACK, "worker-back")                                             \
+    X(WORKER_AVOIDED, "worker-avoided")                                       \
+    X(CALLS_LOST, "calls-lost")                                               \
+    X(CALLS_ANSWERED, "calls-answered")                                       \
+    X(CARRIER_SILENT, "carrier-silent")                                       \
+    X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -225,6 +225,24 @@
 void nm_sched_on_throttle(nm_sched_t *sched, const nm_sched_action_t *action,
                           nm_order_result_t result, nm_ms_t now_ms);
 
+/* A change of what is believed of a worker, or of calls in general. */
+typedef enum {
+    NM_NOTE_WORKER_SILENT,  /* value: polls without an answer, in a row */
+    NM_NOTE_WORKER_BACK,    /* value: polls that had no answer before */
+    NM_NOTE_WORKER_AVOIDED, /* value: for how long, ms */
+    NM_NOTE_CALLS_LOST,     /* value: share without an answer, in 1/1000 */
+    NM_NOTE_CALLS_ANSWERED, /* the same */
+} nm_note_type_t;
+
+typedef struct {
+    nm_note_type_t type;
+    char worker[NM_NAME_MAX]; /* "" for calls in general */
+    int64_t value;
+} nm_sched_note_t;
+
+/* Returns the next change; at most 64 are kept between two calls. */
+bool nm_sched_next_note(nm_sched_t *sched, nm_sched_note_t *note);
+
 /* Decides; returns the time until the next call is due. */
 nm_ms_t nm_sched_run(nm_sched_t *sched, nm_ms_t now_ms, int64_t unix_ms);
 bool nm_sched_next_action(nm_sched_t *sched, nm_sched_action_t *action);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -63,6 +63,29 @@
     entry->sched_due_ms = 0;
 }
 
+/* One line for each change of belief, with what it rests on. */
+static void
+log_notes(nm_entry_t *entry)
+{
+    static const struct {
+        nm_log_item_t item;
+        const char *value;
+    } lines[] = {
+        [NM_NOTE_WORKER_SILENT] = {NM_LOG_ITEM_WORKER_SILENT, "polls_lost"},
+        [NM_NOTE_WORKER_BACK] = {NM_LOG_ITEM_WORKER_BACK, "polls_lost"},
+        [NM_NOTE_WORKER_AVOIDED] = {NM_LOG_ITEM_WORKER_AVOIDED, "for_ms"},
+        [NM_NOTE_CALLS_LOST] = {NM_LOG_ITEM_CALLS_LOST, "lost_permille"},
+        [NM_NOTE_CALLS_ANSWERED] = {NM_LOG_ITEM_CALLS_ANSWERED,
+                                    "lost_permille"},
+    };
+    nm_sched_note_t note;
+    while (nm_sched_next_note(entry->sched, &note)) {
+        nm_log(NM_LOG_INFO, lines[note.type].item, "{s:s,s:I,s:I}", "worker",
+               note.worker, lines[note.type].value, (json_int_t)note.value,
+               "epoch", (json_int_t)entry->term);
+    }
+}
+
 static void
 run_sched(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -76,6 +99,7 @@
         nm_order_port_send(entry->orders, &action, entry->term, on_order,
                            nm_term_call(entry));
     }
+    log_notes(entry);
     char *gone;
     while ((gone = nm_sched_next_gone(entry->sched))) {
         entry->roster_dirty =
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -4,6 +4,10 @@
 #include <math.h>
 #include <string.h>
 
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
 /* An order's usual time-out at the carrier, and the way there and back. */
 #define ORDER_TIMEOUT_MS 900
 /* Added to the time that a poll may wait. */
@@ -380,6 +384,9 @@
             carrier->down_until_ms = now_ms + carrier->down_ms;
             carrier->asked_ms = 0;
             nm_count_reason(NM_REASON_RETRY_TIMEOUT);
+            nm_log(NM_LOG_WARN, NM_LOG_ITEM_CARRIER_SILENT, "{s:s,s:I}",
+                   "host", carrier->desc.name, "for_ms",
+                   (json_int_t)carrier->down_ms);
         }
         relay->troubled += carrier->down_ms > 0;
     }
@@ -476,6 +483,10 @@
         }
         carrier_t *carrier = g_hash_table_lookup(relay->hosts, order->carrier);
         if (carrier) {
+            if (carrier->down_ms > 0) {
+                nm_log(NM_LOG_INFO, NM_LOG_ITEM_CARRIER_BACK, "{s:s}", "host",
+                       carrier->desc.name);
+            }
             carrier->asked_ms = 0;
             carrier->down_ms = 0;
         }
--- a/src/sched.c
+++ b/src/sched.c
@@ -16,6 +16,8 @@
 #define PLACE_MS 20
 /* Time between two checks of the tails of all workers. */
 #define FILLER_CHECK_MS 100
+/* Changes of belief that are kept for the log. */
+#define NOTES_MAX 64
 /* Most occurrences of one job; each takes memory from the beginning. */
 #define OCCURRENCES_MAX 10000
 #define PROGRESS_VERSION 1
@@ -95,6 +97,7 @@
     sched->active = g_ptr_array_new();
     sched->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
     sched->trials = g_array_new(FALSE, TRUE, sizeof(nm_trial_t));
+    sched->notes = g_array_new(FALSE, FALSE, sizeof(nm_sched_note_t));
     g_queue_init(&sched->urgent);
     g_queue_init(&sched->dirty);
     g_queue_init(&sched->gone);
@@ -112,6 +115,7 @@
     g_ptr_array_free(sched->node_list, TRUE);
     g_array_free(sched->actions, TRUE);
     g_array_free(sched->trials, TRUE);
+    g_array_free(sched->notes, TRUE);
     g_queue_clear_full(&sched->gone, g_free);
     nm_interference_finish(&sched->interference);
     g_hash_table_destroy(sched->nodes);
@@ -517,6 +521,29 @@
     return true;
 }
 
+void
+nm_sched_note(nm_sched_t *sched, nm_note_type_t type, const char *worker,
+              int64_t value)
+{
+    if (sched->notes->len < NOTES_MAX) {
+        nm_sched_note_t note = {.type = type, .value = value};
+        nm_strcopy(note.worker, sizeof(note.worker), worker);
+        g_array_append_val(sched->notes, note);
+    }
+}
+
+bool
+nm_sched_next_note(nm_sched_t *sched, nm_sched_note_t *note)
+{
+    assert(sched && note);
+    if (sched->notes->len == 0) {
+        return false;
+    }
+    *note = g_array_index(sched->notes, nm_sched_note_t, 0);
+    g_array_remove_index(sched->notes, 0);
+    return true;
+}
+
 bool
 nm_sched_has_saves(const nm_sched_t *sched)
 {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -64,7 +64,8 @@
     const char *images[REFUSED_IMAGES_MAX]; /* of fillers */
     uint32_t image_count;
     uint32_t reserved; /* workers kept for overdue tasks */
-    bool may_reserve;
+    /* Processor that overdue tasks may still take. */
+    double overdue_left_milli;
 } round_t;
 
 bool
@@ -117,9 +118,9 @@
     return job->queue ? job->queue->service : job->service;
 }
 
-/* True while long-running tasks leave enough of the usable workers. */
-static bool
-leaves_room(const nm_sched_t *sched, nm_ms_t now_ms)
+/* What long-running tasks may hold in all, less what they hold. */
+static double
+overdue_room(const nm_sched_t *sched, nm_ms_t now_ms)
 {
     int64_t capacity = 0;
     int64_t held = 0;
@@ -130,14 +131,15 @@
             held += node->long_running_cpu;
         }
     }
-    return (double)held < LONG_RUNNING_SHARE_MAX * (double)capacity;
+    return LONG_RUNNING_SHARE_MAX * (double)capacity - (double)held;
 }
 
 static bool
 is_overdue(const round_t *round, const nm_work_t *work, uint32_t step,
            nm_ms_t now_ms)
 {
-    return round->may_reserve && work->job->spec.steps[step].long_running &&
+    return round->overdue_left_milli > 0 &&
+           work->job->spec.steps[step].long_running &&
            work->refused_ms[step] > 0 &&
            now_ms - work->refused_ms[step] >= LONG_RUNNING_WAIT_MS;
 }
@@ -520,7 +522,14 @@
             sched->stale = true;
             return;
         }
+        if (candidate->rank >= OVERDUE_RANK && round->overdue_left_milli <= 0)
+        {
+            return;
+        }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+        if (node && candidate->rank >= OVERDUE_RANK) {
+            round->overdue_left_milli -= (double)step->cpu_milli;
+        }
         if (node) {
             if (step->is_filler) {
                 nm_sched_filler_note_start(
@@ -553,7 +562,7 @@
 {
     round_t round = {.cpu_milli = INT64_MAX,
                      .memory_mb = INT64_MAX,
-                     .may_reserve = leaves_room(sched, now_ms)};
+                     .overdue_left_milli = overdue_room(sched, now_ms)};
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
     for (guint i = 0; i < sched->active->len; i++) {
         collect(sched, &round, sched->active->pdata[i], candidates, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -223,6 +223,7 @@
     GPtrArray *active;    /* jobs that have not ended */
     GArray *actions;
     guint action_next;
+    GArray *notes; /* of nm_sched_note_t */
     GQueue gone;   /* ids of workers that were forgotten */
     GQueue urgent; /* jobs with changes to store that callers wait for */
     GQueue dirty;  /* other jobs with changes to store */
@@ -293,6 +294,10 @@
 void nm_copies_run(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms);
 void nm_copies_free(nm_sched_node_t *node);
 
+/* sched.c */
+void nm_sched_note(nm_sched_t *sched, nm_note_type_t type, const char *worker,
+                   int64_t value);
+
 /* sched_worker.c */
 void nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms);
 /* True while a worker may run tasks that this owner has not seen. */
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -184,12 +184,14 @@
 }
 
 static void
-note_failure(nm_sched_node_t *node, nm_ms_t now_ms)
+note_failure(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
     node->failures_in_row++;
     if (node->failures_in_row >= FAILURES_AVOID) {
         uint32_t doublings = MIN(node->failures_in_row - FAILURES_AVOID, 3u);
-        node->avoid_until_ms = now_ms + ((nm_ms_t)AVOID_MS << doublings);
+        nm_ms_t pause = (nm_ms_t)AVOID_MS << doublings;
+        node->avoid_until_ms = now_ms + pause;
+        nm_sched_note(sched, NM_NOTE_WORKER_AVOIDED, node->desc.id, pause);
         nm_count_reason(NM_REASON_WORKER_FAILING);
     }
 }
@@ -205,10 +207,16 @@
 static void
 note_call(nm_sched_t *sched, nm_sched_node_t *node, bool answered)
 {
+    bool lossy = nm_sched_is_lossy(sched);
     if (answered || !node->silent) {
         double lost = answered ? 0 : 1;
         sched->call_loss += NM_SCHED_LOSS_GAIN * (lost - sched->call_loss);
     }
+    if (nm_sched_is_lossy(sched) != lossy) {
+        nm_sched_note(sched,
+                      lossy ? NM_NOTE_CALLS_ANSWERED : NM_NOTE_CALLS_LOST, "",
+                      (int64_t)(sched->call_loss * 1000));
+    }
     node->silent = !answered;
 }
 
@@ -281,7 +289,7 @@
             break;
         }
         if (result == NM_ORDER_NOT_RUN) {
-            note_failure(node, now_ms);
+            note_failure(sched, node, now_ms);
         }
         task->avoid = node;
         nm_task_requeue(sched, task);
@@ -415,7 +423,7 @@
         }
         if (row->end == NM_END_FAILED) {
             task->avoid = node;
-            note_failure(node, now_ms);
+            note_failure(sched, node, now_ms);
         }
         node->progress_ms = now_ms;
         if (row->end == NM_END_DONE) {
@@ -474,8 +482,13 @@
         uint32_t failures_max = nm_sched_is_lossy(sched)
                                     ? NM_SCHED_POLL_FAILURES_LOSSY
                                     : NM_SCHED_POLL_FAILURES;
+        bool was_reachable = node->reachable;
         node->reachable = node->reachable && node->fenced &&
                           node->poll_failures < failures_max;
+        if (was_reachable && !node->reachable) {
+            nm_sched_note(sched, NM_NOTE_WORKER_SILENT, worker,
+                          node->poll_failures);
+        }
         node->ends_acked_sent = 0;
         node->poll_due_ms = now_ms + retry_pause(sched, node->poll_failures);
         return;
@@ -488,6 +501,9 @@
         begin_incarnation(sched, node, report->incarnation, now_ms);
     }
     bool refreshed = !node->reachable || !node->fenced;
+    if (!node->reachable) {
+        nm_sched_note(sched, NM_NOTE_WORKER_BACK, worker, node->poll_failures);
+    }
     node->reachable = true;
     node->poll_failures = 0;
     node->fenced = true;
@@ -626,6 +642,8 @@
         return;
     }
     node->avoid_until_ms = now_ms + STALL_AVOID_MS;
+    nm_sched_note(sched, NM_NOTE_WORKER_AVOIDED, node->desc.id,
+                  STALL_AVOID_MS);
     node->progress_ms = now_ms;
     nm_count_reason(NM_REASON_WORKER_FAILING);
     for (guint i = node->tasks->len; i > 0; i--) {
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -412,6 +412,8 @@
     announce(&world, "a", 2);
     step(&world, 10);
     report(&world, "a", 2, NULL, 0, NULL, 0);
+    nm_sched_note_t note;
+    g_assert_false(nm_sched_next_note(world.sched, &note));
     for (uint32_t lost = 0; lost < 3; lost++) {
         step(&world, 100);
         const nm_sched_action_t *stop = find(&world, NM_ACTION_STOP, "a");
@@ -528,6 +530,35 @@
     world_finish(&world);
 }
 
+/* Each change of belief is told once, with what it rests on. */
+static void
+test_beliefs_are_told(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    join_worker(&world, "a");
+    add_job(&world, JOB, false, 1, 1000, false);
+    step(&world, 30);
+    confirm_starts(&world);
+    for (uint32_t i = 0; i < 3; i++) {
+        step(&world, 1000);
+        lose_poll(&world, "a");
+    }
+    nm_sched_note_t note;
+    g_assert_true(nm_sched_next_note(world.sched, &note));
+    g_assert_cmpint(note.type, ==, NM_NOTE_WORKER_SILENT);
+    g_assert_cmpstr(note.worker, ==, "a");
+    g_assert_cmpint(note.value, ==, 2);
+    g_assert_false(nm_sched_next_note(world.sched, &note));
+    nm_worker_run_t run = run_of(TASK, 1);
+    report(&world, "a", 1, &run, 1, NULL, 0);
+    g_assert_true(nm_sched_next_note(world.sched, &note));
+    g_assert_cmpint(note.type, ==, NM_NOTE_WORKER_BACK);
+    g_assert_cmpint(note.value, ==, 3);
+    g_assert_false(nm_sched_next_note(world.sched, &note));
+    world_finish(&world);
+}
+
 /*
  * Load: a poll overtakes a start on another connection, all within one
  * millisecond.  Its answer does not list the run, which is there all the same.
@@ -783,6 +814,7 @@
         {"/sched/start-reached-a-new-life", test_start_reached_a_new_life},
         {"/sched/unknown-image-is-tried-on-few",
          test_unknown_image_is_tried_on_few},
+        {"/sched/beliefs-are-told", test_beliefs_are_told},
         {"/sched/poll-of-the-same-millisecond",
          test_poll_of_the_same_millisecond},
         {"/sched/capacity-counts-what-is-stopped",
