A takeover writes no stored end again

Change: cancels that a takeover lists are applied after progress. Test: /entry/takeover-writes-no-end-again, failed before.

--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -91,6 +91,7 @@
     GHashTable *roster_wanted;
     bool roster_dirty;
     GPtrArray *progress; /* loaded records, until the jobs are listed */
+    GPtrArray *cancels;  /* listed cancels, until progress is applied */
     bool committing;
     int64_t commit_revision; /* of the commit key */
     bool commit_unknown;     /* a commit got no answer: read the key first */
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -115,6 +115,10 @@
     if (entry->jobs_feed.listed) {
         g_queue_push_tail(&entry->unverified, copy_item(item));
     }
+    else if (g_str_has_suffix(item->key, NM_SUFFIX_CANCEL)) {
+        g_ptr_array_add(entry->cancels,
+                        g_strdup(item->key + strlen(NM_KEY_JOBS)));
+    }
     else {
         take_job(entry, item, entry->term > 1);
     }
@@ -195,6 +199,11 @@
         }
     }
     g_ptr_array_set_size(entry->progress, 0);
+    /* Jobs whose progress says that they have ended stay as they are. */
+    for (guint i = 0; i < entry->cancels->len; i++) {
+        take_cancel(entry, entry->cancels->pdata[i]);
+    }
+    g_ptr_array_set_size(entry->cancels, 0);
     entry->role = NM_ROLE_OWNER;
     entry->sched_due_ms = 0;
     nm_count(NM_COUNTER_TAKEOVERS, 1);
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -52,6 +52,7 @@
     entry->roster_wanted =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     entry->progress = g_ptr_array_new_with_free_func(nm_term_free_item);
+    entry->cancels = g_ptr_array_new_with_free_func(g_free);
     g_queue_init(&entry->unverified);
 }
 
@@ -62,6 +63,7 @@
     g_hash_table_destroy(entry->roster);
     g_hash_table_destroy(entry->roster_wanted);
     g_ptr_array_free(entry->progress, TRUE);
+    g_ptr_array_free(entry->cancels, TRUE);
 }
 
 void
@@ -83,6 +85,7 @@
     nm_feed_close(&entry->hosts_feed);
     nm_order_relay_clear(&entry->relay);
     g_ptr_array_set_size(entry->progress, 0);
+    g_ptr_array_set_size(entry->cancels, 0);
     g_queue_clear_full(&entry->unverified, nm_term_free_item);
     entry->verifying = 0;
     entry->commit_revision = 0;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -473,6 +473,34 @@
     fake_kv_free(kv);
 }
 
+/*
+ * Load: a takeover with hundreds of cancelled jobs behind it.  What the last
+ * owner stored of them must not be written again, in front of what callers
+ * wait for.
+ */
+static void
+test_takeover_writes_no_end_again(void)
+{
+    static const char progress[] =
+        "{\"version\":1,\"state\":\"cancelled\",\"by\":\"another\"}";
+    fake_kv_t *kv = configured_store();
+    fake_kv_put(kv, "servers/w1", WORKER);
+    fake_kv_put(kv, JOB_KEY, RECORD);
+    fake_kv_put(kv, JOB_KEY ".cancel", "1");
+    fake_kv_put(kv, "nutmegdeck/progress/" JOB, progress);
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 3000);
+    g_assert_cmpstr(fake_kv_value(kv, "nutmegdeck/progress/" JOB), ==,
+                    progress);
+    call(&host, NM_METHOD_GET, "/a/" JOB, "");
+    run(&host, 200);
+    g_assert_nonnull(strstr(last_answer(&host), "cancelled"));
+    g_assert_cmpuint(host.orders.starts, ==, 0);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 /* A commit that is carried out late must not undo a later one. */
 static void
 test_late_commit_undoes_nothing(void)
@@ -562,6 +590,8 @@
                     test_former_owner_starts_no_new_job);
     g_test_add_func("/entry/silent-watch-hides-no-job",
                     test_silent_watch_hides_no_job);
+    g_test_add_func("/entry/takeover-writes-no-end-again",
+                    test_takeover_writes_no_end_again);
     g_test_add_func("/entry/late-commit-undoes-nothing",
                     test_late_commit_undoes_nothing);
     g_test_add_func("/entry/cancelled-job-is-not-created-late",
