--- a/src/sched.c
+++ b/src/sched.c
@@ -504,7 +504,7 @@
         nm_sched_place(sched, now_ms);
     }
     nm_sched_workers_run(sched, now_ms);
-    return sched->stale || nm_sched_is_lossy(sched) ? PLACE_MS : IDLE_MS;
+    return sched->stale || sched->lossy ? PLACE_MS : IDLE_MS;
 }
 
 bool
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -32,6 +32,8 @@
 #define NM_SCHED_POLL_LOSSY_MS 150
 /* Share of calls without an answer from which on that is so. */
 #define NM_SCHED_LOSSY 0.015
+/* ...and below which it is over, so that the belief does not flap. */
+#define NM_SCHED_LOSSY_END 0.005
 /* Part of one call in that share. */
 #define NM_SCHED_LOSS_GAIN 0.01
 /*
@@ -236,6 +238,7 @@
     uint32_t starting; /* starts without an answer */
     bool has_unseen;   /* recovered tasks wait for workers to answer */
     double call_loss;  /* share of calls without an answer */
+    bool lossy;        /* belief: answers get lost, whoever is called */
     bool stale;        /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
@@ -245,13 +248,6 @@
     nm_rng_t rng;
 };
 
-/* Belief: answers get lost, whoever is called. */
-static inline bool
-nm_sched_is_lossy(const nm_sched_t *sched)
-{
-    return sched->call_loss > NM_SCHED_LOSSY;
-}
-
 /* sched_task.c */
 nm_task_t *nm_sched_find_task(nm_sched_t *sched, const char *name);
 void nm_sched_task_name(const nm_task_t *task, char *name, size_t size);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -338,7 +338,7 @@
     nm_sched_action_t action = {
         .type = type,
         .incarnation = node->desc.incarnation,
-        .timeout_ms = nm_sched_is_lossy(sched) ? NM_SCHED_LOSSY_TIMEOUT_MS : 0,
+        .timeout_ms = sched->lossy ? NM_SCHED_LOSSY_TIMEOUT_MS : 0,
         .payload = "",
         .checkpoint = ""};
     nm_strcopy(action.worker, sizeof(action.worker), node->desc.id);
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -207,15 +207,17 @@
 static void
 note_call(nm_sched_t *sched, nm_sched_node_t *node, bool answered)
 {
-    bool lossy = nm_sched_is_lossy(sched);
     if (answered || !node->silent) {
         double lost = answered ? 0 : 1;
         sched->call_loss += NM_SCHED_LOSS_GAIN * (lost - sched->call_loss);
     }
-    if (nm_sched_is_lossy(sched) != lossy) {
+    bool was_lossy = sched->lossy;
+    sched->lossy =
+        sched->call_loss > (was_lossy ? NM_SCHED_LOSSY_END : NM_SCHED_LOSSY);
+    if (sched->lossy != was_lossy) {
         nm_sched_note(sched,
-                      lossy ? NM_NOTE_CALLS_ANSWERED : NM_NOTE_CALLS_LOST, "",
-                      (int64_t)(sched->call_loss * 1000));
+                      was_lossy ? NM_NOTE_CALLS_ANSWERED : NM_NOTE_CALLS_LOST,
+                      "", (int64_t)(sched->call_loss * 1000));
     }
     node->silent = !answered;
 }
@@ -245,8 +247,8 @@
 static nm_ms_t
 retry_pause(const nm_sched_t *sched, uint32_t tries)
 {
-    return tries == 1 || nm_sched_is_lossy(sched) ? NM_SCHED_FIRST_RETRY_MS
-                                                  : NM_SCHED_RETRY_MS;
+    return tries == 1 || sched->lossy ? NM_SCHED_FIRST_RETRY_MS
+                                      : NM_SCHED_RETRY_MS;
 }
 
 /* When an order without an answer is sent again. */
@@ -479,9 +481,8 @@
     note_call(sched, node, report->result != NM_ORDER_UNKNOWN);
     if (report->result != NM_ORDER_DONE) {
         node->poll_failures++;
-        uint32_t failures_max = nm_sched_is_lossy(sched)
-                                    ? NM_SCHED_POLL_FAILURES_LOSSY
-                                    : NM_SCHED_POLL_FAILURES;
+        uint32_t failures_max = sched->lossy ? NM_SCHED_POLL_FAILURES_LOSSY
+                                             : NM_SCHED_POLL_FAILURES;
         bool was_reachable = node->reachable;
         node->reachable = node->reachable && node->fenced &&
                           node->poll_failures < failures_max;
@@ -547,11 +548,10 @@
     bool quick =
         !node->fenced || node->poll_failures > 0 || node->tasks->len == 0;
     bool shared = node->fillers > 0 && node->targets > 0;
-    bool lossy = nm_sched_is_lossy(sched);
-    action->wait_ms = quick    ? 0
-                      : lossy  ? NM_SCHED_POLL_LOSSY_MS
-                      : shared ? NM_SCHED_POLL_SHARED_MS
-                               : NM_SCHED_POLL_WAIT_MS;
+    action->wait_ms = quick          ? 0
+                      : sched->lossy ? NM_SCHED_POLL_LOSSY_MS
+                      : shared       ? NM_SCHED_POLL_SHARED_MS
+                                     : NM_SCHED_POLL_WAIT_MS;
     /* What may never answer gets no longer lease by being asked again. */
     if (node->clock_known && node->poll_failures == 0) {
         action->expiry_ms = nm_node_clock(node, now_ms) + sched->desc.lease_ms;
@@ -568,8 +568,8 @@
 static void
 repeat_orders(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    uint32_t tries_max = nm_sched_is_lossy(sched) ? NM_SCHED_START_TRIES_LOSSY
-                                                  : NM_SCHED_START_TRIES_MAX;
+    uint32_t tries_max =
+        sched->lossy ? NM_SCHED_START_TRIES_LOSSY : NM_SCHED_START_TRIES_MAX;
     node->repeat_due_ms = now_ms + NM_SCHED_RETRY_MS / 3;
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
