--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -5,12 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The platform's limits. */
+/* The platform's limits: maxHoldMs, checkpointS; a stop takes up to 200. */
 #define LEASE_MAX_MS 10000
 #define STOP_MS 50
 #define SAVE_MS 1000
 /* An end counts as taken note of this long after it was acknowledged. */
 #define NOTED_MS 1000
+/* Runs that fail by themselves, as on the users' sheets (0.005 to 0.05). */
 #define FAIL_SHARE 0.03
 
 typedef struct {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -25,16 +25,19 @@
 #include "lib_platform.h"
 #include "lib_proxy.h"
 
-#define HOSTS_MAX 48
+#define HOSTS_MAX 48 /* ports of paths to the store begin at 400 of 500 */
 #define PORTS_PER_HOST 4
 #define TICK_MS 5
+/* The smaller users' executors, and the bounds of their grown site. */
 #define CPU_MILLI 16000
 #define GRACE_MS 6000
-/* A process must have ended so long after its grace time. */
-#define GRACE_SLACK_MS 1500
 #define CANCEL_MS 4000
 #define VISIBLE_MS 3000
+/* A process must have ended so long after its grace time. */
+#define GRACE_SLACK_MS 1500
+/* Longer than an entry host works on a call (3 s). */
 #define CALL_TIMEOUT_MS 4000L
+/* More tries than the users' callers have, so that most work is accepted. */
 #define ATTEMPTS_MAX 8
 
 typedef struct {
