--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -53,7 +53,7 @@
 }
 
 static void
-begin_life(executor_fleet_t *fleet, executor_t *executor, nm_ms_t now_ms)
+begin_life(executor_t *executor, nm_ms_t now_ms)
 {
     executor->born_ms = now_ms;
     executor->born_unix_ms = 1700000000000 + now_ms;
@@ -64,7 +64,6 @@
     g_array_set_size(executor->runs, 0);
     g_array_set_size(executor->ends, 0);
     g_hash_table_remove_all(executor->settled);
-    (void)fleet;
 }
 
 executor_fleet_t *
@@ -88,7 +87,7 @@
         executor->settled =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(fleet->by_id, executor->id, executor);
-        begin_life(fleet, executor, 1);
+        begin_life(executor, 1);
     }
     return fleet;
 }
@@ -237,7 +236,7 @@
 executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms)
 {
     tell(fleet, now_ms, "crash", &fleet->executors[index], "-", 0);
-    begin_life(fleet, &fleet->executors[index], now_ms);
+    begin_life(&fleet->executors[index], now_ms);
 }
 
 static executor_run_t *
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -491,10 +491,9 @@
 }
 
 static int
-serve_store(platform_t *platform, request_t *request, const char *method,
-            nm_ms_t now_ms, json_t **answer)
+serve_store(platform_t *platform, request_t *request, nm_ms_t now_ms,
+            json_t **answer)
 {
-    (void)method;
     json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
     int status = 404;
     if (strcmp(request->path, "/kv-key") == 0) {
@@ -521,8 +520,7 @@
 
 /* Returns 0 if the request waits on. */
 static int
-serve(platform_t *platform, request_t *request, const char *method,
-      nm_ms_t now_ms, bool first)
+serve(platform_t *platform, request_t *request, nm_ms_t now_ms, bool first)
 {
     executor_t *executor = executor_find(platform->fleet, request->instance);
     bool store = is_store_path(request->path);
@@ -540,8 +538,7 @@
         request->silent = first;
         return 0;
     }
-    int status =
-        serve_store(platform, request, method, now_ms, &request->answer);
+    int status = serve_store(platform, request, now_ms, &request->answer);
     if (platform->mode == STORE_LOSES && strcmp(request->path, "/kv-txn") == 0)
     {
         request->silent = true;
@@ -597,6 +594,7 @@
        const char *method, const char *version, const char *data,
        size_t *data_size, void **context)
 {
+    (void)method;
     (void)version;
     platform_t *platform = user;
     request_t *request = *context;
@@ -637,7 +635,7 @@
         request->silent = true;
     }
     else {
-        request->status = serve(platform, request, method, now_ms, true);
+        request->status = serve(platform, request, now_ms, true);
     }
     if (request->status > 0) {
         result = send_answer(connection, request);
@@ -678,9 +676,8 @@
         if (request->silent && now_ms < request->until_ms + SILENT_MS) {
             continue;
         }
-        request->status = request->silent
-                              ? 503
-                              : serve(platform, request, "", now_ms, false);
+        request->status =
+            request->silent ? 503 : serve(platform, request, now_ms, false);
         if (request->status > 0) {
             g_ptr_array_remove_index_fast(platform->waiting, i - 1);
             MHD_resume_connection(request->connection);
