Withdraw copies that are given up after a new incarnation was noticed

Cause (found by reading): a start whose answer is given up only after the worker's crash was noticed, and whose run a poll had shown meanwhile, was noted as a copy but never withdrawn from the new incarnation, which could carry it out after the run's end (TWICE). Change: such a copy is withdrawn at once. Test: /sched/copy-given-up-after-a-crash, failed before.

--- a/src/sched_copies.c
+++ b/src/sched_copies.c
@@ -30,7 +30,10 @@
     if (!node->copies) {
         node->copies = g_array_new(FALSE, FALSE, sizeof(copy_t));
     }
-    copy_t copy = {.run = action->run, .noted_ms = now_ms};
+    /* It may be given up only after another incarnation was noticed. */
+    copy_t copy = {.run = action->run,
+                   .noted_ms = now_ms,
+                   .withdraw = action->incarnation != node->desc.incarnation};
     nm_strcopy(copy.task, sizeof(copy.task), action->task);
     g_array_append_val(node->copies, copy);
 }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -430,6 +430,37 @@
     world_finish(&world);
 }
 
+/*
+ * Load: the same, but the start's answer is only given up after the new
+ * incarnation was noticed, while a poll had shown the run before.
+ */
+static void
+test_copy_given_up_after_a_crash(void)
+{
+    world_t world;
+    world_init(&world, 1);
+    join_worker(&world, "a");
+    add_job(&world, JOB, false, 1, 1000, false);
+    step(&world, 30);
+    const nm_sched_action_t *sent = find(&world, NM_ACTION_START, "a");
+    g_assert_nonnull(sent);
+    nm_sched_action_t start = *sent;
+    world.now_ms += 10;
+    nm_worker_end_t end = end_of(1, TASK, start.run, NM_END_DONE);
+    report(&world, "a", 1, NULL, 0, &end, 1);
+    save_all(&world);
+    announce(&world, "a", 2);
+    step(&world, 10);
+    report(&world, "a", 2, NULL, 0, NULL, 0);
+    nm_sched_on_start(world.sched, &start, NM_ORDER_UNKNOWN, world.now_ms);
+    step(&world, 100);
+    const nm_sched_action_t *stop = find(&world, NM_ACTION_STOP, "a");
+    g_assert_nonnull(stop);
+    g_assert_cmpint(stop->run, ==, start.run);
+    g_assert_cmpint(stop->incarnation, ==, 2);
+    world_finish(&world);
+}
+
 /*
  * Load: a worker crashes and is back at once under its id; a start reaches
  * the new incarnation before its announcement does.  Only the first report of
@@ -811,6 +842,8 @@
          test_unanswered_start_on_a_new_life},
         {"/sched/lost-copy-is-refused-by-a-new-life",
          test_lost_copy_is_refused_by_a_new_life},
+        {"/sched/copy-given-up-after-a-crash",
+         test_copy_given_up_after_a_crash},
         {"/sched/start-reached-a-new-life", test_start_reached_a_new_life},
         {"/sched/unknown-image-is-tried-on-few",
          test_unknown_image_is_tried_on_few},
