A successor takes over how fillers work, and what went unwatched

Cause: a run that an earlier owner started had wanted_percent 0, so every inherited filler counted as paused: it had no load in the interference model, was never the one to pause, and was stopped 1.5 s after, one each 100 ms, or got a needless throttle order. A serving task's time over its target began anew with each takeover and with each pause of the owner: 1.9 s of detection before a hand-over and 0.9 s after it, with the hand-over and the stop, are over the 4 s that the rule allows. A throttle order whose answer was lost was not sent again, nor one undone that was carried out late. Ruled out: learned effects (restored), the stop itself (400 ms). Change: a run is adopted with the share that the worker shows; time without figures counts in full; what a worker shows differently is ordered again. Tests, each failed before: /sched/inherited-fillers-go-on, tail-over-target-while-unwatched, throttle-is-repeated.

--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -51,6 +51,12 @@
 #define UNDER_SHARE 0.7
 /* A tail over its target for this long pauses the fillers beside it. */
 #define OVER_MS 900
+/*
+ * Usual time between two figures of a task.  After a longer one, or with the
+ * first figure after a takeover, a tail may have been over since then: the
+ * time without figures counts in full.
+ */
+#define FIGURE_PERIOD_MS (NM_SCHED_POLL_SHARED_MS + NM_SCHED_POLL_PAUSE_MS)
 /* Share of the target below which a worker's tails are calm. */
 #define CALM_SHARE 0.8
 /* Tail of a serving task from which on it counts as started up. */
@@ -198,6 +204,17 @@
            unused >= (double)step->cpu_milli;
 }
 
+/* When a tail that is over its target now may have become so. */
+static nm_ms_t
+earliest_over(const nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->watched_ms == 0) {
+        return now_ms - OVER_MS;
+    }
+    return CLAMP(task->watched_ms + FIGURE_PERIOD_MS, now_ms - OVER_MS,
+                 now_ms);
+}
+
 static void
 note_over(nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -213,8 +230,9 @@
             task->over_since_ms = 0;
         }
         else if (share > OVER_SHARE && task->over_since_ms == 0) {
-            task->over_since_ms = now_ms;
+            task->over_since_ms = earliest_over(task, now_ms);
         }
+        task->watched_ms = now_ms;
         node->calm =
             node->calm && (double)task->figure < CALM_SHARE * (double)target;
     }
@@ -277,21 +295,45 @@
 }
 
 static void
-throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
-         uint32_t percent, nm_ms_t now_ms)
+send_throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+              nm_ms_t now_ms)
 {
     nm_sched_action_t *action = nm_sched_act(sched, node, NM_ACTION_THROTTLE);
     nm_sched_task_name(task, action->task, sizeof(action->task));
     action->run = task->run;
-    action->percent = percent;
-    task->wanted_percent = percent;
+    action->percent = task->wanted_percent;
     task->order_pending = true;
+    task->order_due_ms = now_ms + NM_SCHED_RETRY_MS;
+}
+
+static void
+throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+         uint32_t percent, nm_ms_t now_ms)
+{
+    task->wanted_percent = percent;
+    send_throttle(sched, node, task, now_ms);
     task->throttled_ms = now_ms;
     node->loads_known = false;
     node->fillers_changed_ms = now_ms;
     nm_count(NM_COUNTER_THROTTLES, 1);
 }
 
+/*
+ * What a worker shows differs from what it was told: the order was lost, or
+ * one was carried out late, after a newer one.
+ */
+static bool
+repeat_throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+                nm_ms_t now_ms)
+{
+    if (task->percent == task->wanted_percent || now_ms < task->order_due_ms) {
+        return false;
+    }
+    nm_count_reason(NM_REASON_RETRY_TIMEOUT);
+    send_throttle(sched, node, task, now_ms);
+    return true;
+}
+
 /* Throttles one filler at a time, the most costly one first. */
 static void
 check_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
@@ -305,6 +347,7 @@
         const nm_step_t *step = nm_task_step(task);
         if (!step->is_filler || task->state != NM_RUN_RUNNING ||
             task->order_pending ||
+            repeat_throttle(sched, node, task, now_ms) ||
             now_ms - task->throttled_ms < THROTTLE_KEEP_MS)
         {
             continue;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -112,6 +112,7 @@
     uint32_t percent;   /* confirmed share of its speed */
     uint32_t wanted_percent;
     int64_t figure;
+    nm_ms_t watched_ms;    /* start or newest figure; 0: neither seen */
     nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
     double log_tail;       /* predicted, with its own offset */
     double tail_offset;    /* of its tail's logarithm against the model */
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -280,6 +280,7 @@
         task->tries = 0;
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
+        task->watched_ms = now_ms;
         task->progress_ms = now_ms;
         nm_count(NM_COUNTER_STARTS, 1);
         break;
@@ -361,23 +362,36 @@
     action->run = row->run;
 }
 
+/* Takes a run over that an earlier owner started. */
+static void
+adopt_run(nm_sched_t *sched, nm_task_t *task, nm_sched_node_t *node,
+          const nm_worker_run_t *row, nm_ms_t now_ms)
+{
+    task->run = row->run;
+    nm_task_set_state(sched, task, NM_RUN_RUNNING);
+    task->sent_ms = now_ms;
+    task->started_ms = now_ms;
+    task->progress_ms = now_ms;
+    task->percent = row->percent;
+    task->wanted_percent = row->percent;
+    task->throttled_ms = row->percent == 0 ? now_ms : 0;
+    task->watched_ms = 0;
+    nm_task_attach(task, node);
+    nm_sched_job_t *job = task->work->job;
+    job->started = true;
+    if (job->state == NM_JOB_QUEUED) {
+        job->state = NM_JOB_RUNNING;
+        job->shown = NM_JOB_RUNNING;
+    }
+}
+
 static void
 take_run(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_run_t *row,
          nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     if (task && task->state == NM_RUN_UNSEEN) {
-        task->run = row->run;
-        nm_task_set_state(sched, task, NM_RUN_RUNNING);
-        task->sent_ms = now_ms;
-        task->started_ms = now_ms;
-        task->progress_ms = now_ms;
-        nm_task_attach(task, node);
-        task->work->job->started = true;
-        if (task->work->job->state == NM_JOB_QUEUED) {
-            task->work->job->state = NM_JOB_RUNNING;
-            task->work->job->shown = NM_JOB_RUNNING;
-        }
+        adopt_run(sched, task, node, row, now_ms);
     }
     if (!task || task->node != node || task->run != row->run) {
         stop_stray(sched, node, row);
@@ -391,6 +405,7 @@
     if (task->state == NM_RUN_STARTING) {
         nm_task_set_state(sched, task, NM_RUN_RUNNING);
         task->started_ms = now_ms;
+        task->watched_ms = now_ms;
         task->progress_ms = now_ms;
         task->sent_ms = now_ms;
         task->tries = 0;
--- a/tests/test_sched_filler.c
+++ b/tests/test_sched_filler.c
@@ -3,6 +3,9 @@
 
 #include "lib_sched_world.h"
 
+#define FILLER_JOB "1111111111111111"
+#define FILLER_TASK FILLER_JOB ".0.0.0"
+
 static void
 test_unknown_image_is_tried_on_few(void)
 {
@@ -38,7 +41,7 @@
             sched_world_report(&world, action.worker, 1, &run, 1, NULL, 0);
         }
     }
-    nm_job_spec_init(&spec, "1111111111111111", "batch", "press");
+    nm_job_spec_init(&spec, FILLER_JOB, "batch", "press");
     nm_step_t *filler = nm_job_spec_add_step(&spec);
     *filler = (nm_step_t){.task_count = 3 * WORKERS,
                           .cpu_milli = 500,
@@ -63,7 +66,8 @@
 }
 
 static void
-add_colocated(sched_world_t *world, const char *id, bool serving)
+add_colocated(sched_world_t *world, const char *id, bool serving,
+              bool recovered)
 {
     nm_job_spec_t spec;
     nm_job_spec_init(&spec, id, "batch", "press");
@@ -77,6 +81,22 @@
     desc->is_filler = !serving;
     desc->saves_progress = !serving;
     nm_strcopy(desc->image, sizeof(desc->image), serving ? "api" : "press");
+    nm_sched_add_job(world->sched, &spec, recovered, world->now_ms);
+    nm_job_spec_finish(&spec);
+}
+
+static void
+add_unsaved_filler(sched_world_t *world)
+{
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, FILLER_JOB, "batch", "press");
+    nm_step_t *desc = nm_job_spec_add_step(&spec);
+    *desc = (nm_step_t){.task_count = 1,
+                        .cpu_milli = 1000,
+                        .memory_mb = 100,
+                        .estimate_ms = 9000,
+                        .is_filler = true,
+                        .image = "press"};
     nm_sched_add_job(world->sched, &spec, false, world->now_ms);
     nm_job_spec_finish(&spec);
 }
@@ -88,13 +108,13 @@
     sched_world_t world;
     sched_world_init(&world, 1);
     sched_world_join(&world, "a");
-    add_colocated(&world, JOB, true);
-    add_colocated(&world, "1111111111111111", false);
+    add_colocated(&world, JOB, true, false);
+    add_colocated(&world, FILLER_JOB, false, false);
     sched_world_step(&world, 30);
     sched_world_confirm_starts(&world);
     nm_ms_t begin_ms = world.now_ms;
     nm_worker_run_t rows[] = {sched_world_run(TASK, 1),
-                              sched_world_run("1111111111111111.0.0.0", 1)};
+                              sched_world_run(FILLER_TASK, 1)};
     for (uint32_t i = 0; !sched_world_find(&world, NM_ACTION_STOP, "a"); i++) {
         rows[0].figure = figures[i % NM_COUNT_OF(figures)];
         world.now_ms += 250;
@@ -106,6 +126,158 @@
     sched_world_finish(&world);
 }
 
+/* A successor of the owner, to which worker "a" shows what it runs. */
+static void
+inherit(sched_world_t *world, const nm_worker_run_t *rows, uint32_t count)
+{
+    sched_world_init(world, 2);
+    sched_world_announce(world, "a", 1);
+    add_colocated(world, JOB, true, true);
+    add_colocated(world, FILLER_JOB, false, true);
+    sched_world_step(world, 10);
+    sched_world_report(world, "a", 1, rows, count, NULL, 0);
+}
+
+/*
+ * Load: an owner hands over while serving tasks are calm beside fillers.  The
+ * successor must neither end nor throttle what works, and must let go on what
+ * was paused.
+ */
+static void
+test_inherited_fillers_go_on(void)
+{
+    static const struct {
+        const char *name;
+        uint32_t percent;
+        bool resumed;
+    } cases[] = {{"at work", 100, false}, {"paused", 0, true}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_world_t world;
+        nm_worker_run_t rows[] = {sched_world_run(TASK, 1),
+                                  sched_world_run(FILLER_TASK, 1)};
+        rows[0].figure = 8;
+        rows[1].percent = cases[i].percent;
+        inherit(&world, rows, 2);
+        bool resumed = false;
+        for (uint32_t round = 0; round < 30; round++) {
+            sched_world_step(&world, 100);
+            g_assert_null(sched_world_find(&world, NM_ACTION_STOP, "a"));
+            const nm_sched_action_t *order =
+                sched_world_find(&world, NM_ACTION_THROTTLE, "a");
+            if (order) {
+                nm_sched_action_t throttle = *order;
+                g_assert_cmpuint(throttle.percent, ==, 100);
+                resumed = true;
+                rows[1].percent = 100;
+                nm_sched_on_throttle(world.sched, &throttle, NM_ORDER_DONE,
+                                     world.now_ms);
+            }
+            world.now_ms++;
+            sched_world_report(&world, "a", 1, rows, 2, NULL, 0);
+        }
+        g_assert_true(resumed == cases[i].resumed);
+        sched_world_finish(&world);
+    }
+}
+
+/*
+ * Load: an owner hands over, or stood still for 2 s, just before it would have
+ * acted on a tail over its target.  The rule allows 4 s, of which detection,
+ * hand-over and the stop itself take 3.5.
+ */
+static void
+test_tail_over_target_while_unwatched(void)
+{
+    static const struct {
+        const char *name;
+        int64_t epoch;
+    } cases[] = {{"hand-over", 2}, {"pause", 1}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_world_t world;
+        nm_worker_run_t rows[] = {sched_world_run(TASK, 1),
+                                  sched_world_run(FILLER_TASK, 1)};
+        if (cases[i].epoch > 1) {
+            rows[0].figure = 22;
+            inherit(&world, rows, 2);
+        }
+        else {
+            sched_world_init(&world, 1);
+            sched_world_join(&world, "a");
+            add_colocated(&world, JOB, true, false);
+            add_colocated(&world, FILLER_JOB, false, false);
+            sched_world_step(&world, 30);
+            sched_world_confirm_starts(&world);
+            rows[0].figure = 8;
+            sched_world_step(&world, 100);
+            sched_world_report(&world, "a", 1, rows, 2, NULL, 0);
+            rows[0].figure = 22;
+            world.now_ms += 2000;
+            sched_world_report(&world, "a", 1, rows, 2, NULL, 0);
+        }
+        sched_world_step(&world, 200);
+        const nm_sched_action_t *stop =
+            sched_world_find(&world, NM_ACTION_STOP, "a");
+        g_assert_nonnull(stop);
+        g_assert_cmpstr(stop->task, ==, FILLER_TASK);
+        sched_world_finish(&world);
+    }
+}
+
+/*
+ * Load: the answer of a throttle order is lost and the filler works on, or an
+ * order is carried out late, after a newer one.  What the worker shows has to
+ * become what is wanted, or the run has to end.
+ */
+static void
+test_throttle_is_repeated(void)
+{
+    static const struct {
+        const char *name;
+        uint32_t shown;
+    } cases[] = {{"not carried out", 100}, {"carried out", 0}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_world_t world;
+        sched_world_init(&world, 1);
+        sched_world_join(&world, "a");
+        add_colocated(&world, JOB, true, false);
+        add_unsaved_filler(&world);
+        sched_world_step(&world, 30);
+        sched_world_confirm_starts(&world);
+        nm_worker_run_t rows[] = {sched_world_run(TASK, 1),
+                                  sched_world_run(FILLER_TASK, 1)};
+        rows[0].figure = 22;
+        uint32_t orders = 0;
+        nm_ms_t first_ms = 0;
+        while (first_ms == 0 || world.now_ms - first_ms < 1000) {
+            sched_world_step(&world, 100);
+            const nm_sched_action_t *order =
+                sched_world_find(&world, NM_ACTION_THROTTLE, "a");
+            if (order) {
+                nm_sched_action_t throttle = *order;
+                g_assert_cmpuint(throttle.percent, ==, 0);
+                first_ms = first_ms > 0 ? first_ms : world.now_ms;
+                orders++;
+                rows[1].percent = cases[i].shown;
+                nm_sched_on_throttle(world.sched, &throttle, NM_ORDER_UNKNOWN,
+                                     world.now_ms);
+            }
+            world.now_ms++;
+            sched_world_report(&world, "a", 1, rows, 2, NULL, 0);
+            g_assert_cmpint(world.now_ms, <, 10000);
+        }
+        if (cases[i].shown == 0) {
+            g_assert_cmpuint(orders, ==, 1);
+        }
+        else {
+            g_assert_cmpuint(orders, >, 1);
+        }
+        sched_world_finish(&world);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -117,6 +289,10 @@
         {"/sched/unknown-image-is-tried-on-few",
          test_unknown_image_is_tried_on_few},
         {"/sched/rough-tail-evicts-fillers", test_rough_tail_evicts_fillers},
+        {"/sched/inherited-fillers-go-on", test_inherited_fillers_go_on},
+        {"/sched/tail-over-target-while-unwatched",
+         test_tail_over_target_while_unwatched},
+        {"/sched/throttle-is-repeated", test_throttle_is_repeated},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
