A run's row shows progress, not its share of speed

Change: the field has the name of what it holds; an adopted filler without processor use is told to go on; an order without an answer is repeated until it is confirmed; only the time for which a report was overdue counts for a tail over its target.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -124,8 +124,8 @@
     char task[NM_TASK_NAME_MAX];
     int64_t run;
     char checkpoint[NM_CHECKPOINT_MAX];
-    uint32_t percent; /* share of its speed it may work at */
-    int64_t figure;   /* long-running: tail in ms; else cpu in use */
+    uint32_t progress_percent; /* of its start, or of its work */
+    int64_t figure;            /* long-running: tail in ms; else cpu in use */
 } nm_worker_run_t;
 
 typedef struct {
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -97,7 +97,7 @@
         row->task = g_strdup(report->running[i].task);
         row->run = report->running[i].run;
         row->checkpoint = g_strdup(report->running[i].checkpoint);
-        row->percent = report->running[i].percent;
+        row->percent = report->running[i].progress_percent;
         row->figure = report->running[i].figure;
         message->running[i] = row;
     }
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -440,8 +440,9 @@
     g_array_set_size(ends, 0);
     for (size_t i = 0; i < message->n_running; i++) {
         const NmPb__WorkerRun *row = message->running[i];
-        nm_worker_run_t run = {
-            .run = row->run, .percent = row->percent, .figure = row->figure};
+        nm_worker_run_t run = {.run = row->run,
+                               .progress_percent = row->percent,
+                               .figure = row->figure};
         nm_strcopy(run.task, sizeof(run.task), row->task);
         nm_strcopy(run.checkpoint, sizeof(run.checkpoint), row->checkpoint);
         g_array_append_val(running, run);
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -51,12 +51,6 @@
 #define UNDER_SHARE 0.7
 /* A tail over its target for this long pauses the fillers beside it. */
 #define OVER_MS 900
-/*
- * Usual time between two figures of a task.  After a longer one, or with the
- * first figure after a takeover, a tail may have been over since then: the
- * time without figures counts in full.
- */
-#define FIGURE_PERIOD_MS (NM_SCHED_POLL_SHARED_MS + NM_SCHED_POLL_PAUSE_MS)
 /* Share of the target below which a worker's tails are calm. */
 #define CALM_SHARE 0.8
 /* Tail of a serving task from which on it counts as started up. */
@@ -204,15 +198,20 @@
            unused >= (double)step->cpu_milli;
 }
 
-/* When a tail that is over its target now may have become so. */
+/*
+ * When a tail that is over its target now may have become so: the time for
+ * which figures were overdue counts in full, as does that before a takeover
+ * if the figure leaves no doubt.
+ */
 static nm_ms_t
-earliest_over(const nm_task_t *task, nm_ms_t now_ms)
+earliest_over(const nm_sched_node_t *node, const nm_task_t *task,
+              nm_ms_t now_ms)
 {
-    if (task->watched_ms == 0) {
-        return now_ms - OVER_MS;
+    if (!task->watched) {
+        bool certain = task->figure > nm_task_step(task)->target_ms;
+        return certain ? now_ms - OVER_MS : now_ms;
     }
-    return CLAMP(task->watched_ms + FIGURE_PERIOD_MS, now_ms - OVER_MS,
-                 now_ms);
+    return CLAMP(node->report_due_ms, now_ms - OVER_MS, now_ms);
 }
 
 static void
@@ -230,9 +229,9 @@
             task->over_since_ms = 0;
         }
         else if (share > OVER_SHARE && task->over_since_ms == 0) {
-            task->over_since_ms = earliest_over(task, now_ms);
+            task->over_since_ms = earliest_over(node, task, now_ms);
         }
-        task->watched_ms = now_ms;
+        task->watched = true;
         node->calm =
             node->calm && (double)task->figure < CALM_SHARE * (double)target;
     }
@@ -318,10 +317,7 @@
     nm_count(NM_COUNTER_THROTTLES, 1);
 }
 
-/*
- * What a worker shows differs from what it was told: the order was lost, or
- * one was carried out late, after a newer one.
- */
+/* An order that got no answer is sent until it does. */
 static bool
 repeat_throttle(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
                 nm_ms_t now_ms)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -63,6 +63,8 @@
 
 /* Filler images told apart on one worker. */
 #define NM_SCHED_LOADS_MAX 16
+/* A throttle order may have been carried out or not. */
+#define NM_SCHED_PERCENT_UNKNOWN UINT32_MAX
 /* Failed runs of a task that are told apart; attempts are fewer. */
 #define NM_SCHED_FAILED_RUNS 8
 
@@ -109,10 +111,10 @@
     uint32_t tries;
     bool order_pending; /* a call is in flight */
     bool withdrawn;     /* STOPPING before its start was confirmed */
-    uint32_t percent;   /* confirmed share of its speed */
+    uint32_t percent;   /* confirmed share of its speed, or unknown */
     uint32_t wanted_percent;
     int64_t figure;
-    nm_ms_t watched_ms;    /* start or newest figure; 0: neither seen */
+    bool watched;          /* by this owner: its start, or a figure */
     nm_ms_t over_since_ms; /* tail over its target since; 0: it is not */
     double log_tail;       /* predicted, with its own offset */
     double tail_offset;    /* of its tail's logarithm against the model */
@@ -184,7 +186,8 @@
     bool silent;            /* its last call got no answer */
     bool poll_pending;
     nm_ms_t poll_due_ms;
-    int64_t clock_ms; /* at clock_at_ms or later */
+    nm_ms_t report_due_ms; /* latest usual answer of the last poll */
+    int64_t clock_ms;      /* at clock_at_ms or later */
     nm_ms_t clock_at_ms;
     bool clock_known;
     nm_ms_t lapse_ms;        /* when that has lapsed for certain, our clock */
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -22,6 +22,8 @@
 /* It gets no new tasks for this long. */
 #define STALL_AVOID_MS 4000
 #define STALL_CHECK_MS 250
+/* A poll's way there and back between regions, and a round of the owner. */
+#define REPORT_USUAL_MS 250
 /* Least time left at which a draining worker's saved work is moved. */
 #define DRAIN_MOVE_MS 600
 
@@ -280,7 +282,7 @@
         task->tries = 0;
         task->sent_ms = now_ms;
         task->started_ms = now_ms;
-        task->watched_ms = now_ms;
+        task->watched = true;
         task->progress_ms = now_ms;
         nm_count(NM_COUNTER_STARTS, 1);
         break;
@@ -347,9 +349,8 @@
     }
     if (task && task->node && task->run == action->run) {
         task->order_pending = false;
-        if (result == NM_ORDER_DONE) {
-            task->percent = action->percent;
-        }
+        task->percent = result == NM_ORDER_DONE ? action->percent
+                                                : NM_SCHED_PERCENT_UNKNOWN;
     }
 }
 
@@ -372,10 +373,13 @@
     task->sent_ms = now_ms;
     task->started_ms = now_ms;
     task->progress_ms = now_ms;
-    task->percent = row->percent;
-    task->wanted_percent = row->percent;
-    task->throttled_ms = row->percent == 0 ? now_ms : 0;
-    task->watched_ms = 0;
+    /* What uses no processor may be paused: it is told to go on. */
+    bool works = !nm_task_step(task)->is_filler || row->figure > 0;
+    task->percent = works ? 100 : NM_SCHED_PERCENT_UNKNOWN;
+    task->wanted_percent = 100;
+    task->throttled_ms = 0;
+    task->order_due_ms = 0;
+    task->watched = false;
     nm_task_attach(task, node);
     nm_sched_job_t *job = task->work->job;
     job->started = true;
@@ -405,7 +409,7 @@
     if (task->state == NM_RUN_STARTING) {
         nm_task_set_state(sched, task, NM_RUN_RUNNING);
         task->started_ms = now_ms;
-        task->watched_ms = now_ms;
+        task->watched = true;
         task->progress_ms = now_ms;
         task->sent_ms = now_ms;
         task->tries = 0;
@@ -417,7 +421,6 @@
         task->progress_ms = now_ms;
         node->progress_ms = now_ms;
     }
-    task->percent = row->percent;
     task->figure = row->figure;
     task->listed_in = node->reports;
 }
@@ -576,6 +579,7 @@
             NM_SCHED_LAPSE_MARGIN_MS;
         node->lapse_ms = MAX(node->lapse_ms, lapse);
     }
+    node->report_due_ms = now_ms + action->wait_ms + REPORT_USUAL_MS;
     node->poll_pending = true;
 }
 
