Jobs that have ended leave the store after their retention

Change: 150 s after its end a job is forgotten by a commit that removes its keys, compared like any other; what could not be removed is removed later; a cancel of a job that never came leaves a mark that goes the same way. Tests: /sched/ended-jobs-are-forgotten (a week, one job a minute, at most 4 kept), /sched/forgetting-is-repeated, /entry/ended-jobs-leave-the-store (the keys stayed before).

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -165,6 +165,7 @@
     char job[NM_JOB_ID_MAX];
     uint64_t change; /* to be confirmed by nm_sched_saved */
     char *record;    /* to be freed with g_free; NULL: forget the job */
+    bool cancelled;  /* to be forgotten: it has a cancel mark */
 } nm_sched_save_t;
 
 typedef struct {
--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -20,13 +20,15 @@
 #define COMMIT_MS 250
 /* What was learned goes with a transaction this often. */
 #define LEARNED_MS 2000
-/* Records in one transaction, beside two compares and three other keys. */
-#define COMMIT_RECORDS_MAX 26
+/* Keys in one transaction, beside two compares and three other keys. */
+#define COMMIT_KEYS_MAX 26
+/* A job that is forgotten takes up to three: job, progress, cancel mark. */
+#define FORGET_KEYS 3
 
 typedef struct {
     nm_entry_t *entry;
     int64_t term;
-    nm_sched_save_t saves[COMMIT_RECORDS_MAX];
+    nm_sched_save_t saves[COMMIT_KEYS_MAX];
     uint32_t count;
     nm_ms_t sent_ms;
     bool roster;
@@ -125,7 +127,7 @@
     for (uint32_t i = 0; i < call->count; i++) {
         if (current) {
             nm_sched_saved(entry->sched, &call->saves[i], stored);
-            if (stored) {
+            if (stored && call->saves[i].record) {
                 log_end(entry, call->saves[i].job);
             }
         }
@@ -179,6 +181,31 @@
     entry->roster_dirty = false;
 }
 
+/* Returns how many keys the record, or the job's removal, takes. */
+static uint32_t
+put_save(nm_store_txn_t *txn, const nm_sched_save_t *save)
+{
+    char progress[NM_NAME_MAX * 2];
+    char job[NM_NAME_MAX * 2];
+    char cancel[NM_NAME_MAX * 2];
+    snprintf(progress, sizeof(progress), "%s%s", NM_KEY_PROGRESS, save->job);
+    if (save->record) {
+        nm_store_txn_put(txn, progress, save->record,
+                         (uint32_t)strlen(save->record), 0);
+        return 1;
+    }
+    snprintf(job, sizeof(job), "%s%s", NM_KEY_JOBS, save->job);
+    nm_store_txn_delete(txn, progress, false);
+    nm_store_txn_delete(txn, job, false);
+    if (!save->cancelled) {
+        return 2;
+    }
+    snprintf(cancel, sizeof(cancel), "%s%s%s", NM_KEY_JOBS, save->job,
+             NM_SUFFIX_CANCEL);
+    nm_store_txn_delete(txn, cancel, false);
+    return FORGET_KEYS;
+}
+
 void
 nm_commit_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -199,14 +226,11 @@
     nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
     nm_store_txn_expect(&txn, NM_KEY_COMMIT, entry->commit_revision);
     nm_store_txn_put(&txn, NM_KEY_COMMIT, "1", 1, 0);
-    while (call->count < COMMIT_RECORDS_MAX &&
+    uint32_t keys = 0;
+    while (keys + FORGET_KEYS <= COMMIT_KEYS_MAX &&
            nm_sched_next_save(entry->sched, &call->saves[call->count]))
     {
-        nm_sched_save_t *save = &call->saves[call->count++];
-        char key[NM_NAME_MAX * 2];
-        snprintf(key, sizeof(key), "%s%s", NM_KEY_PROGRESS, save->job);
-        nm_store_txn_put(&txn, key, save->record,
-                         (uint32_t)strlen(save->record), 0);
+        keys += put_save(&txn, &call->saves[call->count++]);
     }
     if (entry->roster_dirty) {
         put_roster(entry, &txn, call);
--- a/src/sched.c
+++ b/src/sched.c
@@ -102,6 +102,8 @@
     g_queue_init(&sched->urgent);
     g_queue_init(&sched->dirty);
     g_queue_init(&sched->unsaved);
+    g_queue_init(&sched->ended);
+    g_queue_init(&sched->expired);
     g_queue_init(&sched->gone);
     sched->began_ms = now_ms;
     nm_interference_init(&sched->interference);
@@ -120,6 +122,8 @@
     g_array_free(sched->trials, TRUE);
     g_array_free(sched->notes, TRUE);
     g_queue_clear_full(&sched->gone, g_free);
+    g_queue_clear(&sched->ended);
+    g_queue_clear(&sched->expired);
     nm_interference_finish(&sched->interference);
     g_hash_table_destroy(sched->nodes);
     g_hash_table_destroy(sched->jobs);
@@ -233,16 +237,36 @@
     set_objective(job);
     g_hash_table_insert(sched->jobs, job->spec.id, job);
     g_ptr_array_add(sched->active, job);
+    job->active = true;
     sched->stale = true;
     return NM_OK;
 }
 
+/* A cancel of what is not there: its mark has to go after the retention. */
+static void
+add_cancel_mark(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
+{
+    nm_sched_job_t *job = g_new0(nm_sched_job_t, 1);
+    nm_job_spec_init(&job->spec, id, "", "");
+    job->state = NM_JOB_CANCELLED;
+    job->shown = NM_JOB_UNKNOWN;
+    job->cancel_marked = true;
+    job->ended_ms = now_ms;
+    g_hash_table_insert(sched->jobs, job->spec.id, job);
+    g_queue_push_tail(&sched->ended, job);
+}
+
 void
 nm_sched_cancel_job(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
 {
     assert(sched && id);
     nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
-    if (job && job->state < NM_JOB_COMPLETED) {
+    if (!job) {
+        add_cancel_mark(sched, id, now_ms);
+        return;
+    }
+    job->cancel_marked = true;
+    if (job->state < NM_JOB_COMPLETED) {
         job->cancelled = true;
         job->shown = NM_JOB_CANCELLED;
         nm_job_check_end(sched, job, now_ms);
@@ -383,6 +407,7 @@
             job->state = s;
             job->shown = s;
             job->ended_ms = sched->began_ms;
+            g_queue_push_tail(&sched->ended, job);
         }
     }
     size_t w;
@@ -462,6 +487,27 @@
         nm_sched_job_t *job = sched->active->pdata[i - 1];
         if (job->state >= NM_JOB_COMPLETED && !job_has_tasks(job)) {
             g_ptr_array_remove_index_fast(sched->active, i - 1);
+            job->active = false;
+        }
+    }
+}
+
+/* Jobs whose retention is over go, unless something of them is still open. */
+static void
+expire_ended(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    nm_sched_job_t *job;
+    while ((job = g_queue_peek_head(&sched->ended)) &&
+           now_ms - job->ended_ms >= sched->desc.retain_ms)
+    {
+        g_queue_pop_head(&sched->ended);
+        bool open = job->active || job->saving || job->change > job->saved;
+        if (open) {
+            job->ended_ms = now_ms;
+            g_queue_push_tail(&sched->ended, job);
+        }
+        else {
+            g_queue_push_tail(&sched->expired, job);
         }
     }
 }
@@ -491,6 +537,7 @@
         advance_saved(sched);
     }
     settle_unseen(sched, now_ms);
+    expire_ended(sched, now_ms);
     if (now_ms - sched->checked_ms >= FILLER_CHECK_MS) {
         sched->checked_ms = now_ms;
         nm_sched_check_fillers(sched, now_ms);
@@ -546,7 +593,20 @@
 nm_sched_has_saves(const nm_sched_t *sched)
 {
     assert(sched);
-    return sched->urgent.length > 0 || sched->dirty.length > 0;
+    return sched->urgent.length > 0 || sched->dirty.length > 0 ||
+           sched->expired.length > 0;
+}
+
+static bool
+next_forgotten(nm_sched_t *sched, nm_sched_save_t *save)
+{
+    const nm_sched_job_t *job = g_queue_pop_head(&sched->expired);
+    if (!job) {
+        return false;
+    }
+    *save = (nm_sched_save_t){.cancelled = job->cancel_marked};
+    nm_strcopy(save->job, sizeof(save->job), job->spec.id);
+    return true;
 }
 
 bool
@@ -556,9 +616,10 @@
     GQueue *queue = sched->urgent.length > 0 ? &sched->urgent : &sched->dirty;
     GList *link = g_queue_pop_head_link(queue);
     if (!link) {
-        return false;
+        return next_forgotten(sched, save);
     }
     nm_sched_job_t *job = link->data;
+    *save = (nm_sched_save_t){0};
     job->save_queue = NULL;
     job->saving = true;
     job->urgent = false;
@@ -576,6 +637,15 @@
     if (!job) {
         return;
     }
+    if (!save->record) {
+        if (stored) {
+            g_hash_table_remove(sched->jobs, save->job);
+        }
+        else {
+            g_queue_push_head(&sched->expired, job);
+        }
+        return;
+    }
     job->saving = false;
     if (stored) {
         job->saved = save->change;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -148,7 +148,9 @@
     bool recovered;
     bool unreadable; /* its progress; nothing of it may start */
     bool cancelled;
-    bool started; /* any task was ever started */
+    bool cancel_marked; /* a cancel of it is stored */
+    bool active;        /* in the scheduler's list of active jobs */
+    bool started;       /* any task was ever started */
     bool long_running;
     uint64_t change;       /* newest change to store */
     uint64_t first_change; /* oldest change that is not stored */
@@ -237,7 +239,9 @@
     GQueue gone;    /* ids of workers that were forgotten */
     GQueue urgent;  /* jobs with changes to store that callers wait for */
     GQueue dirty;   /* other jobs with changes to store */
-    GQueue unsaved; /* all of these, and those whose record is under way */
+    GQueue ended;   /* jobs that have ended, oldest first */
+    GQueue expired; /* of these, past their retention: to be forgotten */
+    GQueue unsaved; /* jobs with changes that are not stored */
     uint64_t change;
     uint64_t saved;
     uint64_t placement; /* number of the current one */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -231,6 +231,7 @@
     }
     job->state = state;
     job->ended_ms = now_ms;
+    g_queue_push_tail(&sched->ended, job);
     nm_sched_mark(sched, job, true);
     if (state != NM_JOB_COMPLETED) {
         stop_all(sched, job, now_ms);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -27,6 +27,11 @@
     "\"steps\":[{\"tasks\":2,\"cpu_milli\":500}]}"
 #define BODY "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
 
+/* Ended jobs are known at least this long (the platform's status_s). */
+#define RETENTION_MS 120000
+/* ...and gone this much later. */
+#define FORGET_MS 40000
+
 typedef struct {
     nm_call_front_t base;
     GQueue waiting;
@@ -570,6 +575,50 @@
     }
 }
 
+/*
+ * Load: jobs that have ended, and cancels of jobs that never came, for longer
+ * than their retention.  All their keys leave the store, in an outage too,
+ * once it is over.
+ */
+static void
+test_ended_jobs_leave_the_store(void)
+{
+    static const char *const keys[] = {
+        JOB_KEY,
+        JOB_KEY ".cancel",
+        "nutmegdeck/progress/" JOB,
+        "nutmegdeck/jobs/00000000000000aa.cancel",
+    };
+    fake_kv_t *kv = configured_store();
+    host_t host;
+    host_init(&host, "a", kv);
+    run(&host, 1000);
+    call(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run(&host, 200);
+    call(&host, NM_METHOD_DELETE, "/a/" JOB, "");
+    call(&host, NM_METHOD_DELETE, "/a/00000000000000aa", "");
+    run(&host, RETENTION_MS);
+    for (size_t i = 0; i < NM_COUNT_OF(keys); i++) {
+        g_assert_nonnull(fake_kv_value(kv, keys[i]));
+    }
+    call(&host, NM_METHOD_GET, "/a/" JOB, "");
+    run(&host, 100);
+    g_assert_cmpstr(last_answer(&host), ==, "{\"state\":\"cancelled\"}");
+    fake_kv_set_mode(kv, FAKE_KV_BUSY);
+    run(&host, FORGET_MS);
+    fake_kv_set_mode(kv, FAKE_KV_SERVES);
+    run(&host, 5000);
+    for (size_t i = 0; i < NM_COUNT_OF(keys); i++) {
+        g_test_message("%s", keys[i]);
+        g_assert_null(fake_kv_value(kv, keys[i]));
+    }
+    call(&host, NM_METHOD_GET, "/a/" JOB, "");
+    run(&host, 100);
+    g_assert_cmpint(last_status(&host), ==, 410);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -598,5 +647,7 @@
                     test_cancelled_job_is_not_created_late);
     g_test_add_func("/entry/unreadable-roster-is-waited-out",
                     test_unreadable_roster_is_waited_out);
+    g_test_add_func("/entry/ended-jobs-leave-the-store",
+                    test_ended_jobs_leave_the_store);
     return g_test_run();
 }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -400,6 +400,88 @@
     sched_world_finish(&world);
 }
 
+/*
+ * Load: jobs without end, for a week.  What is kept of them, here and in the
+ * store, must depend on the retention and not on how many there were.
+ */
+static void
+test_ended_jobs_are_forgotten(void)
+{
+    enum { WEEK_S = 7 * 24 * 3600, EVERY_S = 60, RETAIN_S = 150 };
+    enum { KEPT_MAX = RETAIN_S / EVERY_S + 2 };
+    sched_world_t world;
+    sched_world_init(&world, 1);
+    sched_world_join(&world, "a");
+    GHashTable *records =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    char id[NM_JOB_ID_MAX] = "";
+    int64_t ended = 0;
+    for (uint32_t second = 0; second < WEEK_S; second++) {
+        if (second % EVERY_S == 0) {
+            g_snprintf(id, sizeof(id), "%016x", second);
+            sched_world_add_job(&world, id, false, 1, 1000, false);
+        }
+        sched_world_step(&world, 1000);
+        nm_sched_action_t start = sched_world_confirm_starts(&world);
+        if (start.type == NM_ACTION_START && second % (2 * EVERY_S) == 0) {
+            nm_sched_cancel_job(world.sched, id, world.now_ms);
+        }
+        if (start.type == NM_ACTION_START) {
+            nm_worker_end_t end =
+                sched_world_end(++ended, start.task, start.run, NM_END_DONE);
+            world.now_ms++;
+            sched_world_report(&world, "a", 1, NULL, 0, &end, 1);
+        }
+        nm_sched_save_t save;
+        while (nm_sched_next_save(world.sched, &save)) {
+            bool forgotten = !save.record;
+            nm_sched_saved(world.sched, &save, true);
+            g_free(save.record);
+            if (forgotten) {
+                g_assert_true(g_hash_table_remove(records, save.job));
+                g_assert_cmpint(nm_sched_query_job(world.sched, save.job), ==,
+                                NM_JOB_UNKNOWN);
+            }
+            else {
+                g_hash_table_add(records, g_strdup(save.job));
+            }
+        }
+        g_assert_cmpuint(g_hash_table_size(records), <=, KEPT_MAX);
+        bool kept = second < EVERY_S + RETAIN_S ||
+                    g_hash_table_size(records) >= RETAIN_S / EVERY_S;
+        g_assert_true(kept);
+    }
+    g_hash_table_destroy(records);
+    sched_world_finish(&world);
+}
+
+/* A record that could not be removed is removed later. */
+static void
+test_forgetting_is_repeated(void)
+{
+    sched_world_t world;
+    sched_world_init(&world, 1);
+    sched_world_add_job(&world, JOB, false, 1, 1000, false);
+    nm_sched_cancel_job(world.sched, JOB, world.now_ms);
+    sched_world_save_all(&world);
+    sched_world_step(&world, 100000);
+    g_assert_false(nm_sched_has_saves(world.sched));
+    sched_world_step(&world, 100000);
+    for (uint32_t i = 0; i < 3; i++) {
+        nm_sched_save_t save;
+        g_assert_true(nm_sched_next_save(world.sched, &save));
+        g_assert_null(save.record);
+        g_assert_true(save.cancelled);
+        g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==,
+                        NM_JOB_CANCELLED);
+        nm_sched_saved(world.sched, &save, i == 2);
+        sched_world_step(&world, 1000);
+    }
+    g_assert_false(nm_sched_has_saves(world.sched));
+    g_assert_cmpint(nm_sched_query_job(world.sched, JOB), ==, NM_JOB_UNKNOWN);
+    sched_world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -425,6 +507,8 @@
         {"/sched/stalled-work-moves", test_stalled_work_moves},
         {"/sched/long-running-gets-room", test_long_running_gets_room},
         {"/sched/ended-job-is-saved-first", test_ended_job_is_saved_first},
+        {"/sched/ended-jobs-are-forgotten", test_ended_jobs_are_forgotten},
+        {"/sched/forgetting-is-repeated", test_forgetting_is_repeated},
         {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
