Fillers beside a tail over its target go one by one, and what that does is awaited

Change: 0.7 s between two fillers; from 1.8 s over the target on, all go. Load pattern: several fillers beside a serving task that is over its target.

--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -49,8 +49,15 @@
 #define OVER_SHARE 0.88
 /* One rough figure below that proves nothing; one below this does. */
 #define UNDER_SHARE 0.7
-/* A tail over its target for this long pauses the fillers beside it. */
+/* A tail over its target for this long pauses the worst filler beside it... */
 #define OVER_MS 900
+/*
+ * ...and the next one after this: a stop takes up to 400 ms, and only then
+ * does a figure tell whether that was enough.
+ */
+#define RELIEF_MS 700
+/* From here on all go: the rule allows 4 s, of which a stop takes 0.9. */
+#define OVER_ALL_MS 1800
 /* Share of the target below which a worker's tails are calm. */
 #define CALM_SHARE 0.8
 /* Tail of a serving task from which on it counts as started up. */
@@ -237,17 +244,18 @@
     }
 }
 
-static bool
-is_over(const nm_sched_node_t *node, nm_ms_t now_ms)
+/* How long a serving task has been over its target. */
+static nm_ms_t
+over_ms(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
+    nm_ms_t longest = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (task->over_since_ms > 0 && now_ms - task->over_since_ms >= OVER_MS)
-        {
-            return true;
+        if (task->over_since_ms > 0) {
+            longest = MAX(longest, now_ms - task->over_since_ms);
         }
     }
-    return false;
+    return longest;
 }
 
 void
@@ -330,7 +338,10 @@
     return true;
 }
 
-/* Throttles one filler at a time, the most costly one first. */
+/*
+ * Relieves one filler at a time, the most costly one first, and waits for what
+ * that does to the tails, as long as their time over the target allows.
+ */
 static void
 check_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -360,8 +371,12 @@
             worst_cost = cost;
         }
     }
-    bool over = is_over(node, now_ms);
-    if (worst && (over || worst_cost > PAUSE_COST)) {
+    nm_ms_t lasted_ms = over_ms(node, now_ms);
+    bool over = lasted_ms >= OVER_MS;
+    bool relieve = lasted_ms >= OVER_ALL_MS ||
+                   (over && now_ms - node->relieved_ms >= RELIEF_MS);
+    if (worst && (relieve || worst_cost > PAUSE_COST)) {
+        node->relieved_ms = now_ms;
         if (nm_task_step(worst)->saves_progress) {
             evict(sched, node, worst, now_ms);
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -216,6 +216,7 @@
     nm_ms_t progress_ms; /* last end or newer checkpoint of any task */
     nm_ms_t stall_check_ms;
     nm_ms_t fillers_changed_ms;
+    nm_ms_t relieved_ms; /* a filler was last paused or evicted */
     nm_ms_t observed_ms;
     nm_filler_load_t loads[NM_SCHED_LOADS_MAX]; /* by filler image */
     uint32_t load_count;
--- a/tests/test_sched_filler.c
+++ b/tests/test_sched_filler.c
@@ -269,6 +269,61 @@
     sched_world_finish(&world);
 }
 
+/*
+ * Load: several fillers beside a serving task that is over its target.  One
+ * filler goes first; the others stay if that was enough, and go in time if it
+ * was not.  The rule allows 4 s, of which figures and a stop take 1.4.
+ */
+static void
+test_relief_is_awaited(void)
+{
+    enum { FILLERS = 5, OVER_MS_MAX = 2600 };
+    static const struct {
+        const char *name;
+        int64_t figure_after;
+        uint32_t stops;
+    } cases[] = {{"enough", 8, 1}, {"not enough", 22, FILLERS}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_world_t world;
+        sched_world_init(&world, 1);
+        sched_world_join(&world, "a");
+        add_colocated(&world, JOB, true, false);
+        nm_worker_run_t rows[FILLERS + 1] = {sched_world_run(TASK, 1)};
+        for (uint32_t f = 0; f < FILLERS; f++) {
+            char id[NM_JOB_ID_MAX];
+            char task[NM_TASK_NAME_MAX];
+            g_snprintf(id, sizeof(id), "%016x", f + 1);
+            g_snprintf(task, sizeof(task), "%s.0.0.0", id);
+            add_colocated(&world, id, false, false);
+            rows[f + 1] = sched_world_run(task, 1);
+            rows[f + 1].figure = 900;
+        }
+        sched_world_step(&world, 30);
+        sched_world_confirm_starts(&world);
+        rows[0].figure = 22;
+        uint32_t stops = 0;
+        nm_ms_t begin_ms = world.now_ms;
+        nm_ms_t first_ms = 0;
+        while (world.now_ms - begin_ms < OVER_MS_MAX) {
+            sched_world_step(&world, 50);
+            for (guint a = 0; a < world.actions->len; a++) {
+                const nm_sched_action_t *action =
+                    &g_array_index(world.actions, nm_sched_action_t, a);
+                stops += action->type == NM_ACTION_STOP;
+            }
+            first_ms = stops > 0 && first_ms == 0 ? world.now_ms : first_ms;
+            bool shown = first_ms > 0 && world.now_ms - first_ms > 600;
+            rows[0].figure = shown ? cases[i].figure_after : 22;
+            world.now_ms++;
+            sched_world_report(&world, "a", 1, rows, NM_COUNT_OF(rows), NULL,
+                               0);
+        }
+        g_assert_cmpuint(stops, ==, cases[i].stops);
+        sched_world_finish(&world);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -283,6 +338,7 @@
         {"/sched/inherited-fillers-go-on", test_inherited_fillers_go_on},
         {"/sched/tail-over-target-while-unwatched",
          test_tail_over_target_while_unwatched},
+        {"/sched/relief-is-awaited", test_relief_is_awaited},
         {"/sched/throttle-is-repeated", test_throttle_is_repeated},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
