Carriers report what changed of a worker, not all of it

Change: a carrier remembers the last report of each worker; a poll names the report that the owner has, and if it is that one, only new runs, other checkpoints, what is gone, and figures are sent. After a lost answer, with another carrier, or another incarnation of the worker, the report is whole. The progress of a run, which nobody read, is no longer carried.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -39,6 +39,7 @@
     X(PEER_SEND_FAILED, "peer-send-failed")                                   \
     X(REPORT_MALFORMED, "report-malformed")                                   \
     X(ROSTER_REFUSED, "roster-refused")                                       \
+    X(REPORT_REFUSED, "report-refused")                                       \
     X(HOST_REFUSED, "host-refused")                                           \
     X(ELECTION_FAILED, "election-failed")                                     \
     X(REQUEST_REFUSED, "request-refused")                                     \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -124,8 +124,7 @@
     char task[NM_TASK_NAME_MAX];
     int64_t run;
     char checkpoint[NM_CHECKPOINT_MAX];
-    uint32_t progress_percent; /* of its start, or of its work */
-    int64_t figure;            /* long-running: tail in ms; else cpu in use */
+    int64_t figure; /* long-running: tail in ms; else cpu in use */
 } nm_worker_run_t;
 
 typedef struct {
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -575,7 +575,7 @@
   (ProtobufCMessageInit) nm_pb__entry_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[14] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[15] =
 {
   {
     "number",
@@ -745,10 +745,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_number",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, base_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
   3,   /* field[3] = address */
+  14,   /* field[14] = base_number */
   11,   /* field[11] = checkpoint */
   7,   /* field[7] = expiry_ms */
   4,   /* field[4] = incarnation */
@@ -765,7 +778,7 @@
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -775,7 +788,7 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  14,
+  15,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
@@ -846,7 +859,7 @@
   (ProtobufCMessageInit) nm_pb__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__worker_report__field_descriptors[5] =
+static const ProtobufCFieldDescriptor nm_pb__worker_report__field_descriptors[9] =
 {
   {
     "incarnation",
@@ -908,18 +921,70 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_number",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, base_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(NmPb__WorkerReport, n_gone),
+    offsetof(NmPb__WorkerReport, gone),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "figures",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(NmPb__WorkerReport, n_figures),
+    offsetof(NmPb__WorkerReport, figures),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__worker_report__field_indices_by_name[] = {
+  6,   /* field[6] = base_number */
   1,   /* field[1] = clock_ms */
   2,   /* field[2] = complete */
   4,   /* field[4] = ends */
+  8,   /* field[8] = figures */
+  7,   /* field[7] = gone */
   0,   /* field[0] = incarnation */
+  5,   /* field[5] = number */
   3,   /* field[3] = running */
 };
 static const ProtobufCIntRange nm_pb__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor nm_pb__worker_report__descriptor =
 {
@@ -929,14 +994,14 @@
   "NmPb__WorkerReport",
   "nm_pb",
   sizeof(NmPb__WorkerReport),
-  5,
+  9,
   nm_pb__worker_report__field_descriptors,
   nm_pb__worker_report__field_indices_by_name,
   1,  nm_pb__worker_report__number_ranges,
   (ProtobufCMessageInit) nm_pb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__worker_run__field_descriptors[5] =
+static const ProtobufCFieldDescriptor nm_pb__worker_run__field_descriptors[4] =
 {
   {
     "task",
@@ -975,24 +1040,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "percent",
+    "position",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(NmPb__WorkerRun, percent),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "figure",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(NmPb__WorkerRun, figure),
+    offsetof(NmPb__WorkerRun, position),
     NULL,
     NULL,
     0,             /* flags */
@@ -1001,15 +1054,14 @@
 };
 static const unsigned nm_pb__worker_run__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
-  4,   /* field[4] = figure */
-  3,   /* field[3] = percent */
+  3,   /* field[3] = position */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
 };
 static const ProtobufCIntRange nm_pb__worker_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor nm_pb__worker_run__descriptor =
 {
@@ -1019,7 +1071,7 @@
   "NmPb__WorkerRun",
   "nm_pb",
   sizeof(NmPb__WorkerRun),
-  5,
+  4,
   nm_pb__worker_run__field_descriptors,
   nm_pb__worker_run__field_indices_by_name,
   1,  nm_pb__worker_run__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -133,10 +133,14 @@
    * for the worker's answer; 0: the carrier's usual
    */
   int64_t timeout_ms;
+  /*
+   * of a poll: the newest report that is known; 0: none
+   */
+  uint64_t base_number;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  NmPb__OrderResult
@@ -154,34 +158,63 @@
     , 0, 0, NULL }
 
 
+/*
+ * A report, or how it differs from report `base_number` of the same worker.
+ */
 struct  NmPb__WorkerReport
 {
   ProtobufCMessage base;
   int64_t incarnation;
   int64_t clock_ms;
   protobuf_c_boolean complete;
+  /*
+   * Runs that base lacks, and those whose checkpoint is another.
+   */
   size_t n_running;
   NmPb__WorkerRun **running;
   size_t n_ends;
   NmPb__WorkerEnd **ends;
+  /*
+   * of this report, at its carrier
+   */
+  uint64_t number;
+  /*
+   * 0: running holds all
+   */
+  uint64_t base_number;
+  /*
+   * positions in base, rising
+   */
+  size_t n_gone;
+  uint32_t *gone;
+  /*
+   * of all runs, in order
+   */
+  size_t n_figures;
+  int64_t *figures;
 };
 #define NM_PB__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_report__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  NmPb__WorkerRun
 {
   ProtobufCMessage base;
+  /*
+   * empty: a run of base, at `position`
+   */
   char *task;
   int64_t run;
   char *checkpoint;
-  uint32_t percent;
-  int64_t figure;
+  /*
+   * after those in `gone` were taken out
+   */
+  uint32_t position;
 };
 #define NM_PB__WORKER_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  NmPb__WorkerEnd
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -17,28 +17,14 @@
     nm_order_carry_t *carry;
     GBytes *route;
     uint64_t number;
+    uint64_t base; /* of a poll: the report that the owner has */
 } order_t;
 
 static void
 free_result(gpointer data)
 {
     NmPb__OrderResult *result = data;
-    if (result->report) {
-        NmPb__WorkerReport *report = result->report;
-        for (size_t i = 0; i < report->n_running; i++) {
-            g_free(report->running[i]->task);
-            g_free(report->running[i]->checkpoint);
-            g_free(report->running[i]);
-        }
-        for (size_t i = 0; i < report->n_ends; i++) {
-            g_free(report->ends[i]->task);
-            g_free(report->ends[i]->checkpoint);
-            g_free(report->ends[i]);
-        }
-        g_free(report->running);
-        g_free(report->ends);
-        g_free(report);
-    }
+    nm_report_message_free(result->report);
     g_free(result);
 }
 
@@ -59,6 +45,7 @@
     *carry = (nm_order_carry_t){.direct = direct, .peers = peers};
     carry->owners =
         g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, free_owner);
+    nm_report_memory_init(&carry->memory);
 }
 
 void
@@ -66,6 +53,7 @@
 {
     assert(carry);
     g_hash_table_destroy(carry->owners);
+    nm_report_memory_finish(&carry->memory);
 }
 
 static owner_t *
@@ -81,46 +69,10 @@
     return owner;
 }
 
-static NmPb__WorkerReport *
-encode_report(const nm_worker_report_t *report)
-{
-    NmPb__WorkerReport *message = g_new(NmPb__WorkerReport, 1);
-    nm_pb__worker_report__init(message);
-    message->incarnation = report->incarnation;
-    message->clock_ms = report->clock_ms;
-    message->complete = report->complete;
-    message->n_running = report->running_count;
-    message->running = g_new0(NmPb__WorkerRun *, report->running_count + 1);
-    for (uint32_t i = 0; i < report->running_count; i++) {
-        NmPb__WorkerRun *row = g_new(NmPb__WorkerRun, 1);
-        nm_pb__worker_run__init(row);
-        row->task = g_strdup(report->running[i].task);
-        row->run = report->running[i].run;
-        row->checkpoint = g_strdup(report->running[i].checkpoint);
-        row->percent = report->running[i].progress_percent;
-        row->figure = report->running[i].figure;
-        message->running[i] = row;
-    }
-    message->n_ends = report->end_count;
-    message->ends = g_new0(NmPb__WorkerEnd *, report->end_count + 1);
-    for (uint32_t i = 0; i < report->end_count; i++) {
-        NmPb__WorkerEnd *row = g_new(NmPb__WorkerEnd, 1);
-        nm_pb__worker_end__init(row);
-        row->number = report->ends[i].number;
-        row->task = g_strdup(report->ends[i].task);
-        row->run = report->ends[i].run;
-        row->end = report->ends[i].end;
-        row->checkpoint = g_strdup(report->ends[i].checkpoint);
-        message->ends[i] = row;
-    }
-    return message;
-}
-
 static void
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
          const nm_worker_report_t *report)
 {
-    (void)action;
     order_t *order = user;
     owner_t *owner = find_owner(order->carry, order->route);
     NmPb__OrderResult *message = g_new(NmPb__OrderResult, 1);
@@ -128,7 +80,10 @@
     message->number = order->number;
     message->result = result;
     message->report =
-        report && result == NM_ORDER_DONE ? encode_report(report) : NULL;
+        report && result == NM_ORDER_DONE
+            ? nm_report_encode(&order->carry->memory, action->worker, report,
+                               order->base, order->carry->called_ms)
+            : NULL;
     g_ptr_array_add(owner->results, message);
     order->carry->queued++;
     g_bytes_unref(order->route);
@@ -159,7 +114,8 @@
         nm_strcopy(action.address, sizeof(action.address), row->address);
         nm_strcopy(action.task, sizeof(action.task), row->task);
         order_t *order = g_new(order_t, 1);
-        *order = (order_t){carry, g_bytes_ref(route), row->number};
+        *order = (order_t){carry, g_bytes_ref(route), row->number,
+                           row->base_number};
         nm_order_port_send(carry->direct, &action, ask->epoch, on_order,
                            order);
     }
@@ -170,6 +126,7 @@
 nm_order_carry_flush(nm_order_carry_t *carry, nm_ms_t now_ms)
 {
     assert(carry);
+    carry->called_ms = now_ms;
     nm_ms_t due = carry->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
     if (carry->queued == 0 || due > 0) {
         return carry->queued > 0 ? due : IDLE_MS;
--- a/src/order_carry.h
+++ b/src/order_carry.h
@@ -14,10 +14,13 @@
 
 #include "order_port.h"
 #include "peer_ask.h"
+#include "report_delta.h"
 
 typedef struct {
     nm_order_port_t *direct;
     nm_peer_ask_t *peers;
+    nm_report_memory_t memory;
+    nm_ms_t called_ms; /* last flush, whether it sent or not */
     nm_ms_t flushed_ms;
     uint32_t queued;
     GHashTable *owners; /* route -> answers that wait for the next flush */
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -23,6 +23,7 @@
 
 #include "order_port.h"
 #include "peer_ask.h"
+#include "report_delta.h"
 
 /*
  * Orders, and answers, that come within this time share a message; a message
@@ -81,9 +82,4 @@
 /* Orders under way are forgotten without calling back. */
 void nm_order_relay_clear(nm_order_relay_t *relay);
 
-/* Fills a report from a message; rows point into the message. */
-void nm_order_result_decode(const NmPb__OrderResult *result,
-                            nm_worker_report_t *report, GArray *running,
-                            GArray *ends);
-
 #endif
--- /dev/null
+++ b/tests/test_report_delta.c
@@ -0,0 +1,219 @@
+/* Reports as differences: what the owner sees is what the worker said. */
+#include <string.h>
+
+#include "../src/report_delta.h"
+
+#define RUNS_MAX 12
+
+typedef struct {
+    nm_worker_run_t rows[RUNS_MAX];
+    uint32_t count;
+    int64_t incarnation;
+    uint32_t next_task;
+} worker_t;
+
+static void
+worker_start(worker_t *worker)
+{
+    nm_worker_run_t row = {.run = 1 + worker->next_task % 3};
+    g_snprintf(row.task, sizeof(row.task), "5c0e7a21d94b36f8.0.0.%u",
+               worker->next_task++);
+    worker->rows[worker->count++] = row;
+}
+
+/* One thing that happens between two polls. */
+static void
+worker_change(worker_t *worker, nm_rng_t *rng)
+{
+    uint32_t at =
+        worker->count > 0 ? (uint32_t)nm_rng_below(rng, worker->count) : 0;
+    nm_worker_run_t *row = &worker->rows[at];
+    switch (nm_rng_below(rng, 5)) {
+    case 0:
+        if (worker->count < RUNS_MAX) {
+            worker_start(worker);
+        }
+        break;
+    case 1:
+        if (worker->count > 0) {
+            *row = worker->rows[--worker->count]; /* the order changes */
+        }
+        break;
+    case 2:
+        g_snprintf(row->checkpoint, sizeof(row->checkpoint), "%016x",
+                   (unsigned int)nm_rng_below(rng, 1000));
+        break;
+    case 3:
+        row->figure = (int64_t)nm_rng_below(rng, 90);
+        break;
+    default:
+        if (nm_rng_below(rng, 20) == 0) {
+            worker->incarnation++;
+            worker->count = 0;
+        }
+        break;
+    }
+}
+
+static nm_worker_report_t
+worker_report(const worker_t *worker)
+{
+    return (nm_worker_report_t){.result = NM_ORDER_DONE,
+                                .incarnation = worker->incarnation,
+                                .clock_ms = 5,
+                                .complete = true,
+                                .running = worker->rows,
+                                .running_count = worker->count};
+}
+
+static void
+assert_same(const worker_t *worker, const nm_report_view_t *view)
+{
+    g_assert_cmpuint(view->running->len, ==, worker->count);
+    for (uint32_t i = 0; i < worker->count; i++) {
+        const nm_worker_run_t *row = &worker->rows[i];
+        bool found = false;
+        for (guint v = 0; v < view->running->len && !found; v++) {
+            const nm_worker_run_t *seen =
+                &g_array_index(view->running, nm_worker_run_t, v);
+            found = strcmp(seen->task, row->task) == 0 &&
+                    seen->run == row->run && seen->figure == row->figure &&
+                    strcmp(seen->checkpoint, row->checkpoint) == 0;
+        }
+        g_assert_true(found);
+    }
+}
+
+/* The way through the wire, so that what is not encoded shows. */
+static NmPb__WorkerReport *
+carry(NmPb__WorkerReport *message)
+{
+    size_t bytes = nm_pb__worker_report__get_packed_size(message);
+    uint8_t *data = g_malloc(bytes + 1);
+    nm_pb__worker_report__pack(message, data);
+    nm_report_message_free(message);
+    NmPb__WorkerReport *copy = nm_pb__worker_report__unpack(NULL, bytes, data);
+    g_free(data);
+    g_assert_nonnull(copy);
+    return copy;
+}
+
+/*
+ * Load: polls whose answers get lost, two carriers that take turns, workers
+ * that start anew, carriers that forget.
+ */
+static void
+test_view_is_what_the_worker_said(void)
+{
+    enum { SEEDS = 50, POLLS = 400 };
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        nm_rng_t rng;
+        nm_rng_init(&rng, seed);
+        worker_t worker = {.incarnation = 1};
+        nm_report_memory_t carriers[2];
+        nm_report_memory_init(&carriers[0]);
+        nm_report_memory_init(&carriers[1]);
+        nm_report_view_t view;
+        nm_report_view_init(&view);
+        uint32_t at = 0;
+        uint32_t differences = 0;
+        for (nm_ms_t now_ms = 1000; now_ms < 1000 + POLLS; now_ms++) {
+            memset(&worker.rows[worker.count], 0,
+                   (RUNS_MAX - worker.count) * sizeof(worker.rows[0]));
+            for (uint64_t n = nm_rng_below(&rng, 4); n > 0; n--) {
+                worker_change(&worker, &rng);
+            }
+            if (nm_rng_below(&rng, 30) == 0) {
+                at = 1 - at;
+            }
+            nm_worker_report_t report = worker_report(&worker);
+            NmPb__WorkerReport *message = carry(nm_report_encode(
+                &carriers[at], "w", &report, view.number, now_ms));
+            if (nm_rng_below(&rng, 10) > 0) {
+                differences += message->base_number != 0;
+                g_assert_cmpint(nm_report_apply(&view, message), ==, NM_OK);
+                assert_same(&worker, &view);
+            }
+            nm_pb__worker_report__free_unpacked(message, NULL);
+        }
+        g_assert_cmpuint(differences, >, POLLS / 2);
+        nm_report_view_finish(&view);
+        nm_report_memory_finish(&carriers[0]);
+        nm_report_memory_finish(&carriers[1]);
+    }
+}
+
+/* What does not fit is refused, and the next report is asked for whole. */
+static void
+test_misfits_are_refused(void)
+{
+    static uint32_t beyond[] = {7};
+    static int64_t figures[] = {1, 2};
+    static char task[] = "";
+    static char checkpoint[] = "x";
+    NmPb__WorkerRun row = NM_PB__WORKER_RUN__INIT;
+    row.task = task;
+    row.checkpoint = checkpoint;
+    row.position = 9;
+    NmPb__WorkerRun *rows[] = {&row};
+    enum { BASE, GONE, FIGURES, POSITION, CASES };
+    for (int i = 0; i < CASES; i++) {
+        g_test_message("case %d", i);
+        worker_t worker = {.incarnation = 1};
+        worker_start(&worker);
+        nm_report_memory_t memory;
+        nm_report_memory_init(&memory);
+        nm_report_view_t view;
+        nm_report_view_init(&view);
+        nm_worker_report_t report = worker_report(&worker);
+        NmPb__WorkerReport *whole =
+            nm_report_encode(&memory, "w", &report, 0, 1000);
+        g_assert_cmpint(nm_report_apply(&view, whole), ==, NM_OK);
+        NmPb__WorkerReport message = NM_PB__WORKER_REPORT__INIT;
+        message.base_number = i == BASE ? view.number + 1 : view.number;
+        message.figures = figures;
+        message.n_figures = i == FIGURES ? 2 : 1;
+        message.gone = beyond;
+        message.n_gone = i == GONE ? 1 : 0;
+        message.running = rows;
+        message.n_running = i == POSITION ? 1 : 0;
+        g_assert_cmpint(nm_report_apply(&view, &message), ==, NM_ERR_CORRUPT);
+        g_assert_cmpuint(view.number, ==, 0);
+        g_assert_cmpuint(view.running->len, ==, 0);
+        nm_report_message_free(whole);
+        nm_report_view_finish(&view);
+        nm_report_memory_finish(&memory);
+    }
+}
+
+/* A carrier keeps nothing of workers that it is not asked about. */
+static void
+test_memory_is_bounded(void)
+{
+    nm_report_memory_t memory;
+    nm_report_memory_init(&memory);
+    worker_t worker = {.incarnation = 1};
+    worker_start(&worker);
+    nm_worker_report_t report = worker_report(&worker);
+    for (uint32_t i = 0; i < 1000; i++) {
+        char id[16];
+        g_snprintf(id, sizeof(id), "w%u", i);
+        nm_report_message_free(
+            nm_report_encode(&memory, id, &report, 0, 1000 + i * 100));
+    }
+    /* Those of 30 s and of the 10 s between two looks. */
+    g_assert_cmpuint(g_hash_table_size(memory.workers), <=, 401);
+    nm_report_memory_finish(&memory);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/report-delta/view-is-what-the-worker-said",
+                    test_view_is_what_the_worker_said);
+    g_test_add_func("/report-delta/misfits-are-refused",
+                    test_misfits_are_refused);
+    g_test_add_func("/report-delta/memory-is-bounded", test_memory_is_bounded);
+    return g_test_run();
+}
