Lost calls are judged by time, not by their number

Cause: the share of calls without an answer was averaged over some hundred calls, which a large fleet makes in 20 ms. Change: calls are judged together after 250 ms, and at least 60 of them. Test: /sched/dark-workers-are-no-lossy-network (one worker in a hundred goes dark: no; one call in ten gets no answer: yes), failed before.

--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -34,8 +34,6 @@
 #define NM_SCHED_LOSSY 0.015
 /* ...and below which it is over, so that the belief does not flap. */
 #define NM_SCHED_LOSSY_END 0.005
-/* Part of one call in that share. */
-#define NM_SCHED_LOSS_GAIN 0.01
 /*
  * While that is so, an answer is waited for this long: twice a round trip
  * between regions and the worker's time, with a pause of the owner.
@@ -251,9 +249,12 @@
     bool fenced;
     uint32_t starting; /* starts without an answer */
     bool has_unseen;   /* recovered tasks wait for workers to answer */
-    double call_loss;  /* share of calls without an answer */
-    bool lossy;        /* belief: answers get lost, whoever is called */
-    bool stale;        /* something changed since the last placement */
+    uint32_t calls;    /* that are judged next, since calls_since_ms */
+    uint32_t calls_lost;
+    nm_ms_t calls_since_ms;
+    double call_loss; /* share of calls without an answer */
+    bool lossy;       /* belief: answers get lost, whoever is called */
+    bool stale;       /* something changed since the last placement */
     nm_ms_t placed_ms;
     nm_ms_t checked_ms;
     int64_t unix_ms;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -24,6 +24,12 @@
 #define STALL_CHECK_MS 250
 /* A poll's way there and back between regions, and a round of the owner. */
 #define REPORT_USUAL_MS 250
+/* Calls are judged together by what was answered in this time... */
+#define LOSS_PERIOD_MS 250
+/* ...or until there are this many, fewer tell little. */
+#define LOSS_CALLS_MIN 60
+/* Part of the newest judgement. */
+#define LOSS_GAIN 0.5
 /* Time between two looks at a worker of which something is open. */
 #define ATTENTION_MS 100
 /* Least time left at which a draining worker's saved work is moved. */
@@ -210,14 +216,22 @@
     nm_sched_stop_task(sched, task, now_ms);
 }
 
-/* Repeated losses tell of the worker, not of calls in general. */
+/*
+ * Judged by time, not by calls: a large fleet makes a hundred calls in 20 ms,
+ * in which a few workers that went dark together are a large share.
+ */
 static void
-note_call(nm_sched_t *sched, nm_sched_node_t *node, bool answered)
+judge_calls(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    if (answered || !node->silent) {
-        double lost = answered ? 0 : 1;
-        sched->call_loss += NM_SCHED_LOSS_GAIN * (lost - sched->call_loss);
+    if (now_ms - sched->calls_since_ms < LOSS_PERIOD_MS ||
+        sched->calls < LOSS_CALLS_MIN)
+    {
+        return;
     }
+    double lost = (double)sched->calls_lost / sched->calls;
+    sched->call_loss += LOSS_GAIN * (lost - sched->call_loss);
+    sched->calls = 0;
+    sched->calls_lost = 0;
     bool was_lossy = sched->lossy;
     sched->lossy =
         sched->call_loss > (was_lossy ? NM_SCHED_LOSSY_END : NM_SCHED_LOSSY);
@@ -226,7 +240,22 @@
                       was_lossy ? NM_NOTE_CALLS_ANSWERED : NM_NOTE_CALLS_LOST,
                       "", (int64_t)(sched->call_loss * 1000));
     }
+}
+
+/* Repeated losses tell of the worker, not of calls in general. */
+static void
+note_call(nm_sched_t *sched, nm_sched_node_t *node, bool answered,
+          nm_ms_t now_ms)
+{
+    if (sched->calls == 0) {
+        sched->calls_since_ms = now_ms;
+    }
+    if (answered || !node->silent) {
+        sched->calls++;
+        sched->calls_lost += !answered;
+    }
     node->silent = !answered;
+    judge_calls(sched, now_ms);
 }
 
 /*
@@ -235,7 +264,7 @@
  */
 static nm_task_t *
 find_ordered(nm_sched_t *sched, const nm_sched_action_t *action,
-             nm_order_result_t result, nm_run_state_t state)
+             nm_order_result_t result, nm_run_state_t state, nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, action->task);
     sched->fenced = sched->fenced || result == NM_ORDER_FENCED;
@@ -247,7 +276,7 @@
         return NULL;
     }
     task->order_pending = false;
-    note_call(sched, task->node, result != NM_ORDER_UNKNOWN);
+    note_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
     return task;
 }
 
@@ -279,7 +308,8 @@
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_copies_note(addressed, action, now_ms);
     }
-    nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STARTING);
+    nm_task_t *task =
+        find_ordered(sched, action, result, NM_RUN_STARTING, now_ms);
     if (!task) {
         return;
     }
@@ -330,7 +360,8 @@
         nm_due_touch(sched, addressed);
         nm_copies_take_stop(addressed, action, result, now_ms);
     }
-    nm_task_t *task = find_ordered(sched, action, result, NM_RUN_STOPPING);
+    nm_task_t *task =
+        find_ordered(sched, action, result, NM_RUN_STOPPING, now_ms);
     if (!task) {
         return;
     }
@@ -506,7 +537,7 @@
         sched->fenced = true;
         return;
     }
-    note_call(sched, node, report->result != NM_ORDER_UNKNOWN);
+    note_call(sched, node, report->result != NM_ORDER_UNKNOWN, now_ms);
     if (report->result != NM_ORDER_DONE) {
         node->poll_failures++;
         uint32_t failures_max = sched->lossy ? NM_SCHED_POLL_FAILURES_LOSSY
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -482,6 +482,58 @@
     sched_world_finish(&world);
 }
 
+/*
+ * Load: a large fleet, of which one worker in a hundred goes dark at once.
+ * That is no sign that answers get lost, whoever is called; one call in ten
+ * without an answer is.
+ */
+static void
+test_dark_workers_are_no_lossy_network(void)
+{
+    enum { WORKERS = 1000, CALM_ROUNDS = 3 };
+    static const struct {
+        const char *name;
+        uint32_t one_in;
+        bool repeated; /* always the same ones */
+        bool lossy;
+    } cases[] = {{"dark workers", 100, true, false},
+                 {"lost answers", 10, false, true}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_world_t world;
+        sched_world_init(&world, 1);
+        char ids[WORKERS][8];
+        for (uint32_t w = 0; w < WORKERS; w++) {
+            g_snprintf(ids[w], sizeof(ids[w]), "w%u", w);
+            sched_world_join(&world, ids[w]);
+        }
+        nm_sched_note_t note;
+        while (nm_sched_next_note(world.sched, &note)) {
+        }
+        uint32_t told = 0;
+        for (uint32_t round = 0; round < 20; round++) {
+            for (uint32_t w = 0; w < WORKERS; w++) {
+                /* Dark ones are found together, as their polls end. */
+                bool lost = cases[i].repeated
+                                ? w < WORKERS / cases[i].one_in
+                                : (w + round * 7) % cases[i].one_in == 0;
+                if (lost && round >= CALM_ROUNDS) {
+                    sched_world_lose_poll(&world, ids[w]);
+                }
+                else {
+                    sched_world_report(&world, ids[w], 1, NULL, 0, NULL, 0);
+                }
+                world.now_ms += w % 5 == 0;
+            }
+            while (nm_sched_next_note(world.sched, &note)) {
+                told += note.type == NM_NOTE_CALLS_LOST;
+            }
+        }
+        g_assert_cmpuint(told, ==, cases[i].lossy ? 1 : 0);
+        sched_world_finish(&world);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -509,6 +561,8 @@
         {"/sched/ended-job-is-saved-first", test_ended_job_is_saved_first},
         {"/sched/ended-jobs-are-forgotten", test_ended_jobs_are_forgotten},
         {"/sched/forgetting-is-repeated", test_forgetting_is_repeated},
+        {"/sched/dark-workers-are-no-lossy-network",
+         test_dark_workers_are_no_lossy_network},
         {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
