Each data centre has as many carriers as its workers need

Cause: all hosts of half the largest processor carried: 70 of 147, some 150 of 300, beyond the 64 connections that are kept, so that connections were made anew all the while; and a message costs the owner as much as ten orders. After any carrier's silence, which for a host lost for good never ends, each order drew among all hosts anew. Change: a carrier for 50 workers, two at least, drawn by rendezvous in the data centre; drawn again when the set of hosts that answer changes; a silent one is tried with one order at a time when its pause is over. Load pattern: far more hosts than are needed, of which some go silent. Test: /relay/few-hosts-carry.

--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -27,6 +27,13 @@
  * orders, so that more of them fit into one message of the owner.
  */
 #define CARRIER_SHARE_MIN 0.5
+/*
+ * Workers for each carrier: with some 8 calls a second each, a tenth of a
+ * core.  More carriers are more messages of the owner, each with fewer orders.
+ */
+#define CARRIER_WORKERS 50
+/* ...so that one of them may go silent. */
+#define CARRIERS_MIN 2
 /* Time between two checks for orders without an answer. */
 #define CHECK_MS 100
 #define ORDERS_MAX 256
@@ -38,6 +45,7 @@
     nm_ms_t asked_ms; /* oldest order since its last answer; 0: none */
     nm_ms_t down_until_ms;
     nm_ms_t down_ms;
+    double weight; /* while carriers are drawn */
 } carrier_t;
 
 typedef struct {
@@ -50,11 +58,19 @@
     char carrier[NM_NAME_MAX];
 } order_t;
 
+/* A data centre, and the hosts that carry for its workers. */
+typedef struct {
+    char name[NM_NAME_MAX];
+    uint32_t workers;
+    uint32_t selected_workers; /* when the carriers were drawn */
+    GPtrArray *carriers;
+    uint64_t generation; /* of the set of hosts that they were drawn from */
+} zone_t;
+
 /* How a worker is reached. */
 typedef struct {
-    char zone[NM_NAME_MAX];
-    /* Drawn while no carrier was in trouble, from this set of hosts. */
-    carrier_t *carrier;
+    zone_t *zone;
+    carrier_t *carrier; /* valid in this generation */
     uint64_t generation;
     nm_report_view_t view; /* of its runs, as a carrier reported them */
 } route_t;
@@ -88,6 +104,14 @@
     g_free(order);
 }
 
+static void
+free_zone(gpointer data)
+{
+    zone_t *zone = data;
+    g_ptr_array_free(zone->carriers, TRUE);
+    g_free(zone);
+}
+
 static void
 free_route(gpointer data)
 {
@@ -96,54 +120,92 @@
     g_free(route);
 }
 
+/* Weighted rendezvous: each host wins in proportion to its processor. */
 static double
-weight(const carrier_t *carrier, const char *worker)
+weight(const carrier_t *carrier, const char *key)
 {
     char text[NM_NAME_MAX * 2 + 2];
-    g_snprintf(text, sizeof(text), "%s/%s", carrier->desc.name, worker);
+    g_snprintf(text, sizeof(text), "%s/%s", carrier->desc.name, key);
     uint64_t hash = nm_hash(text, strlen(text));
     double unit = ((double)(hash >> 11) + 1) * 0x1.0p-53;
-    /* Weighted rendezvous: each carrier wins in proportion to its share. */
     return -MAX(carrier->desc.cpu_share, 0.01) / log(unit);
 }
 
-/* After a silence one order at a time tries a carrier out. */
 static bool
-may_carry(const nm_order_relay_t *relay, const carrier_t *carrier,
-          const route_t *route, nm_ms_t wait_ms, nm_ms_t now_ms)
+is_in_zone(const nm_order_relay_t *relay, const carrier_t *carrier,
+           const zone_t *zone)
 {
-    bool on_trial = carrier->down_ms > 0;
-    return now_ms >= carrier->down_until_ms &&
-           !(on_trial && (carrier->asked_ms > 0 || wait_ms > 0)) &&
-           strcmp(carrier->desc.zone, route->zone) == 0 &&
+    return strcmp(carrier->desc.zone, zone->name) == 0 &&
            strcmp(carrier->desc.name, relay->desc.name) != 0;
 }
 
-static carrier_t *
-draw_carrier(nm_order_relay_t *relay, const route_t *route, const char *worker,
-             nm_ms_t wait_ms, nm_ms_t now_ms)
+static gint
+compare_carriers(gconstpointer a, gconstpointer b)
+{
+    const carrier_t *left = *(carrier_t *const *)a;
+    const carrier_t *right = *(carrier_t *const *)b;
+    return left->weight < right->weight ? 1 : left->weight > right->weight;
+}
+
+/* Draws the hosts that carry for a data centre, among those that answer. */
+static void
+select_carriers(nm_order_relay_t *relay, zone_t *zone)
 {
     GHashTableIter iter;
     gpointer value;
     double largest = 0;
+    g_ptr_array_set_size(zone->carriers, 0);
     g_hash_table_iter_init(&iter, relay->hosts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const carrier_t *carrier = value;
-        if (carrier->down_ms == 0 &&
-            may_carry(relay, carrier, route, wait_ms, now_ms)) {
+        carrier_t *carrier = value;
+        if (carrier->down_ms == 0 && is_in_zone(relay, carrier, zone)) {
+            carrier->weight = weight(carrier, zone->name);
             largest = MAX(largest, carrier->desc.cpu_share);
+            g_ptr_array_add(zone->carriers, carrier);
         }
     }
-    carrier_t *best = NULL;
-    double best_weight = 0;
+    for (guint i = zone->carriers->len; i > 0; i--) {
+        const carrier_t *carrier = zone->carriers->pdata[i - 1];
+        if (carrier->desc.cpu_share < largest * CARRIER_SHARE_MIN) {
+            g_ptr_array_remove_index_fast(zone->carriers, i - 1);
+        }
+    }
+    g_ptr_array_sort(zone->carriers, compare_carriers);
+    guint wanted = MAX(CARRIERS_MIN, (zone->workers + CARRIER_WORKERS - 1) /
+                                         CARRIER_WORKERS);
+    if (zone->carriers->len > wanted) {
+        g_ptr_array_set_size(zone->carriers, (gint)wanted);
+    }
+    zone->generation = relay->generation;
+    zone->selected_workers = zone->workers;
+}
+
+/* After a silence one order at a time tries a carrier out. */
+static carrier_t *
+take_trial(nm_order_relay_t *relay, const zone_t *zone, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (relay->trials_due && g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
-        if (carrier->desc.cpu_share < largest * CARRIER_SHARE_MIN ||
-            !may_carry(relay, carrier, route, wait_ms, now_ms))
+        if (carrier->down_ms > 0 && carrier->asked_ms == 0 &&
+            now_ms >= carrier->down_until_ms &&
+            is_in_zone(relay, carrier, zone))
         {
-            continue;
+            return carrier;
         }
+    }
+    return NULL;
+}
+
+static carrier_t *
+draw_carrier(const zone_t *zone, const char *worker)
+{
+    carrier_t *best = NULL;
+    double best_weight = 0;
+    for (guint i = 0; i < zone->carriers->len; i++) {
+        carrier_t *carrier = zone->carriers->pdata[i];
         double w = weight(carrier, worker);
         if (w > best_weight) {
             best = carrier;
@@ -161,12 +223,19 @@
     if (!route || g_hash_table_size(relay->routes) <= relay->desc.direct_max) {
         return NULL;
     }
-    if (relay->troubled > 0) {
-        return draw_carrier(relay, route, worker, wait_ms, now_ms);
+    zone_t *zone = route->zone;
+    bool outgrown = zone->workers >= 2 * zone->selected_workers;
+    if (zone->generation != relay->generation || outgrown) {
+        relay->generation += outgrown;
+        select_carriers(relay, zone);
+    }
+    carrier_t *trial = wait_ms == 0 ? take_trial(relay, zone, now_ms) : NULL;
+    if (trial) {
+        return trial;
     }
-    if (route->generation != relay->generation) {
-        route->carrier = draw_carrier(relay, route, worker, wait_ms, now_ms);
-        route->generation = relay->generation;
+    if (route->generation != zone->generation) {
+        route->carrier = draw_carrier(zone, worker);
+        route->generation = zone->generation;
     }
     return route->carrier;
 }
@@ -272,6 +341,8 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_order);
     relay->routes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route);
+    relay->zones =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_zone);
     relay->generation = 1;
     /* Answers to the orders of an earlier incarnation must not meet ours. */
     relay->number = (uint64_t)g_random_int() << 32;
@@ -285,6 +356,7 @@
     g_hash_table_destroy(relay->open);
     g_hash_table_destroy(relay->hosts);
     g_hash_table_destroy(relay->routes);
+    g_hash_table_destroy(relay->zones);
 }
 
 void
@@ -294,6 +366,7 @@
     g_hash_table_remove_all(relay->open);
     g_hash_table_remove_all(relay->hosts);
     g_hash_table_remove_all(relay->routes);
+    g_hash_table_remove_all(relay->zones);
     relay->generation++;
 }
 
@@ -322,6 +395,19 @@
     relay->generation++;
 }
 
+static zone_t *
+find_zone(nm_order_relay_t *relay, const char *name)
+{
+    zone_t *zone = g_hash_table_lookup(relay->zones, name);
+    if (!zone) {
+        zone = g_new0(zone_t, 1);
+        nm_strcopy(zone->name, sizeof(zone->name), name);
+        zone->carriers = g_ptr_array_new();
+        g_hash_table_insert(relay->zones, zone->name, zone);
+    }
+    return zone;
+}
+
 void
 nm_order_relay_set_worker(nm_order_relay_t *relay, const char *worker,
                           const char *zone)
@@ -333,12 +419,29 @@
         nm_report_view_init(&route->view);
         g_hash_table_insert(relay->routes, g_strdup(worker), route);
     }
-    if (strcmp(route->zone, zone) != 0) {
-        nm_strcopy(route->zone, sizeof(route->zone), zone);
+    if (!route->zone || strcmp(route->zone->name, zone) != 0) {
+        if (route->zone) {
+            route->zone->workers--;
+        }
+        route->zone = find_zone(relay, zone);
+        route->zone->workers++;
         route->generation = 0;
     }
 }
 
+uint32_t
+nm_order_relay_query_carriers(const nm_order_relay_t *relay, const char *zone,
+                              const char **names, uint32_t names_max)
+{
+    assert(relay && zone && names);
+    const zone_t *known = g_hash_table_lookup(relay->zones, zone);
+    uint32_t count = known ? MIN(known->carriers->len, names_max) : 0;
+    for (uint32_t i = 0; i < count; i++) {
+        names[i] = ((const carrier_t *)known->carriers->pdata[i])->desc.name;
+    }
+    return count;
+}
+
 static void
 end_order(nm_order_relay_t *relay, order_t *order, nm_order_result_t result,
           nm_worker_report_t *report)
@@ -392,7 +495,7 @@
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
-    relay->troubled = 0;
+    relay->trials_due = false;
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
         if (carrier->asked_ms > 0 && now_ms - carrier->asked_ms > SILENT_MS) {
@@ -400,12 +503,15 @@
             carrier->down_ms = twice > 0 ? twice : DOWN_MS;
             carrier->down_until_ms = now_ms + carrier->down_ms;
             carrier->asked_ms = 0;
+            relay->generation++;
             nm_count_reason(NM_REASON_RETRY_TIMEOUT);
             nm_log(NM_LOG_WARN, NM_LOG_ITEM_CARRIER_SILENT, "{s:s,s:I}",
                    "host", carrier->desc.name, "for_ms",
                    (json_int_t)carrier->down_ms);
         }
-        relay->troubled += carrier->down_ms > 0;
+        relay->trials_due = relay->trials_due ||
+                            (carrier->down_ms > 0 && carrier->asked_ms == 0 &&
+                             now_ms >= carrier->down_until_ms);
     }
 }
 
@@ -504,6 +610,7 @@
         carrier_t *carrier = g_hash_table_lookup(relay->hosts, order->carrier);
         if (carrier) {
             if (carrier->down_ms > 0) {
+                relay->generation++;
                 nm_log(NM_LOG_INFO, NM_LOG_ITEM_CARRIER_BACK, "{s:s}", "host",
                        carrier->desc.name);
             }
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -4,11 +4,12 @@
  * Answers this load: hundreds of workers and a thousand starts a second,
  * whose calls one small host cannot make.  The owner decides; hosts of the
  * workers' data centres carry its orders and bring the answers back in
- * batches.  Which host carries for a worker is drawn by its identity among
- * the larger hosts that answer, in proportion to their processors, so that
- * connections to workers are kept.  A carrier knows nothing: an order holds
- * its epoch and its expiry, and one that is lost is like one without an
- * answer.
+ * batches.  Each data centre has as many carriers as its workers need, drawn
+ * by identity among the larger hosts that answer, in proportion to their
+ * processors, so that connections to workers are kept; they are drawn again
+ * when a host comes, goes silent or answers again, not for each order.  A
+ * carrier knows nothing: an order holds its epoch and its expiry, and one that
+ * is lost is like one without an answer.
  *
  *     nm_order_relay_t relay;
  *     nm_order_port_t *port = nm_order_relay_init(&relay, &desc);
@@ -53,8 +54,9 @@
     GHashTable *hosts;   /* name -> carrier */
     GHashTable *open;    /* number -> order under way */
     GHashTable *routes;  /* worker -> its zone and carrier */
+    GHashTable *zones;   /* name -> its workers and carriers */
     uint64_t generation; /* of the set of hosts */
-    uint32_t troubled;   /* carriers that are down or on trial */
+    bool trials_due;     /* a carrier that was silent may be tried out */
     uint64_t number;
     int64_t epoch; /* of the newest order */
     nm_ms_t checked_ms;
@@ -79,6 +81,10 @@
 nm_ms_t nm_order_relay_flush(nm_order_relay_t *relay, nm_ms_t now_ms);
 void nm_order_relay_take(nm_order_relay_t *relay,
                          const NmPb__EntryAnswer *answer);
+/* Names of the hosts that carry for a data centre; returns how many. */
+uint32_t nm_order_relay_query_carriers(const nm_order_relay_t *relay,
+                                       const char *zone, const char **names,
+                                       uint32_t names_max);
 /* Orders under way are forgotten without calling back. */
 void nm_order_relay_clear(nm_order_relay_t *relay);
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -94,10 +94,110 @@
     }
 }
 
+#define ZONE_HOSTS 40
+#define ZONE_WORKERS 200
+
+static nm_sched_action_t
+start_on(const char *worker)
+{
+    nm_sched_action_t action = {
+        .type = NM_ACTION_START, .payload = "", .checkpoint = ""};
+    nm_strcopy(action.worker, sizeof(action.worker), worker);
+    return action;
+}
+
+/* One order to each worker of the data centre. */
+static void
+order_all(nm_order_port_t *port)
+{
+    for (uint32_t w = 0; w < ZONE_WORKERS; w++) {
+        char worker[16];
+        g_snprintf(worker, sizeof(worker), "w%u", w);
+        nm_sched_action_t action = start_on(worker);
+        nm_order_port_send(port, &action, 1, on_order, g_malloc(1));
+    }
+}
+
+/*
+ * Load: far more hosts than are needed to carry, of which one goes silent.  A
+ * message costs the owner as much as ten orders, so few hosts carry; another
+ * takes the place of the silent one, and the rest go on as before.
+ */
+static void
+test_few_hosts_carry(void)
+{
+    enum { CARRIERS_MAX = 8, ROUNDS = 30 };
+    nm_clock_t clock;
+    nm_clock_init_manual(&clock, 1000);
+    direct_t direct = {.base = {&direct_vtable}};
+    nm_peer_ask_t *peers = nm_peer_ask_new("inproc://owner");
+    nm_order_relay_t relay;
+    nm_order_port_t *port = nm_order_relay_init(
+        &relay, &(nm_order_relay_desc_t){.direct = &direct.base,
+                                         .peers = peers,
+                                         .clock = &clock,
+                                         .name = "owner",
+                                         .direct_max = 10});
+    for (uint32_t h = 0; h < ZONE_HOSTS; h++) {
+        nm_relay_host_t host = {.zone = "z", .cpu_share = 0.5};
+        g_snprintf(host.name, sizeof(host.name), "host-%u", h);
+        g_snprintf(host.address, sizeof(host.address), "inproc://host-%u", h);
+        nm_order_relay_set_host(&relay, &host);
+    }
+    for (uint32_t w = 0; w < ZONE_WORKERS; w++) {
+        char worker[16];
+        g_snprintf(worker, sizeof(worker), "w%u", w);
+        nm_order_relay_set_worker(&relay, worker, "z");
+    }
+    nm_order_relay_flush(&relay, clock.manual_ms);
+    order_all(port);
+    g_assert_cmpuint(direct.sent, ==, 0);
+    const char *before[CARRIERS_MAX];
+    uint32_t count =
+        nm_order_relay_query_carriers(&relay, "z", before, CARRIERS_MAX);
+    g_assert_cmpuint(count, >=, 2);
+    g_assert_cmpuint(count, <, CARRIERS_MAX);
+    /* All of them are silent: others take their places, as many. */
+    for (uint32_t round = 0; round < ROUNDS; round++) {
+        clock.manual_ms += 50;
+        nm_order_relay_flush(&relay, clock.manual_ms);
+    }
+    order_all(port);
+    const char *after[CARRIERS_MAX];
+    g_assert_cmpuint(
+        nm_order_relay_query_carriers(&relay, "z", after, CARRIERS_MAX), ==,
+        count);
+    for (uint32_t i = 0; i < count; i++) {
+        for (uint32_t j = 0; j < count; j++) {
+            g_assert_cmpstr(before[i], !=, after[j]);
+        }
+    }
+    /* One that goes takes nobody along. */
+    char gone[NM_NAME_MAX];
+    nm_strcopy(gone, sizeof(gone), after[0]);
+    nm_order_relay_remove_host(&relay, gone);
+    order_all(port);
+    const char *last[CARRIERS_MAX];
+    g_assert_cmpuint(
+        nm_order_relay_query_carriers(&relay, "z", last, CARRIERS_MAX), ==,
+        count);
+    for (uint32_t i = 1; i < count; i++) {
+        bool kept = false;
+        for (uint32_t j = 0; j < count; j++) {
+            kept = kept || g_strcmp0(after[i], last[j]) == 0;
+        }
+        g_assert_true(kept);
+    }
+    g_assert_cmpuint(direct.sent, ==, 0);
+    nm_order_relay_finish(&relay);
+    nm_peer_ask_free(peers);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay/silence", test_silence);
+    g_test_add_func("/relay/few-hosts-carry", test_few_hosts_carry);
     return g_test_run();
 }
