A new owner announces itself to all hosts

Change: an owner tells each registered host, 8 a round, on a connection that is not kept; the newest epoch counts. It is a hint for questions only: ownership itself is read from the store as before. Test: /entry/turned-away-host-finds-the-new-owner (no answer without it).

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -23,6 +23,7 @@
     X(SETTINGS_REFUSED, "settings-refused")                                   \
     X(STORE_FAILED, "store-failed")                                           \
     X(STORE_RECOVERED, "store-recovered")                                     \
+    X(OWNER_ANNOUNCED, "owner-announced")                                     \
     X(OWNER_CANDIDATE, "owner-candidate")                                     \
     X(OWNER_ACTIVE, "owner-active")                                           \
     X(OWNER_LOST, "owner-lost")                                               \
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -322,21 +322,23 @@
   assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[5] =
+static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[6] =
 {
   { "STATE", "NM_PB__ENTRY_ASK__TYPE__STATE", 0 },
   { "PENDING", "NM_PB__ENTRY_ASK__TYPE__PENDING", 1 },
   { "SUBMIT", "NM_PB__ENTRY_ASK__TYPE__SUBMIT", 2 },
   { "CANCEL", "NM_PB__ENTRY_ASK__TYPE__CANCEL", 3 },
   { "ORDERS", "NM_PB__ENTRY_ASK__TYPE__ORDERS", 4 },
+  { "OWNER", "NM_PB__ENTRY_ASK__TYPE__OWNER", 5 },
 };
 static const ProtobufCIntRange nm_pb__entry_ask__type__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[6] =
 {
   { "CANCEL", 3 },
   { "ORDERS", 4 },
+  { "OWNER", 5 },
   { "PENDING", 1 },
   { "STATE", 0 },
   { "SUBMIT", 2 },
@@ -348,15 +350,15 @@
   "Type",
   "NmPb__EntryAsk__Type",
   "nm_pb",
-  5,
+  6,
   nm_pb__entry_ask__type__enum_values_by_number,
-  5,
+  6,
   nm_pb__entry_ask__type__enum_values_by_name,
   1,
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[9] =
 {
   {
     "number",
@@ -442,12 +444,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner_name",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, owner_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner_address",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, owner_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
   5,   /* field[5] = epoch */
   2,   /* field[2] = job */
   0,   /* field[0] = number */
   6,   /* field[6] = orders */
+  8,   /* field[8] = owner_address */
+  7,   /* field[7] = owner_name */
   3,   /* field[3] = queue */
   4,   /* field[4] = record */
   1,   /* field[1] = type */
@@ -455,7 +483,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -465,7 +493,7 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  7,
+  9,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -46,7 +46,11 @@
   /*
    * carry orders to workers
    */
-  NM_PB__ENTRY_ASK__TYPE__ORDERS = 4
+  NM_PB__ENTRY_ASK__TYPE__ORDERS = 4,
+  /*
+   * no question: the sender owns the workers
+   */
+  NM_PB__ENTRY_ASK__TYPE__OWNER = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NM_PB__ENTRY_ASK__TYPE)
 } NmPb__EntryAsk__Type;
 
@@ -68,15 +72,23 @@
    */
   ProtobufCBinaryData record;
   /*
-   * ORDERS
+   * ORDERS, OWNER
    */
   int64_t epoch;
   size_t n_orders;
   NmPb__Order **orders;
+  /*
+   * OWNER
+   */
+  char *owner_name;
+  /*
+   * OWNER
+   */
+  char *owner_address;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  NmPb__EntryAnswer
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -205,20 +205,30 @@
 
 /* --- through another host --- */
 
+/* The newest owner that is known, or NULL. */
+static const char *
+owner_address(const nm_entry_t *entry)
+{
+    bool announced = entry->announced.epoch > entry->owner.epoch;
+    const char *name = announced ? entry->announced.name : entry->owner.name;
+    const char *address =
+        announced ? entry->announced.address : entry->owner.address;
+    return address[0] == '\0' || strcmp(name, entry->desc.name) == 0 ? NULL
+                                                                     : address;
+}
+
 static bool
 ask_owner(nm_op_t *op)
 {
     nm_entry_t *entry = op->entry;
+    const char *address = owner_address(entry);
     static const NmPb__EntryAsk__Type types[] = {
         [OP_SUBMIT] = NM_PB__ENTRY_ASK__TYPE__SUBMIT,
         [OP_STATE] = NM_PB__ENTRY_ASK__TYPE__STATE,
         [OP_CANCEL] = NM_PB__ENTRY_ASK__TYPE__CANCEL,
         [OP_PENDING] = NM_PB__ENTRY_ASK__TYPE__PENDING,
     };
-    if (op->from_bytes > 0 || op->asked_once || entry->term > 0 ||
-        entry->owner.address[0] == '\0' ||
-        strcmp(entry->owner.name, entry->desc.name) == 0)
-    {
+    if (op->from_bytes > 0 || op->asked_once || entry->term > 0 || !address) {
         return false;
     }
     NmPb__EntryAsk ask = NM_PB__ENTRY_ASK__INIT;
@@ -230,7 +240,7 @@
         ask.record.len = strlen(op->record);
     }
     op->asked_once = true;
-    if (nm_peer_ask_send(entry->desc.peers, entry->owner.address, &ask) < 0) {
+    if (nm_peer_ask_send(entry->desc.peers, address, &ask) < 0) {
         return false;
     }
     op->asked = ask.number;
@@ -607,6 +617,22 @@
     run_op(op);
 }
 
+static void
+take_announcement(nm_entry_t *entry, const NmPb__EntryAsk *ask)
+{
+    nm_owner_hint_t hint = {.epoch = ask->epoch};
+    if (hint.epoch <= entry->announced.epoch || ask->owner_name[0] == '\0' ||
+        !nm_strcopy(hint.name, sizeof(hint.name), ask->owner_name) ||
+        !nm_strcopy(hint.address, sizeof(hint.address), ask->owner_address))
+    {
+        return;
+    }
+    entry->announced = hint;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ANNOUNCED, "{s:s,s:I,s:b}", "owner",
+           hint.name, "epoch", (json_int_t)hint.epoch, "store_lost",
+           entry->store_lost);
+}
+
 static void
 take_ask(nm_entry_t *entry, const nm_peer_message_t *message)
 {
@@ -621,6 +647,10 @@
         nm_order_carry_take(&entry->carry, message);
         return;
     }
+    if (ask && ask->type == NM_PB__ENTRY_ASK__TYPE__OWNER) {
+        take_announcement(entry, ask);
+        return;
+    }
     if (!ask || (size_t)ask->type >= NM_COUNT_OF(types)) {
         nm_count_reason(NM_REASON_PEER_MALFORMED);
         return;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -15,6 +15,8 @@
 #define COMMIT_URGENT_MS 30
 /* Shortest time between two rounds of decisions. */
 #define ROUND_MS 5
+/* Hosts that are told of a new owner in one round; each costs a connection. */
+#define ANNOUNCE_MAX 8
 /* Time between two checks of whether an owner is missing. */
 #define VACANCY_CHECK_MS 20
 
@@ -116,6 +118,28 @@
     }
 }
 
+/*
+ * Tells hosts who the owner is.  One that the store turns away cannot read
+ * that itself, and has to bring its callers' jobs to the owner.
+ */
+static void
+announce(nm_entry_t *entry)
+{
+    for (int i = 0; i < ANNOUNCE_MAX; i++) {
+        char *address = g_queue_pop_head(&entry->unannounced);
+        if (!address) {
+            return;
+        }
+        NmPb__EntryAsk ask = NM_PB__ENTRY_ASK__INIT;
+        ask.type = NM_PB__ENTRY_ASK__TYPE__OWNER;
+        ask.epoch = entry->term;
+        ask.owner_name = (char *)entry->desc.name;
+        ask.owner_address = (char *)entry->desc.peer_address;
+        nm_peer_ask_post(entry->desc.peers, address, &ask);
+        g_free(address);
+    }
+}
+
 nm_ms_t
 nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -132,6 +156,7 @@
     nm_takeover_verify(entry, now_ms);
     if (entry->role == NM_ROLE_OWNER) {
         run_sched(entry, now_ms);
+        announce(entry);
     }
     if (entry->role == NM_ROLE_OWNER) {
         nm_commit_run(entry, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -35,6 +35,13 @@
     int64_t revision; /* of the key */
 } nm_owner_t;
 
+/* An owner that announced itself; the store may not have shown it yet. */
+typedef struct {
+    char name[NM_NAME_MAX];
+    char address[NM_NAME_MAX * 2];
+    int64_t epoch; /* 0: none */
+} nm_owner_hint_t;
+
 typedef enum {
     NM_ROLE_MEMBER,
     NM_ROLE_CANDIDATE, /* an election call is in flight */
@@ -55,6 +62,7 @@
     nm_feed_t config_feed;
     nm_feed_t control_feed;
     nm_owner_t owner;
+    nm_owner_hint_t announced;
     int64_t epoch; /* newest in the store */
     int64_t epoch_revision;
     nm_ms_t vacant_ms; /* since when no owner is known; 0: there is one */
@@ -90,6 +98,7 @@
     GHashTable *roster; /* worker ids that are stored */
     GHashTable *roster_wanted;
     bool roster_dirty;
+    GQueue unannounced;  /* addresses of hosts to tell of the ownership */
     GPtrArray *progress; /* loaded records, until the jobs are listed */
     GPtrArray *cancels;  /* listed cancels, until progress is applied */
     bool committing;
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -245,6 +245,9 @@
         nm_strcopy(host.address, sizeof(host.address), address);
         nm_strcopy(host.zone, sizeof(host.zone), zone);
         nm_order_relay_set_host(&entry->relay, &host);
+        if (strcmp(name, entry->desc.name) != 0) {
+            g_queue_push_tail(&entry->unannounced, g_strdup(address));
+        }
     }
     else {
         nm_order_relay_remove_host(&entry->relay, name);
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -54,6 +54,7 @@
     entry->progress = g_ptr_array_new_with_free_func(nm_term_free_item);
     entry->cancels = g_ptr_array_new_with_free_func(g_free);
     g_queue_init(&entry->unverified);
+    g_queue_init(&entry->unannounced);
 }
 
 void
@@ -87,6 +88,7 @@
     g_ptr_array_set_size(entry->progress, 0);
     g_ptr_array_set_size(entry->cancels, 0);
     g_queue_clear_full(&entry->unverified, nm_term_free_item);
+    g_queue_clear_full(&entry->unannounced, g_free);
     entry->verifying = 0;
     entry->commit_revision = 0;
     entry->commit_unknown = false;
--- a/src/peer_ask.c
+++ b/src/peer_ask.c
@@ -12,6 +12,8 @@
 #define QUEUE_MESSAGES 512
 #define RECONNECT_MS 100
 #define RECONNECT_MAX_MS 400
+/* A message that needs no answer is given up after this time. */
+#define POST_LINGER_MS 1000
 /* Sockets to peers that are kept; the least recently used one goes. */
 #define LINKS_MAX 64
 
@@ -115,6 +117,27 @@
     return sent < 0 ? NM_ERR_FULL : NM_OK;
 }
 
+void
+nm_peer_ask_post(nm_peer_ask_t *peers, const char *address,
+                 NmPb__EntryAsk *ask)
+{
+    assert(peers && address && ask);
+    ask->number = ++peers->number;
+    size_t bytes = nm_pb__entry_ask__get_packed_size(ask);
+    uint8_t *data = g_malloc(bytes);
+    nm_pb__entry_ask__pack(ask, data);
+    void *socket = zmq_socket(peers->context, ZMQ_DEALER);
+    set_int(socket, ZMQ_LINGER, POST_LINGER_MS);
+    set_int(socket, ZMQ_RECONNECT_IVL, -1);
+    if (zmq_connect(socket, address) < 0 ||
+        zmq_send(socket, data, bytes, ZMQ_DONTWAIT) < 0)
+    {
+        nm_count_reason(NM_REASON_PEER_LOST);
+    }
+    zmq_close(socket);
+    g_free(data);
+}
+
 void
 nm_peer_ask_answer(nm_peer_ask_t *peers, const uint8_t *from,
                    uint32_t from_bytes, const NmPb__EntryAnswer *answer)
--- a/src/peer_ask.h
+++ b/src/peer_ask.h
@@ -34,6 +34,12 @@
 /* Sends a question and sets its number; returns NM_ERR_FULL if it cannot. */
 int nm_peer_ask_send(nm_peer_ask_t *peers, const char *address,
                      NmPb__EntryAsk *ask);
+/*
+ * Sends a message that needs no answer, on a connection of its own that is
+ * not kept.  It is lost if the host does not answer within a second.
+ */
+void nm_peer_ask_post(nm_peer_ask_t *peers, const char *address,
+                      NmPb__EntryAsk *ask);
 void nm_peer_ask_answer(nm_peer_ask_t *peers, const uint8_t *from,
                         uint32_t from_bytes, const NmPb__EntryAnswer *answer);
 bool nm_peer_ask_next(nm_peer_ask_t *peers, nm_peer_message_t *message);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -120,8 +120,8 @@
 }
 
 static void
-host_init_at(host_t *host, const char *name, const char *address,
-             fake_kv_t *kv)
+host_init_on(host_t *host, const char *name, const char *address,
+             fake_kv_t *kv, nm_kv_t *path)
 {
     *host = (host_t){.kv = kv,
                      .front = {.base = {&front_vtable}},
@@ -138,7 +138,7 @@
         .cpu_share = 0.1,
         .grace_ms = 6000,
         .clock = &host->clock,
-        .kv = fake_kv_port(kv),
+        .kv = path,
         .orders = &host->orders.base,
         .front = &host->front.base,
         .peers = host->peers,
@@ -146,6 +146,13 @@
     });
 }
 
+static void
+host_init_at(host_t *host, const char *name, const char *address,
+             fake_kv_t *kv)
+{
+    host_init_on(host, name, address, kv, fake_kv_port(kv));
+}
+
 static void
 host_init(host_t *host, const char *name, fake_kv_t *kv)
 {
@@ -619,6 +626,150 @@
     fake_kv_free(kv);
 }
 
+/* A path to the store that can be cut. */
+typedef struct {
+    nm_kv_t base;
+    nm_kv_t *store;
+    bool cut;
+} path_kv_t;
+
+typedef struct {
+    path_kv_t *path;
+    nm_kv_done_fn done;
+    void *user;
+} path_call_t;
+
+static void
+on_path_result(void *user, const nm_kv_result_t *result)
+{
+    path_call_t *call = user;
+    nm_kv_result_t cut = {.rc = NM_ERR_UNAVAILABLE};
+    call->done(call->user, call->path->cut ? &cut : result);
+    g_free(call);
+}
+
+static path_call_t *
+path_call(nm_kv_t *kv, nm_kv_done_fn done, void *user)
+{
+    path_call_t *call = g_new(path_call_t, 1);
+    *call = (path_call_t){(path_kv_t *)kv, done, user};
+    return call;
+}
+
+static nm_kv_t *
+path_store(nm_kv_t *kv)
+{
+    return ((path_kv_t *)kv)->store;
+}
+
+static void
+path_get(nm_kv_t *kv, const char *key, nm_kv_done_fn done, void *user)
+{
+    nm_kv_get(path_store(kv), key, on_path_result, path_call(kv, done, user));
+}
+
+static void
+path_range(nm_kv_t *kv, const char *prefix, const char *after,
+           nm_kv_done_fn done, void *user)
+{
+    nm_kv_range(path_store(kv), prefix, after, on_path_result,
+                path_call(kv, done, user));
+}
+
+static void
+path_watch(nm_kv_t *kv, const char *prefix, int64_t after_revision,
+           nm_ms_t wait_ms, nm_kv_done_fn done, void *user)
+{
+    nm_kv_watch(path_store(kv), prefix, after_revision, wait_ms,
+                on_path_result, path_call(kv, done, user));
+}
+
+static void
+path_commit(nm_kv_t *kv, const nm_store_txn_t *txn, nm_kv_done_fn done,
+            void *user)
+{
+    if (((path_kv_t *)kv)->cut) {
+        done(user, &(nm_kv_result_t){.rc = NM_ERR_UNAVAILABLE});
+        return;
+    }
+    nm_kv_commit(path_store(kv), txn, on_path_result,
+                 path_call(kv, done, user));
+}
+
+static void
+path_lease_grant(nm_kv_t *kv, nm_ms_t ttl_ms, nm_kv_done_fn done, void *user)
+{
+    nm_kv_lease_grant(path_store(kv), ttl_ms, on_path_result,
+                      path_call(kv, done, user));
+}
+
+static void
+path_lease_renew(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
+{
+    nm_kv_lease_renew(path_store(kv), lease, on_path_result,
+                      path_call(kv, done, user));
+}
+
+static void
+path_lease_end(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
+{
+    nm_kv_lease_end(path_store(kv), lease, on_path_result,
+                    path_call(kv, done, user));
+}
+
+static const nm_kv_vtable_t path_vtable = {
+    path_get,         path_range,       path_watch,     path_commit,
+    path_lease_grant, path_lease_renew, path_lease_end,
+};
+
+/*
+ * Load: the store turns a host away, and the owner changes meanwhile.  The
+ * host cannot read who the new owner is; its callers are served through it
+ * all the same.
+ */
+static void
+test_turned_away_host_finds_the_new_owner(void)
+{
+    enum { OLD, NEW, AWAY, HOSTS };
+    static const char *const names[HOSTS] = {"a", "b", "c"};
+    fake_kv_t *kv = configured_store();
+    path_kv_t paths[HOSTS];
+    host_t hosts[HOSTS];
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        paths[i] = (path_kv_t){{&path_vtable}, fake_kv_port(kv), false};
+        char address[64];
+        g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-turned-%d-%u",
+                   (int)getpid(), i);
+        host_init_on(&hosts[i], names[i], address, kv, &paths[i].base);
+        run(&hosts[i], 1000);
+    }
+    paths[AWAY].cut = true;
+    run(&hosts[AWAY], 2000);
+    nm_entry_stop(hosts[OLD].entry);
+    run(&hosts[OLD], 3000);
+    run(&hosts[NEW], 3000);
+    for (uint32_t i = 0; i < 200; i++) {
+        run(&hosts[NEW], 10);
+        run(&hosts[AWAY], 10);
+        g_usleep(1000);
+    }
+    call(&hosts[AWAY], NM_METHOD_POST, "/a/" JOB, BODY);
+    for (uint32_t i = 0; i < 5000 && hosts[AWAY].front.answered->len == 0; i++)
+    {
+        nm_entry_run(hosts[AWAY].entry);
+        nm_entry_run(hosts[NEW].entry);
+        fake_kv_run(kv);
+        g_usleep(1000);
+    }
+    g_assert_cmpint(last_status(&hosts[AWAY]), ==, 200);
+    g_assert_nonnull(fake_kv_value(kv, JOB_KEY));
+    for (uint32_t i = 0; i < HOSTS; i++) {
+        host_finish(&hosts[i]);
+        unlink(hosts[i].address + strlen("ipc://"));
+    }
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -649,5 +800,7 @@
                     test_unreadable_roster_is_waited_out);
     g_test_add_func("/entry/ended-jobs-leave-the-store",
                     test_ended_jobs_leave_the_store);
+    g_test_add_func("/entry/turned-away-host-finds-the-new-owner",
+                    test_turned_away_host_finds_the_new_owner);
     return g_test_run();
 }
