--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -49,20 +49,27 @@
     return NULL;
 }
 
-static void
-server_start(server_t *server, pthread_t *thread)
+/* Returns a listening socket. */
+static int
+listen_on_loopback(uint16_t *port)
 {
     struct sockaddr_in address = {
         .sin_family = AF_INET,
         .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
     };
     socklen_t size = sizeof(address);
-    server->listener = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(server->listener, (struct sockaddr *)&address, size),
-                    ==, 0);
-    listen(server->listener, 8);
-    getsockname(server->listener, (struct sockaddr *)&address, &size);
-    server->port = ntohs(address.sin_port);
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    g_assert_cmpint(bind(listener, (struct sockaddr *)&address, size), ==, 0);
+    listen(listener, 8);
+    getsockname(listener, (struct sockaddr *)&address, &size);
+    *port = ntohs(address.sin_port);
+    return listener;
+}
+
+static void
+server_start(server_t *server, pthread_t *thread)
+{
+    server->listener = listen_on_loopback(&server->port);
     pthread_create(thread, NULL, serve, server);
 }
 
@@ -308,6 +315,95 @@
     }
 }
 
+/* An answer in pieces, with a pause after each. */
+typedef struct {
+    int listener;
+    uint16_t port;
+    uint32_t pieces; /* that are sent; the answer has PIECES */
+} slow_server_t;
+
+#define PIECES 8
+#define PIECE_BYTES 4096
+#define PIECE_PAUSE_MS 250
+
+static void *
+serve_slowly(void *user)
+{
+    slow_server_t *server = user;
+    int connection = accept(server->listener, NULL, NULL);
+    char buffer[8192];
+    if (recv(connection, buffer, sizeof(buffer), 0) > 0) {
+        char head[64];
+        g_snprintf(head, sizeof(head),
+                   "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+                   PIECES * PIECE_BYTES);
+        send(connection, head, strlen(head), MSG_NOSIGNAL);
+        memset(buffer, 'x', sizeof(buffer));
+        for (uint32_t i = 0; i < server->pieces; i++) {
+            send(connection, buffer, PIECE_BYTES, MSG_NOSIGNAL);
+            g_usleep(PIECE_PAUSE_MS * 1000);
+        }
+        /* Silence, until the client gives up. */
+        recv(connection, buffer, sizeof(buffer), 0);
+    }
+    close(connection);
+    return NULL;
+}
+
+typedef struct {
+    uint32_t ended;
+    int status;
+    size_t bytes;
+} answer_t;
+
+static void
+on_slow_answer(void *user, const nm_http_answer_t *result)
+{
+    answer_t *answer = user;
+    answer->ended++;
+    answer->status = result->status;
+    answer->bytes = result->bytes;
+}
+
+/*
+ * Load: a large configuration on a narrow link, asked for with a short time
+ * as after an outage.  It takes longer than that time, but comes without a
+ * pause; one that stops coming is given up.
+ */
+static void
+test_large_answer_on_a_narrow_link(void)
+{
+    static const struct {
+        const char *name;
+        uint32_t pieces;
+        int status;
+    } slow_cases[] = {{"whole", PIECES, 200}, {"stops coming", 3, 0}};
+    for (size_t i = 0; i < NM_COUNT_OF(slow_cases); i++) {
+        g_test_message("%s", slow_cases[i].name);
+        slow_server_t server = {.pieces = slow_cases[i].pieces};
+        server.listener = listen_on_loopback(&server.port);
+        pthread_t thread;
+        pthread_create(&thread, NULL, serve_slowly, &server);
+        nm_http_t *http = nm_http_new();
+        char url[64];
+        g_snprintf(url, sizeof(url), "http://127.0.0.1:%u/", server.port);
+        answer_t answer = {0};
+        nm_http_send(http,
+                     &(nm_http_call_t){.url = url,
+                                       .timeout_ms = 3 * PIECE_PAUSE_MS,
+                                       .silence_ms = 4 * PIECE_PAUSE_MS},
+                     on_slow_answer, &answer);
+        wait_for(http, &answer.ended, 1);
+        g_assert_cmpint(answer.status, ==, slow_cases[i].status);
+        if (answer.status == 200) {
+            g_assert_cmpuint(answer.bytes, ==, PIECES * PIECE_BYTES);
+        }
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -317,5 +413,7 @@
     g_test_add_func("/platform/reports", test_reports);
     g_test_add_func("/platform/statuses", test_statuses);
     g_test_add_func("/platform/store", test_store);
+    g_test_add_func("/platform/large-answer-on-a-narrow-link",
+                    test_large_answer_on_a_narrow_link);
     return g_test_run();
 }
