Leases count from a successor's first orders, and a former owner is refused

That one, turned away by the store, went on renewing them until it heard of the election: 3.1 s later, as the successor was busy reading, and workers that the successor had not reached held their tasks 2.1 s longer than it thought. The same is open to a cut of single links. Change: leases count from the successor's first orders, and 0.5 s more in which the former owner hears of it: from the successor's announcement, from carriers, which refuse orders of an epoch before the newest they know, or from a worker. Open: a former owner and workers that are cut off together from the successor and all its carriers for longer than that (docs/QUESTIONS.md).

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -28,9 +28,10 @@
 typedef struct nm_sched nm_sched_t;
 
 typedef struct {
-    int64_t epoch;        /* fencing token of this owner */
-    nm_ms_t lease_ms;     /* of what runs on a worker; 0: 7000 */
-    nm_ms_t lease_max_ms; /* longest lease of any earlier owner; 0: 7000 */
+    int64_t epoch;    /* fencing token of this owner */
+    nm_ms_t lease_ms; /* of what runs on a worker; 0: 7000 */
+    /* Longest lease of any earlier owner; 0: 7000; 1: there was none. */
+    nm_ms_t lease_max_ms;
     uint64_t seed;
     nm_ms_t retain_ms; /* how long ended jobs are known; 0: 150000 */
 } nm_sched_desc_t;
@@ -213,6 +214,11 @@
 void nm_sched_admit_worker(nm_sched_t *sched, const char *id);
 /* Returns the next worker that was forgotten, to be freed, or NULL. */
 char *nm_sched_next_gone(nm_sched_t *sched);
+/*
+ * What was stored is known, and the scheduler begins to give orders.  Until
+ * now the former owner may have renewed leases of workers.
+ */
+void nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms);
 /* A worker that an earlier owner used; it may run tasks unseen. */
 void nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms);
 
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -628,6 +628,9 @@
         return;
     }
     entry->announced = hint;
+    if (entry->term > 0 && hint.epoch > entry->term) {
+        nm_term_step_down(entry, "another host has announced itself");
+    }
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ANNOUNCED, "{s:s,s:I,s:b}", "owner",
            hint.name, "epoch", (json_int_t)hint.epoch, "store_lost",
            entry->store_lost);
@@ -644,7 +647,8 @@
     };
     const NmPb__EntryAsk *ask = message->ask;
     if (ask && ask->type == NM_PB__ENTRY_ASK__TYPE__ORDERS) {
-        nm_order_carry_take(&entry->carry, message);
+        nm_order_carry_take(&entry->carry, message,
+                            MAX(entry->epoch, entry->announced.epoch));
         return;
     }
     if (ask && ask->type == NM_PB__ENTRY_ASK__TYPE__OWNER) {
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -205,6 +205,7 @@
     }
     g_ptr_array_set_size(entry->cancels, 0);
     entry->role = NM_ROLE_OWNER;
+    nm_sched_activate(entry->sched, nm_entry_now(entry));
     entry->sched_due_ms = 0;
     nm_count(NM_COUNTER_TAKEOVERS, 1);
     nm_sched_info_t info = nm_sched_query_info(entry->sched);
--- a/src/order_carry.c
+++ b/src/order_carry.c
@@ -91,7 +91,8 @@
 }
 
 void
-nm_order_carry_take(nm_order_carry_t *carry, const nm_peer_message_t *message)
+nm_order_carry_take(nm_order_carry_t *carry, const nm_peer_message_t *message,
+                    int64_t newest_epoch)
 {
     assert(carry && message && message->ask);
     const NmPb__EntryAsk *ask = message->ask;
@@ -116,6 +117,10 @@
         order_t *order = g_new(order_t, 1);
         *order = (order_t){carry, g_bytes_ref(route), row->number,
                            row->base_number};
+        if (ask->epoch < newest_epoch) {
+            on_order(order, &action, NM_ORDER_FENCED, NULL);
+            continue;
+        }
         nm_order_port_send(carry->direct, &action, ask->epoch, on_order,
                            order);
     }
--- a/src/order_carry.h
+++ b/src/order_carry.h
@@ -29,9 +29,13 @@
 void nm_order_carry_init(nm_order_carry_t *carry, nm_order_port_t *direct,
                          nm_peer_ask_t *peers);
 void nm_order_carry_finish(nm_order_carry_t *carry);
-/* Sends the orders of a message to their workers. */
+/*
+ * Sends the orders of a message to their workers.  Those of an epoch before
+ * the newest that this host knows are refused: their sender is owner no more.
+ */
 void nm_order_carry_take(nm_order_carry_t *carry,
-                         const nm_peer_message_t *message);
+                         const nm_peer_message_t *message,
+                         int64_t newest_epoch);
 /* Sends what is queued; returns the time until it is to be called again. */
 nm_ms_t nm_order_carry_flush(nm_order_carry_t *carry, nm_ms_t now_ms);
 
--- a/src/sched.c
+++ b/src/sched.c
@@ -106,6 +106,7 @@
     g_queue_init(&sched->expired);
     g_queue_init(&sched->gone);
     sched->began_ms = now_ms;
+    sched->former_ms = now_ms;
     nm_interference_init(&sched->interference);
     nm_rng_init(&sched->rng, desc->seed);
     return sched;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -14,6 +14,11 @@
 #define NM_SCHED_CLOCK_SLOW 1.021
 /* Workers shorten any lease to this (platform's statement: maxHoldMs). */
 #define NM_SCHED_LEASE_LIMIT_MS 10000
+/*
+ * A former owner that lives on, turned away by the store, hears of us from
+ * the carriers, from a worker, or from us, within this time.
+ */
+#define NM_SCHED_FORMER_OWNER_MS 500
 /* Added to every time after which a worker's lease is taken as lapsed. */
 #define NM_SCHED_LAPSE_MARGIN_MS 250
 /*
@@ -246,6 +251,7 @@
     uint64_t placement; /* number of the current one */
     bool saves_changed; /* saved has to be worked out again */
     nm_ms_t began_ms;
+    nm_ms_t former_ms; /* the former owner gave leases until here at most */
     bool fenced;
     uint32_t starting; /* starts without an answer */
     bool has_unseen;   /* recovered tasks wait for workers to answer */
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -41,6 +41,15 @@
     return g_hash_table_lookup(sched->nodes, id);
 }
 
+/* When every lease that a former owner gave has lapsed for certain. */
+static nm_ms_t
+former_lapse(const nm_sched_t *sched)
+{
+    return sched->former_ms +
+           (nm_ms_t)((double)sched->desc.lease_max_ms * NM_SCHED_CLOCK_SLOW) +
+           NM_SCHED_LAPSE_MARGIN_MS;
+}
+
 static nm_sched_node_t *
 add_node(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
 {
@@ -48,11 +57,7 @@
     nm_strcopy(node->desc.id, sizeof(node->desc.id), id);
     node->tasks = g_ptr_array_new();
     g_queue_init(&node->marks);
-    /* An earlier owner's lease may be as new as this owner itself. */
-    node->lapse_ms =
-        sched->began_ms +
-        (nm_ms_t)((double)sched->desc.lease_max_ms * NM_SCHED_CLOCK_SLOW) +
-        NM_SCHED_LAPSE_MARGIN_MS;
+    node->lapse_ms = former_lapse(sched);
     node->poll_due_ms = now_ms;
     node->reachable = true;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
@@ -156,6 +161,22 @@
     }
 }
 
+void
+nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    assert(sched);
+    if (sched->desc.lease_max_ms <= 1) {
+        return;
+    }
+    sched->former_ms = now_ms + NM_SCHED_FORMER_OWNER_MS;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (!node->fenced) {
+            node->lapse_ms = MAX(node->lapse_ms, former_lapse(sched));
+        }
+    }
+}
+
 void
 nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
 {
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -5,7 +5,7 @@
 #include <glib.h>
 
 #include "../platform/codec.h"
-#include "../src/entry.h"
+#include "../src/entry_state.h"
 #include "lib_kv.h"
 
 #define CONFIG_KEY "op/config"
@@ -770,6 +770,51 @@
     fake_kv_free(kv);
 }
 
+/*
+ * Load: an owner that the store turns away, or that was paused, while another
+ * one was elected.  It hears of that from the other one, and gives no order
+ * after it; an announcement that is late changes nothing.
+ */
+static void
+test_announced_owner_ends_the_former(void)
+{
+    static const struct {
+        const char *name;
+        int64_t epoch;
+        bool owner;
+    } cases[] = {{"of an earlier epoch", 0, true}, {"newer", 2, false}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t host;
+        char address[64];
+        g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-former-%d",
+                   (int)getpid());
+        host_init_at(&host, "a", address, kv);
+        run(&host, 1000);
+        g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+        g_assert_cmpint(host.entry->term, ==, 1);
+        nm_peer_ask_t *other = nm_peer_ask_new("inproc://other");
+        char name[] = "b";
+        char where[] = "inproc://other";
+        NmPb__EntryAsk ask = NM_PB__ENTRY_ASK__INIT;
+        ask.type = NM_PB__ENTRY_ASK__TYPE__OWNER;
+        ask.epoch = cases[i].epoch;
+        ask.owner_name = name;
+        ask.owner_address = where;
+        nm_peer_ask_post(other, address, &ask);
+        for (uint32_t r = 0; r < 200; r++) {
+            nm_entry_run(host.entry);
+            g_usleep(1000);
+        }
+        g_assert_true((host.entry->role == NM_ROLE_OWNER) == cases[i].owner);
+        nm_peer_ask_free(other);
+        host_finish(&host);
+        unlink(address + strlen("ipc://"));
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -802,5 +847,7 @@
                     test_ended_jobs_leave_the_store);
     g_test_add_func("/entry/turned-away-host-finds-the-new-owner",
                     test_turned_away_host_finds_the_new_owner);
+    g_test_add_func("/entry/announced-owner-ends-the-former",
+                    test_announced_owner_ends_the_former);
     return g_test_run();
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,6 +1,7 @@
 /* Orders through carriers: silence, and whose it is. */
 #include <glib.h>
 
+#include "../src/order_carry.h"
 #include "../src/order_relay.h"
 
 typedef struct {
@@ -193,11 +194,61 @@
     nm_peer_ask_free(peers);
 }
 
+static void
+answering_send(nm_order_port_t *port, const nm_sched_action_t *action,
+               int64_t epoch, nm_order_done_fn done, void *user)
+{
+    (void)epoch;
+    ((direct_t *)port)->sent++;
+    done(user, action, NM_ORDER_UNKNOWN, NULL);
+}
+
+static const nm_order_port_vtable_t answering_vtable = {answering_send};
+
+/* A carrier makes no call for an owner that is known to be none any more. */
+static void
+test_former_owner_is_not_carried(void)
+{
+    static const struct {
+        int64_t epoch;
+        int64_t newest;
+        uint32_t sent;
+    } carry_cases[] = {{3, 4, 0}, {3, 3, 1}, {4, 3, 1}};
+    for (size_t i = 0; i < NM_COUNT_OF(carry_cases); i++) {
+        direct_t direct = {.base = {&answering_vtable}};
+        nm_peer_ask_t *peers = nm_peer_ask_new("inproc://carrier");
+        nm_order_carry_t carry;
+        nm_order_carry_init(&carry, &direct.base, peers);
+        char text[] = "";
+        NmPb__Order order = NM_PB__ORDER__INIT;
+        order.type = NM_ACTION_POLL;
+        order.worker = order.address = order.task = text;
+        order.payload = order.checkpoint = text;
+        NmPb__Order *orders[] = {&order};
+        NmPb__EntryAsk ask = NM_PB__ENTRY_ASK__INIT;
+        ask.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
+        ask.epoch = carry_cases[i].epoch;
+        ask.orders = orders;
+        ask.n_orders = 1;
+        nm_peer_message_t message = {
+            .ask = &ask, .from = "owner", .from_bytes = 5};
+        nm_order_carry_take(&carry, &message, carry_cases[i].newest);
+        g_assert_cmpuint(direct.sent, ==, carry_cases[i].sent);
+        /* A refusal is sent too, so that the former owner learns of it. */
+        g_assert_cmpuint(carry.queued, ==, 1);
+        nm_order_carry_flush(&carry, 1000);
+        nm_order_carry_finish(&carry);
+        nm_peer_ask_free(peers);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay/silence", test_silence);
     g_test_add_func("/relay/few-hosts-carry", test_few_hosts_carry);
+    g_test_add_func("/relay/former-owner-is-not-carried",
+                    test_former_owner_is_not_carried);
     return g_test_run();
 }
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -107,6 +107,36 @@
     sched_world_finish(&world);
 }
 
+/*
+ * Load: the store turns the owner away; another one is elected, and is busy
+ * with what it has to read for 3 s.  Until it gives orders the former owner
+ * renews leases, so that they count from then.
+ */
+static void
+test_leases_count_from_the_first_orders(void)
+{
+    enum { READING_MS = 3000, LEASE_MS = 7000 };
+    sched_world_t world;
+    sched_world_init(&world, 2);
+    nm_sched_expect_worker(world.sched, "b", world.now_ms);
+    world.now_ms += READING_MS;
+    sched_world_announce(&world, "a", 1);
+    sched_world_add_job(&world, JOB, false, 1, 1000, true);
+    nm_sched_activate(world.sched, world.now_ms);
+    nm_ms_t active_ms = world.now_ms;
+    sched_world_step(&world, 10);
+    sched_world_report(&world, "a", 1, NULL, 0, NULL, 0);
+    while (!sched_world_find(&world, NM_ACTION_START, "a")) {
+        sched_world_step(&world, 100);
+        if (sched_world_find(&world, NM_ACTION_POLL, "a")) {
+            sched_world_report(&world, "a", 1, NULL, 0, NULL, 0);
+        }
+        g_assert_cmpint(world.now_ms - active_ms, <, 9000);
+    }
+    g_assert_cmpint(world.now_ms - active_ms, >=, LEASE_MS);
+    sched_world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -122,6 +152,8 @@
          test_recovered_task_waits_for_all_workers},
         {"/sched/unreadable-progress-starts-nothing",
          test_unreadable_progress_starts_nothing},
+        {"/sched/leases-count-from-the-first-orders",
+         test_leases_count_from_the_first_orders},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
