Answers of workers count also after their poll was given up

Workers that had listed ends counted as silent; their tasks started elsewhere when the lease had lapsed, though the end was known to the carrier. Change: a poll that was given up is remembered for 10 s; its answer is taken unless a newer poll was answered before it. A difference to a report that is not the newest tells ends only. Tests: /sched/late-report-counts (the callback did not exist).

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -65,6 +65,7 @@
     X(WORKER_FAILING, "worker-failing", 0, "the worker fails every task")     \
     X(START_REFUSED, "start-refused", 0, "the worker refused a start")        \
     X(LEASE_LAPSED, "lease-lapsed", 0, "the worker's lease lapsed")           \
+    X(LATE_REPORT, "late-report", 0, "a worker's answer came after its time") \
     /* Settings and store. */                                                 \
     X(SETTINGS_STALE, "settings-stale", 0, "older settings were ignored")     \
     X(SETTINGS_CORRUPT, "settings-corrupt", 0, "malformed settings refused")  \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -228,6 +228,12 @@
                       nm_order_result_t result, nm_ms_t now_ms);
 void nm_sched_on_report(nm_sched_t *sched, const char *worker,
                         const nm_worker_report_t *report, nm_ms_t now_ms);
+/*
+ * The answer to a poll that was given up.  It tells of ends that the worker
+ * has listed, and that it lives; an answer to a newer poll goes before it.
+ */
+void nm_sched_on_late_report(nm_sched_t *sched, const char *worker,
+                             const nm_worker_report_t *report, nm_ms_t now_ms);
 void nm_sched_on_throttle(nm_sched_t *sched, const nm_sched_action_t *action,
                           nm_order_result_t result, nm_ms_t now_ms);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -159,7 +159,9 @@
                                                 .peers = desc->peers,
                                                 .clock = desc->clock,
                                                 .name = desc->name,
-                                                .direct_max = DIRECT_MAX});
+                                                .direct_max = DIRECT_MAX,
+                                                .on_late = nm_owner_on_late,
+                                                .user = entry});
     nm_order_carry_init(&entry->carry, desc->orders, desc->peers);
     nm_calls_init(entry);
     nm_term_init(entry);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -65,6 +65,19 @@
     entry->sched_due_ms = 0;
 }
 
+void
+nm_owner_on_late(void *user, const char *worker,
+                 const nm_worker_report_t *report)
+{
+    nm_entry_t *entry = user;
+    if (entry->role == NM_ROLE_OWNER) {
+        log_failures(entry, worker, report);
+        nm_sched_on_late_report(entry->sched, worker, report,
+                                nm_entry_now(entry));
+        entry->sched_due_ms = 0;
+    }
+}
+
 /* One line for each change of belief, with what it rests on. */
 static void
 log_notes(nm_entry_t *entry)
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -151,6 +151,8 @@
 void nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
 
 /* entry_owner.c */
+void nm_owner_on_late(void *user, const char *worker,
+                      const nm_worker_report_t *report);
 nm_ms_t nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms);
 
 /* entry_call.c */
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -19,6 +19,8 @@
 /* ...for so long, doubled with each further silence. */
 #define DOWN_MS 2000
 #define DOWN_MAX_MS 16000
+/* An answer is taken up to this long after it was given up. */
+#define LATE_MS 10000
 /* A longer pause between two rounds of this host is its own doing. */
 #define LAG_MS 250
 /*
@@ -58,6 +60,14 @@
     char carrier[NM_NAME_MAX];
 } order_t;
 
+/* A poll that was given up; its answer may be on its way. */
+typedef struct {
+    uint64_t number;
+    char worker[NM_NAME_MAX];
+    nm_ms_t sent_ms;
+    nm_ms_t until_ms;
+} late_t;
+
 /* A data centre, and the hosts that carry for its workers. */
 typedef struct {
     char name[NM_NAME_MAX];
@@ -72,6 +82,7 @@
     zone_t *zone;
     carrier_t *carrier; /* valid in this generation */
     uint64_t generation;
+    nm_ms_t reported_ms;   /* when the poll was sent that the view is of */
     nm_report_view_t view; /* of its runs, as a carrier reported them */
 } route_t;
 
@@ -339,6 +350,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_carrier);
     relay->open =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_order);
+    relay->late =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     relay->routes =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route);
     relay->zones =
@@ -354,6 +367,7 @@
 {
     assert(relay);
     g_hash_table_destroy(relay->open);
+    g_hash_table_destroy(relay->late);
     g_hash_table_destroy(relay->hosts);
     g_hash_table_destroy(relay->routes);
     g_hash_table_destroy(relay->zones);
@@ -364,6 +378,7 @@
 {
     assert(relay);
     g_hash_table_remove_all(relay->open);
+    g_hash_table_remove_all(relay->late);
     g_hash_table_remove_all(relay->hosts);
     g_hash_table_remove_all(relay->routes);
     g_hash_table_remove_all(relay->zones);
@@ -454,9 +469,30 @@
     g_free(order);
 }
 
+static void
+remember_poll(nm_order_relay_t *relay, const order_t *order)
+{
+    if (order->action.type == NM_ACTION_POLL && relay->desc.on_late) {
+        late_t *late = g_new0(late_t, 1);
+        late->number = order->number;
+        nm_strcopy(late->worker, sizeof(late->worker), order->action.worker);
+        late->sent_ms = order->sent_ms;
+        late->until_ms = order->until_ms + LATE_MS;
+        g_hash_table_insert(relay->late, &late->number, late);
+    }
+}
+
+static gboolean
+late_is_over(gpointer key, gpointer value, gpointer user)
+{
+    (void)key;
+    return *(nm_ms_t *)user >= ((late_t *)value)->until_ms;
+}
+
 static void
 give_up(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
+    g_hash_table_foreach_remove(relay->late, late_is_over, &now_ms);
     GPtrArray *late = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
@@ -467,6 +503,7 @@
         }
     }
     for (guint i = 0; i < late->len; i++) {
+        remember_poll(relay, late->pdata[i]);
         end_order(relay, late->pdata[i], NM_ORDER_UNKNOWN, NULL);
     }
     g_ptr_array_free(late, TRUE);
@@ -568,6 +605,55 @@
     }
 }
 
+static nm_worker_report_t
+fill_report(const route_t *route, const NmPb__WorkerReport *message,
+            const GArray *ends, nm_ms_t sent_ms)
+{
+    return (nm_worker_report_t){
+        .result = NM_ORDER_DONE,
+        .sent_ms = sent_ms,
+        .incarnation = message->incarnation,
+        .clock_ms = message->clock_ms,
+        .complete = message->complete,
+        .running = (const nm_worker_run_t *)route->view.running->data,
+        .running_count = route->view.running->len,
+        .ends = (const nm_worker_end_t *)ends->data,
+        .end_count = ends->len,
+    };
+}
+
+/*
+ * A busy link brings answers late; what a worker has listed counts all the
+ * same.  A difference to a report that is not the newest tells ends only.
+ */
+static void
+take_late(nm_order_relay_t *relay, uint64_t number,
+          const NmPb__WorkerReport *message, GArray *ends)
+{
+    const late_t *late = g_hash_table_lookup(relay->late, &number);
+    route_t *route =
+        late ? g_hash_table_lookup(relay->routes, late->worker) : NULL;
+    if (!route) {
+        return;
+    }
+    decode_ends(message, ends);
+    bool fits = message->base_number == 0 ||
+                message->base_number == route->view.number;
+    bool whole = late->sent_ms > route->reported_ms && fits &&
+                 nm_report_apply(&route->view, message) == NM_OK;
+    nm_worker_report_t report =
+        fill_report(route, message, ends, late->sent_ms);
+    if (!whole) {
+        report.complete = false;
+        report.running_count = 0;
+    }
+    else {
+        route->reported_ms = late->sent_ms;
+    }
+    relay->desc.on_late(relay->desc.user, late->worker, &report);
+    g_hash_table_remove(relay->late, &number);
+}
+
 /* A report that does not fit what is known is like no answer. */
 static void
 take_report(nm_order_relay_t *relay, order_t *order,
@@ -581,17 +667,9 @@
         return;
     }
     decode_ends(message, ends);
-    nm_worker_report_t report = {
-        .result = NM_ORDER_DONE,
-        .sent_ms = order->sent_ms,
-        .incarnation = message->incarnation,
-        .clock_ms = message->clock_ms,
-        .complete = message->complete,
-        .running = (const nm_worker_run_t *)route->view.running->data,
-        .running_count = route->view.running->len,
-        .ends = (const nm_worker_end_t *)ends->data,
-        .end_count = ends->len,
-    };
+    route->reported_ms = MAX(route->reported_ms, order->sent_ms);
+    nm_worker_report_t report =
+        fill_report(route, message, ends, order->sent_ms);
     end_order(relay, order, report.result, &report);
 }
 
@@ -605,6 +683,9 @@
         uint64_t number = result->number;
         order_t *order = g_hash_table_lookup(relay->open, &number);
         if (!order) {
+            if (result->report) {
+                take_late(relay, number, result->report, ends);
+            }
             continue;
         }
         carrier_t *carrier = g_hash_table_lookup(relay->hosts, order->carrier);
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -38,6 +38,10 @@
     const nm_clock_t *clock;
     const char *name;    /* of this host */
     uint32_t direct_max; /* workers up to which it needs no carriers */
+    /* A worker's answer to a poll that was given up; may be NULL. */
+    void (*on_late)(void *user, const char *worker,
+                    const nm_worker_report_t *report);
+    void *user;
 } nm_order_relay_desc_t;
 
 /* An entry host that carries. */
@@ -53,6 +57,7 @@
     nm_order_relay_desc_t desc;
     GHashTable *hosts;   /* name -> carrier */
     GHashTable *open;    /* number -> order under way */
+    GHashTable *late;    /* number -> poll that was given up */
     GHashTable *routes;  /* worker -> its zone and carrier */
     GHashTable *zones;   /* name -> its workers and carriers */
     uint64_t generation; /* of the set of hosts */
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -205,6 +205,7 @@
     bool silent;            /* its last call got no answer */
     bool poll_pending;
     nm_ms_t poll_due_ms;
+    nm_ms_t reported_ms;   /* when the newest answered poll was sent */
     nm_ms_t report_due_ms; /* latest usual answer of the last poll */
     int64_t clock_ms;      /* at clock_at_ms or later */
     nm_ms_t clock_at_ms;
--- a/src/sched_worker.c
+++ b/src/sched_worker.c
@@ -543,6 +543,39 @@
     }
 }
 
+/* What a worker said, now or a while ago. */
+static void
+take_report(nm_sched_t *sched, nm_sched_node_t *node,
+            const nm_worker_report_t *report, nm_ms_t now_ms)
+{
+    bool refreshed = !node->reachable || !node->fenced;
+    if (!node->reachable) {
+        nm_sched_note(sched, NM_NOTE_WORKER_BACK, node->desc.id,
+                      node->poll_failures);
+    }
+    node->reported_ms = report->sent_ms;
+    node->reachable = true;
+    node->poll_failures = 0;
+    node->fenced = true;
+    node->reports++;
+    node->clock_ms = report->clock_ms;
+    node->clock_at_ms = now_ms;
+    node->clock_known = true;
+    for (uint32_t i = 0; i < report->end_count; i++) {
+        take_end(sched, node, &report->ends[i], now_ms);
+    }
+    for (uint32_t i = 0; i < report->running_count; i++) {
+        take_run(sched, node, &report->running[i], now_ms);
+    }
+    if (report->complete) {
+        drop_absent(sched, node, report);
+    }
+    nm_sched_observe_tails(sched, node, now_ms);
+    nm_count(NM_COUNTER_SYNCS, 1);
+    node->poll_due_ms = refreshed ? now_ms : now_ms + NM_SCHED_POLL_PAUSE_MS;
+    sched->stale = true;
+}
+
 void
 nm_sched_on_report(nm_sched_t *sched, const char *worker,
                    const nm_worker_report_t *report, nm_ms_t now_ms)
@@ -581,32 +614,24 @@
     if (report->incarnation > node->desc.incarnation) {
         begin_incarnation(sched, node, report->incarnation, now_ms);
     }
-    bool refreshed = !node->reachable || !node->fenced;
-    if (!node->reachable) {
-        nm_sched_note(sched, NM_NOTE_WORKER_BACK, worker, node->poll_failures);
-    }
-    node->reachable = true;
-    node->poll_failures = 0;
-    node->fenced = true;
-    node->reports++;
-    node->clock_ms = report->clock_ms;
-    node->clock_at_ms = now_ms;
-    node->clock_known = true;
-    for (uint32_t i = 0; i < report->end_count; i++) {
-        take_end(sched, node, &report->ends[i], now_ms);
-    }
-    for (uint32_t i = 0; i < report->running_count; i++) {
-        take_run(sched, node, &report->running[i], now_ms);
-    }
-    if (report->complete) {
-        drop_absent(sched, node, report);
-    }
-    nm_sched_observe_tails(sched, node, now_ms);
-    nm_count(NM_COUNTER_SYNCS, 1);
-    node->poll_due_ms = refreshed ? now_ms : now_ms + NM_SCHED_POLL_PAUSE_MS;
-    sched->stale = true;
+    take_report(sched, node, report, now_ms);
 }
 
+void
+nm_sched_on_late_report(nm_sched_t *sched, const char *worker,
+                        const nm_worker_report_t *report, nm_ms_t now_ms)
+{
+    assert(sched && worker && report);
+    nm_sched_node_t *node = find_node(sched, worker);
+    if (!node || report->sent_ms <= node->reported_ms ||
+        report->incarnation != node->desc.incarnation)
+    {
+        return;
+    }
+    nm_due_touch(sched, node);
+    nm_count_reason(NM_REASON_LATE_REPORT);
+    take_report(sched, node, report, now_ms);
+}
 static void
 pop_marks(const nm_sched_t *sched, nm_sched_node_t *node)
 {
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -534,6 +534,49 @@
     }
 }
 
+/*
+ * Load: a busy link brings a worker's answers after the owner has given them
+ * up.  An end that was listed counts, so that the task does not start again
+ * when the lease has lapsed; an answer to an older poll than the newest tells
+ * nothing of what runs.
+ */
+static void
+test_late_report_counts(void)
+{
+    sched_world_t world;
+    sched_world_init(&world, 1);
+    sched_world_join(&world, "a");
+    sched_world_add_job(&world, JOB, false, 2, 1000, false);
+    sched_world_step(&world, 30);
+    sched_world_confirm_starts(&world);
+    nm_worker_end_t end = sched_world_end(1, TASK, 1, NM_END_DONE);
+    nm_worker_run_t other = sched_world_run(JOB ".0.0.1", 1);
+    nm_worker_report_t late = {.result = NM_ORDER_DONE,
+                               .incarnation = 1,
+                               .clock_ms = world.now_ms,
+                               .sent_ms = world.now_ms + 100,
+                               .complete = true,
+                               .running = &other,
+                               .running_count = 1,
+                               .ends = &end,
+                               .end_count = 1};
+    for (uint32_t i = 0; i < 3; i++) {
+        sched_world_step(&world, 1000);
+        sched_world_lose_poll(&world, "a");
+    }
+    g_assert_cmpuint(nm_sched_query_info(world.sched).workers_usable, ==, 0);
+    nm_sched_on_late_report(world.sched, "a", &late, world.now_ms);
+    g_assert_cmpuint(nm_sched_query_info(world.sched).workers_usable, ==, 1);
+    g_assert_cmpint(nm_sched_query_end(world.sched, "a"), ==, 1);
+    g_assert_cmpuint(nm_sched_query_info(world.sched).tasks_running, ==, 1);
+    /* An older one that does not list the other run yet. */
+    late.sent_ms -= 50;
+    late.running_count = 0;
+    nm_sched_on_late_report(world.sched, "a", &late, world.now_ms);
+    g_assert_cmpuint(nm_sched_query_info(world.sched).tasks_running, ==, 1);
+    sched_world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -563,6 +606,7 @@
         {"/sched/forgetting-is-repeated", test_forgetting_is_repeated},
         {"/sched/dark-workers-are-no-lossy-network",
          test_dark_workers_are_no_lossy_network},
+        {"/sched/late-report-counts", test_late_report_counts},
         {"/sched/late-start-is-withdrawn", test_late_start_is_withdrawn},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
