At most 48 carriers, so that connections to all of them are kept

Cause: with a carrier for 50 workers 10,000 workers have 200, and 64 connections to hosts are kept: the rest are made anew for each message.

--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -36,6 +36,8 @@
 #define CARRIER_WORKERS 50
 /* ...so that one of them may go silent. */
 #define CARRIERS_MIN 2
+/* In all data centres: connections to 64 hosts are kept (peer_ask.c). */
+#define CARRIERS_MAX 48
 /* Time between two checks for orders without an answer. */
 #define CHECK_MS 100
 #define ORDERS_MAX 256
@@ -182,8 +184,9 @@
         }
     }
     g_ptr_array_sort(zone->carriers, compare_carriers);
-    guint wanted = MAX(CARRIERS_MIN, (zone->workers + CARRIER_WORKERS - 1) /
-                                         CARRIER_WORKERS);
+    guint zones = MAX(g_hash_table_size(relay->zones), 1);
+    guint wanted = (zone->workers + CARRIER_WORKERS - 1) / CARRIER_WORKERS;
+    wanted = MAX(MIN(wanted, CARRIERS_MAX / zones), CARRIERS_MIN);
     if (zone->carriers->len > wanted) {
         g_ptr_array_set_size(zone->carriers, (gint)wanted);
     }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -95,7 +95,7 @@
     }
 }
 
-#define ZONE_HOSTS 40
+#define ZONE_HOSTS 100
 #define ZONE_WORKERS 200
 
 static nm_sched_action_t
@@ -127,7 +127,7 @@
 static void
 test_few_hosts_carry(void)
 {
-    enum { CARRIERS_MAX = 8, ROUNDS = 30 };
+    enum { CARRIERS_MAX = 8, ROUNDS = 30, LINKS_KEPT = 64 };
     nm_clock_t clock;
     nm_clock_init_manual(&clock, 1000);
     direct_t direct = {.base = {&direct_vtable}};
@@ -190,6 +190,17 @@
         g_assert_true(kept);
     }
     g_assert_cmpuint(direct.sent, ==, 0);
+    /* However many workers there are, connections to all carriers are kept. */
+    for (uint32_t w = ZONE_WORKERS; w < 100 * ZONE_WORKERS; w++) {
+        char worker[16];
+        g_snprintf(worker, sizeof(worker), "w%u", w);
+        nm_order_relay_set_worker(&relay, worker, "z");
+    }
+    order_all(port);
+    const char *many[ZONE_HOSTS];
+    count = nm_order_relay_query_carriers(&relay, "z", many, ZONE_HOSTS);
+    g_assert_cmpuint(count, >, CARRIERS_MAX);
+    g_assert_cmpuint(count, <, LINKS_KEPT);
     nm_order_relay_finish(&relay);
     nm_peer_ask_free(peers);
 }
