--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -1,7 +1,8 @@
 /*
  * State shared by the parts of the scheduler.  Calls go one way:
- * sched.c -> sched_place.c, sched_worker.c -> sched_filler.c,
- * sched_copies.c -> sched_task.c -> sched_due.c.
+ * sched.c -> sched_place.c, sched_worker.c -> sched_answer.c ->
+ * sched_node.c, sched_filler.c, sched_copies.c -> sched_task.c ->
+ * sched_due.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
@@ -338,10 +339,29 @@
 void nm_copies_run(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms);
 void nm_copies_free(nm_sched_node_t *node);
 
+/* sched_record.c */
+/* To be freed with g_free. */
+char *nm_sched_encode_progress(const nm_sched_job_t *job);
+
 /* sched.c */
 void nm_sched_note(nm_sched_t *sched, nm_note_type_t type, const char *worker,
                    int64_t value);
 
+/* sched_node.c */
+nm_sched_node_t *nm_node_find(nm_sched_t *sched, const char *id);
+/* Tasks of an incarnation that has ended, or whose lease lapsed: no run. */
+void nm_node_lose_tasks(nm_sched_t *sched, nm_sched_node_t *node);
+void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
+                               int64_t incarnation, nm_ms_t now_ms);
+/* It is announced no more, and nothing of it is open. */
+bool nm_node_is_gone(const nm_sched_node_t *node, nm_ms_t now_ms);
+void nm_node_forget(nm_sched_t *sched, nm_sched_node_t *node);
+
+/* sched_answer.c */
+/* Stops a start that may or may not have been carried out. */
+void nm_sched_withdraw_start(nm_sched_t *sched, nm_task_t *task,
+                             nm_ms_t now_ms);
+
 /* sched_worker.c */
 void nm_sched_workers_run(nm_sched_t *sched, nm_ms_t now_ms);
 /* True while a worker may run tasks that this owner has not seen. */
