--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -244,6 +244,7 @@
     NM_NOTE_WORKER_AVOIDED, /* value: for how long, ms */
     NM_NOTE_CALLS_LOST,     /* value: share without an answer, in 1/1000 */
     NM_NOTE_CALLS_ANSWERED, /* the same */
+    NM_NOTE_DROPPED,        /* value: changes that were not kept */
 } nm_note_type_t;
 
 typedef struct {
@@ -252,7 +253,10 @@
     int64_t value;
 } nm_sched_note_t;
 
-/* Returns the next change; at most 64 are kept between two calls. */
+/*
+ * Returns the next change; at most 64 are kept between two rounds, the last
+ * one tells how many more there were.
+ */
 bool nm_sched_next_note(nm_sched_t *sched, nm_sched_note_t *note);
 
 /* Decides; returns the time until the next call is due. */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -92,6 +92,7 @@
         [NM_NOTE_CALLS_LOST] = {NM_LOG_ITEM_CALLS_LOST, "lost_permille"},
         [NM_NOTE_CALLS_ANSWERED] = {NM_LOG_ITEM_CALLS_ANSWERED,
                                     "lost_permille"},
+        [NM_NOTE_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED, "changes"},
     };
     nm_sched_note_t note;
     while (nm_sched_next_note(entry->sched, &note)) {
--- a/src/sched.c
+++ b/src/sched.c
@@ -415,12 +415,21 @@
         nm_strcopy(note.worker, sizeof(note.worker), worker);
         g_array_append_val(sched->notes, note);
     }
+    else {
+        sched->notes_dropped++;
+    }
 }
 
 bool
 nm_sched_next_note(nm_sched_t *sched, nm_sched_note_t *note)
 {
     assert(sched && note);
+    if (sched->notes->len == 0 && sched->notes_dropped > 0) {
+        *note = (nm_sched_note_t){.type = NM_NOTE_DROPPED,
+                                  .value = sched->notes_dropped};
+        sched->notes_dropped = 0;
+        return true;
+    }
     if (sched->notes->len == 0) {
         return false;
     }
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -577,6 +577,33 @@
     sched_world_finish(&world);
 }
 
+/* More changes than are kept between two rounds are told by their number. */
+static void
+test_beliefs_beyond_the_bound_are_counted(void)
+{
+    enum { WORKERS = 100, KEPT = 64 };
+    sched_world_t world;
+    sched_world_init(&world, 1);
+    for (uint32_t w = 0; w < WORKERS; w++) {
+        char id[8];
+        g_snprintf(id, sizeof(id), "w%u", w);
+        sched_world_join(&world, id);
+        for (uint32_t i = 0; i < 3; i++) {
+            sched_world_lose_poll(&world, id);
+        }
+    }
+    nm_sched_note_t note;
+    uint32_t silent = 0;
+    int64_t dropped = 0;
+    while (nm_sched_next_note(world.sched, &note)) {
+        silent += note.type == NM_NOTE_WORKER_SILENT;
+        dropped += note.type == NM_NOTE_DROPPED ? note.value : 0;
+    }
+    g_assert_cmpuint(silent, >, 0);
+    g_assert_cmpint(dropped, >=, WORKERS - KEPT);
+    sched_world_finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -595,6 +622,8 @@
          test_copy_given_up_after_a_crash},
         {"/sched/start-reached-a-new-life", test_start_reached_a_new_life},
         {"/sched/beliefs-are-told", test_beliefs_are_told},
+        {"/sched/beliefs-beyond-the-bound-are-counted",
+         test_beliefs_beyond_the_bound_are_counted},
         {"/sched/poll-of-the-same-millisecond",
          test_poll_of_the_same_millisecond},
         {"/sched/capacity-counts-what-is-stopped",
