A new owner's epoch is the one that it wrote

If the watch had shown its own election before the answer came, that was one too many: the owner gave orders with the epoch that the next owner would have. Workers could not tell the two apart, and their runs had the same numbers, so that a failure counted once for two. Change: the epoch that the election wrote is kept, and is the term's. Test: /entry/election-is-seen-before-its-answer (term 2 before, 1 after).

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -40,7 +40,7 @@
     X(PEER_SEND_FAILED, "peer-send-failed")                                   \
     X(REPORT_MALFORMED, "report-malformed")                                   \
     X(ROSTER_REFUSED, "roster-refused")                                       \
-    X(BELIEFS_DROPPED, "beliefs-dropped") \
+    X(BELIEFS_DROPPED, "beliefs-dropped")                                     \
     X(REPORT_REFUSED, "report-refused")                                       \
     X(HOST_REFUSED, "host-refused")                                           \
     X(ELECTION_FAILED, "election-failed")                                     \
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -88,14 +88,18 @@
     entry->role = NM_ROLE_MEMBER;
     entry->vacant_ms = nm_entry_now(entry) + ELECTION_RETRY_MS;
     if (result->rc == NM_OK) {
-        entry->epoch++;
-        entry->epoch_revision = result->revision;
+        /* The watch may have shown our own epoch before this answer. */
+        if (entry->epoch <= entry->standing_epoch) {
+            entry->epoch = entry->standing_epoch;
+            entry->epoch_revision = result->revision;
+        }
         entry->renew_due_ms = nm_entry_now(entry) + OWNER_RENEW_MS;
-        nm_takeover_begin(entry, entry->epoch, result->revision);
+        nm_takeover_begin(entry, entry->standing_epoch, result->revision);
         return;
     }
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_ELECTION_FAILED, "{s:I,s:s}", "epoch",
-           (json_int_t)entry->epoch + 1, "reason", nm_error_text(result->rc));
+           (json_int_t)entry->standing_epoch, "reason",
+           nm_error_text(result->rc));
     if (result->rc != NM_ERR_CONFLICT) {
         return;
     }
@@ -108,13 +112,14 @@
 stand_for_election(nm_entry_t *entry)
 {
     char epoch[24];
-    snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->epoch + 1);
+    entry->standing_epoch = entry->epoch + 1;
+    snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->standing_epoch);
     snprintf(entry->token, sizeof(entry->token), "%016llx",
              (unsigned long long)nm_rng_next(&entry->rng));
     json_t *record =
         json_pack("{s:s,s:s,s:s,s:I}", "name", entry->desc.name, "address",
                   entry->desc.peer_address, "token", entry->token, "epoch",
-                  (json_int_t)entry->epoch + 1);
+                  (json_int_t)entry->standing_epoch);
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
     nm_store_txn_t txn;
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -89,6 +89,7 @@
     int64_t term; /* epoch of our ownership; 0: none */
     int64_t owner_revision;
     int64_t rival_revision; /* of the key that the election replaces */
+    int64_t standing_epoch; /* that the election under way writes */
     nm_sched_t *sched;
     nm_feed_t workers_feed;
     nm_feed_t jobs_feed;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -241,7 +241,7 @@
     GPtrArray *active;    /* jobs that have not ended */
     GArray *actions;
     guint action_next;
-    GArray *notes;  /* of nm_sched_note_t */
+    GArray *notes; /* of nm_sched_note_t */
     uint32_t notes_dropped;
     GQueue gone;    /* ids of workers that were forgotten */
     GQueue urgent;  /* jobs with changes to store that callers wait for */
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -13,6 +13,7 @@
 #define JOB_KEY "nutmegdeck/jobs/" JOB
 #define ROSTER_KEY "nutmegdeck/owned/roster"
 #define OWNER_KEY "nutmegdeck/control/owner"
+#define EPOCH_KEY "nutmegdeck/control/epoch"
 #define CONFIG(version, prefix)                                               \
     "{\"version\":" version ",\"routes\":[{\"name\":\"q\",\"host\":\"h\","    \
     "\"pathPrefix\":\"" prefix "\",\"service\":\"s\",\"maxAttempts\":2,"      \
@@ -631,12 +632,15 @@
     nm_kv_t base;
     nm_kv_t *store;
     bool cut;
+    bool holds_commits; /* their answers wait, while watches go on */
+    GQueue held;        /* of path_call_t */
 } path_kv_t;
 
 typedef struct {
     path_kv_t *path;
     nm_kv_done_fn done;
     void *user;
+    nm_kv_result_t result; /* while it is held; without items */
 } path_call_t;
 
 static void
@@ -652,7 +656,7 @@
 path_call(nm_kv_t *kv, nm_kv_done_fn done, void *user)
 {
     path_call_t *call = g_new(path_call_t, 1);
-    *call = (path_call_t){(path_kv_t *)kv, done, user};
+    *call = (path_call_t){.path = (path_kv_t *)kv, .done = done, .user = user};
     return call;
 }
 
@@ -684,6 +688,30 @@
                 on_path_result, path_call(kv, done, user));
 }
 
+static void
+on_path_committed(void *user, const nm_kv_result_t *result)
+{
+    path_call_t *call = user;
+    if (!call->path->holds_commits) {
+        on_path_result(user, result);
+        return;
+    }
+    call->result = *result;
+    call->result.items = NULL;
+    call->result.item_count = 0;
+    g_queue_push_tail(&call->path->held, call);
+}
+
+static void
+path_release(path_kv_t *path)
+{
+    path->holds_commits = false;
+    path_call_t *call;
+    while ((call = g_queue_pop_head(&path->held))) {
+        on_path_result(call, &call->result);
+    }
+}
+
 static void
 path_commit(nm_kv_t *kv, const nm_store_txn_t *txn, nm_kv_done_fn done,
             void *user)
@@ -692,7 +720,7 @@
         done(user, &(nm_kv_result_t){.rc = NM_ERR_UNAVAILABLE});
         return;
     }
-    nm_kv_commit(path_store(kv), txn, on_path_result,
+    nm_kv_commit(path_store(kv), txn, on_path_committed,
                  path_call(kv, done, user));
 }
 
@@ -736,7 +764,8 @@
     path_kv_t paths[HOSTS];
     host_t hosts[HOSTS];
     for (uint32_t i = 0; i < HOSTS; i++) {
-        paths[i] = (path_kv_t){{&path_vtable}, fake_kv_port(kv), false};
+        paths[i] =
+            (path_kv_t){.base = {&path_vtable}, .store = fake_kv_port(kv)};
         char address[64];
         g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-turned-%d-%u",
                    (int)getpid(), i);
@@ -815,6 +844,33 @@
     }
 }
 
+/*
+ * Load: the watch shows a new owner its own election before the answer to the
+ * election comes.  Its epoch is the one that it wrote: one more would be that
+ * of the next owner, too.
+ */
+static void
+test_election_is_seen_before_its_answer(void)
+{
+    fake_kv_t *kv = configured_store();
+    path_kv_t path = {.base = {&path_vtable}, .store = fake_kv_port(kv)};
+    g_queue_init(&path.held);
+    path.holds_commits = true;
+    host_t host;
+    host_init_on(&host, "a", "inproc://a", kv, &path.base);
+    run(&host, 1000);
+    g_assert_cmpint(host.entry->role, ==, NM_ROLE_CANDIDATE);
+    g_assert_true(host.entry->owner.present);
+    path_release(&path);
+    run(&host, 1000);
+    g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+    g_assert_cmpstr(fake_kv_value(kv, EPOCH_KEY), ==, "1");
+    g_assert_cmpint(host.entry->term, ==, 1);
+    g_assert_cmpint(host.entry->epoch, ==, 1);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -849,5 +905,7 @@
                     test_turned_away_host_finds_the_new_owner);
     g_test_add_func("/entry/announced-owner-ends-the-former",
                     test_announced_owner_ends_the_former);
+    g_test_add_func("/entry/election-is-seen-before-its-answer",
+                    test_election_is_seen_before_its_answer);
     return g_test_run();
 }
