--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -7,6 +7,7 @@
 #include "../platform/codec.h"
 #include "../src/entry_state.h"
 #include "lib_kv.h"
+#include "lib_kv_path.h"
 
 #define CONFIG_KEY "op/config"
 #define JOB "5c0e7a21d94b36f8"
@@ -627,129 +628,6 @@
     fake_kv_free(kv);
 }
 
-/* A path to the store that can be cut. */
-typedef struct {
-    nm_kv_t base;
-    nm_kv_t *store;
-    bool cut;
-    bool holds_commits; /* their answers wait, while watches go on */
-    GQueue held;        /* of path_call_t */
-} path_kv_t;
-
-typedef struct {
-    path_kv_t *path;
-    nm_kv_done_fn done;
-    void *user;
-    nm_kv_result_t result; /* while it is held; without items */
-} path_call_t;
-
-static void
-on_path_result(void *user, const nm_kv_result_t *result)
-{
-    path_call_t *call = user;
-    nm_kv_result_t cut = {.rc = NM_ERR_UNAVAILABLE};
-    call->done(call->user, call->path->cut ? &cut : result);
-    g_free(call);
-}
-
-static path_call_t *
-path_call(nm_kv_t *kv, nm_kv_done_fn done, void *user)
-{
-    path_call_t *call = g_new(path_call_t, 1);
-    *call = (path_call_t){.path = (path_kv_t *)kv, .done = done, .user = user};
-    return call;
-}
-
-static nm_kv_t *
-path_store(nm_kv_t *kv)
-{
-    return ((path_kv_t *)kv)->store;
-}
-
-static void
-path_get(nm_kv_t *kv, const char *key, nm_kv_done_fn done, void *user)
-{
-    nm_kv_get(path_store(kv), key, on_path_result, path_call(kv, done, user));
-}
-
-static void
-path_range(nm_kv_t *kv, const char *prefix, const char *after,
-           nm_kv_done_fn done, void *user)
-{
-    nm_kv_range(path_store(kv), prefix, after, on_path_result,
-                path_call(kv, done, user));
-}
-
-static void
-path_watch(nm_kv_t *kv, const char *prefix, int64_t after_revision,
-           nm_ms_t wait_ms, nm_kv_done_fn done, void *user)
-{
-    nm_kv_watch(path_store(kv), prefix, after_revision, wait_ms,
-                on_path_result, path_call(kv, done, user));
-}
-
-static void
-on_path_committed(void *user, const nm_kv_result_t *result)
-{
-    path_call_t *call = user;
-    if (!call->path->holds_commits) {
-        on_path_result(user, result);
-        return;
-    }
-    call->result = *result;
-    call->result.items = NULL;
-    call->result.item_count = 0;
-    g_queue_push_tail(&call->path->held, call);
-}
-
-static void
-path_release(path_kv_t *path)
-{
-    path->holds_commits = false;
-    path_call_t *call;
-    while ((call = g_queue_pop_head(&path->held))) {
-        on_path_result(call, &call->result);
-    }
-}
-
-static void
-path_commit(nm_kv_t *kv, const nm_store_txn_t *txn, nm_kv_done_fn done,
-            void *user)
-{
-    if (((path_kv_t *)kv)->cut) {
-        done(user, &(nm_kv_result_t){.rc = NM_ERR_UNAVAILABLE});
-        return;
-    }
-    nm_kv_commit(path_store(kv), txn, on_path_committed,
-                 path_call(kv, done, user));
-}
-
-static void
-path_lease_grant(nm_kv_t *kv, nm_ms_t ttl_ms, nm_kv_done_fn done, void *user)
-{
-    nm_kv_lease_grant(path_store(kv), ttl_ms, on_path_result,
-                      path_call(kv, done, user));
-}
-
-static void
-path_lease_renew(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
-{
-    nm_kv_lease_renew(path_store(kv), lease, on_path_result,
-                      path_call(kv, done, user));
-}
-
-static void
-path_lease_end(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done, void *user)
-{
-    nm_kv_lease_end(path_store(kv), lease, on_path_result,
-                    path_call(kv, done, user));
-}
-
-static const nm_kv_vtable_t path_vtable = {
-    path_get,         path_range,       path_watch,     path_commit,
-    path_lease_grant, path_lease_renew, path_lease_end,
-};
-
 /*
  * Load: the store turns a host away, and the owner changes meanwhile.  The
  * host cannot read who the new owner is; its callers are served through it
@@ -761,15 +639,14 @@
     enum { OLD, NEW, AWAY, HOSTS };
     static const char *const names[HOSTS] = {"a", "b", "c"};
     fake_kv_t *kv = configured_store();
-    path_kv_t paths[HOSTS];
+    fake_path_t paths[HOSTS];
     host_t hosts[HOSTS];
     for (uint32_t i = 0; i < HOSTS; i++) {
-        paths[i] =
-            (path_kv_t){.base = {&path_vtable}, .store = fake_kv_port(kv)};
+        nm_kv_t *port = fake_path_init(&paths[i], fake_kv_port(kv));
         char address[64];
         g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-turned-%d-%u",
                    (int)getpid(), i);
-        host_init_on(&hosts[i], names[i], address, kv, &paths[i].base);
+        host_init_on(&hosts[i], names[i], address, kv, port);
         run(&hosts[i], 1000);
     }
     paths[AWAY].cut = true;
@@ -853,15 +730,15 @@
 test_election_is_seen_before_its_answer(void)
 {
     fake_kv_t *kv = configured_store();
-    path_kv_t path = {.base = {&path_vtable}, .store = fake_kv_port(kv)};
-    g_queue_init(&path.held);
+    fake_path_t path;
+    nm_kv_t *port = fake_path_init(&path, fake_kv_port(kv));
     path.holds_commits = true;
     host_t host;
-    host_init_on(&host, "a", "inproc://a", kv, &path.base);
+    host_init_on(&host, "a", "inproc://a", kv, port);
     run(&host, 1000);
     g_assert_cmpint(host.entry->role, ==, NM_ROLE_CANDIDATE);
     g_assert_true(host.entry->owner.present);
-    path_release(&path);
+    fake_path_release(&path);
     run(&host, 1000);
     g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
     g_assert_cmpstr(fake_kv_value(kv, EPOCH_KEY), ==, "1");
