A test program that ends early fails, also with status 1

AddressSanitizer ends a program with 1 and no "not ok" line, which counted as passed. So test_entry ended at its sixth case under the sanitizer, unnoticed: the fake store answers calls of a host that the test had freed.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -29,7 +29,7 @@
 
 # Each case of a GLib test program counts for itself.
 run_unit() {
-    local program=$1 output status case_name
+    local program=$1 output status case_name planned told
     output=$("$program" --tap -k 2>&1)
     status=$?
     while read -r case_name; do
@@ -38,6 +38,12 @@
     while read -r case_name; do
         judge "$(basename "$program") $case_name" 1 "$output"
     done < <(echo "$output" | sed -n 's/^not ok \(\/.*\|[0-9]* \/.*\)/\1/p')
+    # A program that aborts may end with 1 and no "not ok" line.
+    planned=$(sed -n 's/^1\.\.\([0-9]*\)$/\1/p' <<<"$output" | head -1)
+    told=$(grep -cE '^(not )?ok ' <<<"$output")
+    if [ "$told" -lt "${planned:-1}" ] && [ "$status" -le 1 ]; then
+        judge "$(basename "$program") ended early ($part)" 1 "$output"
+    fi
     if [ "$status" -gt 1 ]; then
         judge "$(basename "$program")" 1 "$output"
     fi
