--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -236,6 +236,17 @@
     return item ? (const char *)item->value : NULL;
 }
 
+void
+fake_kv_end_calls(fake_kv_t *kv)
+{
+    nm_kv_result_t refused = {.rc = NM_ERR_UNAVAILABLE};
+    for (guint open = kv->calls.length; open > 0; open--) {
+        call_t *call = g_queue_pop_head(&kv->calls);
+        call->done(call->user, &refused);
+        free_call(call);
+    }
+}
+
 void
 fake_kv_mute(fake_kv_t *kv, const char *prefix)
 {
--- a/tests/fakes/lib_kv.h
+++ b/tests/fakes/lib_kv.h
@@ -29,6 +29,8 @@
 const char *fake_kv_value(const fake_kv_t *kv, const char *key);
 /* Answers the calls that can be answered now. */
 void fake_kv_run(fake_kv_t *kv);
+/* Ends all open calls without effect, before a caller is freed. */
+void fake_kv_end_calls(fake_kv_t *kv);
 /* Watches of this prefix hear nothing; NULL: none. */
 void fake_kv_mute(fake_kv_t *kv, const char *prefix);
 /*
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -166,6 +166,7 @@
 static void
 host_finish(host_t *host)
 {
+    fake_kv_end_calls(host->kv);
     nm_entry_free(host->entry);
     nm_peer_ask_free(host->peers);
     g_ptr_array_free(host->front.answered, TRUE);
