Log: the job that is idle for longest, and why it waits

Cause: refusals were summed over all waiting work, so that a job which is never tried looked like one that no worker takes. Change: each placement keeps the job that has had nothing at work for longest, its place in the order and the workers that refused it; logged as job-idle once a second from 3 s on.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -57,6 +57,7 @@
     X(CALLS_LOST, "calls-lost")                                               \
     X(CALLS_ANSWERED, "calls-answered")                                       \
     X(CAPACITY, "capacity")                                                   \
+    X(JOB_IDLE, "job-idle")                                                   \
     X(CARRIER_SILENT, "carrier-silent")                                       \
     X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -209,6 +209,20 @@
 
 const char *nm_filler_refusal_name(nm_filler_refusal_t refusal);
 
+/*
+ * An idle job has a task that waits in turn, and none on a worker.  Here the
+ * one that has been idle for longest, as the newest placement treated it.
+ */
+typedef struct {
+    char job[NM_JOB_ID_MAX]; /* "": no job is idle */
+    uint32_t step;
+    nm_ms_t idle_ms;
+    uint32_t ahead; /* steps that were considered before it */
+    bool tried;     /* false: no worker was looked for */
+    /* Workers that refused it, if it is a filler. */
+    uint64_t refusals[NM_FILLER_REFUSAL_COUNT];
+} nm_sched_idle_job_t;
+
 /* Why work waits: use of the workers that may get tasks.  CPU in 1/1000. */
 typedef struct {
     uint32_t workers;
@@ -222,6 +236,8 @@
     nm_ms_t oldest_waiting_ms; /* age of the oldest job with such a task */
     uint32_t serving_over_target;
     uint32_t fillers_paused;
+    uint32_t idle_jobs;
+    nm_sched_idle_job_t longest_idle;
     /* Since the scheduler began: workers refused for a filler, by reason. */
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -15,6 +15,8 @@
 #define URGENT_COMMIT_DELAY_MS 30
 /* Time between two pictures of the capacity in the log. */
 #define CAPACITY_LOG_INTERVAL_MS 1000
+/* A job that is idle for longer is logged beside the capacity. */
+#define IDLE_LOG_MIN_MS 3000
 /* Minimum time between two rounds of scheduling decisions. */
 #define ROUND_INTERVAL_MIN_MS 5
 /* Hosts notified of a new owner per round; each needs a connection. */
@@ -110,6 +112,32 @@
     }
 }
 
+static json_t *
+encode_refusals(const uint64_t *counts, const uint64_t *counts_before)
+{
+    json_t *refusals = json_object();
+    for (nm_filler_refusal_t r = 0; r < NM_FILLER_REFUSAL_COUNT; r++) {
+        uint64_t count = counts[r] - (counts_before ? counts_before[r] : 0);
+        json_object_set_new(refusals, nm_filler_refusal_name(r),
+                            json_integer((json_int_t)count));
+    }
+    return refusals;
+}
+
+static void
+log_longest_idle(const nm_sched_capacity_t *capacity)
+{
+    const nm_sched_idle_job_t *idle = &capacity->longest_idle;
+    if (idle->idle_ms < IDLE_LOG_MIN_MS) {
+        return;
+    }
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_IDLE, "{s:s,s:i,s:I,s:i,s:b,s:i,s:o}",
+           "job", idle->job, "step", (int)idle->step, "idle_ms",
+           (json_int_t)idle->idle_ms, "ahead", (int)idle->ahead, "tried",
+           (int)idle->tried, "idle_jobs", (int)capacity->idle_jobs, "refusals",
+           encode_refusals(idle->refusals, NULL));
+}
+
 static void
 log_capacity(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -119,13 +147,8 @@
     entry->capacity_log_due_ms = now_ms + CAPACITY_LOG_INTERVAL_MS;
     nm_sched_capacity_t capacity =
         nm_sched_query_capacity(entry->sched, now_ms);
-    json_t *refusals = json_object();
-    for (nm_filler_refusal_t r = 0; r < NM_FILLER_REFUSAL_COUNT; r++) {
-        uint64_t count = capacity.filler_refusals[r] -
-                         entry->logged_capacity.filler_refusals[r];
-        json_object_set_new(refusals, nm_filler_refusal_name(r),
-                            json_integer((json_int_t)count));
-    }
+    json_t *refusals = encode_refusals(capacity.filler_refusals,
+                                       entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
            "{s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:i,s:i,s:o}", "workers",
            (int)capacity.workers, "cpu_milli", (json_int_t)capacity.cpu_milli,
@@ -138,6 +161,7 @@
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
            (int)capacity.fillers_paused, "filler_refusals", refusals);
+    log_longest_idle(&capacity);
     entry->logged_capacity = capacity;
 }
 
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -85,6 +85,8 @@
             add_waiting_job(sched, job, now_ms, &capacity);
         }
     }
+    capacity.idle_jobs = sched->idle_jobs;
+    capacity.longest_idle = sched->longest_idle;
     for (uint32_t r = 0; r < NM_FILLER_REFUSAL_COUNT; r++) {
         capacity.filler_refusals[r] = sched->filler_refusals[r];
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -84,6 +84,8 @@
     bool overdue_known;      /* overdue_cpu_left_milli is computed */
     /* CPU that overdue tasks may still take. */
     double overdue_cpu_left_milli;
+    uint32_t idle_jobs;
+    const nm_sched_job_t *longest_idle; /* NULL: none */
 } placement_round_t;
 
 bool
@@ -167,6 +169,26 @@
     return round->overdue_cpu_left_milli > 0;
 }
 
+/* Records since when a job has work in turn, but no task on a worker. */
+static void
+update_idle(placement_round_t *round, nm_sched_job_t *job, bool has_candidate,
+            nm_ms_t now_ms)
+{
+    if (!has_candidate || job->attached_count > 0) {
+        job->idle_since_ms = 0;
+        return;
+    }
+    if (job->idle_since_ms == 0) {
+        job->idle_since_ms = now_ms;
+    }
+    round->idle_jobs++;
+    if (!round->longest_idle ||
+        job->idle_since_ms < round->longest_idle->idle_since_ms)
+    {
+        round->longest_idle = job;
+    }
+}
+
 static void
 collect_candidates(nm_sched_t *sched, placement_round_t *round,
                    nm_sched_job_t *job, GArray *candidates, nm_ms_t now_ms)
@@ -193,6 +215,7 @@
             g_array_append_val(candidates, candidate);
         }
     }
+    update_idle(round, job, rank >= 0, now_ms);
 }
 
 static uint32_t
@@ -561,7 +584,8 @@
     g_ptr_array_free(chosen, TRUE);
 }
 
-static void
+/* Returns false if it did not look for a worker. */
+static bool
 place_step(nm_sched_t *sched, const candidate_t *candidate,
            placement_round_t *round, nm_ms_t now_ms)
 {
@@ -572,14 +596,14 @@
     if (unconstrained && !step->long_running &&
         !needs_less_than_unplaced(step, round))
     {
-        return;
+        return false;
     }
     if (step->is_filler && filler_image_is_unplaced(step, round)) {
-        return;
+        return false;
     }
     if (step->is_gang) {
         place_gang(sched, candidate, now_ms);
-        return;
+        return true;
     }
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
@@ -588,11 +612,11 @@
         }
         if (sched->starting_count >= NM_SCHED_STARTING_MAX) {
             sched->needs_placement = true;
-            return;
+            return true;
         }
         if (candidate->rank >= OVERDUE_RANK &&
             round->overdue_cpu_left_milli <= 0) {
-            return;
+            return true;
         }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
         if (node && candidate->rank >= OVERDUE_RANK) {
@@ -612,7 +636,7 @@
         }
         if (step->long_running) {
             handle_unplaced_long_running(sched, round, candidate, now_ms);
-            return;
+            return true;
         }
         if (step->is_filler &&
             round->unplaced_image_count < UNPLACED_IMAGES_MAX) {
@@ -625,9 +649,29 @@
             round->unplaced_memory_mb =
                 MIN(round->unplaced_memory_mb, step->memory_mb);
         }
-        return;
+        return true;
     }
     occurrence->unplaced_since_ms[candidate->step] = 0;
+    return true;
+}
+
+/* Places the step, and records why it waits if no task of it is placed. */
+static void
+place_longest_idle(nm_sched_t *sched, const candidate_t *candidate,
+                   placement_round_t *round, uint32_t ahead, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    uint64_t refusals_before[NM_FILLER_REFUSAL_COUNT];
+    memcpy(refusals_before, sched->filler_refusals, sizeof(refusals_before));
+    nm_sched_idle_job_t *idle = &sched->longest_idle;
+    *idle = (nm_sched_idle_job_t){.step = candidate->step,
+                                  .idle_ms = now_ms - job->idle_since_ms,
+                                  .ahead = ahead};
+    nm_strcopy(idle->job, sizeof(idle->job), job->spec.id);
+    idle->tried = place_step(sched, candidate, round, now_ms);
+    for (uint32_t r = 0; r < NM_FILLER_REFUSAL_COUNT; r++) {
+        idle->refusals[r] = sched->filler_refusals[r] - refusals_before[r];
+    }
 }
 
 void
@@ -642,12 +686,22 @@
     }
     g_array_sort(candidates, compare_candidates);
     sched->placement_number++;
+    sched->idle_jobs = round.idle_jobs;
+    sched->longest_idle = (nm_sched_idle_job_t){0};
     for (guint i = 0;
          i < candidates->len && sched->starting_count < NM_SCHED_STARTING_MAX;
          i++)
     {
-        place_step(sched, &g_array_index(candidates, candidate_t, i), &round,
-                   now_ms);
+        const candidate_t *candidate =
+            &g_array_index(candidates, candidate_t, i);
+        if (candidate->occurrence->job == round.longest_idle &&
+            sched->longest_idle.job[0] == '\0')
+        {
+            place_longest_idle(sched, candidate, &round, i, now_ms);
+        }
+        else {
+            place_step(sched, candidate, &round, now_ms);
+        }
     }
     g_array_free(candidates, TRUE);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -189,6 +189,8 @@
     bool active;        /* in sched.active */
     bool started;       /* a task of it has been started */
     bool long_running;
+    uint32_t attached_count;    /* tasks on workers */
+    nm_ms_t idle_since_ms;      /* a task waits in turn, none is on a worker */
     uint64_t change_seq;        /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
@@ -302,6 +304,8 @@
     double call_loss_share; /* moving average of unanswered calls */
     bool lossy; /* estimate: calls get lost whichever worker is called */
     bool needs_placement; /* something changed since the last placement */
+    uint32_t idle_jobs;   /* of the newest placement */
+    nm_sched_idle_job_t longest_idle; /* of the newest placement */
     nm_ms_t placed_ms;
     nm_ms_t fillers_checked_ms;
     nm_ms_t filler_started_ms; /* newest start of a filler */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -56,6 +56,7 @@
     const nm_step_t *step = nm_task_step(task);
     task->node = node;
     task->listed_in_report = 0;
+    task->occurrence->job->attached_count++;
     g_ptr_array_add(node->tasks, task);
     node->interference_valid = false;
     node->memory_used_mb += step->memory_mb;
@@ -84,6 +85,7 @@
         return;
     }
     const nm_step_t *step = nm_task_step(task);
+    task->occurrence->job->attached_count--;
     g_ptr_array_remove_fast(node->tasks, task);
     node->interference_valid = false;
     node->memory_used_mb -= step->memory_mb;
