--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -61,6 +61,14 @@
       .services = 36,
       .disturbing_pair_share = 0.5,
       .unresponsive = 6}},
+    {"backlog",
+     {.checks_per_s = 5,
+      .fillers_per_s = 9,
+      .services = 12,
+      .disturbing_pair_share = 0.5,
+      .burst = 5,
+      .arrivals_end_ms = 26000,
+      .duration_ms = 40000}},
 };
 
 /* Longest time that a serving task may be over its target (harmMs). */
@@ -72,11 +80,16 @@
  * fleet.
  */
 #define CHECKS_IN_TIME_SHARE_MIN 0.75
+/*
+ * The rules: while less than half of the capacity is reserved, a job has
+ * nothing at work for this long at most.
+ */
+#define IDLE_MS_MAX 3000
 /* Aim: of the worth of a scheduler that knows all effects. */
 #define INFORMED_SHARE_MIN 0.9
 
 static bool
-check_bounds(const char *name, const fleet_info_t *info)
+check_bounds(const char *name, const fleet_info_t *info, bool idle_is_bounded)
 {
     char label[64];
     g_snprintf(label, sizeof(label), "jobs-%s-overfull", name);
@@ -89,6 +102,11 @@
     pass &=
         report_at_most(label, info->over_target_s / MAX(info->serving_s, 1),
                        OVER_TARGET_SHARE_MAX);
+    if (idle_is_bounded) {
+        g_snprintf(label, sizeof(label), "jobs-%s-idle-ms", name);
+        pass &=
+            report_at_most(label, (double)info->longest_idle_ms, IDLE_MS_MAX);
+    }
     g_snprintf(label, sizeof(label), "jobs-%s-checks", name);
     double checks = (double)info->checks_in_time / MAX(info->checks, 1);
     return report_at_least(label, checks, CHECKS_IN_TIME_SHARE_MIN) && pass;
@@ -195,7 +213,8 @@
         desc.seed = seed;
         fleet_info_t info = fleet_run(&desc);
         print_summary(patterns[i].name, &info);
-        pass &= check_bounds(patterns[i].name, &info);
+        pass &=
+            check_bounds(patterns[i].name, &info, desc.arrivals_end_ms > 0);
         pass &= check_learning(patterns[i].name, &desc, &info);
     }
     if (!pattern[0] || strcmp(pattern, "growth") == 0) {
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -82,6 +82,8 @@
     bool is_check;
     bool always_fails;
     bool ended;
+    bool long_running;
+    nm_ms_t at_work_ms; /* a task of it was last running */
     double load_phase;
 } job_t;
 
@@ -140,7 +142,9 @@
     job_t *job = g_new0(job_t, 1);
     nm_strcopy(job->id, sizeof(job->id), id);
     job->arrived_ms = fleet->now_ms;
+    job->at_work_ms = fleet->now_ms;
     job->is_check = kind == JOB_CHECK;
+    job->long_running = kind == JOB_SERVICE;
     job->load_phase = GOLDEN_ANGLE * (double)fleet->job_number;
     job->always_fails = kind == JOB_FILLER &&
                         random_unit(fleet) < fleet->desc.failing_job_share;
@@ -184,7 +188,7 @@
     return NULL;
 }
 
-static const job_t *
+static job_t *
 find_job(fleet_t *fleet, const char *task)
 {
     char id[NM_JOB_ID_MAX] = {0};
@@ -445,6 +449,32 @@
     return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
 }
 
+static void
+measure_idle_jobs(fleet_t *fleet)
+{
+    for (uint32_t w = 0; w < fleet->desc.workers; w++) {
+        GArray *runs = fleet->workers[w].runs;
+        for (guint i = 0; i < runs->len; i++) {
+            const run_t *run = &g_array_index(runs, run_t, i);
+            find_job(fleet, run->task)->at_work_ms = fleet->now_ms;
+        }
+    }
+    nm_ms_t arrivals_end_ms = fleet->desc.arrivals_end_ms;
+    if (arrivals_end_ms == 0 || fleet->now_ms < arrivals_end_ms) {
+        return;
+    }
+    GHashTableIter jobs;
+    job_t *job;
+    g_hash_table_iter_init(&jobs, fleet->jobs);
+    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
+        nm_ms_t since_ms = MAX(job->at_work_ms, arrivals_end_ms);
+        if (!job->long_running && !job->ended && !job->always_fails) {
+            fleet->info.longest_idle_ms =
+                MAX(fleet->info.longest_idle_ms, fleet->now_ms - since_ms);
+        }
+    }
+}
+
 static void
 run_scheduler(fleet_t *fleet)
 {
@@ -619,7 +649,9 @@
                 add_job(&fleet, JOB_SERVICE);
             }
         }
-        if (fleet.now_ms > 1500) {
+        bool arrivals_ended =
+            desc->arrivals_end_ms > 0 && fleet.now_ms >= desc->arrivals_end_ms;
+        if (fleet.now_ms > 1500 && !arrivals_ended) {
             add_arriving_jobs(&fleet);
         }
         for (uint32_t w = 0; w < fleet.desc.workers; w++) {
@@ -632,6 +664,7 @@
             }
         }
         run_scheduler(&fleet);
+        measure_idle_jobs(&fleet);
         fleet.info.waiting_s +=
             nm_sched_query_info(fleet.sched).long_running_waiting * TICK_MS /
             1000.0;
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -33,8 +33,9 @@
     nm_ms_t load_period_ms;
     uint32_t failing_workers; /* workers whose runs all fail */
     uint32_t unresponsive;    /* workers that are unresponsive from 8 s on */
-    bool informed;       /* all effects are known, metrics have no noise */
-    nm_ms_t duration_ms; /* 0: 30000 */
+    bool informed;           /* all effects are known, metrics have no noise */
+    nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
+    nm_ms_t duration_ms;     /* 0: 30000 */
 } fleet_desc_t;
 
 typedef struct {
@@ -48,6 +49,11 @@
     double serving_s;     /* task-seconds of running serving tasks */
     double over_target_s; /* of these, with the tail over its target */
     double waiting_s;     /* task-seconds of long-running tasks not running */
+    /*
+     * Longest time in which a job that runs to an end had nothing at work,
+     * after the end of arrivals.
+     */
+    nm_ms_t longest_idle_ms;
     nm_ms_t longest_over_ms; /* longest time of one task over its target */
     uint32_t starts;
     uint32_t stops;
