--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -1,52 +1,20 @@
 /*
- * Placement: decides which waiting task starts next, and on which worker.
+ * Placement: decides on which worker a waiting task starts.
  *
  * The scheduler calls nm_sched_place when jobs, workers or free capacity have
- * changed.  One call is one round over all waiting tasks.
+ * changed.  One call is one round over all waiting tasks, in the order of
+ * sched_order.c.
  *
- * Load: bursts of jobs with many tasks, beyond the capacity of the workers,
- * beside long-running tasks that take all capacity they get.  Jobs are ordered
- * by credit per unit of remaining work, so that started jobs finish and many
- * large jobs do not delay the small ones.  A job that can no longer meet its
- * objective comes after those that can.
+ * Load: tasks of all sizes on workers that are nearly full.  A large task
+ * finds a gap only if smaller ones do not take each gap first.
  */
-#include "sched_state.h"
+#include "sched_round.h"
 
 #include <math.h>
 #include <string.h>
 
-/* Credit of a late job relative to one in time (the users' sheets). */
-#define LATE_CREDIT_FACTOR 0.15
-/*
- * Share of the credit that every job of a queue gets alike; the rest is in
- * proportion to the work of the job (rules).
- */
-#define FIXED_CREDIT_SHARE 0.3
-/*
- * Long-running tasks earn a quarter of what short ones earn per core-second
- * and hold their capacity for long.  With this rank they start after short
- * jobs that are in time and before those that are late.
- */
-#define LONG_RUNNING_RANK 0.5
-/*
- * A long-running task that has run before and found no worker for this long
- * is overdue: it starts before all others, and a worker is reserved for it,
- * as short tasks would refill each gap that is too small for it.  The rules
- * allow 9 s after its last run, however full the service is; the short tasks
- * of a worker take up to 3 s to end.
- */
-#define LONG_RUNNING_WAIT_MS 3000
-#define OVERDUE_RANK 1e6
 /* Share of the workers reserved at a time; short tasks run on the others. */
 #define RESERVED_SHARE 0.05
-/*
- * No task is overdue while long-running tasks hold this share of the CPU of
- * all workers: the remainder is for short tasks, which earn most.
- */
-#define LONG_RUNNING_SHARE_MAX 0.95
-/* The credit is divided by 1 plus the priority times this. */
-#define PRIORITY_DISCOUNT 0.25
-
 /* Score penalty of a task's avoided_node. */
 #define AVOIDED_NODE_PENALTY 5
 /* Score penalty for each failed start or run in a row on a worker. */
@@ -59,35 +27,6 @@
 /* Limit of fitting workers that are compared for one task. */
 #define FITTING_NODES_MAX 80
 
-typedef struct {
-    nm_occurrence_t *occurrence;
-    uint32_t step;
-    double rank; /* higher starts first */
-} candidate_t;
-
-/* Limit of filler images remembered as unplaced in one round. */
-#define UNPLACED_IMAGES_MAX 32
-
-/* State of one round over all waiting tasks. */
-typedef struct {
-    /*
-     * Smallest requests of short tasks, without a label or a limit per worker,
-     * that found no worker in this round.  Another such task that needs at
-     * least as much of both is skipped.
-     */
-    int64_t unplaced_cpu_milli;
-    int64_t unplaced_memory_mb;
-    /* Images of fillers that found no worker. */
-    const char *unplaced_images[UNPLACED_IMAGES_MAX];
-    uint32_t unplaced_image_count;
-    uint32_t reserved_nodes; /* workers reserved for overdue tasks */
-    bool overdue_known;      /* overdue_cpu_left_milli is computed */
-    /* CPU that overdue tasks may still take. */
-    double overdue_cpu_left_milli;
-    uint32_t idle_jobs;
-    const nm_sched_job_t *longest_idle; /* NULL: none */
-} placement_round_t;
-
 bool
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -97,127 +36,12 @@
            now_ms >= node->avoid_until_ms;
 }
 
-static double
-job_rank(const nm_sched_job_t *job, nm_ms_t now_ms)
-{
-    if (job->long_running) {
-        return LONG_RUNNING_RANK;
-    }
-    double core_ms = (double)MAX(job->core_ms_total, 1);
-    double left_core_ms = (double)MAX(job->core_ms_left, 1);
-    double credit = core_ms;
-    if (job->queue) {
-        credit = FIXED_CREDIT_SHARE * job->queue->mean_core_ms +
-                 (1 - FIXED_CREDIT_SHARE) * core_ms;
-        credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
-    }
-    nm_ms_t age_ms = now_ms - job->arrived_ms;
-    double left_share = left_core_ms / core_ms;
-    double finish_ms =
-        (double)age_ms + (double)job->critical_path_ms * left_share;
-    double objective_ms = (double)MAX(job->objective_ms, 1);
-    if (finish_ms > objective_ms) {
-        credit *= LATE_CREDIT_FACTOR;
-    }
-    return credit / left_core_ms;
-}
-
-static int
-compare_candidates(gconstpointer a, gconstpointer b)
-{
-    double left = ((const candidate_t *)a)->rank;
-    double right = ((const candidate_t *)b)->rank;
-    return left < right ? 1 : left > right ? -1 : 0;
-}
-
 static const char *
 job_service(const nm_sched_job_t *job)
 {
     return job->queue ? job->queue->service : job->service;
 }
 
-/* Returns the CPU that long-running tasks may take beyond what they hold. */
-static double
-overdue_cpu_left_milli(const nm_sched_t *sched, nm_ms_t now_ms)
-{
-    int64_t capacity = 0;
-    int64_t held = 0;
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (nm_node_is_usable(node, now_ms)) {
-            capacity += node->desc.cpu_milli;
-            held += node->long_running_cpu_milli;
-        }
-    }
-    return LONG_RUNNING_SHARE_MAX * (double)capacity - (double)held;
-}
-
-static bool
-is_overdue(const nm_sched_t *sched, placement_round_t *round,
-           const nm_occurrence_t *occurrence, uint32_t step, nm_ms_t now_ms)
-{
-    if (!occurrence->job->spec.steps[step].long_running ||
-        occurrence->unplaced_since_ms[step] == 0 ||
-        now_ms - occurrence->unplaced_since_ms[step] < LONG_RUNNING_WAIT_MS)
-    {
-        return false;
-    }
-    if (!round->overdue_known) {
-        round->overdue_known = true;
-        round->overdue_cpu_left_milli = overdue_cpu_left_milli(sched, now_ms);
-    }
-    return round->overdue_cpu_left_milli > 0;
-}
-
-/* Records since when a job has work in turn, but no task on a worker. */
-static void
-update_idle(placement_round_t *round, nm_sched_job_t *job, bool has_candidate,
-            nm_ms_t now_ms)
-{
-    if (!has_candidate || job->attached_count > 0) {
-        job->idle_since_ms = 0;
-        return;
-    }
-    if (job->idle_since_ms == 0) {
-        job->idle_since_ms = now_ms;
-    }
-    round->idle_jobs++;
-    if (!round->longest_idle ||
-        job->idle_since_ms < round->longest_idle->idle_since_ms)
-    {
-        round->longest_idle = job;
-    }
-}
-
-static void
-collect_candidates(nm_sched_t *sched, placement_round_t *round,
-                   nm_sched_job_t *job, GArray *candidates, nm_ms_t now_ms)
-{
-    double rank = -1;
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        nm_occurrence_t *occurrence = &job->occurrences[i];
-        if (job->state >= NM_JOB_COMPLETED || occurrence->finished ||
-            occurrence->due_unix_ms > sched->unix_ms)
-        {
-            continue;
-        }
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            if (occurrence->waiting[s] == 0 ||
-                !nm_occurrence_step_is_ready(occurrence, s)) {
-                continue;
-            }
-            if (rank < 0) {
-                rank = job_rank(job, now_ms);
-            }
-            bool overdue = is_overdue(sched, round, occurrence, s, now_ms);
-            candidate_t candidate = {occurrence, s,
-                                     overdue ? OVERDUE_RANK : rank};
-            g_array_append_val(candidates, candidate);
-        }
-    }
-    update_idle(round, job, rank >= 0, now_ms);
-}
-
 static uint32_t
 count_step_tasks(const nm_sched_node_t *node,
                  const nm_occurrence_t *occurrence, uint32_t step)
@@ -292,7 +116,7 @@
 }
 
 static bool
-is_eligible(const nm_sched_node_t *node, const candidate_t *candidate,
+is_eligible(const nm_sched_node_t *node, const nm_candidate_t *candidate,
             const char *service, nm_ms_t now_ms)
 {
     const nm_step_t *step =
@@ -334,7 +158,7 @@
 
 /* Returns false if the worker cannot take the task. */
 static bool
-score_node(nm_sched_t *sched, const candidate_t *candidate,
+score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
            const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
            double *score)
 {
@@ -366,8 +190,8 @@
  * from a random position in the list; NULL if it fits nowhere.
  */
 static nm_sched_node_t *
-choose_node(nm_sched_t *sched, const candidate_t *candidate, nm_task_t *task,
-            nm_ms_t now_ms)
+choose_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+            nm_task_t *task, nm_ms_t now_ms)
 {
     guint count = sched->node_list->len;
     if (count == 0) {
@@ -416,7 +240,8 @@
  * round.  Returns false if no worker can be reserved for the step.
  */
 static bool
-reserve_node(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+reserve_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+             nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
@@ -466,8 +291,8 @@
  * once it is overdue.
  */
 static void
-handle_unplaced_long_running(nm_sched_t *sched, placement_round_t *round,
-                             const candidate_t *candidate, nm_ms_t now_ms)
+handle_unplaced_long_running(nm_sched_t *sched, nm_round_t *round,
+                             const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     if (occurrence->unplaced_since_ms[candidate->step] == 0 &&
@@ -475,7 +300,8 @@
     {
         occurrence->unplaced_since_ms[candidate->step] = now_ms;
     }
-    if (!is_overdue(sched, round, occurrence, candidate->step, now_ms)) {
+    if (!nm_order_is_overdue(sched, round, occurrence, candidate->step,
+                             now_ms)) {
         return;
     }
     uint32_t waiting = occurrence->waiting[candidate->step];
@@ -493,7 +319,8 @@
  * worker has enough memory, or will have once the stopped fillers have ended.
  */
 static bool
-evict_fillers(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
+              nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
@@ -530,14 +357,14 @@
 }
 
 static bool
-needs_less_than_unplaced(const nm_step_t *step, const placement_round_t *round)
+needs_less_than_unplaced(const nm_step_t *step, const nm_round_t *round)
 {
     return step->cpu_milli < round->unplaced_cpu_milli ||
            step->memory_mb < round->unplaced_memory_mb;
 }
 
 static bool
-filler_image_is_unplaced(const nm_step_t *step, const placement_round_t *round)
+filler_image_is_unplaced(const nm_step_t *step, const nm_round_t *round)
 {
     for (uint32_t i = 0; i < round->unplaced_image_count; i++) {
         if (strcmp(round->unplaced_images[i], step->image) == 0) {
@@ -548,7 +375,7 @@
 }
 
 static void
-place_gang(nm_sched_t *sched, const candidate_t *candidate, nm_ms_t now_ms)
+place_gang(nm_sched_t *sched, const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
@@ -586,8 +413,8 @@
 
 /* Returns false if it did not look for a worker. */
 static bool
-place_step(nm_sched_t *sched, const candidate_t *candidate,
-           placement_round_t *round, nm_ms_t now_ms)
+place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
+           nm_round_t *round, nm_ms_t now_ms)
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
@@ -614,12 +441,13 @@
             sched->needs_placement = true;
             return true;
         }
-        if (candidate->rank >= OVERDUE_RANK &&
-            round->overdue_cpu_left_milli <= 0) {
+        if (candidate->rank >= NM_ORDER_OVERDUE_RANK &&
+            round->overdue_cpu_left_milli <= 0)
+        {
             return true;
         }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
-        if (node && candidate->rank >= OVERDUE_RANK) {
+        if (node && candidate->rank >= NM_ORDER_OVERDUE_RANK) {
             round->overdue_cpu_left_milli -= (double)step->cpu_milli;
         }
         if (node) {
@@ -639,7 +467,8 @@
             return true;
         }
         if (step->is_filler &&
-            round->unplaced_image_count < UNPLACED_IMAGES_MAX) {
+            round->unplaced_image_count < NM_ROUND_UNPLACED_IMAGES_MAX)
+        {
             round->unplaced_images[round->unplaced_image_count++] =
                 step->image;
         }
@@ -657,8 +486,8 @@
 
 /* Places the step, and records why it waits if no task of it is placed. */
 static void
-place_longest_idle(nm_sched_t *sched, const candidate_t *candidate,
-                   placement_round_t *round, uint32_t ahead, nm_ms_t now_ms)
+place_longest_idle(nm_sched_t *sched, const nm_candidate_t *candidate,
+                   nm_round_t *round, uint32_t ahead, nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     uint64_t refusals_before[NM_FILLER_REFUSAL_COUNT];
@@ -677,14 +506,9 @@
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    placement_round_t round = {.unplaced_cpu_milli = INT64_MAX,
-                               .unplaced_memory_mb = INT64_MAX};
-    GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
-    for (guint i = 0; i < sched->active->len; i++) {
-        collect_candidates(sched, &round, sched->active->pdata[i], candidates,
-                           now_ms);
-    }
-    g_array_sort(candidates, compare_candidates);
+    nm_round_t round = {.unplaced_cpu_milli = INT64_MAX,
+                        .unplaced_memory_mb = INT64_MAX};
+    GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
     sched->longest_idle = (nm_sched_idle_job_t){0};
@@ -692,8 +516,8 @@
          i < candidates->len && sched->starting_count < NM_SCHED_STARTING_MAX;
          i++)
     {
-        const candidate_t *candidate =
-            &g_array_index(candidates, candidate_t, i);
+        const nm_candidate_t *candidate =
+            &g_array_index(candidates, nm_candidate_t, i);
         if (candidate->occurrence->job == round.longest_idle &&
             sched->longest_idle.job[0] == '\0')
         {
