Scheduler: a bounded wait for jobs with nothing at work

Cause: jobs start by credit for the work left, and nothing raises one that waits: a late large job ranks last for good, and smaller fillers refill each gap that a large task needs. Change: one task of an idle job goes before the ordinary order, from 1 s on while most of the service is not reserved, else from 10 s on and with one start in ten; a worker is held for a task that fits nowhere.

--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -139,15 +139,20 @@
     return cost < START_COST_MAX;
 }
 
+double
+nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node)
+{
+    return (double)node->desc.cpu_milli -
+           (double)(node->cpu_used_milli - node->serving_cpu_milli) -
+           SERVING_LOAD_SHARE * (double)node->serving_cpu_milli -
+           (double)node->filler_cpu_milli;
+}
+
 bool
 nm_sched_filler_has_capacity(const nm_sched_node_t *node,
                              const nm_step_t *step)
 {
-    double unused = (double)node->desc.cpu_milli -
-                    (double)(node->cpu_used_milli - node->serving_cpu_milli) -
-                    SERVING_LOAD_SHARE * (double)node->serving_cpu_milli -
-                    (double)node->filler_cpu_milli;
-    return unused >= (double)step->cpu_milli;
+    return nm_sched_filler_unused_cpu_milli(node) >= (double)step->cpu_milli;
 }
 
 /*
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -35,6 +35,16 @@
  * all workers: the remainder is for short tasks, which earn most.
  */
 #define LONG_RUNNING_SHARE_MAX 0.95
+/*
+ * An idle job has work in turn and no task on a worker.  While tasks other
+ * than fillers hold at most this share of a service's capacity, one task of a
+ * job that has been idle for IDLE_WAIT_MS goes first; otherwise after
+ * IDLE_WAIT_RESERVED_MS, and only one start in ten.  The rules allow 3 s below
+ * half of the capacity; jobs that wait have to be at work by then.
+ */
+#define MOSTLY_UNRESERVED_SHARE 0.6
+#define IDLE_WAIT_MS 1000
+#define IDLE_WAIT_RESERVED_MS 10000
 /* The credit is divided by 1 plus the priority times this. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -66,9 +76,12 @@
 static int
 compare_candidates(gconstpointer a, gconstpointer b)
 {
-    double left = ((const nm_candidate_t *)a)->rank;
-    double right = ((const nm_candidate_t *)b)->rank;
-    return left < right ? 1 : left > right ? -1 : 0;
+    const nm_candidate_t *left = a;
+    const nm_candidate_t *right = b;
+    if (left->order_class != right->order_class) {
+        return left->order_class < right->order_class ? 1 : -1;
+    }
+    return left->rank < right->rank ? 1 : left->rank > right->rank ? -1 : 0;
 }
 
 /* Returns the CPU that long-running tasks may take beyond what they hold. */
@@ -105,15 +118,21 @@
     return round->overdue_cpu_left_milli > 0;
 }
 
-/* Records since when a job has work in turn, but no task on a worker. */
+/*
+ * Records since when a job has work in turn, but no task on a worker.  A start
+ * that is refused does not end that time.
+ */
 static void
 update_idle(nm_round_t *round, nm_sched_job_t *job, bool has_candidate,
             nm_ms_t now_ms)
 {
-    if (!has_candidate || job->attached_count > 0) {
+    if (!has_candidate) {
         job->idle_since_ms = 0;
         return;
     }
+    if (job->attached_count > 0) {
+        return;
+    }
     if (job->idle_since_ms == 0) {
         job->idle_since_ms = now_ms;
     }
@@ -125,16 +144,58 @@
     }
 }
 
-static void
+static bool
+service_is_mostly_unreserved(const nm_sched_t *sched, const char *service,
+                             nm_ms_t now_ms)
+{
+    int64_t cpu_milli = 0;
+    int64_t reserved_cpu_milli = 0;
+    int64_t memory_mb = 0;
+    int64_t reserved_memory_mb = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->service == service && nm_node_is_usable(node, now_ms)) {
+            cpu_milli += node->desc.cpu_milli;
+            reserved_cpu_milli += node->cpu_used_milli;
+            memory_mb += node->desc.memory_mb;
+            reserved_memory_mb +=
+                node->memory_used_mb - node->filler_memory_mb;
+        }
+    }
+    return (double)reserved_cpu_milli <=
+               MOSTLY_UNRESERVED_SHARE * (double)cpu_milli &&
+           (double)reserved_memory_mb <=
+               MOSTLY_UNRESERVED_SHARE * (double)memory_mb;
+}
+
+static bool
+is_mostly_unreserved(const nm_sched_t *sched, nm_round_t *round,
+                     const char *service, nm_ms_t now_ms)
+{
+    for (uint32_t i = 0; i < round->service_count; i++) {
+        if (round->services[i].service == service) {
+            return round->services[i].mostly_unreserved;
+        }
+    }
+    bool result = service_is_mostly_unreserved(sched, service, now_ms);
+    if (round->service_count < NM_ROUND_SERVICES_MAX) {
+        round->services[round->service_count].service = service;
+        round->services[round->service_count].mostly_unreserved = result;
+        round->service_count++;
+    }
+    return result;
+}
+
+/* Adds the steps of a job that wait in turn; returns their number. */
+static guint
 collect_candidates(nm_sched_t *sched, nm_round_t *round, nm_sched_job_t *job,
                    GArray *candidates, nm_ms_t now_ms)
 {
-    double rank = -1;
+    guint count_before = candidates->len;
+    double rank = job_rank(job, now_ms);
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
         nm_occurrence_t *occurrence = &job->occurrences[i];
-        if (job->state >= NM_JOB_COMPLETED || occurrence->finished ||
-            occurrence->due_unix_ms > sched->unix_ms)
-        {
+        if (occurrence->finished || occurrence->due_unix_ms > sched->unix_ms) {
             continue;
         }
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
@@ -142,17 +203,64 @@
                 !nm_occurrence_step_is_ready(occurrence, s)) {
                 continue;
             }
-            if (rank < 0) {
-                rank = job_rank(job, now_ms);
-            }
             bool overdue =
                 nm_order_is_overdue(sched, round, occurrence, s, now_ms);
             nm_candidate_t candidate = {
-                occurrence, s, overdue ? NM_ORDER_OVERDUE_RANK : rank};
+                .occurrence = occurrence,
+                .step = s,
+                .order_class = overdue ? NM_CLASS_OVERDUE : NM_CLASS_ORDINARY,
+                .rank = rank};
             g_array_append_val(candidates, candidate);
         }
     }
-    update_idle(round, job, rank >= 0, now_ms);
+    return candidates->len - count_before;
+}
+
+/*
+ * True if one task of a job may start before the ordinary order; takes_credit
+ * is set if that needs credit.
+ */
+static bool
+is_due_for_being_idle(const nm_sched_t *sched, nm_round_t *round,
+                      const nm_sched_job_t *job, nm_ms_t now_ms,
+                      bool *takes_credit)
+{
+    if (job->attached_count > 0 || job->idle_since_ms == 0 ||
+        now_ms - job->idle_since_ms < IDLE_WAIT_MS)
+    {
+        return false;
+    }
+    nm_ms_t idle_ms = now_ms - job->idle_since_ms;
+    *takes_credit =
+        !is_mostly_unreserved(sched, round, nm_job_service(job), now_ms);
+    return !*takes_credit || idle_ms >= IDLE_WAIT_RESERVED_MS;
+}
+
+/*
+ * Lets one task of an idle job go before the ordinary order.  Its candidates
+ * of the ordinary order are those from the first on.
+ */
+static void
+add_idle_candidates(const nm_sched_t *sched, nm_round_t *round,
+                    const nm_sched_job_t *job, guint first, GArray *candidates,
+                    nm_ms_t now_ms)
+{
+    bool takes_credit = false;
+    if (!is_due_for_being_idle(sched, round, job, now_ms, &takes_credit)) {
+        return;
+    }
+    guint end = candidates->len;
+    for (guint i = first; i < end; i++) {
+        nm_candidate_t candidate =
+            g_array_index(candidates, nm_candidate_t, i);
+        if (job->spec.steps[candidate.step].long_running) {
+            continue;
+        }
+        candidate.order_class = NM_CLASS_IDLE;
+        candidate.rank = (double)(now_ms - job->idle_since_ms);
+        candidate.takes_credit = takes_credit;
+        g_array_append_val(candidates, candidate);
+    }
 }
 
 GArray *
@@ -160,8 +268,17 @@
 {
     GArray *candidates = g_array_new(FALSE, FALSE, sizeof(nm_candidate_t));
     for (guint i = 0; i < sched->active->len; i++) {
-        collect_candidates(sched, round, sched->active->pdata[i], candidates,
-                           now_ms);
+        nm_sched_job_t *job = sched->active->pdata[i];
+        if (job->state >= NM_JOB_COMPLETED) {
+            continue;
+        }
+        guint first = candidates->len;
+        guint count =
+            collect_candidates(sched, round, job, candidates, now_ms);
+        update_idle(round, job, count > 0, now_ms);
+        if (count > 0) {
+            add_idle_candidates(sched, round, job, first, candidates, now_ms);
+        }
     }
     g_array_sort(candidates, compare_candidates);
     return candidates;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -24,6 +24,14 @@
 /* Scores of a worker for a serving task. */
 #define NO_SERVING_TASK_SCORE 1
 #define SAME_IMAGE_SCORE 2
+/* How long a worker is held for a step; each round that needs it renews it. */
+#define HOLD_MS 500
+/*
+ * Share of the starts that go to idle jobs while most of a service's capacity
+ * is reserved, and the limit of such starts that are saved up.
+ */
+#define IDLE_START_SHARE 0.1
+#define IDLE_START_CREDIT_MAX 4
 /* Limit of fitting workers that are compared for one task. */
 #define FITTING_NODES_MAX 80
 
@@ -36,12 +44,6 @@
            now_ms >= node->avoid_until_ms;
 }
 
-static const char *
-job_service(const nm_sched_job_t *job)
-{
-    return job->queue ? job->queue->service : job->service;
-}
-
 static uint32_t
 count_step_tasks(const nm_sched_node_t *node,
                  const nm_occurrence_t *occurrence, uint32_t step)
@@ -156,6 +158,15 @@
     return true;
 }
 
+static bool
+is_held_for_other(const nm_sched_node_t *node, const nm_candidate_t *candidate,
+                  nm_ms_t now_ms)
+{
+    return now_ms < node->hold.until_ms &&
+           (node->hold.occurrence != candidate->occurrence ||
+            node->hold.step != candidate->step);
+}
+
 /* Returns false if the worker cannot take the task. */
 static bool
 score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -166,8 +177,10 @@
     const nm_step_t *step = &job->spec.steps[candidate->step];
     bool reserved = node->reserved_placement == sched->placement_number &&
                     !step->long_running && !step->is_filler;
-    if (reserved || !fits(node, step) ||
-        !is_eligible(node, candidate, job_service(job), now_ms))
+    bool held =
+        !step->long_running && is_held_for_other(node, candidate, now_ms);
+    if (reserved || held || !fits(node, step) ||
+        !is_eligible(node, candidate, nm_job_service(job), now_ms))
     {
         return false;
     }
@@ -252,7 +265,7 @@
         int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
         if (free_cpu_milli > best_free_cpu_milli &&
             node->reserved_placement != sched->placement_number &&
-            is_eligible(node, candidate, job_service(job), now_ms) &&
+            is_eligible(node, candidate, nm_job_service(job), now_ms) &&
             fits_after_short_tasks(node, step))
         {
             best = node;
@@ -265,6 +278,74 @@
     return best != NULL;
 }
 
+/*
+ * Share of a task's requests that a worker has free, limited by the scarcest
+ * of CPU and memory; negative if the task does not fit once short tasks and
+ * other fillers have ended.
+ */
+static double
+free_share_of_requests(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    nm_step_t unfilled = *step;
+    double free_cpu_milli =
+        (double)(node->desc.cpu_milli - node->cpu_used_milli);
+    if (step->is_filler) {
+        free_cpu_milli = nm_sched_filler_unused_cpu_milli(node);
+        if (free_cpu_milli + (double)node->filler_cpu_milli <
+            (double)step->cpu_milli) {
+            return -1;
+        }
+        unfilled.cpu_milli = 0;
+    }
+    if (!fits_after_short_tasks(node, &unfilled)) {
+        return -1;
+    }
+    double free_memory_mb =
+        (double)(node->desc.memory_mb - node->memory_used_mb);
+    double share = MIN(free_cpu_milli / (double)MAX(step->cpu_milli, 1),
+                       free_memory_mb / (double)MAX(step->memory_mb, 1));
+    return MAX(share, 0);
+}
+
+/*
+ * Keeps what becomes free on one worker for a step whose tasks need more than
+ * is free anywhere: the worker it has, or else the one with the most free.
+ */
+static void
+hold_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+          nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (round->reserved_nodes >= ceil(RESERVED_SHARE * sched->node_list->len))
+    {
+        return;
+    }
+    nm_sched_node_t *best = NULL;
+    double best_share = -1;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        bool disturbs =
+            step->is_filler && node->serving_count > 0 && !node->has_headroom;
+        if (disturbs || is_held_for_other(node, candidate, now_ms) ||
+            !is_eligible(node, candidate, nm_job_service(job), now_ms))
+        {
+            continue;
+        }
+        double share = free_share_of_requests(node, step);
+        bool has_hold = share >= 0 && now_ms < node->hold.until_ms;
+        if (has_hold || share > best_share) {
+            best = node;
+            best_share = has_hold ? INFINITY : share;
+        }
+    }
+    if (best) {
+        best->hold = (nm_hold_t){candidate->occurrence, candidate->step,
+                                 now_ms + HOLD_MS};
+        round->reserved_nodes++;
+    }
+}
+
 /*
  * True if a task that has run before is waiting; each waiting task of a
  * recovered job counts as one.  Tasks that have never run do not become
@@ -329,7 +410,7 @@
         int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
         int64_t free_memory_mb = node->desc.memory_mb - node->memory_used_mb;
         if (node->filler_count == 0 || free_cpu_milli < step->cpu_milli ||
-            !is_eligible(node, candidate, job_service(job), now_ms))
+            !is_eligible(node, candidate, nm_job_service(job), now_ms))
         {
             continue;
         }
@@ -411,6 +492,18 @@
     g_ptr_array_free(chosen, TRUE);
 }
 
+static void
+start_task(nm_sched_t *sched, const nm_candidate_t *candidate, nm_task_t *task,
+           nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    if (job->spec.steps[candidate->step].is_filler) {
+        nm_sched_filler_count_canary(sched, node, job->images[candidate->step],
+                                     now_ms);
+    }
+    nm_sched_start_task(sched, task, node, 0, now_ms);
+}
+
 /* Returns false if it did not look for a worker. */
 static bool
 place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -441,22 +534,22 @@
             sched->needs_placement = true;
             return true;
         }
-        if (candidate->rank >= NM_ORDER_OVERDUE_RANK &&
+        if (candidate->order_class == NM_CLASS_OVERDUE &&
             round->overdue_cpu_left_milli <= 0)
         {
             return true;
         }
         nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
-        if (node && candidate->rank >= NM_ORDER_OVERDUE_RANK) {
+        if (node && candidate->order_class == NM_CLASS_OVERDUE) {
             round->overdue_cpu_left_milli -= (double)step->cpu_milli;
         }
         if (node) {
-            if (step->is_filler) {
-                nm_sched_filler_count_canary(
-                    sched, node, occurrence->job->images[candidate->step],
-                    now_ms);
+            start_task(sched, candidate, task, node, now_ms);
+            if (!step->long_running) {
+                sched->idle_start_credit =
+                    MIN(sched->idle_start_credit + IDLE_START_SHARE,
+                        IDLE_START_CREDIT_MAX);
             }
-            nm_sched_start_task(sched, task, node, 0, now_ms);
             continue;
         }
         if (step->long_running && evict_fillers(sched, candidate, now_ms)) {
@@ -484,6 +577,81 @@
     return true;
 }
 
+/* True if a filler of its image that needs no more has found no worker. */
+static bool
+idle_filler_is_unplaced(const nm_step_t *step, const nm_round_t *round)
+{
+    for (uint32_t i = 0; i < round->unplaced_idle_count; i++) {
+        const nm_unplaced_filler_t *unplaced = &round->unplaced_idle[i];
+        if (strcmp(unplaced->image, step->image) == 0 &&
+            step->cpu_milli >= unplaced->cpu_milli &&
+            step->memory_mb >= unplaced->memory_mb)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+record_unplaced_idle(nm_round_t *round, const nm_step_t *step)
+{
+    if (step->is_filler && step->label[0] == '\0' &&
+        step->per_worker_max == 0 &&
+        round->unplaced_idle_count < NM_ROUND_UNPLACED_IMAGES_MAX)
+    {
+        round->unplaced_idle[round->unplaced_idle_count++] =
+            (nm_unplaced_filler_t){step->image, step->cpu_milli,
+                                   step->memory_mb};
+    }
+}
+
+/*
+ * Places one task of a job that has been idle for long, or holds a worker for
+ * it.  Returns false if it did not look for a worker.
+ */
+static bool
+place_idle_step(nm_sched_t *sched, const nm_candidate_t *candidate,
+                nm_round_t *round, nm_ms_t now_ms)
+{
+    nm_occurrence_t *occurrence = candidate->occurrence;
+    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
+    if (occurrence->job->attached_count > 0 ||
+        (candidate->takes_credit && sched->idle_start_credit < 1) ||
+        (step->is_filler && idle_filler_is_unplaced(step, round)))
+    {
+        return false;
+    }
+    if (step->is_gang) {
+        place_gang(sched, candidate, now_ms);
+        return true;
+    }
+    nm_task_t *task = &occurrence->tasks[candidate->step][0];
+    while (task->state != NM_RUN_WAITING) {
+        task++;
+    }
+    nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+    if (node) {
+        start_task(sched, candidate, task, node, now_ms);
+        sched->idle_start_credit -= candidate->takes_credit;
+        node->hold = (nm_hold_t){0};
+    }
+    else {
+        record_unplaced_idle(round, step);
+        hold_node(sched, candidate, round, now_ms);
+    }
+    return true;
+}
+
+static bool
+place_candidate(nm_sched_t *sched, const nm_candidate_t *candidate,
+                nm_round_t *round, nm_ms_t now_ms)
+{
+    return candidate->order_class == NM_CLASS_IDLE
+               ? place_idle_step(sched, candidate, round, now_ms)
+               : place_step(sched, candidate, round, now_ms);
+}
+
 /* Places the step, and records why it waits if no task of it is placed. */
 static void
 place_longest_idle(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -497,7 +665,7 @@
                                   .idle_ms = now_ms - job->idle_since_ms,
                                   .ahead = ahead};
     nm_strcopy(idle->job, sizeof(idle->job), job->spec.id);
-    idle->tried = place_step(sched, candidate, round, now_ms);
+    idle->tried = place_candidate(sched, candidate, round, now_ms);
     for (uint32_t r = 0; r < NM_FILLER_REFUSAL_COUNT; r++) {
         idle->refusals[r] = sched->filler_refusals[r] - refusals_before[r];
     }
@@ -524,7 +692,7 @@
             place_longest_idle(sched, candidate, &round, i, now_ms);
         }
         else {
-            place_step(sched, candidate, &round, now_ms);
+            place_candidate(sched, candidate, &round, now_ms);
         }
     }
     g_array_free(candidates, TRUE);
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -7,18 +7,33 @@
 
 #include "sched_state.h"
 
-/* Rank of an overdue long-running step: it starts before all others. */
-#define NM_ORDER_OVERDUE_RANK 1e6
-
 /* Limit of filler images remembered as unplaced in one round. */
 #define NM_ROUND_UNPLACED_IMAGES_MAX 32
+/* Limit of services whose reserved share is remembered in one round. */
+#define NM_ROUND_SERVICES_MAX 8
+
+/* A step of a higher class starts before all of lower ones. */
+typedef enum {
+    NM_CLASS_ORDINARY,
+    NM_CLASS_IDLE,    /* one task of a job that has been idle for long */
+    NM_CLASS_OVERDUE, /* an interrupted long-running step */
+} nm_class_t;
 
 typedef struct {
     nm_occurrence_t *occurrence;
     uint32_t step;
-    double rank; /* higher starts first */
+    nm_class_t order_class;
+    double rank;       /* within the class; higher starts first */
+    bool takes_credit; /* starts only with credit for idle jobs */
 } nm_candidate_t;
 
+/* A filler that found no worker. */
+typedef struct {
+    const char *image;
+    int64_t cpu_milli;
+    int64_t memory_mb;
+} nm_unplaced_filler_t;
+
 typedef struct {
     /*
      * Smallest requests of short tasks, without a label or a limit per worker,
@@ -30,10 +45,18 @@
     /* Images of fillers that found no worker. */
     const char *unplaced_images[NM_ROUND_UNPLACED_IMAGES_MAX];
     uint32_t unplaced_image_count;
-    uint32_t reserved_nodes; /* workers reserved for overdue tasks */
+    /* Smallest fillers of idle jobs that found no worker, by image. */
+    nm_unplaced_filler_t unplaced_idle[NM_ROUND_UNPLACED_IMAGES_MAX];
+    uint32_t unplaced_idle_count;
+    uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
     bool overdue_known;      /* overdue_cpu_left_milli is computed */
     /* CPU that overdue tasks may still take. */
     double overdue_cpu_left_milli;
+    struct {
+        const char *service; /* interned */
+        bool mostly_unreserved;
+    } services[NM_ROUND_SERVICES_MAX];
+    uint32_t service_count;
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -189,9 +189,9 @@
     bool active;        /* in sched.active */
     bool started;       /* a task of it has been started */
     bool long_running;
-    uint32_t attached_count;    /* tasks on workers */
-    nm_ms_t idle_since_ms;      /* a task waits in turn, none is on a worker */
-    uint64_t change_seq;        /* newest change to store */
+    uint32_t attached_count; /* tasks on workers */
+    nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
+    uint64_t change_seq;     /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
@@ -215,6 +215,16 @@
     uint64_t change_seq; /* of the scheduler; 0: nothing to store */
 } nm_pending_ack_t;
 
+/*
+ * Keeps what becomes free on a worker for one step until a time.  The
+ * occurrence is only compared, as it may have been freed.
+ */
+typedef struct {
+    const nm_occurrence_t *occurrence;
+    uint32_t step;
+    nm_ms_t until_ms;
+} nm_hold_t;
+
 /* A worker; the fields that placement reads come first. */
 struct nm_sched_node {
     const char *service; /* interned */
@@ -236,6 +246,8 @@
     int64_t filler_cpu_milli;
     int64_t serving_cpu_milli;   /* of tasks with a latency target */
     uint64_t reserved_placement; /* placement that last reserved it */
+    nm_hold_t hold;
+    int64_t filler_memory_mb; /* part of memory_used_mb */
     double expected_misses; /* expected number of serving tasks over target */
     nm_ms_t predicted_ms;   /* when expected_misses was computed */
     nm_sched_worker_t desc;
@@ -306,6 +318,7 @@
     bool needs_placement; /* something changed since the last placement */
     uint32_t idle_jobs;   /* of the newest placement */
     nm_sched_idle_job_t longest_idle; /* of the newest placement */
+    double idle_start_credit; /* starts of idle jobs on a reserved service */
     nm_ms_t placed_ms;
     nm_ms_t fillers_checked_ms;
     nm_ms_t filler_started_ms; /* newest start of a filler */
@@ -332,6 +345,13 @@
     return task->occurrence->job->images[task->step];
 }
 
+/* Interned name of the service that runs a job's tasks. */
+static inline const char *
+nm_job_service(const nm_sched_job_t *job)
+{
+    return job->queue ? job->queue->service : job->service;
+}
+
 /* Attaches a task to a node, or detaches it; updates the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
@@ -470,6 +490,8 @@
 double nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
                             const nm_step_t *step, uint32_t image,
                             nm_ms_t now_ms);
+/* CPU that neither other tasks nor the usual load of serving tasks use. */
+double nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node);
 /* True if a filler finds unused CPU. */
 bool nm_sched_filler_has_capacity(const nm_sched_node_t *node,
                                   const nm_step_t *step);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -63,6 +63,7 @@
     node->accelerators_used += step->accelerators;
     if (step->is_filler) {
         node->filler_count++;
+        node->filler_memory_mb += step->memory_mb;
         node->filler_cpu_milli += step->cpu_milli;
     }
     else {
@@ -92,6 +93,7 @@
     node->accelerators_used -= step->accelerators;
     if (step->is_filler) {
         node->filler_count--;
+        node->filler_memory_mb -= step->memory_mb;
         node->filler_cpu_milli -= step->cpu_milli;
     }
     else {
@@ -183,6 +185,9 @@
     sched->starting_count -= task->state == NM_RUN_STARTING;
     sched->starting_count += state == NM_RUN_STARTING;
     task->state = state;
+    if (state == NM_RUN_RUNNING) {
+        task->occurrence->job->idle_since_ms = 0;
+    }
 }
 
 void
