Tests: interrupted long-running tasks beside fillers (failing)

The tests interrupt the tasks of a job on workers whose memory is taken by fillers; more fillers arrive than can run.

--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -174,6 +174,354 @@
     wait_sim_finish(&wait);
 }
 
+/* The rules: a long-running task may be without a run for this long. */
+#define INTERRUPTED_MS_MAX 9000
+#define INTERRUPTED_LIMIT_MS 60000
+#define TICK_MS 50
+#define OTHER_JOB "8ed316840370aadb"
+#define FILLER_MS 1000
+/* Between two arrivals per worker, which has memory for 6 at a time. */
+#define FILLER_INTERVAL_MS 100
+#define INTERRUPTED_WORKERS_MAX 24
+
+/* A job of one step on workers whose memory fillers take. */
+typedef struct {
+    const char *name;
+    uint32_t workers;
+    uint32_t label_count;   /* so many of them have the label "fast" */
+    nm_ms_t stop_ms;        /* duration of a stop */
+    bool refuses_stops;     /* worker 0 refuses each stop */
+    bool never_run;         /* the job arrives among the fillers */
+    bool mostly_unreserved; /* no other long-running job */
+    nm_step_t step;
+    nm_ms_t wait_ms_max;
+} interruption_t;
+
+typedef struct {
+    nm_worker_run_t row;
+    uint32_t worker;
+    nm_ms_t end_ms;
+    nm_end_t end;
+} timed_run_t;
+
+/* Workers that run what they are told and end it in time. */
+typedef struct {
+    const interruption_t *desc;
+    sched_sim_t sim;
+    GArray *runs; /* of timed_run_t */
+    int64_t last_end[INTERRUPTED_WORKERS_MAX];
+    uint32_t jobs_added;
+    nm_ms_t next_filler_ms;
+} fleet_t;
+
+static uint32_t
+worker_number(const char *id)
+{
+    return (uint32_t)(id[0] - 'a');
+}
+
+static void
+fleet_init(fleet_t *fleet, const interruption_t *desc)
+{
+    *fleet = (fleet_t){.desc = desc};
+    fleet->runs = g_array_new(FALSE, TRUE, sizeof(timed_run_t));
+    sched_sim_init(&fleet->sim, 1);
+    for (uint32_t w = 0; w < desc->workers; w++) {
+        char id[] = {(char)('a' + w), '\0'};
+        nm_sched_worker_t worker = {.incarnation = 1,
+                                    .cpu_milli = CPU_MILLI,
+                                    .memory_mb = MEMORY_MB,
+                                    .label_count = w < desc->label_count,
+                                    .labels = {"fast"}};
+        nm_strcopy(worker.id, sizeof(worker.id), id);
+        nm_strcopy(worker.service, sizeof(worker.service), "press");
+        nm_strcopy(worker.address, sizeof(worker.address), "10.0.0.1:80");
+        nm_sched_set_worker(fleet->sim.sched, &worker, fleet->sim.now_ms);
+        nm_sched_admit_worker(fleet->sim.sched, id);
+        sched_sim_advance(&fleet->sim, 10);
+        sched_sim_report(&fleet->sim, id, 1, NULL, 0, NULL, 0);
+    }
+    nm_sched_set_queue(fleet->sim.sched, &(nm_queue_t){.name = "batch",
+                                                       .service = "press",
+                                                       .slack_factor = 2,
+                                                       .objective_ms = 1000});
+}
+
+static void
+fleet_finish(fleet_t *fleet)
+{
+    sched_sim_finish(&fleet->sim);
+    g_array_free(fleet->runs, TRUE);
+}
+
+static void
+fleet_add_job(fleet_t *fleet, const char *id, nm_step_t step)
+{
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, id, "batch", "press");
+    *nm_job_spec_add_step(&spec) = step;
+    g_assert_cmpint(
+        nm_sched_add_job(fleet->sim.sched, &spec, false, fleet->sim.now_ms),
+        ==, NM_OK);
+    nm_job_spec_finish(&spec);
+}
+
+static void
+fleet_add_fillers(fleet_t *fleet)
+{
+    while (fleet->next_filler_ms <= fleet->sim.now_ms) {
+        char id[NM_JOB_ID_MAX];
+        g_snprintf(id, sizeof(id), "%016x", ++fleet->jobs_added);
+        fleet_add_job(fleet, id,
+                      (nm_step_t){.task_count = 1,
+                                  .cpu_milli = 300,
+                                  .memory_mb = 10000,
+                                  .estimate_ms = FILLER_MS,
+                                  .is_filler = true,
+                                  .image = "press"});
+        fleet->next_filler_ms += FILLER_INTERVAL_MS / fleet->desc->workers;
+    }
+}
+
+/* Returns the run of a task, or NULL. */
+static timed_run_t *
+fleet_find_run(const fleet_t *fleet, const char *task)
+{
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        timed_run_t *run = &g_array_index(fleet->runs, timed_run_t, i);
+        if (g_str_has_prefix(run->row.task, task)) {
+            return run;
+        }
+    }
+    return NULL;
+}
+
+static void
+fleet_carry_out(fleet_t *fleet)
+{
+    for (guint i = 0; i < fleet->sim.actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(fleet->sim.actions, nm_sched_action_t, i);
+        uint32_t worker = worker_number(action->worker);
+        nm_ms_t now_ms = fleet->sim.now_ms;
+        if (action->type == NM_ACTION_START) {
+            timed_run_t run = {
+                .row = sched_sim_make_run(action->task, action->run),
+                .worker = worker,
+                .end_ms = g_str_has_prefix(action->task, JOB) ||
+                                  g_str_has_prefix(action->task, OTHER_JOB)
+                              ? NM_MS_NEVER
+                              : now_ms + FILLER_MS,
+                .end = NM_END_DONE};
+            g_array_append_val(fleet->runs, run);
+            nm_sched_on_start(fleet->sim.sched, action, NM_ORDER_DONE, now_ms);
+        }
+        else if (action->type == NM_ACTION_STOP) {
+            bool refused = fleet->desc->refuses_stops && worker == 0;
+            timed_run_t *run = fleet_find_run(fleet, action->task);
+            if (run && !refused) {
+                run->end_ms = MIN(run->end_ms, now_ms + fleet->desc->stop_ms);
+                run->end = NM_END_STOPPED;
+            }
+            nm_sched_on_stop(fleet->sim.sched, action,
+                             refused ? NM_ORDER_NOT_RUN : NM_ORDER_DONE,
+                             now_ms);
+        }
+    }
+}
+
+/* Reports what has ended on a worker. */
+static void
+fleet_report(fleet_t *fleet, uint32_t worker)
+{
+    GArray *rows = g_array_new(FALSE, TRUE, sizeof(nm_worker_run_t));
+    GArray *ends = g_array_new(FALSE, TRUE, sizeof(nm_worker_end_t));
+    for (guint i = fleet->runs->len; i > 0; i--) {
+        timed_run_t run = g_array_index(fleet->runs, timed_run_t, i - 1);
+        if (run.worker != worker) {
+            continue;
+        }
+        if (run.end_ms > fleet->sim.now_ms) {
+            g_array_append_val(rows, run.row);
+            continue;
+        }
+        nm_worker_end_t end = sched_sim_make_end(
+            ++fleet->last_end[worker], run.row.task, run.row.run, run.end);
+        g_array_append_val(ends, end);
+        g_array_remove_index(fleet->runs, i - 1);
+    }
+    char id[] = {(char)('a' + worker), '\0'};
+    sched_sim_report(&fleet->sim, id, 1, (nm_worker_run_t *)rows->data,
+                     rows->len, (nm_worker_end_t *)ends->data, ends->len);
+    g_array_free(rows, TRUE);
+    g_array_free(ends, TRUE);
+}
+
+static void
+fleet_advance(fleet_t *fleet)
+{
+    fleet_add_fillers(fleet);
+    sched_sim_advance(&fleet->sim, TICK_MS);
+    fleet_carry_out(fleet);
+    for (uint32_t w = 0; w < fleet->desc->workers; w++) {
+        fleet_report(fleet, w);
+    }
+    sched_sim_save_all(&fleet->sim);
+}
+
+/* Lets all runs of the job fail at once. */
+static void
+end_all_runs(fleet_t *fleet)
+{
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        timed_run_t *run = &g_array_index(fleet->runs, timed_run_t, i);
+        if (g_str_has_prefix(run->row.task, JOB)) {
+            run->end_ms = fleet->sim.now_ms;
+            run->end = NM_END_FAILED;
+        }
+    }
+    for (uint32_t w = 0; w < fleet->desc->workers; w++) {
+        fleet_report(fleet, w);
+    }
+}
+
+static uint32_t
+count_runs(const fleet_t *fleet)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        count += g_str_has_prefix(
+            g_array_index(fleet->runs, timed_run_t, i).row.task, JOB);
+    }
+    return count;
+}
+
+/*
+ * Load: fillers take all memory, and are evicted for a task of a long-running
+ * job; more arrive than can run.  Returns the longest time until all tasks of
+ * the job run again after all have failed, or run at all.
+ */
+static nm_ms_t
+time_without_run(const interruption_t *desc)
+{
+    fleet_t fleet;
+    fleet_init(&fleet, desc);
+    if (!desc->mostly_unreserved) {
+        fleet_add_job(&fleet, OTHER_JOB,
+                      (nm_step_t){.task_count = desc->workers,
+                                  .cpu_milli = 10000,
+                                  .memory_mb = 4000,
+                                  .long_running = true,
+                                  .per_worker_max = 1});
+    }
+    if (!desc->never_run) {
+        fleet_add_job(&fleet, JOB, desc->step);
+        sched_sim_advance(&fleet.sim, TICK_MS);
+        fleet_carry_out(&fleet);
+        g_assert_cmpuint(count_runs(&fleet), ==, desc->step.task_count);
+    }
+    fleet.next_filler_ms = fleet.sim.now_ms;
+    for (uint32_t i = 0; i < 3000 / TICK_MS; i++) {
+        fleet_advance(&fleet);
+    }
+    if (desc->never_run) {
+        fleet_add_job(&fleet, JOB, desc->step);
+    }
+    else {
+        end_all_runs(&fleet);
+    }
+    nm_ms_t begin_ms = fleet.sim.now_ms;
+    while (count_runs(&fleet) < desc->step.task_count &&
+           fleet.sim.now_ms - begin_ms < INTERRUPTED_LIMIT_MS)
+    {
+        fleet_advance(&fleet);
+    }
+    nm_ms_t result = fleet.sim.now_ms - begin_ms;
+    fleet_finish(&fleet);
+    return result;
+}
+
+#define LONG_RUNNING(count, memory)                                           \
+    .task_count = (count), .cpu_milli = 4000, .memory_mb = (memory),          \
+    .long_running = true
+
+static const interruption_t interruptions[] = {
+    {.name = "/sched/interrupted-task-needs-one-filler",
+     .workers = 1,
+     .stop_ms = 100,
+     .step = {LONG_RUNNING(1, 10000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-task-needs-fillers",
+     .workers = 1,
+     .stop_ms = 100,
+     .step = {LONG_RUNNING(1, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-task-waits-for-slow-stops",
+     .workers = 1,
+     .stop_ms = 400,
+     .step = {LONG_RUNNING(1, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-tasks-among-workers",
+     .workers = 4,
+     .stop_ms = 400,
+     .step = {LONG_RUNNING(3, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/many-interrupted-tasks",
+     .workers = 24,
+     .stop_ms = 400,
+     .step = {LONG_RUNNING(24, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-tasks-with-limit-per-worker",
+     .workers = 4,
+     .stop_ms = 400,
+     .step = {LONG_RUNNING(4, 30000), .per_worker_max = 1},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-task-with-label",
+     .workers = 4,
+     .label_count = 1,
+     .stop_ms = 400,
+     .step = {LONG_RUNNING(1, 30000), .label = "fast"},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-task-while-stops-are-refused",
+     .workers = 2,
+     .stop_ms = 100,
+     .refuses_stops = true,
+     .step = {LONG_RUNNING(1, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-gang-among-fillers",
+     .workers = 4,
+     .stop_ms = 100,
+     .step = {LONG_RUNNING(2, 30000), .is_gang = true},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/gang-among-fillers",
+     .workers = 4,
+     .stop_ms = 100,
+     .never_run = true,
+     .mostly_unreserved = true,
+     .step = {.task_count = 2,
+              .cpu_milli = 300,
+              .memory_mb = 30000,
+              .estimate_ms = 1000,
+              .is_filler = true,
+              .is_gang = true,
+              .image = "press"},
+     .wait_ms_max = IDLE_MS_MAX},
+    {.name = "/sched/new-long-running-job-among-fillers",
+     .workers = 4,
+     .stop_ms = 100,
+     .never_run = true,
+     .mostly_unreserved = true,
+     .step = {LONG_RUNNING(1, 30000)},
+     .wait_ms_max = IDLE_MS_MAX},
+};
+
+static void
+test_interruption(gconstpointer data)
+{
+    const interruption_t *desc = data;
+    g_assert_cmpint(time_without_run(desc), <=, desc->wait_ms_max);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -191,5 +539,9 @@
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
     }
+    for (size_t i = 0; i < NM_COUNT_OF(interruptions); i++) {
+        g_test_add_data_func(interruptions[i].name, &interruptions[i],
+                             test_interruption);
+    }
     return g_test_run();
 }
