Scheduler: what fillers free for a long-running task is held for it

Callers saw: a long-running task that had failed did not run again for as long as fillers arrived, though its worker had the processors for it.

Cause: fillers were evicted for the task, but their memory was free for all once they had ended, and fillers that are in time start before it. The next round evicted these. A task for which fillers were evicted counted as placed, so that it never became overdue. All such tasks counted the memory of the same fillers, and worker, even if its accelerators were taken.

Change: the worker is held for the step until the fillers have ended, and counts for one task in a round, so that each task gets a worker of its own. The time without a worker counts from the first round that found none.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -26,6 +26,8 @@
 #define SAME_IMAGE_SCORE 2
 /* How long a worker is held for a step; each round that needs it renews it. */
 #define HOLD_MS 500
+/* The same where fillers are evicted: a stop and its report take longest. */
+#define EVICTION_HOLD_MS 1000
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -367,13 +369,9 @@
     return false;
 }
 
-/*
- * Records since when an interrupted task finds no worker, and reserves workers
- * once it is overdue.
- */
+/* Records since when an interrupted task finds no worker with room. */
 static void
-handle_unplaced_long_running(nm_sched_t *sched, nm_round_t *round,
-                             const nm_candidate_t *candidate, nm_ms_t now_ms)
+record_unplaced_long_running(const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     if (occurrence->unplaced_since_ms[candidate->step] == 0 &&
@@ -381,6 +379,14 @@
     {
         occurrence->unplaced_since_ms[candidate->step] = now_ms;
     }
+}
+
+/* Reserves workers for an interrupted step once it is overdue. */
+static void
+reserve_if_overdue(nm_sched_t *sched, nm_round_t *round,
+                   const nm_candidate_t *candidate, nm_ms_t now_ms)
+{
+    const nm_occurrence_t *occurrence = candidate->occurrence;
     if (!nm_order_is_overdue(sched, round, occurrence, candidate->step,
                              now_ms)) {
         return;
@@ -395,9 +401,21 @@
     }
 }
 
+/* Holds a worker where fillers are evicted, for the step they make way for. */
+static bool
+hold_evicted(const nm_sched_t *sched, const nm_candidate_t *candidate,
+             nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    node->hold = (nm_hold_t){candidate->occurrence, candidate->step,
+                             now_ms + EVICTION_HOLD_MS};
+    node->reserved_placement = sched->placement_number;
+    return true;
+}
+
 /*
  * Stops fillers whose memory a long-running task needs.  Returns true if a
- * worker has enough memory, or will have once the stopped fillers have ended.
+ * worker has enough memory, or will have once the stopped fillers have ended;
+ * the worker is held for the step, and counts for one task in a round.
  */
 static bool
 evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -409,7 +427,13 @@
         nm_sched_node_t *node = sched->node_list->pdata[n];
         int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
         int64_t free_memory_mb = node->desc.memory_mb - node->memory_used_mb;
-        if (node->filler_count == 0 || free_cpu_milli < step->cpu_milli ||
+        bool taken = node->reserved_placement == sched->placement_number ||
+                     (candidate->order_class != NM_CLASS_OVERDUE &&
+                      is_held_for_other(node, candidate, now_ms));
+        if (node->filler_count == 0 || taken ||
+            free_cpu_milli < step->cpu_milli ||
+            node->accelerators_used + step->accelerators >
+                node->desc.accelerators ||
             !is_eligible(node, candidate, nm_job_service(job), now_ms))
         {
             continue;
@@ -417,7 +441,7 @@
         for (guint i = 0; i < node->tasks->len; i++) {
             nm_task_t *task = node->tasks->pdata[i];
             if (free_memory_mb >= step->memory_mb) {
-                return true;
+                return hold_evicted(sched, candidate, node, now_ms);
             }
             if (nm_task_step(task)->is_filler &&
                 (task->state == NM_RUN_RUNNING ||
@@ -431,7 +455,7 @@
             }
         }
         if (free_memory_mb >= step->memory_mb) {
-            return true;
+            return hold_evicted(sched, candidate, node, now_ms);
         }
     }
     return false;
@@ -501,6 +525,11 @@
         nm_sched_filler_count_canary(sched, node, job->images[candidate->step],
                                      now_ms);
     }
+    if (node->hold.occurrence == candidate->occurrence &&
+        node->hold.step == candidate->step)
+    {
+        node->hold = (nm_hold_t){0};
+    }
     nm_sched_start_task(sched, task, node, 0, now_ms);
 }
 
@@ -525,6 +554,7 @@
         place_gang(sched, candidate, now_ms);
         return true;
     }
+    bool all_placed = true;
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
         if (task->state != NM_RUN_WAITING) {
@@ -552,11 +582,13 @@
             }
             continue;
         }
-        if (step->long_running && evict_fillers(sched, candidate, now_ms)) {
-            continue;
-        }
         if (step->long_running) {
-            handle_unplaced_long_running(sched, round, candidate, now_ms);
+            all_placed = false;
+            record_unplaced_long_running(candidate, now_ms);
+            if (evict_fillers(sched, candidate, now_ms)) {
+                continue;
+            }
+            reserve_if_overdue(sched, round, candidate, now_ms);
             return true;
         }
         if (step->is_filler &&
@@ -573,7 +605,9 @@
         }
         return true;
     }
-    occurrence->unplaced_since_ms[candidate->step] = 0;
+    if (all_placed) {
+        occurrence->unplaced_since_ms[candidate->step] = 0;
+    }
     return true;
 }
 
