Tests: fillers behind one that fits no worker (failing)

A filler whose label no worker has keeps 8 fillers of the same image from a worker that is free: 0 of 8 start within 3 s.

--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -174,6 +174,35 @@
     wait_sim_finish(&wait);
 }
 
+/*
+ * A filler for which no worker has the label must not keep those of the same
+ * image from workers that are free.
+ */
+static void
+test_unplaceable_filler_delays_no_others(void)
+{
+    enum { TASKS = 8 };
+    wait_sim_t wait;
+    wait_sim_init(&wait);
+    nm_step_t step = {.task_count = 1,
+                      .cpu_milli = 1000,
+                      .memory_mb = 1000,
+                      .estimate_ms = 1000,
+                      .is_filler = true,
+                      .image = "press",
+                      .label = "fast"};
+    add_fillers(&wait, "1111111111111111", step);
+    step.task_count = TASKS;
+    step.label[0] = '\0';
+    add_fillers(&wait, JOB, step);
+    for (nm_ms_t ms = 0; ms < IDLE_MS_MAX; ms += STEP_MS) {
+        sched_sim_advance(&wait.sim, STEP_MS);
+        confirm_starts(&wait, JOB);
+    }
+    g_assert_cmpuint(wait.running->len, ==, TASKS);
+    wait_sim_finish(&wait);
+}
+
 /* The rules: a long-running task may be without a run for this long. */
 #define INTERRUPTED_MS_MAX 9000
 #define INTERRUPTED_LIMIT_MS 60000
@@ -535,6 +564,8 @@
          test_late_large_job_starts_among_small_ones},
         {"/sched/large-task-starts-among-small-ones",
          test_large_task_starts_among_small_ones},
+        {"/sched/unplaceable-filler-delays-no-others",
+         test_unplaceable_filler_delays_no_others},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
