Scheduler: a filler that fits no worker no longer delays others

Callers saw: fillers did not start beside free workers for as long as another filler of the same image waited.

Cause: once a filler had found no worker, all of its image were passed over for the round, also where only its label, its limit per worker or its size was to blame.

Change: one list for the ordinary and one for the idle order, both with the sizes; fillers with a label or a limit per worker are not recorded.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -468,17 +468,36 @@
            step->memory_mb < round->unplaced_memory_mb;
 }
 
+/* True if a filler of its image that needs no more has found no worker. */
 static bool
-filler_image_is_unplaced(const nm_step_t *step, const nm_round_t *round)
-{
-    for (uint32_t i = 0; i < round->unplaced_image_count; i++) {
-        if (strcmp(round->unplaced_images[i], step->image) == 0) {
+filler_is_unplaced(const nm_unplaced_fillers_t *unplaced,
+                   const nm_step_t *step)
+{
+    for (uint32_t i = 0; i < unplaced->count; i++) {
+        const nm_unplaced_filler_t *filler = &unplaced->fillers[i];
+        if (strcmp(filler->image, step->image) == 0 &&
+            step->cpu_milli >= filler->cpu_milli &&
+            step->memory_mb >= filler->memory_mb)
+        {
             return true;
         }
     }
     return false;
 }
 
+/* A label or a limit per worker says nothing about other fillers. */
+static void
+record_unplaced_filler(nm_unplaced_fillers_t *unplaced, const nm_step_t *step)
+{
+    if (step->is_filler && step->label[0] == '\0' &&
+        step->per_worker_max == 0 &&
+        unplaced->count < NM_ROUND_UNPLACED_FILLERS_MAX)
+    {
+        unplaced->fillers[unplaced->count++] = (nm_unplaced_filler_t){
+            step->image, step->cpu_milli, step->memory_mb};
+    }
+}
+
 static void
 place_gang(nm_sched_t *sched, const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
@@ -547,7 +566,7 @@
     {
         return false;
     }
-    if (step->is_filler && filler_image_is_unplaced(step, round)) {
+    if (step->is_filler && filler_is_unplaced(&round->unplaced, step)) {
         return false;
     }
     if (step->is_gang) {
@@ -591,12 +610,7 @@
             reserve_if_overdue(sched, round, candidate, now_ms);
             return true;
         }
-        if (step->is_filler &&
-            round->unplaced_image_count < NM_ROUND_UNPLACED_IMAGES_MAX)
-        {
-            round->unplaced_images[round->unplaced_image_count++] =
-                step->image;
-        }
+        record_unplaced_filler(&round->unplaced, step);
         if (unconstrained) {
             round->unplaced_cpu_milli =
                 MIN(round->unplaced_cpu_milli, step->cpu_milli);
@@ -611,35 +625,6 @@
     return true;
 }
 
-/* True if a filler of its image that needs no more has found no worker. */
-static bool
-idle_filler_is_unplaced(const nm_step_t *step, const nm_round_t *round)
-{
-    for (uint32_t i = 0; i < round->unplaced_idle_count; i++) {
-        const nm_unplaced_filler_t *unplaced = &round->unplaced_idle[i];
-        if (strcmp(unplaced->image, step->image) == 0 &&
-            step->cpu_milli >= unplaced->cpu_milli &&
-            step->memory_mb >= unplaced->memory_mb)
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-record_unplaced_idle(nm_round_t *round, const nm_step_t *step)
-{
-    if (step->is_filler && step->label[0] == '\0' &&
-        step->per_worker_max == 0 &&
-        round->unplaced_idle_count < NM_ROUND_UNPLACED_IMAGES_MAX)
-    {
-        round->unplaced_idle[round->unplaced_idle_count++] =
-            (nm_unplaced_filler_t){step->image, step->cpu_milli,
-                                   step->memory_mb};
-    }
-}
-
 /*
  * Places one task of a job that has been idle for long, or holds a worker for
  * it.  Returns false if it did not look for a worker.
@@ -652,7 +637,7 @@
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     if (occurrence->job->attached_count > 0 ||
         (candidate->takes_credit && sched->idle_start_credit < 1) ||
-        (step->is_filler && idle_filler_is_unplaced(step, round)))
+        (step->is_filler && filler_is_unplaced(&round->unplaced_idle, step)))
     {
         return false;
     }
@@ -671,7 +656,7 @@
         node->hold = (nm_hold_t){0};
     }
     else {
-        record_unplaced_idle(round, step);
+        record_unplaced_filler(&round->unplaced_idle, step);
         hold_node(sched, candidate, round, now_ms);
     }
     return true;
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -7,8 +7,8 @@
 
 #include "sched_state.h"
 
-/* Limit of filler images remembered as unplaced in one round. */
-#define NM_ROUND_UNPLACED_IMAGES_MAX 32
+/* Limit of fillers remembered as unplaced in one round. */
+#define NM_ROUND_UNPLACED_FILLERS_MAX 32
 /* Limit of services whose reserved share is remembered in one round. */
 #define NM_ROUND_SERVICES_MAX 8
 
@@ -34,6 +34,11 @@
     int64_t memory_mb;
 } nm_unplaced_filler_t;
 
+typedef struct {
+    nm_unplaced_filler_t fillers[NM_ROUND_UNPLACED_FILLERS_MAX];
+    uint32_t count;
+} nm_unplaced_fillers_t;
+
 typedef struct {
     /*
      * Smallest requests of short tasks, without a label or a limit per worker,
@@ -42,12 +47,8 @@
      */
     int64_t unplaced_cpu_milli;
     int64_t unplaced_memory_mb;
-    /* Images of fillers that found no worker. */
-    const char *unplaced_images[NM_ROUND_UNPLACED_IMAGES_MAX];
-    uint32_t unplaced_image_count;
-    /* Smallest fillers of idle jobs that found no worker, by image. */
-    nm_unplaced_filler_t unplaced_idle[NM_ROUND_UNPLACED_IMAGES_MAX];
-    uint32_t unplaced_idle_count;
+    nm_unplaced_fillers_t unplaced;
+    nm_unplaced_fillers_t unplaced_idle; /* of idle jobs */
     uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
     bool overdue_known;      /* overdue_cpu_left_milli is computed */
     /* CPU that overdue tasks may still take. */
