Tests: a due occurrence starts without other events (failing)

An occurrence that becomes due while no worker reports and no job arrives is not started: placement runs only after an event.

--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -203,6 +203,35 @@
     wait_sim_finish(&wait);
 }
 
+/* Nothing else happens: no worker reports, no job arrives. */
+static void
+test_due_occurrence_starts_without_events(void)
+{
+    /* sched_sim_advance adds the offset to its clock. */
+    enum { DUE_MS = 2000, UNIX_OFFSET_MS = 1000000 };
+    wait_sim_t wait;
+    wait_sim_init(&wait);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, JOB, "batch", "press");
+    *nm_job_spec_add_step(&spec) = (nm_step_t){.task_count = 1,
+                                               .cpu_milli = 1000,
+                                               .memory_mb = 1000,
+                                               .estimate_ms = 1000};
+    spec.occurrences = 1;
+    spec.interval_ms = 1000;
+    spec.first_unix_ms = UNIX_OFFSET_MS + wait.sim.now_ms + DUE_MS;
+    nm_sched_add_job(wait.sim.sched, &spec, false, wait.sim.now_ms);
+    nm_job_spec_finish(&spec);
+    bool started = false;
+    for (nm_ms_t ms = 0; ms < DUE_MS + IDLE_MS_MAX && !started; ms += STEP_MS)
+    {
+        sched_sim_advance(&wait.sim, STEP_MS);
+        started = confirm_starts(&wait, JOB);
+    }
+    g_assert_true(started);
+    wait_sim_finish(&wait);
+}
+
 /* The rules: a long-running task may be without a run for this long. */
 #define INTERRUPTED_MS_MAX 9000
 #define INTERRUPTED_LIMIT_MS 60000
@@ -564,6 +593,8 @@
          test_late_large_job_starts_among_small_ones},
         {"/sched/large-task-starts-among-small-ones",
          test_large_task_starts_among_small_ones},
+        {"/sched/due-occurrence-starts-without-events",
+         test_due_occurrence_starts_without_events},
         {"/sched/unplaceable-filler-delays-no-others",
          test_unplaceable_filler_delays_no_others},
     };
