Log: runs that are lost soon after their start

Nothing in the log connected a lost worker with the runs on it. run-lost names each run whose worker responded less than 1 s after the start order. No decision changes.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -49,6 +49,7 @@
     X(JOB_ACCEPTED, "job-accepted")                                           \
     X(JOB_CANCELLED, "job-cancelled")                                         \
     X(TASK_FAILED, "task-failed")                                             \
+    X(RUN_LOST, "run-lost")                                                   \
     X(JOB_ENDED, "job-ended")                                                 \
     X(LEARNED_REFUSED, "learned-refused")                                     \
     X(WORKER_SILENT, "worker-silent")                                         \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -329,6 +329,11 @@
     /* Value of both: share of unanswered calls, in 1/1000. */
     NM_SCHED_EVENT_CALL_LOSS_BEGAN,
     NM_SCHED_EVENT_CALL_LOSS_ENDED,
+    /*
+     * A run whose worker's incarnation ended soon after its start.  Value: how
+     * long after the start the worker still responded, in ms; 0: it did not.
+     */
+    NM_SCHED_EVENT_RUN_LOST,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
@@ -336,6 +341,8 @@
     nm_sched_event_type_t type;
     char worker[NM_NAME_MAX]; /* "" for calls in general */
     int64_t value;
+    char task[NM_TASK_NAME_MAX]; /* RUN_LOST; else "" */
+    int64_t run;
 } nm_sched_event_t;
 
 /*
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -100,11 +100,20 @@
                                             "lost_permille"},
         [NM_SCHED_EVENT_CALL_LOSS_ENDED] = {NM_LOG_ITEM_CALLS_ANSWERED,
                                             "lost_permille"},
+        [NM_SCHED_EVENT_RUN_LOST] = {NM_LOG_ITEM_RUN_LOST, "alive_ms"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
     nm_sched_event_t event;
     while (nm_sched_next_event(entry->sched, &event)) {
+        if (event.task[0] != '\0') {
+            nm_log(NM_LOG_INFO, event_logs[event.type].item,
+                   "{s:s,s:I,s:s,s:I,s:I}", "task", event.task, "run",
+                   (json_int_t)event.run, "worker", event.worker,
+                   event_logs[event.type].value_key, (json_int_t)event.value,
+                   "epoch", (json_int_t)entry->owned_epoch);
+            continue;
+        }
         nm_log(NM_LOG_INFO, event_logs[event.type].item, "{s:s,s:I,s:I}",
                "worker", event.worker, event_logs[event.type].value_key,
                (json_int_t)event.value, "epoch",
--- a/src/sched.c
+++ b/src/sched.c
@@ -439,20 +439,38 @@
     return true;
 }
 
-void
-nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
-                   const char *worker, int64_t value)
+static void
+append_event(nm_sched_t *sched, const nm_sched_event_t *event)
 {
     if (sched->events->len < EVENTS_MAX) {
-        nm_sched_event_t event = {.type = type, .value = value};
-        nm_strcopy(event.worker, sizeof(event.worker), worker);
-        g_array_append_val(sched->events, event);
+        g_array_append_vals(sched->events, event, 1);
     }
     else {
         sched->events_dropped++;
     }
 }
 
+void
+nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
+                   const char *worker, int64_t value)
+{
+    nm_sched_event_t event = {.type = type, .value = value};
+    nm_strcopy(event.worker, sizeof(event.worker), worker);
+    append_event(sched, &event);
+}
+
+void
+nm_sched_add_run_event(nm_sched_t *sched, nm_sched_event_type_t type,
+                       const nm_task_t *task, int64_t value)
+{
+    nm_sched_event_t event = {.type = type, .value = value, .run = task->run};
+    nm_sched_task_name(task, event.task, sizeof(event.task));
+    if (task->node) {
+        nm_strcopy(event.worker, sizeof(event.worker), task->node->desc.id);
+    }
+    append_event(sched, &event);
+}
+
 bool
 nm_sched_next_event(nm_sched_t *sched, nm_sched_event_t *event)
 {
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -44,8 +44,12 @@
 }
 
 void
-nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node)
+nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
+    /* A worker that is only cut off from this owner stays announced. */
+    if (!node->announced) {
+        nm_crashes_on_incarnation_end(sched, node, now_ms);
+    }
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
@@ -63,6 +67,7 @@
 nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                           int64_t incarnation, nm_ms_t now_ms)
 {
+    nm_crashes_on_incarnation_end(sched, node, now_ms);
     GPtrArray *unconfirmed = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -196,7 +196,7 @@
     }
     if (now_ms >= node->lease_lapse_ms && !node->reachable &&
         node->tasks->len > 0) {
-        nm_node_requeue_tasks(sched, node);
+        nm_node_requeue_tasks(sched, node, now_ms);
     }
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
         move_from_draining(sched, node, now_ms);
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -113,6 +113,9 @@
         return NULL;
     }
     task->order_pending = false;
+    if (result == NM_ORDER_DONE) {
+        task->node->alive_ms = now_ms;
+    }
     record_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
     return task;
 }
@@ -248,6 +251,7 @@
 {
     task->run = row->run;
     nm_task_set_state(sched, task, NM_RUN_RUNNING);
+    task->begun_ms = 0;
     task->sent_ms = now_ms;
     task->started_ms = now_ms;
     task->progress_ms = now_ms;
@@ -436,6 +440,7 @@
     if (report->incarnation > node->desc.incarnation) {
         nm_node_begin_incarnation(sched, node, report->incarnation, now_ms);
     }
+    node->alive_ms = now_ms;
     apply_report(sched, node, report, now_ms);
 }
 
@@ -452,5 +457,6 @@
     }
     nm_timer_set_now(sched, node);
     nm_count_reason(NM_REASON_LATE_REPORT);
+    node->alive_ms = MAX(node->alive_ms, report->sent_ms);
     apply_report(sched, node, report, now_ms);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -4,7 +4,8 @@
  * nm_sched_add_event and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
  * sched_order.c, sched_response.c -> sched_node.c, sched_filler.c,
- * sched_duplicates.c -> sched_tails.c, sched_task.c -> sched_timer.c.
+ * sched_duplicates.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
+ * sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
@@ -135,6 +136,7 @@
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
     int64_t run;
+    nm_ms_t begun_ms;     /* first start order of its run; 0: not known */
     nm_ms_t sent_ms;      /* last order sent or confirmed */
     nm_ms_t started_ms;   /* start confirmed, or run first reported */
     nm_ms_t progress_ms;  /* last sign of progress */
@@ -256,6 +258,7 @@
     bool last_call_lost;    /* its last call got no response */
     bool poll_pending;
     nm_ms_t poll_due_ms;
+    nm_ms_t alive_ms;    /* when its newest response came */
     nm_ms_t reported_ms; /* when the newest poll with a response was sent */
     nm_ms_t report_expected_ms; /* usual latest time of the next report */
     /* Its clock shows clock_ms or more at clock_at_ms of the owner's. */
@@ -428,6 +431,14 @@
                               nm_ms_t now_ms);
 void nm_duplicates_free(nm_sched_node_t *node);
 
+/* sched_crashes.c */
+/*
+ * Records the runs that a worker loses soon after their start.  To be called
+ * before the tasks of an incarnation that has ended are requeued.
+ */
+void nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
+                                   nm_ms_t now_ms);
+
 /* sched_record.c */
 /* Returns a job's progress as JSON text, to be freed with g_free. */
 char *nm_sched_encode_progress(const nm_sched_job_t *job);
@@ -435,11 +446,15 @@
 /* sched.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
                         const char *worker, int64_t value);
+/* Adds an event of a task's current run. */
+void nm_sched_add_run_event(nm_sched_t *sched, nm_sched_event_type_t type,
+                            const nm_task_t *task, int64_t value);
 
 /* sched_node.c */
 nm_sched_node_t *nm_node_find(nm_sched_t *sched, const char *id);
 /* Requeues all tasks of a node whose lease has lapsed. */
-void nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node);
+void nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node,
+                           nm_ms_t now_ms);
 void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                int64_t incarnation, nm_ms_t now_ms);
 /* True while a worker may run tasks that this owner does not know. */
