--- /dev/null
+++ b/tests/test_sched_crash.c
@@ -0,0 +1,311 @@
+/*
+ * Tests of tasks that crash their workers: they are given up after a bounded
+ * number of starts, and tasks that are there by chance are not.
+ */
+#include <string.h>
+
+#include "lib_sched_sim.h"
+
+/* The rules: the third start after three crashes is one too many. */
+#define STARTS_MAX 5
+#define WORKERS 12
+#define OTHER_JOB "0123456789abcdef"
+#define STEP_MS 100
+/* Longer than any lease. */
+#define LAPSE_MS 12000
+
+typedef struct {
+    sched_sim_t sim;
+    int64_t incarnations[WORKERS];
+    bool silent[WORKERS];
+    GArray *running;           /* of nm_sched_action_t: confirmed starts */
+    uint32_t starts_of_deadly; /* since the beginning */
+} crash_sim_t;
+
+static void
+crash_sim_init(crash_sim_t *crash, int64_t epoch)
+{
+    *crash = (crash_sim_t){0};
+    sched_sim_init(&crash->sim, epoch);
+    crash->running = g_array_new(FALSE, TRUE, sizeof(nm_sched_action_t));
+    for (char w = 0; w < WORKERS; w++) {
+        crash->incarnations[(int)w] = 1;
+        sched_sim_add_worker(&crash->sim, (char[]){(char)('a' + w), '\0'});
+    }
+}
+
+static void
+crash_sim_finish(crash_sim_t *crash)
+{
+    g_array_free(crash->running, TRUE);
+    sched_sim_finish(&crash->sim);
+}
+
+/* The worker's runs are gone; it does not respond, and its entry expires. */
+static void
+crash_worker(crash_sim_t *crash, const char *worker)
+{
+    crash->silent[worker[0] - 'a'] = true;
+    for (guint i = crash->running->len; i > 0; i--) {
+        if (strcmp(
+                g_array_index(crash->running, nm_sched_action_t, i - 1).worker,
+                worker) == 0)
+        {
+            g_array_remove_index(crash->running, i - 1);
+        }
+    }
+    nm_sched_deregister_worker(crash->sim.sched, worker);
+}
+
+/* Confirms starts; a start of a deadly task crashes its worker. */
+static void
+apply_starts(crash_sim_t *crash, const char *deadly)
+{
+    GPtrArray *crashed = g_ptr_array_new_with_free_func(g_free);
+    sched_sim_confirm_starts(&crash->sim);
+    for (guint i = 0; i < crash->sim.actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(crash->sim.actions, nm_sched_action_t, i);
+        if (action->type != NM_ACTION_START) {
+            continue;
+        }
+        g_array_append_val(crash->running, *action);
+        if (strcmp(action->task, deadly) == 0) {
+            crash->starts_of_deadly++;
+            g_ptr_array_add(crashed, g_strdup(action->worker));
+        }
+    }
+    for (guint i = 0; i < crashed->len; i++) {
+        crash_worker(crash, crashed->pdata[i]);
+    }
+    g_ptr_array_free(crashed, TRUE);
+}
+
+static void
+report_worker(crash_sim_t *crash, char worker)
+{
+    const char id[] = {worker, '\0'};
+    nm_worker_run_t runs[64];
+    uint32_t count = 0;
+    for (guint i = 0; i < crash->running->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(crash->running, nm_sched_action_t, i);
+        if (strcmp(action->worker, id) == 0) {
+            g_assert_cmpuint(count, <, G_N_ELEMENTS(runs));
+            runs[count++] = sched_sim_make_run(action->task, action->run);
+        }
+    }
+    sched_sim_report(&crash->sim, id, crash->incarnations[worker - 'a'], runs,
+                     count, NULL, 0);
+}
+
+/* Runs for a time in which each worker responds, except silent ones. */
+static void
+crash_sim_run(crash_sim_t *crash, const char *deadly, nm_ms_t duration_ms)
+{
+    for (nm_ms_t t = 0; t < duration_ms; t += STEP_MS) {
+        sched_sim_advance(&crash->sim, STEP_MS);
+        apply_starts(crash, deadly);
+        for (char w = 'a'; w < 'a' + WORKERS; w++) {
+            if (crash->silent[w - 'a']) {
+                sched_sim_lose_poll(&crash->sim, (char[]){w, '\0'});
+            }
+            else {
+                report_worker(crash, w);
+            }
+        }
+        sched_sim_save_all(&crash->sim);
+    }
+}
+
+/* Lets all silent workers start again under their ids. */
+static void
+restart_workers(crash_sim_t *crash)
+{
+    for (char w = 'a'; w < 'a' + WORKERS; w++) {
+        if (crash->silent[w - 'a']) {
+            crash->silent[w - 'a'] = false;
+            crash->incarnations[w - 'a']++;
+            sched_sim_announce(&crash->sim, (char[]){w, '\0'},
+                               crash->incarnations[w - 'a']);
+        }
+    }
+}
+
+/* Each crashed worker is gone for good. */
+static void
+test_starts_are_bounded(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    crash_sim_run(&crash, TASK, 9 * LAPSE_MS);
+    g_assert_cmpuint(crash.starts_of_deadly, >=, 2);
+    g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    crash_sim_finish(&crash);
+}
+
+/* Each crashed worker is back under its id before its lease has lapsed. */
+static void
+test_starts_are_bounded_at_restarts(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    for (int i = 0; i < 30; i++) {
+        crash_sim_run(&crash, TASK, 3000);
+        restart_workers(&crash);
+    }
+    g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    crash_sim_finish(&crash);
+}
+
+/* A long-running task has no limit of failures, but crashes others too. */
+static void
+test_starts_of_long_running_are_bounded(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, true, 1, 1000, false);
+    crash_sim_run(&crash, TASK, 9 * LAPSE_MS);
+    g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    crash_sim_finish(&crash);
+}
+
+/* The owner changes after three crashes, of which it has counted two. */
+static void
+test_starts_are_bounded_after_takeover(void)
+{
+    crash_sim_t former;
+    crash_sim_init(&former, 1);
+    sched_sim_add_job(&former.sim, JOB, false, 1, 1000, false);
+    while (former.starts_of_deadly < 3) {
+        sched_sim_advance(&former.sim, STEP_MS);
+        apply_starts(&former, TASK);
+        for (char w = 'a'; w < 'a' + WORKERS; w++) {
+            if (former.silent[w - 'a']) {
+                sched_sim_lose_poll(&former.sim, (char[]){w, '\0'});
+            }
+            else {
+                report_worker(&former, w);
+            }
+        }
+        g_assert_cmpint(former.sim.now_ms, <, 4 * LAPSE_MS);
+    }
+    nm_sched_save_t save = {0};
+    bool has_record = nm_sched_next_save(former.sim.sched, &save);
+
+    crash_sim_t successor;
+    crash_sim_init(&successor, 2);
+    sched_sim_add_job(&successor.sim, JOB, false, 1, 1000, true);
+    if (has_record) {
+        g_assert_cmpint(nm_sched_restore(successor.sim.sched, JOB, save.record,
+                                         (uint32_t)strlen(save.record)),
+                        ==, NM_OK);
+    }
+    crash_sim_run(&successor, TASK, 9 * LAPSE_MS);
+    g_assert_cmpuint(former.starts_of_deadly + successor.starts_of_deadly, <=,
+                     STARTS_MAX);
+    g_assert_cmpint(nm_sched_query_job(successor.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    g_free(save.record);
+    crash_sim_finish(&former);
+    crash_sim_finish(&successor);
+}
+
+/* Other tasks start beside the deadly one; they must run on. */
+static void
+test_other_tasks_are_kept(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, OTHER_JOB, true, 6, 1000, false);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    crash_sim_run(&crash, TASK, 9 * LAPSE_MS);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, OTHER_JOB), ==,
+                    NM_JOB_RUNNING);
+    g_assert_cmpuint(crash.running->len, ==, 6);
+    crash_sim_finish(&crash);
+}
+
+/* Workers that crash long after a start say nothing about the task. */
+static void
+test_late_crashes_are_not_counted(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    for (int i = 0; i < WORKERS - 1; i++) {
+        crash_sim_run(&crash, "", LAPSE_MS);
+        g_assert_cmpuint(crash.running->len, ==, 1);
+        char worker[NM_NAME_MAX];
+        nm_strcopy(worker, sizeof(worker),
+                   g_array_index(crash.running, nm_sched_action_t, 0).worker);
+        crash_worker(&crash, worker);
+    }
+    crash_sim_run(&crash, "", LAPSE_MS);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_RUNNING);
+    crash_sim_finish(&crash);
+}
+
+/* Workers out of reach that stay announced have not crashed. */
+static void
+test_cut_off_workers_are_not_counted(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    for (int i = 0; i < WORKERS - 1; i++) {
+        while (crash.running->len == 0) {
+            sched_sim_advance(&crash.sim, STEP_MS);
+            apply_starts(&crash, "");
+            for (char w = 'a'; w < 'a' + WORKERS; w++) {
+                if (crash.silent[w - 'a']) {
+                    sched_sim_lose_poll(&crash.sim, (char[]){w, '\0'});
+                }
+                else {
+                    report_worker(&crash, w);
+                }
+            }
+            g_assert_cmpint(crash.sim.now_ms, <, 20 * LAPSE_MS);
+        }
+        crash.silent[g_array_index(crash.running, nm_sched_action_t, 0)
+                         .worker[0] -
+                     'a'] = true;
+        g_array_set_size(crash.running, 0);
+    }
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_RUNNING);
+    crash_sim_finish(&crash);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions(); /* the next tests still run */
+    g_test_add_func("/sched/crashing-task-starts-are-bounded",
+                    test_starts_are_bounded);
+    g_test_add_func("/sched/crashing-task-starts-are-bounded-at-restarts",
+                    test_starts_are_bounded_at_restarts);
+    g_test_add_func("/sched/crashing-long-running-task-starts-are-bounded",
+                    test_starts_of_long_running_are_bounded);
+    g_test_add_func("/sched/crashing-task-starts-are-bounded-after-takeover",
+                    test_starts_are_bounded_after_takeover);
+    g_test_add_func("/sched/tasks-beside-crashing-one-are-kept",
+                    test_other_tasks_are_kept);
+    g_test_add_func("/sched/late-crashes-are-not-counted",
+                    test_late_crashes_are_not_counted);
+    g_test_add_func("/sched/cut-off-workers-are-not-counted",
+                    test_cut_off_workers_are_not_counted);
+    return g_test_run();
+}
