Fix: a task that crashes its workers is started without bound

Callers saw: jobs that never end, and one crashed worker after the other, each with some ten tasks of other jobs. Cause: a run that is lost with its worker leaves no count; only ends reported as failed are attempts.

A worker that ends by surprise now counts against the tasks that had just started there (src/sched_crashes.c); if one of them is suspected already, only against that one. Suspects of different jobs start on different workers, and are cleared by staying at work. After three such runs in a row the job fails.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -50,6 +50,7 @@
     X(JOB_CANCELLED, "job-cancelled")                                         \
     X(TASK_FAILED, "task-failed")                                             \
     X(RUN_LOST, "run-lost")                                                   \
+    X(TASK_GIVEN_UP, "task-given-up")                                         \
     X(JOB_ENDED, "job-ended")                                                 \
     X(LEARNED_REFUSED, "learned-refused")                                     \
     X(WORKER_SILENT, "worker-silent")                                         \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -334,6 +334,8 @@
      * long after the start the worker still responded, in ms; 0: it did not.
      */
     NM_SCHED_EVENT_RUN_LOST,
+    /* A task is given up.  Value: runs that were lost soon after starting. */
+    NM_SCHED_EVENT_TASK_GIVEN_UP,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
@@ -341,7 +343,7 @@
     nm_sched_event_type_t type;
     char worker[NM_NAME_MAX]; /* "" for calls in general */
     int64_t value;
-    char task[NM_TASK_NAME_MAX]; /* RUN_LOST; else "" */
+    char task[NM_TASK_NAME_MAX]; /* "" for workers and calls */
     int64_t run;
 } nm_sched_event_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -101,6 +101,8 @@
         [NM_SCHED_EVENT_CALL_LOSS_ENDED] = {NM_LOG_ITEM_CALLS_ANSWERED,
                                             "lost_permille"},
         [NM_SCHED_EVENT_RUN_LOST] = {NM_LOG_ITEM_RUN_LOST, "alive_ms"},
+        [NM_SCHED_EVENT_TASK_GIVEN_UP] = {NM_LOG_ITEM_TASK_GIVEN_UP,
+                                          "crashes"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -1,16 +1,32 @@
 /*
- * Runs that are lost soon after their start, because the incarnation of their
- * worker ended: by a crash, or out of reach of this owner.
+ * Tasks that crash the workers that start them.
+ *
+ * A worker that crashes does not say which task did it.  Each task that has
+ * just started there is suspected; the suspects then start on different
+ * workers.  A suspect that stays at work is cleared; one of which CRASHES_MAX
+ * runs in a row were lost soon after their start is given up, with its job.
+ * If a suspect was among the tasks lost, the others are not suspected for
+ * that.  Tasks of one job need not be told apart, as it fails with any of
+ * them.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
- * tasks of a worker.
+ * tasks of a worker, sched_response.c calls nm_crashes_on_running, and
+ * sched_place.c asks for conflicts and penalties.
  *
- * Load: workers that crash with tens of tasks each, many of them at a time.
+ * Load: workers that crash with tens of tasks each, many at a time, also
+ * without any task's fault.
  */
 #include "sched_state.h"
 
 /* A run at work for longer on a worker that responds survived its start. */
 #define SURVIVAL_MS 1000
+/*
+ * A task is given up after this many.  Two may still be chance: it started
+ * beside a task that crashes workers, then on a worker that crashed by itself.
+ */
+#define CRASHES_MAX 3
+/* Score penalty of a worker that may crash soon: outweighs free CPU. */
+#define TRIAL_PENALTY 2
 
 /* True if the worker was not heard of SURVIVAL_MS after the task's start. */
 static bool
@@ -20,17 +36,94 @@
            task->node->alive_ms - task->begun_ms < SURVIVAL_MS;
 }
 
+static void
+record_lost_run(nm_sched_t *sched, nm_task_t *task, uint32_t crashes_min)
+{
+    nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_LOST, task,
+                           MAX(task->node->alive_ms - task->begun_ms, 0));
+    if (task->crashes < crashes_min) {
+        return; /* another task is more likely to be the cause */
+    }
+    task->crashes++;
+    nm_sched_mark_changed(sched, task->occurrence->job, false);
+}
+
+/* Gives up tasks after CRASHES_MAX crashes; their jobs fail. */
+static void
+give_up_tasks(nm_sched_t *sched, const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        nm_sched_job_t *job = task->occurrence->job;
+        if (task->crashes >= CRASHES_MAX && job->state < NM_JOB_COMPLETED) {
+            nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
+                                   task->crashes);
+            nm_job_fail(sched, job, now_ms);
+        }
+    }
+}
+
 void
 nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
                               nm_ms_t now_ms)
 {
-    (void)now_ms;
+    bool by_surprise = node->desc.state != NM_WORKER_DRAINING;
+    uint32_t crashes_min = 0;
+    for (guint i = 0; i < node->tasks->len && by_surprise; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        if (is_starting_up(task)) {
+            crashes_min = MAX(crashes_min, task->crashes);
+        }
+    }
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (is_starting_up(task) && node->desc.state != NM_WORKER_DRAINING) {
-            nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_LOST, task,
-                                   MAX(node->alive_ms - task->begun_ms, 0));
+        if (by_surprise && is_starting_up(task)) {
+            record_lost_run(sched, task, crashes_min);
         }
         task->begun_ms = 0; /* each run is recorded once */
     }
+    give_up_tasks(sched, node, now_ms);
+}
+
+void
+nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    if (now_ms - task->started_ms >= SURVIVAL_MS) {
+        task->crashes = 0;
+        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    }
+}
+
+/* Returns a suspect that has just started on a worker, or NULL. */
+static const nm_task_t *
+find_trial(const nm_sched_node_t *node)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        if (task->crashes > 0 && is_starting_up(task)) {
+            return task;
+        }
+    }
+    return NULL;
+}
+
+bool
+nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task)
+{
+    if (task->crashes == 0) {
+        return false;
+    }
+    const nm_task_t *trial = find_trial(node);
+    return trial && trial->occurrence->job != task->occurrence->job;
+}
+
+double
+nm_crashes_penalty(const nm_sched_node_t *node, const nm_task_t *task)
+{
+    if (task->crashes == 0) {
+        return find_trial(node) ? TRIAL_PENALTY : 0;
+    }
+    double used_share =
+        (double)node->cpu_used_milli / (double)MAX(node->desc.cpu_milli, 1);
+    return TRIAL_PENALTY * MIN(used_share, 1.0);
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -182,7 +182,8 @@
     bool held =
         !step->long_running && is_held_for_other(node, candidate, now_ms);
     if (reserved || held || !fits(node, step) ||
-        !is_eligible(node, candidate, nm_job_service(job), now_ms))
+        !is_eligible(node, candidate, nm_job_service(job), now_ms) ||
+        nm_crashes_conflict(node, task))
     {
         return false;
     }
@@ -197,6 +198,7 @@
         *score = node_score(node, step);
     }
     *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
+    *score -= nm_crashes_penalty(node, task);
     return true;
 }
 
@@ -601,6 +603,10 @@
             }
             continue;
         }
+        if (task->crashes > 0) {
+            all_placed = false;
+            continue; /* it may wait for another task, not for capacity */
+        }
         if (step->long_running) {
             all_placed = false;
             record_unplaced_long_running(candidate, now_ms);
@@ -653,9 +659,8 @@
     if (node) {
         start_task(sched, candidate, task, node, now_ms);
         sched->idle_start_credit -= candidate->takes_credit;
-        node->hold = (nm_hold_t){0};
     }
-    else {
+    else if (task->crashes == 0) {
         record_unplaced_filler(&round->unplaced_idle, step);
         hold_node(sched, candidate, round, now_ms);
     }
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -11,6 +11,8 @@
 #include <jansson.h>
 
 #define PROGRESS_VERSION 1
+/* A row of one task begins with its occurrence, step and index. */
+#define ROW_POSITION_COUNT 3
 
 /* Encodes each task as one character: '.' not done, 'D' done. */
 static json_t *
@@ -65,6 +67,26 @@
     return failures;
 }
 
+/* Encodes occurrence, step and index of a task, then its crashes. */
+static json_t *
+encode_crashes(const nm_sched_job_t *job)
+{
+    json_t *crashes = json_array();
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                if (task->crashes > 0 && task->state != NM_RUN_DONE) {
+                    json_array_append_new(
+                        crashes,
+                        json_pack("[i,i,i,i]", o, s, i, task->crashes));
+                }
+            }
+        }
+    }
+    return crashes;
+}
+
 char *
 nm_sched_encode_progress(const nm_sched_job_t *job)
 {
@@ -75,6 +97,7 @@
     if (job->state < NM_JOB_COMPLETED) {
         json_object_set_new(record, "done", encode_occurrences(job));
         json_object_set_new(record, "failures", encode_failures(job));
+        json_object_set_new(record, "crashes", encode_crashes(job));
     }
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
@@ -99,10 +122,11 @@
     }
 }
 
-static void
-restore_failure(nm_sched_job_t *job, const json_t *row)
+/* Returns the task that a row of a record begins with, or NULL. */
+static nm_task_t *
+find_row_task(const nm_sched_job_t *job, const json_t *row)
 {
-    json_int_t position[3];
+    json_int_t position[ROW_POSITION_COUNT];
     for (size_t i = 0; i < NM_COUNT_OF(position); i++) {
         position[i] = json_integer_value(json_array_get(row, i));
     }
@@ -111,15 +135,34 @@
         position[2] < 0 ||
         position[2] >= job->spec.steps[position[1]].task_count)
     {
+        return NULL;
+    }
+    return &job->occurrences[position[0]].tasks[position[1]][position[2]];
+}
+
+static void
+restore_failure(nm_sched_job_t *job, const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row);
+    if (!task) {
         return;
     }
-    nm_task_t *task =
-        &job->occurrences[position[0]].tasks[position[1]][position[2]];
-    size_t runs = json_array_size(row) - NM_COUNT_OF(position);
+    size_t runs = json_array_size(row) - ROW_POSITION_COUNT;
     task->failures = (uint32_t)MIN(runs, NM_SCHED_FAILED_RUNS_MAX);
     for (uint32_t f = 0; f < task->failures; f++) {
         task->failed_runs[f] =
-            json_integer_value(json_array_get(row, NM_COUNT_OF(position) + f));
+            json_integer_value(json_array_get(row, ROW_POSITION_COUNT + f));
+    }
+}
+
+static void
+restore_crashes(nm_sched_job_t *job, const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row);
+    json_int_t crashes =
+        json_integer_value(json_array_get(row, ROW_POSITION_COUNT));
+    if (task && crashes > 0) {
+        task->crashes = (uint32_t)MIN(crashes, UINT32_MAX);
     }
 }
 
@@ -171,6 +214,10 @@
     {
         restore_failure(job, row);
     }
+    json_array_foreach(json_object_get(record, "crashes"), i, row)
+    {
+        restore_crashes(job, row);
+    }
     json_decref(record);
     return NM_OK;
 }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -305,6 +305,9 @@
     }
     task->metric = row->metric;
     task->listed_in_report = node->reports;
+    if (task->crashes > 0) {
+        nm_crashes_on_running(sched, task, now_ms);
+    }
 }
 
 static void
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -132,6 +132,7 @@
     uint16_t step;
     uint32_t index;
     nm_run_state_t state;
+    uint32_t crashes; /* runs in a row that were lost soon after their start */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -399,6 +400,8 @@
 void nm_sched_stop_task(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /* Returns the least that a worker's clock shows now. */
 int64_t nm_node_clock_ms(const nm_sched_node_t *node, nm_ms_t now_ms);
+/* Ends a job as failed; stops its tasks. */
+void nm_job_fail(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
 /* Ends a job that is cancelled, or of which all tasks are done. */
 void nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
 
@@ -438,6 +441,15 @@
  */
 void nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
                                    nm_ms_t now_ms);
+/* Clears the count of a task that its worker reports to be at work. */
+void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+/*
+ * True if a worker must not take the task, as both the task and one that has
+ * just started there, of another job, may crash it.
+ */
+bool nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task);
+/* Penalty in the score of a worker, for what a crash there would cost. */
+double nm_crashes_penalty(const nm_sched_node_t *node, const nm_task_t *task);
 
 /* sched_record.c */
 /* Returns a job's progress as JSON text, to be freed with g_free. */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -298,6 +298,12 @@
     }
 }
 
+void
+nm_job_fail(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    end_job(sched, job, NM_JOB_FAILED, now_ms);
+}
+
 static bool
 failure_is_counted(const nm_task_t *task, int64_t run)
 {
@@ -324,7 +330,7 @@
     nm_sched_mark_changed(sched, job, false);
     uint32_t attempts = job->queue ? job->queue->desc.attempts_max : 0;
     if (attempts > 0 && task->failures >= attempts) {
-        end_job(sched, job, NM_JOB_FAILED, now_ms);
+        nm_job_fail(sched, job, now_ms);
     }
 }
 
