Scheduler: placement also runs without an event before it

Cause: placement runs only after an event that sets needs_placement; the passing of time sets nothing. Change: a placement at least every 250 ms. Measured: test_sched_wait due-occurrence-starts-without-events failed before, passes now; units 195 passed, 0 failed, twice.

--- a/src/sched.c
+++ b/src/sched.c
@@ -18,6 +18,11 @@
 #define IDLE_INTERVAL_MS 100
 /* Changes within this time share one round of placement. */
 #define PLACEMENT_INTERVAL_MS 20
+/*
+ * A placement without an event before it: an occurrence may have become due,
+ * or the time of an idle job or an avoided worker may have passed.
+ */
+#define PLACEMENT_INTERVAL_MAX_MS 250
 /* Time between two checks of the tails of all workers. */
 #define FILLER_CHECK_INTERVAL_MS 100
 /* Events kept until they are fetched. */
@@ -412,9 +417,9 @@
         sched->fillers_checked_ms = now_ms;
         nm_sched_check_fillers(sched, now_ms);
     }
-    if (sched->needs_placement &&
-        now_ms - sched->placed_ms >= PLACEMENT_INTERVAL_MS)
-    {
+    nm_ms_t interval_ms = sched->needs_placement ? PLACEMENT_INTERVAL_MS
+                                                 : PLACEMENT_INTERVAL_MAX_MS;
+    if (now_ms - sched->placed_ms >= interval_ms) {
         sched->needs_placement = false;
         sched->placed_ms = now_ms;
         remove_ended_from_active(sched);
