Scheduler: a refused start does not begin a new wait

What callers would see: a late job of one task whose start is refused for want of room waits another second, or ten on a reserved service, each time. Cause: a job without a step in turn counted as not idle, also while its only task was starting. Change: the time with nothing at work is kept until a task has run.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -5,7 +5,8 @@
  * beside long-running tasks that take all capacity they get.  Jobs are ordered
  * by credit per unit of remaining work, so that started jobs finish and many
  * large jobs do not delay the small ones.  A job that can no longer meet its
- * objective comes after those that can.
+ * objective comes after those that can.  No job waits without bound: after
+ * some time with nothing at work, one task of it goes first.
  */
 #include "sched_round.h"
 
@@ -126,13 +127,13 @@
 update_idle(nm_round_t *round, nm_sched_job_t *job, bool has_candidate,
             nm_ms_t now_ms)
 {
+    if (job->attached_count > 0) {
+        return; /* a start may still be refused */
+    }
     if (!has_candidate) {
         job->idle_since_ms = 0;
         return;
     }
-    if (job->attached_count > 0) {
-        return;
-    }
     if (job->idle_since_ms == 0) {
         job->idle_since_ms = now_ms;
     }
--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -15,6 +15,8 @@
     GArray *running; /* of nm_worker_run_t, oldest first */
     int64_t last_end;
     uint32_t jobs_added;
+    uint32_t refusals_left;        /* of starts of the job in question */
+    nm_sched_action_t unconfirmed; /* its start, to be refused */
 } wait_sim_t;
 
 /* Sets up a scheduler with the worker "a", which runs nothing. */
@@ -65,7 +67,21 @@
                             .image = "press"});
 }
 
-/* Confirms all starts; returns true if a task of the job is among them. */
+/* Refuses the start of the job in question that is not confirmed yet. */
+static void
+refuse_unconfirmed(wait_sim_t *wait)
+{
+    if (wait->unconfirmed.task[0] != '\0') {
+        nm_sched_on_start(wait->sim.sched, &wait->unconfirmed,
+                          NM_ORDER_NO_CAPACITY, wait->sim.now_ms);
+        wait->unconfirmed.task[0] = '\0';
+    }
+}
+
+/*
+ * Confirms all starts, except for the first ones of the job if they are to be
+ * refused; returns true if a task of the job is among them.
+ */
 static bool
 confirm_starts(wait_sim_t *wait, const char *job)
 {
@@ -73,14 +89,21 @@
     for (guint i = 0; i < wait->sim.actions->len; i++) {
         const nm_sched_action_t *action =
             &g_array_index(wait->sim.actions, nm_sched_action_t, i);
-        if (action->type == NM_ACTION_START) {
-            nm_worker_run_t run =
-                sched_sim_make_run(action->task, action->run);
-            g_array_append_val(wait->running, run);
-            started = started || g_str_has_prefix(action->task, job);
+        if (action->type != NM_ACTION_START) {
+            continue;
+        }
+        bool is_of_job = g_str_has_prefix(action->task, job);
+        if (is_of_job && wait->refusals_left > 0) {
+            wait->refusals_left--;
+            wait->unconfirmed = *action;
+            continue;
         }
+        nm_worker_run_t run = sched_sim_make_run(action->task, action->run);
+        g_array_append_val(wait->running, run);
+        started = started || is_of_job;
+        nm_sched_on_start(wait->sim.sched, action, NM_ORDER_DONE,
+                          wait->sim.now_ms);
     }
-    sched_sim_confirm_starts(&wait->sim);
     return started;
 }
 
@@ -115,6 +138,7 @@
         add_small_filler(wait);
         end_oldest(wait);
         sched_sim_advance(&wait->sim, STEP_MS);
+        refuse_unconfirmed(wait);
         if (confirm_starts(wait, job)) {
             break;
         }
@@ -174,6 +198,25 @@
     wait_sim_finish(&wait);
 }
 
+/* A start that is refused must not set a late job back in the order. */
+static void
+test_refused_starts_do_not_begin_a_new_wait(void)
+{
+    wait_sim_t wait;
+    wait_sim_init(&wait);
+    fill_worker(&wait);
+    add_fillers(&wait, JOB,
+                (nm_step_t){.task_count = 1,
+                            .cpu_milli = 4000,
+                            .memory_mb = 10000,
+                            .estimate_ms = 60000,
+                            .is_filler = true,
+                            .image = "press"});
+    wait.refusals_left = 1;
+    g_assert_cmpint(time_to_start(&wait, JOB, 60000), <=, IDLE_MS_MAX);
+    wait_sim_finish(&wait);
+}
+
 /*
  * A filler for which no worker has the label must not keep those of the same
  * image from workers that are free.
@@ -593,6 +636,8 @@
          test_late_large_job_starts_among_small_ones},
         {"/sched/large-task-starts-among-small-ones",
          test_large_task_starts_among_small_ones},
+        {"/sched/refused-starts-do-not-begin-a-new-wait",
+         test_refused_starts_do_not_begin_a_new_wait},
         {"/sched/due-occurrence-starts-without-events",
          test_due_occurrence_starts_without_events},
         {"/sched/unplaceable-filler-delays-no-others",
