Crashes: a suspect with no room is treated like other waiting tasks

What callers would see: a long-running task that was once lost with its worker soon after its start is not started again while fillers hold the memory; the same for an idle job. Cause: each suspect that found no worker was taken to wait for the trial of another one, so that nothing was evicted, reserved or held for it. Change: that is so only if a worker has room but for such a trial.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -554,6 +554,24 @@
     nm_sched_start_task(sched, task, node, 0, now_ms);
 }
 
+/* True if a worker has room for a task but the trial of another suspect. */
+static bool
+waits_for_trial(const nm_sched_t *sched, const nm_candidate_t *candidate,
+                const nm_task_t *task, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (fits(node, step) && nm_crashes_conflict(node, task) &&
+            is_eligible(node, candidate, nm_job_service(job), now_ms))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns false if it did not look for a worker. */
 static bool
 place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -603,9 +621,9 @@
             }
             continue;
         }
-        if (task->crashes > 0) {
+        if (waits_for_trial(sched, candidate, task, now_ms)) {
             all_placed = false;
-            continue; /* it may wait for another task, not for capacity */
+            continue;
         }
         if (step->long_running) {
             all_placed = false;
@@ -660,7 +678,7 @@
         start_task(sched, candidate, task, node, now_ms);
         sched->idle_start_credit -= candidate->takes_credit;
     }
-    else if (task->crashes == 0) {
+    else if (!waits_for_trial(sched, candidate, task, now_ms)) {
         record_unplaced_filler(&round->unplaced_idle, step);
         hold_node(sched, candidate, round, now_ms);
     }
--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -294,6 +294,7 @@
     bool refuses_stops;     /* worker 0 refuses each stop */
     bool never_run;         /* the job arrives among the fillers */
     bool mostly_unreserved; /* no other long-running job */
+    bool suspected;         /* its task has been lost with a worker before */
     nm_step_t step;
     nm_ms_t wait_ms_max;
 } interruption_t;
@@ -531,6 +532,13 @@
     else {
         end_all_runs(&fleet);
     }
+    if (desc->suspected) {
+        const char record[] =
+            "{\"version\":1,\"state\":\"running\",\"crashes\":[[0,0,0,1]]}";
+        g_assert_cmpint(nm_sched_restore(fleet.sim.sched, JOB, record,
+                                         (uint32_t)strlen(record)),
+                        ==, NM_OK);
+    }
     nm_ms_t begin_ms = fleet.sim.now_ms;
     while (count_runs(&fleet) < desc->step.task_count &&
            fleet.sim.now_ms - begin_ms < INTERRUPTED_LIMIT_MS)
@@ -562,6 +570,12 @@
      .stop_ms = 400,
      .step = {LONG_RUNNING(1, 30000)},
      .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/interrupted-suspect-among-fillers",
+     .workers = 1,
+     .stop_ms = 400,
+     .suspected = true,
+     .step = {LONG_RUNNING(1, 30000)},
+     .wait_ms_max = INTERRUPTED_MS_MAX},
     {.name = "/sched/interrupted-tasks-among-workers",
      .workers = 4,
      .stop_ms = 400,
