Scheduler: gangs and the choice of a worker in files of their own

Moved from sched_place.c without a change in what is decided, except that the start of a gang of fillers also counts as canaries and ends the hold of its step, as any start does.

--- /dev/null
+++ b/src/sched_choice.c
@@ -0,0 +1,235 @@
+/*
+ * Choice of a worker for a waiting task: which workers a task fits on, and
+ * which of these suits it best.
+ *
+ * Load: tasks of all sizes on workers that are nearly full.  A task goes where
+ * the least is free, so that large tasks still find room; a filler goes where
+ * it disturbs least.
+ */
+#include "sched_round.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Score penalty of a task's avoided_node. */
+#define AVOIDED_NODE_PENALTY 5
+/* Score penalty for each failed start or run in a row on a worker. */
+#define FAILURE_PENALTY 0.5
+/* Score of a worker in the rack of a task's data: outweighs CPU and image. */
+#define DATA_RACK_SCORE 20
+/* Scores of a worker for a serving task. */
+#define NO_SERVING_TASK_SCORE 1
+#define SAME_IMAGE_SCORE 2
+/* Limit of fitting workers that are compared for one task. */
+#define FITTING_NODES_MAX 80
+
+bool
+nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    return node->described && node->admitted && node->announced &&
+           node->epoch_confirmed && node->reachable && node->clock_known &&
+           node->desc.state == NM_WORKER_READY &&
+           now_ms >= node->avoid_until_ms;
+}
+
+static uint32_t
+count_step_tasks(const nm_sched_node_t *node,
+                 const nm_occurrence_t *occurrence, uint32_t step)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        count += task->occurrence == occurrence && task->step == step;
+    }
+    return count;
+}
+
+static bool
+has_label(const nm_sched_node_t *node, const char *label)
+{
+    for (uint32_t i = 0; i < node->desc.label_count; i++) {
+        if (strcmp(node->desc.labels[i], label) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+nm_choice_fits(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    bool cpu_fits =
+        step->is_filler ||
+        node->cpu_used_milli + step->cpu_milli <= node->desc.cpu_milli;
+    return cpu_fits &&
+           node->memory_used_mb + step->memory_mb <= node->desc.memory_mb &&
+           node->accelerators_used + step->accelerators <=
+               node->desc.accelerators;
+}
+
+/* True if all serving tasks on a worker have this image. */
+static bool
+serves_only_image(const nm_sched_node_t *node, const char *image)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_step_t *step = nm_task_step(node->tasks->pdata[i]);
+        if (step->target_ms > 0 && strcmp(step->image, image) != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/*
+ * Scores a worker that a task fits on; higher is better.  Tasks go where the
+ * least CPU is free, so that other workers keep room for large tasks.  Serving
+ * tasks are grouped by image, so that each worker suits some fillers.
+ */
+static double
+node_score(const nm_sched_node_t *node, const nm_step_t *step)
+{
+    double free_share = (double)(node->desc.cpu_milli - node->cpu_used_milli) /
+                        (double)MAX(node->desc.cpu_milli, 1);
+    double score = -free_share;
+    if (step->target_ms > 0) {
+        bool same_image = serves_only_image(node, step->image);
+        score += node->serving_count == 0 ? NO_SERVING_TASK_SCORE
+                 : same_image             ? SAME_IMAGE_SCORE
+                                          : 0;
+    }
+    if (step->data_rack[0] != '\0' &&
+        strcmp(step->data_rack, node->desc.rack) == 0)
+    {
+        score += DATA_RACK_SCORE;
+    }
+    return score - FAILURE_PENALTY * node->consecutive_failures;
+}
+
+bool
+nm_choice_is_eligible(const nm_sched_node_t *node,
+                      const nm_candidate_t *candidate, const char *service,
+                      nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
+    return nm_node_is_usable(node, now_ms) && node->service == service &&
+           (step->label[0] == '\0' || has_label(node, step->label)) &&
+           (step->per_worker_max == 0 ||
+            count_step_tasks(node, candidate->occurrence, candidate->step) <
+                step->per_worker_max);
+}
+
+static bool
+refuse_filler(nm_sched_t *sched, nm_filler_refusal_t refusal)
+{
+    sched->filler_refusals[refusal]++;
+    return false;
+}
+
+static bool
+score_filler_node(nm_sched_t *sched, const nm_step_t *step, uint32_t image,
+                  nm_sched_node_t *node, nm_ms_t now_ms, double *score)
+{
+    if (!nm_sched_filler_has_capacity(node, step)) {
+        return refuse_filler(sched, NM_FILLER_REFUSAL_CAPACITY);
+    }
+    if (node->serving_count > 0 && !node->has_headroom) {
+        return refuse_filler(sched, NM_FILLER_REFUSAL_HEADROOM);
+    }
+    if (nm_sched_filler_canary_limit_reached(sched, node, image, now_ms)) {
+        return refuse_filler(sched, NM_FILLER_REFUSAL_CANARY);
+    }
+    double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
+    if (!nm_sched_filler_cost_is_acceptable(cost)) {
+        return refuse_filler(sched, NM_FILLER_REFUSAL_COST);
+    }
+    *score = -cost;
+    return true;
+}
+
+bool
+nm_choice_is_held_for_other(const nm_sched_node_t *node,
+                            const nm_candidate_t *candidate, nm_ms_t now_ms)
+{
+    return now_ms < node->hold.until_ms &&
+           (node->hold.occurrence != candidate->occurrence ||
+            node->hold.step != candidate->step);
+}
+
+/* Returns false if the worker cannot take the task. */
+static bool
+score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+           const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
+           double *score)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    bool reserved = node->reserved_placement == sched->placement_number &&
+                    !step->long_running && !step->is_filler;
+    bool held = !step->long_running &&
+                nm_choice_is_held_for_other(node, candidate, now_ms);
+    if (reserved || held || !nm_choice_fits(node, step) ||
+        !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
+        nm_crashes_conflict(node, task))
+    {
+        return false;
+    }
+    if (step->is_filler) {
+        if (!score_filler_node(sched, step, job->images[candidate->step], node,
+                               now_ms, score))
+        {
+            return false;
+        }
+    }
+    else {
+        *score = node_score(node, step);
+    }
+    *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
+    *score -= nm_crashes_penalty(node, task);
+    return true;
+}
+
+nm_sched_node_t *
+nm_choice_find_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+                    nm_task_t *task, nm_ms_t now_ms)
+{
+    guint count = sched->node_list->len;
+    if (count == 0) {
+        return NULL;
+    }
+    guint begin = nm_rng_below(&sched->rng, count);
+    nm_sched_node_t *best = NULL;
+    double best_score = -INFINITY;
+    guint fitting = 0;
+    for (guint i = 0; i < count && fitting < FITTING_NODES_MAX; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[(begin + i) % count];
+        double score;
+        if (!score_node(sched, candidate, task, node, now_ms, &score)) {
+            continue;
+        }
+        fitting++;
+        if (score > best_score) {
+            best = node;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void
+nm_choice_start(nm_sched_t *sched, const nm_candidate_t *candidate,
+                nm_task_t *task, nm_sched_node_t *node, int64_t run,
+                nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    if (job->spec.steps[candidate->step].is_filler) {
+        nm_sched_filler_count_canary(sched, node, job->images[candidate->step],
+                                     now_ms);
+    }
+    if (node->hold.occurrence == candidate->occurrence &&
+        node->hold.step == candidate->step)
+    {
+        node->hold = (nm_hold_t){0};
+    }
+    nm_sched_start_task(sched, task, node, run, now_ms);
+}
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -11,7 +11,7 @@
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_response.c calls nm_crashes_on_running, and
- * sched_place.c asks for conflicts and penalties.
+ * sched_choice.c asks for conflicts and penalties.
  *
  * Load: workers that crash with tens of tasks each, many at a time, also
  * without any task's fault.
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -15,15 +15,6 @@
 
 /* Share of the workers reserved at a time; short tasks run on the others. */
 #define RESERVED_SHARE 0.05
-/* Score penalty of a task's avoided_node. */
-#define AVOIDED_NODE_PENALTY 5
-/* Score penalty for each failed start or run in a row on a worker. */
-#define FAILURE_PENALTY 0.5
-/* Score of a worker in the rack of a task's data: outweighs CPU and image. */
-#define DATA_RACK_SCORE 20
-/* Scores of a worker for a serving task. */
-#define NO_SERVING_TASK_SCORE 1
-#define SAME_IMAGE_SCORE 2
 /* How long a worker is held for a step; each round that needs it renews it. */
 #define HOLD_MS 500
 /* The same where fillers are evicted: a stop and its report take longest. */
@@ -34,204 +25,6 @@
  */
 #define IDLE_START_SHARE 0.1
 #define IDLE_START_CREDIT_MAX 4
-/* Limit of fitting workers that are compared for one task. */
-#define FITTING_NODES_MAX 80
-
-bool
-nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
-{
-    return node->described && node->admitted && node->announced &&
-           node->epoch_confirmed && node->reachable && node->clock_known &&
-           node->desc.state == NM_WORKER_READY &&
-           now_ms >= node->avoid_until_ms;
-}
-
-static uint32_t
-count_step_tasks(const nm_sched_node_t *node,
-                 const nm_occurrence_t *occurrence, uint32_t step)
-{
-    uint32_t count = 0;
-    for (guint i = 0; i < node->tasks->len; i++) {
-        const nm_task_t *task = node->tasks->pdata[i];
-        count += task->occurrence == occurrence && task->step == step;
-    }
-    return count;
-}
-
-static bool
-has_label(const nm_sched_node_t *node, const char *label)
-{
-    for (uint32_t i = 0; i < node->desc.label_count; i++) {
-        if (strcmp(node->desc.labels[i], label) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool
-fits(const nm_sched_node_t *node, const nm_step_t *step)
-{
-    bool cpu_fits =
-        step->is_filler ||
-        node->cpu_used_milli + step->cpu_milli <= node->desc.cpu_milli;
-    return cpu_fits &&
-           node->memory_used_mb + step->memory_mb <= node->desc.memory_mb &&
-           node->accelerators_used + step->accelerators <=
-               node->desc.accelerators;
-}
-
-/* True if all serving tasks on a worker have this image. */
-static bool
-serves_only_image(const nm_sched_node_t *node, const char *image)
-{
-    for (guint i = 0; i < node->tasks->len; i++) {
-        const nm_step_t *step = nm_task_step(node->tasks->pdata[i]);
-        if (step->target_ms > 0 && strcmp(step->image, image) != 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/*
- * Scores a worker that a task fits on; higher is better.  Tasks go where the
- * least CPU is free, so that other workers keep room for large tasks.  Serving
- * tasks are grouped by image, so that each worker suits some fillers.
- */
-static double
-node_score(const nm_sched_node_t *node, const nm_step_t *step)
-{
-    double free_share = (double)(node->desc.cpu_milli - node->cpu_used_milli) /
-                        (double)MAX(node->desc.cpu_milli, 1);
-    double score = -free_share;
-    if (step->target_ms > 0) {
-        bool same_image = serves_only_image(node, step->image);
-        score += node->serving_count == 0 ? NO_SERVING_TASK_SCORE
-                 : same_image             ? SAME_IMAGE_SCORE
-                                          : 0;
-    }
-    if (step->data_rack[0] != '\0' &&
-        strcmp(step->data_rack, node->desc.rack) == 0)
-    {
-        score += DATA_RACK_SCORE;
-    }
-    return score - FAILURE_PENALTY * node->consecutive_failures;
-}
-
-static bool
-is_eligible(const nm_sched_node_t *node, const nm_candidate_t *candidate,
-            const char *service, nm_ms_t now_ms)
-{
-    const nm_step_t *step =
-        &candidate->occurrence->job->spec.steps[candidate->step];
-    return nm_node_is_usable(node, now_ms) && node->service == service &&
-           (step->label[0] == '\0' || has_label(node, step->label)) &&
-           (step->per_worker_max == 0 ||
-            count_step_tasks(node, candidate->occurrence, candidate->step) <
-                step->per_worker_max);
-}
-
-static bool
-refuse_filler(nm_sched_t *sched, nm_filler_refusal_t refusal)
-{
-    sched->filler_refusals[refusal]++;
-    return false;
-}
-
-static bool
-score_filler_node(nm_sched_t *sched, const nm_step_t *step, uint32_t image,
-                  nm_sched_node_t *node, nm_ms_t now_ms, double *score)
-{
-    if (!nm_sched_filler_has_capacity(node, step)) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_CAPACITY);
-    }
-    if (node->serving_count > 0 && !node->has_headroom) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_HEADROOM);
-    }
-    if (nm_sched_filler_canary_limit_reached(sched, node, image, now_ms)) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_CANARY);
-    }
-    double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
-    if (!nm_sched_filler_cost_is_acceptable(cost)) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_COST);
-    }
-    *score = -cost;
-    return true;
-}
-
-static bool
-is_held_for_other(const nm_sched_node_t *node, const nm_candidate_t *candidate,
-                  nm_ms_t now_ms)
-{
-    return now_ms < node->hold.until_ms &&
-           (node->hold.occurrence != candidate->occurrence ||
-            node->hold.step != candidate->step);
-}
-
-/* Returns false if the worker cannot take the task. */
-static bool
-score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
-           const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
-           double *score)
-{
-    const nm_sched_job_t *job = candidate->occurrence->job;
-    const nm_step_t *step = &job->spec.steps[candidate->step];
-    bool reserved = node->reserved_placement == sched->placement_number &&
-                    !step->long_running && !step->is_filler;
-    bool held =
-        !step->long_running && is_held_for_other(node, candidate, now_ms);
-    if (reserved || held || !fits(node, step) ||
-        !is_eligible(node, candidate, nm_job_service(job), now_ms) ||
-        nm_crashes_conflict(node, task))
-    {
-        return false;
-    }
-    if (step->is_filler) {
-        if (!score_filler_node(sched, step, job->images[candidate->step], node,
-                               now_ms, score))
-        {
-            return false;
-        }
-    }
-    else {
-        *score = node_score(node, step);
-    }
-    *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
-    *score -= nm_crashes_penalty(node, task);
-    return true;
-}
-
-/*
- * Returns the best of the first FITTING_NODES_MAX workers that a task fits on,
- * from a random position in the list; NULL if it fits nowhere.
- */
-static nm_sched_node_t *
-choose_node(nm_sched_t *sched, const nm_candidate_t *candidate,
-            nm_task_t *task, nm_ms_t now_ms)
-{
-    guint count = sched->node_list->len;
-    if (count == 0) {
-        return NULL;
-    }
-    guint begin = nm_rng_below(&sched->rng, count);
-    nm_sched_node_t *best = NULL;
-    double best_score = -INFINITY;
-    guint fitting = 0;
-    for (guint i = 0; i < count && fitting < FITTING_NODES_MAX; i++) {
-        nm_sched_node_t *node = sched->node_list->pdata[(begin + i) % count];
-        double score;
-        if (!score_node(sched, candidate, task, node, now_ms, &score)) {
-            continue;
-        }
-        fitting++;
-        if (score > best_score) {
-            best = node;
-            best_score = score;
-        }
-    }
-    return best;
-}
 
 /* True if a task of a step fits once the worker's short tasks have ended. */
 static bool
@@ -269,7 +62,8 @@
         int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
         if (free_cpu_milli > best_free_cpu_milli &&
             node->reserved_placement != sched->placement_number &&
-            is_eligible(node, candidate, nm_job_service(job), now_ms) &&
+            nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                  now_ms) &&
             fits_after_short_tasks(node, step))
         {
             best = node;
@@ -331,8 +125,9 @@
         nm_sched_node_t *node = sched->node_list->pdata[i];
         bool disturbs =
             step->is_filler && node->serving_count > 0 && !node->has_headroom;
-        if (disturbs || is_held_for_other(node, candidate, now_ms) ||
-            !is_eligible(node, candidate, nm_job_service(job), now_ms))
+        if (disturbs || nm_choice_is_held_for_other(node, candidate, now_ms) ||
+            !nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                   now_ms))
         {
             continue;
         }
@@ -431,12 +226,13 @@
         int64_t free_memory_mb = node->desc.memory_mb - node->memory_used_mb;
         bool taken = node->reserved_placement == sched->placement_number ||
                      (candidate->order_class != NM_CLASS_OVERDUE &&
-                      is_held_for_other(node, candidate, now_ms));
+                      nm_choice_is_held_for_other(node, candidate, now_ms));
         if (node->filler_count == 0 || taken ||
             free_cpu_milli < step->cpu_milli ||
             node->accelerators_used + step->accelerators >
                 node->desc.accelerators ||
-            !is_eligible(node, candidate, nm_job_service(job), now_ms))
+            !nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                   now_ms))
         {
             continue;
         }
@@ -500,60 +296,6 @@
     }
 }
 
-static void
-place_gang(nm_sched_t *sched, const nm_candidate_t *candidate, nm_ms_t now_ms)
-{
-    nm_occurrence_t *occurrence = candidate->occurrence;
-    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    if (occurrence->waiting[candidate->step] < step->task_count) {
-        return; /* some members of an earlier run have not ended */
-    }
-    GPtrArray *chosen = g_ptr_array_new();
-    int64_t run = 0;
-    for (uint32_t i = 0; i < step->task_count; i++) {
-        nm_task_t *task = &occurrence->tasks[candidate->step][i];
-        nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
-        if (!node) {
-            break;
-        }
-        nm_task_attach(task, node);
-        g_ptr_array_add(chosen, node);
-        run = MAX(run, task->run + 1);
-    }
-    for (guint i = 0; i < chosen->len; i++) {
-        nm_task_detach(&occurrence->tasks[candidate->step][i]);
-    }
-    /* All members resume from the same checkpoint. */
-    const char *checkpoint = occurrence->tasks[candidate->step][0].checkpoint;
-    for (uint32_t i = 0;
-         i < step->task_count && chosen->len == step->task_count; i++)
-    {
-        nm_task_t *task = &occurrence->tasks[candidate->step][i];
-        if (i > 0) {
-            nm_strcopy(task->checkpoint, sizeof(task->checkpoint), checkpoint);
-        }
-        nm_sched_start_task(sched, task, chosen->pdata[i], run, now_ms);
-    }
-    g_ptr_array_free(chosen, TRUE);
-}
-
-static void
-start_task(nm_sched_t *sched, const nm_candidate_t *candidate, nm_task_t *task,
-           nm_sched_node_t *node, nm_ms_t now_ms)
-{
-    const nm_sched_job_t *job = candidate->occurrence->job;
-    if (job->spec.steps[candidate->step].is_filler) {
-        nm_sched_filler_count_canary(sched, node, job->images[candidate->step],
-                                     now_ms);
-    }
-    if (node->hold.occurrence == candidate->occurrence &&
-        node->hold.step == candidate->step)
-    {
-        node->hold = (nm_hold_t){0};
-    }
-    nm_sched_start_task(sched, task, node, 0, now_ms);
-}
-
 /* True if a worker has room for a task but the trial of another suspect. */
 static bool
 waits_for_trial(const nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -563,8 +305,9 @@
     const nm_step_t *step = &job->spec.steps[candidate->step];
     for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (fits(node, step) && nm_crashes_conflict(node, task) &&
-            is_eligible(node, candidate, nm_job_service(job), now_ms))
+        if (nm_choice_fits(node, step) && nm_crashes_conflict(node, task) &&
+            nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                  now_ms))
         {
             return true;
         }
@@ -590,7 +333,7 @@
         return false;
     }
     if (step->is_gang) {
-        place_gang(sched, candidate, now_ms);
+        nm_gang_place(sched, candidate, now_ms);
         return true;
     }
     bool all_placed = true;
@@ -608,12 +351,13 @@
         {
             return true;
         }
-        nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+        nm_sched_node_t *node =
+            nm_choice_find_node(sched, candidate, task, now_ms);
         if (node && candidate->order_class == NM_CLASS_OVERDUE) {
             round->overdue_cpu_left_milli -= (double)step->cpu_milli;
         }
         if (node) {
-            start_task(sched, candidate, task, node, now_ms);
+            nm_choice_start(sched, candidate, task, node, 0, now_ms);
             if (!step->long_running) {
                 sched->idle_start_credit =
                     MIN(sched->idle_start_credit + IDLE_START_SHARE,
@@ -666,16 +410,17 @@
         return false;
     }
     if (step->is_gang) {
-        place_gang(sched, candidate, now_ms);
+        nm_gang_place(sched, candidate, now_ms);
         return true;
     }
     nm_task_t *task = &occurrence->tasks[candidate->step][0];
     while (task->state != NM_RUN_WAITING) {
         task++;
     }
-    nm_sched_node_t *node = choose_node(sched, candidate, task, now_ms);
+    nm_sched_node_t *node =
+        nm_choice_find_node(sched, candidate, task, now_ms);
     if (node) {
-        start_task(sched, candidate, task, node, now_ms);
+        nm_choice_start(sched, candidate, task, node, 0, now_ms);
         sched->idle_start_credit -= candidate->takes_credit;
     }
     else if (!waits_for_trial(sched, candidate, task, now_ms)) {
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -1,6 +1,7 @@
 /*
  * State of one placement round, shared by sched_order.c, which orders the
- * waiting steps, and sched_place.c, which places them.
+ * waiting steps, sched_place.c and sched_gang.c, which place them, and
+ * sched_choice.c, which finds workers for their tasks.
  */
 #ifndef NM_SCHED_ROUND_H
 #define NM_SCHED_ROUND_H
@@ -62,6 +63,7 @@
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
 
+/* sched_order.c */
 /*
  * Returns the waiting steps in the order in which they start, as an array of
  * nm_candidate_t to be freed with g_array_free.
@@ -73,4 +75,31 @@
                          const nm_occurrence_t *occurrence, uint32_t step,
                          nm_ms_t now_ms);
 
+/* sched_choice.c */
+/* True if a worker has room for a task of a step. */
+bool nm_choice_fits(const nm_sched_node_t *node, const nm_step_t *step);
+/* True if a worker may run tasks of a step, whether they fit or not. */
+bool nm_choice_is_eligible(const nm_sched_node_t *node,
+                           const nm_candidate_t *candidate,
+                           const char *service, nm_ms_t now_ms);
+bool nm_choice_is_held_for_other(const nm_sched_node_t *node,
+                                 const nm_candidate_t *candidate,
+                                 nm_ms_t now_ms);
+/*
+ * Returns the best of the first workers that a task fits on, from a random
+ * position in the list; NULL if it fits nowhere.
+ */
+nm_sched_node_t *nm_choice_find_node(nm_sched_t *sched,
+                                     const nm_candidate_t *candidate,
+                                     nm_task_t *task, nm_ms_t now_ms);
+/* Starts a waiting task, with a run number of at least run. */
+void nm_choice_start(nm_sched_t *sched, const nm_candidate_t *candidate,
+                     nm_task_t *task, nm_sched_node_t *node, int64_t run,
+                     nm_ms_t now_ms);
+
+/* sched_gang.c */
+/* Starts all tasks of a gang if there is room for all. */
+void nm_gang_place(nm_sched_t *sched, const nm_candidate_t *candidate,
+                   nm_ms_t now_ms);
+
 #endif
