Scheduler: workers are held for all tasks of a gang

What callers would see: a gang that is never started while smaller tasks arrive as fast as others end: an idle job, and a long-running gang that was interrupted. Cause: a gang started only if all its tasks found room in one round. Nothing was evicted, reserved or held for it, and it did not become overdue. Change: sched_gang.c chooses workers that will have room for all tasks, those held for the gang first, and holds all of them or none. For a long-running gang fillers are stopped there; if that is not enough, an overdue one waits until short tasks end, as does a gang of an idle job. Beyond the first gang of a round, gangs hold at most half of the workers. The start of an idle gang on a reserved service uses up credit like others. What a worker has free for a step, now and later, is in sched_room.c, for single tasks and gangs.

--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -1,47 +1,191 @@
 /*
  * Gangs: steps whose tasks all start at once, or not at all.
  *
- * sched_place.c calls this module for each gang that waits in turn.
+ * sched_place.c calls this module for each gang that waits in turn: to start
+ * it, or else to make room for all of its tasks.
  *
- * Load: gangs beside smaller tasks that refill each gap.
+ * Load: gangs beside smaller tasks, which refill each gap, and other gangs.
+ * Workers are held for all tasks of a gang or for none, so that gangs do not
+ * wait for each other's workers.
  */
 #include "sched_round.h"
 
-void
-nm_gang_place(nm_sched_t *sched, const nm_candidate_t *candidate,
-              nm_ms_t now_ms)
+#include <math.h>
+
+/*
+ * Limit of the share of all workers that are held for gangs at a time; the
+ * first gang of a round may hold more.
+ */
+#define GANG_HELD_SHARE 0.5
+
+/* A worker that will have room for so many tasks of a gang. */
+typedef struct {
+    nm_sched_node_t *node;
+    uint32_t count;
+    double preference; /* higher is better */
+} gang_node_t;
+
+/* Returns how many tasks of the gang found a worker, listed in nodes. */
+static uint32_t
+find_nodes(nm_sched_t *sched, const nm_candidate_t *candidate,
+           GPtrArray *nodes, nm_ms_t now_ms)
 {
-    nm_occurrence_t *occurrence = candidate->occurrence;
+    const nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    if (occurrence->waiting[candidate->step] < step->task_count) {
-        return; /* some members of an earlier run have not ended */
-    }
-    GPtrArray *chosen = g_ptr_array_new();
-    int64_t run = 0;
-    for (uint32_t i = 0; i < step->task_count; i++) {
-        nm_task_t *task = &occurrence->tasks[candidate->step][i];
+    nm_task_t *tasks = occurrence->tasks[candidate->step];
+    /* Attached for the time being, as one task takes the room of another. */
+    while (nodes->len < step->task_count) {
+        nm_task_t *task = &tasks[nodes->len];
         nm_sched_node_t *node =
             nm_choice_find_node(sched, candidate, task, now_ms);
         if (!node) {
             break;
         }
         nm_task_attach(task, node);
-        g_ptr_array_add(chosen, node);
-        run = MAX(run, task->run + 1);
-    }
-    for (guint i = 0; i < chosen->len; i++) {
-        nm_task_detach(&occurrence->tasks[candidate->step][i]);
-    }
-    /* All members resume from the same checkpoint. */
-    const char *checkpoint = occurrence->tasks[candidate->step][0].checkpoint;
-    for (uint32_t i = 0;
-         i < step->task_count && chosen->len == step->task_count; i++)
-    {
-        nm_task_t *task = &occurrence->tasks[candidate->step][i];
+        g_ptr_array_add(nodes, node);
+    }
+    for (guint i = 0; i < nodes->len; i++) {
+        nm_task_detach(&tasks[i]);
+    }
+    return nodes->len;
+}
+
+static void
+start_all(nm_sched_t *sched, const nm_candidate_t *candidate,
+          const GPtrArray *nodes, nm_ms_t now_ms)
+{
+    nm_task_t *tasks = candidate->occurrence->tasks[candidate->step];
+    int64_t run = 0;
+    for (guint i = 0; i < nodes->len; i++) {
+        run = MAX(run, tasks[i].run + 1);
+    }
+    for (guint i = 0; i < nodes->len; i++) {
         if (i > 0) {
-            nm_strcopy(task->checkpoint, sizeof(task->checkpoint), checkpoint);
+            /* All members resume from the same checkpoint. */
+            nm_strcopy(tasks[i].checkpoint, sizeof(tasks[i].checkpoint),
+                       tasks[0].checkpoint);
+        }
+        nm_choice_start(sched, candidate, &tasks[i], nodes->pdata[i], run,
+                        now_ms);
+    }
+}
+
+bool
+nm_gang_start(nm_sched_t *sched, const nm_candidate_t *candidate,
+              nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
+    GPtrArray *nodes = g_ptr_array_new();
+    bool complete =
+        find_nodes(sched, candidate, nodes, now_ms) == step->task_count;
+    if (complete) {
+        start_all(sched, candidate, nodes, now_ms);
+    }
+    g_ptr_array_free(nodes, TRUE);
+    return complete;
+}
+
+static int
+compare_gang_nodes(gconstpointer a, gconstpointer b)
+{
+    double left = ((const gang_node_t *)a)->preference;
+    double right = ((const gang_node_t *)b)->preference;
+    return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/* Adds each worker that will have room for tasks of the gang. */
+static void
+collect_gang_nodes(const nm_sched_t *sched, const nm_candidate_t *candidate,
+                   bool after_short_tasks, GArray *nodes, nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->reserved_placement == sched->placement_number ||
+            !nm_room_may_hold(node, candidate, now_ms))
+        {
+            continue;
         }
-        nm_choice_start(sched, candidate, task, chosen->pdata[i], run, now_ms);
+        gang_node_t entry = {.node = node};
+        entry.count = after_short_tasks ? nm_room_after_short_tasks(node, step)
+                                        : nm_room_after_fillers(node, step);
+        bool has_hold = now_ms < node->hold.until_ms &&
+                        !nm_choice_is_held_for_other(node, candidate, now_ms);
+        entry.preference =
+            has_hold ? INFINITY : nm_room_free_share(node, step);
+        if (entry.count > 0) {
+            g_array_append_val(nodes, entry);
+        }
+    }
+}
+
+/*
+ * Returns workers that will have room for the whole gang, those held for it
+ * first, as an array of gang_node_t to be freed; it is empty if there are
+ * none.
+ */
+static GArray *
+choose_gang_nodes(const nm_sched_t *sched, const nm_candidate_t *candidate,
+                  bool after_short_tasks, nm_ms_t now_ms)
+{
+    GArray *nodes = g_array_new(FALSE, FALSE, sizeof(gang_node_t));
+    collect_gang_nodes(sched, candidate, after_short_tasks, nodes, now_ms);
+    g_array_sort(nodes, compare_gang_nodes);
+    uint32_t missing =
+        candidate->occurrence->job->spec.steps[candidate->step].task_count;
+    guint used = 0;
+    while (used < nodes->len && missing > 0) {
+        gang_node_t *entry = &g_array_index(nodes, gang_node_t, used++);
+        entry->count = MIN(entry->count, missing);
+        missing -= entry->count;
+    }
+    g_array_set_size(nodes, missing > 0 ? 0 : used);
+    return nodes;
+}
+
+/* Returns false if the room that fillers take does not suffice. */
+static bool
+evict_for_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
+               nm_ms_t now_ms)
+{
+    GArray *nodes = choose_gang_nodes(sched, candidate, false, now_ms);
+    bool found = nodes->len > 0;
+    for (guint i = 0; i < nodes->len; i++) {
+        const gang_node_t *entry = &g_array_index(nodes, gang_node_t, i);
+        nm_room_evict_fillers(sched, candidate, entry->node, entry->count,
+                              now_ms);
+    }
+    g_array_free(nodes, TRUE);
+    return found;
+}
+
+static void
+hold_for_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
+              nm_round_t *round, nm_ms_t now_ms)
+{
+    GArray *nodes = choose_gang_nodes(sched, candidate, true, now_ms);
+    double held_max = GANG_HELD_SHARE * sched->node_list->len;
+    if (round->gang_nodes == 0 || round->gang_nodes + nodes->len <= held_max) {
+        round->gang_nodes += nodes->len;
+        for (guint i = 0; i < nodes->len; i++) {
+            nm_room_hold(g_array_index(nodes, gang_node_t, i).node, candidate,
+                         now_ms);
+        }
+    }
+    g_array_free(nodes, TRUE);
+}
+
+void
+nm_gang_make_room(nm_sched_t *sched, const nm_candidate_t *candidate,
+                  nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
+    bool evicted =
+        step->long_running && evict_for_gang(sched, candidate, now_ms);
+    if (!evicted && candidate->order_class != NM_CLASS_ORDINARY) {
+        hold_for_gang(sched, candidate, round, now_ms);
     }
-    g_ptr_array_free(chosen, TRUE);
 }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -15,10 +15,6 @@
 
 /* Share of the workers reserved at a time; short tasks run on the others. */
 #define RESERVED_SHARE 0.05
-/* How long a worker is held for a step; each round that needs it renews it. */
-#define HOLD_MS 500
-/* The same where fillers are evicted: a stop and its report take longest. */
-#define EVICTION_HOLD_MS 1000
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -26,25 +22,6 @@
 #define IDLE_START_SHARE 0.1
 #define IDLE_START_CREDIT_MAX 4
 
-/* True if a task of a step fits once the worker's short tasks have ended. */
-static bool
-fits_after_short_tasks(const nm_sched_node_t *node, const nm_step_t *step)
-{
-    int64_t cpu_milli = node->desc.cpu_milli - step->cpu_milli;
-    int64_t memory_mb = node->desc.memory_mb - step->memory_mb;
-    int32_t accelerators = node->desc.accelerators - step->accelerators;
-    for (guint i = 0; i < node->tasks->len; i++) {
-        const nm_task_t *task = node->tasks->pdata[i];
-        const nm_step_t *other = nm_task_step(task);
-        if (other->long_running && task->state != NM_RUN_STOPPING) {
-            cpu_milli -= other->cpu_milli;
-            memory_mb -= other->memory_mb;
-            accelerators -= other->accelerators;
-        }
-    }
-    return cpu_milli >= 0 && memory_mb >= 0 && accelerators >= 0;
-}
-
 /*
  * Keeps short tasks off the worker with the most free CPU for the rest of this
  * round.  Returns false if no worker can be reserved for the step.
@@ -64,7 +41,7 @@
             node->reserved_placement != sched->placement_number &&
             nm_choice_is_eligible(node, candidate, nm_job_service(job),
                                   now_ms) &&
-            fits_after_short_tasks(node, step))
+            nm_room_after_short_tasks(node, step) > 0)
         {
             best = node;
             best_free_cpu_milli = free_cpu_milli;
@@ -76,35 +53,6 @@
     return best != NULL;
 }
 
-/*
- * Share of a task's requests that a worker has free, limited by the scarcest
- * of CPU and memory; negative if the task does not fit once short tasks and
- * other fillers have ended.
- */
-static double
-free_share_of_requests(const nm_sched_node_t *node, const nm_step_t *step)
-{
-    nm_step_t unfilled = *step;
-    double free_cpu_milli =
-        (double)(node->desc.cpu_milli - node->cpu_used_milli);
-    if (step->is_filler) {
-        free_cpu_milli = nm_sched_filler_unused_cpu_milli(node);
-        if (free_cpu_milli + (double)node->filler_cpu_milli <
-            (double)step->cpu_milli) {
-            return -1;
-        }
-        unfilled.cpu_milli = 0;
-    }
-    if (!fits_after_short_tasks(node, &unfilled)) {
-        return -1;
-    }
-    double free_memory_mb =
-        (double)(node->desc.memory_mb - node->memory_used_mb);
-    double share = MIN(free_cpu_milli / (double)MAX(step->cpu_milli, 1),
-                       free_memory_mb / (double)MAX(step->memory_mb, 1));
-    return MAX(share, 0);
-}
-
 /*
  * Keeps what becomes free on one worker for a step whose tasks need more than
  * is free anywhere: the worker it has, or else the one with the most free.
@@ -123,15 +71,10 @@
     double best_share = -1;
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        bool disturbs =
-            step->is_filler && node->serving_count > 0 && !node->has_headroom;
-        if (disturbs || nm_choice_is_held_for_other(node, candidate, now_ms) ||
-            !nm_choice_is_eligible(node, candidate, nm_job_service(job),
-                                   now_ms))
-        {
+        if (!nm_room_may_hold(node, candidate, now_ms)) {
             continue;
         }
-        double share = free_share_of_requests(node, step);
+        double share = nm_room_free_share(node, step);
         bool has_hold = share >= 0 && now_ms < node->hold.until_ms;
         if (has_hold || share > best_share) {
             best = node;
@@ -139,8 +82,7 @@
         }
     }
     if (best) {
-        best->hold = (nm_hold_t){candidate->occurrence, candidate->step,
-                                 now_ms + HOLD_MS};
+        nm_room_hold(best, candidate, now_ms);
         round->reserved_nodes++;
     }
 }
@@ -198,17 +140,6 @@
     }
 }
 
-/* Holds a worker where fillers are evicted, for the step they make way for. */
-static bool
-hold_evicted(const nm_sched_t *sched, const nm_candidate_t *candidate,
-             nm_sched_node_t *node, nm_ms_t now_ms)
-{
-    node->hold = (nm_hold_t){candidate->occurrence, candidate->step,
-                             now_ms + EVICTION_HOLD_MS};
-    node->reserved_placement = sched->placement_number;
-    return true;
-}
-
 /*
  * Stops fillers whose memory a long-running task needs.  Returns true if a
  * worker has enough memory, or will have once the stopped fillers have ended;
@@ -218,42 +149,20 @@
 evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
               nm_ms_t now_ms)
 {
-    const nm_sched_job_t *job = candidate->occurrence->job;
-    const nm_step_t *step = &job->spec.steps[candidate->step];
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
     for (guint n = 0; n < sched->node_list->len; n++) {
         nm_sched_node_t *node = sched->node_list->pdata[n];
         int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
-        int64_t free_memory_mb = node->desc.memory_mb - node->memory_used_mb;
-        bool taken = node->reserved_placement == sched->placement_number ||
-                     (candidate->order_class != NM_CLASS_OVERDUE &&
-                      nm_choice_is_held_for_other(node, candidate, now_ms));
-        if (node->filler_count == 0 || taken ||
-            free_cpu_milli < step->cpu_milli ||
-            node->accelerators_used + step->accelerators >
-                node->desc.accelerators ||
-            !nm_choice_is_eligible(node, candidate, nm_job_service(job),
-                                   now_ms))
+        if (node->filler_count > 0 &&
+            node->reserved_placement != sched->placement_number &&
+            free_cpu_milli >= step->cpu_milli &&
+            node->accelerators_used + step->accelerators <=
+                node->desc.accelerators &&
+            nm_room_may_hold(node, candidate, now_ms) &&
+            nm_room_evict_fillers(sched, candidate, node, 1, now_ms))
         {
-            continue;
-        }
-        for (guint i = 0; i < node->tasks->len; i++) {
-            nm_task_t *task = node->tasks->pdata[i];
-            if (free_memory_mb >= step->memory_mb) {
-                return hold_evicted(sched, candidate, node, now_ms);
-            }
-            if (nm_task_step(task)->is_filler &&
-                (task->state == NM_RUN_RUNNING ||
-                 task->state == NM_RUN_STOPPING))
-            {
-                free_memory_mb += nm_task_step(task)->memory_mb;
-                if (task->state == NM_RUN_RUNNING) {
-                    nm_count_reason(NM_REASON_EVICT_URGENT);
-                    nm_sched_stop_task(sched, task, now_ms);
-                }
-            }
-        }
-        if (free_memory_mb >= step->memory_mb) {
-            return hold_evicted(sched, candidate, node, now_ms);
+            return true;
         }
     }
     return false;
@@ -315,6 +224,34 @@
     return false;
 }
 
+/* Places a gang, or makes room for it on all the workers that it needs. */
+static void
+place_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
+           nm_round_t *round, nm_ms_t now_ms)
+{
+    nm_occurrence_t *occurrence = candidate->occurrence;
+    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
+    bool overdue = candidate->order_class == NM_CLASS_OVERDUE;
+    if (occurrence->waiting[candidate->step] < step->task_count ||
+        (overdue && round->overdue_cpu_left_milli <= 0))
+    {
+        return; /* some members of an earlier run have not ended */
+    }
+    if (nm_gang_start(sched, candidate, now_ms)) {
+        occurrence->unplaced_since_ms[candidate->step] = 0;
+        sched->idle_start_credit -= candidate->takes_credit;
+        if (overdue) {
+            round->overdue_cpu_left_milli -=
+                (double)step->task_count * (double)step->cpu_milli;
+        }
+        return;
+    }
+    if (step->long_running) {
+        record_unplaced_long_running(candidate, now_ms);
+    }
+    nm_gang_make_room(sched, candidate, round, now_ms);
+}
+
 /* Returns false if it did not look for a worker. */
 static bool
 place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -333,7 +270,7 @@
         return false;
     }
     if (step->is_gang) {
-        nm_gang_place(sched, candidate, now_ms);
+        place_gang(sched, candidate, round, now_ms);
         return true;
     }
     bool all_placed = true;
@@ -410,7 +347,7 @@
         return false;
     }
     if (step->is_gang) {
-        nm_gang_place(sched, candidate, now_ms);
+        place_gang(sched, candidate, round, now_ms);
         return true;
     }
     nm_task_t *task = &occurrence->tasks[candidate->step][0];
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -1,7 +1,8 @@
 /*
  * State of one placement round, shared by sched_order.c, which orders the
- * waiting steps, sched_place.c and sched_gang.c, which place them, and
- * sched_choice.c, which finds workers for their tasks.
+ * waiting steps, sched_place.c and sched_gang.c, which place them,
+ * sched_choice.c, which finds workers for their tasks, and sched_room.c, which
+ * makes room for them.
  */
 #ifndef NM_SCHED_ROUND_H
 #define NM_SCHED_ROUND_H
@@ -51,6 +52,7 @@
     nm_unplaced_fillers_t unplaced;
     nm_unplaced_fillers_t unplaced_idle; /* of idle jobs */
     uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
+    uint32_t gang_nodes;     /* workers held by gangs */
     bool overdue_known;      /* overdue_cpu_left_milli is computed */
     /* CPU that overdue tasks may still take. */
     double overdue_cpu_left_milli;
@@ -97,9 +99,42 @@
                      nm_task_t *task, nm_sched_node_t *node, int64_t run,
                      nm_ms_t now_ms);
 
+/* sched_room.c */
+/* Number of a step's tasks that fit once the short tasks have ended. */
+uint32_t nm_room_after_short_tasks(const nm_sched_node_t *node,
+                                   const nm_step_t *step);
+/* Number of a step's tasks that fit once the fillers are stopped. */
+uint32_t nm_room_after_fillers(const nm_sched_node_t *node,
+                               const nm_step_t *step);
+/*
+ * Share of a task's requests that a worker has free, limited by the scarcest
+ * of CPU and memory; negative if the task does not fit once short tasks and
+ * other fillers have ended.
+ */
+double nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step);
+/* True if a worker may be held for a step, whether tasks will fit or not. */
+bool nm_room_may_hold(const nm_sched_node_t *node,
+                      const nm_candidate_t *candidate, nm_ms_t now_ms);
+/* Keeps what becomes free on a worker for a step. */
+void nm_room_hold(nm_sched_node_t *node, const nm_candidate_t *candidate,
+                  nm_ms_t now_ms);
+/*
+ * Stops fillers whose memory so many tasks of a long-running step need, and
+ * holds the worker for the step.  Returns false if that is not enough.
+ */
+bool nm_room_evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
+                           nm_sched_node_t *node, uint32_t count,
+                           nm_ms_t now_ms);
+
 /* sched_gang.c */
-/* Starts all tasks of a gang if there is room for all. */
-void nm_gang_place(nm_sched_t *sched, const nm_candidate_t *candidate,
+/* Starts all tasks of a gang; returns false if there is no room for all. */
+bool nm_gang_start(nm_sched_t *sched, const nm_candidate_t *candidate,
                    nm_ms_t now_ms);
+/*
+ * Makes room for all tasks of a gang: fillers are stopped for a long-running
+ * one; workers are held for one that is overdue or of an idle job.
+ */
+void nm_gang_make_room(nm_sched_t *sched, const nm_candidate_t *candidate,
+                       nm_round_t *round, nm_ms_t now_ms);
 
 #endif
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -3,9 +3,9 @@
  * scheduler keeps of one worker.  Calls go in one direction, except those of
  * nm_sched_add_event and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
- * sched_order.c, sched_gang.c, sched_response.c -> sched_choice.c ->
- * sched_node.c, sched_filler.c, sched_duplicates.c -> sched_tails.c,
- * sched_crashes.c -> sched_task.c -> sched_timer.c.
+ * sched_order.c, sched_gang.c, sched_response.c -> sched_room.c ->
+ * sched_choice.c -> sched_node.c, sched_filler.c, sched_duplicates.c ->
+ * sched_tails.c, sched_crashes.c -> sched_task.c -> sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
