Tests: long-running tasks beside a held worker (failing)

A filler needs the memory of several others on one of two labelled workers of 8; small fillers take what is left, and 10 long-running tasks a second start and end after 1 s (a fifth of all memory).

--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -286,6 +286,10 @@
 /* The same if durations differ: no backlog that has waited longer. */
 #define UNEVEN_INTERVAL_MS 200
 #define INTERRUPTED_WORKERS_MAX 24
+/* Long-running jobs whose tasks end after some time. */
+#define LASTING_PREFIX "f"
+#define LASTING_MS 1000
+#define LASTING_INTERVAL_MS 100
 
 /* A job of one step on workers whose memory fillers take. */
 typedef struct {
@@ -300,6 +304,7 @@
     bool beside_short;      /* short tasks take the CPU, instead of fillers */
     nm_ms_t spread_ms;      /* durations of fillers differ by up to this */
     bool has_rival;         /* OTHER_JOB arrives with it and has its step */
+    bool beside_lasting;    /* long-running jobs arrive and end as well */
     nm_step_t step;
     nm_ms_t wait_ms_max;
 } interruption_t;
@@ -319,6 +324,7 @@
     int64_t last_end[INTERRUPTED_WORKERS_MAX];
     uint32_t jobs_added;
     nm_ms_t next_filler_ms;
+    nm_ms_t next_lasting_ms;
     nm_rng_t rng; /* of durations */
 } fleet_t;
 
@@ -399,6 +405,26 @@
     }
 }
 
+/* They need less than the job in question, and evict fillers where they may.
+ */
+static void
+fleet_add_lasting(fleet_t *fleet)
+{
+    while (fleet->desc->beside_lasting &&
+           fleet->next_lasting_ms <= fleet->sim.now_ms)
+    {
+        char id[NM_JOB_ID_MAX];
+        g_snprintf(id, sizeof(id), LASTING_PREFIX "%015x",
+                   ++fleet->jobs_added);
+        fleet_add_job(fleet, id,
+                      (nm_step_t){.task_count = 1,
+                                  .cpu_milli = 1000,
+                                  .memory_mb = 10000,
+                                  .long_running = true});
+        fleet->next_lasting_ms = fleet->sim.now_ms + LASTING_INTERVAL_MS;
+    }
+}
+
 /* Returns the run of a task, or NULL. */
 static timed_run_t *
 fleet_find_run(const fleet_t *fleet, const char *task)
@@ -413,9 +439,15 @@
 }
 
 static nm_ms_t
-filler_ms(fleet_t *fleet)
+run_end_ms(fleet_t *fleet, const char *task)
 {
-    return FILLER_MS +
+    if (g_str_has_prefix(task, JOB) || g_str_has_prefix(task, OTHER_JOB)) {
+        return NM_MS_NEVER;
+    }
+    if (g_str_has_prefix(task, LASTING_PREFIX)) {
+        return fleet->sim.now_ms + LASTING_MS;
+    }
+    return fleet->sim.now_ms + FILLER_MS +
            nm_rng_below(&fleet->rng, (uint32_t)fleet->desc->spread_ms + 1);
 }
 
@@ -431,10 +463,7 @@
             timed_run_t run = {
                 .row = sched_sim_make_run(action->task, action->run),
                 .worker = worker,
-                .end_ms = g_str_has_prefix(action->task, JOB) ||
-                                  g_str_has_prefix(action->task, OTHER_JOB)
-                              ? NM_MS_NEVER
-                              : now_ms + filler_ms(fleet),
+                .end_ms = run_end_ms(fleet, action->task),
                 .end = NM_END_DONE};
             g_array_append_val(fleet->runs, run);
             nm_sched_on_start(fleet->sim.sched, action, NM_ORDER_DONE, now_ms);
@@ -484,6 +513,7 @@
 fleet_advance(fleet_t *fleet)
 {
     fleet_add_fillers(fleet);
+    fleet_add_lasting(fleet);
     sched_sim_advance(&fleet->sim, TICK_MS);
     fleet_carry_out(fleet);
     for (uint32_t w = 0; w < fleet->desc->workers; w++) {
@@ -559,6 +589,7 @@
         g_assert_cmpuint(count_runs(&fleet, JOB), ==, desc->step.task_count);
     }
     fleet.next_filler_ms = fleet.sim.now_ms;
+    fleet.next_lasting_ms = fleet.sim.now_ms;
     for (uint32_t i = 0; i < 3000 / TICK_MS; i++) {
         fleet_advance(&fleet);
     }
@@ -703,6 +734,22 @@
               .long_running = true,
               .is_gang = true},
      .wait_ms_max = INTERRUPTED_MS_MAX},
+    {.name = "/sched/held-worker-is-left-by-long-running-tasks",
+     .workers = 8,
+     .label_count = 2,
+     .stop_ms = 400,
+     .spread_ms = 500,
+     .never_run = true,
+     .mostly_unreserved = true,
+     .beside_lasting = true,
+     .step = {.task_count = 1,
+              .cpu_milli = 300,
+              .memory_mb = 40000,
+              .estimate_ms = 1000,
+              .is_filler = true,
+              .image = "press",
+              .label = "fast"},
+     .wait_ms_max = IDLE_MS_MAX},
     {.name = "/sched/new-long-running-job-among-fillers",
      .workers = 4,
      .stop_ms = 100,
