Scheduler: long-running tasks leave held workers to their steps

What callers would see: a labelled or large task of a job with nothing at work waits although a worker is held for it, as long-running tasks arrive. Cause: the hold kept only short tasks and fillers off; a long-running task that fits takes what has become free, each time. Change: a hold is for its step alone; only an overdue long-running step, which comes first, is not bound by it.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -166,7 +166,7 @@
     const nm_step_t *step = &job->spec.steps[candidate->step];
     bool reserved = node->reserved_placement == sched->placement_number &&
                     !step->long_running && !step->is_filler;
-    bool held = !step->long_running &&
+    bool held = candidate->order_class != NM_CLASS_OVERDUE &&
                 nm_choice_is_held_for_other(node, candidate, now_ms);
     if (reserved || held || !nm_choice_fits(node, step) ||
         !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
