Tests: a filler that disturbs all serving tasks (failing)

Each of 4 workers has a serving task whose tail is at a third of its target, and at twice of it beside a filler of one image.

--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -280,12 +280,15 @@
 #define INTERRUPTED_LIMIT_MS 60000
 #define TICK_MS 50
 #define OTHER_JOB "8ed316840370aadb"
+#define LARGE_JOB "e1d43f20a97c8b56"
 #define FILLER_MS 1000
 /* Between two arrivals per worker, which has memory for 6 at a time. */
 #define FILLER_INTERVAL_MS 100
 /* The same if durations differ: no backlog that has waited longer. */
 #define UNEVEN_INTERVAL_MS 200
 #define INTERRUPTED_WORKERS_MAX 24
+/* Target of serving tasks. */
+#define TARGET_MS 24
 /* Long-running jobs whose tasks end after some time. */
 #define LASTING_PREFIX "f"
 #define LASTING_MS 1000
@@ -305,6 +308,7 @@
     nm_ms_t spread_ms;      /* durations of fillers differ by up to this */
     bool has_rival;         /* OTHER_JOB arrives with it and has its step */
     bool beside_lasting;    /* long-running jobs arrive and end as well */
+    bool serving;           /* OTHER_JOB serves, and is disturbed by JOB */
     nm_step_t step;
     nm_ms_t wait_ms_max;
 } interruption_t;
@@ -482,6 +486,19 @@
     }
 }
 
+/* A serving task is far over its target beside a filler of the job. */
+static int64_t
+serving_metric(const fleet_t *fleet, uint32_t worker)
+{
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        const timed_run_t *run = &g_array_index(fleet->runs, timed_run_t, i);
+        if (run->worker == worker && g_str_has_prefix(run->row.task, JOB)) {
+            return 2 * TARGET_MS;
+        }
+    }
+    return TARGET_MS / 3;
+}
+
 /* Reports what has ended on a worker. */
 static void
 fleet_report(fleet_t *fleet, uint32_t worker)
@@ -494,6 +511,9 @@
             continue;
         }
         if (run.end_ms > fleet->sim.now_ms) {
+            run.row.metric = fleet->desc->serving
+                                 ? serving_metric(fleet, worker)
+                                 : run.row.metric;
             g_array_append_val(rows, run.row);
             continue;
         }
@@ -759,6 +779,99 @@
      .wait_ms_max = IDLE_MS_MAX},
 };
 
+static const nm_step_t burner = {.task_count = 1,
+                                 .cpu_milli = 2000,
+                                 .memory_mb = 4000,
+                                 .estimate_ms = 5000,
+                                 .is_filler = true,
+                                 .saves_progress = true,
+                                 .image = "burner"};
+
+/* Starts a serving task on each worker, without fillers. */
+static void
+start_serving(fleet_t *fleet)
+{
+    fleet_add_job(fleet, OTHER_JOB,
+                  (nm_step_t){.task_count = fleet->desc->workers,
+                              .cpu_milli = 2000,
+                              .memory_mb = 4000,
+                              .long_running = true,
+                              .per_worker_max = 1,
+                              .target_ms = TARGET_MS,
+                              .image = "api"});
+    fleet->next_filler_ms = NM_MS_NEVER;
+    for (uint32_t i = 0; i < 2000 / TICK_MS; i++) {
+        fleet_advance(fleet);
+    }
+}
+
+/*
+ * A filler that disturbs the serving tasks of all workers has to be at work
+ * now and then nevertheless, but not beside one of them for long.
+ */
+static void
+test_disturbing_filler_is_tried_again(void)
+{
+    enum { DURATION_MS = 30000, HARM_MS_MAX = 4000 };
+    const interruption_t desc = {
+        .workers = 4, .stop_ms = 400, .serving = true};
+    fleet_t fleet;
+    fleet_init(&fleet, &desc);
+    start_serving(&fleet);
+    fleet_add_job(&fleet, JOB, burner);
+    nm_ms_t idle_ms = 0;
+    nm_ms_t at_work_ms = 0;
+    nm_ms_t idle_ms_max = 0;
+    nm_ms_t at_work_ms_max = 0;
+    for (uint32_t i = 0; i < DURATION_MS / TICK_MS; i++) {
+        fleet_advance(&fleet);
+        bool at_work = count_runs(&fleet, JOB) > 0;
+        idle_ms = at_work ? 0 : idle_ms + TICK_MS;
+        at_work_ms = at_work ? at_work_ms + TICK_MS : 0;
+        idle_ms_max = MAX(idle_ms_max, idle_ms);
+        at_work_ms_max = MAX(at_work_ms_max, at_work_ms);
+    }
+    g_test_message("idle %lld ms, at work %lld ms", (long long)idle_ms_max,
+                   (long long)at_work_ms_max);
+    g_assert_cmpint(at_work_ms_max, <=, HARM_MS_MAX);
+    g_assert_cmpint(idle_ms_max, <=, IDLE_MS_MAX);
+    fleet_finish(&fleet);
+}
+
+/* A filler that may run nowhere must not keep others from being placed. */
+static void
+test_disturbing_filler_delays_no_others(void)
+{
+    const interruption_t desc = {
+        .workers = 4, .stop_ms = 400, .spread_ms = 500, .serving = true};
+    fleet_t fleet;
+    fleet_init(&fleet, &desc);
+    start_serving(&fleet);
+    fleet_add_job(&fleet, JOB, burner);
+    for (uint32_t i = 0; i < 5000 / TICK_MS; i++) {
+        fleet_advance(&fleet);
+    }
+    fleet.next_filler_ms = fleet.sim.now_ms;
+    for (uint32_t i = 0; i < 3000 / TICK_MS; i++) {
+        fleet_advance(&fleet);
+    }
+    nm_step_t large = burner;
+    large.cpu_milli = 300;
+    large.memory_mb = 40000;
+    nm_strcopy(large.image, sizeof(large.image), "press");
+    fleet_add_job(&fleet, LARGE_JOB, large);
+    nm_ms_t begin_ms = fleet.sim.now_ms;
+    while (count_runs(&fleet, LARGE_JOB) == 0 &&
+           fleet.sim.now_ms - begin_ms < INTERRUPTED_LIMIT_MS)
+    {
+        fleet_advance(&fleet);
+    }
+    nm_ms_t wait_ms = fleet.sim.now_ms - begin_ms;
+    g_test_message("waited %lld ms", (long long)wait_ms);
+    g_assert_cmpint(wait_ms, <=, IDLE_MS_MAX);
+    fleet_finish(&fleet);
+}
+
 static void
 test_interruption(gconstpointer data)
 {
@@ -787,6 +900,10 @@
          test_due_occurrence_starts_without_events},
         {"/sched/unplaceable-filler-delays-no-others",
          test_unplaceable_filler_delays_no_others},
+        {"/sched/disturbing-filler-is-tried-again",
+         test_disturbing_filler_is_tried_again},
+        {"/sched/disturbing-filler-delays-no-others",
+         test_disturbing_filler_delays_no_others},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
