Scheduler: no worker is held for a filler that is refused there

What callers would see: while one filler whose image disturbs all serving tasks waits, large fillers of other images are not started among small ones. Cause: a worker was held for the job that is idle for longest, also if the predicted cost refuses its filler there; with up to 20 workers that is the only one that may be held, and the hold was renewed for ever. Change: a worker is held for a filler only where its cost is acceptable beside the fillers that are there. Measured: disturbing-filler-delays-no-others is started after 1.8 s (not within 60 s before, bound 3 s).

--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -96,7 +96,7 @@
 
 /* Adds each worker that will have room for tasks of the gang. */
 static void
-collect_gang_nodes(const nm_sched_t *sched, const nm_candidate_t *candidate,
+collect_gang_nodes(nm_sched_t *sched, const nm_candidate_t *candidate,
                    bool after_short_tasks, GArray *nodes, nm_ms_t now_ms)
 {
     const nm_step_t *step =
@@ -104,7 +104,7 @@
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
         if (node->reserved_placement == sched->placement_number ||
-            !nm_room_may_hold(node, candidate, now_ms))
+            !nm_room_may_hold(sched, candidate, node, now_ms))
         {
             continue;
         }
@@ -127,7 +127,7 @@
  * none.
  */
 static GArray *
-choose_gang_nodes(const nm_sched_t *sched, const nm_candidate_t *candidate,
+choose_gang_nodes(nm_sched_t *sched, const nm_candidate_t *candidate,
                   bool after_short_tasks, nm_ms_t now_ms)
 {
     GArray *nodes = g_array_new(FALSE, FALSE, sizeof(gang_node_t));
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -71,7 +71,7 @@
     double best_share = -1;
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!nm_room_may_hold(node, candidate, now_ms)) {
+        if (!nm_room_may_hold(sched, candidate, node, now_ms)) {
             continue;
         }
         double share = nm_room_free_share(node, step);
@@ -159,7 +159,7 @@
             free_cpu_milli >= step->cpu_milli &&
             node->accelerators_used + step->accelerators <=
                 node->desc.accelerators &&
-            nm_room_may_hold(node, candidate, now_ms) &&
+            nm_room_may_hold(sched, candidate, node, now_ms) &&
             nm_room_evict_fillers(sched, candidate, node, 1, now_ms))
         {
             return true;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -104,18 +104,32 @@
     return MAX(share, 0);
 }
 
-bool
-nm_room_may_hold(const nm_sched_node_t *node, const nm_candidate_t *candidate,
-                 nm_ms_t now_ms)
+/* The predicted cost is that beside the fillers that it has now. */
+static bool
+disturbs(nm_sched_t *sched, const nm_candidate_t *candidate,
+         nm_sched_node_t *node, nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (!step->is_filler || node->serving_count == 0) {
+        return false;
+    }
+    double cost = nm_sched_filler_cost(sched, node, step,
+                                       job->images[candidate->step], now_ms);
+    return !node->has_headroom || !nm_sched_filler_cost_is_acceptable(cost);
+}
+
+bool
+nm_room_may_hold(nm_sched_t *sched, const nm_candidate_t *candidate,
+                 nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
     bool taken = candidate->order_class != NM_CLASS_OVERDUE &&
                  nm_choice_is_held_for_other(node, candidate, now_ms);
-    bool disturbs =
-        step->is_filler && node->serving_count > 0 && !node->has_headroom;
-    return !taken && !disturbs &&
-           nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms);
+    return !taken &&
+           nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                 now_ms) &&
+           !disturbs(sched, candidate, node, now_ms);
 }
 
 void
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -113,8 +113,8 @@
  */
 double nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step);
 /* True if a worker may be held for a step, whether tasks will fit or not. */
-bool nm_room_may_hold(const nm_sched_node_t *node,
-                      const nm_candidate_t *candidate, nm_ms_t now_ms);
+bool nm_room_may_hold(nm_sched_t *sched, const nm_candidate_t *candidate,
+                      nm_sched_node_t *node, nm_ms_t now_ms);
 /* Keeps what becomes free on a worker for a step. */
 void nm_room_hold(nm_sched_node_t *node, const nm_candidate_t *candidate,
                   nm_ms_t now_ms);
