Scheduler: a filler that is refused by cost everywhere is tried

What callers would see: a filler whose image is predicted to disturb the serving tasks of all workers is never started again. Cause: the predicted cost forbids it everywhere, whatever its job's wait, and a prediction that is not tried is not corrected either. Gangs are not tried, and none where no worker has headroom.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -126,10 +126,28 @@
     return false;
 }
 
+/*
+ * True if a filler may start although its predicted cost is too high; a gang
+ * would disturb many workers at once.
+ */
+static bool
+may_try(const nm_sched_t *sched, const nm_candidate_t *candidate,
+        nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    return candidate->order_class == NM_CLASS_IDLE &&
+           !job->spec.steps[candidate->step].is_gang &&
+           nm_sched_filler_may_be_tried(sched, now_ms - job->idle_since_ms,
+                                        now_ms);
+}
+
 static bool
-score_filler_node(nm_sched_t *sched, const nm_step_t *step, uint32_t image,
+score_filler_node(nm_sched_t *sched, const nm_candidate_t *candidate,
                   nm_sched_node_t *node, nm_ms_t now_ms, double *score)
 {
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    uint32_t image = job->images[candidate->step];
     if (!nm_sched_filler_has_capacity(node, step)) {
         return refuse_filler(sched, NM_FILLER_REFUSAL_CAPACITY);
     }
@@ -140,7 +158,9 @@
         return refuse_filler(sched, NM_FILLER_REFUSAL_CANARY);
     }
     double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
-    if (!nm_sched_filler_cost_is_acceptable(cost)) {
+    if (!nm_sched_filler_cost_is_acceptable(cost) &&
+        !may_try(sched, candidate, now_ms))
+    {
         return refuse_filler(sched, NM_FILLER_REFUSAL_COST);
     }
     *score = -cost;
@@ -175,9 +195,7 @@
         return false;
     }
     if (step->is_filler) {
-        if (!score_filler_node(sched, step, job->images[candidate->step], node,
-                               now_ms, score))
-        {
+        if (!score_filler_node(sched, candidate, node, now_ms, score)) {
             return false;
         }
     }
@@ -222,9 +240,11 @@
                 nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
-    if (job->spec.steps[candidate->step].is_filler) {
-        nm_sched_filler_count_canary(sched, node, job->images[candidate->step],
-                                     now_ms);
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (step->is_filler) {
+        uint32_t image = job->images[candidate->step];
+        nm_sched_filler_count_canary(sched, node, image, now_ms);
+        nm_sched_filler_count_trial(sched, node, step, image, now_ms);
     }
     if (node->hold.occurrence == candidate->occurrence &&
         node->hold.step == candidate->step)
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -9,9 +9,9 @@
  * Load: more fillers than fit beside the serving tasks, with an effect on tail
  * latencies that differs by image and is measured late.  A filler goes where
  * it adds the least risk of missed targets, and nowhere if that costs more
- * than it earns.  Running fillers are paused or evicted only once a tail was
- * measured over its target for some time, as a stop loses work for certain;
- * paused ones resume when the risk is small.
+ * than it earns, but for trials.  Running fillers are paused or evicted only
+ * once a tail was measured over its target for some time, as a stop loses work
+ * for certain; paused ones resume when the risk is small.
  */
 #include "sched_state.h"
 
@@ -34,6 +34,14 @@
 #define CANARY_COUNT_MIN 8
 /* Time from a start until a metric shows its effect. */
 #define CANARY_RESULT_MS 1150
+/*
+ * A filler whose cost is acceptable on no worker is tried beside tails with
+ * headroom once its job has been idle for this long, as the rules allow 3 s;
+ * so often at most.  It is paused or evicted like any other, before the
+ * serving tasks are over their target for too long.
+ */
+#define TRIAL_WAIT_MS 2000
+#define TRIAL_INTERVAL_MS 500
 /* A filler stays paused or resumed for at least this long. */
 #define THROTTLE_HOLD_MIN_MS 800
 /* A filler that is paused for longer is evicted, to run on another worker. */
@@ -139,6 +147,25 @@
     return cost < START_COST_MAX;
 }
 
+bool
+nm_sched_filler_may_be_tried(const nm_sched_t *sched, nm_ms_t idle_ms,
+                             nm_ms_t now_ms)
+{
+    return idle_ms >= TRIAL_WAIT_MS &&
+           now_ms - sched->filler_tried_ms >= TRIAL_INTERVAL_MS;
+}
+
+void
+nm_sched_filler_count_trial(nm_sched_t *sched, nm_sched_node_t *node,
+                            const nm_step_t *step, uint32_t image,
+                            nm_ms_t now_ms)
+{
+    double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
+    if (!nm_sched_filler_cost_is_acceptable(cost)) {
+        sched->filler_tried_ms = now_ms;
+    }
+}
+
 double
 nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node)
 {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -325,6 +325,7 @@
     double idle_start_credit; /* starts of idle jobs on a reserved service */
     nm_ms_t placed_ms;
     nm_ms_t fillers_checked_ms;
+    nm_ms_t filler_tried_ms;   /* newest trial, see sched_filler.c */
     nm_ms_t filler_started_ms; /* newest start of a filler */
     int64_t unix_ms;           /* wall clock of the newest round */
     nm_interference_t interference;
@@ -525,6 +526,16 @@
 bool nm_sched_filler_has_capacity(const nm_sched_node_t *node,
                                   const nm_step_t *step);
 bool nm_sched_filler_cost_is_acceptable(double cost);
+/*
+ * True if a filler of a job that has been idle for so long may start where its
+ * cost is not acceptable, as a trial.
+ */
+bool nm_sched_filler_may_be_tried(const nm_sched_t *sched, nm_ms_t idle_ms,
+                                  nm_ms_t now_ms);
+/* Counts a start if its cost is not acceptable. */
+void nm_sched_filler_count_trial(nm_sched_t *sched, nm_sched_node_t *node,
+                                 const nm_step_t *step, uint32_t image,
+                                 nm_ms_t now_ms);
 /*
  * True if the effect of an image on a worker's serving tasks is unknown and
  * enough canaries of the image were started already.
