Fix: tasks are given up for a worker that crashes by itself

Callers saw: jobs shown as failed, also long-running ones, though none of their tasks had done anything wrong, after one worker had crashed whatever started on it. Cause: suspects prefer the emptiest worker, which is the one that has just crashed; three such crashes in a row were enough.

A suspect now goes to a worker that has not crashed in the last 10 s and on which it was not lost before, as long as one has room; this is a score, so that after many crashes at once, or with one worker left, tasks start as soon as before. If only a worker that has crashed twice in that time could take it, it waits for the trial of another suspect elsewhere.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -203,10 +203,31 @@
         *score = node_score(node, step);
     }
     *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
-    *score -= nm_crashes_penalty(node, task);
+    *score -= nm_crashes_penalty(node, task, now_ms);
     return true;
 }
 
+bool
+nm_choice_waits_for_trial(const nm_sched_t *sched,
+                          const nm_candidate_t *candidate,
+                          const nm_task_t *task, bool avoid_flapping,
+                          nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (nm_choice_fits(node, step) && nm_crashes_conflict(node, task) &&
+            !(avoid_flapping && nm_crashes_is_flapping(node, now_ms)) &&
+            nm_choice_is_eligible(node, candidate, nm_job_service(job),
+                                  now_ms))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 nm_sched_node_t *
 nm_choice_find_node(nm_sched_t *sched, const nm_candidate_t *candidate,
                     nm_task_t *task, nm_ms_t now_ms)
@@ -231,6 +252,11 @@
             best_score = score;
         }
     }
+    if (best && nm_crashes_is_flapping(best, now_ms) &&
+        nm_choice_waits_for_trial(sched, candidate, task, true, now_ms))
+    {
+        return NULL;
+    }
     return best;
 }
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -205,25 +205,6 @@
     }
 }
 
-/* True if a worker has room for a task but the trial of another suspect. */
-static bool
-waits_for_trial(const nm_sched_t *sched, const nm_candidate_t *candidate,
-                const nm_task_t *task, nm_ms_t now_ms)
-{
-    const nm_sched_job_t *job = candidate->occurrence->job;
-    const nm_step_t *step = &job->spec.steps[candidate->step];
-    for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (nm_choice_fits(node, step) && nm_crashes_conflict(node, task) &&
-            nm_choice_is_eligible(node, candidate, nm_job_service(job),
-                                  now_ms))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Places a gang, or makes room for it on all the workers that it needs. */
 static void
 place_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -302,7 +283,7 @@
             }
             continue;
         }
-        if (waits_for_trial(sched, candidate, task, now_ms)) {
+        if (nm_choice_waits_for_trial(sched, candidate, task, false, now_ms)) {
             all_placed = false;
             continue;
         }
@@ -360,7 +341,8 @@
         nm_choice_start(sched, candidate, task, node, 0, now_ms);
         sched->idle_start_credit -= candidate->takes_credit;
     }
-    else if (!waits_for_trial(sched, candidate, task, now_ms)) {
+    else if (!nm_choice_waits_for_trial(sched, candidate, task, false, now_ms))
+    {
         record_unplaced_filler(&round->unplaced_idle, step);
         hold_node(sched, candidate, round, now_ms);
     }
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -67,7 +67,10 @@
     return failures;
 }
 
-/* Encodes occurrence, step and index of a task, then its crashes. */
+/*
+ * Encodes occurrence, step and index of a task, its crashes, and the worker of
+ * all of them.
+ */
 static json_t *
 encode_crashes(const nm_sched_job_t *job)
 {
@@ -79,7 +82,9 @@
                 if (task->crashes > 0 && task->state != NM_RUN_DONE) {
                     json_array_append_new(
                         crashes,
-                        json_pack("[i,i,i,i]", o, s, i, task->crashes));
+                        json_pack("[i,i,i,I,I]", o, s, i,
+                                  (json_int_t)task->crashes,
+                                  (json_int_t)task->crash_worker_hash));
                 }
             }
         }
@@ -162,7 +167,9 @@
     json_int_t crashes =
         json_integer_value(json_array_get(row, ROW_POSITION_COUNT));
     if (task && crashes > 0) {
+        json_t *worker = json_array_get(row, ROW_POSITION_COUNT + 1);
         task->crashes = (uint32_t)MIN(crashes, UINT32_MAX);
+        task->crash_worker_hash = (uint32_t)json_integer_value(worker);
     }
 }
 
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -87,9 +87,18 @@
 bool nm_choice_is_held_for_other(const nm_sched_node_t *node,
                                  const nm_candidate_t *candidate,
                                  nm_ms_t now_ms);
+/*
+ * True if a worker has room for a suspect but the trial of another one; with
+ * avoid_flapping, only workers that are not flapping count.
+ */
+bool nm_choice_waits_for_trial(const nm_sched_t *sched,
+                               const nm_candidate_t *candidate,
+                               const nm_task_t *task, bool avoid_flapping,
+                               nm_ms_t now_ms);
 /*
  * Returns the best of the first workers that a task fits on, from a random
- * position in the list; NULL if it fits nowhere.
+ * position in the list; NULL if it fits nowhere.  A suspect rather waits for
+ * another worker than to start on one that is flapping.
  */
 nm_sched_node_t *nm_choice_find_node(nm_sched_t *sched,
                                      const nm_candidate_t *candidate,
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -133,6 +133,8 @@
     uint32_t index;
     nm_run_state_t state;
     uint32_t crashes; /* runs in a row that were lost soon after their start */
+    /* Worker of all these crashes; 0: several workers, or not known. */
+    uint32_t crash_worker_hash;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -259,7 +261,11 @@
     bool last_call_lost;    /* its last call got no response */
     bool poll_pending;
     nm_ms_t poll_due_ms;
-    nm_ms_t alive_ms;    /* when its newest response came */
+    nm_ms_t alive_ms;   /* when its newest response came */
+    uint32_t id_hash;   /* never 0 */
+    nm_ms_t crashed_ms; /* an incarnation last ended by surprise; 0: none */
+    int64_t crashed_incarnation; /* the one that did */
+    uint32_t crashes;    /* such ends, each soon after the one before */
     nm_ms_t reported_ms; /* when the newest poll with a response was sent */
     nm_ms_t report_expected_ms; /* usual latest time of the next report */
     /* Its clock shows clock_ms or more at clock_at_ms of the owner's. */
@@ -449,8 +455,14 @@
  * just started there, of another job, may crash it.
  */
 bool nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task);
+/*
+ * True if a worker has crashed again and again, by itself or by its tasks, so
+ * that the next crash would say little about a task.
+ */
+bool nm_crashes_is_flapping(const nm_sched_node_t *node, nm_ms_t now_ms);
 /* Penalty in the score of a worker, for what a crash there would cost. */
-double nm_crashes_penalty(const nm_sched_node_t *node, const nm_task_t *task);
+double nm_crashes_penalty(const nm_sched_node_t *node, const nm_task_t *task,
+                          nm_ms_t now_ms);
 
 /* sched_record.c */
 /* Returns a job's progress as JSON text, to be freed with g_free. */
--- a/tests/test_sched_crash.c
+++ b/tests/test_sched_crash.c
@@ -257,6 +257,151 @@
     crash_sim_finish(&crash);
 }
 
+static bool
+worker_runs_task(const crash_sim_t *crash, const char *worker)
+{
+    for (guint i = 0; i < crash->running->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(crash->running, nm_sched_action_t, i);
+        if (strcmp(action->worker, worker) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * A worker that crashes whatever starts on it, and is back at once, must not
+ * get the same tasks until they are given up.
+ */
+static void
+test_tasks_leave_crashing_worker(void)
+{
+    enum { JOBS = 12 };
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    for (char w = 'c'; w < 'a' + WORKERS; w++) {
+        crash_worker(&crash, (char[]){w, '\0'});
+    }
+    char ids[JOBS][NM_JOB_ID_MAX];
+    for (uint32_t i = 0; i < JOBS; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "%016x", i + 1);
+        sched_sim_add_job(&crash.sim, ids[i], true, 1, 1000, false);
+    }
+    crash_sim_run(&crash, "", STEP_MS);
+    g_assert_cmpuint(crash.running->len, >, 0);
+    char worker[NM_NAME_MAX];
+    nm_strcopy(worker, sizeof(worker),
+               g_array_index(crash.running, nm_sched_action_t, 0).worker);
+    for (nm_ms_t t = 0; t < 5 * LAPSE_MS; t += STEP_MS) {
+        if (worker_runs_task(&crash, worker)) {
+            crash_worker(&crash, worker);
+            crash.silent[worker[0] - 'a'] = false;
+            crash.incarnations[worker[0] - 'a']++;
+            sched_sim_announce(&crash.sim, worker,
+                               crash.incarnations[worker[0] - 'a']);
+        }
+        crash_sim_run(&crash, "", STEP_MS);
+    }
+    for (uint32_t i = 0; i < JOBS; i++) {
+        g_assert_cmpint(nm_sched_query_job(crash.sim.sched, ids[i]), ==,
+                        NM_JOB_RUNNING);
+    }
+    crash_sim_finish(&crash);
+}
+
+/* Lets each worker crash that is up; all are silent then. */
+static void
+crash_all_workers(crash_sim_t *crash)
+{
+    for (char w = 'a'; w < 'a' + WORKERS; w++) {
+        crash_worker(crash, (char[]){w, '\0'});
+    }
+}
+
+/*
+ * A rack or a service that loses its power is no task's fault: long-running
+ * tasks must be at work again in time, whether the workers are back before or
+ * after their leases have lapsed.
+ */
+static void
+test_all_workers_crash_at_once(void)
+{
+    enum { JOBS = 3 * WORKERS, BACK_MS_MAX = 9000 };
+    static const nm_ms_t away_ms[] = {100, 3000, LAPSE_MS};
+    for (size_t i = 0; i < NM_COUNT_OF(away_ms); i++) {
+        crash_sim_t crash;
+        crash_sim_init(&crash, 1);
+        for (uint32_t j = 0; j < JOBS; j++) {
+            char id[NM_JOB_ID_MAX];
+            g_snprintf(id, sizeof(id), "%016x", j + 1);
+            sched_sim_add_job(&crash.sim, id, true, 1, 1000, false);
+        }
+        /* The second time, most tasks are suspected already. */
+        for (int round = 0; round < 2; round++) {
+            crash_sim_run(&crash, "", 300);
+            g_assert_cmpuint(crash.running->len, >, 0);
+            crash_all_workers(&crash);
+            crash_sim_run(&crash, "", away_ms[i]);
+            restart_workers(&crash);
+        }
+        nm_ms_t begin_ms = crash.sim.now_ms;
+        while (crash.running->len < JOBS &&
+               crash.sim.now_ms - begin_ms < BACK_MS_MAX) {
+            crash_sim_run(&crash, "", STEP_MS);
+        }
+        g_assert_cmpuint(crash.running->len, ==, JOBS);
+        crash_sim_finish(&crash);
+    }
+}
+
+/* The only worker left has crashed lately; it must still be used. */
+static void
+test_last_worker_is_used(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    for (char w = 'b'; w < 'a' + WORKERS; w++) {
+        crash_worker(&crash, (char[]){w, '\0'});
+    }
+    sched_sim_add_job(&crash.sim, JOB, true, 1, 1000, false);
+    for (int i = 0; i < 3; i++) {
+        crash_sim_run(&crash, "", 300);
+        g_assert_cmpuint(crash.running->len, ==, 1);
+        crash_worker(&crash, "a");
+        crash.silent[0] = false;
+        crash.incarnations[0]++;
+        sched_sim_announce(&crash.sim, "a", crash.incarnations[0]);
+    }
+    crash_sim_run(&crash, "", 300);
+    g_assert_cmpuint(crash.running->len, ==, 1);
+    crash_sim_finish(&crash);
+}
+
+/* The only worker that can run a deadly task is back after each crash. */
+static void
+test_starts_on_one_worker_are_bounded(void)
+{
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    for (char w = 'b'; w < 'a' + WORKERS; w++) {
+        crash_worker(&crash, (char[]){w, '\0'});
+    }
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    for (int i = 0; i < 20; i++) {
+        crash_sim_run(&crash, TASK, 3000);
+        if (crash.silent[0]) {
+            crash.silent[0] = false;
+            crash.incarnations[0]++;
+            sched_sim_announce(&crash.sim, "a", crash.incarnations[0]);
+        }
+    }
+    g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+    g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                    NM_JOB_FAILED);
+    crash_sim_finish(&crash);
+}
+
 /* Workers out of reach that stay announced have not crashed. */
 static void
 test_cut_off_workers_are_not_counted(void)
@@ -303,6 +448,13 @@
                     test_starts_are_bounded_after_takeover);
     g_test_add_func("/sched/tasks-beside-crashing-one-are-kept",
                     test_other_tasks_are_kept);
+    g_test_add_func("/sched/tasks-leave-crashing-worker",
+                    test_tasks_leave_crashing_worker);
+    g_test_add_func("/sched/all-workers-crash-at-once",
+                    test_all_workers_crash_at_once);
+    g_test_add_func("/sched/last-worker-is-used", test_last_worker_is_used);
+    g_test_add_func("/sched/crashing-task-starts-on-one-worker-are-bounded",
+                    test_starts_on_one_worker_are_bounded);
     g_test_add_func("/sched/late-crashes-are-not-counted",
                     test_late_crashes_are_not_counted);
     g_test_add_func("/sched/cut-off-workers-are-not-counted",
