Fix: a crash before a takeover is not counted

Callers saw: a job that never ends while owners are replaced, with one worker crashed per owner. Cause: a crash is counted once the worker's lease has lapsed, 7 s after it falls silent; an owner that is replaced before that takes what it has seen with it.

When a worker does not respond any more, the tasks that had just started there are now stored with its incarnation, in the job's progress record ("silences", which earlier versions ignore). The next owner counts the crash once no worker runs the task and that incarnation is not announced any more; if it is, the worker was only cut off. It costs one write for each job that has just started a task on a worker that falls silent, and one if it is heard again.

--- a/src/sched.c
+++ b/src/sched.c
@@ -302,13 +302,14 @@
 }
 
 static void
-requeue_unknown_runs(nm_sched_t *sched, nm_sched_job_t *job)
+requeue_unknown_runs(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
 {
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 nm_task_t *task = &job->occurrences[o].tasks[s][i];
                 if (task->state == NM_RUN_UNKNOWN) {
+                    nm_crashes_on_inherited(sched, task, now_ms);
                     nm_task_requeue(sched, task);
                 }
             }
@@ -331,7 +332,7 @@
     for (guint i = 0; i < sched->active->len; i++) {
         nm_sched_job_t *job = sched->active->pdata[i];
         if (!job->progress_unreadable) {
-            requeue_unknown_runs(sched, job);
+            requeue_unknown_runs(sched, job, now_ms);
         }
     }
 }
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -10,8 +10,14 @@
  * the tasks lost, the others are not suspected for that.  Tasks of one job
  * need not be told apart, as it fails with any of them.
  *
+ * A crash is certain once the worker's lease has lapsed, seconds after it fell
+ * silent.  In case the owner changes in between, the tasks that may have
+ * caused it are stored at once; if none of the workers runs such a task, and
+ * its worker is gone, the next owner counts the crash.
+ *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
- * tasks of a worker, sched_response.c calls nm_crashes_on_running, and
+ * tasks of a worker, sched_response.c calls nm_crashes_on_running and
+ * nm_crashes_on_silence, sched.c calls nm_crashes_on_inherited, and
  * sched_choice.c asks for conflicts and penalties.
  *
  * Load: workers that crash with tens of tasks each, many at a time, also
@@ -46,17 +52,12 @@
 }
 
 static void
-record_lost_run(nm_sched_t *sched, nm_task_t *task, uint32_t crashes_min)
+count_crash(nm_sched_t *sched, nm_task_t *task, uint32_t worker_hash)
 {
-    nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_LOST, task,
-                           MAX(task->node->alive_ms - task->begun_ms, 0));
-    if (task->crashes < crashes_min) {
-        return; /* another task is more likely to be the cause */
-    }
     if (task->crashes == 0) {
-        task->crash_worker_hash = task->node->id_hash;
+        task->crash_worker_hash = worker_hash;
     }
-    else if (task->crash_worker_hash != task->node->id_hash) {
+    else if (task->crash_worker_hash != worker_hash) {
         task->crash_worker_hash = 0;
     }
     task->crashes++;
@@ -70,20 +71,81 @@
                                         : CRASHES_ON_ONE_WORKER_MAX;
 }
 
-/* Gives up tasks that have crashed too many workers; their jobs fail. */
+/* Gives up a task that has crashed too many workers; its job fails. */
 static void
-give_up_tasks(nm_sched_t *sched, const nm_sched_node_t *node, nm_ms_t now_ms)
+check_given_up(nm_sched_t *sched, const nm_task_t *task, nm_ms_t now_ms)
+{
+    nm_sched_job_t *job = task->occurrence->job;
+    if (task->crashes >= crashes_max(task) && job->state < NM_JOB_COMPLETED) {
+        nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
+                               task->crashes);
+        nm_job_fail(sched, job, now_ms);
+    }
+}
+
+/*
+ * Returns the most crashes of the tasks that have just started on a worker; a
+ * task with fewer is less likely to be the cause of the next one.
+ */
+static uint32_t
+most_crashes(const nm_sched_node_t *node)
 {
+    uint32_t crashes = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        nm_sched_job_t *job = task->occurrence->job;
-        if (task->crashes >= crashes_max(task) &&
-            job->state < NM_JOB_COMPLETED) {
-            nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
-                                   task->crashes);
-            nm_job_fail(sched, job, now_ms);
+        if (is_starting_up(task)) {
+            crashes = MAX(crashes, task->crashes);
+        }
+    }
+    return crashes;
+}
+
+void
+nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node)
+{
+    uint32_t crashes_min = most_crashes(node);
+    bool leaves = node->desc.state == NM_WORKER_DRAINING;
+    for (guint i = 0; i < node->tasks->len && !leaves; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        if (is_starting_up(task) && task->crashes >= crashes_min) {
+            task->silent_worker_hash = node->id_hash;
+            task->silent_incarnation = node->desc.incarnation;
+            nm_sched_mark_changed(sched, task->occurrence->job, false);
+        }
+    }
+}
+
+void
+nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task)
+{
+    if (task->silent_worker_hash != 0) {
+        task->silent_worker_hash = 0;
+        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    }
+}
+
+/* True if the worker that a task started on is still the same one. */
+static bool
+silent_worker_is_up(const nm_sched_t *sched, const nm_task_t *task)
+{
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->id_hash == task->silent_worker_hash && node->announced &&
+            node->desc.incarnation == task->silent_incarnation)
+        {
+            return true;
         }
     }
+    return false;
+}
+
+void
+nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->silent_worker_hash != 0 && !silent_worker_is_up(sched, task)) {
+        count_crash(sched, task, task->silent_worker_hash);
+        check_given_up(sched, task, now_ms);
+    }
 }
 
 static bool
@@ -98,27 +160,28 @@
                               nm_ms_t now_ms)
 {
     bool by_surprise = node->desc.state != NM_WORKER_DRAINING;
-    uint32_t crashes_min = 0;
+    uint32_t crashes_min = most_crashes(node);
     if (by_surprise && node->desc.incarnation != node->crashed_incarnation) {
         node->crashed_incarnation = node->desc.incarnation;
         node->crashes =
             has_crashed_lately(node, now_ms) ? node->crashes + 1 : 1;
         node->crashed_ms = now_ms;
     }
-    for (guint i = 0; i < node->tasks->len && by_surprise; i++) {
-        const nm_task_t *task = node->tasks->pdata[i];
-        if (is_starting_up(task)) {
-            crashes_min = MAX(crashes_min, task->crashes);
-        }
-    }
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         if (by_surprise && is_starting_up(task)) {
-            record_lost_run(sched, task, crashes_min);
+            nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_LOST, task,
+                                   MAX(node->alive_ms - task->begun_ms, 0));
+            if (task->crashes >= crashes_min) {
+                count_crash(sched, task, node->id_hash);
+            }
         }
+        nm_crashes_clear_silence(sched, task);
         task->begun_ms = 0; /* each run is recorded once */
     }
-    give_up_tasks(sched, node, now_ms);
+    for (guint i = 0; i < node->tasks->len; i++) {
+        check_given_up(sched, node->tasks->pdata[i], now_ms);
+    }
 }
 
 void
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -92,6 +92,32 @@
     return crashes;
 }
 
+/*
+ * Encodes occurrence, step and index of a task, and the incarnation that fell
+ * silent soon after the task's start.
+ */
+static json_t *
+encode_silences(const nm_sched_job_t *job)
+{
+    json_t *silences = json_array();
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                if (task->silent_worker_hash != 0 &&
+                    task->state != NM_RUN_DONE) {
+                    json_array_append_new(
+                        silences,
+                        json_pack("[i,i,i,I,I]", o, s, i,
+                                  (json_int_t)task->silent_worker_hash,
+                                  (json_int_t)task->silent_incarnation));
+                }
+            }
+        }
+    }
+    return silences;
+}
+
 char *
 nm_sched_encode_progress(const nm_sched_job_t *job)
 {
@@ -103,6 +129,7 @@
         json_object_set_new(record, "done", encode_occurrences(job));
         json_object_set_new(record, "failures", encode_failures(job));
         json_object_set_new(record, "crashes", encode_crashes(job));
+        json_object_set_new(record, "silences", encode_silences(job));
     }
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
@@ -173,6 +200,18 @@
     }
 }
 
+static void
+restore_silence(nm_sched_job_t *job, const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row);
+    if (task) {
+        json_t *worker = json_array_get(row, ROW_POSITION_COUNT);
+        json_t *incarnation = json_array_get(row, ROW_POSITION_COUNT + 1);
+        task->silent_worker_hash = (uint32_t)json_integer_value(worker);
+        task->silent_incarnation = json_integer_value(incarnation);
+    }
+}
+
 int
 nm_sched_restore(nm_sched_t *sched, const char *id, const void *data,
                  uint32_t bytes)
@@ -225,6 +264,10 @@
     {
         restore_crashes(job, row);
     }
+    json_array_foreach(json_object_get(record, "silences"), i, row)
+    {
+        restore_silence(job, row);
+    }
     json_decref(record);
     return NM_OK;
 }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -262,6 +262,7 @@
     task->throttled_ms = 0;
     task->order_due_ms = 0;
     task->observed = false;
+    nm_crashes_clear_silence(sched, task);
     nm_task_attach(task, node);
     nm_sched_job_t *job = task->occurrence->job;
     job->started = true;
@@ -379,6 +380,9 @@
     if (!node->reachable) {
         nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_RECOVERED,
                            node->desc.id, node->poll_failures);
+        for (guint i = 0; i < node->tasks->len; i++) {
+            nm_crashes_clear_silence(sched, node->tasks->pdata[i]);
+        }
     }
     node->reported_ms = report->sent_ms;
     node->reachable = true;
@@ -430,6 +434,7 @@
         if (was_reachable && !node->reachable) {
             nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_UNRESPONSIVE,
                                worker, node->poll_failures);
+            nm_crashes_on_silence(sched, node);
         }
         node->ends_acked_sent = 0;
         node->poll_due_ms =
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -135,6 +135,12 @@
     uint32_t crashes; /* runs in a row that were lost soon after their start */
     /* Worker of all these crashes; 0: several workers, or not known. */
     uint32_t crash_worker_hash;
+    /*
+     * Worker that fell silent soon after the task's start there, perhaps as it
+     * crashed; 0: none.
+     */
+    uint32_t silent_worker_hash;
+    int64_t silent_incarnation;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -448,6 +454,19 @@
  */
 void nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
                                    nm_ms_t now_ms);
+/*
+ * Records which tasks may have crashed a worker that does not respond any
+ * more, so that a next owner knows of them.
+ */
+void nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node);
+/* To be called when a task of a silent worker is heard of, or requeued. */
+void nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task);
+/*
+ * Counts a crash that the former owner could not know of, for a task that no
+ * worker runs.  Its job may fail.
+ */
+void nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task,
+                             nm_ms_t now_ms);
 /* Clears the count of a task that its worker reports to be at work. */
 void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /*
--- a/tests/test_sched_crash.c
+++ b/tests/test_sched_crash.c
@@ -20,6 +20,7 @@
     bool silent[WORKERS];
     GArray *running;           /* of nm_sched_action_t: confirmed starts */
     uint32_t starts_of_deadly; /* since the beginning */
+    char *record;              /* newest one of JOB that is stored, or NULL */
 } crash_sim_t;
 
 static void
@@ -38,9 +39,27 @@
 crash_sim_finish(crash_sim_t *crash)
 {
     g_array_free(crash->running, TRUE);
+    g_free(crash->record);
     sched_sim_finish(&crash->sim);
 }
 
+/* Stores all records. */
+static void
+save_records(crash_sim_t *crash)
+{
+    nm_sched_save_t save;
+    while (nm_sched_next_save(crash->sim.sched, &save)) {
+        nm_sched_confirm_save(crash->sim.sched, &save, true);
+        if (strcmp(save.job, JOB) == 0) {
+            g_free(crash->record);
+            crash->record = save.record;
+        }
+        else {
+            g_free(save.record);
+        }
+    }
+}
+
 /* The worker's runs are gone; it does not respond, and its entry expires. */
 static void
 crash_worker(crash_sim_t *crash, const char *worker)
@@ -114,7 +133,7 @@
                 report_worker(crash, w);
             }
         }
-        sched_sim_save_all(&crash->sim);
+        save_records(crash);
     }
 }
 
@@ -219,6 +238,113 @@
     crash_sim_finish(&successor);
 }
 
+/*
+ * Replaces the owner.  The next one knows what is stored; it expects each
+ * worker, but silent ones are not announced.
+ */
+static void
+replace_owner(crash_sim_t *crash, int64_t epoch)
+{
+    sched_sim_finish(&crash->sim);
+    sched_sim_init(&crash->sim, epoch);
+    sched_sim_add_job(&crash->sim, JOB, false, 1, 1000, true);
+    if (crash->record) {
+        g_assert_cmpint(nm_sched_restore(crash->sim.sched, JOB, crash->record,
+                                         (uint32_t)strlen(crash->record)),
+                        ==, NM_OK);
+    }
+    for (char w = 'a'; w < 'a' + WORKERS; w++) {
+        const char id[] = {w, '\0'};
+        nm_sched_expect_worker(crash->sim.sched, id, crash->sim.now_ms);
+        if (!crash->silent[w - 'a']) {
+            sched_sim_announce(&crash->sim, id, crash->incarnations[w - 'a']);
+        }
+    }
+}
+
+/* What becomes of a worker that falls silent before the owner changes. */
+typedef enum {
+    FATE_GONE,
+    FATE_BACK_BEFORE,    /* a new incarnation, before the owner is replaced */
+    FATE_BACK_AFTER,     /* a new incarnation, soon after it is replaced */
+    FATE_CUT_OFF,        /* the same incarnation, but not the task */
+    FATE_CUT_OFF_AT_WORK /* the same incarnation, still with the task */
+} fate_t;
+
+/* The owner is replaced each time before it can know of the crash. */
+static void
+run_with_replaced_owners(crash_sim_t *crash, fate_t fate)
+{
+    enum { OWNERS = 11, NOTICE_MS = 500 };
+    bool crashes = fate <= FATE_BACK_AFTER;
+    crash_sim_init(crash, 1);
+    sched_sim_add_job(&crash->sim, JOB, false, 1, 1000, false);
+    for (int64_t epoch = 2; epoch < 2 + OWNERS; epoch++) {
+        uint32_t starts = crash->starts_of_deadly;
+        nm_ms_t begin_ms = crash->sim.now_ms;
+        while (crash->sim.now_ms - begin_ms < 3 * LAPSE_MS &&
+               (crashes ? crash->starts_of_deadly == starts
+                        : crash->running->len == 0))
+        {
+            crash_sim_run(crash, crashes ? TASK : "", STEP_MS);
+        }
+        if (!crashes && crash->running->len > 0) {
+            int w =
+                g_array_index(crash->running, nm_sched_action_t, 0).worker[0] -
+                'a';
+            crash->silent[w] = true;
+            crash_sim_run(crash, "", NOTICE_MS);
+            crash->silent[w] = false;
+            if (fate == FATE_CUT_OFF) {
+                g_array_set_size(crash->running, 0);
+            }
+        }
+        else {
+            crash_sim_run(crash, TASK, NOTICE_MS);
+        }
+        if (fate == FATE_BACK_BEFORE) {
+            for (int w = 0; w < WORKERS; w++) {
+                crash->incarnations[w] += crash->silent[w];
+                crash->silent[w] = false;
+            }
+        }
+        replace_owner(crash, epoch);
+        if (fate == FATE_BACK_AFTER) {
+            crash_sim_run(crash, TASK, 3 * STEP_MS);
+            restart_workers(crash);
+        }
+    }
+    crash_sim_run(crash, crashes ? TASK : "", 3 * LAPSE_MS);
+}
+
+static void
+test_starts_are_bounded_with_replaced_owners(void)
+{
+    for (fate_t fate = FATE_GONE; fate <= FATE_BACK_AFTER; fate++) {
+        crash_sim_t crash;
+        run_with_replaced_owners(&crash, fate);
+        g_assert_cmpuint(crash.starts_of_deadly, >=, 2);
+        g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+        g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                        NM_JOB_FAILED);
+        crash_sim_finish(&crash);
+    }
+}
+
+/* Workers that were only out of reach of the former owners. */
+static void
+test_cut_off_workers_are_not_counted_by_next_owner(void)
+{
+    for (fate_t fate = FATE_CUT_OFF; fate <= FATE_CUT_OFF_AT_WORK; fate++) {
+        crash_sim_t crash;
+        run_with_replaced_owners(&crash, fate);
+        g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                        NM_JOB_RUNNING);
+        g_assert_cmpuint(crash.running->len, ==, 1);
+        crash_sim_finish(&crash);
+    }
+}
+
 /* Other tasks start beside the deadly one; they must run on. */
 static void
 test_other_tasks_are_kept(void)
@@ -446,6 +572,11 @@
                     test_starts_of_long_running_are_bounded);
     g_test_add_func("/sched/crashing-task-starts-are-bounded-after-takeover",
                     test_starts_are_bounded_after_takeover);
+    g_test_add_func(
+        "/sched/crashing-task-starts-are-bounded-with-replaced-owners",
+        test_starts_are_bounded_with_replaced_owners);
+    g_test_add_func("/sched/cut-off-workers-are-not-counted-by-next-owner",
+                    test_cut_off_workers_are_not_counted_by_next_owner);
     g_test_add_func("/sched/tasks-beside-crashing-one-are-kept",
                     test_other_tasks_are_kept);
     g_test_add_func("/sched/tasks-leave-crashing-worker",
