Tests: crashes that come to be known in other ways

A start order without a response, and a worker that is back before its entry has expired, which its entry or its report tells first.

--- a/tests/test_sched_crash.c
+++ b/tests/test_sched_crash.c
@@ -345,6 +345,90 @@
     }
 }
 
+/* How a crash comes to be known. */
+typedef struct {
+    bool unanswered; /* the start order gets no response */
+    bool back;       /* the worker is back before its entry has expired */
+    bool announced;  /* its entry tells so first, else its report */
+} notice_t;
+
+/* Carries out orders of one round; a start of TASK crashes its worker. */
+static void
+apply_orders_noticed(crash_sim_t *crash, const notice_t *notice)
+{
+    for (guint i = 0; i < crash->sim.actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(crash->sim.actions, nm_sched_action_t, i);
+        if (action->type == NM_ACTION_STOP) {
+            nm_sched_on_stop(crash->sim.sched, action,
+                             crash->silent[action->worker[0] - 'a']
+                                 ? NM_ORDER_UNKNOWN
+                                 : NM_ORDER_DONE,
+                             crash->sim.now_ms);
+        }
+        if (action->type != NM_ACTION_START) {
+            continue;
+        }
+        int w = action->worker[0] - 'a';
+        bool reached =
+            !crash->silent[w] && action->incarnation == crash->incarnations[w];
+        nm_order_result_t lost =
+            crash->silent[w] ? NM_ORDER_UNKNOWN : NM_ORDER_NOT_RUN;
+        nm_order_result_t result = !reached             ? lost
+                                   : notice->unanswered ? NM_ORDER_UNKNOWN
+                                                        : NM_ORDER_DONE;
+        nm_sched_on_start(crash->sim.sched, action, result, crash->sim.now_ms);
+        crash->starts_of_deadly += reached;
+        if (reached && notice->back) {
+            crash->incarnations[w]++;
+            if (notice->announced) {
+                sched_sim_announce(&crash->sim, (char[]){(char)('a' + w), 0},
+                                   crash->incarnations[w]);
+            }
+        }
+        else if (reached) {
+            crash->silent[w] = true;
+            nm_sched_deregister_worker(crash->sim.sched,
+                                       (char[]){(char)('a' + w), 0});
+        }
+    }
+}
+
+static void
+test_starts_are_bounded_however_noticed(void)
+{
+    static const notice_t notices[] = {
+        {.unanswered = true},
+        {.back = true},
+        {.back = true, .announced = true},
+        {.unanswered = true, .back = true},
+        {.unanswered = true, .back = true, .announced = true},
+    };
+    for (size_t n = 0; n < NM_COUNT_OF(notices); n++) {
+        crash_sim_t crash;
+        crash_sim_init(&crash, 1);
+        sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+        for (nm_ms_t t = 0; t < 9 * LAPSE_MS; t += STEP_MS) {
+            sched_sim_advance(&crash.sim, STEP_MS);
+            apply_orders_noticed(&crash, &notices[n]);
+            for (char w = 'a'; w < 'a' + WORKERS; w++) {
+                if (crash.silent[w - 'a']) {
+                    sched_sim_lose_poll(&crash.sim, (char[]){w, '\0'});
+                }
+                else {
+                    report_worker(&crash, w);
+                }
+            }
+            save_records(&crash);
+        }
+        g_assert_cmpuint(crash.starts_of_deadly, >=, 2);
+        g_assert_cmpuint(crash.starts_of_deadly, <=, STARTS_MAX);
+        g_assert_cmpint(nm_sched_query_job(crash.sim.sched, JOB), ==,
+                        NM_JOB_FAILED);
+        crash_sim_finish(&crash);
+    }
+}
+
 /* Other tasks start beside the deadly one; they must run on. */
 static void
 test_other_tasks_are_kept(void)
@@ -577,6 +661,8 @@
         test_starts_are_bounded_with_replaced_owners);
     g_test_add_func("/sched/cut-off-workers-are-not-counted-by-next-owner",
                     test_cut_off_workers_are_not_counted_by_next_owner);
+    g_test_add_func("/sched/crashing-task-starts-are-bounded-however-noticed",
+                    test_starts_are_bounded_however_noticed);
     g_test_add_func("/sched/tasks-beside-crashing-one-are-kept",
                     test_other_tasks_are_kept);
     g_test_add_func("/sched/tasks-leave-crashing-worker",
