Fix: suspects wait too long for each other after many crashes at once

Callers saw: long-running tasks that are away for more than 9 s after the workers of a service were lost twice in a row, although the workers were back and empty. Cause: each worker takes one suspect at a time, until a report 1 s after its start; a poll waits for an end for up to 2 s, so that one trial took 2 s, and ten tasks per worker 20 s.

Another suspect may now start once the worker has responded 0.5 s after the start of the one before, and the poll of a worker with a trial ends with it. What counts as a crash of a task, and what clears it, stays at 1 s.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -27,6 +27,11 @@
 
 /* A run at work for longer on a worker that responds survived its start. */
 #define SURVIVAL_MS 1000
+/*
+ * No other suspect starts on a worker until it was heard of this long after
+ * the start of one.  Shorter, as many may wait for their turn on few workers.
+ */
+#define TRIAL_MS 500
 /*
  * A task is given up after this many.  Two may still be chance: it started
  * beside a task that crashes workers, then on a worker that crashed by itself.
@@ -199,13 +204,22 @@
 {
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (task->crashes > 0 && is_starting_up(task)) {
+        if (task->crashes > 0 && task->begun_ms > 0 &&
+            node->alive_ms - task->begun_ms < TRIAL_MS)
+        {
             return task;
         }
     }
     return NULL;
 }
 
+nm_ms_t
+nm_crashes_trial_end_ms(const nm_sched_node_t *node)
+{
+    const nm_task_t *trial = find_trial(node);
+    return trial ? trial->begun_ms + TRIAL_MS : NM_MS_NEVER;
+}
+
 bool
 nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task)
 {
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -57,6 +57,9 @@
                       : sched->lossy ? NM_SCHED_POLL_WAIT_LOSSY_MS
                       : colocated    ? NM_SCHED_POLL_WAIT_COLOCATED_MS
                                      : NM_SCHED_POLL_WAIT_MS;
+    /* Other suspects may wait for the end of a trial here. */
+    nm_ms_t trial_end_ms = nm_crashes_trial_end_ms(node);
+    action->wait_ms = MIN(action->wait_ms, MAX(trial_end_ms - now_ms, 0));
     /* Repeated polls of an unresponsive worker do not extend its lease. */
     if (node->clock_known && node->poll_failures == 0) {
         action->expiry_ms =
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -474,6 +474,8 @@
  * just started there, of another job, may crash it.
  */
 bool nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task);
+/* When a report would end the trial of a suspect; NM_MS_NEVER: none. */
+nm_ms_t nm_crashes_trial_end_ms(const nm_sched_node_t *node);
 /*
  * True if a worker has crashed again and again, by itself or by its tasks, so
  * that the next crash would say little about a task.
--- a/tests/test_sched_crash.c
+++ b/tests/test_sched_crash.c
@@ -21,6 +21,8 @@
     GArray *running;           /* of nm_sched_action_t: confirmed starts */
     uint32_t starts_of_deadly; /* since the beginning */
     char *record;              /* newest one of JOB that is stored, or NULL */
+    bool reports_when_polled;  /* else at each step */
+    nm_ms_t report_due_ms[WORKERS]; /* 0: no poll */
 } crash_sim_t;
 
 static void
@@ -118,6 +120,22 @@
                      count, NULL, 0);
 }
 
+/* A poll is answered after its wait, as no task ends. */
+static bool
+report_is_due(crash_sim_t *crash, char worker)
+{
+    nm_ms_t *due_ms = &crash->report_due_ms[worker - 'a'];
+    const nm_sched_action_t *poll = sched_sim_find_action(
+        &crash->sim, NM_ACTION_POLL, (char[]){worker, '\0'});
+    if (poll) {
+        *due_ms = crash->sim.now_ms + poll->wait_ms;
+    }
+    bool due = !crash->reports_when_polled ||
+               (*due_ms > 0 && crash->sim.now_ms >= *due_ms);
+    *due_ms = due ? 0 : *due_ms;
+    return due;
+}
+
 /* Runs for a time in which each worker responds, except silent ones. */
 static void
 crash_sim_run(crash_sim_t *crash, const char *deadly, nm_ms_t duration_ms)
@@ -128,8 +146,9 @@
         for (char w = 'a'; w < 'a' + WORKERS; w++) {
             if (crash->silent[w - 'a']) {
                 sched_sim_lose_poll(&crash->sim, (char[]){w, '\0'});
+                crash->report_due_ms[w - 'a'] = 0;
             }
-            else {
+            else if (report_is_due(crash, w)) {
                 report_worker(crash, w);
             }
         }
@@ -537,11 +556,12 @@
 static void
 test_all_workers_crash_at_once(void)
 {
-    enum { JOBS = 3 * WORKERS, BACK_MS_MAX = 9000 };
+    enum { JOBS = 10 * WORKERS, BACK_MS_MAX = 9000 };
     static const nm_ms_t away_ms[] = {100, 3000, LAPSE_MS};
     for (size_t i = 0; i < NM_COUNT_OF(away_ms); i++) {
         crash_sim_t crash;
         crash_sim_init(&crash, 1);
+        crash.reports_when_polled = true;
         for (uint32_t j = 0; j < JOBS; j++) {
             char id[NM_JOB_ID_MAX];
             g_snprintf(id, sizeof(id), "%016x", j + 1);
