--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -67,6 +67,43 @@
     sched_sim_finish(&successor);
 }
 
+/*
+ * A run of the former owner fails under the new one, before the worker of an
+ * earlier run has reported.  That run may have failed too, so that the task
+ * must wait for the report, and no longer.
+ */
+static void
+test_failed_task_waits_for_all_workers(void)
+{
+    for (int failed_before = 0; failed_before <= 1; failed_before++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        sched_sim_announce(&sim, "a", 1);
+        sched_sim_announce(&sim, "b", 1);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        sched_sim_advance(&sim, 10);
+        nm_worker_run_t running = sched_sim_make_run(TASK, 2);
+        sched_sim_report(&sim, "b", 1, &running, 1, NULL, 0);
+        sched_sim_advance(&sim, 100);
+        nm_worker_end_t failed = sched_sim_make_end(1, TASK, 2, NM_END_FAILED);
+        sched_sim_report(&sim, "b", 1, NULL, 0, &failed, 1);
+        for (int i = 0; i < 5; i++) {
+            sched_sim_advance(&sim, 100);
+            g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+        }
+        nm_worker_end_t first = sched_sim_make_end(1, TASK, 1, NM_END_FAILED);
+        sched_sim_report(&sim, "a", 1, NULL, 0, &first,
+                         (uint32_t)failed_before);
+        sched_sim_advance(&sim, 100);
+        bool starts = sched_sim_find_action(&sim, NM_ACTION_START, NULL);
+        g_assert_cmpint(starts, ==, !failed_before);
+        sched_sim_save_all(&sim);
+        g_assert_cmpint(nm_sched_query_job(sim.sched, JOB), ==,
+                        failed_before ? NM_JOB_FAILED : NM_JOB_RUNNING);
+        sched_sim_finish(&sim);
+    }
+}
+
 /*
  * Tasks of a job whose progress record cannot be read may be running or done.
  * None of them may start; a record of a newer version counts as unreadable.
@@ -166,6 +203,8 @@
         {"/sched/failure-counts-after-takeover",
          test_failure_counts_after_takeover},
         {"/sched/failure-counts-once", test_failure_counts_once},
+        {"/sched/failed-task-waits-for-all-workers",
+         test_failed_task_waits_for_all_workers},
         {"/sched/recovered-task-waits",
          test_recovered_task_waits_for_all_workers},
         {"/sched/unreadable-progress-starts-nothing",
