--- a/tests/fakes/lib_sched_sim.c
+++ b/tests/fakes/lib_sched_sim.c
@@ -22,12 +22,19 @@
 
 void
 sched_sim_init(sched_sim_t *sim, int64_t epoch)
+{
+    sched_sim_init_seeded(sim, epoch, 0);
+}
+
+void
+sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed)
 {
     *sim = (sched_sim_t){.now_ms = 1000};
     sim->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
     sim->sched = nm_sched_new(
         &(nm_sched_desc_t){.epoch = epoch,
-                           .former_lease_max_ms = epoch > 1 ? 0 : 1},
+                           .former_lease_max_ms = epoch > 1 ? 0 : 1,
+                           .seed = seed},
         sim->now_ms);
     nm_queue_t queue = {.name = "batch",
                         .service = "press",
--- a/tests/fakes/lib_sched_sim.h
+++ b/tests/fakes/lib_sched_sim.h
@@ -32,6 +32,8 @@
 void sched_sim_advance(sched_sim_t *sim, nm_ms_t elapsed_ms);
 /* Creates the scheduler of an owner; from epoch 2 on it succeeds others. */
 void sched_sim_init(sched_sim_t *sim, int64_t epoch);
+/* The same with a seed of the scheduler's random choices; otherwise 0. */
+void sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed);
 void sched_sim_finish(sched_sim_t *sim);
 /* Announces and admits a worker; it has not reported yet. */
 void sched_sim_announce(sched_sim_t *sim, const char *id, int64_t incarnation);
