Scheduler: a task that fits nowhere delays no unlike ones

What callers would see: jobs with room for all their tasks run none, or one task at a time, while tasks of another service, or for an accelerator, wait. Cause: a round skips a short task that needs as much CPU and memory as one that found no worker. The record of these was one for all services, included tasks for which only an accelerator was missing, and kept the least CPU and the least memory of different tasks. What was skipped became idle, and on a mostly reserved service waited for credit that only ordinary starts earn. Change: the record has service, image, CPU and memory of each such task, as for fillers; tasks with an accelerator are not recorded. Credit for the starts of idle jobs is also earned by time: starts of gangs earn none.

--- a/src/sched.c
+++ b/src/sched.c
@@ -422,7 +422,6 @@
                                                  : PLACEMENT_INTERVAL_MAX_MS;
     if (now_ms - sched->placed_ms >= interval_ms) {
         sched->needs_placement = false;
-        sched->placed_ms = now_ms;
         remove_ended_from_active(sched);
         nm_sched_place(sched, now_ms);
     }
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -173,18 +173,17 @@
 is_mostly_unreserved(const nm_sched_t *sched, nm_round_t *round,
                      const char *service, nm_ms_t now_ms)
 {
-    for (uint32_t i = 0; i < round->service_count; i++) {
-        if (round->services[i].service == service) {
-            return round->services[i].mostly_unreserved;
+    for (guint i = 0; i < round->services->len; i++) {
+        const nm_round_service_t *entry =
+            &g_array_index(round->services, nm_round_service_t, i);
+        if (entry->service == service) {
+            return entry->mostly_unreserved;
         }
     }
-    bool result = service_is_mostly_unreserved(sched, service, now_ms);
-    if (round->service_count < NM_ROUND_SERVICES_MAX) {
-        round->services[round->service_count].service = service;
-        round->services[round->service_count].mostly_unreserved = result;
-        round->service_count++;
-    }
-    return result;
+    nm_round_service_t entry = {
+        service, service_is_mostly_unreserved(sched, service, now_ms)};
+    g_array_append_val(round->services, entry);
+    return entry.mostly_unreserved;
 }
 
 /* Adds the steps of a job that wait in turn; returns their number. */
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -21,6 +21,11 @@
  */
 #define IDLE_START_SHARE 0.1
 #define IDLE_START_CREDIT_MAX 4
+/*
+ * One such start is also earned in each interval of this length, as there may
+ * be no others.
+ */
+#define IDLE_START_INTERVAL_MS 10000
 
 /*
  * Keeps short tasks off the worker with the most free CPU for the rest of this
@@ -168,43 +173,80 @@
     return false;
 }
 
+static nm_unplaced_t
+make_unplaced(const nm_sched_job_t *job, const nm_step_t *step)
+{
+    return (nm_unplaced_t){.service = nm_job_service(job),
+                           .image = step->is_filler ? step->image : NULL,
+                           .cpu_milli = step->cpu_milli,
+                           .memory_mb = step->memory_mb};
+}
+
+/*
+ * True if a task that needs at least as much as another, of the same service
+ * and image, finds no worker if the other finds none.
+ */
 static bool
-needs_less_than_unplaced(const nm_step_t *step, const nm_round_t *round)
+needs_as_much(const nm_unplaced_t *task, const nm_unplaced_t *other)
 {
-    return step->cpu_milli < round->unplaced_cpu_milli ||
-           step->memory_mb < round->unplaced_memory_mb;
+    return task->service == other->service &&
+           (task->image == other->image ||
+            (task->image && other->image &&
+             strcmp(task->image, other->image) == 0)) &&
+           task->cpu_milli >= other->cpu_milli &&
+           task->memory_mb >= other->memory_mb;
 }
 
-/* True if a filler of its image that needs no more has found no worker. */
 static bool
-filler_is_unplaced(const nm_unplaced_fillers_t *unplaced,
-                   const nm_step_t *step)
+is_unplaced(const nm_unplaced_list_t *list, const nm_sched_job_t *job,
+            const nm_step_t *step)
 {
-    for (uint32_t i = 0; i < unplaced->count; i++) {
-        const nm_unplaced_filler_t *filler = &unplaced->fillers[i];
-        if (strcmp(filler->image, step->image) == 0 &&
-            step->cpu_milli >= filler->cpu_milli &&
-            step->memory_mb >= filler->memory_mb)
-        {
+    nm_unplaced_t task = make_unplaced(job, step);
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (needs_as_much(&task, &list->entries[i])) {
             return true;
         }
     }
     return false;
 }
 
-/* A label or a limit per worker says nothing about other fillers. */
+/*
+ * Records a task that found no worker.  A label, a limit per worker or an
+ * accelerator says nothing about tasks without.
+ */
 static void
-record_unplaced_filler(nm_unplaced_fillers_t *unplaced, const nm_step_t *step)
+record_unplaced(nm_unplaced_list_t *list, const nm_sched_job_t *job,
+                const nm_step_t *step)
 {
-    if (step->is_filler && step->label[0] == '\0' &&
-        step->per_worker_max == 0 &&
-        unplaced->count < NM_ROUND_UNPLACED_FILLERS_MAX)
+    if (step->label[0] != '\0' || step->per_worker_max > 0 ||
+        step->accelerators > 0)
     {
-        unplaced->fillers[unplaced->count++] = (nm_unplaced_filler_t){
-            step->image, step->cpu_milli, step->memory_mb};
+        return;
+    }
+    nm_unplaced_t task = make_unplaced(job, step);
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (!needs_as_much(&list->entries[i], &task)) {
+            list->entries[kept++] = list->entries[i];
+        }
+    }
+    list->count = kept;
+    if (kept < NM_ROUND_UNPLACED_MAX) {
+        list->entries[list->count++] = task;
     }
 }
 
+/* True if a short task needs as much as one that found no worker. */
+static bool
+is_skipped(const nm_round_t *round, const nm_sched_job_t *job,
+           const nm_step_t *step)
+{
+    bool unconstrained = !step->long_running && step->label[0] == '\0' &&
+                         step->per_worker_max == 0;
+    return (step->is_filler || unconstrained) &&
+           is_unplaced(&round->unplaced, job, step);
+}
+
 /* Places a gang, or makes room for it on all the workers that it needs. */
 static void
 place_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -233,6 +275,13 @@
     nm_gang_make_room(sched, candidate, round, now_ms);
 }
 
+static void
+add_idle_start_credit(nm_sched_t *sched, double credit)
+{
+    sched->idle_start_credit =
+        MIN(sched->idle_start_credit + credit, IDLE_START_CREDIT_MAX);
+}
+
 /* Returns false if it did not look for a worker. */
 static bool
 place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -240,14 +289,7 @@
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    bool unconstrained = step->label[0] == '\0' && step->per_worker_max == 0 &&
-                         !step->is_filler;
-    if (unconstrained && !step->long_running &&
-        !needs_less_than_unplaced(step, round))
-    {
-        return false;
-    }
-    if (step->is_filler && filler_is_unplaced(&round->unplaced, step)) {
+    if (is_skipped(round, occurrence->job, step)) {
         return false;
     }
     if (step->is_gang) {
@@ -277,9 +319,7 @@
         if (node) {
             nm_choice_start(sched, candidate, task, node, 0, now_ms);
             if (!step->long_running) {
-                sched->idle_start_credit =
-                    MIN(sched->idle_start_credit + IDLE_START_SHARE,
-                        IDLE_START_CREDIT_MAX);
+                add_idle_start_credit(sched, IDLE_START_SHARE);
             }
             continue;
         }
@@ -296,13 +336,7 @@
             reserve_if_overdue(sched, round, candidate, now_ms);
             return true;
         }
-        record_unplaced_filler(&round->unplaced, step);
-        if (unconstrained) {
-            round->unplaced_cpu_milli =
-                MIN(round->unplaced_cpu_milli, step->cpu_milli);
-            round->unplaced_memory_mb =
-                MIN(round->unplaced_memory_mb, step->memory_mb);
-        }
+        record_unplaced(&round->unplaced, occurrence->job, step);
         return true;
     }
     if (all_placed) {
@@ -323,7 +357,8 @@
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     if (occurrence->job->attached_count > 0 ||
         (candidate->takes_credit && sched->idle_start_credit < 1) ||
-        (step->is_filler && filler_is_unplaced(&round->unplaced_idle, step)))
+        (step->is_filler &&
+         is_unplaced(&round->unplaced_idle, occurrence->job, step)))
     {
         return false;
     }
@@ -343,7 +378,9 @@
     }
     else if (!nm_choice_waits_for_trial(sched, candidate, task, false, now_ms))
     {
-        record_unplaced_filler(&round->unplaced_idle, step);
+        if (step->is_filler) {
+            record_unplaced(&round->unplaced_idle, occurrence->job, step);
+        }
         hold_node(sched, candidate, round, now_ms);
     }
     return true;
@@ -380,8 +417,12 @@
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    nm_round_t round = {.unplaced_cpu_milli = INT64_MAX,
-                        .unplaced_memory_mb = INT64_MAX};
+    nm_round_t round = {
+        .services = g_array_new(FALSE, FALSE, sizeof(nm_round_service_t))};
+    nm_ms_t credited_ms = MAX(sched->placed_ms, sched->began_ms);
+    add_idle_start_credit(sched, (double)(now_ms - credited_ms) /
+                                     IDLE_START_INTERVAL_MS);
+    sched->placed_ms = now_ms;
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
@@ -402,4 +443,5 @@
         }
     }
     g_array_free(candidates, TRUE);
+    g_array_free(round.services, TRUE);
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -9,10 +9,8 @@
 
 #include "sched_state.h"
 
-/* Limit of fillers remembered as unplaced in one round. */
-#define NM_ROUND_UNPLACED_FILLERS_MAX 32
-/* Limit of services whose reserved share is remembered in one round. */
-#define NM_ROUND_SERVICES_MAX 8
+/* Limit of requests remembered as unplaced in one round. */
+#define NM_ROUND_UNPLACED_MAX 64
 
 /* A step of a higher class starts before all of lower ones. */
 typedef enum {
@@ -29,38 +27,40 @@
     bool takes_credit; /* starts only with credit for idle jobs */
 } nm_candidate_t;
 
-/* A filler that found no worker. */
+/* Requests of a task that found no worker of its service. */
 typedef struct {
-    const char *image;
+    const char *service; /* interned */
+    const char *image;   /* of a filler; else NULL */
     int64_t cpu_milli;
     int64_t memory_mb;
-} nm_unplaced_filler_t;
+} nm_unplaced_t;
 
+/* None of them needs as much as another of the same service and image. */
 typedef struct {
-    nm_unplaced_filler_t fillers[NM_ROUND_UNPLACED_FILLERS_MAX];
+    nm_unplaced_t entries[NM_ROUND_UNPLACED_MAX];
     uint32_t count;
-} nm_unplaced_fillers_t;
+} nm_unplaced_list_t;
+
+/* What a round knows of a service. */
+typedef struct {
+    const char *service; /* interned */
+    bool mostly_unreserved;
+} nm_round_service_t;
 
 typedef struct {
     /*
-     * Smallest requests of short tasks, without a label or a limit per worker,
-     * that found no worker in this round.  Another such task that needs at
-     * least as much of both is skipped.
+     * Short tasks without a label, a limit per worker or an accelerator that
+     * found no worker in this round.  Another one of the same service that
+     * needs at least as much is skipped.
      */
-    int64_t unplaced_cpu_milli;
-    int64_t unplaced_memory_mb;
-    nm_unplaced_fillers_t unplaced;
-    nm_unplaced_fillers_t unplaced_idle; /* of idle jobs */
+    nm_unplaced_list_t unplaced;
+    nm_unplaced_list_t unplaced_idle; /* fillers of idle jobs */
     uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
     uint32_t gang_nodes;     /* workers held by gangs */
     bool overdue_known;      /* overdue_cpu_left_milli is computed */
     /* CPU that overdue tasks may still take. */
     double overdue_cpu_left_milli;
-    struct {
-        const char *service; /* interned */
-        bool mostly_unreserved;
-    } services[NM_ROUND_SERVICES_MAX];
-    uint32_t service_count;
+    GArray *services; /* of nm_round_service_t */
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -335,7 +335,7 @@
     uint32_t idle_jobs;   /* of the newest placement */
     nm_sched_idle_job_t longest_idle; /* of the newest placement */
     double idle_start_credit; /* starts of idle jobs on a reserved service */
-    nm_ms_t placed_ms;
+    nm_ms_t placed_ms;        /* newest placement */
     nm_ms_t fillers_checked_ms;
     nm_ms_t filler_tried_ms;   /* newest trial, see sched_filler.c */
     nm_ms_t filler_started_ms; /* newest start of a filler */
--- a/tests/test_sched_starvation.c
+++ b/tests/test_sched_starvation.c
@@ -21,6 +21,16 @@
     sched_fleet_begin(fleet);
 }
 
+/* Sets how the runs of tasks with a prefix end. */
+static void
+end_runs(sched_fleet_t *fleet, const char *prefix, nm_ms_t duration_ms,
+         nm_end_t end)
+{
+    sched_fleet_rule_t rule = {.duration_ms = duration_ms, .end = end};
+    nm_strcopy(rule.prefix, sizeof(rule.prefix), prefix);
+    sched_fleet_add_rule(fleet, rule);
+}
+
 /* Adds a short task that takes a quarter of a worker. */
 static void
 add_short_task(sched_fleet_t *fleet)
@@ -40,9 +50,7 @@
 static nm_ms_t
 time_interrupted(sched_fleet_t *fleet)
 {
-    sched_fleet_add_rule(fleet, (sched_fleet_rule_t){.prefix = JOB,
-                                                     .duration_ms = 3000,
-                                                     .end = NM_END_FAILED});
+    end_runs(fleet, JOB, 3000, NM_END_FAILED);
     sched_fleet_add_job(fleet, JOB, "batch",
                         (nm_step_t){.task_count = 1,
                                     .cpu_milli = CPU_MILLI / 4 * 3,
@@ -66,11 +74,250 @@
     sched_fleet_finish(&fleet);
 }
 
+#define WAITING_TASKS 12
+#define SHORT_TASK_MS 500
+/* Number of the newest job that add_unplaced has added. */
+static uint32_t unplaced_number;
+static nm_step_t unplaced_step;
+
+/* Adds a job that finds no worker each 500 ms. */
+static void
+add_unplaced(sched_fleet_t *fleet)
+{
+    if (unplaced_number++ % (500 / SCHED_FLEET_TICK_MS) == 0) {
+        sched_fleet_add_numbered_job(fleet, "aaaa", unplaced_number, "batch",
+                                     unplaced_step);
+    }
+}
+
+static void
+run_for(sched_fleet_t *fleet, nm_ms_t duration_ms,
+        void (*before_tick)(sched_fleet_t *fleet))
+{
+    nm_ms_t end_ms = fleet->sim.now_ms + duration_ms;
+    while (fleet->sim.now_ms < end_ms) {
+        if (before_tick) {
+            before_tick(fleet);
+        }
+        sched_fleet_tick(fleet);
+    }
+}
+
+/* Adds a queue the jobs of which come after others that are in time. */
+static void
+add_other_queue(sched_fleet_t *fleet, const char *service)
+{
+    nm_queue_t queue = {.name = "other",
+                        .priority = 2,
+                        .slack_factor = 2,
+                        .objective_ms = 1000};
+    nm_strcopy(queue.service, sizeof(queue.service), service);
+    nm_sched_set_queue(fleet->sim.sched, &queue);
+}
+
+/* Adds a job for which there is room, and waits until all its tasks run. */
+static void
+expect_all_start(sched_fleet_t *fleet, const char *queue, nm_step_t step,
+                 void (*before_tick)(sched_fleet_t *fleet))
+{
+    step.task_count = WAITING_TASKS;
+    step.estimate_ms = WAIT_LIMIT_MS;
+    end_runs(fleet, JOB, WAIT_LIMIT_MS, NM_END_DONE);
+    sched_fleet_add_job(fleet, JOB, queue, step);
+    g_assert_cmpint(sched_fleet_time_to_start(fleet, JOB, WAITING_TASKS,
+                                              WAIT_LIMIT_MS, before_tick),
+                    <=, IDLE_MS_MAX);
+}
+
+/*
+ * All accelerators are taken, and a task waits for one; most of the CPU is
+ * free.
+ */
+static void
+wait_beside_accelerators(int64_t reserved_cpu_milli)
+{
+    enum { WORKERS = 4 };
+    sched_fleet_t fleet;
+    sched_fleet_init(&fleet, 1);
+    for (int w = 0; w < WORKERS; w++) {
+        sched_fleet_add_worker(&fleet, "press");
+        fleet.workers[w].desc.accelerators = 1;
+    }
+    sched_fleet_begin(&fleet);
+    end_runs(&fleet, "aaaa", WAIT_LIMIT_MS, NM_END_DONE);
+    end_runs(&fleet, "bbbb", 0, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = WORKERS,
+                                    .cpu_milli = reserved_cpu_milli,
+                                    .memory_mb = 1000,
+                                    .long_running = true,
+                                    .per_worker_max = 1});
+    sched_fleet_time_to_start(&fleet, "bbbb", WORKERS, IDLE_MS_MAX, NULL);
+    for (uint32_t i = 0; i <= WORKERS; i++) {
+        sched_fleet_add_numbered_job(&fleet, "aaaa", i, "batch",
+                                     (nm_step_t){.task_count = 1,
+                                                 .cpu_milli = 1000,
+                                                 .memory_mb = 1000,
+                                                 .accelerators = 1,
+                                                 .estimate_ms = 60000});
+    }
+    run_for(&fleet, IDLE_MS_MAX, NULL);
+    g_assert_cmpuint(sched_fleet_count_running(&fleet, "aaaa"), ==, WORKERS);
+    expect_all_start(&fleet, "batch",
+                     (nm_step_t){.cpu_milli = 1000, .memory_mb = 1000}, NULL);
+    sched_fleet_finish(&fleet);
+}
+
+static void
+test_waiting_for_accelerators_delays_no_others(void)
+{
+    wait_beside_accelerators(1000);
+}
+
+/* The same while most of the service is reserved. */
+static void
+test_waiting_for_accelerators_delays_no_others_reserved(void)
+{
+    wait_beside_accelerators(CPU_MILLI / 8 * 5);
+}
+
+/* One task lacks memory, and another one CPU; there is room for a third. */
+static void
+test_unplaced_requests_are_not_mixed(void)
+{
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, 2);
+    end_runs(&fleet, "bbbb", 0, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = 2,
+                                    .cpu_milli = CPU_MILLI / 4,
+                                    .memory_mb = MEMORY_MB / 4,
+                                    .long_running = true,
+                                    .per_worker_max = 1});
+    sched_fleet_time_to_start(&fleet, "bbbb", 2, IDLE_MS_MAX, NULL);
+    add_other_queue(&fleet, "press");
+    nm_step_t step = {.task_count = 1, .estimate_ms = WAIT_LIMIT_MS};
+    step.cpu_milli = 100;
+    step.memory_mb = MEMORY_MB;
+    sched_fleet_add_job(&fleet, "aaaa000000000001", "batch", step);
+    step.cpu_milli = CPU_MILLI;
+    step.memory_mb = 100;
+    sched_fleet_add_job(&fleet, "aaaa000000000002", "batch", step);
+    run_for(&fleet, IDLE_MS_MAX, NULL);
+    expect_all_start(&fleet, "other",
+                     (nm_step_t){.cpu_milli = 1000, .memory_mb = 1000}, NULL);
+    sched_fleet_finish(&fleet);
+}
+
+/* One service is full, and jobs wait for it; another one has nothing to do. */
+static void
+wait_beside_full_service(bool fillers)
+{
+    sched_fleet_t fleet;
+    sched_fleet_init(&fleet, 1);
+    for (int w = 0; w < 2; w++) {
+        sched_fleet_add_worker(&fleet, "press");
+        sched_fleet_add_worker(&fleet, "sheet");
+    }
+    sched_fleet_begin(&fleet);
+    add_other_queue(&fleet, "sheet");
+    end_runs(&fleet, "bbbb", 2 * WAIT_LIMIT_MS, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = 2,
+                                    .cpu_milli = CPU_MILLI / 2,
+                                    .memory_mb = MEMORY_MB,
+                                    .estimate_ms = 2 * WAIT_LIMIT_MS,
+                                    .long_running = !fillers,
+                                    .is_filler = fillers,
+                                    .image = "press"});
+    sched_fleet_time_to_start(&fleet, "bbbb", 2, IDLE_MS_MAX, NULL);
+    unplaced_number = 0;
+    unplaced_step = (nm_step_t){.task_count = 1,
+                                .cpu_milli = 1000,
+                                .memory_mb = 1000,
+                                .estimate_ms = SHORT_TASK_MS,
+                                .is_filler = fillers,
+                                .image = "press"};
+    run_for(&fleet, IDLE_MS_MAX, add_unplaced);
+    expect_all_start(&fleet, "other", unplaced_step, add_unplaced);
+    sched_fleet_finish(&fleet);
+}
+
+static void
+test_full_service_delays_no_other(void)
+{
+    wait_beside_full_service(false);
+}
+
+static void
+test_full_service_delays_no_fillers_of_other(void)
+{
+    wait_beside_full_service(true);
+}
+
+/* Adds a gang that takes half of what is not reserved. */
+static void
+add_gang(sched_fleet_t *fleet)
+{
+    static uint32_t number;
+    if (++number % 6 == 0) {
+        sched_fleet_add_numbered_job(fleet, "cccc", number, "batch",
+                                     (nm_step_t){.task_count = 2,
+                                                 .cpu_milli = CPU_MILLI / 16,
+                                                 .memory_mb = 1000,
+                                                 .estimate_ms = SHORT_TASK_MS,
+                                                 .is_gang = true});
+    }
+}
+
+/*
+ * Most of the service is reserved, and only gangs start.  The rules set no
+ * bound then; the starts of idle jobs are limited, but not to none.
+ */
+static void
+test_gangs_on_reserved_service_delay_idle_job(void)
+{
+    enum { RESERVED_IDLE_MS_MAX = 30000 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, 1);
+    end_runs(&fleet, "bbbb", 0, NM_END_DONE);
+    end_runs(&fleet, "cccc", SHORT_TASK_MS, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = 1,
+                                    .cpu_milli = CPU_MILLI / 4 * 3,
+                                    .memory_mb = 1000,
+                                    .long_running = true});
+    run_for(&fleet, IDLE_MS_MAX, add_gang);
+    sched_fleet_add_job(&fleet, JOB, "batch",
+                        (nm_step_t){.task_count = 1,
+                                    .cpu_milli = CPU_MILLI / 4,
+                                    .memory_mb = 1000,
+                                    .estimate_ms = SHORT_TASK_MS});
+    g_assert_cmpint(
+        sched_fleet_time_to_start(&fleet, JOB, 1, WAIT_LIMIT_MS, add_gang), <=,
+        RESERVED_IDLE_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     g_test_add_func("/sched/interrupted-task-among-short-ones",
                     test_interrupted_task_starts_among_short_ones);
+    g_test_add_func("/sched/waiting-for-accelerators-delays-no-others",
+                    test_waiting_for_accelerators_delays_no_others);
+    g_test_add_func(
+        "/sched/waiting-for-accelerators-delays-no-others-reserved",
+        test_waiting_for_accelerators_delays_no_others_reserved);
+    g_test_add_func("/sched/unplaced-requests-are-not-mixed",
+                    test_unplaced_requests_are_not_mixed);
+    g_test_add_func("/sched/full-service-delays-no-other",
+                    test_full_service_delays_no_other);
+    g_test_add_func("/sched/full-service-delays-no-fillers-of-other",
+                    test_full_service_delays_no_fillers_of_other);
+    g_test_add_func("/sched/gangs-on-reserved-service-delay-idle-job",
+                    test_gangs_on_reserved_service_delay_idle_job);
     return g_test_run();
 }
