Scheduler: a full service delays no interrupted tasks of another

What callers would see: a long-running task that was interrupted stays without a run beside short tasks while long-running tasks of another service hold 0.95 of the CPU of all workers. Cause: the limit above which no task is overdue was taken over all services. Change: it is taken over the service of the task, and computed with the share that is reserved of a service.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -33,7 +33,7 @@
 #define LONG_RUNNING_WAIT_MS 3000
 /*
  * No task is overdue while long-running tasks hold this share of the CPU of
- * all workers: the remainder is for short tasks, which earn most.
+ * its service: the remainder is for short tasks, which earn most.
  */
 #define LONG_RUNNING_SHARE_MAX 0.95
 /*
@@ -85,20 +85,50 @@
     return left->rank < right->rank ? 1 : left->rank > right->rank ? -1 : 0;
 }
 
-/* Returns the CPU that long-running tasks may take beyond what they hold. */
-static double
-overdue_cpu_left_milli(const nm_sched_t *sched, nm_ms_t now_ms)
+static nm_round_service_t
+make_service(const nm_sched_t *sched, const char *service, nm_ms_t now_ms)
 {
-    int64_t capacity = 0;
-    int64_t held = 0;
+    int64_t cpu_milli = 0;
+    int64_t reserved_cpu_milli = 0;
+    int64_t long_running_cpu_milli = 0;
+    int64_t memory_mb = 0;
+    int64_t reserved_memory_mb = 0;
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (nm_node_is_usable(node, now_ms)) {
-            capacity += node->desc.cpu_milli;
-            held += node->long_running_cpu_milli;
+        if (node->service == service && nm_node_is_usable(node, now_ms)) {
+            cpu_milli += node->desc.cpu_milli;
+            reserved_cpu_milli += node->cpu_used_milli;
+            long_running_cpu_milli += node->long_running_cpu_milli;
+            memory_mb += node->desc.memory_mb;
+            reserved_memory_mb +=
+                node->memory_used_mb - node->filler_memory_mb;
         }
     }
-    return LONG_RUNNING_SHARE_MAX * (double)capacity - (double)held;
+    return (nm_round_service_t){
+        .service = service,
+        .mostly_unreserved = (double)reserved_cpu_milli <=
+                                 MOSTLY_UNRESERVED_SHARE * (double)cpu_milli &&
+                             (double)reserved_memory_mb <=
+                                 MOSTLY_UNRESERVED_SHARE * (double)memory_mb,
+        .overdue_cpu_left_milli = LONG_RUNNING_SHARE_MAX * (double)cpu_milli -
+                                  (double)long_running_cpu_milli};
+}
+
+nm_round_service_t *
+nm_order_service(const nm_sched_t *sched, nm_round_t *round,
+                 const char *service, nm_ms_t now_ms)
+{
+    for (guint i = 0; i < round->services->len; i++) {
+        nm_round_service_t *entry =
+            &g_array_index(round->services, nm_round_service_t, i);
+        if (entry->service == service) {
+            return entry;
+        }
+    }
+    nm_round_service_t entry = make_service(sched, service, now_ms);
+    g_array_append_val(round->services, entry);
+    return &g_array_index(round->services, nm_round_service_t,
+                          round->services->len - 1);
 }
 
 bool
@@ -106,17 +136,15 @@
                     const nm_occurrence_t *occurrence, uint32_t step,
                     nm_ms_t now_ms)
 {
-    if (!occurrence->job->spec.steps[step].long_running ||
+    const nm_sched_job_t *job = occurrence->job;
+    if (!job->spec.steps[step].long_running ||
         occurrence->unplaced_since_ms[step] == 0 ||
         now_ms - occurrence->unplaced_since_ms[step] < LONG_RUNNING_WAIT_MS)
     {
         return false;
     }
-    if (!round->overdue_known) {
-        round->overdue_known = true;
-        round->overdue_cpu_left_milli = overdue_cpu_left_milli(sched, now_ms);
-    }
-    return round->overdue_cpu_left_milli > 0;
+    return nm_order_service(sched, round, nm_job_service(job), now_ms)
+               ->overdue_cpu_left_milli > 0;
 }
 
 /*
@@ -145,47 +173,6 @@
     }
 }
 
-static bool
-service_is_mostly_unreserved(const nm_sched_t *sched, const char *service,
-                             nm_ms_t now_ms)
-{
-    int64_t cpu_milli = 0;
-    int64_t reserved_cpu_milli = 0;
-    int64_t memory_mb = 0;
-    int64_t reserved_memory_mb = 0;
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->service == service && nm_node_is_usable(node, now_ms)) {
-            cpu_milli += node->desc.cpu_milli;
-            reserved_cpu_milli += node->cpu_used_milli;
-            memory_mb += node->desc.memory_mb;
-            reserved_memory_mb +=
-                node->memory_used_mb - node->filler_memory_mb;
-        }
-    }
-    return (double)reserved_cpu_milli <=
-               MOSTLY_UNRESERVED_SHARE * (double)cpu_milli &&
-           (double)reserved_memory_mb <=
-               MOSTLY_UNRESERVED_SHARE * (double)memory_mb;
-}
-
-static bool
-is_mostly_unreserved(const nm_sched_t *sched, nm_round_t *round,
-                     const char *service, nm_ms_t now_ms)
-{
-    for (guint i = 0; i < round->services->len; i++) {
-        const nm_round_service_t *entry =
-            &g_array_index(round->services, nm_round_service_t, i);
-        if (entry->service == service) {
-            return entry->mostly_unreserved;
-        }
-    }
-    nm_round_service_t entry = {
-        service, service_is_mostly_unreserved(sched, service, now_ms)};
-    g_array_append_val(round->services, entry);
-    return entry.mostly_unreserved;
-}
-
 /* Adds the steps of a job that wait in turn; returns their number. */
 static guint
 collect_candidates(nm_sched_t *sched, nm_round_t *round, nm_sched_job_t *job,
@@ -232,7 +219,8 @@
     }
     nm_ms_t idle_ms = now_ms - job->idle_since_ms;
     *takes_credit =
-        !is_mostly_unreserved(sched, round, nm_job_service(job), now_ms);
+        !nm_order_service(sched, round, nm_job_service(job), now_ms)
+             ->mostly_unreserved;
     return !*takes_credit || idle_ms >= IDLE_WAIT_RESERVED_MS;
 }
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -247,6 +247,22 @@
            is_unplaced(&round->unplaced, job, step);
 }
 
+/*
+ * CPU that an overdue step may still take of its service; NULL for others, to
+ * which the limit does not apply.
+ */
+static double *
+overdue_cpu_left_milli(const nm_sched_t *sched,
+                       const nm_candidate_t *candidate, nm_round_t *round,
+                       nm_ms_t now_ms)
+{
+    const char *service = nm_job_service(candidate->occurrence->job);
+    return candidate->order_class == NM_CLASS_OVERDUE
+               ? &nm_order_service(sched, round, service, now_ms)
+                      ->overdue_cpu_left_milli
+               : NULL;
+}
+
 /* Places a gang, or makes room for it on all the workers that it needs. */
 static void
 place_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -254,17 +270,18 @@
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    bool overdue = candidate->order_class == NM_CLASS_OVERDUE;
+    double *cpu_left_milli =
+        overdue_cpu_left_milli(sched, candidate, round, now_ms);
     if (occurrence->waiting[candidate->step] < step->task_count ||
-        (overdue && round->overdue_cpu_left_milli <= 0))
+        (cpu_left_milli && *cpu_left_milli <= 0))
     {
         return; /* some members of an earlier run have not ended */
     }
     if (nm_gang_start(sched, candidate, now_ms)) {
         occurrence->unplaced_since_ms[candidate->step] = 0;
         sched->idle_start_credit -= candidate->takes_credit;
-        if (overdue) {
-            round->overdue_cpu_left_milli -=
+        if (cpu_left_milli) {
+            *cpu_left_milli -=
                 (double)step->task_count * (double)step->cpu_milli;
         }
         return;
@@ -296,6 +313,8 @@
         place_gang(sched, candidate, round, now_ms);
         return true;
     }
+    double *cpu_left_milli =
+        overdue_cpu_left_milli(sched, candidate, round, now_ms);
     bool all_placed = true;
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
@@ -306,15 +325,13 @@
             sched->needs_placement = true;
             return true;
         }
-        if (candidate->order_class == NM_CLASS_OVERDUE &&
-            round->overdue_cpu_left_milli <= 0)
-        {
+        if (cpu_left_milli && *cpu_left_milli <= 0) {
             return true;
         }
         nm_sched_node_t *node =
             nm_choice_find_node(sched, candidate, task, now_ms);
-        if (node && candidate->order_class == NM_CLASS_OVERDUE) {
-            round->overdue_cpu_left_milli -= (double)step->cpu_milli;
+        if (node && cpu_left_milli) {
+            *cpu_left_milli -= (double)step->cpu_milli;
         }
         if (node) {
             nm_choice_start(sched, candidate, task, node, 0, now_ms);
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -45,6 +45,8 @@
 typedef struct {
     const char *service; /* interned */
     bool mostly_unreserved;
+    /* CPU that overdue tasks may still take. */
+    double overdue_cpu_left_milli;
 } nm_round_service_t;
 
 typedef struct {
@@ -57,10 +59,7 @@
     nm_unplaced_list_t unplaced_idle; /* fillers of idle jobs */
     uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
     uint32_t gang_nodes;     /* workers held by gangs */
-    bool overdue_known;      /* overdue_cpu_left_milli is computed */
-    /* CPU that overdue tasks may still take. */
-    double overdue_cpu_left_milli;
-    GArray *services; /* of nm_round_service_t */
+    GArray *services;        /* of nm_round_service_t */
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
@@ -72,6 +71,10 @@
  */
 GArray *nm_order_candidates(nm_sched_t *sched, nm_round_t *round,
                             nm_ms_t now_ms);
+/* Returns the entry of a service, valid until the next call. */
+nm_round_service_t *nm_order_service(const nm_sched_t *sched,
+                                     nm_round_t *round, const char *service,
+                                     nm_ms_t now_ms);
 /* True if an interrupted long-running step has waited too long. */
 bool nm_order_is_overdue(const nm_sched_t *sched, nm_round_t *round,
                          const nm_occurrence_t *occurrence, uint32_t step,
--- a/tests/test_sched_starvation.c
+++ b/tests/test_sched_starvation.c
@@ -31,12 +31,27 @@
     sched_fleet_add_rule(fleet, rule);
 }
 
+/* Adds a queue the jobs of which come after others that are in time. */
+static void
+add_other_queue(sched_fleet_t *fleet, const char *service)
+{
+    nm_queue_t queue = {.name = "other",
+                        .priority = 2,
+                        .slack_factor = 2,
+                        .objective_ms = 1000};
+    nm_strcopy(queue.service, sizeof(queue.service), service);
+    nm_sched_set_queue(fleet->sim.sched, &queue);
+}
+
+/* Queue of the interrupted task and of the short tasks beside it. */
+static const char *interrupted_queue = "batch";
+
 /* Adds a short task that takes a quarter of a worker. */
 static void
 add_short_task(sched_fleet_t *fleet)
 {
     static uint32_t number;
-    sched_fleet_add_numbered_job(fleet, "cccc", ++number, "batch",
+    sched_fleet_add_numbered_job(fleet, "cccc", ++number, interrupted_queue,
                                  (nm_step_t){.task_count = 1,
                                              .cpu_milli = CPU_MILLI / 4,
                                              .memory_mb = 1000,
@@ -51,7 +66,7 @@
 time_interrupted(sched_fleet_t *fleet)
 {
     end_runs(fleet, JOB, 3000, NM_END_FAILED);
-    sched_fleet_add_job(fleet, JOB, "batch",
+    sched_fleet_add_job(fleet, JOB, interrupted_queue,
                         (nm_step_t){.task_count = 1,
                                     .cpu_milli = CPU_MILLI / 4 * 3,
                                     .memory_mb = 1000,
@@ -74,6 +89,31 @@
     sched_fleet_finish(&fleet);
 }
 
+/* Long-running tasks hold all of another service. */
+static void
+test_full_service_delays_no_interrupted_task_of_other(void)
+{
+    enum { WORKERS = 24 };
+    sched_fleet_t fleet;
+    sched_fleet_init(&fleet, 1);
+    for (int w = 0; w < WORKERS; w++) {
+        sched_fleet_add_worker(&fleet, w == 0 ? "sheet" : "press");
+    }
+    sched_fleet_begin(&fleet);
+    add_other_queue(&fleet, "sheet");
+    end_runs(&fleet, "bbbb", 0, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = WORKERS - 1,
+                                    .cpu_milli = CPU_MILLI,
+                                    .memory_mb = 1000,
+                                    .long_running = true});
+    sched_fleet_time_to_start(&fleet, "bbbb", WORKERS - 1, IDLE_MS_MAX, NULL);
+    interrupted_queue = "other";
+    g_assert_cmpint(time_interrupted(&fleet), <=, INTERRUPTED_MS_MAX);
+    interrupted_queue = "batch";
+    sched_fleet_finish(&fleet);
+}
+
 #define WAITING_TASKS 12
 #define SHORT_TASK_MS 500
 /* Number of the newest job that add_unplaced has added. */
@@ -103,18 +143,6 @@
     }
 }
 
-/* Adds a queue the jobs of which come after others that are in time. */
-static void
-add_other_queue(sched_fleet_t *fleet, const char *service)
-{
-    nm_queue_t queue = {.name = "other",
-                        .priority = 2,
-                        .slack_factor = 2,
-                        .objective_ms = 1000};
-    nm_strcopy(queue.service, sizeof(queue.service), service);
-    nm_sched_set_queue(fleet->sim.sched, &queue);
-}
-
 /* Adds a job for which there is room, and waits until all its tasks run. */
 static void
 expect_all_start(sched_fleet_t *fleet, const char *queue, nm_step_t step,
@@ -319,5 +347,7 @@
                     test_full_service_delays_no_fillers_of_other);
     g_test_add_func("/sched/gangs-on-reserved-service-delay-idle-job",
                     test_gangs_on_reserved_service_delay_idle_job);
+    g_test_add_func("/sched/full-service-delays-no-interrupted-task-of-other",
+                    test_full_service_delays_no_interrupted_task_of_other);
     return g_test_run();
 }
