Scheduler: a refused start begins no new wait of an interrupted task

What callers would see: a long-running task that was interrupted is without a run for 3 s and more for each of its starts that is refused. Cause: the wait after which it goes first ended with the start order. Change: it ends once all tasks of the step are confirmed to run.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -278,7 +278,6 @@
         return; /* some members of an earlier run have not ended */
     }
     if (nm_gang_start(sched, candidate, now_ms)) {
-        occurrence->unplaced_since_ms[candidate->step] = 0;
         sched->idle_start_credit -= candidate->takes_credit;
         if (cpu_left_milli) {
             *cpu_left_milli -=
@@ -315,7 +314,6 @@
     }
     double *cpu_left_milli =
         overdue_cpu_left_milli(sched, candidate, round, now_ms);
-    bool all_placed = true;
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
         if (task->state != NM_RUN_WAITING) {
@@ -341,11 +339,9 @@
             continue;
         }
         if (nm_choice_waits_for_trial(sched, candidate, task, false, now_ms)) {
-            all_placed = false;
             continue;
         }
         if (step->long_running) {
-            all_placed = false;
             record_unplaced_long_running(candidate, now_ms);
             if (evict_fillers(sched, candidate, now_ms)) {
                 continue;
@@ -356,9 +352,6 @@
         record_unplaced(&round->unplaced, occurrence->job, step);
         return true;
     }
-    if (all_placed) {
-        occurrence->unplaced_since_ms[candidate->step] = 0;
-    }
     return true;
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -178,7 +178,7 @@
     uint32_t *waiting;    /* by step: tasks in state NM_RUN_WAITING */
     /*
      * By step: since when an interrupted long-running task has found no
-     * worker; 0: there is none.
+     * worker, until all tasks run; 0: there is none.
      */
     nm_ms_t *unplaced_since_ms;
     bool finished;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -179,6 +179,30 @@
     return true;
 }
 
+/*
+ * Ends the wait of an interrupted step once all its tasks run: a start that is
+ * refused does not begin a new wait.
+ */
+static void
+end_wait_if_all_run(const nm_task_t *task)
+{
+    nm_occurrence_t *occurrence = task->occurrence;
+    uint32_t step = task->step;
+    if (occurrence->unplaced_since_ms[step] == 0 ||
+        occurrence->waiting[step] > 0) {
+        return;
+    }
+    for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
+        const nm_task_t *other = &occurrence->tasks[step][i];
+        if (other->state == NM_RUN_STARTING ||
+            (other->state == NM_RUN_STOPPING && other->withdrawn))
+        {
+            return;
+        }
+    }
+    occurrence->unplaced_since_ms[step] = 0;
+}
+
 void
 nm_task_set_state(nm_sched_t *sched, nm_task_t *task, nm_run_state_t state)
 {
@@ -187,6 +211,7 @@
     task->state = state;
     if (state == NM_RUN_RUNNING) {
         task->occurrence->job->idle_since_ms = 0;
+        end_wait_if_all_run(task);
     }
 }
 
--- a/tests/test_sched_starvation.c
+++ b/tests/test_sched_starvation.c
@@ -58,12 +58,9 @@
                                              .estimate_ms = 1000});
 }
 
-/*
- * Short tasks refill each gap that is too small for the task, which is
- * interrupted after 3 s.  Returns for how long it then has no run.
- */
-static nm_ms_t
-time_interrupted(sched_fleet_t *fleet)
+/* Starts a long-running task, which is interrupted after 3 s. */
+static void
+start_interrupted(sched_fleet_t *fleet)
 {
     end_runs(fleet, JOB, 3000, NM_END_FAILED);
     sched_fleet_add_job(fleet, JOB, interrupted_queue,
@@ -72,6 +69,15 @@
                                     .memory_mb = 1000,
                                     .long_running = true});
     sched_fleet_time_to_start(fleet, JOB, 1, IDLE_MS_MAX, NULL);
+}
+
+/*
+ * Short tasks refill each gap that is too small for the task.  Returns for how
+ * long it has no run once it is interrupted.
+ */
+static nm_ms_t
+time_interrupted(sched_fleet_t *fleet)
+{
     while (sched_fleet_count_running(fleet, JOB) > 0) {
         add_short_task(fleet);
         sched_fleet_tick(fleet);
@@ -85,6 +91,29 @@
 {
     sched_fleet_t fleet;
     begin_fleet(&fleet, 4);
+    start_interrupted(&fleet);
+    g_assert_cmpint(time_interrupted(&fleet), <=, INTERRUPTED_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
+static int refusals_left;
+
+static bool
+refuses_interrupted(const nm_sched_action_t *action)
+{
+    return g_str_has_prefix(action->task, JOB) && refusals_left-- > 0;
+}
+
+/* Each refused start began a new wait. */
+static void
+test_refused_starts_delay_no_interrupted_task(void)
+{
+    enum { REFUSALS = 3 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, 4);
+    start_interrupted(&fleet);
+    refusals_left = REFUSALS;
+    fleet.refuses_start = refuses_interrupted;
     g_assert_cmpint(time_interrupted(&fleet), <=, INTERRUPTED_MS_MAX);
     sched_fleet_finish(&fleet);
 }
@@ -109,6 +138,7 @@
                                     .long_running = true});
     sched_fleet_time_to_start(&fleet, "bbbb", WORKERS - 1, IDLE_MS_MAX, NULL);
     interrupted_queue = "other";
+    start_interrupted(&fleet);
     g_assert_cmpint(time_interrupted(&fleet), <=, INTERRUPTED_MS_MAX);
     interrupted_queue = "batch";
     sched_fleet_finish(&fleet);
@@ -334,6 +364,8 @@
     g_test_set_nonfatal_assertions();
     g_test_add_func("/sched/interrupted-task-among-short-ones",
                     test_interrupted_task_starts_among_short_ones);
+    g_test_add_func("/sched/refused-starts-delay-no-interrupted-task",
+                    test_refused_starts_delay_no_interrupted_task);
     g_test_add_func("/sched/waiting-for-accelerators-delays-no-others",
                     test_waiting_for_accelerators_delays_no_others);
     g_test_add_func(
