Scheduler: fillers are stopped only where that makes enough room

What callers would see: fillers are started and stopped again and again, and none is done, while a long-running task waits that fits nowhere. Cause: the fillers of a worker were stopped before it was known whether their memory suffices, in each round on each worker with enough CPU. Change: what will be free is compared with what the task needs first.

--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -154,16 +154,10 @@
 evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
               nm_ms_t now_ms)
 {
-    const nm_step_t *step =
-        &candidate->occurrence->job->spec.steps[candidate->step];
     for (guint n = 0; n < sched->node_list->len; n++) {
         nm_sched_node_t *node = sched->node_list->pdata[n];
-        int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
         if (node->filler_count > 0 &&
             node->reserved_placement != sched->placement_number &&
-            free_cpu_milli >= step->cpu_milli &&
-            node->accelerators_used + step->accelerators <=
-                node->desc.accelerators &&
             nm_room_may_hold(sched, candidate, node, now_ms) &&
             nm_room_evict_fillers(sched, candidate, node, 1, now_ms))
         {
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -146,6 +146,9 @@
 {
     const nm_step_t *step =
         &candidate->occurrence->job->spec.steps[candidate->step];
+    if (nm_room_after_fillers(node, step) < count) {
+        return false;
+    }
     int64_t needed_mb = (int64_t)count * step->memory_mb;
     int64_t free_mb = node->desc.memory_mb - node->memory_used_mb;
     for (guint i = 0; i < node->tasks->len && free_mb < needed_mb; i++) {
@@ -161,9 +164,6 @@
             nm_sched_stop_task(sched, task, now_ms);
         }
     }
-    if (free_mb < needed_mb) {
-        return false;
-    }
     node->hold = (nm_hold_t){candidate->occurrence, candidate->step,
                              now_ms + EVICTION_HOLD_MS};
     node->reserved_placement = sched->placement_number;
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -132,7 +132,8 @@
                   nm_ms_t now_ms);
 /*
  * Stops fillers whose memory so many tasks of a long-running step need, and
- * holds the worker for the step.  Returns false if that is not enough.
+ * holds the worker for the step.  Returns false, and stops none, if that is
+ * not enough.
  */
 bool nm_room_evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
                            nm_sched_node_t *node, uint32_t count,
--- a/tests/test_sched_starvation.c
+++ b/tests/test_sched_starvation.c
@@ -357,6 +357,41 @@
     sched_fleet_finish(&fleet);
 }
 
+/* A long-running task finds no room even where all fillers are stopped. */
+static void
+test_task_without_room_stops_no_fillers(void)
+{
+    enum { WORKERS = 4, FILLERS = 12, RUN_MS = 30000 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, WORKERS);
+    end_runs(&fleet, "bbbb", WAIT_LIMIT_MS, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = WORKERS,
+                                    .cpu_milli = CPU_MILLI / 4,
+                                    .memory_mb = MEMORY_MB / 2,
+                                    .estimate_ms = WAIT_LIMIT_MS,
+                                    .per_worker_max = 1});
+    sched_fleet_time_to_start(&fleet, "bbbb", WORKERS, IDLE_MS_MAX, NULL);
+    for (uint32_t i = 0; i < FILLERS; i++) {
+        sched_fleet_add_numbered_job(&fleet, "dddd", i, "batch",
+                                     (nm_step_t){.task_count = 1,
+                                                 .cpu_milli = 1000,
+                                                 .memory_mb = 10000,
+                                                 .estimate_ms = 1000,
+                                                 .is_filler = true,
+                                                 .image = "press"});
+    }
+    sched_fleet_add_job(&fleet, JOB, "batch",
+                        (nm_step_t){.task_count = 1,
+                                    .cpu_milli = 1000,
+                                    .memory_mb = MEMORY_MB / 4 * 3,
+                                    .long_running = true});
+    run_for(&fleet, RUN_MS, NULL);
+    g_assert_cmpuint(fleet.stops, ==, 0);
+    g_assert_cmpuint(fleet.done, ==, FILLERS);
+    sched_fleet_finish(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -381,5 +416,7 @@
                     test_gangs_on_reserved_service_delay_idle_job);
     g_test_add_func("/sched/full-service-delays-no-interrupted-task-of-other",
                     test_full_service_delays_no_interrupted_task_of_other);
+    g_test_add_func("/sched/task-without-room-stops-no-fillers",
+                    test_task_without_room_stops_no_fillers);
     return g_test_run();
 }
