Scheduler: failures of one task do not keep others from workers

What callers would see: jobs wait for up to 12 s, or do not start at all, while workers have nothing to do: one long-running task, or job, fails again and again, or long-running tasks fail now and then where nothing else runs. Cause: each failed run counted against its worker, which is avoided for up to 12 s after two in a row. Only a run that is done ended the row, and long-running tasks are never done. Change: a run that was at work for 5 s before it failed ends the row, as does one that began after the last failure and has been at work for as long. A failure is not counted if the task has failed before, or its step on another worker, and no run has worked since; further tasks of a step that fail together with others do not prolong avoidance.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -15,6 +15,11 @@
 #define AVOID_FAILURES_MIN 2
 /* Duration of avoidance; each further failure doubles it, up to 8-fold. */
 #define AVOID_BASE_MS 1500
+/*
+ * A run that was at work for this long has worked, whatever its end: what it
+ * ran on is no worker that fails all it starts.
+ */
+#define WORKED_MS 5000
 /* Minimum duration of a sample of calls. */
 #define LOSS_WINDOW_MS 250
 /* Minimum calls in a sample; the share lost in fewer says little. */
@@ -26,6 +31,7 @@
 record_failure(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
     node->consecutive_failures++;
+    node->failed_ms = now_ms;
     if (node->consecutive_failures >= AVOID_FAILURES_MIN) {
         uint32_t doublings =
             MIN(node->consecutive_failures - AVOID_FAILURES_MIN, 3u);
@@ -37,6 +43,86 @@
     }
 }
 
+static bool
+has_worked(const nm_task_t *task, nm_ms_t now_ms)
+{
+    return task->node && task->state != NM_RUN_STARTING &&
+           now_ms - MAX(task->started_ms, task->begun_ms) >= WORKED_MS;
+}
+
+/* True if a task's run began after a time and has worked since. */
+static bool
+has_worked_since(const nm_task_t *task, nm_ms_t since_ms, nm_ms_t now_ms)
+{
+    return task->state == NM_RUN_RUNNING && task->started_ms > since_ms &&
+           has_worked(task, now_ms);
+}
+
+static bool
+worker_has_worked(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        if (has_worked_since(node->tasks->pdata[i], node->failed_ms, now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+step_has_worked(const nm_task_t *task, nm_ms_t since_ms, nm_ms_t now_ms)
+{
+    const nm_task_t *tasks = task->occurrence->tasks[task->step];
+    for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
+        if (has_worked_since(&tasks[i], since_ms, now_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A run has worked: neither its worker nor its task fails always. */
+static void
+end_failures(nm_sched_node_t *node, nm_task_t *task)
+{
+    node->consecutive_failures = 0;
+    node->avoid_until_ms = 0;
+    task->has_failed = false;
+    task->occurrence->failures[task->step].node = NULL;
+}
+
+/*
+ * Counts a failed run against its worker, unless it speaks against the task:
+ * the task has failed before, or its step on another worker, and no run has
+ * worked since.  Runs of a step that fail together do not prolong avoidance.
+ */
+static void
+record_failed_run(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
+                  nm_ms_t now_ms)
+{
+    if (has_worked(task, now_ms)) {
+        end_failures(node, task);
+        return;
+    }
+    nm_step_failure_t *first = &task->occurrence->failures[task->step];
+    if (first->node && step_has_worked(task, first->failed_ms, now_ms)) {
+        first->node = NULL;
+    }
+    if (node->consecutive_failures > 0 && worker_has_worked(node, now_ms)) {
+        node->consecutive_failures = 0;
+    }
+    bool together = first->node == node &&
+                    node->consecutive_failures >= AVOID_FAILURES_MIN;
+    bool elsewhere = first->node && first->node != node;
+    if (!task->has_failed && !together && !elsewhere) {
+        record_failure(sched, node, now_ms);
+    }
+    task->has_failed = true;
+    if (!first->node) {
+        *first = (nm_step_failure_t){node, now_ms};
+    }
+}
+
 void
 nm_sched_withdraw_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
 {
@@ -342,12 +428,11 @@
         }
         if (row->end == NM_END_FAILED) {
             task->avoided_node = node;
-            record_failure(sched, node, now_ms);
+            record_failed_run(sched, node, task, now_ms);
         }
         node->progress_ms = now_ms;
         if (row->end == NM_END_DONE) {
-            node->consecutive_failures = 0;
-            node->avoid_until_ms = 0;
+            end_failures(node, task);
         }
         nm_task_apply_end(sched, task, row->end, row->run, now_ms);
         if (row->end == NM_END_FAILED && task->state == NM_RUN_WAITING &&
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -161,6 +161,7 @@
     nm_ms_t over_since_ms; /* its tail is over target since; 0: within */
     double log_tail;       /* predicted log(tail / target) */
     nm_ms_t throttled_ms;  /* last change of wanted_percent */
+    bool has_failed;       /* a run failed soon; none has worked since */
     /* Where it last failed, stalled, was refused or was evicted. */
     nm_sched_node_t *avoided_node;
     /* Number of its node's newest report that listed its run. */
@@ -168,6 +169,12 @@
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_task_t;
 
+/* The first failure of a step's run soon after its start. */
+typedef struct {
+    const nm_sched_node_t *node; /* only compared; NULL: a run worked since */
+    nm_ms_t failed_ms;
+} nm_step_failure_t;
+
 /* One occurrence of a job. */
 struct nm_occurrence {
     nm_sched_job_t *job;
@@ -181,6 +188,7 @@
      * worker, until all tasks run; 0: there is none.
      */
     nm_ms_t *unplaced_since_ms;
+    nm_step_failure_t *failures; /* by step */
     bool finished;
 };
 
@@ -285,6 +293,7 @@
     GPtrArray *tasks;        /* starting, running or stopping here */
     int64_t long_running_cpu_milli; /* part of cpu_used_milli */
     uint32_t consecutive_failures;  /* of starts and runs */
+    nm_ms_t failed_ms;              /* newest one counted */
     nm_ms_t progress_ms;    /* last end or new checkpoint of any task */
     nm_ms_t stall_check_ms; /* when the next one is due */
     nm_ms_t mitigated_ms;   /* a filler was last paused or evicted */
--- a/tests/fakes/lib_sched_fleet.c
+++ b/tests/fakes/lib_sched_fleet.c
@@ -6,6 +6,8 @@
 #define DEFAULT_RESTART_MS 3000
 #define DEFAULT_LOST_MS 1800
 #define DEFAULT_STOP_MS 100
+/* Duration of a run on a failing worker. */
+#define FAILING_MS 100
 
 static GHashTable *
 new_counts(void)
@@ -163,8 +165,13 @@
         .begin_ms = now_ms,
         .end_ms = duration_ms > 0 ? now_ms + duration_ms : NM_MS_NEVER,
         .end = rule ? rule->end : NM_END_DONE};
+    if (fleet->workers[worker].failing) {
+        run.end_ms = now_ms + FAILING_MS;
+        run.end = NM_END_FAILED;
+    }
     g_array_append_val(fleet->runs, run);
     fleet->starts++;
+    fleet->workers[worker].starts++;
     count_name(fleet->starts_by_task, action->task);
 }
 
--- a/tests/fakes/lib_sched_fleet.h
+++ b/tests/fakes/lib_sched_fleet.h
@@ -40,6 +40,8 @@
 
 typedef struct {
     nm_sched_worker_t desc; /* may be changed before sched_fleet_begin */
+    bool failing;           /* all runs that begin here fail after 100 ms */
+    uint32_t starts;
     int64_t last_end;
     nm_ms_t down_until_ms; /* 0: up */
 } sched_fleet_worker_t;
--- a/tests/test_sched_starvation.c
+++ b/tests/test_sched_starvation.c
@@ -392,6 +392,176 @@
     sched_fleet_finish(&fleet);
 }
 
+/*
+ * Jobs of long-running tasks fail soon, again and again; a job that arrives
+ * then has to start on one of the workers, which have nothing else to do.
+ */
+static void
+wait_beside_failing(int workers, uint32_t jobs, uint32_t tasks,
+                    bool long_running)
+{
+    enum { FAILING_MS = 60000, ARRIVALS = 12, INTERVAL_MS = 1850 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, workers);
+    end_runs(&fleet, "bbbb", 100, NM_END_FAILED);
+    end_runs(&fleet, "eeee", 0, NM_END_DONE);
+    for (uint32_t i = 0; i < jobs; i++) {
+        sched_fleet_add_numbered_job(&fleet, "bbbb", i, "batch",
+                                     (nm_step_t){.task_count = tasks,
+                                                 .cpu_milli = 1000,
+                                                 .memory_mb = 1000,
+                                                 .long_running = true});
+    }
+    nm_ms_t longest_ms = 0;
+    for (uint32_t i = 0; i < ARRIVALS; i++) {
+        run_for(&fleet, i == 0 ? FAILING_MS : INTERVAL_MS, NULL);
+        char id[NM_JOB_ID_MAX];
+        g_snprintf(id, sizeof(id), "eeee%012u", i);
+        sched_fleet_add_job(&fleet, id, "batch",
+                            (nm_step_t){.task_count = 1,
+                                        .cpu_milli = 100,
+                                        .memory_mb = 100,
+                                        .estimate_ms = 1000,
+                                        .long_running = long_running});
+        nm_ms_t wait_ms =
+            sched_fleet_time_to_start(&fleet, id, 1, WAIT_LIMIT_MS, NULL);
+        longest_ms = MAX(longest_ms, wait_ms);
+    }
+    g_assert_cmpint(longest_ms, <=, IDLE_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
+static void
+test_failing_task_delays_no_job_on_2_workers(void)
+{
+    wait_beside_failing(2, 1, 1, false);
+}
+
+static void
+test_failing_task_delays_no_job_on_48_workers(void)
+{
+    wait_beside_failing(48, 1, 1, false);
+}
+
+static void
+test_failing_task_delays_no_long_running_job(void)
+{
+    wait_beside_failing(8, 1, 1, true);
+}
+
+static void
+test_failing_wide_job_delays_no_job(void)
+{
+    wait_beside_failing(4, 1, 40, false);
+}
+
+static void
+test_failing_jobs_delay_no_job(void)
+{
+    wait_beside_failing(8, 64, 1, false);
+}
+
+/* Nothing else runs on the workers; no run of such tasks is ever done. */
+static void
+test_long_running_tasks_that_fail_now_and_then(void)
+{
+    enum { WORKERS = 4, TASKS = 40, LASTS_MS = 20000, RUN_MS = 300000 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, WORKERS);
+    char ids[TASKS][NM_JOB_ID_MAX];
+    nm_ms_t ended_ms[TASKS] = {0};
+    nm_ms_t longest_ms = 0;
+    for (int i = 0; i < TASKS; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "bbbb%012d", i);
+        end_runs(&fleet, ids[i], LASTS_MS * 3 / 4 + LASTS_MS / 2 * i / TASKS,
+                 NM_END_FAILED);
+        sched_fleet_add_job(&fleet, ids[i], "batch",
+                            (nm_step_t){.task_count = 1,
+                                        .cpu_milli = CPU_MILLI / 20,
+                                        .memory_mb = 100,
+                                        .long_running = true});
+    }
+    while (fleet.sim.now_ms < RUN_MS) {
+        sched_fleet_tick(&fleet);
+        for (int i = 0; i < TASKS; i++) {
+            if (sched_fleet_count_running(&fleet, ids[i]) > 0) {
+                ended_ms[i] = fleet.sim.now_ms;
+            }
+            else if (ended_ms[i] > 0) {
+                longest_ms = MAX(longest_ms, fleet.sim.now_ms - ended_ms[i]);
+            }
+        }
+    }
+    g_assert_cmpint(longest_ms, <=, INTERRUPTED_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
+/* Adds a job of 4 tasks each 200 ms: two thirds of 8 workers. */
+static void
+add_wide_job(sched_fleet_t *fleet)
+{
+    static uint32_t number;
+    if (++number % 4 == 0) {
+        sched_fleet_add_numbered_job(fleet, "cccc", number, "batch",
+                                     (nm_step_t){.task_count = 4,
+                                                 .cpu_milli = CPU_MILLI / 4,
+                                                 .memory_mb = 1000,
+                                                 .estimate_ms = 1000});
+    }
+}
+
+/* A worker that fails all it starts takes few of many starts. */
+static void
+test_failing_worker_is_avoided(void)
+{
+    enum { WORKERS = 8, TASKS = 2000, RUN_MS = 60000 };
+    for (int wide = 0; wide < 2; wide++) {
+        sched_fleet_t fleet;
+        begin_fleet(&fleet, WORKERS);
+        fleet.workers[0].failing = true;
+        if (wide) {
+            sched_fleet_add_job(&fleet, JOB, "batch",
+                                (nm_step_t){.task_count = TASKS,
+                                            .cpu_milli = 1000,
+                                            .memory_mb = 1000,
+                                            .estimate_ms = 1000});
+        }
+        run_for(&fleet, RUN_MS, wide ? NULL : add_wide_job);
+        g_test_message("%u of %u starts on the failing worker",
+                       fleet.workers[0].starts, fleet.starts);
+        g_assert_cmpuint(fleet.workers[0].starts, <=, fleet.starts / 20);
+        sched_fleet_finish(&fleet);
+    }
+}
+
+/* All tasks of a job that has worked for long begin to fail. */
+static void
+test_job_that_begins_to_fail_delays_no_job(void)
+{
+    enum { WORKERS = 4, TASKS = 40, WORK_MS = 20000 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet, WORKERS);
+    end_runs(&fleet, "bbbb", WORK_MS, NM_END_FAILED);
+    end_runs(&fleet, JOB, 0, NM_END_DONE);
+    sched_fleet_add_job(&fleet, "bbbb000000000000", "batch",
+                        (nm_step_t){.task_count = TASKS,
+                                    .cpu_milli = 1000,
+                                    .memory_mb = 1000,
+                                    .long_running = true});
+    run_for(&fleet, WORK_MS, NULL);
+    g_array_index(fleet.rules, sched_fleet_rule_t, 0).duration_ms = 100;
+    run_for(&fleet, IDLE_MS_MAX, NULL);
+    sched_fleet_add_job(&fleet, JOB, "batch",
+                        (nm_step_t){.task_count = 1,
+                                    .cpu_milli = 1000,
+                                    .memory_mb = 1000,
+                                    .estimate_ms = 1000});
+    g_assert_cmpint(
+        sched_fleet_time_to_start(&fleet, JOB, 1, WAIT_LIMIT_MS, NULL), <=,
+        IDLE_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -418,5 +588,21 @@
                     test_full_service_delays_no_interrupted_task_of_other);
     g_test_add_func("/sched/task-without-room-stops-no-fillers",
                     test_task_without_room_stops_no_fillers);
+    g_test_add_func("/sched/failing-task-delays-no-job-on-2-workers",
+                    test_failing_task_delays_no_job_on_2_workers);
+    g_test_add_func("/sched/failing-task-delays-no-job-on-48-workers",
+                    test_failing_task_delays_no_job_on_48_workers);
+    g_test_add_func("/sched/failing-task-delays-no-long-running-job",
+                    test_failing_task_delays_no_long_running_job);
+    g_test_add_func("/sched/failing-wide-job-delays-no-job",
+                    test_failing_wide_job_delays_no_job);
+    g_test_add_func("/sched/failing-jobs-delay-no-job",
+                    test_failing_jobs_delay_no_job);
+    g_test_add_func("/sched/job-that-begins-to-fail-delays-no-job",
+                    test_job_that_begins_to_fail_delays_no_job);
+    g_test_add_func("/sched/long-running-tasks-that-fail-now-and-then",
+                    test_long_running_tasks_that_fail_now_and_then);
+    g_test_add_func("/sched/failing-worker-is-avoided",
+                    test_failing_worker_is_avoided);
     return g_test_run();
 }
