Log: workers held for a step, and what they refuse

What operators saw: a filler could be refused by half of the workers for a reason that no line showed: they were held for other steps. Change: `capacity` has `workers_held`; `capacity` and `job-idle` count the refusals `held`. No decision changes.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -198,7 +198,8 @@
     X(CAPACITY, "no_capacity") /* memory or unused CPU */                     \
     X(HEADROOM, "no_headroom") /* a serving task is near its target */        \
     X(CANARY, "canary_limit")  /* the image's effect is unknown */            \
-    X(COST, "cost")            /* it would make serving tasks miss */
+    X(COST, "cost")            /* it would make serving tasks miss */         \
+    X(HELD, "held")            /* what is free is kept for another step */
 
 typedef enum {
 #define X(name, label) NM_FILLER_REFUSAL_##name,
@@ -226,6 +227,7 @@
 /* Why work waits: use of the workers that may get tasks.  CPU in 1/1000. */
 typedef struct {
     uint32_t workers;
+    uint32_t workers_held;      /* what becomes free is kept for one step */
     int64_t cpu_milli;          /* of all of them */
     int64_t reserved_cpu_milli; /* requested by tasks other than fillers */
     int64_t serving_cpu_milli;  /* part of it: tasks with a latency target */
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -20,9 +20,11 @@
 }
 
 static void
-add_node(const nm_sched_node_t *node, nm_sched_capacity_t *capacity)
+add_node(const nm_sched_node_t *node, nm_ms_t now_ms,
+         nm_sched_capacity_t *capacity)
 {
     capacity->workers++;
+    capacity->workers_held += now_ms < node->hold.until_ms;
     capacity->cpu_milli += node->desc.cpu_milli;
     capacity->reserved_cpu_milli += node->cpu_used_milli;
     capacity->serving_cpu_milli += node->serving_cpu_milli;
@@ -76,7 +78,7 @@
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
         if (nm_node_is_usable(node, now_ms)) {
-            add_node(node, &capacity);
+            add_node(node, now_ms, &capacity);
         }
     }
     for (guint i = 0; i < sched->active->len; i++) {
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -188,12 +188,16 @@
                     !step->long_running && !step->is_filler;
     bool held = candidate->order_class != NM_CLASS_OVERDUE &&
                 nm_choice_is_held_for_other(node, candidate, now_ms);
-    if (reserved || held || !nm_choice_fits(node, step) ||
+    if (reserved || !nm_choice_fits(node, step) ||
         !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
         nm_crashes_conflict(node, task))
     {
         return false;
     }
+    if (held) {
+        return step->is_filler ? refuse_filler(sched, NM_FILLER_REFUSAL_HELD)
+                               : false;
+    }
     if (step->is_filler) {
         if (!score_filler_node(sched, candidate, node, now_ms, score)) {
             return false;
