Tests: workers held for idle jobs (known red)

Two cases fail: a hold outlasts the round that it is counted in; it outlasts the start of its job elsewhere.

--- a/tests/test_sched_filler.c
+++ b/tests/test_sched_filler.c
@@ -376,6 +376,53 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * Load: a filler that would disturb the serving task on the only worker with
+ * room waits for long.  That worker must stay open to fillers that do not
+ * disturb: nothing that ends there would let the first one start.
+ */
+static void
+test_worker_that_refuses_by_cost_is_not_held(void)
+{
+    static const char model[] =
+        "{\"version\":1,\"bases\":[[\"api\",-0.5,0.001]],"
+        "\"effects\":[[\"api\",\"press\",1.0,0.001],"
+        "[\"api\",\"ink\",0.0,0.001]]}";
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    add_colocated(&sim, JOB, true, false);
+    sched_sim_advance(&sim, 30);
+    sched_sim_confirm_starts(&sim);
+    g_assert_cmpint(
+        nm_sched_restore_interference(sim.sched, model, sizeof(model) - 1), ==,
+        NM_OK);
+    add_colocated(&sim, FILLER_JOB, false, false);
+    nm_worker_run_t row = sched_sim_make_run(TASK, 1);
+    row.metric = 10;
+    for (uint32_t round = 0; round < 15; round++) {
+        sched_sim_advance(&sim, 100);
+        g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, "a"));
+        sched_sim_report(&sim, "a", 1, &row, 1, NULL, 0);
+    }
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, "2222222222222222", "batch", "press");
+    *nm_job_spec_add_step(&spec) = (nm_step_t){.task_count = 1,
+                                               .cpu_milli = 1000,
+                                               .memory_mb = 100,
+                                               .estimate_ms = 2000,
+                                               .is_filler = true,
+                                               .image = "ink"};
+    nm_sched_add_job(sim.sched, &spec, false, sim.now_ms);
+    nm_job_spec_finish(&spec);
+    sched_sim_advance(&sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    g_assert_true(start && g_str_has_prefix(start->task, "2222222222222222"));
+    sched_sim_finish(&sim);
+}
+
 /*
  * Load: fillers start on some workers while the polls of others, with serving
  * tasks only, wait.  A filler may start there next; if the poll then waited 2
@@ -418,6 +465,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
     static const struct {
         const char *name;
         void (*run)(void);
@@ -434,6 +482,8 @@
          test_polls_are_short_while_fillers_start},
         {"/sched/predicted-misses-stop-nothing",
          test_predicted_misses_stop_nothing},
+        {"/sched/worker-that-refuses-by-cost-is-not-held",
+         test_worker_that_refuses_by_cost_is_not_held},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
--- a/tests/test_sched_wait.c
+++ b/tests/test_sched_wait.c
@@ -246,6 +246,132 @@
     wait_sim_finish(&wait);
 }
 
+/* Confirms all starts; returns the number of those of a job. */
+static uint32_t
+count_starts(sched_sim_t *sim, const char *job)
+{
+    uint32_t starts = 0;
+    for (guint i = 0; i < sim->actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(sim->actions, nm_sched_action_t, i);
+        starts += action->type == NM_ACTION_START &&
+                  g_str_has_prefix(action->task, job);
+    }
+    sched_sim_confirm_starts(sim);
+    return starts;
+}
+
+/*
+ * Load: one idle job after the other is the one that fits nowhere.  A hold
+ * outlasts the round, so that half of the workers were held for jobs that did
+ * not need them any more.
+ */
+static void
+test_holds_leave_most_workers(void)
+{
+    enum { WORKERS = 20, IDLE_JOBS = 6, HELD_MAX = 1 };
+    wait_sim_t wait;
+    wait_sim_init(&wait);
+    for (uint32_t w = 1; w < WORKERS; w++) {
+        char worker[] = {(char)('a' + w), '\0'};
+        sched_sim_add_worker(&wait.sim, worker);
+    }
+    nm_step_t step = {.task_count = WORKERS,
+                      .cpu_milli = 12000,
+                      .memory_mb = 1000,
+                      .estimate_ms = 60000,
+                      .is_filler = true,
+                      .image = "press"};
+    add_fillers(&wait, "1111111111111111", step);
+    sched_sim_advance(&wait.sim, 30);
+    g_assert_cmpuint(count_starts(&wait.sim, "1111111111111111"), ==, WORKERS);
+    char ids[IDLE_JOBS][NM_JOB_ID_MAX];
+    for (uint32_t i = 0; i < IDLE_JOBS; i++) {
+        g_snprintf(ids[i], sizeof(ids[i]), "%016x", i + 1);
+        step.task_count = 1;
+        step.cpu_milli = 8000;
+        g_snprintf(step.image, sizeof(step.image), "press-%u", i);
+        add_fillers(&wait, ids[i], step);
+    }
+    for (nm_ms_t ms = 0; ms < IDLE_MS_MAX; ms += STEP_MS) {
+        sched_sim_advance(&wait.sim, STEP_MS);
+    }
+    for (uint32_t i = 0; i < IDLE_JOBS - 1; i++) {
+        nm_sched_cancel_job(wait.sim.sched, ids[i], wait.sim.now_ms);
+        /* An arrival, so that a round follows at once. */
+        g_snprintf(ids[i], sizeof(ids[i]), "%016x", IDLE_JOBS + i + 1);
+        add_fillers(&wait, ids[i], step);
+        sched_sim_advance(&wait.sim, 30);
+    }
+    step.task_count = WORKERS;
+    step.cpu_milli = 4000;
+    add_fillers(&wait, JOB, step);
+    sched_sim_advance(&wait.sim, 30);
+    g_assert_cmpuint(count_starts(&wait.sim, JOB), >=, WORKERS - HELD_MAX);
+    wait_sim_finish(&wait);
+}
+
+/*
+ * Load: the worker that is held for a job has little free yet when another
+ * one becomes free, where the job starts.  The first is not needed any more.
+ */
+static void
+test_start_elsewhere_ends_hold(void)
+{
+    enum { SMALL = 8 };
+    wait_sim_t wait;
+    wait_sim_init(&wait);
+    sched_sim_add_worker(&wait.sim, "b");
+    for (uint32_t i = 0; i < SMALL; i++) {
+        add_small_filler(&wait);
+    }
+    sched_sim_advance(&wait.sim, 30);
+    nm_worker_run_t runs[2][SMALL];
+    uint32_t counts[2] = {0};
+    for (guint i = 0; i < wait.sim.actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(wait.sim.actions, nm_sched_action_t, i);
+        if (action->type == NM_ACTION_START) {
+            uint32_t w = action->worker[0] == 'b';
+            runs[w][counts[w]++] =
+                sched_sim_make_run(action->task, action->run);
+        }
+    }
+    sched_sim_confirm_starts(&wait.sim);
+    g_assert_cmpuint(counts[0], ==, SMALL / 2);
+    g_assert_cmpuint(counts[1], ==, SMALL / 2);
+    add_fillers(&wait, JOB,
+                (nm_step_t){.task_count = 1,
+                            .cpu_milli = 12000,
+                            .memory_mb = 10000,
+                            .estimate_ms = 2000,
+                            .is_filler = true,
+                            .image = "press"});
+    sched_sim_advance(&wait.sim, 30);
+    /* Worker a has room for one small filler, and is held for the job. */
+    nm_worker_end_t end =
+        sched_sim_make_end(1, runs[0][0].task, runs[0][0].run, NM_END_DONE);
+    sched_sim_report(&wait.sim, "a", 1, &runs[0][1], counts[0] - 1, &end, 1);
+    for (nm_ms_t ms = 0; ms < IDLE_MS_MAX / 2; ms += STEP_MS) {
+        sched_sim_advance(&wait.sim, STEP_MS);
+    }
+    nm_worker_end_t ends[SMALL];
+    for (uint32_t i = 0; i < counts[1]; i++) {
+        ends[i] = sched_sim_make_end(i + 1, runs[1][i].task, runs[1][i].run,
+                                     NM_END_DONE);
+    }
+    sched_sim_report(&wait.sim, "b", 1, NULL, 0, ends, counts[1]);
+    sched_sim_save_all(&wait.sim);
+    sched_sim_advance(&wait.sim, 30);
+    g_assert_cmpuint(count_starts(&wait.sim, JOB), ==, 1);
+    add_small_filler(&wait);
+    add_small_filler(&wait);
+    sched_sim_advance(&wait.sim, 30);
+    g_assert_nonnull(sched_sim_find_action(&wait.sim, NM_ACTION_START, "a"));
+    g_assert_nonnull(sched_sim_find_action(&wait.sim, NM_ACTION_START, "b"));
+    wait_sim_finish(&wait);
+}
+
 /* Nothing else happens: no worker reports, no job arrives. */
 static void
 test_due_occurrence_starts_without_events(void)
@@ -904,6 +1030,8 @@
          test_disturbing_filler_is_tried_again},
         {"/sched/disturbing-filler-delays-no-others",
          test_disturbing_filler_delays_no_others},
+        {"/sched/holds-leave-most-workers", test_holds_leave_most_workers},
+        {"/sched/start-elsewhere-ends-hold", test_start_elsewhere_ends_hold},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
