Scheduler: the limit of held workers is kept, and unneeded holds end

Cause: at most 0.05 of the workers were held in a round, but a hold outlasts it by 0.5 s, and the start of its job elsewhere; each step of a job had its own. A worker with room that refuses the task was held all the same. Change: the limit is for all holds of idle jobs; a job holds one worker, and a start of its tasks ends that; a worker with room is not held. Measured: holds-leave-most-workers (14 of 20 workers take a filler, 19 should) and start-elsewhere-ends-hold failed before and pass.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -269,7 +269,7 @@
                 nm_task_t *task, nm_sched_node_t *node, int64_t run,
                 nm_ms_t now_ms)
 {
-    const nm_sched_job_t *job = candidate->occurrence->job;
+    nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
     if (step->is_filler) {
         uint32_t image = job->images[candidate->step];
@@ -281,5 +281,6 @@
     {
         node->hold = (nm_hold_t){0};
     }
+    nm_room_release(sched, job, now_ms);
     nm_sched_start_task(sched, task, node, run, now_ms);
 }
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -171,7 +171,7 @@
         round->gang_nodes += nodes->len;
         for (guint i = 0; i < nodes->len; i++) {
             nm_room_hold(g_array_index(nodes, gang_node_t, i).node, candidate,
-                         now_ms);
+                         NM_HOLD_GANG, now_ms);
         }
     }
     g_array_free(nodes, TRUE);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -58,9 +58,42 @@
     return best != NULL;
 }
 
+/* Returns the worker that is held for a step, NULL if there is none. */
+static nm_sched_node_t *
+find_held_node(const nm_sched_t *sched, const nm_candidate_t *candidate,
+               nm_ms_t now_ms)
+{
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (now_ms < node->hold.until_ms &&
+            node->hold.reason == NM_HOLD_IDLE &&
+            !nm_choice_is_held_for_other(node, candidate, now_ms))
+        {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/*
+ * True if holding a worker may help a step: a worker that has room for a task
+ * refuses it for another reason.
+ */
+static bool
+may_gain_room(nm_sched_t *sched, const nm_candidate_t *candidate,
+              nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    const nm_step_t *step =
+        &candidate->occurrence->job->spec.steps[candidate->step];
+    double share = nm_room_free_share(node, step);
+    return share >= 0 && !(share >= 1 && nm_choice_fits(node, step)) &&
+           nm_room_may_hold(sched, candidate, node, now_ms);
+}
+
 /*
- * Keeps what becomes free on one worker for a step whose tasks need more than
+ * Keeps what becomes free on one worker for a job whose tasks need more than
  * is free anywhere: the worker it has, or else the one with the most free.
+ * Holds outlast a round, so that the limit is for those of earlier ones too.
  */
 static void
 hold_node(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -68,7 +101,15 @@
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
-    if (round->reserved_nodes >= ceil(RESERVED_SHARE * sched->node_list->len))
+    if (now_ms < job->held_until_ms) {
+        nm_sched_node_t *held = find_held_node(sched, candidate, now_ms);
+        if (held && may_gain_room(sched, candidate, held, now_ms)) {
+            nm_room_hold(held, candidate, NM_HOLD_IDLE, now_ms);
+        }
+        return;
+    }
+    if (round->held_nodes + round->reserved_nodes >=
+        ceil(RESERVED_SHARE * sched->node_list->len))
     {
         return;
     }
@@ -76,19 +117,16 @@
     double best_share = -1;
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!nm_room_may_hold(sched, candidate, node, now_ms)) {
-            continue;
-        }
         double share = nm_room_free_share(node, step);
-        bool has_hold = share >= 0 && now_ms < node->hold.until_ms;
-        if (has_hold || share > best_share) {
+        if (share > best_share &&
+            may_gain_room(sched, candidate, node, now_ms)) {
             best = node;
-            best_share = has_hold ? INFINITY : share;
+            best_share = share;
         }
     }
     if (best) {
-        nm_room_hold(best, candidate, now_ms);
-        round->reserved_nodes++;
+        nm_room_hold(best, candidate, NM_HOLD_IDLE, now_ms);
+        round->held_nodes++;
     }
 }
 
@@ -427,6 +465,7 @@
     add_idle_start_credit(sched, (double)(now_ms - credited_ms) /
                                      IDLE_START_INTERVAL_MS);
     sched->placed_ms = now_ms;
+    round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -134,10 +134,47 @@
 
 void
 nm_room_hold(nm_sched_node_t *node, const nm_candidate_t *candidate,
-             nm_ms_t now_ms)
+             nm_hold_reason_t reason, nm_ms_t now_ms)
 {
-    node->hold =
-        (nm_hold_t){candidate->occurrence, candidate->step, now_ms + HOLD_MS};
+    nm_sched_job_t *job = candidate->occurrence->job;
+    bool evicts = reason == NM_HOLD_EVICTION;
+    node->hold = (nm_hold_t){
+        .occurrence = candidate->occurrence,
+        .step = candidate->step,
+        .until_ms = now_ms + (evicts ? EVICTION_HOLD_MS : HOLD_MS),
+        .reason = reason,
+        .job = job,
+    };
+    if (!evicts) {
+        job->held_until_ms = node->hold.until_ms;
+    }
+}
+
+void
+nm_room_release(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    if (now_ms >= job->held_until_ms) {
+        return;
+    }
+    job->held_until_ms = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->hold.job == job && node->hold.reason != NM_HOLD_EVICTION) {
+            node->hold = (nm_hold_t){0};
+        }
+    }
+}
+
+uint32_t
+nm_room_count_held(const nm_sched_t *sched, nm_hold_reason_t reason,
+                   nm_ms_t now_ms)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        count += now_ms < node->hold.until_ms && node->hold.reason == reason;
+    }
+    return count;
 }
 
 bool
@@ -164,8 +201,7 @@
             nm_sched_stop_task(sched, task, now_ms);
         }
     }
-    node->hold = (nm_hold_t){candidate->occurrence, candidate->step,
-                             now_ms + EVICTION_HOLD_MS};
+    nm_room_hold(node, candidate, NM_HOLD_EVICTION, now_ms);
     node->reserved_placement = sched->placement_number;
     return true;
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -57,9 +57,10 @@
      */
     nm_unplaced_list_t unplaced;
     nm_unplaced_list_t unplaced_idle; /* fillers of idle jobs */
-    uint32_t reserved_nodes; /* workers reserved for, or held by, a step */
-    uint32_t gang_nodes;     /* workers held by gangs */
-    GArray *services;        /* of nm_round_service_t */
+    uint32_t reserved_nodes;          /* workers reserved for overdue steps */
+    uint32_t held_nodes;              /* workers held for idle jobs */
+    uint32_t gang_nodes;              /* workers held for gangs */
+    GArray *services;                 /* of nm_round_service_t */
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
@@ -129,7 +130,11 @@
                       nm_sched_node_t *node, nm_ms_t now_ms);
 /* Keeps what becomes free on a worker for a step. */
 void nm_room_hold(nm_sched_node_t *node, const nm_candidate_t *candidate,
-                  nm_ms_t now_ms);
+                  nm_hold_reason_t reason, nm_ms_t now_ms);
+/* Ends the holds for a job that starts, except for those of evictions. */
+void nm_room_release(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
+uint32_t nm_room_count_held(const nm_sched_t *sched, nm_hold_reason_t reason,
+                            nm_ms_t now_ms);
 /*
  * Stops fillers whose memory so many tasks of a long-running step need, and
  * holds the worker for the step.  Returns false, and stops none, if that is
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -210,6 +210,7 @@
     bool long_running;
     uint32_t attached_count; /* tasks on workers */
     nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
+    nm_ms_t held_until_ms;   /* workers may be held for it until then */
     uint64_t change_seq;     /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
@@ -234,14 +235,22 @@
     uint64_t change_seq; /* of the scheduler; 0: nothing to store */
 } nm_pending_ack_t;
 
+typedef enum {
+    NM_HOLD_EVICTION, /* fillers are evicted for a task */
+    NM_HOLD_IDLE,     /* for a task of an idle job */
+    NM_HOLD_GANG,     /* for tasks of a gang */
+} nm_hold_reason_t;
+
 /*
  * Keeps what becomes free on a worker for one step until a time.  The
- * occurrence is only compared, as it may have been freed.
+ * occurrence and the job are only compared, as they may have been freed.
  */
 typedef struct {
     const nm_occurrence_t *occurrence;
     uint32_t step;
     nm_ms_t until_ms;
+    nm_hold_reason_t reason;
+    const nm_sched_job_t *job;
 } nm_hold_t;
 
 /* A worker; the fields that placement reads come first. */
