Scheduler: workers are held only where room is expected soon

What callers would see: a large filler among small ones is not started for as long as a filler that lasts for minutes occupies the worker held for it; the same if an older job waits for the only worker with its label, as few workers are held at a time. Cause: all short tasks of a worker were taken to end soon, and the worker with the most free was held, again and again. Change: a worker is held for an idle job if a task fits once those have ended that are expected to end within 10 s, by their estimates.

--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -109,12 +109,12 @@
             continue;
         }
         gang_node_t entry = {.node = node};
-        entry.count = after_short_tasks ? nm_room_after_short_tasks(node, step)
+        entry.count = after_short_tasks ? nm_room_by(node, step, NM_MS_NEVER)
                                         : nm_room_after_fillers(node, step);
         bool has_hold = now_ms < node->hold.until_ms &&
                         !nm_choice_is_held_for_other(node, candidate, now_ms);
         entry.preference =
-            has_hold ? INFINITY : nm_room_free_share(node, step);
+            has_hold ? INFINITY : nm_room_free_share(node, step, NM_MS_NEVER);
         if (entry.count > 0) {
             g_array_append_val(nodes, entry);
         }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -15,6 +15,8 @@
 
 /* Share of the workers reserved at a time; short tasks run on the others. */
 #define RESERVED_SHARE 0.05
+/* A worker is held if a task is expected to fit on it within this time. */
+#define HELD_MS_MAX 10000
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -46,7 +48,7 @@
             node->reserved_placement != sched->placement_number &&
             nm_choice_is_eligible(node, candidate, nm_job_service(job),
                                   now_ms) &&
-            nm_room_after_short_tasks(node, step) > 0)
+            nm_room_by(node, step, NM_MS_NEVER) > 0)
         {
             best = node;
             best_free_cpu_milli = free_cpu_milli;
@@ -85,7 +87,7 @@
 {
     const nm_step_t *step =
         &candidate->occurrence->job->spec.steps[candidate->step];
-    double share = nm_room_free_share(node, step);
+    double share = nm_room_free_share(node, step, now_ms + HELD_MS_MAX);
     return share >= 0 && !(share >= 1 && nm_choice_fits(node, step)) &&
            nm_room_may_hold(sched, candidate, node, now_ms);
 }
@@ -117,7 +119,7 @@
     double best_share = -1;
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        double share = nm_room_free_share(node, step);
+        double share = nm_room_free_share(node, step, now_ms + HELD_MS_MAX);
         if (share > best_share &&
             may_gain_room(sched, candidate, node, now_ms)) {
             best = node;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -47,15 +47,25 @@
            (double)node->filler_cpu_milli;
 }
 
+/* True if a task has ended by a time, if it takes as long as estimated. */
+static bool
+ends_by(const nm_task_t *task, nm_ms_t end_ms)
+{
+    const nm_step_t *step = nm_task_step(task);
+    nm_ms_t begin_ms = task->started_ms > 0 ? task->started_ms : task->sent_ms;
+    return task->state == NM_RUN_STOPPING ||
+           (!step->long_running && step->estimate_ms <= end_ms - begin_ms);
+}
+
 uint32_t
-nm_room_after_short_tasks(const nm_sched_node_t *node, const nm_step_t *step)
+nm_room_by(const nm_sched_node_t *node, const nm_step_t *step, nm_ms_t end_ms)
 {
     room_t room = {(double)node->desc.cpu_milli, node->desc.memory_mb,
                    node->desc.accelerators};
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *other = nm_task_step(task);
-        if (other->long_running && task->state != NM_RUN_STOPPING) {
+        if (!ends_by(task, end_ms)) {
             room.cpu_milli -= (double)other->cpu_milli;
             room.memory_mb -= other->memory_mb;
             room.accelerators -= other->accelerators;
@@ -88,9 +98,10 @@
 }
 
 double
-nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step)
+nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step,
+                   nm_ms_t end_ms)
 {
-    if (nm_room_after_short_tasks(node, step) == 0) {
+    if (nm_room_by(node, step, end_ms) == 0) {
         return -1;
     }
     double free_cpu_milli =
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -113,18 +113,21 @@
                      nm_ms_t now_ms);
 
 /* sched_room.c */
-/* Number of a step's tasks that fit once the short tasks have ended. */
-uint32_t nm_room_after_short_tasks(const nm_sched_node_t *node,
-                                   const nm_step_t *step);
+/*
+ * Number of a step's tasks that fit once the short tasks that are expected to
+ * end by a time have ended; NM_MS_NEVER for all short tasks.
+ */
+uint32_t nm_room_by(const nm_sched_node_t *node, const nm_step_t *step,
+                    nm_ms_t end_ms);
 /* Number of a step's tasks that fit once the fillers are stopped. */
 uint32_t nm_room_after_fillers(const nm_sched_node_t *node,
                                const nm_step_t *step);
 /*
  * Share of a task's requests that a worker has free, limited by the scarcest
- * of CPU and memory; negative if the task does not fit once short tasks and
- * other fillers have ended.
+ * of CPU and memory; negative if the task does not fit by end_ms.
  */
-double nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step);
+double nm_room_free_share(const nm_sched_node_t *node, const nm_step_t *step,
+                          nm_ms_t end_ms);
 /* True if a worker may be held for a step, whether tasks will fit or not. */
 bool nm_room_may_hold(nm_sched_t *sched, const nm_candidate_t *candidate,
                       nm_sched_node_t *node, nm_ms_t now_ms);
