Fix: a deadly task beside a suspect escapes the count of crashes

What callers see: a task that crashes its workers was started without bound while other suspects started beside it, and many tasks that crash nothing were given up with their jobs.

Cause: a crash counted only against the tasks with the most crashes of those starting up, and a task without crashes could start beside a suspect. Each new suspect took the blame for the same deadly task.

Change: a crash counts against each task that was starting up. From the second crash in a row on, a task starts apart from other suspects, and nothing else starts beside it until it has survived its trial. It is given up after three crashes if it was the only one starting up at the last, and they were on several workers; else after five. Suspects with one crash do not wait for each other any more.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -1,14 +1,15 @@
 /*
  * Tasks that crash the workers that start them.
  *
- * A worker that crashes does not say which task did it.  Each task that has
- * just started there is suspected; the suspects then start on different
- * workers, if possible on those that have not crashed lately.  A suspect that
- * stays at work is cleared; one of which CRASHES_MAX runs in a row were lost
- * soon after their start is given up, with its job, or after more if all of
- * them were on one worker, which may crash by itself.  If a suspect was among
- * the tasks lost, the others are not suspected for that.  Tasks of one job
- * need not be told apart, as it fails with any of them.
+ * A worker that crashes does not say which task did it.  A crash counts
+ * against each task that has just started there; one that stays at work is
+ * cleared.  From the second crash in a row on, a task starts apart from other
+ * suspects, and nothing else starts beside it until it has survived its trial.
+ * So its next crash tells it from the tasks that were there by chance: if it
+ * was the only one starting up, and crashed on several workers, it is given up
+ * with its job.  Otherwise it is given up after as many crashes as the users'
+ * rules allow.  Tasks of one job need not be told apart, as it fails with any
+ * of them.
  *
  * A crash is certain once the worker's lease has lapsed, seconds after it fell
  * silent.  In case the owner changes in between, the tasks that may have
@@ -28,17 +29,19 @@
 /* A run at work for longer on a worker that responds survived its start. */
 #define SURVIVAL_MS 1000
 /*
- * No other suspect starts on a worker until it was heard of this long after
- * the start of one.  Shorter, as many may wait for their turn on few workers.
+ * A trial ends once the worker was heard of this long after the start.
+ * Shorter, as many may wait for their turn on few workers.
  */
 #define TRIAL_MS 500
 /*
- * A task is given up after this many.  Two may still be chance: it started
- * beside a task that crashes workers, then on a worker that crashed by itself.
+ * Two may still be chance: the task started beside one that crashes workers,
+ * then on a worker that crashed by itself.
  */
+#define ISOLATED_CRASHES_MIN 2
+/* Crashes, the last one certain, after which a task is given up. */
 #define CRASHES_MAX 3
-/* The same if all were on one worker; the users' rules bound the starts. */
-#define CRASHES_ON_ONE_WORKER_MAX 5
+/* The same if it is uncertain; the users' rules bound the starts. */
+#define CRASHES_UNCERTAIN_MAX 5
 /* A worker that crashed in this time may crash again. */
 #define CRASHED_LATELY_MS 10000
 /* Crashes, each soon after the one before, from which a worker is flapping. */
@@ -69,19 +72,19 @@
     nm_sched_mark_changed(sched, task->occurrence->job, false);
 }
 
-static uint32_t
-crashes_max(const nm_task_t *task)
-{
-    return task->crash_worker_hash == 0 ? CRASHES_MAX
-                                        : CRASHES_ON_ONE_WORKER_MAX;
-}
-
-/* Gives up a task that has crashed too many workers; its job fails. */
+/*
+ * Gives up a task that has crashed too many workers; its job fails.  certain:
+ * no other task can have caused the last crash.
+ */
 static void
-check_given_up(nm_sched_t *sched, const nm_task_t *task, nm_ms_t now_ms)
+check_given_up(nm_sched_t *sched, const nm_task_t *task, bool certain,
+               nm_ms_t now_ms)
 {
     nm_sched_job_t *job = task->occurrence->job;
-    if (task->crashes >= crashes_max(task) && job->state < NM_JOB_COMPLETED) {
+    uint32_t crashes_max = certain && task->crash_worker_hash == 0
+                               ? CRASHES_MAX
+                               : CRASHES_UNCERTAIN_MAX;
+    if (task->crashes >= crashes_max && job->state < NM_JOB_COMPLETED) {
         nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
                                task->crashes);
         nm_job_fail(sched, job, now_ms);
@@ -89,30 +92,33 @@
 }
 
 /*
- * Returns the most crashes of the tasks that have just started on a worker; a
- * task with fewer is less likely to be the cause of the next one.
+ * Returns the job of the tasks that have just started on a worker; NULL if
+ * there are several, or none.
  */
-static uint32_t
-most_crashes(const nm_sched_node_t *node)
+static const nm_sched_job_t *
+find_culprit(const nm_sched_node_t *node)
 {
-    uint32_t crashes = 0;
+    const nm_sched_job_t *culprit = NULL;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (is_starting_up(task)) {
-            crashes = MAX(crashes, task->crashes);
+        if (!is_starting_up(task)) {
+            continue;
         }
+        if (culprit && task->occurrence->job != culprit) {
+            return NULL;
+        }
+        culprit = task->occurrence->job;
     }
-    return crashes;
+    return culprit;
 }
 
 void
 nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node)
 {
-    uint32_t crashes_min = most_crashes(node);
     bool leaves = node->desc.state == NM_WORKER_DRAINING;
     for (guint i = 0; i < node->tasks->len && !leaves; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (is_starting_up(task) && task->crashes >= crashes_min) {
+        if (is_starting_up(task)) {
             task->silent_worker_hash = node->id_hash;
             task->silent_incarnation = node->desc.incarnation;
             nm_sched_mark_changed(sched, task->occurrence->job, false);
@@ -149,7 +155,7 @@
 {
     if (task->silent_worker_hash != 0 && !silent_worker_is_up(sched, task)) {
         count_crash(sched, task, task->silent_worker_hash);
-        check_given_up(sched, task, now_ms);
+        check_given_up(sched, task, true, now_ms);
     }
 }
 
@@ -165,7 +171,7 @@
                               nm_ms_t now_ms)
 {
     bool by_surprise = node->desc.state != NM_WORKER_DRAINING;
-    uint32_t crashes_min = most_crashes(node);
+    const nm_sched_job_t *culprit = by_surprise ? find_culprit(node) : NULL;
     if (by_surprise && node->desc.incarnation != node->crashed_incarnation) {
         node->crashed_incarnation = node->desc.incarnation;
         node->crashes =
@@ -177,15 +183,15 @@
         if (by_surprise && is_starting_up(task)) {
             nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_LOST, task,
                                    MAX(node->alive_ms - task->begun_ms, 0));
-            if (task->crashes >= crashes_min) {
-                count_crash(sched, task, node->id_hash);
-            }
+            count_crash(sched, task, node->id_hash);
         }
         nm_crashes_clear_silence(sched, task);
         task->begun_ms = 0; /* each run is recorded once */
     }
     for (guint i = 0; i < node->tasks->len; i++) {
-        check_given_up(sched, node->tasks->pdata[i], now_ms);
+        const nm_task_t *task = node->tasks->pdata[i];
+        bool certain = culprit && task->occurrence->job == culprit;
+        check_given_up(sched, task, certain, now_ms);
     }
 }
 
@@ -198,19 +204,22 @@
     }
 }
 
-/* Returns a suspect that has just started on a worker, or NULL. */
+/* Returns the suspect with most crashes of those just started, or NULL. */
 static const nm_task_t *
 find_trial(const nm_sched_node_t *node)
 {
+    const nm_task_t *trial = NULL;
+    uint32_t crashes_max = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (task->crashes > 0 && task->begun_ms > 0 &&
+        if (task->crashes > crashes_max && task->begun_ms > 0 &&
             node->alive_ms - task->begun_ms < TRIAL_MS)
         {
-            return task;
+            trial = task;
+            crashes_max = task->crashes;
         }
     }
-    return NULL;
+    return trial;
 }
 
 nm_ms_t
@@ -223,11 +232,9 @@
 bool
 nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task)
 {
-    if (task->crashes == 0) {
-        return false;
-    }
     const nm_task_t *trial = find_trial(node);
-    return trial && trial->occurrence->job != task->occurrence->job;
+    return trial && trial->occurrence->job != task->occurrence->job &&
+           MAX(task->crashes, trial->crashes) >= ISOLATED_CRASHES_MIN;
 }
 
 bool
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -490,8 +490,8 @@
 /* Clears the count of a task that its worker reports to be at work. */
 void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /*
- * True if a worker must not take the task, as both the task and one that has
- * just started there, of another job, may crash it.
+ * True if a worker must not take the task, as a crash would not tell whether
+ * the task caused it or one of another job that has just started there.
  */
 bool nm_crashes_conflict(const nm_sched_node_t *node, const nm_task_t *task);
 /* When a report would end the trial of a suspect; NM_MS_NEVER: none. */
