--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -92,22 +92,22 @@
 }
 
 /*
- * Returns the job of the tasks that have just started on a worker; NULL if
- * there are several, or none.
+ * Returns a task that has just started on a worker; NULL if there is none, or
+ * one of another job.
  */
-static const nm_sched_job_t *
+static const nm_task_t *
 find_culprit(const nm_sched_node_t *node)
 {
-    const nm_sched_job_t *culprit = NULL;
+    const nm_task_t *culprit = NULL;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         if (!is_starting_up(task)) {
             continue;
         }
-        if (culprit && task->occurrence->job != culprit) {
+        if (culprit && task->occurrence->job != culprit->occurrence->job) {
             return NULL;
         }
-        culprit = task->occurrence->job;
+        culprit = task;
     }
     return culprit;
 }
@@ -171,7 +171,7 @@
                               nm_ms_t now_ms)
 {
     bool by_surprise = node->desc.state != NM_WORKER_DRAINING;
-    const nm_sched_job_t *culprit = by_surprise ? find_culprit(node) : NULL;
+    const nm_task_t *culprit = by_surprise ? find_culprit(node) : NULL;
     if (by_surprise && node->desc.incarnation != node->crashed_incarnation) {
         node->crashed_incarnation = node->desc.incarnation;
         node->crashes =
@@ -190,7 +190,8 @@
     }
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        bool certain = culprit && task->occurrence->job == culprit;
+        bool certain =
+            culprit && task->occurrence->job == culprit->occurrence->job;
         check_given_up(sched, task, certain, now_ms);
     }
 }
