Fix: a task is given up though its starts never arrived

What callers see: a job failed after three starts that were sent to workers which had crashed by themselves just before.

Cause: a start without a response counts as a crash like one that was confirmed.

Change: a crash is certain only if the task's start was confirmed, and no other confirmed task was starting up.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -6,10 +6,10 @@
  * cleared.  From the second crash in a row on, a task starts apart from other
  * suspects, and nothing else starts beside it until it has survived its trial.
  * So its next crash tells it from the tasks that were there by chance: if it
- * was the only one starting up, and crashed on several workers, it is given up
- * with its job.  Otherwise it is given up after as many crashes as the users'
- * rules allow.  Tasks of one job need not be told apart, as it fails with any
- * of them.
+ * was the only one known to be starting up, and crashed on several workers, it
+ * is given up with its job.  Otherwise it is given up after as many crashes as
+ * the users' rules allow; its start may never have arrived.  Tasks of one job
+ * need not be told apart, as it fails with any of them.
  *
  * A crash is certain once the worker's lease has lapsed, seconds after it fell
  * silent.  In case the owner changes in between, the tasks that may have
@@ -51,6 +51,12 @@
 /* Score penalty of a worker that may crash soon: outweighs free CPU. */
 #define TRIAL_PENALTY 2
 
+static bool
+is_confirmed(const nm_task_t *task)
+{
+    return task->state != NM_RUN_STARTING && !task->withdrawn;
+}
+
 /* True if the worker was not heard of SURVIVAL_MS after the task's start. */
 static bool
 is_starting_up(const nm_task_t *task)
@@ -92,8 +98,8 @@
 }
 
 /*
- * Returns a task that has just started on a worker; NULL if there is none, or
- * one of another job.
+ * Returns a task that is known to have just started on a worker; NULL if there
+ * is none, or one of another job.
  */
 static const nm_task_t *
 find_culprit(const nm_sched_node_t *node)
@@ -101,7 +107,7 @@
     const nm_task_t *culprit = NULL;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (!is_starting_up(task)) {
+        if (!is_confirmed(task) || !is_starting_up(task)) {
             continue;
         }
         if (culprit && task->occurrence->job != culprit->occurrence->job) {
@@ -190,8 +196,8 @@
     }
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        bool certain =
-            culprit && task->occurrence->job == culprit->occurrence->job;
+        bool certain = culprit && is_confirmed(task) &&
+                       task->occurrence->job == culprit->occurrence->job;
         check_given_up(sched, task, certain, now_ms);
     }
 }
