Fix: a start that is carried out late escapes the count of crashes

What callers see: a deadly task of which the starts have no response, and are carried out 1.2 s later, was started without bound.

Cause: a task survived once its worker was heard of 1 s after the start was first sent, though it had not begun yet.

Change: a task is starting up until its start is confirmed, and its worker was heard of 1 s after that.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -57,12 +57,16 @@
     return task->state != NM_RUN_STARTING && !task->withdrawn;
 }
 
-/* True if the worker was not heard of SURVIVAL_MS after the task's start. */
+/*
+ * True if the worker was not heard of SURVIVAL_MS after the task's start,
+ * which may be carried out late until it is confirmed.
+ */
 static bool
 is_starting_up(const nm_task_t *task)
 {
     return task->begun_ms > 0 &&
-           task->node->alive_ms - task->begun_ms < SURVIVAL_MS;
+           (!is_confirmed(task) ||
+            task->node->alive_ms - task->started_ms < SURVIVAL_MS);
 }
 
 static void
--- a/tests/test_sched_crash_orders.c
+++ b/tests/test_sched_crash_orders.c
@@ -6,6 +6,8 @@
 
 #include "lib_sched_sim.h"
 
+/* The rules: the third start after three crashes is one too many. */
+#define STARTS_MAX 5
 #define WORKERS 12
 #define TICK_MS 50
 #define PLAY_MS 120000
@@ -132,6 +134,40 @@
     sched_sim_finish(&order.sim);
 }
 
+/* Starts get no response; they are carried out, and deadly, after 1.2 s. */
+static void
+test_late_starts_are_counted(void)
+{
+    enum { DELAY_MS = 1200, TIMEOUT_MS = 450, RESTART_MS = 4000 };
+    order_sim_t order;
+    order_sim_init(&order, RESTART_MS);
+    nm_sched_action_t unanswered = {0};
+    nm_ms_t timeout_ms = 0;
+    for (nm_ms_t t = 0; t < PLAY_MS; t += TICK_MS) {
+        sched_sim_advance(&order.sim, TICK_MS);
+        const nm_sched_action_t *start = take_orders(&order);
+        if (start) {
+            unanswered = *start;
+            timeout_ms = order.sim.now_ms + TIMEOUT_MS;
+        }
+        if (timeout_ms > 0 && order.sim.now_ms >= timeout_ms) {
+            timeout_ms = 0;
+            nm_sched_on_start(order.sim.sched, &unanswered, NM_ORDER_UNKNOWN,
+                              order.sim.now_ms);
+        }
+        if (order.start_ms > 0 &&
+            order.sim.now_ms - order.start_ms >= DELAY_MS) {
+            order.start_ms = 0;
+            crash_started_worker(&order);
+        }
+        report_workers(&order);
+    }
+    g_test_message("%u starts", order.crashes);
+    g_assert_cmpuint(order.crashes, >=, 2);
+    g_assert_cmpuint(order.crashes, <=, STARTS_MAX);
+    sched_sim_finish(&order.sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -139,5 +175,7 @@
     g_test_set_nonfatal_assertions(); /* the next tests still run */
     g_test_add_func("/sched/starts-to-crashed-workers-do-not-fail-job",
                     test_starts_to_crashed_workers);
+    g_test_add_func("/sched/late-deadly-starts-are-counted",
+                    test_late_starts_are_counted);
     return g_test_run();
 }
