Fix: a late report clears tasks that have crashed their worker

What callers see: a deadly task was started without bound if reports that list it come 1.1 s after its start, though they were sent at once.

Cause: a task was cleared by the time at which the report came.

Change: by the time of the worker's newest sign of life, which is that of the poll's sending for a late report.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -207,9 +207,10 @@
 }
 
 void
-nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task)
 {
-    if (now_ms - task->started_ms >= SURVIVAL_MS) {
+    /* A late report may list a task that has crashed its worker since. */
+    if (task->node->alive_ms - task->started_ms >= SURVIVAL_MS) {
         task->crashes = 0;
         nm_sched_mark_changed(sched, task->occurrence->job, false);
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -393,7 +393,7 @@
     task->metric = row->metric;
     task->listed_in_report = node->reports;
     if (task->crashes > 0) {
-        nm_crashes_on_running(sched, task, now_ms);
+        nm_crashes_on_running(sched, task);
     }
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -488,7 +488,7 @@
 void nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task,
                              nm_ms_t now_ms);
 /* Clears the count of a task that its worker reports to be at work. */
-void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task);
 /*
  * True if a worker must not take the task, as a crash would not tell whether
  * the task caused it or one of another job that has just started there.
--- a/tests/test_sched_crash_orders.c
+++ b/tests/test_sched_crash_orders.c
@@ -168,6 +168,44 @@
     sched_sim_finish(&order.sim);
 }
 
+/* The deadly task is in a report that was sent at once, but comes late. */
+static void
+test_late_reports_do_not_clear(void)
+{
+    enum { LATE_MS = 1100, RESTART_MS = 4000 };
+    order_sim_t order;
+    order_sim_init(&order, RESTART_MS);
+    for (nm_ms_t t = 0; t < PLAY_MS; t += TICK_MS) {
+        sched_sim_advance(&order.sim, TICK_MS);
+        const nm_sched_action_t *start = take_orders(&order);
+        if (start && order.crashed_ms[started_worker(&order)] == 0) {
+            nm_sched_on_start(order.sim.sched, start, NM_ORDER_DONE,
+                              order.sim.now_ms);
+            crash_started_worker(&order);
+        }
+        if (order.start_ms > 0 && order.sim.now_ms - order.start_ms >= LATE_MS)
+        {
+            nm_worker_run_t row =
+                sched_sim_make_run(order.start.task, order.start.run);
+            nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                         .incarnation =
+                                             order.start.incarnation,
+                                         .clock_ms = order.start_ms + 5,
+                                         .sent_ms = order.start_ms + 5,
+                                         .complete = true,
+                                         .running = &row,
+                                         .running_count = 1};
+            nm_sched_on_late_report(order.sim.sched, order.start.worker,
+                                    &report, order.sim.now_ms);
+            order.start_ms = 0;
+        }
+        report_workers(&order);
+    }
+    g_test_message("%u starts", order.crashes);
+    g_assert_cmpuint(order.crashes, >=, 2);
+    g_assert_cmpuint(order.crashes, <=, STARTS_MAX);
+    sched_sim_finish(&order.sim);
+}
 int
 main(int argc, char **argv)
 {
@@ -177,5 +215,7 @@
                     test_starts_to_crashed_workers);
     g_test_add_func("/sched/late-deadly-starts-are-counted",
                     test_late_starts_are_counted);
+    g_test_add_func("/sched/late-reports-do-not-clear-suspects",
+                    test_late_reports_do_not_clear);
     return g_test_run();
 }
