--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -264,6 +264,22 @@
     return best;
 }
 
+/* Ends the holds for a job that starts, except for those of evictions. */
+static void
+release_holds(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    if (now_ms >= job->held_until_ms) {
+        return;
+    }
+    job->held_until_ms = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->hold.job == job && node->hold.reason != NM_HOLD_EVICTION) {
+            node->hold = (nm_hold_t){0};
+        }
+    }
+}
+
 void
 nm_choice_start(nm_sched_t *sched, const nm_candidate_t *candidate,
                 nm_task_t *task, nm_sched_node_t *node, int64_t run,
@@ -281,6 +297,6 @@
     {
         node->hold = (nm_hold_t){0};
     }
-    nm_room_release(sched, job, now_ms);
+    release_holds(sched, job, now_ms);
     nm_sched_start_task(sched, task, node, run, now_ms);
 }
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -161,21 +161,6 @@
     }
 }
 
-void
-nm_room_release(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
-{
-    if (now_ms >= job->held_until_ms) {
-        return;
-    }
-    job->held_until_ms = 0;
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->hold.job == job && node->hold.reason != NM_HOLD_EVICTION) {
-            node->hold = (nm_hold_t){0};
-        }
-    }
-}
-
 uint32_t
 nm_room_count_held(const nm_sched_t *sched, nm_hold_reason_t reason,
                    nm_ms_t now_ms)
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -107,7 +107,10 @@
 nm_sched_node_t *nm_choice_find_node(nm_sched_t *sched,
                                      const nm_candidate_t *candidate,
                                      nm_task_t *task, nm_ms_t now_ms);
-/* Starts a waiting task, with a run number of at least run. */
+/*
+ * Starts a waiting task, with a run number of at least run; ends the holds for
+ * its job, except for those of evictions.
+ */
 void nm_choice_start(nm_sched_t *sched, const nm_candidate_t *candidate,
                      nm_task_t *task, nm_sched_node_t *node, int64_t run,
                      nm_ms_t now_ms);
@@ -134,8 +137,7 @@
 /* Keeps what becomes free on a worker for a step. */
 void nm_room_hold(nm_sched_node_t *node, const nm_candidate_t *candidate,
                   nm_hold_reason_t reason, nm_ms_t now_ms);
-/* Ends the holds for a job that starts, except for those of evictions. */
-void nm_room_release(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
+/* Number of workers that are held for a reason. */
 uint32_t nm_room_count_held(const nm_sched_t *sched, nm_hold_reason_t reason,
                             nm_ms_t now_ms);
 /*
