Tests: the share of tasks given up without fault is bounded by 5%

The bound of two loads had been set to 10% after 6.6% was measured; 5% was the first intent, and no rule gives one.

--- a/tests/test_sched_crash_loads.c
+++ b/tests/test_sched_crash_loads.c
@@ -162,9 +162,9 @@
 
 static const load_t loads[] = {
     {"/sched/deadly-few", 0, 0, 50, 10, false, 3000, 1000, 800, 1},
-    {"/sched/deadly-many", 0, 0, 50, 40, false, 3000, 1000, 800, 10},
+    {"/sched/deadly-many", 0, 0, 50, 40, false, 3000, 1000, 800, 5},
     {"/sched/deadly-rack", 2, 0, 50, 10, false, 3000, 1000, 800, 1},
-    {"/sched/deadly-rack-many", 2, 0, 50, 40, false, 3000, 1000, 800, 10},
+    {"/sched/deadly-rack-many", 2, 0, 50, 40, false, 3000, 1000, 800, 5},
     {"/sched/deadly-two-workers", 0, 2, 50, 20, false, 3000, 1000, 800, 5},
     {"/sched/deadly-one-worker", 0, 1, 50, 20, false, 500, 1000, 800, 5},
     {"/sched/deadly-wide", 0, 0, 100, 20, false, 3000, 8000, 2500, 1},
