Scheduler: failed tasks of recovered jobs do not wait for all workers

Cause: such a task waited until each worker had responded or its lease had lapsed; while workers leave and come there is always one that has not. Change: is taken back.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -397,19 +397,6 @@
     }
 }
 
-/*
- * True if a task may have failed on workers that the new owner has not heard
- * of yet, so that one more start may be one too many.
- */
-static bool
-has_unknown_failures(const nm_sched_t *sched, const nm_task_t *task,
-                     nm_ms_t now_ms)
-{
-    return task->occurrence->job->recovered &&
-           !nm_task_step(task)->long_running &&
-           nm_sched_has_unresolved_workers(sched, now_ms);
-}
-
 static void
 apply_end(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_end_t *row,
           nm_ms_t now_ms)
@@ -435,11 +422,6 @@
             end_failures(node, task);
         }
         nm_task_apply_end(sched, task, row->end, row->run, now_ms);
-        if (row->end == NM_END_FAILED && task->state == NM_RUN_WAITING &&
-            has_unknown_failures(sched, task, now_ms))
-        {
-            nm_task_set_unknown(sched, task);
-        }
         nm_count(NM_COUNTER_FINISHES, 1);
     }
     if (task && row->end == NM_END_FAILED) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -400,8 +400,6 @@
                        nm_run_state_t state);
 /* Detaches a task that has no run any more, so that it waits again. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
-/* Lets a waiting task wait until each worker is heard of. */
-void nm_task_set_unknown(nm_sched_t *sched, nm_task_t *task);
 /* Counts a failed run once, whatever state the task is in now. */
 void nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
                            nm_ms_t now_ms);
