Owner: log the lag of placement and its load

Callers saw LOST on a large fleet: long-running tasks that had failed started again only under a new owner. The log did not tell whether their failure, their turn or the start was late.

A line owner-load, once a second: the longest time from an event to the end of the placement that considered it, with its bound; placements, and those that ended at the limit of unconfirmed starts; the longest round; how late a pass of the control loop began; the processor time as a share of cpu_share. Capacity lines count interrupted tasks that wait, and for how long they have been refused. owner-active has the cpu_share. No decision changes.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -60,6 +60,7 @@
     X(CALLS_ANSWERED, "calls-answered")                                       \
     X(CAPACITY, "capacity")                                                   \
     X(JOB_IDLE, "job-idle")                                                   \
+    X(OWNER_LOAD, "owner-load")                                               \
     X(CARRIER_SILENT, "carrier-silent")                                       \
     X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -235,6 +235,9 @@
     uint32_t short_waiting;     /* tasks in turn that wait for a worker */
     uint32_t fillers_waiting;
     uint32_t long_running_waiting;
+    uint32_t interrupted_waiting; /* part of it: tasks that have run before */
+    /* For how long the oldest such step has been refused by all workers. */
+    nm_ms_t interrupted_unplaced_ms;
     nm_ms_t oldest_waiting_ms; /* age of the oldest job with such a task */
     uint32_t serving_over_target;
     uint32_t fillers_paused;
@@ -244,6 +247,15 @@
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
 
+/* Placements since the scheduler began, and what is left to do. */
+typedef struct {
+    uint64_t count;
+    uint64_t cut_count; /* part of count: ended at the limit of starts */
+    uint32_t starting;  /* tasks whose start is not confirmed */
+    bool wanted;        /* something changed since the newest placement */
+    bool cut;           /* the newest placement did not consider all steps */
+} nm_sched_placement_t;
+
 /* Outcome of a job, for its last log line. */
 typedef struct {
     nm_job_state_t state;
@@ -392,6 +404,7 @@
 /* Counts accepted jobs of a queue of which no task has started. */
 uint32_t nm_sched_query_pending(const nm_sched_t *sched, const char *queue);
 nm_sched_info_t nm_sched_query_info(const nm_sched_t *sched);
+nm_sched_placement_t nm_sched_query_placement(const nm_sched_t *sched);
 /* Visits all workers and waiting jobs; meant to be called once a second. */
 nm_sched_capacity_t nm_sched_query_capacity(const nm_sched_t *sched,
                                             nm_ms_t now_ms);
--- /dev/null
+++ b/src/entry_load.c
@@ -0,0 +1,118 @@
+/*
+ * Load of the owner: how late it considers events, and its CPU time.
+ *
+ * Load: a fleet of a thousand workers on a host with a part of a core.  An
+ * owner that lags still renews its lease and answers, but tasks wait.
+ */
+#include "entry_state.h"
+
+#include <sys/resource.h>
+
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
+/* Time between two lines about the load in the log. */
+#define LOAD_LOG_INTERVAL_MS 1000
+/*
+ * Bound of the time between an event and the end of the placement that
+ * considers it.  Of the 3 s for which a job may be idle, the scheduler waits
+ * 1 s before it prefers the job, and a start may be refused and repeated.
+ */
+#define EVENT_LAG_BOUND_MS 500
+
+static nm_ms_t
+read_cpu_time_ms(void)
+{
+    struct rusage usage = {0};
+    getrusage(RUSAGE_SELF, &usage);
+    return (nm_ms_t)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * 1000 +
+           (usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1000;
+}
+
+void
+nm_load_reset(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    entry->load = (nm_owner_load_t){.since_ms = now_ms,
+                                    .cpu_time_ms = read_cpu_time_ms(),
+                                    .due_ms = now_ms};
+}
+
+void
+nm_load_on_event(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    if (entry->load.event_ms == 0 &&
+        nm_sched_query_placement(entry->sched).wanted) {
+        entry->load.event_ms = now_ms;
+    }
+}
+
+void
+nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    nm_owner_load_t *load = &entry->load;
+    load->passes++;
+    load->late_max_ms = MAX(load->late_max_ms, now_ms - load->due_ms);
+}
+
+void
+nm_load_on_round(nm_entry_t *entry, nm_ms_t began_ms)
+{
+    nm_owner_load_t *load = &entry->load;
+    nm_sched_placement_t placement = nm_sched_query_placement(entry->sched);
+    if (placement.count == load->placement.count) {
+        return;
+    }
+    nm_ms_t now_ms = nm_entry_now(entry);
+    load->placement = placement;
+    load->round_max_ms = MAX(load->round_max_ms, now_ms - began_ms);
+    if (load->event_ms > 0) {
+        load->lag_max_ms = MAX(load->lag_max_ms, now_ms - load->event_ms);
+    }
+    if (!placement.cut) {
+        load->event_ms = 0;
+    }
+}
+
+static void
+log_load(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    const nm_owner_load_t *load = &entry->load;
+    nm_sched_placement_t placement = load->placement;
+    nm_ms_t lag_max_ms = load->lag_max_ms;
+    if (load->event_ms > 0) {
+        lag_max_ms = MAX(lag_max_ms, now_ms - load->event_ms);
+    }
+    double granted_ms =
+        entry->desc.cpu_share * (double)MAX(now_ms - load->since_ms, 1);
+    double cpu_ms = (double)(read_cpu_time_ms() - load->cpu_time_ms);
+    nm_log(lag_max_ms > EVENT_LAG_BOUND_MS ? NM_LOG_WARN : NM_LOG_INFO,
+           NM_LOG_ITEM_OWNER_LOAD,
+           "{s:I,s:I,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:i}", "lag_ms",
+           (json_int_t)lag_max_ms, "lag_bound_ms",
+           (json_int_t)EVENT_LAG_BOUND_MS, "placements",
+           (int)(placement.count - load->logged.count), "round_max_ms",
+           (json_int_t)load->round_max_ms, "late_max_ms",
+           (json_int_t)load->late_max_ms, "interval_ms",
+           (json_int_t)(now_ms - load->since_ms), "passes", (int)load->passes,
+           "cpu_used_permille", (int)(1000 * cpu_ms / MAX(granted_ms, 0.001)),
+           "cpu_share_permille", (int)(1000 * entry->desc.cpu_share),
+           "starting", (int)placement.starting, "placements_cut",
+           (int)(placement.cut_count - load->logged.cut_count));
+}
+
+void
+nm_load_end_pass(nm_entry_t *entry, nm_ms_t now_ms, nm_ms_t due_ms)
+{
+    nm_owner_load_t *load = &entry->load;
+    if (now_ms - load->since_ms >= LOAD_LOG_INTERVAL_MS) {
+        log_load(entry, now_ms);
+        nm_owner_load_t next = {.since_ms = now_ms,
+                                .cpu_time_ms = read_cpu_time_ms(),
+                                .event_ms = load->event_ms,
+                                .placement = load->placement,
+                                .logged = load->placement};
+        *load = next;
+    }
+    load->due_ms = due_ms;
+}
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -66,6 +66,7 @@
         nm_sched_on_report(entry->sched, action->worker, report, now_ms);
         break;
     }
+    nm_load_on_event(entry, now_ms);
     entry->sched_due_ms = 0;
 }
 
@@ -78,6 +79,7 @@
         log_failures(entry, worker, report);
         nm_sched_on_late_report(entry->sched, worker, report,
                                 nm_entry_now(entry));
+        nm_load_on_event(entry, nm_entry_now(entry));
         entry->sched_due_ms = 0;
     }
 }
@@ -161,15 +163,18 @@
     json_t *refusals = encode_refusals(capacity.filler_refusals,
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
-           "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:i,s:i,s:o}", "workers",
-           (int)capacity.workers, "workers_held", (int)capacity.workers_held,
-           "cpu_milli", (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
+           "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:o}",
+           "workers", (int)capacity.workers, "workers_held",
+           (int)capacity.workers_held, "cpu_milli",
+           (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
            (json_int_t)capacity.reserved_cpu_milli, "serving_cpu_milli",
            (json_int_t)capacity.serving_cpu_milli, "filler_cpu_milli",
            (json_int_t)capacity.filler_cpu_milli, "short_waiting",
            (int)capacity.short_waiting, "fillers_waiting",
            (int)capacity.fillers_waiting, "long_running_waiting",
-           (int)capacity.long_running_waiting, "oldest_waiting_ms",
+           (int)capacity.long_running_waiting, "interrupted_waiting",
+           (int)capacity.interrupted_waiting, "interrupted_unplaced_ms",
+           (json_int_t)capacity.interrupted_unplaced_ms, "oldest_waiting_ms",
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
            (int)capacity.fillers_paused, "filler_refusals", refusals);
@@ -184,6 +189,7 @@
         return;
     }
     nm_ms_t wait_ms = nm_sched_run(entry->sched, now_ms, nm_entry_unix_ms());
+    nm_load_on_round(entry, now_ms);
     entry->sched_due_ms = now_ms + MAX(wait_ms, ROUND_INTERVAL_MIN_MS);
     nm_sched_action_t action;
     while (nm_sched_next_action(entry->sched, &action)) {
@@ -245,6 +251,7 @@
     nm_feed_tick(&entry->jobs_feed, now_ms);
     nm_takeover_verify(entry, now_ms);
     if (entry->role == NM_ROLE_OWNER) {
+        nm_load_on_pass(entry, now_ms);
         run_sched(entry, now_ms);
         announce(entry);
     }
@@ -255,6 +262,10 @@
         entry->commit_due_ms = now_ms;
         nm_election_hand_over(entry, now_ms);
     }
-    nm_ms_t due = MIN(entry->sched_due_ms, entry->renew_due_ms);
-    return MAX(due - now_ms, 1);
+    nm_ms_t due_ms =
+        MAX(MIN(entry->sched_due_ms, entry->renew_due_ms), now_ms + 1);
+    if (entry->role == NM_ROLE_OWNER) {
+        nm_load_end_pass(entry, now_ms, due_ms);
+    }
+    return due_ms - now_ms;
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -2,7 +2,7 @@
  * State shared by the files of an entry host.  Beside the helpers of entry.c,
  * a file calls only those to the right of it: entry.c -> entry_call.c,
  * entry_owner.c -> entry_election.c -> entry_takeover.c, entry_commit.c ->
- * entry_term.c.
+ * entry_load.c -> entry_term.c.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
@@ -36,6 +36,20 @@
     int64_t revision; /* of the owner key */
 } nm_owner_t;
 
+/* Load of the owner since the newest line about it in the log. */
+typedef struct {
+    nm_ms_t since_ms;
+    nm_ms_t cpu_time_ms; /* of the process at that time */
+    nm_ms_t due_ms;      /* when the next pass of the control loop is due */
+    uint32_t passes;
+    nm_ms_t late_max_ms;  /* longest time by which a pass began late */
+    nm_ms_t round_max_ms; /* longest round with a placement */
+    nm_ms_t lag_max_ms;   /* longest time from an event to its placement */
+    nm_ms_t event_ms;     /* oldest event not considered yet; 0: none */
+    nm_sched_placement_t placement; /* as of the newest round */
+    nm_sched_placement_t logged;    /* as of the newest line */
+} nm_owner_load_t;
+
 /* Owner that announced itself; the store may not have shown it yet. */
 typedef struct {
     char name[NM_NAME_MAX];
@@ -117,6 +131,7 @@
     nm_ms_t sched_due_ms;
     nm_ms_t capacity_log_due_ms;
     nm_sched_capacity_t logged_capacity; /* newest one in the log */
+    nm_owner_load_t load;
     /* Requests of callers and peers. */
     GQueue open_ops;           /* of nm_op_t */
     GHashTable *forwarded_ops; /* request number -> nm_op_t */
@@ -164,6 +179,18 @@
 void nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms);
 void nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
 
+/* entry_load.c */
+/* Begins to measure, when a term begins. */
+void nm_load_reset(nm_entry_t *entry, nm_ms_t now_ms);
+/* A response, a worker or a job has changed what can be placed. */
+void nm_load_on_event(nm_entry_t *entry, nm_ms_t now_ms);
+/* A pass of the control loop begins. */
+void nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms);
+/* A round of the scheduler, which began at a time, has ended. */
+void nm_load_on_round(nm_entry_t *entry, nm_ms_t began_ms);
+/* Ends a pass: logs the load if that is due; due_ms: of the next pass. */
+void nm_load_end_pass(nm_entry_t *entry, nm_ms_t now_ms, nm_ms_t due_ms);
+
 /* entry_owner.c */
 void nm_owner_on_late_report(void *user, const char *worker,
                              const nm_worker_report_t *report);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -152,6 +152,7 @@
         apply_job(entry, item, false);
         nm_term_free_item(item);
     }
+    nm_load_on_event(entry, nm_entry_now(entry));
     entry->sched_due_ms = 0;
 }
 
@@ -209,12 +210,14 @@
     g_ptr_array_set_size(entry->cancels, 0);
     entry->role = NM_ROLE_OWNER;
     nm_sched_activate(entry->sched, nm_entry_now(entry));
+    nm_load_reset(entry, nm_entry_now(entry));
     entry->sched_due_ms = 0;
     nm_count(NM_COUNTER_TAKEOVERS, 1);
     nm_sched_info_t info = nm_sched_query_info(entry->sched);
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I,s:i,s:i}", "epoch",
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ACTIVE, "{s:I,s:i,s:i,s:i}", "epoch",
            (json_int_t)entry->owned_epoch, "jobs", info.jobs_active,
-           "workers_unresolved", info.workers_unresolved);
+           "workers_unresolved", info.workers_unresolved, "cpu_share_permille",
+           (int)(1000 * entry->desc.cpu_share));
 }
 
 static void
--- a/src/sched.c
+++ b/src/sched.c
@@ -426,6 +426,8 @@
         sched->needs_placement = false;
         remove_ended_from_active(sched);
         nm_sched_place(sched, now_ms);
+        sched->placement_cut = sched->starting_count >= NM_SCHED_STARTING_MAX;
+        sched->cut_placements += sched->placement_cut;
     }
     nm_sched_tick_nodes(sched, now_ms);
     return sched->needs_placement || sched->lossy ? PLACEMENT_INTERVAL_MS
@@ -699,6 +701,17 @@
     return info;
 }
 
+nm_sched_placement_t
+nm_sched_query_placement(const nm_sched_t *sched)
+{
+    assert(sched);
+    return (nm_sched_placement_t){.count = sched->placement_number,
+                                  .cut_count = sched->cut_placements,
+                                  .starting = sched->starting_count,
+                                  .wanted = sched->needs_placement,
+                                  .cut = sched->placement_cut};
+}
+
 bool
 nm_sched_query_fenced(const nm_sched_t *sched)
 {
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -41,6 +41,23 @@
     }
 }
 
+static void
+add_interrupted(const nm_occurrence_t *occurrence, uint32_t step,
+                nm_ms_t now_ms, nm_sched_capacity_t *capacity)
+{
+    uint32_t count = occurrence->job->spec.steps[step].task_count;
+    for (uint32_t i = 0; i < count; i++) {
+        const nm_task_t *task = &occurrence->tasks[step][i];
+        capacity->interrupted_waiting +=
+            task->state == NM_RUN_WAITING && task->run > 0;
+    }
+    nm_ms_t since_ms = occurrence->unplaced_since_ms[step];
+    if (since_ms > 0) {
+        capacity->interrupted_unplaced_ms =
+            MAX(capacity->interrupted_unplaced_ms, now_ms - since_ms);
+    }
+}
+
 static void
 add_waiting_job(const nm_sched_t *sched, const nm_sched_job_t *job,
                 nm_ms_t now_ms, nm_sched_capacity_t *capacity)
@@ -60,6 +77,7 @@
             }
             else if (step->long_running) {
                 capacity->long_running_waiting += waiting;
+                add_interrupted(occurrence, s, now_ms, capacity);
             }
             else {
                 capacity->short_waiting += waiting;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -337,6 +337,8 @@
     uint64_t change_seq; /* newest change of any job */
     uint64_t saved_seq;  /* all changes up to it are stored */
     uint64_t placement_number; /* counts placements */
+    uint64_t cut_placements;   /* ended at NM_SCHED_STARTING_MAX */
+    bool placement_cut;        /* the newest one ended there */
     bool saved_seq_stale;      /* saved_seq has to be recomputed */
     nm_ms_t began_ms;          /* when this scheduler was created */
     /* Latest time at which a former owner may have renewed a lease. */
