Scheduler: find crash suspects on a worker without visiting its tasks

A worker keeps when a suspect last started there; if that is longer ago than a trial takes, there is none.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -17,9 +17,10 @@
  * its worker is gone, the next owner counts the crash.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
- * tasks of a worker, sched_response.c calls nm_crashes_on_running and
- * nm_crashes_on_silence, sched.c calls nm_crashes_on_inherited, and
- * sched_choice.c asks for conflicts and penalties.
+ * tasks of a worker, sched_task.c calls nm_crashes_on_start, sched_response.c
+ * calls nm_crashes_on_running and nm_crashes_on_silence, sched.c calls
+ * nm_crashes_on_inherited, and sched_choice.c asks for conflicts and
+ * penalties.
  *
  * Load: workers that crash with tens of tasks each, many at a time, also
  * without any task's fault.
@@ -216,12 +217,26 @@
     }
 }
 
+void
+nm_crashes_on_start(nm_sched_node_t *node, const nm_task_t *task)
+{
+    if (task->crashes > 0) {
+        node->suspect_begun_ms = task->begun_ms;
+    }
+}
+
 /* Returns the suspect with most crashes of those just started, or NULL. */
 static const nm_task_t *
 find_trial(const nm_sched_node_t *node)
 {
     const nm_task_t *trial = NULL;
     uint32_t crashes_max = 0;
+    /* Placement asks for every waiting task and worker. */
+    if (node->suspect_begun_ms == 0 ||
+        node->alive_ms - node->suspect_begun_ms >= TRIAL_MS)
+    {
+        return NULL;
+    }
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         if (task->crashes > crashes_max && task->begun_ms > 0 &&
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -284,8 +284,9 @@
     bool last_call_lost;    /* its last call got no response */
     bool poll_pending;
     nm_ms_t poll_due_ms;
-    nm_ms_t alive_ms;   /* when its newest response came */
-    uint32_t id_hash;   /* never 0 */
+    nm_ms_t alive_ms;         /* when its newest response came */
+    uint32_t id_hash;         /* never 0 */
+    nm_ms_t suspect_begun_ms; /* newest start of a task that has crashes */
     nm_ms_t crashed_ms; /* an incarnation last ended by surprise; 0: none */
     int64_t crashed_incarnation; /* the one that did */
     uint32_t crashes;    /* such ends, each soon after the one before */
@@ -487,6 +488,8 @@
  */
 void nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task,
                              nm_ms_t now_ms);
+/* To be called when a run of a task begins, by its first start order. */
+void nm_crashes_on_start(nm_sched_node_t *node, const nm_task_t *task);
 /* Clears the count of a task that its worker reports to be at work. */
 void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task);
 /*
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -463,6 +463,7 @@
         nm_task_set_state(sched, task, NM_RUN_STARTING);
         task->tries = 0;
         task->begun_ms = now_ms;
+        nm_crashes_on_start(node, task);
         task->percent = 100;
         task->wanted_percent = 100;
         nm_task_attach(task, node);
