Scheduler: the wait of an interrupted task does not depend on placement

Callers saw LOST on large fleets: long-running tasks that failed start again 25 to 48 s later, with room for them (rules: 9 s).

Cause: a task became overdue, and so first in the order, 3 s after a placement had found no worker for it.

Now the wait is recorded when candidates are collected, before any is placed, and ends when no interrupted task of the step waits or starts any more. So it does not depend on which candidates a placement reaches.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -236,8 +236,8 @@
     uint32_t fillers_waiting;
     uint32_t long_running_waiting;
     uint32_t interrupted_waiting; /* part of it: tasks that have run before */
-    /* For how long the oldest such step has been refused by all workers. */
-    nm_ms_t interrupted_unplaced_ms;
+    /* For how long the oldest such step has been waiting. */
+    nm_ms_t interrupted_wait_ms;
     nm_ms_t oldest_waiting_ms; /* age of the oldest job with such a task */
     uint32_t serving_over_target;
     uint32_t fillers_paused;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -173,8 +173,8 @@
            (int)capacity.short_waiting, "fillers_waiting",
            (int)capacity.fillers_waiting, "long_running_waiting",
            (int)capacity.long_running_waiting, "interrupted_waiting",
-           (int)capacity.interrupted_waiting, "interrupted_unplaced_ms",
-           (json_int_t)capacity.interrupted_unplaced_ms, "oldest_waiting_ms",
+           (int)capacity.interrupted_waiting, "interrupted_wait_ms",
+           (json_int_t)capacity.interrupted_wait_ms, "oldest_waiting_ms",
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
            (int)capacity.fillers_paused, "filler_refusals", refusals);
--- a/src/sched.c
+++ b/src/sched.c
@@ -67,7 +67,7 @@
         g_free(job->occurrences[o].tasks);
         g_free(job->occurrences[o].unfinished);
         g_free(job->occurrences[o].waiting);
-        g_free(job->occurrences[o].unplaced_since_ms);
+        g_free(job->occurrences[o].interrupted_since_ms);
         g_free(job->occurrences[o].failures);
     }
     g_free(job->occurrences);
@@ -191,7 +191,7 @@
     occurrence->tasks = g_new0(nm_task_t *, spec->step_count);
     occurrence->unfinished = g_new0(uint32_t, spec->step_count);
     occurrence->waiting = g_new0(uint32_t, spec->step_count);
-    occurrence->unplaced_since_ms = g_new0(nm_ms_t, spec->step_count);
+    occurrence->interrupted_since_ms = g_new0(nm_ms_t, spec->step_count);
     occurrence->failures = g_new0(nm_step_failure_t, spec->step_count);
     for (uint32_t s = 0; s < spec->step_count; s++) {
         uint32_t count = spec->steps[s].task_count;
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -51,10 +51,10 @@
         capacity->interrupted_waiting +=
             task->state == NM_RUN_WAITING && task->run > 0;
     }
-    nm_ms_t since_ms = occurrence->unplaced_since_ms[step];
+    nm_ms_t since_ms = occurrence->interrupted_since_ms[step];
     if (since_ms > 0) {
-        capacity->interrupted_unplaced_ms =
-            MAX(capacity->interrupted_unplaced_ms, now_ms - since_ms);
+        capacity->interrupted_wait_ms =
+            MAX(capacity->interrupted_wait_ms, now_ms - since_ms);
     }
 }
 
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -24,9 +24,9 @@
  */
 #define LONG_RUNNING_RANK 0.5
 /*
- * A long-running task that has run before and found no worker for this long
- * is overdue: it starts before all others, and a worker is reserved for it,
- * as short tasks would refill each gap that is too small for it.  The rules
+ * A long-running task that has run before and has waited for this long is
+ * overdue: it starts before all others, and a worker is reserved for it, as
+ * short tasks would refill each gap that is too small for it.  The rules
  * allow 9 s after its last run, however full the service is; the short tasks
  * of a worker take up to 3 s to end.
  */
@@ -138,8 +138,8 @@
 {
     const nm_sched_job_t *job = occurrence->job;
     if (!job->spec.steps[step].long_running ||
-        occurrence->unplaced_since_ms[step] == 0 ||
-        now_ms - occurrence->unplaced_since_ms[step] < LONG_RUNNING_WAIT_MS)
+        occurrence->interrupted_since_ms[step] == 0 ||
+        now_ms - occurrence->interrupted_since_ms[step] < LONG_RUNNING_WAIT_MS)
     {
         return false;
     }
@@ -190,6 +190,7 @@
                 !nm_occurrence_step_is_ready(occurrence, s)) {
                 continue;
             }
+            nm_occurrence_record_interrupted(occurrence, s, now_ms);
             bool overdue =
                 nm_order_is_overdue(sched, round, occurrence, s, now_ms);
             nm_candidate_t candidate = {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -132,39 +132,6 @@
     }
 }
 
-/*
- * True if a task that has run before is waiting; each waiting task of a
- * recovered job counts as one.  Tasks that have never run do not become
- * overdue, as they would take the capacity of short tasks that are still in
- * time.
- */
-static bool
-has_interrupted_task(const nm_occurrence_t *occurrence, uint32_t step)
-{
-    uint32_t count = occurrence->job->spec.steps[step].task_count;
-    for (uint32_t i = 0; i < count; i++) {
-        const nm_task_t *task = &occurrence->tasks[step][i];
-        if (task->state == NM_RUN_WAITING &&
-            (task->run > 0 || occurrence->job->recovered))
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Records since when an interrupted task finds no worker with room. */
-static void
-record_unplaced_long_running(const nm_candidate_t *candidate, nm_ms_t now_ms)
-{
-    nm_occurrence_t *occurrence = candidate->occurrence;
-    if (occurrence->unplaced_since_ms[candidate->step] == 0 &&
-        has_interrupted_task(occurrence, candidate->step))
-    {
-        occurrence->unplaced_since_ms[candidate->step] = now_ms;
-    }
-}
-
 /* Reserves workers for an interrupted step once it is overdue. */
 static void
 reserve_if_overdue(nm_sched_t *sched, nm_round_t *round,
@@ -319,9 +286,6 @@
         }
         return;
     }
-    if (step->long_running) {
-        record_unplaced_long_running(candidate, now_ms);
-    }
     nm_gang_make_room(sched, candidate, round, now_ms);
 }
 
@@ -376,7 +340,6 @@
             continue;
         }
         if (step->long_running) {
-            record_unplaced_long_running(candidate, now_ms);
             if (evict_fillers(sched, candidate, now_ms)) {
                 continue;
             }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -184,10 +184,10 @@
     uint32_t *unfinished; /* by step: tasks that are not done */
     uint32_t *waiting;    /* by step: tasks in state NM_RUN_WAITING */
     /*
-     * By step: since when an interrupted long-running task has found no
-     * worker, until all tasks run; 0: there is none.
+     * By step: since when an interrupted long-running task has been waiting,
+     * whether or not a placement has considered it; 0: none has.
      */
-    nm_ms_t *unplaced_since_ms;
+    nm_ms_t *interrupted_since_ms;
     nm_step_failure_t *failures; /* by step */
     bool finished;
 };
@@ -421,6 +421,9 @@
 /* True if all steps that it comes after are done. */
 bool nm_occurrence_step_is_ready(const nm_occurrence_t *occurrence,
                                  uint32_t step);
+/* Records since when an interrupted long-running task of a step waits. */
+void nm_occurrence_record_interrupted(nm_occurrence_t *occurrence,
+                                      uint32_t step, nm_ms_t now_ms);
 nm_sched_action_t *nm_sched_add_action(nm_sched_t *sched,
                                        nm_sched_node_t *node,
                                        nm_sched_action_type_t type);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -180,7 +180,40 @@
 }
 
 /*
- * Ends the wait of an interrupted step once all its tasks run: a start that is
+ * True if a long-running task that has run before is waiting; each waiting
+ * task of a recovered job counts as one.  Tasks that have never run do not
+ * become overdue, as they would take the capacity of short tasks that are
+ * still in time.
+ */
+static bool
+has_interrupted_task(const nm_occurrence_t *occurrence, uint32_t step)
+{
+    uint32_t count = occurrence->job->spec.steps[step].task_count;
+    for (uint32_t i = 0; i < count; i++) {
+        const nm_task_t *task = &occurrence->tasks[step][i];
+        if (task->state == NM_RUN_WAITING &&
+            (task->run > 0 || occurrence->job->recovered))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+nm_occurrence_record_interrupted(nm_occurrence_t *occurrence, uint32_t step,
+                                 nm_ms_t now_ms)
+{
+    if (occurrence->interrupted_since_ms[step] == 0 &&
+        occurrence->job->spec.steps[step].long_running &&
+        has_interrupted_task(occurrence, step))
+    {
+        occurrence->interrupted_since_ms[step] = now_ms;
+    }
+}
+
+/*
+ * Ends the wait of a step once all interrupted tasks run: a start that is
  * refused does not begin a new wait.
  */
 static void
@@ -188,8 +221,9 @@
 {
     nm_occurrence_t *occurrence = task->occurrence;
     uint32_t step = task->step;
-    if (occurrence->unplaced_since_ms[step] == 0 ||
-        occurrence->waiting[step] > 0) {
+    if (occurrence->interrupted_since_ms[step] == 0 ||
+        has_interrupted_task(occurrence, step))
+    {
         return;
     }
     for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
@@ -200,7 +234,7 @@
             return;
         }
     }
-    occurrence->unplaced_since_ms[step] = 0;
+    occurrence->interrupted_since_ms[step] = 0;
 }
 
 void
