Scheduler: predicted tails of a worker in one array

The prediction keeps the serving tasks' tails in an array of the worker, and the cost of a filler is computed from it.

--- a/src/sched.c
+++ b/src/sched.c
@@ -85,6 +85,7 @@
 {
     nm_sched_node_t *node = data;
     g_ptr_array_free(node->tasks, TRUE);
+    g_array_free(node->tails, TRUE);
     g_queue_clear_full(&node->pending_acks, g_free);
     nm_duplicates_free(node);
     g_free(node);
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -34,6 +34,7 @@
     nm_strcopy(node->desc.id, sizeof(node->desc.id), id);
     node->id_hash = MAX(g_str_hash(node->desc.id), 1);
     node->tasks = g_ptr_array_new();
+    node->tails = g_array_new(FALSE, FALSE, sizeof(nm_tail_t));
     g_queue_init(&node->pending_acks);
     node->lease_lapse_ms = former_owner_lapse_ms(sched);
     node->poll_due_ms = now_ms;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -159,7 +159,6 @@
     int64_t metric;        /* newest one reported */
     bool observed;         /* this owner saw its start or a metric */
     nm_ms_t over_since_ms; /* its tail is over target since; 0: within */
-    double log_tail;       /* predicted log(tail / target) */
     nm_ms_t throttled_ms;  /* last change of wanted_percent */
     bool has_failed;       /* a run failed soon; none has worked since */
     /* Where it last failed, stalled, was refused or was evicted. */
@@ -253,6 +252,12 @@
     const nm_sched_job_t *job;
 } nm_hold_t;
 
+/* Predicted tail of a serving task; placement compares many of them. */
+typedef struct {
+    double log_tail; /* log(tail / target) */
+    uint32_t image;
+} nm_tail_t;
+
 /* A worker; the fields that placement reads come first. */
 struct nm_sched_node {
     const char *service; /* interned */
@@ -268,7 +273,7 @@
     bool reachable;       /* responded to one of its last polls */
     bool clock_known;
     bool has_headroom; /* no serving task is near its target */
-    /* expected_misses and the tasks' log_tail are current. */
+    /* expected_misses and tails are current. */
     bool interference_valid;
     nm_ms_t avoid_until_ms;
     int64_t filler_cpu_milli;
@@ -277,7 +282,8 @@
     nm_hold_t hold;
     int64_t filler_memory_mb; /* part of memory_used_mb */
     double expected_misses; /* expected number of serving tasks over target */
-    nm_ms_t predicted_ms;   /* when expected_misses was computed */
+    GArray *tails;          /* of nm_tail_t: of its serving tasks */
+    nm_ms_t predicted_ms;   /* when tails and their misses were computed */
     nm_sched_worker_t desc;
     uint64_t reports;       /* number of reports applied */
     uint32_t poll_failures; /* unanswered polls in a row */
--- a/src/sched_tails.c
+++ b/src/sched_tails.c
@@ -98,6 +98,7 @@
     }
     filler_loads_t loads = {.count = 0};
     node->expected_misses = 0;
+    g_array_set_size(node->tails, 0);
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
         if (nm_task_step(task)->is_filler) {
@@ -105,13 +106,15 @@
         }
     }
     for (guint i = 0; i < node->tasks->len; i++) {
-        nm_task_t *task = node->tasks->pdata[i];
+        const nm_task_t *task = node->tasks->pdata[i];
         if (nm_task_step(task)->target_ms > 0) {
-            task->log_tail = swing_level(sched, task, now_ms + FORECAST_MS) +
-                             nm_interference_predict(&sched->interference,
-                                                     nm_task_image(task),
-                                                     loads.items, loads.count);
-            node->expected_misses += nm_interference_risk(task->log_tail);
+            nm_tail_t tail = {.image = nm_task_image(task)};
+            tail.log_tail =
+                swing_level(sched, task, now_ms + FORECAST_MS) +
+                nm_interference_predict(&sched->interference, tail.image,
+                                        loads.items, loads.count);
+            node->expected_misses += nm_interference_risk(tail.log_tail);
+            g_array_append_val(node->tails, tail);
         }
     }
     node->interference_valid = true;
@@ -123,13 +126,11 @@
                          const nm_filler_load_t *load)
 {
     double misses = 0;
-    for (guint i = 0; i < node->tasks->len; i++) {
-        const nm_task_t *task = node->tasks->pdata[i];
-        if (nm_task_step(task)->target_ms > 0) {
-            double effect = nm_interference_effect(&sched->interference,
-                                                   nm_task_image(task), load);
-            misses += nm_interference_risk(task->log_tail + effect);
-        }
+    for (guint i = 0; i < node->tails->len; i++) {
+        const nm_tail_t *tail = &g_array_index(node->tails, nm_tail_t, i);
+        double effect =
+            nm_interference_effect(&sched->interference, tail->image, load);
+        misses += nm_interference_risk(tail->log_tail + effect);
     }
     return misses;
 }
