Scheduler: workers for a step are compared once, not for each of its tasks

Cause: each waiting task compared up to 80 workers with room, each of its neighbours in a step the same ones; a step that found no room scanned all workers again for each task (fillers to stop, workers to reserve), and each long-running step did so although one that needs less had found none.

Now the workers that fit are scored once for a step, kept as a heap and scored again only before they are used. Fillers to stop are looked for from where the search for the task before ended; workers are reserved in one scan; long-running steps that need as much as one without room are skipped.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -22,6 +22,8 @@
 #define SAME_IMAGE_SCORE 2
 /* Limit of fitting workers that are compared for one task. */
 #define FITTING_NODES_MAX 80
+/* Workers compared for a step besides those, for each waiting task. */
+#define FITTING_NODES_PER_TASK 2
 
 bool
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
@@ -264,6 +266,116 @@
     return best;
 }
 
+static int
+compare_found(gconstpointer a, gconstpointer b)
+{
+    double left = ((const nm_found_node_t *)a)->score;
+    double right = ((const nm_found_node_t *)b)->score;
+    return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/* Moves the first entry to its place, after others of the same score. */
+static void
+move_first_down(GArray *found)
+{
+    nm_found_node_t *entries = (nm_found_node_t *)(void *)found->data;
+    for (guint i = 0; 2 * i + 1 < found->len;) {
+        guint child = 2 * i + 1;
+        if (child + 1 < found->len &&
+            entries[child + 1].score > entries[child].score) {
+            child++;
+        }
+        if (entries[i].score >= entries[child].score) {
+            return;
+        }
+        nm_found_node_t moved = entries[i];
+        entries[i] = entries[child];
+        entries[child] = moved;
+        i = child;
+    }
+}
+
+static void
+remove_first(GArray *found)
+{
+    g_array_remove_index_fast(found, 0);
+    move_first_down(found);
+}
+
+void
+nm_search_init(nm_search_t *search, nm_sched_t *sched,
+               const nm_candidate_t *candidate)
+{
+    uint32_t waiting = candidate->occurrence->waiting[candidate->step];
+    guint nodes = sched->node_list->len;
+    *search = (nm_search_t){
+        .sched = sched,
+        .candidate = candidate,
+        .found = g_array_new(FALSE, FALSE, sizeof(nm_found_node_t)),
+        .found_max = FITTING_NODES_MAX + FITTING_NODES_PER_TASK * waiting,
+        .unvisited = nodes,
+        .position = nodes > 0 ? nm_rng_below(&sched->rng, nodes) : 0};
+}
+
+void
+nm_search_finish(nm_search_t *search)
+{
+    g_array_free(search->found, TRUE);
+}
+
+/* Visits further workers until enough of them fit, or none is left. */
+static void
+visit_nodes(nm_search_t *search, const nm_task_t *task, nm_ms_t now_ms)
+{
+    const GPtrArray *nodes = search->sched->node_list;
+    while (search->unvisited > 0 && search->found->len < search->found_max) {
+        nm_found_node_t entry = {.node = nodes->pdata[search->position]};
+        search->position = (search->position + 1) % nodes->len;
+        search->unvisited--;
+        if (score_node(search->sched, search->candidate, task, entry.node,
+                       now_ms, &entry.score))
+        {
+            g_array_append_val(search->found, entry);
+        }
+    }
+    g_array_sort(search->found, compare_found);
+}
+
+nm_sched_node_t *
+nm_search_find_node(nm_search_t *search, nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->avoided_node || task->crashes > 0) {
+        return nm_choice_find_node(search->sched, search->candidate, task,
+                                   now_ms);
+    }
+    for (;;) {
+        if (search->found->len == 0) {
+            visit_nodes(search, task, now_ms);
+        }
+        if (search->found->len == 0) {
+            return NULL;
+        }
+        nm_found_node_t *first =
+            &g_array_index(search->found, nm_found_node_t, 0);
+        double score;
+        /* The starts since then may have changed it. */
+        if (!score_node(search->sched, search->candidate, task, first->node,
+                        now_ms, &score))
+        {
+            remove_first(search->found);
+            continue;
+        }
+        bool is_next =
+            score > first->score || (score == first->score && !first->used);
+        first->score = score;
+        first->used = is_next;
+        if (is_next) {
+            return first->node;
+        }
+        move_first_down(search->found);
+    }
+}
+
 /* Ends the holds for a job that starts, except for those of evictions. */
 static void
 release_holds(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -33,17 +33,19 @@
     const nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     nm_task_t *tasks = occurrence->tasks[candidate->step];
+    nm_search_t search;
+    nm_search_init(&search, sched, candidate);
     /* Attached for the time being, as one task takes the room of another. */
     while (nodes->len < step->task_count) {
         nm_task_t *task = &tasks[nodes->len];
-        nm_sched_node_t *node =
-            nm_choice_find_node(sched, candidate, task, now_ms);
+        nm_sched_node_t *node = nm_search_find_node(&search, task, now_ms);
         if (!node) {
             break;
         }
         nm_task_attach(task, node);
         g_ptr_array_add(nodes, node);
     }
+    nm_search_finish(&search);
     for (guint i = 0; i < nodes->len; i++) {
         nm_task_detach(&tasks[i]);
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -29,35 +29,45 @@
  */
 #define IDLE_START_INTERVAL_MS 10000
 
+static int
+compare_free_cpu(gconstpointer a, gconstpointer b)
+{
+    const nm_sched_node_t *left = *(const nm_sched_node_t *const *)a;
+    const nm_sched_node_t *right = *(const nm_sched_node_t *const *)b;
+    int64_t left_milli = left->desc.cpu_milli - left->cpu_used_milli;
+    int64_t right_milli = right->desc.cpu_milli - right->cpu_used_milli;
+    return left_milli < right_milli ? 1 : left_milli > right_milli ? -1 : 0;
+}
+
 /*
- * Keeps short tasks off the worker with the most free CPU for the rest of this
- * round.  Returns false if no worker can be reserved for the step.
+ * Keeps short tasks off the workers with the most free CPU for the rest of
+ * this round.  Returns their number, count at most.
  */
-static bool
-reserve_node(nm_sched_t *sched, const nm_candidate_t *candidate,
-             nm_ms_t now_ms)
+static uint32_t
+reserve_nodes(nm_sched_t *sched, const nm_candidate_t *candidate,
+              uint32_t count, nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
-    nm_sched_node_t *best = NULL;
-    int64_t best_free_cpu_milli = INT64_MIN;
+    GPtrArray *nodes = g_ptr_array_new();
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        int64_t free_cpu_milli = node->desc.cpu_milli - node->cpu_used_milli;
-        if (free_cpu_milli > best_free_cpu_milli &&
-            node->reserved_placement != sched->placement_number &&
+        if (node->reserved_placement != sched->placement_number &&
             nm_choice_is_eligible(node, candidate, nm_job_service(job),
                                   now_ms) &&
             nm_room_by(node, step, NM_MS_NEVER) > 0)
         {
-            best = node;
-            best_free_cpu_milli = free_cpu_milli;
+            g_ptr_array_add(nodes, node);
         }
     }
-    if (best) {
-        best->reserved_placement = sched->placement_number;
+    g_ptr_array_sort(nodes, compare_free_cpu);
+    count = MIN(count, nodes->len);
+    for (guint i = 0; i < count; i++) {
+        nm_sched_node_t *node = nodes->pdata[i];
+        node->reserved_placement = sched->placement_number;
     }
-    return best != NULL;
+    g_ptr_array_free(nodes, TRUE);
+    return count;
 }
 
 /* Returns the worker that is held for a step, NULL if there is none. */
@@ -142,27 +152,29 @@
                              now_ms)) {
         return;
     }
-    uint32_t waiting = occurrence->waiting[candidate->step];
-    double reserved_max = ceil(RESERVED_SHARE * sched->node_list->len);
-    while (waiting > 0 && round->reserved_nodes < reserved_max &&
-           reserve_node(sched, candidate, now_ms))
-    {
-        round->reserved_nodes++;
-        waiting--;
+    uint32_t reserved_max =
+        (uint32_t)ceil(RESERVED_SHARE * sched->node_list->len);
+    if (round->reserved_nodes >= reserved_max) {
+        return;
     }
+    uint32_t count = MIN(occurrence->waiting[candidate->step],
+                         reserved_max - round->reserved_nodes);
+    round->reserved_nodes += reserve_nodes(sched, candidate, count, now_ms);
 }
 
 /*
  * Stops fillers whose memory a long-running task needs.  Returns true if a
  * worker has enough memory, or will have once the stopped fillers have ended;
  * the worker is held for the step, and counts for one task in a round.
+ * position: the worker to begin with; those before it are of no use to the
+ * step in this round.
  */
 static bool
 evict_fillers(nm_sched_t *sched, const nm_candidate_t *candidate,
-              nm_ms_t now_ms)
+              guint *position, nm_ms_t now_ms)
 {
-    for (guint n = 0; n < sched->node_list->len; n++) {
-        nm_sched_node_t *node = sched->node_list->pdata[n];
+    while (*position < sched->node_list->len) {
+        nm_sched_node_t *node = sched->node_list->pdata[(*position)++];
         if (node->filler_count > 0 &&
             node->reserved_placement != sched->placement_number &&
             nm_room_may_hold(sched, candidate, node, now_ms) &&
@@ -237,13 +249,22 @@
     }
 }
 
-/* True if a short task needs as much as one that found no worker. */
+/*
+ * True if a step needs as much as one that found no worker.  A long-running
+ * step may have a worker held that the other one was not allowed to use.
+ */
 static bool
-is_skipped(const nm_round_t *round, const nm_sched_job_t *job,
-           const nm_step_t *step)
+is_skipped(const nm_round_t *round, const nm_candidate_t *candidate,
+           nm_ms_t now_ms)
 {
-    bool unconstrained = !step->long_running && step->label[0] == '\0' &&
-                         step->per_worker_max == 0;
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    bool unconstrained = step->label[0] == '\0' && step->per_worker_max == 0;
+    if (step->long_running) {
+        return unconstrained && candidate->order_class == NM_CLASS_ORDINARY &&
+               now_ms >= MAX(job->held_until_ms, job->evicting_until_ms) &&
+               is_unplaced(&round->unplaced_long_running, job, step);
+    }
     return (step->is_filler || unconstrained) &&
            is_unplaced(&round->unplaced, job, step);
 }
@@ -296,22 +317,41 @@
         MIN(sched->idle_start_credit + credit, IDLE_START_CREDIT_MAX);
 }
 
-/* Returns false if it did not look for a worker. */
+/*
+ * Makes room for a step that found no worker.  Returns false if nothing can be
+ * done for further tasks of it in this round.  evict_position: see
+ * evict_fillers.
+ */
 static bool
-place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
-           nm_round_t *round, nm_ms_t now_ms)
+make_room(nm_sched_t *sched, const nm_candidate_t *candidate,
+          nm_round_t *round, guint *evict_position, nm_ms_t now_ms)
 {
-    nm_occurrence_t *occurrence = candidate->occurrence;
-    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    if (is_skipped(round, occurrence->job, step)) {
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (!step->long_running) {
+        record_unplaced(&round->unplaced, job, step);
         return false;
     }
-    if (step->is_gang) {
-        place_gang(sched, candidate, round, now_ms);
+    if (evict_fillers(sched, candidate, evict_position, now_ms)) {
         return true;
     }
+    if (candidate->order_class == NM_CLASS_ORDINARY) {
+        record_unplaced(&round->unplaced_long_running, job, step);
+    }
+    reserve_if_overdue(sched, round, candidate, now_ms);
+    return false;
+}
+
+/* Starts the waiting tasks of a step that is not a gang. */
+static void
+place_tasks(nm_sched_t *sched, const nm_candidate_t *candidate,
+            nm_search_t *search, nm_round_t *round, nm_ms_t now_ms)
+{
+    nm_occurrence_t *occurrence = candidate->occurrence;
+    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     double *cpu_left_milli =
         overdue_cpu_left_milli(sched, candidate, round, now_ms);
+    guint evict_position = 0;
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
         if (task->state != NM_RUN_WAITING) {
@@ -319,36 +359,47 @@
         }
         if (sched->starting_count >= NM_SCHED_STARTING_MAX) {
             sched->needs_placement = true;
-            return true;
+            return;
         }
         if (cpu_left_milli && *cpu_left_milli <= 0) {
-            return true;
-        }
-        nm_sched_node_t *node =
-            nm_choice_find_node(sched, candidate, task, now_ms);
-        if (node && cpu_left_milli) {
-            *cpu_left_milli -= (double)step->cpu_milli;
+            return;
         }
+        nm_sched_node_t *node = nm_search_find_node(search, task, now_ms);
         if (node) {
             nm_choice_start(sched, candidate, task, node, 0, now_ms);
+            if (cpu_left_milli) {
+                *cpu_left_milli -= (double)step->cpu_milli;
+            }
             if (!step->long_running) {
                 add_idle_start_credit(sched, IDLE_START_SHARE);
             }
-            continue;
         }
-        if (nm_choice_waits_for_trial(sched, candidate, task, false, now_ms)) {
-            continue;
-        }
-        if (step->long_running) {
-            if (evict_fillers(sched, candidate, now_ms)) {
-                continue;
-            }
-            reserve_if_overdue(sched, round, candidate, now_ms);
-            return true;
+        else if (!nm_choice_waits_for_trial(sched, candidate, task, false,
+                                            now_ms) &&
+                 !make_room(sched, candidate, round, &evict_position, now_ms))
+        {
+            return;
         }
-        record_unplaced(&round->unplaced, occurrence->job, step);
+    }
+}
+
+/* Returns false if it did not look for a worker. */
+static bool
+place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
+           nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_occurrence_t *occurrence = candidate->occurrence;
+    if (is_skipped(round, candidate, now_ms)) {
+        return false;
+    }
+    if (occurrence->job->spec.steps[candidate->step].is_gang) {
+        place_gang(sched, candidate, round, now_ms);
         return true;
     }
+    nm_search_t search;
+    nm_search_init(&search, sched, candidate);
+    place_tasks(sched, candidate, &search, round, now_ms);
+    nm_search_finish(&search);
     return true;
 }
 
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -156,7 +156,10 @@
         .reason = reason,
         .job = job,
     };
-    if (!evicts) {
+    if (evicts) {
+        job->evicting_until_ms = node->hold.until_ms;
+    }
+    else {
         job->held_until_ms = node->hold.until_ms;
     }
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -57,14 +57,42 @@
      */
     nm_unplaced_list_t unplaced;
     nm_unplaced_list_t unplaced_idle; /* fillers of idle jobs */
-    uint32_t reserved_nodes;          /* workers reserved for overdue steps */
-    uint32_t held_nodes;              /* workers held for idle jobs */
-    uint32_t gang_nodes;              /* workers held for gangs */
-    GArray *services;                 /* of nm_round_service_t */
+    /* Long-running tasks that no fillers can be stopped for, either. */
+    nm_unplaced_list_t unplaced_long_running;
+    uint32_t reserved_nodes; /* workers reserved for overdue steps */
+    uint32_t held_nodes;     /* workers held for idle jobs */
+    uint32_t gang_nodes;     /* workers held for gangs */
+    GArray *services;        /* of nm_round_service_t */
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
 
+/* A worker with room for a task of a step, and how well it suits it. */
+typedef struct {
+    nm_sched_node_t *node;
+    double score;
+    bool used; /* a task has started there since it was scored */
+} nm_found_node_t;
+
+/*
+ * Search of workers for all waiting tasks of a step.  The workers that fit are
+ * scored once, and again only before they are used, so that a wide step does
+ * not cost the comparison of many workers for each of its tasks.
+ *
+ *     nm_search_t search;
+ *     nm_search_init(&search, sched, candidate);
+ *     nm_sched_node_t *node = nm_search_find_node(&search, task, now_ms);
+ *     nm_search_finish(&search);
+ */
+typedef struct {
+    nm_sched_t *sched;
+    const nm_candidate_t *candidate;
+    GArray *found; /* of nm_found_node_t; a heap, the best first */
+    guint found_max;
+    guint position;  /* in the list of workers: the next one to visit */
+    guint unvisited; /* workers */
+} nm_search_t;
+
 /* sched_order.c */
 /*
  * Returns the waiting steps in the order in which they start, as an array of
@@ -107,6 +135,16 @@
 nm_sched_node_t *nm_choice_find_node(nm_sched_t *sched,
                                      const nm_candidate_t *candidate,
                                      nm_task_t *task, nm_ms_t now_ms);
+void nm_search_init(nm_search_t *search, nm_sched_t *sched,
+                    const nm_candidate_t *candidate);
+void nm_search_finish(nm_search_t *search);
+/*
+ * Returns the best worker found for a task of the step; NULL if it fits
+ * nowhere.  The task is to be started there, or attached, before the next
+ * call.
+ */
+nm_sched_node_t *nm_search_find_node(nm_search_t *search, nm_task_t *task,
+                                     nm_ms_t now_ms);
 /*
  * Starts a waiting task, with a run number of at least run; ends the holds for
  * its job, except for those of evictions.
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -210,7 +210,8 @@
     uint32_t attached_count; /* tasks on workers */
     nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
     nm_ms_t held_until_ms;   /* workers may be held for it until then */
-    uint64_t change_seq;     /* newest change to store */
+    nm_ms_t evicting_until_ms;  /* the same where fillers are evicted for it */
+    uint64_t change_seq;        /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
