bench_jobs: overloads with spread sizes, served share by size (red)

No benchmark or test looked at sizes: all fillers of bench_jobs had one size, and its worth counted jobs, not work. The overload patterns spread sizes log-normally, ask for 1.2 to 3 times the CPU that long-running tasks leave, end 14 s after the last arrival, and count a job as served up to three times its objective.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -71,6 +71,26 @@
       .duration_ms = 40000}},
 };
 
+/*
+ * Overloads: fillers ask for this multiple of the CPU that long-running tasks
+ * leave unused; sizes of jobs vary.
+ */
+static const struct {
+    const char *name;
+    double load;
+    uint32_t services;
+    nm_ms_t arrivals_end_ms;
+} overloads[] = {
+    {"overload-1.2", 1.2, 12, 36000},
+    {"overload-2", 2, 12, 36000},
+    {"overload-3", 3, 12, 36000},
+    {"overload-1.2-reserved", 1.2, 30, 36000},
+    {"overload-2-reserved", 2, 30, 36000},
+    {"overload-3-reserved", 3, 30, 36000},
+    {"overload-1.2-long", 1.2, 12, 70000},
+    {"overload-2-long-reserved", 2, 30, 70000},
+};
+
 /* Longest time that a serving task may be over its target (harmMs). */
 #define OVER_MS_MAX 4000
 /* Aim: at most one serving second in twenty is over the target. */
@@ -129,6 +149,42 @@
                            INFORMED_SHARE_MIN);
 }
 
+/* From the end of arrivals to the end of an overload. */
+#define OVERLOAD_FINISH_MS 14000
+/* CPU that one job of long-running tasks uses, and mean of one of fillers. */
+#define SERVICE_CORES (6 * 12.8 / 2)
+#define FILLER_CORE_S (2 * 8 * 5.12 * 2.2)
+#define FLEET_CORES (48 * 64)
+/*
+ * The rules: the largest tenth of a kind, and the fifth below it, are served
+ * half as often as all of the kind at least.
+ */
+#define SIZE_SERVED_SHARE_MIN 0.5
+
+static bool
+check_size(const char *name, const char *kind, const char *size, double share,
+           double all)
+{
+    char label[96];
+    g_snprintf(label, sizeof(label), "jobs-%s-%s-%s", name, kind, size);
+    return report_at_least(label, all > 0 ? share / all : 1,
+                           SIZE_SERVED_SHARE_MIN);
+}
+
+static bool
+check_sizes(const char *name, const char *kind, const sizes_served_t *served)
+{
+    printf("jobs %s: of %u %s %.2f served, largest tenth %.2f, next fifth "
+           "%.2f\n",
+           name, served->count, kind, served->all, served->largest_tenth,
+           served->next_fifth);
+    bool pass = check_size(name, kind, "largest-tenth", served->largest_tenth,
+                           served->all);
+    return check_size(name, kind, "next-fifth", served->next_fifth,
+                      served->all) &&
+           pass;
+}
+
 static void
 print_summary(const char *name, const fleet_info_t *info)
 {
@@ -141,6 +197,28 @@
            info->stops, info->polls, info->worth);
 }
 
+static bool
+run_overload(uint64_t seed, size_t index)
+{
+    const char *name = overloads[index].name;
+    nm_ms_t arrivals_end_ms = overloads[index].arrivals_end_ms;
+    uint32_t services = overloads[index].services;
+    double spare_cores = FLEET_CORES - services * SERVICE_CORES;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .checks_per_s = 5,
+        .fillers_per_s = overloads[index].load * spare_cores / FILLER_CORE_S,
+        .services = services,
+        .disturbing_pair_share = 0.5,
+        .sizes_vary = true,
+        .arrivals_end_ms = arrivals_end_ms,
+        .duration_ms = arrivals_end_ms + OVERLOAD_FINISH_MS,
+    });
+    print_summary(name, &info);
+    bool pass = check_sizes(name, "checks", &info.checks_served);
+    return check_sizes(name, "fillers", &info.fillers_served) && pass;
+}
+
 /* Size of the fleet with which larger ones are compared. */
 #define DECISION_WORKERS 50
 /*
@@ -217,6 +295,12 @@
             check_bounds(patterns[i].name, &info, desc.arrivals_end_ms > 0);
         pass &= check_learning(patterns[i].name, &desc, &info);
     }
+    for (size_t i = 0; i < NM_COUNT_OF(overloads); i++) {
+        if (!pattern[0] || decisions ||
+            strcmp(pattern, overloads[i].name) == 0) {
+            pass &= run_overload(seed, i);
+        }
+    }
     if (!pattern[0] || strcmp(pattern, "growth") == 0) {
         pass &= check_decision_growth(seed);
     }
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -31,6 +31,9 @@
 #define SERVING_CREDIT_PER_S 0.023
 #define LATE_CREDIT_SHARE 0.15
 #define OVER_TARGET_LOSS 4.0
+/* The rules: credit of a job against the mean of its kind. */
+#define FIXED_CREDIT_SHARE 0.3
+#define CREDIT_MAX 4.0
 /* A job later than this multiple of its objective earns nothing. */
 #define LATE_LIMIT_FACTOR 3
 /* A filler that is stopped earlier has no checkpoint. */
@@ -83,6 +86,8 @@
     bool always_fails;
     bool ended;
     bool long_running;
+    double credit_share; /* earned; 0: not ended, or later than the limit */
+    int64_t core_ms;
     nm_ms_t at_work_ms; /* a task of it was last running */
     double load_phase;
 } job_t;
@@ -108,24 +113,47 @@
     return nm_rng_unit(&fleet->rng);
 }
 
+/* Tasks of a step, steps, and estimate of a task; of checks and fillers. */
+static const struct {
+    size_dist_t tasks;
+    size_dist_t steps;
+    size_dist_t estimate_ms;
+} job_sizes[] = {
+    {{6, 0.8, 36}, {1.6, 0.4, 4}, {800, 0.5, 2000}},
+    {{8, 0.6, 32}, {2, 0.4, 5}, {2200, 0.5, 5400}},
+};
+
+/* Returns the mean where sizes do not vary. */
+static double
+draw_size(fleet_t *fleet, int kind, const size_dist_t *dist, double mean)
+{
+    bool varies = fleet->desc.sizes_vary && kind != JOB_SERVICE;
+    return varies ? round(sizes_draw(&fleet->rng, dist)) : mean;
+}
+
 static void
 add_job(fleet_t *fleet, int kind)
 {
     static const char *const queues[] = {"checks", "fillers", "services"};
+    int sized = kind == JOB_FILLER ? JOB_FILLER : JOB_CHECK;
     char id[NM_JOB_ID_MAX];
     snprintf(id, sizeof(id), "%016llx",
              (unsigned long long)++fleet->job_number);
     nm_job_spec_t spec;
     nm_job_spec_init(&spec, id, queues[kind], "press");
-    uint32_t steps = kind == JOB_FILLER ? 2 : 1;
-    nm_ms_t estimate_ms = kind == JOB_CHECK    ? 800
-                          : kind == JOB_FILLER ? 2200
-                                               : 0;
+    uint32_t steps = (uint32_t)draw_size(fleet, kind, &job_sizes[sized].steps,
+                                         kind == JOB_FILLER ? 2 : 1);
+    nm_ms_t estimate_ms =
+        (nm_ms_t)draw_size(fleet, kind, &job_sizes[sized].estimate_ms,
+                           kind == JOB_CHECK    ? 800
+                           : kind == JOB_FILLER ? 2200
+                                                : 0);
     int image = (int)nm_rng_below(
         &fleet->rng, kind == JOB_FILLER ? FILLER_IMAGES : SERVING_IMAGES);
     for (uint32_t s = 0; s < steps; s++) {
         nm_step_t *step = nm_job_spec_add_step(&spec);
-        step->task_count = kind == JOB_FILLER ? 8 : 6;
+        step->task_count = (uint32_t)draw_size(
+            fleet, kind, &job_sizes[sized].tasks, kind == JOB_FILLER ? 8 : 6);
         step->cpu_milli = (int64_t)((double)fleet->desc.cpu_milli *
                                     (kind == JOB_SERVICE ? 0.2 : 0.08));
         step->memory_mb = 1000;
@@ -148,7 +176,10 @@
     job->load_phase = GOLDEN_ANGLE * (double)fleet->job_number;
     job->always_fails = kind == JOB_FILLER &&
                         random_unit(fleet) < fleet->desc.failing_job_share;
-    job->objective_ms = kind == JOB_CHECK ? 1800 : 2 * 2 * estimate_ms + 1000;
+    nm_ms_t path_ms = nm_job_spec_critical_path_ms(&spec);
+    job->objective_ms =
+        kind == JOB_CHECK ? path_ms * 3 / 2 + 600 : 2 * path_ms + 1000;
+    job->core_ms = nm_job_spec_core_ms(&spec);
     g_hash_table_insert(fleet->jobs, job->id, job);
     if (!job->always_fails) {
         fleet->info.checks += kind == JOB_CHECK;
@@ -498,6 +529,7 @@
             bool in_time = took_ms <= job->objective_ms;
             bool late =
                 !in_time && took_ms <= LATE_LIMIT_FACTOR * job->objective_ms;
+            job->credit_share = in_time ? 1 : late ? LATE_CREDIT_SHARE : 0;
             fleet->info.checks_in_time += job->is_check && in_time;
             fleet->info.fillers_in_time += !job->is_check && in_time;
             fleet->info.checks_late += job->is_check && late;
@@ -544,22 +576,78 @@
     json_decref(record);
 }
 
+/* True for the jobs of a kind that earn credit when they end. */
+static bool
+is_owed(const job_t *job, bool is_check)
+{
+    return !job->long_running && !job->always_fails &&
+           job->is_check == is_check;
+}
+
+/*
+ * Adds what the jobs of a kind owe and earn, in means of a job of that kind:
+ * one part is the same for each job, the other in proportion to its work.
+ */
+static void
+add_credit(const fleet_t *fleet, bool is_check, double credit, double *owed,
+           double *earned)
+{
+    GHashTableIter jobs;
+    const job_t *job;
+    double core_ms = 0;
+    uint32_t count = 0;
+    g_hash_table_iter_init(&jobs, fleet->jobs);
+    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
+        if (is_owed(job, is_check)) {
+            core_ms += (double)job->core_ms;
+            count++;
+        }
+    }
+    double mean_core_ms = MAX(core_ms / MAX(count, 1), 1);
+    g_hash_table_iter_init(&jobs, fleet->jobs);
+    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
+        if (is_owed(job, is_check)) {
+            double work = (double)job->core_ms / mean_core_ms;
+            double worth =
+                MIN(FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work,
+                    CREDIT_MAX);
+            *owed += credit * worth;
+            *earned += credit * worth * job->credit_share;
+        }
+    }
+}
+
 static double
-earned_share(const fleet_info_t *info)
+earned_share(const fleet_t *fleet)
 {
-    double serving_s = info->serving_s + info->waiting_s;
-    double owed = CHECK_CREDIT * info->checks + FILLER_CREDIT * info->fillers +
-                  SERVING_CREDIT_PER_S * serving_s;
-    double earned =
-        CHECK_CREDIT *
-            (info->checks_in_time + LATE_CREDIT_SHARE * info->checks_late) +
-        FILLER_CREDIT *
-            (info->fillers_in_time + LATE_CREDIT_SHARE * info->fillers_late) +
-        SERVING_CREDIT_PER_S *
-            (info->serving_s - OVER_TARGET_LOSS * info->over_target_s);
+    const fleet_info_t *info = &fleet->info;
+    double owed = SERVING_CREDIT_PER_S * (info->serving_s + info->waiting_s);
+    double earned = SERVING_CREDIT_PER_S *
+                    (info->serving_s - OVER_TARGET_LOSS * info->over_target_s);
+    add_credit(fleet, true, CHECK_CREDIT, &owed, &earned);
+    add_credit(fleet, false, FILLER_CREDIT, &owed, &earned);
     return earned / MAX(owed, 1e-9);
 }
 
+static sizes_served_t
+count_served(const fleet_t *fleet, bool is_check)
+{
+    GArray *sized = g_array_new(FALSE, FALSE, sizeof(sized_job_t));
+    GHashTableIter jobs;
+    const job_t *job;
+    g_hash_table_iter_init(&jobs, fleet->jobs);
+    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
+        if (is_owed(job, is_check)) {
+            sized_job_t entry = {job->core_ms, job->credit_share > 0};
+            g_array_append_val(sized, entry);
+        }
+    }
+    sizes_served_t served =
+        sizes_served((sized_job_t *)sized->data, sized->len);
+    g_array_free(sized, TRUE);
+    return served;
+}
+
 static void
 init_workers(fleet_t *fleet)
 {
@@ -669,7 +757,9 @@
             nm_sched_query_info(fleet.sched).long_running_waiting * TICK_MS /
             1000.0;
     }
-    fleet.info.worth = earned_share(&fleet.info);
+    fleet.info.worth = earned_share(&fleet);
+    fleet.info.checks_served = count_served(&fleet, true);
+    fleet.info.fillers_served = count_served(&fleet, false);
     free_fleet(&fleet);
     return fleet.info;
 }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -14,6 +14,8 @@
 
 #include <nutmegdeck/sched.h>
 
+#include "lib_sizes.h"
+
 typedef struct {
     uint64_t seed;
     uint32_t workers;      /* 0: 48 */
@@ -23,6 +25,7 @@
     double services_per_s; /* jobs of 6 long-running tasks */
     uint32_t services;     /* long-running jobs at the start */
     double burst;          /* factor of fillers_per_s from 5 s to 11 s */
+    bool sizes_vary;       /* sizes of short jobs and fillers are spread */
     double disturbing_pair_share; /* share of pairs of images that disturb */
     double failing_job_share;     /* share of fillers' jobs that always fail */
     /*
@@ -45,6 +48,8 @@
     uint32_t fillers;
     uint32_t fillers_in_time;
     uint32_t fillers_late;
+    sizes_served_t checks_served; /* not later than that */
+    sizes_served_t fillers_served;
     double worth;         /* credit earned as a share of the credit owed */
     double serving_s;     /* task-seconds of running serving tasks */
     double over_target_s; /* of these, with the tail over its target */
