--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -219,6 +219,52 @@
     return check_sizes(name, "fillers", &info.fillers_served) && pass;
 }
 
+/*
+ * A large fleet whose owner is slow: each of its decisions takes pass_ms and
+ * the time that its CPU needs, if it has a part of a core only.
+ */
+static const struct {
+    const char *name;
+    nm_ms_t pass_ms;
+    double cores;
+} owners[] = {
+    {"slow-owner", 150, 0},
+    {"owner-tenth-core", 0, 0.1},
+};
+
+#define OWNER_WORKERS 1100
+#define OWNER_ARRIVALS_END_MS 16000
+/* The rules: a long-running task may be without a run for this long. */
+#define INTERRUPTED_MS_MAX 9000
+
+static bool
+run_owner(uint64_t seed, size_t index)
+{
+    const char *name = owners[index].name;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .workers = OWNER_WORKERS,
+        .checks_per_s = 50,
+        .fillers_per_s = 150,
+        .burst = 2,
+        .services = 400,
+        .disturbing_pair_share = 0.3,
+        .serving_lifetime_ms = 100000,
+        .owner_pass_ms = owners[index].pass_ms,
+        .owner_cores = owners[index].cores,
+        .arrivals_end_ms = OWNER_ARRIVALS_END_MS,
+        .duration_ms = OWNER_ARRIVALS_END_MS + OVERLOAD_FINISH_MS,
+    });
+    print_summary(name, &info);
+    char label[64];
+    g_snprintf(label, sizeof(label), "jobs-%s-interrupted-ms", name);
+    bool pass = report_at_most(label, (double)info.longest_interrupted_ms,
+                               INTERRUPTED_MS_MAX);
+    g_snprintf(label, sizeof(label), "jobs-%s-idle-ms", name);
+    return report_at_most(label, (double)info.longest_idle_ms, IDLE_MS_MAX) &&
+           pass;
+}
+
 /* Size of the fleet with which larger ones are compared. */
 #define DECISION_WORKERS 50
 /*
@@ -301,6 +347,14 @@
             pass &= run_overload(seed, i);
         }
     }
+    for (size_t i = 0; i < NM_COUNT_OF(owners); i++) {
+        bool timed = owners[i].cores > 0;
+        if (!pattern[0] || (decisions && !timed) ||
+            strcmp(pattern, owners[i].name) == 0)
+        {
+            pass &= run_owner(seed, i);
+        }
+    }
     if (!pattern[0] || strcmp(pattern, "growth") == 0) {
         pass &= check_decision_growth(seed);
     }
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -105,6 +105,10 @@
     double effects[SERVING_IMAGES][FILLER_IMAGES];
     uint64_t job_number;
     double pending_arrivals[JOB_KIND_COUNT];
+    GHashTable *running;     /* task -> number of its runs */
+    GHashTable *interrupted; /* long-running task -> when its run failed */
+    double owner_cpu_s;      /* info.cpu_s after the newest decisions */
+    nm_ms_t owner_busy_until_ms;
 } fleet_t;
 
 static double
@@ -227,15 +231,23 @@
     return g_hash_table_lookup(fleet->jobs, id);
 }
 
+/* Counts a run that begins (1) or ends (-1); returns those left before. */
+static int
+add_running(fleet_t *fleet, const char *task, int change)
+{
+    int count = GPOINTER_TO_INT(g_hash_table_lookup(fleet->running, task));
+    g_hash_table_insert(fleet->running, g_strdup(task),
+                        GINT_TO_POINTER(count + change));
+    return count;
+}
+
+/* Adds the time for which a long-running task has been interrupted, if any. */
 static void
-count_duplicate_runs(fleet_t *fleet, const char *task)
+measure_interrupted(fleet_t *fleet, const nm_ms_t *failed_ms)
 {
-    for (uint32_t w = 0; w < fleet->desc.workers; w++) {
-        GArray *runs = fleet->workers[w].runs;
-        for (guint i = 0; i < runs->len; i++) {
-            const run_t *run = &g_array_index(runs, run_t, i);
-            fleet->info.duplicate_runs += strcmp(run->task, task) == 0;
-        }
+    if (failed_ms) {
+        fleet->info.longest_interrupted_ms = MAX(
+            fleet->info.longest_interrupted_ms, fleet->now_ms - *failed_ms);
     }
 }
 
@@ -250,7 +262,10 @@
         3) {
         return;
     }
-    count_duplicate_runs(fleet, action->task);
+    fleet->info.duplicate_runs += add_running(fleet, action->task, 1) > 0;
+    measure_interrupted(fleet,
+                        g_hash_table_lookup(fleet->interrupted, action->task));
+    g_hash_table_remove(fleet->interrupted, action->task);
     nm_step_t desc;
     if (!nm_sched_query_step(fleet->sched, job->id, step, &desc)) {
         return;
@@ -304,6 +319,11 @@
         snprintf(end.checkpoint, sizeof(end.checkpoint), "%lld",
                  (long long)left_ms);
     }
+    if (run->serving_image >= 0 && end_type == NM_END_FAILED) {
+        g_hash_table_insert(fleet->interrupted, g_strdup(run->task),
+                            g_memdup2(&fleet->now_ms, sizeof(fleet->now_ms)));
+    }
+    add_running(fleet, run->task, -1);
     g_array_append_val(worker->ends, end);
     g_array_remove_index(worker->runs, index);
 }
@@ -359,6 +379,14 @@
     }
 }
 
+static double
+process_cpu_s(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
 static void
 send_report(fleet_t *fleet, worker_t *worker)
 {
@@ -381,7 +409,11 @@
         .end_count = worker->ends->len,
     };
     worker->poll_pending = false;
+    double begin_s = fleet->desc.owner_cores > 0 ? process_cpu_s() : 0;
     nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
+    if (fleet->desc.owner_cores > 0) {
+        fleet->info.cpu_s += process_cpu_s() - begin_s;
+    }
     g_array_free(rows, TRUE);
 }
 
@@ -393,6 +425,13 @@
         if (run->stopping) {
             end_run(fleet, worker, i - 1, NM_END_STOPPED);
         }
+        else if (run->serving_image >= 0 &&
+                 fleet->desc.serving_lifetime_ms > 0 &&
+                 random_unit(fleet) * (double)fleet->desc.serving_lifetime_ms <
+                     TICK_MS)
+        {
+            end_run(fleet, worker, i - 1, NM_END_FAILED);
+        }
         else if (fleet->now_ms >= run->ends_ms) {
             end_run(fleet, worker, i - 1,
                     run->fails ? NM_END_FAILED : NM_END_DONE);
@@ -415,6 +454,9 @@
 {
     if (worker->unresponsive_since_ms == 0) {
         worker->unresponsive_since_ms = fleet->now_ms;
+        for (guint i = 0; i < worker->runs->len; i++) {
+            add_running(fleet, g_array_index(worker->runs, run_t, i).task, -1);
+        }
         g_array_set_size(worker->runs, 0);
         nm_sched_deregister_worker(fleet->sched, worker->id);
     }
@@ -472,14 +514,6 @@
     }
 }
 
-static double
-process_cpu_s(void)
-{
-    struct timespec ts;
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
-    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
-}
-
 static void
 measure_idle_jobs(fleet_t *fleet)
 {
@@ -548,6 +582,19 @@
     g_array_free(actions, TRUE);
 }
 
+/* The same as an owner for which the decisions take some time. */
+static void
+run_owner(fleet_t *fleet)
+{
+    run_scheduler(fleet);
+    double used_s = fleet->info.cpu_s - fleet->owner_cpu_s;
+    fleet->owner_cpu_s = fleet->info.cpu_s;
+    double cores = fleet->desc.owner_cores;
+    nm_ms_t used_ms = cores > 0 ? (nm_ms_t)(used_s * 1000 / cores) : 0;
+    fleet->owner_busy_until_ms =
+        fleet->now_ms + fleet->desc.owner_pass_ms + used_ms;
+}
+
 /* Gives the scheduler the effects of all pairs of images, as certain. */
 static void
 reveal_effects(fleet_t *fleet)
@@ -705,6 +752,8 @@
     g_hash_table_destroy(fleet->workers_by_id);
     g_hash_table_destroy(fleet->jobs);
     g_hash_table_destroy(fleet->saved_left_ms);
+    g_hash_table_destroy(fleet->running);
+    g_hash_table_destroy(fleet->interrupted);
     nm_sched_free(fleet->sched);
 }
 
@@ -718,6 +767,10 @@
     nm_rng_init(&fleet.rng, desc->seed);
     fleet.workers_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     fleet.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    fleet.running =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    fleet.interrupted =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet.saved_left_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet.sched = nm_sched_new(&(nm_sched_desc_t){.epoch = 1,
@@ -751,12 +804,20 @@
                 tick_worker(&fleet, worker);
             }
         }
-        run_scheduler(&fleet);
+        if (fleet.now_ms >= fleet.owner_busy_until_ms) {
+            run_owner(&fleet);
+        }
         measure_idle_jobs(&fleet);
         fleet.info.waiting_s +=
             nm_sched_query_info(fleet.sched).long_running_waiting * TICK_MS /
             1000.0;
     }
+    GHashTableIter interrupted;
+    gpointer failed_ms;
+    g_hash_table_iter_init(&interrupted, fleet.interrupted);
+    while (g_hash_table_iter_next(&interrupted, NULL, &failed_ms)) {
+        measure_interrupted(&fleet, failed_ms);
+    }
     fleet.info.worth = earned_share(&fleet);
     fleet.info.checks_served = count_served(&fleet, true);
     fleet.info.fillers_served = count_served(&fleet, false);
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -34,8 +34,17 @@
      */
     double load_swing;
     nm_ms_t load_period_ms;
+    /* Mean time to the failure of a long-running task; 0: none fails. */
+    nm_ms_t serving_lifetime_ms;
     uint32_t failing_workers; /* workers whose runs all fail */
     uint32_t unresponsive;    /* workers that are unresponsive from 8 s on */
+    /*
+     * Part of a core that the scheduler has: it decides again only once the
+     * CPU time of its last decisions, at this speed, has passed.  0: at once.
+     * The results of a seed are not deterministic then.
+     */
+    double owner_cores;
+    nm_ms_t owner_pass_ms;   /* time that its decisions take besides that */
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
@@ -60,6 +69,8 @@
      */
     nm_ms_t longest_idle_ms;
     nm_ms_t longest_over_ms; /* longest time of one task over its target */
+    /* Longest time from a failed long-running run to the task's next start. */
+    nm_ms_t longest_interrupted_ms;
     uint32_t starts;
     uint32_t stops;
     uint32_t polls;
