Election: a small host near the store does not win against a large one

Candidates waited by latency to the store (three times a listing) and by CPU (at most 120 ms, of which 52 ms between 0.069 and 0.5 core): a small host near the store won against a large one in another region (60 ms round trip), although it cannot bear a large fleet.

The owner stores the largest cpu_share of the hosts with a commit that it makes anyway or once it changes; each candidate waits by its own share of that, at most 400 ms. Hosts of equal size wait for no CPU any more (108 ms with 0.1 core), so that their takeovers are earlier.

--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -23,10 +23,10 @@
 /* Minimum time between writes of the interference model with a commit. */
 #define INTERFERENCE_STORE_INTERVAL_MS 2000
 /*
- * Keys of jobs in one transaction.  With two compares and the commit, roster
- * and interference keys it stays below the limit, NM_KV_TXN_MAX (32).
+ * Keys of jobs in one transaction.  With two compares and the commit, roster,
+ * interference and CPU keys it stays below the limit, NM_KV_TXN_MAX (32).
  */
-#define COMMIT_KEYS_MAX 26
+#define COMMIT_KEYS_MAX 25
 /* Keys deleted with a job: the job, its progress and its cancel key. */
 #define REMOVE_JOB_KEYS_MAX 3
 
@@ -37,6 +37,7 @@
     uint32_t count;
     nm_ms_t sent_ms;
     bool has_roster;
+    bool has_cpu_share;
     GHashTable *roster_ids;
 } commit_call_t;
 
@@ -151,6 +152,7 @@
         else if (call->has_roster) {
             entry->roster_dirty = true;
         }
+        entry->hosts_changed |= call->has_cpu_share && !stored;
         if (stored) {
             entry->commit_revision = result->revision;
         }
@@ -190,6 +192,26 @@
     entry->roster_dirty = false;
 }
 
+/* Stores the largest cpu_share, by which candidates of elections wait. */
+static bool
+put_cpu_share_max(nm_entry_t *entry, nm_store_txn_t *txn)
+{
+    if (!entry->hosts_changed || !entry->hosts_feed.listed) {
+        return false;
+    }
+    entry->hosts_changed = false;
+    double largest = MAX(nm_order_relay_query_cpu_share_max(&entry->relay),
+                         entry->desc.cpu_share);
+    int64_t permille = (int64_t)(1000 * largest + 0.5);
+    if (permille == entry->cpu_share_max_permille) {
+        return false;
+    }
+    char text[24];
+    snprintf(text, sizeof(text), "%lld", (long long)permille);
+    nm_store_txn_put(txn, NM_KEY_CPU_SHARE, text, (uint32_t)strlen(text), 0);
+    return true;
+}
+
 /* Adds a record or a job's removal; returns the number of keys it takes. */
 static uint32_t
 put_save(nm_store_txn_t *txn, const nm_sched_save_t *save)
@@ -244,6 +266,7 @@
     if (entry->roster_dirty) {
         put_roster(entry, &txn, call);
     }
+    call->has_cpu_share = put_cpu_share_max(entry, &txn);
     bool store_interference = now_ms >= entry->interference_due_ms &&
                               (call->count > 0 || call->has_roster);
     if (store_interference) {
@@ -253,7 +276,7 @@
                          (uint32_t)strlen(text), 0);
         free(text);
     }
-    if (call->count == 0 && !call->has_roster) {
+    if (call->count == 0 && !call->has_roster && !call->has_cpu_share) {
         nm_store_txn_finish(&txn);
         g_free(call);
         return;
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -1,10 +1,11 @@
 /*
  * Election of the owner, by a key with a lease and an epoch that only rises.
  *
- * Candidates with less CPU, and those further from the store, wait longer
- * before they try.  A restarted process of the owner takes over at
- * once; a stopping owner stores its progress, revokes its lease and steps
- * down.
+ * Candidates with less CPU than the largest host, and those further from the
+ * store, wait longer before they try: a host with a small part of a core falls
+ * behind on a large fleet, wherever it is.  A restarted process of the owner
+ * takes over at once; a stopping owner stores its progress, revokes its lease
+ * and steps down.
  */
 #include "entry_state.h"
 
@@ -22,8 +23,11 @@
 #define OWNER_RENEW_INTERVAL_MS 400
 /* Longest time for which a stopping owner waits to store its progress. */
 #define HAND_OVER_TIMEOUT_MS 400
-/* Delay of a candidate whose cpu_share is 0; with a full core it is 0. */
-#define ELECTION_CPU_DELAY_MAX_MS 120
+/*
+ * Delay of a candidate whose cpu_share is 0; the largest host has none.  One
+ * with half of the CPU waits for as long as the largest in another region.
+ */
+#define ELECTION_CPU_DELAY_MAX_MS 400
 /* Delay of a candidate as a multiple of its fastest listing of the store. */
 #define ELECTION_LATENCY_FACTOR 3
 /* Pause after a failed election. */
@@ -69,6 +73,10 @@
     if (strcmp(item->key, NM_KEY_OWNER) == 0) {
         apply_owner_record(entry, item);
     }
+    else if (strcmp(item->key, NM_KEY_CPU_SHARE) == 0 && item->value) {
+        entry->cpu_share_max_permille =
+            strtoll((const char *)item->value, NULL, 10);
+    }
     else if (strcmp(item->key, NM_KEY_EPOCH) == 0 && item->value) {
         int64_t epoch = strtoll((const char *)item->value, NULL, 10);
         if (epoch > entry->epoch) {
@@ -165,6 +173,16 @@
            strcmp(entry->owner.token, entry->token) != 0;
 }
 
+/* Delay of a candidate that has less CPU than the largest host. */
+static nm_ms_t
+cpu_delay_ms(const nm_entry_t *entry)
+{
+    double largest = (double)entry->cpu_share_max_permille / 1000;
+    largest = largest > 0 ? MAX(largest, entry->desc.cpu_share) : 1.0;
+    double share = MIN(entry->desc.cpu_share / largest, 1.0);
+    return (nm_ms_t)(ELECTION_CPU_DELAY_MAX_MS * (1 - share));
+}
+
 void
 nm_election_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -180,9 +198,8 @@
         if (entry->vacant_since_ms == 0) {
             entry->vacant_since_ms = now_ms;
         }
-        double cpu_share = MIN(entry->desc.cpu_share, 1.0);
         nm_ms_t delay_ms =
-            (nm_ms_t)(ELECTION_CPU_DELAY_MAX_MS * (1 - cpu_share)) +
+            cpu_delay_ms(entry) +
             ELECTION_LATENCY_FACTOR * entry->control_feed.min_list_latency_ms +
             nm_rng_below(&entry->rng, ELECTION_JITTER_MAX_MS);
         if (now_ms < entry->vacant_since_ms + delay_ms) {
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -16,6 +16,8 @@
 #define NM_KEY_CONTROL "nutmegdeck/control/"
 #define NM_KEY_OWNER NM_KEY_CONTROL "owner"
 #define NM_KEY_EPOCH NM_KEY_CONTROL "epoch"
+/* Largest cpu_share of the hosts, in 1/1000. */
+#define NM_KEY_CPU_SHARE NM_KEY_CONTROL "cpu-share"
 #define NM_KEY_OWNED "nutmegdeck/owned/"
 #define NM_KEY_ROSTER NM_KEY_OWNED "roster"
 #define NM_KEY_INTERFERENCE NM_KEY_OWNED "learned"
@@ -80,6 +82,7 @@
     nm_owner_announcement_t announced;
     int64_t epoch; /* newest epoch in the store */
     int64_t epoch_revision;
+    int64_t cpu_share_max_permille; /* as stored; 0: not known */
     /*
      * Start of the election delay: since when no owner is known, or the end of
      * the pause after a failed election.  0: an owner is known, or not
@@ -120,6 +123,7 @@
     GHashTable *roster;        /* ids of workers, as stored */
     GHashTable *roster_wanted; /* ids that the next commit stores */
     bool roster_dirty;
+    bool hosts_changed;    /* since cpu_share_max_permille was compared */
     GQueue announce_queue; /* addresses of hosts to be notified of the owner */
     GPtrArray *progress;   /* loaded records, until the jobs are listed */
     GPtrArray *cancels;    /* listed cancels, until progress is applied */
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -239,6 +239,7 @@
 {
     nm_entry_t *entry = user;
     const char *name = item->key + strlen(NM_KEY_HOSTS);
+    entry->hosts_changed = true;
     json_t *record = item->value ? json_loadb((const char *)item->value,
                                               item->value_bytes, 0, NULL)
                                  : NULL;
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -400,6 +400,21 @@
     g_hash_table_destroy(relay->zones);
 }
 
+double
+nm_order_relay_query_cpu_share_max(const nm_order_relay_t *relay)
+{
+    assert(relay);
+    double largest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const carrier_t *carrier = value;
+        largest = MAX(largest, carrier->desc.cpu_share);
+    }
+    return largest;
+}
+
 void
 nm_order_relay_clear(nm_order_relay_t *relay)
 {
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -94,6 +94,8 @@
 uint32_t nm_order_relay_query_carriers(const nm_order_relay_t *relay,
                                        const char *zone, const char **names,
                                        uint32_t names_max);
+/* Largest cpu_share of all hosts; 0 without hosts. */
+double nm_order_relay_query_cpu_share_max(const nm_order_relay_t *relay);
 /*
  * Removes all hosts and workers, and discards orders in flight; their
  * callbacks are not called.
--- /dev/null
+++ b/tests/test_entry_election.c
@@ -0,0 +1,92 @@
+/*
+ * Which host becomes the owner: hosts of different size and distance from the
+ * store, after the owner was lost.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include "lib_entry_host.h"
+
+typedef struct {
+    double cpu_share;
+    nm_ms_t store_latency_ms;
+} member_t;
+
+static void
+run_hosts(host_t *hosts, uint32_t count, nm_ms_t duration_ms)
+{
+    for (nm_ms_t t = 0; t < duration_ms; t += 10) {
+        for (uint32_t i = 0; i < count; i++) {
+            run_host(&hosts[i], 10);
+        }
+    }
+}
+
+static void
+init_member(host_t *host, const char *name, const member_t *member,
+            fake_kv_t *kv)
+{
+    host_init(host, name, kv);
+    host->entry->desc.cpu_share = member->cpu_share;
+}
+
+/*
+ * A small host near the store must not win against a remote one that can bear
+ * the fleet; among hosts of about the same size the nearer one must.
+ */
+static void
+test_small_host_does_not_win(void)
+{
+    static const struct {
+        const char *name;
+        member_t near;
+        member_t far;
+        const char *owner;
+    } cases[] = {
+        {"far one is larger", {0.069, 4}, {0.5, 64}, "\"name\":\"far\""},
+        {"same size", {0.1, 4}, {0.1, 64}, "\"name\":\"near\""},
+        {"near one is larger", {0.5, 4}, {0.069, 64}, "\"name\":\"near\""},
+        {"a bit smaller", {0.4, 4}, {0.5, 64}, "\"name\":\"near\""},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t first;
+        host_t hosts[2];
+        member_t largest = {
+            MAX(cases[i].near.cpu_share, cases[i].far.cpu_share), 4};
+        init_member(&first, "first", &largest, kv);
+        run_host(&first, 1000);
+        init_member(&hosts[0], "near", &cases[i].near, kv);
+        init_member(&hosts[1], "far", &cases[i].far, kv);
+        for (int round = 0; round < 100; round++) {
+            run_host(&first, 10);
+            run_hosts(hosts, 2, 10);
+        }
+        g_assert_nonnull(
+            strstr(fake_kv_value(kv, OWNER_KEY), "\"name\":\"first\""));
+        hosts[0].entry->control_feed.min_list_latency_ms =
+            cases[i].near.store_latency_ms;
+        hosts[1].entry->control_feed.min_list_latency_ms =
+            cases[i].far.store_latency_ms;
+        fake_kv_end_calls(kv);
+        host_finish(&first);
+        fake_kv_put(kv, OWNER_KEY, NULL);
+        run_hosts(hosts, 2, 1000);
+        g_assert_nonnull(fake_kv_value(kv, OWNER_KEY));
+        g_assert_nonnull(strstr(fake_kv_value(kv, OWNER_KEY), cases[i].owner));
+        host_finish(&hosts[0]);
+        host_finish(&hosts[1]);
+        fake_kv_free(kv);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/entry/small-host-does-not-win",
+                    test_small_host_does_not_win);
+    return g_test_run();
+}
