Owner: a small host that lags yields to a large one

A host with a small part of a core that was elected while the large ones were away stayed the owner as long as it ran, however late it placed tasks.

After 5 owner-load lines in a row with a lag over the bound, an owner hands over if a responsive carrier has at least twice its CPU: it stores its progress, then deletes the owner key and records its epoch in one transaction, as a stopping owner does, and is no candidate for 5 s. The owner of the next epoch does not yield, so ownership cannot move on and on where no large host reaches the store. No additional polling: the largest carrier is known from the orders.

--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -6,6 +6,11 @@
  * behind on a large fleet, wherever it is.  A restarted process of the owner
  * takes over at once; a stopping owner stores its progress, revokes its lease
  * and steps down.
+ *
+ * An owner that lags yields to a host with clearly more CPU that carries its
+ * orders: it may have been elected while the large hosts were away.  The owner
+ * elected after that does not yield in turn, so that the ownership cannot move
+ * on and on among small hosts, while no large one reaches the store.
  */
 #include "entry_state.h"
 
@@ -30,6 +35,12 @@
 #define ELECTION_CPU_DELAY_MAX_MS 400
 /* Delay of a candidate as a multiple of its fastest listing of the store. */
 #define ELECTION_LATENCY_FACTOR 3
+/* An owner yields after this many lines in the log with too much lag. */
+#define YIELD_LATE_LINES_MIN 5
+/* A host to yield to has at least this multiple of the owner's CPU. */
+#define YIELD_CPU_FACTOR 2
+/* An owner that has yielded is no candidate for this long. */
+#define YIELD_PAUSE_MS 5000
 /* Pause after a failed election. */
 #define ELECTION_RETRY_MS 250
 /* Random delay that separates candidates with equal CPU and latency. */
@@ -77,6 +88,9 @@
         entry->cpu_share_max_permille =
             strtoll((const char *)item->value, NULL, 10);
     }
+    else if (strcmp(item->key, NM_KEY_YIELDED) == 0 && item->value) {
+        entry->yielded_epoch = strtoll((const char *)item->value, NULL, 10);
+    }
     else if (strcmp(item->key, NM_KEY_EPOCH) == 0 && item->value) {
         int64_t epoch = strtoll((const char *)item->value, NULL, 10);
         if (epoch > entry->epoch) {
@@ -192,7 +206,7 @@
         return;
     }
     if (!owner_is_previous_incarnation(entry)) {
-        if (entry->owner.present) {
+        if (entry->owner.present || now_ms < entry->candidate_after_ms) {
             return;
         }
         if (entry->vacant_since_ms == 0) {
@@ -250,15 +264,67 @@
     }
 }
 
-/* Ends a stopping owner's lease once its progress is stored. */
+static bool
+should_yield(const nm_entry_t *entry)
+{
+    return entry->role == NM_ROLE_OWNER && !entry->store_lost &&
+           entry->load.late_lines >= YIELD_LATE_LINES_MIN &&
+           entry->yielded_epoch != entry->owned_epoch - 1 &&
+           nm_order_relay_query_carrier_share_max(&entry->relay) >=
+               YIELD_CPU_FACTOR * entry->desc.cpu_share;
+}
+
+static void
+on_yielded(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = user;
+    if (result->rc != NM_OK) {
+        /* The lease expires by itself. */
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_STORE_FAILED, "{s:s,s:s,s:s}", "host",
+               entry->desc.name, "call", "hand-over", "reason",
+               nm_error_text(result->rc));
+    }
+}
+
+/* Deletes the owner key and records the epoch, in one transaction. */
+static void
+delete_owner_key(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    char epoch[24];
+    snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->owned_epoch);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
+    nm_store_txn_put(&txn, NM_KEY_YIELDED, epoch, (uint32_t)strlen(epoch), 0);
+    nm_store_txn_delete(&txn, NM_KEY_OWNER, false);
+    nm_kv_commit(entry->desc.kv, &txn, on_yielded, entry);
+    nm_store_txn_finish(&txn);
+    entry->candidate_after_ms = now_ms + YIELD_PAUSE_MS;
+}
+
 void
-nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms)
+nm_election_check_hand_over(nm_entry_t *entry, nm_ms_t now_ms)
 {
+    if (!entry->stopping && entry->yield_ms == 0) {
+        if (!should_yield(entry)) {
+            return;
+        }
+        entry->yield_ms = now_ms;
+    }
+    entry->commit_due_ms = now_ms;
     bool stored = entry->role != NM_ROLE_OWNER ||
                   (!entry->committing && !nm_sched_has_saves(entry->sched));
-    if (stored || now_ms - entry->stop_ms > HAND_OVER_TIMEOUT_MS) {
+    nm_ms_t since_ms = entry->stopping ? entry->stop_ms : entry->yield_ms;
+    if (!stored && now_ms - since_ms <= HAND_OVER_TIMEOUT_MS) {
+        return;
+    }
+    if (entry->stopping) {
         nm_kv_lease_revoke(entry->desc.kv, entry->lease, on_lease_revoked,
                            entry);
         nm_term_step_down(entry, "handed over");
     }
+    else {
+        delete_owner_key(entry, now_ms);
+        nm_term_step_down(entry, "handed over, as it lagged");
+    }
 }
--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -74,7 +74,8 @@
     }
 }
 
-static void
+/* Returns true if the lag is within its bound. */
+static bool
 log_load(nm_entry_t *entry, nm_ms_t now_ms)
 {
     const nm_owner_load_t *load = &entry->load;
@@ -99,6 +100,7 @@
            "cpu_share_permille", (int)(1000 * entry->desc.cpu_share),
            "starting", (int)placement.starting, "placements_cut",
            (int)(placement.cut_count - load->logged.cut_count));
+    return lag_max_ms <= EVENT_LAG_BOUND_MS;
 }
 
 void
@@ -106,8 +108,10 @@
 {
     nm_owner_load_t *load = &entry->load;
     if (now_ms - load->since_ms >= LOAD_LOG_INTERVAL_MS) {
-        log_load(entry, now_ms);
+        bool in_time = log_load(entry, now_ms);
         nm_owner_load_t next = {.since_ms = now_ms,
+                                .late_lines =
+                                    in_time ? 0 : load->late_lines + 1,
                                 .cpu_time_ms = read_cpu_time_ms(),
                                 .event_ms = load->event_ms,
                                 .placement = load->placement,
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -258,9 +258,8 @@
     if (entry->role == NM_ROLE_OWNER) {
         nm_commit_run(entry, now_ms);
     }
-    if (entry->stopping && entry->owned_epoch > 0) {
-        entry->commit_due_ms = now_ms;
-        nm_election_hand_over(entry, now_ms);
+    if (entry->owned_epoch > 0) {
+        nm_election_check_hand_over(entry, now_ms);
     }
     nm_ms_t due_ms =
         MAX(MIN(entry->sched_due_ms, entry->renew_due_ms), now_ms + 1);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -18,6 +18,8 @@
 #define NM_KEY_EPOCH NM_KEY_CONTROL "epoch"
 /* Largest cpu_share of the hosts, in 1/1000. */
 #define NM_KEY_CPU_SHARE NM_KEY_CONTROL "cpu-share"
+/* Epoch of the newest planned hand-over by an owner that lagged. */
+#define NM_KEY_YIELDED NM_KEY_CONTROL "yielded"
 #define NM_KEY_OWNED "nutmegdeck/owned/"
 #define NM_KEY_ROSTER NM_KEY_OWNED "roster"
 #define NM_KEY_INTERFERENCE NM_KEY_OWNED "learned"
@@ -48,6 +50,7 @@
     nm_ms_t round_max_ms; /* longest round with a placement */
     nm_ms_t lag_max_ms;   /* longest time from an event to its placement */
     nm_ms_t event_ms;     /* oldest event not considered yet; 0: none */
+    uint32_t late_lines;  /* consecutive lines with a lag over its bound */
     nm_sched_placement_t placement; /* as of the newest round */
     nm_sched_placement_t logged;    /* as of the newest line */
 } nm_owner_load_t;
@@ -83,6 +86,7 @@
     int64_t epoch; /* newest epoch in the store */
     int64_t epoch_revision;
     int64_t cpu_share_max_permille; /* as stored; 0: not known */
+    int64_t yielded_epoch;          /* as stored; 0: none */
     /*
      * Start of the election delay: since when no owner is known, or the end of
      * the pause after a failed election.  0: an owner is known, or not
@@ -105,6 +109,8 @@
     int64_t lease;
     nm_ms_t renew_due_ms;
     bool renewing;
+    nm_ms_t yield_ms; /* began to hand over to a larger host; 0: does not */
+    nm_ms_t candidate_after_ms; /* no candidate before, as it has yielded */
     /* New jobs and cancels, until a later read confirms the ownership. */
     GQueue unverified;     /* of nm_store_kv_t */
     guint verifying_count; /* items covered by the read in flight */
@@ -181,7 +187,11 @@
 void nm_election_apply_control(nm_entry_t *entry, const nm_store_kv_t *item);
 void nm_election_run(nm_entry_t *entry, nm_ms_t now_ms);
 void nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms);
-void nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
+/*
+ * Ends a term: of a host that stops, or of an owner that lags while a larger
+ * host could take over.
+ */
+void nm_election_check_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
 
 /* entry_load.c */
 /* Begins to measure, when a term begins. */
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -415,6 +415,25 @@
     return largest;
 }
 
+double
+nm_order_relay_query_carrier_share_max(const nm_order_relay_t *relay)
+{
+    assert(relay);
+    double largest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->zones);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const zone_t *zone = value;
+        bool current = zone->generation == relay->generation;
+        for (guint i = 0; current && i < zone->carriers->len; i++) {
+            const carrier_t *carrier = zone->carriers->pdata[i];
+            largest = MAX(largest, carrier->desc.cpu_share);
+        }
+    }
+    return largest;
+}
+
 void
 nm_order_relay_clear(nm_order_relay_t *relay)
 {
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -96,6 +96,8 @@
                                        uint32_t names_max);
 /* Largest cpu_share of all hosts; 0 without hosts. */
 double nm_order_relay_query_cpu_share_max(const nm_order_relay_t *relay);
+/* The same of the responsive carriers. */
+double nm_order_relay_query_carrier_share_max(const nm_order_relay_t *relay);
 /*
  * Removes all hosts and workers, and discards orders in flight; their
  * callbacks are not called.
--- a/tests/test_entry_election.c
+++ b/tests/test_entry_election.c
@@ -82,11 +82,82 @@
     }
 }
 
+static void
+add_workers(fake_kv_t *kv, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        char key[32];
+        g_snprintf(key, sizeof(key), "servers/w%u", i);
+        fake_kv_put(kv, key, WORKER);
+    }
+}
+
+/*
+ * A small host became the owner while the large one was away, and lags.  It
+ * must step down for one with clearly more CPU, and only for such a one; not
+ * if the hand-over before brought it in; and be no candidate for a while.
+ */
+static void
+test_lagging_owner_yields(void)
+{
+    enum { LATE = 5, IN_TIME = 0 };
+    static const struct {
+        const char *name;
+        double other_cpu_share;
+        uint32_t late_lines;
+        const char *yielded_epoch;
+        bool yields;
+    } cases[] = {
+        {"larger host", 0.5, LATE, NULL, true},
+        {"in time", 0.5, IN_TIME, NULL, false},
+        {"no larger host", 0.1, LATE, NULL, false},
+        {"by a hand-over", 0.5, LATE, "1", false},
+        {"long after one", 0.5, LATE, "-3", true},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, EPOCH_KEY, "1");
+        add_workers(kv, 101);
+        host_t hosts[2];
+        const member_t small = {0.069, 4};
+        const member_t other = {cases[i].other_cpu_share, 4};
+        init_member(&hosts[0], "small", &small, kv);
+        run_host(&hosts[0], 700);
+        init_member(&hosts[1], "other", &other, kv);
+        if (cases[i].yielded_epoch) {
+            fake_kv_put(kv, NM_KEY_YIELDED, cases[i].yielded_epoch);
+        }
+        run_hosts(hosts, 2, 300);
+        /* Its tasks' orders go through a carrier. */
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        run_hosts(hosts, 2, 100);
+        g_assert_cmpint(hosts[0].entry->owned_epoch, ==, 2);
+        g_assert_cmpint(hosts[0].entry->role, ==, NM_ROLE_OWNER);
+        hosts[0].entry->load.late_lines = cases[i].late_lines;
+        run_hosts(hosts, 2, 500);
+        const char *owner =
+            cases[i].yields ? "\"name\":\"other\"" : "\"name\":\"small\"";
+        g_assert_nonnull(fake_kv_value(kv, OWNER_KEY));
+        g_assert_nonnull(strstr(fake_kv_value(kv, OWNER_KEY), owner));
+        if (cases[i].yields) {
+            g_assert_cmpint(hosts[1].entry->role, ==, NM_ROLE_OWNER);
+            g_assert_cmpint(nm_sched_query_job(hosts[1].entry->sched, JOB), !=,
+                            NM_JOB_UNKNOWN);
+            g_assert_cmpstr(fake_kv_value(kv, NM_KEY_YIELDED), ==, "2");
+        }
+        host_finish(&hosts[0]);
+        host_finish(&hosts[1]);
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/entry/small-host-does-not-win",
                     test_small_host_does_not_win);
+    g_test_add_func("/entry/lagging-owner-yields", test_lagging_owner_yields);
     return g_test_run();
 }
