--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -302,7 +302,14 @@
 static void
 check_node_fillers(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    nm_tails_predict(sched, node, now_ms);
+    nm_ms_t over_ms = longest_over_target_ms(node, now_ms);
+    bool over_target = over_ms >= MITIGATE_AFTER_MS;
+    bool mitigate =
+        over_ms >= MITIGATE_ALL_AFTER_MS ||
+        (over_target && now_ms - node->mitigated_ms >= MITIGATION_INTERVAL_MS);
+    if (mitigate) {
+        nm_tails_predict(sched, node, now_ms);
+    }
     nm_task_t *worst = NULL;
     nm_task_t *paused = NULL;
     double worst_cost = 0;
@@ -319,6 +326,9 @@
             paused = task;
             continue;
         }
+        if (!mitigate) {
+            continue;
+        }
         nm_filler_load_t removed = {nm_task_image(task),
                                     -filler_cpu_share(node, step)};
         double cost = TARGET_MISS_COST *
@@ -329,12 +339,7 @@
             worst_cost = cost;
         }
     }
-    nm_ms_t over_ms = longest_over_target_ms(node, now_ms);
-    bool over_target = over_ms >= MITIGATE_AFTER_MS;
-    bool mitigate =
-        over_ms >= MITIGATE_ALL_AFTER_MS ||
-        (over_target && now_ms - node->mitigated_ms >= MITIGATION_INTERVAL_MS);
-    if (worst && mitigate) {
+    if (worst) {
         node->mitigated_ms = now_ms;
         if (nm_task_step(worst)->saves_progress) {
             evict(sched, node, worst, now_ms);
