--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -87,9 +87,16 @@
         return 0;
     }
     nm_tails_predict(sched, node, now_ms);
-    nm_filler_load_t load = {image, filler_cpu_share(node, step)};
-    return TARGET_MISS_COST * (nm_tails_expected_misses(sched, node, &load) -
-                               node->expected_misses);
+    nm_filler_cost_t *known = &node->cost;
+    if (known->at_ms != now_ms || known->image != image ||
+        known->cpu_milli != step->cpu_milli)
+    {
+        nm_filler_load_t load = {image, filler_cpu_share(node, step)};
+        double misses = nm_tails_expected_misses(sched, node, &load);
+        double cost = TARGET_MISS_COST * (misses - node->expected_misses);
+        *known = (nm_filler_cost_t){now_ms, image, step->cpu_milli, cost};
+    }
+    return known->cost;
 }
 
 static bool
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -258,6 +258,14 @@
     uint32_t image;
 } nm_tail_t;
 
+/* Cost of a filler on a worker; tasks of a step ask for it in a row. */
+typedef struct {
+    nm_ms_t at_ms; /* 0: none, or the prediction has changed since */
+    uint32_t image;
+    int64_t cpu_milli;
+    double cost;
+} nm_filler_cost_t;
+
 /* A worker; the fields that placement reads come first. */
 struct nm_sched_node {
     const char *service; /* interned */
@@ -284,6 +292,7 @@
     double expected_misses; /* expected number of serving tasks over target */
     GArray *tails;          /* of nm_tail_t: of its serving tasks */
     nm_ms_t predicted_ms;   /* when tails and their misses were computed */
+    nm_filler_cost_t cost;  /* newest computed one */
     nm_sched_worker_t desc;
     uint64_t reports;       /* number of reports applied */
     uint32_t poll_failures; /* unanswered polls in a row */
--- a/src/sched_tails.c
+++ b/src/sched_tails.c
@@ -119,6 +119,7 @@
     }
     node->interference_valid = true;
     node->predicted_ms = now_ms;
+    node->cost.at_ms = 0;
 }
 
 double
