--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -1,10 +1,16 @@
 /*
  * Election of the owner, by a key with a lease and an epoch that only rises.
  *
- * Candidates with less CPU, and those further from the store, wait longer
- * before they try.  A restarted process of the owner takes over at
- * once; a stopping owner stores its progress, revokes its lease and steps
- * down.
+ * Candidates with less CPU than the largest host, and those further from the
+ * store, wait longer before they try: a host with a small part of a core falls
+ * behind on a large fleet, wherever it is.  A restarted process of the owner
+ * takes over at once; a stopping owner stores its progress, revokes its lease
+ * and steps down.
+ *
+ * An owner that lags yields to a host with clearly more CPU that carries its
+ * orders: it may have been elected while the large hosts were away.  The owner
+ * elected after that does not yield in turn, so that the ownership cannot move
+ * on and on among small hosts, while no large one reaches the store.
  */
 #include "entry_state.h"
 
@@ -22,10 +28,19 @@
 #define OWNER_RENEW_INTERVAL_MS 400
 /* Longest time for which a stopping owner waits to store its progress. */
 #define HAND_OVER_TIMEOUT_MS 400
-/* Delay of a candidate whose cpu_share is 0; with a full core it is 0. */
-#define ELECTION_CPU_DELAY_MAX_MS 120
+/*
+ * Delay of a candidate whose cpu_share is 0; the largest host has none.  One
+ * with half of the CPU waits for as long as the largest in another region.
+ */
+#define ELECTION_CPU_DELAY_MAX_MS 400
 /* Delay of a candidate as a multiple of its fastest listing of the store. */
 #define ELECTION_LATENCY_FACTOR 3
+/* An owner yields after this many lines in the log with too much lag. */
+#define YIELD_LATE_LINES_MIN 5
+/* A host to yield to has at least this multiple of the owner's CPU. */
+#define YIELD_CPU_FACTOR 2
+/* An owner that has yielded is no candidate for this long. */
+#define YIELD_PAUSE_MS 5000
 /* Pause after a failed election. */
 #define ELECTION_RETRY_MS 250
 /* Random delay that separates candidates with equal CPU and latency. */
@@ -69,6 +84,13 @@
     if (strcmp(item->key, NM_KEY_OWNER) == 0) {
         apply_owner_record(entry, item);
     }
+    else if (strcmp(item->key, NM_KEY_CPU_SHARE) == 0 && item->value) {
+        entry->cpu_share_max_permille =
+            strtoll((const char *)item->value, NULL, 10);
+    }
+    else if (strcmp(item->key, NM_KEY_YIELDED) == 0 && item->value) {
+        entry->yielded_epoch = strtoll((const char *)item->value, NULL, 10);
+    }
     else if (strcmp(item->key, NM_KEY_EPOCH) == 0 && item->value) {
         int64_t epoch = strtoll((const char *)item->value, NULL, 10);
         if (epoch > entry->epoch) {
@@ -165,6 +187,16 @@
            strcmp(entry->owner.token, entry->token) != 0;
 }
 
+/* Delay of a candidate that has less CPU than the largest host. */
+static nm_ms_t
+cpu_delay_ms(const nm_entry_t *entry)
+{
+    double largest = (double)entry->cpu_share_max_permille / 1000;
+    largest = largest > 0 ? MAX(largest, entry->desc.cpu_share) : 1.0;
+    double share = MIN(entry->desc.cpu_share / largest, 1.0);
+    return (nm_ms_t)(ELECTION_CPU_DELAY_MAX_MS * (1 - share));
+}
+
 void
 nm_election_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -174,15 +206,14 @@
         return;
     }
     if (!owner_is_previous_incarnation(entry)) {
-        if (entry->owner.present) {
+        if (entry->owner.present || now_ms < entry->candidate_after_ms) {
             return;
         }
         if (entry->vacant_since_ms == 0) {
             entry->vacant_since_ms = now_ms;
         }
-        double cpu_share = MIN(entry->desc.cpu_share, 1.0);
         nm_ms_t delay_ms =
-            (nm_ms_t)(ELECTION_CPU_DELAY_MAX_MS * (1 - cpu_share)) +
+            cpu_delay_ms(entry) +
             ELECTION_LATENCY_FACTOR * entry->control_feed.min_list_latency_ms +
             nm_rng_below(&entry->rng, ELECTION_JITTER_MAX_MS);
         if (now_ms < entry->vacant_since_ms + delay_ms) {
@@ -233,15 +264,67 @@
     }
 }
 
-/* Ends a stopping owner's lease once its progress is stored. */
+static bool
+should_yield(const nm_entry_t *entry)
+{
+    return entry->role == NM_ROLE_OWNER && !entry->store_lost &&
+           entry->load.late_lines >= YIELD_LATE_LINES_MIN &&
+           entry->yielded_epoch != entry->owned_epoch - 1 &&
+           nm_order_relay_query_carrier_share_max(&entry->relay) >=
+               YIELD_CPU_FACTOR * entry->desc.cpu_share;
+}
+
+static void
+on_yielded(void *user, const nm_kv_result_t *result)
+{
+    nm_entry_t *entry = user;
+    if (result->rc != NM_OK) {
+        /* The lease expires by itself. */
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_STORE_FAILED, "{s:s,s:s,s:s}", "host",
+               entry->desc.name, "call", "hand-over", "reason",
+               nm_error_text(result->rc));
+    }
+}
+
+/* Deletes the owner key and records the epoch, in one transaction. */
+static void
+delete_owner_key(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    char epoch[24];
+    snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->owned_epoch);
+    nm_store_txn_t txn;
+    nm_store_txn_init(&txn);
+    nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
+    nm_store_txn_put(&txn, NM_KEY_YIELDED, epoch, (uint32_t)strlen(epoch), 0);
+    nm_store_txn_delete(&txn, NM_KEY_OWNER, false);
+    nm_kv_commit(entry->desc.kv, &txn, on_yielded, entry);
+    nm_store_txn_finish(&txn);
+    entry->candidate_after_ms = now_ms + YIELD_PAUSE_MS;
+}
+
 void
-nm_election_hand_over(nm_entry_t *entry, nm_ms_t now_ms)
+nm_election_check_hand_over(nm_entry_t *entry, nm_ms_t now_ms)
 {
+    if (!entry->stopping && entry->yield_ms == 0) {
+        if (!should_yield(entry)) {
+            return;
+        }
+        entry->yield_ms = now_ms;
+    }
+    entry->commit_due_ms = now_ms;
     bool stored = entry->role != NM_ROLE_OWNER ||
                   (!entry->committing && !nm_sched_has_saves(entry->sched));
-    if (stored || now_ms - entry->stop_ms > HAND_OVER_TIMEOUT_MS) {
+    nm_ms_t since_ms = entry->stopping ? entry->stop_ms : entry->yield_ms;
+    if (!stored && now_ms - since_ms <= HAND_OVER_TIMEOUT_MS) {
+        return;
+    }
+    if (entry->stopping) {
         nm_kv_lease_revoke(entry->desc.kv, entry->lease, on_lease_revoked,
                            entry);
         nm_term_step_down(entry, "handed over");
     }
+    else {
+        delete_owner_key(entry, now_ms);
+        nm_term_step_down(entry, "handed over, as it lagged");
+    }
 }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -87,9 +87,16 @@
         return 0;
     }
     nm_tails_predict(sched, node, now_ms);
-    nm_filler_load_t load = {image, filler_cpu_share(node, step)};
-    return TARGET_MISS_COST * (nm_tails_expected_misses(sched, node, &load) -
-                               node->expected_misses);
+    nm_filler_cost_t *known = &node->cost;
+    if (known->at_ms != now_ms || known->image != image ||
+        known->cpu_milli != step->cpu_milli)
+    {
+        nm_filler_load_t load = {image, filler_cpu_share(node, step)};
+        double misses = nm_tails_expected_misses(sched, node, &load);
+        double cost = TARGET_MISS_COST * (misses - node->expected_misses);
+        *known = (nm_filler_cost_t){now_ms, image, step->cpu_milli, cost};
+    }
+    return known->cost;
 }
 
 static bool
@@ -302,7 +309,14 @@
 static void
 check_node_fillers(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    nm_tails_predict(sched, node, now_ms);
+    nm_ms_t over_ms = longest_over_target_ms(node, now_ms);
+    bool over_target = over_ms >= MITIGATE_AFTER_MS;
+    bool mitigate =
+        over_ms >= MITIGATE_ALL_AFTER_MS ||
+        (over_target && now_ms - node->mitigated_ms >= MITIGATION_INTERVAL_MS);
+    if (mitigate) {
+        nm_tails_predict(sched, node, now_ms);
+    }
     nm_task_t *worst = NULL;
     nm_task_t *paused = NULL;
     double worst_cost = 0;
@@ -319,6 +333,9 @@
             paused = task;
             continue;
         }
+        if (!mitigate) {
+            continue;
+        }
         nm_filler_load_t removed = {nm_task_image(task),
                                     -filler_cpu_share(node, step)};
         double cost = TARGET_MISS_COST *
@@ -329,12 +346,7 @@
             worst_cost = cost;
         }
     }
-    nm_ms_t over_ms = longest_over_target_ms(node, now_ms);
-    bool over_target = over_ms >= MITIGATE_AFTER_MS;
-    bool mitigate =
-        over_ms >= MITIGATE_ALL_AFTER_MS ||
-        (over_target && now_ms - node->mitigated_ms >= MITIGATION_INTERVAL_MS);
-    if (worst && mitigate) {
+    if (worst) {
         node->mitigated_ms = now_ms;
         if (nm_task_step(worst)->saves_progress) {
             evict(sched, node, worst, now_ms);
