--- /dev/null
+++ b/tests/fakes/lib_entry_host.c
@@ -0,0 +1,162 @@
+#include "lib_entry_host.h"
+
+#include <string.h>
+
+#include "../../platform/codec.h"
+
+static nm_api_request_t *
+listener_next(nm_api_listener_t *base)
+{
+    return g_queue_pop_head(&((fake_listener_t *)base)->waiting);
+}
+
+static void
+listener_reply(nm_api_listener_t *base, nm_api_request_t *request)
+{
+    g_ptr_array_add(((fake_listener_t *)base)->responses, request);
+}
+
+static int
+listener_fd(const nm_api_listener_t *base)
+{
+    (void)base;
+    return -1;
+}
+
+static void
+listener_set_ready(nm_api_listener_t *base, bool ready)
+{
+    ((fake_listener_t *)base)->ready = ready;
+}
+
+static const nm_api_listener_vtable_t listener_vtable = {
+    listener_next, listener_reply, listener_fd, listener_set_ready};
+
+static void
+orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
+            int64_t epoch, nm_order_done_fn done, void *user)
+{
+    (void)epoch;
+    nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                 .incarnation = 1,
+                                 .clock_ms = 1000,
+                                 .complete = false};
+    ((fake_orders_t *)port)->starts += action->type == NM_ACTION_START;
+    done(user, action, NM_ORDER_DONE,
+         action->type == NM_ACTION_POLL ? &report : NULL);
+}
+
+static const nm_order_port_vtable_t orders_vtable = {orders_send};
+
+static void
+free_request(gpointer data)
+{
+    nm_api_request_t *request = data;
+    g_free(request->host_header);
+    g_free(request->path);
+    g_free(request->response);
+    g_byte_array_free(request->body, TRUE);
+    g_free(request);
+}
+
+fake_kv_t *
+configured_store(void)
+{
+    fake_kv_t *kv = fake_kv_new();
+    fake_kv_put(kv, CONFIG_KEY, CONFIG("4", "/a/"));
+    return kv;
+}
+
+void
+host_init_with_kv(host_t *host, const char *name, const char *address,
+                  fake_kv_t *kv, nm_kv_t *kv_port)
+{
+    *host = (host_t){.kv = kv,
+                     .listener = {.base = {&listener_vtable}},
+                     .orders = {.base = {&orders_vtable}}};
+    nm_clock_init_manual(&host->clock, 1000);
+    g_queue_init(&host->listener.waiting);
+    host->listener.responses = g_ptr_array_new_with_free_func(free_request);
+    nm_strcopy(host->address, sizeof(host->address), address);
+    host->peers = nm_peer_rpc_new(host->address);
+    host->entry = nm_entry_new(&(nm_entry_desc_t){
+        .name = name,
+        .zone = "z",
+        .peer_address = host->address,
+        .cpu_share = 0.1,
+        .grace_ms = 6000,
+        .clock = &host->clock,
+        .kv = kv_port,
+        .orders = &host->orders.base,
+        .listener = &host->listener.base,
+        .peers = host->peers,
+        .codec = &nm_platform_codec,
+    });
+}
+
+void
+host_init_at(host_t *host, const char *name, const char *address,
+             fake_kv_t *kv)
+{
+    host_init_with_kv(host, name, address, kv, fake_kv_port(kv));
+}
+
+void
+host_init(host_t *host, const char *name, fake_kv_t *kv)
+{
+    char address[64];
+    g_snprintf(address, sizeof(address), "inproc://%s", name);
+    host_init_at(host, name, address, kv);
+}
+
+void
+host_finish(host_t *host)
+{
+    fake_kv_end_calls(host->kv);
+    nm_entry_free(host->entry);
+    nm_peer_rpc_free(host->peers);
+    g_ptr_array_free(host->listener.responses, TRUE);
+}
+
+void
+run_host(host_t *host, nm_ms_t duration_ms)
+{
+    for (nm_ms_t t = 0; t < duration_ms; t += 10) {
+        host->clock.manual_ms += 10;
+        nm_entry_run(host->entry);
+        fake_kv_run(host->kv);
+    }
+}
+
+void
+send_request(host_t *host, nm_method_t method, const char *path,
+             const char *body)
+{
+    nm_api_request_t *request = g_new0(nm_api_request_t, 1);
+    request->method = method;
+    request->host_header = g_strdup("h");
+    request->path = g_strdup(path);
+    request->body = g_byte_array_new();
+    request->timeout_ms = 3000;
+    g_byte_array_append(request->body, (const guint8 *)body,
+                        (guint)strlen(body));
+    g_queue_push_tail(&host->listener.waiting, request);
+}
+
+int
+last_status(const host_t *host)
+{
+    guint count = host->listener.responses->len;
+    return count == 0 ? 0
+                      : ((nm_api_request_t *)
+                             host->listener.responses->pdata[count - 1])
+                            ->status;
+}
+
+const char *
+last_response(const host_t *host)
+{
+    guint count = host->listener.responses->len;
+    return ((nm_api_request_t *)host->listener.responses->pdata[count - 1])
+        ->response;
+}
--- /dev/null
+++ b/tests/fakes/lib_entry_host.h
@@ -0,0 +1,78 @@
+/*
+ * Entry host in a test: an in-process store, a manual clock, and fakes of the
+ * listener and of the workers.
+ *
+ *     fake_kv_t *kv = configured_store();
+ *     host_t host;
+ *     host_init(&host, "a", kv);
+ *     run_host(&host, 1000);
+ *     host_finish(&host);
+ *     fake_kv_free(kv);
+ */
+#ifndef LIB_ENTRY_HOST_H
+#define LIB_ENTRY_HOST_H
+
+#include <glib.h>
+
+#include "../../src/entry_state.h"
+#include "lib_kv.h"
+
+#define CONFIG_KEY "op/config"
+#define JOB "5c0e7a21d94b36f8"
+#define JOB_KEY "nutmegdeck/jobs/" JOB
+#define ROSTER_KEY "nutmegdeck/owned/roster"
+#define OWNER_KEY "nutmegdeck/control/owner"
+#define EPOCH_KEY "nutmegdeck/control/epoch"
+#define CONFIG(version, prefix)                                               \
+    "{\"version\":" version ",\"routes\":[{\"name\":\"q\",\"host\":\"h\","    \
+    "\"pathPrefix\":\"" prefix "\",\"service\":\"s\",\"maxAttempts\":2,"      \
+    "\"slackFactor\":2,\"targetLatencyMs\":600,\"timeoutMs\":3000}],"         \
+    "\"services\":[{\"name\":\"s\"}],\"limits\":{}}"
+#define WORKER                                                                \
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","          \
+    "\"state\":\"ready\",\"capacity\":{\"cpu\":16000,\"memMb\":1000},"        \
+    "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}"
+#define RECORD                                                                \
+    "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","      \
+    "\"steps\":[{\"tasks\":2,\"cpu_milli\":500}]}"
+#define BODY "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500}]}"
+
+typedef struct {
+    nm_api_listener_t base;
+    GQueue waiting;
+    GPtrArray *responses;
+    bool ready;
+} fake_listener_t;
+
+/* Workers that acknowledge every order at once; their reports list no runs. */
+typedef struct {
+    nm_order_port_t base;
+    uint32_t starts;
+} fake_orders_t;
+
+typedef struct {
+    nm_clock_t clock;
+    fake_kv_t *kv;
+    fake_listener_t listener;
+    fake_orders_t orders;
+    nm_peer_rpc_t *peers;
+    nm_entry_t *entry;
+    char address[64];
+} host_t;
+
+/* Returns a store that holds a configuration with one queue. */
+fake_kv_t *configured_store(void);
+void host_init_with_kv(host_t *host, const char *name, const char *address,
+                       fake_kv_t *kv, nm_kv_t *kv_port);
+void host_init_at(host_t *host, const char *name, const char *address,
+                  fake_kv_t *kv);
+void host_init(host_t *host, const char *name, fake_kv_t *kv);
+void host_finish(host_t *host);
+void run_host(host_t *host, nm_ms_t duration_ms);
+void send_request(host_t *host, nm_method_t method, const char *path,
+                  const char *body);
+/* Returns the status of the newest response, or 0 without one. */
+int last_status(const host_t *host);
+const char *last_response(const host_t *host);
+
+#endif
