--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -229,6 +229,14 @@
     apply_change(kv, key, value, value ? (uint32_t)strlen(value) : 0);
 }
 
+void
+fake_kv_put_bytes(fake_kv_t *kv, const char *key, const void *value,
+                  uint32_t bytes)
+{
+    kv->revision++;
+    apply_change(kv, key, value, bytes);
+}
+
 const char *
 fake_kv_value(const fake_kv_t *kv, const char *key)
 {
--- a/tests/fakes/lib_kv.h
+++ b/tests/fakes/lib_kv.h
@@ -34,6 +34,9 @@
 void fake_kv_set_mode(fake_kv_t *kv, fake_kv_mode_t mode);
 /* Writes a key as the operator or a worker would; value NULL deletes it. */
 void fake_kv_put(fake_kv_t *kv, const char *key, const char *value);
+/* As fake_kv_put, for values with any bytes; value must not be NULL. */
+void fake_kv_put_bytes(fake_kv_t *kv, const char *key, const void *value,
+                       uint32_t bytes);
 /* Returns the value of a key, or NULL without one. */
 const char *fake_kv_value(const fake_kv_t *kv, const char *key);
 /* Responds to all open calls that need not wait any longer. */
--- /dev/null
+++ b/tests/test_odd_entries.c
@@ -0,0 +1,170 @@
+/*
+ * Records of the store that another writer left: unreadable, with fields of
+ * another type, or with values out of range.  Such a record must end no
+ * process, stop no feed, and change nothing that other records say.
+ */
+#include <string.h>
+
+#include <glib.h>
+
+#include <nutmegdeck/reason.h>
+
+#include "../platform/codec.h"
+#include "lib_entry_host.h"
+
+#define NESTED_LEVELS 100000
+#define GOOD_CPU_MILLI 16000
+#define BASE                                                                  \
+    "\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\",\"sequence\":1,"
+#define CAPACITY "\"capacity\":{\"cpu\":16000,\"memMb\":1000},"
+#define REST "\"labels\":[\"a\",\"r1\"],\"born\":1}"
+/* A worker entry with other text for its capacity or its address. */
+#define WITH_CAPACITY(members)                                                \
+    "{" BASE "\"address\":\"10.0.0.1:80\",\"capacity\":{" members "}," REST
+#define WITH_ADDRESS(address)                                                 \
+    "{" BASE CAPACITY "\"address\":\"" address "\"," REST
+/* A worker entry with other text for its labels and what follows. */
+#define WITH_TAIL(members)                                                    \
+    "{" BASE CAPACITY "\"address\":\"10.0.0.1:80\"," members "}"
+
+#define TEXT(literal) .text = (literal), .bytes = sizeof(literal) - 1
+
+typedef struct {
+    const char *name;
+    const char *text; /* NULL: NESTED_LEVELS times the opening */
+    uint32_t bytes;   /* of text; it may hold zero bytes */
+    const char *opening;
+} odd_value_t;
+
+/* Each has to be refused as the entry of a worker. */
+static const odd_value_t odd_workers[] = {
+    {"empty", TEXT("")},
+    {"no JSON", TEXT("{\"service\"")},
+    {"nested arrays", .opening = "["},
+    {"nested objects", .opening = "{\"a\":"},
+    {"not UTF-8", TEXT("\xff\xfe{}")},
+    {"not UTF-8 inside", TEXT(WITH_ADDRESS("10.0.0.1:8\xff"))},
+    {"zero byte inside", TEXT("{\"service\":\"s\0\"}")},
+    {"escaped zero inside", TEXT(WITH_ADDRESS("10.0.0.1:80\\u0000"))},
+    {"text after the object", TEXT(WORKER "x")},
+    {"no object", TEXT("[1]")},
+    {"cpu 2^63 - 1",
+     TEXT(WITH_CAPACITY("\"cpu\":9223372036854775807,\"memMb\":1"))},
+    {"cpu 2^63",
+     TEXT(WITH_CAPACITY("\"cpu\":9223372036854775808,\"memMb\":1"))},
+    {"cpu 2^62",
+     TEXT(WITH_CAPACITY("\"cpu\":4611686018427387904,\"memMb\":1"))},
+    {"cpu 1e999", TEXT(WITH_CAPACITY("\"cpu\":1e999,\"memMb\":1"))},
+    {"cpu 1e300", TEXT(WITH_CAPACITY("\"cpu\":1e300,\"memMb\":1"))},
+    {"cpu negative", TEXT(WITH_CAPACITY("\"cpu\":-1,\"memMb\":1"))},
+    {"cpu fractional", TEXT(WITH_CAPACITY("\"cpu\":1.5,\"memMb\":1"))},
+    {"cpu a string", TEXT(WITH_CAPACITY("\"cpu\":\"16\",\"memMb\":1"))},
+    {"memory 2^63 - 1",
+     TEXT(WITH_CAPACITY("\"cpu\":1,\"memMb\":9223372036854775807"))},
+    {"gpu 2^32",
+     TEXT(WITH_CAPACITY("\"cpu\":1,\"memMb\":1,\"gpu\":4294967296"))},
+    {"gpu 2^31",
+     TEXT(WITH_CAPACITY("\"cpu\":1,\"memMb\":1,\"gpu\":2147483648"))},
+    {"gpu negative", TEXT(WITH_CAPACITY("\"cpu\":1,\"memMb\":1,\"gpu\":-1"))},
+    {"gpu a string",
+     TEXT(WITH_CAPACITY("\"cpu\":1,\"memMb\":1,\"gpu\":\"1\""))},
+    {"no capacity", TEXT("{" BASE "\"address\":\"10.0.0.1:80\"," REST)},
+    {"no colon", TEXT(WITH_ADDRESS("10.0.0.1"))},
+    {"born 2^63 - 1",
+     TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":9223372036854775807"))},
+    {"born negative", TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":-1"))},
+    {"born fractional", TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":1.5"))},
+    {"born missing", TEXT(WITH_TAIL("\"labels\":[\"a\"]"))},
+    {"remaining 1e300",
+     TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":1,\"remainingMs\":1e300"))},
+    {"remaining negative",
+     TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":1,\"remainingMs\":-1"))},
+    {"labels no array", TEXT(WITH_TAIL("\"labels\":\"a\",\"born\":1"))},
+    {"label no string", TEXT(WITH_TAIL("\"labels\":[\"a\",7],\"born\":1"))},
+    {"five labels",
+     TEXT(WITH_TAIL("\"labels\":[\"a\",\"b\",\"c\",\"d\",\"e\"],\"born\":1"))},
+};
+
+/* Returns the value, to be freed, and sets its size. */
+static char *
+make_value(const odd_value_t *odd, uint32_t *bytes)
+{
+    if (odd->text) {
+        *bytes = odd->bytes;
+        return g_memdup2(odd->text, *bytes + 1);
+    }
+    GString *text = g_string_new(NULL);
+    for (int i = 0; i < NESTED_LEVELS; i++) {
+        g_string_append(text, odd->opening);
+    }
+    *bytes = (uint32_t)text->len;
+    return g_string_free(text, FALSE);
+}
+
+/* Entries that name no worker to use must be refused. */
+static void
+test_odd_worker_is_used(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(odd_workers); i++) {
+        uint32_t bytes;
+        char *value = make_value(&odd_workers[i], &bytes);
+        nm_sched_worker_t worker;
+        g_test_message("%s", odd_workers[i].name);
+        if (nm_platform_codec.decode_worker(&worker, "i-1", value, bytes) ==
+            NM_OK) {
+            g_test_message("%s: accepted", odd_workers[i].name);
+            g_test_fail();
+        }
+        g_free(value);
+    }
+}
+
+static nm_sched_capacity_t
+query_capacity(const host_t *host)
+{
+    return nm_sched_query_capacity(host->entry->sched, host->clock.manual_ms);
+}
+
+/*
+ * Another writer leaves an odd entry among those of the workers, then in place
+ * of a good one.  The other workers stay in use, and later ones are found.
+ */
+static void
+test_odd_worker_hides_the_others(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(odd_workers); i++) {
+        g_test_message("%s", odd_workers[i].name);
+        uint32_t bytes;
+        char *value = make_value(&odd_workers[i], &bytes);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/i-1", WORKER);
+        fake_kv_put_bytes(kv, "servers/i-2", value, bytes);
+        fake_kv_put(kv, "servers/i-3", WORKER);
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 2000);
+        g_assert_cmpint(query_capacity(&host).cpu_milli, ==,
+                        2 * GOOD_CPU_MILLI);
+        fake_kv_put_bytes(kv, "servers/i-3", value, bytes);
+        run_host(&host, 1000);
+        g_assert_cmpint(query_capacity(&host).cpu_milli, ==, GOOD_CPU_MILLI);
+        fake_kv_put(kv, "servers/i-3", WORKER);
+        fake_kv_put(kv, "servers/i-4", WORKER);
+        run_host(&host, 1000);
+        g_assert_cmpint(query_capacity(&host).cpu_milli, ==,
+                        3 * GOOD_CPU_MILLI);
+        host_finish(&host);
+        fake_kv_free(kv);
+        g_free(value);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/odd/worker-is-used", test_odd_worker_is_used);
+    g_test_add_func("/odd/worker-hides-the-others",
+                    test_odd_worker_hides_the_others);
+    return g_test_run();
+}
