--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -130,6 +130,38 @@
     }
 }
 
+/* Ids of workers go into a header of each order and into names of tasks. */
+static void
+test_odd_worker_id_is_used(void)
+{
+    char long_id[NM_NAME_MAX + 1];
+    memset(long_id, 'i', sizeof(long_id) - 1);
+    long_id[sizeof(long_id) - 1] = '\0';
+    const struct {
+        const char *id;
+        int rc;
+    } cases[] = {
+        {"i-1", NM_OK},
+        {"I_1.a:b/c", NM_OK},
+        {"", NM_ERR_CORRUPT},
+        {long_id, NM_ERR_CORRUPT},
+        {"i 1", NM_ERR_CORRUPT},
+        {"i\r\nX: 1", NM_ERR_CORRUPT},
+        {"i\x7f", NM_ERR_CORRUPT},
+        {"i\xc3\xa9", NM_ERR_CORRUPT},
+        {"i\xff", NM_ERR_CORRUPT},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        nm_sched_worker_t worker;
+        int rc = nm_platform_codec.decode_worker(&worker, cases[i].id, WORKER,
+                                                 strlen(WORKER));
+        if (rc != cases[i].rc) {
+            g_test_message("case %zu: %d", i, rc);
+            g_test_fail();
+        }
+    }
+}
+
 static nm_sched_capacity_t
 query_capacity(const host_t *host)
 {
@@ -175,6 +207,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/odd/worker-is-used", test_odd_worker_is_used);
+    g_test_add_func("/odd/worker-id-is-used", test_odd_worker_id_is_used);
     g_test_add_func("/odd/worker-hides-the-others",
                     test_odd_worker_hides_the_others);
     return g_test_run();
