Worker entries: duplicate keys make an entry unreadable

An entry with two values of one key was read with the last one; other readers of the same entry may take the first, and would use the worker while this system does not. Such an entry is refused now.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -47,6 +47,8 @@
     {"zero byte inside", TEXT("{\"service\":\"s\0\"}")},
     {"escaped zero inside", TEXT(WITH_ADDRESS("10.0.0.1:80\\u0000"))},
     {"text after the object", TEXT(WORKER "x")},
+    {"duplicate key",
+     TEXT(WITH_TAIL("\"labels\":[\"a\"],\"born\":1,\"state\":\"draining\""))},
     {"no object", TEXT("[1]")},
     {"cpu 2^63 - 1",
      TEXT(WITH_CAPACITY("\"cpu\":9223372036854775807,\"memMb\":1"))},
