Jobs: amounts beyond any worker's are refused

Seen by callers: none yet. Amounts of a submission and of a job's record were converted without a check of their range: cpu 1e300 is undefined, count 2^32 + 1 was read as 1, and cpu times estimate overflowed; with sanitizers the owner ended in src/job.c:119 when it read a record with 2000 tasks of 2^63 - 1 for both, and so would each later owner.

Fractions of amounts in submissions are still truncated.

--- a/include/nutmegdeck/job.h
+++ b/include/nutmegdeck/job.h
@@ -24,6 +24,8 @@
 #define NM_JOB_ID_MAX 32
 #define NM_JOB_STEPS_MAX 64
 #define NM_JOB_TASKS_MAX 20000
+/* A week of a million cores, and so few that sums over tasks fit int64_t. */
+#define NM_JOB_CORE_MS_MAX 1e15
 /* Version of the stored record; any other version is refused. */
 #define NM_JOB_RECORD_VERSION 1
 
--- a/src/job.c
+++ b/src/job.c
@@ -5,7 +5,10 @@
 
 #include <jansson.h>
 
+#include <nutmegdeck/limits.h>
+
 #include "json_get.h"
+#include "step_json.h"
 
 void
 nm_job_spec_init(nm_job_spec_t *spec, const char *id, const char *queue,
@@ -56,6 +59,30 @@
     step->after[step->after_count++] = earlier;
 }
 
+static bool
+amounts_are_valid(const nm_step_t *step)
+{
+    return step->cpu_milli >= 0 && step->cpu_milli <= NM_CPU_MAX_MILLI &&
+           step->memory_mb >= 0 && step->memory_mb <= NM_MEMORY_MAX_MB &&
+           step->accelerators >= 0 &&
+           step->accelerators <= NM_ACCELERATORS_MAX &&
+           step->estimate_ms >= 0 && step->estimate_ms <= NM_DURATION_MAX_MS &&
+           step->target_ms >= 0 && step->target_ms <= NM_DURATION_MAX_MS;
+}
+
+/* As nm_job_spec_core_ms, without overflow. */
+static double
+estimated_core_ms(const nm_job_spec_t *spec)
+{
+    double core_ms = 0;
+    for (uint32_t i = 0; i < spec->step_count; i++) {
+        const nm_step_t *step = &spec->steps[i];
+        core_ms += (double)step->cpu_milli * (double)step->estimate_ms / 1000 *
+                   step->task_count;
+    }
+    return core_ms;
+}
+
 const char *
 nm_job_spec_check(const nm_job_spec_t *spec)
 {
@@ -69,10 +96,8 @@
         if (step->task_count == 0) {
             return "a step needs at least one task";
         }
-        if (step->cpu_milli < 0 || step->memory_mb < 0 ||
-            step->accelerators < 0 || step->estimate_ms < 0)
-        {
-            return "a step's amounts must not be negative";
+        if (!amounts_are_valid(step)) {
+            return "a step's amounts must not be negative or too large";
         }
         for (uint32_t j = 0; j < step->after_count; j++) {
             if (step->after[j] >= i) {
@@ -81,9 +106,13 @@
         }
         tasks += step->task_count;
     }
+    uint64_t occurrences = MAX(spec->occurrences, 1);
     if (tasks > NM_JOB_TASKS_MAX) {
         return "a job has too many tasks";
     }
+    if (estimated_core_ms(spec) * (double)occurrences > NM_JOB_CORE_MS_MAX) {
+        return "a job needs too much processor time";
+    }
     if (spec->occurrences > 1 && spec->interval_ms <= 0) {
         return "a repeated job needs a positive interval";
     }
@@ -201,17 +230,56 @@
     return text;
 }
 
-static void
+bool
+nm_step_decode_amounts(nm_step_t *step, const json_t *object,
+                       const nm_step_names_t *names)
+{
+    int64_t task_count;
+    int64_t accelerators;
+    int64_t per_worker_max;
+    int64_t unavailable_max;
+    if (!nm_json_read_number(object, names->task_count, UINT32_MAX,
+                             &task_count) ||
+        !nm_json_read_number(object, names->cpu, NM_CPU_MAX_MILLI,
+                             &step->cpu_milli) ||
+        !nm_json_read_number(object, names->memory, NM_MEMORY_MAX_MB,
+                             &step->memory_mb) ||
+        !nm_json_read_number(object, names->accelerators, NM_ACCELERATORS_MAX,
+                             &accelerators) ||
+        !nm_json_read_number(object, names->estimate, NM_DURATION_MAX_MS,
+                             &step->estimate_ms) ||
+        !nm_json_read_number(object, names->per_worker_max, UINT32_MAX,
+                             &per_worker_max) ||
+        !nm_json_read_number(object, names->target, NM_DURATION_MAX_MS,
+                             &step->target_ms) ||
+        !nm_json_read_number(object, names->unavailable_max, UINT32_MAX,
+                             &unavailable_max))
+    {
+        return false;
+    }
+    step->task_count = (uint32_t)task_count;
+    step->accelerators = (int32_t)accelerators;
+    step->per_worker_max = (uint32_t)per_worker_max;
+    step->unavailable_max = (uint32_t)unavailable_max;
+    return true;
+}
+
+static bool
 decode_step(nm_step_t *step, const json_t *object)
 {
-    step->task_count = (uint32_t)nm_json_int(object, "tasks");
-    step->cpu_milli = nm_json_int(object, "cpu_milli");
-    step->memory_mb = nm_json_int(object, "memory_mb");
-    step->accelerators = (int32_t)nm_json_int(object, "accelerators");
-    step->estimate_ms = nm_json_int(object, "estimate_ms");
-    step->per_worker_max = (uint32_t)nm_json_int(object, "per_worker_max");
-    step->target_ms = nm_json_int(object, "target_ms");
-    step->unavailable_max = (uint32_t)nm_json_int(object, "unavailable_max");
+    static const nm_step_names_t names = {
+        .task_count = "tasks",
+        .cpu = "cpu_milli",
+        .memory = "memory_mb",
+        .accelerators = "accelerators",
+        .estimate = "estimate_ms",
+        .per_worker_max = "per_worker_max",
+        .target = "target_ms",
+        .unavailable_max = "unavailable_max",
+    };
+    if (!nm_step_decode_amounts(step, object, &names)) {
+        return false;
+    }
     step->has_unavailable_max = nm_json_bool(object, "has_budget");
     step->saves_progress = nm_json_bool(object, "saves_progress");
     step->is_gang = nm_json_bool(object, "gang");
@@ -227,8 +295,29 @@
     json_t *earlier;
     json_array_foreach(json_object_get(object, "after"), i, earlier)
     {
-        nm_step_add_dependency(step, (uint32_t)json_integer_value(earlier));
+        int64_t number;
+        if (!nm_json_get_int(earlier, NM_JOB_STEPS_MAX, &number)) {
+            return false;
+        }
+        nm_step_add_dependency(step, (uint32_t)number);
     }
+    return true;
+}
+
+static bool
+decode_schedule(nm_job_spec_t *spec, const json_t *record)
+{
+    int64_t occurrences;
+    bool valid =
+        nm_json_read_int(record, "accepted_unix_ms", NM_UNIX_MAX_MS,
+                         &spec->accepted_unix_ms) &&
+        nm_json_read_int(record, "occurrences", UINT32_MAX, &occurrences) &&
+        nm_json_read_int(record, "first_unix_ms", NM_UNIX_MAX_MS,
+                         &spec->first_unix_ms) &&
+        nm_json_read_int(record, "interval_ms", NM_DURATION_MAX_MS,
+                         &spec->interval_ms);
+    spec->occurrences = valid ? (uint32_t)occurrences : 0;
+    return valid;
 }
 
 int
@@ -237,8 +326,8 @@
 {
     assert(spec && id && data);
     json_t *record = json_loadb(data, bytes, 0, NULL);
-    if (!json_is_object(record) ||
-        nm_json_int(record, "version") != NM_JOB_RECORD_VERSION)
+    if (json_integer_value(json_object_get(record, "version")) !=
+        NM_JOB_RECORD_VERSION)
     {
         json_decref(record);
         nm_job_spec_init(spec, id, "", "");
@@ -254,16 +343,13 @@
         g_free(spec->payload);
         spec->payload = g_strdup(payload);
     }
-    spec->accepted_unix_ms = nm_json_int(record, "accepted_unix_ms");
-    spec->occurrences = (uint32_t)nm_json_int(record, "occurrences");
-    spec->first_unix_ms = nm_json_int(record, "first_unix_ms");
-    spec->interval_ms = nm_json_int(record, "interval_ms");
+    bool valid = decode_schedule(spec, record);
     size_t i;
     json_t *step;
     json_array_foreach(json_object_get(record, "steps"), i, step)
     {
-        decode_step(nm_job_spec_add_step(spec), step);
+        valid = decode_step(nm_job_spec_add_step(spec), step) && valid;
     }
     json_decref(record);
-    return nm_job_spec_check(spec) ? NM_ERR_CORRUPT : NM_OK;
+    return !valid || nm_job_spec_check(spec) ? NM_ERR_CORRUPT : NM_OK;
 }
--- a/src/json_get.h
+++ b/src/json_get.h
@@ -47,6 +47,16 @@
            json_number_value(value) == (double)*number;
 }
 
+/* Reads a member as nm_json_get_number does; a missing one is 0. */
+static inline bool
+nm_json_read_number(const json_t *object, const char *name, int64_t max,
+                    int64_t *number)
+{
+    const json_t *value = json_object_get(object, name);
+    *number = 0;
+    return !value || nm_json_get_number(value, max, number);
+}
+
 /* Reads a member as nm_json_get_int does; a missing one is 0. */
 static inline bool
 nm_json_read_int(const json_t *object, const char *name, int64_t max,
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -204,6 +204,87 @@
     }
 }
 
+/* Steps and schedules whose sums or tables would be too large. */
+static const struct {
+    const char *name;
+    const char *step;     /* members of the step, as submitted */
+    const char *schedule; /* members of the submission */
+} odd_jobs[] = {
+    {"cpu 2^63 - 1", "\"count\":1,\"cpu\":9223372036854775807", ""},
+    {"cpu 1e300", "\"count\":1,\"cpu\":1e300", ""},
+    {"memory 2^62", "\"count\":2,\"memMb\":4611686018427387904", ""},
+    {"gpu 2^32", "\"count\":1,\"gpu\":4294967296", ""},
+    {"estimate 2^62", "\"count\":1,\"estimateMs\":4611686018427387904", ""},
+    {"target 2^62", "\"count\":1,\"targetMs\":4611686018427387904", ""},
+    {"CPU time", "\"count\":20000,\"cpu\":1e9,\"estimateMs\":3e10", ""},
+    {"count 2^32 + 1", "\"count\":4294967297", ""},
+    {"after 2^32", "\"count\":1,\"after\":[4294967296]", ""},
+    {"2^32 + 1 occurrences", "\"count\":1",
+     ",\"repeatCount\":4294967297,\"intervalMs\":1"},
+    {"negative occurrences", "\"count\":1", ",\"repeatCount\":-1"},
+    {"interval 2^63 - 1", "\"count\":1",
+     ",\"repeatCount\":3,\"intervalMs\":9223372036854775807"},
+    {"start 1e300", "\"count\":1", ",\"startAtMs\":1e300"},
+};
+
+/* Such a job would end its owner, and then each later one. */
+static void
+test_odd_job_is_accepted(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(odd_jobs); i++) {
+        char *body = g_strdup_printf("{\"spec\":\"x\",\"steps\":[{%s}]%s}",
+                                     odd_jobs[i].step, odd_jobs[i].schedule);
+        nm_job_spec_t spec;
+        const char *fault = NULL;
+        nm_job_spec_init(&spec, JOB, "q", "s");
+        if (nm_platform_codec.decode_job(&spec, body, (uint32_t)strlen(body),
+                                         &fault) == NM_OK ||
+            !fault)
+        {
+            g_test_message("%s: accepted", odd_jobs[i].name);
+            g_test_fail();
+        }
+        nm_job_spec_finish(&spec);
+        g_free(body);
+    }
+}
+
+/* The same in records: a job that cannot be held must end no owner. */
+static void
+test_odd_job_record_ends_the_owner(void)
+{
+    static const char *const records[] = {
+        "\"steps\":[{\"tasks\":2000,\"cpu_milli\":9223372036854775807,"
+        "\"estimate_ms\":9223372036854775807}]",
+        "\"steps\":[{\"tasks\":1,\"cpu_milli\":1e300}]",
+        "\"steps\":[{\"tasks\":4294967297}]",
+        "\"steps\":[{\"tasks\":1},{\"tasks\":1,\"after\":[4294967296]}]",
+        "\"steps\":[{\"tasks\":1}],\"interval_ms\":9223372036854775807,"
+        "\"occurrences\":3",
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(records); i++) {
+        g_test_message("%s", records[i]);
+        char *record =
+            g_strdup_printf("{\"version\":1,\"queue\":\"q\","
+                            "\"service\":\"s\",\"payload\":\"\",%s}",
+                            records[i]);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/i-1", WORKER);
+        fake_kv_put(kv, "nutmegdeck/jobs/0123456789abcdef", record);
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 2000);
+        g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+        g_assert_cmpint(nm_sched_query_info(host.entry->sched).jobs_active, ==,
+                        1);
+        g_assert_cmpuint(host.orders.starts, ==, 2);
+        host_finish(&host);
+        fake_kv_free(kv);
+        g_free(record);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -212,5 +293,8 @@
     g_test_add_func("/odd/worker-id-is-used", test_odd_worker_id_is_used);
     g_test_add_func("/odd/worker-hides-the-others",
                     test_odd_worker_hides_the_others);
+    g_test_add_func("/odd/job-is-accepted", test_odd_job_is_accepted);
+    g_test_add_func("/odd/job-record-ends-the-owner",
+                    test_odd_job_record_ends_the_owner);
     return g_test_run();
 }
