Jobs: the tasks of all occurrences together are bounded

Seen by callers: none yet. A submission with 10,000 occurrences of 20,000 tasks was accepted and stored, and the owner allocated all 200 million tasks at once (75 GB): the process ended, and so did each later owner, which read the same record. One with more than 10,000 occurrences was accepted, stored and then never run.

Change: nm_job_spec_check refuses both (400); a record of such a job is refused when it is read.

Evidence: /odd/job-record-ends-the-owner failed before (with 16 GB of address space: GLib-FATAL-ERROR, failed to allocate 7520000 bytes), and /odd/job-is-accepted in 3 more cases; both pass now.

--- a/src/job.c
+++ b/src/job.c
@@ -106,8 +106,11 @@
         }
         tasks += step->task_count;
     }
+    if (spec->occurrences > NM_JOB_OCCURRENCES_MAX) {
+        return "a job has too many occurrences";
+    }
     uint64_t occurrences = MAX(spec->occurrences, 1);
-    if (tasks > NM_JOB_TASKS_MAX) {
+    if (tasks > NM_JOB_TASKS_MAX || tasks * occurrences > NM_JOB_RUNS_MAX) {
         return "a job has too many tasks";
     }
     if (estimated_core_ms(spec) * (double)occurrences > NM_JOB_CORE_MS_MAX) {
--- a/src/sched.c
+++ b/src/sched.c
@@ -27,8 +27,6 @@
 #define FILLER_CHECK_INTERVAL_MS 100
 /* Events kept until they are fetched. */
 #define EVENTS_MAX 64
-/* Limit of occurrences of one job; all are allocated when it is added. */
-#define OCCURRENCES_MAX 10000
 /* Weight of a new job in its queue's moving average of CPU time. */
 #define MEAN_CORE_MS_GAIN 0.1
 
@@ -217,7 +215,7 @@
     if (g_hash_table_contains(sched->jobs, spec->id)) {
         return NM_ERR_CONFLICT;
     }
-    if (spec->occurrences > OCCURRENCES_MAX) {
+    if (spec->occurrences > NM_JOB_OCCURRENCES_MAX) {
         return NM_ERR_TOO_LARGE;
     }
     nm_sched_job_t *job = g_new0(nm_sched_job_t, 1);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -219,6 +219,12 @@
     {"CPU time", "\"count\":20000,\"cpu\":1e9,\"estimateMs\":3e10", ""},
     {"count 2^32 + 1", "\"count\":4294967297", ""},
     {"after 2^32", "\"count\":1,\"after\":[4294967296]", ""},
+    {"2^32 - 1 occurrences", "\"count\":1",
+     ",\"repeatCount\":4294967295,\"intervalMs\":1"},
+    {"10001 occurrences", "\"count\":1",
+     ",\"repeatCount\":10001,\"intervalMs\":1"},
+    {"200 million tasks", "\"count\":20000",
+     ",\"repeatCount\":10000,\"intervalMs\":1"},
     {"2^32 + 1 occurrences", "\"count\":1",
      ",\"repeatCount\":4294967297,\"intervalMs\":1"},
     {"negative occurrences", "\"count\":1", ",\"repeatCount\":-1"},
@@ -261,6 +267,10 @@
         "\"steps\":[{\"tasks\":1},{\"tasks\":1,\"after\":[4294967296]}]",
         "\"steps\":[{\"tasks\":1}],\"interval_ms\":9223372036854775807,"
         "\"occurrences\":3",
+        "\"steps\":[{\"tasks\":1}],\"interval_ms\":1,"
+        "\"occurrences\":4294967295",
+        "\"steps\":[{\"tasks\":20000}],\"interval_ms\":1,"
+        "\"occurrences\":10000",
     };
     for (size_t i = 0; i < NM_COUNT_OF(records); i++) {
         g_test_message("%s", records[i]);
