Store: one odd key does not hide the other items of a response

Seen by callers: none yet; another writer's key was enough to stop hosts from following a list.

Cause: the parser refuses a whole response for one string with an escaped zero byte, or with bytes that are not UTF-8. The listing failed with "malformed data", was repeated, and failed again, as long as the key existed. A key longer than NM_STORE_KEY_MAX_BYTES was cut when it became the start of the next page, which then began before it again.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -338,6 +338,73 @@
     }
 }
 
+#define GOOD_ITEM "{\"key\":\"servers/a\",\"value\":\"e30=\",\"revision\":3}"
+#define OTHER_ITEM "{\"key\":\"servers/z\",\"value\":\"e30=\",\"revision\":4}"
+
+/* Items beside two good ones in a listing; bytes as the store may send them.
+ */
+static const struct {
+    const char *name;
+    const char *item;
+    uint32_t items; /* delivered */
+} odd_item_cases[] = {
+    {"no item", "{}", 2},
+    {"not an object", "7", 2},
+    {"key no string", "{\"key\":7,\"value\":\"e30=\",\"revision\":3}", 2},
+    {"key with zero",
+     "{\"key\":\"servers/b\\u0000c\",\"value\":\"e30=\",\"revision\":3}", 2},
+    {"key not UTF-8",
+     "{\"key\":\"servers/b\xff\",\"value\":\"e30=\",\"revision\":3}", 3},
+    {"value not base64",
+     "{\"key\":\"servers/b\",\"value\":\"\xc3\xa9!\",\"revision\":3}", 3},
+    {"value empty", "{\"key\":\"servers/b\",\"value\":\"\",\"revision\":3}",
+     3},
+    {"value no string", "{\"key\":\"servers/b\",\"value\":[],\"revision\":3}",
+     3},
+};
+
+/* One odd item must not hide the others of its page. */
+static void
+test_odd_item_hides_its_page(void)
+{
+    char *long_key = g_strnfill(NM_STORE_KEY_MAX_BYTES, 'k');
+    char *long_item = g_strdup_printf(
+        "{\"key\":\"%s\",\"value\":\"e30=\",\"revision\":3}", long_key);
+    for (size_t i = 0; i <= NM_COUNT_OF(odd_item_cases); i++) {
+        bool is_long = i == NM_COUNT_OF(odd_item_cases);
+        const char *item = is_long ? long_item : odd_item_cases[i].item;
+        char *body = g_strdup_printf(
+            "{\"items\":[" GOOD_ITEM ",%s," OTHER_ITEM "],\"asOf\":9}", item);
+        char *response =
+            g_strdup_printf("HTTP/1.1 200 x\r\nContent-Length: %zu\r\n\r\n%s",
+                            strlen(body), body);
+        g_test_message("%s", is_long ? "long key" : odd_item_cases[i].name);
+        const char *const responses[] = {response, NULL};
+        server_t server = {.responses = responses};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_kv_http_t store;
+        char address[NM_NAME_MAX];
+        g_snprintf(address, sizeof(address), "127.0.0.1:%u", server.port);
+        kv_outcome_t outcome = {0};
+        nm_kv_range(nm_kv_http_init(&store, http, address), "servers/", "",
+                    on_kv, &outcome);
+        wait_for_completions(http, &outcome.completions, 1);
+        g_assert_cmpint(outcome.rc, ==, NM_OK);
+        g_assert_cmpint(outcome.revision, ==, 9);
+        g_assert_cmpuint(outcome.items, ==,
+                         is_long ? 2 : odd_item_cases[i].items);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+        g_free(response);
+        g_free(body);
+    }
+    g_free(long_item);
+    g_free(long_key);
+}
+
 /* Sends a response in pieces, with a pause after each. */
 typedef struct {
     int listener;
@@ -437,6 +504,8 @@
     g_test_add_func("/platform/reports", test_reports);
     g_test_add_func("/platform/statuses", test_statuses);
     g_test_add_func("/platform/store", test_store);
+    g_test_add_func("/platform/odd-item-hides-its-page",
+                    test_odd_item_hides_its_page);
     g_test_add_func("/platform/large-response-on-a-slow-link",
                     test_large_response_on_a_slow_link);
     return g_test_run();
