Worker reports: numbers out of range make a row or the report unreadable

Seen by callers: none yet. Runs, numbers of ends, clock and birth of a report were taken as they came: 1e300 is undefined when converted, a clock of 2^63 - 1 overflows with the lease added, and an end numbered 2^63 - 1 was acknowledged, after which the worker's later ends counted as processed. A report without clock had clock 0, for which every order expires at once.

Change: a run or end with such a number is a malformed row, as one without a name; without valid birth, clock or lists, or with duplicate keys, the response is no report and counts as none. A figure out of range is 0.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -192,6 +192,53 @@
      NM_ORDER_DONE, false, 0, 0},
     {"no-lists", "{\"born\":1,\"clockMs\":5}", NM_ORDER_UNKNOWN, true, 0, 0},
     {"not-json", "hello", NM_ORDER_UNKNOWN, true, 0, 0},
+    {"run-over-int64",
+     "{\"born\":1,\"clockMs\":5,\"running\":[[\"a.0.0.0\",1e300,\"\",100,3],"
+     "[\"b.0.0.0\",1,\"\",100,3]],\"finished\":[]}",
+     NM_ORDER_DONE, false, 1, 0},
+    {"run-negative",
+     "{\"born\":1,\"clockMs\":5,\"running\":[[\"a.0.0.0\",-1,\"\",100,3]],"
+     "\"finished\":[]}",
+     NM_ORDER_DONE, false, 0, 0},
+    {"figure-over-int64",
+     "{\"born\":1,\"clockMs\":5,"
+     "\"running\":[[\"a.0.0.0\",1,\"\",100,1e300]],\"finished\":[]}",
+     NM_ORDER_DONE, true, 1, 0},
+    {"end-number-2^63-1",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],\"finished\":["
+     "[1,\"b.0.0.0\",1,\"done\",\"\"],"
+     "[9223372036854775807,\"b.0.0.1\",1,\"done\",\"\"]]}",
+     NM_ORDER_DONE, false, 0, 1},
+    {"end-number-fractional",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],"
+     "\"finished\":[[1.5,\"b.0.0.0\",1,\"done\",\"\"]]}",
+     NM_ORDER_DONE, false, 0, 0},
+    {"end-not-a-row",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],\"finished\":[7]}",
+     NM_ORDER_DONE, false, 0, 0},
+    {"clock-2^63-1",
+     "{\"born\":1,\"clockMs\":9223372036854775807,\"running\":[],"
+     "\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"clock-negative",
+     "{\"born\":1,\"clockMs\":-1,\"running\":[],\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"clock-missing", "{\"born\":1,\"running\":[],\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"born-2^63-1",
+     "{\"born\":9223372036854775807,\"clockMs\":5,\"running\":[],"
+     "\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"born-missing", "{\"clockMs\":5,\"running\":[],\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"number-over-int64",
+     "{\"born\":1,\"clockMs\":9223372036854775808,\"running\":[],"
+     "\"finished\":[]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
+    {"duplicate-lists",
+     "{\"born\":1,\"clockMs\":5,\"running\":[],\"finished\":[],"
+     "\"running\":[[\"a.0.0.0\",1,\"\",100,3]]}",
+     NM_ORDER_UNKNOWN, true, 0, 0},
 };
 
 static void
