Takeover: a roster with odd ids does not end the owner

Seen by callers: none yet. Ids of the roster were cut to 63 bytes, and the cut id was the key of the worker in the table of workers. Two ids that differ only beyond that, or one long id twice, replaced the first worker, which stayed in the list and the timers: a use of freed memory in src/sched_timer.c:27, in each new owner. An entry that is no string was passed over, although it may have named a worker that runs tasks.

Change: an invalid id makes the roster unreadable in part: the other ids are used, and recovered tasks wait until the former leases have lapsed, as for a roster that cannot be parsed.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -302,7 +302,15 @@
  * now, so leases of workers that have not responded yet count from here.
  */
 void nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms);
-/* Adds a worker that an earlier owner used; it may run unknown tasks. */
+/*
+ * True for 1 to NM_NAME_MAX - 1 bytes of printable ASCII without spaces: an id
+ * is part of a header of each order.
+ */
+bool nm_sched_worker_id_is_valid(const char *id);
+/*
+ * Adds a worker that an earlier owner used; it may run unknown tasks.  Its id
+ * must be valid.
+ */
 void nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms);
 
 void nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -268,27 +268,31 @@
 {
     json_t *ids =
         json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
-    if (!json_is_array(ids)) {
-        /*
-         * Stands for every worker that the roster may have named, until the
-         * leases of earlier owners have lapsed.
-         */
-        nm_sched_expect_worker(entry->sched, "unreadable roster",
-                               nm_entry_now(entry));
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
-    }
+    bool readable = json_is_array(ids);
     size_t i;
     json_t *id;
     json_array_foreach(ids, i, id)
     {
         const char *text = json_string_value(id);
-        if (text) {
+        if (!text || !nm_sched_worker_id_is_valid(text)) {
+            readable = false;
+        }
+        else {
             g_hash_table_add(entry->roster, g_strdup(text));
             g_hash_table_add(entry->roster_wanted, g_strdup(text));
             nm_sched_expect_worker(entry->sched, text, nm_entry_now(entry));
         }
     }
     json_decref(ids);
+    if (!readable) {
+        /*
+         * Stands for every worker that the roster may have named, until the
+         * leases of earlier owners have lapsed.
+         */
+        nm_sched_expect_worker(entry->sched, "unreadable-roster",
+                               nm_entry_now(entry));
+        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
+    }
 }
 
 /* Loads what the last owner stored beside jobs and their progress. */
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -11,6 +11,17 @@
 #include <assert.h>
 #include <string.h>
 
+bool
+nm_sched_worker_id_is_valid(const char *id)
+{
+    assert(id);
+    size_t length = 0;
+    while (id[length] > ' ' && id[length] < '\x7f') {
+        length++;
+    }
+    return length > 0 && length < NM_NAME_MAX && id[length] == '\0';
+}
+
 nm_sched_node_t *
 nm_node_find(nm_sched_t *sched, const char *id)
 {
@@ -165,7 +176,7 @@
 void
 nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
 {
-    assert(sched && id);
+    assert(sched && nm_sched_worker_id_is_valid(id));
     if (!nm_node_find(sched, id)) {
         add_node(sched, id, now_ms);
     }
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -10,6 +10,7 @@
 #include <nutmegdeck/reason.h>
 
 #include "../platform/codec.h"
+#include "../src/sched_state.h"
 #include "lib_entry_host.h"
 
 #define NESTED_LEVELS 100000
@@ -295,6 +296,134 @@
     }
 }
 
+/* Ids that no worker can have, beside a good one. */
+static void
+test_odd_roster_ends_the_owner(void)
+{
+    char long_id[NM_NAME_MAX + 1];
+    memset(long_id, 'i', sizeof(long_id) - 1);
+    long_id[sizeof(long_id) - 1] = '\0';
+    char *rosters[] = {
+        g_strdup_printf("[\"%s\",\"i-1\",\"%s\",\"%s2\"]", long_id, long_id,
+                        long_id),
+        g_strdup("[\"\",\"i-1\",7,null,[[]],\"i 1\"]"),
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(rosters); i++) {
+        g_test_message("%s", rosters[i]);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, EPOCH_KEY, "3");
+        fake_kv_put(kv, ROSTER_KEY, rosters[i]);
+        fake_kv_put(kv, "servers/i-1", WORKER);
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 2000);
+        g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+        /* The worker, and one that stands for all unreadable ids. */
+        g_assert_cmpuint(host.entry->sched->node_list->len, ==, 2);
+        g_assert_cmpuint(host.orders.starts, ==, 0);
+        run_host(&host, 20000);
+        g_assert_cmpuint(host.orders.starts, >=, 2);
+        g_assert_cmpuint(host.entry->sched->node_list->len, ==, 1);
+        host_finish(&host);
+        fake_kv_free(kv);
+        g_free(rosters[i]);
+    }
+}
+
+/* Unreadable for every kind of record of the system's own. */
+static const odd_value_t odd_records[] = {
+    {"empty", TEXT("")},
+    {"null", TEXT("null")},
+    {"no JSON", TEXT("{\"a\"")},
+    {"nested arrays", .opening = "["},
+    {"nested objects", .opening = "{\"a\":"},
+    {"not UTF-8", TEXT("\xff\xfe{}")},
+    {"zero byte", TEXT("\0\0")},
+    {"number 2^63", TEXT("9223372036854775808")},
+    {"number 2^63 - 1", TEXT("9223372036854775807")},
+    {"number 1e999", TEXT("1e999")},
+    {"number -1", TEXT("-1")},
+    {"empty object", TEXT("{}")},
+    {"empty array", TEXT("[]")},
+    {"odd array", TEXT("[7,null,[],\"\",-1]")},
+    {"version only", TEXT("{\"version\":1}")},
+    {"version 2^63 - 1", TEXT("{\"version\":9223372036854775807}")},
+    {"odd record",
+     TEXT("{\"version\":1,\"state\":\"running\",\"done\":[7,[7],[[7]]],"
+          "\"failures\":[7,[-1,0,0],[9e9,0,0],[0,0,9223372036854775807]],"
+          "\"crashes\":[7,[0,0,0,9223372036854775807,-1]],\"silences\":[[0]],"
+          "\"steps\":[7,null,{}],\"bases\":[[\"\",1e308,-1e308]],"
+          "\"effects\":[[\"\",\"\",1e308,-1]],\"address\":\"\",\"zone\":\"\","
+          "\"cpu_share\":-1e308}")},
+    {"odd host", TEXT("{\"address\":\"tcp://10.0.0.1:99999\",\"zone\":\"z\","
+                      "\"cpu_share\":1e308}")},
+    {"odd job",
+     TEXT("{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"steps\":[{"
+          "\"tasks\":2000,\"cpu_milli\":9223372036854775807,"
+          "\"memory_mb\":9223372036854775807,\"estimate_ms\":"
+          "9223372036854775807"
+          "}]}")},
+};
+
+/*
+ * An odd record under any of the keys that a host follows: before the host
+ * starts, and again while it is the owner.  The host must keep following its
+ * configuration and the workers, and run new jobs.
+ */
+static void
+test_odd_record_stops_the_host(void)
+{
+    static const char *const keys[] = {
+        "op/other",
+        "nutmegdeck/hosts/b",
+        "nutmegdeck/hosts/",
+        "nutmegdeck/owned/learned",
+        "nutmegdeck/owned/commit",
+        "nutmegdeck/owned/other",
+        "nutmegdeck/jobs/0123456789abcdef",
+        "nutmegdeck/jobs/",
+        "nutmegdeck/jobs//cancel",
+        "nutmegdeck/progress/0123456789abcdef",
+        "nutmegdeck/progress/",
+        "nutmegdeck/control/other",
+        "servers/",
+        ROSTER_KEY,
+    };
+    for (size_t k = 0; k < NM_COUNT_OF(keys); k++) {
+        for (size_t i = 0; i < NM_COUNT_OF(odd_records); i++) {
+            g_test_message("%s: %s", keys[k], odd_records[i].name);
+            uint32_t bytes;
+            char *value = make_value(&odd_records[i], &bytes);
+            fake_kv_t *kv = configured_store();
+            fake_kv_put(kv, "servers/i-1", WORKER);
+            /* What an odd progress record would belong to. */
+            fake_kv_put(kv, "nutmegdeck/jobs/0123456789abcdef", RECORD);
+            fake_kv_put_bytes(kv, keys[k], value, bytes);
+            host_t host;
+            host_init(&host, "a", kv);
+            run_host(&host, 1000);
+            fake_kv_put_bytes(kv, keys[k], value, bytes);
+            run_host(&host, 1000);
+            fake_kv_put(kv, CONFIG_KEY, CONFIG("5", "/c/"));
+            fake_kv_put(kv, "servers/i-2", WORKER);
+            run_host(&host, 12000);
+            g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+            g_assert_cmpint(host.entry->queue_config->version, ==, 5);
+            g_assert_cmpint(query_capacity(&host).cpu_milli, ==,
+                            2 * GOOD_CPU_MILLI);
+            uint32_t starts_before = host.orders.starts;
+            send_request(&host, NM_METHOD_POST, "/c/" JOB, BODY);
+            run_host(&host, 2000);
+            g_assert_cmpint(last_status(&host), ==, 200);
+            g_assert_cmpuint(host.orders.starts, >, starts_before);
+            host_finish(&host);
+            fake_kv_free(kv);
+            g_free(value);
+        }
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -306,5 +435,9 @@
     g_test_add_func("/odd/job-is-accepted", test_odd_job_is_accepted);
     g_test_add_func("/odd/job-record-ends-the-owner",
                     test_odd_job_record_ends_the_owner);
+    g_test_add_func("/odd/roster-ends-the-owner",
+                    test_odd_roster_ends_the_owner);
+    g_test_add_func("/odd/record-stops-the-host",
+                    test_odd_record_stops_the_host);
     return g_test_run();
 }
