Log: a line that is not written releases its objects

Seen by callers: nothing. nm_log returned before it packed the fields if the line was over the limit of lines per second, so each dropped capacity line left an object with the counts of refusals behind: a flood of lines made the owner's memory grow.

Change: the fields are packed in any case, which takes over the objects.

--- a/src/log.c
+++ b/src/log.c
@@ -169,23 +169,42 @@
     }
 }
 
-void
-nm_log(nm_log_level_t level, nm_log_item_t item, const char *fields, ...)
+/* Returns false if the line is not to be written. */
+static bool
+admit(nm_log_level_t level)
 {
-    assert(item < NM_LOG_ITEM_COUNT);
     if (!state.category ||
         !log4c_category_is_priority_enabled(state.category, priorities[level]))
     {
-        return;
+        return false;
     }
     uint64_t dropped = 0;
     if (state.rate_limited && !admit_line(&dropped)) {
-        return;
+        return false;
     }
     if (dropped > 0) {
         nm_log(NM_LOG_WARN, NM_LOG_ITEM_LINES_DROPPED, "{s:I}", "lines",
                (json_int_t)dropped);
     }
+    return true;
+}
+
+void
+nm_log(nm_log_level_t level, nm_log_item_t item, const char *fields, ...)
+{
+    assert(item < NM_LOG_ITEM_COUNT);
+    json_t *packed_fields = NULL;
+    if (fields) {
+        /* Also if the line is dropped: packing releases the arguments. */
+        va_list arguments;
+        va_start(arguments, fields);
+        packed_fields = json_vpack_ex(NULL, 0, fields, arguments);
+        va_end(arguments);
+    }
+    if (!admit(level)) {
+        json_decref(packed_fields);
+        return;
+    }
     struct timeval tv;
     gettimeofday(&tv, NULL);
     json_t *line =
@@ -193,16 +212,8 @@
                   (json_int_t)tv.tv_sec * 1000 + tv.tv_usec / 1000, "level",
                   log4c_priority_to_string(priorities[level]), "host",
                   state.host, "item", item_names[item]);
-    if (fields) {
-        va_list arguments;
-        va_start(arguments, fields);
-        json_t *packed_fields = json_vpack_ex(NULL, 0, fields, arguments);
-        va_end(arguments);
-        if (packed_fields) {
-            json_object_update(line, packed_fields);
-            json_decref(packed_fields);
-        }
-    }
+    json_object_update(line, packed_fields);
+    json_decref(packed_fields);
     char *text = json_dumps(line, JSON_COMPACT);
     json_decref(line);
     if (text) {
