Refused records: a counter, and one line for each decision

Seen by callers: nothing; operators would lose other lines of the owner.

Cause: each refusal wrote a line, and each deletion of an entry another, also for ids that no worker had. The same held for malformed rows in workers' reports, with one line for each poll.

Change: nm_refusals_log counts each refusal as record-refused, and writes the same refusal of the same key at most once a minute and 10 lines a second in all; the line says how many refusals had none. Worker entries give the field and its bound as reason. worker-lost is written for announced workers only.

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -75,6 +75,7 @@
     X(STORE_LOST, "store-lost", 0, "a store answer was lost")                 \
     X(STORE_CONFLICT, "store-conflict", 0, "a store compare failed")          \
     X(REPORT_MALFORMED, "report-malformed", 0, "a report row was unreadable") \
+    X(RECORD_REFUSED, "record-refused", 0, "a stored record was unreadable")  \
     X(PEER_LOST, "peer-lost", 0, "a message to a peer was dropped")           \
     X(PEER_MALFORMED, "peer-malformed", 0, "a peer message was refused")
 
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -285,8 +285,11 @@
 /* Adds or updates an announced worker. */
 void nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                          nm_ms_t now_ms);
-/* The worker is no longer announced; its tasks may continue to run. */
-void nm_sched_deregister_worker(nm_sched_t *sched, const char *id);
+/*
+ * The worker is no longer announced; its tasks may continue to run.  Returns
+ * false if it was not announced.
+ */
+bool nm_sched_deregister_worker(nm_sched_t *sched, const char *id);
 /*
  * Permits starts on a worker.  To be called once the worker's id is in the
  * stored roster, so that a new owner expects it.
--- a/src/entry.c
+++ b/src/entry.c
@@ -74,8 +74,9 @@
         entry->desc.codec->decode_queue_config(item->value, item->value_bytes);
     if (!queue_config) {
         nm_count_reason(NM_REASON_SETTINGS_CORRUPT);
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_SETTINGS_REFUSED, "{s:s}", "reason",
-               "the configuration record cannot be decoded");
+        nm_refusals_log(
+            &entry->refusals, NM_LOG_ITEM_SETTINGS_REFUSED, "key", item->key,
+            "the configuration record cannot be decoded", nm_entry_now(entry));
         return;
     }
     if (entry->queue_config &&
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -11,6 +11,7 @@
 #include "feed.h"
 #include "order_carrier.h"
 #include "order_relay.h"
+#include "refusal.h"
 
 /* Keys in the platform's store. */
 #define NM_KEY_CONTROL "nutmegdeck/control/"
@@ -64,7 +65,8 @@
     nm_feed_t control_feed;
     nm_owner_t owner;
     nm_owner_announcement_t announced;
-    int64_t epoch; /* newest epoch in the store */
+    nm_refusals_t refusals; /* of records that others may have written */
+    int64_t epoch;          /* newest epoch in the store */
     int64_t epoch_revision;
     /*
      * Start of the election delay: since when no owner is known, or the end of
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -44,22 +44,33 @@
     }
 }
 
+static void
+refuse(nm_entry_t *entry, nm_log_item_t item, const char *field,
+       const char *name, const char *reason)
+{
+    nm_refusals_log(&entry->refusals, item, field, name, reason,
+                    nm_entry_now(entry));
+}
+
+/* An entry that cannot be read names no worker, as if it were missing. */
 static void
 on_worker(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
     const char *id = item->key + strlen(entry->desc.codec->workers_prefix);
     if (!item->value) {
-        nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker", id);
-        nm_sched_deregister_worker(entry->sched, id);
+        if (nm_sched_deregister_worker(entry->sched, id)) {
+            nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker",
+                   id);
+        }
         return;
     }
     nm_sched_worker_t worker;
-    int rc = entry->desc.codec->decode_worker(&worker, id, item->value,
-                                              item->value_bytes);
-    if (rc < 0) {
-        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_REFUSED, "{s:s,s:s}", "worker",
-               id, "reason", nm_error_text(rc));
+    const char *fault = NULL;
+    if (entry->desc.codec->decode_worker(&worker, id, item->value,
+                                         item->value_bytes, &fault) < 0)
+    {
+        refuse(entry, NM_LOG_ITEM_WORKER_REFUSED, "worker", id, fault);
         nm_sched_deregister_worker(entry->sched, id);
         return;
     }
@@ -99,8 +110,7 @@
                               nm_entry_now(entry));
     }
     if (rc < 0 && rc != NM_ERR_CONFLICT) {
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", name,
-               "reason", nm_error_text(rc));
+        refuse(entry, NM_LOG_ITEM_JOB_REFUSED, "job", name, nm_error_text(rc));
     }
     nm_job_spec_finish(&spec);
 }
@@ -197,8 +207,8 @@
         int rc = nm_sched_restore(entry->sched, job, item->value,
                                   item->value_bytes);
         if (rc < 0 && rc != NM_ERR_NOT_FOUND) {
-            nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
-                   job, "reason", "its progress record cannot be decoded");
+            refuse(entry, NM_LOG_ITEM_JOB_REFUSED, "job", job,
+                   "its progress record cannot be decoded");
         }
     }
     g_ptr_array_set_size(entry->progress, 0);
@@ -256,8 +266,8 @@
     else {
         nm_order_relay_remove_host(&entry->relay, name);
         if (item->value) {
-            nm_log(NM_LOG_WARN, NM_LOG_ITEM_HOST_REFUSED, "{s:s}", "name",
-                   name);
+            refuse(entry, NM_LOG_ITEM_HOST_REFUSED, "name", name,
+                   "its record has no address or no zone");
         }
     }
     json_decref(record);
@@ -291,7 +301,8 @@
          */
         nm_sched_expect_worker(entry->sched, "unreadable-roster",
                                nm_entry_now(entry));
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
+        refuse(entry, NM_LOG_ITEM_ROSTER_REFUSED, "key", item->key,
+               "not an array of ids of workers");
     }
 }
 
@@ -310,7 +321,7 @@
         int rc = nm_sched_restore_interference(entry->sched, item->value,
                                                item->value_bytes);
         if (rc < 0) {
-            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}", "reason",
+            refuse(entry, NM_LOG_ITEM_LEARNED_REFUSED, "key", item->key,
                    nm_error_text(rc));
         }
     }
--- a/src/queue_config.h
+++ b/src/queue_config.h
@@ -45,13 +45,13 @@
     /* Returns NULL if the document is malformed. */
     nm_queue_config_t *(*decode_queue_config)(const void *data,
                                               uint32_t bytes);
-    /* decode_worker and decode_job return NM_OK or a negative number. */
-    int (*decode_worker)(nm_sched_worker_t *worker, const char *id,
-                         const void *data, uint32_t bytes);
     /*
-     * Adds payload, steps and schedule to an initialised specification.
-     * On failure, *fault is a static text that names the problem.
+     * decode_worker and decode_job return NM_OK or a negative number; then
+     * *fault is a static text that names the problem and its bound.
      */
+    int (*decode_worker)(nm_sched_worker_t *worker, const char *id,
+                         const void *data, uint32_t bytes, const char **fault);
+    /* Adds payload, steps and schedule to an initialised specification. */
     int (*decode_job)(nm_job_spec_t *spec, const void *data, uint32_t bytes,
                       const char **fault);
     /* Return a text to be freed with g_free. */
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -145,15 +145,17 @@
     sched->needs_placement = true;
 }
 
-void
+bool
 nm_sched_deregister_worker(nm_sched_t *sched, const char *id)
 {
     assert(sched && id);
     nm_sched_node_t *node = nm_node_find(sched, id);
-    if (node) {
-        node->announced = false;
-        nm_timer_set_now(sched, node);
+    if (!node || !node->announced) {
+        return false;
     }
+    node->announced = false;
+    nm_timer_set_now(sched, node);
+    return true;
 }
 
 void
--- a/tests/fuzz_platform.c
+++ b/tests/fuzz_platform.c
@@ -73,12 +73,14 @@
     uint32_t bytes = (uint32_t)(size - 1);
     nm_sched_worker_t worker;
     nm_job_spec_t spec;
+    const char *fault;
     switch (data[0] % 5) {
     case 0:
         fuzz_configuration(data + 1, bytes);
         break;
     case 1:
-        nm_platform_codec.decode_worker(&worker, "i-1", data + 1, bytes);
+        nm_platform_codec.decode_worker(&worker, "i-1", data + 1, bytes,
+                                        &fault);
         break;
     case 2:
         fuzz_submission(data + 1, bytes);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -124,8 +124,11 @@
         char *value = make_value(&odd_workers[i], &bytes);
         nm_sched_worker_t worker;
         g_test_message("%s", odd_workers[i].name);
-        if (nm_platform_codec.decode_worker(&worker, "i-1", value, bytes) ==
-            NM_OK) {
+        const char *fault = NULL;
+        if (nm_platform_codec.decode_worker(&worker, "i-1", value, bytes,
+                                            &fault) == NM_OK ||
+            !fault)
+        {
             g_test_message("%s: accepted", odd_workers[i].name);
             g_test_fail();
         }
@@ -156,8 +159,9 @@
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         nm_sched_worker_t worker;
+        const char *fault = NULL;
         int rc = nm_platform_codec.decode_worker(&worker, cases[i].id, WORKER,
-                                                 strlen(WORKER));
+                                                 strlen(WORKER), &fault);
         if (rc != cases[i].rc) {
             g_test_message("case %zu: %d", i, rc);
             g_test_fail();
@@ -424,6 +428,64 @@
     }
 }
 
+/*
+ * Another writer puts an odd entry back every 20 ms, deletes it in between,
+ * and touches the entry of a good worker that runs tasks as often.  The good
+ * worker keeps its tasks, and the log stays within its bound.
+ */
+static void
+test_odd_entry_put_back_floods_the_log(void)
+{
+    fake_kv_t *kv = configured_store();
+    fake_kv_put(kv, "servers/i-1", WORKER);
+    host_t host;
+    host_init(&host, "a", kv);
+    run_host(&host, 2000);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run_host(&host, 1000);
+    g_assert_cmpuint(host.orders.starts, ==, 2);
+    uint64_t refused = nm_reason_value(NM_REASON_RECORD_REFUSED);
+    for (uint32_t i = 0; i < 500; i++) {
+        fake_kv_put(kv, "servers/i-2", i % 2 ? "[" : "{}");
+        fake_kv_put(kv, "servers/i-3", i % 2 ? "[" : NULL);
+        run_host(&host, 20);
+    }
+    refused = nm_reason_value(NM_REASON_RECORD_REFUSED) - refused;
+    g_assert_cmpuint(refused, >=, 100);
+    g_assert_cmpuint(host.entry->refusals.unlogged, >=, refused - 10);
+    g_assert_cmpuint(host.orders.starts, ==, 2);
+    g_assert_cmpint(query_capacity(&host).reserved_cpu_milli, ==, 1000);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+/* Lines of refusals: one for each decision, and a bounded number. */
+static void
+test_refusals_flood_the_log(void)
+{
+    nm_refusals_t refusals = {0};
+    uint32_t lines = 0;
+    for (nm_ms_t now_ms = 1000; now_ms < 31000; now_ms++) {
+        lines += nm_refusals_log(&refusals, NM_LOG_ITEM_WORKER_REFUSED,
+                                 "worker", "i-1", "odd", now_ms);
+    }
+    g_assert_cmpuint(lines, ==, 1);
+    g_assert_true(nm_refusals_log(&refusals, NM_LOG_ITEM_WORKER_REFUSED,
+                                  "worker", "i-1", "other", 40000));
+    g_assert_true(nm_refusals_log(&refusals, NM_LOG_ITEM_WORKER_REFUSED,
+                                  "worker", "i-1", "odd", 62000));
+    lines = 0;
+    for (uint32_t i = 0; i < 30000; i++) {
+        char id[32];
+        g_snprintf(id, sizeof(id), "i-%u", i);
+        lines += nm_refusals_log(&refusals, NM_LOG_ITEM_WORKER_REFUSED,
+                                 "worker", id, "odd", 70000 + i / 10);
+    }
+    g_assert_cmpuint(lines, <=, 3 * NM_REFUSAL_LINES_PER_S);
+    g_assert_cmpuint(lines, >=, 2 * NM_REFUSAL_LINES_PER_S);
+    g_assert_cmpuint(refusals.unlogged, <=, 30000 - lines);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -439,5 +501,9 @@
                     test_odd_roster_ends_the_owner);
     g_test_add_func("/odd/record-stops-the-host",
                     test_odd_record_stops_the_host);
+    g_test_add_func("/odd/entry-put-back-floods-the-log",
+                    test_odd_entry_put_back_floods_the_log);
+    g_test_add_func("/odd/refusals-flood-the-log",
+                    test_refusals_flood_the_log);
     return g_test_run();
 }
