Takeover: malformed rows of a progress record count for no task

Seen by callers: none yet. A row that is no array, or has columns of another type, was read as a row of the first task; one with less than three columns counted as 8 failures of it (an unsigned underflow), which is more than any queue allows.

Change: a row counts only if its position is that of a task and each further column is a whole number in range.

--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -10,6 +10,8 @@
 
 #include <jansson.h>
 
+#include "json_get.h"
+
 #define PROGRESS_VERSION 1
 /* A row of one task begins with its occurrence, step and index. */
 #define ROW_POSITION_COUNT 3
@@ -154,61 +156,78 @@
     }
 }
 
-/* Returns the task that a row of a record begins with, or NULL. */
+/*
+ * Returns the task that a row of a record begins with, or NULL if the row is
+ * malformed or has less than `columns` further columns.
+ */
 static nm_task_t *
-find_row_task(const nm_sched_job_t *job, const json_t *row)
+find_row_task(const nm_sched_job_t *job, const json_t *row, size_t columns)
 {
-    json_int_t position[ROW_POSITION_COUNT];
-    for (size_t i = 0; i < NM_COUNT_OF(position); i++) {
-        position[i] = json_integer_value(json_array_get(row, i));
-    }
-    if (position[0] < 0 || position[0] >= job->occurrence_count ||
-        position[1] < 0 || position[1] >= job->spec.step_count ||
-        position[2] < 0 ||
-        position[2] >= job->spec.steps[position[1]].task_count)
+    int64_t occurrence;
+    int64_t step;
+    int64_t index;
+    if (json_array_size(row) < ROW_POSITION_COUNT + columns ||
+        !nm_json_get_int(json_array_get(row, 0), NM_COUNT_MAX, &occurrence) ||
+        !nm_json_get_int(json_array_get(row, 1), NM_COUNT_MAX, &step) ||
+        !nm_json_get_int(json_array_get(row, 2), NM_COUNT_MAX, &index) ||
+        occurrence >= job->occurrence_count || step >= job->spec.step_count ||
+        index >= job->spec.steps[step].task_count)
     {
         return NULL;
     }
-    return &job->occurrences[position[0]].tasks[position[1]][position[2]];
+    return &job->occurrences[occurrence].tasks[step][index];
+}
+
+/* Reads a further column of a row. */
+static bool
+read_column(const json_t *row, size_t column, int64_t max, int64_t *number)
+{
+    return nm_json_get_int(json_array_get(row, ROW_POSITION_COUNT + column),
+                           max, number);
 }
 
 static void
 restore_failure(nm_sched_job_t *job, const json_t *row)
 {
-    nm_task_t *task = find_row_task(job, row);
+    nm_task_t *task = find_row_task(job, row, 1);
     if (!task) {
         return;
     }
     size_t runs = json_array_size(row) - ROW_POSITION_COUNT;
-    task->failures = (uint32_t)MIN(runs, NM_SCHED_FAILED_RUNS_MAX);
-    for (uint32_t f = 0; f < task->failures; f++) {
-        task->failed_runs[f] =
-            json_integer_value(json_array_get(row, ROW_POSITION_COUNT + f));
+    uint32_t failures = 0;
+    for (size_t f = 0; f < MIN(runs, NM_SCHED_FAILED_RUNS_MAX); f++) {
+        if (read_column(row, f, NM_COUNT_MAX, &task->failed_runs[failures])) {
+            failures++;
+        }
     }
+    task->failures = failures;
 }
 
 static void
 restore_crashes(nm_sched_job_t *job, const json_t *row)
 {
-    nm_task_t *task = find_row_task(job, row);
-    json_int_t crashes =
-        json_integer_value(json_array_get(row, ROW_POSITION_COUNT));
-    if (task && crashes > 0) {
-        json_t *worker = json_array_get(row, ROW_POSITION_COUNT + 1);
-        task->crashes = (uint32_t)MIN(crashes, UINT32_MAX);
-        task->crash_worker_hash = (uint32_t)json_integer_value(worker);
+    nm_task_t *task = find_row_task(job, row, 2);
+    int64_t crashes;
+    int64_t worker_hash;
+    if (task && read_column(row, 0, UINT32_MAX, &crashes) &&
+        read_column(row, 1, UINT32_MAX, &worker_hash))
+    {
+        task->crashes = (uint32_t)crashes;
+        task->crash_worker_hash = (uint32_t)worker_hash;
     }
 }
 
 static void
 restore_silence(nm_sched_job_t *job, const json_t *row)
 {
-    nm_task_t *task = find_row_task(job, row);
-    if (task) {
-        json_t *worker = json_array_get(row, ROW_POSITION_COUNT);
-        json_t *incarnation = json_array_get(row, ROW_POSITION_COUNT + 1);
-        task->silent_worker_hash = (uint32_t)json_integer_value(worker);
-        task->silent_incarnation = json_integer_value(incarnation);
+    nm_task_t *task = find_row_task(job, row, 2);
+    int64_t worker_hash;
+    int64_t incarnation;
+    if (task && read_column(row, 0, UINT32_MAX, &worker_hash) &&
+        read_column(row, 1, NM_COUNT_MAX, &incarnation))
+    {
+        task->silent_worker_hash = (uint32_t)worker_hash;
+        task->silent_incarnation = incarnation;
     }
 }
 
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -459,6 +459,52 @@
     fake_kv_free(kv);
 }
 
+/* Rows that name no task must not count as failures or crashes of one. */
+static void
+test_odd_progress_row_fails_a_task(void)
+{
+    static const char *const rows[] = {
+        "7",
+        "[]",
+        "[0,0]",
+        "[0,0,0]",
+        "{}",
+        "[9e9,0,0,1,1]",
+        "[0,1e300,0,1,1]",
+        "[-1,0,0,1,1]",
+        "[0,4294967296,0,1,1]",
+        "[\"\",\"\",\"\",1,1]",
+        "[0,0,0,-1,-1]",
+        "[0,0,0,\"a\",\"a\"]",
+        "[0,0,0,9223372036854775807,9223372036854775807]",
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(rows); i++) {
+        char *record = g_strdup_printf(
+            "{\"version\":1,\"state\":\"running\",\"failures\":[%s],"
+            "\"crashes\":[%s],\"silences\":[%s]}",
+            rows[i], rows[i], rows[i]);
+        nm_sched_t *sched = nm_sched_new(&(nm_sched_desc_t){.epoch = 2}, 0);
+        nm_job_spec_t spec;
+        nm_job_spec_init(&spec, JOB, "q", "s");
+        nm_job_spec_add_step(&spec)->task_count = 1;
+        nm_sched_add_job(sched, &spec, true, 0);
+        g_assert_cmpint(
+            nm_sched_restore(sched, JOB, record, (uint32_t)strlen(record)), ==,
+            NM_OK);
+        const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, JOB);
+        const nm_task_t *task = &job->occurrences[0].tasks[0][0];
+        if (task->failures + task->crashes + task->silent_worker_hash != 0) {
+            g_test_message("%s: %u failures, %u crashes, silent worker %u",
+                           rows[i], task->failures, task->crashes,
+                           task->silent_worker_hash);
+            g_test_fail();
+        }
+        nm_job_spec_finish(&spec);
+        nm_sched_free(sched);
+        g_free(record);
+    }
+}
+
 /* Lines of refusals: one for each decision, and a bounded number. */
 static void
 test_refusals_flood_the_log(void)
@@ -503,6 +549,8 @@
                     test_odd_record_stops_the_host);
     g_test_add_func("/odd/entry-put-back-floods-the-log",
                     test_odd_entry_put_back_floods_the_log);
+    g_test_add_func("/odd/progress-row-fails-a-task",
+                    test_odd_progress_row_fails_a_task);
     g_test_add_func("/odd/refusals-flood-the-log",
                     test_refusals_flood_the_log);
     return g_test_run();
