Takeover: stored effects out of range are not used

The record of learned effects took any number: with 1e308 as an effect no filler was ever started beside a serving task of that image, with -1e308 always, until the record was rewritten.

Change: an estimate whose mean or variance is out of range is passed over; the image keeps its prior.

Evidence: /interference/odd-estimate-is-used failed before (effect 1e308 instead of 0.05); it passes now.

--- a/src/interference.c
+++ b/src/interference.c
@@ -36,6 +36,9 @@
  */
 #define KNOWN_VARIANCE_MAX 0.14
 #define RECORD_VERSION 1
+/* Bounds of stored estimates: logarithms of tails, far beyond real ones. */
+#define ENCODED_MEAN_MAX 20
+#define ENCODED_VARIANCE_BOUND 1
 
 static void
 grow_tables(nm_interference_t *model, uint32_t capacity)
@@ -222,6 +225,14 @@
     return text;
 }
 
+static bool
+estimate_is_valid(const nm_estimate_t *estimate)
+{
+    return fabs(estimate->mean) <= ENCODED_MEAN_MAX &&
+           estimate->variance >= 0 &&
+           estimate->variance <= ENCODED_VARIANCE_BOUND;
+}
+
 int
 nm_interference_decode(nm_interference_t *model, const void *data,
                        uint32_t bytes)
@@ -241,7 +252,9 @@
     json_array_foreach(json_object_get(record, "bases"), i, row)
     {
         if (json_unpack(row, "[s,F,F]", &serving, &effect.mean,
-                        &effect.variance) == 0) {
+                        &effect.variance) == 0 &&
+            estimate_is_valid(&effect))
+        {
             uint32_t s = nm_interference_image_number(model, serving);
             model->bases[s] = effect;
         }
@@ -249,7 +262,8 @@
     json_array_foreach(json_object_get(record, "effects"), i, row)
     {
         if (json_unpack(row, "[s,s,F,F]", &serving, &filler, &effect.mean,
-                        &effect.variance) == 0)
+                        &effect.variance) == 0 &&
+            estimate_is_valid(&effect))
         {
             uint32_t s = nm_interference_image_number(model, serving);
             uint32_t f = nm_interference_image_number(model, filler);
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -155,6 +155,43 @@
     nm_interference_finish(&model);
 }
 
+/* An odd estimate must not make every filler harmful, or none. */
+static void
+test_odd_estimate_is_used(void)
+{
+    static const char *const estimates[] = {
+        "1e308,0.1",
+        "-1e308,0.1",
+        "0.1,-1",
+        "0.1,1e308",
+        "9223372036854775807,0.1",
+        "\"a\",0.1",
+    };
+    nm_filler_load_t load = {2, SHARE};
+    for (size_t i = 0; i < NM_COUNT_OF(estimates); i++) {
+        g_test_message("%s", estimates[i]);
+        char *record =
+            g_strdup_printf("{\"version\":1,\"bases\":[[\"s\",%s],7],"
+                            "\"effects\":[[\"s\",\"f\",%s],[\"s\",\"f\"]]}",
+                            estimates[i], estimates[i]);
+        nm_interference_t model;
+        nm_interference_init(&model);
+        uint32_t serving = nm_interference_image_number(&model, "s");
+        load.image = nm_interference_image_number(&model, "f");
+        double effect = nm_interference_effect(&model, serving, &load);
+        double log_tail = nm_interference_predict(&model, serving, &load, 1);
+        g_assert_cmpint(
+            nm_interference_decode(&model, record, (uint32_t)strlen(record)),
+            ==, NM_OK);
+        g_assert_cmpfloat(nm_interference_effect(&model, serving, &load), ==,
+                          effect);
+        g_assert_cmpfloat(nm_interference_predict(&model, serving, &load, 1),
+                          ==, log_tail);
+        nm_interference_finish(&model);
+        g_free(record);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -166,5 +203,7 @@
     g_test_add_func("/interference/image-table-grows", test_image_table_grows);
     g_test_add_func("/interference/changed-effect-is-noticed",
                     test_changed_effect_is_noticed);
+    g_test_add_func("/interference/odd-estimate-is-used",
+                    test_odd_estimate_is_used);
     return g_test_run();
 }
