Effects of images: the table of pairs is bounded

Seen by callers: none yet. Each new image name of a submission, or of the stored record, adds a row and a column to the table, which is never shrunk: with 20,000 names it takes 17 GB, and the owner ends.

Change: from 1023 images on, further ones share one number.

Evidence: /interference/many-images-take-all-memory failed before (with 16 GB of address space: GLib-ERROR, failed to allocate bytes); it passes now.

--- a/src/interference.c
+++ b/src/interference.c
@@ -36,6 +36,8 @@
  */
 #define KNOWN_VARIANCE_MAX 0.14
 #define RECORD_VERSION 1
+/* Further images share the last number; the table is of pairs of images. */
+#define IMAGES_MAX 1023
 /* Bounds of stored estimates: logarithms of tails, far beyond real ones. */
 #define ENCODED_MEAN_MAX 20
 #define ENCODED_VARIANCE_BOUND 1
@@ -88,6 +90,9 @@
     assert(model && name);
     uint32_t number =
         GPOINTER_TO_UINT(g_hash_table_lookup(model->images, name));
+    if (number == 0 && model->image_count == IMAGES_MAX) {
+        return IMAGES_MAX;
+    }
     if (number == 0) {
         number = ++model->image_count;
         g_hash_table_insert(model->images, g_strdup(name),
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -192,6 +192,21 @@
     }
 }
 
+/* The tables grow with the square of the number of images. */
+static void
+test_many_images_take_all_memory(void)
+{
+    nm_interference_t model;
+    nm_interference_init(&model);
+    for (uint32_t i = 0; i < 100000; i++) {
+        char name[32];
+        g_snprintf(name, sizeof(name), "image-%u", i);
+        nm_interference_image_number(&model, name);
+    }
+    g_assert_cmpuint(model.image_capacity, <=, 1024);
+    nm_interference_finish(&model);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -205,5 +220,7 @@
                     test_changed_effect_is_noticed);
     g_test_add_func("/interference/odd-estimate-is-used",
                     test_odd_estimate_is_used);
+    g_test_add_func("/interference/many-images-take-all-memory",
+                    test_many_images_take_all_memory);
     return g_test_run();
 }
