Configuration: odd numbers do not stop a host from following it

Seen by callers: none yet. A version of 2^63 - 1 was put in force, and each later configuration was refused as stale. Amounts of a queue were converted without a check (a slack factor of 1e308 and an objective of 2^62 are undefined with a job's estimate), and a body limit of 2^32 became 0, which is over the limit of no body.

--- a/src/json_get.h
+++ b/src/json_get.h
@@ -67,13 +67,6 @@
     return !value || nm_json_get_int(value, max, number);
 }
 
-/* Returns 0 if the field is missing or no number; truncates fractions. */
-static inline int64_t
-nm_json_int(const json_t *object, const char *name)
-{
-    return (int64_t)json_number_value(json_object_get(object, name));
-}
-
 /* Returns true only if the field is the literal true. */
 static inline bool
 nm_json_bool(const json_t *object, const char *name)
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -459,6 +459,84 @@
     fake_kv_free(kv);
 }
 
+#define ROUTE                                                                 \
+    "{\"name\":\"q\",\"host\":\"h\",\"pathPrefix\":\"/a/"                     \
+    "\",\"service\":\"s\"}"
+#define ODD_ROUTE(members)                                                    \
+    "{\"name\":\"o\",\"host\":\"h\",\"pathPrefix\":\"/o/"                     \
+    "\",\"service\":\"s\"," members "}"
+
+/*
+ * Odd configurations: the host keeps the one in force, or uses its other
+ * queues, and follows the next one.
+ */
+static void
+test_odd_configuration_stops_the_host(void)
+{
+    static const struct {
+        const char *name;
+        const char *text;
+        int64_t version; /* in force afterwards */
+        uint32_t rules;
+    } cases[] = {
+        {"version 2^63 - 1",
+         "{\"version\":9223372036854775807,\"routes\":[" ROUTE "]}", 4, 1},
+        {"version 1e300", "{\"version\":1e300,\"routes\":[" ROUTE "]}", 4, 1},
+        {"version -1", "{\"version\":-1,\"routes\":[" ROUTE "]}", 4, 1},
+        {"version a string", "{\"version\":\"5\",\"routes\":[" ROUTE "]}", 4,
+         1},
+        {"no routes", "{\"version\":5}", 4, 1},
+        {"routes no array", "{\"version\":5,\"routes\":{}}", 4, 1},
+        {"no JSON", "{\"version\":5,", 4, 1},
+        {"odd rows", "{\"version\":5,\"routes\":[7,null,[]," ROUTE "]}", 5, 1},
+        {"priority 2^32",
+         "{\"version\":5,\"routes\":[" ODD_ROUTE(
+             "\"priority\":4294967296") "," ROUTE "]}",
+         5, 1},
+        {"priority -1",
+         "{\"version\":5,\"routes\":[" ODD_ROUTE("\"priority\":-1") "," ROUTE
+                                                                    "]}",
+         5, 1},
+        {"attempts 1e300",
+         "{\"version\":5,\"routes\":[" ODD_ROUTE(
+             "\"maxAttempts\":1e300") "," ROUTE "]}",
+         5, 1},
+        {"objective 2^62",
+         "{\"version\":5,\"routes\":[" ODD_ROUTE(
+             "\"targetLatencyMs\":4611686018427387904") "," ROUTE "]}",
+         5, 1},
+        {"slack 1e308",
+         "{\"version\":5,\"routes\":[" ODD_ROUTE(
+             "\"slackFactor\":1e308") "," ROUTE "]}",
+         5, 1},
+        {"body limit 2^32",
+         "{\"version\":5,\"routes\":[" ROUTE "],"
+         "\"limits\":{\"maxBodyBytes\":4294967296}}",
+         5, 1},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        fake_kv_t *kv = configured_store();
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 1000);
+        fake_kv_put(kv, CONFIG_KEY, cases[i].text);
+        run_host(&host, 200);
+        const nm_queue_config_t *config = host.entry->queue_config;
+        bool as_expected =
+            config->version == cases[i].version &&
+            config->rule_count == cases[i].rules &&
+            config->body_max_bytes == NM_PLATFORM_BODY_MAX_BYTES;
+        fake_kv_put(kv, CONFIG_KEY, CONFIG("6", "/c/"));
+        run_host(&host, 200);
+        if (!as_expected || host.entry->queue_config->version != 6) {
+            g_test_message("%s", cases[i].name);
+            g_test_fail();
+        }
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 /* Rows that name no task must not count as failures or crashes of one. */
 static void
 test_odd_progress_row_fails_a_task(void)
@@ -549,6 +627,8 @@
                     test_odd_record_stops_the_host);
     g_test_add_func("/odd/entry-put-back-floods-the-log",
                     test_odd_entry_put_back_floods_the_log);
+    g_test_add_func("/odd/configuration-stops-the-host",
+                    test_odd_configuration_stops_the_host);
     g_test_add_func("/odd/progress-row-fails-a-task",
                     test_odd_progress_row_fails_a_task);
     g_test_add_func("/odd/refusals-flood-the-log",
