Host list: one odd entry does not stop nutmegd from following it

Seen by callers: none yet. One entry that could not be read made the whole list invalid, so that nutmegd kept the list from before as long as the entry was there, without a log line: hosts that left stayed, new ones were not found. Capacities took any number; two of 2^62 overflow their sum.

Change: an entry is read by itself; one with a missing field or an amount out of range is left out, counted as record-refused and logged as host-refused. The whole list is refused only if it has no arrays of workers and executors, which is logged as well.

--- a/src/hosts.c
+++ b/src/hosts.c
@@ -23,6 +23,7 @@
     nm_mailbox_t lists;
     uint32_t exit_requested;
     uint64_t text_hash; /* of the newest valid list */
+    nm_refusals_t refusals;
 };
 
 uint64_t
@@ -43,25 +44,29 @@
 static bool
 parse_worker(const json_t *object, nm_worker_host_t *worker)
 {
-    worker->rack =
-        (uint32_t)json_integer_value(json_object_get(object, "rack"));
-    worker->capacity = (nm_resources_t){
-        .cpu_milli = json_integer_value(json_object_get(object, "cpu_milli")),
-        .memory_mb = json_integer_value(json_object_get(object, "memory_mb")),
-        .accelerators = (int32_t)json_integer_value(
-            json_object_get(object, "accelerators")),
-    };
-    bool valid = nm_json_copy_string(object, "name", worker->name,
+    int64_t rack;
+    int64_t accelerators;
+    bool valid = nm_json_read_int(object, "rack", UINT32_MAX, &rack) &&
+                 nm_json_read_int(object, "cpu_milli", NM_CPU_MAX_MILLI,
+                                  &worker->capacity.cpu_milli) &&
+                 nm_json_read_int(object, "memory_mb", NM_MEMORY_MAX_MB,
+                                  &worker->capacity.memory_mb) &&
+                 nm_json_read_int(object, "accelerators", NM_ACCELERATORS_MAX,
+                                  &accelerators) &&
+                 worker->capacity.cpu_milli > 0 &&
+                 worker->capacity.memory_mb > 0 &&
+                 nm_json_copy_string(object, "name", worker->name,
                                      sizeof(worker->name)) &&
                  nm_json_copy_string(object, "address", worker->address,
                                      sizeof(worker->address)) &&
                  nm_json_copy_string(object, "datacentre", worker->datacentre,
                                      sizeof(worker->datacentre)) &&
-                 parse_state(object, &worker->leaving) &&
-                 worker->capacity.cpu_milli > 0 &&
-                 worker->capacity.memory_mb > 0 &&
-                 worker->capacity.accelerators >= 0;
-    worker->id = nm_host_id(worker->name);
+                 parse_state(object, &worker->leaving);
+    if (valid) {
+        worker->rack = (uint32_t)rack;
+        worker->capacity.accelerators = (int32_t)accelerators;
+        worker->id = nm_host_id(worker->name);
+    }
     return valid;
 }
 
@@ -82,37 +87,64 @@
     return valid;
 }
 
-nm_host_list_t *
-nm_host_list_parse(const char *text, size_t bytes)
+/* Names an entry in the log. */
+static const char *
+entry_name(const json_t *object, const char *field)
+{
+    const char *name = json_string_value(json_object_get(object, field));
+    return name ? name : "unnamed";
+}
+
+/* Adds the entries that can be read, and logs the others. */
+static void
+parse_entries(nm_host_list_t *list, const json_t *workers,
+              const json_t *executors, nm_refusals_t *refusals)
 {
-    json_t *json = json_loadb(text, bytes, 0, NULL);
-    json_t *workers = json_object_get(json, "workers");
-    json_t *executors = json_object_get(json, "executors");
-    if (!json_is_array(workers) || !json_is_array(executors)) {
-        json_decref(json);
-        return NULL;
-    }
-    nm_host_list_t *list = g_new0(nm_host_list_t, 1);
-    list->worker_count = (uint32_t)json_array_size(workers);
-    list->executor_count = (uint32_t)json_array_size(executors);
-    list->workers = g_new0(nm_worker_host_t, list->worker_count);
-    list->executors = g_new0(nm_executor_host_t, list->executor_count);
-    bool valid = true;
     size_t i;
     json_t *item;
     json_array_foreach(workers, i, item)
     {
-        valid = valid && parse_worker(item, &list->workers[i]);
+        nm_worker_host_t worker = {0};
+        if (parse_worker(item, &worker)) {
+            list->workers[list->worker_count++] = worker;
+            continue;
+        }
+        nm_refusals_log(refusals, NM_LOG_ITEM_HOST_REFUSED, "name",
+                        entry_name(item, "name"),
+                        "a field is missing or out of range",
+                        nm_now_monotonic());
     }
     json_array_foreach(executors, i, item)
     {
-        valid = valid && parse_executor(item, &list->executors[i]);
+        nm_executor_host_t executor = {0};
+        if (parse_executor(item, &executor)) {
+            list->executors[list->executor_count++] = executor;
+            continue;
+        }
+        nm_refusals_log(refusals, NM_LOG_ITEM_HOST_REFUSED, "address",
+                        entry_name(item, "address"), "a field is missing",
+                        nm_now_monotonic());
     }
-    json_decref(json);
-    if (!valid) {
-        nm_host_list_free(list);
+}
+
+nm_host_list_t *
+nm_host_list_parse(const char *text, size_t bytes, nm_refusals_t *refusals)
+{
+    json_t *json = json_loadb(text, bytes, 0, NULL);
+    const json_t *workers = json_object_get(json, "workers");
+    const json_t *executors = json_object_get(json, "executors");
+    if (!json_is_array(workers) || !json_is_array(executors)) {
+        nm_refusals_log(refusals, NM_LOG_ITEM_HOST_REFUSED, "name", "list",
+                        "the list has no workers or no executors",
+                        nm_now_monotonic());
+        json_decref(json);
         return NULL;
     }
+    nm_host_list_t *list = g_new0(nm_host_list_t, 1);
+    list->workers = g_new0(nm_worker_host_t, json_array_size(workers));
+    list->executors = g_new0(nm_executor_host_t, json_array_size(executors));
+    parse_entries(list, workers, executors, refusals);
+    json_decref(json);
     return list;
 }
 
@@ -167,9 +199,10 @@
     GString *text = g_string_new(NULL);
     if (fetch(hosts, text)) {
         uint64_t hash = nm_hash(text->str, text->len);
-        nm_host_list_t *list = hash != hosts->text_hash
-                                   ? nm_host_list_parse(text->str, text->len)
-                                   : NULL;
+        nm_host_list_t *list =
+            hash != hosts->text_hash
+                ? nm_host_list_parse(text->str, text->len, &hosts->refusals)
+                : NULL;
         if (list) {
             hosts->text_hash = hash;
             nm_host_list_free(nm_mailbox_put(&hosts->lists, list));
--- a/src/hosts.h
+++ b/src/hosts.h
@@ -15,6 +15,8 @@
 
 #include <nutmegdeck/place.h>
 
+#include "refusal.h"
+
 typedef struct {
     uint64_t id;
     char name[NM_NAME_MAX];
@@ -51,8 +53,12 @@
  * The caller frees it.
  */
 nm_host_list_t *nm_hosts_take(nm_hosts_t *hosts);
-/* Parses a list; returns NULL if it is malformed. */
-nm_host_list_t *nm_host_list_parse(const char *text, size_t bytes);
+/*
+ * Parses a list without its malformed entries, which are logged; returns NULL
+ * if it is no list of hosts.
+ */
+nm_host_list_t *nm_host_list_parse(const char *text, size_t bytes,
+                                   nm_refusals_t *refusals);
 void nm_host_list_free(nm_host_list_t *list);
 /* Returns the id of a host: a hash of its name or address, never 0. */
 uint64_t nm_host_id(const char *name);
--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -117,7 +117,8 @@
         fuzz_worker_response(text, length);
         break;
     default:
-        nm_host_list_free(nm_host_list_parse(text, length));
+        nm_host_list_free(
+            nm_host_list_parse(text, length, &(nm_refusals_t){0}));
     }
     return 0;
 }
