Entry hosts: an odd record makes no carrier

Seen by callers: none yet. A record of an entry host needed only texts for address and zone, of any length. One with cpu_share 1e308 excluded all other hosts of its data centre from carrying orders until it was found unresponsive, and again after each probe.

Change: a record needs a name, a zone, a peer address with a valid port and a cpu_share up to that of the settings; else it is refused with its fault, and the host is no carrier.

Evidence: /odd/host-record-carries-orders failed before in 8 of 12 cases; it passes now.

--- a/include/nutmegdeck/limits.h
+++ b/include/nutmegdeck/limits.h
@@ -13,6 +13,8 @@
 #define NM_CPU_MAX_MILLI INT64_C(1000000000)
 #define NM_MEMORY_MAX_MB INT64_C(1000000000)
 #define NM_ACCELERATORS_MAX INT64_C(1000000)
+/* Cores of one entry host */
+#define NM_CPU_SHARE_MAX 1024
 /* 366 days */
 #define NM_DURATION_MAX_MS INT64_C(31622400000)
 /* The year 2100 */
--- a/src/address.h
+++ b/src/address.h
@@ -43,6 +43,20 @@
     return length > 0 && text + length == strrchr(text, ':');
 }
 
+/*
+ * True for tcp://HOST:PORT, as ZeroMQ needs it.  Addresses of its other
+ * transports, within a machine, are not checked.
+ */
+static inline bool
+nm_address_is_peer(const char *text)
+{
+    static const char tcp[] = "tcp://";
+    bool is_tcp = strncmp(text, tcp, strlen(tcp)) == 0;
+    return is_tcp ? nm_address_is_valid(text + strlen(tcp))
+                  : strncmp(text, "ipc://", 6) == 0 ||
+                        strncmp(text, "inproc://", 9) == 0;
+}
+
 /*
  * Parses IP:PORT with an IPv4 address.  Returns false if the text is
  * malformed; address may have changed then.
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -9,6 +9,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include <nutmegdeck/limits.h>
+
 #include "address.h"
 
 #define PEER_SCHEME "tcp://"
@@ -110,7 +112,8 @@
     }
     GString *faults = g_string_new(NULL);
     get_texts(settings, document, faults);
-    settings->cpu_share = get_number(document, "cpu_share", 0, 1024, faults);
+    settings->cpu_share =
+        get_number(document, "cpu_share", 0, NM_CPU_SHARE_MAX, faults);
     settings->grace_ms =
         (nm_ms_t)(get_number(document, "grace_s", 0, 3600, faults) * 1000);
     json_decref(document);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -15,6 +15,9 @@
 
 #include <nutmegdeck/log.h>
 
+#include "address.h"
+#include "json_get.h"
+
 /* Pause after a failed read of the owner key. */
 #define VERIFY_RETRY_MS 100
 /* Changes within this time share one watch call. */
@@ -241,36 +244,52 @@
                                         .pause_ms = JOBS_PAUSE_MS});
 }
 
+/* Returns NULL, or a text that names the fault of a record. */
+static const char *
+decode_host(nm_relay_host_t *host, const char *name, const nm_store_kv_t *item)
+{
+    json_t *record =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
+    const char *fault = NULL;
+    *host = (nm_relay_host_t){
+        .cpu_share = json_number_value(json_object_get(record, "cpu_share"))};
+    if (name[0] == '\0' || !nm_strcopy(host->name, sizeof(host->name), name) ||
+        !nm_json_copy_string(record, "zone", host->zone, sizeof(host->zone)))
+    {
+        fault = "its name or zone is not a string of 1 to 63 bytes";
+    }
+    else if (!nm_json_copy_string(record, "address", host->address,
+                                  sizeof(host->address)) ||
+             !nm_address_is_peer(host->address))
+    {
+        fault = "address is not tcp://HOST:PORT with a port from 1 to 65535";
+    }
+    else if (!(host->cpu_share >= 0 && host->cpu_share <= NM_CPU_SHARE_MAX)) {
+        fault = "cpu_share is not a number from 0 to 1024";
+    }
+    json_decref(record);
+    return fault;
+}
+
 static void
 on_host(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
     const char *name = item->key + strlen(NM_KEY_HOSTS);
-    json_t *record = item->value ? json_loadb((const char *)item->value,
-                                              item->value_bytes, 0, NULL)
-                                 : NULL;
-    const char *address =
-        json_string_value(json_object_get(record, "address"));
-    const char *zone = json_string_value(json_object_get(record, "zone"));
-    if (address && zone) {
-        nm_relay_host_t host = {.cpu_share = json_number_value(
-                                    json_object_get(record, "cpu_share"))};
-        nm_strcopy(host.name, sizeof(host.name), name);
-        nm_strcopy(host.address, sizeof(host.address), address);
-        nm_strcopy(host.zone, sizeof(host.zone), zone);
+    nm_relay_host_t host;
+    const char *fault = item->value ? decode_host(&host, name, item) : NULL;
+    if (!item->value || fault) {
+        nm_order_relay_remove_host(&entry->relay, name);
+    }
+    if (fault) {
+        refuse(entry, NM_LOG_ITEM_HOST_REFUSED, "name", name, fault);
+    }
+    else if (item->value) {
         nm_order_relay_set_host(&entry->relay, &host);
         if (strcmp(name, entry->desc.name) != 0) {
-            g_queue_push_tail(&entry->announce_queue, g_strdup(address));
+            g_queue_push_tail(&entry->announce_queue, g_strdup(host.address));
         }
     }
-    else {
-        nm_order_relay_remove_host(&entry->relay, name);
-        if (item->value) {
-            refuse(entry, NM_LOG_ITEM_HOST_REFUSED, "name", name,
-                   "its record has no address or no zone");
-        }
-    }
-    json_decref(record);
 }
 
 static void
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -537,6 +537,50 @@
     }
 }
 
+/*
+ * Odd records of entry hosts: none may carry orders, and the good one beside
+ * them stays a carrier.
+ */
+static void
+test_odd_host_record_carries_orders(void)
+{
+    static const char *const records[] = {
+        "[",
+        "7",
+        "{\"address\":\"tcp://10.0.0.1:1\"}",
+        "{\"zone\":\"z\"}",
+        "{\"address\":\"\",\"zone\":\"z\",\"cpu_share\":1}",
+        "{\"address\":\"tcp://10.0.0.1\",\"zone\":\"z\",\"cpu_share\":1}",
+        "{\"address\":\"tcp://10.0.0.1:0\",\"zone\":\"z\",\"cpu_share\":1}",
+        "{\"address\":\"tcp://"
+        "10.0.0.1:65536\",\"zone\":\"z\",\"cpu_share\":1}",
+        "{\"address\":\"udp://10.0.0.1:1\",\"zone\":\"z\",\"cpu_share\":1}",
+        "{\"address\":\"tcp://10.0.0.1:1\",\"zone\":\"\",\"cpu_share\":1}",
+        "{\"address\":\"tcp://"
+        "10.0.0.1:1\",\"zone\":\"z\",\"cpu_share\":1e308}",
+        "{\"address\":\"tcp://10.0.0.1:1\",\"zone\":\"z\",\"cpu_share\":-1}",
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(records); i++) {
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "nutmegdeck/hosts/good",
+                    "{\"address\":\"tcp://127.0.0.1:1\",\"zone\":\"z\","
+                    "\"cpu_share\":0.5}");
+        fake_kv_put(kv, "nutmegdeck/hosts/odd", records[i]);
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 1000);
+        GHashTable *hosts = host.entry->relay.hosts;
+        if (g_hash_table_contains(hosts, "odd") ||
+            !g_hash_table_contains(hosts, "good"))
+        {
+            g_test_message("%s", records[i]);
+            g_test_fail();
+        }
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 /* Rows that name no task must not count as failures or crashes of one. */
 static void
 test_odd_progress_row_fails_a_task(void)
@@ -629,6 +673,8 @@
                     test_odd_entry_put_back_floods_the_log);
     g_test_add_func("/odd/configuration-stops-the-host",
                     test_odd_configuration_stops_the_host);
+    g_test_add_func("/odd/host-record-carries-orders",
+                    test_odd_host_record_carries_orders);
     g_test_add_func("/odd/progress-row-fails-a-task",
                     test_odd_progress_row_fails_a_task);
     g_test_add_func("/odd/refusals-flood-the-log",
