Fuzzing: worker entries in the scheduler, report deltas, odd records

fuzz_platform checks that an accepted worker is within its limits and adds it to a scheduler; fuzz_input applies reports of peers to a view.

--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -12,6 +12,7 @@
 #include <nutmegdeck/settings.h>
 
 #include "../src/hosts.h"
+#include "../src/report_delta.h"
 #include "../src/worker_json.h"
 #include "peer.pb-c.h"
 
@@ -76,6 +77,15 @@
     if (message) {
         nm_pb__peer_message__free_unpacked(message, NULL);
     }
+    NmPb__WorkerReport *report =
+        nm_pb__worker_report__unpack(NULL, size, data);
+    if (report) {
+        nm_report_view_t view;
+        nm_report_view_init(&view);
+        nm_report_apply(&view, report);
+        nm_report_view_finish(&view);
+        nm_pb__worker_report__free_unpacked(report, NULL);
+    }
     NmPb__ShardRecord *record = nm_pb__shard_record__unpack(NULL, size, data);
     if (record) {
         nm_pb__shard_record__free_unpacked(record, NULL);
--- a/tests/fuzz_platform.c
+++ b/tests/fuzz_platform.c
@@ -10,7 +10,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <nutmegdeck/limits.h>
+
 #include "../platform/codec.h"
+#include "../src/address.h"
 #include "../src/interference.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -64,6 +67,35 @@
     nm_job_spec_finish(&spec);
 }
 
+/* An accepted worker must not make the sums over workers overflow. */
+static void
+fuzz_worker(const uint8_t *data, uint32_t bytes)
+{
+    nm_sched_worker_t worker;
+    const char *fault = NULL;
+    if (nm_platform_codec.decode_worker(&worker, "i-1", data, bytes, &fault) !=
+        NM_OK)
+    {
+        if (!fault) {
+            __builtin_trap();
+        }
+        return;
+    }
+    if (worker.cpu_milli < 0 || worker.cpu_milli > NM_CPU_MAX_MILLI ||
+        worker.memory_mb < 0 || worker.memory_mb > NM_MEMORY_MAX_MB ||
+        worker.accelerators < 0 || worker.accelerators > NM_ACCELERATORS_MAX ||
+        worker.incarnation < 0 || worker.remaining_ms < 0 ||
+        !nm_address_is_valid(worker.address))
+    {
+        __builtin_trap();
+    }
+    nm_sched_t *sched = nm_sched_new(&(nm_sched_desc_t){.epoch = 2}, 0);
+    nm_sched_set_worker(sched, &worker, 0);
+    nm_sched_admit_worker(sched, worker.id);
+    nm_sched_run(sched, 10, 1000);
+    nm_sched_free(sched);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
@@ -71,16 +103,13 @@
         return 0;
     }
     uint32_t bytes = (uint32_t)(size - 1);
-    nm_sched_worker_t worker;
     nm_job_spec_t spec;
-    const char *fault;
     switch (data[0] % 5) {
     case 0:
         fuzz_configuration(data + 1, bytes);
         break;
     case 1:
-        nm_platform_codec.decode_worker(&worker, "i-1", data + 1, bytes,
-                                        &fault);
+        fuzz_worker(data + 1, bytes);
         break;
     case 2:
         fuzz_submission(data + 1, bytes);
