--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -297,8 +297,11 @@
 /* Adds or updates an announced worker. */
 void nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                          nm_ms_t now_ms);
-/* The worker is no longer announced; its tasks may continue to run. */
-void nm_sched_deregister_worker(nm_sched_t *sched, const char *id);
+/*
+ * The worker is no longer announced; its tasks may continue to run.  Returns
+ * false if it was not announced.
+ */
+bool nm_sched_deregister_worker(nm_sched_t *sched, const char *id);
 /*
  * Permits starts on a worker.  To be called once the worker's id is in the
  * stored roster, so that a new owner expects it.
@@ -314,7 +317,15 @@
  * now, so leases of workers that have not responded yet count from here.
  */
 void nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms);
-/* Adds a worker that an earlier owner used; it may run unknown tasks. */
+/*
+ * True for 1 to NM_NAME_MAX - 1 bytes of printable ASCII without spaces: an id
+ * is part of a header of each order.
+ */
+bool nm_sched_worker_id_is_valid(const char *id);
+/*
+ * Adds a worker that an earlier owner used; it may run unknown tasks.  Its id
+ * must be valid.
+ */
 void nm_sched_expect_worker(nm_sched_t *sched, const char *id, nm_ms_t now_ms);
 
 void nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -15,6 +15,9 @@
 
 #include <nutmegdeck/log.h>
 
+#include "address.h"
+#include "json_get.h"
+
 /* Pause after a failed read of the owner key. */
 #define VERIFY_RETRY_MS 100
 /* Changes within this time share one watch call. */
@@ -44,22 +47,33 @@
     }
 }
 
+static void
+refuse(nm_entry_t *entry, nm_log_item_t item, const char *field,
+       const char *name, const char *reason)
+{
+    nm_refusals_log(&entry->refusals, item, field, name, reason,
+                    nm_entry_now(entry));
+}
+
+/* An entry that cannot be read names no worker, as if it were missing. */
 static void
 on_worker(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
     const char *id = item->key + strlen(entry->desc.codec->workers_prefix);
     if (!item->value) {
-        nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker", id);
-        nm_sched_deregister_worker(entry->sched, id);
+        if (nm_sched_deregister_worker(entry->sched, id)) {
+            nm_log(NM_LOG_INFO, NM_LOG_ITEM_WORKER_LOST, "{s:s}", "worker",
+                   id);
+        }
         return;
     }
     nm_sched_worker_t worker;
-    int rc = entry->desc.codec->decode_worker(&worker, id, item->value,
-                                              item->value_bytes);
-    if (rc < 0) {
-        nm_log(NM_LOG_WARN, NM_LOG_ITEM_WORKER_REFUSED, "{s:s,s:s}", "worker",
-               id, "reason", nm_error_text(rc));
+    const char *fault = NULL;
+    if (entry->desc.codec->decode_worker(&worker, id, item->value,
+                                         item->value_bytes, &fault) < 0)
+    {
+        refuse(entry, NM_LOG_ITEM_WORKER_REFUSED, "worker", id, fault);
         nm_sched_deregister_worker(entry->sched, id);
         return;
     }
@@ -99,8 +113,7 @@
                               nm_entry_now(entry));
     }
     if (rc < 0 && rc != NM_ERR_CONFLICT) {
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", name,
-               "reason", nm_error_text(rc));
+        refuse(entry, NM_LOG_ITEM_JOB_REFUSED, "job", name, nm_error_text(rc));
     }
     nm_job_spec_finish(&spec);
 }
@@ -198,8 +211,8 @@
         int rc = nm_sched_restore(entry->sched, job, item->value,
                                   item->value_bytes);
         if (rc < 0 && rc != NM_ERR_NOT_FOUND) {
-            nm_log(NM_LOG_ERROR, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job",
-                   job, "reason", "its progress record cannot be decoded");
+            refuse(entry, NM_LOG_ITEM_JOB_REFUSED, "job", job,
+                   "its progress record cannot be decoded");
         }
     }
     g_ptr_array_set_size(entry->progress, 0);
@@ -234,37 +247,53 @@
                                         .pause_ms = JOBS_PAUSE_MS});
 }
 
+/* Returns NULL, or a text that names the fault of a record. */
+static const char *
+decode_host(nm_relay_host_t *host, const char *name, const nm_store_kv_t *item)
+{
+    json_t *record =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
+    const char *fault = NULL;
+    *host = (nm_relay_host_t){
+        .cpu_share = json_number_value(json_object_get(record, "cpu_share"))};
+    if (name[0] == '\0' || !nm_strcopy(host->name, sizeof(host->name), name) ||
+        !nm_json_copy_string(record, "zone", host->zone, sizeof(host->zone)))
+    {
+        fault = "its name or zone is not a string of 1 to 63 bytes";
+    }
+    else if (!nm_json_copy_string(record, "address", host->address,
+                                  sizeof(host->address)) ||
+             !nm_address_is_peer(host->address))
+    {
+        fault = "address is not tcp://HOST:PORT with a port from 1 to 65535";
+    }
+    else if (!(host->cpu_share >= 0 && host->cpu_share <= NM_CPU_SHARE_MAX)) {
+        fault = "cpu_share is not a number from 0 to 1024";
+    }
+    json_decref(record);
+    return fault;
+}
+
 static void
 on_host(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
     const char *name = item->key + strlen(NM_KEY_HOSTS);
     entry->hosts_changed = true;
-    json_t *record = item->value ? json_loadb((const char *)item->value,
-                                              item->value_bytes, 0, NULL)
-                                 : NULL;
-    const char *address =
-        json_string_value(json_object_get(record, "address"));
-    const char *zone = json_string_value(json_object_get(record, "zone"));
-    if (address && zone) {
-        nm_relay_host_t host = {.cpu_share = json_number_value(
-                                    json_object_get(record, "cpu_share"))};
-        nm_strcopy(host.name, sizeof(host.name), name);
-        nm_strcopy(host.address, sizeof(host.address), address);
-        nm_strcopy(host.zone, sizeof(host.zone), zone);
+    nm_relay_host_t host;
+    const char *fault = item->value ? decode_host(&host, name, item) : NULL;
+    if (!item->value || fault) {
+        nm_order_relay_remove_host(&entry->relay, name);
+    }
+    if (fault) {
+        refuse(entry, NM_LOG_ITEM_HOST_REFUSED, "name", name, fault);
+    }
+    else if (item->value) {
         nm_order_relay_set_host(&entry->relay, &host);
         if (strcmp(name, entry->desc.name) != 0) {
-            g_queue_push_tail(&entry->announce_queue, g_strdup(address));
-        }
-    }
-    else {
-        nm_order_relay_remove_host(&entry->relay, name);
-        if (item->value) {
-            nm_log(NM_LOG_WARN, NM_LOG_ITEM_HOST_REFUSED, "{s:s}", "name",
-                   name);
+            g_queue_push_tail(&entry->announce_queue, g_strdup(host.address));
         }
     }
-    json_decref(record);
 }
 
 static void
@@ -272,27 +301,32 @@
 {
     json_t *ids =
         json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
-    if (!json_is_array(ids)) {
-        /*
-         * Stands for every worker that the roster may have named, until the
-         * leases of earlier owners have lapsed.
-         */
-        nm_sched_expect_worker(entry->sched, "unreadable roster",
-                               nm_entry_now(entry));
-        nm_log(NM_LOG_ERROR, NM_LOG_ITEM_ROSTER_REFUSED, NULL);
-    }
+    bool readable = json_is_array(ids);
     size_t i;
     json_t *id;
     json_array_foreach(ids, i, id)
     {
         const char *text = json_string_value(id);
-        if (text) {
+        if (!text || !nm_sched_worker_id_is_valid(text)) {
+            readable = false;
+        }
+        else {
             g_hash_table_add(entry->roster, g_strdup(text));
             g_hash_table_add(entry->roster_wanted, g_strdup(text));
             nm_sched_expect_worker(entry->sched, text, nm_entry_now(entry));
         }
     }
     json_decref(ids);
+    if (!readable) {
+        /*
+         * Stands for every worker that the roster may have named, until the
+         * leases of earlier owners have lapsed.
+         */
+        nm_sched_expect_worker(entry->sched, "unreadable-roster",
+                               nm_entry_now(entry));
+        refuse(entry, NM_LOG_ITEM_ROSTER_REFUSED, "key", item->key,
+               "not an array of ids of workers");
+    }
 }
 
 /* Loads what the last owner stored beside jobs and their progress. */
@@ -310,7 +344,7 @@
         int rc = nm_sched_restore_interference(entry->sched, item->value,
                                                item->value_bytes);
         if (rc < 0) {
-            nm_log(NM_LOG_WARN, NM_LOG_ITEM_LEARNED_REFUSED, "{s:s}", "reason",
+            refuse(entry, NM_LOG_ITEM_LEARNED_REFUSED, "key", item->key,
                    nm_error_text(rc));
         }
     }
--- a/src/interference.c
+++ b/src/interference.c
@@ -36,6 +36,11 @@
  */
 #define KNOWN_VARIANCE_MAX 0.14
 #define RECORD_VERSION 1
+/* Further images share the last number; the table is of pairs of images. */
+#define IMAGES_MAX 1023
+/* Bounds of stored estimates: logarithms of tails, far beyond real ones. */
+#define ENCODED_MEAN_MAX 20
+#define ENCODED_VARIANCE_BOUND 1
 
 static void
 grow_tables(nm_interference_t *model, uint32_t capacity)
@@ -85,6 +90,9 @@
     assert(model && name);
     uint32_t number =
         GPOINTER_TO_UINT(g_hash_table_lookup(model->images, name));
+    if (number == 0 && model->image_count == IMAGES_MAX) {
+        return IMAGES_MAX;
+    }
     if (number == 0) {
         number = ++model->image_count;
         g_hash_table_insert(model->images, g_strdup(name),
@@ -222,6 +230,14 @@
     return text;
 }
 
+static bool
+estimate_is_valid(const nm_estimate_t *estimate)
+{
+    return fabs(estimate->mean) <= ENCODED_MEAN_MAX &&
+           estimate->variance >= 0 &&
+           estimate->variance <= ENCODED_VARIANCE_BOUND;
+}
+
 int
 nm_interference_decode(nm_interference_t *model, const void *data,
                        uint32_t bytes)
@@ -241,7 +257,9 @@
     json_array_foreach(json_object_get(record, "bases"), i, row)
     {
         if (json_unpack(row, "[s,F,F]", &serving, &effect.mean,
-                        &effect.variance) == 0) {
+                        &effect.variance) == 0 &&
+            estimate_is_valid(&effect))
+        {
             uint32_t s = nm_interference_image_number(model, serving);
             model->bases[s] = effect;
         }
@@ -249,7 +267,8 @@
     json_array_foreach(json_object_get(record, "effects"), i, row)
     {
         if (json_unpack(row, "[s,s,F,F]", &serving, &filler, &effect.mean,
-                        &effect.variance) == 0)
+                        &effect.variance) == 0 &&
+            estimate_is_valid(&effect))
         {
             uint32_t s = nm_interference_image_number(model, serving);
             uint32_t f = nm_interference_image_number(model, filler);
--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -155,6 +155,58 @@
     nm_interference_finish(&model);
 }
 
+/* An odd estimate must not make every filler harmful, or none. */
+static void
+test_odd_estimate_is_used(void)
+{
+    static const char *const estimates[] = {
+        "1e308,0.1",
+        "-1e308,0.1",
+        "0.1,-1",
+        "0.1,1e308",
+        "9223372036854775807,0.1",
+        "\"a\",0.1",
+    };
+    nm_filler_load_t load = {2, SHARE};
+    for (size_t i = 0; i < NM_COUNT_OF(estimates); i++) {
+        g_test_message("%s", estimates[i]);
+        char *record =
+            g_strdup_printf("{\"version\":1,\"bases\":[[\"s\",%s],7],"
+                            "\"effects\":[[\"s\",\"f\",%s],[\"s\",\"f\"]]}",
+                            estimates[i], estimates[i]);
+        nm_interference_t model;
+        nm_interference_init(&model);
+        uint32_t serving = nm_interference_image_number(&model, "s");
+        load.image = nm_interference_image_number(&model, "f");
+        double effect = nm_interference_effect(&model, serving, &load);
+        double log_tail = nm_interference_predict(&model, serving, &load, 1);
+        g_assert_cmpint(
+            nm_interference_decode(&model, record, (uint32_t)strlen(record)),
+            ==, NM_OK);
+        g_assert_cmpfloat(nm_interference_effect(&model, serving, &load), ==,
+                          effect);
+        g_assert_cmpfloat(nm_interference_predict(&model, serving, &load, 1),
+                          ==, log_tail);
+        nm_interference_finish(&model);
+        g_free(record);
+    }
+}
+
+/* The tables grow with the square of the number of images. */
+static void
+test_many_images_take_all_memory(void)
+{
+    nm_interference_t model;
+    nm_interference_init(&model);
+    for (uint32_t i = 0; i < 100000; i++) {
+        char name[32];
+        g_snprintf(name, sizeof(name), "image-%u", i);
+        nm_interference_image_number(&model, name);
+    }
+    g_assert_cmpuint(model.image_capacity, <=, 1024);
+    nm_interference_finish(&model);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -166,5 +218,9 @@
     g_test_add_func("/interference/image-table-grows", test_image_table_grows);
     g_test_add_func("/interference/changed-effect-is-noticed",
                     test_changed_effect_is_noticed);
+    g_test_add_func("/interference/odd-estimate-is-used",
+                    test_odd_estimate_is_used);
+    g_test_add_func("/interference/many-images-take-all-memory",
+                    test_many_images_take_all_memory);
     return g_test_run();
 }
