Fix: crashes in an outage of the store are not counted

Cause: a worker counts as crashed if its lease has lapsed and its entry is gone. While the store does not respond, or late, the entry stays; the lease lapses, the tasks are requeued as those of a worker that is only cut off, and what the silence had recorded is cleared. No owner changes: in the trace one owner sends all six starts.

Change: the silent incarnations of a task are kept when it is requeued while they are announced. Each is resolved before the next start: the worker was heard of, or has been announced for 6 s with a responsive store (it lives), or its entry is gone (the crash counts, crash-resolved). Unresolved ones count as suspicions: such a task starts apart from other suspects, and waits once known and unresolved crashes are three. A task waits no longer than the outage and 6 s. run-unresolved shows what is kept.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -51,6 +51,8 @@
     X(TASK_FAILED, "task-failed")                                             \
     X(RUN_LOST, "run-lost")                                                   \
     X(TASK_GIVEN_UP, "task-given-up")                                         \
+    X(RUN_UNRESOLVED, "run-unresolved")                                       \
+    X(CRASH_RESOLVED, "crash-resolved")                                       \
     X(JOB_ENDED, "job-ended")                                                 \
     X(LEARNED_REFUSED, "learned-refused")                                     \
     X(WORKER_SILENT, "worker-silent")                                         \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -282,6 +282,12 @@
  */
 void nm_sched_cancel_job(nm_sched_t *sched, const char *job, nm_ms_t now_ms);
 
+/*
+ * Announcements and deregistrations of workers may be outdated now, as the
+ * store does not respond.
+ */
+void nm_sched_on_watch_gap(nm_sched_t *sched, nm_ms_t now_ms);
+
 /* Adds or updates an announced worker. */
 void nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                          nm_ms_t now_ms);
@@ -338,6 +344,13 @@
     NM_SCHED_EVENT_RUN_LOST,
     /* A task is given up.  Value: runs that were lost soon after starting. */
     NM_SCHED_EVENT_TASK_GIVEN_UP,
+    /*
+     * A run's worker fell silent soon after its start, and its lease has
+     * lapsed, but it is still announced.  Value: such workers of the task.
+     */
+    NM_SCHED_EVENT_RUN_UNRESOLVED,
+    /* Such a worker has crashed.  Value: crashes of the task so far. */
+    NM_SCHED_EVENT_CRASH_RESOLVED,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -21,6 +21,8 @@
 #define ROUND_INTERVAL_MIN_MS 5
 /* Hosts notified of a new owner per round; each needs a connection. */
 #define ANNOUNCEMENTS_PER_ROUND_MAX 8
+/* A watch of the workers that is silent for longer has missed its answer. */
+#define WATCH_GAP_MS 2000
 /* Time between two checks for a missing owner. */
 #define VACANCY_CHECK_INTERVAL_MS 20
 
@@ -103,6 +105,10 @@
         [NM_SCHED_EVENT_RUN_LOST] = {NM_LOG_ITEM_RUN_LOST, "alive_ms"},
         [NM_SCHED_EVENT_TASK_GIVEN_UP] = {NM_LOG_ITEM_TASK_GIVEN_UP,
                                           "crashes"},
+        [NM_SCHED_EVENT_RUN_UNRESOLVED] = {NM_LOG_ITEM_RUN_UNRESOLVED,
+                                           "silences"},
+        [NM_SCHED_EVENT_CRASH_RESOLVED] = {NM_LOG_ITEM_CRASH_RESOLVED,
+                                           "crashes"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
@@ -183,6 +189,9 @@
     if (now_ms < entry->sched_due_ms) {
         return;
     }
+    if (now_ms - entry->workers_feed.last_response_ms >= WATCH_GAP_MS) {
+        nm_sched_on_watch_gap(entry->sched, now_ms);
+    }
     nm_ms_t wait_ms = nm_sched_run(entry->sched, now_ms, nm_entry_unix_ms());
     entry->sched_due_ms = now_ms + MAX(wait_ms, ROUND_INTERVAL_MIN_MS);
     nm_sched_action_t action;
--- a/src/sched.c
+++ b/src/sched.c
@@ -121,6 +121,7 @@
     g_queue_init(&sched->expired);
     g_queue_init(&sched->removed);
     sched->began_ms = now_ms;
+    sched->watch_gap_ms = now_ms;
     sched->former_owner_until_ms = now_ms;
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
@@ -311,8 +312,8 @@
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 nm_task_t *task = &job->occurrences[o].tasks[s][i];
                 if (task->state == NM_RUN_UNKNOWN) {
-                    nm_crashes_on_inherited(sched, task, now_ms);
                     nm_task_requeue(sched, task);
+                    nm_crashes_resolve(sched, task, now_ms);
                 }
             }
         }
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -219,6 +219,9 @@
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (nm_crashes_must_wait(task)) {
+        return true;
+    }
     for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
         if (nm_choice_fits(node, step) && nm_crashes_conflict(node, task) &&
@@ -237,7 +240,8 @@
                     nm_task_t *task, nm_ms_t now_ms)
 {
     guint count = sched->node_list->len;
-    if (count == 0) {
+    nm_crashes_resolve(sched, task, now_ms);
+    if (count == 0 || nm_crashes_must_wait(task)) {
         return NULL;
     }
     guint begin = nm_rng_below(&sched->rng, count);
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -11,15 +11,17 @@
  * the users' rules allow; its start may never have arrived.  Tasks of one job
  * need not be told apart, as it fails with any of them.
  *
- * A crash is certain once the worker's lease has lapsed, seconds after it fell
- * silent.  In case the owner changes in between, the tasks that may have
- * caused it are stored at once; if none of the workers runs such a task, and
- * its worker is gone, the next owner counts the crash.
+ * A crash is certain once the worker's lease has lapsed and its entry is gone,
+ * seconds after it fell silent.  Until then it is an unresolved silence,
+ * stored with its tasks in case the owner changes.  While the store is
+ * unavailable, no entry goes: the tasks start elsewhere when the lease has
+ * lapsed, and the crash counts once the entry is gone.  A task waits for that
+ * once known and unresolved crashes are as many as end its job.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_response.c calls nm_crashes_on_running and
- * nm_crashes_on_silence, sched.c calls nm_crashes_on_inherited, and
- * sched_choice.c asks for conflicts and penalties.
+ * nm_crashes_on_silence, sched.c and sched_choice.c call
+ * nm_crashes_resolve, and sched_choice.c asks for conflicts and penalties.
  *
  * Load: workers that crash with tens of tasks each, many at a time, also
  * without any task's fault.
@@ -38,6 +40,13 @@
  * then on a worker that crashed by itself.
  */
 #define ISOLATED_CRASHES_MIN 2
+/*
+ * The store removes the entry of a worker that is gone within this time,
+ * counted from the end of an outage of the store.
+ */
+#define ENTRY_EXPIRY_MAX_MS 6000
+/* Entries that expired in an outage of the store are back by then. */
+#define ENTRY_RETURN_MAX_MS 2000
 /* Crashes, the last one certain, after which a task is given up. */
 #define CRASHES_MAX 3
 /* The same if it is uncertain; the users' rules bound the starts. */
@@ -122,51 +131,144 @@
     return culprit;
 }
 
+static void
+add_silence(nm_sched_t *sched, nm_task_t *task, const nm_silence_t *silence)
+{
+    if (task->silence_count < NM_SCHED_SILENCES_MAX) {
+        task->silences[task->silence_count++] = *silence;
+        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    }
+}
+
+static void
+remove_silence(nm_sched_t *sched, nm_task_t *task, uint32_t i)
+{
+    task->silences[i] = task->silences[--task->silence_count];
+    nm_sched_mark_changed(sched, task->occurrence->job, false);
+}
+
 void
-nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node)
+nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
     bool leaves = node->desc.state == NM_WORKER_DRAINING;
+    const nm_task_t *culprit = find_culprit(node);
     for (guint i = 0; i < node->tasks->len && !leaves; i++) {
         nm_task_t *task = node->tasks->pdata[i];
         if (is_starting_up(task)) {
-            task->silent_worker_hash = node->id_hash;
-            task->silent_incarnation = node->desc.incarnation;
-            nm_sched_mark_changed(sched, task->occurrence->job, false);
+            nm_silence_t silence = {.worker_hash = node->id_hash,
+                                    .incarnation = node->desc.incarnation,
+                                    .since_ms = now_ms,
+                                    .certain = culprit && is_confirmed(task) &&
+                                               task->occurrence->job ==
+                                                   culprit->occurrence->job};
+            add_silence(sched, task, &silence);
         }
     }
 }
 
+static bool
+is_silence_of(const nm_silence_t *silence, const nm_sched_node_t *node)
+{
+    return silence->worker_hash == node->id_hash &&
+           silence->incarnation == node->desc.incarnation;
+}
+
 void
-nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task)
+nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task,
+                         const nm_sched_node_t *node)
 {
-    if (task->silent_worker_hash != 0) {
-        task->silent_worker_hash = 0;
-        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    for (uint32_t i = task->silence_count; i > 0; i--) {
+        if (is_silence_of(&task->silences[i - 1], node)) {
+            remove_silence(sched, task, i - 1);
+        }
     }
 }
 
-/* True if the worker that a task started on is still the same one. */
-static bool
-silent_worker_is_up(const nm_sched_t *sched, const nm_task_t *task)
+void
+nm_crashes_on_lapse(nm_sched_t *sched, const nm_sched_node_t *node)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        for (uint32_t s = 0; s < task->silence_count; s++) {
+            if (is_silence_of(&task->silences[s], node)) {
+                nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_UNRESOLVED,
+                                       task, task->silence_count);
+            }
+        }
+    }
+}
+
+static const nm_sched_node_t *
+find_silent_worker(const nm_sched_t *sched, const nm_silence_t *silence)
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->id_hash == task->silent_worker_hash && node->announced &&
-            node->desc.incarnation == task->silent_incarnation)
-        {
-            return true;
+        if (is_silence_of(silence, node)) {
+            return node;
         }
     }
-    return false;
+    return NULL;
+}
+
+/* True if a worker has been heard of, or its entry would have expired. */
+static bool
+has_survived(const nm_sched_t *sched, const nm_silence_t *silence,
+             const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    nm_ms_t watched_since_ms = MAX(silence->since_ms, sched->watch_gap_ms);
+    return node && ((node->reachable && node->epoch_confirmed) ||
+                    node->desc.state == NM_WORKER_DRAINING ||
+                    (node->announced &&
+                     now_ms - watched_since_ms >= ENTRY_EXPIRY_MAX_MS));
+}
+
+/* True if a worker's entry is gone or names another incarnation. */
+static bool
+has_crashed(const nm_sched_t *sched, const nm_sched_node_t *node,
+            nm_ms_t now_ms)
+{
+    return !(node && node->announced) &&
+           now_ms - sched->watch_gap_ms >= ENTRY_RETURN_MAX_MS;
 }
 
 void
-nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
 {
-    if (task->silent_worker_hash != 0 && !silent_worker_is_up(sched, task)) {
-        count_crash(sched, task, task->silent_worker_hash);
-        check_given_up(sched, task, true, now_ms);
+    for (uint32_t i = task->silence_count; i > 0; i--) {
+        nm_silence_t silence = task->silences[i - 1];
+        const nm_sched_node_t *node = find_silent_worker(sched, &silence);
+        if (has_survived(sched, &silence, node, now_ms)) {
+            remove_silence(sched, task, i - 1);
+        }
+        else if (has_crashed(sched, node, now_ms)) {
+            remove_silence(sched, task, i - 1);
+            count_crash(sched, task, silence.worker_hash);
+            nm_sched_add_run_event(sched, NM_SCHED_EVENT_CRASH_RESOLVED, task,
+                                   task->crashes);
+            check_given_up(sched, task, silence.certain, now_ms);
+        }
+    }
+}
+
+/*
+ * Crashes of workers that ran the task before, known or possible; a crash of
+ * the worker that it is on is none yet.
+ */
+static uint32_t
+count_suspicions(const nm_task_t *task)
+{
+    uint32_t count = task->crashes;
+    for (uint32_t i = 0; i < task->silence_count; i++) {
+        count += !task->node || !is_silence_of(&task->silences[i], task->node);
     }
+    return count;
+}
+
+bool
+nm_crashes_must_wait(const nm_task_t *task)
+{
+    return task->occurrence->job->state >= NM_JOB_COMPLETED ||
+           (task->silence_count > 0 && count_suspicions(task) >= CRASHES_MAX);
 }
 
 static bool
@@ -195,7 +297,7 @@
                                    MAX(node->alive_ms - task->begun_ms, 0));
             count_crash(sched, task, node->id_hash);
         }
-        nm_crashes_clear_silence(sched, task);
+        nm_crashes_clear_silence(sched, task, node);
         task->begun_ms = 0; /* each run is recorded once */
     }
     for (guint i = 0; i < node->tasks->len; i++) {
@@ -212,6 +314,7 @@
     /* A late report may list a task that has crashed its worker since. */
     if (task->node->alive_ms - task->started_ms >= SURVIVAL_MS) {
         task->crashes = 0;
+        task->silence_count = 0;
         nm_sched_mark_changed(sched, task->occurrence->job, false);
     }
 }
@@ -224,11 +327,12 @@
     uint32_t crashes_max = 0;
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (task->crashes > crashes_max && task->begun_ms > 0 &&
+        uint32_t crashes = count_suspicions(task);
+        if (crashes > crashes_max && task->begun_ms > 0 &&
             node->alive_ms - task->begun_ms < TRIAL_MS)
         {
             trial = task;
-            crashes_max = task->crashes;
+            crashes_max = crashes;
         }
     }
     return trial;
@@ -246,7 +350,8 @@
 {
     const nm_task_t *trial = find_trial(node);
     return trial && trial->occurrence->job != task->occurrence->job &&
-           MAX(task->crashes, trial->crashes) >= ISOLATED_CRASHES_MIN;
+           MAX(count_suspicions(task), count_suspicions(trial)) >=
+               ISOLATED_CRASHES_MIN;
 }
 
 bool
@@ -260,7 +365,7 @@
 nm_crashes_penalty(const nm_sched_node_t *node, const nm_task_t *task,
                    nm_ms_t now_ms)
 {
-    if (task->crashes == 0) {
+    if (count_suspicions(task) == 0) {
         return find_trial(node) ? TRIAL_PENALTY : 0;
     }
     double used_share =
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -177,12 +177,29 @@
     g_array_free(nodes, TRUE);
 }
 
+/* True if a member must not start yet, whatever room there is. */
+static bool
+must_wait(const nm_candidate_t *candidate)
+{
+    const nm_occurrence_t *occurrence = candidate->occurrence;
+    const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
+    for (uint32_t i = 0; i < step->task_count; i++) {
+        if (nm_crashes_must_wait(&occurrence->tasks[candidate->step][i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 nm_gang_make_room(nm_sched_t *sched, const nm_candidate_t *candidate,
                   nm_round_t *round, nm_ms_t now_ms)
 {
     const nm_step_t *step =
         &candidate->occurrence->job->spec.steps[candidate->step];
+    if (must_wait(candidate)) {
+        return;
+    }
     bool evicted =
         step->long_running && evict_for_gang(sched, candidate, now_ms);
     if (!evicted && candidate->order_class != NM_CLASS_ORDINARY) {
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -51,9 +51,14 @@
     if (!node->announced) {
         nm_crashes_on_incarnation_end(sched, node, now_ms);
     }
+    else {
+        nm_crashes_on_lapse(sched, node);
+    }
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
+        /* Detached first, as the worker was not heard of. */
+        nm_task_detach(task);
         nm_task_requeue(sched, task);
     }
 }
@@ -108,6 +113,13 @@
     sched->needs_placement = true;
 }
 
+void
+nm_sched_on_watch_gap(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    assert(sched);
+    sched->watch_gap_ms = now_ms;
+}
+
 void
 nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                     nm_ms_t now_ms)
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -92,10 +92,20 @@
     return crashes;
 }
 
-/*
- * Encodes occurrence, step and index of a task, and the incarnation that fell
- * silent soon after the task's start.
- */
+/* Appends occurrence, step and index of a task, and each silence of it. */
+static void
+append_silences(json_t *rows, const nm_task_t *task, uint32_t o, uint32_t s,
+                uint32_t i)
+{
+    for (uint32_t n = 0; n < task->silence_count; n++) {
+        const nm_silence_t *silence = &task->silences[n];
+        json_array_append_new(rows, json_pack("[i,i,i,I,I,b]", o, s, i,
+                                              (json_int_t)silence->worker_hash,
+                                              (json_int_t)silence->incarnation,
+                                              silence->certain));
+    }
+}
+
 static json_t *
 encode_silences(const nm_sched_job_t *job)
 {
@@ -104,13 +114,8 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->silent_worker_hash != 0 &&
-                    task->state != NM_RUN_DONE) {
-                    json_array_append_new(
-                        silences,
-                        json_pack("[i,i,i,I,I]", o, s, i,
-                                  (json_int_t)task->silent_worker_hash,
-                                  (json_int_t)task->silent_incarnation));
+                if (task->state != NM_RUN_DONE) {
+                    append_silences(silences, task, o, s, i);
                 }
             }
         }
@@ -201,14 +206,18 @@
 }
 
 static void
-restore_silence(nm_sched_job_t *job, const json_t *row)
+restore_silence(nm_sched_job_t *job, const json_t *row, nm_ms_t now_ms)
 {
     nm_task_t *task = find_row_task(job, row);
-    if (task) {
+    if (task && task->silence_count < NM_SCHED_SILENCES_MAX) {
         json_t *worker = json_array_get(row, ROW_POSITION_COUNT);
         json_t *incarnation = json_array_get(row, ROW_POSITION_COUNT + 1);
-        task->silent_worker_hash = (uint32_t)json_integer_value(worker);
-        task->silent_incarnation = json_integer_value(incarnation);
+        json_t *certain = json_array_get(row, ROW_POSITION_COUNT + 2);
+        task->silences[task->silence_count++] =
+            (nm_silence_t){.worker_hash = (uint32_t)json_integer_value(worker),
+                           .incarnation = json_integer_value(incarnation),
+                           .since_ms = now_ms,
+                           .certain = json_is_true(certain)};
     }
 }
 
@@ -266,7 +275,7 @@
     }
     json_array_foreach(json_object_get(record, "silences"), i, row)
     {
-        restore_silence(job, row);
+        restore_silence(job, row, sched->began_ms);
     }
     json_decref(record);
     return NM_OK;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -348,7 +348,7 @@
     task->throttled_ms = 0;
     task->order_due_ms = 0;
     task->observed = false;
-    nm_crashes_clear_silence(sched, task);
+    nm_crashes_clear_silence(sched, task, node);
     nm_task_attach(task, node);
     nm_sched_job_t *job = task->occurrence->job;
     job->started = true;
@@ -392,7 +392,7 @@
     }
     task->metric = row->metric;
     task->listed_in_report = node->reports;
-    if (task->crashes > 0) {
+    if (task->crashes > 0 || task->silence_count > 0) {
         nm_crashes_on_running(sched, task);
     }
 }
@@ -424,6 +424,9 @@
         nm_task_apply_end(sched, task, row->end, row->run, now_ms);
         nm_count(NM_COUNTER_FINISHES, 1);
     }
+    if (task) {
+        nm_crashes_clear_silence(sched, task, node);
+    }
     if (task && row->end == NM_END_FAILED) {
         nm_task_count_failure(sched, task, row->run, now_ms);
     }
@@ -466,7 +469,7 @@
         nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_RECOVERED,
                            node->desc.id, node->poll_failures);
         for (guint i = 0; i < node->tasks->len; i++) {
-            nm_crashes_clear_silence(sched, node->tasks->pdata[i]);
+            nm_crashes_clear_silence(sched, node->tasks->pdata[i], node);
         }
     }
     node->reported_ms = report->sent_ms;
@@ -519,7 +522,7 @@
         if (was_reachable && !node->reachable) {
             nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_UNRESPONSIVE,
                                worker, node->poll_failures);
-            nm_crashes_on_silence(sched, node);
+            nm_crashes_on_silence(sched, node, now_ms);
         }
         node->ends_acked_sent = 0;
         node->poll_due_ms =
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -73,6 +73,8 @@
  * fall further behind the workers' reports.
  */
 #define NM_SCHED_STARTING_MAX 400
+/* Limit of the workers of a task that may have crashed; it waits from then. */
+#define NM_SCHED_SILENCES_MAX 3
 /* Tries after which an unanswered start is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 /*
@@ -127,6 +129,17 @@
     NM_RUN_FAILED, /* out of attempts */
 } nm_run_state_t;
 
+/*
+ * An incarnation of a worker that fell silent soon after a task's start there.
+ * It has crashed, or is only out of reach; its entry tells in the end.
+ */
+typedef struct {
+    uint32_t worker_hash;
+    int64_t incarnation;
+    nm_ms_t since_ms;
+    bool certain; /* no other task can have caused a crash */
+} nm_silence_t;
+
 typedef struct {
     nm_occurrence_t *occurrence;
     uint16_t step;
@@ -135,12 +148,8 @@
     uint32_t crashes; /* runs in a row that were lost soon after their start */
     /* Worker of all these crashes; 0: several workers, or not known. */
     uint32_t crash_worker_hash;
-    /*
-     * Worker that fell silent soon after the task's start there, perhaps as it
-     * crashed; 0: none.
-     */
-    uint32_t silent_worker_hash;
-    int64_t silent_incarnation;
+    nm_silence_t silences[NM_SCHED_SILENCES_MAX];
+    uint32_t silence_count;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -339,6 +348,7 @@
     uint64_t placement_number; /* counts placements */
     bool saved_seq_stale;      /* saved_seq has to be recomputed */
     nm_ms_t began_ms;          /* when this scheduler was created */
+    nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
     bool fenced;
@@ -476,15 +486,23 @@
  * Records which tasks may have crashed a worker that does not respond any
  * more, so that a next owner knows of them.
  */
-void nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node);
-/* To be called when a task of a silent worker is heard of, or requeued. */
-void nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task);
+void nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node,
+                           nm_ms_t now_ms);
 /*
- * Counts a crash that the former owner could not know of, for a task that no
- * worker runs.  Its job may fail.
+ * To be called before the tasks of a silent worker are requeued while it is
+ * still announced: it may have crashed.
  */
-void nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task,
-                             nm_ms_t now_ms);
+void nm_crashes_on_lapse(nm_sched_t *sched, const nm_sched_node_t *node);
+/* To be called when a worker is heard of, for a task that was there. */
+void nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task,
+                              const nm_sched_node_t *node);
+/*
+ * Counts the crashes that have become known since the task was on the worker,
+ * of this owner or a former one.  Its job may fail.
+ */
+void nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+/* True while a waiting task must not start, whichever workers are free. */
+bool nm_crashes_must_wait(const nm_task_t *task);
 /* Clears the count of a task that its worker reports to be at work. */
 void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task);
 /*
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -221,12 +221,9 @@
     assert(task->state != NM_RUN_DONE);
     if (task->node) {
         nm_timer_set_now(sched, task->node);
+        nm_crashes_clear_silence(sched, task, task->node);
     }
     nm_task_detach(task);
-    if (task->silent_worker_hash != 0) {
-        task->silent_worker_hash = 0;
-        nm_sched_mark_changed(sched, task->occurrence->job, false);
-    }
     if (task->state != NM_RUN_WAITING) {
         task->occurrence->waiting[task->step]++;
     }
--- /dev/null
+++ b/tests/test_sched_crash_store.c
@@ -0,0 +1,224 @@
+/*
+ * Workers that crash while the store is unavailable, so that their entries
+ * stay and no record is stored: starts of a deadly task are bounded
+ * nevertheless, and other tasks run on.
+ */
+#include <string.h>
+
+#include "lib_sched_sim.h"
+
+/* The rules: the third start after three crashes is one too many. */
+#define STARTS_MAX 5
+#define WORKERS 24
+#define TICK_MS 50
+#define PLAY_MS 600000
+/* Shorter than jobs are retained after their end. */
+#define AFTER_MS 20000
+/* After a crash, or after the store is back. */
+#define EXPIRY_MS 2400
+
+typedef struct {
+    sched_sim_t sim;
+    nm_ms_t crashed_ms[WORKERS]; /* 0: up */
+    bool cut_off[WORKERS];       /* up, but does not respond */
+    nm_ms_t store_down_from_ms;
+    nm_ms_t store_down_until_ms;
+    nm_sched_action_t start; /* newest one; the task is there */
+    bool at_work;
+    uint32_t starts;
+    char *record; /* newest one that is stored, or NULL */
+} store_sim_t;
+
+static const char *
+worker_id(int worker)
+{
+    static char id[2];
+    id[0] = (char)('a' + worker);
+    return id;
+}
+
+static void
+store_sim_init(store_sim_t *store)
+{
+    *store = (store_sim_t){0};
+    sched_sim_init(&store->sim, 1);
+    for (int w = 0; w < WORKERS; w++) {
+        sched_sim_add_worker(&store->sim, worker_id(w));
+    }
+    sched_sim_add_job(&store->sim, JOB, false, 1, 1000, false);
+}
+
+static void
+store_sim_finish(store_sim_t *store)
+{
+    g_free(store->record);
+    sched_sim_finish(&store->sim);
+}
+
+static bool
+store_is_down(const store_sim_t *store)
+{
+    return store->sim.now_ms >= store->store_down_from_ms &&
+           store->sim.now_ms < store->store_down_until_ms;
+}
+
+static void
+fail_store(store_sim_t *store, nm_ms_t duration_ms)
+{
+    store->store_down_from_ms = store->sim.now_ms;
+    store->store_down_until_ms = store->sim.now_ms + duration_ms;
+}
+
+static void
+save_records(store_sim_t *store)
+{
+    nm_sched_save_t save;
+    bool stored = !store_is_down(store);
+    for (int i = 0; i < 8 && nm_sched_next_save(store->sim.sched, &save); i++)
+    {
+        nm_sched_confirm_save(store->sim.sched, &save, stored);
+        if (stored) {
+            g_free(store->record);
+            store->record = save.record;
+        }
+        else {
+            g_free(save.record);
+        }
+    }
+}
+
+static void
+report_workers(store_sim_t *store)
+{
+    for (int w = 0; w < WORKERS; w++) {
+        nm_ms_t gone_ms =
+            MAX(store->crashed_ms[w], store->store_down_until_ms) + EXPIRY_MS;
+        if (store->crashed_ms[w] > 0 && !store_is_down(store) &&
+            store->sim.now_ms >= gone_ms)
+        {
+            nm_sched_deregister_worker(store->sim.sched, worker_id(w));
+        }
+        if (store->crashed_ms[w] > 0 || store->cut_off[w]) {
+            sched_sim_lose_poll(&store->sim, worker_id(w));
+            continue;
+        }
+        nm_worker_run_t row =
+            sched_sim_make_run(store->start.task, store->start.run);
+        bool listed =
+            store->at_work && strcmp(store->start.worker, worker_id(w)) == 0;
+        sched_sim_report(&store->sim, worker_id(w), 1, &row, listed, NULL, 0);
+    }
+}
+
+/* Lets time pass; true if the task has been started on a worker. */
+static bool
+store_sim_tick(store_sim_t *store, bool deadly)
+{
+    bool started = false;
+    if (store_is_down(store)) {
+        nm_sched_on_watch_gap(store->sim.sched, store->sim.now_ms);
+    }
+    sched_sim_advance(&store->sim, TICK_MS);
+    for (guint i = 0; i < store->sim.actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(store->sim.actions, nm_sched_action_t, i);
+        int w = action->worker[0] - 'a';
+        bool responds = store->crashed_ms[w] == 0 && !store->cut_off[w];
+        nm_order_result_t result = responds ? NM_ORDER_DONE : NM_ORDER_UNKNOWN;
+        if (action->type == NM_ACTION_STOP) {
+            nm_sched_on_stop(store->sim.sched, action, result,
+                             store->sim.now_ms);
+        }
+        if (action->type == NM_ACTION_START) {
+            nm_sched_on_start(store->sim.sched, action, result,
+                              store->sim.now_ms);
+            store->start = *action;
+            store->at_work = responds && !deadly;
+            store->starts += responds;
+            started = started || responds;
+            store->crashed_ms[w] =
+                responds && deadly ? store->sim.now_ms : store->crashed_ms[w];
+        }
+    }
+    report_workers(store);
+    save_records(store);
+    return started;
+}
+
+static bool
+job_has_failed(const store_sim_t *store)
+{
+    return nm_sched_query_job(store->sim.sched, JOB) == NM_JOB_FAILED;
+}
+
+/* The job has failed in time, and its task does not start any more. */
+static void
+check_bounded(store_sim_t *store)
+{
+    g_assert_true(job_has_failed(store));
+    for (nm_ms_t t = 0; t < AFTER_MS; t += TICK_MS) {
+        store_sim_tick(store, true);
+    }
+    g_assert_cmpuint(store->starts, >=, 2);
+    g_assert_cmpuint(store->starts, <=, STARTS_MAX);
+}
+
+/* The store fails soon after each start, or each start but the first. */
+static void
+test_starts_are_bounded_in_outages(void)
+{
+    static const nm_ms_t outages_ms[] = {5000, 8000, 15000, 60000};
+    for (size_t o = 0; o < NM_COUNT_OF(outages_ms); o++) {
+        for (uint32_t first = 1; first <= 3; first++) {
+            store_sim_t store;
+            store_sim_init(&store);
+            while (store.sim.now_ms < PLAY_MS && !job_has_failed(&store)) {
+                if (store_sim_tick(&store, true) && store.starts >= first) {
+                    fail_store(&store, outages_ms[o]);
+                }
+            }
+            g_test_message("outages of %d ms from start %u: %u starts",
+                           (int)outages_ms[o], first, store.starts);
+            check_bounded(&store);
+            store_sim_finish(&store);
+        }
+    }
+}
+
+/*
+ * Workers that are only cut off, in an outage or not, are no crashes: the task
+ * is not given up, and waits no longer than the outage and some seconds.
+ */
+static void
+test_cut_off_workers_in_outage_are_not_counted(void)
+{
+    enum { CUTS = 8, OUTAGE_MS = 30000, START_MS_MAX = 60000 };
+    store_sim_t store;
+    store_sim_init(&store);
+    for (int i = 0; i < CUTS; i++) {
+        nm_ms_t begin_ms = store.sim.now_ms;
+        if (i % 4 == 0) {
+            fail_store(&store, OUTAGE_MS);
+        }
+        while (!store_sim_tick(&store, false)) {
+            g_assert_cmpint(store.sim.now_ms - begin_ms, <, START_MS_MAX);
+        }
+        store.cut_off[store.start.worker[0] - 'a'] = true;
+        store.at_work = false;
+    }
+    g_assert_cmpint(nm_sched_query_job(store.sim.sched, JOB), ==,
+                    NM_JOB_RUNNING);
+    store_sim_finish(&store);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions(); /* the next tests still run */
+    g_test_add_func("/sched/deadly-starts-are-bounded-in-store-outages",
+                    test_starts_are_bounded_in_outages);
+    g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
+                    test_cut_off_workers_in_outage_are_not_counted);
+    return g_test_run();
+}
