Fix: a next owner forgets crashes that could not be stored

Callers saw: a task that has crashed its workers under one owner is started four times more by the next one (BUDGET).

Cause: a suspect is started again before its count is stored. While the store does not respond, the owner counts and starts on; it is replaced when the store is back, and the next owner knows less than it.

Under the next one it starts at 37.37, 43.53, 50.90 and 58.31 s; its third crash is its second count (crash-resolved, crashes 2, at 43.48 s).

Change: the start of a suspect is stored with its worker, in the batch that is due anyway; the next owner takes it for a silence, so that a crash counts if that incarnation is gone. If the store has stored nothing for 1 s, the start waits for the record: with a single crash for 10 s at most, with more until the store is back. A task without suspicion writes nothing; gangs do not wait, as their tasks would wait one after the other.

test_sched_crash.c: two tests lacked a store. bounded-after-takeover restores what the former owner has stored by the third crash, not a record made up after it; cut-off-workers-are-not-counted stores its records. Their checks are as before.

--- a/src/sched.c
+++ b/src/sched.c
@@ -409,6 +409,10 @@
 {
     assert(sched);
     sched->unix_ms = unix_ms;
+    if (sched->has_saved || sched->unsaved.length == 0) {
+        sched->has_saved = false;
+        sched->store_ok_ms = now_ms;
+    }
     if (sched->fenced) {
         return IDLE_INTERVAL_MS;
     }
@@ -558,7 +562,11 @@
     job->saving = false;
     if (stored) {
         job->saved_seq = save->change_seq;
+        sched->has_saved = true;
         job->first_unsaved_seq = save->change_seq + 1;
+        sched->needs_placement = sched->needs_placement || job->has_intents;
+        job->has_intents =
+            job->has_intents && job->change_seq > job->saved_seq;
         if (job->state >= NM_JOB_COMPLETED &&
             job->change_seq == job->saved_seq) {
             job->visible_state = job->state;
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -219,7 +219,7 @@
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
-    if (nm_crashes_must_wait(task)) {
+    if (nm_crashes_must_wait(task, now_ms)) {
         return true;
     }
     for (guint i = 0; task->crashes > 0 && i < sched->node_list->len; i++) {
@@ -241,16 +241,21 @@
 {
     guint count = sched->node_list->len;
     nm_crashes_resolve(sched, task, now_ms);
-    if (count == 0 || nm_crashes_must_wait(task)) {
+    if (count == 0 || nm_crashes_must_wait(task, now_ms)) {
         return NULL;
     }
+    nm_sched_node_t *intended = nm_crashes_intended_node(sched, task);
+    double score;
+    if (intended &&
+        score_node(sched, candidate, task, intended, now_ms, &score)) {
+        return intended;
+    }
     guint begin = nm_rng_below(&sched->rng, count);
     nm_sched_node_t *best = NULL;
     double best_score = -INFINITY;
     guint fitting = 0;
     for (guint i = 0; i < count && fitting < FITTING_NODES_MAX; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[(begin + i) % count];
-        double score;
         if (!score_node(sched, candidate, task, node, now_ms, &score)) {
             continue;
         }
@@ -265,7 +270,8 @@
     {
         return NULL;
     }
-    return best;
+    return best && nm_crashes_may_start(sched, task, best, now_ms) ? best
+                                                                   : NULL;
 }
 
 /* Ends the holds for a job that starts, except for those of evictions. */
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -18,6 +18,10 @@
  * lapsed, and the crash counts once the entry is gone.  A task waits for that
  * once known and unresolved crashes are as many as end its job.
  *
+ * A suspect's start is stored with its worker, so that a next owner knows of a
+ * crash that this one could not store any more; before it is sent, if the
+ * store does not keep up.
+ *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_response.c calls nm_crashes_on_running and
  * nm_crashes_on_silence, sched.c and sched_choice.c call
@@ -47,6 +51,13 @@
 #define ENTRY_EXPIRY_MAX_MS 6000
 /* Entries that expired in an outage of the store are back by then. */
 #define ENTRY_RETURN_MAX_MS 2000
+/*
+ * A task with one crash starts again after this time, even if its start could
+ * not be stored; one with more crashes waits for the store.
+ */
+#define INTENT_WAIT_MAX_MS 10000
+/* A store that has stored nothing for longer does not keep up. */
+#define STORE_DELAY_MAX_MS 1000
 /* Crashes, the last one certain, after which a task is given up. */
 #define CRASHES_MAX 3
 /* The same if it is uncertain; the users' rules bound the starts. */
@@ -140,6 +151,15 @@
     }
 }
 
+static void
+clear_intent(nm_sched_t *sched, nm_task_t *task)
+{
+    if (task->intent.worker_hash != 0) {
+        task->intent.worker_hash = 0;
+        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    }
+}
+
 static void
 remove_silence(nm_sched_t *sched, nm_task_t *task, uint32_t i)
 {
@@ -162,6 +182,7 @@
                                                task->occurrence->job ==
                                                    culprit->occurrence->job};
             add_silence(sched, task, &silence);
+            clear_intent(sched, task);
         }
     }
 }
@@ -182,6 +203,9 @@
             remove_silence(sched, task, i - 1);
         }
     }
+    if (is_silence_of(&task->intent, node)) {
+        clear_intent(sched, task);
+    }
 }
 
 void
@@ -198,11 +222,11 @@
     }
 }
 
-static const nm_sched_node_t *
+static nm_sched_node_t *
 find_silent_worker(const nm_sched_t *sched, const nm_silence_t *silence)
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        nm_sched_node_t *node = sched->node_list->pdata[i];
         if (is_silence_of(silence, node)) {
             return node;
         }
@@ -264,11 +288,59 @@
     return count;
 }
 
+static bool
+store_keeps_up(const nm_sched_t *sched, nm_ms_t now_ms)
+{
+    return now_ms - sched->store_ok_ms < STORE_DELAY_MAX_MS;
+}
+
+static bool
+intent_is_stored(const nm_task_t *task)
+{
+    return task->occurrence->job->saved_seq >= task->intent_seq;
+}
+
 bool
-nm_crashes_must_wait(const nm_task_t *task)
+nm_crashes_must_wait(const nm_task_t *task, nm_ms_t now_ms)
 {
+    uint32_t suspicions = count_suspicions(task);
+    bool overdue = suspicions == 1 &&
+                   now_ms - task->intent.since_ms >= INTENT_WAIT_MAX_MS;
     return task->occurrence->job->state >= NM_JOB_COMPLETED ||
-           (task->silence_count > 0 && count_suspicions(task) >= CRASHES_MAX);
+           (task->silence_count > 0 && suspicions >= CRASHES_MAX) ||
+           (task->intent.worker_hash != 0 && !intent_is_stored(task) &&
+            !overdue);
+}
+
+nm_sched_node_t *
+nm_crashes_intended_node(const nm_sched_t *sched, const nm_task_t *task)
+{
+    return task->intent.worker_hash != 0
+               ? find_silent_worker(sched, &task->intent)
+               : NULL;
+}
+
+bool
+nm_crashes_may_start(nm_sched_t *sched, nm_task_t *task,
+                     const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    if (count_suspicions(task) == 0) {
+        return true;
+    }
+    /*
+     * What has waited once waits no more, if its worker is not free any more;
+     * tasks of a gang would wait one after the other.
+     */
+    nm_sched_job_t *job = task->occurrence->job;
+    bool starts = task->intent.worker_hash != 0 ||
+                  nm_task_step(task)->is_gang || store_keeps_up(sched, now_ms);
+    nm_sched_mark_changed(sched, job, true);
+    task->intent = (nm_silence_t){.worker_hash = node->id_hash,
+                                  .incarnation = node->desc.incarnation,
+                                  .since_ms = now_ms};
+    task->intent_seq = job->change_seq;
+    job->has_intents = job->has_intents || !starts;
+    return starts;
 }
 
 static bool
@@ -315,6 +387,7 @@
     if (task->node->alive_ms - task->started_ms >= SURVIVAL_MS) {
         task->crashes = 0;
         task->silence_count = 0;
+        task->intent.worker_hash = 0;
         nm_sched_mark_changed(sched, task->occurrence->job, false);
     }
 }
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -179,12 +179,13 @@
 
 /* True if a member must not start yet, whatever room there is. */
 static bool
-must_wait(const nm_candidate_t *candidate)
+must_wait(const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
     const nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     for (uint32_t i = 0; i < step->task_count; i++) {
-        if (nm_crashes_must_wait(&occurrence->tasks[candidate->step][i])) {
+        if (nm_crashes_must_wait(&occurrence->tasks[candidate->step][i],
+                                 now_ms)) {
             return true;
         }
     }
@@ -197,7 +198,7 @@
 {
     const nm_step_t *step =
         &candidate->occurrence->job->spec.steps[candidate->step];
-    if (must_wait(candidate)) {
+    if (must_wait(candidate, now_ms)) {
         return;
     }
     bool evicted =
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -92,17 +92,26 @@
     return crashes;
 }
 
-/* Appends occurrence, step and index of a task, and each silence of it. */
+/* Encodes occurrence, step and index of a task, and the silence. */
+static json_t *
+encode_silence(const nm_silence_t *silence, uint32_t o, uint32_t s, uint32_t i)
+{
+    return json_pack("[i,i,i,I,I,b]", o, s, i,
+                     (json_int_t)silence->worker_hash,
+                     (json_int_t)silence->incarnation, silence->certain);
+}
+
+/* Appends each silence of a task, and its intent. */
 static void
 append_silences(json_t *rows, const nm_task_t *task, uint32_t o, uint32_t s,
                 uint32_t i)
 {
     for (uint32_t n = 0; n < task->silence_count; n++) {
-        const nm_silence_t *silence = &task->silences[n];
-        json_array_append_new(rows, json_pack("[i,i,i,I,I,b]", o, s, i,
-                                              (json_int_t)silence->worker_hash,
-                                              (json_int_t)silence->incarnation,
-                                              silence->certain));
+        json_array_append_new(rows,
+                              encode_silence(&task->silences[n], o, s, i));
+    }
+    if (task->intent.worker_hash != 0) {
+        json_array_append_new(rows, encode_silence(&task->intent, o, s, i));
     }
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -150,6 +150,12 @@
     uint32_t crash_worker_hash;
     nm_silence_t silences[NM_SCHED_SILENCES_MAX];
     uint32_t silence_count;
+    /*
+     * Start of a suspect; a next owner takes it for a silence.  worker_hash 0:
+     * none.
+     */
+    nm_silence_t intent;
+    uint64_t intent_seq; /* change of the job that stores it */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -224,6 +230,7 @@
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
+    bool has_intents;   /* a task waits for an intent to be stored */
     bool urgent;        /* a caller waits for its record */
     GList unsaved_link; /* in sched.unsaved while it has changes */
     GQueue *save_queue; /* queue that holds save_link, or NULL */
@@ -347,7 +354,10 @@
     uint64_t saved_seq;  /* all changes up to it are stored */
     uint64_t placement_number; /* counts placements */
     bool saved_seq_stale;      /* saved_seq has to be recomputed */
-    nm_ms_t began_ms;          /* when this scheduler was created */
+    bool has_saved;            /* a change was stored since the last round */
+    nm_ms_t
+        store_ok_ms;  /* newest round with nothing to store, or one stored */
+    nm_ms_t began_ms; /* when this scheduler was created */
     nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
@@ -502,7 +512,17 @@
  */
 void nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /* True while a waiting task must not start, whichever workers are free. */
-bool nm_crashes_must_wait(const nm_task_t *task);
+bool nm_crashes_must_wait(const nm_task_t *task, nm_ms_t now_ms);
+/* Returns the worker of the task's stored intent, or NULL. */
+nm_sched_node_t *nm_crashes_intended_node(const nm_sched_t *sched,
+                                          const nm_task_t *task);
+/*
+ * True if a task may start on a worker now.  The start of a suspect is stored,
+ * and before it is sent if the store does not keep up; it may be asked for
+ * again once nm_crashes_must_wait is false.
+ */
+bool nm_crashes_may_start(nm_sched_t *sched, nm_task_t *task,
+                          const nm_sched_node_t *node, nm_ms_t now_ms);
 /* Clears the count of a task that its worker reports to be at work. */
 void nm_crashes_on_running(nm_sched_t *sched, nm_task_t *task);
 /*
--- a/tests/test_sched_crash.c
+++ b/tests/test_sched_crash.c
@@ -235,24 +235,20 @@
             }
         }
         g_assert_cmpint(former.sim.now_ms, <, 4 * LAPSE_MS);
+        save_records(&former);
     }
-    nm_sched_save_t save = {0};
-    bool has_record = nm_sched_next_save(former.sim.sched, &save);
 
     crash_sim_t successor;
     crash_sim_init(&successor, 2);
     sched_sim_add_job(&successor.sim, JOB, false, 1, 1000, true);
-    if (has_record) {
-        g_assert_cmpint(nm_sched_restore(successor.sim.sched, JOB, save.record,
-                                         (uint32_t)strlen(save.record)),
-                        ==, NM_OK);
-    }
+    g_assert_cmpint(nm_sched_restore(successor.sim.sched, JOB, former.record,
+                                     (uint32_t)strlen(former.record)),
+                    ==, NM_OK);
     crash_sim_run(&successor, TASK, 9 * LAPSE_MS);
     g_assert_cmpuint(former.starts_of_deadly + successor.starts_of_deadly, <=,
                      STARTS_MAX);
     g_assert_cmpint(nm_sched_query_job(successor.sim.sched, JOB), ==,
                     NM_JOB_FAILED);
-    g_free(save.record);
     crash_sim_finish(&former);
     crash_sim_finish(&successor);
 }
@@ -651,6 +647,7 @@
                     report_worker(&crash, w);
                 }
             }
+            save_records(&crash);
             g_assert_cmpint(crash.sim.now_ms, <, 20 * LAPSE_MS);
         }
         crash.silent[g_array_index(crash.running, nm_sched_action_t, 0)
--- a/tests/test_sched_crash_store.c
+++ b/tests/test_sched_crash_store.c
@@ -163,6 +163,32 @@
     g_assert_cmpuint(store->starts, <=, STARTS_MAX);
 }
 
+/* The next owner knows what is stored, and each worker that was up. */
+static void
+replace_owner(store_sim_t *store, int64_t epoch)
+{
+    sched_sim_finish(&store->sim);
+    sched_sim_init(&store->sim, epoch);
+    sched_sim_add_job(&store->sim, JOB, false, 1, 1000, true);
+    if (store->record) {
+        g_assert_cmpint(nm_sched_restore(store->sim.sched, JOB, store->record,
+                                         (uint32_t)strlen(store->record)),
+                        ==, NM_OK);
+    }
+    store->store_down_from_ms = 0;
+    store->store_down_until_ms = 0;
+    for (int w = 0; w < WORKERS; w++) {
+        nm_sched_expect_worker(store->sim.sched, worker_id(w),
+                               store->sim.now_ms);
+        if (store->crashed_ms[w] == 0) {
+            sched_sim_announce(&store->sim, worker_id(w), 1);
+        }
+        else {
+            store->crashed_ms[w] = store->sim.now_ms;
+        }
+    }
+}
+
 /* The store fails soon after each start, or each start but the first. */
 static void
 test_starts_are_bounded_in_outages(void)
@@ -185,6 +211,35 @@
     }
 }
 
+/* Each owner but the first is replaced after a crash that it cannot store. */
+static void
+test_starts_are_bounded_with_owners_replaced_in_outages(void)
+{
+    enum { FIRST_MS = 2000, OUTAGE_MS = 3000 };
+    store_sim_t store;
+    store_sim_init(&store);
+    int64_t epoch = 1;
+    while (store.starts == 0) {
+        store_sim_tick(&store, true);
+    }
+    for (nm_ms_t t = 0; t < FIRST_MS; t += TICK_MS) {
+        store_sim_tick(&store, true);
+    }
+    for (nm_ms_t t = 0; t < PLAY_MS && !job_has_failed(&store); t += TICK_MS) {
+        if (!store_sim_tick(&store, true)) {
+            continue;
+        }
+        fail_store(&store, OUTAGE_MS);
+        for (nm_ms_t d = TICK_MS; d < OUTAGE_MS; d += TICK_MS) {
+            store_sim_tick(&store, true);
+        }
+        replace_owner(&store, ++epoch);
+    }
+    g_test_message("%u starts, %d owners", store.starts, (int)epoch);
+    check_bounded(&store);
+    store_sim_finish(&store);
+}
+
 /*
  * Workers that are only cut off, in an outage or not, are no crashes: the task
  * is not given up, and waits no longer than the outage and some seconds.
@@ -218,6 +273,9 @@
     g_test_set_nonfatal_assertions(); /* the next tests still run */
     g_test_add_func("/sched/deadly-starts-are-bounded-in-store-outages",
                     test_starts_are_bounded_in_outages);
+    g_test_add_func(
+        "/sched/deadly-starts-are-bounded-with-owners-replaced-in-outages",
+        test_starts_are_bounded_with_owners_replaced_in_outages);
     g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
                     test_cut_off_workers_in_outage_are_not_counted);
     return g_test_run();
