Fix: after a takeover, tasks wait for workers without runs of the former owner

Cause: "unresolved" meant any worker whose incarnation has not reported to this owner yet. A worker that restarts with tasks of the new owner was unresolved again, for another lease, so that neither failed nor recovered tasks started.

Change: only workers that were known before the takeover was complete, and have not reported since, are unresolved: a start requires that its worker is in the stored roster, so that one announced later has no run of a former owner. Their number only falls, within one lease. A short task of a recovered job that fails meanwhile waits for them.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -38,6 +38,7 @@
     node->lease_lapse_ms = former_owner_lapse_ms(sched);
     node->poll_due_ms = now_ms;
     node->reachable = true;
+    node->inherited = !sched->taken_over;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
     g_ptr_array_add(sched->node_list, node);
     nm_timer_add(sched, node);
@@ -161,6 +162,7 @@
 nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms)
 {
     assert(sched);
+    sched->taken_over = true;
     if (sched->desc.former_lease_max_ms <= 1) {
         return;
     }
@@ -207,7 +209,8 @@
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!node->epoch_confirmed && now_ms < node->lease_lapse_ms) {
+        if (node->inherited && !node->epoch_confirmed &&
+            now_ms < node->lease_lapse_ms) {
             return true;
         }
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -397,6 +397,19 @@
     }
 }
 
+/*
+ * True if a task may have failed on workers that the new owner has not heard
+ * of yet, so that one more start may be one too many.
+ */
+static bool
+has_unknown_failures(const nm_sched_t *sched, const nm_task_t *task,
+                     nm_ms_t now_ms)
+{
+    return task->occurrence->job->recovered &&
+           !nm_task_step(task)->long_running &&
+           nm_sched_has_unresolved_workers(sched, now_ms);
+}
+
 static void
 apply_end(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_end_t *row,
           nm_ms_t now_ms)
@@ -422,6 +435,11 @@
             end_failures(node, task);
         }
         nm_task_apply_end(sched, task, row->end, row->run, now_ms);
+        if (row->end == NM_END_FAILED && task->state == NM_RUN_WAITING &&
+            has_unknown_failures(sched, task, now_ms))
+        {
+            nm_task_set_unknown(sched, task);
+        }
         nm_count(NM_COUNTER_FINISHES, 1);
     }
     if (task) {
@@ -476,6 +494,7 @@
     node->reachable = true;
     node->poll_failures = 0;
     node->epoch_confirmed = true;
+    node->inherited = false;
     node->reports++;
     node->clock_ms = report->clock_ms;
     node->clock_at_ms = now_ms;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -278,6 +278,7 @@
     uint32_t filler_count;
     uint32_t serving_count; /* long-running tasks with a latency target */
     bool announced;
+    bool inherited;       /* known since before the owner was active */
     bool admitted;        /* in the stored roster; a new owner expects it */
     bool described;       /* desc is complete; else only its id is known */
     bool epoch_confirmed; /* this incarnation responded to our epoch */
@@ -361,6 +362,7 @@
     nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
+    bool taken_over; /* what a former owner has stored is loaded */
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     bool has_unknown_runs;   /* tasks may be in state NM_RUN_UNKNOWN */
@@ -420,6 +422,8 @@
                        nm_run_state_t state);
 /* Detaches a task that has no run any more, so that it waits again. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
+/* Lets a waiting task wait until the workers of former owners are resolved. */
+void nm_task_set_unknown(nm_sched_t *sched, nm_task_t *task);
 /* Counts a failed run once, whatever state the task is in now. */
 void nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
                            nm_ms_t now_ms);
@@ -559,7 +563,11 @@
                            nm_ms_t now_ms);
 void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                int64_t incarnation, nm_ms_t now_ms);
-/* True while a worker may run tasks that this owner does not know. */
+/*
+ * True while a worker may run, or have run, tasks of a former owner that this
+ * one does not know.  A worker that is announced later got none from it, as a
+ * start requires that the worker is in the stored roster.
+ */
 bool nm_sched_has_unresolved_workers(const nm_sched_t *sched, nm_ms_t now_ms);
 /* True if it is not announced and no task, poll or lease of it is open. */
 bool nm_node_is_removable(const nm_sched_node_t *node, nm_ms_t now_ms);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -239,6 +239,15 @@
     sched->needs_placement = true;
 }
 
+void
+nm_task_set_unknown(nm_sched_t *sched, nm_task_t *task)
+{
+    assert(task->state == NM_RUN_WAITING);
+    task->occurrence->waiting[task->step]--;
+    nm_task_set_state(sched, task, NM_RUN_UNKNOWN);
+    sched->has_unknown_runs = true;
+}
+
 static void
 mark_task_done(nm_sched_t *sched, nm_task_t *task)
 {
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -3,6 +3,9 @@
 
 #include "lib_sched_sim.h"
 
+#define OTHER_JOB "0123456789abcdef"
+#define RESTART_MS 4000
+
 /*
  * A run of the former owner whose failure is listed after the takeover must
  * count as an attempt, although a later run of the task is listed before it.
@@ -104,6 +107,50 @@
     }
 }
 
+/*
+ * Workers that restart after the takeover, with tasks of the new owner, have
+ * no runs of the former one.  A task of a recovered job must not wait for
+ * them, whether it fails under the new owner or no worker runs it.
+ */
+static void
+test_recovered_task_does_not_wait_for_restarted_workers(void)
+{
+    for (int runs = 0; runs <= 1; runs++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        nm_sched_expect_worker(sim.sched, "gone", sim.now_ms);
+        sched_sim_announce(&sim, "a", 1);
+        sched_sim_announce(&sim, "b", 1);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        nm_sched_activate(sim.sched, sim.now_ms);
+        sched_sim_advance(&sim, 10);
+        nm_worker_run_t running = sched_sim_make_run(TASK, 1);
+        sched_sim_report(&sim, "a", 1, &running, (uint32_t)runs, NULL, 0);
+        sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
+        sched_sim_add_job(&sim, OTHER_JOB, true, 2, CPU_MILLI - 1000, false);
+        bool starts = false;
+        for (int64_t i = 2; i <= 6 && !starts; i++) {
+            for (nm_ms_t t = 0; t < RESTART_MS; t += 100) {
+                sched_sim_advance(&sim, 100);
+                for (guint k = 0; k < sim.actions->len; k++) {
+                    const nm_sched_action_t *action =
+                        &g_array_index(sim.actions, nm_sched_action_t, k);
+                    starts = starts || (action->type == NM_ACTION_START &&
+                                        strcmp(action->task, TASK) == 0);
+                }
+                sched_sim_confirm_starts(&sim);
+                sched_sim_save_all(&sim);
+            }
+            nm_worker_end_t failed =
+                sched_sim_make_end(1, TASK, 1, NM_END_FAILED);
+            sched_sim_report(&sim, "a", 1, NULL, 0, &failed, (uint32_t)runs);
+            sched_sim_announce(&sim, "b", i);
+        }
+        g_assert_true(starts);
+        sched_sim_finish(&sim);
+    }
+}
+
 /*
  * Tasks of a job whose progress record cannot be read may be running or done.
  * None of them may start; a record of a newer version counts as unreadable.
@@ -206,6 +253,8 @@
         {"/sched/failure-counts-once", test_failure_counts_once},
         {"/sched/failed-task-waits-for-all-workers",
          test_failed_task_waits_for_all_workers},
+        {"/sched/recovered-task-does-not-wait-for-restarted-workers",
+         test_recovered_task_does_not_wait_for_restarted_workers},
         {"/sched/recovered-task-waits",
          test_recovered_task_waits_for_all_workers},
         {"/sched/unreadable-progress-starts-nothing",
