Fix: the limit of crashes leaves no room for one that a takeover forgets

Cause: a task whose crashes may be those of others is given up after five, the most that the rule allows. A start sent in the last second before an outage, or the first one of a task, is not stored; the next owner then counts to five once more.

Change: in a recovered job the limit of uncertain crashes is four, and is checked at the takeover as well. The limit of certain ones stays at three.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -20,7 +20,7 @@
  *
  * A suspect's start is stored with its worker, so that a next owner knows of a
  * crash that this one could not store any more; before it is sent, if the
- * store does not keep up.
+ * store does not keep up.  One crash may be unknown to a next owner even so.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_response.c calls nm_crashes_on_running and
@@ -111,9 +111,13 @@
                nm_ms_t now_ms)
 {
     nm_sched_job_t *job = task->occurrence->job;
-    uint32_t crashes_max = certain && task->crash_worker_hash == 0
-                               ? CRASHES_MAX
-                               : CRASHES_UNCERTAIN_MAX;
+    uint32_t crashes_max = CRASHES_UNCERTAIN_MAX;
+    if (certain && task->crash_worker_hash == 0) {
+        crashes_max = CRASHES_MAX;
+    }
+    else if (job->recovered) {
+        crashes_max = CRASHES_UNCERTAIN_MAX - 1; /* one may be unknown */
+    }
     if (task->crashes >= crashes_max && job->state < NM_JOB_COMPLETED) {
         nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
                                task->crashes);
@@ -272,6 +276,7 @@
             check_given_up(sched, task, silence.certain, now_ms);
         }
     }
+    check_given_up(sched, task, false, now_ms);
 }
 
 /*
--- a/tests/test_sched_crash_store.c
+++ b/tests/test_sched_crash_store.c
@@ -16,6 +16,8 @@
 #define AFTER_MS 20000
 /* After a crash, or after the store is back. */
 #define EXPIRY_MS 2400
+/* Outage of the store that begins with a start. */
+#define START_OUTAGE_MS 3000
 
 typedef struct {
     sched_sim_t sim;
@@ -25,6 +27,8 @@
     nm_ms_t store_down_until_ms;
     nm_sched_action_t start; /* newest one; the task is there */
     bool at_work;
+    bool store_fails_at_start;
+    bool unanswered; /* starts get no response */
     uint32_t starts;
     char *record; /* newest one that is stored, or NULL */
 } store_sim_t;
@@ -130,12 +134,16 @@
                              store->sim.now_ms);
         }
         if (action->type == NM_ACTION_START) {
-            nm_sched_on_start(store->sim.sched, action, result,
+            nm_sched_on_start(store->sim.sched, action,
+                              store->unanswered ? NM_ORDER_UNKNOWN : result,
                               store->sim.now_ms);
             store->start = *action;
             store->at_work = responds && !deadly;
             store->starts += responds;
             started = started || responds;
+            if (responds && store->store_fails_at_start) {
+                fail_store(store, START_OUTAGE_MS);
+            }
             store->crashed_ms[w] =
                 responds && deadly ? store->sim.now_ms : store->crashed_ms[w];
         }
@@ -240,6 +248,38 @@
     store_sim_finish(&store);
 }
 
+/*
+ * The store fails with one of the starts, which nothing is known of for sure,
+ * and the owner is replaced when the store is back.
+ */
+static void
+test_starts_are_bounded_with_owner_replaced_once(void)
+{
+    for (uint32_t lost = 1; lost <= STARTS_MAX; lost++) {
+        store_sim_t store;
+        store_sim_init(&store);
+        store.unanswered = true;
+        bool replaced = false;
+        while (store.sim.now_ms < PLAY_MS && !job_has_failed(&store)) {
+            uint32_t starts = store.starts;
+            bool fails = !replaced && starts + 1 == lost;
+            store.store_fails_at_start = fails;
+            store_sim_tick(&store, true);
+            if (!fails || store.starts == starts) {
+                continue;
+            }
+            for (nm_ms_t d = TICK_MS; d < START_OUTAGE_MS; d += TICK_MS) {
+                store_sim_tick(&store, true);
+            }
+            replace_owner(&store, 2);
+            replaced = true;
+        }
+        g_test_message("start %u is lost: %u starts", lost, store.starts);
+        check_bounded(&store);
+        store_sim_finish(&store);
+    }
+}
+
 /*
  * Workers that are only cut off, in an outage or not, are no crashes: the task
  * is not given up, and waits no longer than the outage and some seconds.
@@ -276,6 +316,9 @@
     g_test_add_func(
         "/sched/deadly-starts-are-bounded-with-owners-replaced-in-outages",
         test_starts_are_bounded_with_owners_replaced_in_outages);
+    g_test_add_func(
+        "/sched/deadly-starts-are-bounded-with-owner-replaced-once",
+        test_starts_are_bounded_with_owner_replaced_once);
     g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
                     test_cut_off_workers_in_outage_are_not_counted);
     return g_test_run();
