--- a/src/sched.c
+++ b/src/sched.c
@@ -120,6 +120,7 @@
     g_queue_init(&sched->expired);
     g_queue_init(&sched->removed);
     sched->began_ms = now_ms;
+    sched->watch_gap_ms = now_ms;
     sched->former_owner_until_ms = now_ms;
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
@@ -310,8 +311,8 @@
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 nm_task_t *task = &job->occurrences[o].tasks[s][i];
                 if (task->state == NM_RUN_UNKNOWN) {
-                    nm_crashes_on_inherited(sched, task, now_ms);
                     nm_task_requeue(sched, task);
+                    nm_crashes_resolve(sched, task, now_ms);
                 }
             }
         }
@@ -407,6 +408,10 @@
 {
     assert(sched);
     sched->unix_ms = unix_ms;
+    if (sched->has_saved || sched->unsaved.length == 0) {
+        sched->has_saved = false;
+        sched->store_ok_ms = now_ms;
+    }
     if (sched->fenced) {
         return IDLE_INTERVAL_MS;
     }
@@ -558,7 +563,11 @@
     job->saving = false;
     if (stored) {
         job->saved_seq = save->change_seq;
+        sched->has_saved = true;
         job->first_unsaved_seq = save->change_seq + 1;
+        sched->needs_placement = sched->needs_placement || job->has_intents;
+        job->has_intents =
+            job->has_intents && job->change_seq > job->saved_seq;
         if (job->state >= NM_JOB_COMPLETED &&
             job->change_seq == job->saved_seq) {
             job->visible_state = job->state;
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -50,6 +50,7 @@
     node->lease_lapse_ms = former_owner_lapse_ms(sched);
     node->poll_due_ms = now_ms;
     node->reachable = true;
+    node->inherited = !sched->taken_over;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
     g_ptr_array_add(sched->node_list, node);
     nm_timer_add(sched, node);
@@ -63,9 +64,14 @@
     if (!node->announced) {
         nm_crashes_on_incarnation_end(sched, node, now_ms);
     }
+    else {
+        nm_crashes_on_lapse(sched, node);
+    }
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
+        /* Detached first, as the worker was not heard of. */
+        nm_task_detach(task);
         nm_task_requeue(sched, task);
     }
 }
@@ -120,6 +126,13 @@
     sched->needs_placement = true;
 }
 
+void
+nm_sched_on_watch_gap(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    assert(sched);
+    sched->watch_gap_ms = now_ms;
+}
+
 void
 nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                     nm_ms_t now_ms)
@@ -163,6 +176,7 @@
 nm_sched_activate(nm_sched_t *sched, nm_ms_t now_ms)
 {
     assert(sched);
+    sched->taken_over = true;
     if (sched->desc.former_lease_max_ms <= 1) {
         return;
     }
@@ -209,7 +223,8 @@
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!node->epoch_confirmed && now_ms < node->lease_lapse_ms) {
+        if (node->inherited && !node->epoch_confirmed &&
+            now_ms < node->lease_lapse_ms) {
             return true;
         }
     }
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -94,10 +94,29 @@
     return crashes;
 }
 
-/*
- * Encodes occurrence, step and index of a task, and the incarnation that fell
- * silent soon after the task's start.
- */
+/* Encodes occurrence, step and index of a task, and the silence. */
+static json_t *
+encode_silence(const nm_silence_t *silence, uint32_t o, uint32_t s, uint32_t i)
+{
+    return json_pack("[i,i,i,I,I,b]", o, s, i,
+                     (json_int_t)silence->worker_hash,
+                     (json_int_t)silence->incarnation, silence->certain);
+}
+
+/* Appends each silence of a task, and its intent. */
+static void
+append_silences(json_t *rows, const nm_task_t *task, uint32_t o, uint32_t s,
+                uint32_t i)
+{
+    for (uint32_t n = 0; n < task->silence_count; n++) {
+        json_array_append_new(rows,
+                              encode_silence(&task->silences[n], o, s, i));
+    }
+    if (task->intent.worker_hash != 0) {
+        json_array_append_new(rows, encode_silence(&task->intent, o, s, i));
+    }
+}
+
 static json_t *
 encode_silences(const nm_sched_job_t *job)
 {
@@ -106,13 +125,8 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->silent_worker_hash != 0 &&
-                    task->state != NM_RUN_DONE) {
-                    json_array_append_new(
-                        silences,
-                        json_pack("[i,i,i,I,I]", o, s, i,
-                                  (json_int_t)task->silent_worker_hash,
-                                  (json_int_t)task->silent_incarnation));
+                if (task->state != NM_RUN_DONE) {
+                    append_silences(silences, task, o, s, i);
                 }
             }
         }
@@ -218,16 +232,21 @@
 }
 
 static void
-restore_silence(nm_sched_job_t *job, const json_t *row)
+restore_silence(nm_sched_job_t *job, const json_t *row, nm_ms_t now_ms)
 {
     nm_task_t *task = find_row_task(job, row, 2);
     int64_t worker_hash;
     int64_t incarnation;
-    if (task && read_column(row, 0, UINT32_MAX, &worker_hash) &&
+    if (task && task->silence_count < NM_SCHED_SILENCES_MAX &&
+        read_column(row, 0, UINT32_MAX, &worker_hash) &&
         read_column(row, 1, NM_COUNT_MAX, &incarnation))
     {
-        task->silent_worker_hash = (uint32_t)worker_hash;
-        task->silent_incarnation = incarnation;
+        json_t *certain = json_array_get(row, ROW_POSITION_COUNT + 2);
+        task->silences[task->silence_count++] =
+            (nm_silence_t){.worker_hash = (uint32_t)worker_hash,
+                           .incarnation = incarnation,
+                           .since_ms = now_ms,
+                           .certain = json_is_true(certain)};
     }
 }
 
@@ -285,7 +304,7 @@
     }
     json_array_foreach(json_object_get(record, "silences"), i, row)
     {
-        restore_silence(job, row);
+        restore_silence(job, row, sched->began_ms);
     }
     json_decref(record);
     return NM_OK;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -73,6 +73,8 @@
  * fall further behind the workers' reports.
  */
 #define NM_SCHED_STARTING_MAX 400
+/* Limit of the workers of a task that may have crashed; it waits from then. */
+#define NM_SCHED_SILENCES_MAX 3
 /* Tries after which an unanswered start is withdrawn by a stop. */
 #define NM_SCHED_START_TRIES_MAX 3
 /*
@@ -127,6 +129,17 @@
     NM_RUN_FAILED, /* out of attempts */
 } nm_run_state_t;
 
+/*
+ * An incarnation of a worker that fell silent soon after a task's start there.
+ * It has crashed, or is only out of reach; its entry tells in the end.
+ */
+typedef struct {
+    uint32_t worker_hash;
+    int64_t incarnation;
+    nm_ms_t since_ms;
+    bool certain; /* no other task can have caused a crash */
+} nm_silence_t;
+
 typedef struct {
     nm_occurrence_t *occurrence;
     uint16_t step;
@@ -135,12 +148,14 @@
     uint32_t crashes; /* runs in a row that were lost soon after their start */
     /* Worker of all these crashes; 0: several workers, or not known. */
     uint32_t crash_worker_hash;
+    nm_silence_t silences[NM_SCHED_SILENCES_MAX];
+    uint32_t silence_count;
     /*
-     * Worker that fell silent soon after the task's start there, perhaps as it
-     * crashed; 0: none.
+     * Start of a suspect; a next owner takes it for a silence.  worker_hash 0:
+     * none.
      */
-    uint32_t silent_worker_hash;
-    int64_t silent_incarnation;
+    nm_silence_t intent;
+    uint64_t intent_seq; /* change of the job that stores it */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -215,6 +230,7 @@
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
+    bool has_intents;   /* a task waits for an intent to be stored */
     bool urgent;        /* a caller waits for its record */
     GList unsaved_link; /* in sched.unsaved while it has changes */
     GQueue *save_queue; /* queue that holds save_link, or NULL */
@@ -276,6 +292,7 @@
     uint32_t filler_count;
     uint32_t serving_count; /* long-running tasks with a latency target */
     bool announced;
+    bool inherited;       /* known since before the owner was active */
     bool admitted;        /* in the stored roster; a new owner expects it */
     bool described;       /* desc is complete; else only its id is known */
     bool epoch_confirmed; /* this incarnation responded to our epoch */
@@ -357,9 +374,14 @@
     uint64_t cut_placements;   /* ended at NM_SCHED_STARTING_MAX */
     bool placement_cut;        /* the newest one ended there */
     bool saved_seq_stale;      /* saved_seq has to be recomputed */
-    nm_ms_t began_ms;          /* when this scheduler was created */
+    bool has_saved;            /* a change was stored since the last round */
+    nm_ms_t
+        store_ok_ms;  /* newest round with nothing to store, or one stored */
+    nm_ms_t began_ms; /* when this scheduler was created */
+    nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
+    bool taken_over; /* what a former owner has stored is loaded */
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     bool has_unknown_runs;   /* tasks may be in state NM_RUN_UNKNOWN */
@@ -419,6 +441,8 @@
                        nm_run_state_t state);
 /* Detaches a task that has no run any more, so that it waits again. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
+/* Lets a waiting task wait until the workers of former owners are resolved. */
+void nm_task_set_unknown(nm_sched_t *sched, nm_task_t *task);
 /* Counts a failed run once, whatever state the task is in now. */
 void nm_task_count_failure(nm_sched_t *sched, nm_task_t *task, int64_t run,
                            nm_ms_t now_ms);
@@ -498,15 +522,33 @@
  * Records which tasks may have crashed a worker that does not respond any
  * more, so that a next owner knows of them.
  */
-void nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node);
-/* To be called when a task of a silent worker is heard of, or requeued. */
-void nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task);
+void nm_crashes_on_silence(nm_sched_t *sched, nm_sched_node_t *node,
+                           nm_ms_t now_ms);
 /*
- * Counts a crash that the former owner could not know of, for a task that no
- * worker runs.  Its job may fail.
+ * To be called before the tasks of a silent worker are requeued while it is
+ * still announced: it may have crashed.
  */
-void nm_crashes_on_inherited(nm_sched_t *sched, nm_task_t *task,
-                             nm_ms_t now_ms);
+void nm_crashes_on_lapse(nm_sched_t *sched, const nm_sched_node_t *node);
+/* To be called when a worker is heard of, for a task that was there. */
+void nm_crashes_clear_silence(nm_sched_t *sched, nm_task_t *task,
+                              const nm_sched_node_t *node);
+/*
+ * Counts the crashes that have become known since the task was on the worker,
+ * of this owner or a former one.  Its job may fail.
+ */
+void nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+/* True while a waiting task must not start, whichever workers are free. */
+bool nm_crashes_must_wait(const nm_task_t *task, nm_ms_t now_ms);
+/* Returns the worker of the task's stored intent, or NULL. */
+nm_sched_node_t *nm_crashes_intended_node(const nm_sched_t *sched,
+                                          const nm_task_t *task);
+/*
+ * True if a task may start on a worker now.  The start of a suspect is stored,
+ * and before it is sent if the store does not keep up; it may be asked for
+ * again once nm_crashes_must_wait is false.
+ */
+bool nm_crashes_may_start(nm_sched_t *sched, nm_task_t *task,
+                          const nm_sched_node_t *node, nm_ms_t now_ms);
 /* To be called when a run of a task begins, by its first start order. */
 void nm_crashes_on_start(nm_sched_node_t *node, const nm_task_t *task);
 /* Clears the count of a task that its worker reports to be at work. */
@@ -545,7 +587,11 @@
                            nm_ms_t now_ms);
 void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                int64_t incarnation, nm_ms_t now_ms);
-/* True while a worker may run tasks that this owner does not know. */
+/*
+ * True while a worker may run, or have run, tasks of a former owner that this
+ * one does not know.  A worker that is announced later got none from it, as a
+ * start requires that the worker is in the stored roster.
+ */
 bool nm_sched_has_unresolved_workers(const nm_sched_t *sched, nm_ms_t now_ms);
 /* True if it is not announced and no task, poll or lease of it is open. */
 bool nm_node_is_removable(const nm_sched_node_t *node, nm_ms_t now_ms);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -255,12 +255,9 @@
     assert(task->state != NM_RUN_DONE);
     if (task->node) {
         nm_timer_set_now(sched, task->node);
+        nm_crashes_clear_silence(sched, task, task->node);
     }
     nm_task_detach(task);
-    if (task->silent_worker_hash != 0) {
-        task->silent_worker_hash = 0;
-        nm_sched_mark_changed(sched, task->occurrence->job, false);
-    }
     if (task->state != NM_RUN_WAITING) {
         task->occurrence->waiting[task->step]++;
     }
@@ -276,6 +273,15 @@
     sched->needs_placement = true;
 }
 
+void
+nm_task_set_unknown(nm_sched_t *sched, nm_task_t *task)
+{
+    assert(task->state == NM_RUN_WAITING);
+    task->occurrence->waiting[task->step]--;
+    nm_task_set_state(sched, task, NM_RUN_UNKNOWN);
+    sched->has_unknown_runs = true;
+}
+
 static void
 mark_task_done(nm_sched_t *sched, nm_task_t *task)
 {
