Tests: fillers of a step are spread over workers alike (known red)

All 16 fillers of a step go to 1 of 240 free workers since the search by step; the test passes on. move_first_down says that an entry goes after others of the same score, but it stays before them, so that it is first again. A crash of that worker takes the whole step with it.

--- a/tests/test_sched_search.c
+++ b/tests/test_sched_search.c
@@ -130,6 +130,46 @@
     }
 }
 
+static uint32_t
+count_workers(const sched_sim_t *sim)
+{
+    GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < sim->actions->len; i++) {
+        nm_sched_action_t *action =
+            &g_array_index(sim->actions, nm_sched_action_t, i);
+        if (action->type == NM_ACTION_START) {
+            g_hash_table_add(ids, action->worker);
+        }
+    }
+    uint32_t count = g_hash_table_size(ids);
+    g_hash_table_destroy(ids);
+    return count;
+}
+
+/* All of them went to the same worker of many that suit them as well. */
+static void
+test_fillers_are_spread(void)
+{
+    sched_sim_t sim;
+    sched_sim_init_seeded(&sim, 1, 1);
+    add_workers(&sim, 0);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, JOB, "batch", "press");
+    *nm_job_spec_add_step(&spec) = (nm_step_t){.task_count = 16,
+                                               .cpu_milli = CPU_MILLI / 16,
+                                               .memory_mb = 100,
+                                               .estimate_ms = 1000,
+                                               .is_filler = true,
+                                               .image = "sieve"};
+    g_assert_cmpint(nm_sched_add_job(sim.sched, &spec, false, sim.now_ms), ==,
+                    NM_OK);
+    nm_job_spec_finish(&spec);
+    sched_sim_advance(&sim, 20);
+    g_assert_cmpint(count_starts(&sim), ==, 16);
+    g_assert_cmpint(count_workers(&sim), >=, 8);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -141,5 +181,6 @@
         g_test_add_data_func(path, &CASES[i], test_no_task_waits_beside_room);
         g_free(path);
     }
+    g_test_add_func("/sched/fillers-are-spread", test_fillers_are_spread);
     return g_test_run();
 }
