Tests: an interrupted task lets no new ones go first (known red)

The order is by step: once one interrupted task of a long-running step is overdue, place_tasks starts all waiting tasks of the step before all others, up to 95% of the service's CPU, though tasks that have never run do not become overdue (has_interrupted_task). Test: 4 of 48 tasks run, one fails, short jobs in time fill the fleet; when 60 short tasks end together, 44 new long-running tasks start: 48 run instead of 4.

--- a/tests/test_sched_limit.c
+++ b/tests/test_sched_limit.c
@@ -280,6 +280,59 @@
     sched_fleet_finish(&fleet);
 }
 
+/* Adds short tasks that take all CPU that is free. */
+static void
+add_filling_load(sched_fleet_t *fleet)
+{
+    static uint32_t number;
+    for (int i = 0; i < WORKERS / 2; i++) {
+        sched_fleet_add_numbered_job(fleet, "bbbb", ++number, "batch",
+                                     (nm_step_t){.task_count = 1,
+                                                 .cpu_milli = CPU_MILLI / 4,
+                                                 .memory_mb = 100,
+                                                 .estimate_ms = 1000});
+    }
+}
+
+/* A step was overdue as a whole once one of its tasks was interrupted. */
+static void
+test_interrupted_task_lets_no_new_ones_go_first(void)
+{
+    enum { TASKS = 48, RUNNING = 4 };
+    sched_fleet_t fleet;
+    begin_fleet(&fleet);
+    sched_fleet_add_rule(&fleet, (sched_fleet_rule_t){.prefix = JOB ".0.0.3",
+                                                      .duration_ms = 12800,
+                                                      .end = NM_END_FAILED});
+    sched_fleet_add_rule(&fleet, (sched_fleet_rule_t){.prefix = JOB});
+    sched_fleet_add_rule(&fleet, (sched_fleet_rule_t){.prefix = "dddd"});
+    sched_fleet_add_numbered_job(
+        &fleet, "dddd", 1, "batch",
+        (nm_step_t){.task_count = 4 * WORKERS - RUNNING,
+                    .cpu_milli = CPU_MILLI / 4,
+                    .memory_mb = 100,
+                    .long_running = true});
+    sched_fleet_time_to_start(&fleet, "dddd", 4 * WORKERS - RUNNING,
+                              IDLE_MS_MAX, NULL);
+    sched_fleet_add_job(&fleet, JOB, "batch",
+                        (nm_step_t){.task_count = TASKS,
+                                    .cpu_milli = CPU_MILLI / 4,
+                                    .memory_mb = 100,
+                                    .long_running = true});
+    sched_fleet_time_to_start(&fleet, JOB, RUNNING, IDLE_MS_MAX, NULL);
+    /* The short tasks begin together, and end together from then on. */
+    for (int i = 0; i < 8; i++) {
+        add_filling_load(&fleet);
+    }
+    nm_sched_cancel_job(fleet.sim.sched, "dddd000000000001", fleet.sim.now_ms);
+    for (nm_ms_t ms = 0; ms < WAIT_LIMIT_MS; ms += SCHED_FLEET_TICK_MS) {
+        add_filling_load(&fleet);
+        sched_fleet_tick(&fleet);
+    }
+    g_assert_cmpuint(sched_fleet_count_running(&fleet, JOB), <=, RUNNING);
+    sched_fleet_finish(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -291,6 +344,8 @@
                     test_starts_in_flight_delay_no_idle_job);
     g_test_add_func("/sched/unanswered-starts-delay-no-idle-job",
                     test_unanswered_starts_delay_no_idle_job);
+    g_test_add_func("/sched/interrupted-task-lets-no-new-ones-go-first",
+                    test_interrupted_task_lets_no_new_ones_go_first);
     for (size_t i = 0; i < G_N_ELEMENTS(LIMIT_CASES); i++) {
         char *path = g_strdup_printf("/sched/starts-in-flight-delay-no/%s",
                                      LIMIT_CASES[i].name);
