Scheduler: each size of job gets a share of the room

Cause: the order by credit for each unit of remaining work puts large jobs last whenever there are smaller ones in time, and one that has started does not go before new small ones until it is nearly done. The rule for idle jobs bounds only the wait for one task.

Change: sched_share.c counts arrivals and admissions by powers of two of the work. While a group has less than three quarters of the share admitted of all jobs, its newest job that can be in time goes first, and stays first until it has ended. Other started jobs that can be in time go before new ones. The cost is fixed for each candidate, and for each arrival.

--- a/src/sched.c
+++ b/src/sched.c
@@ -260,6 +260,9 @@
         *mean = *mean > 0 ? *mean + MEAN_CORE_MS_GAIN * (core_ms - *mean)
                           : core_ms;
     }
+    if (nm_job_has_share(job)) {
+        nm_share_count_arrival(&job->queue->share, job->core_ms_total, now_ms);
+    }
     set_objective(job);
     g_hash_table_insert(sched->jobs, job->spec.id, job);
     g_ptr_array_add(sched->active, job);
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -3,10 +3,12 @@
  *
  * Load: bursts of jobs with many tasks, beyond the capacity of the workers,
  * beside long-running tasks that take all capacity they get.  Jobs are ordered
- * by credit per unit of remaining work, so that started jobs finish and many
- * large jobs do not delay the small ones.  A job that can no longer meet its
- * objective comes after those that can.  No job waits without bound: after
- * some time with nothing at work, one task of it goes first.
+ * by credit per unit of remaining work, so that many large jobs do not delay
+ * the small ones; those that have started go first, and finish.  That order
+ * alone would start no large job: jobs of a size that gets less than its share
+ * (sched_share.h) go before it.  A job that can no longer meet its objective
+ * comes after those that can.  No job waits without bound: after some time
+ * with nothing at work, one task of it goes first.
  */
 #include "sched_round.h"
 
@@ -46,32 +48,104 @@
 #define MOSTLY_UNRESERVED_SHARE 0.6
 #define IDLE_WAIT_MS 1000
 #define IDLE_WAIT_RESERVED_MS 10000
+/*
+ * A job that has been idle for this long goes before the jobs of a size that
+ * is behind, too, so that it is at work by the 3 s of the rules.
+ */
+#define LONG_IDLE_MS 2000
+/* A job later than this multiple of its objective earns nothing (rules). */
+#define LATE_LIMIT_FACTOR 3
 /* The credit is divided by 1 plus the priority times this. */
 #define PRIORITY_DISCOUNT 0.25
 
+/*
+ * True if a job has work in progress or done.  One whose runs have all crashed
+ * or failed has not, and must not go before others again.
+ */
+static bool
+has_begun(const nm_sched_job_t *job)
+{
+    return job->attached_count > 0 || job->core_ms_left < job->core_ms_total;
+}
+
+/* When a job will have ended, after its arrival, if all its tasks find room.
+ */
+static double
+expected_finish_ms(const nm_sched_job_t *job, nm_ms_t now_ms)
+{
+    double left_share =
+        (double)MAX(job->core_ms_left, 1) / (double)MAX(job->core_ms_total, 1);
+    return (double)(now_ms - job->arrived_ms) +
+           (double)job->critical_path_ms * left_share;
+}
+
+/* Credit for each unit of remaining work. */
 static double
-job_rank(const nm_sched_job_t *job, nm_ms_t now_ms)
+credit_rank(const nm_sched_job_t *job, double finish_ms)
 {
     if (job->long_running) {
         return LONG_RUNNING_RANK;
     }
-    double core_ms = (double)MAX(job->core_ms_total, 1);
-    double left_core_ms = (double)MAX(job->core_ms_left, 1);
-    double credit = core_ms;
+    double credit = (double)MAX(job->core_ms_total, 1);
     if (job->queue) {
         credit = FIXED_CREDIT_SHARE * job->queue->mean_core_ms +
-                 (1 - FIXED_CREDIT_SHARE) * core_ms;
+                 (1 - FIXED_CREDIT_SHARE) * credit;
         credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
     }
-    nm_ms_t age_ms = now_ms - job->arrived_ms;
-    double left_share = left_core_ms / core_ms;
-    double finish_ms =
-        (double)age_ms + (double)job->critical_path_ms * left_share;
     double objective_ms = (double)MAX(job->objective_ms, 1);
     if (finish_ms > objective_ms) {
         credit *= LATE_CREDIT_FACTOR;
     }
-    return credit / left_core_ms;
+    return credit / (double)MAX(job->core_ms_left, 1);
+}
+
+/* Sets the order and the rank of the steps of a job. */
+static void
+order_job(nm_sched_job_t *job, nm_ms_t now_ms, nm_candidate_t *candidate)
+{
+    double finish_ms = expected_finish_ms(job, now_ms);
+    double objective_ms = (double)MAX(job->objective_ms, 1);
+    bool in_time = finish_ms <= objective_ms;
+    candidate->order = NM_ORDER_CREDIT;
+    candidate->rank = credit_rank(job, finish_ms);
+    if (!nm_job_has_share(job)) {
+        return;
+    }
+    if (!job->admitted) {
+        job->takes_share = in_time && nm_share_is_behind(&job->queue->share,
+                                                         job->core_ms_total);
+    }
+    if (job->admitted && !has_begun(job)) {
+        return;
+    }
+    if (job->takes_share && !job->admitted) {
+        candidate->order = NM_ORDER_SHARE;
+        /* the newest has most time left */
+        candidate->rank = -(double)(now_ms - job->arrived_ms) / objective_ms;
+    }
+    else if (job->takes_share && finish_ms <= LATE_LIMIT_FACTOR * objective_ms)
+    {
+        candidate->order = NM_ORDER_SHARE_MORE;
+    }
+    else if (job->admitted && in_time) {
+        candidate->order = NM_ORDER_ADMITTED;
+    }
+}
+
+/*
+ * Counts a job as admitted once it has more at work than the one task that
+ * starts for its being idle, or has no more to start.
+ */
+static void
+update_admitted(nm_sched_job_t *job, bool has_candidate)
+{
+    if (nm_job_has_share(job) && !job->admitted &&
+        (job->attached_count > 1 ||
+         (job->attached_count == 1 && !has_candidate)))
+    {
+        job->admitted = true;
+        nm_share_count_admission(&job->queue->share, job->core_ms_total);
+    }
 }
 
 static int
@@ -79,8 +153,8 @@
 {
     const nm_candidate_t *left = a;
     const nm_candidate_t *right = b;
-    if (left->order_class != right->order_class) {
-        return left->order_class < right->order_class ? 1 : -1;
+    if (left->order != right->order) {
+        return left->order < right->order ? 1 : -1;
     }
     return left->rank < right->rank ? 1 : left->rank > right->rank ? -1 : 0;
 }
@@ -179,7 +253,9 @@
                    GArray *candidates, nm_ms_t now_ms)
 {
     guint count_before = candidates->len;
-    double rank = job_rank(job, now_ms);
+    nm_candidate_t candidate = {0};
+    order_job(job, now_ms, &candidate);
+    nm_order_t order = candidate.order;
     for (uint32_t i = 0; i < job->occurrence_count; i++) {
         nm_occurrence_t *occurrence = &job->occurrences[i];
         if (occurrence->finished || occurrence->due_unix_ms > sched->unix_ms) {
@@ -192,11 +268,11 @@
             }
             bool overdue =
                 nm_order_is_overdue(sched, round, occurrence, s, now_ms);
-            nm_candidate_t candidate = {
-                .occurrence = occurrence,
-                .step = s,
-                .order_class = overdue ? NM_CLASS_OVERDUE : NM_CLASS_ORDINARY,
-                .rank = rank};
+            candidate.occurrence = occurrence;
+            candidate.step = s;
+            candidate.order_class =
+                overdue ? NM_CLASS_OVERDUE : NM_CLASS_ORDINARY;
+            candidate.order = overdue ? NM_ORDER_OVERDUE : order;
             g_array_append_val(candidates, candidate);
         }
     }
@@ -245,7 +321,10 @@
             continue;
         }
         candidate.order_class = NM_CLASS_IDLE;
-        candidate.rank = (double)(now_ms - job->idle_since_ms);
+        nm_ms_t idle_ms = now_ms - job->idle_since_ms;
+        candidate.order =
+            idle_ms >= LONG_IDLE_MS ? NM_ORDER_LONG_IDLE : NM_ORDER_IDLE;
+        candidate.rank = (double)idle_ms;
         candidate.takes_credit = takes_credit;
         g_array_append_val(candidates, candidate);
     }
@@ -263,6 +342,7 @@
         guint first = candidates->len;
         guint count =
             collect_candidates(sched, round, job, candidates, now_ms);
+        update_admitted(job, count > 0);
         update_idle(round, job, count > 0, now_ms);
         if (count > 0) {
             add_idle_candidates(sched, round, job, first, candidates, now_ms);
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -12,18 +12,29 @@
 /* Limit of requests remembered as unplaced in one round. */
 #define NM_ROUND_UNPLACED_MAX 64
 
-/* A step of a higher class starts before all of lower ones. */
 typedef enum {
     NM_CLASS_ORDINARY,
     NM_CLASS_IDLE,    /* one task of a job that has been idle for long */
     NM_CLASS_OVERDUE, /* an interrupted long-running step */
 } nm_class_t;
 
+/* Order in which candidates are considered, the last ones first. */
+typedef enum {
+    NM_ORDER_CREDIT,
+    NM_ORDER_ADMITTED,   /* started jobs that can still be in time */
+    NM_ORDER_IDLE,       /* NM_CLASS_IDLE */
+    NM_ORDER_SHARE,      /* jobs of a size that is behind */
+    NM_ORDER_SHARE_MORE, /* the same, once they are admitted */
+    NM_ORDER_LONG_IDLE,  /* NM_CLASS_IDLE, before its bound is reached */
+    NM_ORDER_OVERDUE,    /* NM_CLASS_OVERDUE */
+} nm_order_t;
+
 typedef struct {
     nm_occurrence_t *occurrence;
     uint32_t step;
     nm_class_t order_class;
-    double rank;       /* within the class; higher starts first */
+    nm_order_t order;
+    double rank;       /* within the order; higher starts first */
     bool takes_credit; /* starts only with credit for idle jobs */
 } nm_candidate_t;
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -14,6 +14,7 @@
 
 #include "interference.h"
 #include "load_swing.h"
+#include "sched_share.h"
 
 /* Workers' clocks may run slow by this factor (the platform states 2%). */
 #define NM_SCHED_CLOCK_SLOW_FACTOR 1.021
@@ -102,6 +103,7 @@
     nm_queue_t desc;
     const char *service; /* interned */
     double mean_core_ms; /* of one job, from estimates; 0: no job yet */
+    nm_share_t share;    /* of its jobs that run to an end */
 } nm_sched_queue_t;
 
 /* Time in which a filler worked at one share. */
@@ -208,6 +210,8 @@
     bool active;        /* in sched.active */
     bool started;       /* a task of it has been started */
     bool long_running;
+    bool admitted;           /* started in its turn, not only for being idle */
+    bool takes_share;        /* its size was behind when it could start */
     uint32_t attached_count; /* tasks on workers */
     nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
     nm_ms_t held_until_ms;   /* workers may be held for it until then */
@@ -387,6 +391,13 @@
     return job->queue ? job->queue->service : job->service;
 }
 
+/* True if a job counts in the shares by size: it is due and runs to an end. */
+static inline bool
+nm_job_has_share(const nm_sched_job_t *job)
+{
+    return job->queue && !job->long_running && job->spec.first_unix_ms == 0;
+}
+
 /* Attaches a task to a node, or detaches it; updates the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
