Log: work and admission of ended jobs, jobs of sizes that are behind

What operators saw: logs could not tell whether a large job waited for its first task, for its last one or for room: job-ended had no size, and the start of one task says little, as idle jobs get one in any case.

job-ended now has core_ms and admitted_ms (when it started in its turn), and capacity has jobs_behind.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -240,6 +240,7 @@
     uint32_t fillers_paused;
     uint32_t idle_jobs;
     nm_sched_idle_job_t longest_idle;
+    uint32_t jobs_behind; /* of a size that gets less than its share */
     /* Since the scheduler began: workers refused for a filler, by reason. */
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
@@ -252,6 +253,8 @@
     nm_ms_t took_ms;        /* acceptance to end; 0 while it runs */
     nm_ms_t objective_ms;   /* after its acceptance */
     nm_ms_t first_start_ms; /* after its acceptance; -1: never started */
+    nm_ms_t admitted_ms;    /* same; -1: none but its first task started */
+    int64_t core_ms;        /* from estimates */
     uint32_t failures;      /* failed runs of all its tasks */
 } nm_sched_job_info_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -161,9 +161,10 @@
     json_t *refusals = encode_refusals(capacity.filler_refusals,
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
-           "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:i,s:i,s:o}", "workers",
-           (int)capacity.workers, "workers_held", (int)capacity.workers_held,
-           "cpu_milli", (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
+           "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:I,s:i,s:i,s:i,s:o}",
+           "workers", (int)capacity.workers, "workers_held",
+           (int)capacity.workers_held, "cpu_milli",
+           (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
            (json_int_t)capacity.reserved_cpu_milli, "serving_cpu_milli",
            (json_int_t)capacity.serving_cpu_milli, "filler_cpu_milli",
            (json_int_t)capacity.filler_cpu_milli, "short_waiting",
@@ -172,7 +173,8 @@
            (int)capacity.long_running_waiting, "oldest_waiting_ms",
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
-           (int)capacity.fillers_paused, "filler_refusals", refusals);
+           (int)capacity.fillers_paused, "jobs_behind",
+           (int)capacity.jobs_behind, "filler_refusals", refusals);
     log_longest_idle(&capacity);
     entry->logged_capacity = capacity;
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -635,6 +635,8 @@
         .first_start_ms = job->first_start_ms > 0
                               ? job->first_start_ms - job->arrived_ms
                               : -1,
+        .admitted_ms = job->admitted ? job->admitted_ms - job->arrived_ms : -1,
+        .core_ms = job->core_ms_total,
     };
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -85,6 +85,7 @@
         const nm_sched_job_t *job = sched->active->pdata[i];
         if (job->state < NM_JOB_COMPLETED) {
             add_waiting_job(sched, job, now_ms, &capacity);
+            capacity.jobs_behind += job->takes_share && !job->admitted;
         }
     }
     capacity.idle_jobs = sched->idle_jobs;
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -137,13 +137,14 @@
  * starts for its being idle, or has no more to start.
  */
 static void
-update_admitted(nm_sched_job_t *job, bool has_candidate)
+update_admitted(nm_sched_job_t *job, bool has_candidate, nm_ms_t now_ms)
 {
     if (nm_job_has_share(job) && !job->admitted &&
         (job->attached_count > 1 ||
          (job->attached_count == 1 && !has_candidate)))
     {
         job->admitted = true;
+        job->admitted_ms = now_ms;
         nm_share_count_admission(&job->queue->share, job->core_ms_total);
     }
 }
@@ -342,7 +343,7 @@
         guint first = candidates->len;
         guint count =
             collect_candidates(sched, round, job, candidates, now_ms);
-        update_admitted(job, count > 0);
+        update_admitted(job, count > 0, now_ms);
         update_idle(round, job, count > 0, now_ms);
         if (count > 0) {
             add_idle_candidates(sched, round, job, first, candidates, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -210,7 +210,8 @@
     bool active;        /* in sched.active */
     bool started;       /* a task of it has been started */
     bool long_running;
-    bool admitted;           /* started in its turn, not only for being idle */
+    bool admitted; /* started in its turn, not only for being idle */
+    nm_ms_t admitted_ms;
     bool takes_share;        /* its size was behind when it could start */
     uint32_t attached_count; /* tasks on workers */
     nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
--- a/tests/test_sched_share.c
+++ b/tests/test_sched_share.c
@@ -9,6 +9,8 @@
 /* The rules, for the largest tenth of the jobs and the fifth below it. */
 #define ADMITTED_PART_MIN 0.5
 #define SIZE_COUNT 4
+/* An idle job waits for this long at most while the room is reserved. */
+#define SIZE_WAIT_MS_MAX 10000
 
 typedef struct {
     const char *name;
@@ -28,6 +30,7 @@
     uint32_t waiting[SIZE_COUNT];
     uint32_t arrived[SIZE_COUNT];
     uint32_t admitted[SIZE_COUNT];
+    nm_ms_t waiting_since_ms[SIZE_COUNT]; /* with none admitted */
 } counts_t;
 
 /* Returns the size that starts next: one that is behind, else the smallest. */
@@ -68,8 +71,13 @@
             room_core_ms -= (double)load->core_ms[size];
             counts.waiting[size]--;
             counts.admitted[size]++;
+            counts.waiting_since_ms[size] = now_ms;
             size = next_size(&share, load, &counts);
         }
+        for (int i = 0; i < SIZE_COUNT; i++) {
+            g_assert_cmpint(now_ms - counts.waiting_since_ms[i], <=,
+                            SIZE_WAIT_MS_MAX);
+        }
     }
     double arrived = 0;
     double admitted = 0;
