--- a/src/sched.c
+++ b/src/sched.c
@@ -260,6 +260,9 @@
         *mean = *mean > 0 ? *mean + MEAN_CORE_MS_GAIN * (core_ms - *mean)
                           : core_ms;
     }
+    if (nm_job_has_share(job)) {
+        nm_share_count_arrival(&job->queue->share, job->core_ms_total, now_ms);
+    }
     set_objective(job);
     g_hash_table_insert(sched->jobs, job->spec.id, job);
     g_ptr_array_add(sched->active, job);
@@ -642,6 +645,8 @@
         .first_start_ms = job->first_start_ms > 0
                               ? job->first_start_ms - job->arrived_ms
                               : -1,
+        .admitted_ms = job->admitted ? job->admitted_ms - job->arrived_ms : -1,
+        .core_ms = job->core_ms_total,
     };
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -616,9 +616,8 @@
         const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, JOB);
         const nm_task_t *task = &job->occurrences[0].tasks[0][0];
         if (task->failures + task->crashes + task->silence_count != 0) {
-            g_test_message("%s: %u failures, %u crashes, %u silences",
-                           rows[i], task->failures, task->crashes,
-                           task->silence_count);
+            g_test_message("%s: %u failures, %u crashes, %u silences", rows[i],
+                           task->failures, task->crashes, task->silence_count);
             g_test_fail();
         }
         nm_job_spec_finish(&spec);
