--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -627,6 +627,40 @@
     }
 }
 
+/*
+ * An odd entry takes the place of a worker that runs tasks: it gets no new
+ * tasks, keeps its lease and those it runs, and a good entry takes it back.
+ */
+static void
+test_odd_entry_loses_running_tasks(void)
+{
+    fake_kv_t *kv = configured_store();
+    fake_kv_put(kv, "servers/i-1", WORKER);
+    host_t host;
+    host_init(&host, "a", kv);
+    run_host(&host, 2000);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run_host(&host, 1000);
+    g_assert_cmpuint(host.orders.starts, ==, 2);
+    fake_kv_put(kv, "servers/i-1", "[");
+    run_host(&host, 30000);
+    const nm_sched_node_t *node =
+        g_hash_table_lookup(host.entry->sched->nodes, "i-1");
+    g_assert_nonnull(node);
+    g_assert_cmpuint(node->tasks->len, ==, 2);
+    g_assert_cmpint(node->lease_lapse_ms, >, host.clock.manual_ms);
+    g_assert_cmpuint(query_capacity(&host).workers, ==, 0);
+    send_request(&host, NM_METHOD_POST, "/a/0123456789abcdef", BODY);
+    run_host(&host, 2000);
+    g_assert_cmpuint(host.orders.starts, ==, 2);
+    fake_kv_put(kv, "servers/i-1", WORKER);
+    run_host(&host, 2000);
+    g_assert_cmpuint(host.orders.starts, ==, 4);
+    g_assert_cmpint(query_capacity(&host).reserved_cpu_milli, ==, 2000);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 /* Lines of refusals: one for each decision, and a bounded number. */
 static void
 test_refusals_flood_the_log(void)
@@ -675,6 +709,8 @@
                     test_odd_configuration_stops_the_host);
     g_test_add_func("/odd/host-record-carries-orders",
                     test_odd_host_record_carries_orders);
+    g_test_add_func("/odd/entry-loses-running-tasks",
+                    test_odd_entry_loses_running_tasks);
     g_test_add_func("/odd/progress-row-fails-a-task",
                     test_odd_progress_row_fails_a_task);
     g_test_add_func("/odd/refusals-flood-the-log",
