Scheduler: of equal workers, those with fewer starts of a step go first

Found by review. Cause: since the search by step, an entry that has been used stays first while no other has a higher score, so that all 16 fillers of a step go to 1 of 240 free workers that suit them alike; a crash there costs the whole step. Now starts of the step order equal workers.

Test fillers-are-spread failed before (1 worker, bound 8), and passes.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -276,15 +276,21 @@
                                                                    : NULL;
 }
 
+/* Of equal workers, the one with fewer starts of the step goes first. */
+static bool
+is_before(const nm_found_node_t *left, const nm_found_node_t *right)
+{
+    return left->score > right->score ||
+           (left->score == right->score && left->starts < right->starts);
+}
+
 static int
 compare_found(gconstpointer a, gconstpointer b)
 {
-    double left = ((const nm_found_node_t *)a)->score;
-    double right = ((const nm_found_node_t *)b)->score;
-    return left < right ? 1 : left > right ? -1 : 0;
+    return is_before(a, b) ? -1 : is_before(b, a) ? 1 : 0;
 }
 
-/* Moves the first entry to its place, after others of the same score. */
+/* Moves the first entry to its place. */
 static void
 move_first_down(GArray *found)
 {
@@ -292,10 +298,10 @@
     for (guint i = 0; 2 * i + 1 < found->len;) {
         guint child = 2 * i + 1;
         if (child + 1 < found->len &&
-            entries[child + 1].score > entries[child].score) {
+            is_before(&entries[child + 1], &entries[child])) {
             child++;
         }
-        if (entries[i].score >= entries[child].score) {
+        if (!is_before(&entries[child], &entries[i])) {
             return;
         }
         nm_found_node_t moved = entries[i];
@@ -378,14 +384,13 @@
             remove_first(search->found);
             continue;
         }
-        bool is_next =
-            score > first->score || (score == first->score && !first->used);
+        nm_sched_node_t *node = first->node;
         first->score = score;
-        first->used = is_next;
-        if (is_next) {
-            return first->node;
-        }
         move_first_down(search->found);
+        if (first->node == node) {
+            first->starts++;
+            return node;
+        }
     }
 }
 
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -82,7 +82,7 @@
 typedef struct {
     nm_sched_node_t *node;
     double score;
-    bool used; /* a task has started there since it was scored */
+    uint32_t starts; /* of tasks of the step, in this search */
 } nm_found_node_t;
 
 /*
