Scheduler: an interrupted task lets no new ones of its step go first

Found by review. Cause: the order is by step, so that one overdue task made all waiting tasks of its step go before all others, up to 95% of the service's CPU, though tasks that have never run do not become overdue. Now an overdue step has two places in the order: one for the interrupted tasks, the other for the rest. Workers are reserved for the interrupted ones only.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -276,6 +276,12 @@
                 overdue ? NM_CLASS_OVERDUE : NM_CLASS_ORDINARY;
             candidate.order = overdue ? NM_ORDER_OVERDUE : order;
             g_array_append_val(candidates, candidate);
+            if (overdue && !job->spec.steps[s].is_gang) {
+                /* For the tasks that have never run. */
+                candidate.order_class = NM_CLASS_ORDINARY;
+                candidate.order = order;
+                g_array_append_val(candidates, candidate);
+            }
         }
     }
     return candidates->len - count_before;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -157,8 +157,9 @@
     if (round->reserved_nodes >= reserved_max) {
         return;
     }
-    uint32_t count = MIN(occurrence->waiting[candidate->step],
-                         reserved_max - round->reserved_nodes);
+    uint32_t count =
+        MIN(nm_occurrence_count_interrupted(occurrence, candidate->step),
+            reserved_max - round->reserved_nodes);
     round->reserved_nodes += reserve_nodes(sched, candidate, count, now_ms);
 }
 
@@ -354,7 +355,10 @@
     guint evict_position = 0;
     for (uint32_t i = 0; i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[candidate->step][i];
-        if (task->state != NM_RUN_WAITING) {
+        if (task->state != NM_RUN_WAITING ||
+            (candidate->order_class == NM_CLASS_OVERDUE &&
+             !nm_task_is_interrupted(task)))
+        {
             continue;
         }
         if (sched->starting_count >= NM_SCHED_STARTING_MAX) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -474,6 +474,15 @@
 bool nm_occurrence_step_is_ready(const nm_occurrence_t *occurrence,
                                  uint32_t step);
 /* Records since when an interrupted long-running task of a step waits. */
+/*
+ * True if a long-running task waits that has run before; each one of a
+ * recovered job counts as such.  Tasks that have never run do not become
+ * overdue, as they would take the capacity of short tasks that are still in
+ * time.
+ */
+bool nm_task_is_interrupted(const nm_task_t *task);
+uint32_t nm_occurrence_count_interrupted(const nm_occurrence_t *occurrence,
+                                         uint32_t step);
 void nm_occurrence_record_interrupted(nm_occurrence_t *occurrence,
                                       uint32_t step, nm_ms_t now_ms);
 nm_sched_action_t *nm_sched_add_action(nm_sched_t *sched,
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -179,25 +179,23 @@
     return true;
 }
 
-/*
- * True if a long-running task that has run before is waiting; each waiting
- * task of a recovered job counts as one.  Tasks that have never run do not
- * become overdue, as they would take the capacity of short tasks that are
- * still in time.
- */
-static bool
-has_interrupted_task(const nm_occurrence_t *occurrence, uint32_t step)
+bool
+nm_task_is_interrupted(const nm_task_t *task)
 {
+    return task->state == NM_RUN_WAITING && nm_task_step(task)->long_running &&
+           (task->run > 0 || task->occurrence->job->recovered);
+}
+
+uint32_t
+nm_occurrence_count_interrupted(const nm_occurrence_t *occurrence,
+                                uint32_t step)
+{
+    uint32_t interrupted = 0;
     uint32_t count = occurrence->job->spec.steps[step].task_count;
     for (uint32_t i = 0; i < count; i++) {
-        const nm_task_t *task = &occurrence->tasks[step][i];
-        if (task->state == NM_RUN_WAITING &&
-            (task->run > 0 || occurrence->job->recovered))
-        {
-            return true;
-        }
+        interrupted += nm_task_is_interrupted(&occurrence->tasks[step][i]);
     }
-    return false;
+    return interrupted;
 }
 
 void
@@ -206,7 +204,7 @@
 {
     if (occurrence->interrupted_since_ms[step] == 0 &&
         occurrence->job->spec.steps[step].long_running &&
-        has_interrupted_task(occurrence, step))
+        nm_occurrence_count_interrupted(occurrence, step) > 0)
     {
         occurrence->interrupted_since_ms[step] = now_ms;
     }
@@ -222,7 +220,7 @@
     nm_occurrence_t *occurrence = task->occurrence;
     uint32_t step = task->step;
     if (occurrence->interrupted_since_ms[step] == 0 ||
-        has_interrupted_task(occurrence, step))
+        nm_occurrence_count_interrupted(occurrence, step) > 0)
     {
         return;
     }
