Scheduler: a long-running job that is idle gets a first task as others do

Found by review. Cause: the order of idle jobs left long-running steps out, and their rank is below that of short jobs in time, so that a new long-running job or gang waits for as long as placements end at the limit of starts in flight. Now one task of it, or the gang, goes first after the time of idle jobs, unless most of the service is reserved.

Tests starts-in-flight-delay-no/idle-long-running-job and -gang failed before (30 s without a start, bound 3 s), and pass.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -325,7 +325,9 @@
     for (guint i = first; i < end; i++) {
         nm_candidate_t candidate =
             g_array_index(candidates, nm_candidate_t, i);
-        if (job->spec.steps[candidate.step].long_running) {
+        if (candidate.order_class != NM_CLASS_ORDINARY ||
+            (takes_credit && job->spec.steps[candidate.step].long_running))
+        {
             continue;
         }
         candidate.order_class = NM_CLASS_IDLE;
