Scheduler: starts to silent workers do not use up the limit of starts

Cause: starts without a response are limited to 400, so that an owner that does not keep up falls no further behind. Those to a worker that fell silent counted as well: 400 of them stopped all placement until its lease had lapsed, 6.4 s. Now only starts to workers that respond are limited.

Test unanswered-starts-delay-no-idle-job failed before (6.4 s, bound 3 s), and passes.

--- a/src/sched.c
+++ b/src/sched.c
@@ -433,8 +433,6 @@
         sched->needs_placement = false;
         remove_ended_from_active(sched);
         nm_sched_place(sched, now_ms);
-        sched->placement_cut = sched->starting_count >= NM_SCHED_STARTING_MAX;
-        sched->cut_placements += sched->placement_cut;
     }
     nm_sched_tick_nodes(sched, now_ms);
     return sched->needs_placement || sched->lossy ? PLACEMENT_INTERVAL_MS
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -361,7 +361,7 @@
         {
             continue;
         }
-        if (sched->starting_count >= NM_SCHED_STARTING_MAX) {
+        if (sched->starting_count >= round->starting_max) {
             sched->needs_placement = true;
             return;
         }
@@ -476,6 +476,21 @@
     }
 }
 
+/* Starts whose response is not expected while the worker is silent. */
+static uint32_t
+count_silent_starts(const nm_sched_t *sched)
+{
+    uint32_t count = 0;
+    for (guint n = 0; n < sched->node_list->len; n++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[n];
+        for (guint i = 0; !node->reachable && i < node->tasks->len; i++) {
+            const nm_task_t *task = node->tasks->pdata[i];
+            count += task->state == NM_RUN_STARTING;
+        }
+    }
+    return count;
+}
+
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
@@ -486,12 +501,13 @@
                                      IDLE_START_INTERVAL_MS);
     sched->placed_ms = now_ms;
     round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
+    round.starting_max = NM_SCHED_STARTING_MAX + count_silent_starts(sched);
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
     sched->longest_idle = (nm_sched_idle_job_t){0};
     for (guint i = 0;
-         i < candidates->len && sched->starting_count < NM_SCHED_STARTING_MAX;
+         i < candidates->len && sched->starting_count < round.starting_max;
          i++)
     {
         const nm_candidate_t *candidate =
@@ -505,6 +521,8 @@
             place_candidate(sched, candidate, &round, now_ms);
         }
     }
+    sched->placement_cut = sched->starting_count >= round.starting_max;
+    sched->cut_placements += sched->placement_cut;
     g_array_free(candidates, TRUE);
     g_array_free(round.services, TRUE);
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -74,6 +74,8 @@
     uint32_t held_nodes;     /* workers held for idle jobs */
     uint32_t gang_nodes;     /* workers held for gangs */
     GArray *services;        /* of nm_round_service_t */
+    /* Limit of starts in flight. */
+    uint32_t starting_max;
     uint32_t idle_jobs;
     const nm_sched_job_t *longest_idle; /* NULL: none */
 } nm_round_t;
