Scheduler: ended jobs do not delay the storing of other progress

Found by review. Cause: a commit of 26 jobs always began with those that a caller waits for. While 30 jobs end for each commit, no other progress is stored: ends stay unacknowledged, reports grow, and crashes are not stored for a next owner. Now one of five saves is another one's, if any waits.

Test ended-jobs-delay-no-other-progress failed before (not stored in 40 commits), and passes.

--- a/src/sched.c
+++ b/src/sched.c
@@ -25,6 +25,11 @@
 #define PLACEMENT_INTERVAL_MAX_MS 250
 /* Time between two checks of the tails of all workers. */
 #define FILLER_CHECK_INTERVAL_MS 100
+/*
+ * Urgent saves in a row while others wait.  Until those are stored, no worker
+ * may drop an end reported since, and a next owner does not know of it.
+ */
+#define URGENT_SAVES_MAX 4
 /* Events kept until they are fetched. */
 #define EVENTS_MAX 64
 /* Weight of a new job in its queue's moving average of CPU time. */
@@ -527,7 +532,12 @@
 nm_sched_next_save(nm_sched_t *sched, nm_sched_save_t *save)
 {
     assert(sched && save);
-    GQueue *queue = sched->urgent.length > 0 ? &sched->urgent : &sched->dirty;
+    bool urgent =
+        sched->urgent.length > 0 &&
+        (sched->dirty.length == 0 || sched->urgent_saves < URGENT_SAVES_MAX);
+    GQueue *queue = urgent ? &sched->urgent : &sched->dirty;
+    sched->urgent_saves =
+        urgent && sched->dirty.length > 0 ? sched->urgent_saves + 1 : 0;
     GList *link = g_queue_pop_head_link(queue);
     if (!link) {
         return next_expired_job(sched, save);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -379,6 +379,7 @@
     uint64_t cut_placements;   /* ended at NM_SCHED_STARTING_MAX */
     bool placement_cut;        /* the newest one ended there */
     bool saved_seq_stale;      /* saved_seq has to be recomputed */
+    uint32_t urgent_saves;     /* in a row, while others were waiting */
     bool has_saved;            /* a change was stored since the last round */
     nm_ms_t
         store_ok_ms;  /* newest round with nothing to store, or one stored */
@@ -473,7 +474,6 @@
 /* True if all steps that it comes after are done. */
 bool nm_occurrence_step_is_ready(const nm_occurrence_t *occurrence,
                                  uint32_t step);
-/* Records since when an interrupted long-running task of a step waits. */
 /*
  * True if a long-running task waits that has run before; each one of a
  * recovered job counts as such.  Tasks that have never run do not become
@@ -483,6 +483,7 @@
 bool nm_task_is_interrupted(const nm_task_t *task);
 uint32_t nm_occurrence_count_interrupted(const nm_occurrence_t *occurrence,
                                          uint32_t step);
+/* Records since when an interrupted long-running task of a step waits. */
 void nm_occurrence_record_interrupted(nm_occurrence_t *occurrence,
                                       uint32_t step, nm_ms_t now_ms);
 nm_sched_action_t *nm_sched_add_action(nm_sched_t *sched,
