Tests: a case of waiting work ends once its bound is broken

A run under the sanitizers was cut after 150 s in the case idle-long-running-job, whose bursts go on for 30 s after the bound is broken. The check and its bound stay. Without sanitizers all 13 cases take 19 s; with them not run again.

--- a/tests/test_sched_limit.c
+++ b/tests/test_sched_limit.c
@@ -223,7 +223,8 @@
                               limit->first_start_ms_max, NULL);
     nm_ms_t wait_ms = 0;
     nm_ms_t wait_ms_max = 0;
-    for (nm_ms_t ms = 0; ms < CASE_MS && !case_job_has_ended(&fleet);
+    for (nm_ms_t ms = 0; ms < CASE_MS && wait_ms_max <= limit->wait_ms_max &&
+                         !case_job_has_ended(&fleet);
          ms += SCHED_FLEET_TICK_MS)
     {
         add_burst(&fleet);
