--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -522,6 +522,7 @@
         }
     }
     sched->placement_cut = sched->starting_count >= round.starting_max;
+    sched->needs_placement = sched->needs_placement || sched->placement_cut;
     sched->cut_placements += sched->placement_cut;
     g_array_free(candidates, TRUE);
     g_array_free(round.services, TRUE);
