Election: an odd owner or epoch record does not stop it

What operators would see: after another writer has left an unreadable record under the owner key, no host is elected, jobs are accepted and never run.

Cause: such a record changed nothing of what the host knew, so that its election expected the key to be absent, and failed each time; an epoch of 2^63 made the next one negative.

An owner record with a field missing or out of range now counts as vacant, with its revision, which the next election replaces; epochs and the other numbers under control/ are read within 1 to 2^53, and refused in the log.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -43,6 +43,7 @@
     X(ROSTER_REFUSED, "roster-refused")                                       \
     X(BELIEFS_DROPPED, "beliefs-dropped")                                     \
     X(REPORT_REFUSED, "report-refused")                                       \
+    X(OWNER_REFUSED, "owner-refused")                                         \
     X(HOST_REFUSED, "host-refused")                                           \
     X(ELECTION_FAILED, "election-failed")                                     \
     X(REQUEST_REFUSED, "request-refused")                                     \
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -22,6 +22,9 @@
 
 #include <nutmegdeck/log.h>
 
+#include "address.h"
+#include "json_get.h"
+
 /* Lease of the owner key; the platform's minimum is 1000 ms. */
 #define OWNER_LEASE_MS 1500
 /* Three renewals fit into a lease. */
@@ -46,36 +49,81 @@
 /* Random delay that separates candidates with equal CPU and latency. */
 #define ELECTION_JITTER_MAX_MS 20
 
+/* No host is known to be the owner; revision: of the owner key, or 0. */
+static void
+set_vacant(nm_entry_t *entry, int64_t revision, const char *reason)
+{
+    entry->owner = (nm_owner_t){.revision = revision};
+    entry->vacant_since_ms = nm_entry_now(entry);
+    if (entry->owned_epoch > 0) {
+        nm_term_step_down(entry, reason);
+    }
+}
+
+static void
+refuse_control(nm_entry_t *entry, const nm_store_kv_t *item, const char *fault)
+{
+    nm_refusals_log(&entry->refusals, NM_LOG_ITEM_OWNER_REFUSED, "key",
+                    item->key, fault, nm_entry_now(entry));
+}
+
 static void
 apply_owner_record(nm_entry_t *entry, const nm_store_kv_t *item)
 {
-    nm_owner_t *owner = &entry->owner;
     if (!item->value) {
-        owner->present = false;
-        entry->vacant_since_ms = nm_entry_now(entry);
-        if (entry->owned_epoch > 0) {
-            nm_term_step_down(entry, "the owner key was deleted");
-        }
+        set_vacant(entry, 0, "the owner key was deleted");
         return;
     }
+    nm_owner_t owner = {.present = true, .revision = item->mod_revision};
     json_t *record =
         json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
-    const char *name = json_string_value(json_object_get(record, "name"));
-    const char *address =
-        json_string_value(json_object_get(record, "address"));
-    const char *token = json_string_value(json_object_get(record, "token"));
-    if (name && address && token) {
-        *owner = (nm_owner_t){.present = true, .revision = item->mod_revision};
-        nm_strcopy(owner->name, sizeof(owner->name), name);
-        nm_strcopy(owner->address, sizeof(owner->address), address);
-        nm_strcopy(owner->token, sizeof(owner->token), token);
-        owner->epoch = json_integer_value(json_object_get(record, "epoch"));
-        entry->vacant_since_ms = 0;
-        if (entry->owned_epoch > 0 && strcmp(token, entry->token) != 0) {
-            nm_term_step_down(entry, "another host is the owner");
-        }
-    }
+    bool valid =
+        nm_json_copy_string(record, "name", owner.name, sizeof(owner.name)) &&
+        nm_json_copy_string(record, "address", owner.address,
+                            sizeof(owner.address)) &&
+        nm_address_is_peer(owner.address) &&
+        nm_json_copy_string(record, "token", owner.token,
+                            sizeof(owner.token)) &&
+        nm_json_get_int(json_object_get(record, "epoch"), NM_COUNT_MAX,
+                        &owner.epoch);
     json_decref(record);
+    if (!valid) {
+        /* It names no owner; the next election replaces it. */
+        refuse_control(entry, item,
+                       "name, address, token or epoch is missing");
+        set_vacant(entry, item->mod_revision, "the owner key is unreadable");
+        return;
+    }
+    entry->owner = owner;
+    entry->epoch = MAX(entry->epoch, owner.epoch);
+    entry->vacant_since_ms = 0;
+    if (entry->owned_epoch > 0 && strcmp(owner.token, entry->token) != 0) {
+        nm_term_step_down(entry, "another host is the owner");
+    }
+}
+
+/* Returns 0 for a value that is no whole number from 1 to 2^53. */
+static int64_t
+read_number(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    guint64 number = 0;
+    if (!g_ascii_string_to_unsigned((const char *)item->value, 10, 1,
+                                    NM_COUNT_MAX, &number, NULL))
+    {
+        refuse_control(entry, item, "not a whole number from 1 to 2^53");
+    }
+    return (int64_t)number;
+}
+
+/* An unreadable epoch is replaced by the next election. */
+static void
+apply_epoch_record(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    int64_t epoch = read_number(entry, item);
+    if (item->mod_revision > entry->epoch_revision) {
+        entry->epoch = MAX(entry->epoch, epoch);
+        entry->epoch_revision = item->mod_revision;
+    }
 }
 
 void
@@ -86,17 +134,13 @@
     }
     else if (strcmp(item->key, NM_KEY_CPU_SHARE) == 0 && item->value) {
         entry->cpu_share_max_permille =
-            strtoll((const char *)item->value, NULL, 10);
+            MIN(read_number(entry, item), 1000 * NM_CPU_SHARE_MAX);
     }
     else if (strcmp(item->key, NM_KEY_YIELDED) == 0 && item->value) {
-        entry->yielded_epoch = strtoll((const char *)item->value, NULL, 10);
+        entry->yielded_epoch = read_number(entry, item);
     }
     else if (strcmp(item->key, NM_KEY_EPOCH) == 0 && item->value) {
-        int64_t epoch = strtoll((const char *)item->value, NULL, 10);
-        if (epoch > entry->epoch) {
-            entry->epoch = epoch;
-            entry->epoch_revision = item->mod_revision;
-        }
+        apply_epoch_record(entry, item);
     }
 }
 
@@ -221,8 +265,7 @@
         }
     }
     entry->role = NM_ROLE_CANDIDATE;
-    entry->replaced_owner_revision =
-        entry->owner.present ? entry->owner.revision : 0;
+    entry->replaced_owner_revision = entry->owner.revision;
     nm_kv_lease_grant(entry->desc.kv, OWNER_LEASE_MS, on_lease_granted,
                       nm_term_call_new(entry));
 }
