Tests: a program that fails after its last case counts as failed

A leak ends a sanitized program with status 1 though each case printed ok; that counted as passed, and hid the leak of dropped log lines. No bound or case is changed.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -51,7 +51,10 @@
     if [ "$reported" -lt "${planned:-1}" ] && [ "$status" -le 1 ]; then
         count_result "$(basename "$program") ended early ($scope)" 1 "$output"
     fi
-    if [ "$status" -gt 1 ]; then
+    # A leak, for example, fails the program after its last case.
+    if [ "$status" -gt 1 ] ||
+        { [ "$status" -eq 1 ] && [ "$reported" -ge "${planned:-1}" ] &&
+            ! grep -q '^not ok ' <<<"$output"; }; then
         count_result "$(basename "$program")" 1 "$output"
     fi
 }
