Fix: several starts of a suspect are ahead of its record

Cause: a store that stores something each second counts as keeping up, also if this job's records lag by several starts: five starts in 1.6 s under epoch 5, of which the next owner knows three.

Change: a start goes ahead of its record only if the intent before is stored.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -334,11 +334,13 @@
     }
     /*
      * What has waited once waits no more, if its worker is not free any more;
-     * tasks of a gang would wait one after the other.
+     * tasks of a gang would wait one after the other.  At most one start is
+     * ahead of its record, as the intent before has to be stored.
      */
     nm_sched_job_t *job = task->occurrence->job;
     bool starts = task->intent.worker_hash != 0 ||
-                  nm_task_step(task)->is_gang || store_keeps_up(sched, now_ms);
+                  nm_task_step(task)->is_gang ||
+                  (intent_is_stored(task) && store_keeps_up(sched, now_ms));
     nm_sched_mark_changed(sched, job, true);
     task->intent = (nm_silence_t){.worker_hash = node->id_hash,
                                   .incarnation = node->desc.incarnation,
--- a/tests/test_sched_crash_store.c
+++ b/tests/test_sched_crash_store.c
@@ -248,6 +248,40 @@
     store_sim_finish(&store);
 }
 
+/*
+ * Each worker is back at once, and the store stores nothing, which is not
+ * noticed yet: no more than one start of a suspect may be ahead of the record.
+ */
+static void
+test_one_start_is_ahead_of_record(void)
+{
+    enum { WATCHED_MS = 900 };
+    int64_t incarnations[WORKERS];
+    store_sim_t store;
+    store_sim_init(&store);
+    for (int w = 0; w < WORKERS; w++) {
+        incarnations[w] = 1;
+    }
+    for (nm_ms_t t = 0; t < WATCHED_MS; t += TICK_MS) {
+        sched_sim_advance(&store.sim, TICK_MS);
+        const nm_sched_action_t *start =
+            sched_sim_find_action(&store.sim, NM_ACTION_START, NULL);
+        if (start) {
+            int w = start->worker[0] - 'a';
+            store.starts++;
+            nm_sched_on_start(store.sim.sched, start, NM_ORDER_DONE,
+                              store.sim.now_ms);
+            sched_sim_announce(&store.sim, worker_id(w), ++incarnations[w]);
+        }
+        for (int w = 0; w < WORKERS; w++) {
+            sched_sim_report(&store.sim, worker_id(w), incarnations[w], NULL,
+                             0, NULL, 0);
+        }
+    }
+    g_assert_cmpuint(store.starts, ==, 2);
+    store_sim_finish(&store);
+}
+
 /*
  * The store fails with one of the starts, which nothing is known of for sure,
  * and the owner is replaced when the store is back.
@@ -319,6 +353,8 @@
     g_test_add_func(
         "/sched/deadly-starts-are-bounded-with-owner-replaced-once",
         test_starts_are_bounded_with_owner_replaced_once);
+    g_test_add_func("/sched/one-deadly-start-is-ahead-of-record",
+                    test_one_start_is_ahead_of_record);
     g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
                     test_cut_off_workers_in_outage_are_not_counted);
     return g_test_run();
