Extrapolate workers' clocks at their slowest rate

Cause: between two reports the worker's clock was taken for as fast as the owner's, and idle workers are not polled, so that each expiry was too late by 2% of the idle time.

Change: nm_node_clock_ms returns the lower bound that it promises; an idle worker is polled once its clock is 20 s old, so that starts do not expire too early on workers with exact clocks.

--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -21,6 +21,11 @@
 #define STALL_CHECK_INTERVAL_MS 250
 /* Round trip of a poll between regions, and a decision round. */
 #define REPORT_LATENCY_USUAL_MS 250
+/*
+ * Age of a worker's clock from which an idle worker is polled.  A start
+ * expires earlier on a worker with a fast clock, by 2% of this time.
+ */
+#define CLOCK_REFRESH_MS 20000
 /* Time between two checks of a worker that waits for something. */
 #define NODE_CHECK_INTERVAL_MS 100
 /* Remaining time of a draining worker below which tasks with progress move. */
@@ -185,13 +190,22 @@
     }
 }
 
+/* Returns when a worker that needs no other poll is asked for its clock. */
+static nm_ms_t
+clock_due_ms(const nm_sched_node_t *node)
+{
+    return node->announced ? node->clock_at_ms + CLOCK_REFRESH_MS
+                           : NM_MS_NEVER;
+}
+
 static bool
-needs_poll(const nm_sched_node_t *node)
+needs_poll(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
     bool busy = node->tasks->len > 0;
     bool has_acks = node->ends_acked > node->ends_acked_sent;
     return (node->announced || busy) &&
-           (!node->epoch_confirmed || busy || has_acks || !node->reachable);
+           (!node->epoch_confirmed || busy || has_acks || !node->reachable ||
+            now_ms >= clock_due_ms(node));
 }
 
 static void
@@ -218,7 +232,8 @@
     if (now_ms >= node->retry_due_ms) {
         retry_orders(sched, node, now_ms);
     }
-    if (!node->poll_pending && now_ms >= node->poll_due_ms && needs_poll(node))
+    if (!node->poll_pending && now_ms >= node->poll_due_ms &&
+        needs_poll(node, now_ms))
     {
         send_poll(sched, node, now_ms);
     }
@@ -233,8 +248,9 @@
     bool waits = acks_pending || node->duplicates || !node->reachable ||
                  (busy && node->desc.state == NM_WORKER_DRAINING);
     nm_ms_t due_ms = waits ? now_ms + NODE_CHECK_INTERVAL_MS : NM_MS_NEVER;
-    if (node->described && !node->poll_pending && needs_poll(node)) {
-        due_ms = MIN(due_ms, node->poll_due_ms);
+    if (node->described && !node->poll_pending) {
+        due_ms = MIN(due_ms, needs_poll(node, now_ms) ? node->poll_due_ms
+                                                      : clock_due_ms(node));
     }
     if (busy) {
         due_ms = MIN(due_ms, node->retry_due_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -16,7 +16,11 @@
 #include "load_swing.h"
 #include "sched_share.h"
 
-/* Workers' clocks may run slow by this factor (the platform states 2%). */
+/*
+ * Workers' clocks may run slow by this factor (the platform states 2%): what
+ * they show is between the time that has passed for the owner and that time
+ * divided by the factor.
+ */
 #define NM_SCHED_CLOCK_SLOW_FACTOR 1.021
 /* Workers cut longer leases to this (the platform's maxHoldMs). */
 #define NM_SCHED_LEASE_LIMIT_MS 10000
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -438,7 +438,8 @@
 int64_t
 nm_node_clock_ms(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    return node->clock_ms + (now_ms - node->clock_at_ms);
+    double elapsed_ms = (double)(now_ms - node->clock_at_ms);
+    return node->clock_ms + (int64_t)(elapsed_ms / NM_SCHED_CLOCK_SLOW_FACTOR);
 }
 
 nm_sched_action_t *
