A worker is resolved by a complete report only

Cause: a new owner took a worker for resolved after its first response, though a worker lists 500 ends at a time. The same assumption stood in two more places: a late report from a carrier that has ends only, and a report with a malformed row, resolved their workers too.

Change: a worker of former owners is resolved by a complete report, a new incarnation or the lapse of its lease. A truncated list keeps it unresolved, polled and under its lease; after a malformed one its lease is not renewed and it gets no tasks until the lapse; a report of ends alone confirms nothing.

The fake workers of entry hosts call their lists complete until they have a task: they list none, so that a complete list would end the tasks.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -152,13 +152,20 @@
     char checkpoint[NM_CHECKPOINT_MAX];
 } nm_worker_end_t;
 
+/*
+ * A worker lists at most this many ends.  The next ones follow once these are
+ * acknowledged.
+ */
+#define NM_WORKER_ENDS_LISTED_MAX 500
+
 /* A worker's response to a poll. */
 typedef struct {
     nm_order_result_t result;
     int64_t incarnation;
     int64_t clock_ms;
     nm_ms_t sent_ms; /* when the poll was sent, on the owner's clock */
-    bool complete;   /* the list of ends was not truncated */
+    bool complete;   /* no end or run was left out */
+    bool ends_only;  /* what runs is not known */
     const nm_worker_run_t *running;
     uint32_t running_count;
     const nm_worker_end_t *ends;
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -714,6 +714,7 @@
         fill_report(route, message, ends, late->sent_ms);
     if (!applied) {
         report.complete = false;
+        report.ends_only = true;
         report.running_count = 0;
     }
     else {
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -29,7 +29,8 @@
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
     return node->described && node->admitted && node->announced &&
-           node->epoch_confirmed && node->reachable && node->clock_known &&
+           node->epoch_confirmed && !nm_node_may_run_unknown(node) &&
+           node->reachable && node->clock_known &&
            node->desc.state == NM_WORKER_READY &&
            now_ms >= node->avoid_until_ms;
 }
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -106,6 +106,8 @@
         }
     }
     node->desc.incarnation = incarnation;
+    node->inherited = false;
+    node->ends_truncated = false;
     node->epoch_confirmed = false;
     node->clock_known = false;
     /*
@@ -269,8 +271,7 @@
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->inherited && !node->epoch_confirmed &&
-            now_ms < node->lease_lapse_ms) {
+        if (node->inherited && now_ms < node->lease_lapse_ms) {
             return true;
         }
     }
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -66,7 +66,9 @@
     nm_ms_t trial_end_ms = nm_crashes_trial_end_ms(node);
     action->wait_ms = MIN(action->wait_ms, MAX(trial_end_ms - now_ms, 0));
     /* Repeated polls of an unresponsive worker do not extend its lease. */
-    if (sched->authority && node->clock_known && node->poll_failures == 0) {
+    if (sched->authority && node->clock_known && node->poll_failures == 0 &&
+        !nm_node_may_run_unknown(node))
+    {
         action->expiry_ms =
             nm_node_clock_ms(node, now_ms) + sched->desc.lease_ms;
         nm_ms_t lapse_ms = now_ms +
@@ -205,7 +207,7 @@
     bool has_acks = node->ends_acked > node->ends_acked_sent;
     return (node->announced || busy) &&
            (!node->epoch_confirmed || busy || has_acks || !node->reachable ||
-            now_ms >= clock_due_ms(node));
+            node->ends_truncated || now_ms >= clock_due_ms(node));
 }
 
 static void
@@ -215,9 +217,12 @@
     if (!node->described) {
         return;
     }
-    if (now_ms >= node->lease_lapse_ms && !node->reachable &&
-        node->tasks->len > 0) {
-        nm_node_requeue_tasks(sched, node, now_ms);
+    if (now_ms >= node->lease_lapse_ms) {
+        /* All runs of former owners have ended. */
+        node->inherited = false;
+        if (!node->reachable && node->tasks->len > 0) {
+            nm_node_requeue_tasks(sched, node, now_ms);
+        }
     }
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
         move_from_draining(sched, node, now_ms);
@@ -248,6 +253,7 @@
     bool waits = acks_pending || node->duplicates || !node->reachable ||
                  (busy && node->desc.state == NM_WORKER_DRAINING);
     nm_ms_t due_ms = waits ? now_ms + NODE_CHECK_INTERVAL_MS : NM_MS_NEVER;
+    due_ms = node->inherited ? MIN(due_ms, node->lease_lapse_ms) : due_ms;
     if (node->described && !node->poll_pending) {
         due_ms = MIN(due_ms, needs_poll(node, now_ms) ? node->poll_due_ms
                                                       : clock_due_ms(node));
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -496,8 +496,10 @@
     node->reported_ms = report->sent_ms;
     node->reachable = true;
     node->poll_failures = 0;
-    node->epoch_confirmed = true;
-    node->inherited = false;
+    node->epoch_confirmed = node->epoch_confirmed || !report->ends_only;
+    node->inherited = node->inherited && !report->complete;
+    node->ends_truncated =
+        !report->complete && report->end_count >= NM_WORKER_ENDS_LISTED_MAX;
     node->reports++;
     node->clock_ms = report->clock_ms;
     node->clock_at_ms = now_ms;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -298,6 +298,7 @@
     bool announced;
     /* Former owners may have started tasks there that are not known yet. */
     bool inherited;
+    bool ends_truncated;  /* more ends than its newest report lists */
     bool admitted;        /* in the stored roster; a new owner expects it */
     bool described;       /* desc is complete; else only its id is known */
     bool epoch_confirmed; /* this incarnation responded to our epoch */
@@ -618,6 +619,16 @@
 bool nm_sched_has_unresolved_workers(const nm_sched_t *sched, nm_ms_t now_ms);
 /* True if it is not announced and no task, poll or lease of it is open. */
 bool nm_node_is_removable(const nm_sched_node_t *node, nm_ms_t now_ms);
+/*
+ * True for a worker that has responded with a list in which a run of a former
+ * owner may be missing.  Its lease is not renewed, so that the run ends.
+ */
+static inline bool
+nm_node_may_run_unknown(const nm_sched_node_t *node)
+{
+    return node->inherited && node->epoch_confirmed && !node->ends_truncated;
+}
+
 /* A worker has responded to this epoch: no former owner renews its lease. */
 void nm_node_limit_former_lease(const nm_sched_t *sched, nm_sched_node_t *node,
                                 nm_ms_t now_ms);
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -49,7 +49,7 @@
     nm_worker_report_t report = {.result = NM_ORDER_DONE,
                                  .incarnation = 1,
                                  .clock_ms = 1000,
-                                 .complete = false};
+                                 .complete = orders->starts == 0};
     orders->starts += action->type == NM_ACTION_START;
     orders->renewals +=
         action->type == NM_ACTION_POLL && action->expiry_ms > 0;
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -153,6 +153,138 @@
     }
 }
 
+static void
+report_part(sched_sim_t *sim, const nm_worker_run_t *running,
+            uint32_t running_count, const nm_worker_end_t *ends,
+            uint32_t end_count)
+{
+    nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                 .incarnation = 1,
+                                 .clock_ms = sim->now_ms,
+                                 .sent_ms = sim->now_ms,
+                                 .running = running,
+                                 .running_count = running_count,
+                                 .ends = ends,
+                                 .end_count = end_count};
+    nm_sched_on_report(sim->sched, "a", &report, sim->now_ms);
+}
+
+static GArray *
+make_done_ends(uint32_t first, uint32_t count)
+{
+    GArray *ends = g_array_new(FALSE, FALSE, sizeof(nm_worker_end_t));
+    for (uint32_t i = first; i < first + count; i++) {
+        char *task = g_strdup_printf(JOB ".0.0.%u", i);
+        nm_worker_end_t end = sched_sim_make_end(i + 1, task, 1, NM_END_DONE);
+        g_array_append_val(ends, end);
+        g_free(task);
+    }
+    return ends;
+}
+
+/*
+ * A worker lists 500 ends at a time.  Tasks whose ends come later must not
+ * start again because they are in neither list yet, also if the store is slow
+ * to take the first ones.
+ */
+static void
+test_ends_beyond_the_first_list_count(void)
+{
+    enum { TASKS = 660, LISTED = NM_WORKER_ENDS_LISTED_MAX };
+    static const nm_ms_t store_delays_ms[] = {0, 2000, 12000};
+    for (size_t i = 0; i < NM_COUNT_OF(store_delays_ms); i++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        sched_sim_announce(&sim, "a", 1);
+        sched_sim_add_job(&sim, JOB, false, TASKS, 20, true);
+        nm_sched_activate(sim.sched, sim.now_ms + GRACE_MS);
+        sched_sim_advance(&sim, 10);
+        GArray *first = make_done_ends(0, LISTED);
+        report_part(&sim, NULL, 0, (nm_worker_end_t *)first->data, LISTED);
+        int64_t acked = 0;
+        for (nm_ms_t t = 0; t < store_delays_ms[i] + 500; t += 100) {
+            sched_sim_advance(&sim, 100);
+            g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+            if (t >= store_delays_ms[i]) {
+                sched_sim_save_all(&sim);
+            }
+            const nm_sched_action_t *poll =
+                sched_sim_find_action(&sim, NM_ACTION_POLL, "a");
+            acked = poll ? poll->acked : acked;
+            if (poll && acked < LISTED) {
+                report_part(&sim, NULL, 0, (nm_worker_end_t *)first->data,
+                            LISTED);
+            }
+        }
+        g_assert_cmpint(acked, ==, LISTED);
+        GArray *rest = make_done_ends(LISTED, TASKS - LISTED);
+        sched_sim_report(&sim, "a", 1, NULL, 0, (nm_worker_end_t *)rest->data,
+                         rest->len);
+        for (int step = 0; step < 10; step++) {
+            sched_sim_advance(&sim, 100);
+            g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+            sched_sim_save_all(&sim);
+        }
+        g_assert_cmpint(nm_sched_query_job(sim.sched, JOB), ==,
+                        NM_JOB_COMPLETED);
+        g_array_free(first, TRUE);
+        g_array_free(rest, TRUE);
+        sched_sim_finish(&sim);
+    }
+}
+
+/*
+ * A list that cannot be read whole may leave out a run of the former owner.
+ * Its worker's lease must not be renewed, and the task must not start
+ * elsewhere before that has lapsed.  A late report that lists ends only says
+ * as little about what runs.
+ */
+static void
+test_run_missing_from_a_list_is_not_restarted(void)
+{
+    enum { LEASE_MS = 7000, RESTART_MAX_MS = 9000 };
+    for (int ends_only = 0; ends_only <= 1; ends_only++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        sched_sim_announce(&sim, "a", 1);
+        sched_sim_announce(&sim, "b", 1);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        nm_sched_activate(sim.sched, sim.now_ms);
+        sched_sim_advance(&sim, 10);
+        sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
+        if (ends_only) {
+            sched_sim_lose_poll(&sim, "a");
+            nm_worker_report_t late = {.result = NM_ORDER_DONE,
+                                       .incarnation = 1,
+                                       .clock_ms = sim.now_ms,
+                                       .sent_ms = sim.now_ms,
+                                       .ends_only = true};
+            nm_sched_on_late_report(sim.sched, "a", &late, sim.now_ms);
+        }
+        else {
+            report_part(&sim, NULL, 0, NULL, 0);
+        }
+        nm_ms_t begin_ms = sim.now_ms;
+        const nm_sched_action_t *start = NULL;
+        while (!start && sim.now_ms - begin_ms < RESTART_MAX_MS) {
+            sched_sim_advance(&sim, 100);
+            const nm_sched_action_t *poll =
+                sched_sim_find_action(&sim, NM_ACTION_POLL, "a");
+            if (poll && ends_only) {
+                sched_sim_lose_poll(&sim, "a");
+            }
+            else if (poll) {
+                g_assert_cmpint(poll->expiry_ms, ==, 0);
+                report_part(&sim, NULL, 0, NULL, 0);
+            }
+            start = sched_sim_find_action(&sim, NM_ACTION_START, NULL);
+        }
+        g_assert_nonnull(start);
+        g_assert_cmpint(sim.now_ms - begin_ms, >=, LEASE_MS);
+        sched_sim_finish(&sim);
+    }
+}
+
 /*
  * Tasks of a job whose progress record cannot be read may be running or done.
  * None of them may start; a record of a newer version counts as unreadable.
@@ -259,6 +391,10 @@
          test_recovered_task_does_not_wait_for_restarted_workers},
         {"/sched/recovered-task-waits",
          test_recovered_task_waits_for_all_workers},
+        {"/sched/ends-beyond-the-first-list-count",
+         test_ends_beyond_the_first_list_count},
+        {"/sched/run-missing-from-a-list-is-not-restarted",
+         test_run_missing_from_a_list_is_not_restarted},
         {"/sched/unreadable-progress-starts-nothing",
          test_unreadable_progress_starts_nothing},
         {"/sched/leases-count-from-the-first-orders",
