Store the limit of attempts with each job

Cause: the limit was known from the queues that an owner has seen in the configuration, and a next owner has not seen a removed one; no queue stood for no limit. By the same cause failures beyond 8 were forgotten at a takeover, as only the newest 8 runs were stored.

Change: the limit is stored with the job, and with its progress as last known; a change of a queue's limit stores the progress of its jobs; the count of failures is stored where it exceeds the list of runs.

--- a/include/nutmegdeck/job.h
+++ b/include/nutmegdeck/job.h
@@ -72,6 +72,8 @@
     int64_t first_unix_ms;
     nm_ms_t interval_ms;
     int64_t accepted_unix_ms;
+    /* Failed runs of a task that end the job, as last known; 0: no limit. */
+    uint32_t attempts_max;
 } nm_job_spec_t;
 
 void nm_job_spec_init(nm_job_spec_t *spec, const char *id, const char *queue,
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -583,6 +583,7 @@
     nm_job_spec_t spec;
     nm_job_spec_init(&spec, id, rule->queue.name, rule->queue.service);
     spec.accepted_unix_ms = nm_entry_unix_ms();
+    spec.attempts_max = rule->queue.attempts_max;
     int rc = entry->desc.codec->decode_job(&spec, request->body->data,
                                            request->body->len, fault);
     char *record = NULL;
--- a/src/job.c
+++ b/src/job.c
@@ -224,6 +224,7 @@
     put_text(record, "service", spec->service);
     put_text(record, "payload", spec->payload);
     put_number(record, "accepted_unix_ms", spec->accepted_unix_ms);
+    put_number(record, "attempts_max", spec->attempts_max);
     put_number(record, "occurrences", spec->occurrences);
     put_number(record, "first_unix_ms", spec->first_unix_ms);
     put_number(record, "interval_ms", spec->interval_ms);
@@ -311,7 +312,9 @@
 decode_schedule(nm_job_spec_t *spec, const json_t *record)
 {
     int64_t occurrences;
+    int64_t attempts_max;
     bool valid =
+        nm_json_read_int(record, "attempts_max", UINT32_MAX, &attempts_max) &&
         nm_json_read_int(record, "accepted_unix_ms", NM_UNIX_MAX_MS,
                          &spec->accepted_unix_ms) &&
         nm_json_read_int(record, "occurrences", UINT32_MAX, &occurrences) &&
@@ -319,6 +322,7 @@
                          &spec->first_unix_ms) &&
         nm_json_read_int(record, "interval_ms", NM_DURATION_MAX_MS,
                          &spec->interval_ms);
+    spec->attempts_max = valid ? (uint32_t)attempts_max : 0;
     spec->occurrences = valid ? (uint32_t)occurrences : 0;
     return valid;
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -169,8 +169,15 @@
     assert(sched && queue);
     nm_sched_queue_t *known = g_hash_table_lookup(sched->queues, queue->name);
     if (known) {
+        bool limit_changed = known->desc.attempts_max != queue->attempts_max;
         known->desc = *queue;
         known->service = g_intern_string(queue->service);
+        for (guint i = 0; limit_changed && i < sched->active->len; i++) {
+            nm_sched_job_t *job = sched->active->pdata[i];
+            if (job->queue == known) {
+                nm_sched_mark_changed(sched, job, false);
+            }
+        }
         return;
     }
     known = g_new0(nm_sched_queue_t, 1);
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -69,6 +69,29 @@
     return failures;
 }
 
+/*
+ * Encodes occurrence, step and index of a task, and how often it has failed,
+ * where that is more than its row of failed runs holds.
+ */
+static json_t *
+encode_failure_counts(const nm_sched_job_t *job)
+{
+    json_t *counts = json_array();
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                if (task->failures > NM_SCHED_FAILED_RUNS_MAX) {
+                    json_array_append_new(
+                        counts, json_pack("[i,i,i,I]", o, s, i,
+                                          (json_int_t)task->failures));
+                }
+            }
+        }
+    }
+    return counts;
+}
+
 /*
  * Encodes occurrence, step and index of a task, its crashes, and the worker of
  * all of them.
@@ -143,7 +166,11 @@
                         json_string(nm_job_state_name(job->state)));
     if (job->state < NM_JOB_COMPLETED) {
         json_object_set_new(record, "done", encode_occurrences(job));
+        json_object_set_new(record, "attempts_max",
+                            json_integer(nm_job_attempts_max(job)));
         json_object_set_new(record, "failures", encode_failures(job));
+        json_object_set_new(record, "failure_counts",
+                            encode_failure_counts(job));
         json_object_set_new(record, "crashes", encode_crashes(job));
         json_object_set_new(record, "silences", encode_silences(job));
     }
@@ -217,6 +244,16 @@
     task->failures = failures;
 }
 
+static void
+restore_failure_count(nm_sched_job_t *job, const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row, 1);
+    int64_t count;
+    if (task && read_column(row, 0, UINT32_MAX, &count)) {
+        task->failures = MAX(task->failures, (uint32_t)count);
+    }
+}
+
 static void
 restore_crashes(nm_sched_job_t *job, const json_t *row)
 {
@@ -277,6 +314,12 @@
             g_queue_push_tail(&sched->ended, job);
         }
     }
+    int64_t attempts_max;
+    if (nm_json_get_int(json_object_get(record, "attempts_max"), UINT32_MAX,
+                        &attempts_max))
+    {
+        job->spec.attempts_max = (uint32_t)attempts_max;
+    }
     size_t o;
     json_t *steps;
     json_array_foreach(json_object_get(record, "done"), o, steps)
@@ -298,6 +341,10 @@
     {
         restore_failure(job, row);
     }
+    json_array_foreach(json_object_get(record, "failure_counts"), i, row)
+    {
+        restore_failure_count(job, row);
+    }
     json_array_foreach(json_object_get(record, "crashes"), i, row)
     {
         restore_crashes(job, row);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -90,8 +90,8 @@
 /* Speed of a task whose last throttle order may have been carried out. */
 #define NM_SCHED_PERCENT_UNKNOWN UINT32_MAX
 /*
- * Failed runs remembered per task, and counted after a takeover; queues have
- * to allow no more attempts.
+ * Failed runs remembered per task, the newest ones: ends that a worker lists
+ * again after a takeover are counted once.
  */
 #define NM_SCHED_FAILED_RUNS_MAX 8
 
@@ -436,6 +436,13 @@
     return job->queue ? job->queue->service : job->service;
 }
 
+/* Failed runs of a task that end a job, also if its queue was removed. */
+static inline uint32_t
+nm_job_attempts_max(const nm_sched_job_t *job)
+{
+    return job->queue ? job->queue->desc.attempts_max : job->spec.attempts_max;
+}
+
 /* True if a job counts in the shares by size: it is due and runs to an end. */
 static inline bool
 nm_job_has_share(const nm_sched_job_t *job)
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -395,8 +395,8 @@
     task->failed_runs[task->failures % NM_SCHED_FAILED_RUNS_MAX] = run;
     task->failures++;
     nm_sched_mark_changed(sched, job, false);
-    uint32_t attempts = job->queue ? job->queue->desc.attempts_max : 0;
-    if (attempts > 0 && task->failures >= attempts) {
+    uint32_t attempts_max = nm_job_attempts_max(job);
+    if (attempts_max > 0 && task->failures >= attempts_max) {
         nm_job_fail(sched, job, now_ms);
     }
 }
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -57,6 +57,8 @@
             g_assert_cmpstr(last_response(&host), ==, cases[i].response);
         }
     }
+    /* Known to a next owner also once the queue is removed. */
+    g_assert_nonnull(strstr(fake_kv_value(kv, JOB_KEY), "\"attempts_max\":2"));
     host_finish(&host);
     fake_kv_free(kv);
 }
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -1,4 +1,5 @@
 /* Tests of the scheduler of a new owner: runs and records it inherits. */
+#include <stdlib.h>
 #include <string.h>
 
 #include "lib_sched_sim.h"
@@ -153,6 +154,116 @@
     }
 }
 
+/* Fails the task's run, and returns true if it starts again. */
+static bool
+fail_run(sched_sim_t *sim, int64_t number)
+{
+    nm_sched_action_t start = sched_sim_confirm_starts(sim);
+    nm_worker_end_t failed =
+        sched_sim_make_end(number, TASK, start.run, NM_END_FAILED);
+    sched_sim_report(sim, "a", 1, NULL, 0, &failed, 1);
+    for (int step = 0; step < 200; step++) {
+        sched_sim_advance(sim, 100);
+        sched_sim_save_all(sim);
+        if (sched_sim_find_action(sim, NM_ACTION_START, NULL)) {
+            return true;
+        }
+        if (sched_sim_find_action(sim, NM_ACTION_POLL, "a")) {
+            sched_sim_report(sim, "a", 1, NULL, 0, NULL, 0);
+        }
+    }
+    return false;
+}
+
+static void
+set_limit(sched_sim_t *sim, uint32_t attempts_max)
+{
+    nm_queue_t queue = {
+        .name = "removed", .service = "press", .attempts_max = attempts_max};
+    nm_sched_set_queue(sim->sched, &queue);
+}
+
+/*
+ * The queue of a job is removed from the configuration, and the owner is lost.
+ * The next one must keep the limit of attempts: that of the acceptance, or a
+ * later one that the former owner knew.
+ */
+static void
+test_limit_of_a_removed_queue(void)
+{
+    static const struct {
+        const char *name;
+        uint32_t accepted_max;
+        uint32_t changed_max; /* 0: no change */
+        uint32_t failed_before;
+        uint32_t failed_after;
+    } cases[] = {
+        {"never started", 2, 0, 0, 2},  {"failed before", 2, 0, 1, 1},
+        {"limit lowered", 4, 2, 0, 2},  {"limit raised", 2, 4, 1, 3},
+        {"many attempts", 12, 0, 9, 3},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_job_spec_t accepted;
+        nm_job_spec_init(&accepted, JOB, "removed", "press");
+        accepted.attempts_max = cases[i].accepted_max;
+        nm_step_t *step = nm_job_spec_add_step(&accepted);
+        step->task_count = 1;
+        step->cpu_milli = 1000;
+        char *record = nm_job_record_encode(&accepted);
+        nm_job_spec_finish(&accepted);
+
+        sched_sim_t former;
+        sched_sim_init(&former, 1);
+        sched_sim_add_worker(&former, "a");
+        set_limit(&former, cases[i].accepted_max);
+        nm_job_spec_t spec;
+        g_assert_cmpint(
+            nm_job_record_decode(&spec, JOB, record, (uint32_t)strlen(record)),
+            ==, NM_OK);
+        nm_sched_add_job(former.sched, &spec, false, former.now_ms);
+        sched_sim_advance(&former, 100);
+        for (uint32_t f = 0; f < cases[i].failed_before; f++) {
+            g_assert_true(fail_run(&former, f + 1));
+        }
+        if (cases[i].changed_max > 0) {
+            set_limit(&former, cases[i].changed_max);
+        }
+        else if (cases[i].failed_before > 0) {
+            /* Changes the job, so that its record is there to be taken. */
+            set_limit(&former, cases[i].accepted_max + 1);
+            sched_sim_save_all(&former);
+            set_limit(&former, cases[i].accepted_max);
+        }
+        nm_sched_save_t save = {0};
+        nm_sched_next_save(former.sched, &save);
+        sched_sim_finish(&former);
+
+        sched_sim_t next;
+        sched_sim_init(&next, 2);
+        sched_sim_announce(&next, "a", 1);
+        nm_job_record_decode(&spec, JOB, record, (uint32_t)strlen(record));
+        nm_sched_add_job(next.sched, &spec, true, next.now_ms);
+        if (save.record) {
+            nm_sched_restore(next.sched, JOB, save.record,
+                             (uint32_t)strlen(save.record));
+        }
+        nm_sched_activate(next.sched, next.now_ms);
+        sched_sim_advance(&next, 10);
+        sched_sim_report(&next, "a", 1, NULL, 0, NULL, 0);
+        sched_sim_advance(&next, 100);
+        g_assert_nonnull(sched_sim_find_action(&next, NM_ACTION_START, "a"));
+        for (uint32_t f = 1; f <= cases[i].failed_after; f++) {
+            g_assert_cmpint(fail_run(&next, f), ==, f < cases[i].failed_after);
+        }
+        g_assert_cmpint(nm_sched_query_job(next.sched, JOB), ==,
+                        NM_JOB_FAILED);
+        sched_sim_finish(&next);
+        g_free(save.record);
+        free(record);
+    }
+}
+
 static void
 report_part(sched_sim_t *sim, const nm_worker_run_t *running,
             uint32_t running_count, const nm_worker_end_t *ends,
@@ -391,6 +502,7 @@
          test_recovered_task_does_not_wait_for_restarted_workers},
         {"/sched/recovered-task-waits",
          test_recovered_task_waits_for_all_workers},
+        {"/sched/limit-of-a-removed-queue", test_limit_of_a_removed_queue},
         {"/sched/ends-beyond-the-first-list-count",
          test_ends_beyond_the_first_list_count},
         {"/sched/run-missing-from-a-list-is-not-restarted",
