--- a/soak/lib_proxy.c
+++ b/soak/lib_proxy.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <poll.h>
 #include <pthread.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -27,6 +28,8 @@
     int path;
     int fds[2]; /* 0: caller, 1: target */
     bool blackholed;
+    GByteArray
+        *refused;     /* request read so far; NULL: requests are forwarded */
     GQueue queued[2]; /* of chunk_t; 0: from the caller, 1: from the target */
     bool closed;
 } connection_t;
@@ -75,6 +78,9 @@
         close(connection->fds[i]);
         g_queue_clear_full(&connection->queued[i], free_chunk);
     }
+    if (connection->refused) {
+        g_byte_array_free(connection->refused, TRUE);
+    }
     g_free(connection);
 }
 
@@ -96,6 +102,9 @@
     connection->fds[1] = target;
     g_queue_init(&connection->queued[0]);
     g_queue_init(&connection->queued[1]);
+    if (proxy->paths[path].mode == PROXY_RESET_THEN_REFUSE) {
+        connection->refused = g_byte_array_new();
+    }
     g_ptr_array_add(proxy->connections, connection);
 }
 
@@ -106,6 +115,52 @@
            (mode == PROXY_CUT_RESPONSES && side == 1);
 }
 
+static void
+queue_chunk(connection_t *connection, int side, const void *data, size_t bytes,
+            int64_t due_ms)
+{
+    chunk_t *chunk = g_new(chunk_t, 1);
+    chunk->data = g_byte_array_new();
+    g_byte_array_append(chunk->data, data, (guint)bytes);
+    chunk->due_ms = due_ms;
+    g_queue_push_tail(&connection->queued[side], chunk);
+}
+
+/* Responds to each complete request, as if the target did. */
+static void
+refuse_requests(connection_t *connection, const uint8_t *data, size_t bytes,
+                int64_t now_ms)
+{
+    static const char response[] =
+        "HTTP/1.1 503 x\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+    GByteArray *read = connection->refused;
+    g_byte_array_append(read, data, (guint)bytes);
+    for (;;) {
+        char *text = g_strndup((const char *)read->data, read->len);
+        const char *end = strstr(text, "\r\n\r\n");
+        const char *length = strcasestr(text, "\r\nContent-Length:");
+        size_t size = end ? (size_t)(end - text) + 4 : 0;
+        if (length && length < end) {
+            size += strtoul(strchr(length, ':') + 1, NULL, 10);
+        }
+        g_free(text);
+        if (size == 0 || read->len < size) {
+            return;
+        }
+        g_byte_array_remove_range(read, 0, (guint)size);
+        queue_chunk(connection, 1, response, strlen(response), now_ms);
+    }
+}
+
+static void
+reset_caller(connection_t *connection)
+{
+    struct linger reset_linger = {1, 0};
+    setsockopt(connection->fds[0], SOL_SOCKET, SO_LINGER, &reset_linger,
+               sizeof(reset_linger));
+    connection->closed = true;
+}
+
 /* Reads and queues data of one side; 0: caller, 1: target. */
 static void
 read_side(proxy_t *proxy, connection_t *connection, int side, int64_t now_ms)
@@ -126,11 +181,18 @@
     if (connection->blackholed) {
         return;
     }
-    chunk_t *chunk = g_new(chunk_t, 1);
-    chunk->data = g_byte_array_new();
-    g_byte_array_append(chunk->data, buffer, (guint)count);
-    chunk->due_ms = now_ms + (mode == PROXY_DELAY ? DELAY_MS : 0);
-    g_queue_push_tail(&connection->queued[side], chunk);
+    if (connection->refused) {
+        if (side == 0) {
+            refuse_requests(connection, buffer, (size_t)count, now_ms);
+        }
+        return;
+    }
+    if (mode == PROXY_RESET_THEN_REFUSE && side == 1) {
+        reset_caller(connection);
+        return;
+    }
+    queue_chunk(connection, side, buffer, (size_t)count,
+                now_ms + (mode == PROXY_DELAY ? DELAY_MS : 0));
 }
 
 static void
@@ -293,14 +355,11 @@
 void
 proxy_reset(proxy_t *proxy, int path)
 {
-    struct linger reset_linger = {1, 0};
     pthread_mutex_lock(&proxy->mutex);
     for (guint index = 0; index < proxy->connections->len; index++) {
         connection_t *connection = proxy->connections->pdata[index];
         if (connection->path == path) {
-            setsockopt(connection->fds[0], SOL_SOCKET, SO_LINGER,
-                       &reset_linger, sizeof(reset_linger));
-            connection->closed = true;
+            reset_caller(connection);
         }
     }
     pthread_mutex_unlock(&proxy->mutex);
--- a/soak/lib_proxy.h
+++ b/soak/lib_proxy.h
@@ -24,6 +24,12 @@
     PROXY_CUT,           /* drops both directions */
     PROXY_CUT_REQUESTS,  /* drops what callers send */
     PROXY_CUT_RESPONSES, /* drops what the target sends */
+    /*
+     * Forwards requests on open connections, and resets these instead of
+     * forwarding a response.  Responds to each request on a new connection
+     * with 503, without forwarding it.
+     */
+    PROXY_RESET_THEN_REFUSE,
     PROXY_MODE_COUNT,
 } proxy_mode_t;
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -54,6 +54,8 @@
 #define CALL_TIMEOUT_MS 4000L
 /* More than the users' callers make, so that most jobs are accepted. */
 #define SUBMIT_ATTEMPTS_MAX 8
+/* One caller in so many gives up after its first attempt. */
+#define IMPATIENT_CALLERS 4
 
 typedef struct {
     pid_t pid; /* 0: not running */
@@ -77,6 +79,7 @@
     bool wants_cancel;
     bool ended;
     uint32_t attempts;
+    uint32_t attempts_max;
     nm_ms_t accepted_ms;  /* 0: not accepted */
     nm_ms_t cancelled_ms; /* 0: no cancel acknowledged */
     nm_ms_t next_call_ms;
@@ -88,7 +91,8 @@
     CURL *easy;
     GString *body;
     struct curl_slist *headers;
-    char type; /* 'P': POST, 'G': GET, 'D': DELETE */
+    char type;            /* 'P': POST, 'G': GET, 'D': DELETE */
+    uint32_t connections; /* on which it was, or is about to be, sent */
 } call_t;
 
 static struct {
@@ -123,6 +127,7 @@
     nm_rng_t rng;
     nm_ms_t store_heal_at_ms;
     nm_ms_t delays_heal_at_ms;
+    nm_ms_t executor_path_heal_at_ms;
     nm_ms_t executor_heal_at_ms[EXECUTORS_MAX];
     nm_ms_t next_fault_ms;
     double pending_arrivals;
@@ -292,6 +297,8 @@
     FAULT_DELAYED_ORDERS,
     FAULT_BLACKHOLE,
     FAULT_RESET_CONNECTIONS,
+    FAULT_RESET_THEN_REFUSE_STORE,
+    FAULT_RESET_THEN_REFUSE_EXECUTORS,
     FAULT_COMPACT_STORE,
     FAULT_KILL_ALL_HOSTS,
     FAULT_KIND_COUNT
@@ -363,6 +370,17 @@
         proxy_reset(self.proxy, host->proxy_path);
         proxy_reset(self.proxy, self.executor_path);
         break;
+    case FAULT_RESET_THEN_REFUSE_STORE:
+        for (gint i = 0; i < options.hosts; i++) {
+            proxy_set(self.proxy, self.hosts[i].proxy_path,
+                      PROXY_RESET_THEN_REFUSE);
+            self.hosts[i].path_heal_at_ms = now_ms + random_between(300, 2000);
+        }
+        break;
+    case FAULT_RESET_THEN_REFUSE_EXECUTORS:
+        proxy_set(self.proxy, self.executor_path, PROXY_RESET_THEN_REFUSE);
+        self.executor_path_heal_at_ms = now_ms + random_between(100, 1000);
+        break;
     case FAULT_COMPACT_STORE:
         platform_compact(self.platform);
         put_configuration();
@@ -395,6 +413,9 @@
         }
     }
     platform_unlock(self.platform);
+    if (all || now_ms >= self.executor_path_heal_at_ms) {
+        proxy_set(self.proxy, self.executor_path, PROXY_OPEN);
+    }
     for (gint i = 0; all && i < options.hosts; i++) {
         self.hosts[i].path_heal_at_ms =
             MIN(self.hosts[i].path_heal_at_ms, now_ms);
@@ -411,6 +432,23 @@
     return size * count;
 }
 
+/*
+ * libcurl sends a request again by itself if a kept connection closes.  The
+ * response to the second transmission says nothing about the first one.
+ */
+static int
+on_ready_to_send(void *user, char *remote_address, char *local_address,
+                 int remote_port, int local_port)
+{
+    (void)remote_address;
+    (void)local_address;
+    (void)remote_port;
+    (void)local_port;
+    call_t *call = user;
+    return call->connections++ > 0 ? CURL_PREREQFUNC_ABORT
+                                   : CURL_PREREQFUNC_OK;
+}
+
 static void
 send_call(job_t *job, char type)
 {
@@ -433,6 +471,8 @@
     curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_response_data);
     curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call->body);
     curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+    curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
     if (type == 'P') {
         char body[256];
         snprintf(body, sizeof(body),
@@ -460,6 +500,9 @@
     job->deadly = options.deadly && self.jobs->len % 40 == 25;
     job->tasks = job->deadly ? 1 : (uint32_t)random_between(1, 6);
     job->wants_cancel = nm_rng_below(&self.rng, 10) == 0;
+    job->attempts_max = nm_rng_below(&self.rng, IMPATIENT_CALLERS) == 0
+                            ? 1
+                            : SUBMIT_ATTEMPTS_MAX;
     g_ptr_array_add(self.jobs, job);
     platform_lock(self.platform);
     executor_job_submitted(platform_fleet(self.platform), job->id, job->tasks,
@@ -482,7 +525,7 @@
         job->outcome_unknown = true;
     }
     job->next_call_ms = now_ms + random_between(200, 900);
-    if (job->attempts >= SUBMIT_ATTEMPTS_MAX) {
+    if (job->attempts >= job->attempts_max) {
         job->ended = true;
         job->refused = !job->outcome_unknown;
     }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -158,6 +158,105 @@
     nm_http_free(http);
 }
 
+/*
+ * Accepts connections one after the other.  On the first one it responds to
+ * the first request, reads the second one and closes, with a reset or without;
+ * on further ones it responds to each request with a refusal.
+ */
+typedef struct {
+    int listener;
+    uint16_t port;
+    bool resets;
+    const char *refusal;
+    uint32_t requests; /* read so far */
+    uint32_t stopping;
+} closing_server_t;
+
+static void *
+serve_and_close(void *user)
+{
+    closing_server_t *server = user;
+    char buffer[8192];
+    for (int number = 0; !ck_pr_load_32(&server->stopping); number++) {
+        int connection = accept(server->listener, NULL, NULL);
+        while (recv(connection, buffer, sizeof(buffer), 0) > 0) {
+            ck_pr_inc_32(&server->requests);
+            bool closes = ck_pr_load_32(&server->requests) == 2;
+            if (closes) {
+                struct linger reset_linger = {server->resets, 0};
+                setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset_linger,
+                           sizeof(reset_linger));
+                break;
+            }
+            const char *response =
+                number == 0 ? KEEPALIVE_RESPONSE : server->refusal;
+            send(connection, response, strlen(response), MSG_NOSIGNAL);
+        }
+        close(connection);
+    }
+    return NULL;
+}
+
+static void
+start_closing_server(closing_server_t *server, pthread_t *thread)
+{
+    server->listener = listen_on_loopback(&server->port);
+    pthread_create(thread, NULL, serve_and_close, server);
+}
+
+static void
+stop_closing_server(closing_server_t *server, pthread_t thread)
+{
+    ck_pr_store_32(&server->stopping, 1);
+    shutdown(server->listener, SHUT_RDWR);
+    pthread_join(thread, NULL);
+    close(server->listener);
+}
+
+#define REFUSAL(status) "HTTP/1.1 " status " x\r\nContent-Length: 2\r\n\r\n{}"
+#define CONFLICT(reason)                                                      \
+    "HTTP/1.1 409 x\r\nContent-Length: 18\r\n\r\n{\"reason\":\"" reason "\"}"
+
+/*
+ * Refusals of a second transmission, of a request whose first one was read and
+ * may have been carried out.
+ */
+static const struct {
+    const char *refusal;
+    bool resets;
+} resend_cases[] = {
+    {REFUSAL("503"), false}, {REFUSAL("503"), true},
+    {REFUSAL("429"), false}, {REFUSAL("429"), true},
+    {REFUSAL("421"), true},  {REFUSAL("412"), true},
+    {REFUSAL("404"), true},  {CONFLICT("fence"), true},
+};
+
+/* A start that was read must not be taken for not run. */
+static void
+test_refused_second_start_is_unknown(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(resend_cases); i++) {
+        g_test_message("case %zu", i);
+        closing_server_t server = {.refusal = resend_cases[i].refusal,
+                                   .resets = resend_cases[i].resets};
+        pthread_t thread;
+        start_closing_server(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_orders_http_t orders;
+        nm_order_port_t *port = nm_orders_http_init(&orders, http);
+        outcome_t outcome = {0};
+        server_t target = {.port = server.port};
+        send_order(port, &target, NM_ACTION_START, &outcome);
+        wait_for_completions(http, &outcome.completions, 1);
+        send_order(port, &target, NM_ACTION_START, &outcome);
+        wait_for_completions(http, &outcome.completions, 2);
+        g_assert_cmpint(outcome.result, ==, NM_ORDER_UNKNOWN);
+        g_assert_cmpuint(ck_pr_load_32(&server.requests), ==, 2);
+        nm_http_free(http);
+        stop_closing_server(&server, thread);
+    }
+}
+
 /*
  * Responses to a poll, and the reports decoded from them.  A malformed row
  * must make the report incomplete: tasks that are missing from a complete
@@ -385,6 +484,37 @@
     }
 }
 
+/* A commit that was read must not be taken for without effect. */
+static void
+test_refused_second_commit_is_lost(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(resend_cases); i++) {
+        g_test_message("case %zu", i);
+        closing_server_t server = {.refusal = resend_cases[i].refusal,
+                                   .resets = resend_cases[i].resets};
+        pthread_t thread;
+        start_closing_server(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_kv_http_t store;
+        char address[NM_NAME_MAX];
+        g_snprintf(address, sizeof(address), "127.0.0.1:%u", server.port);
+        nm_kv_t *kv = nm_kv_http_init(&store, http, address);
+        kv_outcome_t outcome = {0};
+        for (uint32_t call = 1; call <= 2; call++) {
+            nm_store_txn_t txn;
+            nm_store_txn_init(&txn);
+            nm_store_txn_put(&txn, "a", "1", 1, 0);
+            nm_kv_commit(kv, &txn, on_kv, &outcome);
+            nm_store_txn_finish(&txn);
+            wait_for_completions(http, &outcome.completions, call);
+        }
+        g_assert_cmpint(outcome.rc, ==, NM_ERR_LOST);
+        g_assert_cmpuint(ck_pr_load_32(&server.requests), ==, 2);
+        nm_http_free(http);
+        stop_closing_server(&server, thread);
+    }
+}
+
 #define GOOD_ITEM "{\"key\":\"servers/a\",\"value\":\"e30=\",\"revision\":3}"
 #define OTHER_ITEM "{\"key\":\"servers/z\",\"value\":\"e30=\",\"revision\":4}"
 
@@ -546,6 +676,10 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/refused-second-start-is-unknown",
+                    test_refused_second_start_is_unknown);
+    g_test_add_func("/platform/refused-second-commit-is-lost",
+                    test_refused_second_commit_is_lost);
     g_test_add_func("/platform/request-resent-by-libcurl",
                     test_request_resent_by_libcurl);
     g_test_add_func("/platform/reports", test_reports);
