Upstream: a refused repetition does not mean not run

Change: transmissions are counted; NM_OUTCOME_NOT_RUN and NM_OUTCOME_REFUSED need that there was none before.

Measured: /upstream/repetition-not-run and repetition-refused failed before and pass now.

--- a/src/upstream_http.c
+++ b/src/upstream_http.c
@@ -28,6 +28,7 @@
     bool is_head;
     bool too_large;
     bool chunked;
+    uint32_t transmissions; /* by libcurl, on one connection after the other */
 } transfer_t;
 
 static void
@@ -41,6 +42,19 @@
     g_free(transfer);
 }
 
+/* Called before the request is sent on a connection, also for a repetition. */
+static int
+on_ready_to_send(void *user, char *remote_address, char *local_address,
+                 int remote_port, int local_port)
+{
+    (void)remote_address;
+    (void)local_address;
+    (void)remote_port;
+    (void)local_port;
+    ((transfer_t *)user)->transmissions++;
+    return CURL_PREREQFUNC_OK;
+}
+
 static size_t
 read_body(char *data, size_t size, size_t count, void *user)
 {
@@ -155,6 +169,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     if (request->fresh_connection) {
         /* libcurl resends a request if a reused connection was closed. */
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -224,9 +240,10 @@
     if (transfer->too_large) {
         return NM_OUTCOME_TOO_LARGE;
     }
-    /* Without a connection, the request cannot have run. */
-    if (code == CURLE_COULDNT_CONNECT ||
-        (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0))
+    /* A request that was never sent cannot have run. */
+    if (transfer->transmissions == 0 &&
+        (code == CURLE_COULDNT_CONNECT ||
+         (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0)))
     {
         return NM_OUTCOME_REFUSED;
     }
@@ -248,7 +265,9 @@
     bool unknown = verdict && strcmp(verdict, "unknown") == 0;
     transfer->response.verdict = unknown ? NM_VERDICT_UNKNOWN : NM_VERDICT_RAN;
     if (not_run && status >= 500) {
-        return NM_OUTCOME_NOT_RUN;
+        /* Says nothing about a transmission before the last one. */
+        return transfer->transmissions > 1 ? NM_OUTCOME_RESET
+                                           : NM_OUTCOME_NOT_RUN;
     }
     if (status == 503 && !transfer->to_peer) {
         transfer->response.verdict = NM_VERDICT_UNKNOWN;
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -24,28 +24,35 @@
     const char *method;
     nm_outcome_t outcome; /* expected, of the second call */
     uint32_t received;    /* expected requests during the second call */
+    /* To further requests of the second call; NULL: no further connection. */
+    const char *repetition_response;
 } server_case_t;
 
 #define OK_RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
+#define NOT_RUN_RESPONSE                                                      \
+    "HTTP/1.1 503 Busy\r\nNutmegdeck-Verdict: not-run\r\n"                    \
+    "Content-Length: 0\r\n\r\n"
+
 static const server_case_t cases[] = {
+    /* A refusal of libcurl's repetition must not hide the first request. */
+    {"repetition-not-run", NULL, "GET", NM_OUTCOME_RESET, 2, NOT_RUN_RESPONSE},
+    {"repetition-refused", NULL, "GET", NM_OUTCOME_RESET, 1, NULL},
+    {"repetition-complete", NULL, "GET", NM_OUTCOME_RESPONDED, 2, OK_RESPONSE},
     /* On a reused connection, libcurl would send the request again. */
-    {"post-closed-after-read", NULL, "POST", NM_OUTCOME_RESET, 1},
-    {"complete", OK_RESPONSE, "GET", NM_OUTCOME_RESPONDED, 1},
+    {"post-closed-after-read", NULL, "POST", NM_OUTCOME_RESET, 1, NULL},
+    {"complete", OK_RESPONSE, "GET", NM_OUTCOME_RESPONDED, 1, NULL},
     {"truncated-body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "GET",
-     NM_OUTCOME_TRUNCATED, 1},
+     NM_OUTCOME_TRUNCATED, 1, NULL},
     {"truncated-chunks",
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "GET",
-     NM_OUTCOME_TRUNCATED, 1},
+     NM_OUTCOME_TRUNCATED, 1, NULL},
     {"close-delimited", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
-     "GET", NM_OUTCOME_TRUNCATED, 1},
+     "GET", NM_OUTCOME_TRUNCATED, 1, NULL},
     {"unavailable", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "GET",
-     NM_OUTCOME_UNAVAILABLE, 1},
-    {"not-run",
-     "HTTP/1.1 503 Busy\r\nNutmegdeck-Verdict: not-run\r\n"
-     "Content-Length: 0\r\n\r\n",
-     "POST", NM_OUTCOME_NOT_RUN, 1},
-    {"not-http", "hello\r\n\r\n", "GET", NM_OUTCOME_RESET, 1},
+     NM_OUTCOME_UNAVAILABLE, 1, NULL},
+    {"not-run", NOT_RUN_RESPONSE, "POST", NM_OUTCOME_NOT_RUN, 1, NULL},
+    {"not-http", "hello\r\n\r\n", "GET", NM_OUTCOME_RESET, 1, NULL},
 };
 
 typedef struct {
@@ -71,8 +78,12 @@
         const char *response = OK_RESPONSE;
         bool is_second_call = ck_pr_load_32(&server->second_call);
         if (is_second_call) {
-            ck_pr_inc_32(&server->received);
-            response = server->test->response;
+            response = ck_pr_faa_32(&server->received, 1) == 0
+                           ? server->test->response
+                           : server->test->repetition_response;
+            if (!response && !server->test->repetition_response) {
+                shutdown(server->listener, SHUT_RDWR);
+            }
         }
         if (response) {
             send(connection->socket, response, strlen(response), MSG_NOSIGNAL);
