A stopping host answers all that it has read

Cause: at the end of its grace time a host exited with requests open; each of them is a suspended connection, with which libmicrohttpd aborts the process when it is stopped. The same could happen to a request on a kept connection between the last check and the exit.

Change: before it exits, a host refuses what its listener reads from then on, answers what it has taken, and waits until each response is sent; at the end of the grace time open requests get 504 if a write may have taken effect, else 503.

Soak: reports hosts that end by a signal or an error after SIGTERM, and request-dropped; cuts the owner off together with an executor for over a lease; kills owners in series; every other executor's clock is 2% slow.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -27,6 +27,7 @@
     X(OWNER_ANNOUNCED, "owner-announced")                                     \
     X(OWNER_CANDIDATE, "owner-candidate")                                     \
     X(OWNER_ACTIVE, "owner-active")                                           \
+    X(REQUEST_DROPPED, "request-dropped")                                     \
     X(OWNER_LOST, "owner-lost")                                               \
     X(AUTHORITY_LOST, "authority-lost")                                       \
     X(AUTHORITY_BACK, "authority-back")                                       \
--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -5,8 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LEASE_MAX_MS 10000 /* maxHoldMs of the users' platform */
-#define STOP_MS 50         /* up to 200 on the users' platform */
+#define LEASE_MAX_MS 10000  /* maxHoldMs of the users' platform */
+#define STOP_MS 50          /* up to 200 on the users' platform */
+#define CLOCK_RATE_MIN 0.98 /* of every other executor; the users' bound */
 /* A deadly task crashes its executor this long after its start. */
 #define DEADLY_MS 10
 /* The third start after three crashes is one too many. */
@@ -91,6 +92,7 @@
     for (uint32_t i = 0; i < desc->executors; i++) {
         executor_t *executor = &fleet->executors[i];
         snprintf(executor->id, sizeof(executor->id), "x%u", i);
+        executor->clock_rate = i % 2 == 0 ? CLOCK_RATE_MIN : 1;
         executor->runs = g_array_new(FALSE, TRUE, sizeof(executor_run_t));
         executor->ends = g_array_new(FALSE, TRUE, sizeof(executor_end_t));
         executor->last_finished_runs =
@@ -134,7 +136,8 @@
 int64_t
 executor_clock(const executor_t *executor, nm_ms_t now_ms)
 {
-    return now_ms - executor->incarnation_start_ms + 1;
+    double elapsed_ms = (double)(now_ms - executor->incarnation_start_ms);
+    return (int64_t)(elapsed_ms * executor->clock_rate) + 1;
 }
 
 void
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -69,6 +69,7 @@
 typedef struct {
     char id[NM_NAME_MAX];
     nm_ms_t incarnation_start_ms;
+    double clock_rate;   /* 1, or less as the users' platform allows */
     int64_t incarnation; /* start time, Unix ms */
     int64_t epoch;
     int64_t lease_expiry_ms; /* on executor_clock */
@@ -95,7 +96,10 @@
 void executor_fleet_free(executor_fleet_t *fleet);
 executor_t *executor_at(executor_fleet_t *fleet, uint32_t index);
 executor_t *executor_find(executor_fleet_t *fleet, const char *id);
-/* Time since the start of the executor's incarnation, in ms, from 1. */
+/*
+ * Time since the start of the executor's incarnation on its own clock, in ms,
+ * from 1.
+ */
 int64_t executor_clock(const executor_t *executor, nm_ms_t now_ms);
 /* Ends runs that are due, were stopped, or whose executor's lease expired. */
 void executor_fleet_update(executor_fleet_t *fleet, nm_ms_t now_ms);
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -62,6 +62,10 @@
     GPtrArray *delayed_orders; /* of request_t */
     store_mode_t mode;
     double delayed_share;
+    /* See platform_cut(). */
+    int64_t cut_epoch;
+    const executor_t *cut_executor;
+    nm_ms_t cut_until_ms;
     nm_ms_t last_registration_ms;
 };
 
@@ -141,6 +145,26 @@
     g_ptr_array_set_size(platform->events, 0);
 }
 
+char *
+platform_get(const platform_t *platform, const char *key)
+{
+    const item_t *item = g_tree_lookup(platform->items, key);
+    gsize bytes;
+    guchar *value = item ? g_base64_decode(item->value, &bytes) : NULL;
+    char *text = value ? g_strndup((const char *)value, bytes) : NULL;
+    g_free(value);
+    return text;
+}
+
+void
+platform_cut(platform_t *platform, int64_t epoch, uint32_t executor,
+             nm_ms_t until_ms)
+{
+    platform->cut_epoch = epoch;
+    platform->cut_executor = executor_at(platform->fleet, executor);
+    platform->cut_until_ms = until_ms;
+}
+
 executor_fleet_t *
 platform_fleet(platform_t *platform)
 {
@@ -386,6 +410,21 @@
                      "finished", finished);
 }
 
+/* True if the sender of an order does not reach an executor. */
+static bool
+is_cut_off(const platform_t *platform, const executor_t *executor,
+           const request_t *request, nm_ms_t now_ms)
+{
+    if (now_ms >= platform->cut_until_ms) {
+        return false;
+    }
+    json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
+    int64_t epoch = json_integer_value(json_object_get(body, "fencingToken"));
+    json_decref(body);
+    return (executor == platform->cut_executor) !=
+           (epoch <= platform->cut_epoch);
+}
+
 /* Returns the status, or 0 if a hold stays open; !is_new: checks it again. */
 static int
 serve_order(platform_t *platform, const request_t *request, nm_ms_t now_ms,
@@ -455,7 +494,9 @@
         executor_t *executor = executor_at(platform->fleet, i);
         char key[NM_NAME_MAX * 2];
         snprintf(key, sizeof(key), "servers/%s", executor->id);
-        if (executor->unresponsive) {
+        if (executor->unresponsive || (executor == platform->cut_executor &&
+                                       now_ms < platform->cut_until_ms))
+        {
             if (g_tree_lookup(platform->items, key)) {
                 platform_put(platform, key, NULL);
             }
@@ -535,7 +576,11 @@
 {
     executor_t *executor = executor_find(platform->fleet, request->instance);
     bool store = is_store_path(request->path);
-    if (request->stalled || (!store && executor && executor->unresponsive)) {
+    if (request->stalled ||
+        (!store && executor &&
+         (executor->unresponsive ||
+          is_cut_off(platform, executor, request, now_ms))))
+    {
         request->stalled = true;
         return 0;
     }
--- a/soak/lib_platform.h
+++ b/soak/lib_platform.h
@@ -45,6 +45,15 @@
 void platform_lock(platform_t *platform);
 void platform_unlock(platform_t *platform);
 /* The functions below, except platform_now, need the lock. */
+/* Returns the value of a key, to be freed with g_free, or NULL. */
+char *platform_get(const platform_t *platform, const char *key);
+/*
+ * Cuts an executor off together with the owner of an epoch until a time: it
+ * hears no later epoch and is not announced, and all others hear none up to
+ * that epoch.
+ */
+void platform_cut(platform_t *platform, int64_t epoch, uint32_t executor,
+                  nm_ms_t until_ms);
 executor_fleet_t *platform_fleet(platform_t *platform);
 void platform_put(platform_t *platform, const char *key, const char *value);
 void platform_set_store(platform_t *platform, store_mode_t mode);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -13,7 +13,10 @@
  *            or does not end in the settle time; or tasks of an accepted
  *            long-running job do not run at the end
  *     MIXED  a job is reported as completed before all of its tasks are done
- *     CRASH  a host process ends that the soak did not stop
+ *     LOST   a host that was told to stop has read a request whole and ends
+ *            without a response to it ("request-dropped" in its log)
+ *     CRASH  a host process ends that the soak did not stop, or ends by a
+ *            signal or an error after SIGTERM
  *     STOP   a host process does not end in its grace time after SIGTERM
  *
  * The last line of the output is "soak seed N: passed" or "soak seed N:
@@ -128,6 +131,8 @@
     nm_ms_t store_heal_at_ms;
     nm_ms_t delays_heal_at_ms;
     nm_ms_t executor_path_heal_at_ms;
+    nm_ms_t owner_kill_at_ms; /* not before */
+    uint32_t owner_kills_left;
     nm_ms_t executor_heal_at_ms[EXECUTORS_MAX];
     nm_ms_t next_fault_ms;
     double pending_arrivals;
@@ -227,6 +232,13 @@
         int status;
         if (host->pid > 0 && waitpid(host->pid, &status, WNOHANG) > 0) {
             host->pid = 0;
+            bool told_to_stop = host->kill_at_ms > 0;
+            host->kill_at_ms = 0;
+            if (told_to_stop && status != 0) {
+                report_violation(
+                    "CRASH host %d ended with wait status %d after SIGTERM", i,
+                    status);
+            }
             if (host->stop_sent_ms == 0) {
                 report_violation(
                     "CRASH host %d ended unexpectedly, wait status %d", i,
@@ -284,6 +296,61 @@
     platform_put(self.platform, "op/config", value);
 }
 
+/* Reads the owner's record: returns its host, or NULL, and sets its epoch. */
+static host_t *
+find_owner(int64_t *epoch)
+{
+    char *text = platform_get(self.platform, "nutmegdeck/control/owner");
+    json_t *record = text ? json_loads(text, 0, NULL) : NULL;
+    const char *name = json_string_value(json_object_get(record, "name"));
+    int index = name ? atoi(name + 1) : options.hosts;
+    *epoch = json_integer_value(json_object_get(record, "epoch"));
+    json_decref(record);
+    g_free(text);
+    return index < options.hosts ? &self.hosts[index] : NULL;
+}
+
+/*
+ * Cuts the owner off from the store, the other hosts and all executors but
+ * one, which nobody else reaches, for longer than a lease.  Without its record
+ * no other host calls it.
+ */
+static void
+cut_owner(uint32_t executor_index, nm_ms_t now_ms)
+{
+    int64_t epoch;
+    host_t *owner = find_owner(&epoch);
+    if (!owner || owner->stop_sent_ms > 0) {
+        return;
+    }
+    char *key =
+        g_strdup_printf("nutmegdeck/hosts/h%d", (int)(owner - self.hosts));
+    platform_put(self.platform, key, NULL);
+    g_free(key);
+    proxy_set(self.proxy, owner->proxy_path, PROXY_CUT);
+    owner->path_heal_at_ms = now_ms + random_between(8000, 14000);
+    platform_cut(self.platform, epoch, executor_index, owner->path_heal_at_ms);
+}
+
+/* Kills the owner while more are to be killed, each soon after its election.
+ */
+static void
+kill_owners(nm_ms_t now_ms)
+{
+    int64_t epoch;
+    if (self.owner_kills_left == 0 || now_ms < self.owner_kill_at_ms) {
+        return;
+    }
+    platform_lock(self.platform);
+    host_t *owner = find_owner(&epoch);
+    platform_unlock(self.platform);
+    if (owner && owner->stop_sent_ms == 0) {
+        kill_host(owner, now_ms);
+        self.owner_kills_left--;
+        self.owner_kill_at_ms = now_ms + random_between(200, 3000);
+    }
+}
+
 /* Kinds of faults in the order of the numbers drawn. */
 typedef enum {
     FAULT_KILL_HOST,
@@ -299,6 +366,8 @@
     FAULT_RESET_CONNECTIONS,
     FAULT_RESET_THEN_REFUSE_STORE,
     FAULT_RESET_THEN_REFUSE_EXECUTORS,
+    FAULT_CUT_OWNER,
+    FAULT_KILL_OWNERS,
     FAULT_COMPACT_STORE,
     FAULT_KILL_ALL_HOSTS,
     FAULT_KIND_COUNT
@@ -381,6 +450,12 @@
         proxy_set(self.proxy, self.executor_path, PROXY_RESET_THEN_REFUSE);
         self.executor_path_heal_at_ms = now_ms + random_between(100, 1000);
         break;
+    case FAULT_CUT_OWNER:
+        cut_owner(executor_index, now_ms);
+        break;
+    case FAULT_KILL_OWNERS:
+        self.owner_kills_left = (uint32_t)random_between(2, 4);
+        break;
     case FAULT_COMPACT_STORE:
         platform_compact(self.platform);
         put_configuration();
@@ -400,6 +475,9 @@
 heal_faults(nm_ms_t now_ms, bool all)
 {
     platform_lock(self.platform);
+    if (all) {
+        platform_cut(self.platform, 0, 0, 0);
+    }
     if (all || now_ms >= self.store_heal_at_ms) {
         platform_set_store(self.platform, STORE_UP);
     }
@@ -773,6 +851,25 @@
     }
 }
 
+/* Reports each request that a stopping host has read and not answered. */
+static void
+check_dropped_requests(void)
+{
+    for (gint i = 0; i < options.hosts; i++) {
+        char *path = g_strdup_printf("%s/host-%d.log", options.folder, i);
+        char *text = NULL;
+        if (g_file_get_contents(path, &text, NULL, NULL) &&
+            strstr(text, "\"request-dropped\""))
+        {
+            report_violation("LOST host %d ended without a response to a "
+                             "request that it had read",
+                             i);
+        }
+        g_free(text);
+        g_free(path);
+    }
+}
+
 static void
 stop_all(void)
 {
@@ -808,6 +905,9 @@
             self.next_fault_ms = now_ms + random_between(300, 2000);
         }
         heal_faults(now_ms, !faults);
+        if (faults) {
+            kill_owners(now_ms);
+        }
         supervise_hosts(now_ms);
         handle_responses(now_ms);
         send_due_calls(now_ms, now_ms > 1000 + warmup_ms / 2 &&
@@ -833,6 +933,7 @@
                          missing);
     }
     stop_all();
+    check_dropped_requests();
     platform_lock(self.platform);
     executor_fleet_info_t info =
         executor_fleet_query_info(platform_fleet(self.platform));
--- a/src/api_request.h
+++ b/src/api_request.h
@@ -22,6 +22,7 @@
     char *path; /* without query */
     GByteArray *body;
     bool too_large;
+    bool complete;       /* the listener has read all of it */
     nm_ms_t timeout_ms;  /* how long the caller waits; 0: not given */
     nm_ms_t received_ms; /* when the control thread took it */
     /* The response. */
@@ -46,6 +47,13 @@
     int (*fd)(const nm_api_listener_t *listener);
     /* Sets whether the host reports itself as ready. */
     void (*set_ready)(nm_api_listener_t *listener, bool ready);
+    /*
+     * Further requests get 503 at once; those queued before are still to be
+     * taken and answered.
+     */
+    void (*refuse)(nm_api_listener_t *listener);
+    /* Number of requests whose response was not sent in full. */
+    uint32_t (*open_requests)(const nm_api_listener_t *listener);
 } nm_api_listener_vtable_t;
 
 struct nm_api_listener {
--- a/src/entry.c
+++ b/src/entry.c
@@ -13,8 +13,10 @@
 #define DRAIN_MS 2500
 /* A stopping host exits once no request has been open for this long. */
 #define STOP_IDLE_MS 300
-/* Part of the grace time that is kept for the exit of the process. */
+/* Part of the grace time that is kept for the last responses and the exit. */
 #define GRACE_MARGIN_MS 600
+/* Part of it that is kept for the exit of the process. */
+#define EXIT_MARGIN_MS 300
 /*
  * A hung watch is only detected when it times out, and a configuration must
  * be in force within 4 s of connections ceasing to respond.
@@ -216,8 +218,20 @@
     nm_ms_t stopping_ms = now_ms - entry->stop_ms;
     bool idle = stopping_ms >= DRAIN_MS &&
                 now_ms - entry->last_call_open_ms >= STOP_IDLE_MS;
+    bool expired = stopping_ms >= entry->desc.grace_ms - GRACE_MARGIN_MS;
+    nm_api_listener_t *listener = entry->desc.listener;
+    if ((idle || expired) && !entry->refusing) {
+        entry->refusing = true;
+        listener->vtable->refuse(listener);
+    }
+    if (expired) {
+        nm_calls_end_open(entry);
+    }
+    bool answered = entry->refusing &&
+                    (expired || entry->open_ops.length == 0) &&
+                    listener->vtable->open_requests(listener) == 0;
     entry->stopped =
-        idle || stopping_ms >= entry->desc.grace_ms - GRACE_MARGIN_MS;
+        answered || stopping_ms >= entry->desc.grace_ms - EXIT_MARGIN_MS;
 }
 
 nm_ms_t
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -95,6 +95,7 @@
     nm_entry_desc_t desc;
     nm_queue_config_t *queue_config;
     bool stopping;
+    bool refusing; /* the listener refuses requests, as the host exits */
     bool stopped;
     nm_ms_t stop_ms;
     nm_ms_t last_call_open_ms; /* while stopping: a request was open then */
@@ -262,6 +263,8 @@
 void nm_calls_init(nm_entry_t *entry);
 void nm_calls_finish(nm_entry_t *entry);
 nm_ms_t nm_calls_run(nm_entry_t *entry, nm_ms_t now_ms);
+/* Answers all open requests: 504 if the outcome is unknown, else 503. */
+void nm_calls_end_open(nm_entry_t *entry);
 
 int64_t nm_entry_unix_ms(void);
 /*
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -29,8 +29,22 @@
     ((fake_listener_t *)base)->ready = ready;
 }
 
+static void
+listener_refuse(nm_api_listener_t *base)
+{
+    ((fake_listener_t *)base)->refuses = true;
+}
+
+static uint32_t
+listener_open_requests(const nm_api_listener_t *base)
+{
+    const fake_listener_t *listener = (const fake_listener_t *)base;
+    return listener->sent - listener->responses->len;
+}
+
 static const nm_api_listener_vtable_t listener_vtable = {
-    listener_next, listener_reply, listener_fd, listener_set_ready};
+    listener_next,      listener_reply,  listener_fd,
+    listener_set_ready, listener_refuse, listener_open_requests};
 
 static void
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
@@ -151,6 +165,7 @@
     request->timeout_ms = 3000;
     g_byte_array_append(request->body, (const guint8 *)body,
                         (guint)strlen(body));
+    host->listener.sent++;
     g_queue_push_tail(&host->listener.waiting, request);
 }
 
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -41,7 +41,9 @@
     nm_api_listener_t base;
     GQueue waiting;
     GPtrArray *responses;
+    uint32_t sent; /* requests */
     bool ready;
+    bool refuses;
 } fake_listener_t;
 
 /*
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -26,8 +26,8 @@
     base_port=$((base_port + 500))
 }
 
-run_soak 0 --seed 1 --seconds 8
-run_soak 0 --seed 2 --seconds 8
+run_soak 0 --seed 1 --seconds 20
+run_soak 0 --seed 2 --seconds 20
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -96,6 +96,57 @@
     }
 }
 
+/*
+ * A host that stops must answer each request that it has read before it exits,
+ * also one that waits for a store without responses at the end of its grace
+ * time.
+ */
+static void
+test_stopping_host_answers_all(void)
+{
+    static const struct {
+        const char *name;
+        nm_method_t method;
+        fake_kv_mode_t mode;
+        nm_ms_t sent_after_ms; /* the stop signal */
+        int status;
+    } cases[] = {
+        {"before the signal", NM_METHOD_POST, FAKE_KV_AVAILABLE, -10, 200},
+        {"while it drains", NM_METHOD_POST, FAKE_KV_AVAILABLE, 1000, 200},
+        {"no store, write", NM_METHOD_POST, FAKE_KV_UNRESPONSIVE, 4500, 504},
+        {"no store, query", NM_METHOD_GET, FAKE_KV_UNRESPONSIVE, 4500, 503},
+        {"store refuses", NM_METHOD_POST, FAKE_KV_REJECTS_CALLS, 1000, 503},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t host;
+        host_init(&host, "a", kv);
+        run_host(&host, 1000);
+        fake_kv_set_mode(kv, cases[i].mode);
+        /* Keeps the host busy until the end of its grace time. */
+        if (cases[i].sent_after_ms >= 0) {
+            nm_entry_stop(host.entry);
+        }
+        for (nm_ms_t t = 0; t < cases[i].sent_after_ms; t += 500) {
+            send_request(&host, NM_METHOD_POST, "/a/0000000000000001", BODY);
+            run_host(&host, 500);
+        }
+        send_request(&host, cases[i].method, "/a/" JOB, BODY);
+        nm_entry_stop(host.entry);
+        for (nm_ms_t t = 0; t < 6000 && !nm_entry_is_stopped(host.entry);
+             t += 10) {
+            run_host(&host, 10);
+        }
+        g_assert_true(nm_entry_is_stopped(host.entry));
+        g_assert_true(host.listener.refuses);
+        g_assert_cmpuint(host.listener.responses->len, ==, host.listener.sent);
+        g_assert_cmpint(last_status(&host), ==, cases[i].status);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 /*
  * Load: the store rejects all calls under full traffic.  A host that forwards
  * submissions to the owner must respond with a definite refusal, and once the
@@ -578,6 +629,8 @@
                     test_election_replaces_no_rival);
     g_test_add_func("/entry/restarted-owner-takes-over",
                     test_restarted_owner_takes_over);
+    g_test_add_func("/entry/stopping-host-answers-all",
+                    test_stopping_host_answers_all);
     g_test_add_func("/entry/stopping-owner-hands-over",
                     test_stopping_owner_hands_over);
     g_test_add_func("/entry/former-owner-starts-no-new-job",
