A task waits for the stop of a start that may come late

By reading: a start without a response whose second try is confirmed may still be carried out by the next incarnation of its worker. That gets a stop, but the task started elsewhere before the stop was confirmed.

--- a/src/sched_duplicates.c
+++ b/src/sched_duplicates.c
@@ -6,7 +6,8 @@
  * incarnation that a start was sent to refuses a late duplicate, since it has
  * expired or its run is known there.  The next incarnation has another clock
  * and does not know the run, so it gets a stop for each run that may still
- * arrive, and then refuses it.
+ * arrive, and then refuses it.  Until the stop is confirmed, the task starts
+ * nowhere else: the late start may be carried out first.
  */
 #include "sched_state.h"
 
@@ -24,19 +25,30 @@
     nm_ms_t due_ms; /* next stop */
 } duplicate_t;
 
+/* Counts for its task whether a duplicate needs a stop. */
+static void
+set_needs_stop(nm_sched_t *sched, duplicate_t *duplicate, bool needs_stop)
+{
+    nm_task_t *task = nm_sched_find_task(sched, duplicate->task);
+    if (task && needs_stop != duplicate->needs_stop) {
+        task->late_starts += needs_stop ? 1 : -1;
+        sched->needs_placement = true;
+    }
+    duplicate->needs_stop = needs_stop;
+}
+
 void
-nm_duplicates_add(nm_sched_node_t *node, const nm_sched_action_t *action,
-                  nm_ms_t now_ms)
+nm_duplicates_add(nm_sched_t *sched, nm_sched_node_t *node,
+                  const nm_sched_action_t *action, nm_ms_t now_ms)
 {
     if (!node->duplicates) {
         node->duplicates = g_array_new(FALSE, FALSE, sizeof(duplicate_t));
     }
     /* The start may time out after a newer incarnation was noticed. */
-    duplicate_t duplicate = {.run = action->run,
-                             .recorded_ms = now_ms,
-                             .needs_stop = action->incarnation !=
-                                           node->desc.incarnation};
+    duplicate_t duplicate = {.run = action->run, .recorded_ms = now_ms};
     nm_strcopy(duplicate.task, sizeof(duplicate.task), action->task);
+    set_needs_stop(sched, &duplicate,
+                   action->incarnation != node->desc.incarnation);
     g_array_append_val(node->duplicates, duplicate);
 }
 
@@ -50,19 +62,31 @@
 }
 
 void
-nm_duplicates_on_incarnation(nm_sched_node_t *node, nm_ms_t now_ms)
+nm_duplicates_clear(nm_sched_t *sched, nm_sched_node_t *node)
+{
+    for (guint i = 0; node->duplicates && i < node->duplicates->len; i++) {
+        set_needs_stop(sched, &g_array_index(node->duplicates, duplicate_t, i),
+                       false);
+    }
+    nm_duplicates_free(node);
+}
+
+void
+nm_duplicates_on_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
+                             nm_ms_t now_ms)
 {
     for (guint i = 0; node->duplicates && i < node->duplicates->len; i++) {
         duplicate_t *duplicate =
             &g_array_index(node->duplicates, duplicate_t, i);
-        duplicate->needs_stop = true;
+        set_needs_stop(sched, duplicate, true);
         duplicate->stop_pending = false;
         duplicate->due_ms = now_ms;
     }
 }
 
 void
-nm_duplicates_on_stop(nm_sched_node_t *node, const nm_sched_action_t *action,
+nm_duplicates_on_stop(nm_sched_t *sched, nm_sched_node_t *node,
+                      const nm_sched_action_t *action,
                       nm_order_result_t result, nm_ms_t now_ms)
 {
     if (action->incarnation != node->desc.incarnation) {
@@ -79,7 +103,7 @@
         duplicate->stop_pending = false;
         duplicate->due_ms = now_ms + NM_SCHED_FIRST_RETRY_MS;
         if (result == NM_ORDER_DONE || result == NM_ORDER_SUPERSEDED) {
-            duplicate->needs_stop = false;
+            set_needs_stop(sched, duplicate, false);
         }
     }
 }
@@ -92,11 +116,12 @@
         duplicate_t *duplicate =
             &g_array_index(node->duplicates, duplicate_t, i - 1);
         if (now_ms - duplicate->recorded_ms > DUPLICATE_LIFETIME_MS) {
+            set_needs_stop(sched, duplicate, false);
             g_array_remove_index_fast(node->duplicates, i - 1);
             continue;
         }
-        if (duplicate->needs_stop && !duplicate->stop_pending &&
-            now_ms >= duplicate->due_ms)
+        if (node->epoch_confirmed && duplicate->needs_stop &&
+            !duplicate->stop_pending && now_ms >= duplicate->due_ms)
         {
             nm_sched_action_t *action =
                 nm_sched_add_action(sched, node, NM_ACTION_STOP);
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -186,8 +186,8 @@
     const nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     for (uint32_t i = 0; i < step->task_count; i++) {
-        if (nm_crashes_must_wait(&occurrence->tasks[candidate->step][i],
-                                 now_ms)) {
+        if (nm_task_must_wait(&occurrence->tasks[candidate->step][i], now_ms))
+        {
             return true;
         }
     }
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -126,7 +126,7 @@
     node->poll_due_ms = now_ms;
     node->consecutive_failures = 0;
     node->avoid_until_ms = 0;
-    nm_duplicates_on_incarnation(node, now_ms);
+    nm_duplicates_on_incarnation(sched, node, now_ms);
     g_queue_clear_full(&node->pending_acks, g_free);
     for (guint i = 0; i < unconfirmed->len; i++) {
         nm_sched_stop_task(sched, unconfirmed->pdata[i], now_ms);
@@ -289,6 +289,7 @@
 nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node)
 {
     g_queue_push_tail(&sched->removed, g_strdup(node->desc.id));
+    nm_duplicates_clear(sched, node);
     nm_timer_remove(sched, node);
     g_ptr_array_remove_fast(sched->node_list, node);
     g_hash_table_remove(sched->nodes, node->desc.id);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -231,9 +231,7 @@
         node->stall_check_ms = now_ms + STALL_CHECK_INTERVAL_MS;
         check_stall(sched, node, now_ms);
     }
-    if (node->epoch_confirmed) {
-        nm_duplicates_send_stops(sched, node, now_ms);
-    }
+    nm_duplicates_send_stops(sched, node, now_ms);
     if (now_ms >= node->retry_due_ms) {
         retry_orders(sched, node, now_ms);
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -232,7 +232,7 @@
         nm_timer_set_now(sched, addressed);
     }
     if (addressed && result == NM_ORDER_UNKNOWN) {
-        nm_duplicates_add(addressed, action, now_ms);
+        nm_duplicates_add(sched, addressed, action, now_ms);
     }
     nm_task_t *task =
         find_ordered_task(sched, action, result, NM_RUN_STARTING, now_ms);
@@ -284,7 +284,7 @@
     nm_sched_node_t *addressed = nm_node_find(sched, action->worker);
     if (addressed) {
         nm_timer_set_now(sched, addressed);
-        nm_duplicates_on_stop(addressed, action, result, now_ms);
+        nm_duplicates_on_stop(sched, addressed, action, result, now_ms);
     }
     nm_task_t *task =
         find_ordered_task(sched, action, result, NM_RUN_STOPPING, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -157,6 +157,11 @@
      */
     nm_silence_t intent;
     uint64_t intent_seq; /* change of the job that stores it */
+    /*
+     * Unanswered starts that a new incarnation of their worker may carry out,
+     * as it has not confirmed a stop yet.
+     */
+    uint32_t late_starts;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -531,15 +536,19 @@
 
 /* sched_duplicates.c */
 /* Records an unanswered start; a duplicate may be carried out later. */
-void nm_duplicates_add(nm_sched_node_t *node, const nm_sched_action_t *action,
-                       nm_ms_t now_ms);
+void nm_duplicates_add(nm_sched_t *sched, nm_sched_node_t *node,
+                       const nm_sched_action_t *action, nm_ms_t now_ms);
 /* Schedules a stop of each duplicate for a new incarnation. */
-void nm_duplicates_on_incarnation(nm_sched_node_t *node, nm_ms_t now_ms);
-void nm_duplicates_on_stop(nm_sched_node_t *node,
+void nm_duplicates_on_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
+                                  nm_ms_t now_ms);
+void nm_duplicates_on_stop(nm_sched_t *sched, nm_sched_node_t *node,
                            const nm_sched_action_t *action,
                            nm_order_result_t result, nm_ms_t now_ms);
+/* Sends the stops that are due, and forgets duplicates that are too old. */
 void nm_duplicates_send_stops(nm_sched_t *sched, nm_sched_node_t *node,
                               nm_ms_t now_ms);
+/* Forgets the duplicates of a worker that is removed. */
+void nm_duplicates_clear(nm_sched_t *sched, nm_sched_node_t *node);
 void nm_duplicates_free(nm_sched_node_t *node);
 
 /* sched_crashes.c */
@@ -570,6 +579,12 @@
 void nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /* True while a waiting task must not start, whichever workers are free. */
 bool nm_crashes_must_wait(const nm_task_t *task, nm_ms_t now_ms);
+/* True if a task must not start yet, wherever there is capacity for it. */
+static inline bool
+nm_task_must_wait(const nm_task_t *task, nm_ms_t now_ms)
+{
+    return task->late_starts > 0 || nm_crashes_must_wait(task, now_ms);
+}
 /* Returns the worker of the task's stored intent, or NULL. */
 nm_sched_node_t *nm_crashes_intended_node(const nm_sched_t *sched,
                                           const nm_task_t *task);
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -155,6 +155,49 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A task runs after a start whose first try got no response, and its worker
+ * restarts.  The first try may still reach the new incarnation, so the task
+ * must not start elsewhere before a stop there is confirmed.
+ */
+static void
+test_task_waits_for_the_stop_of_a_late_start(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+    sched_sim_advance(&sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    nm_sched_on_start(sim.sched, start, NM_ORDER_UNKNOWN, sim.now_ms);
+    sched_sim_advance(&sim, 100);
+    nm_sched_action_t started = sched_sim_confirm_starts(&sim);
+    g_assert_cmpint(started.type, ==, NM_ACTION_START);
+    nm_worker_run_t running = sched_sim_make_run(TASK, started.run);
+    sim.now_ms += 10;
+    sched_sim_report(&sim, "a", 1, &running, 1, NULL, 0);
+    sched_sim_add_worker(&sim, "b");
+    sched_sim_announce(&sim, "a", 2);
+    sched_sim_advance(&sim, 10);
+    sched_sim_report(&sim, "a", 2, NULL, 0, NULL, 0);
+    for (uint32_t lost = 0; lost < 5; lost++) {
+        sched_sim_advance(&sim, 100);
+        g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+        const nm_sched_action_t *stop =
+            sched_sim_find_action(&sim, NM_ACTION_STOP, "a");
+        g_assert_nonnull(stop);
+        g_assert_cmpint(stop->run, ==, started.run);
+        nm_sched_on_stop(sim.sched, stop,
+                         lost < 4 ? NM_ORDER_UNKNOWN : NM_ORDER_DONE,
+                         sim.now_ms);
+    }
+    sched_sim_advance(&sim, 100);
+    g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+    sched_sim_finish(&sim);
+}
+
 /*
  * A start may time out only after the next incarnation of its worker has
  * reported.  That incarnation must get a stop of the run, too.
@@ -679,6 +722,8 @@
          test_unanswered_start_on_new_incarnation},
         {"/sched/lost-duplicate-is-refused-by-new-incarnation",
          test_lost_duplicate_is_refused_by_new_incarnation},
+        {"/sched/task-waits-for-the-stop-of-a-late-start",
+         test_task_waits_for_the_stop_of_a_late_start},
         {"/sched/duplicate-timed-out-after-crash",
          test_duplicate_timed_out_after_crash},
         {"/sched/start-reached-new-incarnation",
