A planned hand-over passes on the leases of silent workers

Cause: the next owner waits for each silent worker of the roster until all leases of a former owner have lapsed, counted from its own election, though the former owner knew when they lapse.

Change: an owner that hands over stores its epoch and the remaining leases of the workers that do not respond, in the transaction that deletes its key; the owner of the next epoch waits for no longer.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -335,6 +335,18 @@
 void nm_sched_activate(nm_sched_t *sched, nm_ms_t former_until_ms);
 /* Replaces that time by an earlier one, once more is known. */
 void nm_sched_set_former_until(nm_sched_t *sched, nm_ms_t former_until_ms);
+/*
+ * Leases of a worker that former owners gave lapse by a time, as the former
+ * owner has told.
+ */
+void nm_sched_limit_former_lease(nm_sched_t *sched, const char *worker,
+                                 nm_ms_t lapse_ms);
+/* Calls visit for each worker that does not respond but may hold a lease. */
+void nm_sched_visit_silent_workers(const nm_sched_t *sched, nm_ms_t now_ms,
+                                   void (*visit)(void *user,
+                                                 const char *worker,
+                                                 nm_ms_t lapse_ms),
+                                   void *user);
 /*
  * May this owner start tasks and renew leases?  True until the first call.
  * While it may not, leases lapse, and tasks that end do not start again.
--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -13,6 +13,9 @@
  * a majority, or STORELESS_MAX_MS after its election.  From then on the leases
  * of workers that do not respond run out.
  *
+ * An owner that hands over stores that its authority has ended, and when the
+ * leases of workers that do not respond lapse.
+ *
  * Times of the owner's own authority include those in which its machine was
  * suspended.
  */
@@ -23,8 +26,11 @@
 
 #include <jansson.h>
 
+#include <nutmegdeck/limits.h>
 #include <nutmegdeck/log.h>
 
+#include "json_get.h"
+
 /* Longer than a renewal of the owner key takes while the store is slow. */
 #define AUTHORITY_MS 1000
 /*
@@ -52,12 +58,15 @@
 nm_authority_init(nm_entry_t *entry)
 {
     nm_quorum_init(&entry->authority.quorum);
+    entry->authority.silent =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
 nm_authority_finish(nm_entry_t *entry)
 {
     nm_quorum_finish(&entry->authority.quorum);
+    g_hash_table_destroy(entry->authority.silent);
 }
 
 void
@@ -71,6 +80,8 @@
     authority->quorum_responded = false;
     authority->list_unreadable = false;
     authority->list_due = true;
+    authority->handed_over = false;
+    g_hash_table_remove_all(authority->silent);
     authority->held = true;
     authority->probe_due_ms = 0;
 }
@@ -171,6 +182,72 @@
     }
 }
 
+/* --- planned hand-over --- */
+
+typedef struct {
+    json_t *silent;
+    nm_ms_t now_ms;
+} silent_workers_t;
+
+static void
+add_silent_worker(void *user, const char *worker, nm_ms_t lapse_ms)
+{
+    silent_workers_t *workers = user;
+    json_object_set_new(workers->silent, worker,
+                        json_integer(lapse_ms - workers->now_ms));
+}
+
+void
+nm_authority_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn,
+                           nm_ms_t now_ms)
+{
+    /* Until then an earlier owner may have authority. */
+    if (now_ms < entry->authority.former_until_ms) {
+        return;
+    }
+    silent_workers_t workers = {json_object(), now_ms};
+    nm_sched_visit_silent_workers(entry->sched, now_ms, add_silent_worker,
+                                  &workers);
+    json_t *record =
+        json_pack("{s:I,s:o}", "epoch", (json_int_t)entry->owned_epoch,
+                  "silent", workers.silent);
+    char *text = json_dumps(record, JSON_COMPACT);
+    json_decref(record);
+    nm_store_txn_put(txn, NM_KEY_HAND_OVER, text, (uint32_t)strlen(text), 0);
+    free(text);
+}
+
+void
+nm_authority_load_hand_over(nm_entry_t *entry, const nm_store_kv_t *item)
+{
+    nm_authority_t *authority = &entry->authority;
+    json_t *record =
+        json_loadb((const char *)item->value, item->value_bytes, 0, NULL);
+    int64_t epoch;
+    bool valid = nm_json_get_int(json_object_get(record, "epoch"),
+                                 NM_COUNT_MAX, &epoch);
+    if (!valid) {
+        nm_refusals_log(&entry->refusals, NM_LOG_ITEM_OWNER_REFUSED, "key",
+                        item->key, "epoch is missing", nm_entry_now(entry));
+    }
+    /* One of an earlier owner says nothing about the last one. */
+    authority->handed_over = valid && epoch == entry->owned_epoch - 1;
+    const char *worker;
+    json_t *value;
+    json_object_foreach(json_object_get(record, "silent"), worker, value)
+    {
+        int64_t remaining_ms;
+        if (authority->handed_over &&
+            nm_json_get_int(value, NM_DURATION_MAX_MS, &remaining_ms))
+        {
+            g_hash_table_insert(
+                authority->silent, g_strdup(worker),
+                g_memdup2(&remaining_ms, sizeof(remaining_ms)));
+        }
+    }
+    json_decref(record);
+}
+
 /* --- calls to witnesses --- */
 
 static void
@@ -299,7 +376,21 @@
 void
 nm_authority_activate(nm_entry_t *entry)
 {
-    nm_sched_activate(entry->sched, entry->authority.former_until_ms);
+    nm_authority_t *authority = &entry->authority;
+    if (authority->handed_over) {
+        authority->former_until_ms = authority->elected_ms;
+        authority->quorum_responded = true;
+    }
+    nm_sched_activate(entry->sched, authority->former_until_ms);
+    GHashTableIter iter;
+    gpointer worker;
+    gpointer remaining_ms;
+    g_hash_table_iter_init(&iter, authority->silent);
+    while (g_hash_table_iter_next(&iter, &worker, &remaining_ms)) {
+        nm_sched_limit_former_lease(entry->sched, worker,
+                                    authority->elected_ms +
+                                        *(int64_t *)remaining_ms);
+    }
 }
 
 void
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -301,6 +301,11 @@
     }
 }
 
+typedef struct {
+    nm_entry_t *entry;
+    int64_t lease; /* of the owner key */
+} hand_over_t;
+
 static void
 on_lease_revoked(void *user, const nm_kv_result_t *result)
 {
@@ -323,32 +328,46 @@
                YIELD_CPU_FACTOR * entry->desc.cpu_share;
 }
 
+/* If the key was not deleted, the lease is revoked, or expires by itself. */
 static void
-on_yielded(void *user, const nm_kv_result_t *result)
+on_handed_over(void *user, const nm_kv_result_t *result)
 {
-    nm_entry_t *entry = user;
+    hand_over_t *hand_over = user;
+    nm_entry_t *entry = hand_over->entry;
     if (result->rc != NM_OK) {
-        /* The lease expires by itself. */
         nm_log(NM_LOG_WARN, NM_LOG_ITEM_STORE_FAILED, "{s:s,s:s,s:s}", "host",
                entry->desc.name, "call", "hand-over", "reason",
                nm_error_text(result->rc));
+        nm_kv_lease_revoke(entry->desc.kv, hand_over->lease, on_lease_revoked,
+                           entry);
     }
+    g_free(hand_over);
 }
 
-/* Deletes the owner key and records the epoch, in one transaction. */
+/*
+ * Deletes the owner key, in one transaction with what the next owner needs to
+ * know; the caller steps down.
+ */
 static void
-delete_owner_key(nm_entry_t *entry, nm_ms_t now_ms)
+hand_over(nm_entry_t *entry, nm_ms_t now_ms)
 {
     char epoch[24];
     snprintf(epoch, sizeof(epoch), "%lld", (long long)entry->owned_epoch);
     nm_store_txn_t txn;
     nm_store_txn_init(&txn);
     nm_store_txn_expect(&txn, NM_KEY_OWNER, entry->owner_revision);
-    nm_store_txn_put(&txn, NM_KEY_YIELDED, epoch, (uint32_t)strlen(epoch), 0);
+    if (!entry->stopping) {
+        nm_store_txn_put(&txn, NM_KEY_YIELDED, epoch, (uint32_t)strlen(epoch),
+                         0);
+    }
+    if (entry->role == NM_ROLE_OWNER) {
+        nm_authority_put_hand_over(entry, &txn, now_ms);
+    }
     nm_store_txn_delete(&txn, NM_KEY_OWNER, false);
-    nm_kv_commit(entry->desc.kv, &txn, on_yielded, entry);
+    hand_over_t *call = g_new(hand_over_t, 1);
+    *call = (hand_over_t){entry, entry->lease};
+    nm_kv_commit(entry->desc.kv, &txn, on_handed_over, call);
     nm_store_txn_finish(&txn);
-    entry->candidate_after_ms = now_ms + YIELD_PAUSE_MS;
 }
 
 void
@@ -367,13 +386,10 @@
     if (!stored && now_ms - since_ms <= HAND_OVER_TIMEOUT_MS) {
         return;
     }
-    if (entry->stopping) {
-        nm_kv_lease_revoke(entry->desc.kv, entry->lease, on_lease_revoked,
-                           entry);
-        nm_term_step_down(entry, "handed over");
-    }
-    else {
-        delete_owner_key(entry, now_ms);
-        nm_term_step_down(entry, "handed over, as it lagged");
+    hand_over(entry, now_ms);
+    if (!entry->stopping) {
+        entry->candidate_after_ms = now_ms + YIELD_PAUSE_MS;
     }
+    nm_term_step_down(entry, entry->stopping ? "handed over"
+                                             : "handed over, as it lagged");
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -27,6 +27,8 @@
 #define NM_KEY_ROSTER NM_KEY_OWNED "roster"
 /* Ids of the workers that are witnesses, see entry_authority.c. */
 #define NM_KEY_WITNESSES NM_KEY_OWNED "witnesses"
+/* What the owner of an epoch left when it handed over. */
+#define NM_KEY_HAND_OVER NM_KEY_OWNED "hand-over"
 #define NM_KEY_INTERFERENCE NM_KEY_OWNED "learned"
 /* Changed and compared by every commit, so that a late one fails. */
 #define NM_KEY_COMMIT NM_KEY_OWNED "commit"
@@ -73,7 +75,9 @@
     bool quorum_responded;   /* a majority has responded in this term */
     bool list_unreadable;    /* the stored list of witnesses */
     bool list_due;           /* the workers may have changed since */
-    bool held;               /* as last logged */
+    bool handed_over;        /* by the former owner */
+    GHashTable *silent; /* worker -> remaining lease in ms, as handed over */
+    bool held;          /* as last logged */
     nm_ms_t probe_due_ms;
 } nm_authority_t;
 
@@ -216,6 +220,13 @@
 bool nm_authority_put_witnesses(nm_entry_t *entry, nm_store_txn_t *txn);
 /* Takes the result of that commit. */
 void nm_authority_on_witnesses_stored(nm_entry_t *entry, int rc);
+/*
+ * Adds to a transaction that ends the ownership what the next owner need not
+ * find out by waiting; the owner gives no orders after this.
+ */
+void nm_authority_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn,
+                                nm_ms_t now_ms);
+void nm_authority_load_hand_over(nm_entry_t *entry, const nm_store_kv_t *item);
 /* Lets the scheduler begin to give orders. */
 void nm_authority_activate(nm_entry_t *entry);
 /* Calls witnesses if needed, and tells the scheduler what it may do. */
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -346,6 +346,9 @@
     else if (item->value && strcmp(item->key, NM_KEY_WITNESSES) == 0) {
         nm_authority_load_witnesses(entry, item);
     }
+    else if (item->value && strcmp(item->key, NM_KEY_HAND_OVER) == 0) {
+        nm_authority_load_hand_over(entry, item);
+    }
     else if (item->value && strcmp(item->key, NM_KEY_INTERFERENCE) == 0) {
         int rc = nm_sched_restore_interference(entry->sched, item->value,
                                                item->value_bytes);
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -217,6 +217,33 @@
     }
 }
 
+void
+nm_sched_limit_former_lease(nm_sched_t *sched, const char *worker,
+                            nm_ms_t lapse_ms)
+{
+    assert(sched && worker);
+    nm_sched_node_t *node = nm_node_find(sched, worker);
+    if (node && !node->epoch_confirmed && node->tasks->len == 0) {
+        node->lease_lapse_ms = MIN(node->lease_lapse_ms, lapse_ms);
+        nm_timer_set_now(sched, node);
+    }
+}
+
+void
+nm_sched_visit_silent_workers(const nm_sched_t *sched, nm_ms_t now_ms,
+                              void (*visit)(void *user, const char *worker,
+                                            nm_ms_t lapse_ms),
+                              void *user)
+{
+    assert(sched && visit);
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (!node->reachable || !node->epoch_confirmed) {
+            visit(user, node->desc.id, MAX(node->lease_lapse_ms, now_ms));
+        }
+    }
+}
+
 void
 nm_node_limit_former_lease(const nm_sched_t *sched, nm_sched_node_t *node,
                            nm_ms_t now_ms)
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -132,6 +132,43 @@
     }
 }
 
+/*
+ * A worker has been silent for some time when its owner is told to stop.  The
+ * next owner must not wait for longer than the former one would have, and no
+ * less.
+ */
+static void
+test_hand_over_passes_on_leases(void)
+{
+    enum { SILENT_MS = 5000, LEASE_MS = 7000, WAIT_MAX_MS = 4000 };
+    fake_kv_t *kv = configured_store();
+    add_workers(kv);
+    host_t former;
+    host_init(&former, "a", kv);
+    run_host(&former, 1000);
+    fake_kv_put(kv, JOB_KEY, FULL_RECORD);
+    run_host(&former, 3000);
+    g_assert_cmpuint(former.orders.starts, ==, 2 * WORKERS);
+    cut_workers(&former, WORKERS - 1);
+    run_host(&former, SILENT_MS);
+    host_t next;
+    host_init(&next, "b", kv);
+    cut_workers(&next, WORKERS - 1);
+    run_host(&next, 200);
+    nm_entry_stop(former.entry);
+    nm_ms_t waited_ms = 0;
+    for (; waited_ms < 2 * LEASE_MS && next.orders.starts == 0;
+         waited_ms += 10) {
+        run_host(&former, 10);
+        run_host(&next, 10);
+    }
+    g_assert_cmpint(waited_ms, <, WAIT_MAX_MS);
+    g_assert_cmpint(waited_ms, >=, LEASE_MS - SILENT_MS - 1000);
+    finish_host(&next);
+    finish_host(&former);
+    fake_kv_free(kv);
+}
+
 static GPtrArray *
 make_ids(const char *letters)
 {
@@ -219,6 +256,8 @@
          test_cut_off_owner_renews_no_lease},
         {"/authority/successor-waits-for-a-majority",
          test_successor_waits_for_a_majority},
+        {"/authority/hand-over-passes-on-leases",
+         test_hand_over_passes_on_leases},
         {"/authority/majorities", test_majorities},
         {"/authority/restarted-witness-counts-for-nothing",
          test_restarted_witness_counts_for_nothing},
