A report of a new incarnation does not shorten its lease

Change: the bound is applied to workers without tasks only, which new incarnations with inherited orders have.

Measured: /sched/lease-of-a-new-incarnation took the lease for lapsed after 7.6 s before (bound 10 s) and passes now.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -490,7 +490,8 @@
             nm_crashes_clear_silence(sched, node->tasks->pdata[i], node);
         }
     }
-    if (!node->epoch_confirmed) {
+    /* With tasks, it is a new incarnation of a worker of this owner. */
+    if (!node->epoch_confirmed && node->tasks->len == 0) {
         nm_node_limit_former_lease(sched, node, now_ms);
     }
     node->reported_ms = report->sent_ms;
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -264,6 +264,46 @@
     }
 }
 
+/*
+ * A start that was sent to the former incarnation may run on the next one,
+ * under the longest lease that workers allow, as its expiry is on another
+ * clock.  A report of that incarnation must not shorten the time until the
+ * lease is taken for lapsed.
+ */
+static void
+test_lease_of_a_new_incarnation(void)
+{
+    enum { LEASE_MAX_MS = 10000, RESTART_MAX_MS = 13000 };
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, true, 1, 1000, false);
+    sched_sim_advance(&sim, 30);
+    nm_sched_action_t start = sched_sim_confirm_starts(&sim);
+    g_assert_cmpint(start.type, ==, NM_ACTION_START);
+    sched_sim_add_worker(&sim, "b");
+    nm_ms_t begun_ms = sim.now_ms;
+    sched_sim_announce(&sim, "a", 2);
+    sched_sim_advance(&sim, 10);
+    nm_worker_run_t running = sched_sim_make_run(TASK, start.run);
+    sched_sim_report(&sim, "a", 2, &running, 1, NULL, 0);
+    while (!sched_sim_find_action(&sim, NM_ACTION_START, "b") &&
+           sim.now_ms - begun_ms < RESTART_MAX_MS)
+    {
+        sched_sim_advance(&sim, 100);
+        sched_sim_save_all(&sim);
+        if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+            sched_sim_lose_poll(&sim, "a");
+        }
+        if (sched_sim_find_action(&sim, NM_ACTION_POLL, "b")) {
+            sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
+        }
+    }
+    g_assert_cmpint(sim.now_ms - begun_ms, >=, LEASE_MAX_MS);
+    g_assert_cmpint(sim.now_ms - begun_ms, <, RESTART_MAX_MS);
+    sched_sim_finish(&sim);
+}
+
 static void
 report_part(sched_sim_t *sim, const nm_worker_run_t *running,
             uint32_t running_count, const nm_worker_end_t *ends,
@@ -502,6 +542,7 @@
          test_recovered_task_does_not_wait_for_restarted_workers},
         {"/sched/recovered-task-waits",
          test_recovered_task_waits_for_all_workers},
+        {"/sched/lease-of-a-new-incarnation", test_lease_of_a_new_incarnation},
         {"/sched/limit-of-a-removed-queue", test_limit_of_a_removed_queue},
         {"/sched/ends-beyond-the-first-list-count",
          test_ends_beyond_the_first_list_count},
