Stop: open requests end by their deadline

A stopping host sets the deadline of each open request to the past instead of repeating what a passed deadline does. Unit tests of entry and listener pass.

--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -736,21 +736,14 @@
     }
 }
 
-/* Fails an operation that is still open. */
-static void
-give_up_op(nm_op_t *op)
-{
-    bool in_flight =
-        op_is_write(op) && (op->store_in_flight || op->forward_number);
-    bool uncertain = op->uncertain || in_flight;
-    fail_op(op, uncertain ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
-}
-
 static void
 tick_op(nm_op_t *op, nm_ms_t now_ms)
 {
     if (now_ms >= op->deadline_ms) {
-        give_up_op(op);
+        bool in_flight =
+            op_is_write(op) && (op->store_in_flight || op->forward_number);
+        bool uncertain = op->uncertain || in_flight;
+        fail_op(op, uncertain ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
         return;
     }
     if (op->forward_number && now_ms >= op->forward_deadline_ms) {
@@ -801,12 +794,7 @@
 void
 nm_calls_end_open(nm_entry_t *entry)
 {
-    GList *link = entry->open_ops.head;
-    while (link) {
-        nm_op_t *op = link->data;
-        link = link->next;
-        if (!op->finished) {
-            give_up_op(op);
-        }
+    for (GList *link = entry->open_ops.head; link; link = link->next) {
+        ((nm_op_t *)link->data)->deadline_ms = 0;
     }
 }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -274,7 +274,10 @@
 void nm_calls_init(nm_entry_t *entry);
 void nm_calls_finish(nm_entry_t *entry);
 nm_ms_t nm_calls_run(nm_entry_t *entry, nm_ms_t now_ms);
-/* Answers all open requests: 504 if the outcome is unknown, else 503. */
+/*
+ * Lets the next call of nm_calls_run answer all open requests: 504 if the
+ * outcome is unknown, else 503.
+ */
 void nm_calls_end_open(nm_entry_t *entry);
 
 int64_t nm_entry_unix_ms(void);
--- a/src/order_limiter.h
+++ b/src/order_limiter.h
@@ -4,7 +4,7 @@
  * Load: a wide step that starts on a few workers at once.  Each call in flight
  * needs a connection of its own, and opening one costs more than waiting for a
  * round trip, so further orders wait in a queue.  Polls are not limited: there
- * is only one in flight to a worker at a time.
+ * is only one in flight to a worker at a time, and one probe of a witness.
  *
  *     nm_order_limiter_t limiter;
  *     nm_order_port_t *port = nm_order_limiter_init(&limiter, inner);
