--- /dev/null
+++ b/soak/soak_callers.c
@@ -0,0 +1,249 @@
+/* Callers of the soak: what they send, and what they must see. */
+#include "soak_state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define JOB_VISIBLE_MS 3000 /* from the ack of a submit to no more 410 */
+/* Longer than an entry host works on a call: timeoutMs of the route, 3 s. */
+#define CALL_TIMEOUT_MS 4000L
+/* More than the users' callers make, so that most jobs are accepted. */
+#define SUBMIT_ATTEMPTS_MAX 8
+/* One caller in so many gives up after its first attempt. */
+#define IMPATIENT_CALLERS 4
+
+typedef struct {
+    job_t *job;
+    CURL *easy;
+    GString *body;
+    struct curl_slist *headers;
+    char type;            /* 'P': POST, 'G': GET, 'D': DELETE */
+    uint32_t connections; /* on which it was, or is about to be, sent */
+} call_t;
+
+static size_t
+on_response_data(char *data, size_t size, size_t count, void *user)
+{
+    g_string_append_len(user, data, (gssize)(size * count));
+    return size * count;
+}
+
+/*
+ * libcurl sends a request again by itself if a kept connection closes.  The
+ * response to the second transmission says nothing about the first one.
+ */
+static int
+on_ready_to_send(void *user, char *remote_address, char *local_address,
+                 int remote_port, int local_port)
+{
+    (void)remote_address;
+    (void)local_address;
+    (void)remote_port;
+    (void)local_port;
+    call_t *call = user;
+    return call->connections++ > 0 ? CURL_PREREQFUNC_ABORT
+                                   : CURL_PREREQFUNC_OK;
+}
+
+static void
+send_call(job_t *job, char type)
+{
+    call_t *call = g_new0(call_t, 1);
+    call->job = job;
+    call->type = type;
+    call->body = g_string_new(NULL);
+    call->easy = curl_easy_init();
+    call->headers = curl_slist_append(NULL, "Host: callers");
+    call->headers = curl_slist_append(call->headers, "Expect:");
+    const host_t *host =
+        &soak.hosts[nm_rng_below(&soak.rng, (uint32_t)soak_options.hosts)];
+    char url[128];
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/q/%s", host->front_port,
+             job->id);
+    curl_easy_setopt(call->easy, CURLOPT_URL, url);
+    curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
+    curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+    curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_response_data);
+    curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call->body);
+    curl_easy_setopt(call->easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
+    curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
+    if (type == 'P') {
+        char body[256];
+        snprintf(body, sizeof(body),
+                 "{\"spec\":\"x\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
+                 "\"memMb\":10,\"estimateMs\":600%s}]}",
+                 job->tasks,
+                 job->long_running ? ",\"longRunning\":true"
+                                   : ",\"checkpoints\":true");
+        curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
+    }
+    else if (type == 'D') {
+        curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, "DELETE");
+    }
+    job->call_in_flight = true;
+    curl_multi_add_handle(soak.multi, call->easy);
+}
+
+static void
+submit_new_job(void)
+{
+    job_t *job = g_new0(job_t, 1);
+    snprintf(job->id, sizeof(job->id), "%08x%08x",
+             (unsigned)soak_options.seed & 0xffffffffu, soak.jobs->len);
+    job->long_running = soak.jobs->len % 40 == 5;
+    job->deadly = soak_options.deadly && soak.jobs->len % 40 == 25;
+    job->tasks = job->deadly ? 1 : (uint32_t)soak_random_between(1, 6);
+    job->wants_cancel = nm_rng_below(&soak.rng, 10) == 0;
+    job->attempts_max = nm_rng_below(&soak.rng, IMPATIENT_CALLERS) == 0
+                            ? 1
+                            : SUBMIT_ATTEMPTS_MAX;
+    g_ptr_array_add(soak.jobs, job);
+    platform_lock(soak.platform);
+    executor_job_submitted(platform_fleet(soak.platform), job->id, job->tasks,
+                           1000, soak_random_between(100, 1500),
+                           job->long_running, job->deadly);
+    platform_unlock(soak.platform);
+    send_call(job, 'P');
+}
+
+static void
+handle_submit_response(job_t *job, long status, nm_ms_t now_ms)
+{
+    job->attempts++;
+    if (status == 200) {
+        job->accepted_ms = now_ms;
+        job->next_call_ms = now_ms + soak_random_between(300, 2000);
+        return;
+    }
+    if (status != 503 && status != 429) {
+        job->outcome_unknown = true;
+    }
+    job->next_call_ms = now_ms + soak_random_between(200, 900);
+    if (job->attempts >= job->attempts_max) {
+        job->ended = true;
+        job->refused = !job->outcome_unknown;
+    }
+    if (job->refused) {
+        platform_lock(soak.platform);
+        executor_job_refused(platform_fleet(soak.platform), job->id);
+        platform_unlock(soak.platform);
+    }
+}
+
+static void
+handle_state_response(job_t *job, long status, const char *text,
+                      nm_ms_t now_ms)
+{
+    job->next_call_ms = now_ms + soak_random_between(400, 2000);
+    if (status == 410 && job->cancelled_ms == 0 &&
+        now_ms - job->accepted_ms > JOB_VISIBLE_MS)
+    {
+        soak_report_violation("LOST job %s was accepted, its query got 410",
+                              job->id);
+        job->ended = true;
+        return;
+    }
+    if (status != 200) {
+        return;
+    }
+    platform_lock(soak.platform);
+    bool done = executor_job_is_done(platform_fleet(soak.platform), job->id);
+    bool may_fail =
+        executor_job_may_fail(platform_fleet(soak.platform), job->id);
+    platform_unlock(soak.platform);
+    if (strstr(text, "completed")) {
+        job->ended = true;
+        if (!done) {
+            soak_report_violation("MIXED job %s is reported as completed, its "
+                                  "tasks are not done",
+                                  job->id);
+        }
+    }
+    else if (strstr(text, "failed")) {
+        job->ended = true;
+        if (!may_fail) {
+            soak_report_violation("LOST job %s is reported as failed",
+                                  job->id);
+        }
+    }
+    else if (strstr(text, "cancelled")) {
+        job->ended = true;
+        if (!job->wants_cancel) {
+            soak_report_violation(
+                "LOST job %s is reported as cancelled without a cancel",
+                job->id);
+        }
+    }
+}
+
+static void
+handle_cancel_response(job_t *job, long status, nm_ms_t now_ms)
+{
+    job->next_call_ms = now_ms + soak_random_between(300, 1500);
+    if (status != 200 && status != 410) {
+        return;
+    }
+    job->cancelled_ms = now_ms;
+    platform_lock(soak.platform);
+    executor_job_cancelled(platform_fleet(soak.platform), job->id,
+                           platform_now(soak.platform));
+    platform_unlock(soak.platform);
+}
+
+void
+soak_handle_responses(nm_ms_t now_ms)
+{
+    int running;
+    curl_multi_perform(soak.multi, &running);
+    CURLMsg *message;
+    int messages_left;
+    while ((message = curl_multi_info_read(soak.multi, &messages_left))) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        char *user_data = NULL;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user_data);
+        call_t *call = (call_t *)user_data;
+        long status = 0;
+        if (message->data.result == CURLE_OK) {
+            curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+        }
+        soak.status_counts[MIN(status, 599)]++;
+        job_t *job = call->job;
+        job->call_in_flight = false;
+        if (call->type == 'P') {
+            handle_submit_response(job, status, now_ms);
+        }
+        else if (call->type == 'G') {
+            handle_state_response(job, status, call->body->str, now_ms);
+        }
+        else {
+            handle_cancel_response(job, status, now_ms);
+        }
+        curl_multi_remove_handle(soak.multi, call->easy);
+        curl_easy_cleanup(call->easy);
+        curl_slist_free_all(call->headers);
+        g_string_free(call->body, TRUE);
+        g_free(call);
+    }
+}
+
+void
+soak_send_due_calls(nm_ms_t now_ms, bool submits_new)
+{
+    soak.pending_arrivals +=
+        submits_new ? soak_options.jobs_per_s * TICK_MS / 1000.0 : 0;
+    for (; soak.pending_arrivals >= 1; soak.pending_arrivals--) {
+        submit_new_job();
+    }
+    for (guint i = 0; i < soak.jobs->len; i++) {
+        job_t *job = soak.jobs->pdata[i];
+        if (job->ended || job->call_in_flight || now_ms < job->next_call_ms) {
+            continue;
+        }
+        bool cancels = job->wants_cancel && job->cancelled_ms == 0;
+        send_call(job, job->accepted_ms == 0 ? 'P' : cancels ? 'D' : 'G');
+    }
+}
--- /dev/null
+++ b/soak/soak_faults.c
@@ -0,0 +1,227 @@
+/* Faults of the soak: what is drawn, how long it lasts, how it ends. */
+#include "soak_state.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <jansson.h>
+
+/* A host process must have ended this long after its grace time. */
+#define HOST_GRACE_SLACK_MS 1500
+
+void
+soak_put_configuration(void)
+{
+    char value[512];
+    snprintf(value, sizeof(value),
+             "{\"version\":%lld,\"routes\":[{\"name\":\"q\",\"host\":"
+             "\"callers\",\"pathPrefix\":\"/q/\",\"service\":\"s\","
+             "\"maxAttempts\":8,\"slackFactor\":2,\"targetLatencyMs\":600,"
+             "\"timeoutMs\":3000}],\"services\":[{\"name\":\"s\"}],"
+             "\"limits\":{}}",
+             (long long)++soak.config_version);
+    platform_put(soak.platform, "op/config", value);
+}
+
+/* Reads the owner's record: returns its host, or NULL, and sets its epoch. */
+static host_t *
+find_owner(int64_t *epoch)
+{
+    char *text = platform_get(soak.platform, "nutmegdeck/control/owner");
+    json_t *record = text ? json_loads(text, 0, NULL) : NULL;
+    const char *name = json_string_value(json_object_get(record, "name"));
+    int index = name ? atoi(name + 1) : soak_options.hosts;
+    *epoch = json_integer_value(json_object_get(record, "epoch"));
+    json_decref(record);
+    g_free(text);
+    return index < soak_options.hosts ? &soak.hosts[index] : NULL;
+}
+
+/*
+ * Cuts the owner off from the store, the other hosts and all executors but
+ * one, which nobody else reaches, for longer than a lease.  Without its record
+ * no other host calls it.
+ */
+static void
+cut_owner(uint32_t executor_index, nm_ms_t now_ms)
+{
+    int64_t epoch;
+    host_t *owner = find_owner(&epoch);
+    if (!owner || owner->stop_sent_ms > 0) {
+        return;
+    }
+    char *key =
+        g_strdup_printf("nutmegdeck/hosts/h%d", (int)(owner - soak.hosts));
+    platform_put(soak.platform, key, NULL);
+    g_free(key);
+    proxy_set(soak.proxy, owner->proxy_path, PROXY_CUT);
+    owner->path_heal_at_ms = now_ms + soak_random_between(8000, 14000);
+    platform_cut(soak.platform, epoch, executor_index, owner->path_heal_at_ms);
+}
+
+/* Kills the owner while more are to be killed, each soon after its election.
+ */
+void
+soak_kill_owners(nm_ms_t now_ms)
+{
+    int64_t epoch;
+    if (soak.owner_kills_left == 0 || now_ms < soak.owner_kill_at_ms) {
+        return;
+    }
+    platform_lock(soak.platform);
+    host_t *owner = find_owner(&epoch);
+    platform_unlock(soak.platform);
+    if (owner && owner->stop_sent_ms == 0) {
+        soak_kill_host(owner, now_ms);
+        soak.owner_kills_left--;
+        soak.owner_kill_at_ms = now_ms + soak_random_between(200, 3000);
+    }
+}
+
+/* Kinds of faults in the order of the numbers drawn. */
+typedef enum {
+    FAULT_KILL_HOST,
+    FAULT_PAUSE_HOST,
+    FAULT_STOP_HOST,
+    FAULT_STORE_PATH,
+    FAULT_STORE_PATH_AGAIN, /* so that it is drawn twice as often */
+    FAULT_STORE,
+    FAULT_CRASH_EXECUTOR,
+    FAULT_UNRESPONSIVE_EXECUTOR,
+    FAULT_DELAYED_ORDERS,
+    FAULT_BLACKHOLE,
+    FAULT_RESET_CONNECTIONS,
+    FAULT_RESET_THEN_REFUSE_STORE,
+    FAULT_RESET_THEN_REFUSE_EXECUTORS,
+    FAULT_CUT_OWNER,
+    FAULT_KILL_OWNERS,
+    FAULT_COMPACT_STORE,
+    FAULT_KILL_ALL_HOSTS,
+    FAULT_KIND_COUNT
+} fault_kind_t;
+
+void
+soak_inject_fault(nm_ms_t now_ms)
+{
+    host_t *host =
+        &soak.hosts[nm_rng_below(&soak.rng, (uint32_t)soak_options.hosts)];
+    uint32_t executor_index =
+        nm_rng_below(&soak.rng, (uint32_t)soak_options.executors);
+    fault_kind_t kind =
+        (fault_kind_t)nm_rng_below(&soak.rng, FAULT_KIND_COUNT);
+    soak.faults++;
+    platform_lock(soak.platform);
+    executor_fleet_t *fleet = platform_fleet(soak.platform);
+    switch (kind) {
+    case FAULT_KILL_HOST:
+        soak_kill_host(host, now_ms);
+        break;
+    case FAULT_PAUSE_HOST:
+        if (host->stop_sent_ms == 0) {
+            soak_signal_host(host, SIGSTOP);
+            host->resume_at_ms = now_ms + soak_random_between(300, 4000);
+        }
+        break;
+    case FAULT_STOP_HOST:
+        if (host->stop_sent_ms == 0 && host->resume_at_ms == 0) {
+            soak_signal_host(host, SIGTERM);
+            host->stop_sent_ms = now_ms;
+            host->kill_at_ms = now_ms + HOST_GRACE_MS + HOST_GRACE_SLACK_MS;
+            host->start_at_ms = now_ms + soak_random_between(100, 500);
+        }
+        break;
+    case FAULT_STORE_PATH:
+    case FAULT_STORE_PATH_AGAIN:
+        proxy_set(soak.proxy, host->proxy_path,
+                  (proxy_mode_t)soak_random_between(PROXY_DELAY,
+                                                    PROXY_CUT_RESPONSES));
+        host->path_heal_at_ms = now_ms + soak_random_between(500, 6000);
+        break;
+    case FAULT_STORE:
+        platform_set_store(soak.platform,
+                           (store_mode_t)soak_random_between(
+                               STORE_REFUSES, STORE_LOSES_RESPONSES));
+        soak.store_heal_at_ms = now_ms + soak_random_between(300, 4000);
+        break;
+    case FAULT_CRASH_EXECUTOR:
+        executor_crash(fleet, executor_index, platform_now(soak.platform));
+        break;
+    case FAULT_UNRESPONSIVE_EXECUTOR:
+        executor_at(fleet, executor_index)->unresponsive = true;
+        soak.executor_heal_at_ms[executor_index] =
+            now_ms + soak_random_between(500, 9000);
+        break;
+    case FAULT_DELAYED_ORDERS:
+        platform_set_delayed_share(soak.platform, 0.25);
+        soak.delays_heal_at_ms = now_ms + soak_random_between(1000, 4000);
+        break;
+    case FAULT_BLACKHOLE:
+        proxy_blackhole(soak.proxy, host->proxy_path);
+        break;
+    case FAULT_RESET_CONNECTIONS:
+        proxy_reset(soak.proxy, host->proxy_path);
+        proxy_reset(soak.proxy, soak.executor_path);
+        break;
+    case FAULT_RESET_THEN_REFUSE_STORE:
+        for (gint i = 0; i < soak_options.hosts; i++) {
+            proxy_set(soak.proxy, soak.hosts[i].proxy_path,
+                      PROXY_RESET_THEN_REFUSE);
+            soak.hosts[i].path_heal_at_ms =
+                now_ms + soak_random_between(300, 2000);
+        }
+        break;
+    case FAULT_RESET_THEN_REFUSE_EXECUTORS:
+        proxy_set(soak.proxy, soak.executor_path, PROXY_RESET_THEN_REFUSE);
+        soak.executor_path_heal_at_ms =
+            now_ms + soak_random_between(100, 1000);
+        break;
+    case FAULT_CUT_OWNER:
+        cut_owner(executor_index, now_ms);
+        break;
+    case FAULT_KILL_OWNERS:
+        soak.owner_kills_left = (uint32_t)soak_random_between(2, 4);
+        break;
+    case FAULT_COMPACT_STORE:
+        platform_compact(soak.platform);
+        soak_put_configuration();
+        break;
+    case FAULT_KILL_ALL_HOSTS:
+    default:
+        for (gint i = 0; i < soak_options.hosts; i++) {
+            soak_kill_host(&soak.hosts[i], now_ms);
+        }
+        break;
+    }
+    platform_unlock(soak.platform);
+}
+
+void
+soak_heal_faults(nm_ms_t now_ms, bool all)
+{
+    platform_lock(soak.platform);
+    if (all) {
+        platform_cut(soak.platform, 0, 0, 0);
+    }
+    if (all || now_ms >= soak.store_heal_at_ms) {
+        platform_set_store(soak.platform, STORE_UP);
+    }
+    if (all || now_ms >= soak.delays_heal_at_ms) {
+        platform_set_delayed_share(soak.platform, 0);
+    }
+    for (gint i = 0; i < soak_options.executors; i++) {
+        if (all || now_ms >= soak.executor_heal_at_ms[i]) {
+            executor_at(platform_fleet(soak.platform), (uint32_t)i)
+                ->unresponsive = false;
+        }
+    }
+    platform_unlock(soak.platform);
+    if (all || now_ms >= soak.executor_path_heal_at_ms) {
+        proxy_set(soak.proxy, soak.executor_path, PROXY_OPEN);
+    }
+    for (gint i = 0; all && i < soak_options.hosts; i++) {
+        soak.hosts[i].path_heal_at_ms =
+            MIN(soak.hosts[i].path_heal_at_ms, now_ms);
+        soak.hosts[i].resume_at_ms = MIN(soak.hosts[i].resume_at_ms, now_ms);
+    }
+}
--- /dev/null
+++ b/soak/soak_hosts.c
@@ -0,0 +1,155 @@
+/* Host processes of the soak: their settings, signals, restarts and ends. */
+#include "soak_state.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+void
+soak_write_settings(uint32_t index)
+{
+    host_t *host = &soak.hosts[index];
+    int port = soak_options.base_port + 10 + (int)index * PORTS_PER_HOST;
+    host->front_port = (uint16_t)port;
+    host->settings =
+        g_strdup_printf("%s/host-%u.json", soak_options.folder, index);
+    char *text = g_strdup_printf(
+        "{\"name\":\"h%u\",\"zone\":\"z%u\",\"front_address\":"
+        "\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
+        "\"peer_address\":\"tcp://127.0.0.1:%d\",\"store_address\":"
+        "\"127.0.0.1:%d\",\"metrics_address\":\"127.0.0.1:%d\","
+        "\"cpu_share\":0.5,\"grace_s\":%d}",
+        index, index % 3, port, port + 1, port + 2,
+        soak_options.base_port + 400 + (int)index, port + 3,
+        HOST_GRACE_MS / 1000);
+    g_file_set_contents(host->settings, text, -1, NULL);
+    g_free(text);
+    host->proxy_path = proxy_add(
+        soak.proxy, (uint16_t)(soak_options.base_port + 400 + (int)index));
+    if (host->proxy_path < 0) {
+        fprintf(stderr, "soak: cannot listen on port %d\n",
+                soak_options.base_port + 400 + (int)index);
+        exit(2);
+    }
+}
+
+void
+soak_start_host(uint32_t index)
+{
+    host_t *host = &soak.hosts[index];
+    char *log = g_strdup_printf("%s/host-%u.log", soak_options.folder, index);
+    host->pid = fork();
+    if (host->pid == 0) {
+        sigset_t empty;
+        sigemptyset(&empty);
+        sigprocmask(SIG_SETMASK, &empty, NULL);
+        FILE *out = freopen(log, "a", stdout);
+        FILE *err = freopen(log, "a", stderr);
+        if (out && err) {
+            execl(soak_options.program, soak_options.program, "--settings",
+                  host->settings, (char *)NULL);
+        }
+        _exit(127);
+    }
+    host->stop_sent_ms = 0;
+    host->kill_at_ms = 0;
+    host->resume_at_ms = 0;
+    g_free(log);
+}
+
+void
+soak_signal_host(host_t *host, int number)
+{
+    if (host->pid > 0) {
+        kill(host->pid, number);
+    }
+}
+
+void
+soak_supervise_hosts(nm_ms_t now_ms)
+{
+    for (gint i = 0; i < soak_options.hosts; i++) {
+        host_t *host = &soak.hosts[i];
+        int status;
+        if (host->pid > 0 && waitpid(host->pid, &status, WNOHANG) > 0) {
+            host->pid = 0;
+            bool told_to_stop = host->kill_at_ms > 0;
+            host->kill_at_ms = 0;
+            if (told_to_stop && status != 0) {
+                soak_report_violation(
+                    "CRASH host %d ended with wait status %d after SIGTERM", i,
+                    status);
+            }
+            if (host->stop_sent_ms == 0) {
+                soak_report_violation(
+                    "CRASH host %d ended unexpectedly, wait status %d", i,
+                    status);
+                host->start_at_ms = now_ms;
+            }
+        }
+        if (host->resume_at_ms > 0 && now_ms >= host->resume_at_ms) {
+            soak_signal_host(host, SIGCONT);
+            host->resume_at_ms = 0;
+        }
+        if (host->kill_at_ms > 0 && now_ms >= host->kill_at_ms &&
+            host->pid > 0) {
+            soak_report_violation(
+                "STOP host %d has not ended in its grace time after SIGTERM",
+                i);
+            soak_signal_host(host, SIGKILL);
+            host->kill_at_ms = 0;
+        }
+        if (host->pid == 0 && now_ms >= host->start_at_ms) {
+            soak_start_host((uint32_t)i);
+        }
+        if (host->path_heal_at_ms > 0 && now_ms >= host->path_heal_at_ms) {
+            proxy_set(soak.proxy, host->proxy_path, PROXY_OPEN);
+            host->path_heal_at_ms = 0;
+        }
+    }
+}
+
+void
+soak_kill_host(host_t *host, nm_ms_t now_ms)
+{
+    soak_signal_host(host, SIGCONT);
+    soak_signal_host(host, SIGKILL);
+    host->stop_sent_ms = now_ms;
+    host->kill_at_ms = 0;
+    host->resume_at_ms = 0;
+    host->start_at_ms = now_ms + soak_random_between(100, 2500);
+}
+
+void
+soak_check_dropped_requests(void)
+{
+    for (gint i = 0; i < soak_options.hosts; i++) {
+        char *path = g_strdup_printf("%s/host-%d.log", soak_options.folder, i);
+        char *text = NULL;
+        if (g_file_get_contents(path, &text, NULL, NULL) &&
+            strstr(text, "\"request-dropped\""))
+        {
+            soak_report_violation("LOST host %d ended without a response to a "
+                                  "request that it had read",
+                                  i);
+        }
+        g_free(text);
+        g_free(path);
+    }
+}
+
+void
+soak_stop_hosts(void)
+{
+    for (gint i = 0; i < soak_options.hosts; i++) {
+        soak.hosts[i].stop_sent_ms = 1;
+        soak_signal_host(&soak.hosts[i], SIGCONT);
+        soak_signal_host(&soak.hosts[i], SIGKILL);
+        if (soak.hosts[i].pid > 0) {
+            waitpid(soak.hosts[i].pid, NULL, 0);
+        }
+    }
+}
--- /dev/null
+++ b/soak/soak_state.h
@@ -0,0 +1,132 @@
+/*
+ * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
+ * has the host processes, soak_faults.c the faults, soak_callers.c the
+ * callers.
+ */
+#ifndef SOAK_STATE_H
+#define SOAK_STATE_H
+
+#include <sys/types.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "lib_platform.h"
+#include "lib_proxy.h"
+
+/*
+ * Ports, from --base-port: 0 the platform, 10 + 4 * i those of host i, 399 the
+ * path to the executors, 400 + i the path of host i to the store, up to 499.
+ */
+#define HOSTS_MAX 48
+#define EXECUTORS_MAX 4096
+#define PORTS_PER_HOST 4
+#define TICK_MS 5
+/* Bounds of the smaller users' site after its growth. */
+#define HOST_GRACE_MS 6000 /* from SIGTERM to the end of the process */
+
+typedef struct {
+    pid_t pid; /* 0: not running */
+    nm_ms_t start_at_ms;
+    nm_ms_t resume_at_ms; /* 0: not paused */
+    nm_ms_t stop_sent_ms; /* SIGTERM or SIGKILL; 0: must run */
+    nm_ms_t kill_at_ms;   /* end of the grace time; 0: no SIGTERM pending */
+    nm_ms_t path_heal_at_ms;
+    int proxy_path; /* to the store */
+    uint16_t front_port;
+    char *settings;
+} host_t;
+
+typedef struct {
+    char id[32];
+    uint32_t tasks;
+    bool long_running;
+    bool deadly;          /* its tasks crash their executors */
+    bool outcome_unknown; /* a failed attempt may have been stored */
+    bool refused;         /* every attempt got 503 or 429 */
+    bool wants_cancel;
+    bool ended;
+    uint32_t attempts;
+    uint32_t attempts_max;
+    nm_ms_t accepted_ms;  /* 0: not accepted */
+    nm_ms_t cancelled_ms; /* 0: no cancel acknowledged */
+    nm_ms_t next_call_ms;
+    bool call_in_flight;
+} job_t;
+
+typedef struct {
+    gint hosts;
+    gint executors;
+    gint seconds;
+    gint settle_s;
+    gint base_port;
+    gint64 seed;
+    gdouble jobs_per_s;
+    char *program;
+    char *folder;
+    gboolean drops_jobs;
+    gboolean no_faults;
+    gboolean deadly;
+} soak_options_t;
+
+typedef struct {
+    host_t hosts[HOSTS_MAX];
+    platform_t *platform;
+    proxy_t *proxy;
+    int executor_path;
+    GPtrArray *jobs; /* of job_t */
+    CURLM *multi;
+    nm_rng_t rng;
+    nm_ms_t store_heal_at_ms;
+    nm_ms_t delays_heal_at_ms;
+    nm_ms_t executor_path_heal_at_ms;
+    nm_ms_t owner_kill_at_ms; /* not before */
+    uint32_t owner_kills_left;
+    nm_ms_t executor_heal_at_ms[EXECUTORS_MAX];
+    nm_ms_t next_fault_ms;
+    double pending_arrivals;
+    int64_t config_version;
+    uint32_t faults;
+    uint32_t status_counts[600];
+} soak_t;
+
+extern soak_options_t soak_options;
+extern soak_t soak;
+
+/* soak.c */
+void soak_report_violation(const char *format, ...) G_GNUC_PRINTF(1, 2);
+nm_ms_t soak_random_between(nm_ms_t min, nm_ms_t max);
+
+/* soak_hosts.c */
+void soak_write_settings(uint32_t index);
+void soak_start_host(uint32_t index);
+void soak_signal_host(host_t *host, int number);
+/*
+ * Collects ended processes, kills those that exceed their grace time, and
+ * restarts, resumes and reconnects hosts when it is due.
+ */
+void soak_supervise_hosts(nm_ms_t now_ms);
+void soak_kill_host(host_t *host, nm_ms_t now_ms);
+void soak_stop_hosts(void);
+/* Reports each request that a stopping host has read and not answered. */
+void soak_check_dropped_requests(void);
+
+/* soak_faults.c */
+/* Writes a new version of the configuration; its content never changes. */
+void soak_put_configuration(void);
+/*
+ * Injects a random fault; network faults are drawn twice as often as others.
+ * soak_heal_faults() and soak_supervise_hosts() end the lasting ones.
+ */
+void soak_inject_fault(nm_ms_t now_ms);
+/* Ends the lasting faults that are due, or all of them. */
+void soak_heal_faults(nm_ms_t now_ms, bool all);
+/* Kills the owner while more are to be killed, each soon after its election.
+ */
+void soak_kill_owners(nm_ms_t now_ms);
+
+/* soak_callers.c */
+void soak_handle_responses(nm_ms_t now_ms);
+void soak_send_due_calls(nm_ms_t now_ms, bool submits_new);
+
+#endif
