Test that slow reading does not shorten a new owner's wait

Read again as a newcomer: the scheduler's test of leases after a slow takeover passes the former owner's time explicitly since, so that nothing at the level of the host guarded the fault it is for. The new test lets a new owner read for 3 s and expects the wait to count from the responses of the workers.

The soak's list of rules is in order. No product code changes.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -12,9 +12,9 @@
  *            executors crashed under a task, or as cancelled without a cancel,
  *            or does not end in the settle time; or tasks of an accepted
  *            long-running job do not run at the end
- *     MIXED  a job is reported as completed before all of its tasks are done
  *     LOST   a host that was told to stop has read a request whole and ends
  *            without a response to it ("request-dropped" in its log)
+ *     MIXED  a job is reported as completed before all of its tasks are done
  *     CRASH  a host process ends that the soak did not stop, or ends by a
  *            signal or an error after SIGTERM
  *     STOP   a host process does not end in its grace time after SIGTERM
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -132,6 +132,43 @@
     }
 }
 
+/*
+ * Load: a new owner reads stored records for 3 s.  Until the workers have
+ * responded to it, a majority of them gives the former owner authority, so
+ * that the wait must count from there and not from the election.
+ */
+static void
+test_slow_reading_does_not_shorten_the_wait(void)
+{
+    enum { READING_MS = 3000, AUTHORITY_MS = 1000 };
+    fake_kv_t *kv = configured_store();
+    add_workers(kv);
+    host_t former;
+    host_init(&former, "a", kv);
+    run_host(&former, 4000);
+    fake_kv_end_calls(kv);
+    host_finish(&former);
+    fake_kv_put(kv, OWNER_KEY, NULL);
+    host_t next;
+    host_init(&next, "b", kv);
+    for (int i = 0; i < 200 && next.entry->role != NM_ROLE_LOADING; i++) {
+        run_host(&next, 10);
+    }
+    g_assert_cmpint(next.entry->role, ==, NM_ROLE_LOADING);
+    fake_kv_set_mode(kv, FAKE_KV_UNRESPONSIVE);
+    run_host(&next, READING_MS);
+    g_assert_cmpint(next.entry->role, ==, NM_ROLE_LOADING);
+    fake_kv_set_mode(kv, FAKE_KV_AVAILABLE);
+    run_host(&next, 1000);
+    g_assert_cmpint(next.entry->role, ==, NM_ROLE_OWNER);
+    const nm_authority_t *authority = &next.entry->authority;
+    g_assert_true(authority->quorum_responded);
+    g_assert_cmpint(authority->former_until_ms - authority->elected_ms, >=,
+                    READING_MS + AUTHORITY_MS);
+    host_finish(&next);
+    fake_kv_free(kv);
+}
+
 /*
  * A worker has been silent for some time when its owner is told to stop.  The
  * next owner must not wait for longer than the former one would have, and no
@@ -256,6 +293,8 @@
          test_cut_off_owner_renews_no_lease},
         {"/authority/successor-waits-for-a-majority",
          test_successor_waits_for_a_majority},
+        {"/authority/slow-reading-does-not-shorten-the-wait",
+         test_slow_reading_does_not_shorten_the_wait},
         {"/authority/hand-over-passes-on-leases",
          test_hand_over_passes_on_leases},
         {"/authority/majorities", test_majorities},
