Owner logs the delay of its calls, lapsed workers and late ends

The log could not tell a short link from a short processor, nor lapses of workers that live from those that crash. owner-calls has count, losses and longest delay of each class of call, and bytes sent and received; worker-lapsed and late-end name the worker, and the run. nutmegentry now counts its messages to peers, as nutmegd does.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -69,6 +69,9 @@
     X(CAPACITY, "capacity")                                                   \
     X(JOB_IDLE, "job-idle")                                                   \
     X(OWNER_LOAD, "owner-load")                                               \
+    X(OWNER_CALLS, "owner-calls")                                             \
+    X(WORKER_LAPSED, "worker-lapsed")                                         \
+    X(LATE_END, "late-end")                                                   \
     X(CARRIER_SILENT, "carrier-silent")                                       \
     X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -114,7 +114,12 @@
     X(STORE_CALLS, "store_calls", "calls made to the store")                  \
     X(SETTINGS_INSTALLED, "settings_installed", "settings revisions in use")  \
     X(PEER_SENT, "peer_messages_sent", "messages sent to peers")              \
-    X(PEER_BYTES, "peer_bytes_sent", "bytes sent to peers")
+    X(PEER_BYTES, "peer_bytes_sent", "bytes sent to peers")                   \
+    X(PEER_BYTES_IN, "peer_bytes_received", "bytes received from peers")      \
+    X(HTTP_BYTES, "http_bytes_sent",                                          \
+      "bytes of request bodies sent to the store and to workers")             \
+    X(HTTP_BYTES_IN, "http_bytes_received",                                   \
+      "bytes of response bodies of the store and of workers")
 
 typedef enum {
 #define X(name, label, text) NM_COUNTER_##name,
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -446,6 +446,16 @@
      * task that are left.
      */
     NM_SCHED_EVENT_CRASH_UNPROVED,
+    /*
+     * The lease of a silent worker has lapsed, so that its tasks wait again.
+     * Value: how long ago it was last heard of, in ms.
+     */
+    NM_SCHED_EVENT_WORKER_LAPSED,
+    /*
+     * A run had ended as done before it was counted as lapsed.  Value: the run
+     * of its task that has been started since, 0: none.
+     */
+    NM_SCHED_EVENT_LATE_END,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -268,6 +268,8 @@
     if (!current) {
         return;
     }
+    nm_load_on_call(entry, NM_CALL_PROBE, result != NM_ORDER_UNKNOWN,
+                    authority_now(entry) - sent_ms);
     nm_quorum_t *quorum = &entry->authority.quorum;
     nm_witness_t *witness = nm_quorum_find(quorum, action->worker);
     if (witness) {
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -281,6 +281,8 @@
         return;
     }
     entry->renewing = false;
+    nm_load_on_call(entry, NM_CALL_RENEW, result->rc != NM_ERR_LOST,
+                    nm_clock_now_with_suspend(entry->desc.clock) - sent_ms);
     nm_entry_record_store_result(entry, result->rc);
     if (result->rc == NM_OK) {
         nm_authority_confirm(entry, sent_ms);
--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -47,6 +47,16 @@
     }
 }
 
+void
+nm_load_on_call(nm_entry_t *entry, nm_call_class_t call_class, bool responded,
+                nm_ms_t delay_ms)
+{
+    nm_call_stats_t *stats = &entry->load.calls[call_class];
+    stats->count++;
+    stats->lost += !responded;
+    stats->delay_max_ms = MAX(stats->delay_max_ms, delay_ms);
+}
+
 void
 nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -103,12 +113,53 @@
     return lag_max_ms <= EVENT_LAG_BOUND_MS;
 }
 
+/* Logs how long calls of each class took, and the bytes on the links. */
+static void
+log_calls(nm_entry_t *entry, nm_ms_t interval_ms)
+{
+    static const char *const labels[NM_CALL_CLASS_COUNT] = {
+#define X(name, label) label,
+        NM_CALL_CLASS_LIST(X)
+#undef X
+    };
+    static const struct {
+        const char *key;
+        nm_counter_t counter;
+    } bytes[NM_LOAD_BYTE_COUNTERS] = {
+        {"peer_bytes_sent", NM_COUNTER_PEER_BYTES},
+        {"peer_bytes_received", NM_COUNTER_PEER_BYTES_IN},
+        {"http_bytes_sent", NM_COUNTER_HTTP_BYTES},
+        {"http_bytes_received", NM_COUNTER_HTTP_BYTES_IN},
+    };
+    json_t *calls = json_object();
+    for (int i = 0; i < NM_CALL_CLASS_COUNT; i++) {
+        const nm_call_stats_t *stats = &entry->load.calls[i];
+        json_object_set_new(calls, labels[i],
+                            json_pack("{s:i,s:i,s:I}", "count",
+                                      (int)stats->count, "lost",
+                                      (int)stats->lost, "delay_max_ms",
+                                      (json_int_t)stats->delay_max_ms));
+    }
+    json_t *sums = json_object();
+    for (int i = 0; i < NM_LOAD_BYTE_COUNTERS; i++) {
+        uint64_t value = nm_counter_value(bytes[i].counter);
+        json_object_set_new(
+            sums, bytes[i].key,
+            json_integer((json_int_t)(value - entry->logged_bytes[i])));
+        entry->logged_bytes[i] = value;
+    }
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CALLS, "{s:I,s:o,s:o}",
+           "interval_ms", (json_int_t)interval_ms, "calls", calls, "bytes",
+           sums);
+}
+
 void
 nm_load_end_pass(nm_entry_t *entry, nm_ms_t now_ms, nm_ms_t due_ms)
 {
     nm_owner_load_t *load = &entry->load;
     if (now_ms - load->since_ms >= LOAD_LOG_INTERVAL_MS) {
         bool in_time = log_load(entry, now_ms);
+        log_calls(entry, now_ms - load->since_ms);
         nm_owner_load_t next = {.since_ms = now_ms,
                                 .late_lines =
                                     in_time ? 0 : load->late_lines + 1,
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -48,11 +48,19 @@
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
          const nm_worker_report_t *report)
 {
+    nm_ms_t sent_ms = nm_term_call_sent_ms(user);
     nm_entry_t *entry = nm_term_call_end(user);
     if (!entry) {
         return;
     }
     nm_ms_t now_ms = nm_entry_now(entry);
+    nm_call_class_t call_class =
+        action->type == NM_ACTION_START  ? NM_CALL_START
+        : action->type == NM_ACTION_POLL ? NM_CALL_POLL
+                                         : NM_CALL_STOP;
+    nm_ms_t took_ms = nm_clock_now_with_suspend(entry->desc.clock) - sent_ms;
+    nm_load_on_call(entry, call_class, result != NM_ORDER_UNKNOWN,
+                    MAX(took_ms - action->wait_ms, 0));
     switch (action->type) {
     case NM_ACTION_START:
         nm_sched_on_start(entry->sched, action, result, now_ms);
@@ -116,6 +124,9 @@
                                            "crashes"},
         [NM_SCHED_EVENT_CRASH_UNPROVED] = {NM_LOG_ITEM_CRASH_UNPROVED,
                                            "silences"},
+        [NM_SCHED_EVENT_WORKER_LAPSED] = {NM_LOG_ITEM_WORKER_LAPSED,
+                                          "heard_ms"},
+        [NM_SCHED_EVENT_LATE_END] = {NM_LOG_ITEM_LATE_END, "newer_run"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -47,8 +47,35 @@
     int64_t revision; /* of the owner key */
 } nm_owner_t;
 
+/* Calls of the owner, by what waits for them, and their label in the log. */
+#define NM_CALL_CLASS_LIST(X)                                                 \
+    X(POLL, "poll")   /* renews the lease of a worker */                      \
+    X(PROBE, "probe") /* of a witness, for the owner's authority */           \
+    X(START, "start")                                                         \
+    X(STOP, "stop")     /* and throttle */                                    \
+    X(RENEW, "renew")   /* of the owner key's lease */                        \
+    X(COMMIT, "commit") /* of progress */
+
+typedef enum {
+#define X(name, label) NM_CALL_##name,
+    NM_CALL_CLASS_LIST(X)
+#undef X
+        NM_CALL_CLASS_COUNT,
+} nm_call_class_t;
+
+/* Counters of bytes in the log line on calls. */
+#define NM_LOAD_BYTE_COUNTERS 4
+
+/* Calls of one class that have ended. */
+typedef struct {
+    uint32_t count;
+    uint32_t lost;        /* part of count: without a response in time */
+    nm_ms_t delay_max_ms; /* beyond the time a poll may wait */
+} nm_call_stats_t;
+
 /* Load of the owner since the newest line about it in the log. */
 typedef struct {
+    nm_call_stats_t calls[NM_CALL_CLASS_COUNT];
     nm_ms_t since_ms;
     nm_ms_t cpu_time_ms; /* of the process at that time */
     nm_ms_t due_ms;      /* when the next pass of the control loop is due */
@@ -171,6 +198,7 @@
     nm_ms_t capacity_log_due_ms;
     nm_sched_capacity_t logged_capacity; /* newest one in the log */
     nm_owner_load_t load;
+    uint64_t logged_bytes[NM_LOAD_BYTE_COUNTERS]; /* counters, newest line */
     /* Requests of callers and peers. */
     GQueue open_ops;           /* of nm_op_t */
     GHashTable *forwarded_ops; /* request number -> nm_op_t */
@@ -259,6 +287,11 @@
 void nm_load_reset(nm_entry_t *entry, nm_ms_t now_ms);
 /* A response, a worker or a job has changed what can be placed. */
 void nm_load_on_event(nm_entry_t *entry, nm_ms_t now_ms);
+/*
+ * A call has ended, delay_ms after it was sent, less the time it was to wait.
+ */
+void nm_load_on_call(nm_entry_t *entry, nm_call_class_t call_class,
+                     bool responded, nm_ms_t delay_ms);
 /* A pass of the control loop begins. */
 void nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms);
 /* A round of the scheduler, which began at a time, has ended. */
--- a/src/peer_rpc.c
+++ b/src/peer_rpc.c
@@ -120,7 +120,12 @@
     nm_pb__entry_ask__pack(request, data);
     int sent = zmq_send(get_socket(peers, address), data, bytes, ZMQ_DONTWAIT);
     g_free(data);
-    return sent < 0 ? NM_ERR_FULL : NM_OK;
+    if (sent < 0) {
+        return NM_ERR_FULL;
+    }
+    nm_count(NM_COUNTER_PEER_SENT, 1);
+    nm_count(NM_COUNTER_PEER_BYTES, bytes);
+    return NM_OK;
 }
 
 void
@@ -155,7 +160,11 @@
     bool sent = zmq_send(peers->inbound, route, route_bytes,
                          ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
                 zmq_send(peers->inbound, data, bytes, ZMQ_DONTWAIT) >= 0;
-    if (!sent) {
+    if (sent) {
+        nm_count(NM_COUNTER_PEER_SENT, 1);
+        nm_count(NM_COUNTER_PEER_BYTES, bytes);
+    }
+    else {
         /* A lost response is covered by the requester's deadline. */
         nm_count_reason(NM_REASON_PEER_LOST);
     }
@@ -170,6 +179,7 @@
         zmq_msg_close(part);
         return false;
     }
+    nm_count(NM_COUNTER_PEER_BYTES_IN, zmq_msg_size(part));
     return true;
 }
 
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -95,9 +95,11 @@
 }
 
 void
-nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node)
+nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
     nm_crashes_on_lapse(sched, node);
+    nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_LAPSED, node->desc.id,
+                       now_ms - node->alive_ms);
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -222,7 +222,7 @@
         /* All runs of former owners have ended. */
         node->inherited = false;
         if (!node->reachable && node->tasks->len > 0) {
-            nm_node_requeue_tasks(sched, node);
+            nm_node_requeue_tasks(sched, node, now_ms);
         }
     }
     if (node->desc.state == NM_WORKER_DRAINING && node->reachable) {
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -424,6 +424,18 @@
            (!nm_task_step(task)->is_gang || task->run == row->run);
 }
 
+static void
+report_late_end(nm_sched_t *sched, const nm_sched_node_t *node,
+                const nm_task_t *task, const nm_worker_end_t *row)
+{
+    int64_t newer_run = task->node ? task->run : 0;
+    nm_sched_add_crash_event(
+        sched, task, node,
+        &(nm_sched_event_t){.type = NM_SCHED_EVENT_LATE_END,
+                            .value = newer_run,
+                            .run = row->run});
+}
+
 static void
 apply_end(nm_sched_t *sched, nm_sched_node_t *node, const nm_worker_end_t *row,
           nm_ms_t now_ms)
@@ -435,6 +447,11 @@
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
+    if (task && !current && row->end == NM_END_DONE &&
+        task->state != NM_RUN_UNKNOWN && task->state != NM_RUN_DONE)
+    {
+        report_late_end(sched, node, task, row);
+    }
     if (current || (task && (task->state == NM_RUN_UNKNOWN ||
                              ends_waiting_task(task, row))))
     {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -648,7 +648,8 @@
 /* sched_node.c */
 nm_sched_node_t *nm_node_find(nm_sched_t *sched, const char *id);
 /* Requeues all tasks of a node whose lease has lapsed. */
-void nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node);
+void nm_node_requeue_tasks(nm_sched_t *sched, nm_sched_node_t *node,
+                           nm_ms_t now_ms);
 void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                int64_t incarnation, nm_ms_t now_ms);
 /*
