A late end of a run ends its task, also once it has started elsewhere

Callers saw TWICE: a run ends as done, its report waits in the owner's queues until the lease is counted as lapsed, the task starts elsewhere, and the end that arrives then was not applied, so that the second run went to its end, or a third one began.

Cause: an end was not weighed against a start on its way. Now any end as done makes the task done; a later run of it is surplus: it is stopped, which also takes back a start on its way, as a worker refuses a run that was stopped there before, and keeps its room until its end is known. A gang is done by any of its runs, as each ends for all of its members or for none.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -133,7 +133,9 @@
     uint32_t crashes_max = certain && task->crash_worker_hash == 0
                                ? CRASHES_MAX
                                : crashes_uncertain_max(job);
-    if (task->crashes >= crashes_max && job->state < NM_JOB_COMPLETED) {
+    if (task->crashes >= crashes_max && !nm_task_is_done(task) &&
+        job->state < NM_JOB_COMPLETED)
+    {
         nm_sched_add_run_event(sched, NM_SCHED_EVENT_TASK_GIVEN_UP, task,
                                task->crashes);
         nm_job_fail(sched, job, NM_JOB_FAILURE_CRASHES, now_ms);
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -27,8 +27,8 @@
             uint32_t count = job->spec.steps[s].task_count;
             char *states = g_malloc(count + 1);
             for (uint32_t i = 0; i < count; i++) {
-                nm_run_state_t state = job->occurrences[o].tasks[s][i].state;
-                states[i] = state == NM_RUN_DONE ? 'D' : '.';
+                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                states[i] = nm_task_is_done(task) ? 'D' : '.';
             }
             states[count] = '\0';
             json_array_append_new(steps, json_string(states));
@@ -104,7 +104,7 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->crashes > 0 && task->state != NM_RUN_DONE) {
+                if (task->crashes > 0 && !nm_task_is_done(task)) {
                     json_array_append_new(
                         crashes,
                         json_pack("[i,i,i,I,I]", o, s, i,
@@ -149,7 +149,7 @@
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
                 const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->state != NM_RUN_DONE) {
+                if (!nm_task_is_done(task)) {
                     append_silences(silences, task, o, s, i);
                 }
             }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -413,15 +413,15 @@
 }
 
 /*
- * True if a run that was taken for lapsed has ended as done before, and its
- * task has not started again.  The worker drops the end once it is
- * acknowledged.  A gang is done only by its newest run.
+ * True if a run that was taken for lapsed has ended as done, whether or not
+ * its task has started again.  The worker drops the end once it is
+ * acknowledged.
  */
 static bool
-ends_waiting_task(const nm_task_t *task, const nm_worker_end_t *row)
+is_late_end(const nm_task_t *task, const nm_worker_end_t *row)
 {
-    return task->state == NM_RUN_WAITING && row->end == NM_END_DONE &&
-           (!nm_task_step(task)->is_gang || task->run == row->run);
+    return row->end == NM_END_DONE && task->state != NM_RUN_UNKNOWN &&
+           !nm_task_is_done(task);
 }
 
 static void
@@ -447,14 +447,11 @@
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
-    if (task && !current && row->end == NM_END_DONE &&
-        task->state != NM_RUN_UNKNOWN && task->state != NM_RUN_DONE)
-    {
+    bool late = task && !current && is_late_end(task, row);
+    if (late) {
         report_late_end(sched, node, task, row);
     }
-    if (current || (task && (task->state == NM_RUN_UNKNOWN ||
-                             ends_waiting_task(task, row))))
-    {
+    if (current || late || (task && task->state == NM_RUN_UNKNOWN)) {
         if (row->checkpoint[0] != '\0') {
             nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
                        row->checkpoint);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -178,6 +178,7 @@
     uint32_t tries;       /* of the current order; 0: it is confirmed */
     bool order_pending;   /* a call is in flight */
     bool withdrawn;       /* STOPPING before its start was confirmed */
+    bool run_is_surplus;  /* an earlier run has ended as done: STOPPING */
     uint32_t percent;     /* confirmed share of full speed, or
                              NM_SCHED_PERCENT_UNKNOWN */
     uint32_t wanted_percent;
@@ -465,6 +466,13 @@
     return job->queue && !job->long_running && job->spec.first_unix_ms == 0;
 }
 
+/* True if a run has ended as done, whether or not a surplus run is left. */
+static inline bool
+nm_task_is_done(const nm_task_t *task)
+{
+    return task->state == NM_RUN_DONE || task->run_is_surplus;
+}
+
 /* Attaches a task to a node, or detaches it; updates the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -247,6 +247,14 @@
     }
 }
 
+static void
+end_surplus_run(nm_sched_t *sched, nm_task_t *task)
+{
+    task->run_is_surplus = false;
+    nm_task_set_state(sched, task, NM_RUN_DONE);
+    sched->needs_placement = true;
+}
+
 void
 nm_task_requeue(nm_sched_t *sched, nm_task_t *task)
 {
@@ -256,6 +264,10 @@
         nm_crashes_clear_silence(sched, task, task->node);
     }
     nm_task_detach(task);
+    if (task->run_is_surplus) {
+        end_surplus_run(sched, task);
+        return;
+    }
     if (task->state != NM_RUN_WAITING) {
         task->occurrence->waiting[task->step]++;
     }
@@ -280,10 +292,18 @@
     sched->has_unknown_runs = true;
 }
 
+/*
+ * Marks a task done by the end of a run.  A later run of it, started when the
+ * first one was taken for lost, is surplus: it is stopped, and holds its room
+ * until its end is known.
+ */
 static void
-mark_task_done(nm_sched_t *sched, nm_task_t *task)
+mark_task_done(nm_sched_t *sched, nm_task_t *task, int64_t run, nm_ms_t now_ms)
 {
-    if (task->state == NM_RUN_DONE) {
+    if (nm_task_is_done(task)) {
+        if (task->run_is_surplus && task->run == run) {
+            nm_task_requeue(sched, task);
+        }
         return;
     }
     const nm_step_t *step = nm_task_step(task);
@@ -291,11 +311,19 @@
     if (task->node) {
         nm_timer_set_now(sched, task->node);
     }
-    nm_task_detach(task);
     if (task->state == NM_RUN_WAITING) {
         task->occurrence->waiting[task->step]--;
     }
-    nm_task_set_state(sched, task, NM_RUN_DONE);
+    if (task->node && task->run != run) {
+        if (task->state != NM_RUN_STOPPING) {
+            nm_sched_stop_task(sched, task, now_ms);
+        }
+        task->run_is_surplus = true;
+    }
+    else {
+        nm_task_detach(task);
+        nm_task_set_state(sched, task, NM_RUN_DONE);
+    }
     task->occurrence->unfinished[task->step]--;
     job->core_ms_left -= step->cpu_milli * step->estimate_ms / 1000;
     sched->needs_placement = true;
@@ -391,7 +419,7 @@
                       nm_ms_t now_ms)
 {
     nm_sched_job_t *job = task->occurrence->job;
-    if (task->state == NM_RUN_DONE || nm_task_step(task)->long_running ||
+    if (nm_task_is_done(task) || nm_task_step(task)->long_running ||
         failure_is_counted(task, run))
     {
         return;
@@ -407,14 +435,11 @@
 
 /* Marks all members of a gang done, as its run is done once one of them is. */
 static void
-mark_gang_done(nm_sched_t *sched, nm_task_t *task, int64_t run)
+mark_gang_done(nm_sched_t *sched, nm_task_t *task, int64_t run, nm_ms_t now_ms)
 {
     nm_occurrence_t *occurrence = task->occurrence;
     for (uint32_t i = 0; i < nm_task_step(task)->task_count; i++) {
-        nm_task_t *member = &occurrence->tasks[task->step][i];
-        if (member->run == run || member->state == NM_RUN_UNKNOWN) {
-            mark_task_done(sched, member);
-        }
+        mark_task_done(sched, &occurrence->tasks[task->step][i], run, now_ms);
     }
 }
 
@@ -428,9 +453,9 @@
     }
     if (end == NM_END_DONE) {
         if (nm_task_step(task)->is_gang) {
-            mark_gang_done(sched, task, run);
+            mark_gang_done(sched, task, run, now_ms);
         }
-        mark_task_done(sched, task);
+        mark_task_done(sched, task, run, now_ms);
         nm_job_check_end(sched, task->occurrence->job, now_ms);
         return;
     }
