Starts in flight are bounded by the delay of responses

Cause: up to 400 starts, some 500 bytes each, were in flight however long their responses took. They fill the owner's link for seconds; polls, renewals of leases and commits wait behind them and time out, workers that live count as silent, their tasks are started again: more load, so that the owner does not recover.

Change: sched_delay.c samples the delay of responses. The bound shrinks while a quarter of them take over 400 ms, and grows again while they do not and it is reached.

--- a/src/sched.c
+++ b/src/sched.c
@@ -157,6 +157,7 @@
     sched->watch_gap_ms = now_ms;
     sched->former_owner_until_ms = now_ms;
     sched->authority = true;
+    nm_delay_init(sched, now_ms);
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
     nm_rng_init(&sched->rng, desc->seed);
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -501,7 +501,8 @@
                                      IDLE_START_INTERVAL_MS);
     sched->placed_ms = now_ms;
     round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
-    round.starting_max = NM_SCHED_STARTING_MAX + count_silent_starts(sched);
+    round.starting_max =
+        (uint32_t)sched->delay.starting_max + count_silent_starts(sched);
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
@@ -522,6 +523,7 @@
         }
     }
     sched->placement_cut = sched->starting_count >= round.starting_max;
+    sched->delay.starting_reached |= sched->placement_cut;
     sched->needs_placement = sched->needs_placement || sched->placement_cut;
     sched->cut_placements += sched->placement_cut;
     g_array_free(candidates, TRUE);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -79,6 +79,7 @@
     }
     node->report_expected_ms =
         now_ms + action->wait_ms + REPORT_LATENCY_USUAL_MS;
+    node->poll_wait_ms = action->wait_ms;
     node->poll_pending = true;
 }
 
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -201,6 +201,7 @@
     task->order_pending = false;
     if (result == NM_ORDER_DONE) {
         task->node->alive_ms = now_ms;
+        nm_delay_on_response(sched, now_ms - task->sent_ms, now_ms);
     }
     record_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
     return task;
@@ -592,6 +593,11 @@
         nm_node_begin_incarnation(sched, node, report->incarnation, now_ms);
     }
     node->alive_ms = now_ms;
+    /* A worker may respond before the end of a wait: that shows no delay. */
+    nm_ms_t delay_ms = now_ms - report->sent_ms - node->poll_wait_ms;
+    if (node->poll_wait_ms == 0 || delay_ms >= 0) {
+        nm_delay_on_response(sched, delay_ms, now_ms);
+    }
     apply_report(sched, node, report, now_ms);
 }
 
@@ -609,5 +615,6 @@
     nm_timer_set_now(sched, node);
     nm_count_reason(NM_REASON_LATE_REPORT);
     node->alive_ms = MAX(node->alive_ms, report->sent_ms);
+    nm_delay_on_response(sched, NM_DELAY_TIMED_OUT, now_ms);
     apply_report(sched, node, report, now_ms);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -52,6 +52,8 @@
  * between regions and the worker's processing time, and a pause of the owner.
  */
 #define NM_SCHED_LOSSY_TIMEOUT_MS 180
+/* A report may come this long after its poll has timed out. */
+#define NM_SCHED_LATE_REPORT_MAX_MS 10000
 /* Pause after a report, so that one poll fetches several ends. */
 #define NM_SCHED_POLL_COALESCE_MS 130
 /* Pause before an unanswered poll or order is repeated. */
@@ -70,7 +72,8 @@
 #define NM_SCHED_POLL_FAILURES_MAX_LOSSY 3
 /*
  * Limit of starts without a response: an owner that cannot keep up must not
- * fall further behind the workers' reports.
+ * fall further behind the workers' reports.  While responses are late the
+ * limit is lower, see sched_delay.c.
  */
 #define NM_SCHED_STARTING_MAX 400
 /* Limit of the workers of a task that may have crashed; it waits from then. */
@@ -95,6 +98,17 @@
  */
 #define NM_SCHED_FAILED_RUNS_MAX 8
 
+/* Delay of responses, see sched_delay.c. */
+typedef struct {
+    nm_ms_t sample_since_ms;
+    uint32_t responses;    /* in the sample */
+    uint32_t late;         /* part of responses */
+    double starting_max;   /* bound of starts in flight */
+    bool starting_reached; /* since its last change */
+    nm_ms_t starting_changed_ms;
+    nm_ms_t behind_until_ms;
+} nm_delay_t;
+
 typedef struct nm_occurrence nm_occurrence_t;
 typedef struct nm_sched_job nm_sched_job_t;
 typedef struct nm_sched_node nm_sched_node_t;
@@ -333,6 +347,7 @@
     uint32_t poll_failures; /* unanswered polls in a row */
     bool last_call_lost;    /* its last call got no response */
     bool poll_pending;
+    nm_ms_t poll_wait_ms; /* of the newest poll */
     nm_ms_t poll_due_ms;
     nm_ms_t alive_ms;            /* when its newest response came */
     uint32_t id_hash;            /* never 0 */
@@ -412,6 +427,7 @@
     uint32_t sampled_calls;  /* in the sample since sample_since_ms */
     uint32_t sampled_calls_lost;
     nm_ms_t sample_since_ms;
+    nm_delay_t delay;
     double call_loss_share; /* moving average of unanswered calls */
     bool lossy; /* estimate: calls get lost whichever worker is called */
     bool needs_placement; /* something changed since the last placement */
@@ -553,6 +569,15 @@
     }
 }
 
+/* sched_delay.c */
+/* Delay of a response that came after its call had timed out. */
+#define NM_DELAY_TIMED_OUT NM_MS_NEVER
+void nm_delay_init(nm_sched_t *sched, nm_ms_t now_ms);
+/* A response came, delay_ms after its call or the end of its wait. */
+void nm_delay_on_response(nm_sched_t *sched, nm_ms_t delay_ms, nm_ms_t now_ms);
+/* True while the owner or its links are behind: silence proves nothing. */
+bool nm_delay_is_behind(const nm_sched_t *sched, nm_ms_t now_ms);
+
 /* sched_duplicates.c */
 /* Records an unanswered start; a duplicate may be carried out later. */
 void nm_duplicates_add(nm_sched_t *sched, nm_sched_node_t *node,
