An owner that is behind does not take silence for lost workers

Cause: the owner's own slowness was taken for the workers' absence.

Change: while many responses come late (sched_delay.c) each poll renews the lease of a worker that was heard of in the last 10 s, and tasks of a silent worker whose lease has lapsed wait for its report, 10 s at most. A silent worker while others respond in time is treated as before (/sched/lapsed-task-of-a-silent-worker-starts).

--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -44,6 +44,19 @@
     }
 }
 
+/*
+ * Repeated polls of an unresponsive worker do not extend its lease, so that
+ * its tasks can start elsewhere; unless it is the owner that is behind.
+ */
+static bool
+lease_is_renewed(const nm_sched_t *sched, const nm_sched_node_t *node,
+                 nm_ms_t now_ms)
+{
+    return node->poll_failures == 0 ||
+           (nm_delay_is_behind(sched, now_ms) &&
+            now_ms - node->alive_ms < NM_SCHED_LATE_REPORT_MAX_MS);
+}
+
 static void
 send_poll(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -65,8 +78,8 @@
     /* Other suspects may wait for the end of a trial here. */
     nm_ms_t trial_end_ms = nm_crashes_trial_end_ms(node);
     action->wait_ms = MIN(action->wait_ms, MAX(trial_end_ms - now_ms, 0));
-    /* Repeated polls of an unresponsive worker do not extend its lease. */
-    if (sched->authority && node->clock_known && node->poll_failures == 0 &&
+    if (sched->authority && node->clock_known &&
+        lease_is_renewed(sched, node, now_ms) &&
         !nm_node_may_run_unknown(node))
     {
         action->expiry_ms =
@@ -211,6 +224,18 @@
             node->ends_truncated || now_ms >= clock_due_ms(node));
 }
 
+/*
+ * True if a worker whose lease has lapsed may have reported in time the ends
+ * of its runs: the report is still on its way to an owner that is behind.
+ */
+static bool
+waits_for_late_report(const nm_sched_t *sched, const nm_sched_node_t *node,
+                      nm_ms_t now_ms)
+{
+    return nm_delay_is_behind(sched, now_ms) &&
+           now_ms - node->lease_lapse_ms < NM_SCHED_LATE_REPORT_MAX_MS;
+}
+
 static void
 tick_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -222,7 +247,9 @@
     if (now_ms >= node->lease_lapse_ms) {
         /* All runs of former owners have ended. */
         node->inherited = false;
-        if (!node->reachable && node->tasks->len > 0) {
+        if (!node->reachable && node->tasks->len > 0 &&
+            !waits_for_late_report(sched, node, now_ms))
+        {
             nm_node_requeue_tasks(sched, node, now_ms);
         }
     }
