A silent worker with an unanswered start gets no renewal

An owner that is behind renews leases after lost polls. A worker that restarts under its id unnoticed may carry out a late start, whose run such a renewal would prolong beyond the time that the owner waits for (sched_duplicates.c).

/sched/unanswered-start-ends-renewal-of-a-silent-worker fails without it.

--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -46,14 +46,16 @@
 
 /*
  * Repeated polls of an unresponsive worker do not extend its lease, so that
- * its tasks can start elsewhere; unless it is the owner that is behind.
+ * its tasks can start elsewhere; unless it is the owner that is behind.  With
+ * an unanswered start, a restart that is not noticed may have begun a late run
+ * there, whose lease must end.
  */
 static bool
 lease_is_renewed(const nm_sched_t *sched, const nm_sched_node_t *node,
                  nm_ms_t now_ms)
 {
     return node->poll_failures == 0 ||
-           (nm_delay_is_behind(sched, now_ms) &&
+           (nm_delay_is_behind(sched, now_ms) && !nm_duplicates_any(node) &&
             now_ms - node->alive_ms < NM_SCHED_LATE_REPORT_MAX_MS);
 }
 
--- a/tests/test_sched_slow_owner.c
+++ b/tests/test_sched_slow_owner.c
@@ -214,6 +214,45 @@
     nm_sched_on_late_report(sim->sched, worker, &report, sim->now_ms);
 }
 
+/*
+ * A worker that is silent with an unanswered start may have restarted, and
+ * have begun the late start: its lease is not renewed, although the owner is
+ * behind.
+ */
+static void
+test_unanswered_start_ends_renewal(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+    sched_sim_advance(&sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    nm_sched_on_start(sim.sched, start, NM_ORDER_UNKNOWN, sim.now_ms);
+    for (int i = 0; i < WORKERS; i++) {
+        sched_sim_add_worker(&sim, (char[]){'b', (char)('a' + i), '\0'});
+    }
+    sched_sim_lose_poll(&sim, "a");
+    uint32_t polls = 0;
+    for (nm_ms_t passed_ms = 0; passed_ms < 5000; passed_ms += TICK_MS) {
+        for (int i = 0; i < WORKERS; i++) {
+            report_late(&sim, (char[]){'b', (char)('a' + i), '\0'});
+        }
+        sched_sim_advance(&sim, TICK_MS);
+        const nm_sched_action_t *poll =
+            sched_sim_find_action(&sim, NM_ACTION_POLL, "a");
+        if (poll) {
+            polls++;
+            g_assert_cmpint(poll->expiry_ms, ==, 0);
+            sched_sim_lose_poll(&sim, "a");
+        }
+    }
+    g_assert_cmpuint(polls, >, 3);
+    sched_sim_finish(&sim);
+}
+
 static const struct {
     const char *name;
     bool behind;          /* the other workers' reports come late */
@@ -380,6 +419,8 @@
         g_test_add_data_func(silences[i].name, GSIZE_TO_POINTER(i),
                              test_silent_worker);
     }
+    g_test_add_func("/sched/unanswered-start-ends-renewal-of-a-silent-worker",
+                    test_unanswered_start_ends_renewal);
     g_test_add_func("/sched/starts-in-flight-follow-the-delay",
                     test_starts_in_flight_follow_the_delay);
     for (size_t i = 0; i < NM_COUNT_OF(late_ends); i++) {
