A start that is late is not sent

Cause: starts that wait in the relay, or at a host for a free call to their worker, are still sent when their time is over. The worker refuses them, or carries them out if its clock is behind, and they fill the link.

Change: a start has the time for which it is valid with it, less what it has waited when the owner sends it (Order.valid_ms). The relay before a message, and the limiter before a call, end a start whose time is over as NOT_SENT: certain not to have been sent, and no fault of the worker. The task starts anew without a stop; if an earlier try is unanswered the start is tried again as after a lost response. Counted as start-overdue, one log line a second. Time in the queues of ZeroMQ and libcurl is not measured. The queue of a carrier and its message move to order_queue.c.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -103,8 +103,8 @@
     nm_orders_http_t orders;
     nm_kv_t *kv = nm_kv_http_init(&store, http, settings->store_address);
     nm_order_limiter_t limiter;
-    nm_order_port_t *limited_orders =
-        nm_order_limiter_init(&limiter, nm_orders_http_init(&orders, http));
+    nm_order_port_t *limited_orders = nm_order_limiter_init(
+        &limiter, nm_orders_http_init(&orders, http), &clock);
     nm_api_listener_t *listener = nm_api_listener_http_new(
         settings->front_address, settings->ready_address);
     nm_peer_rpc_t *peers = nm_peer_rpc_new(settings->peer_address);
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -73,6 +73,7 @@
     X(WORKER_LAPSED, "worker-lapsed")                                         \
     X(LATE_END, "late-end")                                                   \
     X(CARRIER_SILENT, "carrier-silent")                                       \
+    X(START_OVERDUE, "start-overdue")                                         \
     X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
 
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -65,6 +65,7 @@
     X(JOB_FAILING, "job-failing", 0, "it fails on every worker")              \
     X(WORKER_FAILING, "worker-failing", 0, "the worker fails every task")     \
     X(START_REFUSED, "start-refused", 0, "the worker refused a start")        \
+    X(START_OVERDUE, "start-overdue", 0, "a start was late and not sent")     \
     X(LEASE_LAPSED, "lease-lapsed", 0, "the worker's lease lapsed")           \
     X(LATE_REPORT, "late-report", 0, "a worker's answer came after its time") \
     /* Settings, store, worker reports and peers. */                          \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -102,6 +102,7 @@
     int64_t acked;          /* POLL: the worker may drop ends up to it */
     nm_ms_t wait_ms;        /* POLL: how long the worker waits for an end */
     nm_ms_t timeout_ms;     /* of the response, after wait_ms; 0: default */
+    nm_ms_t valid_ms;       /* START: not sent after this time; 0: no limit */
     const char *payload;    /* START; valid until the next call */
     const char *checkpoint; /* START; "" if there is none */
     uint32_t percent;       /* THROTTLE: share of full speed */
@@ -117,6 +118,7 @@
     NM_ORDER_EXPIRED,
     NM_ORDER_WRONG_INCARNATION, /* another incarnation responded */
     NM_ORDER_INVALID,
+    NM_ORDER_NOT_SENT, /* its time was over before; the worker has no part */
 } nm_order_result_t;
 
 /* How a run ended, and its label in logs. */
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -603,7 +603,7 @@
   (ProtobufCMessageInit) nm_pb__entry_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[15] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[16] =
 {
   {
     "number",
@@ -785,6 +785,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "valid_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
@@ -800,13 +812,14 @@
   5,   /* field[5] = task */
   13,   /* field[13] = timeout_ms */
   1,   /* field[1] = type */
+  15,   /* field[15] = valid_ms */
   9,   /* field[9] = wait_ms */
   2,   /* field[2] = worker */
 };
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -816,7 +829,7 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  15,
+  16,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -205,10 +205,15 @@
    * Poll: number of the newest report that the owner has; 0: none.
    */
   uint64_t base_number;
+  /*
+   * Start: what was left of its time when it was sent; the carrier drops it
+   * rather than send it later.  0: no limit.
+   */
+  int64_t valid_ms;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/src/order_limiter.c
+++ b/src/order_limiter.c
@@ -15,6 +15,7 @@
     char *payload; /* copies, made if the order has to wait */
     char *checkpoint;
     int64_t epoch;
+    nm_ms_t queued_ms;
     nm_order_done_fn done;
     void *user;
 } order_t;
@@ -61,20 +62,46 @@
                        on_order, order);
 }
 
+/* Ends an order that has waited for too long; returns false for others. */
+static bool
+drop_overdue(order_t *order, nm_ms_t now_ms)
+{
+    const nm_sched_action_t *action = &order->action;
+    if (!nm_order_is_overdue(action->valid_ms, order->queued_ms, now_ms)) {
+        return false;
+    }
+    nm_overdue_add(&order->limiter->overdue, action->worker, now_ms);
+    order->done(order->user, action, NM_ORDER_NOT_SENT, NULL);
+    free_order(order);
+    return true;
+}
+
+static void
+send_waiting(nm_order_limiter_t *limiter, worker_queue_t *queue)
+{
+    bool sent = false;
+    while (!sent && queue->waiting.length > 0 &&
+           queue->in_flight < NM_WORKER_ORDERS_IN_FLIGHT_MAX)
+    {
+        order_t *order = g_queue_pop_head(&queue->waiting);
+        sent = !drop_overdue(order, nm_clock_now(limiter->clock));
+        if (sent) {
+            send_order(order);
+        }
+    }
+}
+
 static void
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
          const nm_worker_report_t *report)
 {
     order_t *order = user;
+    nm_order_limiter_t *limiter = order->limiter;
     worker_queue_t *queue = order->queue;
     queue->in_flight--;
     order->done(order->user, action, result, report);
     free_order(order);
-    if (queue->waiting.length > 0 &&
-        queue->in_flight < NM_WORKER_ORDERS_IN_FLIGHT_MAX)
-    {
-        send_order(g_queue_pop_head(&queue->waiting));
-    }
+    send_waiting(limiter, queue);
 }
 
 static void
@@ -102,16 +129,19 @@
     order->checkpoint = g_strdup(action->checkpoint);
     order->action.payload = order->payload;
     order->action.checkpoint = order->checkpoint;
+    order->queued_ms = nm_clock_now(limiter->clock);
     g_queue_push_tail(&order->queue->waiting, order);
 }
 
 static const nm_order_port_vtable_t limiter_vtable = {limiter_send};
 
 nm_order_port_t *
-nm_order_limiter_init(nm_order_limiter_t *limiter, nm_order_port_t *inner)
+nm_order_limiter_init(nm_order_limiter_t *limiter, nm_order_port_t *inner,
+                      const nm_clock_t *clock)
 {
-    assert(limiter && inner);
-    *limiter = (nm_order_limiter_t){.base = {&limiter_vtable}, .inner = inner};
+    assert(limiter && inner && clock);
+    *limiter = (nm_order_limiter_t){
+        .base = {&limiter_vtable}, .inner = inner, .clock = clock};
     limiter->queues =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_queue);
     return &limiter->base;
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -8,6 +8,8 @@
 
 #include <nutmegdeck/log.h>
 
+#include "order_queue.h"
+
 /* Timeout of an order that names none, with the round trip to the carrier. */
 #define ORDER_TIMEOUT_MS 900
 /* Timeout of a poll that names none, after the time that it may wait. */
@@ -53,7 +55,7 @@
 
 typedef struct {
     nm_relay_host_t desc;
-    GPtrArray *queued; /* of NmPb__Order */
+    GPtrArray *queued; /* see order_queue.h */
     uint32_t open;
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
@@ -98,18 +100,6 @@
     nm_report_view_t view;     /* of the worker's runs, as last reported */
 } route_t;
 
-static void
-free_order_message(gpointer data)
-{
-    NmPb__Order *order = data;
-    g_free(order->worker);
-    g_free(order->address);
-    g_free(order->task);
-    g_free(order->payload);
-    g_free(order->checkpoint);
-    g_free(order);
-}
-
 static void
 free_carrier(gpointer data)
 {
@@ -276,49 +266,24 @@
     return route->carrier;
 }
 
-static NmPb__Order *
-encode_order(const nm_order_relay_t *relay, const nm_sched_action_t *action,
-             uint64_t number)
-{
-    NmPb__Order *order = g_new(NmPb__Order, 1);
-    nm_pb__order__init(order);
-    order->number = number;
-    order->type = action->type;
-    order->worker = g_strdup(action->worker);
-    order->address = g_strdup(action->address);
-    order->incarnation = action->incarnation;
-    order->task = g_strdup(action->task);
-    order->run = action->run;
-    order->expiry_ms = action->expiry_ms;
-    order->acked = action->acked;
-    order->wait_ms = action->wait_ms;
-    order->timeout_ms = action->timeout_ms;
-    order->payload = g_strdup(action->payload);
-    order->checkpoint = g_strdup(action->checkpoint);
-    order->percent = action->percent;
-    if (action->type == NM_ACTION_POLL) {
-        const route_t *route =
-            g_hash_table_lookup(relay->routes, action->worker);
-        order->base_number = route ? route->view.number : 0;
-    }
-    return order;
+/* Number of the newest report that the owner has of a worker. */
+static uint64_t
+report_number(const nm_order_relay_t *relay, const char *worker)
+{
+    const route_t *route = g_hash_table_lookup(relay->routes, worker);
+    return route ? route->view.number : 0;
 }
 
 static void
-flush_carrier(nm_order_relay_t *relay, carrier_t *carrier, int64_t epoch)
+flush_carrier(nm_order_relay_t *relay, carrier_t *carrier, nm_ms_t now_ms)
 {
-    NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
-    request.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
-    request.epoch = epoch;
-    request.n_orders = carrier->queued->len;
-    request.orders = (NmPb__Order **)carrier->queued->pdata;
-    /* Orders that could not be sent end by their timeout. */
-    int rc =
-        nm_peer_rpc_send(relay->desc.peers, carrier->desc.address, &request);
-    if (rc < 0) {
-        nm_count_reason(NM_REASON_PEER_LOST);
+    nm_order_queue_remove_overdue(carrier->queued, now_ms, relay->overdue);
+    if (carrier->queued->len == 0) {
+        carrier->oldest_unanswered_ms = 0;
+        return;
     }
-    g_ptr_array_set_size(carrier->queued, 0);
+    nm_order_queue_send(carrier->queued, relay->desc.peers,
+                        carrier->desc.address, relay->epoch, now_ms);
 }
 
 static nm_ms_t
@@ -357,13 +322,16 @@
     if (carrier->oldest_unanswered_ms == 0 && action->wait_ms == 0) {
         carrier->oldest_unanswered_ms = now_ms;
     }
-    g_ptr_array_add(carrier->queued,
-                    encode_order(relay, action, order->number));
+    uint64_t base_number = action->type == NM_ACTION_POLL
+                               ? report_number(relay, action->worker)
+                               : 0;
+    nm_order_queue_add(carrier->queued, action, order->number, base_number,
+                       now_ms);
     relay->queued_count++;
+    relay->epoch = epoch;
     if (carrier->queued->len >= MESSAGE_ORDERS_MAX) {
-        flush_carrier(relay, carrier, epoch);
+        flush_carrier(relay, carrier, now_ms);
     }
-    relay->epoch = epoch;
 }
 
 static const nm_order_port_vtable_t relay_vtable = {relay_send};
@@ -383,6 +351,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route);
     relay->zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_zone);
+    relay->overdue = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     relay->generation = 1;
     /* Random start: responses to an earlier incarnation must not match. */
     relay->number = (uint64_t)g_random_int() << 32;
@@ -398,6 +367,7 @@
     g_hash_table_destroy(relay->hosts);
     g_hash_table_destroy(relay->routes);
     g_hash_table_destroy(relay->zones);
+    g_array_free(relay->overdue, TRUE);
 }
 
 double
@@ -443,6 +413,7 @@
     g_hash_table_remove_all(relay->hosts);
     g_hash_table_remove_all(relay->routes);
     g_hash_table_remove_all(relay->zones);
+    g_array_set_size(relay->overdue, 0);
     relay->generation++;
 }
 
@@ -453,7 +424,7 @@
     carrier_t *carrier = g_hash_table_lookup(relay->hosts, host->name);
     if (!carrier) {
         carrier = g_new0(carrier_t, 1);
-        carrier->queued = g_ptr_array_new_with_free_func(free_order_message);
+        carrier->queued = nm_order_queue_new();
         carrier->desc = *host;
         g_hash_table_insert(relay->hosts, carrier->desc.name, carrier);
     }
@@ -620,8 +591,24 @@
     }
 }
 
+/* Ends starts that were late; callbacks may send further orders. */
+static void
+end_overdue(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    while (relay->overdue->len > 0) {
+        guint last = relay->overdue->len - 1;
+        uint64_t number = g_array_index(relay->overdue, uint64_t, last);
+        g_array_set_size(relay->overdue, last);
+        order_t *order = g_hash_table_lookup(relay->in_flight, &number);
+        if (order) {
+            nm_overdue_add(&relay->overdue_log, order->action.worker, now_ms);
+            end_order(relay, order, NM_ORDER_NOT_SENT, NULL);
+        }
+    }
+}
+
 static void
-flush_all(nm_order_relay_t *relay)
+flush_all(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
     GHashTableIter iter;
     gpointer value;
@@ -629,10 +616,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
         if (carrier->queued->len > 0) {
-            flush_carrier(relay, carrier, relay->epoch);
+            flush_carrier(relay, carrier, now_ms);
         }
     }
     relay->queued_count = 0;
+    end_overdue(relay, now_ms);
 }
 
 nm_ms_t
@@ -647,7 +635,7 @@
     nm_ms_t remaining_ms = relay->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
     if (relay->queued_count > 0 && remaining_ms <= 0) {
         relay->flushed_ms = now_ms;
-        flush_all(relay);
+        flush_all(relay, now_ms);
     }
     if (now_ms - relay->checked_ms >= CHECK_INTERVAL_MS) {
         relay->checked_ms = now_ms;
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -23,6 +23,7 @@
 
 #include <glib.h>
 
+#include "order_overdue.h"
 #include "order_port.h"
 #include "peer_rpc.h"
 #include "report_delta.h"
@@ -59,12 +60,14 @@
     GHashTable *hosts;      /* name -> host that can be a carrier */
     GHashTable *in_flight;  /* number -> order in flight */
     GHashTable *late_polls; /* number -> poll that timed out */
-    GHashTable *routes;     /* worker -> its zone and carrier */
-    GHashTable *zones;      /* name -> its workers and carriers */
-    uint64_t generation;    /* of the hosts and their states */
-    bool probe_due;         /* a carrier's time without orders is over */
-    uint64_t number;        /* of the newest order */
-    int64_t epoch;          /* of the newest order */
+    GArray *overdue;        /* numbers of starts that were not sent */
+    nm_overdue_t overdue_log;
+    GHashTable *routes;  /* worker -> its zone and carrier */
+    GHashTable *zones;   /* name -> its workers and carriers */
+    uint64_t generation; /* of the hosts and their states */
+    bool probe_due;      /* a carrier's time without orders is over */
+    uint64_t number;     /* of the newest order */
+    int64_t epoch;       /* of the newest order */
     nm_ms_t checked_ms;
     nm_ms_t flush_called_ms; /* last call of flush */
     nm_ms_t flushed_ms;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -203,7 +203,9 @@
         task->node->alive_ms = now_ms;
         nm_delay_on_response(sched, now_ms - task->sent_ms, now_ms);
     }
-    record_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
+    if (result != NM_ORDER_NOT_SENT) {
+        record_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
+    }
     return task;
 }
 
@@ -265,6 +267,13 @@
         nm_task_requeue(sched, task);
         node->poll_due_ms = now_ms;
         break;
+    case NM_ORDER_NOT_SENT:
+        if (task->tries > 1) {
+            schedule_retry(sched, task, now_ms);
+            break;
+        }
+        nm_task_requeue(sched, task);
+        break;
     case NM_ORDER_EXPIRED:
         /* The HTTP client may have sent it twice; the first one may run. */
     case NM_ORDER_SUPERSEDED:
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -514,6 +514,7 @@
     action->checkpoint = task->checkpoint;
     action->expiry_ms =
         nm_node_clock_ms(node, now_ms) + NM_SCHED_START_VALID_MS;
+    action->valid_ms = NM_SCHED_START_VALID_MS;
     extend_lease(node, action->expiry_ms, now_ms);
     task->sent_ms = now_ms;
     task->order_pending = true;
--- a/tests/test_sched_late_starts.c
+++ b/tests/test_sched_late_starts.c
@@ -171,6 +171,53 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * Starts that were late in the owner's queues were not sent: the worker is not
+ * at fault, however often it happens, and no stop is needed.  If an earlier
+ * try is unanswered, the run may be at work, and the start is tried again.
+ */
+static void
+test_unsent_starts_do_not_count(void)
+{
+    static const struct {
+        nm_order_result_t first_result;
+        bool repeated;   /* the same run */
+        uint32_t starts; /* without a stop */
+    } cases[] = {
+        {NM_ORDER_NOT_SENT, false, 6}, /* more than a worker may fail */
+        {NM_ORDER_UNKNOWN, true, 3},   /* then the first one is withdrawn */
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_add_worker(&sim, "a");
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+        int64_t first_run = 0;
+        uint32_t starts = 0;
+        for (nm_ms_t ms = 0; ms < WAIT_MARGIN_MS && starts < cases[i].starts;
+             ms += TICK_MS)
+        {
+            sched_sim_advance(&sim, TICK_MS);
+            g_assert_null(sched_sim_find_action(&sim, NM_ACTION_STOP, NULL));
+            const nm_sched_action_t *start =
+                sched_sim_find_action(&sim, NM_ACTION_START, "a");
+            if (start) {
+                first_run = starts == 0 ? start->run : first_run;
+                g_assert_cmpint(start->run - first_run, ==,
+                                cases[i].repeated ? 0 : starts);
+                g_assert_cmpint(start->valid_ms, >, 0);
+                nm_sched_on_start(sim.sched, start,
+                                  starts == 0 ? cases[i].first_result
+                                              : NM_ORDER_NOT_SENT,
+                                  sim.now_ms);
+                starts++;
+            }
+        }
+        g_assert_cmpuint(starts, ==, cases[i].starts);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -184,5 +231,7 @@
                     test_late_end_after_a_refused_start);
     g_test_add_func("/sched/task-waits-for-a-late-start-behind-a-cut",
                     test_restart_behind_a_cut);
+    g_test_add_func("/sched/unsent-starts-do-not-count",
+                    test_unsent_starts_do_not_count);
     return g_test_run();
 }
