An owner whose link is late keeps its carriers

Cause: a carrier counts as silent after 800 ms without a response, also if it is the owner's own link that is late. Each such carrier is replaced, which opens connections and adds to the load.

Change: if at least two, and more than half, of the carriers that have responded in the last 5 s are late at once, none of these counts as silent. A carrier that has not responded for 5 s, or never, does. The decoder of ends moves to report_delta.c.

Evidence: /relay/late-owner-keeps-its-carriers fails without the check (0 of 4 carriers kept) and passes.

--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -18,6 +18,13 @@
 #define ROUND_TRIP_MS 450
 /* A carrier that has not responded for this long receives no orders. */
 #define UNRESPONSIVE_MS 800
+/*
+ * If most carriers are late at once, it is this host or its link that is
+ * behind; then those that have responded within this time are not silent.
+ */
+#define BEHIND_MAX_MS 5000
+/* Late carriers from which on this host may be behind: one says nothing. */
+#define BEHIND_LATE_MIN 2
 /*
  * Time for which an unresponsive carrier receives no orders, doubled each time
  * that it does not respond to a probe either.
@@ -59,6 +66,7 @@
     uint32_t open;
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
+    nm_ms_t responded_ms;  /* last response; 0: none */
     nm_ms_t down_until_ms; /* receives no orders before this time */
     nm_ms_t down_ms;       /* last time without orders; 0: responsive */
     double weight;         /* set while carriers are selected */
@@ -559,7 +567,39 @@
         carrier_t *carrier = value;
         carrier->oldest_unanswered_ms +=
             carrier->oldest_unanswered_ms > 0 ? lag_ms : 0;
+        carrier->responded_ms += carrier->responded_ms > 0 ? lag_ms : 0;
+    }
+}
+
+static bool
+is_late(const carrier_t *carrier, nm_ms_t now_ms)
+{
+    return carrier->oldest_unanswered_ms > 0 &&
+           now_ms - carrier->oldest_unanswered_ms > UNRESPONSIVE_MS;
+}
+
+static bool
+has_responded_lately(const carrier_t *carrier, nm_ms_t now_ms)
+{
+    return carrier->down_ms == 0 && carrier->responded_ms > 0 &&
+           now_ms - carrier->responded_ms < BEHIND_MAX_MS;
+}
+
+/* True if most of the carriers that have responded lately are late. */
+static bool
+is_behind(const nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t known = 0;
+    uint32_t late = 0;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        bool counts = has_responded_lately(value, now_ms);
+        known += counts;
+        late += counts && is_late(value, now_ms);
     }
+    return late >= BEHIND_LATE_MIN && 2 * late > known;
 }
 
 static void
@@ -569,10 +609,11 @@
     gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
     relay->probe_due = false;
+    bool behind = is_behind(relay, now_ms);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
-        if (carrier->oldest_unanswered_ms > 0 &&
-            now_ms - carrier->oldest_unanswered_ms > UNRESPONSIVE_MS)
+        if (is_late(carrier, now_ms) &&
+            !(behind && has_responded_lately(carrier, now_ms)))
         {
             nm_ms_t doubled_ms = MIN(carrier->down_ms * 2, DOWN_MAX_MS);
             carrier->down_ms = doubled_ms > 0 ? doubled_ms : DOWN_MIN_MS;
@@ -645,22 +686,6 @@
     return relay->queued_count > 0 ? MAX(remaining_ms, 1) : CHECK_INTERVAL_MS;
 }
 
-static void
-decode_ends(const NmPb__WorkerReport *message, GArray *ends)
-{
-    g_array_set_size(ends, 0);
-    for (size_t i = 0; i < message->n_ends; i++) {
-        const NmPb__WorkerEnd *row = message->ends[i];
-        nm_worker_end_t end = {.number = row->number,
-                               .run = row->run,
-                               .end =
-                                   (nm_end_t)MIN(row->end, NM_END_COUNT - 1)};
-        nm_strcopy(end.task, sizeof(end.task), row->task);
-        nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
-        g_array_append_val(ends, end);
-    }
-}
-
 static nm_worker_report_t
 fill_report(const route_t *route, const NmPb__WorkerReport *message,
             const GArray *ends, nm_ms_t sent_ms)
@@ -693,7 +718,7 @@
     if (!route) {
         return;
     }
-    decode_ends(message, ends);
+    nm_report_decode_ends(message, ends);
     bool base_matches = message->base_number == 0 ||
                         message->base_number == route->view.number;
     bool applied = late->sent_ms > route->view_poll_sent_ms && base_matches &&
@@ -724,7 +749,7 @@
         end_order(relay, order, NM_ORDER_UNKNOWN, NULL);
         return;
     }
-    decode_ends(message, ends);
+    nm_report_decode_ends(message, ends);
     route->view_poll_sent_ms = MAX(route->view_poll_sent_ms, order->sent_ms);
     nm_worker_report_t report =
         fill_report(route, message, ends, order->sent_ms);
@@ -755,6 +780,7 @@
                        carrier->desc.name);
             }
             carrier->oldest_unanswered_ms = 0;
+            carrier->responded_ms = nm_clock_now(relay->desc.clock);
             carrier->down_ms = 0;
         }
         if (result->report) {
--- a/src/report_delta.c
+++ b/src/report_delta.c
@@ -304,3 +304,20 @@
     view->number = message->number;
     return NM_OK;
 }
+
+void
+nm_report_decode_ends(const NmPb__WorkerReport *message, GArray *ends)
+{
+    assert(message && ends);
+    g_array_set_size(ends, 0);
+    for (size_t i = 0; i < message->n_ends; i++) {
+        const NmPb__WorkerEnd *row = message->ends[i];
+        nm_worker_end_t end = {.number = row->number,
+                               .run = row->run,
+                               .end =
+                                   (nm_end_t)MIN(row->end, NM_END_COUNT - 1)};
+        nm_strcopy(end.task, sizeof(end.task), row->task);
+        nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
+        g_array_append_val(ends, end);
+    }
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -266,6 +266,84 @@
     }
 }
 
+/*
+ * An owner whose own link is late: taking most carriers for silent would
+ * select others and open new connections, which is more load.  Carriers that
+ * never respond are left after a time all the same, and a few of many at once.
+ */
+static void
+test_late_owner_keeps_its_carriers(void)
+{
+    enum { CARRIERS = 4, FLUSH_MS = 50 };
+    static const struct {
+        const char *name;
+        uint32_t unresponsive;
+        nm_ms_t silent_ms;
+        uint32_t kept;
+    } late_cases[] = {
+        {"all are late", 4, 4500, 4},   {"most are late", 3, 4500, 4},
+        {"half are late", 2, 1500, 2},  {"one is late", 1, 1500, 3},
+        {"all are silent", 4, 6500, 0}, {"most are silent", 3, 6500, 1},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(late_cases); i++) {
+        g_test_message("%s", late_cases[i].name);
+        nm_clock_t clock;
+        nm_clock_init_manual(&clock, 1000);
+        direct_t direct = {.base = {&direct_vtable}};
+        nm_peer_rpc_t *peers = nm_peer_rpc_new("inproc://owner");
+        nm_order_relay_t relay;
+        nm_order_port_t *port = nm_order_relay_init(
+            &relay, &(nm_order_relay_desc_t){.direct = &direct.base,
+                                             .peers = peers,
+                                             .clock = &clock,
+                                             .name = "owner"});
+        for (uint32_t h = 0; h < CARRIERS; h++) {
+            /* One carrier for the only worker of each data centre. */
+            nm_relay_host_t host = {.cpu_share = 0.5};
+            g_snprintf(host.name, sizeof(host.name), "host-%u", h);
+            g_snprintf(host.zone, sizeof(host.zone), "z%u", h);
+            g_snprintf(host.address, sizeof(host.address), "inproc://h%u", h);
+            nm_order_relay_set_host(&relay, &host);
+            nm_order_relay_set_worker(&relay, host.name, host.zone);
+        }
+        nm_order_relay_flush(&relay, clock.manual_ms);
+        nm_ms_t last_ms = clock.manual_ms + late_cases[i].silent_ms;
+        for (bool first = true; clock.manual_ms <= last_ms; first = false) {
+            for (uint32_t h = 0; h < CARRIERS; h++) {
+                char worker[16];
+                g_snprintf(worker, sizeof(worker), "host-%u", h);
+                nm_sched_action_t action = start_on(worker);
+                nm_order_port_send(port, &action, 1, on_order, g_malloc(1));
+                if (first || h >= late_cases[i].unresponsive) {
+                    NmPb__OrderResult result = NM_PB__ORDER_RESULT__INIT;
+                    result.number = relay.number;
+                    NmPb__OrderResult *results[] = {&result};
+                    NmPb__EntryAnswer response = NM_PB__ENTRY_ANSWER__INIT;
+                    response.n_results = 1;
+                    response.results = results;
+                    nm_order_relay_handle_response(&relay, &response);
+                }
+            }
+            clock.manual_ms += FLUSH_MS;
+            nm_order_relay_flush(&relay, clock.manual_ms);
+        }
+        uint32_t kept = 0;
+        for (uint32_t h = 0; h < CARRIERS; h++) {
+            char worker[16];
+            char zone[16];
+            const char *names[1];
+            g_snprintf(worker, sizeof(worker), "host-%u", h);
+            g_snprintf(zone, sizeof(zone), "z%u", h);
+            nm_sched_action_t action = start_on(worker);
+            nm_order_port_send(port, &action, 1, on_order, g_malloc(1));
+            kept += nm_order_relay_query_carriers(&relay, zone, names, 1);
+        }
+        g_assert_cmpuint(kept, ==, late_cases[i].kept);
+        nm_order_relay_finish(&relay);
+        nm_peer_rpc_free(peers);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -274,5 +352,7 @@
     g_test_add_func("/relay/few-hosts-carry", test_few_hosts_carry);
     g_test_add_func("/relay/orders-of-former-owner-are-refused",
                     test_orders_of_former_owner_are_refused);
+    g_test_add_func("/relay/late-owner-keeps-its-carriers",
+                    test_late_owner_keeps_its_carriers);
     return g_test_run();
 }
