Orders that are urgent go before starts

Cause: the orders of a message are in the order in which they were given, and with 256 of them a message is sent before the round ends. Polls, which renew leases, wait behind a burst of starts.

Change: what is queued for a carrier is sent at the flush: polls, then stops, throttles and starts, the oldest first, over all messages of the flush.

Evidence: /relay/urgent-orders-go-first fails without the sort and passes.

--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -6,6 +6,9 @@
 
 #include "order_overdue.h"
 
+/* Orders in one message; more are sent in several. */
+#define MESSAGE_ORDERS_MAX 256
+
 /* An order in the queue; message is first, as the queue is sent in place. */
 typedef struct {
     NmPb__Order message;
@@ -87,6 +90,33 @@
     }
 }
 
+/* Polls renew leases, and stops free capacity; starts can wait. */
+static int
+precedence(const NmPb__Order *order)
+{
+    switch (order->type) {
+    case NM_ACTION_POLL:
+        return 0;
+    case NM_ACTION_STOP:
+        return 1;
+    case NM_ACTION_START:
+        return 3;
+    default:
+        return 2;
+    }
+}
+
+static gint
+compare_orders(gconstpointer a, gconstpointer b)
+{
+    const NmPb__Order *left = *(NmPb__Order *const *)a;
+    const NmPb__Order *right = *(NmPb__Order *const *)b;
+    int difference = precedence(left) - precedence(right);
+    return difference != 0 ? difference
+                           : (left->number > right->number) -
+                                 (left->number < right->number);
+}
+
 void
 nm_order_queue_send(GPtrArray *queue, nm_peer_rpc_t *peers,
                     const char *address, int64_t epoch, nm_ms_t now_ms)
@@ -96,11 +126,14 @@
     NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
     request.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
     request.epoch = epoch;
-    request.n_orders = queue->len;
-    request.orders = (NmPb__Order **)queue->pdata;
-    /* Orders that could not be sent end by their timeout. */
-    if (nm_peer_rpc_send(peers, address, &request) < 0) {
-        nm_count_reason(NM_REASON_PEER_LOST);
+    g_ptr_array_sort(queue, compare_orders);
+    for (guint i = 0; i < queue->len; i += MESSAGE_ORDERS_MAX) {
+        request.n_orders = MIN(queue->len - i, MESSAGE_ORDERS_MAX);
+        request.orders = (NmPb__Order **)queue->pdata + i;
+        /* Orders that could not be sent end by their timeout. */
+        if (nm_peer_rpc_send(peers, address, &request) < 0) {
+            nm_count_reason(NM_REASON_PEER_LOST);
+        }
     }
     g_ptr_array_set_size(queue, 0);
 }
--- a/src/order_queue.h
+++ b/src/order_queue.h
@@ -23,7 +23,11 @@
 /* Removes starts whose time is over; appends their numbers (uint64_t). */
 void nm_order_queue_remove_overdue(GPtrArray *queue, nm_ms_t now_ms,
                                    GArray *numbers);
-/* Empties the queue; orders that cannot be sent are lost. */
+/*
+ * Sends polls first, then stops, throttles and starts, each in the order of
+ * their numbers, in one or more messages.  Empties the queue; orders that
+ * cannot be sent are lost.
+ */
 void nm_order_queue_send(GPtrArray *queue, nm_peer_rpc_t *peers,
                          const char *address, int64_t epoch, nm_ms_t now_ms);
 
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -57,8 +57,6 @@
 #define CARRIERS_TOTAL_MAX 48
 /* Time between two checks for orders and carriers that time out. */
 #define CHECK_INTERVAL_MS 100
-/* Orders in one message; with this many it is sent before the next flush. */
-#define MESSAGE_ORDERS_MAX 256
 
 typedef struct {
     nm_relay_host_t desc;
@@ -337,9 +335,6 @@
                        now_ms);
     relay->queued_count++;
     relay->epoch = epoch;
-    if (carrier->queued->len >= MESSAGE_ORDERS_MAX) {
-        flush_carrier(relay, carrier, now_ms);
-    }
 }
 
 static const nm_order_port_vtable_t relay_vtable = {relay_send};
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -182,11 +182,45 @@
     }
 }
 
+/*
+ * Guards against polls, which renew leases, behind a burst of starts: also if
+ * the burst is cut into several messages.
+ */
+static void
+test_urgent_orders_go_first(void)
+{
+    static const nm_sched_action_type_t precedence[] = {
+        NM_ACTION_POLL, NM_ACTION_STOP, NM_ACTION_THROTTLE, NM_ACTION_START};
+    static const uint32_t counts[] = {1, 10, 256, 300};
+    for (size_t i = 0; i < NM_COUNT_OF(counts); i++) {
+        line_t line;
+        line_init(&line);
+        int64_t run = 0;
+        for (size_t type = NM_COUNT_OF(precedence); type > 0; type--) {
+            for (uint32_t n = 0; n < counts[i]; n++) {
+                send_order(&line, precedence[type - 1], ++run, "", 0);
+            }
+        }
+        flush_after(&line, NM_RELAY_BATCH_MS);
+        receive_orders(&line, (guint)run);
+        for (guint n = 0; n < (guint)run; n++) {
+            g_assert_cmpint(received(&line, n)->type, ==,
+                            precedence[n / counts[i]]);
+            g_assert_true(n % counts[i] == 0 ||
+                          received(&line, n)->run >
+                              received(&line, n - 1)->run);
+        }
+        line_finish(&line);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/relay/late-starts-stay-unsent",
                     test_late_starts_stay_unsent);
+    g_test_add_func("/relay/urgent-orders-go-first",
+                    test_urgent_orders_go_first);
     return g_test_run();
 }
