--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -8,6 +8,8 @@
 
 #include <nutmegdeck/log.h>
 
+#include "order_queue.h"
+
 /* Timeout of an order that names none, with the round trip to the carrier. */
 #define ORDER_TIMEOUT_MS 900
 /* Timeout of a poll that names none, after the time that it may wait. */
@@ -16,6 +18,13 @@
 #define ROUND_TRIP_MS 450
 /* A carrier that has not responded for this long receives no orders. */
 #define UNRESPONSIVE_MS 800
+/*
+ * If most carriers are late at once, it is this host or its link that is
+ * behind; then those that have responded within this time are not silent.
+ */
+#define BEHIND_MAX_MS 5000
+/* Late carriers from which on this host may be behind: one says nothing. */
+#define BEHIND_LATE_MIN 2
 /*
  * Time for which an unresponsive carrier receives no orders, doubled each time
  * that it does not respond to a probe either.
@@ -48,15 +57,14 @@
 #define CARRIERS_TOTAL_MAX 48
 /* Time between two checks for orders and carriers that time out. */
 #define CHECK_INTERVAL_MS 100
-/* Orders in one message; with this many it is sent before the next flush. */
-#define MESSAGE_ORDERS_MAX 256
 
 typedef struct {
     nm_relay_host_t desc;
-    GPtrArray *queued; /* of NmPb__Order */
+    GPtrArray *queued; /* see order_queue.h */
     uint32_t open;
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
+    nm_ms_t responded_ms;  /* last response; 0: none */
     nm_ms_t down_until_ms; /* receives no orders before this time */
     nm_ms_t down_ms;       /* last time without orders; 0: responsive */
     double weight;         /* set while carriers are selected */
@@ -98,18 +106,6 @@
     nm_report_view_t view;     /* of the worker's runs, as last reported */
 } route_t;
 
-static void
-free_order_message(gpointer data)
-{
-    NmPb__Order *order = data;
-    g_free(order->worker);
-    g_free(order->address);
-    g_free(order->task);
-    g_free(order->payload);
-    g_free(order->checkpoint);
-    g_free(order);
-}
-
 static void
 free_carrier(gpointer data)
 {
@@ -276,49 +272,24 @@
     return route->carrier;
 }
 
-static NmPb__Order *
-encode_order(const nm_order_relay_t *relay, const nm_sched_action_t *action,
-             uint64_t number)
-{
-    NmPb__Order *order = g_new(NmPb__Order, 1);
-    nm_pb__order__init(order);
-    order->number = number;
-    order->type = action->type;
-    order->worker = g_strdup(action->worker);
-    order->address = g_strdup(action->address);
-    order->incarnation = action->incarnation;
-    order->task = g_strdup(action->task);
-    order->run = action->run;
-    order->expiry_ms = action->expiry_ms;
-    order->acked = action->acked;
-    order->wait_ms = action->wait_ms;
-    order->timeout_ms = action->timeout_ms;
-    order->payload = g_strdup(action->payload);
-    order->checkpoint = g_strdup(action->checkpoint);
-    order->percent = action->percent;
-    if (action->type == NM_ACTION_POLL) {
-        const route_t *route =
-            g_hash_table_lookup(relay->routes, action->worker);
-        order->base_number = route ? route->view.number : 0;
-    }
-    return order;
+/* Number of the newest report that the owner has of a worker. */
+static uint64_t
+report_number(const nm_order_relay_t *relay, const char *worker)
+{
+    const route_t *route = g_hash_table_lookup(relay->routes, worker);
+    return route ? route->view.number : 0;
 }
 
 static void
-flush_carrier(nm_order_relay_t *relay, carrier_t *carrier, int64_t epoch)
+flush_carrier(nm_order_relay_t *relay, carrier_t *carrier, nm_ms_t now_ms)
 {
-    NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
-    request.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
-    request.epoch = epoch;
-    request.n_orders = carrier->queued->len;
-    request.orders = (NmPb__Order **)carrier->queued->pdata;
-    /* Orders that could not be sent end by their timeout. */
-    int rc =
-        nm_peer_rpc_send(relay->desc.peers, carrier->desc.address, &request);
-    if (rc < 0) {
-        nm_count_reason(NM_REASON_PEER_LOST);
+    nm_order_queue_remove_overdue(carrier->queued, now_ms, relay->overdue);
+    if (carrier->queued->len == 0) {
+        carrier->oldest_unanswered_ms = 0;
+        return;
     }
-    g_ptr_array_set_size(carrier->queued, 0);
+    nm_order_queue_send(carrier->queued, relay->desc.peers,
+                        carrier->desc.address, relay->epoch, now_ms);
 }
 
 static nm_ms_t
@@ -357,12 +328,12 @@
     if (carrier->oldest_unanswered_ms == 0 && action->wait_ms == 0) {
         carrier->oldest_unanswered_ms = now_ms;
     }
-    g_ptr_array_add(carrier->queued,
-                    encode_order(relay, action, order->number));
+    uint64_t base_number = action->type == NM_ACTION_POLL
+                               ? report_number(relay, action->worker)
+                               : 0;
+    nm_order_queue_add(carrier->queued, action, order->number, base_number,
+                       now_ms);
     relay->queued_count++;
-    if (carrier->queued->len >= MESSAGE_ORDERS_MAX) {
-        flush_carrier(relay, carrier, epoch);
-    }
     relay->epoch = epoch;
 }
 
@@ -383,6 +354,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_route);
     relay->zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_zone);
+    relay->overdue = g_array_new(FALSE, FALSE, sizeof(uint64_t));
     relay->generation = 1;
     /* Random start: responses to an earlier incarnation must not match. */
     relay->number = (uint64_t)g_random_int() << 32;
@@ -398,6 +370,7 @@
     g_hash_table_destroy(relay->hosts);
     g_hash_table_destroy(relay->routes);
     g_hash_table_destroy(relay->zones);
+    g_array_free(relay->overdue, TRUE);
 }
 
 double
@@ -443,6 +416,7 @@
     g_hash_table_remove_all(relay->hosts);
     g_hash_table_remove_all(relay->routes);
     g_hash_table_remove_all(relay->zones);
+    g_array_set_size(relay->overdue, 0);
     relay->generation++;
 }
 
@@ -453,7 +427,7 @@
     carrier_t *carrier = g_hash_table_lookup(relay->hosts, host->name);
     if (!carrier) {
         carrier = g_new0(carrier_t, 1);
-        carrier->queued = g_ptr_array_new_with_free_func(free_order_message);
+        carrier->queued = nm_order_queue_new();
         carrier->desc = *host;
         g_hash_table_insert(relay->hosts, carrier->desc.name, carrier);
     }
@@ -588,9 +562,41 @@
         carrier_t *carrier = value;
         carrier->oldest_unanswered_ms +=
             carrier->oldest_unanswered_ms > 0 ? lag_ms : 0;
+        carrier->responded_ms += carrier->responded_ms > 0 ? lag_ms : 0;
     }
 }
 
+static bool
+is_late(const carrier_t *carrier, nm_ms_t now_ms)
+{
+    return carrier->oldest_unanswered_ms > 0 &&
+           now_ms - carrier->oldest_unanswered_ms > UNRESPONSIVE_MS;
+}
+
+static bool
+has_responded_lately(const carrier_t *carrier, nm_ms_t now_ms)
+{
+    return carrier->down_ms == 0 && carrier->responded_ms > 0 &&
+           now_ms - carrier->responded_ms < BEHIND_MAX_MS;
+}
+
+/* True if most of the carriers that have responded lately are late. */
+static bool
+is_behind(const nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    GHashTableIter iter;
+    gpointer value;
+    uint32_t known = 0;
+    uint32_t late = 0;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        bool counts = has_responded_lately(value, now_ms);
+        known += counts;
+        late += counts && is_late(value, now_ms);
+    }
+    return late >= BEHIND_LATE_MIN && 2 * late > known;
+}
+
 static void
 check_carriers(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
@@ -598,10 +604,11 @@
     gpointer value;
     g_hash_table_iter_init(&iter, relay->hosts);
     relay->probe_due = false;
+    bool behind = is_behind(relay, now_ms);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
-        if (carrier->oldest_unanswered_ms > 0 &&
-            now_ms - carrier->oldest_unanswered_ms > UNRESPONSIVE_MS)
+        if (is_late(carrier, now_ms) &&
+            !(behind && has_responded_lately(carrier, now_ms)))
         {
             nm_ms_t doubled_ms = MIN(carrier->down_ms * 2, DOWN_MAX_MS);
             carrier->down_ms = doubled_ms > 0 ? doubled_ms : DOWN_MIN_MS;
@@ -620,8 +627,24 @@
     }
 }
 
+/* Ends starts that were late; callbacks may send further orders. */
 static void
-flush_all(nm_order_relay_t *relay)
+end_overdue(nm_order_relay_t *relay, nm_ms_t now_ms)
+{
+    while (relay->overdue->len > 0) {
+        guint last = relay->overdue->len - 1;
+        uint64_t number = g_array_index(relay->overdue, uint64_t, last);
+        g_array_set_size(relay->overdue, last);
+        order_t *order = g_hash_table_lookup(relay->in_flight, &number);
+        if (order) {
+            nm_overdue_add(&relay->overdue_log, order->action.worker, now_ms);
+            end_order(relay, order, NM_ORDER_NOT_SENT, NULL);
+        }
+    }
+}
+
+static void
+flush_all(nm_order_relay_t *relay, nm_ms_t now_ms)
 {
     GHashTableIter iter;
     gpointer value;
@@ -629,10 +652,11 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         carrier_t *carrier = value;
         if (carrier->queued->len > 0) {
-            flush_carrier(relay, carrier, relay->epoch);
+            flush_carrier(relay, carrier, now_ms);
         }
     }
     relay->queued_count = 0;
+    end_overdue(relay, now_ms);
 }
 
 nm_ms_t
@@ -647,7 +671,7 @@
     nm_ms_t remaining_ms = relay->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
     if (relay->queued_count > 0 && remaining_ms <= 0) {
         relay->flushed_ms = now_ms;
-        flush_all(relay);
+        flush_all(relay, now_ms);
     }
     if (now_ms - relay->checked_ms >= CHECK_INTERVAL_MS) {
         relay->checked_ms = now_ms;
@@ -657,22 +681,6 @@
     return relay->queued_count > 0 ? MAX(remaining_ms, 1) : CHECK_INTERVAL_MS;
 }
 
-static void
-decode_ends(const NmPb__WorkerReport *message, GArray *ends)
-{
-    g_array_set_size(ends, 0);
-    for (size_t i = 0; i < message->n_ends; i++) {
-        const NmPb__WorkerEnd *row = message->ends[i];
-        nm_worker_end_t end = {.number = row->number,
-                               .run = row->run,
-                               .end =
-                                   (nm_end_t)MIN(row->end, NM_END_COUNT - 1)};
-        nm_strcopy(end.task, sizeof(end.task), row->task);
-        nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
-        g_array_append_val(ends, end);
-    }
-}
-
 static nm_worker_report_t
 fill_report(const route_t *route, const NmPb__WorkerReport *message,
             const GArray *ends, nm_ms_t sent_ms)
@@ -705,7 +713,7 @@
     if (!route) {
         return;
     }
-    decode_ends(message, ends);
+    nm_report_decode_ends(message, ends);
     bool base_matches = message->base_number == 0 ||
                         message->base_number == route->view.number;
     bool applied = late->sent_ms > route->view_poll_sent_ms && base_matches &&
@@ -736,7 +744,7 @@
         end_order(relay, order, NM_ORDER_UNKNOWN, NULL);
         return;
     }
-    decode_ends(message, ends);
+    nm_report_decode_ends(message, ends);
     route->view_poll_sent_ms = MAX(route->view_poll_sent_ms, order->sent_ms);
     nm_worker_report_t report =
         fill_report(route, message, ends, order->sent_ms);
@@ -767,6 +775,7 @@
                        carrier->desc.name);
             }
             carrier->oldest_unanswered_ms = 0;
+            carrier->responded_ms = nm_clock_now(relay->desc.clock);
             carrier->down_ms = 0;
         }
         if (result->report) {
