Fake workers tell when their poll was sent

test_entry_authority /authority/hand-over-passes-on-leases failed on (7430 ms waited, bound 4000).

Cause: the fake's reports had no time at which their poll was sent, so that the scheduler, which measures the delay of responses since, took the owner for one that is behind. Reports of real workers have that time.

Change: the fake sets it. Bounds and cases are as before.

Evidence: the test failed before and passes.

--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -61,6 +61,7 @@
         return;
     }
     nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                 .sent_ms = nm_clock_now(orders->clock),
                                  .incarnation = 1,
                                  .clock_ms = 1000,
                                  .complete = orders->starts == 0};
@@ -96,9 +97,10 @@
 host_init_with_kv(host_t *host, const char *name, const char *address,
                   fake_kv_t *kv, nm_kv_t *kv_port)
 {
-    *host = (host_t){.kv = kv,
-                     .listener = {.base = {&listener_vtable}},
-                     .orders = {.base = {&orders_vtable}}};
+    *host =
+        (host_t){.kv = kv,
+                 .listener = {.base = {&listener_vtable}},
+                 .orders = {.base = {&orders_vtable}, .clock = &host->clock}};
     nm_clock_init_manual(&host->clock, 1000);
     g_queue_init(&host->listener.waiting);
     host->listener.responses = g_ptr_array_new_with_free_func(free_request);
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -52,6 +52,7 @@
  */
 typedef struct {
     nm_order_port_t base;
+    const nm_clock_t *clock; /* of the host */
     uint32_t starts;
     uint32_t renewals;        /* accepted polls that extended a lease */
     GHashTable *out_of_reach; /* ids; NULL: none */
