A cancel reaches the owner without its watch of the jobs

Callers saw UNASKED: starts of a job go on later than 3 s after its cancel was acknowledged.

Cause: the owner heard of a cancel by its watch only, and applied it only after a further read of the owner key. Each request of both waits behind the starts on the links of an owner that is behind.

Change: the host that has stored a cancel notifies the owner, on the connection that forwarded requests use; an owner that stores it applies it at once, and so does one whose watch delivers it, as a cancel needs no confirmation of the ownership. A cancel that is heard of before its job is kept until the job is read, and one that arrives while a new owner loads is applied with the listed ones. A notice may be lost: the watch still shows the cancel. Notices between hosts move to entry_notice.c.

Starts that wait in queues of the owner or of a carrier are not taken back.

Evidence: /entry/cancel-reaches-owner-with-late-watch, /entry/cancel-waits-for-no-read and /entry/cancel-overtakes-its-job failed before and pass (the case of an owner that loads passed before, as the owner stored the cancel).

--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -84,7 +84,8 @@
    */
   ProtobufCBinaryData record;
   /*
-   * ORDERS, OWNER: epoch of the sender
+   * ORDERS, OWNER: epoch of the sender.  CANCEL: 0, or the newest epoch that
+   * the sender knows: the cancel is stored, no response.
    */
   int64_t epoch;
   /*
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -221,18 +221,6 @@
 
 /* --- forwarding to the owner --- */
 
-/* Address of the newest known owner; NULL: none, or this host. */
-static const char *
-owner_address(const nm_entry_t *entry)
-{
-    bool announced = entry->announced.epoch > entry->owner.epoch;
-    const char *name = announced ? entry->announced.name : entry->owner.name;
-    const char *address =
-        announced ? entry->announced.address : entry->owner.address;
-    return address[0] == '\0' || strcmp(name, entry->desc.name) == 0 ? NULL
-                                                                     : address;
-}
-
 /*
  * Forwards a caller's request, once; a peer's request is not forwarded again.
  * Returns false if it was not sent.
@@ -241,7 +229,7 @@
 forward_to_owner(nm_op_t *op)
 {
     nm_entry_t *entry = op->entry;
-    const char *address = owner_address(entry);
+    const char *address = nm_notice_owner_address(entry);
     static const NmPb__EntryAsk__Type types[] = {
         [OP_SUBMIT] = NM_PB__ENTRY_ASK__TYPE__SUBMIT,
         [OP_STATE] = NM_PB__ENTRY_ASK__TYPE__STATE,
@@ -375,6 +363,9 @@
         fail_op(op, NM_ERR_NOT_FOUND);
         return;
     }
+    if (settled && op->type == OP_CANCEL) {
+        nm_notice_cancel(op->entry, op->job);
+    }
     if (settled) {
         bool cancelled =
             op->type == OP_CANCEL || conflicts_with_cancel(op, result);
@@ -666,28 +657,6 @@
     run_op(op);
 }
 
-static void
-handle_announcement(nm_entry_t *entry, const NmPb__EntryAsk *request)
-{
-    nm_owner_announcement_t announcement = {.epoch = request->epoch};
-    if (announcement.epoch <= entry->announced.epoch ||
-        request->owner_name[0] == '\0' ||
-        !nm_strcopy(announcement.name, sizeof(announcement.name),
-                    request->owner_name) ||
-        !nm_strcopy(announcement.address, sizeof(announcement.address),
-                    request->owner_address))
-    {
-        return;
-    }
-    entry->announced = announcement;
-    if (entry->owned_epoch > 0 && announcement.epoch > entry->owned_epoch) {
-        nm_term_step_down(entry, "another host announced a newer epoch");
-    }
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ANNOUNCED, "{s:s,s:I,s:b}", "owner",
-           announcement.name, "epoch", (json_int_t)announcement.epoch,
-           "store_lost", entry->store_lost);
-}
-
 static void
 handle_peer_request(nm_entry_t *entry, const nm_peer_message_t *message)
 {
@@ -704,8 +673,7 @@
             MAX(entry->epoch, entry->announced.epoch));
         return;
     }
-    if (request && request->type == NM_PB__ENTRY_ASK__TYPE__OWNER) {
-        handle_announcement(entry, request);
+    if (request && nm_notice_handle(entry, request)) {
         return;
     }
     if (!request || (size_t)request->type >= NM_COUNT_OF(types)) {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -19,8 +19,6 @@
 #define IDLE_LOG_MIN_MS 3000
 /* Minimum time between two rounds of scheduling decisions. */
 #define ROUND_INTERVAL_MIN_MS 5
-/* Hosts notified of a new owner per round; each needs a connection. */
-#define ANNOUNCEMENTS_PER_ROUND_MAX 8
 /* A watch of the workers that is silent for longer has missed its answer. */
 #define WATCH_GAP_MS 2000
 /* Time between two checks for a missing owner. */
@@ -241,28 +239,6 @@
     }
 }
 
-/*
- * Notifies hosts of the new owner.  A host that is cut off from the store
- * cannot read the owner key, but has to forward its callers' jobs.
- */
-static void
-announce(nm_entry_t *entry)
-{
-    for (int i = 0; i < ANNOUNCEMENTS_PER_ROUND_MAX; i++) {
-        char *address = g_queue_pop_head(&entry->announce_queue);
-        if (!address) {
-            return;
-        }
-        NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
-        request.type = NM_PB__ENTRY_ASK__TYPE__OWNER;
-        request.epoch = entry->owned_epoch;
-        request.owner_name = (char *)entry->desc.name;
-        request.owner_address = (char *)entry->desc.peer_address;
-        nm_peer_rpc_notify(entry->desc.peers, address, &request);
-        g_free(address);
-    }
-}
-
 nm_ms_t
 nm_owner_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -283,7 +259,7 @@
     if (entry->role == NM_ROLE_OWNER) {
         nm_load_on_pass(entry, now_ms);
         run_sched(entry, now_ms);
-        announce(entry);
+        nm_notice_announce(entry);
     }
     if (entry->role == NM_ROLE_OWNER) {
         nm_commit_run(entry, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -1,9 +1,9 @@
 /*
  * State shared by the files of an entry host.  Beside the helpers of entry.c,
  * a file calls only those to the right of it: entry.c -> entry_call.c,
- * entry_owner.c -> entry_election.c -> entry_takeover.c, entry_commit.c ->
- * entry_authority.c -> entry_load.c -> entry_term.c; and entry_term.c calls
- * entry_authority.c to set it up.
+ * entry_owner.c -> entry_election.c, entry_notice.c -> entry_takeover.c,
+ * entry_commit.c -> entry_authority.c -> entry_load.c -> entry_term.c; and
+ * entry_term.c calls entry_authority.c to set it up.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
@@ -188,7 +188,8 @@
     bool hosts_changed;    /* since cpu_share_max_permille was compared */
     GQueue announce_queue; /* addresses of hosts to be notified of the owner */
     GPtrArray *progress;   /* loaded records, until the jobs are listed */
-    GPtrArray *cancels;    /* listed cancels, until progress is applied */
+    GPtrArray *cancels;    /* keys of cancels, until progress is applied */
+    GHashTable *cancels_ahead; /* jobs cancelled by a notice, not known yet */
     bool committing;
     int64_t commit_revision; /* of the commit key */
     bool commit_unknown;     /* a commit's outcome is unknown: read the key */
@@ -270,6 +271,11 @@
 void nm_takeover_begin(nm_entry_t *entry, int64_t epoch, int64_t revision);
 void nm_takeover_verify(nm_entry_t *entry, nm_ms_t now_ms);
 void nm_takeover_apply_queue_config(nm_entry_t *entry);
+/*
+ * Cancels a job for which the store has a cancel key, whether or not the feed
+ * has delivered the key, or the job.
+ */
+void nm_takeover_cancel(nm_entry_t *entry, const char *job);
 
 /* entry_election.c */
 /* Applies a change of the owner or epoch key. */
@@ -299,6 +305,19 @@
 /* Ends a pass: logs the load if that is due; due_ms: of the next pass. */
 void nm_load_end_pass(nm_entry_t *entry, nm_ms_t now_ms, nm_ms_t due_ms);
 
+/* entry_notice.c */
+/* Address of the newest known owner; NULL: none, or this host. */
+const char *nm_notice_owner_address(const nm_entry_t *entry);
+/*
+ * Notifies hosts of the new owner.  A host that is cut off from the store
+ * cannot read the owner key, but has to forward its callers' jobs.
+ */
+void nm_notice_announce(nm_entry_t *entry);
+/* Notifies the owner of a cancel that is stored. */
+void nm_notice_cancel(nm_entry_t *entry, const char *job);
+/* Returns false if a peer's request is no notice. */
+bool nm_notice_handle(nm_entry_t *entry, const NmPb__EntryAsk *request);
+
 /* entry_owner.c */
 void nm_owner_on_late_report(void *user, const char *worker,
                              const nm_worker_report_t *report);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -87,18 +87,45 @@
     entry->sched_due_ms = 0;
 }
 
+/* Returns false if the name of a cancel key names no job. */
+static bool
+cancelled_job(char *id, const char *name)
+{
+    size_t length = strlen(name) - strlen(NM_SUFFIX_CANCEL);
+    if (length >= NM_JOB_ID_MAX) {
+        return false;
+    }
+    memcpy(id, name, length);
+    id[length] = '\0';
+    return true;
+}
+
 static void
 apply_cancel(nm_entry_t *entry, const char *name)
 {
     char id[NM_JOB_ID_MAX];
-    size_t length = strlen(name) - strlen(NM_SUFFIX_CANCEL);
-    if (length < sizeof(id)) {
-        memcpy(id, name, length);
-        id[length] = '\0';
+    if (cancelled_job(id, name)) {
+        g_hash_table_remove(entry->cancels_ahead, id);
         nm_sched_cancel_job(entry->sched, id, nm_entry_now(entry));
     }
 }
 
+void
+nm_takeover_cancel(nm_entry_t *entry, const char *job)
+{
+    if (entry->role != NM_ROLE_OWNER) {
+        g_ptr_array_add(entry->cancels,
+                        g_strconcat(job, NM_SUFFIX_CANCEL, NULL));
+    }
+    else if (nm_sched_query_job(entry->sched, job) != NM_JOB_UNKNOWN) {
+        nm_sched_cancel_job(entry->sched, job, nm_entry_now(entry));
+        entry->sched_due_ms = 0;
+    }
+    else {
+        g_hash_table_add(entry->cancels_ahead, g_strdup(job));
+    }
+}
+
 static void
 apply_job(nm_entry_t *entry, const nm_store_kv_t *item, bool recovered)
 {
@@ -116,6 +143,9 @@
     if (rc < 0 && rc != NM_ERR_CONFLICT) {
         refuse(entry, NM_LOG_ITEM_JOB_REFUSED, "job", name, nm_error_text(rc));
     }
+    if (rc == NM_OK && g_hash_table_remove(entry->cancels_ahead, name)) {
+        nm_sched_cancel_job(entry->sched, name, nm_entry_now(entry));
+    }
     nm_job_spec_finish(&spec);
 }
 
@@ -127,12 +157,18 @@
         return;
     }
     entry->sched_due_ms = 0;
+    const char *name = item->key + strlen(NM_KEY_JOBS);
+    char id[NM_JOB_ID_MAX];
     if (entry->jobs_feed.listed) {
+        /* A cancel needs no confirmation; its item follows that of the job. */
+        if (g_str_has_suffix(name, NM_SUFFIX_CANCEL) &&
+            cancelled_job(id, name)) {
+            nm_takeover_cancel(entry, id);
+        }
         g_queue_push_tail(&entry->unverified, copy_item(item));
     }
     else if (g_str_has_suffix(item->key, NM_SUFFIX_CANCEL)) {
-        g_ptr_array_add(entry->cancels,
-                        g_strdup(item->key + strlen(NM_KEY_JOBS)));
+        g_ptr_array_add(entry->cancels, g_strdup(name));
     }
     else {
         apply_job(entry, item, entry->owned_epoch > 1);
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -61,6 +61,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     entry->progress = g_ptr_array_new_with_free_func(nm_term_free_item);
     entry->cancels = g_ptr_array_new_with_free_func(g_free);
+    entry->cancels_ahead =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_queue_init(&entry->unverified);
     g_queue_init(&entry->announce_queue);
     nm_authority_init(entry);
@@ -74,6 +76,7 @@
     g_hash_table_destroy(entry->roster_wanted);
     g_ptr_array_free(entry->progress, TRUE);
     g_ptr_array_free(entry->cancels, TRUE);
+    g_hash_table_destroy(entry->cancels_ahead);
     nm_authority_finish(entry);
 }
 
@@ -98,6 +101,7 @@
     nm_order_relay_clear(&entry->relay);
     g_ptr_array_set_size(entry->progress, 0);
     g_ptr_array_set_size(entry->cancels, 0);
+    g_hash_table_remove_all(entry->cancels_ahead);
     g_queue_clear_full(&entry->unverified, nm_term_free_item);
     g_queue_clear_full(&entry->announce_queue, g_free);
     entry->verifying_count = 0;
--- /dev/null
+++ b/tests/test_entry_cancel.c
@@ -0,0 +1,169 @@
+/*
+ * Cancels that an owner whose links are behind hears of late: its watch of the
+ * jobs, or its read of the owner key, takes seconds.  The rules allow no start
+ * later than 3 s after the acknowledgement.
+ */
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "lib_entry_host.h"
+
+#define JOBS_PREFIX "nutmegdeck/jobs/"
+
+static void
+init_at_ipc(host_t *host, const char *name, fake_kv_t *kv)
+{
+    char address[64];
+    g_snprintf(address, sizeof(address), "ipc:///tmp/nutmeg-cancel-%d-%s",
+               (int)getpid(), name);
+    host_init_at(host, name, address, kv);
+}
+
+static void
+finish_at_ipc(host_t *host)
+{
+    host_finish(host);
+    unlink(host->address + strlen("ipc://"));
+}
+
+/* Runs hosts while messages between them are delivered. */
+static void
+run_pair(host_t *owner, host_t *other)
+{
+    for (int i = 0; i < 50; i++) {
+        run_host(owner, 10);
+        run_host(other, 10);
+        g_usleep(1000);
+    }
+}
+
+static nm_job_state_t
+state_at(const host_t *owner)
+{
+    g_assert_cmpint(owner->entry->role, ==, NM_ROLE_OWNER);
+    return nm_sched_query_job(owner->entry->sched, JOB);
+}
+
+/* The owner must not depend on its watch of the jobs. */
+static void
+test_cancel_reaches_owner_with_late_watch(void)
+{
+    static const struct {
+        const char *name;
+        bool by_owner;
+    } cases[] = {{"acknowledged by the owner", true},
+                 {"acknowledged by another host", false}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t owner;
+        host_t other;
+        init_at_ipc(&owner, "a", kv);
+        run_host(&owner, 1000);
+        init_at_ipc(&other, "b", kv);
+        run_host(&other, 1000);
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        run_pair(&owner, &other);
+        g_assert_cmpint(state_at(&owner), ==, NM_JOB_QUEUED);
+        fake_kv_suppress_watches(kv, JOBS_PREFIX);
+        host_t *caller = cases[i].by_owner ? &owner : &other;
+        send_request(caller, NM_METHOD_DELETE, "/a/" JOB, "");
+        run_pair(&owner, &other);
+        g_assert_cmpint(last_status(caller), ==, 200);
+        g_assert_cmpint(state_at(&owner), ==, NM_JOB_CANCELLED);
+        finish_at_ipc(&other);
+        finish_at_ipc(&owner);
+        fake_kv_free(kv);
+    }
+}
+
+/* A cancel must not wait for a read that confirms the ownership. */
+static void
+test_cancel_waits_for_no_read(void)
+{
+    fake_kv_t *kv = configured_store();
+    host_t host;
+    host_init(&host, "a", kv);
+    run_host(&host, 1000);
+    fake_kv_put(kv, JOB_KEY, RECORD);
+    run_host(&host, 500);
+    g_assert_cmpint(state_at(&host), ==, NM_JOB_QUEUED);
+    fake_kv_put(kv, JOB_KEY ".cancel", "1");
+    fake_kv_run(kv);
+    fake_kv_set_mode(kv, FAKE_KV_UNRESPONSIVE);
+    run_host(&host, 500);
+    g_assert_cmpint(state_at(&host), ==, NM_JOB_CANCELLED);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+/* A cancel that the owner hears of before the job must prevent each start. */
+static void
+test_cancel_overtakes_its_job(void)
+{
+    static const struct {
+        const char *name;
+        bool job_is_read; /* it waits for the read of the owner key */
+        bool loading;     /* the owner has not listed the jobs yet */
+    } cases[] = {{"job not read", false, false},
+                 {"job not confirmed", true, false},
+                 {"owner still loads", false, true}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/w1", WORKER);
+        if (cases[i].loading) {
+            fake_kv_put(kv, JOB_KEY, RECORD);
+        }
+        host_t host;
+        init_at_ipc(&host, "a", kv);
+        while (host.entry->role != NM_ROLE_LOADING) {
+            run_host(&host, 10);
+        }
+        if (!cases[i].loading) {
+            run_host(&host, 1500);
+        }
+        if (cases[i].job_is_read) {
+            fake_kv_put(kv, JOB_KEY, RECORD);
+            fake_kv_run(kv);
+        }
+        fake_kv_set_mode(kv, FAKE_KV_UNRESPONSIVE);
+        nm_peer_rpc_t *other = nm_peer_rpc_new("inproc://other");
+        char job[] = JOB;
+        NmPb__EntryAsk notice = NM_PB__ENTRY_ASK__INIT;
+        notice.type = NM_PB__ENTRY_ASK__TYPE__CANCEL;
+        notice.job = job;
+        notice.epoch = 1;
+        nm_peer_rpc_notify(other, host.address, &notice);
+        for (int round = 0; round < 200; round++) {
+            nm_entry_run(host.entry);
+            g_usleep(1000);
+        }
+        fake_kv_set_mode(kv, FAKE_KV_AVAILABLE);
+        if (!cases[i].job_is_read && !cases[i].loading) {
+            fake_kv_put(kv, JOB_KEY, RECORD);
+        }
+        run_host(&host, 1500);
+        g_assert_cmpuint(host.orders.starts, ==, 0);
+        g_assert_cmpint(state_at(&host), ==, NM_JOB_CANCELLED);
+        nm_peer_rpc_free(other);
+        finish_at_ipc(&host);
+        fake_kv_free(kv);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    g_test_add_func("/entry/cancel-reaches-owner-with-late-watch",
+                    test_cancel_reaches_owner_with_late_watch);
+    g_test_add_func("/entry/cancel-waits-for-no-read",
+                    test_cancel_waits_for_no_read);
+    g_test_add_func("/entry/cancel-overtakes-its-job",
+                    test_cancel_overtakes_its_job);
+    return g_test_run();
+}
