A new owner that is behind waits for first reports before it restarts runs

Callers may see TWICE: the leases of a former owner's runs have lapsed, the new owner has not heard of their worker, and starts the tasks, while the report with their end is on its way to it.

Cause: treats the runs of this owner so, not those of former ones.

Change: a worker of a former owner that has an entry and has not been heard of in this term stays unresolved after its lease has lapsed, while the owner is behind and for 10 s at most. Without an entry it is not polled, and nothing is waited for.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -326,12 +326,29 @@
     return g_queue_pop_head(&sched->removed);
 }
 
+bool
+nm_node_waits_for_late_report(const nm_sched_t *sched,
+                              const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    return nm_delay_is_behind(sched, now_ms) &&
+           now_ms - node->lease_lapse_ms < NM_SCHED_LATE_REPORT_MAX_MS;
+}
+
+bool
+nm_node_is_unresolved(const nm_sched_t *sched, const nm_sched_node_t *node,
+                      nm_ms_t now_ms)
+{
+    return node->inherited &&
+           (now_ms < node->lease_lapse_ms ||
+            (node->announced && !node->epoch_confirmed &&
+             nm_node_waits_for_late_report(sched, node, now_ms)));
+}
+
 bool
 nm_sched_has_unresolved_workers(const nm_sched_t *sched, nm_ms_t now_ms)
 {
     for (guint i = 0; i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->inherited && now_ms < node->lease_lapse_ms) {
+        if (nm_node_is_unresolved(sched, sched->node_list->pdata[i], now_ms)) {
             return true;
         }
     }
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -226,18 +226,6 @@
             node->ends_truncated || now_ms >= clock_due_ms(node));
 }
 
-/*
- * True if a worker whose lease has lapsed may have reported in time the ends
- * of its runs: the report is still on its way to an owner that is behind.
- */
-static bool
-waits_for_late_report(const nm_sched_t *sched, const nm_sched_node_t *node,
-                      nm_ms_t now_ms)
-{
-    return nm_delay_is_behind(sched, now_ms) &&
-           now_ms - node->lease_lapse_ms < NM_SCHED_LATE_REPORT_MAX_MS;
-}
-
 static void
 tick_node(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -248,9 +236,9 @@
     }
     if (now_ms >= node->lease_lapse_ms) {
         /* All runs of former owners have ended. */
-        node->inherited = false;
+        node->inherited = nm_node_is_unresolved(sched, node, now_ms);
         if (!node->reachable && node->tasks->len > 0 &&
-            !waits_for_late_report(sched, node, now_ms))
+            !nm_node_waits_for_late_report(sched, node, now_ms))
         {
             nm_node_requeue_tasks(sched, node, now_ms);
         }
@@ -281,7 +269,11 @@
     bool waits = acks_pending || nm_duplicates_any(node) || !node->reachable ||
                  (busy && node->desc.state == NM_WORKER_DRAINING);
     nm_ms_t due_ms = waits ? now_ms + NODE_CHECK_INTERVAL_MS : NM_MS_NEVER;
-    due_ms = node->inherited ? MIN(due_ms, node->lease_lapse_ms) : due_ms;
+    if (node->inherited) {
+        bool lapsed = now_ms >= node->lease_lapse_ms;
+        due_ms = MIN(due_ms, lapsed ? now_ms + NODE_CHECK_INTERVAL_MS
+                                    : node->lease_lapse_ms);
+    }
     if (node->described && !node->poll_pending) {
         due_ms = MIN(due_ms, needs_poll(node, now_ms) ? node->poll_due_ms
                                                       : clock_due_ms(node));
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -691,6 +691,20 @@
  * start requires that the worker is in the stored roster.
  */
 bool nm_sched_has_unresolved_workers(const nm_sched_t *sched, nm_ms_t now_ms);
+/*
+ * The same of one worker.  Once the leases of former owners have lapsed, only
+ * its first report counts, which is on its way if this owner is behind; a
+ * worker without an entry is not polled, and sends none.
+ */
+bool nm_node_is_unresolved(const nm_sched_t *sched,
+                           const nm_sched_node_t *node, nm_ms_t now_ms);
+/*
+ * True if a worker whose lease has lapsed may have reported in time the ends
+ * of its runs: the report is still on its way to an owner that is behind.
+ */
+bool nm_node_waits_for_late_report(const nm_sched_t *sched,
+                                   const nm_sched_node_t *node,
+                                   nm_ms_t now_ms);
 /* True if it is not announced and no task, poll or lease of it is open. */
 bool nm_node_is_removable(const nm_sched_node_t *node, nm_ms_t now_ms);
 /*
--- a/tests/test_sched_takeover.c
+++ b/tests/test_sched_takeover.c
@@ -524,6 +524,92 @@
     sched_sim_finish(&sim);
 }
 
+/* Reports of the other workers, which run nothing, in time or late. */
+static void
+report_others(sched_sim_t *sim, uint32_t others, bool late)
+{
+    for (uint32_t i = 0; i < others; i++) {
+        const char id[] = {'b', (char)('a' + i), '\0'};
+        nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                     .incarnation = 1,
+                                     .clock_ms = sim->now_ms,
+                                     .sent_ms = sim->now_ms - (late ? 900 : 0),
+                                     .complete = true};
+        if (late) {
+            nm_sched_on_late_report(sim->sched, id, &report, sim->now_ms);
+        }
+        else {
+            nm_sched_on_report(sim->sched, id, &report, sim->now_ms);
+        }
+    }
+}
+
+/*
+ * A new owner that is behind has not heard of a worker when the leases of the
+ * former owner have lapsed: its run may have ended in time, with the report on
+ * its way.  A worker that is gone sends none; nor does one that is silent
+ * while others respond in time.
+ */
+static void
+test_behind_successor_waits_for_late_report(void)
+{
+    enum {
+        OTHERS = 24,
+        LATE_MS = 12000,
+        LAPSE_MS = 7000,
+        LAPSE_MAX_MS = 9000
+    };
+    static const struct {
+        const char *name;
+        bool behind;
+        bool gone;    /* the worker has no entry any more */
+        bool reports; /* after LATE_MS, that the run has ended as done */
+        nm_ms_t start_ms_min;
+        nm_ms_t start_ms_max; /* 0: none */
+    } cases[] = {
+        {"in time", false, false, false, LAPSE_MS, LAPSE_MAX_MS},
+        {"gone", true, true, false, LAPSE_MS, LAPSE_MAX_MS},
+        {"behind", true, false, false, LATE_MS, LAPSE_MAX_MS + 10000},
+        {"behind, reports late", true, false, true, 0, 0},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("%s", cases[c].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        nm_sched_expect_worker(sim.sched, "a", sim.now_ms);
+        if (!cases[c].gone) {
+            sched_sim_announce(&sim, "a", 1);
+        }
+        for (int i = 0; i < OTHERS; i++) {
+            sched_sim_announce(&sim, (char[]){'b', (char)('a' + i), '\0'}, 1);
+        }
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        nm_sched_activate(sim.sched, sim.now_ms);
+        nm_ms_t begin_ms = sim.now_ms;
+        nm_ms_t start_ms = 0;
+        bool reported = false;
+        for (nm_ms_t t = 0; t < 25000 && start_ms == 0; t += 100) {
+            sched_sim_advance(&sim, 100);
+            sched_sim_save_all(&sim);
+            bool starts = sched_sim_find_action(&sim, NM_ACTION_START, NULL);
+            start_ms = starts ? sim.now_ms - begin_ms : 0;
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+                sched_sim_lose_poll(&sim, "a");
+            }
+            report_others(&sim, OTHERS, cases[c].behind);
+            if (cases[c].reports && !reported && t >= LATE_MS) {
+                nm_worker_end_t end =
+                    sched_sim_make_end(1, TASK, 1, NM_END_DONE);
+                sched_sim_report(&sim, "a", 1, NULL, 0, &end, 1);
+                reported = true;
+            }
+        }
+        g_assert_cmpint(start_ms, >=, cases[c].start_ms_min);
+        g_assert_cmpint(start_ms, <=, cases[c].start_ms_max);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -552,6 +638,8 @@
          test_unreadable_progress_starts_nothing},
         {"/sched/leases-count-from-the-first-orders",
          test_leases_count_from_the_first_orders},
+        {"/sched/behind-successor-waits-for-late-report",
+         test_behind_successor_waits_for_late_report},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
