Renewals of the owner key do not wait for each other

An owner loses its authority, and for that time starts nothing and renews no lease, while its store calls take half a second.

Cause: the owner's own delay was taken for a lost ownership. A renewal confirms the ownership from the time at which it was sent, and the next one was sent after the response, so that responses of 500 ms used up AUTHORITY_MS.

Change: a second renewal may be in flight, each 400 ms as before; responses of 550 ms keep the authority. AUTHORITY_MS, and what a new owner assumes, stay.

Evidence: /entry/slow-renewals-end-no-authority failed before (authority lost after 1.2 s with 550 ms) and passes.

--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -29,6 +29,12 @@
 #define OWNER_LEASE_MS 1500
 /* Three renewals fit into a lease. */
 #define OWNER_RENEW_INTERVAL_MS 400
+/*
+ * A renewal confirms the ownership from the time at which it was sent.  If the
+ * next one waited for the response, half of AUTHORITY_MS would be the longest
+ * response that keeps the authority.
+ */
+#define RENEWALS_IN_FLIGHT_MAX 2
 /* Longest time for which a stopping owner waits to store its progress. */
 #define HAND_OVER_TIMEOUT_MS 400
 /*
@@ -280,7 +286,7 @@
     if (!entry) {
         return;
     }
-    entry->renewing = false;
+    entry->renewals--;
     nm_load_on_call(entry, NM_CALL_RENEW, result->rc != NM_ERR_LOST,
                     nm_clock_now_with_suspend(entry->desc.clock) - sent_ms);
     nm_entry_record_store_result(entry, result->rc);
@@ -295,9 +301,12 @@
 void
 nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms)
 {
-    if (!entry->renewing && now_ms >= entry->renew_due_ms) {
-        entry->renewing = true;
-        entry->renew_due_ms = now_ms + OWNER_RENEW_INTERVAL_MS;
+    if (now_ms < entry->renew_due_ms) {
+        return;
+    }
+    entry->renew_due_ms = now_ms + OWNER_RENEW_INTERVAL_MS;
+    if (entry->renewals < RENEWALS_IN_FLIGHT_MAX) {
+        entry->renewals++;
         nm_kv_lease_keepalive(entry->desc.kv, entry->lease, on_renewed,
                               nm_term_call_new(entry));
     }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -163,8 +163,8 @@
     char token[NM_NAME_MAX];
     int64_t lease;
     nm_ms_t renew_due_ms;
-    bool renewing;
-    nm_ms_t yield_ms; /* began to hand over to a larger host; 0: does not */
+    uint32_t renewals; /* in flight */
+    nm_ms_t yield_ms;  /* began to hand over to a larger host; 0: does not */
     nm_ms_t candidate_after_ms; /* no candidate before, as it has yielded */
     /* New jobs and cancels, until a later read confirms the ownership. */
     GQueue unverified;     /* of nm_store_kv_t */
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -90,7 +90,7 @@
     entry->role = NM_ROLE_FOLLOWER;
     entry->owned_epoch = 0;
     entry->lease = 0;
-    entry->renewing = false;
+    entry->renewals = 0;
     entry->yield_ms = 0;
     entry->committing = false;
     nm_feed_close(&entry->workers_feed);
--- a/tests/fakes/lib_kv_proxy.c
+++ b/tests/fakes/lib_kv_proxy.c
@@ -5,6 +5,8 @@
     nm_kv_done_fn done;
     void *user;
     nm_kv_result_t result; /* of a commit that is held back; without items */
+    int64_t lease;         /* of a renewal that is held back */
+    nm_ms_t due_ms;
 } proxy_call_t;
 
 static void
@@ -101,8 +103,28 @@
 proxy_lease_keepalive(nm_kv_t *kv, int64_t lease, nm_kv_done_fn done,
                       void *user)
 {
-    nm_kv_lease_keepalive(proxy_store(kv), lease, on_proxy_result,
-                          new_proxy_call(kv, done, user));
+    fake_kv_proxy_t *proxy = (fake_kv_proxy_t *)kv;
+    proxy_call_t *call = new_proxy_call(kv, done, user);
+    if (proxy->renewal_delay_ms == 0) {
+        nm_kv_lease_keepalive(proxy->store, lease, on_proxy_result, call);
+        return;
+    }
+    call->lease = lease;
+    call->due_ms = nm_clock_now(proxy->clock) + proxy->renewal_delay_ms;
+    g_queue_push_tail(&proxy->held_renewals, call);
+}
+
+void
+fake_kv_proxy_run(fake_kv_proxy_t *proxy)
+{
+    proxy_call_t *call;
+    while ((call = g_queue_peek_head(&proxy->held_renewals)) &&
+           nm_clock_now(proxy->clock) >= call->due_ms)
+    {
+        g_queue_pop_head(&proxy->held_renewals);
+        nm_kv_lease_keepalive(proxy->store, call->lease, on_proxy_result,
+                              call);
+    }
 }
 
 static void
@@ -122,5 +144,6 @@
 {
     *proxy = (fake_kv_proxy_t){.base = {&proxy_vtable}, .store = store};
     g_queue_init(&proxy->held_results);
+    g_queue_init(&proxy->held_renewals);
     return &proxy->base;
 }
--- a/tests/fakes/lib_kv_proxy.h
+++ b/tests/fakes/lib_kv_proxy.h
@@ -1,7 +1,7 @@
 /*
  * A host's proxy to an in-process store.  It can be disconnected, so that all
  * calls fail and commits have no effect, and it can hold back the results of
- * commits while other calls continue.
+ * commits, or renewals of leases for a time, while other calls continue.
  *
  *     fake_kv_proxy_t proxy;
  *     host.kv = fake_kv_proxy_init(&proxy, fake_kv_port(kv));
@@ -19,11 +19,16 @@
     nm_kv_t *store;
     bool disconnected;
     bool holds_commit_results;
-    GQueue held_results; /* of calls whose commit has ended */
+    GQueue held_results;     /* of calls whose commit has ended */
+    const nm_clock_t *clock; /* of the host; set with renewal_delay_ms */
+    nm_ms_t renewal_delay_ms;
+    GQueue held_renewals; /* of calls, oldest first */
 } fake_kv_proxy_t;
 
 nm_kv_t *fake_kv_proxy_init(fake_kv_proxy_t *proxy, nm_kv_t *store);
 /* Delivers the results that were held back, and holds back no more. */
 void fake_kv_proxy_release_results(fake_kv_proxy_t *proxy);
+/* Passes on the renewals that have been held back for long enough. */
+void fake_kv_proxy_run(fake_kv_proxy_t *proxy);
 
 #endif
--- a/tests/test_entry_cancel.c
+++ b/tests/test_entry_slow_owner.c
@@ -1,7 +1,7 @@
 /*
- * Cancels that an owner whose links are behind hears of late: its watch of the
- * jobs, or its read of the owner key, takes seconds.  The rules allow no start
- * later than 3 s after the acknowledgement.
+ * An owner whose links are behind: what it sends, and what it reads, takes up
+ * to seconds.  The rules allow no start of a job later than 3 s after its
+ * cancel was acknowledged.
  */
 #include <string.h>
 #include <unistd.h>
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "lib_entry_host.h"
+#include "lib_kv_proxy.h"
 
 #define JOBS_PREFIX "nutmegdeck/jobs/"
 
@@ -154,6 +155,40 @@
     }
 }
 
+/*
+ * The time in which the store can confirm an owner again must not be used up
+ * by renewals that wait for each other.
+ */
+static void
+test_slow_renewals_end_no_authority(void)
+{
+    static const nm_ms_t delays_ms[] = {10, 350, 550};
+    for (size_t i = 0; i < NM_COUNT_OF(delays_ms); i++) {
+        g_test_message("%d ms", (int)delays_ms[i]);
+        fake_kv_t *kv = configured_store();
+        fake_kv_proxy_t proxy;
+        host_t host;
+        host_init_with_kv(&host, "a", "inproc://a", kv,
+                          fake_kv_proxy_init(&proxy, fake_kv_port(kv)));
+        run_host(&host, 1000);
+        proxy.clock = &host.clock;
+        proxy.renewal_delay_ms = delays_ms[i];
+        for (nm_ms_t t = 0; t < 5000; t += 10) {
+            run_host(&host, 10);
+            fake_kv_proxy_run(&proxy);
+            if (!host.entry->authority.held) {
+                g_test_message("lost after %d ms", (int)t);
+                break;
+            }
+        }
+        g_assert_true(host.entry->authority.held);
+        host.clock.manual_ms += delays_ms[i];
+        fake_kv_proxy_run(&proxy);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -165,5 +200,7 @@
                     test_cancel_waits_for_no_read);
     g_test_add_func("/entry/cancel-overtakes-its-job",
                     test_cancel_overtakes_its_job);
+    g_test_add_func("/entry/slow-renewals-end-no-authority",
+                    test_slow_renewals_end_no_authority);
     return g_test_run();
 }
