A late count of pending jobs is no refusal

Cause: the late response of an owner that is behind was taken for an absent owner, after 350 ms. The state of a job is read from the store then; the count has no other source.

Change: the response is waited for 1.5 s, the lease of the owner key. A count asked for while the owner is lost is refused as much later.

Evidence: /entry/late-count-is-no-refusal failed before with responses of 700 and 1500 ms, and passes with 700 and 1400 ms.

--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -33,8 +33,16 @@
  * half of it.
  */
 #define RESPONSE_MARGIN_MS 400
-/* Timeout of a query to another host: a round trip between regions. */
+/*
+ * Timeout of a query to another host, a round trip between regions; the store
+ * is asked after that.
+ */
 #define FORWARD_TIMEOUT_MS 350
+/*
+ * Timeout of a query that only the owner can respond to, and no attempt
+ * follows: an owner that is silent for longer has lost its key.
+ */
+#define FORWARD_COUNT_TIMEOUT_MS 1500
 /*
  * Timeout of a write at another host, which has to store it.  A write that
  * times out leaves its outcome unknown, and a busy owner's rounds take up to
@@ -221,6 +229,17 @@
 
 /* --- forwarding to the owner --- */
 
+/* Only the owner knows the count, and may be behind: no attempt would follow.
+ */
+static nm_ms_t
+forward_deadline_ms(const nm_op_t *op)
+{
+    nm_ms_t timeout_ms = op->type == OP_PENDING ? FORWARD_COUNT_TIMEOUT_MS
+                         : op_is_write(op)      ? FORWARD_WRITE_TIMEOUT_MS
+                                                : FORWARD_TIMEOUT_MS;
+    return nm_entry_now(op->entry) + timeout_ms;
+}
+
 /*
  * Forwards a caller's request, once; a peer's request is not forwarded again.
  * Returns false if it was not sent.
@@ -254,9 +273,7 @@
         return false;
     }
     op->forward_number = request.number;
-    op->forward_deadline_ms =
-        nm_entry_now(entry) +
-        (op_is_write(op) ? FORWARD_WRITE_TIMEOUT_MS : FORWARD_TIMEOUT_MS);
+    op->forward_deadline_ms = forward_deadline_ms(op);
     g_hash_table_insert(
         entry->forwarded_ops,
         g_memdup2(&op->forward_number, sizeof(op->forward_number)), op);
--- a/tests/test_entry_slow_owner.c
+++ b/tests/test_entry_slow_owner.c
@@ -189,6 +189,38 @@
     }
 }
 
+/* Only the owner knows the count, so that its response is waited for. */
+static void
+test_late_count_is_no_refusal(void)
+{
+    static const struct {
+        nm_ms_t late_ms;
+        int status;
+    } cases[] = {{100, 200}, {700, 200}, {1400, 200}, {3000, 503}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%d ms", (int)cases[i].late_ms);
+        fake_kv_t *kv = configured_store();
+        host_t owner;
+        host_t other;
+        init_at_ipc(&owner, "a", kv);
+        run_host(&owner, 1000);
+        init_at_ipc(&other, "b", kv);
+        run_host(&other, 1000);
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        run_pair(&owner, &other);
+        send_request(&other, NM_METHOD_GET, "/a/", "");
+        run_host(&other, cases[i].late_ms);
+        run_pair(&owner, &other);
+        g_assert_cmpint(last_status(&other), ==, cases[i].status);
+        if (cases[i].status == 200) {
+            g_assert_cmpstr(last_response(&other), ==, "{\"pending\":1}");
+        }
+        finish_at_ipc(&other);
+        finish_at_ipc(&owner);
+        fake_kv_free(kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -202,5 +234,7 @@
                     test_cancel_overtakes_its_job);
     g_test_add_func("/entry/slow-renewals-end-no-authority",
                     test_slow_renewals_end_no_authority);
+    g_test_add_func("/entry/late-count-is-no-refusal",
+                    test_late_count_is_no_refusal);
     return g_test_run();
 }
