An end is not forgotten when the start of the next attempt is confirmed

Cause: the owner of a shard (nutmegd) sets aside a `done` of an older attempt while the start of the current one is unconfirmed, and dropped it once that start was confirmed, in the belief that it would be reported again. If its worker was lost meanwhile, the whole task ran a second time.

Change: the confirmation applies the end: the newer attempt is stopped, the task is done.

Evidence: /shard/end-weighed-against-a-start-on-its-way failed on (the task still ran 15 s later) and passes; test_shard passes.

--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -345,6 +345,51 @@
     nm_count_reason(reason);
 }
 
+/* Stops the current attempt, which keeps its room until it has ended. */
+static void
+supersede_attempt(nm_shard_state_t *state, uint32_t position, uint32_t index,
+                  nm_ms_t now_ms)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_task_t *task = &job->tasks[index];
+    if (task->worker < 0) {
+        return;
+    }
+    nm_shard_worker_state_t *worker = state->workers->pdata[task->worker];
+    nm_attempt_id_t attempt_id = {job->desc.id, index, task->attempt};
+    nm_place_task_spec_t spec = nm_shard_task_spec(job);
+    nm_shard_stop_task(state, position, index, false,
+                       NM_REASON_EVICT_DUPLICATE);
+    if (task->worker >= 0) {
+        nm_shard_unassign(state, position, index, now_ms);
+        nm_shard_allocate_noncurrent(state, worker, &attempt_id, &spec,
+                                     now_ms);
+    }
+}
+
+/*
+ * Ends a task of which an older attempt was reported done while the start of
+ * the current one was on its way.  The report may not come again: its worker
+ * may be lost.
+ */
+static bool
+apply_deferred_end(nm_shard_state_t *state, uint32_t position, uint32_t index,
+                   nm_ms_t now_ms)
+{
+    nm_job_t *job = state->jobs->pdata[position];
+    nm_task_t *task = &job->tasks[index];
+    if (task->state != NM_TASK_RUNNING || job->desc.long_lived ||
+        task->deferred_attempt <= task->ended_attempt ||
+        task->deferred_state != NM_REPORT_DONE)
+    {
+        return false;
+    }
+    record_success(state, job, task->deferred_worker);
+    supersede_attempt(state, position, index, now_ms);
+    nm_shard_handle_lost_attempt(state, job, index);
+    return true;
+}
+
 static void
 process_running_report(nm_shard_state_t *state, int32_t worker_index,
                        uint32_t position, const nm_task_report_t *report,
@@ -364,6 +409,9 @@
                        task->state == NM_TASK_RECORDING;
     if (has_attempt && task->attempt == report->id.attempt) {
         task->confirmed = true;
+        if (apply_deferred_end(state, position, report->id.index, now_ms)) {
+            return;
+        }
         task->deferred_attempt = 0;
         if (report->usage.cpu_milli > 0) {
             nm_place_observe_usage(&state->place, job->desc.class_id,
@@ -395,28 +443,6 @@
     task->confirmed = true;
 }
 
-/* Stops the current attempt, which keeps its room until it has ended. */
-static void
-supersede_attempt(nm_shard_state_t *state, uint32_t position, uint32_t index,
-                  nm_ms_t now_ms)
-{
-    nm_job_t *job = state->jobs->pdata[position];
-    nm_task_t *task = &job->tasks[index];
-    if (task->worker < 0) {
-        return;
-    }
-    nm_shard_worker_state_t *worker = state->workers->pdata[task->worker];
-    nm_attempt_id_t attempt_id = {job->desc.id, index, task->attempt};
-    nm_place_task_spec_t spec = nm_shard_task_spec(job);
-    nm_shard_stop_task(state, position, index, false,
-                       NM_REASON_EVICT_DUPLICATE);
-    if (task->worker >= 0) {
-        nm_shard_unassign(state, position, index, now_ms);
-        nm_shard_allocate_noncurrent(state, worker, &attempt_id, &spec,
-                                     now_ms);
-    }
-}
-
 static void
 process_outcome_report(nm_shard_state_t *state, int32_t worker_index,
                        uint32_t position, const nm_task_report_t *report,
