A shard's owner without a majority does not take silence for lost workers

Callers saw a task run again that had ended: the owner (nutmegd) stops, or its links are slow, for longer than the leases; a task ends meanwhile. Back at work it counted each worker as lost that responded after the others, and started its tasks elsewhere before it had read their ends.

Cause: the owner's own silence was taken for the workers' absence.

Change: the tasks of a worker whose leases have ended are rescheduled only if a sync to it failed that was sent while the owner had a majority. The leases are as long as before. The status still counts workers by the lease term.

--- a/src/shard.c
+++ b/src/shard.c
@@ -515,7 +515,7 @@
         const nm_shard_worker_state_t *worker = state->workers->pdata[i];
         info.workers += !worker->removed;
         info.workers_reached += !worker->removed && worker->reported_ms > 0 &&
-                                !worker->leases_expired;
+                                !nm_shard_leases_ended(worker, now_ms);
     }
     for (uint32_t i = 0; i < state->jobs->len; i++) {
         const nm_job_t *job = state->jobs->pdata[i];
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -71,6 +71,7 @@
         worker->outstanding = false;
         worker->acked_epoch = 0;
         worker->reported_ms = 0;
+        worker->failed_sent_ms = 0;
         worker->clock_ms = 0;
         worker->leases_expired = false;
         worker->due_ms = now_ms;
@@ -89,6 +90,7 @@
     state->epoch = ++state->highest_epoch;
     state->authority_checked_ms = 0;
     state->authority_until_ms = 0;
+    state->had_authority = false;
     state->previous_epoch = 0;
     state->phase = NM_SHARD_FENCING;
     state->takeover_complete = false;
@@ -267,6 +269,21 @@
            (json_int_t)state->epoch);
 }
 
+/*
+ * True if a worker did not respond while the owner had a majority.  Without a
+ * majority it is the owner that was cut off, late or stopped: the silence of a
+ * worker shows nothing, and it may report ends of tasks as soon as it is
+ * called again.
+ */
+static bool
+is_unresponsive(const nm_shard_state_t *state,
+                const nm_shard_worker_state_t *worker)
+{
+    return worker->removed ||
+           (state->had_authority &&
+            worker->failed_sent_ms >= state->authority_since_ms);
+}
+
 /*
  * Reschedules the tasks of workers that have been unresponsive for the lease
  * term and the clock drift margin.
@@ -277,8 +294,8 @@
     for (uint32_t w = 0; w < state->workers->len; w++) {
         nm_shard_worker_state_t *worker = state->workers->pdata[w];
         if (worker->leases_expired || worker->reported_ms == 0 ||
-            now_ms < worker->reported_ms + NM_SHARD_LEASE_MS +
-                         NM_SHARD_CLOCK_DRIFT_MARGIN_MS)
+            !nm_shard_leases_ended(worker, now_ms) ||
+            !is_unresponsive(state, worker))
         {
             continue;
         }
@@ -343,6 +360,10 @@
         return;
     }
     bool authority = nm_shard_has_authority(shard, now_ms);
+    if (authority && !state->had_authority) {
+        state->authority_since_ms = now_ms;
+    }
+    state->had_authority = authority;
     if (state->phase == NM_SHARD_FENCING && authority) {
         state->phase = NM_SHARD_LOADING;
         /* An earlier owner may renew leases until its authority ends. */
--- a/src/shard_state.h
+++ b/src/shard_state.h
@@ -78,12 +78,13 @@
     uint64_t sequence;
     nm_ms_t sent_ms;
     nm_ms_t due_ms;
-    bool commands_pending; /* commands wait for the next sync */
-    int64_t acked_epoch;   /* of the newest sync acknowledged */
-    nm_ms_t acked_sent_ms; /* send time of the newest sync acknowledged */
-    nm_ms_t clock_ms;      /* worker's clock in its last report */
-    nm_ms_t reported_ms;   /* arrival of that report; 0: none */
-    bool leases_expired;   /* its leases have ended */
+    bool commands_pending;  /* commands wait for the next sync */
+    int64_t acked_epoch;    /* of the newest sync acknowledged */
+    nm_ms_t acked_sent_ms;  /* send time of the newest sync acknowledged */
+    nm_ms_t clock_ms;       /* worker's clock in its last report */
+    nm_ms_t reported_ms;    /* arrival of that report; 0: none */
+    nm_ms_t failed_sent_ms; /* send time of the newest sync that failed */
+    bool leases_expired;    /* its tasks were rescheduled */
     nm_sync_t sync;
     GArray *starts;
     GArray *stops;
@@ -107,6 +108,14 @@
     nm_ms_t quarantined_until_ms;
 } nm_shard_worker_state_t;
 
+/* True if no lease renewed after the worker's last report can be left. */
+static inline bool
+nm_shard_leases_ended(const nm_shard_worker_state_t *worker, nm_ms_t now_ms)
+{
+    return now_ms >= worker->reported_ms + NM_SHARD_LEASE_MS +
+                         NM_SHARD_CLOCK_DRIFT_MARGIN_MS;
+}
+
 typedef struct {
     nm_shard_team_t desc;
     nm_resources_t used;
@@ -138,6 +147,8 @@
     int64_t previous_epoch; /* highest that a worker had seen before */
     nm_ms_t authority_checked_ms;
     nm_ms_t authority_until_ms; /* computed at that check */
+    bool had_authority;         /* at the last tick */
+    nm_ms_t authority_since_ms; /* when that began */
     uint64_t sequence;
     uint32_t attempt_count;
     nm_ms_t active_since_ms; /* when the journal was loaded */
--- a/src/shard_sync.c
+++ b/src/shard_sync.c
@@ -670,6 +670,7 @@
         return;
     }
     worker->outstanding = false;
+    worker->failed_sent_ms = worker->sent_ms;
     nm_count(NM_COUNTER_SYNC_ERRORS, 1);
     nm_place_close_worker(&shard->state->place, worker->place_index, true);
     /*
--- a/tests/test_shard_slow_owner.c
+++ b/tests/test_shard_slow_owner.c
@@ -175,6 +175,55 @@
     return nm_shard_query(&fleet->shard, fleet->now_ms).counts[NM_TASK_DONE];
 }
 
+/*
+ * The owner stops for longer than the leases while a task ends.  Its worker
+ * responds after the others, by which time the owner has a majority again: the
+ * task must not start elsewhere.
+ */
+static void
+test_end_during_the_owners_stall(void)
+{
+    static const struct {
+        nm_ms_t stall_ms;
+        nm_ms_t reply_delay_ms;
+    } cases[] = {{9000, 300}, {9000, 1200}, {20000, 600}, {60000, 1400}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        fleet_t fleet;
+        begin(&fleet, 5);
+        uint32_t worker = start_first_attempt(&fleet);
+        fleet.frozen_until_ms = fleet.now_ms + cases[i].stall_ms;
+        fleet.reply_delay_ms[worker] = cases[i].reply_delay_ms;
+        run(&fleet, cases[i].stall_ms + 15000);
+        g_assert_cmpuint(fleet.events[FAKE_EVENT_START], ==, 1);
+        g_assert_cmpuint(tasks_done(&fleet), ==, 1);
+        end(&fleet);
+    }
+}
+
+/*
+ * A worker is lost while the owner has a majority, or the owner stops and the
+ * worker is lost for good: its task starts elsewhere within this time.
+ */
+static void
+test_lost_worker_after_a_stall(void)
+{
+    static const struct {
+        nm_ms_t stall_ms;
+        nm_ms_t start_within_ms;
+    } cases[] = {{0, NM_SHARD_LEASE_MS + NM_SHARD_SYNC_TIMEOUT_MS},
+                 {20000, 20000 + 10000}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        fleet_t fleet;
+        begin(&fleet, 60);
+        uint32_t worker = start_first_attempt(&fleet);
+        fleet.frozen_until_ms = fleet.now_ms + cases[i].stall_ms;
+        fleet.reply_delay_ms[worker] = LOST_MS;
+        run(&fleet, cases[i].start_within_ms);
+        g_assert_cmpuint(fleet.events[FAKE_EVENT_START], ==, 2);
+        end(&fleet);
+    }
+}
+
 /*
  * A task has lapsed and its start elsewhere is on its way when its first
  * worker reports its end, and is lost right after.  The end must not be
@@ -214,6 +263,10 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/shard/end-during-the-owners-stall",
+                    test_end_during_the_owners_stall);
+    g_test_add_func("/shard/lost-worker-after-a-stall",
+                    test_lost_worker_after_a_stall);
     g_test_add_func("/shard/end-weighed-against-a-start-on-its-way",
                     test_end_weighed_against_a_start_on_its_way);
     return g_test_run();
