A host's own stall is no timeout of its workers

Cause: libcurl compares its timeout with the clock before it reads. After a stall of the control thread (1.5 s or more: processor, store, stopped process) each sync in flight failed although the responses waited in the sockets; the owner (nutmegd) closed its workers and lost its majority.

Change: the adapter counts the timeout itself, after it has read, and without the part of a pause between two rounds that exceeds 250 ms, as order_relay.c does.

--- a/src/worker_port.h
+++ b/src/worker_port.h
@@ -2,7 +2,8 @@
  * Adapter to the platform's workers, by JSON over HTTP.
  *
  * Synchronisations with many workers run at once, each for at most the
- * timeout given.  One thread makes all calls but nm_worker_port_wake().
+ * timeout given, without stalls of this host itself.  One thread makes all
+ * calls but nm_worker_port_wake().
  *
  *     nm_worker_port_t *port = nm_worker_port_http_new(1500);
  *     nm_worker_port_sync(port, sync);
--- a/src/worker_port_http.c
+++ b/src/worker_port_http.c
@@ -13,10 +13,21 @@
 #define REPLY_MAX_BYTES (4 * 1024 * 1024)
 /* Connections to workers that are kept open between syncs. */
 #define CONNECTION_CACHE_MAX 4096L
+/*
+ * A longer pause between two rounds is a stall of this host itself: responses
+ * wait in its sockets, and the rest of it does not count for the timeout.
+ */
+#define LOCAL_STALL_MIN_MS 250
+/* At shutdown, interval of the rounds that wait for the last replies. */
+#define SHUTDOWN_WAIT_MS 50
 
 typedef struct {
     nm_worker_port_t base;
     CURLM *multi;
+    GQueue calls; /* of call_t, in the order of their timeouts */
+    nm_clock_t clock;
+    nm_ms_t round_ms;  /* time of the last round */
+    nm_ms_t active_ms; /* time that this host was at work */
     nm_ms_t timeout_ms;
     nm_worker_reply_t decoded; /* reply of the last event */
     struct curl_slist *headers;
@@ -25,6 +36,9 @@
 typedef struct {
     uint64_t worker;
     uint64_t sequence;
+    CURL *easy;
+    GList link;
+    nm_ms_t fails_ms; /* of active_ms */
     char *request;
     GString *body;
 } call_t;
@@ -53,6 +67,10 @@
     call->worker = sync->worker;
     call->sequence = sync->sequence;
     call->body = g_string_new(NULL);
+    call->easy = easy;
+    call->fails_ms = http->active_ms + http->timeout_ms;
+    call->link.data = call;
+    g_queue_push_tail_link(&http->calls, &call->link);
     json_t *json = nm_worker_sync_encode(sync);
     call->request = json_dumps(json, JSON_COMPACT);
     json_decref(json);
@@ -64,7 +82,6 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, http->headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, read_body);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)http->timeout_ms);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -72,16 +89,26 @@
     return NM_OK;
 }
 
+/* Sends and receives without waiting, then advances the timeouts. */
+static void
+perform(http_port_t *http)
+{
+    int running = 0;
+    curl_multi_perform(http->multi, &running);
+    nm_ms_t now_ms = nm_clock_now(&http->clock);
+    http->active_ms += MIN(now_ms - http->round_ms, LOCAL_STALL_MIN_MS);
+    http->round_ms = now_ms;
+}
+
 static void
 http_wait(nm_worker_port_t *port, nm_ms_t wait_ms, int extra_fd)
 {
     http_port_t *http = (http_port_t *)port;
     struct curl_waitfd extra = {.fd = extra_fd, .events = CURL_WAIT_POLLIN};
-    int running = 0;
-    curl_multi_perform(http->multi, &running);
+    perform(http);
     curl_multi_poll(http->multi, &extra, extra_fd >= 0 ? 1 : 0, (int)wait_ms,
                     NULL);
-    curl_multi_perform(http->multi, &running);
+    perform(http);
 }
 
 static void
@@ -104,28 +131,43 @@
     return rc == NM_OK;
 }
 
+/* Returns the next call that has ended or timed out, or NULL. */
+static call_t *
+find_ended_call(http_port_t *http, CURLcode *code)
+{
+    int messages_left;
+    CURLMsg *message = curl_multi_info_read(http->multi, &messages_left);
+    if (message) {
+        call_t *call = NULL;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &call);
+        *code = message->data.result;
+        return call;
+    }
+    call_t *oldest = g_queue_peek_head(&http->calls);
+    *code = CURLE_OPERATION_TIMEDOUT;
+    return oldest && http->active_ms >= oldest->fails_ms ? oldest : NULL;
+}
+
 static bool
 http_next(nm_worker_port_t *port, nm_worker_event_t *event)
 {
     http_port_t *http = (http_port_t *)port;
     nm_worker_reply_finish(&http->decoded);
-    int messages_left;
-    CURLMsg *message = curl_multi_info_read(http->multi, &messages_left);
-    if (!message) {
+    CURLcode code;
+    call_t *call = find_ended_call(http, &code);
+    if (!call) {
         return false;
     }
-    CURL *easy = message->easy_handle;
-    call_t *call = NULL;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &call);
     *event = (nm_worker_event_t){
         .worker = call->worker,
         .sequence = call->sequence,
-        .succeeded = message->data.result == CURLE_OK &&
-                     decode_response(http, easy, call),
+        .succeeded =
+            code == CURLE_OK && decode_response(http, call->easy, call),
     };
     event->reply = http->decoded.reply;
-    curl_multi_remove_handle(http->multi, easy);
-    curl_easy_cleanup(easy);
+    g_queue_unlink(&http->calls, &call->link);
+    curl_multi_remove_handle(http->multi, call->easy);
+    curl_easy_cleanup(call->easy);
     free(call->request);
     g_string_free(call->body, TRUE);
     g_free(call);
@@ -137,14 +179,12 @@
 {
     http_port_t *http = (http_port_t *)port;
     nm_worker_event_t event;
-    int running = 1;
-    while (running > 0) {
-        curl_multi_perform(http->multi, &running);
+    while (http->calls.length > 0) {
+        perform(http);
         while (http_next(port, &event)) {
         }
-        curl_multi_poll(http->multi, NULL, 0, running > 0 ? 50 : 0, NULL);
-    }
-    while (http_next(port, &event)) {
+        curl_multi_poll(http->multi, NULL, 0,
+                        http->calls.length > 0 ? SHUTDOWN_WAIT_MS : 0, NULL);
     }
     nm_worker_reply_finish(&http->decoded);
     curl_multi_cleanup(http->multi);
@@ -167,6 +207,9 @@
     http->base.vtable = &http_vtable;
     http->multi = curl_multi_init();
     http->timeout_ms = timeout_ms;
+    g_queue_init(&http->calls);
+    nm_clock_init_monotonic(&http->clock);
+    http->round_ms = nm_clock_now(&http->clock);
     curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS, CONNECTION_CACHE_MAX);
     http->headers = curl_slist_append(NULL, "Content-Type: application/json");
     http->headers = curl_slist_append(http->headers, "Expect:");
