A host's own stall is no absence of the owner or of the workers

Cause: after a pause of its control thread (1.2 s or more) a follower (nutmegd) compared the age of the owner's last heartbeat with the clock before newer ones were read from its sockets, and the host that comes first campaigned at once against a healthy owner; an owner that had paused for 6 s resigned before any worker could respond.

Change: a pause of 250 ms or more between two iterations extends the time limits of peers, of the wait before a campaign and of the majority.

Evidence: /control/own-stall-is-no-absence failed with the change disabled ("owner lives": the host campaigns) and passes; owners that are gone are still replaced within 1.5 s of the stall.

--- a/src/control.c
+++ b/src/control.c
@@ -140,6 +140,7 @@
 run_iteration(nm_control_t *control)
 {
     nm_ms_t now_ms = nm_clock_now(control->desc.clock);
+    nm_control_extend_deadlines(control, now_ms);
     nm_control_process_updates(control, now_ms);
     update_host_list(control, now_ms);
     handle_messages(control, now_ms);
--- a/src/control_member.c
+++ b/src/control_member.c
@@ -25,6 +25,8 @@
 #define CAMPAIGN_STAGGER_MS 400
 /* An owner resigns after this long without a majority of the workers. */
 #define AUTHORITY_TIMEOUT_MS 6000
+/* A longer pause between two iterations is a stall of this host itself. */
+#define LOCAL_STALL_MIN_MS 250
 #define SYNCS_IN_FLIGHT_MAX 256
 /* Minimum interval between appends to the shard's journal. */
 #define JOURNAL_INTERVAL_MS 100
@@ -40,6 +42,24 @@
            now_ms - peer->last_heartbeat_ms < timeout_ms;
 }
 
+void
+nm_control_extend_deadlines(nm_control_t *control, nm_ms_t now_ms)
+{
+    nm_ms_t pause_ms =
+        control->iterated_ms > 0 ? now_ms - control->iterated_ms : 0;
+    control->iterated_ms = now_ms;
+    if (pause_ms < LOCAL_STALL_MIN_MS) {
+        return;
+    }
+    /* Messages of this time wait in the sockets. */
+    for (uint32_t i = 0; i < control->peer_count; i++) {
+        nm_peer_t *peer = &control->peers[i];
+        peer->last_heartbeat_ms += peer->last_heartbeat_ms > 0 ? pause_ms : 0;
+    }
+    control->follower_since_ms += pause_ms;
+    control->last_authority_ms += pause_ms;
+}
+
 void
 nm_control_send_heartbeats(nm_control_t *control, bool at_once, nm_ms_t now_ms)
 {
--- a/src/control_state.h
+++ b/src/control_state.h
@@ -78,6 +78,7 @@
     nm_ms_t local_heartbeat_sent_ms;
     nm_ms_t remote_heartbeat_sent_ms;
     nm_ms_t started_ms;
+    nm_ms_t iterated_ms;       /* start of the last iteration; 0: none */
     nm_ms_t follower_since_ms; /* follower without a known owner since then */
     nm_ms_t campaign_after_ms; /* until then a newer owner may exist */
     nm_shard_phase_t last_phase;
@@ -136,6 +137,11 @@
                                  uint64_t incarnation,
                                  const NmPb__Heartbeat *heartbeat,
                                  nm_ms_t now_ms);
+/*
+ * Extends the time limits of peers and workers by a stall of this host itself.
+ * Called first in each iteration.
+ */
+void nm_control_extend_deadlines(nm_control_t *control, nm_ms_t now_ms);
 bool nm_control_peer_is_live(const nm_peer_t *peer, nm_ms_t now_ms);
 /* Takes part in the election: campaigns, resigns or waits. */
 void nm_control_elect(nm_control_t *control, nm_ms_t now_ms);
