A new owner that stalls does not take silence for the end of earlier runs

Cause: a takeover (nutmegd) ended by time alone: 10.5 s after the majority the tasks of workers that had not reported counted as waiting. If the new owner itself stalled for that time, ends of tasks were still to be read.

Change: it ends once each worker has reported or, after that time, has not responded to a sync that was sent while the owner had a majority.

--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -234,6 +234,41 @@
     return state->workers->len > 0;
 }
 
+/*
+ * True if a worker did not respond while the owner had a majority.  Without a
+ * majority it is the owner that was cut off, late or stopped: the silence of a
+ * worker shows nothing, and it may report ends of tasks as soon as it is
+ * called again.
+ */
+static bool
+is_unresponsive(const nm_shard_state_t *state,
+                const nm_shard_worker_state_t *worker)
+{
+    return worker->removed ||
+           (state->had_authority &&
+            worker->failed_sent_ms >= state->authority_since_ms);
+}
+
+/*
+ * True if all leases of earlier owners have ended, and each worker has
+ * reported or is unresponsive.  Another one may still report ends of tasks.
+ */
+static bool
+earlier_leases_ended(const nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    if (now_ms < state->earlier_leases_end_ms) {
+        return false;
+    }
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_shard_worker_state_t *worker = state->workers->pdata[i];
+        if (worker->acked_epoch != state->epoch &&
+            !is_unresponsive(state, worker)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 nm_shard_end_lease_waits(nm_shard_state_t *state)
 {
@@ -269,21 +304,6 @@
            (json_int_t)state->epoch);
 }
 
-/*
- * True if a worker did not respond while the owner had a majority.  Without a
- * majority it is the owner that was cut off, late or stopped: the silence of a
- * worker shows nothing, and it may report ends of tasks as soon as it is
- * called again.
- */
-static bool
-is_unresponsive(const nm_shard_state_t *state,
-                const nm_shard_worker_state_t *worker)
-{
-    return worker->removed ||
-           (state->had_authority &&
-            worker->failed_sent_ms >= state->authority_since_ms);
-}
-
 /*
  * Reschedules the tasks of workers that have been unresponsive for the lease
  * term and the clock drift margin.
@@ -375,7 +395,7 @@
         return;
     }
     if (!state->takeover_complete && (all_workers_reported(state, now_ms) ||
-                                      now_ms >= state->earlier_leases_end_ms))
+                                      earlier_leases_ended(state, now_ms)))
     {
         state->takeover_complete = true;
         nm_shard_end_lease_waits(state);
--- a/tests/test_shard_slow_owner.c
+++ b/tests/test_shard_slow_owner.c
@@ -5,6 +5,8 @@
  * Guards against an owner that takes its own delay for lost workers, sends
  * orders of a time long gone, or forgets an end because a start is on its way.
  */
+#include <string.h>
+
 #include <glib.h>
 
 #include "lib_worker.h"
@@ -30,6 +32,7 @@
     fake_worker_t workers[WORKERS];
     call_t calls[WORKERS];
     nm_ms_t reply_delay_ms[WORKERS];
+    GPtrArray *journal; /* of GBytes */
     uint32_t events[FAKE_EVENT_ACKED + 1];
     uint32_t started_on; /* worker of the newest start */
 } fleet_t;
@@ -51,7 +54,11 @@
 static void
 begin(fleet_t *fleet, uint32_t duration_s)
 {
-    *fleet = (fleet_t){.now_ms = 1000};
+    *fleet = (fleet_t){
+        .now_ms = 1000,
+        .journal =
+            g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref),
+    };
     nm_shard_init(&fleet->shard, &(nm_shard_desc_t){.owner_id = 1, .seed = 1});
     for (uint32_t i = 0; i < WORKERS; i++) {
         fake_worker_init(&fleet->workers[i], i + 1, count_event, fleet);
@@ -81,6 +88,7 @@
 end(fleet_t *fleet)
 {
     nm_shard_finish(&fleet->shard);
+    g_ptr_array_unref(fleet->journal);
     for (uint32_t i = 0; i < WORKERS; i++) {
         g_free((void *)fleet->calls[i].reply.tasks);
         fake_worker_finish(&fleet->workers[i]);
@@ -129,6 +137,20 @@
     }
 }
 
+static void
+load_journal(fleet_t *fleet)
+{
+    nm_shard_journal_reset(&fleet->shard);
+    for (guint i = 0; i < fleet->journal->len; i++) {
+        gsize bytes;
+        const void *data = g_bytes_get_data(fleet->journal->pdata[i], &bytes);
+        g_assert_cmpint(
+            nm_shard_journal_replay(&fleet->shard, data, (uint32_t)bytes), ==,
+            NM_OK);
+    }
+    nm_shard_journal_loaded(&fleet->shard, fleet->now_ms);
+}
+
 static void
 run(fleet_t *fleet, nm_ms_t duration_ms)
 {
@@ -144,14 +166,13 @@
         receive(fleet);
         nm_shard_tick(shard, fleet->now_ms, 1000000);
         if (nm_shard_query(shard, fleet->now_ms).phase == NM_SHARD_LOADING) {
-            nm_shard_journal_reset(shard);
-            nm_shard_journal_loaded(shard, fleet->now_ms);
+            load_journal(fleet);
         }
         uint32_t bytes;
         uint8_t *record = nm_shard_journal_take_record(shard, &bytes);
         if (record) {
             nm_shard_journal_append_done(shard, true, fleet->now_ms);
-            g_free(record);
+            g_ptr_array_add(fleet->journal, g_bytes_new_take(record, bytes));
         }
         const nm_sync_t *sync;
         while ((sync = nm_shard_next_sync(shard, fleet->now_ms))) {
@@ -186,11 +207,20 @@
     static const struct {
         nm_ms_t stall_ms;
         nm_ms_t reply_delay_ms;
-    } cases[] = {{9000, 300}, {9000, 1200}, {20000, 600}, {60000, 1400}};
+        bool takeover; /* of a new owner, which the worker has not heard of */
+    } cases[] = {{9000, 300, false},  {9000, 1200, false},
+                 {20000, 600, false}, {60000, 1400, false},
+                 {15000, 300, true},  {60000, 1200, true}};
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         fleet_t fleet;
         begin(&fleet, 5);
         uint32_t worker = start_first_attempt(&fleet);
+        if (cases[i].takeover) {
+            fleet.reply_delay_ms[worker] = LOST_MS;
+            nm_shard_campaign(&fleet.shard, fleet.now_ms);
+            memset(fleet.calls, 0, sizeof(fleet.calls));
+            run(&fleet, 1000);
+        }
         fleet.frozen_until_ms = fleet.now_ms + cases[i].stall_ms;
         fleet.reply_delay_ms[worker] = cases[i].reply_delay_ms;
         run(&fleet, cases[i].stall_ms + 15000);
