A host's own stall does not time out attempts at executors

Cause: after a pause of the traffic thread (nutmegd) each attempt whose response was not read at once counted as timed out: its request was sent again and its executor was charged with a failure, three of which take it out of use; the pause also counted as latency of executors that responded in time.

Change: a pause of 250 ms or more between two rounds is no part of the age of attempts. Slots and deadlines stay as they were. The bound is now one constant in base.h, also for control_member.c and worker_port_http.c.

Evidence: /route/own-stall-times-out-no-attempts failed with the change disabled (requests sent again 50 ms after a stall of 1 s) and passes; the cases without a stall are as before.

--- a/include/nutmegdeck/base.h
+++ b/include/nutmegdeck/base.h
@@ -57,6 +57,11 @@
 typedef int64_t nm_ms_t;
 
 #define NM_MS_NEVER INT64_MAX
+/*
+ * A longer pause between two rounds of a thread is a stall of this host
+ * itself: responses wait in its sockets meanwhile.
+ */
+#define NM_LOCAL_STALL_MIN_MS 250
 
 typedef struct nm_clock nm_clock_t;
 
--- a/include/nutmegdeck/route.h
+++ b/include/nutmegdeck/route.h
@@ -184,6 +184,11 @@
  * immediately; its attempts keep their slots.
  */
 void nm_route_cancel(nm_route_t *route, nm_request_t request, nm_ms_t now_ms);
+/*
+ * Begins a round, which a tick ends: a stall of this host itself since then is
+ * no part of the age of attempts.  Their slots and deadlines stay as they are.
+ */
+void nm_route_begin_round(nm_route_t *route, nm_ms_t now_ms);
 /* Runs timeouts, backoffs, hedges and queues; call it every 5 to 20 ms. */
 void nm_route_tick(nm_route_t *route, nm_ms_t now_ms);
 bool nm_route_next_action(nm_route_t *route, nm_route_action_t *action);
--- a/src/control_member.c
+++ b/src/control_member.c
@@ -25,8 +25,6 @@
 #define CAMPAIGN_STAGGER_MS 400
 /* An owner resigns after this long without a majority of the workers. */
 #define AUTHORITY_TIMEOUT_MS 6000
-/* A longer pause between two iterations is a stall of this host itself. */
-#define LOCAL_STALL_MIN_MS 250
 #define SYNCS_IN_FLIGHT_MAX 256
 /* Minimum interval between appends to the shard's journal. */
 #define JOURNAL_INTERVAL_MS 100
@@ -48,7 +46,7 @@
     nm_ms_t pause_ms =
         control->iterated_ms > 0 ? now_ms - control->iterated_ms : 0;
     control->iterated_ms = now_ms;
-    if (pause_ms < LOCAL_STALL_MIN_MS) {
+    if (pause_ms < NM_LOCAL_STALL_MIN_MS) {
         return;
     }
     /* Messages of this time wait in the sockets. */
--- a/src/route_timers.c
+++ b/src/route_timers.c
@@ -162,6 +162,21 @@
     }
 }
 
+void
+nm_route_begin_round(nm_route_t *route, nm_ms_t now_ms)
+{
+    assert(route);
+    state_t *state = route->state;
+    nm_ms_t pause_ms = now_ms - state->last_tick_ms;
+    if (pause_ms < NM_LOCAL_STALL_MIN_MS) {
+        return;
+    }
+    const active_set_t *active = &state->active_attempts;
+    for (uint32_t i = 0; i < active->count; i++) {
+        state->attempts[active->items[i]].sent_ms += pause_ms;
+    }
+}
+
 void
 nm_route_tick(nm_route_t *route, nm_ms_t now_ms)
 {
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -398,6 +398,7 @@
 run_iteration(nm_traffic_t *traffic)
 {
     nm_ms_t now_ms = nm_clock_now(traffic->desc.clock);
+    nm_route_begin_round(&traffic->route, now_ms);
     nm_traffic_snapshot_t *snapshot = nm_mailbox_take(&traffic->snapshots);
     if (snapshot) {
         apply_snapshot(traffic, snapshot, now_ms);
--- a/src/worker_port_http.c
+++ b/src/worker_port_http.c
@@ -13,11 +13,6 @@
 #define REPLY_MAX_BYTES (4 * 1024 * 1024)
 /* Connections to workers that are kept open between syncs. */
 #define CONNECTION_CACHE_MAX 4096L
-/*
- * A longer pause between two rounds is a stall of this host itself: responses
- * wait in its sockets, and the rest of it does not count for the timeout.
- */
-#define LOCAL_STALL_MIN_MS 250
 /* At shutdown, interval of the rounds that wait for the last replies. */
 #define SHUTDOWN_WAIT_MS 50
 
@@ -89,14 +84,17 @@
     return NM_OK;
 }
 
-/* Sends and receives without waiting, then advances the timeouts. */
+/*
+ * Sends and receives without waiting, then advances the timeouts, of which a
+ * stall of this host is no part.
+ */
 static void
 perform(http_port_t *http)
 {
     int running = 0;
     curl_multi_perform(http->multi, &running);
     nm_ms_t now_ms = nm_clock_now(&http->clock);
-    http->active_ms += MIN(now_ms - http->round_ms, LOCAL_STALL_MIN_MS);
+    http->active_ms += MIN(now_ms - http->round_ms, NM_LOCAL_STALL_MIN_MS);
     http->round_ms = now_ms;
 }
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -407,6 +407,46 @@
     nm_route_finish(&fixture.route);
 }
 
+/*
+ * Responses wait in this host's sockets while it stalls.  Their executors must
+ * not be ejected, nor their requests be sent again.
+ */
+static void
+test_own_stall_times_out_no_attempts(void)
+{
+    static const struct {
+        nm_ms_t stall_ms;
+        nm_ms_t elapsed_ms; /* after the stall, before the responses */
+        bool retries;
+    } cases[] = {
+        {0, 50, false}, {0, 150, true}, {1000, 50, false}, {1000, 150, true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        fixture_t fixture;
+        init(&fixture, 2, 8, 100);
+        nm_route_update_service(&fixture.route, 0,
+                                &(nm_route_service_t){
+                                    .timeout_ms = 5000,
+                                    .attempt_timeout_ms = 100,
+                                    .queue_limit = 4,
+                                    .retry_budget_pct = 100,
+                                });
+        for (int j = 0; j < 10; j++) {
+            submit(&fixture, true, false);
+            end_attempt(&fixture, NM_OUTCOME_RESPONDED);
+        }
+        fixture.sent = 0;
+        for (int j = 0; j < 8; j++) {
+            submit(&fixture, true, false);
+        }
+        advance(&fixture, 5);
+        fixture.now_ms += cases[i].stall_ms;
+        nm_route_begin_round(&fixture.route, fixture.now_ms);
+        advance(&fixture, cases[i].elapsed_ms);
+        g_assert_cmpint(fixture.sent > 8, ==, cases[i].retries);
+        nm_route_finish(&fixture.route);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -427,5 +467,7 @@
     g_test_add_func("/route/forward", test_forward);
     g_test_add_func("/route/link-response-bytes", test_link_response_bytes);
     g_test_add_func("/route/stop", test_stop);
+    g_test_add_func("/route/own-stall-times-out-no-attempts",
+                    test_own_stall_times_out_no_attempts);
     return g_test_run();
 }
