--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -71,6 +71,7 @@
         worker->outstanding = false;
         worker->acked_epoch = 0;
         worker->reported_ms = 0;
+        worker->failed_sent_ms = 0;
         worker->clock_ms = 0;
         worker->leases_expired = false;
         worker->due_ms = now_ms;
@@ -89,6 +90,7 @@
     state->epoch = ++state->highest_epoch;
     state->authority_checked_ms = 0;
     state->authority_until_ms = 0;
+    state->had_authority = false;
     state->previous_epoch = 0;
     state->phase = NM_SHARD_FENCING;
     state->takeover_complete = false;
@@ -232,6 +234,41 @@
     return state->workers->len > 0;
 }
 
+/*
+ * True if a worker did not respond while the owner had a majority.  Without a
+ * majority it is the owner that was cut off, late or stopped: the silence of a
+ * worker shows nothing, and it may report ends of tasks as soon as it is
+ * called again.
+ */
+static bool
+is_unresponsive(const nm_shard_state_t *state,
+                const nm_shard_worker_state_t *worker)
+{
+    return worker->removed ||
+           (state->had_authority &&
+            worker->failed_sent_ms >= state->authority_since_ms);
+}
+
+/*
+ * True if all leases of earlier owners have ended, and each worker has
+ * reported or is unresponsive.  Another one may still report ends of tasks.
+ */
+static bool
+earlier_leases_ended(const nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    if (now_ms < state->earlier_leases_end_ms) {
+        return false;
+    }
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_shard_worker_state_t *worker = state->workers->pdata[i];
+        if (worker->acked_epoch != state->epoch &&
+            !is_unresponsive(state, worker)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void
 nm_shard_end_lease_waits(nm_shard_state_t *state)
 {
@@ -277,8 +314,8 @@
     for (uint32_t w = 0; w < state->workers->len; w++) {
         nm_shard_worker_state_t *worker = state->workers->pdata[w];
         if (worker->leases_expired || worker->reported_ms == 0 ||
-            now_ms < worker->reported_ms + NM_SHARD_LEASE_MS +
-                         NM_SHARD_CLOCK_DRIFT_MARGIN_MS)
+            !nm_shard_leases_ended(worker, now_ms) ||
+            !is_unresponsive(state, worker))
         {
             continue;
         }
@@ -343,6 +380,10 @@
         return;
     }
     bool authority = nm_shard_has_authority(shard, now_ms);
+    if (authority && !state->had_authority) {
+        state->authority_since_ms = now_ms;
+    }
+    state->had_authority = authority;
     if (state->phase == NM_SHARD_FENCING && authority) {
         state->phase = NM_SHARD_LOADING;
         /* An earlier owner may renew leases until its authority ends. */
@@ -354,7 +395,7 @@
         return;
     }
     if (!state->takeover_complete && (all_workers_reported(state, now_ms) ||
-                                      now_ms >= state->earlier_leases_end_ms))
+                                      earlier_leases_ended(state, now_ms)))
     {
         state->takeover_complete = true;
         nm_shard_end_lease_waits(state);
