An owner is behind when most workers are late or silent together

Found in review: calls that are lost were no sample, so that an owner whose responses take over 0.9 s, or whose calls are direct (a late response is dropped there), was not seen to be behind; nor one with few workers, nor one to which all workers fall silent at once. A third of the workers that are slow made it seem behind, so that the task of a lost worker waited for 27 s; the bound of starts did not hold from 1.2 s of delay on; and a worker whose crash is proved was waited for.

Cause: the sample counted responses only, and not by worker.

Change: each worker's newest call is in time or not; the owner is behind while 70% of the workers called lately are not, and for 2 s after. Then responses have 3 s, starts are repeated after 2 s only, polls wait for 0.5 s, and starts on silent workers count in the bound. If most calls time out the bound shrinks at once to a third. A worker that is no longer announced is not waited for.

--- a/src/sched.c
+++ b/src/sched.c
@@ -456,6 +456,7 @@
 {
     assert(sched);
     sched->unix_ms = unix_ms;
+    sched->now_ms = now_ms;
     if (sched->has_saved || sched->unsaved.length == 0) {
         sched->has_saved = false;
         sched->store_ok_ms = now_ms;
@@ -466,6 +467,7 @@
     if (sched->saved_seq_stale) {
         update_saved_seq(sched);
     }
+    nm_delay_check(sched, now_ms);
     resolve_unknown_runs(sched, now_ms);
     expire_ended(sched, now_ms);
     if (now_ms - sched->fillers_checked_ms >= FILLER_CHECK_INTERVAL_MS) {
--- a/src/sched_delay.c
+++ b/src/sched_delay.c
@@ -2,10 +2,10 @@
  * Delay of responses: shows whether the owner, or its links, are behind.
  *
  * Load: more starts than the owner's link carries.  Polls, which renew leases,
- * wait behind them, and time out, while all workers live.  A call that is lost
- * says nothing here, as its worker may be away; a response that comes late
- * shows a worker that lives.  If many come late, from whichever workers, it is
- * the owner that is behind: silence is no sign of a lost worker then.
+ * wait behind them, and time out, while all workers live.  A worker that is
+ * late or silent alone, or with those of its data centre, is away; if most are
+ * so at once, whichever calls they get, it is the owner that is behind, and
+ * their silence is no sign that they are lost.
  *
  * The same delay bounds the starts in flight: the bound shrinks while
  * responses are late, and grows while they are not and it is reached.
@@ -15,29 +15,78 @@
 /* A response that takes longer is late; the usual one between regions 150. */
 #define LATE_MS 400
 /*
- * Responses in a sample: so many at least, and a share of the workers, so that
- * one slow carrier is no sample.  An older sample is discarded.
+ * Age from which the newest call of a worker shows nothing any more; the poll
+ * of a worker with tasks ends within its wait and the timeout.
  */
-#define SAMPLE_RESPONSES_MIN 10
-#define SAMPLE_WORKERS_SHARE 0.1
-#define SAMPLE_MS_MAX 1000
-/* Share of late responses in a sample from which the owner is behind. */
-#define BEHIND_SHARE 0.25
-/* The owner counts as behind for this long after the last such sample. */
-#define BEHIND_MS 5000
+#define CALL_AGE_MAX_MS 4500
+/*
+ * Share of the workers that are late from which the owner is behind; more than
+ * two of three data centres.
+ */
+#define BEHIND_SHARE 0.7
+/* With fewer workers called, their silence may well be their own. */
+#define BEHIND_WORKERS_MIN 3
+/* Each worker is heard of within this time once the owner has caught up. */
+#define BEHIND_HOLD_MS 2000
+#define CHECK_INTERVAL_MS 100
+/* Calls in a sample, and share of late ones for the bound to shrink. */
+#define SAMPLE_CALLS_MIN 10
+#define SAMPLE_LATE_SHARE 0.5
 /* Bounds of starts in flight, and how they change. */
 #define STARTING_MIN 16
 #define STARTING_CHANGE_INTERVAL_MS 200
 #define STARTING_SHRINK_FACTOR 0.7
-#define STARTING_GROWTH_FACTOR 1.15
+/* If most calls time out, the delay is several times the one aimed at. */
+#define STARTING_LOSS_FACTOR 0.35
+#define STARTING_GROWTH_FACTOR 1.3
 
 void
 nm_delay_init(nm_sched_t *sched, nm_ms_t now_ms)
 {
-    sched->delay = (nm_delay_t){.sample_since_ms = now_ms,
+    sched->delay = (nm_delay_t){.checked_ms = now_ms,
                                 .starting_max = NM_SCHED_STARTING_MAX};
 }
 
+static void
+record_call(nm_sched_node_t *node, bool late, nm_ms_t now_ms)
+{
+    node->called_ms = now_ms;
+    node->call_was_late = late;
+}
+
+void
+nm_delay_on_response(nm_sched_t *sched, nm_sched_node_t *node,
+                     nm_ms_t delay_ms, nm_ms_t now_ms)
+{
+    record_call(node, delay_ms > LATE_MS, now_ms);
+    sched->delay.calls++;
+    sched->delay.late += delay_ms > LATE_MS;
+}
+
+void
+nm_delay_on_loss(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    record_call(node, true, now_ms);
+    sched->delay.calls++;
+    sched->delay.lost++;
+}
+
+static bool
+most_workers_are_late(const nm_sched_t *sched, nm_ms_t now_ms)
+{
+    uint32_t called = 0;
+    uint32_t late = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->called_ms > 0 && now_ms - node->called_ms < CALL_AGE_MAX_MS)
+        {
+            called++;
+            late += node->call_was_late;
+        }
+    }
+    return called >= BEHIND_WORKERS_MIN && late >= BEHIND_SHARE * called;
+}
+
 static void
 change_starting_max(nm_delay_t *delay, double factor, nm_ms_t now_ms)
 {
@@ -50,36 +99,35 @@
                                 NM_SCHED_STARTING_MAX);
 }
 
-static void
-begin_sample(nm_delay_t *delay, nm_ms_t now_ms)
-{
-    delay->sample_since_ms = now_ms;
-    delay->responses = 0;
-    delay->late = 0;
-}
-
 void
-nm_delay_on_response(nm_sched_t *sched, nm_ms_t delay_ms, nm_ms_t now_ms)
+nm_delay_check(nm_sched_t *sched, nm_ms_t now_ms)
 {
     nm_delay_t *delay = &sched->delay;
-    if (now_ms - delay->sample_since_ms > SAMPLE_MS_MAX) {
-        begin_sample(delay, now_ms);
-    }
-    delay->responses++;
-    delay->late += delay_ms > LATE_MS;
-    if (delay->responses < SAMPLE_RESPONSES_MIN ||
-        delay->responses < SAMPLE_WORKERS_SHARE * sched->node_list->len)
-    {
+    if (now_ms - delay->checked_ms < CHECK_INTERVAL_MS) {
         return;
     }
-    if (delay->late >= BEHIND_SHARE * delay->responses) {
-        delay->behind_until_ms = now_ms + BEHIND_MS;
+    delay->checked_ms = now_ms;
+    bool behind = most_workers_are_late(sched, now_ms);
+    bool sampled = delay->calls >= SAMPLE_CALLS_MIN;
+    if (behind) {
+        delay->behind_until_ms = now_ms + BEHIND_HOLD_MS;
+    }
+    double shrinks_from = SAMPLE_LATE_SHARE * delay->calls;
+    if (sampled && delay->lost >= shrinks_from) {
+        change_starting_max(delay, STARTING_LOSS_FACTOR, now_ms);
+    }
+    else if (behind || (sampled && delay->late + delay->lost >= shrinks_from))
+    {
         change_starting_max(delay, STARTING_SHRINK_FACTOR, now_ms);
     }
-    else if (delay->starting_reached) {
+    else if (sampled && delay->starting_reached) {
         change_starting_max(delay, STARTING_GROWTH_FACTOR, now_ms);
     }
-    begin_sample(delay, now_ms);
+    if (sampled) {
+        delay->calls = 0;
+        delay->late = 0;
+        delay->lost = 0;
+    }
 }
 
 bool
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -330,7 +330,7 @@
 nm_node_waits_for_late_report(const nm_sched_t *sched,
                               const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    return nm_delay_is_behind(sched, now_ms) &&
+    return nm_delay_is_behind(sched, now_ms) && node->announced &&
            now_ms - node->lease_lapse_ms < NM_SCHED_LATE_REPORT_MAX_MS;
 }
 
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -501,8 +501,10 @@
                                      IDLE_START_INTERVAL_MS);
     sched->placed_ms = now_ms;
     round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
-    round.starting_max =
-        (uint32_t)sched->delay.starting_max + count_silent_starts(sched);
+    round.starting_max = (uint32_t)sched->delay.starting_max;
+    if (!nm_delay_is_behind(sched, now_ms)) {
+        round.starting_max += count_silent_starts(sched);
+    }
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -31,6 +31,12 @@
 /* Remaining time of a draining worker below which tasks with progress move. */
 #define DRAIN_MOVE_REMAINING_MS 600
 
+/*
+ * Silence after which the lease of a worker with an unanswered start is not
+ * renewed; its first unanswered poll is sent within less.
+ */
+#define UNCERTAIN_RENEWAL_MS 4000
+
 /* Permits the worker to drop ends whose changes are stored. */
 static void
 release_acks(const nm_sched_t *sched, nm_sched_node_t *node)
@@ -54,9 +60,12 @@
 lease_is_renewed(const nm_sched_t *sched, const nm_sched_node_t *node,
                  nm_ms_t now_ms)
 {
+    nm_ms_t silent_max_ms = nm_duplicates_any(node)
+                                ? UNCERTAIN_RENEWAL_MS
+                                : NM_SCHED_LATE_REPORT_MAX_MS;
     return node->poll_failures == 0 ||
-           (nm_delay_is_behind(sched, now_ms) && !nm_duplicates_any(node) &&
-            now_ms - node->alive_ms < NM_SCHED_LATE_REPORT_MAX_MS);
+           (nm_delay_is_behind(sched, now_ms) && node->announced &&
+            now_ms - node->alive_ms < silent_max_ms);
 }
 
 static void
@@ -73,10 +82,11 @@
         now_ms - sched->filler_started_ms < NM_SCHED_POLL_WAIT_MS;
     bool colocated =
         node->serving_count > 0 && (node->filler_count > 0 || fillers_start);
-    action->wait_ms = no_wait        ? 0
-                      : sched->lossy ? NM_SCHED_POLL_WAIT_LOSSY_MS
-                      : colocated    ? NM_SCHED_POLL_WAIT_COLOCATED_MS
-                                     : NM_SCHED_POLL_WAIT_MS;
+    bool behind = nm_delay_is_behind(sched, now_ms);
+    action->wait_ms = no_wait               ? 0
+                      : sched->lossy        ? NM_SCHED_POLL_WAIT_LOSSY_MS
+                      : colocated || behind ? NM_SCHED_POLL_WAIT_SHORT_MS
+                                            : NM_SCHED_POLL_WAIT_MS;
     /* Other suspects may wait for the end of a trial here. */
     nm_ms_t trial_end_ms = nm_crashes_trial_end_ms(node);
     action->wait_ms = MIN(action->wait_ms, MAX(trial_end_ms - now_ms, 0));
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -176,6 +176,9 @@
         sched->sampled_calls_lost += !responded;
     }
     node->last_call_lost = !responded;
+    if (!responded) {
+        nm_delay_on_loss(sched, node, now_ms);
+    }
     update_call_loss(sched, now_ms);
 }
 
@@ -201,7 +204,8 @@
     task->order_pending = false;
     if (result == NM_ORDER_DONE) {
         task->node->alive_ms = now_ms;
-        nm_delay_on_response(sched, now_ms - task->sent_ms, now_ms);
+        nm_delay_on_response(sched, task->node, now_ms - task->sent_ms,
+                             now_ms);
     }
     if (result != NM_ORDER_NOT_SENT) {
         record_call(sched, task->node, result != NM_ORDER_UNKNOWN, now_ms);
@@ -221,7 +225,12 @@
 schedule_retry(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
 {
     nm_sched_node_t *node = task->node;
-    task->order_due_ms = now_ms + retry_delay_ms(sched, task->tries);
+    /* What is only late need not be sent again, to an owner's own harm. */
+    bool behind =
+        task->state == NM_RUN_STARTING && nm_delay_is_behind(sched, now_ms);
+    task->order_due_ms =
+        now_ms + (behind ? NM_SCHED_BEHIND_RETRY_MS
+                         : retry_delay_ms(sched, task->tries));
     node->retry_due_ms = MIN(node->retry_due_ms, task->order_due_ms);
 }
 
@@ -604,8 +613,8 @@
     node->alive_ms = now_ms;
     /* A worker may respond before the end of a wait: that shows no delay. */
     nm_ms_t delay_ms = now_ms - report->sent_ms - node->poll_wait_ms;
-    if (node->poll_wait_ms == 0 || delay_ms >= 0) {
-        nm_delay_on_response(sched, delay_ms, now_ms);
+    if (delay_ms >= 0) {
+        nm_delay_on_response(sched, node, delay_ms, now_ms);
     }
     apply_report(sched, node, report, now_ms);
 }
@@ -624,6 +633,7 @@
     nm_timer_set_now(sched, node);
     nm_count_reason(NM_REASON_LATE_REPORT);
     node->alive_ms = MAX(node->alive_ms, report->sent_ms);
-    nm_delay_on_response(sched, NM_DELAY_TIMED_OUT, now_ms);
+    nm_delay_on_response(
+        sched, node, now_ms - report->sent_ms - node->poll_wait_ms, now_ms);
     apply_report(sched, node, report, now_ms);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -35,9 +35,10 @@
 #define NM_SCHED_POLL_WAIT_MS 2000
 /*
  * Wait of a poll of a worker that runs serving tasks beside fillers, whose
- * metrics cover half a second.
+ * metrics cover half a second; and while the owner is behind, as each poll
+ * renews a lease and the next one waits for its response.
  */
-#define NM_SCHED_POLL_WAIT_COLOCATED_MS 500
+#define NM_SCHED_POLL_WAIT_SHORT_MS 500
 /*
  * Wait of a poll while calls are lossy: the timeout of a lost poll includes
  * the wait, and delays the report of an end.
@@ -52,6 +53,10 @@
  * between regions and the worker's processing time, and a pause of the owner.
  */
 #define NM_SCHED_LOSSY_TIMEOUT_MS 180
+/* Timeout of a response while the owner is behind: it may only be late. */
+#define NM_SCHED_BEHIND_TIMEOUT_MS 3000
+/* Pause before an unanswered start is repeated while the owner is behind. */
+#define NM_SCHED_BEHIND_RETRY_MS 2000
 /* A report may come this long after its poll has timed out. */
 #define NM_SCHED_LATE_REPORT_MAX_MS 10000
 /* Pause after a report, so that one poll fetches several ends. */
@@ -100,9 +105,10 @@
 
 /* Delay of responses, see sched_delay.c. */
 typedef struct {
-    nm_ms_t sample_since_ms;
-    uint32_t responses;    /* in the sample */
-    uint32_t late;         /* part of responses */
+    nm_ms_t checked_ms;
+    uint32_t calls;        /* since the last sample was complete */
+    uint32_t late;         /* part of calls: with a late response */
+    uint32_t lost;         /* part of calls: without a response in time */
     double starting_max;   /* bound of starts in flight */
     bool starting_reached; /* since its last change */
     nm_ms_t starting_changed_ms;
@@ -349,8 +355,10 @@
     bool poll_pending;
     nm_ms_t poll_wait_ms; /* of the newest poll */
     nm_ms_t poll_due_ms;
-    nm_ms_t alive_ms;            /* when its newest response came */
-    uint32_t id_hash;            /* never 0 */
+    nm_ms_t alive_ms;   /* when its newest response came */
+    nm_ms_t called_ms;  /* its newest call ended; 0: none, see sched_delay.c */
+    bool call_was_late; /* that call, or without a response */
+    uint32_t id_hash;   /* never 0 */
     uint32_t address_hash;       /* 0: not described */
     nm_ms_t incarnation_seen_ms; /* its incarnation was first heard of */
     nm_ms_t suspect_begun_ms;    /* newest start of a task that has crashes */
@@ -439,6 +447,7 @@
     nm_ms_t filler_tried_ms;   /* newest trial, see sched_filler.c */
     nm_ms_t filler_started_ms; /* newest start of a filler */
     int64_t unix_ms;           /* wall clock of the newest round */
+    nm_ms_t now_ms;            /* time of the newest round */
     nm_interference_t interference;
     nm_swing_model_t swing_model;
     GArray *canaries; /* of nm_canary_t, by filler image */
@@ -570,11 +579,15 @@
 }
 
 /* sched_delay.c */
-/* Delay of a response that came after its call had timed out. */
-#define NM_DELAY_TIMED_OUT NM_MS_NEVER
 void nm_delay_init(nm_sched_t *sched, nm_ms_t now_ms);
 /* A response came, delay_ms after its call or the end of its wait. */
-void nm_delay_on_response(nm_sched_t *sched, nm_ms_t delay_ms, nm_ms_t now_ms);
+void nm_delay_on_response(nm_sched_t *sched, nm_sched_node_t *node,
+                          nm_ms_t delay_ms, nm_ms_t now_ms);
+/* A call got no response in time. */
+void nm_delay_on_loss(nm_sched_t *sched, nm_sched_node_t *node,
+                      nm_ms_t now_ms);
+/* To be called in each round. */
+void nm_delay_check(nm_sched_t *sched, nm_ms_t now_ms);
 /* True while the owner or its links are behind: silence proves nothing. */
 bool nm_delay_is_behind(const nm_sched_t *sched, nm_ms_t now_ms);
 
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -471,16 +471,24 @@
     return node->clock_ms + (int64_t)(elapsed_ms / NM_SCHED_CLOCK_SLOW_FACTOR);
 }
 
+static nm_ms_t
+order_timeout_ms(const nm_sched_t *sched)
+{
+    if (nm_delay_is_behind(sched, sched->now_ms)) {
+        return NM_SCHED_BEHIND_TIMEOUT_MS;
+    }
+    return sched->lossy ? NM_SCHED_LOSSY_TIMEOUT_MS : 0;
+}
+
 nm_sched_action_t *
 nm_sched_add_action(nm_sched_t *sched, nm_sched_node_t *node,
                     nm_sched_action_type_t type)
 {
-    nm_sched_action_t action = {
-        .type = type,
-        .incarnation = node->desc.incarnation,
-        .timeout_ms = sched->lossy ? NM_SCHED_LOSSY_TIMEOUT_MS : 0,
-        .payload = "",
-        .checkpoint = ""};
+    nm_sched_action_t action = {.type = type,
+                                .incarnation = node->desc.incarnation,
+                                .timeout_ms = order_timeout_ms(sched),
+                                .payload = "",
+                                .checkpoint = ""};
     nm_strcopy(action.worker, sizeof(action.worker), node->desc.id);
     nm_strcopy(action.address, sizeof(action.address), node->desc.address);
     g_array_append_val(sched->actions, action);
