A late report does not shorten the leases that follow

Cause: a report replaced the known clock of a worker by what it showed when it was made, so that each expiry was short by the report's delay, and leases of healthy workers lapsed where responses take 4 s.

Change: the known clock stays if it is ahead, up to the time since the poll was sent: both are bounds of what the worker's clock shows, and a clock that stood still for a time is taken back to the second one.

/sched/healthy-leases-lapse-at-4-s failed before.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -526,6 +526,22 @@
     }
 }
 
+/*
+ * A report that comes late shows the clock as it was then.  What an earlier
+ * one showed may be closer; it is wrong if it is beyond the time since the
+ * poll.
+ */
+static void
+update_clock(nm_sched_node_t *node, const nm_worker_report_t *report,
+             nm_ms_t now_ms)
+{
+    int64_t known_ms = node->clock_known ? nm_node_clock_ms(node, now_ms) : 0;
+    int64_t latest_ms = report->clock_ms + (now_ms - report->sent_ms);
+    node->clock_ms = MAX(report->clock_ms, MIN(known_ms, latest_ms));
+    node->clock_at_ms = now_ms;
+    node->clock_known = true;
+}
+
 /* Applies a report, which may have come late. */
 static void
 apply_report(nm_sched_t *sched, nm_sched_node_t *node,
@@ -551,9 +567,7 @@
     node->ends_truncated =
         !report->complete && report->end_count >= NM_WORKER_ENDS_LISTED_MAX;
     node->reports++;
-    node->clock_ms = report->clock_ms;
-    node->clock_at_ms = now_ms;
-    node->clock_known = true;
+    update_clock(node, report, now_ms);
     for (uint32_t i = 0; i < report->end_count; i++) {
         apply_end(sched, node, &report->ends[i], now_ms);
     }
