A surplus run that a former owner left keeps its room

Found in review: a task is stored as done while a surplus run of it is being stopped; the next owner sent the stop but did not count the run, and could start another task in its room (LIMIT).

Change: a run that is reported of a task that is done is attached as surplus until its end is known.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -377,6 +377,23 @@
     }
 }
 
+/*
+ * A run of a task that is done is surplus, as one that a former owner has
+ * left; it takes room until it has ended.
+ */
+static void
+adopt_surplus_run(nm_sched_t *sched, nm_task_t *task, nm_sched_node_t *node,
+                  const nm_worker_run_t *row, nm_ms_t now_ms)
+{
+    task->run = row->run;
+    nm_task_set_state(sched, task, NM_RUN_RUNNING);
+    task->begun_ms = 0;
+    task->started_ms = now_ms;
+    nm_task_attach(task, node);
+    nm_sched_stop_task(sched, task, now_ms);
+    task->run_is_surplus = true;
+}
+
 static void
 apply_running(nm_sched_t *sched, nm_sched_node_t *node,
               const nm_worker_run_t *row, nm_ms_t now_ms)
@@ -385,6 +402,9 @@
     if (task && task->state == NM_RUN_UNKNOWN) {
         adopt_run(sched, task, node, row, now_ms);
     }
+    if (task && task->state == NM_RUN_DONE) {
+        adopt_surplus_run(sched, task, node, row, now_ms);
+    }
     if (!task || task->node != node || task->run != row->run) {
         stop_unexpected_run(sched, node, row);
         return;
