A message to a carrier has each payload once

Cause: tasks of one job have the same payload, which is in each start of a message and takes a large part of the owner's link.

Change: EntryAsk.payloads holds each payload of a message once, and EntryAsk.starts the starts that refer to it. The owner uses them for a carrier whose last response announced EntryAnswer.payload_table, so that a carrier of an earlier version gets its starts as before, and never one without its payload.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -74,6 +74,7 @@
     X(LATE_END, "late-end")                                                   \
     X(CARRIER_SILENT, "carrier-silent")                                       \
     X(START_OVERDUE, "start-overdue")                                         \
+    X(ORDER_REFUSED, "order-refused")                                         \
     X(CARRIER_BACK, "carrier-back")                                           \
     X(LINES_DROPPED, "lines-dropped")
 
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -358,7 +358,7 @@
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[11] =
 {
   {
     "number",
@@ -468,6 +468,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payloads",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(NmPb__EntryAsk, n_payloads),
+    offsetof(NmPb__EntryAsk, payloads),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "starts",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__EntryAsk, n_starts),
+    offsetof(NmPb__EntryAsk, starts),
+    &nm_pb__order__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
   5,   /* field[5] = epoch */
@@ -476,14 +500,16 @@
   6,   /* field[6] = orders */
   8,   /* field[8] = owner_address */
   7,   /* field[7] = owner_name */
+  9,   /* field[9] = payloads */
   3,   /* field[3] = queue */
   4,   /* field[4] = record */
+  10,   /* field[10] = starts */
   1,   /* field[1] = type */
 };
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -493,14 +519,14 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  9,
+  11,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[6] =
+static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[7] =
 {
   {
     "number",
@@ -574,10 +600,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payload_table",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAnswer, payload_table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_answer__field_indices_by_name[] = {
   4,   /* field[4] = is_owner */
   0,   /* field[0] = number */
+  6,   /* field[6] = payload_table */
   3,   /* field[3] = pending */
   1,   /* field[1] = rc */
   5,   /* field[5] = results */
@@ -586,7 +625,7 @@
 static const ProtobufCIntRange nm_pb__entry_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor =
 {
@@ -596,14 +635,14 @@
   "NmPb__EntryAnswer",
   "nm_pb",
   sizeof(NmPb__EntryAnswer),
-  6,
+  7,
   nm_pb__entry_answer__field_descriptors,
   nm_pb__entry_answer__field_indices_by_name,
   1,  nm_pb__entry_answer__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[16] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[17] =
 {
   {
     "number",
@@ -797,6 +836,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payload_index",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, payload_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
@@ -807,6 +858,7 @@
   4,   /* field[4] = incarnation */
   0,   /* field[0] = number */
   10,   /* field[10] = payload */
+  16,   /* field[16] = payload_index */
   12,   /* field[12] = percent */
   6,   /* field[6] = run */
   5,   /* field[5] = task */
@@ -819,7 +871,7 @@
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -829,7 +881,7 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  16,
+  17,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -100,10 +100,21 @@
    * OWNER: address of the sender, tcp://IP:PORT
    */
   char *owner_address;
+  /*
+   * ORDERS: payloads of starts, each once
+   */
+  size_t n_payloads;
+  char **payloads;
+  /*
+   * ORDERS: starts with their payload in payloads, carried out after orders.
+   * Only for a carrier that has announced payload_table.
+   */
+  size_t n_starts;
+  NmPb__Order **starts;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
 
 
 /*
@@ -138,10 +149,14 @@
    */
   size_t n_results;
   NmPb__OrderResult **results;
+  /*
+   * with results: the sender reads EntryAsk.starts
+   */
+  protobuf_c_boolean payload_table;
 };
 #define NM_PB__ENTRY_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -210,10 +225,14 @@
    * rather than send it later.  0: no limit.
    */
   int64_t valid_ms;
+  /*
+   * in EntryAsk.starts: position in payloads
+   */
+  uint32_t payload_index;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/order_carrier.c
+++ b/src/order_carrier.c
@@ -93,6 +93,43 @@
     g_free(order);
 }
 
+/* payload: NULL if the message does not have it. */
+static void
+handle_order(nm_order_carrier_t *carrier, const NmPb__Order *row,
+             const char *payload, order_t *order, int64_t epoch,
+             int64_t newest_epoch)
+{
+    nm_sched_action_t action = {
+        .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_THROTTLE),
+        .incarnation = row->incarnation,
+        .run = row->run,
+        .expiry_ms = row->expiry_ms,
+        .acked = row->acked,
+        .wait_ms = row->wait_ms,
+        .timeout_ms = row->timeout_ms,
+        .valid_ms = row->valid_ms,
+        .payload = payload,
+        .checkpoint = row->checkpoint,
+        .percent = row->percent,
+    };
+    nm_strcopy(action.worker, sizeof(action.worker), row->worker);
+    nm_strcopy(action.address, sizeof(action.address), row->address);
+    nm_strcopy(action.task, sizeof(action.task), row->task);
+    if (epoch < newest_epoch) {
+        on_order(order, &action, NM_ORDER_FENCED, NULL);
+    }
+    else if (!payload) {
+        nm_count_reason(NM_REASON_PEER_MALFORMED);
+        nm_refusals_log(&carrier->refusals, NM_LOG_ITEM_ORDER_REFUSED,
+                        "worker", row->worker, "its payload is missing",
+                        carrier->flush_called_ms);
+        on_order(order, &action, NM_ORDER_INVALID, NULL);
+    }
+    else {
+        nm_order_port_send(carrier->direct, &action, epoch, on_order, order);
+    }
+}
+
 void
 nm_order_carrier_handle_request(nm_order_carrier_t *carrier,
                                 const nm_peer_message_t *message,
@@ -102,33 +139,22 @@
     const NmPb__EntryAsk *request = message->request;
     GBytes *route =
         g_bytes_new(message->sender_route, message->sender_route_bytes);
-    for (size_t i = 0; i < request->n_orders; i++) {
-        const NmPb__Order *row = request->orders[i];
-        nm_sched_action_t action = {
-            .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_THROTTLE),
-            .incarnation = row->incarnation,
-            .run = row->run,
-            .expiry_ms = row->expiry_ms,
-            .acked = row->acked,
-            .wait_ms = row->wait_ms,
-            .timeout_ms = row->timeout_ms,
-            .valid_ms = row->valid_ms,
-            .payload = row->payload,
-            .checkpoint = row->checkpoint,
-            .percent = row->percent,
-        };
-        nm_strcopy(action.worker, sizeof(action.worker), row->worker);
-        nm_strcopy(action.address, sizeof(action.address), row->address);
-        nm_strcopy(action.task, sizeof(action.task), row->task);
+    for (size_t i = 0; i < request->n_orders + request->n_starts; i++) {
+        bool in_table = i >= request->n_orders;
+        const NmPb__Order *row = in_table
+                                     ? request->starts[i - request->n_orders]
+                                     : request->orders[i];
+        const char *payload = row->payload;
+        if (in_table) {
+            payload = row->payload_index < request->n_payloads
+                          ? request->payloads[row->payload_index]
+                          : NULL;
+        }
         order_t *order = g_new(order_t, 1);
         *order = (order_t){carrier, g_bytes_ref(route), row->number,
                            row->base_number};
-        if (request->epoch < newest_epoch) {
-            on_order(order, &action, NM_ORDER_FENCED, NULL);
-            continue;
-        }
-        nm_order_port_send(carrier->direct, &action, request->epoch, on_order,
-                           order);
+        handle_order(carrier, row, payload, order, request->epoch,
+                     newest_epoch);
     }
     g_bytes_unref(route);
 }
@@ -157,6 +183,7 @@
         NmPb__EntryAnswer response = NM_PB__ENTRY_ANSWER__INIT;
         response.n_results = batch->results->len;
         response.results = (NmPb__OrderResult **)batch->results->pdata;
+        response.payload_table = true;
         nm_peer_rpc_respond(carrier->peers, route, (uint32_t)bytes, &response);
         g_hash_table_iter_remove(&iter);
     }
--- a/src/order_carrier.h
+++ b/src/order_carrier.h
@@ -15,12 +15,14 @@
 
 #include "order_port.h"
 #include "peer_rpc.h"
+#include "refusal.h"
 #include "report_delta.h"
 
 typedef struct {
     nm_order_port_t *direct;
     nm_peer_rpc_t *peers;
     nm_report_encoder_t encoder;
+    nm_refusals_t refusals;
     nm_ms_t flush_called_ms; /* last call of flush, whether it sent or not */
     nm_ms_t flushed_ms;      /* last flush that sent results */
     uint32_t queued_count;   /* results that wait for the next flush */
--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -117,22 +117,79 @@
                                  (left->number < right->number);
 }
 
+/* Moves the payloads of starts to a table, in which each is once. */
+static GPtrArray *
+extract_payloads(NmPb__Order **starts, size_t count)
+{
+    GPtrArray *payloads = g_ptr_array_new_with_free_func(g_free);
+    GHashTable *indices = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < count; i++) {
+        char *payload = starts[i]->payload;
+        gpointer index;
+        if (g_hash_table_lookup_extended(indices, payload, NULL, &index)) {
+            g_free(payload);
+        }
+        else {
+            index = GUINT_TO_POINTER(payloads->len);
+            g_hash_table_insert(indices, payload, index);
+            g_ptr_array_add(payloads, payload);
+        }
+        starts[i]->payload = g_strdup("");
+        starts[i]->payload_index = GPOINTER_TO_UINT(index);
+    }
+    g_hash_table_destroy(indices);
+    return payloads;
+}
+
+/* Orders that could not be sent end by their timeout. */
+static void
+send_message(nm_peer_rpc_t *peers, const char *address,
+             NmPb__EntryAsk *request)
+{
+    if (nm_peer_rpc_send(peers, address, request) < 0) {
+        nm_count_reason(NM_REASON_PEER_LOST);
+    }
+}
+
+/* Sends a message in which the starts, which are last, share payloads. */
+static void
+send_with_table(nm_peer_rpc_t *peers, const char *address,
+                NmPb__EntryAsk *request)
+{
+    size_t count = request->n_orders;
+    while (request->n_orders > 0 &&
+           request->orders[request->n_orders - 1]->type == NM_ACTION_START)
+    {
+        request->n_orders--;
+    }
+    request->starts = request->orders + request->n_orders;
+    request->n_starts = count - request->n_orders;
+    GPtrArray *payloads = extract_payloads(request->starts, request->n_starts);
+    request->payloads = (char **)payloads->pdata;
+    request->n_payloads = payloads->len;
+    send_message(peers, address, request);
+    g_ptr_array_free(payloads, TRUE);
+}
+
 void
 nm_order_queue_send(GPtrArray *queue, nm_peer_rpc_t *peers,
-                    const char *address, int64_t epoch, nm_ms_t now_ms)
+                    const char *address, int64_t epoch, nm_ms_t now_ms,
+                    bool payload_table)
 {
     assert(queue && peers && address);
     reduce_valid_times(queue, now_ms);
-    NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
-    request.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
-    request.epoch = epoch;
     g_ptr_array_sort(queue, compare_orders);
     for (guint i = 0; i < queue->len; i += MESSAGE_ORDERS_MAX) {
+        NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
+        request.type = NM_PB__ENTRY_ASK__TYPE__ORDERS;
+        request.epoch = epoch;
         request.n_orders = MIN(queue->len - i, MESSAGE_ORDERS_MAX);
         request.orders = (NmPb__Order **)queue->pdata + i;
-        /* Orders that could not be sent end by their timeout. */
-        if (nm_peer_rpc_send(peers, address, &request) < 0) {
-            nm_count_reason(NM_REASON_PEER_LOST);
+        if (payload_table) {
+            send_with_table(peers, address, &request);
+        }
+        else {
+            send_message(peers, address, &request);
         }
     }
     g_ptr_array_set_size(queue, 0);
--- a/src/order_queue.h
+++ b/src/order_queue.h
@@ -4,7 +4,7 @@
  *     GPtrArray *queue = nm_order_queue_new();
  *     nm_order_queue_add(queue, &action, number, base_number, now_ms);
  *     nm_order_queue_remove_overdue(queue, now_ms, numbers);
- *     nm_order_queue_send(queue, peers, address, epoch, now_ms);
+ *     nm_order_queue_send(queue, peers, address, epoch, now_ms, true);
  *     g_ptr_array_free(queue, TRUE);
  */
 #ifndef NM_ORDER_QUEUE_H
@@ -25,10 +25,11 @@
                                    GArray *numbers);
 /*
  * Sends polls first, then stops, throttles and starts, each in the order of
- * their numbers, in one or more messages.  Empties the queue; orders that
- * cannot be sent are lost.
+ * their numbers, in one or more messages.  With payload_table, a message has
+ * each payload once.  Empties the queue; orders that cannot be sent are lost.
  */
 void nm_order_queue_send(GPtrArray *queue, nm_peer_rpc_t *peers,
-                         const char *address, int64_t epoch, nm_ms_t now_ms);
+                         const char *address, int64_t epoch, nm_ms_t now_ms,
+                         bool payload_table);
 
 #endif
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -65,6 +65,7 @@
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
     nm_ms_t responded_ms;  /* last response; 0: none */
+    bool payload_table;    /* reads EntryAsk.starts */
     nm_ms_t down_until_ms; /* receives no orders before this time */
     nm_ms_t down_ms;       /* last time without orders; 0: responsive */
     double weight;         /* set while carriers are selected */
@@ -289,7 +290,8 @@
         return;
     }
     nm_order_queue_send(carrier->queued, relay->desc.peers,
-                        carrier->desc.address, relay->epoch, now_ms);
+                        carrier->desc.address, relay->epoch, now_ms,
+                        carrier->payload_table);
 }
 
 static nm_ms_t
@@ -777,6 +779,7 @@
             carrier->oldest_unanswered_ms = 0;
             carrier->responded_ms = nm_clock_now(relay->desc.clock);
             carrier->down_ms = 0;
+            carrier->payload_table = response->payload_table;
         }
         if (result->report) {
             handle_report(relay, order, result->report, ends);
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -214,6 +214,108 @@
     }
 }
 
+/* Passes the results of the carrier to the relay, until some orders ended. */
+static void
+return_results(line_t *line, uint32_t count)
+{
+    for (int ms = 0; ms < RECEIVE_MAX_MS && line->ended < count; ms++) {
+        line->clock.manual_ms += NM_RELAY_BATCH_MS;
+        nm_order_carrier_flush(&line->carrier, line->clock.manual_ms);
+        nm_peer_message_t message;
+        while (nm_peer_rpc_next(line->owner_peers, &message)) {
+            g_assert_nonnull(message.response);
+            nm_order_relay_handle_response(&line->relay, message.response);
+            nm_peer_message_finish(&message);
+        }
+        g_usleep(1000);
+    }
+    g_assert_cmpuint(line->ended, ==, count);
+}
+
+/*
+ * Tasks of one job have the same payload.  Guards against an owner whose link
+ * carries it once per start, and against starts with another payload than
+ * theirs.  A carrier that has not announced the table gets payloads in full.
+ */
+static void
+test_payloads_are_sent_once(void)
+{
+    enum { STARTS = 100, PAYLOAD_BYTES = 2000, OTHER_BYTES = 60 };
+    static const struct {
+        bool announced;
+        uint32_t jobs;
+        uint64_t payloads_max; /* in the message */
+    } cases[] = {{true, 1, 1}, {true, 7, 7}, {false, 7, STARTS}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        line_t line;
+        line_init(&line);
+        uint32_t earlier = cases[i].announced ? 1 : 0;
+        if (cases[i].announced) {
+            send_order(&line, NM_ACTION_STOP, 0, "", 0);
+            flush_after(&line, NM_RELAY_BATCH_MS);
+            receive_orders(&line, earlier);
+            return_results(&line, earlier);
+        }
+        char *payloads[STARTS];
+        uint64_t bytes = nm_counter_value(NM_COUNTER_PEER_BYTES);
+        for (uint32_t n = 0; n < STARTS; n++) {
+            payloads[n] =
+                g_strnfill(PAYLOAD_BYTES, (gchar)('a' + n % cases[i].jobs));
+            send_order(&line, NM_ACTION_START, n, payloads[n], 0);
+        }
+        send_order(&line, NM_ACTION_POLL, STARTS, "", 0);
+        flush_after(&line, NM_RELAY_BATCH_MS);
+        bytes = nm_counter_value(NM_COUNTER_PEER_BYTES) - bytes;
+        g_assert_cmpuint(bytes, <=,
+                         cases[i].payloads_max * PAYLOAD_BYTES +
+                             STARTS * OTHER_BYTES);
+        receive_orders(&line, earlier + STARTS + 1);
+        g_assert_cmpint(received(&line, earlier)->type, ==, NM_ACTION_POLL);
+        for (uint32_t n = 0; n < STARTS; n++) {
+            const nm_sched_action_t *start = received(&line, earlier + 1 + n);
+            g_assert_cmpint(start->run, ==, n);
+            g_assert_cmpstr(start->payload, ==, payloads[n]);
+            g_free(payloads[n]);
+        }
+        line_finish(&line);
+    }
+}
+
+/* A start must not run with a payload that is not its own, or none. */
+static void
+test_missing_payload_is_refused(void)
+{
+    static const struct {
+        uint32_t index;
+        uint32_t sent;
+    } cases[] = {{0, 1}, {1, 1}, {2, 0}, {UINT32_MAX, 0}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        line_t line;
+        line_init(&line);
+        char text[] = "";
+        char *payloads[] = {text, text};
+        NmPb__Order start = NM_PB__ORDER__INIT;
+        start.payload_index = cases[i].index;
+        NmPb__Order *starts[] = {&start};
+        NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
+        request.epoch = EPOCH;
+        request.payloads = payloads;
+        request.n_payloads = NM_COUNT_OF(payloads);
+        request.starts = starts;
+        request.n_starts = NM_COUNT_OF(starts);
+        nm_peer_message_t message = {.request = &request,
+                                     .sender_route = "owner",
+                                     .sender_route_bytes = 5};
+        uint64_t refused = nm_reason_value(NM_REASON_PEER_MALFORMED);
+        nm_order_carrier_handle_request(&line.carrier, &message, EPOCH);
+        refused = nm_reason_value(NM_REASON_PEER_MALFORMED) - refused;
+        g_assert_cmpuint(line.recorder.actions->len, ==, cases[i].sent);
+        g_assert_cmpuint(refused, ==, 1 - cases[i].sent);
+        g_assert_cmpuint(line.carrier.queued_count, ==, 1);
+        line_finish(&line);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -222,5 +324,9 @@
                     test_late_starts_stay_unsent);
     g_test_add_func("/relay/urgent-orders-go-first",
                     test_urgent_orders_go_first);
+    g_test_add_func("/relay/payloads-are-sent-once",
+                    test_payloads_are_sent_once);
+    g_test_add_func("/relay/missing-payload-is-refused",
+                    test_missing_payload_is_refused);
     return g_test_run();
 }
