--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -286,6 +286,7 @@
 {
     nm_order_queue_remove_overdue(carrier->queued, now_ms, relay->overdue);
     if (carrier->queued->len == 0) {
+        /* Nothing was sent that the carrier could respond to. */
         carrier->oldest_unanswered_ms = 0;
         return;
     }
