--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -24,7 +24,7 @@
     (void)action;
     (void)epoch;
     (void)done;
-    (void)user;
+    g_free(user);
     ((direct_t *)port)->sent++;
 }
 
