An owner that waits for responses does not hand over as overloaded

Cause: the lag counts an event as considered only by a placement that is not cut, and so measures the backlog; every second of it counted as overload.

Evidence: /entry/unanswered-starts-are-no-load failed before (3 late lines) and passes; /entry/stall-shows-as-lag and /entry/lagging-owner-yields pass.

--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -44,7 +44,7 @@
 #define ELECTION_CPU_DELAY_MAX_MS 400
 /* Delay of a candidate as a multiple of its fastest listing of the store. */
 #define ELECTION_LATENCY_FACTOR 3
-/* An owner yields after this many lines in the log with too much lag. */
+/* An owner yields after this many lines in the log that it is overloaded. */
 #define YIELD_LATE_LINES_MIN 5
 /* A host to yield to has at least this multiple of the owner's CPU. */
 #define YIELD_CPU_FACTOR 2
--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -20,6 +20,13 @@
  * 1 s before it prefers the job, and a start may be refused and repeated.
  */
 #define EVENT_LAG_BOUND_MS 500
+/*
+ * The host is short of processor time from this use of its part, or if a pass
+ * begins as late.  Otherwise tasks wait for responses to starts, for which a
+ * host with more CPU would wait as long.
+ */
+#define CPU_SHORT_PERMILLE 750
+#define PASS_LATE_MS 250
 
 static nm_ms_t
 read_cpu_time_ms(void)
@@ -84,7 +91,7 @@
     }
 }
 
-/* Returns true if the lag is within its bound. */
+/* Returns true if the lag is over its bound for want of processor time. */
 static bool
 log_load(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -97,6 +104,7 @@
     double granted_ms =
         entry->desc.cpu_share * (double)MAX(now_ms - load->since_ms, 1);
     double cpu_ms = (double)(read_cpu_time_ms() - load->cpu_time_ms);
+    int cpu_used_permille = (int)(1000 * cpu_ms / MAX(granted_ms, 0.001));
     nm_log(lag_max_ms > EVENT_LAG_BOUND_MS ? NM_LOG_WARN : NM_LOG_INFO,
            NM_LOG_ITEM_OWNER_LOAD,
            "{s:I,s:I,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:i}", "lag_ms",
@@ -106,11 +114,13 @@
            (json_int_t)load->round_max_ms, "late_max_ms",
            (json_int_t)load->late_max_ms, "interval_ms",
            (json_int_t)(now_ms - load->since_ms), "passes", (int)load->passes,
-           "cpu_used_permille", (int)(1000 * cpu_ms / MAX(granted_ms, 0.001)),
-           "cpu_share_permille", (int)(1000 * entry->desc.cpu_share),
-           "starting", (int)placement.starting, "placements_cut",
+           "cpu_used_permille", cpu_used_permille, "cpu_share_permille",
+           (int)(1000 * entry->desc.cpu_share), "starting",
+           (int)placement.starting, "placements_cut",
            (int)(placement.cut_count - load->logged.cut_count));
-    return lag_max_ms <= EVENT_LAG_BOUND_MS;
+    return lag_max_ms > EVENT_LAG_BOUND_MS &&
+           (cpu_used_permille >= CPU_SHORT_PERMILLE ||
+            load->late_max_ms >= PASS_LATE_MS);
 }
 
 /* Logs how long calls of each class took, and the bytes on the links. */
@@ -158,11 +168,11 @@
 {
     nm_owner_load_t *load = &entry->load;
     if (now_ms - load->since_ms >= LOAD_LOG_INTERVAL_MS) {
-        bool in_time = log_load(entry, now_ms);
+        bool overloaded = log_load(entry, now_ms);
         log_calls(entry, now_ms - load->since_ms);
         nm_owner_load_t next = {.since_ms = now_ms,
                                 .late_lines =
-                                    in_time ? 0 : load->late_lines + 1,
+                                    overloaded ? load->late_lines + 1 : 0,
                                 .cpu_time_ms = read_cpu_time_ms(),
                                 .event_ms = load->event_ms,
                                 .placement = load->placement,
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -84,7 +84,8 @@
     nm_ms_t round_max_ms; /* longest round with a placement */
     nm_ms_t lag_max_ms;   /* longest time from an event to its placement */
     nm_ms_t event_ms;     /* oldest event not considered yet; 0: none */
-    uint32_t late_lines;  /* consecutive lines with a lag over its bound */
+    /* Consecutive lines with too much lag, for want of processor time. */
+    uint32_t late_lines;
     nm_sched_placement_t placement; /* as of the newest round */
     nm_sched_placement_t logged;    /* as of the newest line */
 } nm_owner_load_t;
@@ -283,8 +284,8 @@
 void nm_election_run(nm_entry_t *entry, nm_ms_t now_ms);
 void nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms);
 /*
- * Ends a term: of a host that stops, or of an owner that lags while a larger
- * host could take over.
+ * Ends a term: of a host that stops, or of an owner that lags for want of
+ * processor time while a larger host could take over.
  */
 void nm_election_check_hand_over(nm_entry_t *entry, nm_ms_t now_ms);
 
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -46,6 +46,23 @@
     listener_next,      listener_reply,  listener_fd,
     listener_set_ready, listener_refuse, listener_open_requests};
 
+typedef struct {
+    nm_sched_action_t action;
+    nm_order_done_fn done;
+    void *user;
+} held_start_t;
+
+/* Later ones may be sent as the held ones end. */
+static void
+end_held_starts(fake_orders_t *orders)
+{
+    held_start_t *start;
+    while ((start = g_queue_pop_head(&orders->held_starts))) {
+        start->done(start->user, &start->action, NM_ORDER_UNKNOWN, NULL);
+        g_free(start);
+    }
+}
+
 static void
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
             int64_t epoch, nm_order_done_fn done, void *user)
@@ -60,6 +77,12 @@
              action->type == NM_ACTION_POLL ? &lost : NULL);
         return;
     }
+    if (orders->holds_starts && action->type == NM_ACTION_START) {
+        held_start_t *start = g_new(held_start_t, 1);
+        *start = (held_start_t){*action, done, user};
+        g_queue_push_tail(&orders->held_starts, start);
+        return;
+    }
     nm_worker_report_t report = {.result = NM_ORDER_DONE,
                                  .sent_ms = nm_clock_now(orders->clock),
                                  .incarnation = 1,
@@ -103,6 +126,7 @@
                  .orders = {.base = {&orders_vtable}, .clock = &host->clock}};
     nm_clock_init_manual(&host->clock, 1000);
     g_queue_init(&host->listener.waiting);
+    g_queue_init(&host->orders.held_starts);
     host->listener.responses = g_ptr_array_new_with_free_func(free_request);
     nm_strcopy(host->address, sizeof(host->address), address);
     host->peers = nm_peer_rpc_new(host->address);
@@ -139,6 +163,7 @@
 void
 host_finish(host_t *host)
 {
+    end_held_starts(&host->orders);
     fake_kv_end_calls(host->kv);
     nm_entry_free(host->entry);
     nm_peer_rpc_free(host->peers);
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -56,6 +56,8 @@
     uint32_t starts;
     uint32_t renewals;        /* accepted polls that extended a lease */
     GHashTable *out_of_reach; /* ids; NULL: none */
+    bool holds_starts;        /* they get no response until host_finish */
+    GQueue held_starts;
 } fake_orders_t;
 
 typedef struct {
