A connection that times out in a host's own stall is no refusal

Cause: libcurl's limit of 1 s for a connection includes a stall of this host (nutmegd). Each connection then under way counted as refused, which takes its executor out of use at once, however many others already are.

Change: such an attempt counts as not sent for a cause on this host.

Evidence: /upstream/own-stall-is-no-refusal failed on the commit before (refused after a stall of 1.2 s) and passes; without a stall it is a refusal as before.

--- a/src/upstream_http.c
+++ b/src/upstream_http.c
@@ -16,10 +16,13 @@
     nm_upstream_t base;
     CURLM *multi;
     GHashTable *transfers; /* attempt to transfer_t */
+    nm_ms_t round_ms;      /* time of the last round */
+    nm_ms_t stall_end_ms;  /* of the last stall of this host */
 } http_t;
 
 typedef struct {
     nm_attempt_t attempt;
+    nm_ms_t sent_ms;
     CURL *easy;
     struct curl_slist *headers;
     GByteArray *body;
@@ -149,6 +152,7 @@
     }
     transfer_t *transfer = g_new0(transfer_t, 1);
     transfer->attempt = request->attempt;
+    transfer->sent_ms = nm_now_monotonic();
     transfer->easy = easy;
     transfer->to_peer = request->to_peer;
     nm_response_init(&transfer->response);
@@ -196,14 +200,26 @@
     }
 }
 
+/* Sends and receives, after a wait of at most wait_ms. */
 static void
-http_wait(nm_upstream_t *upstream, nm_ms_t wait_ms)
+perform(http_t *http, nm_ms_t wait_ms)
 {
-    http_t *http = (http_t *)upstream;
+    nm_ms_t now_ms = nm_now_monotonic();
+    if (now_ms - http->round_ms >= wait_ms + NM_LOCAL_STALL_MIN_MS) {
+        http->stall_end_ms = now_ms;
+    }
+    http->round_ms = now_ms;
     int running = 0;
     curl_multi_perform(http->multi, &running);
+}
+
+static void
+http_wait(nm_upstream_t *upstream, nm_ms_t wait_ms)
+{
+    http_t *http = (http_t *)upstream;
+    perform(http, 0);
     curl_multi_poll(http->multi, NULL, 0, (int)wait_ms, NULL);
-    curl_multi_perform(http->multi, &running);
+    perform(http, wait_ms);
 }
 
 static void
@@ -231,7 +247,7 @@
 }
 
 static nm_outcome_t
-classify_error(const transfer_t *transfer, CURLcode code)
+classify_error(const http_t *http, const transfer_t *transfer, CURLcode code)
 {
     curl_off_t connect_us = 0;
     long status = 0;
@@ -241,6 +257,12 @@
         return NM_OUTCOME_TOO_LARGE;
     }
     /* A request that was never sent cannot have run. */
+    if (transfer->transmissions == 0 && code == CURLE_OPERATION_TIMEDOUT &&
+        connect_us == 0 && transfer->sent_ms <= http->stall_end_ms)
+    {
+        /* libcurl's timeout includes a stall of this host itself. */
+        return NM_OUTCOME_NOT_SENT;
+    }
     if (transfer->transmissions == 0 &&
         (code == CURLE_COULDNT_CONNECT ||
          (code == CURLE_OPERATION_TIMEDOUT && connect_us == 0)))
@@ -290,8 +312,9 @@
         curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
         CURLcode code = message->data.result;
         *result = (nm_upstream_result_t){.attempt = transfer->attempt};
-        result->outcome = code == CURLE_OK ? classify_response(transfer)
-                                           : classify_error(transfer, code);
+        result->outcome = code == CURLE_OK
+                              ? classify_response(transfer)
+                              : classify_error(http, transfer, code);
         nm_response_move(&result->response, &transfer->response);
         http_close(upstream, transfer->attempt);
         return true;
@@ -337,5 +360,6 @@
     curl_multi_setopt(http->multi, CURLMOPT_MAXCONNECTS,
                       (long)CONNECTION_CACHE_MAX);
     http->transfers = g_hash_table_new(g_direct_hash, g_direct_equal);
+    http->round_ms = nm_now_monotonic();
     return &http->base;
 }
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -58,6 +58,7 @@
 typedef struct {
     const server_case_t *test;
     int listener;
+    int backlog;
     uint16_t port;
     uint32_t second_call; /* 1 during the second call */
     uint32_t received;
@@ -126,14 +127,14 @@
     socklen_t size = sizeof(address);
     server->listener = socket(AF_INET, SOCK_STREAM, 0);
     bind(server->listener, (struct sockaddr *)&address, size);
-    listen(server->listener, 8);
+    listen(server->listener, server->backlog);
     getsockname(server->listener, (struct sockaddr *)&address, &size);
     server->port = ntohs(address.sin_port);
 }
 
 static nm_outcome_t
-call(nm_upstream_t *upstream, const server_t *server, const char *method,
-     nm_attempt_t attempt)
+call_with_stall(nm_upstream_t *upstream, const server_t *server,
+                const char *method, nm_attempt_t attempt, nm_ms_t stall_ms)
 {
     nm_exchange_t *exchange = nm_exchange_new();
     exchange->method = g_strdup(method);
@@ -149,6 +150,8 @@
                          .exchange = exchange,
                      });
     nm_upstream_result_t result;
+    nm_upstream_wait(upstream, 20);
+    g_usleep((gulong)stall_ms * 1000);
     while (!nm_upstream_next(upstream, &result)) {
         nm_upstream_wait(upstream, 20);
     }
@@ -159,10 +162,17 @@
     return outcome;
 }
 
+static nm_outcome_t
+call(nm_upstream_t *upstream, const server_t *server, const char *method,
+     nm_attempt_t attempt)
+{
+    return call_with_stall(upstream, server, method, attempt, 0);
+}
+
 static void
 test_case(const void *data)
 {
-    server_t server = {.test = data};
+    server_t server = {.test = data, .backlog = 8};
     listen_on_loopback(&server);
     pthread_t thread;
     pthread_create(&thread, NULL, serve, &server);
@@ -197,6 +207,39 @@
     nm_upstream_free(upstream);
 }
 
+/*
+ * A connection that is not yet accepted when its time is over: if this host
+ * stalled meanwhile, the executor is not known to refuse requests.
+ */
+static void
+test_own_stall_is_no_refusal(void)
+{
+    static const struct {
+        nm_ms_t stall_ms;
+        nm_outcome_t outcome;
+    } stalls[] = {{0, NM_OUTCOME_REFUSED}, {1200, NM_OUTCOME_NOT_SENT}};
+    for (size_t i = 0; i < NM_COUNT_OF(stalls); i++) {
+        server_t server = {.backlog = 0};
+        listen_on_loopback(&server);
+        struct sockaddr_in address = {
+            .sin_family = AF_INET,
+            .sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+            .sin_port = htons(server.port),
+        };
+        /* Fills the backlog. */
+        int first = socket(AF_INET, SOCK_STREAM, 0);
+        connect(first, (struct sockaddr *)&address, sizeof(address));
+        nm_upstream_t *upstream =
+            nm_upstream_http_new(&(nm_upstream_http_desc_t){0});
+        g_assert_cmpint(
+            call_with_stall(upstream, &server, "POST", 1, stalls[i].stall_ms),
+            ==, stalls[i].outcome);
+        nm_upstream_free(upstream);
+        close(first);
+        close(server.listener);
+    }
+}
+
 /* An attempt keeps the body that it sends after the request has ended. */
 static void
 test_body_outlives_exchange(void)
@@ -221,5 +264,7 @@
         g_free(path);
     }
     g_test_add_func("/upstream/refused", test_refused);
+    g_test_add_func("/upstream/own-stall-is-no-refusal",
+                    test_own_stall_is_no_refusal);
     return g_test_run();
 }
