Slow replies renew the leases of healthy workers

Cause: a sync (nutmegd) failed after 1.5 s. A worker behind a link that takes longer for each reply was never heard of: its leases lapsed after 8 s, and its tasks started elsewhere, although its reports were on their way all the time.

Change: a sync fails after 3.9 s, so that two of them, the report and its renewal, fit into a lease. A worker that takes over 1.5 s still gets no new tasks meanwhile. Replies that take longer than 3.9 s remain (slow-owner.md).

Evidence: /shard/late-replies-renew-leases failed on the commit before at 1.6 s (a run lapsed) and passes for replies of 1, 1.6, 2.5 and 3.5 s; /shard/lost-worker-after-a-stall and test_shard pass.

--- a/include/nutmegdeck/shard.h
+++ b/include/nutmegdeck/shard.h
@@ -39,8 +39,14 @@
 #define NM_SHARD_LEASE_MS 8000
 /* Margin for clock drift between hosts: 500 ms for a lease of 8 s. */
 #define NM_SHARD_CLOCK_DRIFT_MARGIN_MS 500
-/* A sync without a reply fails after this time. */
-#define NM_SHARD_SYNC_TIMEOUT_MS 1500
+/* A worker gets no new tasks while a reply takes longer. */
+#define NM_SHARD_SYNC_SLOW_MS 1500
+/*
+ * A sync without a reply fails after this time.  A lease ends at most two
+ * syncs after the report that it is based on, so that it outlives replies
+ * that take as long.
+ */
+#define NM_SHARD_SYNC_TIMEOUT_MS (NM_SHARD_LEASE_MS / 2 - 100)
 
 typedef enum {
     NM_SHARD_FOLLOWER,
--- a/src/shard_owner.c
+++ b/src/shard_owner.c
@@ -338,6 +338,19 @@
     }
 }
 
+/* Places nothing on workers that are slow to reply. */
+static void
+close_slow_workers(nm_shard_state_t *state, nm_ms_t now_ms)
+{
+    for (uint32_t i = 0; i < state->workers->len; i++) {
+        const nm_shard_worker_state_t *worker = state->workers->pdata[i];
+        if (worker->outstanding &&
+            now_ms - worker->sent_ms >= NM_SHARD_SYNC_SLOW_MS) {
+            nm_place_close_worker(&state->place, worker->place_index, true);
+        }
+    }
+}
+
 static void
 apply_place_actions(nm_shard_state_t *state)
 {
@@ -401,6 +414,7 @@
         nm_shard_end_lease_waits(state);
     }
     expire_worker_leases(state, now_ms);
+    close_slow_workers(state, now_ms);
     apply_place_actions(state);
     if (authority) {
         nm_shard_schedule(state, now_ms);
--- a/tests/test_shard_slow_owner.c
+++ b/tests/test_shard_slow_owner.c
@@ -230,6 +230,27 @@
     }
 }
 
+/*
+ * The links between the owner and one worker are slow.  Its leases last, and
+ * no other worker receives its task.
+ */
+static void
+test_late_replies_renew_leases(void)
+{
+    static const nm_ms_t delays_ms[] = {1000, 1600, 2500, 3500};
+    for (size_t i = 0; i < NM_COUNT_OF(delays_ms); i++) {
+        fleet_t fleet;
+        begin(&fleet, 40);
+        uint32_t worker = start_first_attempt(&fleet);
+        fleet.reply_delay_ms[worker] = delays_ms[i];
+        run(&fleet, 60000);
+        g_assert_cmpuint(fleet.events[FAKE_EVENT_LAPSED], ==, 0);
+        g_assert_cmpuint(fleet.events[FAKE_EVENT_START], ==, 1);
+        g_assert_cmpuint(tasks_done(&fleet), ==, 1);
+        end(&fleet);
+    }
+}
+
 /*
  * A worker is lost while the owner has a majority, or the owner stops and the
  * worker is lost for good: its task starts elsewhere within this time.
@@ -240,8 +261,7 @@
     static const struct {
         nm_ms_t stall_ms;
         nm_ms_t start_within_ms;
-    } cases[] = {{0, NM_SHARD_LEASE_MS + NM_SHARD_SYNC_TIMEOUT_MS},
-                 {20000, 20000 + 10000}};
+    } cases[] = {{0, NM_SHARD_LEASE_MS + 1500}, {20000, 20000 + 10000}};
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         fleet_t fleet;
         begin(&fleet, 60);
@@ -295,6 +315,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/shard/end-during-the-owners-stall",
                     test_end_during_the_owners_stall);
+    g_test_add_func("/shard/late-replies-renew-leases",
+                    test_late_replies_renew_leases);
     g_test_add_func("/shard/lost-worker-after-a-stall",
                     test_lost_worker_after_a_stall);
     g_test_add_func("/shard/end-weighed-against-a-start-on-its-way",
