--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -33,8 +33,16 @@
  * half of it.
  */
 #define RESPONSE_MARGIN_MS 400
-/* Timeout of a query to another host: a round trip between regions. */
+/*
+ * Timeout of a query to another host, a round trip between regions; the store
+ * is asked after that.
+ */
 #define FORWARD_TIMEOUT_MS 350
+/*
+ * Timeout of a query that only the owner can respond to, and no attempt
+ * follows: an owner that is silent for longer has lost its key.
+ */
+#define FORWARD_COUNT_TIMEOUT_MS 1500
 /*
  * Timeout of a write at another host, which has to store it.  A write that
  * times out leaves its outcome unknown, and a busy owner's rounds take up to
@@ -221,16 +229,15 @@
 
 /* --- forwarding to the owner --- */
 
-/* Address of the newest known owner; NULL: none, or this host. */
-static const char *
-owner_address(const nm_entry_t *entry)
+/* Only the owner knows the count, and may be behind: no attempt would follow.
+ */
+static nm_ms_t
+forward_deadline_ms(const nm_op_t *op)
 {
-    bool announced = entry->announced.epoch > entry->owner.epoch;
-    const char *name = announced ? entry->announced.name : entry->owner.name;
-    const char *address =
-        announced ? entry->announced.address : entry->owner.address;
-    return address[0] == '\0' || strcmp(name, entry->desc.name) == 0 ? NULL
-                                                                     : address;
+    nm_ms_t timeout_ms = op->type == OP_PENDING ? FORWARD_COUNT_TIMEOUT_MS
+                         : op_is_write(op)      ? FORWARD_WRITE_TIMEOUT_MS
+                                                : FORWARD_TIMEOUT_MS;
+    return nm_entry_now(op->entry) + timeout_ms;
 }
 
 /*
@@ -241,7 +248,7 @@
 forward_to_owner(nm_op_t *op)
 {
     nm_entry_t *entry = op->entry;
-    const char *address = owner_address(entry);
+    const char *address = nm_notice_owner_address(entry);
     static const NmPb__EntryAsk__Type types[] = {
         [OP_SUBMIT] = NM_PB__ENTRY_ASK__TYPE__SUBMIT,
         [OP_STATE] = NM_PB__ENTRY_ASK__TYPE__STATE,
@@ -266,9 +273,7 @@
         return false;
     }
     op->forward_number = request.number;
-    op->forward_deadline_ms =
-        nm_entry_now(entry) +
-        (op_is_write(op) ? FORWARD_WRITE_TIMEOUT_MS : FORWARD_TIMEOUT_MS);
+    op->forward_deadline_ms = forward_deadline_ms(op);
     g_hash_table_insert(
         entry->forwarded_ops,
         g_memdup2(&op->forward_number, sizeof(op->forward_number)), op);
@@ -375,6 +380,9 @@
         fail_op(op, NM_ERR_NOT_FOUND);
         return;
     }
+    if (settled && op->type == OP_CANCEL) {
+        nm_notice_cancel(op->entry, op->job);
+    }
     if (settled) {
         bool cancelled =
             op->type == OP_CANCEL || conflicts_with_cancel(op, result);
@@ -666,28 +674,6 @@
     run_op(op);
 }
 
-static void
-handle_announcement(nm_entry_t *entry, const NmPb__EntryAsk *request)
-{
-    nm_owner_announcement_t announcement = {.epoch = request->epoch};
-    if (announcement.epoch <= entry->announced.epoch ||
-        request->owner_name[0] == '\0' ||
-        !nm_strcopy(announcement.name, sizeof(announcement.name),
-                    request->owner_name) ||
-        !nm_strcopy(announcement.address, sizeof(announcement.address),
-                    request->owner_address))
-    {
-        return;
-    }
-    entry->announced = announcement;
-    if (entry->owned_epoch > 0 && announcement.epoch > entry->owned_epoch) {
-        nm_term_step_down(entry, "another host announced a newer epoch");
-    }
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_ANNOUNCED, "{s:s,s:I,s:b}", "owner",
-           announcement.name, "epoch", (json_int_t)announcement.epoch,
-           "store_lost", entry->store_lost);
-}
-
 static void
 handle_peer_request(nm_entry_t *entry, const nm_peer_message_t *message)
 {
@@ -704,8 +690,7 @@
             MAX(entry->epoch, entry->announced.epoch));
         return;
     }
-    if (request && request->type == NM_PB__ENTRY_ASK__TYPE__OWNER) {
-        handle_announcement(entry, request);
+    if (request && nm_notice_handle(entry, request)) {
         return;
     }
     if (!request || (size_t)request->type >= NM_COUNT_OF(types)) {
