--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -33,8 +33,6 @@
 #define DOWN_MAX_MS 16000
 /* A report is still accepted this long after its poll has timed out. */
 #define LATE_RESPONSE_MAX_MS 10000
-/* A longer pause between two rounds is a stall of this host itself. */
-#define LOCAL_STALL_MIN_MS 250
 /*
  * Hosts with less than this part of the largest cpu_share of their data centre
  * carry nothing while a larger one responds: with few carriers, more orders
@@ -668,7 +666,7 @@
     assert(relay);
     nm_ms_t lag_ms = now_ms - relay->flush_called_ms;
     relay->flush_called_ms = now_ms;
-    if (lag_ms > LOCAL_STALL_MIN_MS) {
+    if (lag_ms > NM_LOCAL_STALL_MIN_MS) {
         extend_deadlines(relay, lag_ms);
     }
     nm_ms_t remaining_ms = relay->flushed_ms + NM_RELAY_BATCH_MS - now_ms;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -1,11 +1,12 @@
 /*
  * State shared by the files of the scheduler.  A node is the state that the
  * scheduler keeps of one worker.  Calls go in one direction, except those of
- * nm_sched_add_event and nm_job_state_name:
+ * sched_events.c and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
  * sched_order.c, sched_gang.c, sched_response.c -> sched_room.c ->
  * sched_choice.c -> sched_node.c, sched_filler.c, sched_duplicates.c ->
- * sched_tails.c, sched_crashes.c -> sched_task.c -> sched_timer.c.
+ * sched_tails.c, sched_crashes.c -> sched_task.c -> sched_delay.c,
+ * sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
@@ -680,7 +681,7 @@
 /* Returns a job's progress as JSON text, to be freed with g_free. */
 char *nm_sched_encode_progress(const nm_sched_job_t *job);
 
-/* sched.c */
+/* sched_events.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
                         const char *worker, int64_t value);
 /* Adds an event of a task's current run. */
