Soak: narrow links and hosts short of processor

The soak had kills, pauses, cuts, delays and resets, but no host whose link or processor is too small for its work, as in docs/incidents/slow-owner.md.

Change: paths of the proxy use links with a limit of bytes a second each way, one queue each; the paths of a host to the store and to the executors share a link. Each host has its own path to the executors: the stand-in of the store names it in the executors' entries. What a caller has sent before it closed its connection is forwarded, as by a network. Calls between hosts and from callers don't pass the proxy and are not limited.

--- a/soak/lib_entries.c
+++ b/soak/lib_entries.c
@@ -1,8 +1,12 @@
 #include "lib_entries.h"
 
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #define HEARTBEAT_MS 1500
+/* Of all executors in the store; entries_set_ports() replaces it. */
+#define ADDRESS "127.0.0.1:0"
 
 void
 entries_init(entries_t *entries, const platform_desc_t *desc)
@@ -10,7 +14,6 @@
     *entries =
         (entries_t){.heartbeat_ms = desc->heartbeat_ms > 0 ? desc->heartbeat_ms
                                                            : HEARTBEAT_MS,
-                    .executor_port = desc->executor_port,
                     .cpu_milli = desc->fleet.cpu_milli,
                     .store_is_up = true};
     nm_rng_init(&entries->rng, desc->fleet.seed + 2);
@@ -25,12 +28,12 @@
     snprintf(key, sizeof(key), "servers/%s", executor->id);
     char value[512];
     snprintf(value, sizeof(value),
-             "{\"service\":\"s\",\"address\":\"127.0.0.1:%u\","
+             "{\"service\":\"s\",\"address\":\"" ADDRESS "\","
              "\"zone\":\"z%u\",\"state\":\"ready\",\"capacity\":{"
              "\"cpu\":%lld,\"memMb\":1000000},\"labels\":[\"a\",\"r%u\"],"
              "\"sequence\":%llu,\"born\":%lld}",
-             entries->executor_port, index % 3, (long long)entries->cpu_milli,
-             index / 8, (unsigned long long)++executor->sequence,
+             index % 3, (long long)entries->cpu_milli, index / 8,
+             (unsigned long long)++executor->sequence,
              (long long)executor->incarnation);
     platform_put(platform, key, value);
     executor->entry_ms = now_ms;
@@ -110,6 +113,49 @@
     }
 }
 
+static void
+set_port(json_t *item, unsigned port)
+{
+    const char *key = json_string_value(json_object_get(item, "key"));
+    const char *value = json_string_value(json_object_get(item, "value"));
+    if (!key || !value || !g_str_has_prefix(key, "servers/")) {
+        return;
+    }
+    gsize bytes;
+    guchar *data = g_base64_decode(value, &bytes);
+    char *text = g_strndup((const char *)data, bytes);
+    char **parts = g_strsplit(text, ADDRESS, 2);
+    char *address = g_strdup_printf("127.0.0.1:%u", port);
+    char *changed = g_strjoinv(address, parts);
+    char *encoded = g_base64_encode((const guchar *)changed, strlen(changed));
+    json_object_set_new(item, "value", json_string(encoded));
+    g_free(encoded);
+    g_free(changed);
+    g_free(address);
+    g_strfreev(parts);
+    g_free(text);
+    g_free(data);
+}
+
+void
+entries_set_ports(json_t *response, const char *host, uint16_t offset)
+{
+    const char *colon = host ? strrchr(host, ':') : NULL;
+    unsigned port = colon ? (unsigned)atoi(colon + 1) + offset : 0;
+    set_port(response, port);
+    const char *name;
+    json_t *list;
+    json_object_foreach(response, name, list)
+    {
+        size_t i;
+        json_t *item;
+        json_array_foreach(list, i, item)
+        {
+            set_port(item, port);
+        }
+    }
+}
+
 json_t *
 entries_encode_lists(const executor_t *executor, nm_ms_t now_ms)
 {
--- a/soak/lib_entries.h
+++ b/soak/lib_entries.h
@@ -22,7 +22,6 @@
 
 typedef struct {
     nm_ms_t heartbeat_ms;
-    uint16_t executor_port;
     int64_t cpu_milli;
     nm_rng_t rng;
     bool store_is_up;      /* at the last update */
@@ -33,6 +32,11 @@
 /* Writes and removes the entries that are due; call it every few ms. */
 void entries_update(entries_t *entries, platform_t *platform, bool store_is_up,
                     nm_ms_t now_ms);
+/*
+ * Sets the port in the executors' addresses in a response of the store: the
+ * port that the caller has used, from its Host header, plus an offset.
+ */
+void entries_set_ports(json_t *response, const char *host, uint16_t offset);
 /* The response to /hold: `running` and `finished`. */
 json_t *entries_encode_lists(const executor_t *executor, nm_ms_t now_ms);
 
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -511,6 +511,10 @@
     else if (g_str_has_prefix(request->path, "/kv-")) {
         status = serve_lease(platform, request->path, body, response);
     }
+    entries_set_ports(*response,
+                      MHD_lookup_connection_value(request->connection,
+                                                  MHD_HEADER_KIND, "Host"),
+                      platform->desc.executor_port_offset);
     json_decref(body);
     return status;
 }
--- a/soak/lib_platform.h
+++ b/soak/lib_platform.h
@@ -32,8 +32,12 @@
 } store_mode_t;
 
 typedef struct {
-    uint16_t port;          /* listener for store and executors */
-    uint16_t executor_port; /* in the executors' registrations */
+    uint16_t port; /* listener for store and executors */
+    /*
+     * In the executors' registrations: added to the port through which the
+     * caller reaches the store.
+     */
+    uint16_t executor_port_offset;
     executor_fleet_desc_t fleet;
     nm_ms_t heartbeat_ms; /* of the executors' entries; 0: 1500 */
     /* The store drops a fifth of the job records that it acknowledges. */
--- a/soak/lib_proxy.c
+++ b/soak/lib_proxy.c
@@ -13,7 +13,7 @@
 
 #include "../tests/fakes/lib_http.h"
 
-#define PATHS_MAX 64
+#define PATHS_MAX 128
 #define TICK_MS 5
 #define DELAY_MS 60
 #define CHUNK_BYTES 65536
@@ -31,17 +31,25 @@
     GByteArray
         *refused;     /* request read so far; NULL: requests are forwarded */
     GQueue queued[2]; /* of chunk_t; 0: from the caller, 1: from the target */
+    bool ended[2];    /* the side has closed; its queued data is forwarded */
     bool closed;
 } connection_t;
 
 typedef struct {
     int listener;
     proxy_mode_t mode;
+    int link;
 } path_t;
 
+typedef struct {
+    uint32_t bytes_per_s;    /* 0: no limit */
+    double busy_until_ms[2]; /* with what was read so far; as queued[] */
+} link_t;
+
 struct proxy {
     uint16_t target_port;
     path_t paths[PATHS_MAX];
+    link_t links[PATHS_MAX]; /* index: the first path that uses it */
     int path_count;
     GPtrArray *connections; /* of connection_t */
     pthread_mutex_t mutex;
@@ -161,6 +169,20 @@
     connection->closed = true;
 }
 
+static int64_t
+find_due_ms(proxy_t *proxy, int path, int side, size_t bytes, int64_t now_ms)
+{
+    int64_t delay_ms = proxy->paths[path].mode == PROXY_DELAY ? DELAY_MS : 0;
+    link_t *link = &proxy->links[proxy->paths[path].link];
+    if (link->bytes_per_s == 0) {
+        return now_ms + delay_ms;
+    }
+    double *busy_until_ms = &link->busy_until_ms[side];
+    *busy_until_ms = MAX(*busy_until_ms, (double)now_ms) +
+                     (double)bytes * 1000 / link->bytes_per_s;
+    return (int64_t)*busy_until_ms + delay_ms;
+}
+
 /* Reads and queues data of one side; 0: caller, 1: target. */
 static void
 read_side(proxy_t *proxy, connection_t *connection, int side, int64_t now_ms)
@@ -168,7 +190,11 @@
     uint8_t buffer[CHUNK_BYTES];
     ssize_t count =
         recv(connection->fds[side], buffer, sizeof(buffer), MSG_DONTWAIT);
-    if (count == 0 || (count < 0 && errno != EAGAIN)) {
+    if (count == 0) {
+        connection->ended[side] = true;
+        return;
+    }
+    if (count < 0 && errno != EAGAIN) {
         connection->closed = true;
         return;
     }
@@ -191,8 +217,9 @@
         reset_caller(connection);
         return;
     }
-    queue_chunk(connection, side, buffer, (size_t)count,
-                now_ms + (mode == PROXY_DELAY ? DELAY_MS : 0));
+    queue_chunk(
+        connection, side, buffer, (size_t)count,
+        find_due_ms(proxy, connection->path, side, (size_t)count, now_ms));
 }
 
 static void
@@ -214,6 +241,9 @@
         }
         free_chunk(g_queue_pop_head(&connection->queued[side]));
     }
+    if (connection->ended[side] && !chunk) {
+        connection->closed = true;
+    }
 }
 
 static void
@@ -264,7 +294,10 @@
         for (guint index = 0; index < proxy->connections->len; index++) {
             const connection_t *connection = proxy->connections->pdata[index];
             for (int side = 0; side < 2; side++) {
-                struct pollfd fd = {connection->fds[side], POLLIN, 0};
+                /* poll() ignores negative descriptors. */
+                struct pollfd fd = {
+                    connection->ended[side] ? -1 : connection->fds[side],
+                    POLLIN, 0};
                 g_array_append_val(poll_fds, fd);
             }
         }
@@ -309,7 +342,7 @@
 }
 
 int
-proxy_add(proxy_t *proxy, uint16_t port)
+proxy_add(proxy_t *proxy, uint16_t port, int shared_path)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(port)};
@@ -326,7 +359,9 @@
     }
     pthread_mutex_lock(&proxy->mutex);
     int path = proxy->path_count;
-    proxy->paths[path] = (path_t){fd, PROXY_OPEN};
+    int link =
+        shared_path == PROXY_OWN_LINK ? path : proxy->paths[shared_path].link;
+    proxy->paths[path] = (path_t){fd, PROXY_OPEN, link};
     proxy->path_count++;
     pthread_mutex_unlock(&proxy->mutex);
     return path;
@@ -340,6 +375,38 @@
     pthread_mutex_unlock(&proxy->mutex);
 }
 
+static void
+forward_now(connection_t *connection, int64_t now_ms)
+{
+    for (int side = 0; side < 2; side++) {
+        for (GList *item = connection->queued[side].head; item;
+             item = item->next) {
+            chunk_t *chunk = item->data;
+            chunk->due_ms = MIN(chunk->due_ms, now_ms);
+        }
+    }
+}
+
+void
+proxy_limit(proxy_t *proxy, int path, uint32_t bytes_per_s)
+{
+    pthread_mutex_lock(&proxy->mutex);
+    int link = proxy->paths[path].link;
+    bool widens = proxy->links[link].bytes_per_s > 0 && bytes_per_s == 0;
+    proxy->links[link].bytes_per_s = bytes_per_s;
+    for (guint index = 0; widens && index < proxy->connections->len; index++) {
+        connection_t *connection = proxy->connections->pdata[index];
+        if (proxy->paths[connection->path].link == link) {
+            forward_now(connection, fake_now_ms());
+        }
+    }
+    if (widens) {
+        proxy->links[link].busy_until_ms[0] = 0;
+        proxy->links[link].busy_until_ms[1] = 0;
+    }
+    pthread_mutex_unlock(&proxy->mutex);
+}
+
 void
 proxy_blackhole(proxy_t *proxy, int path)
 {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,6 +4,10 @@
  *
  *     soak --program build/nutmegentry --seed 7 --seconds 20
  *
+ * Hosts are killed, stopped and paused, cut off or delayed, and are too small
+ * for their work: their link to the store and the executors is narrow, or they
+ * run for a part of the time only (--short: mainly these).
+ *
  * Callers submit, query and cancel jobs during the whole run.  Starts of tasks
  * are checked by lib_executor.h; soak_hosts.c and soak_callers.c check what
  * callers and the operating system see:
@@ -135,6 +139,10 @@
          "Submit jobs that crash each executor that starts them", NULL},
         {"cuts", 0, 0, G_OPTION_ARG_NONE, &soak_options.cuts,
          "Inject mainly cuts of executors, with longer tasks", NULL},
+        {"short", 0, 0, G_OPTION_ARG_NONE, &soak_options.shortages,
+         "Inject mainly narrow links and hosts short of processor, with more "
+         "tasks of more bytes",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -171,7 +179,7 @@
     char *event_log_path = g_strdup_printf("%s/events", soak_options.folder);
     soak.platform = platform_new(&(platform_desc_t){
         .port = port,
-        .executor_port = (uint16_t)(port + 399),
+        .executor_port_offset = EXECUTOR_PATHS_PORT - STORE_PATHS_PORT,
         .fleet = {.executors = (uint32_t)soak_options.executors,
                   .cpu_milli = EXECUTOR_CPU_MILLI,
                   .seed = (uint64_t)soak_options.seed,
@@ -182,7 +190,6 @@
     });
     g_free(event_log_path);
     soak.proxy = proxy_new(port);
-    soak.executor_path = proxy_add(soak.proxy, (uint16_t)(port + 399));
     platform_lock(soak.platform);
     soak_put_configuration();
     platform_unlock(soak.platform);
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -13,6 +13,9 @@
 #define IMPATIENT_CALLERS 4
 /* With --cuts many tasks are at work when their lease lapses. */
 #define LONG_TASK_MAX_MS 6000
+/* With --short the starts of tasks need more than narrow links have. */
+#define SHORTAGE_TASKS_MAX 20
+#define SHORTAGE_PAYLOAD_BYTES 2000
 
 typedef struct {
     job_t *job;
@@ -72,11 +75,15 @@
     curl_easy_setopt(call->easy, CURLOPT_PREREQFUNCTION, on_ready_to_send);
     curl_easy_setopt(call->easy, CURLOPT_PREREQDATA, call);
     if (type == 'P') {
-        char body[256];
+        char payload[SHORTAGE_PAYLOAD_BYTES + 1];
+        size_t bytes = soak_options.shortages ? SHORTAGE_PAYLOAD_BYTES : 1;
+        memset(payload, 'x', bytes);
+        payload[bytes] = '\0';
+        char body[SHORTAGE_PAYLOAD_BYTES + 256];
         snprintf(body, sizeof(body),
-                 "{\"spec\":\"x\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
+                 "{\"spec\":\"%s\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
                  "\"memMb\":10,\"estimateMs\":600%s}]}",
-                 job->tasks,
+                 payload, job->tasks,
                  job->long_running ? ",\"longRunning\":true"
                                    : ",\"checkpoints\":true");
         curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
@@ -97,7 +104,8 @@
     job->deadly = soak_options.deadly && soak.jobs->len % 40 == 25;
     job->long_running =
         !job->deadly && soak.jobs->len % (soak_options.cuts ? 10 : 40) == 5;
-    job->tasks = job->deadly ? 1 : (uint32_t)soak_random_between(1, 6);
+    nm_ms_t tasks_max = soak_options.shortages ? SHORTAGE_TASKS_MAX : 6;
+    job->tasks = job->deadly ? 1 : (uint32_t)soak_random_between(1, tasks_max);
     job->wants_cancel = nm_rng_below(&soak.rng, 10) == 0;
     job->attempts_max = nm_rng_below(&soak.rng, IMPATIENT_CALLERS) == 0
                             ? 1
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -35,6 +35,18 @@
 /* Longer than entries stay without heartbeats. */
 #define EXPIRY_OUTAGE_MIN_MS 5000
 #define EXPIRY_OUTAGE_MAX_MS 8000
+/* Less than the polls of 24 executors and the entries in the store need. */
+#define NARROW_MIN_BYTES_PER_S 8000
+#define NARROW_MAX_BYTES_PER_S 60000
+/* Up to longer than a lease. */
+#define SHORTAGE_MIN_MS 2000
+#define SHORTAGE_MAX_MS 12000
+#define SLICE_RUN_MIN_MS 10
+#define SLICE_RUN_MAX_MS 30
+/* One shortage in so many has a host other than the owner. */
+#define SHORTAGES_ELSEWHERE 3
+/* One shortage in so many has all hosts. */
+#define SHORTAGES_EVERYWHERE 6
 
 void
 soak_put_configuration(void)
@@ -50,6 +62,14 @@
     platform_put(soak.platform, "op/config", value);
 }
 
+static void
+set_executor_paths(proxy_mode_t mode)
+{
+    for (gint i = 0; i < soak_options.hosts; i++) {
+        proxy_set(soak.proxy, soak.hosts[i].executor_path, mode);
+    }
+}
+
 /* Reads the owner's record: returns its host, or NULL, and sets its epoch. */
 static host_t *
 find_owner(int64_t *epoch)
@@ -218,6 +238,48 @@
     }
 }
 
+static void
+narrow_link(host_t *host, nm_ms_t until_ms)
+{
+    host->link_heal_at_ms = until_ms;
+    proxy_limit(soak.proxy, host->proxy_path,
+                (uint32_t)soak_random_between(NARROW_MIN_BYTES_PER_S,
+                                              NARROW_MAX_BYTES_PER_S));
+}
+
+static void
+slow_host(host_t *host, nm_ms_t until_ms)
+{
+    host->short_until_ms = until_ms;
+    host->slice_run_ms =
+        soak_random_between(SLICE_RUN_MIN_MS, SLICE_RUN_MAX_MS);
+}
+
+/* Makes hosts too small for their work: the owner, another one or all. */
+static void
+begin_shortage(host_t *host, bool link, bool processor, nm_ms_t now_ms)
+{
+    int64_t epoch;
+    host_t *owner = find_owner(&epoch);
+    if (owner && nm_rng_below(&soak.rng, SHORTAGES_ELSEWHERE) > 0) {
+        host = owner;
+    }
+    bool all = nm_rng_below(&soak.rng, SHORTAGES_EVERYWHERE) == 0;
+    nm_ms_t until_ms =
+        now_ms + soak_random_between(SHORTAGE_MIN_MS, SHORTAGE_MAX_MS);
+    for (gint i = 0; i < soak_options.hosts; i++) {
+        if (!all && host != &soak.hosts[i]) {
+            continue;
+        }
+        if (link) {
+            narrow_link(&soak.hosts[i], until_ms);
+        }
+        if (processor) {
+            slow_host(&soak.hosts[i], until_ms);
+        }
+    }
+}
+
 /* Kinds of faults in the order of the numbers drawn. */
 typedef enum {
     FAULT_KILL_HOST,
@@ -239,7 +301,10 @@
     FAULT_CUT_EXECUTORS,
     FAULT_EXPIRE_ENTRIES,
     FAULT_KILL_ALL_HOSTS,
-    FAULT_KIND_COUNT
+    FAULT_NARROW_LINK,
+    FAULT_SHORT_PROCESSOR,
+    FAULT_KIND_COUNT,
+    FAULT_SHORT_BOTH, /* drawn with --short only */
 } fault_kind_t;
 
 /* What is drawn with --cuts. */
@@ -248,6 +313,29 @@
     FAULT_STORE_PATH,    FAULT_CRASH_EXECUTOR,
 };
 
+/* What is drawn with --short. */
+static const fault_kind_t shortage_kinds[] = {
+    FAULT_NARROW_LINK, FAULT_NARROW_LINK,    FAULT_SHORT_PROCESSOR,
+    FAULT_SHORT_BOTH,  FAULT_SHORT_BOTH,     FAULT_KILL_OWNERS,
+    FAULT_STOP_HOST,   FAULT_DELAYED_ORDERS, FAULT_COMPACT_STORE,
+    FAULT_PAUSE_HOST,
+};
+
+static fault_kind_t
+draw_kind(void)
+{
+    if (soak_options.cuts) {
+        return soak.faults == 0 ? FAULT_CUT_EXECUTORS
+                                : cut_kinds[nm_rng_below(
+                                      &soak.rng, G_N_ELEMENTS(cut_kinds))];
+    }
+    if (soak_options.shortages) {
+        return shortage_kinds[nm_rng_below(&soak.rng,
+                                           G_N_ELEMENTS(shortage_kinds))];
+    }
+    return (fault_kind_t)nm_rng_below(&soak.rng, FAULT_KIND_COUNT);
+}
+
 void
 soak_inject_fault(nm_ms_t now_ms)
 {
@@ -255,11 +343,7 @@
         &soak.hosts[nm_rng_below(&soak.rng, (uint32_t)soak_options.hosts)];
     uint32_t executor_index =
         nm_rng_below(&soak.rng, (uint32_t)soak_options.executors);
-    fault_kind_t kind =
-        soak_options.cuts && soak.faults == 0 ? FAULT_CUT_EXECUTORS
-        : soak_options.cuts
-            ? cut_kinds[nm_rng_below(&soak.rng, G_N_ELEMENTS(cut_kinds))]
-            : (fault_kind_t)nm_rng_below(&soak.rng, FAULT_KIND_COUNT);
+    fault_kind_t kind = draw_kind();
     soak.faults++;
     platform_lock(soak.platform);
     executor_fleet_t *fleet = platform_fleet(soak.platform);
@@ -311,7 +395,9 @@
         break;
     case FAULT_RESET_CONNECTIONS:
         proxy_reset(soak.proxy, host->proxy_path);
-        proxy_reset(soak.proxy, soak.executor_path);
+        for (gint i = 0; i < soak_options.hosts; i++) {
+            proxy_reset(soak.proxy, soak.hosts[i].executor_path);
+        }
         break;
     case FAULT_RESET_THEN_REFUSE_STORE:
         for (gint i = 0; i < soak_options.hosts; i++) {
@@ -322,7 +408,7 @@
         }
         break;
     case FAULT_RESET_THEN_REFUSE_EXECUTORS:
-        proxy_set(soak.proxy, soak.executor_path, PROXY_RESET_THEN_REFUSE);
+        set_executor_paths(PROXY_RESET_THEN_REFUSE);
         soak.executor_path_heal_at_ms =
             now_ms + soak_random_between(100, 1000);
         break;
@@ -342,6 +428,12 @@
     case FAULT_EXPIRE_ENTRIES:
         expire_entries(now_ms);
         break;
+    case FAULT_NARROW_LINK:
+    case FAULT_SHORT_PROCESSOR:
+    case FAULT_SHORT_BOTH:
+        begin_shortage(host, kind != FAULT_SHORT_PROCESSOR,
+                       kind != FAULT_NARROW_LINK, now_ms);
+        break;
     case FAULT_KILL_ALL_HOSTS:
     default:
         for (gint i = 0; i < soak_options.hosts; i++) {
@@ -379,11 +471,15 @@
     }
     platform_unlock(soak.platform);
     if (all || now_ms >= soak.executor_path_heal_at_ms) {
-        proxy_set(soak.proxy, soak.executor_path, PROXY_OPEN);
+        set_executor_paths(PROXY_OPEN);
     }
     for (gint i = 0; all && i < soak_options.hosts; i++) {
         soak.hosts[i].path_heal_at_ms =
             MIN(soak.hosts[i].path_heal_at_ms, now_ms);
+        soak.hosts[i].link_heal_at_ms =
+            MIN(soak.hosts[i].link_heal_at_ms, now_ms);
+        soak.hosts[i].short_until_ms =
+            MIN(soak.hosts[i].short_until_ms, now_ms);
         soak.hosts[i].resume_at_ms = MIN(soak.hosts[i].resume_at_ms, now_ms);
     }
 }
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -8,6 +8,21 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* Far below the time-outs of orders and leases. */
+#define SLICE_MS 100
+
+static int
+add_path(int port_offset, int shared_path)
+{
+    int port = soak_options.base_port + port_offset;
+    int path = proxy_add(soak.proxy, (uint16_t)port, shared_path);
+    if (path < 0) {
+        fprintf(stderr, "soak: cannot listen on port %d\n", port);
+        exit(2);
+    }
+    return path;
+}
+
 void
 soak_write_settings(uint32_t index)
 {
@@ -23,17 +38,13 @@
         "\"127.0.0.1:%d\",\"metrics_address\":\"127.0.0.1:%d\","
         "\"cpu_share\":0.5,\"grace_s\":%d}",
         index, index % 3, port, port + 1, port + 2,
-        soak_options.base_port + 400 + (int)index, port + 3,
+        soak_options.base_port + STORE_PATHS_PORT + (int)index, port + 3,
         HOST_GRACE_MS / 1000);
     g_file_set_contents(host->settings, text, -1, NULL);
     g_free(text);
-    host->proxy_path = proxy_add(
-        soak.proxy, (uint16_t)(soak_options.base_port + 400 + (int)index));
-    if (host->proxy_path < 0) {
-        fprintf(stderr, "soak: cannot listen on port %d\n",
-                soak_options.base_port + 400 + (int)index);
-        exit(2);
-    }
+    host->proxy_path = add_path(STORE_PATHS_PORT + (int)index, PROXY_OWN_LINK);
+    host->executor_path =
+        add_path(EXECUTOR_PATHS_PORT + (int)index, host->proxy_path);
 }
 
 void
@@ -57,6 +68,7 @@
     host->stop_sent_ms = 0;
     host->kill_at_ms = 0;
     host->resume_at_ms = 0;
+    host->slice_stopped = false;
     g_free(log);
 }
 
@@ -68,6 +80,23 @@
     }
 }
 
+/* Stops and continues a host that is short of processor, slice by slice. */
+static void
+run_slices(host_t *host, nm_ms_t now_ms)
+{
+    bool stopped_by_pause = host->resume_at_ms > 0;
+    if (stopped_by_pause || now_ms < host->slice_end_at_ms) {
+        return;
+    }
+    bool stops = now_ms < host->short_until_ms && !host->slice_stopped;
+    if (stops || host->slice_stopped) {
+        soak_signal_host(host, stops ? SIGSTOP : SIGCONT);
+        host->slice_stopped = stops;
+        host->slice_end_at_ms = now_ms + (stops ? SLICE_MS - host->slice_run_ms
+                                                : host->slice_run_ms);
+    }
+}
+
 void
 soak_supervise_hosts(nm_ms_t now_ms)
 {
@@ -93,7 +122,9 @@
         if (host->resume_at_ms > 0 && now_ms >= host->resume_at_ms) {
             soak_signal_host(host, SIGCONT);
             host->resume_at_ms = 0;
+            host->slice_stopped = false;
         }
+        run_slices(host, now_ms);
         if (host->kill_at_ms > 0 && now_ms >= host->kill_at_ms &&
             host->pid > 0) {
             soak_report_violation(
@@ -109,6 +140,10 @@
             proxy_set(soak.proxy, host->proxy_path, PROXY_OPEN);
             host->path_heal_at_ms = 0;
         }
+        if (host->link_heal_at_ms > 0 && now_ms >= host->link_heal_at_ms) {
+            proxy_limit(soak.proxy, host->proxy_path, 0);
+            host->link_heal_at_ms = 0;
+        }
     }
 }
 
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -15,9 +15,11 @@
 #include "lib_proxy.h"
 
 /*
- * Ports, from --base-port: 0 the platform, 10 + 4 * i those of host i, 399 the
- * path to the executors, 400 + i the path of host i to the store, up to 499.
+ * Ports, from --base-port: 0 the platform, 10 + 4 * i those of host i, 400 + i
+ * its path to the store, 450 + i its path to the executors, up to 499.
  */
+#define STORE_PATHS_PORT 400
+#define EXECUTOR_PATHS_PORT 450
 #define HOSTS_MAX 48
 #define EXECUTORS_MAX 4096
 #define PORTS_PER_HOST 4
@@ -33,7 +35,14 @@
     nm_ms_t stop_sent_ms; /* SIGTERM or SIGKILL; 0: must run */
     nm_ms_t kill_at_ms;   /* end of the grace time; 0: no SIGTERM pending */
     nm_ms_t path_heal_at_ms;
-    int proxy_path; /* to the store */
+    nm_ms_t link_heal_at_ms; /* 0: its link is not limited */
+    /* Short of processor until then: runs slice_run_ms of each slice. */
+    nm_ms_t short_until_ms;
+    nm_ms_t slice_run_ms;
+    nm_ms_t slice_end_at_ms;
+    bool slice_stopped;
+    int proxy_path;    /* to the store */
+    int executor_path; /* to all executors, on the same link */
     uint16_t front_port;
     char *settings;
 } host_t;
@@ -70,13 +79,13 @@
     gboolean no_faults;
     gboolean deadly;
     gboolean cuts;
+    gboolean shortages;
 } soak_options_t;
 
 typedef struct {
     host_t hosts[HOSTS_MAX];
     platform_t *platform;
     proxy_t *proxy;
-    int executor_path;
     GPtrArray *jobs; /* of job_t */
     CURLM *multi;
     nm_rng_t rng;
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
-# Short fault soak: two seeds and one run of cut-off executors must pass, and a
-# run whose store drops jobs that it acknowledged must fail.
+# Short fault soak: two seeds, one run of cut-off executors and one of hosts
+# that are too small for their work must pass, and a run whose store drops jobs
+# that it acknowledged must fail.
 #
 #     BIN=build tests/process_soak.sh
 #
@@ -29,6 +30,7 @@
 run_soak 0 --seed 1 --seconds 20
 run_soak 0 --seed 2 --seconds 20
 run_soak 0 --seed 301 --seconds 35 --cuts --executors 48 --jobs 6
+run_soak 0 --seed 401 --seconds 15 --short
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -84,7 +84,6 @@
 {
     return platform_new(&(platform_desc_t){
         .port = PORT,
-        .executor_port = PORT,
         .heartbeat_ms = HEARTBEAT_TEST_MS,
         .fleet = {.executors = executors, .cpu_milli = 1000}});
 }
