Soak: narrow links to executors fill with starts; repeats are counted

In the incident one owner kept its key while starts filled its link.

Change: the paths to store and executors have a limit each; the one to the store is narrow in one shortage of three. Payloads of 4,000 bytes, up to 20 tasks a job, 30 to 100 kB/s. The summary prints how many starts were of tasks of which a live executor lists an end done (repeats); no check reads it.

--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -367,6 +367,19 @@
 }
 
 /* Checks all invariants of a start except for the executor's capacity. */
+static bool
+lists_done(const executor_t *executor, const char *task)
+{
+    for (guint i = 0; i < executor->ends->len; i++) {
+        const executor_end_t *end =
+            &g_array_index(executor->ends, executor_end_t, i);
+        if (strcmp(end->result, "done") == 0 && strcmp(end->task, task) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 check_start(executor_fleet_t *fleet, const executor_t *executor,
             const char *name, const job_t *job, nm_ms_t now_ms)
@@ -412,6 +425,7 @@
     }
     for (uint32_t i = 0; i < fleet->desc.executors; i++) {
         executor_t *other = &fleet->executors[i];
+        fleet->info.repeats += lists_done(other, name);
         if (other != executor && find_run(other, name)) {
             executor_fleet_add_violation(
                 fleet, now_ms, "TWICE task %s runs on executors %s and %s",
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -166,6 +166,8 @@
 typedef struct {
     uint32_t starts;
     uint32_t ends;
+    /* Starts of tasks of which a live executor lists an end `done`. */
+    uint32_t repeats;
     uint32_t violations;
     char first_violation[1024]; /* time and text; empty: none */
 } executor_fleet_info_t;
--- a/soak/lib_proxy.c
+++ b/soak/lib_proxy.c
@@ -38,18 +38,13 @@
 typedef struct {
     int listener;
     proxy_mode_t mode;
-    int link;
-} path_t;
-
-typedef struct {
     uint32_t bytes_per_s;    /* 0: no limit */
     double busy_until_ms[2]; /* with what was read so far; as queued[] */
-} link_t;
+} path_t;
 
 struct proxy {
     uint16_t target_port;
     path_t paths[PATHS_MAX];
-    link_t links[PATHS_MAX]; /* index: the first path that uses it */
     int path_count;
     GPtrArray *connections; /* of connection_t */
     pthread_mutex_t mutex;
@@ -170,16 +165,15 @@
 }
 
 static int64_t
-find_due_ms(proxy_t *proxy, int path, int side, size_t bytes, int64_t now_ms)
+find_due_ms(path_t *path, int side, size_t bytes, int64_t now_ms)
 {
-    int64_t delay_ms = proxy->paths[path].mode == PROXY_DELAY ? DELAY_MS : 0;
-    link_t *link = &proxy->links[proxy->paths[path].link];
-    if (link->bytes_per_s == 0) {
+    int64_t delay_ms = path->mode == PROXY_DELAY ? DELAY_MS : 0;
+    if (path->bytes_per_s == 0) {
         return now_ms + delay_ms;
     }
-    double *busy_until_ms = &link->busy_until_ms[side];
+    double *busy_until_ms = &path->busy_until_ms[side];
     *busy_until_ms = MAX(*busy_until_ms, (double)now_ms) +
-                     (double)bytes * 1000 / link->bytes_per_s;
+                     (double)bytes * 1000 / path->bytes_per_s;
     return (int64_t)*busy_until_ms + delay_ms;
 }
 
@@ -217,9 +211,9 @@
         reset_caller(connection);
         return;
     }
-    queue_chunk(
-        connection, side, buffer, (size_t)count,
-        find_due_ms(proxy, connection->path, side, (size_t)count, now_ms));
+    queue_chunk(connection, side, buffer, (size_t)count,
+                find_due_ms(&proxy->paths[connection->path], side,
+                            (size_t)count, now_ms));
 }
 
 static void
@@ -342,7 +336,7 @@
 }
 
 int
-proxy_add(proxy_t *proxy, uint16_t port, int shared_path)
+proxy_add(proxy_t *proxy, uint16_t port)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(port)};
@@ -359,9 +353,7 @@
     }
     pthread_mutex_lock(&proxy->mutex);
     int path = proxy->path_count;
-    int link =
-        shared_path == PROXY_OWN_LINK ? path : proxy->paths[shared_path].link;
-    proxy->paths[path] = (path_t){fd, PROXY_OPEN, link};
+    proxy->paths[path] = (path_t){.listener = fd, .mode = PROXY_OPEN};
     proxy->path_count++;
     pthread_mutex_unlock(&proxy->mutex);
     return path;
@@ -388,21 +380,20 @@
 }
 
 void
-proxy_limit(proxy_t *proxy, int path, uint32_t bytes_per_s)
+proxy_limit(proxy_t *proxy, int path_index, uint32_t bytes_per_s)
 {
     pthread_mutex_lock(&proxy->mutex);
-    int link = proxy->paths[path].link;
-    bool widens = proxy->links[link].bytes_per_s > 0 && bytes_per_s == 0;
-    proxy->links[link].bytes_per_s = bytes_per_s;
-    for (guint index = 0; widens && index < proxy->connections->len; index++) {
-        connection_t *connection = proxy->connections->pdata[index];
-        if (proxy->paths[connection->path].link == link) {
-            forward_now(connection, fake_now_ms());
+    path_t *path = &proxy->paths[path_index];
+    path->bytes_per_s = bytes_per_s;
+    if (bytes_per_s == 0) {
+        for (guint index = 0; index < proxy->connections->len; index++) {
+            connection_t *connection = proxy->connections->pdata[index];
+            if (connection->path == path_index) {
+                forward_now(connection, fake_now_ms());
+            }
         }
-    }
-    if (widens) {
-        proxy->links[link].busy_until_ms[0] = 0;
-        proxy->links[link].busy_until_ms[1] = 0;
+        path->busy_until_ms[0] = 0;
+        path->busy_until_ms[1] = 0;
     }
     pthread_mutex_unlock(&proxy->mutex);
 }
--- a/soak/lib_proxy.h
+++ b/soak/lib_proxy.h
@@ -7,13 +7,12 @@
  * which data was dropped forwards nothing more, in any mode: its stream has a
  * gap.  One thread of the proxy serves all paths.
  *
- * Each path uses a link, of its own or shared with another path.  A link can
- * be narrow: in each direction data waits in one queue for what was read
- * before it, and nothing is dropped.  What a side has sent before it closed
- * its connection is still forwarded.
+ * A path can be narrow: in each direction data waits in one queue for what was
+ * read before it, and nothing is dropped.  What a side has sent before it
+ * closed its connection is still forwarded.
  *
  *     proxy_t *proxy = proxy_new(target_port);
- *     int path = proxy_add(proxy, port, PROXY_OWN_LINK);
+ *     int path = proxy_add(proxy, port);
  *     proxy_set(proxy, path, PROXY_CUT);
  *     proxy_free(proxy);
  */
@@ -38,21 +37,16 @@
     PROXY_MODE_COUNT,
 } proxy_mode_t;
 
-#define PROXY_OWN_LINK (-1)
-
 typedef struct proxy proxy_t;
 
 proxy_t *proxy_new(uint16_t target_port);
 void proxy_free(proxy_t *proxy);
-/*
- * Listens on a port.  Returns the path's index, or -1.  It uses the link of
- * the path shared_path, or PROXY_OWN_LINK.
- */
-int proxy_add(proxy_t *proxy, uint16_t port, int shared_path);
+/* Listens on a port.  Returns the path's index, or -1. */
+int proxy_add(proxy_t *proxy, uint16_t port);
 void proxy_set(proxy_t *proxy, int path, proxy_mode_t mode);
 /*
- * Limits the path's link, each way; 0: no limit, and queued data is due.  The
- * limit holds in all modes.
+ * Limits the path, each way and in all modes.  0: no limit, and queued data is
+ * due.
  */
 void proxy_limit(proxy_t *proxy, int path, uint32_t bytes_per_s);
 /*
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -259,12 +259,13 @@
         executor_fleet_query_info(platform_fleet(soak.platform));
     platform_unlock(soak.platform);
     printf("soak seed %lld: hosts %d executors %d faults %u jobs %u starts %u "
-           "ends %u answers 200 %u 503 %u 504 %u none %u settled in %lld ms\n",
+           "ends %u repeats %u answers 200 %u 503 %u 504 %u none %u settled "
+           "in %lld ms\n",
            (long long)soak_options.seed, soak_options.hosts,
            soak_options.executors, soak.faults, soak.jobs->len, info.starts,
-           info.ends, soak.status_counts[200], soak.status_counts[503],
-           soak.status_counts[504], soak.status_counts[0],
-           (long long)(now_ms - faults_end_ms));
+           info.ends, info.repeats, soak.status_counts[200],
+           soak.status_counts[503], soak.status_counts[504],
+           soak.status_counts[0], (long long)(now_ms - faults_end_ms));
     printf("soak seed %lld: %s%s%s, logs in %s\n",
            (long long)soak_options.seed,
            info.violations > 0 ? "failed, first " : "passed",
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -15,7 +15,7 @@
 #define LONG_TASK_MAX_MS 6000
 /* With --short the starts of tasks need more than narrow links have. */
 #define SHORTAGE_TASKS_MAX 20
-#define SHORTAGE_PAYLOAD_BYTES 2000
+#define SHORTAGE_PAYLOAD_BYTES 4000
 
 typedef struct {
     job_t *job;
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -35,12 +35,14 @@
 /* Longer than entries stay without heartbeats. */
 #define EXPIRY_OUTAGE_MIN_MS 5000
 #define EXPIRY_OUTAGE_MAX_MS 8000
-/* Less than the polls of 24 executors and the entries in the store need. */
-#define NARROW_MIN_BYTES_PER_S 8000
-#define NARROW_MAX_BYTES_PER_S 60000
+/* Enough for polls, less than the starts of tasks need with --short. */
+#define NARROW_MIN_BYTES_PER_S 30000
+#define NARROW_MAX_BYTES_PER_S 100000
+/* One narrow host in so many is narrow to the store as well. */
+#define NARROW_STORE_PATHS 3
 /* Up to longer than a lease. */
-#define SHORTAGE_MIN_MS 2000
-#define SHORTAGE_MAX_MS 12000
+#define SHORTAGE_MIN_MS 4000
+#define SHORTAGE_MAX_MS 20000
 #define SLICE_RUN_MIN_MS 10
 #define SLICE_RUN_MAX_MS 30
 /* One shortage in so many has a host other than the owner. */
@@ -242,9 +244,12 @@
 narrow_link(host_t *host, nm_ms_t until_ms)
 {
     host->link_heal_at_ms = until_ms;
-    proxy_limit(soak.proxy, host->proxy_path,
-                (uint32_t)soak_random_between(NARROW_MIN_BYTES_PER_S,
-                                              NARROW_MAX_BYTES_PER_S));
+    uint32_t bytes_per_s = (uint32_t)soak_random_between(
+        NARROW_MIN_BYTES_PER_S, NARROW_MAX_BYTES_PER_S);
+    proxy_limit(soak.proxy, host->executor_path, bytes_per_s);
+    if (nm_rng_below(&soak.rng, NARROW_STORE_PATHS) == 0) {
+        proxy_limit(soak.proxy, host->proxy_path, bytes_per_s);
+    }
 }
 
 static void
@@ -315,10 +320,10 @@
 
 /* What is drawn with --short. */
 static const fault_kind_t shortage_kinds[] = {
-    FAULT_NARROW_LINK, FAULT_NARROW_LINK,    FAULT_SHORT_PROCESSOR,
-    FAULT_SHORT_BOTH,  FAULT_SHORT_BOTH,     FAULT_KILL_OWNERS,
-    FAULT_STOP_HOST,   FAULT_DELAYED_ORDERS, FAULT_COMPACT_STORE,
-    FAULT_PAUSE_HOST,
+    FAULT_NARROW_LINK,     FAULT_NARROW_LINK,    FAULT_NARROW_LINK,
+    FAULT_NARROW_LINK,     FAULT_SHORT_BOTH,     FAULT_SHORT_BOTH,
+    FAULT_SHORT_PROCESSOR, FAULT_DELAYED_ORDERS, FAULT_COMPACT_STORE,
+    FAULT_STOP_HOST,       FAULT_PAUSE_HOST,     FAULT_KILL_OWNERS,
 };
 
 static fault_kind_t
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -12,10 +12,10 @@
 #define SLICE_MS 100
 
 static int
-add_path(int port_offset, int shared_path)
+add_path(int port_offset)
 {
     int port = soak_options.base_port + port_offset;
-    int path = proxy_add(soak.proxy, (uint16_t)port, shared_path);
+    int path = proxy_add(soak.proxy, (uint16_t)port);
     if (path < 0) {
         fprintf(stderr, "soak: cannot listen on port %d\n", port);
         exit(2);
@@ -42,9 +42,8 @@
         HOST_GRACE_MS / 1000);
     g_file_set_contents(host->settings, text, -1, NULL);
     g_free(text);
-    host->proxy_path = add_path(STORE_PATHS_PORT + (int)index, PROXY_OWN_LINK);
-    host->executor_path =
-        add_path(EXECUTOR_PATHS_PORT + (int)index, host->proxy_path);
+    host->proxy_path = add_path(STORE_PATHS_PORT + (int)index);
+    host->executor_path = add_path(EXECUTOR_PATHS_PORT + (int)index);
 }
 
 void
@@ -142,6 +141,7 @@
         }
         if (host->link_heal_at_ms > 0 && now_ms >= host->link_heal_at_ms) {
             proxy_limit(soak.proxy, host->proxy_path, 0);
+            proxy_limit(soak.proxy, host->executor_path, 0);
             host->link_heal_at_ms = 0;
         }
     }
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -42,7 +42,7 @@
     nm_ms_t slice_end_at_ms;
     bool slice_stopped;
     int proxy_path;    /* to the store */
-    int executor_path; /* to all executors, on the same link */
+    int executor_path; /* to all executors */
     uint16_t front_port;
     char *settings;
 } host_t;
