Soak: narrow links recover between shortages

A series of overlapping shortages kept a link narrow until the end of the faults, so that no worker was heard of between lapse and next start.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -221,7 +221,9 @@
             soak_inject_fault(now_ms);
             soak.next_fault_ms =
                 now_ms + (soak_options.cuts ? soak_random_between(5000, 15000)
-                                            : soak_random_between(300, 2000));
+                          : soak_options.shortages
+                              ? soak_random_between(1000, 6000)
+                              : soak_random_between(300, 2000));
         }
         soak_heal_faults(now_ms, !faults);
         if (faults) {
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -15,6 +15,7 @@
 #define LONG_TASK_MAX_MS 6000
 /* With --short the starts of tasks need more than narrow links have. */
 #define SHORTAGE_TASKS_MAX 20
+#define SHORTAGE_TASK_MAX_MS 3000
 #define SHORTAGE_PAYLOAD_BYTES 4000
 
 typedef struct {
@@ -112,8 +113,10 @@
                             : SUBMIT_ATTEMPTS_MAX;
     g_ptr_array_add(soak.jobs, job);
     bool fails_often = soak.jobs->len % 40 == 17;
-    nm_ms_t duration_max_ms =
-        soak_options.cuts && !fails_often ? LONG_TASK_MAX_MS : 1500;
+    nm_ms_t duration_max_ms = fails_often              ? 1500
+                              : soak_options.cuts      ? LONG_TASK_MAX_MS
+                              : soak_options.shortages ? SHORTAGE_TASK_MAX_MS
+                                                       : 1500;
     platform_lock(soak.platform);
     executor_job_submitted(platform_fleet(soak.platform), job->id, job->tasks,
                            1000, soak_random_between(100, duration_max_ms),
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -243,6 +243,9 @@
 static void
 narrow_link(host_t *host, nm_ms_t until_ms)
 {
+    if (host->link_heal_at_ms > 0) {
+        return; /* links recover between two shortages */
+    }
     host->link_heal_at_ms = until_ms;
     uint32_t bytes_per_s = (uint32_t)soak_random_between(
         NARROW_MIN_BYTES_PER_S, NARROW_MAX_BYTES_PER_S);
