--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -337,6 +337,9 @@
                                 : cut_kinds[nm_rng_below(
                                       &soak.rng, G_N_ELEMENTS(cut_kinds))];
     }
+    if (soak_options.shortages && soak.faults == 0) {
+        return FAULT_NARROW_LINK;
+    }
     if (soak_options.shortages) {
         return shortage_kinds[nm_rng_below(&soak.rng,
                                            G_N_ELEMENTS(shortage_kinds))];
