--- a/soak/lib_proxy.h
+++ b/soak/lib_proxy.h
@@ -7,6 +7,10 @@
  * which data was dropped forwards nothing more, in any mode: its stream has a
  * gap.  One thread of the proxy serves all paths.
  *
+ * A path can be narrow: in each direction data waits in one queue for what was
+ * read before it, and nothing is dropped.  What a side has sent before it
+ * closed its connection is still forwarded.
+ *
  *     proxy_t *proxy = proxy_new(target_port);
  *     int path = proxy_add(proxy, port);
  *     proxy_set(proxy, path, PROXY_CUT);
@@ -40,6 +44,11 @@
 /* Listens on a port.  Returns the path's index, or -1. */
 int proxy_add(proxy_t *proxy, uint16_t port);
 void proxy_set(proxy_t *proxy, int path, proxy_mode_t mode);
+/*
+ * Limits the path, each way and in all modes.  0: no limit, and queued data is
+ * due.
+ */
+void proxy_limit(proxy_t *proxy, int path, uint32_t bytes_per_s);
 /*
  * Stops forwarding on the path's open connections for good, without closing
  * them.  New connections work.
