--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -458,6 +458,9 @@
      * of its task that has been started since, 0: none.
      */
     NM_SCHED_EVENT_LATE_END,
+    /* Value of both: the bound of starts in flight. */
+    NM_SCHED_EVENT_OWNER_BEHIND, /* silence is no sign of lost workers */
+    NM_SCHED_EVENT_OWNER_CAUGHT_UP,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -126,6 +126,10 @@
         [NM_SCHED_EVENT_WORKER_LAPSED] = {NM_LOG_ITEM_WORKER_LAPSED,
                                           "heard_ms"},
         [NM_SCHED_EVENT_LATE_END] = {NM_LOG_ITEM_LATE_END, "newer_run"},
+        [NM_SCHED_EVENT_OWNER_BEHIND] = {NM_LOG_ITEM_OWNER_BEHIND,
+                                         "starting_max"},
+        [NM_SCHED_EVENT_OWNER_CAUGHT_UP] = {NM_LOG_ITEM_OWNER_CAUGHT_UP,
+                                            "starting_max"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
--- a/src/sched_delay.c
+++ b/src/sched_delay.c
@@ -112,6 +112,14 @@
     if (behind) {
         delay->behind_until_ms = now_ms + BEHIND_HOLD_MS;
     }
+    bool was_behind = delay->behind;
+    delay->behind = nm_delay_is_behind(sched, now_ms);
+    if (delay->behind != was_behind) {
+        nm_sched_add_event(sched,
+                           delay->behind ? NM_SCHED_EVENT_OWNER_BEHIND
+                                         : NM_SCHED_EVENT_OWNER_CAUGHT_UP,
+                           "", (int64_t)delay->starting_max);
+    }
     double shrinks_from = SAMPLE_LATE_SHARE * delay->calls;
     if (sampled && delay->lost >= shrinks_from) {
         change_starting_max(delay, STARTING_LOSS_FACTOR, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -114,6 +114,7 @@
     bool starting_reached; /* since its last change */
     nm_ms_t starting_changed_ms;
     nm_ms_t behind_until_ms;
+    bool behind; /* as last reported by an event */
 } nm_delay_t;
 
 typedef struct nm_occurrence nm_occurrence_t;
