--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -15,6 +15,7 @@
 
 #include "interference.h"
 #include "load_swing.h"
+#include "sched_delay.h"
 #include "sched_share.h"
 
 /*
@@ -104,19 +105,6 @@
  */
 #define NM_SCHED_FAILED_RUNS_MAX 8
 
-/* Delay of responses, see sched_delay.c. */
-typedef struct {
-    nm_ms_t checked_ms;
-    uint32_t calls;        /* since the last sample was complete */
-    uint32_t late;         /* part of calls: with a late response */
-    uint32_t lost;         /* part of calls: without a response in time */
-    double starting_max;   /* bound of starts in flight */
-    bool starting_reached; /* since its last change */
-    nm_ms_t starting_changed_ms;
-    nm_ms_t behind_until_ms;
-    bool behind; /* as last reported by an event */
-} nm_delay_t;
-
 typedef struct nm_occurrence nm_occurrence_t;
 typedef struct nm_sched_job nm_sched_job_t;
 typedef struct nm_sched_node nm_sched_node_t;
@@ -580,19 +568,6 @@
     }
 }
 
-/* sched_delay.c */
-void nm_delay_init(nm_sched_t *sched, nm_ms_t now_ms);
-/* A response came, delay_ms after its call or the end of its wait. */
-void nm_delay_on_response(nm_sched_t *sched, nm_sched_node_t *node,
-                          nm_ms_t delay_ms, nm_ms_t now_ms);
-/* A call got no response in time. */
-void nm_delay_on_loss(nm_sched_t *sched, nm_sched_node_t *node,
-                      nm_ms_t now_ms);
-/* To be called in each round. */
-void nm_delay_check(nm_sched_t *sched, nm_ms_t now_ms);
-/* True while the owner or its links are behind: silence proves nothing. */
-bool nm_delay_is_behind(const nm_sched_t *sched, nm_ms_t now_ms);
-
 /* sched_duplicates.c */
 /* Records an unanswered start; a duplicate may be carried out later. */
 void nm_duplicates_add(nm_sched_t *sched, nm_sched_node_t *node,
