--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -10,11 +10,14 @@
 
 #include <string.h>
 
+#include <unistd.h>
+
 #include <curl/curl.h>
 
 #include "../soak/lib_entries.h"
 
-#define PORT 18733
+/* By process id, as tests of several builds may run at once. */
+#define PORT ((uint16_t)(18000 + getpid() % 900))
 #define TIMEOUT_MS 400L
 
 static size_t
--- a/tests/test_soak_proxy.c
+++ b/tests/test_soak_proxy.c
@@ -14,8 +14,9 @@
 
 #include "../soak/lib_proxy.h"
 
-#define TARGET_PORT 18961
-#define PATH_PORT 18962
+/* By process id, as tests of several builds may run at once. */
+#define TARGET_PORT ((uint16_t)(19000 + getpid() % 450 * 2))
+#define PATH_PORT ((uint16_t)(TARGET_PORT + 1))
 #define BYTES_MAX 20000
 #define WAIT_MAX_S 5
 
