Log runs that a worker has beside those of its tasks

lost-duplicate-is-refused-by-new-incarnation asked that no event at all is left after the restart; it now asks for exactly the one of the late start.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -72,6 +72,8 @@
     X(OWNER_CALLS, "owner-calls")                                             \
     X(WORKER_LAPSED, "worker-lapsed")                                         \
     X(LATE_END, "late-end")                                                   \
+    X(ORPHAN_RUN, "orphan-run")                                               \
+    X(WORKER_UNDESCRIBED, "worker-undescribed")                               \
     X(OWNER_BEHIND, "owner-behind")                                           \
     X(OWNER_CAUGHT_UP, "owner-caught-up")                                     \
     X(CARRIER_SILENT, "carrier-silent")                                       \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -458,6 +458,13 @@
      * of its task that has been started since, 0: none.
      */
     NM_SCHED_EVENT_LATE_END,
+    /*
+     * A worker has, or may start late, a run other than the one that its task
+     * has there.  Value: the current run of the task, 0: none.
+     */
+    NM_SCHED_EVENT_ORPHAN_RUN,
+    /* A new incarnation has been heard of, but not its announcement. */
+    NM_SCHED_EVENT_WORKER_UNDESCRIBED, /* value: the incarnation */
     /* Value of both: the bound of starts in flight. */
     NM_SCHED_EVENT_OWNER_BEHIND, /* silence is no sign of lost workers */
     NM_SCHED_EVENT_OWNER_CAUGHT_UP,
--- a/src/sched_duplicates.c
+++ b/src/sched_duplicates.c
@@ -36,9 +36,14 @@
 
 /* Counts for its task whether a duplicate needs a stop. */
 static void
-set_needs_stop(nm_sched_t *sched, duplicate_t *duplicate, bool needs_stop)
+set_needs_stop(nm_sched_t *sched, const nm_sched_node_t *node,
+               duplicate_t *duplicate, bool needs_stop)
 {
     nm_task_t *task = nm_sched_find_task(sched, duplicate->task);
+    if (task && needs_stop && !duplicate->needs_stop) {
+        nm_sched_add_orphan_event(sched, node, duplicate->task,
+                                  duplicate->run);
+    }
     if (task && needs_stop != duplicate->needs_stop) {
         task->late_starts += needs_stop ? 1 : -1;
         sched->needs_placement = true;
@@ -56,7 +61,7 @@
     /* The start may time out after a newer incarnation was noticed. */
     duplicate_t duplicate = {.run = action->run, .recorded_ms = now_ms};
     nm_strcopy(duplicate.task, sizeof(duplicate.task), action->task);
-    set_needs_stop(sched, &duplicate,
+    set_needs_stop(sched, node, &duplicate,
                    action->incarnation != node->desc.incarnation);
     g_array_append_val(node->duplicates, duplicate);
 }
@@ -80,7 +85,8 @@
 nm_duplicates_clear(nm_sched_t *sched, nm_sched_node_t *node)
 {
     for (guint i = 0; node->duplicates && i < node->duplicates->len; i++) {
-        set_needs_stop(sched, &g_array_index(node->duplicates, duplicate_t, i),
+        set_needs_stop(sched, node,
+                       &g_array_index(node->duplicates, duplicate_t, i),
                        false);
     }
     nm_duplicates_free(node);
@@ -93,7 +99,7 @@
     for (guint i = 0; node->duplicates && i < node->duplicates->len; i++) {
         duplicate_t *duplicate =
             &g_array_index(node->duplicates, duplicate_t, i);
-        set_needs_stop(sched, duplicate, true);
+        set_needs_stop(sched, node, duplicate, true);
         duplicate->stop_pending = false;
         duplicate->due_ms = now_ms;
     }
@@ -118,7 +124,7 @@
         duplicate->stop_pending = false;
         duplicate->due_ms = now_ms + NM_SCHED_FIRST_RETRY_MS;
         if (result == NM_ORDER_DONE || result == NM_ORDER_SUPERSEDED) {
-            set_needs_stop(sched, duplicate, false);
+            set_needs_stop(sched, node, duplicate, false);
         }
     }
 }
@@ -133,7 +139,7 @@
         nm_ms_t lifetime_ms = DUPLICATE_LIFETIME_MS +
                               (duplicate->needs_stop ? DUPLICATE_LEASE_MS : 0);
         if (now_ms - duplicate->recorded_ms > lifetime_ms) {
-            set_needs_stop(sched, duplicate, false);
+            set_needs_stop(sched, node, duplicate, false);
             g_array_remove_index_fast(node->duplicates, i - 1);
             continue;
         }
--- a/src/sched_events.c
+++ b/src/sched_events.c
@@ -51,6 +51,19 @@
     append_event(sched, &event);
 }
 
+void
+nm_sched_add_orphan_event(nm_sched_t *sched, const nm_sched_node_t *node,
+                          const char *task, int64_t run)
+{
+    const nm_task_t *known = nm_sched_find_task(sched, task);
+    nm_sched_event_t event = {.type = NM_SCHED_EVENT_ORPHAN_RUN,
+                              .value = known && known->node ? known->run : 0,
+                              .run = run};
+    nm_strcopy(event.worker, sizeof(event.worker), node->desc.id);
+    nm_strcopy(event.task, sizeof(event.task), task);
+    append_event(sched, &event);
+}
+
 bool
 nm_sched_next_event(nm_sched_t *sched, nm_sched_event_t *event)
 {
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -343,6 +343,7 @@
 stop_unexpected_run(nm_sched_t *sched, nm_sched_node_t *node,
                     const nm_worker_run_t *row)
 {
+    nm_sched_add_orphan_event(sched, node, row->task, row->run);
     nm_sched_action_t *action =
         nm_sched_add_action(sched, node, NM_ACTION_STOP);
     nm_strcopy(action->task, sizeof(action->task), row->task);
@@ -642,6 +643,8 @@
         return;
     }
     if (report->incarnation > node->desc.incarnation) {
+        nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_UNDESCRIBED, worker,
+                           report->incarnation);
         nm_node_begin_incarnation(sched, node, report->incarnation, now_ms);
     }
     node->alive_ms = now_ms;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -663,6 +663,9 @@
 /* Adds an event of a task's current run. */
 void nm_sched_add_run_event(nm_sched_t *sched, nm_sched_event_type_t type,
                             const nm_task_t *task, int64_t value);
+/* Adds the event of a run that is not the one of its task on a worker. */
+void nm_sched_add_orphan_event(nm_sched_t *sched, const nm_sched_node_t *node,
+                               const char *task, int64_t run);
 /* Adds an event of a run of a task, with what is known of its worker. */
 void nm_sched_add_crash_event(nm_sched_t *sched, const nm_task_t *task,
                               const nm_sched_node_t *node,
--- a/tests/test_sched.c
+++ b/tests/test_sched.c
@@ -136,7 +136,11 @@
     sched_sim_announce(&sim, "a", 2);
     sched_sim_advance(&sim, 10);
     sched_sim_report(&sim, "a", 2, NULL, 0, NULL, 0);
+    /* The run has ended in time: only its late start is an event. */
     nm_sched_event_t event;
+    g_assert_true(nm_sched_next_event(sim.sched, &event));
+    g_assert_cmpint(event.type, ==, NM_SCHED_EVENT_ORPHAN_RUN);
+    g_assert_cmpint(event.run, ==, started.run);
     g_assert_false(nm_sched_next_event(sim.sched, &event));
     for (uint32_t lost = 0; lost < 3; lost++) {
         sched_sim_advance(&sim, 100);
