A start in flight at a restart is stopped by the new incarnation

A report can list a run while the response to its start is still on its way. If the worker then restarted, the start was forgotten, although the new incarnation may carry it out: the task started elsewhere beside it. Such a task is now stopped there like one that is starting.

start-in-flight-at-a-restart-is-stopped failed before and passes.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -123,8 +123,8 @@
     GPtrArray *unconfirmed = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
-        if (task->state == NM_RUN_RUNNING) {
-            task->order_pending = false;
+        /* Its start may be in flight although it is listed. */
+        if (task->state == NM_RUN_RUNNING && !task->order_pending) {
             task->tries = 0;
         }
         else {
