Leases of restarted workers last as long as late starts may extend them

An unanswered start that reaches the next incarnation carries an expiry by the former clock: it gives the worker the longest lease, also if it is refused as old after its stop. The lease was taken for lapsed after 10.5 s in the test, and the worker's tasks started elsewhere while they may still run; now 24 s after the response was lost.

late-start-extends-the-lease-after-a-restart failed before and passes.

--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -161,6 +161,18 @@
     orphan->step = task->step;
 }
 
+/*
+ * The next incarnation may carry it out, or refuse it as old: either way it
+ * takes the expiry of the order.
+ */
+static void
+extend_lease(nm_sched_node_t *node, const orphan_t *orphan)
+{
+    node->lease_lapse_ms = MAX(
+        node->lease_lapse_ms,
+        orphan->answer_lost_ms + LATE_START_LIFETIME_MS + LATE_START_LEASE_MS);
+}
+
 void
 nm_orphans_add_unanswered(nm_sched_t *sched, nm_sched_node_t *node,
                           const nm_sched_action_t *action, nm_ms_t now_ms)
@@ -171,6 +183,7 @@
     /* The start may time out after a newer incarnation was noticed. */
     if (action->incarnation != node->desc.incarnation) {
         set_state(sched, node, orphan, ORPHAN_MAY_RUN);
+        extend_lease(node, orphan);
     }
 }
 
@@ -257,6 +270,7 @@
             continue;
         }
         set_state(sched, node, orphan, ORPHAN_MAY_RUN);
+        extend_lease(node, orphan);
         orphan->listed_in_report = 0;
         orphan->stop_pending = false;
         orphan->stop_due_ms = now_ms;
