A restarted worker gets no task before its announcement is read

A report that showed a new incarnation before its entry was read left service, labels, rack and capacity of the former life in place; a new boot may be of another kind. A task could start on a worker of another service or without its label (ROUTE).

restarted-worker-waits-for-its-announcement failed before and passes.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -29,6 +29,7 @@
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
     return node->described && node->admitted && node->announced &&
+           node->announced_incarnation == node->desc.incarnation &&
            node->unknown_orphans == 0 && node->epoch_confirmed &&
            !nm_node_may_run_unknown(node) && node->reachable &&
            node->clock_known && node->desc.state == NM_WORKER_READY &&
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -189,6 +189,7 @@
         leave_address(sched, node);
     }
     node->desc = *desc;
+    node->announced_incarnation = desc->incarnation;
     join_address(sched, node);
     node->service = g_intern_string(desc->service);
     if (!node->described) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -346,6 +346,11 @@
     nm_ms_t predicted_ms;   /* when tails and their misses were computed */
     nm_filler_cost_t cost;  /* newest computed one */
     nm_sched_worker_t desc;
+    /*
+     * Incarnation that was last announced.  The next one may be of another
+     * kind, so that the rest of desc does not hold for it.
+     */
+    int64_t announced_incarnation;
     uint64_t reports;       /* number of reports applied */
     uint32_t poll_failures; /* unanswered polls in a row */
     bool last_call_lost;    /* its last call got no response */
