A late start that can no longer arrive does not hold its task back

A task whose unanswered start may reach the next incarnation started nowhere, for as long as that worker answered polls and its stops were not confirmed (400, 503, or no response): each poll renewed the lease that the orphan waits for. A complete report, for a poll sent after the last time at which the start can arrive, shows that it is not there and does not come.

--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -321,9 +321,13 @@
         bool was_listed = orphan->listed_in_report > 0;
         bool stopped_before = orphan->state == ORPHAN_STOPPING &&
                               orphan->stopped_ms < report->sent_ms;
+        /* A start that is not there by then does not come any more. */
+        bool too_late =
+            orphan->answer_lost_ms > 0 &&
+            report->sent_ms > orphan->answer_lost_ms + LATE_START_LIFETIME_MS;
         if (report->complete && orphan->state != ORPHAN_REFUSED &&
             orphan->listed_in_report != node->reports &&
-            (was_listed || stopped_before))
+            (was_listed || stopped_before || too_late))
         {
             end_orphan(sched, node, i - 1);
         }
--- a/tests/test_sched_uncounted_runs.c
+++ b/tests/test_sched_uncounted_runs.c
@@ -22,6 +22,8 @@
 #define CLOCK_SLOW_FACTOR 1.02
 /* After a lease has lapsed, a worker counts as lapsed within this time. */
 #define MARGIN_MS 4000
+/* A task whose late start can no longer arrive starts within this time. */
+#define RELEASE_MS 18000
 
 typedef struct {
     uint32_t tasks;
@@ -407,6 +409,56 @@
     sched_sim_finish(&sim);
 }
 
+/* Answers each stop that was sent just now with a result. */
+static void
+answer_stops(sched_sim_t *sim, nm_order_result_t result)
+{
+    for (guint i = 0; i < sim->actions->len; i++) {
+        const nm_sched_action_t *action =
+            &g_array_index(sim->actions, nm_sched_action_t, i);
+        if (action->type == NM_ACTION_STOP) {
+            nm_sched_on_stop(sim->sched, action, result, sim->now_ms);
+        }
+    }
+}
+
+/*
+ * A restarted worker confirms no stop of a late start: once the start can no
+ * longer arrive, reports that do not list its run must release the task.
+ */
+static void
+test_task_starts_though_no_stop_is_confirmed(void)
+{
+    static const nm_order_result_t results[] = {
+        NM_ORDER_INVALID, NM_ORDER_NOT_RUN, NM_ORDER_UNKNOWN};
+    for (size_t i = 0; i < NM_COUNT_OF(results); i++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        nm_sched_action_t late = start_on_a(
+            &sim,
+            &(step_desc_t){.tasks = 1, .cpu_milli = 1000, .memory_mb = 100});
+        nm_ms_t lost_ms = sim.now_ms;
+        add_worker(&sim, "b");
+        restart_a(&sim);
+        nm_ms_t started_ms = 0;
+        while (started_ms == 0 && sim.now_ms < lost_ms + RELEASE_MS) {
+            sched_sim_advance(&sim, TICK_MS);
+            answer_stops(&sim, results[i]);
+            sched_sim_save_all(&sim);
+            const nm_sched_action_t *start =
+                sched_sim_find_action(&sim, NM_ACTION_START, NULL);
+            if (start && start->run > late.run) {
+                started_ms = sim.now_ms;
+            }
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+                sched_sim_report(&sim, "a", 2, NULL, 0, NULL, 0);
+            }
+        }
+        g_assert_cmpint(started_ms, >, lost_ms + LATE_START_MS);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -428,5 +480,7 @@
                     test_start_in_flight_at_a_restart_is_stopped);
     g_test_add_func("/sched/late-start-extends-the-lease-after-a-restart",
                     test_late_start_extends_the_lease_of_a_restarted_worker);
+    g_test_add_func("/sched/task-starts-though-no-stop-is-confirmed",
+                    test_task_starts_though_no_stop_is_confirmed);
     return g_test_run();
 }
