A worker with a start in flight is not removed

An owner that is behind may learn only after the removal of a silent worker that a start sent to it got no response. There was no worker then to record it at; if the worker came back under its id, the new incarnation was sent no stop, and could carry the start out beside the next run of the task.

start-in-flight-at-a-removal-is-stopped failed before and passes; all test_sched*, test_entry* and test_shard* pass.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -368,7 +368,8 @@
 {
     /* Under the same id it may come back and carry out a late start. */
     return !node->announced && node->tasks->len == 0 && !node->poll_pending &&
-           now_ms >= node->lease_lapse_ms && !nm_orphans_any(node);
+           node->starts_in_flight == 0 && now_ms >= node->lease_lapse_ms &&
+           !nm_orphans_any(node);
 }
 
 void
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -291,7 +291,8 @@
         due_ms = MIN(due_ms, node->retry_due_ms);
         due_ms = node->reachable ? MIN(due_ms, node->stall_check_ms) : due_ms;
     }
-    else if (!node->announced && !node->poll_pending && !nm_orphans_any(node))
+    else if (!node->announced && !node->poll_pending &&
+             node->starts_in_flight == 0 && !nm_orphans_any(node))
     {
         due_ms = MIN(due_ms, node->lease_lapse_ms);
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -242,6 +242,7 @@
     nm_sched_node_t *addressed = nm_node_find(sched, action->worker);
     if (addressed) {
         nm_timer_set_now(sched, addressed);
+        addressed->starts_in_flight -= addressed->starts_in_flight > 0;
     }
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -389,6 +389,7 @@
     nm_filler_span_t ended_fillers[NM_SCHED_ENDED_FILLERS_MAX];
     uint32_t ended_filler_count; /* of all, also those overwritten */
     nm_ms_t retry_due_ms;        /* next check of unanswered orders */
+    uint32_t starts_in_flight;   /* sent, the result is not known */
     GArray *orphans;             /* see sched_orphans.c; NULL: none yet */
     uint32_t unknown_orphans;    /* of jobs that are not known */
     nm_ms_t wake_ms;   /* when it is checked next; 0: in the next round */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -526,6 +526,7 @@
         nm_node_clock_ms(node, now_ms) + NM_SCHED_START_VALID_MS;
     action->valid_ms = NM_SCHED_START_VALID_MS;
     extend_lease(node, action->expiry_ms, now_ms);
+    node->starts_in_flight++;
     task->sent_ms = now_ms;
     task->order_pending = true;
     task->tries++;
--- a/tests/test_sched_uncounted_runs.c
+++ b/tests/test_sched_uncounted_runs.c
@@ -24,6 +24,8 @@
 #define MARGIN_MS 4000
 /* A task whose late start can no longer arrive starts within this time. */
 #define RELEASE_MS 18000
+/* A silent worker that is not announced any more is removed within this. */
+#define REMOVAL_MS 10000
 
 typedef struct {
     uint32_t tasks;
@@ -459,6 +461,37 @@
     }
 }
 
+/*
+ * A worker is removed while a start is in flight, and returns under its id as
+ * a new incarnation: it is sent a stop of the start.
+ */
+static void
+test_start_in_flight_at_a_removal_is_stopped(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    add_worker(&sim, "a");
+    add_job(&sim, JOB,
+            &(step_desc_t){.tasks = 1, .cpu_milli = 1000, .memory_mb = 100});
+    sched_sim_advance(&sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    nm_sched_action_t late = *start;
+    nm_sched_deregister_worker(sim.sched, "a");
+    for (nm_ms_t ms = 0; ms < REMOVAL_MS; ms += TICK_MS) {
+        sched_sim_lose_poll(&sim, "a");
+        sched_sim_advance(&sim, TICK_MS);
+    }
+    nm_sched_on_start(sim.sched, &late, NM_ORDER_UNKNOWN, sim.now_ms);
+    restart_a(&sim);
+    sched_sim_advance(&sim, TICK_MS);
+    g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_STOP, "a"));
+    add_worker(&sim, "b");
+    g_assert_false(is_started(&sim, late.task, NULL, TICK_MS));
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -482,5 +515,7 @@
                     test_late_start_extends_the_lease_of_a_restarted_worker);
     g_test_add_func("/sched/task-starts-though-no-stop-is-confirmed",
                     test_task_starts_though_no_stop_is_confirmed);
+    g_test_add_func("/sched/start-in-flight-at-a-removal-is-stopped",
+                    test_start_in_flight_at_a_removal_is_stopped);
     return g_test_run();
 }
