A start in flight when its worker lapses is stopped at its restart

A worker was taken for lapsed while the result of a start was still out, as with an owner that is behind; the start was forgotten. If the worker then restarted under its id, no stop was sent until the start had timed out, and the task started beside what the new incarnation may carry out late.

start-in-flight-at-a-lapse-is-stopped failed before and passes; all test_sched*, test_entry* and test_shard* pass.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -103,6 +103,12 @@
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
+        if (task->order_pending && task->state != NM_RUN_STOPPING) {
+            nm_sched_action_t start = {.run = task->run,
+                                       .incarnation = node->desc.incarnation};
+            nm_sched_task_name(task, start.task, sizeof(start.task));
+            nm_orphans_add_unanswered(sched, node, &start, now_ms);
+        }
         /* Detached first, as the worker was not heard of. */
         nm_task_detach(task);
         nm_task_requeue(sched, task);
--- a/tests/test_sched_uncounted_runs.c
+++ b/tests/test_sched_uncounted_runs.c
@@ -492,6 +492,40 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A worker is taken for lapsed while a start is in flight, and restarts: the
+ * new incarnation is sent a stop, and until then the task does not start.
+ */
+static void
+test_start_in_flight_at_a_lapse_is_stopped(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+    sched_sim_advance(&sim, 30);
+    g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_START, "a"));
+    for (nm_ms_t ms = 0; ms < REMOVAL_MS; ms += TICK_MS) {
+        sched_sim_lose_poll(&sim, "a");
+        sched_sim_advance(&sim, TICK_MS);
+        sched_sim_save_all(&sim);
+    }
+    restart_a(&sim);
+    bool stopped = false;
+    for (nm_ms_t ms = 0; ms < WAIT_MARGIN_MS; ms += TICK_MS) {
+        sched_sim_advance(&sim, TICK_MS);
+        sched_sim_save_all(&sim);
+        stopped = stopped ||
+                  sched_sim_find_action(&sim, NM_ACTION_STOP, "a") != NULL;
+        g_assert_null(sched_sim_find_action(&sim, NM_ACTION_START, NULL));
+        if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+            sched_sim_report(&sim, "a", 2, NULL, 0, NULL, 0);
+        }
+    }
+    g_assert_true(stopped);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -517,5 +551,7 @@
                     test_task_starts_though_no_stop_is_confirmed);
     g_test_add_func("/sched/start-in-flight-at-a-removal-is-stopped",
                     test_start_in_flight_at_a_removal_is_stopped);
+    g_test_add_func("/sched/start-in-flight-at-a-lapse-is-stopped",
+                    test_start_in_flight_at_a_lapse_is_stopped);
     return g_test_run();
 }
