--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -103,6 +103,12 @@
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
+        if (task->order_pending && task->state != NM_RUN_STOPPING) {
+            nm_sched_action_t start = {.run = task->run,
+                                       .incarnation = node->desc.incarnation};
+            nm_sched_task_name(task, start.task, sizeof(start.task));
+            nm_orphans_add_unanswered(sched, node, &start, now_ms);
+        }
         /* Detached first, as the worker was not heard of. */
         nm_task_detach(task);
         nm_task_requeue(sched, task);
@@ -368,7 +374,8 @@
 {
     /* Under the same id it may come back and carry out a late start. */
     return !node->announced && node->tasks->len == 0 && !node->poll_pending &&
-           now_ms >= node->lease_lapse_ms && !nm_orphans_any(node);
+           node->starts_in_flight == 0 && now_ms >= node->lease_lapse_ms &&
+           !nm_orphans_any(node);
 }
 
 void
