Log the jobs that are not pending and have not begun

The count of pending jobs leaves out each job for which a start was sent. The log did not show how many of those had begun: the lines of orders say nothing per job. capacity now has jobs_pending, as callers see it, and jobs_not_begun: no start of a task is confirmed, and no worker has listed a run of it.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -252,7 +252,9 @@
     uint32_t fillers_paused;
     uint32_t idle_jobs;
     nm_sched_idle_job_t longest_idle;
-    uint32_t jobs_behind; /* of a size that gets less than its share */
+    uint32_t jobs_behind;    /* of a size that gets less than its share */
+    uint32_t jobs_pending;   /* counted as such, over all queues */
+    uint32_t jobs_not_begun; /* no run of them is known to have begun */
     /* Since the scheduler began: workers refused for a filler, by reason. */
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -246,6 +246,9 @@
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_duplicates_add(sched, addressed, action, now_ms);
     }
+    if (result == NM_ORDER_DONE) {
+        nm_job_record_begun(nm_sched_find_task(sched, action->task));
+    }
     nm_task_t *task =
         find_ordered_task(sched, action, result, NM_RUN_STARTING, now_ms);
     if (!task) {
@@ -400,6 +403,7 @@
               const nm_worker_run_t *row, nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
+    nm_job_record_begun(task);
     if (task && task->state == NM_RUN_UNKNOWN) {
         adopt_run(sched, task, node, row, now_ms);
     }
@@ -485,6 +489,7 @@
     }
     node->ends_processed = row->number;
     nm_task_t *task = nm_sched_find_task(sched, row->task);
+    nm_job_record_begun(task);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
     bool late = task && !current && is_late_end(task, row);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -243,6 +243,7 @@
     bool cancel_stored; /* the store has a cancel key for it */
     bool active;        /* in sched.active */
     bool started;       /* a task of it has been started */
+    bool begun; /* a start of a task is confirmed, or a worker lists a run */
     bool long_running;
     bool admitted; /* started in its turn, not only for being idle */
     nm_ms_t admitted_ms;
@@ -551,6 +552,8 @@
                  nm_job_failure_t failure, nm_ms_t now_ms);
 /* Ends a job that is cancelled, or of which all tasks are done. */
 void nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
+/* Records that a run of a task has begun on a worker; NULL: unknown task. */
+void nm_job_record_begun(const nm_task_t *task);
 
 /* sched_timer.c */
 void nm_timer_add(nm_sched_t *sched, nm_sched_node_t *node);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -403,6 +403,14 @@
     end_job(sched, job, NM_JOB_FAILED, now_ms);
 }
 
+void
+nm_job_record_begun(const nm_task_t *task)
+{
+    if (task) {
+        task->occurrence->job->begun = true;
+    }
+}
+
 static bool
 failure_is_counted(const nm_task_t *task, int64_t run)
 {
