Count a job as begun by a run that is known, not by an order

Cause: the start of a task set the job to running when the order was sent. A start that was late, lost, refused, expired or not sent left it so, although no task had begun: the job was missing from the count of pending jobs, and shown as running.

Change: a job is running once a start of one of its tasks is confirmed, also of one that was withdrawn meanwhile, or a worker lists a run or an end of it. The ends of runs of a former owner count too, and did not before. The first start in job-ended and its histogram is the first one that is known to have begun. The flag started is gone: the state says the same. In capacity, jobs_pending is what callers get, so that jobs_not_begun is gone.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -252,9 +252,8 @@
     uint32_t fillers_paused;
     uint32_t idle_jobs;
     nm_sched_idle_job_t longest_idle;
-    uint32_t jobs_behind;    /* of a size that gets less than its share */
-    uint32_t jobs_pending;   /* counted as such, over all queues */
-    uint32_t jobs_not_begun; /* no run of them is known to have begun */
+    uint32_t jobs_behind;  /* of a size that gets less than its share */
+    uint32_t jobs_pending; /* none of their tasks has begun */
     /* Since the scheduler began: workers refused for a filler, by reason. */
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
@@ -522,7 +521,10 @@
 /* Copies a step's declaration; returns false if there is none. */
 bool nm_sched_query_step(const nm_sched_t *sched, const char *job,
                          uint32_t step, nm_step_t *desc);
-/* Counts accepted jobs of a queue of which no task has started. */
+/*
+ * Counts accepted jobs of a queue of which no task is known to have begun on a
+ * worker; an order that has not been answered does not count.
+ */
 uint32_t nm_sched_query_pending(const nm_sched_t *sched, const char *queue);
 nm_sched_info_t nm_sched_query_info(const nm_sched_t *sched);
 nm_sched_placement_t nm_sched_query_placement(const nm_sched_t *sched);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -193,7 +193,7 @@
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
            "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:i,s:i,"
-           "s:i,s:o}",
+           "s:o}",
            "workers", (int)capacity.workers, "workers_held",
            (int)capacity.workers_held, "cpu_milli",
            (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
@@ -209,8 +209,7 @@
            (int)capacity.serving_over_target, "fillers_paused",
            (int)capacity.fillers_paused, "jobs_behind",
            (int)capacity.jobs_behind, "jobs_pending",
-           (int)capacity.jobs_pending, "jobs_not_begun",
-           (int)capacity.jobs_not_begun, "filler_refusals", refusals);
+           (int)capacity.jobs_pending, "filler_refusals", refusals);
     log_longest_idle(&capacity);
     entry->logged_capacity = capacity;
 }
--- a/src/sched.c
+++ b/src/sched.c
@@ -686,8 +686,8 @@
     uint32_t pending = 0;
     for (guint i = 0; i < sched->active->len; i++) {
         const nm_sched_job_t *job = sched->active->pdata[i];
-        pending += !job->started && job->state == NM_JOB_QUEUED &&
-                   strcmp(job->spec.queue, queue) == 0;
+        pending +=
+            job->state == NM_JOB_QUEUED && strcmp(job->spec.queue, queue) == 0;
     }
     return pending;
 }
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -104,8 +104,7 @@
         if (job->state < NM_JOB_COMPLETED) {
             add_waiting_job(sched, job, now_ms, &capacity);
             capacity.jobs_behind += job->takes_share && !job->admitted;
-            capacity.jobs_pending += !job->started;
-            capacity.jobs_not_begun += !job->begun;
+            capacity.jobs_pending += job->state == NM_JOB_QUEUED;
         }
     }
     capacity.idle_jobs = sched->idle_jobs;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -257,12 +257,7 @@
     nm_sched_node_t *node = task->node;
     switch (result) {
     case NM_ORDER_DONE:
-        nm_task_set_state(sched, task, NM_RUN_RUNNING);
-        task->tries = 0;
-        task->sent_ms = now_ms;
-        task->started_ms = now_ms;
-        task->observed = true;
-        task->progress_ms = now_ms;
+        nm_task_set_started(sched, task, now_ms);
         nm_count(NM_COUNTER_STARTS, 1);
         break;
     case NM_ORDER_NOT_RUN:
@@ -373,12 +368,6 @@
     task->observed = false;
     nm_crashes_clear_silence(sched, task, node);
     nm_task_attach(task, node);
-    nm_sched_job_t *job = task->occurrence->job;
-    job->started = true;
-    if (job->state == NM_JOB_QUEUED) {
-        job->state = NM_JOB_RUNNING;
-        job->visible_state = NM_JOB_RUNNING;
-    }
 }
 
 /*
@@ -420,12 +409,7 @@
         nm_sched_stop_task(sched, task, now_ms);
     }
     if (task->state == NM_RUN_STARTING) {
-        nm_task_set_state(sched, task, NM_RUN_RUNNING);
-        task->started_ms = now_ms;
-        task->observed = true;
-        task->progress_ms = now_ms;
-        task->sent_ms = now_ms;
-        task->tries = 0;
+        nm_task_set_started(sched, task, now_ms);
     }
     task->withdrawn = false;
     if (strcmp(task->checkpoint, row->checkpoint) != 0) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -229,21 +229,19 @@
 
 struct nm_sched_job {
     nm_job_spec_t spec;
-    nm_job_state_t state;
+    nm_job_state_t state; /* queued until a run is known to have begun */
     nm_job_state_t visible_state; /* shows an end once it is stored */
     nm_occurrence_t *occurrences;
     uint32_t occurrence_count;
     nm_ms_t arrived_ms;
     nm_ms_t ended_ms;
     nm_job_failure_t failure;
-    nm_ms_t first_start_ms; /* 0: none seen by this owner */
+    nm_ms_t first_start_ms; /* confirmed or listed; 0: none by this owner */
     bool recovered;
     bool progress_unreadable; /* no task of it may start */
     bool cancelled;
     bool cancel_stored; /* the store has a cancel key for it */
     bool active;        /* in sched.active */
-    bool started;       /* a task of it has been started */
-    bool begun; /* a start of a task is confirmed, or a worker lists a run */
     bool long_running;
     bool admitted; /* started in its turn, not only for being idle */
     nm_ms_t admitted_ms;
@@ -500,6 +498,8 @@
 void nm_task_record_filler_span(const nm_task_t *task, nm_ms_t now_ms);
 void nm_task_set_state(nm_sched_t *sched, nm_task_t *task,
                        nm_run_state_t state);
+/* Sets a task running whose start is confirmed, or whose run is listed. */
+void nm_task_set_started(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /* Detaches a task that has no run any more, so that it waits again. */
 void nm_task_requeue(nm_sched_t *sched, nm_task_t *task);
 /* Lets a waiting task wait until the workers of former owners are resolved. */
@@ -552,7 +552,10 @@
                  nm_job_failure_t failure, nm_ms_t now_ms);
 /* Ends a job that is cancelled, or of which all tasks are done. */
 void nm_job_check_end(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms);
-/* Records that a run of a task has begun on a worker; NULL: unknown task. */
+/*
+ * Records that a run of a task has begun on a worker, as an order alone does
+ * not show.  NULL: the task is unknown.
+ */
 void nm_job_record_begun(const nm_task_t *task);
 
 /* sched_timer.c */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -406,8 +406,24 @@
 void
 nm_job_record_begun(const nm_task_t *task)
 {
-    if (task) {
-        task->occurrence->job->begun = true;
+    if (task && task->occurrence->job->state == NM_JOB_QUEUED) {
+        task->occurrence->job->state = NM_JOB_RUNNING;
+        task->occurrence->job->visible_state = NM_JOB_RUNNING;
+    }
+}
+
+void
+nm_task_set_started(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    nm_sched_job_t *job = task->occurrence->job;
+    nm_task_set_state(sched, task, NM_RUN_RUNNING);
+    task->tries = 0;
+    task->sent_ms = now_ms;
+    task->started_ms = now_ms;
+    task->observed = true;
+    task->progress_ms = now_ms;
+    if (job->first_start_ms == 0) {
+        job->first_start_ms = now_ms;
     }
 }
 
@@ -555,15 +571,6 @@
         if (nm_task_step(task)->is_filler) {
             sched->filler_started_ms = now_ms;
         }
-        nm_sched_job_t *job = task->occurrence->job;
-        job->started = true;
-        if (job->first_start_ms == 0) {
-            job->first_start_ms = now_ms;
-        }
-        if (job->state == NM_JOB_QUEUED) {
-            job->state = NM_JOB_RUNNING;
-            job->visible_state = NM_JOB_RUNNING;
-        }
     }
     nm_timer_set_now(sched, node);
     send_start(sched, task, now_ms);
