Restore from a job's progress that it has begun

Cause: a record of progress holds the state, and a new owner read only the ends from it: a job that had begun was pending, and shown as queued, until a worker listed a run of it again; one with tasks done and none at work for as long as none was.

Change: a record with the state running restores it.

Test: takeover-forgets-what-has-begun, which failed before (1 pending of 0).

--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -312,6 +312,12 @@
         job->progress_unreadable = true;
         return NM_ERR_CORRUPT;
     }
+    if (job->state == NM_JOB_QUEUED &&
+        strcmp(state, nm_job_state_name(NM_JOB_RUNNING)) == 0)
+    {
+        job->state = NM_JOB_RUNNING;
+        job->visible_state = NM_JOB_RUNNING;
+    }
     for (nm_job_state_t s = NM_JOB_COMPLETED; s <= NM_JOB_CANCELLED; s++) {
         if (strcmp(state, nm_job_state_name(s)) == 0) {
             job->state = s;
--- a/tests/test_sched_pending.c
+++ b/tests/test_sched_pending.c
@@ -136,6 +136,34 @@
     sched_sim_finish(&sim);
 }
 
+/* The count of a new owner must agree with the stored progress. */
+static void
+test_count_after_a_takeover(void)
+{
+    static const struct {
+        const char *record;
+        uint32_t pending;
+    } cases[] = {
+        {NULL, 1},
+        {"{\"version\":1,\"state\":\"queued\",\"done\":[[\".\"]]}", 1},
+        {"{\"version\":1,\"state\":\"running\",\"done\":[[\".\"]]}", 0},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("case %zu", i);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        if (cases[i].record) {
+            g_assert_cmpint(
+                nm_sched_restore(sim.sched, JOB, cases[i].record,
+                                 (uint32_t)strlen(cases[i].record)),
+                ==, NM_OK);
+        }
+        check_pending(&sim, cases[i].pending);
+        sched_sim_finish(&sim);
+    }
+}
+
 /* A run, or an end, that a former owner started is listed to the new one. */
 static void
 test_count_with_runs_of_a_former_owner(void)
@@ -171,6 +199,8 @@
          test_unexpected_run_of_a_pending_job},
         {"/pending/first-start-of-an-unanswered-order",
          test_first_start_of_an_unanswered_order},
+        {"/pending/takeover-forgets-what-has-begun",
+         test_count_after_a_takeover},
         {"/pending/runs-of-a-former-owner-leave-their-job-pending",
          test_count_with_runs_of_a_former_owner},
     };
