--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -247,6 +247,9 @@
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
     }
+    if (result == NM_ORDER_DONE) {
+        nm_job_record_begun(nm_sched_find_task(sched, action->task));
+    }
     nm_task_t *task =
         find_ordered_task(sched, action, result, NM_RUN_STARTING, now_ms);
     if (!task) {
@@ -255,12 +258,7 @@
     nm_sched_node_t *node = task->node;
     switch (result) {
     case NM_ORDER_DONE:
-        nm_task_set_state(sched, task, NM_RUN_RUNNING);
-        task->tries = 0;
-        task->sent_ms = now_ms;
-        task->started_ms = now_ms;
-        task->observed = true;
-        task->progress_ms = now_ms;
+        nm_task_set_started(sched, task, now_ms);
         nm_count(NM_COUNTER_STARTS, 1);
         break;
     case NM_ORDER_NOT_RUN:
@@ -360,12 +358,6 @@
     task->observed = false;
     nm_crashes_clear_silence(sched, task, node);
     nm_task_attach(task, node);
-    nm_sched_job_t *job = task->occurrence->job;
-    job->started = true;
-    if (job->state == NM_JOB_QUEUED) {
-        job->state = NM_JOB_RUNNING;
-        job->visible_state = NM_JOB_RUNNING;
-    }
 }
 
 /*
@@ -390,6 +382,7 @@
               const nm_worker_run_t *row, nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
+    nm_job_record_begun(task);
     if (task && task->state == NM_RUN_UNKNOWN) {
         adopt_run(sched, task, node, row, now_ms);
     }
@@ -406,12 +399,7 @@
         nm_sched_stop_task(sched, task, now_ms);
     }
     if (task->state == NM_RUN_STARTING) {
-        nm_task_set_state(sched, task, NM_RUN_RUNNING);
-        task->started_ms = now_ms;
-        task->observed = true;
-        task->progress_ms = now_ms;
-        task->sent_ms = now_ms;
-        task->tries = 0;
+        nm_task_set_started(sched, task, now_ms);
     }
     task->withdrawn = false;
     if (strcmp(task->checkpoint, row->checkpoint) != 0) {
@@ -475,6 +463,7 @@
     }
     node->ends_processed = row->number;
     nm_task_t *task = nm_sched_find_task(sched, row->task);
+    nm_job_record_begun(task);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
     bool late = task && !current && is_late_end(task, row);
