Log the witnesses that answered while a former owner's end is not known

Nothing showed why an owner waits: former-owner-over is logged once it is known only. former-owner-unresolved counts the stored witnesses, those that responded to this epoch, and those without an entry, each 3 s.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -32,6 +32,7 @@
     X(AUTHORITY_LOST, "authority-lost")                                       \
     X(AUTHORITY_BACK, "authority-back")                                       \
     X(FORMER_OVER, "former-owner-over")                                       \
+    X(FORMER_UNRESOLVED, "former-owner-unresolved")                           \
     X(WORKER_LOST, "worker-lost")                                             \
     X(TASK_STARTED, "task-started")                                           \
     X(TASK_ENDED, "task-ended")                                               \
--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -41,6 +41,8 @@
 /* Witnesses are called if the store has confirmed nothing for this long. */
 #define PROBE_AFTER_MS 600
 #define PROBE_INTERVAL_MS 250
+/* Interval of lines in the log while no majority has responded. */
+#define UNRESOLVED_LOG_INTERVAL_MS 3000
 
 typedef struct {
     nm_entry_t *entry;
@@ -78,6 +80,8 @@
     authority->elected_ms = nm_entry_now(entry);
     authority->former_until_ms = authority->elected_ms + STORELESS_MAX_MS;
     authority->quorum_responded = false;
+    authority->unresolved_due_ms =
+        authority->elected_ms + UNRESOLVED_LOG_INTERVAL_MS;
     authority->list_unreadable = false;
     authority->list_due = true;
     authority->handed_over = false;
@@ -328,14 +332,44 @@
 
 /* --- decisions --- */
 
+static void
+log_unresolved(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    nm_authority_t *authority = &entry->authority;
+    if (now_ms < authority->unresolved_due_ms ||
+        now_ms >= authority->former_until_ms)
+    {
+        return;
+    }
+    authority->unresolved_due_ms = now_ms + UNRESOLVED_LOG_INTERVAL_MS;
+    int responded = 0;
+    int unannounced = 0;
+    const GPtrArray *stored = authority->quorum.stored;
+    for (guint i = 0; i < stored->len; i++) {
+        const nm_witness_t *witness =
+            nm_quorum_find(&authority->quorum, stored->pdata[i]);
+        responded += witness->responded;
+        unannounced += !witness->responded && witness->address[0] == '\0';
+    }
+    nm_log(NM_LOG_WARN, NM_LOG_ITEM_FORMER_UNRESOLVED,
+           "{s:I,s:I,s:i,s:i,s:i,s:b}", "epoch",
+           (json_int_t)entry->owned_epoch, "waited_ms",
+           (json_int_t)(now_ms - authority->elected_ms), "witnesses",
+           (int)stored->len, "responded", responded, "unannounced",
+           unannounced, "list_unreadable", authority->list_unreadable);
+}
+
 /* Shortens the time of the former owners' authority once a majority agrees. */
 static void
 check_former_owner(nm_entry_t *entry, nm_ms_t now_ms)
 {
     nm_authority_t *authority = &entry->authority;
-    if (authority->quorum_responded || authority->list_unreadable ||
-        !nm_quorum_has_responded(&authority->quorum))
-    {
+    if (authority->quorum_responded) {
+        return;
+    }
+    if (authority->list_unreadable ||
+        !nm_quorum_has_responded(&authority->quorum)) {
+        log_unresolved(entry, now_ms);
         return;
     }
     authority->quorum_responded = true;
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -101,9 +101,10 @@
     nm_ms_t elected_ms;
     nm_ms_t former_until_ms; /* former owners have no authority from then on */
     bool quorum_responded;   /* a majority has responded in this term */
-    bool list_unreadable;    /* the stored list of witnesses */
-    bool list_due;           /* the workers may have changed since */
-    bool handed_over;        /* by the former owner */
+    nm_ms_t unresolved_due_ms; /* next line in the log that none has */
+    bool list_unreadable;      /* the stored list of witnesses */
+    bool list_due;             /* the workers may have changed since */
+    bool handed_over;          /* by the former owner */
     GHashTable *silent; /* worker -> remaining lease in ms, as handed over */
     bool held;          /* as last logged */
     nm_ms_t probe_due_ms;
