Failing test of a successor that waits for witnesses that have ended

/authority/ended-witnesses-delay-no-successor: of five stored witnesses one to five have crashed and other workers are at their addresses. The successor waits for 60 s in three of six cases; it must wait in the other three, where witnesses are only silent or share an address.

--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -63,17 +63,28 @@
     }
 }
 
+static bool
+contains(GHashTable *ids, const char *id)
+{
+    return ids && g_hash_table_contains(ids, id);
+}
+
 static void
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
             int64_t epoch, nm_order_done_fn done, void *user)
 {
     (void)epoch;
     fake_orders_t *orders = (fake_orders_t *)port;
-    if (orders->out_of_reach &&
-        g_hash_table_contains(orders->out_of_reach, action->worker))
-    {
-        nm_worker_report_t lost = {.result = NM_ORDER_UNKNOWN};
-        done(user, action, NM_ORDER_UNKNOWN,
+    nm_order_result_t failure = NM_ORDER_DONE;
+    if (contains(orders->out_of_reach, action->worker)) {
+        failure = NM_ORDER_UNKNOWN;
+    }
+    else if (contains(orders->replaced, action->worker)) {
+        failure = NM_ORDER_WRONG_INCARNATION;
+    }
+    if (failure != NM_ORDER_DONE) {
+        nm_worker_report_t lost = {.result = failure};
+        done(user, action, failure,
              action->type == NM_ACTION_POLL ? &lost : NULL);
         return;
     }
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -48,7 +48,7 @@
 
 /*
  * Workers that acknowledge every order at once, except those that are out of
- * reach; their reports list no runs.
+ * reach or replaced; their reports list no runs.
  */
 typedef struct {
     nm_order_port_t base;
@@ -56,6 +56,7 @@
     uint32_t starts;
     uint32_t renewals;        /* accepted polls that extended a lease */
     GHashTable *out_of_reach; /* ids; NULL: none */
+    GHashTable *replaced;     /* ids; another worker has the address */
     bool holds_starts;        /* they get no response until host_finish */
     GQueue held_starts;
 } fake_orders_t;
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -167,6 +167,89 @@
     }
 }
 
+/* Announces a worker at an address of its own. */
+static void
+add_worker_at(fake_kv_t *kv, const char *id, int machine)
+{
+    char key[32];
+    char value[256];
+    g_snprintf(key, sizeof(key), "servers/%s", id);
+    g_snprintf(value, sizeof(value),
+               "{\"service\":\"s\",\"address\":\"10.0.0.%d:80\","
+               "\"zone\":\"z\",\"state\":\"ready\","
+               "\"capacity\":{\"cpu\":16000,\"memMb\":1000},"
+               "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}",
+               machine);
+    fake_kv_put(kv, key, value);
+}
+
+/*
+ * Load: more than half of the workers have crashed around the loss of the
+ * owner.  One whose address another worker has can confirm no former owner;
+ * one that is silent may.
+ */
+static void
+test_ended_witnesses_delay_no_successor(void)
+{
+    static const struct {
+        const char *name;
+        int replaced;
+        int silent; /* besides, without an entry */
+        bool shared_address;
+        nm_ms_t from_ms;
+        nm_ms_t to_ms;
+    } cases[] = {
+        {"three replaced", 3, 0, false, 1000, 1500},
+        {"all replaced", WORKERS, 0, false, 1000, 1500},
+        {"one replaced, two silent", 1, 2, false, 1000, 1500},
+        {"three silent", 0, 3, false, 60000, 60000},
+        {"two replaced, three silent", 2, 3, false, 60000, 60000},
+        {"three replaced at one address", 3, 0, true, 60000, 60000},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        GHashTable *replaced =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        for (int w = 0; w < WORKERS; w++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "w%d", w);
+            add_worker_at(kv, id, cases[i].shared_address ? 0 : w);
+        }
+        host_t former;
+        host_init(&former, "a", kv);
+        run_host(&former, 4000);
+        fake_kv_end_calls(kv);
+        host_finish(&former);
+        fake_kv_put(kv, OWNER_KEY, NULL);
+        for (int n = 0; n < cases[i].replaced + cases[i].silent; n++) {
+            int w = WORKERS - 1 - n;
+            char key[32];
+            g_snprintf(key, sizeof(key), "servers/w%d", w);
+            fake_kv_put(kv, key, NULL);
+            if (n >= cases[i].silent) {
+                char id[8];
+                g_snprintf(id, sizeof(id), "n%d", w);
+                add_worker_at(kv, id, cases[i].shared_address ? 0 : w);
+                g_hash_table_add(replaced, g_strdup_printf("w%d", w));
+            }
+        }
+        host_t next;
+        host_init(&next, "b", kv);
+        next.orders.replaced = replaced;
+        cut_workers(&next, WORKERS - cases[i].silent);
+        run_host(&next, 2000);
+        g_assert_cmpint(next.entry->role, ==, NM_ROLE_OWNER);
+        const nm_authority_t *authority = &next.entry->authority;
+        nm_ms_t wait_ms = authority->former_until_ms - authority->elected_ms;
+        g_assert_cmpint(wait_ms, >=, cases[i].from_ms);
+        g_assert_cmpint(wait_ms, <=, cases[i].to_ms);
+        finish_host(&next);
+        g_hash_table_destroy(replaced);
+        fake_kv_free(kv);
+    }
+}
+
 /*
  * Load: a new owner reads stored records for 3 s.  Until the workers have
  * responded to it, a majority of them gives the former owner authority, so
@@ -330,6 +413,8 @@
          test_expired_entries_end_no_authority},
         {"/authority/successor-waits-for-a-majority",
          test_successor_waits_for_a_majority},
+        {"/authority/ended-witnesses-delay-no-successor",
+         test_ended_witnesses_delay_no_successor},
         {"/authority/slow-reading-does-not-shorten-the-wait",
          test_slow_reading_does_not_shorten_the_wait},
         {"/authority/hand-over-passes-on-leases",
