A witness that has ended delays no successor

Cause: a successor waits for the responses of a majority of the stored witnesses, or 60 s. Witnesses that have crashed never respond, and a worker that comes back under another id is none of them. After half of the workers had restarted under other ids 3 of 15 witnesses responded to epoch 3 and 2 of 15 to epoch 4, and no task of a recovered job started.

Change: the list names incarnation and address of each witness. A probe names the worker it is meant for; if another worker responds at that address, the listed incarnation has ended and counts as one that responded. An owner counts a witness only as it is listed: a later incarnation, or one at another address, counts once a list that names it is stored.

Why two owners never both give orders. Let F be a former owner and S its successor, which at time t knows a majority M of the stored list that has responded to it or has been replaced. - By the store, F has authority for 1 s after a call that was sent before S was elected, which is before t. - By witnesses, F needs calls that were accepted by a majority of the same list (of both, if it was storing a new one), each by the listed incarnation at the listed address. For authority after t + 1 s the calls were sent after t. Two majorities of one list share a witness. If it responded to S, it refuses F from then on. If it was replaced, another worker had its address before t; an incarnation that has ended is not back, so F's calls there are refused (421) or answered by an incarnation that is not listed. - A new life under the same id that has seen no epoch may accept F's calls, but F does not count it: it is not listed, and F can store no list after S's election, as the write compares the owner key. - Orders that such a worker accepts from F in between are sent before F's authority ends; S waits for that end plus the lease as before. - Silence, a missing entry, an entry that is back, and a refused connection prove nothing. Witnesses that share an address are not taken for replaced. This takes an address for that of one worker, as the proofs of sched_crashes.c.

--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -9,9 +9,9 @@
  * the owner: to the store, or to a majority of the witnesses, which respond to
  * no epoch but the highest they have seen.  Without the store a majority is
  * enough for STORELESS_MAX_MS.  So a new owner knows when the authority of all
- * former ones has ended: AUTHORITY_MS after its election and the responses of
- * a majority, or STORELESS_MAX_MS after its election.  From then on the leases
- * of workers that do not respond run out.
+ * former ones has ended: AUTHORITY_MS after its election and once a majority
+ * has responded or is known to have ended, or STORELESS_MAX_MS after its
+ * election.  From then on the leases of workers that do not respond run out.
  *
  * An owner that hands over stores that its authority has ended, and when the
  * leases of workers that do not respond lapse.
@@ -100,27 +100,34 @@
 void
 nm_authority_load_witnesses(nm_entry_t *entry, const nm_store_kv_t *item)
 {
-    GPtrArray *ids = nm_quorum_decode(item->value, item->value_bytes);
-    if (ids) {
-        nm_quorum_set_stored(&entry->authority.quorum, ids);
+    GPtrArray *list = nm_quorum_decode(item->value, item->value_bytes);
+    if (list) {
+        nm_quorum_set_stored(&entry->authority.quorum, list);
         return;
     }
     entry->authority.list_unreadable = true;
     nm_refusals_log(&entry->refusals, NM_LOG_ITEM_ROSTER_REFUSED, "key",
-                    item->key, "not an array of ids of workers",
-                    nm_entry_now(entry));
+                    item->key, "not an array of workers", nm_entry_now(entry));
+}
+
+static nm_witness_life_t
+make_life(const char *id, const char *address, int64_t incarnation)
+{
+    nm_witness_life_t life = {.incarnation = incarnation};
+    nm_strcopy(life.id, sizeof(life.id), id);
+    nm_strcopy(life.address, sizeof(life.address), address);
+    return life;
 }
 
 void
 nm_authority_set_worker(nm_entry_t *entry, const nm_sched_worker_t *worker)
 {
-    nm_quorum_t *quorum = &entry->authority.quorum;
-    nm_quorum_set_worker(quorum, worker->id, worker->incarnation,
-                         authority_now(entry));
-    nm_witness_t *witness = nm_quorum_find(quorum, worker->id);
-    if (witness && witness->incarnation == worker->incarnation) {
-        nm_strcopy(witness->address, sizeof(witness->address),
-                   worker->address);
+    nm_authority_t *authority = &entry->authority;
+    nm_witness_life_t life =
+        make_life(worker->id, worker->address, worker->incarnation);
+    if (nm_quorum_set_worker(&authority->quorum, &life, authority_now(entry)))
+    {
+        authority->list_due = true;
     }
 }
 
@@ -135,13 +142,31 @@
 
 /* --- witnesses to store --- */
 
-/* Adds the incarnations of workers that were announced before. */
+/* Describes a worker as announced, or as listed if its entry has expired. */
+static bool
+describe_worker(void *user, const char *id, nm_witness_life_t *life)
+{
+    const nm_entry_t *entry = user;
+    nm_sched_worker_t desc;
+    if (nm_sched_query_worker(entry->sched, id, &desc)) {
+        *life = make_life(id, desc.address, desc.incarnation);
+        return true;
+    }
+    const nm_witness_t *witness = nm_quorum_find(&entry->authority.quorum, id);
+    if (witness) {
+        *life = witness->life;
+    }
+    return witness && life->address[0] != '\0';
+}
+
+/* Adds since when workers that are listed anew have been announced. */
 static void
-describe_witnesses(nm_entry_t *entry, const GPtrArray *ids)
+describe_witnesses(nm_entry_t *entry, const GPtrArray *list)
 {
-    for (guint i = 0; i < ids->len; i++) {
+    for (guint i = 0; i < list->len; i++) {
+        const nm_witness_life_t *life = list->pdata[i];
         nm_sched_worker_t desc;
-        if (nm_sched_query_worker(entry->sched, ids->pdata[i], &desc)) {
+        if (nm_sched_query_worker(entry->sched, life->id, &desc)) {
             nm_authority_set_worker(entry, &desc);
         }
     }
@@ -164,13 +189,14 @@
             return false;
         }
         authority->list_due = false;
-        GPtrArray *ids = nm_quorum_choose(entry->roster_wanted);
-        if (nm_quorum_is_stored(quorum, ids)) {
-            g_ptr_array_free(ids, TRUE);
+        GPtrArray *list =
+            nm_quorum_choose(entry->roster_wanted, describe_worker, entry);
+        if (nm_quorum_is_stored(quorum, list)) {
+            g_ptr_array_free(list, TRUE);
             return false;
         }
-        nm_quorum_set_pending(quorum, ids);
-        describe_witnesses(entry, ids);
+        nm_quorum_set_pending(quorum, list);
+        describe_witnesses(entry, list);
     }
     /* A list whose write got no response is written once more. */
     char *text = nm_quorum_encode(quorum->pending);
@@ -283,8 +309,15 @@
         nm_term_step_down(entry, "a worker has seen a newer epoch");
     }
     else if (result == NM_ORDER_DONE) {
-        nm_quorum_on_accepted(quorum, action->worker, report->incarnation,
-                              sent_ms, entry->authority.confirmed_ms);
+        nm_witness_life_t life =
+            make_life(action->worker, action->address, report->incarnation);
+        nm_quorum_on_accepted(quorum, &life, sent_ms,
+                              entry->authority.confirmed_ms);
+    }
+    else if (result == NM_ORDER_WRONG_INCARNATION) {
+        nm_witness_life_t life =
+            make_life(action->worker, action->address, action->incarnation);
+        nm_quorum_on_replaced(quorum, &life);
     }
 }
 
@@ -303,9 +336,9 @@
     g_hash_table_iter_init(&iter, entry->authority.quorum.witnesses);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         nm_witness_t *witness = value;
-        if (!witness->probe_pending && witness->address[0] != '\0') {
+        if (!witness->probe_pending && witness->life.address[0] != '\0') {
             witness->probe_pending = true;
-            g_ptr_array_add(due, g_strdup(witness->id));
+            g_ptr_array_add(due, g_strdup(witness->life.id));
         }
     }
     /* A result may come at once and end the term. */
@@ -316,11 +349,12 @@
             continue;
         }
         nm_sched_action_t action = {.type = NM_ACTION_POLL,
-                                    .incarnation = witness->incarnation,
+                                    .incarnation = witness->life.incarnation,
                                     .payload = "",
                                     .checkpoint = ""};
-        nm_strcopy(action.worker, sizeof(action.worker), witness->id);
-        nm_strcopy(action.address, sizeof(action.address), witness->address);
+        nm_strcopy(action.worker, sizeof(action.worker), witness->life.id);
+        nm_strcopy(action.address, sizeof(action.address),
+                   witness->life.address);
         probe_t *probe = g_new(probe_t, 1);
         *probe = (probe_t){entry, owned_epoch, authority_now(entry)};
         nm_order_port_send(entry->desc.orders, &action, owned_epoch, on_probe,
@@ -343,20 +377,30 @@
     }
     authority->unresolved_due_ms = now_ms + UNRESOLVED_LOG_INTERVAL_MS;
     int responded = 0;
+    int replaced = 0;
     int unannounced = 0;
     const GPtrArray *stored = authority->quorum.stored;
     for (guint i = 0; i < stored->len; i++) {
+        const nm_witness_life_t *listed = stored->pdata[i];
         const nm_witness_t *witness =
-            nm_quorum_find(&authority->quorum, stored->pdata[i]);
-        responded += witness->responded;
-        unannounced += !witness->responded && witness->address[0] == '\0';
+            nm_quorum_find(&authority->quorum, listed->id);
+        if (witness->responded) {
+            responded++;
+        }
+        else if (nm_quorum_is_resolved(&authority->quorum, listed)) {
+            replaced++;
+        }
+        else {
+            unannounced += !witness->announced;
+        }
     }
     nm_log(NM_LOG_WARN, NM_LOG_ITEM_FORMER_UNRESOLVED,
-           "{s:I,s:I,s:i,s:i,s:i,s:b}", "epoch",
+           "{s:I,s:I,s:i,s:i,s:i,s:i,s:b}", "epoch",
            (json_int_t)entry->owned_epoch, "waited_ms",
            (json_int_t)(now_ms - authority->elected_ms), "witnesses",
-           (int)stored->len, "responded", responded, "unannounced",
-           unannounced, "list_unreadable", authority->list_unreadable);
+           (int)stored->len, "responded", responded, "replaced", replaced,
+           "unannounced", unannounced, "list_unreadable",
+           authority->list_unreadable);
 }
 
 /* Shortens the time of the former owners' authority once a majority agrees. */
--- a/src/quorum.c
+++ b/src/quorum.c
@@ -6,6 +6,10 @@
 
 #include <jansson.h>
 
+#include <nutmegdeck/limits.h>
+
+#include "json_get.h"
+
 typedef struct {
     uint64_t hash;
     const char *id;
@@ -50,11 +54,31 @@
     return strcmp(left->id, right->id);
 }
 
+static GPtrArray *
+new_list(void)
+{
+    return g_ptr_array_new_with_free_func(g_free);
+}
+
+static void
+add_to_list(GPtrArray *list, const nm_witness_life_t *life)
+{
+    g_ptr_array_add(list, g_memdup2(life, sizeof(*life)));
+}
+
+static bool
+is_same_life(const nm_witness_life_t *a, const nm_witness_life_t *b)
+{
+    return a->incarnation == b->incarnation && strcmp(a->id, b->id) == 0 &&
+           strcmp(a->address, b->address) == 0;
+}
+
 /* By a hash, so that a change of the workers changes few witnesses. */
 GPtrArray *
-nm_quorum_choose(GHashTable *workers)
+nm_quorum_choose(GHashTable *workers, nm_quorum_describe_fn describe,
+                 void *user)
 {
-    assert(workers);
+    assert(workers && describe);
     GArray *ranked = g_array_new(FALSE, FALSE, sizeof(ranked_id_t));
     GHashTableIter iter;
     gpointer id;
@@ -64,79 +88,102 @@
         g_array_append_val(ranked, row);
     }
     g_array_sort(ranked, compare_ranks);
-    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    for (guint i = 0; i < MIN(ranked->len, NM_QUORUM_WITNESSES_MAX); i++) {
-        g_ptr_array_add(ids,
-                        g_strdup(g_array_index(ranked, ranked_id_t, i).id));
+    GPtrArray *list = new_list();
+    for (guint i = 0; i < ranked->len && list->len < NM_QUORUM_WITNESSES_MAX;
+         i++) {
+        nm_witness_life_t life;
+        if (describe(user, g_array_index(ranked, ranked_id_t, i).id, &life)) {
+            add_to_list(list, &life);
+        }
     }
     g_array_free(ranked, TRUE);
-    return ids;
+    return list;
 }
 
 char *
-nm_quorum_encode(const GPtrArray *ids)
+nm_quorum_encode(const GPtrArray *list)
 {
-    assert(ids);
+    assert(list);
     json_t *rows = json_array();
-    for (guint i = 0; i < ids->len; i++) {
-        json_array_append_new(rows, json_string(ids->pdata[i]));
+    for (guint i = 0; i < list->len; i++) {
+        const nm_witness_life_t *life = list->pdata[i];
+        json_array_append_new(rows, json_pack("{s:s,s:s,s:I}", "id", life->id,
+                                              "address", life->address,
+                                              "incarnation",
+                                              (json_int_t)life->incarnation));
     }
     char *text = json_dumps(rows, JSON_COMPACT);
     json_decref(rows);
     return text;
 }
 
+static bool
+decode_life(nm_witness_life_t *life, const json_t *row)
+{
+    *life = (nm_witness_life_t){0};
+    if (json_is_string(row)) {
+        return nm_strcopy(life->id, sizeof(life->id), json_string_value(row));
+    }
+    return nm_json_copy_string(row, "id", life->id, sizeof(life->id)) &&
+           nm_json_copy_string(row, "address", life->address,
+                               sizeof(life->address)) &&
+           nm_json_get_int(json_object_get(row, "incarnation"), NM_COUNT_MAX,
+                           &life->incarnation);
+}
+
 GPtrArray *
 nm_quorum_decode(const void *text, uint32_t bytes)
 {
     assert(text);
     json_t *rows = json_loadb(text, bytes, 0, NULL);
-    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *list = new_list();
     bool valid = json_is_array(rows);
     size_t i;
     json_t *row;
     json_array_foreach(rows, i, row)
     {
-        const char *id = json_string_value(row);
-        valid = valid && id && strlen(id) < NM_NAME_MAX;
-        g_ptr_array_add(ids, g_strdup(id ? id : ""));
+        nm_witness_life_t life;
+        valid = decode_life(&life, row) && valid;
+        add_to_list(list, &life);
     }
     json_decref(rows);
     if (!valid) {
-        g_ptr_array_free(ids, TRUE);
+        g_ptr_array_free(list, TRUE);
         return NULL;
     }
-    return ids;
+    return list;
 }
 
 bool
-nm_quorum_is_stored(const nm_quorum_t *quorum, const GPtrArray *ids)
+nm_quorum_is_stored(const nm_quorum_t *quorum, const GPtrArray *list)
 {
-    assert(quorum && ids);
-    bool equal = ids->len == quorum->stored->len;
-    for (guint i = 0; equal && i < ids->len; i++) {
-        equal = strcmp(ids->pdata[i], quorum->stored->pdata[i]) == 0;
+    assert(quorum && list);
+    bool equal = list->len == quorum->stored->len;
+    for (guint i = 0; equal && i < list->len; i++) {
+        equal = is_same_life(list->pdata[i], quorum->stored->pdata[i]);
     }
     return equal;
 }
 
 static void
-add_witnesses(nm_quorum_t *quorum, const GPtrArray *ids)
+add_witnesses(nm_quorum_t *quorum, const GPtrArray *list)
 {
-    for (guint i = 0; i < ids->len; i++) {
-        if (!nm_quorum_find(quorum, ids->pdata[i])) {
+    for (guint i = 0; i < list->len; i++) {
+        const nm_witness_life_t *life = list->pdata[i];
+        if (!nm_quorum_find(quorum, life->id)) {
             nm_witness_t *witness = g_new0(nm_witness_t, 1);
-            nm_strcopy(witness->id, sizeof(witness->id), ids->pdata[i]);
-            g_hash_table_insert(quorum->witnesses, witness->id, witness);
+            witness->life = *life;
+            g_hash_table_insert(quorum->witnesses, witness->life.id, witness);
         }
     }
 }
 
 static bool
-list_contains(const GPtrArray *ids, const char *id)
+list_contains(const GPtrArray *list, const char *id)
 {
-    for (guint i = 0; ids && i < ids->len; i++) {
-        if (strcmp(ids->pdata[i], id) == 0) {
+    for (guint i = 0; list && i < list->len; i++) {
+        const nm_witness_life_t *life = list->pdata[i];
+        if (strcmp(life->id, id) == 0) {
             return true;
         }
     }
@@ -158,30 +205,30 @@
 }
 
 void
-nm_quorum_set_stored(nm_quorum_t *quorum, GPtrArray *ids)
+nm_quorum_set_stored(nm_quorum_t *quorum, GPtrArray *list)
 {
-    assert(quorum && ids);
+    assert(quorum && list);
     g_ptr_array_free(quorum->stored, TRUE);
-    quorum->stored = ids;
-    add_witnesses(quorum, ids);
+    quorum->stored = list;
+    add_witnesses(quorum, list);
     remove_unlisted(quorum);
 }
 
 void
-nm_quorum_set_pending(nm_quorum_t *quorum, GPtrArray *ids)
+nm_quorum_set_pending(nm_quorum_t *quorum, GPtrArray *list)
 {
-    assert(quorum && ids && !quorum->pending);
-    quorum->pending = ids;
-    add_witnesses(quorum, ids);
+    assert(quorum && list && !quorum->pending);
+    quorum->pending = list;
+    add_witnesses(quorum, list);
 }
 
 void
 nm_quorum_confirm_pending(nm_quorum_t *quorum)
 {
     assert(quorum && quorum->pending);
-    GPtrArray *ids = quorum->pending;
+    GPtrArray *list = quorum->pending;
     quorum->pending = NULL;
-    nm_quorum_set_stored(quorum, ids);
+    nm_quorum_set_stored(quorum, list);
 }
 
 void
@@ -202,34 +249,76 @@
     return g_hash_table_lookup(quorum->witnesses, id);
 }
 
-void
-nm_quorum_set_worker(nm_quorum_t *quorum, const char *id, int64_t incarnation,
+bool
+nm_quorum_set_worker(nm_quorum_t *quorum, const nm_witness_life_t *life,
                      nm_ms_t now_ms)
 {
-    nm_witness_t *witness = nm_quorum_find(quorum, id);
-    if (witness && incarnation > witness->incarnation) {
-        witness->incarnation = incarnation;
+    assert(quorum && life);
+    nm_witness_t *witness = nm_quorum_find(quorum, life->id);
+    if (!witness || life->incarnation < witness->life.incarnation) {
+        return false;
+    }
+    bool known = is_same_life(life, &witness->life);
+    if (!known) {
+        witness->life.incarnation = life->incarnation;
+        nm_strcopy(witness->life.address, sizeof(witness->life.address),
+                   life->address);
+        witness->replaced = false;
+    }
+    if (!known || !witness->announced) {
+        witness->announced = true;
         witness->announced_ms = now_ms;
         witness->accepted_ms = 0;
     }
+    return !known;
 }
 
 void
-nm_quorum_on_accepted(nm_quorum_t *quorum, const char *id, int64_t incarnation,
+nm_quorum_on_accepted(nm_quorum_t *quorum, const nm_witness_life_t *life,
                       nm_ms_t sent_ms, nm_ms_t confirmed_ms)
 {
-    nm_witness_t *witness = nm_quorum_find(quorum, id);
+    assert(quorum && life);
+    nm_witness_t *witness = nm_quorum_find(quorum, life->id);
     if (!witness) {
         return;
     }
     witness->responded = true;
-    if (incarnation == witness->incarnation &&
+    if (witness->announced && is_same_life(life, &witness->life) &&
         witness->announced_ms <= confirmed_ms)
     {
         witness->accepted_ms = MAX(witness->accepted_ms, sent_ms);
     }
 }
 
+static bool
+has_address_alone(const nm_quorum_t *quorum, const nm_witness_t *witness)
+{
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, quorum->witnesses);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const nm_witness_t *other = value;
+        if (other != witness &&
+            strcmp(other->life.address, witness->life.address) == 0)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+nm_quorum_on_replaced(nm_quorum_t *quorum, const nm_witness_life_t *life)
+{
+    assert(quorum && life);
+    nm_witness_t *witness = nm_quorum_find(quorum, life->id);
+    if (witness && is_same_life(life, &witness->life) &&
+        has_address_alone(quorum, witness))
+    {
+        witness->replaced = true;
+    }
+}
+
 static gint
 compare_times_descending(gconstpointer a, gconstpointer b)
 {
@@ -243,14 +332,17 @@
  * halves has a majority.
  */
 static nm_ms_t
-list_accepted_ms(const nm_quorum_t *quorum, const GPtrArray *ids)
+list_accepted_ms(const nm_quorum_t *quorum, const GPtrArray *list)
 {
     GArray *times_ms = g_array_new(FALSE, FALSE, sizeof(nm_ms_t));
-    for (guint i = 0; i < ids->len; i++) {
-        const nm_witness_t *witness = nm_quorum_find(quorum, ids->pdata[i]);
-        guint votes = i == 0 && ids->len % 2 == 0 ? 2 : 1;
+    for (guint i = 0; i < list->len; i++) {
+        const nm_witness_life_t *listed = list->pdata[i];
+        const nm_witness_t *witness = nm_quorum_find(quorum, listed->id);
+        nm_ms_t accepted_ms =
+            is_same_life(listed, &witness->life) ? witness->accepted_ms : 0;
+        guint votes = i == 0 && list->len % 2 == 0 ? 2 : 1;
         for (guint v = 0; v < votes; v++) {
-            g_array_append_val(times_ms, witness->accepted_ms);
+            g_array_append_val(times_ms, accepted_ms);
         }
     }
     g_array_sort(times_ms, compare_times_descending);
@@ -273,6 +365,16 @@
     return accepted_ms;
 }
 
+bool
+nm_quorum_is_resolved(const nm_quorum_t *quorum,
+                      const nm_witness_life_t *listed)
+{
+    assert(quorum && listed);
+    const nm_witness_t *witness = nm_quorum_find(quorum, listed->id);
+    return witness->responded ||
+           (witness->replaced && is_same_life(listed, &witness->life));
+}
+
 bool
 nm_quorum_has_responded(const nm_quorum_t *quorum)
 {
@@ -282,7 +384,7 @@
     for (guint i = 0; i < quorum->stored->len; i++) {
         guint weight = i == 0 && quorum->stored->len % 2 == 0 ? 2 : 1;
         all_votes += weight;
-        votes += nm_quorum_find(quorum, quorum->stored->pdata[i])->responded
+        votes += nm_quorum_is_resolved(quorum, quorum->stored->pdata[i])
                      ? weight
                      : 0;
     }
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -8,10 +8,15 @@
  * the list that is stored; while a new list is being stored, a majority of
  * both is needed.
  *
+ * The list names an incarnation of each worker at its address, and no other
+ * one accepts calls for it.  So a listed incarnation that has ended accepts
+ * none, as if it had responded to the successor.  That it has ended is shown
+ * by a response of another worker at its address, not by a silence.
+ *
  *     nm_quorum_t quorum;
  *     nm_quorum_init(&quorum);
- *     nm_quorum_set_stored(&quorum, ids);
- *     nm_quorum_on_accepted(&quorum, id, incarnation, sent_ms, confirmed_ms);
+ *     nm_quorum_set_stored(&quorum, list);
+ *     nm_quorum_on_accepted(&quorum, &accepted, sent_ms, confirmed_ms);
  *     nm_ms_t since_ms = nm_quorum_accepted_ms(&quorum);
  *     nm_quorum_finish(&quorum);
  */
@@ -25,60 +30,86 @@
 /* With a fifth of the workers lost, the majority is lost in 1 of 200 cases. */
 #define NM_QUORUM_WITNESSES_MAX 15
 
+/* An incarnation of a worker. */
 typedef struct {
     char id[NM_NAME_MAX];
-    char address[NM_NAME_MAX]; /* as announced; empty: not yet */
-    int64_t incarnation;       /* as announced; 0: not announced yet */
-    nm_ms_t announced_ms;      /* when that incarnation was first announced */
+    char address[NM_NAME_MAX]; /* empty: not known */
+    int64_t incarnation;       /* 0: not known */
+} nm_witness_life_t;
+
+typedef struct {
+    nm_witness_life_t life; /* the newest that is known */
+    bool announced;         /* in this term */
+    nm_ms_t announced_ms;   /* when it was first announced */
     nm_ms_t accepted_ms; /* its newest accepted call was sent then; 0: none */
     bool responded;      /* to any call of this term */
+    bool replaced;       /* another worker has responded at its address */
     bool probe_pending;
 } nm_witness_t;
 
 typedef struct {
     GHashTable *witnesses; /* id -> nm_witness_t, of both lists */
-    GPtrArray *stored;     /* ids */
-    GPtrArray *pending;    /* ids that a write in flight stores; NULL: none */
+    GPtrArray *stored;     /* of nm_witness_life_t */
+    GPtrArray *pending; /* the same, as a write in flight stores; NULL: none */
 } nm_quorum_t;
 
+/* Returns false if no incarnation of a worker is known. */
+typedef bool (*nm_quorum_describe_fn)(void *user, const char *id,
+                                      nm_witness_life_t *life);
+
 void nm_quorum_init(nm_quorum_t *quorum);
 void nm_quorum_finish(nm_quorum_t *quorum);
 /* Forgets all witnesses. */
 void nm_quorum_clear(nm_quorum_t *quorum);
 
 /* Chooses witnesses from a set of ids; the caller frees the array. */
-GPtrArray *nm_quorum_choose(GHashTable *workers);
-/* JSON of ids, to be freed with free(). */
-char *nm_quorum_encode(const GPtrArray *ids);
-/* Returns NULL if the text is no array of ids. */
+GPtrArray *nm_quorum_choose(GHashTable *workers,
+                            nm_quorum_describe_fn describe, void *user);
+/* JSON of a list, to be freed with free(). */
+char *nm_quorum_encode(const GPtrArray *list);
+/*
+ * Returns NULL if the text is no list.  Earlier versions stored ids only;
+ * their incarnations are not known.
+ */
 GPtrArray *nm_quorum_decode(const void *text, uint32_t bytes);
-bool nm_quorum_is_stored(const nm_quorum_t *quorum, const GPtrArray *ids);
+bool nm_quorum_is_stored(const nm_quorum_t *quorum, const GPtrArray *list);
 
-/* Replaces the stored list.  Takes ids over. */
-void nm_quorum_set_stored(nm_quorum_t *quorum, GPtrArray *ids);
-/* A write in flight, or one without a response, stores ids.  Takes ids over.
+/* Replaces the stored list.  Takes list over. */
+void nm_quorum_set_stored(nm_quorum_t *quorum, GPtrArray *list);
+/*
+ * A write in flight, or one without a response, stores list.  Takes it over.
  */
-void nm_quorum_set_pending(nm_quorum_t *quorum, GPtrArray *ids);
+void nm_quorum_set_pending(nm_quorum_t *quorum, GPtrArray *list);
 /* The pending list is stored. */
 void nm_quorum_confirm_pending(nm_quorum_t *quorum);
 /* The write had no effect. */
 void nm_quorum_drop_pending(nm_quorum_t *quorum);
 
-/* Sets the announced incarnation of a worker, if it is a witness. */
-void nm_quorum_set_worker(nm_quorum_t *quorum, const char *id,
-                          int64_t incarnation, nm_ms_t now_ms);
+/*
+ * A worker has announced an incarnation.  Returns true if it is a witness and
+ * this was not known, so that a list that names it is due.
+ */
+bool nm_quorum_set_worker(nm_quorum_t *quorum, const nm_witness_life_t *life,
+                          nm_ms_t now_ms);
 nm_witness_t *nm_quorum_find(const nm_quorum_t *quorum, const char *id);
 /*
  * A witness has accepted a call sent at a time.  confirmed_ms: when the store
  * last confirmed the ownership; an incarnation that was announced later counts
  * for nothing, as a worker that restarts forgets the epochs it has seen.
  */
-void nm_quorum_on_accepted(nm_quorum_t *quorum, const char *id,
-                           int64_t incarnation, nm_ms_t sent_ms,
-                           nm_ms_t confirmed_ms);
+void nm_quorum_on_accepted(nm_quorum_t *quorum, const nm_witness_life_t *life,
+                           nm_ms_t sent_ms, nm_ms_t confirmed_ms);
+/*
+ * Another worker has responded to a call to a witness.  Without effect if its
+ * address is that of a further witness too.
+ */
+void nm_quorum_on_replaced(nm_quorum_t *quorum, const nm_witness_life_t *life);
 /* Latest time since which a majority has accepted a call; 0: none. */
 nm_ms_t nm_quorum_accepted_ms(const nm_quorum_t *quorum);
-/* True once a majority has responded in this term, or if there is no list. */
+/* True if a witness of the stored list can accept no former owner's call. */
+bool nm_quorum_is_resolved(const nm_quorum_t *quorum,
+                           const nm_witness_life_t *listed);
+/* True once a majority is resolved in this term, or if there is no list. */
 bool nm_quorum_has_responded(const nm_quorum_t *quorum);
 
 #endif
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -324,14 +324,23 @@
     fake_kv_free(kv);
 }
 
+static nm_witness_life_t
+make_life(char letter, int64_t incarnation, const char *address)
+{
+    nm_witness_life_t life = {.id = {letter}, .incarnation = incarnation};
+    nm_strcopy(life.address, sizeof(life.address), address);
+    return life;
+}
+
 static GPtrArray *
-make_ids(const char *letters)
+make_list(const char *letters)
 {
-    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
     for (; *letters; letters++) {
-        g_ptr_array_add(ids, g_strndup(letters, 1));
+        nm_witness_life_t life = make_life(*letters, 1, "m1");
+        g_ptr_array_add(list, g_memdup2(&life, sizeof(life)));
     }
-    return ids;
+    return list;
 }
 
 /* The time of a majority, of the stored list and of one being stored. */
@@ -356,15 +365,15 @@
         g_test_message("case %zu", i);
         nm_quorum_t quorum;
         nm_quorum_init(&quorum);
-        nm_quorum_set_stored(&quorum, make_ids(cases[i].stored));
+        nm_quorum_set_stored(&quorum, make_list(cases[i].stored));
         if (cases[i].pending) {
-            nm_quorum_set_pending(&quorum, make_ids(cases[i].pending));
+            nm_quorum_set_pending(&quorum, make_list(cases[i].pending));
         }
         nm_ms_t time_ms = 1;
         for (const char *c = cases[i].accepted; *c; c++) {
-            const char id[] = {*c, '\0'};
-            nm_quorum_set_worker(&quorum, id, 1, 0);
-            nm_quorum_on_accepted(&quorum, id, 1, time_ms++, 0);
+            nm_witness_life_t life = make_life(*c, 1, "m1");
+            nm_quorum_set_worker(&quorum, &life, 0);
+            nm_quorum_on_accepted(&quorum, &life, time_ms++, 0);
         }
         g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
                         cases[i].accepted_ms);
@@ -389,15 +398,105 @@
         g_test_message("case %zu", i);
         nm_quorum_t quorum;
         nm_quorum_init(&quorum);
-        nm_quorum_set_stored(&quorum, make_ids("a"));
-        nm_quorum_set_worker(&quorum, "a", 1, cases[i].announced_ms);
-        nm_quorum_on_accepted(&quorum, "a", cases[i].incarnation, 200, 100);
+        nm_quorum_set_stored(&quorum, make_list("a"));
+        nm_witness_life_t announced = make_life('a', 1, "m1");
+        nm_quorum_set_worker(&quorum, &announced, cases[i].announced_ms);
+        nm_witness_life_t accepted =
+            make_life('a', cases[i].incarnation, "m1");
+        nm_quorum_on_accepted(&quorum, &accepted, 200, 100);
         g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
                         cases[i].accepted_ms);
         nm_quorum_finish(&quorum);
     }
 }
 
+/*
+ * A successor takes a listed witness for ended once another worker responds at
+ * its address.  So an owner may count a later incarnation of it, or one at
+ * another address, only once the list that names it is stored.
+ */
+static void
+test_unlisted_incarnation_counts_for_nothing(void)
+{
+    static const struct {
+        const char *name;
+        int64_t incarnation;
+        const char *address;
+        bool listed; /* a list that names it is stored */
+        nm_ms_t accepted_ms;
+    } cases[] = {
+        {"as listed", 1, "m1", false, 200},
+        {"restarted", 2, "m1", false, 0},
+        {"restarted, listed", 2, "m1", true, 200},
+        {"at another address", 1, "m2", false, 0},
+        {"at another address, listed", 1, "m2", true, 200},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_quorum_t quorum;
+        nm_quorum_init(&quorum);
+        nm_quorum_set_stored(&quorum, make_list("a"));
+        nm_witness_life_t life =
+            make_life('a', cases[i].incarnation, cases[i].address);
+        nm_quorum_set_worker(&quorum, &life, 50);
+        if (cases[i].listed) {
+            GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+            g_ptr_array_add(list, g_memdup2(&life, sizeof(life)));
+            nm_quorum_set_pending(&quorum, list);
+            nm_quorum_confirm_pending(&quorum);
+        }
+        nm_quorum_on_accepted(&quorum, &life, 200, 100);
+        g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
+                        cases[i].accepted_ms);
+        nm_quorum_finish(&quorum);
+    }
+}
+
+/* Only a proof about the listed incarnation at its own address counts. */
+static void
+test_proof_of_another_incarnation_resolves_nothing(void)
+{
+    static const struct {
+        const char *name;
+        const char *stored; /* text of the list */
+        int64_t announced;  /* incarnation; 0: none */
+        int64_t replaced;   /* incarnation that was called */
+        const char *address;
+        bool resolved;
+    } cases[] = {
+        {"as listed", "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]",
+         1, 1, "m1", true},
+        {"without entry",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 0, 1, "m1",
+         true},
+        {"restarted under its id",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 2, 2, "m1",
+         false},
+        {"called elsewhere",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 1, 1, "m2",
+         false},
+        {"list of an earlier version", "[\"a\"]", 1, 1, "m1", false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_quorum_t quorum;
+        nm_quorum_init(&quorum);
+        nm_quorum_set_stored(
+            &quorum, nm_quorum_decode(cases[i].stored,
+                                      (uint32_t)strlen(cases[i].stored)));
+        if (cases[i].announced) {
+            nm_witness_life_t life = make_life('a', cases[i].announced, "m1");
+            nm_quorum_set_worker(&quorum, &life, 50);
+        }
+        nm_witness_life_t life =
+            make_life('a', cases[i].replaced, cases[i].address);
+        nm_quorum_on_replaced(&quorum, &life);
+        g_assert_cmpint(nm_quorum_has_responded(&quorum), ==,
+                        cases[i].resolved);
+        nm_quorum_finish(&quorum);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -422,6 +521,10 @@
         {"/authority/majorities", test_majorities},
         {"/authority/restarted-witness-counts-for-nothing",
          test_restarted_witness_counts_for_nothing},
+        {"/authority/unlisted-incarnation-counts-for-nothing",
+         test_unlisted_incarnation_counts_for_nothing},
+        {"/authority/proof-of-another-incarnation-resolves-nothing",
+         test_proof_of_another_incarnation_resolves_nothing},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
