Test that two owners never have a majority of witnesses each

/authority/two-owners-have-no-majority-each: 5,000 random plays of a former owner and its successor on five machines; workers end, others take their addresses, also under ids of before and elsewhere, lists are stored with and without a response, calls and announcements are lost. Once the successor knows a majority, no later call of the former one counts.

--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -497,6 +497,163 @@
     }
 }
 
+#define MODEL_MACHINES 5
+#define MODEL_IDS 12
+#define FORMER_EPOCH 1
+
+/* Machines, each with one worker at a time that knows an epoch. */
+typedef struct {
+    nm_rng_t rng;
+    nm_witness_life_t workers[MODEL_MACHINES];
+    int epochs[MODEL_MACHINES]; /* highest that the worker has seen */
+    int64_t newest_incarnation;
+} model_t;
+
+static bool
+chance(model_t *model, double share)
+{
+    return nm_rng_unit(&model->rng) < share;
+}
+
+/* Another worker begins there, in half of the cases under an id of before. */
+static void
+start_worker(model_t *model, int machine)
+{
+    char id = (char)('a' + nm_rng_below(&model->rng, MODEL_IDS));
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        if (m != machine && model->workers[m].id[0] == id) {
+            return;
+        }
+    }
+    char address[] = {'m', (char)('0' + machine), '\0'};
+    model->workers[machine] =
+        make_life(id, ++model->newest_incarnation, address);
+    model->epochs[machine] = 0;
+}
+
+static void
+announce_workers(model_t *model, nm_quorum_t *quorum, nm_ms_t now_ms)
+{
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        if (chance(model, 0.3)) {
+            nm_quorum_set_worker(quorum, &model->workers[m], now_ms);
+        }
+    }
+}
+
+static void
+probe_workers(model_t *model, nm_quorum_t *quorum, int epoch, nm_ms_t now_ms,
+              nm_ms_t confirmed_ms)
+{
+    for (int i = 0; i < MODEL_IDS; i++) {
+        const char name[] = {(char)('a' + i), '\0'};
+        const nm_witness_t *witness = nm_quorum_find(quorum, name);
+        if (!witness || !chance(model, 0.4)) {
+            continue;
+        }
+        nm_witness_life_t called = witness->life;
+        int machine = called.address[1] - '0';
+        const nm_witness_life_t *there = &model->workers[machine];
+        if (strcmp(there->id, called.id) != 0) {
+            nm_quorum_on_replaced(quorum, &called);
+        }
+        else if (epoch >= model->epochs[machine]) {
+            model->epochs[machine] = epoch;
+            called.incarnation = there->incarnation;
+            nm_quorum_on_accepted(quorum, &called, now_ms, confirmed_ms);
+        }
+    }
+}
+
+static GPtrArray *
+list_workers(const model_t *model)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        g_ptr_array_add(
+            list, g_memdup2(&model->workers[m], sizeof(model->workers[m])));
+    }
+    return list;
+}
+
+/*
+ * Workers end and others take their addresses, also under ids of before, while
+ * two owners call those that they reach.  Once the successor knows a majority,
+ * no call of the former owner counts that was sent later.  Returns true if the
+ * successor got there.
+ */
+static bool
+play_two_owners(uint64_t seed)
+{
+    enum { ELECTION_MS = 20, END_MS = 60 };
+    model_t model = {0};
+    nm_rng_init(&model.rng, seed);
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        do {
+            start_worker(&model, m);
+        } while (model.workers[m].id[0] == '\0');
+    }
+    nm_quorum_t former;
+    nm_quorum_t next;
+    nm_quorum_init(&former);
+    nm_quorum_init(&next);
+    nm_quorum_set_stored(&former, list_workers(&model));
+    char *stored = nm_quorum_encode(former.stored);
+    nm_ms_t resolved_ms = 0;
+    for (nm_ms_t now_ms = 1; now_ms <= END_MS; now_ms++) {
+        nm_ms_t confirmed_ms = MIN(now_ms, ELECTION_MS);
+        if (chance(&model, 0.3)) {
+            start_worker(&model,
+                         (int)nm_rng_below(&model.rng, MODEL_MACHINES));
+        }
+        announce_workers(&model, &former, now_ms);
+        if (now_ms < ELECTION_MS && !former.pending && chance(&model, 0.1)) {
+            nm_quorum_set_pending(&former, list_workers(&model));
+            announce_workers(&model, &former, now_ms);
+            bool responded = chance(&model, 0.5);
+            if (responded || chance(&model, 0.5)) {
+                free(stored);
+                stored = nm_quorum_encode(former.pending);
+            }
+            if (responded) {
+                nm_quorum_confirm_pending(&former);
+            }
+        }
+        probe_workers(&model, &former, FORMER_EPOCH, now_ms, confirmed_ms);
+        if (now_ms == ELECTION_MS) {
+            nm_quorum_set_stored(
+                &next, nm_quorum_decode(stored, (uint32_t)strlen(stored)));
+        }
+        if (now_ms >= ELECTION_MS) {
+            announce_workers(&model, &next, now_ms);
+            probe_workers(&model, &next, FORMER_EPOCH + 1, now_ms, now_ms);
+        }
+        if (resolved_ms == 0 && now_ms >= ELECTION_MS &&
+            nm_quorum_has_responded(&next))
+        {
+            resolved_ms = now_ms;
+        }
+        if (resolved_ms > 0) {
+            g_assert_cmpint(nm_quorum_accepted_ms(&former), <=, resolved_ms);
+        }
+    }
+    free(stored);
+    nm_quorum_finish(&former);
+    nm_quorum_finish(&next);
+    return resolved_ms > 0;
+}
+
+static void
+test_two_owners_have_no_majority_each(void)
+{
+    enum { SEEDS = 5000 };
+    int resolved = 0;
+    for (uint64_t seed = 1; seed <= SEEDS && !g_test_failed(); seed++) {
+        resolved += play_two_owners(seed);
+    }
+    g_assert_cmpint(resolved, >, SEEDS / 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -525,6 +682,8 @@
          test_unlisted_incarnation_counts_for_nothing},
         {"/authority/proof-of-another-incarnation-resolves-nothing",
          test_proof_of_another_incarnation_resolves_nothing},
+        {"/authority/two-owners-have-no-majority-each",
+         test_two_owners_have_no_majority_each},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
