--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -167,6 +167,89 @@
     }
 }
 
+/* Announces a worker at an address of its own. */
+static void
+add_worker_at(fake_kv_t *kv, const char *id, int machine)
+{
+    char key[32];
+    char value[256];
+    g_snprintf(key, sizeof(key), "servers/%s", id);
+    g_snprintf(value, sizeof(value),
+               "{\"service\":\"s\",\"address\":\"10.0.0.%d:80\","
+               "\"zone\":\"z\",\"state\":\"ready\","
+               "\"capacity\":{\"cpu\":16000,\"memMb\":1000},"
+               "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}",
+               machine);
+    fake_kv_put(kv, key, value);
+}
+
+/*
+ * Load: more than half of the workers have crashed around the loss of the
+ * owner.  One whose address another worker has can confirm no former owner;
+ * one that is silent may.
+ */
+static void
+test_ended_witnesses_delay_no_successor(void)
+{
+    static const struct {
+        const char *name;
+        int replaced;
+        int silent; /* besides, without an entry */
+        bool shared_address;
+        nm_ms_t from_ms;
+        nm_ms_t to_ms;
+    } cases[] = {
+        {"three replaced", 3, 0, false, 1000, 1500},
+        {"all replaced", WORKERS, 0, false, 1000, 1500},
+        {"one replaced, two silent", 1, 2, false, 1000, 1500},
+        {"three silent", 0, 3, false, 60000, 60000},
+        {"two replaced, three silent", 2, 3, false, 60000, 60000},
+        {"three replaced at one address", 3, 0, true, 60000, 60000},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        GHashTable *replaced =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        for (int w = 0; w < WORKERS; w++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "w%d", w);
+            add_worker_at(kv, id, cases[i].shared_address ? 0 : w);
+        }
+        host_t former;
+        host_init(&former, "a", kv);
+        run_host(&former, 4000);
+        fake_kv_end_calls(kv);
+        host_finish(&former);
+        fake_kv_put(kv, OWNER_KEY, NULL);
+        for (int n = 0; n < cases[i].replaced + cases[i].silent; n++) {
+            int w = WORKERS - 1 - n;
+            char key[32];
+            g_snprintf(key, sizeof(key), "servers/w%d", w);
+            fake_kv_put(kv, key, NULL);
+            if (n >= cases[i].silent) {
+                char id[8];
+                g_snprintf(id, sizeof(id), "n%d", w);
+                add_worker_at(kv, id, cases[i].shared_address ? 0 : w);
+                g_hash_table_add(replaced, g_strdup_printf("w%d", w));
+            }
+        }
+        host_t next;
+        host_init(&next, "b", kv);
+        next.orders.replaced = replaced;
+        cut_workers(&next, WORKERS - cases[i].silent);
+        run_host(&next, 2000);
+        g_assert_cmpint(next.entry->role, ==, NM_ROLE_OWNER);
+        const nm_authority_t *authority = &next.entry->authority;
+        nm_ms_t wait_ms = authority->former_until_ms - authority->elected_ms;
+        g_assert_cmpint(wait_ms, >=, cases[i].from_ms);
+        g_assert_cmpint(wait_ms, <=, cases[i].to_ms);
+        finish_host(&next);
+        g_hash_table_destroy(replaced);
+        fake_kv_free(kv);
+    }
+}
+
 /*
  * Load: a new owner reads stored records for 3 s.  Until the workers have
  * responded to it, a majority of them gives the former owner authority, so
@@ -241,14 +324,23 @@
     fake_kv_free(kv);
 }
 
+static nm_witness_life_t
+make_life(char letter, int64_t incarnation, const char *address)
+{
+    nm_witness_life_t life = {.id = {letter}, .incarnation = incarnation};
+    nm_strcopy(life.address, sizeof(life.address), address);
+    return life;
+}
+
 static GPtrArray *
-make_ids(const char *letters)
+make_list(const char *letters)
 {
-    GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
     for (; *letters; letters++) {
-        g_ptr_array_add(ids, g_strndup(letters, 1));
+        nm_witness_life_t life = make_life(*letters, 1, "m1");
+        g_ptr_array_add(list, g_memdup2(&life, sizeof(life)));
     }
-    return ids;
+    return list;
 }
 
 /* The time of a majority, of the stored list and of one being stored. */
@@ -273,15 +365,15 @@
         g_test_message("case %zu", i);
         nm_quorum_t quorum;
         nm_quorum_init(&quorum);
-        nm_quorum_set_stored(&quorum, make_ids(cases[i].stored));
+        nm_quorum_set_stored(&quorum, make_list(cases[i].stored));
         if (cases[i].pending) {
-            nm_quorum_set_pending(&quorum, make_ids(cases[i].pending));
+            nm_quorum_set_pending(&quorum, make_list(cases[i].pending));
         }
         nm_ms_t time_ms = 1;
         for (const char *c = cases[i].accepted; *c; c++) {
-            const char id[] = {*c, '\0'};
-            nm_quorum_set_worker(&quorum, id, 1, 0);
-            nm_quorum_on_accepted(&quorum, id, 1, time_ms++, 0);
+            nm_witness_life_t life = make_life(*c, 1, "m1");
+            nm_quorum_set_worker(&quorum, &life, 0);
+            nm_quorum_on_accepted(&quorum, &life, time_ms++, 0);
         }
         g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
                         cases[i].accepted_ms);
@@ -306,15 +398,262 @@
         g_test_message("case %zu", i);
         nm_quorum_t quorum;
         nm_quorum_init(&quorum);
-        nm_quorum_set_stored(&quorum, make_ids("a"));
-        nm_quorum_set_worker(&quorum, "a", 1, cases[i].announced_ms);
-        nm_quorum_on_accepted(&quorum, "a", cases[i].incarnation, 200, 100);
+        nm_quorum_set_stored(&quorum, make_list("a"));
+        nm_witness_life_t announced = make_life('a', 1, "m1");
+        nm_quorum_set_worker(&quorum, &announced, cases[i].announced_ms);
+        nm_witness_life_t accepted =
+            make_life('a', cases[i].incarnation, "m1");
+        nm_quorum_on_accepted(&quorum, &accepted, 200, 100);
         g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
                         cases[i].accepted_ms);
         nm_quorum_finish(&quorum);
     }
 }
 
+/*
+ * A successor takes a listed witness for ended once another worker responds at
+ * its address.  So an owner may count a later incarnation of it, or one at
+ * another address, only once the list that names it is stored.
+ */
+static void
+test_unlisted_incarnation_counts_for_nothing(void)
+{
+    static const struct {
+        const char *name;
+        int64_t incarnation;
+        const char *address;
+        bool listed; /* a list that names it is stored */
+        nm_ms_t accepted_ms;
+    } cases[] = {
+        {"as listed", 1, "m1", false, 200},
+        {"restarted", 2, "m1", false, 0},
+        {"restarted, listed", 2, "m1", true, 200},
+        {"at another address", 1, "m2", false, 0},
+        {"at another address, listed", 1, "m2", true, 200},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_quorum_t quorum;
+        nm_quorum_init(&quorum);
+        nm_quorum_set_stored(&quorum, make_list("a"));
+        nm_witness_life_t life =
+            make_life('a', cases[i].incarnation, cases[i].address);
+        nm_quorum_set_worker(&quorum, &life, 50);
+        if (cases[i].listed) {
+            GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+            g_ptr_array_add(list, g_memdup2(&life, sizeof(life)));
+            nm_quorum_set_pending(&quorum, list);
+            nm_quorum_confirm_pending(&quorum);
+        }
+        nm_quorum_on_accepted(&quorum, &life, 200, 100);
+        g_assert_cmpint(nm_quorum_accepted_ms(&quorum), ==,
+                        cases[i].accepted_ms);
+        nm_quorum_finish(&quorum);
+    }
+}
+
+/* Only a proof about the listed incarnation at its own address counts. */
+static void
+test_proof_of_another_incarnation_resolves_nothing(void)
+{
+    static const struct {
+        const char *name;
+        const char *stored; /* text of the list */
+        int64_t announced;  /* incarnation; 0: none */
+        int64_t replaced;   /* incarnation that was called */
+        const char *address;
+        bool resolved;
+    } cases[] = {
+        {"as listed", "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]",
+         1, 1, "m1", true},
+        {"without entry",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 0, 1, "m1",
+         true},
+        {"restarted under its id",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 2, 2, "m1",
+         false},
+        {"called elsewhere",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 1, 1, "m2",
+         false},
+        {"list of an earlier version", "[\"a\"]", 1, 1, "m1", false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_quorum_t quorum;
+        nm_quorum_init(&quorum);
+        nm_quorum_set_stored(
+            &quorum, nm_quorum_decode(cases[i].stored,
+                                      (uint32_t)strlen(cases[i].stored)));
+        if (cases[i].announced) {
+            nm_witness_life_t life = make_life('a', cases[i].announced, "m1");
+            nm_quorum_set_worker(&quorum, &life, 50);
+        }
+        nm_witness_life_t life =
+            make_life('a', cases[i].replaced, cases[i].address);
+        nm_quorum_on_replaced(&quorum, &life);
+        g_assert_cmpint(nm_quorum_has_responded(&quorum), ==,
+                        cases[i].resolved);
+        nm_quorum_finish(&quorum);
+    }
+}
+
+#define MODEL_MACHINES 5
+#define MODEL_IDS 12
+#define FORMER_EPOCH 1
+
+/* Machines, each with one worker at a time that knows an epoch. */
+typedef struct {
+    nm_rng_t rng;
+    nm_witness_life_t workers[MODEL_MACHINES];
+    int epochs[MODEL_MACHINES]; /* highest that the worker has seen */
+    int64_t newest_incarnation;
+} model_t;
+
+static bool
+chance(model_t *model, double share)
+{
+    return nm_rng_unit(&model->rng) < share;
+}
+
+/* Another worker begins there, in half of the cases under an id of before. */
+static void
+start_worker(model_t *model, int machine)
+{
+    char id = (char)('a' + nm_rng_below(&model->rng, MODEL_IDS));
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        if (m != machine && model->workers[m].id[0] == id) {
+            return;
+        }
+    }
+    char address[] = {'m', (char)('0' + machine), '\0'};
+    model->workers[machine] =
+        make_life(id, ++model->newest_incarnation, address);
+    model->epochs[machine] = 0;
+}
+
+static void
+announce_workers(model_t *model, nm_quorum_t *quorum, nm_ms_t now_ms)
+{
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        if (chance(model, 0.3)) {
+            nm_quorum_set_worker(quorum, &model->workers[m], now_ms);
+        }
+    }
+}
+
+static void
+probe_workers(model_t *model, nm_quorum_t *quorum, int epoch, nm_ms_t now_ms,
+              nm_ms_t confirmed_ms)
+{
+    for (int i = 0; i < MODEL_IDS; i++) {
+        const char name[] = {(char)('a' + i), '\0'};
+        const nm_witness_t *witness = nm_quorum_find(quorum, name);
+        if (!witness || !chance(model, 0.4)) {
+            continue;
+        }
+        nm_witness_life_t called = witness->life;
+        int machine = called.address[1] - '0';
+        const nm_witness_life_t *there = &model->workers[machine];
+        if (strcmp(there->id, called.id) != 0) {
+            nm_quorum_on_replaced(quorum, &called);
+        }
+        else if (epoch >= model->epochs[machine]) {
+            model->epochs[machine] = epoch;
+            called.incarnation = there->incarnation;
+            nm_quorum_on_accepted(quorum, &called, now_ms, confirmed_ms);
+        }
+    }
+}
+
+static GPtrArray *
+list_workers(const model_t *model)
+{
+    GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        g_ptr_array_add(
+            list, g_memdup2(&model->workers[m], sizeof(model->workers[m])));
+    }
+    return list;
+}
+
+/*
+ * Workers end and others take their addresses, also under ids of before, while
+ * two owners call those that they reach.  Once the successor knows a majority,
+ * no call of the former owner counts that was sent later.  Returns true if the
+ * successor got there.
+ */
+static bool
+play_two_owners(uint64_t seed)
+{
+    enum { ELECTION_MS = 20, END_MS = 60 };
+    model_t model = {0};
+    nm_rng_init(&model.rng, seed);
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        do {
+            start_worker(&model, m);
+        } while (model.workers[m].id[0] == '\0');
+    }
+    nm_quorum_t former;
+    nm_quorum_t next;
+    nm_quorum_init(&former);
+    nm_quorum_init(&next);
+    nm_quorum_set_stored(&former, list_workers(&model));
+    char *stored = nm_quorum_encode(former.stored);
+    nm_ms_t resolved_ms = 0;
+    for (nm_ms_t now_ms = 1; now_ms <= END_MS; now_ms++) {
+        nm_ms_t confirmed_ms = MIN(now_ms, ELECTION_MS);
+        if (chance(&model, 0.3)) {
+            start_worker(&model,
+                         (int)nm_rng_below(&model.rng, MODEL_MACHINES));
+        }
+        announce_workers(&model, &former, now_ms);
+        if (now_ms < ELECTION_MS && !former.pending && chance(&model, 0.1)) {
+            nm_quorum_set_pending(&former, list_workers(&model));
+            announce_workers(&model, &former, now_ms);
+            bool responded = chance(&model, 0.5);
+            if (responded || chance(&model, 0.5)) {
+                free(stored);
+                stored = nm_quorum_encode(former.pending);
+            }
+            if (responded) {
+                nm_quorum_confirm_pending(&former);
+            }
+        }
+        probe_workers(&model, &former, FORMER_EPOCH, now_ms, confirmed_ms);
+        if (now_ms == ELECTION_MS) {
+            nm_quorum_set_stored(
+                &next, nm_quorum_decode(stored, (uint32_t)strlen(stored)));
+        }
+        if (now_ms >= ELECTION_MS) {
+            announce_workers(&model, &next, now_ms);
+            probe_workers(&model, &next, FORMER_EPOCH + 1, now_ms, now_ms);
+        }
+        if (resolved_ms == 0 && now_ms >= ELECTION_MS &&
+            nm_quorum_has_responded(&next))
+        {
+            resolved_ms = now_ms;
+        }
+        if (resolved_ms > 0) {
+            g_assert_cmpint(nm_quorum_accepted_ms(&former), <=, resolved_ms);
+        }
+    }
+    free(stored);
+    nm_quorum_finish(&former);
+    nm_quorum_finish(&next);
+    return resolved_ms > 0;
+}
+
+static void
+test_two_owners_have_no_majority_each(void)
+{
+    enum { SEEDS = 5000 };
+    int resolved = 0;
+    for (uint64_t seed = 1; seed <= SEEDS && !g_test_failed(); seed++) {
+        resolved += play_two_owners(seed);
+    }
+    g_assert_cmpint(resolved, >, SEEDS / 2);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -330,6 +669,8 @@
          test_expired_entries_end_no_authority},
         {"/authority/successor-waits-for-a-majority",
          test_successor_waits_for_a_majority},
+        {"/authority/ended-witnesses-delay-no-successor",
+         test_ended_witnesses_delay_no_successor},
         {"/authority/slow-reading-does-not-shorten-the-wait",
          test_slow_reading_does_not_shorten_the_wait},
         {"/authority/hand-over-passes-on-leases",
@@ -337,6 +678,12 @@
         {"/authority/majorities", test_majorities},
         {"/authority/restarted-witness-counts-for-nothing",
          test_restarted_witness_counts_for_nothing},
+        {"/authority/unlisted-incarnation-counts-for-nothing",
+         test_unlisted_incarnation_counts_for_nothing},
+        {"/authority/proof-of-another-incarnation-resolves-nothing",
+         test_proof_of_another_incarnation_resolves_nothing},
+        {"/authority/two-owners-have-no-majority-each",
+         test_two_owners_have_no_majority_each},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
