Benchmark of service, label and limit per worker, with workers that restart

bench_jobs checked capacity and second runs, not ROUTE, and no worker of it restarted under its id.

Patterns "restricted" and "restarts": 12 workers, steps with a limit per worker and with a label; in the second one workers restart under their id, some as another kind, announced 50 to 800 ms after the first report of the new incarnation; a fifth of the calls get no response, and half of these starts are carried out 2 to 12 s late by a later incarnation. Random numbers are drawn from a generator of their own. A start that was sent to an earlier incarnation is judged for limit and capacity only beside starts sent to the one that carries it out, as room has to be kept for it there.

The check of the capacity passes over starts that reserve no CPU, which cannot bring a worker over it; the start that did has been counted.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -265,6 +265,61 @@
            pass;
 }
 
+/*
+ * Steps with a limit of tasks per worker, and steps that require a label that
+ * few workers have.  The rules: no start breaks its service, label or limit,
+ * brings a worker over its capacity, or is the second run of a task.
+ */
+static const struct {
+    const char *name;
+    nm_ms_t restart_interval_ms;
+} restrictions[] = {
+    {"restricted", 0},
+    {"restarts", 10000},
+};
+
+static bool
+run_restricted(uint64_t seed, size_t index)
+{
+    const char *name = restrictions[index].name;
+    nm_ms_t restart_interval_ms = restrictions[index].restart_interval_ms;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .workers = 12,
+        .checks_per_s = 2,
+        .fillers_per_s = 1.25,
+        .services = 8,
+        .disturbing_pair_share = 0.5,
+        .limited_step_share = 0.7,
+        .labelled_step_share = 0.2,
+        .labelled_share = 0.4,
+        .restart_interval_ms = restart_interval_ms,
+        .duration_ms = 240000,
+    });
+    print_summary(name, &info);
+    printf("jobs %s: %u restarts, starts: with limit %u, with label %u, late "
+           "%u; breaking service %u, label %u, limit %u (late %u), capacity "
+           "%u (late %u), second runs %u (known %u)\n",
+           name, info.restarts, info.limited_starts, info.labelled_starts,
+           info.late_starts, info.wrong_service, info.label_missing,
+           info.over_limit, info.late_over_limit, info.over_capacity,
+           info.late_over_capacity, info.duplicate_runs,
+           info.known_duplicates);
+    char label[64];
+    g_snprintf(label, sizeof(label), "jobs-%s-misrouted", name);
+    bool pass = report_at_most(
+        label, info.wrong_service + info.label_missing + info.over_limit, 0);
+    g_snprintf(label, sizeof(label), "jobs-%s-overfull", name);
+    pass &= report_at_most(label, info.over_capacity, 0);
+    g_snprintf(label, sizeof(label), "jobs-%s-doubled", name);
+    pass &= report_at_most(label, info.duplicate_runs, 0);
+    if (restart_interval_ms > 0) {
+        g_snprintf(label, sizeof(label), "jobs-%s-late-starts", name);
+        pass &= report_at_least(label, info.late_starts, 1);
+    }
+    return pass;
+}
+
 /* Size of the fleet with which larger ones are compared. */
 #define DECISION_WORKERS 50
 /*
@@ -355,6 +410,12 @@
             pass &= run_owner(seed, i);
         }
     }
+    for (size_t i = 0; i < NM_COUNT_OF(restrictions); i++) {
+        if (!pattern[0] || decisions ||
+            strcmp(pattern, restrictions[i].name) == 0) {
+            pass &= run_restricted(seed, i);
+        }
+    }
     if (!pattern[0] || strcmp(pattern, "growth") == 0) {
         pass &= check_decision_growth(seed);
     }
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -1,4 +1,4 @@
-#include "lib_fleet.h"
+#include "lib_fleet_state.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -8,9 +8,8 @@
 
 #include <jansson.h>
 
-#define TICK_MS 10
-#define SERVING_IMAGES 5
-#define FILLER_IMAGES 9
+#include "lib_restarts.h"
+
 #define TARGET_MS 18
 /* Spreads the phases of successive jobs evenly over the circle. */
 #define GOLDEN_ANGLE 2.39996
@@ -39,78 +38,6 @@
 /* A filler that is stopped earlier has no checkpoint. */
 #define SAVE_MS 1000
 
-/* Kinds of jobs; the queue of a kind has the same index. */
-enum {
-    JOB_CHECK,
-    JOB_FILLER,
-    JOB_SERVICE,
-    JOB_KIND_COUNT,
-};
-
-typedef struct {
-    char task[NM_TASK_NAME_MAX];
-    int64_t run;
-    nm_ms_t ends_ms; /* NM_MS_NEVER: long-running */
-    nm_ms_t began_ms;
-    nm_ms_t duration_left_ms; /* left at began_ms */
-    bool fails;
-    bool stopping;
-    int serving_image; /* -1: not a serving task */
-    double load_phase; /* of its job, in radians */
-    int filler_image;  /* -1: not a filler */
-    int64_t cpu_milli;
-    bool reserves_cpu;
-    uint32_t percent;
-    int64_t metric;
-    nm_ms_t over_since_ms;
-} run_t;
-
-typedef struct {
-    char id[NM_NAME_MAX];
-    GArray *runs; /* of run_t */
-    GArray *ends; /* of nm_worker_end_t, not acknowledged */
-    int64_t last_end;
-    bool poll_pending;
-    nm_ms_t poll_until_ms;
-    nm_ms_t poll_sent_ms;
-    bool failing;
-    bool unresponsive;
-    nm_ms_t unresponsive_since_ms;
-} worker_t;
-
-typedef struct {
-    char id[NM_JOB_ID_MAX];
-    nm_ms_t arrived_ms;
-    nm_ms_t objective_ms;
-    bool is_check;
-    bool always_fails;
-    bool ended;
-    bool long_running;
-    double credit_share; /* earned; 0: not ended, or later than the limit */
-    int64_t core_ms;
-    nm_ms_t at_work_ms; /* a task of it was last running */
-    double load_phase;
-} job_t;
-
-typedef struct {
-    fleet_desc_t desc;
-    fleet_info_t info;
-    nm_sched_t *sched;
-    nm_ms_t now_ms;
-    nm_rng_t rng;
-    worker_t *workers;
-    GHashTable *workers_by_id;
-    GHashTable *jobs;
-    GHashTable *saved_left_ms; /* task -> duration left after its checkpoint */
-    double effects[SERVING_IMAGES][FILLER_IMAGES];
-    uint64_t job_number;
-    double pending_arrivals[JOB_KIND_COUNT];
-    GHashTable *running;     /* task -> number of its runs */
-    GHashTable *interrupted; /* long-running task -> when its run failed */
-    double owner_cpu_s;      /* info.cpu_s after the newest decisions */
-    nm_ms_t owner_busy_until_ms;
-} fleet_t;
-
 static double
 random_unit(fleet_t *fleet)
 {
@@ -167,6 +94,7 @@
         step->saves_progress = kind == JOB_FILLER;
         step->target_ms = kind == JOB_SERVICE ? TARGET_MS : 0;
         snprintf(step->image, sizeof(step->image), "%d", image);
+        restarts_restrict_step(fleet, step);
         if (s > 0) {
             nm_step_add_dependency(step, s - 1);
         }
@@ -211,8 +139,8 @@
     }
 }
 
-static run_t *
-find_run(worker_t *worker, const char *task, int64_t number)
+run_t *
+fleet_find_run(worker_t *worker, const char *task, int64_t number)
 {
     for (guint i = 0; i < worker->runs->len; i++) {
         run_t *run = &g_array_index(worker->runs, run_t, i);
@@ -251,8 +179,9 @@
     }
 }
 
-static void
-start_run(fleet_t *fleet, worker_t *worker, const nm_sched_action_t *action)
+void
+fleet_start_run(fleet_t *fleet, worker_t *worker,
+                const nm_sched_action_t *action)
 {
     const job_t *job = find_job(fleet, action->task);
     unsigned int occurrence;
@@ -262,7 +191,9 @@
         3) {
         return;
     }
-    fleet->info.duplicate_runs += add_running(fleet, action->task, 1) > 0;
+    if (add_running(fleet, action->task, 1) > 0) {
+        restarts_count_duplicate(fleet, worker, action);
+    }
     measure_interrupted(fleet,
                         g_hash_table_lookup(fleet->interrupted, action->task));
     g_hash_table_remove(fleet->interrupted, action->task);
@@ -278,7 +209,8 @@
                  .filler_image = desc.is_filler ? desc.image[0] - '0' : -1,
                  .cpu_milli = desc.cpu_milli,
                  .reserves_cpu = !desc.is_filler,
-                 .percent = 100};
+                 .percent = 100,
+                 .unaddressed = action->incarnation != worker->incarnation};
     nm_strcopy(run.task, sizeof(run.task), action->task);
     run.load_phase = job->load_phase;
     if (!desc.long_running) {
@@ -294,12 +226,7 @@
     }
     g_array_append_val(worker->runs, run);
     fleet->info.starts++;
-    int64_t used = 0;
-    for (guint i = 0; i < worker->runs->len; i++) {
-        const run_t *other = &g_array_index(worker->runs, run_t, i);
-        used += other->reserves_cpu ? other->cpu_milli : 0;
-    }
-    fleet->info.over_capacity += used > fleet->desc.cpu_milli;
+    restarts_check_start(fleet, worker, &run, &desc);
 }
 
 static void
@@ -324,10 +251,20 @@
                             g_memdup2(&fleet->now_ms, sizeof(fleet->now_ms)));
     }
     add_running(fleet, run->task, -1);
+    restarts_refuse(worker, run->task, run->run);
     g_array_append_val(worker->ends, end);
     g_array_remove_index(worker->runs, index);
 }
 
+void
+fleet_drop_runs(fleet_t *fleet, worker_t *worker)
+{
+    for (guint i = 0; i < worker->runs->len; i++) {
+        add_running(fleet, g_array_index(worker->runs, run_t, i).task, -1);
+    }
+    g_array_set_size(worker->runs, 0);
+}
+
 static double
 log_tail(const fleet_t *fleet, const worker_t *worker, const run_t *run)
 {
@@ -399,8 +336,8 @@
     }
     nm_worker_report_t report = {
         .result = NM_ORDER_DONE,
-        .incarnation = 1,
-        .clock_ms = fleet->now_ms,
+        .incarnation = worker->incarnation,
+        .clock_ms = fleet->now_ms - worker->born_ms,
         .sent_ms = worker->poll_sent_ms,
         .complete = true,
         .running = (const nm_worker_run_t *)rows->data,
@@ -409,6 +346,7 @@
         .end_count = worker->ends->len,
     };
     worker->poll_pending = false;
+    restarts_on_report(fleet, worker);
     double begin_s = fleet->desc.owner_cores > 0 ? process_cpu_s() : 0;
     nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
     if (fleet->desc.owner_cores > 0) {
@@ -417,12 +355,24 @@
     g_array_free(rows, TRUE);
 }
 
+static void
+time_out_poll(fleet_t *fleet, worker_t *worker)
+{
+    if (worker->poll_pending && fleet->now_ms >= worker->poll_until_ms) {
+        nm_worker_report_t report = {.result = NM_ORDER_UNKNOWN,
+                                     .sent_ms = worker->poll_sent_ms};
+        worker->poll_pending = false;
+        worker->poll_lost = false;
+        nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
+    }
+}
+
 static void
 tick_worker(fleet_t *fleet, worker_t *worker)
 {
     for (guint i = worker->runs->len; i > 0; i--) {
         run_t *run = &g_array_index(worker->runs, run_t, i - 1);
-        if (run->stopping) {
+        if (run->stopping && fleet->now_ms >= run->stopped_ms) {
             end_run(fleet, worker, i - 1, NM_END_STOPPED);
         }
         else if (run->serving_image >= 0 &&
@@ -441,8 +391,11 @@
         }
     }
     measure_tails(fleet, worker);
-    if (worker->poll_pending &&
-        (worker->ends->len > 0 || fleet->now_ms >= worker->poll_until_ms))
+    if (worker->poll_lost || fleet->now_ms < worker->up_ms) {
+        time_out_poll(fleet, worker);
+    }
+    else if (worker->poll_pending &&
+             (worker->ends->len > 0 || fleet->now_ms >= worker->poll_until_ms))
     {
         send_report(fleet, worker);
     }
@@ -454,18 +407,10 @@
 {
     if (worker->unresponsive_since_ms == 0) {
         worker->unresponsive_since_ms = fleet->now_ms;
-        for (guint i = 0; i < worker->runs->len; i++) {
-            add_running(fleet, g_array_index(worker->runs, run_t, i).task, -1);
-        }
-        g_array_set_size(worker->runs, 0);
+        fleet_drop_runs(fleet, worker);
         nm_sched_deregister_worker(fleet->sched, worker->id);
     }
-    if (worker->poll_pending && fleet->now_ms >= worker->poll_until_ms) {
-        nm_worker_report_t report = {.result = NM_ORDER_UNKNOWN,
-                                     .sent_ms = worker->poll_sent_ms};
-        worker->poll_pending = false;
-        nm_sched_on_report(fleet->sched, worker->id, &report, fleet->now_ms);
-    }
+    time_out_poll(fleet, worker);
 }
 
 static void
@@ -474,19 +419,29 @@
     worker_t *worker =
         g_hash_table_lookup(fleet->workers_by_id, action->worker);
     bool unresponsive =
-        worker->unresponsive && worker->unresponsive_since_ms > 0;
+        (worker->unresponsive && worker->unresponsive_since_ms > 0) ||
+        fleet->now_ms < worker->up_ms;
     nm_order_result_t result = unresponsive ? NM_ORDER_UNKNOWN : NM_ORDER_DONE;
-    run_t *run =
-        unresponsive ? NULL : find_run(worker, action->task, action->run);
+    run_t *run = unresponsive
+                     ? NULL
+                     : fleet_find_run(worker, action->task, action->run);
     switch (action->type) {
     case NM_ACTION_START:
+        if (fleet->desc.restart_interval_ms > 0) {
+            restarts_start(fleet, worker, action);
+            break;
+        }
         if (!unresponsive && !run) {
-            start_run(fleet, worker, action);
+            fleet_start_run(fleet, worker, action);
         }
         nm_sched_on_start(fleet->sched, action, result, fleet->now_ms);
         break;
     case NM_ACTION_STOP:
         fleet->info.stops++;
+        if (fleet->desc.restart_interval_ms > 0) {
+            restarts_stop(fleet, worker, action);
+            break;
+        }
         if (run) {
             run->stopping = true;
         }
@@ -500,7 +455,8 @@
         break;
     default:
         fleet->info.polls++;
-        while (worker->ends->len > 0 &&
+        while (action->incarnation == worker->incarnation &&
+               worker->ends->len > 0 &&
                g_array_index(worker->ends, nm_worker_end_t, 0).number <=
                    action->acked)
         {
@@ -510,6 +466,7 @@
         worker->poll_sent_ms = fleet->now_ms;
         worker->poll_until_ms =
             fleet->now_ms + POLL_LATENCY_MS + action->wait_ms;
+        restarts_poll(fleet, worker, action);
         break;
     }
 }
@@ -709,14 +666,8 @@
         worker->unresponsive = w >= desc->failing_workers &&
                                w < desc->failing_workers + desc->unresponsive;
         g_hash_table_insert(fleet->workers_by_id, worker->id, worker);
-        nm_sched_worker_t announced = {.incarnation = 1,
-                                       .cpu_milli = desc->cpu_milli,
-                                       .memory_mb = 1000000};
-        nm_strcopy(announced.id, sizeof(announced.id), worker->id);
-        nm_strcopy(announced.service, sizeof(announced.service), "press");
-        nm_strcopy(announced.address, sizeof(announced.address), "10.0.0.1:1");
-        nm_sched_set_worker(fleet->sched, &announced, 0);
-        nm_sched_admit_worker(fleet->sched, worker->id);
+        restarts_init_worker(fleet, worker);
+        restarts_announce(fleet, worker);
     }
 }
 
@@ -747,6 +698,7 @@
     for (uint32_t w = 0; w < fleet->desc.workers; w++) {
         g_array_free(fleet->workers[w].runs, TRUE);
         g_array_free(fleet->workers[w].ends, TRUE);
+        g_hash_table_destroy(fleet->workers[w].refused);
     }
     g_free(fleet->workers);
     g_hash_table_destroy(fleet->workers_by_id);
@@ -754,6 +706,7 @@
     g_hash_table_destroy(fleet->saved_left_ms);
     g_hash_table_destroy(fleet->running);
     g_hash_table_destroy(fleet->interrupted);
+    g_array_free(fleet->unanswered, TRUE);
     nm_sched_free(fleet->sched);
 }
 
@@ -781,6 +734,7 @@
     if (desc->informed) {
         reveal_effects(&fleet);
     }
+    restarts_init(&fleet);
     init_workers(&fleet);
     for (fleet.now_ms = TICK_MS; fleet.now_ms < duration_ms;
          fleet.now_ms += TICK_MS)
@@ -797,6 +751,7 @@
         }
         for (uint32_t w = 0; w < fleet.desc.workers; w++) {
             worker_t *worker = &fleet.workers[w];
+            restarts_tick_worker(&fleet, worker);
             if (worker->unresponsive && fleet.now_ms >= 8000) {
                 tick_unresponsive_worker(&fleet, worker);
             }
@@ -804,6 +759,7 @@
                 tick_worker(&fleet, worker);
             }
         }
+        restarts_deliver(&fleet);
         if (fleet.now_ms >= fleet.owner_busy_until_ms) {
             run_owner(&fleet);
         }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -44,7 +44,15 @@
      * The results of a seed are not deterministic then.
      */
     double owner_cores;
-    nm_ms_t owner_pass_ms;   /* time that its decisions take besides that */
+    nm_ms_t owner_pass_ms;      /* time that its decisions take besides that */
+    double limited_step_share;  /* share of steps with a limit per worker */
+    double labelled_step_share; /* share of steps that require a label */
+    double labelled_share;      /* share of workers that have it */
+    /*
+     * Mean time to the restart of a worker under its id; 0: none restarts.
+     * Calls may then get no response, and starts be carried out late.
+     */
+    nm_ms_t restart_interval_ms;
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
@@ -76,7 +84,22 @@
     uint32_t polls;
     uint32_t over_capacity;  /* starts that put a worker over its capacity */
     uint32_t duplicate_runs; /* starts of a task that was running already */
-    double cpu_s;            /* CPU time of the scheduler */
+    uint32_t wrong_service;  /* starts on a worker of another service */
+    uint32_t label_missing;  /* starts on a worker without the label */
+    uint32_t over_limit;     /* starts beyond the limit per worker */
+    /*
+     * Part of duplicate_runs: a report had shown the scheduler the restart of
+     * the worker that carried out a late start, if any.
+     */
+    uint32_t known_duplicates;
+    /* Part of over_capacity and over_limit: a late start beside others. */
+    uint32_t late_over_capacity;
+    uint32_t late_over_limit;
+    uint32_t restarts;
+    uint32_t late_starts;     /* carried out by a later incarnation */
+    uint32_t limited_starts;  /* of steps with a limit per worker */
+    uint32_t labelled_starts; /* of steps that require a label */
+    double cpu_s;             /* CPU time of the scheduler */
 } fleet_info_t;
 
 fleet_info_t fleet_run(const fleet_desc_t *desc);
