--- a/soak/lib_entries.c
+++ b/soak/lib_entries.c
@@ -26,14 +26,15 @@
     executor_t *executor = executor_at(platform_fleet(platform), index);
     char key[NM_NAME_MAX * 2];
     snprintf(key, sizeof(key), "servers/%s", executor->id);
+    const executor_kind_t *kind = &executor_kinds[executor->kind];
     char value[512];
     snprintf(value, sizeof(value),
-             "{\"service\":\"s\",\"address\":\"" ADDRESS "\","
+             "{\"service\":\"%s\",\"address\":\"" ADDRESS "\","
              "\"zone\":\"z%u\",\"state\":\"ready\",\"capacity\":{"
-             "\"cpu\":%lld,\"memMb\":1000000},\"labels\":[\"a\",\"r%u\"],"
+             "\"cpu\":%lld,\"memMb\":1000000},\"labels\":[\"%s\",\"r%u\"],"
              "\"sequence\":%llu,\"born\":%lld}",
-             index % 3, (long long)entries->cpu_milli, index / 8,
-             (unsigned long long)++executor->sequence,
+             kind->service, index % 3, (long long)entries->cpu_milli,
+             kind->label, index / 8, (unsigned long long)++executor->sequence,
              (long long)executor->incarnation);
     platform_put(platform, key, value);
     executor->entry_ms = now_ms;
--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -27,6 +27,17 @@
 /* The same of jobs that fail often; some reach the limit of attempts. */
 #define FAILING_OFTEN_SHARE 0.7
 
+/* An executor becomes of another kind only after a life of this length. */
+#define KIND_LIFE_MIN_MS 12000
+/* One restart in so many of those is as another kind. */
+#define KIND_CHANGES 2
+
+const executor_kind_t executor_kinds[EXECUTOR_KINDS] = {
+    {"s", "a"},
+    {"s", "b"},
+    {"t", "a"},
+};
+
 typedef struct {
     uint32_t tasks;
     uint32_t done_tasks;
@@ -40,6 +51,9 @@
     bool may_fail;
     bool refused;
     nm_ms_t cancelled_ms; /* 0: not cancelled */
+    const char *service;  /* NULL: any */
+    const char *label;    /* NULL: any */
+    uint32_t per_worker_max;
 } job_t;
 
 typedef struct {
@@ -58,6 +72,7 @@
     GHashTable *jobs;  /* id -> job_t */
     GHashTable *tasks; /* name -> task_t */
     nm_rng_t rng;
+    nm_rng_t kind_rng; /* apart, so that a seed draws what it drew before */
     FILE *event_log;
     executor_fleet_info_t info;
 };
@@ -100,11 +115,13 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->executors = g_new0(executor_t, desc->executors);
     nm_rng_init(&fleet->rng, desc->seed);
+    nm_rng_init(&fleet->kind_rng, desc->seed + 3);
     fleet->event_log =
         desc->event_log_path ? fopen(desc->event_log_path, "w") : NULL;
     for (uint32_t i = 0; i < desc->executors; i++) {
         executor_t *executor = &fleet->executors[i];
         snprintf(executor->id, sizeof(executor->id), "x%u", i);
+        executor->kind = i % EXECUTOR_KINDS;
         executor->clock_rate = i % 2 == 0 ? CLOCK_RATE_MIN : 1;
         executor->runs = g_array_new(FALSE, TRUE, sizeof(executor_run_t));
         executor->ends = g_array_new(FALSE, TRUE, sizeof(executor_end_t));
@@ -276,6 +293,15 @@
             job->may_fail = job->may_fail || task->crashes >= CRASHES_MIN;
         }
     }
+    bool may_change = index >= EXECUTOR_KINDS_FIXED &&
+                      executor_clock(executor, now_ms) > KIND_LIFE_MIN_MS;
+    if (may_change && nm_rng_below(&fleet->kind_rng, KIND_CHANGES) == 0) {
+        executor->kind = (executor->kind + 1 +
+                          nm_rng_below(&fleet->kind_rng, EXECUTOR_KINDS - 1)) %
+                         EXECUTOR_KINDS;
+        fleet->info.kind_changes++;
+        log_event(fleet, now_ms, "kind", executor, "-", executor->kind);
+    }
     start_incarnation(executor, now_ms);
 }
 
@@ -450,6 +476,59 @@
     }
 }
 
+/* True if the order was sent to this incarnation; see the header. */
+static bool
+is_own_order(const executor_t *executor, const executor_order_t *order,
+             nm_ms_t now_ms)
+{
+    nm_ms_t arrived_ms = order->arrived_ms > 0 ? order->arrived_ms : now_ms;
+    return arrived_ms >= executor->incarnation_start_ms &&
+           order->expiry_ms <= executor_clock(executor, now_ms) + LEASE_MAX_MS;
+}
+
+/* The length of ID.OCCURRENCE.STEP. in ID.OCCURRENCE.STEP.INDEX. */
+static size_t
+step_length(const char *task)
+{
+    const char *dot = strrchr(task, '.');
+    return dot ? (size_t)(dot - task) + 1 : strlen(task);
+}
+
+/* Called once the task's run is among those of the executor. */
+static void
+check_route(executor_fleet_t *fleet, const executor_t *executor,
+            const char *task, const job_t *job, nm_ms_t now_ms)
+{
+    const executor_kind_t *kind = &executor_kinds[executor->kind];
+    if (job->service && strcmp(job->service, kind->service) != 0) {
+        executor_fleet_add_violation(
+            fleet, now_ms,
+            "ROUTE task %s starts on executor %s of service %s, not %s", task,
+            executor->id, kind->service, job->service);
+    }
+    if (job->label && strcmp(job->label, kind->label) != 0) {
+        executor_fleet_add_violation(
+            fleet, now_ms,
+            "ROUTE task %s starts on executor %s of label %s, not %s", task,
+            executor->id, kind->label, job->label);
+    }
+    uint32_t count = 0;
+    size_t length = step_length(task);
+    for (guint i = 0; i < executor->runs->len; i++) {
+        const char *other =
+            g_array_index(executor->runs, executor_run_t, i).task;
+        count +=
+            step_length(other) == length && strncmp(other, task, length) == 0;
+    }
+    if (job->per_worker_max > 0 && count > job->per_worker_max) {
+        executor_fleet_add_violation(
+            fleet, now_ms,
+            "ROUTE task %s starts on executor %s, %u tasks of its step are "
+            "there, limit %u",
+            task, executor->id, count, job->per_worker_max);
+    }
+}
+
 int
 executor_start(executor_fleet_t *fleet, executor_t *executor,
                const executor_order_t *order, nm_ms_t now_ms,
@@ -502,6 +581,13 @@
     task->started = true;
     log_event(fleet, now_ms, "start", executor, order->task, order->run);
     check_capacity(fleet, executor, now_ms);
+    if (!is_own_order(executor, order, now_ms)) {
+        fleet->info.late_starts++;
+        log_event(fleet, now_ms, "late", executor, order->task, order->run);
+    }
+    else if (job) {
+        check_route(fleet, executor, order->task, job, now_ms);
+    }
     fleet->info.starts++;
     return EXECUTOR_STATUS_OK;
 }
@@ -570,6 +656,19 @@
     g_hash_table_insert(fleet->jobs, g_strdup(id), job);
 }
 
+void
+executor_job_routed(executor_fleet_t *fleet, const char *id,
+                    const char *service, const char *label,
+                    uint32_t per_worker_max)
+{
+    job_t *job = g_hash_table_lookup(fleet->jobs, id);
+    if (job) {
+        job->service = service;
+        job->label = label;
+        job->per_worker_max = per_worker_max;
+    }
+}
+
 void
 executor_job_fails_often(executor_fleet_t *fleet, const char *id)
 {
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -14,6 +14,17 @@
  *              time after three of them have crashed under it, nor any task
  *              after attempts_max ends `failed` that were acknowledged
  *     REFUSED  not all submit attempts of the task's job were refused
+ *     ROUTE    the executor has the service of the job's queue and the label
+ *              that the job requires, and runs at most per_worker_max tasks of
+ *              one step, runs that are being stopped included
+ *
+ * A start that was sent to an earlier incarnation counts for the limit of
+ * later starts, but breaks no ROUTE itself: its sender could not know what the
+ * executor is now.  Such a start arrived before the incarnation began, or its
+ * lease lies beyond what the incarnation's clock allows (`expiryMs` is on the
+ * clock of the executor, which starts anew with it, and maxHoldMs bounds it).
+ * For the second criterion, only lives of KIND_LIFE_MIN_MS end in another
+ * kind. One of an earlier life of less than that counts as sent to this one.
  *
  * The model does no I/O except for reports on stderr and the event log: the
  * caller passes the time and transports the orders.
@@ -31,6 +42,7 @@
 
 #include <nutmegdeck/base.h>
 
+#define EXECUTOR_KINDS_FIXED 6
 #define EXECUTOR_STATUS_OK 200
 #define EXECUTOR_STATUS_CONFLICT 409
 #define EXECUTOR_STATUS_WRONG_INCARNATION 421
@@ -46,6 +58,15 @@
     const char *event_log_path;
 } executor_fleet_desc_t;
 
+/* What an executor is: its service, and a label beside that of its rack. */
+typedef struct {
+    const char *service;
+    const char *label;
+} executor_kind_t;
+
+#define EXECUTOR_KINDS 3
+extern const executor_kind_t executor_kinds[EXECUTOR_KINDS];
+
 typedef struct {
     char task[64];
     int64_t run;
@@ -73,6 +94,7 @@
 typedef struct {
     char id[NM_NAME_MAX];
     nm_ms_t incarnation_start_ms;
+    uint32_t kind;       /* index of executor_kinds, of this incarnation */
     double clock_rate;   /* 1, or less as the users' platform allows */
     int64_t incarnation; /* start time, Unix ms */
     int64_t epoch;
@@ -100,6 +122,7 @@
     int64_t epoch;
     int64_t expiry_ms; /* of the lease, on executor_clock */
     const char *checkpoint;
+    nm_ms_t arrived_ms; /* at the platform; 0: now */
 } executor_order_t;
 
 typedef struct executor_fleet executor_fleet_t;
@@ -124,7 +147,10 @@
  */
 void executor_cut(executor_fleet_t *fleet, uint32_t index, nm_ms_t until_ms,
                   nm_ms_t now_ms);
-/* Starts a new incarnation with no runs, ends, lease or epoch. */
+/*
+ * Starts a new incarnation with no runs, ends, lease or epoch; at times it is
+ * of another kind.  The first EXECUTOR_KINDS_FIXED executors keep theirs.
+ */
 void executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms);
 
 /*
@@ -149,6 +175,13 @@
                             uint32_t tasks, int64_t cpu_milli,
                             nm_ms_t duration_ms, bool long_running,
                             bool deadly);
+/*
+ * What the job asks of its executors: the service of its queue, a label (NULL:
+ * any) and the tasks of a step on one executor (0: no limit).
+ */
+void executor_job_routed(executor_fleet_t *fleet, const char *job,
+                         const char *service, const char *label,
+                         uint32_t per_worker_max);
 /* Most runs of the job's tasks fail. */
 void executor_job_fails_often(executor_fleet_t *fleet, const char *job);
 /*
@@ -168,6 +201,8 @@
     uint32_t ends;
     /* Starts of tasks of which a live executor lists an end `done`. */
     uint32_t repeats;
+    uint32_t late_starts; /* of orders sent to an earlier incarnation */
+    uint32_t kind_changes;
     uint32_t violations;
     char first_violation[1024]; /* time and text; empty: none */
 } executor_fleet_info_t;
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -37,8 +37,9 @@
     char *after_name; /* last key of the page before; "": first page */
     int64_t after;
     int64_t incarnation; /* of the executor on arrival */
-    nm_ms_t until_ms;    /* end of the wait time; delayed order: when due */
-    bool stalled;        /* gets only a 503, after STALLED_MAX_MS */
+    nm_ms_t arrived_ms;
+    nm_ms_t until_ms; /* end of the wait time; delayed order: when due */
+    bool stalled;     /* gets only a 503, after STALLED_MAX_MS */
     json_t *response;
     int status; /* 0: not yet known */
 } request_t;
@@ -427,6 +428,7 @@
         .epoch = json_integer_value(json_object_get(body, "fencingToken")),
         .expiry_ms = json_integer_value(json_object_get(body, "expiryMs")),
         .checkpoint = checkpoint ? checkpoint : "",
+        .arrived_ms = request->arrived_ms,
     };
     int64_t acked = json_integer_value(json_object_get(body, "ackCursor"));
     const char *reason = NULL;
@@ -592,6 +594,7 @@
         json_decref(order);
     }
     request->until_ms = now_ms + wait_ms;
+    request->arrived_ms = now_ms;
     const executor_t *executor =
         executor_find(platform->fleet, request->instance);
     request->incarnation = executor ? executor->incarnation : 0;
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -143,6 +143,10 @@
          "Inject mainly narrow links and hosts short of processor, with more "
          "tasks of more bytes",
          NULL},
+        {"restarts", 0, 0, G_OPTION_ARG_NONE, &soak_options.restarts,
+         "Restart executors under their ids, with late orders, beside the "
+         "other faults",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -172,6 +176,7 @@
 start_all(void)
 {
     nm_rng_init(&soak.rng, (uint64_t)soak_options.seed);
+    nm_rng_init(&soak.route_rng, (uint64_t)soak_options.seed + 4);
     soak.jobs = g_ptr_array_new_with_free_func(g_free);
     curl_global_init(CURL_GLOBAL_ALL);
     soak.multi = curl_multi_init();
@@ -229,6 +234,7 @@
         if (faults) {
             soak_kill_owners(now_ms);
             soak_cut_executors(now_ms);
+            soak_restart_executors(now_ms);
         }
         soak_supervise_hosts(now_ms);
         soak_handle_responses(now_ms);
@@ -261,13 +267,15 @@
         executor_fleet_query_info(platform_fleet(soak.platform));
     platform_unlock(soak.platform);
     printf("soak seed %lld: hosts %d executors %d faults %u jobs %u starts %u "
-           "ends %u repeats %u answers 200 %u 503 %u 504 %u none %u settled "
+           "ends %u repeats %u late %u kinds %u answers 200 %u 503 %u 504 %u "
+           "none %u settled "
            "in %lld ms\n",
            (long long)soak_options.seed, soak_options.hosts,
            soak_options.executors, soak.faults, soak.jobs->len, info.starts,
-           info.ends, info.repeats, soak.status_counts[200],
-           soak.status_counts[503], soak.status_counts[504],
-           soak.status_counts[0], (long long)(now_ms - faults_end_ms));
+           info.ends, info.repeats, info.late_starts, info.kind_changes,
+           soak.status_counts[200], soak.status_counts[503],
+           soak.status_counts[504], soak.status_counts[0],
+           (long long)(now_ms - faults_end_ms));
     printf("soak seed %lld: %s%s%s, logs in %s\n",
            (long long)soak_options.seed,
            info.violations > 0 ? "failed, first " : "passed",
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -18,6 +18,14 @@
 #define SHORTAGE_TASK_MAX_MS 3000
 #define SHORTAGE_PAYLOAD_BYTES 4000
 
+/* One job in so many asks for the second service, a label, or has a limit. */
+#define OTHER_QUEUE_JOBS 8
+#define LABEL_JOBS 4
+#define LIMITED_JOBS 2
+#define PER_WORKER_MAX 2
+/* A long-running job with a limit needs so many executors of its service. */
+#define LIMITED_LONG_EXECUTORS 24
+
 typedef struct {
     job_t *job;
     CURL *easy;
@@ -64,8 +72,8 @@
     const host_t *host =
         &soak.hosts[nm_rng_below(&soak.rng, (uint32_t)soak_options.hosts)];
     char url[128];
-    snprintf(url, sizeof(url), "http://127.0.0.1:%u/q/%s", host->front_port,
-             job->id);
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/%s/%s", host->front_port,
+             job->queue, job->id);
     curl_easy_setopt(call->easy, CURLOPT_URL, url);
     curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(call->easy, CURLOPT_TIMEOUT_MS, CALL_TIMEOUT_MS);
@@ -80,11 +88,21 @@
         size_t bytes = soak_options.shortages ? SHORTAGE_PAYLOAD_BYTES : 1;
         memset(payload, 'x', bytes);
         payload[bytes] = '\0';
+        char label[64] = "";
+        if (job->label) {
+            snprintf(label, sizeof(label), ",\"requiredLabel\":\"%s\"",
+                     job->label);
+        }
+        char limit[64] = "";
+        if (job->per_worker_max > 0) {
+            snprintf(limit, sizeof(limit), ",\"antiAffinity\":%u",
+                     job->per_worker_max);
+        }
         char body[SHORTAGE_PAYLOAD_BYTES + 256];
         snprintf(body, sizeof(body),
                  "{\"spec\":\"%s\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
-                 "\"memMb\":10,\"estimateMs\":600%s}]}",
-                 payload, job->tasks,
+                 "\"memMb\":10,\"estimateMs\":600%s%s%s}]}",
+                 payload, job->tasks, label, limit,
                  job->long_running ? ",\"longRunning\":true"
                                    : ",\"checkpoints\":true");
         curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
@@ -96,6 +114,32 @@
     curl_multi_add_handle(soak.multi, call->easy);
 }
 
+/* Long-running jobs must find room for all of their tasks at once. */
+static void
+draw_route(job_t *job)
+{
+    bool other_queue = nm_rng_below(&soak.route_rng, OTHER_QUEUE_JOBS) == 0;
+    bool labelled = nm_rng_below(&soak.route_rng, LABEL_JOBS) == 0;
+    bool limited = nm_rng_below(&soak.route_rng, LIMITED_JOBS) == 0;
+    uint32_t limit = 1 + nm_rng_below(&soak.route_rng, PER_WORKER_MAX);
+    uint32_t kind = nm_rng_below(&soak.route_rng, EXECUTOR_KINDS - 1);
+    job->queue = "q";
+    const char *service = executor_kinds[0].service;
+    if (!job->long_running && soak_options.executors >= EXECUTOR_KINDS) {
+        kind = other_queue ? EXECUTOR_KINDS - 1 : kind;
+        job->queue = other_queue ? "p" : "q";
+        job->label = labelled ? executor_kinds[kind].label : NULL;
+        service = executor_kinds[kind].service;
+    }
+    if (limited && (!job->long_running ||
+                    soak_options.executors >= LIMITED_LONG_EXECUTORS))
+    {
+        job->per_worker_max = job->long_running ? PER_WORKER_MAX : limit;
+    }
+    executor_job_routed(platform_fleet(soak.platform), job->id, service,
+                        job->label, job->per_worker_max);
+}
+
 static void
 submit_new_job(void)
 {
@@ -124,6 +168,7 @@
     if (fails_often) {
         executor_job_fails_often(platform_fleet(soak.platform), job->id);
     }
+    draw_route(job);
     platform_unlock(soak.platform);
     send_call(job, 'P');
 }
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -50,17 +50,30 @@
 /* One shortage in so many has all hosts. */
 #define SHORTAGES_EVERYWHERE 6
 
+/* With --restarts: between two restarts. */
+#define RESTART_INTERVAL_MIN_MS 200
+#define RESTART_INTERVAL_MAX_MS 1000
+/* Share of the orders that are late meanwhile. */
+#define RESTART_DELAYED_SHARE 0.25
+/* One restarted executor in so many has no entry for a time. */
+#define RESTARTS_UNANNOUNCED 3
+#define UNANNOUNCED_MAX_MS 4000
+
 void
 soak_put_configuration(void)
 {
-    char value[512];
+    char route[256];
+    snprintf(route, sizeof(route),
+             "\"host\":\"callers\",\"maxAttempts\":%d,\"slackFactor\":2,"
+             "\"targetLatencyMs\":600,\"timeoutMs\":3000",
+             ATTEMPTS_MAX);
+    char value[1024];
     snprintf(value, sizeof(value),
-             "{\"version\":%lld,\"routes\":[{\"name\":\"q\",\"host\":"
-             "\"callers\",\"pathPrefix\":\"/q/\",\"service\":\"s\","
-             "\"maxAttempts\":%d,\"slackFactor\":2,\"targetLatencyMs\":600,"
-             "\"timeoutMs\":3000}],\"services\":[{\"name\":\"s\"}],"
-             "\"limits\":{}}",
-             (long long)++soak.config_version, ATTEMPTS_MAX);
+             "{\"version\":%lld,\"routes\":[{\"name\":\"q\",\"pathPrefix\":"
+             "\"/q/\",\"service\":\"s\",%s},{\"name\":\"p\",\"pathPrefix\":"
+             "\"/p/\",\"service\":\"t\",%s}],\"services\":[{\"name\":\"s\"},"
+             "{\"name\":\"t\"}],\"limits\":{}}",
+             (long long)++soak.config_version, route, route);
     platform_put(soak.platform, "op/config", value);
 }
 
@@ -220,6 +233,35 @@
     platform_unlock(soak.platform);
 }
 
+static nm_ms_t
+draw_between(nm_rng_t *rng, nm_ms_t min, nm_ms_t max)
+{
+    return min + nm_rng_below(rng, (uint32_t)(max - min + 1));
+}
+
+void
+soak_restart_executors(nm_ms_t now_ms)
+{
+    if (!soak_options.restarts || now_ms < soak.next_restart_ms) {
+        return;
+    }
+    soak.next_restart_ms =
+        now_ms + draw_between(&soak.route_rng, RESTART_INTERVAL_MIN_MS,
+                              RESTART_INTERVAL_MAX_MS);
+    platform_lock(soak.platform);
+    platform_set_delayed_share(soak.platform, RESTART_DELAYED_SHARE);
+    soak.delays_heal_at_ms = MAX(soak.delays_heal_at_ms, soak.next_restart_ms);
+    uint32_t index =
+        nm_rng_below(&soak.route_rng, (uint32_t)soak_options.executors);
+    executor_t *executor = executor_at(platform_fleet(soak.platform), index);
+    executor_crash(platform_fleet(soak.platform), index, now_ms);
+    if (nm_rng_below(&soak.route_rng, RESTARTS_UNANNOUNCED) == 0) {
+        executor->unannounced_until_ms =
+            now_ms + draw_between(&soak.route_rng, 1, UNANNOUNCED_MAX_MS);
+    }
+    platform_unlock(soak.platform);
+}
+
 /*
  * The store is away until all entries have expired; half of the time it meets
  * cuts, or kills of owners.
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -55,6 +55,9 @@
     bool outcome_unknown; /* a failed attempt may have been stored */
     bool refused;         /* every attempt got 503 or 429 */
     bool wants_cancel;
+    const char *queue;
+    const char *label;       /* that its tasks require; NULL: any */
+    uint32_t per_worker_max; /* tasks on one executor; 0: no limit */
     bool ended;
     bool failed; /* reported as failed, with cause */
     uint32_t attempts;
@@ -80,6 +83,7 @@
     gboolean deadly;
     gboolean cuts;
     gboolean shortages;
+    gboolean restarts;
 } soak_options_t;
 
 typedef struct {
@@ -89,6 +93,8 @@
     GPtrArray *jobs; /* of job_t */
     CURLM *multi;
     nm_rng_t rng;
+    nm_rng_t route_rng; /* apart, so that a seed draws what it drew before */
+    nm_ms_t next_restart_ms;
     nm_ms_t store_heal_at_ms;
     nm_ms_t delays_heal_at_ms;
     nm_ms_t executor_path_heal_at_ms;
@@ -145,6 +151,9 @@
  */
 void soak_cut_executors(nm_ms_t now_ms);
 
+/* With --restarts: restarts executors and lets orders be late. */
+void soak_restart_executors(nm_ms_t now_ms);
+
 /* soak_callers.c */
 void soak_handle_responses(nm_ms_t now_ms);
 void soak_send_due_calls(nm_ms_t now_ms, bool submits_new);
