--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -337,6 +337,216 @@
     }
 }
 
+#define LATE_ORDER_MS 2000
+#define LEASE_MAX_TEST_MS 10000 /* maxHoldMs of the users' platform */
+
+typedef enum {
+    SENT_NOW,
+    SENT_BEFORE_RESTART,     /* it arrived before the incarnation began */
+    SENT_ON_THE_FORMER_CLOCK /* its lease lies beyond the incarnation's */
+} sender_t;
+
+typedef struct {
+    const char *task;
+    uint32_t executor; /* 0: service s, label a; 1: s, b; 2: t, a */
+    sender_t sender;
+    uint32_t violations; /* by this start */
+} route_start_t;
+
+static const struct {
+    const char *name;
+    const char *service;
+    const char *label;
+    uint32_t limit;
+    nm_ms_t stop_ms; /* from the stop of the first run; 0: it is not stopped */
+    route_start_t starts[3];
+} route_cases[] = {
+    {"any", NULL, NULL, 0, 0, {{"a.0.0.0", 2, SENT_NOW, 0}}},
+    {"service", "t", NULL, 0, 0, {{"a.0.0.0", 2, SENT_NOW, 0}}},
+    {"other service", "s", NULL, 0, 0, {{"a.0.0.0", 2, SENT_NOW, 1}}},
+    {"label", "s", "b", 0, 0, {{"a.0.0.0", 1, SENT_NOW, 0}}},
+    {"other label", "s", "b", 0, 0, {{"a.0.0.0", 0, SENT_NOW, 1}}},
+    {"both", "s", "b", 0, 0, {{"a.0.0.0", 2, SENT_NOW, 2}}},
+    {"late, other label",
+     "s",
+     "b",
+     0,
+     0,
+     {{"a.0.0.0", 0, SENT_BEFORE_RESTART, 0}}},
+    {"former clock, other service",
+     "s",
+     NULL,
+     0,
+     0,
+     {{"a.0.0.0", 2, SENT_ON_THE_FORMER_CLOCK, 0}}},
+    {"no limit",
+     "s",
+     NULL,
+     0,
+     0,
+     {{"a.0.0.0", 0, SENT_NOW, 0}, {"a.0.0.1", 0, SENT_NOW, 0}}},
+    {"limit of 2",
+     "s",
+     NULL,
+     2,
+     0,
+     {{"a.0.0.0", 0, SENT_NOW, 0},
+      {"a.0.0.1", 0, SENT_NOW, 0},
+      {"a.0.0.2", 0, SENT_NOW, 1}}},
+    {"limit on two executors",
+     "s",
+     NULL,
+     1,
+     0,
+     {{"a.0.0.0", 0, SENT_NOW, 0}, {"a.0.0.1", 1, SENT_NOW, 0}}},
+    {"limit, another step and occurrence",
+     "s",
+     NULL,
+     1,
+     0,
+     {{"a.0.0.0", 0, SENT_NOW, 0},
+      {"a.0.10.0", 0, SENT_NOW, 0},
+      {"a.1.0.0", 0, SENT_NOW, 0}}},
+    {"limit, the first is being stopped",
+     "s",
+     NULL,
+     1,
+     1,
+     {{"a.0.0.0", 0, SENT_NOW, 0}, {"a.0.0.1", 0, SENT_NOW, 1}}},
+    {"limit, the first has been stopped",
+     "s",
+     NULL,
+     1,
+     200,
+     {{"a.0.0.0", 0, SENT_NOW, 0}, {"a.0.0.1", 0, SENT_NOW, 0}}},
+    {"limit, the first is late",
+     "s",
+     NULL,
+     1,
+     0,
+     {{"a.0.0.0", 0, SENT_BEFORE_RESTART, 0}, {"a.0.0.1", 0, SENT_NOW, 1}}},
+    {"limit, the second is late",
+     "s",
+     NULL,
+     1,
+     0,
+     {{"a.0.0.0", 0, SENT_NOW, 0},
+      {"a.0.0.1", 0, SENT_ON_THE_FORMER_CLOCK, 0}}},
+};
+
+/* A start breaks ROUTE if its sender could know what the executor is. */
+static void
+test_route_of_starts(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(route_cases); i++) {
+        g_test_message("%s", route_cases[i].name);
+        executor_fleet_t *fleet = executor_fleet_new(&(executor_fleet_desc_t){
+            .executors = EXECUTOR_KINDS, .cpu_milli = 1000});
+        executor_job_submitted(fleet, "a", 3, 100, 60000, false, false);
+        executor_job_routed(fleet, "a", route_cases[i].service,
+                            route_cases[i].label, route_cases[i].limit);
+        const nm_ms_t restart_ms = 20000;
+        for (uint32_t index = 0; index < EXECUTOR_KINDS; index++) {
+            executor_crash(fleet, index, restart_ms);
+        }
+        nm_ms_t now_ms = restart_ms + LATE_ORDER_MS / 2;
+        for (size_t k = 0; k < G_N_ELEMENTS(route_cases[i].starts); k++) {
+            const route_start_t *start = &route_cases[i].starts[k];
+            if (!start->task) {
+                break;
+            }
+            executor_t *executor = executor_at(fleet, start->executor);
+            bool on_former_clock = start->sender == SENT_ON_THE_FORMER_CLOCK;
+            executor_order_t order = {
+                .task = start->task,
+                .run = 1,
+                .epoch = 1,
+                .expiry_ms = executor_clock(executor, now_ms) +
+                             LEASE_MAX_TEST_MS + (on_former_clock ? 1 : 0),
+                .checkpoint = "",
+                .arrived_ms = start->sender == SENT_BEFORE_RESTART
+                                  ? now_ms - LATE_ORDER_MS
+                                  : now_ms};
+            const char *reason = NULL;
+            uint32_t before = executor_fleet_query_info(fleet).violations;
+            g_assert_cmpint(
+                executor_start(fleet, executor, &order, now_ms, &reason), ==,
+                EXECUTOR_STATUS_OK);
+            executor_fleet_info_t info = executor_fleet_query_info(fleet);
+            g_assert_cmpuint(info.violations - before, ==, start->violations);
+            g_assert_true(before > 0 || start->violations == 0 ||
+                          strstr(info.first_violation, "ROUTE"));
+            if (k == 0 && route_cases[i].stop_ms > 0) {
+                executor_stop(fleet, executor, &order, now_ms, &reason);
+                now_ms += route_cases[i].stop_ms;
+                executor_fleet_update(fleet, now_ms);
+            }
+        }
+        executor_fleet_free(fleet);
+    }
+}
+
+/* Restarts change kinds only where the check can tell late orders apart. */
+static void
+test_restarts_as_another_kind(void)
+{
+    static const struct {
+        nm_ms_t life_ms;
+        bool changes;
+    } lives[] = {{1000, false}, {10000, false}, {20000, true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(lives); i++) {
+        executor_fleet_t *fleet = executor_fleet_new(&(executor_fleet_desc_t){
+            .executors = EXECUTOR_KINDS_FIXED + 1, .cpu_milli = 1000});
+        uint32_t changes = 0;
+        for (int restart = 1; restart <= 20; restart++) {
+            for (uint32_t index = 0; index <= EXECUTOR_KINDS_FIXED; index++) {
+                const executor_t *executor = executor_at(fleet, index);
+                uint32_t kind = executor->kind;
+                executor_crash(fleet, index, restart * lives[i].life_ms);
+                bool changed = executor->kind != kind;
+                g_assert_cmpuint(executor->kind, <, EXECUTOR_KINDS);
+                g_assert_false(changed && index < EXECUTOR_KINDS_FIXED);
+                changes += changed;
+            }
+        }
+        g_assert_true((changes > 0) == lives[i].changes);
+        g_assert_cmpuint(executor_fleet_query_info(fleet).kind_changes, ==,
+                         changes);
+        executor_fleet_free(fleet);
+    }
+}
+
+static bool
+entry_names(platform_t *platform, const char *text)
+{
+    platform_lock(platform);
+    char *value = platform_get(platform, "servers/x0");
+    platform_unlock(platform);
+    bool found = value && strstr(value, text);
+    g_free(value);
+    return found;
+}
+
+/* The entry of the former life stays until the next one is written. */
+static void
+test_entry_shows_the_kind(void)
+{
+    platform_t *platform = new_platform(1);
+    wait_for_entry(platform, 0, true, SLACK_MS);
+    g_assert_true(entry_names(platform, "\"service\":\"s\""));
+    g_assert_true(entry_names(platform, "\"labels\":[\"a\""));
+    platform_lock(platform);
+    executor_at(platform_fleet(platform), 0)->kind = 1;
+    executor_crash(platform_fleet(platform), 0, platform_now(platform));
+    char *value = platform_get(platform, "servers/x0");
+    g_assert_nonnull(strstr(value, "\"labels\":[\"a\""));
+    g_free(value);
+    platform_unlock(platform);
+    sleep_ms(HEARTBEAT_TEST_MS + SLACK_MS);
+    g_assert_true(entry_names(platform, "\"labels\":[\"b\""));
+    platform_free(platform);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -356,5 +566,10 @@
                     test_attempts_of_a_task);
     g_test_add_func("/soak-platform/ack-after-the-lease",
                     test_ack_after_the_lease);
+    g_test_add_func("/soak-platform/route-of-starts", test_route_of_starts);
+    g_test_add_func("/soak-platform/restarts-as-another-kind",
+                    test_restarts_as_another_kind);
+    g_test_add_func("/soak-platform/entry-shows-the-kind",
+                    test_entry_shows_the_kind);
     return g_test_run();
 }
