--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -18,13 +18,14 @@
  *              that the job requires, and runs at most per_worker_max tasks of
  *              one step, runs that are being stopped included
  *
- * A start that was sent to an earlier incarnation counts for the limit of
- * later starts, but breaks no ROUTE itself: its sender could not know what the
- * executor is now.  Such a start arrived before the incarnation began, or its
- * lease lies beyond what the incarnation's clock allows (`expiryMs` is on the
- * clock of the executor, which starts anew with it, and maxHoldMs bounds it).
- * For the second criterion, only lives of KIND_LIFE_MIN_MS end in another
- * kind. One of an earlier life of less than that counts as sent to this one.
+ * A start that was sent to an earlier incarnation breaks no ROUTE, but its run
+ * counts for the limit of later starts.  It arrived at the platform before the
+ * incarnation began, or its lease ends later than maxHoldMs from now on the
+ * incarnation's clock: `expiryMs` is on the executor's clock, which starts anew
+ * (PROTOCOL.md), so that a sender that still counts on the clock of a long life
+ * is beyond that.  A sender that knows the new clock knows of the restart, and
+ * the entry with the new `born` tells service and labels.  Therefore executors
+ * become of another kind only after a life of more than maxHoldMs.
  *
  * The model does no I/O except for reports on stderr and the event log: the
  * caller passes the time and transports the orders.
