--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -21,11 +21,12 @@
  * A start that was sent to an earlier incarnation breaks no ROUTE, but its run
  * counts for the limit of later starts.  It arrived at the platform before the
  * incarnation began, or its lease ends later than maxHoldMs from now on the
- * incarnation's clock: `expiryMs` is on the executor's clock, which starts anew
- * (PROTOCOL.md), so that a sender that still counts on the clock of a long life
- * is beyond that.  A sender that knows the new clock knows of the restart, and
- * the entry with the new `born` tells service and labels.  Therefore executors
- * become of another kind only after a life of more than maxHoldMs.
+ * incarnation's clock: `expiryMs` is on the executor's clock, which starts
+ * anew (PROTOCOL.md), so that a sender that still counts on the clock of a
+ * long life is beyond that.  A sender that knows the new clock knows of the
+ * restart, and the entry with the new `born` tells service and labels.
+ * Therefore executors become of another kind only after a life of more than
+ * maxHoldMs.
  *
  * The model does no I/O except for reports on stderr and the event log: the
  * caller passes the time and transports the orders.
