--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -517,8 +517,7 @@
     for (guint i = 0; i < executor->runs->len; i++) {
         const char *other =
             g_array_index(executor->runs, executor_run_t, i).task;
-        count +=
-            step_length(other) == length && strncmp(other, task, length) == 0;
+        count += strncmp(other, task, length) == 0;
     }
     if (job->per_worker_max > 0 && count > job->per_worker_max) {
         executor_fleet_add_violation(
