--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -90,6 +90,7 @@
     }
 }
 
+/* Also counts it for its task, so that it starts nowhere else. */
 static void
 set_state(nm_sched_t *sched, nm_sched_node_t *node, orphan_t *orphan,
           orphan_state_t state)
--- a/tests/test_sched_uncounted_runs.c
+++ b/tests/test_sched_uncounted_runs.c
@@ -17,6 +17,8 @@
 #define ACCELERATORS 1
 /* A start without a response is carried out within this time. */
 #define LATE_START_MS 12000
+/* An idle worker is polled within this time. */
+#define CLOCK_REFRESH_MS 21000
 /* The longest lease of a worker, on its own clock. */
 #define LEASE_LIMIT_MS 10000
 #define CLOCK_SLOW_FACTOR 1.02
@@ -373,6 +375,26 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * Loses the polls of "a" until it is taken for lapsed; returns when that was,
+ * 0 if it was not by a time.
+ */
+static nm_ms_t
+lose_polls_until_lapse(sched_sim_t *sim, nm_ms_t until_ms)
+{
+    while (sim->now_ms < until_ms) {
+        sched_sim_lose_poll(sim, "a");
+        sched_sim_advance(sim, TICK_MS);
+        nm_sched_event_t event;
+        while (nm_sched_next_event(sim->sched, &event)) {
+            if (event.type == NM_SCHED_EVENT_WORKER_LAPSED) {
+                return sim->now_ms;
+            }
+        }
+    }
+    return 0;
+}
+
 /*
  * A late start gives a restarted worker a long lease, also if it is refused
  * after its stop: tasks there that fall silent must not be taken for lapsed.
@@ -396,18 +418,8 @@
     add_worker(&sim, "b");
     nm_ms_t lapse_ms = sent_ms + LATE_START_MS +
                        (nm_ms_t)(LEASE_LIMIT_MS * CLOCK_SLOW_FACTOR);
-    nm_ms_t taken_for_lapsed_ms = 0;
-    while (taken_for_lapsed_ms == 0 && sim.now_ms < lapse_ms + MARGIN_MS) {
-        sched_sim_lose_poll(&sim, "a");
-        sched_sim_advance(&sim, TICK_MS);
-        nm_sched_event_t event;
-        while (nm_sched_next_event(sim.sched, &event)) {
-            taken_for_lapsed_ms = event.type == NM_SCHED_EVENT_WORKER_LAPSED
-                                      ? sim.now_ms
-                                      : taken_for_lapsed_ms;
-        }
-    }
-    g_assert_cmpint(taken_for_lapsed_ms, >=, lapse_ms);
+    g_assert_cmpint(lose_polls_until_lapse(&sim, lapse_ms + MARGIN_MS), >=,
+                    lapse_ms);
     sched_sim_finish(&sim);
 }
 
@@ -526,6 +538,37 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A poll that a crash left unanswered may give the next incarnation a lease
+ * by the clock of the former one: its tasks must not be taken for lapsed.
+ */
+static void
+test_late_poll_extends_the_lease_of_a_restarted_worker(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    add_worker(&sim, "a");
+    sched_sim_advance(&sim, CLOCK_REFRESH_MS);
+    const nm_sched_action_t *poll =
+        sched_sim_find_action(&sim, NM_ACTION_POLL, "a");
+    g_assert_nonnull(poll);
+    g_assert_cmpint(poll->expiry_ms, >, 0);
+    nm_ms_t sent_ms = sim.now_ms;
+    sched_sim_lose_poll(&sim, "a");
+    restart_a(&sim);
+    add_job(&sim, JOB,
+            &(step_desc_t){.tasks = 1, .cpu_milli = 1000, .memory_mb = 100});
+    sched_sim_advance(&sim, 10);
+    nm_sched_action_t started = sched_sim_confirm_starts(&sim);
+    g_assert_cmpstr(started.worker, ==, "a");
+    add_worker(&sim, "b");
+    nm_ms_t lapse_ms = sent_ms + LATE_START_MS +
+                       (nm_ms_t)(LEASE_LIMIT_MS * CLOCK_SLOW_FACTOR);
+    g_assert_cmpint(lose_polls_until_lapse(&sim, lapse_ms + MARGIN_MS), >=,
+                    lapse_ms);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -553,5 +596,7 @@
                     test_start_in_flight_at_a_removal_is_stopped);
     g_test_add_func("/sched/start-in-flight-at-a-lapse-is-stopped",
                     test_start_in_flight_at_a_lapse_is_stopped);
+    g_test_add_func("/sched/late-poll-extends-the-lease-after-a-restart",
+                    test_late_poll_extends_the_lease_of_a_restarted_worker);
     return g_test_run();
 }
