Log what became of probes, and how a term ended

Calls are counted by outcome now: answered, refused, replaced, lost. former-owner-unresolved divides the witnesses that have not responded into refused and silent ones; owner-lost says how long after the election the key was lost and when the store had last confirmed it. No decision changes.

--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -298,12 +298,14 @@
     if (!current) {
         return;
     }
-    nm_load_on_call(entry, NM_CALL_PROBE, result != NM_ORDER_UNKNOWN,
+    nm_call_outcome_t outcome = nm_load_order_outcome(result);
+    nm_load_on_call(entry, NM_CALL_PROBE, outcome,
                     authority_now(entry) - sent_ms);
     nm_quorum_t *quorum = &entry->authority.quorum;
     nm_witness_t *witness = nm_quorum_find(quorum, action->worker);
     if (witness) {
         witness->probe_pending = false;
+        witness->refused = outcome == NM_CALL_REFUSED;
     }
     if (result == NM_ORDER_FENCED) {
         nm_term_step_down(entry, "a worker has seen a newer epoch");
@@ -378,6 +380,8 @@
     authority->unresolved_due_ms = now_ms + UNRESOLVED_LOG_INTERVAL_MS;
     int responded = 0;
     int replaced = 0;
+    int refused = 0;
+    int silent = 0;
     int unannounced = 0;
     const GPtrArray *stored = authority->quorum.stored;
     for (guint i = 0; i < stored->len; i++) {
@@ -391,16 +395,18 @@
             replaced++;
         }
         else {
+            refused += witness->refused;
+            silent += !witness->refused;
             unannounced += !witness->announced;
         }
     }
     nm_log(NM_LOG_WARN, NM_LOG_ITEM_FORMER_UNRESOLVED,
-           "{s:I,s:I,s:i,s:i,s:i,s:i,s:b}", "epoch",
+           "{s:I,s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:b}", "epoch",
            (json_int_t)entry->owned_epoch, "waited_ms",
            (json_int_t)(now_ms - authority->elected_ms), "witnesses",
            (int)stored->len, "responded", responded, "replaced", replaced,
-           "unannounced", unannounced, "list_unreadable",
-           authority->list_unreadable);
+           "refused", refused, "silent", silent, "unannounced", unannounced,
+           "list_unreadable", authority->list_unreadable);
 }
 
 /* Shortens the time of the former owners' authority once a majority agrees. */
--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -149,7 +149,8 @@
         g_free(call->saves[i].record);
     }
     if (same_term) {
-        nm_load_on_call(entry, NM_CALL_COMMIT, result->rc != NM_ERR_LOST,
+        nm_load_on_call(entry, NM_CALL_COMMIT,
+                        nm_load_store_outcome(result->rc),
                         nm_clock_now_with_suspend(entry->desc.clock) -
                             call->authority_sent_ms);
         if (stored) {
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -287,7 +287,7 @@
         return;
     }
     entry->renewals--;
-    nm_load_on_call(entry, NM_CALL_RENEW, result->rc != NM_ERR_LOST,
+    nm_load_on_call(entry, NM_CALL_RENEW, nm_load_store_outcome(result->rc),
                     nm_clock_now_with_suspend(entry->desc.clock) - sent_ms);
     nm_entry_record_store_result(entry, result->rc);
     if (result->rc == NM_OK) {
--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -55,15 +55,38 @@
 }
 
 void
-nm_load_on_call(nm_entry_t *entry, nm_call_class_t call_class, bool responded,
-                nm_ms_t delay_ms)
+nm_load_on_call(nm_entry_t *entry, nm_call_class_t call_class,
+                nm_call_outcome_t outcome, nm_ms_t delay_ms)
 {
     nm_call_stats_t *stats = &entry->load.calls[call_class];
-    stats->count++;
-    stats->lost += !responded;
+    stats->counts[outcome]++;
     stats->delay_max_ms = MAX(stats->delay_max_ms, delay_ms);
 }
 
+nm_call_outcome_t
+nm_load_order_outcome(nm_order_result_t result)
+{
+    switch (result) {
+    case NM_ORDER_UNKNOWN:
+    case NM_ORDER_NOT_SENT:
+        return NM_CALL_LOST;
+    case NM_ORDER_NOT_RUN:
+        return NM_CALL_REFUSED;
+    case NM_ORDER_WRONG_INCARNATION:
+        return NM_CALL_REPLACED;
+    default:
+        return NM_CALL_ANSWERED;
+    }
+}
+
+nm_call_outcome_t
+nm_load_store_outcome(int rc)
+{
+    return rc == NM_ERR_LOST          ? NM_CALL_LOST
+           : rc == NM_ERR_UNAVAILABLE ? NM_CALL_REFUSED
+                                      : NM_CALL_ANSWERED;
+}
+
 void
 nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -130,6 +153,11 @@
     static const char *const labels[NM_CALL_CLASS_COUNT] = {
 #define X(name, label) label,
         NM_CALL_CLASS_LIST(X)
+#undef X
+    };
+    static const char *const outcomes[NM_CALL_OUTCOME_COUNT] = {
+#define X(name, label) label,
+        NM_CALL_OUTCOME_LIST(X)
 #undef X
     };
     static const struct {
@@ -144,11 +172,13 @@
     json_t *calls = json_object();
     for (int i = 0; i < NM_CALL_CLASS_COUNT; i++) {
         const nm_call_stats_t *stats = &entry->load.calls[i];
-        json_object_set_new(calls, labels[i],
-                            json_pack("{s:i,s:i,s:I}", "count",
-                                      (int)stats->count, "lost",
-                                      (int)stats->lost, "delay_max_ms",
-                                      (json_int_t)stats->delay_max_ms));
+        json_t *row = json_pack("{s:I}", "delay_max_ms",
+                                (json_int_t)stats->delay_max_ms);
+        for (int o = 0; o < NM_CALL_OUTCOME_COUNT; o++) {
+            json_object_set_new(row, outcomes[o],
+                                json_integer(stats->counts[o]));
+        }
+        json_object_set_new(calls, labels[i], row);
     }
     json_t *sums = json_object();
     for (int i = 0; i < NM_LOAD_BYTE_COUNTERS; i++) {
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -57,8 +57,7 @@
         : action->type == NM_ACTION_POLL ? NM_CALL_POLL
                                          : NM_CALL_STOP;
     nm_ms_t took_ms = nm_clock_now_with_suspend(entry->desc.clock) - sent_ms;
-    bool responded = result != NM_ORDER_UNKNOWN && result != NM_ORDER_NOT_SENT;
-    nm_load_on_call(entry, call_class, responded,
+    nm_load_on_call(entry, call_class, nm_load_order_outcome(result),
                     MAX(took_ms - action->wait_ms, 0));
     switch (action->type) {
     case NM_ACTION_START:
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -66,10 +66,23 @@
 /* Counters of bytes in the log line on calls. */
 #define NM_LOAD_BYTE_COUNTERS 4
 
+/* How a call has ended, and its label in the log. */
+#define NM_CALL_OUTCOME_LIST(X)                                               \
+    X(ANSWERED, "answered")                                                   \
+    X(REFUSED, "refused")   /* nothing serves there, or it is unhealthy */    \
+    X(REPLACED, "replaced") /* another worker has responded */                \
+    X(LOST, "lost")         /* no response in time */
+
+typedef enum {
+#define X(name, label) NM_CALL_##name,
+    NM_CALL_OUTCOME_LIST(X)
+#undef X
+        NM_CALL_OUTCOME_COUNT,
+} nm_call_outcome_t;
+
 /* Calls of one class that have ended. */
 typedef struct {
-    uint32_t count;
-    uint32_t lost;        /* part of count: without a response in time */
+    uint32_t counts[NM_CALL_OUTCOME_COUNT];
     nm_ms_t delay_max_ms; /* beyond the time a poll may wait */
 } nm_call_stats_t;
 
@@ -299,7 +312,10 @@
  * A call has ended, delay_ms after it was sent, less the time it was to wait.
  */
 void nm_load_on_call(nm_entry_t *entry, nm_call_class_t call_class,
-                     bool responded, nm_ms_t delay_ms);
+                     nm_call_outcome_t outcome, nm_ms_t delay_ms);
+/* How a call to a worker or to the store has ended. */
+nm_call_outcome_t nm_load_order_outcome(nm_order_result_t result);
+nm_call_outcome_t nm_load_store_outcome(int rc);
 /* A pass of the control loop begins. */
 void nm_load_on_pass(nm_entry_t *entry, nm_ms_t now_ms);
 /* A round of the scheduler, which began at a time, has ended. */
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -84,8 +84,14 @@
 nm_term_step_down(nm_entry_t *entry, const char *cause)
 {
     if (entry->role == NM_ROLE_OWNER || entry->role == NM_ROLE_LOADING) {
-        nm_log(NM_LOG_WARN, NM_LOG_ITEM_OWNER_LOST, "{s:I,s:s}", "epoch",
-               (json_int_t)entry->owned_epoch, "cause", cause);
+        nm_ms_t now_ms = nm_entry_now(entry);
+        nm_log(NM_LOG_WARN, NM_LOG_ITEM_OWNER_LOST, "{s:I,s:s,s:I,s:I,s:b}",
+               "epoch", (json_int_t)entry->owned_epoch, "cause", cause,
+               "after_ms", (json_int_t)(now_ms - entry->authority.elected_ms),
+               "store_ms",
+               (json_int_t)(nm_clock_now_with_suspend(entry->desc.clock) -
+                            entry->authority.confirmed_ms),
+               "loading", entry->role == NM_ROLE_LOADING);
     }
     entry->role = NM_ROLE_FOLLOWER;
     entry->owned_epoch = 0;
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -45,6 +45,7 @@
     bool responded;      /* to any call of this term */
     bool replaced;       /* another worker has responded at its address */
     bool probe_pending;
+    bool refused; /* its newest probe, by whatever is at its address */
 } nm_witness_t;
 
 typedef struct {
