--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -69,6 +69,29 @@
     return ids && g_hash_table_contains(ids, id);
 }
 
+static void
+add_run(fake_orders_t *orders, const nm_sched_action_t *action)
+{
+    fake_run_t *run = g_new0(fake_run_t, 1);
+    nm_strcopy(run->worker, sizeof(run->worker), action->worker);
+    nm_strcopy(run->run.task, sizeof(run->run.task), action->task);
+    run->run.run = action->run;
+    g_ptr_array_add(orders->runs, run);
+}
+
+static GArray *
+list_runs(const fake_orders_t *orders, const char *worker)
+{
+    GArray *runs = g_array_new(FALSE, FALSE, sizeof(nm_worker_run_t));
+    for (guint i = 0; orders->runs && i < orders->runs->len; i++) {
+        const fake_run_t *run = orders->runs->pdata[i];
+        if (strcmp(run->worker, worker) == 0) {
+            g_array_append_val(runs, run->run);
+        }
+    }
+    return runs;
+}
+
 static void
 orders_send(nm_order_port_t *port, const nm_sched_action_t *action,
             int64_t epoch, nm_order_done_fn done, void *user)
@@ -94,16 +117,24 @@
         g_queue_push_tail(&orders->held_starts, start);
         return;
     }
-    nm_worker_report_t report = {.result = NM_ORDER_DONE,
-                                 .sent_ms = nm_clock_now(orders->clock),
-                                 .incarnation = 1,
-                                 .clock_ms = 1000,
-                                 .complete = orders->starts == 0};
+    GArray *runs = list_runs(orders, action->worker);
+    nm_worker_report_t report = {
+        .result = NM_ORDER_DONE,
+        .sent_ms = nm_clock_now(orders->clock),
+        .incarnation = 1,
+        .clock_ms = 1000,
+        .complete = orders->runs || orders->starts == 0,
+        .running = (const nm_worker_run_t *)runs->data,
+        .running_count = runs->len};
     orders->starts += action->type == NM_ACTION_START;
+    if (orders->runs && action->type == NM_ACTION_START) {
+        add_run(orders, action);
+    }
     orders->renewals +=
         action->type == NM_ACTION_POLL && action->expiry_ms > 0;
     done(user, action, NM_ORDER_DONE,
          action->type == NM_ACTION_POLL ? &report : NULL);
+    g_array_free(runs, TRUE);
 }
 
 static const nm_order_port_vtable_t orders_vtable = {orders_send};
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -46,9 +46,15 @@
     bool refuses;
 } fake_listener_t;
 
+/* A run on a worker. */
+typedef struct {
+    char worker[NM_NAME_MAX];
+    nm_worker_run_t run;
+} fake_run_t;
+
 /*
  * Workers that acknowledge every order at once, except those that are out of
- * reach or replaced; their reports list no runs.
+ * reach or replaced.  Their reports list no runs, unless runs is set.
  */
 typedef struct {
     nm_order_port_t base;
@@ -57,6 +63,7 @@
     uint32_t renewals;        /* accepted polls that extended a lease */
     GHashTable *out_of_reach; /* ids; NULL: none */
     GHashTable *replaced;     /* ids; another worker has the address */
+    GPtrArray *runs;          /* of fake_run_t, of all hosts; NULL: none */
     bool holds_starts;        /* they get no response until host_finish */
     GQueue held_starts;
 } fake_orders_t;
