--- a/tests/test_entry_terms.c
+++ b/tests/test_entry_terms.c
@@ -24,6 +24,10 @@
 /* Longest time for which an owner has authority without the store. */
 #define AUTHORITY_MAX_MS 60000
 
+/* Below the ephemeral ports of the system, above those of the soak. */
+#define PORT_MIN 30600
+#define PORTS 2000
+
 typedef enum {
     FORMER_LIVES,     /* it responds to other hosts */
     FORMER_RESTARTED, /* another process has its name and address */
@@ -177,7 +181,7 @@
         char former_address[64];
         char next_address[64];
         char other_address[64];
-        int port = 20000 + (int)(g_random_int() % 20000);
+        int port = PORT_MIN + (int)(g_random_int() % PORTS);
         g_snprintf(former_address, sizeof(former_address),
                    "tcp://127.0.0.1:%d", port);
         g_snprintf(next_address, sizeof(next_address), "tcp://127.0.0.1:%d",
