--- a/daemons/nutmegctl.c
+++ b/daemons/nutmegctl.c
@@ -576,15 +576,19 @@
 
 /*
  * Returns true for lines about a job, and for events of a host that explain
- * them: changes of the owner and of the store, shutdown, lost lines.
+ * them: changes of the owner, its authority and the store, shutdown, lost
+ * lines.
  */
 static bool
 is_traced(const json_t *line, const char *id)
 {
     static const char *const id_fields[] = {"job", "task", "request"};
     static const char *const context_items[] = {
-        "owner-active", "owner-lost",      "store-failed",
-        "stopping",     "store-recovered", "lines-dropped"};
+        "owner-active",      "owner-lost",
+        "former-owner-over", "former-owner-unresolved",
+        "authority-lost",    "authority-back",
+        "store-failed",      "store-recovered",
+        "stopping",          "lines-dropped"};
     for (size_t i = 0; i < NM_COUNT_OF(id_fields); i++) {
         const char *value =
             json_string_value(json_object_get(line, id_fields[i]));
--- a/tests/fuzz_input.c
+++ b/tests/fuzz_input.c
@@ -1,16 +1,19 @@
 /*
  * Fuzz target for the decoders of external input: declarations, settings
  * deltas, messages of peers and stored shard records, responses of workers,
- * and the list of hosts.  The first byte selects the decoder.  Guards against
- * crashes on malformed input and against settings that pass the checks but do
- * not apply.
+ * the list of hosts, and that of owners' terms.  The first byte selects the
+ * decoder.  Guards against crashes on malformed input and against settings
+ * that pass the checks but do not apply.
  */
 
 #include <stddef.h>
 #include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
 
 #include <nutmegdeck/settings.h>
 
+#include "../src/former_terms.h"
 #include "../src/hosts.h"
 #include "../src/report_delta.h"
 #include "../src/worker_json.h"
@@ -105,12 +108,35 @@
     json_decref(json);
 }
 
+/* A list that can be read must be stored as it was, and again be read. */
+static void
+fuzz_terms(const char *text, size_t size)
+{
+    nm_former_terms_t terms;
+    nm_former_init(&terms);
+    if (nm_former_decode(&terms, text, (uint32_t)size)) {
+        char *stored = nm_former_encode(&terms, 0);
+        guint count = terms.terms->len;
+        if (!nm_former_decode(&terms, stored, (uint32_t)strlen(stored)) ||
+            terms.terms->len != count)
+        {
+            abort();
+        }
+        free(stored);
+    }
+    nm_former_finish(&terms);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
     if (size < 1) {
         return 0;
     }
+    if (data[0] == 'T') {
+        fuzz_terms((const char *)data + 1, size - 1);
+        return 0;
+    }
     const char *text = (const char *)data + 1;
     size_t length = size - 1;
     switch (data[0] % 5) {
