Waits for former terms begin once; a slow host is heard

- A list of terms without the term of the hand-over: the next owner ended with SIGSEGV.
- The times that are left were stored only after 5 s, so that a wait of 60 s began anew with elections 4.5 s apart: 67.5, 81.1, 121.6 s with 1, 4, 13 of them.
They are stored with the first commit and each second, and a host that follows itself keeps them; rows of one process in a row are one, so that a long series does not lose the host that can be asked.
- Witnesses that respond first ended the questions to the host, and what it knows of silent workers was lost: tasks started after 27.1 s with five elections in turn.
It is asked on for 5 s; of several proofs the earliest end counts.
- A planned stop while an older term is open left the own term unproved: 93.6 s.
The hand-over stores it with no time left.

entry_terms.c becomes entry_succession.c, one letter apart from entry_term.c. One stays red: leases of workers that are gone count anew if owners are killed in series (25.5 s).

--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -8,8 +8,8 @@
  * The owner has authority for NM_AUTHORITY_MS after each call that shows it as
  * the owner: to the store, or to a majority of the witnesses, which respond to
  * no epoch but the highest they have seen.  Without the store a majority is
- * enough for NM_FORMER_AUTHORITY_MAX_MS.  entry_terms.c finds out when the
- * authority of all former owners has ended.
+ * enough for NM_FORMER_AUTHORITY_MAX_MS.  entry_succession.c finds out when
+ * the authority of all former owners has ended.
  *
  * Times of the owner's own authority include those in which its machine was
  * suspended.
@@ -314,7 +314,7 @@
 nm_authority_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
     nm_authority_t *authority = &entry->authority;
-    nm_terms_run(entry, now_ms);
+    nm_succession_run(entry, now_ms);
     bool stale =
         authority_now(entry) - authority->confirmed_ms >= PROBE_AFTER_MS;
     if ((stale || !authority->former_over) &&
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -692,7 +692,7 @@
         return;
     }
     if (request && request->type == NM_PB__ENTRY_ASK__TYPE__TERMS) {
-        nm_terms_handle_request(entry, message);
+        nm_succession_handle_request(entry, message);
         return;
     }
     if (request && nm_notice_handle(entry, request)) {
@@ -763,7 +763,7 @@
             nm_order_relay_handle_response(&entry->relay, message.response);
         }
         else if (message.response && message.response->term_end) {
-            nm_terms_handle_response(entry, message.response->term_end);
+            nm_succession_handle_response(entry, message.response->term_end);
         }
         else if (message.response) {
             handle_peer_response(entry, message.response);
--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -162,7 +162,7 @@
             nm_authority_on_witnesses_stored(entry, result->rc);
         }
         if (call->has_terms) {
-            nm_terms_on_stored(entry, result->rc);
+            nm_succession_on_stored(entry, result->rc);
         }
         entry->committing = false;
         entry->sched_due_ms = 0;
@@ -288,7 +288,7 @@
         entry->authority.list_due = true;
     }
     call->has_witnesses = nm_authority_put_witnesses(entry, &txn);
-    call->has_terms = nm_terms_put(entry, &txn, now_ms);
+    call->has_terms = nm_succession_put(entry, &txn, now_ms);
     call->has_cpu_share = put_cpu_share_max(entry, &txn);
     bool store_interference = now_ms >= entry->interference_due_ms &&
                               (call->count > 0 || call->has_roster);
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -149,7 +149,7 @@
         apply_epoch_record(entry, item);
     }
     else if (strcmp(item->key, NM_KEY_TERMS) == 0) {
-        nm_terms_apply(entry, item);
+        nm_succession_apply(entry, item);
     }
 }
 
@@ -178,7 +178,7 @@
         }
         entry->renew_due_ms = nm_entry_now(entry) + OWNER_RENEW_INTERVAL_MS;
         nm_authority_begin(entry, sent_ms);
-        nm_terms_begin(entry);
+        nm_succession_begin(entry);
         nm_takeover_begin(entry, entry->candidate_epoch, result->revision);
         return;
     }
@@ -216,7 +216,7 @@
     nm_store_txn_put(&txn, NM_KEY_OWNER, text, (uint32_t)strlen(text),
                      entry->lease);
     nm_store_txn_put(&txn, NM_KEY_EPOCH, epoch, (uint32_t)strlen(epoch), 0);
-    nm_terms_put_candidate(entry, &txn);
+    nm_succession_put_candidate(entry, &txn);
     nm_kv_commit(entry->desc.kv, &txn, on_elected, nm_term_call_new(entry));
     nm_store_txn_finish(&txn);
     free(text);
@@ -383,9 +383,7 @@
         nm_store_txn_put(&txn, NM_KEY_YIELDED, epoch, (uint32_t)strlen(epoch),
                          0);
     }
-    if (entry->role == NM_ROLE_OWNER) {
-        nm_terms_put_hand_over(entry, &txn, now_ms);
-    }
+    nm_succession_put_hand_over(entry, &txn, now_ms);
     nm_store_txn_delete(&txn, NM_KEY_OWNER, false);
     hand_over_t *call = g_new(hand_over_t, 1);
     *call = (hand_over_t){entry, entry->lease};
--- a/src/entry_notice.c
+++ b/src/entry_notice.c
@@ -83,7 +83,7 @@
         return;
     }
     entry->announced = announcement;
-    nm_terms_fence(entry, announcement.epoch);
+    nm_succession_fence(entry, announcement.epoch);
     if (entry->owned_epoch > 0 && announcement.epoch > entry->owned_epoch) {
         nm_term_step_down(entry, "another host announced a newer epoch");
     }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -2,9 +2,10 @@
  * State shared by the files of an entry host.  Beside the helpers of entry.c,
  * a file calls only those to the right of it: entry.c -> entry_call.c,
  * entry_owner.c -> entry_election.c, entry_notice.c -> entry_takeover.c,
- * entry_commit.c -> entry_authority.c -> entry_terms.c -> entry_load.c ->
- * entry_term.c; and entry_term.c calls entry_authority.c and entry_terms.c to
- * set them up, and entry_terms.c at the end of a term.
+ * entry_commit.c -> entry_authority.c -> entry_succession.c -> entry_load.c ->
+ * entry_term.c; and entry_term.c calls entry_authority.c and
+ * entry_succession.c to set them up, and entry_succession.c at the end of a
+ * term.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
@@ -124,8 +125,8 @@
     bool former_over;        /* that is proved */
     nm_ms_t ask_due_ms;      /* when their hosts are asked next */
     nm_ms_t ask_interval_ms;
-    bool terms_due;       /* what is proved is not stored yet */
-    nm_ms_t terms_due_ms; /* when the times that are left are stored next */
+    bool proofs_due;      /* what is proved is not stored yet */
+    nm_ms_t times_due_ms; /* when the times that are left are stored next */
     nm_ms_t unresolved_due_ms; /* next line in the log that it is not proved */
     bool list_unreadable;      /* the stored list of witnesses */
     bool list_due;             /* the workers may have changed since */
@@ -285,45 +286,46 @@
 /* Calls witnesses if needed, and tells the scheduler what it may do. */
 void nm_authority_run(nm_entry_t *entry, nm_ms_t now_ms);
 
-/* entry_terms.c */
-void nm_terms_init(nm_entry_t *entry);
-void nm_terms_finish(nm_entry_t *entry);
+/* entry_succession.c */
+void nm_succession_init(nm_entry_t *entry);
+void nm_succession_finish(nm_entry_t *entry);
 /* A term begins; the former ones are moved from candidate_terms. */
-void nm_terms_begin(nm_entry_t *entry);
+void nm_succession_begin(nm_entry_t *entry);
 /* A term ends: keeps what later owners will ask for. */
-void nm_terms_end(nm_entry_t *entry);
+void nm_succession_end(nm_entry_t *entry);
 /* Applies the list of terms as stored. */
-void nm_terms_apply(nm_entry_t *entry, const nm_store_kv_t *item);
+void nm_succession_apply(nm_entry_t *entry, const nm_store_kv_t *item);
 /*
  * Adds to the transaction of an election the list with the candidate's term.
  */
-void nm_terms_put_candidate(nm_entry_t *entry, nm_store_txn_t *txn);
+void nm_succession_put_candidate(nm_entry_t *entry, nm_store_txn_t *txn);
 /* Adds the list to a commit if more is known than is stored. */
-bool nm_terms_put(nm_entry_t *entry, nm_store_txn_t *txn, nm_ms_t now_ms);
+bool nm_succession_put(nm_entry_t *entry, nm_store_txn_t *txn, nm_ms_t now_ms);
 /* Takes the result of that commit. */
-void nm_terms_on_stored(nm_entry_t *entry, int rc);
+void nm_succession_on_stored(nm_entry_t *entry, int rc);
 /*
  * Adds to a transaction that ends the ownership what the next owner need not
  * find out by waiting; the owner gives no orders after this.
  */
-void nm_terms_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn,
-                            nm_ms_t now_ms);
-void nm_terms_load_hand_over(nm_entry_t *entry, const nm_store_kv_t *item);
+void nm_succession_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn,
+                                 nm_ms_t now_ms);
+void nm_succession_load_hand_over(nm_entry_t *entry,
+                                  const nm_store_kv_t *item);
 /*
  * A host has told of a newer epoch: no term below it begins.  The caller ends
  * the one that is held.
  */
-void nm_terms_fence(nm_entry_t *entry, int64_t epoch);
+void nm_succession_fence(nm_entry_t *entry, int64_t epoch);
 /* Answers a newer owner. */
-void nm_terms_handle_request(nm_entry_t *entry,
-                             const nm_peer_message_t *message);
+void nm_succession_handle_request(nm_entry_t *entry,
+                                  const nm_peer_message_t *message);
 /* Takes the answer of a host of former owners. */
-void nm_terms_handle_response(nm_entry_t *entry,
-                              const NmPb__TermEnd *response);
+void nm_succession_handle_response(nm_entry_t *entry,
+                                   const NmPb__TermEnd *response);
 /* Before the scheduler begins: what is known without asking. */
-void nm_terms_activate(nm_entry_t *entry);
+void nm_succession_activate(nm_entry_t *entry);
 /* Proves former terms over, and tells the scheduler once all are. */
-void nm_terms_run(nm_entry_t *entry, nm_ms_t now_ms);
+void nm_succession_run(nm_entry_t *entry, nm_ms_t now_ms);
 
 /* entry_commit.c */
 /* Sends the next commit if it is due and none is in flight. */
--- a/src/entry_terms.c
+++ b/src/entry_succession.c
@@ -37,8 +37,13 @@
  */
 #define ASK_INTERVAL_MIN_MS 250
 #define ASK_INTERVAL_MAX_MS 2000
-/* Interval of writes of the times that are left. */
-#define STORE_INTERVAL_MS 5000
+/*
+ * A host whose terms are proved over is asked for this long after the election
+ * for the workers that were silent at their end.
+ */
+#define ASK_AFTER_PROOF_MS 5000
+/* Interval of writes of what is proved and of the times that are left. */
+#define STORE_INTERVAL_MS 1000
 /* Interval of lines in the log while a term is not proved over. */
 #define UNRESOLVED_LOG_INTERVAL_MS 3000
 
@@ -55,17 +60,17 @@
 }
 
 void
-nm_terms_init(nm_entry_t *entry)
+nm_succession_init(nm_entry_t *entry)
 {
-    g_snprintf(entry->process, sizeof(entry->process), "%016llx",
-               (unsigned long long)nm_rng_next(&entry->rng));
+    g_snprintf(entry->process, sizeof(entry->process), "%08x%08x",
+               g_random_int(), g_random_int());
     nm_former_init(&entry->terms);
     nm_former_init(&entry->candidate_terms);
     nm_former_init(&entry->authority.former);
 }
 
 void
-nm_terms_finish(nm_entry_t *entry)
+nm_succession_finish(nm_entry_t *entry)
 {
     nm_former_finish(&entry->terms);
     nm_former_finish(&entry->candidate_terms);
@@ -77,13 +82,16 @@
 /* --- the stored list --- */
 
 void
-nm_terms_apply(nm_entry_t *entry, const nm_store_kv_t *item)
+nm_succession_apply(nm_entry_t *entry, const nm_store_kv_t *item)
 {
+    if (item->value && item->mod_revision < entry->terms_revision) {
+        return; /* the feed lags behind the conflict of an election */
+    }
     entry->terms_revision = item->value ? item->mod_revision : 0;
     if (item->value &&
         !nm_former_decode(&entry->terms, item->value, item->value_bytes))
     {
-        /* An election stores a row that stands for all terms before. */
+        /* The next election stores a row that stands for all terms. */
         nm_refusals_log(&entry->refusals, NM_LOG_ITEM_OWNER_REFUSED, "key",
                         item->key, "not a list of terms", nm_entry_now(entry));
     }
@@ -92,88 +100,76 @@
     }
 }
 
+/* Adds a list to a transaction; times are those that are left at now_ms. */
 static void
-put_terms(nm_store_txn_t *txn, const nm_former_terms_t *terms, nm_ms_t now_ms)
+put_terms(nm_entry_t *entry, nm_store_txn_t *txn,
+          const nm_former_terms_t *terms, int64_t epoch, nm_ms_t remaining_ms,
+          nm_ms_t now_ms)
 {
-    char *text = nm_former_encode(terms, now_ms);
+    nm_former_term_t own = {
+        .since = epoch, .epoch = epoch, .until_ms = now_ms + remaining_ms};
+    nm_strcopy(own.host, sizeof(own.host), entry->desc.name);
+    nm_strcopy(own.address, sizeof(own.address), entry->desc.peer_address);
+    nm_strcopy(own.process, sizeof(own.process), entry->process);
+    char *text = nm_former_encode(terms, &own, now_ms);
     nm_store_txn_put(txn, NM_KEY_TERMS, text, (uint32_t)strlen(text), 0);
     free(text);
 }
 
-static nm_former_term_t
-make_own_term(const nm_entry_t *entry, int64_t epoch, nm_ms_t until_ms)
-{
-    nm_former_term_t term = {.epoch = epoch, .until_ms = until_ms};
-    nm_strcopy(term.host, sizeof(term.host), entry->desc.name);
-    nm_strcopy(term.address, sizeof(term.address), entry->desc.peer_address);
-    nm_strcopy(term.process, sizeof(term.process), entry->process);
-    return term;
-}
-
-static void
-drop_newest(nm_former_terms_t *terms)
-{
-    g_ptr_array_remove_index(terms->terms, terms->terms->len - 1);
-}
-
 void
-nm_terms_put_candidate(nm_entry_t *entry, nm_store_txn_t *txn)
+nm_succession_put_candidate(nm_entry_t *entry, nm_store_txn_t *txn)
 {
     nm_former_terms_t *terms = &entry->candidate_terms;
-    char *stored = nm_former_encode(&entry->terms, 0);
-    nm_former_decode(terms, stored, (uint32_t)strlen(stored));
-    free(stored);
-    nm_former_term_t own = make_own_term(entry, entry->candidate_epoch,
-                                         NM_FORMER_AUTHORITY_MAX_MS);
-    nm_former_add(terms, &own);
+    nm_former_copy(terms, &entry->terms);
+    nm_former_cover(terms, entry->candidate_epoch);
     nm_store_txn_expect(txn, NM_KEY_TERMS, entry->terms_revision);
-    put_terms(txn, terms, 0);
-    drop_newest(terms);
+    put_terms(entry, txn, terms, entry->candidate_epoch,
+              NM_FORMER_AUTHORITY_MAX_MS, 0);
 }
 
 bool
-nm_terms_put(nm_entry_t *entry, nm_store_txn_t *txn, nm_ms_t now_ms)
+nm_succession_put(nm_entry_t *entry, nm_store_txn_t *txn, nm_ms_t now_ms)
 {
     nm_authority_t *authority = &entry->authority;
     bool times_due =
-        !authority->former_over && now_ms >= authority->terms_due_ms;
+        !authority->former_over && now_ms >= authority->times_due_ms;
     /* Not before its end may a term that is proved over be stored so. */
     bool proofs_due =
-        authority->terms_due && now_ms >= authority->former_until_ms;
+        authority->proofs_due && now_ms >= authority->former_until_ms;
     if (!proofs_due && !times_due) {
         return false;
     }
-    authority->terms_due = false;
-    authority->terms_due_ms = now_ms + STORE_INTERVAL_MS;
-    nm_former_term_t own = make_own_term(entry, entry->owned_epoch,
-                                         now_ms + NM_FORMER_AUTHORITY_MAX_MS);
-    nm_former_add(&authority->former, &own);
-    put_terms(txn, &authority->former, now_ms);
-    drop_newest(&authority->former);
+    authority->proofs_due = false;
+    authority->times_due_ms = now_ms + STORE_INTERVAL_MS;
+    put_terms(entry, txn, &authority->former, entry->owned_epoch,
+              NM_FORMER_AUTHORITY_MAX_MS, now_ms);
     return true;
 }
 
 void
-nm_terms_on_stored(nm_entry_t *entry, int rc)
+nm_succession_on_stored(nm_entry_t *entry, int rc)
 {
-    entry->authority.terms_due |= rc != NM_OK;
+    entry->authority.proofs_due |= rc != NM_OK;
 }
 
 /* --- this host's terms --- */
 
 void
-nm_terms_begin(nm_entry_t *entry)
+nm_succession_begin(nm_entry_t *entry)
 {
     nm_authority_t *authority = &entry->authority;
-    nm_former_move(&authority->former, &entry->candidate_terms);
-    nm_former_begin(&authority->former, authority->elected_ms);
+    nm_former_begin(&entry->candidate_terms, authority->elected_ms);
+    nm_former_inherit(&entry->candidate_terms, &authority->former);
+    nm_former_terms_t earlier = authority->former;
+    authority->former = entry->candidate_terms;
+    entry->candidate_terms = earlier;
     authority->former_until_ms =
         nm_former_until_ms(&authority->former, authority->elected_ms);
     authority->former_over = false;
     authority->ask_due_ms = 0;
     authority->ask_interval_ms = ASK_INTERVAL_MIN_MS;
-    authority->terms_due = false;
-    authority->terms_due_ms = authority->elected_ms + STORE_INTERVAL_MS;
+    authority->proofs_due = false;
+    authority->times_due_ms = authority->elected_ms;
     authority->unresolved_due_ms =
         authority->elected_ms + UNRESOLVED_LOG_INTERVAL_MS;
     nm_term_end_free(authority->handed_over);
@@ -187,7 +183,7 @@
 }
 
 void
-nm_terms_end(nm_entry_t *entry)
+nm_succession_end(nm_entry_t *entry)
 {
     if (entry->role != NM_ROLE_OWNER) {
         return;
@@ -203,10 +199,14 @@
 }
 
 void
-nm_terms_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn, nm_ms_t now_ms)
+nm_succession_put_hand_over(nm_entry_t *entry, nm_store_txn_t *txn,
+                            nm_ms_t now_ms)
 {
-    /* Until then an earlier owner may have authority. */
-    if (now_ms < entry->authority.former_until_ms) {
+    put_terms(entry, txn, &entry->authority.former, entry->owned_epoch, 0,
+              now_ms);
+    /* Until former_until_ms an earlier owner may renew leases. */
+    if (entry->role != NM_ROLE_OWNER ||
+        now_ms < entry->authority.former_until_ms) {
         return;
     }
     nm_term_end_t *end = nm_term_end_new(entry->owned_epoch, true);
@@ -231,7 +231,7 @@
 }
 
 void
-nm_terms_load_hand_over(nm_entry_t *entry, const nm_store_kv_t *item)
+nm_succession_load_hand_over(nm_entry_t *entry, const nm_store_kv_t *item)
 {
     nm_authority_t *authority = &entry->authority;
     json_t *record =
@@ -263,16 +263,17 @@
 }
 
 void
-nm_terms_fence(nm_entry_t *entry, int64_t epoch)
+nm_succession_fence(nm_entry_t *entry, int64_t epoch)
 {
     entry->fenced_epoch = MAX(entry->fenced_epoch, epoch);
 }
 
 void
-nm_terms_handle_request(nm_entry_t *entry, const nm_peer_message_t *message)
+nm_succession_handle_request(nm_entry_t *entry,
+                             const nm_peer_message_t *message)
 {
     int64_t asked_epoch = message->request->epoch;
-    nm_terms_fence(entry, asked_epoch);
+    nm_succession_fence(entry, asked_epoch);
     if (entry->owned_epoch > 0 && entry->owned_epoch < asked_epoch) {
         nm_term_step_down(entry, "a newer owner has asked for this term");
     }
@@ -341,39 +342,28 @@
 {
     for (guint i = 0; i < former_count(entry); i++) {
         nm_former_term_t *term = former_at(entry, i);
-        if (term->proof != NM_TERM_PROOF_NONE || term->address[0] == '\0' ||
-            strcmp(term->address, address) != 0)
-        {
+        if (term->address[0] == '\0' || strcmp(term->address, address) != 0) {
             continue;
         }
         bool same = strcmp(term->process, process) == 0;
         nm_former_prove(term,
                         same ? NM_TERM_PROOF_HOST : NM_TERM_PROOF_RESTARTED,
                         over_ms);
-        term->end = same ? copy_end(end) : NULL;
+        term->host_responded = true;
+        if (same && !term->end) {
+            term->end = copy_end(end);
+        }
     }
 }
 
-void
-nm_terms_handle_response(nm_entry_t *entry, const NmPb__TermEnd *response)
+static bool
+needs_response(const nm_authority_t *authority, const nm_former_term_t *term,
+               nm_ms_t now_ms)
 {
-    if (entry->role != NM_ROLE_OWNER ||
-        response->asked_epoch != entry->owned_epoch)
-    {
-        return;
-    }
-    nm_ms_t now_ms = nm_entry_now(entry);
-    nm_term_end_t *end = nm_term_end_new(response->epoch, response->complete);
-    for (size_t i = 0; i < response->n_silent; i++) {
-        const NmPb__SilentWorker *row = response->silent[i];
-        if (row->remaining_ms >= 0 && row->remaining_ms <= NM_DURATION_MAX_MS)
-        {
-            nm_term_end_add_silent(end, row->worker,
-                                   now_ms + row->remaining_ms);
-        }
-    }
-    apply_host(entry, response->address, response->process, end, now_ms);
-    nm_term_end_free(end);
+    return term->address[0] != '\0' && !term->host_responded &&
+           term->proof != NM_TERM_PROOF_HANDED_OVER &&
+           (term->proof == NM_TERM_PROOF_NONE ||
+            now_ms < authority->elected_ms + ASK_AFTER_PROOF_MS);
 }
 
 /* Asks each host once, however many terms it has held. */
@@ -389,14 +379,13 @@
         MIN(2 * authority->ask_interval_ms, ASK_INTERVAL_MAX_MS);
     for (guint i = 0; i < former_count(entry); i++) {
         const nm_former_term_t *term = former_at(entry, i);
-        bool asked =
-            term->proof != NM_TERM_PROOF_NONE || term->address[0] == '\0';
-        for (guint j = 0; j < i && !asked; j++) {
+        bool due = needs_response(authority, term, now_ms);
+        for (guint j = 0; j < i && due; j++) {
             const nm_former_term_t *other = former_at(entry, j);
-            asked = other->proof == NM_TERM_PROOF_NONE &&
-                    strcmp(other->address, term->address) == 0;
+            due = !needs_response(authority, other, now_ms) ||
+                  strcmp(other->address, term->address) != 0;
         }
-        if (asked) {
+        if (!due) {
             continue;
         }
         NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
@@ -497,26 +486,61 @@
     }
 }
 
+/* Tells the scheduler until when former owners may have renewed leases. */
+static void
+apply_end(nm_entry_t *entry)
+{
+    nm_authority_t *authority = &entry->authority;
+    authority->former_until_ms =
+        nm_former_until_ms(&authority->former, authority->elected_ms);
+    nm_sched_set_former_until(entry->sched, authority->former_until_ms);
+    limit_leases(entry);
+}
+
 void
-nm_terms_run(nm_entry_t *entry, nm_ms_t now_ms)
+nm_succession_handle_response(nm_entry_t *entry, const NmPb__TermEnd *response)
+{
+    if (entry->role != NM_ROLE_OWNER ||
+        response->asked_epoch != entry->owned_epoch)
+    {
+        return;
+    }
+    nm_ms_t now_ms = nm_entry_now(entry);
+    nm_term_end_t *end = nm_term_end_new(response->epoch, response->complete);
+    for (size_t i = 0; i < response->n_silent; i++) {
+        const NmPb__SilentWorker *row = response->silent[i];
+        if (row->remaining_ms >= 0 && row->remaining_ms <= NM_DURATION_MAX_MS)
+        {
+            nm_term_end_add_silent(end, row->worker,
+                                   now_ms + row->remaining_ms);
+        }
+    }
+    apply_host(entry, response->address, response->process, end, now_ms);
+    nm_term_end_free(end);
+    if (entry->authority.former_over) {
+        apply_end(entry);
+    }
+}
+
+void
+nm_succession_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
     nm_authority_t *authority = &entry->authority;
+    if (!authority->former_over) {
+        check_witnesses(entry, now_ms);
+        nm_former_expire(&authority->former, now_ms);
+    }
+    ask_hosts(entry, now_ms);
     if (authority->former_over) {
         return;
     }
-    check_witnesses(entry, now_ms);
-    nm_former_expire(&authority->former, now_ms);
     if (!nm_former_is_over(&authority->former)) {
-        ask_hosts(entry, now_ms);
         log_unresolved(entry, now_ms);
         return;
     }
     authority->former_over = true;
-    authority->terms_due = former_count(entry) > 0;
-    authority->former_until_ms =
-        nm_former_until_ms(&authority->former, authority->elected_ms);
-    nm_sched_set_former_until(entry->sched, authority->former_until_ms);
-    limit_leases(entry);
+    authority->proofs_due = former_count(entry) > 0;
+    apply_end(entry);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_FORMER_OVER, "{s:I,s:I,s:o,s:i}", "epoch",
            (json_int_t)entry->owned_epoch, "after_ms",
            (json_int_t)(authority->former_until_ms - authority->elected_ms),
@@ -525,10 +549,10 @@
 }
 
 void
-nm_terms_activate(nm_entry_t *entry)
+nm_succession_activate(nm_entry_t *entry)
 {
     nm_authority_t *authority = &entry->authority;
-    if (authority->handed_over) {
+    if (authority->handed_over && former_count(entry) > 0) {
         nm_former_prove_all(&authority->former, NM_TERM_PROOF_HANDED_OVER,
                             authority->elected_ms);
         former_at(entry, former_count(entry) - 1)->end =
@@ -538,5 +562,5 @@
     apply_host(entry, entry->desc.peer_address, entry->process,
                entry->term_end, authority->elected_ms);
     nm_sched_activate(entry->sched, authority->former_until_ms);
-    nm_terms_run(entry, nm_entry_now(entry));
+    nm_succession_run(entry, nm_entry_now(entry));
 }
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -261,7 +261,7 @@
     }
     g_ptr_array_set_size(entry->cancels, 0);
     entry->role = NM_ROLE_OWNER;
-    nm_terms_activate(entry);
+    nm_succession_activate(entry);
     nm_load_reset(entry, nm_entry_now(entry));
     entry->sched_due_ms = 0;
     nm_count(NM_COUNTER_TAKEOVERS, 1);
@@ -383,7 +383,7 @@
         nm_authority_load_witnesses(entry, item);
     }
     else if (item->value && strcmp(item->key, NM_KEY_HAND_OVER) == 0) {
-        nm_terms_load_hand_over(entry, item);
+        nm_succession_load_hand_over(entry, item);
     }
     else if (item->value && strcmp(item->key, NM_KEY_INTERFERENCE) == 0) {
         int rc = nm_sched_restore_interference(entry->sched, item->value,
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -66,7 +66,7 @@
     g_queue_init(&entry->unverified);
     g_queue_init(&entry->announce_queue);
     nm_authority_init(entry);
-    nm_terms_init(entry);
+    nm_succession_init(entry);
 }
 
 void
@@ -79,7 +79,7 @@
     g_ptr_array_free(entry->cancels, TRUE);
     g_hash_table_destroy(entry->cancels_ahead);
     nm_authority_finish(entry);
-    nm_terms_finish(entry);
+    nm_succession_finish(entry);
 }
 
 void
@@ -95,7 +95,7 @@
                             entry->authority.confirmed_ms),
                "loading", entry->role == NM_ROLE_LOADING);
     }
-    nm_terms_end(entry);
+    nm_succession_end(entry);
     entry->role = NM_ROLE_FOLLOWER;
     entry->owned_epoch = 0;
     entry->lease = 0;
--- a/src/former_terms.h
+++ b/src/former_terms.h
@@ -10,11 +10,10 @@
  *
  *     nm_former_terms_t terms;
  *     nm_former_init(&terms);
- *     if (nm_former_decode(&terms, text, bytes)) {
- *         nm_former_add(&terms, &own_term);
- *         char *stored = nm_former_encode(&terms, now_ms);
- *         ...
- *     }
+ *     nm_former_decode(&terms, text, bytes);
+ *     nm_former_cover(&terms, epoch);
+ *     char *stored = nm_former_encode(&terms, &own_term, now_ms);
+ *     ...
  *     nm_former_finish(&terms);
  */
 #ifndef NM_FORMER_TERMS_H
@@ -29,7 +28,7 @@
  * a term has ended this long after the next election.
  */
 #define NM_FORMER_AUTHORITY_MAX_MS 60000
-/* Rows of a list; beyond them, two rows are stored as one without a host. */
+/* Rows of a list; beyond them, the oldest are stored as one. */
 #define NM_FORMER_TERMS_MAX 16
 
 /* What proves that a term is over, and its label in the log. */
@@ -59,13 +58,15 @@
 } nm_term_end_t;
 
 typedef struct {
-    /* Without a host the row stands for all terms since the one before. */
-    int64_t epoch;
+    /* Terms of one process, or without a host of unknown ones. */
+    int64_t since; /* epoch of the first */
+    int64_t epoch; /* of the last */
     char host[NM_NAME_MAX];
     char address[NM_NAME_MAX * 2]; /* for peers; empty: not known */
     char process[NM_NAME_MAX];     /* unique to a process of a host */
-    nm_ms_t until_ms;              /* it has no authority from then on */
+    nm_ms_t until_ms;              /* they have no authority from then on */
     nm_term_proof_t proof;         /* of until_ms; NONE: the longest time */
+    bool host_responded;           /* in the present term */
     nm_term_end_t *end;            /* as its host has told; may be NULL */
 } nm_former_term_t;
 
@@ -85,8 +86,13 @@
 void nm_former_init(nm_former_terms_t *terms);
 void nm_former_finish(nm_former_terms_t *terms);
 void nm_former_clear(nm_former_terms_t *terms);
-/* Takes over the content of another list, which is empty then. */
-void nm_former_move(nm_former_terms_t *terms, nm_former_terms_t *from);
+/* Replaces the list by a copy, without what hosts have told. */
+void nm_former_copy(nm_former_terms_t *terms, const nm_former_terms_t *from);
+/*
+ * Takes from an earlier list of the same process, which is empty then, what is
+ * known of the terms that are in both.
+ */
+void nm_former_inherit(nm_former_terms_t *terms, nm_former_terms_t *from);
 
 /*
  * Replaces the list by a stored one.  until_ms of its terms is what was left
@@ -96,24 +102,22 @@
 bool nm_former_decode(nm_former_terms_t *terms, const void *text,
                       uint32_t bytes);
 /*
- * JSON of the terms that are not over, or not proved so, to be freed with
- * free().
+ * JSON of the terms that are not over, or not proved so, and of the newest one
+ * that follows them; to be freed with free().
  */
-char *nm_former_encode(const nm_former_terms_t *terms, nm_ms_t now_ms);
+char *nm_former_encode(const nm_former_terms_t *terms,
+                       const nm_former_term_t *newest, nm_ms_t now_ms);
 
 /* Returns the epoch of the newest term, over or not; 0: there is none. */
 int64_t nm_former_newest_epoch(const nm_former_terms_t *terms);
 /*
- * Appends a copy of a term.  If it does not follow the newest one, a row
- * without a host stands for those between.
- */
-void nm_former_add(nm_former_terms_t *terms, const nm_former_term_t *term);
-/*
- * A later owner is elected at a time: the longest times of the terms count
- * from there.
+ * Before a term of an epoch is stored: if the list lacks the term before it, a
+ * row without a host stands for all that are missing.
  */
+void nm_former_cover(nm_former_terms_t *terms, int64_t epoch);
+/* A later owner is elected at a time: what was left of the times counts on. */
 void nm_former_begin(nm_former_terms_t *terms, nm_ms_t elected_ms);
-/* A term is over at a time; without effect if that is proved already. */
+/* Proves a term over at a time; of several proofs the earliest end counts. */
 void nm_former_prove(nm_former_term_t *term, nm_term_proof_t proof,
                      nm_ms_t over_ms);
 void nm_former_prove_all(nm_former_terms_t *terms, nm_term_proof_t proof,
