Failing test: silent connections end the lease of the owner key

Cause: an owner has at most two renewals in flight, each for up to the 1.5 s timeout of the store client, which is the lease of the key. Two renewals on connections that have gone silent, or whose responses are lost while the store carries them out late, hold back the third until the lease has expired, while other calls of the same owner succeed.

Measured: 1990 ms between two renewals that reach the store (2 silent connections; 1 passes).

--- a/tests/fakes/lib_kv_proxy.c
+++ b/tests/fakes/lib_kv_proxy.c
@@ -1,5 +1,8 @@
 #include "lib_kv_proxy.h"
 
+/* Timeout of the platform's client. */
+#define CALL_TIMEOUT_MS 1500
+
 typedef struct {
     fake_kv_proxy_t *proxy;
     nm_kv_done_fn done;
@@ -105,7 +108,16 @@
 {
     fake_kv_proxy_t *proxy = (fake_kv_proxy_t *)kv;
     proxy_call_t *call = new_proxy_call(kv, done, user);
+    if (proxy->silent_connections > 0) {
+        proxy->silent_connections--;
+        call->due_ms = nm_clock_now(proxy->clock) + CALL_TIMEOUT_MS;
+        g_queue_push_tail(&proxy->silent_renewals, call);
+        return;
+    }
     if (proxy->renewal_delay_ms == 0) {
+        if (proxy->clock) {
+            proxy->renewed_ms = nm_clock_now(proxy->clock);
+        }
         nm_kv_lease_keepalive(proxy->store, lease, on_proxy_result, call);
         return;
     }
@@ -118,6 +130,12 @@
 fake_kv_proxy_run(fake_kv_proxy_t *proxy)
 {
     proxy_call_t *call;
+    while ((call = g_queue_peek_head(&proxy->silent_renewals)) &&
+           nm_clock_now(proxy->clock) >= call->due_ms)
+    {
+        g_queue_pop_head(&proxy->silent_renewals);
+        on_proxy_result(call, &(nm_kv_result_t){.rc = NM_ERR_LOST});
+    }
     while ((call = g_queue_peek_head(&proxy->held_renewals)) &&
            nm_clock_now(proxy->clock) >= call->due_ms)
     {
@@ -145,5 +163,6 @@
     *proxy = (fake_kv_proxy_t){.base = {&proxy_vtable}, .store = store};
     g_queue_init(&proxy->held_results);
     g_queue_init(&proxy->held_renewals);
+    g_queue_init(&proxy->silent_renewals);
     return &proxy->base;
 }
--- a/tests/test_entry_slow_owner.c
+++ b/tests/test_entry_slow_owner.c
@@ -198,6 +198,41 @@
     }
 }
 
+/*
+ * Kept connections may go silent for good while new ones work.  Renewals on
+ * them must not hold back the next ones until the lease of the owner key has
+ * expired.
+ */
+static void
+test_silent_connections_end_no_lease(void)
+{
+    enum { OWNER_LEASE_MS = 1500 };
+    for (uint32_t silent = 1; silent <= 2; silent++) {
+        g_test_message("%u connections", silent);
+        fake_kv_t *kv = configured_store();
+        fake_kv_proxy_t proxy;
+        host_t host;
+        host_init_with_kv(&host, "a", "inproc://a", kv,
+                          fake_kv_proxy_init(&proxy, fake_kv_port(kv)));
+        proxy.clock = &host.clock;
+        run_host(&host, 2000);
+        g_assert_cmpint(host.entry->role, ==, NM_ROLE_OWNER);
+        g_assert_cmpint(proxy.renewed_ms, >, 0);
+        proxy.silent_connections = silent;
+        nm_ms_t longest_ms = 0;
+        for (nm_ms_t t = 0; t < 4000; t += 10) {
+            run_host(&host, 10);
+            fake_kv_proxy_run(&proxy);
+            longest_ms =
+                MAX(longest_ms, nm_clock_now(&host.clock) - proxy.renewed_ms);
+        }
+        g_assert_cmpuint(proxy.silent_connections, ==, 0);
+        g_assert_cmpint(longest_ms, <, OWNER_LEASE_MS);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
 /* Only the owner knows the count, so that its response is waited for. */
 static void
 test_late_count_is_no_refusal(void)
@@ -243,6 +278,8 @@
                     test_cancel_overtakes_its_job);
     g_test_add_func("/entry/slow-renewals-end-no-authority",
                     test_slow_renewals_end_no_authority);
+    g_test_add_func("/entry/silent-connections-end-no-lease",
+                    test_silent_connections_end_no_lease);
     g_test_add_func("/entry/late-count-is-no-refusal",
                     test_late_count_is_no_refusal);
     return g_test_run();
