An owner sends a renewal of its key at each interval

Cause: at most two renewals were in flight, and a call takes up to 1.5 s, the lease of the key. Two that could not be answered held back the third until the key had expired, though the store served the owner's other calls.

Change: four in flight, as many as fit into the timeout of a call, so that one is sent each 400 ms whatever became of those before.

Measured: test_entry_slow_owner /entry/silent-connections-end-no-lease passes (1990 ms before); slow-renewals-end-no-authority passes still.

--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -30,11 +30,12 @@
 /* Three renewals fit into a lease. */
 #define OWNER_RENEW_INTERVAL_MS 400
 /*
- * A renewal confirms the ownership from the time at which it was sent.  If the
- * next one waited for the response, half of AUTHORITY_MS would be the longest
- * response that keeps the authority.
+ * A renewal confirms the ownership from the time at which it was sent.  As
+ * many are in flight as fit into the timeout of a call, so that one is sent at
+ * each interval: if they waited for responses that cannot come, as on
+ * connections that have gone silent, the lease would expire.
  */
-#define RENEWALS_IN_FLIGHT_MAX 2
+#define RENEWALS_IN_FLIGHT_MAX 4
 /* Longest time for which a stopping owner waits to store its progress. */
 #define HAND_OVER_TIMEOUT_MS 400
 /*
