Failing test: a worker whose next incarnation is born earlier

Cause: a report with an earlier birth is taken for one of the incarnation before, and the worker is polled again each 300 ms, without an end. Such a poll counts as answered, so that the lease never lapses and the tasks wait for an incarnation that cannot respond any more. The entry with the earlier birth is dropped as late.

--- a/tests/test_sched_clock.c
+++ b/tests/test_sched_clock.c
@@ -115,6 +115,57 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A worker restarts under its id while its time of day is set back, so that
+ * its next incarnation is born earlier.  What it ran must not wait for the
+ * former one for longer than for a worker that is lost, and it must be used.
+ */
+static void
+test_next_incarnation_is_born_earlier(void)
+{
+    enum { BORN = 5000, SET_BACK_MS = 2000 };
+    static const struct {
+        const char *name;
+        bool is_announced; /* its entry is seen as well as its reports */
+        bool other_worker; /* is free */
+    } cases[] = {{"reports only", false, true},
+                 {"announced", true, true},
+                 {"the only worker", true, false}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_announce(&sim, "a", BORN);
+        sched_sim_advance(&sim, STEP_MS);
+        sched_sim_report(&sim, "a", BORN, NULL, 0, NULL, 0);
+        sched_sim_add_job(&sim, JOB, true, 1, 1000, false);
+        sched_sim_advance(&sim, STEP_MS);
+        g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_START, "a"));
+        sched_sim_confirm_starts(&sim);
+        if (cases[i].other_worker) {
+            sched_sim_add_worker(&sim, "b");
+        }
+        if (cases[i].is_announced) {
+            sched_sim_announce(&sim, "a", BORN - SET_BACK_MS);
+        }
+        nm_ms_t restarted_ms = sim.now_ms;
+        bool started = false;
+        while (!started && sim.now_ms - restarted_ms < RESTART_MAX_MS) {
+            sched_sim_advance(&sim, STEP_MS);
+            started = sched_sim_find_action(&sim, NM_ACTION_START, NULL);
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+                sched_sim_report(&sim, "a", BORN - SET_BACK_MS, NULL, 0, NULL,
+                                 0);
+            }
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "b")) {
+                sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
+            }
+        }
+        g_assert_true(started);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -127,5 +178,7 @@
                              test_lease_lapses_before_restart);
         g_free(path);
     }
+    g_test_add_func("/sched/next-incarnation-is-born-earlier",
+                    test_next_incarnation_is_born_earlier);
     return g_test_run();
 }
