test_sched_clock: the restarted worker is polled

The test failed for a wrong reason when it was added: it left a poll of the first incarnation without a response, so that no further poll was sent and none was answered with the earlier birth. It now responds to each poll, lets the run be at work for 3 s first, and also checks that polls were answered after the restart.

--- a/tests/test_sched_clock.c
+++ b/tests/test_sched_clock.c
@@ -123,7 +123,7 @@
 static void
 test_next_incarnation_is_born_earlier(void)
 {
-    enum { BORN = 5000, SET_BACK_MS = 2000 };
+    enum { BORN = 5000, SET_BACK_MS = 2000, AT_WORK_MS = 3000 };
     static const struct {
         const char *name;
         bool is_announced; /* its entry is seen as well as its reports */
@@ -133,6 +133,7 @@
                  {"the only worker", true, false}};
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_message("%s", cases[i].name);
+        uint32_t polls = 0;
         sched_sim_t sim;
         sched_sim_init(&sim, 1);
         sched_sim_announce(&sim, "a", BORN);
@@ -141,7 +142,19 @@
         sched_sim_add_job(&sim, JOB, true, 1, 1000, false);
         sched_sim_advance(&sim, STEP_MS);
         g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_START, "a"));
-        sched_sim_confirm_starts(&sim);
+        nm_sched_action_t start = sched_sim_confirm_starts(&sim);
+        nm_worker_run_t running = sched_sim_make_run(TASK, start.run);
+        for (nm_ms_t t = 0; t < AT_WORK_MS; t += STEP_MS) {
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+                sched_sim_report(&sim, "a", BORN, &running, 1, NULL, 0);
+                polls++;
+            }
+            sched_sim_advance(&sim, STEP_MS);
+        }
+        g_assert_cmpuint(polls, >, 1);
+        if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+            sched_sim_lose_poll(&sim, "a");
+        }
         if (cases[i].other_worker) {
             sched_sim_add_worker(&sim, "b");
         }
@@ -150,17 +163,23 @@
         }
         nm_ms_t restarted_ms = sim.now_ms;
         bool started = false;
+        polls = 0;
         while (!started && sim.now_ms - restarted_ms < RESTART_MAX_MS) {
             sched_sim_advance(&sim, STEP_MS);
             started = sched_sim_find_action(&sim, NM_ACTION_START, NULL);
             if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
                 sched_sim_report(&sim, "a", BORN - SET_BACK_MS, NULL, 0, NULL,
                                  0);
+                polls++;
             }
             if (sched_sim_find_action(&sim, NM_ACTION_POLL, "b")) {
                 sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
             }
         }
+        g_test_message("%s after %d ms, %u polls",
+                       started ? "started" : "none",
+                       (int)(sim.now_ms - restarted_ms), polls);
+        g_assert_cmpuint(polls, >, 0);
         g_assert_true(started);
         sched_sim_finish(&sim);
     }
