A worker whose next incarnation is born earlier is used again

Cause: a report with an earlier birth was taken for one of the incarnation before, whenever it came. After a restart under the same id with a time of day that was set back, the worker was polled each 300 ms without an end; the polls counted as answered, so its tasks' lease never lapsed and they waited for a process that had ended.

Change: a report is one of a former incarnation only if its poll was sent before the newest one was seen or reported. A process that responds to a later poll has replaced it, which proves as much as a later birth does. An entry with an earlier birth is held until a report shows that it is the newer one.

Measured: test_sched_clock /sched/next-incarnation-is-born-earlier: the task starts again 200 ms after the restart in 3 of 3 cases, before not within 600 s.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -69,7 +69,8 @@
 
 /* Description that a worker publishes of itself. */
 typedef struct {
-    int64_t incarnation; /* rises with each restart */
+    /* Rises with each restart, unless the worker's time of day is set back. */
+    int64_t incarnation;
     int64_t cpu_milli;
     int64_t memory_mb;
     int32_t accelerators;
--- a/src/sched.c
+++ b/src/sched.c
@@ -115,6 +115,7 @@
     g_array_free(node->tails, TRUE);
     g_queue_clear_full(&node->pending_acks, g_free);
     nm_orphans_free(node);
+    g_free(node->held_desc);
     g_free(node);
 }
 
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -185,8 +185,12 @@
         node = add_node(sched, desc->id, now_ms);
     }
     if (node->described && desc->incarnation < node->desc.incarnation) {
-        return; /* a late announcement of an earlier incarnation */
+        /* Late, unless a report shows that it came after the other. */
+        g_free(node->held_desc);
+        node->held_desc = g_memdup2(desc, sizeof(*desc));
+        return;
     }
+    g_clear_pointer(&node->held_desc, g_free);
     if (node->described && desc->incarnation > node->desc.incarnation) {
         nm_node_begin_incarnation(sched, node, desc->incarnation, now_ms);
     }
@@ -207,11 +211,26 @@
     sched->needs_placement = true;
 }
 
+void
+nm_node_apply_held_desc(nm_sched_t *sched, nm_sched_node_t *node,
+                        nm_ms_t now_ms)
+{
+    nm_sched_worker_t *held = node->held_desc;
+    node->held_desc = NULL;
+    if (held && held->incarnation == node->desc.incarnation) {
+        nm_sched_set_worker(sched, held, now_ms);
+    }
+    g_free(held);
+}
+
 bool
 nm_sched_deregister_worker(nm_sched_t *sched, const char *id)
 {
     assert(sched && id);
     nm_sched_node_t *node = nm_node_find(sched, id);
+    if (node) {
+        g_clear_pointer(&node->held_desc, g_free);
+    }
     if (!node || !node->announced) {
         return false;
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -584,6 +584,21 @@
     sched->needs_placement = true;
 }
 
+/*
+ * True if a report is one of an incarnation before: the poll was sent before
+ * the newest one was seen or reported.  A process that responds to a later
+ * poll has replaced it, although it is born earlier: the time of day may have
+ * been set back.
+ */
+static bool
+is_of_former_incarnation(const nm_sched_node_t *node,
+                         const nm_worker_report_t *report)
+{
+    nm_ms_t reported_ms = node->clock_known ? node->clock_at_ms : 0;
+    return report->incarnation < node->desc.incarnation &&
+           report->sent_ms <= MAX(reported_ms, node->incarnation_seen_ms);
+}
+
 void
 nm_sched_on_report(nm_sched_t *sched, const char *worker,
                    const nm_worker_report_t *report, nm_ms_t now_ms)
@@ -617,14 +632,15 @@
             now_ms + retry_delay_ms(sched, node->poll_failures);
         return;
     }
-    if (report->incarnation < node->desc.incarnation) {
+    if (is_of_former_incarnation(node, report)) {
         node->poll_due_ms = now_ms + NM_SCHED_RETRY_MS;
         return;
     }
-    if (report->incarnation > node->desc.incarnation) {
+    if (report->incarnation != node->desc.incarnation) {
         nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_UNDESCRIBED, worker,
                            report->incarnation);
         nm_node_begin_incarnation(sched, node, report->incarnation, now_ms);
+        nm_node_apply_held_desc(sched, node, now_ms);
     }
     node->alive_ms = now_ms;
     /* A worker may respond before the end of a wait: that shows no delay. */
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -350,9 +350,10 @@
      * kind, so that the rest of desc does not hold for it.
      */
     int64_t announced_incarnation;
-    uint64_t reports;       /* number of reports applied */
-    uint32_t poll_failures; /* unanswered polls in a row */
-    bool last_call_lost;    /* its last call got no response */
+    nm_sched_worker_t *held_desc; /* announced, but born earlier; or NULL */
+    uint64_t reports;             /* number of reports applied */
+    uint32_t poll_failures;       /* unanswered polls in a row */
+    bool last_call_lost;          /* its last call got no response */
     bool poll_pending;
     nm_ms_t poll_wait_ms; /* of the newest poll */
     nm_ms_t poll_due_ms;
@@ -715,6 +716,9 @@
                            nm_ms_t now_ms);
 void nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                int64_t incarnation, nm_ms_t now_ms);
+/* Applies the description that was announced for the present incarnation. */
+void nm_node_apply_held_desc(nm_sched_t *sched, nm_sched_node_t *node,
+                             nm_ms_t now_ms);
 /*
  * True while a worker may run, or have run, tasks of a former owner that this
  * one does not know.  A worker that is announced later got none from it, as a
