Failing test: elections begin the wait for lost workers anew

Cause: the time since which a worker is silent is not stored with the silence. Each new owner counts it from its election, so the wait of at most 30 s for a worker that may be back does not end while owners follow each other.

--- a/tests/test_sched_crash_proof.c
+++ b/tests/test_sched_crash_proof.c
@@ -302,11 +302,16 @@
     crash_sim_finish(&crash);
 }
 
-/* Returns for how long the task was idle after so many workers were lost. */
+/*
+ * Returns for how long the task was idle after so many workers were lost.
+ * Intervals between watch gaps, and between elections; 0: none.
+ */
 static nm_ms_t
-idle_after_losses(uint32_t losses, nm_ms_t gap_interval_ms)
+idle_after_losses(uint32_t losses, nm_ms_t gap_interval_ms,
+                  nm_ms_t election_interval_ms)
 {
     enum { LIMIT_MS = 600000 };
+    int64_t epoch = 1;
     crash_sim_t crash;
     crash_sim_init(&crash, 1);
     sched_sim_add_job(&crash.sim, JOB, true, 1, 1000, false);
@@ -314,17 +319,21 @@
         g_assert_true(wait_for_start(&crash, 4 * CRASH_SIM_LAPSE_MS));
         cut_worker(&crash);
     }
-    nm_ms_t begin_ms = crash.sim.now_ms;
-    nm_ms_t gap_ms = begin_ms;
-    while (crash.running->len == 0 && crash.sim.now_ms - begin_ms < LIMIT_MS) {
-        if (gap_interval_ms > 0 &&
-            crash.sim.now_ms - gap_ms >= gap_interval_ms) {
-            gap_ms = crash.sim.now_ms;
-            nm_sched_on_watch_gap(crash.sim.sched, gap_ms);
+    nm_ms_t idle_ms = 0; /* the clock of the sim begins anew at elections */
+    while (crash.running->len == 0 && idle_ms < LIMIT_MS) {
+        if (gap_interval_ms > 0 && idle_ms > 0 &&
+            idle_ms % gap_interval_ms == 0) {
+            nm_sched_on_watch_gap(crash.sim.sched, crash.sim.now_ms);
+        }
+        if (election_interval_ms > 0 && idle_ms > 0 &&
+            idle_ms % election_interval_ms == 0)
+        {
+            crash_sim_replace_owner(&crash, ++epoch);
         }
+        nm_ms_t before_ms = crash.sim.now_ms;
         crash_sim_run(&crash, "", CRASH_SIM_STEP_MS);
+        idle_ms += crash.sim.now_ms - before_ms;
     }
-    nm_ms_t idle_ms = crash.sim.now_ms - begin_ms;
     crash_sim_finish(&crash);
     return idle_ms;
 }
@@ -336,13 +345,28 @@
 {
     for (uint32_t losses = 1; losses <= 5; losses++) {
         g_test_message("%u lost: idle for %d ms", losses,
-                       (int)idle_after_losses(losses, 0));
+                       (int)idle_after_losses(losses, 0, 0));
     }
-    nm_ms_t idle_ms = idle_after_losses(3, 10000);
+    nm_ms_t idle_ms = idle_after_losses(3, 10000, 0);
     g_test_message("3 lost, watch gap each 10 s: %d ms", (int)idle_ms);
     g_assert_cmpint(idle_ms, <, 60000);
 }
 
+/*
+ * The same with elections in series, each after the leases of former owners
+ * have lapsed: the wait for workers that may be back must not begin anew.
+ */
+static void
+test_idle_after_losses_and_elections(void)
+{
+    for (uint32_t losses = 1; losses <= 3; losses++) {
+        nm_ms_t idle_ms = idle_after_losses(losses, 0, 9000);
+        g_test_message("%u lost, election each 9 s: %d ms", losses,
+                       (int)idle_ms);
+        g_assert_cmpint(idle_ms, <, 60000);
+    }
+}
+
 /* Real time of a round, with so many tasks that wait for silent workers. */
 static double
 measure_round_ms(uint32_t workers, uint32_t jobs, uint32_t silences)
@@ -430,6 +454,8 @@
                     test_counts_of_earlier_version);
     g_test_add_func("/sched/losses-hold-no-task-for-ever",
                     test_idle_after_losses);
+    g_test_add_func("/sched/losses-hold-no-task-through-elections",
+                    test_idle_after_losses_and_elections);
     g_test_add_func("/sched/crash-events-name-the-worker",
                     test_events_name_worker);
     g_test_add_func("/sched/cost-of-silences-at-27000-workers",
