The wait for a silent worker goes on under the next owner

Cause: a silence was stored without the time since which it lasts, so that each new owner began the waits for workers that may be back (at most 30 s) and for lost ones (900 s) anew.

Change: a silence is stored with the wall clock at which it was noticed, as the acceptance of a job is; records without it, and times to come, count from the election as before. An intent has no time, as its worker may have fallen silent at any time since. The sims keep the wall clock through elections.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -218,6 +218,7 @@
                 .incarnation = node->desc.incarnation,
                 .run = task->run,
                 .since_ms = now_ms,
+                .since_unix_ms = sched->unix_ms,
                 .heard_ms = node->alive_ms,
                 .certain = culprit && is_confirmed(task) &&
                            task->occurrence->job == culprit->occurrence->job};
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -121,10 +121,10 @@
 static json_t *
 encode_silence(const nm_silence_t *silence, uint32_t o, uint32_t s, uint32_t i)
 {
-    return json_pack("[i,i,i,I,I,b,I]", o, s, i,
-                     (json_int_t)silence->worker_hash,
-                     (json_int_t)silence->incarnation, silence->certain,
-                     (json_int_t)silence->address_hash);
+    return json_pack(
+        "[i,i,i,I,I,b,I,I]", o, s, i, (json_int_t)silence->worker_hash,
+        (json_int_t)silence->incarnation, silence->certain,
+        (json_int_t)silence->address_hash, (json_int_t)silence->since_unix_ms);
 }
 
 /* Appends each silence of a task, and its intent. */
@@ -269,8 +269,13 @@
     }
 }
 
+/*
+ * Waits for a silent worker go on under the next owner.  The worker of an
+ * intent may have fallen silent at any time since.
+ */
 static void
-restore_silence(nm_sched_job_t *job, const json_t *row, nm_ms_t now_ms)
+restore_silence(const nm_sched_t *sched, nm_sched_job_t *job,
+                const json_t *row)
 {
     nm_task_t *task = find_row_task(job, row, 2);
     int64_t worker_hash;
@@ -284,12 +289,19 @@
         if (!read_column(row, 3, UINT32_MAX, &address_hash)) {
             address_hash = 0;
         }
-        task->silences[task->silence_count++] =
-            (nm_silence_t){.worker_hash = (uint32_t)worker_hash,
-                           .address_hash = (uint32_t)address_hash,
-                           .incarnation = incarnation,
-                           .since_ms = now_ms,
-                           .certain = json_is_true(certain)};
+        int64_t since_unix_ms = 0;
+        if (!read_column(row, 4, NM_UNIX_MAX_MS, &since_unix_ms) ||
+            since_unix_ms <= 0 || since_unix_ms > sched->unix_ms)
+        {
+            since_unix_ms = sched->unix_ms;
+        }
+        task->silences[task->silence_count++] = (nm_silence_t){
+            .worker_hash = (uint32_t)worker_hash,
+            .address_hash = (uint32_t)address_hash,
+            .incarnation = incarnation,
+            .since_ms = sched->began_ms - (sched->unix_ms - since_unix_ms),
+            .since_unix_ms = since_unix_ms,
+            .certain = json_is_true(certain)};
     }
 }
 
@@ -364,7 +376,7 @@
     }
     json_array_foreach(json_object_get(record, "silences"), i, row)
     {
-        restore_silence(job, row, sched->began_ms);
+        restore_silence(sched, job, row);
     }
     json_decref(record);
     return NM_OK;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -149,10 +149,11 @@
     uint32_t address_hash; /* 0: not known, or shared by several workers */
     int64_t incarnation;
     int64_t run;      /* 0: not known */
-    nm_ms_t since_ms; /* when it was noticed, or restored */
-    nm_ms_t heard_ms; /* newest response before; 0: restored */
-    nm_ms_t lapse_ms; /* of the lease; 0: not lapsed, or restored */
-    bool certain;     /* no other task can have caused a crash */
+    nm_ms_t since_ms; /* when it was noticed; of an intent: made or restored */
+    int64_t since_unix_ms; /* the same by the wall clock; 0: not stored */
+    nm_ms_t heard_ms;      /* newest response before; 0: restored */
+    nm_ms_t lapse_ms;      /* of the lease; 0: not lapsed, or restored */
+    bool certain;          /* no other task can have caused a crash */
 } nm_silence_t;
 
 typedef struct {
--- a/tests/fakes/lib_sched_crash.c
+++ b/tests/fakes/lib_sched_crash.c
@@ -181,8 +181,11 @@
 crash_sim_replace_owner(crash_sim_t *crash, int64_t epoch)
 {
     nm_ms_t former_now_ms = crash->sim.now_ms;
+    int64_t unix_ms = former_now_ms + crash->sim.unix_offset_ms;
     sched_sim_finish(&crash->sim);
     sched_sim_init(&crash->sim, epoch);
+    crash->sim.unix_offset_ms = unix_ms - crash->sim.now_ms;
+    sched_sim_advance(&crash->sim, 0);
     sched_sim_add_job(&crash->sim, JOB, false, 1, 1000, true);
     if (crash->record) {
         g_assert_cmpint(nm_sched_restore(crash->sim.sched, JOB, crash->record,
--- a/tests/fakes/lib_sched_sim.c
+++ b/tests/fakes/lib_sched_sim.c
@@ -16,7 +16,7 @@
 sched_sim_advance(sched_sim_t *sim, nm_ms_t elapsed_ms)
 {
     sim->now_ms += elapsed_ms;
-    nm_sched_run(sim->sched, sim->now_ms, 1000000 + sim->now_ms);
+    nm_sched_run(sim->sched, sim->now_ms, sim->unix_offset_ms + sim->now_ms);
     collect_actions(sim);
 }
 
@@ -29,7 +29,7 @@
 void
 sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed)
 {
-    *sim = (sched_sim_t){.now_ms = 1000};
+    *sim = (sched_sim_t){.now_ms = 1000, .unix_offset_ms = 1000000};
     sim->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
     sim->sched = nm_sched_new(
         &(nm_sched_desc_t){.epoch = epoch,
--- a/tests/fakes/lib_sched_sim.h
+++ b/tests/fakes/lib_sched_sim.h
@@ -25,7 +25,8 @@
 typedef struct {
     nm_sched_t *sched;
     nm_ms_t now_ms;
-    GArray *actions; /* of the newest call of sched_sim_advance */
+    int64_t unix_offset_ms; /* wall clock minus now_ms */
+    GArray *actions;        /* of the newest call of sched_sim_advance */
 } sched_sim_t;
 
 /* Advances the clock, runs the scheduler once and collects its actions. */
