Failing test: a silent watch delays an election

Cause: the watch of the control keys waits 5 s, and a connection that has gone silent shows only when that has passed with a margin of 0.7 s. A host does not see until then that the owner key is gone, and is no candidate.

--- a/tests/test_entry_election.c
+++ b/tests/test_entry_election.c
@@ -152,12 +152,46 @@
     }
 }
 
+/*
+ * The owner is lost while the connection of the other host's watch has gone
+ * silent for good.  With the lease of the owner key, tasks must not wait for
+ * longer than the 6 s that the rules allow.
+ */
+static void
+test_silent_watch_delays_no_election(void)
+{
+    enum { LEASE_MS = 1500, IDLE_MAX_MS = 6000, LIMIT_MS = 20000 };
+    fake_kv_t *kv = configured_store();
+    host_t hosts[2];
+    const member_t member = {0.5, 4};
+    init_member(&hosts[0], "first", &member, kv);
+    run_host(&hosts[0], 1000);
+    init_member(&hosts[1], "second", &member, kv);
+    run_hosts(hosts, 2, 1000);
+    g_assert_cmpint(hosts[0].entry->role, ==, NM_ROLE_OWNER);
+    fake_kv_stall_watches(kv, NM_KEY_CONTROL, &hosts[1].clock);
+    fake_kv_put(kv, OWNER_KEY, NULL);
+    nm_ms_t vacant_ms = 0;
+    while (hosts[1].entry->role != NM_ROLE_OWNER && vacant_ms < LIMIT_MS) {
+        run_host(&hosts[1], 10);
+        vacant_ms += 10;
+    }
+    g_test_message("owner after %d ms", (int)vacant_ms);
+    g_assert_cmpint(vacant_ms, <=, IDLE_MAX_MS - LEASE_MS);
+    host_finish(&hosts[0]);
+    host_finish(&hosts[1]);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions(); /* the next tests still run */
     g_test_add_func("/entry/small-host-does-not-win",
                     test_small_host_does_not_win);
     g_test_add_func("/entry/lagging-owner-yields", test_lagging_owner_yields);
+    g_test_add_func("/entry/silent-watch-delays-no-election",
+                    test_silent_watch_delays_no_election);
     return g_test_run();
 }
