--- a/src/entry.c
+++ b/src/entry.c
@@ -22,6 +22,11 @@
  * be in force within 4 s of connections ceasing to respond.
  */
 #define CONFIG_WATCH_TIMEOUT_MS 3000
+/*
+ * The same for the owner key: with its lease, the next owner is elected before
+ * tasks have been idle for 6 s.
+ */
+#define CONTROL_WATCH_TIMEOUT_MS 3000
 
 /* With at most this many workers the owner uses no carriers. */
 #define DIRECT_WORKERS_MAX 100
@@ -180,7 +185,8 @@
     nm_entry_open_feed(entry, &entry->control_feed,
                        (nm_feed_desc_t){.prefix = NM_KEY_CONTROL,
                                         .on_item = on_control,
-                                        .on_result = on_feed_result});
+                                        .on_result = on_feed_result,
+                                        .wait_ms = CONTROL_WATCH_TIMEOUT_MS});
     return entry;
 }
 
