--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -233,6 +233,24 @@
     uint64_t refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_idle_job_t;
 
+/* Why an interrupted long-running task is not at work again. */
+#define NM_INTERRUPTED_CAUSE_LIST(X)                                          \
+    X(SUSPECT, "suspect") /* it may crash workers, and waits for a trial */   \
+    X(NO_ROOM, "no_room") /* long-running tasks hold all its workers */       \
+    X(BUSY, "busy")       /* its workers have room once short tasks end */    \
+    X(HELD, "held") /* there is room, on workers held for other steps */      \
+    X(PENDING, "pending") /* there is room on other workers, too */           \
+    X(UNKNOWN, "not_examined")
+
+typedef enum {
+#define X(name, label) NM_INTERRUPTED_##name,
+    NM_INTERRUPTED_CAUSE_LIST(X)
+#undef X
+        NM_INTERRUPTED_CAUSE_COUNT,
+} nm_interrupted_cause_t;
+
+const char *nm_interrupted_cause_name(nm_interrupted_cause_t cause);
+
 /* Why work waits: use of the workers that may get tasks.  CPU in 1/1000. */
 typedef struct {
     uint32_t workers;
@@ -240,14 +258,20 @@
     int64_t cpu_milli;          /* of all of them */
     int64_t reserved_cpu_milli; /* requested by tasks other than fillers */
     int64_t serving_cpu_milli;  /* part of it: tasks with a latency target */
-    int64_t filler_cpu_milli;   /* requested by fillers at work */
-    uint32_t short_waiting;     /* tasks in turn that wait for a worker */
+    int64_t long_running_cpu_milli; /* part of reserved_cpu_milli */
+    int64_t filler_cpu_milli;       /* requested by fillers at work */
+    uint32_t short_waiting;         /* tasks in turn that wait for a worker */
     uint32_t fillers_waiting;
     uint32_t long_running_waiting;
     uint32_t interrupted_waiting; /* part of it: tasks that have run before */
     /* For how long the oldest such step has been waiting. */
     nm_ms_t interrupted_wait_ms;
-    nm_ms_t oldest_waiting_ms; /* age of the oldest job with such a task */
+    /* Interrupted tasks, by cause. */
+    uint32_t interrupted[NM_INTERRUPTED_CAUSE_COUNT];
+    /* Those of them that would fit at least twice on the workers now. */
+    uint32_t interrupted_fit_twice;
+    int64_t interrupted_cpu_milli; /* requested by all of them */
+    nm_ms_t oldest_waiting_ms;     /* age of the oldest job with such a task */
     uint32_t serving_over_target;
     uint32_t fillers_paused;
     uint32_t idle_jobs;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -179,6 +179,18 @@
            encode_refusals(idle->refusals, NULL));
 }
 
+static json_t *
+encode_interrupted(const nm_sched_capacity_t *capacity)
+{
+    json_t *object = json_object();
+    for (uint32_t c = 0; c < NM_INTERRUPTED_CAUSE_COUNT; c++) {
+        json_object_set_new(
+            object, nm_interrupted_cause_name((nm_interrupted_cause_t)c),
+            json_integer(capacity->interrupted[c]));
+    }
+    return object;
+}
+
 static void
 log_capacity(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -191,19 +203,23 @@
     json_t *refusals = encode_refusals(capacity.filler_refusals,
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
-           "{s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:I,s:i,s:i,s:i,s:i,"
-           "s:o}",
+           "{s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:o,s:i,s:I,s:I,"
+           "s:i,s:i,s:i,s:i,s:o}",
            "workers", (int)capacity.workers, "workers_held",
            (int)capacity.workers_held, "cpu_milli",
            (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
            (json_int_t)capacity.reserved_cpu_milli, "serving_cpu_milli",
-           (json_int_t)capacity.serving_cpu_milli, "filler_cpu_milli",
+           (json_int_t)capacity.serving_cpu_milli, "long_running_cpu_milli",
+           (json_int_t)capacity.long_running_cpu_milli, "filler_cpu_milli",
            (json_int_t)capacity.filler_cpu_milli, "short_waiting",
            (int)capacity.short_waiting, "fillers_waiting",
            (int)capacity.fillers_waiting, "long_running_waiting",
            (int)capacity.long_running_waiting, "interrupted_waiting",
            (int)capacity.interrupted_waiting, "interrupted_wait_ms",
-           (json_int_t)capacity.interrupted_wait_ms, "oldest_waiting_ms",
+           (json_int_t)capacity.interrupted_wait_ms, "interrupted",
+           encode_interrupted(&capacity), "interrupted_fit_twice",
+           (int)capacity.interrupted_fit_twice, "interrupted_cpu_milli",
+           (json_int_t)capacity.interrupted_cpu_milli, "oldest_waiting_ms",
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
            (int)capacity.fillers_paused, "jobs_behind",
