Soak: executors that leave for good, and elections in series

Its executors come back under their ids, so that each witness responds again, elections in series that one host wins do not occur, and jobs may stand still for the settle time of 45 s.

One host has the most CPU and wins while it runs. After the faults, once all executors have joined, an accepted job with a task to run and room for it twice over may be idle for 13.4 s (soak_departures.c derives it from the leases and the 3 s of LOST).

An executor that has left does not respond. Addresses differ by id only, as all executors share one port of the stand-in.

--- a/soak/lib_entries.c
+++ b/soak/lib_entries.c
@@ -57,14 +57,20 @@
     return now_ms + nm_rng_below(&entries->rng, (uint32_t)max_ms + 1);
 }
 
+/* True if no heartbeat of the executor reaches the store. */
+static bool
+is_away(const executor_t *executor, nm_ms_t now_ms)
+{
+    return now_ms < executor->cut_until_ms || executor->joins_at_ms > 0;
+}
+
 /* The store is up. */
 static void
 update_entry(entries_t *entries, platform_t *platform, uint32_t index,
              nm_ms_t now_ms)
 {
     executor_t *executor = executor_at(platform_fleet(platform), index);
-    bool is_cut = now_ms < executor->cut_until_ms;
-    if (is_cut) {
+    if (is_away(executor, now_ms)) {
         executor->was_cut = true;
         return;
     }
@@ -96,8 +102,8 @@
         executor_t *executor = executor_at(fleet, i);
         nm_ms_t expiry_ms =
             executor->entry_ms + ENTRY_HEARTBEATS * entries->heartbeat_ms;
-        bool is_cut = now_ms < executor->cut_until_ms;
-        bool may_expire = store_is_up ? is_cut : entries->expire_in_outage;
+        bool may_expire = store_is_up ? is_away(executor, now_ms)
+                                      : entries->expire_in_outage;
         if (may_expire && now_ms >= expiry_ms) {
             remove_entry(platform, executor);
         }
--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -29,6 +29,9 @@
 
 /* An executor becomes of another kind only after a life of this length. */
 #define KIND_LIFE_MIN_MS 12000
+/* The rules call a job idle if there is room for it twice over. */
+#define IDLE_ROOM_TASKS 2
+
 /* One restart in so many of those is as another kind. */
 #define KIND_CHANGES 2
 
@@ -50,9 +53,13 @@
      */
     bool may_fail;
     bool refused;
-    nm_ms_t cancelled_ms; /* 0: not cancelled */
-    const char *service;  /* NULL: any */
-    const char *label;    /* NULL: any */
+    bool attempts_ended;   /* of a task */
+    nm_ms_t cancelled_ms;  /* 0: not cancelled */
+    nm_ms_t at_work_ms;    /* last note of a run */
+    nm_ms_t idle_since_ms; /* first note of the present row; 0: not idle */
+    nm_ms_t idle_noted_ms;
+    const char *service; /* NULL: any */
+    const char *label;   /* NULL: any */
     uint32_t per_worker_max;
 } job_t;
 
@@ -69,6 +76,7 @@
     executor_fleet_desc_t desc;
     executor_t *executors;
     GHashTable *by_id;
+    GHashTable *left_ids;
     GHashTable *jobs;  /* id -> job_t */
     GHashTable *tasks; /* name -> task_t */
     nm_rng_t rng;
@@ -109,6 +117,8 @@
     executor_fleet_t *fleet = g_new0(executor_fleet_t, 1);
     fleet->desc = *desc;
     fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    fleet->left_ids =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     fleet->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     fleet->tasks =
@@ -146,6 +156,7 @@
     }
     g_free(fleet->executors);
     g_hash_table_destroy(fleet->by_id);
+    g_hash_table_destroy(fleet->left_ids);
     g_hash_table_destroy(fleet->jobs);
     g_hash_table_destroy(fleet->tasks);
     g_free(fleet);
@@ -160,7 +171,8 @@
 bool
 executor_is_silent(const executor_t *executor, nm_ms_t now_ms)
 {
-    return executor->unresponsive || now_ms < executor->cut_until_ms;
+    return executor->unresponsive || now_ms < executor->cut_until_ms ||
+           executor->joins_at_ms > 0;
 }
 
 executor_t *
@@ -266,8 +278,9 @@
         job_t *job = find_job_of_task(fleet, run->task);
         task->failures++;
         if (job && fleet->desc.attempts_max > 0) {
-            job->may_fail =
-                job->may_fail || task->failures >= fleet->desc.attempts_max;
+            job->attempts_ended = job->attempts_ended ||
+                                  task->failures >= fleet->desc.attempts_max;
+            job->may_fail = job->may_fail || job->attempts_ended;
         }
     }
     record_finished_run(executor, run->task, run->run);
@@ -277,11 +290,10 @@
     fleet->info.ends++;
 }
 
-void
-executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms)
+static void
+count_crashes(executor_fleet_t *fleet, const executor_t *executor,
+              nm_ms_t now_ms)
 {
-    executor_t *executor = &fleet->executors[index];
-    log_event(fleet, now_ms, "crash", executor, "-", 0);
     for (guint i = 0; i < executor->runs->len; i++) {
         const executor_run_t *run =
             &g_array_index(executor->runs, executor_run_t, i);
@@ -293,6 +305,14 @@
             job->may_fail = job->may_fail || task->crashes >= CRASHES_MIN;
         }
     }
+}
+
+void
+executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms)
+{
+    executor_t *executor = &fleet->executors[index];
+    log_event(fleet, now_ms, "crash", executor, "-", 0);
+    count_crashes(fleet, executor, now_ms);
     bool may_change = index >= EXECUTOR_KINDS_FIXED &&
                       executor_clock(executor, now_ms) > KIND_LIFE_MIN_MS;
     if (may_change && nm_rng_below(&fleet->kind_rng, KIND_CHANGES) == 0) {
@@ -305,6 +325,41 @@
     start_incarnation(executor, now_ms);
 }
 
+void
+executor_leave(executor_fleet_t *fleet, uint32_t index, nm_ms_t joins_at_ms,
+               nm_ms_t now_ms)
+{
+    executor_t *executor = &fleet->executors[index];
+    if (executor->joins_at_ms > 0) {
+        return;
+    }
+    log_event(fleet, now_ms, "leave", executor, "-", 0);
+    count_crashes(fleet, executor, now_ms);
+    start_incarnation(executor, now_ms);
+    executor->joins_at_ms = joins_at_ms;
+    g_hash_table_add(fleet->left_ids, g_strdup(executor->id));
+    fleet->info.departures++;
+}
+
+bool
+executor_has_left(const executor_fleet_t *fleet, const char *id)
+{
+    return g_hash_table_contains(fleet->left_ids, id);
+}
+
+/* Another executor takes the place of one that has left. */
+static void
+join(executor_fleet_t *fleet, executor_t *executor, nm_ms_t now_ms)
+{
+    g_hash_table_remove(fleet->by_id, executor->id);
+    snprintf(executor->id, sizeof(executor->id), "x%u-%u",
+             (unsigned)(executor - fleet->executors), ++executor->life);
+    g_hash_table_insert(fleet->by_id, executor->id, executor);
+    start_incarnation(executor, now_ms);
+    executor->joins_at_ms = 0;
+    log_event(fleet, now_ms, "join", executor, "-", 0);
+}
+
 void
 executor_cut(executor_fleet_t *fleet, uint32_t index, nm_ms_t until_ms,
              nm_ms_t now_ms)
@@ -332,6 +387,11 @@
 {
     for (uint32_t i = 0; i < fleet->desc.executors; i++) {
         executor_t *executor = &fleet->executors[i];
+        if (executor->joins_at_ms > 0 && now_ms >= executor->joins_at_ms &&
+            executor->entry_ms == 0)
+        {
+            join(fleet, executor, now_ms);
+        }
         if (has_deadly_run(executor, now_ms)) {
             executor_crash(fleet, i, now_ms);
         }
@@ -709,6 +769,72 @@
     return job && job->done_tasks >= job->tasks;
 }
 
+/* True if an executor that may run the job's tasks has room for it. */
+static bool
+has_room(const executor_fleet_t *fleet, const job_t *job,
+         const int64_t *used_milli, nm_ms_t now_ms)
+{
+    bool found = false;
+    int64_t used = 0, capacity = 0;
+    for (uint32_t i = 0; i < fleet->desc.executors; i++) {
+        const executor_t *executor = &fleet->executors[i];
+        const executor_kind_t *kind = &executor_kinds[executor->kind];
+        if (executor_is_silent(executor, now_ms) || executor->entry_ms == 0 ||
+            (job->service && strcmp(job->service, kind->service) != 0))
+        {
+            continue;
+        }
+        used += used_milli[i];
+        capacity += fleet->desc.cpu_milli;
+        found =
+            found || ((!job->label || strcmp(job->label, kind->label) == 0) &&
+                      used_milli[i] + IDLE_ROOM_TASKS * job->cpu_milli <=
+                          fleet->desc.cpu_milli);
+    }
+    return found && used * 2 < capacity;
+}
+
+void
+executor_fleet_note_idle_jobs(executor_fleet_t *fleet, nm_ms_t now_ms)
+{
+    int64_t *used_milli = g_new0(int64_t, fleet->desc.executors);
+    for (uint32_t i = 0; i < fleet->desc.executors; i++) {
+        const GArray *runs = fleet->executors[i].runs;
+        for (guint k = 0; k < runs->len; k++) {
+            const executor_run_t *run =
+                &g_array_index(runs, executor_run_t, k);
+            job_t *job = find_job_of_task(fleet, run->task);
+            used_milli[i] += run->cpu_milli;
+            if (job) {
+                job->at_work_ms = now_ms;
+            }
+        }
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        job_t *job = value;
+        bool is_idle = job->done_tasks < job->tasks && !job->attempts_ended &&
+                       job->at_work_ms < now_ms &&
+                       has_room(fleet, job, used_milli, now_ms);
+        job->idle_since_ms = !is_idle                 ? 0
+                             : job->idle_since_ms > 0 ? job->idle_since_ms
+                                                      : now_ms;
+        job->idle_noted_ms = now_ms;
+    }
+    g_free(used_milli);
+}
+
+nm_ms_t
+executor_job_idle_ms(const executor_fleet_t *fleet, const char *id)
+{
+    const job_t *job = g_hash_table_lookup(fleet->jobs, id);
+    return job && job->idle_since_ms > 0
+               ? job->idle_noted_ms - job->idle_since_ms
+               : 0;
+}
+
 executor_fleet_info_t
 executor_fleet_query_info(const executor_fleet_t *fleet)
 {
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -107,6 +107,9 @@
     bool unresponsive; /* orders have no effect and get no response */
     /* The same until then; its entry in the store expires meanwhile. */
     nm_ms_t cut_until_ms;
+    /* Has left for good; another one joins in its place then.  0: present. */
+    nm_ms_t joins_at_ms;
+    uint32_t life; /* number of executors that have left this place */
     nm_ms_t unannounced_until_ms; /* has no entry until then */
     bool was_cut;                 /* has written no entry since its last cut */
     nm_ms_t started_ms;           /* last start of a task */
@@ -139,7 +142,7 @@
  * from 1.
  */
 int64_t executor_clock(const executor_t *executor, nm_ms_t now_ms);
-/* True if orders do not reach the executor: unresponsive, or cut off. */
+/* True if orders do not reach the executor: unresponsive, cut off, or gone. */
 bool executor_is_silent(const executor_t *executor, nm_ms_t now_ms);
 /* Ends runs that are due, were stopped, or whose executor's lease expired. */
 void executor_fleet_update(executor_fleet_t *fleet, nm_ms_t now_ms);
@@ -155,6 +158,17 @@
  */
 void executor_crash(executor_fleet_t *fleet, uint32_t index, nm_ms_t now_ms);
 
+/*
+ * Ends an executor with its runs, as a crash.  It never comes back: once its
+ * entry is gone, but not before joins_at_ms, an executor with another id takes
+ * its place.
+ */
+void executor_leave(executor_fleet_t *fleet, uint32_t index,
+                    nm_ms_t joins_at_ms, nm_ms_t now_ms);
+/* True if the id is of an executor that has left: nothing is at its address.
+ */
+bool executor_has_left(const executor_fleet_t *fleet, const char *id);
+
 /*
  * Orders.  Each returns EXECUTOR_STATUS_OK, or EXECUTOR_STATUS_CONFLICT with
  * *reason: "fence" for a lower epoch than an earlier order's; for starts also
@@ -197,6 +211,14 @@
 void executor_job_refused(executor_fleet_t *fleet, const char *job);
 /* Returns true once all tasks of a job have ended `done`. */
 bool executor_job_is_done(const executor_fleet_t *fleet, const char *job);
+/*
+ * Notes which jobs are idle: they have a task to run and nothing running,
+ * while an executor that may run it has room for IDLE_ROOM_TASKS of them, and
+ * under half of its service's CPU capacity is in use.
+ */
+void executor_fleet_note_idle_jobs(executor_fleet_t *fleet, nm_ms_t now_ms);
+/* How long the job has been idle in each note up to the last; 0: it is not. */
+nm_ms_t executor_job_idle_ms(const executor_fleet_t *fleet, const char *job);
 
 typedef struct {
     uint32_t starts;
@@ -205,6 +227,7 @@
     uint32_t repeats;
     uint32_t late_starts; /* of orders sent to an earlier incarnation */
     uint32_t kind_changes;
+    uint32_t departures;
     uint32_t violations;
     char first_violation[1024]; /* time and text; empty: none */
 } executor_fleet_info_t;
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -326,6 +326,15 @@
     g_hash_table_remove(platform->ttls_ms, &lease);
 }
 
+void
+platform_revoke(platform_t *platform, const char *key)
+{
+    const item_t *item = g_tree_lookup(platform->items, key);
+    if (item && item->lease > 0) {
+        end_lease(platform, item->lease);
+    }
+}
+
 static void
 renew_lease(platform_t *platform, int64_t lease, int64_t ttl_ms)
 {
@@ -528,6 +537,7 @@
     executor_t *executor = executor_find(platform->fleet, request->instance);
     bool store = is_store_path(request->path);
     if (request->stalled ||
+        (!store && executor_has_left(platform->fleet, request->instance)) ||
         (!store && executor &&
          (executor_is_silent(executor, now_ms) ||
           is_cut_off(platform, executor, request, now_ms))))
--- a/soak/lib_platform.h
+++ b/soak/lib_platform.h
@@ -5,7 +5,8 @@
  * drops_jobs is set; it can refuse requests, leave them without a response,
  * or apply changes without a response.  Executors are the model of
  * lib_executor.h, registered in the store unless they are unresponsive or cut
- * off (lib_entries.h); a share of the orders gets no response and is executed
+ * off (lib_entries.h); orders to one that has left for good get no response; a
+ * share of the orders gets no response and is executed
  * late.
  *
  * "No response" is a 503 that arrives 4 s after the request's wait time, when
@@ -60,6 +61,8 @@
  */
 void platform_cut(platform_t *platform, int64_t epoch, uint32_t executor,
                   nm_ms_t until_ms);
+/* Ends the lease of a key: the key is deleted, its renewals get 404. */
+void platform_revoke(platform_t *platform, const char *key);
 /*
  * Lets the entries of all executors expire in the store's next outage, or in
  * the present one.
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -6,7 +6,10 @@
  *
  * Hosts are killed, stopped and paused, cut off or delayed, and are too small
  * for their work: their link to the store and the executors is narrow, or they
- * run for a part of the time only (--short: mainly these).
+ * run for a part of the time only (--short: mainly these).  With --departures
+ * most executors leave for good and others join, the ownership is lost again
+ * and again meanwhile, and jobs must go on soon after that
+ * (soak_departures.c).
  *
  * Callers submit, query and cancel jobs during the whole run.  Starts of tasks
  * are checked by lib_executor.h; soak_hosts.c and soak_callers.c check what
@@ -17,6 +20,8 @@
  *            cancelled without a cancel, or does not end in the settle time;
  *            or tasks of an accepted long-running job, not failed with cause,
  *            do not run at the end
+ *     LOST   with --departures, an accepted job is idle (lib_executor.h) for
+ *            longer than JOBS_RESUME_MS (soak_departures.c) in calm time
  *     LOST   a host that was told to stop has read a request whole and ends
  *            without a response to it ("request-dropped" in its log)
  *     MIXED  a job is reported as completed before all of its tasks are done
@@ -147,6 +152,10 @@
          "Restart executors under their ids, with late orders, beside the "
          "other faults",
          NULL},
+        {"departures", 0, 0, G_OPTION_ARG_NONE, &soak_options.departures,
+         "Let most executors leave for good, others with new ids join, and "
+         "elections follow in series",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -177,6 +186,7 @@
 {
     nm_rng_init(&soak.rng, (uint64_t)soak_options.seed);
     nm_rng_init(&soak.route_rng, (uint64_t)soak_options.seed + 4);
+    nm_rng_init(&soak.departure_rng, (uint64_t)soak_options.seed + 5);
     soak.jobs = g_ptr_array_new_with_free_func(g_free);
     curl_global_init(CURL_GLOBAL_ALL);
     soak.multi = curl_multi_init();
@@ -221,7 +231,8 @@
     while (now_ms < end_ms) {
         now_ms = platform_now(soak.platform);
         bool faults = now_ms > 1000 + warmup_ms && now_ms < faults_end_ms;
-        if (faults && !soak_options.no_faults && now_ms >= soak.next_fault_ms)
+        if (faults && !soak_options.no_faults && !soak_options.departures &&
+            now_ms >= soak.next_fault_ms)
         {
             soak_inject_fault(now_ms);
             soak.next_fault_ms =
@@ -235,7 +246,9 @@
             soak_kill_owners(now_ms);
             soak_cut_executors(now_ms);
             soak_restart_executors(now_ms);
+            soak_run_departures(now_ms);
         }
+        soak_check_idle_jobs(faults_end_ms, now_ms);
         soak_supervise_hosts(now_ms);
         soak_handle_responses(now_ms);
         soak_send_due_calls(now_ms, now_ms > 1000 + warmup_ms / 2 &&
@@ -276,6 +289,13 @@
            soak.status_counts[200], soak.status_counts[503],
            soak.status_counts[504], soak.status_counts[0],
            (long long)(now_ms - faults_end_ms));
+    if (soak_options.departures) {
+        printf("soak seed %lld: departures %u owner losses %u hosts gone %u "
+               "idle in calm time for %lld ms at most\n",
+               (long long)soak_options.seed, info.departures,
+               soak.owner_losses, soak.hosts_gone,
+               (long long)soak.longest_idle_ms);
+    }
     printf("soak seed %lld: %s%s%s, logs in %s\n",
            (long long)soak_options.seed,
            info.violations > 0 ? "failed, first " : "passed",
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -85,9 +85,8 @@
     }
 }
 
-/* Reads the owner's record: returns its host, or NULL, and sets its epoch. */
-static host_t *
-find_owner(int64_t *epoch)
+host_t *
+soak_find_owner(int64_t *epoch)
 {
     char *text = platform_get(soak.platform, "nutmegdeck/control/owner");
     json_t *record = text ? json_loads(text, 0, NULL) : NULL;
@@ -108,7 +107,7 @@
 cut_owner(uint32_t executor_index, nm_ms_t now_ms)
 {
     int64_t epoch;
-    host_t *owner = find_owner(&epoch);
+    host_t *owner = soak_find_owner(&epoch);
     if (!owner || owner->stop_sent_ms > 0) {
         return;
     }
@@ -131,7 +130,7 @@
         return;
     }
     platform_lock(soak.platform);
-    host_t *owner = find_owner(&epoch);
+    host_t *owner = soak_find_owner(&epoch);
     platform_unlock(soak.platform);
     if (owner && owner->stop_sent_ms == 0) {
         soak_kill_host(owner, now_ms);
@@ -310,7 +309,7 @@
 begin_shortage(host_t *host, bool link, bool processor, nm_ms_t now_ms)
 {
     int64_t epoch;
-    host_t *owner = find_owner(&epoch);
+    host_t *owner = soak_find_owner(&epoch);
     if (owner && nm_rng_below(&soak.rng, SHORTAGES_ELSEWHERE) > 0) {
         host = owner;
     }
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -23,6 +23,15 @@
     return path;
 }
 
+/* With --departures one host, by the seed, wins each election while it runs.
+ */
+static bool
+is_largest(uint32_t index)
+{
+    return soak_options.departures &&
+           (gint64)index == soak_options.seed % soak_options.hosts;
+}
+
 void
 soak_write_settings(uint32_t index)
 {
@@ -36,10 +45,10 @@
         "\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
         "\"peer_address\":\"tcp://127.0.0.1:%d\",\"store_address\":"
         "\"127.0.0.1:%d\",\"metrics_address\":\"127.0.0.1:%d\","
-        "\"cpu_share\":0.5,\"grace_s\":%d}",
+        "\"cpu_share\":%s,\"grace_s\":%d}",
         index, index % 3, port, port + 1, port + 2,
         soak_options.base_port + STORE_PATHS_PORT + (int)index, port + 3,
-        HOST_GRACE_MS / 1000);
+        is_largest(index) ? "1" : "0.5", HOST_GRACE_MS / 1000);
     g_file_set_contents(host->settings, text, -1, NULL);
     g_free(text);
     host->proxy_path = add_path(STORE_PATHS_PORT + (int)index);
@@ -158,6 +167,14 @@
     host->start_at_ms = now_ms + soak_random_between(100, 2500);
 }
 
+void
+soak_remove_host(host_t *host, nm_ms_t now_ms)
+{
+    soak_kill_host(host, now_ms);
+    host->start_at_ms = G_MAXINT64;
+    soak.hosts_gone++;
+}
+
 void
 soak_check_dropped_requests(void)
 {
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -1,7 +1,7 @@
 /*
  * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
- * has the host processes, soak_faults.c the faults, soak_callers.c the
- * callers.
+ * has the host processes, soak_faults.c the faults, soak_departures.c those of
+ * --departures and their check, soak_callers.c the callers.
  */
 #ifndef SOAK_STATE_H
 #define SOAK_STATE_H
@@ -66,6 +66,7 @@
     nm_ms_t cancelled_ms; /* 0: no cancel acknowledged */
     nm_ms_t next_call_ms;
     bool call_in_flight;
+    bool stood_still; /* for longer than JOBS_RESUME_MS */
 } job_t;
 
 typedef struct {
@@ -84,6 +85,7 @@
     gboolean cuts;
     gboolean shortages;
     gboolean restarts;
+    gboolean departures;
 } soak_options_t;
 
 typedef struct {
@@ -104,6 +106,16 @@
     nm_ms_t executor_restart_at_ms[EXECUTORS_MAX]; /* 0: no restart */
     nm_ms_t cuts_until_ms; /* end of a series of cuts */
     nm_ms_t next_fault_ms;
+    /* Apart, so that a seed draws the same whatever callers do. */
+    nm_rng_t departure_rng;
+    nm_ms_t next_departures_ms;
+    nm_ms_t next_owner_loss_ms;
+    uint32_t owner_losses_left;
+    uint32_t owner_losses;
+    uint32_t hosts_gone;
+    bool revokes_only; /* in the present series */
+    nm_ms_t next_idle_check_ms;
+    nm_ms_t longest_idle_ms; /* of any job in calm time */
     double pending_arrivals;
     nm_ms_t arrivals_until_ms;
     int64_t config_version;
@@ -128,6 +140,8 @@
  */
 void soak_supervise_hosts(nm_ms_t now_ms);
 void soak_kill_host(host_t *host, nm_ms_t now_ms);
+/* Kills a host that is not started again. */
+void soak_remove_host(host_t *host, nm_ms_t now_ms);
 void soak_stop_hosts(void);
 /* Reports each request that a stopping host has read and not answered. */
 void soak_check_dropped_requests(void);
@@ -154,6 +168,18 @@
 /* With --restarts: restarts executors and lets orders be late. */
 void soak_restart_executors(nm_ms_t now_ms);
 
+/* Reads the owner's record: returns its host, or NULL, and sets its epoch. */
+host_t *soak_find_owner(int64_t *epoch);
+
+/* soak_departures.c */
+/*
+ * With --departures: lets most executors leave for good in series, and takes
+ * the ownership away again and again meanwhile.
+ */
+void soak_run_departures(nm_ms_t now_ms);
+/* With --departures, after the faults: reports jobs that stand still. */
+void soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms);
+
 /* soak_callers.c */
 void soak_handle_responses(nm_ms_t now_ms);
 void soak_send_due_calls(nm_ms_t now_ms, bool submits_new);
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -1,6 +1,7 @@
 #!/bin/bash
-# Short fault soak: two seeds, one run of cut-off executors and one of hosts
-# that are too small for their work must pass, and a run whose store drops jobs
+# Short fault soak: two seeds, one run of cut-off executors, one of hosts that
+# are too small for their work and one of executors that leave for good while
+# one host wins elections in series must pass, and a run whose store drops jobs
 # that it acknowledged must fail.
 #
 #     BIN=build tests/process_soak.sh
@@ -31,6 +32,7 @@
 run_soak 0 --seed 2 --seconds 20
 run_soak 0 --seed 301 --seconds 35 --cuts --executors 48 --jobs 6
 run_soak 0 --seed 614 --seconds 10 --short
+run_soak 0 --seed 402 --seconds 10 --departures
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -547,6 +547,223 @@
     platform_free(platform);
 }
 
+static void
+put_entry(executor_fleet_t *fleet, uint32_t index)
+{
+    executor_at(fleet, index)->entry_ms = 1;
+}
+
+/* An executor that has left is replaced once it has no entry. */
+static void
+test_executor_leaves_for_good(void)
+{
+    executor_fleet_t *fleet = executor_fleet_new(
+        &(executor_fleet_desc_t){.executors = 2, .cpu_milli = 1000});
+    executor_job_submitted(fleet, "a", 1, 100, 60000, false, false);
+    executor_t *executor = executor_at(fleet, 0);
+    executor_order_t order = {.task = "a.0.0.0",
+                              .run = 1,
+                              .epoch = 7,
+                              .expiry_ms = 1000 + LEASE_TEST_MS,
+                              .checkpoint = ""};
+    const char *reason = NULL;
+    put_entry(fleet, 0);
+    executor_start(fleet, executor, &order, 1000, &reason);
+    executor_leave(fleet, 0, 1500, 1100);
+    executor_leave(fleet, 0, 9000, 1200); /* has left already */
+    g_assert_cmpuint(executor_fleet_query_info(fleet).departures, ==, 1);
+    g_assert_cmpuint(executor->runs->len, ==, 0);
+    g_assert_true(executor_has_left(fleet, "x0"));
+    g_assert_true(executor_is_silent(executor, 1100));
+    executor_fleet_update(fleet, 2000);
+    g_assert_cmpstr(executor->id, ==, "x0");
+    executor->entry_ms = 0;
+    executor_fleet_update(fleet, 1499);
+    g_assert_cmpstr(executor->id, ==, "x0");
+    executor_fleet_update(fleet, 2100);
+    g_assert_cmpstr(executor->id, ==, "x0-1");
+    g_assert_null(executor_find(fleet, "x0"));
+    g_assert_true(executor_find(fleet, "x0-1") == executor);
+    g_assert_true(executor_has_left(fleet, "x0"));
+    g_assert_false(executor_has_left(fleet, "x0-1"));
+    g_assert_false(executor_has_left(fleet, "x1"));
+    g_assert_false(executor_is_silent(executor, 2100));
+    g_assert_cmpint(executor->epoch, ==, 0);
+    g_assert_cmpint(executor->incarnation_start_ms, ==, 2100);
+    executor_fleet_free(fleet);
+}
+
+/* Departures count as crashes under the tasks that were at work. */
+static void
+test_departures_under_a_task(void)
+{
+    executor_fleet_t *fleet = executor_fleet_new(
+        &(executor_fleet_desc_t){.executors = 2, .cpu_milli = 1000});
+    executor_job_submitted(fleet, "a", 1, 100, 60000, false, false);
+    for (uint32_t i = 0; i < 2; i++) {
+        g_assert_false(executor_job_may_fail(fleet, "a"));
+        executor_order_t order = {.task = "a.0.0.0",
+                                  .run = i + 1,
+                                  .epoch = 1,
+                                  .expiry_ms = 1000 + LEASE_TEST_MS,
+                                  .checkpoint = ""};
+        const char *reason = NULL;
+        executor_start(fleet, executor_at(fleet, i), &order, 1000, &reason);
+        executor_leave(fleet, i, 60000, 1100);
+    }
+    g_assert_true(executor_job_may_fail(fleet, "a"));
+    executor_fleet_free(fleet);
+}
+
+/* Returns the status of a POST, or 0 without a response in time. */
+static long
+post(const char *path, const char *instance, const char *body)
+{
+    char url[128];
+    g_snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", PORT, path);
+    char header[64];
+    g_snprintf(header, sizeof(header), "Expected-Instance: %s", instance);
+    struct curl_slist *headers = curl_slist_append(NULL, header);
+    CURL *easy = curl_easy_init();
+    curl_easy_setopt(easy, CURLOPT_URL, url);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, ignore_body);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    long status = 0;
+    if (curl_easy_perform(easy) == CURLE_OK) {
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    }
+    curl_easy_cleanup(easy);
+    curl_slist_free_all(headers);
+    return status;
+}
+
+/* Nothing responds for an executor that has left, also after its entry. */
+static void
+test_orders_to_one_that_has_left(void)
+{
+    platform_t *platform = new_platform(2);
+    wait_for_entry(platform, 0, true, SLACK_MS);
+    g_assert_cmpint(post("/hold", "x0", "{}"), ==, 200);
+    platform_lock(platform);
+    nm_ms_t now_ms = platform_now(platform);
+    executor_leave(platform_fleet(platform), 0, now_ms, now_ms);
+    platform_unlock(platform);
+    g_assert_true(has_entry(platform, 0));
+    g_assert_cmpint(post("/hold", "x0", "{}"), ==, 0);
+    wait_for_entry(platform, 0, false, ENTRY_TEST_MS + SLACK_MS);
+    sleep_ms(HEARTBEAT_TEST_MS + SLACK_MS);
+    g_assert_false(has_entry(platform, 0));
+    platform_lock(platform);
+    char *value = platform_get(platform, "servers/x0-1");
+    platform_unlock(platform);
+    g_assert_nonnull(value);
+    g_free(value);
+    g_assert_cmpint(post("/hold", "x0", "{}"), ==, 0);
+    g_assert_cmpint(post("/hold", "x0-1", "{}"), ==, 200);
+    g_assert_cmpint(post("/hold", "x9", "{}"), ==,
+                    EXECUTOR_STATUS_WRONG_INCARNATION);
+    platform_free(platform);
+}
+
+static void
+test_revoked_lease(void)
+{
+    platform_t *platform = new_platform(1);
+    g_assert_cmpint(post("/kv-lease", "", "{\"ttlMs\":60000}"), ==, 200);
+    g_assert_cmpint(post("/kv-txn", "",
+                         "{\"puts\":[{\"key\":\"a/b\",\"value\":\"MQ==\","
+                         "\"lease\":1},{\"key\":\"a/c\",\"value\":"
+                         "\"MQ==\"}]}"),
+                    ==, 200);
+    g_assert_cmpint(post("/kv-keep/1", "", "{}"), ==, 200);
+    platform_lock(platform);
+    platform_revoke(platform, "a/c"); /* has no lease */
+    platform_revoke(platform, "a/d"); /* does not exist */
+    platform_unlock(platform);
+    g_assert_cmpint(post("/kv-keep/1", "", "{}"), ==, 200);
+    platform_lock(platform);
+    platform_revoke(platform, "a/b");
+    char *revoked = platform_get(platform, "a/b");
+    char *other = platform_get(platform, "a/c");
+    platform_unlock(platform);
+    g_assert_null(revoked);
+    g_assert_nonnull(other);
+    g_free(other);
+    g_assert_cmpint(post("/kv-keep/1", "", "{}"), ==, 404);
+    platform_free(platform);
+}
+
+typedef struct {
+    const char *name;
+    const char *label;  /* that the job requires */
+    int64_t used_milli; /* of each executor, by another job */
+    bool entries;       /* executors are announced */
+    bool at_work;       /* a task of the job runs */
+    bool is_idle;
+} idle_case_t;
+
+static const idle_case_t idle_cases[] = {
+    {"room", NULL, 0, true, false, true},
+    {"room at a label", "b", 0, true, false, true},
+    {"at work", NULL, 0, true, true, false},
+    {"no such label", "c", 0, true, false, false},
+    {"almost half of the service in use", NULL, 499, true, false, true},
+    {"half of the service in use", NULL, 500, true, false, false},
+    {"no executor announced", NULL, 0, false, false, false},
+};
+
+/* Only notes in a row add up to the time for which a job is idle. */
+static void
+test_idle_jobs(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(idle_cases); i++) {
+        const idle_case_t *c = &idle_cases[i];
+        g_test_message("%s", c->name);
+        executor_fleet_t *fleet = executor_fleet_new(&(executor_fleet_desc_t){
+            .executors = EXECUTOR_KINDS, .cpu_milli = 1000});
+        executor_job_submitted(fleet, "a", 2, 100, 60000, false, false);
+        executor_job_routed(fleet, "a", "s", c->label, 0);
+        executor_job_submitted(fleet, "b", 2, c->used_milli, 60000, false,
+                               false);
+        const char *reason = NULL;
+        for (uint32_t k = 0; k < EXECUTOR_KINDS; k++) {
+            char task[32];
+            g_snprintf(task, sizeof(task), "b.0.0.%u", k);
+            executor_order_t order = {.task = task,
+                                      .run = 1,
+                                      .epoch = 1,
+                                      .expiry_ms = 10000,
+                                      .checkpoint = ""};
+            executor_start(fleet, executor_at(fleet, k), &order, 1000,
+                           &reason);
+            executor_at(fleet, k)->entry_ms = c->entries ? 1000 : 0;
+        }
+        if (c->at_work) {
+            executor_order_t order = {.task = "a.0.0.0",
+                                      .run = 1,
+                                      .epoch = 1,
+                                      .expiry_ms = 10000,
+                                      .checkpoint = ""};
+            executor_start(fleet, executor_at(fleet, 0), &order, 1000,
+                           &reason);
+        }
+        executor_fleet_note_idle_jobs(fleet, 1000);
+        g_assert_cmpint(executor_job_idle_ms(fleet, "a"), ==, 0);
+        executor_fleet_note_idle_jobs(fleet, 3000);
+        g_assert_cmpint(executor_job_idle_ms(fleet, "a"), ==,
+                        c->is_idle ? 2000 : 0);
+        for (uint32_t k = 0; k < EXECUTOR_KINDS; k++) {
+            executor_leave(fleet, k, 60000, 3100);
+        }
+        executor_fleet_note_idle_jobs(fleet, 3200);
+        g_assert_cmpint(executor_job_idle_ms(fleet, "a"), ==, 0);
+        executor_fleet_free(fleet);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -571,5 +788,13 @@
                     test_restarts_as_another_kind);
     g_test_add_func("/soak-platform/entry-shows-the-kind",
                     test_entry_shows_the_kind);
+    g_test_add_func("/soak-platform/executor-leaves-for-good",
+                    test_executor_leaves_for_good);
+    g_test_add_func("/soak-platform/departures-under-a-task",
+                    test_departures_under_a_task);
+    g_test_add_func("/soak-platform/orders-to-one-that-has-left",
+                    test_orders_to_one_that_has_left);
+    g_test_add_func("/soak-platform/revoked-lease", test_revoked_lease);
+    g_test_add_func("/soak-platform/idle-jobs", test_idle_jobs);
     return g_test_run();
 }
