Port to the platform's list of machines

Nothing asks for it yet.

nm_machine_port_t lists all machines; platform/machines_http.c reads the pages of GET /machines. Setting cloud_address (optional), from cloudApi.address.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -20,6 +20,7 @@
 #include "../platform/codec.h"
 #include "../platform/api_listener_http.h"
 #include "../platform/kv_http.h"
+#include "../platform/machines_http.h"
 #include "../platform/orders_http.h"
 #include "../src/entry.h"
 #include "../src/entry_settings.h"
@@ -105,6 +106,11 @@
     nm_order_limiter_t limiter;
     nm_order_port_t *limited_orders = nm_order_limiter_init(
         &limiter, nm_orders_http_init(&orders, http), &clock);
+    nm_machines_http_t cloud;
+    nm_machine_port_t *machines =
+        settings->cloud_address[0] != '\0'
+            ? nm_machines_http_init(&cloud, http, settings->cloud_address)
+            : NULL;
     nm_api_listener_t *listener = nm_api_listener_http_new(
         settings->front_address, settings->ready_address);
     nm_peer_rpc_t *peers = nm_peer_rpc_new(settings->peer_address);
@@ -125,6 +131,7 @@
         .clock = &clock,
         .kv = kv,
         .orders = limited_orders,
+        .machines = machines,
         .listener = listener,
         .peers = peers,
         .codec = &nm_platform_codec,
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -81,6 +81,10 @@
     X(START_OVERDUE, "start-overdue")                                         \
     X(ORDER_REFUSED, "order-refused")                                         \
     X(CARRIER_BACK, "carrier-back")                                           \
+    X(LIFE_ENDED, "life-ended")                                               \
+    X(LIFE_CONTRADICTED, "life-contradicted")                                 \
+    X(MACHINES_UNKNOWN, "machines-unknown")                                   \
+    X(MACHINES_MALFORMED, "machines-malformed")                               \
     X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,6 +18,7 @@
 #include "api_request.h"
 #include "queue_config.h"
 #include "kv.h"
+#include "machine_port.h"
 #include "order_port.h"
 #include "peer_rpc.h"
 
@@ -33,6 +34,7 @@
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
+    nm_machine_port_t *machines; /* NULL: there is no list of machines */
     nm_api_listener_t *listener;
     nm_peer_rpc_t *peers;
     const nm_codec_t *codec;
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -19,16 +19,23 @@
     const char *name;
     size_t offset;
     bool is_address;
+    bool is_optional; /* may be missing or null */
 } text_field_t;
 
 static const text_field_t text_fields[] = {
-    {"name", offsetof(nm_entry_settings_t, name), false},
-    {"zone", offsetof(nm_entry_settings_t, zone), false},
-    {"front_address", offsetof(nm_entry_settings_t, front_address), true},
-    {"ready_address", offsetof(nm_entry_settings_t, ready_address), true},
-    {"peer_address", offsetof(nm_entry_settings_t, peer_address), true},
-    {"store_address", offsetof(nm_entry_settings_t, store_address), true},
-    {"metrics_address", offsetof(nm_entry_settings_t, metrics_address), true},
+    {"name", offsetof(nm_entry_settings_t, name), false, false},
+    {"zone", offsetof(nm_entry_settings_t, zone), false, false},
+    {"front_address", offsetof(nm_entry_settings_t, front_address), true,
+     false},
+    {"ready_address", offsetof(nm_entry_settings_t, ready_address), true,
+     false},
+    {"peer_address", offsetof(nm_entry_settings_t, peer_address), true, false},
+    {"store_address", offsetof(nm_entry_settings_t, store_address), true,
+     false},
+    {"metrics_address", offsetof(nm_entry_settings_t, metrics_address), true,
+     false},
+    {"cloud_address", offsetof(nm_entry_settings_t, cloud_address), true,
+     true},
 };
 
 /* The format says what is allowed; the value is NULL if it is missing. */
@@ -84,6 +91,9 @@
         const json_t *value = json_object_get(document, field->name);
         const char *text = json_string_value(value);
         char *target = (char *)settings + field->offset;
+        if (field->is_optional && (!value || json_is_null(value))) {
+            continue;
+        }
         if (!text || text[0] == '\0' || !nm_strcopy(target, NM_NAME_MAX, text))
         {
             add_fault(faults, field->name, value, "a string of 1 to %d bytes",
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -18,6 +18,8 @@
     char peer_address[NM_NAME_MAX];    /* tcp://IP:PORT for entry hosts */
     char store_address[NM_NAME_MAX];   /* IP:PORT of the key-value store */
     char metrics_address[NM_NAME_MAX]; /* IP:PORT for operators */
+    char cloud_address[NM_NAME_MAX];   /* IP:PORT of the list of machines;
+                                          empty: there is none */
     double cpu_share;                  /* in cores, up to 1024 */
     nm_ms_t grace_ms;                  /* grace_s, up to 3600 s */
 } nm_entry_settings_t;
