Start tasks again once the end of their worker is proved

Tasks of a worker that is gone for good waited for its lease to lapse, 7 s after its last response. nm_sched_on_worker_ended takes the proof that an incarnation has ended: it counts as a crash, as one that a later incarnation proves, and the runs that are known to have been at work there start again.

A run with an unanswered start still waits for the lapse: the order may reach a later incarnation under the same id. Likewise all runs of a worker that has not responded to this owner, as a former owner's orders may be on their way. A proof that is older than the newest response, or about another incarnation, changes nothing.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -361,6 +361,31 @@
  */
 void nm_sched_limit_former_lease(nm_sched_t *sched, const char *worker,
                                  nm_ms_t lapse_ms);
+/* What is known of the incarnation of a worker. */
+typedef struct {
+    const char *id;
+    int64_t incarnation;
+    bool reachable;      /* responded to one of its last polls */
+    bool waits;          /* tasks wait for its response or its end */
+    nm_ms_t known_ms;    /* it was first heard of */
+    nm_ms_t heard_ms;    /* its newest response came; 0: none */
+    nm_ms_t reported_ms; /* when the newest poll with a response was sent */
+} nm_sched_contact_t;
+
+void nm_sched_visit_contacts(const nm_sched_t *sched,
+                             void (*visit)(void *user,
+                                           const nm_sched_contact_t *contact),
+                             void *user);
+/*
+ * A list of machines that was requested at a time shows that the incarnation
+ * of a worker has ended.  Returns false, and changes nothing, if that decides
+ * nothing: another incarnation is known, this one has responded since, or its
+ * runs are not all known.  A run with an unanswered start still waits until
+ * the lease has lapsed, as a later incarnation may carry it out.
+ */
+bool nm_sched_on_worker_ended(nm_sched_t *sched, const char *id,
+                              int64_t incarnation, nm_ms_t sent_ms,
+                              nm_ms_t now_ms);
 /* Calls visit for each worker that does not respond but may hold a lease. */
 void nm_sched_visit_silent_workers(const nm_sched_t *sched, nm_ms_t now_ms,
                                    void (*visit)(void *user,
@@ -409,7 +434,8 @@
 #define NM_CRASH_EVIDENCE_LIST(X)                                             \
     X(NONE, "")                                                               \
     X(INCARNATION, "incarnation") /* a later incarnation has its id */        \
-    X(ADDRESS, "address")         /* another worker has its address */
+    X(ADDRESS, "address")         /* another worker has its address */        \
+    X(MACHINES, "machines")       /* no machine has it any more */
 
 typedef enum {
 #define X(name, label) NM_CRASH_EVIDENCE_##name,
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -12,12 +12,13 @@
  * need not be told apart, as it fails with any of them.
  *
  * A crash is proved by a later incarnation of the worker, or one at its
- * address.  A worker that is silent and whose entry is gone may be cut off
- * from the owner and the store: an unresolved silence, stored with its tasks
- * in case the owner changes.  The tasks start elsewhere when its lease has
- * lapsed.  Only crashes that are proved fail a job.  Once known and possible
- * crashes are as many as that takes, the task waits for the workers to be
- * heard of, for a limited time, as some are lost for good.
+ * address, or by a list of machines in which no machine has the worker while
+ * its tasks are attached.  A worker that is silent and whose entry is gone may
+ * be cut off from the owner and the store: an unresolved silence, stored with
+ * its tasks in case the owner changes.  The tasks start elsewhere when its
+ * lease has lapsed.  Only crashes that are proved fail a job.  Once known and
+ * possible crashes are as many as that takes, the task waits for the workers
+ * to be heard of, for a limited time, as some are lost for good.
  *
  * A suspect's start is stored with its worker, so that a next owner knows of a
  * crash that this one could not store any more; before it is sent, if the
@@ -481,7 +482,7 @@
 
 void
 nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
-                              nm_ms_t now_ms)
+                              nm_crash_evidence_t evidence, nm_ms_t now_ms)
 {
     bool by_surprise = node->desc.state != NM_WORKER_DRAINING;
     const nm_task_t *culprit = by_surprise ? find_culprit(node) : NULL;
@@ -500,7 +501,7 @@
                     .type = NM_SCHED_EVENT_RUN_LOST,
                     .value = MAX(node->alive_ms - task->begun_ms, 0),
                     .run = task->run,
-                    .evidence = NM_CRASH_EVIDENCE_INCARNATION});
+                    .evidence = evidence});
             count_crash(sched, task, node->id_hash);
         }
         nm_crashes_clear_silence(sched, task, node);
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -115,6 +115,78 @@
     }
 }
 
+/*
+ * True if the run has ended with the incarnation of its worker.  A start
+ * without a response may still reach a later one.
+ */
+static bool
+ends_with_incarnation(const nm_sched_node_t *node, const nm_task_t *task)
+{
+    if (task->state == NM_RUN_STARTING || task->withdrawn ||
+        (task->order_pending && task->state != NM_RUN_STOPPING))
+    {
+        return false;
+    }
+    char name[NM_TASK_NAME_MAX];
+    nm_sched_task_name(task, name, sizeof(name));
+    return !nm_orphans_contain(node, name, task->run);
+}
+
+bool
+nm_sched_on_worker_ended(nm_sched_t *sched, const char *id,
+                         int64_t incarnation, nm_ms_t sent_ms, nm_ms_t now_ms)
+{
+    assert(sched && id);
+    nm_sched_node_t *node = nm_node_find(sched, id);
+    /* An order of a former owner may still reach a later incarnation. */
+    if (!node || !node->epoch_confirmed || node->reachable ||
+        node->desc.incarnation != incarnation || node->alive_ms >= sent_ms)
+    {
+        return false;
+    }
+    nm_crashes_on_incarnation_end(sched, node, NM_CRASH_EVIDENCE_MACHINES,
+                                  now_ms);
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (ends_with_incarnation(node, task)) {
+            nm_task_detach(task);
+            nm_task_requeue(sched, task);
+        }
+    }
+    nm_timer_set_now(sched, node);
+    return true;
+}
+
+void
+nm_sched_visit_contacts(const nm_sched_t *sched,
+                        void (*visit)(void *user,
+                                      const nm_sched_contact_t *contact),
+                        void *user)
+{
+    assert(sched && visit);
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (!node->described) {
+            continue;
+        }
+        bool waits = false;
+        for (guint t = 0; t < node->tasks->len && !waits; t++) {
+            waits = node->epoch_confirmed && !node->reachable &&
+                    ends_with_incarnation(node, node->tasks->pdata[t]);
+        }
+        nm_sched_contact_t contact = {
+            .id = node->desc.id,
+            .incarnation = node->desc.incarnation,
+            .reachable = node->reachable && node->epoch_confirmed,
+            .waits = waits,
+            .known_ms = node->incarnation_seen_ms,
+            .heard_ms = node->alive_ms,
+            .reported_ms = node->reported_ms,
+        };
+        visit(user, &contact);
+    }
+}
+
 /*
  * A new incarnation has the id but not the state of the old one.  An order
  * sent before the change was noticed may have reached either.  Running tasks
@@ -125,7 +197,8 @@
 nm_node_begin_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                           int64_t incarnation, nm_ms_t now_ms)
 {
-    nm_crashes_on_incarnation_end(sched, node, now_ms);
+    nm_crashes_on_incarnation_end(sched, node, NM_CRASH_EVIDENCE_INCARNATION,
+                                  now_ms);
     GPtrArray *unconfirmed = g_ptr_array_new();
     for (guint i = 0; i < node->tasks->len; i++) {
         nm_task_t *task = node->tasks->pdata[i];
--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -211,6 +211,12 @@
     return count_orphans(node) > 0;
 }
 
+bool
+nm_orphans_contain(const nm_sched_node_t *node, const char *task, int64_t run)
+{
+    return find_orphan(node, task, run) != NULL;
+}
+
 bool
 nm_orphans_need_report(const nm_sched_node_t *node)
 {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -614,6 +614,9 @@
                            nm_ms_t now_ms);
 /* True while a late start may be carried out, or an orphan be at work. */
 bool nm_orphans_any(const nm_sched_node_t *node);
+/* True if one of them is this run. */
+bool nm_orphans_contain(const nm_sched_node_t *node, const char *task,
+                        int64_t run);
 /* True while one may be at work, so that the next report is needed soon. */
 bool nm_orphans_need_report(const nm_sched_node_t *node);
 /* Number of a step's tasks that may be at work there as orphans. */
@@ -627,9 +630,11 @@
 /* sched_crashes.c */
 /*
  * Records the runs that a worker loses soon after their start.  To be called
- * before a later incarnation takes the place of the one that ran the tasks.
+ * before a later incarnation takes the place of the one that ran the tasks,
+ * and once the end of that one is proved.
  */
 void nm_crashes_on_incarnation_end(nm_sched_t *sched, nm_sched_node_t *node,
+                                   nm_crash_evidence_t evidence,
                                    nm_ms_t now_ms);
 /*
  * Records which tasks may have crashed a worker that does not respond any
