Witnesses: an ended incarnation is resolved

nm_quorum_on_ended takes the proof that a listed incarnation has ended; it can accept no former owner's calls, as one that another worker has replaced.

--- a/src/quorum.h
+++ b/src/quorum.h
@@ -11,7 +11,8 @@
  * The list names an incarnation of each worker at its address, and no other
  * one accepts calls for it.  So a listed incarnation that has ended accepts
  * none, as if it had responded to the successor.  That it has ended is shown
- * by a response of another worker at its address, not by a silence.
+ * by a response of another worker at its address, or by a list of machines
+ * that no longer has it, not by a silence.
  *
  *     nm_quorum_t quorum;
  *     nm_quorum_init(&quorum);
@@ -44,6 +45,7 @@
     nm_ms_t accepted_ms; /* its newest accepted call was sent then; 0: none */
     bool responded;      /* to any call of this term */
     bool replaced;       /* another worker has responded at its address */
+    bool ended;          /* no machine has it any more */
     bool probe_pending;
     bool refused; /* its newest probe, by whatever is at its address */
 } nm_witness_t;
@@ -105,6 +107,10 @@
  * address is that of a further witness too.
  */
 void nm_quorum_on_replaced(nm_quorum_t *quorum, const nm_witness_life_t *life);
+/*
+ * A list of machines, requested after life was known, shows that it has ended.
+ */
+void nm_quorum_on_ended(nm_quorum_t *quorum, const nm_witness_life_t *life);
 /* Latest time since which a majority has accepted a call; 0: none. */
 nm_ms_t nm_quorum_accepted_ms(const nm_quorum_t *quorum);
 /* True if a witness of the stored list can accept no former owner's call. */
