Prove the end of workers by the list of machines

The owner now asks for the list of machines while a silent worker with tasks, or an unresolved witness, holds up others (entry_lives.c). A complete listing, requested after an incarnation was known for a second, that does not show its id proves that it has ended; a listing of several pages has to show it twice, as rows may be skipped between pages. If the id is shown nothing is proved, as a worker may start again under it. Calls are priced: one listing in flight, none while all respond, 1 s between listings and up to 8 s while they decide nothing. A listing that names no known worker, or lacks most of those that respond, is not used. If an ended incarnation responds again, that is logged (life-contradicted), and the list is used no more by this process.

two-owners-have-no-majority-each also plays listings that are read row by row and come late, with ids that are used again; its former play is unchanged.

--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -277,6 +277,31 @@
     g_ptr_array_free(due, TRUE);
 }
 
+/* --- lives of witnesses --- */
+
+void
+nm_authority_visit_unresolved(const nm_entry_t *entry,
+                              nm_authority_visit_fn visit, void *user)
+{
+    const nm_authority_t *authority = &entry->authority;
+    const nm_quorum_t *quorum = &authority->quorum;
+    if (authority->former_over) {
+        return;
+    }
+    for (guint i = 0; i < quorum->stored->len; i++) {
+        const nm_witness_life_t *listed = quorum->stored->pdata[i];
+        if (!nm_quorum_is_resolved(quorum, listed)) {
+            visit(user, listed);
+        }
+    }
+}
+
+void
+nm_authority_on_life_ended(nm_entry_t *entry, const nm_witness_life_t *life)
+{
+    nm_quorum_on_ended(&entry->authority.quorum, life);
+}
+
 /* --- decisions --- */
 
 static bool
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -265,6 +265,9 @@
     if (entry->role == NM_ROLE_OWNER) {
         nm_authority_run(entry, now_ms);
     }
+    if (entry->role == NM_ROLE_OWNER) {
+        nm_lives_run(entry, now_ms);
+    }
     if (entry->role == NM_ROLE_OWNER) {
         nm_load_on_pass(entry, now_ms);
         run_sched(entry, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -1,7 +1,8 @@
 /*
  * State shared by the files of an entry host.  Beside the helpers of entry.c,
  * a file calls only those to the right of it: entry.c -> entry_call.c,
- * entry_owner.c -> entry_election.c, entry_notice.c -> entry_takeover.c,
+ * entry_owner.c -> entry_election.c, entry_notice.c, entry_lives.c ->
+ * entry_takeover.c,
  * entry_commit.c -> entry_authority.c -> entry_terms.c -> entry_load.c ->
  * entry_term.c; and entry_term.c calls entry_authority.c and entry_terms.c to
  * set them up, and entry_terms.c at the end of a term.
@@ -134,6 +135,20 @@
     nm_ms_t probe_due_ms;
 } nm_authority_t;
 
+/* What lists of machines have shown of workers, see entry_lives.c. */
+typedef struct {
+    int64_t owned_epoch; /* term that the rest belongs to; 0: none */
+    bool pending;        /* a listing is in flight */
+    bool silent;         /* an incarnation to ask for is known */
+    bool distrusted;     /* an incarnation has responded after its end */
+    nm_ms_t check_due_ms;
+    nm_ms_t list_due_ms;
+    nm_ms_t interval_ms; /* between listings */
+    GArray *asked;       /* of incarnations the listing in flight decides on */
+    GArray *ended;       /* of incarnations that were shown to have ended */
+    GHashTable *missing; /* incarnations not in the newest listing; NULL */
+} nm_lives_t;
+
 /* Owner that announced itself; the store may not have shown it yet. */
 typedef struct {
     char name[NM_NAME_MAX];
@@ -208,6 +223,7 @@
     int64_t fenced_epoch;    /* a newer owner has told: no term below it */
     nm_term_end_t *term_end; /* of the newest term with orders; NULL: none */
     nm_authority_t authority;
+    nm_lives_t lives;
     nm_sched_t *sched;
     nm_feed_t workers_feed;
     nm_feed_t jobs_feed;
@@ -282,6 +298,17 @@
 bool nm_authority_put_witnesses(nm_entry_t *entry, nm_store_txn_t *txn);
 /* Takes the result of that commit. */
 void nm_authority_on_witnesses_stored(nm_entry_t *entry, int rc);
+/*
+ * Calls visit for each witness that may confirm a former owner, unless the
+ * authority of all is over.
+ */
+typedef void (*nm_authority_visit_fn)(void *user,
+                                      const nm_witness_life_t *life);
+void nm_authority_visit_unresolved(const nm_entry_t *entry,
+                                   nm_authority_visit_fn visit, void *user);
+/* See nm_quorum_on_ended. */
+void nm_authority_on_life_ended(nm_entry_t *entry,
+                                const nm_witness_life_t *life);
 /* Calls witnesses if needed, and tells the scheduler what it may do. */
 void nm_authority_run(nm_entry_t *entry, nm_ms_t now_ms);
 
@@ -384,6 +411,11 @@
 /* Returns false if a peer's request is no notice. */
 bool nm_notice_handle(nm_entry_t *entry, const NmPb__EntryAsk *request);
 
+/* entry_lives.c */
+void nm_lives_finish(nm_entry_t *entry);
+/* Asks for the list of machines if a worker's silence calls for it. */
+void nm_lives_run(nm_entry_t *entry, nm_ms_t now_ms);
+
 /* entry_owner.c */
 void nm_owner_on_late_report(void *user, const char *worker,
                              const nm_worker_report_t *report);
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -80,6 +80,7 @@
     g_hash_table_destroy(entry->cancels_ahead);
     nm_authority_finish(entry);
     nm_terms_finish(entry);
+    nm_lives_finish(entry);
 }
 
 void
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -158,9 +158,9 @@
     return kv;
 }
 
-void
-host_init_with_kv(host_t *host, const char *name, const char *address,
-                  fake_kv_t *kv, nm_kv_t *kv_port)
+static void
+init(host_t *host, const char *name, const char *address, fake_kv_t *kv,
+     nm_kv_t *kv_port, nm_machine_port_t *machines)
 {
     *host =
         (host_t){.kv = kv,
@@ -181,12 +181,20 @@
         .clock = &host->clock,
         .kv = kv_port,
         .orders = &host->orders.base,
+        .machines = machines,
         .listener = &host->listener.base,
         .peers = host->peers,
         .codec = &nm_platform_codec,
     });
 }
 
+void
+host_init_with_kv(host_t *host, const char *name, const char *address,
+                  fake_kv_t *kv, nm_kv_t *kv_port)
+{
+    init(host, name, address, kv, kv_port, NULL);
+}
+
 void
 host_init_at(host_t *host, const char *name, const char *address,
              fake_kv_t *kv)
@@ -202,6 +210,15 @@
     host_init_at(host, name, address, kv);
 }
 
+void
+host_init_with_machines(host_t *host, const char *name, fake_kv_t *kv,
+                        fake_machines_t *machines)
+{
+    char address[64];
+    g_snprintf(address, sizeof(address), "inproc://%s", name);
+    init(host, name, address, kv, fake_kv_port(kv), &machines->base);
+}
+
 void
 host_finish(host_t *host)
 {
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -16,6 +16,7 @@
 
 #include "../../src/entry_state.h"
 #include "lib_kv.h"
+#include "lib_machines.h"
 
 #define CONFIG_KEY "op/config"
 #define JOB "5c0e7a21d94b36f8"
@@ -85,6 +86,9 @@
 void host_init_at(host_t *host, const char *name, const char *address,
                   fake_kv_t *kv);
 void host_init(host_t *host, const char *name, fake_kv_t *kv);
+/* The same with a list of machines, which must outlive the host. */
+void host_init_with_machines(host_t *host, const char *name, fake_kv_t *kv,
+                             fake_machines_t *machines);
 void host_finish(host_t *host);
 void run_host(host_t *host, nm_ms_t duration_ms);
 void send_request(host_t *host, nm_method_t method, const char *path,
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -250,6 +250,72 @@
     }
 }
 
+/*
+ * Load: more than half of the workers are gone for good around the loss of the
+ * owner, and nothing has their addresses.  The list of machines shows which of
+ * them have ended.
+ */
+static void
+test_list_of_machines_ends_the_wait(void)
+{
+    static const struct {
+        const char *name;
+        int silent;
+        int listed; /* of these; they may still confirm the former owner */
+        int rc;
+        uint32_t pages;
+        nm_ms_t from_ms;
+        nm_ms_t to_ms;
+    } cases[] = {
+        {"three gone", 3, 0, NM_OK, 1, 1000, 3500},
+        {"four gone", 4, 0, NM_OK, 1, 1000, 3500},
+        {"three gone, several pages", 3, 0, NM_OK, 2, 1000, 5500},
+        {"four silent, one gone", 4, 3, NM_OK, 1, 60000, 60000},
+        {"three silent, all listed", 3, 3, NM_OK, 1, 60000, 60000},
+        {"three gone, no list", 3, 0, NM_ERR_UNAVAILABLE, 1, 60000, 60000},
+        {"three gone, malformed list", 3, 0, NM_ERR_CORRUPT, 1, 60000, 60000},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        fake_machines_t machines;
+        fake_machines_init(&machines);
+        machines.rc = cases[i].rc;
+        machines.pages = cases[i].pages;
+        for (int w = 0; w < WORKERS; w++) {
+            char id[8];
+            g_snprintf(id, sizeof(id), "w%d", w);
+            add_worker_at(kv, id, w);
+            if (w < WORKERS - cases[i].silent + cases[i].listed) {
+                fake_machines_add(&machines, id);
+            }
+        }
+        host_t former;
+        host_init(&former, "a", kv);
+        run_host(&former, 4000);
+        fake_kv_end_calls(kv);
+        host_finish(&former);
+        fake_kv_put(kv, OWNER_KEY, NULL);
+        for (int n = 0; n < cases[i].silent; n++) {
+            char key[32];
+            g_snprintf(key, sizeof(key), "servers/w%d", WORKERS - 1 - n);
+            fake_kv_put(kv, key, NULL);
+        }
+        host_t next;
+        host_init_with_machines(&next, "b", kv, &machines);
+        cut_workers(&next, WORKERS - cases[i].silent);
+        run_host(&next, 6000);
+        g_assert_cmpint(next.entry->role, ==, NM_ROLE_OWNER);
+        const nm_authority_t *authority = &next.entry->authority;
+        nm_ms_t wait_ms = authority->former_until_ms - authority->elected_ms;
+        g_assert_cmpint(wait_ms, >=, cases[i].from_ms);
+        g_assert_cmpint(wait_ms, <=, cases[i].to_ms);
+        finish_host(&next);
+        fake_machines_finish(&machines);
+        fake_kv_free(kv);
+    }
+}
+
 /*
  * Load: a new owner reads stored records for 3 s.  Until the workers have
  * responded to it, a majority of them gives the former owner authority, so
@@ -497,6 +563,61 @@
     }
 }
 
+/* A list of machines shows the end of the incarnations asked for only. */
+static void
+test_ended_life_resolves_only_itself(void)
+{
+    static const struct {
+        const char *name;
+        const char *stored; /* text of the list */
+        int64_t announced;  /* incarnation; 0: none */
+        int64_t ended;      /* incarnation that was asked for */
+        const char *address;
+        bool resolved;
+    } cases[] = {
+        {"as listed", "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]",
+         1, 1, "m1", true},
+        {"without entry",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 0, 1, "m1",
+         true},
+        {"a later one has ended",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 2, 2, "m1",
+         false},
+        {"an earlier one has ended",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":2}]", 2, 1, "m1",
+         false},
+        {"at another address",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 1, 1, "m2",
+         false},
+        {"list of an earlier version", "[\"a\"]", 0, 0, "", false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_quorum_t quorum;
+        nm_quorum_init(&quorum);
+        nm_quorum_set_stored(
+            &quorum, nm_quorum_decode(cases[i].stored,
+                                      (uint32_t)strlen(cases[i].stored)));
+        if (cases[i].announced) {
+            nm_witness_life_t life = make_life('a', cases[i].announced, "m1");
+            nm_quorum_set_worker(&quorum, &life, 50);
+        }
+        nm_witness_life_t life =
+            make_life('a', cases[i].ended, cases[i].address);
+        nm_quorum_on_ended(&quorum, &life);
+        g_assert_cmpint(nm_quorum_has_responded(&quorum), ==,
+                        cases[i].resolved);
+        /* One that begins later under the id may confirm a former owner. */
+        life = make_life('a', 3, "m1");
+        nm_quorum_set_worker(&quorum, &life, 60);
+        GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+        g_ptr_array_add(list, g_memdup2(&life, sizeof(life)));
+        nm_quorum_set_stored(&quorum, list);
+        g_assert_false(nm_quorum_has_responded(&quorum));
+        nm_quorum_finish(&quorum);
+    }
+}
+
 #define MODEL_MACHINES 5
 #define MODEL_IDS 12
 #define FORMER_EPOCH 1
@@ -542,13 +663,13 @@
 }
 
 static void
-probe_workers(model_t *model, nm_quorum_t *quorum, int epoch, nm_ms_t now_ms,
-              nm_ms_t confirmed_ms)
+probe_workers(model_t *model, nm_quorum_t *quorum, int epoch, double share,
+              nm_ms_t now_ms, nm_ms_t confirmed_ms)
 {
     for (int i = 0; i < MODEL_IDS; i++) {
         const char name[] = {(char)('a' + i), '\0'};
         const nm_witness_t *witness = nm_quorum_find(quorum, name);
-        if (!witness || !chance(model, 0.4)) {
+        if (!witness || !chance(model, share)) {
             continue;
         }
         nm_witness_life_t called = witness->life;
@@ -565,6 +686,51 @@
     }
 }
 
+/*
+ * A list of machines that is read row by row while workers end and begin; the
+ * response comes later.  One that is requested before the election decides on
+ * no witness, as none was known.
+ */
+typedef struct {
+    GPtrArray *asked; /* of nm_witness_life_t, known before; NULL: none */
+    char shown[MODEL_MACHINES]; /* id on each machine; 0: not read yet */
+    int unread;
+} model_listing_t;
+
+static void
+run_listing(model_t *model, nm_quorum_t *quorum, model_listing_t *listing)
+{
+    if (!listing->asked) {
+        if (!chance(model, 0.3)) {
+            return;
+        }
+        *listing = (model_listing_t){.unread = MODEL_MACHINES};
+        listing->asked = g_ptr_array_new_with_free_func(g_free);
+        for (guint i = 0; i < quorum->stored->len; i++) {
+            g_ptr_array_add(listing->asked,
+                            g_memdup2(quorum->stored->pdata[i],
+                                      sizeof(nm_witness_life_t)));
+        }
+    }
+    for (int m = 0; m < MODEL_MACHINES; m++) {
+        if (listing->shown[m] == 0 && chance(model, 0.2)) {
+            listing->shown[m] = model->workers[m].id[0];
+            listing->unread--;
+        }
+    }
+    if (listing->unread > 0 || chance(model, 0.5)) {
+        return;
+    }
+    for (guint i = 0; i < listing->asked->len; i++) {
+        const nm_witness_life_t *life = listing->asked->pdata[i];
+        if (!memchr(listing->shown, life->id[0], MODEL_MACHINES)) {
+            nm_quorum_on_ended(quorum, life);
+        }
+    }
+    g_ptr_array_free(listing->asked, TRUE);
+    listing->asked = NULL;
+}
+
 static GPtrArray *
 list_workers(const model_t *model)
 {
@@ -578,12 +744,13 @@
 
 /*
  * Workers end and others take their addresses, also under ids of before, while
- * two owners call those that they reach.  Once the successor knows a majority,
- * no call of the former owner counts that was sent later.  Returns true if the
+ * two owners call those that they reach, and the successor, which then reaches
+ * few, reads the list of machines.  Once the successor knows a majority, no
+ * call of the former owner counts that was sent later.  Returns true if the
  * successor got there.
  */
 static bool
-play_two_owners(uint64_t seed)
+play_two_owners(uint64_t seed, bool use_listings)
 {
     enum { ELECTION_MS = 20, END_MS = 60 };
     model_t model = {0};
@@ -600,6 +767,7 @@
     nm_quorum_set_stored(&former, list_workers(&model));
     char *stored = nm_quorum_encode(former.stored);
     nm_ms_t resolved_ms = 0;
+    model_listing_t listing = {0};
     for (nm_ms_t now_ms = 1; now_ms <= END_MS; now_ms++) {
         nm_ms_t confirmed_ms = MIN(now_ms, ELECTION_MS);
         if (chance(&model, 0.3)) {
@@ -607,7 +775,9 @@
                          (int)nm_rng_below(&model.rng, MODEL_MACHINES));
         }
         announce_workers(&model, &former, now_ms);
-        if (now_ms < ELECTION_MS && !former.pending && chance(&model, 0.1)) {
+        if (now_ms < ELECTION_MS && !former.pending &&
+            chance(&model, use_listings ? 0.5 : 0.1))
+        {
             nm_quorum_set_pending(&former, list_workers(&model));
             announce_workers(&model, &former, now_ms);
             bool responded = chance(&model, 0.5);
@@ -619,14 +789,19 @@
                 nm_quorum_confirm_pending(&former);
             }
         }
-        probe_workers(&model, &former, FORMER_EPOCH, now_ms, confirmed_ms);
+        probe_workers(&model, &former, FORMER_EPOCH, 0.4, now_ms,
+                      confirmed_ms);
         if (now_ms == ELECTION_MS) {
             nm_quorum_set_stored(
                 &next, nm_quorum_decode(stored, (uint32_t)strlen(stored)));
         }
         if (now_ms >= ELECTION_MS) {
             announce_workers(&model, &next, now_ms);
-            probe_workers(&model, &next, FORMER_EPOCH + 1, now_ms, now_ms);
+            probe_workers(&model, &next, FORMER_EPOCH + 1,
+                          use_listings ? 0.02 : 0.4, now_ms, now_ms);
+        }
+        if (use_listings) {
+            run_listing(&model, &next, &listing);
         }
         if (resolved_ms == 0 && now_ms >= ELECTION_MS &&
             nm_quorum_has_responded(&next))
@@ -637,6 +812,9 @@
             g_assert_cmpint(nm_quorum_accepted_ms(&former), <=, resolved_ms);
         }
     }
+    if (listing.asked) {
+        g_ptr_array_free(listing.asked, TRUE);
+    }
     free(stored);
     nm_quorum_finish(&former);
     nm_quorum_finish(&next);
@@ -647,11 +825,15 @@
 test_two_owners_have_no_majority_each(void)
 {
     enum { SEEDS = 5000 };
-    int resolved = 0;
-    for (uint64_t seed = 1; seed <= SEEDS && !g_test_failed(); seed++) {
-        resolved += play_two_owners(seed);
+    for (int use_listings = 0; use_listings < 2; use_listings++) {
+        int resolved = 0;
+        for (uint64_t seed = 1; seed <= SEEDS && !g_test_failed(); seed++) {
+            resolved += play_two_owners(seed, use_listings);
+        }
+        g_test_message("list of machines %d: resolved in %d of %d",
+                       use_listings, resolved, SEEDS);
+        g_assert_cmpint(resolved, >, SEEDS / 2);
     }
-    g_assert_cmpint(resolved, >, SEEDS / 2);
 }
 
 int
@@ -671,6 +853,8 @@
          test_successor_waits_for_a_majority},
         {"/authority/ended-witnesses-delay-no-successor",
          test_ended_witnesses_delay_no_successor},
+        {"/authority/list-of-machines-ends-the-wait",
+         test_list_of_machines_ends_the_wait},
         {"/authority/slow-reading-does-not-shorten-the-wait",
          test_slow_reading_does_not_shorten_the_wait},
         {"/authority/hand-over-passes-on-leases",
@@ -682,6 +866,8 @@
          test_unlisted_incarnation_counts_for_nothing},
         {"/authority/proof-of-another-incarnation-resolves-nothing",
          test_proof_of_another_incarnation_resolves_nothing},
+        {"/authority/ended-life-resolves-only-itself",
+         test_ended_life_resolves_only_itself},
         {"/authority/two-owners-have-no-majority-each",
          test_two_owners_have_no_majority_each},
     };
