Confirm a listing of several pages at once

A listing with pages has to show twice that an incarnation is missing. The second one came 2 s after the first, as the first decides nothing. It is now requested at the next check.

test_entry_lives "ended, several pages": no restart within 2 s before, passes now.

--- a/src/entry_lives.c
+++ b/src/entry_lives.c
@@ -243,8 +243,13 @@
     return true;
 }
 
-/* Returns the number of incarnations that are shown to have ended. */
-static uint32_t
+/* What a listing has shown of the incarnations that were asked for. */
+typedef struct {
+    uint32_t ended;
+    uint32_t unconfirmed; /* not listed, but another listing has to show it */
+} findings_t;
+
+static findings_t
 apply_listing(nm_entry_t *entry, const nm_machine_list_t *list,
               GHashTable *listed, nm_ms_t sent_ms, nm_ms_t now_ms)
 {
@@ -252,18 +257,22 @@
     GHashTable *missing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     uint32_t listings_min = list->pages > 1 ? PAGED_LISTINGS_MIN : 1;
-    uint32_t ended = 0;
+    findings_t findings = {0};
     for (guint i = 0; i < lives->asked->len; i++) {
         const life_t *row = &g_array_index(lives->asked, life_t, i);
-        if (!g_hash_table_contains(listed, row->life.id) &&
-            count_missing(lives, missing, row) >= listings_min)
-        {
-            ended += apply_end(entry, row, sent_ms, now_ms);
+        if (g_hash_table_contains(listed, row->life.id)) {
+            continue;
+        }
+        if (count_missing(lives, missing, row) < listings_min) {
+            findings.unconfirmed++;
+        }
+        else if (apply_end(entry, row, sent_ms, now_ms)) {
+            findings.ended++;
         }
     }
     g_hash_table_destroy(lives->missing);
     lives->missing = missing;
-    return ended;
+    return findings;
 }
 
 static void
@@ -288,8 +297,10 @@
         }
     }
     const char *fault = find_fault(entry, list, listed, sent_ms);
-    bool decided =
-        !fault && apply_listing(entry, list, listed, sent_ms, now_ms) > 0;
+    findings_t findings = {0};
+    if (!fault) {
+        findings = apply_listing(entry, list, listed, sent_ms, now_ms);
+    }
     if (fault) {
         nm_log(NM_LOG_INFO, NM_LOG_ITEM_MACHINES_UNKNOWN,
                "{s:s,s:i,s:i,s:I,s:I}", "reason", fault, "asked",
@@ -297,10 +308,15 @@
                (json_int_t)(now_ms - sent_ms), "epoch",
                (json_int_t)entry->owned_epoch);
     }
-    lives->interval_ms =
-        decided ? LIST_INTERVAL_MIN_MS
-                : MIN(2 * lives->interval_ms, (nm_ms_t)LIST_INTERVAL_MAX_MS);
-    lives->list_due_ms = now_ms + lives->interval_ms;
+    if (findings.ended > 0 || findings.unconfirmed > 0) {
+        lives->interval_ms = LIST_INTERVAL_MIN_MS;
+    }
+    else {
+        lives->interval_ms =
+            MIN(2 * lives->interval_ms, (nm_ms_t)LIST_INTERVAL_MAX_MS);
+    }
+    lives->list_due_ms =
+        findings.unconfirmed > 0 ? now_ms : now_ms + lives->interval_ms;
     g_hash_table_destroy(listed);
     entry->sched_due_ms = 0;
 }
--- a/tests/test_entry_lives.c
+++ b/tests/test_entry_lives.c
@@ -95,15 +95,17 @@
         uint32_t pages;
         bool empty; /* no worker is listed */
         bool restarts;
+        nm_ms_t within_ms;
         uint32_t calls_min;
         uint32_t calls_max;
     } cases[] = {
-        {"ended", true, NM_OK, 1, false, true, 1, 1},
-        {"ended, several pages", true, NM_OK, 2, false, true, 2, 2},
-        {"cut off", false, NM_OK, 1, false, false, 1, 3},
-        {"no response", true, NM_ERR_UNAVAILABLE, 1, false, false, 1, 3},
-        {"malformed", true, NM_ERR_CORRUPT, 1, false, false, 1, 3},
-        {"empty", true, NM_OK, 1, true, false, 1, 3},
+        {"ended", true, NM_OK, 1, false, true, 2000, 1, 1},
+        {"ended, several pages", true, NM_OK, 2, false, true, 2000, 2, 2},
+        {"cut off", false, NM_OK, 1, false, false, SOON_MS, 1, 3},
+        {"no response", true, NM_ERR_UNAVAILABLE, 1, false, false, SOON_MS, 1,
+         3},
+        {"malformed", true, NM_ERR_CORRUPT, 1, false, false, SOON_MS, 1, 3},
+        {"empty", true, NM_OK, 1, true, false, SOON_MS, 1, 3},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_message("%s", cases[i].name);
@@ -115,7 +117,7 @@
         if (cases[i].empty) {
             g_ptr_array_set_size(lives.machines.living, 0);
         }
-        run_host(&lives.host, SOON_MS);
+        run_host(&lives.host, cases[i].within_ms);
         g_assert_cmpuint(lives.host.orders.starts, ==,
                          TASKS + (cases[i].restarts ? lives.lost : 0));
         g_assert_cmpuint(lives.machines.calls, >=, cases[i].calls_min);
