--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -488,12 +488,34 @@
     g_free(request);
 }
 
+#define MACHINES_PATH "/machines"
+
 static bool
 is_store_path(const char *path)
 {
     return g_str_has_prefix(path, "/kv-");
 }
 
+/* The list of machines: the place of an executor is one. */
+static json_t *
+list_machines(platform_t *platform)
+{
+    json_t *rows = json_array();
+    for (uint32_t i = 0; i < executor_fleet_size(platform->fleet); i++) {
+        const executor_t *executor = executor_at(platform->fleet, i);
+        bool up = executor->joins_at_ms == 0;
+        char name[NM_NAME_MAX];
+        snprintf(name, sizeof(name), "m%u", (unsigned)i);
+        json_t *row = json_pack("{s:s,s:s}", "machine", name, "state",
+                                up ? "up" : "down");
+        if (up) {
+            json_object_set_new(row, "id", json_string(executor->id));
+        }
+        json_array_append_new(rows, row);
+    }
+    return json_pack("{s:o,s:n}", "machines", rows, "nextPageToken");
+}
+
 static int
 serve_store(platform_t *platform, request_t *request, nm_ms_t now_ms,
             json_t **response)
@@ -536,6 +558,10 @@
 {
     executor_t *executor = executor_find(platform->fleet, request->instance);
     bool store = is_store_path(request->path);
+    if (strcmp(request->path, MACHINES_PATH) == 0) {
+        request->response = list_machines(platform);
+        return 200;
+    }
     if (request->stalled ||
         (!store && executor_has_left(platform->fleet, request->instance)) ||
         (!store && executor &&
--- a/soak/lib_platform.h
+++ b/soak/lib_platform.h
@@ -1,7 +1,8 @@
 /*
- * Stand-in for the users' platform: its store and its executors, over HTTP.
+ * Stand-in for the users' platform: its store, its list of machines and its
+ * executors, over HTTP.
  *
- * One port serves both.  The store keeps all that it acknowledged, unless
+ * One port serves all.  The store keeps all that it acknowledged, unless
  * drops_jobs is set; it can refuse requests, leave them without a response,
  * or apply changes without a response.  Executors are the model of
  * lib_executor.h, registered in the store unless they are unresponsive or cut
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -32,6 +32,13 @@
            (gint64)index == soak_options.seed % soak_options.hosts;
 }
 
+/* Each other seed shows what hosts know without the list of machines. */
+static bool
+has_machine_list(void)
+{
+    return soak_options.departures && soak_options.seed % 2 == 1;
+}
+
 void
 soak_write_settings(uint32_t index)
 {
@@ -40,17 +47,23 @@
     host->front_port = (uint16_t)port;
     host->settings =
         g_strdup_printf("%s/host-%u.json", soak_options.folder, index);
+    char *cloud = has_machine_list()
+                      ? g_strdup_printf("\"127.0.0.1:%d\"",
+                                        soak_options.base_port +
+                                            STORE_PATHS_PORT + (int)index)
+                      : g_strdup("null");
     char *text = g_strdup_printf(
         "{\"name\":\"h%u\",\"zone\":\"z%u\",\"front_address\":"
         "\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
         "\"peer_address\":\"tcp://127.0.0.1:%d\",\"store_address\":"
-        "\"127.0.0.1:%d\",\"metrics_address\":\"127.0.0.1:%d\","
-        "\"cpu_share\":%s,\"grace_s\":%d}",
+        "\"127.0.0.1:%d\",\"cloud_address\":%s,\"metrics_address\":"
+        "\"127.0.0.1:%d\",\"cpu_share\":%s,\"grace_s\":%d}",
         index, index % 3, port, port + 1, port + 2,
-        soak_options.base_port + STORE_PATHS_PORT + (int)index, port + 3,
-        is_largest(index) ? "1" : "0.5", HOST_GRACE_MS / 1000);
+        soak_options.base_port + STORE_PATHS_PORT + (int)index, cloud,
+        port + 3, is_largest(index) ? "1" : "0.5", HOST_GRACE_MS / 1000);
     g_file_set_contents(host->settings, text, -1, NULL);
     g_free(text);
+    g_free(cloud);
     host->proxy_path = add_path(STORE_PATHS_PORT + (int)index);
     host->executor_path = add_path(EXECUTOR_PATHS_PORT + (int)index);
 }
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -33,6 +33,7 @@
 run_soak 0 --seed 301 --seconds 35 --cuts --executors 48 --jobs 6
 run_soak 0 --seed 614 --seconds 10 --short
 run_soak 0 --seed 402 --seconds 10 --departures
+run_soak 0 --seed 403 --seconds 10 --departures
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
