A listed witness has ended, whatever is announced under its id since

The proof was kept with the life as announced last. There the address differs, as each host of the rig reaches the executors by another port; on a platform a later incarnation under the id does the same. It is kept with the life as listed now.

--- a/src/quorum.c
+++ b/src/quorum.c
@@ -264,7 +264,6 @@
         nm_strcopy(witness->life.address, sizeof(witness->life.address),
                    life->address);
         witness->replaced = false;
-        witness->ended = false;
     }
     if (!known || !witness->announced) {
         witness->announced = true;
@@ -326,9 +325,8 @@
     assert(quorum && life);
     nm_witness_t *witness = nm_quorum_find(quorum, life->id);
     /* Without an incarnation, the id may stand for a later one. */
-    if (witness && life->incarnation > 0 && is_same_life(life, &witness->life))
-    {
-        witness->ended = true;
+    if (witness && life->incarnation > 0) {
+        witness->ended = *life;
     }
 }
 
@@ -384,8 +382,8 @@
 {
     assert(quorum && listed);
     const nm_witness_t *witness = nm_quorum_find(quorum, listed->id);
-    return witness->responded || ((witness->replaced || witness->ended) &&
-                                  is_same_life(listed, &witness->life));
+    return witness->responded || is_same_life(listed, &witness->ended) ||
+           (witness->replaced && is_same_life(listed, &witness->life));
 }
 
 bool
--- a/src/quorum.h
+++ b/src/quorum.h
@@ -45,7 +45,7 @@
     nm_ms_t accepted_ms; /* its newest accepted call was sent then; 0: none */
     bool responded;      /* to any call of this term */
     bool replaced;       /* another worker has responded at its address */
-    bool ended;          /* no machine has it any more */
+    nm_witness_life_t ended; /* no machine has it any more; id empty: none */
     bool probe_pending;
     bool refused; /* its newest probe, by whatever is at its address */
 } nm_witness_t;
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -589,6 +589,9 @@
         {"at another address",
          "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 1, 1, "m2",
          false},
+        {"announced again since",
+         "[{\"id\":\"a\",\"address\":\"m1\",\"incarnation\":1}]", 2, 1, "m1",
+         true},
         {"list of an earlier version", "[\"a\"]", 0, 0, "", false},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
