--- a/tests/test_entry_terms.c
+++ b/tests/test_entry_terms.c
@@ -510,6 +510,62 @@
     fake_kv_free(kv);
 }
 
+/*
+ * Load: the owner's watch of its key is silent, the key is taken away while
+ * its lease lives on, and neither host reaches the other.  A renewed lease
+ * shows no ownership: the former owner must renew no lease of a worker that
+ * only it reaches once its term counts as over.
+ */
+static void
+test_renewed_lease_is_no_ownership(void)
+{
+    enum { PLAY_MS = 14000, STEP_MS = 10 };
+    addresses_t addresses = choose_addresses();
+    fake_kv_t *kv = configured_store();
+    GPtrArray *runs = g_ptr_array_new_with_free_func(g_free);
+    host_t former;
+    host_t next;
+    host_init_at(&former, "a", addresses.of[0], kv);
+    former.entry->desc.peer_address = addresses.of[2]; /* nobody is there */
+    former.orders.runs = runs;
+    start_job(&former);
+    run_host(&former, 3000);
+    fake_kv_stall_watches(kv, NM_KEY_CONTROL, &former.clock);
+    host_init_at(&next, "b", addresses.of[1], kv);
+    next.orders.runs = runs;
+    next.clock.manual_ms = former.clock.manual_ms;
+    run_host(&next, 100);
+    former.clock.manual_ms = next.clock.manual_ms;
+    former.orders.out_of_reach = new_gone_set();
+    next.orders.out_of_reach =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_hash_table_add(next.orders.out_of_reach,
+                     g_strdup_printf("w%d", WORKERS_GONE));
+    fake_kv_put(kv, OWNER_KEY, NULL);
+    uint32_t renewals = 0;
+    nm_ms_t over_ms = 0;
+    for (nm_ms_t t = 0; t < PLAY_MS; t += STEP_MS) {
+        run_host(&next, STEP_MS);
+        run_host(&former, STEP_MS);
+        const nm_authority_t *authority = &next.entry->authority;
+        nm_ms_t now_ms = nm_clock_now(&next.clock);
+        if (over_ms == 0 && next.entry->role == NM_ROLE_OWNER &&
+            authority->former_over && now_ms >= authority->former_until_ms)
+        {
+            over_ms = now_ms;
+            renewals = former.orders.renewals;
+        }
+    }
+    g_assert_cmpint(over_ms, >, 0);
+    g_assert_cmpuint(former.orders.renewals, ==, renewals);
+    g_hash_table_destroy(former.orders.out_of_reach);
+    g_hash_table_destroy(next.orders.out_of_reach);
+    host_finish(&former);
+    host_finish(&next);
+    g_ptr_array_free(runs, TRUE);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -529,6 +585,8 @@
          test_late_election_begins_no_term},
         {"/terms/hand-over-without-its-term", test_hand_over_without_its_term},
         {"/terms/killed-owners-in-series", test_killed_owners_in_series},
+        {"/terms/renewed-lease-is-no-ownership",
+         test_renewed_lease_is_no_ownership},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_add_func(cases[i].name, cases[i].run);
