Log why the watch of a feed fails, and how a configuration arrived

Cause: nothing in the log told whether a host that refuses a request by an old configuration had heard nothing, received too slowly or decoded too slowly.

Change: feed-failed names prefix, call, failure, bytes, times and revision; settings-installed the bytes, versions and times of the answer; request-refused the version that decided it and the age of the copy.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -22,6 +22,7 @@
     X(CONFIG_ERROR, "config-error")                                           \
     X(SETTINGS_INSTALLED, "settings-installed")                               \
     X(SETTINGS_REFUSED, "settings-refused")                                   \
+    X(FEED_FAILED, "feed-failed")                                             \
     X(STORE_FAILED, "store-failed")                                           \
     X(STORE_RECOVERED, "store-recovered")                                     \
     X(OWNER_ANNOUNCED, "owner-announced")                                     \
--- a/src/entry.c
+++ b/src/entry.c
@@ -77,6 +77,7 @@
     {
         return;
     }
+    nm_ms_t began_ms = nm_entry_now(entry);
     nm_queue_config_t *queue_config =
         entry->desc.codec->decode_queue_config(item->value, item->value_bytes);
     if (!queue_config) {
@@ -96,9 +97,18 @@
     nm_queue_config_free(entry->queue_config);
     entry->queue_config = queue_config;
     nm_count(NM_COUNTER_SETTINGS_INSTALLED, 1);
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_SETTINGS_INSTALLED, "{s:I,s:i}", "version",
+    const nm_feed_response_t *response = &entry->config_feed.response;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_SETTINGS_INSTALLED,
+           "{s:I,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I}", "version",
            (json_int_t)queue_config->version, "queues",
-           (int)queue_config->rule_count);
+           (int)queue_config->rule_count, "value_bytes",
+           (int)item->value_bytes, "items", (int)response->items, "bytes",
+           (json_int_t)response->transfer.bytes, "first_byte_ms",
+           (json_int_t)response->transfer.first_byte_ms, "took_ms",
+           (json_int_t)response->took_ms, "response_decode_ms",
+           (json_int_t)response->transfer.decode_ms, "decode_ms",
+           (json_int_t)(nm_entry_now(entry) - began_ms), "silent_ms",
+           (json_int_t)response->silent_ms);
     nm_takeover_apply_queue_config(entry);
 }
 
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -141,9 +141,16 @@
        int status, uint32_t retry_after_s)
 {
     nm_count_reason(reason);
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_REQUEST_REFUSED, "{s:s,s:i,s:s,s:i}",
-           "request", request->path, "status", status, "reason",
-           nm_reason_name(reason), "retry_after_s", (int)retry_after_s);
+    /* The configuration decides some refusals: which one, and how old. */
+    const nm_queue_config_t *queue_config = entry->queue_config;
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_REQUEST_REFUSED,
+           "{s:s,s:i,s:s,s:i,s:I,s:I}", "request", request->path, "status",
+           status, "reason", nm_reason_name(reason), "retry_after_s",
+           (int)retry_after_s, "settings_version",
+           (json_int_t)(queue_config ? queue_config->version : 0),
+           "settings_age_ms",
+           (json_int_t)(nm_entry_now(entry) -
+                        entry->config_feed.last_response_ms));
     char *text = g_strdup_printf("{\"error\":\"%s\"}", nm_reason_text(reason));
     reply(entry, request, status, text, retry_after_s);
 }
--- a/src/feed.c
+++ b/src/feed.c
@@ -3,6 +3,10 @@
 #include <assert.h>
 #include <string.h>
 
+#include <jansson.h>
+
+#include <nutmegdeck/log.h>
+
 #define DEFAULT_WAIT_MS 5000
 /* Pause after a failed call; doubles per failure up to RETRY_MAX_MS. */
 #define RETRY_MS 100
@@ -164,6 +168,38 @@
     }
 }
 
+static void
+record_response(nm_feed_t *feed, const nm_kv_result_t *result, nm_ms_t now_ms)
+{
+    feed->response = (nm_feed_response_t){
+        .took_ms = now_ms - feed->sent_ms,
+        .silent_ms =
+            feed->last_response_ms ? now_ms - feed->last_response_ms : 0,
+        .items = result->item_count,
+        .transfer = result->transfer,
+    };
+    feed->last_response_ms = now_ms;
+}
+
+/* At most one line per failed call: the pauses between calls bound them. */
+static void
+log_failure(const nm_feed_t *feed, const nm_kv_result_t *result)
+{
+    const nm_kv_transfer_t *transfer = &result->transfer;
+    nm_ms_t now_ms = now(feed);
+    nm_log(NM_LOG_WARN, NM_LOG_ITEM_FEED_FAILED,
+           "{s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:i}", "prefix",
+           feed->prefix, "call", feed->listing ? "list" : "watch", "failure",
+           transfer->failure ? transfer->failure : "refused", "status",
+           transfer->status, "rc", result->rc, "bytes",
+           (json_int_t)transfer->bytes, "connect_ms",
+           (json_int_t)transfer->connect_ms, "first_byte_ms",
+           (json_int_t)transfer->first_byte_ms, "after_ms",
+           (json_int_t)(now_ms - feed->sent_ms), "silent_ms",
+           (json_int_t)(now_ms - feed->last_response_ms), "revision",
+           (json_int_t)feed->revision, "failures", feed->failures);
+}
+
 static void
 on_result(void *user, const nm_kv_result_t *result)
 {
@@ -183,9 +219,9 @@
     bool ends_early = feed->listing && result->more && result->item_count == 0;
     if (result->rc == NM_OK && !ends_early) {
         feed->failures = 0;
-        feed->last_response_ms = now(feed);
+        record_response(feed, result, now(feed));
         if (feed->listing) {
-            nm_ms_t latency_ms = feed->last_response_ms - feed->sent_ms;
+            nm_ms_t latency_ms = feed->response.took_ms;
             if (feed->min_list_latency_ms == 0 ||
                 latency_ms < feed->min_list_latency_ms) {
                 feed->min_list_latency_ms = latency_ms;
@@ -198,10 +234,11 @@
         return;
     }
     if (result->rc == NM_ERR_COMPACTED) {
-        feed->last_response_ms = now(feed);
+        record_response(feed, result, now(feed));
         restart_listing(feed);
         return;
     }
+    log_failure(feed, result);
     nm_ms_t pause_ms = (nm_ms_t)RETRY_MS << MIN(feed->failures, 3);
     feed->failures++;
     feed->next_call_ms = now(feed) + MIN(pause_ms, RETRY_MAX_MS);
--- a/src/feed.h
+++ b/src/feed.h
@@ -38,6 +38,14 @@
     nm_ms_t pause_ms; /* before the next watch after one with changes */
 } nm_feed_desc_t;
 
+/* The newest response that was whole. */
+typedef struct {
+    nm_ms_t took_ms;   /* since the call was sent */
+    nm_ms_t silent_ms; /* since the whole response before it; 0: none */
+    uint32_t items;    /* in it; a watch may have several of one key */
+    nm_kv_transfer_t transfer;
+} nm_feed_response_t;
+
 typedef struct {
     nm_feed_desc_t desc;
     char prefix[NM_NAME_MAX * 2];
@@ -55,6 +63,7 @@
     GHashTable *listed_keys;     /* keys of the listing in progress */
     nm_ms_t next_call_ms;
     nm_ms_t last_response_ms; /* of the last successful or compacted call */
+    nm_feed_response_t response;
     nm_ms_t sent_ms;
     nm_ms_t min_list_latency_ms; /* fastest listing call; 0: none yet */
     int failures;                /* consecutive failed calls */
--- a/src/kv.h
+++ b/src/kv.h
@@ -22,6 +22,16 @@
 
 #include <nutmegdeck/store.h>
 
+/* How a call went; zero if the store does not tell. */
+typedef struct {
+    const char *failure;   /* static text; NULL: there is a response */
+    int status;            /* of the response; 0: none */
+    uint64_t bytes;        /* received */
+    nm_ms_t connect_ms;    /* until a new connection was open */
+    nm_ms_t first_byte_ms; /* until the response began; 0: it did not */
+    nm_ms_t decode_ms;
+} nm_kv_transfer_t;
+
 typedef struct {
     int rc;
     int64_t revision; /* of the store or, after a commit, of its change */
@@ -29,6 +39,7 @@
     uint32_t item_count;
     bool more;     /* the range has keys after the last item */
     int64_t lease; /* lease_grant: id of the new lease */
+    nm_kv_transfer_t transfer;
 } nm_kv_result_t;
 
 typedef void (*nm_kv_done_fn)(void *user, const nm_kv_result_t *result);
