Feed: a host that is behind receives the newest values, not all in between

Cause: a watch goes on from the last revision, so its answer holds every change since, in whole. A host that falls behind has more to receive the longer it takes, a transfer that breaks off is asked for again with what came since, and each version is decoded.

Change: the feed keeps the size of the newest values and the rate of changes. If the changes that it has missed are likely to be as large, or a response broke off that was, it lists instead; of several versions in a response only the newest is delivered. This holds for all feeds. The feed also keeps when its values were certainly the newest.

--- a/src/entry.c
+++ b/src/entry.c
@@ -191,7 +191,8 @@
                        (nm_feed_desc_t){.prefix = desc->codec->config_prefix,
                                         .on_item = on_config,
                                         .on_result = on_feed_result,
-                                        .wait_ms = CONFIG_WATCH_TIMEOUT_MS});
+                                        .wait_ms = CONFIG_WATCH_TIMEOUT_MS,
+                                        .confirms_changes = true});
     nm_entry_open_feed(entry, &entry->control_feed,
                        (nm_feed_desc_t){.prefix = NM_KEY_CONTROL,
                                         .on_item = on_control,
--- a/src/feed.c
+++ b/src/feed.c
@@ -1,6 +1,7 @@
 #include "feed.h"
 
 #include <assert.h>
+#include <math.h>
 #include <string.h>
 
 #include <jansson.h>
@@ -13,12 +14,26 @@
 #define RETRY_MAX_MS 800
 /* Wait of a watch after a failure: short, to detect a recovery early. */
 #define PROBE_WAIT_MS 50
+/*
+ * Part of the newest values from which on missed changes are not worth
+ * receiving: a second version of each would cost as much again.
+ */
+#define MISSED_SHARE_MAX 0.75
+/* Changes up to this size are watched, however old they are. */
+#define LIST_MIN_BYTES 16384
+/* Changes count for their rate for about this long. */
+#define RATE_WINDOW_MS 5000
 
 typedef struct {
     nm_feed_t *feed;
     uint64_t generation;
 } call_t;
 
+typedef struct {
+    int64_t revision;
+    uint32_t value_bytes;
+} known_key_t;
+
 static nm_ms_t
 now(const nm_feed_t *feed)
 {
@@ -41,7 +56,7 @@
     nm_feed_close(feed);
     feed->desc = *desc;
     nm_strcopy(feed->prefix, sizeof(feed->prefix), desc->prefix);
-    feed->known_revisions =
+    feed->known_keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     feed->listed_keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -51,6 +66,13 @@
     feed->revision = 0;
     feed->next_call_ms = 0;
     feed->failures = 0;
+    feed->known_bytes = 0;
+    feed->new_bytes = 0;
+    feed->newest_bytes = 0;
+    feed->recent_bytes = 0;
+    feed->changes_recorded_ms = now(feed);
+    feed->missed_bytes = 0;
+    feed->confirming = false;
     restart_listing(feed);
 }
 
@@ -60,7 +82,7 @@
     assert(feed);
     feed->generation++;
     if (feed->open) {
-        g_hash_table_destroy(feed->known_revisions);
+        g_hash_table_destroy(feed->known_keys);
         g_hash_table_destroy(feed->listed_keys);
         feed->open = false;
     }
@@ -69,19 +91,24 @@
 static void
 deliver(nm_feed_t *feed, const nm_store_kv_t *item)
 {
-    const int64_t *known_revision =
-        g_hash_table_lookup(feed->known_revisions, item->key);
-    if (known_revision && *known_revision >= item->mod_revision) {
+    const known_key_t *known =
+        g_hash_table_lookup(feed->known_keys, item->key);
+    if (known && known->revision >= item->mod_revision) {
         return;
     }
-    if (!known_revision && !item->value) {
+    if (!known && !item->value) {
         return;
     }
-    g_hash_table_insert(
-        feed->known_revisions, g_strdup(item->key),
-        g_memdup2(&item->mod_revision, sizeof(item->mod_revision)));
-    if (!item->value) {
-        g_hash_table_remove(feed->known_revisions, item->key);
+    feed->known_bytes -= known ? known->value_bytes : 0;
+    if (item->value) {
+        known_key_t delivered = {item->mod_revision, item->value_bytes};
+        feed->known_bytes += item->value_bytes;
+        feed->new_bytes += item->value_bytes;
+        g_hash_table_insert(feed->known_keys, g_strdup(item->key),
+                            g_memdup2(&delivered, sizeof(delivered)));
+    }
+    else {
+        g_hash_table_remove(feed->known_keys, item->key);
     }
     feed->desc.on_item(feed->desc.user, item);
 }
@@ -96,11 +123,11 @@
     GPtrArray *deleted_keys = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
     gpointer key;
-    gpointer revision;
-    g_hash_table_iter_init(&iter, feed->known_revisions);
-    while (g_hash_table_iter_next(&iter, &key, &revision)) {
+    gpointer known;
+    g_hash_table_iter_init(&iter, feed->known_keys);
+    while (g_hash_table_iter_next(&iter, &key, &known)) {
         if (!g_hash_table_contains(feed->listed_keys, key) &&
-            *(int64_t *)revision <= feed->list_revision)
+            ((const known_key_t *)known)->revision <= feed->list_revision)
         {
             g_ptr_array_add(deleted_keys, g_strdup(key));
         }
@@ -137,6 +164,8 @@
         return;
     }
     feed->listing = false;
+    feed->current_ms = feed->list_sent_ms;
+    feed->confirming = feed->desc.confirms_changes;
     /* The watch also covers changes made after the first page. */
     feed->revision = feed->list_revision;
     deliver_deletions(feed);
@@ -150,16 +179,49 @@
     }
 }
 
+/*
+ * Delivers the newest change of each key: the same key may have been written
+ * again since.
+ */
 static void
-process_events(nm_feed_t *feed, const nm_kv_result_t *result)
+deliver_newest(nm_feed_t *feed, const nm_kv_result_t *result)
 {
     uint64_t generation = feed->generation;
+    GHashTable *newest = g_hash_table_new(g_str_hash, g_str_equal);
     for (uint32_t i = 0; i < result->item_count; i++) {
-        deliver(feed, &result->items[i]);
-        if (feed->generation != generation) {
-            return;
+        const nm_store_kv_t *item = &result->items[i];
+        const nm_store_kv_t *known = g_hash_table_lookup(newest, item->key);
+        if (!known || known->mod_revision < item->mod_revision) {
+            g_hash_table_insert(newest, item->key, (gpointer)item);
         }
     }
+    for (uint32_t i = 0;
+         i < result->item_count && feed->generation == generation; i++)
+    {
+        const nm_store_kv_t *item = &result->items[i];
+        if (g_hash_table_lookup(newest, item->key) == item) {
+            deliver(feed, item);
+        }
+        else {
+            feed->new_bytes += item->value_bytes;
+        }
+    }
+    g_hash_table_destroy(newest);
+}
+
+static void
+process_events(nm_feed_t *feed, const nm_kv_result_t *result)
+{
+    uint64_t generation = feed->generation;
+    /* An empty response is sent when the wait is over, not before. */
+    bool waited = result->item_count == 0 &&
+                  feed->response.took_ms >= feed->call_wait_ms;
+    feed->current_ms = feed->call_sent_ms + (waited ? feed->call_wait_ms : 0);
+    feed->confirming = feed->desc.confirms_changes && result->item_count > 0;
+    deliver_newest(feed, result);
+    if (feed->generation != generation) {
+        return;
+    }
     if (result->revision > feed->revision) {
         feed->revision = result->revision;
     }
@@ -168,6 +230,40 @@
     }
 }
 
+/* Adds the changes of the newest response to the recent ones. */
+static void
+record_changes(nm_feed_t *feed)
+{
+    nm_ms_t now_ms = now(feed);
+    double elapsed = (double)(now_ms - feed->changes_recorded_ms);
+    feed->recent_bytes =
+        feed->recent_bytes * exp(-elapsed / RATE_WINDOW_MS) + feed->new_bytes;
+    feed->changes_recorded_ms = now_ms;
+    feed->newest_bytes = feed->new_bytes;
+    feed->new_bytes = 0;
+}
+
+/*
+ * True if the changes since the store's last response are likely to be larger
+ * than the newest values of all keys together.
+ */
+static bool
+listing_is_cheaper(const nm_feed_t *feed, nm_ms_t now_ms)
+{
+    const nm_feed_response_t *response = &feed->response;
+    nm_ms_t behind_ms = now_ms - feed->last_response_ms;
+    if (response->transfer.first_byte_ms > 0) {
+        behind_ms += response->took_ms - response->transfer.first_byte_ms;
+    }
+    /* recent_bytes is highest right after a change: the mean of both sides. */
+    double rate =
+        (feed->recent_bytes - feed->newest_bytes / 2) / RATE_WINDOW_MS;
+    double missed_bytes =
+        MAX(rate * (double)behind_ms, (double)feed->missed_bytes);
+    return missed_bytes > LIST_MIN_BYTES &&
+           missed_bytes > MISSED_SHARE_MAX * (double)feed->known_bytes;
+}
+
 static void
 record_response(nm_feed_t *feed, const nm_kv_result_t *result, nm_ms_t now_ms)
 {
@@ -217,8 +313,11 @@
     }
     /* No item tells where the next page begins; the keys are not absent. */
     bool ends_early = feed->listing && result->more && result->item_count == 0;
+    uint64_t generation = feed->generation;
+    bool was_listed = feed->listed;
     if (result->rc == NM_OK && !ends_early) {
         feed->failures = 0;
+        feed->missed_bytes = 0;
         record_response(feed, result, now(feed));
         if (feed->listing) {
             nm_ms_t latency_ms = feed->response.took_ms;
@@ -231,6 +330,11 @@
         else {
             process_events(feed, result);
         }
+        /* The first listing is no change. */
+        if (feed->generation == generation && !feed->listing) {
+            feed->new_bytes = was_listed ? feed->new_bytes : 0;
+            record_changes(feed);
+        }
         return;
     }
     if (result->rc == NM_ERR_COMPACTED) {
@@ -241,6 +345,7 @@
     log_failure(feed, result);
     nm_ms_t pause_ms = (nm_ms_t)RETRY_MS << MIN(feed->failures, 3);
     feed->failures++;
+    feed->missed_bytes = result->transfer.total_bytes;
     feed->next_call_ms = now(feed) + MIN(pause_ms, RETRY_MAX_MS);
     if (feed->listing) {
         restart_listing(feed);
@@ -254,18 +359,36 @@
     if (!feed->open || feed->pending || now_ms < feed->next_call_ms) {
         return;
     }
+    if (!feed->listing && listing_is_cheaper(feed, now_ms)) {
+        restart_listing(feed);
+    }
     feed->pending = true;
     feed->sent_ms = now_ms;
+    feed->call_sent_ms = nm_clock_now_with_suspend(feed->desc.clock);
     call_t *call = g_new(call_t, 1);
     *call = (call_t){feed, feed->generation};
     if (feed->listing) {
+        if (feed->last_key[0] == '\0') {
+            feed->list_sent_ms = feed->call_sent_ms;
+        }
         nm_kv_range(feed->desc.kv, feed->prefix, feed->last_key, on_result,
                     call);
         return;
     }
-    nm_ms_t wait_ms =
+    feed->call_wait_ms =
         feed->desc.wait_ms ? feed->desc.wait_ms : DEFAULT_WAIT_MS;
-    wait_ms = feed->failures > 0 ? PROBE_WAIT_MS : wait_ms;
-    nm_kv_watch(feed->desc.kv, feed->prefix, feed->revision, wait_ms,
-                on_result, call);
+    if (feed->failures > 0 || feed->confirming) {
+        feed->call_wait_ms = PROBE_WAIT_MS;
+    }
+    nm_kv_watch(feed->desc.kv, feed->prefix, feed->revision,
+                feed->call_wait_ms, on_result, call);
+}
+
+nm_ms_t
+nm_feed_age_ms(const nm_feed_t *feed)
+{
+    assert(feed);
+    return feed->open && feed->listed
+               ? nm_clock_now_with_suspend(feed->desc.clock) - feed->current_ms
+               : NM_MS_NEVER;
 }
--- a/src/feed.h
+++ b/src/feed.h
@@ -7,6 +7,11 @@
  * feed lists the keys again.  A key that was deleted in the meantime is
  * missing from the listing and is then delivered as deleted.
  *
+ * A watch returns every change since the last response, a listing each key
+ * once.  The feed also lists if the changes that it has missed are likely to
+ * be larger than the newest values of all keys, so that catching up costs no
+ * more the longer a host is behind.
+ *
  * The caller has to call nm_feed_tick regularly: each call sends at most one
  * store request, and none while one is pending.
  *
@@ -36,6 +41,11 @@
     void *user;
     nm_ms_t wait_ms;  /* of one watch call; 0: 5000 */
     nm_ms_t pause_ms; /* before the next watch after one with changes */
+    /*
+     * After changes, the next watch does not wait: its response shows how old
+     * the delivered values are, see nm_feed_age_ms.
+     */
+    bool confirms_changes;
 } nm_feed_desc_t;
 
 /* The newest response that was whole. */
@@ -59,8 +69,20 @@
     int64_t list_revision; /* store revision of the listing's first page */
     /* Last key of the previous page; empty: the next page is the first. */
     char last_key[NM_STORE_KEY_MAX_BYTES];
-    GHashTable *known_revisions; /* key -> revision last delivered */
-    GHashTable *listed_keys;     /* keys of the listing in progress */
+    GHashTable *known_keys;  /* key -> what was delivered of it */
+    GHashTable *listed_keys; /* keys of the listing in progress */
+    uint64_t known_bytes;    /* of the newest values of all known keys */
+    uint64_t new_bytes;      /* of changes in the response in progress */
+    uint64_t newest_bytes;   /* of changes in the newest response */
+    double recent_bytes;     /* of changes, those of a few seconds ago less */
+    nm_ms_t changes_recorded_ms;
+    uint64_t missed_bytes; /* of a response that broke off; 0: unknown */
+    /* The delivered values were the newest at this time, with suspension. */
+    nm_ms_t current_ms;
+    nm_ms_t call_sent_ms; /* the newest call, with suspension */
+    nm_ms_t list_sent_ms; /* the first page of a listing, with suspension */
+    nm_ms_t call_wait_ms; /* how long the newest watch may wait */
+    bool confirming;      /* the next watch does not wait */
     nm_ms_t next_call_ms;
     nm_ms_t last_response_ms; /* of the last successful or compacted call */
     nm_feed_response_t response;
@@ -78,5 +100,10 @@
 void nm_feed_close(nm_feed_t *feed);
 /* Sends the next call if one is due. */
 void nm_feed_tick(nm_feed_t *feed, nm_ms_t now_ms);
+/*
+ * Returns the time since the delivered values were certainly the newest ones,
+ * by the store's responses; NM_MS_NEVER before the first listing.
+ */
+nm_ms_t nm_feed_age_ms(const nm_feed_t *feed);
 
 #endif
--- a/src/kv.h
+++ b/src/kv.h
@@ -27,6 +27,7 @@
     const char *failure;   /* static text; NULL: there is a response */
     int status;            /* of the response; 0: none */
     uint64_t bytes;        /* received */
+    uint64_t total_bytes;  /* of the whole response; 0: not known */
     nm_ms_t connect_ms;    /* until a new connection was open */
     nm_ms_t first_byte_ms; /* until the response began; 0: it did not */
     nm_ms_t decode_ms;
