--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -633,7 +633,8 @@
 typedef struct {
     int listener;
     uint16_t port;
-    uint32_t pieces; /* sent, of the PIECES of the whole response */
+    uint32_t pieces;   /* sent, of the PIECES of the whole response */
+    uint32_t delay_ms; /* before the response */
 } slow_server_t;
 
 #define PIECES 8
@@ -648,6 +649,7 @@
     char buffer[8192];
     if (recv(connection, buffer, sizeof(buffer), 0) > 0) {
         char head[64];
+        g_usleep(server->delay_ms * 1000);
         g_snprintf(head, sizeof(head),
                    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
                    PIECES * PIECE_BYTES);
@@ -719,6 +721,32 @@
     }
 }
 
+/*
+ * A watch after a failure waits for 50 ms only, but the link may be as slow as
+ * it was for the one that failed.
+ */
+static void
+test_short_watch_has_time_for_its_response(void)
+{
+    slow_server_t server = {.pieces = PIECES, .delay_ms = 1000};
+    server.listener = listen_on_loopback(&server.port);
+    pthread_t thread;
+    pthread_create(&thread, NULL, serve_slowly, &server);
+    nm_http_t *http = nm_http_new();
+    nm_kv_http_t store;
+    char address[NM_NAME_MAX];
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u", server.port);
+    kv_outcome_t outcome = {0};
+    nm_kv_watch(nm_kv_http_init(&store, http, address), "op/", 1, 50, on_kv,
+                &outcome);
+    wait_for_completions(http, &outcome.completions, 1);
+    /* All of the response has arrived; it is no JSON. */
+    g_assert_cmpint(outcome.rc, ==, NM_ERR_CORRUPT);
+    nm_http_free(http);
+    pthread_join(thread, NULL);
+    close(server.listener);
+}
+
 #define CONNECTIONS_MAX 16
 
 /* Accepts connections, and responds on those from a number on. */
@@ -846,6 +874,8 @@
                     test_list_without_revision_is_no_list);
     g_test_add_func("/platform/large-response-on-a-slow-link",
                     test_large_response_on_a_slow_link);
+    g_test_add_func("/platform/short-watch-has-time-for-its-response",
+                    test_short_watch_has_time_for_its_response);
     g_test_add_func("/platform/silent-connections-are-not-used-again",
                     test_silent_connections_are_not_used_again);
     return g_test_run();
