Entry host: no final refusal by a configuration that may be too old

A request without a queue is refused with 404 only if the store has shown within this time that the copy is the newest; else it waits for the watch up to 1 s and is then refused with 503 and Retry-After, at once if the store is lost. The watch waits two thirds of config_apply_ms, so that idle hosts know that they are current and a hung watch is found within it. Known queues are served. request-refused now logs the proved age.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -128,6 +128,7 @@
         .peer_address = settings->peer_address,
         .cpu_share = settings->cpu_share,
         .grace_ms = settings->grace_ms,
+        .config_apply_ms = settings->config_apply_ms,
         .clock = &clock,
         .kv = kv,
         .orders = limited_orders,
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -27,6 +27,7 @@
     X(NO_GRANT, "no-grant", 503, "no slot is granted to this entry host")     \
     X(STOPPING, "stopping", 503, "this entry host is stopping")               \
     X(NOT_READY, "not-ready", 503, "no settings are in force yet")            \
+    X(SETTINGS_OLD, "settings-old", 503, "the settings may have changed")     \
     X(TOO_LARGE, "body-too-large", 413, "the request body is too large")      \
     X(BAD_REQUEST, "bad-request", 400, "the request is malformed")            \
     X(KEY_INVALID, "key-invalid", 400, "the Idempotency-Key is malformed")    \
--- a/src/entry.c
+++ b/src/entry.c
@@ -17,14 +17,15 @@
 #define GRACE_MARGIN_MS 600
 /* Part of it that is kept for the exit of the process. */
 #define EXIT_MARGIN_MS 300
+#define DEFAULT_CONFIG_APPLY_MS 3000
 /*
- * A hung watch is only detected when it times out, and a configuration must
- * be in force within 4 s of connections ceasing to respond.
+ * Part of config_apply_ms that a watch of the configuration waits.  The rest
+ * is for the response, or to detect that the watch hangs and to list instead.
  */
-#define CONFIG_WATCH_TIMEOUT_MS 3000
+#define CONFIG_WATCH_SHARE (2.0 / 3)
 /*
- * The same for the owner key: with its lease, the next owner is elected before
- * tasks have been idle for 6 s.
+ * A hung watch is only detected when it times out.  With the lease of the
+ * owner key, the next owner is elected before tasks have been idle for 6 s.
  */
 #define CONTROL_WATCH_TIMEOUT_MS 3000
 
@@ -173,6 +174,9 @@
     assert(desc && desc->kv && desc->orders && desc->listener && desc->codec);
     nm_entry_t *entry = g_new0(nm_entry_t, 1);
     entry->desc = *desc;
+    if (entry->desc.config_apply_ms == 0) {
+        entry->desc.config_apply_ms = DEFAULT_CONFIG_APPLY_MS;
+    }
     nm_rng_init(&entry->rng, (uint64_t)nm_entry_unix_ms() ^
                                  nm_hash(desc->name, strlen(desc->name)));
     entry->orders = nm_order_relay_init(
@@ -187,11 +191,13 @@
     nm_order_carrier_init(&entry->carrier, desc->orders, desc->peers);
     nm_calls_init(entry);
     nm_term_init(entry);
+    nm_ms_t config_wait_ms =
+        (nm_ms_t)((double)entry->desc.config_apply_ms * CONFIG_WATCH_SHARE);
     nm_entry_open_feed(entry, &entry->config_feed,
                        (nm_feed_desc_t){.prefix = desc->codec->config_prefix,
                                         .on_item = on_config,
                                         .on_result = on_feed_result,
-                                        .wait_ms = CONFIG_WATCH_TIMEOUT_MS,
+                                        .wait_ms = config_wait_ms,
                                         .confirms_changes = true});
     nm_entry_open_feed(entry, &entry->control_feed,
                        (nm_feed_desc_t){.prefix = NM_KEY_CONTROL,
--- a/src/entry.h
+++ b/src/entry.h
@@ -31,6 +31,11 @@
     /* In cores; up to one core, hosts with more are elected first. */
     double cpu_share;
     nm_ms_t grace_ms; /* from the stop signal to the forced kill */
+    /*
+     * Longest time from the store's confirmation of a configuration until a
+     * host serves by it; 0: 3 s.
+     */
+    nm_ms_t config_apply_ms;
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -13,6 +13,10 @@
  * several store calls fail in a row sends no write that might still be
  * carried out, so that a refusal is certain and the caller may try another
  * host.
+ *
+ * "No such queue" is a final answer, so it needs a configuration that is known
+ * to be recent: one that may be older than config_apply_ms is confirmed by the
+ * store first, and the caller is refused for a time if it does not respond.
  */
 #include "entry_state.h"
 
@@ -58,6 +62,11 @@
 #define STORE_RETRY_MS 120
 /* A job that is certainly not stored is refused once this has passed. */
 #define REFUSE_WITHIN_MS 500
+/*
+ * Longest time that a request without a queue waits for the configuration to
+ * be confirmed; another host may have a newer one.
+ */
+#define CONFIRM_WAIT_MS 1000
 /* Refused callers return after the usual length of an outage. */
 #define RETRY_AFTER_S 1
 /* Time between two checks of the deadlines of open requests. */
@@ -70,6 +79,7 @@
     OP_STATE,
     OP_CANCEL,
     OP_PENDING,
+    OP_UNROUTED, /* no queue is known for it, by a configuration too old */
 } op_type_t;
 
 typedef struct {
@@ -96,6 +106,7 @@
 } nm_op_t;
 
 static void run_op(nm_op_t *op);
+static void run_unrouted(nm_op_t *op);
 
 void
 nm_calls_init(nm_entry_t *entry)
@@ -143,14 +154,14 @@
     nm_count_reason(reason);
     /* The configuration decides some refusals: which one, and how old. */
     const nm_queue_config_t *queue_config = entry->queue_config;
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_REQUEST_REFUSED,
-           "{s:s,s:i,s:s,s:i,s:I,s:I}", "request", request->path, "status",
-           status, "reason", nm_reason_name(reason), "retry_after_s",
-           (int)retry_after_s, "settings_version",
-           (json_int_t)(queue_config ? queue_config->version : 0),
-           "settings_age_ms",
-           (json_int_t)(nm_entry_now(entry) -
-                        entry->config_feed.last_response_ms));
+    nm_log(
+        NM_LOG_INFO, NM_LOG_ITEM_REQUEST_REFUSED, "{s:s,s:i,s:s,s:i,s:I,s:I}",
+        "request", request->path, "status", status, "reason",
+        nm_reason_name(reason), "retry_after_s", (int)retry_after_s,
+        "settings_version",
+        (json_int_t)(queue_config ? queue_config->version : 0),
+        "settings_age_ms",
+        (json_int_t)(queue_config ? nm_feed_age_ms(&entry->config_feed) : 0));
     char *text = g_strdup_printf("{\"error\":\"%s\"}", nm_reason_text(reason));
     reply(entry, request, status, text, retry_after_s);
 }
@@ -200,6 +211,9 @@
     else if (op->request && rc == NM_ERR_NOT_FOUND) {
         reply(entry, op->request, 410, g_strdup("{}"), 0);
     }
+    else if (op->request && op->type == OP_UNROUTED) {
+        refuse(entry, op->request, NM_REASON_SETTINGS_OLD, 503, RETRY_AFTER_S);
+    }
     else if (op->request && rc == NM_ERR_LOST) {
         refuse(entry, op->request, NM_REASON_STORE_LOST, 504, 0);
     }
@@ -549,6 +563,9 @@
     case OP_CANCEL:
         find_job(op);
         return;
+    case OP_UNROUTED:
+        run_unrouted(op);
+        return;
     case OP_STATE:
         if (!forward_to_owner(op)) {
             find_progress(op);
@@ -635,25 +652,21 @@
     run_op(op);
 }
 
-static void
-handle_request(nm_entry_t *entry, nm_api_request_t *request)
+/* Returns the time from now in which a caller has to get its response. */
+static nm_ms_t
+response_timeout_ms(const nm_entry_t *entry, const nm_api_request_t *request)
 {
-    nm_count(NM_COUNTER_REQUESTS, 1);
-    request->received_ms = nm_entry_now(entry);
-    if (!entry->queue_config) {
-        refuse(entry, request, NM_REASON_NOT_READY, 503, RETRY_AFTER_S);
-        return;
-    }
-    const nm_queue_rule_t *rule = nm_queue_config_find(
-        entry->queue_config, request->host_header, request->path);
-    if (!rule) {
-        refuse(entry, request, NM_REASON_NO_SERVICE, 404, 0);
-        return;
-    }
     nm_ms_t caller_wait_ms =
         request->timeout_ms > 0 ? request->timeout_ms : DEFAULT_DEADLINE_MS;
-    nm_ms_t timeout_ms =
-        MAX(caller_wait_ms - RESPONSE_MARGIN_MS, caller_wait_ms / 2);
+    return MAX(caller_wait_ms - RESPONSE_MARGIN_MS, caller_wait_ms / 2) -
+           (nm_entry_now(entry) - request->received_ms);
+}
+
+static void
+handle_queue_request(nm_entry_t *entry, nm_api_request_t *request,
+                     const nm_queue_rule_t *rule)
+{
+    nm_ms_t timeout_ms = response_timeout_ms(entry, request);
     const char *id = request->path + strlen(rule->prefix);
     if (request->method == NM_METHOD_GET && id[0] == '\0') {
         nm_op_t *op =
@@ -681,6 +694,63 @@
     run_op(op);
 }
 
+static const nm_queue_rule_t *
+find_rule(const nm_entry_t *entry, const nm_api_request_t *request)
+{
+    return nm_queue_config_find(entry->queue_config, request->host_header,
+                                request->path);
+}
+
+static bool
+config_is_recent(const nm_entry_t *entry)
+{
+    return nm_feed_age_ms(&entry->config_feed) <= entry->desc.config_apply_ms;
+}
+
+/* Checks again whether a queue is known, or certainly none. */
+static void
+run_unrouted(nm_op_t *op)
+{
+    nm_entry_t *entry = op->entry;
+    nm_api_request_t *request = op->request;
+    const nm_queue_rule_t *rule = find_rule(entry, request);
+    if (rule) {
+        end_op(op);
+        handle_queue_request(entry, request, rule);
+    }
+    else if (config_is_recent(entry)) {
+        end_op(op);
+        refuse(entry, request, NM_REASON_NO_SERVICE, 404, 0);
+    }
+    else if (entry->store_lost) {
+        fail_op(op, NM_ERR_UNAVAILABLE);
+    }
+    else {
+        op->retry_due_ms = nm_entry_now(entry) + OPEN_CHECK_INTERVAL_MS;
+    }
+}
+
+static void
+handle_request(nm_entry_t *entry, nm_api_request_t *request)
+{
+    nm_count(NM_COUNTER_REQUESTS, 1);
+    request->received_ms = nm_entry_now(entry);
+    if (!entry->queue_config) {
+        refuse(entry, request, NM_REASON_NOT_READY, 503, RETRY_AFTER_S);
+        return;
+    }
+    const nm_queue_rule_t *rule = find_rule(entry, request);
+    if (rule) {
+        handle_queue_request(entry, request, rule);
+        return;
+    }
+    nm_op_t *op =
+        new_op(entry, OP_UNROUTED, "", "",
+               MIN(CONFIRM_WAIT_MS, response_timeout_ms(entry, request)));
+    op->request = request;
+    run_op(op);
+}
+
 static void
 handle_peer_request(nm_entry_t *entry, const nm_peer_message_t *message)
 {
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -14,6 +14,8 @@
 #include "address.h"
 
 #define PEER_SCHEME "tcp://"
+/* A response of the store alone takes up to 300 ms. */
+#define CONFIG_APPLY_MIN_MS 500
 
 typedef struct {
     const char *name;
@@ -126,6 +128,10 @@
         get_number(document, "cpu_share", 0, NM_CPU_SHARE_MAX, faults);
     settings->grace_ms =
         (nm_ms_t)(get_number(document, "grace_s", 0, 3600, faults) * 1000);
+    if (json_object_get(document, "config_apply_ms")) {
+        settings->config_apply_ms = (nm_ms_t)get_number(
+            document, "config_apply_ms", CONFIG_APPLY_MIN_MS, 3600000, faults);
+    }
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/tests/fakes/lib_kv.c
+++ b/tests/fakes/lib_kv.c
@@ -23,6 +23,7 @@
     int64_t revision;
     int64_t lease;
     nm_ms_t wait_ms;
+    nm_ms_t sent_ms;       /* of a watch, if idle watches are answered */
     nm_ms_t timeout_at_ms; /* of a stalled watch; 0: not stalled */
     nm_store_txn_t txn;
     nm_kv_done_fn done;
@@ -33,7 +34,8 @@
     nm_kv_t base;
     fake_kv_mode_t mode;
     const char *suppressed_prefix;
-    const nm_clock_t *clock; /* for the timeouts of stalled watches */
+    const nm_clock_t *clock;      /* for the timeouts of stalled watches */
+    const nm_clock_t *idle_clock; /* NULL: idle watches are not answered */
     int64_t revision;
     int64_t compacted; /* changes up to this revision are dropped */
     int64_t next_lease;
@@ -118,12 +120,14 @@
 }
 
 static void
-kv_watch(nm_kv_t *kv, const char *prefix, int64_t after_revision,
+kv_watch(nm_kv_t *base, const char *prefix, int64_t after_revision,
          nm_ms_t wait_ms, nm_kv_done_fn done, void *user)
 {
-    call_t *call = add_call(kv, CALL_WATCH, prefix, done, user);
+    fake_kv_t *kv = (fake_kv_t *)base;
+    call_t *call = add_call(base, CALL_WATCH, prefix, done, user);
     call->revision = after_revision;
     call->wait_ms = wait_ms;
+    call->sent_ms = kv->idle_clock ? nm_clock_now(kv->idle_clock) : 0;
 }
 
 static void
@@ -261,6 +265,12 @@
     kv->suppressed_prefix = prefix;
 }
 
+void
+fake_kv_answer_idle_watches(fake_kv_t *kv, const nm_clock_t *clock)
+{
+    kv->idle_clock = clock;
+}
+
 void
 fake_kv_stall_watches(fake_kv_t *kv, const char *prefix,
                       const nm_clock_t *clock)
@@ -407,7 +417,10 @@
         }
         bool suppressed = kv->suppressed_prefix &&
                           strcmp(kv->suppressed_prefix, call->key) == 0;
-        waits = items->len == 0 || suppressed;
+        bool idle =
+            kv->idle_clock &&
+            nm_clock_now(kv->idle_clock) - call->sent_ms >= call->wait_ms;
+        waits = suppressed || (items->len == 0 && !idle);
     }
     else if (call->type == CALL_COMMIT && kv->mode == FAKE_KV_DELAYS_COMMITS) {
         result.rc = NM_ERR_LOST;
--- a/tests/fakes/lib_kv.h
+++ b/tests/fakes/lib_kv.h
@@ -45,6 +45,11 @@
 void fake_kv_end_calls(fake_kv_t *kv);
 /* Watches of this prefix report no changes any more; NULL: no prefix. */
 void fake_kv_suppress_watches(fake_kv_t *kv, const char *prefix);
+/*
+ * Responds to watches without a change once their waiting time is over, by a
+ * clock.  Until this is called they wait for a change.
+ */
+void fake_kv_answer_idle_watches(fake_kv_t *kv, const nm_clock_t *clock);
 /*
  * Stalls the connections of the open watches of this prefix: each watch times
  * out after its waiting time and a margin, measured by the clock.
--- /dev/null
+++ b/tests/test_entry_config_age.c
@@ -0,0 +1,135 @@
+/*
+ * Requests for which a host knows no queue: whether it refuses them for good
+ * depends on how old its configuration may be.
+ */
+#include <glib.h>
+
+#include "lib_entry_host.h"
+
+#define NEW_PATH "/b/" JOB
+/* Longer than a configuration may be old, 3 s by default. */
+#define SILENCE_MS 4000
+/* A request that needs no confirmation has its response in two rounds. */
+#define AT_ONCE_MS 20
+/* A request that waits for a confirmation has its response by then. */
+#define CONFIRM_MAX_MS 1100
+
+typedef enum {
+    QUIET,        /* the store responds to idle watches */
+    WATCH_SILENT, /* it does not, though the configuration has changed */
+    STORE_LOST,   /* the store refuses all calls */
+} silence_t;
+
+static nm_ms_t
+wait_for_response(host_t *host, nm_ms_t max_ms)
+{
+    guint responses = host->listener.responses->len;
+    nm_ms_t waited_ms = 0;
+    while (host->listener.responses->len == responses && waited_ms < max_ms) {
+        run_host(host, 10);
+        waited_ms += 10;
+    }
+    return waited_ms;
+}
+
+/*
+ * A queue has been added to the configuration, or not, and the host may not
+ * have heard of it.
+ */
+static void
+test_old_copy_refuses_nothing_for_good(void)
+{
+    static const struct {
+        const char *name;
+        silence_t silence;
+        bool heals; /* while the request waits */
+        const char *path;
+        int status;
+        nm_ms_t waits_min_ms;
+        nm_ms_t waits_max_ms;
+    } cases[] = {
+        {"no such queue, recent", QUIET, false, NEW_PATH, 404, 0, AT_ONCE_MS},
+        {"known queue, recent", QUIET, false, "/a/" JOB, 200, 0, AT_ONCE_MS},
+        {"new queue, the watch is back", WATCH_SILENT, true, NEW_PATH, 200, 0,
+         CONFIRM_MAX_MS},
+        {"no such queue, the watch is back", WATCH_SILENT, true, "/c/" JOB,
+         404, 0, CONFIRM_MAX_MS},
+        {"new queue, the watch stays silent", WATCH_SILENT, false, NEW_PATH,
+         503, 500, CONFIRM_MAX_MS},
+        {"known queue, the watch is silent", WATCH_SILENT, false, "/a/" JOB,
+         200, 0, AT_ONCE_MS},
+        {"new queue, the store is lost", STORE_LOST, false, NEW_PATH, 503, 0,
+         AT_ONCE_MS},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t host;
+        host_init(&host, "a", kv);
+        fake_kv_answer_idle_watches(kv, &host.clock);
+        run_host(&host, 1000);
+        if (cases[i].silence == WATCH_SILENT) {
+            fake_kv_suppress_watches(kv, "op/");
+            fake_kv_put(kv, CONFIG_KEY,
+                        "{\"version\":7,\"routes\":[{\"name\":\"q\","
+                        "\"host\":\"h\",\"pathPrefix\":\"/a/\","
+                        "\"service\":\"s\"},{\"name\":\"r\","
+                        "\"host\":\"h\",\"pathPrefix\":\"/b/\","
+                        "\"service\":\"s\"}],\"limits\":{}}");
+        }
+        if (cases[i].silence == STORE_LOST) {
+            fake_kv_set_mode(kv, FAKE_KV_REJECTS_CALLS);
+        }
+        run_host(&host, SILENCE_MS);
+        send_request(&host, NM_METHOD_POST, cases[i].path, BODY);
+        if (cases[i].heals) {
+            run_host(&host, 100);
+            g_assert_cmpint(last_status(&host), ==, 0);
+            fake_kv_suppress_watches(kv, NULL);
+        }
+        nm_ms_t waited_ms = wait_for_response(&host, CONFIRM_MAX_MS);
+        g_assert_cmpint(last_status(&host), ==, cases[i].status);
+        g_assert_cmpint(waited_ms, >=, cases[i].waits_min_ms);
+        g_assert_cmpint(waited_ms, <=, cases[i].waits_max_ms);
+        const GPtrArray *responses = host.listener.responses;
+        if (cases[i].status == 503 && responses->len > 0) {
+            const nm_api_request_t *response =
+                responses->pdata[responses->len - 1];
+            g_assert_cmpuint(response->retry_after_s, >, 0);
+        }
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
+/* A host that stops while requests wait for a confirmation answers them. */
+static void
+test_stopping_host_answers_unconfirmed(void)
+{
+    fake_kv_t *kv = configured_store();
+    host_t host;
+    host_init(&host, "a", kv);
+    run_host(&host, 1000);
+    fake_kv_suppress_watches(kv, "op/");
+    run_host(&host, SILENCE_MS);
+    send_request(&host, NM_METHOD_POST, NEW_PATH, BODY);
+    run_host(&host, 100);
+    nm_entry_stop(host.entry);
+    run_host(&host, 6000);
+    g_assert_true(nm_entry_is_stopped(host.entry));
+    g_assert_cmpint(last_status(&host), ==, 503);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions(); /* the next tests still run */
+    g_test_add_func("/config-age/old-copy-refuses-nothing-for-good",
+                    test_old_copy_refuses_nothing_for_good);
+    g_test_add_func("/config-age/stopping-host-answers-unconfirmed",
+                    test_stopping_host_answers_unconfirmed);
+    return g_test_run();
+}
