--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -747,6 +747,47 @@
     close(server.listener);
 }
 
+/*
+ * Connections do not open, as behind a filled link: a try after a failure is
+ * given more time, not the same over and over.
+ */
+static void
+test_connection_is_given_more_time(void)
+{
+    enum { PENDING = 4, FIRST_MS = 600, SLACK_MS = 100 };
+    uint16_t port;
+    int listener = listen_on_loopback(&port);
+    /* Connections beyond the backlog are not accepted by the system either. */
+    listen(listener, 0);
+    struct sockaddr_in target = {.sin_family = AF_INET,
+                                 .sin_port = htons(port),
+                                 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    int pending[PENDING];
+    for (int i = 0; i < PENDING; i++) {
+        pending[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        connect(pending[i], (struct sockaddr *)&target, sizeof(target));
+    }
+    nm_http_t *http = nm_http_new();
+    nm_kv_http_t store;
+    char address[NM_NAME_MAX];
+    g_snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+    nm_kv_t *kv = nm_kv_http_init(&store, http, address);
+    for (int try = 0; try < 2; try++) {
+        nm_ms_t began_ms = nm_now_monotonic();
+        kv_outcome_t outcome = {0};
+        nm_kv_watch(kv, "op/", 1, 50, on_kv, &outcome);
+        wait_for_completions(http, &outcome.completions, 1);
+        nm_ms_t took_ms = nm_now_monotonic() - began_ms;
+        g_assert_cmpint(outcome.rc, ==, NM_ERR_UNAVAILABLE);
+        g_assert_cmpint(took_ms, >=, (FIRST_MS << try) - SLACK_MS);
+    }
+    nm_http_free(http);
+    for (int i = 0; i < PENDING; i++) {
+        close(pending[i]);
+    }
+    close(listener);
+}
+
 #define CONNECTIONS_MAX 16
 
 /* Accepts connections, and responds on those from a number on. */
@@ -876,6 +917,8 @@
                     test_large_response_on_a_slow_link);
     g_test_add_func("/platform/short-watch-has-time-for-its-response",
                     test_short_watch_has_time_for_its_response);
+    g_test_add_func("/platform/connection-is-given-more-time",
+                    test_connection_is_given_more_time);
     g_test_add_func("/platform/silent-connections-are-not-used-again",
                     test_silent_connections_are_not_used_again);
     return g_test_run();
