Hosts name their version of the configuration to each other

Change: each message between hosts carries the sender's version. A host that hears of a newer one refuses nothing for good until the store has shown what is newest since.

--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -450,7 +450,7 @@
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[12] =
 {
   {
     "number",
@@ -584,8 +584,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
+  11,   /* field[11] = config_version */
   5,   /* field[5] = epoch */
   2,   /* field[2] = job */
   0,   /* field[0] = number */
@@ -601,7 +614,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -611,14 +624,14 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  11,
+  12,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[9] =
 {
   {
     "number",
@@ -716,8 +729,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAnswer, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_answer__field_indices_by_name[] = {
+  8,   /* field[8] = config_version */
   4,   /* field[4] = is_owner */
   0,   /* field[0] = number */
   6,   /* field[6] = payload_table */
@@ -730,7 +756,7 @@
 static const ProtobufCIntRange nm_pb__entry_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor =
 {
@@ -740,7 +766,7 @@
   "NmPb__EntryAnswer",
   "nm_pb",
   sizeof(NmPb__EntryAnswer),
-  8,
+  9,
   nm_pb__entry_answer__field_descriptors,
   nm_pb__entry_answer__field_indices_by_name,
   1,  nm_pb__entry_answer__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -119,10 +119,14 @@
    */
   size_t n_starts;
   NmPb__Order **starts;
+  /*
+   * of the sender's queue configuration; 0: none
+   */
+  int64_t config_version;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -165,10 +169,14 @@
    * TERMS
    */
   NmPb__TermEnd *term_end;
+  /*
+   * of the sender's queue configuration; 0: none
+   */
+  int64_t config_version;
 };
 #define NM_PB__ENTRY_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, NULL, 0 }
 
 
 /*
--- a/src/entry.c
+++ b/src/entry.c
@@ -110,6 +110,7 @@
            (json_int_t)response->transfer.decode_ms, "decode_ms",
            (json_int_t)(nm_entry_now(entry) - began_ms), "silent_ms",
            (json_int_t)response->silent_ms);
+    nm_peer_rpc_set_config_version(entry->desc.peers, queue_config->version);
     nm_takeover_apply_queue_config(entry);
 }
 
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -15,8 +15,9 @@
  * host.
  *
  * "No such queue" is a final answer, so it needs a configuration that is known
- * to be recent: one that may be older than config_apply_ms is confirmed by the
- * store first, and the caller is refused for a time if it does not respond.
+ * to be recent: one that may be older than config_apply_ms, or than that of
+ * another host, is confirmed by the store first, and the caller is refused for
+ * a time if it does not respond.
  */
 #include "entry_state.h"
 
@@ -701,10 +702,33 @@
                                 request->path);
 }
 
+/*
+ * True if the store has shown the configuration as the newest within the time
+ * that a change may take, and since another host named a newer version.
+ */
 static bool
 config_is_recent(const nm_entry_t *entry)
 {
-    return nm_feed_age_ms(&entry->config_feed) <= entry->desc.config_apply_ms;
+    nm_ms_t age_ms = nm_feed_age_ms(&entry->config_feed);
+    nm_ms_t named_ago_ms =
+        nm_clock_now_with_suspend(entry->desc.clock) - entry->peer_config_ms;
+    bool newer_named =
+        entry->peer_config_version > entry->queue_config->version;
+    return age_ms <= entry->desc.config_apply_ms &&
+           (!newer_named || age_ms < named_ago_ms);
+}
+
+/* Keeps the version of the configuration that a message of a host names. */
+static void
+record_peer_config(nm_entry_t *entry, const nm_peer_message_t *message)
+{
+    int64_t version = message->request    ? message->request->config_version
+                      : message->response ? message->response->config_version
+                                          : 0;
+    if (version > entry->peer_config_version) {
+        entry->peer_config_version = version;
+        entry->peer_config_ms = nm_clock_now_with_suspend(entry->desc.clock);
+    }
 }
 
 /* Checks again whether a queue is known, or certainly none. */
@@ -836,6 +860,7 @@
     }
     nm_peer_message_t message;
     while (nm_peer_rpc_next(entry->desc.peers, &message)) {
+        record_peer_config(entry, &message);
         if (message.response && message.response->n_results > 0) {
             nm_order_relay_handle_response(&entry->relay, message.response);
         }
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -174,6 +174,9 @@
     nm_ms_t last_call_open_ms; /* while stopping: a request was open then */
     bool ready;
     nm_rng_t rng;
+    /* Newest version of the configuration that another host has named. */
+    int64_t peer_config_version;
+    nm_ms_t peer_config_ms; /* when it was first named, with suspension */
     /* Control keys and the queue configuration. */
     nm_feed_t config_feed;
     nm_feed_t control_feed;
--- a/src/peer_rpc.c
+++ b/src/peer_rpc.c
@@ -36,6 +36,7 @@
     int next_link; /* link that is read first */
     uint64_t use_count;
     uint64_t number;
+    int64_t config_version;
 };
 
 static void
@@ -76,6 +77,13 @@
     g_free(peers);
 }
 
+void
+nm_peer_rpc_set_config_version(nm_peer_rpc_t *peers, int64_t version)
+{
+    assert(peers);
+    peers->config_version = version;
+}
+
 static void *
 get_socket(nm_peer_rpc_t *peers, const char *address)
 {
@@ -115,6 +123,7 @@
 {
     assert(peers && address && request);
     request->number = ++peers->number;
+    request->config_version = peers->config_version;
     size_t bytes = nm_pb__entry_ask__get_packed_size(request);
     uint8_t *data = g_malloc(bytes);
     nm_pb__entry_ask__pack(request, data);
@@ -134,6 +143,7 @@
 {
     assert(peers && address && request);
     request->number = ++peers->number;
+    request->config_version = peers->config_version;
     size_t bytes = nm_pb__entry_ask__get_packed_size(request);
     uint8_t *data = g_malloc(bytes);
     nm_pb__entry_ask__pack(request, data);
@@ -154,9 +164,11 @@
                     uint32_t route_bytes, const NmPb__EntryAnswer *response)
 {
     assert(peers && route && response);
-    size_t bytes = nm_pb__entry_answer__get_packed_size(response);
+    NmPb__EntryAnswer message = *response;
+    message.config_version = peers->config_version;
+    size_t bytes = nm_pb__entry_answer__get_packed_size(&message);
     uint8_t *data = g_malloc(bytes + 1);
-    nm_pb__entry_answer__pack(response, data);
+    nm_pb__entry_answer__pack(&message, data);
     bool sent = zmq_send(peers->inbound, route, route_bytes,
                          ZMQ_SNDMORE | ZMQ_DONTWAIT) >= 0 &&
                 zmq_send(peers->inbound, data, bytes, ZMQ_DONTWAIT) >= 0;
--- a/src/peer_rpc.h
+++ b/src/peer_rpc.h
@@ -35,6 +35,11 @@
 /* Returns NULL if the address cannot be bound. */
 nm_peer_rpc_t *nm_peer_rpc_new(const char *address);
 void nm_peer_rpc_free(nm_peer_rpc_t *peers);
+/*
+ * Sets the version of this host's queue configuration, which all messages
+ * sent from then on carry.
+ */
+void nm_peer_rpc_set_config_version(nm_peer_rpc_t *peers, int64_t version);
 /*
  * Sends a request and sets its number.  Returns NM_ERR_FULL if it cannot be
  * queued for the host.
--- a/tests/test_entry_config_age.c
+++ b/tests/test_entry_config_age.c
@@ -14,6 +14,13 @@
 /* A request that waits for a confirmation has its response by then. */
 #define CONFIRM_MAX_MS 1100
 
+/* The same queue and another one. */
+#define TWO_QUEUES                                                            \
+    "{\"version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"h\","              \
+    "\"pathPrefix\":\"/a/\",\"service\":\"s\"},{\"name\":\"r\","              \
+    "\"host\":\"h\",\"pathPrefix\":\"/b/\",\"service\":\"s\"}],"              \
+    "\"limits\":{}}"
+
 typedef enum {
     QUIET,        /* the store responds to idle watches */
     WATCH_SILENT, /* it does not, though the configuration has changed */
@@ -70,12 +77,7 @@
         run_host(&host, 1000);
         if (cases[i].silence == WATCH_SILENT) {
             fake_kv_suppress_watches(kv, "op/");
-            fake_kv_put(kv, CONFIG_KEY,
-                        "{\"version\":7,\"routes\":[{\"name\":\"q\","
-                        "\"host\":\"h\",\"pathPrefix\":\"/a/\","
-                        "\"service\":\"s\"},{\"name\":\"r\","
-                        "\"host\":\"h\",\"pathPrefix\":\"/b/\","
-                        "\"service\":\"s\"}],\"limits\":{}}");
+            fake_kv_put(kv, CONFIG_KEY, TWO_QUEUES);
         }
         if (cases[i].silence == STORE_LOST) {
             fake_kv_set_mode(kv, FAKE_KV_REJECTS_CALLS);
@@ -102,6 +104,48 @@
     }
 }
 
+/*
+ * A host carries orders of another one, or forwards requests to it, and has
+ * not received its configuration: it does not refuse what the other one
+ * accepts.
+ */
+static void
+test_peer_with_newer_version_is_believed(void)
+{
+    enum { PORT_MIN = 32650, PORTS = 100, DELIVERY_US = 50000 };
+    char address[64];
+    fake_kv_t *kv = configured_store();
+    host_t hosts[2];
+    int port = PORT_MIN + (int)(g_random_int() % PORTS);
+    g_snprintf(address, sizeof(address), "tcp://127.0.0.1:%d", port);
+    host_init_at(&hosts[0], "a", address, kv);
+    fake_kv_answer_idle_watches(kv, &hosts[0].clock);
+    run_host(&hosts[0], 6000);
+    g_assert_cmpint(hosts[0].entry->role, ==, NM_ROLE_OWNER);
+    fake_kv_suppress_watches(kv, "op/");
+    fake_kv_put(kv, CONFIG_KEY, TWO_QUEUES);
+    g_snprintf(address, sizeof(address), "tcp://127.0.0.1:%d", port + PORTS);
+    host_init_at(&hosts[1], "b", address, kv);
+    run_host(&hosts[1], 500);
+    send_request(&hosts[1], NM_METHOD_GET, "/a/", "");
+    run_host(&hosts[1], 20);
+    g_usleep(DELIVERY_US);
+    /* Within config_apply_ms of the newest proof of the older version. */
+    run_host(&hosts[0], 100);
+    send_request(&hosts[0], NM_METHOD_POST, NEW_PATH, BODY);
+    run_host(&hosts[0], 100);
+    g_assert_cmpint(last_status(&hosts[0]), ==, 0);
+    fake_kv_suppress_watches(kv, NULL);
+    wait_for_response(&hosts[0], CONFIRM_MAX_MS);
+    g_assert_cmpint(last_status(&hosts[0]), ==, 200);
+    send_request(&hosts[0], NM_METHOD_POST, "/c/" JOB, BODY);
+    wait_for_response(&hosts[0], CONFIRM_MAX_MS);
+    g_assert_cmpint(last_status(&hosts[0]), ==, 404);
+    host_finish(&hosts[0]);
+    host_finish(&hosts[1]);
+    fake_kv_free(kv);
+}
+
 /* A host that stops while requests wait for a confirmation answers them. */
 static void
 test_stopping_host_answers_unconfirmed(void)
@@ -129,6 +173,8 @@
     g_test_set_nonfatal_assertions(); /* the next tests still run */
     g_test_add_func("/config-age/old-copy-refuses-nothing-for-good",
                     test_old_copy_refuses_nothing_for_good);
+    g_test_add_func("/config-age/peer-with-newer-version-is-believed",
+                    test_peer_with_newer_version_is_believed);
     g_test_add_func("/config-age/stopping-host-answers-unconfirmed",
                     test_stopping_host_answers_unconfirmed);
     return g_test_run();
--- a/tests/test_entry_two_owners.c
+++ b/tests/test_entry_two_owners.c
@@ -170,6 +170,14 @@
     g_free(peers);
 }
 
+/* All hosts of this test have the same configuration. */
+void
+nm_peer_rpc_set_config_version(nm_peer_rpc_t *peers, int64_t version)
+{
+    (void)peers;
+    (void)version;
+}
+
 int
 nm_peer_rpc_send(nm_peer_rpc_t *peers, const char *address,
                  NmPb__EntryAsk *request)
