Soak: a large configuration that changes in series

No host may refuse a queue with 404 that was added 3 s before the request, in touch or not, and each host serves the newest version within 15 s of the faults.

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -25,6 +25,9 @@
  *     LOST   a host that was told to stop has read a request whole and ends
  *            without a response to it ("request-dropped" in its log)
  *     MIXED  a job is reported as completed before all of its tasks are done
+ *     CONFIG with --configs, a host refuses a queue with 404 that was added
+ *            CONFIG_APPLY_MS before the request (soak_configs.c), or does not
+ *            serve the newest version soon after the faults
  *     CRASH  a host process ends that the soak did not stop, or ends by a
  *            signal or an error after SIGTERM
  *     STOP   a host process does not end in its grace time after SIGTERM
@@ -156,6 +159,10 @@
          "Let most executors leave for good, others with new ids join, and "
          "elections follow in series",
          NULL},
+        {"configs", 0, 0, G_OPTION_ARG_NONE, &soak_options.configs,
+         "Change a large configuration in series, with faults that make hosts "
+         "hear of it late",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -248,13 +255,15 @@
             soak_restart_executors(now_ms);
             soak_run_departures(now_ms);
         }
+        soak_run_configs(now_ms, faults);
+        bool served = soak_configs_are_served(faults_end_ms, now_ms);
         soak_check_idle_jobs(faults_end_ms, now_ms);
         soak_supervise_hosts(now_ms);
         soak_handle_responses(now_ms);
         soak_send_due_calls(now_ms, now_ms > 1000 + warmup_ms / 2 &&
                                         now_ms < faults_end_ms);
         bool settled = now_ms > faults_end_ms && is_settled() &&
-                       count_missing_runs() == 0;
+                       count_missing_runs() == 0 && served;
         settled_ms = !settled ? 0 : settled_ms > 0 ? settled_ms : now_ms;
         if (settled && now_ms - settled_ms > 500) {
             break;
@@ -289,6 +298,14 @@
            soak.status_counts[200], soak.status_counts[503],
            soak.status_counts[504], soak.status_counts[0],
            (long long)(now_ms - faults_end_ms));
+    if (soak_options.configs) {
+        printf("soak seed %lld: versions %lld probes 200 %u 404 %u 503 %u "
+               "504 %u none %u\n",
+               (long long)soak_options.seed, (long long)soak.config_version,
+               soak.probe_counts[200], soak.probe_counts[404],
+               soak.probe_counts[503], soak.probe_counts[504],
+               soak.probe_counts[0]);
+    }
     if (soak_options.departures) {
         printf("soak seed %lld: departures %u owner losses %u hosts gone %u "
                "idle in calm time for %lld ms at most\n",
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -67,14 +67,17 @@
              "\"host\":\"callers\",\"maxAttempts\":%d,\"slackFactor\":2,"
              "\"targetLatencyMs\":600,\"timeoutMs\":3000",
              ATTEMPTS_MAX);
-    char value[1024];
-    snprintf(value, sizeof(value),
-             "{\"version\":%lld,\"routes\":[{\"name\":\"q\",\"pathPrefix\":"
-             "\"/q/\",\"service\":\"s\",%s},{\"name\":\"p\",\"pathPrefix\":"
-             "\"/p/\",\"service\":\"t\",%s}],\"services\":[{\"name\":\"s\"},"
-             "{\"name\":\"t\"}],\"limits\":{}}",
-             (long long)++soak.config_version, route, route);
-    platform_put(soak.platform, "op/config", value);
+    GString *value = g_string_new(NULL);
+    g_string_printf(value,
+                    "{\"version\":%lld,\"routes\":[{\"name\":\"q\","
+                    "\"pathPrefix\":\"/q/\",\"service\":\"s\",%s},{\"name\":"
+                    "\"p\",\"pathPrefix\":\"/p/\",\"service\":\"t\",%s}",
+                    (long long)++soak.config_version, route, route);
+    soak_append_config_routes(value, route);
+    g_string_append(value, "],\"services\":[{\"name\":\"s\"},{\"name\":"
+                           "\"t\"}],\"limits\":{}}");
+    platform_put(soak.platform, "op/config", value->str);
+    g_string_free(value, TRUE);
 }
 
 static void
@@ -291,7 +294,8 @@
     uint32_t bytes_per_s = (uint32_t)soak_random_between(
         NARROW_MIN_BYTES_PER_S, NARROW_MAX_BYTES_PER_S);
     proxy_limit(soak.proxy, host->executor_path, bytes_per_s);
-    if (nm_rng_below(&soak.rng, NARROW_STORE_PATHS) == 0) {
+    if (soak_options.configs ||
+        nm_rng_below(&soak.rng, NARROW_STORE_PATHS) == 0) {
         proxy_limit(soak.proxy, host->proxy_path, bytes_per_s);
     }
 }
@@ -370,9 +374,22 @@
     FAULT_STOP_HOST,       FAULT_PAUSE_HOST,     FAULT_KILL_OWNERS,
 };
 
+/* What is drawn with --configs: hosts that hear of a version late. */
+static const fault_kind_t config_kinds[] = {
+    FAULT_NARROW_LINK,     FAULT_NARROW_LINK, FAULT_STORE_PATH,
+    FAULT_STORE_PATH,      FAULT_STORE_PATH,  FAULT_STORE,
+    FAULT_BLACKHOLE,       FAULT_BLACKHOLE,   FAULT_RESET_CONNECTIONS,
+    FAULT_SHORT_PROCESSOR, FAULT_PAUSE_HOST,  FAULT_KILL_HOST,
+    FAULT_STOP_HOST,       FAULT_KILL_OWNERS, FAULT_COMPACT_STORE,
+};
+
 static fault_kind_t
 draw_kind(void)
 {
+    if (soak_options.configs) {
+        return config_kinds[nm_rng_below(&soak.rng,
+                                         G_N_ELEMENTS(config_kinds))];
+    }
     if (soak_options.cuts) {
         return soak.faults == 0 ? FAULT_CUT_EXECUTORS
                                 : cut_kinds[nm_rng_below(
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -1,7 +1,8 @@
 /*
  * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
  * has the host processes, soak_faults.c the faults, soak_departures.c those of
- * --departures and their check, soak_callers.c the callers.
+ * --departures and their check, soak_configs.c the changes of --configs and
+ * theirs, soak_callers.c the callers.
  */
 #ifndef SOAK_STATE_H
 #define SOAK_STATE_H
@@ -86,6 +87,7 @@
     gboolean shortages;
     gboolean restarts;
     gboolean departures;
+    gboolean configs;
 } soak_options_t;
 
 typedef struct {
@@ -121,6 +123,7 @@
     int64_t config_version;
     uint32_t faults;
     uint32_t status_counts[600];
+    uint32_t probe_counts[600]; /* of soak_configs.c */
 } soak_t;
 
 extern soak_options_t soak_options;
@@ -147,7 +150,10 @@
 void soak_check_dropped_requests(void);
 
 /* soak_faults.c */
-/* Writes a new version of the configuration; its content never changes. */
+/*
+ * Writes a new version of the configuration; its content changes with
+ * --configs only.
+ */
 void soak_put_configuration(void);
 /*
  * Injects a random fault; network faults are drawn twice as often as others.
@@ -180,6 +186,20 @@
 /* With --departures, after the faults: reports jobs that stand still. */
 void soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms);
 
+/* soak_configs.c */
+/* Appends the routes of --configs; route: the fields that all of them have. */
+void soak_append_config_routes(GString *routes, const char *route);
+/*
+ * With --configs: writes versions in series if changes, and reports hosts that
+ * refuse for good what they must know.
+ */
+void soak_run_configs(nm_ms_t now_ms, bool changes);
+/*
+ * Returns true if each host has served a queue of the newest version; after
+ * the faults it reports those that have not done so in time.
+ */
+bool soak_configs_are_served(nm_ms_t faults_end_ms, nm_ms_t now_ms);
+
 /* soak_callers.c */
 void soak_handle_responses(nm_ms_t now_ms);
 void soak_send_due_calls(nm_ms_t now_ms, bool submits_new);
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -1,7 +1,8 @@
 #!/bin/bash
 # Short fault soak: two seeds, one run of cut-off executors, one of hosts that
-# are too small for their work and one of executors that leave for good while
-# one host wins elections in series must pass, and a run whose store drops jobs
+# are too small for their work, one of executors that leave for good while one
+# host wins elections in series and one of a large configuration that changes in
+# series must pass, and a run whose store drops jobs
 # that it acknowledged must fail.
 #
 #     BIN=build tests/process_soak.sh
@@ -34,6 +35,7 @@
 run_soak 0 --seed 614 --seconds 10 --short
 run_soak 0 --seed 402 --seconds 10 --departures
 run_soak 0 --seed 403 --seconds 10 --departures
+run_soak 0 --seed 702 --seconds 12 --configs
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
