Owner: a read of its key shows the ownership, a renewed lease does not

Callers would see a task run twice.

Change: each interval of renewals the owner reads its key, unless a commit or another read has shown it since; a renewal only keeps the lease.

The tests of elections, terms, authority and two owners pass.

--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -30,10 +30,10 @@
 /* Three renewals fit into a lease. */
 #define OWNER_RENEW_INTERVAL_MS 400
 /*
- * A renewal confirms the ownership from the time at which it was sent.  As
- * many are in flight as fit into the timeout of a call, so that one is sent at
- * each interval: if they waited for responses that cannot come, as on
- * connections that have gone silent, the lease would expire.
+ * As many renewals, and reads of the owner key, are in flight as fit into the
+ * timeout of a call, so that one is sent at each interval: if they waited for
+ * responses that cannot come, as on connections that have gone silent, the
+ * lease would expire.
  */
 #define RENEWALS_IN_FLIGHT_MAX 4
 /* Longest time for which a stopping owner waits to store its progress. */
@@ -303,14 +303,46 @@
     nm_load_on_call(entry, NM_CALL_RENEW, nm_load_store_outcome(result->rc),
                     nm_clock_now_with_suspend(entry->desc.clock) - sent_ms);
     nm_entry_record_store_result(entry, result->rc);
-    if (result->rc == NM_OK) {
-        nm_authority_confirm(entry, sent_ms);
-    }
     if (result->rc == NM_ERR_NOT_FOUND) {
         nm_term_step_down(entry, "the lease of the owner key has expired");
     }
 }
 
+static void
+on_owner_read(void *user, const nm_kv_result_t *result)
+{
+    nm_ms_t sent_ms = nm_term_call_sent_ms(user);
+    nm_entry_t *entry = nm_term_call_end(user);
+    if (!entry) {
+        return;
+    }
+    entry->owner_reads--;
+    /* The renewals sent at the same time tell whether the store responds. */
+    if (result->rc == NM_ERR_NOT_FOUND ||
+        (result->rc == NM_OK && result->item_count > 0))
+    {
+        nm_term_check_owner_key(entry, result, sent_ms);
+    }
+}
+
+/*
+ * A renewed lease shows no ownership, as the key may have been taken away. The
+ * key is read unless another call has shown it since the last interval.
+ */
+static void
+read_owner_key(nm_entry_t *entry)
+{
+    nm_ms_t confirmed_ago_ms = nm_clock_now_with_suspend(entry->desc.clock) -
+                               entry->authority.confirmed_ms;
+    if (confirmed_ago_ms >= OWNER_RENEW_INTERVAL_MS &&
+        entry->owner_reads < RENEWALS_IN_FLIGHT_MAX)
+    {
+        entry->owner_reads++;
+        nm_kv_get(entry->desc.kv, NM_KEY_OWNER, on_owner_read,
+                  nm_term_call_new(entry));
+    }
+}
+
 void
 nm_election_renew(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -323,6 +355,7 @@
         nm_kv_lease_keepalive(entry->desc.kv, entry->lease, on_renewed,
                               nm_term_call_new(entry));
     }
+    read_owner_key(entry);
 }
 
 typedef struct {
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -210,8 +210,9 @@
     char token[NM_NAME_MAX];
     int64_t lease;
     nm_ms_t renew_due_ms;
-    uint32_t renewals; /* in flight */
-    nm_ms_t yield_ms;  /* began to hand over to a larger host; 0: does not */
+    uint32_t renewals;    /* in flight */
+    uint32_t owner_reads; /* of the owner key, in flight */
+    nm_ms_t yield_ms; /* began to hand over to a larger host; 0: does not */
     nm_ms_t candidate_after_ms; /* no candidate before, as it has yielded */
     /* New jobs and cancels, until a later read confirms the ownership. */
     GQueue unverified;     /* of nm_store_kv_t */
@@ -279,6 +280,13 @@
 /* Ends and frees a call; returns NULL if its term is over. */
 nm_entry_t *nm_term_call_end(void *user);
 void nm_term_step_down(nm_entry_t *entry, const char *cause);
+/*
+ * Takes the result of a read of the owner key that was sent at a time and that
+ * the store has answered: confirms the ownership and returns true, or ends the
+ * term.
+ */
+bool nm_term_check_owner_key(nm_entry_t *entry, const nm_kv_result_t *result,
+                             nm_ms_t sent_ms);
 /* Frees an nm_store_kv_t that was copied from a feed. */
 void nm_term_free_item(gpointer data);
 /* Opens a feed with the host's store and clock, and the entry as user. */
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -186,19 +186,15 @@
     guint covered = entry->verifying_count;
     entry->verifying_count = 0;
     nm_entry_record_store_result(entry, result->rc);
-    if (result->rc == NM_ERR_NOT_FOUND) {
-        nm_term_step_down(entry, "the owner key was deleted");
-        return;
-    }
-    if (result->rc != NM_OK || result->item_count == 0) {
+    bool answered = result->rc == NM_ERR_NOT_FOUND ||
+                    (result->rc == NM_OK && result->item_count > 0);
+    if (!answered) {
         entry->verify_due_ms = nm_entry_now(entry) + VERIFY_RETRY_MS;
         return;
     }
-    if (result->items[0].mod_revision != entry->owner_revision) {
-        nm_term_step_down(entry, "another host is the owner");
+    if (!nm_term_check_owner_key(entry, result, sent_ms)) {
         return;
     }
-    nm_authority_confirm(entry, sent_ms);
     for (guint i = 0; i < covered; i++) {
         nm_store_kv_t *item = g_queue_pop_head(&entry->unverified);
         apply_job(entry, item, false);
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -101,6 +101,7 @@
     entry->owned_epoch = 0;
     entry->lease = 0;
     entry->renewals = 0;
+    entry->owner_reads = 0;
     entry->yield_ms = 0;
     entry->committing = false;
     nm_feed_close(&entry->workers_feed);
@@ -124,3 +125,19 @@
         entry->sched = NULL;
     }
 }
+
+bool
+nm_term_check_owner_key(nm_entry_t *entry, const nm_kv_result_t *result,
+                        nm_ms_t sent_ms)
+{
+    if (result->rc == NM_ERR_NOT_FOUND) {
+        nm_term_step_down(entry, "the owner key was deleted");
+        return false;
+    }
+    if (result->items[0].mod_revision != entry->owner_revision) {
+        nm_term_step_down(entry, "another host is the owner");
+        return false;
+    }
+    nm_authority_confirm(entry, sent_ms);
+    return true;
+}
