Entry host: a request that waits for its queue is not overtaken

The host seems to go back.

Change: a request without a queue waits 0.2 s at most, less than the 250 ms for which a host may serve an older version after a newer one, then 503 with Retry-After.

Evidence: /config-age/waiting-request-is-not-overtaken fails with 1 s.

--- a/soak/soak_configs.c
+++ b/soak/soak_configs.c
@@ -166,7 +166,10 @@
     }
 }
 
-/* Asks a random host for a random queue that every host must know. */
+/*
+ * Asks a random host for a random queue that every host must know, or, once
+ * the changes are over, a host for the newest one that it has not served.
+ */
 static void
 probe_host(nm_ms_t now_ms)
 {
@@ -176,7 +179,17 @@
     {
         known++;
     }
-    if (known > 0) {
+    gint behind = -1;
+    for (gint i = 0; i < soak_options.hosts && known == configs.queue_count;
+         i++) {
+        bool served = known == 0 ||
+                      configs.served[i] >= configs.queues[known - 1].version;
+        behind = served ? behind : i;
+    }
+    if (behind >= 0) {
+        send_probe(behind, configs.queues[known - 1].version);
+    }
+    else if (known > 0) {
         gint host =
             (gint)nm_rng_below(&configs.rng, (uint32_t)soak_options.hosts);
         send_probe(host,
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -65,9 +65,11 @@
 #define REFUSE_WITHIN_MS 500
 /*
  * Longest time that a request without a queue waits for the configuration to
- * be confirmed; another host may have a newer one.
+ * be confirmed; another host may have a newer one.  Later requests for known
+ * queues are served meanwhile: one that waited for longer, and is then served
+ * by a newer version than they were, would show that this host went back.
  */
-#define CONFIRM_WAIT_MS 1000
+#define CONFIRM_WAIT_MS 200
 /* Refused callers return after the usual length of an outage. */
 #define RETRY_AFTER_S 1
 /* Time between two checks of the deadlines of open requests. */
--- a/src/feed.c
+++ b/src/feed.c
@@ -257,7 +257,7 @@
     }
     /* recent_bytes is highest right after a change: the mean of both sides. */
     double rate =
-        (feed->recent_bytes - feed->newest_bytes / 2) / RATE_WINDOW_MS;
+        (feed->recent_bytes - (double)feed->newest_bytes / 2) / RATE_WINDOW_MS;
     double missed_bytes =
         MAX(rate * (double)behind_ms, (double)feed->missed_bytes);
     return missed_bytes > LIST_MIN_BYTES &&
--- a/tests/test_entry_config_age.c
+++ b/tests/test_entry_config_age.c
@@ -11,8 +11,11 @@
 #define SILENCE_MS 4000
 /* A request that needs no confirmation has its response in two rounds. */
 #define AT_ONCE_MS 20
-/* A request that waits for a confirmation has its response by then. */
-#define CONFIRM_MAX_MS 1100
+/*
+ * A request that waits for a confirmation has its response by then: a host may
+ * serve an older version for 250 ms after a newer one, at most.
+ */
+#define CONFIRM_MAX_MS 250
 
 /* The same queue and another one. */
 #define TWO_QUEUES                                                            \
@@ -62,7 +65,7 @@
         {"no such queue, the watch is back", WATCH_SILENT, true, "/c/" JOB,
          404, 0, CONFIRM_MAX_MS},
         {"new queue, the watch stays silent", WATCH_SILENT, false, NEW_PATH,
-         503, 500, CONFIRM_MAX_MS},
+         503, 100, CONFIRM_MAX_MS},
         {"known queue, the watch is silent", WATCH_SILENT, false, "/a/" JOB,
          200, 0, AT_ONCE_MS},
         {"new queue, the store is lost", STORE_LOST, false, NEW_PATH, 503, 0,
@@ -151,6 +154,37 @@
     fake_kv_free(kv);
 }
 
+/*
+ * A request waits for its queue while later ones are served by the older
+ * version: it is refused for a time rather than served much later by the newer
+ * one, which would show that the host had it and went back.
+ */
+static void
+test_waiting_request_is_not_overtaken(void)
+{
+    fake_kv_t *kv = configured_store();
+    host_t host;
+    host_init(&host, "a", kv);
+    fake_kv_answer_idle_watches(kv, &host.clock);
+    run_host(&host, 1000);
+    fake_kv_suppress_watches(kv, "op/");
+    fake_kv_put(kv, CONFIG_KEY, TWO_QUEUES);
+    run_host(&host, SILENCE_MS);
+    send_request(&host, NM_METHOD_POST, NEW_PATH, BODY);
+    run_host(&host, CONFIRM_MAX_MS);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB, BODY);
+    run_host(&host, AT_ONCE_MS);
+    fake_kv_suppress_watches(kv, NULL);
+    run_host(&host, 100);
+    g_assert_cmpint(host.entry->queue_config->version, ==, 7);
+    g_assert_cmpuint(host.listener.responses->len, ==, 2);
+    const nm_api_request_t *first = host.listener.responses->pdata[0];
+    g_assert_cmpstr(first->path, ==, NEW_PATH);
+    g_assert_cmpint(first->status, ==, 503);
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 /* A host that stops while requests wait for a confirmation answers them. */
 static void
 test_stopping_host_answers_unconfirmed(void)
@@ -180,6 +214,8 @@
                     test_old_copy_refuses_nothing_for_good);
     g_test_add_func("/config-age/peer-with-newer-version-is-believed",
                     test_peer_with_newer_version_is_believed);
+    g_test_add_func("/config-age/waiting-request-is-not-overtaken",
+                    test_waiting_request_is_not_overtaken);
     g_test_add_func("/config-age/stopping-host-answers-unconfirmed",
                     test_stopping_host_answers_unconfirmed);
     return g_test_run();
