Feed: a listing that is likely to bring nothing new is not sent

Change: the feed lists from one whole set of values on; while listings bring changes, from three quarters on, as before.

--- a/src/feed.c
+++ b/src/feed.c
@@ -15,10 +15,13 @@
 /* Wait of a watch after a failure: short, to detect a recovery early. */
 #define PROBE_WAIT_MS 50
 /*
- * Part of the newest values from which on missed changes are not worth
- * receiving: a second version of each would cost as much again.
+ * Part of the newest values from which on missed changes are listed.  Below it
+ * a listing is likely to bring nothing new, and takes the time that the next
+ * change needs.  While listings bring changes it is lower, as they count those
+ * in between for nothing.
  */
-#define MISSED_SHARE_MAX 0.75
+#define MISSED_SHARE_MAX 1.0
+#define MISSED_SHARE_LISTING_MAX 0.75
 /* Changes up to this size are watched, however old they are. */
 #define LIST_MIN_BYTES 16384
 /* Changes count for their rate for about this long. */
@@ -73,6 +76,7 @@
     feed->changes_recorded_ms = now(feed);
     feed->missed_bytes = 0;
     feed->confirming = false;
+    feed->listing_pays = false;
     restart_listing(feed);
 }
 
@@ -258,10 +262,12 @@
     /* recent_bytes is highest right after a change: the mean of both sides. */
     double rate =
         (feed->recent_bytes - (double)feed->newest_bytes / 2) / RATE_WINDOW_MS;
+    double share =
+        feed->listing_pays ? MISSED_SHARE_LISTING_MAX : MISSED_SHARE_MAX;
     double missed_bytes =
         MAX(rate * (double)behind_ms, (double)feed->missed_bytes);
     return missed_bytes > LIST_MIN_BYTES &&
-           missed_bytes > MISSED_SHARE_MAX * (double)feed->known_bytes;
+           missed_bytes > share * (double)feed->known_bytes;
 }
 
 static void
@@ -315,6 +321,7 @@
     bool ends_early = feed->listing && result->more && result->item_count == 0;
     uint64_t generation = feed->generation;
     bool was_listed = feed->listed;
+    bool was_listing = feed->listing;
     if (result->rc == NM_OK && !ends_early) {
         feed->failures = 0;
         feed->missed_bytes = 0;
@@ -332,6 +339,8 @@
         }
         /* The first listing is no change. */
         if (feed->generation == generation && !feed->listing) {
+            feed->listing_pays =
+                was_listing && was_listed && feed->new_bytes > 0;
             feed->new_bytes = was_listed ? feed->new_bytes : 0;
             record_changes(feed);
         }
--- a/src/feed.h
+++ b/src/feed.h
@@ -83,6 +83,7 @@
     nm_ms_t list_sent_ms; /* the first page of a listing, with suspension */
     nm_ms_t call_wait_ms; /* how long the newest watch may wait */
     bool confirming;      /* the next watch does not wait */
+    bool listing_pays;    /* the newest response listed, and had changes */
     nm_ms_t next_call_ms;
     nm_ms_t last_response_ms; /* of the last successful or compacted call */
     nm_feed_response_t response;
--- a/tests/test_feed_lag.c
+++ b/tests/test_feed_lag.c
@@ -266,6 +266,38 @@
     }
 }
 
+/*
+ * The link is just fast enough: a listing that brings nothing new would take
+ * the time that the next version needs.
+ */
+static void
+test_steady_changes_are_received_once(void)
+{
+    enum {
+        RUN_MS = 40000,
+        /* The transfer, and a watch that confirms the value before. */
+        LAG_MAX_MS = VALUE_BYTES / BYTES_PER_MS + 300,
+    };
+    static const nm_ms_t intervals_ms[] = {1100, 1150, 1250, 1500, 3000};
+    for (size_t i = 0; i < NM_COUNT_OF(intervals_ms); i++) {
+        g_test_message("a change each %d ms", (int)intervals_ms[i]);
+        lag_test_t test = {.kv = {.change_interval_ms = intervals_ms[i]}};
+        nm_feed_t feed = {0};
+        open_feed(&test, &feed);
+        nm_ms_t lag_max_ms = 0;
+        while (test.clock.manual_ms < BEGIN_MS + RUN_MS) {
+            tick(&test, &feed);
+            if (test.clock.manual_ms > BEGIN_MS + RUN_MS / 2) {
+                lag_max_ms =
+                    MAX(lag_max_ms, test.clock.manual_ms - BEGIN_MS -
+                                        test.delivered * intervals_ms[i]);
+            }
+        }
+        g_assert_cmpint(lag_max_ms, <=, LAG_MAX_MS);
+        close_feed(&test, &feed);
+    }
+}
+
 /* A value that has not changed is not received again after a cut. */
 static void
 test_quiet_key_is_not_listed_again(void)
@@ -323,6 +355,8 @@
                     test_catching_up_costs_one_value);
     g_test_add_func("/feed-lag/slow-link-skips-versions",
                     test_slow_link_skips_versions);
+    g_test_add_func("/feed-lag/steady-changes-are-received-once",
+                    test_steady_changes_are_received_once);
     g_test_add_func("/feed-lag/quiet-key-is-not-listed-again",
                     test_quiet_key_is_not_listed_again);
     g_test_add_func("/feed-lag/age-covers-undelivered-changes",
