--- a/tests/test_entry_config_age.c
+++ b/tests/test_entry_config_age.c
@@ -149,6 +149,8 @@
     send_request(&hosts[0], NM_METHOD_POST, "/c/" JOB, BODY);
     wait_for_response(&hosts[0], CONFIRM_MAX_MS);
     g_assert_cmpint(last_status(&hosts[0]), ==, 404);
+    wait_for_response(&hosts[1], 3000);
+    g_assert_cmpint(last_status(&hosts[1]), ==, 200);
     host_finish(&hosts[0]);
     host_finish(&hosts[1]);
     fake_kv_free(kv);
