--- a/src/feed.c
+++ b/src/feed.c
@@ -17,8 +17,8 @@
 /*
  * Part of the newest values from which on missed changes are listed.  Below it
  * a listing is likely to bring nothing new, and takes the time that the next
- * change needs.  While listings bring changes it is lower, as they count those
- * in between for nothing.
+ * change needs.  While listings bring changes it is lower: a listing shows one
+ * change of a key at most, so the rate is estimated too low.
  */
 #define MISSED_SHARE_MAX 1.0
 #define MISSED_SHARE_LISTING_MAX 0.75
