Log when a new owner no longer waits for a silent worker

The logs could not tell why a new owner started a task while an earlier run of it was at work. former-lease-lapsed names the worker and how old its life was when the former terms ended.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -505,6 +505,13 @@
      * Value: how long ago it was last heard of, in ms.
      */
     NM_SCHED_EVENT_WORKER_LAPSED,
+    /*
+     * Leases that former owners gave a silent worker count as lapsed, so that
+     * tasks of recovered jobs no longer wait for it.  Value: age of its
+     * incarnation at the end of the former terms, in ms, by its own wall
+     * clock; negative if it began later.
+     */
+    NM_SCHED_EVENT_FORMER_LEASE_LAPSED,
     /*
      * A run had ended as done before it was counted as lapsed.  Value: the run
      * of its task that has been started since, 0: none.
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -124,6 +124,8 @@
                                            "silences"},
         [NM_SCHED_EVENT_WORKER_LAPSED] = {NM_LOG_ITEM_WORKER_LAPSED,
                                           "heard_ms"},
+        [NM_SCHED_EVENT_FORMER_LEASE_LAPSED] =
+            {NM_LOG_ITEM_FORMER_LEASE_LAPSED, "age_ms"},
         [NM_SCHED_EVENT_LATE_END] = {NM_LOG_ITEM_LATE_END, "newer_run"},
         [NM_SCHED_EVENT_ORPHAN_RUN] = {NM_LOG_ITEM_ORPHAN_RUN, "task_run"},
         [NM_SCHED_EVENT_WORKER_UNDESCRIBED] = {NM_LOG_ITEM_WORKER_UNDESCRIBED,
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -391,6 +391,15 @@
            !nm_orphans_any(node);
 }
 
+nm_ms_t
+nm_node_age_at_takeover_ms(const nm_sched_t *sched,
+                           const nm_sched_node_t *node)
+{
+    int64_t takeover_unix_ms =
+        sched->unix_ms - (sched->now_ms - sched->former_owner_until_ms);
+    return takeover_unix_ms - node->desc.incarnation;
+}
+
 bool
 nm_sched_query_worker(const nm_sched_t *sched, const char *id,
                       nm_sched_worker_t *desc)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -765,6 +765,12 @@
 /* A worker has responded to this epoch: no former owner renews its lease. */
 void nm_node_limit_former_lease(const nm_sched_t *sched, nm_sched_node_t *node,
                                 nm_ms_t now_ms);
+/*
+ * Age of a worker's incarnation, by its own wall clock, at the end of the
+ * former terms; negative if it began later.
+ */
+nm_ms_t nm_node_age_at_takeover_ms(const nm_sched_t *sched,
+                                   const nm_sched_node_t *node);
 void nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node);
 
 /* sched_response.c */
