A next owner waits for leases by a worker's former clock

Callers saw two runs of one task (TWICE). A worker restarted under its id, the owner was killed and the worker was cut off within 3 s; the next owner started the worker's tasks elsewhere 7.4 s after the election while they were at work.

Cause: an expiry is a time on the worker's clock, which starts anew. An order by the former clock that reaches the new incarnation gives it the longest lease, 10 s from receipt. The owner that noticed the restart counted that; a next owner counted 7 s, the lease that owners give. And an incarnation that is announced to the next owner before the worker has responded ended the wait for it, although a start of the former owner may have reached it.

Change: sched_lease.c has the leases of former owners in one place. For a worker that restarted less than 12 s before the end of the former terms, by the birth in its entry, or after it, 10 s are counted; a restart no longer ends the wait before the worker has responded. Others lapse as before, since LOST holds for their tasks.

The five cases of next-owner-waits-for-a-lease-by-a-former-clock with restarts and proved-end-keeps-the-longest-lease failed before (7.4 s, 6.6 s and 0.6 s of 10.2 s).

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -1,5 +1,5 @@
 /*
- * Workers: registration and removal, incarnations, leases, admission.
+ * Workers: registration and removal, incarnations, admission.
  *
  * Load: workers that crash, restart under the same id, are cut off, or are
  * removed.  A task stays on its worker until its end is reported, the
@@ -28,23 +28,6 @@
     return g_hash_table_lookup(sched->nodes, id);
 }
 
-/* Returns when leases that a former owner gave until a time have lapsed. */
-static nm_ms_t
-former_lapse_ms(const nm_sched_t *sched, nm_ms_t until_ms)
-{
-    return until_ms +
-           (nm_ms_t)((double)sched->desc.former_lease_max_ms *
-                     NM_SCHED_CLOCK_SLOW_FACTOR) +
-           NM_SCHED_LAPSE_MARGIN_MS;
-}
-
-/* Returns when all leases given by former owners are sure to have lapsed. */
-static nm_ms_t
-former_owner_lapse_ms(const nm_sched_t *sched)
-{
-    return former_lapse_ms(sched, sched->former_owner_until_ms);
-}
-
 /* Removes a node from the index of addresses. */
 static void
 leave_address(nm_sched_t *sched, nm_sched_node_t *node)
@@ -82,7 +65,7 @@
     node->tasks = g_ptr_array_new();
     node->tails = g_array_new(FALSE, FALSE, sizeof(nm_tail_t));
     g_queue_init(&node->pending_acks);
-    node->lease_lapse_ms = former_owner_lapse_ms(sched);
+    nm_lease_extend_by_former_owners(sched, node);
     node->poll_due_ms = now_ms;
     node->reachable = true;
     node->inherited = !sched->taken_over;
@@ -212,20 +195,12 @@
     }
     node->desc.incarnation = incarnation;
     node->incarnation_seen_ms = now_ms;
-    node->inherited = false;
+    /* A start of a former owner may have reached this incarnation. */
+    node->inherited = node->inherited && !node->epoch_confirmed;
     node->ends_truncated = false;
     node->epoch_confirmed = false;
     node->clock_known = false;
-    /*
-     * An order that reached the new incarnation has an expiry by the old
-     * clock, which may give it the longest lease that workers allow.
-     */
-    node->lease_lapse_ms = now_ms;
-    if (node->tasks->len > 0) {
-        node->lease_lapse_ms +=
-            (nm_ms_t)(NM_SCHED_LEASE_LIMIT_MS * NM_SCHED_CLOCK_SLOW_FACTOR) +
-            NM_SCHED_LAPSE_MARGIN_MS;
-    }
+    nm_lease_on_restart(sched, node, now_ms);
     node->ends_processed = 0;
     node->ends_acked = 0;
     node->ends_acked_sent = 0;
@@ -279,6 +254,7 @@
         node->incarnation_seen_ms = now_ms;
         node->described = true;
         node->poll_due_ms = now_ms;
+        nm_lease_extend_by_former_owners(sched, node);
     }
     node->announced = true;
     sched->needs_placement = true;
@@ -313,93 +289,6 @@
     return true;
 }
 
-void
-nm_sched_activate(nm_sched_t *sched, nm_ms_t former_until_ms)
-{
-    assert(sched);
-    sched->taken_over = true;
-    if (sched->desc.former_lease_max_ms <= 1) {
-        return;
-    }
-    sched->former_owner_until_ms = former_until_ms;
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!node->epoch_confirmed) {
-            node->lease_lapse_ms =
-                MAX(node->lease_lapse_ms, former_owner_lapse_ms(sched));
-        }
-    }
-}
-
-void
-nm_sched_set_former_until(nm_sched_t *sched, nm_ms_t former_until_ms)
-{
-    assert(sched);
-    if (former_until_ms >= sched->former_owner_until_ms) {
-        return;
-    }
-    sched->former_owner_until_ms = former_until_ms;
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (nm_node_has_former_lease(node)) {
-            node->lease_lapse_ms =
-                MIN(node->lease_lapse_ms, former_owner_lapse_ms(sched));
-            nm_timer_set_now(sched, node);
-        }
-    }
-}
-
-void
-nm_sched_limit_former_lease(nm_sched_t *sched, const char *worker,
-                            nm_ms_t lapse_ms)
-{
-    assert(sched && worker);
-    nm_sched_node_t *node = nm_node_find(sched, worker);
-    if (node && nm_node_has_former_lease(node)) {
-        node->lease_lapse_ms = MIN(node->lease_lapse_ms, lapse_ms);
-        nm_timer_set_now(sched, node);
-    }
-}
-
-void
-nm_sched_visit_silent_workers(const nm_sched_t *sched, nm_ms_t now_ms,
-                              void (*visit)(void *user, const char *worker,
-                                            nm_ms_t lapse_ms),
-                              void *user)
-{
-    assert(sched && visit);
-    for (guint i = 0; i < sched->node_list->len; i++) {
-        const nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (!node->reachable || !node->epoch_confirmed) {
-            visit(user, node->desc.id, MAX(node->lease_lapse_ms, now_ms));
-        }
-    }
-}
-
-void
-nm_node_limit_former_lease(const nm_sched_t *sched, nm_sched_node_t *node,
-                           nm_ms_t now_ms)
-{
-    node->lease_lapse_ms =
-        MIN(node->lease_lapse_ms, former_lapse_ms(sched, now_ms));
-}
-
-bool
-nm_node_has_former_lease(const nm_sched_node_t *node)
-{
-    return !node->epoch_confirmed && node->tasks->len == 0 &&
-           !nm_orphans_any(node);
-}
-
-nm_ms_t
-nm_node_age_at_takeover_ms(const nm_sched_t *sched,
-                           const nm_sched_node_t *node)
-{
-    int64_t takeover_unix_ms =
-        sched->unix_ms - (sched->now_ms - sched->former_owner_until_ms);
-    return takeover_unix_ms - node->desc.incarnation;
-}
-
 bool
 nm_sched_query_worker(const nm_sched_t *sched, const char *id,
                       nm_sched_worker_t *desc)
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -247,10 +247,12 @@
         /* All runs of former owners have ended. */
         bool was_inherited = node->inherited;
         node->inherited = nm_node_is_unresolved(sched, node, now_ms);
-        if (was_inherited && !node->inherited && !node->epoch_confirmed) {
+        if (was_inherited && !node->inherited && !node->epoch_confirmed &&
+            nm_lease_has_former_owners(sched))
+        {
             nm_sched_add_event(sched, NM_SCHED_EVENT_FORMER_LEASE_LAPSED,
                                node->desc.id,
-                               nm_node_age_at_takeover_ms(sched, node));
+                               nm_lease_age_at_takeover_ms(sched, node));
         }
         if (!node->reachable && node->tasks->len > 0 &&
             !nm_node_waits_for_late_report(sched, node, now_ms))
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -555,8 +555,9 @@
             nm_crashes_clear_silence(sched, node->tasks->pdata[i], node);
         }
     }
-    if (nm_node_has_former_lease(node)) {
-        nm_node_limit_former_lease(sched, node, now_ms);
+    if (nm_lease_is_former(node)) {
+        /* It refuses calls of former owners from now on. */
+        nm_lease_limit(sched, node, now_ms);
     }
     node->reported_ms = report->sent_ms;
     node->reachable = true;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -4,9 +4,9 @@
  * sched_events.c and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
  * sched_order.c, sched_gang.c, sched_response.c -> sched_room.c ->
- * sched_choice.c -> sched_node.c, sched_filler.c, sched_orphans.c ->
- * sched_tails.c, sched_crashes.c -> sched_task.c -> sched_delay.c,
- * sched_timer.c.
+ * sched_choice.c -> sched_node.c, sched_filler.c -> sched_lease.c ->
+ * sched_orphans.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
+ * sched_delay.c, sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
@@ -329,6 +329,7 @@
     bool ends_truncated;  /* more ends than its newest report lists */
     bool admitted;        /* in the stored roster; a new owner expects it */
     bool described;       /* desc is complete; else only its id is known */
+    bool restarted;       /* this owner has heard of two incarnations */
     bool epoch_confirmed; /* this incarnation responded to our epoch */
     bool reachable;       /* responded to one of its last polls */
     bool clock_known;
@@ -757,21 +758,35 @@
     return node->inherited && node->epoch_confirmed && !node->ends_truncated;
 }
 
+void nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node);
+
+/* sched_lease.c */
+/* False in the first epoch. */
+bool nm_lease_has_former_owners(const nm_sched_t *sched);
+/*
+ * Extends the time at which a worker's lease is sure to have lapsed to that
+ * of leases which former owners may have given it.
+ */
+void nm_lease_extend_by_former_owners(const nm_sched_t *sched,
+                                      nm_sched_node_t *node);
+/* A new incarnation was noticed; sets when its lease is sure to have lapsed.
+ */
+void nm_lease_on_restart(const nm_sched_t *sched, nm_sched_node_t *node,
+                         nm_ms_t now_ms);
 /*
  * True if a lease of a worker that has not confirmed this epoch can only be
  * that of a former owner: it has no run of this one, as a new incarnation may.
  */
-bool nm_node_has_former_lease(const nm_sched_node_t *node);
-/* A worker has responded to this epoch: no former owner renews its lease. */
-void nm_node_limit_former_lease(const nm_sched_t *sched, nm_sched_node_t *node,
-                                nm_ms_t now_ms);
+bool nm_lease_is_former(const nm_sched_node_t *node);
+/* No former owner renews a worker's lease after until_ms. */
+void nm_lease_limit(const nm_sched_t *sched, nm_sched_node_t *node,
+                    nm_ms_t until_ms);
 /*
  * Age of a worker's incarnation, by its own wall clock, at the end of the
  * former terms; negative if it began later.
  */
-nm_ms_t nm_node_age_at_takeover_ms(const nm_sched_t *sched,
-                                   const nm_sched_node_t *node);
-void nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node);
+nm_ms_t nm_lease_age_at_takeover_ms(const nm_sched_t *sched,
+                                    const nm_sched_node_t *node);
 
 /* sched_response.c */
 /* Sends a stop for a start that may or may not have been carried out. */
--- a/tests/fakes/lib_sched_sim.c
+++ b/tests/fakes/lib_sched_sim.c
@@ -36,6 +36,8 @@
                            .former_lease_max_ms = epoch > 1 ? 0 : 1,
                            .seed = seed},
         sim->now_ms);
+    /* As an owner does, so that the scheduler knows the wall clock. */
+    nm_sched_run(sim->sched, sim->now_ms, sim->unix_offset_ms + sim->now_ms);
     nm_queue_t queue = {.name = "batch",
                         .service = "press",
                         .attempts_max = 2,
--- /dev/null
+++ b/tests/test_sched_reborn_workers.c
@@ -0,0 +1,147 @@
+/*
+ * Tests of workers that restart under their ids, receive orders by the clock
+ * of their former incarnation, and then fall silent: the lease that such an
+ * order gives is the longest one that workers allow.
+ */
+#include "lib_sched_sim.h"
+
+#define TICK_MS 100
+/* The longest lease of a worker, on its own clock. */
+#define LEASE_LIMIT_MS 10000
+#define CLOCK_SLOW_FACTOR 1.02
+#define LEASE_LIMIT_SLOW_MS ((nm_ms_t)(LEASE_LIMIT_MS * CLOCK_SLOW_FACTOR))
+/* The lease that owners give; a next owner waits little longer for it. */
+#define LEASE_MS 7000
+#define WAIT_MAX_MS 30000
+#define MARGIN_MS 1000
+
+static int64_t
+unix_ms(const sched_sim_t *sim)
+{
+    return sim->unix_offset_ms + sim->now_ms;
+}
+
+/*
+ * Loses the polls of "a" until a start is sent to "b"; returns that time, or
+ * NM_MS_NEVER after WAIT_MAX_MS.
+ */
+static nm_ms_t
+lose_polls_until_start(sched_sim_t *sim)
+{
+    nm_ms_t begun_ms = sim->now_ms;
+    while (sim->now_ms - begun_ms < WAIT_MAX_MS) {
+        sched_sim_advance(sim, TICK_MS);
+        sched_sim_save_all(sim);
+        if (sched_sim_find_action(sim, NM_ACTION_POLL, "a")) {
+            sched_sim_lose_poll(sim, "a");
+        }
+        if (sched_sim_find_action(sim, NM_ACTION_POLL, "b")) {
+            sched_sim_report(sim, "b", 1, NULL, 0, NULL, 0);
+        }
+        if (sched_sim_find_action(sim, NM_ACTION_START, "b")) {
+            return sim->now_ms;
+        }
+    }
+    return NM_MS_NEVER;
+}
+
+/*
+ * A next owner does not hear from "a", which a former owner may have sent
+ * orders by the clock of a life before: a task starts elsewhere only after
+ * the longest lease.  Of a worker that has lived for long it waits for the
+ * usual lease, as LOST holds for its tasks.
+ */
+static void
+test_next_owner_waits_for_a_lease_by_a_former_clock(void)
+{
+    static const struct {
+        const char *name;
+        nm_ms_t age_ms;      /* of its life as the former term ends */
+        nm_ms_t restarts_ms; /* announced so much later; 0: it does not */
+        bool roster;         /* the former owner has used it */
+        nm_ms_t start_ms_min;
+        nm_ms_t start_ms_max;
+    } cases[] = {
+        {"restarted before", 2000, 0, true, LEASE_LIMIT_SLOW_MS,
+         LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"clock ahead", -3000, 0, true, LEASE_LIMIT_SLOW_MS,
+         LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"restarts after the election", 600000, 500, true, LEASE_LIMIT_SLOW_MS,
+         LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"restarts as its lease lapses", 600000, 6500, true,
+         LEASE_LIMIT_SLOW_MS, LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"lives on", 600000, 0, true, LEASE_MS, LEASE_MS + MARGIN_MS},
+        {"was not in the roster", 2000, 0, false, LEASE_LIMIT_SLOW_MS,
+         LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("%s", cases[c].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 2);
+        sim.unix_offset_ms = 1700000000000;
+        sched_sim_advance(&sim, 0);
+        if (cases[c].roster) {
+            nm_sched_expect_worker(sim.sched, "a", sim.now_ms);
+        }
+        int64_t born_ms = unix_ms(&sim) - cases[c].age_ms;
+        sched_sim_announce(&sim, "a", born_ms);
+        sched_sim_announce(&sim, "b", 1);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+        nm_ms_t until_ms = sim.now_ms;
+        nm_sched_activate(sim.sched, until_ms);
+        nm_ms_t restart_ms = until_ms + cases[c].restarts_ms;
+        while (sim.now_ms < restart_ms) {
+            sched_sim_advance(&sim, TICK_MS);
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "a")) {
+                sched_sim_lose_poll(&sim, "a");
+            }
+            if (sched_sim_find_action(&sim, NM_ACTION_POLL, "b")) {
+                sched_sim_report(&sim, "b", 1, NULL, 0, NULL, 0);
+            }
+        }
+        if (cases[c].restarts_ms > 0) {
+            sched_sim_announce(&sim, "a", unix_ms(&sim));
+        }
+        nm_ms_t start_ms = lose_polls_until_start(&sim) - until_ms;
+        g_assert_cmpint(start_ms, >=, cases[c].start_ms_min);
+        g_assert_cmpint(start_ms, <=, cases[c].start_ms_max);
+        sched_sim_finish(&sim);
+    }
+}
+
+/*
+ * The former term proves to have ended earlier: that shortens the wait for
+ * the lease by a former clock by as much, and no more.
+ */
+static void
+test_proved_end_keeps_the_longest_lease(void)
+{
+    enum { LATEST_MS = 5000 };
+    sched_sim_t sim;
+    sched_sim_init(&sim, 2);
+    sim.unix_offset_ms = 1700000000000;
+    sched_sim_advance(&sim, 0);
+    nm_sched_expect_worker(sim.sched, "a", sim.now_ms);
+    sched_sim_announce(&sim, "a", unix_ms(&sim) - 2000);
+    sched_sim_announce(&sim, "b", 1);
+    sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
+    nm_ms_t until_ms = sim.now_ms;
+    nm_sched_activate(sim.sched, until_ms + LATEST_MS);
+    nm_sched_set_former_until(sim.sched, until_ms);
+    nm_ms_t start_ms = lose_polls_until_start(&sim) - until_ms;
+    g_assert_cmpint(start_ms, >=, LEASE_LIMIT_SLOW_MS);
+    g_assert_cmpint(start_ms, <=, LEASE_LIMIT_SLOW_MS + MARGIN_MS);
+    sched_sim_finish(&sim);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions(); /* the next tests still run */
+    g_test_add_func("/sched/next-owner-waits-for-a-lease-by-a-former-clock",
+                    test_next_owner_waits_for_a_lease_by_a_former_clock);
+    g_test_add_func("/sched/proved-end-keeps-the-longest-lease",
+                    test_proved_end_keeps_the_longest_lease);
+    return g_test_run();
+}
