Orders in flight at a restart extend the counted lease

A worker restarts under its id without a task, and a poll or start by its former clock reaches the new incarnation before the owner has noticed, or is answered after that. It then has a lease of 10 s, while the owner counted none; a task that starts there and falls silent at once was taken for lapsed after 7.4 s and started elsewhere while it was at work (TWICE).

Change: a noticed restart counts the longest lease whenever this owner has given leases there, and a response to an order of the former incarnation counts it from then on.

--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -76,8 +76,8 @@
                     nm_ms_t now_ms)
 {
     node->restarted = true;
-    node->lease_lapse_ms = now_ms;
-    if (node->tasks->len > 0) {
+    /* Orders of this owner with an expiry, with or without a task there. */
+    if (node->clock_known || node->tasks->len > 0) {
         node->lease_lapse_ms = lapse_ms(sched, node, now_ms);
     }
     if (node->inherited) {
@@ -85,6 +85,14 @@
     }
 }
 
+void
+nm_lease_on_former_order(const nm_sched_t *sched, nm_sched_node_t *node,
+                         nm_ms_t now_ms)
+{
+    node->lease_lapse_ms =
+        MAX(node->lease_lapse_ms, lapse_ms(sched, node, now_ms));
+}
+
 void
 nm_sched_activate(nm_sched_t *sched, nm_ms_t former_until_ms)
 {
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -198,9 +198,9 @@
     /* A start of a former owner may have reached this incarnation. */
     node->inherited = node->inherited && !node->epoch_confirmed;
     node->ends_truncated = false;
+    nm_lease_on_restart(sched, node, now_ms);
     node->epoch_confirmed = false;
     node->clock_known = false;
-    nm_lease_on_restart(sched, node, now_ms);
     node->ends_processed = 0;
     node->ends_acked = 0;
     node->ends_acked_sent = 0;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -247,6 +247,11 @@
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
     }
+    else if (addressed && result != NM_ORDER_NOT_SENT &&
+             action->incarnation != addressed->desc.incarnation)
+    {
+        nm_lease_on_former_order(sched, addressed, now_ms);
+    }
     if (result == NM_ORDER_DONE) {
         nm_job_record_begun(nm_sched_find_task(sched, action->task));
     }
@@ -559,6 +564,9 @@
         /* It refuses calls of former owners from now on. */
         nm_lease_limit(sched, node, now_ms);
     }
+    if (node->restarted && report->sent_ms <= node->incarnation_seen_ms) {
+        nm_lease_on_former_order(sched, node, now_ms);
+    }
     node->reported_ms = report->sent_ms;
     node->reachable = true;
     node->poll_failures = 0;
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -134,6 +134,91 @@
     sched_sim_finish(&sim);
 }
 
+/* Loses the polls of "a" until its lease counts as lapsed; returns that time.
+ */
+static nm_ms_t
+lose_polls_until_lapse(sched_sim_t *sim)
+{
+    nm_ms_t begun_ms = sim->now_ms;
+    while (sim->now_ms - begun_ms < WAIT_MAX_MS) {
+        sched_sim_lose_poll(sim, "a");
+        sched_sim_advance(sim, TICK_MS);
+        nm_sched_event_t event;
+        while (nm_sched_next_event(sim->sched, &event)) {
+            if (event.type == NM_SCHED_EVENT_WORKER_LAPSED) {
+                return sim->now_ms;
+            }
+        }
+    }
+    return NM_MS_NEVER;
+}
+
+/* Announces and polls the next incarnation of "a", which runs nothing. */
+static void
+restart_a(sched_sim_t *sim)
+{
+    sched_sim_announce(sim, "a", 2);
+    sched_sim_advance(sim, 10);
+    sched_sim_report(sim, "a", 2, NULL, 0, NULL, 0);
+    sched_sim_advance(sim, 10);
+}
+
+/*
+ * A worker without tasks restarts, and an order by its former clock reaches
+ * the new incarnation before the owner has noticed, or is under way then: the
+ * lease of tasks that start there must not count as lapsed before that one.
+ */
+static void
+test_order_in_flight_at_a_restart_extends_the_lease(void)
+{
+    static const struct {
+        const char *name;
+        bool poll; /* else a start */
+        nm_order_result_t result;
+        nm_ms_t response_ms; /* after the restart was noticed */
+    } cases[] = {
+        {"before it is noticed", true, NM_ORDER_DONE, 0},
+        {"poll", true, NM_ORDER_DONE, 900},
+        {"start", false, NM_ORDER_DONE, 900},
+        {"start that is refused", false, NM_ORDER_NO_CAPACITY, 900},
+        {"start that is old", false, NM_ORDER_SUPERSEDED, 900},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("%s", cases[c].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_add_worker(&sim, "a");
+        sched_sim_advance(&sim, 10);
+        nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                     .incarnation = 2,
+                                     .clock_ms = 100,
+                                     .sent_ms = sim.now_ms,
+                                     .complete = true};
+        nm_sched_action_t start = {.incarnation = 1, .run = 1};
+        nm_strcopy(start.worker, sizeof(start.worker), "a");
+        nm_strcopy(start.task, sizeof(start.task), TASK);
+        restart_a(&sim);
+        for (nm_ms_t ms = 0; ms < cases[c].response_ms; ms += TICK_MS) {
+            sched_sim_advance(&sim, TICK_MS);
+        }
+        nm_ms_t received_ms = sim.now_ms;
+        if (cases[c].response_ms > 0 && cases[c].poll) {
+            nm_sched_on_report(sim.sched, "a", &report, sim.now_ms);
+        }
+        else if (cases[c].response_ms > 0) {
+            nm_sched_on_start(sim.sched, &start, cases[c].result, sim.now_ms);
+        }
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+        sched_sim_advance(&sim, 30);
+        nm_sched_action_t started = sched_sim_confirm_starts(&sim);
+        g_assert_cmpstr(started.worker, ==, "a");
+        nm_ms_t lapse_ms = lose_polls_until_lapse(&sim) - received_ms;
+        g_assert_cmpint(lapse_ms, >=, LEASE_LIMIT_SLOW_MS);
+        g_assert_cmpint(lapse_ms, <=, LEASE_LIMIT_SLOW_MS + MARGIN_MS);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -143,5 +228,7 @@
                     test_next_owner_waits_for_a_lease_by_a_former_clock);
     g_test_add_func("/sched/proved-end-keeps-the-longest-lease",
                     test_proved_end_keeps_the_longest_lease);
+    g_test_add_func("/sched/order-in-flight-at-a-restart-extends-the-lease",
+                    test_order_in_flight_at_a_restart_extends_the_lease);
     return g_test_run();
 }
