A poll after a lost one acknowledges no ends

An acknowledgement has the number of an end in one incarnation of a worker. After a poll without a response the worker may have restarted under its id and ended a run that a start in flight has begun there; the next poll made it drop that end, and the task started again after it was done (TWICE).

The poll after a lost one acknowledges nothing; what it would have is acknowledged after its response.

/sched/poll-after-a-lost-one-drops-no-ends failed before (7, not 0).

--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -72,8 +72,9 @@
 {
     nm_sched_action_t *action =
         nm_sched_add_action(sched, node, NM_ACTION_POLL);
-    action->acked = node->ends_acked;
-    node->ends_acked_sent = node->ends_acked;
+    /* Ends of a later incarnation have other numbers, and would be lost. */
+    action->acked = node->poll_failures == 0 ? node->ends_acked : 0;
+    node->ends_acked_sent = action->acked;
     bool no_wait = !node->epoch_confirmed || node->poll_failures > 0 ||
                    node->tasks->len == 0 || nm_orphans_need_report(node);
     /* A filler may start here while the poll waits. */
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -254,6 +254,48 @@
     }
 }
 
+/* Returns the ack of the next poll of "a". */
+static int64_t
+next_poll_acked(sched_sim_t *sim)
+{
+    for (nm_ms_t ms = 0; ms < WAIT_MAX_MS; ms += TICK_MS) {
+        sched_sim_advance(sim, TICK_MS);
+        sched_sim_save_all(sim);
+        const nm_sched_action_t *poll =
+            sched_sim_find_action(sim, NM_ACTION_POLL, "a");
+        if (poll) {
+            return poll->acked;
+        }
+    }
+    return -1;
+}
+
+/*
+ * After a poll without a response the worker may have restarted, and ended a
+ * run that a start in flight has begun there: the next poll must not make it
+ * drop that end, which has a number of the new incarnation.
+ */
+static void
+test_poll_after_a_lost_one_drops_no_ends(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, false, 2, 1000, false);
+    sched_sim_advance(&sim, 30);
+    nm_sched_action_t started = sched_sim_confirm_starts(&sim);
+    nm_worker_end_t end =
+        sched_sim_make_end(7, started.task, started.run, NM_END_DONE);
+    nm_worker_run_t run = sched_sim_make_run(TASK, started.run);
+    sched_sim_report(&sim, "a", 1, &run, 1, &end, 1);
+    g_assert_cmpint(next_poll_acked(&sim), ==, 7);
+    sched_sim_lose_poll(&sim, "a");
+    g_assert_cmpint(next_poll_acked(&sim), ==, 0);
+    sched_sim_report(&sim, "a", 1, &run, 1, &end, 1);
+    g_assert_cmpint(next_poll_acked(&sim), ==, 7);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -267,5 +309,7 @@
                     test_run_of_a_restarted_worker_is_taken_over);
     g_test_add_func("/sched/order-in-flight-at-a-restart-extends-the-lease",
                     test_order_in_flight_at_a_restart_extends_the_lease);
+    g_test_add_func("/sched/poll-after-a-lost-one-drops-no-ends",
+                    test_poll_after_a_lost_one_drops_no_ends);
     return g_test_run();
 }
