A start that a later incarnation has answered is known by its clock

An order names a worker's id, and a worker that is back under its id carries it out.

The response has the worker's clock. One below the clock at which the start was sent is that of a later incarnation: NM_ORDER_LATER_INCARNATION, which carriers pass on as other results. The start is withdrawn, the longest lease counted, and no crash counts against its task; start-misdirected in the log.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -73,6 +73,7 @@
     X(OWNER_LOAD, "owner-load")                                               \
     X(OWNER_CALLS, "owner-calls")                                             \
     X(WORKER_LAPSED, "worker-lapsed")                                         \
+    X(START_MISDIRECTED, "start-misdirected")                                 \
     X(FORMER_LEASE_LAPSED, "former-lease-lapsed")                             \
     X(LATE_END, "late-end")                                                   \
     X(ORPHAN_RUN, "orphan-run")                                               \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -120,6 +120,8 @@
     NM_ORDER_WRONG_INCARNATION, /* another incarnation responded */
     NM_ORDER_INVALID,
     NM_ORDER_NOT_SENT, /* its time was over before; the worker has no part */
+    /* START: a later incarnation under the same id has begun or refused it. */
+    NM_ORDER_LATER_INCARNATION,
 } nm_order_result_t;
 
 /* How a run ended, and its label in logs. */
@@ -527,6 +529,11 @@
     /* Value of both: the bound of starts in flight. */
     NM_SCHED_EVENT_OWNER_BEHIND, /* silence is no sign of lost workers */
     NM_SCHED_EVENT_OWNER_CAUGHT_UP,
+    /*
+     * A start was answered by the clock of a later incarnation, which has not
+     * been heard of otherwise.  Value: the incarnation that it was sent to.
+     */
+    NM_SCHED_EVENT_START_MISDIRECTED,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -134,6 +134,8 @@
                                          "starting_max"},
         [NM_SCHED_EVENT_OWNER_CAUGHT_UP] = {NM_LOG_ITEM_OWNER_CAUGHT_UP,
                                             "starting_max"},
+        [NM_SCHED_EVENT_START_MISDIRECTED] = {NM_LOG_ITEM_START_MISDIRECTED,
+                                              "incarnation"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -42,19 +42,25 @@
             nm_lease_age_at_takeover_ms(sched, node) < RESTART_RECENT_MS);
 }
 
-/* Returns when leases that were given to a worker until a time have lapsed. */
 static nm_ms_t
-lapse_ms(const nm_sched_t *sched, const nm_sched_node_t *node,
-         nm_ms_t until_ms)
+lapse_ms(nm_ms_t lease_ms, nm_ms_t until_ms)
 {
-    nm_ms_t lease_ms = may_be_by_former_clock(sched, node)
-                           ? NM_SCHED_LEASE_LIMIT_MS
-                           : sched->desc.former_lease_max_ms;
     return until_ms +
            (nm_ms_t)((double)lease_ms * NM_SCHED_CLOCK_SLOW_FACTOR) +
            NM_SCHED_LAPSE_MARGIN_MS;
 }
 
+/* Returns when leases that former owners gave until a time have lapsed. */
+static nm_ms_t
+former_lapse_ms(const nm_sched_t *sched, const nm_sched_node_t *node,
+                nm_ms_t until_ms)
+{
+    return lapse_ms(may_be_by_former_clock(sched, node)
+                        ? NM_SCHED_LEASE_LIMIT_MS
+                        : sched->desc.former_lease_max_ms,
+                    until_ms);
+}
+
 bool
 nm_lease_has_former_owners(const nm_sched_t *sched)
 {
@@ -68,7 +74,7 @@
     if (nm_lease_has_former_owners(sched) && !node->epoch_confirmed) {
         node->lease_lapse_ms =
             MAX(node->lease_lapse_ms,
-                lapse_ms(sched, node, sched->former_owner_until_ms));
+                former_lapse_ms(sched, node, sched->former_owner_until_ms));
     }
 }
 
@@ -79,7 +85,7 @@
     node->restarted = true;
     /* Orders of this owner with an expiry, with or without a task there. */
     if (node->clock_known || node->tasks->len > 0) {
-        node->lease_lapse_ms = lapse_ms(sched, node, now_ms);
+        node->lease_lapse_ms = lapse_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms);
     }
     if (node->inherited) {
         nm_lease_extend_by_former_owners(sched, node);
@@ -87,11 +93,10 @@
 }
 
 void
-nm_lease_on_former_order(const nm_sched_t *sched, nm_sched_node_t *node,
-                         nm_ms_t now_ms)
+nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms)
 {
     node->lease_lapse_ms =
-        MAX(node->lease_lapse_ms, lapse_ms(sched, node, now_ms));
+        MAX(node->lease_lapse_ms, lapse_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms));
 }
 
 void
@@ -159,7 +164,7 @@
                nm_ms_t until_ms)
 {
     node->lease_lapse_ms =
-        MIN(node->lease_lapse_ms, lapse_ms(sched, node, until_ms));
+        MIN(node->lease_lapse_ms, former_lapse_ms(sched, node, until_ms));
 }
 
 bool
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -248,9 +248,10 @@
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
     }
     else if (addressed && result != NM_ORDER_NOT_SENT &&
-             action->incarnation != addressed->desc.incarnation)
+             (action->incarnation != addressed->desc.incarnation ||
+              result == NM_ORDER_LATER_INCARNATION))
     {
-        nm_lease_on_former_order(sched, addressed, now_ms);
+        nm_lease_on_former_order(addressed, now_ms);
     }
     if (result == NM_ORDER_DONE) {
         nm_job_record_begun(nm_sched_find_task(sched, action->task));
@@ -287,6 +288,14 @@
         }
         nm_task_requeue(sched, task);
         break;
+    case NM_ORDER_LATER_INCARNATION:
+        nm_sched_add_run_event(sched, NM_SCHED_EVENT_START_MISDIRECTED, task,
+                               action->incarnation);
+        /* The incarnation before ended without it. */
+        task->begun_ms = 0;
+        nm_crashes_clear_silence(sched, task, node);
+        nm_sched_withdraw_start(sched, task, now_ms);
+        break;
     case NM_ORDER_EXPIRED:
         /* The HTTP client may have sent it twice; the first one may run. */
     case NM_ORDER_SUPERSEDED:
@@ -565,7 +574,7 @@
         nm_lease_limit(sched, node, now_ms);
     }
     if (node->restarted && report->sent_ms <= node->incarnation_seen_ms) {
-        nm_lease_on_former_order(sched, node, now_ms);
+        nm_lease_on_former_order(node, now_ms);
     }
     node->reported_ms = report->sent_ms;
     node->reachable = true;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -777,8 +777,7 @@
  * The response of a restarted worker to an order of its former incarnation
  * has come: it has taken the expiry of the order at the latest now.
  */
-void nm_lease_on_former_order(const nm_sched_t *sched, nm_sched_node_t *node,
-                              nm_ms_t now_ms);
+void nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms);
 /*
  * True if a lease of a worker that has not confirmed this epoch can only be
  * that of a former owner: it has no run of this one, as a new incarnation may.
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -258,6 +258,64 @@
     }
 }
 
+#define CLOCK_RESPONSE(status, bytes, fields)                                 \
+    "HTTP/1.1 " status " \r\nContent-Length: " bytes                          \
+    "\r\n\r\n{\"clockMs\":" fields "}"
+/* The worker's clock shows 3300 or more when the start is sent. */
+static const struct {
+    const char *name;
+    const char *response;
+    nm_ms_t valid_ms;
+    nm_order_result_t result;
+} clock_cases[] = {
+    {"begun", CLOCK_RESPONSE("200", "16", "3300"), 1700, NM_ORDER_DONE},
+    {"begun-by-a-rounded-clock", CLOCK_RESPONSE("200", "16", "3201"), 1700,
+     NM_ORDER_DONE},
+    {"begun-after-a-restart", CLOCK_RESPONSE("200", "15", "500"), 1700,
+     NM_ORDER_LATER_INCARNATION},
+    {"no-room-after-a-restart",
+     CLOCK_RESPONSE("409", "31", "500,\"reason\":\"room\""), 1700,
+     NM_ORDER_LATER_INCARNATION},
+    {"fenced-after-a-restart",
+     CLOCK_RESPONSE("409", "32", "500,\"reason\":\"fence\""), 1700,
+     NM_ORDER_FENCED},
+    {"by-an-older-owner", CLOCK_RESPONSE("200", "15", "500"), 0,
+     NM_ORDER_DONE},
+};
+
+/* The header of an order does not tell two incarnations of one id apart. */
+static void
+test_start_that_a_restarted_worker_answers(void)
+{
+    for (size_t i = 0; i < NM_COUNT_OF(clock_cases); i++) {
+        g_test_message("%s", clock_cases[i].name);
+        const char *responses[] = {clock_cases[i].response, NULL};
+        server_t server = {.responses = responses};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_orders_http_t orders;
+        nm_order_port_t *port = nm_orders_http_init(&orders, http);
+        outcome_t outcome = {0};
+        nm_sched_action_t start = {.type = NM_ACTION_START,
+                                   .worker = "w",
+                                   .task = "5c0e7a21d94b36f8.0.0.0",
+                                   .run = 1,
+                                   .expiry_ms = 5000,
+                                   .valid_ms = clock_cases[i].valid_ms,
+                                   .payload = "",
+                                   .checkpoint = ""};
+        g_snprintf(start.address, sizeof(start.address), "127.0.0.1:%u",
+                   server.port);
+        nm_order_port_send(port, &start, 1, on_order, &outcome);
+        wait_for_completions(http, &outcome.completions, 1);
+        g_assert_cmpint(outcome.result, ==, clock_cases[i].result);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+    }
+}
+
 /*
  * Responses to a poll, and the reports decoded from them.  A malformed row
  * must make the report incomplete: tasks that are missing from a complete
@@ -899,6 +957,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/platform/start-that-a-restarted-worker-answers",
+                    test_start_that_a_restarted_worker_answers);
     g_test_set_nonfatal_assertions(); /* the next tests still run */
     g_test_add_func("/platform/refused-second-start-is-unknown",
                     test_refused_second_start_is_unknown);
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -254,6 +254,41 @@
     }
 }
 
+/*
+ * The response to a start shows that a later incarnation has begun it, and the
+ * worker falls silent before any report: the lease may be the longest one, the
+ * start is withdrawn, and the crash before it does not count against the task.
+ */
+static void
+test_start_begun_by_a_later_incarnation(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+    sched_sim_advance(&sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    nm_sched_on_start(sim.sched, start, NM_ORDER_LATER_INCARNATION,
+                      sim.now_ms);
+    nm_ms_t begun_ms = sim.now_ms;
+    nm_sched_event_t event;
+    g_assert_true(nm_sched_next_event(sim.sched, &event));
+    g_assert_cmpint(event.type, ==, NM_SCHED_EVENT_START_MISDIRECTED);
+    sched_sim_advance(&sim, 10);
+    g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_STOP, "a"));
+    nm_ms_t lapse_ms = lose_polls_until_lapse(&sim) - begun_ms;
+    g_assert_cmpint(lapse_ms, >=, LEASE_LIMIT_SLOW_MS);
+    g_assert_cmpint(lapse_ms, <=, LEASE_LIMIT_SLOW_MS + MARGIN_MS);
+    sched_sim_announce(&sim, "a", 2);
+    while (nm_sched_next_event(sim.sched, &event)) {
+        g_assert_cmpint(event.type, !=, NM_SCHED_EVENT_RUN_LOST);
+        g_assert_cmpint(event.type, !=, NM_SCHED_EVENT_CRASH_RESOLVED);
+    }
+    sched_sim_finish(&sim);
+}
+
 /* Returns the ack of the next poll of "a". */
 static int64_t
 next_poll_acked(sched_sim_t *sim)
@@ -309,6 +344,8 @@
                     test_run_of_a_restarted_worker_is_taken_over);
     g_test_add_func("/sched/order-in-flight-at-a-restart-extends-the-lease",
                     test_order_in_flight_at_a_restart_extends_the_lease);
+    g_test_add_func("/sched/start-begun-by-a-later-incarnation",
+                    test_start_begun_by_a_later_incarnation);
     g_test_add_func("/sched/poll-after-a-lost-one-drops-no-ends",
                     test_poll_after_a_lost_one_drops_no_ends);
     return g_test_run();
