Soak: executors that restart and are cut off beside elections

The stand-in's born is the wall clock, as on the platform, and its starts return the executor's clock.

--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define CLOCK_START_MS 1000 /* of platform_now() */
 #define LEASE_MAX_MS 10000  /* maxHoldMs of the users' platform */
 #define STOP_MS 50          /* up to 200 on the users' platform */
 #define CLOCK_RATE_MIN 0.98 /* of every other executor; the users' bound */
@@ -74,6 +75,7 @@
 
 struct executor_fleet {
     executor_fleet_desc_t desc;
+    int64_t unix_offset_ms; /* wall clock minus that of the platform */
     executor_t *executors;
     GHashTable *by_id;
     GHashTable *left_ids;
@@ -98,10 +100,11 @@
 }
 
 static void
-start_incarnation(executor_t *executor, nm_ms_t now_ms)
+start_incarnation(const executor_fleet_t *fleet, executor_t *executor,
+                  nm_ms_t now_ms)
 {
     executor->incarnation_start_ms = now_ms;
-    executor->incarnation = 1700000000000 + now_ms;
+    executor->incarnation = fleet->unix_offset_ms + now_ms;
     executor->epoch = 0;
     executor->lease_expiry_ms = 0;
     executor->last_end_number = 0;
@@ -116,6 +119,7 @@
 {
     executor_fleet_t *fleet = g_new0(executor_fleet_t, 1);
     fleet->desc = *desc;
+    fleet->unix_offset_ms = g_get_real_time() / 1000 - CLOCK_START_MS;
     fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     fleet->left_ids =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -138,7 +142,7 @@
         executor->last_finished_runs =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
         g_hash_table_insert(fleet->by_id, executor->id, executor);
-        start_incarnation(executor, 1);
+        start_incarnation(fleet, executor, 1);
     }
     return fleet;
 }
@@ -322,7 +326,7 @@
         fleet->info.kind_changes++;
         log_event(fleet, now_ms, "kind", executor, "-", executor->kind);
     }
-    start_incarnation(executor, now_ms);
+    start_incarnation(fleet, executor, now_ms);
 }
 
 void
@@ -335,7 +339,7 @@
     }
     log_event(fleet, now_ms, "leave", executor, "-", 0);
     count_crashes(fleet, executor, now_ms);
-    start_incarnation(executor, now_ms);
+    start_incarnation(fleet, executor, now_ms);
     executor->joins_at_ms = joins_at_ms;
     g_hash_table_add(fleet->left_ids, g_strdup(executor->id));
     fleet->info.departures++;
@@ -355,7 +359,7 @@
     snprintf(executor->id, sizeof(executor->id), "x%u-%u",
              (unsigned)(executor - fleet->executors), ++executor->life);
     g_hash_table_insert(fleet->by_id, executor->id, executor);
-    start_incarnation(executor, now_ms);
+    start_incarnation(fleet, executor, now_ms);
     executor->joins_at_ms = 0;
     log_event(fleet, now_ms, "join", executor, "-", 0);
 }
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -468,6 +468,10 @@
                               (json_int_t)executor_clock(executor, now_ms),
                               "reason", reason);
     }
+    else if (status == 200 && !*response) {
+        *response = json_pack("{s:I}", "clockMs",
+                              (json_int_t)executor_clock(executor, now_ms));
+    }
     json_decref(body);
     return status;
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -9,7 +9,8 @@
  * run for a part of the time only (--short: mainly these).  With --departures
  * most executors leave for good and others join, the ownership is lost again
  * and again meanwhile, and jobs must go on soon after that
- * (soak_departures.c).
+ * (soak_departures.c).  With --recuts executors restart under their ids and
+ * are cut off soon after that, while the ownership is lost (soak_recuts.c).
  *
  * Callers submit, query and cancel jobs during the whole run.  Starts of tasks
  * are checked by lib_executor.h; soak_hosts.c and soak_callers.c check what
@@ -163,6 +164,10 @@
          "Change a large configuration in series, with faults that make hosts "
          "hear of it late",
          NULL},
+        {"recuts", 0, 0, G_OPTION_ARG_NONE, &soak_options.recuts,
+         "Restart executors under their ids in series and cut them off soon "
+         "after, while owners fall",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -194,6 +199,7 @@
     nm_rng_init(&soak.rng, (uint64_t)soak_options.seed);
     nm_rng_init(&soak.route_rng, (uint64_t)soak_options.seed + 4);
     nm_rng_init(&soak.departure_rng, (uint64_t)soak_options.seed + 5);
+    nm_rng_init(&soak.recut_rng, (uint64_t)soak_options.seed + 6);
     soak.jobs = g_ptr_array_new_with_free_func(g_free);
     curl_global_init(CURL_GLOBAL_ALL);
     soak.multi = curl_multi_init();
@@ -239,7 +245,7 @@
         now_ms = platform_now(soak.platform);
         bool faults = now_ms > 1000 + warmup_ms && now_ms < faults_end_ms;
         if (faults && !soak_options.no_faults && !soak_options.departures &&
-            now_ms >= soak.next_fault_ms)
+            !soak_options.recuts && now_ms >= soak.next_fault_ms)
         {
             soak_inject_fault(now_ms);
             soak.next_fault_ms =
@@ -254,6 +260,7 @@
             soak_cut_executors(now_ms);
             soak_restart_executors(now_ms);
             soak_run_departures(now_ms);
+            soak_run_recuts(now_ms);
         }
         soak_run_configs(now_ms, faults);
         bool served = soak_configs_are_served(faults_end_ms, now_ms);
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -13,6 +13,11 @@
 #define IMPATIENT_CALLERS 4
 /* With --cuts many tasks are at work when their lease lapses. */
 #define LONG_TASK_MAX_MS 6000
+/* With --recuts some are at work for longer than a lease. */
+#define RECUT_TASK_MAX_MS 14000
+/* Otherwise they count as stalled before they end. */
+#define RECUT_ESTIMATE_MS 6000
+#define ESTIMATE_MS 600
 /* With --short the starts of tasks need more than narrow links have. */
 #define SHORTAGE_TASKS_MAX 20
 #define SHORTAGE_TASK_MAX_MS 3000
@@ -101,8 +106,10 @@
         char body[SHORTAGE_PAYLOAD_BYTES + 256];
         snprintf(body, sizeof(body),
                  "{\"spec\":\"%s\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
-                 "\"memMb\":10,\"estimateMs\":600%s%s%s}]}",
-                 payload, job->tasks, label, limit,
+                 "\"memMb\":10,\"estimateMs\":%d%s%s%s}]}",
+                 payload, job->tasks,
+                 soak_options.recuts ? RECUT_ESTIMATE_MS : ESTIMATE_MS, label,
+                 limit,
                  job->long_running ? ",\"longRunning\":true"
                                    : ",\"checkpoints\":true");
         curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
@@ -159,6 +166,7 @@
     bool fails_often = soak.jobs->len % 40 == 17;
     nm_ms_t duration_max_ms = fails_often              ? 1500
                               : soak_options.cuts      ? LONG_TASK_MAX_MS
+                              : soak_options.recuts    ? RECUT_TASK_MAX_MS
                               : soak_options.shortages ? SHORTAGE_TASK_MAX_MS
                                                        : 1500;
     platform_lock(soak.platform);
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -7,8 +7,6 @@
 
 #include <jansson.h>
 
-/* A host process must have ended this long after its grace time. */
-#define HOST_GRACE_SLACK_MS 1500
 /* Share of the executors that is cut off at once, in percent. */
 #define CUT_PERCENT_MIN 20
 #define CUT_PERCENT_MAX 60
@@ -428,10 +426,7 @@
         break;
     case FAULT_STOP_HOST:
         if (host->stop_sent_ms == 0 && host->resume_at_ms == 0) {
-            soak_signal_host(host, SIGTERM);
-            host->stop_sent_ms = now_ms;
-            host->kill_at_ms = now_ms + HOST_GRACE_MS + HOST_GRACE_SLACK_MS;
-            host->start_at_ms = now_ms + soak_random_between(100, 500);
+            soak_stop_host(host, now_ms);
         }
         break;
     case FAULT_STORE_PATH:
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -8,6 +8,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+/* A host process must have ended this long after its grace time. */
+#define HOST_GRACE_SLACK_MS 1500
 /* Far below the time-outs of orders and leases. */
 #define SLICE_MS 100
 
@@ -180,6 +182,15 @@
     host->start_at_ms = now_ms + soak_random_between(100, 2500);
 }
 
+void
+soak_stop_host(host_t *host, nm_ms_t now_ms)
+{
+    soak_signal_host(host, SIGTERM);
+    host->stop_sent_ms = now_ms;
+    host->kill_at_ms = now_ms + HOST_GRACE_MS + HOST_GRACE_SLACK_MS;
+    host->start_at_ms = now_ms + soak_random_between(100, 500);
+}
+
 void
 soak_remove_host(host_t *host, nm_ms_t now_ms)
 {
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -2,7 +2,7 @@
  * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
  * has the host processes, soak_faults.c the faults, soak_departures.c those of
  * --departures and their check, soak_configs.c the changes of --configs and
- * theirs, soak_callers.c the callers.
+ * theirs, soak_recuts.c the faults of --recuts, soak_callers.c the callers.
  */
 #ifndef SOAK_STATE_H
 #define SOAK_STATE_H
@@ -88,6 +88,7 @@
     gboolean restarts;
     gboolean departures;
     gboolean configs;
+    gboolean recuts;
 } soak_options_t;
 
 typedef struct {
@@ -116,6 +117,11 @@
     uint32_t owner_losses;
     uint32_t hosts_gone;
     bool revokes_only; /* in the present series */
+    nm_rng_t recut_rng;
+    nm_ms_t next_recuts_ms;
+    nm_ms_t recut_owner_loss_ms;                /* 0: none */
+    nm_ms_t recut_restart_at_ms[EXECUTORS_MAX]; /* 0: no restart */
+    nm_ms_t recut_at_ms[EXECUTORS_MAX];         /* 0: no cut */
     nm_ms_t next_idle_check_ms;
     nm_ms_t longest_idle_ms; /* of any job in calm time */
     double pending_arrivals;
@@ -143,6 +149,8 @@
  */
 void soak_supervise_hosts(nm_ms_t now_ms);
 void soak_kill_host(host_t *host, nm_ms_t now_ms);
+/* Tells a host to stop; it is started again. */
+void soak_stop_host(host_t *host, nm_ms_t now_ms);
 /* Kills a host that is not started again. */
 void soak_remove_host(host_t *host, nm_ms_t now_ms);
 void soak_stop_hosts(void);
@@ -186,6 +194,10 @@
 /* With --departures, after the faults: reports jobs that stand still. */
 void soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms);
 
+/* soak_recuts.c */
+/* With --recuts: executors restart and are cut off, and owners fall. */
+void soak_run_recuts(nm_ms_t now_ms);
+
 /* soak_configs.c */
 /* Appends the routes of --configs; route: the fields that all of them have. */
 void soak_append_config_routes(GString *routes, const char *route);
