--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -42,8 +42,9 @@
             nm_lease_age_at_takeover_ms(sched, node) < RESTART_RECENT_MS);
 }
 
+/* Returns when a lease that was given until a time is sure to have lapsed. */
 static nm_ms_t
-lapse_ms(nm_ms_t lease_ms, nm_ms_t until_ms)
+lease_end_ms(nm_ms_t lease_ms, nm_ms_t until_ms)
 {
     return until_ms +
            (nm_ms_t)((double)lease_ms * NM_SCHED_CLOCK_SLOW_FACTOR) +
@@ -55,10 +56,10 @@
 former_lapse_ms(const nm_sched_t *sched, const nm_sched_node_t *node,
                 nm_ms_t until_ms)
 {
-    return lapse_ms(may_be_by_former_clock(sched, node)
-                        ? NM_SCHED_LEASE_LIMIT_MS
-                        : sched->desc.former_lease_max_ms,
-                    until_ms);
+    return lease_end_ms(may_be_by_former_clock(sched, node)
+                            ? NM_SCHED_LEASE_LIMIT_MS
+                            : sched->desc.former_lease_max_ms,
+                        until_ms);
 }
 
 bool
@@ -85,7 +86,7 @@
     node->restarted = true;
     /* Orders of this owner with an expiry, with or without a task there. */
     if (node->clock_known || node->tasks->len > 0) {
-        node->lease_lapse_ms = lapse_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms);
+        node->lease_lapse_ms = lease_end_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms);
     }
     if (node->inherited) {
         nm_lease_extend_by_former_owners(sched, node);
@@ -95,8 +96,8 @@
 void
 nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    node->lease_lapse_ms =
-        MAX(node->lease_lapse_ms, lapse_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms));
+    node->lease_lapse_ms = MAX(node->lease_lapse_ms,
+                               lease_end_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms));
 }
 
 void
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -291,9 +291,11 @@
     case NM_ORDER_LATER_INCARNATION:
         nm_sched_add_run_event(sched, NM_SCHED_EVENT_START_MISDIRECTED, task,
                                action->incarnation);
-        /* The incarnation before ended without it. */
-        task->begun_ms = 0;
-        nm_crashes_clear_silence(sched, task, node);
+        if (task->tries == 1) {
+            /* The incarnation before has not begun it, nor crashed by it. */
+            task->begun_ms = 0;
+            nm_crashes_clear_silence(sched, task, node);
+        }
         nm_sched_withdraw_start(sched, task, now_ms);
         break;
     case NM_ORDER_EXPIRED:
