Log starts that get no response, and those that are sent again

Cause: the record of the incident cannot show whether a second run of a task was a late start, and of which of two calls. Change: start-unanswered and start-resent with task, run, try, worker and incarnation. No change of decisions.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -74,6 +74,8 @@
     X(OWNER_CALLS, "owner-calls")                                             \
     X(WORKER_LAPSED, "worker-lapsed")                                         \
     X(START_MISDIRECTED, "start-misdirected")                                 \
+    X(START_UNANSWERED, "start-unanswered")                                   \
+    X(START_RESENT, "start-resent")                                           \
     X(FORMER_LEASE_LAPSED, "former-lease-lapsed")                             \
     X(LATE_END, "late-end")                                                   \
     X(ORPHAN_RUN, "orphan-run")                                               \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -534,6 +534,13 @@
      * been heard of otherwise.  Value: the incarnation that it was sent to.
      */
     NM_SCHED_EVENT_START_MISDIRECTED,
+    /*
+     * A start got no response: it may be carried out later.  Value: how often
+     * the start of the run has been sent; 0: the task has another run.
+     */
+    NM_SCHED_EVENT_START_UNANSWERED,
+    /* A start is sent again.  Value: as before, this time included. */
+    NM_SCHED_EVENT_START_RESENT,
     NM_SCHED_EVENT_EVENTS_DROPPED, /* value: number of events */
 } nm_sched_event_type_t;
 
@@ -543,6 +550,7 @@
     int64_t value;
     char task[NM_TASK_NAME_MAX]; /* "" for workers and calls */
     int64_t run;
+    int64_t incarnation; /* of the worker, that a start was sent to; 0: none */
     nm_crash_evidence_t evidence; /* of RUN_LOST and CRASH_RESOLVED */
 } nm_sched_event_t;
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -136,6 +136,9 @@
                                             "starting_max"},
         [NM_SCHED_EVENT_START_MISDIRECTED] = {NM_LOG_ITEM_START_MISDIRECTED,
                                               "incarnation"},
+        [NM_SCHED_EVENT_START_UNANSWERED] = {NM_LOG_ITEM_START_UNANSWERED,
+                                             "tries"},
+        [NM_SCHED_EVENT_START_RESENT] = {NM_LOG_ITEM_START_RESENT, "tries"},
         [NM_SCHED_EVENT_EVENTS_DROPPED] = {NM_LOG_ITEM_BELIEFS_DROPPED,
                                            "changes"},
     };
@@ -143,8 +146,9 @@
     while (nm_sched_next_event(entry->sched, &event)) {
         if (event.task[0] != '\0') {
             nm_log(NM_LOG_INFO, event_logs[event.type].item,
-                   "{s:s,s:I,s:s,s:I,s:s,s:I}", "task", event.task, "run",
+                   "{s:s,s:I,s:s,s:I,s:I,s:s,s:I}", "task", event.task, "run",
                    (json_int_t)event.run, "worker", event.worker,
+                   "worker_incarnation", (json_int_t)event.incarnation,
                    event_logs[event.type].value_key, (json_int_t)event.value,
                    "evidence", nm_crash_evidence_name(event.evidence), "epoch",
                    (json_int_t)entry->owned_epoch);
--- a/src/sched_events.c
+++ b/src/sched_events.c
@@ -64,6 +64,21 @@
     append_event(sched, &event);
 }
 
+void
+nm_sched_add_start_event(nm_sched_t *sched, nm_sched_event_type_t type,
+                         const nm_sched_action_t *start)
+{
+    const nm_task_t *task = nm_sched_find_task(sched, start->task);
+    bool is_current = task && task->run == start->run;
+    nm_sched_event_t event = {.type = type,
+                              .value = is_current ? task->tries : 0,
+                              .run = start->run,
+                              .incarnation = start->incarnation};
+    nm_strcopy(event.worker, sizeof(event.worker), start->worker);
+    nm_strcopy(event.task, sizeof(event.task), start->task);
+    append_event(sched, &event);
+}
+
 bool
 nm_sched_next_event(nm_sched_t *sched, nm_sched_event_t *event)
 {
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -244,6 +244,10 @@
         nm_timer_set_now(sched, addressed);
         addressed->starts_in_flight -= addressed->starts_in_flight > 0;
     }
+    if (result == NM_ORDER_UNKNOWN) {
+        nm_sched_add_start_event(sched, NM_SCHED_EVENT_START_UNANSWERED,
+                                 action);
+    }
     if (addressed && result == NM_ORDER_UNKNOWN) {
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
     }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -705,6 +705,9 @@
 /* sched_events.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
                         const char *worker, int64_t value);
+/* Adds an event of a start that was sent. */
+void nm_sched_add_start_event(nm_sched_t *sched, nm_sched_event_type_t type,
+                              const nm_sched_action_t *start);
 /* Adds an event of a task's current run. */
 void nm_sched_add_run_event(nm_sched_t *sched, nm_sched_event_type_t type,
                             const nm_task_t *task, int64_t value);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -554,6 +554,9 @@
     task->sent_ms = now_ms;
     task->order_pending = true;
     task->tries++;
+    if (task->tries > 1) {
+        nm_sched_add_start_event(sched, NM_SCHED_EVENT_START_RESENT, action);
+    }
 }
 
 void
