A task starts again only once no call of its start can arrive

Callers saw a task run twice: a start without a response was sent again after 20 ms, the second call began the run, it ended, the worker restarted under its id, and the next incarnation carried out the first call. A stop that an incarnation had confirmed, and a lapsed lease, were taken for the end of the call as well. Change: a start is sent once, and its task waits until a report shows the run or the call can no longer arrive (14 s). Steps that may run twice and long-running tasks, which their worker refuses a second time for as long as they run, are sent again as before. A report that lists the run, or its end, closes the call at once.

--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -12,6 +12,11 @@
  * may still arrive, and then refuses it.  A run that a worker lists and that
  * is not the one of its task there gets a stop as well.
  *
+ * A stop holds for the incarnation that has confirmed it, and a lapsed lease
+ * says nothing of calls: the task starts again only once its call can not be
+ * carried out any more.  Therefore the start of a run is sent once, unless
+ * nm_step_may_resend(): what a report shows was begun by that call.
+ *
  * Until a report shows that an orphan has ended, it counts on its worker: for
  * the limit per worker, CPU, memory and accelerators, and beside serving
  * tasks.  Its task starts nowhere else.  If the worker is not heard of any
@@ -45,12 +50,16 @@
     int64_t run;
     orphan_state_t state;
     nm_ms_t answer_lost_ms; /* of its start; 0: of an unexpected run */
+    uint32_t unanswered;    /* calls that may still be carried out */
+    int64_t incarnation;    /* newest one known to have begun the run, or that
+                               the start was sent to */
     /* Number of its node's newest report that listed it; 0: none. */
     uint64_t listed_in_report;
     nm_ms_t listed_ms;
     nm_ms_t stopped_ms;  /* when the stop was confirmed */
     nm_ms_t stop_due_ms; /* next stop */
     bool stop_pending;
+    bool is_open;    /* counted in the open starts of its task */
     bool is_known;   /* its job is known, and what it requests */
     bool takes_room; /* load is counted on its worker */
     nm_load_t load;
@@ -119,6 +128,26 @@
     }
 }
 
+/* Counts an unanswered start as one that may be carried out, or no longer. */
+static void
+set_open(nm_sched_t *sched, orphan_t *orphan, bool open)
+{
+    nm_task_t *task = nm_sched_find_task(sched, orphan->task);
+    if (open == orphan->is_open || !task ||
+        (open && nm_task_step(task)->copies_allowed))
+    {
+        return;
+    }
+    orphan->is_open = open;
+    if (open) {
+        task->open_starts++;
+    }
+    else if (task->open_starts > 0) { /* 0: its job was removed since */
+        task->open_starts--;
+        sched->needs_placement = true;
+    }
+}
+
 static orphan_t *
 find_orphan(const nm_sched_node_t *node, const char *task, int64_t run)
 {
@@ -181,6 +210,9 @@
     orphan_t *orphan = find_or_add_orphan(node, action->task, action->run);
     resolve_task(sched, node, orphan);
     orphan->answer_lost_ms = now_ms;
+    orphan->unanswered++;
+    orphan->incarnation = action->incarnation;
+    set_open(sched, orphan, true);
     /* The start may time out after a newer incarnation was noticed. */
     if (action->incarnation != node->desc.incarnation) {
         set_state(sched, node, orphan, ORPHAN_MAY_RUN);
@@ -254,6 +286,7 @@
 nm_orphans_clear(nm_sched_t *sched, nm_sched_node_t *node)
 {
     for (guint i = 0; i < count_orphans(node); i++) {
+        set_open(sched, orphan_at(node, i), false);
         set_state(sched, node, orphan_at(node, i), ORPHAN_REFUSED);
     }
     nm_orphans_free(node);
@@ -262,10 +295,41 @@
 static void
 remove_orphan(nm_sched_t *sched, nm_sched_node_t *node, guint i)
 {
+    set_open(sched, orphan_at(node, i), false);
     set_state(sched, node, orphan_at(node, i), ORPHAN_REFUSED);
     g_array_remove_index_fast(node->orphans, i);
 }
 
+void
+nm_orphans_close_start(nm_sched_t *sched, nm_sched_node_t *node,
+                       const char *name, int64_t run, bool ended,
+                       nm_ms_t now_ms)
+{
+    orphan_t *orphan = find_orphan(node, name, run);
+    const nm_task_t *task = nm_sched_find_task(sched, name);
+    if (!orphan || orphan->answer_lost_ms == 0 || !task) {
+        return;
+    }
+    /* Here it may have been begun by a call that was answered. */
+    bool resent = nm_step_may_resend(nm_task_step(task));
+    if (resent && orphan->incarnation == node->desc.incarnation) {
+        return;
+    }
+    orphan->incarnation = node->desc.incarnation;
+    if (--orphan->unanswered > 0) {
+        return;
+    }
+    if (ended || orphan->state == ORPHAN_REFUSED) {
+        remove_orphan(
+            sched, node,
+            (guint)(orphan - &g_array_index(node->orphans, orphan_t, 0)));
+        return;
+    }
+    orphan->answer_lost_ms = 0;
+    orphan->listed_ms = now_ms;
+    set_open(sched, orphan, false);
+}
+
 void
 nm_orphans_on_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                           nm_ms_t now_ms)
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -234,6 +234,35 @@
     node->retry_due_ms = MIN(node->retry_due_ms, task->order_due_ms);
 }
 
+/* True if a report has shown the run of a start that was sent once. */
+static bool
+is_shown(const nm_task_t *task, const nm_sched_action_t *start)
+{
+    return task && task->run == start->run && task->node &&
+           strcmp(task->node->desc.id, start->worker) == 0 &&
+           task->state == NM_RUN_RUNNING &&
+           !nm_step_may_resend(nm_task_step(task));
+}
+
+/*
+ * A start got no response.  Unless it may be sent again, the next report shows
+ * whether the run has begun.
+ */
+static void
+await_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    nm_sched_node_t *node = task->node;
+    if (nm_step_may_resend(nm_task_step(task))) {
+        schedule_retry(sched, task, now_ms);
+        return;
+    }
+    task->sent_ms = now_ms;
+    task->order_due_ms = NM_MS_NEVER;
+    if (!node->poll_pending) {
+        node->poll_due_ms = MIN(node->poll_due_ms, now_ms);
+    }
+}
+
 void
 nm_sched_on_start(nm_sched_t *sched, const nm_sched_action_t *action,
                   nm_order_result_t result, nm_ms_t now_ms)
@@ -249,7 +278,9 @@
                                  action);
     }
     if (addressed && result == NM_ORDER_UNKNOWN) {
-        nm_orphans_add_unanswered(sched, addressed, action, now_ms);
+        if (!is_shown(nm_sched_find_task(sched, action->task), action)) {
+            nm_orphans_add_unanswered(sched, addressed, action, now_ms);
+        }
     }
     else if (addressed && result != NM_ORDER_NOT_SENT &&
              (action->incarnation != addressed->desc.incarnation ||
@@ -308,6 +339,9 @@
     case NM_ORDER_INVALID:
         nm_sched_withdraw_start(sched, task, now_ms);
         break;
+    case NM_ORDER_UNKNOWN:
+        await_start(sched, task, now_ms);
+        break;
     default:
         schedule_retry(sched, task, now_ms);
         break;
@@ -403,6 +437,7 @@
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
+    nm_orphans_close_start(sched, node, row->task, row->run, false, now_ms);
     if (task && task->state == NM_RUN_UNKNOWN) {
         adopt_run(sched, task, node, row, now_ms);
     }
@@ -484,6 +519,7 @@
     node->ends_processed = row->number;
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
+    nm_orphans_close_start(sched, node, row->task, row->run, true, now_ms);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
     bool late = task && !current && is_late_end(task, row);
@@ -527,20 +563,26 @@
 
 /*
  * Requeues tasks that a complete report does not list, if their last order was
- * confirmed before the poll was sent: they do not run any more.
+ * confirmed before the poll was sent: they do not run any more.  A start that
+ * was unanswered before is withdrawn.
  */
 static void
 requeue_unlisted(nm_sched_t *sched, nm_sched_node_t *node,
-                 const nm_worker_report_t *report)
+                 const nm_worker_report_t *report, nm_ms_t now_ms)
 {
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
-        if (task->order_pending || task->tries > 0 ||
-            task->state == NM_RUN_STARTING || task->sent_ms >= report->sent_ms)
+        if (task->order_pending || task->sent_ms >= report->sent_ms ||
+            task->listed_in_report == node->reports)
         {
             continue;
         }
-        if (task->listed_in_report != node->reports) {
+        if (task->state == NM_RUN_STARTING) {
+            if (!nm_step_may_resend(nm_task_step(task))) {
+                nm_sched_withdraw_start(sched, task, now_ms);
+            }
+        }
+        else if (task->tries == 0) {
             nm_task_requeue(sched, task);
         }
     }
@@ -598,7 +640,7 @@
         apply_running(sched, node, &report->running[i], now_ms);
     }
     if (report->complete) {
-        requeue_unlisted(sched, node, report);
+        requeue_unlisted(sched, node, report, now_ms);
     }
     nm_orphans_on_report(sched, node, report);
     nm_sched_record_tails(sched, node, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -174,6 +174,8 @@
     uint64_t intent_seq; /* change of the job that stores it */
     /* Runs of it that may be at work besides its current one. */
     uint32_t orphans;
+    /* Starts of it without a response that may still be carried out. */
+    uint32_t open_starts;
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -603,6 +605,13 @@
 /* Records a run in the newest report that is not the one of its task there. */
 void nm_orphans_add_listed(nm_sched_t *sched, nm_sched_node_t *node,
                            const nm_worker_run_t *row, nm_ms_t now_ms);
+/*
+ * A report shows that a run has begun, and whether it has ended: one call of
+ * its start cannot be carried out any more.
+ */
+void nm_orphans_close_start(nm_sched_t *sched, nm_sched_node_t *node,
+                            const char *task, int64_t run, bool ended,
+                            nm_ms_t now_ms);
 /* Schedules a stop of each unanswered start for a new incarnation. */
 void nm_orphans_on_incarnation(nm_sched_t *sched, nm_sched_node_t *node,
                                nm_ms_t now_ms);
@@ -666,7 +675,8 @@
 nm_task_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                   nm_ms_t now_ms)
 {
-    return task->orphans > 0 || nm_crashes_must_wait(sched, task, now_ms);
+    return task->orphans > 0 || task->open_starts > 0 ||
+           nm_crashes_must_wait(sched, task, now_ms);
 }
 /* Returns the worker of the task's stored intent, or NULL. */
 nm_sched_node_t *nm_crashes_intended_node(const nm_sched_t *sched,
@@ -796,6 +806,18 @@
 nm_ms_t nm_lease_age_at_takeover_ms(const nm_sched_t *sched,
                                     const nm_sched_node_t *node);
 
+/*
+ * True if an unanswered start of a step's task may be sent again while the
+ * first call may still be carried out: a second run is allowed, or the task
+ * does not end by itself, so that its worker refuses the other call for as
+ * long as it has the run.
+ */
+static inline bool
+nm_step_may_resend(const nm_step_t *step)
+{
+    return step->copies_allowed || step->long_running;
+}
+
 /* sched_response.c */
 /* Sends a stop for a start that may or may not have been carried out. */
 void nm_sched_withdraw_start(nm_sched_t *sched, nm_task_t *task,
