Tell a restarted worker's age by its heartbeats as well as by wall clocks

Callers saw a task run twice after an election on hosts whose clocks had been set: a next owner takes a worker that is older than 12 s by wall clocks for one without a lease by a former clock, and counts 7 s instead of 10 s. Change: the entry's count of heartbeats times their interval is the age, too; the lesser one counts. announce_interval_ms in the settings (default 1.5 s). former-lease-lapsed logs the age that counts. Test: three cases of /sched/next-owner-waits-for-a-lease-by-a-former-clock; without the line that takes the lesser age, 7.4 s instead of 10.2 s.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -129,6 +129,7 @@
         .cpu_share = settings->cpu_share,
         .grace_ms = settings->grace_ms,
         .config_apply_ms = settings->config_apply_ms,
+        .announce_interval_ms = settings->announce_interval_ms,
         .clock = &clock,
         .kv = kv,
         .orders = limited_orders,
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -45,6 +45,7 @@
     nm_ms_t lease_ms; /* lease of runs on a worker; 0: 7000 */
     /* Longest lease of any earlier owner; 0: 7000; 1: no earlier owner. */
     nm_ms_t former_lease_max_ms;
+    nm_ms_t announce_interval_ms; /* of workers, usual one; 0: 1500 */
     uint64_t seed;
     nm_ms_t retain_ms; /* how long ended jobs are kept; 0: 150000 */
 } nm_sched_desc_t;
@@ -71,6 +72,7 @@
 typedef struct {
     /* Rises with each restart, unless the worker's time of day is set back. */
     int64_t incarnation;
+    int64_t announcements; /* of this incarnation until now; 0: not known */
     int64_t cpu_milli;
     int64_t memory_mb;
     int32_t accelerators;
@@ -511,7 +513,8 @@
      * Leases that former owners gave a silent worker count as lapsed, so that
      * tasks of recovered jobs no longer wait for it.  Value: age of its
      * incarnation at the end of the former terms, in ms, by its own wall
-     * clock; negative if it began later.
+     * clock or the number of its announcements, whichever is less; negative
+     * if it began later.
      */
     NM_SCHED_EVENT_FORMER_LEASE_LAPSED,
     /*
--- a/src/entry.h
+++ b/src/entry.h
@@ -36,6 +36,7 @@
      * host serves by it; 0: 3 s.
      */
     nm_ms_t config_apply_ms;
+    nm_ms_t announce_interval_ms; /* of workers; 0: 1.5 s */
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -132,6 +132,10 @@
         settings->config_apply_ms = (nm_ms_t)get_number(
             document, "config_apply_ms", CONFIG_APPLY_MIN_MS, 3600000, faults);
     }
+    if (json_object_get(document, "announce_interval_ms")) {
+        settings->announce_interval_ms = (nm_ms_t)get_number(
+            document, "announce_interval_ms", 1, 3600000, faults);
+    }
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -429,6 +429,8 @@
         &(nm_sched_desc_t){.epoch = epoch,
                            /* Before epoch 1 no owner has given leases. */
                            .former_lease_max_ms = epoch > 1 ? 0 : 1,
+                           .announce_interval_ms =
+                               entry->desc.announce_interval_ms,
                            .seed = nm_rng_next(&entry->rng)},
         nm_entry_now(entry));
     entry->logged_capacity = (nm_sched_capacity_t){0};
--- a/src/sched.c
+++ b/src/sched.c
@@ -13,6 +13,7 @@
 #define DEFAULT_LEASE_MS 7000
 /* Every owner so far has used the default lease. */
 #define DEFAULT_FORMER_LEASE_MAX_MS DEFAULT_LEASE_MS
+#define DEFAULT_ANNOUNCE_INTERVAL_MS 1500
 #define DEFAULT_RETAIN_MS 150000
 /* Time between decision rounds when nothing happens. */
 #define IDLE_INTERVAL_MS 100
@@ -127,6 +128,9 @@
     sched->desc = *desc;
     nm_sched_desc_t *d = &sched->desc;
     d->lease_ms = d->lease_ms ? d->lease_ms : DEFAULT_LEASE_MS;
+    d->announce_interval_ms = d->announce_interval_ms
+                                  ? d->announce_interval_ms
+                                  : DEFAULT_ANNOUNCE_INTERVAL_MS;
     d->former_lease_max_ms = d->former_lease_max_ms
                                  ? d->former_lease_max_ms
                                  : DEFAULT_FORMER_LEASE_MAX_MS;
--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -9,7 +9,8 @@
  * incarnation.  An order by the clock of a former incarnation may reach the
  * next one, which nothing in a call tells apart, and gives it the longest
  * lease that workers allow.  An owner knows which restarts it has noticed; the
- * next owner takes it from the age of an incarnation.
+ * next owner takes it from the age of an incarnation, by the wall clocks and
+ * by how often it has announced itself.
  */
 #include "sched_state.h"
 
@@ -22,6 +23,8 @@
  * clocks may differ.
  */
 #define RESTART_RECENT_MS 12000
+/* More announcements say nothing more of an incarnation's age. */
+#define ANNOUNCEMENTS_MAX 10000
 
 nm_ms_t
 nm_lease_age_at_takeover_ms(const nm_sched_t *sched,
@@ -30,7 +33,16 @@
     /* An end that is not proved yet is assumed at a later time. */
     nm_ms_t takeover_ms = MIN(sched->former_owner_until_ms, sched->now_ms);
     int64_t takeover_unix_ms = sched->unix_ms - (sched->now_ms - takeover_ms);
-    return takeover_unix_ms - node->desc.incarnation;
+    nm_ms_t age_ms = takeover_unix_ms - node->desc.incarnation;
+    if (node->desc.announcements > 0) {
+        /* Either clock may have been set. */
+        nm_ms_t announced_age_ms =
+            (MIN(node->desc.announcements, ANNOUNCEMENTS_MAX) - 1) *
+                sched->desc.announce_interval_ms -
+            (node->announced_ms - takeover_ms);
+        age_ms = MIN(age_ms, announced_age_ms);
+    }
+    return age_ms;
 }
 
 /* True if a worker may hold a lease by the clock of a former incarnation. */
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -248,6 +248,7 @@
     }
     node->desc = *desc;
     node->announced_incarnation = desc->incarnation;
+    node->announced_ms = now_ms;
     join_address(sched, node);
     node->service = g_intern_string(desc->service);
     if (!node->described) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -354,6 +354,7 @@
      * kind, so that the rest of desc does not hold for it.
      */
     int64_t announced_incarnation;
+    nm_ms_t announced_ms;         /* newest announcement */
     nm_sched_worker_t *held_desc; /* announced, but born earlier; or NULL */
     uint64_t reports;             /* number of reports applied */
     uint32_t poll_failures;       /* unanswered polls in a row */
@@ -800,8 +801,9 @@
 void nm_lease_limit(const nm_sched_t *sched, nm_sched_node_t *node,
                     nm_ms_t until_ms);
 /*
- * Age of a worker's incarnation, by its own wall clock, at the end of the
- * former terms; negative if it began later.
+ * Age of a worker's incarnation at the end of the former terms, by its own
+ * wall clock or its announcements, whichever is less; negative if it began
+ * later.
  */
 nm_ms_t nm_lease_age_at_takeover_ms(const nm_sched_t *sched,
                                     const nm_sched_node_t *node);
--- a/tests/fakes/lib_sched_sim.c
+++ b/tests/fakes/lib_sched_sim.c
@@ -53,17 +53,12 @@
     nm_sched_free(sim->sched);
 }
 
-void
-sched_sim_announce(sched_sim_t *sim, const char *id, int64_t incarnation)
-{
-    sched_sim_announce_at(sim, id, incarnation, id);
-}
-
-void
-sched_sim_announce_at(sched_sim_t *sim, const char *id, int64_t incarnation,
-                      const char *machine)
+static void
+announce(sched_sim_t *sim, const char *id, int64_t incarnation,
+         const char *machine, int64_t announcements)
 {
     nm_sched_worker_t worker = {.incarnation = incarnation,
+                                .announcements = announcements,
                                 .cpu_milli = CPU_MILLI,
                                 .memory_mb = MEMORY_MB};
     nm_strcopy(worker.id, sizeof(worker.id), id);
@@ -73,6 +68,25 @@
     nm_sched_admit_worker(sim->sched, id);
 }
 
+void
+sched_sim_announce(sched_sim_t *sim, const char *id, int64_t incarnation)
+{
+    sched_sim_announce_at(sim, id, incarnation, id);
+}
+
+void
+sched_sim_announce_again(sched_sim_t *sim, const char *id, int64_t incarnation,
+                         int64_t announcements)
+{
+    announce(sim, id, incarnation, id, announcements);
+}
+
+void
+sched_sim_announce_at(sched_sim_t *sim, const char *id, int64_t incarnation,
+                      const char *machine)
+{
+    announce(sim, id, incarnation, machine, 0);
+}
 void
 sched_sim_report(sched_sim_t *sim, const char *id, int64_t incarnation,
                  const nm_worker_run_t *running, uint32_t running_count,
--- a/tests/fakes/lib_sched_sim.h
+++ b/tests/fakes/lib_sched_sim.h
@@ -38,6 +38,10 @@
 void sched_sim_finish(sched_sim_t *sim);
 /* Announces and admits a worker; it has not reported yet. */
 void sched_sim_announce(sched_sim_t *sim, const char *id, int64_t incarnation);
+/* The same, with the number of announcements until now; otherwise not known.
+ */
+void sched_sim_announce_again(sched_sim_t *sim, const char *id,
+                              int64_t incarnation, int64_t announcements);
 /* The same at the address of a machine; otherwise it has the worker's id. */
 void sched_sim_announce_at(sched_sim_t *sim, const char *id,
                            int64_t incarnation, const char *machine);
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -56,22 +56,29 @@
 {
     static const struct {
         const char *name;
-        nm_ms_t age_ms;      /* of its life as the former term ends */
-        nm_ms_t restarts_ms; /* announced so much later; 0: it does not */
-        bool roster;         /* the former owner has used it */
+        nm_ms_t age_ms;        /* of its life as the former term ends */
+        int64_t announcements; /* until then; 0: not known */
+        nm_ms_t restarts_ms;   /* announced so much later; 0: it does not */
+        bool roster;           /* the former owner has used it */
         nm_ms_t start_ms_min;
         nm_ms_t start_ms_max;
     } cases[] = {
-        {"restarted before", 2000, 0, true, LEASE_LIMIT_SLOW_MS,
+        {"restarted before", 2000, 0, 0, true, LEASE_LIMIT_SLOW_MS,
          LEASE_LIMIT_SLOW_MS + MARGIN_MS},
-        {"clock ahead", -3000, 0, true, LEASE_LIMIT_SLOW_MS,
+        {"clock ahead", -3000, 0, 0, true, LEASE_LIMIT_SLOW_MS,
          LEASE_LIMIT_SLOW_MS + MARGIN_MS},
-        {"restarts after the election", 600000, 500, true, LEASE_LIMIT_SLOW_MS,
-         LEASE_LIMIT_SLOW_MS + MARGIN_MS},
-        {"restarts as its lease lapses", 600000, 6500, true,
+        {"restarts after the election", 600000, 0, 500, true,
+         LEASE_LIMIT_SLOW_MS, LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"restarts as its lease lapses", 600000, 0, 6500, true,
+         LEASE_LIMIT_SLOW_MS, LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"lives on", 600000, 0, 0, true, LEASE_MS, LEASE_MS + MARGIN_MS},
+        {"restarted before, clock behind", 600000, 2, 0, true,
          LEASE_LIMIT_SLOW_MS, LEASE_LIMIT_SLOW_MS + MARGIN_MS},
-        {"lives on", 600000, 0, true, LEASE_MS, LEASE_MS + MARGIN_MS},
-        {"was not in the roster", 2000, 0, false, LEASE_LIMIT_SLOW_MS,
+        {"restarted long ago, clock ahead", 2000, 100, 0, true,
+         LEASE_LIMIT_SLOW_MS, LEASE_LIMIT_SLOW_MS + MARGIN_MS},
+        {"lives on, many announcements", 600000, INT64_C(1) << 53, 0, true,
+         LEASE_MS, LEASE_MS + MARGIN_MS},
+        {"was not in the roster", 2000, 0, 0, false, LEASE_LIMIT_SLOW_MS,
          LEASE_LIMIT_SLOW_MS + MARGIN_MS},
     };
     for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
@@ -84,7 +91,7 @@
             nm_sched_expect_worker(sim.sched, "a", sim.now_ms);
         }
         int64_t born_ms = unix_ms(&sim) - cases[c].age_ms;
-        sched_sim_announce(&sim, "a", born_ms);
+        sched_sim_announce_again(&sim, "a", born_ms, cases[c].announcements);
         sched_sim_announce(&sim, "b", 1);
         sched_sim_add_job(&sim, JOB, false, 1, 1000, true);
         nm_ms_t until_ms = sim.now_ms;
