Wait for a report after the last moment of a late start, or for its lease

And a run that a later incarnation listed closed the call of a start that had been sent twice, although the answered one may have begun it there. Change: an open start of a worker that has restarted since ends with a report sent after its last moment, or once a lease from then has lapsed; the worker is polled for it. Starts that may be sent twice are not closed by a listed run. The task of a long-running start waits for the last moment of the first call; the one of a worker that is silent again for its lease.

--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -50,9 +50,6 @@
     int64_t run;
     orphan_state_t state;
     nm_ms_t answer_lost_ms; /* of its start; 0: of an unexpected run */
-    uint32_t unanswered;    /* calls that may still be carried out */
-    int64_t incarnation;    /* newest one known to have begun the run, or that
-                               the start was sent to */
     /* Number of its node's newest report that listed it; 0: none. */
     uint64_t listed_in_report;
     nm_ms_t listed_ms;
@@ -60,6 +57,7 @@
     nm_ms_t stop_due_ms; /* next stop */
     bool stop_pending;
     bool is_open;    /* counted in the open starts of its task */
+    bool restarted;  /* its worker has, since the start was sent */
     bool is_known;   /* its job is known, and what it requests */
     bool takes_room; /* load is counted on its worker */
     nm_load_t load;
@@ -210,11 +208,10 @@
     orphan_t *orphan = find_or_add_orphan(node, action->task, action->run);
     resolve_task(sched, node, orphan);
     orphan->answer_lost_ms = now_ms;
-    orphan->unanswered++;
-    orphan->incarnation = action->incarnation;
     set_open(sched, orphan, true);
     /* The start may time out after a newer incarnation was noticed. */
     if (action->incarnation != node->desc.incarnation) {
+        orphan->restarted = true;
         set_state(sched, node, orphan, ORPHAN_MAY_RUN);
         extend_lease(node, orphan);
     }
@@ -249,11 +246,21 @@
     return find_orphan(node, task, run) != NULL;
 }
 
+/* When an unanswered start can no longer be carried out. */
+static nm_ms_t
+late_until_ms(const orphan_t *orphan)
+{
+    return orphan->answer_lost_ms + LATE_START_LIFETIME_MS;
+}
+
 bool
-nm_orphans_need_report(const nm_sched_node_t *node)
+nm_orphans_need_report(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
     for (guint i = 0; i < count_orphans(node); i++) {
-        if (orphan_at(node, i)->state != ORPHAN_REFUSED) {
+        const orphan_t *orphan = orphan_at(node, i);
+        if (orphan->state != ORPHAN_REFUSED ||
+            (orphan->is_open && now_ms > late_until_ms(orphan)))
+        {
             return true;
         }
     }
@@ -307,16 +314,9 @@
 {
     orphan_t *orphan = find_orphan(node, name, run);
     const nm_task_t *task = nm_sched_find_task(sched, name);
-    if (!orphan || orphan->answer_lost_ms == 0 || !task) {
-        return;
-    }
-    /* Here it may have been begun by a call that was answered. */
-    bool resent = nm_step_may_resend(nm_task_step(task));
-    if (resent && orphan->incarnation == node->desc.incarnation) {
-        return;
-    }
-    orphan->incarnation = node->desc.incarnation;
-    if (--orphan->unanswered > 0) {
+    if (!orphan || orphan->answer_lost_ms == 0 || !task ||
+        nm_step_may_resend(nm_task_step(task)))
+    {
         return;
     }
     if (ended || orphan->state == ORPHAN_REFUSED) {
@@ -340,6 +340,7 @@
             remove_orphan(sched, node, i - 1);
             continue;
         }
+        orphan->restarted = true;
         set_state(sched, node, orphan, ORPHAN_MAY_RUN);
         extend_lease(node, orphan);
         orphan->listed_in_report = 0;
@@ -393,13 +394,16 @@
         bool stopped_before = orphan->state == ORPHAN_STOPPING &&
                               orphan->stopped_ms < report->sent_ms;
         /* A start that is not there by then does not come any more. */
-        bool too_late =
-            orphan->answer_lost_ms > 0 &&
-            report->sent_ms > orphan->answer_lost_ms + LATE_START_LIFETIME_MS;
-        if (report->complete && orphan->state != ORPHAN_REFUSED &&
-            orphan->listed_in_report != node->reports &&
-            (was_listed || stopped_before || too_late))
-        {
+        bool too_late = orphan->answer_lost_ms > 0 &&
+                        report->sent_ms > late_until_ms(orphan);
+        if (!report->complete || orphan->listed_in_report == node->reports) {
+            continue;
+        }
+        if (too_late) {
+            remove_orphan(sched, node, i - 1);
+        }
+        else if (orphan->state != ORPHAN_REFUSED &&
+                 (was_listed || stopped_before)) {
             end_orphan(sched, node, i - 1);
         }
     }
@@ -410,12 +414,13 @@
 has_expired(const nm_sched_node_t *node, const orphan_t *orphan,
             nm_ms_t now_ms)
 {
-    nm_ms_t late_until_ms = orphan->answer_lost_ms + LATE_START_LIFETIME_MS;
+    nm_ms_t begun_ms =
+        orphan->answer_lost_ms > 0 ? late_until_ms(orphan) : orphan->listed_ms;
     if (orphan->state == ORPHAN_REFUSED) {
-        return now_ms > late_until_ms;
+        /* A worker that restarts again and again may not be heard of. */
+        bool may_run = orphan->is_open && orphan->restarted;
+        return now_ms > begun_ms + (may_run ? LATE_START_LEASE_MS : 0);
     }
-    nm_ms_t begun_ms =
-        orphan->answer_lost_ms > 0 ? late_until_ms : orphan->listed_ms;
     return now_ms > MAX(begun_ms + LATE_START_LEASE_MS, node->lease_lapse_ms);
 }
 
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -76,7 +76,8 @@
     action->acked = node->poll_failures == 0 ? node->ends_acked : 0;
     node->ends_acked_sent = action->acked;
     bool no_wait = !node->epoch_confirmed || node->poll_failures > 0 ||
-                   node->tasks->len == 0 || nm_orphans_need_report(node);
+                   node->tasks->len == 0 ||
+                   nm_orphans_need_report(node, now_ms);
     /* A filler may start here while the poll waits. */
     bool fillers_start =
         now_ms - sched->filler_started_ms < NM_SCHED_POLL_WAIT_MS;
@@ -229,7 +230,7 @@
 static bool
 needs_poll(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    bool busy = node->tasks->len > 0 || nm_orphans_need_report(node);
+    bool busy = node->tasks->len > 0 || nm_orphans_need_report(node, now_ms);
     bool has_acks = node->ends_acked > node->ends_acked_sent;
     return (node->announced || busy) &&
            (!node->epoch_confirmed || busy || has_acks || !node->reachable ||
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -607,8 +607,8 @@
 void nm_orphans_add_listed(nm_sched_t *sched, nm_sched_node_t *node,
                            const nm_worker_run_t *row, nm_ms_t now_ms);
 /*
- * A report shows that a run has begun, and whether it has ended: one call of
- * its start cannot be carried out any more.
+ * A report shows that a run has begun, and whether it has ended.  If its start
+ * was sent once, that call cannot be carried out any more.
  */
 void nm_orphans_close_start(nm_sched_t *sched, nm_sched_node_t *node,
                             const char *task, int64_t run, bool ended,
@@ -630,8 +630,11 @@
 /* True if one of them is this run. */
 bool nm_orphans_contain(const nm_sched_node_t *node, const char *task,
                         int64_t run);
-/* True while one may be at work, so that the next report is needed soon. */
-bool nm_orphans_need_report(const nm_sched_node_t *node);
+/*
+ * True while one may be at work, or a task waits for the report that shows
+ * that it is not, so that the next report is needed soon.
+ */
+bool nm_orphans_need_report(const nm_sched_node_t *node, nm_ms_t now_ms);
 /* Number of a step's tasks that may be at work there as orphans. */
 uint32_t nm_orphans_count_step(const nm_sched_node_t *node,
                                const nm_occurrence_t *occurrence,
--- a/tests/test_sched_late_starts.c
+++ b/tests/test_sched_late_starts.c
@@ -92,6 +92,10 @@
     sched_sim_report(&sim, "a", 2, NULL, 0, NULL, 0);
     elsewhere = lose_polls(&sim, "a", sent_ms + LATE_START_MS - sim.now_ms);
     g_assert_cmpstr(elsewhere.worker, ==, "");
+    /* It is silent again, and may have restarted and begun it. */
+    elsewhere =
+        lose_polls(&sim, "a", (nm_ms_t)(LEASE_LIMIT_MS * CLOCK_SLOW_FACTOR));
+    g_assert_cmpstr(elsewhere.worker, ==, "");
     elsewhere = lose_polls(&sim, "a", WAIT_MARGIN_MS);
     g_assert_cmpstr(elsewhere.worker, ==, "b");
     sched_sim_finish(&sim);
