Count the lease that a late poll may give the next incarnation

A poll that a crash left unanswered may be carried out by the next incarnation up to 14 s later, and gives it the longest lease by the clock of the former one. Change: the owner remembers when a poll with an expiry got no response, and counts from its last moment if the worker restarts. Only workers that have restarted under their id, and are then silent, wait longer.

--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -91,6 +91,19 @@
     }
 }
 
+/* Of a worker that has restarted: its next incarnation may take the expiry. */
+static void
+extend_by_unanswered_poll(nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    nm_ms_t late_end_ms = nm_late_order_end_ms(node->expiry_lost_ms);
+    if (node->expiry_lost_ms == 0 || now_ms >= late_end_ms) {
+        node->expiry_lost_ms = 0;
+        return;
+    }
+    node->lease_lapse_ms =
+        MAX(node->lease_lapse_ms, nm_longest_lease_end_ms(late_end_ms));
+}
+
 void
 nm_lease_on_restart(const nm_sched_t *sched, nm_sched_node_t *node,
                     nm_ms_t now_ms)
@@ -98,8 +111,9 @@
     node->restarted = true;
     /* Orders of this owner with an expiry, with or without a task there. */
     if (node->clock_known || node->tasks->len > 0) {
-        node->lease_lapse_ms = lease_end_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms);
+        node->lease_lapse_ms = nm_longest_lease_end_ms(now_ms);
     }
+    extend_by_unanswered_poll(node, now_ms);
     if (node->inherited) {
         nm_lease_extend_by_former_owners(sched, node);
     }
@@ -108,8 +122,19 @@
 void
 nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    node->lease_lapse_ms = MAX(node->lease_lapse_ms,
-                               lease_end_ms(NM_SCHED_LEASE_LIMIT_MS, now_ms));
+    node->lease_lapse_ms =
+        MAX(node->lease_lapse_ms, nm_longest_lease_end_ms(now_ms));
+}
+
+void
+nm_lease_on_unanswered_poll(nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    if (node->poll_has_expiry) {
+        node->expiry_lost_ms = now_ms;
+        if (node->poll_incarnation != node->desc.incarnation) {
+            extend_by_unanswered_poll(node, now_ms);
+        }
+    }
 }
 
 void
@@ -184,5 +209,5 @@
 nm_lease_is_former(const nm_sched_node_t *node)
 {
     return !node->epoch_confirmed && node->tasks->len == 0 &&
-           !nm_orphans_any(node);
+           !nm_orphans_any(node) && node->expiry_lost_ms == 0;
 }
--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -27,15 +27,6 @@
 
 #include <string.h>
 
-/* The platform carries out orders up to 12 s late; 2 s for transmission. */
-#define LATE_START_LIFETIME_MS 14000
-/*
- * A late start has an expiry by the clock of the former incarnation, which may
- * give the worker the longest lease that workers allow.
- */
-#define LATE_START_LEASE_MS                                                   \
-    ((nm_ms_t)(NM_SCHED_LEASE_LIMIT_MS * NM_SCHED_CLOCK_SLOW_FACTOR) +        \
-     NM_SCHED_LAPSE_MARGIN_MS)
 /* A run that is listed for this long after its stop is stopped again. */
 #define STOP_REPEAT_MS 1000
 
@@ -189,6 +180,13 @@
     orphan->step = task->step;
 }
 
+/* When an unanswered start can no longer be carried out. */
+static nm_ms_t
+late_until_ms(const orphan_t *orphan)
+{
+    return nm_late_order_end_ms(orphan->answer_lost_ms);
+}
+
 /*
  * The next incarnation may carry it out, or refuse it as old: either way it
  * takes the expiry of the order.
@@ -196,9 +194,8 @@
 static void
 extend_lease(nm_sched_node_t *node, const orphan_t *orphan)
 {
-    node->lease_lapse_ms = MAX(
-        node->lease_lapse_ms,
-        orphan->answer_lost_ms + LATE_START_LIFETIME_MS + LATE_START_LEASE_MS);
+    node->lease_lapse_ms = MAX(node->lease_lapse_ms,
+                               nm_longest_lease_end_ms(late_until_ms(orphan)));
 }
 
 void
@@ -246,13 +243,6 @@
     return find_orphan(node, task, run) != NULL;
 }
 
-/* When an unanswered start can no longer be carried out. */
-static nm_ms_t
-late_until_ms(const orphan_t *orphan)
-{
-    return orphan->answer_lost_ms + LATE_START_LIFETIME_MS;
-}
-
 bool
 nm_orphans_need_report(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -419,9 +409,11 @@
     if (orphan->state == ORPHAN_REFUSED) {
         /* A worker that restarts again and again may not be heard of. */
         bool may_run = orphan->is_open && orphan->restarted;
-        return now_ms > begun_ms + (may_run ? LATE_START_LEASE_MS : 0);
+        return now_ms >
+               (may_run ? nm_longest_lease_end_ms(begun_ms) : begun_ms);
     }
-    return now_ms > MAX(begun_ms + LATE_START_LEASE_MS, node->lease_lapse_ms);
+    return now_ms >
+           MAX(nm_longest_lease_end_ms(begun_ms), node->lease_lapse_ms);
 }
 
 void
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -107,6 +107,8 @@
         now_ms + action->wait_ms + REPORT_LATENCY_USUAL_MS;
     node->poll_wait_ms = action->wait_ms;
     node->poll_pending = true;
+    node->poll_has_expiry = action->expiry_ms > 0;
+    node->poll_incarnation = action->incarnation;
 }
 
 /* Repeats unanswered orders that are due; sets retry_due_ms to the next. */
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -682,6 +682,7 @@
     }
     record_call(sched, node, report->result != NM_ORDER_UNKNOWN, now_ms);
     if (report->result != NM_ORDER_DONE) {
+        nm_lease_on_unanswered_poll(node, now_ms);
         node->poll_failures++;
         uint32_t failures_max = sched->lossy ? NM_SCHED_POLL_FAILURES_MAX_LOSSY
                                              : NM_SCHED_POLL_FAILURES_MAX;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -26,6 +26,8 @@
 #define NM_SCHED_CLOCK_SLOW_FACTOR 1.021
 /* Workers cut longer leases to this (the platform's maxHoldMs). */
 #define NM_SCHED_LEASE_LIMIT_MS 10000
+/* The platform carries out orders up to 12 s late; 2 s for transmission. */
+#define NM_SCHED_LATE_ORDER_MAX_MS 14000
 /* Added to each time after which a worker's lease is assumed lapsed. */
 #define NM_SCHED_LAPSE_MARGIN_MS 250
 /*
@@ -360,6 +362,10 @@
     uint32_t poll_failures;       /* unanswered polls in a row */
     bool last_call_lost;          /* its last call got no response */
     bool poll_pending;
+    bool poll_has_expiry;     /* the newest poll renews the lease */
+    int64_t poll_incarnation; /* that the newest poll was sent to */
+    /* When such a poll got no response; it may be carried out.  0: none. */
+    nm_ms_t expiry_lost_ms;
     nm_ms_t poll_wait_ms; /* of the newest poll */
     nm_ms_t poll_due_ms;
     nm_ms_t alive_ms;   /* when its newest response came */
@@ -777,6 +783,22 @@
 
 void nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node);
 
+/* When an order without a response can no longer be carried out. */
+static inline nm_ms_t
+nm_late_order_end_ms(nm_ms_t answer_lost_ms)
+{
+    return answer_lost_ms + NM_SCHED_LATE_ORDER_MAX_MS;
+}
+
+/* When the longest lease that an order may give at a time has lapsed. */
+static inline nm_ms_t
+nm_longest_lease_end_ms(nm_ms_t given_ms)
+{
+    return given_ms +
+           (nm_ms_t)(NM_SCHED_LEASE_LIMIT_MS * NM_SCHED_CLOCK_SLOW_FACTOR) +
+           NM_SCHED_LAPSE_MARGIN_MS;
+}
+
 /* sched_lease.c */
 /* False in the first epoch. */
 bool nm_lease_has_former_owners(const nm_sched_t *sched);
@@ -790,6 +812,11 @@
  */
 void nm_lease_on_restart(const nm_sched_t *sched, nm_sched_node_t *node,
                          nm_ms_t now_ms);
+/*
+ * A poll that renews the lease got no response: the next incarnation, if there
+ * is one, may take its expiry late.
+ */
+void nm_lease_on_unanswered_poll(nm_sched_node_t *node, nm_ms_t now_ms);
 /*
  * The response of a restarted worker to an order of its former incarnation
  * has come: it has taken the expiry of the order at the latest now.
@@ -797,7 +824,8 @@
 void nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms);
 /*
  * True if a lease of a worker that has not confirmed this epoch can only be
- * that of a former owner: it has no run of this one, as a new incarnation may.
+ * that of a former owner: it has no run of this one, as a new incarnation may,
+ * and no poll of it may still be carried out.
  */
 bool nm_lease_is_former(const nm_sched_node_t *node);
 /* No former owner renews a worker's lease after until_ms. */
