Count a start as open from its sending; a report shows what it began

Change: starts in flight hold their task; a task knows the newest run that a report has shown and whether its start was sent twice; a start is withdrawn once it has expired, or after 6 s.

--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -86,7 +86,7 @@
     while (node->tasks->len > 0) {
         nm_task_t *task = node->tasks->pdata[node->tasks->len - 1];
         nm_count_reason(NM_REASON_LEASE_LAPSED);
-        if (task->order_pending && task->state != NM_RUN_STOPPING) {
+        if (task->starts_in_flight > 0 && task->shown_run != task->run) {
             nm_sched_action_t start = {.run = task->run,
                                        .incarnation = node->desc.incarnation};
             nm_sched_task_name(task, start.task, sizeof(start.task));
--- a/src/sched_orphans.c
+++ b/src/sched_orphans.c
@@ -13,9 +13,10 @@
  * is not the one of its task there gets a stop as well.
  *
  * A stop holds for the incarnation that has confirmed it, and a lapsed lease
- * says nothing of calls: the task starts again only once its call can not be
- * carried out any more.  Therefore the start of a run is sent once, unless
- * nm_step_may_resend(): what a report shows was begun by that call.
+ * says nothing of calls: the task starts again only once no call of it can be
+ * carried out any more.  The start of a run is sent once, unless
+ * nm_step_may_resend(), so that a report of the run shows that its call has
+ * been carried out.
  *
  * Until a report shows that an orphan has ended, it counts on its worker: for
  * the limit per worker, CPU, memory and accelerators, and beside serving
@@ -304,8 +305,8 @@
 {
     orphan_t *orphan = find_orphan(node, name, run);
     const nm_task_t *task = nm_sched_find_task(sched, name);
-    if (!orphan || orphan->answer_lost_ms == 0 || !task ||
-        nm_step_may_resend(nm_task_step(task)))
+    if (!orphan || orphan->answer_lost_ms == 0 || !task || task->run != run ||
+        task->resent)
     {
         return;
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -425,6 +425,28 @@
     return true;
 }
 
+/* Returns the first waiting task of a step, of those that may start now. */
+static nm_task_t *
+first_startable(const nm_sched_t *sched, const nm_candidate_t *candidate,
+                nm_ms_t now_ms)
+{
+    const nm_occurrence_t *occurrence = candidate->occurrence;
+    nm_task_t *tasks = occurrence->tasks[candidate->step];
+    nm_task_t *first = NULL;
+    for (uint32_t i = 0;
+         i < occurrence->job->spec.steps[candidate->step].task_count; i++)
+    {
+        if (tasks[i].state != NM_RUN_WAITING) {
+            continue;
+        }
+        if (!nm_task_must_wait(sched, &tasks[i], now_ms)) {
+            return &tasks[i];
+        }
+        first = first ? first : &tasks[i];
+    }
+    return first;
+}
+
 /*
  * Places one task of a job that has been idle for long, or holds a worker for
  * it.  Returns false if it did not look for a worker.
@@ -446,10 +468,7 @@
         place_gang(sched, candidate, round, now_ms);
         return true;
     }
-    nm_task_t *task = &occurrence->tasks[candidate->step][0];
-    while (task->state != NM_RUN_WAITING) {
-        task++;
-    }
+    nm_task_t *task = first_startable(sched, candidate, now_ms);
     nm_sched_node_t *node =
         nm_choice_find_node(sched, candidate, task, now_ms);
     if (node) {
@@ -494,16 +513,17 @@
     }
 }
 
-/* Starts whose response is not expected while the worker is silent. */
+/* Starts whose response is not expected any more, or not for the present. */
 static uint32_t
-count_silent_starts(const nm_sched_t *sched)
+count_unanswered_starts(const nm_sched_t *sched)
 {
     uint32_t count = 0;
     for (guint n = 0; n < sched->node_list->len; n++) {
         const nm_sched_node_t *node = sched->node_list->pdata[n];
-        for (guint i = 0; !node->reachable && i < node->tasks->len; i++) {
+        for (guint i = 0; i < node->tasks->len; i++) {
             const nm_task_t *task = node->tasks->pdata[i];
-            count += task->state == NM_RUN_STARTING;
+            count += task->state == NM_RUN_STARTING &&
+                     (!node->reachable || !task->order_pending);
         }
     }
     return count;
@@ -521,7 +541,7 @@
     round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
     round.starting_max = (uint32_t)sched->delay.starting_max;
     if (!nm_delay_is_behind(sched, now_ms)) {
-        round.starting_max += count_silent_starts(sched);
+        round.starting_max += count_unanswered_starts(sched);
     }
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -67,6 +67,19 @@
             now_ms - node->alive_ms < silent_max_ms);
 }
 
+/* True while a report is to show whether a run has begun. */
+static bool
+awaits_start(const nm_sched_node_t *node)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        const nm_task_t *task = node->tasks->pdata[i];
+        if (task->state == NM_RUN_STARTING && !task->order_pending) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 send_poll(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
@@ -77,7 +90,7 @@
     node->ends_acked_sent = action->acked;
     bool no_wait = !node->epoch_confirmed || node->poll_failures > 0 ||
                    node->tasks->len == 0 ||
-                   nm_orphans_need_report(node, now_ms);
+                   nm_orphans_need_report(node, now_ms) || awaits_start(node);
     /* A filler may start here while the poll waits. */
     bool fillers_start =
         now_ms - sched->filler_started_ms < NM_SCHED_POLL_WAIT_MS;
@@ -142,7 +155,8 @@
                 MIN(node->retry_due_ms, now_ms + NM_SCHED_RETRY_MS);
         }
         else if (task->state == NM_RUN_STARTING && node->reachable) {
-            if (task->tries >= tries_max) {
+            if (task->tries >= tries_max ||
+                !nm_step_may_resend(nm_task_step(task))) {
                 nm_sched_withdraw_start(sched, task, now_ms);
             }
             else {
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -24,6 +24,8 @@
 #define LOSS_WINDOW_MS 250
 /* Minimum calls in a sample; the share lost in fewer says little. */
 #define LOSS_CALLS_MIN 60
+/* An unanswered start is withdrawn if no complete report has come by then. */
+#define START_REPORT_MAX_MS 6000
 /* Weight of the newest sample in the moving average. */
 #define LOSS_EWMA_GAIN 0.5
 
@@ -234,19 +236,29 @@
     node->retry_due_ms = MIN(node->retry_due_ms, task->order_due_ms);
 }
 
-/* True if a report has shown the run of a start that was sent once. */
+/*
+ * A start has got its response, or will get none.  Returns true if it may
+ * still be carried out: its run has not been shown, or was begun by another
+ * call.
+ */
 static bool
-is_shown(const nm_task_t *task, const nm_sched_action_t *start)
+end_call(nm_sched_t *sched, const nm_sched_action_t *start,
+         nm_order_result_t result)
 {
-    return task && task->run == start->run && task->node &&
-           strcmp(task->node->desc.id, start->worker) == 0 &&
-           task->state == NM_RUN_RUNNING &&
-           !nm_step_may_resend(nm_task_step(task));
+    nm_task_t *task = nm_sched_find_task(sched, start->task);
+    if (task) {
+        task->starts_in_flight -= task->starts_in_flight > 0;
+        sched->needs_placement = true;
+    }
+    bool is_shown = task && task->run == start->run &&
+                    task->shown_run == start->run && !task->resent;
+    return result == NM_ORDER_UNKNOWN && !is_shown;
 }
 
 /*
- * A start got no response.  Unless it may be sent again, the next report shows
- * whether the run has begun.
+ * A start got no response.  Unless it may be sent again, a report shows
+ * whether the run has begun; one that was sent after the start has expired,
+ * that it will not.
  */
 static void
 await_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
@@ -256,8 +268,8 @@
         schedule_retry(sched, task, now_ms);
         return;
     }
-    task->sent_ms = now_ms;
-    task->order_due_ms = NM_MS_NEVER;
+    task->order_due_ms = now_ms + START_REPORT_MAX_MS;
+    node->retry_due_ms = MIN(node->retry_due_ms, task->order_due_ms);
     if (!node->poll_pending) {
         node->poll_due_ms = MIN(node->poll_due_ms, now_ms);
     }
@@ -273,16 +285,16 @@
         nm_timer_set_now(sched, addressed);
         addressed->starts_in_flight -= addressed->starts_in_flight > 0;
     }
+    bool is_open = end_call(sched, action, result);
     if (result == NM_ORDER_UNKNOWN) {
         nm_sched_add_start_event(sched, NM_SCHED_EVENT_START_UNANSWERED,
                                  action);
     }
-    if (addressed && result == NM_ORDER_UNKNOWN) {
-        if (!is_shown(nm_sched_find_task(sched, action->task), action)) {
-            nm_orphans_add_unanswered(sched, addressed, action, now_ms);
-        }
+    if (addressed && is_open) {
+        nm_orphans_add_unanswered(sched, addressed, action, now_ms);
     }
-    else if (addressed && result != NM_ORDER_NOT_SENT &&
+    else if (addressed && result != NM_ORDER_UNKNOWN &&
+             result != NM_ORDER_NOT_SENT &&
              (action->incarnation != addressed->desc.incarnation ||
               result == NM_ORDER_LATER_INCARNATION))
     {
@@ -334,7 +346,7 @@
         nm_sched_withdraw_start(sched, task, now_ms);
         break;
     case NM_ORDER_EXPIRED:
-        /* The HTTP client may have sent it twice; the first one may run. */
+        /* An earlier try may run. */
     case NM_ORDER_SUPERSEDED:
     case NM_ORDER_INVALID:
         nm_sched_withdraw_start(sched, task, now_ms);
@@ -431,13 +443,25 @@
     task->run_is_surplus = true;
 }
 
+/* A report shows a run that has begun, and whether it has ended. */
+static void
+show_run(nm_sched_t *sched, nm_sched_node_t *node, const char *name,
+         int64_t run, bool ended, nm_ms_t now_ms)
+{
+    nm_task_t *task = nm_sched_find_task(sched, name);
+    if (task) {
+        task->shown_run = MAX(task->shown_run, run);
+        nm_orphans_close_start(sched, node, name, run, ended, now_ms);
+    }
+}
+
 static void
 apply_running(nm_sched_t *sched, nm_sched_node_t *node,
               const nm_worker_run_t *row, nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
-    nm_orphans_close_start(sched, node, row->task, row->run, false, now_ms);
+    show_run(sched, node, row->task, row->run, false, now_ms);
     if (task && task->state == NM_RUN_UNKNOWN) {
         adopt_run(sched, task, node, row, now_ms);
     }
@@ -519,7 +543,7 @@
     node->ends_processed = row->number;
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
-    nm_orphans_close_start(sched, node, row->task, row->run, true, now_ms);
+    show_run(sched, node, row->task, row->run, true, now_ms);
     uint64_t seq_before = sched->change_seq;
     bool current = task && task->node == node && task->run == row->run;
     bool late = task && !current && is_late_end(task, row);
@@ -563,8 +587,8 @@
 
 /*
  * Requeues tasks that a complete report does not list, if their last order was
- * confirmed before the poll was sent: they do not run any more.  A start that
- * was unanswered before is withdrawn.
+ * confirmed before the poll was sent: they do not run any more.  Unanswered
+ * starts that had expired before are withdrawn.
  */
 static void
 requeue_unlisted(nm_sched_t *sched, nm_sched_node_t *node,
@@ -578,7 +602,9 @@
             continue;
         }
         if (task->state == NM_RUN_STARTING) {
-            if (!nm_step_may_resend(nm_task_step(task))) {
+            if (!nm_step_may_resend(nm_task_step(task)) &&
+                report->sent_ms >= task->start_expires_ms)
+            {
                 nm_sched_withdraw_start(sched, task, now_ms);
             }
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -178,6 +178,10 @@
     uint32_t orphans;
     /* Starts of it without a response that may still be carried out. */
     uint32_t open_starts;
+    uint32_t starts_in_flight; /* calls that have not timed out */
+    bool resent;               /* its run's start has been sent twice */
+    int64_t shown_run;         /* newest run that a report has shown */
+    nm_ms_t start_expires_ms;  /* its worker refuses the start from then on */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -680,12 +684,25 @@
 /* True while a waiting task must not start, whichever workers are free. */
 bool nm_crashes_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                           nm_ms_t now_ms);
+/*
+ * True if an unanswered start of a step's task may be sent again while the
+ * first call may still be carried out: a second run is allowed, or the task
+ * does not end by itself, so that its worker refuses the other call for as
+ * long as it has the run.
+ */
+static inline bool
+nm_step_may_resend(const nm_step_t *step)
+{
+    return step->copies_allowed || step->long_running;
+}
+
 /* True if a task must not start yet, wherever there is capacity for it. */
 static inline bool
 nm_task_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                   nm_ms_t now_ms)
 {
     return task->orphans > 0 || task->open_starts > 0 ||
+           task->starts_in_flight > 0 ||
            nm_crashes_must_wait(sched, task, now_ms);
 }
 /* Returns the worker of the task's stored intent, or NULL. */
@@ -839,18 +856,6 @@
 nm_ms_t nm_lease_age_at_takeover_ms(const nm_sched_t *sched,
                                     const nm_sched_node_t *node);
 
-/*
- * True if an unanswered start of a step's task may be sent again while the
- * first call may still be carried out: a second run is allowed, or the task
- * does not end by itself, so that its worker refuses the other call for as
- * long as it has the run.
- */
-static inline bool
-nm_step_may_resend(const nm_step_t *step)
-{
-    return step->copies_allowed || step->long_running;
-}
-
 /* sched_response.c */
 /* Sends a stop for a start that may or may not have been carried out. */
 void nm_sched_withdraw_start(nm_sched_t *sched, nm_task_t *task,
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -14,6 +14,10 @@
  * higher than those of earlier owners.
  */
 #define RUNS_PER_EPOCH 1000000
+/* A start has expired on its worker's clock this long after it was sent. */
+#define START_EXPIRY_MAX_MS                                                   \
+    ((nm_ms_t)(NM_SCHED_START_VALID_MS * NM_SCHED_CLOCK_SLOW_FACTOR) +        \
+     NM_SCHED_LAPSE_MARGIN_MS)
 
 void
 nm_sched_task_name(const nm_task_t *task, char *name, size_t size)
@@ -551,6 +555,8 @@
     action->valid_ms = NM_SCHED_START_VALID_MS;
     extend_lease(node, action->expiry_ms, now_ms);
     node->starts_in_flight++;
+    task->starts_in_flight++;
+    task->start_expires_ms = now_ms + START_EXPIRY_MAX_MS;
     task->sent_ms = now_ms;
     task->order_pending = true;
     task->tries++;
@@ -569,6 +575,7 @@
         task->occurrence->waiting[task->step]--;
         nm_task_set_state(sched, task, NM_RUN_STARTING);
         task->tries = 0;
+        task->resent = false;
         task->begun_ms = now_ms;
         nm_crashes_on_start(node, task);
         task->percent = 100;
@@ -578,6 +585,9 @@
             sched->filler_started_ms = now_ms;
         }
     }
+    else {
+        task->resent = true;
+    }
     nm_timer_set_now(sched, node);
     send_start(sched, task, now_ms);
 }
--- /dev/null
+++ b/tests/test_sched_open_calls.c
@@ -0,0 +1,278 @@
+/*
+ * Tests of starts whose response comes after other news of the run or of its
+ * worker: a restart, a report, a stop, or a second call.
+ */
+#include "lib_sched_sim.h"
+
+#include <string.h>
+
+#define TICK_MS 50
+#define LATE_START_MS 12000
+#define START_MARGIN_MS 4000
+#define WATCH_MS 20000
+
+typedef struct {
+    sched_sim_t sim;
+    int64_t incarnation; /* of "a" */
+    bool stops_answered;
+    bool complete; /* reports of "a" */
+    const nm_worker_run_t *running;
+    uint32_t starts;
+    uint32_t stops;
+    char started_on[NM_NAME_MAX];
+    nm_ms_t poll_wait_ms; /* of the newest poll of "a" */
+    nm_sched_action_t first;
+    nm_ms_t sent_ms;
+} calls_sim_t;
+
+static void
+report(calls_sim_t *calls, const char *id)
+{
+    bool is_a = strcmp(id, "a") == 0;
+    nm_worker_report_t message = {
+        .result = NM_ORDER_DONE,
+        .sent_ms = calls->sim.now_ms,
+        .incarnation = is_a ? calls->incarnation : 1,
+        .clock_ms = calls->sim.now_ms,
+        .complete = !is_a || calls->complete,
+        .running = is_a ? calls->running : NULL,
+        .running_count = is_a && calls->running ? 1 : 0,
+    };
+    nm_sched_on_report(calls->sim.sched, id, &message, calls->sim.now_ms);
+}
+
+static void
+step(calls_sim_t *calls)
+{
+    sched_sim_advance(&calls->sim, TICK_MS);
+    sched_sim_save_all(&calls->sim);
+    for (guint i = 0; i < calls->sim.actions->len; i++) {
+        nm_sched_action_t action =
+            g_array_index(calls->sim.actions, nm_sched_action_t, i);
+        if (action.type == NM_ACTION_POLL) {
+            if (strcmp(action.worker, "a") == 0) {
+                calls->poll_wait_ms = action.wait_ms;
+            }
+            report(calls, action.worker);
+        }
+        else if (action.type == NM_ACTION_STOP) {
+            calls->stops++;
+            if (calls->stops_answered) {
+                nm_sched_on_stop(calls->sim.sched, &action, NM_ORDER_DONE,
+                                 calls->sim.now_ms);
+            }
+        }
+        else if (action.type == NM_ACTION_START) {
+            calls->starts++;
+            nm_strcopy(calls->started_on, sizeof(calls->started_on),
+                       action.worker);
+        }
+    }
+}
+
+static nm_ms_t
+time_to_start(calls_sim_t *calls, nm_ms_t limit_ms)
+{
+    nm_ms_t begun_ms = calls->sim.now_ms;
+    uint32_t before = calls->starts;
+    while (calls->starts == before && calls->sim.now_ms - begun_ms < limit_ms)
+    {
+        step(calls);
+    }
+    return calls->sim.now_ms - begun_ms;
+}
+
+/* Sends a start of TASK to "a"; its result is not known yet. */
+static void
+send_start(calls_sim_t *calls, bool long_running)
+{
+    *calls = (calls_sim_t){
+        .incarnation = 1, .stops_answered = true, .complete = true};
+    sched_sim_init(&calls->sim, 1);
+    sched_sim_add_worker(&calls->sim, "a");
+    sched_sim_add_job(&calls->sim, JOB, long_running, 1, 1000, false);
+    sched_sim_advance(&calls->sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&calls->sim, NM_ACTION_START, "a");
+    g_assert_nonnull(start);
+    calls->first = *start;
+    calls->sent_ms = calls->sim.now_ms;
+    sched_sim_add_worker(&calls->sim, "b");
+    sched_sim_report(&calls->sim, "a", 1, NULL, 0, NULL, 0);
+}
+
+/*
+ * A restart is noticed while the call of a start is under way; the next
+ * incarnation confirms a stop before the start times out (after 450 ms to
+ * 3 s).  The call may still be carried out by the incarnation after that.
+ */
+static void
+test_start_in_flight_at_a_restart_stays_open(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    calls.incarnation = 2;
+    sched_sim_announce(&calls.sim, "a", 2);
+    nm_ms_t start_ms = time_to_start(&calls, 400);
+    g_test_message("the task starts on %s after %d ms", calls.started_on,
+                   (int)start_ms);
+    g_assert_cmpint(calls.starts, ==, 0);
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    if (calls.starts == 0) {
+        g_assert_cmpint(time_to_start(&calls, WATCH_MS), >=, LATE_START_MS);
+    }
+    sched_sim_finish(&calls.sim);
+}
+
+/*
+ * A report shows the end of the run before its start times out: the one call
+ * was carried out, and no wait is left.
+ */
+static void
+test_end_before_the_time_out_closes_the_start(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    nm_worker_run_t row = sched_sim_make_run(TASK, calls.first.run);
+    sched_sim_report(&calls.sim, "a", 1, &row, 1, NULL, 0);
+    nm_worker_end_t end =
+        sched_sim_make_end(1, TASK, calls.first.run, NM_END_LAPSED);
+    sched_sim_report(&calls.sim, "a", 1, NULL, 0, &end, 1);
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    g_assert_cmpint(time_to_start(&calls, WATCH_MS), <, START_MARGIN_MS);
+    sched_sim_finish(&calls.sim);
+}
+
+/*
+ * A run with an unanswered start that is listed is moved from its worker; the
+ * start's result comes while the stop is under way.
+ */
+static void
+test_stop_before_the_time_out_closes_the_start(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    nm_worker_run_t row = sched_sim_make_run(TASK, calls.first.run);
+    sched_sim_report(&calls.sim, "a", 1, &row, 1, NULL, 0);
+    calls.incarnation = 2;
+    sched_sim_announce(&calls.sim, "a", 2);
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    g_assert_cmpint(time_to_start(&calls, WATCH_MS), <, START_MARGIN_MS);
+    sched_sim_finish(&calls.sim);
+}
+
+/* No report of the worker is complete, as one row of it is malformed. */
+static void
+test_unanswered_start_beside_incomplete_reports(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    calls.complete = false;
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    for (nm_ms_t ms = 0; ms < 2 * WATCH_MS; ms += TICK_MS) {
+        step(&calls);
+    }
+    g_assert_cmpuint(calls.stops + calls.starts, >, 0);
+    sched_sim_finish(&calls.sim);
+}
+
+/* The poll that shows whether the run has begun does not wait for an end. */
+static void
+test_poll_after_an_unanswered_start_does_not_wait(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    calls.poll_wait_ms = -1;
+    for (int i = 0; i < 10 && calls.poll_wait_ms < 0; i++) {
+        step(&calls);
+    }
+    g_assert_cmpint(calls.poll_wait_ms, ==, 0);
+    sched_sim_finish(&calls.sim);
+}
+
+/*
+ * Two calls of a long-running task's start are under way; the worker restarts,
+ * and the next incarnation begins the run by the second one.  The first one
+ * may still be carried out by the incarnation after that.
+ */
+static void
+test_resent_call_does_not_close_the_first_one(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, true);
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    sched_sim_advance(&calls.sim, 30);
+    const nm_sched_action_t *again =
+        sched_sim_find_action(&calls.sim, NM_ACTION_START, "a");
+    g_assert_nonnull(again);
+    nm_sched_action_t second = *again;
+    g_assert_cmpint(second.run, ==, calls.first.run);
+    nm_ms_t unanswered_ms = calls.sim.now_ms;
+    calls.incarnation = 2;
+    sched_sim_announce(&calls.sim, "a", 2);
+    nm_worker_run_t row = sched_sim_make_run(TASK, calls.first.run);
+    calls.running = &row;
+    step(&calls); /* stopped */
+    nm_sched_on_start(calls.sim.sched, &second, NM_ORDER_LATER_INCARNATION,
+                      calls.sim.now_ms);
+    step(&calls);
+    calls.running = NULL;
+    nm_worker_end_t end =
+        sched_sim_make_end(1, TASK, calls.first.run, NM_END_STOPPED);
+    sched_sim_report(&calls.sim, "a", 2, NULL, 0, &end, 1);
+    time_to_start(&calls, WATCH_MS);
+    g_assert_cmpint(calls.sim.now_ms - unanswered_ms, >=, LATE_START_MS);
+    sched_sim_finish(&calls.sim);
+}
+
+/*
+ * The owner stops to wait for a start after 450 to 900 ms; until the start
+ * expires on its worker (1.7 s), it may wait in the queue of a carrier and be
+ * carried out in time.  A withdrawal makes its task wait for 14 s.
+ */
+static void
+test_start_is_not_withdrawn_before_it_expires(void)
+{
+    calls_sim_t calls;
+    send_start(&calls, false);
+    nm_ms_t valid_ms = calls.first.valid_ms;
+    while (calls.sim.now_ms - calls.sent_ms < 450) {
+        step(&calls);
+    }
+    nm_sched_on_start(calls.sim.sched, &calls.first, NM_ORDER_UNKNOWN,
+                      calls.sim.now_ms);
+    while (calls.stops == 0 && calls.sim.now_ms - calls.sent_ms < WATCH_MS) {
+        step(&calls);
+    }
+    g_assert_cmpint(calls.sim.now_ms - calls.sent_ms, >=, valid_ms);
+    sched_sim_finish(&calls.sim);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_set_nonfatal_assertions();
+    g_test_add_func("/sched/start-in-flight-at-a-restart-stays-open",
+                    test_start_in_flight_at_a_restart_stays_open);
+    g_test_add_func("/sched/end-before-the-time-out-closes-the-start",
+                    test_end_before_the_time_out_closes_the_start);
+    g_test_add_func("/sched/stop-before-the-time-out-closes-the-start",
+                    test_stop_before_the_time_out_closes_the_start);
+    g_test_add_func("/sched/unanswered-start-beside-incomplete-reports",
+                    test_unanswered_start_beside_incomplete_reports);
+    g_test_add_func("/sched/poll-after-an-unanswered-start-does-not-wait",
+                    test_poll_after_an_unanswered_start_does_not_wait);
+    g_test_add_func("/sched/resent-call-does-not-close-the-first-one",
+                    test_resent_call_does_not_close_the_first_one);
+    g_test_add_func("/sched/start-is-not-withdrawn-before-it-expires",
+                    test_start_is_not_withdrawn_before_it_expires);
+    return g_test_run();
+}
