A next owner waits for the unanswered starts of former ones

A next owner knew nothing of a former owner's unanswered starts: it started the task as soon as the worker, still in its old incarnation, had reported nothing, 0.1 s after the takeover. If the worker restarts then, it carries the call out beside that run. Change: an unanswered start is stored with the job (open_starts: run, and until when it may be carried out); a next owner waits for it, with 6 s for wall clocks that differ, 14 s at most, unless a report shows the run. Not covered: an owner that is lost before the start has timed out (0.5 to 3 s) or the record is stored.

--- a/src/sched.c
+++ b/src/sched.c
@@ -551,7 +551,7 @@
     job->urgent = false;
     nm_strcopy(save->job, sizeof(save->job), job->spec.id);
     save->change_seq = job->change_seq;
-    save->record = nm_sched_encode_progress(job);
+    save->record = nm_sched_encode_progress(sched, job);
     return true;
 }
 
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -13,6 +13,8 @@
 #include "json_get.h"
 
 #define PROGRESS_VERSION 1
+/* By which the wall clocks of two owners may differ (the users' sheets). */
+#define CLOCK_SKEW_MAX_MS 6000
 /* A row of one task begins with its occurrence, step and index. */
 #define ROW_POSITION_COUNT 3
 
@@ -158,8 +160,34 @@
     return silences;
 }
 
+/*
+ * Encodes occurrence, step and index of a task, the run of its unanswered
+ * start, and until when that may be carried out.
+ */
+static json_t *
+encode_open_starts(const nm_sched_t *sched, const nm_sched_job_t *job)
+{
+    json_t *rows = json_array();
+    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (uint32_t s = 0; s < job->spec.step_count; s++) {
+            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
+                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                nm_ms_t left_ms = task->open_until_ms - sched->now_ms;
+                if (left_ms > 0 && !nm_task_is_done(task)) {
+                    json_array_append_new(
+                        rows,
+                        json_pack("[i,i,i,I,I]", o, s, i,
+                                  (json_int_t)task->open_run,
+                                  (json_int_t)(sched->unix_ms + left_ms)));
+                }
+            }
+        }
+    }
+    return rows;
+}
+
 char *
-nm_sched_encode_progress(const nm_sched_job_t *job)
+nm_sched_encode_progress(const nm_sched_t *sched, const nm_sched_job_t *job)
 {
     json_t *record = json_object();
     json_object_set_new(record, "version", json_integer(PROGRESS_VERSION));
@@ -174,6 +202,8 @@
                             encode_failure_counts(job));
         json_object_set_new(record, "proved_crashes", encode_crashes(job));
         json_object_set_new(record, "silences", encode_silences(job));
+        json_object_set_new(record, "open_starts",
+                            encode_open_starts(sched, job));
     }
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
@@ -305,6 +335,28 @@
     }
 }
 
+/*
+ * A former owner's unanswered start may still be carried out.  Wall clocks may
+ * differ, and show less or more time than is left.
+ */
+static void
+restore_open_start(const nm_sched_t *sched, nm_sched_job_t *job,
+                   const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row, 2);
+    int64_t run;
+    int64_t until_unix_ms;
+    if (task && read_column(row, 0, NM_COUNT_MAX, &run) &&
+        read_column(row, 1, NM_UNIX_MAX_MS, &until_unix_ms))
+    {
+        nm_ms_t left_ms = until_unix_ms - sched->unix_ms + CLOCK_SKEW_MAX_MS;
+        task->opened_by_former = true;
+        task->open_run = run;
+        task->open_until_ms =
+            sched->began_ms + CLAMP(left_ms, 0, NM_SCHED_LATE_ORDER_MAX_MS);
+    }
+}
+
 int
 nm_sched_restore(nm_sched_t *sched, const char *id, const void *data,
                  uint32_t bytes)
@@ -378,6 +430,11 @@
     {
         restore_silence(sched, job, row);
     }
+    json_array_foreach(json_object_get(record, "open_starts"), i, row)
+    {
+        restore_open_start(sched, job, row);
+    }
+
     json_decref(record);
     return NM_OK;
 }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -255,6 +255,20 @@
     return result == NM_ORDER_UNKNOWN && !is_shown;
 }
 
+/* So that a next owner waits for it as well. */
+static void
+store_open_start(nm_sched_t *sched, const nm_sched_action_t *start,
+                 nm_ms_t now_ms)
+{
+    nm_task_t *task = nm_sched_find_task(sched, start->task);
+    if (task && !nm_task_is_done(task) && !nm_task_step(task)->copies_allowed)
+    {
+        task->open_until_ms = nm_late_order_end_ms(now_ms);
+        task->open_run = start->run;
+        nm_sched_mark_changed(sched, task->occurrence->job, false);
+    }
+}
+
 /*
  * A start got no response.  Unless it may be sent again, a report shows
  * whether the run has begun; one that was sent after the start has expired,
@@ -292,7 +306,9 @@
     }
     if (addressed && is_open) {
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
+        store_open_start(sched, action, now_ms);
     }
+
     else if (addressed && result != NM_ORDER_UNKNOWN &&
              result != NM_ORDER_NOT_SENT &&
              (action->incarnation != addressed->desc.incarnation ||
@@ -451,6 +467,10 @@
     nm_task_t *task = nm_sched_find_task(sched, name);
     if (task) {
         task->shown_run = MAX(task->shown_run, run);
+        if (run >= task->open_run && !nm_step_may_resend(nm_task_step(task))) {
+            task->open_until_ms = 0;
+        }
+
         nm_orphans_close_start(sched, node, name, run, ended, now_ms);
     }
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -181,7 +181,14 @@
     uint32_t starts_in_flight; /* calls that have not timed out */
     bool resent;               /* its run's start has been sent twice */
     int64_t shown_run;         /* newest run that a report has shown */
-    nm_ms_t start_expires_ms;  /* its worker refuses the start from then on */
+    /*
+     * An unanswered start, of this owner or a former one, may be carried out
+     * until then; 0: none.  Stored with the job, and for its run.
+     */
+    nm_ms_t open_until_ms;
+    int64_t open_run;
+    bool opened_by_former;    /* the next owner waits, without an orphan */
+    nm_ms_t start_expires_ms; /* its worker refuses the start from then on */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -703,6 +710,7 @@
 {
     return task->orphans > 0 || task->open_starts > 0 ||
            task->starts_in_flight > 0 ||
+           (task->opened_by_former && now_ms < task->open_until_ms) ||
            nm_crashes_must_wait(sched, task, now_ms);
 }
 /* Returns the worker of the task's stored intent, or NULL. */
@@ -737,7 +745,8 @@
 
 /* sched_record.c */
 /* Returns a job's progress as JSON text, to be freed with g_free. */
-char *nm_sched_encode_progress(const nm_sched_job_t *job);
+char *nm_sched_encode_progress(const nm_sched_t *sched,
+                               const nm_sched_job_t *job);
 
 /* sched_events.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
--- a/tests/test_sched_open_calls.c
+++ b/tests/test_sched_open_calls.c
@@ -255,6 +255,72 @@
     sched_sim_finish(&calls.sim);
 }
 
+/* Stores all records; returns the newest one of JOB, or NULL. */
+static char *
+save_record(sched_sim_t *sim)
+{
+    char *record = NULL;
+    nm_sched_save_t save;
+    while (nm_sched_next_save(sim->sched, &save)) {
+        nm_sched_confirm_save(sim->sched, &save, true);
+        g_free(record);
+        record = save.record;
+    }
+    return record;
+}
+
+/*
+ * The owner is replaced 1 s after a start got no response.  The worker lives
+ * and reports nothing; should it restart, the call may still be carried out.
+ * The wall clock of the next owner may differ by 6 s.
+ */
+static void
+test_next_owner_waits_for_an_unanswered_start(void)
+{
+    enum { REPLACED_MS = 1000, START_MAX_MS = 20000 };
+    static const struct {
+        const char *name;
+        bool answered;
+        nm_ms_t clock_ahead_ms; /* of the next owner's wall clock */
+        nm_ms_t start_ms_min;   /* from the replacement on */
+    } cases[] = {
+        {"same clock", false, 0, LATE_START_MS - REPLACED_MS},
+        {"clock ahead", false, 6000, LATE_START_MS - REPLACED_MS},
+        {"clock behind", false, -6000, LATE_START_MS - REPLACED_MS},
+        {"answered", true, 0, 0},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("%s", cases[c].name);
+        calls_sim_t calls;
+        send_start(&calls, false);
+        nm_sched_on_start(calls.sim.sched, &calls.first,
+                          cases[c].answered ? NM_ORDER_DONE : NM_ORDER_UNKNOWN,
+                          calls.sim.now_ms);
+        char *record = save_record(&calls.sim);
+        int64_t unix_ms = calls.sim.now_ms + calls.sim.unix_offset_ms +
+                          REPLACED_MS + cases[c].clock_ahead_ms;
+        sched_sim_finish(&calls.sim);
+        sched_sim_init(&calls.sim, 2);
+        calls.sim.unix_offset_ms = unix_ms - calls.sim.now_ms;
+        sched_sim_advance(&calls.sim, 0);
+        sched_sim_add_job(&calls.sim, JOB, false, 1, 1000, true);
+        if (record) {
+            g_assert_cmpint(nm_sched_restore(calls.sim.sched, JOB, record,
+                                             (uint32_t)strlen(record)),
+                            ==, NM_OK);
+        }
+        g_free(record);
+        calls.starts = 0;
+        sched_sim_announce(&calls.sim, "a", 1);
+        sched_sim_announce(&calls.sim, "b", 1);
+        nm_sched_activate(calls.sim.sched, calls.sim.now_ms);
+        nm_ms_t start_ms = time_to_start(&calls, START_MAX_MS);
+        g_assert_cmpint(start_ms, >=, cases[c].start_ms_min);
+        g_assert_cmpint(start_ms, <, cases[c].start_ms_min + START_MARGIN_MS);
+        sched_sim_finish(&calls.sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -274,5 +340,7 @@
                     test_resent_call_does_not_close_the_first_one);
     g_test_add_func("/sched/start-is-not-withdrawn-before-it-expires",
                     test_start_is_not_withdrawn_before_it_expires);
+    g_test_add_func("/sched/next-owner-waits-for-an-unanswered-start",
+                    test_next_owner_waits_for_an_unanswered_start);
     return g_test_run();
 }
