--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -248,7 +248,8 @@
     nm_task_t *task = nm_sched_find_task(sched, start->task);
     if (task) {
         task->starts_in_flight -= task->starts_in_flight > 0;
-        sched->needs_placement = true;
+        sched->needs_placement =
+            sched->needs_placement || task->state == NM_RUN_WAITING;
     }
     bool is_shown = task && task->run == start->run &&
                     task->shown_run == start->run && !task->resent;
