--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -121,7 +121,9 @@
     X(HTTP_BYTES, "http_bytes_sent",                                          \
       "bytes of request bodies sent to the store and to workers")             \
     X(HTTP_BYTES_IN, "http_bytes_received",                                   \
-      "bytes of response bodies of the store and of workers")
+      "bytes of response bodies of the store and of workers")                 \
+    X(PROOFS, "connection_proofs",                                            \
+      "polls that show which incarnation a connection leads to")
 
 typedef enum {
 #define X(name, label, text) NM_COUNTER_##name,
