--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -178,7 +178,7 @@
                "{\"service\":\"s\",\"address\":\"10.0.0.%d:80\","
                "\"zone\":\"z\",\"state\":\"ready\","
                "\"capacity\":{\"cpu\":16000,\"memMb\":1000},"
-               "\"labels\":[\"a\",\"r1\"],\"sequence\":1,\"born\":1}",
+               "\"labels\":[\"a\",\"r1\"],\"sequence\":100000,\"born\":1}",
                machine);
     fake_kv_put(kv, key, value);
 }
