An entry that is born earlier may be that of the next incarnation

A worker whose clock is set back as it restarts announces itself with a lesser born, which the owner holds until a report confirms it. Change: such an entry extends the lease as the response of a next incarnation does. A poll that was answered leaves no expiry open.

--- a/src/sched_lease.c
+++ b/src/sched_lease.c
@@ -130,6 +130,7 @@
 nm_lease_on_unanswered_poll(nm_sched_node_t *node, nm_ms_t now_ms)
 {
     if (node->poll_has_expiry) {
+        node->poll_has_expiry = false;
         node->expiry_lost_ms = now_ms;
         if (node->poll_incarnation != node->desc.incarnation) {
             extend_by_unanswered_poll(node, now_ms);
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -746,6 +746,7 @@
             now_ms + retry_delay_ms(sched, node->poll_failures);
         return;
     }
+    node->poll_has_expiry = false;
     if (is_of_former_incarnation(node, report)) {
         node->poll_due_ms = now_ms + NM_SCHED_RETRY_MS;
         return;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -373,7 +373,7 @@
     uint32_t poll_failures;       /* unanswered polls in a row */
     bool last_call_lost;          /* its last call got no response */
     bool poll_pending;
-    bool poll_has_expiry;     /* the newest poll renews the lease */
+    bool poll_has_expiry;     /* the poll in flight renews the lease */
     int64_t poll_incarnation; /* that the newest poll was sent to */
     /* When such a poll got no response; it may be carried out.  0: none. */
     nm_ms_t expiry_lost_ms;
@@ -845,7 +845,8 @@
 void nm_lease_on_unanswered_poll(nm_sched_node_t *node, nm_ms_t now_ms);
 /*
  * The response of a restarted worker to an order of its former incarnation
- * has come: it has taken the expiry of the order at the latest now.
+ * has come, or an entry of what may be its next one: it has taken the expiry
+ * of such an order at the latest now.
  */
 void nm_lease_on_former_order(nm_sched_node_t *node, nm_ms_t now_ms);
 /*
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -338,6 +338,42 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A worker restarts while its time of day is set back, announces itself and
+ * is cut off before it responds to a poll: a start in flight may have given
+ * the new life the longest lease, whichever way its clock was set.
+ */
+static void
+test_announcement_born_earlier_extends_the_lease(void)
+{
+    enum { BORN = 50000, AT_WORK_MS = 3000 };
+    static const int64_t next_born[] = {BORN + 5000, BORN - 5000};
+    for (size_t c = 0; c < NM_COUNT_OF(next_born); c++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_announce_again(&sim, "a", BORN, 1);
+        sched_sim_advance(&sim, 10);
+        sched_sim_report(&sim, "a", BORN, NULL, 0, NULL, 0);
+        sched_sim_add_job(&sim, JOB, false, 1, 1000, false);
+        sched_sim_advance(&sim, 30);
+        nm_sched_action_t start = sched_sim_confirm_starts(&sim);
+        nm_worker_run_t run = sched_sim_make_run(TASK, start.run);
+        for (nm_ms_t ms = 0; ms < AT_WORK_MS; ms += TICK_MS) {
+            sched_sim_advance(&sim, TICK_MS);
+            /* No poll is in flight at the restart: it would extend it, too. */
+            sched_sim_report(&sim, "a", BORN, &run, 1, NULL, 0);
+        }
+        sched_sim_announce_again(&sim, "a", next_born[c], 1);
+        nm_ms_t announced_ms = sim.now_ms;
+        nm_ms_t lapse_ms = lose_polls_until_lapse(&sim) - announced_ms;
+        g_test_message("born %lld: %lld ms", (long long)next_born[c],
+                       (long long)lapse_ms);
+        g_assert_cmpint(lapse_ms, >=, LEASE_LIMIT_SLOW_MS);
+        g_assert_cmpint(lapse_ms, <=, LEASE_LIMIT_SLOW_MS + MARGIN_MS);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -351,6 +387,8 @@
                     test_run_of_a_restarted_worker_is_taken_over);
     g_test_add_func("/sched/order-in-flight-at-a-restart-extends-the-lease",
                     test_order_in_flight_at_a_restart_extends_the_lease);
+    g_test_add_func("/sched/announcement-born-earlier-extends-the-lease",
+                    test_announcement_born_earlier_extends_the_lease);
     g_test_add_func("/sched/start-begun-by-a-later-incarnation",
                     test_start_begun_by_a_later_incarnation);
     g_test_add_func("/sched/poll-after-a-lost-one-drops-no-ends",
