--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -174,11 +174,11 @@
                 const nm_task_t *task = &job->occurrences[o].tasks[s][i];
                 nm_ms_t left_ms = task->open_until_ms - sched->now_ms;
                 if (left_ms > 0 && !nm_task_is_done(task)) {
-                    json_array_append_new(
-                        rows,
-                        json_pack("[i,i,i,I,I]", o, s, i,
-                                  (json_int_t)task->open_run,
-                                  (json_int_t)(sched->unix_ms + left_ms)));
+                    json_int_t until_unix_ms = sched->unix_ms + left_ms;
+                    json_array_append_new(rows,
+                                          json_pack("[i,i,i,I,I]", o, s, i,
+                                                    (json_int_t)task->open_run,
+                                                    until_unix_ms));
                 }
             }
         }
