--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -28,6 +28,11 @@
 /* The same of jobs that fail often; some reach the limit of attempts. */
 #define FAILING_OFTEN_SHARE 0.7
 
+/* With clocks_differ: one start in so many is by the true time. */
+#define CLOCKS_TRUE 2
+/* Wall clocks of the others are off by at most this, either way. */
+#define CLOCK_OFFSET_MAX_MS 8000
+
 /* An executor becomes of another kind only after a life of this length. */
 #define KIND_LIFE_MIN_MS 12000
 /* The rules call a job idle if there is room for it twice over. */
@@ -83,6 +88,7 @@
     GHashTable *tasks; /* name -> task_t */
     nm_rng_t rng;
     nm_rng_t kind_rng; /* apart, so that a seed draws what it drew before */
+    nm_rng_t clock_rng;
     FILE *event_log;
     executor_fleet_info_t info;
 };
@@ -99,12 +105,30 @@
     }
 }
 
+/* A wall clock is set between two starts: `born` may go back. */
+static int64_t
+draw_clock_offset(executor_fleet_t *fleet)
+{
+    if (!fleet->desc.clocks_differ ||
+        nm_rng_below(&fleet->clock_rng, CLOCKS_TRUE) == 0)
+    {
+        return 0;
+    }
+    return (int64_t)nm_rng_below(&fleet->clock_rng,
+                                 2 * CLOCK_OFFSET_MAX_MS + 1) -
+           CLOCK_OFFSET_MAX_MS;
+}
+
 static void
-start_incarnation(const executor_fleet_t *fleet, executor_t *executor,
+start_incarnation(executor_fleet_t *fleet, executor_t *executor,
                   nm_ms_t now_ms)
 {
+    int64_t offset_ms = draw_clock_offset(fleet);
     executor->incarnation_start_ms = now_ms;
-    executor->incarnation = fleet->unix_offset_ms + now_ms;
+    executor->incarnation = fleet->unix_offset_ms + now_ms + offset_ms;
+    if (offset_ms != 0) {
+        log_event(fleet, now_ms, "clock", executor, "-", offset_ms);
+    }
     executor->epoch = 0;
     executor->lease_expiry_ms = 0;
     executor->last_end_number = 0;
@@ -130,6 +154,7 @@
     fleet->executors = g_new0(executor_t, desc->executors);
     nm_rng_init(&fleet->rng, desc->seed);
     nm_rng_init(&fleet->kind_rng, desc->seed + 3);
+    nm_rng_init(&fleet->clock_rng, desc->seed + 7);
     fleet->event_log =
         desc->event_log_path ? fopen(desc->event_log_path, "w") : NULL;
     for (uint32_t i = 0; i < desc->executors; i++) {
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -56,6 +56,7 @@
     uint32_t attempts_max; /* maxAttempts of the queue; 0: no limit */
     /* Tasks may start until this long after the ack of their job's cancel. */
     nm_ms_t cancel_grace_ms;
+    bool clocks_differ; /* wall clocks of a share of the executors */
     /* File for starts, stops, ends and crashes; NULL: no log. */
     const char *event_log_path;
 } executor_fleet_desc_t;
@@ -98,7 +99,7 @@
     nm_ms_t incarnation_start_ms;
     uint32_t kind;       /* index of executor_kinds, of this incarnation */
     double clock_rate;   /* 1, or less as the users' platform allows */
-    int64_t incarnation; /* start time, Unix ms */
+    int64_t incarnation; /* start time, Unix ms on its wall clock: `born` */
     int64_t epoch;
     int64_t lease_expiry_ms; /* on executor_clock */
     GArray *runs;            /* of executor_run_t */
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -36,7 +36,7 @@
     char *prefix;     /* or the key of /kv-key */
     char *after_name; /* last key of the page before; "": first page */
     int64_t after;
-    int64_t incarnation; /* of the executor on arrival */
+    nm_ms_t incarnation_start_ms; /* of the executor on arrival */
     nm_ms_t arrived_ms;
     nm_ms_t until_ms; /* end of the wait time; delayed order: when due */
     bool stalled;     /* gets only a 503, after STALLED_MAX_MS */
@@ -424,7 +424,8 @@
     if (!executor) {
         return EXECUTOR_STATUS_WRONG_INCARNATION;
     }
-    if (!is_new && request->incarnation != executor->incarnation) {
+    if (!is_new &&
+        request->incarnation_start_ms != executor->incarnation_start_ms) {
         return 503; /* after a crash, where a real one closes the connection */
     }
     json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
@@ -637,7 +638,8 @@
     request->arrived_ms = now_ms;
     const executor_t *executor =
         executor_find(platform->fleet, request->instance);
-    request->incarnation = executor ? executor->incarnation : 0;
+    request->incarnation_start_ms =
+        executor ? executor->incarnation_start_ms : 0;
     return request;
 }
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -11,6 +11,8 @@
  * and again meanwhile, and jobs must go on soon after that
  * (soak_departures.c).  With --recuts executors restart under their ids and
  * are cut off soon after that, while the ownership is lost (soak_recuts.c).
+ * With --reborn beside --recuts or --restarts wall clocks of executors are set
+ * while they restart, entries expire and owners that live on are replaced.
  *
  * Callers submit, query and cancel jobs during the whole run.  Starts of tasks
  * are checked by lib_executor.h; soak_hosts.c and soak_callers.c check what
@@ -168,6 +170,10 @@
          "Restart executors under their ids in series and cut them off soon "
          "after, while owners fall",
          NULL},
+        {"reborn", 0, 0, G_OPTION_ARG_NONE, &soak_options.reborn,
+         "With --recuts or --restarts: let wall clocks of executors differ, "
+         "entries expire, and owners be stopped, frozen or revoked",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -200,6 +206,7 @@
     nm_rng_init(&soak.route_rng, (uint64_t)soak_options.seed + 4);
     nm_rng_init(&soak.departure_rng, (uint64_t)soak_options.seed + 5);
     nm_rng_init(&soak.recut_rng, (uint64_t)soak_options.seed + 6);
+    nm_rng_init(&soak.reborn_rng, (uint64_t)soak_options.seed + 8);
     soak.jobs = g_ptr_array_new_with_free_func(g_free);
     curl_global_init(CURL_GLOBAL_ALL);
     soak.multi = curl_multi_init();
@@ -213,6 +220,7 @@
                   .seed = (uint64_t)soak_options.seed,
                   .attempts_max = ATTEMPTS_MAX,
                   .cancel_grace_ms = CANCEL_GRACE_MS,
+                  .clocks_differ = soak_options.reborn,
                   .event_log_path = event_log_path},
         .drops_jobs = soak_options.drops_jobs,
     });
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -2,7 +2,8 @@
  * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
  * has the host processes, soak_faults.c the faults, soak_departures.c those of
  * --departures and their check, soak_configs.c the changes of --configs and
- * theirs, soak_recuts.c the faults of --recuts, soak_callers.c the callers.
+ * theirs, soak_recuts.c the faults of --recuts and --reborn, soak_callers.c
+ * the callers.
  */
 #ifndef SOAK_STATE_H
 #define SOAK_STATE_H
@@ -89,6 +90,7 @@
     gboolean departures;
     gboolean configs;
     gboolean recuts;
+    gboolean reborn;
 } soak_options_t;
 
 typedef struct {
@@ -122,6 +124,9 @@
     nm_ms_t recut_owner_loss_ms;                /* 0: none */
     nm_ms_t recut_restart_at_ms[EXECUTORS_MAX]; /* 0: no restart */
     nm_ms_t recut_at_ms[EXECUTORS_MAX];         /* 0: no cut */
+    nm_rng_t reborn_rng;
+    nm_ms_t reborn_outage_at_ms; /* 0: none */
+    nm_ms_t reborn_outage_end_ms;
     nm_ms_t next_idle_check_ms;
     nm_ms_t longest_idle_ms; /* of any job in calm time */
     double pending_arrivals;
@@ -195,7 +200,10 @@
 void soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms);
 
 /* soak_recuts.c */
-/* With --recuts: executors restart and are cut off, and owners fall. */
+/*
+ * With --recuts: executors restart and are cut off, and owners fall.  With
+ * --reborn, also beside --restarts: entries expire and owners are replaced.
+ */
 void soak_run_recuts(nm_ms_t now_ms);
 
 /* soak_configs.c */
--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -553,6 +553,55 @@
     executor_at(fleet, index)->entry_ms = 1;
 }
 
+/*
+ * With clocks_differ some wall clocks are set between two lives, forward or
+ * back; entry and report show the same `born`.
+ */
+static void
+test_clocks_differ(void)
+{
+    platform_t *platform =
+        platform_new(&(platform_desc_t){.port = PORT,
+                                        .heartbeat_ms = HEARTBEAT_TEST_MS,
+                                        .fleet = {.executors = 1,
+                                                  .cpu_milli = 1000,
+                                                  .seed = 1,
+                                                  .clocks_differ = true}});
+    wait_for_entry(platform, 0, true, SLACK_MS);
+    platform_lock(platform);
+    const executor_t *executor = executor_at(platform_fleet(platform), 0);
+    uint32_t same_count = 0, back_count = 0;
+    int64_t start_ms = executor->incarnation_start_ms;
+    int64_t offset_ms = executor->incarnation - start_ms;
+    int64_t min_ms = offset_ms, max_ms = offset_ms;
+    for (uint32_t i = 0; i < 200; i++) {
+        int64_t before = executor->incarnation;
+        executor_crash(platform_fleet(platform), 0, platform_now(platform));
+        int64_t last_ms = offset_ms;
+        offset_ms = executor->incarnation - executor->incarnation_start_ms;
+        same_count += offset_ms == last_ms;
+        back_count += executor->incarnation < before;
+        min_ms = MIN(min_ms, offset_ms);
+        max_ms = MAX(max_ms, offset_ms);
+        g_assert_cmpuint(executor->sequence, ==, 0);
+    }
+    g_assert_cmpuint(same_count, >, 20);
+    g_assert_cmpuint(back_count, >, 20);
+    g_assert_cmpint(max_ms - min_ms, >, 12000);
+    g_assert_cmpint(max_ms - min_ms, <=, 16000);
+    char *born =
+        g_strdup_printf("\"born\":%lld}", (long long)executor->incarnation);
+    platform_unlock(platform);
+    sleep_ms(HEARTBEAT_TEST_MS + SLACK_MS);
+    g_assert_true(entry_names(platform, born));
+    json_t *lists = entries_encode_lists(executor, platform_now(platform));
+    g_assert_cmpint(json_integer_value(json_object_get(lists, "born")), ==,
+                    executor->incarnation);
+    json_decref(lists);
+    g_free(born);
+    platform_free(platform);
+}
+
 /* An executor that has left is replaced once it has no entry. */
 static void
 test_executor_leaves_for_good(void)
@@ -788,6 +837,7 @@
                     test_restarts_as_another_kind);
     g_test_add_func("/soak-platform/entry-shows-the-kind",
                     test_entry_shows_the_kind);
+    g_test_add_func("/soak-platform/clocks-differ", test_clocks_differ);
     g_test_add_func("/soak-platform/executor-leaves-for-good",
                     test_executor_leaves_for_good);
     g_test_add_func("/soak-platform/departures-under-a-task",
