--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -234,9 +234,12 @@
     }
     if (node->described && desc->incarnation < node->desc.incarnation) {
         /* Late, unless a report shows that it came after the other. */
+        if (!node->held_desc ||
+            node->held_desc->incarnation != desc->incarnation) {
+            nm_lease_on_former_order(node, now_ms);
+        }
         g_free(node->held_desc);
         node->held_desc = g_memdup2(desc, sizeof(*desc));
-        nm_lease_on_former_order(node, now_ms);
         return;
     }
     g_clear_pointer(&node->held_desc, g_free);
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -338,6 +338,28 @@
     sched_sim_finish(&sim);
 }
 
+/* The same while "a" goes on announcing itself, each time as often. */
+static nm_ms_t
+lose_polls_beside_heartbeats(sched_sim_t *sim, int64_t incarnation)
+{
+    enum { HEARTBEAT_MS = 1500 };
+    nm_ms_t begun_ms = sim->now_ms;
+    for (int64_t count = 1; sim->now_ms - begun_ms < WAIT_MAX_MS; count++) {
+        sched_sim_announce_again(sim, "a", incarnation, count);
+        for (nm_ms_t ms = 0; ms < HEARTBEAT_MS; ms += TICK_MS) {
+            sched_sim_lose_poll(sim, "a");
+            sched_sim_advance(sim, TICK_MS);
+            nm_sched_event_t event;
+            while (nm_sched_next_event(sim->sched, &event)) {
+                if (event.type == NM_SCHED_EVENT_WORKER_LAPSED) {
+                    return sim->now_ms;
+                }
+            }
+        }
+    }
+    return NM_MS_NEVER;
+}
+
 /*
  * A worker restarts while its time of day is set back, announces itself and
  * is cut off before it responds to a poll: a start in flight may have given
@@ -363,9 +385,9 @@
             /* No poll is in flight at the restart: it would extend it, too. */
             sched_sim_report(&sim, "a", BORN, &run, 1, NULL, 0);
         }
-        sched_sim_announce_again(&sim, "a", next_born[c], 1);
         nm_ms_t announced_ms = sim.now_ms;
-        nm_ms_t lapse_ms = lose_polls_until_lapse(&sim) - announced_ms;
+        nm_ms_t lapse_ms =
+            lose_polls_beside_heartbeats(&sim, next_born[c]) - announced_ms;
         g_test_message("born %lld: %lld ms", (long long)next_born[c],
                        (long long)lapse_ms);
         g_assert_cmpint(lapse_ms, >=, LEASE_LIMIT_SLOW_MS);
