--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -55,7 +55,6 @@
     bool long_running;
     bool deadly;
     bool fails_often;
-    bool saves_nothing; /* its tasks have no checkpoints */
     /* CRASHES_MIN executors have crashed under a task, or its attempts ended.
      */
     bool may_fail;
@@ -77,7 +76,6 @@
     uint32_t failures; /* runs that ended `failed` */
     uint32_t failures_acked;
     nm_ms_t done_acked_ms; /* first ack of an end `done`; 0: none */
-    nm_ms_t saved_ms;      /* progress of its newest checkpoint */
 } task_t;
 
 struct executor_fleet {
@@ -225,16 +223,6 @@
     return (int64_t)(elapsed_ms * executor->clock_rate) + 1;
 }
 
-nm_ms_t
-executor_run_saved_ms(const executor_run_t *run, nm_ms_t now_ms)
-{
-    nm_ms_t worked_ms = now_ms - run->started_ms;
-    return run->long_running || run->saves_nothing
-               ? 0
-               : run->checkpoint_ms + worked_ms / CHECKPOINT_INTERVAL_MS *
-                                          CHECKPOINT_INTERVAL_MS;
-}
-
 void
 executor_fleet_add_violation(executor_fleet_t *fleet, nm_ms_t now_ms,
                              const char *format, ...)
@@ -281,12 +269,6 @@
     return run ? *run : 0;
 }
 
-static void
-record_saved(task_t *task, const executor_run_t *run, nm_ms_t now_ms)
-{
-    task->saved_ms = MAX(task->saved_ms, executor_run_saved_ms(run, now_ms));
-}
-
 static void
 record_finished_run(executor_t *executor, const char *task, int64_t run)
 {
@@ -306,9 +288,11 @@
                           .run = run->run,
                           .result = result};
     nm_strcopy(end.task, sizeof(end.task), run->task);
-    record_saved(get_task(fleet, run->task), run, now_ms);
-    if (strcmp(result, "stopped") == 0) {
-        end.checkpoint_ms = executor_run_saved_ms(run, now_ms);
+    if (strcmp(result, "stopped") == 0 && !run->long_running) {
+        nm_ms_t worked_ms = now_ms - run->started_ms;
+        end.checkpoint_ms = run->checkpoint_ms + worked_ms /
+                                                     CHECKPOINT_INTERVAL_MS *
+                                                     CHECKPOINT_INTERVAL_MS;
     }
     if (strcmp(result, "done") == 0) {
         task_t *task = get_task(fleet, run->task);
@@ -345,7 +329,6 @@
         task_t *task = get_task(fleet, run->task);
         job_t *job = find_job_of_task(fleet, run->task);
         bool survived = now_ms - run->started_ms > SURVIVED_MS;
-        record_saved(task, run, now_ms);
         task->crashes = survived ? 0 : task->crashes + 1;
         if (job) {
             job->may_fail = job->may_fail || task->crashes >= CRASHES_MIN;
@@ -514,9 +497,8 @@
 
 static void
 check_start(executor_fleet_t *fleet, const executor_t *executor,
-            const executor_order_t *order, const job_t *job, nm_ms_t now_ms)
+            const char *name, const job_t *job, nm_ms_t now_ms)
 {
-    const char *name = order->task;
     if (!job) {
         executor_fleet_add_violation(
             fleet, now_ms, "UNASKED task %s starts, its job was not submitted",
@@ -537,7 +519,7 @@
             "UNASKED task %s starts %lld ms after its job's cancel", name,
             (long long)(now_ms - job->cancelled_ms));
     }
-    task_t *task = get_task(fleet, name);
+    const task_t *task = get_task(fleet, name);
     if (task->done_acked_ms > 0 && now_ms - task->done_acked_ms > ACK_GRACE_MS)
     {
         executor_fleet_add_violation(
@@ -559,22 +541,12 @@
     for (uint32_t i = 0; i < fleet->desc.executors; i++) {
         executor_t *other = &fleet->executors[i];
         fleet->info.repeats += lists_done(other, name);
-        const executor_run_t *run = find_run(other, name);
-        if (run) {
-            record_saved(task, run, now_ms);
-        }
-        if (other != executor && run) {
+        if (other != executor && find_run(other, name)) {
             executor_fleet_add_violation(
                 fleet, now_ms, "TWICE task %s runs on executors %s and %s",
                 name, executor->id, other->id);
         }
     }
-    int64_t checkpoint_ms = strtoll(order->checkpoint, NULL, 10);
-    if (checkpoint_ms > task->saved_ms) {
-        executor_fleet_add_violation(
-            fleet, now_ms, "UNASKED task %s starts at %lld ms, saved %lld ms",
-            name, (long long)checkpoint_ms, (long long)task->saved_ms);
-    }
 }
 
 static void
@@ -669,7 +641,7 @@
         return EXECUTOR_STATUS_CONFLICT;
     }
     const job_t *job = find_job_of_task(fleet, order->task);
-    check_start(fleet, executor, order, job, now_ms);
+    check_start(fleet, executor, order->task, job, now_ms);
     executor_run_t run = {.run = order->run, .started_ms = now_ms};
     nm_strcopy(run.task, sizeof(run.task), order->task);
     if (job) {
@@ -677,7 +649,6 @@
         run.duration_ms = job->duration_ms;
         run.cpu_milli = job->cpu_milli;
         run.long_running = job->long_running;
-        run.saves_nothing = job->saves_nothing;
         run.deadly = job->deadly;
         run.fails =
             !job->long_running &&
@@ -795,15 +766,6 @@
     }
 }
 
-void
-executor_job_saves_nothing(executor_fleet_t *fleet, const char *id)
-{
-    job_t *job = g_hash_table_lookup(fleet->jobs, id);
-    if (job) {
-        job->saves_nothing = true;
-    }
-}
-
 bool
 executor_job_may_fail(const executor_fleet_t *fleet, const char *id)
 {
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -9,8 +9,7 @@
  *              end `done` was acknowledged before the executor's lease lapsed
  *     LIMIT    an executor's runs fit its CPU capacity
  *     UNASKED  the task's job was submitted, and was not cancelled more than
- *              cancel_grace_ms ago; the start's checkpoint is not beyond what
- *              the task has saved
+ *              cancel_grace_ms ago
  *     BUDGET   a task that crashes its executors is not started for the third
  *              time after three of them have crashed under it, nor any task
  *              after attempts_max ends `failed` that were acknowledged
@@ -80,7 +79,6 @@
     nm_ms_t checkpoint_ms; /* progress in the checkpoint it started from */
     int64_t cpu_milli;
     bool long_running;
-    bool saves_nothing;
     bool deadly; /* crashes its executor at end_at_ms */
     bool fails;
     nm_ms_t stop_at_ms; /* 0: no stop was ordered */
@@ -145,9 +143,6 @@
  * from 1.
  */
 int64_t executor_clock(const executor_t *executor, nm_ms_t now_ms);
-/* Progress of a run's newest checkpoint; 0: none.  It lists it while it runs.
- */
-nm_ms_t executor_run_saved_ms(const executor_run_t *run, nm_ms_t now_ms);
 /* True if orders do not reach the executor: unresponsive, cut off, or gone. */
 bool executor_is_silent(const executor_t *executor, nm_ms_t now_ms);
 /* Ends runs that are due, were stopped, or whose executor's lease expired. */
@@ -206,8 +201,6 @@
                          uint32_t per_worker_max);
 /* Most runs of the job's tasks fail. */
 void executor_job_fails_often(executor_fleet_t *fleet, const char *job);
-/* The job's tasks have no checkpoints. */
-void executor_job_saves_nothing(executor_fleet_t *fleet, const char *job);
 /*
  * True if executors have crashed so often under a task, or its runs have
  * failed so often, that it may be failed.
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -13,10 +13,7 @@
 #define IMPATIENT_CALLERS 4
 /* With --cuts many tasks are at work when their lease lapses. */
 #define LONG_TASK_MAX_MS 6000
-/*
- * With --recuts some are at work for longer than a lease.  They have no
- * checkpoints, so that a later run of them is as long.
- */
+/* With --recuts some are at work for longer than a lease. */
 #define RECUT_TASK_MAX_MS 14000
 /* Otherwise they count as stalled before they end. */
 #define RECUT_ESTIMATE_MS 6000
@@ -113,9 +110,8 @@
                  payload, job->tasks,
                  soak_options.recuts ? RECUT_ESTIMATE_MS : ESTIMATE_MS, label,
                  limit,
-                 job->long_running     ? ",\"longRunning\":true"
-                 : soak_options.recuts ? ""
-                                       : ",\"checkpoints\":true");
+                 job->long_running ? ",\"longRunning\":true"
+                                   : ",\"checkpoints\":true");
         curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
     }
     else if (type == 'D') {
@@ -180,9 +176,6 @@
     if (fails_often) {
         executor_job_fails_often(platform_fleet(soak.platform), job->id);
     }
-    if (soak_options.recuts) {
-        executor_job_saves_nothing(platform_fleet(soak.platform), job->id);
-    }
     draw_route(job);
     platform_unlock(soak.platform);
     send_call(job, 'P');
--- a/tests/test_soak_platform.c
+++ b/tests/test_soak_platform.c
@@ -340,83 +340,6 @@
 #define LATE_ORDER_MS 2000
 #define LEASE_MAX_TEST_MS 10000 /* maxHoldMs of the users' platform */
 
-/* What an executor lists of the first entry of `running` or `finished`. */
-static char *
-list_checkpoint(const executor_t *executor, const char *list, size_t field,
-                nm_ms_t now_ms)
-{
-    json_t *lists = entries_encode_lists(executor, now_ms);
-    char *checkpoint = g_strdup(json_string_value(json_array_get(
-        json_array_get(json_object_get(lists, list), 0), field)));
-    json_decref(lists);
-    return checkpoint;
-}
-
-/*
- * A run lists a new checkpoint with each second of work, as on the platform:
- * one without any would count as stalled.  A start with a checkpoint beyond
- * what the task has saved is a violation.
- */
-static void
-test_checkpoints_of_a_run(void)
-{
-    static const struct {
-        bool long_running;
-        bool saves_nothing;
-        nm_ms_t work_ms;
-        const char *listed;
-        const char *beyond;
-    } runs[] = {
-        {false, false, 900, "", "1"},
-        {false, false, 1000, "1000", "1001"},
-        {false, false, 3500, "3000", "3001"},
-        {true, false, 3500, "", "1"},
-        {false, true, 3500, "", "1"},
-    };
-    for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
-        executor_fleet_t *fleet = executor_fleet_new(
-            &(executor_fleet_desc_t){.executors = 3, .cpu_milli = 1000});
-        executor_job_submitted(fleet, "a", 1, 100, 9000, runs[i].long_running,
-                               false);
-        if (runs[i].saves_nothing) {
-            executor_job_saves_nothing(fleet, "a");
-        }
-        executor_t *executor = executor_at(fleet, 1);
-        nm_ms_t now_ms = 1000;
-        executor_order_t order = {.task = "a.0.0.0",
-                                  .run = 1,
-                                  .epoch = 1,
-                                  .expiry_ms = now_ms + LEASE_MAX_TEST_MS,
-                                  .checkpoint = ""};
-        const char *reason = NULL;
-        executor_start(fleet, executor, &order, now_ms, &reason);
-        now_ms += runs[i].work_ms;
-        executor_fleet_update(fleet, now_ms);
-        char *listed = list_checkpoint(executor, "running", 2, now_ms);
-        g_assert_cmpstr(listed, ==, runs[i].listed);
-        g_free(listed);
-        executor_crash(fleet, 1, now_ms);
-        order.run = 2;
-        order.checkpoint = runs[i].listed;
-        executor_start(fleet, executor_at(fleet, 0), &order, now_ms, &reason);
-        listed = list_checkpoint(executor_at(fleet, 0), "running", 2, now_ms);
-        g_assert_cmpstr(listed, ==, runs[i].listed);
-        g_free(listed);
-        executor_stop(fleet, executor_at(fleet, 0), &order, now_ms, &reason);
-        now_ms += 200;
-        executor_fleet_update(fleet, now_ms);
-        listed = list_checkpoint(executor_at(fleet, 0), "finished", 4, now_ms);
-        g_assert_cmpstr(listed, ==, runs[i].listed);
-        g_free(listed);
-        g_assert_cmpuint(executor_fleet_query_info(fleet).violations, ==, 0);
-        order.run = 3;
-        order.checkpoint = runs[i].beyond;
-        executor_start(fleet, executor_at(fleet, 2), &order, now_ms, &reason);
-        g_assert_cmpuint(executor_fleet_query_info(fleet).violations, ==, 1);
-        executor_fleet_free(fleet);
-    }
-}
-
 typedef enum {
     SENT_NOW,
     SENT_BEFORE_RESTART,     /* it arrived before the incarnation began */
@@ -909,8 +832,6 @@
                     test_attempts_of_a_task);
     g_test_add_func("/soak-platform/ack-after-the-lease",
                     test_ack_after_the_lease);
-    g_test_add_func("/soak-platform/checkpoints-of-a-run",
-                    test_checkpoints_of_a_run);
     g_test_add_func("/soak-platform/route-of-starts", test_route_of_starts);
     g_test_add_func("/soak-platform/restarts-as-another-kind",
                     test_restarts_as_another_kind);
