--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -364,9 +364,8 @@
 {
     bool has_history = task->avoided_node || task->orphans > 0 ||
                        task->open_starts > 0 || task->starts_in_flight > 0 ||
-                       task->opened_by_former ||
-
-                       task->crashes > 0 || task->silence_count > 0 ||
+                       task->opened_by_former || task->crashes > 0 ||
+                       task->silence_count > 0 ||
                        task->intent.worker_hash != 0;
     if (has_history) {
         return nm_choice_find_node(search->sched, search->candidate, task,
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -513,17 +513,16 @@
     }
 }
 
-/* Starts whose response is not expected any more, or not for the present. */
+/* Starts whose response is not expected while the worker is silent. */
 static uint32_t
-count_unanswered_starts(const nm_sched_t *sched)
+count_silent_starts(const nm_sched_t *sched)
 {
     uint32_t count = 0;
     for (guint n = 0; n < sched->node_list->len; n++) {
         const nm_sched_node_t *node = sched->node_list->pdata[n];
-        for (guint i = 0; i < node->tasks->len; i++) {
+        for (guint i = 0; !node->reachable && i < node->tasks->len; i++) {
             const nm_task_t *task = node->tasks->pdata[i];
-            count += task->state == NM_RUN_STARTING &&
-                     (!node->reachable || !task->order_pending);
+            count += task->state == NM_RUN_STARTING && !task->awaits_report;
         }
     }
     return count;
@@ -541,7 +540,8 @@
     round.held_nodes = nm_room_count_held(sched, NM_HOLD_IDLE, now_ms);
     round.starting_max = (uint32_t)sched->delay.starting_max;
     if (!nm_delay_is_behind(sched, now_ms)) {
-        round.starting_max += count_unanswered_starts(sched);
+        round.starting_max +=
+            sched->awaiting_count + count_silent_starts(sched);
     }
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -73,7 +73,7 @@
 {
     for (guint i = 0; i < node->tasks->len; i++) {
         const nm_task_t *task = node->tasks->pdata[i];
-        if (task->state == NM_RUN_STARTING && !task->order_pending) {
+        if (task->awaits_report) {
             return true;
         }
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -283,6 +283,8 @@
         schedule_retry(sched, task, now_ms);
         return;
     }
+    task->awaits_report = true;
+    sched->awaiting_count++;
     task->order_due_ms = now_ms + START_REPORT_MAX_MS;
     node->retry_due_ms = MIN(node->retry_due_ms, task->order_due_ms);
     if (!node->poll_pending) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -180,6 +180,7 @@
     uint32_t open_starts;
     uint32_t starts_in_flight; /* calls that have not timed out */
     bool resent;               /* its run's start has been sent twice */
+    bool awaits_report;        /* STARTING: the start got no response */
     int64_t shown_run;         /* newest run that a report has shown */
     /*
      * An unanswered start, of this owner or a former one, may be carried out
@@ -457,6 +458,7 @@
     bool authority;  /* may start tasks and renew leases */
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
+    uint32_t awaiting_count; /* part of it: tasks that await a report */
     bool has_unknown_runs;   /* tasks may be in state NM_RUN_UNKNOWN */
     uint32_t sampled_calls;  /* in the sample since sample_since_ms */
     uint32_t sampled_calls_lost;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -246,6 +246,8 @@
 {
     sched->starting_count -= task->state == NM_RUN_STARTING;
     sched->starting_count += state == NM_RUN_STARTING;
+    sched->awaiting_count -= task->awaits_report;
+    task->awaits_report = false;
     task->state = state;
     if (state == NM_RUN_RUNNING) {
         task->occurrence->job->idle_since_ms = 0;
