--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -311,7 +311,6 @@
         nm_orphans_add_unanswered(sched, addressed, action, now_ms);
         store_open_start(sched, action, now_ms);
     }
-
     else if (addressed && result != NM_ORDER_UNKNOWN &&
              result != NM_ORDER_NOT_SENT &&
              (action->incarnation != addressed->desc.incarnation ||
@@ -473,7 +472,6 @@
         if (run >= task->open_run && !nm_step_may_resend(nm_task_step(task))) {
             task->open_until_ms = 0;
         }
-
         nm_orphans_close_start(sched, node, name, run, ended, now_ms);
     }
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -87,7 +87,7 @@
 #define NM_SCHED_STARTING_MAX 400
 /* Limit of the workers of a task that may have crashed; it waits from then. */
 #define NM_SCHED_SILENCES_MAX 5
-/* Tries after which an unanswered start is withdrawn by a stop. */
+/* Tries of a start that may be sent again, after which it is withdrawn. */
 #define NM_SCHED_START_TRIES_MAX 3
 /*
  * Tries of a start while calls are lossy; with the shorter timeouts they
