Send starts again until a worker has come back under its id

An open start does harm only where a worker comes back under its id; where they do not, or before the first one has, tasks waited 14 s for nothing. Change: an owner sends unanswered starts again, as before, until it or a former owner has seen a later incarnation under the same id (ids_reused in the records of jobs); from then on open starts hold their tasks. Not covered: late starts that meet the first such restart. Test: /sched/starts-are-sent-again-until-ids-are-reused. Other tests and bench_jobs play the owner that waits from the start.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -46,6 +46,11 @@
     /* Longest lease of any earlier owner; 0: 7000; 1: no earlier owner. */
     nm_ms_t former_lease_max_ms;
     nm_ms_t announce_interval_ms; /* of workers, usual one; 0: 1500 */
+    /*
+     * Send a start without a response again until a worker has come back under
+     * its id; only then may a late one reach a later incarnation.
+     */
+    bool resends_starts;
     uint64_t seed;
     nm_ms_t retain_ms; /* how long ended jobs are kept; 0: 150000 */
 } nm_sched_desc_t;
--- a/src/sched.c
+++ b/src/sched.c
@@ -128,6 +128,7 @@
     sched->desc = *desc;
     nm_sched_desc_t *d = &sched->desc;
     d->lease_ms = d->lease_ms ? d->lease_ms : DEFAULT_LEASE_MS;
+    sched->ids_reused = !d->resends_starts;
     d->announce_interval_ms = d->announce_interval_ms
                                   ? d->announce_interval_ms
                                   : DEFAULT_ANNOUNCE_INTERVAL_MS;
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -193,6 +193,7 @@
             g_ptr_array_add(unconfirmed, task);
         }
     }
+    sched->ids_reused = true;
     node->desc.incarnation = incarnation;
     node->incarnation_seen_ms = now_ms;
     /* A start of a former owner may have reached this incarnation. */
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -156,7 +156,7 @@
         }
         else if (task->state == NM_RUN_STARTING && node->reachable) {
             if (task->tries >= tries_max ||
-                !nm_step_may_resend(nm_task_step(task))) {
+                !nm_step_may_resend(sched, nm_task_step(task))) {
                 nm_sched_withdraw_start(sched, task, now_ms);
             }
             else {
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -204,6 +204,8 @@
         json_object_set_new(record, "silences", encode_silences(job));
         json_object_set_new(record, "open_starts",
                             encode_open_starts(sched, job));
+        json_object_set_new(record, "ids_reused",
+                            json_boolean(sched->ids_reused));
     }
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
@@ -430,6 +432,8 @@
     {
         restore_silence(sched, job, row);
     }
+    sched->ids_reused = sched->ids_reused ||
+                        json_is_true(json_object_get(record, "ids_reused"));
     json_array_foreach(json_object_get(record, "open_starts"), i, row)
     {
         restore_open_start(sched, job, row);
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -262,7 +262,8 @@
                  nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, start->task);
-    if (task && !nm_task_is_done(task) && !nm_task_step(task)->copies_allowed)
+    if (sched->ids_reused && task && !nm_task_is_done(task) &&
+        !nm_task_step(task)->copies_allowed)
     {
         task->open_until_ms = nm_late_order_end_ms(now_ms);
         task->open_run = start->run;
@@ -279,7 +280,7 @@
 await_start(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
 {
     nm_sched_node_t *node = task->node;
-    if (nm_step_may_resend(nm_task_step(task))) {
+    if (nm_step_may_resend(sched, nm_task_step(task))) {
         schedule_retry(sched, task, now_ms);
         return;
     }
@@ -354,6 +355,8 @@
         nm_task_requeue(sched, task);
         break;
     case NM_ORDER_LATER_INCARNATION:
+        sched->ids_reused = true;
+
         nm_sched_add_run_event(sched, NM_SCHED_EVENT_START_MISDIRECTED, task,
                                action->incarnation);
         if (task->tries == 1) {
@@ -469,7 +472,8 @@
     nm_task_t *task = nm_sched_find_task(sched, name);
     if (task) {
         task->shown_run = MAX(task->shown_run, run);
-        if (run >= task->open_run && !nm_step_may_resend(nm_task_step(task))) {
+        if (run >= task->open_run &&
+            !nm_step_may_resend(sched, nm_task_step(task))) {
             task->open_until_ms = 0;
         }
         nm_orphans_close_start(sched, node, name, run, ended, now_ms);
@@ -623,7 +627,7 @@
             continue;
         }
         if (task->state == NM_RUN_STARTING) {
-            if (!nm_step_may_resend(nm_task_step(task)) &&
+            if (!nm_step_may_resend(sched, nm_task_step(task)) &&
                 report->sent_ms >= task->start_expires_ms)
             {
                 nm_sched_withdraw_start(sched, task, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -459,8 +459,13 @@
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     uint32_t awaiting_count; /* part of it: tasks that await a report */
-    bool has_unknown_runs;   /* tasks may be in state NM_RUN_UNKNOWN */
-    uint32_t sampled_calls;  /* in the sample since sample_since_ms */
+    /*
+     * Workers come back under their ids: one has, in the time of this owner or
+     * of a former one, or nothing is known (nm_sched_desc_t.resends_starts).
+     */
+    bool ids_reused;
+    bool has_unknown_runs;  /* tasks may be in state NM_RUN_UNKNOWN */
+    uint32_t sampled_calls; /* in the sample since sample_since_ms */
     uint32_t sampled_calls_lost;
     nm_ms_t sample_since_ms;
     nm_delay_t delay;
@@ -695,14 +700,14 @@
                           nm_ms_t now_ms);
 /*
  * True if an unanswered start of a step's task may be sent again while the
- * first call may still be carried out: a second run is allowed, or the task
- * does not end by itself, so that its worker refuses the other call for as
- * long as it has the run.
+ * first call may still be carried out: no worker comes back under its id, a
+ * second run is allowed, or the task does not end by itself, so that its
+ * worker refuses the other call for as long as it has the run.
  */
 static inline bool
-nm_step_may_resend(const nm_step_t *step)
+nm_step_may_resend(const nm_sched_t *sched, const nm_step_t *step)
 {
-    return step->copies_allowed || step->long_running;
+    return !sched->ids_reused || step->copies_allowed || step->long_running;
 }
 
 /* True if a task must not start yet, wherever there is capacity for it. */
@@ -710,9 +715,9 @@
 nm_task_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                   nm_ms_t now_ms)
 {
-    return task->orphans > 0 || task->open_starts > 0 ||
-           task->starts_in_flight > 0 ||
-           (task->opened_by_former && now_ms < task->open_until_ms) ||
+    bool is_open = task->open_starts > 0 || task->starts_in_flight > 0 ||
+                   (task->opened_by_former && now_ms < task->open_until_ms);
+    return task->orphans > 0 || (sched->ids_reused && is_open) ||
            nm_crashes_must_wait(sched, task, now_ms);
 }
 /* Returns the worker of the task's stored intent, or NULL. */
--- a/tests/fakes/lib_sched_sim.c
+++ b/tests/fakes/lib_sched_sim.c
@@ -20,20 +20,15 @@
     collect_actions(sim);
 }
 
-void
-sched_sim_init(sched_sim_t *sim, int64_t epoch)
-{
-    sched_sim_init_seeded(sim, epoch, 0);
-}
-
-void
-sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed)
+static void
+init(sched_sim_t *sim, int64_t epoch, uint64_t seed, bool resends_starts)
 {
     *sim = (sched_sim_t){.now_ms = 1000, .unix_offset_ms = 1000000};
     sim->actions = g_array_new(FALSE, FALSE, sizeof(nm_sched_action_t));
     sim->sched = nm_sched_new(
         &(nm_sched_desc_t){.epoch = epoch,
                            .former_lease_max_ms = epoch > 1 ? 0 : 1,
+                           .resends_starts = resends_starts,
                            .seed = seed},
         sim->now_ms);
     /* As an owner does, so that the scheduler knows the wall clock. */
@@ -46,6 +41,24 @@
     nm_sched_set_queue(sim->sched, &queue);
 }
 
+void
+sched_sim_init(sched_sim_t *sim, int64_t epoch)
+{
+    init(sim, epoch, 0, false);
+}
+
+void
+sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed)
+{
+    init(sim, epoch, seed, false);
+}
+
+void
+sched_sim_init_resending(sched_sim_t *sim, int64_t epoch)
+{
+    init(sim, epoch, 0, true);
+}
+
 void
 sched_sim_finish(sched_sim_t *sim)
 {
--- a/tests/fakes/lib_sched_sim.h
+++ b/tests/fakes/lib_sched_sim.h
@@ -35,6 +35,8 @@
 void sched_sim_init(sched_sim_t *sim, int64_t epoch);
 /* The same with a seed of the scheduler's random choices; otherwise 0. */
 void sched_sim_init_seeded(sched_sim_t *sim, int64_t epoch, uint64_t seed);
+/* The same of one that sends starts again until ids are reused. */
+void sched_sim_init_resending(sched_sim_t *sim, int64_t epoch);
 void sched_sim_finish(sched_sim_t *sim);
 /* Announces and admits a worker; it has not reported yet. */
 void sched_sim_announce(sched_sim_t *sim, const char *id, int64_t incarnation);
--- a/tests/test_sched_open_calls.c
+++ b/tests/test_sched_open_calls.c
@@ -321,6 +321,67 @@
     }
 }
 
+/* Sends a start to "b", which gets no response; returns the time to the next.
+ */
+static nm_ms_t
+time_to_next_try(calls_sim_t *calls)
+{
+    sched_sim_add_worker(&calls->sim, "b");
+    sched_sim_add_job(&calls->sim, JOB, false, 1, 1000, false);
+    sched_sim_advance(&calls->sim, 30);
+    const nm_sched_action_t *start =
+        sched_sim_find_action(&calls->sim, NM_ACTION_START, NULL);
+    g_assert_nonnull(start);
+    nm_sched_on_start(calls->sim.sched, start, NM_ORDER_UNKNOWN,
+                      calls->sim.now_ms);
+    return time_to_start(calls, WATCH_MS);
+}
+
+/*
+ * An owner that sends starts again does so until a worker comes back under its
+ * id; the next owner knows of that by the records of jobs.
+ */
+static void
+test_starts_are_sent_again_until_ids_are_reused(void)
+{
+    enum { AT_ONCE_MS = 500 };
+    for (int restarts = 0; restarts < 2; restarts++) {
+        calls_sim_t calls = {
+            .incarnation = 1, .stops_answered = true, .complete = true};
+        sched_sim_init_resending(&calls.sim, 1);
+        sched_sim_announce(&calls.sim, "a", 1);
+        sched_sim_report(&calls.sim, "a", 1, NULL, 0, NULL, 0);
+        if (restarts > 0) {
+            calls.incarnation = 2;
+            sched_sim_announce(&calls.sim, "a", 2);
+            sched_sim_report(&calls.sim, "a", 2, NULL, 0, NULL, 0);
+        }
+        nm_ms_t wait_ms = time_to_next_try(&calls);
+        g_assert_cmpint(wait_ms >= LATE_START_MS, ==, restarts > 0);
+        g_assert_cmpint(wait_ms <= AT_ONCE_MS, ==, restarts == 0);
+        /* One more change of the job, so that its record is stored. */
+        nm_sched_on_start(
+            calls.sim.sched,
+            sched_sim_find_action(&calls.sim, NM_ACTION_START, NULL),
+            NM_ORDER_UNKNOWN, calls.sim.now_ms);
+        char *record = save_record(&calls.sim);
+        sched_sim_finish(&calls.sim);
+        if (record) {
+            sched_sim_init_resending(&calls.sim, 2);
+            sched_sim_add_job(&calls.sim, "6d1f8b32ea5c47a9", false, 1, 1000,
+                              true);
+            nm_sched_restore(calls.sim.sched, "6d1f8b32ea5c47a9", record,
+                             (uint32_t)strlen(record));
+            nm_sched_activate(calls.sim.sched, calls.sim.now_ms);
+            wait_ms = time_to_next_try(&calls);
+            g_assert_cmpint(wait_ms >= LATE_START_MS, ==, restarts > 0);
+            sched_sim_finish(&calls.sim);
+        }
+        g_free(record);
+        g_assert_cmpint(record != NULL, >=, restarts > 0);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -342,5 +403,7 @@
                     test_start_is_not_withdrawn_before_it_expires);
     g_test_add_func("/sched/next-owner-waits-for-an-unanswered-start",
                     test_next_owner_waits_for_an_unanswered_start);
+    g_test_add_func("/sched/starts-are-sent-again-until-ids-are-reused",
+                    test_starts_are_sent_again_until_ids_are_reused);
     return g_test_run();
 }
