--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -12,9 +12,9 @@
 # otherwise; the logs of failed runs are kept.
 set -u
 folder=$(mktemp -d)
-# Below the ephemeral ports of the system.  Derived from the process id, so
+# Below the ephemeral ports of the system, ten runs long.  Derived from the process id, so
 # that concurrent runs start at different ports.
-base_port=$((10000 + $$ % 40 * 500))
+base_port=$((10000 + $$ % 35 * 500))
 status=0
 
 run_soak() {
