Evacuate data centres: no start in a zone that the operator has emptied

The owner has a feed of the keys. Workers of an evacuated zone are not usable; what runs there keeps its lease. While the copy may be older than the bound allows and the store answers, all starts are held. An unanswered start is withdrawn instead of sent again. Cold workers come after warm ones, and get starts at the rate that their service declares. /-/status of an entry host and nutmegctl status show the zones. On only with evacuation_ms.

--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -675,9 +675,9 @@
 init_queues(fleet_t *fleet)
 {
     static const nm_queue_t queues[] = {
-        {"checks", "press", 0, 4, 1.5, 600},
-        {"fillers", "press", 2, 3, 2.0, 1000},
-        {"services", "press", 0, 4, 2.0, 3000},
+        {"checks", "press", 0, 4, 1.5, 600, 0},
+        {"fillers", "press", 2, 3, 2.0, 1000, 0},
+        {"services", "press", 0, 4, 2.0, 3000, 0},
     };
     for (size_t i = 0; i < NM_COUNT_OF(queues); i++) {
         nm_sched_set_queue(fleet->sched, &queues[i]);
--- a/daemons/nutmegctl.c
+++ b/daemons/nutmegctl.c
@@ -496,6 +496,35 @@
            (long long)json_integer_value(json_object_get(tasks, "done")));
 }
 
+/* Of an entry host for jobs; evacuated zones are known to the owner. */
+static void
+print_job_host_status(const char *host, json_t *status)
+{
+    printf("%-22s %-18s %-9s rev %-5lld store %-4s %-8s epoch %-3lld owner "
+           "%s",
+           host, json_string_value(json_object_get(status, "id")),
+           json_is_true(json_object_get(status, "ready")) ? "ready"
+                                                          : "not-ready",
+           (long long)json_integer_value(json_object_get(status, "revision")),
+           json_is_true(json_object_get(status, "store_ok")) ? "ok" : "down",
+           json_string_value(json_object_get(status, "role")),
+           (long long)json_integer_value(json_object_get(status, "epoch")),
+           json_string_value(json_object_get(status, "owner")));
+    size_t i;
+    json_t *zone;
+    json_array_foreach(json_object_get(status, "evacuated"), i, zone)
+    {
+        printf("%s %s (%lld s)", i == 0 ? " evacuated" : ",",
+               json_string_value(json_object_get(zone, "zone")),
+               (long long)json_integer_value(json_object_get(zone, "for_ms")) /
+                   1000);
+    }
+    if (json_is_true(json_object_get(status, "starts_held"))) {
+        printf(" starts-held");
+    }
+    printf("\n");
+}
+
 static int
 command_fetch(const options_t *options, const char *path)
 {
@@ -516,6 +545,10 @@
         else if (json_is_string(json)) {
             printf("# %s\n%s", *host, json_string_value(json));
         }
+        else if (is_status && !options->json && json_object_get(json, "role"))
+        {
+            print_job_host_status(*host, json);
+        }
         else if (is_status && !options->json) {
             print_status(*host, json);
         }
--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -28,6 +28,8 @@
 #include "../src/ops.h"
 
 #define FDS_MAX 80 /* the bound of nm_http_poll() */
+/* Time between two updates of the status page. */
+#define STATUS_INTERVAL_MS 1000
 
 static volatile sig_atomic_t stop_requested;
 static volatile sig_atomic_t reload_requested;
@@ -76,8 +78,9 @@
 /* Serves until a signal has requested the shutdown and it is complete. */
 static void
 run_loop(nm_entry_t *entry, nm_http_t *http, nm_api_listener_t *listener,
-         nm_peer_rpc_t *peers, const char *path)
+         nm_peer_rpc_t *peers, nm_ops_t *ops, const char *path)
 {
+    nm_ms_t status_due_ms = 0;
     while (!nm_entry_is_stopped(entry)) {
         if (stop_requested) {
             nm_entry_stop(entry);
@@ -87,6 +90,11 @@
             reload(path);
         }
         nm_ms_t wait_ms = nm_entry_run(entry);
+        if (nm_now_monotonic() >= status_due_ms) {
+            status_due_ms = nm_now_monotonic() + STATUS_INTERVAL_MS;
+            nm_ops_set_page(ops, NM_OPS_PAGE_STATUS,
+                            nm_entry_encode_status(entry));
+        }
         int fds[FDS_MAX];
         fds[0] = listener->vtable->fd(listener);
         uint32_t count = 1 + nm_peer_rpc_fds(peers, fds + 1, FDS_MAX - 1);
@@ -130,6 +138,7 @@
         .grace_ms = settings->grace_ms,
         .config_apply_ms = settings->config_apply_ms,
         .announce_interval_ms = settings->announce_interval_ms,
+        .evacuation_ms = settings->evacuation_ms,
         .clock = &clock,
         .kv = kv,
         .orders = limited_orders,
@@ -141,7 +150,7 @@
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_STARTED, "{s:s,s:s,s:s}", "version",
            NM_VERSION, "zone", settings->zone, "front",
            settings->front_address);
-    run_loop(entry, http, listener, peers, path);
+    run_loop(entry, http, listener, peers, ops, path);
     nm_entry_free(entry);
     nm_api_listener_http_free(listener);
     nm_ops_free(ops);
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -90,6 +90,9 @@
     X(LIFE_CONTRADICTED, "life-contradicted")                                 \
     X(MACHINES_UNKNOWN, "machines-unknown")                                   \
     X(MACHINES_MALFORMED, "machines-malformed")                               \
+    X(ZONE_EVACUATED, "zone-evacuated")                                       \
+    X(EVACUATION_REFUSED, "evacuation-refused")                               \
+    X(STARTS_HELD, "starts-held")                                             \
     X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -67,6 +67,10 @@
     X(WORKER_FAILING, "worker-failing", 0, "the worker fails every task")     \
     X(START_REFUSED, "start-refused", 0, "the worker refused a start")        \
     X(START_OVERDUE, "start-overdue", 0, "a start was late and not sent")     \
+    X(ZONE_EVACUATED, "zone-evacuated", 0,                                    \
+      "an unanswered start was withdrawn")                                    \
+    X(STARTS_HELD, "starts-held", 0,                                          \
+      "the list of evacuated zones is too old")                               \
     X(LEASE_LAPSED, "lease-lapsed", 0, "the worker's lease lapsed")           \
     X(LATE_REPORT, "late-report", 0, "a worker's answer came after its time") \
     /* Settings, store, worker reports and peers. */                          \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -34,6 +34,11 @@
 #include <nutmegdeck/job.h>
 #include <nutmegdeck/reason.h>
 
+/*
+ * Validity of a start.  A worker that leaves an order unanswered may carry it
+ * out 2 s later or more; a start has expired by then and is refused.
+ */
+#define NM_SCHED_START_VALID_MS 1700
 /* Bytes of a task's name and of a checkpoint, with the terminating NUL. */
 #define NM_TASK_NAME_MAX 64
 #define NM_CHECKPOINT_MAX 128
@@ -66,6 +71,8 @@
     uint32_t attempts_max; /* of a task; 0: no limit */
     double slack_factor;
     nm_ms_t objective_ms;
+    /* Starts a second that a cold worker of the service bears; 0: no limit. */
+    double cold_starts_per_s;
 } nm_queue_t;
 
 typedef enum {
@@ -83,6 +90,7 @@
     int32_t accelerators;
     nm_worker_state_t state;
     nm_ms_t remaining_ms; /* while draining: minimum time left */
+    nm_ms_t cold_ms;      /* it is slow for this time after its start */
     char id[NM_NAME_MAX];
     char service[NM_NAME_MAX];
     char address[NM_NAME_MAX];
@@ -210,6 +218,8 @@
     uint32_t long_running_waiting; /* part of tasks_waiting */
     uint32_t workers_usable;
     uint32_t workers_unresolved; /* may run tasks this owner does not know */
+    uint32_t workers_evacuated;
+    uint32_t workers_cold; /* part of workers_usable */
 } nm_sched_info_t;
 
 /* Reasons for which a worker takes no further filler. */
@@ -377,6 +387,18 @@
  * stored roster, so that a new owner expects it.
  */
 void nm_sched_admit_worker(nm_sched_t *sched, const char *id);
+/*
+ * Workers of an evacuated zone get no new tasks; what they run goes on.  Holds
+ * for workers that are announced later, too.  Returns the number of known
+ * workers of the zone.
+ */
+uint32_t nm_sched_set_evacuated(nm_sched_t *sched, const char *zone,
+                                bool evacuated);
+/*
+ * May tasks start?  True until the first call.  Unlike without authority,
+ * leases are renewed meanwhile.
+ */
+void nm_sched_set_starts_allowed(nm_sched_t *sched, bool allowed);
 /*
  * Returns the id of the next removed worker, to be freed with g_free, or NULL.
  */
--- a/src/entry.c
+++ b/src/entry.c
@@ -74,8 +74,12 @@
 on_config(void *user, const nm_store_kv_t *item)
 {
     nm_entry_t *entry = user;
-    if (strcmp(item->key, entry->desc.codec->config_key) != 0 || !item->value)
-    {
+    const nm_codec_t *codec = entry->desc.codec;
+    if (g_str_has_prefix(item->key, codec->evacuations_prefix)) {
+        nm_entry_evacuation_ignore(entry, item);
+        return;
+    }
+    if (strcmp(item->key, codec->config_key) != 0 || !item->value) {
         return;
     }
     nm_ms_t began_ms = nm_entry_now(entry);
--- a/src/entry.h
+++ b/src/entry.h
@@ -37,6 +37,11 @@
      */
     nm_ms_t config_apply_ms;
     nm_ms_t announce_interval_ms; /* of workers; 0: 1.5 s */
+    /*
+     * Longest time from the store's acknowledgement of a zone's evacuation
+     * until the last start there; 0: zones are not evacuated.
+     */
+    nm_ms_t evacuation_ms;
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
@@ -57,5 +62,7 @@
  */
 void nm_entry_stop(nm_entry_t *entry);
 bool nm_entry_is_stopped(const nm_entry_t *entry);
+/* Returns the status page as JSON text, to be freed with free(). */
+char *nm_entry_encode_status(const nm_entry_t *entry);
 
 #endif
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -303,6 +303,7 @@
     nm_load_on_call(entry, NM_CALL_RENEW, nm_load_store_outcome(result->rc),
                     nm_clock_now_with_suspend(entry->desc.clock) - sent_ms);
     nm_entry_record_store_result(entry, result->rc);
+    nm_entry_evacuation_on_renewal(entry, result->rc);
     if (result->rc == NM_ERR_NOT_FOUND) {
         nm_term_step_down(entry, "the lease of the owner key has expired");
     }
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -282,6 +282,7 @@
     nm_election_renew(entry, now_ms);
     nm_feed_tick(&entry->hosts_feed, now_ms);
     nm_feed_tick(&entry->owned_feed, now_ms);
+    nm_entry_evacuation_run(entry, now_ms);
     nm_feed_tick(&entry->workers_feed, now_ms);
     nm_feed_tick(&entry->progress_feed, now_ms);
     nm_feed_tick(&entry->jobs_feed, now_ms);
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -16,6 +16,8 @@
 #define PEER_SCHEME "tcp://"
 /* A response of the store alone takes up to 300 ms. */
 #define CONFIG_APPLY_MIN_MS 500
+/* The validity of a start, and the time to hear of the evacuation. */
+#define EVACUATION_MIN_MS 2500
 
 typedef struct {
     const char *name;
@@ -136,6 +138,10 @@
         settings->announce_interval_ms = (nm_ms_t)get_number(
             document, "announce_interval_ms", 1, 3600000, faults);
     }
+    if (json_object_get(document, "evacuation_ms")) {
+        settings->evacuation_ms = (nm_ms_t)get_number(
+            document, "evacuation_ms", EVACUATION_MIN_MS, 3600000, faults);
+    }
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -24,6 +24,7 @@
     nm_ms_t grace_ms;                  /* grace_s, up to 3600 s */
     nm_ms_t config_apply_ms;           /* 500 ms to 1 hour; missing: 0 */
     nm_ms_t announce_interval_ms;      /* 1 ms to 1 hour; missing: 0 */
+    nm_ms_t evacuation_ms;             /* 2500 ms to 1 hour; missing: 0 */
 } nm_entry_settings_t;
 
 /*
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -4,14 +4,15 @@
  * entry_owner.c -> entry_election.c, entry_notice.c,
  * entry_lives.c -> entry_takeover.c,
  * entry_commit.c -> entry_authority.c -> entry_succession.c -> entry_load.c ->
- * entry_term.c; and entry_term.c calls entry_authority.c and
- * entry_succession.c to set them up, and entry_succession.c at the end of a
- * term.
+ * entry_term.c -> entry_evacuation.c; and entry_term.c calls entry_authority.c
+ * and entry_succession.c to set them up, and entry_succession.c at the end of
+ * a term.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
 
 #include "entry.h"
+#include "evacuation.h"
 #include "feed.h"
 #include "former_terms.h"
 #include "order_carrier.h"
@@ -235,6 +236,10 @@
     nm_feed_t progress_feed;
     nm_feed_t owned_feed; /* roster, interference model, commit key */
     nm_feed_t hosts_feed;
+    /* Evacuated zones; the feed is open during a term. */
+    nm_feed_t evacuation_feed;
+    nm_evacuation_t evacuation;
+    bool starts_held;          /* as last logged */
     GHashTable *roster;        /* ids of workers, as stored */
     GHashTable *roster_wanted; /* ids that the next commit stores */
     bool roster_dirty;
@@ -293,6 +298,19 @@
 void nm_entry_open_feed(nm_entry_t *entry, nm_feed_t *feed,
                         nm_feed_desc_t desc);
 
+/* entry_evacuation.c */
+void nm_entry_evacuation_init(nm_entry_t *entry);
+void nm_entry_evacuation_finish(nm_entry_t *entry);
+/* A term begins; its scheduler exists. */
+void nm_entry_evacuation_begin(nm_entry_t *entry);
+void nm_entry_evacuation_end(nm_entry_t *entry);
+/* The store has answered a renewal of the owner key's lease, or has not. */
+void nm_entry_evacuation_on_renewal(nm_entry_t *entry, int rc);
+/* Logs the key of an evacuation that this host is not set up for. */
+void nm_entry_evacuation_ignore(nm_entry_t *entry, const nm_store_kv_t *item);
+/* Tells the scheduler whether tasks may start. */
+void nm_entry_evacuation_run(nm_entry_t *entry, nm_ms_t now_ms);
+
 /* entry_authority.c */
 void nm_authority_init(nm_entry_t *entry);
 void nm_authority_finish(nm_entry_t *entry);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -437,6 +437,7 @@
     entry->logged_capacity = (nm_sched_capacity_t){0};
     nm_sched_run(entry->sched, nm_entry_now(entry), nm_entry_unix_ms());
     nm_takeover_apply_queue_config(entry);
+    nm_entry_evacuation_begin(entry);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_OWNER_CANDIDATE, "{s:I}", "epoch",
            (json_int_t)epoch);
     nm_entry_open_feed(
--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -65,6 +65,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_queue_init(&entry->unverified);
     g_queue_init(&entry->announce_queue);
+    nm_entry_evacuation_init(entry);
     nm_authority_init(entry);
     nm_succession_init(entry);
 }
@@ -81,6 +82,7 @@
     nm_authority_finish(entry);
     nm_succession_finish(entry);
     nm_lives_finish(entry);
+    nm_entry_evacuation_finish(entry);
 }
 
 void
@@ -104,6 +106,7 @@
     entry->owner_reads = 0;
     entry->yield_ms = 0;
     entry->committing = false;
+    nm_entry_evacuation_end(entry);
     nm_feed_close(&entry->workers_feed);
     nm_feed_close(&entry->jobs_feed);
     nm_feed_close(&entry->progress_feed);
--- a/src/queue_config.h
+++ b/src/queue_config.h
@@ -42,6 +42,8 @@
     const char *config_key;     /* of the newest configuration */
     const char *config_prefix;  /* watched for the configuration */
     const char *workers_prefix; /* of one entry per worker */
+    /* Of one key per evacuated zone, below config_prefix. */
+    const char *evacuations_prefix;
     /* Returns NULL if the document is malformed. */
     nm_queue_config_t *(*decode_queue_config)(const void *data,
                                               uint32_t bytes);
--- a/src/sched.c
+++ b/src/sched.c
@@ -161,6 +161,9 @@
     sched->watch_gap_ms = now_ms;
     sched->former_owner_until_ms = now_ms;
     sched->authority = true;
+    sched->starts_allowed = true;
+    sched->evacuated_zones =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     nm_delay_init(sched, now_ms);
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
@@ -187,6 +190,7 @@
     g_hash_table_destroy(sched->nodes);
     g_hash_table_destroy(sched->jobs);
     g_hash_table_destroy(sched->queues);
+    g_hash_table_destroy(sched->evacuated_zones);
     g_free(sched);
 }
 
@@ -478,9 +482,15 @@
         sched->fillers_checked_ms = now_ms;
         nm_sched_check_fillers(sched, now_ms);
     }
+    if (sched->cold_start_due_ms > 0 && now_ms >= sched->cold_start_due_ms) {
+        sched->cold_start_due_ms = 0;
+        sched->needs_placement = true;
+    }
     nm_ms_t interval_ms = sched->needs_placement ? PLACEMENT_INTERVAL_MS
                                                  : PLACEMENT_INTERVAL_MAX_MS;
-    if (sched->authority && now_ms - sched->placed_ms >= interval_ms) {
+    if (sched->authority && sched->starts_allowed &&
+        now_ms - sched->placed_ms >= interval_ms)
+    {
         sched->needs_placement = false;
         remove_ended_from_active(sched);
         nm_sched_place(sched, now_ms);
@@ -497,6 +507,35 @@
     sched->authority = authority;
 }
 
+void
+nm_sched_set_starts_allowed(nm_sched_t *sched, bool allowed)
+{
+    assert(sched);
+    sched->starts_allowed = allowed;
+}
+
+uint32_t
+nm_sched_set_evacuated(nm_sched_t *sched, const char *zone, bool evacuated)
+{
+    assert(sched && zone);
+    if (evacuated) {
+        g_hash_table_add(sched->evacuated_zones, g_strdup(zone));
+    }
+    else {
+        g_hash_table_remove(sched->evacuated_zones, zone);
+    }
+    uint32_t workers = 0;
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->described && strcmp(node->desc.zone, zone) == 0) {
+            node->evacuated = evacuated;
+            workers++;
+        }
+    }
+    sched->needs_placement = true;
+    return workers;
+}
+
 bool
 nm_sched_next_action(nm_sched_t *sched, nm_sched_action_t *action)
 {
@@ -711,7 +750,9 @@
         info.tasks_running += node->tasks->len;
         if (node->announced && node->epoch_confirmed && node->reachable) {
             info.workers_usable++;
+            info.workers_cold += sched->now_ms < node->cold_until_ms;
         }
+        info.workers_evacuated += node->evacuated;
         info.workers_unresolved += !node->epoch_confirmed;
     }
     for (guint i = 0; i < sched->active->len; i++) {
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -29,6 +29,7 @@
 nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms)
 {
     return node->described && node->admitted && node->announced &&
+           !node->evacuated &&
            node->announced_incarnation == node->desc.incarnation &&
            node->unknown_orphans == 0 && node->epoch_confirmed &&
            !nm_node_may_run_unknown(node) && node->reachable &&
@@ -194,7 +195,8 @@
                 nm_choice_is_held_for_other(node, candidate, now_ms);
     if (reserved || !nm_choice_fits(node, step) ||
         !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
-        nm_crashes_conflict(node, task))
+        nm_crashes_conflict(node, task) ||
+        !nm_cold_may_start(sched, node, now_ms))
     {
         return false;
     }
@@ -212,6 +214,7 @@
     }
     *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
     *score -= nm_crashes_penalty(node, task, now_ms);
+    *score -= nm_cold_penalty(node, step, now_ms);
     return true;
 }
 
@@ -432,5 +435,6 @@
         node->hold = (nm_hold_t){0};
     }
     release_holds(sched, job, now_ms);
+    nm_cold_on_start(node, job, now_ms);
     nm_sched_start_task(sched, task, node, run, now_ms);
 }
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -256,6 +256,7 @@
     node->announced_ms = now_ms;
     join_address(sched, node);
     node->service = g_intern_string(desc->service);
+    nm_cold_on_announcement(sched, node, now_ms);
     if (!node->described) {
         node->incarnation_seen_ms = now_ms;
         node->described = true;
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -150,7 +150,14 @@
         if (task->state == NM_RUN_STOPPING) {
             nm_sched_stop_task(sched, task, now_ms);
         }
-        else if (task->state == NM_RUN_STARTING && !sched->authority) {
+        else if (task->state == NM_RUN_STARTING && node->evacuated &&
+                 node->reachable) {
+            nm_count_reason(NM_REASON_ZONE_EVACUATED);
+            nm_sched_withdraw_start(sched, task, now_ms);
+        }
+        else if (task->state == NM_RUN_STARTING &&
+                 !(sched->authority && sched->starts_allowed))
+        {
             node->retry_due_ms =
                 MIN(node->retry_due_ms, now_ms + NM_SCHED_RETRY_MS);
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -4,7 +4,8 @@
  * sched_events.c and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
  * sched_order.c, sched_gang.c, sched_response.c -> sched_room.c ->
- * sched_choice.c -> sched_node.c, sched_filler.c -> sched_lease.c ->
+ * sched_choice.c -> sched_node.c, sched_filler.c -> sched_cold.c,
+ * sched_lease.c ->
  * sched_orphans.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
  * sched_delay.c, sched_timer.c.
  */
@@ -30,11 +31,6 @@
 #define NM_SCHED_LATE_ORDER_MAX_MS 14000
 /* Added to each time after which a worker's lease is assumed lapsed. */
 #define NM_SCHED_LAPSE_MARGIN_MS 250
-/*
- * Validity of a start.  A worker that leaves an order unanswered may carry it
- * out 2 s later or more; a start has expired by then and is refused.
- */
-#define NM_SCHED_START_VALID_MS 1700
 /* How long a poll waits for an end (the platform's maximum). */
 #define NM_SCHED_POLL_WAIT_MS 2000
 /*
@@ -350,9 +346,12 @@
     bool reachable;       /* responded to one of its last polls */
     bool clock_known;
     bool has_headroom; /* no serving task is near its target */
+    bool evacuated;    /* its zone is */
     /* expected_misses and tails are current. */
     bool interference_valid;
     nm_ms_t avoid_until_ms;
+    nm_ms_t cold_until_ms;     /* it is slow until then */
+    nm_ms_t cold_start_due_ms; /* no start before, while it is cold */
     int64_t filler_cpu_milli;
     int64_t serving_cpu_milli;   /* of tasks with a latency target */
     uint64_t reserved_placement; /* placement that last reserved it */
@@ -454,8 +453,12 @@
     nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
-    bool taken_over; /* what a former owner has stored is loaded */
-    bool authority;  /* may start tasks and renew leases */
+    bool taken_over;             /* what a former owner has stored is loaded */
+    bool authority;              /* may start tasks and renew leases */
+    bool starts_allowed;         /* may start tasks */
+    GHashTable *evacuated_zones; /* names */
+    /* When a cold worker that was refused may take a start; 0: none was. */
+    nm_ms_t cold_start_due_ms;
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     uint32_t awaiting_count; /* part of it: tasks that await a report */
@@ -889,6 +892,25 @@
 /* True if tasks may start on a worker. */
 bool nm_node_is_usable(const nm_sched_node_t *node, nm_ms_t now_ms);
 
+/* sched_cold.c */
+/*
+ * Applies what a worker has announced of itself: how long it is cold, and the
+ * zone, which may be evacuated.
+ */
+void nm_cold_on_announcement(nm_sched_t *sched, nm_sched_node_t *node,
+                             nm_ms_t now_ms);
+/*
+ * True unless a worker is cold and has had as many starts as it bears;
+ * placement is repeated once it may take the next one.
+ */
+bool nm_cold_may_start(nm_sched_t *sched, const nm_sched_node_t *node,
+                       nm_ms_t now_ms);
+/* Penalty in the score of a worker for the time for which it is cold. */
+double nm_cold_penalty(const nm_sched_node_t *node, const nm_step_t *step,
+                       nm_ms_t now_ms);
+void nm_cold_on_start(nm_sched_node_t *node, const nm_sched_job_t *job,
+                      nm_ms_t now_ms);
+
 /* sched_tails.c */
 /*
  * Updates the tails that are expected in the next second on a worker, if the
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -160,7 +160,7 @@
 
 static void
 init(host_t *host, const char *name, const char *address, fake_kv_t *kv,
-     nm_kv_t *kv_port, nm_machine_port_t *machines)
+     nm_kv_t *kv_port, nm_machine_port_t *machines, nm_ms_t evacuation_ms)
 {
     *host =
         (host_t){.kv = kv,
@@ -178,6 +178,7 @@
         .peer_address = host->address,
         .cpu_share = 0.1,
         .grace_ms = 6000,
+        .evacuation_ms = evacuation_ms,
         .clock = &host->clock,
         .kv = kv_port,
         .orders = &host->orders.base,
@@ -192,7 +193,7 @@
 host_init_with_kv(host_t *host, const char *name, const char *address,
                   fake_kv_t *kv, nm_kv_t *kv_port)
 {
-    init(host, name, address, kv, kv_port, NULL);
+    init(host, name, address, kv, kv_port, NULL, 0);
 }
 
 void
@@ -216,7 +217,16 @@
 {
     char address[64];
     g_snprintf(address, sizeof(address), "inproc://%s", name);
-    init(host, name, address, kv, fake_kv_port(kv), &machines->base);
+    init(host, name, address, kv, fake_kv_port(kv), &machines->base, 0);
+}
+
+void
+host_init_evacuating(host_t *host, const char *name, fake_kv_t *kv,
+                     nm_ms_t evacuation_ms)
+{
+    char address[64];
+    g_snprintf(address, sizeof(address), "inproc://%s", name);
+    init(host, name, address, kv, fake_kv_port(kv), NULL, evacuation_ms);
 }
 
 void
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -89,6 +89,9 @@
 /* The same with a list of machines, which must outlive the host. */
 void host_init_with_machines(host_t *host, const char *name, fake_kv_t *kv,
                              fake_machines_t *machines);
+/* The same with a bound for the evacuation of zones. */
+void host_init_evacuating(host_t *host, const char *name, fake_kv_t *kv,
+                          nm_ms_t evacuation_ms);
 void host_finish(host_t *host);
 void run_host(host_t *host, nm_ms_t duration_ms);
 void send_request(host_t *host, nm_method_t method, const char *path,
