--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -90,6 +90,9 @@
     nm_rng_t kind_rng; /* apart, so that a seed draws what it drew before */
     nm_rng_t clock_rng;
     FILE *event_log;
+    nm_ms_t evacuated_ms[EXECUTOR_ZONES_MAX]; /* 0: is not */
+    uint32_t zones;
+    nm_ms_t contact_from_ms;
     executor_fleet_info_t info;
 };
 
@@ -617,6 +620,43 @@
     }
 }
 
+/* An order that is carried out late counts as of the time it arrived. */
+static void
+check_evacuation(executor_fleet_t *fleet, const executor_t *executor,
+                 const executor_order_t *order, nm_ms_t now_ms)
+{
+    nm_ms_t arrived_ms = order->arrived_ms > 0 ? order->arrived_ms : now_ms;
+    uint32_t zone =
+        fleet->zones > 0
+            ? (uint32_t)(executor - fleet->executors) % fleet->zones
+            : 0;
+    nm_ms_t since_ms = fleet->evacuated_ms[zone];
+    if (since_ms > 0 && arrived_ms > since_ms + EXECUTOR_EVACUATION_MS &&
+        arrived_ms >= fleet->contact_from_ms)
+    {
+        executor_fleet_add_violation(
+            fleet, now_ms,
+            "EVAC task %s starts on executor %s, its zone is evacuated since "
+            "%lld ms, bound %d ms",
+            order->task, executor->id, (long long)(arrived_ms - since_ms),
+            EXECUTOR_EVACUATION_MS);
+    }
+}
+
+void
+executor_fleet_set_evacuated(executor_fleet_t *fleet, uint32_t zone,
+                             uint32_t zones, nm_ms_t since_ms)
+{
+    fleet->zones = zones;
+    fleet->evacuated_ms[zone] = since_ms;
+}
+
+void
+executor_fleet_set_contact(executor_fleet_t *fleet, nm_ms_t from_ms)
+{
+    fleet->contact_from_ms = from_ms;
+}
+
 int
 executor_start(executor_fleet_t *fleet, executor_t *executor,
                const executor_order_t *order, nm_ms_t now_ms,
@@ -642,6 +682,7 @@
     }
     const job_t *job = find_job_of_task(fleet, order->task);
     check_start(fleet, executor, order->task, job, now_ms);
+    check_evacuation(fleet, executor, order, now_ms);
     executor_run_t run = {.run = order->run, .started_ms = now_ms};
     nm_strcopy(run.task, sizeof(run.task), order->task);
     if (job) {
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -18,6 +18,10 @@
  *              that the job requires, and runs at most per_worker_max tasks of
  *              one step, runs that are being stopped included
  *
+ *     EVAC     the executor's zone was evacuated at most
+ * EXECUTOR_EVACUATION_MS ago, or is not, or the hosts were not in contact with
+ * the store
+ *
  * A start that was sent to an earlier incarnation breaks no ROUTE, but its run
  * counts for the limit of later starts.  It arrived at the platform before the
  * incarnation began, or its lease ends later than maxHoldMs from now on the
@@ -45,6 +49,9 @@
 #include <nutmegdeck/base.h>
 
 #define EXECUTOR_KINDS_FIXED 6
+/* From the acknowledgement of a zone's evacuation to the last start there. */
+#define EXECUTOR_EVACUATION_MS 5000
+#define EXECUTOR_ZONES_MAX 8
 #define EXECUTOR_STATUS_OK 200
 #define EXECUTOR_STATUS_CONFLICT 409
 #define EXECUTOR_STATUS_WRONG_INCARNATION 421
@@ -210,6 +217,14 @@
                             nm_ms_t now_ms);
 /* Every submit attempt was refused, so no task of the job may start. */
 void executor_job_refused(executor_fleet_t *fleet, const char *job);
+/*
+ * A zone, of which executor `index` is one if index % zones is its number, is
+ * evacuated since a time; 0: it is not.
+ */
+void executor_fleet_set_evacuated(executor_fleet_t *fleet, uint32_t zone,
+                                  uint32_t zones, nm_ms_t since_ms);
+/* The hosts are in contact with the store from a time on. */
+void executor_fleet_set_contact(executor_fleet_t *fleet, nm_ms_t from_ms);
 /* Returns true once all tasks of a job have ended `done`. */
 bool executor_job_is_done(const executor_fleet_t *fleet, const char *job);
 /*
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -14,6 +14,9 @@
  * With --reborn beside --recuts or --restarts wall clocks of executors are set
  * while they restart, entries expire and owners that live on are replaced.
  *
+ * With --evacuations zones are evacuated and taken back, beside the other
+ * faults (soak_evacuations.c).
+ *
  * Callers submit, query and cancel jobs during the whole run.  Starts of tasks
  * are checked by lib_executor.h; soak_hosts.c and soak_callers.c check what
  * callers and the operating system see:
@@ -49,6 +52,11 @@
 #define EXECUTOR_CPU_MILLI 16000 /* executors of the smaller users */
 #define CANCEL_GRACE_MS 4000 /* from the ack of a cancel to the last start */
 
+/* Between two faults beside evacuations: the bound counts in calm time only.
+ */
+#define EVACUATION_FAULT_MIN_MS 2000
+#define EVACUATION_FAULT_MAX_MS 16000
+
 soak_options_t soak_options = {.hosts = 6,
                                .executors = 24,
                                .seconds = 20,
@@ -174,6 +182,8 @@
          "With --recuts or --restarts: let wall clocks of executors differ, "
          "entries expire, and owners be stopped, frozen or revoked",
          NULL},
+        {"evacuations", 0, 0, G_OPTION_ARG_NONE, &soak_options.evacuations,
+         "Evacuate zones and take them back, beside the other faults", NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -258,6 +268,9 @@
             soak_inject_fault(now_ms);
             soak.next_fault_ms =
                 now_ms + (soak_options.cuts ? soak_random_between(5000, 15000)
+                          : soak_options.evacuations
+                              ? soak_random_between(EVACUATION_FAULT_MIN_MS,
+                                                    EVACUATION_FAULT_MAX_MS)
                           : soak_options.shortages
                               ? soak_random_between(1000, 6000)
                               : soak_random_between(300, 2000));
@@ -270,6 +283,7 @@
             soak_run_departures(now_ms);
             soak_run_recuts(now_ms);
         }
+        soak_run_evacuations(now_ms, faults);
         soak_run_configs(now_ms, faults);
         bool served = soak_configs_are_served(faults_end_ms, now_ms);
         soak_check_idle_jobs(faults_end_ms, now_ms);
@@ -321,6 +335,10 @@
                soak.probe_counts[503], soak.probe_counts[504],
                soak.probe_counts[0]);
     }
+    if (soak_options.evacuations) {
+        printf("soak seed %lld: evacuations %u\n",
+               (long long)soak_options.seed, soak.evacuations);
+    }
     if (soak_options.departures) {
         printf("soak seed %lld: departures %u owner losses %u hosts gone %u "
                "idle in calm time for %lld ms at most\n",
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -455,9 +455,11 @@
         soak.delays_heal_at_ms = now_ms + soak_random_between(1000, 4000);
         break;
     case FAULT_BLACKHOLE:
+        soak.reset_ms = now_ms;
         proxy_blackhole(soak.proxy, host->proxy_path);
         break;
     case FAULT_RESET_CONNECTIONS:
+        soak.reset_ms = now_ms;
         proxy_reset(soak.proxy, host->proxy_path);
         for (gint i = 0; i < soak_options.hosts; i++) {
             proxy_reset(soak.proxy, soak.hosts[i].executor_path);
@@ -472,6 +474,7 @@
         }
         break;
     case FAULT_RESET_THEN_REFUSE_EXECUTORS:
+        soak.reset_ms = now_ms;
         set_executor_paths(PROXY_RESET_THEN_REFUSE);
         soak.executor_path_heal_at_ms =
             now_ms + soak_random_between(100, 1000);
@@ -483,6 +486,7 @@
         soak.owner_kills_left = (uint32_t)soak_random_between(2, 4);
         break;
     case FAULT_COMPACT_STORE:
+        soak.reset_ms = now_ms;
         platform_compact(soak.platform);
         soak_put_configuration();
         break;
--- a/soak/soak_hosts.c
+++ b/soak/soak_hosts.c
@@ -59,10 +59,11 @@
         "\"127.0.0.1:%d\",\"ready_address\":\"127.0.0.1:%d\","
         "\"peer_address\":\"tcp://127.0.0.1:%d\",\"store_address\":"
         "\"127.0.0.1:%d\",\"cloud_address\":%s,\"metrics_address\":"
-        "\"127.0.0.1:%d\",\"cpu_share\":%s,\"grace_s\":%d}",
+        "\"127.0.0.1:%d\",\"cpu_share\":%s,\"grace_s\":%d%s}",
         index, index % 3, port, port + 1, port + 2,
         soak_options.base_port + STORE_PATHS_PORT + (int)index, cloud,
-        port + 3, is_largest(index) ? "1" : "0.5", HOST_GRACE_MS / 1000);
+        port + 3, is_largest(index) ? "1" : "0.5", HOST_GRACE_MS / 1000,
+        soak_options.evacuations ? ",\"evacuation_ms\":5000" : "");
     g_file_set_contents(host->settings, text, -1, NULL);
     g_free(text);
     g_free(cloud);
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -2,8 +2,8 @@
  * State of the fault soak, shared by its files: soak.c runs it, soak_hosts.c
  * has the host processes, soak_faults.c the faults, soak_departures.c those of
  * --departures and their check, soak_configs.c the changes of --configs and
- * theirs, soak_recuts.c the faults of --recuts and --reborn, soak_callers.c
- * the callers.
+ * theirs, soak_recuts.c the faults of --recuts and --reborn,
+ * soak_evacuations.c the evacuated zones, soak_callers.c the callers.
  */
 #ifndef SOAK_STATE_H
 #define SOAK_STATE_H
@@ -91,6 +91,7 @@
     gboolean configs;
     gboolean recuts;
     gboolean reborn;
+    gboolean evacuations;
 } soak_options_t;
 
 typedef struct {
@@ -133,6 +134,8 @@
     nm_ms_t arrivals_until_ms;
     int64_t config_version;
     uint32_t faults;
+    uint32_t evacuations;
+    nm_ms_t reset_ms; /* connections were last reset or silenced */
     uint32_t status_counts[600];
     uint32_t probe_counts[600]; /* of soak_configs.c */
 } soak_t;
@@ -206,6 +209,10 @@
  */
 void soak_run_recuts(nm_ms_t now_ms);
 
+/* soak_evacuations.c */
+/* With --evacuations: evacuates zones if changes, else takes all back. */
+void soak_run_evacuations(nm_ms_t now_ms, bool changes);
+
 /* soak_configs.c */
 /* Appends the routes of --configs; route: the fields that all of them have. */
 void soak_append_config_routes(GString *routes, const char *route);
