Start at most 4 members of a gang at once on a cold worker

The search for a gang's workers did not count the starts that it planned, so that all members could start at once on one cold worker, beyond coldOverrun and coldSlack. A declared rate near 0 overflowed the interval, which lifted the limit.

The search counts each planned start and takes it back. At most 4 members may start ahead of the rate of a worker.

test_evacuation gang-spares-cold-workers: 8 starts on one worker before, 4 on each of two after it.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -196,7 +196,7 @@
     if (reserved || !nm_choice_fits(node, step) ||
         !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
         nm_crashes_conflict(node, task) ||
-        !nm_cold_may_start(sched, node, now_ms))
+        !nm_cold_may_start(sched, node, candidate, now_ms))
     {
         return false;
     }
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -43,11 +43,13 @@
             break;
         }
         nm_task_attach(task, node);
+        nm_cold_on_start(node, occurrence->job, now_ms);
         g_ptr_array_add(nodes, node);
     }
     nm_search_finish(&search);
     for (guint i = 0; i < nodes->len; i++) {
         nm_task_detach(&tasks[i]);
+        nm_cold_undo_start(nodes->pdata[i], occurrence->job, now_ms);
     }
     return nodes->len;
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -123,6 +123,14 @@
 bool nm_step_is_overdue(const nm_occurrence_t *occurrence, uint32_t step,
                         nm_ms_t now_ms);
 
+/* sched_cold.c */
+/*
+ * True unless a worker is cold and has had as many starts as it bears;
+ * placement is repeated once it may take the next one.
+ */
+bool nm_cold_may_start(nm_sched_t *sched, const nm_sched_node_t *node,
+                       const nm_candidate_t *candidate, nm_ms_t now_ms);
+
 /* sched_choice.c */
 /* True if a worker has room for a task of a step. */
 bool nm_choice_fits(const nm_sched_node_t *node, const nm_step_t *step);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -899,17 +899,14 @@
  */
 void nm_cold_on_announcement(nm_sched_t *sched, nm_sched_node_t *node,
                              nm_ms_t now_ms);
-/*
- * True unless a worker is cold and has had as many starts as it bears;
- * placement is repeated once it may take the next one.
- */
-bool nm_cold_may_start(nm_sched_t *sched, const nm_sched_node_t *node,
-                       nm_ms_t now_ms);
 /* Penalty in the score of a worker for the time for which it is cold. */
 double nm_cold_penalty(const nm_sched_node_t *node, const nm_step_t *step,
                        nm_ms_t now_ms);
 void nm_cold_on_start(nm_sched_node_t *node, const nm_sched_job_t *job,
                       nm_ms_t now_ms);
+/* Takes back a start that was counted at the same time. */
+void nm_cold_undo_start(nm_sched_node_t *node, const nm_sched_job_t *job,
+                        nm_ms_t now_ms);
 
 /* sched_tails.c */
 /*
--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -316,6 +316,59 @@
     }
 }
 
+/* All members of a gang went to one cold worker at once. */
+static void
+test_gang_spares_cold_workers(void)
+{
+    static const struct {
+        const char *name;
+        double starts_per_s;
+        nm_ms_t cold_ms;
+        uint32_t tasks;
+        uint32_t starts; /* in the first second */
+        uint32_t most;   /* of these on one worker */
+    } cases[] = {
+        {"two workers", 2, 60000, 8, 8, 4},
+        {"more than the workers bear", 2, 60000, 9, 0, 0},
+        {"they are warm soon", 2, 500, 9, 9, 9},
+        {"rate near 0", 1e-300, 60000, 8, 8, 4},
+        {"no limit", 0, 60000, 12, 12, 12},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        nm_queue_t queue = {.name = "batch",
+                            .service = "press",
+                            .slack_factor = 2,
+                            .cold_starts_per_s = cases[i].starts_per_s};
+        nm_sched_set_queue(sim.sched, &queue);
+        add_worker_in(&sim, "a", "z1", cases[i].cold_ms);
+        add_worker_in(&sim, "b", "z1", cases[i].cold_ms);
+        nm_job_spec_t spec;
+        nm_job_spec_init(&spec, JOB, "batch", "press");
+        *nm_job_spec_add_step(&spec) =
+            (nm_step_t){.task_count = cases[i].tasks,
+                        .is_gang = true,
+                        .cpu_milli = 1000,
+                        .estimate_ms = 60000};
+        g_assert_cmpint(nm_sched_add_job(sim.sched, &spec, false, sim.now_ms),
+                        ==, NM_OK);
+        nm_job_spec_finish(&spec);
+        uint32_t starts_a = 0;
+        uint32_t starts_b = 0;
+        for (nm_ms_t t = 0; t < 1000; t += 10) {
+            sched_sim_advance(&sim, 10);
+            starts_a += count_starts(&sim, "a");
+            starts_b += count_starts(&sim, "b");
+            sched_sim_confirm_starts(&sim);
+        }
+        g_assert_cmpuint(starts_a + starts_b, ==, cases[i].starts);
+        g_assert_cmpuint(MAX(starts_a, starts_b), <=, cases[i].most);
+        sched_sim_finish(&sim);
+    }
+}
+
 /* --- the owner --- */
 
 typedef enum {
@@ -424,6 +477,8 @@
                     test_held_starts_keep_leases);
     g_test_add_func("/evacuation/cold-worker-gets-what-it-bears",
                     test_cold_worker_gets_what_it_bears);
+    g_test_add_func("/evacuation/gang-spares-cold-workers",
+                    test_gang_spares_cold_workers);
     g_test_add_func("/evacuation/owner-starts-nothing-there",
                     test_owner_starts_nothing_in_evacuated_zone);
     g_test_add_func("/evacuation/new-owner-knows-the-zones",
