A single lost call to the store does not end the hold of starts

A renewal that was lost, reported after later ones had been answered, counted as no contact: with a silent watch, starts went out for 1.5 s with a list that was too old.

A lost call ends the contact only if none has been answered for 1 s.

test_evacuation lost-call-keeps-hold failed before and passes. The case "the store does not answer" of old-copy-holds-starts now reports the loss 1 s after the last answer, as an outage does; what it checks is unchanged.

--- a/src/evacuation.c
+++ b/src/evacuation.c
@@ -11,6 +11,13 @@
  * only some seconds after the outage has ended.
  */
 #define CONTACT_MIN_MS 1500
+/*
+ * Without an answer for this long, a lost call ends the contact.  Calls are
+ * sent each 0.4 s and may time out after later ones were answered: a single
+ * loss says nothing.  It is less than the 1.5 s after which calls time out, so
+ * that the first loss of an outage counts.
+ */
+#define SILENT_MIN_MS 1000
 
 void
 nm_evacuation_init(nm_evacuation_t *evacuation, nm_ms_t bound_ms,
@@ -82,11 +89,14 @@
                               nm_ms_t now_ms)
 {
     assert(evacuation);
-    if (!answered) {
-        evacuation->answered_since_ms = 0;
+    if (answered) {
+        evacuation->answered_ms = now_ms;
+        if (evacuation->answered_since_ms == 0) {
+            evacuation->answered_since_ms = now_ms;
+        }
     }
-    else if (evacuation->answered_since_ms == 0) {
-        evacuation->answered_since_ms = now_ms;
+    else if (now_ms - evacuation->answered_ms >= SILENT_MIN_MS) {
+        evacuation->answered_since_ms = 0;
     }
 }
 
--- a/src/evacuation.h
+++ b/src/evacuation.h
@@ -35,6 +35,7 @@
     GArray *zones;             /* of nm_evacuated_zone_t */
     nm_ms_t copy_age_max_ms;   /* of the list, to start tasks; 0: any */
     nm_ms_t answered_since_ms; /* the store answers since then; 0: does not */
+    nm_ms_t answered_ms;       /* its newest answer */
 } nm_evacuation_t;
 
 /*
