Expected durations: learned, and by what has ended

A job that waits for a straggler was taken for late, although its objective grows with its longest chain; its remaining steps were put behind those of other jobs.

src/durations.c learns durations by queue, step and image from the median of a step's tasks, and is stored with the learned state. src/sched_estimate.c keeps the longest chain, the objective and what is left of a job up to date from the tasks that have ended or overrun. The order of placement and the room on workers use it.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -320,6 +320,68 @@
     return pass;
 }
 
+/*
+ * Estimates that are wrong, and tasks that take seven times as long as the
+ * rest of their step.  Checks and fillers each ask for half of the load.
+ */
+static const struct {
+    const char *name;
+    double load;
+    double checks_error;
+    double fillers_error;
+    double straggler_share;
+} estimates[] = {
+    {"estimates", 2.2, 0.9, 0.5, 0},
+    {"estimates-overload", 4, 0.9, 0.5, 0},
+    {"stragglers", 2.2, 0.01, 0.01, 0.03},
+    {"stragglers-calm", 0.6, 0.9, 0.5, 0.03},
+    {"stragglers-full", 2.2, 0.9, 0.5, 0.03},
+    {"stragglers-overload", 4, 0.9, 0.5, 0.03},
+};
+
+/* Mean work of a check's job: 6 tasks of 5.12 cores, 1.6 steps of 0.8 s. */
+#define CHECK_CORE_S (6 * 5.12 * 1.6 * 0.8)
+
+static void
+print_timely(const char *name, const char *kind, const sizes_served_t *timely)
+{
+    printf("jobs %s: of %u %s %.3f in time, largest tenth %.3f, next fifth "
+           "%.3f\n",
+           name, timely->count, kind, timely->all, timely->largest_tenth,
+           timely->next_fifth);
+}
+
+static bool
+run_estimates(uint64_t seed, size_t index)
+{
+    const char *name = estimates[index].name;
+    double cores = estimates[index].load *
+                   (FLEET_CORES - overloads[0].services * SERVICE_CORES) / 2;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .checks_per_s = cores / CHECK_CORE_S,
+        .fillers_per_s = cores / FILLER_CORE_S,
+        .services = overloads[0].services,
+        .disturbing_pair_share = 0.5,
+        .sizes_vary = true,
+        .checks_error = estimates[index].checks_error,
+        .fillers_error = estimates[index].fillers_error,
+        .straggler_share = estimates[index].straggler_share,
+        .arrivals_end_ms = 36000,
+        .duration_ms = 36000 + 2 * OVERLOAD_FINISH_MS,
+    });
+    print_summary(name, &info);
+    print_timely(name, "checks", &info.checks_timely);
+    print_timely(name, "fillers", &info.fillers_timely);
+    char label[64];
+    g_snprintf(label, sizeof(label), "jobs-%s-overfull", name);
+    bool pass = report_at_most(label, info.over_capacity, 0);
+    g_snprintf(label, sizeof(label), "jobs-%s-doubled", name);
+    pass &= report_at_most(label, info.duplicate_runs, 0);
+    pass &= check_sizes(name, "checks", &info.checks_served);
+    return check_sizes(name, "fillers", &info.fillers_served) && pass;
+}
+
 /* Size of the fleet with which larger ones are compared. */
 #define DECISION_WORKERS 50
 /*
@@ -402,6 +464,12 @@
             pass &= run_overload(seed, i);
         }
     }
+    for (size_t i = 0; i < NM_COUNT_OF(estimates); i++) {
+        if (!pattern[0] || decisions ||
+            strcmp(pattern, estimates[i].name) == 0) {
+            pass &= run_estimates(seed, i);
+        }
+    }
     for (size_t i = 0; i < NM_COUNT_OF(owners); i++) {
         bool timed = owners[i].cores > 0;
         if (!pattern[0] || (decisions && !timed) ||
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 
+#include "lib_durations.h"
 #include "lib_restarts.h"
 
 #define TARGET_MS 18
@@ -109,9 +110,15 @@
     job->always_fails = kind == JOB_FILLER &&
                         random_unit(fleet) < fleet->desc.failing_job_share;
     nm_ms_t path_ms = nm_job_spec_critical_path_ms(&spec);
+    job->core_ms = nm_job_spec_core_ms(&spec);
+    if (kind != JOB_SERVICE && durations_are_drawn(&fleet->desc)) {
+        path_ms =
+            durations_init_job(fleet, job, &spec,
+                               kind == JOB_CHECK ? fleet->desc.checks_error
+                                                 : fleet->desc.fillers_error);
+    }
     job->objective_ms =
         kind == JOB_CHECK ? path_ms * 3 / 2 + 600 : 2 * path_ms + 1000;
-    job->core_ms = nm_job_spec_core_ms(&spec);
     g_hash_table_insert(fleet->jobs, job->id, job);
     if (!job->always_fails) {
         fleet->info.checks += kind == JOB_CHECK;
@@ -217,8 +224,9 @@
         const int64_t *left_ms =
             g_hash_table_lookup(fleet->saved_left_ms, action->task);
         run.duration_left_ms =
-            left_ms && action->checkpoint[0]
-                ? (nm_ms_t)*left_ms + RESTORE_MS
+            left_ms && action->checkpoint[0] ? (nm_ms_t)*left_ms + RESTORE_MS
+            : durations_are_drawn(&fleet->desc)
+                ? durations_of_task(fleet, job, step, index)
                 : (nm_ms_t)((double)desc.estimate_ms *
                             (0.6 + 0.8 * random_unit(fleet)));
         run.fails = worker->failing || job->always_fails;
@@ -575,7 +583,7 @@
     json_t *record = json_pack("{s:i,s:o,s:o}", "version", 1, "bases", bases,
                                "effects", effects);
     char *text = json_dumps(record, JSON_COMPACT);
-    nm_sched_restore_interference(fleet->sched, text, (uint32_t)strlen(text));
+    nm_sched_restore_learned(fleet->sched, text, (uint32_t)strlen(text));
     free(text);
     json_decref(record);
 }
@@ -634,7 +642,7 @@
 }
 
 static sizes_served_t
-count_served(const fleet_t *fleet, bool is_check)
+count_served(const fleet_t *fleet, bool is_check, double credit_share_min)
 {
     GArray *sized = g_array_new(FALSE, FALSE, sizeof(sized_job_t));
     GHashTableIter jobs;
@@ -642,7 +650,8 @@
     g_hash_table_iter_init(&jobs, fleet->jobs);
     while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
         if (is_owed(job, is_check)) {
-            sized_job_t entry = {job->core_ms, job->credit_share > 0};
+            sized_job_t entry = {job->core_ms,
+                                 job->credit_share >= credit_share_min};
             g_array_append_val(sized, entry);
         }
     }
@@ -775,8 +784,10 @@
         measure_interrupted(&fleet, failed_ms);
     }
     fleet.info.worth = earned_share(&fleet);
-    fleet.info.checks_served = count_served(&fleet, true);
-    fleet.info.fillers_served = count_served(&fleet, false);
+    fleet.info.checks_served = count_served(&fleet, true, LATE_CREDIT_SHARE);
+    fleet.info.fillers_served = count_served(&fleet, false, LATE_CREDIT_SHARE);
+    fleet.info.checks_timely = count_served(&fleet, true, 1);
+    fleet.info.fillers_timely = count_served(&fleet, false, 1);
     free_fleet(&fleet);
     return fleet.info;
 }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -53,6 +53,13 @@
      * Calls may then get no response, and starts be carried out late.
      */
     nm_ms_t restart_interval_ms;
+    /*
+     * Greatest error of an estimate, as a share of the true duration, and
+     * share of tasks that are stragglers, see lib_durations.h.
+     */
+    double checks_error;
+    double fillers_error;
+    double straggler_share;
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
@@ -67,6 +74,8 @@
     uint32_t fillers_late;
     sizes_served_t checks_served; /* not later than that */
     sizes_served_t fillers_served;
+    sizes_served_t checks_timely; /* in time */
+    sizes_served_t fillers_timely;
     double worth;         /* credit earned as a share of the credit owed */
     double serving_s;     /* task-seconds of running serving tasks */
     double over_target_s; /* of these, with the tail over its target */
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -11,6 +11,7 @@
 #define TICK_MS 10
 #define SERVING_IMAGES 5
 #define FILLER_IMAGES 9
+#define JOB_STEPS_MAX 8
 
 /* Kinds of jobs; the queue of a kind has the same index. */
 enum {
@@ -77,6 +78,7 @@
     int64_t core_ms;
     nm_ms_t at_work_ms; /* a task of it was last running */
     double load_phase;
+    nm_ms_t step_ms[JOB_STEPS_MAX]; /* true ones, see lib_durations.c */
 } job_t;
 
 typedef struct {
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -604,13 +604,18 @@
 void nm_sched_confirm_save(nm_sched_t *sched, const nm_sched_save_t *save,
                            bool stored);
 /*
- * Returns the interference model as JSON text, to be freed with free().  An
- * owner stores it; the next owner restores it before its first round.
+ * Returns the models of interference and durations as JSON text, to be freed
+ * with g_free().  An owner stores it; the next owner restores it before its
+ * first round.
  */
-char *nm_sched_encode_interference(const nm_sched_t *sched);
-/* Returns NM_ERR_CORRUPT for anything but JSON of the current version. */
-int nm_sched_restore_interference(nm_sched_t *sched, const void *record,
-                                  uint32_t bytes);
+char *nm_sched_encode_learned(const nm_sched_t *sched);
+/*
+ * Returns NM_ERR_CORRUPT if one of the models is anything but JSON of the
+ * current version; the other one is restored.  A record without durations is
+ * that of an older version.
+ */
+int nm_sched_restore_learned(nm_sched_t *sched, const void *record,
+                             uint32_t bytes);
 /* True if a record waits to be stored that callers wait for: a job's end. */
 bool nm_sched_save_is_urgent(const nm_sched_t *sched);
 
--- a/src/entry_commit.c
+++ b/src/entry_commit.c
@@ -20,7 +20,7 @@
 
 /* Minimum time between commits of progress that no caller waits for. */
 #define COMMIT_INTERVAL_MS 250
-/* Minimum time between writes of the interference model with a commit. */
+/* Minimum time between writes of the learned models with a commit. */
 #define INTERFERENCE_STORE_INTERVAL_MS 2000
 /*
  * Keys of jobs in one transaction.  With two compares and the commit, roster,
@@ -294,10 +294,10 @@
                               (call->count > 0 || call->has_roster);
     if (store_interference) {
         entry->interference_due_ms = now_ms + INTERFERENCE_STORE_INTERVAL_MS;
-        char *text = nm_sched_encode_interference(entry->sched);
+        char *text = nm_sched_encode_learned(entry->sched);
         nm_store_txn_put(&txn, NM_KEY_INTERFERENCE, text,
                          (uint32_t)strlen(text), 0);
-        free(text);
+        g_free(text);
     }
     if (call->count == 0 && !call->has_roster && !call->has_witnesses &&
         !call->has_terms && !call->has_cpu_share)
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -382,8 +382,8 @@
         nm_succession_load_hand_over(entry, item);
     }
     else if (item->value && strcmp(item->key, NM_KEY_INTERFERENCE) == 0) {
-        int rc = nm_sched_restore_interference(entry->sched, item->value,
-                                               item->value_bytes);
+        int rc = nm_sched_restore_learned(entry->sched, item->value,
+                                          item->value_bytes);
         if (rc < 0) {
             refuse(entry, NM_LOG_ITEM_LEARNED_REFUSED, "key", item->key,
                    nm_error_text(rc));
--- a/src/sched.c
+++ b/src/sched.c
@@ -104,6 +104,7 @@
     }
     g_free(job->swings);
     g_free(job->images);
+    g_free(job->durations);
     nm_job_spec_finish(&job->spec);
     g_free(job);
 }
@@ -167,6 +168,7 @@
     nm_delay_init(sched, now_ms);
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
+    nm_durations_init(&sched->durations);
     nm_rng_init(&sched->rng, desc->seed);
     return sched;
 }
@@ -185,6 +187,7 @@
     g_queue_clear(&sched->ended);
     g_queue_clear(&sched->expired);
     nm_interference_finish(&sched->interference);
+    nm_durations_finish(&sched->durations);
     g_hash_table_destroy(sched->nodes_by_address);
     g_hash_table_destroy(sched->nodes_by_hash);
     g_hash_table_destroy(sched->nodes);
@@ -194,15 +197,6 @@
     g_free(sched);
 }
 
-static void
-set_objective(nm_sched_job_t *job)
-{
-    double factor = job->queue ? job->queue->desc.slack_factor : 1.0;
-    nm_ms_t fixed = job->queue ? job->queue->desc.objective_ms : 0;
-    job->objective_ms =
-        (nm_ms_t)(factor * (double)job->critical_path_ms) + fixed;
-}
-
 void
 nm_sched_set_queue(nm_sched_t *sched, const nm_queue_t *queue)
 {
@@ -228,7 +222,7 @@
         nm_sched_job_t *job = sched->active->pdata[i];
         if (!job->queue && strcmp(job->spec.queue, known->desc.name) == 0) {
             job->queue = known;
-            set_objective(job);
+            nm_estimate_set_objective(job);
         }
     }
 }
@@ -286,7 +280,6 @@
     sched->has_unknown_runs = sched->has_unknown_runs || recovered;
     job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
     job->service = g_intern_string(job->spec.service);
-    job->critical_path_ms = nm_job_spec_critical_path_ms(&job->spec);
     job->occurrence_count = MAX(job->spec.occurrences, 1);
     job->occurrences = g_new0(nm_occurrence_t, job->occurrence_count);
     for (uint32_t o = 0; o < job->occurrence_count; o++) {
@@ -304,9 +297,7 @@
         job->long_running =
             job->long_running || job->spec.steps[s].long_running;
     }
-    job->core_ms_total =
-        nm_job_spec_core_ms(&job->spec) * job->occurrence_count;
-    job->core_ms_left = job->core_ms_total;
+    nm_estimate_init_job(sched, job);
     if (job->queue && !job->long_running) {
         double core_ms = (double)job->core_ms_total;
         double *mean = &job->queue->mean_core_ms;
@@ -316,7 +307,6 @@
     if (nm_job_has_share(job)) {
         nm_share_count_arrival(&job->queue->share, job->core_ms_total, now_ms);
     }
-    set_objective(job);
     g_hash_table_insert(sched->jobs, job->spec.id, job);
     g_ptr_array_add(sched->active, job);
     job->active = true;
@@ -640,18 +630,27 @@
 }
 
 char *
-nm_sched_encode_interference(const nm_sched_t *sched)
+nm_sched_encode_learned(const nm_sched_t *sched)
 {
     assert(sched);
-    return nm_interference_encode(&sched->interference);
+    char *interference = nm_interference_encode(&sched->interference);
+    char *durations = nm_durations_encode(&sched->durations);
+    /* One object; the durations become its last member. */
+    char *record = g_strdup_printf("%.*s,\"durations\":%s}",
+                                   (int)strlen(interference) - 1, interference,
+                                   durations);
+    free(interference);
+    free(durations);
+    return record;
 }
 
 int
-nm_sched_restore_interference(nm_sched_t *sched, const void *record,
-                              uint32_t bytes)
+nm_sched_restore_learned(nm_sched_t *sched, const void *record, uint32_t bytes)
 {
     assert(sched && record);
-    return nm_interference_decode(&sched->interference, record, bytes);
+    int rc = nm_interference_decode(&sched->interference, record, bytes);
+    int durations_rc = nm_durations_decode(&sched->durations, record, bytes);
+    return rc < 0 ? rc : durations_rc;
 }
 
 bool
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -63,17 +63,6 @@
     return job->attached_count > 0 || job->core_ms_left < job->core_ms_total;
 }
 
-/* When a job will have ended, after its arrival, if all its tasks find room.
- */
-static double
-expected_finish_ms(const nm_sched_job_t *job, nm_ms_t now_ms)
-{
-    double left_share =
-        (double)MAX(job->core_ms_left, 1) / (double)MAX(job->core_ms_total, 1);
-    return (double)(now_ms - job->arrived_ms) +
-           (double)job->critical_path_ms * left_share;
-}
-
 /* Credit for each unit of remaining work. */
 static double
 credit_rank(const nm_sched_job_t *job, double finish_ms)
@@ -98,7 +87,8 @@
 static void
 order_job(nm_sched_job_t *job, nm_ms_t now_ms, nm_candidate_t *candidate)
 {
-    double finish_ms = expected_finish_ms(job, now_ms);
+    nm_estimate_update(job, now_ms);
+    double finish_ms = nm_estimate_finish_ms(job, now_ms);
     double objective_ms = (double)MAX(job->objective_ms, 1);
     bool in_time = finish_ms <= objective_ms;
     candidate->order = NM_ORDER_CREDIT;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -47,14 +47,13 @@
            (double)node->filler_cpu_milli;
 }
 
-/* True if a task has ended by a time, if it takes as long as estimated. */
+/* True if a task has ended by a time, if it takes as long as expected. */
 static bool
 ends_by(const nm_task_t *task, nm_ms_t end_ms)
 {
-    const nm_step_t *step = nm_task_step(task);
-    nm_ms_t begin_ms = task->started_ms > 0 ? task->started_ms : task->sent_ms;
     return task->state == NM_RUN_STOPPING ||
-           (!step->long_running && step->estimate_ms <= end_ms - begin_ms);
+           (!nm_task_step(task)->long_running &&
+            nm_estimate_ends_by(task, end_ms));
 }
 
 uint32_t
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -7,13 +7,14 @@
  * sched_choice.c -> sched_node.c, sched_filler.c -> sched_cold.c,
  * sched_lease.c ->
  * sched_orphans.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
- * sched_delay.c, sched_timer.c.
+ * sched_estimate.c -> sched_delay.c, sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
 #define NM_SCHED_STATE_H
 
 #include <nutmegdeck/sched.h>
 
+#include "durations.h"
 #include "interference.h"
 #include "load_swing.h"
 #include "sched_delay.h"
@@ -103,6 +104,9 @@
  */
 #define NM_SCHED_FAILED_RUNS_MAX 8
 
+/* Durations of one step's tasks that are kept; the median of these is used. */
+#define NM_ESTIMATE_ENDS_MAX 7
+
 typedef struct nm_occurrence nm_occurrence_t;
 typedef struct nm_sched_job nm_sched_job_t;
 typedef struct nm_sched_node nm_sched_node_t;
@@ -198,6 +202,7 @@
     uint32_t tries;       /* of the current order; 0: it is confirmed */
     bool order_pending;   /* a call is in flight */
     bool withdrawn;       /* STOPPING before its start was confirmed */
+    bool is_resumed;      /* its run began from a checkpoint */
     bool run_is_surplus;  /* an earlier run has ended as done: STOPPING */
     uint32_t percent;     /* confirmed share of full speed, or
                              NM_SCHED_PERCENT_UNKNOWN */
@@ -220,6 +225,16 @@
     nm_ms_t failed_ms;
 } nm_step_failure_t;
 
+/* How long the tasks of a step take, see sched_estimate.c. */
+typedef struct {
+    nm_ms_t expected_ms; /* by the model when the job was added */
+    nm_ms_t known_ms;    /* median of those that have ended, or expected_ms */
+    nm_ms_t longest_ms;  /* of one that has ended */
+    nm_ms_t ended_ms[NM_ESTIMATE_ENDS_MAX];
+    uint32_t end_count; /* in ended_ms */
+    bool is_learned;    /* the model has observed the step */
+} nm_step_duration_t;
+
 /* One occurrence of a job. */
 struct nm_occurrence {
     nm_sched_job_t *job;
@@ -271,10 +286,14 @@
     GList save_link;
     uint32_t *images;     /* by step: number in the interference model */
     nm_swing_t **swings;  /* by step; NULL: its tasks have no target */
-    int64_t core_ms_left; /* from estimates */
+    int64_t core_ms_left; /* by the expected durations on arrival */
     int64_t core_ms_total;
-    nm_ms_t objective_ms;     /* after arrival */
-    nm_ms_t critical_path_ms; /* longest chain of estimates */
+    nm_ms_t objective_ms;     /* after arrival, by critical_path_ms */
+    nm_ms_t critical_path_ms; /* longest chain of tasks, as known now */
+    nm_ms_t path_left_ms;     /* part of a chain that is left */
+    nm_ms_t estimated_ms;     /* when the two were updated; 0: on arrival */
+    bool estimate_outdated;   /* a task has ended since */
+    nm_step_duration_t *durations; /* by step */
     nm_sched_queue_t *queue;
     const char *service; /* interned; used while the queue is unknown */
 };
@@ -486,6 +505,7 @@
     nm_ms_t now_ms;            /* time of the newest round */
     nm_interference_t interference;
     nm_swing_model_t swing_model;
+    nm_durations_t durations;
     GArray *canaries; /* of nm_canary_t, by filler image */
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
     nm_rng_t rng;
@@ -758,6 +778,29 @@
 char *nm_sched_encode_progress(const nm_sched_t *sched,
                                const nm_sched_job_t *job);
 
+/* sched_estimate.c */
+/* Sets the expected durations, work, longest chain and objective of a job. */
+void nm_estimate_init_job(const nm_sched_t *sched, nm_sched_job_t *job);
+/* To be called when the queue of a job has changed. */
+void nm_estimate_set_objective(nm_sched_job_t *job);
+/* Updates the longest chain and the objective, if they are outdated. */
+void nm_estimate_update(nm_sched_job_t *job, nm_ms_t now_ms);
+/* When a job will have ended, after arrival, if all its tasks find room. */
+double nm_estimate_finish_ms(const nm_sched_job_t *job, nm_ms_t now_ms);
+/* To be called for a run that ends as done, before its task is detached. */
+void nm_estimate_on_done(nm_sched_t *sched, const nm_task_t *task, int64_t run,
+                         nm_ms_t now_ms);
+/* True if a run that is not long-running is expected to have ended then. */
+bool nm_estimate_ends_by(const nm_task_t *task, nm_ms_t end_ms);
+/* Work of one task of a step, by the expected duration on arrival. */
+static inline int64_t
+nm_estimate_task_core_ms(const nm_sched_job_t *job, uint32_t step)
+{
+    /* The product may exceed int64_t. */
+    return (int64_t)((double)job->spec.steps[step].cpu_milli *
+                     (double)job->durations[step].expected_ms / 1000);
+}
+
 /* sched_events.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
                         const char *worker, int64_t value);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -314,8 +314,8 @@
         }
         return;
     }
-    const nm_step_t *step = nm_task_step(task);
     nm_sched_job_t *job = task->occurrence->job;
+    nm_estimate_on_done(sched, task, run, now_ms);
     if (task->node) {
         nm_timer_set_now(sched, task->node);
     }
@@ -333,7 +333,7 @@
         nm_task_set_state(sched, task, NM_RUN_DONE);
     }
     task->occurrence->unfinished[task->step]--;
-    job->core_ms_left -= step->cpu_milli * step->estimate_ms / 1000;
+    job->core_ms_left -= nm_estimate_task_core_ms(job, task->step);
     sched->needs_placement = true;
     nm_sched_mark_changed(sched, job, false);
 }
@@ -578,6 +578,7 @@
         nm_task_set_state(sched, task, NM_RUN_STARTING);
         task->tries = 0;
         task->resent = false;
+        task->is_resumed = task->checkpoint[0] != '\0';
         task->begun_ms = now_ms;
         nm_crashes_on_start(node, task);
         task->percent = 100;
--- a/tests/fuzz_platform.c
+++ b/tests/fuzz_platform.c
@@ -61,7 +61,7 @@
     nm_job_spec_add_step(&spec)->task_count = 3;
     nm_sched_add_job(sched, &spec, true, 0);
     nm_sched_restore(sched, JOB, data, bytes);
-    nm_sched_restore_interference(sched, data, bytes);
+    nm_sched_restore_learned(sched, data, bytes);
     nm_sched_run(sched, 10, 1000);
     nm_sched_free(sched);
     nm_job_spec_finish(&spec);
--- a/tests/test_sched_filler.c
+++ b/tests/test_sched_filler.c
@@ -356,7 +356,7 @@
     rows[1].metric = 900;
     sched_sim_report(&sim, "a", 1, rows, 2, NULL, 0);
     g_assert_cmpint(
-        nm_sched_restore_interference(sim.sched, model, sizeof(model) - 1), ==,
+        nm_sched_restore_learned(sim.sched, model, sizeof(model) - 1), ==,
         NM_OK);
     add_colocated(&sim, "2222222222222222", false, false);
     for (uint32_t round = 0; round < 20; round++) {
@@ -395,7 +395,7 @@
     sched_sim_advance(&sim, 30);
     sched_sim_confirm_starts(&sim);
     g_assert_cmpint(
-        nm_sched_restore_interference(sim.sched, model, sizeof(model) - 1), ==,
+        nm_sched_restore_learned(sim.sched, model, sizeof(model) - 1), ==,
         NM_OK);
     add_colocated(&sim, FILLER_JOB, false, false);
     nm_worker_run_t row = sched_sim_make_run(TASK, 1);
