Bench: surges of fillers beside serving tasks, with less capacity

The patterns had no long burst beside serving tasks that hold most of the CPU, and none in which capacity is lost during a burst. bench_jobs surges adds bursts of 2.2, 2.6 and 3 times for 10 s, with 1/6 of the workers evacuated, 2/5 cut off, both, and durations that differ from their estimates by up to 0.9 with 3% stragglers. They print the shares in time, late and of no use, and the credit as a share of an upper bound (lib_credit.c).

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -1,6 +1,6 @@
 /*
  * Benchmark of job scheduling under load patterns:
- * bench_jobs [SEED] [PATTERN|decisions|growth].
+ * bench_jobs [SEED] [PATTERN|surges|decisions|growth].
  *
  * Each pattern measures what callers and serving tasks get, against bounds
  * from the targets.  Without a second argument the cost of a decision at
@@ -219,6 +219,69 @@
     return check_sizes(name, "fillers", &info.fillers_served) && pass;
 }
 
+/*
+ * Surges: fillers beside serving tasks that hold most of the CPU, in a burst
+ * of ten seconds, while a zone is evacuated and workers are cut off.
+ */
+static const struct {
+    const char *name;
+    double burst;
+    uint32_t evacuated;
+    uint32_t unresponsive;
+    double estimate_error;
+    double straggler_share;
+} surges[] = {
+    {"surge-2.2", 2.2, 0, 0, 0, 0},
+    {"surge-2.6", 2.6, 0, 0, 0, 0},
+    {"surge-3", 3, 0, 0, 0, 0},
+    {"surge-2.6-evacuated", 2.6, 8, 0, 0, 0},
+    {"surge-2.6-cut", 2.6, 0, 19, 0, 0},
+    {"surge-2.2-both", 2.2, 8, 19, 0, 0},
+    {"surge-3-both", 3, 8, 19, 0, 0},
+    {"surge-2.6-inaccurate", 2.6, 0, 0, 0.9, 0.03},
+};
+
+#define SURGE_LOAD 0.8
+#define SURGE_SERVICES 22
+#define SURGE_BURST_END_MS 15000
+#define SURGE_ARRIVALS_END_MS 30000
+/* The latest deadline of most jobs has passed by then. */
+#define SURGE_DURATION_MS 65000
+
+static bool
+run_surge(uint64_t seed, size_t index)
+{
+    const char *name = surges[index].name;
+    double spare_cores = FLEET_CORES - SURGE_SERVICES * SERVICE_CORES;
+    fleet_info_t info = fleet_run(&(fleet_desc_t){
+        .seed = seed,
+        .checks_per_s = 5,
+        .fillers_per_s = SURGE_LOAD * spare_cores / FILLER_CORE_S,
+        .services = SURGE_SERVICES,
+        .disturbing_pair_share = 0.5,
+        .sizes_vary = true,
+        .burst = surges[index].burst,
+        .burst_end_ms = SURGE_BURST_END_MS,
+        .evacuated = surges[index].evacuated,
+        .unresponsive = surges[index].unresponsive,
+        .estimate_error = surges[index].estimate_error,
+        .straggler_share = surges[index].straggler_share,
+        .arrivals_end_ms = SURGE_ARRIVALS_END_MS,
+        .duration_ms = SURGE_DURATION_MS,
+    });
+    print_summary(name, &info);
+    uint32_t useless = info.fillers - info.fillers_in_time - info.fillers_late;
+    printf("jobs %s: fillers %u, in time %.3f, late %.3f, of no use %.3f, "
+           "share of the bound %.3f, worth %.3f\n",
+           name, info.fillers,
+           (double)info.fillers_in_time / MAX(info.fillers, 1),
+           (double)info.fillers_late / MAX(info.fillers, 1),
+           (double)useless / MAX(info.fillers, 1), info.fillers_bound_share,
+           info.worth);
+    bool pass = check_sizes(name, "checks", &info.checks_served);
+    return check_sizes(name, "fillers", &info.fillers_served) && pass;
+}
+
 /*
  * A large fleet whose owner is slow: each of its decisions takes pass_ms and
  * the time that its CPU needs, if it has a part of a core only.
@@ -402,6 +465,13 @@
             pass &= run_overload(seed, i);
         }
     }
+    for (size_t i = 0; i < NM_COUNT_OF(surges); i++) {
+        if (!pattern[0] || decisions || strcmp(pattern, "surges") == 0 ||
+            strcmp(pattern, surges[i].name) == 0)
+        {
+            pass &= run_surge(seed, i);
+        }
+    }
     for (size_t i = 0; i < NM_COUNT_OF(owners); i++) {
         bool timed = owners[i].cores > 0;
         if (!pattern[0] || (decisions && !timed) ||
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 
+#include "lib_credit.h"
 #include "lib_restarts.h"
 
 #define TARGET_MS 18
@@ -20,21 +21,12 @@
 #define METRIC_PERIOD_MS 500
 /* Added to the duration of a run that resumes from a checkpoint. */
 #define RESTORE_MS 600
-/*
- * Credit of one job, or of one serving task for a second, in credits of a
- * filler's job; the part that a late job gets (the users' sheets); what a
- * serving second over target costs (their rules).
- */
-#define FILLER_CREDIT 1.0
-#define CHECK_CREDIT 0.34
-#define SERVING_CREDIT_PER_S 0.023
-#define LATE_CREDIT_SHARE 0.15
-#define OVER_TARGET_LOSS 4.0
-/* The rules: credit of a job against the mean of its kind. */
-#define FIXED_CREDIT_SHARE 0.3
-#define CREDIT_MAX 4.0
+/* The part of its credit that a late job gets (the users' sheets). */
+#define LATE_CREDIT_SHARE FLEET_LATE_CREDIT_SHARE
 /* A job later than this multiple of its objective earns nothing. */
 #define LATE_LIMIT_FACTOR 3
+/* How much longer than estimated a straggler takes. */
+#define STRAGGLER_FACTOR 7
 /* A filler that is stopped earlier has no checkpoint. */
 #define SAVE_MS 1000
 
@@ -126,7 +118,9 @@
 {
     const fleet_desc_t *desc = &fleet->desc;
     nm_ms_t t = fleet->now_ms;
-    double burst = t >= 5000 && t < 11000 && desc->burst > 0 ? desc->burst : 1;
+    nm_ms_t end_ms = desc->burst_end_ms ? desc->burst_end_ms : 11000;
+    double burst =
+        t >= 5000 && t < end_ms && desc->burst > 0 ? desc->burst : 1;
     double rates_per_s[] = {desc->checks_per_s, desc->fillers_per_s * burst,
                             desc->services_per_s};
     for (int kind = 0; kind < JOB_KIND_COUNT; kind++) {
@@ -179,6 +173,19 @@
     }
 }
 
+static nm_ms_t
+draw_duration_ms(fleet_t *fleet, nm_ms_t estimate_ms)
+{
+    const fleet_desc_t *desc = &fleet->desc;
+    double error = desc->estimate_error > 0 ? desc->estimate_error : 0.4;
+    double factor = 1 - error + 2 * error * random_unit(fleet);
+    if (desc->straggler_share > 0 &&
+        random_unit(fleet) < desc->straggler_share) {
+        factor *= STRAGGLER_FACTOR;
+    }
+    return (nm_ms_t)((double)estimate_ms * factor);
+}
+
 void
 fleet_start_run(fleet_t *fleet, worker_t *worker,
                 const nm_sched_action_t *action)
@@ -216,11 +223,9 @@
     if (!desc.long_running) {
         const int64_t *left_ms =
             g_hash_table_lookup(fleet->saved_left_ms, action->task);
-        run.duration_left_ms =
-            left_ms && action->checkpoint[0]
-                ? (nm_ms_t)*left_ms + RESTORE_MS
-                : (nm_ms_t)((double)desc.estimate_ms *
-                            (0.6 + 0.8 * random_unit(fleet)));
+        run.duration_left_ms = left_ms && action->checkpoint[0]
+                                   ? (nm_ms_t)*left_ms + RESTORE_MS
+                                   : draw_duration_ms(fleet, desc.estimate_ms);
         run.fails = worker->failing || job->always_fails;
         run.ends_ms = fleet->now_ms + (run.fails ? 300 : run.duration_left_ms);
     }
@@ -580,78 +585,6 @@
     json_decref(record);
 }
 
-/* True for the jobs of a kind that earn credit when they end. */
-static bool
-is_owed(const job_t *job, bool is_check)
-{
-    return !job->long_running && !job->always_fails &&
-           job->is_check == is_check;
-}
-
-/*
- * Adds what the jobs of a kind owe and earn, in means of a job of that kind:
- * one part is the same for each job, the other in proportion to its work.
- */
-static void
-add_credit(const fleet_t *fleet, bool is_check, double credit, double *owed,
-           double *earned)
-{
-    GHashTableIter jobs;
-    const job_t *job;
-    double core_ms = 0;
-    uint32_t count = 0;
-    g_hash_table_iter_init(&jobs, fleet->jobs);
-    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
-        if (is_owed(job, is_check)) {
-            core_ms += (double)job->core_ms;
-            count++;
-        }
-    }
-    double mean_core_ms = MAX(core_ms / MAX(count, 1), 1);
-    g_hash_table_iter_init(&jobs, fleet->jobs);
-    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
-        if (is_owed(job, is_check)) {
-            double work = (double)job->core_ms / mean_core_ms;
-            double worth =
-                MIN(FIXED_CREDIT_SHARE + (1 - FIXED_CREDIT_SHARE) * work,
-                    CREDIT_MAX);
-            *owed += credit * worth;
-            *earned += credit * worth * job->credit_share;
-        }
-    }
-}
-
-static double
-earned_share(const fleet_t *fleet)
-{
-    const fleet_info_t *info = &fleet->info;
-    double owed = SERVING_CREDIT_PER_S * (info->serving_s + info->waiting_s);
-    double earned = SERVING_CREDIT_PER_S *
-                    (info->serving_s - OVER_TARGET_LOSS * info->over_target_s);
-    add_credit(fleet, true, CHECK_CREDIT, &owed, &earned);
-    add_credit(fleet, false, FILLER_CREDIT, &owed, &earned);
-    return earned / MAX(owed, 1e-9);
-}
-
-static sizes_served_t
-count_served(const fleet_t *fleet, bool is_check)
-{
-    GArray *sized = g_array_new(FALSE, FALSE, sizeof(sized_job_t));
-    GHashTableIter jobs;
-    const job_t *job;
-    g_hash_table_iter_init(&jobs, fleet->jobs);
-    while (g_hash_table_iter_next(&jobs, NULL, (gpointer *)&job)) {
-        if (is_owed(job, is_check)) {
-            sized_job_t entry = {job->core_ms, job->credit_share > 0};
-            g_array_append_val(sized, entry);
-        }
-    }
-    sizes_served_t served =
-        sizes_served((sized_job_t *)sized->data, sized->len);
-    g_array_free(sized, TRUE);
-    return served;
-}
-
 static void
 init_workers(fleet_t *fleet)
 {
@@ -663,6 +596,7 @@
         worker->runs = g_array_new(FALSE, TRUE, sizeof(run_t));
         worker->ends = g_array_new(FALSE, TRUE, sizeof(nm_worker_end_t));
         worker->failing = w < desc->failing_workers;
+        worker->evacuated = w + desc->evacuated >= desc->workers;
         worker->unresponsive = w >= desc->failing_workers &&
                                w < desc->failing_workers + desc->unresponsive;
         g_hash_table_insert(fleet->workers_by_id, worker->id, worker);
@@ -744,6 +678,9 @@
                 add_job(&fleet, JOB_SERVICE);
             }
         }
+        if (fleet.now_ms == FLEET_EVACUATION_MS && desc->evacuated > 0) {
+            nm_sched_set_evacuated(fleet.sched, FLEET_EVACUATED_ZONE, true);
+        }
         bool arrivals_ended =
             desc->arrivals_end_ms > 0 && fleet.now_ms >= desc->arrivals_end_ms;
         if (fleet.now_ms > 1500 && !arrivals_ended) {
@@ -752,7 +689,7 @@
         for (uint32_t w = 0; w < fleet.desc.workers; w++) {
             worker_t *worker = &fleet.workers[w];
             restarts_tick_worker(&fleet, worker);
-            if (worker->unresponsive && fleet.now_ms >= 8000) {
+            if (worker->unresponsive && fleet.now_ms >= FLEET_CUT_MS) {
                 tick_unresponsive_worker(&fleet, worker);
             }
             else {
@@ -774,9 +711,7 @@
     while (g_hash_table_iter_next(&interrupted, NULL, &failed_ms)) {
         measure_interrupted(&fleet, failed_ms);
     }
-    fleet.info.worth = earned_share(&fleet);
-    fleet.info.checks_served = count_served(&fleet, true);
-    fleet.info.fillers_served = count_served(&fleet, false);
+    credit_measure(&fleet);
     free_fleet(&fleet);
     return fleet.info;
 }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -18,14 +18,18 @@
 
 typedef struct {
     uint64_t seed;
-    uint32_t workers;      /* 0: 48 */
-    int64_t cpu_milli;     /* of a worker; 0: 64000 */
-    double checks_per_s;   /* short jobs of 6 tasks */
-    double fillers_per_s;  /* jobs of two steps of 8 fillers */
-    double services_per_s; /* jobs of 6 long-running tasks */
-    uint32_t services;     /* long-running jobs at the start */
-    double burst;          /* factor of fillers_per_s from 5 s to 11 s */
-    bool sizes_vary;       /* sizes of short jobs and fillers are spread */
+    uint32_t workers;       /* 0: 48 */
+    int64_t cpu_milli;      /* of a worker; 0: 64000 */
+    double checks_per_s;    /* short jobs of 6 tasks */
+    double fillers_per_s;   /* jobs of two steps of 8 fillers */
+    double services_per_s;  /* jobs of 6 long-running tasks */
+    uint32_t services;      /* long-running jobs at the start */
+    double burst;           /* factor of fillers_per_s from 5 s on */
+    nm_ms_t burst_end_ms;   /* 0: 11000 */
+    double estimate_error;  /* of durations, at most; 0: 0.4 */
+    double straggler_share; /* share of tasks that take seven times as long */
+    uint32_t evacuated;     /* workers of a zone that is evacuated from 6 s */
+    bool sizes_vary;        /* sizes of short jobs and fillers are spread */
     double disturbing_pair_share; /* share of pairs of images that disturb */
     double failing_job_share;     /* share of fillers' jobs that always fail */
     /*
@@ -67,6 +71,11 @@
     uint32_t fillers_late;
     sizes_served_t checks_served; /* not later than that */
     sizes_served_t fillers_served;
+    /*
+     * Credit earned by fillers as a share of an upper bound of what any
+     * schedule earns, see lib_credit.c.
+     */
+    double fillers_bound_share;
     double worth;         /* credit earned as a share of the credit owed */
     double serving_s;     /* task-seconds of running serving tasks */
     double over_target_s; /* of these, with the tail over its target */
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -11,6 +11,12 @@
 #define TICK_MS 10
 #define SERVING_IMAGES 5
 #define FILLER_IMAGES 9
+/* The part of its credit that a late job gets (the users' sheets). */
+#define FLEET_LATE_CREDIT_SHARE 0.15
+/* A zone is evacuated, and workers become unresponsive, from these times. */
+#define FLEET_EVACUATION_MS 6000
+#define FLEET_CUT_MS 8000
+#define FLEET_EVACUATED_ZONE "evacuated"
 
 /* Kinds of jobs; the queue of a kind has the same index. */
 enum {
@@ -50,6 +56,7 @@
     nm_ms_t poll_sent_ms;
     nm_ms_t poll_margin_ms; /* from poll_until_ms to its timeout */
     bool failing;
+    bool evacuated;
     bool unresponsive;
     nm_ms_t unresponsive_since_ms;
     int64_t incarnation;
--- a/bench/lib_restarts.c
+++ b/bench/lib_restarts.c
@@ -93,6 +93,8 @@
                worker->other_service ? OTHER_SERVICE : SERVICE);
     g_snprintf(announced.address, sizeof(announced.address), "%s:80",
                worker->id);
+    nm_strcopy(announced.zone, sizeof(announced.zone),
+               worker->evacuated ? FLEET_EVACUATED_ZONE : "");
     nm_strcopy(announced.labels[0], sizeof(announced.labels[0]),
                worker->labelled ? LABEL : "");
     nm_sched_set_worker(fleet->sched, &announced, fleet->now_ms);
