Jobs later than three times their objective give way to all others

A job that can only end later than three times its objective kept the rank of a late one, although it earns nothing any more, and so went before larger jobs that were still of use. Its rank is now a thousandth. It still ends, and the rule on idle jobs is unchanged.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -50,6 +50,11 @@
 #define LONG_IDLE_MS 2000
 /* A job later than this multiple of its objective earns nothing (rules). */
 #define LATE_LIMIT_FACTOR 3
+/*
+ * Rank of a job that can only end later than that, relative to one in time.
+ * It earns nothing; it gives way to all jobs that still earn, but must end.
+ */
+#define USELESS_CREDIT_FACTOR 0.001
 /* The credit is divided by 1 plus the priority times this. */
 #define PRIORITY_DISCOUNT 0.25
 
@@ -88,7 +93,10 @@
         credit /= 1 + PRIORITY_DISCOUNT * job->queue->desc.priority;
     }
     double objective_ms = (double)MAX(job->objective_ms, 1);
-    if (finish_ms > objective_ms) {
+    if (finish_ms > LATE_LIMIT_FACTOR * objective_ms) {
+        credit *= USELESS_CREDIT_FACTOR;
+    }
+    else if (finish_ms > objective_ms) {
         credit *= LATE_CREDIT_FACTOR;
     }
     return credit / (double)MAX(job->core_ms_left, 1);
