--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -272,12 +272,12 @@
     print_summary(name, &info);
     uint32_t useless = info.fillers - info.fillers_in_time - info.fillers_late;
     printf("jobs %s: fillers %u, in time %.3f, late %.3f, of no use %.3f, "
-           "share of the bound %.3f, worth %.3f\n",
+           "share of the bound %.3f, worth %.3f, refusable %u (served %u)\n",
            name, info.fillers,
            (double)info.fillers_in_time / MAX(info.fillers, 1),
            (double)info.fillers_late / MAX(info.fillers, 1),
            (double)useless / MAX(info.fillers, 1), info.fillers_bound_share,
-           info.worth);
+           info.worth, info.refusable, info.refusable_served);
     bool pass = check_sizes(name, "checks", &info.checks_served);
     return check_sizes(name, "fillers", &info.fillers_served) && pass;
 }
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -109,6 +109,14 @@
         fleet->info.checks += kind == JOB_CHECK;
         fleet->info.fillers += kind == JOB_FILLER;
     }
+    if (kind != JOB_SERVICE &&
+        nm_sched_query_admission(fleet->sched, queues[kind], job->core_ms,
+                                 path_ms)
+            .refuse)
+    {
+        fleet->info.refusable++;
+        job->refusable = true;
+    }
     nm_sched_add_job(fleet->sched, &spec, false, fleet->now_ms);
     nm_job_spec_finish(&spec);
 }
@@ -528,6 +536,8 @@
             job->credit_share = in_time ? 1 : late ? LATE_CREDIT_SHARE : 0;
             fleet->info.checks_in_time += job->is_check && in_time;
             fleet->info.fillers_in_time += !job->is_check && in_time;
+            fleet->info.refusable_served +=
+                job->refusable && job->credit_share > 0;
             fleet->info.checks_late += job->is_check && late;
             fleet->info.fillers_late += !job->is_check && late;
         }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -12,7 +12,7 @@
 #ifndef LIB_FLEET_H
 #define LIB_FLEET_H
 
-#include <nutmegdeck/sched.h>
+#include <nutmegdeck/admission.h>
 
 #include "lib_sizes.h"
 
@@ -69,6 +69,8 @@
     uint32_t fillers;
     uint32_t fillers_in_time;
     uint32_t fillers_late;
+    uint32_t refusable; /* jobs that admission would refuse; all are added */
+    uint32_t refusable_served;    /* of these, in time or late */
     sizes_served_t checks_served; /* not later than that */
     sizes_served_t fillers_served;
     /*
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -78,6 +78,7 @@
     nm_ms_t objective_ms;
     bool is_check;
     bool always_fails;
+    bool refusable; /* admission would refuse it */
     bool ended;
     bool long_running;
     double credit_share; /* earned; 0: not ended, or later than the limit */
