Refuse jobs for overload at any entry host, by the owner's table

Requests arrive at any host, but only the owner knows the capacity. A refusal has status 503, Retry-After and reason overload.

A host cannot know whether an earlier attempt stored the job at another host, so it reads the job's key first. Only an absent key refuses, within 400 ms; otherwise the job goes to the store. Log line admission-changed.

--- a/include/nutmegdeck/admission.h
+++ b/include/nutmegdeck/admission.h
@@ -23,6 +23,7 @@
     char queue[NM_NAME_MAX];
     uint32_t size_class; /* that of nm_admission_class */
     nm_ms_t work_ms;     /* least time in which all workers do a job of it */
+    nm_ms_t limit_ms; /* least limit of the queue's jobs; not sent to hosts */
 } nm_admission_row_t;
 
 typedef struct {
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -93,6 +93,7 @@
     X(ZONE_EVACUATED, "zone-evacuated")                                       \
     X(EVACUATION_REFUSED, "evacuation-refused")                               \
     X(STARTS_HELD, "starts-held")                                             \
+    X(ADMISSION_CHANGED, "admission-changed")                                 \
     X(LINES_DROPPED, "lines-dropped")
 
 typedef enum {
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -34,6 +34,7 @@
     X(CLAIM_STORE, "claim-store", 503, "the claim could not be written")      \
     X(LINK_BUDGET, "link-budget", 503, "the region link's budget is spent")   \
     X(CALLER_GONE, "caller-gone", 499, "the caller closed its connection")    \
+    X(OVERLOAD, "overload", 503, "it cannot end in time under this load")     \
     X(HOP_LIMIT, "hop-limit", 503, "a forwarded request found no slot")       \
     /* Outcomes whose verdict may be ran or unknown. */                       \
     X(KEY_RUNNING, "key-running", 409, "the first request still runs")        \
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &nm_pb__term_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   nm_pb__admission_row__init
+                     (NmPb__AdmissionRow         *message)
+{
+  static const NmPb__AdmissionRow init_value = NM_PB__ADMISSION_ROW__INIT;
+  *message = init_value;
+}
+size_t nm_pb__admission_row__get_packed_size
+                     (const NmPb__AdmissionRow *message)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__admission_row__pack
+                     (const NmPb__AdmissionRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__admission_row__pack_to_buffer
+                     (const NmPb__AdmissionRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__AdmissionRow *
+       nm_pb__admission_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__AdmissionRow *)
+     protobuf_c_message_unpack (&nm_pb__admission_row__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__admission_row__free_unpacked
+                     (NmPb__AdmissionRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   nm_pb__silent_worker__init
                      (NmPb__SilentWorker         *message)
 {
@@ -412,7 +457,7 @@
   assert(message->base.descriptor == &nm_pb__worker_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[7] =
+static const ProtobufCEnumValue nm_pb__entry_ask__type__enum_values_by_number[8] =
 {
   { "STATE", "NM_PB__ENTRY_ASK__TYPE__STATE", 0 },
   { "PENDING", "NM_PB__ENTRY_ASK__TYPE__PENDING", 1 },
@@ -421,12 +466,14 @@
   { "ORDERS", "NM_PB__ENTRY_ASK__TYPE__ORDERS", 4 },
   { "OWNER", "NM_PB__ENTRY_ASK__TYPE__OWNER", 5 },
   { "TERMS", "NM_PB__ENTRY_ASK__TYPE__TERMS", 6 },
+  { "ADMISSION", "NM_PB__ENTRY_ASK__TYPE__ADMISSION", 7 },
 };
 static const ProtobufCIntRange nm_pb__entry_ask__type__value_ranges[] = {
-{0, 0},{0, 7}
+{0, 0},{0, 8}
 };
-static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[7] =
+static const ProtobufCEnumValueIndex nm_pb__entry_ask__type__enum_values_by_name[8] =
 {
+  { "ADMISSION", 7 },
   { "CANCEL", 3 },
   { "ORDERS", 4 },
   { "OWNER", 5 },
@@ -442,15 +489,15 @@
   "Type",
   "NmPb__EntryAsk__Type",
   "nm_pb",
-  7,
+  8,
   nm_pb__entry_ask__type__enum_values_by_number,
-  7,
+  8,
   nm_pb__entry_ask__type__enum_values_by_name,
   1,
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[12] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[14] =
 {
   {
     "number",
@@ -596,8 +643,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "admission",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(NmPb__EntryAsk, n_admission),
+    offsetof(NmPb__EntryAsk, admission),
+    &nm_pb__admission_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admission_valid_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, admission_valid_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
+  12,   /* field[12] = admission */
+  13,   /* field[13] = admission_valid_ms */
   11,   /* field[11] = config_version */
   5,   /* field[5] = epoch */
   2,   /* field[2] = job */
@@ -614,7 +687,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -624,13 +697,77 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  12,
+  14,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
   (ProtobufCMessageInit) nm_pb__entry_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor nm_pb__admission_row__field_descriptors[3] =
+{
+  {
+    "queue",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__AdmissionRow, queue),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size_class",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__AdmissionRow, size_class),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__AdmissionRow, work_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned nm_pb__admission_row__field_indices_by_name[] = {
+  0,   /* field[0] = queue */
+  1,   /* field[1] = size_class */
+  2,   /* field[2] = work_ms */
+};
+static const ProtobufCIntRange nm_pb__admission_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor nm_pb__admission_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "nm_pb.AdmissionRow",
+  "AdmissionRow",
+  "NmPb__AdmissionRow",
+  "nm_pb",
+  sizeof(NmPb__AdmissionRow),
+  3,
+  nm_pb__admission_row__field_descriptors,
+  nm_pb__admission_row__field_indices_by_name,
+  1,  nm_pb__admission_row__number_ranges,
+  (ProtobufCMessageInit) nm_pb__admission_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[9] =
 {
   {
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct NmPb__EntryAnswer NmPb__EntryAnswer;
 typedef struct NmPb__TermEnd NmPb__TermEnd;
 typedef struct NmPb__SilentWorker NmPb__SilentWorker;
+typedef struct NmPb__AdmissionRow NmPb__AdmissionRow;
 typedef struct NmPb__Order NmPb__Order;
 typedef struct NmPb__OrderResult NmPb__OrderResult;
 typedef struct NmPb__WorkerReport NmPb__WorkerReport;
@@ -59,7 +60,11 @@
   /*
    * what became of the receiver's terms as owner
    */
-  NM_PB__ENTRY_ASK__TYPE__TERMS = 6
+  NM_PB__ENTRY_ASK__TYPE__TERMS = 6,
+  /*
+   * which new jobs are refused; no response
+   */
+  NM_PB__ENTRY_ASK__TYPE__ADMISSION = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(NM_PB__ENTRY_ASK__TYPE)
 } NmPb__EntryAsk__Type;
 
@@ -123,10 +128,43 @@
    * of the sender's queue configuration; 0: none
    */
   int64_t config_version;
+  /*
+   * ADMISSION: replaces earlier rows
+   */
+  size_t n_admission;
+  NmPb__AdmissionRow **admission;
+  /*
+   * ADMISSION: rows hold for this time
+   */
+  int64_t admission_valid_ms;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0 }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+
+
+/*
+ * A size of a queue's jobs of which some certainly cannot end in time.
+ */
+struct  NmPb__AdmissionRow
+{
+  ProtobufCMessage base;
+  /*
+   * name
+   */
+  char *queue;
+  /*
+   * power of two of the estimated work
+   */
+  uint32_t size_class;
+  /*
+   * least time in which all workers do such a job
+   */
+  int64_t work_ms;
+};
+#define NM_PB__ADMISSION_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&nm_pb__admission_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -492,6 +530,25 @@
 void   nm_pb__term_end__free_unpacked
                      (NmPb__TermEnd *message,
                       ProtobufCAllocator *allocator);
+/* NmPb__AdmissionRow methods */
+void   nm_pb__admission_row__init
+                     (NmPb__AdmissionRow         *message);
+size_t nm_pb__admission_row__get_packed_size
+                     (const NmPb__AdmissionRow   *message);
+size_t nm_pb__admission_row__pack
+                     (const NmPb__AdmissionRow   *message,
+                      uint8_t             *out);
+size_t nm_pb__admission_row__pack_to_buffer
+                     (const NmPb__AdmissionRow   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__AdmissionRow *
+       nm_pb__admission_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__admission_row__free_unpacked
+                     (NmPb__AdmissionRow *message,
+                      ProtobufCAllocator *allocator);
 /* NmPb__SilentWorker methods */
 void   nm_pb__silent_worker__init
                      (NmPb__SilentWorker         *message);
@@ -617,6 +674,9 @@
 typedef void (*NmPb__TermEnd_Closure)
                  (const NmPb__TermEnd *message,
                   void *closure_data);
+typedef void (*NmPb__AdmissionRow_Closure)
+                 (const NmPb__AdmissionRow *message,
+                  void *closure_data);
 typedef void (*NmPb__SilentWorker_Closure)
                  (const NmPb__SilentWorker *message,
                   void *closure_data);
@@ -645,6 +705,7 @@
 extern const ProtobufCEnumDescriptor    nm_pb__entry_ask__type__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__term_end__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__admission_row__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__silent_worker__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__order__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__order_result__descriptor;
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -70,6 +70,11 @@
  * by a newer version than they were, would show that this host went back.
  */
 #define CONFIRM_WAIT_MS 200
+/*
+ * A job is refused for load within this time of its arrival, before the 500 ms
+ * that a refusal may take; later it is stored.
+ */
+#define OVERLOAD_REFUSE_WITHIN_MS 400
 /* Refused callers return after the usual length of an outage. */
 #define RETRY_AFTER_S 1
 /* Time between two checks of the deadlines of open requests. */
@@ -102,6 +107,8 @@
     uint64_t forward_number; /* number of the forwarded request; 0: none */
     bool was_forwarded;
     bool store_in_flight;
+    bool checking; /* reads whether the job is stored, to refuse it if not */
+    uint32_t retry_after_s; /* of that refusal */
     bool uncertain; /* a write whose response was lost may have been stored */
     bool absent;    /* CANCEL: no such job, but one may still be written */
     bool finished;
@@ -374,6 +381,61 @@
     op->retry_due_ms = nm_entry_now(entry) + STORE_RETRY_MS;
 }
 
+/* True if a request of this host may store the same job. */
+static bool
+has_other_submit(const nm_op_t *op)
+{
+    for (GList *link = op->entry->open_ops.head; link; link = link->next) {
+        const nm_op_t *other = link->data;
+        if (other != op && other->type == OP_SUBMIT &&
+            strcmp(other->job, op->job) == 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+on_absence_checked(void *user, const nm_kv_result_t *result)
+{
+    nm_op_t *op = user;
+    nm_entry_t *entry = op->entry;
+    nm_entry_record_store_result(entry, result->rc);
+    op->checking = false;
+    if (end_store_call(op)) {
+        return;
+    }
+    bool in_time =
+        op->request && nm_entry_now(entry) - op->request->received_ms <=
+                           OVERLOAD_REFUSE_WITHIN_MS;
+    if (result->rc == NM_ERR_NOT_FOUND && in_time && !has_other_submit(op)) {
+        refuse(entry, op->request, NM_REASON_OVERLOAD, 503, op->retry_after_s);
+        end_op(op);
+        return;
+    }
+    run_op(op);
+}
+
+/*
+ * Refuses a job for load if it is not stored: an earlier attempt, at any host,
+ * may have stored it, and a refusal would deny that.  In doubt it is stored.
+ */
+static void
+refuse_if_absent(nm_op_t *op, nm_ms_t retry_after_ms)
+{
+    if (op->entry->store_lost || has_other_submit(op)) {
+        run_op(op);
+        return;
+    }
+    op->retry_after_s = (uint32_t)((retry_after_ms + 999) / 1000);
+    op->checking = true;
+    char key[NM_NAME_MAX * 2];
+    job_key(op, "", key, sizeof(key));
+    op->store_in_flight = true;
+    nm_kv_get(op->entry->desc.kv, key, on_absence_checked, op);
+}
+
 /* True if a create was not carried out because the job was cancelled. */
 static bool
 conflicts_with_cancel(const nm_op_t *op, const nm_kv_result_t *result)
@@ -613,7 +675,8 @@
 
 static char *
 parse_job(nm_entry_t *entry, const nm_api_request_t *request,
-          const nm_queue_rule_t *rule, const char *id, const char **fault)
+          const nm_queue_rule_t *rule, const char *id, const char **fault,
+          nm_admission_t *admission)
 {
     nm_job_spec_t spec;
     nm_job_spec_init(&spec, id, rule->queue.name, rule->queue.service);
@@ -625,6 +688,7 @@
     if (rc == NM_OK) {
         char *text = nm_job_record_encode(&spec);
         record = g_strdup(text);
+        *admission = nm_entry_admission_query(entry, &rule->queue, &spec);
         free(text);
     }
     nm_job_spec_finish(&spec);
@@ -642,7 +706,8 @@
         refuse(entry, request, NM_REASON_TOO_LARGE, 413, 0);
         return;
     }
-    char *record = parse_job(entry, request, rule, id, &fault);
+    nm_admission_t admission = {0};
+    char *record = parse_job(entry, request, rule, id, &fault, &admission);
     if (!record) {
         nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", id,
                "reason", fault ? fault : "the body is not valid JSON");
@@ -652,7 +717,12 @@
     nm_op_t *op = new_op(entry, OP_SUBMIT, id, rule->queue.name, timeout_ms);
     op->request = request;
     op->record = record;
-    run_op(op);
+    if (admission.refuse) {
+        refuse_if_absent(op, admission.retry_after_ms);
+    }
+    else {
+        run_op(op);
+    }
 }
 
 /* Returns the time from now in which a caller has to get its response. */
@@ -833,8 +903,8 @@
 tick_op(nm_op_t *op, nm_ms_t now_ms)
 {
     if (now_ms >= op->deadline_ms) {
-        bool in_flight =
-            op_is_write(op) && (op->store_in_flight || op->forward_number);
+        bool in_flight = op_is_write(op) && !op->checking &&
+                         (op->store_in_flight || op->forward_number);
         bool uncertain = op->uncertain || in_flight;
         fail_op(op, uncertain ? NM_ERR_LOST : NM_ERR_UNAVAILABLE);
         return;
--- a/src/entry_notice.c
+++ b/src/entry_notice.c
@@ -99,6 +99,10 @@
         handle_announcement(entry, request);
         return true;
     }
+    if (request->type == NM_PB__ENTRY_ASK__TYPE__ADMISSION) {
+        nm_entry_admission_handle(entry, request);
+        return true;
+    }
     if (request->type != NM_PB__ENTRY_ASK__TYPE__CANCEL || request->epoch == 0)
     {
         return false;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -297,6 +297,7 @@
         nm_load_on_pass(entry, now_ms);
         run_sched(entry, now_ms);
         nm_notice_announce(entry);
+        nm_entry_admission_run(entry, now_ms);
     }
     if (entry->role == NM_ROLE_OWNER) {
         nm_commit_run(entry, now_ms);
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -4,13 +4,15 @@
  * entry_owner.c -> entry_election.c, entry_notice.c,
  * entry_lives.c -> entry_takeover.c,
  * entry_commit.c -> entry_authority.c -> entry_succession.c -> entry_load.c ->
- * entry_term.c -> entry_evacuation.c; and entry_term.c calls entry_authority.c
- * and entry_succession.c to set them up, and entry_succession.c at the end of
- * a term.
+ * entry_term.c -> entry_evacuation.c, entry_admission.c; and entry_term.c
+ * calls entry_authority.c and entry_succession.c to set them up, and
+ * entry_succession.c at the end of a term.
  */
 #ifndef NM_ENTRY_STATE_H
 #define NM_ENTRY_STATE_H
 
+#include <nutmegdeck/admission.h>
+
 #include "entry.h"
 #include "evacuation.h"
 #include "feed.h"
@@ -158,6 +160,15 @@
     int64_t epoch; /* 0: none */
 } nm_owner_announcement_t;
 
+/* Which new jobs are refused, see entry_admission.c. */
+typedef struct {
+    nm_admission_table_t table; /* the newest, of this owner or another */
+    int64_t epoch;              /* of that owner; 0: none */
+    nm_ms_t expires_ms;
+    nm_ms_t compute_due_ms; /* the rest is of the owner */
+    nm_ms_t send_due_ms;
+} nm_entry_admission_t;
+
 typedef enum {
     NM_ROLE_FOLLOWER,
     NM_ROLE_CANDIDATE, /* an election is in flight */
@@ -239,7 +250,8 @@
     /* Evacuated zones; the feed is open during a term. */
     nm_feed_t evacuation_feed;
     nm_evacuation_t evacuation;
-    bool starts_held;          /* as last logged */
+    bool starts_held; /* as last logged */
+    nm_entry_admission_t admission;
     GHashTable *roster;        /* ids of workers, as stored */
     GHashTable *roster_wanted; /* ids that the next commit stores */
     bool roster_dirty;
@@ -311,6 +323,17 @@
 /* Tells the scheduler whether tasks may start. */
 void nm_entry_evacuation_run(nm_entry_t *entry, nm_ms_t now_ms);
 
+/* entry_admission.c */
+/* Computes the table of the owner, and sends it to the other hosts. */
+void nm_entry_admission_run(nm_entry_t *entry, nm_ms_t now_ms);
+/* Takes the table of an owner. */
+void nm_entry_admission_handle(nm_entry_t *entry,
+                               const NmPb__EntryAsk *request);
+/* Decides on a job whose id is not known to be stored. */
+nm_admission_t nm_entry_admission_query(nm_entry_t *entry,
+                                        const nm_queue_t *queue,
+                                        const nm_job_spec_t *spec);
+
 /* entry_authority.c */
 void nm_authority_init(nm_entry_t *entry);
 void nm_authority_finish(nm_entry_t *entry);
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -446,6 +446,18 @@
     relay->generation++;
 }
 
+void
+nm_order_relay_visit_hosts(const nm_order_relay_t *relay,
+                           nm_relay_visit_fn *visit, void *user)
+{
+    GHashTableIter hosts;
+    const carrier_t *host;
+    g_hash_table_iter_init(&hosts, relay->hosts);
+    while (g_hash_table_iter_next(&hosts, NULL, (gpointer *)&host)) {
+        visit(user, &host->desc);
+    }
+}
+
 static zone_t *
 find_zone(nm_order_relay_t *relay, const char *name)
 {
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -80,6 +80,10 @@
 void nm_order_relay_set_host(nm_order_relay_t *relay,
                              const nm_relay_host_t *host);
 void nm_order_relay_remove_host(nm_order_relay_t *relay, const char *name);
+typedef void nm_relay_visit_fn(void *user, const nm_relay_host_t *host);
+/* Calls visit for each host that is set. */
+void nm_order_relay_visit_hosts(const nm_order_relay_t *relay,
+                                nm_relay_visit_fn *visit, void *user);
 /* Sets the data centre of a worker; its carriers are in the same one. */
 void nm_order_relay_set_worker(nm_order_relay_t *relay, const char *worker,
                                const char *zone);
--- a/src/sched_admission.c
+++ b/src/sched_admission.c
@@ -104,6 +104,7 @@
             nm_strcopy(row->queue, sizeof(row->queue), queue->desc.name);
             row->size_class = c;
             row->work_ms = (nm_ms_t)least_ms;
+            row->limit_ms = limit_ms;
         }
     }
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -92,7 +92,7 @@
 {
     nm_queue_t queue = {QUEUE, "press", 0, 4, 2, 1000, 0};
     nm_admission_table_t table = {.row_count = 1};
-    table.rows[0] = (nm_admission_row_t){QUEUE, 9, 12000};
+    table.rows[0] = (nm_admission_row_t){QUEUE, 9, 12000, 3000};
     g_assert_cmpuint(nm_admission_class(256), ==, 9);
     nm_ms_t first =
         nm_admission_decide(&table, &queue, 256, 1000, 0).retry_after_ms;
--- /dev/null
+++ b/tests/test_entry_admission.c
@@ -0,0 +1,107 @@
+/*
+ * Tests of refusals for load at an entry host: a job that is or may be stored
+ * is never refused, nor one by a table that is over or of a former owner.
+ */
+#include <string.h>
+
+#include "lib_entry_host.h"
+
+#define VALID_MS 2000
+#define LONG_RUNNING_BODY                                                     \
+    "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"longRunning\":"    \
+    "true}]}"
+
+static const struct {
+    const char *name;
+    int64_t epoch;       /* of a table that refuses the job */
+    int64_t later_epoch; /* of an empty table that comes after it; 0: none */
+    nm_ms_t wait_ms;
+    const char *queue;
+    bool stored; /* by an attempt at another host */
+    bool long_running;
+    fake_kv_mode_t mode;
+    nm_ms_t mode_ms; /* the store is available after it */
+    int status;
+    bool overload;
+} cases[] = {
+    {"refused", 2, 0, 0, "q", false, false, FAKE_KV_AVAILABLE, 0, 503, true},
+    {"repeated-in-time", 2, 0, 1500, "q", false, false, FAKE_KV_AVAILABLE, 0,
+     503, true},
+    {"expired", 2, 0, 2100, "q", false, false, FAKE_KV_AVAILABLE, 0, 200,
+     false},
+    {"other-queue", 2, 0, 0, "p", false, false, FAKE_KV_AVAILABLE, 0, 200,
+     false},
+    {"stored", 2, 0, 0, "q", true, false, FAKE_KV_AVAILABLE, 0, 200, false},
+    {"long-running", 2, 0, 0, "q", false, true, FAKE_KV_AVAILABLE, 0, 200,
+     false},
+    {"revoked", 2, 2, 0, "q", false, false, FAKE_KV_AVAILABLE, 0, 200, false},
+    {"former-owner", 2, 1, 0, "q", false, false, FAKE_KV_AVAILABLE, 0, 503,
+     true},
+    {"store-silent", 2, 0, 0, "q", false, false, FAKE_KV_UNRESPONSIVE, 4000,
+     503, false},
+    {"store-slow", 2, 0, 0, "q", false, false, FAKE_KV_UNRESPONSIVE, 600, 200,
+     false},
+    {"store-fails-once", 2, 0, 0, "q", false, false, FAKE_KV_REJECTS_CALLS, 50,
+     200, false},
+};
+
+static void
+tell(nm_entry_t *entry, int64_t epoch, const char *queue)
+{
+    NmPb__AdmissionRow row = NM_PB__ADMISSION_ROW__INIT;
+    row.queue = (char *)queue;
+    row.work_ms = 100000;
+    NmPb__AdmissionRow *rows[] = {&row};
+    NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
+    request.type = NM_PB__ENTRY_ASK__TYPE__ADMISSION;
+    request.epoch = epoch;
+    request.admission = rows;
+    request.n_admission = queue ? 1 : 0;
+    request.admission_valid_ms = VALID_MS;
+    g_assert_true(nm_notice_handle(entry, &request));
+}
+
+static void
+test_cases(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        host_t owner;
+        host_t host;
+        host_init(&owner, "a", kv);
+        run_host(&owner, 1000);
+        host_init(&host, "b", kv);
+        run_host(&host, 100);
+        g_assert_cmpint(host.entry->role, ==, NM_ROLE_FOLLOWER);
+        tell(host.entry, cases[i].epoch, cases[i].queue);
+        if (cases[i].later_epoch > 0) {
+            tell(host.entry, cases[i].later_epoch, NULL);
+        }
+        if (cases[i].stored) {
+            fake_kv_put(kv, JOB_KEY, RECORD);
+        }
+        run_host(&host, cases[i].wait_ms);
+        fake_kv_set_mode(kv, cases[i].mode);
+        send_request(&host, NM_METHOD_POST, "/a/" JOB,
+                     cases[i].long_running ? LONG_RUNNING_BODY : BODY);
+        run_host(&host, cases[i].mode_ms);
+        fake_kv_set_mode(kv, FAKE_KV_AVAILABLE);
+        run_host(&host,
+                 1500); /* it may ask the owner first, which is silent */
+        g_assert_cmpint(last_status(&host), ==, cases[i].status);
+        g_assert_true((strstr(last_response(&host), "load") != NULL) ==
+                      cases[i].overload);
+        host_finish(&host);
+        host_finish(&owner);
+        fake_kv_free(kv);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/entry/admission/cases", test_cases);
+    return g_test_run();
+}
