--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -54,6 +54,16 @@
     return varies ? round(sizes_draw(&fleet->rng, dist)) : mean;
 }
 
+/* Counts a job that admission would refuse; it is added all the same. */
+static void
+count_refusable(fleet_t *fleet, job_t *job, const char *queue, nm_ms_t path_ms)
+{
+    job->refusable =
+        nm_sched_query_admission(fleet->sched, queue, job->core_ms, path_ms)
+            .refuse;
+    fleet->info.refusable += job->refusable;
+}
+
 static void
 add_job(fleet_t *fleet, int kind)
 {
@@ -109,13 +119,8 @@
         fleet->info.checks += kind == JOB_CHECK;
         fleet->info.fillers += kind == JOB_FILLER;
     }
-    if (kind != JOB_SERVICE &&
-        nm_sched_query_admission(fleet->sched, queues[kind], job->core_ms,
-                                 path_ms)
-            .refuse)
-    {
-        fleet->info.refusable++;
-        job->refusable = true;
+    if (kind != JOB_SERVICE) {
+        count_refusable(fleet, job, queues[kind], path_ms);
     }
     nm_sched_add_job(fleet->sched, &spec, false, fleet->now_ms);
     nm_job_spec_finish(&spec);
--- a/tests/test_entry_admission.c
+++ b/tests/test_entry_admission.c
@@ -3,10 +3,17 @@
  * is never refused, nor one by a table that is over or of a former owner.
  */
 #include <string.h>
+#include <unistd.h>
 
 #include "lib_entry_host.h"
 
 #define VALID_MS 2000
+#define OTHER_JOB "00000000000000aa"
+/* 10,000 core seconds, of which 16 cores do half in 312 s; the limit is 62 s.
+ */
+#define LARGE_BODY                                                            \
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1000,\"cpu\":1000,"                \
+    "\"estimateMs\":10000}]}"
 #define LONG_RUNNING_BODY                                                     \
     "{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,\"longRunning\":"    \
     "true}]}"
@@ -98,10 +105,56 @@
     }
 }
 
+/* The owner's table has to reach a host that is not the owner. */
+static void
+test_owner_tells_other_host(void)
+{
+    fake_kv_t *kv = configured_store();
+    fake_kv_put(kv, "servers/w1", WORKER);
+    host_t owner;
+    host_t host;
+    host_init(&owner, "a", kv);
+    run_host(&owner, 1000);
+    nm_relay_host_t relay_host = {.name = "b", .zone = "z"};
+    g_snprintf(relay_host.address, sizeof(relay_host.address),
+               "ipc:///tmp/nutmeg-admission-%d", (int)getpid());
+    host_init_at(&host, "b", relay_host.address, kv);
+    run_host(&host, 100);
+    /* a registered address is of TCP */
+    nm_order_relay_set_host(&owner.entry->relay, &relay_host);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB, LARGE_BODY);
+    run_host(&host, 100);
+    g_assert_cmpint(last_status(&host), ==, 200);
+    for (int i = 0; i < 500 && host.entry->admission.table.row_count == 0; i++)
+    {
+        run_host(&owner, 10);
+        run_host(&host, 10);
+        g_usleep(1000); /* messages go through threads */
+    }
+    g_assert_cmpuint(owner.entry->admission.table.row_count, ==, 1);
+    g_assert_cmpuint(host.entry->admission.table.row_count, ==, 1);
+    send_request(&host, NM_METHOD_POST, "/a/" OTHER_JOB, LARGE_BODY);
+    run_host(&host, 100);
+    g_assert_cmpint(last_status(&host), ==, 503);
+    /* the same job at the owner, and the first one again */
+    send_request(&owner, NM_METHOD_POST, "/a/" OTHER_JOB, LARGE_BODY);
+    run_host(&owner, 100);
+    g_assert_cmpint(last_status(&owner), ==, 503);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB, LARGE_BODY);
+    run_host(&host, 100);
+    g_assert_cmpint(last_status(&host), ==, 200);
+    host_finish(&host);
+    host_finish(&owner);
+    fake_kv_free(kv);
+    unlink(relay_host.address + strlen("ipc://"));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/entry/admission/cases", test_cases);
+    g_test_add_func("/entry/admission/owner-tells-other-host",
+                    test_owner_tells_other_host);
     return g_test_run();
 }
