--- a/include/nutmegdeck/admission.h
+++ b/include/nutmegdeck/admission.h
@@ -50,8 +50,8 @@
                                    double random_unit);
 /*
  * Computes the table; it has rows only for classes in which a job may have to
- * be refused.  Visits all workers for each queue: meant to be called a few
- * times a second.
+ * be refused.  Visits workers until they suffice for the largest jobs that
+ * have arrived lately: meant to be called a few times a second.
  */
 void nm_sched_compute_admission(const nm_sched_t *sched,
                                 nm_admission_table_t *table);
--- a/src/sched_admission.c
+++ b/src/sched_admission.c
@@ -70,41 +70,67 @@
 }
 
 /*
- * Most that short tasks and fillers can use of a service, in cores.  Workers
- * that are evacuated or silent count, as they may be back in time.
+ * Cores of a service that short tasks and fillers can use at most, or enough
+ * if there are more.  Workers that are evacuated or silent count, as they may
+ * be back in time.
  */
 static double
-usable_cores(const nm_sched_t *sched, const char *service)
+usable_cores(const nm_sched_t *sched, const char *service, double enough)
 {
-    double milli = 0;
-    for (guint i = 0; i < sched->node_list->len; i++) {
+    double cores = 0;
+    for (guint i = 0; i < sched->node_list->len && cores < enough; i++) {
         const nm_sched_node_t *node = sched->node_list->pdata[i];
         if (node->service == service && node->announced && node->described) {
-            milli +=
+            double milli =
                 (double)(node->desc.cpu_milli - node->long_running_cpu_milli) +
                 (1 - SERVING_LOAD_SHARE) * (double)node->serving_cpu_milli;
+            cores += MAX(milli, 0) / 1000;
         }
     }
-    return MAX(milli / 1000, 0);
+    return MIN(cores, enough);
+}
+
+/* Work that any job of a class needs with certainty, in core milliseconds. */
+static double
+least_core_ms(uint32_t size_class)
+{
+    return CERTAIN_SHARE * (double)((int64_t)1 << (size_class - 1));
+}
+
+static bool
+has_arrivals(const nm_sched_queue_t *queue, uint32_t size_class)
+{
+    return queue->share.groups[size_class].arrived >= ARRIVED_MIN;
 }
 
 static void
-add_rows(const nm_sched_queue_t *queue, double cores,
+add_rows(const nm_sched_t *sched, const nm_sched_queue_t *queue,
          nm_admission_table_t *table)
 {
-    nm_ms_t limit_ms = useful_limit_ms(&queue->desc, 0);
-    for (uint32_t c = 1; c < NM_SHARE_GROUPS; c++) {
-        double least_core_ms = CERTAIN_SHARE * (double)((int64_t)1 << (c - 1));
-        double least_ms = MIN(least_core_ms / cores, NM_JOB_CORE_MS_MAX);
-        if (queue->share.groups[c].arrived >= ARRIVED_MIN &&
-            least_ms > (double)limit_ms &&
+    double limit_ms = (double)MAX(useful_limit_ms(&queue->desc, 0), 1);
+    uint32_t largest = NM_SHARE_GROUPS - 1;
+    while (largest > 0 && !has_arrivals(queue, largest)) {
+        largest--;
+    }
+    if (largest == 0) {
+        return;
+    }
+    /* Few workers have to be visited while there are enough. */
+    double enough = least_core_ms(largest) / limit_ms;
+    double cores = usable_cores(sched, queue->service, enough);
+    if (cores <= 0 || cores >= enough) {
+        return; /* without workers nothing is known */
+    }
+    for (uint32_t c = 1; c <= largest; c++) {
+        double least_ms = MIN(least_core_ms(c) / cores, NM_JOB_CORE_MS_MAX);
+        if (has_arrivals(queue, c) && least_ms > limit_ms &&
             table->row_count < NM_ADMISSION_ROWS_MAX)
         {
             nm_admission_row_t *row = &table->rows[table->row_count++];
             nm_strcopy(row->queue, sizeof(row->queue), queue->desc.name);
             row->size_class = c;
             row->work_ms = (nm_ms_t)least_ms;
-            row->limit_ms = limit_ms;
+            row->limit_ms = (nm_ms_t)limit_ms;
         }
     }
 }
@@ -119,10 +145,7 @@
     const nm_sched_queue_t *queue;
     g_hash_table_iter_init(&queues, sched->queues);
     while (g_hash_table_iter_next(&queues, NULL, (gpointer *)&queue)) {
-        double cores = usable_cores(sched, queue->service);
-        if (cores > 0) { /* without workers nothing is known */
-            add_rows(queue, cores, table);
-        }
+        add_rows(sched, queue, table);
     }
 }
 
