--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -105,11 +105,52 @@
     g_assert_false(nm_admission_decide(&table, &queue, 256, 5000, 0).refuse);
 }
 
+/*
+ * A small job that is of no use any more must not start before larger ones
+ * that still are.
+ */
+static void
+test_job_of_no_use_gives_way(void)
+{
+    nm_sched_t *sched = new_sched(1, 1000);
+    nm_sched_admit_worker(sched, "w0");
+    nm_sched_run(sched, 1, 1000000);
+    nm_worker_report_t report = {.result = NM_ORDER_DONE,
+                                 .incarnation = 1,
+                                 .clock_ms = 1000,
+                                 .sent_ms = 1,
+                                 .complete = true};
+    nm_sched_on_report(sched, "w0", &report, 10);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, "ffffffffffffffff", QUEUE, "press");
+    nm_step_t *step = nm_job_spec_add_step(&spec);
+    step->task_count = 1;
+    step->cpu_milli = 1000;
+    step->estimate_ms = 1000;
+    /* its limit of 9 s has passed */
+    g_assert_cmpint(nm_sched_add_job(sched, &spec, false, -10000), ==, NM_OK);
+    nm_job_spec_finish(&spec);
+    add_jobs(sched, 10, 40, 1000);
+    nm_sched_run(sched, 20, 1000020);
+    char started[NM_TASK_NAME_MAX] = "";
+    nm_sched_action_t action;
+    while (nm_sched_next_action(sched, &action)) {
+        if (action.type == NM_ACTION_START) {
+            g_assert_cmpstr(started, ==, "");
+            nm_strcopy(started, sizeof(started), action.task);
+        }
+    }
+    g_assert_true(g_str_has_prefix(started, "0000"));
+    nm_sched_free(sched);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/admission/cases", test_cases);
     g_test_add_func("/admission/retries-spread", test_retries_spread);
+    g_test_add_func("/admission/job-of-no-use-gives-way",
+                    test_job_of_no_use_gives_way);
     return g_test_run();
 }
