Merge admission of jobs under overload

The benches of durations and surges are merged; durations that are drawn for each run have names of their own (run_error, run_straggler_share).

--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -12,7 +12,7 @@
 #ifndef LIB_FLEET_H
 #define LIB_FLEET_H
 
-#include <nutmegdeck/sched.h>
+#include <nutmegdeck/admission.h>
 
 #include "lib_sizes.h"
 
@@ -24,8 +24,16 @@
     double fillers_per_s;  /* jobs of two steps of 8 fillers */
     double services_per_s; /* jobs of 6 long-running tasks */
     uint32_t services;     /* long-running jobs at the start */
-    double burst;          /* factor of fillers_per_s from 5 s to 11 s */
-    bool sizes_vary;       /* sizes of short jobs and fillers are spread */
+    double burst;          /* factor of fillers_per_s from 5 s on */
+    nm_ms_t burst_end_ms;  /* 0: 11000 */
+    /*
+     * Durations that are drawn anew for each run: greatest deviation from the
+     * estimate (0: 0.4), and share of runs that take seven times as long.
+     */
+    double run_error;
+    double run_straggler_share;
+    uint32_t evacuated; /* workers of a zone that is evacuated from 6 s */
+    bool sizes_vary;    /* sizes of short jobs and fillers are spread */
     double disturbing_pair_share; /* share of pairs of images that disturb */
     double failing_job_share;     /* share of fillers' jobs that always fail */
     /*
@@ -72,10 +80,17 @@
     uint32_t fillers;
     uint32_t fillers_in_time;
     uint32_t fillers_late;
+    uint32_t refusable; /* jobs that admission would refuse; all are added */
+    uint32_t refusable_served;    /* of these, in time or late */
     sizes_served_t checks_served; /* not later than that */
     sizes_served_t fillers_served;
     sizes_served_t checks_timely; /* in time */
     sizes_served_t fillers_timely;
+    /*
+     * Credit earned by fillers as a share of an upper bound of what any
+     * schedule earns, see lib_credit.c.
+     */
+    double fillers_bound_share;
     double worth;         /* credit earned as a share of the credit owed */
     double serving_s;     /* task-seconds of running serving tasks */
     double over_target_s; /* of these, with the tail over its target */
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -12,6 +12,12 @@
 #define SERVING_IMAGES 5
 #define FILLER_IMAGES 9
 #define JOB_STEPS_MAX 8
+/* The part of its credit that a late job gets (the users' sheets). */
+#define FLEET_LATE_CREDIT_SHARE 0.15
+/* A zone is evacuated, and workers become unresponsive, from these times. */
+#define FLEET_EVACUATION_MS 6000
+#define FLEET_CUT_MS 8000
+#define FLEET_EVACUATED_ZONE "evacuated"
 
 /* Kinds of jobs; the queue of a kind has the same index. */
 enum {
@@ -51,6 +57,7 @@
     nm_ms_t poll_sent_ms;
     nm_ms_t poll_margin_ms; /* from poll_until_ms to its timeout */
     bool failing;
+    bool evacuated;
     bool unresponsive;
     nm_ms_t unresponsive_since_ms;
     int64_t incarnation;
@@ -72,6 +79,7 @@
     nm_ms_t objective_ms;
     bool is_check;
     bool always_fails;
+    bool refusable; /* admission would refuse it */
     bool ended;
     bool long_running;
     double credit_share; /* earned; 0: not ended, or later than the limit */
