Bench of fillers with heavy effects beside serving tasks

It splits the time over target that fillers cause by cause, and counts the work of fillers that was not lost.

--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -6,14 +6,10 @@
 #include <string.h>
 #include <time.h>
 
-#include <jansson.h>
-
 #include "lib_restarts.h"
 
-#define TARGET_MS 18
 /* Spreads the phases of successive jobs evenly over the circle. */
 #define GOLDEN_ANGLE 2.39996
-#define BASE_TAIL_MS 8.0
 /* Added to a log tail by a disturbing filler with a tenth of the worker. */
 #define DISTURBING_EFFECT 0.7
 #define POLL_LATENCY_MS 5
@@ -79,19 +75,33 @@
                            kind == JOB_CHECK    ? 800
                            : kind == JOB_FILLER ? 2200
                                                 : 0);
+    const fleet_profile_t *profile = fleet->desc.profile;
     int image = (int)nm_rng_below(
-        &fleet->rng, kind == JOB_FILLER ? FILLER_IMAGES : SERVING_IMAGES);
+        &fleet->rng, kind == JOB_FILLER ? fleet_filler_images(fleet)
+                                        : fleet_serving_images(fleet));
+    if (profile && kind == JOB_FILLER) {
+        estimate_ms = profile->filler_estimate_ms;
+    }
     for (uint32_t s = 0; s < steps; s++) {
         nm_step_t *step = nm_job_spec_add_step(&spec);
         step->task_count = (uint32_t)draw_size(
             fleet, kind, &job_sizes[sized].tasks, kind == JOB_FILLER ? 8 : 6);
         step->cpu_milli = (int64_t)((double)fleet->desc.cpu_milli *
                                     (kind == JOB_SERVICE ? 0.2 : 0.08));
+        if (profile && kind != JOB_CHECK) {
+            bool filler = kind == JOB_FILLER;
+            step->task_count =
+                filler ? profile->filler_tasks : profile->service_tasks;
+            step->cpu_milli = filler ? profile->filler_cpu_milli
+                                     : profile->service_cpu_milli;
+        }
         step->memory_mb = 1000;
         step->estimate_ms = estimate_ms;
         step->long_running = kind == JOB_SERVICE;
         step->is_filler = kind == JOB_FILLER;
-        step->saves_progress = kind == JOB_FILLER;
+        /* With a profile half of the jobs are throttled instead of stopped. */
+        step->saves_progress =
+            kind == JOB_FILLER && !(profile && fleet->job_number % 2 == 0);
         step->target_ms = kind == JOB_SERVICE ? TARGET_MS : 0;
         snprintf(step->image, sizeof(step->image), "%d", image);
         restarts_restrict_step(fleet, step);
@@ -204,12 +214,12 @@
     run_t run = {.run = action->run,
                  .began_ms = fleet->now_ms,
                  .ends_ms = NM_MS_NEVER,
-                 .serving_image =
-                     desc.target_ms > 0 ? desc.image[0] - '0' : -1,
-                 .filler_image = desc.is_filler ? desc.image[0] - '0' : -1,
+                 .serving_image = desc.target_ms > 0 ? atoi(desc.image) : -1,
+                 .filler_image = desc.is_filler ? atoi(desc.image) : -1,
                  .cpu_milli = desc.cpu_milli,
                  .reserves_cpu = !desc.is_filler,
                  .percent = 100,
+                 .wanted_percent = 100,
                  .unaddressed = action->incarnation != worker->incarnation};
     nm_strcopy(run.task, sizeof(run.task), action->task);
     run.load_phase = job->load_phase;
@@ -224,6 +234,9 @@
         run.fails = worker->failing || job->always_fails;
         run.ends_ms = fleet->now_ms + (run.fails ? 300 : run.duration_left_ms);
     }
+    if (run.filler_image >= 0) {
+        fillers_on_start(fleet, &run);
+    }
     g_array_append_val(worker->runs, run);
     fleet->info.starts++;
     restarts_check_start(fleet, worker, &run, &desc);
@@ -240,7 +253,7 @@
     if (end_type == NM_END_STOPPED && run->filler_image >= 0 &&
         elapsed_ms >= SAVE_MS)
     {
-        int64_t left_ms = MAX(run->duration_left_ms - elapsed_ms, 50);
+        int64_t left_ms = MAX(run->ends_ms - fleet->now_ms, 50);
         g_hash_table_insert(fleet->saved_left_ms, g_strdup(run->task),
                             g_memdup2(&left_ms, sizeof(left_ms)));
         snprintf(end.checkpoint, sizeof(end.checkpoint), "%lld",
@@ -250,6 +263,10 @@
         g_hash_table_insert(fleet->interrupted, g_strdup(run->task),
                             g_memdup2(&fleet->now_ms, sizeof(fleet->now_ms)));
     }
+    if (run->filler_image >= 0) {
+        fillers_on_end(fleet, run,
+                       end_type == NM_END_DONE || end.checkpoint[0] != '\0');
+    }
     add_running(fleet, run->task, -1);
     restarts_refuse(worker, run->task, run->run);
     g_array_append_val(worker->ends, end);
@@ -268,19 +285,14 @@
 static double
 log_tail(const fleet_t *fleet, const worker_t *worker, const run_t *run)
 {
-    double sum = log(BASE_TAIL_MS / TARGET_MS);
-    if (fleet->desc.load_period_ms > 0) {
-        double angle = 2 * G_PI * (double)fleet->now_ms /
-                       (double)fleet->desc.load_period_ms;
-        sum += fleet->desc.load_swing * sin(angle + run->load_phase);
-    }
+    double sum =
+        fleet_base_log_tail(fleet) + fillers_swing(fleet, run, fleet->now_ms);
     for (guint i = 0; i < worker->runs->len; i++) {
         const run_t *other = &g_array_index(worker->runs, run_t, i);
         if (other->filler_image >= 0) {
             double share = (double)other->cpu_milli * other->percent / 100 /
                            (double)fleet->desc.cpu_milli;
-            sum += fleet->effects[run->serving_image][other->filler_image] *
-                   share / 0.1;
+            sum += fillers_effect(fleet, run, other) * share / 0.1;
         }
     }
     return sum;
@@ -308,8 +320,14 @@
         else {
             run->over_since_ms = 0;
         }
+        if (fleet->desc.profile) {
+            fillers_account(fleet, worker, run);
+            run->tail_sum += tail * TICK_MS / METRIC_PERIOD_MS;
+        }
         if (metrics_due) {
             double noise = 0.3 * (random_unit(fleet) - 0.5);
+            tail = fleet->desc.profile ? run->tail_sum : tail;
+            run->tail_sum = 0;
             double noisy_tail = exp(tail + (fleet->desc.informed ? 0 : noise));
             run->metric = (int64_t)(noisy_tail * TARGET_MS);
         }
@@ -372,6 +390,7 @@
 {
     for (guint i = worker->runs->len; i > 0; i--) {
         run_t *run = &g_array_index(worker->runs, run_t, i - 1);
+        fillers_tick_run(fleet, run);
         if (run->stopping && fleet->now_ms >= run->stopped_ms) {
             end_run(fleet, worker, i - 1, NM_END_STOPPED);
         }
@@ -386,8 +405,8 @@
             end_run(fleet, worker, i - 1,
                     run->fails ? NM_END_FAILED : NM_END_DONE);
         }
-        else if (run->percent == 0 && run->ends_ms != NM_MS_NEVER) {
-            run->ends_ms += TICK_MS;
+        else if (run->percent < 100 && run->ends_ms != NM_MS_NEVER) {
+            run->ends_ms += TICK_MS * (100 - (nm_ms_t)run->percent) / 100;
         }
     }
     measure_tails(fleet, worker);
@@ -442,14 +461,21 @@
             restarts_stop(fleet, worker, action);
             break;
         }
-        if (run) {
+        if (run && fleet->desc.profile) {
+            fillers_stop(fleet, run);
+        }
+        else if (run) {
             run->stopping = true;
         }
         nm_sched_on_stop(fleet->sched, action, result, fleet->now_ms);
         break;
     case NM_ACTION_THROTTLE:
-        if (run) {
+        if (run && fleet->desc.profile) {
+            fillers_throttle(fleet, run, action->percent);
+        }
+        else if (run) {
             run->percent = action->percent;
+            run->wanted_percent = action->percent;
         }
         nm_sched_on_throttle(fleet->sched, action, result, fleet->now_ms);
         break;
@@ -552,34 +578,6 @@
         fleet->now_ms + fleet->desc.owner_pass_ms + used_ms;
 }
 
-/* Gives the scheduler the effects of all pairs of images, as certain. */
-static void
-reveal_effects(fleet_t *fleet)
-{
-    json_t *bases = json_array();
-    json_t *effects = json_array();
-    for (int s = 0; s < SERVING_IMAGES; s++) {
-        char serving[8];
-        snprintf(serving, sizeof(serving), "%d", s);
-        json_array_append_new(bases,
-                              json_pack("[s,f,f]", serving,
-                                        log(BASE_TAIL_MS / TARGET_MS), 1e-6));
-        for (int f = 0; f < FILLER_IMAGES; f++) {
-            char filler[8];
-            snprintf(filler, sizeof(filler), "%d", f);
-            json_array_append_new(effects,
-                                  json_pack("[s,s,f,f]", serving, filler,
-                                            fleet->effects[s][f], 1e-6));
-        }
-    }
-    json_t *record = json_pack("{s:i,s:o,s:o}", "version", 1, "bases", bases,
-                               "effects", effects);
-    char *text = json_dumps(record, JSON_COMPACT);
-    nm_sched_restore_interference(fleet->sched, text, (uint32_t)strlen(text));
-    free(text);
-    json_decref(record);
-}
-
 /* True for the jobs of a kind that earn credit when they end. */
 static bool
 is_owed(const job_t *job, bool is_check)
@@ -682,6 +680,10 @@
     for (size_t i = 0; i < NM_COUNT_OF(queues); i++) {
         nm_sched_set_queue(fleet->sched, &queues[i]);
     }
+    if (fleet->desc.profile) {
+        fillers_draw_effects(fleet);
+        return;
+    }
     for (int s = 0; s < SERVING_IMAGES; s++) {
         for (int f = 0; f < FILLER_IMAGES; f++) {
             fleet->effects[s][f] =
@@ -732,7 +734,7 @@
                                0);
     init_queues(&fleet);
     if (desc->informed) {
-        reveal_effects(&fleet);
+        fleet_reveal_effects(&fleet);
     }
     restarts_init(&fleet);
     init_workers(&fleet);
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -14,6 +14,7 @@
 
 #include <nutmegdeck/sched.h>
 
+#include "lib_fleet_fillers.h"
 #include "lib_sizes.h"
 
 typedef struct {
@@ -56,6 +57,7 @@
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
+    const fleet_profile_t *profile; /* NULL: that of bench_jobs */
 } fleet_desc_t;
 
 typedef struct {
@@ -100,6 +102,7 @@
     uint32_t limited_starts;  /* of steps with a limit per worker */
     uint32_t labelled_starts; /* of steps that require a label */
     double cpu_s;             /* CPU time of the scheduler */
+    fleet_filler_info_t fillers_beside; /* of a profile */
 } fleet_info_t;
 
 fleet_info_t fleet_run(const fleet_desc_t *desc);
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -9,6 +9,7 @@
 #include "lib_fleet.h"
 
 #define TICK_MS 10
+#define TARGET_MS 18
 #define SERVING_IMAGES 5
 #define FILLER_IMAGES 9
 
@@ -36,6 +37,12 @@
     int64_t cpu_milli;
     bool reserves_cpu;
     uint32_t percent;
+    /* Of a profile: order that takes effect later, see lib_fleet_fillers.c. */
+    uint32_t wanted_percent;
+    nm_ms_t throttled_ms;
+    uint32_t unknown_images; /* mask of serving images, at its start */
+    double work_core_s;
+    double tail_sum; /* in the window of the next metric */
     int64_t metric;
     nm_ms_t over_since_ms;
 } run_t;
@@ -89,7 +96,9 @@
     GHashTable *workers_by_id;
     GHashTable *jobs;
     GHashTable *saved_left_ms; /* task -> duration left after its checkpoint */
-    double effects[SERVING_IMAGES][FILLER_IMAGES];
+    double effects[FLEET_SERVING_IMAGES_MAX][FLEET_FILLER_IMAGES_MAX];
+    /* By pair of images: seconds beside each other. */
+    double pair_s[FLEET_SERVING_IMAGES_MAX][FLEET_FILLER_IMAGES_MAX];
     uint64_t job_number;
     double pending_arrivals[JOB_KIND_COUNT];
     GHashTable *running;     /* task -> number of its runs */
@@ -107,4 +116,26 @@
 /* Ends all runs of a worker without a trace. */
 void fleet_drop_runs(fleet_t *fleet, worker_t *worker);
 
+/* lib_fleet_fillers.c */
+uint32_t fleet_serving_images(const fleet_t *fleet);
+uint32_t fleet_filler_images(const fleet_t *fleet);
+double fleet_base_log_tail(const fleet_t *fleet);
+/* Gives the scheduler the effects of all pairs of images, as certain. */
+void fleet_reveal_effects(fleet_t *fleet);
+/* The same file: for fleets with a profile. */
+void fillers_draw_effects(fleet_t *fleet);
+/* What the load of a serving task's job adds to its log tail. */
+double fillers_swing(const fleet_t *fleet, const run_t *run, nm_ms_t at_ms);
+/* Effect of a filler at the present load of the serving task's job. */
+double fillers_effect(const fleet_t *fleet, const run_t *run,
+                      const run_t *filler);
+void fillers_on_start(fleet_t *fleet, run_t *run);
+void fillers_throttle(fleet_t *fleet, run_t *run, uint32_t percent);
+void fillers_stop(fleet_t *fleet, run_t *run);
+void fillers_tick_run(fleet_t *fleet, run_t *run);
+/* kept: its work is not lost. */
+void fillers_on_end(fleet_t *fleet, const run_t *run, bool kept);
+/* Accounts for a tick of a serving task that may be over its target. */
+void fillers_account(fleet_t *fleet, const worker_t *worker, const run_t *run);
+
 #endif
