--- a/src/interference.c
+++ b/src/interference.c
@@ -31,10 +31,11 @@
 /* Pairs from this variance on have no usable estimate and are not stored. */
 #define ENCODED_VARIANCE_MAX 0.19
 /*
- * Up to this variance, after some two metrics, an effect counts as known, and
- * many fillers of the image may start.
+ * Up to this variance, after a few metrics, an effect counts as known, and
+ * many fillers of the image may start.  With 0.14, one or two metrics, a burst
+ * of an image started on a wrong estimate.
  */
-#define KNOWN_VARIANCE_MAX 0.14
+#define KNOWN_VARIANCE_MAX 0.08
 #define RECORD_VERSION 1
 /* Further images share the last number; the table is of pairs of images. */
 #define IMAGES_MAX 1023
