--- a/tests/test_interference.c
+++ b/tests/test_interference.c
@@ -207,6 +207,29 @@
     nm_interference_finish(&model);
 }
 
+/*
+ * Guards against an effect that counts as known after one metric, which let
+ * bursts of heavy images start, and against one that never does.
+ */
+static void
+test_one_metric_leaves_effect_unknown(void)
+{
+    static const struct {
+        uint32_t metrics;
+        bool unknown;
+    } cases[] = {{0, true}, {1, true}, {8, false}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        nm_interference_t model;
+        nm_interference_init(&model);
+        train(&model, 2.0, cases[i].metrics);
+        uint32_t serving = nm_interference_image_number(&model, "serving");
+        uint32_t filler = nm_interference_image_number(&model, "filler");
+        g_assert_true(nm_interference_is_unknown(&model, serving, filler) ==
+                      cases[i].unknown);
+        nm_interference_finish(&model);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -222,5 +245,7 @@
                     test_odd_estimate_is_used);
     g_test_add_func("/interference/many-images-take-all-memory",
                     test_many_images_take_all_memory);
+    g_test_add_func("/interference/one-metric-leaves-effect-unknown",
+                    test_one_metric_leaves_effect_unknown);
     return g_test_run();
 }
