--- a/src/sched.c
+++ b/src/sched.c
@@ -297,6 +297,9 @@
         job->long_running =
             job->long_running || job->spec.steps[s].long_running;
     }
+    job->core_ms_total =
+        nm_job_spec_core_ms(&job->spec) * job->occurrence_count;
+    job->core_ms_left = job->core_ms_total;
     nm_estimate_init_job(sched, job);
     if (job->queue && !job->long_running) {
         double core_ms = (double)job->core_ms_total;
--- a/src/sched_estimate.c
+++ b/src/sched_estimate.c
@@ -71,7 +71,6 @@
 {
     nm_ms_t lengths_ms[NM_JOB_STEPS_MAX];
     job->durations = g_new0(nm_step_duration_t, job->spec.step_count);
-    job->core_ms_total = 0;
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
         const nm_step_t *step = &job->spec.steps[s];
         nm_duration_key_t key = make_key(job, s);
@@ -82,23 +81,24 @@
         job->durations[s].expected_ms = expected_ms;
         job->durations[s].known_ms = expected_ms;
         lengths_ms[s] = expected_ms;
-        job->core_ms_total +=
-            step->task_count * nm_estimate_task_core_ms(job, s);
     }
-    job->core_ms_total *= job->occurrence_count;
-    job->core_ms_left = job->core_ms_total;
     job->critical_path_ms = longest_chain_ms(&job->spec, lengths_ms);
     job->path_left_ms = job->critical_path_ms;
     nm_estimate_set_objective(job);
 }
 
+static bool
+is_overrun(const nm_step_duration_t *duration, nm_ms_t elapsed_ms)
+{
+    return (double)elapsed_ms > OVERRUN_FACTOR * (double)duration->known_ms;
+}
+
 /* Expected duration of a run from its start to its end. */
 static nm_ms_t
-run_total_ms(nm_ms_t known_ms, nm_ms_t elapsed_ms)
+run_total_ms(const nm_step_duration_t *duration, nm_ms_t elapsed_ms)
 {
-    bool overrun = (double)elapsed_ms > OVERRUN_FACTOR * (double)known_ms;
-    return overrun ? OVERRUN_TOTAL_FACTOR * elapsed_ms
-                   : MAX(known_ms, elapsed_ms);
+    return is_overrun(duration, elapsed_ms) ? OVERRUN_TOTAL_FACTOR * elapsed_ms
+                                            : duration->known_ms;
 }
 
 static bool
@@ -117,7 +117,9 @@
 {
     const nm_occurrence_t *occurrence = &job->occurrences[0];
     const nm_step_duration_t *duration = &job->durations[s];
-    *length_ms = MAX(duration->longest_ms, duration->known_ms);
+    *length_ms = is_overrun(duration, duration->longest_ms)
+                     ? duration->longest_ms
+                     : duration->known_ms;
     *left_ms = occurrence->unfinished[s] > 0 ? duration->known_ms : 0;
     uint32_t attached = occurrence->unfinished[s] - occurrence->waiting[s];
     if (occurrence->unfinished[s] == 0 || attached == 0) {
@@ -128,7 +130,7 @@
         const nm_task_t *task = &occurrence->tasks[s][i];
         if (is_at_work(task)) {
             nm_ms_t elapsed_ms = now_ms - task->started_ms;
-            nm_ms_t total_ms = run_total_ms(duration->known_ms, elapsed_ms);
+            nm_ms_t total_ms = run_total_ms(duration, elapsed_ms);
             *length_ms = MAX(*length_ms, total_ms);
             runs_left_ms = MAX(runs_left_ms, total_ms - elapsed_ms);
         }
@@ -243,6 +245,6 @@
     nm_ms_t begin_ms = task->started_ms > 0 ? task->started_ms : task->sent_ms;
     nm_ms_t elapsed_ms =
         is_at_work(task) ? MAX(job->estimated_ms - begin_ms, 0) : 0;
-    nm_ms_t known_ms = job->durations[task->step].known_ms;
-    return run_total_ms(known_ms, elapsed_ms) <= end_ms - begin_ms;
+    return run_total_ms(&job->durations[task->step], elapsed_ms) <=
+           end_ms - begin_ms;
 }
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -225,7 +225,7 @@
             occurrence->waiting[s] -= task->state == NM_RUN_WAITING;
             task->state = NM_RUN_DONE;
             occurrence->unfinished[s]--;
-            job->core_ms_left -= nm_estimate_task_core_ms(job, s);
+            job->core_ms_left -= step->cpu_milli * step->estimate_ms / 1000;
             job->estimate_outdated = true;
         }
     }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -286,7 +286,7 @@
     GList save_link;
     uint32_t *images;     /* by step: number in the interference model */
     nm_swing_t **swings;  /* by step; NULL: its tasks have no target */
-    int64_t core_ms_left; /* by the expected durations on arrival */
+    int64_t core_ms_left; /* from estimates */
     int64_t core_ms_total;
     nm_ms_t objective_ms;     /* after arrival, by critical_path_ms */
     nm_ms_t critical_path_ms; /* longest chain of tasks, as known now */
@@ -779,7 +779,7 @@
                                const nm_sched_job_t *job);
 
 /* sched_estimate.c */
-/* Sets the expected durations, work, longest chain and objective of a job. */
+/* Sets the expected durations, longest chain and objective of a job. */
 void nm_estimate_init_job(const nm_sched_t *sched, nm_sched_job_t *job);
 /* To be called when the queue of a job has changed. */
 void nm_estimate_set_objective(nm_sched_job_t *job);
@@ -792,15 +792,6 @@
                          nm_ms_t now_ms);
 /* True if a run that is not long-running is expected to have ended then. */
 bool nm_estimate_ends_by(const nm_task_t *task, nm_ms_t end_ms);
-/* Work of one task of a step, by the expected duration on arrival. */
-static inline int64_t
-nm_estimate_task_core_ms(const nm_sched_job_t *job, uint32_t step)
-{
-    /* The product may exceed int64_t. */
-    return (int64_t)((double)job->spec.steps[step].cpu_milli *
-                     (double)job->durations[step].expected_ms / 1000);
-}
-
 /* sched_events.c */
 void nm_sched_add_event(nm_sched_t *sched, nm_sched_event_type_t type,
                         const char *worker, int64_t value);
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -333,7 +333,8 @@
         nm_task_set_state(sched, task, NM_RUN_DONE);
     }
     task->occurrence->unfinished[task->step]--;
-    job->core_ms_left -= nm_estimate_task_core_ms(job, task->step);
+    const nm_step_t *step = nm_task_step(task);
+    job->core_ms_left -= step->cpu_milli * step->estimate_ms / 1000;
     sched->needs_placement = true;
     nm_sched_mark_changed(sched, job, false);
 }
