--- a/src/durations.c
+++ b/src/durations.c
@@ -25,6 +25,11 @@
  * within int64_t, as those of estimates are (NM_JOB_CORE_MS_MAX).
  */
 #define PREDICTED_RATIO_MAX 2.7
+/*
+ * Mean error, as a logarithm, up to which estimates are taken as they are:
+ * tasks that deviate by 0.4 from a right estimate give less.
+ */
+#define ERROR_MIN 0.25
 #define NAME_MAX_BYTES (2 * NM_NAME_MAX + 16)
 #define RECORD_VERSION 1
 /* Bound of stored logarithms: some 12 days in milliseconds. */
@@ -178,7 +183,7 @@
 {
     assert(model && key);
     const row_t *row = estimate_ms < 1 ? NULL : find_row(model, key);
-    if (!row) {
+    if (!row || row->error_square < ERROR_MIN * ERROR_MIN) {
         return estimate_ms;
     }
     double log_estimate = log((double)estimate_ms);
--- a/src/sched_estimate.c
+++ b/src/sched_estimate.c
@@ -155,18 +155,22 @@
     job->estimated_ms = now_ms;
     nm_ms_t lengths_ms[NM_JOB_STEPS_MAX];
     nm_ms_t left_ms[NM_JOB_STEPS_MAX];
+    bool has_overrun = false;
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
         measure_step(job, s, now_ms, &lengths_ms[s], &left_ms[s]);
+        has_overrun =
+            has_overrun || lengths_ms[s] != job->durations[s].expected_ms;
     }
     job->critical_path_ms = longest_chain_ms(&job->spec, lengths_ms);
     job->path_left_ms = longest_chain_ms(&job->spec, left_ms);
+    job->has_overrun = has_overrun;
     nm_estimate_set_objective(job);
 }
 
 double
 nm_estimate_finish_ms(const nm_sched_job_t *job, nm_ms_t now_ms)
 {
-    if (!is_tracked(job)) {
+    if (!job->has_overrun) {
         double left_share = (double)MAX(job->core_ms_left, 1) /
                             (double)MAX(job->core_ms_total, 1);
         return (double)(now_ms - job->arrived_ms) +
@@ -183,19 +187,26 @@
     return (left > right) - (left < right);
 }
 
-/* Adds a duration to those of a step, and updates their median. */
-static void
+/*
+ * Adds a duration to those of a step, and returns their median.  It replaces
+ * the expected duration if that has shown to be wrong.
+ */
+static nm_ms_t
 add_duration(nm_step_duration_t *duration, nm_ms_t took_ms)
 {
     if (duration->end_count == NM_ESTIMATE_ENDS_MAX) {
-        return;
+        return duration->known_ms;
     }
     duration->ended_ms[duration->end_count++] = took_ms;
     nm_ms_t sorted_ms[NM_ESTIMATE_ENDS_MAX];
     memcpy(sorted_ms, duration->ended_ms, sizeof(sorted_ms));
     qsort(sorted_ms, duration->end_count, sizeof(nm_ms_t), compare_ms);
     /* The lower one of two: a straggler must not raise it. */
-    duration->known_ms = sorted_ms[(duration->end_count - 1) / 2];
+    nm_ms_t median_ms = sorted_ms[(duration->end_count - 1) / 2];
+    double ratio = (double)median_ms / (double)MAX(duration->expected_ms, 1);
+    bool is_right = ratio < OVERRUN_FACTOR && ratio > 1 / OVERRUN_FACTOR;
+    duration->known_ms = is_right ? duration->expected_ms : median_ms;
+    return median_ms;
 }
 
 /*
@@ -228,13 +239,13 @@
     nm_step_duration_t *duration = &job->durations[task->step];
     nm_ms_t took_ms = MAX(now_ms - task->started_ms, 1);
     duration->longest_ms = MAX(duration->longest_ms, took_ms);
-    add_duration(duration, took_ms);
+    nm_ms_t median_ms = add_duration(duration, took_ms);
     uint32_t median_count = MIN(NM_ESTIMATE_ENDS_MAX, step->task_count);
     if (!duration->is_learned && 2 * duration->end_count > median_count) {
         duration->is_learned = true;
         nm_duration_key_t key = make_key(job, task->step);
         nm_durations_observe(&sched->durations, &key, step->estimate_ms,
-                             duration->known_ms);
+                             median_ms);
     }
 }
 
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -293,6 +293,8 @@
     nm_ms_t path_left_ms;     /* part of a chain that is left */
     nm_ms_t estimated_ms;     /* when the two were updated; 0: on arrival */
     bool estimate_outdated;   /* a task has ended since */
+    /* A step takes other than expected, so that path_left_ms is used. */
+    bool has_overrun;
     nm_step_duration_t *durations; /* by step */
     nm_sched_queue_t *queue;
     const char *service; /* interned; used while the queue is unknown */
