Listeners keep what clients send within the budget of the process

Cause: bodies that stop short of their end were kept whole, also without a route, and connections were limited by address only; 240 such bodies took 85 MB in nutmegentry, 94 MB in nutmegd.

Change: all listeners of a process share a guard (src/client_guard.c) that applies the budget. The route is looked up before a body is kept; a body without a route is discarded, and gets 503 if the route becomes known afterwards. Over the limit: 413 and the connection is closed; far over it: 413 after the head, or a cut. No room: 503 with no-memory. A job's body of more than 12,288 values gets 400 before it is parsed. Counters clients_closed and bodies_refused, lines clients-closed and bodies-refused, at most one a second each.

--- a/daemons/nutmegd.c
+++ b/daemons/nutmegd.c
@@ -40,6 +40,7 @@
     nm_store_memory_t memory;
     nm_store_etcd_t etcd;
     nm_store_t *store;
+    nm_client_guard_t *guard;
     nm_ops_t *ops;
     nm_listener_t *listener;
     nm_upstream_t *upstream;
@@ -97,7 +98,14 @@
 open_listeners(daemon_t *self)
 {
     const nm_config_t *config = &self->config;
-    self->ops = nm_ops_new(config->ops_address, (uint16_t)config->ops_port);
+    self->guard = nm_client_guard_new(&(nm_client_guard_desc_t){
+        .memory_mb = (uint32_t)config->memory_mb,
+        .max_fds = (uint32_t)config->max_fds,
+        .connection_bytes = NM_LISTENER_CONNECTION_BYTES,
+        .idle_timeout_ms = NM_LISTENER_IDLE_S * 1000,
+    });
+    self->ops = nm_ops_new(config->ops_address, (uint16_t)config->ops_port,
+                           self->guard);
     if (!self->ops) {
         nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:i}", "address",
                config->ops_address, "port", config->ops_port);
@@ -168,6 +176,7 @@
         .threads = (uint32_t)config->threads,
         .traffic = self->traffic,
         .peer_ips = self->peer_ips,
+        .guard = self->guard,
     });
     if (!self->listener) {
         nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:i}", "address",
@@ -230,6 +239,7 @@
     if (self->ops) {
         nm_ops_free(self->ops);
     }
+    nm_client_guard_free(self->guard);
     if (self->store == &self->memory.base) {
         nm_store_memory_finish(&self->memory);
     }
--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -119,10 +119,16 @@
         settings->cloud_address[0] != '\0'
             ? nm_machines_http_init(&cloud, http, settings->cloud_address)
             : NULL;
+    nm_client_guard_t *guard = nm_client_guard_new(&(nm_client_guard_desc_t){
+        .memory_mb = settings->memory_mb,
+        .max_fds = settings->max_fds,
+        .connection_bytes = NM_API_LISTENER_CONNECTION_BYTES,
+        .idle_timeout_ms = NM_API_LISTENER_IDLE_S * 1000,
+    });
     nm_api_listener_t *listener = nm_api_listener_http_new(
-        settings->front_address, settings->ready_address);
+        settings->front_address, settings->ready_address, guard);
     nm_peer_rpc_t *peers = nm_peer_rpc_new(settings->peer_address);
-    nm_ops_t *ops = nm_ops_new_at(settings->metrics_address);
+    nm_ops_t *ops = nm_ops_new_at(settings->metrics_address, guard);
     if (!listener || !peers || !ops) {
         nm_log(NM_LOG_ERROR, NM_LOG_ITEM_LISTEN_FAILED, "{s:s,s:s,s:s,s:s}",
                "front", settings->front_address, "ready",
@@ -154,6 +160,7 @@
     nm_entry_free(entry);
     nm_api_listener_http_free(listener);
     nm_ops_free(ops);
+    nm_client_guard_free(guard);
     nm_http_free(http);
     nm_order_limiter_finish(&limiter);
     nm_peer_rpc_free(peers);
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -92,6 +92,8 @@
     X(MACHINES_MALFORMED, "machines-malformed")                               \
     X(ZONE_EVACUATED, "zone-evacuated")                                       \
     X(EVACUATION_REFUSED, "evacuation-refused")                               \
+    X(CLIENTS_CLOSED, "clients-closed")                                       \
+    X(BODIES_REFUSED, "bodies-refused")                                       \
     X(STARTS_HELD, "starts-held")                                             \
     X(LINES_DROPPED, "lines-dropped")
 
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -29,6 +29,7 @@
     X(NOT_READY, "not-ready", 503, "no settings are in force yet")            \
     X(SETTINGS_OLD, "settings-old", 503, "the settings may have changed")     \
     X(TOO_LARGE, "body-too-large", 413, "the request body is too large")      \
+    X(NO_MEMORY, "no-memory", 503, "requests use the memory kept for them")   \
     X(BAD_REQUEST, "bad-request", 400, "the request is malformed")            \
     X(KEY_INVALID, "key-invalid", 400, "the Idempotency-Key is malformed")    \
     X(CLAIM_STORE, "claim-store", 503, "the claim could not be written")      \
@@ -126,6 +127,10 @@
       "bytes of request bodies sent to the store and to workers")             \
     X(HTTP_BYTES_IN, "http_bytes_received",                                   \
       "bytes of response bodies of the store and of workers")                 \
+    X(CLIENTS_CLOSED, "clients_closed",                                       \
+      "connections of clients closed for the limits of the process")          \
+    X(BODIES_REFUSED, "bodies_refused",                                       \
+      "request bodies for which there was no memory")                         \
     X(PROOFS, "connection_proofs",                                            \
       "polls that show which incarnation a connection leads to")
 
--- a/src/api_request.h
+++ b/src/api_request.h
@@ -9,6 +9,8 @@
 
 #include <nutmegdeck/base.h>
 
+#include "queue_config.h"
+
 typedef enum {
     NM_METHOD_OTHER,
     NM_METHOD_POST,
@@ -22,6 +24,7 @@
     char *path; /* without query */
     GByteArray *body;
     bool too_large;
+    bool body_discarded; /* no route was known when the body arrived */
     bool complete;       /* the listener has read all of it */
     nm_ms_t timeout_ms;  /* how long the caller waits; 0: not given */
     nm_ms_t received_ms; /* when the control thread took it */
@@ -52,6 +55,12 @@
      * taken and answered.
      */
     void (*refuse)(nm_api_listener_t *listener);
+    /*
+     * Sets the routes whose bodies are kept, and the limit of bodies; the
+     * listener copies them.  Until then, no body is kept.
+     */
+    void (*set_routes)(nm_api_listener_t *listener,
+                       const nm_queue_config_t *queue_config);
     /* Number of requests whose response was not sent in full. */
     uint32_t (*open_requests)(const nm_api_listener_t *listener);
 } nm_api_listener_vtable_t;
--- a/src/config.c
+++ b/src/config.c
@@ -10,6 +10,8 @@
 #define DEFAULT_DRAIN_MS 30000
 /* Length of a CURVE key in text form. */
 #define PEER_KEY_CHARS 40
+/* Of memory_mb and max_fds. */
+#define LIMIT_MAX 1048576
 #define VARIABLE_PREFIX "NUTMEGD_"
 
 static void
@@ -253,6 +255,8 @@
         "NUTMEGD_THREADS",
         "NUTMEGD_CLAIM_INTERVAL_MS",
         "NUTMEGD_DRAIN_MS",
+        "NUTMEGD_MEMORY_MB",
+        "NUTMEGD_MAX_FDS",
         "NUTMEGD_LOG_LEVEL",
         NULL,
     };
@@ -293,6 +297,10 @@
                 1000, problems);
     read_number(&config->drain_ms, "NUTMEGD_DRAIN_MS", DEFAULT_DRAIN_MS, 0,
                 600000, problems);
+    read_number(&config->memory_mb, "NUTMEGD_MEMORY_MB", 0, 0, LIMIT_MAX,
+                problems);
+    read_number(&config->max_fds, "NUTMEGD_MAX_FDS", 0, 0, LIMIT_MAX,
+                problems);
 }
 
 int
@@ -307,6 +315,8 @@
         .threads = G_MININT,
         .claim_interval_ms = G_MININT,
         .drain_ms = G_MININT,
+        .memory_mb = G_MININT,
+        .max_fds = G_MININT,
     };
     *problems = g_ptr_array_new_with_free_func(g_free);
     gboolean version = FALSE;
@@ -343,6 +353,10 @@
          "minimum interval between commits of claims (40)", "MS"},
         {"drain-ms", 0, 0, G_OPTION_ARG_INT, &config->drain_ms,
          "time limit of a graceful shutdown (30000)", "MS"},
+        {"memory-mb", 0, 0, G_OPTION_ARG_INT, &config->memory_mb,
+         "memory of the machine; 0: no limit (0)", "MB"},
+        {"max-fds", 0, 0, G_OPTION_ARG_INT, &config->max_fds,
+         "limit of descriptors of the process; 0: no limit (0)", "N"},
         {"log-level", 0, 0, G_OPTION_ARG_STRING, &config->log_level,
          "error, warn, info or debug (info)", "LEVEL"},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version,
--- a/src/config.h
+++ b/src/config.h
@@ -42,6 +42,8 @@
     int threads;
     int claim_interval_ms; /* minimum between commits of claims */
     int drain_ms;          /* time limit of a graceful shutdown */
+    int memory_mb;         /* of the machine; 0: no limit */
+    int max_fds;           /* descriptors of the process; 0: no limit */
     bool show_version;
     nm_config_peer_t *peers;
     uint32_t peer_count;
--- a/src/entry.c
+++ b/src/entry.c
@@ -101,6 +101,8 @@
     }
     nm_queue_config_free(entry->queue_config);
     entry->queue_config = queue_config;
+    entry->desc.listener->vtable->set_routes(entry->desc.listener,
+                                             queue_config);
     nm_count(NM_COUNTER_SETTINGS_INSTALLED, 1);
     const nm_feed_response_t *response = &entry->config_feed.response;
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_SETTINGS_INSTALLED,
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -642,6 +642,10 @@
         refuse(entry, request, NM_REASON_TOO_LARGE, 413, 0);
         return;
     }
+    if (request->body_discarded) {
+        refuse(entry, request, NM_REASON_SETTINGS_OLD, 503, RETRY_AFTER_S);
+        return;
+    }
     char *record = parse_job(entry, request, rule, id, &fault);
     if (!record) {
         nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", id,
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -18,6 +18,10 @@
 #define CONFIG_APPLY_MIN_MS 500
 /* The validity of a start, and the time to hear of the evacuation. */
 #define EVACUATION_MIN_MS 2500
+/* An idle process takes 14 MB, of which this must be a multiple. */
+#define MEMORY_MIN_MB 32
+#define FDS_MIN 500
+#define LIMIT_MAX 1048576
 
 typedef struct {
     const char *name;
@@ -142,6 +146,14 @@
         settings->evacuation_ms = (nm_ms_t)get_number(
             document, "evacuation_ms", EVACUATION_MIN_MS, 3600000, faults);
     }
+    if (json_object_get(document, "memory_mb")) {
+        settings->memory_mb = (uint32_t)get_number(
+            document, "memory_mb", MEMORY_MIN_MB, LIMIT_MAX, faults);
+    }
+    if (json_object_get(document, "max_fds")) {
+        settings->max_fds = (uint32_t)get_number(document, "max_fds", FDS_MIN,
+                                                 LIMIT_MAX, faults);
+    }
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/src/exchange.h
+++ b/src/exchange.h
@@ -42,7 +42,11 @@
     nm_ms_t timeout_ms;    /* 0: that of the service */
     bool forwarded;
     bool too_large;
-    bool complete; /* response and reason are set */
+    bool no_memory;      /* for its body, which was discarded */
+    bool body_discarded; /* no service was known when the body arrived */
+    bool keeps_body;
+    uint64_t received_bytes; /* of the body */
+    bool complete;           /* response and reason are set */
     nm_response_t response;
     nm_reason_t reason; /* of the refusal; NONE: response is sent */
     nm_ms_t retry_after_ms;
--- a/src/listener.c
+++ b/src/listener.c
@@ -14,7 +14,14 @@
 #define DEFAULT_THREADS 2
 #define CONNECTIONS_MAX 8192
 #define CONNECTION_MEMORY_BYTES (48 * 1024)
-#define IDLE_TIMEOUT_S 75
+#define IDLE_TIMEOUT_S NM_LISTENER_IDLE_S
+/*
+ * Up to this multiple of the limit, a body is read and discarded, so that its
+ * sender gets the response; the connection of a longer one is closed.
+ */
+#define DISCARDED_LIMITS_MAX 4
+/* After a refusal for lack of memory. */
+#define NO_MEMORY_RETRY_MS 1000
 /* A caller's timeout of this or more is ignored. */
 #define REQUEST_TIMEOUT_MAX_MS 600000
 
@@ -134,8 +141,10 @@
 executor_response(const nm_exchange_t *exchange)
 {
     const nm_response_t *source = &exchange->response;
-    struct MHD_Response *response = MHD_create_response_from_buffer(
-        source->body->len, source->body->data, MHD_RESPMEM_MUST_COPY);
+    guint bytes = source->body->len;
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer_with_free_callback(
+            bytes, g_byte_array_steal(source->body, NULL), g_free);
     for (uint32_t i = 0; i < source->headers->len; i++) {
         char *line = g_strdup(source->headers->pdata[i]);
         char *colon = strchr(line, ':');
@@ -160,11 +169,16 @@
     bool refused = exchange->reason != NM_REASON_NONE;
     int status = refused ? nm_reason_status(exchange->reason)
                          : exchange->response.status;
+    uint64_t body_bytes = exchange->response.body->len;
     struct MHD_Response *response =
         refused ? problem_response(exchange) : executor_response(exchange);
     MHD_add_response_header(response, NM_HEADER_VERDICT,
                             nm_verdict_name(exchange->response.verdict));
-    if (ck_pr_load_32(&listener->quiesced)) {
+    nm_client_guard_write(nm_client_guard_find(exchange->connection),
+                          refused ? 0 : body_bytes);
+    if (exchange->too_large || exchange->no_memory ||
+        ck_pr_load_32(&listener->quiesced))
+    {
         /* Makes the caller send its next request to another entry host. */
         MHD_add_response_header(response, "Connection", "close");
     }
@@ -201,6 +215,54 @@
     return true;
 }
 
+/* Returns MHD_NO, which closes the connection, for a body far too long. */
+static enum MHD_Result
+receive_body(nm_exchange_t *exchange, struct MHD_Connection *connection,
+             const char *data, size_t bytes)
+{
+    nm_client_t *client = nm_client_guard_find(connection);
+    exchange->received_bytes += bytes;
+    if (exchange->received_bytes >
+        (uint64_t)DISCARDED_LIMITS_MAX * NM_REQUEST_BODY_MAX_BYTES)
+    {
+        nm_count_reason(NM_REASON_TOO_LARGE);
+        return MHD_NO;
+    }
+    if (exchange->received_bytes > NM_REQUEST_BODY_MAX_BYTES &&
+        !exchange->too_large)
+    {
+        exchange->too_large = true;
+        g_free(g_byte_array_steal(exchange->body, NULL));
+        nm_client_guard_release(client);
+    }
+    if (exchange->too_large || exchange->no_memory || !exchange->keeps_body) {
+        exchange->body_discarded = true;
+        nm_client_guard_discard(client, bytes);
+        return MHD_YES;
+    }
+    exchange->no_memory =
+        !nm_client_guard_append(client, exchange->body, data, bytes);
+    return MHD_YES;
+}
+
+static enum MHD_Result
+begin_request(nm_listener_t *listener, nm_exchange_t *exchange,
+              struct MHD_Connection *connection, const char *method)
+{
+    nm_client_guard_begin(nm_client_guard_find(connection));
+    read_request_head(listener, exchange, connection, method);
+    exchange->keeps_body =
+        nm_traffic_has_service(listener->traffic, exchange->target);
+    const char *length = MHD_lookup_connection_value(
+        connection, MHD_HEADER_KIND, "Content-Length");
+    uint64_t bytes = length ? strtoull(length, NULL, 10) : 0;
+    if (bytes <= (uint64_t)DISCARDED_LIMITS_MAX * NM_REQUEST_BODY_MAX_BYTES) {
+        return MHD_YES;
+    }
+    exchange->too_large = true;
+    return refuse_unrouted(listener, exchange, NM_REASON_TOO_LARGE);
+}
+
 /*
  * Called by libmicrohttpd with the head of a request, with each part of its
  * body, at its end and after a resume.
@@ -215,26 +277,23 @@
     nm_listener_t *listener = user;
     nm_exchange_t *exchange = *context;
     if (!exchange->method) {
-        read_request_head(listener, exchange, connection, method);
-        return MHD_YES;
+        return begin_request(listener, exchange, connection, method);
     }
     if (exchange->complete) {
         return send_response(listener, exchange);
     }
     if (*data_size > 0) {
-        if (exchange->body->len + *data_size > NM_REQUEST_BODY_MAX_BYTES) {
-            exchange->too_large = true;
-        }
-        else {
-            g_byte_array_append(exchange->body, (const guint8 *)data,
-                                (guint)*data_size);
-        }
+        size_t bytes = *data_size;
         *data_size = 0;
-        return MHD_YES;
+        return receive_body(exchange, connection, data, bytes);
     }
     if (exchange->too_large) {
         return refuse_unrouted(listener, exchange, NM_REASON_TOO_LARGE);
     }
+    if (exchange->no_memory) {
+        exchange->retry_after_ms = NO_MEMORY_RETRY_MS;
+        return refuse_unrouted(listener, exchange, NM_REASON_NO_MEMORY);
+    }
     if (exchange->target[0] != '/') {
         return refuse_unrouted(listener, exchange, NM_REASON_BAD_REQUEST);
     }
@@ -242,6 +301,7 @@
     {
         return refuse_unrouted(listener, exchange, NM_REASON_KEY_INVALID);
     }
+    nm_client_guard_wait(nm_client_guard_find(connection), 0);
     /* Suspended first: the response may come during the submit. */
     MHD_suspend_connection(connection);
     if (!nm_traffic_submit(listener->traffic, exchange)) {
@@ -259,10 +319,10 @@
              enum MHD_RequestTerminationCode code)
 {
     (void)user;
-    (void)connection;
     (void)code;
     nm_exchange_free(*context);
     *context = NULL;
+    nm_client_guard_end(nm_client_guard_find(connection));
 }
 
 void
@@ -295,7 +355,8 @@
         (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
         (unsigned int)IDLE_TIMEOUT_S, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, NULL, MHD_OPTION_URI_LOG_CALLBACK, create_exchange, NULL,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_CONNECTION, nm_client_guard_on_connection,
+        desc->guard, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
     if (!listener->daemon) {
         g_free(listener);
         return NULL;
--- a/src/traffic.c
+++ b/src/traffic.c
@@ -38,6 +38,8 @@
     /* Target id to nm_traffic_target_t in the snapshot. */
     GHashTable *targets_by_id;
     nm_ms_t last_report_ms;
+    pthread_mutex_t prefixes_mutex;
+    char **prefixes; /* of the services; NULL: not known yet */
 };
 
 static void
@@ -173,6 +175,19 @@
     }
 }
 
+/* True if a path is below a prefix. */
+static bool
+has_prefix(const char *target, const char *prefix)
+{
+    size_t length = strlen(prefix);
+    if (strncmp(target, prefix, length) != 0) {
+        return false;
+    }
+    char next = target[length];
+    bool ends_with_slash = length > 0 && prefix[length - 1] == '/';
+    return ends_with_slash || next == '\0' || next == '/' || next == '?';
+}
+
 /* Returns the service with the longest matching prefix, or -1. */
 static int32_t
 find_service(const nm_traffic_snapshot_t *snapshot, const char *target)
@@ -182,12 +197,7 @@
     for (uint32_t i = 0; snapshot && i < snapshot->service_count; i++) {
         const char *prefix = snapshot->services[i].prefix;
         size_t length = strlen(prefix);
-        if (length < best_length || strncmp(target, prefix, length) != 0) {
-            continue;
-        }
-        char next = target[length];
-        bool ends_with_slash = length > 0 && prefix[length - 1] == '/';
-        if (ends_with_slash || next == '\0' || next == '/' || next == '?') {
+        if (length >= best_length && has_prefix(target, prefix)) {
             best = (int32_t)i;
             best_length = length;
         }
@@ -195,6 +205,35 @@
     return best;
 }
 
+/* Keeps the prefixes of a snapshot for nm_traffic_has_service(). */
+static void
+set_prefixes(nm_traffic_t *traffic, const nm_traffic_snapshot_t *snapshot)
+{
+    GStrv prefixes = g_new0(char *, snapshot->service_count + 1);
+    for (uint32_t i = 0; i < snapshot->service_count; i++) {
+        prefixes[i] = g_strdup(snapshot->services[i].prefix);
+    }
+    pthread_mutex_lock(&traffic->prefixes_mutex);
+    GStrv former = traffic->prefixes;
+    traffic->prefixes = prefixes;
+    pthread_mutex_unlock(&traffic->prefixes_mutex);
+    g_strfreev(former);
+}
+
+bool
+nm_traffic_has_service(nm_traffic_t *traffic, const char *target)
+{
+    assert(traffic && target);
+    bool found = false;
+    pthread_mutex_lock(&traffic->prefixes_mutex);
+    for (char **prefix = traffic->prefixes; prefix && *prefix && !found;
+         prefix++) {
+        found = has_prefix(target, *prefix);
+    }
+    pthread_mutex_unlock(&traffic->prefixes_mutex);
+    return found;
+}
+
 static void
 route_exchange(nm_traffic_t *traffic, nm_exchange_t *exchange, nm_ms_t now_ms)
 {
@@ -317,6 +356,9 @@
     else if (service < 0) {
         reason = NM_REASON_NO_SERVICE;
     }
+    else if (exchange->body_discarded) {
+        reason = NM_REASON_SETTINGS_OLD;
+    }
     if (reason != NM_REASON_NONE) {
         nm_count_reason(reason);
         refuse_exchange(traffic, exchange, reason, NM_VERDICT_NOT_RUN);
@@ -456,6 +498,7 @@
     assert(desc && desc->clock && desc->upstream && desc->on_done);
     nm_traffic_t *traffic = g_new0(nm_traffic_t, 1);
     traffic->desc = *desc;
+    pthread_mutex_init(&traffic->prefixes_mutex, NULL);
     ck_ring_init(&traffic->ring, RING_ENTRIES);
     traffic->ring_entries = g_new0(ck_ring_buffer_t, RING_ENTRIES);
     traffic->targets_by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
@@ -486,6 +529,8 @@
     nm_traffic_snapshot_free(traffic->snapshot);
     nm_route_finish(&traffic->route);
     g_hash_table_unref(traffic->targets_by_id);
+    g_strfreev(traffic->prefixes);
+    pthread_mutex_destroy(&traffic->prefixes_mutex);
     g_free(traffic->ring_entries);
     g_free(traffic);
 }
@@ -494,6 +539,7 @@
 nm_traffic_publish(nm_traffic_t *traffic, nm_traffic_snapshot_t *snapshot)
 {
     assert(traffic && snapshot);
+    set_prefixes(traffic, snapshot);
     nm_traffic_snapshot_free(nm_mailbox_put(&traffic->snapshots, snapshot));
     nm_traffic_wake(traffic);
 }
--- a/src/traffic.h
+++ b/src/traffic.h
@@ -37,6 +37,8 @@
 void nm_traffic_set_claims(nm_traffic_t *traffic, nm_claims_t *claims);
 /* Ends the thread.  Call it after a stop, when no exchange is active. */
 void nm_traffic_free(nm_traffic_t *traffic);
+/* True if a service of the newest snapshot has the path.  Thread-safe. */
+bool nm_traffic_has_service(nm_traffic_t *traffic, const char *target);
 /* Takes ownership of a new snapshot.  For the control thread. */
 void nm_traffic_publish(nm_traffic_t *traffic,
                         nm_traffic_snapshot_t *snapshot);
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -35,6 +35,14 @@
     ((fake_listener_t *)base)->refuses = true;
 }
 
+static void
+listener_set_routes(nm_api_listener_t *base,
+                    const nm_queue_config_t *queue_config)
+{
+    (void)base;
+    (void)queue_config;
+}
+
 static uint32_t
 listener_open_requests(const nm_api_listener_t *base)
 {
@@ -43,8 +51,9 @@
 }
 
 static const nm_api_listener_vtable_t listener_vtable = {
-    listener_next,      listener_reply,  listener_fd,
-    listener_set_ready, listener_refuse, listener_open_requests};
+    listener_next,         listener_reply,  listener_fd,
+    listener_set_ready,    listener_refuse, listener_set_routes,
+    listener_open_requests};
 
 typedef struct {
     nm_sched_action_t action;
--- a/tests/test_entry_config_age.c
+++ b/tests/test_entry_config_age.c
@@ -59,19 +59,26 @@
         int status;
         nm_ms_t waits_min_ms;
         nm_ms_t waits_max_ms;
+        bool body_discarded; /* as there was no route when it arrived */
     } cases[] = {
-        {"no such queue, recent", QUIET, false, NEW_PATH, 404, 0, AT_ONCE_MS},
-        {"known queue, recent", QUIET, false, "/a/" JOB, 200, 0, AT_ONCE_MS},
+        {"no such queue, recent", QUIET, false, NEW_PATH, 404, 0, AT_ONCE_MS,
+         false},
+        {"known queue, recent", QUIET, false, "/a/" JOB, 200, 0, AT_ONCE_MS,
+         false},
         {"new queue, the watch is back", WATCH_SILENT, true, NEW_PATH, 200, 0,
-         CONFIRM_MAX_MS},
+         CONFIRM_MAX_MS, false},
         {"no such queue, the watch is back", WATCH_SILENT, true, "/c/" JOB,
-         404, 0, CONFIRM_MAX_MS},
+         404, 0, CONFIRM_MAX_MS, false},
         {"new queue, the watch stays silent", WATCH_SILENT, false, NEW_PATH,
-         503, 100, CONFIRM_MAX_MS},
+         503, 100, CONFIRM_MAX_MS, false},
         {"known queue, the watch is silent", WATCH_SILENT, false, "/a/" JOB,
-         200, 0, AT_ONCE_MS},
+         200, 0, AT_ONCE_MS, false},
         {"new queue, the store is lost", STORE_LOST, false, NEW_PATH, 503, 0,
-         AT_ONCE_MS},
+         AT_ONCE_MS, false},
+        {"new queue, the watch is back, no body", WATCH_SILENT, true, NEW_PATH,
+         503, 0, CONFIRM_MAX_MS, true},
+        {"no such queue, no body", QUIET, false, NEW_PATH, 404, 0, AT_ONCE_MS,
+         true},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         g_test_message("%s", cases[i].name);
@@ -89,6 +96,8 @@
         }
         run_host(&host, SILENCE_MS);
         send_request(&host, NM_METHOD_POST, cases[i].path, BODY);
+        nm_api_request_t *request = g_queue_peek_tail(&host.listener.waiting);
+        request->body_discarded = cases[i].body_discarded;
         if (cases[i].heals) {
             run_host(&host, 100);
             g_assert_cmpint(last_status(&host), ==, 0);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -260,6 +260,52 @@
     }
 }
 
+/*
+ * Bodies of very many short values: they would take up to 100 times their size
+ * when decoded.  A job of 64 steps that name all earlier ones is accepted.
+ */
+static void
+test_body_of_many_values(void)
+{
+    static const struct {
+        const char *name;
+        const char *begin;
+        const char *item; /* repeated */
+        uint32_t items;
+        const char *end;
+        bool accepted;
+    } cases[] = {
+        {"unknown fields", "{\"steps\":[{\"count\":1,\"x\":[0", ",0", 6000,
+         "]}]}", true},
+        {"very many numbers", "{\"steps\":[{\"count\":1,\"x\":[0", ",0", 12288,
+         "]}]}", false},
+        {"very many arrays", "{\"steps\":[{\"count\":1}],\"x\":[[]", ",[]",
+         7000, "]}", false},
+        {"nested arrays", "{\"steps\":[{\"count\":1}],\"x\":", "[", 12300,
+         "]}", false},
+        {"commas in a string", "{\"steps\":[{\"count\":1}],\"x\":\"\\\"", ",",
+         20000, "\"}", true},
+        {"very many steps", "{\"steps\":[{}", ",{}", 87000, "]}", false},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        GString *body = g_string_new(cases[i].begin);
+        for (uint32_t j = 0; j < cases[i].items; j++) {
+            g_string_append(body, cases[i].item);
+        }
+        g_string_append(body, cases[i].end);
+        nm_job_spec_t spec;
+        const char *fault = NULL;
+        nm_job_spec_init(&spec, JOB, "q", "s");
+        int rc = nm_platform_codec.decode_job(&spec, body->str,
+                                              (uint32_t)body->len, &fault);
+        g_assert_cmpint(rc, ==, cases[i].accepted ? NM_OK : NM_ERR_INVAL);
+        g_assert_cmpuint(spec.step_count, ==, cases[i].accepted);
+        nm_job_spec_finish(&spec);
+        g_string_free(body, TRUE);
+    }
+}
+
 /* The same in records: a job that cannot be held must end no owner. */
 static void
 test_odd_job_record_ends_the_owner(void)
@@ -697,6 +743,7 @@
     g_test_add_func("/odd/worker-hides-the-others",
                     test_odd_worker_hides_the_others);
     g_test_add_func("/odd/job-is-accepted", test_odd_job_is_accepted);
+    g_test_add_func("/odd/body-of-many-values", test_body_of_many_values);
     g_test_add_func("/odd/job-record-ends-the-owner",
                     test_odd_job_record_ends_the_owner);
     g_test_add_func("/odd/roster-ends-the-owner",
