--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -706,6 +706,10 @@
         refuse(entry, request, NM_REASON_TOO_LARGE, 413, 0);
         return;
     }
+    if (request->body_discarded) {
+        refuse(entry, request, NM_REASON_SETTINGS_OLD, 503, RETRY_AFTER_S);
+        return;
+    }
     nm_admission_t admission = {0};
     char *record = parse_job(entry, request, rule, id, &fault, &admission);
     if (!record) {
