--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -1,6 +1,6 @@
 /*
  * Benchmark of job scheduling under load patterns:
- * bench_jobs [SEED] [PATTERN|decisions|growth].
+ * bench_jobs [SEED] [PATTERN|decisions|mixes|growth].
  *
  * Each pattern measures what callers and serving tasks get, against bounds
  * from the targets.  Without a second argument the cost of a decision at
@@ -320,6 +320,57 @@
     return pass;
 }
 
+/*
+ * Tasks of mixed sizes on a fleet that is nearly full or more: smaller tasks
+ * refill each gap.  The empty rack joins a fleet that is overfull.
+ */
+static const struct {
+    const char *name;
+    fleet_desc_t desc;
+} mixes[] = {
+    {"mixed-sizes",
+     {.mix_load = {[FLEET_MIX_SMALL] = 0.6, [FLEET_MIX_LARGE] = 0.3}}},
+    {"mixed-sizes-full",
+     {.mix_load = {[FLEET_MIX_SMALL] = 0.75, [FLEET_MIX_LARGE] = 0.3}}},
+    {"mixed-sizes-misjudged",
+     {.mix_load = {[FLEET_MIX_SMALL] = 0.55, [FLEET_MIX_LARGE] = 0.28},
+      .estimate_error = 0.9,
+      .straggler_share = 0.03}},
+    {"gang-behind-small",
+     {.mix_load = {[FLEET_MIX_SMALL] = 0.7, [FLEET_MIX_GANG] = 0.2}}},
+    {"rack-fills",
+     {.mix_load = {[FLEET_MIX_SMALL] = 0.6, [FLEET_MIX_LARGE] = 0.25},
+      .joining = 12,
+      .joins_ms = 10000}},
+};
+
+static bool
+run_mix(uint64_t seed, size_t index)
+{
+    static const char *const sizes[] = {
+        [FLEET_MIX_SMALL] = "small",
+        [FLEET_MIX_LARGE] = "large",
+        [FLEET_MIX_GANG] = "gangs",
+    };
+    const char *name = mixes[index].name;
+    fleet_desc_t desc = mixes[index].desc;
+    desc.seed = seed;
+    fleet_info_t info = fleet_run(&desc);
+    for (int m = 0; m < FLEET_MIX_COUNT; m++) {
+        const fleet_mix_info_t *mix = &info.mixes[m];
+        if (mix->jobs > 0) {
+            printf("jobs %-21s %s %4u: first start mean %5.0f ms, 95%% %5lld "
+                   "ms; in time %.3f, served %.3f\n",
+                   name, sizes[m], mix->jobs, mix->mean_wait_ms,
+                   (long long)mix->p95_wait_ms, mix->in_time_share,
+                   mix->served_share);
+        }
+    }
+    char label[64];
+    g_snprintf(label, sizeof(label), "jobs-%s-overfull", name);
+    return report_at_most(label, info.over_capacity, 0);
+}
+
 /* Size of the fleet with which larger ones are compared. */
 #define DECISION_WORKERS 50
 /*
@@ -410,6 +461,12 @@
             pass &= run_owner(seed, i);
         }
     }
+    for (size_t i = 0; i < NM_COUNT_OF(mixes); i++) {
+        bool all = decisions || strcmp(pattern, "mixes") == 0;
+        if (!pattern[0] || all || strcmp(pattern, mixes[i].name) == 0) {
+            pass &= run_mix(seed, i);
+        }
+    }
     for (size_t i = 0; i < NM_COUNT_OF(restrictions); i++) {
         if (!pattern[0] || decisions ||
             strcmp(pattern, restrictions[i].name) == 0) {
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -8,6 +8,7 @@
 
 #include <jansson.h>
 
+#include "lib_mixes.h"
 #include "lib_restarts.h"
 
 #define TARGET_MS 18
@@ -71,7 +72,8 @@
     snprintf(id, sizeof(id), "%016llx",
              (unsigned long long)++fleet->job_number);
     nm_job_spec_t spec;
-    nm_job_spec_init(&spec, id, queues[kind], "press");
+    nm_job_spec_init(&spec, id, mixes_is_mixed(kind) ? "checks" : queues[kind],
+                     "press");
     uint32_t steps = (uint32_t)draw_size(fleet, kind, &job_sizes[sized].steps,
                                          kind == JOB_FILLER ? 2 : 1);
     nm_ms_t estimate_ms =
@@ -95,6 +97,7 @@
         step->target_ms = kind == JOB_SERVICE ? TARGET_MS : 0;
         snprintf(step->image, sizeof(step->image), "%d", image);
         restarts_restrict_step(fleet, step);
+        mixes_set_step(fleet, kind, step);
         if (s > 0) {
             nm_step_add_dependency(step, s - 1);
         }
@@ -103,14 +106,16 @@
     nm_strcopy(job->id, sizeof(job->id), id);
     job->arrived_ms = fleet->now_ms;
     job->at_work_ms = fleet->now_ms;
+    job->kind = kind;
     job->is_check = kind == JOB_CHECK;
     job->long_running = kind == JOB_SERVICE;
     job->load_phase = GOLDEN_ANGLE * (double)fleet->job_number;
     job->always_fails = kind == JOB_FILLER &&
                         random_unit(fleet) < fleet->desc.failing_job_share;
     nm_ms_t path_ms = nm_job_spec_critical_path_ms(&spec);
-    job->objective_ms =
-        kind == JOB_CHECK ? path_ms * 3 / 2 + 600 : 2 * path_ms + 1000;
+    job->objective_ms = kind == JOB_CHECK || mixes_is_mixed(kind)
+                            ? path_ms * 3 / 2 + 600
+                            : 2 * path_ms + 1000;
     job->core_ms = nm_job_spec_core_ms(&spec);
     g_hash_table_insert(fleet->jobs, job->id, job);
     if (!job->always_fails) {
@@ -127,9 +132,13 @@
     const fleet_desc_t *desc = &fleet->desc;
     nm_ms_t t = fleet->now_ms;
     double burst = t >= 5000 && t < 11000 && desc->burst > 0 ? desc->burst : 1;
-    double rates_per_s[] = {desc->checks_per_s, desc->fillers_per_s * burst,
-                            desc->services_per_s};
+    double rates_per_s[JOB_KIND_COUNT] = {
+        desc->checks_per_s, desc->fillers_per_s * burst, desc->services_per_s};
+    mixes_set_rates(desc, rates_per_s);
     for (int kind = 0; kind < JOB_KIND_COUNT; kind++) {
+        if (rates_per_s[kind] <= 0 && mixes_is_mixed(kind)) {
+            continue; /* without a draw: other patterns stay as they were */
+        }
         fleet->pending_arrivals[kind] +=
             rates_per_s[kind] * TICK_MS / 1000 * random_unit(fleet) * 2;
         while (fleet->pending_arrivals[kind] >= 1) {
@@ -183,7 +192,7 @@
 fleet_start_run(fleet_t *fleet, worker_t *worker,
                 const nm_sched_action_t *action)
 {
-    const job_t *job = find_job(fleet, action->task);
+    job_t *job = find_job(fleet, action->task);
     unsigned int occurrence;
     unsigned int step;
     unsigned int index;
@@ -213,6 +222,8 @@
                  .unaddressed = action->incarnation != worker->incarnation};
     nm_strcopy(run.task, sizeof(run.task), action->task);
     run.load_phase = job->load_phase;
+    job->first_start_ms =
+        job->first_start_ms ? job->first_start_ms : fleet->now_ms;
     if (!desc.long_running) {
         const int64_t *left_ms =
             g_hash_table_lookup(fleet->saved_left_ms, action->task);
@@ -220,7 +231,7 @@
             left_ms && action->checkpoint[0]
                 ? (nm_ms_t)*left_ms + RESTORE_MS
                 : (nm_ms_t)((double)desc.estimate_ms *
-                            (0.6 + 0.8 * random_unit(fleet)));
+                            mixes_draw_duration(fleet, job, &desc));
         run.fails = worker->failing || job->always_fails;
         run.ends_ms = fleet->now_ms + (run.fails ? 300 : run.duration_left_ms);
     }
@@ -522,9 +533,10 @@
                 !in_time && took_ms <= LATE_LIMIT_FACTOR * job->objective_ms;
             job->credit_share = in_time ? 1 : late ? LATE_CREDIT_SHARE : 0;
             fleet->info.checks_in_time += job->is_check && in_time;
-            fleet->info.fillers_in_time += !job->is_check && in_time;
+            bool is_filler = job->kind == JOB_FILLER;
+            fleet->info.fillers_in_time += is_filler && in_time;
             fleet->info.checks_late += job->is_check && late;
-            fleet->info.fillers_late += !job->is_check && late;
+            fleet->info.fillers_late += is_filler && late;
         }
     }
     g_ptr_array_free(ids, TRUE);
@@ -585,7 +597,7 @@
 is_owed(const job_t *job, bool is_check)
 {
     return !job->long_running && !job->always_fails &&
-           job->is_check == is_check;
+           job->kind == (is_check ? JOB_CHECK : JOB_FILLER);
 }
 
 /*
@@ -667,7 +679,9 @@
                                w < desc->failing_workers + desc->unresponsive;
         g_hash_table_insert(fleet->workers_by_id, worker->id, worker);
         restarts_init_worker(fleet, worker);
-        restarts_announce(fleet, worker);
+        if (w + desc->joining < desc->workers) {
+            restarts_announce(fleet, worker);
+        }
     }
 }
 
@@ -744,6 +758,7 @@
                 add_job(&fleet, JOB_SERVICE);
             }
         }
+        mixes_announce_joining(&fleet);
         bool arrivals_ended =
             desc->arrivals_end_ms > 0 && fleet.now_ms >= desc->arrivals_end_ms;
         if (fleet.now_ms > 1500 && !arrivals_ended) {
@@ -777,6 +792,7 @@
     fleet.info.worth = earned_share(&fleet);
     fleet.info.checks_served = count_served(&fleet, true);
     fleet.info.fillers_served = count_served(&fleet, false);
+    mixes_measure(&fleet);
     free_fleet(&fleet);
     return fleet.info;
 }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -16,6 +16,22 @@
 
 #include "lib_sizes.h"
 
+/* Jobs of mixed task sizes, see lib_mixes.c. */
+enum {
+    FLEET_MIX_SMALL, /* tasks of a twelfth of a worker */
+    FLEET_MIX_LARGE, /* of two thirds */
+    FLEET_MIX_GANG,  /* twelve of a quarter, all at once */
+    FLEET_MIX_COUNT,
+};
+
+typedef struct {
+    uint32_t jobs;
+    double mean_wait_ms; /* until the first start */
+    nm_ms_t p95_wait_ms;
+    double in_time_share;
+    double served_share; /* not later than three times the objective */
+} fleet_mix_info_t;
+
 typedef struct {
     uint64_t seed;
     uint32_t workers;      /* 0: 48 */
@@ -53,6 +69,12 @@
      * Calls may then get no response, and starts be carried out late.
      */
     nm_ms_t restart_interval_ms;
+    /* Work that arrives of each mix, as a share of the capacity. */
+    double mix_load[FLEET_MIX_COUNT];
+    double estimate_error;  /* greatest error of a duration; 0: 0.4 */
+    double straggler_share; /* share of runs that take 7 times as long */
+    uint32_t joining;       /* workers that are announced at joins_ms only */
+    nm_ms_t joins_ms;
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
@@ -100,6 +122,7 @@
     uint32_t limited_starts;  /* of steps with a limit per worker */
     uint32_t labelled_starts; /* of steps that require a label */
     double cpu_s;             /* CPU time of the scheduler */
+    fleet_mix_info_t mixes[FLEET_MIX_COUNT];
 } fleet_info_t;
 
 fleet_info_t fleet_run(const fleet_desc_t *desc);
--- a/bench/lib_fleet_state.h
+++ b/bench/lib_fleet_state.h
@@ -17,7 +17,8 @@
     JOB_CHECK,
     JOB_FILLER,
     JOB_SERVICE,
-    JOB_KIND_COUNT,
+    JOB_MIXED, /* the first of the mixes; they use the queue of checks */
+    JOB_KIND_COUNT = JOB_MIXED + FLEET_MIX_COUNT,
 };
 
 typedef struct {
@@ -69,6 +70,9 @@
     char id[NM_JOB_ID_MAX];
     nm_ms_t arrived_ms;
     nm_ms_t objective_ms;
+    int kind;
+    nm_ms_t first_start_ms; /* 0: none */
+    double duration_share;  /* of a gang: all its members end together */
     bool is_check;
     bool always_fails;
     bool ended;
--- a/bench/lib_restarts.c
+++ b/bench/lib_restarts.c
@@ -82,7 +82,7 @@
 }
 
 void
-restarts_announce(fleet_t *fleet, const worker_t *worker)
+restarts_announce(const fleet_t *fleet, const worker_t *worker)
 {
     nm_sched_worker_t announced = {.incarnation = worker->incarnation,
                                    .cpu_milli = fleet->desc.cpu_milli,
--- a/bench/lib_restarts.h
+++ b/bench/lib_restarts.h
@@ -21,7 +21,7 @@
 /* Sets the kind of a worker and the time of its first restart. */
 void restarts_init_worker(fleet_t *fleet, worker_t *worker);
 /* Tells the scheduler what the current incarnation announces. */
-void restarts_announce(fleet_t *fleet, const worker_t *worker);
+void restarts_announce(const fleet_t *fleet, const worker_t *worker);
 /* Gives a step a limit per worker and a label, for shares of the steps. */
 void restarts_restrict_step(fleet_t *fleet, nm_step_t *step);
 
