Placement that looks ahead, switched off

Smaller tasks refill each gap of a full fleet, so that a task of two thirds of a worker, or a gang, waits until its job counts as idle for long.

sched_lookahead.c reserves the workers on which such steps fit first by the expected ends of what runs there; smaller tasks start there only if they leave the room or are expected to end before. Nothing is reserved while smaller jobs wait for long. A reservation is given up if it has not begun in time.

Small jobs are served less where the fleet is overfull, so that it stays off.

--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -345,7 +345,7 @@
 };
 
 static bool
-run_mix(uint64_t seed, size_t index)
+run_mix(uint64_t seed, size_t index, bool looks_ahead)
 {
     static const char *const sizes[] = {
         [FLEET_MIX_SMALL] = "small",
@@ -355,15 +355,17 @@
     const char *name = mixes[index].name;
     fleet_desc_t desc = mixes[index].desc;
     desc.seed = seed;
+    desc.looks_ahead = looks_ahead;
     fleet_info_t info = fleet_run(&desc);
     for (int m = 0; m < FLEET_MIX_COUNT; m++) {
         const fleet_mix_info_t *mix = &info.mixes[m];
         if (mix->jobs > 0) {
-            printf("jobs %-21s %s %4u: first start mean %5.0f ms, 95%% %5lld "
-                   "ms; in time %.3f, served %.3f\n",
-                   name, sizes[m], mix->jobs, mix->mean_wait_ms,
-                   (long long)mix->p95_wait_ms, mix->in_time_share,
-                   mix->served_share);
+            printf(
+                "jobs %-21s %s%s %4u: first start mean %5.0f ms, 95%% %5lld "
+                "ms; in time %.3f, served %.3f\n",
+                name, sizes[m], looks_ahead ? " ahead" : "", mix->jobs,
+                mix->mean_wait_ms, (long long)mix->p95_wait_ms,
+                mix->in_time_share, mix->served_share);
         }
     }
     char label[64];
@@ -464,7 +466,8 @@
     for (size_t i = 0; i < NM_COUNT_OF(mixes); i++) {
         bool all = decisions || strcmp(pattern, "mixes") == 0;
         if (!pattern[0] || all || strcmp(pattern, mixes[i].name) == 0) {
-            pass &= run_mix(seed, i);
+            pass &= run_mix(seed, i, false);
+            pass &= run_mix(seed, i, true);
         }
     }
     for (size_t i = 0; i < NM_COUNT_OF(restrictions); i++) {
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -744,6 +744,7 @@
                                                   .former_lease_max_ms = 1,
                                                   .seed = desc->seed},
                                0);
+    nm_sched_set_lookahead(fleet.sched, desc->looks_ahead);
     init_queues(&fleet);
     if (desc->informed) {
         reveal_effects(&fleet);
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -75,6 +75,7 @@
     double straggler_share; /* share of runs that take 7 times as long */
     uint32_t joining;       /* workers that are announced at joins_ms only */
     nm_ms_t joins_ms;
+    bool looks_ahead;        /* nm_sched_set_lookahead */
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -71,6 +71,9 @@
       "an unanswered start was withdrawn")                                    \
     X(STARTS_HELD, "starts-held", 0,                                          \
       "the list of evacuated zones is too old")                               \
+    X(RESERVED_AHEAD, "reserved-ahead", 0, "a worker was reserved")           \
+    X(RESERVATION_MISSED, "reservation-missed", 0,                            \
+      "a reserved worker was not free in time")                               \
     X(LEASE_LAPSED, "lease-lapsed", 0, "the worker's lease lapsed")           \
     X(LATE_REPORT, "late-report", 0, "a worker's answer came after its time") \
     /* Settings, store, worker reports and peers. */                          \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -275,6 +275,7 @@
 typedef struct {
     uint32_t workers;
     uint32_t workers_held;      /* what becomes free is kept for one step */
+    uint32_t workers_reserved;  /* part of it: by the placement ahead */
     int64_t cpu_milli;          /* of all of them */
     int64_t reserved_cpu_milli; /* requested by tasks other than fillers */
     int64_t serving_cpu_milli;  /* part of it: tasks with a latency target */
@@ -399,6 +400,12 @@
  * leases are renewed meanwhile.
  */
 void nm_sched_set_starts_allowed(nm_sched_t *sched, bool allowed);
+/*
+ * Reserves workers for short tasks that are too large for the gaps which
+ * smaller ones leave, and for gangs.  Off until the first call: on an overfull
+ * fleet the smaller tasks lose by it (docs/design/lookahead.md).
+ */
+void nm_sched_set_lookahead(nm_sched_t *sched, bool looks_ahead);
 /*
  * Returns the id of the next removed worker, to be freed with g_free, or NULL.
  */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -211,10 +211,11 @@
     json_t *refusals = encode_refusals(capacity.filler_refusals,
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
-           "{s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:o,s:i,s:I,s:I,"
-           "s:i,s:i,s:i,s:i,s:o}",
+           "{s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:o,s:i,s:I,"
+           "s:I,s:i,s:i,s:i,s:i,s:o}",
            "workers", (int)capacity.workers, "workers_held",
-           (int)capacity.workers_held, "cpu_milli",
+           (int)capacity.workers_held, "workers_reserved",
+           (int)capacity.workers_reserved, "cpu_milli",
            (json_int_t)capacity.cpu_milli, "reserved_cpu_milli",
            (json_int_t)capacity.reserved_cpu_milli, "serving_cpu_milli",
            (json_int_t)capacity.serving_cpu_milli, "long_running_cpu_milli",
--- a/src/sched.c
+++ b/src/sched.c
@@ -164,6 +164,7 @@
     sched->starts_allowed = true;
     sched->evacuated_zones =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    sched->small_steps = g_array_new(FALSE, FALSE, sizeof(nm_small_step_t));
     nm_delay_init(sched, now_ms);
     nm_interference_init(&sched->interference);
     nm_swing_model_init(&sched->swing_model);
@@ -191,6 +192,7 @@
     g_hash_table_destroy(sched->jobs);
     g_hash_table_destroy(sched->queues);
     g_hash_table_destroy(sched->evacuated_zones);
+    g_array_free(sched->small_steps, TRUE);
     g_free(sched);
 }
 
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -46,6 +46,8 @@
 {
     capacity->workers++;
     capacity->workers_held += now_ms < node->hold.until_ms;
+    capacity->workers_reserved +=
+        now_ms < node->hold.until_ms && node->hold.reason == NM_HOLD_AHEAD;
     capacity->cpu_milli += node->desc.cpu_milli;
     capacity->reserved_cpu_milli += node->cpu_used_milli;
     capacity->serving_cpu_milli += node->serving_cpu_milli;
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -176,7 +176,10 @@
 nm_choice_is_held_for_other(const nm_sched_node_t *node,
                             const nm_candidate_t *candidate, nm_ms_t now_ms)
 {
+    /* Reservations give way to steps that are idle or overdue. */
     return now_ms < node->hold.until_ms &&
+           !(node->hold.reason == NM_HOLD_AHEAD &&
+             candidate->order_class != NM_CLASS_ORDINARY) &&
            (node->hold.occurrence != candidate->occurrence ||
             node->hold.step != candidate->step);
 }
@@ -200,7 +203,9 @@
     {
         return false;
     }
-    if (held) {
+    if (held && !(node->hold.reason == NM_HOLD_AHEAD &&
+                  nm_lookahead_admits(node, candidate, now_ms)))
+    {
         return step->is_filler ? refuse_filler(sched, NM_FILLER_REFUSAL_HELD)
                                : false;
     }
@@ -411,7 +416,9 @@
     job->held_until_ms = 0;
     for (guint i = 0; i < sched->node_list->len; i++) {
         nm_sched_node_t *node = sched->node_list->pdata[i];
-        if (node->hold.job == job && node->hold.reason != NM_HOLD_EVICTION) {
+        if (node->hold.job == job && node->hold.reason != NM_HOLD_EVICTION &&
+            node->hold.reason != NM_HOLD_AHEAD)
+        {
             node->hold = (nm_hold_t){0};
         }
     }
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -327,6 +327,7 @@
         return;
     }
     nm_gang_make_room(sched, candidate, round, now_ms);
+    nm_lookahead_reserve(sched, candidate, round, now_ms);
 }
 
 static void
@@ -349,6 +350,7 @@
     const nm_step_t *step = &job->spec.steps[candidate->step];
     if (!step->long_running) {
         record_unplaced(&round->unplaced, job, step);
+        nm_lookahead_reserve(sched, candidate, round, now_ms);
         return false;
     }
     if (evict_fillers(sched, candidate, evict_position, now_ms)) {
@@ -402,6 +404,42 @@
     }
 }
 
+/*
+ * Starts the steps that workers are reserved for, with one task for each
+ * reservation: those before them in the order would take the room that they
+ * find on other workers.
+ */
+static void
+place_reserving(nm_sched_t *sched, const nm_round_t *round, nm_ms_t now_ms)
+{
+    for (uint32_t i = 0; i < round->ahead_count; i++) {
+        const nm_candidate_t *candidate = &round->ahead[i].candidate;
+        const nm_occurrence_t *occurrence = candidate->occurrence;
+        const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
+        uint32_t left = round->ahead[i].tasks;
+        if (left > 0 && step->is_gang) {
+            nm_gang_start(sched, candidate, now_ms);
+            continue;
+        }
+        nm_task_t *tasks = occurrence->tasks[candidate->step];
+        for (uint32_t t = 0; t < step->task_count && left > 0; t++) {
+            if (tasks[t].state != NM_RUN_WAITING) {
+                continue;
+            }
+            nm_sched_node_t *node =
+                sched->starting_count < round->starting_max
+                    ? nm_choice_find_node(sched, candidate, &tasks[t], now_ms)
+                    : NULL;
+            if (!node) {
+                break;
+            }
+            nm_choice_start(sched, candidate, &tasks[t], node, 0, now_ms);
+            add_idle_start_credit(sched, IDLE_START_SHARE);
+            left--;
+        }
+    }
+}
+
 /* Returns false if it did not look for a worker. */
 static bool
 place_step(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -412,6 +450,9 @@
         if (candidate->order_class == NM_CLASS_OVERDUE) {
             reserve_if_overdue(sched, round, candidate, now_ms);
         }
+        else {
+            nm_lookahead_reserve(sched, candidate, round, now_ms);
+        }
         return false;
     }
     if (occurrence->job->spec.steps[candidate->step].is_gang) {
@@ -547,6 +588,8 @@
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
     sched->longest_idle = (nm_sched_idle_job_t){0};
+    nm_lookahead_begin(sched, candidates, &round, now_ms);
+    place_reserving(sched, &round, now_ms);
     for (guint i = 0;
          i < candidates->len && sched->starting_count < round.starting_max;
          i++)
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -9,6 +9,9 @@
 
 #include "sched_state.h"
 
+/* Limit of steps with reservations. */
+#define NM_ROUND_AHEAD_MAX 64
+
 /* Limit of requests remembered as unplaced in one round. */
 #define NM_ROUND_UNPLACED_MAX 64
 
@@ -59,6 +62,12 @@
     int64_t free_cpu_milli_max; /* of a worker, when the round began */
 } nm_round_service_t;
 
+/* A waiting step and the number of its tasks that workers are reserved for. */
+typedef struct {
+    nm_candidate_t candidate;
+    uint32_t tasks;
+} nm_ahead_t;
+
 typedef struct {
     /*
      * Short tasks without a label, a limit per worker or an accelerator that
@@ -75,7 +84,12 @@
     uint32_t reserved_nodes;       /* workers reserved for overdue steps */
     uint32_t held_nodes;           /* workers held for idle jobs */
     uint32_t gang_nodes;           /* workers held for gangs */
-    GArray *services;              /* of nm_round_service_t */
+    nm_ahead_t ahead[NM_ROUND_AHEAD_MAX];
+    uint32_t ahead_count;
+    uint32_t ahead_steps; /* that looked for workers to reserve */
+    uint32_t ahead_nodes; /* reserved for steps that are no gangs */
+    bool ahead_gang;      /* workers are reserved for a gang */
+    GArray *services;     /* of nm_round_service_t */
     /* Limit of starts in flight. */
     uint32_t starting_max;
     uint32_t idle_jobs;
@@ -209,6 +223,26 @@
                            nm_sched_node_t *node, uint32_t count,
                            nm_ms_t now_ms);
 
+/* sched_lookahead.c */
+/*
+ * Begins a round: renews the reservations of the steps that still wait, and
+ * ends the others.
+ */
+void nm_lookahead_begin(nm_sched_t *sched, const GArray *candidates,
+                        nm_round_t *round, nm_ms_t now_ms);
+/* Number of a step's tasks that have reservations, as the round began. */
+uint32_t nm_lookahead_count(const nm_round_t *round,
+                            const nm_candidate_t *candidate);
+/* Reserves workers for a step that fits nowhere now, if it qualifies. */
+void nm_lookahead_reserve(nm_sched_t *sched, const nm_candidate_t *candidate,
+                          nm_round_t *round, nm_ms_t now_ms);
+/*
+ * True if a task may start on a worker that is reserved for another step: it
+ * leaves the room that is reserved, or is expected to end before.
+ */
+bool nm_lookahead_admits(const nm_sched_node_t *node,
+                         const nm_candidate_t *candidate, nm_ms_t now_ms);
+
 /* sched_gang.c */
 /* Starts all tasks of a gang; returns false if there is no room for all. */
 bool nm_gang_start(nm_sched_t *sched, const nm_candidate_t *candidate,
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -3,7 +3,8 @@
  * scheduler keeps of one worker.  Calls go in one direction, except those of
  * sched_events.c and nm_job_state_name:
  * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
- * sched_order.c, sched_gang.c, sched_response.c -> sched_room.c ->
+ * sched_order.c, sched_gang.c, sched_response.c, sched_lookahead.c ->
+ * sched_room.c ->
  * sched_choice.c -> sched_node.c, sched_filler.c -> sched_cold.c,
  * sched_lease.c ->
  * sched_orphans.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
@@ -260,6 +261,8 @@
     nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
     nm_ms_t held_until_ms;   /* workers may be held for it until then */
     nm_ms_t evicting_until_ms;  /* the same where fillers are evicted for it */
+    nm_ms_t ahead_until_ms;     /* workers may be reserved for it */
+    nm_ms_t ahead_searched_ms;  /* it last looked for workers to reserve */
     uint64_t change_seq;        /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
@@ -289,6 +292,7 @@
     NM_HOLD_EVICTION, /* fillers are evicted for a task */
     NM_HOLD_IDLE,     /* for a task of an idle job */
     NM_HOLD_GANG,     /* for tasks of a gang */
+    NM_HOLD_AHEAD,    /* reserved, see sched_lookahead.c */
 } nm_hold_reason_t;
 
 /*
@@ -301,8 +305,25 @@
     nm_ms_t until_ms;
     nm_hold_reason_t reason;
     const nm_sched_job_t *job;
+    /* The rest is set for NM_HOLD_AHEAD. */
+    nm_ms_t begin_ms; /* the step is expected to start then */
+    nm_ms_t due_ms;   /* the hold is given up then */
+    uint32_t tasks;
+    int64_t cpu_milli; /* of all these tasks */
+    int64_t memory_mb;
+    int64_t accelerators;
 } nm_hold_t;
 
+/* Least that a short step of a service asked for lately. */
+typedef struct {
+    const char *service; /* interned */
+    int64_t cpu_milli;
+    int64_t memory_mb;
+    nm_ms_t cpu_until_ms;
+    nm_ms_t memory_until_ms;
+    nm_ms_t pressed_ms; /* smaller jobs last waited for long */
+} nm_small_step_t;
+
 /* Predicted tail of a serving task; placement compares many of them. */
 typedef struct {
     double log_tail; /* log(tail / target) */
@@ -356,7 +377,8 @@
     int64_t serving_cpu_milli;   /* of tasks with a latency target */
     uint64_t reserved_placement; /* placement that last reserved it */
     nm_hold_t hold;
-    int64_t filler_memory_mb; /* part of memory_used_mb */
+    nm_ms_t ahead_avoid_until_ms; /* a reservation was not met */
+    int64_t filler_memory_mb;     /* part of memory_used_mb */
     double expected_misses; /* expected number of serving tasks over target */
     GArray *tails;          /* of nm_tail_t: of its serving tasks */
     nm_ms_t predicted_ms;   /* when tails and their misses were computed */
@@ -459,6 +481,10 @@
     GHashTable *evacuated_zones; /* names */
     /* When a cold worker that was refused may take a start; 0: none was. */
     nm_ms_t cold_start_due_ms;
+    bool looks_ahead;       /* see sched_lookahead.c */
+    GArray *small_steps;    /* of nm_small_step_t, by service */
+    nm_ms_t ahead_until_ms; /* workers may be reserved */
+    guint ahead_position;   /* in node_list: where the next search begins */
     bool fenced;
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     uint32_t awaiting_count; /* part of it: tasks that await a report */
