Merge placement that looks ahead, with a setting

Off by default: with it, large tasks and gangs start sooner, but small tasks are served less where the fleet is overfull (docs/design/lookahead.md). looks_ahead in the settings switches it on.

--- a/bench/lib_credit.c
+++ b/bench/lib_credit.c
@@ -27,7 +27,7 @@
 is_owed(const job_t *job, bool is_check)
 {
     return !job->long_running && !job->always_fails &&
-           job->is_check == is_check;
+           job->kind == (is_check ? JOB_CHECK : JOB_FILLER);
 }
 
 static double
--- a/bench/lib_fleet.c
+++ b/bench/lib_fleet.c
@@ -8,6 +8,7 @@
 
 #include "lib_credit.h"
 #include "lib_durations.h"
+#include "lib_mixes.h"
 #include "lib_restarts.h"
 
 /* Spreads the phases of successive jobs evenly over the circle. */
@@ -70,7 +71,8 @@
     snprintf(id, sizeof(id), "%016llx",
              (unsigned long long)++fleet->job_number);
     nm_job_spec_t spec;
-    nm_job_spec_init(&spec, id, queues[kind], "press");
+    nm_job_spec_init(&spec, id, mixes_is_mixed(kind) ? "checks" : queues[kind],
+                     "press");
     uint32_t steps = (uint32_t)draw_size(fleet, kind, &job_sizes[sized].steps,
                                          kind == JOB_FILLER ? 2 : 1);
     nm_ms_t estimate_ms =
@@ -108,6 +110,7 @@
         step->target_ms = kind == JOB_SERVICE ? TARGET_MS : 0;
         snprintf(step->image, sizeof(step->image), "%d", image);
         restarts_restrict_step(fleet, step);
+        mixes_set_step(fleet, kind, step);
         if (s > 0) {
             nm_step_add_dependency(step, s - 1);
         }
@@ -116,6 +119,7 @@
     nm_strcopy(job->id, sizeof(job->id), id);
     job->arrived_ms = fleet->now_ms;
     job->at_work_ms = fleet->now_ms;
+    job->kind = kind;
     job->is_check = kind == JOB_CHECK;
     job->long_running = kind == JOB_SERVICE;
     job->load_phase = GOLDEN_ANGLE * (double)fleet->job_number;
@@ -129,8 +133,9 @@
                                kind == JOB_CHECK ? fleet->desc.checks_error
                                                  : fleet->desc.fillers_error);
     }
-    job->objective_ms =
-        kind == JOB_CHECK ? path_ms * 3 / 2 + 600 : 2 * path_ms + 1000;
+    job->objective_ms = kind == JOB_CHECK || mixes_is_mixed(kind)
+                            ? path_ms * 3 / 2 + 600
+                            : 2 * path_ms + 1000;
     g_hash_table_insert(fleet->jobs, job->id, job);
     if (!job->always_fails) {
         fleet->info.checks += kind == JOB_CHECK;
@@ -151,9 +156,13 @@
     nm_ms_t end_ms = desc->burst_end_ms ? desc->burst_end_ms : 11000;
     double burst =
         t >= 5000 && t < end_ms && desc->burst > 0 ? desc->burst : 1;
-    double rates_per_s[] = {desc->checks_per_s, desc->fillers_per_s * burst,
-                            desc->services_per_s};
+    double rates_per_s[JOB_KIND_COUNT] = {
+        desc->checks_per_s, desc->fillers_per_s * burst, desc->services_per_s};
+    mixes_set_rates(desc, rates_per_s);
     for (int kind = 0; kind < JOB_KIND_COUNT; kind++) {
+        if (rates_per_s[kind] <= 0 && mixes_is_mixed(kind)) {
+            continue; /* without a draw: other patterns stay as they were */
+        }
         fleet->pending_arrivals[kind] +=
             rates_per_s[kind] * TICK_MS / 1000 * random_unit(fleet) * 2;
         while (fleet->pending_arrivals[kind] >= 1) {
@@ -221,7 +230,7 @@
 fleet_start_run(fleet_t *fleet, worker_t *worker,
                 const nm_sched_action_t *action)
 {
-    const job_t *job = find_job(fleet, action->task);
+    job_t *job = find_job(fleet, action->task);
     unsigned int occurrence;
     unsigned int step;
     unsigned int index;
@@ -251,14 +260,19 @@
                  .unaddressed = action->incarnation != worker->incarnation};
     nm_strcopy(run.task, sizeof(run.task), action->task);
     run.load_phase = job->load_phase;
+    job->first_start_ms =
+        job->first_start_ms ? job->first_start_ms : fleet->now_ms;
     if (!desc.long_running) {
         const int64_t *left_ms =
             g_hash_table_lookup(fleet->saved_left_ms, action->task);
-        run.duration_left_ms = left_ms && action->checkpoint[0]
-                                   ? (nm_ms_t)*left_ms + RESTORE_MS
-                               : durations_are_drawn(&fleet->desc)
-                                   ? durations_of_task(fleet, job, step, index)
-                                   : draw_duration_ms(fleet, desc.estimate_ms);
+        run.duration_left_ms =
+            left_ms && action->checkpoint[0] ? (nm_ms_t)*left_ms + RESTORE_MS
+            : durations_are_drawn(&fleet->desc)
+                ? durations_of_task(fleet, job, step, index)
+            : mixes_is_mixed(job->kind)
+                ? (nm_ms_t)((double)desc.estimate_ms *
+                            mixes_draw_duration(fleet, job, &desc))
+                : draw_duration_ms(fleet, desc.estimate_ms);
         run.fails = worker->failing || job->always_fails;
         run.ends_ms = fleet->now_ms + (run.fails ? 300 : run.duration_left_ms);
     }
@@ -576,11 +590,12 @@
                 !in_time && took_ms <= LATE_LIMIT_FACTOR * job->objective_ms;
             job->credit_share = in_time ? 1 : late ? LATE_CREDIT_SHARE : 0;
             fleet->info.checks_in_time += job->is_check && in_time;
-            fleet->info.fillers_in_time += !job->is_check && in_time;
+            bool is_filler = job->kind == JOB_FILLER;
+            fleet->info.fillers_in_time += is_filler && in_time;
             fleet->info.refusable_served +=
                 job->refusable && job->credit_share > 0;
             fleet->info.checks_late += job->is_check && late;
-            fleet->info.fillers_late += !job->is_check && late;
+            fleet->info.fillers_late += is_filler && late;
         }
     }
     g_ptr_array_free(ids, TRUE);
@@ -624,7 +639,9 @@
                                w < desc->failing_workers + desc->unresponsive;
         g_hash_table_insert(fleet->workers_by_id, worker->id, worker);
         restarts_init_worker(fleet, worker);
-        restarts_announce(fleet, worker);
+        if (w + desc->joining < desc->workers) {
+            restarts_announce(fleet, worker);
+        }
     }
 }
 
@@ -691,6 +708,7 @@
                                                   .former_lease_max_ms = 1,
                                                   .seed = desc->seed},
                                0);
+    nm_sched_set_lookahead(fleet.sched, desc->looks_ahead);
     init_queues(&fleet);
     if (desc->informed) {
         fleet_reveal_effects(&fleet);
@@ -708,6 +726,7 @@
         if (fleet.now_ms == FLEET_EVACUATION_MS && desc->evacuated > 0) {
             nm_sched_set_evacuated(fleet.sched, FLEET_EVACUATED_ZONE, true);
         }
+        mixes_announce_joining(&fleet);
         bool arrivals_ended =
             desc->arrivals_end_ms > 0 && fleet.now_ms >= desc->arrivals_end_ms;
         if (fleet.now_ms > 1500 && !arrivals_ended) {
@@ -739,6 +758,7 @@
         measure_interrupted(&fleet, failed_ms);
     }
     credit_measure(&fleet);
+    mixes_measure(&fleet);
     free_fleet(&fleet);
     return fleet.info;
 }
--- a/bench/lib_fleet.h
+++ b/bench/lib_fleet.h
@@ -17,6 +17,22 @@
 #include "lib_fleet_fillers.h"
 #include "lib_sizes.h"
 
+/* Jobs of mixed task sizes, see lib_mixes.c. */
+enum {
+    FLEET_MIX_SMALL, /* tasks of a twelfth of a worker */
+    FLEET_MIX_LARGE, /* of two thirds */
+    FLEET_MIX_GANG,  /* twelve of a quarter, all at once */
+    FLEET_MIX_COUNT,
+};
+
+typedef struct {
+    uint32_t jobs;
+    double mean_wait_ms; /* until the first start */
+    nm_ms_t p95_wait_ms;
+    double in_time_share;
+    double served_share; /* not later than three times the objective */
+} fleet_mix_info_t;
+
 typedef struct {
     uint64_t seed;
     uint32_t workers;      /* 0: 48 */
@@ -69,6 +85,11 @@
     double checks_error;
     double fillers_error;
     double straggler_share;
+    /* Work that arrives of each mix, as a share of the capacity. */
+    double mix_load[FLEET_MIX_COUNT];
+    uint32_t joining; /* workers that are announced at joins_ms only */
+    nm_ms_t joins_ms;
+    bool looks_ahead;        /* nm_sched_set_lookahead */
     bool informed;           /* all effects are known, metrics have no noise */
     nm_ms_t arrivals_end_ms; /* no job arrives from here on; 0: never */
     nm_ms_t duration_ms;     /* 0: 30000 */
@@ -127,6 +148,7 @@
     uint32_t labelled_starts; /* of steps that require a label */
     double cpu_s;             /* CPU time of the scheduler */
     fleet_filler_info_t fillers_beside; /* of a profile */
+    fleet_mix_info_t mixes[FLEET_MIX_COUNT];
 } fleet_info_t;
 
 fleet_info_t fleet_run(const fleet_desc_t *desc);
--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -145,6 +145,7 @@
         .config_apply_ms = settings->config_apply_ms,
         .announce_interval_ms = settings->announce_interval_ms,
         .evacuation_ms = settings->evacuation_ms,
+        .looks_ahead = settings->looks_ahead,
         .clock = &clock,
         .kv = kv,
         .orders = limited_orders,
--- a/src/entry.h
+++ b/src/entry.h
@@ -42,6 +42,7 @@
      * until the last start there; 0: zones are not evacuated.
      */
     nm_ms_t evacuation_ms;
+    bool looks_ahead; /* placement reserves workers, see sched_lookahead.c */
     const nm_clock_t *clock;
     nm_kv_t *kv;
     nm_order_port_t *orders;
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -154,6 +154,11 @@
         settings->max_fds = (uint32_t)get_number(document, "max_fds", FDS_MIN,
                                                  LIMIT_MAX, faults);
     }
+    const json_t *looks_ahead = json_object_get(document, "looks_ahead");
+    if (looks_ahead && !json_is_boolean(looks_ahead)) {
+        add_fault(faults, "looks_ahead", looks_ahead, "true or false");
+    }
+    settings->looks_ahead = json_is_true(looks_ahead);
     json_decref(document);
     if (faults->len > 0) {
         *fault = g_string_free(faults, FALSE);
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -434,6 +434,7 @@
                            .resends_starts = true,
                            .seed = nm_rng_next(&entry->rng)},
         nm_entry_now(entry));
+    nm_sched_set_lookahead(entry->sched, entry->desc.looks_ahead);
     entry->logged_capacity = (nm_sched_capacity_t){0};
     nm_sched_run(entry->sched, nm_entry_now(entry), nm_entry_unix_ms());
     nm_takeover_apply_queue_config(entry);
