--- a/tests/test_evacuation.c
+++ b/tests/test_evacuation.c
@@ -403,7 +403,6 @@
     STORE_ANSWERS,
     WATCH_SILENT,    /* no watch below op/ reports a change */
     HISTORY_DROPPED, /* at the time of the evacuation */
-    STORE_REFUSES,
 } trouble_t;
 
 static const struct {
