Log why idle jobs wait, by cause

The reasons for which a worker does not take a task are values now, so that they can be counted for one task. No decision changes.

--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -70,6 +70,7 @@
     X(CALLS_ANSWERED, "calls-answered")                                       \
     X(CAPACITY, "capacity")                                                   \
     X(JOB_IDLE, "job-idle")                                                   \
+    X(JOBS_WAIT, "jobs-wait")                                                 \
     X(OWNER_LOAD, "owner-load")                                               \
     X(OWNER_CALLS, "owner-calls")                                             \
     X(WORKER_LAPSED, "worker-lapsed")                                         \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -253,6 +253,60 @@
     uint64_t refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_idle_job_t;
 
+/* Why a worker does not take a task. */
+#define NM_EXCLUSION_LIST(X)                                                  \
+    X(NONE, "none")             /* it could */                                \
+    X(SERVICE, "other_service") /* it is of another service */                \
+    X(UNUSABLE, "unusable")     /* e.g. silent, draining or avoided */        \
+    X(CONSTRAINT, "constraint") /* a label, or the limit per worker */        \
+    X(ROOM, "no_room")          /* CPU, memory or accelerators */             \
+    X(TRIAL, "trial")           /* a suspect beside it has just started */    \
+    X(COLD, "cold")             /* it has had as many starts as it bears */   \
+    X(HELD, "held")             /* what is free is kept for another step */   \
+    X(CAPACITY, "no_capacity")  /* unused CPU, for a filler */                \
+    X(HEADROOM, "no_headroom")  /* a serving task is near its target */       \
+    X(CANARY, "canary_limit")   /* the image's effect is unknown */           \
+    X(COST, "cost")             /* it would make serving tasks miss */
+
+typedef enum {
+#define X(name, label) NM_EXCLUSION_##name,
+    NM_EXCLUSION_LIST(X)
+#undef X
+        NM_EXCLUSION_COUNT,
+} nm_exclusion_t;
+
+const char *nm_exclusion_name(nm_exclusion_t exclusion);
+
+/* Why an idle job has nothing at work. */
+#define NM_WAIT_CAUSE_LIST(X)                                                 \
+    X(RUN_ELSEWHERE, "run_elsewhere") /* an earlier run may be at work */     \
+    X(OPEN_START, "open_start")       /* a start may still be carried out */  \
+    X(SILENT_WORKERS, "silent_workers") /* they may have crashed by it */     \
+    X(INTENT, "intent")       /* its start has to be stored first */          \
+    X(PLACEMENT, "placement") /* no worker takes it, or others go first */
+
+typedef enum {
+#define X(name, label) NM_WAIT_##name,
+    NM_WAIT_CAUSE_LIST(X)
+#undef X
+        NM_WAIT_CAUSE_COUNT,
+} nm_wait_cause_t;
+
+const char *nm_wait_cause_name(nm_wait_cause_t cause);
+
+/* Jobs that are idle for one cause, and a task of the longest idle of them. */
+typedef struct {
+    uint32_t jobs;
+    char task[NM_TASK_NAME_MAX]; /* "": there are none */
+    nm_ms_t idle_ms;
+    uint32_t crashes;      /* of the task, in a row */
+    uint32_t silences;     /* workers that may have crashed by it */
+    nm_ms_t silent_ms;     /* for how long the first of them has been silent */
+    nm_ms_t open_start_ms; /* until an unanswered start has expired; 0: none */
+    /* PLACEMENT: the workers, by what excludes them. */
+    uint32_t workers[NM_EXCLUSION_COUNT];
+} nm_sched_wait_t;
+
 /* Why an interrupted long-running task is not at work again. */
 #define NM_INTERRUPTED_CAUSE_LIST(X)                                          \
     X(SUSPECT, "suspect") /* it may crash workers, and waits for a trial */   \
@@ -646,6 +700,13 @@
 /* Visits all workers and waiting jobs; meant to be called once a second. */
 nm_sched_capacity_t nm_sched_query_capacity(const nm_sched_t *sched,
                                             nm_ms_t now_ms);
+/*
+ * Sets for each cause which jobs have been idle for idle_min_ms or longer.
+ * Visits all active jobs and, for one of them, all workers.
+ */
+void nm_sched_query_waits(nm_sched_t *sched, nm_ms_t idle_min_ms,
+                          nm_ms_t now_ms,
+                          nm_sched_wait_t waits[NM_WAIT_CAUSE_COUNT]);
 /* True once a worker has refused an order because of a newer owner. */
 bool nm_sched_query_fenced(const nm_sched_t *sched);
 
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -187,6 +187,41 @@
            encode_refusals(idle->refusals, NULL));
 }
 
+static json_t *
+encode_exclusions(const uint32_t workers[NM_EXCLUSION_COUNT])
+{
+    json_t *object = json_object();
+    for (nm_exclusion_t e = 0; e < NM_EXCLUSION_COUNT; e++) {
+        if (workers[e] > 0) {
+            json_object_set_new(object, nm_exclusion_name(e),
+                                json_integer(workers[e]));
+        }
+    }
+    return object;
+}
+
+/* Logs for each cause which job has been idle for longest. */
+static void
+log_waits(nm_entry_t *entry, nm_ms_t now_ms)
+{
+    nm_sched_wait_t waits[NM_WAIT_CAUSE_COUNT];
+    nm_sched_query_waits(entry->sched, IDLE_LOG_MIN_MS, now_ms, waits);
+    for (nm_wait_cause_t c = 0; c < NM_WAIT_CAUSE_COUNT; c++) {
+        const nm_sched_wait_t *wait = &waits[c];
+        if (wait->jobs == 0) {
+            continue;
+        }
+        nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOBS_WAIT,
+               "{s:s,s:i,s:s,s:I,s:i,s:i,s:I,s:I,s:o}", "cause",
+               nm_wait_cause_name(c), "jobs", (int)wait->jobs, "task",
+               wait->task, "idle_ms", (json_int_t)wait->idle_ms, "crashes",
+               (int)wait->crashes, "silences", (int)wait->silences,
+               "silent_ms", (json_int_t)wait->silent_ms, "open_start_ms",
+               (json_int_t)wait->open_start_ms, "workers",
+               encode_exclusions(wait->workers));
+    }
+}
+
 static json_t *
 encode_interrupted(const nm_sched_capacity_t *capacity)
 {
@@ -235,6 +270,7 @@
            (int)capacity.jobs_behind, "jobs_pending",
            (int)capacity.jobs_pending, "filler_refusals", refusals);
     log_longest_idle(&capacity);
+    log_waits(entry, now_ms);
     entry->logged_capacity = capacity;
 }
 
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -110,25 +110,50 @@
     return score - FAILURE_PENALTY * node->consecutive_failures;
 }
 
-bool
-nm_choice_is_eligible(const nm_sched_node_t *node,
-                      const nm_candidate_t *candidate, const char *service,
-                      nm_ms_t now_ms)
+/* True if a worker has the label of a step, and not too many of its tasks. */
+static bool
+meets_constraints(const nm_sched_node_t *node, const nm_candidate_t *candidate)
 {
     const nm_step_t *step =
         &candidate->occurrence->job->spec.steps[candidate->step];
-    return nm_node_is_usable(node, now_ms) && node->service == service &&
-           (step->label[0] == '\0' || has_label(node, step->label)) &&
+    return (step->label[0] == '\0' || has_label(node, step->label)) &&
            (step->per_worker_max == 0 ||
             count_step_tasks(node, candidate->occurrence, candidate->step) <
                 step->per_worker_max);
 }
 
-static bool
-refuse_filler(nm_sched_t *sched, nm_filler_refusal_t refusal)
+bool
+nm_choice_is_eligible(const nm_sched_node_t *node,
+                      const nm_candidate_t *candidate, const char *service,
+                      nm_ms_t now_ms)
 {
-    sched->filler_refusals[refusal]++;
-    return false;
+    return nm_node_is_usable(node, now_ms) && node->service == service &&
+           meets_constraints(node, candidate);
+}
+
+/* Counts the reasons for which workers take no further filler. */
+static void
+count_refusal(nm_sched_t *sched, nm_exclusion_t exclusion)
+{
+    switch (exclusion) {
+    case NM_EXCLUSION_CAPACITY:
+        sched->filler_refusals[NM_FILLER_REFUSAL_CAPACITY]++;
+        break;
+    case NM_EXCLUSION_HEADROOM:
+        sched->filler_refusals[NM_FILLER_REFUSAL_HEADROOM]++;
+        break;
+    case NM_EXCLUSION_CANARY:
+        sched->filler_refusals[NM_FILLER_REFUSAL_CANARY]++;
+        break;
+    case NM_EXCLUSION_COST:
+        sched->filler_refusals[NM_FILLER_REFUSAL_COST]++;
+        break;
+    case NM_EXCLUSION_HELD:
+        sched->filler_refusals[NM_FILLER_REFUSAL_HELD]++;
+        break;
+    default:
+        break;
+    }
 }
 
 /*
@@ -146,7 +171,7 @@
                                         now_ms);
 }
 
-static bool
+static nm_exclusion_t
 score_filler_node(nm_sched_t *sched, const nm_candidate_t *candidate,
                   nm_sched_node_t *node, nm_ms_t now_ms, double *score)
 {
@@ -154,22 +179,22 @@
     const nm_step_t *step = &job->spec.steps[candidate->step];
     uint32_t image = job->images[candidate->step];
     if (!nm_sched_filler_has_capacity(node, step)) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_CAPACITY);
+        return NM_EXCLUSION_CAPACITY;
     }
     if (node->serving_count > 0 && !node->has_headroom) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_HEADROOM);
+        return NM_EXCLUSION_HEADROOM;
     }
     if (nm_sched_filler_canary_limit_reached(sched, node, image, now_ms)) {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_CANARY);
+        return NM_EXCLUSION_CANARY;
     }
     double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
     if (!nm_sched_filler_cost_is_acceptable(cost) &&
         !may_try(sched, candidate, now_ms))
     {
-        return refuse_filler(sched, NM_FILLER_REFUSAL_COST);
+        return NM_EXCLUSION_COST;
     }
     *score = -cost;
-    return true;
+    return NM_EXCLUSION_NONE;
 }
 
 bool
@@ -184,11 +209,10 @@
             node->hold.step != candidate->step);
 }
 
-/* Returns false if the worker cannot take the task. */
-static bool
-score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
-           const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
-           double *score)
+nm_exclusion_t
+nm_choice_score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+                     const nm_task_t *task, nm_sched_node_t *node,
+                     nm_ms_t now_ms, double *score)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
@@ -196,22 +220,37 @@
                     !step->long_running && !step->is_filler;
     bool held = candidate->order_class != NM_CLASS_OVERDUE &&
                 nm_choice_is_held_for_other(node, candidate, now_ms);
-    if (reserved || !nm_choice_fits(node, step) ||
-        !nm_choice_is_eligible(node, candidate, nm_job_service(job), now_ms) ||
-        nm_crashes_conflict(node, task) ||
-        !nm_cold_may_start(sched, node, candidate, now_ms))
-    {
-        return false;
+    if (reserved) {
+        return NM_EXCLUSION_HELD;
+    }
+    if (!nm_choice_fits(node, step)) {
+        return NM_EXCLUSION_ROOM;
+    }
+    if (node->service != nm_job_service(job)) {
+        return NM_EXCLUSION_SERVICE;
+    }
+    if (!nm_node_is_usable(node, now_ms)) {
+        return NM_EXCLUSION_UNUSABLE;
+    }
+    if (!meets_constraints(node, candidate)) {
+        return NM_EXCLUSION_CONSTRAINT;
+    }
+    if (nm_crashes_conflict(node, task)) {
+        return NM_EXCLUSION_TRIAL;
+    }
+    if (!nm_cold_may_start(sched, node, candidate, now_ms)) {
+        return NM_EXCLUSION_COLD;
     }
     if (held && !(node->hold.reason == NM_HOLD_AHEAD &&
                   nm_lookahead_admits(node, candidate, now_ms)))
     {
-        return step->is_filler ? refuse_filler(sched, NM_FILLER_REFUSAL_HELD)
-                               : false;
+        return NM_EXCLUSION_HELD;
     }
     if (step->is_filler) {
-        if (!score_filler_node(sched, candidate, node, now_ms, score)) {
-            return false;
+        nm_exclusion_t exclusion =
+            score_filler_node(sched, candidate, node, now_ms, score);
+        if (exclusion != NM_EXCLUSION_NONE) {
+            return exclusion;
         }
     }
     else {
@@ -220,7 +259,21 @@
     *score -= task->avoided_node == node ? AVOIDED_NODE_PENALTY : 0;
     *score -= nm_crashes_penalty(node, task, now_ms);
     *score -= nm_cold_penalty(node, step, now_ms);
-    return true;
+    return NM_EXCLUSION_NONE;
+}
+
+/* Returns false if the worker cannot take the task. */
+static bool
+score_node(nm_sched_t *sched, const nm_candidate_t *candidate,
+           const nm_task_t *task, nm_sched_node_t *node, nm_ms_t now_ms,
+           double *score)
+{
+    nm_exclusion_t exclusion =
+        nm_choice_score_node(sched, candidate, task, node, now_ms, score);
+    if (candidate->occurrence->job->spec.steps[candidate->step].is_filler) {
+        count_refusal(sched, exclusion);
+    }
+    return exclusion == NM_EXCLUSION_NONE;
 }
 
 bool
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -426,6 +426,14 @@
             suspicions >= crashes_uncertain_max(task->occurrence->job));
 }
 
+bool
+nm_crashes_waits_for_workers(const nm_sched_t *sched, const nm_task_t *task,
+                             nm_ms_t now_ms)
+{
+    return waits_for_silent_workers(sched, task, count_suspicions(task),
+                                    now_ms);
+}
+
 bool
 nm_crashes_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                      nm_ms_t now_ms)
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -155,6 +155,15 @@
 bool nm_choice_is_held_for_other(const nm_sched_node_t *node,
                                  const nm_candidate_t *candidate,
                                  nm_ms_t now_ms);
+/*
+ * Returns NM_EXCLUSION_NONE and sets the score, higher is better, if a worker
+ * can take a task; else the first reason for which it cannot.
+ */
+nm_exclusion_t nm_choice_score_node(nm_sched_t *sched,
+                                    const nm_candidate_t *candidate,
+                                    const nm_task_t *task,
+                                    nm_sched_node_t *node, nm_ms_t now_ms,
+                                    double *score);
 /*
  * True if a worker has room for a suspect but the trial of another one; with
  * avoid_flapping, only workers that are not flapping count.
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -2,7 +2,7 @@
  * State shared by the files of the scheduler.  A node is the state that the
  * scheduler keeps of one worker.  Calls go in one direction, except those of
  * sched_events.c and nm_job_state_name:
- * sched.c -> sched_place.c, sched_poll.c, sched_record.c ->
+ * sched.c -> sched_place.c, sched_poll.c, sched_record.c, sched_wait.c ->
  * sched_order.c, sched_gang.c, sched_response.c, sched_lookahead.c ->
  * sched_room.c ->
  * sched_choice.c -> sched_node.c, sched_filler.c -> sched_cold.c,
@@ -753,6 +753,9 @@
  * of this owner or a former one.  Its job may fail.
  */
 void nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
+/* True while a task waits to hear of workers that it may have crashed. */
+bool nm_crashes_waits_for_workers(const nm_sched_t *sched,
+                                  const nm_task_t *task, nm_ms_t now_ms);
 /* True while a waiting task must not start, whichever workers are free. */
 bool nm_crashes_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                           nm_ms_t now_ms);
