--- a/tests/fakes/lib_sched_fleet.c
+++ b/tests/fakes/lib_sched_fleet.c
@@ -170,7 +170,10 @@
         .worker = worker,
         .begin_ms = now_ms,
         .end_ms = duration_ms > 0 ? now_ms + duration_ms : NM_MS_NEVER,
-        .end = rule ? rule->end : NM_END_DONE};
+        .end = rule ? rule->end : NM_END_DONE,
+        .percent = 100,
+        .left_ms = NM_MS_NEVER};
+    run.row.metric = rule ? rule->metric : 0;
     if (fleet->workers[worker].failing) {
         run.end_ms = now_ms + FAILING_MS;
         run.end = NM_END_FAILED;
@@ -222,6 +225,40 @@
     nm_sched_on_stop(fleet->sim.sched, action, NM_ORDER_DONE, now_ms);
 }
 
+static void
+set_percent(sched_fleet_run_t *run, uint32_t percent, nm_ms_t now_ms)
+{
+    if (run->percent > 0 && run->end_ms != NM_MS_NEVER) {
+        run->left_ms = (run->end_ms - now_ms) * run->percent / 100;
+    }
+    run->percent = percent;
+    run->end_ms = percent > 0 && run->left_ms != NM_MS_NEVER
+                      ? now_ms + run->left_ms * 100 / percent
+                      : NM_MS_NEVER;
+}
+
+static void
+carry_out_throttle(sched_fleet_t *fleet, const nm_sched_action_t *action)
+{
+    nm_ms_t now_ms = fleet->sim.now_ms;
+    int worker = find_worker(fleet, action->worker);
+    if (worker < 0 || fleet->workers[worker].down_until_ms > 0) {
+        nm_sched_on_throttle(fleet->sim.sched, action, NM_ORDER_UNKNOWN,
+                             now_ms);
+        return;
+    }
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        sched_fleet_run_t *run =
+            &g_array_index(fleet->runs, sched_fleet_run_t, i);
+        if (run->worker == worker && run->row.run == action->run &&
+            strcmp(run->row.task, action->task) == 0)
+        {
+            set_percent(run, action->percent, now_ms);
+        }
+    }
+    nm_sched_on_throttle(fleet->sim.sched, action, NM_ORDER_DONE, now_ms);
+}
+
 static void
 carry_out_orders(sched_fleet_t *fleet)
 {
@@ -234,6 +271,9 @@
         else if (action.type == NM_ACTION_STOP) {
             carry_out_stop(fleet, &action);
         }
+        else if (action.type == NM_ACTION_THROTTLE) {
+            carry_out_throttle(fleet, &action);
+        }
     }
 }
 
--- a/tests/fakes/lib_sched_fleet.h
+++ b/tests/fakes/lib_sched_fleet.h
@@ -28,14 +28,17 @@
     nm_end_t end;
     bool deadly; /* they crash their worker after crash_ms */
     nm_ms_t crash_ms;
+    int64_t metric; /* that their runs report */
 } sched_fleet_rule_t;
 
 typedef struct {
     nm_worker_run_t row;
     int worker;
     nm_ms_t begin_ms;
-    nm_ms_t end_ms;
+    nm_ms_t end_ms; /* NM_MS_NEVER while it is paused */
     nm_end_t end;
+    uint32_t percent; /* of full speed */
+    nm_ms_t left_ms;  /* at full speed, if it is paused */
 } sched_fleet_run_t;
 
 typedef struct {
--- a/tests/test_sched_idle_jobs.c
+++ b/tests/test_sched_idle_jobs.c
@@ -102,6 +102,92 @@
     crash_sim_finish(&crash);
 }
 
+/*
+ * Fillers of more jobs than may work at full speed at a time; there is memory
+ * for all of them.
+ */
+typedef struct {
+    const char *name;
+    int workers;
+    uint32_t jobs;
+    nm_ms_t duration_ms; /* of a run at full speed */
+    /* Workers with a serving task near its target, where no filler starts. */
+    int without_headroom;
+} turns_case_t;
+
+static const turns_case_t turns_cases[] = {
+    {"/idle-jobs/jobs-that-take-turns/short-runs", 4, 60, 1700, 0},
+    {"/idle-jobs/jobs-that-take-turns/long-runs", 4, 48, 12000, 0},
+    {"/idle-jobs/jobs-that-take-turns/few-workers-with-headroom", 8, 60, 3000,
+     4},
+};
+
+static void
+begin_turns_fleet(sched_fleet_t *fleet, const turns_case_t *turns)
+{
+    sched_fleet_init(fleet, 1);
+    for (int w = 0; w < turns->workers; w++) {
+        sched_fleet_add_worker(fleet, "press");
+    }
+    sched_fleet_begin(fleet);
+    sched_fleet_add_rule(fleet,
+                         (sched_fleet_rule_t){.prefix = "5e12", .metric = 90});
+    sched_fleet_add_rule(
+        fleet, (sched_fleet_rule_t){.prefix = "f1",
+                                    .duration_ms = turns->duration_ms,
+                                    .end = NM_END_DONE,
+                                    .metric = CPU_MILLI / 4});
+    if (turns->without_headroom > 0) {
+        nm_step_t serving = {.task_count = (uint32_t)turns->without_headroom,
+                             .cpu_milli = CPU_MILLI / 2 + 1,
+                             .memory_mb = 1000,
+                             .estimate_ms = 1000,
+                             .long_running = true,
+                             .target_ms = 100,
+                             .per_worker_max = 1,
+                             .image = "serve"};
+        sched_fleet_add_job(fleet, "5e120000000000aa", "batch", serving);
+        sched_fleet_time_to_start(fleet, "5e12", serving.task_count, 9000,
+                                  NULL);
+    }
+}
+
+static void
+test_turns(gconstpointer data)
+{
+    enum { PLAY_MS = 60000 };
+    const turns_case_t *turns = data;
+    sched_fleet_t fleet;
+    begin_turns_fleet(&fleet, turns);
+    char ids[JOBS_MAX][NM_JOB_ID_MAX];
+    nm_ms_t at_work_ms[JOBS_MAX];
+    for (uint32_t j = 0; j < turns->jobs; j++) {
+        g_snprintf(ids[j], sizeof(ids[j]), "f1%014u", j);
+        sched_fleet_add_job(&fleet, ids[j], "batch",
+                            (nm_step_t){.task_count = 200,
+                                        .cpu_milli = CPU_MILLI / 4,
+                                        .memory_mb = 1000,
+                                        .estimate_ms = turns->duration_ms,
+                                        .is_filler = true,
+                                        .image = "fill"});
+        at_work_ms[j] = fleet.sim.now_ms;
+    }
+    nm_ms_t longest_ms = 0;
+    for (nm_ms_t t = 0; t < PLAY_MS; t += SCHED_FLEET_TICK_MS) {
+        sched_fleet_tick(&fleet);
+        for (uint32_t j = 0; j < turns->jobs; j++) {
+            if (sched_fleet_count_running(&fleet, ids[j]) > 0) {
+                at_work_ms[j] = fleet.sim.now_ms;
+            }
+            longest_ms = MAX(longest_ms, fleet.sim.now_ms - at_work_ms[j]);
+        }
+    }
+    g_test_message("%u jobs: idle for %d ms at most, %u runs done",
+                   turns->jobs, (int)longest_ms, fleet.done);
+    g_assert_cmpint(longest_ms, <=, IDLE_MS_MAX);
+    sched_fleet_finish(&fleet);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -111,5 +197,8 @@
         g_test_add_data_func(wait_cases[i].name, &wait_cases[i],
                              test_explained);
     }
+    for (size_t i = 0; i < NM_COUNT_OF(turns_cases); i++) {
+        g_test_add_data_func(turns_cases[i].name, &turns_cases[i], test_turns);
+    }
     return g_test_run();
 }
