Fillers of idle jobs start slowed where none may start at full speed

Cause: a worker took a filler at full speed or not at all. Unused CPU, the headroom of serving tasks and the predicted cost bound how many may work at full speed; all idle jobs shared these places in turns, whatever the order, and with more jobs than places each waited for several seconds. jobs-wait shows it: placement only, no worker short of memory.

Change: a job that has been idle for 2 s, and whose filler no worker takes at full speed, starts one that is slowed to 5% as soon as it has begun. It holds memory, takes no place of another, and disturbs by its share, which the model of interference knows. Its worker brings it to full speed once it has the unused CPU, before others start there. So the places go on to the jobs in turn as before, and none is without a run meanwhile. A slowed run counts as progress; a next owner tells it by its CPU in use.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -334,7 +334,7 @@
     int64_t reserved_cpu_milli; /* requested by tasks other than fillers */
     int64_t serving_cpu_milli;  /* part of it: tasks with a latency target */
     int64_t long_running_cpu_milli; /* part of reserved_cpu_milli */
-    int64_t filler_cpu_milli;       /* requested by fillers at work */
+    int64_t filler_cpu_milli;       /* requested by fillers, at their speed */
     uint32_t short_waiting;         /* tasks in turn that wait for a worker */
     uint32_t fillers_waiting;
     uint32_t long_running_waiting;
@@ -349,6 +349,7 @@
     nm_ms_t oldest_waiting_ms;     /* age of the oldest job with such a task */
     uint32_t serving_over_target;
     uint32_t fillers_paused;
+    uint32_t fillers_slowed;
     uint32_t idle_jobs;
     nm_sched_idle_job_t longest_idle;
     uint32_t jobs_behind;  /* of a size that gets less than its share */
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -247,7 +247,7 @@
                                        entry->logged_capacity.filler_refusals);
     nm_log(NM_LOG_INFO, NM_LOG_ITEM_CAPACITY,
            "{s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:I,s:o,s:i,s:I,"
-           "s:I,s:i,s:i,s:i,s:i,s:o}",
+           "s:I,s:i,s:i,s:i,s:i,s:i,s:o}",
            "workers", (int)capacity.workers, "workers_held",
            (int)capacity.workers_held, "workers_reserved",
            (int)capacity.workers_reserved, "cpu_milli",
@@ -266,7 +266,8 @@
            (json_int_t)capacity.interrupted_cpu_milli, "oldest_waiting_ms",
            (json_int_t)capacity.oldest_waiting_ms, "serving_over_target",
            (int)capacity.serving_over_target, "fillers_paused",
-           (int)capacity.fillers_paused, "jobs_behind",
+           (int)capacity.fillers_paused, "fillers_slowed",
+           (int)capacity.fillers_slowed, "jobs_behind",
            (int)capacity.jobs_behind, "jobs_pending",
            (int)capacity.jobs_pending, "filler_refusals", refusals);
     log_longest_idle(&capacity);
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -60,7 +60,9 @@
             capacity->fillers_paused++;
         }
         else if (step->is_filler) {
-            capacity->filler_cpu_milli += step->cpu_milli;
+            capacity->filler_cpu_milli +=
+                step->cpu_milli * task->wanted_percent / 100;
+            capacity->fillers_slowed += nm_task_is_slowed(task);
         }
     }
 }
--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -165,7 +165,7 @@
         nm_ms_t now_ms)
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
-    return candidate->order_class == NM_CLASS_IDLE &&
+    return candidate->order_class == NM_CLASS_IDLE && !candidate->slowed &&
            !job->spec.steps[candidate->step].is_gang &&
            nm_sched_filler_may_be_tried(sched, now_ms - job->idle_since_ms,
                                         now_ms);
@@ -178,7 +178,13 @@
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
     uint32_t image = job->images[candidate->step];
-    if (!nm_sched_filler_has_capacity(node, step)) {
+    int64_t cpu_milli = step->cpu_milli;
+    if (candidate->slowed) {
+        cpu_milli = cpu_milli * NM_SCHED_SLOWED_PERCENT / 100;
+    }
+    if (candidate->slowed ? !nm_sched_filler_may_be_slowed(node, step)
+                          : !nm_sched_filler_has_capacity(node, step))
+    {
         return NM_EXCLUSION_CAPACITY;
     }
     if (node->serving_count > 0 && !node->has_headroom) {
@@ -187,13 +193,17 @@
     if (nm_sched_filler_canary_limit_reached(sched, node, image, now_ms)) {
         return NM_EXCLUSION_CANARY;
     }
-    double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
+    double cost = nm_sched_filler_cost(sched, node, cpu_milli, image, now_ms);
     if (!nm_sched_filler_cost_is_acceptable(cost) &&
         !may_try(sched, candidate, now_ms))
     {
         return NM_EXCLUSION_COST;
     }
     *score = -cost;
+    if (candidate->slowed) {
+        *score -= (double)node->slowed_cpu_milli /
+                  (double)MAX(node->desc.cpu_milli, 1);
+    }
     return NM_EXCLUSION_NONE;
 }
 
@@ -487,7 +497,9 @@
     if (step->is_filler) {
         uint32_t image = job->images[candidate->step];
         nm_sched_filler_count_canary(sched, node, image, now_ms);
-        nm_sched_filler_count_trial(sched, node, step, image, now_ms);
+        if (!candidate->slowed) {
+            nm_sched_filler_count_trial(sched, node, step, image, now_ms);
+        }
     }
     if (node->hold.occurrence == candidate->occurrence &&
         node->hold.step == candidate->step)
@@ -496,5 +508,6 @@
     }
     release_holds(sched, job, now_ms);
     nm_cold_on_start(node, job, now_ms);
+    task->starts_slowed = candidate->slowed;
     nm_sched_start_task(sched, task, node, run, now_ms);
 }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -6,6 +6,10 @@
  * sched_tails.c predicts.  Reports of workers update the times over target,
  * and nm_sched_check_fillers pauses, evicts and resumes fillers accordingly.
  *
+ * A job that no worker takes a filler of at full speed gets one that is
+ * slowed: it holds memory, but uses and disturbs little, until its worker can
+ * take it whole.  So each job goes on, however many there are.
+ *
  * Load: more fillers than fit beside the serving tasks, with an effect on tail
  * latencies that differs by image and is measured late.  A filler goes where
  * it adds the least risk of missed targets, and nowhere if that costs more
@@ -42,6 +46,8 @@
  */
 #define TRIAL_WAIT_MS 2000
 #define TRIAL_INTERVAL_MS 500
+/* Limit of the CPU that slowed fillers use, as a share of their worker's. */
+#define SLOWED_CPU_SHARE_MAX 0.2
 /* A filler stays paused or resumed for at least this long. */
 #define THROTTLE_HOLD_MIN_MS 800
 /* A filler that is paused for longer is evicted, to run on another worker. */
@@ -73,15 +79,9 @@
 /* A worker has headroom if its tails are below this share of the target. */
 #define HEADROOM_SHARE 0.8
 
-static double
-filler_cpu_share(const nm_sched_node_t *node, const nm_step_t *step)
-{
-    return (double)step->cpu_milli / (double)MAX(node->desc.cpu_milli, 1);
-}
-
 double
 nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
-                     const nm_step_t *step, uint32_t image, nm_ms_t now_ms)
+                     int64_t cpu_milli, uint32_t image, nm_ms_t now_ms)
 {
     if (node->serving_count == 0) {
         return 0;
@@ -89,12 +89,13 @@
     nm_tails_predict(sched, node, now_ms);
     nm_filler_cost_t *known = &node->cost;
     if (known->at_ms != now_ms || known->image != image ||
-        known->cpu_milli != step->cpu_milli)
+        known->cpu_milli != cpu_milli)
     {
-        nm_filler_load_t load = {image, filler_cpu_share(node, step)};
+        nm_filler_load_t load = {
+            image, (double)cpu_milli / (double)MAX(node->desc.cpu_milli, 1)};
         double misses = nm_tails_expected_misses(sched, node, &load);
         double cost = TARGET_MISS_COST * (misses - node->expected_misses);
-        *known = (nm_filler_cost_t){now_ms, image, step->cpu_milli, cost};
+        *known = (nm_filler_cost_t){now_ms, image, cpu_milli, cost};
     }
     return known->cost;
 }
@@ -167,7 +168,8 @@
                             const nm_step_t *step, uint32_t image,
                             nm_ms_t now_ms)
 {
-    double cost = nm_sched_filler_cost(sched, node, step, image, now_ms);
+    double cost =
+        nm_sched_filler_cost(sched, node, step->cpu_milli, image, now_ms);
     if (!nm_sched_filler_cost_is_acceptable(cost)) {
         sched->filler_tried_ms = now_ms;
     }
@@ -179,7 +181,17 @@
     return (double)node->desc.cpu_milli -
            (double)(node->cpu_used_milli - node->serving_cpu_milli) -
            SERVING_LOAD_SHARE * (double)node->serving_cpu_milli -
-           (double)node->filler_cpu_milli;
+           (double)(node->filler_cpu_milli - node->slowed_cpu_milli);
+}
+
+bool
+nm_sched_filler_may_be_slowed(const nm_sched_node_t *node,
+                              const nm_step_t *step)
+{
+    double slowed_cpu_milli =
+        (double)(node->slowed_cpu_milli + step->cpu_milli);
+    return slowed_cpu_milli * NM_SCHED_SLOWED_PERCENT / 100 <=
+           SLOWED_CPU_SHARE_MAX * (double)node->desc.cpu_milli;
 }
 
 bool
@@ -282,7 +294,8 @@
          uint32_t percent, nm_ms_t now_ms)
 {
     nm_task_record_filler_span(task, now_ms);
-    task->wanted_percent = percent;
+    nm_task_set_speed(task, percent);
+    task->progress_ms = now_ms;
     send_throttle(sched, node, task, now_ms);
     task->throttled_ms = now_ms;
     node->interference_valid = false;
@@ -324,11 +337,17 @@
         nm_task_t *task = node->tasks->pdata[i];
         const nm_step_t *step = nm_task_step(task);
         if (!step->is_filler || task->state != NM_RUN_RUNNING ||
-            task->order_pending || retry_throttle(sched, node, task, now_ms) ||
-            now_ms - task->throttled_ms < THROTTLE_HOLD_MIN_MS)
+            task->order_pending || retry_throttle(sched, node, task, now_ms))
         {
             continue;
         }
+        if (task->starts_slowed) {
+            throttle(sched, node, task, NM_SCHED_SLOWED_PERCENT, now_ms);
+            continue;
+        }
+        if (now_ms - task->throttled_ms < THROTTLE_HOLD_MIN_MS) {
+            continue;
+        }
         if (task->wanted_percent == 0) {
             paused = task;
             continue;
@@ -337,7 +356,7 @@
             continue;
         }
         nm_filler_load_t removed = {nm_task_image(task),
-                                    -filler_cpu_share(node, step)};
+                                    -nm_task_filler_share(task)};
         double cost = TARGET_MISS_COST *
                       (node->expected_misses -
                        nm_tails_expected_misses(sched, node, &removed));
@@ -356,7 +375,7 @@
         }
     }
     else if (paused && !over_target && node->has_headroom &&
-             nm_sched_filler_cost(sched, node, nm_task_step(paused),
+             nm_sched_filler_cost(sched, node, nm_task_step(paused)->cpu_milli,
                                   nm_task_image(paused),
                                   now_ms) < RESUME_COST_MAX)
     {
@@ -367,6 +386,52 @@
     }
 }
 
+/* Returns the slowed filler of a worker that began first, or NULL. */
+static nm_task_t *
+find_oldest_slowed(const nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    nm_task_t *oldest = NULL;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        nm_task_t *task = node->tasks->pdata[i];
+        if (nm_task_is_slowed(task) && !task->starts_slowed &&
+            task->state == NM_RUN_RUNNING && !task->order_pending &&
+            task->percent == task->wanted_percent &&
+            now_ms - task->throttled_ms >= THROTTLE_HOLD_MIN_MS &&
+            (!oldest || task->started_ms < oldest->started_ms))
+        {
+            oldest = task;
+        }
+    }
+    return oldest;
+}
+
+void
+nm_sched_resume_slowed(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node->slowed_cpu_milli == 0 || !node->reachable ||
+            now_ms < node->hold.until_ms ||
+            (node->serving_count > 0 && !node->has_headroom))
+        {
+            continue;
+        }
+        nm_task_t *task = find_oldest_slowed(node, now_ms);
+        if (!task) {
+            continue;
+        }
+        const nm_step_t *step = nm_task_step(task);
+        int64_t added_milli =
+            step->cpu_milli * (100 - task->wanted_percent) / 100;
+        if (nm_sched_filler_has_capacity(node, step) &&
+            nm_sched_filler_cost(sched, node, added_milli, nm_task_image(task),
+                                 now_ms) < RESUME_COST_MAX)
+        {
+            throttle(sched, node, task, 100, now_ms);
+        }
+    }
+}
+
 void
 nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms)
 {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -17,6 +17,11 @@
 #define RESERVED_SHARE 0.05
 /* A worker is held if a task is expected to fit on it within this time. */
 #define HELD_MS_MAX 10000
+/*
+ * A filler of a job that has been idle for this long starts slowed, so that
+ * it is at work by the 3 s that the rules allow.
+ */
+#define SLOWED_WAIT_MS 2000
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -488,6 +493,33 @@
     return first;
 }
 
+/*
+ * Starts a filler that no worker takes at full speed as a slowed one, if its
+ * job has been idle for too long.
+ */
+static bool
+start_slowed(nm_sched_t *sched, const nm_candidate_t *candidate,
+             nm_task_t *task, nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    if (!step->is_filler || step->long_running || candidate->takes_credit ||
+        now_ms - job->idle_since_ms < SLOWED_WAIT_MS ||
+        is_unplaced(&round->unplaced_slowed, job, step))
+    {
+        return false;
+    }
+    nm_candidate_t slowed = *candidate;
+    slowed.slowed = true;
+    nm_sched_node_t *node = nm_choice_find_node(sched, &slowed, task, now_ms);
+    if (!node) {
+        record_unplaced(&round->unplaced_slowed, job, step);
+        return false;
+    }
+    nm_choice_start(sched, &slowed, task, node, 0, now_ms);
+    return true;
+}
+
 /*
  * Places one task of a job that has been idle for long, or holds a worker for
  * it.  Returns false if it did not look for a worker.
@@ -499,9 +531,7 @@
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
     if (occurrence->job->attached_count > 0 ||
-        (candidate->takes_credit && sched->idle_start_credit < 1) ||
-        (step->is_filler &&
-         is_unplaced(&round->unplaced_idle, occurrence->job, step)))
+        (candidate->takes_credit && sched->idle_start_credit < 1))
     {
         return false;
     }
@@ -510,13 +540,20 @@
         return true;
     }
     nm_task_t *task = first_startable(sched, candidate, now_ms);
+    if (step->is_filler &&
+        is_unplaced(&round->unplaced_idle, occurrence->job, step))
+    {
+        return start_slowed(sched, candidate, task, round, now_ms);
+    }
     nm_sched_node_t *node =
         nm_choice_find_node(sched, candidate, task, now_ms);
     if (node) {
         nm_choice_start(sched, candidate, task, node, 0, now_ms);
         sched->idle_start_credit -= candidate->takes_credit;
     }
-    else if (!nm_choice_waits_for_trial(sched, candidate, task, false, now_ms))
+    else if (!nm_choice_waits_for_trial(sched, candidate, task, false,
+                                        now_ms) &&
+             !start_slowed(sched, candidate, task, round, now_ms))
     {
         if (step->is_filler) {
             record_unplaced(&round->unplaced_idle, occurrence->job, step);
@@ -584,6 +621,7 @@
         round.starting_max +=
             sched->awaiting_count + count_silent_starts(sched);
     }
+    nm_sched_resume_slowed(sched, now_ms);
     GArray *candidates = nm_order_candidates(sched, &round, now_ms);
     sched->placement_number++;
     sched->idle_jobs = round.idle_jobs;
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -211,7 +211,7 @@
 {
     const nm_step_t *step = nm_task_step(task);
     if (task->state != NM_RUN_RUNNING || step->long_running ||
-        task->wanted_percent == 0)
+        task->wanted_percent < 100)
     {
         return false;
     }
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -26,6 +26,8 @@
 #define LOSS_CALLS_MIN 60
 /* An unanswered start is withdrawn if no complete report has come by then. */
 #define START_REPORT_MAX_MS 6000
+/* A filler whose CPU in use is less than a part of its request in so many. */
+#define SLOWED_METRIC_MAX 4
 /* Weight of the newest sample in the moving average. */
 #define LOSS_EWMA_GAIN 0.5
 
@@ -443,10 +445,17 @@
     task->sent_ms = now_ms;
     task->started_ms = now_ms;
     task->progress_ms = now_ms;
-    /* A filler that uses no CPU may be paused; it is sent a resume. */
-    bool full_speed = !nm_task_step(task)->is_filler || row->metric > 0;
+    /*
+     * A filler that uses no CPU may be paused, and is sent a resume; one that
+     * uses little may be slowed, and is slowed until there is room for it.
+     */
+    const nm_step_t *step = nm_task_step(task);
+    bool full_speed =
+        !step->is_filler || SLOWED_METRIC_MAX * row->metric >= step->cpu_milli;
     task->percent = full_speed ? 100 : NM_SCHED_PERCENT_UNKNOWN;
-    task->wanted_percent = 100;
+    task->wanted_percent =
+        full_speed || row->metric == 0 ? 100 : NM_SCHED_SLOWED_PERCENT;
+    task->starts_slowed = false;
     task->throttled_ms = 0;
     task->order_due_ms = 0;
     task->observed = false;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -44,7 +44,7 @@
 filler_cpu_milli(const nm_sched_node_t *node)
 {
     return nm_sched_filler_unused_cpu_milli(node) +
-           (double)node->filler_cpu_milli;
+           (double)(node->filler_cpu_milli - node->slowed_cpu_milli);
 }
 
 /* True if a task has ended by a time, if it takes as long as expected. */
@@ -124,7 +124,7 @@
     if (!step->is_filler || node->serving_count == 0) {
         return false;
     }
-    double cost = nm_sched_filler_cost(sched, node, step,
+    double cost = nm_sched_filler_cost(sched, node, step->cpu_milli,
                                        job->images[candidate->step], now_ms);
     return !node->has_headroom || !nm_sched_filler_cost_is_acceptable(cost);
 }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -39,6 +39,7 @@
     nm_order_t order;
     double rank;       /* within the order; higher starts first */
     bool takes_credit; /* starts only with credit for idle jobs */
+    bool slowed;       /* NM_CLASS_IDLE: a filler that starts slowed */
 } nm_candidate_t;
 
 /* Requests of a task that found no worker of its service. */
@@ -75,8 +76,9 @@
      * needs at least as much is skipped.
      */
     nm_unplaced_list_t unplaced;
-    nm_unplaced_list_t unplaced_idle; /* fillers of idle jobs */
-    nm_unplaced_list_t without_room;  /* no worker will have room soon */
+    nm_unplaced_list_t unplaced_idle;   /* fillers of idle jobs */
+    nm_unplaced_list_t unplaced_slowed; /* the same that start slowed */
+    nm_unplaced_list_t without_room;    /* no worker will have room soon */
     /* Long-running tasks that no fillers can be stopped for, either. */
     nm_unplaced_list_t unplaced_long_running;
     nm_unplaced_list_t unplaced_overdue; /* the same, of overdue steps */
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -106,6 +106,8 @@
 #define NM_SCHED_ENDED_FILLERS_MAX 16
 /* Speed of a task whose last throttle order may have been carried out. */
 #define NM_SCHED_PERCENT_UNKNOWN UINT32_MAX
+/* Speed of a filler that starts slowed, in percent of full speed. */
+#define NM_SCHED_SLOWED_PERCENT 5
 /*
  * Failed runs remembered per task, the newest ones: ends that a worker lists
  * again after a takeover are counted once.
@@ -212,6 +214,7 @@
     bool withdrawn;       /* STOPPING before its start was confirmed */
     bool is_resumed;      /* its run began from a checkpoint */
     bool run_is_surplus;  /* an earlier run has ended as done: STOPPING */
+    bool starts_slowed;   /* its run is slowed as soon as it has started */
     uint32_t percent;     /* confirmed share of full speed, or
                              NM_SCHED_PERCENT_UNKNOWN */
     uint32_t wanted_percent;
@@ -402,6 +405,8 @@
     nm_ms_t cold_until_ms;     /* it is slow until then */
     nm_ms_t cold_start_due_ms; /* no start before, while it is cold */
     int64_t filler_cpu_milli;
+    /* Part of it: slowed fillers, which use what the others leave. */
+    int64_t slowed_cpu_milli;
     int64_t serving_cpu_milli;   /* of tasks with a latency target */
     uint64_t reserved_placement; /* placement that last reserved it */
     nm_hold_t hold;
@@ -589,6 +594,14 @@
     return task->state == NM_RUN_DONE || task->run_is_surplus;
 }
 
+/* True for a filler that is at work below full speed, or starts so. */
+static inline bool
+nm_task_is_slowed(const nm_task_t *task)
+{
+    return task->starts_slowed ||
+           (task->wanted_percent > 0 && task->wanted_percent < 100);
+}
+
 nm_load_t nm_step_load(const nm_step_t *step);
 /* Adds a load to the sums of a node; sign -1: removes it. */
 void nm_node_add_load(nm_sched_node_t *node, const nm_load_t *load,
@@ -596,6 +609,8 @@
 /* Attaches a task to a node, or detaches it; updates the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
+/* Sets the speed of an attached filler; updates its node's sums. */
+void nm_task_set_speed(nm_task_t *task, uint32_t percent);
 /* CPU that a filler uses, as a share of its worker's. */
 double nm_task_filler_share(const nm_task_t *task);
 /* Time since which a filler has that share. */
@@ -1004,21 +1019,31 @@
 
 /* sched_filler.c */
 void nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms);
+/*
+ * Brings slowed fillers to full speed where their workers have become able to
+ * take them, the oldest one of each first.
+ */
+void nm_sched_resume_slowed(nm_sched_t *sched, nm_ms_t now_ms);
 /*
  * Updates headroom, times over target and the interference model from the
  * tails in a worker's newest report.
  */
 void nm_sched_record_tails(nm_sched_t *sched, nm_sched_node_t *node,
                            nm_ms_t now_ms);
-/* Cost of one more filler on a worker, as a multiple of what it earns. */
+/*
+ * Cost of a filler of so much CPU on a worker, as a multiple of what one
+ * earns.
+ */
 double nm_sched_filler_cost(nm_sched_t *sched, nm_sched_node_t *node,
-                            const nm_step_t *step, uint32_t image,
-                            nm_ms_t now_ms);
+                            int64_t cpu_milli, uint32_t image, nm_ms_t now_ms);
 /* CPU that neither other tasks nor the usual load of serving tasks use. */
 double nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node);
 /* True if a filler finds unused CPU. */
 bool nm_sched_filler_has_capacity(const nm_sched_node_t *node,
                                   const nm_step_t *step);
+/* True if a worker may take one more slowed filler, by its CPU. */
+bool nm_sched_filler_may_be_slowed(const nm_sched_node_t *node,
+                                   const nm_step_t *step);
 bool nm_sched_filler_cost_is_acceptable(double cost);
 /*
  * True if a filler of a job that has been idle for so long may start where its
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -89,6 +89,25 @@
     }
 }
 
+/* Adds a slowed filler to the sums of its node; sign -1: removes it. */
+static void
+add_slowed(const nm_task_t *task, int32_t sign)
+{
+    if (!nm_task_step(task)->is_filler || !nm_task_is_slowed(task)) {
+        return;
+    }
+    task->node->slowed_cpu_milli += sign * nm_task_step(task)->cpu_milli;
+}
+
+void
+nm_task_set_speed(nm_task_t *task, uint32_t percent)
+{
+    add_slowed(task, -1);
+    task->starts_slowed = false;
+    task->wanted_percent = percent;
+    add_slowed(task, 1);
+}
+
 void
 nm_task_attach(nm_task_t *task, nm_sched_node_t *node)
 {
@@ -99,6 +118,7 @@
     task->occurrence->job->attached_count++;
     g_ptr_array_add(node->tasks, task);
     nm_node_add_load(node, &load, 1);
+    add_slowed(task, 1);
 }
 
 void
@@ -112,6 +132,7 @@
     task->occurrence->job->attached_count--;
     g_ptr_array_remove_fast(node->tasks, task);
     nm_node_add_load(node, &load, -1);
+    add_slowed(task, -1);
     task->node = NULL;
 }
 
@@ -285,6 +306,7 @@
     task->tries = 0;
     task->percent = 100;
     task->wanted_percent = 100;
+    task->starts_slowed = false;
     task->over_since_ms = 0;
     task->throttled_ms = 0;
     task->metric = 0;
--- a/src/sched_wait.c
+++ b/src/sched_wait.c
@@ -72,10 +72,13 @@
         }
         nm_wait_cause_t cause = find_cause(sched, task, now_ms);
         if (!waiting->task || cause == NM_WAIT_PLACEMENT) {
+            const nm_step_t *desc = nm_task_step(task);
             *waiting =
                 (waiting_task_t){.candidate = {.occurrence = occurrence,
                                                .step = step,
-                                               .order_class = NM_CLASS_IDLE},
+                                               .order_class = NM_CLASS_IDLE,
+                                               .slowed = desc->is_filler &&
+                                                         !desc->long_running},
                                  .task = task,
                                  .cause = cause};
         }
--- a/tests/test_sched_idle_jobs.c
+++ b/tests/test_sched_idle_jobs.c
@@ -188,6 +188,48 @@
     sched_fleet_finish(&fleet);
 }
 
+/* A filler that a former owner has slowed or paused, or left at full speed. */
+typedef struct {
+    const char *name;
+    int64_t metric;          /* CPU that its worker reports, of 4000 */
+    uint32_t wanted_percent; /* 0: it is sent no order */
+} adopted_case_t;
+
+static const adopted_case_t adopted_cases[] = {
+    {"/idle-jobs/adopted-filler/full-speed", 3500, 0},
+    {"/idle-jobs/adopted-filler/slowed", 200, 5},
+    {"/idle-jobs/adopted-filler/paused", 0, 100},
+};
+
+static void
+test_adopted(gconstpointer data)
+{
+    const adopted_case_t *adopted = data;
+    sched_sim_t sim;
+    sched_sim_init(&sim, 2);
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, JOB, "batch", "press");
+    *nm_job_spec_add_step(&spec) = (nm_step_t){.task_count = 1,
+                                               .cpu_milli = 4000,
+                                               .memory_mb = 1000,
+                                               .estimate_ms = 60000,
+                                               .is_filler = true,
+                                               .image = "fill"};
+    g_assert_cmpint(nm_sched_add_job(sim.sched, &spec, true, sim.now_ms), ==,
+                    NM_OK);
+    nm_job_spec_finish(&spec);
+    sched_sim_announce(&sim, "a", 1);
+    sched_sim_advance(&sim, 10);
+    nm_worker_run_t run = sched_sim_make_run(TASK, 7);
+    run.metric = adopted->metric;
+    sched_sim_report(&sim, "a", 1, &run, 1, NULL, 0);
+    sched_sim_advance(&sim, 200);
+    const nm_sched_action_t *order =
+        sched_sim_find_action(&sim, NM_ACTION_THROTTLE, "a");
+    g_assert_cmpuint(order ? order->percent : 0, ==, adopted->wanted_percent);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -197,6 +239,10 @@
         g_test_add_data_func(wait_cases[i].name, &wait_cases[i],
                              test_explained);
     }
+    for (size_t i = 0; i < NM_COUNT_OF(adopted_cases); i++) {
+        g_test_add_data_func(adopted_cases[i].name, &adopted_cases[i],
+                             test_adopted);
+    }
     for (size_t i = 0; i < NM_COUNT_OF(turns_cases); i++) {
         g_test_add_data_func(turns_cases[i].name, &turns_cases[i], test_turns);
     }
