A report that overtakes the response to a start leaves no order pending

Cause: a report that lists a new run sets its task running before the response to the start has come. The response then no longer applied to the task, so that its order stayed pending for the whole run; what is pending is not acted on. With thousands of starts a second, polls that end at the time of a start do that.

Test: /sched/report-overtakes-responses-to-starts fails before, with and without a response.

--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -250,6 +250,11 @@
     nm_task_t *task = nm_sched_find_task(sched, start->task);
     if (task) {
         task->starts_in_flight -= task->starts_in_flight > 0;
+        if (task->state == NM_RUN_RUNNING && task->run == start->run &&
+            task->starts_in_flight == 0)
+        {
+            task->order_pending = false; /* a report came before */
+        }
         sched->needs_placement =
             sched->needs_placement || task->state == NM_RUN_WAITING;
     }
--- a/tests/test_sched_filler.c
+++ b/tests/test_sched_filler.c
@@ -136,6 +136,49 @@
     sched_sim_finish(&sim);
 }
 
+/*
+ * A report that lists the new runs overtakes the responses to their starts.
+ * The filler must be evicted in time like any other.
+ */
+static void
+test_report_overtakes_responses(void)
+{
+    static const nm_order_result_t results[] = {NM_ORDER_DONE,
+                                                NM_ORDER_UNKNOWN};
+    for (size_t r = 0; r < NM_COUNT_OF(results); r++) {
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_add_worker(&sim, "a");
+        add_colocated(&sim, JOB, true, false);
+        add_colocated(&sim, FILLER_JOB, false, false);
+        sched_sim_advance(&sim, 30);
+        GArray *orders = g_array_copy(sim.actions);
+        nm_worker_run_t rows[] = {sched_sim_make_run(TASK, 1),
+                                  sched_sim_make_run(FILLER_TASK, 1)};
+        rows[0].metric = 22;
+        sim.now_ms += 30;
+        sched_sim_report(&sim, "a", 1, rows, 2, NULL, 0);
+        for (guint i = 0; i < orders->len; i++) {
+            const nm_sched_action_t *order =
+                &g_array_index(orders, nm_sched_action_t, i);
+            if (order->type == NM_ACTION_START) {
+                nm_sched_on_start(sim.sched, order, results[r], sim.now_ms);
+            }
+        }
+        nm_ms_t begin_ms = sim.now_ms;
+        while (!sched_sim_find_action(&sim, NM_ACTION_STOP, "a") &&
+               sim.now_ms - begin_ms < 3000)
+        {
+            sim.now_ms += 250;
+            sched_sim_report(&sim, "a", 1, rows, 2, NULL, 0);
+            sched_sim_advance(&sim, 250);
+        }
+        g_assert_nonnull(sched_sim_find_action(&sim, NM_ACTION_STOP, "a"));
+        g_array_free(orders, TRUE);
+        sched_sim_finish(&sim);
+    }
+}
+
 /* Sets up a successor of the owner; worker "a" reports what it runs. */
 static void
 take_over(sched_sim_t *sim, const nm_worker_run_t *rows, uint32_t count)
@@ -473,6 +516,8 @@
         {"/sched/unknown-image-has-few-canaries",
          test_unknown_image_has_few_canaries},
         {"/sched/noisy-tail-evicts-fillers", test_noisy_tail_evicts_fillers},
+        {"/sched/report-overtakes-responses-to-starts",
+         test_report_overtakes_responses},
         {"/sched/inherited-fillers-continue", test_inherited_fillers_continue},
         {"/sched/tail-over-target-while-unobserved",
          test_tail_over_target_while_unobserved},
