--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -342,7 +342,7 @@
             continue;
         }
         if (task->starts_slowed) {
-            throttle(sched, node, task, NM_SCHED_SLOWED_PERCENT, now_ms);
+            nm_sched_slow_started(sched, task, now_ms);
             continue;
         }
         if (now_ms - task->throttled_ms < THROTTLE_HOLD_MIN_MS) {
@@ -386,6 +386,14 @@
     }
 }
 
+void
+nm_sched_slow_started(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->starts_slowed && !task->order_pending) {
+        throttle(sched, task->node, task, NM_SCHED_SLOWED_PERCENT, now_ms);
+    }
+}
+
 /* Returns the slowed filler of a worker that began first, or NULL. */
 static nm_task_t *
 find_oldest_slowed(const nm_sched_node_t *node, nm_ms_t now_ms)
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -345,6 +345,7 @@
     switch (result) {
     case NM_ORDER_DONE:
         nm_task_set_started(sched, task, now_ms);
+        nm_sched_slow_started(sched, task, now_ms);
         nm_count(NM_COUNTER_STARTS, 1);
         break;
     case NM_ORDER_NOT_RUN:
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -1019,6 +1019,8 @@
 
 /* sched_filler.c */
 void nm_sched_check_fillers(nm_sched_t *sched, nm_ms_t now_ms);
+/* To be called when a run's start is confirmed: slows it if it is to be. */
+void nm_sched_slow_started(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms);
 /*
  * Brings slowed fillers to full speed where their workers have become able to
  * take them, the oldest one of each first.
