A job whose runs are paused, stopping or on silent workers is idle

Callers saw a job without a run at work although other tasks of it could start: one whose only run was on a worker that had fallen silent waited for the lease, 7 s and more; one whose fillers were paused beside a serving task for 4 s.

Cause: a job counted as at work while it had a task attached to a worker.

Change: only tasks count that start or run, above speed 0, on a worker that responds. Where the job has another task in turn, that one starts; the silent run itself is not started again before its lease has lapsed.

--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -34,7 +34,7 @@
  */
 #define LONG_RUNNING_WAIT_MS 3000
 /*
- * An idle job has work in turn and no task on a worker.  While tasks other
+ * An idle job has work in turn and no task at work.  While tasks other
  * than fillers hold at most this share of a service's capacity, one task of a
  * job that has been idle for IDLE_WAIT_MS goes first; otherwise after
  * IDLE_WAIT_RESERVED_MS, and only one start in ten.  The rules allow 3 s below
@@ -210,14 +210,14 @@
 }
 
 /*
- * Records since when a job has work in turn, but no task on a worker.  A start
+ * Records since when a job has work in turn, but no task at work.  A start
  * that is refused does not end that time.
  */
 static void
 update_idle(nm_round_t *round, nm_sched_job_t *job, bool has_candidate,
             nm_ms_t now_ms)
 {
-    if (job->attached_count > 0) {
+    if (job->working_count > 0) {
         return; /* a start may still be refused */
     }
     if (!has_candidate) {
@@ -282,7 +282,7 @@
                       const nm_sched_job_t *job, nm_ms_t now_ms,
                       bool *takes_credit)
 {
-    if (job->attached_count > 0 || job->idle_since_ms == 0 ||
+    if (job->working_count > 0 || job->idle_since_ms == 0 ||
         now_ms - job->idle_since_ms < IDLE_WAIT_MS)
     {
         return false;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -530,7 +530,7 @@
 {
     nm_occurrence_t *occurrence = candidate->occurrence;
     const nm_step_t *step = &occurrence->job->spec.steps[candidate->step];
-    if (occurrence->job->attached_count > 0 ||
+    if (occurrence->job->working_count > 0 ||
         (candidate->takes_credit && sched->idle_start_credit < 1))
     {
         return false;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -698,7 +698,7 @@
         nm_lease_on_former_order(node, now_ms);
     }
     node->reported_ms = report->sent_ms;
-    node->reachable = true;
+    nm_node_set_reachable(node, true);
     node->poll_failures = 0;
     node->epoch_confirmed = node->epoch_confirmed || !report->ends_only;
     node->inherited = node->inherited && !report->complete;
@@ -760,8 +760,8 @@
         uint32_t failures_max = sched->lossy ? NM_SCHED_POLL_FAILURES_MAX_LOSSY
                                              : NM_SCHED_POLL_FAILURES_MAX;
         bool was_reachable = node->reachable;
-        node->reachable = node->reachable && node->epoch_confirmed &&
-                          node->poll_failures < failures_max;
+        nm_node_set_reachable(node, was_reachable && node->epoch_confirmed &&
+                                        node->poll_failures < failures_max);
         if (was_reachable && !node->reachable) {
             nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_UNRESPONSIVE,
                                worker, node->poll_failures);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -283,12 +283,14 @@
     nm_ms_t admitted_ms;
     bool takes_share;        /* its size was behind when it could start */
     uint32_t attached_count; /* tasks on workers */
-    nm_ms_t idle_since_ms;   /* a task waits in turn, none has run; 0: runs */
-    nm_ms_t held_until_ms;   /* workers may be held for it until then */
-    nm_ms_t evicting_until_ms;  /* the same where fillers are evicted for it */
-    nm_ms_t ahead_until_ms;     /* workers may be reserved for it */
-    nm_ms_t ahead_searched_ms;  /* it last looked for workers to reserve */
-    uint64_t change_seq;        /* newest change to store */
+    /* Part of it: they work or start, as far as is known. */
+    uint32_t working_count;
+    nm_ms_t idle_since_ms;     /* a task waits in turn, none works; 0: works */
+    nm_ms_t held_until_ms;     /* workers may be held for it until then */
+    nm_ms_t evicting_until_ms; /* the same where fillers are evicted for it */
+    nm_ms_t ahead_until_ms;    /* workers may be reserved for it */
+    nm_ms_t ahead_searched_ms; /* it last looked for workers to reserve */
+    uint64_t change_seq;       /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
@@ -609,6 +611,8 @@
 /* Attaches a task to a node, or detaches it; updates the node's sums. */
 void nm_task_attach(nm_task_t *task, nm_sched_node_t *node);
 void nm_task_detach(nm_task_t *task);
+/* Sets whether a worker responds; its tasks work only if it does. */
+void nm_node_set_reachable(nm_sched_node_t *node, bool reachable);
 /* Sets the speed of an attached filler; updates its node's sums. */
 void nm_task_set_speed(nm_task_t *task, uint32_t percent);
 /* CPU that a filler uses, as a share of its worker's. */
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -89,6 +89,38 @@
     }
 }
 
+/*
+ * Counts a task for its job if it works or starts; sign -1: no longer.  One
+ * that is paused or being stopped, or on a worker that is silent, does not
+ * keep the job from being idle.
+ */
+static void
+count_working(const nm_task_t *task, int32_t sign)
+{
+    nm_sched_job_t *job = task->occurrence->job;
+    if (!task->node || !task->node->reachable || task->wanted_percent == 0 ||
+        task->state == NM_RUN_STOPPING)
+    {
+        return;
+    }
+    job->working_count += (uint32_t)sign;
+    if (sign > 0 && task->state == NM_RUN_RUNNING) {
+        job->idle_since_ms = 0;
+    }
+}
+
+void
+nm_node_set_reachable(nm_sched_node_t *node, bool reachable)
+{
+    for (guint i = 0; i < node->tasks->len; i++) {
+        count_working(node->tasks->pdata[i], -1);
+    }
+    node->reachable = reachable;
+    for (guint i = 0; i < node->tasks->len; i++) {
+        count_working(node->tasks->pdata[i], 1);
+    }
+}
+
 /* Adds a slowed filler to the sums of its node; sign -1: removes it. */
 static void
 add_slowed(const nm_task_t *task, int32_t sign)
@@ -103,9 +135,11 @@
 nm_task_set_speed(nm_task_t *task, uint32_t percent)
 {
     add_slowed(task, -1);
+    count_working(task, -1);
     task->starts_slowed = false;
     task->wanted_percent = percent;
     add_slowed(task, 1);
+    count_working(task, 1);
 }
 
 void
@@ -119,6 +153,7 @@
     g_ptr_array_add(node->tasks, task);
     nm_node_add_load(node, &load, 1);
     add_slowed(task, 1);
+    count_working(task, 1);
 }
 
 void
@@ -129,6 +164,7 @@
         return;
     }
     nm_load_t load = nm_step_load(nm_task_step(task));
+    count_working(task, -1);
     task->occurrence->job->attached_count--;
     g_ptr_array_remove_fast(node->tasks, task);
     nm_node_add_load(node, &load, -1);
@@ -269,9 +305,10 @@
     sched->starting_count += state == NM_RUN_STARTING;
     sched->awaiting_count -= task->awaits_report;
     task->awaits_report = false;
+    count_working(task, -1);
     task->state = state;
+    count_working(task, 1);
     if (state == NM_RUN_RUNNING) {
-        task->occurrence->job->idle_since_ms = 0;
         end_wait_if_all_run(task);
     }
 }
--- a/src/sched_wait.c
+++ b/src/sched_wait.c
@@ -140,7 +140,7 @@
     for (guint i = 0; i < sched->active->len; i++) {
         const nm_sched_job_t *job = sched->active->pdata[i];
         nm_ms_t idle_ms = now_ms - job->idle_since_ms;
-        if (job->state >= NM_JOB_COMPLETED || job->attached_count > 0 ||
+        if (job->state >= NM_JOB_COMPLETED || job->working_count > 0 ||
             job->idle_since_ms == 0 || idle_ms < idle_min_ms)
         {
             continue;
--- a/tests/test_sched_idle_jobs.c
+++ b/tests/test_sched_idle_jobs.c
@@ -113,13 +113,17 @@
     nm_ms_t duration_ms; /* of a run at full speed */
     /* Workers with a serving task near its target, where no filler starts. */
     int without_headroom;
+    /* A serving task is over its target from then on; 0: none. */
+    nm_ms_t over_target_ms;
 } turns_case_t;
 
 static const turns_case_t turns_cases[] = {
-    {"/idle-jobs/jobs-that-take-turns/short-runs", 4, 60, 1700, 0},
-    {"/idle-jobs/jobs-that-take-turns/long-runs", 4, 48, 12000, 0},
+    {"/idle-jobs/jobs-that-take-turns/short-runs", 4, 60, 1700, 0, 0},
+    {"/idle-jobs/jobs-that-take-turns/long-runs", 4, 48, 12000, 0, 0},
     {"/idle-jobs/jobs-that-take-turns/few-workers-with-headroom", 8, 60, 3000,
-     4},
+     4, 0},
+    {"/idle-jobs/jobs-that-take-turns/paused-beside-serving-task", 4, 16,
+     60000, 1, 20000},
 };
 
 static void
@@ -130,8 +134,10 @@
         sched_fleet_add_worker(fleet, "press");
     }
     sched_fleet_begin(fleet);
-    sched_fleet_add_rule(fleet,
-                         (sched_fleet_rule_t){.prefix = "5e12", .metric = 90});
+    sched_fleet_add_rule(
+        fleet,
+        (sched_fleet_rule_t){.prefix = "5e12",
+                             .metric = turns->over_target_ms > 0 ? 50 : 90});
     sched_fleet_add_rule(
         fleet, (sched_fleet_rule_t){.prefix = "f1",
                                     .duration_ms = turns->duration_ms,
@@ -152,6 +158,36 @@
     }
 }
 
+/* True if a run of a job is at work, or may be: it is not paused. */
+static bool
+is_at_work(const sched_fleet_t *fleet, const char *job)
+{
+    for (guint i = 0; i < fleet->runs->len; i++) {
+        const sched_fleet_run_t *run =
+            &g_array_index(fleet->runs, sched_fleet_run_t, i);
+        if (run->percent > 0 && g_str_has_prefix(run->row.task, job)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Lets the tail of the serving task rise once it is time for it. */
+static void
+disturb_fleet(sched_fleet_t *fleet, const turns_case_t *turns, nm_ms_t time_ms)
+{
+    for (guint i = 0; time_ms == turns->over_target_ms && time_ms > 0 &&
+                      i < fleet->runs->len;
+         i++)
+    {
+        sched_fleet_run_t *run =
+            &g_array_index(fleet->runs, sched_fleet_run_t, i);
+        if (g_str_has_prefix(run->row.task, "5e12")) {
+            run->row.metric = 150;
+        }
+    }
+}
+
 static void
 test_turns(gconstpointer data)
 {
@@ -174,9 +210,10 @@
     }
     nm_ms_t longest_ms = 0;
     for (nm_ms_t t = 0; t < PLAY_MS; t += SCHED_FLEET_TICK_MS) {
+        disturb_fleet(&fleet, turns, t);
         sched_fleet_tick(&fleet);
         for (uint32_t j = 0; j < turns->jobs; j++) {
-            if (sched_fleet_count_running(&fleet, ids[j]) > 0) {
+            if (is_at_work(&fleet, ids[j])) {
                 at_work_ms[j] = fleet.sim.now_ms;
             }
             longest_ms = MAX(longest_ms, fleet.sim.now_ms - at_work_ms[j]);
@@ -230,6 +267,58 @@
     sched_sim_finish(&sim);
 }
 
+/* Adds a job of fillers, each as large as a worker, and starts what fits. */
+static void
+add_large_fillers(sched_sim_t *sim, const char *id, uint32_t tasks)
+{
+    nm_job_spec_t spec;
+    nm_job_spec_init(&spec, id, "batch", "press");
+    *nm_job_spec_add_step(&spec) = (nm_step_t){.task_count = tasks,
+                                               .cpu_milli = CPU_MILLI,
+                                               .memory_mb = 1000,
+                                               .estimate_ms = 60000,
+                                               .is_filler = true,
+                                               .image = "fill"};
+    nm_sched_add_job(sim->sched, &spec, false, sim->now_ms);
+    nm_job_spec_finish(&spec);
+    sched_sim_advance(sim, 30);
+}
+
+/*
+ * The only run of a job is on a worker that falls silent; its lease lapses
+ * after 7 s.  Another task of the job starts on the other worker.
+ */
+static void
+test_silent_worker(void)
+{
+    sched_sim_t sim;
+    sched_sim_init(&sim, 1);
+    sched_sim_add_worker(&sim, "a");
+    sched_sim_add_worker(&sim, "b");
+    add_large_fillers(&sim, "1111111111111111", 1);
+    nm_sched_action_t other = sched_sim_confirm_starts(&sim);
+    add_large_fillers(&sim, JOB, 2);
+    nm_sched_action_t run = sched_sim_confirm_starts(&sim);
+    g_assert_cmpstr(run.worker, !=, other.worker);
+    nm_worker_run_t row = sched_sim_make_run(other.task, other.run);
+    row.metric = CPU_MILLI;
+    nm_ms_t silent_ms = sim.now_ms;
+    nm_ms_t started_ms = 0;
+    while (started_ms == 0 && sim.now_ms - silent_ms < 20000) {
+        sched_sim_advance(&sim, 100);
+        sched_sim_lose_poll(&sim, run.worker);
+        sched_sim_report(&sim, other.worker, 1, &row, 1, NULL, 0);
+        const nm_sched_action_t *start =
+            sched_sim_find_action(&sim, NM_ACTION_START, other.worker);
+        started_ms = start ? sim.now_ms : 0;
+    }
+    g_test_message("started %d ms after the last sign of the worker",
+                   (int)(started_ms - silent_ms));
+    g_assert_cmpint(started_ms, >, 0);
+    g_assert_cmpint(started_ms - silent_ms, <=, IDLE_MS_MAX);
+    sched_sim_finish(&sim);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -243,6 +332,8 @@
         g_test_add_data_func(adopted_cases[i].name, &adopted_cases[i],
                              test_adopted);
     }
+    g_test_add_func("/idle-jobs/only-run-on-a-silent-worker",
+                    test_silent_worker);
     for (size_t i = 0; i < NM_COUNT_OF(turns_cases); i++) {
         g_test_add_data_func(turns_cases[i].name, &turns_cases[i], test_turns);
     }
