Jobs that take turns are at work without gaps

Who looks once a second sees no run for 3 s.

Change: a job that has been idle for 2 s, or twice for 1 s, no longer waits before a filler of it starts slowed; it is considered last in each round, so that what may start at full speed goes first. A filler that is evicted for a serving task ends that, or it would go on to disturb the next worker (/sched/disturbing-filler-is-tried-again).

--- a/src/sched.c
+++ b/src/sched.c
@@ -298,6 +298,7 @@
             &sched->interference, job->spec.steps[s].image);
         job->long_running =
             job->long_running || job->spec.steps[s].long_running;
+        job->has_fillers = job->has_fillers || job->spec.steps[s].is_filler;
     }
     job->core_ms_total =
         nm_job_spec_core_ms(&job->spec) * job->occurrence_count;
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -272,6 +272,9 @@
       nm_ms_t now_ms)
 {
     task->avoided_node = node;
+    /* It would go on to disturb the next worker. */
+    task->occurrence->job->has_waited = false;
+    task->occurrence->job->waits = 0;
     nm_count_reason(NM_REASON_EVICT_LATENCY);
     nm_sched_stop_task(sched, task, now_ms);
 }
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -48,6 +48,13 @@
  * is behind, too, so that it is at work by the 3 s of the rules.
  */
 #define LONG_IDLE_MS 2000
+/*
+ * A filler of a job that has been idle for this long starts slowed, so that
+ * it is at work by the 3 s of the rules; from then on at once.
+ */
+#define SLOWED_WAIT_MS 2000
+/* The same from this number of waits of IDLE_WAIT_MS on. */
+#define SLOWED_WAITS_MIN 2
 /* A job later than this multiple of its objective earns nothing (rules). */
 #define LATE_LIMIT_FACTOR 3
 /*
@@ -227,6 +234,14 @@
     if (job->idle_since_ms == 0) {
         job->idle_since_ms = now_ms;
     }
+    nm_ms_t idle_ms = now_ms - job->idle_since_ms;
+    if (idle_ms >= IDLE_WAIT_MS && job->wait_counted_ms != job->idle_since_ms)
+    {
+        job->wait_counted_ms = job->idle_since_ms;
+        job->waits++;
+    }
+    job->has_waited = job->has_waited || job->waits >= SLOWED_WAITS_MIN ||
+                      idle_ms >= SLOWED_WAIT_MS;
     round->idle_jobs++;
     if (!round->longest_idle ||
         job->idle_since_ms < round->longest_idle->idle_since_ms)
@@ -294,6 +309,38 @@
     return !*takes_credit || idle_ms >= IDLE_WAIT_RESERVED_MS;
 }
 
+/*
+ * Lets a filler of a job that waits again start slowed if the job starts
+ * nothing in this round, so that it is at work without gaps.
+ */
+static void
+add_slowed_candidates(const nm_sched_t *sched, nm_round_t *round,
+                      const nm_sched_job_t *job, guint first,
+                      GArray *candidates, nm_ms_t now_ms)
+{
+    if (!job->has_waited || job->working_count > 0 || !job->has_fillers ||
+        !nm_order_service(sched, round, nm_job_service(job), now_ms)
+             ->mostly_unreserved)
+    {
+        return;
+    }
+    guint end = candidates->len;
+    for (guint i = first; i < end; i++) {
+        nm_candidate_t candidate =
+            g_array_index(candidates, nm_candidate_t, i);
+        const nm_step_t *step = &job->spec.steps[candidate.step];
+        if (candidate.order_class == NM_CLASS_ORDINARY && step->is_filler &&
+            !step->long_running && !step->is_gang)
+        {
+            candidate.order_class = NM_CLASS_IDLE;
+            candidate.order = NM_ORDER_SLOWED;
+            candidate.rank = (double)(now_ms - job->idle_since_ms);
+            candidate.slowed = true;
+            g_array_append_val(candidates, candidate);
+        }
+    }
+}
+
 /*
  * Lets one task of an idle job go before the ordinary order.  Its candidates
  * of the ordinary order are those from the first on.
@@ -305,6 +352,7 @@
 {
     bool takes_credit = false;
     if (!is_due_for_being_idle(sched, round, job, now_ms, &takes_credit)) {
+        add_slowed_candidates(sched, round, job, first, candidates, now_ms);
         return;
     }
     guint end = candidates->len;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -17,11 +17,6 @@
 #define RESERVED_SHARE 0.05
 /* A worker is held if a task is expected to fit on it within this time. */
 #define HELD_MS_MAX 10000
-/*
- * A filler of a job that has been idle for this long starts slowed, so that
- * it is at work by the 3 s that the rules allow.
- */
-#define SLOWED_WAIT_MS 2000
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -493,10 +488,7 @@
     return first;
 }
 
-/*
- * Starts a filler that no worker takes at full speed as a slowed one, if its
- * job has been idle for too long.
- */
+/* Starts a filler of an idle job that no worker takes at full speed. */
 static bool
 start_slowed(nm_sched_t *sched, const nm_candidate_t *candidate,
              nm_task_t *task, nm_round_t *round, nm_ms_t now_ms)
@@ -504,8 +496,7 @@
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
     if (!step->is_filler || step->long_running || candidate->takes_credit ||
-        now_ms - job->idle_since_ms < SLOWED_WAIT_MS ||
-        is_unplaced(&round->unplaced_slowed, job, step))
+        !job->has_waited || is_unplaced(&round->unplaced_slowed, job, step))
     {
         return false;
     }
@@ -540,8 +531,9 @@
         return true;
     }
     nm_task_t *task = first_startable(sched, candidate, now_ms);
-    if (step->is_filler &&
-        is_unplaced(&round->unplaced_idle, occurrence->job, step))
+    if (candidate->slowed ||
+        (step->is_filler &&
+         is_unplaced(&round->unplaced_idle, occurrence->job, step)))
     {
         return start_slowed(sched, candidate, task, round, now_ms);
     }
--- a/src/sched_round.h
+++ b/src/sched_round.h
@@ -23,6 +23,7 @@
 
 /* Order in which candidates are considered, the last ones first. */
 typedef enum {
+    NM_ORDER_SLOWED, /* fillers that start slowed, if the job has no other */
     NM_ORDER_CREDIT,
     NM_ORDER_ADMITTED,   /* started jobs that can still be in time */
     NM_ORDER_IDLE,       /* NM_CLASS_IDLE */
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -279,18 +279,23 @@
     bool cancel_stored; /* the store has a cancel key for it */
     bool active;        /* in sched.active */
     bool long_running;
+    bool has_fillers;
     bool admitted; /* started in its turn, not only for being idle */
     nm_ms_t admitted_ms;
     bool takes_share;        /* its size was behind when it could start */
     uint32_t attached_count; /* tasks on workers */
     /* Part of it: they work or start, as far as is known. */
     uint32_t working_count;
-    nm_ms_t idle_since_ms;     /* a task waits in turn, none works; 0: works */
-    nm_ms_t held_until_ms;     /* workers may be held for it until then */
-    nm_ms_t evicting_until_ms; /* the same where fillers are evicted for it */
-    nm_ms_t ahead_until_ms;    /* workers may be reserved for it */
-    nm_ms_t ahead_searched_ms; /* it last looked for workers to reserve */
-    uint64_t change_seq;       /* newest change to store */
+    nm_ms_t idle_since_ms; /* a task waits in turn, none works; 0: works */
+    /* It takes turns with others: a filler of it starts slowed meanwhile. */
+    bool has_waited;
+    uint32_t waits;             /* times idle for IDLE_WAIT_MS or longer */
+    nm_ms_t wait_counted_ms;    /* idle_since_ms of the newest of them */
+    nm_ms_t held_until_ms;      /* workers may be held for it until then */
+    nm_ms_t evicting_until_ms;  /* the same where fillers are evicted for it */
+    nm_ms_t ahead_until_ms;     /* workers may be reserved for it */
+    nm_ms_t ahead_searched_ms;  /* it last looked for workers to reserve */
+    uint64_t change_seq;        /* newest change to store */
     uint64_t first_unsaved_seq; /* oldest change not stored */
     uint64_t saved_seq;         /* newest change stored */
     bool saving;
