Reports leave out ends that the owner has processed

Cause: a worker lists an end in each report until it may drop it, that is until the change is stored, which took 5 s and more with 24 jobs a commit. With the watch of the workers' entries (40 to 130 KB/s) the link was full inbound: all responses took 0.4 to 0.8 s, and the bound of starts fell to 20 to 80 for a delay that starts did not cause. The slower the commits, the longer the lists.

Change: a poll names the newest end that the owner has processed of this incarnation; the carrier leaves out ends up to it. The list is full if more ends may follow than it has, or if the incarnation is another. The owner ignores the ends of a report that lacks some it does not know, as of a worker that was forgotten, and polls again. Older hosts send and read full lists.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -116,6 +116,7 @@
     int64_t run;
     int64_t expiry_ms;      /* on the worker's clock */
     int64_t acked;          /* POLL: the worker may drop ends up to it */
+    int64_t ends_known;     /* POLL: newest end processed of incarnation */
     nm_ms_t wait_ms;        /* POLL: how long the worker waits for an end */
     nm_ms_t timeout_ms;     /* of the response, after wait_ms; 0: default */
     nm_ms_t valid_ms;       /* START: not sent after this time; 0: no limit */
@@ -186,6 +187,8 @@
     nm_ms_t sent_ms; /* when the poll was sent, on the owner's clock */
     bool complete;   /* no end or run was left out */
     bool ends_only;  /* what runs is not known */
+    /* Ends up to this number may be left out, also from a complete report. */
+    int64_t ends_known;
     const nm_worker_run_t *running;
     uint32_t running_count;
     const nm_worker_end_t *ends;
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -1064,7 +1064,7 @@
   (ProtobufCMessageInit) nm_pb__silent_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[17] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[18] =
 {
   {
     "number",
@@ -1270,12 +1270,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ends_known",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, ends_known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
   3,   /* field[3] = address */
   14,   /* field[14] = base_number */
   11,   /* field[11] = checkpoint */
+  17,   /* field[17] = ends_known */
   7,   /* field[7] = expiry_ms */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = number */
@@ -1293,7 +1306,7 @@
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -1303,7 +1316,7 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  17,
+  18,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -341,10 +341,14 @@
    * in EntryAsk.starts: position in payloads
    */
   uint32_t payload_index;
+  /*
+   * Poll: the owner has processed ends of `incarnation` up to this number.
+   */
+  int64_t ends_known;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -396,7 +400,7 @@
   size_t n_running;
   NmPb__WorkerRun **running;
   /*
-   * always in full, never as differences
+   * Those that the owner has not processed, see Order.ends_known.
    */
   size_t n_ends;
   NmPb__WorkerEnd **ends;
--- a/src/order_carrier.c
+++ b/src/order_carrier.c
@@ -19,7 +19,7 @@
     nm_order_carrier_t *carrier;
     GBytes *route;
     uint64_t number;
-    uint64_t base_number; /* of a poll: the newest report that the owner has */
+    nm_report_base_t base; /* of a poll */
 } order_t;
 
 static void
@@ -84,7 +84,7 @@
     message->report =
         report && result == NM_ORDER_DONE
             ? nm_report_encode(&order->carrier->encoder, action->worker,
-                               report, order->base_number,
+                               report, &order->base,
                                order->carrier->flush_called_ms)
             : NULL;
     g_ptr_array_add(batch->results, message);
@@ -151,8 +151,11 @@
                           : NULL;
         }
         order_t *order = g_new(order_t, 1);
-        *order = (order_t){carrier, g_bytes_ref(route), row->number,
-                           row->base_number};
+        *order =
+            (order_t){carrier,
+                      g_bytes_ref(route),
+                      row->number,
+                      {row->base_number, row->incarnation, row->ends_known}};
         handle_order(carrier, row, payload, order, request->epoch,
                      newest_epoch);
     }
--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -57,6 +57,7 @@
     order->percent = action->percent;
     order->base_number = base_number;
     order->valid_ms = action->valid_ms;
+    order->ends_known = action->ends_known;
     queued->queued_ms = now_ms;
     g_ptr_array_add(queue, queued);
 }
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -82,7 +82,7 @@
 /* A poll that timed out; its response may still arrive. */
 typedef struct {
     uint64_t number;
-    char worker[NM_NAME_MAX];
+    nm_sched_action_t action;
     nm_ms_t sent_ms;
     nm_ms_t deadline_ms;
 } late_poll_t;
@@ -523,7 +523,7 @@
     if (order->action.type == NM_ACTION_POLL && relay->desc.on_late_report) {
         late_poll_t *late = g_new0(late_poll_t, 1);
         late->number = order->number;
-        nm_strcopy(late->worker, sizeof(late->worker), order->action.worker);
+        late->action = order->action;
         late->sent_ms = order->sent_ms;
         late->deadline_ms = order->deadline_ms + LATE_RESPONSE_MAX_MS;
         g_hash_table_insert(relay->late_polls, &late->number, late);
@@ -696,8 +696,9 @@
 
 static nm_worker_report_t
 fill_report(const route_t *route, const NmPb__WorkerReport *message,
-            const GArray *ends, nm_ms_t sent_ms)
+            const GArray *ends, const nm_sched_action_t *poll, nm_ms_t sent_ms)
 {
+    bool same_incarnation = message->incarnation == poll->incarnation;
     return (nm_worker_report_t){
         .result = NM_ORDER_DONE,
         .sent_ms = sent_ms,
@@ -708,6 +709,7 @@
         .running_count = route->view.running->len,
         .ends = (const nm_worker_end_t *)ends->data,
         .end_count = ends->len,
+        .ends_known = same_incarnation ? poll->ends_known : 0,
     };
 }
 
@@ -722,7 +724,7 @@
 {
     const late_poll_t *late = g_hash_table_lookup(relay->late_polls, &number);
     route_t *route =
-        late ? g_hash_table_lookup(relay->routes, late->worker) : NULL;
+        late ? g_hash_table_lookup(relay->routes, late->action.worker) : NULL;
     if (!route) {
         return;
     }
@@ -732,7 +734,7 @@
     bool applied = late->sent_ms > route->view_poll_sent_ms && base_matches &&
                    nm_report_apply(&route->view, message) == NM_OK;
     nm_worker_report_t report =
-        fill_report(route, message, ends, late->sent_ms);
+        fill_report(route, message, ends, &late->action, late->sent_ms);
     if (!applied) {
         report.complete = false;
         report.ends_only = true;
@@ -741,7 +743,7 @@
     else {
         route->view_poll_sent_ms = late->sent_ms;
     }
-    relay->desc.on_late_report(relay->desc.user, late->worker, &report);
+    relay->desc.on_late_report(relay->desc.user, late->action.worker, &report);
     g_hash_table_remove(relay->late_polls, &number);
 }
 
@@ -760,7 +762,7 @@
     nm_report_decode_ends(message, ends);
     route->view_poll_sent_ms = MAX(route->view_poll_sent_ms, order->sent_ms);
     nm_worker_report_t report =
-        fill_report(route, message, ends, order->sent_ms);
+        fill_report(route, message, ends, &order->action, order->sent_ms);
     end_order(relay, order, report.result, &report);
 }
 
--- a/src/report_delta.c
+++ b/src/report_delta.c
@@ -109,11 +109,16 @@
 }
 
 static void
-encode_ends(NmPb__WorkerReport *message, const nm_worker_report_t *report)
+encode_ends(NmPb__WorkerReport *message, const nm_worker_report_t *report,
+            const nm_report_base_t *base)
 {
-    message->n_ends = report->end_count;
+    bool known = report->complete && report->incarnation == base->incarnation;
+    int64_t ends_known = known ? base->ends_known : 0;
     message->ends = g_new0(NmPb__WorkerEnd *, report->end_count + 1);
     for (uint32_t i = 0; i < report->end_count; i++) {
+        if (report->ends[i].number <= ends_known) {
+            continue;
+        }
         NmPb__WorkerEnd *row = g_new(NmPb__WorkerEnd, 1);
         nm_pb__worker_end__init(row);
         row->number = report->ends[i].number;
@@ -121,7 +126,7 @@
         row->run = report->ends[i].run;
         row->end = report->ends[i].end;
         row->checkpoint = g_strdup(report->ends[i].checkpoint);
-        message->ends[i] = row;
+        message->ends[message->n_ends++] = row;
     }
 }
 
@@ -174,10 +179,10 @@
 
 NmPb__WorkerReport *
 nm_report_encode(nm_report_encoder_t *encoder, const char *worker,
-                 const nm_worker_report_t *report, uint64_t base_number,
-                 nm_ms_t now_ms)
+                 const nm_worker_report_t *report,
+                 const nm_report_base_t *base, nm_ms_t now_ms)
 {
-    assert(encoder && worker && report);
+    assert(encoder && worker && report && base);
     evict_unused(encoder, now_ms);
     cached_report_t *cached = get_cached_report(encoder, worker, now_ms);
     NmPb__WorkerReport *message = g_new(NmPb__WorkerReport, 1);
@@ -185,14 +190,14 @@
     message->incarnation = report->incarnation;
     message->clock_ms = report->clock_ms;
     message->complete = report->complete;
-    bool is_delta = base_number != 0 && base_number == cached->number &&
+    bool is_delta = base->number != 0 && base->number == cached->number &&
                     report->incarnation == cached->incarnation;
     if (!is_delta) {
         g_array_set_size(cached->running, 0);
     }
-    message->base_number = is_delta ? base_number : 0;
+    message->base_number = is_delta ? base->number : 0;
     encode_running(message, cached, report);
-    encode_ends(message, report);
+    encode_ends(message, report, base);
     cached->number = ++encoder->number;
     cached->incarnation = report->incarnation;
     message->number = cached->number;
--- a/src/report_delta.h
+++ b/src/report_delta.h
@@ -6,12 +6,14 @@
  * each worker.  A poll names the report that the owner has; if that is the
  * cached one, only the differences are sent.  Otherwise, after a lost
  * response, a restart of the worker or a change of the carrier or the owner,
- * the report is full.
+ * the report is full.  A worker lists its ends until they are stored, which
+ * takes seconds on a busy owner; those that the owner has processed are left
+ * out.
  *
  *     nm_report_encoder_t encoder;              (at the carrier)
  *     nm_report_encoder_init(&encoder);
  *     NmPb__WorkerReport *message =
- *         nm_report_encode(&encoder, "w1", &report, base_number, now_ms);
+ *         nm_report_encode(&encoder, "w1", &report, &base, now_ms);
  *     nm_report_message_free(message);
  *     nm_report_encoder_finish(&encoder);
  *
@@ -35,6 +37,13 @@
     nm_ms_t evicted_ms;  /* last time that unused reports were evicted */
 } nm_report_encoder_t;
 
+/* What the owner has of a worker, as its poll says. */
+typedef struct {
+    uint64_t number;     /* of the newest report; 0: none */
+    int64_t incarnation; /* of the worker */
+    int64_t ends_known;  /* newest end of the incarnation that is processed */
+} nm_report_base_t;
+
 /* Runs of one worker, as the owner knows them. */
 typedef struct {
     uint64_t number; /* of the last report applied; 0: none */
@@ -45,12 +54,13 @@
 void nm_report_encoder_finish(nm_report_encoder_t *encoder);
 /*
  * Returns a message, which the caller frees with nm_report_message_free.
- * base_number: number of the report that the owner has; 0: none.
+ * Leaves no end out if the worker may list more than the report has.
  */
 NmPb__WorkerReport *nm_report_encode(nm_report_encoder_t *encoder,
                                      const char *worker,
                                      const nm_worker_report_t *report,
-                                     uint64_t base_number, nm_ms_t now_ms);
+                                     const nm_report_base_t *base,
+                                     nm_ms_t now_ms);
 void nm_report_message_free(NmPb__WorkerReport *message);
 
 void nm_report_view_init(nm_report_view_t *view);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -88,6 +88,7 @@
     /* Ends of a later incarnation have other numbers, and would be lost. */
     action->acked = node->poll_failures == 0 ? node->ends_acked : 0;
     node->ends_acked_sent = action->acked;
+    action->ends_known = node->ends_processed;
     bool no_wait = !node->epoch_confirmed || node->poll_failures > 0 ||
                    node->tasks->len == 0 ||
                    nm_orphans_need_report(node, now_ms) || awaits_start(node);
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -671,11 +671,27 @@
     node->clock_known = true;
 }
 
+/*
+ * True if ends were left out that were processed before the worker was
+ * forgotten; what is later must wait for them.
+ */
+static bool
+lacks_ends(const nm_sched_node_t *node, const nm_worker_report_t *report)
+{
+    return report->ends_known > node->ends_processed;
+}
+
 /* Applies a report, which may have come late. */
 static void
 apply_report(nm_sched_t *sched, nm_sched_node_t *node,
-             const nm_worker_report_t *report, nm_ms_t now_ms)
+             const nm_worker_report_t *received, nm_ms_t now_ms)
 {
+    nm_worker_report_t usable = *received;
+    const nm_worker_report_t *report = &usable;
+    if (lacks_ends(node, received)) {
+        usable.complete = false;
+        usable.end_count = 0;
+    }
     bool first_report = !node->reachable || !node->epoch_confirmed;
     if (!node->reachable) {
         nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_RECOVERED,
@@ -697,7 +713,8 @@
     node->epoch_confirmed = node->epoch_confirmed || !report->ends_only;
     node->inherited = node->inherited && !report->complete;
     node->ends_truncated =
-        !report->complete && report->end_count >= NM_WORKER_ENDS_LISTED_MAX;
+        !report->complete && (report->end_count >= NM_WORKER_ENDS_LISTED_MAX ||
+                              lacks_ends(node, report));
     node->reports++;
     update_clock(node, report, now_ms);
     for (uint32_t i = 0; i < report->end_count; i++) {
--- a/tests/test_report_delta.c
+++ b/tests/test_report_delta.c
@@ -4,6 +4,9 @@
 #include "../src/report_delta.h"
 
 #define RUNS_MAX 12
+#define ENDS 4
+
+static const nm_report_base_t no_base;
 
 typedef struct {
     nm_worker_run_t rows[RUNS_MAX];
@@ -133,8 +136,9 @@
                 carrier = 1 - carrier;
             }
             nm_worker_report_t report = worker_report(&worker);
+            nm_report_base_t base = {.number = view.number};
             NmPb__WorkerReport *message = encode_and_decode(nm_report_encode(
-                &carriers[carrier], "w", &report, view.number, now_ms));
+                &carriers[carrier], "w", &report, &base, now_ms));
             if (nm_rng_below(&rng, 10) > 0) {
                 deltas += message->base_number != 0;
                 g_assert_cmpint(nm_report_apply(&view, message), ==, NM_OK);
@@ -176,7 +180,7 @@
         nm_report_view_init(&view);
         nm_worker_report_t report = worker_report(&worker);
         NmPb__WorkerReport *full_report =
-            nm_report_encode(&encoder, "w", &report, 0, 1000);
+            nm_report_encode(&encoder, "w", &report, &no_base, 1000);
         g_assert_cmpint(nm_report_apply(&view, full_report), ==, NM_OK);
         NmPb__WorkerReport message = NM_PB__WORKER_REPORT__INIT;
         message.base_number = i == BASE ? view.number + 1 : view.number;
@@ -195,6 +199,60 @@
     }
 }
 
+/*
+ * Load: a worker lists its ends for seconds, until the owner has stored them;
+ * each is to cross the owner's link once.  None may be left out that the owner
+ * has not processed.
+ */
+static void
+test_known_ends_are_left_out(void)
+{
+    static const struct {
+        const char *name;
+        int64_t incarnation; /* in the poll; the worker's is 2 */
+        int64_t ends_known;
+        bool complete;
+        uint32_t count; /* of ends 3 to 6 */
+    } cases[] = {
+        {"first poll", 2, 0, true, 4},
+        {"before the listed ones", 2, 2, true, 4},
+        {"two processed", 2, 4, true, 2},
+        {"all processed", 2, 6, true, 0},
+        {"of an incarnation before", 1, 4, true, 4},
+        {"of a later incarnation", 3, 4, true, 4},
+        {"more ends than are listed", 2, 4, false, 4},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        nm_worker_end_t ends[ENDS];
+        for (uint32_t n = 0; n < ENDS; n++) {
+            ends[n] = (nm_worker_end_t){
+                .number = 3 + n, .task = "5c0e7a21d94b36f8.0.0.0", .run = n};
+        }
+        nm_report_encoder_t encoder;
+        nm_report_encoder_init(&encoder);
+        nm_worker_report_t report = {.incarnation = 2,
+                                     .complete = cases[i].complete,
+                                     .ends = ends,
+                                     .end_count = ENDS};
+        nm_report_base_t base = {.incarnation = cases[i].incarnation,
+                                 .ends_known = cases[i].ends_known};
+        NmPb__WorkerReport *message = encode_and_decode(
+            nm_report_encode(&encoder, "w", &report, &base, 1000));
+        GArray *decoded = g_array_new(FALSE, FALSE, sizeof(nm_worker_end_t));
+        nm_report_decode_ends(message, decoded);
+        g_assert_cmpuint(decoded->len, ==, cases[i].count);
+        for (guint n = 0; n < decoded->len; n++) {
+            g_assert_cmpint(g_array_index(decoded, nm_worker_end_t, n).number,
+                            ==, 3 + ENDS - (int64_t)decoded->len + n);
+        }
+        g_assert_cmpint(message->complete, ==, cases[i].complete);
+        g_array_free(decoded, TRUE);
+        nm_pb__worker_report__free_unpacked(message, NULL);
+        nm_report_encoder_finish(&encoder);
+    }
+}
+
 /* A carrier must evict the reports of workers that are no longer polled. */
 static void
 test_encoder_cache_is_bounded(void)
@@ -208,7 +266,7 @@
         char id[16];
         g_snprintf(id, sizeof(id), "w%u", i);
         nm_report_message_free(
-            nm_report_encode(&encoder, id, &report, 0, 1000 + i * 100));
+            nm_report_encode(&encoder, id, &report, &no_base, 1000 + i * 100));
     }
     /*
      * One worker every 100 ms, over the 30 s that a report is kept and the
@@ -226,6 +284,8 @@
                     test_view_matches_worker_report);
     g_test_add_func("/report-delta/inconsistent-deltas-are-refused",
                     test_inconsistent_deltas_are_refused);
+    g_test_add_func("/report-delta/known-ends-are-left-out",
+                    test_known_ends_are_left_out);
     g_test_add_func("/report-delta/encoder-cache-is-bounded",
                     test_encoder_cache_is_bounded);
     return g_test_run();
