Carriers keep payloads of starts

On the small twins (hosts with 2 Mbit/s) the owner sent 200 to 290 KB/s to its peers over a link of 250 KB/s for 300 to 600 starts a second, once its inbound link was no longer full; most of it were payloads (472 of 650 bytes a start, docs/CAPACITY.md), sent again with each message.

Change: the owner gives each payload an id for each carrier, which keeps the newest 1,024 (payload_table.c); a message has a payload if the carrier may lack it. A start whose payload is not kept, as after a restart of the carrier or a lost message, is not sent; its result names the id, the owner begins a new table, and the task starts again. An id is of one table of one owner's process, and is kept with the epoch: a start gets its own payload or none. Hosts that have not announced it get payloads as before.

--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -497,7 +497,7 @@
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[15] =
 {
   {
     "number",
@@ -667,6 +667,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payload_ids",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(NmPb__EntryAsk, n_payload_ids),
+    offsetof(NmPb__EntryAsk, payload_ids),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
   12,   /* field[12] = admission */
@@ -678,6 +690,7 @@
   6,   /* field[6] = orders */
   8,   /* field[8] = owner_address */
   7,   /* field[7] = owner_name */
+  14,   /* field[14] = payload_ids */
   9,   /* field[9] = payloads */
   3,   /* field[3] = queue */
   4,   /* field[4] = record */
@@ -687,7 +700,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -697,7 +710,7 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  14,
+  15,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
@@ -768,7 +781,7 @@
   (ProtobufCMessageInit) nm_pb__admission_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[9] =
+static const ProtobufCFieldDescriptor nm_pb__entry_answer__field_descriptors[10] =
 {
   {
     "number",
@@ -878,10 +891,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keeps_payloads",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAnswer, keeps_payloads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_answer__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
   4,   /* field[4] = is_owner */
+  9,   /* field[9] = keeps_payloads */
   0,   /* field[0] = number */
   6,   /* field[6] = payload_table */
   3,   /* field[3] = pending */
@@ -893,7 +919,7 @@
 static const ProtobufCIntRange nm_pb__entry_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor =
 {
@@ -903,7 +929,7 @@
   "NmPb__EntryAnswer",
   "nm_pb",
   sizeof(NmPb__EntryAnswer),
-  9,
+  10,
   nm_pb__entry_answer__field_descriptors,
   nm_pb__entry_answer__field_indices_by_name,
   1,  nm_pb__entry_answer__number_ranges,
@@ -1064,7 +1090,7 @@
   (ProtobufCMessageInit) nm_pb__silent_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[18] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[19] =
 {
   {
     "number",
@@ -1282,6 +1308,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "payload_id",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, payload_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
@@ -1293,6 +1331,7 @@
   4,   /* field[4] = incarnation */
   0,   /* field[0] = number */
   10,   /* field[10] = payload */
+  18,   /* field[18] = payload_id */
   16,   /* field[16] = payload_index */
   12,   /* field[12] = percent */
   6,   /* field[6] = run */
@@ -1306,7 +1345,7 @@
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -1316,14 +1355,14 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  18,
+  19,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
   (ProtobufCMessageInit) nm_pb__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order_result__field_descriptors[3] =
+static const ProtobufCFieldDescriptor nm_pb__order_result__field_descriptors[4] =
 {
   {
     "number",
@@ -1361,8 +1400,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "missing_payload_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__OrderResult, missing_payload_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order_result__field_indices_by_name[] = {
+  3,   /* field[3] = missing_payload_id */
   0,   /* field[0] = number */
   2,   /* field[2] = report */
   1,   /* field[1] = result */
@@ -1370,7 +1422,7 @@
 static const ProtobufCIntRange nm_pb__order_result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor nm_pb__order_result__descriptor =
 {
@@ -1380,7 +1432,7 @@
   "NmPb__OrderResult",
   "nm_pb",
   sizeof(NmPb__OrderResult),
-  3,
+  4,
   nm_pb__order_result__field_descriptors,
   nm_pb__order_result__field_indices_by_name,
   1,  nm_pb__order_result__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -137,10 +137,16 @@
    * ADMISSION: rows hold for this time
    */
   int64_t admission_valid_ms;
+  /*
+   * ORDERS: ids under which the receiver keeps payloads; none, or one for each.
+   * Only for a carrier that has announced keeps_payloads.
+   */
+  size_t n_payload_ids;
+  uint64_t *payload_ids;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -211,10 +217,14 @@
    * of the sender's queue configuration; 0: none
    */
   int64_t config_version;
+  /*
+   * with results: the sender reads payload_ids
+   */
+  protobuf_c_boolean keeps_payloads;
 };
 #define NM_PB__ENTRY_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0, NULL, 0, 0 }
 
 
 /*
@@ -345,10 +355,15 @@
    * Poll: the owner has processed ends of `incarnation` up to this number.
    */
   int64_t ends_known;
+  /*
+   * In EntryAsk.starts: id of a payload that the carrier keeps; 0: its position
+   * is payload_index.
+   */
+  uint64_t payload_id;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -369,10 +384,14 @@
    * of a poll that succeeded
    */
   NmPb__WorkerReport *report;
+  /*
+   * Of a start that was not sent: Order.payload_id, which is not kept; else 0.
+   */
+  uint64_t missing_payload_id;
 };
 #define NM_PB__ORDER_RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order_result__descriptor) \
-    , 0, 0, NULL }
+    , 0, 0, NULL, 0 }
 
 
 /*
--- a/src/order_carrier.c
+++ b/src/order_carrier.c
@@ -19,7 +19,8 @@
     nm_order_carrier_t *carrier;
     GBytes *route;
     uint64_t number;
-    nm_report_base_t base; /* of a poll */
+    nm_report_base_t base;       /* of a poll */
+    uint64_t missing_payload_id; /* of a start; 0: none */
 } order_t;
 
 static void
@@ -48,6 +49,7 @@
     carrier->batches =
         g_hash_table_new_full(g_bytes_hash, g_bytes_equal, NULL, free_batch);
     nm_report_encoder_init(&carrier->encoder);
+    carrier->payloads = nm_payload_store_new();
 }
 
 void
@@ -56,6 +58,7 @@
     assert(carrier);
     g_hash_table_destroy(carrier->batches);
     nm_report_encoder_finish(&carrier->encoder);
+    nm_payload_store_free(carrier->payloads);
 }
 
 static result_batch_t *
@@ -81,6 +84,7 @@
     nm_pb__order_result__init(message);
     message->number = order->number;
     message->result = result;
+    message->missing_payload_id = order->missing_payload_id;
     message->report =
         report && result == NM_ORDER_DONE
             ? nm_report_encode(&order->carrier->encoder, action->worker,
@@ -118,6 +122,13 @@
     if (epoch < newest_epoch) {
         on_order(order, &action, NM_ORDER_FENCED, NULL);
     }
+    else if (!payload && row->payload_id != 0) {
+        order->missing_payload_id = row->payload_id;
+        nm_refusals_log(&carrier->refusals, NM_LOG_ITEM_ORDER_REFUSED,
+                        "worker", row->worker, "its payload is not kept here",
+                        carrier->flush_called_ms);
+        on_order(order, &action, NM_ORDER_NOT_SENT, NULL);
+    }
     else if (!payload) {
         nm_count_reason(NM_REASON_PEER_MALFORMED);
         nm_refusals_log(&carrier->refusals, NM_LOG_ITEM_ORDER_REFUSED,
@@ -130,6 +141,30 @@
     }
 }
 
+static void
+keep_payloads(nm_order_carrier_t *carrier, const NmPb__EntryAsk *request)
+{
+    size_t count = MIN(request->n_payload_ids, request->n_payloads);
+    for (size_t i = 0; i < count; i++) {
+        nm_payload_store_put(carrier->payloads, request->epoch,
+                             request->payload_ids[i], request->payloads[i]);
+    }
+}
+
+/* Returns the payload of a start, or NULL. */
+static const char *
+find_payload(const nm_order_carrier_t *carrier, const NmPb__EntryAsk *request,
+             const NmPb__Order *start)
+{
+    if (start->payload_id != 0) {
+        return nm_payload_store_find(carrier->payloads, request->epoch,
+                                     start->payload_id);
+    }
+    return start->payload_index < request->n_payloads
+               ? request->payloads[start->payload_index]
+               : NULL;
+}
+
 void
 nm_order_carrier_handle_request(nm_order_carrier_t *carrier,
                                 const nm_peer_message_t *message,
@@ -137,6 +172,9 @@
 {
     assert(carrier && message && message->request);
     const NmPb__EntryAsk *request = message->request;
+    if (request->epoch >= newest_epoch) {
+        keep_payloads(carrier, request);
+    }
     GBytes *route =
         g_bytes_new(message->sender_route, message->sender_route_bytes);
     for (size_t i = 0; i < request->n_orders + request->n_starts; i++) {
@@ -144,18 +182,15 @@
         const NmPb__Order *row = in_table
                                      ? request->starts[i - request->n_orders]
                                      : request->orders[i];
-        const char *payload = row->payload;
-        if (in_table) {
-            payload = row->payload_index < request->n_payloads
-                          ? request->payloads[row->payload_index]
-                          : NULL;
-        }
+        const char *payload =
+            in_table ? find_payload(carrier, request, row) : row->payload;
         order_t *order = g_new(order_t, 1);
         *order =
             (order_t){carrier,
                       g_bytes_ref(route),
                       row->number,
-                      {row->base_number, row->incarnation, row->ends_known}};
+                      {row->base_number, row->incarnation, row->ends_known},
+                      0};
         handle_order(carrier, row, payload, order, request->epoch,
                      newest_epoch);
     }
@@ -187,6 +222,7 @@
         response.n_results = batch->results->len;
         response.results = (NmPb__OrderResult **)batch->results->pdata;
         response.payload_table = true;
+        response.keeps_payloads = true;
         nm_peer_rpc_respond(carrier->peers, route, (uint32_t)bytes, &response);
         g_hash_table_iter_remove(&iter);
     }
--- a/src/order_carrier.h
+++ b/src/order_carrier.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "order_port.h"
+#include "payload_table.h"
 #include "peer_rpc.h"
 #include "refusal.h"
 #include "report_delta.h"
@@ -22,6 +23,7 @@
     nm_order_port_t *direct;
     nm_peer_rpc_t *peers;
     nm_report_encoder_t encoder;
+    nm_payload_store_t *payloads;
     nm_refusals_t refusals;
     nm_ms_t flush_called_ms; /* last call of flush, whether it sent or not */
     nm_ms_t flushed_ms;      /* last flush that sent results */
--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -7,7 +7,7 @@
 #include "order_overdue.h"
 
 /* Orders in one message; more are sent in several. */
-#define MESSAGE_ORDERS_MAX 256
+#define MESSAGE_ORDERS_MAX NM_PAYLOADS_ADDED_MAX
 
 /* An order in the queue; message is first, as the queue is sent in place. */
 typedef struct {
@@ -142,6 +142,29 @@
     return payloads;
 }
 
+/*
+ * Moves the payloads that the carrier may lack to a list; the starts get the
+ * ids of theirs, which are appended for those in the list.
+ */
+static GPtrArray *
+extract_new_payloads(NmPb__Order **starts, size_t count,
+                     nm_payload_table_t *table, GArray *ids)
+{
+    GPtrArray *payloads = g_ptr_array_new_with_free_func(g_free);
+    for (size_t i = 0; i < count; i++) {
+        char *payload = starts[i]->payload;
+        if (nm_payload_table_add(table, payload, &starts[i]->payload_id)) {
+            g_array_append_val(ids, starts[i]->payload_id);
+            g_ptr_array_add(payloads, payload);
+        }
+        else {
+            g_free(payload);
+        }
+        starts[i]->payload = g_strdup("");
+    }
+    return payloads;
+}
+
 /* Orders that could not be sent end by their timeout. */
 static void
 send_message(nm_peer_rpc_t *peers, const char *address,
@@ -152,10 +175,13 @@
     }
 }
 
-/* Sends a message in which the starts, which are last, share payloads. */
+/*
+ * Sends a message in which the starts, which are last, share payloads; table:
+ * those that the carrier keeps, or NULL.
+ */
 static void
-send_with_table(nm_peer_rpc_t *peers, const char *address,
-                NmPb__EntryAsk *request)
+send_with_payloads(nm_peer_rpc_t *peers, const char *address,
+                   NmPb__EntryAsk *request, nm_payload_table_t *table)
 {
     size_t count = request->n_orders;
     while (request->n_orders > 0 &&
@@ -165,19 +191,27 @@
     }
     request->starts = request->orders + request->n_orders;
     request->n_starts = count - request->n_orders;
-    GPtrArray *payloads = extract_payloads(request->starts, request->n_starts);
+    GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GPtrArray *payloads =
+        table ? extract_new_payloads(request->starts, request->n_starts, table,
+                                     ids)
+              : extract_payloads(request->starts, request->n_starts);
     request->payloads = (char **)payloads->pdata;
     request->n_payloads = payloads->len;
+    request->payload_ids = (uint64_t *)(void *)ids->data;
+    request->n_payload_ids = ids->len;
     send_message(peers, address, request);
     g_ptr_array_free(payloads, TRUE);
+    g_array_free(ids, TRUE);
 }
 
 void
 nm_order_queue_send(GPtrArray *queue, nm_peer_rpc_t *peers,
                     const char *address, int64_t epoch, nm_ms_t now_ms,
-                    bool payload_table)
+                    nm_payload_form_t form, nm_payload_table_t *table)
 {
     assert(queue && peers && address);
+    assert((form == NM_PAYLOADS_KEPT_BY_ID) == (table != NULL));
     reduce_valid_times(queue, now_ms);
     g_ptr_array_sort(queue, compare_orders);
     for (guint i = 0; i < queue->len; i += MESSAGE_ORDERS_MAX) {
@@ -186,8 +220,8 @@
         request.epoch = epoch;
         request.n_orders = MIN(queue->len - i, MESSAGE_ORDERS_MAX);
         request.orders = (NmPb__Order **)queue->pdata + i;
-        if (payload_table) {
-            send_with_table(peers, address, &request);
+        if (form != NM_PAYLOADS_INLINE) {
+            send_with_payloads(peers, address, &request, table);
         }
         else {
             send_message(peers, address, &request);
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -62,11 +62,12 @@
     uint32_t open;
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
-    nm_ms_t responded_ms;  /* last response; 0: none */
-    bool payload_table;    /* reads EntryAsk.starts */
-    nm_ms_t down_until_ms; /* receives no orders before this time */
-    nm_ms_t down_ms;       /* last time without orders; 0: responsive */
-    double weight;         /* set while carriers are selected */
+    nm_ms_t responded_ms;         /* last response; 0: none */
+    nm_payload_form_t form;       /* that it has announced */
+    nm_payload_table_t *payloads; /* that it keeps; NULL if none */
+    nm_ms_t down_until_ms;        /* receives no orders before this time */
+    nm_ms_t down_ms;              /* last time without orders; 0: responsive */
+    double weight;                /* set while carriers are selected */
 } carrier_t;
 
 typedef struct {
@@ -110,6 +111,7 @@
 {
     carrier_t *carrier = data;
     g_ptr_array_free(carrier->queued, TRUE);
+    nm_payload_table_free(carrier->payloads);
     g_free(carrier);
 }
 
@@ -290,7 +292,7 @@
     }
     nm_order_queue_send(carrier->queued, relay->desc.peers,
                         carrier->desc.address, relay->epoch, now_ms,
-                        carrier->payload_table);
+                        carrier->form, carrier->payloads);
 }
 
 static nm_ms_t
@@ -359,6 +361,7 @@
     relay->generation = 1;
     /* Random start: responses to an earlier incarnation must not match. */
     relay->number = (uint64_t)g_random_int() << 32;
+    relay->payload_table_id = g_random_int();
     return &relay->base;
 }
 
@@ -766,6 +769,30 @@
     end_order(relay, order, report.result, &report);
 }
 
+/* Starts with none of the payloads that the carrier may have. */
+static void
+begin_payload_table(nm_order_relay_t *relay, carrier_t *carrier)
+{
+    nm_payload_table_free(carrier->payloads);
+    carrier->payloads = nm_payload_table_new(++relay->payload_table_id);
+}
+
+static void
+set_payload_form(nm_order_relay_t *relay, carrier_t *carrier,
+                 const NmPb__EntryAnswer *response)
+{
+    carrier->form = response->keeps_payloads  ? NM_PAYLOADS_KEPT_BY_ID
+                    : response->payload_table ? NM_PAYLOADS_ONCE
+                                              : NM_PAYLOADS_INLINE;
+    if (carrier->form != NM_PAYLOADS_KEPT_BY_ID) {
+        nm_payload_table_free(carrier->payloads);
+        carrier->payloads = NULL;
+    }
+    else if (!carrier->payloads) {
+        begin_payload_table(relay, carrier);
+    }
+}
+
 void
 nm_order_relay_handle_response(nm_order_relay_t *relay,
                                const NmPb__EntryAnswer *response)
@@ -792,7 +819,13 @@
             carrier->oldest_unanswered_ms = 0;
             carrier->responded_ms = nm_clock_now(relay->desc.clock);
             carrier->down_ms = 0;
-            carrier->payload_table = response->payload_table;
+            set_payload_form(relay, carrier, response);
+        }
+        if (carrier && carrier->payloads &&
+            nm_payload_table_has_id(carrier->payloads,
+                                    result->missing_payload_id))
+        {
+            begin_payload_table(relay, carrier);
         }
         if (result->report) {
             handle_report(relay, order, result->report, ends);
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -62,12 +62,13 @@
     GHashTable *late_polls; /* number -> poll that timed out */
     GArray *overdue;        /* numbers of starts that were not sent */
     nm_overdue_t overdue_log;
-    GHashTable *routes;  /* worker -> its zone and carrier */
-    GHashTable *zones;   /* name -> its workers and carriers */
-    uint64_t generation; /* of the hosts and their states */
-    bool probe_due;      /* a carrier's time without orders is over */
-    uint64_t number;     /* of the newest order */
-    int64_t epoch;       /* of the newest order */
+    GHashTable *routes;        /* worker -> its zone and carrier */
+    GHashTable *zones;         /* name -> its workers and carriers */
+    uint64_t generation;       /* of the hosts and their states */
+    bool probe_due;            /* a carrier's time without orders is over */
+    uint32_t payload_table_id; /* of the newest table of any carrier */
+    uint64_t number;           /* of the newest order */
+    int64_t epoch;             /* of the newest order */
     nm_ms_t checked_ms;
     nm_ms_t flush_called_ms; /* last call of flush */
     nm_ms_t flushed_ms;
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -26,6 +26,7 @@
     nm_peer_rpc_t *carrier_peers;
     recorder_t recorder;
     char addresses[2][64];
+    bool keeps_nothing; /* the carrier has not announced that it does */
     uint32_t ended;
     nm_order_result_t result;
 } line_t;
@@ -119,6 +120,20 @@
     nm_order_relay_flush(&line->relay, line->clock.manual_ms);
 }
 
+static bool
+pass_messages(line_t *line)
+{
+    nm_peer_message_t message;
+    bool any = false;
+    while (nm_peer_rpc_next(line->carrier_peers, &message)) {
+        g_assert_nonnull(message.request);
+        nm_order_carrier_handle_request(&line->carrier, &message, EPOCH);
+        nm_peer_message_finish(&message);
+        any = true;
+    }
+    return any;
+}
+
 /* Passes messages on to the carrier until it has received some orders. */
 static void
 receive_orders(line_t *line, guint count)
@@ -126,12 +141,7 @@
     for (int ms = 0;
          ms < RECEIVE_MAX_MS && line->recorder.actions->len < count; ms++)
     {
-        nm_peer_message_t message;
-        while (nm_peer_rpc_next(line->carrier_peers, &message)) {
-            g_assert_nonnull(message.request);
-            nm_order_carrier_handle_request(&line->carrier, &message, EPOCH);
-            nm_peer_message_finish(&message);
-        }
+        pass_messages(line);
         g_usleep(1000);
     }
     g_assert_cmpuint(line->recorder.actions->len, ==, count);
@@ -224,6 +234,9 @@
         nm_peer_message_t message;
         while (nm_peer_rpc_next(line->owner_peers, &message)) {
             g_assert_nonnull(message.response);
+            if (line->keeps_nothing) {
+                message.response->keeps_payloads = false;
+            }
             nm_order_relay_handle_response(&line->relay, message.response);
             nm_peer_message_finish(&message);
         }
@@ -245,10 +258,15 @@
         bool announced;
         uint32_t jobs;
         uint64_t payloads_max; /* in the message */
-    } cases[] = {{true, 1, 1}, {true, 7, 7}, {false, 7, STARTS}};
+        bool keeps_nothing;
+    } cases[] = {
+        {true, 1, 1, false}, {true, 7, 7, false},       {true, 1, 1, true},
+        {true, 7, 7, true},  {false, 7, STARTS, false},
+    };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
         line_t line;
         line_init(&line);
+        line.keeps_nothing = cases[i].keeps_nothing;
         uint32_t earlier = cases[i].announced ? 1 : 0;
         if (cases[i].announced) {
             send_order(&line, NM_ACTION_STOP, 0, "", 0);
@@ -281,6 +299,79 @@
     }
 }
 
+/*
+ * Load: jobs whose tasks start again and again through one carrier.  Guards
+ * against an owner whose link carries their payloads each time, and against a
+ * start that stays without its payload after the carrier has restarted, or
+ * without the payload of its own job.
+ */
+static void
+test_payloads_are_kept(void)
+{
+    enum { STARTS = 100, PAYLOAD_BYTES = 2000, OTHER_BYTES = 70 };
+    static const struct {
+        const char *name;
+        bool restarts; /* the carrier, before the last round but one */
+    } cases[] = {{"kept", false}, {"carrier restarts", true}};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        enum { JOBS = 7, ROUNDS = 3 };
+        line_t line;
+        line_init(&line);
+        send_order(&line, NM_ACTION_STOP, 0, "", 0);
+        flush_after(&line, NM_RELAY_BATCH_MS);
+        receive_orders(&line, 1);
+        return_results(&line, 1);
+        uint32_t ended = 1;
+        for (uint32_t round = 0; round <= ROUNDS; round++) {
+            bool repeats = round == ROUNDS;
+            bool restarts = cases[i].restarts && round == ROUNDS - 1;
+            guint before = line.recorder.actions->len;
+            if (restarts) {
+                nm_order_carrier_finish(&line.carrier);
+                nm_order_carrier_init(&line.carrier, &line.recorder.base,
+                                      line.carrier_peers);
+            }
+            char *payloads[STARTS];
+            uint64_t bytes = nm_counter_value(NM_COUNTER_PEER_BYTES);
+            for (uint32_t n = 0; n < STARTS; n++) {
+                payloads[n] =
+                    g_strnfill(PAYLOAD_BYTES, (gchar)('a' + n % JOBS));
+                send_order(&line, NM_ACTION_START, n, payloads[n], 0);
+            }
+            flush_after(&line, NM_RELAY_BATCH_MS);
+            bytes = nm_counter_value(NM_COUNTER_PEER_BYTES) - bytes;
+            bool is_new = round == 0 || (repeats && cases[i].restarts);
+            g_assert_cmpuint(bytes, <=,
+                             (is_new ? JOBS * PAYLOAD_BYTES : 0) +
+                                 STARTS * OTHER_BYTES);
+            ended += STARTS;
+            if (restarts) {
+                for (int ms = 0; ms < RECEIVE_MAX_MS && !pass_messages(&line);
+                     ms++) {
+                    g_usleep(1000);
+                }
+                return_results(&line, ended);
+                g_assert_cmpint(line.result, ==, NM_ORDER_NOT_SENT);
+                g_assert_cmpuint(line.recorder.actions->len, ==, before);
+            }
+            else {
+                receive_orders(&line, before + STARTS);
+                return_results(&line, ended);
+                g_assert_cmpint(line.result, ==, NM_ORDER_DONE);
+            }
+            for (uint32_t n = 0; n < STARTS; n++) {
+                if (!restarts) {
+                    g_assert_cmpstr(received(&line, before + n)->payload, ==,
+                                    payloads[n]);
+                }
+                g_free(payloads[n]);
+            }
+        }
+        line_finish(&line);
+    }
+}
+
 /* A start must not run with a payload that is not its own, or none. */
 static void
 test_missing_payload_is_refused(void)
@@ -326,6 +417,7 @@
                     test_urgent_orders_go_first);
     g_test_add_func("/relay/payloads-are-sent-once",
                     test_payloads_are_sent_once);
+    g_test_add_func("/relay/payloads-are-kept", test_payloads_are_kept);
     g_test_add_func("/relay/missing-payload-is-refused",
                     test_missing_payload_is_refused);
     return g_test_run();
