Log lines and counters show bytes of payloads, ends and watches

Why the link of a small owner was full could not be told from its log: bytes by connection, not by kind. owner-calls has payload_bytes_sent, end_bytes_received and watch_bytes_received now, from counters of these names.

Tests: /relay/payloads-are-kept and /report-delta/known-ends-are-left-out compare the counters with what was sent.

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -131,6 +131,12 @@
       "bytes of request bodies sent to the store and to workers")             \
     X(HTTP_BYTES_IN, "http_bytes_received",                                   \
       "bytes of response bodies of the store and of workers")                 \
+    X(PAYLOAD_BYTES, "payload_bytes_sent",                                    \
+      "bytes of payloads of starts in messages to carriers")                  \
+    X(END_BYTES_IN, "end_bytes_received",                                     \
+      "bytes of ends of runs in reports from carriers")                       \
+    X(WATCH_BYTES_IN, "watch_bytes_received",                                 \
+      "bytes of lists and watches of the store")                              \
     X(CLIENTS_CLOSED, "clients_closed",                                       \
       "connections of clients closed for the limits of the process")          \
     X(BODIES_REFUSED, "bodies_refused",                                       \
--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -168,6 +168,9 @@
         {"peer_bytes_received", NM_COUNTER_PEER_BYTES_IN},
         {"http_bytes_sent", NM_COUNTER_HTTP_BYTES},
         {"http_bytes_received", NM_COUNTER_HTTP_BYTES_IN},
+        {"payload_bytes_sent", NM_COUNTER_PAYLOAD_BYTES},
+        {"end_bytes_received", NM_COUNTER_END_BYTES_IN},
+        {"watch_bytes_received", NM_COUNTER_WATCH_BYTES_IN},
     };
     json_t *calls = json_object();
     for (int i = 0; i < NM_CALL_CLASS_COUNT; i++) {
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -73,7 +73,7 @@
 } nm_call_class_t;
 
 /* Counters of bytes in the log line on calls. */
-#define NM_LOAD_BYTE_COUNTERS 4
+#define NM_LOAD_BYTE_COUNTERS 7
 
 /* How a call has ended, and its label in the log. */
 #define NM_CALL_OUTCOME_LIST(X)                                               \
--- a/src/feed.c
+++ b/src/feed.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include <nutmegdeck/log.h>
+#include <nutmegdeck/reason.h>
 
 #define DEFAULT_WAIT_MS 5000
 /* Pause after a failed call; doubles per failure up to RETRY_MAX_MS. */
@@ -312,6 +313,7 @@
     if (!current) {
         return;
     }
+    nm_count(NM_COUNTER_WATCH_BYTES_IN, result->transfer.bytes);
     feed->pending = false;
     feed->next_call_ms = 0;
     if (feed->desc.on_result) {
--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -1,6 +1,7 @@
 #include "order_queue.h"
 
 #include <assert.h>
+#include <string.h>
 
 #include <nutmegdeck/reason.h>
 
@@ -165,6 +166,14 @@
     return payloads;
 }
 
+static void
+count_payload_bytes(char *const *payloads, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        nm_count(NM_COUNTER_PAYLOAD_BYTES, strlen(payloads[i]));
+    }
+}
+
 /* Orders that could not be sent end by their timeout. */
 static void
 send_message(nm_peer_rpc_t *peers, const char *address,
@@ -198,6 +207,7 @@
               : extract_payloads(request->starts, request->n_starts);
     request->payloads = (char **)payloads->pdata;
     request->n_payloads = payloads->len;
+    count_payload_bytes(request->payloads, request->n_payloads);
     request->payload_ids = (uint64_t *)(void *)ids->data;
     request->n_payload_ids = ids->len;
     send_message(peers, address, request);
@@ -224,6 +234,9 @@
             send_with_payloads(peers, address, &request, table);
         }
         else {
+            for (size_t n = 0; n < request.n_orders; n++) {
+                count_payload_bytes(&request.orders[n]->payload, 1);
+            }
             send_message(peers, address, &request);
         }
     }
--- a/src/report_delta.c
+++ b/src/report_delta.c
@@ -3,6 +3,8 @@
 #include <assert.h>
 #include <string.h>
 
+#include <nutmegdeck/reason.h>
+
 /* A report that was not used for this long is evicted; the next is full. */
 #define CACHE_TTL_MS 30000
 #define EVICT_INTERVAL_MS 10000
@@ -317,6 +319,8 @@
     g_array_set_size(ends, 0);
     for (size_t i = 0; i < message->n_ends; i++) {
         const NmPb__WorkerEnd *row = message->ends[i];
+        nm_count(NM_COUNTER_END_BYTES_IN,
+                 nm_pb__worker_end__get_packed_size(row));
         nm_worker_end_t end = {.number = row->number,
                                .run = row->run,
                                .end =
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -334,6 +334,7 @@
             }
             char *payloads[STARTS];
             uint64_t bytes = nm_counter_value(NM_COUNTER_PEER_BYTES);
+            uint64_t counted = nm_counter_value(NM_COUNTER_PAYLOAD_BYTES);
             for (uint32_t n = 0; n < STARTS; n++) {
                 payloads[n] =
                     g_strnfill(PAYLOAD_BYTES, (gchar)('a' + n % JOBS));
@@ -345,6 +346,8 @@
             g_assert_cmpuint(bytes, <=,
                              (is_new ? JOBS * PAYLOAD_BYTES : 0) +
                                  STARTS * OTHER_BYTES);
+            counted = nm_counter_value(NM_COUNTER_PAYLOAD_BYTES) - counted;
+            g_assert_cmpuint(counted, ==, is_new ? JOBS * PAYLOAD_BYTES : 0);
             ended += STARTS;
             if (restarts) {
                 for (int ms = 0; ms < RECEIVE_MAX_MS && !pass_messages(&line);
--- a/tests/test_report_delta.c
+++ b/tests/test_report_delta.c
@@ -1,6 +1,8 @@
 /* Delta encoding of reports: the owner's view equals the worker's report. */
 #include <string.h>
 
+#include <nutmegdeck/reason.h>
+
 #include "../src/report_delta.h"
 
 #define RUNS_MAX 12
@@ -240,7 +242,12 @@
         NmPb__WorkerReport *message = encode_and_decode(
             nm_report_encode(&encoder, "w", &report, &base, 1000));
         GArray *decoded = g_array_new(FALSE, FALSE, sizeof(nm_worker_end_t));
+        uint64_t bytes = nm_counter_value(NM_COUNTER_END_BYTES_IN);
         nm_report_decode_ends(message, decoded);
+        bytes = nm_counter_value(NM_COUNTER_END_BYTES_IN) - bytes;
+        size_t list_bytes = nm_pb__worker_report__get_packed_size(message);
+        g_assert_cmpuint(bytes, <=, list_bytes);
+        g_assert_true((bytes > 0) == (cases[i].count > 0));
         g_assert_cmpuint(decoded->len, ==, cases[i].count);
         for (guint n = 0; n < decoded->len; n++) {
             g_assert_cmpint(g_array_index(decoded, nm_worker_end_t, n).number,
