--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -62,11 +62,12 @@
     uint32_t open;
     /* Oldest order since the last response; 0: none. */
     nm_ms_t oldest_unanswered_ms;
-    nm_ms_t responded_ms;  /* last response; 0: none */
-    bool payload_table;    /* reads EntryAsk.starts */
-    nm_ms_t down_until_ms; /* receives no orders before this time */
-    nm_ms_t down_ms;       /* last time without orders; 0: responsive */
-    double weight;         /* set while carriers are selected */
+    nm_ms_t responded_ms;         /* last response; 0: none */
+    nm_payload_form_t form;       /* that it has announced */
+    nm_payload_table_t *payloads; /* that it keeps; NULL if none */
+    nm_ms_t down_until_ms;        /* receives no orders before this time */
+    nm_ms_t down_ms;              /* last time without orders; 0: responsive */
+    double weight;                /* set while carriers are selected */
 } carrier_t;
 
 typedef struct {
@@ -82,7 +83,7 @@
 /* A poll that timed out; its response may still arrive. */
 typedef struct {
     uint64_t number;
-    char worker[NM_NAME_MAX];
+    nm_sched_action_t action;
     nm_ms_t sent_ms;
     nm_ms_t deadline_ms;
 } late_poll_t;
@@ -110,6 +111,7 @@
 {
     carrier_t *carrier = data;
     g_ptr_array_free(carrier->queued, TRUE);
+    nm_payload_table_free(carrier->payloads);
     g_free(carrier);
 }
 
@@ -290,7 +292,7 @@
     }
     nm_order_queue_send(carrier->queued, relay->desc.peers,
                         carrier->desc.address, relay->epoch, now_ms,
-                        carrier->payload_table);
+                        carrier->form, carrier->payloads);
 }
 
 static nm_ms_t
@@ -359,6 +361,7 @@
     relay->generation = 1;
     /* Random start: responses to an earlier incarnation must not match. */
     relay->number = (uint64_t)g_random_int() << 32;
+    relay->payload_table_id = g_random_int();
     return &relay->base;
 }
 
@@ -523,7 +526,7 @@
     if (order->action.type == NM_ACTION_POLL && relay->desc.on_late_report) {
         late_poll_t *late = g_new0(late_poll_t, 1);
         late->number = order->number;
-        nm_strcopy(late->worker, sizeof(late->worker), order->action.worker);
+        late->action = order->action;
         late->sent_ms = order->sent_ms;
         late->deadline_ms = order->deadline_ms + LATE_RESPONSE_MAX_MS;
         g_hash_table_insert(relay->late_polls, &late->number, late);
@@ -696,8 +699,9 @@
 
 static nm_worker_report_t
 fill_report(const route_t *route, const NmPb__WorkerReport *message,
-            const GArray *ends, nm_ms_t sent_ms)
+            const GArray *ends, const nm_sched_action_t *poll, nm_ms_t sent_ms)
 {
+    bool same_incarnation = message->incarnation == poll->incarnation;
     return (nm_worker_report_t){
         .result = NM_ORDER_DONE,
         .sent_ms = sent_ms,
@@ -708,6 +712,7 @@
         .running_count = route->view.running->len,
         .ends = (const nm_worker_end_t *)ends->data,
         .end_count = ends->len,
+        .ends_known = same_incarnation ? poll->ends_known : 0,
     };
 }
 
@@ -722,7 +727,7 @@
 {
     const late_poll_t *late = g_hash_table_lookup(relay->late_polls, &number);
     route_t *route =
-        late ? g_hash_table_lookup(relay->routes, late->worker) : NULL;
+        late ? g_hash_table_lookup(relay->routes, late->action.worker) : NULL;
     if (!route) {
         return;
     }
@@ -732,7 +737,7 @@
     bool applied = late->sent_ms > route->view_poll_sent_ms && base_matches &&
                    nm_report_apply(&route->view, message) == NM_OK;
     nm_worker_report_t report =
-        fill_report(route, message, ends, late->sent_ms);
+        fill_report(route, message, ends, &late->action, late->sent_ms);
     if (!applied) {
         report.complete = false;
         report.ends_only = true;
@@ -741,7 +746,7 @@
     else {
         route->view_poll_sent_ms = late->sent_ms;
     }
-    relay->desc.on_late_report(relay->desc.user, late->worker, &report);
+    relay->desc.on_late_report(relay->desc.user, late->action.worker, &report);
     g_hash_table_remove(relay->late_polls, &number);
 }
 
@@ -760,10 +765,34 @@
     nm_report_decode_ends(message, ends);
     route->view_poll_sent_ms = MAX(route->view_poll_sent_ms, order->sent_ms);
     nm_worker_report_t report =
-        fill_report(route, message, ends, order->sent_ms);
+        fill_report(route, message, ends, &order->action, order->sent_ms);
     end_order(relay, order, report.result, &report);
 }
 
+/* Starts with none of the payloads that the carrier may have. */
+static void
+begin_payload_table(nm_order_relay_t *relay, carrier_t *carrier)
+{
+    nm_payload_table_free(carrier->payloads);
+    carrier->payloads = nm_payload_table_new(++relay->payload_table_id);
+}
+
+static void
+set_payload_form(nm_order_relay_t *relay, carrier_t *carrier,
+                 const NmPb__EntryAnswer *response)
+{
+    carrier->form = response->keeps_payloads  ? NM_PAYLOADS_KEPT_BY_ID
+                    : response->payload_table ? NM_PAYLOADS_ONCE
+                                              : NM_PAYLOADS_INLINE;
+    if (carrier->form != NM_PAYLOADS_KEPT_BY_ID) {
+        nm_payload_table_free(carrier->payloads);
+        carrier->payloads = NULL;
+    }
+    else if (!carrier->payloads) {
+        begin_payload_table(relay, carrier);
+    }
+}
+
 void
 nm_order_relay_handle_response(nm_order_relay_t *relay,
                                const NmPb__EntryAnswer *response)
@@ -790,7 +819,13 @@
             carrier->oldest_unanswered_ms = 0;
             carrier->responded_ms = nm_clock_now(relay->desc.clock);
             carrier->down_ms = 0;
-            carrier->payload_table = response->payload_table;
+            set_payload_form(relay, carrier, response);
+        }
+        if (carrier && carrier->payloads &&
+            nm_payload_table_has_id(carrier->payloads,
+                                    result->missing_payload_id))
+        {
+            begin_payload_table(relay, carrier);
         }
         if (result->report) {
             handle_report(relay, order, result->report, ends);
