Starts of suspects in recovered jobs wait for their record

Cause: a start of a suspect may go ahead of its record while the store keeps up, so that one crash may be unknown to the next owner. Each owner might send one such start, and the limits allow for one in all.

Change: in a recovered job a suspect's start waits for its record, also if the store keeps up.

--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -22,7 +22,8 @@
  *
  * A suspect's start is stored with its worker, so that a next owner knows of a
  * crash that this one could not store any more; before it is sent, if the
- * store does not keep up.  One crash may be unknown to a next owner even so.
+ * store does not keep up or the job is recovered.  One crash may be unknown to
+ * a next owner even so.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_task.c calls nm_crashes_on_start, sched_response.c
@@ -465,12 +466,14 @@
     /*
      * What has waited once waits no more, if its worker is not free any more;
      * tasks of a gang would wait one after the other.  At most one start is
-     * ahead of its record, as the intent before has to be stored.
+     * ahead of its record, as the intent before has to be stored; none in a
+     * recovered job, as a former owner may have sent that one.
      */
     nm_sched_job_t *job = task->occurrence->job;
     bool starts = task->intent.worker_hash != 0 ||
                   nm_task_step(task)->is_gang ||
-                  (intent_is_stored(task) && store_keeps_up(sched, now_ms));
+                  (!job->recovered && intent_is_stored(task) &&
+                   store_keeps_up(sched, now_ms));
     nm_sched_mark_changed(sched, job, true);
     task->intent =
         (nm_silence_t){.worker_hash = node->id_hash,
--- a/tests/test_sched_crash_store.c
+++ b/tests/test_sched_crash_store.c
@@ -378,6 +378,52 @@
     }
 }
 
+/*
+ * The store fails with a start under each of two owners, which are replaced
+ * when it is back: a next owner knows of all starts but one.
+ */
+static void
+test_starts_are_bounded_with_owners_replaced_twice(void)
+{
+    enum { OWNERS = 3 };
+    /* The starts that the first and the second owner cannot store. */
+    static const uint32_t lost[][OWNERS - 1] = {
+        {1, 3}, {1, 4}, {2, 3}, {2, 4}, {2, 5}, {3, 4}, {3, 5}, {4, 5}};
+    for (size_t n = 0; n < 4 * NM_COUNT_OF(lost); n++) {
+        const uint32_t *starts_lost = lost[n / 4];
+        store_sim_t store;
+        store_sim_init(&store);
+        store.gone = n % 2 == 0;
+        store.unanswered = n % 4 < 2;
+        uint32_t owner = 0;
+        nm_ms_t begin_ms = store.sim.now_ms;
+        while (store.sim.now_ms - begin_ms < play_ms(&store) &&
+               !job_has_failed(&store))
+        {
+            uint32_t starts = store.starts;
+            bool fails =
+                owner + 1 < OWNERS && starts + 1 == starts_lost[owner];
+            store.store_fails_at_start = fails;
+            store_sim_tick(&store, true);
+            if (!fails || store.starts == starts) {
+                continue;
+            }
+            for (nm_ms_t d = TICK_MS; d < START_OUTAGE_MS; d += TICK_MS) {
+                store_sim_tick(&store, true);
+            }
+            owner++;
+            replace_owner(&store, owner + 1);
+            begin_ms = store.sim.now_ms;
+        }
+        g_test_message("starts %u and %u are lost, gone %d, unanswered %d: "
+                       "%u starts",
+                       starts_lost[0], starts_lost[1], store.gone,
+                       store.unanswered, store.starts);
+        check_bounded(&store);
+        store_sim_finish(&store);
+    }
+}
+
 /*
  * Workers that are only cut off, in an outage or not, are no crashes: the task
  * is not given up, and waits no longer than the outage and some seconds.
@@ -417,6 +463,9 @@
     g_test_add_func(
         "/sched/deadly-starts-are-bounded-with-owner-replaced-once",
         test_starts_are_bounded_with_owner_replaced_once);
+    g_test_add_func(
+        "/sched/deadly-starts-are-bounded-with-owners-replaced-twice",
+        test_starts_are_bounded_with_owners_replaced_twice);
     g_test_add_func("/sched/one-deadly-start-is-ahead-of-record",
                     test_one_start_is_ahead_of_record);
     g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
