A feed knows that it falls behind, and lists then

Cause: a watch may return only a part of the changes that the store has. The feed took each response for all of them: on a link that brings changes slower than they are made, it fell behind without end, while its age was that of the newest call.

Change: the adapter tells which revision the store had shown when a call was sent. Changes up to an older revision do not renew the age of the feed; the next watch follows without a pause, and the time behind counts when the feed decides between a watch and a listing. owner-load has entries_missed.

--- a/src/entry_load.c
+++ b/src/entry_load.c
@@ -129,22 +129,24 @@
     double cpu_ms = (double)(read_cpu_time_ms() - load->cpu_time_ms);
     int cpu_used_permille = (int)(1000 * cpu_ms / MAX(granted_ms, 0.001));
     nm_ms_t entries_age_ms = nm_feed_age_ms(&entry->workers_feed);
-    nm_log(
-        lag_max_ms > EVENT_LAG_BOUND_MS ? NM_LOG_WARN : NM_LOG_INFO,
-        NM_LOG_ITEM_OWNER_LOAD,
-        "{s:I,s:I,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:i,s:I,s:I,s:i}", "lag_ms",
-        (json_int_t)lag_max_ms, "lag_bound_ms", (json_int_t)EVENT_LAG_BOUND_MS,
-        "placements", (int)(placement.count - load->logged.count),
-        "round_max_ms", (json_int_t)load->round_max_ms, "late_max_ms",
-        (json_int_t)load->late_max_ms, "interval_ms",
-        (json_int_t)(now_ms - load->since_ms), "passes", (int)load->passes,
-        "cpu_used_permille", cpu_used_permille, "cpu_share_permille",
-        (int)(1000 * entry->desc.cpu_share), "starting",
-        (int)placement.starting, "placements_cut",
-        (int)(placement.cut_count - load->logged.cut_count), "entries_age_ms",
-        (json_int_t)(entries_age_ms == NM_MS_NEVER ? -1 : entries_age_ms),
-        "entries_took_ms", (json_int_t)entry->workers_feed.response.took_ms,
-        "entries_read", (int)entry->workers_feed.response.items);
+    nm_log(lag_max_ms > EVENT_LAG_BOUND_MS ? NM_LOG_WARN : NM_LOG_INFO,
+           NM_LOG_ITEM_OWNER_LOAD,
+           "{s:I,s:I,s:i,s:I,s:I,s:I,s:i,s:i,s:i,s:i,s:i,s:I,s:I,s:i,s:I}",
+           "lag_ms", (json_int_t)lag_max_ms, "lag_bound_ms",
+           (json_int_t)EVENT_LAG_BOUND_MS, "placements",
+           (int)(placement.count - load->logged.count), "round_max_ms",
+           (json_int_t)load->round_max_ms, "late_max_ms",
+           (json_int_t)load->late_max_ms, "interval_ms",
+           (json_int_t)(now_ms - load->since_ms), "passes", (int)load->passes,
+           "cpu_used_permille", cpu_used_permille, "cpu_share_permille",
+           (int)(1000 * entry->desc.cpu_share), "starting",
+           (int)placement.starting, "placements_cut",
+           (int)(placement.cut_count - load->logged.cut_count),
+           "entries_age_ms",
+           (json_int_t)(entries_age_ms == NM_MS_NEVER ? -1 : entries_age_ms),
+           "entries_took_ms", (json_int_t)entry->workers_feed.response.took_ms,
+           "entries_read", (int)entry->workers_feed.response.items,
+           "entries_missed", (json_int_t)entry->workers_feed.response.missed);
     return lag_max_ms > EVENT_LAG_BOUND_MS &&
            (cpu_used_permille >= CPU_SHORT_PERMILLE ||
             load->late_max_ms >= PASS_LATE_MS);
--- a/src/feed.c
+++ b/src/feed.c
@@ -77,6 +77,7 @@
     feed->missed_bytes = 0;
     feed->confirming = false;
     feed->listing_pays = false;
+    feed->behind = false;
     restart_listing(feed);
 }
 
@@ -168,6 +169,7 @@
         return;
     }
     feed->listing = false;
+    feed->behind = false;
     feed->current_ms = feed->list_sent_ms;
     feed->confirming = feed->desc.confirms_changes;
     /* The watch also covers changes made after the first page. */
@@ -220,7 +222,11 @@
     /* An empty response is sent when the wait is over, not before. */
     bool waited = result->item_count == 0 &&
                   feed->response.took_ms >= feed->call_wait_ms;
-    feed->current_ms = feed->call_sent_ms + (waited ? feed->call_wait_ms : 0);
+    feed->behind = result->item_count > 0 && feed->response.missed > 0;
+    if (!feed->behind) {
+        feed->current_ms =
+            feed->call_sent_ms + (waited ? feed->call_wait_ms : 0);
+    }
     feed->confirming = feed->desc.confirms_changes && result->item_count > 0;
     deliver_newest(feed, result);
     if (feed->generation != generation) {
@@ -229,7 +235,7 @@
     if (result->revision > feed->revision) {
         feed->revision = result->revision;
     }
-    if (result->item_count > 0) {
+    if (result->item_count > 0 && !feed->behind) {
         feed->next_call_ms = now(feed) + feed->desc.pause_ms;
     }
 }
@@ -259,6 +265,9 @@
     if (response->transfer.first_byte_ms > 0) {
         behind_ms += response->took_ms - response->transfer.first_byte_ms;
     }
+    if (feed->behind) {
+        behind_ms = MAX(behind_ms, nm_feed_age_ms(feed));
+    }
     /* recent_bytes is highest right after a change: the mean of both sides. */
     double rate =
         (feed->recent_bytes - (double)feed->newest_bytes / 2) / RATE_WINDOW_MS;
@@ -278,6 +287,7 @@
         .silent_ms =
             feed->last_response_ms ? now_ms - feed->last_response_ms : 0,
         .items = result->item_count,
+        .missed = MAX(result->known_revision - result->revision, 0),
         .transfer = result->transfer,
     };
     feed->last_response_ms = now_ms;
--- a/src/feed.h
+++ b/src/feed.h
@@ -53,6 +53,7 @@
     nm_ms_t took_ms;   /* since the call was sent */
     nm_ms_t silent_ms; /* since the whole response before it; 0: none */
     uint32_t items;    /* in it; a watch may have several of one key */
+    int64_t missed;    /* revisions of the store that were known, after it */
     nm_kv_transfer_t transfer;
 } nm_feed_response_t;
 
@@ -62,6 +63,7 @@
     bool open;
     bool listed;  /* the first listing is complete */
     bool listing; /* the next call is a page of a listing */
+    bool behind;  /* the newest watch had not all changes before it */
     bool pending; /* a store call is in flight */
     /* Counts closes; responses to calls of earlier generations are ignored. */
     uint64_t generation;
--- a/src/kv.h
+++ b/src/kv.h
@@ -36,6 +36,8 @@
 typedef struct {
     int rc;
     int64_t revision; /* of the store or, after a commit, of its change */
+    /* Newest that a response had shown when the call was sent; 0: unknown. */
+    int64_t known_revision;
     const nm_store_kv_t *items; /* value NULL: the key was deleted */
     uint32_t item_count;
     bool more;     /* the range has keys after the last item */
@@ -85,8 +87,8 @@
 }
 
 /*
- * Completes with the first changes after a revision, or without items once
- * wait_ms passed without a change.
+ * Completes with the first changes after a revision, not necessarily with all
+ * that the store has, or without items once wait_ms passed without a change.
  */
 static inline void
 nm_kv_watch(nm_kv_t *kv, const char *prefix, int64_t after_revision,
