Entries that are known late are no sign of survival

Cause: a silent worker counts as alive if it is announced 6 s after it fell silent and the store responds. Whether the entries are current did not matter.

Change: the scheduler is told how old the entries are that it knows. The 6 s in which an entry shows survival, and the 10 s in which a crashed worker may be back, are those that the entries cover.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -430,6 +430,12 @@
  */
 void nm_sched_on_watch_gap(nm_sched_t *sched, nm_ms_t now_ms);
 
+/*
+ * The announcements and deregistrations that have been passed on are those of
+ * so long ago; 0 in the beginning.
+ */
+void nm_sched_set_entries_age(nm_sched_t *sched, nm_ms_t age_ms);
+
 /* Adds or updates an announced worker. */
 void nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                          nm_ms_t now_ms);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -284,6 +284,8 @@
     if (now_ms - entry->workers_feed.last_response_ms >= WATCH_GAP_MS) {
         nm_sched_on_watch_gap(entry->sched, now_ms);
     }
+    nm_ms_t entries_age_ms = nm_feed_age_ms(&entry->workers_feed);
+    nm_sched_set_entries_age(entry->sched, MIN(entries_age_ms, now_ms));
     nm_ms_t wait_ms = nm_sched_run(entry->sched, now_ms, nm_entry_unix_ms());
     nm_load_on_round(entry, now_ms);
     entry->sched_due_ms = now_ms + MAX(wait_ms, ROUND_INTERVAL_MIN_MS);
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -270,11 +270,16 @@
     }
 }
 
-/* Returns since when the worker's entry was watched and it was silent. */
+/*
+ * Returns for how long the worker was silent and its entry watched, by the age
+ * of the entries that are known.
+ */
 static nm_ms_t
-watched_since_ms(const nm_sched_t *sched, const nm_silence_t *silence)
+watched_ms(const nm_sched_t *sched, const nm_silence_t *silence,
+           nm_ms_t now_ms)
 {
-    return MAX(silence->since_ms, sched->watch_gap_ms);
+    return now_ms - sched->entries_age_ms -
+           MAX(silence->since_ms, sched->watch_gap_ms);
 }
 
 /*
@@ -285,11 +290,10 @@
 has_survived(const nm_sched_t *sched, const nm_silence_t *silence,
              const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    return node &&
-           ((node->reachable && node->epoch_confirmed) ||
-            node->desc.state == NM_WORKER_DRAINING ||
-            (node->announced && now_ms - watched_since_ms(sched, silence) >=
-                                    ENTRY_EXPIRY_MAX_MS));
+    return node && ((node->reachable && node->epoch_confirmed) ||
+                    node->desc.state == NM_WORKER_DRAINING ||
+                    (node->announced && watched_ms(sched, silence, now_ms) >=
+                                            ENTRY_EXPIRY_MAX_MS));
 }
 
 /* What is known of a worker that fell silent. */
@@ -417,10 +421,9 @@
     bool may_be_back = false;
     for (uint32_t i = 0; i < task->silence_count; i++) {
         const nm_silence_t *silence = &task->silences[i];
-        may_be_back =
-            may_be_back ||
-            (now_ms - watched_since_ms(sched, silence) < RESTART_WAIT_MS &&
-             now_ms - silence->since_ms < RESTART_WAIT_MAX_MS);
+        may_be_back = may_be_back ||
+                      (watched_ms(sched, silence, now_ms) < RESTART_WAIT_MS &&
+                       now_ms - silence->since_ms < RESTART_WAIT_MAX_MS);
     }
     return (may_be_back && suspicions >= CRASHES_MAX) ||
            (task->silence_count > 0 &&
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -224,6 +224,13 @@
     sched->watch_gap_ms = now_ms;
 }
 
+void
+nm_sched_set_entries_age(nm_sched_t *sched, nm_ms_t age_ms)
+{
+    assert(sched && age_ms >= 0);
+    sched->entries_age_ms = age_ms;
+}
+
 void
 nm_sched_set_worker(nm_sched_t *sched, const nm_sched_worker_t *desc,
                     nm_ms_t now_ms)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -506,6 +506,7 @@
         store_ok_ms;  /* newest round with nothing to store, or one stored */
     nm_ms_t began_ms; /* when this scheduler was created */
     nm_ms_t watch_gap_ms; /* newest time at which entries may be outdated */
+    nm_ms_t entries_age_ms;
     /* Latest time at which a former owner may have renewed a lease. */
     nm_ms_t former_owner_until_ms;
     bool taken_over;             /* what a former owner has stored is loaded */
--- a/tests/test_sched_crash_store.c
+++ b/tests/test_sched_crash_store.c
@@ -31,6 +31,7 @@
     bool cut_off[WORKERS]; /* up, but does not respond */
     nm_ms_t store_down_from_ms;
     nm_ms_t store_down_until_ms;
+    nm_ms_t entries_age_ms;  /* entries are known so late */
     nm_sched_action_t start; /* newest one; the task is there */
     bool at_work;
     bool store_fails_at_start;
@@ -113,12 +114,14 @@
     for (int w = 0; w < WORKERS; w++) {
         if (store->crashed_ms[w] > 0 && !store->gone &&
             !store_is_down(store) &&
-            store->sim.now_ms - store->crashed_ms[w] >= RESTART_MS)
+            store->sim.now_ms - store->crashed_ms[w] >=
+                RESTART_MS + store->entries_age_ms)
         {
             restart_worker(store, w);
         }
         nm_ms_t gone_ms =
-            MAX(store->crashed_ms[w], store->store_down_until_ms) + EXPIRY_MS;
+            MAX(store->crashed_ms[w], store->store_down_until_ms) + EXPIRY_MS +
+            store->entries_age_ms;
         if (store->crashed_ms[w] > 0 && !store_is_down(store) &&
             store->sim.now_ms >= gone_ms)
         {
@@ -145,6 +148,7 @@
     if (store_is_down(store)) {
         nm_sched_on_watch_gap(store->sim.sched, store->sim.now_ms);
     }
+    nm_sched_set_entries_age(store->sim.sched, store->entries_age_ms);
     sched_sim_advance(&store->sim, TICK_MS);
     for (guint i = 0; i < store->sim.actions->len; i++) {
         const nm_sched_action_t *action =
@@ -424,6 +428,30 @@
     }
 }
 
+/*
+ * The owner reads the entries late, though the store responds: an entry that
+ * is still known may have expired long ago, and is no sign of survival.
+ */
+static void
+test_starts_are_bounded_with_late_entries(void)
+{
+    static const nm_ms_t ages_ms[] = {0, 1000, 5000, 10000, 20000};
+    for (size_t n = 0; n < 2 * NM_COUNT_OF(ages_ms); n++) {
+        store_sim_t store;
+        store_sim_init(&store);
+        store.entries_age_ms = ages_ms[n / 2];
+        store.unanswered = n % 2 == 0;
+        while (store.sim.now_ms < play_ms(&store) && !job_has_failed(&store)) {
+            store_sim_tick(&store, true);
+        }
+        g_test_message("entries known after %d ms, unanswered %d: %u starts",
+                       (int)store.entries_age_ms, store.unanswered,
+                       store.starts);
+        check_bounded(&store);
+        store_sim_finish(&store);
+    }
+}
+
 /*
  * Workers that are only cut off, in an outage or not, are no crashes: the task
  * is not given up, and waits no longer than the outage and some seconds.
@@ -466,6 +494,8 @@
     g_test_add_func(
         "/sched/deadly-starts-are-bounded-with-owners-replaced-twice",
         test_starts_are_bounded_with_owners_replaced_twice);
+    g_test_add_func("/sched/deadly-starts-are-bounded-with-late-entries",
+                    test_starts_are_bounded_with_late_entries);
     g_test_add_func("/sched/one-deadly-start-is-ahead-of-record",
                     test_one_start_is_ahead_of_record);
     g_test_add_func("/sched/cut-off-workers-in-store-outage-are-not-counted",
