--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -22,7 +22,8 @@
  *
  * A suspect's start is stored with its worker, so that a next owner knows of a
  * crash that this one could not store any more; before it is sent, if the
- * store does not keep up.  One crash may be unknown to a next owner even so.
+ * store does not keep up or the job is recovered.  One crash may be unknown to
+ * a next owner even so.
  *
  * sched_node.c calls nm_crashes_on_incarnation_end before it requeues the
  * tasks of a worker, sched_task.c calls nm_crashes_on_start, sched_response.c
@@ -269,11 +270,16 @@
     }
 }
 
-/* Returns since when the worker's entry was watched and it was silent. */
+/*
+ * Returns for how long the worker was silent and its entry watched, by the age
+ * of the entries that are known.
+ */
 static nm_ms_t
-watched_since_ms(const nm_sched_t *sched, const nm_silence_t *silence)
+watched_ms(const nm_sched_t *sched, const nm_silence_t *silence,
+           nm_ms_t now_ms)
 {
-    return MAX(silence->since_ms, sched->watch_gap_ms);
+    return now_ms - sched->entries_age_ms -
+           MAX(silence->since_ms, sched->watch_gap_ms);
 }
 
 /*
@@ -284,11 +290,10 @@
 has_survived(const nm_sched_t *sched, const nm_silence_t *silence,
              const nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    return node &&
-           ((node->reachable && node->epoch_confirmed) ||
-            node->desc.state == NM_WORKER_DRAINING ||
-            (node->announced && now_ms - watched_since_ms(sched, silence) >=
-                                    ENTRY_EXPIRY_MAX_MS));
+    return node && ((node->reachable && node->epoch_confirmed) ||
+                    node->desc.state == NM_WORKER_DRAINING ||
+                    (node->announced && watched_ms(sched, silence, now_ms) >=
+                                            ENTRY_EXPIRY_MAX_MS));
 }
 
 /* What is known of a worker that fell silent. */
@@ -416,10 +421,9 @@
     bool may_be_back = false;
     for (uint32_t i = 0; i < task->silence_count; i++) {
         const nm_silence_t *silence = &task->silences[i];
-        may_be_back =
-            may_be_back ||
-            (now_ms - watched_since_ms(sched, silence) < RESTART_WAIT_MS &&
-             now_ms - silence->since_ms < RESTART_WAIT_MAX_MS);
+        may_be_back = may_be_back ||
+                      (watched_ms(sched, silence, now_ms) < RESTART_WAIT_MS &&
+                       now_ms - silence->since_ms < RESTART_WAIT_MAX_MS);
     }
     return (may_be_back && suspicions >= CRASHES_MAX) ||
            (task->silence_count > 0 &&
@@ -465,12 +469,14 @@
     /*
      * What has waited once waits no more, if its worker is not free any more;
      * tasks of a gang would wait one after the other.  At most one start is
-     * ahead of its record, as the intent before has to be stored.
+     * ahead of its record, as the intent before has to be stored; none in a
+     * recovered job, as a former owner may have sent that one.
      */
     nm_sched_job_t *job = task->occurrence->job;
     bool starts = task->intent.worker_hash != 0 ||
                   nm_task_step(task)->is_gang ||
-                  (intent_is_stored(task) && store_keeps_up(sched, now_ms));
+                  (!job->recovered && intent_is_stored(task) &&
+                   store_keeps_up(sched, now_ms));
     nm_sched_mark_changed(sched, job, true);
     task->intent =
         (nm_silence_t){.worker_hash = node->id_hash,
