A hand-over stores the starts that are in flight

By the logs: the owner of epoch 6 was active for 150 ms, sent run 5000001 to x22 and was told to stop; it handed over 1 ms later. The owner of epoch 7 started run 6000001 on x3 within 0.4 s. x22 restarted under its id 0.35 s after the hand-over (its `born`), so that it had seen no epoch, and began run 5000001 some 0.07 s after that, by the time of the violation; the owner of epoch 8 found it there.

Cause: a start is stored as open once it has had no response for 180 ms. An owner that hands over knows of younger ones as well, but waited only for what was already to be stored.

Change: as a hand-over begins, because the host stops or lags, the owner sends no more starts and stores those in flight, if workers come back under their ids. The hand-over waits for that commit, for 0.4 s at most as before. A report of the run ends the wait of the next owner.

Tests: /authority/hand-over-passes-on-starts-in-flight failed before in its case "start in flight" (the next owner started the task after 90 ms, a call may be carried out for 12 s), and passes.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -455,6 +455,12 @@
  * leases are renewed meanwhile.
  */
 void nm_sched_set_starts_allowed(nm_sched_t *sched, bool allowed);
+/*
+ * This owner gives its term up once all changes are stored: it sends no more
+ * starts, and stores those that are in flight, as the next owner must wait for
+ * them.  Further calls do nothing.
+ */
+void nm_sched_begin_hand_over(nm_sched_t *sched, nm_ms_t now_ms);
 /*
  * Reserves workers for short tasks that are too large for the gaps which
  * smaller ones leave, and for gangs.  Off until the first call: on an overfull
--- a/src/entry_election.c
+++ b/src/entry_election.c
@@ -436,6 +436,9 @@
         entry->yield_ms = now_ms;
     }
     entry->commit_due_ms = now_ms;
+    if (entry->role == NM_ROLE_OWNER) {
+        nm_sched_begin_hand_over(entry->sched, now_ms);
+    }
     bool stored = entry->role != NM_ROLE_OWNER ||
                   (!entry->committing && !nm_sched_has_saves(entry->sched));
     nm_ms_t since_ms = entry->stopping ? entry->stop_ms : entry->yield_ms;
--- a/src/sched.c
+++ b/src/sched.c
@@ -483,8 +483,7 @@
     }
     nm_ms_t interval_ms = sched->needs_placement ? PLACEMENT_INTERVAL_MS
                                                  : PLACEMENT_INTERVAL_MAX_MS;
-    if (sched->authority && sched->starts_allowed &&
-        now_ms - sched->placed_ms >= interval_ms)
+    if (nm_sched_may_start(sched) && now_ms - sched->placed_ms >= interval_ms)
     {
         sched->needs_placement = false;
         remove_ended_from_active(sched);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -167,8 +167,7 @@
             nm_count_reason(NM_REASON_ZONE_EVACUATED);
             nm_sched_withdraw_start(sched, task, now_ms);
         }
-        else if (task->state == NM_RUN_STARTING &&
-                 !(sched->authority && sched->starts_allowed))
+        else if (task->state == NM_RUN_STARTING && !nm_sched_may_start(sched))
         {
             node->retry_due_ms =
                 MIN(node->retry_due_ms, now_ms + NM_SCHED_RETRY_MS);
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -271,6 +271,38 @@
     }
 }
 
+static void
+store_starts_in_flight(nm_sched_t *sched, nm_occurrence_t *occurrence,
+                       nm_ms_t now_ms)
+{
+    const nm_job_spec_t *spec = &occurrence->job->spec;
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        for (uint32_t i = 0; i < spec->steps[s].task_count; i++) {
+            nm_task_t *task = &occurrence->tasks[s][i];
+            if (task->starts_in_flight > 0 && task->open_run != task->run) {
+                nm_sched_store_open_start(sched, task, task->run, now_ms);
+            }
+        }
+    }
+}
+
+void
+nm_sched_begin_hand_over(nm_sched_t *sched, nm_ms_t now_ms)
+{
+    assert(sched);
+    if (sched->is_handing_over) {
+        return;
+    }
+    sched->is_handing_over = true;
+    for (guint i = 0; i < sched->active->len; i++) {
+        nm_sched_job_t *job = sched->active->pdata[i];
+        bool has_ended = job->state >= NM_JOB_COMPLETED;
+        for (uint32_t o = 0; !has_ended && o < job->occurrence_count; o++) {
+            store_starts_in_flight(sched, &job->occurrences[o], now_ms);
+        }
+    }
+}
+
 /*
  * A start got no response.  Unless it may be sent again, a report shows
  * whether the run has begun; one that was sent after the start has expired,
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -511,6 +511,7 @@
     bool taken_over;             /* what a former owner has stored is loaded */
     bool authority;              /* may start tasks and renew leases */
     bool starts_allowed;         /* may start tasks */
+    bool is_handing_over;        /* starts no tasks */
     GHashTable *evacuated_zones; /* names */
     /* When a cold worker that was refused may take a start; 0: none was. */
     nm_ms_t cold_start_due_ms;
@@ -774,6 +775,14 @@
 /* True while a waiting task must not start, whichever workers are free. */
 bool nm_crashes_must_wait(const nm_sched_t *sched, const nm_task_t *task,
                           nm_ms_t now_ms);
+
+static inline bool
+nm_sched_may_start(const nm_sched_t *sched)
+{
+    return sched->authority && sched->starts_allowed &&
+           !sched->is_handing_over;
+}
+
 /*
  * True if an unanswered start of a step's task may be sent again while the
  * first call may still be carried out: no worker comes back under its id, a
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -14,6 +14,10 @@
 #define FULL_RECORD                                                           \
     "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","      \
     "\"steps\":[{\"tasks\":10,\"cpu_milli\":8000}]}"
+/* An ended job, and its record by an owner that saw workers restart. */
+#define ENDED_JOB "5c0e7a21d94b36f9"
+#define ENDED_PROGRESS                                                        \
+    "{\"version\":1,\"state\":\"cancelled\",\"ids_reused\":true}"
 #define MAJORITY 3
 #define MINORITY 2
 /* Time within which an owner must have lost its authority. */
@@ -390,6 +394,59 @@
     fake_kv_free(kv);
 }
 
+/*
+ * A start is on its way as its owner is told to stop.  Workers come back under
+ * their ids, so that the call may be carried out by a later incarnation, which
+ * has seen no newer epoch: the next owner must not start the task elsewhere.
+ */
+static void
+test_hand_over_passes_on_starts_in_flight(void)
+{
+    enum { IN_FLIGHT_MS = 100, LATE_START_MS = 12000, WAIT_MAX_MS = 16000 };
+    static const struct {
+        const char *name;
+        bool ids_reused;
+        bool answered;
+        nm_ms_t wait_ms_min;
+    } cases[] = {
+        {"no worker has restarted", false, false, 0},
+        {"start answered", true, true, 0},
+        {"start in flight", true, false, LATE_START_MS - IN_FLIGHT_MS},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/w0", WORKER);
+        if (cases[i].ids_reused) {
+            fake_kv_put(kv, "nutmegdeck/jobs/" ENDED_JOB, RECORD);
+            fake_kv_put(kv, NM_KEY_PROGRESS ENDED_JOB, ENDED_PROGRESS);
+        }
+        host_t former;
+        host_init(&former, "a", kv);
+        run_host(&former, 1000);
+        host_t next;
+        host_init(&next, "b", kv);
+        run_host(&next, 200);
+        former.orders.holds_starts = !cases[i].answered;
+        fake_kv_put(kv, JOB_KEY, RECORD);
+        run_host(&former, IN_FLIGHT_MS);
+        g_assert_cmpuint(
+            former.orders.starts + former.orders.held_starts.length, ==, 2);
+        nm_entry_stop(former.entry);
+        nm_ms_t waited_ms = 0;
+        for (; waited_ms < WAIT_MAX_MS && next.orders.starts == 0;
+             waited_ms += 10) {
+            run_host(&former, 10);
+            run_host(&next, 10);
+        }
+        g_assert_cmpint(waited_ms, >=, cases[i].wait_ms_min);
+        g_assert_cmpint(waited_ms, <, WAIT_MAX_MS);
+        host_finish(&next);
+        host_finish(&former);
+        fake_kv_free(kv);
+    }
+}
+
 static nm_witness_life_t
 make_life(char letter, int64_t incarnation, const char *address)
 {
@@ -862,6 +919,8 @@
          test_slow_reading_does_not_shorten_the_wait},
         {"/authority/hand-over-passes-on-leases",
          test_hand_over_passes_on_leases},
+        {"/authority/hand-over-passes-on-starts-in-flight",
+         test_hand_over_passes_on_starts_in_flight},
         {"/authority/majorities", test_majorities},
         {"/authority/restarted-witness-counts-for-nothing",
          test_restarted_witness_counts_for_nothing},
