Starts that wait for other calls end with their owner's term

Cause: at most two orders are in flight to a worker; others wait in the host until these have ended or timed out (450 ms), and went out then, also if the owner's term had ended meanwhile. Workers refuse them by their epoch, but one that has restarted under its id knows none.

Change: as a term ends, for whatever cause, its waiting starts are not sent and end as not sent. Waiting stops go on: they do no harm.

Test: /authority/waiting-starts-end-with-the-term sent 10 starts, 8 of them after the end of the term, before; now the 2 that were in flight.

--- a/src/entry_term.c
+++ b/src/entry_term.c
@@ -98,6 +98,7 @@
                             entry->authority.confirmed_ms),
                "loading", entry->role == NM_ROLE_LOADING);
     }
+    int64_t ended_epoch = entry->owned_epoch;
     nm_succession_end(entry);
     entry->role = NM_ROLE_FOLLOWER;
     entry->owned_epoch = 0;
@@ -127,6 +128,8 @@
         nm_sched_free(entry->sched);
         entry->sched = NULL;
     }
+    /* A worker that restarts has seen no newer epoch, and would begin them. */
+    nm_order_port_end_terms(entry->orders, ended_epoch);
 }
 
 bool
--- a/src/order_limiter.c
+++ b/src/order_limiter.c
@@ -133,7 +133,35 @@
     g_queue_push_tail(&order->queue->waiting, order);
 }
 
-static const nm_order_port_vtable_t limiter_vtable = {limiter_send};
+/* Ends waiting starts, after the queues have been searched. */
+static void
+limiter_end_terms(nm_order_port_t *port, int64_t epoch)
+{
+    nm_order_limiter_t *limiter = (nm_order_limiter_t *)port;
+    GQueue ended = G_QUEUE_INIT;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, limiter->queues);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        worker_queue_t *queue = value;
+        for (guint i = queue->waiting.length; i > 0; i--) {
+            order_t *order = g_queue_pop_head(&queue->waiting);
+            bool ends =
+                order->action.type == NM_ACTION_START && order->epoch <= epoch;
+            g_queue_push_tail(ends ? &ended : &queue->waiting, order);
+        }
+    }
+    order_t *order;
+    while ((order = g_queue_pop_head(&ended))) {
+        order->done(order->user, &order->action, NM_ORDER_NOT_SENT, NULL);
+        free_order(order);
+    }
+}
+
+static const nm_order_port_vtable_t limiter_vtable = {
+    .send = limiter_send,
+    .end_terms = limiter_end_terms,
+};
 
 nm_order_port_t *
 nm_order_limiter_init(nm_order_limiter_t *limiter, nm_order_port_t *inner,
--- a/src/order_limiter.h
+++ b/src/order_limiter.h
@@ -5,7 +5,8 @@
  * needs a connection of its own, and opening one costs more than waiting for a
  * round trip, so further orders wait in a queue.  Polls are not limited: there
  * is only one in flight to a worker at a time, and one probe of a witness.
- * Starts that have waited for as long as they are valid are not sent.
+ * Starts that have waited for as long as they are valid are not sent, nor
+ * those of a term that is over.
  *
  *     nm_order_limiter_t limiter;
  *     nm_order_port_t *port = nm_order_limiter_init(&limiter, inner, &clock);
--- a/src/order_port.h
+++ b/src/order_port.h
@@ -21,6 +21,7 @@
 typedef struct {
     void (*send)(nm_order_port_t *port, const nm_sched_action_t *action,
                  int64_t epoch, nm_order_done_fn done, void *user);
+    void (*end_terms)(nm_order_port_t *port, int64_t epoch); /* or NULL */
 } nm_order_port_vtable_t;
 
 struct nm_order_port {
@@ -34,4 +35,16 @@
     port->vtable->send(port, action, epoch, done, user);
 }
 
+/*
+ * The terms up to an epoch are over: starts of them that wait are not sent,
+ * and end with NM_ORDER_NOT_SENT.
+ */
+static inline void
+nm_order_port_end_terms(nm_order_port_t *port, int64_t epoch)
+{
+    if (port->vtable->end_terms) {
+        port->vtable->end_terms(port, epoch);
+    }
+}
+
 #endif
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -338,7 +338,17 @@
     relay->epoch = epoch;
 }
 
-static const nm_order_port_vtable_t relay_vtable = {relay_send};
+static void
+relay_end_terms(nm_order_port_t *port, int64_t epoch)
+{
+    const nm_order_relay_t *relay = (nm_order_relay_t *)port;
+    nm_order_port_end_terms(relay->desc.direct, epoch);
+}
+
+static const nm_order_port_vtable_t relay_vtable = {
+    .send = relay_send,
+    .end_terms = relay_end_terms,
+};
 
 nm_order_port_t *
 nm_order_relay_init(nm_order_relay_t *relay, const nm_order_relay_desc_t *desc)
--- a/tests/fakes/lib_entry_host.c
+++ b/tests/fakes/lib_entry_host.c
@@ -63,15 +63,22 @@
 
 /* Later ones may be sent as the held ones end. */
 static void
-end_held_starts(fake_orders_t *orders)
+end_held_starts(fake_orders_t *orders, nm_order_result_t result)
 {
     held_start_t *start;
     while ((start = g_queue_pop_head(&orders->held_starts))) {
-        start->done(start->user, &start->action, NM_ORDER_UNKNOWN, NULL);
+        orders->starts += result == NM_ORDER_DONE;
+        start->done(start->user, &start->action, result, NULL);
         g_free(start);
     }
 }
 
+void
+fake_orders_release_starts(fake_orders_t *orders)
+{
+    end_held_starts(orders, NM_ORDER_DONE);
+}
+
 static bool
 contains(GHashTable *ids, const char *id)
 {
@@ -146,7 +153,7 @@
     g_array_free(runs, TRUE);
 }
 
-static const nm_order_port_vtable_t orders_vtable = {orders_send};
+static const nm_order_port_vtable_t orders_vtable = {.send = orders_send};
 
 static void
 free_request(gpointer data)
@@ -241,7 +248,7 @@
 void
 host_finish(host_t *host)
 {
-    end_held_starts(&host->orders);
+    end_held_starts(&host->orders, NM_ORDER_UNKNOWN);
     fake_kv_end_calls(host->kv);
     nm_entry_free(host->entry);
     nm_peer_rpc_free(host->peers);
--- a/tests/fakes/lib_entry_host.h
+++ b/tests/fakes/lib_entry_host.h
@@ -79,6 +79,8 @@
     char address[64];
 } host_t;
 
+/* Lets workers carry out and acknowledge the starts that are held. */
+void fake_orders_release_starts(fake_orders_t *orders);
 /* Returns a store that holds a configuration with one queue. */
 fake_kv_t *configured_store(void);
 void host_init_with_kv(host_t *host, const char *name, const char *address,
--- a/tests/test_entry_authority.c
+++ b/tests/test_entry_authority.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "../src/order_limiter.h"
 #include "../src/quorum.h"
 #include "lib_entry_host.h"
 #include "lib_kv_proxy.h"
@@ -18,6 +19,9 @@
 #define ENDED_JOB "5c0e7a21d94b36f9"
 #define ENDED_PROGRESS                                                        \
     "{\"version\":1,\"state\":\"cancelled\",\"ids_reused\":true}"
+#define SMALL_RECORD                                                          \
+    "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","      \
+    "\"steps\":[{\"tasks\":10,\"cpu_milli\":100}]}"
 #define MAJORITY 3
 #define MINORITY 2
 /* Time within which an owner must have lost its authority. */
@@ -447,6 +451,50 @@
     }
 }
 
+/*
+ * Starts wait for the responses of others to the same worker as their owner
+ * loses its term.  The worker restarts, so that it has seen no newer epoch:
+ * they must not be sent any more.
+ */
+static void
+test_waiting_starts_end_with_the_term(void)
+{
+    enum { TASKS = 10 };
+    static const struct {
+        const char *name;
+        bool replaced;
+        uint32_t sent;
+    } cases[] = {
+        {"owner", false, TASKS},
+        {"former owner", true, NM_WORKER_ORDERS_IN_FLIGHT_MAX},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/w0", WORKER);
+        host_t host;
+        host_init(&host, "a", kv);
+        nm_order_limiter_t limiter;
+        host.entry->relay.desc.direct =
+            nm_order_limiter_init(&limiter, &host.orders.base, &host.clock);
+        run_host(&host, 1000);
+        host.orders.holds_starts = true;
+        fake_kv_put(kv, JOB_KEY, SMALL_RECORD);
+        run_host(&host, 100);
+        g_assert_cmpuint(host.orders.held_starts.length, ==,
+                         NM_WORKER_ORDERS_IN_FLIGHT_MAX);
+        if (cases[i].replaced) {
+            nm_term_step_down(host.entry, "replaced");
+        }
+        host.orders.holds_starts = false;
+        fake_orders_release_starts(&host.orders);
+        g_assert_cmpuint(host.orders.starts, ==, cases[i].sent);
+        host_finish(&host);
+        nm_order_limiter_finish(&limiter);
+        fake_kv_free(kv);
+    }
+}
+
 static nm_witness_life_t
 make_life(char letter, int64_t incarnation, const char *address)
 {
@@ -921,6 +969,8 @@
          test_hand_over_passes_on_leases},
         {"/authority/hand-over-passes-on-starts-in-flight",
          test_hand_over_passes_on_starts_in_flight},
+        {"/authority/waiting-starts-end-with-the-term",
+         test_waiting_starts_end_with_the_term},
         {"/authority/majorities", test_majorities},
         {"/authority/restarted-witness-counts-for-nothing",
          test_restarted_witness_counts_for_nothing},
--- a/tests/test_entry_two_owners.c
+++ b/tests/test_entry_two_owners.c
@@ -843,7 +843,7 @@
     g_array_free(runs, TRUE);
 }
 
-static const nm_order_port_vtable_t orders_vtable = {orders_send};
+static const nm_order_port_vtable_t orders_vtable = {.send = orders_send};
 
 static void
 run_machines(world_t *world)
--- a/tests/test_order_limiter.c
+++ b/tests/test_order_limiter.c
@@ -26,7 +26,7 @@
     g_ptr_array_add(inner->payloads, g_strdup(action->payload));
 }
 
-static const nm_order_port_vtable_t inner_vtable = {inner_send};
+static const nm_order_port_vtable_t inner_vtable = {.send = inner_send};
 
 static void
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -28,7 +28,7 @@
     ((direct_t *)port)->sent++;
 }
 
-static const nm_order_port_vtable_t direct_vtable = {direct_send};
+static const nm_order_port_vtable_t direct_vtable = {.send = direct_send};
 
 static outcome_t outcome;
 
@@ -225,7 +225,8 @@
     done(user, action, NM_ORDER_UNKNOWN, NULL);
 }
 
-static const nm_order_port_vtable_t responding_vtable = {responding_send};
+static const nm_order_port_vtable_t responding_vtable = {.send =
+                                                             responding_send};
 
 /* A carrier must not send orders of an owner that it knows to be replaced. */
 static void
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -41,7 +41,7 @@
     done(user, action, NM_ORDER_DONE, NULL);
 }
 
-static const nm_order_port_vtable_t recorder_vtable = {record_order};
+static const nm_order_port_vtable_t recorder_vtable = {.send = record_order};
 
 static void
 on_order(void *user, const nm_sched_action_t *action, nm_order_result_t result,
