Silent workers that a task waits for are looked up in the list of machines

Cause: a silence is resolved by a later incarnation or another worker at its address, or by the list of machines while tasks are still attached. Once the lease has lapsed, or under a next owner, which knows only hashes of ids, the list was not asked; with five known and possible crashes (four under a next owner) the task waits for each silence.

Change: the owner looks up silences that a task waits for as well. If a plausible, complete list that was requested later has no worker with the hash, the crash counts (crash-resolved, evidence machines), never as certain. It does not count if the worker has responded or announced itself since, has its entry, or was seen draining. A listed id shows nothing, as the list names no incarnation.

Tests: /sched/silences/gone* (4 cases) and /lives/stored-silences failed with the proof taken out: the job neither failed nor ran within 150 s and 40 s. Now it is given up after 23 and 27 s, or once a late list is there, with 5 starts of 5 allowed. Workers that are cut off but listed (5 and 4 starts), drained (12) or heard of again (44) fail no job. deadly-starts-are-bounded-* and losses-hold-no-task-* pass unchanged; a round at 27,000 workers stays within its bound. All test_sched* and test_entry* pass but the known red killed-owners-in-series.

--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -519,6 +519,31 @@
 bool nm_sched_on_worker_ended(nm_sched_t *sched, const char *id,
                               int64_t incarnation, nm_ms_t sent_ms,
                               nm_ms_t now_ms);
+/*
+ * The incarnation of a worker that fell silent soon after a start, and that a
+ * task waits for: it counts as a crash if it has ended.
+ */
+typedef struct {
+    uint32_t worker_hash; /* as of nm_sched_hash_worker */
+    int64_t incarnation;
+    nm_ms_t known_ms; /* this owner has known of the silence since then */
+} nm_sched_silence_t;
+
+/* What is stored of a worker that fell silent; never 0. */
+uint32_t nm_sched_hash_worker(const char *id);
+/* Calls visit for each of them that a task was found to wait for lately. */
+void nm_sched_visit_silences(nm_sched_t *sched, nm_ms_t now_ms,
+                             void (*visit)(void *user,
+                                           const nm_sched_silence_t *silence),
+                             void *user);
+/*
+ * A list of machines that was requested at a time has no worker with the hash,
+ * so that the incarnation has ended.  It counts for silences that were known
+ * by then, if the worker has not been heard of since.
+ */
+void nm_sched_on_silent_worker_ended(nm_sched_t *sched, uint32_t worker_hash,
+                                     int64_t incarnation, nm_ms_t sent_ms,
+                                     nm_ms_t now_ms);
 /* Calls visit for each worker that does not respond but may hold a lease. */
 void nm_sched_visit_silent_workers(const nm_sched_t *sched, nm_ms_t now_ms,
                                    void (*visit)(void *user,
--- a/src/entry_lives.c
+++ b/src/entry_lives.c
@@ -14,6 +14,9 @@
  * the incarnation has ended.  If the id is listed, nothing is shown, as the
  * worker may have started again under it.
  *
+ * Of a worker that fell silent soon after a start only the hash of the id is
+ * stored.  Another worker with this hash hides its end, but shows none.
+ *
  * Only the owner asks, only while a silent worker or witness holds up others,
  * and with one listing in flight.
  */
@@ -48,7 +51,9 @@
 
 typedef struct {
     nm_witness_life_t life;
-    bool is_witness;  /* a listed one that may confirm a former owner */
+    bool is_witness; /* a listed one that may confirm a former owner */
+    uint32_t
+        worker_hash;  /* of a stored silence, whose id is unknown; else 0 */
     nm_ms_t ended_ms; /* when the listing that showed its end was complete */
 } life_t;
 
@@ -124,6 +129,27 @@
     }
 }
 
+/* Unlike the others, it holds tasks up also once its lease has lapsed. */
+static void
+ask_for_silence(void *user, const nm_sched_silence_t *silence)
+{
+    nm_entry_t *entry = user;
+    if (nm_entry_now(entry) - silence->known_ms >= KNOWN_MIN_MS) {
+        life_t row = {.life.incarnation = silence->incarnation,
+                      .worker_hash = silence->worker_hash};
+        g_array_append_val(entry->lives.asked, row);
+    }
+}
+
+static bool
+is_life_of(const life_t *row, const char *worker, int64_t incarnation)
+{
+    return row->life.incarnation == incarnation &&
+           (row->worker_hash != 0
+                ? row->worker_hash == nm_sched_hash_worker(worker)
+                : strcmp(row->life.id, worker) == 0);
+}
+
 /*
  * An incarnation has responded to a call that was sent after its end was
  * shown: the list is no proof here.
@@ -135,9 +161,8 @@
     const GArray *ended = entry->lives.ended;
     for (guint i = 0; i < ended->len; i++) {
         const life_t *row = &g_array_index(ended, life_t, i);
-        if (row->life.incarnation == contact->incarnation &&
-            contact->reported_ms > row->ended_ms &&
-            strcmp(row->life.id, contact->id) == 0)
+        if (contact->reported_ms > row->ended_ms &&
+            is_life_of(row, contact->id, contact->incarnation))
         {
             if (!entry->lives.distrusted) {
                 nm_log(NM_LOG_WARN, NM_LOG_ITEM_LIFE_CONTRADICTED,
@@ -211,8 +236,11 @@
 static uint32_t
 count_missing(nm_lives_t *lives, GHashTable *missing, const life_t *row)
 {
-    char *key = g_strdup_printf("%s %lld", row->life.id,
-                                (long long)row->life.incarnation);
+    char *key = row->worker_hash != 0
+                    ? g_strdup_printf("#%u %lld", row->worker_hash,
+                                      (long long)row->life.incarnation)
+                    : g_strdup_printf("%s %lld", row->life.id,
+                                      (long long)row->life.incarnation);
     uint32_t count =
         1 + GPOINTER_TO_UINT(g_hash_table_lookup(lives->missing, key));
     g_hash_table_replace(missing, key, GUINT_TO_POINTER(count));
@@ -223,7 +251,12 @@
 apply_end(nm_entry_t *entry, const life_t *row, nm_ms_t sent_ms,
           nm_ms_t now_ms)
 {
-    if (row->is_witness) {
+    if (row->worker_hash != 0) {
+        nm_sched_on_silent_worker_ended(entry->sched, row->worker_hash,
+                                        row->life.incarnation, sent_ms,
+                                        now_ms);
+    }
+    else if (row->is_witness) {
         nm_authority_on_life_ended(entry, &row->life);
     }
     else if (!nm_sched_on_worker_ended(entry->sched, row->life.id,
@@ -231,11 +264,12 @@
     {
         return false;
     }
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_LIFE_ENDED, "{s:s,s:I,s:b,s:s,s:I,s:I}",
-           "worker", row->life.id, "incarnation",
-           (json_int_t)row->life.incarnation, "witness", row->is_witness,
-           "evidence", nm_crash_evidence_name(NM_CRASH_EVIDENCE_MACHINES),
-           "listing_ms", (json_int_t)(now_ms - sent_ms), "epoch",
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_LIFE_ENDED,
+           "{s:s,s:I,s:b,s:b,s:s,s:I,s:I}", "worker", row->life.id,
+           "incarnation", (json_int_t)row->life.incarnation, "witness",
+           row->is_witness, "silence", row->worker_hash != 0, "evidence",
+           nm_crash_evidence_name(NM_CRASH_EVIDENCE_MACHINES), "listing_ms",
+           (json_int_t)(now_ms - sent_ms), "epoch",
            (json_int_t)entry->owned_epoch);
     life_t ended = *row;
     ended.ended_ms = now_ms;
@@ -249,6 +283,20 @@
     uint32_t unconfirmed; /* not listed, but another listing has to show it */
 } findings_t;
 
+/* Returns a set of the hashes of listed workers. */
+static GHashTable *
+hash_listed(GHashTable *listed)
+{
+    GHashTable *hashes = g_hash_table_new(NULL, NULL);
+    GHashTableIter iter;
+    gpointer id;
+    g_hash_table_iter_init(&iter, listed);
+    while (g_hash_table_iter_next(&iter, &id, NULL)) {
+        g_hash_table_add(hashes, GUINT_TO_POINTER(nm_sched_hash_worker(id)));
+    }
+    return hashes;
+}
+
 static findings_t
 apply_listing(nm_entry_t *entry, const nm_machine_list_t *list,
               GHashTable *listed, nm_ms_t sent_ms, nm_ms_t now_ms)
@@ -256,11 +304,16 @@
     nm_lives_t *lives = &entry->lives;
     GHashTable *missing =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GHashTable *hashes = hash_listed(listed);
     uint32_t listings_min = list->pages > 1 ? PAGED_LISTINGS_MIN : 1;
     findings_t findings = {0};
     for (guint i = 0; i < lives->asked->len; i++) {
         const life_t *row = &g_array_index(lives->asked, life_t, i);
-        if (g_hash_table_contains(listed, row->life.id)) {
+        bool is_listed = row->worker_hash != 0
+                             ? g_hash_table_contains(
+                                   hashes, GUINT_TO_POINTER(row->worker_hash))
+                             : g_hash_table_contains(listed, row->life.id);
+        if (is_listed) {
             continue;
         }
         if (count_missing(lives, missing, row) < listings_min) {
@@ -270,6 +323,7 @@
             findings.ended++;
         }
     }
+    g_hash_table_destroy(hashes);
     g_hash_table_destroy(lives->missing);
     lives->missing = missing;
     return findings;
@@ -341,6 +395,7 @@
     }
     g_array_set_size(lives->asked, 0);
     nm_sched_visit_contacts(entry->sched, ask_for_worker, entry);
+    nm_sched_visit_silences(entry->sched, now_ms, ask_for_silence, entry);
     if (now_ms - entry->authority.elected_ms >= KNOWN_MIN_MS) {
         nm_authority_visit_unresolved(entry, ask_for_witness, entry);
     }
--- a/src/sched.c
+++ b/src/sched.c
@@ -146,6 +146,7 @@
     sched->nodes_by_hash = g_hash_table_new(NULL, NULL);
     sched->nodes_by_address = g_hash_table_new_full(
         NULL, NULL, NULL, (GDestroyNotify)g_ptr_array_unref);
+    sched->awaited = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     sched->node_list = g_ptr_array_new();
     sched->timers = g_ptr_array_new();
     sched->active = g_ptr_array_new();
@@ -191,6 +192,7 @@
     nm_durations_finish(&sched->durations);
     g_hash_table_destroy(sched->nodes_by_address);
     g_hash_table_destroy(sched->nodes_by_hash);
+    g_hash_table_destroy(sched->awaited);
     g_hash_table_destroy(sched->nodes);
     g_hash_table_destroy(sched->jobs);
     g_hash_table_destroy(sched->queues);
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -13,12 +13,13 @@
  *
  * A crash is proved by a later incarnation of the worker, or one at its
  * address, or by a list of machines in which no machine has the worker while
- * its tasks are attached.  A worker that is silent and whose entry is gone may
- * be cut off from the owner and the store: an unresolved silence, stored with
- * its tasks in case the owner changes.  The tasks start elsewhere when its
- * lease has lapsed.  Only crashes that are proved fail a job.  Once known and
- * possible crashes are as many as that takes, the task waits for the workers
- * to be heard of, for a limited time, as some are lost for good.
+ * its tasks are attached or a task waits for it.  A worker that is silent and
+ * whose entry is gone may be cut off from the owner and the store: an
+ * unresolved silence, stored with its tasks in case the owner changes.  The
+ * tasks start elsewhere when its lease has lapsed.  Only crashes that are
+ * proved fail a job.  Once known and possible crashes are as many as that
+ * takes, the task waits for the workers to be heard of, for a limited time, as
+ * some are lost for good.
  *
  * A suspect's start is stored with its worker, so that a next owner knows of a
  * crash that this one could not store any more; before it is sent, if the
@@ -36,6 +37,8 @@
  */
 #include "sched_state.h"
 
+#include <assert.h>
+
 /* A run at work for longer on a worker that responds survived its start. */
 #define SURVIVAL_MS 1000
 /*
@@ -65,6 +68,10 @@
  * rules allow; then the worker is taken for lost, whether it crashed or not.
  */
 #define SILENCE_MAX_MS 900000
+/* A worker counts as awaited for so long, as each round may find it anew. */
+#define AWAITED_MS 5000
+/* Limit of the workers that are awaited at a time; others wait their turn. */
+#define AWAITED_MAX 1024
 /*
  * A task with one crash starts again after this time, even if its start could
  * not be stored; one with more crashes waits for the store.
@@ -320,6 +327,30 @@
     return came_later ? node : NULL;
 }
 
+/*
+ * True if a list of machines that was requested after the silence lacks the
+ * worker, which has neither responded nor announced itself since, nor was it
+ * about to leave as planned.
+ */
+static bool
+has_ended(const nm_sched_t *sched, const nm_silence_t *silence,
+          const nm_sched_node_t *same)
+{
+    const nm_awaited_t *awaited = g_hash_table_lookup(
+        sched->awaited, GUINT_TO_POINTER(silence->worker_hash));
+    if (!awaited || awaited->ended_ms == 0 ||
+        awaited->incarnation != silence->incarnation ||
+        silence->since_ms > awaited->ended_ms)
+    {
+        return false;
+    }
+    return !same ||
+           (!same->announced && same->announced_ms < awaited->ended_ms &&
+            same->alive_ms < awaited->ended_ms &&
+            !(same->reachable && same->epoch_confirmed) &&
+            same->desc.state != NM_WORKER_DRAINING);
+}
+
 static silence_state_t
 find_silence_state(const nm_sched_t *sched, const nm_silence_t *silence)
 {
@@ -332,8 +363,11 @@
     if (successor) {
         return (silence_state_t){successor, NM_CRASH_EVIDENCE_ADDRESS};
     }
-    bool same = node && is_silence_of(silence, node);
-    return (silence_state_t){same ? node : NULL, NM_CRASH_EVIDENCE_NONE};
+    const nm_sched_node_t *same =
+        node && is_silence_of(silence, node) ? node : NULL;
+    return (silence_state_t){same, has_ended(sched, silence, same)
+                                       ? NM_CRASH_EVIDENCE_MACHINES
+                                       : NM_CRASH_EVIDENCE_NONE};
 }
 
 static void
@@ -350,39 +384,15 @@
 
 /*
  * A run that was cut off has ended with its lease; a restart after that may
- * have any cause.
+ * have any cause, and so may an end that a list shows.
  */
 static bool
 is_certain(const nm_silence_t *silence, const silence_state_t *state)
 {
-    return silence->certain &&
+    return silence->certain && state->evidence != NM_CRASH_EVIDENCE_MACHINES &&
            state->node->incarnation_seen_ms <= silence->lapse_ms;
 }
 
-void
-nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
-{
-    for (uint32_t i = task->silence_count; i > 0; i--) {
-        nm_silence_t silence = task->silences[i - 1];
-        silence_state_t state = find_silence_state(sched, &silence);
-        if (state.evidence != NM_CRASH_EVIDENCE_NONE) {
-            remove_silence(sched, task, i - 1);
-            count_crash(sched, task, silence.worker_hash);
-            add_silence_event(sched, NM_SCHED_EVENT_CRASH_RESOLVED, task,
-                              &silence, &state, task->crashes);
-            check_given_up(sched, task, is_certain(&silence, &state), now_ms);
-        }
-        else if (has_survived(sched, &silence, state.node, now_ms) ||
-                 now_ms - silence.since_ms >= SILENCE_MAX_MS)
-        {
-            remove_silence(sched, task, i - 1);
-            add_silence_event(sched, NM_SCHED_EVENT_CRASH_UNPROVED, task,
-                              &silence, &state, task->silence_count);
-        }
-    }
-    check_given_up(sched, task, false, now_ms);
-}
-
 /*
  * Crashes of workers that ran the task before, known or possible; a crash of
  * the worker that it is on is none yet.
@@ -430,6 +440,111 @@
             suspicions >= crashes_uncertain_max(task->occurrence->job));
 }
 
+static void
+note_awaited(nm_sched_t *sched, const nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->silence_count == 0 ||
+        !waits_for_silent_workers(sched, task, count_suspicions(task), now_ms))
+    {
+        return;
+    }
+    for (uint32_t i = 0; i < task->silence_count; i++) {
+        const nm_silence_t *silence = &task->silences[i];
+        gpointer key = GUINT_TO_POINTER(silence->worker_hash);
+        nm_awaited_t *awaited = g_hash_table_lookup(sched->awaited, key);
+        if (!awaited && g_hash_table_size(sched->awaited) >= AWAITED_MAX) {
+            continue;
+        }
+        if (!awaited || silence->incarnation > awaited->incarnation) {
+            awaited = g_new0(nm_awaited_t, 1);
+            awaited->incarnation = silence->incarnation;
+            awaited->since_ms = silence->since_ms;
+            g_hash_table_replace(sched->awaited, key, awaited);
+        }
+        if (silence->incarnation == awaited->incarnation) {
+            awaited->since_ms = MAX(awaited->since_ms, silence->since_ms);
+            awaited->awaited_ms = now_ms;
+            /* It was heard of after all, and is silent again. */
+            if (awaited->since_ms > awaited->ended_ms) {
+                awaited->ended_ms = 0;
+            }
+        }
+    }
+}
+
+uint32_t
+nm_sched_hash_worker(const char *id)
+{
+    assert(id);
+    return MAX(g_str_hash(id), 1);
+}
+
+void
+nm_sched_visit_silences(nm_sched_t *sched, nm_ms_t now_ms,
+                        void (*visit)(void *user,
+                                      const nm_sched_silence_t *silence),
+                        void *user)
+{
+    assert(sched && visit);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, sched->awaited);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const nm_awaited_t *awaited = value;
+        if (now_ms - awaited->awaited_ms >= AWAITED_MS) {
+            g_hash_table_iter_remove(&iter);
+        }
+        else if (awaited->ended_ms == 0) {
+            nm_sched_silence_t silence = {
+                .worker_hash = GPOINTER_TO_UINT(key),
+                .incarnation = awaited->incarnation,
+                .known_ms = MAX(awaited->since_ms, sched->began_ms)};
+            visit(user, &silence);
+        }
+    }
+}
+
+void
+nm_sched_on_silent_worker_ended(nm_sched_t *sched, uint32_t worker_hash,
+                                int64_t incarnation, nm_ms_t sent_ms,
+                                nm_ms_t now_ms)
+{
+    assert(sched);
+    nm_awaited_t *awaited =
+        g_hash_table_lookup(sched->awaited, GUINT_TO_POINTER(worker_hash));
+    if (awaited && awaited->incarnation == incarnation) {
+        awaited->ended_ms = sent_ms;
+        awaited->awaited_ms = now_ms;
+        sched->needs_placement = true;
+    }
+}
+
+void
+nm_crashes_resolve(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    for (uint32_t i = task->silence_count; i > 0; i--) {
+        nm_silence_t silence = task->silences[i - 1];
+        silence_state_t state = find_silence_state(sched, &silence);
+        if (state.evidence != NM_CRASH_EVIDENCE_NONE) {
+            remove_silence(sched, task, i - 1);
+            count_crash(sched, task, silence.worker_hash);
+            add_silence_event(sched, NM_SCHED_EVENT_CRASH_RESOLVED, task,
+                              &silence, &state, task->crashes);
+            check_given_up(sched, task, is_certain(&silence, &state), now_ms);
+        }
+        else if (has_survived(sched, &silence, state.node, now_ms) ||
+                 now_ms - silence.since_ms >= SILENCE_MAX_MS)
+        {
+            remove_silence(sched, task, i - 1);
+            add_silence_event(sched, NM_SCHED_EVENT_CRASH_UNPROVED, task,
+                              &silence, &state, task->silence_count);
+        }
+    }
+    check_given_up(sched, task, false, now_ms);
+    note_awaited(sched, task, now_ms);
+}
+
 bool
 nm_crashes_waits_for_workers(const nm_sched_t *sched, const nm_task_t *task,
                              nm_ms_t now_ms)
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -61,7 +61,7 @@
 {
     nm_sched_node_t *node = g_new0(nm_sched_node_t, 1);
     nm_strcopy(node->desc.id, sizeof(node->desc.id), id);
-    node->id_hash = MAX(g_str_hash(node->desc.id), 1);
+    node->id_hash = nm_sched_hash_worker(node->desc.id);
     node->tasks = g_ptr_array_new();
     node->tails = g_array_new(FALSE, FALSE, sizeof(nm_tail_t));
     g_queue_init(&node->pending_acks);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -168,6 +168,14 @@
     bool certain;          /* no other task can have caused a crash */
 } nm_silence_t;
 
+/* An incarnation that a task waits for, and what is shown of it. */
+typedef struct {
+    int64_t incarnation;
+    nm_ms_t since_ms;   /* its silence was noticed */
+    nm_ms_t awaited_ms; /* a task was last found to wait for it */
+    nm_ms_t ended_ms;   /* a list requested then lacks it; 0: none does */
+} nm_awaited_t;
+
 typedef struct {
     nm_occurrence_t *occurrence;
     uint16_t step;
@@ -488,6 +496,8 @@
     GHashTable *nodes_by_hash; /* id_hash -> nm_sched_node_t */
     /* address_hash -> GPtrArray of the nodes that are announced there */
     GHashTable *nodes_by_address;
+    /* Silent workers that tasks wait for; id_hash -> nm_awaited_t */
+    GHashTable *awaited;
     GPtrArray *node_list; /* all nodes; placement samples them */
     GPtrArray *timers;    /* all nodes; a heap by wake_ms */
     GPtrArray *active;    /* jobs not ended, or with tasks on workers */
--- a/tests/test_entry_lives.c
+++ b/tests/test_entry_lives.c
@@ -190,6 +190,87 @@
     finish(&lives);
 }
 
+/*
+ * A job whose only task a former owner has started on four workers, each of
+ * which fell silent at once; the owner has only hashes of their ids.
+ */
+#define STORED_SILENCES 4
+#define RECORD_OF_ONE_TASK                                                    \
+    "{\"version\":1,\"queue\":\"q\",\"service\":\"s\",\"payload\":\"\","      \
+    "\"steps\":[{\"tasks\":1,\"cpu_milli\":4000}]}"
+
+static char *
+make_progress(void)
+{
+    GString *progress =
+        g_string_new("{\"version\":1,\"state\":\"running\","
+                     "\"done\":[[\".\"]],\"attempts_max\":2,"
+                     "\"failures\":[],\"ids_reused\":false,\"silences\":[");
+    for (int i = 0; i < STORED_SILENCES; i++) {
+        char id[NM_NAME_MAX];
+        g_snprintf(id, sizeof(id), "x%d", i);
+        g_string_append_printf(progress, "%s[0,0,0,%u,1,false,0,0]",
+                               i > 0 ? "," : "", nm_sched_hash_worker(id));
+    }
+    g_string_append(progress, "]}");
+    return g_string_free(progress, FALSE);
+}
+
+static void
+test_stored_silences(void)
+{
+    static const struct {
+        const char *name;
+        bool listed;
+        int rc;
+        uint32_t pages;
+        bool fails;
+        uint32_t calls_max; /* in 40 s: 1, 2, 4, then 8 s apart */
+    } cases[] = {
+        {"ended", false, NM_OK, 1, true, 1},
+        {"ended, several pages", false, NM_OK, 2, true, 2},
+        {"listed", true, NM_OK, 1, false, 7},
+        {"no response", false, NM_ERR_UNAVAILABLE, 1, false, 7},
+    };
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        g_test_message("%s", cases[i].name);
+        lives_t lives = {.kv = configured_store()};
+        fake_machines_init(&lives.machines);
+        lives.machines.rc = cases[i].rc;
+        lives.machines.pages = cases[i].pages;
+        for (int w = 0; w < WORKERS; w++) {
+            char key[32];
+            g_snprintf(key, sizeof(key), "servers/w%d", w);
+            fake_kv_put(lives.kv, key, WORKER);
+            fake_machines_add(&lives.machines, key + strlen("servers/"));
+        }
+        for (int s = 0; cases[i].listed && s < STORED_SILENCES; s++) {
+            char id[NM_NAME_MAX];
+            g_snprintf(id, sizeof(id), "x%d", s);
+            fake_machines_add(&lives.machines, id);
+        }
+        char *progress = make_progress();
+        fake_kv_put(lives.kv, EPOCH_KEY, "1"); /* a former owner's */
+        fake_kv_put(lives.kv, JOB_KEY, RECORD_OF_ONE_TASK);
+        fake_kv_put(lives.kv, "nutmegdeck/progress/" JOB, progress);
+        g_free(progress);
+        host_init_with_machines(&lives.host, "a", lives.kv, &lives.machines);
+        run_host(&lives.host, 40000);
+        nm_sched_job_info_t info;
+        g_assert_true(
+            nm_sched_query_job_info(lives.host.entry->sched, JOB, &info));
+        g_assert_cmpint(info.state, ==,
+                        cases[i].fails ? NM_JOB_FAILED : NM_JOB_RUNNING);
+        g_assert_cmpuint(lives.host.orders.starts, ==, 0);
+        g_assert_cmpuint(lives.machines.calls, >=, 1);
+        g_assert_cmpuint(lives.machines.calls, <=, cases[i].calls_max);
+        fake_machines_respond(&lives.machines);
+        host_finish(&lives.host);
+        fake_machines_finish(&lives.machines);
+        fake_kv_free(lives.kv);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -205,6 +286,7 @@
          test_response_after_the_request_counts},
         {"/lives/contradicted-list-is-not-used",
          test_contradicted_list_is_not_used},
+        {"/lives/stored-silences", test_stored_silences},
         {"/lives/listing-ends-with-the-term", test_listing_ends_with_the_term},
     };
     for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
--- a/tests/test_sched_crash_proof.c
+++ b/tests/test_sched_crash_proof.c
@@ -431,6 +431,136 @@
     g_assert_cmpfloat(round_ms, <, 20); /* PLACEMENT_INTERVAL_MS */
 }
 
+/* What becomes of workers on which the task has just started. */
+typedef enum {
+    FATE_GONE,        /* they crash, and no machine has them any more */
+    FATE_CUT_OFF,     /* silent, without an entry, but on their machines */
+    FATE_DRAINED,     /* silent, seen draining, then gone as planned */
+    FATE_RECONNECTED, /* silent, heard of after the list was requested */
+} fate_t;
+
+typedef struct {
+    const char *name;
+    fate_t fate;
+    nm_ms_t replace_ms; /* the owner is replaced each time; 0: it stays */
+    bool fails;         /* the job, once the list shows the crashes */
+    uint32_t starts_min;
+    nm_ms_t list_from_ms; /* the list is not available before */
+} silences_case_t;
+
+static const silences_case_t silences_cases[] = {
+    {"/sched/silences/gone", FATE_GONE, 0, true, 3, 0},
+    {"/sched/silences/gone-and-owners-replaced", FATE_GONE, 20000, true, 3, 0},
+    {"/sched/silences/gone-and-listed-late", FATE_GONE, 0, true, 5, 100000},
+    {"/sched/silences/gone-and-listed-to-next-owner", FATE_GONE, 60000, true,
+     4, 100000},
+    {"/sched/silences/cut-off", FATE_CUT_OFF, 0, false, 3, 0},
+    {"/sched/silences/cut-off-and-owners-replaced", FATE_CUT_OFF, 20000, false,
+     3, 0},
+    {"/sched/silences/drained", FATE_DRAINED, 0, false, 6, 0},
+    {"/sched/silences/reconnected", FATE_RECONNECTED, 0, false, 6, 0},
+};
+
+/* Between listings, and from one's request to its response. */
+#define LISTING_INTERVAL_MS 1000
+#define LISTING_MS 500
+/* Younger silences are not asked for. */
+#define SILENCE_KNOWN_MIN_MS 1000
+
+static void
+add_silence(void *user, const nm_sched_silence_t *silence)
+{
+    GArray *asked = user;
+    g_array_append_val(asked, *silence);
+}
+
+/* Delivers what a list that was requested at a time shows. */
+static void
+apply_list(crash_sim_t *crash, const silences_case_t *test, GArray *asked,
+           nm_ms_t sent_ms)
+{
+    for (guint i = 0; i < asked->len; i++) {
+        nm_sched_silence_t silence =
+            g_array_index(asked, nm_sched_silence_t, i);
+        bool listed = test->fate == FATE_CUT_OFF;
+        if (!listed && sent_ms - silence.known_ms >= SILENCE_KNOWN_MIN_MS) {
+            nm_sched_on_silent_worker_ended(
+                crash->sim.sched, silence.worker_hash, silence.incarnation,
+                sent_ms, crash->sim.now_ms);
+        }
+    }
+}
+
+static void
+strike(crash_sim_t *crash, fate_t fate, const char *worker)
+{
+    if (fate == FATE_DRAINED) {
+        nm_sched_worker_t desc;
+        crash->silent[worker[0] - 'a'] = true;
+        crash_sim_run(crash, "", 1000);
+        g_assert_true(nm_sched_query_worker(crash->sim.sched, worker, &desc));
+        desc.state = NM_WORKER_DRAINING;
+        nm_sched_set_worker(crash->sim.sched, &desc, crash->sim.now_ms);
+        crash_sim_run(crash, "", 3000);
+    }
+    crash_sim_crash(crash, worker);
+}
+
+static void
+test_silences(gconstpointer data)
+{
+    enum { PLAY_MS = 150000 };
+    const silences_case_t *test = data;
+    crash_sim_t crash;
+    crash_sim_init(&crash, 1);
+    sched_sim_add_job(&crash.sim, JOB, false, 1, 1000, false);
+    int64_t epoch = 1;
+    uint32_t starts = 0;
+    nm_ms_t failed_ms = 0;
+    for (nm_ms_t t = 0; t < PLAY_MS && failed_ms == 0;
+         t += LISTING_INTERVAL_MS) {
+        if (test->replace_ms > 0 && t > 0 && t % test->replace_ms == 0) {
+            crash_sim_replace_owner(&crash, ++epoch);
+        }
+        if (crash.running->len > 0) {
+            nm_sched_action_t run =
+                g_array_index(crash.running, nm_sched_action_t, 0);
+            starts++;
+            strike(&crash, test->fate, run.worker);
+        }
+        GArray *asked = g_array_new(FALSE, TRUE, sizeof(nm_sched_silence_t));
+        nm_ms_t sent_ms = crash.sim.now_ms;
+        nm_sched_visit_silences(crash.sim.sched, sent_ms, add_silence, asked);
+        if (test->fate == FATE_RECONNECTED && asked->len > 0) {
+            crash_sim_reconnect(&crash);
+        }
+        for (nm_ms_t m = 0; m < LISTING_MS && crash.running->len == 0;
+             m += CRASH_SIM_STEP_MS)
+        {
+            crash_sim_run(&crash, "", CRASH_SIM_STEP_MS);
+        }
+        if (t >= test->list_from_ms) {
+            apply_list(&crash, test, asked, sent_ms);
+        }
+        g_array_free(asked, TRUE);
+        for (nm_ms_t m = LISTING_MS;
+             m < LISTING_INTERVAL_MS && crash.running->len == 0;
+             m += CRASH_SIM_STEP_MS)
+        {
+            crash_sim_run(&crash, "", CRASH_SIM_STEP_MS);
+        }
+        failed_ms = query_info(&crash).state == NM_JOB_FAILED ? t : 0;
+    }
+    g_test_message("%u starts, failed at %d ms", starts, (int)failed_ms);
+    g_assert_cmpint(query_info(&crash).state, ==,
+                    test->fails ? NM_JOB_FAILED : NM_JOB_RUNNING);
+    g_assert_cmpuint(starts, >=, test->starts_min);
+    if (test->fate == FATE_GONE || test->fate == FATE_CUT_OFF) {
+        g_assert_cmpuint(starts, <=, STARTS_MAX);
+    }
+    crash_sim_finish(&crash);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -460,5 +590,9 @@
                     test_events_name_worker);
     g_test_add_func("/sched/cost-of-silences-at-27000-workers",
                     test_cost_of_silences);
+    for (size_t i = 0; i < NM_COUNT_OF(silences_cases); i++) {
+        g_test_add_data_func(silences_cases[i].name, &silences_cases[i],
+                             test_silences);
+    }
     return g_test_run();
 }
