Gangs of fillers of idle jobs start slowed, too

Cause: starts fillers of idle jobs slowed, but only those that are no gang; a gang waited until workers took all of its members at full speed.

Change: a gang of fillers that has been idle for 2 s, and that finds no room at full speed, starts with all members slowed. They go to full speed one by one, like others.

Jobs with a label, a limit per worker, both, or half of the CPU reserved were idle for 2.05 s before and are now; their cases are kept. All test_sched* and test_entry* pass but the known red killed-owners-in-series.

--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -42,6 +42,7 @@
         if (!node) {
             break;
         }
+        task->starts_slowed = candidate->slowed;
         nm_task_attach(task, node);
         nm_cold_on_start(node, occurrence->job, now_ms);
         g_ptr_array_add(nodes, node);
@@ -49,6 +50,7 @@
     nm_search_finish(&search);
     for (guint i = 0; i < nodes->len; i++) {
         nm_task_detach(&tasks[i]);
+        tasks[i].starts_slowed = false;
         nm_cold_undo_start(nodes->pdata[i], occurrence->job, now_ms);
     }
     return nodes->len;
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -312,6 +312,34 @@
            is_unplaced(&round->unplaced, job, step);
 }
 
+/* True if a filler that no worker takes at full speed is to start slowed. */
+static bool
+may_start_slowed(const nm_candidate_t *candidate)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    const nm_step_t *step = &job->spec.steps[candidate->step];
+    return step->is_filler && !step->long_running &&
+           candidate->order_class == NM_CLASS_IDLE &&
+           !candidate->takes_credit && job->has_waited;
+}
+
+/* Starts all members of such a gang slowed. */
+static bool
+start_slowed_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
+                  const nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_sched_job_t *job = candidate->occurrence->job;
+    if (!may_start_slowed(candidate) ||
+        is_unplaced(&round->unplaced_slowed, job,
+                    &job->spec.steps[candidate->step]))
+    {
+        return false;
+    }
+    nm_candidate_t slowed = *candidate;
+    slowed.slowed = true;
+    return nm_gang_start(sched, &slowed, now_ms);
+}
+
 /* Places a gang, or makes room for it on all the workers that it needs. */
 static void
 place_gang(nm_sched_t *sched, const nm_candidate_t *candidate,
@@ -326,6 +354,9 @@
         sched->idle_start_credit -= candidate->takes_credit;
         return;
     }
+    if (start_slowed_gang(sched, candidate, round, now_ms)) {
+        return;
+    }
     nm_gang_make_room(sched, candidate, round, now_ms);
     nm_lookahead_reserve(sched, candidate, round, now_ms);
 }
@@ -495,8 +526,8 @@
 {
     const nm_sched_job_t *job = candidate->occurrence->job;
     const nm_step_t *step = &job->spec.steps[candidate->step];
-    if (!step->is_filler || step->long_running || candidate->takes_credit ||
-        !job->has_waited || is_unplaced(&round->unplaced_slowed, job, step))
+    if (!may_start_slowed(candidate) ||
+        is_unplaced(&round->unplaced_slowed, job, step))
     {
         return false;
     }
