Slowed fillers of last tasks move to where they get full speed

Cause: a slowed filler goes to full speed only on its own worker, and it was placed where the fewest were slowed, so on workers whose CPU tasks that last had taken. There it stayed at 5% to its end.

Change: a worker where others than fillers have to end first is the last choice. A filler that has been slowed for 5 s, and that another worker takes at full speed after all that wait were placed, is stopped and starts there: one in a round, and one in 0.5 s to a worker.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -15,6 +15,11 @@
 #define AVOIDED_NODE_PENALTY 5
 /* Score penalty for each failed start or run in a row on a worker. */
 #define FAILURE_PENALTY 0.5
+/*
+ * Score penalty of a worker where a filler would stay slowed until others than
+ * fillers end: outweighs the limit of slowed fillers, in multiples of its CPU.
+ */
+#define STAYS_SLOWED_PENALTY 10
 /* Score of a worker in the rack of a task's data: outweighs CPU and image. */
 #define DATA_RACK_SCORE 20
 /* Scores of a worker for a serving task. */
@@ -203,6 +208,9 @@
     if (candidate->slowed) {
         *score -= (double)node->slowed_cpu_milli /
                   (double)MAX(node->desc.cpu_milli, 1);
+        if (nm_sched_filler_cpu_milli(node) < (double)step->cpu_milli) {
+            *score -= STAYS_SLOWED_PENALTY;
+        }
     }
     return NM_EXCLUSION_NONE;
 }
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -184,6 +184,13 @@
            (double)(node->filler_cpu_milli - node->slowed_cpu_milli);
 }
 
+double
+nm_sched_filler_cpu_milli(const nm_sched_node_t *node)
+{
+    return nm_sched_filler_unused_cpu_milli(node) +
+           (double)(node->filler_cpu_milli - node->slowed_cpu_milli);
+}
+
 bool
 nm_sched_filler_may_be_slowed(const nm_sched_node_t *node,
                               const nm_step_t *step)
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -17,6 +17,15 @@
 #define RESERVED_SHARE 0.05
 /* A worker is held if a task is expected to fit on it within this time. */
 #define HELD_MS_MAX 10000
+/*
+ * A filler that has been slowed for this long moves to a worker that takes it
+ * at full speed; what it loses is a fraction of a second's work.
+ */
+#define SLOWED_MOVE_MS 5000
+/* To one worker, as a stop takes up to 400 ms, and only then is room used. */
+#define SLOWED_MOVE_INTERVAL_MS 500
+/* Searches for such workers in a round, each of which may visit all. */
+#define SLOWED_SEARCHES_MAX 8
 /*
  * Share of the starts that go to idle jobs while most of a service's capacity
  * is reserved, and the limit of such starts that are saved up.
@@ -629,6 +638,71 @@
     return count;
 }
 
+/* True if a filler has been slowed for long enough to run elsewhere. */
+static bool
+may_move(const nm_task_t *task, const nm_round_t *round, nm_ms_t now_ms)
+{
+    const nm_step_t *step = nm_task_step(task);
+    return task->state == NM_RUN_RUNNING && !task->order_pending &&
+           nm_task_is_slowed(task) && !step->is_gang && !has_crashed(task) &&
+           now_ms - task->started_ms >= SLOWED_MOVE_MS &&
+           now_ms - task->throttled_ms >= SLOWED_MOVE_MS &&
+           !is_unplaced(&round->unplaced, task->occurrence->job, step);
+}
+
+/* Stops a slowed filler if another worker takes it at full speed. */
+static bool
+move_slowed(nm_sched_t *sched, nm_task_t *task, nm_round_t *round,
+            nm_ms_t now_ms)
+{
+    nm_candidate_t candidate = {.occurrence = task->occurrence,
+                                .step = task->step,
+                                .order_class = NM_CLASS_ORDINARY};
+    nm_sched_node_t *node =
+        nm_choice_find_node(sched, &candidate, task, now_ms);
+    if (!node) {
+        record_unplaced(&round->unplaced, task->occurrence->job,
+                        nm_task_step(task));
+        return false;
+    }
+    if (now_ms - node->moved_to_ms < SLOWED_MOVE_INTERVAL_MS) {
+        return false;
+    }
+    node->moved_to_ms = now_ms;
+    task->avoided_node = task->node;
+    nm_sched_stop_task(sched, task, now_ms);
+    return true;
+}
+
+/*
+ * Lets a filler that has been slowed for long run where all that waited have
+ * left room for it.  One in a round, so that it is in the next one.
+ */
+static void
+move_first_slowed(nm_sched_t *sched, nm_round_t *round, nm_ms_t now_ms)
+{
+    uint32_t searches = 0;
+    guint count = sched->node_list->len;
+    for (guint n = 0; n < count; n++) {
+        nm_sched_node_t *node =
+            sched->node_list->pdata[(sched->placement_number + n) % count];
+        if (node->slowed_cpu_milli == 0 || !node->reachable) {
+            continue;
+        }
+        for (guint i = 0; i < node->tasks->len; i++) {
+            nm_task_t *task = node->tasks->pdata[i];
+            if (!may_move(task, round, now_ms)) {
+                continue;
+            }
+            if (move_slowed(sched, task, round, now_ms) ||
+                ++searches >= SLOWED_SEARCHES_MAX)
+            {
+                return;
+            }
+        }
+    }
+}
+
 void
 nm_sched_place(nm_sched_t *sched, nm_ms_t now_ms)
 {
@@ -667,6 +741,9 @@
         }
     }
     sched->placement_cut = sched->starting_count >= round.starting_max;
+    if (!sched->placement_cut) {
+        move_first_slowed(sched, &round, now_ms);
+    }
     sched->delay.starting_reached |= sched->placement_cut;
     sched->needs_placement = sched->needs_placement || sched->placement_cut;
     sched->cut_placements += sched->placement_cut;
--- a/src/sched_room.c
+++ b/src/sched_room.c
@@ -40,13 +40,6 @@
     return (uint32_t)count;
 }
 
-static double
-filler_cpu_milli(const nm_sched_node_t *node)
-{
-    return nm_sched_filler_unused_cpu_milli(node) +
-           (double)(node->filler_cpu_milli - node->slowed_cpu_milli);
-}
-
 /* True if a task has ended by a time, if it takes as long as expected. */
 static bool
 ends_by(const nm_task_t *task, nm_ms_t end_ms)
@@ -71,7 +64,7 @@
         }
     }
     if (step->is_filler) {
-        room.cpu_milli = filler_cpu_milli(node);
+        room.cpu_milli = nm_sched_filler_cpu_milli(node);
     }
     return count_tasks(&room, step);
 }
@@ -91,7 +84,7 @@
         }
     }
     if (step->is_filler) {
-        room.cpu_milli = filler_cpu_milli(node);
+        room.cpu_milli = nm_sched_filler_cpu_milli(node);
     }
     return count_tasks(&room, step);
 }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -419,6 +419,7 @@
     nm_ms_t avoid_until_ms;
     nm_ms_t cold_until_ms;     /* it is slow until then */
     nm_ms_t cold_start_due_ms; /* no start before, while it is cold */
+    nm_ms_t moved_to_ms;       /* a slowed filler was stopped to run here */
     int64_t filler_cpu_milli;
     /* Part of it: slowed fillers, which use what the others leave. */
     int64_t slowed_cpu_milli;
@@ -1069,6 +1070,8 @@
                             int64_t cpu_milli, uint32_t image, nm_ms_t now_ms);
 /* CPU that neither other tasks nor the usual load of serving tasks use. */
 double nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node);
+/* The same without the fillers at full speed. */
+double nm_sched_filler_cpu_milli(const nm_sched_node_t *node);
 /* True if a filler finds unused CPU. */
 bool nm_sched_filler_has_capacity(const nm_sched_node_t *node,
                                   const nm_step_t *step);
--- a/tests/test_sched_idle_jobs.c
+++ b/tests/test_sched_idle_jobs.c
@@ -122,6 +122,7 @@
     int64_t reserved_memory_mb;
     /* A serving task is over its target from then on; 0: none. */
     nm_ms_t over_target_ms;
+    int64_t memory_mb; /* of a filler; 0: 1000 */
 } turns_case_t;
 
 static const turns_case_t turns_cases[] = {
@@ -226,7 +227,8 @@
 {
     nm_step_t step = {.task_count = turns->gang > 0 ? turns->gang : 200,
                       .cpu_milli = CPU_MILLI / 4,
-                      .memory_mb = 1000,
+                      .memory_mb =
+                          turns->memory_mb > 0 ? turns->memory_mb : 1000,
                       .estimate_ms = turns->duration_ms,
                       .is_filler = true,
                       .is_gang = turns->gang > 0,
@@ -307,6 +309,67 @@
     sched_fleet_finish(&fleet);
 }
 
+/*
+ * Jobs of one filler each.  All workers together end them in time, though some
+ * of the workers can't bring a slowed one to full speed.
+ */
+typedef struct {
+    const char *name;
+    turns_case_t fleet;
+    int full; /* workers whose CPU lasting tasks take */
+    nm_ms_t end_ms_max;
+} last_case_t;
+
+static const last_case_t last_cases[] = {
+    {"/idle-jobs/slowed-fillers-end/beside-full-workers",
+     {.workers = 8, .jobs = 48, .duration_ms = 3000},
+     4,
+     18000},
+    {"/idle-jobs/slowed-fillers-end/large-beside-full-workers",
+     {.workers = 8, .jobs = 32, .duration_ms = 3000, .memory_mb = 14000},
+     4,
+     18000},
+    {"/idle-jobs/slowed-fillers-end/beside-workers-without-headroom",
+     {.workers = 8, .jobs = 48, .duration_ms = 3000, .without_headroom = 4},
+     0,
+     18000},
+};
+
+static void
+test_last(gconstpointer data)
+{
+    enum { PLAY_MS = 120000 };
+    const last_case_t *last = data;
+    sched_fleet_t fleet;
+    begin_turns_fleet(&fleet, &last->fleet);
+    if (last->full > 0) {
+        nm_step_t lasting = {.task_count = (uint32_t)last->full,
+                             .cpu_milli = CPU_MILLI,
+                             .memory_mb = 1000,
+                             .estimate_ms = 1000,
+                             .long_running = true};
+        sched_fleet_add_job(&fleet, "1a570000000000aa", "batch", lasting);
+        sched_fleet_time_to_start(&fleet, "1a57", lasting.task_count, 9000,
+                                  NULL);
+    }
+    nm_step_t step = make_filler(&last->fleet);
+    step.task_count = 1;
+    char id[NM_JOB_ID_MAX];
+    for (uint32_t j = 0; j < last->fleet.jobs; j++) {
+        g_snprintf(id, sizeof(id), "f1%014u", j);
+        sched_fleet_add_job(&fleet, id, "batch", step);
+    }
+    nm_ms_t end_ms = 0;
+    while (fleet.done < last->fleet.jobs && end_ms < PLAY_MS) {
+        sched_fleet_tick(&fleet);
+        end_ms += SCHED_FLEET_TICK_MS;
+    }
+    g_test_message("%u of %u jobs done after %d ms, %u stops", fleet.done,
+                   last->fleet.jobs, (int)end_ms, fleet.stops);
+    g_assert_cmpint(end_ms, <=, last->end_ms_max);
+    sched_fleet_finish(&fleet);
+}
+
 /* A filler that a former owner has slowed or paused, or left at full speed. */
 typedef struct {
     const char *name;
@@ -419,5 +482,8 @@
     for (size_t i = 0; i < NM_COUNT_OF(turns_cases); i++) {
         g_test_add_data_func(turns_cases[i].name, &turns_cases[i], test_turns);
     }
+    for (size_t i = 0; i < NM_COUNT_OF(last_cases); i++) {
+        g_test_add_data_func(last_cases[i].name, &last_cases[i], test_last);
+    }
     return g_test_run();
 }
