Soak of jobs of fillers beside serving tasks

The stand-in carries out /pace, lists the CPU of fillers, their checkpoints, and tails that rise with the fillers beside them. From the last fault on, no accepted job may be idle for 13.4 s (JOBS_RESUME_MS), and from then on for 3 s. The calm time begins anew if the soak itself did not run for 0.3 s: hosts on the same machine do not, either. In other modes the lists are as before.

--- a/soak/lib_entries.c
+++ b/soak/lib_entries.c
@@ -163,6 +163,15 @@
     }
 }
 
+static void
+format_checkpoint(char *text, size_t bytes, nm_ms_t checkpoint_ms)
+{
+    text[0] = '\0';
+    if (checkpoint_ms > 0) {
+        snprintf(text, bytes, "%lld", (long long)checkpoint_ms);
+    }
+}
+
 json_t *
 entries_encode_lists(const executor_t *executor, nm_ms_t now_ms)
 {
@@ -170,19 +179,24 @@
     for (guint i = 0; i < executor->runs->len; i++) {
         const executor_run_t *run =
             &g_array_index(executor->runs, executor_run_t, i);
-        json_array_append_new(running,
-                              json_pack("[s,I,s,i,i]", run->task,
-                                        (json_int_t)run->run, "", 100, 0));
+        char checkpoint[32] = "";
+        /* Only fillers list them: KNOWN-RED.txt, soak --recuts. */
+        if (run->fills) {
+            format_checkpoint(checkpoint, sizeof(checkpoint),
+                              executor_run_checkpoint_ms(run, now_ms));
+        }
+        json_array_append_new(
+            running,
+            json_pack("[s,I,s,i,I]", run->task, (json_int_t)run->run,
+                      checkpoint, 100,
+                      (json_int_t)executor_run_figure(executor, run)));
     }
     json_t *finished = json_array();
     for (guint i = 0; i < executor->ends->len; i++) {
         const executor_end_t *end =
             &g_array_index(executor->ends, executor_end_t, i);
-        char checkpoint[32] = "";
-        if (end->checkpoint_ms > 0) {
-            snprintf(checkpoint, sizeof(checkpoint), "%lld",
-                     (long long)end->checkpoint_ms);
-        }
+        char checkpoint[32];
+        format_checkpoint(checkpoint, sizeof(checkpoint), end->checkpoint_ms);
         json_array_append_new(finished,
                               json_pack("[I,s,I,s,s]", (json_int_t)end->number,
                                         end->task, (json_int_t)end->run,
--- a/soak/lib_executor.c
+++ b/soak/lib_executor.c
@@ -41,6 +41,14 @@
 /* One restart in so many of those is as another kind. */
 #define KIND_CHANGES 2
 
+/*
+ * Tail of a serving task without fillers, and what fillers that use all of
+ * its executor's CPU add.  With a target of 100 ms (soak_callers.c) a filler
+ * of half of the CPU leaves no headroom, and two are one too many.
+ */
+#define SERVING_TAIL_MS 40
+#define FILLERS_TAIL_MS 90
+
 const executor_kind_t executor_kinds[EXECUTOR_KINDS] = {
     {"s", "a"},
     {"s", "b"},
@@ -53,6 +61,8 @@
     int64_t cpu_milli;
     nm_ms_t duration_ms;
     bool long_running;
+    bool fills;
+    bool serves;
     bool deadly;
     bool fails_often;
     /* CRASHES_MIN executors have crashed under a task, or its attempts ended.
@@ -163,6 +173,7 @@
     for (uint32_t i = 0; i < desc->executors; i++) {
         executor_t *executor = &fleet->executors[i];
         snprintf(executor->id, sizeof(executor->id), "x%u", i);
+        executor->cpu_milli = desc->cpu_milli;
         executor->kind = i % EXECUTOR_KINDS;
         executor->clock_rate = i % 2 == 0 ? CLOCK_RATE_MIN : 1;
         executor->runs = g_array_new(FALSE, TRUE, sizeof(executor_run_t));
@@ -281,6 +292,21 @@
     }
 }
 
+/* Work of a run since its start, at the shares that it was paced to. */
+static nm_ms_t
+query_worked_ms(const executor_run_t *run, nm_ms_t now_ms)
+{
+    return run->worked_ms + (now_ms - run->paced_ms) * run->percent / 100;
+}
+
+nm_ms_t
+executor_run_checkpoint_ms(const executor_run_t *run, nm_ms_t now_ms)
+{
+    return run->checkpoint_ms + query_worked_ms(run, now_ms) /
+                                    CHECKPOINT_INTERVAL_MS *
+                                    CHECKPOINT_INTERVAL_MS;
+}
+
 static void
 end_run(executor_fleet_t *fleet, executor_t *executor, guint index,
         const char *result, nm_ms_t now_ms)
@@ -292,10 +318,7 @@
                           .result = result};
     nm_strcopy(end.task, sizeof(end.task), run->task);
     if (strcmp(result, "stopped") == 0 && !run->long_running) {
-        nm_ms_t worked_ms = now_ms - run->started_ms;
-        end.checkpoint_ms = run->checkpoint_ms + worked_ms /
-                                                     CHECKPOINT_INTERVAL_MS *
-                                                     CHECKPOINT_INTERVAL_MS;
+        end.checkpoint_ms = executor_run_checkpoint_ms(run, now_ms);
     }
     if (strcmp(result, "done") == 0) {
         task_t *task = get_task(fleet, run->task);
@@ -558,7 +581,9 @@
 {
     int64_t used = 0;
     for (guint i = 0; i < executor->runs->len; i++) {
-        used += g_array_index(executor->runs, executor_run_t, i).cpu_milli;
+        const executor_run_t *run =
+            &g_array_index(executor->runs, executor_run_t, i);
+        used += run->fills ? 0 : run->cpu_milli;
     }
     if (used > fleet->desc.cpu_milli) {
         executor_fleet_add_violation(
@@ -657,6 +682,13 @@
     fleet->contact_from_ms = from_ms;
 }
 
+/* Work from the start to the end. */
+static nm_ms_t
+query_work_ms(const executor_run_t *run)
+{
+    return MAX(run->duration_ms - run->checkpoint_ms, 20);
+}
+
 int
 executor_start(executor_fleet_t *fleet, executor_t *executor,
                const executor_order_t *order, nm_ms_t now_ms,
@@ -683,19 +715,24 @@
     const job_t *job = find_job_of_task(fleet, order->task);
     check_start(fleet, executor, order->task, job, now_ms);
     check_evacuation(fleet, executor, order, now_ms);
-    executor_run_t run = {.run = order->run, .started_ms = now_ms};
+    executor_run_t run = {.run = order->run,
+                          .started_ms = now_ms,
+                          .percent = 100,
+                          .paced_ms = now_ms};
     nm_strcopy(run.task, sizeof(run.task), order->task);
     if (job) {
         run.checkpoint_ms = strtoll(order->checkpoint, NULL, 10);
         run.duration_ms = job->duration_ms;
         run.cpu_milli = job->cpu_milli;
         run.long_running = job->long_running;
+        run.fills = job->fills;
+        run.serves = job->serves;
         run.deadly = job->deadly;
         run.fails =
             !job->long_running &&
             nm_rng_unit(&fleet->rng) <
                 (job->fails_often ? FAILING_OFTEN_SHARE : FAILING_SHARE);
-        run.end_at_ms = now_ms + MAX(run.duration_ms - run.checkpoint_ms, 20);
+        run.end_at_ms = now_ms + query_work_ms(&run);
         if (run.deadly) {
             run.end_at_ms = now_ms + DEADLY_MS;
         }
@@ -739,6 +776,46 @@
     return EXECUTOR_STATUS_OK;
 }
 
+int
+executor_pace(executor_fleet_t *fleet, executor_t *executor,
+              const executor_order_t *order, uint32_t percent, nm_ms_t now_ms,
+              const char **reason)
+{
+    if (is_fenced(executor, order->epoch)) {
+        *reason = "fence";
+        return EXECUTOR_STATUS_CONFLICT;
+    }
+    log_event(fleet, now_ms, percent < 100 ? "slow" : "full", executor,
+              order->task, order->run);
+    executor_run_t *run = find_run(executor, order->task);
+    if (run && run->run == order->run) {
+        run->worked_ms = query_worked_ms(run, now_ms);
+        run->paced_ms = now_ms;
+        run->percent = percent;
+        nm_ms_t left_ms = query_work_ms(run) - run->worked_ms;
+        run->end_at_ms =
+            percent > 0 ? now_ms + left_ms * 100 / percent : NM_MS_NEVER;
+    }
+    return EXECUTOR_STATUS_OK;
+}
+
+int64_t
+executor_run_figure(const executor_t *executor, const executor_run_t *run)
+{
+    if (!run->serves) {
+        return run->fills ? run->cpu_milli * run->percent / 100 : 0;
+    }
+    int64_t fillers_milli = 0;
+    for (guint i = 0; i < executor->runs->len; i++) {
+        const executor_run_t *other =
+            &g_array_index(executor->runs, executor_run_t, i);
+        fillers_milli +=
+            other->fills ? other->cpu_milli * other->percent / 100 : 0;
+    }
+    return SERVING_TAIL_MS +
+           FILLERS_TAIL_MS * fillers_milli / executor->cpu_milli;
+}
+
 int
 executor_hold(executor_fleet_t *fleet, executor_t *executor,
               const executor_order_t *order, int64_t acked, nm_ms_t now_ms,
@@ -798,6 +875,17 @@
     }
 }
 
+void
+executor_job_shares(executor_fleet_t *fleet, const char *id, bool fills,
+                    bool serves)
+{
+    job_t *job = g_hash_table_lookup(fleet->jobs, id);
+    if (job) {
+        job->fills = fills;
+        job->serves = serves;
+    }
+}
+
 void
 executor_job_fails_often(executor_fleet_t *fleet, const char *id)
 {
@@ -846,6 +934,7 @@
 {
     bool found = false;
     int64_t used = 0, capacity = 0;
+    int64_t needed_milli = job->fills ? 0 : job->cpu_milli;
     for (uint32_t i = 0; i < fleet->desc.executors; i++) {
         const executor_t *executor = &fleet->executors[i];
         const executor_kind_t *kind = &executor_kinds[executor->kind];
@@ -858,7 +947,7 @@
         capacity += fleet->desc.cpu_milli;
         found =
             found || ((!job->label || strcmp(job->label, kind->label) == 0) &&
-                      used_milli[i] + IDLE_ROOM_TASKS * job->cpu_milli <=
+                      used_milli[i] + IDLE_ROOM_TASKS * needed_milli <=
                           fleet->desc.cpu_milli);
     }
     return found && used * 2 < capacity;
@@ -874,7 +963,7 @@
             const executor_run_t *run =
                 &g_array_index(runs, executor_run_t, k);
             job_t *job = find_job_of_task(fleet, run->task);
-            used_milli[i] += run->cpu_milli;
+            used_milli[i] += run->fills ? 0 : run->cpu_milli;
             if (job) {
                 job->at_work_ms = now_ms;
             }
--- a/soak/lib_executor.h
+++ b/soak/lib_executor.h
@@ -86,7 +86,12 @@
     nm_ms_t checkpoint_ms; /* progress in the checkpoint it started from */
     int64_t cpu_milli;
     bool long_running;
-    bool deadly; /* crashes its executor at end_at_ms */
+    bool fills;        /* its CPU is not counted against the capacity */
+    bool serves;       /* it has a tail, which fillers beside it raise */
+    uint32_t percent;  /* share at which it works: /pace */
+    nm_ms_t worked_ms; /* until paced_ms */
+    nm_ms_t paced_ms;  /* newest change of percent, or the start */
+    bool deadly;       /* crashes its executor at end_at_ms */
     bool fails;
     nm_ms_t stop_at_ms; /* 0: no stop was ordered */
 } executor_run_t;
@@ -104,6 +109,7 @@
 typedef struct {
     char id[NM_NAME_MAX];
     nm_ms_t incarnation_start_ms;
+    int64_t cpu_milli;   /* capacity */
     uint32_t kind;       /* index of executor_kinds, of this incarnation */
     double clock_rate;   /* 1, or less as the users' platform allows */
     int64_t incarnation; /* start time, Unix ms on its wall clock: `born` */
@@ -189,6 +195,15 @@
 int executor_stop(executor_fleet_t *fleet, executor_t *executor,
                   const executor_order_t *order, nm_ms_t now_ms,
                   const char **reason);
+/* A known run goes on at this share of its speed; others are ignored. */
+int executor_pace(executor_fleet_t *fleet, executor_t *executor,
+                  const executor_order_t *order, uint32_t percent,
+                  nm_ms_t now_ms, const char **reason);
+/* Progress in the newest checkpoint of a run. */
+nm_ms_t executor_run_checkpoint_ms(const executor_run_t *run, nm_ms_t now_ms);
+/* Figure of a run in lists: a tail in ms, or the CPU that a filler uses. */
+int64_t executor_run_figure(const executor_t *executor,
+                            const executor_run_t *run);
 /* A poll: extends the lease and removes the ends with numbers up to acked. */
 int executor_hold(executor_fleet_t *fleet, executor_t *executor,
                   const executor_order_t *order, int64_t acked, nm_ms_t now_ms,
@@ -206,6 +221,9 @@
 void executor_job_routed(executor_fleet_t *fleet, const char *job,
                          const char *service, const char *label,
                          uint32_t per_worker_max);
+/* The job's tasks fill, or serve, or neither. */
+void executor_job_shares(executor_fleet_t *fleet, const char *job, bool fills,
+                         bool serves);
 /* Most runs of the job's tasks fail. */
 void executor_job_fails_often(executor_fleet_t *fleet, const char *job);
 /*
@@ -230,7 +248,8 @@
 /*
  * Notes which jobs are idle: they have a task to run and nothing running,
  * while an executor that may run it has room for IDLE_ROOM_TASKS of them, and
- * under half of its service's CPU capacity is in use.
+ * under half of its service's CPU capacity is in use.  Fillers need no CPU
+ * and use none of it.
  */
 void executor_fleet_note_idle_jobs(executor_fleet_t *fleet, nm_ms_t now_ms);
 /* How long the job has been idle in each note up to the last; 0: it is not. */
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -451,6 +451,12 @@
         status =
             executor_stop(platform->fleet, executor, &order, now_ms, &reason);
     }
+    else if (strcmp(request->path, "/pace") == 0) {
+        json_t *percent = json_object_get(body, "percent");
+        status = executor_pace(platform->fleet, executor, &order,
+                               (uint32_t)json_integer_value(percent), now_ms,
+                               &reason);
+    }
     else if (strcmp(request->path, "/hold") == 0) {
         if (is_new) {
             status = executor_hold(platform->fleet, executor, &order, acked,
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -14,6 +14,10 @@
  * With --reborn beside --recuts or --restarts wall clocks of executors are set
  * while they restart, entries expire and owners that live on are replaced.
  *
+ * With --fillers the jobs are a backlog of fillers, several times as many as
+ * may run at full speed beside some serving tasks, while owners are lost and
+ * executors restart.
+ *
  * With --evacuations zones are evacuated and taken back, beside the other
  * faults (soak_evacuations.c).
  *
@@ -26,8 +30,10 @@
  *            cancelled without a cancel, or does not end in the settle time;
  *            or tasks of an accepted long-running job, not failed with cause,
  *            do not run at the end
- *     LOST   with --departures, an accepted job is idle (lib_executor.h) for
- *            longer than JOBS_RESUME_MS (soak_departures.c) in calm time
+ *     LOST   with --departures or --fillers, an accepted job is idle
+ *            (lib_executor.h) for longer than JOBS_RESUME_MS
+ *            (soak_departures.c) in calm time, or with --fillers for longer
+ *            than IDLE_MAX_MS after that
  *     LOST   a host that was told to stop has read a request whole and ends
  *            without a response to it ("request-dropped" in its log)
  *     MIXED  a job is reported as completed before all of its tasks are done
@@ -57,6 +63,12 @@
 #define EVACUATION_FAULT_MIN_MS 2000
 #define EVACUATION_FAULT_MAX_MS 16000
 
+/*
+ * The backlog of --fillers takes minutes to end: it is watched for this long
+ * after the faults, longer than JOBS_RESUME_MS and any bound of idle time.
+ */
+#define FILLERS_WATCH_MS 20000
+
 soak_options_t soak_options = {.hosts = 6,
                                .executors = 24,
                                .seconds = 20,
@@ -93,7 +105,7 @@
 {
     for (guint i = 0; i < soak.jobs->len; i++) {
         const job_t *job = soak.jobs->pdata[i];
-        if (!job->ended &&
+        if (!job->ended && !job->fills &&
             !(job->long_running && !job->wants_cancel && job->accepted_ms > 0))
         {
             return false;
@@ -184,6 +196,10 @@
          NULL},
         {"evacuations", 0, 0, G_OPTION_ARG_NONE, &soak_options.evacuations,
          "Evacuate zones and take them back, beside the other faults", NULL},
+        {"fillers", 0, 0, G_OPTION_ARG_NONE, &soak_options.fillers,
+         "Submit more jobs of fillers than may run at full speed, beside "
+         "serving tasks",
+         NULL},
         {"calm", 0, 0, G_OPTION_ARG_NONE, &soak_options.no_faults,
          "Inject no faults", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -292,7 +308,9 @@
         soak_send_due_calls(now_ms, now_ms > 1000 + warmup_ms / 2 &&
                                         now_ms < faults_end_ms);
         bool settled = now_ms > faults_end_ms && is_settled() &&
-                       count_missing_runs() == 0 && served;
+                       count_missing_runs() == 0 && served &&
+                       (!soak_options.fillers ||
+                        now_ms > faults_end_ms + FILLERS_WATCH_MS);
         settled_ms = !settled ? 0 : settled_ms > 0 ? settled_ms : now_ms;
         if (settled && now_ms - settled_ms > 500) {
             break;
@@ -301,7 +319,8 @@
     }
     for (guint i = 0; i < soak.jobs->len; i++) {
         const job_t *job = soak.jobs->pdata[i];
-        if (!job->ended && !job->long_running && job->accepted_ms > 0) {
+        if (!job->ended && !job->long_running && !job->fills &&
+            job->accepted_ms > 0) {
             soak_report_violation("LOST job %s was accepted and has not ended",
                                   job->id);
         }
@@ -339,6 +358,13 @@
         printf("soak seed %lld: evacuations %u\n",
                (long long)soak_options.seed, soak.evacuations);
     }
+    if (soak_options.fillers) {
+        printf("soak seed %lld: idle in calm time for %lld ms at most, later "
+               "for %lld ms, soak late at %lld ms\n",
+               (long long)soak_options.seed, (long long)soak.longest_idle_ms,
+               (long long)soak.longest_late_idle_ms,
+               (long long)soak.delayed_ms);
+    }
     if (soak_options.departures) {
         printf("soak seed %lld: departures %u owner losses %u hosts gone %u "
                "idle in calm time for %lld ms at most\n",
--- a/soak/soak_callers.c
+++ b/soak/soak_callers.c
@@ -31,6 +31,25 @@
 /* A long-running job with a limit needs so many executors of its service. */
 #define LIMITED_LONG_EXECUTORS 24
 
+/*
+ * With --fillers the first jobs serve, each on so many executors, with tails
+ * as in lib_executor.c; all others fill.  An executor has room for two fillers
+ * at full speed, and for four times as many slowed ones
+ * (SLOWED_CPU_SHARE_MAX), so that some 30 and 130 may run at a time.
+ */
+#define SERVING_JOBS 2
+#define SERVING_TASKS 4
+#define SERVING_CPU_MILLI 6000
+#define SERVING_STEP ",\"image\":\"serving\",\"targetMs\":100"
+#define FILLER_JOBS 100
+#define FILLER_TASKS_MIN 3
+#define FILLER_TASKS_MAX 5
+#define FILLER_TASK_MIN_MS 3000
+#define FILLER_TASK_MAX_MS 8000
+#define FILLER_CPU_MILLI 8000
+#define FILLER_STEP ",\"image\":\"filler\",\"fills\":true"
+#define TASK_CPU_MILLI 1000
+
 typedef struct {
     job_t *job;
     CURL *easy;
@@ -64,6 +83,14 @@
                                    : CURL_PREREQFUNC_OK;
 }
 
+static int
+query_cpu_milli(const job_t *job)
+{
+    return job->fills    ? FILLER_CPU_MILLI
+           : job->serves ? SERVING_CPU_MILLI
+                         : TASK_CPU_MILLI;
+}
+
 static void
 send_call(job_t *job, char type)
 {
@@ -105,11 +132,16 @@
         }
         char body[SHORTAGE_PAYLOAD_BYTES + 256];
         snprintf(body, sizeof(body),
-                 "{\"spec\":\"%s\",\"steps\":[{\"count\":%u,\"cpu\":1000,"
-                 "\"memMb\":10,\"estimateMs\":%d%s%s%s}]}",
-                 payload, job->tasks,
-                 soak_options.recuts ? RECUT_ESTIMATE_MS : ESTIMATE_MS, label,
-                 limit,
+                 "{\"spec\":\"%s\",\"steps\":[{\"count\":%u,\"cpu\":%d,"
+                 "\"memMb\":10,\"estimateMs\":%d%s%s%s%s}]}",
+                 payload, job->tasks, query_cpu_milli(job),
+                 soak_options.recuts || soak_options.fillers
+                     ? RECUT_ESTIMATE_MS
+                     : ESTIMATE_MS,
+                 label, limit,
+                 job->fills    ? FILLER_STEP
+                 : job->serves ? SERVING_STEP
+                               : "",
                  job->long_running ? ",\"longRunning\":true"
                                    : ",\"checkpoints\":true");
         curl_easy_setopt(call->easy, CURLOPT_COPYPOSTFIELDS, body);
@@ -125,6 +157,14 @@
 static void
 draw_route(job_t *job)
 {
+    if (soak_options.fillers) {
+        job->queue = "q";
+        job->per_worker_max = job->serves ? 1 : 0;
+        executor_job_routed(platform_fleet(soak.platform), job->id,
+                            executor_kinds[0].service, NULL,
+                            job->per_worker_max);
+        return;
+    }
     bool other_queue = nm_rng_below(&soak.route_rng, OTHER_QUEUE_JOBS) == 0;
     bool labelled = nm_rng_below(&soak.route_rng, LABEL_JOBS) == 0;
     bool limited = nm_rng_below(&soak.route_rng, LIMITED_JOBS) == 0;
@@ -164,15 +204,32 @@
                             : SUBMIT_ATTEMPTS_MAX;
     g_ptr_array_add(soak.jobs, job);
     bool fails_often = soak.jobs->len % 40 == 17;
+    if (soak_options.fillers) {
+        job->serves = soak.jobs->len <= SERVING_JOBS;
+        job->fills = !job->serves;
+        job->long_running = job->serves;
+        job->tasks = job->serves ? SERVING_TASKS
+                                 : (uint32_t)soak_random_between(
+                                       FILLER_TASKS_MIN, FILLER_TASKS_MAX);
+        job->wants_cancel = job->wants_cancel && job->fills;
+        job->attempts_max = SUBMIT_ATTEMPTS_MAX;
+        fails_often = false;
+    }
     nm_ms_t duration_max_ms = fails_often              ? 1500
                               : soak_options.cuts      ? LONG_TASK_MAX_MS
                               : soak_options.recuts    ? RECUT_TASK_MAX_MS
                               : soak_options.shortages ? SHORTAGE_TASK_MAX_MS
+                              : soak_options.fillers   ? FILLER_TASK_MAX_MS
                                                        : 1500;
+    nm_ms_t duration_min_ms = soak_options.fillers ? FILLER_TASK_MIN_MS : 100;
     platform_lock(soak.platform);
-    executor_job_submitted(platform_fleet(soak.platform), job->id, job->tasks,
-                           1000, soak_random_between(100, duration_max_ms),
-                           job->long_running, job->deadly);
+    executor_job_submitted(
+        platform_fleet(soak.platform), job->id, job->tasks,
+        query_cpu_milli(job),
+        soak_random_between(duration_min_ms, duration_max_ms),
+        job->long_running, job->deadly);
+    executor_job_shares(platform_fleet(soak.platform), job->id, job->fills,
+                        job->serves);
     if (fails_often) {
         executor_job_fails_often(platform_fleet(soak.platform), job->id);
     }
@@ -314,6 +371,10 @@
         submits_new ? soak_options.jobs_per_s * (double)elapsed_ms / 1000.0
                     : 0;
     for (; soak.pending_arrivals >= 1; soak.pending_arrivals--) {
+        if (soak_options.fillers &&
+            soak.jobs->len >= SERVING_JOBS + FILLER_JOBS) {
+            continue;
+        }
         submit_new_job();
     }
     for (guint i = 0; i < soak.jobs->len; i++) {
--- a/soak/soak_departures.c
+++ b/soak/soak_departures.c
@@ -43,6 +43,11 @@
 #define JOBS_RESUME_MS                                                        \
     (OWNER_LEASE_MS + ELECTION_MS + TASK_LAPSE_MS + IDLE_MAX_MS)
 #define IDLE_CHECK_INTERVAL_MS 100
+/*
+ * The soak itself did not run for so long: hosts on the same machine may not
+ * have run, either, so that the calm time of --fillers begins anew.
+ */
+#define SOAK_LATE_MS 300
 
 typedef enum {
     OWNER_LOSS_REVOKED, /* the same host may win */
@@ -161,8 +166,12 @@
 void
 soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms)
 {
-    if (!soak_options.departures || now_ms < faults_end_ms ||
-        now_ms < soak.next_idle_check_ms)
+    if (soak.passed_ms > 0 && now_ms - soak.passed_ms > SOAK_LATE_MS) {
+        soak.delayed_ms = now_ms;
+    }
+    soak.passed_ms = now_ms;
+    if (!(soak_options.departures || soak_options.fillers) ||
+        now_ms < faults_end_ms || now_ms < soak.next_idle_check_ms)
     {
         return;
     }
@@ -170,6 +179,9 @@
     platform_lock(soak.platform);
     executor_fleet_t *fleet = platform_fleet(soak.platform);
     nm_ms_t calm_since_ms = find_calm_since(faults_end_ms, now_ms);
+    if (soak_options.fillers) {
+        calm_since_ms = MAX(calm_since_ms, soak.delayed_ms);
+    }
     executor_fleet_note_idle_jobs(fleet, now_ms);
     for (guint i = 0; i < soak.jobs->len; i++) {
         job_t *job = soak.jobs->pdata[i];
@@ -179,7 +191,12 @@
         nm_ms_t idle_ms = MIN(executor_job_idle_ms(fleet, job->id),
                               now_ms - MAX(calm_since_ms, job->accepted_ms));
         soak.longest_idle_ms = MAX(soak.longest_idle_ms, idle_ms);
-        if (idle_ms > JOBS_RESUME_MS && !job->stood_still) {
+        nm_ms_t late_ms =
+            MIN(idle_ms, now_ms - calm_since_ms - JOBS_RESUME_MS);
+        soak.longest_late_idle_ms = MAX(soak.longest_late_idle_ms, late_ms);
+        bool too_long = idle_ms > JOBS_RESUME_MS ||
+                        (soak_options.fillers && late_ms > IDLE_MAX_MS);
+        if (too_long && !job->stood_still) {
             job->stood_still = true;
             executor_fleet_add_violation(
                 fleet, now_ms,
--- a/soak/soak_faults.c
+++ b/soak/soak_faults.c
@@ -381,9 +381,19 @@
     FAULT_STOP_HOST,       FAULT_KILL_OWNERS, FAULT_COMPACT_STORE,
 };
 
+/* What is drawn with --fillers: owners are lost, and executors restart. */
+static const fault_kind_t filler_kinds[] = {
+    FAULT_KILL_OWNERS,    FAULT_KILL_HOST,      FAULT_STOP_HOST,
+    FAULT_CRASH_EXECUTOR, FAULT_CRASH_EXECUTOR, FAULT_CRASH_EXECUTOR,
+};
+
 static fault_kind_t
 draw_kind(void)
 {
+    if (soak_options.fillers) {
+        return filler_kinds[nm_rng_below(&soak.rng,
+                                         G_N_ELEMENTS(filler_kinds))];
+    }
     if (soak_options.configs) {
         return config_kinds[nm_rng_below(&soak.rng,
                                          G_N_ELEMENTS(config_kinds))];
--- a/soak/soak_state.h
+++ b/soak/soak_state.h
@@ -53,7 +53,9 @@
     char id[32];
     uint32_t tasks;
     bool long_running;
-    bool deadly;          /* its tasks crash their executors */
+    bool deadly; /* its tasks crash their executors */
+    bool fills;
+    bool serves;
     bool outcome_unknown; /* a failed attempt may have been stored */
     bool refused;         /* every attempt got 503 or 429 */
     bool wants_cancel;
@@ -92,6 +94,7 @@
     gboolean recuts;
     gboolean reborn;
     gboolean evacuations;
+    gboolean fillers;
 } soak_options_t;
 
 typedef struct {
@@ -129,7 +132,10 @@
     nm_ms_t reborn_outage_at_ms; /* 0: none */
     nm_ms_t reborn_outage_end_ms;
     nm_ms_t next_idle_check_ms;
-    nm_ms_t longest_idle_ms; /* of any job in calm time */
+    nm_ms_t longest_idle_ms;      /* of any job in calm time */
+    nm_ms_t passed_ms;            /* last pass of the soak itself */
+    nm_ms_t delayed_ms;           /* it was late: SOAK_LATE_MS */
+    nm_ms_t longest_late_idle_ms; /* of it, from JOBS_RESUME_MS on */
     double pending_arrivals;
     nm_ms_t arrivals_until_ms;
     int64_t config_version;
@@ -199,7 +205,10 @@
  * the ownership away again and again meanwhile.
  */
 void soak_run_departures(nm_ms_t now_ms);
-/* With --departures, after the faults: reports jobs that stand still. */
+/*
+ * With --departures and --fillers, after the faults: reports jobs that stand
+ * still.
+ */
 void soak_check_idle_jobs(nm_ms_t faults_end_ms, nm_ms_t now_ms);
 
 /* soak_recuts.c */
--- a/tests/process_soak.sh
+++ b/tests/process_soak.sh
@@ -2,9 +2,11 @@
 # Short fault soak: two seeds, one run of cut-off executors, one of hosts that
 # are too small for their work, one of executors that leave for good while one
 # host wins elections in series, one of a large configuration that changes in
-# series, one of zones that are evacuated and taken back, one of executors that restart and are cut off beside elections and one
-# of restarts beside an outage, set clocks and owners that are replaced must
-# pass, and a run whose store drops jobs that it acknowledged must fail.
+# series, one of zones that are evacuated and taken back, one of executors that
+# restart and are cut off beside elections, one of restarts beside an outage,
+# set clocks and owners that are replaced, and one of a backlog of fillers
+# beside serving tasks must pass, and a run whose store drops jobs that it
+# acknowledged must fail.
 #
 #     BIN=build tests/process_soak.sh
 #
@@ -12,7 +14,7 @@
 # otherwise; the logs of failed runs are kept.
 set -u
 folder=$(mktemp -d)
-# Below the ephemeral ports of the system, eleven runs long.  Derived from the process id, so
+# Below the ephemeral ports of the system, twelve runs long.  Derived from the process id, so
 # that concurrent runs start at different ports.
 base_port=$((10000 + $$ % 34 * 500))
 status=0
@@ -40,6 +42,7 @@
 run_soak 0 --seed 804 --seconds 30 --recuts --jobs 4
 run_soak 0 --seed 3316 --seconds 20 --restarts --reborn
 run_soak 0 --seed 901 --seconds 30 --evacuations
+run_soak 0 --seed 1 --seconds 12 --fillers
 run_soak 1 --seed 3 --seconds 3 --calm --forget --settle 5
 [ "$status" -eq 0 ] && rm -rf "$folder"
 exit "$status"
