--- a/tests/test_sched_idle_jobs.c
+++ b/tests/test_sched_idle_jobs.c
@@ -10,6 +10,11 @@
 /* The rules: an accepted job may have nothing at work for this long. */
 #define IDLE_MS_MAX 3000
 #define JOBS_MAX 64
+/*
+ * Who looks at jobs now and then may take turns for idle time; our own bound,
+ * as runs begin and end at any time.
+ */
+#define SEEN_IDLE_SHARE_MAX 0.05
 #define LABEL "disk=ssd"
 
 /* A task that waits, and how the owner is to explain it. */
@@ -130,6 +135,10 @@
      .workers = 4,
      .jobs = 60,
      .duration_ms = 1700},
+    {.name = "/idle-jobs/jobs-that-take-turns/runs-of-1-s",
+     .workers = 4,
+     .jobs = 48,
+     .duration_ms = 1000},
     {.name = "/idle-jobs/jobs-that-take-turns/long-runs",
      .workers = 4,
      .jobs = 48,
@@ -278,10 +287,30 @@
     }
 }
 
+/*
+ * Returns the share of jobs that are idle each time in three looks at them
+ * within IDLE_MS_MAX, whenever these begin.
+ */
+static double
+seen_idle_share(const bool *idle, uint32_t jobs, uint32_t ticks)
+{
+    uint32_t apart = IDLE_MS_MAX / 2 / SCHED_FLEET_TICK_MS;
+    uint32_t count = 0;
+    uint32_t looks = 0;
+    for (uint32_t j = 0; j < jobs; j++) {
+        const bool *of_job = &idle[j * ticks];
+        for (uint32_t t = 0; t + 2 * apart < ticks; t++) {
+            count += of_job[t] && of_job[t + apart] && of_job[t + 2 * apart];
+            looks++;
+        }
+    }
+    return (double)count / looks;
+}
+
 static void
 test_turns(gconstpointer data)
 {
-    enum { PLAY_MS = 60000 };
+    enum { PLAY_MS = 60000, TICKS = PLAY_MS / SCHED_FLEET_TICK_MS };
     const turns_case_t *turns = data;
     sched_fleet_t fleet;
     begin_turns_fleet(&fleet, turns);
@@ -293,6 +322,7 @@
         at_work_ms[j] = fleet.sim.now_ms;
     }
     nm_ms_t longest_ms = 0;
+    bool *idle = g_new0(bool, (gsize)turns->jobs *TICKS);
     for (nm_ms_t t = 0; t < PLAY_MS; t += SCHED_FLEET_TICK_MS) {
         disturb_fleet(&fleet, turns, t);
         sched_fleet_tick(&fleet);
@@ -301,11 +331,17 @@
                 at_work_ms[j] = fleet.sim.now_ms;
             }
             longest_ms = MAX(longest_ms, fleet.sim.now_ms - at_work_ms[j]);
+            idle[j * TICKS + t / SCHED_FLEET_TICK_MS] =
+                at_work_ms[j] < fleet.sim.now_ms;
         }
     }
     g_test_message("%u jobs: idle for %d ms at most, %u runs done",
                    turns->jobs, (int)longest_ms, fleet.done);
     g_assert_cmpint(longest_ms, <=, IDLE_MS_MAX);
+    double seen_idle = seen_idle_share(idle, turns->jobs, TICKS);
+    g_test_message("seen idle in three looks: %.4f", seen_idle);
+    g_assert_cmpfloat(seen_idle, <=, SEEN_IDLE_SHARE_MAX);
+    g_free(idle);
     sched_fleet_finish(&fleet);
 }
 
