Fillers of idle jobs: five points of the review

- A job whose only runs are on silent workers kept no idle clock in rounds in which none of its tasks waited in turn.
- end_call left order_pending set while a start sent again had no response, also for tasks that had not been sent again.
- Moves of slowed fillers counted a choice of their own worker as a move.
- STAYS_SLOWED_PENALTY outweighed that of an avoided worker.
- A paused filler resumed at full speed where its worker had no unused processor, and its job kept its turns.

--- a/src/sched_choice.c
+++ b/src/sched_choice.c
@@ -17,9 +17,10 @@
 #define FAILURE_PENALTY 0.5
 /*
  * Score penalty of a worker where a filler would stay slowed until others than
- * fillers end: outweighs the limit of slowed fillers, in multiples of its CPU.
+ * fillers end: outweighs the limit of slowed fillers, in multiples of its CPU,
+ * and the predicted cost, but not an avoided worker.
  */
-#define STAYS_SLOWED_PENALTY 10
+#define STAYS_SLOWED_PENALTY 4.75
 /* Score of a worker in the rack of a task's data: outweighs CPU and image. */
 #define DATA_RACK_SCORE 20
 /* Scores of a worker for a serving task. */
--- a/src/sched_filler.c
+++ b/src/sched_filler.c
@@ -273,15 +273,21 @@
     return longest;
 }
 
+/* The next filler of its job would go on to disturb another worker. */
+static void
+end_turns(const nm_task_t *task)
+{
+    task->occurrence->job->has_waited = false;
+    task->occurrence->job->waits = 0;
+}
+
 /* Stops a filler; one that saves its progress resumes on another worker. */
 static void
 evict(nm_sched_t *sched, nm_sched_node_t *node, nm_task_t *task,
       nm_ms_t now_ms)
 {
     task->avoided_node = node;
-    /* It would go on to disturb the next worker. */
-    task->occurrence->job->has_waited = false;
-    task->occurrence->job->waits = 0;
+    end_turns(task);
     nm_count_reason(NM_REASON_EVICT_LATENCY);
     nm_sched_stop_task(sched, task, now_ms);
 }
@@ -381,6 +387,7 @@
             evict(sched, node, worst, now_ms);
         }
         else {
+            end_turns(worst);
             throttle(sched, node, worst, 0, now_ms);
         }
     }
@@ -389,7 +396,9 @@
                                   nm_task_image(paused),
                                   now_ms) < RESUME_COST_MAX)
     {
-        throttle(sched, node, paused, 100, now_ms);
+        bool has_capacity = nm_sched_filler_unused_cpu_milli(node) >= 0;
+        throttle(sched, node, paused,
+                 has_capacity ? 100 : NM_SCHED_SLOWED_PERCENT, now_ms);
     }
     else if (paused && now_ms - paused->throttled_ms > PAUSED_MAX_MS) {
         evict(sched, node, paused, now_ms);
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -228,7 +228,9 @@
         return; /* a start may still be refused */
     }
     if (!has_candidate) {
-        job->idle_since_ms = 0;
+        if (job->attached_count == 0) {
+            job->idle_since_ms = 0;
+        }
         return;
     }
     if (job->idle_since_ms == 0) {
--- a/src/sched_place.c
+++ b/src/sched_place.c
@@ -665,7 +665,8 @@
                         nm_task_step(task));
         return false;
     }
-    if (now_ms - node->moved_to_ms < SLOWED_MOVE_INTERVAL_MS) {
+    if (node == task->node ||
+        now_ms - node->moved_to_ms < SLOWED_MOVE_INTERVAL_MS) {
         return false;
     }
     node->moved_to_ms = now_ms;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -251,7 +251,7 @@
     if (task) {
         task->starts_in_flight -= task->starts_in_flight > 0;
         if (task->state == NM_RUN_RUNNING && task->run == start->run &&
-            task->starts_in_flight == 0)
+            (!task->resent || task->starts_in_flight == 0))
         {
             task->order_pending = false; /* a report came before */
         }
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -295,7 +295,10 @@
     /* Part of it: they work or start, as far as is known. */
     uint32_t working_count;
     nm_ms_t idle_since_ms; /* a task waits in turn, none works; 0: works */
-    /* It takes turns with others: a filler of it starts slowed meanwhile. */
+    /*
+     * It takes turns with others: a filler of it starts slowed meanwhile.  Set
+     * by its waits, ended by a filler that is paused or evicted.
+     */
     bool has_waited;
     uint32_t waits;             /* times idle for IDLE_WAIT_MS or longer */
     nm_ms_t wait_counted_ms;    /* idle_since_ms of the newest of them */
@@ -1070,7 +1073,7 @@
                             int64_t cpu_milli, uint32_t image, nm_ms_t now_ms);
 /* CPU that neither other tasks nor the usual load of serving tasks use. */
 double nm_sched_filler_unused_cpu_milli(const nm_sched_node_t *node);
-/* The same without the fillers at full speed. */
+/* CPU for all fillers together that work at full speed. */
 double nm_sched_filler_cpu_milli(const nm_sched_node_t *node);
 /* True if a filler finds unused CPU. */
 bool nm_sched_filler_has_capacity(const nm_sched_node_t *node,
--- a/src/sched_wait.c
+++ b/src/sched_wait.c
@@ -38,7 +38,7 @@
     return names[cause];
 }
 
-/* The cause without regard to workers, in the order of nm_task_must_wait. */
+/* The cause without regard to workers. */
 static nm_wait_cause_t
 find_cause(const nm_sched_t *sched, const nm_task_t *task, nm_ms_t now_ms)
 {
