--- a/src/entry_lives.c
+++ b/src/entry_lives.c
@@ -51,9 +51,8 @@
 
 typedef struct {
     nm_witness_life_t life;
-    bool is_witness; /* a listed one that may confirm a former owner */
-    uint32_t
-        worker_hash;  /* of a stored silence, whose id is unknown; else 0 */
+    bool is_witness;      /* a listed one that may confirm a former owner */
+    uint32_t worker_hash; /* of a silence whose worker's id is unknown; or 0 */
     nm_ms_t ended_ms; /* when the listing that showed its end was complete */
 } life_t;
 
--- a/src/payload_table.c
+++ b/src/payload_table.c
@@ -81,8 +81,7 @@
     char *interned = g_ref_string_new_intern(payload);
     uint32_t number =
         GPOINTER_TO_UINT(g_hash_table_lookup(table->numbers, interned));
-    /* Payloads that follow in the same message take the place of the oldest.
-     */
+    /* The payloads after it in a message may take the oldest slots. */
     bool is_kept = number > 0 && table->count - number <
                                      NM_PAYLOADS_KEPT - NM_PAYLOADS_ADDED_MAX;
     if (is_kept) {
--- a/src/payload_table.h
+++ b/src/payload_table.h
@@ -23,10 +23,7 @@
 
 #include <nutmegdeck/base.h>
 
-/*
- * Payloads that a carrier keeps: more than the jobs that take turns on 180
- * workers, some 650.  With 4,000 bytes each they take 4 MB.
- */
+/* Payloads that a carrier keeps; with 4,000 bytes each they take 4 MB. */
 #define NM_PAYLOADS_KEPT 1024
 /* Payloads that one message may add. */
 #define NM_PAYLOADS_ADDED_MAX 256
