--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,5 +7,7 @@
 mkdir -p target/review-2
 flags=$(pkg-config --cflags --libs libmicrohttpd libcurl glib-2.0 jansson)
 # shellcheck disable=SC2086
-cc -std=gnu11 -O2 -Wall -Wextra -o target/review-2/rig review/rig-2/rig.c \
+cc -std=gnu11 -O2 -Wall -Wextra -o target/review-2/rig.new \
+    review/rig-2/rig.c \
     $flags -lpthread
+mv target/review-2/rig.new target/review-2/rig
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -23,7 +23,8 @@
  *
  * The payload ("spec") of a task tells the executor what to do, as words:
  * work=MS how long it works, saved=BYTES the length of its checkpoints; a task
- * with the word "lasts" works until it is stopped.
+ * with the word "lasts" works until it is stopped, and run 1 of one with the
+ * words "fails once" ends `failed` when its work is over.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -603,6 +604,7 @@
     int64_t stop_ms; /* 0: no stop was ordered */
     size_t saved_bytes;
     bool lasts;
+    bool fails; /* when its work is over */
 } run_t;
 
 typedef struct {
@@ -610,6 +612,7 @@
     char task[64];
     int64_t run;
     const char *how;
+    char *saved;
 } end_t;
 
 static struct {
@@ -673,7 +676,11 @@
 end_run(guint index, const char *how)
 {
     const run_t *run = &g_array_index(worker.runs, run_t, index);
-    end_t end = {.number = ++worker.last_end, .run = run->run, .how = how};
+    bool is_done = strcmp(how, "done") == 0;
+    end_t end = {.number = ++worker.last_end,
+                 .run = run->run,
+                 .how = how,
+                 .saved = is_done ? g_strdup("") : encode_checkpoint(run)};
     g_strlcpy(end.task, run->task, sizeof(end.task));
     note_finished(run->task, run->run);
     record("%s: %s run %lld ends %s", worker.id, run->task,
@@ -696,7 +703,7 @@
             end_run(i - 1, "lapsed");
         }
         else if (!run->lasts && now_ms >= run->started_ms + run->work_ms) {
-            end_run(i - 1, "done");
+            end_run(i - 1, run->fails ? "failed" : "done");
         }
     }
 }
@@ -742,15 +749,20 @@
     {
         return refuse(response, "late");
     }
+    const char *checkpoint =
+        json_string_value(json_object_get(call->body, "checkpoint"));
+    bool is_first = run == 1;
     run_t begun = {.run = run,
                    .started_ms = steady_ms(),
                    .work_ms = find_number(payload, "work=", 1000),
                    .saved_bytes = (size_t)find_number(payload, "saved=", 0),
-                   .lasts = strstr(payload, "lasts") != NULL};
+                   .lasts = strstr(payload, "lasts") != NULL,
+                   .fails = is_first && strstr(payload, "fails once") != NULL};
     g_strlcpy(begun.task, task, sizeof(begun.task));
     extend_worker_lease(call->body);
     g_array_append_val(worker.runs, begun);
-    record("%s: %s run %lld starts", worker.id, task, (long long)run);
+    record("%s: %s run %lld starts, checkpoint of %zu bytes", worker.id, task,
+           (long long)run, checkpoint ? strlen(checkpoint) : 0);
     return 200;
 }
 
@@ -783,7 +795,7 @@
         json_array_append_new(finished,
                               json_pack("[I,s,I,s,s]", (json_int_t)end->number,
                                         end->task, (json_int_t)end->run,
-                                        end->how, ""));
+                                        end->how, end->saved));
     }
     return json_pack(
         "{s:I,s:I,s:o,s:o}", "clockMs", (json_int_t)worker_clock(), "born",
@@ -808,6 +820,7 @@
         const end_t *end = &g_array_index(worker.ends, end_t, 0);
         record("%s: end of %s run %lld is acknowledged", worker.id, end->task,
                (long long)end->run);
+        g_free(end->saved);
         g_array_remove_index(worker.ends, 0);
     }
     while (worker.ends->len == 0 && steady_ms() < until_ms) {
