--- a/review/rig-2/common.sh
+++ b/review/rig-2/common.sh
@@ -29,6 +29,7 @@
     rm -rf "$temporary"
 }
 trap end_processes EXIT
+trap 'exit 2' INT TERM
 
 note() {
     echo "$($rig now) script: $*" >>"$record"
