Late orders of a former incarnation: refused by their fencing token

Callers saw: a task that was done ran again (TWICE) after its worker had restarted under its id. Cause: an order names a worker by its id, and one without a response may be carried out up to 12 s later. A poll that acknowledged ends of the former incarnation made the next one drop an end of its own. Both owners' orders had the same fencing token, so that the worker could not tell them apart. Change: the token has the epoch in its high bits and, in its low 20 bits, a sequence that rises with each restart of a worker that the owner notices. A start, and so each end that follows it, comes after a token that is higher than those of all orders to former incarnations. Refusals of outdated orders do not end the term. The waits for late starts and leases stay as they are.

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -77,6 +77,8 @@
     X(RESERVATION_MISSED, "reservation-missed", 0,                            \
       "a reserved worker was not free in time")                               \
     X(LEASE_LAPSED, "lease-lapsed", 0, "the worker's lease lapsed")           \
+    X(ORDER_OUTDATED, "order-outdated", 0,                                    \
+      "the worker has restarted since the order was sent")                    \
     X(LATE_REPORT, "late-report", 0, "a worker's answer came after its time") \
     /* Settings, store, worker reports and peers. */                          \
     X(SETTINGS_STALE, "settings-stale", 0, "older settings were ignored")     \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -39,6 +39,13 @@
  * out 2 s later or more; a start has expired by then and is refused.
  */
 #define NM_SCHED_START_VALID_MS 1700
+/*
+ * Low bits of a fencing token: the newest restart of a worker that the owner
+ * had noticed by then.  A worker that restarts under its id refuses orders to
+ * its former incarnation, once it has had one of its own.
+ */
+#define NM_FENCE_SEQ_BITS 20
+#define NM_FENCE_SEQ_MAX ((INT64_C(1) << NM_FENCE_SEQ_BITS) - 1)
 /* Bytes of a task's name and of a checkpoint, with the terminating NUL. */
 #define NM_TASK_NAME_MAX 64
 #define NM_CHECKPOINT_MAX 128
@@ -112,6 +119,7 @@
     char worker[NM_NAME_MAX];
     char address[NM_NAME_MAX];
     int64_t incarnation;
+    int64_t fence_seq; /* low bits of the fencing token */
     char task[NM_TASK_NAME_MAX];
     int64_t run;
     int64_t expiry_ms;      /* on the worker's clock */
@@ -125,6 +133,13 @@
     uint32_t percent;       /* THROTTLE: share of full speed */
 } nm_sched_action_t;
 
+/* Returns the fencing token of an order of an owner's epoch. */
+static inline int64_t
+nm_sched_fencing_token(int64_t epoch, const nm_sched_action_t *order)
+{
+    return (epoch << NM_FENCE_SEQ_BITS) | order->fence_seq;
+}
+
 typedef enum {
     NM_ORDER_DONE,
     NM_ORDER_NOT_RUN,    /* certain to have had no effect */
@@ -725,6 +740,11 @@
 nm_job_state_t nm_sched_query_job(const nm_sched_t *sched, const char *job);
 /* Returns the number of a worker's newest processed end; 0: none. */
 int64_t nm_sched_query_last_end(const nm_sched_t *sched, const char *worker);
+/*
+ * Returns the least fence_seq of an order that no incarnation of a worker
+ * refuses for an earlier order of this owner.
+ */
+int64_t nm_sched_query_fence_seq(const nm_sched_t *sched, const char *worker);
 /* Returns false for an unknown job. */
 bool nm_sched_query_job_info(const nm_sched_t *sched, const char *job,
                              nm_sched_job_info_t *info);
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &nm_pb__entry_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   nm_pb__admission_row__init
+                     (NmPb__AdmissionRow         *message)
+{
+  static const NmPb__AdmissionRow init_value = NM_PB__ADMISSION_ROW__INIT;
+  *message = init_value;
+}
+size_t nm_pb__admission_row__get_packed_size
+                     (const NmPb__AdmissionRow *message)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t nm_pb__admission_row__pack
+                     (const NmPb__AdmissionRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t nm_pb__admission_row__pack_to_buffer
+                     (const NmPb__AdmissionRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+NmPb__AdmissionRow *
+       nm_pb__admission_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (NmPb__AdmissionRow *)
+     protobuf_c_message_unpack (&nm_pb__admission_row__descriptor,
+                                allocator, len, data);
+}
+void   nm_pb__admission_row__free_unpacked
+                     (NmPb__AdmissionRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   nm_pb__entry_answer__init
                      (NmPb__EntryAnswer         *message)
 {
@@ -142,51 +187,6 @@
   assert(message->base.descriptor == &nm_pb__term_end__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   nm_pb__admission_row__init
-                     (NmPb__AdmissionRow         *message)
-{
-  static const NmPb__AdmissionRow init_value = NM_PB__ADMISSION_ROW__INIT;
-  *message = init_value;
-}
-size_t nm_pb__admission_row__get_packed_size
-                     (const NmPb__AdmissionRow *message)
-{
-  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t nm_pb__admission_row__pack
-                     (const NmPb__AdmissionRow *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t nm_pb__admission_row__pack_to_buffer
-                     (const NmPb__AdmissionRow *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-NmPb__AdmissionRow *
-       nm_pb__admission_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (NmPb__AdmissionRow *)
-     protobuf_c_message_unpack (&nm_pb__admission_row__descriptor,
-                                allocator, len, data);
-}
-void   nm_pb__admission_row__free_unpacked
-                     (NmPb__AdmissionRow *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &nm_pb__admission_row__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   nm_pb__silent_worker__init
                      (NmPb__SilentWorker         *message)
 {
@@ -1090,7 +1090,7 @@
   (ProtobufCMessageInit) nm_pb__silent_worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[19] =
+static const ProtobufCFieldDescriptor nm_pb__order__field_descriptors[20] =
 {
   {
     "number",
@@ -1320,6 +1320,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fence_seq",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__Order, fence_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__order__field_indices_by_name[] = {
   8,   /* field[8] = acked */
@@ -1328,6 +1340,7 @@
   11,   /* field[11] = checkpoint */
   17,   /* field[17] = ends_known */
   7,   /* field[7] = expiry_ms */
+  19,   /* field[19] = fence_seq */
   4,   /* field[4] = incarnation */
   0,   /* field[0] = number */
   10,   /* field[10] = payload */
@@ -1345,7 +1358,7 @@
 static const ProtobufCIntRange nm_pb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor nm_pb__order__descriptor =
 {
@@ -1355,7 +1368,7 @@
   "NmPb__Order",
   "nm_pb",
   sizeof(NmPb__Order),
-  19,
+  20,
   nm_pb__order__field_descriptors,
   nm_pb__order__field_indices_by_name,
   1,  nm_pb__order__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -16,10 +16,10 @@
 
 
 typedef struct NmPb__EntryAsk NmPb__EntryAsk;
+typedef struct NmPb__AdmissionRow NmPb__AdmissionRow;
 typedef struct NmPb__EntryAnswer NmPb__EntryAnswer;
 typedef struct NmPb__TermEnd NmPb__TermEnd;
 typedef struct NmPb__SilentWorker NmPb__SilentWorker;
-typedef struct NmPb__AdmissionRow NmPb__AdmissionRow;
 typedef struct NmPb__Order NmPb__Order;
 typedef struct NmPb__OrderResult NmPb__OrderResult;
 typedef struct NmPb__WorkerReport NmPb__WorkerReport;
@@ -72,7 +72,7 @@
 
 /*
  * A request of an entry host for jobs to another one: to the owner, except
- * for ORDERS, OWNER and TERMS, which the owner sends to the other hosts.
+ * for ORDERS, OWNER, TERMS and ADMISSION, which the owner sends to the other hosts.
  */
 struct  NmPb__EntryAsk
 {
@@ -98,6 +98,7 @@
    * ORDERS, OWNER: epoch of the sender.  CANCEL: 0, or the newest epoch that
    * the sender knows: the cancel is stored, no response.  TERMS: epoch of the
    * sender; the receiver gives no orders of a lower one from then on.
+   * ADMISSION: epoch of the sender; one of a lower epoch is ignored.
    */
   int64_t epoch;
   /*
@@ -360,10 +361,14 @@
    * is payload_index.
    */
   uint64_t payload_id;
+  /*
+   * low bits of the fencing token
+   */
+  int64_t fence_seq;
 };
 #define NM_PB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__order__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -515,6 +520,25 @@
 void   nm_pb__entry_ask__free_unpacked
                      (NmPb__EntryAsk *message,
                       ProtobufCAllocator *allocator);
+/* NmPb__AdmissionRow methods */
+void   nm_pb__admission_row__init
+                     (NmPb__AdmissionRow         *message);
+size_t nm_pb__admission_row__get_packed_size
+                     (const NmPb__AdmissionRow   *message);
+size_t nm_pb__admission_row__pack
+                     (const NmPb__AdmissionRow   *message,
+                      uint8_t             *out);
+size_t nm_pb__admission_row__pack_to_buffer
+                     (const NmPb__AdmissionRow   *message,
+                      ProtobufCBuffer     *buffer);
+NmPb__AdmissionRow *
+       nm_pb__admission_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   nm_pb__admission_row__free_unpacked
+                     (NmPb__AdmissionRow *message,
+                      ProtobufCAllocator *allocator);
 /* NmPb__EntryAnswer methods */
 void   nm_pb__entry_answer__init
                      (NmPb__EntryAnswer         *message);
@@ -553,25 +577,6 @@
 void   nm_pb__term_end__free_unpacked
                      (NmPb__TermEnd *message,
                       ProtobufCAllocator *allocator);
-/* NmPb__AdmissionRow methods */
-void   nm_pb__admission_row__init
-                     (NmPb__AdmissionRow         *message);
-size_t nm_pb__admission_row__get_packed_size
-                     (const NmPb__AdmissionRow   *message);
-size_t nm_pb__admission_row__pack
-                     (const NmPb__AdmissionRow   *message,
-                      uint8_t             *out);
-size_t nm_pb__admission_row__pack_to_buffer
-                     (const NmPb__AdmissionRow   *message,
-                      ProtobufCBuffer     *buffer);
-NmPb__AdmissionRow *
-       nm_pb__admission_row__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   nm_pb__admission_row__free_unpacked
-                     (NmPb__AdmissionRow *message,
-                      ProtobufCAllocator *allocator);
 /* NmPb__SilentWorker methods */
 void   nm_pb__silent_worker__init
                      (NmPb__SilentWorker         *message);
@@ -691,15 +696,15 @@
 typedef void (*NmPb__EntryAsk_Closure)
                  (const NmPb__EntryAsk *message,
                   void *closure_data);
+typedef void (*NmPb__AdmissionRow_Closure)
+                 (const NmPb__AdmissionRow *message,
+                  void *closure_data);
 typedef void (*NmPb__EntryAnswer_Closure)
                  (const NmPb__EntryAnswer *message,
                   void *closure_data);
 typedef void (*NmPb__TermEnd_Closure)
                  (const NmPb__TermEnd *message,
                   void *closure_data);
-typedef void (*NmPb__AdmissionRow_Closure)
-                 (const NmPb__AdmissionRow *message,
-                  void *closure_data);
 typedef void (*NmPb__SilentWorker_Closure)
                  (const NmPb__SilentWorker *message,
                   void *closure_data);
@@ -726,9 +731,9 @@
 
 extern const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor;
 extern const ProtobufCEnumDescriptor    nm_pb__entry_ask__type__descriptor;
+extern const ProtobufCMessageDescriptor nm_pb__admission_row__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__entry_answer__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__term_end__descriptor;
-extern const ProtobufCMessageDescriptor nm_pb__admission_row__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__silent_worker__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__order__descriptor;
 extern const ProtobufCMessageDescriptor nm_pb__order_result__descriptor;
--- a/soak/lib_platform.c
+++ b/soak/lib_platform.c
@@ -11,6 +11,8 @@
 #include <jansson.h>
 #include <microhttpd.h>
 
+#include <nutmegdeck/sched.h>
+
 #include "../tests/fakes/lib_http.h"
 
 #define TICK_US 5000
@@ -409,7 +411,9 @@
         return false;
     }
     json_t *body = json_loadb(request->body->str, request->body->len, 0, NULL);
-    int64_t epoch = json_integer_value(json_object_get(body, "fencingToken"));
+    int64_t epoch =
+        json_integer_value(json_object_get(body, "fencingToken")) >>
+        NM_FENCE_SEQ_BITS;
     json_decref(body);
     return (executor == platform->cut_executor) !=
            (epoch <= platform->cut_epoch);
--- a/src/entry_authority.c
+++ b/src/entry_authority.c
@@ -218,7 +218,10 @@
         witness->probe_pending = false;
         witness->refused = outcome == NM_CALL_REFUSED;
     }
-    if (result == NM_ORDER_FENCED) {
+    if (result == NM_ORDER_FENCED &&
+        action->fence_seq >=
+            nm_sched_query_fence_seq(entry->sched, action->worker))
+    {
         nm_term_step_down(entry, "a worker has seen a newer epoch");
     }
     else if (result == NM_ORDER_DONE) {
@@ -263,6 +266,8 @@
         }
         nm_sched_action_t action = {.type = NM_ACTION_POLL,
                                     .incarnation = witness->life.incarnation,
+                                    .fence_seq = nm_sched_query_fence_seq(
+                                        entry->sched, witness->life.id),
                                     .payload = "",
                                     .checkpoint = ""};
         nm_strcopy(action.worker, sizeof(action.worker), witness->life.id);
--- a/src/order_carrier.c
+++ b/src/order_carrier.c
@@ -106,6 +106,7 @@
     nm_sched_action_t action = {
         .type = (nm_sched_action_type_t)MIN(row->type, NM_ACTION_THROTTLE),
         .incarnation = row->incarnation,
+        .fence_seq = CLAMP(row->fence_seq, 0, NM_FENCE_SEQ_MAX),
         .run = row->run,
         .expiry_ms = row->expiry_ms,
         .acked = row->acked,
--- a/src/order_queue.c
+++ b/src/order_queue.c
@@ -47,6 +47,7 @@
     order->worker = g_strdup(action->worker);
     order->address = g_strdup(action->address);
     order->incarnation = action->incarnation;
+    order->fence_seq = action->fence_seq;
     order->task = g_strdup(action->task);
     order->run = action->run;
     order->expiry_ms = action->expiry_ms;
--- a/src/sched.c
+++ b/src/sched.c
@@ -683,6 +683,14 @@
     return node ? node->ends_processed : 0;
 }
 
+int64_t
+nm_sched_query_fence_seq(const nm_sched_t *sched, const char *worker)
+{
+    assert(sched && worker);
+    const nm_sched_node_t *node = g_hash_table_lookup(sched->nodes, worker);
+    return node ? node->fence_seq : sched->fence_seq;
+}
+
 bool
 nm_sched_query_job_info(const nm_sched_t *sched, const char *id,
                         nm_sched_job_info_t *info)
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -56,6 +56,13 @@
     g_ptr_array_add(at_address, node);
 }
 
+/* Orders to workers that are noticed from now on have higher tokens. */
+static void
+advance_fence_seq(nm_sched_t *sched)
+{
+    sched->fence_seq = MIN(sched->fence_seq + 1, NM_FENCE_SEQ_MAX);
+}
+
 static nm_sched_node_t *
 add_node(nm_sched_t *sched, const char *id, nm_ms_t now_ms)
 {
@@ -68,6 +75,7 @@
     nm_lease_extend_by_former_owners(sched, node);
     node->poll_due_ms = now_ms;
     node->reachable = true;
+    node->fence_seq = sched->fence_seq;
     node->inherited = !sched->taken_over;
     g_hash_table_insert(sched->nodes, node->desc.id, node);
     g_hash_table_insert(sched->nodes_by_hash, GUINT_TO_POINTER(node->id_hash),
@@ -196,6 +204,8 @@
     sched->ids_reused = true;
     node->desc.incarnation = incarnation;
     node->incarnation_seen_ms = now_ms;
+    advance_fence_seq(sched);
+    node->fence_seq = sched->fence_seq;
     /* A start of a former owner may have reached this incarnation. */
     node->inherited = node->inherited && !node->epoch_confirmed;
     node->ends_truncated = false;
@@ -386,6 +396,8 @@
 nm_node_remove(nm_sched_t *sched, nm_sched_node_t *node)
 {
     g_queue_push_tail(&sched->removed, g_strdup(node->desc.id));
+    /* It may come back, as the same incarnation or as the next one. */
+    advance_fence_seq(sched);
     nm_orphans_clear(sched, node);
     nm_timer_remove(sched, node);
     g_ptr_array_remove_fast(sched->node_list, node);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -123,6 +123,7 @@
     node->poll_pending = true;
     node->poll_has_expiry = action->expiry_ms > 0;
     node->poll_incarnation = action->incarnation;
+    node->poll_fence_seq = action->fence_seq;
 }
 
 /* A response that takes long may never come, nor this owner time it out. */
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -186,10 +186,28 @@
     update_call_loss(sched, now_ms);
 }
 
+/*
+ * Stops all decisions if a worker knows a newer owner.  One that has restarted
+ * also refuses orders that were sent to its former incarnation.
+ */
+static void
+check_fence(nm_sched_t *sched, const char *worker, int64_t fence_seq,
+            nm_order_result_t result)
+{
+    if (result != NM_ORDER_FENCED) {
+        return;
+    }
+    if (fence_seq < nm_sched_query_fence_seq(sched, worker)) {
+        nm_count_reason(NM_REASON_ORDER_OUTDATED);
+    }
+    else {
+        sched->fenced = true;
+    }
+}
+
 /*
  * Returns the task of an order if the result still applies to it: same run,
  * same incarnation, and the state in which the order left it; else NULL.
- * Stops all decisions if the worker knows a newer owner.
  */
 static nm_task_t *
 find_ordered_task(nm_sched_t *sched, const nm_sched_action_t *action,
@@ -197,7 +215,7 @@
                   nm_ms_t now_ms)
 {
     nm_task_t *task = nm_sched_find_task(sched, action->task);
-    sched->fenced = sched->fenced || result == NM_ORDER_FENCED;
+    check_fence(sched, action->worker, action->fence_seq, result);
     if (!task || !task->node || task->run != action->run ||
         task->state != state ||
         strcmp(task->node->desc.id, action->worker) != 0 ||
@@ -462,9 +480,7 @@
     assert(sched && action);
     (void)now_ms;
     nm_task_t *task = nm_sched_find_task(sched, action->task);
-    if (result == NM_ORDER_FENCED) {
-        sched->fenced = true;
-    }
+    check_fence(sched, action->worker, action->fence_seq, result);
     if (task && task->node && task->run == action->run) {
         task->order_pending = false;
         task->percent = result == NM_ORDER_DONE ? action->percent
@@ -798,8 +814,9 @@
     }
     nm_timer_set_now(sched, node);
     node->poll_pending = false;
+    check_fence(sched, worker, node->poll_fence_seq, report->result);
     if (report->result == NM_ORDER_FENCED) {
-        sched->fenced = true;
+        node->poll_due_ms = now_ms + NM_SCHED_FIRST_RETRY_MS;
         return;
     }
     record_call(sched, node, report->result != NM_ORDER_UNKNOWN, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -449,6 +449,8 @@
     bool poll_pending;
     bool poll_has_expiry;     /* the poll in flight renews the lease */
     int64_t poll_incarnation; /* that the newest poll was sent to */
+    int64_t poll_fence_seq;   /* of the newest poll */
+    int64_t fence_seq;        /* of orders to this incarnation */
     /* When such a poll got no response; it may be carried out.  0: none. */
     nm_ms_t expiry_lost_ms;
     nm_ms_t poll_wait_ms; /* of the newest poll */
@@ -542,6 +544,7 @@
     nm_ms_t ahead_until_ms; /* workers may be reserved */
     guint ahead_position;   /* in node_list: where the next search begins */
     bool fenced;
+    int64_t fence_seq;       /* restarts of workers that were noticed */
     uint32_t starting_count; /* tasks in state NM_RUN_STARTING */
     uint32_t awaiting_count; /* part of it: tasks that await a report */
     /*
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -578,6 +578,7 @@
 {
     nm_sched_action_t action = {.type = type,
                                 .incarnation = node->desc.incarnation,
+                                .fence_seq = node->fence_seq,
                                 .timeout_ms = order_timeout_ms(sched),
                                 .payload = "",
                                 .checkpoint = ""};
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -35,6 +35,7 @@
     uint16_t port;
     const char *const *responses;
     bool close_listener; /* at the end, before closing the connection */
+    char request[8192];  /* the newest one */
 } server_t;
 
 static void *
@@ -42,13 +43,15 @@
 {
     server_t *server = user;
     int connection = accept(server->listener, NULL, NULL);
-    char buffer[8192];
     for (const char *const *response = server->responses; connection >= 0;
          response++)
     {
-        if (recv(connection, buffer, sizeof(buffer), 0) <= 0) {
+        ssize_t bytes =
+            recv(connection, server->request, sizeof(server->request) - 1, 0);
+        if (bytes <= 0) {
             break;
         }
+        server->request[bytes] = '\0';
         if (!*response) {
             if (server->close_listener) {
                 close(server->listener);
@@ -399,6 +402,35 @@
      NM_ORDER_UNKNOWN, true, 0, 0},
 };
 
+/* The worker compares tokens, so that each order has to carry its own. */
+static void
+test_orders_carry_their_fencing_token(void)
+{
+    static const char *const responses[] = {KEEPALIVE_RESPONSE, NULL};
+    for (int type = NM_ACTION_START; type <= NM_ACTION_THROTTLE; type++) {
+        server_t server = {.responses = responses};
+        pthread_t thread;
+        server_start(&server, &thread);
+        nm_http_t *http = nm_http_new();
+        nm_orders_http_t orders;
+        nm_order_port_t *port = nm_orders_http_init(&orders, http);
+        nm_sched_action_t action = {.type = (nm_sched_action_type_t)type,
+                                    .worker = "w",
+                                    .fence_seq = 5,
+                                    .payload = "",
+                                    .checkpoint = ""};
+        g_snprintf(action.address, sizeof(action.address), "127.0.0.1:%u",
+                   server.port);
+        outcome_t outcome = {0};
+        nm_order_port_send(port, &action, 3, on_order, &outcome);
+        wait_for_completions(http, &outcome.completions, 1);
+        nm_http_free(http);
+        pthread_join(thread, NULL);
+        close(server.listener);
+        g_assert_nonnull(strstr(server.request, "\"fencingToken\":3145733"));
+    }
+}
+
 static void
 test_reports(void)
 {
@@ -971,6 +1003,8 @@
     g_test_add_func("/platform/store", test_store);
     g_test_add_func("/platform/odd-item-hides-its-page",
                     test_odd_item_hides_its_page);
+    g_test_add_func("/platform/orders-carry-their-fencing-token",
+                    test_orders_carry_their_fencing_token);
     g_test_add_func("/platform/list-without-revision-is-no-list",
                     test_list_without_revision_is_no_list);
     g_test_add_func("/platform/large-response-on-a-slow-link",
--- a/tests/test_relay_messages.c
+++ b/tests/test_relay_messages.c
@@ -153,6 +153,29 @@
     return &g_array_index(line->recorder.actions, nm_sched_action_t, index);
 }
 
+/* A carrier's orders have the fencing tokens that the owner gave them. */
+static void
+test_fencing_tokens_are_passed_on(void)
+{
+    static const int64_t cases[] = {0, 7, NM_FENCE_SEQ_MAX};
+    for (size_t i = 0; i < NM_COUNT_OF(cases); i++) {
+        line_t line;
+        line_init(&line);
+        nm_sched_action_t action = {.type = NM_ACTION_STOP,
+                                    .worker = "w",
+                                    .fence_seq = cases[i],
+                                    .payload = "",
+                                    .checkpoint = ""};
+        line_t **user = g_new(line_t *, 1);
+        *user = &line;
+        nm_order_port_send(line.port, &action, EPOCH, on_order, user);
+        flush_after(&line, 0);
+        receive_orders(&line, 1);
+        g_assert_cmpint(received(&line, 0)->fence_seq, ==, cases[i]);
+        line_finish(&line);
+    }
+}
+
 /*
  * Guards against starts that the worker refuses as late, or carries out as
  * its clock is behind, after they have waited in a stalled owner.  A stop that
@@ -421,6 +444,8 @@
     g_test_add_func("/relay/payloads-are-sent-once",
                     test_payloads_are_sent_once);
     g_test_add_func("/relay/payloads-are-kept", test_payloads_are_kept);
+    g_test_add_func("/relay/fencing-tokens-are-passed-on",
+                    test_fencing_tokens_are_passed_on);
     g_test_add_func("/relay/missing-payload-is-refused",
                     test_missing_payload_is_refused);
     return g_test_run();
--- a/tests/test_sched_reborn_workers.c
+++ b/tests/test_sched_reborn_workers.c
@@ -396,6 +396,152 @@
     }
 }
 
+/* Confirms a start on "a", and reports its run for some time. */
+static void
+work_on(sched_sim_t *sim, int64_t incarnation, int64_t run)
+{
+    enum { AT_WORK_MS = 10000 };
+    sched_sim_confirm_starts(sim);
+    nm_worker_run_t row = sched_sim_make_run(TASK, run);
+    for (nm_ms_t ms = 0; ms < AT_WORK_MS; ms += TICK_MS) {
+        sched_sim_report(sim, "a", incarnation, &row, 1, NULL, 0);
+        sched_sim_advance(sim, TICK_MS);
+        sched_sim_save_all(sim);
+    }
+}
+
+/*
+ * Lets the job's task start on an incarnation of "a", which has nothing of
+ * before.  Returns the fencing token of the start; -1: there is none.
+ */
+static int64_t
+start_on(sched_sim_t *sim, int64_t incarnation)
+{
+    for (nm_ms_t ms = 0; ms < WAIT_MAX_MS; ms += TICK_MS) {
+        sched_sim_advance(sim, TICK_MS);
+        sched_sim_save_all(sim);
+        const nm_sched_action_t *start =
+            sched_sim_find_action(sim, NM_ACTION_START, "a");
+        if (start) {
+            int64_t token = nm_sched_fencing_token(1, start);
+            work_on(sim, incarnation, start->run);
+            return token;
+        }
+        sched_sim_report(sim, "a", incarnation, NULL, 0, NULL, 0);
+    }
+    return -1;
+}
+
+/* Removes "a" with its lease; its orders stay unanswered. */
+static void
+forget_worker(sched_sim_t *sim)
+{
+    enum { FORGOTTEN_MS = 30000 };
+    nm_sched_deregister_worker(sim->sched, "a");
+    char *removed = NULL;
+    for (nm_ms_t ms = 0; ms < FORGOTTEN_MS && !removed; ms += TICK_MS) {
+        sched_sim_advance(sim, TICK_MS);
+        sched_sim_lose_poll(sim, "a");
+        removed = nm_sched_next_removed(sim->sched);
+    }
+    g_assert_nonnull(removed);
+    g_free(removed);
+}
+
+/*
+ * Guards against TWICE: an order that a worker's former incarnation left
+ * unanswered, e.g. a poll that acknowledges ends, is carried out by the next
+ * one, which drops an end of its own.  The start of a task has a higher
+ * fencing token than all orders to the former incarnation.
+ */
+static void
+test_next_incarnation_refuses_orders_to_the_former_one(void)
+{
+    static const struct {
+        const char *name;
+        int64_t incarnations[3]; /* one after the other */
+        bool is_forgotten;       /* before the last one */
+    } cases[] = {
+        {"restarts", {5, 6, 7}, false},
+        {"restarts with its clock set back", {5, 4, 3}, false},
+        {"is removed and comes back", {5, 6, 7}, true},
+        {"is removed while it lives", {5, 6, 6}, true},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("%s", cases[c].name);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_add_job(&sim, JOB, true, 1, 1000, false);
+        int64_t token_max = 0;
+        for (size_t i = 0; i < NM_COUNT_OF(cases[c].incarnations); i++) {
+            if (i == 2 && cases[c].is_forgotten) {
+                forget_worker(&sim);
+            }
+            sched_sim_announce(&sim, "a", cases[c].incarnations[i]);
+            int64_t token = start_on(&sim, cases[c].incarnations[i]);
+            g_assert_cmpint(token, >, token_max);
+            token_max = token;
+        }
+        sched_sim_finish(&sim);
+    }
+}
+
+/*
+ * The next incarnation answers an order to the former one with the refusal
+ * that otherwise shows a newer owner; this owner goes on.
+ */
+static void
+test_refusal_of_an_order_to_a_former_incarnation(void)
+{
+    static const struct {
+        nm_sched_action_type_t type;
+        bool restarts; /* between the order and its refusal */
+        bool removed;  /* its id is not known any more */
+    } cases[] = {
+        {NM_ACTION_START, true, false},    {NM_ACTION_START, false, false},
+        {NM_ACTION_STOP, true, false},     {NM_ACTION_STOP, false, false},
+        {NM_ACTION_THROTTLE, true, false}, {NM_ACTION_THROTTLE, false, false},
+        {NM_ACTION_POLL, true, false},     {NM_ACTION_POLL, false, false},
+        {NM_ACTION_THROTTLE, false, true},
+    };
+    for (size_t c = 0; c < NM_COUNT_OF(cases); c++) {
+        g_test_message("type %d, restarts %d, removed %d", cases[c].type,
+                       cases[c].restarts, cases[c].removed);
+        sched_sim_t sim;
+        sched_sim_init(&sim, 1);
+        sched_sim_add_worker(&sim, "a");
+        nm_sched_worker_t desc;
+        g_assert_true(nm_sched_query_worker(sim.sched, "a", &desc));
+        nm_sched_action_t order = {.type = cases[c].type, .run = 1};
+        nm_strcopy(order.worker, sizeof(order.worker),
+                   cases[c].removed ? "gone" : "a");
+        nm_strcopy(order.task, sizeof(order.task), TASK);
+        order.incarnation = desc.incarnation;
+        order.fence_seq = nm_sched_query_fence_seq(sim.sched, order.worker);
+        if (cases[c].restarts) {
+            sched_sim_announce(&sim, "a", desc.incarnation + 1);
+        }
+        nm_worker_report_t report = {.result = NM_ORDER_FENCED};
+        switch (cases[c].type) {
+        case NM_ACTION_START:
+            nm_sched_on_start(sim.sched, &order, NM_ORDER_FENCED, sim.now_ms);
+            break;
+        case NM_ACTION_STOP:
+            nm_sched_on_stop(sim.sched, &order, NM_ORDER_FENCED, sim.now_ms);
+            break;
+        case NM_ACTION_THROTTLE:
+            nm_sched_on_throttle(sim.sched, &order, NM_ORDER_FENCED,
+                                 sim.now_ms);
+            break;
+        default:
+            nm_sched_on_report(sim.sched, "a", &report, sim.now_ms);
+            break;
+        }
+        g_assert_true(nm_sched_query_fenced(sim.sched) == !cases[c].restarts);
+        sched_sim_finish(&sim);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -415,5 +561,9 @@
                     test_start_begun_by_a_later_incarnation);
     g_test_add_func("/sched/poll-after-a-lost-one-drops-no-ends",
                     test_poll_after_a_lost_one_drops_no_ends);
+    g_test_add_func("/sched/next-incarnation-refuses-orders-to-the-former-one",
+                    test_next_incarnation_refuses_orders_to_the_former_one);
+    g_test_add_func("/sched/refusal-of-an-order-to-a-former-incarnation",
+                    test_refusal_of_an_order_to_a_former_incarnation);
     return g_test_run();
 }
