--- a/include/nutmegdeck/job.h
+++ b/include/nutmegdeck/job.h
@@ -24,9 +24,10 @@
 #define NM_JOB_ID_MAX 32
 #define NM_JOB_STEPS_MAX 64
 #define NM_JOB_TASKS_MAX 20000
-#define NM_JOB_OCCURRENCES_MAX 10000
-/* Tasks of all occurrences of a job; all are allocated when it is added. */
-#define NM_JOB_RUNS_MAX 200000
+/* Each second for 11 days, or each minute for almost two years. */
+#define NM_JOB_OCCURRENCES_MAX 1000000
+/* Tasks of all occurrences of a job; only those that are due need memory. */
+#define NM_JOB_RUNS_MAX 100000000
 /* A week of a million cores, and so few that sums over tasks fit int64_t. */
 #define NM_JOB_CORE_MS_MAX 1e15
 /* Version of the stored record; any other version is refused. */
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -69,6 +69,7 @@
     X(CALLS_LOST, "calls-lost")                                               \
     X(CALLS_ANSWERED, "calls-answered")                                       \
     X(CAPACITY, "capacity")                                                   \
+    X(JOB_MEMORY, "job-memory")                                               \
     X(JOB_IDLE, "job-idle")                                                   \
     X(JOBS_WAIT, "jobs-wait")                                                 \
     X(OWNER_LOAD, "owner-load")                                               \
--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -36,6 +36,9 @@
     X(LINK_BUDGET, "link-budget", 503, "the region link's budget is spent")   \
     X(CALLER_GONE, "caller-gone", 499, "the caller closed its connection")    \
     X(OVERLOAD, "overload", 503, "it cannot end in time under this load")     \
+    X(JOB_MEMORY, "job-memory", 503, "the memory kept for jobs is in use")    \
+    X(JOB_TOO_LARGE, "job-too-large", 400,                                    \
+      "the job needs more memory than is kept for jobs")                      \
     X(HOP_LIMIT, "hop-limit", 503, "a forwarded request found no slot")       \
     /* Outcomes whose verdict may be ran or unknown. */                       \
     X(KEY_RUNNING, "key-running", 409, "the first request still runs")        \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -65,6 +65,8 @@
     bool resends_starts;
     uint64_t seed;
     nm_ms_t retain_ms; /* how long ended jobs are kept; 0: 150000 */
+    /* For jobs, with one occurrence of each; 0: no limit. */
+    uint64_t memory_max_bytes;
 } nm_sched_desc_t;
 
 /*
@@ -376,6 +378,14 @@
     uint64_t filler_refusals[NM_FILLER_REFUSAL_COUNT];
 } nm_sched_capacity_t;
 
+/* Memory for jobs, in bytes. */
+typedef struct {
+    uint64_t max_bytes;      /* 0: no limit */
+    uint64_t reserved_bytes; /* by all jobs, with one occurrence of each */
+    uint64_t live_bytes;     /* of jobs and occurrences that are in memory */
+    uint32_t jobs_deferred;  /* with an occurrence that waits for memory */
+} nm_sched_memory_t;
+
 /* Placements since the scheduler began, and what is left to do. */
 typedef struct {
     uint64_t count;
@@ -424,10 +434,16 @@
  * Adds a job and moves its specification out of spec.  recovered: an earlier
  * owner may have started tasks of it; its age is known only after a first
  * nm_sched_run, which sets the wall clock.  Returns NM_ERR_CONFLICT if the id
- * is known, NM_ERR_TOO_LARGE for more than 10000 occurrences.
+ * is known, NM_ERR_TOO_LARGE for more than NM_JOB_OCCURRENCES_MAX occurrences.
  */
 int nm_sched_add_job(nm_sched_t *sched, nm_job_spec_t *spec, bool recovered,
                      nm_ms_t now_ms);
+/*
+ * Returns the memory that a job needs, and sets that of each of its
+ * occurrences.
+ */
+uint64_t nm_sched_job_bytes(const nm_job_spec_t *spec,
+                            uint64_t *occurrence_bytes);
 /*
  * Applies a stored progress record to a recovered job.  Returns
  * NM_ERR_NOT_FOUND for an unknown job, NM_ERR_CORRUPT for an unreadable
@@ -757,6 +773,7 @@
  */
 uint32_t nm_sched_query_pending(const nm_sched_t *sched, const char *queue);
 nm_sched_info_t nm_sched_query_info(const nm_sched_t *sched);
+nm_sched_memory_t nm_sched_query_memory(const nm_sched_t *sched);
 nm_sched_placement_t nm_sched_query_placement(const nm_sched_t *sched);
 /* Visits all workers and waiting jobs; meant to be called once a second. */
 nm_sched_capacity_t nm_sched_query_capacity(const nm_sched_t *sched,
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -497,7 +497,7 @@
   nm_pb__entry_ask__type__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[15] =
+static const ProtobufCFieldDescriptor nm_pb__entry_ask__field_descriptors[17] =
 {
   {
     "number",
@@ -679,6 +679,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "job_bytes_max",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, job_bytes_max),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_bytes_left",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__EntryAsk, job_bytes_left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__entry_ask__field_indices_by_name[] = {
   12,   /* field[12] = admission */
@@ -686,6 +710,8 @@
   11,   /* field[11] = config_version */
   5,   /* field[5] = epoch */
   2,   /* field[2] = job */
+  16,   /* field[16] = job_bytes_left */
+  15,   /* field[15] = job_bytes_max */
   0,   /* field[0] = number */
   6,   /* field[6] = orders */
   8,   /* field[8] = owner_address */
@@ -700,7 +726,7 @@
 static const ProtobufCIntRange nm_pb__entry_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor nm_pb__entry_ask__descriptor =
 {
@@ -710,7 +736,7 @@
   "NmPb__EntryAsk",
   "nm_pb",
   sizeof(NmPb__EntryAsk),
-  15,
+  17,
   nm_pb__entry_ask__field_descriptors,
   nm_pb__entry_ask__field_indices_by_name,
   1,  nm_pb__entry_ask__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -144,10 +144,16 @@
    */
   size_t n_payload_ids;
   uint64_t *payload_ids;
+  /*
+   * ADMISSION: memory of the owner, or of a smaller host, for jobs, and what of
+   * it is left.  job_bytes_max 0: no limit, or not known.
+   */
+  uint64_t job_bytes_max;
+  uint64_t job_bytes_left;
 };
 #define NM_PB__ENTRY_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__entry_ask__descriptor) \
-    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, NM_PB__ENTRY_ASK__TYPE__STATE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0,NULL, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/src/entry.c
+++ b/src/entry.c
@@ -149,8 +149,9 @@
     char key[NM_NAME_MAX * 2];
     g_snprintf(key, sizeof(key), "%s%s", NM_KEY_HOSTS, entry->desc.name);
     json_t *record =
-        json_pack("{s:s,s:s,s:f}", "address", entry->desc.peer_address, "zone",
-                  entry->desc.zone, "cpu_share", entry->desc.cpu_share);
+        json_pack("{s:s,s:s,s:f,s:i}", "address", entry->desc.peer_address,
+                  "zone", entry->desc.zone, "cpu_share", entry->desc.cpu_share,
+                  "memory_mb", (int)entry->desc.memory_mb);
     char *text = json_dumps(record, JSON_COMPACT);
     json_decref(record);
     nm_store_txn_t txn;
--- a/src/entry.h
+++ b/src/entry.h
@@ -30,7 +30,8 @@
     const char *peer_address; /* tcp://IP:PORT for other entry hosts */
     /* In cores; up to one core, hosts with more are elected first. */
     double cpu_share;
-    nm_ms_t grace_ms; /* from the stop signal to the forced kill */
+    uint32_t memory_mb; /* of this process; 0: no limit */
+    nm_ms_t grace_ms;   /* from the stop signal to the forced kill */
     /*
      * Longest time from the store's confirmation of a configuration until a
      * host serves by it; 0: 3 s.
--- a/src/entry_admission.c
+++ b/src/entry_admission.c
@@ -18,6 +18,14 @@
 /* Repetition while anything is refused; several fit into VALID_MS. */
 #define SEND_INTERVAL_MS 1000
 #define VALID_MS 2000
+/*
+ * Part of a host's memory for the jobs that are accepted, with one occurrence
+ * of each; further occurrences take up to half as much (sched_occurrence.c).
+ */
+#define JOBS_SHARE 6
+#define BYTES_PER_MB (UINT64_C(1024) * 1024)
+/* Hosts are told of what is left once it is below this part of the whole. */
+#define SCARCE_SHARE 2
 /* Lines in the log for one change. */
 #define LOGGED_ROWS_MAX 8
 
@@ -78,11 +86,65 @@
     request.admission = pointers;
     request.n_admission = table->row_count;
     request.admission_valid_ms = VALID_MS;
+    request.job_bytes_max = entry->admission.job_bytes_max;
+    request.job_bytes_left = entry->admission.job_bytes_left;
     if (nm_peer_rpc_send(entry->desc.peers, host->address, &request) < 0) {
         nm_count_reason(NM_REASON_PEER_LOST);
     }
 }
 
+uint64_t
+nm_entry_job_bytes_max(uint32_t memory_mb)
+{
+    return memory_mb * BYTES_PER_MB / JOBS_SHARE;
+}
+
+/* Sets what is left; any host may be the next owner, and has to load it. */
+static void
+update_memory(nm_entry_t *entry)
+{
+    nm_entry_admission_t *admission = &entry->admission;
+    nm_sched_memory_t memory = nm_sched_query_memory(entry->sched);
+    uint64_t max_bytes = memory.max_bytes;
+    uint32_t least_mb = nm_order_relay_query_memory_mb_min(&entry->relay);
+    if (least_mb > 0 && max_bytes > 0) {
+        max_bytes = MIN(max_bytes, nm_entry_job_bytes_max(least_mb));
+    }
+    admission->job_bytes_max = max_bytes;
+    admission->job_bytes_left =
+        max_bytes - MIN(max_bytes, memory.reserved_bytes);
+    admission->memory_is_scarce =
+        admission->job_bytes_left < max_bytes / SCARCE_SHARE;
+}
+
+nm_job_memory_t
+nm_entry_admission_check_memory(nm_entry_t *entry, const nm_job_spec_t *spec)
+{
+    nm_entry_admission_t *admission = &entry->admission;
+    uint64_t occurrence_bytes;
+    uint64_t base_bytes = nm_sched_job_bytes(spec, &occurrence_bytes);
+    nm_job_memory_t memory = {
+        .needed_bytes = base_bytes + occurrence_bytes,
+        .max_bytes = nm_entry_job_bytes_max(entry->desc.memory_mb)};
+    memory.left_bytes = memory.max_bytes;
+    if (admission->job_bytes_max > 0 &&
+        nm_entry_now(entry) < admission->expires_ms)
+    {
+        memory.max_bytes = admission->job_bytes_max;
+        memory.left_bytes = admission->job_bytes_left;
+    }
+    if (memory.max_bytes == 0 || memory.needed_bytes <= memory.left_bytes) {
+        admission->job_bytes_left -=
+            MIN(admission->job_bytes_left, memory.needed_bytes);
+    }
+    else {
+        memory.refusal = memory.needed_bytes > memory.max_bytes
+                             ? NM_REASON_JOB_TOO_LARGE
+                             : NM_REASON_JOB_MEMORY;
+    }
+    return memory;
+}
+
 void
 nm_entry_admission_run(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -103,7 +165,11 @@
     if (changed) {
         log_change(entry, &table);
     }
-    bool repeats = table.row_count > 0 && now_ms >= admission->send_due_ms;
+    bool was_scarce = admission->memory_is_scarce;
+    update_memory(entry);
+    changed = changed || was_scarce != admission->memory_is_scarce;
+    bool repeats = (table.row_count > 0 || admission->memory_is_scarce) &&
+                   now_ms >= admission->send_due_ms;
     admission->table = table;
     admission->expires_ms = now_ms + VALID_MS;
     if (changed || repeats) {
@@ -121,6 +187,8 @@
         return; /* of a former owner */
     }
     admission->epoch = request->epoch;
+    admission->job_bytes_max = request->job_bytes_max;
+    admission->job_bytes_left = request->job_bytes_left;
     admission->table.row_count = 0;
     admission->expires_ms =
         nm_entry_now(entry) + CLAMP(request->admission_valid_ms, 0, VALID_MS);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -75,6 +75,8 @@
  * that a refusal may take; later it is stored.
  */
 #define OVERLOAD_REFUSE_WITHIN_MS 400
+/* Jobs end within seconds, and free their memory. */
+#define MEMORY_RETRY_MS 5000
 /* Refused callers return after the usual length of an outage. */
 #define RETRY_AFTER_S 1
 /* Time between two checks of the deadlines of open requests. */
@@ -109,6 +111,8 @@
     bool store_in_flight;
     bool checking; /* reads whether the job is stored, to refuse it if not */
     uint32_t retry_after_s; /* of that refusal */
+    nm_reason_t refusal;
+    char *refusal_text; /* NULL: that of the reason */
     bool uncertain; /* a write whose response was lost may have been stored */
     bool absent;    /* CANCEL: no such job, but one may still be written */
     bool finished;
@@ -129,6 +133,7 @@
 static void
 free_op(nm_op_t *op)
 {
+    g_free(op->refusal_text);
     g_free(op->record);
     g_free(op);
 }
@@ -158,8 +163,9 @@
 }
 
 static void
-refuse(nm_entry_t *entry, nm_api_request_t *request, nm_reason_t reason,
-       int status, uint32_t retry_after_s)
+refuse_with_text(nm_entry_t *entry, nm_api_request_t *request,
+                 nm_reason_t reason, const char *error, int status,
+                 uint32_t retry_after_s)
 {
     nm_count_reason(reason);
     /* The configuration decides some refusals: which one, and how old. */
@@ -172,10 +178,18 @@
         (json_int_t)(queue_config ? queue_config->version : 0),
         "settings_age_ms",
         (json_int_t)(queue_config ? nm_feed_age_ms(&entry->config_feed) : 0));
-    char *text = g_strdup_printf("{\"error\":\"%s\"}", nm_reason_text(reason));
+    char *text = g_strdup_printf("{\"error\":\"%s\"}", error);
     reply(entry, request, status, text, retry_after_s);
 }
 
+static void
+refuse(nm_entry_t *entry, nm_api_request_t *request, nm_reason_t reason,
+       int status, uint32_t retry_after_s)
+{
+    refuse_with_text(entry, request, reason, nm_reason_text(reason), status,
+                     retry_after_s);
+}
+
 static void
 end_op(nm_op_t *op)
 {
@@ -410,7 +424,10 @@
         op->request && nm_entry_now(entry) - op->request->received_ms <=
                            OVERLOAD_REFUSE_WITHIN_MS;
     if (result->rc == NM_ERR_NOT_FOUND && in_time && !has_other_submit(op)) {
-        refuse(entry, op->request, NM_REASON_OVERLOAD, 503, op->retry_after_s);
+        refuse_with_text(entry, op->request, op->refusal,
+                         op->refusal_text ? op->refusal_text
+                                          : nm_reason_text(op->refusal),
+                         nm_reason_status(op->refusal), op->retry_after_s);
         end_op(op);
         return;
     }
@@ -418,16 +435,18 @@
 }
 
 /*
- * Refuses a job for load if it is not stored: an earlier attempt, at any host,
- * may have stored it, and a refusal would deny that.  In doubt it is stored.
+ * Refuses a job for load or memory if it is not stored: an earlier attempt, at
+ * any host, may have stored it, and a refusal would deny that.  In doubt it is
+ * stored.
  */
 static void
-refuse_if_absent(nm_op_t *op, nm_ms_t retry_after_ms)
+refuse_if_absent(nm_op_t *op, nm_reason_t reason, nm_ms_t retry_after_ms)
 {
     if (op->entry->store_lost || has_other_submit(op)) {
         run_op(op);
         return;
     }
+    op->refusal = reason;
     op->retry_after_s = (uint32_t)((retry_after_ms + 999) / 1000);
     op->checking = true;
     char key[NM_NAME_MAX * 2];
@@ -676,7 +695,7 @@
 static char *
 parse_job(nm_entry_t *entry, const nm_api_request_t *request,
           const nm_queue_rule_t *rule, const char *id, const char **fault,
-          nm_admission_t *admission)
+          nm_admission_t *admission, nm_job_memory_t *memory)
 {
     nm_job_spec_t spec;
     nm_job_spec_init(&spec, id, rule->queue.name, rule->queue.service);
@@ -689,12 +708,31 @@
         char *text = nm_job_record_encode(&spec);
         record = g_strdup(text);
         *admission = nm_entry_admission_query(entry, &rule->queue, &spec);
+        if (!admission->refuse) {
+            *memory = nm_entry_admission_check_memory(entry, &spec);
+        }
         free(text);
     }
     nm_job_spec_finish(&spec);
     return record;
 }
 
+/* Logs a refusal, and returns its text for the caller. */
+static char *
+describe_memory(const char *id, const nm_job_memory_t *memory)
+{
+    nm_log(NM_LOG_WARN, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s,s:I,s:I,s:I}",
+           "job", id, "reason", nm_reason_name(memory->refusal),
+           "needed_bytes", (json_int_t)memory->needed_bytes, "left_bytes",
+           (json_int_t)memory->left_bytes, "bound_bytes",
+           (json_int_t)memory->max_bytes);
+    return g_strdup_printf(
+        "%s: it needs %" G_GUINT64_FORMAT " bytes, %" G_GUINT64_FORMAT
+        " of %" G_GUINT64_FORMAT " are left",
+        nm_reason_text(memory->refusal), memory->needed_bytes,
+        memory->left_bytes, memory->max_bytes);
+}
+
 static void
 handle_submit(nm_entry_t *entry, nm_api_request_t *request,
               const nm_queue_rule_t *rule, const char *id, nm_ms_t timeout_ms)
@@ -711,7 +749,9 @@
         return;
     }
     nm_admission_t admission = {0};
-    char *record = parse_job(entry, request, rule, id, &fault, &admission);
+    nm_job_memory_t memory = {0};
+    char *record =
+        parse_job(entry, request, rule, id, &fault, &admission, &memory);
     if (!record) {
         nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_REFUSED, "{s:s,s:s}", "job", id,
                "reason", fault ? fault : "the body is not valid JSON");
@@ -722,7 +762,13 @@
     op->request = request;
     op->record = record;
     if (admission.refuse) {
-        refuse_if_absent(op, admission.retry_after_ms);
+        refuse_if_absent(op, NM_REASON_OVERLOAD, admission.retry_after_ms);
+    }
+    else if (memory.refusal != NM_REASON_NONE) {
+        op->refusal_text = describe_memory(id, &memory);
+        refuse_if_absent(
+            op, memory.refusal,
+            memory.refusal == NM_REASON_JOB_MEMORY ? MEMORY_RETRY_MS : 0);
     }
     else {
         run_op(op);
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -234,6 +234,17 @@
     return object;
 }
 
+static void
+log_job_memory(const nm_entry_t *entry)
+{
+    nm_sched_memory_t memory = nm_sched_query_memory(entry->sched);
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_MEMORY, "{s:I,s:I,s:I,s:i,s:I}",
+           "live_bytes", (json_int_t)memory.live_bytes, "reserved_bytes",
+           (json_int_t)memory.reserved_bytes, "bound_bytes",
+           (json_int_t)memory.max_bytes, "jobs_deferred",
+           (int)memory.jobs_deferred, "epoch", (json_int_t)entry->owned_epoch);
+}
+
 static void
 log_capacity(nm_entry_t *entry, nm_ms_t now_ms)
 {
@@ -272,6 +283,7 @@
            (int)capacity.jobs_pending, "filler_refusals", refusals);
     log_longest_idle(&capacity);
     log_waits(entry, now_ms);
+    log_job_memory(entry);
     entry->logged_capacity = capacity;
 }
 
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -164,8 +164,11 @@
 typedef struct {
     nm_admission_table_t table; /* the newest, of this owner or another */
     int64_t epoch;              /* of that owner; 0: none */
+    uint64_t job_bytes_max;     /* memory for jobs; 0: not known */
+    uint64_t job_bytes_left;    /* of it, less what was accepted here since */
     nm_ms_t expires_ms;
     nm_ms_t compute_due_ms; /* the rest is of the owner */
+    bool memory_is_scarce;
     nm_ms_t send_due_ms;
 } nm_entry_admission_t;
 
@@ -329,6 +332,18 @@
 /* Takes the table of an owner. */
 void nm_entry_admission_handle(nm_entry_t *entry,
                                const NmPb__EntryAsk *request);
+/* Returns the memory for jobs of a host with so much memory; 0: no limit. */
+uint64_t nm_entry_job_bytes_max(uint32_t memory_mb);
+/* How much memory a job needs that is not accepted. */
+typedef struct {
+    nm_reason_t refusal; /* NM_REASON_NONE: it is accepted */
+    uint64_t needed_bytes;
+    uint64_t left_bytes;
+    uint64_t max_bytes;
+} nm_job_memory_t;
+/* Decides on a job by its memory, and counts it if it is accepted. */
+nm_job_memory_t nm_entry_admission_check_memory(nm_entry_t *entry,
+                                                const nm_job_spec_t *spec);
 /* Decides on a job whose id is not known to be stored. */
 nm_admission_t nm_entry_admission_query(nm_entry_t *entry,
                                         const nm_queue_t *queue,
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -291,6 +291,13 @@
     const char *fault = NULL;
     *host = (nm_relay_host_t){
         .cpu_share = json_number_value(json_object_get(record, "cpu_share"))};
+    /* Absent in records of earlier versions, and without a limit. */
+    int64_t memory_mb;
+    if (nm_json_get_int(json_object_get(record, "memory_mb"), UINT32_MAX,
+                        &memory_mb))
+    {
+        host->memory_mb = (uint32_t)memory_mb;
+    }
     if (name[0] == '\0' || !nm_strcopy(host->name, sizeof(host->name), name) ||
         !nm_json_copy_string(record, "zone", host->zone, sizeof(host->zone)))
     {
@@ -426,13 +433,14 @@
     entry->owner_revision = revision;
     entry->role = NM_ROLE_LOADING;
     entry->sched = nm_sched_new(
-        &(nm_sched_desc_t){.epoch = epoch,
-                           /* Before epoch 1 no owner has given leases. */
-                           .former_lease_max_ms = epoch > 1 ? 0 : 1,
-                           .announce_interval_ms =
-                               entry->desc.announce_interval_ms,
-                           .resends_starts = true,
-                           .seed = nm_rng_next(&entry->rng)},
+        &(nm_sched_desc_t){
+            .epoch = epoch,
+            /* Before epoch 1 no owner has given leases. */
+            .former_lease_max_ms = epoch > 1 ? 0 : 1,
+            .announce_interval_ms = entry->desc.announce_interval_ms,
+            .resends_starts = true,
+            .memory_max_bytes = nm_entry_job_bytes_max(entry->desc.memory_mb),
+            .seed = nm_rng_next(&entry->rng)},
         nm_entry_now(entry));
     nm_sched_set_lookahead(entry->sched, entry->desc.looks_ahead);
     entry->logged_capacity = (nm_sched_capacity_t){0};
--- a/src/order_relay.c
+++ b/src/order_relay.c
@@ -402,6 +402,23 @@
     return largest;
 }
 
+uint32_t
+nm_order_relay_query_memory_mb_min(const nm_order_relay_t *relay)
+{
+    assert(relay);
+    uint32_t least_mb = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, relay->hosts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        uint32_t memory_mb = ((const carrier_t *)value)->desc.memory_mb;
+        if (memory_mb > 0 && (least_mb == 0 || memory_mb < least_mb)) {
+            least_mb = memory_mb;
+        }
+    }
+    return least_mb;
+}
+
 double
 nm_order_relay_query_carrier_share_max(const nm_order_relay_t *relay)
 {
--- a/src/order_relay.h
+++ b/src/order_relay.h
@@ -52,6 +52,7 @@
     char address[NM_NAME_MAX * 2];
     char zone[NM_NAME_MAX];
     double cpu_share;
+    uint32_t memory_mb; /* 0: not known, or no limit */
 } nm_relay_host_t;
 
 typedef struct {
@@ -104,7 +105,9 @@
                                        uint32_t names_max);
 /* Largest cpu_share of all hosts; 0 without hosts. */
 double nm_order_relay_query_cpu_share_max(const nm_order_relay_t *relay);
-/* The same of the responsive carriers. */
+/* Least memory of all hosts that tell theirs; 0: none does. */
+uint32_t nm_order_relay_query_memory_mb_min(const nm_order_relay_t *relay);
+/* Largest cpu_share of the responsive carriers. */
 double nm_order_relay_query_carrier_share_max(const nm_order_relay_t *relay);
 /*
  * Removes all hosts and workers, and discards orders in flight; their
--- a/src/sched.c
+++ b/src/sched.c
@@ -88,17 +88,7 @@
 free_job(gpointer data)
 {
     nm_sched_job_t *job = data;
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            g_free(job->occurrences[o].tasks[s]);
-        }
-        g_free(job->occurrences[o].tasks);
-        g_free(job->occurrences[o].unfinished);
-        g_free(job->occurrences[o].waiting);
-        g_free(job->occurrences[o].interrupted_since_ms);
-        g_free(job->occurrences[o].failures);
-    }
-    g_free(job->occurrences);
+    nm_occurrences_free(job);
     for (uint32_t s = 0; job->swings && s < job->spec.step_count; s++) {
         g_free(job->swings[s]);
     }
@@ -158,6 +148,7 @@
     g_queue_init(&sched->unsaved);
     g_queue_init(&sched->ended);
     g_queue_init(&sched->expired);
+    g_queue_init(&sched->unreleased);
     g_queue_init(&sched->removed);
     sched->began_ms = now_ms;
     sched->watch_gap_ms = now_ms;
@@ -188,6 +179,7 @@
     g_queue_clear_full(&sched->removed, g_free);
     g_queue_clear(&sched->ended);
     g_queue_clear(&sched->expired);
+    g_queue_clear(&sched->unreleased);
     nm_interference_finish(&sched->interference);
     nm_durations_finish(&sched->durations);
     g_hash_table_destroy(sched->nodes_by_address);
@@ -231,35 +223,6 @@
     }
 }
 
-static void
-init_occurrence(nm_occurrence_t *occurrence, nm_sched_job_t *job,
-                uint32_t number, bool recovered)
-{
-    const nm_job_spec_t *spec = &job->spec;
-    occurrence->job = job;
-    occurrence->number = number;
-    occurrence->due_unix_ms = spec->first_unix_ms + number * spec->interval_ms;
-    occurrence->tasks = g_new0(nm_task_t *, spec->step_count);
-    occurrence->unfinished = g_new0(uint32_t, spec->step_count);
-    occurrence->waiting = g_new0(uint32_t, spec->step_count);
-    occurrence->interrupted_since_ms = g_new0(nm_ms_t, spec->step_count);
-    occurrence->failures = g_new0(nm_step_failure_t, spec->step_count);
-    for (uint32_t s = 0; s < spec->step_count; s++) {
-        uint32_t count = spec->steps[s].task_count;
-        occurrence->tasks[s] = g_new0(nm_task_t, count);
-        occurrence->unfinished[s] = count;
-        occurrence->waiting[s] = recovered ? 0 : count;
-        for (uint32_t i = 0; i < count; i++) {
-            nm_task_t *task = &occurrence->tasks[s][i];
-            task->occurrence = occurrence;
-            task->step = (uint16_t)s;
-            task->index = i;
-            task->state = recovered ? NM_RUN_UNKNOWN : NM_RUN_WAITING;
-            task->percent = 100;
-        }
-    }
-}
-
 int
 nm_sched_add_job(nm_sched_t *sched, nm_job_spec_t *spec, bool recovered,
                  nm_ms_t now_ms)
@@ -284,11 +247,7 @@
     sched->has_unknown_runs = sched->has_unknown_runs || recovered;
     job->queue = g_hash_table_lookup(sched->queues, job->spec.queue);
     job->service = g_intern_string(job->spec.service);
-    job->occurrence_count = MAX(job->spec.occurrences, 1);
-    job->occurrences = g_new0(nm_occurrence_t, job->occurrence_count);
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        init_occurrence(&job->occurrences[o], job, o, recovered);
-    }
+    nm_occurrences_init_job(sched, job);
     job->images = g_new0(uint32_t, job->spec.step_count);
     job->swings = g_new0(nm_swing_t *, job->spec.step_count);
     for (uint32_t s = 0; s < job->spec.step_count; s++) {
@@ -319,6 +278,9 @@
     g_ptr_array_add(sched->active, job);
     job->active = true;
     sched->needs_placement = true;
+    if (!recovered) {
+        nm_occurrences_begin_job(sched, job, now_ms);
+    }
     return NM_OK;
 }
 
@@ -360,10 +322,11 @@
 static void
 requeue_unknown_runs(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                nm_task_t *task = &occurrence->tasks[s][i];
                 if (task->state == NM_RUN_UNKNOWN) {
                     nm_task_requeue(sched, task);
                     nm_crashes_resolve(sched, task, now_ms);
@@ -393,27 +356,12 @@
     }
 }
 
-static bool
-job_has_tasks(const nm_sched_job_t *job)
-{
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                if (job->occurrences[o].tasks[s][i].node) {
-                    return true;
-                }
-            }
-        }
-    }
-    return false;
-}
-
 static void
 remove_ended_from_active(nm_sched_t *sched)
 {
     for (guint i = sched->active->len; i > 0; i--) {
         nm_sched_job_t *job = sched->active->pdata[i - 1];
-        if (job->state >= NM_JOB_COMPLETED && !job_has_tasks(job)) {
+        if (job->state >= NM_JOB_COMPLETED && job->attached_count == 0) {
             g_ptr_array_remove_index_fast(sched->active, i - 1);
             job->active = false;
         }
@@ -490,6 +438,8 @@
     {
         sched->needs_placement = false;
         remove_ended_from_active(sched);
+        nm_occurrences_release(sched, now_ms);
+        nm_occurrences_begin_due(sched, now_ms);
         nm_sched_place(sched, now_ms);
     }
     nm_sched_tick_nodes(sched, now_ms);
@@ -603,6 +553,7 @@
     }
     if (!save->record) {
         if (stored) {
+            nm_occurrences_forget_job(sched, job);
             g_hash_table_remove(sched->jobs, save->job);
         }
         else {
@@ -713,10 +664,13 @@
         .admitted_ms = job->admitted ? job->admitted_ms - job->arrived_ms : -1,
         .core_ms = job->core_ms_total,
     };
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+    info->failures = job->released_failures;
+    info->crashes = job->released_crashes;
+    for (guint o = 0; job->occurrences && o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                const nm_task_t *task = &occurrence->tasks[s][i];
                 info->failures += task->failures;
                 info->crashes = MAX(info->crashes, task->crashes);
             }
@@ -771,9 +725,10 @@
     }
     for (guint i = 0; i < sched->active->len; i++) {
         const nm_sched_job_t *job = sched->active->pdata[i];
-        for (uint32_t o = 0; o < job->occurrence_count; o++) {
+        for (guint o = 0; o < job->occurrences->len; o++) {
+            const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
             for (uint32_t s = 0; s < job->spec.step_count; s++) {
-                uint32_t waiting = job->occurrences[o].waiting[s];
+                uint32_t waiting = occurrence->waiting[s];
                 info.tasks_waiting += waiting;
                 info.long_running_waiting +=
                     job->spec.steps[s].long_running ? waiting : 0;
--- a/src/sched_capacity.c
+++ b/src/sched_capacity.c
@@ -163,8 +163,8 @@
 {
     const nm_sched_t *sched = picture->sched;
     nm_sched_capacity_t *capacity = &picture->capacity;
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        nm_occurrence_t *occurrence = &job->occurrences[o];
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             const nm_step_t *step = &job->spec.steps[s];
             uint32_t waiting = occurrence->waiting[s];
--- a/src/sched_crashes.c
+++ b/src/sched_crashes.c
@@ -176,7 +176,7 @@
 add_silence(nm_sched_t *sched, nm_task_t *task, const nm_silence_t *silence)
 {
     if (task->silence_count < NM_SCHED_SILENCES_MAX) {
-        task->silences[task->silence_count++] = *silence;
+        nm_task_add_silence(task, silence);
         nm_sched_mark_changed(sched, task->occurrence->job, false);
     }
 }
--- a/src/sched_estimate.c
+++ b/src/sched_estimate.c
@@ -115,11 +115,15 @@
 measure_step(const nm_sched_job_t *job, uint32_t s, nm_ms_t now_ms,
              nm_ms_t *length_ms, nm_ms_t *left_ms)
 {
-    const nm_occurrence_t *occurrence = &job->occurrences[0];
+    const nm_occurrence_t *occurrence = nm_occurrences_find(job, 0);
     const nm_step_duration_t *duration = &job->durations[s];
     *length_ms = is_overrun(duration, duration->longest_ms)
                      ? duration->longest_ms
                      : duration->known_ms;
+    if (!occurrence) {
+        *left_ms = job->begun_count == 0 ? duration->known_ms : 0;
+        return;
+    }
     *left_ms = occurrence->unfinished[s] > 0 ? duration->known_ms : 0;
     uint32_t attached = occurrence->unfinished[s] - occurrence->waiting[s];
     if (occurrence->unfinished[s] == 0 || attached == 0) {
--- a/src/sched_order.c
+++ b/src/sched_order.c
@@ -261,8 +261,8 @@
     nm_candidate_t candidate = {0};
     order_job(job, now_ms, &candidate);
     nm_order_t order = candidate.order;
-    for (uint32_t i = 0; i < job->occurrence_count; i++) {
-        nm_occurrence_t *occurrence = &job->occurrences[i];
+    for (guint i = 0; i < job->occurrences->len; i++) {
+        nm_occurrence_t *occurrence = job->occurrences->pdata[i];
         if (occurrence->finished || occurrence->due_unix_ms > sched->unix_ms) {
             continue;
         }
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -13,6 +13,11 @@
 #include "json_get.h"
 
 #define PROGRESS_VERSION 1
+/*
+ * Of a job that repeats: names the occurrences that are not finished.  Earlier
+ * versions listed all occurrences in version 1, and start no task of this one.
+ */
+#define PROGRESS_VERSION_REPEATED 2
 /* By which the wall clocks of two owners may differ (the users' sheets). */
 #define CLOCK_SKEW_MAX_MS 6000
 /* A row of one task begins with its occurrence, step and index. */
@@ -20,165 +25,148 @@
 
 /* Encodes each task as one character: '.' not done, 'D' done. */
 static json_t *
-encode_occurrences(const nm_sched_job_t *job)
+encode_occurrence(const nm_occurrence_t *occurrence)
 {
-    json_t *occurrences = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        json_t *steps = json_array();
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            uint32_t count = job->spec.steps[s].task_count;
-            char *states = g_malloc(count + 1);
-            for (uint32_t i = 0; i < count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                states[i] = nm_task_is_done(task) ? 'D' : '.';
-            }
-            states[count] = '\0';
-            json_array_append_new(steps, json_string(states));
-            g_free(states);
+    const nm_job_spec_t *spec = &occurrence->job->spec;
+    json_t *steps = json_array();
+    for (uint32_t s = 0; s < spec->step_count; s++) {
+        uint32_t count = spec->steps[s].task_count;
+        char *states = g_malloc(count + 1);
+        for (uint32_t i = 0; i < count; i++) {
+            states[i] = nm_task_is_done(&occurrence->tasks[s][i]) ? 'D' : '.';
         }
-        json_array_append_new(occurrences, steps);
+        states[count] = '\0';
+        json_array_append_new(steps, json_string(states));
+        g_free(states);
     }
-    return occurrences;
+    return steps;
 }
 
-/* Encodes occurrence, step and index of a task, then its failed runs. */
+/* Encodes the occurrences that are not finished: their numbers and tasks. */
 static json_t *
-encode_failed_task(const nm_task_t *task, uint32_t o, uint32_t s, uint32_t i)
+encode_unfinished(const nm_sched_job_t *job)
 {
-    json_t *row = json_pack("[i,i,i]", o, s, i);
-    uint32_t count = MIN(task->failures, NM_SCHED_FAILED_RUNS_MAX);
-    for (uint32_t f = 0; f < count; f++) {
-        json_array_append_new(row, json_integer(task->failed_runs[f]));
+    json_t *rows = json_array();
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
+        if (!occurrence->finished) {
+            json_array_append_new(rows,
+                                  json_pack("[i,o]", occurrence->number,
+                                            encode_occurrence(occurrence)));
+        }
     }
-    return row;
+    return rows;
 }
 
-static json_t *
-encode_failures(const nm_sched_job_t *job)
+/* Calls visit for each task of a job that is in memory. */
+static void
+visit_tasks(const nm_sched_job_t *job, json_t *rows,
+            void (*visit)(json_t *rows, const nm_task_t *task))
 {
-    json_t *failures = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->failures > 0) {
-                    json_array_append_new(failures,
-                                          encode_failed_task(task, o, s, i));
-                }
+                visit(rows, &occurrence->tasks[s][i]);
             }
         }
     }
-    return failures;
 }
 
-/*
- * Encodes occurrence, step and index of a task, and how often it has failed,
- * where that is more than its row of failed runs holds.
- */
+/* A row of a task: its position, to which further columns are added. */
 static json_t *
-encode_failure_counts(const nm_sched_job_t *job)
+add_row(json_t *rows, const nm_task_t *task)
 {
-    json_t *counts = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->failures > NM_SCHED_FAILED_RUNS_MAX) {
-                    json_array_append_new(
-                        counts, json_pack("[i,i,i,I]", o, s, i,
-                                          (json_int_t)task->failures));
-                }
-            }
-        }
-    }
-    return counts;
+    json_t *row = json_pack("[i,i,i]", task->occurrence->number, task->step,
+                            task->index);
+    json_array_append_new(rows, row);
+    return row;
 }
 
-/*
- * Encodes occurrence, step and index of a task, its crashes, and the worker of
- * all of them.
- */
-static json_t *
-encode_crashes(const nm_sched_job_t *job)
+static void
+add_number(json_t *row, int64_t number)
 {
-    json_t *crashes = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (task->crashes > 0 && !nm_task_is_done(task)) {
-                    json_array_append_new(
-                        crashes,
-                        json_pack("[i,i,i,I,I]", o, s, i,
-                                  (json_int_t)task->crashes,
-                                  (json_int_t)task->crash_worker_hash));
-                }
-            }
-        }
-    }
-    return crashes;
+    json_array_append_new(row, json_integer(number));
 }
 
-/* Encodes occurrence, step and index of a task, and the silence. */
-static json_t *
-encode_silence(const nm_silence_t *silence, uint32_t o, uint32_t s, uint32_t i)
+/* The failed runs of a task. */
+static void
+add_failures(json_t *rows, const nm_task_t *task)
 {
-    return json_pack(
-        "[i,i,i,I,I,b,I,I]", o, s, i, (json_int_t)silence->worker_hash,
-        (json_int_t)silence->incarnation, silence->certain,
-        (json_int_t)silence->address_hash, (json_int_t)silence->since_unix_ms);
+    if (task->failures == 0) {
+        return;
+    }
+    json_t *row = add_row(rows, task);
+    uint32_t count = MIN(task->failures, NM_SCHED_FAILED_RUNS_MAX);
+    for (uint32_t f = 0; f < count; f++) {
+        add_number(row, task->failed_runs[f]);
+    }
 }
 
-/* Appends each silence of a task, and its intent. */
+/* How often a task failed, where its row of failed runs does not hold all. */
 static void
-append_silences(json_t *rows, const nm_task_t *task, uint32_t o, uint32_t s,
-                uint32_t i)
+add_failure_count(json_t *rows, const nm_task_t *task)
 {
-    for (uint32_t n = 0; n < task->silence_count; n++) {
-        json_array_append_new(rows,
-                              encode_silence(&task->silences[n], o, s, i));
+    if (task->failures > NM_SCHED_FAILED_RUNS_MAX) {
+        add_number(add_row(rows, task), task->failures);
     }
-    if (task->intent.worker_hash != 0) {
-        json_array_append_new(rows, encode_silence(&task->intent, o, s, i));
+}
+
+/* The crashes of a task, and the worker of all of them. */
+static void
+add_crashes(json_t *rows, const nm_task_t *task)
+{
+    if (task->crashes > 0 && !nm_task_is_done(task)) {
+        json_t *row = add_row(rows, task);
+        add_number(row, task->crashes);
+        add_number(row, task->crash_worker_hash);
     }
 }
 
-static json_t *
-encode_silences(const nm_sched_job_t *job)
+static void
+add_silence(json_t *rows, const nm_task_t *task, const nm_silence_t *silence)
 {
-    json_t *silences = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        for (uint32_t s = 0; s < job->spec.step_count; s++) {
-            for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
-                if (!nm_task_is_done(task)) {
-                    append_silences(silences, task, o, s, i);
-                }
-            }
-        }
+    json_t *row = add_row(rows, task);
+    add_number(row, silence->worker_hash);
+    add_number(row, silence->incarnation);
+    json_array_append_new(row, json_boolean(silence->certain));
+    add_number(row, silence->address_hash);
+    add_number(row, silence->since_unix_ms);
+}
+
+/* Each silence of a task, and its intent. */
+static void
+add_silences(json_t *rows, const nm_task_t *task)
+{
+    if (nm_task_is_done(task)) {
+        return;
+    }
+    for (uint32_t n = 0; n < task->silence_count; n++) {
+        add_silence(rows, task, &task->silences[n]);
+    }
+    if (task->intent.worker_hash != 0) {
+        add_silence(rows, task, &task->intent);
     }
-    return silences;
 }
 
 /*
- * Encodes occurrence, step and index of a task, the run of its unanswered
- * start, and until when that may be carried out.
+ * The run of a task's unanswered start, and until when that may be carried
+ * out.
  */
 static json_t *
 encode_open_starts(const nm_sched_t *sched, const nm_sched_job_t *job)
 {
     json_t *rows = json_array();
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                const nm_task_t *task = &job->occurrences[o].tasks[s][i];
+                const nm_task_t *task = &occurrence->tasks[s][i];
                 nm_ms_t left_ms = task->open_until_ms - sched->now_ms;
                 if (left_ms > 0 && !nm_task_is_done(task)) {
-                    json_int_t until_unix_ms = sched->unix_ms + left_ms;
-                    json_array_append_new(rows,
-                                          json_pack("[i,i,i,I,I]", o, s, i,
-                                                    (json_int_t)task->open_run,
-                                                    until_unix_ms));
+                    json_t *row = add_row(rows, task);
+                    add_number(row, task->open_run);
+                    add_number(row, sched->unix_ms + left_ms);
                 }
             }
         }
@@ -186,22 +174,50 @@
     return rows;
 }
 
+static void
+put_rows(json_t *record, const char *name, const nm_sched_job_t *job,
+         void (*visit)(json_t *rows, const nm_task_t *task))
+{
+    json_t *rows = json_array();
+    visit_tasks(job, rows, visit);
+    json_object_set_new(record, name, rows);
+}
+
+/* Earlier versions read the tasks of a job that runs once only. */
+static void
+put_done(json_t *record, const nm_sched_job_t *job)
+{
+    if (job->occurrence_count > 1) {
+        json_object_set_new(record, "begun", json_integer(job->begun_count));
+        json_object_set_new(record, "unfinished", encode_unfinished(job));
+        return;
+    }
+    json_t *done = json_array();
+    const nm_occurrence_t *occurrence = nm_occurrences_find(job, 0);
+    if (occurrence) {
+        json_array_append_new(done, encode_occurrence(occurrence));
+    }
+    json_object_set_new(record, "done", done);
+}
+
 char *
 nm_sched_encode_progress(const nm_sched_t *sched, const nm_sched_job_t *job)
 {
     json_t *record = json_object();
-    json_object_set_new(record, "version", json_integer(PROGRESS_VERSION));
+    json_object_set_new(record, "version",
+                        json_integer(job->occurrence_count > 1
+                                         ? PROGRESS_VERSION_REPEATED
+                                         : PROGRESS_VERSION));
     json_object_set_new(record, "state",
                         json_string(nm_job_state_name(job->state)));
     if (job->state < NM_JOB_COMPLETED) {
-        json_object_set_new(record, "done", encode_occurrences(job));
+        put_done(record, job);
         json_object_set_new(record, "attempts_max",
                             json_integer(nm_job_attempts_max(job)));
-        json_object_set_new(record, "failures", encode_failures(job));
-        json_object_set_new(record, "failure_counts",
-                            encode_failure_counts(job));
-        json_object_set_new(record, "proved_crashes", encode_crashes(job));
-        json_object_set_new(record, "silences", encode_silences(job));
+        put_rows(record, "failures", job, add_failures);
+        put_rows(record, "failure_counts", job, add_failure_count);
+        put_rows(record, "proved_crashes", job, add_crashes);
+        put_rows(record, "silences", job, add_silences);
         json_object_set_new(record, "open_starts",
                             encode_open_starts(sched, job));
         json_object_set_new(record, "ids_reused",
@@ -215,9 +231,9 @@
 }
 
 static void
-restore_done(nm_sched_job_t *job, uint32_t o, uint32_t s, const char *states)
+restore_step(nm_occurrence_t *occurrence, uint32_t s, const char *states)
 {
-    nm_occurrence_t *occurrence = &job->occurrences[o];
+    nm_sched_job_t *job = occurrence->job;
     const nm_step_t *step = &job->spec.steps[s];
     for (uint32_t i = 0; states[i] != '\0' && i < step->task_count; i++) {
         nm_task_t *task = &occurrence->tasks[s][i];
@@ -231,6 +247,137 @@
     }
 }
 
+static void
+restore_occurrence(nm_occurrence_t *occurrence, const json_t *steps)
+{
+    size_t s;
+    json_t *states;
+    json_array_foreach(steps, s, states)
+    {
+        const char *text = json_string_value(states);
+        if (text && s < occurrence->job->spec.step_count) {
+            restore_step(occurrence, (uint32_t)s, text);
+        }
+    }
+}
+
+/* True if a row of version 1 shows each task of an occurrence as done. */
+static bool
+is_all_done(const nm_sched_job_t *job, const json_t *steps)
+{
+    if (json_array_size(steps) < job->spec.step_count) {
+        return false;
+    }
+    for (uint32_t s = 0; s < job->spec.step_count; s++) {
+        const char *states = json_string_value(json_array_get(steps, s));
+        if (!states || strspn(states, "D") < job->spec.steps[s].task_count) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* True if a row of version 1 shows a task of an occurrence as done. */
+static bool
+is_any_done(const json_t *steps)
+{
+    size_t s;
+    json_t *states;
+    json_array_foreach(steps, s, states)
+    {
+        const char *text = json_string_value(states);
+        if (text && strchr(text, 'D')) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Number of occurrences that a record of version 1 shows to have begun. */
+static uint32_t
+count_begun(const json_t *record, const nm_sched_job_t *job)
+{
+    static const char *const lists[] = {"failures", "failure_counts",
+                                        "proved_crashes", "silences",
+                                        "open_starts"};
+    const json_t *done = json_object_get(record, "done");
+    int64_t begun = (int64_t)json_array_size(done);
+    while (begun > 0 && !is_any_done(json_array_get(done, (size_t)begun - 1)))
+    {
+        begun--;
+    }
+    for (size_t l = 0; l < NM_COUNT_OF(lists); l++) {
+        size_t i;
+        json_t *row;
+        json_array_foreach(json_object_get(record, lists[l]), i, row)
+        {
+            int64_t number;
+            if (nm_json_get_int(json_array_get(row, 0), NM_COUNT_MAX - 1,
+                                &number)) {
+                begun = MAX(begun, number + 1);
+            }
+        }
+    }
+    return (uint32_t)MIN(begun, job->occurrence_count);
+}
+
+static void
+restore_listed(nm_sched_t *sched, nm_sched_job_t *job, const json_t *record)
+{
+    const json_t *done = json_object_get(record, "done");
+    uint32_t begun = job->occurrence_count > 1 ? count_begun(record, job) : 1;
+    for (uint32_t o = 0; o < begun; o++) {
+        const json_t *steps = json_array_get(done, o);
+        if (o < job->begun_count) {
+            nm_occurrence_t *known = nm_occurrences_find(job, o);
+            if (known) {
+                restore_occurrence(known, steps);
+            }
+            continue;
+        }
+        if (job->occurrence_count > 1 && is_all_done(job, steps)) {
+            nm_occurrences_skip_next(job);
+            continue;
+        }
+        restore_occurrence(nm_occurrences_begin_next(sched, job, true), steps);
+    }
+}
+
+/* Returns false if a row is malformed. */
+static bool
+restore_unfinished(nm_sched_t *sched, nm_sched_job_t *job,
+                   const json_t *record)
+{
+    int64_t begun;
+    const json_t *rows = json_object_get(record, "unfinished");
+    if (!json_is_array(rows) ||
+        !nm_json_get_int(json_object_get(record, "begun"),
+                         job->occurrence_count, &begun))
+    {
+        return false;
+    }
+    size_t i;
+    json_t *row;
+    json_array_foreach(rows, i, row)
+    {
+        int64_t number;
+        if (!nm_json_get_int(json_array_get(row, 0), begun - 1, &number) ||
+            number < job->begun_count)
+        {
+            return false;
+        }
+        while (job->begun_count < number) {
+            nm_occurrences_skip_next(job);
+        }
+        restore_occurrence(nm_occurrences_begin_next(sched, job, true),
+                           json_array_get(row, 1));
+    }
+    while (job->begun_count < begun) {
+        nm_occurrences_skip_next(job);
+    }
+    return true;
+}
+
 /*
  * Returns the task that a row of a record begins with, or NULL if the row is
  * malformed or has less than `columns` further columns.
@@ -250,7 +397,9 @@
     {
         return NULL;
     }
-    return &job->occurrences[occurrence].tasks[step][index];
+    const nm_occurrence_t *found =
+        nm_occurrences_find(job, (uint32_t)occurrence);
+    return found ? &found->tasks[step][index] : NULL;
 }
 
 /* Reads a further column of a row. */
@@ -328,13 +477,14 @@
         {
             since_unix_ms = sched->unix_ms;
         }
-        task->silences[task->silence_count++] = (nm_silence_t){
-            .worker_hash = (uint32_t)worker_hash,
-            .address_hash = (uint32_t)address_hash,
-            .incarnation = incarnation,
-            .since_ms = sched->began_ms - (sched->unix_ms - since_unix_ms),
-            .since_unix_ms = since_unix_ms,
-            .certain = json_is_true(certain)};
+        nm_silence_t silence = {.worker_hash = (uint32_t)worker_hash,
+                                .address_hash = (uint32_t)address_hash,
+                                .incarnation = incarnation,
+                                .since_ms = sched->began_ms -
+                                            (sched->unix_ms - since_unix_ms),
+                                .since_unix_ms = since_unix_ms,
+                                .certain = json_is_true(certain)};
+        nm_task_add_silence(task, &silence);
     }
 }
 
@@ -368,9 +518,10 @@
     nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
     json_t *record = json_loadb(data, bytes, 0, NULL);
     const char *state = json_string_value(json_object_get(record, "state"));
+    json_int_t version =
+        json_integer_value(json_object_get(record, "version"));
     if (!job || !state ||
-        json_integer_value(json_object_get(record, "version")) !=
-            PROGRESS_VERSION)
+        (version != PROGRESS_VERSION && version != PROGRESS_VERSION_REPEATED))
     {
         json_decref(record);
         if (!job) {
@@ -391,6 +542,7 @@
             job->visible_state = s;
             job->ended_ms = sched->began_ms;
             g_queue_push_tail(&sched->ended, job);
+            nm_occurrences_on_job_end(sched, job);
         }
     }
     int64_t attempts_max;
@@ -399,20 +551,15 @@
     {
         job->spec.attempts_max = (uint32_t)attempts_max;
     }
-    size_t o;
-    json_t *steps;
-    json_array_foreach(json_object_get(record, "done"), o, steps)
+    if (job->state < NM_JOB_COMPLETED && version == PROGRESS_VERSION) {
+        restore_listed(sched, job, record);
+    }
+    else if (job->state < NM_JOB_COMPLETED &&
+             !restore_unfinished(sched, job, record))
     {
-        size_t s;
-        json_t *states;
-        json_array_foreach(steps, s, states)
-        {
-            const char *text = json_string_value(states);
-            if (text && o < job->occurrence_count && s < job->spec.step_count)
-            {
-                restore_done(job, (uint32_t)o, (uint32_t)s, text);
-            }
-        }
+        json_decref(record);
+        job->progress_unreadable = true;
+        return NM_ERR_CORRUPT;
     }
     size_t i;
     json_t *row;
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -320,8 +320,8 @@
     for (guint i = 0; i < sched->active->len; i++) {
         nm_sched_job_t *job = sched->active->pdata[i];
         bool has_ended = job->state >= NM_JOB_COMPLETED;
-        for (uint32_t o = 0; !has_ended && o < job->occurrence_count; o++) {
-            store_starts_in_flight(sched, &job->occurrences[o], now_ms);
+        for (guint o = 0; !has_ended && o < job->occurrences->len; o++) {
+            store_starts_in_flight(sched, job->occurrences->pdata[o], now_ms);
         }
     }
 }
@@ -554,6 +554,7 @@
 apply_running(nm_sched_t *sched, nm_sched_node_t *node,
               const nm_worker_run_t *row, nm_ms_t now_ms)
 {
+    nm_occurrences_begin_reported(sched, row->task);
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
     show_run(sched, node, row->task, row->run, false, now_ms);
@@ -636,6 +637,7 @@
         return;
     }
     node->ends_processed = row->number;
+    nm_occurrences_begin_reported(sched, row->task);
     nm_task_t *task = nm_sched_find_task(sched, row->task);
     nm_job_record_begun(task);
     show_run(sched, node, row->task, row->run, true, now_ms);
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -8,6 +8,7 @@
  * sched_choice.c -> sched_node.c, sched_filler.c -> sched_cold.c,
  * sched_lease.c ->
  * sched_orphans.c -> sched_tails.c, sched_crashes.c -> sched_task.c ->
+ * sched_occurrence.c ->
  * sched_estimate.c -> sched_delay.c, sched_timer.c.
  */
 #ifndef NM_SCHED_STATE_H
@@ -184,7 +185,7 @@
     uint32_t crashes; /* runs in a row that were lost soon after their start */
     /* Worker of all these crashes; 0: several workers, or not known. */
     uint32_t crash_worker_hash;
-    nm_silence_t silences[NM_SCHED_SILENCES_MAX];
+    nm_silence_t *silences; /* up to NM_SCHED_SILENCES_MAX; NULL: none yet */
     uint32_t silence_count;
     /*
      * Start of a suspect; a next owner takes it for a silence.  worker_hash 0:
@@ -269,14 +270,24 @@
     nm_ms_t *interrupted_since_ms;
     nm_step_failure_t *failures; /* by step */
     bool finished;
+    nm_ms_t finished_ms; /* it was found to be; 0: not yet */
 };
 
 struct nm_sched_job {
     nm_job_spec_t spec;
     nm_job_state_t state; /* queued until a run is known to have begun */
     nm_job_state_t visible_state; /* shows an end once it is stored */
-    nm_occurrence_t *occurrences;
-    uint32_t occurrence_count;
+    /* Of nm_occurrence_t, by number; see sched_occurrence.c. */
+    GPtrArray *occurrences;
+    uint32_t occurrence_count; /* of all */
+    uint32_t begun_count;    /* the next ones have not begun; one that has and
+                                is not in occurrences is finished */
+    uint64_t live_bytes;     /* its part of sched.live_bytes */
+    uint64_t reserved_bytes; /* its part of sched.job_bytes */
+    uint64_t base_bytes;     /* without its occurrences */
+    uint64_t occurrence_bytes;  /* of one */
+    uint32_t released_failures; /* of occurrences that were freed */
+    uint32_t released_crashes;  /* the same: of the task with most of them */
     nm_ms_t arrived_ms;
     nm_ms_t ended_ms;
     nm_job_failure_t failure;
@@ -519,6 +530,12 @@
     GQueue unsaved;      /* jobs with changes that are not stored */
     uint64_t change_seq; /* newest change of any job */
     uint64_t saved_seq;  /* all changes up to it are stored */
+    uint64_t live_bytes; /* of jobs and their occurrences in memory */
+    uint64_t job_bytes;  /* the same, with one occurrence of each at least */
+    GQueue unreleased;   /* ended jobs that may have occurrences in memory */
+    int64_t occurrences_due_unix_ms; /* the next one; 0: not known */
+    uint32_t live_occurrences;
+    uint32_t deferred_jobs;    /* with an occurrence that has no memory */
     uint64_t placement_number; /* counts placements */
     uint64_t cut_placements;   /* ended at NM_SCHED_STARTING_MAX */
     bool placement_cut;        /* the newest one ended there */
@@ -577,7 +594,48 @@
     nm_rng_t rng;
 };
 
+/* sched_occurrence.c */
+/* Sets what a job with its specification needs, and counts it. */
+void nm_occurrences_init_job(nm_sched_t *sched, nm_sched_job_t *job);
+/* Frees the occurrences of a job that is freed. */
+void nm_occurrences_free(nm_sched_job_t *job);
+/* A job is about to be freed; it no longer counts. */
+void nm_occurrences_forget_job(nm_sched_t *sched, nm_sched_job_t *job);
+/* A job has ended; its occurrences are freed later. */
+void nm_occurrences_on_job_end(nm_sched_t *sched, nm_sched_job_t *job);
+/* Returns an occurrence that has begun and is not freed, or NULL. */
+nm_occurrence_t *nm_occurrences_find(const nm_sched_job_t *job,
+                                     uint32_t number);
+/* Begins the next occurrence; unknown: a former owner may have started it. */
+nm_occurrence_t *nm_occurrences_begin_next(nm_sched_t *sched,
+                                           nm_sched_job_t *job, bool unknown);
+/* The next occurrence was finished under a former owner. */
+void nm_occurrences_skip_next(nm_sched_job_t *job);
+/* Begins those of a new job that are due. */
+void nm_occurrences_begin_job(nm_sched_t *sched, nm_sched_job_t *job,
+                              nm_ms_t now_ms);
+/* Begins occurrences that are due, as far as there is memory for them. */
+void nm_occurrences_begin_due(nm_sched_t *sched, nm_ms_t now_ms);
+/* Frees those that have been finished, or whose job has ended, for long. */
+void nm_occurrences_release(nm_sched_t *sched, nm_ms_t now_ms);
+/*
+ * Begins the occurrence of a task that a worker has reported, if a former
+ * owner can have started it.
+ */
+void nm_occurrences_begin_reported(nm_sched_t *sched, const char *task);
+
 /* sched_task.c */
+/* Position of a task, as its name tells it. */
+typedef struct {
+    nm_sched_job_t *job;
+    uint32_t occurrence;
+    uint32_t step;
+    uint32_t index;
+} nm_task_position_t;
+
+/* Returns false if no job has such a task. */
+bool nm_sched_parse_task_name(const nm_sched_t *sched, const char *name,
+                              nm_task_position_t *position);
 nm_task_t *nm_sched_find_task(nm_sched_t *sched, const char *name);
 void nm_sched_task_name(const nm_task_t *task, char *name, size_t size);
 static inline const nm_step_t *
@@ -822,6 +880,16 @@
     return !sched->ids_reused || step->copies_allowed || step->long_running;
 }
 
+/* Adds a silence to a task that has less than NM_SCHED_SILENCES_MAX. */
+static inline void
+nm_task_add_silence(nm_task_t *task, const nm_silence_t *silence)
+{
+    if (!task->silences) {
+        task->silences = g_new(nm_silence_t, NM_SCHED_SILENCES_MAX);
+    }
+    task->silences[task->silence_count++] = *silence;
+}
+
 /* True if a task must not start yet, wherever there is capacity for it. */
 static inline bool
 nm_task_must_wait(const nm_sched_t *sched, const nm_task_t *task,
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -26,31 +26,46 @@
              task->occurrence->number, (unsigned int)task->step, task->index);
 }
 
-nm_task_t *
-nm_sched_find_task(nm_sched_t *sched, const char *name)
+bool
+nm_sched_parse_task_name(const nm_sched_t *sched, const char *name,
+                         nm_task_position_t *position)
 {
     char id[NM_JOB_ID_MAX];
     const char *dot = strchr(name, '.');
     if (!dot || (size_t)(dot - name) >= sizeof(id)) {
-        return NULL;
+        return false;
     }
     memcpy(id, name, (size_t)(dot - name));
     id[dot - name] = '\0';
-    const nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
+    nm_sched_job_t *job = g_hash_table_lookup(sched->jobs, id);
     char *end;
     unsigned long occurrence = strtoul(dot + 1, &end, 10);
     if (!job || *end != '.' || occurrence >= job->occurrence_count) {
-        return NULL;
+        return false;
     }
     unsigned long step = strtoul(end + 1, &end, 10);
     if (*end != '.' || step >= job->spec.step_count) {
-        return NULL;
+        return false;
     }
     unsigned long index = strtoul(end + 1, &end, 10);
     if (*end != '\0' || index >= job->spec.steps[step].task_count) {
+        return false;
+    }
+    *position = (nm_task_position_t){job, (uint32_t)occurrence, (uint32_t)step,
+                                     (uint32_t)index};
+    return true;
+}
+
+nm_task_t *
+nm_sched_find_task(nm_sched_t *sched, const char *name)
+{
+    nm_task_position_t at;
+    if (!nm_sched_parse_task_name(sched, name, &at)) {
         return NULL;
     }
-    return &job->occurrences[occurrence].tasks[step][index];
+    const nm_occurrence_t *occurrence =
+        nm_occurrences_find(at.job, at.occurrence);
+    return occurrence ? &occurrence->tasks[at.step][at.index] : NULL;
 }
 
 nm_load_t
@@ -412,11 +427,11 @@
 static void
 stop_all_tasks(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
 {
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        const nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         for (uint32_t s = 0; s < job->spec.step_count; s++) {
             for (uint32_t i = 0; i < job->spec.steps[s].task_count; i++) {
-                nm_sched_stop_task(sched, &job->occurrences[o].tasks[s][i],
-                                   now_ms);
+                nm_sched_stop_task(sched, &occurrence->tasks[s][i], now_ms);
             }
         }
     }
@@ -432,6 +447,7 @@
     job->state = state;
     job->ended_ms = now_ms;
     g_queue_push_tail(&sched->ended, job);
+    nm_occurrences_on_job_end(sched, job);
     nm_sched_mark_changed(sched, job, true);
     if (state != NM_JOB_COMPLETED) {
         stop_all_tasks(sched, job, now_ms);
@@ -448,11 +464,12 @@
         end_job(sched, job, NM_JOB_CANCELLED, now_ms);
         return;
     }
-    bool finished = true;
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        nm_occurrence_t *occurrence = &job->occurrences[o];
-        if (!occurrence->finished) {
-            occurrence->finished = occurrence_is_finished(occurrence);
+    bool finished = job->begun_count == job->occurrence_count;
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        nm_occurrence_t *occurrence = job->occurrences->pdata[o];
+        if (!occurrence->finished && occurrence_is_finished(occurrence)) {
+            occurrence->finished = true;
+            occurrence->finished_ms = now_ms;
         }
         finished = finished && occurrence->finished;
     }
--- a/src/sched_wait.c
+++ b/src/sched_wait.c
@@ -90,8 +90,8 @@
                   nm_ms_t now_ms)
 {
     waiting_task_t waiting = {0};
-    for (uint32_t o = 0; o < job->occurrence_count; o++) {
-        nm_occurrence_t *occurrence = &job->occurrences[o];
+    for (guint o = 0; o < job->occurrences->len; o++) {
+        nm_occurrence_t *occurrence = job->occurrences->pdata[o];
         bool due =
             !occurrence->finished && occurrence->due_unix_ms <= sched->unix_ms;
         for (uint32_t s = 0; due && s < job->spec.step_count; s++) {
--- a/tests/test_entry_admission.c
+++ b/tests/test_entry_admission.c
@@ -149,6 +149,118 @@
     unlink(relay_host.address + strlen("ipc://"));
 }
 
+#define SMALL_MEMORY_MB 12 /* 2 MB for jobs */
+#define THOUSAND_TASKS "{\"spec\":\"x\",\"steps\":[{\"count\":1000}]%s}"
+
+/* Sends jobs of 1,000 tasks until one is refused; returns the accepted. */
+static uint32_t
+fill(host_t *host, uint32_t first, const char *schedule)
+{
+    enum { JOBS_MAX = 40 };
+    uint32_t number = first;
+    for (; number < first + JOBS_MAX; number++) {
+        char *path = g_strdup_printf("/a/%016x", number);
+        char *body = g_strdup_printf(THOUSAND_TASKS, schedule);
+        send_request(host, NM_METHOD_POST, path, body);
+        run_host(host, 50);
+        g_free(body);
+        g_free(path);
+        if (last_status(host) != 200) {
+            break;
+        }
+    }
+    return number - first;
+}
+
+/*
+ * Guards against owners that end by the memory of the jobs that were accepted:
+ * at one host or at several, due at once, later, or many times.
+ */
+static void
+test_memory_for_jobs(void)
+{
+    static const char *const schedules[] = {
+        "",
+        ",\"startAtMs\":4000000000000,\"repeatCount\":1",
+        ",\"startAtMs\":4000000000000,\"repeatCount\":10080,"
+        "\"intervalMs\":60000",
+        ",\"startAtMs\":1000,\"repeatCount\":10080,\"intervalMs\":1",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(schedules); i++) {
+        g_test_message("%s", schedules[i]);
+        fake_kv_t *kv = configured_store();
+        fake_kv_put(kv, "servers/w1", WORKER);
+        host_t owner;
+        host_t host;
+        host_init(&owner, "a", kv);
+        owner.entry->desc.memory_mb = SMALL_MEMORY_MB;
+        run_host(&owner, 1000);
+        host_init(&host, "b", kv);
+        run_host(&host, 100);
+        uint32_t accepted = fill(&owner, 0x10, schedules[i]);
+        g_assert_cmpuint(accepted, >=, 2);
+        g_assert_cmpuint(accepted, <=, 5);
+        g_assert_cmpint(last_status(&owner), ==, 503);
+        g_assert_nonnull(strstr(last_response(&owner), "of 2097152 are left"));
+        run_host(&owner, 500);
+        /* what is accepted is kept, and counts under a next owner, too */
+        host_t next;
+        host_finish(&owner);
+        fake_kv_put(kv, NM_KEY_OWNER, NULL);
+        host_init(&next, "c", kv);
+        next.entry->desc.memory_mb = SMALL_MEMORY_MB;
+        run_host(&next, 4000);
+        g_assert_cmpint(next.entry->role, ==, NM_ROLE_OWNER);
+        g_assert_cmpuint(nm_sched_query_info(next.entry->sched).jobs_active,
+                         ==, accepted);
+        g_assert_cmpuint(fill(&next, 0x100, schedules[i]), ==, 0);
+        g_assert_cmpint(last_status(&next), ==, 503);
+        /* another host is told, and may not have heard of its own limit */
+        NmPb__EntryAsk request = NM_PB__ENTRY_ASK__INIT;
+        request.type = NM_PB__ENTRY_ASK__TYPE__ADMISSION;
+        request.epoch = next.entry->owned_epoch;
+        request.admission_valid_ms = VALID_MS;
+        request.job_bytes_max = next.entry->admission.job_bytes_max;
+        request.job_bytes_left = next.entry->admission.job_bytes_left;
+        g_assert_true(nm_notice_handle(host.entry, &request));
+        g_assert_cmpuint(fill(&host, 0x200, schedules[i]), ==, 0);
+        g_assert_cmpint(last_status(&host), ==, 503);
+        /* jobs that are stored are not refused */
+        fill(&next, 0x10, schedules[i]);
+        send_request(&next, NM_METHOD_POST, "/a/0000000000000010", BODY);
+        run_host(&next, 50);
+        g_assert_cmpint(last_status(&next), ==, 200);
+        for (uint32_t j = 0; j < accepted; j++) {
+            char *path = g_strdup_printf("/a/%016x", 0x10 + j);
+            send_request(&next, NM_METHOD_DELETE, path, "");
+            run_host(&next, 300);
+            g_free(path);
+        }
+        g_assert_cmpuint(fill(&next, 0x300, schedules[i]), >=, 2);
+        host_finish(&next);
+        host_finish(&host);
+        fake_kv_free(kv);
+    }
+}
+
+/* A job that can never fit is refused at once, with what it needs. */
+static void
+test_job_too_large_for_memory(void)
+{
+    fake_kv_t *kv = configured_store();
+    host_t host;
+    host_init(&host, "a", kv);
+    host.entry->desc.memory_mb = SMALL_MEMORY_MB;
+    run_host(&host, 1000);
+    send_request(&host, NM_METHOD_POST, "/a/" JOB,
+                 "{\"spec\":\"x\",\"steps\":[{\"count\":19000}]}");
+    run_host(&host, 100);
+    g_assert_cmpint(last_status(&host), ==, 400);
+    g_assert_nonnull(strstr(last_response(&host), "of 2097152 are left"));
+    host_finish(&host);
+    fake_kv_free(kv);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -156,5 +268,8 @@
     g_test_add_func("/entry/admission/cases", test_cases);
     g_test_add_func("/entry/admission/owner-tells-other-host",
                     test_owner_tells_other_host);
+    g_test_add_func("/entry/admission/memory-for-jobs", test_memory_for_jobs);
+    g_test_add_func("/entry/admission/job-too-large-for-memory",
+                    test_job_too_large_for_memory);
     return g_test_run();
 }
