Stalled runs: the bound grows with the task, and needs another worker

Cause: 3.5 s and 2.5 times the estimate bounded each run alike; the estimate is rough and holds beside the data only. Change: the bound takes the spread factor and durations of the step into account and doubles with each stall of the task, also under a next owner. A task that no other worker may run is stopped much later; only a first stall of a task counts against its worker, which is avoided for 2, 4, then 8 s.

--- a/daemons/nutmegentry.c
+++ b/daemons/nutmegentry.c
@@ -142,6 +142,7 @@
         .peer_address = settings->peer_address,
         .cpu_share = settings->cpu_share,
         .memory_mb = settings->memory_mb,
+        .spread_factor = settings->spread_factor,
         .grace_ms = settings->grace_ms,
         .config_apply_ms = settings->config_apply_ms,
         .announce_interval_ms = settings->announce_interval_ms,
--- a/include/nutmegdeck/log.h
+++ b/include/nutmegdeck/log.h
@@ -66,6 +66,7 @@
     X(WORKER_SILENT, "worker-silent")                                         \
     X(WORKER_BACK, "worker-back")                                             \
     X(WORKER_AVOIDED, "worker-avoided")                                       \
+    X(RUN_STALLED, "run-stalled")                                             \
     X(CALLS_LOST, "calls-lost")                                               \
     X(CALLS_ANSWERED, "calls-answered")                                       \
     X(CAPACITY, "capacity")                                                   \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -67,6 +67,11 @@
     nm_ms_t retain_ms; /* how long ended jobs are kept; 0: 150000 */
     /* For jobs, with one occurrence of each; 0: no limit. */
     uint64_t memory_max_bytes;
+    /*
+     * How many times as long tasks take away from their data, or on several
+     * racks; 0: 3.
+     */
+    double spread_factor;
 } nm_sched_desc_t;
 
 /*
@@ -642,6 +647,8 @@
     /* Value: unanswered polls in a row until then. */
     NM_SCHED_EVENT_WORKER_RECOVERED,
     NM_SCHED_EVENT_WORKER_AVOIDED, /* value: duration in ms */
+    /* A run showed no progress and is stopped.  Value: such runs so far. */
+    NM_SCHED_EVENT_RUN_STALLED,
     /* Value of both: share of unanswered calls, in 1/1000. */
     NM_SCHED_EVENT_CALL_LOSS_BEGAN,
     NM_SCHED_EVENT_CALL_LOSS_ENDED,
--- a/src/entry.h
+++ b/src/entry.h
@@ -43,6 +43,8 @@
      * until the last start there; 0: zones are not evacuated.
      */
     nm_ms_t evacuation_ms;
+    /* How many times as long tasks take away from their data; 0: 3. */
+    double spread_factor;
     bool looks_ahead; /* placement reserves workers, see sched_lookahead.c */
     const nm_clock_t *clock;
     nm_kv_t *kv;
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -107,6 +107,7 @@
                                                 "polls_lost"},
         [NM_SCHED_EVENT_WORKER_RECOVERED] = {NM_LOG_ITEM_WORKER_BACK,
                                              "polls_lost"},
+        [NM_SCHED_EVENT_RUN_STALLED] = {NM_LOG_ITEM_RUN_STALLED, "stalls"},
         [NM_SCHED_EVENT_WORKER_AVOIDED] = {NM_LOG_ITEM_WORKER_AVOIDED,
                                            "for_ms"},
         [NM_SCHED_EVENT_CALL_LOSS_BEGAN] = {NM_LOG_ITEM_CALLS_LOST,
--- a/src/entry_settings.c
+++ b/src/entry_settings.c
@@ -146,6 +146,10 @@
         settings->evacuation_ms = (nm_ms_t)get_number(
             document, "evacuation_ms", EVACUATION_MIN_MS, 3600000, faults);
     }
+    if (json_object_get(document, "spread_factor")) {
+        settings->spread_factor =
+            get_number(document, "spread_factor", 1, 1000, faults);
+    }
     if (json_object_get(document, "memory_mb")) {
         settings->memory_mb = (uint32_t)get_number(
             document, "memory_mb", MEMORY_MIN_MB, LIMIT_MAX, faults);
--- a/src/entry_settings.h
+++ b/src/entry_settings.h
@@ -26,6 +26,7 @@
     nm_ms_t announce_interval_ms;      /* 1 ms to 1 hour; missing: 0 */
     bool looks_ahead;                  /* missing: false */
     nm_ms_t evacuation_ms;             /* 2500 ms to 1 hour; missing: 0 */
+    double spread_factor;              /* 1 to 1000; missing: 0 */
     uint32_t memory_mb;                /* 32 to 1048576; missing: 0 */
     uint32_t max_fds;                  /* 500 to 1048576; missing: 0 */
 } nm_entry_settings_t;
--- a/src/entry_takeover.c
+++ b/src/entry_takeover.c
@@ -439,6 +439,7 @@
             .former_lease_max_ms = epoch > 1 ? 0 : 1,
             .announce_interval_ms = entry->desc.announce_interval_ms,
             .resends_starts = true,
+            .spread_factor = entry->desc.spread_factor,
             .memory_max_bytes = nm_entry_job_bytes_max(entry->desc.memory_mb),
             .seed = nm_rng_next(&entry->rng)},
         nm_entry_now(entry));
--- a/src/sched.c
+++ b/src/sched.c
@@ -15,6 +15,8 @@
 #define DEFAULT_FORMER_LEASE_MAX_MS DEFAULT_LEASE_MS
 #define DEFAULT_ANNOUNCE_INTERVAL_MS 1500
 #define DEFAULT_RETAIN_MS 150000
+/* Of the users' sheets. */
+#define DEFAULT_SPREAD_FACTOR 3
 /* Time between decision rounds when nothing happens. */
 #define IDLE_INTERVAL_MS 100
 /* Changes within this time share one round of placement. */
@@ -126,6 +128,8 @@
     d->former_lease_max_ms = d->former_lease_max_ms
                                  ? d->former_lease_max_ms
                                  : DEFAULT_FORMER_LEASE_MAX_MS;
+    d->spread_factor =
+        d->spread_factor > 0 ? d->spread_factor : DEFAULT_SPREAD_FACTOR;
     d->retain_ms = d->retain_ms ? d->retain_ms : DEFAULT_RETAIN_MS;
     sched->jobs =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_job);
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -217,6 +217,7 @@
     node->ends_acked_sent = 0;
     node->poll_due_ms = now_ms;
     node->consecutive_failures = 0;
+    node->stalls = 0;
     node->avoid_until_ms = 0;
     nm_orphans_on_incarnation(sched, node, now_ms);
     g_queue_clear_full(&node->pending_acks, g_free);
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -8,6 +8,9 @@
 #include "sched_state.h"
 
 #include <assert.h>
+#include <string.h>
+
+#include "sched_round.h"
 
 /* A task is stalled if it and its worker show no progress for this long. */
 #define STALL_MS 3500
@@ -16,8 +19,20 @@
  * progress: they show none before their end.
  */
 #define STALL_ESTIMATE_FACTOR 2.5
-/* How long a worker with a stalled task gets no new ones. */
-#define STALL_AVOID_MS 4000
+/* The bound of a task doubles with each stall of it, up to this often. */
+#define STALL_DOUBLINGS_MAX 10
+/*
+ * Multiple of the bound for a task that no other worker may run: a restart
+ * helps only if the run itself has come to a halt.
+ */
+#define STALL_ONLY_WORKER_FACTOR 4
+/*
+ * How long a worker with a stalled task gets no new ones; each further stall
+ * without an end in between doubles it.  Less than 3 s at first, as the worker
+ * may be the only one for some tasks.
+ */
+#define STALL_AVOID_MS 2000
+#define STALL_AVOID_DOUBLINGS_MAX 2
 #define STALL_CHECK_INTERVAL_MS 250
 /* Round trip of a poll between regions, and a decision round. */
 #define REPORT_LATENCY_USUAL_MS 250
@@ -207,52 +222,125 @@
     }
 }
 
+/* True if another worker that is in use could run a task, now or later. */
 static bool
-is_stalled(const nm_sched_node_t *node, const nm_task_t *task, nm_ms_t now_ms)
+has_other_worker(const nm_sched_t *sched, const nm_task_t *task,
+                 nm_ms_t now_ms)
+{
+    const nm_step_t *step = nm_task_step(task);
+    nm_candidate_t candidate = {.occurrence = task->occurrence,
+                                .step = task->step};
+    const char *service = nm_job_service(task->occurrence->job);
+    for (guint i = 0; i < sched->node_list->len; i++) {
+        const nm_sched_node_t *node = sched->node_list->pdata[i];
+        if (node != task->node && node->desc.cpu_milli >= step->cpu_milli &&
+            node->desc.memory_mb >= step->memory_mb &&
+            node->desc.accelerators >= step->accelerators &&
+            nm_choice_is_eligible(node, &candidate, service, now_ms))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Time without progress after which a task counts as stalled.  An estimate is
+ * rough, so that each stall of the task speaks for a longer duration, too.
+ */
+static nm_ms_t
+stall_limit_ms(const nm_sched_t *sched, const nm_sched_node_t *node,
+               const nm_task_t *task)
 {
     const nm_step_t *step = nm_task_step(task);
-    if (task->state != NM_RUN_RUNNING || step->long_running ||
+    const nm_step_duration_t *duration =
+        &task->occurrence->job->durations[task->step];
+    bool is_spread =
+        step->same_rack || (step->data_rack[0] != '\0' &&
+                            strcmp(step->data_rack, node->desc.rack) != 0);
+    double factor = is_spread ? sched->desc.spread_factor : 1;
+    double limit_ms = STALL_MS;
+    if (!step->saves_progress) {
+        nm_ms_t expected_ms = MAX(step->estimate_ms, duration->known_ms);
+        limit_ms += STALL_ESTIMATE_FACTOR * (double)expected_ms;
+    }
+    uint32_t doublings = MIN(task->stalls, STALL_DOUBLINGS_MAX);
+    return (nm_ms_t)(limit_ms * factor * (double)(1u << doublings));
+}
+
+static bool
+is_stalled(const nm_sched_t *sched, const nm_sched_node_t *node,
+           const nm_task_t *task, nm_ms_t now_ms)
+{
+    if (task->state != NM_RUN_RUNNING || nm_task_step(task)->long_running ||
         task->wanted_percent < 100)
     {
         return false;
     }
-    nm_ms_t limit_ms = STALL_MS;
-    if (!step->saves_progress) {
-        limit_ms +=
-            (nm_ms_t)(STALL_ESTIMATE_FACTOR * (double)step->estimate_ms);
-    }
-    nm_ms_t progress_ms = MAX(task->progress_ms, node->progress_ms);
-    return now_ms - progress_ms > limit_ms;
+    nm_ms_t limit_ms = stall_limit_ms(sched, node, task);
+    nm_ms_t stood_ms = now_ms - MAX(task->progress_ms, node->progress_ms);
+    return stood_ms > limit_ms &&
+           (stood_ms > STALL_ONLY_WORKER_FACTOR * limit_ms ||
+            has_other_worker(sched, task, now_ms));
+}
+
+static void
+stop_stalled(nm_sched_t *sched, nm_task_t *task, nm_ms_t now_ms)
+{
+    task->stalls++;
+    task->avoided_node = task->node;
+    nm_sched_add_run_event(sched, NM_SCHED_EVENT_RUN_STALLED, task,
+                           task->stalls);
+    nm_sched_mark_changed(sched, task->occurrence->job, false);
+    nm_sched_stop_task(sched, task, now_ms);
+}
+
+/* Keeps new tasks from a worker on which nothing shows progress. */
+static void
+avoid_stalled(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
+{
+    nm_ms_t avoid_ms = (nm_ms_t)STALL_AVOID_MS
+                       << MIN(node->stalls, STALL_AVOID_DOUBLINGS_MAX);
+    node->stalls++;
+    node->avoid_until_ms = now_ms + avoid_ms;
+    node->progress_ms = now_ms;
+    nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_AVOIDED, node->desc.id,
+                       avoid_ms);
+    nm_count_reason(NM_REASON_WORKER_FAILING);
 }
 
 /*
  * Detects a worker that accepts tasks without running them, or runs them many
  * times too slowly.  Stops its short tasks, which start elsewhere from their
- * checkpoints.
+ * checkpoints.  A task that has stalled before is stopped alone: that speaks
+ * against its estimate.
  */
 static void
 check_stall(nm_sched_t *sched, nm_sched_node_t *node, nm_ms_t now_ms)
 {
-    bool stalled = false;
-    for (guint i = 0; i < node->tasks->len && !stalled; i++) {
-        stalled = is_stalled(node, node->tasks->pdata[i], now_ms);
+    bool worker_stalled = false;
+    for (guint i = node->tasks->len; i > 0; i--) {
+        nm_task_t *task = node->tasks->pdata[i - 1];
+        if (!is_stalled(sched, node, task, now_ms)) {
+            continue;
+        }
+        worker_stalled = worker_stalled || task->stalls == 0;
+        stop_stalled(sched, task, now_ms);
     }
-    if (!stalled) {
+    if (!worker_stalled) {
         return;
     }
-    node->avoid_until_ms = now_ms + STALL_AVOID_MS;
-    nm_sched_add_event(sched, NM_SCHED_EVENT_WORKER_AVOIDED, node->desc.id,
-                       STALL_AVOID_MS);
-    node->progress_ms = now_ms;
-    nm_count_reason(NM_REASON_WORKER_FAILING);
     for (guint i = node->tasks->len; i > 0; i--) {
         nm_task_t *task = node->tasks->pdata[i - 1];
-        if (task->state == NM_RUN_RUNNING && !nm_task_step(task)->long_running)
+        if (task->state == NM_RUN_RUNNING &&
+            !nm_task_step(task)->long_running &&
+            has_other_worker(sched, task, now_ms))
         {
             task->avoided_node = node;
             nm_sched_stop_task(sched, task, now_ms);
         }
     }
+    avoid_stalled(sched, node, now_ms);
 }
 
 /* Returns when a worker that needs no other poll is asked for its clock. */
--- a/src/sched_record.c
+++ b/src/sched_record.c
@@ -112,6 +112,15 @@
     }
 }
 
+/* How often runs of a task were stopped as stalled. */
+static void
+add_stalls(json_t *rows, const nm_task_t *task)
+{
+    if (task->stalls > 0 && !nm_task_is_done(task)) {
+        add_number(add_row(rows, task), task->stalls);
+    }
+}
+
 /* The crashes of a task, and the worker of all of them. */
 static void
 add_crashes(json_t *rows, const nm_task_t *task)
@@ -216,6 +225,7 @@
                             json_integer(nm_job_attempts_max(job)));
         put_rows(record, "failures", job, add_failures);
         put_rows(record, "failure_counts", job, add_failure_count);
+        put_rows(record, "stalls", job, add_stalls);
         put_rows(record, "proved_crashes", job, add_crashes);
         put_rows(record, "silences", job, add_silences);
         json_object_set_new(record, "open_starts",
@@ -437,6 +447,16 @@
     }
 }
 
+static void
+restore_stalls(nm_sched_job_t *job, const json_t *row)
+{
+    nm_task_t *task = find_row_task(job, row, 1);
+    int64_t count;
+    if (task && read_column(row, 0, UINT32_MAX, &count)) {
+        task->stalls = (uint32_t)count;
+    }
+}
+
 static void
 restore_crashes(nm_sched_job_t *job, const json_t *row)
 {
@@ -571,6 +591,10 @@
     {
         restore_failure_count(job, row);
     }
+    json_array_foreach(json_object_get(record, "stalls"), i, row)
+    {
+        restore_stalls(job, row);
+    }
     /* "crashes" of earlier versions counts absent workers as well. */
     json_array_foreach(json_object_get(record, "proved_crashes"), i, row)
     {
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -90,6 +90,7 @@
 end_failures(nm_sched_node_t *node, nm_task_t *task)
 {
     node->consecutive_failures = 0;
+    node->stalls = 0;
     node->avoid_until_ms = 0;
     task->has_failed = false;
     task->occurrence->failures[task->step].node = NULL;
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -209,6 +209,7 @@
     int64_t open_run;
     bool opened_by_former;    /* the next owner waits, without an orphan */
     nm_ms_t start_expires_ms; /* its worker refuses the start from then on */
+    uint32_t stalls;          /* runs that were stopped as stalled */
     uint32_t failures;
     int64_t failed_runs[NM_SCHED_FAILED_RUNS_MAX]; /* counted in failures */
     nm_sched_node_t *node; /* where it starts, runs or stops; else NULL */
@@ -488,6 +489,7 @@
     GQueue pending_acks;     /* of nm_pending_ack_t */
     GPtrArray *tasks;        /* starting, running or stopping here */
     int64_t long_running_cpu_milli; /* part of cpu_used_milli */
+    uint32_t stalls;                /* in a row, without an end in between */
     uint32_t consecutive_failures;  /* of starts and runs */
     nm_ms_t failed_ms;              /* newest one counted */
     nm_ms_t progress_ms;    /* last end or new checkpoint of any task */
