Checkpoints: rows with long ones count; an odd end hides no others

Callers saw: after one failed run with a checkpoint of 160 bytes its task and the jobs on the same worker stood still for good (LOST). Cause: rows of reports had room for 127 bytes. An end with a longer checkpoint was left out with all later ones, so that none was acknowledged, and each later report was the same; a run with one made its worker's reports incomplete. Change: rows point to their checkpoints, up to 4,096 bytes; a longer one is left out, and its hash shows progress. Tasks keep checkpoints within a quarter of the memory for jobs. Ends after one that cannot be read count; they stay with the worker, with that one, until its list is full.

--- a/include/nutmegdeck/reason.h
+++ b/include/nutmegdeck/reason.h
@@ -90,6 +90,8 @@
     X(STORE_UNAVAILABLE, "store-unavailable", 0, "a store call failed")       \
     X(STORE_LOST, "store-lost", 0, "a store answer was lost")                 \
     X(STORE_CONFLICT, "store-conflict", 0, "a store compare failed")          \
+    X(CHECKPOINT_DROPPED, "checkpoint-dropped", 0,                            \
+      "a checkpoint was too long, or no memory was left for it")              \
     X(REPORT_MALFORMED, "report-malformed", 0, "a report row was unreadable") \
     X(RECORD_REFUSED, "record-refused", 0, "a stored record was unreadable")  \
     X(PEER_LOST, "peer-lost", 0, "a message to a peer was dropped")           \
--- a/include/nutmegdeck/sched.h
+++ b/include/nutmegdeck/sched.h
@@ -46,9 +46,13 @@
  */
 #define NM_FENCE_SEQ_BITS 20
 #define NM_FENCE_SEQ_MAX ((INT64_C(1) << NM_FENCE_SEQ_BITS) - 1)
-/* Bytes of a task's name and of a checkpoint, with the terminating NUL. */
+/* Bytes of a task's name, with the terminating NUL. */
 #define NM_TASK_NAME_MAX 64
-#define NM_CHECKPOINT_MAX 128
+/*
+ * Longest checkpoint that is kept, as long as a payload may be.  A run with a
+ * longer one counts as any other; its task resumes from an earlier one.
+ */
+#define NM_CHECKPOINT_BYTES_MAX 4096
 
 typedef struct nm_sched nm_sched_t;
 
@@ -183,7 +187,8 @@
 typedef struct {
     char task[NM_TASK_NAME_MAX];
     int64_t run;
-    char checkpoint[NM_CHECKPOINT_MAX];
+    const char *checkpoint;   /* NULL: there is none, or it is too long */
+    uint64_t checkpoint_hash; /* of one that is too long; else 0 */
     int64_t metric; /* long-running: tail latency in ms; else CPU use */
 } nm_worker_run_t;
 
@@ -192,7 +197,7 @@
     char task[NM_TASK_NAME_MAX];
     int64_t run;
     nm_end_t end;
-    char checkpoint[NM_CHECKPOINT_MAX];
+    const char *checkpoint; /* NULL: there is none, or it is too long */
 } nm_worker_end_t;
 
 /*
@@ -211,7 +216,12 @@
     bool ends_only;  /* what runs is not known */
     /* Ends up to this number may be left out, also from a complete report. */
     int64_t ends_known;
-    const nm_worker_run_t *running;
+    /*
+     * Number of an end that could not be read; it and those after it are not
+     * acknowledged.  0: there is none.
+     */
+    int64_t end_unread;
+    const nm_worker_run_t *running; /* with ends valid during the call only */
     uint32_t running_count;
     const nm_worker_end_t *ends;
     uint32_t end_count;
@@ -388,7 +398,8 @@
     uint64_t max_bytes;      /* 0: no limit */
     uint64_t reserved_bytes; /* by all jobs, with one occurrence of each */
     uint64_t live_bytes;     /* of jobs and occurrences that are in memory */
-    uint32_t jobs_deferred;  /* with an occurrence that waits for memory */
+    uint64_t checkpoint_bytes;
+    uint32_t jobs_deferred; /* with an occurrence that waits for memory */
 } nm_sched_memory_t;
 
 /* Placements since the scheduler began, and what is left to do. */
--- a/proto/entry.pb-c.c
+++ b/proto/entry.pb-c.c
@@ -1478,7 +1478,7 @@
   (ProtobufCMessageInit) nm_pb__order_result__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__worker_report__field_descriptors[9] =
+static const ProtobufCFieldDescriptor nm_pb__worker_report__field_descriptors[10] =
 {
   {
     "incarnation",
@@ -1588,11 +1588,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "end_unread",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerReport, end_unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__worker_report__field_indices_by_name[] = {
   6,   /* field[6] = base_number */
   1,   /* field[1] = clock_ms */
   2,   /* field[2] = complete */
+  9,   /* field[9] = end_unread */
   4,   /* field[4] = ends */
   8,   /* field[8] = figures */
   7,   /* field[7] = gone */
@@ -1603,7 +1616,7 @@
 static const ProtobufCIntRange nm_pb__worker_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor nm_pb__worker_report__descriptor =
 {
@@ -1613,14 +1626,14 @@
   "NmPb__WorkerReport",
   "nm_pb",
   sizeof(NmPb__WorkerReport),
-  9,
+  10,
   nm_pb__worker_report__field_descriptors,
   nm_pb__worker_report__field_indices_by_name,
   1,  nm_pb__worker_report__number_ranges,
   (ProtobufCMessageInit) nm_pb__worker_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor nm_pb__worker_run__field_descriptors[4] =
+static const ProtobufCFieldDescriptor nm_pb__worker_run__field_descriptors[5] =
 {
   {
     "task",
@@ -1670,9 +1683,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "checkpoint_hash",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(NmPb__WorkerRun, checkpoint_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned nm_pb__worker_run__field_indices_by_name[] = {
   2,   /* field[2] = checkpoint */
+  4,   /* field[4] = checkpoint_hash */
   3,   /* field[3] = position */
   1,   /* field[1] = run */
   0,   /* field[0] = task */
@@ -1680,7 +1706,7 @@
 static const ProtobufCIntRange nm_pb__worker_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor nm_pb__worker_run__descriptor =
 {
@@ -1690,7 +1716,7 @@
   "NmPb__WorkerRun",
   "nm_pb",
   sizeof(NmPb__WorkerRun),
-  4,
+  5,
   nm_pb__worker_run__field_descriptors,
   nm_pb__worker_run__field_indices_by_name,
   1,  nm_pb__worker_run__number_ranges,
--- a/proto/entry.pb-c.h
+++ b/proto/entry.pb-c.h
@@ -453,10 +453,14 @@
    */
   size_t n_figures;
   int64_t *figures;
+  /*
+   * nm_worker_report_t.end_unread
+   */
+  int64_t end_unread;
 };
 #define NM_PB__WORKER_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_report__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -478,10 +482,14 @@
    * in the list after the runs in `gone` were removed
    */
   uint32_t position;
+  /*
+   * of one that is too long; else 0
+   */
+  uint64_t checkpoint_hash;
 };
 #define NM_PB__WORKER_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&nm_pb__worker_run__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/src/entry_owner.c
+++ b/src/entry_owner.c
@@ -239,7 +239,8 @@
 log_job_memory(const nm_entry_t *entry)
 {
     nm_sched_memory_t memory = nm_sched_query_memory(entry->sched);
-    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_MEMORY, "{s:I,s:I,s:I,s:i,s:I}",
+    nm_log(NM_LOG_INFO, NM_LOG_ITEM_JOB_MEMORY, "{s:I,s:I,s:I,s:I,s:i,s:I}",
+           "checkpoint_bytes", (json_int_t)memory.checkpoint_bytes,
            "live_bytes", (json_int_t)memory.live_bytes, "reserved_bytes",
            (json_int_t)memory.reserved_bytes, "bound_bytes",
            (json_int_t)memory.max_bytes, "jobs_deferred",
--- a/src/report_delta.c
+++ b/src/report_delta.c
@@ -17,10 +17,36 @@
     nm_ms_t used_ms;
 } cached_report_t;
 
+/* Rows that are kept own their checkpoints. */
+static nm_worker_run_t
+copy_run(const nm_worker_run_t *run)
+{
+    nm_worker_run_t copy = *run;
+    copy.checkpoint = g_strdup(run->checkpoint);
+    return copy;
+}
+
+static void
+clear_run(nm_worker_run_t *run)
+{
+    g_free((char *)run->checkpoint);
+    run->checkpoint = NULL;
+}
+
+static void
+clear_runs(GArray *runs)
+{
+    for (guint i = 0; i < runs->len; i++) {
+        clear_run(&g_array_index(runs, nm_worker_run_t, i));
+    }
+    g_array_set_size(runs, 0);
+}
+
 static void
 free_cached_report(gpointer data)
 {
     cached_report_t *cached = data;
+    clear_runs(cached->running);
     g_array_free(cached->running, TRUE);
     g_free(cached);
 }
@@ -105,7 +131,8 @@
     nm_pb__worker_run__init(row);
     row->task = g_strdup(in_base ? "" : run->task);
     row->run = in_base ? 0 : run->run;
-    row->checkpoint = g_strdup(run->checkpoint);
+    row->checkpoint = g_strdup(run->checkpoint ? run->checkpoint : "");
+    row->checkpoint_hash = run->checkpoint_hash;
     row->position = position;
     return row;
 }
@@ -127,7 +154,8 @@
         row->task = g_strdup(report->ends[i].task);
         row->run = report->ends[i].run;
         row->end = report->ends[i].end;
-        row->checkpoint = g_strdup(report->ends[i].checkpoint);
+        const char *checkpoint = report->ends[i].checkpoint;
+        row->checkpoint = g_strdup(checkpoint ? checkpoint : "");
         message->ends[message->n_ends++] = row;
     }
 }
@@ -152,22 +180,29 @@
         int64_t position = find_run(report, known, kept);
         if (position < 0 || matched[position]) {
             message->gone[message->n_gone++] = i;
+            clear_run(known);
             continue;
         }
         matched[position] = true;
         const nm_worker_run_t *run = &report->running[position];
-        if (strcmp(known->checkpoint, run->checkpoint) != 0) {
+        if (known->checkpoint_hash != run->checkpoint_hash ||
+            g_strcmp0(known->checkpoint, run->checkpoint) != 0)
+        {
             message->running[message->n_running++] =
                 encode_run(run, true, kept);
+            clear_run(known);
+            *known = copy_run(run);
         }
-        g_array_index(cached->running, nm_worker_run_t, kept++) = *run;
+        known->metric = run->metric;
+        g_array_index(cached->running, nm_worker_run_t, kept++) = *known;
     }
     g_array_set_size(cached->running, kept);
     for (uint32_t i = 0; i < report->running_count; i++) {
         if (!matched[i]) {
             message->running[message->n_running++] =
                 encode_run(&report->running[i], false, cached->running->len);
-            g_array_append_val(cached->running, report->running[i]);
+            nm_worker_run_t copy = copy_run(&report->running[i]);
+            g_array_append_val(cached->running, copy);
         }
     }
     g_free(matched);
@@ -192,10 +227,11 @@
     message->incarnation = report->incarnation;
     message->clock_ms = report->clock_ms;
     message->complete = report->complete;
+    message->end_unread = report->end_unread;
     bool is_delta = base->number != 0 && base->number == cached->number &&
                     report->incarnation == cached->incarnation;
     if (!is_delta) {
-        g_array_set_size(cached->running, 0);
+        clear_runs(cached->running);
     }
     message->base_number = is_delta ? base->number : 0;
     encode_running(message, cached, report);
@@ -241,6 +277,7 @@
 nm_report_view_finish(nm_report_view_t *view)
 {
     assert(view);
+    clear_runs(view->running);
     g_array_free(view->running, TRUE);
 }
 
@@ -254,6 +291,7 @@
         if (removed_index < message->n_gone &&
             message->gone[removed_index] == i) {
             removed_index++;
+            clear_run(&g_array_index(view->running, nm_worker_run_t, i));
             continue;
         }
         if (kept != i) {
@@ -269,20 +307,24 @@
 static bool
 apply_run(nm_report_view_t *view, const NmPb__WorkerRun *row)
 {
+    nm_worker_run_t *known = NULL;
     nm_worker_run_t run = {.run = row->run};
-    bool valid =
-        nm_strcopy(run.task, sizeof(run.task), row->task) &&
-        nm_strcopy(run.checkpoint, sizeof(run.checkpoint), row->checkpoint);
+    bool valid = nm_strcopy(run.task, sizeof(run.task), row->task);
     if (row->task[0] != '\0') {
         g_array_append_val(view->running, run);
-        return valid;
+        known = &g_array_index(view->running, nm_worker_run_t,
+                               view->running->len - 1);
+    }
+    else if (row->position < view->running->len) {
+        known = &g_array_index(view->running, nm_worker_run_t, row->position);
     }
-    if (row->position >= view->running->len) {
+    if (!known) {
         return false;
     }
-    nm_worker_run_t *known =
-        &g_array_index(view->running, nm_worker_run_t, row->position);
-    memcpy(known->checkpoint, run.checkpoint, sizeof(known->checkpoint));
+    clear_run(known);
+    known->checkpoint =
+        row->checkpoint[0] != '\0' ? g_strdup(row->checkpoint) : NULL;
+    known->checkpoint_hash = row->checkpoint_hash;
     return valid;
 }
 
@@ -293,14 +335,14 @@
     bool valid =
         message->base_number == 0 || message->base_number == view->number;
     if (message->base_number == 0) {
-        g_array_set_size(view->running, 0);
+        clear_runs(view->running);
     }
     valid = valid && remove_runs(view, message);
     for (size_t i = 0; i < message->n_running && valid; i++) {
         valid = apply_run(view, message->running[i]);
     }
     if (!valid || message->n_figures != view->running->len) {
-        g_array_set_size(view->running, 0);
+        clear_runs(view->running);
         view->number = 0;
         return NM_ERR_CORRUPT;
     }
@@ -326,7 +368,7 @@
                                .end =
                                    (nm_end_t)MIN(row->end, NM_END_COUNT - 1)};
         nm_strcopy(end.task, sizeof(end.task), row->task);
-        nm_strcopy(end.checkpoint, sizeof(end.checkpoint), row->checkpoint);
+        end.checkpoint = row->checkpoint[0] != '\0' ? row->checkpoint : NULL;
         g_array_append_val(ends, end);
     }
 }
--- a/src/report_delta.h
+++ b/src/report_delta.h
@@ -71,7 +71,10 @@
  */
 int nm_report_apply(nm_report_view_t *view, const NmPb__WorkerReport *message);
 
-/* Replaces the contents of ends (nm_worker_end_t) by those of a report. */
+/*
+ * Replaces the contents of ends (nm_worker_end_t) by those of a report; their
+ * checkpoints are those of the message.
+ */
 void nm_report_decode_ends(const NmPb__WorkerReport *message, GArray *ends);
 
 #endif
--- a/src/sched.c
+++ b/src/sched.c
@@ -90,7 +90,7 @@
 free_job(gpointer data)
 {
     nm_sched_job_t *job = data;
-    nm_occurrences_free(job);
+    nm_occurrences_free(NULL, job);
     for (uint32_t s = 0; job->swings && s < job->spec.step_count; s++) {
         g_free(job->swings[s]);
     }
--- a/src/sched_gang.c
+++ b/src/sched_gang.c
@@ -56,6 +56,24 @@
     return nodes->len;
 }
 
+/*
+ * All members resume from the checkpoint of the first one; from none, if there
+ * is no memory for that.
+ */
+static void
+share_checkpoint(nm_sched_t *sched, nm_task_t *tasks, uint32_t count)
+{
+    bool is_shared = true;
+    for (uint32_t i = 1; i < count; i++) {
+        nm_task_set_checkpoint(sched, &tasks[i], tasks[0].checkpoint);
+        is_shared = is_shared &&
+                    g_strcmp0(tasks[i].checkpoint, tasks[0].checkpoint) == 0;
+    }
+    for (uint32_t i = 0; i < count && !is_shared; i++) {
+        nm_task_set_checkpoint(sched, &tasks[i], NULL);
+    }
+}
+
 static void
 start_all(nm_sched_t *sched, const nm_candidate_t *candidate,
           const GPtrArray *nodes, nm_ms_t now_ms)
@@ -65,12 +83,8 @@
     for (guint i = 0; i < nodes->len; i++) {
         run = MAX(run, tasks[i].run + 1);
     }
+    share_checkpoint(sched, tasks, nodes->len);
     for (guint i = 0; i < nodes->len; i++) {
-        if (i > 0) {
-            /* All members resume from the same checkpoint. */
-            nm_strcopy(tasks[i].checkpoint, sizeof(tasks[i].checkpoint),
-                       tasks[0].checkpoint);
-        }
         nm_choice_start(sched, candidate, &tasks[i], nodes->pdata[i], run,
                         now_ms);
     }
--- a/src/sched_node.c
+++ b/src/sched_node.c
@@ -213,6 +213,7 @@
     node->epoch_confirmed = false;
     node->clock_known = false;
     node->ends_processed = 0;
+    node->end_unread = 0;
     node->ends_acked = 0;
     node->ends_acked_sent = 0;
     node->poll_due_ms = now_ms;
--- a/src/sched_occurrence.c
+++ b/src/sched_occurrence.c
@@ -100,13 +100,19 @@
     update_bytes(sched, job);
 }
 
+/* sched: NULL as it is freed itself. */
 static void
-free_occurrence(nm_occurrence_t *occurrence)
+free_occurrence(nm_sched_t *sched, nm_occurrence_t *occurrence)
 {
     const nm_job_spec_t *spec = &occurrence->job->spec;
     for (uint32_t s = 0; s < spec->step_count; s++) {
         for (uint32_t i = 0; i < spec->steps[s].task_count; i++) {
-            g_free(occurrence->tasks[s][i].silences);
+            nm_task_t *task = &occurrence->tasks[s][i];
+            g_free(task->silences);
+            if (sched) {
+                nm_task_set_checkpoint(sched, task, NULL);
+            }
+            g_free(task->checkpoint);
         }
         g_free(occurrence->tasks[s]);
     }
@@ -119,10 +125,10 @@
 }
 
 void
-nm_occurrences_free(nm_sched_job_t *job)
+nm_occurrences_free(nm_sched_t *sched, nm_sched_job_t *job)
 {
     for (guint i = 0; job->occurrences && i < job->occurrences->len; i++) {
-        free_occurrence(job->occurrences->pdata[i]);
+        free_occurrence(sched, job->occurrences->pdata[i]);
     }
     if (job->occurrences) {
         g_ptr_array_free(job->occurrences, TRUE);
@@ -138,6 +144,7 @@
         sched->job_bytes -= job->reserved_bytes;
         sched->live_occurrences -= job->occurrences->len;
         g_queue_remove(&sched->unreleased, job);
+        nm_occurrences_free(sched, job);
     }
 }
 
@@ -329,7 +336,7 @@
     keep_totals(job, occurrence);
     g_ptr_array_remove_index(job->occurrences, position);
     sched->live_occurrences--;
-    free_occurrence(occurrence);
+    free_occurrence(sched, occurrence);
     update_bytes(sched, job);
 }
 
@@ -400,5 +407,6 @@
     return (nm_sched_memory_t){.max_bytes = sched->desc.memory_max_bytes,
                                .reserved_bytes = sched->job_bytes,
                                .live_bytes = sched->live_bytes,
+                               .checkpoint_bytes = sched->checkpoint_bytes,
                                .jobs_deferred = sched->deferred_jobs};
 }
--- a/src/sched_poll.c
+++ b/src/sched_poll.c
@@ -58,7 +58,8 @@
 {
     nm_pending_ack_t *ack;
     while ((ack = g_queue_peek_head(&node->pending_acks)) &&
-           ack->change_seq <= sched->saved_seq)
+           ack->change_seq <= sched->saved_seq &&
+           (node->end_unread == 0 || ack->number < node->end_unread))
     {
         node->ends_acked = ack->number;
         g_free(g_queue_pop_head(&node->pending_acks));
--- a/src/sched_response.c
+++ b/src/sched_response.c
@@ -551,6 +551,25 @@
     }
 }
 
+/* A new checkpoint is a sign of progress, whether or not it is kept. */
+static void
+record_checkpoint(nm_sched_t *sched, nm_task_t *task,
+                  const nm_worker_run_t *row, nm_ms_t now_ms)
+{
+    bool is_new = row->checkpoint_hash > 0
+                      ? row->checkpoint_hash != task->checkpoint_hash
+                      : g_strcmp0(row->checkpoint, task->checkpoint) != 0;
+    if (!is_new) {
+        return;
+    }
+    task->checkpoint_hash = row->checkpoint_hash;
+    task->progress_ms = now_ms;
+    task->node->progress_ms = now_ms;
+    if (row->checkpoint_hash == 0) {
+        nm_task_set_checkpoint(sched, task, row->checkpoint);
+    }
+}
+
 static void
 apply_running(nm_sched_t *sched, nm_sched_node_t *node,
               const nm_worker_run_t *row, nm_ms_t now_ms)
@@ -578,12 +597,7 @@
         nm_task_set_started(sched, task, now_ms);
     }
     task->withdrawn = false;
-    if (strcmp(task->checkpoint, row->checkpoint) != 0) {
-        nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
-                   row->checkpoint);
-        task->progress_ms = now_ms;
-        node->progress_ms = now_ms;
-    }
+    record_checkpoint(sched, task, row, now_ms);
     task->metric = row->metric;
     task->listed_in_report = node->reports;
     if (task->crashes > 0 || task->silence_count > 0 ||
@@ -649,9 +663,8 @@
         report_late_end(sched, node, task, row);
     }
     if (current || late || (task && task->state == NM_RUN_UNKNOWN)) {
-        if (row->checkpoint[0] != '\0') {
-            nm_strcopy(task->checkpoint, sizeof(task->checkpoint),
-                       row->checkpoint);
+        if (row->checkpoint) {
+            nm_task_set_checkpoint(sched, task, row->checkpoint);
         }
         if (row->end == NM_END_FAILED) {
             task->avoided_node = node;
@@ -772,6 +785,7 @@
     node->ends_truncated =
         !report->complete && (report->end_count >= NM_WORKER_ENDS_LISTED_MAX ||
                               lacks_ends(node, report));
+    node->end_unread = report->end_unread;
     node->reports++;
     update_clock(node, report, now_ms);
     for (uint32_t i = 0; i < report->end_count; i++) {
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -237,7 +237,8 @@
     nm_sched_node_t *avoided_node;
     /* Number of its node's newest report that listed its run. */
     uint64_t listed_in_report;
-    char checkpoint[NM_CHECKPOINT_MAX];
+    char *checkpoint;         /* newest one that is kept; NULL: none */
+    uint64_t checkpoint_hash; /* of a newer one that is not kept; else 0 */
 } nm_task_t;
 
 /* The first failure of a step's run soon after its start. */
@@ -484,6 +485,7 @@
     nm_ms_t clock_at_ms;
     nm_ms_t lease_lapse_ms;  /* its lease is sure to have lapsed */
     int64_t ends_processed;  /* number of the newest end processed */
+    int64_t end_unread;      /* in its newest report; see nm_worker_report_t */
     int64_t ends_acked;      /* newest end the worker may drop */
     int64_t ends_acked_sent; /* ends_acked in the last poll; 0: was lost */
     GQueue pending_acks;     /* of nm_pending_ack_t */
@@ -534,7 +536,8 @@
     uint64_t saved_seq;  /* all changes up to it are stored */
     uint64_t live_bytes; /* of jobs and their occurrences in memory */
     uint64_t job_bytes;  /* the same, with one occurrence of each at least */
-    GQueue unreleased;   /* ended jobs that may have occurrences in memory */
+    uint64_t checkpoint_bytes;
+    GQueue unreleased; /* ended jobs that may have occurrences in memory */
     int64_t occurrences_due_unix_ms; /* the next one; 0: not known */
     uint32_t live_occurrences;
     uint32_t deferred_jobs;    /* with an occurrence that has no memory */
@@ -599,9 +602,9 @@
 /* sched_occurrence.c */
 /* Sets what a job with its specification needs, and counts it. */
 void nm_occurrences_init_job(nm_sched_t *sched, nm_sched_job_t *job);
-/* Frees the occurrences of a job that is freed. */
-void nm_occurrences_free(nm_sched_job_t *job);
-/* A job is about to be freed; it no longer counts. */
+/* Frees the occurrences of a job; sched is NULL as it is freed itself. */
+void nm_occurrences_free(nm_sched_t *sched, nm_sched_job_t *job);
+/* A job is about to be freed; it no longer counts, nor do its occurrences. */
 void nm_occurrences_forget_job(nm_sched_t *sched, nm_sched_job_t *job);
 /* A job has ended; its occurrences are freed later. */
 void nm_occurrences_on_job_end(nm_sched_t *sched, nm_sched_job_t *job);
@@ -627,6 +630,12 @@
 void nm_occurrences_begin_reported(nm_sched_t *sched, const char *task);
 
 /* sched_task.c */
+/*
+ * Keeps a checkpoint, unless the memory for checkpoints is in use: then the
+ * task keeps the one that it has.  NULL: removes it.
+ */
+void nm_task_set_checkpoint(nm_sched_t *sched, nm_task_t *task,
+                            const char *checkpoint);
 /* Position of a task, as its name tells it. */
 typedef struct {
     nm_sched_job_t *job;
--- a/src/sched_task.c
+++ b/src/sched_task.c
@@ -14,6 +14,8 @@
  * higher than those of earlier owners.
  */
 #define RUNS_PER_EPOCH 1000000
+/* Part of the memory for jobs that checkpoints take in addition. */
+#define CHECKPOINTS_MEMORY_SHARE 4
 /* A start has expired on its worker's clock this long after it was sent. */
 #define START_EXPIRY_MAX_MS                                                   \
     ((nm_ms_t)(NM_SCHED_START_VALID_MS * NM_SCHED_CLOCK_SLOW_FACTOR) +        \
@@ -68,6 +70,25 @@
     return occurrence ? &occurrence->tasks[at.step][at.index] : NULL;
 }
 
+void
+nm_task_set_checkpoint(nm_sched_t *sched, nm_task_t *task,
+                       const char *checkpoint)
+{
+    uint64_t max_bytes =
+        sched->desc.memory_max_bytes / CHECKPOINTS_MEMORY_SHARE;
+    uint64_t known_bytes = task->checkpoint ? strlen(task->checkpoint) + 1 : 0;
+    uint64_t bytes = checkpoint ? strlen(checkpoint) + 1 : 0;
+    uint64_t others_bytes = sched->checkpoint_bytes - known_bytes;
+    if (max_bytes > 0 && bytes > known_bytes &&
+        others_bytes + bytes > max_bytes) {
+        nm_count_reason(NM_REASON_CHECKPOINT_DROPPED);
+        return;
+    }
+    sched->checkpoint_bytes = others_bytes + bytes;
+    g_free(task->checkpoint);
+    task->checkpoint = g_strdup(checkpoint);
+}
+
 nm_load_t
 nm_step_load(const nm_step_t *step)
 {
@@ -629,7 +650,7 @@
     nm_sched_task_name(task, action->task, sizeof(action->task));
     action->run = task->run;
     action->payload = task->occurrence->job->spec.payload;
-    action->checkpoint = task->checkpoint;
+    action->checkpoint = task->checkpoint ? task->checkpoint : "";
     action->expiry_ms =
         nm_node_clock_ms(node, now_ms) + NM_SCHED_START_VALID_MS;
     action->valid_ms = NM_SCHED_START_VALID_MS;
@@ -660,7 +681,7 @@
         nm_task_set_state(sched, task, NM_RUN_STARTING);
         task->tries = 0;
         task->resent = false;
-        task->is_resumed = task->checkpoint[0] != '\0';
+        task->is_resumed = task->checkpoint != NULL;
         task->begun_ms = now_ms;
         nm_crashes_on_start(node, task);
         task->percent = 100;
