Occurrences: one that is due later has no tasks either

Cause: a job that runs once, at a later time, still had its tasks in memory from its acceptance on. Change: it begins as it is due, as the occurrences of jobs that repeat. Measured: seven test programs of jobs, limits, waits and takeovers pass.

--- a/src/sched_occurrence.c
+++ b/src/sched_occurrence.c
@@ -245,8 +245,7 @@
     }
     while (job->begun_count < job->occurrence_count) {
         int64_t due_ms = due_unix_ms(job, job->begun_count);
-        /* What begins at once waits for its time with its tasks. */
-        if (due_ms > sched->unix_ms && job->occurrence_count > 1) {
+        if (due_ms > sched->unix_ms) {
             return due_ms;
         }
         if (!has_room(sched, job)) {
