--- a/src/sched_occurrence.c
+++ b/src/sched_occurrence.c
@@ -100,7 +100,7 @@
     update_bytes(sched, job);
 }
 
-/* sched: NULL as it is freed itself. */
+/* sched is NULL while the scheduler itself is freed. */
 static void
 free_occurrence(nm_sched_t *sched, nm_occurrence_t *occurrence)
 {
@@ -223,7 +223,11 @@
                               nm_sched_has_unresolved_workers(sched, now_ms));
 }
 
-/* True if there is memory for one more occurrence of a job. */
+/*
+ * True if there is memory for one more occurrence of a job.  The first one of
+ * a job that has none may use all of it, a further one only the part for
+ * those; one that alone is larger begins when no other is in memory.
+ */
 static bool
 has_room(const nm_sched_t *sched, const nm_sched_job_t *job)
 {
@@ -235,7 +239,9 @@
            (!has_unfinished(job) && needed_bytes <= max_bytes + further_bytes);
 }
 
-/* Returns when the next occurrence is due; NM_MS_NEVER: none begins by time.
+/*
+ * Begins the occurrences of a job that are due.  Returns when the next one is;
+ * 0: it waits for memory, NM_MS_NEVER: there is none.
  */
 static int64_t
 begin_due(nm_sched_t *sched, nm_sched_job_t *job, nm_ms_t now_ms)
--- a/src/sched_state.h
+++ b/src/sched_state.h
@@ -602,7 +602,7 @@
 /* sched_occurrence.c */
 /* Sets what a job with its specification needs, and counts it. */
 void nm_occurrences_init_job(nm_sched_t *sched, nm_sched_job_t *job);
-/* Frees the occurrences of a job; sched is NULL as it is freed itself. */
+/* Frees the occurrences of a job; sched is NULL while it is freed itself. */
 void nm_occurrences_free(nm_sched_t *sched, nm_sched_job_t *job);
 /* A job is about to be freed; it no longer counts, nor do its occurrences. */
 void nm_occurrences_forget_job(nm_sched_t *sched, nm_sched_job_t *job);
