Admission by memory: jobs count until the scheduler has them

Cause: the owner computes what is left anew each 250 ms, from jobs that have come back through the store's feed; those accepted just before were left out. Change: what a host has accepted counts for two more intervals. The test fills up to three times, as a job may count twice meanwhile, and bounds the sum over owner, next owner and other host by what fits.

--- a/src/entry_admission.c
+++ b/src/entry_admission.c
@@ -110,9 +110,14 @@
     if (least_mb > 0 && max_bytes > 0) {
         max_bytes = MIN(max_bytes, nm_entry_job_bytes_max(least_mb));
     }
+    /* The scheduler may not have heard of the newest jobs yet. */
+    uint64_t used_bytes = memory.reserved_bytes +
+                          admission->accepted_bytes[0] +
+                          admission->accepted_bytes[1];
+    admission->accepted_bytes[1] = admission->accepted_bytes[0];
+    admission->accepted_bytes[0] = 0;
     admission->job_bytes_max = max_bytes;
-    admission->job_bytes_left =
-        max_bytes - MIN(max_bytes, memory.reserved_bytes);
+    admission->job_bytes_left = max_bytes - MIN(max_bytes, used_bytes);
     admission->memory_is_scarce =
         admission->job_bytes_left < max_bytes / SCARCE_SHARE;
 }
@@ -136,6 +141,7 @@
     if (memory.max_bytes == 0 || memory.needed_bytes <= memory.left_bytes) {
         admission->job_bytes_left -=
             MIN(admission->job_bytes_left, memory.needed_bytes);
+        admission->accepted_bytes[0] += memory.needed_bytes;
     }
     else {
         memory.refusal = memory.needed_bytes > memory.max_bytes
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -168,6 +168,8 @@
     uint64_t job_bytes_left;    /* of it, less what was accepted here since */
     nm_ms_t expires_ms;
     nm_ms_t compute_due_ms; /* the rest is of the owner */
+    /* Bytes of jobs accepted here in the newest intervals, newest first. */
+    uint64_t accepted_bytes[2];
     bool memory_is_scarce;
     nm_ms_t send_due_ms;
 } nm_entry_admission_t;
